Settings: checked INI into frozen data classes

Cause: a process learns its addresses, zone, roles and keys from a file, and a slip in it must be named before the process serves. Change: inifile checks sections through pydantic models made from data classes and collects every problem with file, section, key and right form.

--- /dev/null
+++ b/hickoryweir/configuration/inifile.py
@@ -0,0 +1,176 @@
+"""Reads an INI file into data classes and collects every problem in it.
+
+A file has single sections, such as ``[callers]``, and named sections, such as
+``[peer a-1]``.  :func:`make_schema` turns a data class into a checked pydantic
+model; :func:`load` checks a whole text against such schemas.
+"""
+
+import configparser
+import dataclasses
+import pathlib
+import typing
+from collections.abc import Mapping
+from typing import Any
+
+import pydantic
+from returns import result
+
+from hickoryweir.configuration import problems
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Schema:
+    """A data class and the pydantic model that checks its fields."""
+
+    cls: type
+    border: type[pydantic.BaseModel]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Layout:
+    """The sections that a file may have, by kind."""
+
+    single: Mapping[str, Schema]
+    named: Mapping[str, Schema]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Content:
+    """The checked sections of a file, by kind; named ones sorted by name."""
+
+    single: Mapping[str, Any]
+    named: Mapping[str, tuple[Any, ...]]
+
+
+def make_schema(cls: type, rules: Mapping[str, Any] | None = None) -> Schema:
+    """Return the schema of a data class.
+
+    Parameters
+    ----------
+    cls : type
+        A data class; its annotations are the checks unless ``rules`` has them.
+    rules : mapping of str to type, optional
+        Checked types by field name.
+
+    Returns
+    -------
+    Schema
+        Checks text values and builds instances of ``cls``.
+    """
+    hints = typing.get_type_hints(cls, include_extras=True)
+    rules = rules or {}
+    members = {
+        field.name: (rules.get(field.name, hints[field.name]), _default(field))
+        for field in dataclasses.fields(cls)
+    }
+    border = pydantic.create_model(
+        cls.__name__, __config__=pydantic.ConfigDict(extra="forbid"), **members
+    )
+    return Schema(cls, border)
+
+
+def _default(field: dataclasses.Field):
+    return ... if field.default is dataclasses.MISSING else field.default
+
+
+def load(
+    text: str, file: str, layout: Layout
+) -> result.Result[Content, problems.InvalidInput]:
+    """Return the checked content of an INI text, or every problem in it.
+
+    Parameters
+    ----------
+    text : str
+        The INI text.
+    file : str
+        Name for errors; relative paths are taken from its folder.
+    layout : Layout
+        The sections that the file may have.
+
+    Returns
+    -------
+    Result of Content or InvalidInput
+        The sections as data class instances.
+    """
+    parser = configparser.ConfigParser(
+        interpolation=None,
+        delimiters=("=",),
+        default_section="\n",
+    )
+    parser.optionxform = str
+    try:
+        parser.read_string(text, file)
+    except configparser.Error as error:
+        problem = problems.Problem(
+            file, "", "", _first_line(error), "INI text: [section] and key = value"
+        )
+        return result.Failure(problems.InvalidInput((problem,)))
+    return _check(parser, file, layout)
+
+
+def _first_line(error: configparser.Error) -> str:
+    return " ".join(str(error).split())
+
+
+def _check(parser, file, layout):
+    found: list[problems.Problem] = []
+    single: dict[str, Any] = {}
+    named: dict[str, list[Any]] = {kind: [] for kind in layout.named}
+    for title in parser.sections():
+        kind, _, name = title.partition(" ")
+        values = dict(parser[title])
+        if kind in layout.named and name.strip():
+            values = {"name": name.strip(), **values}
+            value = _check_section(file, title, values, layout.named[kind], found)
+            named[kind].append(value)
+        elif title in layout.single:
+            schema = layout.single[title]
+            single[title] = _check_section(file, title, values, schema, found)
+        else:
+            found.append(_unknown_section(file, title, layout))
+    for title in layout.single.keys() - single.keys():
+        schema = layout.single[title]
+        single[title] = _check_section(file, title, {}, schema, found)
+    if found:
+        return result.Failure(problems.InvalidInput(tuple(found)))
+    return result.Success(Content(single, _sorted_by_name(named)))
+
+
+def _sorted_by_name(named):
+    return {
+        kind: tuple(sorted(values, key=lambda value: value.name))
+        for kind, values in named.items()
+    }
+
+
+def _unknown_section(file, title, layout):
+    known = [f"[{kind}]" for kind in layout.single]
+    known += [f"[{kind} NAME]" for kind in layout.named]
+    return problems.Problem(
+        file, title, "", "unknown section", "one of " + ", ".join(known)
+    )
+
+
+def _check_section(file, title, values, schema, found):
+    context = {"folder": pathlib.Path(file).parent}
+    try:
+        checked = schema.border.model_validate(values, context=context)
+    except pydantic.ValidationError as error:
+        for detail in error.errors():
+            found.append(_to_problem(file, title, detail, schema))
+        return None
+    return schema.cls(**dict(checked))
+
+
+def _to_problem(file, title, detail, schema):
+    key = str(detail["loc"][0]) if detail["loc"] else ""
+    keys = [name for name in schema.border.model_fields if name != "name"]
+    if detail["type"] == "extra_forbidden":
+        return problems.Problem(
+            file, title, key, "unknown key", "one of " + ", ".join(keys)
+        )
+    field = schema.border.model_fields[key]
+    expected = field.description or "a valid value"
+    if detail["type"] == "missing":
+        return problems.Problem(file, title, key, "missing key", expected)
+    return problems.Problem(file, title, key, f"is {detail['input']!r}", expected)
--- /dev/null
+++ b/hickoryweir/configuration/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of settings and configuration."""
