Questionnaire: answers become a canonical configuration

Cause: a team describes its requests in plain words; the configuration is generated, and contradictions are refused by the question's name. Change: answers, tiers from a partial order of urgency, contradictions, generator with a reason for each derived number, canonical text and digest, parser with reference checks, worked answers and settings of both customers. Conclusion: parse(render(c)) equals c; the daemon can read the examples.

--- /dev/null
+++ b/hickoryweir/configuration/contradictions.py
@@ -0,0 +1,239 @@
+"""Contradictions between questionnaire answers, named by their question."""
+
+from collections.abc import Iterator
+
+from hickoryweir.configuration import model, problems, questionnaire, tiers
+
+MAX_TIER_COUNT = 6
+WHOLE_PERCENT = 100.0
+TOLERANCE_PERCENT = 1e-6
+
+
+def find(answers: questionnaire.Answers) -> tuple[problems.Problem, ...]:
+    """Return every contradiction.
+
+    Parameters
+    ----------
+    answers : questionnaire.Answers
+        Answers whose keys are each valid.
+
+    Returns
+    -------
+    tuple of problems.Problem
+        Section and key are those of the question that contradicts.
+    """
+    checks = (_names, _tiers, _floors, _repeats, _targets, _keys, _urls, _stages)
+    return tuple(problem for check in checks for problem in check(answers))
+
+
+def _problem(answers, section, key, message, expected):
+    return problems.Problem(answers.file, section, key, message, expected)
+
+
+def _unknown(answers, section, key, names, known):
+    for name in names:
+        if name not in known:
+            choice = ", ".join(sorted(known)) or "a name with a section of its own"
+            yield _problem(
+                answers, section, key, f"names {name!r}, which isn't answered", choice
+            )
+
+
+def _names(answers) -> Iterator[problems.Problem]:
+    requests = {each.name for each in answers.requests}
+    targets = {
+        model.Target.MODEL: {each.name for each in answers.models},
+        model.Target.SERVICE: {each.name for each in answers.services},
+    }
+    for each in answers.requests:
+        section = f"request {each.name}"
+        answerer = each.answered_by
+        known = targets[answerer.target]
+        yield from _unknown(answers, section, "answered_by", (answerer.name,), known)
+        urgent = each.more_urgent_than
+        yield from _unknown(answers, section, "more_urgent_than", urgent, requests)
+    for each in answers.accounts:
+        section = f"account {each.name}"
+        yield from _unknown(answers, section, "requests", each.requests, requests)
+    for each in answers.backend_servers:
+        section = f"backend-server {each.name}"
+        known = targets[each.runs]
+        yield from _unknown(answers, section, "serves", each.serves, known)
+        zones = answers.team.availability_zones
+        zone = (each.availability_zone,)
+        yield from _unknown(answers, section, "availability_zone", zone, zones)
+
+
+def _tiers(answers):
+    cycle = tiers.find_cycle(answers.requests)
+    if cycle:
+        yield _problem(
+            answers,
+            f"request {cycle[0]}",
+            "more_urgent_than",
+            "goes round in a circle: " + " > ".join(cycle),
+            "an order in which no kind of request is more urgent than itself",
+        )
+        return
+    depth = max(tiers.assign(answers.requests).values(), default=0) + 1
+    if depth > MAX_TIER_COUNT:
+        yield _problem(
+            answers,
+            "request",
+            "more_urgent_than",
+            f"gives {depth} tiers",
+            f"at most {MAX_TIER_COUNT} tiers",
+        )
+
+
+def _floors(answers):
+    sums: dict[questionnaire.Answerer, float] = {}
+    for each in answers.requests:
+        floor = sums.get(each.answered_by, 0.0) + each.never_below_percent
+        sums[each.answered_by] = floor
+    for answerer, total in sums.items():
+        if total > WHOLE_PERCENT + TOLERANCE_PERCENT:
+            names = [r.name for r in answers.requests if r.answered_by == answerer]
+            yield _problem(
+                answers,
+                f"request {names[-1]}",
+                "never_below_percent",
+                f"adds up to {total:g}% over {', '.join(names)}",
+                f"at most 100% over what {answerer.target} {answerer.name} answers",
+            )
+
+
+def _repeats(answers):
+    for each in answers.requests:
+        for key in ("retry", "race_a_second_copy"):
+            if getattr(each, key) and not each.may_run_twice:
+                yield _problem(
+                    answers,
+                    f"request {each.name}",
+                    key,
+                    "is yes for requests that may not run twice",
+                    "no, or may_run_twice = yes",
+                )
+
+
+def _targets(answers):
+    for each in answers.requests:
+        servers = [
+            server
+            for server in answers.backend_servers
+            if server.runs == each.answered_by.target
+            and each.answered_by.name in server.serves
+        ]
+        section = f"request {each.name}"
+        if not servers:
+            yield _problem(
+                answers,
+                section,
+                "answered_by",
+                "no backend server serves it",
+                "a [backend-server NAME] that serves " + each.answered_by.name,
+            )
+            continue
+        if each.whole_answer_within_s > each.gives_up_after_s:
+            yield _problem(
+                answers,
+                section,
+                "gives_up_after_s",
+                f"is {each.gives_up_after_s:g}, before whole_answer_within_s",
+                f"at least {each.whole_answer_within_s:g}",
+            )
+        if each.answered_by.target is model.Target.MODEL:
+            yield from _engine_targets(answers, each, section, servers)
+
+
+def _engine_targets(answers, request, section, servers):
+    fastest = max(server.tokens_per_s for server in servers)
+    if fastest <= 0:
+        slow = servers[0]
+        yield _problem(
+            answers,
+            f"backend-server {slow.name}",
+            "tokens_per_s",
+            "is 0 for an engine",
+            "the decode speed of one sequence in an idle engine",
+        )
+        return
+    between_s = 1.0 / fastest
+    wanted_s = request.between_tokens_within_s
+    if wanted_s is not None and wanted_s < between_s:
+        yield _problem(
+            answers,
+            section,
+            "between_tokens_within_s",
+            f"is {wanted_s:g}, which no engine can meet",
+            f"at least {between_s:.3g} (the fastest engine: {fastest:g} tokens/s)",
+        )
+    first_s = request.first_token_within_s or 0.0
+    least_s = (request.usual_answer_tokens or 0) * between_s
+    if max(least_s, first_s) > request.whole_answer_within_s:
+        tokens = request.usual_answer_tokens
+        yield _problem(
+            answers,
+            section,
+            "whole_answer_within_s",
+            f"is {request.whole_answer_within_s:g}, which no engine can meet",
+            f"at least {max(least_s, first_s):.3g} (first token within {first_s:g} s, "
+            f"{tokens or 0} tokens at {fastest:g} tokens/s)",
+        )
+
+
+def _keys(answers):
+    owners: dict[str, str] = {}
+    for each in answers.accounts:
+        for digest in each.key_sha256:
+            owner = owners.setdefault(digest, each.name)
+            if owner != each.name:
+                yield _problem(
+                    answers,
+                    f"account {each.name}",
+                    "key_sha256",
+                    f"has a key that account {owner} has too",
+                    "a key of its own",
+                )
+
+
+def _urls(answers):
+    owners: dict[str, str] = {}
+    for each in answers.backend_servers:
+        owner = owners.setdefault(each.url.rstrip("/"), each.name)
+        if owner != each.name:
+            yield _problem(
+                answers,
+                f"backend-server {each.name}",
+                "url",
+                f"is the URL of {owner} too",
+                "a URL of its own",
+            )
+
+
+def _stages(answers):
+    requests = {each.name for each in answers.requests}
+    known = {each.provider for each in answers.backend_servers}
+    for each in answers.providers:
+        section = f"providers {each.name}"
+        yield from _unknown(answers, section, "", (each.name,), requests)
+        for stage in each.stages:
+            names = [provider for provider, _ in stage]
+            yield from _unknown(answers, section, "stages", names, known)
+            total = sum(percent for _, percent in stage)
+            if abs(total - WHOLE_PERCENT) > TOLERANCE_PERCENT:
+                yield _problem(
+                    answers,
+                    section,
+                    "stages",
+                    f"has a stage that adds up to {total:g}%",
+                    "100% in each stage",
+                )
+        if each.current_stage > len(each.stages):
+            yield _problem(
+                answers,
+                section,
+                "current_stage",
+                f"is {each.current_stage}",
+                f"1 to {len(each.stages)}",
+            )
--- /dev/null
+++ b/hickoryweir/configuration/tests/test_generator.py
@@ -0,0 +1,162 @@
+"""Answers become configurations, or their contradictions are named."""
+
+import hashlib
+import pathlib
+
+import pytest
+
+from hickoryweir.configuration import (
+    generator,
+    model,
+    parse,
+    questionnaire,
+    render,
+    settings,
+)
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+CUSTOMERS = ("kitamori", "tamworth")
+
+
+def text_of(customer):
+    return (EXAMPLES / customer / "answers.ini").read_text()
+
+
+def configuration_of(customer):
+    return generator.generate_text(text_of(customer), "answers.ini").unwrap()
+
+
+@pytest.mark.parametrize("customer", CUSTOMERS)
+def test_generated_text_is_read_back_equal(customer):
+    configuration = configuration_of(customer)
+    text = render.render(configuration)
+    assert parse.parse(text, "c.ini").unwrap() == configuration
+    assert configuration.digest == hashlib.sha256(text.encode()).hexdigest()
+
+
+@pytest.mark.parametrize(("customer", "engines"), [("kitamori", 6), ("tamworth", 5)])
+def test_examples_have_the_sizes_of_today(customer, engines):
+    servers = configuration_of(customer).backend_servers
+    assert len(configuration_of(customer).accounts) == 10
+    assert sum(each.target is model.Target.MODEL for each in servers) == engines
+    assert sum(each.target is model.Target.SERVICE for each in servers) == 3
+    assert len({each.availability_zone for each in servers}) == 3
+
+
+def test_order_of_sections_does_not_matter():
+    blocks = text_of("kitamori").split("\n[")
+    swapped = "\n[".join([*blocks[:1], *reversed(blocks[1:])])
+    other = generator.generate_text(swapped, "other.ini").unwrap()
+    assert other == configuration_of("kitamori")
+
+
+def test_top_up_stands_above_summaries_and_never_repeats():
+    classes = {each.name: each for each in configuration_of("kitamori").classes}
+    assert classes["top-up"].tier < classes["monthly-summary"].tier
+    assert not classes["top-up"].idempotent
+    assert not classes["top-up"].retries
+    assert not classes["top-up"].hedging
+
+
+def test_unknown_answer_length_is_estimated_and_explained():
+    answers = questionnaire.parse(text_of("tamworth"), "a.ini").unwrap()
+    notes = generator.derive(answers).unwrap().derivations
+    keys = {(note.section, note.key) for note in notes}
+    assert ("class installation-history", "expected_output_tokens") in keys
+
+
+def test_replaced_urls_change_the_digest_only():
+    before = configuration_of("kitamori")
+    after = render.replace_urls(before, {"assistant-1": "http://127.0.0.1:1"})
+    assert after.backend_servers[0].url == "http://127.0.0.1:1"
+    assert after.digest != before.digest
+    assert after.classes == before.classes
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "section", "key"),
+    [
+        (
+            "may_run_twice = yes\nfirst_token_within_s = 20.0",
+            "may_run_twice = yes\nmore_urgent_than = top-up",
+            "request balance-read",
+            "more_urgent_than",
+        ),
+        (
+            "never_below_percent = 40",
+            "never_below_percent = 99",
+            "request settlement-review",
+            "never_below_percent",
+        ),
+        (
+            "race_a_second_copy = no",
+            "race_a_second_copy = yes",
+            "request top-up",
+            "race_a_second_copy",
+        ),
+        ("retry = no", "retry = yes", "request top-up", "retry"),
+        (
+            "between_tokens_within_s = 0.1",
+            "between_tokens_within_s = 0.001",
+            "request balance-read",
+            "between_tokens_within_s",
+        ),
+        (
+            "whole_answer_within_s = 6.0",
+            "whole_answer_within_s = 0.9",
+            "request balance-read",
+            "whole_answer_within_s",
+        ),
+        (
+            "gives_up_after_s = 20.0",
+            "gives_up_after_s = 5.0",
+            "request balance-read",
+            "gives_up_after_s",
+        ),
+        ("model assistant\n", "model oracle\n", "request balance-read", "answered_by"),
+        (
+            "requests = monthly-summary\n",
+            "requests = weekly\n",
+            "account night-reports",
+            "requests",
+        ),
+        ("okhotsk 100 |", "okhotsk 70 |", "providers balance-read", "stages"),
+        (
+            "current_stage = 1",
+            "current_stage = 9",
+            "providers balance-read",
+            "current_stage",
+        ),
+        ("127.0.0.1:9102", "127.0.0.1:9101", "backend-server assistant-2", "url"),
+        (
+            "availability_zone = hakodate",
+            "availability_zone = otaru",
+            "backend-server assistant-3",
+            "availability_zone",
+        ),
+        (
+            hashlib.sha256(b"demo-parents-web").hexdigest(),
+            hashlib.sha256(b"demo-parents-app").hexdigest(),
+            "account parents-web",
+            "key_sha256",
+        ),
+    ],
+)
+def test_each_contradiction_is_refused_with_the_question(old, new, section, key):
+    text = text_of("kitamori")
+    assert old in text
+    error = generator.generate_text(text.replace(old, new, 1), "a.ini").failure()
+    places = [(each.section, each.key) for each in error.problems]
+    assert (section, key) in places
+
+
+def test_configuration_with_an_unknown_name_is_refused():
+    text = render.render(configuration_of("kitamori"))
+    broken = text.replace("target_name = assistant", "target_name = x", 1)
+    error = parse.parse(broken, "c.ini").failure()
+    assert error.problems[0].key == "target_name"
+
+
+@pytest.mark.parametrize("file", sorted(EXAMPLES.glob("*/settings-*.ini")), ids=str)
+def test_example_settings_are_right(file):
+    assert settings.load(file).unwrap().other_processes
