--- /dev/null
+++ b/hickoryweir/claims/commands.py
@@ -0,0 +1,99 @@
+"""Commands that routers propose to the log about idempotency keys.
+
+Examples
+--------
+>>> outcome = NotRun("connection refused")
+>>> RecordOutcome("school-7", "key-1", None, "attempt-1", outcome).outcome.reason
+'connection refused'
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """Ask for the right to run the call with this key.
+
+    Attributes
+    ----------
+    account, key : str
+        Client account and its idempotency key; keys of accounts are separate.
+    issued_at_s : float or None
+        Unix time that the key carries; a pure function of the key.
+    body_digest : bytes
+        Digest of method, path and body.
+    attempt_id : str
+        Unique to one router's handling of one call.
+    backend_server, router : str
+        Where the call will be dispatched, and who dispatches it.
+    """
+
+    account: str
+    key: str
+    issued_at_s: float | None
+    body_digest: bytes
+    attempt_id: str
+    backend_server: str
+    router: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The backend server ran the call and gave this whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnsweredUnkept:
+    """The backend server ran the call; its answer is too large to be kept."""
+
+    status: int
+    digest: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The call certainly did not run, or was never dispatched."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """At least one byte was sent and no whole answer came back."""
+
+    reason: str
+
+
+Outcome = Answered | AnsweredUnkept | NotRun | Unknown
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordOutcome:
+    """Record how an attempt ended.
+
+    A :class:`NotRun` may come before the attempt's own claim: the claim is then
+    refused when it arrives late.
+    """
+
+    account: str
+    key: str
+    issued_at_s: float | None
+    attempt_id: str
+    outcome: Outcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetRetention:
+    """Keep records for ``retention_s`` from now on.
+
+    Keys that were already refused as expired stay refused.
+    """
+
+    retention_s: float
+
+
+Command = Claim | RecordOutcome | SetRetention
--- /dev/null
+++ b/hickoryweir/claims/gateway.py
@@ -0,0 +1,337 @@
+"""The router's side of one non-idempotent call: claim, wait, record.
+
+The gateway owns no sockets.  It is given a function that proposes a command to
+the log and returns its verdict, or says that there was none.  The order for one
+call is: :attr:`Gateway.claim`, dispatch only with the permit,
+:attr:`Gateway.finish`, answer the caller.
+
+Whenever an attempt ends without a permit but its claim may still take effect,
+the gateway releases the attempt in the background, so that the answer "not run"
+is true and the caller's next resend is not blocked.
+
+See Also
+--------
+hickoryweir.claims.machine : The other side, in the log.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import uuid
+
+from absl import logging
+from returns import result
+
+from hickoryweir.claims import commands, keys, replies, verdicts
+from hickoryweir.outcomes import refusals
+
+PROPOSE_TIMEOUT_S = 1.0
+CLAIM_TIMEOUT_S = 2.0
+RECORD_TIMEOUT_S = 2.0
+BACKGROUND_TIMEOUT_S = 600.0
+BACKGROUND_TASKS_MAX = 10_000
+BACKOFF_START_S = 0.05
+BACKOFF_MAX_S = 1.0
+BACKOFF_FACTOR = 2.0
+STALE_AFTER_S = 120.0
+ANSWER_MAX_BYTES = 64 * 1024
+
+Propose = collections.abc.Callable[
+    [commands.Command, float],
+    collections.abc.Awaitable[result.Result[verdicts.Verdict, verdicts.Unavailable]],
+]
+Clock = collections.abc.Callable[[], float]
+Sleep = collections.abc.Callable[[float], collections.abc.Awaitable[None]]
+MakeAttemptId = collections.abc.Callable[[], str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A non-idempotent call as the log knows it."""
+
+    account: str
+    key: keys.Key
+    body_digest: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permit:
+    """The right to run a call, held by one attempt until it is finished.
+
+    Attributes
+    ----------
+    call : Call
+        The call.
+    attempt_id : str
+        The attempt that holds the key.
+    fencing_number : int
+        Log index of the claim; higher for later holders.
+    """
+
+    call: Call
+    attempt_id: str
+    fencing_number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredAnswer:
+    """The whole answer of an earlier attempt with the same key."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gateway:
+    """Functions for non-idempotent calls at one router.
+
+    Attributes
+    ----------
+    claim : callable
+        ``await claim(call, backend_server, deadline_s)`` gives a
+        :class:`Permit`, a :class:`StoredAnswer` or a refusal.  ``deadline_s``
+        is on the gateway's clock.
+    finish : callable
+        ``await finish(permit, outcome)`` records how the attempt ended.  After
+        a failure the recording goes on in the background, and the caller may
+        be answered.
+    close : callable
+        ``await close(timeout_s)`` waits for recordings in the background and
+        returns how many were given up.
+    """
+
+    claim: collections.abc.Callable[
+        [Call, str, float],
+        collections.abc.Awaitable[
+            result.Result[Permit | StoredAnswer, refusals.Refusal]
+        ],
+    ]
+    finish: collections.abc.Callable[
+        [Permit, commands.Outcome],
+        collections.abc.Awaitable[
+            result.Result[verdicts.RecordVerdict, verdicts.Unavailable]
+        ],
+    ]
+    close: collections.abc.Callable[[float], collections.abc.Awaitable[int]]
+
+
+def make_gateway(
+    propose: Propose,
+    clock: Clock,
+    router: str,
+    sleep: Sleep = asyncio.sleep,
+    make_attempt_id: MakeAttemptId = lambda: uuid.uuid4().hex,
+    answer_max_bytes: int = ANSWER_MAX_BYTES,
+) -> Gateway:
+    """Return the gateway of one router.
+
+    Parameters
+    ----------
+    propose : callable
+        ``await propose(command, timeout_s)`` gives the log's verdict, or
+        :class:`~hickoryweir.claims.verdicts.Unavailable`.
+    clock : callable
+        Monotonic seconds.
+    router : str
+        Name of this router.
+    sleep, make_attempt_id : callable, optional
+        For tests.
+    answer_max_bytes : int, optional
+        Larger answers are sent to the log as status and digest only.
+
+    Returns
+    -------
+    Gateway
+        Functions over shared background tasks.
+    """
+    background: set[asyncio.Task] = set()
+
+    async def record(
+        command: commands.RecordOutcome, timeout_s: float
+    ) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
+        return await _record_until(propose, clock, sleep, command, timeout_s)
+
+    def record_in_background(command: commands.RecordOutcome) -> None:
+        if len(background) >= BACKGROUND_TASKS_MAX:
+            logging.warning("outcome of attempt %s is given up", command.attempt_id)
+            return
+        task = asyncio.get_running_loop().create_task(
+            record(command, BACKGROUND_TIMEOUT_S)
+        )
+        background.add(task)
+        task.add_done_callback(background.discard)
+
+    async def claim(
+        call: Call, backend_server: str, deadline_s: float
+    ) -> result.Result[Permit | StoredAnswer, refusals.Refusal]:
+        attempt = _Attempt(call, make_attempt_id(), backend_server, router)
+        loose = True
+        try:
+            claimed = await _claim_until(propose, clock, sleep, attempt, deadline_s)
+            overdue = clock() >= deadline_s
+            granted = isinstance(claimed.verdict, verdicts.Granted)
+            loose = claimed.loose or (granted and overdue)
+            return _answer(attempt, claimed.verdict, overdue)
+        finally:
+            if loose:
+                record_in_background(_release(attempt, "attempt given up"))
+
+    async def finish(
+        permit: Permit, outcome: commands.Outcome
+    ) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
+        command = commands.RecordOutcome(
+            permit.call.account,
+            permit.call.key.text,
+            permit.call.key.issued_at_s,
+            permit.attempt_id,
+            replies.bound_outcome(outcome, answer_max_bytes),
+        )
+        stored = False
+        try:
+            recorded = await record(command, RECORD_TIMEOUT_S)
+            stored = isinstance(recorded, result.Success)
+            return recorded
+        finally:
+            if not stored:
+                record_in_background(command)
+
+    async def close(timeout_s: float) -> int:
+        if not background:
+            return 0
+        _, pending = await asyncio.wait(set(background), timeout=timeout_s)
+        for task in pending:
+            task.cancel()
+        return len(pending)
+
+    return Gateway(claim, finish, close)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    call: Call
+    attempt_id: str
+    backend_server: str
+    router: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Claimed:
+    """How claiming ended; ``loose`` if a proposal may still be granted."""
+
+    verdict: verdicts.ClaimVerdict | verdicts.Unavailable
+    loose: bool
+
+
+def _claim_command(attempt: _Attempt) -> commands.Claim:
+    return commands.Claim(
+        attempt.call.account,
+        attempt.call.key.text,
+        attempt.call.key.issued_at_s,
+        attempt.call.body_digest,
+        attempt.attempt_id,
+        attempt.backend_server,
+        attempt.router,
+    )
+
+
+def _release(attempt: _Attempt, reason: str) -> commands.RecordOutcome:
+    return commands.RecordOutcome(
+        attempt.call.account,
+        attempt.call.key.text,
+        attempt.call.key.issued_at_s,
+        attempt.attempt_id,
+        commands.NotRun(reason),
+    )
+
+
+async def _claim_until(
+    propose: Propose,
+    clock: Clock,
+    sleep: Sleep,
+    attempt: _Attempt,
+    deadline_s: float,
+) -> _Claimed:
+    """Propose the claim until its verdict is final or time is up.
+
+    A lost reply is followed by the same attempt again, for a short while; a
+    holder in progress is waited for up to the deadline.
+    """
+    command = _claim_command(attempt)
+    silent_until_s = min(clock() + CLAIM_TIMEOUT_S, deadline_s)
+    backoff_s = BACKOFF_START_S
+    standing: verdicts.InProgress | None = None
+    lost = False
+    while True:
+        timeout_s = min(PROPOSE_TIMEOUT_S, max(0.0, deadline_s - clock()))
+        proposed = await propose(command, timeout_s)
+        if isinstance(proposed, result.Success):
+            verdict = proposed.unwrap()
+            if not isinstance(verdict, verdicts.InProgress):
+                loose = lost or standing is not None
+                return _Claimed(verdict, loose and not replies.is_settled(verdict))
+            standing = verdict
+            silent_until_s = min(clock() + CLAIM_TIMEOUT_S, deadline_s)
+            over = verdict.age_s > STALE_AFTER_S
+        else:
+            verdict = proposed.failure()
+            lost = lost or verdict.may_commit
+            over = not verdict.may_commit or clock() >= silent_until_s
+        if over or clock() + backoff_s >= deadline_s:
+            return _Claimed(standing or verdict, lost or standing is not None)
+        await sleep(backoff_s)
+        backoff_s = min(backoff_s * BACKOFF_FACTOR, BACKOFF_MAX_S)
+
+
+def _answer(
+    attempt: _Attempt,
+    verdict: verdicts.ClaimVerdict | verdicts.Unavailable,
+    overdue: bool,
+) -> result.Result[Permit | StoredAnswer, refusals.Refusal]:
+    match verdict:
+        case verdicts.Granted() if overdue:
+            return result.Failure(replies.DEADLINE_PASSED)
+        case verdicts.Granted(index):
+            return result.Success(Permit(attempt.call, attempt.attempt_id, index))
+        case verdicts.Done(status, content_type, body):
+            return result.Success(StoredAnswer(status, content_type, body))
+        case _:
+            return result.Failure(replies.refusal_for(verdict))
+
+
+async def _record_until(
+    propose: Propose,
+    clock: Clock,
+    sleep: Sleep,
+    command: commands.RecordOutcome,
+    timeout_s: float,
+) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
+    """Propose the outcome until it is stored or time is up."""
+    until_s = clock() + timeout_s
+    backoff_s = BACKOFF_START_S
+    while True:
+        remaining_s = max(0.0, until_s - clock())
+        proposed = await propose(command, min(PROPOSE_TIMEOUT_S, remaining_s))
+        stored = isinstance(proposed, result.Success)
+        if stored and not isinstance(proposed.unwrap(), verdicts.AccountFull):
+            return proposed
+        if clock() + backoff_s >= until_s:
+            return _unstored(proposed, command, backoff_s)
+        await sleep(backoff_s)
+        backoff_s = min(backoff_s * BACKOFF_FACTOR, BACKOFF_MAX_S)
+
+
+def _unstored(
+    proposed: result.Result[verdicts.RecordVerdict, verdicts.Unavailable],
+    command: commands.RecordOutcome,
+    retry_after_s: float,
+) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
+    logging.warning(
+        "outcome of attempt %s of account %s is not stored yet",
+        command.attempt_id,
+        command.account,
+    )
+    if isinstance(proposed, result.Failure):
+        return proposed
+    message = "the account's records are full"
+    return result.Failure(verdicts.Unavailable(message, False, retry_after_s))
--- /dev/null
+++ b/hickoryweir/claims/tests/test_gateway.py
@@ -0,0 +1,279 @@
+"""The router's flow against a fake log that loses replies and quorums."""
+
+import asyncio
+import dataclasses
+
+import pytest
+from returns import result
+
+from hickoryweir.claims import commands, gateway, keys, machine, verdicts
+from hickoryweir.outcomes import refusals
+
+LOG_START_S = 1_000_000.0
+DEADLINE_S = 5.0
+KEY = keys.Key("t0001000000-0123456789abcdef", LOG_START_S)
+CALL = gateway.Call("school", KEY, b"digest")
+ANSWER = commands.Answered(200, "application/json", b'{"charged": 1}')
+NO_LEADER = verdicts.Unavailable("no leader", False, 1.0)
+REPLY_LOST = verdicts.Unavailable("timed out", True, 1.0)
+
+
+@dataclasses.dataclass
+class FakeLog:
+    """A log with a clock of its own; ``script`` holds faults, one a proposal.
+
+    A fault is ``"lost"`` (nothing arrives), ``"reply lost"`` (it takes effect),
+    ``"late"`` (it takes effect at :func:`deliver_late`) or ``"no leader"``.
+    """
+
+    state: machine.State = dataclasses.field(default_factory=machine.initial_state)
+    now_s: float = 0.0
+    index: int = 0
+    script: list[str] = dataclasses.field(default_factory=list)
+    late: list[commands.Command] = dataclasses.field(default_factory=list)
+
+
+def apply(log, command):
+    log.index += 1
+    return machine.apply(log.state, command, log.index, LOG_START_S + log.now_s)
+
+
+def deliver_late(log):
+    return [apply(log, command) for command in log.late]
+
+
+def make_router(log, name):
+    async def propose(command, timeout_s):
+        await asyncio.sleep(0)
+        fault = log.script.pop(0) if log.script else ""
+        if fault == "no leader":
+            return result.Failure(NO_LEADER)
+        if fault == "late":
+            log.late.append(command)
+        if fault == "reply lost":
+            apply(log, command)
+        if fault:
+            log.now_s += timeout_s
+            return result.Failure(REPLY_LOST)
+        return result.Success(apply(log, command))
+
+    async def sleep(delay_s):
+        log.now_s += delay_s
+        await asyncio.sleep(0)
+
+    return gateway.make_gateway(propose, lambda: log.now_s, name, sleep)
+
+
+def claim(router, log, call=CALL):
+    return router.claim(call, "till-1", log.now_s + DEADLINE_S)
+
+
+def run(main):
+    return asyncio.run(main)
+
+
+def test_answer_is_kept_for_a_resend_at_another_router():
+    async def main():
+        log = FakeLog()
+        one, two = make_router(log, "vm-1"), make_router(log, "vm-2")
+        permit = (await claim(one, log)).unwrap()
+        await one.finish(permit, ANSWER)
+        return (await claim(two, log)).unwrap()
+
+    stored = gateway.StoredAnswer(200, "application/json", ANSWER.body)
+    assert run(main()) == stored
+
+
+def test_no_quorum_is_refused_at_once_and_leaves_nothing_behind():
+    async def main():
+        log = FakeLog(script=["no leader"])
+        refusal = (await claim(make_router(log, "vm-1"), log)).failure()
+        return refusal, log.now_s, log.index
+
+    refusal, now_s, index = run(main())
+    assert refusal.reason is refusals.Reason.NO_QUORUM
+    assert refusal.ran is refusals.Ran.NO
+    assert (now_s, index) == (0.0, 0)
+
+
+def test_lost_reply_is_asked_for_again_and_gives_the_same_permit():
+    async def main():
+        log = FakeLog(script=["reply lost"])
+        return (await claim(make_router(log, "vm-1"), log)).unwrap()
+
+    assert run(main()).fencing_number == 1
+
+
+@pytest.mark.parametrize("fault", ["lost", "reply lost", "late"])
+def test_attempt_given_up_frees_the_key_for_the_resend(fault):
+    async def main():
+        log = FakeLog(script=[fault] * 3 + ["no leader"])
+        one = make_router(log, "vm-1")
+        refusal = (await claim(one, log)).failure()
+        assert await one.close(1.0) == 0
+        late = deliver_late(log)
+        resend = await claim(make_router(log, "vm-2"), log)
+        return refusal, late, resend
+
+    refusal, late, resend = run(main())
+    assert refusal.ran is refusals.Ran.NO
+    assert not any(isinstance(verdict, verdicts.Granted) for verdict in late)
+    assert isinstance(resend.unwrap(), gateway.Permit)
+
+
+def test_caller_that_leaves_while_claiming_frees_the_key():
+    async def main():
+        log = FakeLog(script=["reply lost"])
+        one = make_router(log, "vm-1")
+        task = asyncio.ensure_future(claim(one, log))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert await one.close(1.0) == 0
+        return (await claim(make_router(log, "vm-2"), log)).unwrap()
+
+    assert isinstance(run(main()), gateway.Permit)
+
+
+def test_router_killed_after_its_claim_blocks_the_key():
+    async def main():
+        log = FakeLog()
+        await claim(make_router(log, "vm-1"), log)
+        refusal = (await claim(make_router(log, "vm-2"), log)).failure()
+        return refusal, log.now_s
+
+    refusal, now_s = run(main())
+    assert refusal.reason is refusals.Reason.ATTEMPT_IN_PROGRESS
+    assert refusal.ran is refusals.Ran.MAYBE
+    assert 0 < now_s <= DEADLINE_S
+
+
+def test_long_standing_holder_is_not_waited_for():
+    async def main():
+        log = FakeLog()
+        await claim(make_router(log, "vm-1"), log)
+        log.now_s = started_s = 2 * gateway.STALE_AFTER_S
+        refusal = (await claim(make_router(log, "vm-2"), log)).failure()
+        return refusal.reason, log.now_s - started_s
+
+    assert run(main()) == (refusals.Reason.ATTEMPT_IN_PROGRESS, 0.0)
+
+
+def test_router_killed_after_the_answer_was_recorded_leaves_it_to_others():
+    async def main():
+        log = FakeLog(script=["", "reply lost"])
+        one = make_router(log, "vm-1")
+        permit = (await claim(one, log)).unwrap()
+        await one.finish(permit, ANSWER)
+        return (await claim(make_router(log, "vm-2"), log)).unwrap()
+
+    assert run(main()).body == ANSWER.body
+
+
+def test_paused_holder_that_resumes_is_still_the_only_one():
+    async def main():
+        log = FakeLog()
+        one, two = make_router(log, "vm-1"), make_router(log, "vm-2")
+        permit = (await claim(one, log)).unwrap()
+        log.now_s += 600.0
+        refused = (await claim(two, log)).failure()
+        recorded = await one.finish(permit, ANSWER)
+        return refused.ran, recorded, (await claim(two, log)).unwrap()
+
+    ran, recorded, stored = run(main())
+    assert ran is refusals.Ran.MAYBE
+    assert recorded.unwrap() == verdicts.Recorded()
+    assert stored.body == ANSWER.body
+
+
+def test_grant_that_comes_after_the_deadline_is_given_back():
+    async def main():
+        log = FakeLog(script=["reply lost"])
+        one = make_router(log, "vm-1")
+        refusal = (await one.claim(CALL, "till-1", 0.0)).failure()
+        await one.close(1.0)
+        return refusal.ran, (await claim(make_router(log, "vm-2"), log)).unwrap()
+
+    ran, permit = run(main())
+    assert ran is refusals.Ran.NO
+    assert isinstance(permit, gateway.Permit)
+
+
+def test_service_that_crashes_after_running_is_never_run_again():
+    async def main():
+        log = FakeLog()
+        one, two = make_router(log, "vm-1"), make_router(log, "vm-2")
+        permit = (await claim(one, log)).unwrap()
+        await one.finish(permit, commands.Unknown("connection lost"))
+        return (await claim(two, log)).failure()
+
+    refusal = run(main())
+    assert refusal.reason is refusals.Reason.OUTCOME_UNKNOWN
+    assert refusal.ran is refusals.Ran.MAYBE
+
+
+def test_late_answer_reaches_the_resend_that_waits():
+    async def main():
+        log = FakeLog()
+        one, two = make_router(log, "vm-1"), make_router(log, "vm-2")
+        permit = (await claim(one, log)).unwrap()
+        resend = asyncio.ensure_future(claim(two, log))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        await one.finish(permit, ANSWER)
+        return (await resend).unwrap()
+
+    assert run(main()).body == ANSWER.body
+
+
+def test_resend_that_waits_runs_the_call_when_the_holder_did_not():
+    async def main():
+        log = FakeLog()
+        one, two = make_router(log, "vm-1"), make_router(log, "vm-2")
+        permit = (await claim(one, log)).unwrap()
+        resend = asyncio.ensure_future(claim(two, log))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        await one.finish(permit, commands.NotRun("connection refused"))
+        return permit, (await resend).unwrap()
+
+    first, second = run(main())
+    assert second.fencing_number > first.fencing_number
+
+
+def test_concurrent_duplicates_at_many_routers_get_one_permit():
+    async def main():
+        log = FakeLog()
+        routers = [make_router(log, f"vm-{number}") for number in range(6)]
+        outcomes = await asyncio.gather(*(claim(router, log) for router in routers))
+        return [each for each in outcomes if isinstance(each, result.Success)]
+
+    assert len(run(main())) == 1
+
+
+def test_outcome_is_recorded_in_the_background_after_the_quorum_is_back():
+    async def main():
+        log = FakeLog()
+        one = make_router(log, "vm-1")
+        permit = (await claim(one, log)).unwrap()
+        log.script = ["no leader"] * 8
+        finished = await one.finish(permit, ANSWER)
+        assert await one.close(1.0) == 0
+        return finished, (await claim(make_router(log, "vm-2"), log)).unwrap()
+
+    finished, stored = run(main())
+    assert finished.failure() == NO_LEADER
+    assert stored.body == ANSWER.body
+
+
+def test_large_answer_is_said_to_have_run():
+    async def main():
+        log = FakeLog()
+        one = make_router(log, "vm-1")
+        permit = (await claim(one, log)).unwrap()
+        body = bytes(gateway.ANSWER_MAX_BYTES + 1)
+        await one.finish(permit, commands.Answered(200, "text/plain", body))
+        return (await claim(make_router(log, "vm-2"), log)).failure()
+
+    assert run(main()).ran is refusals.Ran.YES
--- a/hickoryweir/outcomes/refusals.py
+++ b/hickoryweir/outcomes/refusals.py
@@ -45,6 +45,7 @@
     ATTEMPT_IN_PROGRESS = "attempt_in_progress"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_NOT_KEPT = "answer_not_kept"
+    CLAIMS_FULL = "claims_full"
     NO_QUORUM = "no_quorum"
     RATE_LIMITED = "rate_limited"
     CONCURRENCY_LIMITED = "concurrency_limited"
@@ -86,6 +87,7 @@
     Reason.ATTEMPT_IN_PROGRESS: 409,
     Reason.OUTCOME_UNKNOWN: 409,
     Reason.ANSWER_NOT_KEPT: 409,
+    Reason.CLAIMS_FULL: 429,
     Reason.NO_QUORUM: 503,
     Reason.RATE_LIMITED: 429,
     Reason.CONCURRENCY_LIMITED: 429,
