Framed msgpack streams with typed messages and a checked handshake

Cause: processes need one listening peer port, typed messages and a refusal of strangers. Change: codec registry, handshake (version, cluster, name, zone, purpose, group), optional mutual TLS, bounded frames and send queues, hub and connect. Conclusion: routers and replicas can be built on it.

--- /dev/null
+++ b/hickoryweir/streams/codec.py
@@ -0,0 +1,287 @@
+"""Typed messages as msgpack.
+
+A message is a frozen dataclass registered under a short tag.  On the wire it is
+``[tag, [field, ...]]``; fields stand in the order of the class.  A field added at
+the end with a default may be missing, so that a newer process can read an older
+record.  Field types are ``int``, ``float``, ``str``, ``bytes``, ``bool``, enums,
+tuples, dataclasses, optionals, and unions of registered messages.
+
+Examples
+--------
+>>> import dataclasses
+>>> @dataclasses.dataclass(frozen=True, slots=True)
+... class Ping:
+...     sequence: int
+>>> register("doctest.ping", Ping)
+<class 'hickoryweir.streams.codec.Ping'>
+>>> decode(encode(Ping(7))).unwrap()
+Ping(sequence=7)
+>>> decode(b"junk").failure().reason
+<DecodeReason.MALFORMED: 'malformed'>
+"""
+
+import dataclasses
+import enum
+import types
+import typing
+from collections.abc import Callable
+
+import msgpack
+from returns import result
+
+Convert = Callable[[typing.Any], typing.Any]
+
+
+class DecodeReason(enum.StrEnum):
+    """Why bytes are not a message."""
+
+    MALFORMED = "malformed"
+    UNKNOWN_TAG = "unknown_tag"
+    WRONG_FIELDS = "wrong_fields"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DecodeFailure:
+    """Bytes that are not a message, with the reason."""
+
+    reason: DecodeReason
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Layout:
+    tag: str
+    pack: Convert
+    unpack: Convert
+
+
+_by_tag: dict[str, _Layout] = {}
+_by_class: dict[type, _Layout] = {}
+
+
+class _MismatchError(Exception):
+    """A field does not fit its type; never leaves this module."""
+
+
+def register(tag: str, cls: type) -> type:
+    """Register a frozen dataclass as a message.
+
+    Parameters
+    ----------
+    tag : str
+        Short name on the wire; unique and never reused for another class.
+    cls : type
+        The dataclass.
+
+    Returns
+    -------
+    type
+        `cls`, so that the call can stand alone or wrap a class.
+
+    Raises
+    ------
+    ValueError
+        If the tag belongs to another class.
+    """
+    known = _by_tag.get(tag)
+    if known is not None and _by_class.get(cls) is not known:
+        raise ValueError(f"tag {tag!r} is taken")
+    pack, unpack = _dataclass_converters(cls)
+    layout = _Layout(tag, pack, unpack)
+    _by_tag[tag] = layout
+    _by_class[cls] = layout
+    return cls
+
+
+def encode(message: object) -> bytes:
+    """Return the bytes of a registered message.
+
+    Raises
+    ------
+    KeyError
+        If the class of `message` is not registered.
+    """
+    return msgpack.packb(_pack_tagged(message))
+
+
+def decode(data: bytes) -> result.Result[typing.Any, DecodeFailure]:
+    """Return the message in `data`, or why there is none.
+
+    See Also
+    --------
+    encode : The inverse.
+    """
+    try:
+        value = msgpack.unpackb(data, use_list=False)
+    except (ValueError, msgpack.exceptions.UnpackException) as error:
+        return _failure(DecodeReason.MALFORMED, repr(error))
+    if type(value) is not tuple or len(value) != 2 or type(value[0]) is not str:
+        return _failure(DecodeReason.MALFORMED, "not a tagged message")
+    layout = _by_tag.get(value[0])
+    if layout is None:
+        return _failure(DecodeReason.UNKNOWN_TAG, value[0][:80])
+    try:
+        return result.Success(layout.unpack(value[1]))
+    except _MismatchError as error:
+        return _failure(DecodeReason.WRONG_FIELDS, f"{value[0]}: {error}")
+
+
+def _failure(reason: DecodeReason, detail: str) -> result.Result:
+    return result.Failure(DecodeFailure(reason, detail))
+
+
+def _pack_tagged(message: object) -> tuple:
+    layout = _by_class[type(message)]
+    return layout.tag, layout.pack(message)
+
+
+def _unpack_tagged(value: typing.Any, allowed: tuple[type, ...]) -> typing.Any:
+    if type(value) is not tuple or len(value) != 2:
+        raise _MismatchError("not a tagged message")
+    layout = _by_tag.get(value[0]) if type(value[0]) is str else None
+    if layout is None:
+        raise _MismatchError("unknown tag")
+    message = layout.unpack(value[1])
+    if not isinstance(message, allowed):
+        raise _MismatchError(f"{layout.tag} is not allowed here")
+    return message
+
+
+def _dataclass_converters(cls: type) -> tuple[Convert, Convert]:
+    hints = typing.get_type_hints(cls)
+    fields = dataclasses.fields(cls)
+    converters = [_converters(hints[field.name]) for field in fields]
+    names = [field.name for field in fields]
+    packs = [(name, pair[0]) for name, pair in zip(names, converters, strict=True)]
+    unpacks = [pair[1] for pair in converters]
+    required_count = sum(
+        field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+        for field in fields
+    )
+
+    def pack(message: typing.Any) -> list:
+        return [
+            getattr(message, name)
+            if convert is None
+            else convert(getattr(message, name))
+            for name, convert in packs
+        ]
+
+    def unpack(value: typing.Any) -> typing.Any:
+        if type(value) is not tuple or not required_count <= len(value) <= len(unpacks):
+            raise _MismatchError("wrong number of fields")
+        try:
+            return cls(
+                *[convert(item) for convert, item in zip(unpacks, value, strict=False)]
+            )
+        except (ValueError, TypeError) as error:
+            raise _MismatchError(str(error)) from error
+
+    return pack, unpack
+
+
+def _converters(hint: typing.Any) -> tuple[Convert | None, Convert]:
+    origin = typing.get_origin(hint)
+    if origin in (typing.Union, types.UnionType):
+        return _union_converters(typing.get_args(hint))
+    if origin is tuple:
+        return _tuple_converters(typing.get_args(hint))
+    if dataclasses.is_dataclass(hint):
+        return _dataclass_converters(hint)
+    if isinstance(hint, type) and issubclass(hint, enum.Enum):
+        return (lambda value: value.value), _enum_reader(hint)
+    if hint is float:
+        return None, _read_float
+    if hint in (int, str, bytes, bool):
+        return None, _scalar_reader(hint)
+    raise TypeError(f"{hint!r} has no encoding")
+
+
+def _scalar_reader(wanted: type) -> Convert:
+    def read(value: typing.Any) -> typing.Any:
+        if type(value) is not wanted:
+            raise _MismatchError(f"not {wanted.__name__}")
+        return value
+
+    return read
+
+
+def _read_float(value: typing.Any) -> float:
+    if type(value) not in (int, float):
+        raise _MismatchError("not a number")
+    return float(value)
+
+
+def _enum_reader(cls: type[enum.Enum]) -> Convert:
+    def read(value: typing.Any) -> enum.Enum:
+        try:
+            return cls(value)
+        except (ValueError, TypeError) as error:
+            raise _MismatchError(f"not a {cls.__name__}") from error
+
+    return read
+
+
+def _tuple_converters(args: tuple) -> tuple[Convert | None, Convert]:
+    if len(args) == 2 and args[1] is Ellipsis:
+        return _sequence_converters(args[0])
+    converters = [_converters(arg) for arg in args]
+
+    def pack(value: tuple) -> list:
+        return [
+            item if convert is None else convert(item)
+            for (convert, _), item in zip(converters, value, strict=True)
+        ]
+
+    def unpack(value: typing.Any) -> tuple:
+        if type(value) is not tuple or len(value) != len(converters):
+            raise _MismatchError("wrong length of a tuple")
+        return tuple(
+            convert(item) for (_, convert), item in zip(converters, value, strict=True)
+        )
+
+    return pack, unpack
+
+
+def _sequence_converters(item_hint: typing.Any) -> tuple[Convert | None, Convert]:
+    pack_item, unpack_item = _converters(item_hint)
+
+    def unpack(value: typing.Any) -> tuple:
+        if type(value) is not tuple:
+            raise _MismatchError("not a sequence")
+        return tuple(unpack_item(item) for item in value)
+
+    if pack_item is None:
+        return None, unpack
+    return (lambda value: [pack_item(item) for item in value]), unpack
+
+
+def _union_converters(args: tuple) -> tuple[Convert | None, Convert]:
+    members = tuple(arg for arg in args if arg is not types.NoneType)
+    if len(members) == 1:
+        return _optional_converters(members[0])
+    optional = len(members) < len(args)
+    if not all(dataclasses.is_dataclass(member) for member in members):
+        raise TypeError("a union holds registered messages only")
+
+    def pack(value: typing.Any) -> typing.Any:
+        return None if value is None else _pack_tagged(value)
+
+    def unpack(value: typing.Any) -> typing.Any:
+        if value is None and optional:
+            return None
+        return _unpack_tagged(value, members)
+
+    return pack, unpack
+
+
+def _optional_converters(hint: typing.Any) -> tuple[Convert | None, Convert]:
+    pack_member, unpack_member = _converters(hint)
+
+    def unpack(value: typing.Any) -> typing.Any:
+        return None if value is None else unpack_member(value)
+
+    if pack_member is None:
+        return None, unpack
+    return (lambda value: None if value is None else pack_member(value)), unpack
--- /dev/null
+++ b/hickoryweir/streams/handshake.py
@@ -0,0 +1,136 @@
+"""The first messages on a connection: who is there and what for.
+
+The side that connects sends :class:`Hello`; the other side answers with
+:class:`Welcome` or :class:`Refused`.  With mutual TLS the name in the message
+must stand in the certificate.
+"""
+
+import dataclasses
+import enum
+
+from hickoryweir.streams import codec
+
+PROTOCOL_VERSION = 1
+
+
+class Purpose(enum.StrEnum):
+    """What a connection is for."""
+
+    REPLICA = "replica"
+    CLIENT = "client"
+    ROUTER = "router"
+
+
+class RefusalReason(enum.StrEnum):
+    """Why a connection was refused in the handshake."""
+
+    MALFORMED = "malformed"
+    WRONG_VERSION = "wrong_version"
+    WRONG_CLUSTER = "wrong_cluster"
+    WRONG_PURPOSE = "wrong_purpose"
+    WRONG_GROUP = "wrong_group"
+    WRONG_NAME = "wrong_name"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+    TIMED_OUT = "timed_out"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """Who this process is.
+
+    Attributes
+    ----------
+    cluster_id : str
+        Name shared by all processes of one installation.
+    process_name : str
+        Unique in the cluster; stands in the certificate if TLS is used.
+    availability_zone : str
+        Zone the process runs in.
+    """
+
+    cluster_id: str
+    process_name: str
+    availability_zone: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """Opens a connection; `purpose` is text so that unknown ones can be refused."""
+
+    protocol_version: int
+    cluster_id: str
+    process_name: str
+    availability_zone: str
+    purpose: str
+    group: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Welcome:
+    """Accepts a connection."""
+
+    process_name: str
+    availability_zone: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Refuses a connection."""
+
+    reason: RefusalReason
+
+
+codec.register("hs.hello", Hello)
+codec.register("hs.welcome", Welcome)
+codec.register("hs.refused", Refused)
+
+
+def make_hello(identity: Identity, purpose: Purpose, group: str = "") -> Hello:
+    """Return the opening message of this process."""
+    return Hello(
+        PROTOCOL_VERSION,
+        identity.cluster_id,
+        identity.process_name,
+        identity.availability_zone,
+        purpose.value,
+        group,
+    )
+
+
+def check_hello(
+    hello: Hello,
+    identity: Identity,
+    served: frozenset[tuple[str, str]],
+    certificate_names: frozenset[str] | None,
+) -> RefusalReason | None:
+    """Return why `hello` is refused, or None if it is accepted.
+
+    Parameters
+    ----------
+    hello : Hello
+        What the other side said.
+    identity : Identity
+        Who this process is.
+    served : frozenset of (str, str)
+        Pairs of purpose and group that have a handler.
+    certificate_names : frozenset of str or None
+        Names in the other side's certificate; None without TLS.
+
+    Examples
+    --------
+    >>> me = Identity("north", "vm-1", "zone-a")
+    >>> hello = make_hello(Identity("south", "vm-2", "zone-b"), Purpose.CLIENT)
+    >>> check_hello(hello, me, frozenset({("client", "")}), None)
+    <RefusalReason.WRONG_CLUSTER: 'wrong_cluster'>
+    """
+    if hello.protocol_version != PROTOCOL_VERSION:
+        return RefusalReason.WRONG_VERSION
+    if hello.cluster_id != identity.cluster_id:
+        return RefusalReason.WRONG_CLUSTER
+    if certificate_names is not None and hello.process_name not in certificate_names:
+        return RefusalReason.WRONG_NAME
+    if hello.purpose not in {purpose for purpose, _ in served}:
+        return RefusalReason.WRONG_PURPOSE
+    if (hello.purpose, hello.group) not in served:
+        return RefusalReason.WRONG_GROUP
+    return None
--- /dev/null
+++ b/hickoryweir/streams/hub.py
@@ -0,0 +1,259 @@
+"""The one listening port of a process, and connecting to another's.
+
+Handlers are registered by purpose (and group); each accepted connection runs its
+handler as a task and is closed when the handler returns.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import enum
+from collections.abc import Awaitable, Callable
+
+from absl import logging
+from returns import result
+
+from hickoryweir.streams import codec, connections, handshake, tls
+
+HANDSHAKE_TIMEOUT_S = 3.0
+MAX_HANDSHAKE_SIZE_BYTES = 4096
+MAX_CONNECTIONS_COUNT = 4096
+
+Handler = Callable[[connections.Connection], Awaitable[None]]
+
+
+class ConnectReason(enum.StrEnum):
+    """Why a connection could not be opened."""
+
+    UNREACHABLE = "unreachable"
+    TIMED_OUT = "timed_out"
+    REFUSED = "refused"
+    WRONG_NAME = "wrong_name"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectFailure:
+    """A connection that was not opened; `refusal` is what the other side said."""
+
+    reason: ConnectReason
+    refusal: handshake.RefusalReason | None = None
+
+
+class Hub:
+    """The listening port; made by :func:`make_hub`.
+
+    Attributes
+    ----------
+    refusals : collections.Counter
+        Refused handshakes by reason.
+    """
+
+    def __init__(
+        self,
+        identity: handshake.Identity,
+        host: str,
+        port: int,
+        files: tls.TlsFiles | None,
+    ) -> None:
+        self.identity = identity
+        self.refusals: collections.Counter = collections.Counter()
+        self._host = host
+        self._port = port
+        self._files = files
+        self._handlers: dict[tuple[str, str], Handler] = {}
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def port(self) -> int:
+        """Return the port in use; the chosen one if 0 was asked for."""
+        return self._port
+
+    def register(
+        self, purpose: handshake.Purpose, handler: Handler, group: str = ""
+    ) -> None:
+        """Serve connections of one purpose and group with `handler`."""
+        self._handlers[(purpose.value, group)] = handler
+
+    async def start(self) -> None:
+        """Listen; raises OSError if the port can't be had."""
+        context = None if self._files is None else tls.make_server_context(self._files)
+        self._server = await asyncio.start_server(
+            self._accept, self._host, self._port, ssl=context
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stop listening and end all connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            await self._serve(reader, writer)
+        except asyncio.CancelledError:
+            pass
+        except Exception:
+            logging.exception("a connection's handler failed")
+        finally:
+            self._tasks.discard(task)
+            with contextlib.suppress(Exception):
+                writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                hello, refusal = await self._check_hello(reader, writer)
+                if refusal is not None:
+                    await self._refuse(writer, refusal)
+                    return
+                await connections.write_frame(writer, self._make_welcome())
+        except (TimeoutError, OSError):
+            self.refusals[handshake.RefusalReason.TIMED_OUT] += 1
+            return
+        peer = connections.Peer(hello.process_name, hello.availability_zone)
+        connection = connections.Connection(reader, writer, peer)
+        try:
+            await self._handlers[(hello.purpose, hello.group)](connection)
+        finally:
+            await connection.close()
+
+    async def _check_hello(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> tuple[handshake.Hello | None, handshake.RefusalReason | None]:
+        frame = await connections.read_frame(reader, MAX_HANDSHAKE_SIZE_BYTES)
+        if not isinstance(frame, bytes):
+            return None, handshake.RefusalReason.MALFORMED
+        hello = codec.decode(frame).value_or(None)
+        if not isinstance(hello, handshake.Hello):
+            return None, handshake.RefusalReason.MALFORMED
+        if len(self._tasks) > MAX_CONNECTIONS_COUNT:
+            return hello, handshake.RefusalReason.TOO_MANY_CONNECTIONS
+        served = frozenset(self._handlers)
+        names = _peer_names(writer, self._files)
+        return hello, handshake.check_hello(hello, self.identity, served, names)
+
+    async def _refuse(
+        self, writer: asyncio.StreamWriter, reason: handshake.RefusalReason
+    ) -> None:
+        self.refusals[reason] += 1
+        logging.warning("refused a connection: %s", reason.value)
+        with contextlib.suppress(OSError):
+            await connections.write_frame(writer, handshake.Refused(reason))
+            writer.close()
+            await writer.wait_closed()
+
+    def _make_welcome(self) -> handshake.Welcome:
+        return handshake.Welcome(
+            self.identity.process_name, self.identity.availability_zone
+        )
+
+
+def make_hub(
+    identity: handshake.Identity,
+    host: str,
+    port: int,
+    files: tls.TlsFiles | None = None,
+) -> Hub:
+    """Return a hub that does not listen yet.
+
+    Parameters
+    ----------
+    identity : handshake.Identity
+        Who this process is.
+    host : str
+        IP number to listen on.
+    port : int
+        Port; 0 lets the system choose.
+    files : tls.TlsFiles, optional
+        Mutual TLS if given, plain text otherwise.
+    """
+    return Hub(identity, host, port, files)
+
+
+async def connect(
+    identity: handshake.Identity,
+    host: str,
+    port: int,
+    purpose: handshake.Purpose,
+    files: tls.TlsFiles | None = None,
+    timeout_s: float = HANDSHAKE_TIMEOUT_S,
+    group: str = "",
+) -> result.Result[connections.Connection, ConnectFailure]:
+    """Open a connection to another process's hub.
+
+    Parameters
+    ----------
+    identity : handshake.Identity
+        Who this process is.
+    host, port : str, int
+        Where the other hub listens.
+    purpose : handshake.Purpose
+        What the connection is for.
+    files : tls.TlsFiles, optional
+        Mutual TLS if given.
+    timeout_s : float, optional
+        For connecting and the handshake together.
+    group : str, optional
+        Replication group that is meant.
+
+    Returns
+    -------
+    Result
+        The connection, or why there is none.
+    """
+    hello = handshake.make_hello(identity, purpose, group)
+    writer = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            context = None if files is None else tls.make_client_context(files)
+            reader, writer = await asyncio.open_connection(host, port, ssl=context)
+            await connections.write_frame(writer, hello)
+            outcome = await _read_welcome(reader, writer, files)
+    except TimeoutError:
+        outcome = ConnectFailure(ConnectReason.TIMED_OUT)
+    except OSError:
+        outcome = ConnectFailure(ConnectReason.UNREACHABLE)
+    if isinstance(outcome, connections.Peer):
+        return result.Success(connections.Connection(reader, writer, outcome))
+    if writer is not None:
+        writer.transport.abort()
+    return result.Failure(outcome)
+
+
+async def _read_welcome(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    files: tls.TlsFiles | None,
+) -> connections.Peer | ConnectFailure:
+    frame = await connections.read_frame(reader, MAX_HANDSHAKE_SIZE_BYTES)
+    if not isinstance(frame, bytes):
+        return ConnectFailure(ConnectReason.UNREACHABLE)
+    answer = codec.decode(frame).value_or(None)
+    if isinstance(answer, handshake.Refused):
+        return ConnectFailure(ConnectReason.REFUSED, answer.reason)
+    if not isinstance(answer, handshake.Welcome):
+        return ConnectFailure(ConnectReason.REFUSED, handshake.RefusalReason.MALFORMED)
+    names = _peer_names(writer, files)
+    if names is not None and answer.process_name not in names:
+        return ConnectFailure(ConnectReason.WRONG_NAME)
+    return connections.Peer(answer.process_name, answer.availability_zone)
+
+
+def _peer_names(
+    writer: asyncio.StreamWriter, files: tls.TlsFiles | None
+) -> frozenset[str] | None:
+    if files is None:
+        return None
+    return tls.certificate_names(writer.get_extra_info("peercert") or {})
--- /dev/null
+++ b/hickoryweir/streams/tests/test_codec.py
@@ -0,0 +1,88 @@
+"""Messages survive the wire and malformed ones are told apart."""
+
+import dataclasses
+import enum
+
+import hypothesis
+import msgpack
+from hypothesis import strategies
+
+from hickoryweir.streams import codec
+
+
+class Colour(enum.StrEnum):
+    """A test enum."""
+
+    RED = "red"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Point:
+    """A nested value."""
+
+    x: int
+    y: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """A message with each kind of field."""
+
+    name: str
+    data: bytes
+    points: tuple[Point, ...]
+    pairs: tuple[tuple[str, int], ...]
+    nested: Point | None
+    colour: Colour
+    flag: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Envelope:
+    """A message with a union."""
+
+    body: Point | Sample
+
+
+codec.register("test.point", Point)
+codec.register("test.sample", Sample)
+codec.register("test.envelope", Envelope)
+SAMPLE = Sample("a", b"\x00", (Point(1, 2.0),), (("k", 1),), None, Colour.RED, True)
+
+
+def test_message_survives():
+    assert codec.decode(codec.encode(SAMPLE)).unwrap() == SAMPLE
+
+
+def test_union_keeps_its_class():
+    envelope = Envelope(SAMPLE)
+    assert codec.decode(codec.encode(envelope)).unwrap() == envelope
+
+
+def test_missing_default_is_filled():
+    data = msgpack.packb(["test.sample", ["a", b"", [], [], None, "red"]])
+    assert codec.decode(data).unwrap().flag is False
+
+
+def test_unknown_tag_is_told():
+    failure = codec.decode(msgpack.packb(["test.none", []])).failure()
+    assert failure.reason is codec.DecodeReason.UNKNOWN_TAG
+
+
+def test_wrong_field_type_is_told():
+    failure = codec.decode(msgpack.packb(["test.point", ["1", 2.0]])).failure()
+    assert failure.reason is codec.DecodeReason.WRONG_FIELDS
+
+
+@hypothesis.settings(derandomize=True, database=None, deadline=None)
+@hypothesis.given(strategies.binary(max_size=64))
+def test_any_bytes_give_an_outcome(data):
+    codec.decode(data)
+
+
+@hypothesis.settings(derandomize=True, database=None, deadline=None)
+@hypothesis.given(strategies.integers(0, 60), strategies.integers(0, 255))
+def test_damaged_message_gives_an_outcome(position, value):
+    data = bytearray(codec.encode(SAMPLE))
+    data[position % len(data)] = value
+    codec.decode(bytes(data))
--- /dev/null
+++ b/hickoryweir/streams/tests/test_hub.py
@@ -0,0 +1,233 @@
+"""Connections between hubs on loopback."""
+
+import asyncio
+import dataclasses
+import datetime
+
+import pytest
+import uvloop
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509 import oid
+
+from hickoryweir.streams import codec, connections, handshake, hub, tls
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Text:
+    """A test message."""
+
+    body: str
+
+
+codec.register("test.text", Text)
+SERVER = handshake.Identity("north", "vm-1", "zone-a")
+CLIENT = handshake.Identity("north", "vm-2", "zone-b")
+LOCALHOST = "127.0.0.1"
+
+
+async def echo(connection):
+    while True:
+        message = (await connection.receive()).value_or(None)
+        if message is None:
+            return
+        await connection.send(message)
+
+
+async def exchange(identity, purpose, files=None, client_files=None, message=None):
+    server = hub.make_hub(SERVER, LOCALHOST, 0, files)
+    server.register(handshake.Purpose.CLIENT, echo)
+    await server.start()
+    try:
+        outcome = await hub.connect(
+            identity, LOCALHOST, server.port, purpose, client_files or files
+        )
+        connection = outcome.value_or(None)
+        if connection is None:
+            return outcome.failure(), server.refusals
+        await connection.send(message or Text("hello"))
+        answer = await connection.receive()
+        await connection.close()
+        return answer, server.refusals
+    finally:
+        await server.close()
+
+
+def test_message_is_echoed():
+    answer, _ = asyncio.run(exchange(CLIENT, handshake.Purpose.CLIENT))
+    assert answer.unwrap() == Text("hello")
+
+
+@pytest.mark.parametrize(
+    ("identity", "purpose", "reason"),
+    [
+        (
+            handshake.Identity("south", "vm-2", "zone-b"),
+            handshake.Purpose.CLIENT,
+            handshake.RefusalReason.WRONG_CLUSTER,
+        ),
+        (
+            CLIENT,
+            handshake.Purpose.REPLICA,
+            handshake.RefusalReason.WRONG_PURPOSE,
+        ),
+    ],
+)
+def test_stranger_is_refused_and_counted(identity, purpose, reason):
+    failure, refusals = asyncio.run(exchange(identity, purpose))
+    assert failure == hub.ConnectFailure(hub.ConnectReason.REFUSED, reason)
+    assert refusals == {reason: 1}
+
+
+def test_message_is_echoed_on_uvloop():
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        answer, _ = runner.run(exchange(CLIENT, handshake.Purpose.CLIENT))
+    assert answer.unwrap() == Text("hello")
+
+
+def test_other_version_is_refused():
+    hello = handshake.make_hello(CLIENT, handshake.Purpose.CLIENT)
+    newer = dataclasses.replace(hello, protocol_version=2)
+    served = frozenset({("client", "")})
+    refusal = handshake.check_hello(newer, SERVER, served, None)
+    assert refusal is handshake.RefusalReason.WRONG_VERSION
+
+
+async def _send_raw(data):
+    server = hub.make_hub(SERVER, LOCALHOST, 0)
+    server.register(handshake.Purpose.CLIENT, echo)
+    await server.start()
+    reader, writer = await asyncio.open_connection(LOCALHOST, server.port)
+    writer.write(data)
+    await reader.read()
+    writer.close()
+    await server.close()
+    return server.refusals
+
+
+def test_oversized_hello_is_refused():
+    refusals = asyncio.run(_send_raw(b"\xff\xff\xff\xff"))
+    assert refusals == {handshake.RefusalReason.MALFORMED: 1}
+
+
+def test_oversized_message_is_not_sent():
+    async def offer():
+        server = hub.make_hub(SERVER, LOCALHOST, 0)
+        server.register(handshake.Purpose.CLIENT, echo)
+        await server.start()
+        connection = (
+            await hub.connect(CLIENT, LOCALHOST, server.port, handshake.Purpose.CLIENT)
+        ).unwrap()
+        large = Text("x" * (connections.MAX_FRAME_SIZE_BYTES + 1))
+        outcome = connection.offer(large)
+        await connection.close()
+        await server.close()
+        return outcome
+
+    failure = asyncio.run(offer()).failure()
+    assert failure is connections.StreamFailure.FRAME_TOO_LARGE
+
+
+def test_queue_is_bounded():
+    async def fill():
+        server = hub.make_hub(SERVER, LOCALHOST, 0)
+        server.register(handshake.Purpose.CLIENT, echo)
+        await server.start()
+        connection = (
+            await hub.connect(CLIENT, LOCALHOST, server.port, handshake.Purpose.CLIENT)
+        ).unwrap()
+        for _ in range(connections.MAX_QUEUED_MESSAGES_COUNT):
+            connection.offer(Text("x")).unwrap()
+        outcome = connection.offer(Text("x"))
+        await connection.close()
+        await server.close()
+        return outcome
+
+    failure = asyncio.run(fill()).failure()
+    assert failure is connections.StreamFailure.QUEUE_FULL
+
+
+def make_certificate(folder, name, authority=None):
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, name)])
+    issuer, issuer_key = authority or (subject, key)
+    start = datetime.datetime(2020, 1, 1)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(issuer)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(start)
+        .not_valid_after(start + datetime.timedelta(days=365 * 80))
+        .add_extension(x509.BasicConstraints(authority is None, None), critical=True)
+        .sign(issuer_key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    (folder / f"{name}.crt").write_bytes(certificate.public_bytes(pem))
+    private = key.private_bytes(
+        pem,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    (folder / f"{name}.key").write_bytes(private)
+    return subject, key
+
+
+def make_files(folder, name):
+    return tls.TlsFiles(
+        str(folder / f"{name}.crt"),
+        str(folder / f"{name}.key"),
+        str(folder / "authority.crt"),
+    )
+
+
+@pytest.fixture(scope="module")
+def certificates(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("certificates")
+    authority = make_certificate(folder, "authority")
+    for name in ("vm-1", "vm-2"):
+        make_certificate(folder, name, authority)
+    return folder
+
+
+def test_mutual_tls_carries_messages(certificates):
+    answer, _ = asyncio.run(
+        exchange(
+            CLIENT,
+            handshake.Purpose.CLIENT,
+            make_files(certificates, "vm-1"),
+            make_files(certificates, "vm-2"),
+        )
+    )
+    assert answer.unwrap() == Text("hello")
+
+
+def test_name_must_stand_in_the_certificate(certificates):
+    impostor = handshake.Identity("north", "vm-3", "zone-b")
+    failure, _ = asyncio.run(
+        exchange(
+            impostor,
+            handshake.Purpose.CLIENT,
+            make_files(certificates, "vm-1"),
+            make_files(certificates, "vm-2"),
+        )
+    )
+    assert failure.refusal is handshake.RefusalReason.WRONG_NAME
+
+
+def test_plain_client_is_not_served_by_tls(certificates):
+    server_files = make_files(certificates, "vm-1")
+
+    async def attempt():
+        server = hub.make_hub(SERVER, LOCALHOST, 0, server_files)
+        server.register(handshake.Purpose.CLIENT, echo)
+        await server.start()
+        outcome = await hub.connect(
+            CLIENT, LOCALHOST, server.port, handshake.Purpose.CLIENT
+        )
+        await server.close()
+        return outcome
+
+    assert asyncio.run(attempt()).failure().reason is hub.ConnectReason.UNREACHABLE
