--- /dev/null
+++ b/hickoryweir/observability/metrics.py
@@ -0,0 +1,98 @@
+"""Counters for each outcome, refusal and retry reason, and their exposition.
+
+One :class:`Metrics` value belongs to one daemon; nothing is global.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+import prometheus_client
+from prometheus_client import core as prometheus_core
+from prometheus_client import registry as prometheus_registry
+
+from hickoryweir.observability import latencies
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+
+
+@dataclasses.dataclass(slots=True)
+class Metrics:
+    """The counters and histograms of one daemon."""
+
+    registry: prometheus_client.CollectorRegistry
+    calls: prometheus_client.Counter
+    refusals: prometheus_client.Counter
+    retries: prometheus_client.Counter
+    attainment: prometheus_client.Counter
+    output_tokens: prometheus_client.Counter
+    wasted_tokens: prometheus_client.Counter
+    claims: prometheus_client.Counter
+    peer_failures: prometheus_client.Counter
+    configuration_version: prometheus_client.Gauge
+    in_flight: prometheus_client.Gauge
+    latencies: latencies.Latencies
+
+
+class LatencyCollector(prometheus_registry.Collector):
+    """Presents hdrhistograms as Prometheus summaries."""
+
+    def __init__(self, source: latencies.Latencies) -> None:
+        self._source = source
+
+    def collect(self) -> Iterable[prometheus_core.Metric]:
+        """Yield one summary family with a sample per class and interval."""
+        family = prometheus_core.Metric(
+            "hickoryweir_latency_seconds", "Latency by class and interval.", "summary"
+        )
+        for (class_name, interval), found in self._source.histograms.items():
+            labels = {"class": class_name, "interval": str(interval)}
+            for share in latencies.QUANTILES:
+                value_s = self._source.quantile_s(class_name, interval, share)
+                family.add_sample(
+                    family.name, {**labels, "quantile": str(share)}, value_s
+                )
+            total_s = self._source.sums_s[(class_name, interval)]
+            family.add_sample(family.name + "_count", labels, found.get_total_count())
+            family.add_sample(family.name + "_sum", labels, total_s)
+        yield family
+
+
+def make_metrics() -> Metrics:
+    """Return the metrics of one daemon, all at zero."""
+    registry = prometheus_client.CollectorRegistry()
+
+    def counter(name: str, text: str, *labels: str) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f"hickoryweir_{name}", text, labels, registry=registry
+        )
+
+    def gauge(name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(f"hickoryweir_{name}", text, registry=registry)
+
+    store = latencies.make_latencies()
+    registry.register(LatencyCollector(store))
+    return Metrics(
+        registry=registry,
+        calls=counter("calls", "Calls ended, by class and result.", "class", "result"),
+        refusals=counter(
+            "refusals", "Refusals by class and reason.", "class", "reason"
+        ),
+        retries=counter(
+            "retries", "Further attempts by class and cause.", "class", "cause"
+        ),
+        attainment=counter(
+            "attainment", "Answered calls by class and target met.", "class", "met"
+        ),
+        output_tokens=counter("output_tokens", "Tokens sent to callers.", "class"),
+        wasted_tokens=counter("wasted_tokens", "Tokens not used, by cause.", "cause"),
+        claims=counter("claims", "Claim verdicts.", "verdict"),
+        peer_failures=counter("peer_failures", "Failures by peer.", "peer", "cause"),
+        configuration_version=gauge("configuration_version", "Version in force."),
+        in_flight=gauge("calls_in_flight", "Calls in flight or queued."),
+        latencies=store,
+    )
+
+
+def expose(metrics: Metrics) -> bytes:
+    """Return all metrics in the Prometheus text format."""
+    return prometheus_client.generate_latest(metrics.registry)
