Callers: request checks, authentication, classes, error bodies; prefix digests

Cause: the HTTP front needs its pure parts first. Change: published shapes by pydantic, hashed keys, class lookup, refusals as JSON, chained xxh64 prefix digests shared with engines. Conclusion: routers and engines name prefixes alike.

--- /dev/null
+++ b/hickoryweir/callers/authentication.py
@@ -0,0 +1,111 @@
+"""Bearer keys: which account a caller belongs to.
+
+Only SHA-256 digests of keys are kept.  A digest is found through a table keyed
+by a secret of this process, so the time of a look-up says nothing of the stored
+digests, and is then compared in constant time.
+
+Examples
+--------
+>>> from hickoryweir.configuration import model
+>>> digest = digest_key("secret")
+>>> school = model.Account("school", (digest,), ("balance",), 1, 1, 1, 1, 1)
+>>> directory = make_directory((school,))
+>>> authenticate(directory, "Bearer secret").unwrap().name
+'school'
+"""
+
+import dataclasses
+import hashlib
+import hmac
+import secrets
+
+from returns import result
+
+from hickoryweir.configuration import model
+from hickoryweir.outcomes import refusals
+
+SECRET_SIZE_BYTES = 32
+SCHEME = "Bearer "
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Credential:
+    """A stored key digest and the account it stands for."""
+
+    key_digest: str
+    account: model.Account
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Directory:
+    """Credentials by the keyed digest of their key digest."""
+
+    secret: bytes
+    credentials: dict[bytes, Credential]
+
+
+def digest_key(key: str) -> str:
+    """Return the digest under which a key is stored: SHA-256, lower-case hex."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def index_digest(secret: bytes, key_digest: str) -> bytes:
+    """Return the position of a key digest in a directory."""
+    return hashlib.blake2b(key_digest.encode(), key=secret, digest_size=16).digest()
+
+
+def make_directory(accounts: tuple[model.Account, ...]) -> Directory:
+    """Return the directory of all accounts' keys.
+
+    Parameters
+    ----------
+    accounts : tuple of model.Account
+        Accounts of the configuration in force.
+
+    Returns
+    -------
+    Directory
+        To be given to :func:`authenticate`.
+    """
+    secret = secrets.token_bytes(SECRET_SIZE_BYTES)
+    credentials = {
+        index_digest(secret, key_digest): Credential(key_digest, account)
+        for account in accounts
+        for key_digest in account.key_digests
+    }
+    return Directory(secret, credentials)
+
+
+def authenticate(
+    directory: Directory, header: str | None
+) -> result.Result[model.Account, refusals.Refusal]:
+    """Return the account that an ``Authorization`` header names.
+
+    Parameters
+    ----------
+    directory : Directory
+        Known credentials.
+    header : str or None
+        Value of the header.
+
+    Returns
+    -------
+    Result of model.Account, or of Refusal
+        ``AUTHENTICATION_MISSING`` or ``AUTHENTICATION_INVALID``.
+    """
+    if not header or not header.startswith(SCHEME):
+        return result.Failure(
+            refusals.make_refusal(
+                refusals.Reason.AUTHENTICATION_MISSING,
+                "send Authorization: Bearer KEY",
+            )
+        )
+    key_digest = digest_key(header[len(SCHEME) :].strip())
+    found = directory.credentials.get(index_digest(directory.secret, key_digest))
+    if found is None or not hmac.compare_digest(found.key_digest, key_digest):
+        return result.Failure(
+            refusals.make_refusal(
+                refusals.Reason.AUTHENTICATION_INVALID, "the key is not known"
+            )
+        )
+    return result.Success(found.account)
--- /dev/null
+++ b/hickoryweir/callers/classes.py
@@ -0,0 +1,71 @@
+"""Which class a call belongs to: by header, else by account and target."""
+
+from returns import result
+
+from hickoryweir.configuration import model
+from hickoryweir.outcomes import refusals
+
+
+def find_class(
+    configuration: model.Configuration,
+    account: model.Account,
+    header: str | None,
+    target: model.Target,
+    target_name: str,
+) -> result.Result[model.RequestClass, refusals.Refusal]:
+    """Return the class of a call.
+
+    Parameters
+    ----------
+    configuration : model.Configuration
+        The configuration in force.
+    account : model.Account
+        The caller's account.
+    header : str or None
+        Value of ``X-Request-Class``.
+    target : model.Target
+        Whether the path leads to a model or to a plain service.
+    target_name : str
+        Model or service asked for.
+
+    Returns
+    -------
+    Result of model.RequestClass, or of Refusal
+        ``CLASS_UNKNOWN`` or ``CLASS_FORBIDDEN``.
+    """
+    fitting = [
+        candidate
+        for candidate in configuration.classes
+        if candidate.target is target and candidate.target_name == target_name
+    ]
+    if header is None:
+        return imply_class(fitting, account)
+    named = [candidate for candidate in fitting if candidate.name == header]
+    if not named:
+        return result.Failure(
+            refusals.make_refusal(
+                refusals.Reason.CLASS_UNKNOWN,
+                "X-Request-Class names no class of this model or service",
+            )
+        )
+    if header not in account.classes:
+        return result.Failure(refuse_account())
+    return result.Success(named[0])
+
+
+def imply_class(
+    fitting: list[model.RequestClass], account: model.Account
+) -> result.Result[model.RequestClass, refusals.Refusal]:
+    """Return the first of the account's classes that fits the path."""
+    by_name = {candidate.name: candidate for candidate in fitting}
+    for name in account.classes:
+        if name in by_name:
+            return result.Success(by_name[name])
+    return result.Failure(refuse_account())
+
+
+def refuse_account() -> refusals.Refusal:
+    """Return the refusal of a class that the account may not use."""
+    return refusals.make_refusal(
+        refusals.Reason.CLASS_FORBIDDEN, "the account may not use this class"
+    )
--- /dev/null
+++ b/hickoryweir/callers/requests.py
@@ -0,0 +1,218 @@
+"""A caller's request, checked at the border and held as a value inside.
+
+:func:`parse_chat` and :func:`parse_completion` check the published shapes and
+let unknown fields through; the body goes to the engine as it came.
+"""
+
+import dataclasses
+import json
+from collections.abc import Mapping
+
+import pydantic
+import xxhash
+from returns import result
+
+from hickoryweir.configuration import model
+from hickoryweir.engines import prefixes
+from hickoryweir.outcomes import refusals
+
+CHARACTERS_PER_TOKEN = 4
+MAX_MESSAGE_DETAIL_CHARACTERS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prompt:
+    """What the router needs to know of a body for a model engine.
+
+    Attributes
+    ----------
+    model_name : str
+        Model that the caller asks for.
+    stream : bool
+        Whether the caller wants server-sent events.
+    max_output_tokens : int or None
+        The caller's limit.
+    input_tokens : int
+        Estimate by the prompt's length.
+    prefix_digests : tuple of int
+        See :mod:`hickoryweir.engines.prefixes`.
+    conversation : int or None
+        Digest of the first block; None for a prompt shorter than a block.
+    """
+
+    model_name: str
+    stream: bool
+    max_output_tokens: int | None
+    input_tokens: int
+    prefix_digests: tuple[int, ...]
+    conversation: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One authenticated and checked request.
+
+    Attributes
+    ----------
+    request_id : str
+        Given by the caller or made here; echoed.
+    request_class : model.RequestClass
+        Its class.
+    account : model.Account
+        Whose call it is.
+    method, path, query : str
+        As to be sent to the backend server; the path starts with a slash.
+    content_type : str
+        Media type of the body.
+    body : bytes
+        The body as it came.
+    prompt : Prompt or None
+        None for plain services.
+    fingerprint : str
+        Digest of account, path and body.
+    idempotency_key : str
+        Empty for idempotent classes without a key.
+    received_at_s : float
+        Monotonic time of arrival.
+    """
+
+    request_id: str
+    request_class: model.RequestClass
+    account: model.Account
+    method: str
+    path: str
+    query: str
+    content_type: str
+    body: bytes
+    prompt: Prompt | None
+    fingerprint: str
+    idempotency_key: str
+    received_at_s: float
+
+    @property
+    def deadline_s(self) -> float:
+        """Return the monotonic time by which the caller has a final answer."""
+        return self.received_at_s + self.request_class.deadline_s
+
+    @property
+    def stream(self) -> bool:
+        """Return whether the caller wants server-sent events."""
+        return self.prompt is not None and self.prompt.stream
+
+
+class PublishedBody(pydantic.BaseModel):
+    """Fields that chat completions and completions share."""
+
+    model_config = pydantic.ConfigDict(extra="allow")
+
+    model: str = pydantic.Field(min_length=1)
+    stream: bool = False
+    max_tokens: int | None = pydantic.Field(default=None, ge=1)
+    max_completion_tokens: int | None = pydantic.Field(default=None, ge=1)
+
+
+class ChatMessage(pydantic.BaseModel):
+    """One message of a chat."""
+
+    model_config = pydantic.ConfigDict(extra="allow")
+
+    role: str
+    content: str | list[dict] | None = None
+
+
+class ChatBody(PublishedBody):
+    """Body of ``POST /v1/chat/completions``."""
+
+    messages: list[ChatMessage] = pydantic.Field(min_length=1)
+
+
+class CompletionBody(PublishedBody):
+    """Body of ``POST /v1/completions``."""
+
+    prompt: str | list
+
+
+def parse_chat(body: bytes) -> result.Result[Prompt, refusals.Refusal]:
+    """Check the body of a chat completion.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON text.
+
+    Returns
+    -------
+    Result of Prompt, or of Refusal with reason ``BODY_INVALID``
+        What the router needs of the body.
+    """
+    return parse_published(body, ChatBody)
+
+
+def parse_completion(body: bytes) -> result.Result[Prompt, refusals.Refusal]:
+    """Check the body of a completion; see :func:`parse_chat`."""
+    return parse_published(body, CompletionBody)
+
+
+def parse_published(
+    body: bytes, shape: type[PublishedBody]
+) -> result.Result[Prompt, refusals.Refusal]:
+    """Check a body against one of the published shapes."""
+    try:
+        decoded = json.loads(body)
+        checked = shape.model_validate(decoded)
+    except pydantic.ValidationError as error:
+        return result.Failure(refuse_body(describe(error)))
+    except (ValueError, RecursionError):
+        return result.Failure(refuse_body("the body is not JSON"))
+    return result.Success(make_prompt(decoded, checked))
+
+
+def describe(error: pydantic.ValidationError) -> str:
+    """Return the first fault as one sentence that repeats nothing of the body."""
+    first = error.errors(include_input=False, include_url=False)[0]
+    where = ".".join(str(part) for part in first["loc"]) or "body"
+    return f"{where}: {first['msg']}"[:MAX_MESSAGE_DETAIL_CHARACTERS]
+
+
+def refuse_body(message: str) -> refusals.Refusal:
+    """Return the refusal of a body that has not the published shape."""
+    return refusals.make_refusal(refusals.Reason.BODY_INVALID, message)
+
+
+def make_prompt(decoded: Mapping[str, object], checked: PublishedBody) -> Prompt:
+    """Return what the router needs of a checked body."""
+    text = prefixes.prompt_text(decoded)
+    digests = prefixes.digest_text(text)
+    return Prompt(
+        model_name=checked.model,
+        stream=checked.stream,
+        max_output_tokens=checked.max_completion_tokens or checked.max_tokens,
+        input_tokens=len(text) // CHARACTERS_PER_TOKEN + 1,
+        prefix_digests=digests,
+        conversation=digests[0] if digests else None,
+    )
+
+
+def fingerprint(account: str, path: str, body: bytes) -> str:
+    """Return a digest that the same call of the same account always has.
+
+    JSON bodies are brought to a canonical form first, so that white space and
+    the order of keys don't matter.
+
+    Examples
+    --------
+    >>> first = fingerprint("a", "/x", b'{"k": 1, "l": 2}')
+    >>> first == fingerprint("a", "/x", b'{"l":2,"k":1}')
+    True
+    >>> first == fingerprint("b", "/x", b'{"k": 1, "l": 2}')
+    False
+    """
+    try:
+        canonical = json.dumps(json.loads(body), sort_keys=True).encode()
+    except (ValueError, RecursionError):
+        canonical = body
+    digest = xxhash.xxh3_128()
+    for part in (account.encode(), path.encode(), canonical):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
--- /dev/null
+++ b/hickoryweir/engines/prefixes.py
@@ -0,0 +1,69 @@
+"""Prefix digests, by which routers and engines name cached prompt prefixes.
+
+A prompt's text is cut into blocks of :data:`BLOCK_SIZE_CHARACTERS`; the digest
+of a prefix of whole blocks chains the digest of the prefix before it with the
+next block, so that equal prefixes have equal digests at every process.
+
+Examples
+--------
+>>> shared = "x" * BLOCK_SIZE_CHARACTERS
+>>> first = digest_text(shared + "a" * BLOCK_SIZE_CHARACTERS)
+>>> second = digest_text(shared + "b" * BLOCK_SIZE_CHARACTERS)
+>>> first[0] == second[0], first[1] == second[1]
+(True, False)
+"""
+
+import json
+from collections.abc import Mapping
+
+import xxhash
+
+BLOCK_SIZE_CHARACTERS = 256
+MAX_BLOCKS_COUNT = 64
+
+
+def digest_text(text: str) -> tuple[int, ...]:
+    """Return the digests of all prefixes of whole blocks, shortest first.
+
+    Parameters
+    ----------
+    text : str
+        The prompt's text.
+
+    Returns
+    -------
+    tuple of int
+        At most :data:`MAX_BLOCKS_COUNT` digests of 64 bits.
+    """
+    digests = []
+    previous = 0
+    whole_blocks = min(len(text) // BLOCK_SIZE_CHARACTERS, MAX_BLOCKS_COUNT)
+    for block in range(whole_blocks):
+        start = block * BLOCK_SIZE_CHARACTERS
+        piece = text[start : start + BLOCK_SIZE_CHARACTERS]
+        previous = xxhash.xxh64_intdigest(piece.encode(), seed=previous)
+        digests.append(previous)
+    return tuple(digests)
+
+
+def prompt_text(body: Mapping[str, object]) -> str:
+    """Return the text that prefixes are taken of.
+
+    Parameters
+    ----------
+    body : mapping
+        Decoded body of a chat completion or a completion.
+
+    Returns
+    -------
+    str
+        Model, then each message's role and content, or the prompt.
+    """
+    model = str(body.get("model", ""))
+    messages = body.get("messages")
+    if isinstance(messages, list):
+        parts = [json.dumps(message, sort_keys=True) for message in messages]
+        return "\n".join([model, *parts])
+    prompt = body.get("prompt", "")
+    text = prompt if isinstance(prompt, str) else json.dumps(prompt)
+    return f"{model}\n{text}"
