Import the serialization module whole in the hub's test

Cause: cryptography wraps that module and leaves it without a spec, which the import check can't read. Change: a plain import of the module. Conclusion: the check stays as strict as it was.

--- a/hickoryweir/streams/tests/test_hub.py
+++ b/hickoryweir/streams/tests/test_hub.py
@@ -4,10 +4,11 @@
 import dataclasses
 import datetime
 
+import cryptography.hazmat.primitives.serialization as serialization
 import pytest
 import uvloop
 from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives import hashes
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509 import oid
 
