Command line: generate, check and serve

Cause: a team needs the way from answers to a checked configuration in one command, with errors that name the place and the right form. Change: cappa commands, exit codes, blank and interactive questionnaire.

--- /dev/null
+++ b/hickoryweir/cli/files.py
@@ -0,0 +1,125 @@
+"""Commands on files: ``generate`` and ``check``."""
+
+import pathlib
+import sys
+
+from returns import result
+
+from hickoryweir.cli import exits
+from hickoryweir.configuration import (
+    blank,
+    generator,
+    parse,
+    problems,
+    questionnaire,
+    render,
+    settings,
+)
+
+EXPLAIN_WIDTHS = (26, 24, 10)
+
+
+def read_text(path: pathlib.Path) -> result.Result[str, problems.InvalidInput]:
+    """Return a file's text, or why it can't be read."""
+    try:
+        return result.Success(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        problem = problems.Problem(str(path), "", "", str(error), "a readable file")
+        return result.Failure(problems.InvalidInput((problem,)))
+
+
+def report(error: problems.InvalidInput) -> int:
+    """Print every problem on standard error and return the exit code."""
+    print(error, file=sys.stderr)
+    return exits.ExitCode.INVALID_FILE
+
+
+def generate(answers: pathlib.Path, output: pathlib.Path | None, explain: bool) -> int:
+    """Write the configuration for an answers file.
+
+    Parameters
+    ----------
+    answers : path
+        The answers file.
+    output : path or None
+        Where the configuration goes; None is standard output.
+    explain : bool
+        Print each derived number with its reason on standard error.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    generated = (
+        read_text(answers)
+        .bind(lambda text: questionnaire.parse(text, str(answers)))
+        .bind(generator.derive)
+    )
+    if not isinstance(generated, result.Success):
+        return report(generated.failure())
+    value = generated.unwrap()
+    if explain:
+        for note in value.derivations:
+            print(_explain(note), file=sys.stderr)
+    text = render.render(value.configuration)
+    if output is None:
+        print(text, end="")
+    else:
+        output.write_text(text, encoding="utf-8")
+        print(f"{output}: {value.configuration.digest}", file=sys.stderr)
+    return exits.ExitCode.SUCCESS
+
+
+def _explain(note: generator.Derivation) -> str:
+    cells = (f"[{note.section}]", note.key, note.value)
+    columns = (
+        f"{cell:<{width}}" for cell, width in zip(cells, EXPLAIN_WIDTHS, strict=True)
+    )
+    return " ".join(columns) + f" {note.reason}"
+
+
+def new_answers(output: pathlib.Path | None, interactive: bool) -> int:
+    """Write a new answers file, blank or from answers given at the terminal."""
+    text = blank.ask(input) if interactive else blank.render_blank()
+    if output is None:
+        print(text, end="")
+    else:
+        output.write_text(text, encoding="utf-8")
+    return exits.ExitCode.SUCCESS
+
+
+def check(path: pathlib.Path) -> int:
+    """Check settings, answers or a configuration; its sections tell which."""
+    text = read_text(path)
+    if not isinstance(text, result.Success):
+        return report(text.failure())
+    checked = _check_text(text.unwrap(), path)
+    if not isinstance(checked, result.Success):
+        return report(checked.failure())
+    print(f"{path}: {checked.unwrap()}")
+    return exits.ExitCode.SUCCESS
+
+
+def _check_text(text, path):
+    lines = {line.strip() for line in text.splitlines()}
+    if "[process]" in lines:
+        return settings.load(path).map(
+            lambda value: f"settings of {value.process.name}, no problem"
+        )
+    if "[team]" in lines:
+        return generator.generate_text(text, str(path)).map(
+            lambda value: f"answers of {value.customer}, no problem"
+        )
+    if "[configuration]" in lines:
+        return parse.parse(text, str(path)).map(
+            lambda value: f"configuration of {value.customer}, digest {value.digest}"
+        )
+    problem = problems.Problem(
+        str(path),
+        "",
+        "",
+        "unknown kind of file",
+        "[process], [team] or [configuration]",
+    )
+    return result.Failure(problems.InvalidInput((problem,)))
--- a/hickoryweir/configuration/generator.py
+++ b/hickoryweir/configuration/generator.py
@@ -115,7 +115,7 @@
     queue_length, reason = _queue_length(answers, request, tokens)
     notes.append(_tier_note(answers, request, section, tier))
     notes.append(Derivation(section, "max_queue_length", str(queue_length), reason))
-    if request.usual_answer_tokens is None:
+    if request.usual_answer_tokens is None and request.longest_answer_tokens:
         reason = f"length unknown: {UNKNOWN_LENGTH_SHARE:g} of the longest, then learnt"
         key = "expected_output_tokens"
         notes.append(Derivation(section, key, str(tokens), reason))
--- a/hickoryweir/configuration/questionnaire.py
+++ b/hickoryweir/configuration/questionnaire.py
@@ -50,6 +50,13 @@
     pydantic.BeforeValidator(_parse_answerer),
     pydantic.Field(description="model NAME or service NAME"),
 ]
+OptionalSeconds = Annotated[
+    fields.Seconds | None, pydantic.Field(description="seconds, above 0, or left out")
+]
+OptionalCount = Annotated[
+    fields.CountOrZero | None,
+    pydantic.Field(description="a whole number, 0 or more, or left out"),
+]
 Runs = Annotated[model.Target, pydantic.Field(description="model or service")]
 Path = Annotated[
     str,
@@ -92,10 +99,10 @@
     met_for_percent: Percent
     never_below_percent: Percent
     more_urgent_than: fields.Names = ()
-    first_token_within_s: fields.Seconds | None = None
-    between_tokens_within_s: fields.Seconds | None = None
+    first_token_within_s: OptionalSeconds = None
+    between_tokens_within_s: OptionalSeconds = None
     usual_question_tokens: fields.CountOrZero = 0
-    usual_answer_tokens: fields.CountOrZero | None = None
+    usual_answer_tokens: OptionalCount = None
     longest_answer_tokens: fields.CountOrZero = 0
     retry: fields.Flag = False
     race_a_second_copy: fields.Flag = False
