Operators' changes: state machine of the replicated log

Cause: operators race with equal numbers and resend after lost answers. The canonical text is sorted by kind and name so that a delta restores the order. Conclusion: the daemon can mount it as a submachine with dump and load.

--- /dev/null
+++ b/hickoryweir/configuration/changes.py
@@ -0,0 +1,336 @@
+"""Operators' changes as a deterministic state machine of the replicated log.
+
+Every accepted command gets the next version.  Two operators that saw the same
+version race: the first in the log wins, the other gets a conflict that names the
+winner.  A change id that comes again gets its first reply; ids are forgotten in
+the order of their issue, and whatever was issued before the last forgotten one
+is refused, so that no command runs twice.
+
+Examples
+--------
+>>> state = initial_state()
+>>> first = commands.make_submit("c1", "ann", 10.0, 0, "answers", "text")
+>>> rival = commands.make_submit("c2", "bob", 10.0, 0, "answers", "other")
+>>> apply(state, first, 1, 11.0)
+Accepted(version=1)
+>>> apply(state, rival, 2, 12.0).operator
+'ann'
+>>> apply(state, first, 3, 13.0)
+Accepted(version=1)
+"""
+
+import dataclasses
+import hashlib
+import heapq
+
+from hickoryweir.configuration import commands, history, stops
+from hickoryweir.streams import codec
+
+RETENTION_S = 24 * 3600.0
+MAX_REPLY_COUNT = 20_000
+CLOCK_AHEAD_MAX_S = 300.0
+FINGERPRINT_SIZE_BYTES = 8
+DIGEST_SHOWN_COUNT = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstReply:
+    """The reply that a change id got when it came first."""
+
+    change_id: str
+    issued_at_s: float
+    fingerprint: bytes
+    reply: commands.Reply
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """All that operators have changed.
+
+    ``configuration_version`` is the version of the last change of the
+    configuration; planned stops have versions above it.
+    """
+
+    version: int = 0
+    configuration_version: int = 0
+    digest: str = ""
+    answers: bytes = b""
+    configuration: bytes = b""
+    running_stops: dict[tuple[str, str], stops.Stop] = dataclasses.field(
+        default_factory=dict
+    )
+    audit: history.History = dataclasses.field(default_factory=history.History)
+    replies: dict[str, FirstReply] = dataclasses.field(default_factory=dict)
+    floor_s: float = float("-inf")
+    expiries: list[tuple[float, str]] = dataclasses.field(
+        default_factory=list, compare=False
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dump:
+    """A state as one message."""
+
+    version: int
+    configuration_version: int
+    digest: str
+    answers: bytes
+    configuration: bytes
+    running_stops: tuple[stops.Stop, ...]
+    audit: history.History
+    replies: tuple[FirstReply, ...]
+    floor_s: float
+
+
+codec.register("cfg.first-reply", FirstReply)
+codec.register("cfg.dump", Dump)
+
+
+def initial_state() -> State:
+    """Return the state before any change."""
+    return State()
+
+
+def apply(
+    state: State, command: commands.Command, index: int, time_s: float
+) -> commands.Reply:
+    """Apply one committed command.
+
+    Parameters
+    ----------
+    state : State
+        Changed in place.
+    command : SubmitChange, StartStop or CancelStop
+        The command.
+    index : int
+        Its index in the log.
+    time_s : float
+        The log's Unix time; never falls from one command to the next.
+
+    Returns
+    -------
+    Reply
+        The same on every replica.
+    """
+    _forget(state, time_s)
+    fingerprint = _fingerprint(command)
+    first = state.replies.get(command.change_id)
+    if first is not None:
+        return _repeat(state, first, fingerprint)
+    if command.issued_at_s <= state.floor_s:
+        return commands.Expired(state.floor_s)
+    if command.issued_at_s > time_s + CLOCK_AHEAD_MAX_S:
+        return commands.IssuedInFuture(time_s)
+    reply = _decide(state, command, time_s)
+    _remember(state, command, fingerprint, reply)
+    return reply
+
+
+def _fingerprint(command: commands.Command) -> bytes:
+    return hashlib.sha256(codec.encode(command)).digest()[:FINGERPRINT_SIZE_BYTES]
+
+
+def _repeat(state: State, first: FirstReply, fingerprint: bytes) -> commands.Reply:
+    if first.fingerprint != fingerprint:
+        return commands.ChangeIdReused()
+    if isinstance(first.reply, commands.Conflict):
+        return _with_answers(state, first.reply)
+    return first.reply
+
+
+def _with_answers(state: State, reply: commands.Conflict) -> commands.Conflict:
+    content = history.find_content(state.audit, reply.winning_version)
+    return dataclasses.replace(reply, answers=content.answers if content else b"")
+
+
+def _remember(state, command, fingerprint, reply):
+    if isinstance(reply, commands.Conflict):
+        reply = dataclasses.replace(reply, answers=b"")
+    state.replies[command.change_id] = FirstReply(
+        command.change_id, command.issued_at_s, fingerprint, reply
+    )
+    heapq.heappush(state.expiries, (command.issued_at_s, command.change_id))
+    while len(state.expiries) > MAX_REPLY_COUNT:
+        _forget_oldest(state)
+
+
+def _forget(state: State, time_s: float) -> None:
+    oldest_s = time_s - RETENTION_S
+    state.floor_s = max(state.floor_s, oldest_s)
+    while state.expiries and state.expiries[0][0] <= oldest_s:
+        _forget_oldest(state)
+
+
+def _forget_oldest(state: State) -> None:
+    issued_at_s, change_id = heapq.heappop(state.expiries)
+    state.replies.pop(change_id, None)
+    state.floor_s = max(state.floor_s, issued_at_s)
+
+
+def _decide(state, command, time_s):
+    match command:
+        case commands.SubmitChange():
+            return _submit(state, command, time_s)
+        case commands.StartStop():
+            return _start_stop(state, command, time_s)
+        case commands.CancelStop():
+            return _cancel_stop(state, command, time_s)
+
+
+def _submit(state, command, time_s):
+    if not state.configuration_version <= command.expected_version <= state.version:
+        return _conflict(state)
+    try:
+        text = commands.decompress(command.configuration)
+    except ValueError:
+        return commands.ContentInvalid()
+    state.version += 1
+    state.configuration_version = state.version
+    state.answers = command.answers
+    state.configuration = command.configuration
+    state.digest = hashlib.sha256(text.encode()).hexdigest()
+    content = history.Content(state.version, command.answers, command.configuration)
+    kind = history.ChangeKind.CONFIGURATION
+    _record(state, command, time_s, kind, command.summary, content)
+    _drop_stops_without_subject(state, text)
+    return commands.Accepted(state.version)
+
+
+def _conflict(state):
+    winner = next(
+        (
+            entry
+            for entry in reversed(state.audit.entries)
+            if entry.version == state.configuration_version
+        ),
+        None,
+    )
+    reply = commands.Conflict(
+        winning_version=state.configuration_version,
+        operator=winner.operator if winner else "",
+        change_id=winner.change_id if winner else "",
+        answers=b"",
+    )
+    return _with_answers(state, reply)
+
+
+def _drop_stops_without_subject(state, text):
+    if not state.running_stops:
+        return
+    servers = stops.read_servers(text)
+    for key, stop in list(state.running_stops.items()):
+        if not stops.is_known(stop.kind, stop.name, servers):
+            del state.running_stops[key]
+
+
+def _start_stop(state, command, time_s):
+    key = (command.kind.value, command.name)
+    standing = state.running_stops.get(key)
+    if standing is not None:
+        return commands.AlreadyStopping(standing.operator, standing.change_id)
+    stop = stops.Stop(
+        command.kind,
+        command.name,
+        command.operator,
+        command.change_id,
+        state.version + 1,
+        time_s,
+    )
+    refusal = _refuse_stop(state, command, stop)
+    if refusal is not None:
+        return refusal
+    state.version += 1
+    state.running_stops[key] = stop
+    summary = f"stop {command.kind.value} {command.name}"
+    _record(state, command, time_s, history.ChangeKind.STOP, summary)
+    return commands.Accepted(state.version)
+
+
+def _refuse_stop(state, command, stop):
+    servers = _servers(state)
+    if not stops.is_known(command.kind, command.name, servers, command.voters):
+        return commands.SubjectUnknown(command.kind, command.name)
+    if command.even_so:
+        return None
+    running = tuple(state.running_stops.values())
+    lost = stops.lost_targets(servers, running, stop)
+    if lost:
+        return commands.LastServer(lost)
+    before = stops.remaining_voters(command.voters, running)
+    after = stops.remaining_voters(command.voters, (*running, stop))
+    needed_count = len(command.voters) // 2 + 1
+    if len(after) < needed_count and len(after) < len(before):
+        return commands.QuorumLost(len(after), needed_count)
+    return None
+
+
+def _servers(state):
+    if not state.configuration:
+        return ()
+    return stops.read_servers(commands.decompress(state.configuration))
+
+
+def _cancel_stop(state, command, time_s):
+    if state.running_stops.pop((command.kind.value, command.name), None) is None:
+        return commands.NotStopping()
+    state.version += 1
+    summary = f"cancel stop of {command.kind.value} {command.name}"
+    _record(state, command, time_s, history.ChangeKind.CANCEL, summary)
+    return commands.Accepted(state.version)
+
+
+def _record(state, command, time_s, kind, summary, content=None):
+    entry = history.Entry(
+        state.version,
+        time_s,
+        command.operator,
+        command.change_id,
+        kind,
+        summary,
+        state.digest[:DIGEST_SHOWN_COUNT],
+    )
+    state.audit = history.add(state.audit, entry, content)
+
+
+def dump(state: State) -> bytes:
+    """Return the state as bytes, equal for equal states."""
+    return codec.encode(
+        Dump(
+            state.version,
+            state.configuration_version,
+            state.digest,
+            state.answers,
+            state.configuration,
+            tuple(state.running_stops[key] for key in sorted(state.running_stops)),
+            state.audit,
+            tuple(state.replies[key] for key in sorted(state.replies)),
+            state.floor_s,
+        )
+    )
+
+
+def load(data: bytes) -> State:
+    """Return the state that :func:`dump` wrote.
+
+    Raises
+    ------
+    ValueError
+        If the bytes are no dump.
+    """
+    loaded = codec.decode(data).value_or(None)
+    if not isinstance(loaded, Dump):
+        raise ValueError("not a dump of operators' changes")
+    state = State(
+        loaded.version,
+        loaded.configuration_version,
+        loaded.digest,
+        loaded.answers,
+        loaded.configuration,
+        {(stop.kind.value, stop.name): stop for stop in loaded.running_stops},
+        loaded.audit,
+        {first.change_id: first for first in loaded.replies},
+        loaded.floor_s,
+    )
+    state.expiries = [(first.issued_at_s, first.change_id) for first in loaded.replies]
+    heapq.heapify(state.expiries)
+    return state
--- a/hickoryweir/configuration/render.py
+++ b/hickoryweir/configuration/render.py
@@ -1,7 +1,7 @@
 """Canonical INI text of a configuration, and its digest.
 
-Equal configurations render to equal bytes: sections are sorted by name, keys
-stand in the order of the data classes' fields.
+Equal configurations render to equal bytes: sections are sorted by kind and name,
+keys stand in the order of the data classes' fields.
 """
 
 import dataclasses
@@ -27,11 +27,11 @@
     str
         Text that :func:`hickoryweir.configuration.parse.parse` reads back.
     """
-    sections = [_general(configuration)]
-    sections += [_section("account", each) for each in configuration.accounts]
+    sections = [_section("account", each) for each in configuration.accounts]
     servers = configuration.backend_servers
     sections += [_section("backend-server", each) for each in servers]
     sections += [_section("class", each) for each in configuration.classes]
+    sections += [_general(configuration)]
     sections += [_section("model", each) for each in configuration.models]
     sections += _providers(configuration.provider_shares)
     sections += [_section("service", each) for each in configuration.services]
