Callers' interface over HTTP, dispatcher and driver of calls

Cause: callers need the published interface with bounds on bodies, headers, connections and slow clients. Conclusion: ready to be joined with backend servers.

--- a/hickoryweir/callers/classes.py
+++ b/hickoryweir/callers/classes.py
@@ -1,17 +1,26 @@
 """Which class a call belongs to: by header, else by account and target."""
 
+import dataclasses
+
 from returns import result
 
 from hickoryweir.configuration import model
 from hickoryweir.outcomes import refusals
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Destination:
+    """The model or plain service that a path and body lead to."""
+
+    target: model.Target
+    name: str
+
+
 def find_class(
     configuration: model.Configuration,
     account: model.Account,
     header: str | None,
-    target: model.Target,
-    target_name: str,
+    destination: Destination,
 ) -> result.Result[model.RequestClass, refusals.Refusal]:
     """Return the class of a call.
 
@@ -23,10 +32,8 @@
         The caller's account.
     header : str or None
         Value of ``X-Request-Class``.
-    target : model.Target
-        Whether the path leads to a model or to a plain service.
-    target_name : str
-        Model or service asked for.
+    destination : Destination
+        What is asked for.
 
     Returns
     -------
@@ -36,7 +43,8 @@
     fitting = [
         candidate
         for candidate in configuration.classes
-        if candidate.target is target and candidate.target_name == target_name
+        if candidate.target is destination.target
+        and candidate.target_name == destination.name
     ]
     if header is None:
         return imply_class(fitting, account)
--- /dev/null
+++ b/hickoryweir/callers/ports.py
@@ -0,0 +1,67 @@
+"""What the HTTP front asks of the daemon, as a record of functions."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+from returns import result
+
+from hickoryweir.callers import authentication, requests, sinks
+from hickoryweir.configuration import model, settings
+from hickoryweir.observability import metrics
+from hickoryweir.outcomes import refusals
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer.
+
+    ``streamed`` says that the body was already written to the sink.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    streamed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """The configuration in force with what is derived from it."""
+
+    version: int
+    configuration: model.Configuration
+    directory: authentication.Directory
+
+
+Run = Callable[
+    [requests.CallerRequest, sinks.Sink],
+    Awaitable[result.Result[Answer, refusals.Refusal]],
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ports:
+    """Functions and values that the daemon gives to the HTTP front.
+
+    Attributes
+    ----------
+    limits : settings.Callers
+        Sizes and times that bound callers.
+    in_force : function
+        Returns the configuration in force, or None before there is one.
+    not_ready : function
+        Returns why the balancer should send nothing here, or None.
+    run : function
+        Serves one call.
+    status : function
+        Returns the status document as JSON text.
+    metrics : metrics.Metrics
+        Counters of the daemon.
+    """
+
+    limits: settings.Callers
+    in_force: Callable[[], InForce | None]
+    not_ready: Callable[[], refusals.Refusal | None]
+    run: Run
+    status: Callable[[], bytes]
+    metrics: metrics.Metrics
--- a/hickoryweir/callers/requests.py
+++ b/hickoryweir/callers/requests.py
@@ -54,8 +54,10 @@
 
     Attributes
     ----------
+    call_id : str
+        Unique in the cluster; names the call towards backend servers.
     request_id : str
-        Given by the caller or made here; echoed.
+        Given by the caller or made here; echoed to the caller.
     request_class : model.RequestClass
         Its class.
     account : model.Account
@@ -76,6 +78,7 @@
         Monotonic time of arrival.
     """
 
+    call_id: str
     request_id: str
     request_class: model.RequestClass
     account: model.Account
--- /dev/null
+++ b/hickoryweir/callers/server.py
@@ -0,0 +1,244 @@
+"""The callers' listening socket: TLS, header limits and bounded connections."""
+
+import asyncio
+import dataclasses
+import ssl
+import time
+from collections.abc import Callable
+
+from aiohttp import http_exceptions, web
+
+from hickoryweir.callers import app, errors, ports
+from hickoryweir.configuration import settings
+from hickoryweir.observability import logs, metrics
+from hickoryweir.outcomes import refusals
+
+BACKLOG_COUNT = 1_024
+IDLE_CHECK_INTERVAL_S = 1.0
+KEEPALIVE_TIMEOUT_S = 75.0
+RELOAD_INTERVAL_S = 5.0
+NO_CLASS = ""
+
+
+class Turnaway(asyncio.Protocol):
+    """Answers a connection over the limit with a refusal and closes it."""
+
+    def __init__(self, response: bytes) -> None:
+        self._response = response
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Write the refusal and close."""
+        transport.write(self._response)
+        transport.close()
+
+
+def make_turnaway_response(limit_count: int) -> bytes:
+    """Return the whole HTTP response for a connection over the limit."""
+    reason = refusals.Reason.TOO_MANY_CONNECTIONS
+    message = f"more than {limit_count} connections"
+    body = errors.render(refusals.make_refusal(reason, message, 1.0))
+    head = (
+        "HTTP/1.1 503 Service Unavailable\r\n"
+        "Content-Type: application/json\r\n"
+        "Retry-After: 1\r\n"
+        "Connection: close\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+class CallerConnection(web.RequestHandler):
+    """A caller's connection, whose parse errors become typed refusals.
+
+    Attributes
+    ----------
+    counters : metrics.Metrics
+        Where refusals are counted.
+    opened_at_s : float
+        Monotonic time of the connection.
+    is_served : bool
+        Whether the headers of a first request have come.
+    """
+
+    __slots__ = ("counters", "opened_at_s", "is_served")
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = web.HTTPInternalServerError.status_code,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the refusal for a malformed request or an unforeseen fault."""
+        refusal = refuse_fault(status, exc)
+        self.counters.refusals.labels(NO_CLASS, refusal.reason).inc()
+        fields = logs.Fields(reason=str(refusal.reason), detail=repr(exc))
+        logs.warning("request not served", fields)
+        response = errors.make_response(refusal, "")
+        response.force_close()
+        return response
+
+
+def refuse_fault(status: int, fault: BaseException | None) -> refusals.Refusal:
+    """Return the refusal for a fault that aiohttp reports."""
+    if isinstance(fault, http_exceptions.LineTooLong):
+        reason = refusals.Reason.HEADERS_TOO_LARGE
+        return refusals.make_refusal(reason, "the headers are too large")
+    if status < web.HTTPInternalServerError.status_code:
+        reason = refusals.Reason.BODY_INVALID
+        return refusals.make_refusal(reason, "the request is not valid HTTP")
+    reason = refusals.Reason.INTERNAL_ERROR
+    return refusals.make_refusal(reason, "internal error", ran=refusals.Ran.MAYBE)
+
+
+def make_protocol_factory(
+    server: web.Server, limits: settings.Callers, counters: metrics.Metrics
+) -> Callable[[], asyncio.Protocol]:
+    """Return a factory that turns connections away over the limit."""
+    loop = asyncio.get_running_loop()
+    response = make_turnaway_response(limits.max_connections)
+    reason = refusals.Reason.TOO_MANY_CONNECTIONS
+
+    def make_protocol() -> asyncio.Protocol:
+        if len(server.connections) >= limits.max_connections:
+            counters.refusals.labels(NO_CLASS, reason).inc()
+            return Turnaway(response)
+        connection = CallerConnection(
+            server,
+            loop=loop,
+            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+            access_log=None,
+            max_line_size=limits.max_header_size_bytes,
+            max_field_size=limits.max_header_size_bytes,
+        )
+        connection.counters = counters
+        connection.opened_at_s = time.monotonic()
+        connection.is_served = False
+        return connection
+
+    return make_protocol
+
+
+async def close_silent(
+    server: web.Server,
+    limit_s: float,
+    counters: metrics.Metrics,
+) -> None:
+    """Close connections that never finish the headers of a first request.
+
+    Parameters
+    ----------
+    server : web.Server
+        Whose connections are watched.
+    limit_s : float
+        Time from the connection to the end of the first headers.
+    counters : metrics.Metrics
+        Where closed connections are counted.
+    """
+    reason = refusals.Reason.CLIENT_TOO_SLOW
+    while True:
+        await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
+        now_s = time.monotonic()
+        for connection in list(server.connections):
+            transport = connection.transport
+            if connection.is_served or transport is None:
+                continue
+            if now_s - connection.opened_at_s >= limit_s:
+                counters.refusals.labels(NO_CLASS, reason).inc()
+                transport.abort()
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """A listening callers' port.
+
+    Attributes
+    ----------
+    port : int
+        The port it listens on.
+    """
+
+    port: int
+    runner: web.AppRunner
+    listener: asyncio.Server
+    tasks: tuple[asyncio.Task, ...]
+
+
+async def start(given: ports.Ports) -> Running:
+    """Listen for callers.
+
+    Parameters
+    ----------
+    given : ports.Ports
+        The daemon's functions; its limits hold address and TLS files.
+
+    Returns
+    -------
+    Running
+        To be given to :func:`stop_listening` and :func:`stop`.
+
+    Raises
+    ------
+    OSError
+        The address is taken or a TLS file can't be read.
+    """
+    limits = given.limits
+    application = app.make_app(given)
+    runner = web.AppRunner(application, handler_cancellation=True)
+    await runner.setup()
+    factory = make_protocol_factory(runner.server, limits, given.metrics)
+    context = None
+    watchers = [close_silent(runner.server, limits.body_timeout_s, given.metrics)]
+    if not limits.plain_text:
+        context = make_tls_context(limits.certificate_file, limits.key_file)
+        watchers.append(reload_on_change(context, limits, RELOAD_INTERVAL_S))
+    listener = await asyncio.get_running_loop().create_server(
+        factory, limits.host, limits.port, ssl=context, backlog=BACKLOG_COUNT
+    )
+    port = listener.sockets[0].getsockname()[1]
+    tasks = tuple(asyncio.create_task(watcher) for watcher in watchers)
+    return Running(port, runner, listener, tasks)
+
+
+def stop_listening(running: Running) -> None:
+    """Accept no more connections; those that are open go on."""
+    running.listener.close()
+
+
+async def stop(running: Running) -> None:
+    """Close what is left of the port."""
+    stop_listening(running)
+    for task in running.tasks:
+        task.cancel()
+    await running.runner.cleanup()
+
+
+def make_tls_context(certificate_file: object, key_file: object) -> ssl.SSLContext:
+    """Return a server context for a certificate and its key.
+
+    Raises
+    ------
+    OSError
+        A file can't be read; ``ssl.SSLError`` if they don't fit.
+    """
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(certificate_file, key_file)
+    return context
+
+
+async def reload_on_change(
+    context: ssl.SSLContext, limits: settings.Callers, interval_s: float
+) -> None:
+    """Load certificate and key again whenever either file changes."""
+    files = (limits.certificate_file, limits.key_file)
+    seen = [file.stat().st_mtime_ns for file in files]
+    while True:
+        await asyncio.sleep(interval_s)
+        try:
+            found = [file.stat().st_mtime_ns for file in files]
+            if found != seen:
+                context.load_cert_chain(*files)
+                seen = found
+        except OSError:
+            continue
--- /dev/null
+++ b/hickoryweir/daemon/calls.py
@@ -0,0 +1,106 @@
+"""One call in flight: its state, its mailbox and what ends an attempt."""
+
+import asyncio
+import dataclasses
+
+from returns import result
+
+from hickoryweir.callers import ports, requests, sinks
+from hickoryweir.outcomes import refusals
+from hickoryweir.policy import events
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Call:
+    """The state of one call, owned by the task that drives it.
+
+    Attributes
+    ----------
+    request : requests.CallerRequest
+        What is to be answered.
+    sink : sinks.Sink
+        Where a stream goes.
+    mailbox : asyncio.Queue
+        Actions of the core and ends of attempts.
+    winner : int or None
+        Attempt whose output goes to the caller.
+    sent_tokens : int
+        Tokens already sent to the caller.
+    sent_text : str
+        Their text, kept for a resume.
+    first_token_at_s, last_token_at_s : float
+        Monotonic times; 0 before the first token.
+    dispatched : bool
+        Whether a byte of the call may have reached a backend server.
+    """
+
+    request: requests.CallerRequest
+    sink: sinks.Sink
+    mailbox: asyncio.Queue
+    winner: int | None = None
+    sent_tokens: int = 0
+    sent_text: str = ""
+    first_token_at_s: float = 0.0
+    last_token_at_s: float = 0.0
+    dispatched: bool = False
+
+
+def make_call(request: requests.CallerRequest, sink: sinks.Sink) -> Call:
+    """Return a call that has no attempt yet."""
+    return Call(request, sink, asyncio.Queue())
+
+
+def take_output(call: Call, attempt: int, resumed_from_tokens: int) -> bool:
+    """Return whether an attempt may write to the caller, and note that it does.
+
+    The first attempt with output wins.  Later attempts may write only if they
+    go on from exactly what was sent.
+
+    Examples
+    --------
+    >>> call = Call(None, None, None)
+    >>> take_output(call, 1, 0), take_output(call, 2, 0), take_output(call, 1, 0)
+    (True, False, True)
+    """
+    if call.winner == attempt:
+        return True
+    if call.winner is None and call.sent_tokens == resumed_from_tokens:
+        call.winner = attempt
+        return True
+    return False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """An attempt has the whole answer."""
+
+    answer: ports.Answer
+    output_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """An attempt ended without the whole answer."""
+
+    cause: events.FailureCause
+    ran: refusals.Ran
+    output_tokens: int
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settled:
+    """The call is decided without this attempt: stored answer or refusal."""
+
+    outcome: result.Result[ports.Answer, refusals.Refusal]
+
+
+AttemptEnd = Finished | Failed | Settled
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """Message to the call's mailbox: how an attempt ended."""
+
+    attempt: int
+    end: AttemptEnd
--- /dev/null
+++ b/hickoryweir/daemon/driver.py
@@ -0,0 +1,275 @@
+"""Drives one call from its arrival to its one final answer or refusal.
+
+The driver posts the call to the dispatcher and then follows its mailbox: it
+starts and cancels attempts as the core asks, and reports how they end.  A
+call that may run at most once is never cancelled while an attempt runs: when
+its caller leaves or its deadline passes, the attempt goes on alone until its
+outcome is recorded.
+"""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Awaitable, Callable
+
+from returns import result
+
+from hickoryweir.callers import ports, requests, sinks
+from hickoryweir.daemon import calls, dispatcher
+from hickoryweir.observability import latencies, logs, metrics
+from hickoryweir.outcomes import refusals
+from hickoryweir.policy import actions, events
+
+Outcome = result.Result[ports.Answer, refusals.Refusal]
+RunAttempt = Callable[[calls.Call, actions.Dispatch], Awaitable[calls.AttemptEnd]]
+UNKNOWN_RETRY_AFTER_S = 30.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Driver:
+    """What all calls of a router share.
+
+    Attributes
+    ----------
+    run_attempt : function
+        Runs one attempt at a backend server.
+    tasks : set of asyncio.Task
+        Calls and lingering attempts; empty when nothing is in flight.
+    """
+
+    dispatcher: dispatcher.Dispatcher
+    run_attempt: RunAttempt
+    metrics: metrics.Metrics
+    tasks: set[asyncio.Task]
+
+
+def make_driver(
+    given: dispatcher.Dispatcher, run_attempt: RunAttempt, counters: metrics.Metrics
+) -> Driver:
+    """Return a driver with no calls in flight."""
+    return Driver(given, run_attempt, counters, set())
+
+
+def keep(driver: Driver, task: asyncio.Task) -> None:
+    """Hold a task until it ends."""
+    driver.tasks.add(task)
+    task.add_done_callback(driver.tasks.discard)
+
+
+async def run(
+    driver: Driver, request: requests.CallerRequest, sink: sinks.Sink
+) -> Outcome:
+    """Serve one call; cancelled when its caller leaves.
+
+    Parameters
+    ----------
+    driver : Driver
+        The router's driver.
+    request : requests.CallerRequest
+        What is asked.
+    sink : sinks.Sink
+        Where a stream goes.
+
+    Returns
+    -------
+    Result of ports.Answer or refusals.Refusal
+        The call's final end.
+    """
+    call = calls.make_call(request, sink)
+    task = asyncio.create_task(drive(driver, call))
+    keep(driver, task)
+    driver.metrics.in_flight.inc()
+    task.add_done_callback(lambda _: driver.metrics.in_flight.dec())
+    try:
+        return await asyncio.shield(task)
+    except asyncio.CancelledError:
+        sinks.detach(sink)
+        reason = refusals.Reason.CALLER_LEFT
+        driver.metrics.refusals.labels(request.request_class.name, reason).inc()
+        if request.request_class.idempotent:
+            task.cancel()
+        raise
+
+
+async def drive(driver: Driver, call: calls.Call) -> Outcome:
+    """Follow a call's mailbox until its end, and count how it ended."""
+    request = call.request
+    attempts: dict[int, asyncio.Task] = {}
+    dispatcher.submit(driver.dispatcher, make_arrival(request), call.mailbox)
+    try:
+        async with asyncio.timeout(request.deadline_s - time.monotonic()):
+            outcome = await follow(driver, call, attempts)
+    except TimeoutError:
+        outcome = result.Failure(refuse_late(call))
+    finally:
+        release(driver, call, attempts)
+    count(driver, call, outcome)
+    return outcome
+
+
+def make_arrival(request: requests.CallerRequest) -> events.Arrived:
+    """Return the event by which a call enters the core."""
+    prompt = request.prompt
+    return events.Arrived(
+        request_id=request.call_id,
+        class_name=request.request_class.name,
+        account=request.account.name,
+        input_tokens=prompt.input_tokens if prompt else 0,
+        max_output_tokens=prompt.max_output_tokens if prompt else None,
+        prefix_digests=prompt.prefix_digests if prompt else (),
+        conversation=prompt.conversation if prompt else None,
+        fingerprint=request.fingerprint,
+        deadline_s=request.deadline_s,
+    )
+
+
+async def follow(
+    driver: Driver, call: calls.Call, attempts: dict[int, asyncio.Task]
+) -> Outcome:
+    """Carry out the core's actions until one end is final."""
+    while True:
+        message = await call.mailbox.get()
+        match message:
+            case actions.Dispatch():
+                start_attempt(driver, call, attempts, message)
+            case actions.CancelAttempt():
+                cancel_attempt(call, attempts, message.attempt)
+            case actions.Refuse():
+                return result.Failure(message.refusal)
+            case calls.AttemptEnded():
+                attempts.pop(message.attempt, None)
+                outcome = end_attempt(driver, call, message)
+                if outcome is not None:
+                    return outcome
+
+
+def start_attempt(
+    driver: Driver,
+    call: calls.Call,
+    attempts: dict[int, asyncio.Task],
+    dispatch: actions.Dispatch,
+) -> None:
+    """Start the task of an attempt, which ends with a message to the mailbox."""
+
+    async def run_attempt() -> None:
+        end = await driver.run_attempt(call, dispatch)
+        call.mailbox.put_nowait(calls.AttemptEnded(dispatch.attempt, end))
+
+    task = asyncio.create_task(run_attempt())
+    attempts[dispatch.attempt] = task
+    keep(driver, task)
+
+
+def cancel_attempt(
+    call: calls.Call, attempts: dict[int, asyncio.Task], attempt: int
+) -> None:
+    """Cancel an attempt that the core no longer wants."""
+    task = attempts.pop(attempt, None)
+    if task is None or not call.request.request_class.idempotent:
+        return
+    task.cancel()
+    if call.winner == attempt:
+        call.winner = None
+
+
+def end_attempt(
+    driver: Driver, call: calls.Call, message: calls.AttemptEnded
+) -> Outcome | None:
+    """Report how an attempt ended; return the call's outcome if it is final."""
+    call_id = call.request.call_id
+    match message.end:
+        case calls.Finished(answer, output_tokens):
+            event = events.Completed(call_id, message.attempt, output_tokens)
+            dispatcher.leave(driver.dispatcher, call_id, event)
+            return result.Success(answer)
+        case calls.Settled(outcome):
+            return outcome
+        case calls.Failed(cause, ran, output_tokens, _):
+            if call.winner == message.attempt:
+                call.winner = None
+            class_name = call.request.request_class.name
+            driver.metrics.retries.labels(class_name, cause).inc()
+            event = events.AttemptFailed(
+                call_id, message.attempt, cause, ran, output_tokens
+            )
+            dispatcher.post(driver.dispatcher, event)
+            return None
+
+
+def release(
+    driver: Driver, call: calls.Call, attempts: dict[int, asyncio.Task]
+) -> None:
+    """Give back what a call holds; attempts that may run only once go on."""
+    call_id = call.request.call_id
+    if call_id not in driver.dispatcher.mailboxes:
+        return
+    withdrawn = events.Withdrawn(call_id)
+    if call.request.request_class.idempotent or not attempts:
+        for task in attempts.values():
+            task.cancel()
+        dispatcher.leave(driver.dispatcher, call_id, withdrawn)
+        return
+    driver.dispatcher.mailboxes.pop(call_id)
+
+    async def linger() -> None:
+        await asyncio.wait(attempts.values())
+        dispatcher.post(driver.dispatcher, withdrawn)
+
+    keep(driver, asyncio.create_task(linger()))
+
+
+def refuse_late(call: calls.Call) -> refusals.Refusal:
+    """Return the refusal of a call whose deadline has passed."""
+    if call.dispatched and not call.request.request_class.idempotent:
+        return refusals.make_refusal(
+            refusals.Reason.OUTCOME_UNKNOWN,
+            "the outcome is not known yet; ask again with the same key",
+            UNKNOWN_RETRY_AFTER_S,
+            refusals.Ran.MAYBE,
+        )
+    ran = refusals.Ran.MAYBE if call.dispatched else refusals.Ran.NO
+    message = "the class's deadline has passed"
+    return refusals.make_refusal(refusals.Reason.DEADLINE_EXCEEDED, message, 1.0, ran)
+
+
+def count(driver: Driver, call: calls.Call, outcome: Outcome) -> None:
+    """Count a call's end, its latencies and whether it met its targets."""
+    request = call.request
+    class_name = request.request_class.name
+    answered = isinstance(outcome, result.Success)
+    now_s = time.monotonic()
+    answer_s = now_s - request.received_at_s
+    met = answered and is_met(call, answer_s)
+    driver.metrics.calls.labels(class_name, "answered" if answered else "refused").inc()
+    driver.metrics.attainment.labels(class_name, "yes" if met else "no").inc()
+    driver.metrics.output_tokens.labels(class_name).inc(call.sent_tokens)
+    if not answered:
+        return
+    store = driver.metrics.latencies
+    store.record(class_name, latencies.Interval.ANSWER, answer_s)
+    fields = logs.Fields(
+        request_id=request.request_id,
+        class_name=class_name,
+        account=request.account.name,
+        duration_s=round(answer_s, 6),
+    )
+    logs.info("call answered", fields)
+
+
+def is_met(call: calls.Call, answer_s: float) -> bool:
+    """Return whether an answered call met its class's latency targets."""
+    wanted = call.request.request_class
+    if not call.request.stream or not call.first_token_at_s:
+        return answer_s <= wanted.answer_target_s
+    first_token_s = call.first_token_at_s - call.request.received_at_s
+    between_s = mean_between_tokens_s(call)
+    on_time = first_token_s <= wanted.first_token_target_s
+    return on_time and between_s <= wanted.between_tokens_target_s
+
+
+def mean_between_tokens_s(call: calls.Call) -> float:
+    """Return the mean time between tokens of a stream; 0 for a single token."""
+    if call.sent_tokens < 2:
+        return 0.0
+    span_s = call.last_token_at_s - call.first_token_at_s
+    return span_s / (call.sent_tokens - 1)
--- a/hickoryweir/outcomes/refusals.py
+++ b/hickoryweir/outcomes/refusals.py
@@ -63,6 +63,7 @@
     DRAINING = "draining"
     NOT_READY = "not_ready"
     CALLER_LEFT = "caller_left"
+    INTERNAL_ERROR = "internal_error"
 
 
 HTTP_STATUS = {
@@ -104,6 +105,7 @@
     Reason.DRAINING: 503,
     Reason.NOT_READY: 503,
     Reason.CALLER_LEFT: 499,
+    Reason.INTERNAL_ERROR: 500,
 }
 
 
