Peer routers: spread versions, acknowledge by zone, exchange digests

Cause: an accepted configuration has to be in force everywhere within seconds and never goes back at any router, also through restarts and partitions. Change: a pure core (announce, pull, update by delta; readiness after a linearizable read or a ready router of the zone; reports by zone; policy digests within a byte budget, with their age) and a node over the streams hub. Conclusion: the daemon can be wired against routers.node.make_node.

--- /dev/null
+++ b/hickoryweir/routers/core.py
@@ -0,0 +1,346 @@
+"""Deterministic core of a peer router: versions, acknowledgements, digests.
+
+:func:`step` takes one event and returns actions; the node
+(:mod:`hickoryweir.routers.node`) does the I/O.  A router takes only higher
+versions.  After a start it is ready only when it has in force what a
+linearizable read of the log returned, or, if the log can't be reached, what a
+ready router of its zone has in force.
+"""
+
+import collections
+import dataclasses
+
+from returns import result
+
+from hickoryweir.routers import (
+    acknowledgements,
+    digests,
+    events,
+    messages,
+    topology,
+    versions,
+)
+
+HEARTBEAT_S = 2.0
+PULL_TIMEOUT_S = 1.0
+DIAL_RETRY_S = 2.0
+LOG_WAIT_S = 3.0
+WATCH_S = 10.0
+
+
+@dataclasses.dataclass(slots=True)
+class Link:
+    """What is known over one link."""
+
+    announced: messages.Announce | None = None
+    watched_until_s: float = float("-inf")
+    sent_digests: dict[str, tuple[int, int]] = dataclasses.field(default_factory=dict)
+    sent_reports: dict[tuple[str, str], tuple[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """State of one router; :func:`make_state` makes it."""
+
+    me: topology.Member
+    members: tuple[topology.Member, ...]
+    incarnation: int
+    started_at_s: float
+    held: versions.Published | None = None
+    steps: tuple[versions.Step, ...] = ()
+    in_force_version: int = 0
+    is_ready: bool = False
+    confirmed_version: int | None = None
+    links: dict[str, Link] = dataclasses.field(default_factory=dict)
+    failed_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    pull_until_s: float = float("-inf")
+    heartbeat_at_s: float = float("-inf")
+    watching_until_s: float = float("-inf")
+    zone_reports: acknowledgements.State = dataclasses.field(
+        default_factory=acknowledgements.State
+    )
+    peer_digests: digests.State = dataclasses.field(default_factory=digests.State)
+    counts: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+
+
+def make_state(
+    me: topology.Member,
+    members: tuple[topology.Member, ...],
+    incarnation: int,
+    now_s: float,
+) -> State:
+    """Return the state of a router that starts.
+
+    Parameters
+    ----------
+    me : Member
+        This process.
+    members : tuple of Member
+        All processes, this one included.
+    incarnation : int
+        Grows with each start.
+    now_s : float
+        Monotonic time.
+    """
+    ordered = tuple(sorted(members, key=lambda member: member.name))
+    return State(me, ordered, incarnation, now_s)
+
+
+def wanted_peers(state: State, now_s: float) -> tuple[str, ...]:
+    """Return the peers to which the node keeps a connection of its own."""
+    failed = frozenset(
+        name for name, until_s in state.failed_until_s.items() if until_s > now_s
+    )
+    return topology.wanted_peers(state.members, state.me, failed, now_s)
+
+
+def step(state: State, event: events.Event, now_s: float) -> list[events.Action]:
+    """Take one event.
+
+    Parameters
+    ----------
+    state : State
+        Changed in place.
+    event : Event
+        What happened.
+    now_s : float
+        Monotonic time.
+
+    Returns
+    -------
+    list of Action
+        What the node has to do, in order.
+    """
+    match event:
+        case events.Received():
+            return _receive(state, event.peer, event.message, now_s)
+        case events.LinkOpened():
+            state.links[event.peer] = Link()
+            state.failed_until_s.pop(event.peer, None)
+            return [events.Send(event.peer, _announce(state))]
+        case events.LinkClosed():
+            state.links.pop(event.peer, None)
+            return []
+        case events.DialFailed():
+            state.failed_until_s[event.peer] = now_s + DIAL_RETRY_S
+            return []
+        case events.SourceChanged():
+            return _take_source(state, event)
+        case events.Adopted():
+            return _adopted(state, event.version, now_s)
+        case events.LocalDigest():
+            digests.add_local(
+                state.peer_digests, event.digest, state.incarnation, now_s
+            )
+            return []
+        case events.WatchRequested():
+            return _watch(state, now_s)
+        case events.Ticked():
+            return _tick(state, now_s)
+
+
+def zone_reports(state: State, now_s: float) -> tuple[messages.ZoneReport, ...]:
+    """Return the best live report of each zone, by zone."""
+    _report_own_zone(state, now_s)
+    return acknowledgements.best(state.zone_reports, now_s)
+
+
+def _announce(state: State) -> messages.Announce:
+    held_version = state.held.version if state.held else 0
+    return messages.Announce(
+        state.incarnation, held_version, state.in_force_version, state.is_ready
+    )
+
+
+def _announce_all(state: State) -> list[events.Action]:
+    message = _announce(state)
+    return [events.Send(peer, message) for peer in state.links]
+
+
+def _receive(state, peer, message, now_s):
+    link = state.links.get(peer)
+    if link is None:
+        state.counts["message_without_link"] += 1
+        return []
+    match message:
+        case messages.Announce():
+            return _announced(state, link, peer, message, now_s)
+        case messages.Pull():
+            return _answer_pull(state, peer, message)
+        case messages.Update():
+            return _take_update(state, peer, message, now_s)
+        case messages.Reports():
+            acknowledgements.take(state.zone_reports, message.reports, now_s)
+            return []
+        case messages.Watch():
+            link.watched_until_s = now_s + WATCH_S
+            return _watch(state, now_s)
+        case messages.Digests():
+            taken = digests.take(
+                state.peer_digests, message.digests, state.me.name, now_s
+            )
+            return [events.DigestArrived(digest) for digest in taken]
+    state.counts["message_unexpected"] += 1
+    return []
+
+
+def _announced(state, link, peer, message, now_s):
+    link.announced = message
+    acknowledgements.hear(state.zone_reports, peer, message, now_s)
+    actions = _pull_if_newer(state, peer, message, now_s)
+    return actions + _become_ready(state, now_s)
+
+
+def _pull_if_newer(state, peer, message, now_s):
+    held_version = state.held.version if state.held else 0
+    if message.held_version <= held_version or now_s < state.pull_until_s:
+        return []
+    state.pull_until_s = now_s + PULL_TIMEOUT_S
+    return [events.Send(peer, messages.Pull(held_version))]
+
+
+def _answer_pull(state, peer, message):
+    if state.held is None or state.held.version <= message.known_version:
+        return [events.Send(peer, _announce(state))]
+    update = versions.make_update(state.held, state.steps, message.known_version)
+    state.counts["delta_sent" if update.delta else "text_sent"] += 1
+    return [events.Send(peer, update)]
+
+
+def _take_update(state, peer, update, now_s):
+    state.pull_until_s = float("-inf")
+    if state.held is not None and update.version <= state.held.version:
+        state.counts["update_not_newer"] += 1
+        return []
+    published = versions.apply_update(state.held, update)
+    if not isinstance(published, result.Success):
+        state.counts["update_mismatched"] += 1
+        state.pull_until_s = now_s + PULL_TIMEOUT_S
+        return [events.Send(peer, messages.Pull(0))]
+    return _hold(state, published.unwrap())
+
+
+def _hold(state, published):
+    state.steps = versions.extend(state.steps, state.held, published)
+    state.held = published
+    return [events.Adopt(published), *_announce_all(state)]
+
+
+def _take_source(state, event):
+    published = event.published
+    if event.is_confirmed:
+        version = published.version if published else 0
+        state.confirmed_version = max(state.confirmed_version or 0, version)
+    if published is None:
+        return []
+    if state.held is not None and published.version <= state.held.version:
+        return []
+    return _hold(state, published)
+
+
+def _adopted(state, version, now_s):
+    state.in_force_version = max(state.in_force_version, version)
+    _become_ready(state, now_s)
+    return _announce_all(state)
+
+
+def _become_ready(state, now_s):
+    if state.is_ready or state.in_force_version == 0:
+        return []
+    target_version = _starting_version(state, now_s)
+    if target_version is None or state.in_force_version < target_version:
+        return []
+    state.is_ready = True
+    return _announce_all(state)
+
+
+def _starting_version(state, now_s):
+    """Return the version below which this router must not start, if known."""
+    if state.confirmed_version is not None:
+        return state.confirmed_version
+    if now_s - state.started_at_s < LOG_WAIT_S:
+        return None
+    zone = state.me.availability_zone
+    names = {each.name for each in state.members if each.availability_zone == zone}
+    ready = [
+        link.announced.in_force_version
+        for peer, link in state.links.items()
+        if peer in names and link.announced is not None and link.announced.is_ready
+    ]
+    return max(ready, default=None)
+
+
+def _watch(state, now_s):
+    if now_s < state.watching_until_s - WATCH_S / 2:
+        return []
+    state.watching_until_s = now_s + WATCH_S
+    return [events.Send(peer, messages.Watch()) for peer in state.links]
+
+
+def _tick(state, now_s):
+    actions: list[events.Action] = []
+    if now_s >= state.heartbeat_at_s + HEARTBEAT_S:
+        state.heartbeat_at_s = now_s
+        actions += _announce_all(state)
+    actions += _become_ready(state, now_s)
+    actions += _retry_pull(state, now_s)
+    actions += _send_reports(state, now_s)
+    lost, batches = digests.tick(state.peer_digests, state, now_s)
+    actions += [events.DigestArrived(digest) for digest in lost]
+    actions += [events.Send(peer, messages.Digests(batch)) for peer, batch in batches]
+    return actions
+
+
+def _retry_pull(state, now_s):
+    for peer, link in state.links.items():
+        if link.announced is not None:
+            actions = _pull_if_newer(state, peer, link.announced, now_s)
+            if actions:
+                return actions
+    return []
+
+
+def _report_own_zone(state, now_s):
+    zone = state.me.availability_zone
+    names = [each.name for each in state.members if each.availability_zone == zone]
+    own = acknowledgements.Heard(
+        state.incarnation, state.in_force_version, state.is_ready, now_s
+    )
+    acknowledgements.compute(
+        state.zone_reports,
+        state.me.name,
+        zone,
+        state.incarnation,
+        tuple(names),
+        own,
+        now_s,
+    )
+
+
+def _send_reports(state, now_s):
+    failed = frozenset(n for n, t in state.failed_until_s.items() if t > now_s)
+    zone = state.me.availability_zone
+    is_relay = state.me.name in topology.relays(state.members, zone, failed)
+    if is_relay:
+        _report_own_zone(state, now_s)
+    sources = {each.name for each in state.members if each.is_replica}
+    live = acknowledgements.live(state.zone_reports, now_s)
+    actions = []
+    for peer, link in state.links.items():
+        if peer not in sources and link.watched_until_s <= now_s:
+            continue
+        fresh = [r for r in live if _is_unsent(link, r) and r.computed_by != peer]
+        for report in fresh:
+            key = (report.availability_zone, report.computed_by)
+            link.sent_reports[key] = (report.incarnation, report.sequence)
+        if fresh:
+            actions.append(events.Send(peer, messages.Reports(tuple(fresh))))
+    return actions
+
+
+def _is_unsent(link, report):
+    key = (report.availability_zone, report.computed_by)
+    sent = link.sent_reports.get(key, (-1, -1))
+    return (report.incarnation, report.sequence) > sent
--- /dev/null
+++ b/hickoryweir/routers/node.py
@@ -0,0 +1,285 @@
+"""A peer router's I/O: connections, clock and queues around the core.
+
+One task owns the core's state and takes events from one inbox.  Connections push
+what they receive into the inbox; a dialler keeps the connections that the core
+wants.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import time
+from collections.abc import Awaitable, Callable
+
+from absl import logging
+from returns import result
+
+from hickoryweir.configuration import model, parse, settings, stops
+from hickoryweir.policy import events as policy_events
+from hickoryweir.routers import core, events, messages, topology, versions
+from hickoryweir.streams import connections, handshake, hub, tls
+
+TICK_S = 0.1
+DIAL_CHECK_S = 0.25
+LINK_IDLE_S = 3 * core.HEARTBEAT_S
+LOG_READ_TIMEOUT_S = 2.0
+LOG_READ_RETRY_S = 0.5
+LOG_READ_PERIOD_S = 30.0
+MAX_INBOX_COUNT = 4096
+TEXT_NAME = "configuration in force"
+
+ReadLog = Callable[[float], Awaitable[result.Result[versions.Published | None, object]]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """A version that this router has put in force."""
+
+    version: int
+    configuration: model.Configuration
+    running_stops: tuple[stops.Stop, ...]
+
+
+class Node:
+    """A running peer router; made by :func:`make_node`.
+
+    Attributes
+    ----------
+    ready : asyncio.Event
+        Set once this router may serve callers.
+    in_force : InForce or None
+        The version in force here.
+    """
+
+    def __init__(
+        self,
+        values: settings.Settings,
+        router_hub: hub.Hub,
+        read_log: ReadLog,
+        on_configuration: asyncio.Queue,
+        on_digest: asyncio.Queue,
+        now: Callable[[], float],
+    ) -> None:
+        self.ready = asyncio.Event()
+        self.in_force: InForce | None = None
+        self._hub = router_hub
+        self._read_log = read_log
+        self._on_configuration = on_configuration
+        self._on_digest = on_digest
+        self._now = now
+        self._addresses = {each.name: each for each in values.other_processes}
+        self._files = make_tls_files(values.peers)
+        self._state = core.make_state(
+            _own_member(values), _members(values), time.time_ns() // 1_000_000, now()
+        )
+        self._inbox: asyncio.Queue[events.Event] = asyncio.Queue(MAX_INBOX_COUNT)
+        self._connections: dict[str, list[connections.Connection]] = {}
+        self._dialled: dict[str, asyncio.Task] = {}
+        self._tasks: list[asyncio.Task] = []
+        router_hub.register(handshake.Purpose.ROUTER, self._serve)
+
+    @property
+    def state(self) -> core.State:
+        """Return the core's state, to be read only."""
+        return self._state
+
+    def start(self) -> None:
+        """Start the tasks; the hub is started by its owner."""
+        for work in (self._run(), self._tick(), self._dial(), self._follow_log()):
+            self._tasks.append(asyncio.create_task(work))
+
+    async def close(self) -> None:
+        """End all tasks and connections of this node."""
+        tasks = [*self._tasks, *self._dialled.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for opened in list(self._connections.values()):
+            for connection in opened:
+                connection.abort()
+
+    def offer_source(self, published: versions.Published | None) -> None:
+        """Take a committed version from the replica in this process."""
+        self._put(events.SourceChanged(published, is_confirmed=False))
+
+    def offer_digest(self, digest: policy_events.PeerDigestReceived) -> None:
+        """Take the digest of this router's own policy core."""
+        self._put(events.LocalDigest(digest))
+
+    def watch(self) -> None:
+        """Ask the other routers for their zones' reports for a while."""
+        self._put(events.WatchRequested())
+
+    def zone_reports(self) -> tuple[messages.ZoneReport, ...]:
+        """Return the best known report of each availability zone."""
+        return core.zone_reports(self._state, self._now())
+
+    def _put(self, event: events.Event) -> None:
+        try:
+            self._inbox.put_nowait(event)
+        except asyncio.QueueFull:
+            self._state.counts["inbox_full"] += 1
+
+    async def _run(self) -> None:
+        while True:
+            event = await self._inbox.get()
+            for action in core.step(self._state, event, self._now()):
+                self._carry_out(action)
+            if self._state.is_ready:
+                self.ready.set()
+
+    def _carry_out(self, action: events.Action) -> None:
+        match action:
+            case events.Send():
+                self._send(action.peer, action.message)
+            case events.Adopt():
+                self._adopt(action.published)
+            case events.DigestArrived():
+                self._give_digest(action.digest)
+
+    def _send(self, peer: str, message: messages.Message) -> None:
+        opened = self._connections.get(peer)
+        if not opened:
+            return
+        if not isinstance(opened[-1].offer(message), result.Success):
+            self._state.counts["send_failed"] += 1
+
+    def _adopt(self, published: versions.Published) -> None:
+        parsed = parse.parse(published.text, TEXT_NAME)
+        if not isinstance(parsed, result.Success):
+            self._state.counts["configuration_unreadable"] += 1
+            logging.error("version %d: %s", published.version, parsed.failure())
+            return
+        self.in_force = InForce(
+            published.version, parsed.unwrap(), published.running_stops
+        )
+        self._on_configuration.put_nowait(self.in_force)
+        self._put(events.Adopted(published.version))
+
+    def _give_digest(self, digest: policy_events.PeerDigestReceived) -> None:
+        try:
+            self._on_digest.put_nowait(digest)
+        except asyncio.QueueFull:
+            self._state.counts["digest_queue_full"] += 1
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._put(events.Ticked())
+
+    async def _follow_log(self) -> None:
+        while True:
+            read = await self._read_log(LOG_READ_TIMEOUT_S)
+            if isinstance(read, result.Success):
+                await self._inbox.put(events.SourceChanged(read.unwrap(), True))
+                await asyncio.sleep(LOG_READ_PERIOD_S)
+            else:
+                await asyncio.sleep(LOG_READ_RETRY_S)
+
+    async def _dial(self) -> None:
+        while True:
+            wanted = core.wanted_peers(self._state, self._now())
+            for name in wanted:
+                if name not in self._dialled and name in self._addresses:
+                    self._dialled[name] = asyncio.create_task(self._dial_one(name))
+            for name in self._dialled.keys() - set(wanted):
+                self._dialled[name].cancel()
+            await asyncio.sleep(DIAL_CHECK_S)
+
+    async def _dial_one(self, name: str) -> None:
+        address = self._addresses[name]
+        try:
+            opened = await hub.connect(
+                self._hub.identity,
+                address.host,
+                address.port,
+                handshake.Purpose.ROUTER,
+                self._files,
+            )
+            if isinstance(opened, result.Success):
+                await self._serve(opened.unwrap())
+            else:
+                self._put(events.DialFailed(name))
+                await asyncio.sleep(core.DIAL_RETRY_S)
+        finally:
+            self._dialled.pop(name, None)
+
+    async def _serve(self, connection: connections.Connection) -> None:
+        peer = connection.peer.process_name
+        opened = self._connections.setdefault(peer, [])
+        opened.append(connection)
+        await self._inbox.put(events.LinkOpened(peer))
+        try:
+            while True:
+                async with asyncio.timeout(LINK_IDLE_S):
+                    received = await connection.receive()
+                if not isinstance(received, result.Success):
+                    return
+                await self._inbox.put(events.Received(peer, received.unwrap()))
+        except TimeoutError:
+            self._state.counts["link_idle"] += 1
+        finally:
+            connection.abort()
+            with contextlib.suppress(ValueError):
+                opened.remove(connection)
+            if not opened:
+                self._connections.pop(peer, None)
+                self._put(events.LinkClosed(peer))
+
+
+def make_tls_files(peers: settings.Peers) -> tls.TlsFiles | None:
+    """Return the TLS files of the port towards other processes; None if plain."""
+    if peers.plain_text:
+        return None
+    return tls.TlsFiles(
+        str(peers.certificate_file), str(peers.key_file), str(peers.authority_file)
+    )
+
+
+def _own_member(values: settings.Settings) -> topology.Member:
+    process = values.process
+    is_replica = settings.Role.REPLICA in process.roles
+    return topology.Member(process.name, process.availability_zone, is_replica)
+
+
+def _members(values: settings.Settings) -> tuple[topology.Member, ...]:
+    others = tuple(
+        topology.Member(
+            each.name, each.availability_zone, settings.Role.REPLICA in each.roles
+        )
+        for each in values.other_processes
+    )
+    return (_own_member(values), *others)
+
+
+def make_node(
+    values: settings.Settings,
+    router_hub: hub.Hub,
+    read_log: ReadLog,
+    on_configuration: asyncio.Queue,
+    on_digest: asyncio.Queue,
+    now: Callable[[], float] = time.monotonic,
+) -> Node:
+    """Return a peer router that is not started yet.
+
+    Parameters
+    ----------
+    values : settings.Settings
+        Settings of this process.
+    router_hub : hub.Hub
+        The listening port; its owner starts and closes it.
+    read_log : callable
+        ``read_log(timeout_s)`` returns the log's version by a linearizable read.
+    on_configuration : asyncio.Queue
+        Gets :class:`InForce`; unbounded.
+    on_digest : asyncio.Queue
+        Gets ``PeerDigestReceived`` of other routers.
+    now : callable, optional
+        Monotonic clock.
+
+    Returns
+    -------
+    Node
+        Call ``start`` in a running loop.
+    """
+    return Node(values, router_hub, read_log, on_configuration, on_digest, now)
--- /dev/null
+++ b/hickoryweir/routers/tests/test_node.py
@@ -0,0 +1,127 @@
+"""Nodes over real connections."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import pathlib
+
+from returns import result
+
+from hickoryweir.configuration import generator, render, settings
+from hickoryweir.policy import events as policy_events
+from hickoryweir.routers import acknowledgements, node, versions
+from hickoryweir.streams import handshake, hub
+
+ANSWERS = pathlib.Path(__file__).parents[3] / "examples" / "kitamori" / "answers.ini"
+TEXT = render.render(generator.generate_text(ANSWERS.read_text(), "a").unwrap())
+WAIT_S = 20.0
+POLL_S = 0.02
+NAMES = ("a-1", "a-2", "b-1", "b-2")
+
+
+def make_settings(name, ports):
+    others = "".join(
+        f"[peer {other}]\nhost = 127.0.0.1\nport = {ports[other]}\n"
+        f"availability_zone = {other[0]}\nroles = {roles_of(other)}\n"
+        for other in NAMES
+        if other != name
+    )
+    ports_text = "host = 127.0.0.1\nport = 0\nplain_text = yes\n"
+    text = (
+        f"[process]\nname = {name}\navailability_zone = {name[0]}\n"
+        f"cluster_id = test\nroles = {roles_of(name)}\n"
+        f"[callers]\n{ports_text}[operators]\n{ports_text}[peers]\n{ports_text}"
+        f"[replica]\ndata_folder = data\n{others}"
+    )
+    return settings.parse(text, pathlib.Path("test.ini")).unwrap()
+
+
+def roles_of(name):
+    return "router, replica" if name.endswith("1") else "router"
+
+
+def publish(version):
+    digest = hashlib.sha256(TEXT.encode()).hexdigest()
+    return versions.Published(version, version, digest, TEXT, ())
+
+
+async def read_nothing(timeout_s):
+    return result.Success(None)
+
+
+@contextlib.asynccontextmanager
+async def running_nodes():
+    hubs = {}
+    for name in NAMES:
+        identity = handshake.Identity("test", name, name[0])
+        hubs[name] = hub.make_hub(identity, "127.0.0.1", 0)
+        await hubs[name].start()
+    ports = {name: hubs[name].port for name in NAMES}
+    nodes = {
+        name: node.make_node(
+            make_settings(name, ports),
+            hubs[name],
+            read_nothing,
+            asyncio.Queue(),
+            asyncio.Queue(),
+        )
+        for name in NAMES
+    }
+    for each in nodes.values():
+        each.start()
+    try:
+        yield nodes
+    finally:
+        for name in NAMES:
+            await nodes[name].close()
+            await hubs[name].close()
+
+
+async def until(condition):
+    for _ in range(int(WAIT_S / POLL_S)):
+        if condition():
+            return
+        await asyncio.sleep(POLL_S)
+    raise TimeoutError
+
+
+def test_version_reaches_all_nodes_and_zones_report_it():
+    async def scenario():
+        async with running_nodes() as nodes:
+            nodes["a-1"].offer_source(publish(1))
+            await asyncio.gather(*(each.ready.wait() for each in nodes.values()))
+            nodes["b-2"].watch()
+            await until(lambda: len(nodes["b-2"].zone_reports()) == 2)
+            await until(
+                lambda: all(
+                    acknowledgements.is_in_force(report, 1)
+                    for report in nodes["b-2"].zone_reports()
+                )
+            )
+            return {each.in_force.configuration.customer for each in nodes.values()}
+
+    assert asyncio.run(scenario()) == {"kitamori"}
+
+
+def test_unreadable_configuration_is_counted_and_not_in_force():
+    async def scenario():
+        async with running_nodes() as nodes:
+            broken = dataclasses.replace(publish(1), text="[nonsense]\n")
+            nodes["a-1"].offer_source(broken)
+            counts = nodes["a-1"].state.counts
+            await until(lambda: counts["configuration_unreadable"] == 1)
+            return nodes["a-1"].in_force
+
+    assert asyncio.run(scenario()) is None
+
+
+def test_digest_reaches_another_node():
+    async def scenario():
+        async with running_nodes() as nodes:
+            digest = policy_events.PeerDigestReceived("a-2", "a", (), (), ("f",), ())
+            nodes["a-2"].offer_digest(digest)
+            async with asyncio.timeout(WAIT_S):
+                return digest == await nodes["b-2"]._on_digest.get()
+
+    assert asyncio.run(scenario())
--- /dev/null
+++ b/hickoryweir/routers/versions.py
@@ -0,0 +1,127 @@
+"""Versions of the configuration as routers hold and exchange them."""
+
+import dataclasses
+import hashlib
+
+from returns import result
+
+from hickoryweir.configuration import changes, commands, deltas, stops
+from hickoryweir.routers import messages
+
+MAX_DELTA_COUNT = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Published:
+    """One committed version: canonical text and running planned stops."""
+
+    version: int
+    configuration_version: int
+    digest: str
+    text: str
+    running_stops: tuple[stops.Stop, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """The delta between two versions that were held one after the other."""
+
+    base_version: int
+    version: int
+    delta: deltas.Delta
+
+
+def from_state(state: changes.State) -> Published | None:
+    """Return what the log's state machine publishes; None before any change."""
+    if not state.configuration:
+        return None
+    return Published(
+        state.version,
+        state.configuration_version,
+        state.digest,
+        commands.decompress(state.configuration),
+        tuple(state.running_stops[key] for key in sorted(state.running_stops)),
+    )
+
+
+def extend(
+    steps: tuple[Step, ...], held: Published | None, newer: Published
+) -> tuple[Step, ...]:
+    """Return the steps with one more, from the held version to a newer one."""
+    if held is None:
+        return ()
+    step = Step(held.version, newer.version, deltas.diff(held.text, newer.text))
+    return (*steps, step)[-MAX_DELTA_COUNT:]
+
+
+def make_update(
+    held: Published, steps: tuple[Step, ...], known_version: int
+) -> messages.Update:
+    """Return the update for a router that knows an older version.
+
+    Parameters
+    ----------
+    held : Published
+        What this router holds.
+    steps : tuple of Step
+        Deltas of the last versions, oldest first.
+    known_version : int
+        What the other router holds; 0 if nothing.
+
+    Returns
+    -------
+    Update
+        With a delta if the steps reach back far enough, else with the text.
+    """
+    delta = _compose_from(steps, known_version)
+    return messages.Update(
+        held.version,
+        held.configuration_version,
+        held.digest,
+        held.running_stops,
+        known_version if delta else 0,
+        b"" if delta else commands.compress(held.text),
+        delta,
+    )
+
+
+def _compose_from(steps, known_version):
+    for start, step in enumerate(steps):
+        if step.base_version == known_version:
+            delta = step.delta
+            for later in steps[start + 1 :]:
+                delta = deltas.compose(delta, later.delta)
+            return delta
+    return None
+
+
+def apply_update(
+    held: Published | None, update: messages.Update
+) -> result.Result[Published, str]:
+    """Return the version in an update, or why it can't be had from it.
+
+    Returns
+    -------
+    Result of Published or str
+        Fails if the base is not the held version or the digest is wrong.
+    """
+    if update.delta is None:
+        try:
+            text = commands.decompress(update.text)
+        except ValueError as error:
+            return result.Failure(str(error))
+    elif held is None or held.version != update.base_version:
+        return result.Failure("delta from another version")
+    else:
+        text = deltas.patch(held.text, update.delta)
+    if hashlib.sha256(text.encode()).hexdigest() != update.digest:
+        return result.Failure("digest mismatch")
+    return result.Success(
+        Published(
+            update.version,
+            update.configuration_version,
+            update.digest,
+            text,
+            update.running_stops,
+        )
+    )
