--- /dev/null
+++ b/hickoryweir/replicas/client.py
@@ -0,0 +1,467 @@
+"""What routers and operators use to reach the replicated log.
+
+The client finds the leader, follows it when it changes, and says at once that there
+is no quorum when the replicas that it reaches know so.  While there is none it asks
+in the background, so that callers don't wait for the same finding one by one.
+
+A command is sent again after a lost answer.  That is safe only because commands
+carry an id of their own by which the state machine knows a repeat.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import typing
+
+from returns import result
+
+from hickoryweir.replicas import channels, messages, wire
+from hickoryweir.replicas import state as states
+from hickoryweir.streams import codec, handshake, tls
+
+CONNECT_TIMEOUT_S = 0.3
+SURVEY_TIMEOUT_S = 0.3
+PATIENCE_S = 0.4
+RETRY_INTERVAL_S = 0.03
+PROBE_INTERVAL_S = 0.2
+ADDED_REFUSAL = states.ChangeRefusal.ALREADY_MEMBER.value
+GONE_REFUSAL = states.ChangeRefusal.UNKNOWN_MEMBER.value
+TEMPORARY_REFUSALS = (
+    states.ChangeRefusal.NOT_CAUGHT_UP.value,
+    states.ChangeRefusal.CHANGE_IN_PROGRESS.value,
+    states.ChangeRefusal.TERM_NOT_COMMITTED.value,
+    states.ChangeRefusal.TRANSFER_IN_PROGRESS.value,
+)
+
+
+class Reason(enum.StrEnum):
+    """Why the log gave no answer."""
+
+    NO_QUORUM = "no_quorum"
+    TIMED_OUT = "timed_out"
+    OVERLOADED = "overloaded"
+    MALFORMED = "malformed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The log gave no answer.
+
+    Attributes
+    ----------
+    reason : Reason
+        Why.
+    may_commit : bool
+        False only if the command certainly never takes effect.
+    retry_after_s : float
+        Seconds after which a retry is worth sending.
+    """
+
+    reason: Reason
+    may_commit: bool
+    retry_after_s: float
+
+
+class Standing(enum.StrEnum):
+    """What the client knows of the log."""
+
+    UNKNOWN = "unknown"
+    LEADER = "leader"
+    ELECTION = "election"
+    NO_QUORUM = "no_quorum"
+
+
+class Client:
+    """Made by :func:`make_client`; used from one event loop.
+
+    Attributes
+    ----------
+    standing : Standing
+        What is known now.
+    leader_name : str
+        Replica that is believed to lead; empty if none.
+    """
+
+    def __init__(
+        self,
+        identity: handshake.Identity,
+        replicas: tuple[wire.ReplicaAddress, ...],
+        files: tls.TlsFiles | None,
+        group: str,
+    ) -> None:
+        self.standing = Standing.UNKNOWN
+        self.leader_name = ""
+        self._identity = identity
+        self._files = files
+        self._group = group
+        self._channels: dict[str, channels.Channel] = {}
+        self._survey_task: asyncio.Task | None = None
+        self._probe_task: asyncio.Task | None = None
+        for replica in replicas:
+            self._add_channel(replica)
+
+    async def propose(
+        self, command: object, timeout_s: float
+    ) -> result.Result[typing.Any, Unavailable]:
+        """Have a command committed and return the state machine's response.
+
+        Parameters
+        ----------
+        command : object
+            A registered message that carries its own id.
+        timeout_s : float
+            Time for all tries together.
+        """
+        request = wire.ProposeRequest(0, codec.encode(command))
+        answer = await self._ask_leader(request, timeout_s)
+        return answer.map(lambda answered: codec.decode(answered.payload).unwrap())
+
+    async def read(
+        self, query: object, timeout_s: float, stale: bool = False
+    ) -> result.Result[typing.Any, Unavailable]:
+        """Answer a query from the state.
+
+        Parameters
+        ----------
+        query : object
+            A registered message.
+        timeout_s : float
+            Time for all tries together.
+        stale : bool, optional
+            Whether any replica may answer from what it has applied; otherwise the
+            answer reflects every command committed before the call.
+        """
+        request = wire.ReadRequest(0, codec.encode(query), stale)
+        if stale:
+            answer = await self._ask_any(request, timeout_s)
+        else:
+            answer = await self._ask_leader(request, timeout_s)
+        return answer.map(lambda answered: codec.decode(answered.payload).unwrap())
+
+    async def watch(
+        self, query: object, after_version: int, timeout_s: float
+    ) -> result.Result[typing.Any | None, Unavailable]:
+        """Answer a query once the submachine's version is above `after_version`.
+
+        Any replica answers, from what it has applied; None if the time is up first.
+        """
+        request = wire.WatchRequest(0, codec.encode(query), after_version, timeout_s)
+        answer = await self._ask_any(request, timeout_s + SURVEY_TIMEOUT_S)
+        return answer.map(_decode_watched)
+
+    async def wait_until_ready(self, timeout_s: float) -> bool:
+        """Return True once there is a leader, or False when the time is up."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        while loop.time() < deadline_s:
+            await self._survey()
+            if self.standing is Standing.LEADER:
+                return True
+            await asyncio.sleep(RETRY_INTERVAL_S)
+        return False
+
+    async def status(self) -> tuple[wire.Status, ...]:
+        """Return the status of each replica that answers soon."""
+        request = wire.StatusRequest(0)
+        answers = await asyncio.gather(
+            *[
+                self._ask_within(channel, request, SURVEY_TIMEOUT_S)
+                for channel in list(self._channels.values())
+            ]
+        )
+        return tuple(item for item in answers if isinstance(item, wire.Status))
+
+    async def add_learner(
+        self, replica: wire.ReplicaAddress, timeout_s: float
+    ) -> result.Result[str, Unavailable]:
+        """Admit a replica with an empty folder as a learner.
+
+        Returns
+        -------
+        Result
+            Empty text once it is committed, or the reason of a refusal.
+        """
+        channel = self._add_channel(replica)
+        status = await self._ask_within(channel, wire.StatusRequest(0), timeout_s)
+        if not isinstance(status, wire.Status):
+            return result.Failure(Unavailable(Reason.TIMED_OUT, False, timeout_s))
+        member = messages.Member(
+            status.member_id, replica.address, status.availability_zone, False
+        )
+        return await self._change(wire.Change.ADD_LEARNER, member, timeout_s)
+
+    async def promote(
+        self, member_id: str, timeout_s: float
+    ) -> result.Result[str, Unavailable]:
+        """Make a learner that has caught up a voter."""
+        member = _make_reference(member_id)
+        return await self._change(wire.Change.PROMOTE, member, timeout_s)
+
+    async def promote_caught_up(
+        self, member_id: str, timeout_s: float
+    ) -> result.Result[str, Unavailable]:
+        """Make a learner a voter as soon as it has caught up."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        while True:
+            outcome = await self.promote(member_id, deadline_s - loop.time())
+            waits = outcome.value_or("") in TEMPORARY_REFUSALS
+            if not waits or loop.time() > deadline_s:
+                return outcome
+            await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def replace(
+        self, lost_id: str, replica: wire.ReplicaAddress, timeout_s: float
+    ) -> result.Result[str, Unavailable]:
+        """Replace a lost member by a replica with an empty folder.
+
+        The order keeps the tolerance as high as it can be: the new one catches up
+        as a learner first, then the lost one goes, then the learner counts.  Only
+        when this returns an empty text is the replacement complete.
+        """
+        outcome = await self.add_learner(replica, timeout_s)
+        if outcome.value_or(ADDED_REFUSAL) not in ("", ADDED_REFUSAL):
+            return outcome
+        learner_id = await self._wait_until_caught_up(replica.name, timeout_s)
+        if learner_id is None:
+            return _unavailable(Reason.TIMED_OUT, False)
+        removed = await self.remove(lost_id, timeout_s)
+        if removed.value_or("?") not in ("", GONE_REFUSAL):
+            return removed
+        return await self.promote_caught_up(learner_id, timeout_s)
+
+    async def _wait_until_caught_up(self, name: str, timeout_s: float) -> str | None:
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        while loop.time() < deadline_s:
+            for known in await self.members():
+                member_id = known.member.member_id
+                if messages.replica_name_of(member_id) == name and known.caught_up:
+                    return member_id
+            await asyncio.sleep(RETRY_INTERVAL_S)
+        return None
+
+    async def members(self) -> tuple[wire.MemberStatus, ...]:
+        """Return the members as the leader sees them; empty without a leader."""
+        statuses = await self.status()
+        leaders = [item for item in statuses if item.leader_id == item.member_id]
+        if not leaders:
+            return ()
+        return max(leaders, key=lambda status: status.term).members
+
+    async def remove(
+        self, member_id: str, timeout_s: float
+    ) -> result.Result[str, Unavailable]:
+        """Remove a member other than the leader."""
+        member = _make_reference(member_id)
+        return await self._change(wire.Change.REMOVE, member, timeout_s)
+
+    async def transfer(
+        self, member_id: str, timeout_s: float
+    ) -> result.Result[str, Unavailable]:
+        """Hand leadership to a voter; to the most advanced one if empty."""
+        member = _make_reference(member_id)
+        return await self._change(wire.Change.TRANSFER, member, timeout_s)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        tasks = [self._survey_task, self._probe_task]
+        running = [task for task in tasks if task is not None]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        await asyncio.gather(*[item.close() for item in self._channels.values()])
+
+    async def _change(
+        self, change: wire.Change, member: messages.Member, timeout_s: float
+    ) -> result.Result[str, Unavailable]:
+        request = wire.ChangeRequest(0, change, member)
+        answer = await self._ask_leader(request, timeout_s)
+        return answer.map(lambda answered: answered.refusal)
+
+    async def _ask_leader(
+        self, request: wire.Request, timeout_s: float
+    ) -> result.Result[typing.Any, Unavailable]:
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        may_commit = False
+        while loop.time() < deadline_s:
+            if self.standing is Standing.UNKNOWN:
+                await self._survey()
+            if self.standing is Standing.NO_QUORUM:
+                self._start_probing()
+                return _unavailable(Reason.NO_QUORUM, may_commit)
+            if self.standing is Standing.ELECTION:
+                await asyncio.sleep(RETRY_INTERVAL_S)
+                await self._survey()
+                continue
+            answer = await self._ask_patiently(request, deadline_s)
+            if isinstance(answer, wire.Answered | wire.ChangeAnswered):
+                return result.Success(answer)
+            may_commit = may_commit or _leaves_open(answer)
+            failure = _final_failure(answer, may_commit)
+            if failure is not None:
+                return failure
+            await self._follow(answer)
+        return _unavailable(Reason.TIMED_OUT, may_commit)
+
+    async def _ask_patiently(
+        self, request: wire.Request, deadline_s: float
+    ) -> object | None:
+        """Ask the leader; give up if the others no longer follow it."""
+        loop = asyncio.get_running_loop()
+        leader_name = self.leader_name
+        asked = asyncio.create_task(self._channels[leader_name].ask(request))
+        try:
+            while True:
+                left_s = deadline_s - loop.time()
+                done, _ = await asyncio.wait({asked}, timeout=min(PATIENCE_S, left_s))
+                if done:
+                    return asked.result()
+                if loop.time() >= deadline_s:
+                    return None
+                await self._survey()
+                if self.leader_name != leader_name:
+                    return None
+        finally:
+            asked.cancel()
+
+    async def _follow(self, answer: object) -> None:
+        hinted = getattr(answer, "leader_name", "")
+        if hinted and hinted != self.leader_name and hinted in self._channels:
+            self.leader_name = hinted
+            return
+        await self._survey()
+
+    async def _ask_any(
+        self, request: wire.Request, timeout_s: float
+    ) -> result.Result[typing.Any, Unavailable]:
+        zone = self._identity.availability_zone
+        ordered = sorted(
+            self._channels.values(),
+            key=lambda channel: channel.replica.availability_zone != zone,
+        )
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        for channel in ordered:
+            left_s = deadline_s - loop.time()
+            answer = await self._ask_within(channel, request, left_s)
+            if isinstance(answer, wire.Answered):
+                return result.Success(answer)
+        return _unavailable(Reason.NO_QUORUM, False)
+
+    async def _ask_within(
+        self, channel: channels.Channel, request: wire.Request, timeout_s: float
+    ) -> object | None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await channel.ask(request)
+        except TimeoutError:
+            return None
+
+    async def _survey(self) -> None:
+        """Ask all replicas how they are; callers share one survey."""
+        if self._survey_task is None:
+            self._survey_task = asyncio.create_task(self._ask_all())
+        await asyncio.shield(self._survey_task)
+
+    async def _ask_all(self) -> None:
+        try:
+            statuses = await self.status()
+            self.standing, self.leader_name = judge(statuses)
+            for status in statuses:
+                self._learn_addresses(status)
+        finally:
+            self._survey_task = None
+
+    def _learn_addresses(self, status: wire.Status) -> None:
+        for known in status.members:
+            name = messages.replica_name_of(known.member.member_id)
+            if name not in self._channels:
+                host, port = wire.split_address(known.member.address)
+                zone = known.member.availability_zone
+                self._add_channel(wire.ReplicaAddress(name, host, port, zone))
+
+    def _add_channel(self, replica: wire.ReplicaAddress) -> channels.Channel:
+        channel = channels.Channel(
+            self._identity, replica, self._files, self._group, CONNECT_TIMEOUT_S
+        )
+        self._channels[replica.name] = channel
+        return channel
+
+    def _start_probing(self) -> None:
+        if self._probe_task is None or self._probe_task.done():
+            self._probe_task = asyncio.create_task(self._probe())
+
+    async def _probe(self) -> None:
+        while self.standing is Standing.NO_QUORUM:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            await self._survey()
+
+
+def make_client(
+    identity: handshake.Identity,
+    replicas: tuple[wire.ReplicaAddress, ...],
+    files: tls.TlsFiles | None = None,
+    group: str = "",
+) -> Client:
+    """Return a client that connects when it is first used.
+
+    Parameters
+    ----------
+    identity : handshake.Identity
+        Who this process is.
+    replicas : tuple of wire.ReplicaAddress
+        Replicas to start from; others are learned from them.
+    files : tls.TlsFiles, optional
+        Mutual TLS if given.
+    group : str, optional
+        Name of the replicated log.
+    """
+    return Client(identity, replicas, files, group)
+
+
+def judge(statuses: tuple[wire.Status, ...]) -> tuple[Standing, str]:
+    """Return what the answering replicas know together, and the leader's name.
+
+    The leader counts only if it answered itself; of two that both claim to lead,
+    the one with the higher term does.
+
+    Examples
+    --------
+    >>> judge(())
+    (<Standing.NO_QUORUM: 'no_quorum'>, '')
+    """
+    leaders = [status for status in statuses if status.leader_id == status.member_id]
+    if leaders:
+        leader = max(leaders, key=lambda status: status.term)
+        return Standing.LEADER, messages.replica_name_of(leader.member_id)
+    if any(status.has_quorum for status in statuses):
+        return Standing.ELECTION, ""
+    return Standing.NO_QUORUM, ""
+
+
+def _make_reference(member_id: str) -> messages.Member:
+    return messages.Member(member_id, "", "", False)
+
+
+def _decode_watched(answered: wire.Answered) -> typing.Any | None:
+    return codec.decode(answered.payload).unwrap() if answered.payload else None
+
+
+def _unavailable(reason: Reason, may_commit: bool) -> result.Result:
+    return result.Failure(Unavailable(reason, may_commit, PROBE_INTERVAL_S))
+
+
+def _leaves_open(answer: object | None) -> bool:
+    return not isinstance(answer, wire.NotServed) or answer.may_commit
+
+
+def _final_failure(answer: object | None, may_commit: bool) -> result.Result | None:
+    if not isinstance(answer, wire.NotServed):
+        return None
+    if answer.hindrance is wire.Hindrance.OVERLOADED:
+        return _unavailable(Reason.OVERLOADED, may_commit)
+    if answer.hindrance is wire.Hindrance.MALFORMED:
+        return _unavailable(Reason.MALFORMED, may_commit)
+    return None
--- /dev/null
+++ b/hickoryweir/replicas/disk.py
@@ -0,0 +1,186 @@
+"""The task that owns the data folder.
+
+Actions wait in order; one write and one sync cover all that wait (group commit).
+What must not leave before a sync waits in the same order.
+"""
+
+import asyncio
+import concurrent.futures
+import dataclasses
+from collections.abc import Callable
+
+from absl import logging
+from returns import result
+
+from hickoryweir.replicas import messages, records, storage
+from hickoryweir.replicas import state as states
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnSnapshot:
+    """Store the machine's snapshot; entries up to `compact_index` may go."""
+
+    taken: states.SnapshotTaken
+    compact_index: int
+    term: int
+    voted_for: str
+
+
+Work = states.Store | states.SaveSnapshot | states.Send | OwnSnapshot
+
+
+class Disk:
+    """Carries out storage actions in order, off the loop's thread."""
+
+    def __init__(
+        self,
+        opened: storage.Storage,
+        send: Callable[[messages.Envelope], None],
+        notify: Callable[[states.Event], None],
+    ) -> None:
+        self.storage = opened
+        self._send = send
+        self._notify = notify
+        self._work: list[Work] = []
+        self._wake = asyncio.Event()
+        self._busy = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            1, thread_name_prefix="replica-files"
+        )
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def submit(self, work: Work) -> None:
+        """Queue an action; a message goes at once if nothing waits before it."""
+        if self.storage.failure is not None:
+            return
+        if isinstance(work, states.Send) and not self._busy and not self._work:
+            self._send(work.envelope)
+            return
+        self._work.append(work)
+        self._idle.clear()
+        self._wake.set()
+
+    async def close(self) -> None:
+        """Finish what waits and close the folder."""
+        await self._idle.wait()
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self._executor.shutdown()
+        storage.close(self.storage)
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._work:
+                work, self._work = self._work, []
+                self._busy = True
+                outcome = await loop.run_in_executor(
+                    self._executor, carry_out, self.storage, work
+                )
+                self._busy = False
+                if isinstance(outcome, result.Failure):
+                    logging.error("storage failed: %s", outcome.failure())
+                    self._notify(states.StorageFailed())
+                    self._idle.set()
+                    return
+                self._report(work)
+            self._idle.set()
+
+    def _report(self, work: list[Work]) -> None:
+        for item in work:
+            if isinstance(item, states.Send):
+                self._send(item.envelope)
+            elif isinstance(item, OwnSnapshot):
+                self._notify(item.taken)
+        persisted = _make_persisted(work)
+        if persisted is not None:
+            self._notify(persisted)
+
+
+def carry_out(
+    opened: storage.Storage, work: list[Work]
+) -> result.Result[None, records.StorageFailure]:
+    """Carry out storage actions in order, joining neighbouring stores.
+
+    Parameters
+    ----------
+    opened : storage.Storage
+        The folder.
+    work : list
+        Actions; messages among them are left to the caller.
+    """
+    joined = None
+    outcome = result.Success(None)
+    for item in work:
+        if isinstance(item, states.Store):
+            joined = join_stores(joined, item)
+        elif not isinstance(item, states.Send):
+            outcome = _append(opened, joined).bind(
+                lambda _, item=item: _save(opened, item)
+            )
+            joined = None
+        if isinstance(outcome, result.Failure):
+            return outcome
+    return _append(opened, joined)
+
+
+def join_stores(first: states.Store | None, second: states.Store) -> states.Store:
+    """Return one store with the effect of both.
+
+    Examples
+    --------
+    >>> join_stores(states.Store(1, "", ()), states.Store(2, "a", ()))
+    Store(term=2, voted_for='a', entries=())
+    """
+    if first is None or not first.entries:
+        return second
+    if not second.entries:
+        return states.Store(second.term, second.voted_for, first.entries)
+    keep_count = max(0, second.entries[0].index - first.entries[0].index)
+    entries = first.entries[:keep_count] + second.entries
+    return states.Store(second.term, second.voted_for, entries)
+
+
+def _append(
+    opened: storage.Storage, store: states.Store | None
+) -> result.Result[None, records.StorageFailure]:
+    if store is None:
+        return result.Success(None)
+    batch = records.Batch(store.term, store.voted_for, store.entries)
+    return storage.append(opened, batch)
+
+
+def _save(
+    opened: storage.Storage, item: states.SaveSnapshot | OwnSnapshot
+) -> result.Result[None, records.StorageFailure]:
+    if isinstance(item, OwnSnapshot):
+        batch = records.Batch(item.term, item.voted_for, ())
+        return storage.save_snapshot(opened, item.taken.snapshot).bind(
+            lambda _: storage.compact(opened, item.compact_index, batch)
+        )
+    snapshot = item.snapshot
+    reset = records.Batch(item.term, item.voted_for, (), snapshot.index, snapshot.term)
+    return (
+        storage.save_snapshot(opened, snapshot)
+        .bind(lambda _: storage.append(opened, reset))
+        .bind(lambda _: storage.compact(opened, snapshot.index, reset))
+    )
+
+
+def _make_persisted(work: list[Work]) -> states.Persisted | None:
+    term = 0
+    last_index = last_term = 0
+    for item in work:
+        if isinstance(item, states.Store | states.SaveSnapshot):
+            term = item.term
+        if isinstance(item, states.Store) and item.entries:
+            last_index, last_term = item.entries[-1].index, item.entries[-1].term
+        elif isinstance(item, states.SaveSnapshot):
+            last_index, last_term = item.snapshot.index, item.snapshot.term
+    if not term:
+        return None
+    return states.Persisted(term, last_index, last_term)
--- /dev/null
+++ b/hickoryweir/replicas/elections.py
@@ -0,0 +1,181 @@
+"""Elections: pre-vote, votes, and the leader's check that it has a quorum."""
+
+from hickoryweir.replicas import messages, quorums, replication, roles
+from hickoryweir.replicas import state as states
+
+
+def on_tick(state: states.State, now_s: float, out: list) -> None:
+    """Start an election or send heartbeats when it is time."""
+    if state.role is states.Role.LEADER:
+        _tick_leader(state, now_s, out)
+    elif now_s >= state.election_deadline_s and quorums.is_voter(state):
+        start_pre_vote(state, now_s, out)
+
+
+def start_pre_vote(state: states.State, now_s: float, out: list) -> None:
+    """Ask whether an election could be won, without a new term."""
+    if state.role is not states.Role.FOLLOWER:
+        state.last_probe_found_quorum = _probe_found_quorum(state)
+    state.role = states.Role.PRE_CANDIDATE
+    state.leader_id = ""
+    state.answered.clear()
+    state.probe_started_s = now_s
+    state.votes = {state.member_id}
+    roles.reset_election_deadline(state, now_s)
+    if quorums.is_quorum(state, state.votes):
+        start_election(state, False, now_s, out)
+        return
+    roles.broadcast(state, _make_request(state, True, False), False, out)
+
+
+def start_election(
+    state: states.State, transfer: bool, now_s: float, out: list
+) -> None:
+    """Stand for election in a new term; the own vote counts once it is synced."""
+    state.term += 1
+    state.voted_for = state.member_id
+    state.role = states.Role.CANDIDATE
+    state.leader_id = ""
+    state.votes = set()
+    roles.reset_election_deadline(state, now_s)
+    out.append(states.Store(state.term, state.voted_for, ()))
+    roles.broadcast(state, _make_request(state, False, transfer), True, out)
+
+
+def on_vote_request(
+    state: states.State, envelope: messages.Envelope, now_s: float, out: list
+) -> None:
+    """Grant or refuse a vote; a live leader protects its followers from it."""
+    request: messages.VoteRequest = envelope.body
+    if has_live_leader(state, now_s) and not request.transfer:
+        _answer(state, envelope, False, out)
+    elif request.pre:
+        granted = envelope.term >= state.term and _is_up_to_date(state, request)
+        _answer(state, envelope, granted, out)
+    else:
+        _consider_vote(state, envelope, now_s, out)
+
+
+def on_vote_response(
+    state: states.State, envelope: messages.Envelope, now_s: float, out: list
+) -> None:
+    """Count a vote."""
+    response: messages.VoteResponse = envelope.body
+    if not response.granted:
+        return
+    if response.pre and state.role is states.Role.PRE_CANDIDATE:
+        state.votes.add(envelope.from_id)
+        if quorums.is_quorum(state, state.votes):
+            start_election(state, False, now_s, out)
+    elif not response.pre and state.role is states.Role.CANDIDATE:
+        _count_vote(state, envelope.from_id, now_s, out)
+
+
+def on_persisted(
+    state: states.State, event: states.Persisted, now_s: float, out: list
+) -> None:
+    """Count the own vote once its term is synced."""
+    if state.role is states.Role.CANDIDATE and event.term == state.term:
+        _count_vote(state, state.member_id, now_s, out)
+
+
+def has_live_leader(state: states.State, now_s: float) -> bool:
+    """Return whether this replica leads or has just heard from the leader."""
+    if state.role is states.Role.LEADER:
+        return True
+    quiet_s = now_s - state.heard_leader_s
+    return bool(state.leader_id) and quiet_s < state.timing.election_timeout_s
+
+
+def has_quorum(state: states.State, now_s: float) -> bool:
+    """Return whether, as far as this replica knows, a quorum can be reached."""
+    if state.role is states.Role.FAILED or not state.membership.members:
+        return False
+    if state.role is states.Role.LEADER or state.leader_id:
+        return True
+    if now_s - state.probe_started_s < state.timing.probe_grace_s:
+        return state.last_probe_found_quorum or _probe_found_quorum(state)
+    return _probe_found_quorum(state)
+
+
+def _probe_found_quorum(state: states.State) -> bool:
+    return quorums.is_quorum(state, state.answered | {state.member_id})
+
+
+def _tick_leader(state: states.State, now_s: float, out: list) -> None:
+    oldest_s = now_s - state.timing.election_timeout_s
+    heard = {
+        member_id
+        for member_id, progress in state.progress.items()
+        if progress.heard_s >= oldest_s
+    }
+    if not quorums.is_quorum(state, heard | {state.member_id}):
+        _step_down(state, now_s, out)
+        return
+    if state.transfer_target and now_s >= state.transfer_deadline_s:
+        state.transfer_target = ""
+    if now_s >= state.heartbeat_deadline_s:
+        replication.broadcast_heartbeat(state, now_s, out)
+
+
+def _step_down(state: states.State, now_s: float, out: list) -> None:
+    roles.become_follower(state, state.term, now_s, out)
+    state.last_probe_found_quorum = False
+    state.answered.clear()
+
+
+def _consider_vote(
+    state: states.State, envelope: messages.Envelope, now_s: float, out: list
+) -> None:
+    if envelope.term > state.term:
+        roles.become_follower(state, envelope.term, now_s, out)
+    free = state.voted_for in ("", envelope.from_id)
+    granted = (
+        envelope.term == state.term
+        and free
+        and state.role is states.Role.FOLLOWER
+        and _is_up_to_date(state, envelope.body)
+    )
+    if granted:
+        state.voted_for = envelope.from_id
+        out.append(states.Store(state.term, state.voted_for, ()))
+        roles.reset_election_deadline(state, now_s)
+    _answer(state, envelope, granted, out)
+
+
+def _answer(
+    state: states.State, envelope: messages.Envelope, granted: bool, out: list
+) -> None:
+    pre = envelope.body.pre
+    response = messages.VoteResponse(granted, pre)
+    out.append(roles.make_send(state, envelope.from_id, response, not pre))
+
+
+def _count_vote(state: states.State, member_id: str, now_s: float, out: list) -> None:
+    state.votes.add(member_id)
+    if state.member_id in state.votes and quorums.is_quorum(state, state.votes):
+        _become_leader(state, now_s, out)
+
+
+def _become_leader(state: states.State, now_s: float, out: list) -> None:
+    state.role = states.Role.LEADER
+    state.leader_id = state.member_id
+    state.progress.clear()
+    state.transfer_target = ""
+    state.term_start_index = state.log.last_index + 1
+    replication.track_members(state, now_s)
+    kind = messages.EntryKind.NOOP
+    replication.append_own(state, kind, (b"",), 0.0, now_s, out)
+    replication.broadcast_heartbeat(state, now_s, out)
+
+
+def _is_up_to_date(state: states.State, request: messages.VoteRequest) -> bool:
+    theirs = (request.last_term, request.last_index)
+    return theirs >= (state.log.last_term, state.log.last_index)
+
+
+def _make_request(
+    state: states.State, pre: bool, transfer: bool
+) -> messages.VoteRequest:
+    log = state.log
+    return messages.VoteRequest(log.last_index, log.last_term, pre, transfer)
--- /dev/null
+++ b/hickoryweir/replicas/founding.py
@@ -0,0 +1,121 @@
+"""Founding a new cluster, safely against disks that come back empty.
+
+Only a replica with an empty folder and ``bootstrap`` set may found, only the first
+by name among the configured ones, and only when *every* configured replica answers
+that its folder is empty too.  The members are named by the incarnations they
+answered with.  The founder stores them first and then tells the others until there
+is a leader.  If any replica holds state, or can't be asked, nothing is founded: an
+empty replica then waits until an operator admits it as a learner.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from absl import logging
+
+from hickoryweir.replicas import messages, wire
+from hickoryweir.replicas import state as states
+from hickoryweir.streams import handshake, hub, tls
+
+ASK_TIMEOUT_S = 1.0
+RETRY_INTERVAL_S = 0.2
+FOUNDING_INDEX = 1
+
+
+async def found_cluster(
+    identity: handshake.Identity,
+    group: str,
+    files: tls.TlsFiles | None,
+    replicas: tuple[wire.ReplicaAddress, ...],
+    get_state: Callable[[], states.State],
+    submit: Callable[[states.Event], None],
+) -> None:
+    """Found the cluster if this replica is the one to do it.
+
+    Parameters
+    ----------
+    identity, group, files
+        Who this process is, which log, and TLS.
+    replicas : tuple of wire.ReplicaAddress
+        The founding replicas.
+    get_state : callable
+        Returns the core's state.
+    submit : callable
+        Gives the core an event.
+    """
+    if min(replica.name for replica in replicas) != identity.process_name:
+        return
+    ask = _make_ask(identity, group, files)
+    while _is_empty(get_state()):
+        membership = await _gather_members(ask, replicas)
+        if membership is not None and _is_empty(get_state()):
+            submit(states.Founded(membership))
+            await asyncio.sleep(0)
+        await asyncio.sleep(RETRY_INTERVAL_S)
+    while not _has_had_leader(get_state()):
+        await _tell(ask, replicas, get_state())
+        await asyncio.sleep(RETRY_INTERVAL_S)
+
+
+def _is_empty(state: states.State) -> bool:
+    return not state.memberships and state.log.last_index == 0
+
+
+def _has_had_leader(state: states.State) -> bool:
+    return bool(state.leader_id) or state.log.last_index > FOUNDING_INDEX
+
+
+async def _gather_members(ask, replicas) -> messages.Membership | None:
+    request = wire.StatusRequest(0)
+    statuses = await asyncio.gather(
+        *[ask(replica, handshake.Purpose.CLIENT, request) for replica in replicas]
+    )
+    if not all(isinstance(status, wire.Status) for status in statuses):
+        return None
+    if not all(status.empty for status in statuses):
+        logging.warning("no new cluster: a configured replica holds state")
+        return None
+    members = [
+        messages.Member(
+            status.member_id, replica.address, status.availability_zone, True
+        )
+        for replica, status in zip(replicas, statuses, strict=True)
+    ]
+    ordered = sorted(members, key=lambda member: member.member_id)
+    return messages.Membership(tuple(ordered))
+
+
+async def _tell(ask, replicas, state: states.State) -> None:
+    request = wire.FoundRequest(state.membership)
+    own_name = messages.replica_name_of(state.member_id)
+    await asyncio.gather(
+        *[
+            ask(replica, handshake.Purpose.REPLICA, request)
+            for replica in replicas
+            if replica.name != own_name
+        ]
+    )
+
+
+def _make_ask(identity, group, files):
+    async def ask(
+        replica: wire.ReplicaAddress, purpose: handshake.Purpose, message: object
+    ) -> object | None:
+        outcome = await hub.connect(
+            identity, replica.host, replica.port, purpose, files, ASK_TIMEOUT_S, group
+        )
+        connection = outcome.value_or(None)
+        if connection is None:
+            return None
+        try:
+            await connection.send(message)
+            if purpose is handshake.Purpose.REPLICA:
+                return None
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                return (await connection.receive()).value_or(None)
+        except TimeoutError:
+            return None
+        finally:
+            await connection.close()
+
+    return ask
--- /dev/null
+++ b/hickoryweir/replicas/inspect.py
@@ -0,0 +1,86 @@
+"""Offline reading of a data folder; changes nothing.
+
+See Also
+--------
+hickoryweir.replicas.recovery : The same reading, as a replica starts.
+"""
+
+import dataclasses
+
+from hickoryweir.replicas import files as file_operations
+from hickoryweir.replicas import messages, records, recovery
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FolderReport:
+    """What a data folder holds, or what is wrong with it.
+
+    Attributes
+    ----------
+    failure : records.StorageFailure or None
+        Why a replica would not start from it; then the rest may be empty.
+    member_id, cluster_id, group : str
+        Whose it is.
+    term, voted_for : int, str
+        Newest term and vote.
+    snapshot_index, first_index, last_index : int
+        What the snapshot covers, and the log's range behind it.
+    snapshot_size_bytes, torn_size_bytes : int
+        Size of the snapshot, and of a torn end that a start would cut.
+    segments_count : int
+        Log files.
+    members : tuple of messages.Member
+        Members of the newest membership in the folder.
+    """
+
+    path: str
+    failure: records.StorageFailure | None = None
+    cluster_id: str = ""
+    group: str = ""
+    member_id: str = ""
+    term: int = 0
+    voted_for: str = ""
+    snapshot_index: int = 0
+    snapshot_size_bytes: int = 0
+    first_index: int = 0
+    last_index: int = 0
+    segments_count: int = 0
+    torn_size_bytes: int = 0
+    members: tuple[messages.Member, ...] = ()
+
+
+def check_folder(path: str, files: file_operations.Files | None = None) -> FolderReport:
+    """Read a data folder as a replica would, and report.
+
+    Parameters
+    ----------
+    path : str
+        The data folder.
+    files : files.Files, optional
+        Replaces the real file system, for tests.
+    """
+    outcome = recovery.recover(files or file_operations.make_files(), path)
+    found = outcome.value_or(None)
+    if found is None:
+        return FolderReport(path, outcome.failure())
+    return _make_report(path, found)
+
+
+def _make_report(path: str, found: recovery.Recovered) -> FolderReport:
+    snapshot = found.snapshot
+    return FolderReport(
+        path,
+        None,
+        found.identity.cluster_id,
+        found.identity.group,
+        found.identity.member_id,
+        found.term,
+        found.voted_for,
+        0 if snapshot is None else snapshot.index,
+        0 if snapshot is None else len(snapshot.data),
+        found.base_index + 1,
+        found.base_index + len(found.entries),
+        len(found.segments),
+        found.torn_size_bytes,
+        recovery.newest_membership(found).members,
+    )
--- /dev/null
+++ b/hickoryweir/replicas/links.py
@@ -0,0 +1,105 @@
+"""Outgoing connections to the other replicas, one task each.
+
+Messages that find no room or no connection are dropped; the protocol sends again.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from hickoryweir.replicas import messages, wire
+from hickoryweir.streams import connections, handshake, hub, tls
+
+BACK_OFF_START_S = 0.05
+BACK_OFF_MAX_S = 0.5
+CONNECT_TIMEOUT_S = 1.0
+
+Handler = Callable[[connections.Connection], Awaitable[None]]
+
+
+class Links:
+    """Keeps a connection to each member it is told of."""
+
+    def __init__(
+        self,
+        identity: handshake.Identity,
+        group: str,
+        files: tls.TlsFiles | None,
+        handler: Handler,
+    ) -> None:
+        self._identity = identity
+        self._group = group
+        self._files = files
+        self._handler = handler
+        self._addresses: dict[str, str] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
+        self._open: dict[str, connections.Connection] = {}
+        self._back: dict[str, connections.Connection] = {}
+
+    def update(self, membership: messages.Membership, own_id: str) -> None:
+        """Connect to these members and to no others."""
+        wanted = {
+            member.member_id: member.address
+            for member in membership.members
+            if member.member_id != own_id
+        }
+        for member_id in list(self._tasks):
+            if wanted.get(member_id) != self._addresses[member_id]:
+                self._tasks.pop(member_id).cancel()
+                del self._addresses[member_id]
+        for member_id in wanted.keys() - self._tasks.keys():
+            self._addresses[member_id] = wanted[member_id]
+            task = asyncio.create_task(self._keep(member_id, wanted[member_id]))
+            self._tasks[member_id] = task
+
+    def note_incoming(self, member_id: str, connection: connections.Connection) -> None:
+        """Remember a connection by which an unknown member can be answered."""
+        self._back[member_id] = connection
+
+    def forget_incoming(self, connection: connections.Connection) -> None:
+        """Forget a closed connection."""
+        for member_id, known in list(self._back.items()):
+            if known is connection:
+                del self._back[member_id]
+
+    def send(self, envelope: messages.Envelope) -> None:
+        """Send if there is a connection with room."""
+        connection = self._open.get(envelope.to_id) or self._back.get(envelope.to_id)
+        if connection is not None:
+            connection.offer(envelope)
+
+    async def close(self) -> None:
+        """End all tasks."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _keep(self, member_id: str, address: str) -> None:
+        host, port = wire.split_address(address)
+        back_off_s = BACK_OFF_START_S
+        while True:
+            outcome = await hub.connect(
+                self._identity,
+                host,
+                port,
+                handshake.Purpose.REPLICA,
+                self._files,
+                CONNECT_TIMEOUT_S,
+                self._group,
+            )
+            connection = outcome.value_or(None)
+            if connection is not None:
+                back_off_s = BACK_OFF_START_S
+                await self._serve(member_id, connection)
+            await asyncio.sleep(back_off_s)
+            back_off_s = min(2 * back_off_s, BACK_OFF_MAX_S)
+
+    async def _serve(self, member_id: str, connection: connections.Connection) -> None:
+        wanted_name = messages.replica_name_of(member_id)
+        try:
+            if connection.peer.process_name == wanted_name:
+                self._open[member_id] = connection
+                await self._handler(connection)
+        finally:
+            self._open.pop(member_id, None)
+            connection.abort()
--- /dev/null
+++ b/hickoryweir/replicas/machine.py
@@ -0,0 +1,159 @@
+"""The replicated state machine: commands go to the submachine that knows them.
+
+Every replica applies the same entries in the same order.  The time given to a
+submachine is the leader's wall clock in the entry, made monotone here.
+
+Examples
+--------
+>>> machine = make_machine(())
+>>> dump(machine) == dump(make_machine(()))
+True
+"""
+
+import dataclasses
+import typing
+from collections.abc import Callable
+
+from hickoryweir.replicas import messages
+from hickoryweir.streams import codec
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submachine:
+    """A part of the replicated state, as functions.
+
+    Attributes
+    ----------
+    name : str
+        Name in snapshots; never changes.
+    command_types : tuple of type
+        Registered messages that `apply` takes.
+    initial_state : callable
+        ``initial_state()`` returns the state of an empty log.
+    apply : callable
+        ``apply(state, command, index, time_s)`` changes the state in place and
+        returns a registered message; the same on every replica.
+    dump, load : callable
+        ``dump(state)`` returns bytes, ``load(data)`` the state.
+    query_types : tuple of type, optional
+        Registered messages that `query` takes.
+    query : callable, optional
+        ``query(state, query, time_s)`` returns a registered message.
+    version : callable, optional
+        ``version(state)`` returns a number that watchers wait on.
+    """
+
+    name: str
+    command_types: tuple[type, ...]
+    initial_state: Callable[[], typing.Any]
+    apply: Callable[[typing.Any, typing.Any, int, float], typing.Any]
+    dump: Callable[[typing.Any], bytes]
+    load: Callable[[bytes], typing.Any]
+    query_types: tuple[type, ...] = ()
+    query: Callable[[typing.Any, typing.Any, float], typing.Any] | None = None
+    version: Callable[[typing.Any], int] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommandUnknown:
+    """Answers a command or query that no submachine takes."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dump:
+    """A snapshot of all submachines."""
+
+    time_s: float
+    parts: tuple[tuple[str, bytes], ...]
+
+
+codec.register("rm.unknown", CommandUnknown)
+codec.register("rm.dump", Dump)
+
+
+@dataclasses.dataclass(slots=True)
+class Machine:
+    """All submachines with their states."""
+
+    submachines: dict[str, Submachine]
+    names_by_type: dict[type, str]
+    states: dict[str, typing.Any]
+    time_s: float = 0.0
+
+
+def make_machine(submachines: tuple[Submachine, ...]) -> Machine:
+    """Return a machine in the state of an empty log."""
+    names_by_type = {
+        cls: submachine.name
+        for submachine in submachines
+        for cls in (*submachine.command_types, *submachine.query_types)
+    }
+    by_name = {submachine.name: submachine for submachine in submachines}
+    states = {name: submachine.initial_state() for name, submachine in by_name.items()}
+    return Machine(by_name, names_by_type, states)
+
+
+def apply(machine: Machine, entry: messages.Entry) -> typing.Any:
+    """Apply a committed command and return its response."""
+    machine.time_s = max(machine.time_s, entry.time_s)
+    decoded = codec.decode(entry.payload)
+    command = decoded.value_or(None)
+    if command is None:
+        return CommandUnknown(decoded.failure().detail)
+    name = machine.names_by_type.get(type(command))
+    if name is None:
+        return CommandUnknown(type(command).__name__)
+    submachine = machine.submachines[name]
+    state = machine.states[name]
+    return submachine.apply(state, command, entry.index, machine.time_s)
+
+
+def query(machine: Machine, message: typing.Any) -> typing.Any:
+    """Answer a query from the applied state."""
+    name = machine.names_by_type.get(type(message))
+    if name is None or machine.submachines[name].query is None:
+        return CommandUnknown(type(message).__name__)
+    submachine = machine.submachines[name]
+    return submachine.query(machine.states[name], message, machine.time_s)
+
+
+def version_for(machine: Machine, message: typing.Any) -> int | None:
+    """Return the version that a watch with this query waits on."""
+    name = machine.names_by_type.get(type(message))
+    if name is None or machine.submachines[name].version is None:
+        return None
+    return machine.submachines[name].version(machine.states[name])
+
+
+def dump(machine: Machine) -> bytes:
+    """Return the whole state as bytes."""
+    parts = tuple(
+        (name, machine.submachines[name].dump(machine.states[name]))
+        for name in sorted(machine.submachines)
+    )
+    return codec.encode(Dump(machine.time_s, parts))
+
+
+def load(machine: Machine, data: bytes) -> None:
+    """Replace the whole state; empty `data` is the state of an empty log.
+
+    Raises
+    ------
+    ValueError
+        If `data` is no dump, or holds a part that no submachine knows.
+    """
+    found = Dump(0.0, ()) if not data else codec.decode(data).value_or(None)
+    if not isinstance(found, Dump):
+        raise ValueError("not a dump of the state machine")
+    parts = dict(found.parts)
+    unknown = parts.keys() - machine.submachines.keys()
+    if unknown:
+        raise ValueError(f"no submachine for {sorted(unknown)}")
+    machine.time_s = found.time_s
+    for name, submachine in machine.submachines.items():
+        part = parts.get(name)
+        machine.states[name] = (
+            submachine.initial_state() if part is None else submachine.load(part)
+        )
--- /dev/null
+++ b/hickoryweir/replicas/membership.py
@@ -0,0 +1,113 @@
+"""Changes of the members, one at a time.
+
+A change is in force as soon as its entry stands in the log, as in published Raft.
+A new replica starts as a learner; it becomes a voter by a change of its own, which
+the leader starts only once the learner has caught up.
+"""
+
+import dataclasses
+
+from hickoryweir.replicas import messages, replication
+from hickoryweir.replicas import state as states
+from hickoryweir.streams import codec
+
+
+def add_learner(
+    state: states.State, event: states.LearnerAdded, now_s: float, out: list
+) -> None:
+    """Start adding a learner."""
+    names = {
+        messages.replica_name_of(member.member_id)
+        for member in state.membership.members
+    }
+    refusal = _common_refusal(state)
+    if state.membership.find(event.member.member_id) is not None:
+        refusal = refusal or states.ChangeRefusal.ALREADY_MEMBER
+    elif messages.replica_name_of(event.member.member_id) in names:
+        refusal = refusal or states.ChangeRefusal.NAME_TAKEN
+    if refusal is not None:
+        out.append(states.ChangeRefused(refusal))
+        return
+    learner = dataclasses.replace(event.member, voter=False)
+    members = (*state.membership.members, learner)
+    _append(state, members, event.time_s, now_s, out)
+
+
+def promote_learner(
+    state: states.State, event: states.LearnerPromoted, now_s: float, out: list
+) -> None:
+    """Start making a learner a voter, if it has caught up."""
+    member = state.membership.find(event.member_id)
+    refusal = _common_refusal(state)
+    if member is None:
+        refusal = refusal or states.ChangeRefusal.UNKNOWN_MEMBER
+    elif member.voter:
+        refusal = refusal or states.ChangeRefusal.ALREADY_MEMBER
+    elif not is_caught_up(state, event.member_id, now_s):
+        refusal = refusal or states.ChangeRefusal.NOT_CAUGHT_UP
+    if refusal is not None:
+        out.append(states.ChangeRefused(refusal))
+        return
+    voter = dataclasses.replace(member, voter=True)
+    others = _without(state, event.member_id)
+    _append(state, (*others, voter), event.time_s, now_s, out)
+
+
+def remove_member(
+    state: states.State, event: states.MemberRemoved, now_s: float, out: list
+) -> None:
+    """Start removing a member; a leader must hand over first."""
+    refusal = _common_refusal(state)
+    if state.membership.find(event.member_id) is None:
+        refusal = refusal or states.ChangeRefusal.UNKNOWN_MEMBER
+    elif event.member_id == state.member_id:
+        refusal = refusal or states.ChangeRefusal.IS_LEADER
+    if refusal is not None:
+        out.append(states.ChangeRefused(refusal))
+        return
+    others = _without(state, event.member_id)
+    _append(state, others, event.time_s, now_s, out)
+
+
+def is_caught_up(state: states.State, member_id: str, now_s: float) -> bool:
+    """Return whether a learner holds all that is committed and answers."""
+    progress = state.progress.get(member_id)
+    if progress is None or progress.probing:
+        return False
+    lag_count = state.log.last_index - progress.match_index
+    return (
+        progress.match_index >= state.commit_index
+        and lag_count <= state.timing.catch_up_max_lag_count
+        and now_s - progress.heard_s < state.timing.election_timeout_s
+    )
+
+
+def _common_refusal(state: states.State) -> states.ChangeRefusal | None:
+    if state.role is not states.Role.LEADER:
+        return states.ChangeRefusal.NOT_LEADER
+    if state.transfer_target:
+        return states.ChangeRefusal.TRANSFER_IN_PROGRESS
+    if state.commit_index < state.term_start_index:
+        return states.ChangeRefusal.TERM_NOT_COMMITTED
+    if state.memberships and state.memberships[-1][0] > state.commit_index:
+        return states.ChangeRefusal.CHANGE_IN_PROGRESS
+    return None
+
+
+def _without(state: states.State, member_id: str) -> tuple[messages.Member, ...]:
+    return tuple(
+        member for member in state.membership.members if member.member_id != member_id
+    )
+
+
+def _append(
+    state: states.State,
+    members: tuple[messages.Member, ...],
+    time_s: float,
+    now_s: float,
+    out: list,
+) -> None:
+    ordered = tuple(sorted(members, key=lambda member: member.member_id))
+    payload = codec.encode(messages.Membership(ordered))
+    kind = messages.EntryKind.MEMBERSHIP
+    replication.append_own(state, kind, (payload,), time_s, now_s, out)
--- /dev/null
+++ b/hickoryweir/replicas/node.py
@@ -0,0 +1,416 @@
+"""A running replica: the pure core joined with sockets, files and the machine.
+
+One task owns the core, the machine and everything that waits for them; it takes
+events from a queue and handles all that wait at once, so proposals share appends.
+:class:`~hickoryweir.replicas.disk.Disk` owns the files and
+:class:`~hickoryweir.replicas.links.Links` the connections to other replicas.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import secrets
+import time
+
+from absl import logging
+from returns import result
+
+from hickoryweir.replicas import disk as disks
+from hickoryweir.replicas import files as file_operations
+from hickoryweir.replicas import (
+    founding,
+    links,
+    machine,
+    messages,
+    quorums,
+    raft,
+    records,
+    requests,
+    storage,
+    wire,
+)
+from hickoryweir.replicas import state as states
+from hickoryweir.streams import codec, connections, handshake, hub, tls
+
+TICK_INTERVAL_S = 0.025
+STOP_TIMEOUT_S = 2.0
+MAX_WAITING_COMMANDS_COUNT = 20_000
+MAX_COMMAND_SIZE_BYTES = 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Settings of one replica.
+
+    Attributes
+    ----------
+    identity : handshake.Identity
+        Cluster, name and zone of this process.
+    data_folder : str
+        Where its state lives.
+    replicas : tuple of wire.ReplicaAddress
+        The replicas that found a new cluster, this one included.
+    bootstrap : bool
+        Whether an empty folder may found a new cluster with them.
+    group : str
+        Name of the replicated log.
+    files : tls.TlsFiles or None
+        Mutual TLS towards the other replicas.
+    snapshot_entries_count, snapshot_log_size_bytes : int
+        A snapshot is taken after so many entries or bytes of commands.
+    keep_entries_count : int
+        Entries kept before a snapshot, for replicas that lag a little.
+    """
+
+    identity: handshake.Identity
+    data_folder: str
+    replicas: tuple[wire.ReplicaAddress, ...]
+    bootstrap: bool = False
+    group: str = ""
+    files: tls.TlsFiles | None = None
+    timing: states.Timing = states.Timing()
+    snapshot_entries_count: int = 20_000
+    snapshot_log_size_bytes: int = 32 * 1024 * 1024
+    keep_entries_count: int = 2_000
+
+
+class Node:
+    """A replica; made by :func:`make_node`.
+
+    Attributes
+    ----------
+    state : state.State
+        The core's state; to look at, not to change.
+    machine : machine.Machine
+        The state machine; to look at, not to change.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        peer_hub: hub.Hub,
+        submachines: tuple[machine.Submachine, ...],
+        files: file_operations.Files,
+    ) -> None:
+        self.settings = settings
+        self.machine = machine.make_machine(submachines)
+        self.state: states.State | None = None
+        self.failure: records.StorageFailure | None = None
+        self._files = files
+        self._disk: disks.Disk | None = None
+        self._links = links.Links(
+            settings.identity, settings.group, settings.files, self._serve_replica
+        )
+        self._queue: asyncio.Queue = asyncio.Queue()
+        self._waits = requests.Waits()
+        self._tasks: list[asyncio.Task] = []
+        self._not_leading = asyncio.Event()
+        self._snapshot_asked_index = 0
+        self._log_size_bytes = 0
+        group = settings.group
+        peer_hub.register(handshake.Purpose.REPLICA, self._serve_replica, group)
+        peer_hub.register(handshake.Purpose.CLIENT, self._serve_client, group)
+
+    async def start(self) -> result.Result[None, records.StorageFailure]:
+        """Recover the folder and take part; a failure leaves it untouched."""
+        identity = self.settings.identity
+        outcome = await asyncio.get_running_loop().run_in_executor(
+            None,
+            storage.open_folder,
+            self._files,
+            self.settings.data_folder,
+            identity.cluster_id,
+            self.settings.group,
+            identity.process_name,
+        )
+        if isinstance(outcome, result.Failure):
+            self.failure = outcome.failure()
+            logging.error("the data folder can't be used: %s", self.failure)
+            return outcome
+        opened = outcome.unwrap()
+        self._recover(opened)
+        self._disk = disks.Disk(
+            opened.storage, self._links.send, self._queue.put_nowait
+        )
+        self._links.update(self.state.membership, self.state.member_id)
+        self._tasks.append(asyncio.create_task(self._run()))
+        self._tasks.append(asyncio.create_task(self._tick()))
+        if self.settings.bootstrap:
+            self._tasks.append(asyncio.create_task(self._found()))
+        return result.Success(None)
+
+    async def stop(self) -> None:
+        """Hand leadership over, sync what waits and stop."""
+        if self.state is not None and self.state.role is states.Role.LEADER:
+            self._queue.put_nowait(states.TransferRequested(""))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(STOP_TIMEOUT_S):
+                    await self._wait_until_follower()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.state is not None:
+            requests.refuse_appended(self._waits, self.state, time.monotonic())
+        await self._links.close()
+        if self._disk is not None:
+            await self._disk.close()
+            self._disk = None
+
+    async def _wait_until_follower(self) -> None:
+        if len(self.state.membership.voter_ids) > 1:
+            await self._not_leading.wait()
+
+    def _recover(self, opened: storage.Opened) -> None:
+        found = opened.recovered
+        self.state = raft.make_state(
+            found.identity.member_id,
+            time.monotonic(),
+            secrets.randbits(64),
+            self.settings.timing,
+            found.term,
+            found.voted_for,
+            found.snapshot,
+            tuple(found.entries),
+        )
+        if found.snapshot is not None:
+            machine.load(self.machine, found.snapshot.data)
+            self._snapshot_asked_index = found.snapshot.index
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_INTERVAL_S)
+            self._queue.put_nowait(states.Ticked())
+
+    async def _found(self) -> None:
+        await founding.found_cluster(
+            self.settings.identity,
+            self.settings.group,
+            self.settings.files,
+            self.settings.replicas,
+            lambda: self.state,
+            self._queue.put_nowait,
+        )
+
+    async def _serve_replica(self, connection: connections.Connection) -> None:
+        name = connection.peer.process_name
+        try:
+            while True:
+                message = (await connection.receive()).value_or(None)
+                if message is None:
+                    return
+                if isinstance(message, wire.FoundRequest):
+                    self._queue.put_nowait(states.Founded(message.membership))
+                elif isinstance(message, messages.Envelope):
+                    if messages.replica_name_of(message.from_id) != name:
+                        return
+                    self._links.note_incoming(message.from_id, connection)
+                    self._queue.put_nowait(states.Received(message))
+        finally:
+            self._links.forget_incoming(connection)
+
+    async def _serve_client(self, connection: connections.Connection) -> None:
+        while True:
+            message = (await connection.receive()).value_or(None)
+            if message is None or not hasattr(message, "request_id"):
+                return
+            self._queue.put_nowait(requests.Waiting(connection, message))
+
+    async def _run(self) -> None:
+        while True:
+            items = [await self._queue.get()]
+            while not self._queue.empty():
+                items.append(self._queue.get_nowait())
+            now_s = time.monotonic()
+            proposals = []
+            for item in items:
+                self._handle(item, proposals, now_s)
+            self._propose(proposals, now_s)
+            requests.serve_watches(
+                self._waits, self.machine, self.state.applied_index, now_s
+            )
+
+    def _handle(self, item: object, proposals: list, now_s: float) -> None:
+        if not isinstance(item, requests.Waiting):
+            self._step(item, now_s)
+            return
+        match item.request:
+            case wire.ProposeRequest():
+                proposals.append(item)
+            case wire.ReadRequest():
+                self._read(item, now_s)
+            case wire.WatchRequest():
+                self._watch(item, now_s)
+            case wire.StatusRequest():
+                zone = self.settings.identity.availability_zone
+                request_id = item.request.request_id
+                status = requests.make_status(request_id, self.state, zone, now_s)
+                item.connection.offer(status)
+            case wire.ChangeRequest():
+                self._change(item, now_s)
+
+    def _step(self, event: states.Event, now_s: float) -> None:
+        was_leader = self.state.role is states.Role.LEADER
+        term = self.state.term
+        known = self.state.membership
+        for action in raft.step(self.state, event, now_s):
+            self._carry_out(action, now_s)
+        is_same_leader = (
+            self.state.role is states.Role.LEADER and self.state.term == term
+        )
+        if was_leader and not is_same_leader:
+            requests.refuse_appended(self._waits, self.state, now_s)
+            self._not_leading.set()
+        if self.state.membership is not known:
+            self._links.update(self.state.membership, self.state.member_id)
+
+    def _carry_out(self, action: states.Action, now_s: float) -> None:
+        match action:
+            case states.Send():
+                if action.durable:
+                    self._disk.submit(action)
+                else:
+                    self._links.send(action.envelope)
+            case states.Store():
+                self._disk.submit(action)
+            case states.SaveSnapshot():
+                machine.load(self.machine, action.snapshot.data)
+                self._snapshot_asked_index = action.snapshot.index
+                self._disk.submit(action)
+            case states.Apply():
+                self._apply(action)
+            case states.ReadReady():
+                waiting = self._waits.reads.pop(action.read_id)
+                self._answer_query(waiting)
+            case states.ReadRefused():
+                waiting = self._waits.reads.pop(action.read_id)
+                not_leader = wire.Hindrance.NOT_LEADER
+                requests.refuse(waiting, not_leader, self.state, now_s)
+
+    def _apply(self, action: states.Apply) -> None:
+        for entry in action.entries:
+            self._log_size_bytes += len(entry.payload)
+            if entry.kind is messages.EntryKind.COMMAND:
+                response = machine.apply(self.machine, entry)
+                waiting = self._waits.commands.pop(entry.index, None)
+                if waiting is not None:
+                    requests.answer(waiting, response, entry.index)
+            elif entry.kind is messages.EntryKind.MEMBERSHIP:
+                waiting = self._waits.changes.pop(entry.index, None)
+                if waiting is not None:
+                    request_id = waiting.request.request_id
+                    waiting.connection.offer(wire.ChangeAnswered(request_id, ""))
+        self._snapshot_if_due()
+
+    def _snapshot_if_due(self) -> None:
+        index = self.state.applied_index
+        entries_count = index - self._snapshot_asked_index
+        due = (
+            entries_count >= self.settings.snapshot_entries_count
+            or self._log_size_bytes >= self.settings.snapshot_log_size_bytes
+        )
+        if not due:
+            return
+        self._snapshot_asked_index = index
+        self._log_size_bytes = 0
+        snapshot = messages.Snapshot(
+            index,
+            self.state.log.term_at(index),
+            quorums.membership_at(self.state, index),
+            self.machine.time_s,
+            machine.dump(self.machine),
+        )
+        keep_count = self.settings.keep_entries_count
+        self._disk.submit(
+            disks.OwnSnapshot(
+                states.SnapshotTaken(snapshot, keep_count),
+                index - keep_count,
+                self.state.term,
+                self.state.voted_for,
+            )
+        )
+
+    def _propose(self, proposals: list[requests.Waiting], now_s: float) -> None:
+        if not proposals:
+            return
+        if not raft.can_propose(self.state):
+            for waiting in proposals:
+                not_leader = wire.Hindrance.NOT_LEADER
+                requests.refuse(waiting, not_leader, self.state, now_s)
+            return
+        room = MAX_WAITING_COMMANDS_COUNT - len(self._waits.commands)
+        taken = []
+        for waiting in proposals:
+            if len(waiting.request.command) > MAX_COMMAND_SIZE_BYTES:
+                malformed = wire.Hindrance.MALFORMED
+                requests.refuse(waiting, malformed, self.state, now_s)
+            elif len(taken) >= room:
+                overloaded = wire.Hindrance.OVERLOADED
+                requests.refuse(waiting, overloaded, self.state, now_s)
+            else:
+                taken.append(waiting)
+        first_index = self.state.log.last_index + 1
+        for offset, waiting in enumerate(taken):
+            self._waits.commands[first_index + offset] = waiting
+        payloads = tuple(waiting.request.command for waiting in taken)
+        self._step(states.Proposed(payloads, time.time()), now_s)
+
+    def _read(self, waiting: requests.Waiting, now_s: float) -> None:
+        if waiting.request.stale:
+            self._answer_query(waiting)
+            return
+        read_id = self._waits.next_read_id
+        self._waits.next_read_id += 1
+        self._waits.reads[read_id] = waiting
+        self._step(states.ReadRequested(read_id), now_s)
+
+    def _answer_query(self, waiting: requests.Waiting) -> None:
+        query = codec.decode(waiting.request.query).value_or(None)
+        response = machine.query(self.machine, query)
+        requests.answer(waiting, response, self.state.applied_index)
+
+    def _watch(self, waiting: requests.Waiting, now_s: float) -> None:
+        query = codec.decode(waiting.request.query).value_or(None)
+        deadline_s = now_s + waiting.request.timeout_s
+        self._waits.watches.append(requests.Watch(waiting, query, deadline_s))
+
+    def _change(self, waiting: requests.Waiting, now_s: float) -> None:
+        event = requests.make_change_event(waiting.request, time.time())
+        index = self.state.log.last_index + 1
+        request_id = waiting.request.request_id
+        known = self.state.membership
+        actions = raft.step(self.state, event, now_s)
+        refusals = [item for item in actions if isinstance(item, states.ChangeRefused)]
+        if refusals:
+            refusal = refusals[0].reason.value
+            waiting.connection.offer(wire.ChangeAnswered(request_id, refusal))
+            return
+        if isinstance(event, states.TransferRequested):
+            waiting.connection.offer(wire.ChangeAnswered(request_id, ""))
+        else:
+            self._waits.changes[index] = waiting
+        for action in actions:
+            self._carry_out(action, now_s)
+        if self.state.membership is not known:
+            self._links.update(self.state.membership, self.state.member_id)
+
+
+def make_node(
+    settings: NodeSettings,
+    peer_hub: hub.Hub,
+    submachines: tuple[machine.Submachine, ...],
+    files: file_operations.Files | None = None,
+) -> Node:
+    """Return a replica that has not started; its handlers are in the hub.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings.
+    peer_hub : hub.Hub
+        The process's peer port; the caller starts and closes it.
+    submachines : tuple of machine.Submachine
+        Parts of the replicated state.
+    files : files.Files, optional
+        Replaces the real file system, for tests.
+    """
+    return Node(settings, peer_hub, submachines, files or file_operations.make_files())
--- /dev/null
+++ b/hickoryweir/replicas/quorums.py
@@ -0,0 +1,54 @@
+"""Quorums, and the memberships that stand in the log."""
+
+from hickoryweir.replicas import messages
+from hickoryweir.replicas import state as states
+from hickoryweir.streams import codec
+
+
+def majority_count(voters_count: int) -> int:
+    """Return how many of so many voters are a quorum.
+
+    Examples
+    --------
+    >>> [majority_count(count) for count in (1, 2, 3, 4, 5)]
+    [1, 2, 2, 3, 3]
+    """
+    return voters_count // 2 + 1
+
+
+def is_quorum(state: states.State, member_ids: set[str]) -> bool:
+    """Return whether these members are a quorum of the latest membership."""
+    voter_ids = state.membership.voter_ids
+    count = sum(voter_id in member_ids for voter_id in voter_ids)
+    return bool(voter_ids) and count >= majority_count(len(voter_ids))
+
+
+def is_voter(state: states.State) -> bool:
+    """Return whether this replica counts."""
+    return state.member_id in state.membership.voter_ids
+
+
+def note_entries(state: states.State, entries: tuple[messages.Entry, ...]) -> None:
+    """Keep the history of memberships in step with entries that replace the tail."""
+    first_index = entries[0].index
+    while state.memberships and state.memberships[-1][0] >= first_index:
+        state.memberships.pop()
+    for entry in entries:
+        if entry.kind is messages.EntryKind.MEMBERSHIP:
+            membership = codec.decode(entry.payload).unwrap()
+            state.memberships.append((entry.index, membership))
+
+
+def membership_at(state: states.State, index: int) -> messages.Membership:
+    """Return the membership in force at an entry."""
+    found = messages.Membership(())
+    for change_index, membership in state.memberships:
+        if change_index <= index:
+            found = membership
+    return found
+
+
+def forget_before(state: states.State, index: int) -> None:
+    """Drop memberships that a snapshot at `index` has made useless."""
+    while len(state.memberships) > 1 and state.memberships[1][0] <= index:
+        state.memberships.pop(0)
--- /dev/null
+++ b/hickoryweir/replicas/raft.py
@@ -0,0 +1,200 @@
+"""The pure core of the replicated log: Raft as published, one step at a time.
+
+No I/O, no clock and no global randomness: the same events at the same times give
+the same actions.  :mod:`~hickoryweir.replicas.node` carries the actions out.
+"""
+
+import random
+
+from hickoryweir.replicas import (
+    elections,
+    membership,
+    messages,
+    quorums,
+    replication,
+    roles,
+    transfer,
+)
+from hickoryweir.replicas import state as states
+
+
+def make_state(
+    member_id: str,
+    now_s: float,
+    seed: int = 0,
+    timing: states.Timing | None = None,
+    term: int = 0,
+    voted_for: str = "",
+    snapshot: messages.Snapshot | None = None,
+    entries: tuple[messages.Entry, ...] = (),
+) -> states.State:
+    """Return the state of a replica that starts with what its folder holds.
+
+    Parameters
+    ----------
+    member_id : str
+        Name and incarnation.
+    now_s : float
+        Monotonic time.
+    seed : int, optional
+        For the spread of election timeouts.
+    timing : state.Timing, optional
+        Times and bounds.
+    term, voted_for, snapshot, entries : optional
+        As recovered; all empty for a new folder.  Entries may begin at or before
+        the snapshot's end and leave no gap.
+    """
+    timing = timing or states.Timing()
+    state = states.State(member_id, timing, random.Random(seed))
+    state.term = term
+    state.voted_for = voted_for
+    if snapshot is not None:
+        state.snapshot = snapshot
+        state.memberships = [(snapshot.index, snapshot.membership)]
+        state.commit_index = state.applied_index = snapshot.index
+        state.log.reset(snapshot.index, snapshot.term)
+    newer = tuple(entry for entry in entries if entry.index > state.log.last_index)
+    if newer:
+        state.log.replace_from(newer)
+        quorums.note_entries(state, newer)
+    state.persisted_index = state.log.last_index
+    roles.reset_election_deadline(state, now_s)
+    return state
+
+
+def step(state: states.State, event: states.Event, now_s: float) -> list[states.Action]:
+    """Change `state` by one event and return the actions, in order.
+
+    Parameters
+    ----------
+    state : state.State
+        Changed in place.
+    event : state.Event
+        What happened.
+    now_s : float
+        Monotonic time, never smaller than before.
+    """
+    out: list[states.Action] = []
+    if state.role is not states.Role.FAILED:
+        _dispatch(state, event, now_s, out)
+    return out
+
+
+def can_propose(state: states.State) -> bool:
+    """Return whether commands are taken here now."""
+    return state.role is states.Role.LEADER and not state.transfer_target
+
+
+def _dispatch(
+    state: states.State, event: states.Event, now_s: float, out: list
+) -> None:
+    match event:
+        case states.Received():
+            _on_received(state, event.envelope, now_s, out)
+        case states.Proposed():
+            _on_proposed(state, event, now_s, out)
+        case states.Persisted():
+            replication.on_persisted(state, event, out)
+            elections.on_persisted(state, event, now_s, out)
+        case states.Ticked():
+            elections.on_tick(state, now_s, out)
+        case states.ReadRequested():
+            replication.request_read(state, event, now_s, out)
+        case states.LearnerAdded():
+            membership.add_learner(state, event, now_s, out)
+        case states.LearnerPromoted():
+            membership.promote_learner(state, event, now_s, out)
+        case states.MemberRemoved():
+            membership.remove_member(state, event, now_s, out)
+        case states.TransferRequested():
+            transfer.request_transfer(state, event, now_s, out)
+        case states.SnapshotTaken():
+            _on_snapshot_taken(state, event)
+        case states.Founded():
+            _on_founded(state, event, now_s, out)
+        case states.StorageFailed():
+            _on_storage_failed(state, out)
+
+
+def _on_received(
+    state: states.State, envelope: messages.Envelope, now_s: float, out: list
+) -> None:
+    if envelope.to_id != state.member_id:
+        return
+    state.answered.add(envelope.from_id)
+    body = envelope.body
+    if isinstance(body, messages.VoteRequest):
+        elections.on_vote_request(state, envelope, now_s, out)
+        return
+    if envelope.term > state.term:
+        roles.become_follower(state, envelope.term, now_s, out)
+    if envelope.term < state.term and not _is_pre_vote_answer(body):
+        _answer_stale(state, envelope, out)
+        return
+    _on_current(state, envelope, now_s, out)
+
+
+def _on_current(
+    state: states.State, envelope: messages.Envelope, now_s: float, out: list
+) -> None:
+    match envelope.body:
+        case messages.VoteResponse():
+            elections.on_vote_response(state, envelope, now_s, out)
+        case messages.AppendRequest():
+            replication.on_append_request(state, envelope, now_s, out)
+        case messages.AppendResponse():
+            replication.on_append_response(state, envelope, now_s, out)
+            transfer.continue_transfer(state, out)
+        case messages.SnapshotChunk():
+            replication.on_snapshot_chunk(state, envelope, now_s, out)
+        case messages.SnapshotResponse():
+            replication.on_snapshot_response(state, envelope, now_s, out)
+        case messages.TimeoutNow():
+            if quorums.is_voter(state) and state.role is not states.Role.LEADER:
+                elections.start_election(state, True, now_s, out)
+
+
+def _is_pre_vote_answer(body: messages.Body) -> bool:
+    return isinstance(body, messages.VoteResponse) and body.pre
+
+
+def _answer_stale(state: states.State, envelope: messages.Envelope, out: list) -> None:
+    if isinstance(envelope.body, messages.AppendRequest | messages.SnapshotChunk):
+        response = messages.AppendResponse(False, 0, 0, 0)
+        out.append(roles.make_send(state, envelope.from_id, response, True))
+
+
+def _on_proposed(
+    state: states.State, event: states.Proposed, now_s: float, out: list
+) -> None:
+    if can_propose(state) and event.payloads:
+        kind = messages.EntryKind.COMMAND
+        payloads, time_s = event.payloads, event.time_s
+        replication.append_own(state, kind, payloads, time_s, now_s, out)
+
+
+def _on_snapshot_taken(state: states.State, event: states.SnapshotTaken) -> None:
+    if state.snapshot is not None and state.snapshot.index >= event.snapshot.index:
+        return
+    state.snapshot = event.snapshot
+    state.log.compact(event.snapshot.index - event.keep_count)
+    quorums.forget_before(state, event.snapshot.index)
+
+
+def _on_founded(
+    state: states.State, event: states.Founded, now_s: float, out: list
+) -> None:
+    empty = not state.memberships and state.log.last_index == 0
+    if not empty or event.membership.find(state.member_id) is None:
+        return
+    state.term = max(state.term, 1)
+    snapshot = messages.Snapshot(1, 1, event.membership, 0.0, b"")
+    replication.install(state, snapshot, out)
+    roles.reset_election_deadline(state, now_s)
+
+
+def _on_storage_failed(state: states.State, out: list) -> None:
+    roles.refuse_reads(state, out)
+    state.role = states.Role.FAILED
+    state.leader_id = ""
+    state.progress.clear()
--- /dev/null
+++ b/hickoryweir/replicas/recovery.py
@@ -0,0 +1,279 @@
+"""Reading a data folder back: what is there, what is torn, what is damaged."""
+
+import dataclasses
+import os
+
+from returns import result
+
+from hickoryweir.replicas import files as file_operations
+from hickoryweir.replicas import frames, messages, records
+from hickoryweir.streams import codec
+
+
+@dataclasses.dataclass(slots=True)
+class Segment:
+    """A segment as found; `size_bytes` leaves a torn end out."""
+
+    name: str
+    first_sequence: int
+    salt: int
+    size_bytes: int
+    last_index: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Recovered:
+    """Everything that a folder holds."""
+
+    identity: records.Identity
+    term: int = 0
+    voted_for: str = ""
+    snapshot: messages.Snapshot | None = None
+    base_index: int = 0
+    base_term: int = 0
+    entries: list[messages.Entry] = dataclasses.field(default_factory=list)
+    segments: list[Segment] = dataclasses.field(default_factory=list)
+    next_sequence: int = 1
+    torn_size_bytes: int = 0
+    torn_segment: str = ""
+
+
+class _StopError(Exception):
+    """Carries a failure out of the reading functions; never leaves this module."""
+
+    def __init__(self, failure: records.StorageFailure) -> None:
+        super().__init__(failure)
+        self.failure = failure
+
+
+def read_identity(
+    files: file_operations.Files, folder: str
+) -> result.Result[records.Identity | None, records.StorageFailure]:
+    """Return the folder's identity, or None if the folder is empty."""
+    try:
+        return result.Success(_read_identity(files, folder))
+    except _StopError as error:
+        return result.Failure(error.failure)
+    except OSError as error:
+        return result.Failure(_io_failure(folder, error))
+
+
+def recover(
+    files: file_operations.Files, folder: str
+) -> result.Result[Recovered, records.StorageFailure]:
+    """Return what a folder with an identity holds; changes nothing."""
+    try:
+        return result.Success(_recover(files, folder))
+    except _StopError as error:
+        return result.Failure(error.failure)
+    except OSError as error:
+        return result.Failure(_io_failure(folder, error))
+
+
+def newest_membership(found: Recovered) -> messages.Membership:
+    """Return the newest membership in a folder; empty if it has none."""
+    for entry in reversed(found.entries):
+        if entry.kind is messages.EntryKind.MEMBERSHIP:
+            return codec.decode(entry.payload).unwrap()
+    if found.snapshot is not None:
+        return found.snapshot.membership
+    return messages.Membership(())
+
+
+def _io_failure(path: str, error: OSError) -> records.StorageFailure:
+    return records.StorageFailure(records.Problem.INPUT_OUTPUT, path, str(error))
+
+
+def _stop(problem: records.Problem, path: str, detail: str) -> None:
+    raise _StopError(records.StorageFailure(problem, path, detail))
+
+
+def _read_identity(
+    files: file_operations.Files, folder: str
+) -> records.Identity | None:
+    names = files.list_names(folder)
+    path = os.path.join(folder, records.IDENTITY_NAME)
+    if records.IDENTITY_NAME not in names:
+        if any(_holds_state(files, folder, name) for name in names):
+            _stop(records.Problem.MISSING, path, "the folder has state but no identity")
+        return None
+    frame = frames.read_frame(files.read(path), 0, records.FIXED_SALT)
+    if frame is None:
+        _stop(records.Problem.DAMAGED, path, "checksum does not match")
+    return _decode(frame.body, records.Identity, path)
+
+
+def _holds_state(files: file_operations.Files, folder: str, name: str) -> bool:
+    if name.endswith(records.TEMPORARY_SUFFIX):
+        return False
+    if not name.startswith(records.LOG_PREFIX):
+        return name.startswith(records.SNAPSHOT_PREFIX) or name == records.SYNCED_NAME
+    data = files.read(os.path.join(folder, name))
+    header = frames.read_frame(data, 0, records.FIXED_SALT)
+    return header is None or header.end_offset < len(data)
+
+
+def _recover(files: file_operations.Files, folder: str) -> Recovered:
+    identity = _read_identity(files, folder)
+    if identity is None:
+        _stop(records.Problem.MISSING, folder, "no identity")
+    found = Recovered(identity)
+    found.snapshot = _read_snapshot(files, folder, identity)
+    _read_segments(files, folder, found)
+    _check_synced(files, folder, found)
+    _join_snapshot(folder, found)
+    return found
+
+
+def _decode(body: bytes, cls: type, path: str) -> object:
+    message = codec.decode(body).value_or(None)
+    if not isinstance(message, cls):
+        _stop(records.Problem.UNKNOWN_FORMAT, path, f"no {cls.__name__}")
+    version = getattr(message, "format_version", records.FORMAT_VERSION)
+    if version != records.FORMAT_VERSION:
+        _stop(records.Problem.UNKNOWN_FORMAT, path, f"format version {version}")
+    return message
+
+
+def _read_snapshot(
+    files: file_operations.Files, folder: str, identity: records.Identity
+) -> messages.Snapshot | None:
+    names = [
+        name
+        for name in files.list_names(folder)
+        if name.startswith(records.SNAPSHOT_PREFIX)
+        and not name.endswith(records.TEMPORARY_SUFFIX)
+    ]
+    if not names:
+        return None
+    path = os.path.join(folder, max(names))
+    scan = frames.scan(files.read(path), 0, records.FIXED_SALT)
+    if scan.ending is not frames.Ending.CLEAN or not scan.frames:
+        _stop(records.Problem.DAMAGED, path, "the snapshot is not whole")
+    header = _decode(scan.frames[0].body, records.SnapshotHeader, path)
+    if header.member_id != identity.member_id:
+        _stop(records.Problem.FOREIGN, path, f"written by {header.member_id}")
+    data = b"".join(frame.body for frame in scan.frames[1:])
+    if len(data) != header.size_bytes:
+        _stop(records.Problem.DAMAGED, path, "the snapshot is not whole")
+    return messages.Snapshot(
+        header.index, header.term, header.membership, header.time_s, data
+    )
+
+
+def _read_segments(files: file_operations.Files, folder: str, found: Recovered) -> None:
+    names = [
+        name
+        for name in files.list_names(folder)
+        if name.startswith(records.LOG_PREFIX)
+        and not name.endswith(records.TEMPORARY_SUFFIX)
+    ]
+    if not names:
+        _stop(records.Problem.MISSING, folder, "no log segment")
+    for position, name in enumerate(names):
+        last = position == len(names) - 1
+        _read_segment(files, folder, name, last, found)
+
+
+def _read_segment(
+    files: file_operations.Files, folder: str, name: str, last: bool, found: Recovered
+) -> None:
+    path = os.path.join(folder, name)
+    data = files.read(path)
+    first = frames.read_frame(data, 0, records.FIXED_SALT)
+    if first is None:
+        _stop(records.Problem.DAMAGED, path, "the header is damaged")
+    header = _decode(first.body, records.SegmentHeader, path)
+    if header.member_id != found.identity.member_id:
+        _stop(records.Problem.FOREIGN, path, f"written by {header.member_id}")
+    if found.segments and header.first_sequence != found.next_sequence:
+        _stop(records.Problem.MISSING, path, "a segment before this one is missing")
+    scan = frames.scan(data, first.end_offset, header.salt)
+    _check_ending(path, scan, last)
+    found.next_sequence = header.first_sequence
+    segment = Segment(name, header.first_sequence, header.salt, scan.end_offset)
+    found.segments.append(segment)
+    for frame in scan.frames:
+        _take_batch(path, frame, segment, found)
+    if scan.ending is frames.Ending.TORN:
+        found.torn_size_bytes = len(data) - scan.end_offset
+        found.torn_segment = name
+
+
+def _check_ending(path: str, scan: frames.Scan, last: bool) -> None:
+    if scan.ending is frames.Ending.DAMAGED:
+        detail = f"damaged at offset {scan.end_offset}, whole frames follow"
+        _stop(records.Problem.DAMAGED, path, detail)
+    if scan.ending is frames.Ending.TORN and not last:
+        detail = f"damaged at offset {scan.end_offset}, a later segment follows"
+        _stop(records.Problem.DAMAGED, path, detail)
+
+
+def _take_batch(
+    path: str, frame: frames.Frame, segment: Segment, found: Recovered
+) -> None:
+    if frame.sequence != found.next_sequence:
+        _stop(records.Problem.DAMAGED, path, f"batch {frame.sequence} out of order")
+    batch = _decode(frame.body, records.Batch, path)
+    found.next_sequence += 1
+    found.term = batch.term
+    found.voted_for = batch.voted_for
+    if batch.reset_index:
+        found.entries.clear()
+        found.base_index = batch.reset_index
+        found.base_term = batch.reset_term
+    if batch.entries:
+        _take_entries(path, batch.entries, found)
+        segment.last_index = max(segment.last_index, batch.entries[-1].index)
+
+
+def _take_entries(
+    path: str, entries: tuple[messages.Entry, ...], found: Recovered
+) -> None:
+    first_index = entries[0].index
+    if not found.entries and not found.base_index and first_index > 1:
+        found.base_index = first_index - 1
+        found.base_term = -1
+    keep_count = first_index - found.base_index - 1
+    if not 0 <= keep_count <= len(found.entries):
+        _stop(records.Problem.MISSING, path, f"no entry before {first_index}")
+    del found.entries[keep_count:]
+    found.entries.extend(entries)
+
+
+def _check_synced(files: file_operations.Files, folder: str, found: Recovered) -> None:
+    path = os.path.join(folder, records.SYNCED_NAME)
+    if records.SYNCED_NAME not in files.list_names(folder):
+        return
+    frame = frames.read_frame(files.read(path), 0, records.FIXED_SALT)
+    if frame is None:
+        return
+    synced = _decode(frame.body, records.Synced, path)
+    if synced.sequence >= found.next_sequence:
+        detail = f"batch {synced.sequence} was synced, the log ends before it"
+        _stop(records.Problem.DAMAGED, folder, detail)
+
+
+def _join_snapshot(folder: str, found: Recovered) -> None:
+    snapshot = found.snapshot
+    if snapshot is None:
+        if found.base_index:
+            _stop(records.Problem.MISSING, folder, "the snapshot is missing")
+        return
+    if found.base_index > snapshot.index:
+        _stop(records.Problem.MISSING, folder, "the newest snapshot is missing")
+    if _term_at(found, snapshot.index) not in (snapshot.term, -1):
+        found.entries.clear()
+    keep_from = snapshot.index - found.base_index
+    found.entries = found.entries[keep_from:]
+    found.base_index = snapshot.index
+    found.base_term = snapshot.term
+
+
+def _term_at(found: Recovered, index: int) -> int | None:
+    if index == found.base_index:
+        return found.base_term
+    position = index - found.base_index - 1
+    if position < len(found.entries):
+        return found.entries[position].term
+    return None
--- /dev/null
+++ b/hickoryweir/replicas/replication.py
@@ -0,0 +1,379 @@
+"""Replication by the leader and its counterpart in followers."""
+
+from hickoryweir.replicas import messages, quorums, roles
+from hickoryweir.replicas import state as states
+
+
+def append_own(
+    state: states.State,
+    kind: messages.EntryKind,
+    payloads: tuple[bytes, ...],
+    time_s: float,
+    now_s: float,
+    out: list,
+) -> None:
+    """Append entries of this leader and send them to everyone."""
+    if state.log.entries:
+        time_s = max(time_s, state.log.entries[-1].time_s)
+    first_index = state.log.last_index + 1
+    entries = tuple(
+        messages.Entry(first_index + offset, state.term, kind, time_s, payload)
+        for offset, payload in enumerate(payloads)
+    )
+    _take_entries(state, entries, out)
+    track_members(state, now_s)
+    for member_id in state.progress:
+        send_more(state, member_id, out)
+
+
+def track_members(state: states.State, now_s: float) -> None:
+    """Keep one progress for each other member."""
+    ids = {member.member_id for member in state.membership.members}
+    ids.discard(state.member_id)
+    for member_id in ids - state.progress.keys():
+        next_index = state.log.last_index + 1
+        state.progress[member_id] = states.Progress(next_index, now_s)
+    for member_id in state.progress.keys() - ids:
+        del state.progress[member_id]
+
+
+def broadcast_heartbeat(state: states.State, now_s: float, out: list) -> None:
+    """Send every member what it lacks, or nothing but a heartbeat."""
+    state.heartbeat_deadline_s = now_s + state.timing.heartbeat_interval_s
+    state.round_number += 1
+    for member_id, progress in state.progress.items():
+        if now_s - progress.acknowledged_s > 2 * state.timing.heartbeat_interval_s:
+            progress.in_flight_count = 0
+            progress.next_index = progress.match_index + 1
+            progress.probing = True
+        _send_next(state, member_id, out)
+
+
+def send_more(state: states.State, member_id: str, out: list) -> None:
+    """Send a member what it lacks, if there is room for more in flight."""
+    progress = state.progress[member_id]
+    if progress.next_index > state.log.last_index:
+        return
+    limit = 1 if progress.probing else state.timing.max_in_flight_count
+    if progress.in_flight_count < limit and progress.snapshot_offset is None:
+        _send_next(state, member_id, out)
+
+
+def on_append_request(
+    state: states.State, envelope: messages.Envelope, now_s: float, out: list
+) -> None:
+    """Take a leader's entries, or say where the logs differ."""
+    request: messages.AppendRequest = envelope.body
+    roles.follow(state, envelope, now_s, out)
+    if request.previous_index < state.log.base_index:
+        _answer(state, envelope, True, state.commit_index, out)
+        return
+    if state.log.term_at(request.previous_index) != request.previous_term:
+        _answer(state, envelope, False, _conflict_hint(state, request), out)
+        return
+    new = _new_entries(state, request.entries)
+    if new:
+        _take_entries(state, new, out)
+    match_index = request.previous_index + len(request.entries)
+    _answer(state, envelope, True, match_index, out)
+    advance(state, min(request.commit_index, match_index), out)
+
+
+def on_append_response(
+    state: states.State, envelope: messages.Envelope, now_s: float, out: list
+) -> None:
+    """Note a follower's progress and commit what a quorum holds."""
+    progress = state.progress.get(envelope.from_id)
+    if state.role is not states.Role.LEADER or progress is None:
+        return
+    response: messages.AppendResponse = envelope.body
+    _note_answer(state, progress, response.round_number, now_s, out)
+    progress.in_flight_count = max(0, progress.in_flight_count - 1)
+    if response.success:
+        _note_match(progress, response.match_index)
+        commit_quorum(state, out)
+    else:
+        _step_back(progress, response)
+    send_more(state, envelope.from_id, out)
+
+
+def on_snapshot_chunk(
+    state: states.State, envelope: messages.Envelope, now_s: float, out: list
+) -> None:
+    """Collect a snapshot and take it over when it is whole."""
+    chunk: messages.SnapshotChunk = envelope.body
+    roles.follow(state, envelope, now_s, out)
+    held = state.log.term_at(chunk.index) == chunk.snapshot_term
+    if chunk.index <= state.commit_index or held:
+        _answer_chunk(state, envelope, chunk.size_bytes, True, out)
+        return
+    key = (chunk.index, chunk.snapshot_term)
+    if chunk.offset == 0 or state.incoming_snapshot != key:
+        state.incoming_snapshot = key
+        state.incoming.clear()
+    if chunk.size_bytes > state.timing.max_snapshot_size_bytes:
+        return
+    if chunk.offset == len(state.incoming):
+        state.incoming.extend(chunk.data)
+    if len(state.incoming) < chunk.size_bytes:
+        _answer_chunk(state, envelope, len(state.incoming), False, out)
+        return
+    _take_snapshot(state, chunk, out)
+    _answer_chunk(state, envelope, chunk.size_bytes, True, out)
+
+
+def on_snapshot_response(
+    state: states.State, envelope: messages.Envelope, now_s: float, out: list
+) -> None:
+    """Send the next chunk, or go on with entries."""
+    progress = state.progress.get(envelope.from_id)
+    if state.role is not states.Role.LEADER or progress is None:
+        return
+    response: messages.SnapshotResponse = envelope.body
+    _note_answer(state, progress, response.round_number, now_s, out)
+    if response.done:
+        progress.snapshot_offset = None
+        _note_match(progress, response.index)
+        commit_quorum(state, out)
+        send_more(state, envelope.from_id, out)
+    elif progress.snapshot_index == response.index:
+        progress.snapshot_offset = response.next_offset
+        _send_chunk(state, envelope.from_id, out)
+
+
+def on_persisted(state: states.State, event: states.Persisted, out: list) -> None:
+    """Note that this replica's own log is synced up to an entry."""
+    if state.log.term_at(event.last_index) == event.last_term:
+        state.persisted_index = max(state.persisted_index, event.last_index)
+    if state.role is states.Role.LEADER:
+        commit_quorum(state, out)
+
+
+def commit_quorum(state: states.State, out: list) -> None:
+    """Commit up to the last entry of this term that a quorum holds durably."""
+    voter_ids = state.membership.voter_ids
+    matches = sorted(_match_index(state, voter_id) for voter_id in voter_ids)
+    if not matches:
+        return
+    quorum_index = matches[len(matches) - quorums.majority_count(len(matches))]
+    if state.log.term_at(quorum_index) == state.term:
+        advance(state, quorum_index, out)
+
+
+def advance(state: states.State, commit_index: int, out: list) -> None:
+    """Raise the commit index and apply what it newly covers."""
+    state.commit_index = max(state.commit_index, commit_index)
+    if state.applied_index >= state.commit_index:
+        return
+    entries = state.log.between(state.applied_index + 1, state.commit_index)
+    state.applied_index = state.commit_index
+    out.append(states.Apply(tuple(entries)))
+
+
+def request_read(
+    state: states.State, event: states.ReadRequested, now_s: float, out: list
+) -> None:
+    """Start a linearizable read: it needs one more round with a quorum."""
+    ready = state.commit_index >= state.term_start_index
+    if state.role is not states.Role.LEADER or not ready:
+        out.append(states.ReadRefused(event.read_id))
+        return
+    if not state.reads or state.reads[-1][1] <= state.round_number:
+        broadcast_heartbeat(state, now_s, out)
+    state.reads.append((event.read_id, state.round_number, state.commit_index))
+    finish_reads(state, out)
+
+
+def finish_reads(state: states.State, out: list) -> None:
+    """Release reads whose round a quorum has answered."""
+    while state.reads:
+        read_id, round_number, index = state.reads[0]
+        answered = {
+            member_id
+            for member_id, progress in state.progress.items()
+            if progress.acknowledged_round >= round_number
+        }
+        if not quorums.is_quorum(state, answered | {state.member_id}):
+            return
+        state.reads.pop(0)
+        out.append(states.ReadReady(read_id, index))
+
+
+def _take_entries(
+    state: states.State, entries: tuple[messages.Entry, ...], out: list
+) -> None:
+    first_index = entries[0].index
+    if first_index <= state.commit_index:
+        raise AssertionError("a committed entry would be replaced")
+    state.log.replace_from(entries)
+    state.persisted_index = min(state.persisted_index, first_index - 1)
+    quorums.note_entries(state, entries)
+    out.append(states.Store(state.term, state.voted_for, entries))
+
+
+def _new_entries(
+    state: states.State, entries: tuple[messages.Entry, ...]
+) -> tuple[messages.Entry, ...]:
+    for offset, entry in enumerate(entries):
+        if state.log.term_at(entry.index) != entry.term:
+            return entries[offset:]
+    return ()
+
+
+def _answer(
+    state: states.State,
+    envelope: messages.Envelope,
+    success: bool,
+    match_index: int,
+    out: list,
+) -> None:
+    request: messages.AppendRequest = envelope.body
+    response = messages.AppendResponse(
+        success, match_index, request.previous_index, request.round_number
+    )
+    out.append(roles.make_send(state, envelope.from_id, response, True))
+
+
+def _step_back(progress: states.Progress, response: messages.AppendResponse) -> None:
+    if response.rejected_index <= progress.match_index:
+        progress.lost_entries = True
+        return
+    wanted = min(response.rejected_index, response.match_index + 1)
+    progress.next_index = max(progress.match_index + 1, wanted)
+    progress.probing = True
+    progress.in_flight_count = 0
+
+
+def _conflict_hint(state: states.State, request: messages.AppendRequest) -> int:
+    if request.previous_index > state.log.last_index:
+        return state.log.last_index
+    term = state.log.term_at(request.previous_index)
+    index = request.previous_index
+    while index > state.commit_index and state.log.term_at(index) == term:
+        index -= 1
+    return index
+
+
+def _match_index(state: states.State, member_id: str) -> int:
+    if member_id == state.member_id:
+        return state.persisted_index
+    progress = state.progress.get(member_id)
+    return 0 if progress is None else progress.match_index
+
+
+def _note_match(progress: states.Progress, match_index: int) -> None:
+    progress.match_index = max(progress.match_index, match_index)
+    progress.next_index = max(progress.next_index, progress.match_index + 1)
+    progress.probing = False
+    progress.lost_entries = False
+
+
+def _note_answer(
+    state: states.State,
+    progress: states.Progress,
+    round_number: int,
+    now_s: float,
+    out: list,
+) -> None:
+    progress.heard_s = now_s
+    progress.acknowledged_s = now_s
+    progress.acknowledged_round = max(progress.acknowledged_round, round_number)
+    finish_reads(state, out)
+
+
+def _send_next(state: states.State, member_id: str, out: list) -> None:
+    progress = state.progress[member_id]
+    if progress.next_index <= state.log.base_index:
+        _send_chunk(state, member_id, out)
+        return
+    progress.snapshot_offset = None
+    entries = _next_entries(state, progress)
+    previous_index = progress.next_index - 1
+    request = messages.AppendRequest(
+        previous_index,
+        state.log.term_at(previous_index),
+        entries,
+        state.commit_index,
+        state.round_number,
+    )
+    if entries:
+        progress.in_flight_count += 1
+        if not progress.probing:
+            progress.next_index += len(entries)
+    out.append(roles.make_send(state, member_id, request, False))
+
+
+def _next_entries(
+    state: states.State, progress: states.Progress
+) -> tuple[messages.Entry, ...]:
+    limit = 1 if progress.probing else state.timing.max_in_flight_count
+    if progress.in_flight_count >= limit:
+        return ()
+    last_index = progress.next_index + state.timing.max_append_count - 1
+    entries = state.log.between(progress.next_index, last_index)
+    size_bytes = 0
+    for count, entry in enumerate(entries):
+        size_bytes += len(entry.payload)
+        if size_bytes > state.timing.max_append_size_bytes and count:
+            return tuple(entries[:count])
+    return tuple(entries)
+
+
+def _send_chunk(state: states.State, member_id: str, out: list) -> None:
+    progress = state.progress[member_id]
+    snapshot = state.snapshot
+    if progress.snapshot_offset is None or progress.snapshot_index != snapshot.index:
+        progress.snapshot_offset = 0
+        progress.snapshot_index = snapshot.index
+    offset = progress.snapshot_offset
+    chunk = messages.SnapshotChunk(
+        snapshot.index,
+        snapshot.term,
+        snapshot.membership,
+        snapshot.time_s,
+        len(snapshot.data),
+        offset,
+        snapshot.data[offset : offset + state.timing.chunk_size_bytes],
+        state.round_number,
+    )
+    out.append(roles.make_send(state, member_id, chunk, False))
+
+
+def _answer_chunk(
+    state: states.State,
+    envelope: messages.Envelope,
+    next_offset: int,
+    done: bool,
+    out: list,
+) -> None:
+    chunk: messages.SnapshotChunk = envelope.body
+    response = messages.SnapshotResponse(
+        chunk.index, next_offset, done, chunk.round_number
+    )
+    out.append(roles.make_send(state, envelope.from_id, response, True))
+
+
+def _take_snapshot(
+    state: states.State, chunk: messages.SnapshotChunk, out: list
+) -> None:
+    snapshot = messages.Snapshot(
+        chunk.index,
+        chunk.snapshot_term,
+        chunk.membership,
+        chunk.time_s,
+        bytes(state.incoming),
+    )
+    state.incoming.clear()
+    state.incoming_snapshot = (0, 0)
+    install(state, snapshot, out)
+
+
+def install(state: states.State, snapshot: messages.Snapshot, out: list) -> None:
+    """Replace the log by a snapshot."""
+    state.snapshot = snapshot
+    state.log.reset(snapshot.index, snapshot.term)
+    state.memberships = [(snapshot.index, snapshot.membership)]
+    state.commit_index = snapshot.index
+    state.applied_index = snapshot.index
+    state.persisted_index = snapshot.index
+    out.append(states.SaveSnapshot(snapshot, state.term, state.voted_for))
--- /dev/null
+++ b/hickoryweir/replicas/requests.py
@@ -0,0 +1,150 @@
+"""Client requests that wait at a replica for the log or for a version."""
+
+import dataclasses
+
+from hickoryweir.replicas import elections, machine, membership, messages, wire
+from hickoryweir.replicas import state as states
+from hickoryweir.streams import codec, connections
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """A request whose answer goes to `connection`."""
+
+    connection: connections.Connection
+    request: wire.Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Watch:
+    """A watch with the monotonic time at which it ends."""
+
+    waiting: Waiting
+    query: object
+    deadline_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Waits:
+    """Everything that waits, owned by the node's task.
+
+    Attributes
+    ----------
+    commands, changes : dict
+        By index of the entry in the log.
+    reads : dict
+        By read id.
+    watches : list
+        Long polls.
+    """
+
+    commands: dict[int, Waiting] = dataclasses.field(default_factory=dict)
+    changes: dict[int, Waiting] = dataclasses.field(default_factory=dict)
+    reads: dict[int, Waiting] = dataclasses.field(default_factory=dict)
+    watches: list[Watch] = dataclasses.field(default_factory=list)
+    next_read_id: int = 1
+
+
+def answer(waiting: Waiting, response: object, index: int) -> None:
+    """Send a response of the state machine."""
+    payload = b"" if response is None else codec.encode(response)
+    request_id = waiting.request.request_id
+    waiting.connection.offer(wire.Answered(request_id, payload, index))
+
+
+def refuse(
+    waiting: Waiting,
+    hindrance: wire.Hindrance,
+    state: states.State,
+    now_s: float,
+    may_commit: bool = False,
+) -> None:
+    """Say that a request was not served."""
+    message = wire.NotServed(
+        waiting.request.request_id,
+        hindrance,
+        messages.replica_name_of(state.leader_id),
+        elections.has_quorum(state, now_s),
+        may_commit,
+    )
+    waiting.connection.offer(message)
+
+
+def refuse_appended(waits: Waits, state: states.State, now_s: float) -> None:
+    """Leadership is lost: what was appended may still be committed by another."""
+    lost = wire.Hindrance.LEADERSHIP_LOST
+    for waiting in (*waits.commands.values(), *waits.changes.values()):
+        refuse(waiting, lost, state, now_s, may_commit=True)
+    waits.commands.clear()
+    waits.changes.clear()
+
+
+def serve_watches(
+    waits: Waits, state_machine: machine.Machine, index: int, now_s: float
+) -> None:
+    """Answer watches whose version has come or whose time is up."""
+    kept = []
+    for watch in waits.watches:
+        version = machine.version_for(state_machine, watch.query)
+        if version is None or version > watch.waiting.request.after_version:
+            response = machine.query(state_machine, watch.query)
+            answer(watch.waiting, response, index)
+        elif now_s >= watch.deadline_s:
+            answer(watch.waiting, None, index)
+        elif not watch.waiting.connection.is_closed:
+            kept.append(watch)
+    waits.watches = kept
+
+
+def make_status(
+    request_id: int, state: states.State, availability_zone: str, now_s: float
+) -> wire.Status:
+    """Return how this replica is."""
+    members = tuple(
+        _member_status(state, member, now_s) for member in state.membership.members
+    )
+    return wire.Status(
+        request_id,
+        state.member_id,
+        availability_zone,
+        state.role.value,
+        state.term,
+        state.leader_id,
+        elections.has_quorum(state, now_s),
+        not state.memberships and state.log.last_index == 0,
+        state.log.last_index,
+        state.commit_index,
+        0 if state.snapshot is None else state.snapshot.index,
+        members,
+    )
+
+
+def _member_status(
+    state: states.State, member: messages.Member, now_s: float
+) -> wire.MemberStatus:
+    progress = state.progress.get(member.member_id)
+    if progress is None:
+        own = member.member_id == state.member_id
+        match_index = state.persisted_index if own else 0
+        return wire.MemberStatus(member, match_index, own, False, 0.0)
+    return wire.MemberStatus(
+        member,
+        progress.match_index,
+        membership.is_caught_up(state, member.member_id, now_s),
+        progress.lost_entries,
+        now_s - progress.heard_s,
+    )
+
+
+def make_change_event(request: wire.ChangeRequest, time_s: float) -> states.Event:
+    """Return the core's event for a change of the members."""
+    member = request.member
+    match request.change:
+        case wire.Change.ADD_LEARNER:
+            return states.LearnerAdded(member, time_s)
+        case wire.Change.PROMOTE:
+            return states.LearnerPromoted(member.member_id, time_s)
+        case wire.Change.REMOVE:
+            return states.MemberRemoved(member.member_id, time_s)
+        case wire.Change.TRANSFER:
+            return states.TransferRequested(member.member_id)
--- /dev/null
+++ b/hickoryweir/replicas/roles.py
@@ -0,0 +1,63 @@
+"""Changes of a replica's role and term."""
+
+from hickoryweir.replicas import messages
+from hickoryweir.replicas import state as states
+
+
+def make_send(
+    state: states.State, to_id: str, body: messages.Body, durable: bool
+) -> states.Send:
+    """Return the action that sends `body` under this replica's term."""
+    envelope = messages.Envelope(to_id, state.member_id, state.term, body)
+    return states.Send(envelope, durable)
+
+
+def broadcast(
+    state: states.State, body: messages.Body, durable: bool, out: list
+) -> None:
+    """Send `body` to every other voter."""
+    for voter_id in state.membership.voter_ids:
+        if voter_id != state.member_id:
+            out.append(make_send(state, voter_id, body, durable))
+
+
+def reset_election_deadline(state: states.State, now_s: float) -> None:
+    """Put the next election one to two election timeouts ahead."""
+    timeout_s = state.timing.election_timeout_s * (1.0 + state.random.random())
+    state.election_deadline_s = now_s + timeout_s
+
+
+def become_follower(state: states.State, term: int, now_s: float, out: list) -> None:
+    """Follow, without a known leader yet; a higher term is stored."""
+    if term > state.term:
+        state.term = term
+        state.voted_for = ""
+        out.append(states.Store(state.term, state.voted_for, ()))
+    if state.role is states.Role.LEADER:
+        state.probe_started_s = now_s
+    state.role = states.Role.FOLLOWER
+    state.leader_id = ""
+    state.progress.clear()
+    state.transfer_target = ""
+    refuse_reads(state, out)
+    reset_election_deadline(state, now_s)
+
+
+def follow(
+    state: states.State, envelope: messages.Envelope, now_s: float, out: list
+) -> None:
+    """Note a sign of life of this term's leader."""
+    if state.role is states.Role.LEADER:
+        raise AssertionError("two leaders in one term")
+    if state.role is not states.Role.FOLLOWER:
+        become_follower(state, envelope.term, now_s, out)
+    state.leader_id = envelope.from_id
+    state.heard_leader_s = now_s
+    state.last_probe_found_quorum = True
+    reset_election_deadline(state, now_s)
+
+
+def refuse_reads(state: states.State, out: list) -> None:
+    """Refuse every read that still waits."""
+    out.extend(states.ReadRefused(read_id) for read_id, _, _ in state.reads)
+    state.reads.clear()
--- /dev/null
+++ b/hickoryweir/replicas/state.py
@@ -0,0 +1,331 @@
+"""State of one replica in the replicated log, its events and its actions.
+
+:func:`hickoryweir.replicas.raft.step` takes the state, an event and the monotonic
+time and returns actions in order.  A :class:`Send` with `durable` set leaves only
+after every :class:`Store` and :class:`SaveSnapshot` before it has been synced.
+"""
+
+import dataclasses
+import enum
+import random
+
+from hickoryweir.replicas import messages
+
+
+class Role(enum.StrEnum):
+    """What the replica does now."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    FAILED = "failed"
+
+
+class ChangeRefusal(enum.StrEnum):
+    """Why a membership change or transfer was not started."""
+
+    NOT_LEADER = "not_leader"
+    CHANGE_IN_PROGRESS = "change_in_progress"
+    TERM_NOT_COMMITTED = "term_not_committed"
+    UNKNOWN_MEMBER = "unknown_member"
+    ALREADY_MEMBER = "already_member"
+    NOT_CAUGHT_UP = "not_caught_up"
+    IS_LEADER = "is_leader"
+    NAME_TAKEN = "name_taken"
+    TRANSFER_IN_PROGRESS = "transfer_in_progress"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """Times and bounds of the protocol.
+
+    An election starts between one and two election timeouts after the last word of
+    a leader; a leader without a quorum for one election timeout steps down.
+    """
+
+    heartbeat_interval_s: float = 0.1
+    election_timeout_s: float = 0.5
+    probe_grace_s: float = 0.15
+    max_append_count: int = 1024
+    max_append_size_bytes: int = 512 * 1024
+    max_in_flight_count: int = 32
+    chunk_size_bytes: int = 1024 * 1024
+    max_snapshot_size_bytes: int = 512 * 1024 * 1024
+    catch_up_max_lag_count: int = 64
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What a leader knows of another member.
+
+    `lost_entries` says that the member rejects what it had acknowledged: its folder
+    is older than its word, and it has to be replaced.
+    """
+
+    next_index: int
+    heard_s: float
+    match_index: int = 0
+    probing: bool = True
+    in_flight_count: int = 0
+    acknowledged_round: int = 0
+    acknowledged_s: float = 0.0
+    snapshot_offset: int | None = None
+    snapshot_index: int = 0
+    lost_entries: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Log:
+    """Entries after the base; the base is the last one no longer held."""
+
+    base_index: int = 0
+    base_term: int = 0
+    entries: list[messages.Entry] = dataclasses.field(default_factory=list)
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None if it isn't held."""
+        if index == self.base_index:
+            return self.base_term
+        if not self.base_index < index <= self.last_index:
+            return None
+        return self.entries[index - self.base_index - 1].term
+
+    def between(self, first_index: int, last_index: int) -> list[messages.Entry]:
+        """Return the entries from first to last, both included."""
+        offset = self.base_index + 1
+        return self.entries[first_index - offset : last_index - offset + 1]
+
+    def replace_from(self, entries: tuple[messages.Entry, ...]) -> None:
+        """Drop everything from the first of `entries` on and append them."""
+        del self.entries[entries[0].index - self.base_index - 1 :]
+        self.entries.extend(entries)
+
+    def compact(self, index: int) -> None:
+        """Forget the entries up to `index`."""
+        if index <= self.base_index:
+            return
+        term = self.term_at(index)
+        del self.entries[: index - self.base_index]
+        self.base_index = index
+        self.base_term = term
+
+    def reset(self, index: int, term: int) -> None:
+        """Forget everything; the log goes on after `index`."""
+        self.entries.clear()
+        self.base_index = index
+        self.base_term = term
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """The whole state of one replica; owned by one task."""
+
+    member_id: str
+    timing: Timing
+    random: random.Random
+    term: int = 0
+    voted_for: str = ""
+    role: Role = Role.FOLLOWER
+    leader_id: str = ""
+    log: Log = dataclasses.field(default_factory=Log)
+    snapshot: messages.Snapshot | None = None
+    memberships: list[tuple[int, messages.Membership]] = dataclasses.field(
+        default_factory=list
+    )
+    commit_index: int = 0
+    applied_index: int = 0
+    persisted_index: int = 0
+    election_deadline_s: float = 0.0
+    heartbeat_deadline_s: float = 0.0
+    heard_leader_s: float = float("-inf")
+    votes: set[str] = dataclasses.field(default_factory=set)
+    answered: set[str] = dataclasses.field(default_factory=set)
+    probe_started_s: float = float("-inf")
+    last_probe_found_quorum: bool = True
+    progress: dict[str, Progress] = dataclasses.field(default_factory=dict)
+    term_start_index: int = 0
+    round_number: int = 0
+    reads: list[tuple[int, int, int]] = dataclasses.field(default_factory=list)
+    transfer_target: str = ""
+    transfer_deadline_s: float = 0.0
+    incoming: bytearray = dataclasses.field(default_factory=bytearray)
+    incoming_snapshot: tuple[int, int] = (0, 0)
+
+    @property
+    def membership(self) -> messages.Membership:
+        """Return the latest membership in the log, committed or not."""
+        if not self.memberships:
+            return messages.Membership(())
+        return self.memberships[-1][1]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time has passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A message of another member has come."""
+
+    envelope: messages.Envelope
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proposed:
+    """Commands for the log, with the wall clock of this replica."""
+
+    payloads: tuple[bytes, ...]
+    time_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Persisted:
+    """Everything stored up to an entry, and the term, is synced."""
+
+    term: int
+    last_index: int
+    last_term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRequested:
+    """A linearizable read wants to know from which index on it may be served."""
+
+    read_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LearnerAdded:
+    """An operator adds a learner."""
+
+    member: messages.Member
+    time_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LearnerPromoted:
+    """An operator makes a learner a voter."""
+
+    member_id: str
+    time_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberRemoved:
+    """An operator removes a member."""
+
+    member_id: str
+    time_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransferRequested:
+    """Leadership should go to another voter; empty for the most advanced one."""
+
+    member_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotTaken:
+    """The machine's own snapshot is durable; `keep_count` entries stay before it."""
+
+    snapshot: messages.Snapshot
+    keep_count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Founded:
+    """A new cluster with these members; taken only by an empty replica."""
+
+    membership: messages.Membership
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StorageFailed:
+    """A write or sync failed; nothing can be promised any more."""
+
+
+Event = (
+    Ticked
+    | Received
+    | Proposed
+    | Persisted
+    | ReadRequested
+    | LearnerAdded
+    | LearnerPromoted
+    | MemberRemoved
+    | TransferRequested
+    | SnapshotTaken
+    | Founded
+    | StorageFailed
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Send a message; if `durable`, after all stores before it are synced."""
+
+    envelope: messages.Envelope
+    durable: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Store:
+    """Store the term, the vote and entries that replace the tail of the log."""
+
+    term: int
+    voted_for: str
+    entries: tuple[messages.Entry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SaveSnapshot:
+    """Store a received snapshot, forget the log before it, load the machine."""
+
+    snapshot: messages.Snapshot
+    term: int
+    voted_for: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Apply:
+    """Apply committed entries to the machine."""
+
+    entries: tuple[messages.Entry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadReady:
+    """A read may be served once `index` has been applied."""
+
+    read_id: int
+    index: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRefused:
+    """A read can't be served here."""
+
+    read_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeRefused:
+    """A membership change or transfer was not started."""
+
+    reason: ChangeRefusal
+
+
+Action = Send | Store | SaveSnapshot | Apply | ReadReady | ReadRefused | ChangeRefused
--- /dev/null
+++ b/hickoryweir/replicas/tests/register.py
@@ -0,0 +1,156 @@
+"""A small key-value submachine and helpers that run replicas on loopback."""
+
+import asyncio
+import contextlib
+import dataclasses
+import socket
+
+import msgpack
+
+from hickoryweir.replicas import client, machine, node, wire
+from hickoryweir.streams import codec, handshake, hub
+
+CLUSTER_ID = "north"
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Put:
+    """Sets a key."""
+
+    key: str
+    value: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Get:
+    """Asks for a key."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Value:
+    """Answers both: the value and how many puts there were."""
+
+    value: str
+    version: int
+
+
+for _tag, _cls in (("t.put", Put), ("t.get", Get), ("t.value", Value)):
+    codec.register(_tag, _cls)
+
+
+@dataclasses.dataclass(slots=True)
+class Register:
+    """The state."""
+
+    values: dict = dataclasses.field(default_factory=dict)
+    version: int = 0
+
+
+def apply(state, command, index, time_s):
+    state.values[command.key] = command.value
+    state.version += 1
+    return Value(command.value, state.version)
+
+
+def query(state, message, time_s):
+    return Value(state.values.get(message.key, ""), state.version)
+
+
+def dump(state):
+    return msgpack.packb([state.version, state.values])
+
+
+def load(data):
+    version, values = msgpack.unpackb(data)
+    return Register(values, version)
+
+
+SUBMACHINE = machine.Submachine(
+    "register",
+    (Put,),
+    Register,
+    apply,
+    dump,
+    load,
+    (Get,),
+    query,
+    lambda state: state.version,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """A replica with its port."""
+
+    address: wire.ReplicaAddress
+    hub: hub.Hub
+    node: node.Node
+    folder: str
+
+    async def stop(self):
+        """Stop as planned, handing leadership over."""
+        await self.node.stop()
+        await self.hub.close()
+
+    async def crash(self):
+        """Stop without handing leadership over."""
+        await self.hub.close()
+        for task in self.node._tasks:
+            task.cancel()
+        await self.node._links.close()
+        await self.node._disk.close()
+
+
+def make_identity(name):
+    return handshake.Identity(CLUSTER_ID, name, f"zone-{name}")
+
+
+async def start_replica(name, port, folder, replicas=(), bootstrap=False, **options):
+    identity = make_identity(name)
+    peer_hub = hub.make_hub(identity, HOST, port)
+    settings = node.NodeSettings(identity, folder, replicas, bootstrap, **options)
+    running = node.make_node(settings, peer_hub, (SUBMACHINE,))
+    (await running.start()).unwrap()
+    await peer_hub.start()
+    address = wire.ReplicaAddress(name, HOST, peer_hub.port, identity.availability_zone)
+    return Running(address, peer_hub, running, folder)
+
+
+def reserve_ports(count):
+    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+@contextlib.asynccontextmanager
+async def run_cluster(folder, names=("a", "b", "c"), **options):
+    ports = reserve_ports(len(names))
+    addresses = tuple(
+        wire.ReplicaAddress(name, HOST, port, f"zone-{name}")
+        for name, port in zip(names, ports, strict=True)
+    )
+    replicas = {}
+    for item in addresses:
+        replicas[item.name] = await start_replica(
+            item.name,
+            item.port,
+            str(folder / item.name),
+            addresses,
+            True,
+            **options,
+        )
+    router = client.make_client(make_identity("router"), addresses)
+    try:
+        assert await router.wait_until_ready(START_TIMEOUT_S)
+        yield replicas, router
+    finally:
+        await router.close()
+        await asyncio.gather(
+            *[item.stop() for item in replicas.values()], return_exceptions=True
+        )
--- /dev/null
+++ b/hickoryweir/replicas/wire.py
@@ -0,0 +1,176 @@
+"""Messages between a replica and its clients, and to found a cluster."""
+
+import dataclasses
+import enum
+
+from hickoryweir.replicas import messages
+from hickoryweir.streams import codec
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaAddress:
+    """Where a replica listens."""
+
+    name: str
+    host: str
+    port: int
+    availability_zone: str
+
+    @property
+    def address(self) -> str:
+        """Return host and port as one text."""
+        return f"{self.host}:{self.port}"
+
+
+class Change(enum.StrEnum):
+    """A change of the members."""
+
+    ADD_LEARNER = "add_learner"
+    PROMOTE = "promote"
+    REMOVE = "remove"
+    TRANSFER = "transfer"
+
+
+class Hindrance(enum.StrEnum):
+    """Why a replica did not serve a request."""
+
+    NOT_LEADER = "not_leader"
+    LEADERSHIP_LOST = "leadership_lost"
+    OVERLOADED = "overloaded"
+    MALFORMED = "malformed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProposeRequest:
+    """Asks for a command in the log."""
+
+    request_id: int
+    command: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRequest:
+    """Asks for an answer from the state; a stale one may lag."""
+
+    request_id: int
+    query: bytes
+    stale: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchRequest:
+    """Asks for an answer once the version is above `after_version`."""
+
+    request_id: int
+    query: bytes
+    after_version: int
+    timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusRequest:
+    """Asks how the replica is."""
+
+    request_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeRequest:
+    """Asks for a change of the members."""
+
+    request_id: int
+    change: Change
+    member: messages.Member
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The response to a command or query; empty if a watch timed out."""
+
+    request_id: int
+    payload: bytes
+    index: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotServed:
+    """Nothing was done, or with `may_commit` perhaps."""
+
+    request_id: int
+    hindrance: Hindrance
+    leader_name: str
+    has_quorum: bool
+    may_commit: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberStatus:
+    """A member as the answering replica sees it; the last three if it leads."""
+
+    member: messages.Member
+    match_index: int
+    caught_up: bool
+    lost_entries: bool
+    quiet_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """How a replica is."""
+
+    request_id: int
+    member_id: str
+    availability_zone: str
+    role: str
+    term: int
+    leader_id: str
+    has_quorum: bool
+    empty: bool
+    last_index: int
+    commit_index: int
+    snapshot_index: int
+    members: tuple[MemberStatus, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeAnswered:
+    """A change is committed, or refused with a reason."""
+
+    request_id: int
+    refusal: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundRequest:
+    """Tells an empty replica the members of a new cluster."""
+
+    membership: messages.Membership
+
+
+Request = ProposeRequest | ReadRequest | WatchRequest | StatusRequest | ChangeRequest
+
+for _tag, _cls in (
+    ("rc.propose", ProposeRequest),
+    ("rc.read", ReadRequest),
+    ("rc.watch", WatchRequest),
+    ("rc.status?", StatusRequest),
+    ("rc.change?", ChangeRequest),
+    ("rc.answered", Answered),
+    ("rc.not_served", NotServed),
+    ("rc.status", Status),
+    ("rc.change", ChangeAnswered),
+    ("rc.found", FoundRequest),
+):
+    codec.register(_tag, _cls)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``.
+
+    Examples
+    --------
+    >>> split_address("10.0.0.1:7000")
+    ('10.0.0.1', 7000)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/hickoryweir/streams/connections.py
+++ b/hickoryweir/streams/connections.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import enum
+import socket
 import struct
 import typing
 
@@ -18,6 +19,9 @@
 MAX_FRAME_SIZE_BYTES = 8 * 1024 * 1024
 MAX_QUEUED_MESSAGES_COUNT = 1024
 MAX_WRITE_SIZE_BYTES = 256 * 1024
+UNACKNOWLEDGED_TIMEOUT_MS = 3000
+KEEP_ALIVE_IDLE_S = 5
+KEEP_ALIVE_INTERVAL_S = 2
 LENGTH = struct.Struct(">I")
 
 
@@ -49,6 +53,7 @@
         max_queued_count: int = MAX_QUEUED_MESSAGES_COUNT,
     ) -> None:
         self.peer = peer
+        _detect_silence(writer)
         self._reader = reader
         self._writer = writer
         self._queue: asyncio.Queue[bytes] = asyncio.Queue(max_queued_count)
@@ -149,6 +154,18 @@
         return frames
 
 
+def _detect_silence(writer: asyncio.StreamWriter) -> None:
+    """Let the system end a connection whose other side has fallen silent."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
+        (socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 async def read_frame(
     reader: asyncio.StreamReader, max_size_bytes: int
 ) -> bytes | StreamFailure:
