--- /dev/null
+++ b/hickoryweir/testing/engine_model.py
@@ -0,0 +1,417 @@
+"""A model engine as pure functions: continuous batching on given time.
+
+The stand-in (:mod:`hickoryweir.testing.engine`) drives it by the clock and
+experiments drive it on virtual time.  Sequences wait by priority, are prefilled
+one after the other, then decode together at a rate that falls as the batch
+grows.  A waiting sequence of higher priority preempts a running one, which
+later prefills again what it had.  Prefixes of whole blocks stay in a limited
+cache, least recently used out first.
+
+All decoding sequences have the same rate, so the state keeps one work counter
+(tokens decoded by each sequence) instead of a counter per sequence.
+
+Examples
+--------
+>>> settings = EngineModelSettings(decode_tokens_per_s=10.0)
+>>> state = make_state()
+>>> call = Submit("r1", 0, prompt_tokens=200, output_tokens=11, prefix_digests=())
+>>> state, outputs = step(settings, state, call, 0.0)
+>>> next_change_s(settings, state)
+0.1
+>>> state, outputs = step(settings, state, Advance(), 0.1)
+>>> outputs
+(FirstToken(request_id='r1', at_s=0.1),)
+>>> state, outputs = step(settings, state, Advance(), 2.0)
+>>> outputs
+(Finished(request_id='r1', at_s=1.1),)
+"""
+
+import dataclasses
+import math
+
+SMALLEST_STEP_TOKENS = 1e-6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineModelSettings:
+    """Speed and limits of an engine.
+
+    Attributes
+    ----------
+    decode_tokens_per_s : float
+        Rate of one sequence that runs alone.
+    batch_slowdown : float
+        A batch of ``n`` decodes each sequence ``1 + batch_slowdown * (n - 1)``
+        times slower than one alone.
+    prefill_tokens_per_s : float
+        Rate of reading uncached prompt tokens.
+    decode_share_in_prefill : float
+        Share of the decode rate that is left while a prompt is read.
+    max_batch : int
+        Sequences that run at once, prefilling ones included.
+    block_tokens, cache_capacity_blocks : int
+        Size of a prefix block and number of blocks kept.
+    preempts : bool
+        Whether higher priorities preempt running sequences.
+    """
+
+    decode_tokens_per_s: float = 50.0
+    batch_slowdown: float = 0.05
+    prefill_tokens_per_s: float = 2000.0
+    decode_share_in_prefill: float = 0.7
+    max_batch: int = 16
+    block_tokens: int = 64
+    cache_capacity_blocks: int = 512
+    preempts: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submit:
+    """A call arrives; ``resumed_tokens`` of its output exist already.
+
+    The lowest ``priority`` number is served first.
+    """
+
+    request_id: str
+    priority: int
+    prompt_tokens: int
+    output_tokens: int
+    prefix_digests: tuple[int, ...]
+    resumed_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """The caller of a sequence has gone."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ImportPrefixes:
+    """Prefix blocks arrive from another engine."""
+
+    prefix_digests: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetSpeed:
+    """The engine becomes a straggler (below 1) or recovers (1)."""
+
+    factor: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Advance:
+    """Time has passed."""
+
+
+Event = Submit | Cancel | ImportPrefixes | SetSpeed | Advance
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstToken:
+    """A sequence was prefilled and has its next token."""
+
+    request_id: str
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """A sequence has all its tokens."""
+
+    request_id: str
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Preempted:
+    """A running sequence went back to the queue with ``tokens`` produced."""
+
+    request_id: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheChanged:
+    """Prefix blocks entered and left the cache."""
+
+    stored: tuple[int, ...]
+    removed: tuple[int, ...]
+
+
+Output = FirstToken | Finished | Preempted | CacheChanged
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sequence:
+    """One call inside the engine.
+
+    ``produced_tokens`` counts up to the start of the present decoding, which
+    began when the engine's work counter stood at ``started_at_work_tokens``.
+    """
+
+    call: Submit
+    order: int
+    produced_tokens: int
+    prefill_left_tokens: float = 0.0
+    started_at_work_tokens: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """Everything an engine knows; ``cache`` has the least recent block first."""
+
+    now_s: float
+    speed_factor: float
+    next_order: int
+    work_tokens: float
+    waiting: tuple[Sequence, ...]
+    prefilling: tuple[Sequence, ...]
+    decoding: tuple[Sequence, ...]
+    cache: tuple[int, ...]
+
+
+def make_state(now_s: float = 0.0) -> State:
+    """Return an idle engine with an empty cache."""
+    return State(now_s, 1.0, 0, 0.0, (), (), (), ())
+
+
+def running_count(state: State) -> int:
+    """Return the number of sequences in the batch."""
+    return len(state.prefilling) + len(state.decoding)
+
+
+def cache_used_share(settings: EngineModelSettings, state: State) -> float:
+    """Return the used share of the prefix cache, 0 to 1."""
+    return len(state.cache) / max(1, settings.cache_capacity_blocks)
+
+
+def decode_rate_tokens_per_s(settings: EngineModelSettings, state: State) -> float:
+    """Return the rate at which each decoding sequence gets tokens now."""
+    if not state.decoding:
+        return 0.0
+    slowdown = 1.0 + settings.batch_slowdown * (len(state.decoding) - 1)
+    rate = settings.decode_tokens_per_s * state.speed_factor / slowdown
+    return rate * settings.decode_share_in_prefill if state.prefilling else rate
+
+
+def produced_tokens(state: State, sequence: Sequence) -> int:
+    """Return the output tokens that a decoding sequence has by now."""
+    gained = state.work_tokens - sequence.started_at_work_tokens
+    tokens = sequence.produced_tokens + int(gained + SMALLEST_STEP_TOKENS)
+    return min(tokens, sequence.call.output_tokens)
+
+
+def next_change_s(settings: EngineModelSettings, state: State) -> float:
+    """Return when the next prefill or sequence ends; infinite if idle."""
+    times = [math.inf]
+    if state.prefilling:
+        rate = settings.prefill_tokens_per_s * state.speed_factor
+        times.append(_after(state.prefilling[0].prefill_left_tokens, rate))
+    if state.decoding:
+        left = min(_left_tokens(state, sequence) for sequence in state.decoding)
+        times.append(_after(left, decode_rate_tokens_per_s(settings, state)))
+    return state.now_s + min(times)
+
+
+def step(
+    settings: EngineModelSettings, state: State, event: Event, now_s: float
+) -> tuple[State, tuple[Output, ...]]:
+    """Run the engine up to a time and apply an event there.
+
+    Parameters
+    ----------
+    settings : EngineModelSettings
+        Speed and limits.
+    state : State
+        The engine before.
+    event : Event
+        What happens at ``now_s``.
+    now_s : float
+        Time of the event, not before the state's.
+
+    Returns
+    -------
+    tuple of State and tuple of Output
+        The engine after, and what it did, in order.
+    """
+    outputs: list[Output] = []
+    while (change_s := next_change_s(settings, state)) <= now_s:
+        state = _progress(settings, state, change_s)
+        state = _end_prefill(state, outputs)
+        state = _end_sequences(state, outputs)
+        state = _fill_batch(settings, state, outputs)
+    state = _progress(settings, state, max(now_s, state.now_s))
+    state = _apply(settings, state, event, outputs)
+    state = _fill_batch(settings, state, outputs)
+    return state, tuple(outputs)
+
+
+def _after(tokens: float, rate_tokens_per_s: float) -> float:
+    if tokens <= 0.0:
+        return 0.0
+    return tokens / rate_tokens_per_s if rate_tokens_per_s > 0.0 else math.inf
+
+
+def _left_tokens(state: State, sequence: Sequence) -> float:
+    gained = state.work_tokens - sequence.started_at_work_tokens
+    left = sequence.call.output_tokens - sequence.produced_tokens - gained
+    return left if left > SMALLEST_STEP_TOKENS else 0.0
+
+
+def _progress(settings: EngineModelSettings, state: State, now_s: float) -> State:
+    passed_s = now_s - state.now_s
+    decoded = passed_s * decode_rate_tokens_per_s(settings, state)
+    prefilling = state.prefilling
+    if prefilling:
+        head = prefilling[0]
+        read = passed_s * settings.prefill_tokens_per_s * state.speed_factor
+        left = max(0.0, head.prefill_left_tokens - read)
+        if left < SMALLEST_STEP_TOKENS:
+            left = 0.0
+        head = dataclasses.replace(head, prefill_left_tokens=left)
+        prefilling = (head, *prefilling[1:])
+    return dataclasses.replace(
+        state,
+        now_s=now_s,
+        work_tokens=state.work_tokens + decoded,
+        prefilling=prefilling,
+    )
+
+
+def _end_prefill(state: State, outputs: list[Output]) -> State:
+    if not state.prefilling or state.prefilling[0].prefill_left_tokens > 0.0:
+        return state
+    head, *rest = state.prefilling
+    outputs.append(FirstToken(head.call.request_id, state.now_s))
+    started = dataclasses.replace(
+        head,
+        produced_tokens=min(head.produced_tokens + 1, head.call.output_tokens),
+        started_at_work_tokens=state.work_tokens,
+    )
+    return dataclasses.replace(
+        state, prefilling=tuple(rest), decoding=(*state.decoding, started)
+    )
+
+
+def _end_sequences(state: State, outputs: list[Output]) -> State:
+    decoding = []
+    for sequence in state.decoding:
+        if _left_tokens(state, sequence) > 0.0:
+            decoding.append(sequence)
+        else:
+            outputs.append(Finished(sequence.call.request_id, state.now_s))
+    if len(decoding) == len(state.decoding):
+        return state
+    return dataclasses.replace(state, decoding=tuple(decoding))
+
+
+def _apply(
+    settings: EngineModelSettings, state: State, event: Event, outputs: list[Output]
+) -> State:
+    match event:
+        case Submit():
+            sequence = Sequence(event, state.next_order, event.resumed_tokens)
+            state = dataclasses.replace(state, next_order=state.next_order + 1)
+            return _enqueue(state, sequence)
+        case Cancel(request_id):
+            return _remove(state, request_id)
+        case ImportPrefixes(prefix_digests):
+            return _store_prefixes(settings, state, prefix_digests, outputs)
+        case SetSpeed(factor):
+            return dataclasses.replace(state, speed_factor=factor)
+        case Advance():
+            return state
+
+
+def _rank(sequence: Sequence) -> tuple[int, int]:
+    return sequence.call.priority, sequence.order
+
+
+def _enqueue(state: State, sequence: Sequence) -> State:
+    waiting = tuple(sorted((*state.waiting, sequence), key=_rank))
+    return dataclasses.replace(state, waiting=waiting)
+
+
+def _without(sequences: tuple[Sequence, ...], request_id: str) -> tuple[Sequence, ...]:
+    return tuple(s for s in sequences if s.call.request_id != request_id)
+
+
+def _remove(state: State, request_id: str) -> State:
+    return dataclasses.replace(
+        state,
+        waiting=_without(state.waiting, request_id),
+        prefilling=_without(state.prefilling, request_id),
+        decoding=_without(state.decoding, request_id),
+    )
+
+
+def _fill_batch(
+    settings: EngineModelSettings, state: State, outputs: list[Output]
+) -> State:
+    while state.waiting:
+        if running_count(state) >= settings.max_batch:
+            preempted = _preempt(settings, state, outputs)
+            if preempted is None:
+                return state
+            state = preempted
+        state = _admit(settings, state, outputs)
+    return state
+
+
+def _preempt(
+    settings: EngineModelSettings, state: State, outputs: list[Output]
+) -> State | None:
+    last = max((*state.prefilling, *state.decoding), key=_rank)
+    if not settings.preempts or last.call.priority <= state.waiting[0].call.priority:
+        return None
+    tokens = last.produced_tokens
+    if last in state.decoding:
+        tokens = produced_tokens(state, last)
+    outputs.append(Preempted(last.call.request_id, tokens))
+    state = _remove(state, last.call.request_id)
+    return _enqueue(state, dataclasses.replace(last, produced_tokens=tokens))
+
+
+def _admit(settings: EngineModelSettings, state: State, outputs: list[Output]) -> State:
+    head, *rest = state.waiting
+    cached = _cached_tokens(settings, state, head.call.prefix_digests)
+    needed = head.call.prompt_tokens + head.produced_tokens - cached
+    head = dataclasses.replace(head, prefill_left_tokens=float(max(0, needed)))
+    state = dataclasses.replace(
+        state, waiting=tuple(rest), prefilling=(*state.prefilling, head)
+    )
+    return _store_prefixes(settings, state, head.call.prefix_digests, outputs)
+
+
+def _cached_tokens(
+    settings: EngineModelSettings, state: State, prefix_digests: tuple[int, ...]
+) -> int:
+    cached = set(state.cache)
+    blocks = 0
+    for digest in prefix_digests:
+        if digest not in cached:
+            break
+        blocks += 1
+    return blocks * settings.block_tokens
+
+
+def _store_prefixes(
+    settings: EngineModelSettings,
+    state: State,
+    prefix_digests: tuple[int, ...],
+    outputs: list[Output],
+) -> State:
+    if not prefix_digests:
+        return state
+    wanted = set(prefix_digests)
+    kept = [digest for digest in state.cache if digest not in wanted]
+    stored = tuple(wanted.difference(state.cache))
+    cache = [*kept, *prefix_digests]
+    excess = max(0, len(cache) - settings.cache_capacity_blocks)
+    removed = tuple(cache[:excess])
+    if stored or removed:
+        outputs.append(CacheChanged(stored, removed))
+    return dataclasses.replace(state, cache=tuple(cache[excess:]))
--- /dev/null
+++ b/hickoryweir/testing/running.py
@@ -0,0 +1,85 @@
+"""Runs a stand-in in the calling process, on a free port, and stops it.
+
+Examples
+--------
+>>> import asyncio
+>>> from aiohttp import web
+>>> async def main():
+...     server = await start(web.Application())
+...     await server.stop()
+...     return server.url.startswith("http://127.0.0.1:")
+>>> asyncio.run(main())
+True
+"""
+
+import dataclasses
+
+from aiohttp import web
+
+HOST = "127.0.0.1"
+SHUTDOWN_TIMEOUT_S = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """A stand-in that serves; its port stays the same over a restart."""
+
+    runner: web.AppRunner
+    site: web.TCPSite | None
+    port: int
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return f"http://{HOST}:{self.port}"
+
+    async def crash(self) -> None:
+        """Drop every connection and refuse new ones, as a lost process does."""
+        if self.site is not None:
+            await self.site.stop()
+            self.site = None
+        drop_connections(self.runner)
+
+    async def restart(self) -> None:
+        """Listen again on the same port."""
+        await self.crash()
+        self.site = web.TCPSite(self.runner, HOST, self.port)
+        await self.site.start()
+
+    async def stop(self) -> None:
+        """Stop for good."""
+        drop_connections(self.runner)
+        await self.runner.cleanup()
+
+
+def drop_connections(runner: web.AppRunner) -> None:
+    """Abort every connection of a runner without an answer."""
+    if runner.server is None:
+        return
+    for connection in list(runner.server.connections):
+        if connection.transport is not None:
+            connection.transport.abort()
+
+
+async def start(app: web.Application, port: int = 0) -> Running:
+    """Serve an application on loopback; port 0 takes a free one.
+
+    Parameters
+    ----------
+    app : web.Application
+        What to serve.
+    port : int, optional
+        TCP port.
+
+    Returns
+    -------
+    Running
+        The server, to be stopped by its ``stop``.
+    """
+    runner = web.AppRunner(
+        app, handler_cancellation=True, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+    )
+    await runner.setup()
+    site = web.TCPSite(runner, HOST, port)
+    await site.start()
+    return Running(runner, site, runner.addresses[0][1])
--- /dev/null
+++ b/hickoryweir/testing/texts.py
@@ -0,0 +1,37 @@
+"""The text that stand-in engines answer with, so that tests can judge an answer.
+
+An answer names the request it belongs to, numbers its tokens and has an end
+mark, so a foreign, cut or doubled answer is seen at once.
+
+Examples
+--------
+>>> answer_text("r1", 4)
+'[r1] 1 2 end'
+>>> is_whole_answer("r1", "[r1] 1 2 end")
+True
+>>> is_whole_answer("r1", "[r1] 1 1 2 end")
+False
+"""
+
+END_TOKEN = " end"
+
+
+def token_text(request_id: str, index: int, output_tokens: int) -> str:
+    """Return the text of one token of an answer."""
+    if index == 0:
+        return f"[{request_id}]"
+    if index == output_tokens - 1:
+        return END_TOKEN
+    return f" {index}"
+
+
+def answer_text(request_id: str, output_tokens: int) -> str:
+    """Return the whole text of an answer of ``output_tokens`` tokens."""
+    return "".join(
+        token_text(request_id, index, output_tokens) for index in range(output_tokens)
+    )
+
+
+def is_whole_answer(request_id: str, text: str) -> bool:
+    """Return whether a text is the request's own answer, whole and not doubled."""
+    return text == answer_text(request_id, len(text.split(" ")))
