--- /dev/null
+++ b/hickoryweir/engines/failures.py
@@ -0,0 +1,84 @@
+"""Makes typed failures of network errors and of faulty answers."""
+
+import aiohttp
+
+from hickoryweir.engines import calls, events_reader, headers, sessions
+from hickoryweir.outcomes import refusals
+from hickoryweir.policy import events
+
+NETWORK_ERRORS = (aiohttp.ClientError, sessions.ConnectionLostError, OSError)
+NOTHING_WRITTEN = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+CAUSES = {
+    events_reader.FaultKind.MISMATCHED: events.FailureCause.MISMATCHED,
+    events_reader.FaultKind.MALFORMED: events.FailureCause.FAILED,
+    events_reader.FaultKind.TOO_LARGE: events.FailureCause.FAILED,
+    events_reader.FaultKind.CUT: events.FailureCause.STREAM_CUT,
+    events_reader.FaultKind.ENGINE_ERROR: events.FailureCause.FAILED,
+    events_reader.FaultKind.PREEMPTED: events.FailureCause.PREEMPTED,
+}
+
+
+def before_answer(error: Exception) -> calls.EngineFailure:
+    """Return the failure of a call whose answer did not start."""
+    if isinstance(error, NOTHING_WRITTEN):
+        return calls.EngineFailure(
+            events.FailureCause.CONNECT_REFUSED,
+            refusals.Ran.NO,
+            "no connection to the backend server",
+        )
+    return within_answer(error)
+
+
+def within_answer(error: Exception) -> calls.EngineFailure:
+    """Return the failure of a call that was sent and whose connection failed."""
+    if isinstance(error, TimeoutError):
+        return maybe(events.FailureCause.TIMED_OUT, "the backend server went silent")
+    lost = (sessions.ConnectionLostError, aiohttp.ClientPayloadError, OSError)
+    if isinstance(error, lost):
+        return maybe(events.FailureCause.CRASHED, "the connection dropped")
+    return maybe(events.FailureCause.FAILED, "the answer is not valid HTTP")
+
+
+def maybe(cause: events.FailureCause, message: str) -> calls.EngineFailure:
+    """Return a failure of a call that may have run."""
+    return calls.EngineFailure(cause, refusals.Ran.MAYBE, message)
+
+
+def failed(message: str) -> calls.EngineFailure:
+    """Return the failure of an answer that can't be used."""
+    return maybe(events.FailureCause.FAILED, message)
+
+
+def mismatched() -> calls.EngineFailure:
+    """Return the failure of an answer that carries another request's id."""
+    message = "the answer carries another request's id"
+    return maybe(events.FailureCause.MISMATCHED, message)
+
+
+def cut() -> calls.EngineFailure:
+    """Return the failure of a stream without its end."""
+    return maybe(events.FailureCause.STREAM_CUT, "the stream ended too early")
+
+
+def of_fault(fault: events_reader.Fault) -> calls.EngineFailure:
+    """Return the failure of a faulty stream."""
+    return maybe(CAUSES[fault.kind], fault.message)
+
+
+def is_not_run(response: aiohttp.ClientResponse, request_id: str) -> bool:
+    """Return whether the backend server itself says that it did not run the call.
+
+    The word counts only in an answer that names the request.
+    """
+    said = response.headers.get(headers.NOT_RUN, "").lower() == headers.TRUE
+    return said and response.headers.get(headers.REQUEST_ID) == request_id
+
+
+def refused(status: int, *, not_run: bool) -> calls.EngineFailure:
+    """Return the failure of a call that the backend server answered by an error."""
+    message = f"the backend server answered with status {status}"
+    if not_run:
+        return calls.EngineFailure(
+            events.FailureCause.REFUSED_BEFORE_RUNNING, refusals.Ran.NO, message
+        )
+    return failed(message)
--- /dev/null
+++ b/hickoryweir/engines/headers.py
@@ -0,0 +1,11 @@
+"""Names of the headers between routers and backend servers.
+
+``docs/peers.md`` describes each.
+"""
+
+REQUEST_ID = "X-Request-Id"
+PRIORITY = "X-Priority"
+NOT_RUN = "X-Not-Run"
+RESUMED_FROM = "X-Resumed-From"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+TRUE = "true"
--- /dev/null
+++ b/hickoryweir/engines/sessions.py
@@ -0,0 +1,61 @@
+"""HTTP client sessions towards backend servers.
+
+A session here sends each request at most once.  aiohttp by itself sends an
+idempotent method again when a kept connection drops; a middleware turns the
+errors that make it do so into :class:`ConnectionLostError`.  Cookies are not
+kept, so that nothing of one caller reaches another.
+"""
+
+import aiohttp
+
+NO_LIMIT = 0
+KEEPALIVE_TIMEOUT_S = 15.0
+READ_BUFFER_SIZE_BYTES = 64 * 1024
+
+
+class ConnectionLostError(Exception):
+    """The connection dropped after a byte of the request may have been written."""
+
+
+async def send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Send a request and let a dropped connection end it."""
+    try:
+        return await handler(request)
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise ConnectionLostError(type(error).__name__) from error
+
+
+def make_session(*, keeps_connections: bool = False) -> aiohttp.ClientSession:
+    """Return a session for backend servers; the caller closes it.
+
+    Parameters
+    ----------
+    keeps_connections : bool, optional
+        Whether a connection serves several requests, one after the other.
+
+    Returns
+    -------
+    aiohttp.ClientSession
+        Without limits of its own; admission bounds the number of calls.
+    """
+    if keeps_connections:
+        connector = aiohttp.TCPConnector(
+            limit=NO_LIMIT, keepalive_timeout=KEEPALIVE_TIMEOUT_S
+        )
+    else:
+        connector = aiohttp.TCPConnector(limit=NO_LIMIT, force_close=True)
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        middlewares=(send_once,),
+        auto_decompress=False,
+        read_bufsize=READ_BUFFER_SIZE_BYTES,
+        timeout=aiohttp.ClientTimeout(total=None),
+    )
--- /dev/null
+++ b/hickoryweir/engines/tests/test_client.py
@@ -0,0 +1,186 @@
+"""The router's side of a model engine, against the stand-in with faults."""
+
+import asyncio
+import json
+
+from returns import result
+
+from hickoryweir.engines.tests import benches
+from hickoryweir.outcomes import refusals
+from hickoryweir.policy import events
+from hickoryweir.testing import engine, texts
+
+
+def run(test):
+    return asyncio.run(test())
+
+
+async def stream_failure(bench, call):
+    opened = await bench.open(call)
+    if not isinstance(opened, result.Success):
+        return opened.failure()
+    _, end = await benches.read_all(opened.unwrap())
+    return end.failure()
+
+
+def test_stream_is_whole_and_own():
+    async def test():
+        async with benches.engine_bench() as bench:
+            opened = await bench.open(benches.make_call())
+            data, end = await benches.read_all(opened.unwrap())
+        assert end.unwrap().finished
+        assert data.endswith(b"data: [DONE]\n\n")
+        assert texts.is_whole_answer("r1", benches.text_of(data))
+
+    run(test)
+
+
+def test_stream_counts_its_tokens():
+    async def test():
+        async with benches.engine_bench() as bench:
+            stream = (await bench.open(benches.make_call())).unwrap()
+            await benches.read_all(stream)
+        assert stream.reader.output_tokens == 12
+
+    run(test)
+
+
+def test_plain_answer_is_whole_and_own():
+    async def test():
+        async with benches.engine_bench() as bench:
+            answer = (await bench.complete(benches.make_call(stream=False))).unwrap()
+        content = json.loads(answer.body)["choices"][0]["message"]["content"]
+        assert texts.is_whole_answer("r1", content)
+        assert answer.output_tokens == 12
+
+    run(test)
+
+
+def test_unknown_model_is_the_callers_fault():
+    async def test():
+        async with benches.engine_bench() as bench:
+            opened = await bench.open(benches.make_call(model="other"))
+        assert opened.unwrap().status == 404
+
+    run(test)
+
+
+def test_refused_connection_did_not_run():
+    async def test():
+        async with benches.engine_bench() as bench:
+            await bench.served.crash()
+            failure = await stream_failure(bench, benches.make_call())
+        assert failure.cause is events.FailureCause.CONNECT_REFUSED
+        assert failure.ran is refusals.Ran.NO
+
+    run(test)
+
+
+def test_refusal_by_the_engine_did_not_run():
+    async def test():
+        async with benches.engine_bench() as bench:
+            await bench.faults(refused_count=1)
+            failure = await stream_failure(bench, benches.make_call())
+            runs = bench.app[engine.ENGINE].runs
+        assert failure.cause is events.FailureCause.REFUSED_BEFORE_RUNNING
+        assert failure.ran is refusals.Ran.NO
+        assert runs["r1"] == 0
+
+    run(test)
+
+
+def test_request_that_crashes_the_engine_may_have_run():
+    async def test():
+        async with benches.engine_bench() as bench:
+            await bench.faults(crash_marker="hello")
+            failure = await stream_failure(bench, benches.make_call())
+        assert failure.cause is events.FailureCause.CRASHED
+        assert failure.ran is refusals.Ran.MAYBE
+
+    run(test)
+
+
+def test_cut_stream_is_seen():
+    async def test():
+        async with benches.engine_bench() as bench:
+            await bench.faults(cut_count=1)
+            failure = await stream_failure(bench, benches.make_call())
+        assert failure.cause is events.FailureCause.STREAM_CUT
+
+    run(test)
+
+
+def test_crossed_stream_is_seen():
+    async def test():
+        async with benches.engine_bench() as bench:
+            await bench.faults(crossed_count=1)
+            failure = await stream_failure(bench, benches.make_call())
+        assert failure.cause is events.FailureCause.MISMATCHED
+
+    run(test)
+
+
+def test_crossed_plain_answer_is_seen():
+    async def test():
+        async with benches.engine_bench() as bench:
+            await bench.faults(crossed_count=1)
+            ended = await bench.complete(benches.make_call(stream=False))
+        assert ended.failure().cause is events.FailureCause.MISMATCHED
+
+    run(test)
+
+
+def test_resumed_stream_continues_exactly():
+    async def test():
+        async with benches.engine_bench() as bench:
+            await bench.faults(cut_count=1, cut_after_tokens=5)
+            first = (await bench.open(benches.make_call())).unwrap()
+            start, _ = await benches.read_all(first)
+            call = benches.make_call(
+                resume_tokens=first.reader.output_tokens,
+                resume_text=first.text_so_far(),
+            )
+            rest, _ = await benches.read_all((await bench.open(call)).unwrap())
+        assert first.reader.output_tokens == 5
+        assert (start + rest).count(b'"role"') == 1
+        assert texts.is_whole_answer("r1", benches.text_of(start + rest))
+
+    run(test)
+
+
+def test_engine_that_does_not_resume_is_seen():
+    async def test():
+        async with benches.engine_bench() as bench:
+            await bench.faults(ignores_resume=True)
+            call = benches.make_call(resume_tokens=2, resume_text="[r1] 1")
+            failure = await stream_failure(bench, call)
+        assert failure.cause is events.FailureCause.FAILED
+
+    run(test)
+
+
+def test_closed_stream_is_cancelled_at_the_engine():
+    async def test():
+        async with benches.engine_bench() as bench:
+            call = benches.make_call(stand_in_output_tokens=100_000)
+            stream = (await bench.open(call)).unwrap()
+            await stream.read()
+            await stream.close()
+            state = bench.app[engine.ENGINE]
+            await benches.wait_until(lambda: not state.followers)
+        assert state.cancelled_count == 1
+        assert state.model.decoding == ()
+
+    run(test)
+
+
+def test_kept_connection_serves_the_next_call():
+    async def test():
+        async with benches.engine_bench(keeps_connections=True) as bench:
+            for number in range(3):
+                call = benches.make_call(f"r{number}")
+                await benches.read_all((await bench.open(call)).unwrap())
+            connections = len(bench.served.runner.server.connections)
+        assert connections == 1
+
+    run(test)
--- /dev/null
+++ b/hickoryweir/services/client.py
@@ -0,0 +1,224 @@
+"""Sends calls to plain services, each at most once.
+
+Nothing here sends a call a second time: sessions come from
+:func:`hickoryweir.engines.sessions.make_session`, which neither re-sends nor
+follows redirects, and by default opens a connection for each call, so that a
+kept connection that dropped can't leave the outcome of a call unknown.
+"""
+
+import json
+import urllib.parse
+
+import aiohttp
+import yarl
+from returns import result
+
+from hickoryweir.configuration import model
+from hickoryweir.engines import calls as engine_calls
+from hickoryweir.engines import client, failures
+from hickoryweir.engines import headers as names
+from hickoryweir.outcomes import refusals
+from hickoryweir.policy import events
+from hickoryweir.services import calls
+
+TOO_MANY_REQUESTS = 429
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+REQUEST_HEADERS_ENDED_HERE = HOP_HEADERS | {
+    "authorization",
+    "content-length",
+    "cookie",
+    "expect",
+    "host",
+    "idempotency-key",
+    "x-request-class",
+    "x-request-id",
+}
+ANSWER_HEADERS_ENDED_HERE = HOP_HEADERS | {
+    "content-length",
+    "date",
+    "server",
+    "set-cookie",
+    "x-not-run",
+    "x-request-id",
+}
+DEFAULT_LIMITS = calls.ServiceLimits()
+
+Forwarded = result.Result[calls.ServiceAnswer, calls.ServiceFailure]
+
+
+async def forward(
+    session: aiohttp.ClientSession,
+    server: model.BackendServer,
+    call: calls.ServiceCall,
+    limits: calls.ServiceLimits = DEFAULT_LIMITS,
+) -> Forwarded:
+    """Send a call once and wait for its whole answer.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Made by :func:`hickoryweir.engines.sessions.make_session`.
+    server : model.BackendServer
+        An instance of the service.
+    call : calls.ServiceCall
+        What to send.
+    limits : calls.ServiceLimits, optional
+        Longest waits and largest answer.
+
+    Returns
+    -------
+    Result of ServiceAnswer or of ServiceFailure
+        The failure's ``ran`` is ``NO`` only if no byte of the call was written,
+        or if the service itself says so in an answer that names the request.
+    """
+    if not is_valid_target(call):
+        return result.Failure(refuse_target())
+    try:
+        response = await send(session, server, call, limits)
+    except failures.NETWORK_ERRORS as error:
+        return result.Failure(of_engine(failures.before_answer(error)))
+    echoed = response.headers.get(names.REQUEST_ID, call.request_id)
+    if echoed != call.request_id:
+        response.close()
+        return result.Failure(of_engine(failures.mismatched()))
+    return await read_answer(response, call, limits)
+
+
+def is_valid_target(call: calls.ServiceCall) -> bool:
+    """Return whether path and query can stand in a request line."""
+    target = call.path + call.query
+    printable = target.isascii() and target.isprintable() and " " not in target
+    return call.path.startswith("/") and printable and "#" not in target
+
+
+def refuse_target() -> calls.ServiceFailure:
+    """Return the failure of a call whose path or query is not valid."""
+    message = "the path or query is not valid"
+    return calls.ServiceFailure(events.FailureCause.FAILED, refusals.Ran.NO, message)
+
+
+async def send(
+    session: aiohttp.ClientSession,
+    server: model.BackendServer,
+    call: calls.ServiceCall,
+    limits: calls.ServiceLimits,
+) -> aiohttp.ClientResponse:
+    """Send a call and wait for the start of its answer."""
+    target = f"{call.path}?{call.query}" if call.query else call.path
+    return await session.request(
+        call.method,
+        yarl.URL(server.url + target, encoded=True),
+        data=call.body or None,
+        headers=request_headers(call),
+        timeout=aiohttp.ClientTimeout(
+            total=None, connect=limits.connect_s, sock_read=limits.silence_s
+        ),
+        allow_redirects=False,
+    )
+
+
+def request_headers(call: calls.ServiceCall) -> list[tuple[str, str]]:
+    """Return the headers to send: the caller's, without keys, and the router's."""
+    passed = [
+        (name, value)
+        for name, value in call.headers
+        if name.lower() not in REQUEST_HEADERS_ENDED_HERE
+    ]
+    present = {name.lower() for name, _ in passed}
+    if "accept-encoding" not in present:
+        passed.append(("Accept-Encoding", "identity"))
+    passed.append((names.REQUEST_ID, call.request_id))
+    if call.idempotency_key:
+        passed.append((names.IDEMPOTENCY_KEY, call.idempotency_key))
+    return passed
+
+
+async def read_answer(
+    response: aiohttp.ClientResponse,
+    call: calls.ServiceCall,
+    limits: calls.ServiceLimits,
+) -> Forwarded:
+    """Read a bounded answer; a 5xx or 429 is a failure."""
+    try:
+        body = await client.read_body(response, limits.max_answer_size_bytes)
+    except failures.NETWORK_ERRORS as error:
+        return result.Failure(of_engine(failures.within_answer(error)))
+    finally:
+        response.release()
+    if body is None:
+        return result.Failure(of_engine(failures.failed("the answer is too large")))
+    if response.status >= 500 or response.status == TOO_MANY_REQUESTS:
+        not_run = failures.is_not_run(response, call.request_id)
+        failure = failures.refused(response.status, not_run=not_run)
+        return result.Failure(of_engine(failure))
+    passed = tuple(
+        (name.lower(), value)
+        for name, value in response.headers.items()
+        if name.lower() not in ANSWER_HEADERS_ENDED_HERE
+    )
+    return result.Success(calls.ServiceAnswer(response.status, passed, body))
+
+
+def of_engine(failure: engine_calls.EngineFailure) -> calls.ServiceFailure:
+    """Return a failure of an engine's call as one of a service's call."""
+    return calls.ServiceFailure(failure.cause, failure.ran, failure.message)
+
+
+async def lookup(
+    session: aiohttp.ClientSession,
+    server: model.BackendServer,
+    lookup_path: str,
+    idempotency_key: str,
+    limits: calls.ServiceLimits = DEFAULT_LIMITS,
+) -> result.Result[refusals.Ran, calls.ServiceFailure]:
+    """Ask a service whether a key ran.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        See :func:`forward`.
+    server : model.BackendServer
+        An instance of the service.
+    lookup_path : str
+        From the service's configuration.
+    idempotency_key : str
+        The key.
+    limits : calls.ServiceLimits, optional
+        Longest waits and largest answer.
+
+    Returns
+    -------
+    Result of Ran or of ServiceFailure
+        ``YES``, or ``MAYBE``: a call that has not run yet may still arrive, so
+        a look-up never shows that a key will not run.
+    """
+    path = f"{lookup_path.rstrip('/')}/{urllib.parse.quote(idempotency_key, safe='')}"
+    call = calls.ServiceCall("lookup", "GET", path, "", (), b"", "")
+    answered = await forward(session, server, call, limits)
+    return answered.bind(read_lookup)
+
+
+def read_lookup(
+    answer: calls.ServiceAnswer,
+) -> result.Result[refusals.Ran, calls.ServiceFailure]:
+    """Return what a look-up's answer says."""
+    try:
+        ran = json.loads(answer.body)["ran"] if answer.status == 200 else None
+    except (ValueError, KeyError, TypeError, RecursionError):
+        ran = None
+    if not isinstance(ran, bool):
+        failure = failures.failed("the look-up has no valid answer")
+        return result.Failure(of_engine(failure))
+    return result.Success(refusals.Ran.YES if ran else refusals.Ran.MAYBE)
--- /dev/null
+++ b/hickoryweir/services/tests/test_client.py
@@ -0,0 +1,168 @@
+"""The router's side of a plain service, against the stand-in with faults."""
+
+import asyncio
+import dataclasses
+
+import pytest
+from returns import result
+
+from hickoryweir.engines import sessions
+from hickoryweir.engines.tests import benches
+from hickoryweir.outcomes import refusals
+from hickoryweir.policy import events
+from hickoryweir.services import calls, client
+from hickoryweir.testing import service
+
+CALL = calls.ServiceCall(
+    "r1", "POST", "/top-ups", "", (("Content-Type", "text/plain"),), b"5", "k1"
+)
+
+
+def run(test):
+    return asyncio.run(test())
+
+
+def service_bench():
+    return benches.app_bench(service.make_app(service.ServiceSettings()))
+
+
+async def forward(bench, call=CALL):
+    return await client.forward(bench.session, bench.server, call)
+
+
+def executions(bench):
+    return dict(bench.app[service.SERVICE].executions)
+
+
+def test_call_runs_once_and_is_answered():
+    async def test():
+        async with service_bench() as bench:
+            answer = (await forward(bench)).unwrap()
+            assert answer.status == 200
+            assert answer.content_type.startswith("application/json")
+            assert executions(bench) == {"k1": 1}
+
+    run(test)
+
+
+def test_refused_connection_did_not_run():
+    async def test():
+        async with service_bench() as bench:
+            await bench.served.crash()
+            failure = (await forward(bench)).failure()
+        assert failure.ran is refusals.Ran.NO
+
+    run(test)
+
+
+def test_refusal_by_the_service_did_not_run():
+    async def test():
+        async with service_bench() as bench:
+            await bench.faults(refused_count=1)
+            failure = (await forward(bench)).failure()
+            assert failure.ran is refusals.Ran.NO
+            assert executions(bench) == {}
+
+    run(test)
+
+
+def test_crash_after_running_may_have_run():
+    async def test():
+        async with service_bench() as bench:
+            await bench.faults(crash_after_running_count=1)
+            failure = (await forward(bench)).failure()
+            assert failure.cause is events.FailureCause.CRASHED
+            assert failure.ran is refusals.Ran.MAYBE
+            assert executions(bench) == {"k1": 1}
+
+    run(test)
+
+
+def test_late_answer_times_out_as_maybe():
+    async def test():
+        limits = calls.ServiceLimits(silence_s=0.05)
+        async with service_bench() as bench:
+            await bench.faults(answer_delay_s=60.0)
+            ended = await client.forward(bench.session, bench.server, CALL, limits)
+        assert ended.failure().cause is events.FailureCause.TIMED_OUT
+        assert ended.failure().ran is refusals.Ran.MAYBE
+
+    run(test)
+
+
+def test_crossed_answer_is_seen():
+    async def test():
+        async with service_bench() as bench:
+            await bench.faults(crossed_count=1)
+            failure = (await forward(bench)).failure()
+        assert failure.cause is events.FailureCause.MISMATCHED
+        assert failure.ran is refusals.Ran.MAYBE
+
+    run(test)
+
+
+def test_answer_over_the_limit_is_a_failure():
+    async def test():
+        limits = calls.ServiceLimits(max_answer_size_bytes=10)
+        async with service_bench() as bench:
+            ended = await client.forward(bench.session, bench.server, CALL, limits)
+        assert ended.failure().ran is refusals.Ran.MAYBE
+
+    run(test)
+
+
+def test_path_that_breaks_the_request_line_is_not_sent():
+    async def test():
+        broken = dataclasses.replace(CALL, path="/a HTTP/1.1\r\nX: y")
+        async with service_bench() as bench:
+            failure = (await forward(bench, broken)).failure()
+            assert failure.ran is refusals.Ran.NO
+            assert executions(bench) == {}
+
+    run(test)
+
+
+def test_lookup_says_what_ran():
+    async def test():
+        async with service_bench() as bench:
+            await forward(bench)
+            ask = [
+                await client.lookup(bench.session, bench.server, "/lookup", key)
+                for key in ("k1", "k/2")
+            ]
+        assert ask[0] == result.Success(refusals.Ran.YES)
+        assert ask[1] == result.Success(refusals.Ran.MAYBE)
+
+    run(test)
+
+
+@pytest.mark.parametrize("method", ["POST", "PUT", "DELETE", "GET"])
+@pytest.mark.parametrize("keeps_connections", [True, False])
+def test_dropped_kept_connection_sends_nothing_twice(method, keeps_connections):
+    async def test():
+        heads = []
+
+        async def serve(reader, writer):
+            heads.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            heads.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.close()
+
+        listening = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listening.sockets[0].getsockname()[1]
+        server = benches.make_server(f"http://127.0.0.1:{port}")
+        call = dataclasses.replace(CALL, method=method, body=b"")
+        session = sessions.make_session(keeps_connections=keeps_connections)
+        async with session:
+            first = await client.forward(session, server, call)
+            second = await client.forward(session, server, call)
+        listening.close()
+        assert first.unwrap().body == b"ok"
+        assert len(heads) == 2
+        return second
+
+    second = run(test)
+    if keeps_connections:
+        assert second.failure().ran is refusals.Ran.MAYBE
+    else:
+        assert second.unwrap().body == b"ok"
--- /dev/null
+++ b/hickoryweir/testing/engine.py
@@ -0,0 +1,66 @@
+"""A stand-in model engine: OpenAI-compatible HTTP around the pure engine model.
+
+:func:`make_app` returns an aiohttp application.  One task drives the model
+(:mod:`hickoryweir.testing.engine_model`) by the clock; each call's handler
+follows its own sequence.  ``docs/peers.md`` describes the interface.
+"""
+
+from aiohttp import web
+
+from hickoryweir.testing import engine_control, engine_serving, engine_state
+
+BODY_LIMIT_BYTES = 4 * 1024 * 1024
+ENGINE = engine_state.ENGINE
+EngineSettings = engine_state.EngineSettings
+
+
+def make_app(settings: EngineSettings) -> web.Application:
+    """Return a stand-in engine as an application.
+
+    Parameters
+    ----------
+    settings : EngineSettings
+        Its name, speed and habits.
+
+    Returns
+    -------
+    web.Application
+        Serve it with :func:`hickoryweir.testing.running.start`; its state is
+        under the key :data:`ENGINE`.
+    """
+    app = web.Application(client_max_size=BODY_LIMIT_BYTES, middlewares=[crash_guard])
+    app[ENGINE] = engine_state.make_engine(settings)
+    app.cleanup_ctx.append(engine_state.run_model)
+    app.add_routes(
+        [
+            web.post("/v1/chat/completions", engine_serving.handle_chat),
+            web.post("/v1/completions", engine_serving.handle_text),
+            web.get("/v1/models", engine_control.handle_models),
+            web.post("/cancel/{request_id}", engine_control.handle_cancel),
+            web.post("/kv/export", engine_control.handle_kv_export),
+            web.post("/kv/import", engine_control.handle_kv_import),
+            web.get("/load", engine_control.handle_load),
+            web.get("/cache_events", engine_control.handle_cache_events),
+            web.post("/orders", engine_control.handle_order),
+            web.get("/health", engine_control.handle_health),
+            web.post("/faults", engine_control.handle_faults),
+        ]
+    )
+    return app
+
+
+@web.middleware
+async def crash_guard(request: web.Request, handler) -> web.StreamResponse:
+    """Drop the connections of a crashed engine."""
+    engine = request.app[ENGINE]
+    transport = request.transport
+    if transport is None or request.path == "/faults":
+        return await handler(request)
+    if engine.active_faults.crashed:
+        transport.abort()
+        return web.Response(status=503)
+    engine.connections.add(transport)
+    try:
+        return await handler(request)
+    finally:
+        engine.connections.discard(transport)
--- /dev/null
+++ b/hickoryweir/testing/engine_calls.py
@@ -0,0 +1,178 @@
+"""Calls at the stand-in engine: request bodies, and the published answer shapes."""
+
+import dataclasses
+import enum
+import json
+import time
+import zlib
+from typing import Any
+
+import pydantic
+
+from hickoryweir.engines import prefixes
+from hickoryweir.testing import engine_model, texts
+
+CHARACTERS_PER_TOKEN = 4
+SHORTEST_ANSWER_TOKENS = 8
+ANSWER_SPREAD_TOKENS = 25
+
+
+class Shape(enum.Enum):
+    """Which of the two published interfaces a call uses."""
+
+    CHAT = "chat.completion"
+    TEXT = "text_completion"
+
+
+class Body(pydantic.BaseModel):
+    """The fields of a body that the stand-in obeys; all others are ignored."""
+
+    model: str
+    stream: bool = False
+    max_tokens: int | None = pydantic.Field(default=None, ge=1)
+    max_completion_tokens: int | None = pydantic.Field(default=None, ge=1)
+    stream_options: dict[str, Any] | None = None
+    resume_from_tokens: int = pydantic.Field(default=0, ge=0)
+    resume_text: str = ""
+    stand_in_output_tokens: int | None = pydantic.Field(default=None, ge=2)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A checked call, with the length of the answer that it will get."""
+
+    request_id: str
+    shape: Shape
+    model: str
+    stream: bool
+    with_usage: bool
+    prompt_text: str
+    prompt_tokens: int
+    output_tokens: int
+    resume_tokens: int
+    priority: int
+    created_s: int
+
+    @property
+    def answer_id(self) -> str:
+        """Return the ``id`` of the answer."""
+        prefix = "chatcmpl-" if self.shape is Shape.CHAT else "cmpl-"
+        return prefix + self.request_id
+
+
+def make_call(request_id: str, shape: Shape, priority: int, raw: bytes) -> Call:
+    """Return the checked call of a body.
+
+    Raises
+    ------
+    ValueError
+        The body has not the published shape.
+    """
+    decoded = json.loads(raw)
+    body = Body.model_validate(decoded)
+    text = prefixes.prompt_text(decoded)
+    return Call(
+        request_id=request_id,
+        shape=shape,
+        model=body.model,
+        stream=body.stream,
+        with_usage=bool((body.stream_options or {}).get("include_usage")),
+        prompt_text=text,
+        prompt_tokens=len(text) // CHARACTERS_PER_TOKEN + 1,
+        output_tokens=output_tokens(body, text),
+        resume_tokens=body.resume_from_tokens,
+        priority=priority,
+        created_s=int(time.time()),
+    )
+
+
+def output_tokens(body: Body, prompt_text: str) -> int:
+    """Return the answer's length: as asked, else by the prompt's checksum."""
+    spread = zlib.crc32(prompt_text.encode()) % ANSWER_SPREAD_TOKENS
+    wanted = body.stand_in_output_tokens or SHORTEST_ANSWER_TOKENS + spread
+    limit = body.max_completion_tokens or body.max_tokens or wanted
+    return max(1, min(wanted, limit))
+
+
+def make_submit(call: Call) -> engine_model.Submit:
+    """Return the model's event for a call."""
+    return engine_model.Submit(
+        request_id=call.request_id,
+        priority=call.priority,
+        prompt_tokens=call.prompt_tokens,
+        output_tokens=call.output_tokens,
+        prefix_digests=prefixes.digest_text(call.prompt_text),
+        resumed_tokens=min(call.resume_tokens, call.output_tokens),
+    )
+
+
+def event_bytes(value: object) -> bytes:
+    """Return a server-sent event that carries a JSON value."""
+    return b"data: " + json.dumps(value, separators=(",", ":")).encode() + b"\n\n"
+
+
+def role_event(call: Call) -> bytes:
+    """Return the first event of a chat stream."""
+    return _chunk(call, {"role": "assistant", "content": ""}, "", None)
+
+
+def token_events(call: Call, first: int, last: int) -> bytes:
+    """Return the events of tokens ``first`` up to, not including, ``last``."""
+    events = []
+    for index in range(first, last):
+        text = texts.token_text(call.request_id, index, call.output_tokens)
+        events.append(_chunk(call, {"content": text}, text, None))
+    return b"".join(events)
+
+
+def last_events(call: Call) -> bytes:
+    """Return the finish chunk, the usage chunk if asked for, and ``[DONE]``."""
+    events = [_chunk(call, {}, "", "stop")]
+    if call.with_usage:
+        chunk = _envelope(call, chunk=True) | {"choices": [], "usage": _usage(call)}
+        events.append(event_bytes(chunk))
+    return b"".join([*events, b"data: [DONE]\n\n"])
+
+
+def whole_answer(call: Call) -> bytes:
+    """Return the body of a plain answer."""
+    text = texts.answer_text(call.request_id, call.output_tokens)
+    choice: dict[str, Any] = {"index": 0, "logprobs": None, "finish_reason": "stop"}
+    if call.shape is Shape.CHAT:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    envelope = _envelope(call, chunk=False)
+    return json.dumps(envelope | {"choices": [choice], "usage": _usage(call)}).encode()
+
+
+def _envelope(call: Call, *, chunk: bool) -> dict[str, Any]:
+    kind = call.shape.value
+    if chunk and call.shape is Shape.CHAT:
+        kind += ".chunk"
+    return {
+        "id": call.answer_id,
+        "object": kind,
+        "created": call.created_s,
+        "model": call.model,
+    }
+
+
+def _chunk(
+    call: Call, delta: dict[str, str], text: str, finish_reason: str | None
+) -> bytes:
+    choice: dict[str, Any] = {"index": 0}
+    if call.shape is Shape.CHAT:
+        choice["delta"] = delta
+    else:
+        choice["text"] = text
+    choice |= {"logprobs": None, "finish_reason": finish_reason}
+    return event_bytes(_envelope(call, chunk=True) | {"choices": [choice]})
+
+
+def _usage(call: Call) -> dict[str, int]:
+    return {
+        "prompt_tokens": call.prompt_tokens,
+        "completion_tokens": call.output_tokens,
+        "total_tokens": call.prompt_tokens + call.output_tokens,
+    }
--- /dev/null
+++ b/hickoryweir/testing/engine_control.py
@@ -0,0 +1,144 @@
+"""Reports, orders, cache transfer and faults at a stand-in engine."""
+
+import asyncio
+import time
+
+import pydantic
+from aiohttp import web
+
+from hickoryweir.testing import engine_model, engine_orders, engine_state, faults
+
+
+class PrefixBody(pydantic.BaseModel):
+    """Body of the cache transfer calls."""
+
+    prefix_digests: list[int]
+
+
+async def handle_models(request: web.Request) -> web.Response:
+    """Answer ``GET /v1/models``."""
+    engine = request.app[engine_state.ENGINE]
+    models = [
+        {"id": name, "object": "model", "created": 0, "owned_by": "stand-in"}
+        for name in sorted(engine.orders.models)
+    ]
+    return web.json_response({"object": "list", "data": models})
+
+
+async def handle_cancel(request: web.Request) -> web.Response:
+    """End a sequence; its stream is cut without finish chunk."""
+    engine = request.app[engine_state.ENGINE]
+    request_id = request.match_info["request_id"]
+    found = engine_state.cancel(engine, request_id)
+    return web.json_response({"cancelled": found})
+
+
+async def handle_kv_export(request: web.Request) -> web.Response:
+    """Answer which of the asked prefix blocks can be exported."""
+    engine = request.app[engine_state.ENGINE]
+    body = PrefixBody.model_validate_json(await request.read())
+    held = set(engine.model.cache)
+    blocks = [digest for digest in body.prefix_digests if digest in held]
+    return web.json_response({"prefix_digests": blocks})
+
+
+async def handle_kv_import(request: web.Request) -> web.Response:
+    """Take prefix blocks into the cache."""
+    engine = request.app[engine_state.ENGINE]
+    body = PrefixBody.model_validate_json(await request.read())
+    event = engine_model.ImportPrefixes(tuple(body.prefix_digests))
+    engine_state.apply(engine, event)
+    return web.json_response({"imported": len(body.prefix_digests)})
+
+
+async def handle_load(request: web.Request) -> web.Response:
+    """Answer the load as it was some time ago."""
+    engine = request.app[engine_state.ENGINE]
+    now_s = time.monotonic()
+    newest_s = now_s - engine.settings.report_lag_s
+    known = [s for s in engine.samples if s.measured_at_s <= newest_s]
+    sample = known[-1] if known else engine_state.idle_sample(newest_s)
+    return web.json_response(
+        {
+            "running": sample.running,
+            "waiting": sample.waiting,
+            "cache_used_share": sample.cache_used_share,
+            "age_s": now_s - max(sample.measured_at_s, newest_s),
+        }
+    )
+
+
+async def handle_cache_events(request: web.Request) -> web.Response:
+    """Answer the published cache events after a sequence number."""
+    engine = request.app[engine_state.ENGINE]
+    after = int(request.query.get("after", "0"))
+    newest_s = time.monotonic() - engine.settings.cache_event_lag_s
+    published = [
+        {
+            "sequence": event.sequence,
+            "stored": list(event.stored),
+            "removed": list(event.removed),
+        }
+        for event in engine.cache_events
+        if event.sequence > after and event.changed_at_s <= newest_s
+    ]
+    return web.json_response({"events": published})
+
+
+async def handle_order(request: web.Request) -> web.Response:
+    """Obey an order, or refuse it for its fencing number."""
+    engine = request.app[engine_state.ENGINE]
+    book = engine.orders
+    try:
+        order = engine_orders.OrderBody.model_validate_json(await request.read())
+    except ValueError as error:
+        return web.json_response(make_error("invalid_order", str(error)), status=400)
+    if engine_orders.is_stale(book, order):
+        message = f"fencing number is below {book.highest_fencing}"
+        return web.json_response(make_error("stale_fencing", message), status=409)
+    engine_orders.obey(book, order, time.monotonic(), engine.settings.load_s)
+    if engine.active_faults.lost_orders_count > 0 and request.transport is not None:
+        engine.active_faults.lost_orders_count -= 1
+        request.transport.abort()
+    if order.kind != "change_role":
+        await asyncio.sleep(engine.settings.load_s)
+    return web.json_response({"order_id": order.order_id, "state": "done"})
+
+
+async def handle_health(request: web.Request) -> web.Response:
+    """Answer what is loaded and whether the engine serves."""
+    engine = request.app[engine_state.ENGINE]
+    book = engine.orders
+    loading = time.monotonic() < book.loading_until_s
+    models = [
+        {"name": name, "version": loaded.version, "adapters": loaded.adapters}
+        for name, loaded in sorted(book.models.items())
+    ]
+    return web.json_response(
+        {
+            "status": "loading" if loading else "ok",
+            "role": book.role,
+            "models": models,
+            "highest_fencing": book.highest_fencing,
+        }
+    )
+
+
+async def handle_faults(request: web.Request) -> web.Response:
+    """Switch faults on and off; fields that are not named stay."""
+    engine = request.app[engine_state.ENGINE]
+    try:
+        changed = faults.merge(engine.active_faults, await request.read())
+    except ValueError as error:
+        return web.json_response(make_error("invalid_faults", str(error)), status=400)
+    crashes = changed.crashed and not engine.active_faults.crashed
+    engine.active_faults = changed
+    engine_state.apply(engine, engine_model.SetSpeed(changed.speed_factor))
+    if crashes:
+        engine_state.crash(engine)
+    return web.json_response(changed.model_dump())
+
+
+def make_error(code: str, message: str) -> dict[str, dict[str, str]]:
+    """Return the body of an error."""
+    return {"error": {"message": message, "type": "stand_in", "code": code}}
--- /dev/null
+++ b/hickoryweir/testing/engine_orders.py
@@ -0,0 +1,77 @@
+"""Orders at the stand-in engine: loads and role changes, fenced or not."""
+
+import dataclasses
+from typing import Literal
+
+import pydantic
+
+
+class OrderBody(pydantic.BaseModel):
+    """Body of ``POST /orders``."""
+
+    order_id: str = pydantic.Field(min_length=1)
+    fencing: int = pydantic.Field(ge=0)
+    kind: Literal["load_model", "load_adapter", "change_role"]
+    model: str = ""
+    version: str = ""
+    adapter: str = ""
+    role: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Loaded:
+    """A model in the engine's memory."""
+
+    version: str
+    adapters: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class OrderBook:
+    """What an engine holds by the orders that it obeyed.
+
+    Attributes
+    ----------
+    checks_fencing : bool
+        Whether orders with an old fencing number are refused.
+    highest_fencing : int
+        Highest fencing number seen.
+    done : dict
+        Body of each order that was obeyed, by its id.
+    history : list
+        Orders in the sequence in which they took effect.
+    loading_until_s : float
+        Monotonic time at which the load in progress ends.
+    """
+
+    checks_fencing: bool
+    models: dict[str, Loaded]
+    role: str = "serve"
+    highest_fencing: int = 0
+    done: dict[str, OrderBody] = dataclasses.field(default_factory=dict)
+    history: list[OrderBody] = dataclasses.field(default_factory=list)
+    loading_until_s: float = 0.0
+
+
+def is_stale(book: OrderBook, order: OrderBody) -> bool:
+    """Return whether the order must be refused for its fencing number."""
+    return book.checks_fencing and order.fencing < book.highest_fencing
+
+
+def obey(book: OrderBook, order: OrderBody, now_s: float, load_s: float) -> None:
+    """Carry out an order, once; a resent one changes nothing."""
+    book.highest_fencing = max(book.highest_fencing, order.fencing)
+    if order.order_id in book.done:
+        return
+    book.done[order.order_id] = order
+    book.history.append(order)
+    match order.kind:
+        case "load_model":
+            book.models[order.model] = Loaded(order.version, [])
+            book.loading_until_s = now_s + load_s
+        case "load_adapter":
+            loaded = book.models.setdefault(order.model, Loaded(order.version, []))
+            loaded.adapters = sorted({*loaded.adapters, order.adapter})
+            book.loading_until_s = now_s + load_s
+        case "change_role":
+            book.role = order.role
--- /dev/null
+++ b/hickoryweir/testing/engine_serving.py
@@ -0,0 +1,152 @@
+"""Calls at a stand-in engine: from the HTTP request to the written answer."""
+
+import asyncio
+import dataclasses
+import math
+
+from aiohttp import web
+
+from hickoryweir.engines import headers
+from hickoryweir.testing import engine_calls, engine_model, engine_state
+
+
+async def handle_chat(request: web.Request) -> web.StreamResponse:
+    """Answer ``POST /v1/chat/completions``."""
+    return await serve(request, engine_calls.Shape.CHAT)
+
+
+async def handle_text(request: web.Request) -> web.StreamResponse:
+    """Answer ``POST /v1/completions``."""
+    return await serve(request, engine_calls.Shape.TEXT)
+
+
+async def serve(request: web.Request, shape: engine_calls.Shape) -> web.StreamResponse:
+    """Run one call to its end."""
+    engine = request.app[engine_state.ENGINE]
+    request_id = request.headers.get(headers.REQUEST_ID, "anonymous")
+    priority = int(request.headers.get(headers.PRIORITY, "0"))
+    if engine.active_faults.refused_count > 0:
+        engine.active_faults.refused_count -= 1
+        return refuse(request_id, 503, "busy", "the engine takes no more work")
+    try:
+        raw = await request.read()
+        call = engine_calls.make_call(request_id, shape, priority, raw)
+    except ValueError as error:
+        return refuse(request_id, 400, "invalid_request_error", str(error))
+    if call.model not in engine.orders.models:
+        return refuse(request_id, 404, "model_not_found", "no such model here")
+    engine.runs[request_id] += 1
+    marker = engine.active_faults.crash_marker
+    if marker and marker in call.prompt_text:
+        engine_state.crash(engine)
+        return drop(request)
+    return await run_call(request, engine, disturb(engine, call))
+
+
+def disturb(engine: engine_state.Engine, call: engine_calls.Call) -> engine_calls.Call:
+    """Return the call as the faults that are switched on make it."""
+    previous_id, engine.previous_id = engine.previous_id, call.request_id
+    if engine.active_faults.crossed_count > 0:
+        engine.active_faults.crossed_count -= 1
+        call = dataclasses.replace(call, request_id=previous_id)
+    if engine.active_faults.ignores_resume:
+        call = dataclasses.replace(call, resume_tokens=0)
+    return call
+
+
+async def run_call(
+    request: web.Request, engine: engine_state.Engine, call: engine_calls.Call
+) -> web.StreamResponse:
+    """Submit a call to the model and answer as its tokens come."""
+    submit = engine_calls.make_submit(call)
+    follower = engine_state.Follower(tokens=submit.resumed_tokens)
+    engine.followers[call.request_id] = follower
+    await asyncio.sleep(engine.active_faults.answer_delay_s)
+    try:
+        engine_state.apply(engine, submit)
+        if call.stream:
+            return await stream_answer(request, engine, call, follower)
+        while not follower.finished:
+            if await is_cancelled(follower):
+                return drop(request)
+        return web.Response(
+            body=engine_calls.whole_answer(call),
+            content_type="application/json",
+            headers={headers.REQUEST_ID: call.request_id},
+        )
+    except (asyncio.CancelledError, ConnectionError):
+        engine.cancelled_count += 1
+        raise
+    finally:
+        if engine.followers.get(call.request_id) is follower:
+            del engine.followers[call.request_id]
+            engine_state.apply(engine, engine_model.Cancel(call.request_id))
+
+
+async def stream_answer(
+    request: web.Request,
+    engine: engine_state.Engine,
+    call: engine_calls.Call,
+    follower: engine_state.Follower,
+) -> web.StreamResponse:
+    """Write a call's tokens as server-sent events."""
+    response = web.StreamResponse(
+        headers={
+            "Content-Type": "text/event-stream",
+            headers.REQUEST_ID: call.request_id,
+            headers.RESUMED_FROM: str(call.resume_tokens),
+        }
+    )
+    await response.prepare(request)
+    if call.shape is engine_calls.Shape.CHAT and call.resume_tokens == 0:
+        await response.write(engine_calls.role_event(call))
+    cut_at = take_cut(engine, follower.tokens)
+    written = follower.tokens
+    while written < call.output_tokens:
+        has_news = follower.tokens > written or follower.finished
+        if not has_news and await is_cancelled(follower):
+            return drop(request)
+        ready = call.output_tokens if follower.finished else follower.tokens
+        ready = min(ready, cut_at)
+        if ready > written:
+            await response.write(engine_calls.token_events(call, written, ready))
+            written = ready
+        if written >= cut_at:
+            await response.write_eof()
+            return response
+    await response.write(engine_calls.last_events(call))
+    await response.write_eof()
+    return response
+
+
+async def is_cancelled(follower: engine_state.Follower) -> bool:
+    """Wait for news of a sequence; return whether it was ended by order."""
+    if not follower.cancelled:
+        follower.changed.clear()
+        await follower.changed.wait()
+    return follower.cancelled
+
+
+def drop(request: web.Request) -> web.Response:
+    """Cut the connection instead of an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=503)
+
+
+def take_cut(engine: engine_state.Engine, tokens: int) -> float:
+    """Return the number of tokens after which a stream is cut, or infinity."""
+    if engine.active_faults.cut_count <= 0:
+        return math.inf
+    engine.active_faults.cut_count -= 1
+    return tokens + engine.active_faults.cut_after_tokens
+
+
+def refuse(request_id: str, status: int, code: str, message: str) -> web.Response:
+    """Return the refusal of a call that did not run."""
+    error = {"message": message, "type": "stand_in", "param": None, "code": code}
+    return web.json_response(
+        {"error": error},
+        status=status,
+        headers={headers.REQUEST_ID: request_id, headers.NOT_RUN: headers.TRUE},
+    )
--- /dev/null
+++ b/hickoryweir/testing/engine_state.py
@@ -0,0 +1,230 @@
+"""State of a stand-in engine, and the task that drives its model by the clock."""
+
+import asyncio
+import collections
+import dataclasses
+import time
+
+from aiohttp import web
+
+from hickoryweir.testing import engine_model, engine_orders, faults
+
+CACHE_EVENTS_KEPT = 1000
+SHORTEST_TICK_S = 0.002
+ENGINE = web.AppKey("engine", "Engine")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineSettings:
+    """A stand-in engine's name, speed and habits.
+
+    Attributes
+    ----------
+    models : tuple of str
+        Models loaded at the start, in version ``version``.
+    tick_s : float
+        Longest time between two writes of a stream.
+    report_lag_s : float
+        Age of the load reports.
+    cache_event_lag_s : float
+        Age at which cache events are published.
+    lost_cache_event_interval : int
+        Each so-many-th cache event is lost; 0 means none.
+    load_s : float
+        Duration of a load.
+    """
+
+    name: str = "engine"
+    models: tuple[str, ...] = ("assistant",)
+    version: str = "1"
+    model_settings: engine_model.EngineModelSettings = (
+        engine_model.EngineModelSettings()
+    )
+    tick_s: float = 0.01
+    report_lag_s: float = 0.2
+    cache_event_lag_s: float = 0.1
+    lost_cache_event_interval: int = 0
+    checks_fencing: bool = True
+    load_s: float = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadSample:
+    """Load of the engine at one time."""
+
+    measured_at_s: float
+    running: int
+    waiting: int
+    cache_used_share: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A change of the prefix cache, published later than it happened."""
+
+    sequence: int
+    changed_at_s: float
+    stored: tuple[int, ...]
+    removed: tuple[int, ...]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Follower:
+    """A handler that follows its sequence."""
+
+    tokens: int
+    finished: bool = False
+    cancelled: bool = False
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Engine:
+    """State of a stand-in engine.
+
+    Attributes
+    ----------
+    runs : collections.Counter
+        How often each request id was run; for tests.
+    """
+
+    settings: EngineSettings
+    model: engine_model.State
+    orders: engine_orders.OrderBook
+    active_faults: faults.EngineFaults = dataclasses.field(
+        default_factory=faults.EngineFaults
+    )
+    followers: dict[str, Follower] = dataclasses.field(default_factory=dict)
+    wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    samples: collections.deque[LoadSample] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=CACHE_EVENTS_KEPT)
+    )
+    cache_events: collections.deque[CacheEvent] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=CACHE_EVENTS_KEPT)
+    )
+    cache_sequence: int = 0
+    previous_id: str = "nobody"
+    runs: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    cancelled_count: int = 0
+    connections: set[asyncio.BaseTransport] = dataclasses.field(default_factory=set)
+
+
+def make_engine(settings: EngineSettings) -> Engine:
+    """Return an idle engine."""
+    models = {
+        name: engine_orders.Loaded(settings.version, []) for name in settings.models
+    }
+    book = engine_orders.OrderBook(settings.checks_fencing, models)
+    return Engine(settings, engine_model.make_state(time.monotonic()), book)
+
+
+async def run_model(app: web.Application):
+    """Drive the model while the application runs."""
+    engine = app[ENGINE]
+    engine.model = engine_model.make_state(time.monotonic())
+    task = asyncio.create_task(drive(engine))
+    yield
+    task.cancel()
+
+
+async def drive(engine: Engine) -> None:
+    """Advance the model at each change and at least once a tick while it is busy."""
+    while True:
+        apply(engine, engine_model.Advance())
+        left_s = next_wake_s(engine) - time.monotonic()
+        engine.wake.clear()
+        try:
+            async with asyncio.timeout(max(SHORTEST_TICK_S, left_s)):
+                await engine.wake.wait()
+        except TimeoutError:
+            continue
+
+
+def next_wake_s(engine: Engine) -> float:
+    """Return when the model must be advanced at the latest."""
+    settings = engine.settings
+    change_s = engine_model.next_change_s(settings.model_settings, engine.model)
+    tick_s = settings.tick_s if engine.followers else settings.report_lag_s
+    return min(change_s, engine.model.now_s + max(tick_s, SHORTEST_TICK_S))
+
+
+def apply(engine: Engine, event: engine_model.Event) -> None:
+    """Apply an event to the model now, and tell the handlers what changed."""
+    now_s = max(time.monotonic(), engine.model.now_s)
+    settings = engine.settings.model_settings
+    engine.model, outputs = engine_model.step(settings, engine.model, event, now_s)
+    for output in outputs:
+        match output:
+            case engine_model.Finished(request_id):
+                finish(engine, request_id)
+            case engine_model.CacheChanged(stored, removed):
+                record_cache_event(engine, stored, removed)
+    for sequence in engine.model.decoding:
+        follower = engine.followers.get(sequence.call.request_id)
+        tokens = engine_model.produced_tokens(engine.model, sequence)
+        if follower is not None and tokens > follower.tokens:
+            follower.tokens = tokens
+            follower.changed.set()
+    engine.samples.append(sample(engine))
+    engine.wake.set()
+
+
+def finish(engine: Engine, request_id: str) -> None:
+    """Tell a handler that its sequence has all its tokens."""
+    follower = engine.followers.get(request_id)
+    if follower is not None:
+        follower.finished = True
+        follower.changed.set()
+
+
+def record_cache_event(
+    engine: Engine, stored: tuple[int, ...], removed: tuple[int, ...]
+) -> None:
+    """Keep a cache event for publication, unless it is one that gets lost."""
+    engine.cache_sequence += 1
+    interval = engine.settings.lost_cache_event_interval
+    if interval and engine.cache_sequence % interval == 0:
+        return
+    event = CacheEvent(engine.cache_sequence, engine.model.now_s, stored, removed)
+    engine.cache_events.append(event)
+
+
+def sample(engine: Engine) -> LoadSample:
+    """Return the load now."""
+    state = engine.model
+    share = engine_model.cache_used_share(engine.settings.model_settings, state)
+    running = engine_model.running_count(state)
+    return LoadSample(state.now_s, running, len(state.waiting), share)
+
+
+def crash(engine: Engine) -> None:
+    """Lose all sequences, the cache and all connections."""
+    engine.active_faults.crashed = True
+    engine.model = engine_model.make_state(time.monotonic())
+    engine.followers.clear()
+    for transport in list(engine.connections):
+        transport.abort()
+    if engine.active_faults.recovery_s > 0.0:
+        loop = asyncio.get_running_loop()
+        loop.call_later(engine.active_faults.recovery_s, recover, engine)
+
+
+def recover(engine: Engine) -> None:
+    """Let a crashed engine serve again."""
+    engine.active_faults.crashed = False
+
+
+def cancel(engine: Engine, request_id: str) -> bool:
+    """End a sequence by order; return whether it was there."""
+    follower = engine.followers.pop(request_id, None)
+    if follower is None:
+        return False
+    apply(engine, engine_model.Cancel(request_id))
+    follower.cancelled = True
+    follower.changed.set()
+    return True
+
+
+def idle_sample(measured_at_s: float) -> LoadSample:
+    """Return the load of an engine that has done nothing yet."""
+    return LoadSample(measured_at_s, 0, 0, 0.0)
--- /dev/null
+++ b/hickoryweir/testing/service.py
@@ -0,0 +1,160 @@
+"""A stand-in plain service, which counts how often each call ran.
+
+``GET /executions`` is the oracle of tests: it says how often each idempotency
+key ran.  The service itself does not deduplicate, so a call that is sent twice
+runs twice.
+"""
+
+import asyncio
+import collections
+import dataclasses
+
+from aiohttp import web
+
+from hickoryweir.engines import headers
+from hickoryweir.testing import faults
+
+BODY_LIMIT_BYTES = 4 * 1024 * 1024
+SERVICE = web.AppKey("service", "Service")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceSettings:
+    """A stand-in service's name and the time that each call takes."""
+
+    name: str = "service"
+    work_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Service:
+    """State of a stand-in service.
+
+    Attributes
+    ----------
+    executions : collections.Counter
+        How often each idempotency key ran.
+    calls : collections.Counter
+        How often each method and path ran.
+    """
+
+    settings: ServiceSettings
+    active_faults: faults.ServiceFaults = dataclasses.field(
+        default_factory=faults.ServiceFaults
+    )
+    executions: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    calls: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+
+
+def make_app(settings: ServiceSettings) -> web.Application:
+    """Return a stand-in service as an application.
+
+    ``ANY /{path}`` runs a call, ``GET /executions`` and ``GET /lookup/{key}``
+    say what ran, ``POST /faults`` switches faults on.
+    """
+    app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+    app[SERVICE] = Service(settings)
+    app.add_routes(
+        [
+            web.get("/executions", handle_executions),
+            web.get("/lookup/{key}", handle_lookup),
+            web.get("/health", handle_health),
+            web.post("/faults", handle_faults),
+            web.route("*", "/{path:.*}", handle_call),
+        ]
+    )
+    return app
+
+
+async def handle_call(request: web.Request) -> web.StreamResponse:
+    """Run a call once more and answer how often its key has run."""
+    service = request.app[SERVICE]
+    request_id = request.headers.get(headers.REQUEST_ID, "anonymous")
+    if service.active_faults.crashed:
+        return drop(request)
+    if service.active_faults.refused_count > 0:
+        service.active_faults.refused_count -= 1
+        return refuse(request_id)
+    body = await request.read()
+    count = execute(service, request)
+    if service.active_faults.crash_after_running_count > 0:
+        service.active_faults.crash_after_running_count -= 1
+        return drop(request)
+    await asyncio.sleep(service.settings.work_s + service.active_faults.answer_delay_s)
+    if service.active_faults.crossed_count > 0:
+        service.active_faults.crossed_count -= 1
+        request_id = f"not-{request_id}"
+    answer = {
+        "service": service.settings.name,
+        "request_id": request_id,
+        "method": request.method,
+        "path": request.path_qs,
+        "size_bytes": len(body),
+        "executions": count,
+    }
+    return web.json_response(answer, headers={headers.REQUEST_ID: request_id})
+
+
+def execute(service: Service, request: web.Request) -> int:
+    """Count a call that runs; return how often its key has run."""
+    service.calls[f"{request.method} {request.path}"] += 1
+    key = request.headers.get(headers.IDEMPOTENCY_KEY)
+    if key is None:
+        return 1
+    service.executions[key] += 1
+    return service.executions[key]
+
+
+def drop(request: web.Request) -> web.Response:
+    """Cut the connection instead of an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=503)
+
+
+def refuse(request_id: str) -> web.Response:
+    """Return the refusal of a call that did not run."""
+    error = {"message": "the service is busy", "code": "busy"}
+    return web.json_response(
+        {"error": error},
+        status=503,
+        headers={headers.REQUEST_ID: request_id, headers.NOT_RUN: headers.TRUE},
+    )
+
+
+async def handle_executions(request: web.Request) -> web.Response:
+    """Answer how often each key and each path ran."""
+    service = request.app[SERVICE]
+    by_path = dict(sorted(service.calls.items()))
+    by_key = dict(sorted(service.executions.items()))
+    return web.json_response({"by_key": by_key, "by_path": by_path})
+
+
+async def handle_lookup(request: web.Request) -> web.Response:
+    """Answer whether a key ran."""
+    service = request.app[SERVICE]
+    if service.active_faults.crashed:
+        return drop(request)
+    count = service.executions[request.match_info["key"]]
+    return web.json_response({"ran": count > 0})
+
+
+async def handle_health(request: web.Request) -> web.Response:
+    """Answer that the service is up."""
+    if request.app[SERVICE].active_faults.crashed:
+        return drop(request)
+    return web.json_response({"status": "ok"})
+
+
+async def handle_faults(request: web.Request) -> web.Response:
+    """Switch faults on and off; fields that are not named stay."""
+    service = request.app[SERVICE]
+    try:
+        service.active_faults = faults.merge(
+            service.active_faults, await request.read()
+        )
+    except ValueError as error:
+        return web.json_response({"error": {"message": str(error)}}, status=400)
+    return web.json_response(service.active_faults.model_dump())
