Operators' port: changes, previews, rollback, planned stops, status, history

Cause: operators drive the router by answers and planned stops only, and each refusal has to be true, typed and counted. Change: aiohttp application and server with keys and permissions of their own, queries on the replicated state, effects of a change in sentences, a client that tries entry VMs in turn with the same change id; a resend is recognised by what the operator sent, not by compressed bytes or the sender's list of replicas.

--- a/hickoryweir/configuration/changes.py
+++ b/hickoryweir/configuration/changes.py
@@ -127,9 +127,27 @@
 
 
 def _fingerprint(command: commands.Command) -> bytes:
+    """Return a digest of what the operator sent.
+
+    Compressed bytes, generated text and the list of replicas may differ between
+    the entry VMs through which a command and its resend come.
+    """
+    if isinstance(command, commands.SubmitChange):
+        command = dataclasses.replace(
+            command, answers=_plain(command.answers), configuration=b""
+        )
+    elif isinstance(command, commands.StartStop):
+        command = dataclasses.replace(command, voters=())
     return hashlib.sha256(codec.encode(command)).digest()[:FINGERPRINT_SIZE_BYTES]
 
 
+def _plain(data: bytes) -> bytes:
+    try:
+        return commands.decompress(data).encode()
+    except ValueError:
+        return data
+
+
 def _repeat(state: State, first: FirstReply, fingerprint: bytes) -> commands.Reply:
     if first.fingerprint != fingerprint:
         return commands.ChangeIdReused()
--- /dev/null
+++ b/hickoryweir/operators/authentication.py
@@ -0,0 +1,69 @@
+"""Keys and permissions of operators.
+
+Examples
+--------
+>>> from hickoryweir.configuration import settings
+>>> read = settings.Permission.READ
+>>> ann = settings.Operator("ann", (digest_key("k"),), (read,))
+>>> authenticate((ann,), "Bearer k", read).unwrap()
+'ann'
+>>> authenticate((ann,), "Bearer x", read).failure().reason
+<Reason.AUTHENTICATION_INVALID: 'authentication_invalid'>
+"""
+
+import hashlib
+import hmac
+
+from returns import result
+
+from hickoryweir.configuration import settings
+from hickoryweir.operators import documents
+
+SCHEME = "Bearer "
+
+
+def digest_key(key: str) -> str:
+    """Return the SHA-256 of a key as lower-case hex."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def authenticate(
+    operators: tuple[settings.Operator, ...],
+    header: str | None,
+    permission: settings.Permission,
+) -> result.Result[str, documents.RefusalDocument]:
+    """Return the operator's name, or the refusal.
+
+    Parameters
+    ----------
+    operators : tuple of settings.Operator
+        Known operators.
+    header : str or None
+        The ``Authorization`` header.
+    permission : settings.Permission
+        What the request needs.
+
+    Returns
+    -------
+    Result of str or RefusalDocument
+        All digests are compared, each in constant time.
+    """
+    if header is None or not header.startswith(SCHEME):
+        return _refuse(documents.Reason.AUTHENTICATION_MISSING, "no bearer key")
+    shown = digest_key(header.removeprefix(SCHEME))
+    found = [
+        operator
+        for operator in operators
+        for digest in operator.key_sha256
+        if hmac.compare_digest(digest, shown)
+    ]
+    if not found:
+        return _refuse(documents.Reason.AUTHENTICATION_INVALID, "unknown key")
+    if permission not in found[0].permissions:
+        message = f"operator {found[0].name} lacks the permission {permission}"
+        return _refuse(documents.Reason.PERMISSION_MISSING, message)
+    return result.Success(found[0].name)
+
+
+def _refuse(reason, message):
+    return result.Failure(documents.RefusalDocument(reason, message))
--- /dev/null
+++ b/hickoryweir/operators/client.py
@@ -0,0 +1,107 @@
+"""Client of the operators' port, used by the command line.
+
+Entry VMs are tried in turn.  A request that changes something carries a change
+id, so it is sent again after a lost answer without harm.
+"""
+
+import dataclasses
+import http
+import ssl
+from typing import Any, TypeVar
+
+import aiohttp
+import pydantic
+from returns import result
+
+from hickoryweir.operators import documents
+
+REQUEST_TIMEOUT_S = documents.MAX_WAIT_S + 15.0
+CONNECT_TIMEOUT_S = 3.0
+RETRYABLE = (documents.Reason.NO_QUORUM, documents.Reason.OUTCOME_UNKNOWN)
+
+Document = TypeVar("Document")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Access:
+    """How to reach the operators' ports.
+
+    Attributes
+    ----------
+    urls : tuple of str
+        One for each entry VM that may be tried.
+    key : str
+        The operator's key.
+    authority_file : str
+        Certificate authority; the system's if empty.
+    """
+
+    urls: tuple[str, ...]
+    key: str
+    authority_file: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreachable:
+    """No entry VM answered; ``errors`` has one line for each."""
+
+    errors: tuple[str, ...]
+
+
+Failure = documents.RefusalDocument | Unreachable
+
+
+async def request(
+    access: Access,
+    method: str,
+    path: str,
+    cls: type[Document],
+    body: dict[str, Any] | None = None,
+) -> result.Result[Document, Failure]:
+    """Send a request to the first entry VM that can serve it.
+
+    Parameters
+    ----------
+    access : Access
+        Where to send it.
+    method, path : str
+        HTTP method and path.
+    cls : type
+        Document class of the answer.
+    body : dict, optional
+        JSON body.
+
+    Returns
+    -------
+    Result
+        The document, the refusal, or that nobody was reached.
+    """
+    errors: list[str] = []
+    refusal: documents.RefusalDocument | None = None
+    timeout = aiohttp.ClientTimeout(REQUEST_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+    headers = {"Authorization": f"Bearer {access.key}"}
+    async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
+        for url in access.urls:
+            try:
+                answer = await _send(session, access, method, url + path, cls, body)
+            except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+                errors.append(f"{url}: {error!r}")
+                continue
+            if isinstance(answer, result.Success):
+                return answer
+            refusal = answer.failure()
+            if refusal.reason not in RETRYABLE:
+                return answer
+    return result.Failure(refusal or Unreachable(tuple(errors)))
+
+
+async def _send(session, access, method, url, cls, body):
+    context = None
+    if url.startswith("https:"):
+        context = ssl.create_default_context(cafile=access.authority_file or None)
+    async with session.request(method, url, json=body, ssl=context or True) as response:
+        text = await response.read()
+        if response.status == http.HTTPStatus.OK:
+            return result.Success(pydantic.TypeAdapter(cls).validate_json(text))
+        refusal = pydantic.TypeAdapter(documents.RefusalDocument).validate_json(text)
+        return result.Failure(refusal)
--- /dev/null
+++ b/hickoryweir/operators/service.py
@@ -0,0 +1,312 @@
+"""What the operators' port does: changes, previews, rollbacks, stops, status.
+
+The functions here know nothing of HTTP; :mod:`hickoryweir.operators.app` maps
+them to requests.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from returns import result
+
+from hickoryweir.configuration import (
+    change_ids,
+    commands,
+    deltas,
+    effects,
+    generator,
+    model,
+    parse,
+    queries,
+    render,
+    settings,
+)
+from hickoryweir.operators import documents, replies
+from hickoryweir.replicas import client
+from hickoryweir.routers import acknowledgements, messages
+
+LOG_TIMEOUT_S = 5.0
+POLL_S = 0.05
+MAX_HISTORY_COUNT = 200
+
+Outcome = result.Result[Any, documents.RefusalDocument]
+AskLog = Callable[[Any, float], Awaitable[result.Result[Any, client.Unavailable]]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ports:
+    """What the operators' port asks of the daemon.
+
+    Attributes
+    ----------
+    operators : tuple of settings.Operator
+        Keys and permissions.
+    voters : tuple of commands.Voter
+        All replicas.
+    zones : tuple of str
+        All availability zones with entry VMs.
+    propose, read : function
+        Reach the replicated log: ``await propose(command, timeout_s)``.
+    watch : function
+        Asks the routers for zone reports.
+    zone_reports : function
+        Returns the known zone reports.
+    status : function
+        Returns this daemon's status document.
+    count_refusal : function
+        Counts a refusal by reason.
+    """
+
+    operators: tuple[settings.Operator, ...]
+    voters: tuple[commands.Voter, ...]
+    zones: tuple[str, ...]
+    propose: AskLog
+    read: AskLog
+    watch: Callable[[], None]
+    zone_reports: Callable[[], tuple[messages.ZoneReport, ...]]
+    status: Callable[[], dict[str, Any]]
+    count_refusal: Callable[[documents.Reason], None]
+
+
+def refuse(reason: documents.Reason, message: str, details=()) -> result.Failure:
+    """Return a refusal as an outcome."""
+    return result.Failure(documents.RefusalDocument(reason, message, tuple(details)))
+
+
+async def submit(
+    ports: Ports, operator: str, request: documents.SubmitRequest
+) -> Outcome:
+    """Preview or submit new answers.
+
+    Parameters
+    ----------
+    ports : Ports
+        The daemon.
+    operator : str
+        Who submits.
+    request : documents.SubmitRequest
+        The change.
+
+    Returns
+    -------
+    Result
+        An accepted change, or a preview, or a refusal.
+    """
+    generated = generator.generate_text(request.answers, request.file)
+    if not isinstance(generated, result.Success):
+        lines = [str(problem) for problem in generated.failure().problems]
+        message = "the answers are invalid"
+        return refuse(documents.Reason.ANSWERS_INVALID, message, lines)
+    configuration = generated.unwrap()
+    if request.dry_run or request.expected_version is None:
+        standing = await read_standing(ports)
+        if not isinstance(standing, result.Success):
+            return standing
+        if request.dry_run:
+            return result.Success(preview(standing.unwrap(), configuration))
+        version = standing.unwrap().version
+        request = request.model_copy(update={"expected_version": version})
+    return await _propose_change(ports, operator, request, configuration)
+
+
+async def _propose_change(ports, operator, request, configuration):
+    issued_at_s = change_ids.issued_at_s(request.change_id)
+    if issued_at_s is None:
+        return _refuse_change_id()
+    command = commands.make_submit(
+        request.change_id,
+        operator,
+        issued_at_s,
+        request.expected_version,
+        request.answers,
+        render.render(configuration),
+        request.summary,
+    )
+    return await _propose(ports, command, request.wait_s, request.answers)
+
+
+def _refuse_change_id():
+    message = "a change id is the time of issue in ms, '-' and a random part"
+    return refuse(documents.Reason.CHANGE_ID_INVALID, message)
+
+
+async def read_standing(ports: Ports) -> Outcome:
+    """Return the log's standing by a linearizable read."""
+    standing = await ports.read(queries.ReadStanding(), LOG_TIMEOUT_S)
+    return standing.alt(replies.refuse_unavailable)
+
+
+def preview(
+    standing: queries.Standing, configuration: model.Configuration
+) -> documents.PreviewDocument:
+    """Return what a change would do."""
+    before_text = ""
+    before = None
+    if standing.configuration:
+        before_text = commands.decompress(standing.configuration)
+        before = parse.parse(before_text, "configuration in force").value_or(None)
+    text = render.render(configuration)
+    return documents.PreviewDocument(
+        standing.version,
+        configuration.digest,
+        deltas.describe(before_text, text),
+        effects.describe(before, configuration),
+    )
+
+
+async def rollback(
+    ports: Ports, operator: str, request: documents.RollbackRequest
+) -> Outcome:
+    """Submit the answers of an old version as a new change."""
+    content = await read_answers(ports, request.to_version)
+    if not isinstance(content, result.Success):
+        return content
+    change = documents.SubmitRequest(
+        change_id=request.change_id,
+        expected_version=request.expected_version,
+        answers=content.unwrap().answers,
+        file=f"answers of version {request.to_version}",
+        summary=f"rollback to version {request.to_version}",
+        dry_run=request.dry_run,
+        wait_s=request.wait_s,
+    )
+    return await submit(ports, operator, change)
+
+
+async def read_answers(ports: Ports, version: int) -> Outcome:
+    """Return the answers of a version."""
+    read = await ports.read(queries.ReadContent(version), LOG_TIMEOUT_S)
+    if not isinstance(read, result.Success):
+        return read.alt(replies.refuse_unavailable)
+    content = read.unwrap().content
+    if content is None:
+        message = f"the answers of version {version} are not kept"
+        return refuse(documents.Reason.VERSION_UNKNOWN, message)
+    answers = commands.decompress(content.answers)
+    return result.Success(documents.AnswersDocument(version, answers))
+
+
+async def start_stop(
+    ports: Ports, operator: str, request: documents.StopRequest
+) -> Outcome:
+    """Start a planned stop."""
+    issued_at_s = change_ids.issued_at_s(request.change_id)
+    if issued_at_s is None:
+        return _refuse_change_id()
+    command = commands.StartStop(
+        request.change_id,
+        operator,
+        issued_at_s,
+        request.kind,
+        request.name,
+        request.even_so,
+        ports.voters,
+    )
+    return await _propose(ports, command, request.wait_s)
+
+
+async def cancel_stop(
+    ports: Ports, operator: str, request: documents.StopRequest
+) -> Outcome:
+    """Cancel a planned stop."""
+    issued_at_s = change_ids.issued_at_s(request.change_id)
+    if issued_at_s is None:
+        return _refuse_change_id()
+    command = commands.CancelStop(
+        request.change_id, operator, issued_at_s, request.kind, request.name
+    )
+    return await _propose(ports, command, request.wait_s)
+
+
+async def _propose(ports, command, wait_s, answers=""):
+    proposed = await ports.propose(command, LOG_TIMEOUT_S)
+    if not isinstance(proposed, result.Success):
+        return proposed.alt(replies.refuse_unavailable)
+    reply = proposed.unwrap()
+    if not isinstance(reply, commands.Accepted):
+        return result.Failure(replies.refuse(reply, answers))
+    zones = await wait_in_force(ports, reply.version, wait_s)
+    return result.Success(
+        documents.AcceptedDocument(command.change_id, reply.version, zones)
+    )
+
+
+async def wait_in_force(
+    ports: Ports, version: int, wait_s: float
+) -> tuple[documents.ZoneState, ...]:
+    """Wait until a version is in force in every zone, or the time is up."""
+    ports.watch()
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + wait_s
+    zones = zone_states(ports, version)
+    while not all(zone.is_in_force for zone in zones) and loop.time() < deadline_s:
+        await asyncio.sleep(POLL_S)
+        ports.watch()
+        zones = zone_states(ports, version)
+    return zones
+
+
+def zone_states(ports: Ports, version: int) -> tuple[documents.ZoneState, ...]:
+    """Return for each zone whether a version is in force there."""
+    reports = {report.availability_zone: report for report in ports.zone_reports()}
+    return tuple(_zone_state(zone, reports.get(zone), version) for zone in ports.zones)
+
+
+def _zone_state(zone, report, version):
+    if report is None:
+        return documents.ZoneState(zone, False, 0, 0, 0, (), ())
+    return documents.ZoneState(
+        zone,
+        acknowledgements.is_in_force(report, version),
+        report.in_force_version,
+        report.live_count,
+        report.expected_count,
+        report.lagging,
+        report.missing,
+    )
+
+
+async def status(ports: Ports) -> Outcome:
+    """Return the status document; without a quorum it says so."""
+    ports.watch()
+    read = await ports.read(queries.ReadStanding(), LOG_TIMEOUT_S)
+    log_error = ""
+    standing = queries.Standing(0, 0, "", b"", b"", ())
+    if isinstance(read, result.Success):
+        standing = read.unwrap()
+    else:
+        log_error = str(read.failure().reason)
+    running = tuple(
+        documents.StopState(
+            stop.kind.value, stop.name, stop.operator, stop.version, stop.since_s
+        )
+        for stop in standing.running_stops
+    )
+    return result.Success(
+        documents.StatusDocument(
+            standing.version,
+            standing.configuration_version,
+            standing.digest,
+            zone_states(ports, standing.version),
+            running,
+            log_error,
+            ports.status(),
+        )
+    )
+
+
+async def read_history(ports: Ports) -> Outcome:
+    """Return the audit history."""
+    read = await ports.read(queries.ReadHistory(MAX_HISTORY_COUNT), LOG_TIMEOUT_S)
+    return read.alt(replies.refuse_unavailable).map(
+        lambda found: documents.HistoryDocument(
+            tuple(documents.DayState(*_values(day)) for day in found.days),
+            tuple(documents.EntryState(*_values(each)) for each in found.entries),
+        )
+    )
+
+
+def _values(value):
+    return [getattr(value, field.name) for field in dataclasses.fields(value)]
