Replicas: simulation with faults, storage tests at each operation, replacement

Cause: the log must hold through crashes, torn and damaged files, cuts and member changes. Change: simulation in virtual time that runs the real core, joining of stores, storage and recovery; memory file system that drops what was not synced; crash at each file operation; replacement as an ordered operation of its own.

--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -16,7 +16,6 @@
 from returns import result
 
 from hickoryweir.replicas import channels, messages, wire
-from hickoryweir.replicas import state as states
 from hickoryweir.streams import codec, handshake, tls
 
 CONNECT_TIMEOUT_S = 0.3
@@ -24,14 +23,6 @@
 PATIENCE_S = 0.4
 RETRY_INTERVAL_S = 0.03
 PROBE_INTERVAL_S = 0.2
-ADDED_REFUSAL = states.ChangeRefusal.ALREADY_MEMBER.value
-GONE_REFUSAL = states.ChangeRefusal.UNKNOWN_MEMBER.value
-TEMPORARY_REFUSALS = (
-    states.ChangeRefusal.NOT_CAUGHT_UP.value,
-    states.ChangeRefusal.CHANGE_IN_PROGRESS.value,
-    states.ChangeRefusal.TERM_NOT_COMMITTED.value,
-    states.ChangeRefusal.TRANSFER_IN_PROGRESS.value,
-)
 
 
 class Reason(enum.StrEnum):
@@ -197,58 +188,6 @@
         member = _make_reference(member_id)
         return await self._change(wire.Change.PROMOTE, member, timeout_s)
 
-    async def promote_caught_up(
-        self, member_id: str, timeout_s: float
-    ) -> result.Result[str, Unavailable]:
-        """Make a learner a voter as soon as it has caught up."""
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + timeout_s
-        while True:
-            outcome = await self.promote(member_id, deadline_s - loop.time())
-            waits = outcome.value_or("") in TEMPORARY_REFUSALS
-            if not waits or loop.time() > deadline_s:
-                return outcome
-            await asyncio.sleep(RETRY_INTERVAL_S)
-
-    async def replace(
-        self, lost_id: str, replica: wire.ReplicaAddress, timeout_s: float
-    ) -> result.Result[str, Unavailable]:
-        """Replace a lost member by a replica with an empty folder.
-
-        The order keeps the tolerance as high as it can be: the new one catches up
-        as a learner first, then the lost one goes, then the learner counts.  Only
-        when this returns an empty text is the replacement complete.
-        """
-        outcome = await self.add_learner(replica, timeout_s)
-        if outcome.value_or(ADDED_REFUSAL) not in ("", ADDED_REFUSAL):
-            return outcome
-        learner_id = await self._wait_until_caught_up(replica.name, timeout_s)
-        if learner_id is None:
-            return _unavailable(Reason.TIMED_OUT, False)
-        removed = await self.remove(lost_id, timeout_s)
-        if removed.value_or("?") not in ("", GONE_REFUSAL):
-            return removed
-        return await self.promote_caught_up(learner_id, timeout_s)
-
-    async def _wait_until_caught_up(self, name: str, timeout_s: float) -> str | None:
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + timeout_s
-        while loop.time() < deadline_s:
-            for known in await self.members():
-                member_id = known.member.member_id
-                if messages.replica_name_of(member_id) == name and known.caught_up:
-                    return member_id
-            await asyncio.sleep(RETRY_INTERVAL_S)
-        return None
-
-    async def members(self) -> tuple[wire.MemberStatus, ...]:
-        """Return the members as the leader sees them; empty without a leader."""
-        statuses = await self.status()
-        leaders = [item for item in statuses if item.leader_id == item.member_id]
-        if not leaders:
-            return ()
-        return max(leaders, key=lambda status: status.term).members
-
     async def remove(
         self, member_id: str, timeout_s: float
     ) -> result.Result[str, Unavailable]:
--- a/hickoryweir/replicas/disk.py
+++ b/hickoryweir/replicas/disk.py
@@ -12,7 +12,7 @@
 from absl import logging
 from returns import result
 
-from hickoryweir.replicas import messages, records, storage
+from hickoryweir.replicas import messages, quorums, records, storage
 from hickoryweir.replicas import state as states
 
 
@@ -96,11 +96,27 @@
                 self._send(item.envelope)
             elif isinstance(item, OwnSnapshot):
                 self._notify(item.taken)
-        persisted = _make_persisted(work)
+        persisted = make_persisted(work)
         if persisted is not None:
             self._notify(persisted)
 
 
+def make_own_snapshot(
+    state: states.State, data: bytes, time_s: float, keep_count: int
+) -> OwnSnapshot:
+    """Return the work that stores the machine's state as of the applied index."""
+    index = state.applied_index
+    snapshot = messages.Snapshot(
+        index,
+        state.log.term_at(index),
+        quorums.membership_at(state, index),
+        time_s,
+        data,
+    )
+    taken = states.SnapshotTaken(snapshot, keep_count)
+    return OwnSnapshot(taken, index - keep_count, state.term, state.voted_for)
+
+
 def carry_out(
     opened: storage.Storage, work: list[Work]
 ) -> result.Result[None, records.StorageFailure]:
@@ -171,7 +187,8 @@
     )
 
 
-def _make_persisted(work: list[Work]) -> states.Persisted | None:
+def make_persisted(work: list[Work]) -> states.Persisted | None:
+    """Return the event that says what `work` has made durable."""
     term = 0
     last_index = last_term = 0
     for item in work:
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -22,7 +22,6 @@
     links,
     machine,
     messages,
-    quorums,
     raft,
     records,
     requests,
@@ -34,8 +33,6 @@
 
 TICK_INTERVAL_S = 0.025
 STOP_TIMEOUT_S = 2.0
-MAX_WAITING_COMMANDS_COUNT = 20_000
-MAX_COMMAND_SIZE_BYTES = 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -243,7 +240,10 @@
             case wire.StatusRequest():
                 zone = self.settings.identity.availability_zone
                 request_id = item.request.request_id
-                status = requests.make_status(request_id, self.state, zone, now_s)
+                opened = self._disk.storage
+                status = requests.make_status(
+                    request_id, self.state, zone, opened, now_s
+                )
                 item.connection.offer(status)
             case wire.ChangeRequest():
                 self._change(item, now_s)
@@ -312,22 +312,10 @@
             return
         self._snapshot_asked_index = index
         self._log_size_bytes = 0
-        snapshot = messages.Snapshot(
-            index,
-            self.state.log.term_at(index),
-            quorums.membership_at(self.state, index),
-            self.machine.time_s,
-            machine.dump(self.machine),
-        )
+        data = machine.dump(self.machine)
         keep_count = self.settings.keep_entries_count
-        self._disk.submit(
-            disks.OwnSnapshot(
-                states.SnapshotTaken(snapshot, keep_count),
-                index - keep_count,
-                self.state.term,
-                self.state.voted_for,
-            )
-        )
+        own = disks.make_own_snapshot(self.state, data, self.machine.time_s, keep_count)
+        self._disk.submit(own)
 
     def _propose(self, proposals: list[requests.Waiting], now_s: float) -> None:
         if not proposals:
@@ -337,17 +325,7 @@
                 not_leader = wire.Hindrance.NOT_LEADER
                 requests.refuse(waiting, not_leader, self.state, now_s)
             return
-        room = MAX_WAITING_COMMANDS_COUNT - len(self._waits.commands)
-        taken = []
-        for waiting in proposals:
-            if len(waiting.request.command) > MAX_COMMAND_SIZE_BYTES:
-                malformed = wire.Hindrance.MALFORMED
-                requests.refuse(waiting, malformed, self.state, now_s)
-            elif len(taken) >= room:
-                overloaded = wire.Hindrance.OVERLOADED
-                requests.refuse(waiting, overloaded, self.state, now_s)
-            else:
-                taken.append(waiting)
+        taken = requests.admit(self._waits, proposals, self.state, now_s)
         first_index = self.state.log.last_index + 1
         for offset, waiting in enumerate(taken):
             self._waits.commands[first_index + offset] = waiting
--- /dev/null
+++ b/hickoryweir/replicas/replacement.py
@@ -0,0 +1,102 @@
+"""Replacing a lost replica, in the order that keeps most tolerance.
+
+The new replica catches up as a learner first, then the lost one goes, then the
+learner counts.  Between the last two steps the group is one smaller and tolerates
+what it tolerated with the lost member counted in; at no time is more needed.
+"""
+
+import asyncio
+
+from returns import result
+
+from hickoryweir.replicas import client, messages, wire
+from hickoryweir.replicas import state as states
+
+RETRY_INTERVAL_S = 0.05
+ALREADY_MEMBER = states.ChangeRefusal.ALREADY_MEMBER.value
+UNKNOWN_MEMBER = states.ChangeRefusal.UNKNOWN_MEMBER.value
+TEMPORARY_REFUSALS = (
+    states.ChangeRefusal.NOT_CAUGHT_UP.value,
+    states.ChangeRefusal.CHANGE_IN_PROGRESS.value,
+    states.ChangeRefusal.TERM_NOT_COMMITTED.value,
+    states.ChangeRefusal.TRANSFER_IN_PROGRESS.value,
+)
+
+Outcome = result.Result[str, client.Unavailable]
+
+
+async def replace(
+    log: client.Client, lost_id: str, replica: wire.ReplicaAddress, timeout_s: float
+) -> Outcome:
+    """Replace a lost member by a replica with an empty folder.
+
+    May be called again after a failure; steps already done are passed over.
+
+    Parameters
+    ----------
+    log : client.Client
+        Reaches the log.
+    lost_id : str
+        Member id of the lost replica.
+    replica : wire.ReplicaAddress
+        The new one; it runs and its folder is empty.
+    timeout_s : float
+        Time for each step.
+
+    Returns
+    -------
+    Result
+        Empty text when the replacement is complete, else the reason of a refusal.
+    """
+    outcome = await log.add_learner(replica, timeout_s)
+    if outcome.value_or(ALREADY_MEMBER) not in ("", ALREADY_MEMBER):
+        return outcome
+    learner_id = await _wait_until_caught_up(log, replica.name, timeout_s)
+    if learner_id is None:
+        reason = client.Reason.TIMED_OUT
+        return result.Failure(client.Unavailable(reason, True, RETRY_INTERVAL_S))
+    removed = await _retry(lambda: log.remove(lost_id, timeout_s), timeout_s)
+    if removed.value_or("unavailable") not in ("", UNKNOWN_MEMBER):
+        return removed
+    return await promote_caught_up(log, learner_id, timeout_s)
+
+
+async def promote_caught_up(
+    log: client.Client, member_id: str, timeout_s: float
+) -> Outcome:
+    """Make a learner a voter as soon as it has caught up."""
+    return await _retry(lambda: log.promote(member_id, timeout_s), timeout_s)
+
+
+async def members(log: client.Client) -> tuple[wire.MemberStatus, ...]:
+    """Return the members as the leader sees them; empty without a leader."""
+    statuses = await log.status()
+    leading = [status for status in statuses if status.leader_id == status.member_id]
+    if not leading:
+        return ()
+    return max(leading, key=lambda status: status.term).members
+
+
+async def _retry(step, timeout_s: float) -> Outcome:
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + timeout_s
+    while True:
+        outcome = await step()
+        waits = outcome.value_or("") in TEMPORARY_REFUSALS
+        if not waits or loop.time() > deadline_s:
+            return outcome
+        await asyncio.sleep(RETRY_INTERVAL_S)
+
+
+async def _wait_until_caught_up(
+    log: client.Client, name: str, timeout_s: float
+) -> str | None:
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + timeout_s
+    while loop.time() < deadline_s:
+        for known in await members(log):
+            member_id = known.member.member_id
+            if messages.replica_name_of(member_id) == name and known.caught_up:
+                return member_id
+        await asyncio.sleep(RETRY_INTERVAL_S)
+    return None
--- a/hickoryweir/replicas/requests.py
+++ b/hickoryweir/replicas/requests.py
@@ -2,10 +2,13 @@
 
 import dataclasses
 
-from hickoryweir.replicas import elections, machine, membership, messages, wire
+from hickoryweir.replicas import elections, machine, membership, messages, storage, wire
 from hickoryweir.replicas import state as states
 from hickoryweir.streams import codec, connections
 
+MAX_WAITING_COMMANDS_COUNT = 20_000
+MAX_COMMAND_SIZE_BYTES = 1024 * 1024
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Waiting:
@@ -70,6 +73,22 @@
     waiting.connection.offer(message)
 
 
+def admit(
+    waits: Waits, proposals: list[Waiting], state: states.State, now_s: float
+) -> list[Waiting]:
+    """Return the proposals that there is room for; refuse the others."""
+    room = MAX_WAITING_COMMANDS_COUNT - len(waits.commands)
+    taken = []
+    for waiting in proposals:
+        if len(waiting.request.command) > MAX_COMMAND_SIZE_BYTES:
+            refuse(waiting, wire.Hindrance.MALFORMED, state, now_s)
+        elif len(taken) >= room:
+            refuse(waiting, wire.Hindrance.OVERLOADED, state, now_s)
+        else:
+            taken.append(waiting)
+    return taken
+
+
 def refuse_appended(waits: Waits, state: states.State, now_s: float) -> None:
     """Leadership is lost: what was appended may still be committed by another."""
     lost = wire.Hindrance.LEADERSHIP_LOST
@@ -97,7 +116,11 @@
 
 
 def make_status(
-    request_id: int, state: states.State, availability_zone: str, now_s: float
+    request_id: int,
+    state: states.State,
+    availability_zone: str,
+    opened: storage.Storage,
+    now_s: float,
 ) -> wire.Status:
     """Return how this replica is."""
     members = tuple(
@@ -116,6 +139,8 @@
         state.commit_index,
         0 if state.snapshot is None else state.snapshot.index,
         members,
+        opened.sync_count,
+        opened.written_size_bytes,
     )
 
 
--- /dev/null
+++ b/hickoryweir/replicas/tests/simulation.py
@@ -0,0 +1,214 @@
+"""Replicas on a simulated network, clock and disk, checked after every step.
+
+The core, the joining of stores, storage and recovery are the real ones.
+"""
+
+import dataclasses
+import hashlib
+import itertools
+import random
+
+from hickoryweir.replicas import disk, messages, raft, storage
+from hickoryweir.replicas import state as states
+from hickoryweir.replicas.tests import memory_files
+
+TIMING = states.Timing(max_append_count=4, max_in_flight_count=4, chunk_size_bytes=16)
+FOLDER = "/data"
+
+
+@dataclasses.dataclass(slots=True)
+class Process:
+    """One replica; `digest` stands for the state machine."""
+
+    name: str
+    disk: memory_files.MemoryFiles
+    storage: object = None
+    state: states.State | None = None
+    work: list = dataclasses.field(default_factory=list)
+    digest: bytes = b""
+
+
+class Simulation:
+    """The whole; the same seed gives the same run."""
+
+    def __init__(self, seed, names=("a", "b", "c")):
+        self.random = random.Random(seed)
+        self.now_s = 0.0
+        self.network = []
+        self.cuts = set()
+        self.leaders = {}
+        self.digests = {1: b""}
+        self.committed = {}
+        self.acknowledged = []
+        self.proposals = itertools.count()
+        self.processes = {}
+        for name in names:
+            self.add(name)
+        self._found()
+
+    def add(self, name):
+        """Add a replica with an empty disk and return its member id."""
+        self.processes[name] = Process(name, memory_files.MemoryFiles())
+        self.start(name)
+        return self.processes[name].state.member_id
+
+    def _found(self):
+        members = tuple(
+            messages.Member(process.state.member_id, name, "zone", True)
+            for name, process in sorted(self.processes.items())
+        )
+        for process in self.processes.values():
+            self.step(process, states.Founded(messages.Membership(members)))
+            self.sync(process)
+
+    def start(self, name):
+        """Start a replica from its disk."""
+        process = self.processes[name]
+        token = lambda size: self.random.randbytes(size).hex()  # noqa: E731
+        opened = storage.open_folder(
+            process.disk.make_files(), FOLDER, "north", "", name, token
+        ).unwrap()
+        found = opened.recovered
+        process.storage = opened.storage
+        process.work = []
+        process.state = raft.make_state(
+            found.identity.member_id,
+            self.now_s,
+            self.random.getrandbits(32),
+            TIMING,
+            found.term,
+            found.voted_for,
+            found.snapshot,
+            tuple(found.entries),
+        )
+        process.digest = b"" if found.snapshot is None else found.snapshot.data
+
+    def crash(self, name):
+        """Stop a replica; its disk loses some of what was not synced."""
+        process = self.processes[name]
+        process.disk.crash(self.random)
+        process.state = None
+        process.work = []
+
+    def is_running(self, process):
+        """Return whether a replica is up."""
+        return process.state is not None
+
+    def step(self, process, event):
+        """Give a replica an event and carry its actions out."""
+        for action in raft.step(process.state, event, self.now_s):
+            self._carry_out(process, action)
+        self._check_leader(process)
+
+    def _carry_out(self, process, action):
+        match action:
+            case states.Send(envelope, durable):
+                if durable and process.work:
+                    process.work.append(action)
+                else:
+                    self.network.append(envelope)
+            case states.Store():
+                process.work.append(action)
+            case states.SaveSnapshot():
+                process.work.append(action)
+                process.digest = action.snapshot.data
+                self._check_digest(action.snapshot.index, process.digest)
+            case states.Apply():
+                for entry in action.entries:
+                    self._apply(process, entry)
+
+    def _apply(self, process, entry):
+        seen = self.committed.setdefault(entry.index, entry)
+        assert seen == entry, "two entries committed at one index"
+        text = process.digest + entry.payload + str(entry.term).encode()
+        process.digest = hashlib.sha256(text).digest()
+        self._check_digest(entry.index, process.digest)
+
+    def _check_digest(self, index, digest):
+        assert self.digests.setdefault(index, digest) == digest, "states differ"
+
+    def _check_leader(self, process):
+        state = process.state
+        if state.role is states.Role.LEADER:
+            known = self.leaders.setdefault(state.term, state.member_id)
+            assert known == state.member_id, "two leaders in one term"
+
+    def sync(self, process):
+        """Carry out what waits for the disk of one replica."""
+        work, process.work = process.work, []
+        outcome = disk.carry_out(process.storage, work)
+        if outcome.value_or(outcome) is outcome:
+            self.step(process, states.StorageFailed())
+            return
+        for item in work:
+            if isinstance(item, states.Send):
+                self.network.append(item.envelope)
+            elif isinstance(item, disk.OwnSnapshot):
+                self.step(process, item.taken)
+        persisted = disk.make_persisted(work)
+        if persisted is not None:
+            self.step(process, persisted)
+
+    def deliver(self, position, keep=False):
+        """Deliver one message on its way; `keep` delivers it again later."""
+        envelope = self.network[position] if keep else self.network.pop(position)
+        names = [
+            messages.replica_name_of(item)
+            for item in (envelope.from_id, envelope.to_id)
+        ]
+        target = self.processes.get(names[1])
+        if tuple(names) in self.cuts or target is None or not self.is_running(target):
+            return
+        self.step(target, states.Received(envelope))
+
+    def tick(self, duration_s):
+        """Let time pass for everyone."""
+        self.now_s += duration_s
+        for process in self.processes.values():
+            if self.is_running(process):
+                self.step(process, states.Ticked())
+
+    def propose(self, process):
+        """Propose a new command at a replica."""
+        payload = f"command-{next(self.proposals)}".encode()
+        self.step(process, states.Proposed((payload,), self.now_s))
+
+    def snapshot(self, process):
+        """Let a replica take a snapshot of its machine."""
+        state = process.state
+        index = state.applied_index
+        known_index = 0 if state.snapshot is None else state.snapshot.index
+        pending = any(isinstance(item, disk.OwnSnapshot) for item in process.work)
+        if index <= known_index or pending:
+            return
+        process.work.append(disk.make_own_snapshot(state, process.digest, 0.0, 2))
+
+    def cut(self, *pairs):
+        """Cut the way from the first to the second of each pair."""
+        self.cuts.update(pairs)
+
+    def cut_off(self, name):
+        """Cut a replica off from all others."""
+        for other in self.processes:
+            self.cut((name, other), (other, name))
+
+    def heal(self):
+        """Mend all cuts."""
+        self.cuts.clear()
+
+    def run(self, duration_s, step_s=0.02):
+        """Let everything happen in order for a while."""
+        for _ in range(round(duration_s / step_s)):
+            self.tick(step_s)
+            for _ in range(4):
+                for process in self.processes.values():
+                    if self.is_running(process) and process.work:
+                        self.sync(process)
+                for _ in range(len(self.network)):
+                    self.deliver(0)
+
+    def leader(self):
+        """Return the running leader of the highest term."""
+        running = [item for item in self.processes.values() if self.is_running(item)]
+        leading = [item for item in running if item.state.role is states.Role.LEADER]
+        return max(leading, key=lambda item: item.state.term, default=None)
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from hickoryweir.replicas import client
+from hickoryweir.replicas import client, replacement
 from hickoryweir.replicas.tests import register
 
 
@@ -117,7 +117,9 @@
             old_id = replicas[others[0]].node.state.member_id
             await replicas.pop(others[0]).crash()
             replicas["d"] = await register.start_replica("d", 0, str(tmp_path / "d"))
-            outcome = await router.replace(old_id, replicas["d"].address, 20.0)
+            outcome = await replacement.replace(
+                router, old_id, replicas["d"].address, 20.0
+            )
             assert outcome.unwrap() == ""
             await replicas.pop(router.leader_name).crash()
             assert await router.wait_until_ready(register.START_TIMEOUT_S)
@@ -140,7 +142,8 @@
             learner = replicas["d"].address
             assert (await router.add_learner(learner, 10.0)).unwrap() == ""
             learner_id = replicas["d"].node.state.member_id
-            assert (await router.promote_caught_up(learner_id, 20.0)).unwrap() == ""
+            promoted = await replacement.promote_caught_up(router, learner_id, 20.0)
+            assert promoted.unwrap() == ""
             return len(replicas["d"].node.machine.states["register"].values)
 
     assert run(scenario()) == 100
--- /dev/null
+++ b/hickoryweir/replicas/tests/test_simulation.py
@@ -0,0 +1,316 @@
+"""Failures of replicas, network and disk in virtual time."""
+
+import pytest
+
+from hickoryweir.replicas import elections, messages
+from hickoryweir.replicas import state as states
+from hickoryweir.replicas.tests import simulation
+
+CHAOS_STEPS_COUNT = 1500
+
+
+def make_running(seed=1, names=("a", "b", "c")):
+    cluster = simulation.Simulation(seed, names)
+    cluster.run(2.0)
+    assert cluster.leader() is not None
+    return cluster
+
+
+def committed_payloads(cluster):
+    kind = messages.EntryKind.COMMAND
+    entries = cluster.committed.values()
+    return [entry.payload for entry in entries if entry.kind is kind]
+
+
+def propose_and_run(cluster):
+    cluster.propose(cluster.leader())
+    cluster.run(0.5)
+
+
+def others(cluster):
+    leader = cluster.leader()
+    return [item for item in cluster.processes.values() if item is not leader]
+
+
+def test_isolated_leader_steps_down_and_another_leads():
+    cluster = make_running()
+    old = cluster.leader()
+    cluster.cut_off(old.name)
+    cluster.run(2.0)
+    assert old.state.role is not states.Role.LEADER
+    assert cluster.leader() is not None
+
+
+def test_isolated_leader_commits_nothing_and_takes_over_the_others_log():
+    cluster = make_running()
+    old = cluster.leader()
+    cluster.cut_off(old.name)
+    cluster.propose(old)
+    cluster.run(2.0)
+    propose_and_run(cluster)
+    cluster.heal()
+    cluster.run(2.0)
+    assert committed_payloads(cluster) == [b"command-1"]
+    assert old.digest == cluster.leader().digest
+
+
+def test_isolated_replica_does_not_disturb_the_leader_when_it_is_back():
+    cluster = make_running()
+    leader = cluster.leader()
+    term = leader.state.term
+    follower = others(cluster)[0]
+    cluster.cut_off(follower.name)
+    cluster.run(10.0)
+    cluster.heal()
+    cluster.run(2.0)
+    assert (cluster.leader(), leader.state.term) == (leader, term)
+
+
+def test_leader_that_hears_nothing_but_can_speak_gives_way():
+    cluster = make_running()
+    leader = cluster.leader()
+    for other in others(cluster):
+        cluster.cut((other.name, leader.name))
+    cluster.run(3.0)
+    assert cluster.leader() not in (None, leader)
+
+
+def test_leader_that_can_not_speak_but_hears_gives_way():
+    cluster = make_running()
+    leader = cluster.leader()
+    for other in others(cluster):
+        cluster.cut((leader.name, other.name))
+    cluster.run(3.0)
+    assert cluster.leader() not in (None, leader)
+
+
+def test_three_zones_cut_apart_know_that_there_is_no_quorum():
+    cluster = make_running()
+    for name in cluster.processes:
+        cluster.cut_off(name)
+    cluster.run(2.0)
+    knowing = [
+        elections.has_quorum(process.state, cluster.now_s)
+        for process in cluster.processes.values()
+    ]
+    assert knowing == [False, False, False]
+
+
+def test_two_zones_that_can_not_hear_each_other_are_led_through_the_third():
+    cluster = make_running()
+    leader = cluster.leader()
+    follower = others(cluster)[0]
+    cluster.cut((leader.name, follower.name), (follower.name, leader.name))
+    cluster.run(3.0)
+    propose_and_run(cluster)
+    assert committed_payloads(cluster) == [b"command-0"]
+
+
+def test_flapping_links_lose_nothing():
+    cluster = make_running()
+    for round_number in range(10):
+        for name in ("a", "b", "c")[: round_number % 3]:
+            cluster.cut_off(name)
+        leader = cluster.leader()
+        if leader is not None:
+            cluster.propose(leader)
+        cluster.run(0.3)
+        cluster.heal()
+        cluster.run(0.3)
+    cluster.run(3.0)
+    propose_and_run(cluster)
+    digests = {process.digest for process in cluster.processes.values()}
+    assert len(digests) == 1
+
+
+def test_learner_does_not_count_before_its_promotion():
+    cluster = make_running()
+    learner_id = cluster.add("d")
+    member = messages.Member(learner_id, "d", "zone", False)
+    cluster.step(cluster.leader(), states.LearnerAdded(member, 0.0))
+    cluster.run(1.0)
+    leader = cluster.leader()
+    for other in others(cluster):
+        if other.name != "d":
+            cluster.cut_off(other.name)
+    cluster.propose(leader)
+    cluster.run(0.4)
+    assert committed_payloads(cluster) == []
+
+
+def change(cluster, event):
+    cluster.step(cluster.leader(), event)
+    cluster.run(1.0)
+
+
+def replace(cluster, lost_id, name):
+    new_id = cluster.add(name)
+    member = messages.Member(new_id, name, "zone", False)
+    change(cluster, states.LearnerAdded(member, 0.0))
+    change(cluster, states.MemberRemoved(lost_id, 0.0))
+    change(cluster, states.LearnerPromoted(new_id, 0.0))
+
+
+def test_replacement_then_loss_of_the_leader_at_once():
+    cluster = make_running()
+    propose_and_run(cluster)
+    lost = others(cluster)[0]
+    lost_id = lost.state.member_id
+    cluster.crash(lost.name)
+    replace(cluster, lost_id, "d")
+    cluster.crash(cluster.leader().name)
+    cluster.run(3.0)
+    propose_and_run(cluster)
+    assert committed_payloads(cluster) == [b"command-0", b"command-1"]
+
+
+def test_learner_that_lags_is_not_promoted():
+    cluster = make_running()
+    learner_id = cluster.add("d")
+    cluster.cut_off("d")
+    member = messages.Member(learner_id, "d", "zone", False)
+    change(cluster, states.LearnerAdded(member, 0.0))
+    change(cluster, states.LearnerPromoted(learner_id, 0.0))
+    assert learner_id not in cluster.leader().state.membership.voter_ids
+
+
+def test_second_change_waits_for_the_first():
+    cluster = make_running()
+    leader = cluster.leader()
+    first = messages.Member("d~1", "d", "zone", False)
+    second = messages.Member("e~1", "e", "zone", False)
+    cluster.step(leader, states.LearnerAdded(first, 0.0))
+    cluster.step(leader, states.LearnerAdded(second, 0.0))
+    names = {member.member_id for member in leader.state.membership.members}
+    assert "d~1" in names
+    assert "e~1" not in names
+
+
+def test_empty_disk_under_an_old_name_does_not_vote():
+    cluster = make_running()
+    propose_and_run(cluster)
+    lost, healthy = others(cluster)
+    cluster.crash(lost.name)
+    cluster.add(lost.name)
+    cluster.crash(cluster.leader().name)
+    cluster.run(5.0)
+    assert cluster.leader() is None
+    assert healthy.state.role is states.Role.PRE_CANDIDATE
+
+
+def test_failed_sync_ends_all_promises():
+    cluster = make_running()
+    follower = others(cluster)[0]
+    follower.disk.fail_after_count = follower.disk.operation_count
+    propose_and_run(cluster)
+    assert follower.state.role is states.Role.FAILED
+    assert committed_payloads(cluster) == [b"command-0"]
+
+
+def test_leader_whose_disk_fails_is_followed_by_another():
+    cluster = make_running()
+    leader = cluster.leader()
+    leader.disk.fail_after_count = leader.disk.operation_count
+    cluster.propose(leader)
+    cluster.run(3.0)
+    assert cluster.leader() not in (None, leader)
+
+
+def test_transfer_moves_leadership_at_once():
+    cluster = make_running()
+    leader = cluster.leader()
+    cluster.step(leader, states.TransferRequested(""))
+    cluster.run(0.1)
+    assert cluster.leader() not in (None, leader)
+
+
+def test_snapshot_brings_a_replica_up_to_date():
+    cluster = make_running()
+    lost = others(cluster)[0]
+    cluster.crash(lost.name)
+    for _ in range(5):
+        propose_and_run(cluster)
+    for process in cluster.processes.values():
+        if cluster.is_running(process):
+            cluster.snapshot(process)
+    cluster.run(0.5)
+    cluster.start(lost.name)
+    cluster.run(2.0)
+    assert lost.digest == cluster.leader().digest
+    assert lost.state.snapshot.index > 1
+
+
+def disturb(cluster, counts):
+    random = cluster.random
+    process = cluster.processes[random.choice(sorted(cluster.processes))]
+    running = cluster.is_running(process)
+    chance = random.random()
+    if chance < 0.55 and cluster.network:
+        position = random.randrange(min(len(cluster.network), 8))
+        cluster.deliver(position, keep=random.random() < 0.05)
+    elif chance < 0.70:
+        cluster.tick(random.uniform(0.005, 0.15))
+    elif chance < 0.85 and running and process.work:
+        cluster.sync(process)
+    elif chance < 0.92 and cluster.leader() is not None:
+        cluster.propose(cluster.leader())
+    elif chance < 0.94 and cluster.network:
+        cluster.network.pop(random.randrange(len(cluster.network)))
+    elif chance < 0.955:
+        pair = random.sample(sorted(cluster.processes), 2)
+        cluster.cut(tuple(pair))
+    elif chance < 0.965:
+        cluster.heal()
+    elif chance < 0.972 and running:
+        cluster.snapshot(process)
+    elif chance < 0.98 and running:
+        cluster.crash(process.name)
+        counts["crash"] += 1
+    elif not running:
+        cluster.start(process.name)
+    elif cluster.leader() is not None:
+        change_a_member(cluster)
+
+
+def change_a_member(cluster):
+    leader = cluster.leader()
+    membership = leader.state.membership
+    chosen = cluster.random.choice(sorted(cluster.processes))
+    known = [
+        member
+        for member in membership.members
+        if messages.replica_name_of(member.member_id) == chosen
+    ]
+    if not known:
+        target = cluster.processes[chosen]
+        if cluster.is_running(target):
+            member_id = target.state.member_id
+            member = messages.Member(member_id, chosen, "zone", False)
+            cluster.step(leader, states.LearnerAdded(member, 0.0))
+    elif not known[0].voter:
+        cluster.step(leader, states.LearnerPromoted(known[0].member_id, 0.0))
+    elif len(membership.voter_ids) > 3:
+        cluster.step(leader, states.MemberRemoved(known[0].member_id, 0.0))
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_chaos_keeps_every_invariant(seed):
+    cluster = simulation.Simulation(seed)
+    cluster.add("d")
+    counts = {"crash": 0}
+    for _ in range(CHAOS_STEPS_COUNT):
+        disturb(cluster, counts)
+    cluster.heal()
+    for process in cluster.processes.values():
+        if not cluster.is_running(process):
+            cluster.start(process.name)
+    cluster.run(5.0)
+    propose_and_run(cluster)
+    cluster.run(1.0)
+    members = cluster.leader().state.membership.members
+    digests = {
+        cluster.processes[messages.replica_name_of(member.member_id)].digest
+        for member in members
+    }
+    assert len(digests) == 1
+    assert counts["crash"] > 0
--- /dev/null
+++ b/hickoryweir/replicas/tests/test_storage.py
@@ -0,0 +1,204 @@
+"""A data folder through crashes, damage and full disks."""
+
+import random
+
+import pytest
+from returns import result
+
+from hickoryweir.replicas import inspect, messages, records, storage
+from hickoryweir.replicas.tests import memory_files
+
+FOLDER = "/data"
+KIND = messages.EntryKind.COMMAND
+MEMBERSHIP = messages.Membership((messages.Member("a~1", "h:1", "z", True),))
+
+
+def open_folder(memory, name="a", cluster_id="north"):
+    return storage.open_folder(
+        memory.make_files(), FOLDER, cluster_id, "", name, make_token
+    )
+
+
+def make_token(size_bytes):
+    return "5a" * size_bytes
+
+
+def make_batch(first_index, count=1, term=1, payload=b"x"):
+    entries = tuple(
+        messages.Entry(first_index + offset, term, KIND, 0.0, payload)
+        for offset in range(count)
+    )
+    return records.Batch(term, "a~1", entries)
+
+
+def make_filled(count=5):
+    memory = memory_files.MemoryFiles()
+    opened = open_folder(memory).unwrap().storage
+    for index in range(1, count + 1):
+        storage.append(opened, make_batch(index)).unwrap()
+    return memory, opened
+
+
+def entries_in(memory):
+    return open_folder(memory).unwrap().recovered.entries
+
+
+def log_inode(memory, position=0):
+    names = sorted(name for name in memory.names if records.LOG_PREFIX in name)
+    return memory.names[names[position]]
+
+
+def test_entries_and_vote_survive_a_restart():
+    memory, _ = make_filled()
+    found = open_folder(memory).unwrap().recovered
+    assert (len(found.entries), found.term, found.voted_for) == (5, 1, "a~1")
+
+
+def test_later_entry_replaces_the_tail():
+    memory, opened = make_filled()
+    storage.append(opened, make_batch(3, term=2)).unwrap()
+    assert [entry.term for entry in entries_in(memory)] == [1, 1, 2]
+
+
+def test_torn_tail_is_cut():
+    memory, opened = make_filled()
+    size_bytes = len(log_inode(memory).content)
+    opened.files.append(opened.handle, b"hWfR half a frame")
+    assert len(entries_in(memory)) == 5
+    assert len(log_inode(memory).content) == size_bytes
+
+
+def test_damage_in_the_middle_stops_with_an_error():
+    memory, _ = make_filled()
+    content = log_inode(memory).content
+    content[len(content) // 2] ^= 0xFF
+    failure = open_folder(memory).failure()
+    assert failure.problem is records.Problem.DAMAGED
+
+
+def test_damage_of_the_last_synced_batch_is_no_torn_tail():
+    memory, _ = make_filled()
+    log_inode(memory).content[-1] ^= 0xFF
+    failure = open_folder(memory).failure()
+    assert failure.problem is records.Problem.DAMAGED
+
+
+def test_damaged_folder_is_left_as_it_is():
+    memory, _ = make_filled()
+    log_inode(memory).content[-1] ^= 0xFF
+    before = bytes(log_inode(memory).content)
+    open_folder(memory)
+    assert bytes(log_inode(memory).content) == before
+
+
+def test_missing_segment_stops_with_an_error():
+    memory, opened = make_filled()
+    storage._rotate(opened, make_batch(5))
+    storage.append(opened, make_batch(6)).unwrap()
+    del memory.names[f"{FOLDER}/{records.segment_name(1)}"]
+    assert open_folder(memory).failure().problem is records.Problem.MISSING
+
+
+def test_lost_identity_does_not_make_a_new_member():
+    memory, _ = make_filled()
+    del memory.names[f"{FOLDER}/{records.IDENTITY_NAME}"]
+    assert open_folder(memory).failure().problem is records.Problem.MISSING
+
+
+@pytest.mark.parametrize(("name", "cluster_id"), [("b", "north"), ("a", "south")])
+def test_folder_of_another_is_refused(name, cluster_id):
+    memory, _ = make_filled()
+    failure = open_folder(memory, name, cluster_id).failure()
+    assert failure.problem is records.Problem.FOREIGN
+
+
+def test_failed_write_ends_all_writes():
+    memory, opened = make_filled()
+    memory.fail_after_count = memory.operation_count
+    assert isinstance(storage.append(opened, make_batch(6)), result.Failure)
+    memory.fail_after_count = None
+    assert isinstance(storage.append(opened, make_batch(6)), result.Failure)
+
+
+def test_snapshot_replaces_the_log_before_it():
+    memory, opened = make_filled()
+    snapshot = messages.Snapshot(5, 1, MEMBERSHIP, 0.0, b"state")
+    storage.save_snapshot(opened, snapshot).unwrap()
+    storage.compact(opened, 5, make_batch(5)).unwrap()
+    storage.append(opened, make_batch(6)).unwrap()
+    found = open_folder(memory).unwrap().recovered
+    assert found.snapshot == snapshot
+    assert [entry.index for entry in found.entries] == [6]
+    assert len(found.segments) == 1
+
+
+def test_log_without_its_snapshot_stops_with_an_error():
+    memory, opened = make_filled()
+    snapshot = messages.Snapshot(5, 1, MEMBERSHIP, 0.0, b"state")
+    storage.save_snapshot(opened, snapshot).unwrap()
+    storage.compact(opened, 5, make_batch(5)).unwrap()
+    storage.append(opened, make_batch(6)).unwrap()
+    del memory.names[f"{FOLDER}/{records.snapshot_name(5)}"]
+    assert open_folder(memory).failure().problem is records.Problem.MISSING
+
+
+def test_damaged_snapshot_stops_with_an_error():
+    memory, opened = make_filled()
+    snapshot = messages.Snapshot(4, 1, MEMBERSHIP, 0.0, b"state")
+    storage.save_snapshot(opened, snapshot).unwrap()
+    memory.names[f"{FOLDER}/{records.snapshot_name(4)}"].content[-1] ^= 0xFF
+    assert open_folder(memory).failure().problem is records.Problem.DAMAGED
+
+
+def write_everything(memory, acknowledged):
+    """Write until something fails; note what was acknowledged before."""
+    outcome = open_folder(memory)
+    if isinstance(outcome, result.Failure):
+        return
+    opened = outcome.unwrap().storage
+    snapshot = messages.Snapshot(4, 1, MEMBERSHIP, 0.0, b"state")
+    steps = [
+        (5, lambda: storage.append(opened, make_batch(1, 5))),
+        (6, lambda: storage.append(opened, make_batch(6))),
+        (6, lambda: storage.save_snapshot(opened, snapshot)),
+        (6, lambda: storage.compact(opened, 3, make_batch(6))),
+        (7, lambda: storage.append(opened, make_batch(7))),
+        (7, lambda: storage.compact(opened, 4, make_batch(7))),
+        (8, lambda: storage.append(opened, make_batch(8))),
+    ]
+    for last_index, step in steps:
+        if isinstance(step(), result.Failure):
+            return
+        acknowledged.append(last_index)
+
+
+def count_operations():
+    memory = memory_files.MemoryFiles()
+    write_everything(memory, [])
+    return memory.operation_count
+
+
+@pytest.mark.parametrize("limit", range(count_operations()))
+def test_crash_at_each_operation_keeps_what_was_acknowledged(limit):
+    for seed in range(8):
+        memory = memory_files.MemoryFiles()
+        memory.fail_after_count = limit
+        acknowledged = [0]
+        write_everything(memory, acknowledged)
+        memory.crash(random.Random(seed))
+        found = open_folder(memory).unwrap().recovered
+        last_index = found.base_index + len(found.entries)
+        assert last_index >= acknowledged[-1]
+
+
+def test_report_tells_what_a_folder_holds():
+    memory, _ = make_filled()
+    report = inspect.check_folder(FOLDER, memory.make_files())
+    assert (report.failure, report.last_index, report.term) == (None, 5, 1)
+
+
+def test_report_tells_what_is_wrong():
+    memory, _ = make_filled()
+    log_inode(memory).content[-1] ^= 0xFF
+    report = inspect.check_folder(FOLDER, memory.make_files())
+    assert report.failure.problem is records.Problem.DAMAGED
--- a/hickoryweir/replicas/wire.py
+++ b/hickoryweir/replicas/wire.py
@@ -130,6 +130,8 @@
     commit_index: int
     snapshot_index: int
     members: tuple[MemberStatus, ...]
+    sync_count: int = 0
+    written_size_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
