Specification of the core protocol, checked exhaustively

Cause: elections, replication, membership, claims and versions must hold under crashes that keep only synced state, and lost, duplicated and late messages. Conclusion: python -m spec.check shows states and counterexamples.

--- a/hickoryweir/claims/__init__.py
+++ b/hickoryweir/claims/__init__.py
@@ -9,5 +9,4 @@
 - :mod:`hickoryweir.claims.machine`: the deterministic state machine.
 - :mod:`hickoryweir.claims.snapshots`: its state as bytes.
 - :mod:`hickoryweir.claims.gateway`: the router's side of one call.
-- :mod:`hickoryweir.claims.fuzz`: stateful fuzzing on a fresh seed.
 """
--- a/hickoryweir/claims/commands.py
+++ b/hickoryweir/claims/commands.py
@@ -9,6 +9,8 @@
 
 import dataclasses
 
+from hickoryweir.streams import codec
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
@@ -97,3 +99,11 @@
 
 
 Command = Claim | RecordOutcome | SetRetention
+
+codec.register("claims.answered", Answered)
+codec.register("claims.answered_unkept", AnsweredUnkept)
+codec.register("claims.not_run", NotRun)
+codec.register("claims.unknown", Unknown)
+codec.register("claims.claim", Claim)
+codec.register("claims.record_outcome", RecordOutcome)
+codec.register("claims.set_retention", SetRetention)
--- a/hickoryweir/claims/verdicts.py
+++ b/hickoryweir/claims/verdicts.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from hickoryweir.streams import codec
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Granted:
@@ -151,3 +153,21 @@
     message: str
     may_commit: bool
     retry_after_s: float
+
+
+codec.register("claims.verdict.granted", Granted)
+codec.register("claims.verdict.in_progress", InProgress)
+codec.register("claims.verdict.done", Done)
+codec.register("claims.verdict.done_not_kept", DoneNotKept)
+codec.register("claims.verdict.outcome_unknown", OutcomeUnknown)
+codec.register("claims.verdict.digest_mismatch", DigestMismatch)
+codec.register("claims.verdict.key_expired", KeyExpired)
+codec.register("claims.verdict.key_from_future", KeyFromFuture)
+codec.register("claims.verdict.attempt_released", AttemptReleased)
+codec.register("claims.verdict.attempts_exhausted", AttemptsExhausted)
+codec.register("claims.verdict.account_full", AccountFull)
+codec.register("claims.verdict.recorded", Recorded)
+codec.register("claims.verdict.not_holder", NotHolder)
+codec.register("claims.verdict.outcome_fixed", OutcomeFixed)
+codec.register("claims.verdict.retention_set", RetentionSet)
+codec.register("claims.verdict.unavailable", Unavailable)
--- /dev/null
+++ b/spec/check.py
@@ -0,0 +1,185 @@
+"""Check the whole specification: ``python -m spec.check [--full]``.
+
+Every model must hold over all its states, and every mutation must be refuted by a
+counterexample.  A search that did not reach every state counts as a failure.
+"""
+
+import argparse
+import collections.abc
+import dataclasses
+import enum
+import sys
+import time
+
+import minicheck
+
+from spec import claims, elections, membership, replication, versions
+
+MAX_STATES = 20_000_000
+
+MakeModel = collections.abc.Callable[..., minicheck.Protocol]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """A model with its bounds, and perhaps a mutation that must be refuted."""
+
+    make_model: MakeModel
+    bounds: dict[str, int]
+    mutation: enum.StrEnum | None = None
+
+    @property
+    def name(self) -> str:
+        """Return the model's name with its bounds and mutation."""
+        bounds = ", ".join(f"{key}={value}" for key, value in self.bounds.items())
+        model = self.make_model.__module__.rpartition(".")[2]
+        mutation = f" with {self.mutation}" if self.mutation else ""
+        return f"{model}({bounds}){mutation}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Checked:
+    """What a search found.
+
+    Attributes
+    ----------
+    state_count : int
+        States explored.
+    exhaustive : bool
+        Whether these are all there are.
+    violated : str
+        Property that fails in the fewest steps; empty if none does.
+    trace : tuple of str
+        Steps that lead there.
+    """
+
+    state_count: int
+    exhaustive: bool
+    violated: str
+    trace: tuple[str, ...]
+
+
+QUICK = (
+    Case(claims.make_model, {"attempt_count": 3}),
+    Case(elections.make_model, {"term_count": 2}),
+    Case(replication.make_model, {"term_count": 3, "log_length": 1}),
+    Case(replication.make_model, {"term_count": 2, "log_length": 2}),
+    Case(membership.make_model, {"term_count": 2, "log_length": 2}),
+    Case(versions.make_model, {"version_count": 3, "zone_count": 1}),
+)
+FULL = (
+    Case(claims.make_model, {"attempt_count": 5}),
+    Case(elections.make_model, {"term_count": 3}),
+    Case(replication.make_model, {"term_count": 4, "log_length": 1}),
+    Case(membership.make_model, {"term_count": 2, "log_length": 3}),
+    Case(versions.make_model, {"version_count": 2, "zone_count": 2}),
+)
+
+
+def _mutated(
+    make_model: MakeModel, bounds: dict[str, int], mutations: type[enum.StrEnum]
+) -> tuple[Case, ...]:
+    return tuple(Case(make_model, bounds, mutation) for mutation in mutations)
+
+
+MUTATED = (
+    *_mutated(claims.make_model, {"attempt_count": 3}, claims.Mutation),
+    *_mutated(elections.make_model, {"term_count": 2}, elections.Mutation),
+    *_mutated(
+        replication.make_model,
+        {"term_count": 4, "log_length": 1},
+        replication.Mutation,
+    ),
+    *_mutated(
+        membership.make_model,
+        {"term_count": 2, "log_length": 3},
+        membership.Mutation,
+    ),
+    *_mutated(versions.make_model, {"version_count": 2}, versions.Mutation),
+)
+
+
+def check(case: Case, max_states: int = MAX_STATES) -> Checked:
+    """Search a model breadth first and stop behind its first violation.
+
+    Parameters
+    ----------
+    case : Case
+        What to check.
+    max_states : int, optional
+        The search is not exhaustive if there are more.
+
+    Returns
+    -------
+    Checked
+        What was found.
+    """
+    model = case.make_model(**case.bounds, mutation=case.mutation)
+    found = minicheck.check_safety(_until_violated(model), max_states)
+    failed = {
+        name: outcome["counterexample"]
+        for name, outcome in found["properties"].items()
+        if outcome["holds"] is False
+    }
+    if not failed:
+        return Checked(found["reachable_states"], found["exhaustive"], "", ())
+    violated = min(failed, key=lambda name: len(failed[name]))
+    trace = tuple(step["label"] for step in failed[violated][1:])
+    return Checked(found["reachable_states"], False, violated, trace)
+
+
+def _until_violated(model: minicheck.Protocol) -> minicheck.Protocol:
+    violated = False
+
+    def watch(predicate: collections.abc.Callable) -> collections.abc.Callable:
+        def holds(state: dict) -> bool:
+            nonlocal violated
+            held = predicate(state)
+            violated = violated or not held
+            return held
+
+        return holds
+
+    invariants = {name: watch(each) for name, each in model.invariants.items()}
+    return dataclasses.replace(
+        model,
+        invariants=invariants,
+        transitions=lambda state: [] if violated else model.transitions(state),
+    )
+
+
+def passes(case: Case, checked: Checked) -> bool:
+    """Return whether a model holds everywhere, or a mutation is refuted."""
+    if case.mutation is not None:
+        return bool(checked.violated)
+    return checked.exhaustive and not checked.violated
+
+
+def _report(case: Case) -> bool:
+    started_s = time.monotonic()
+    checked = check(case)
+    elapsed_s = time.monotonic() - started_s
+    ok = passes(case, checked)
+    print(
+        f"{'ok ' if ok else 'BAD'} {case.name}: {checked.state_count} states, "
+        f"exhaustive {checked.exhaustive}, {elapsed_s:.1f} s",
+        flush=True,
+    )
+    if checked.violated:
+        print(f"    {checked.violated} fails: {' '.join(checked.trace)}", flush=True)
+    return ok
+
+
+def main() -> int:
+    """Check everything and return the exit status."""
+    parser = argparse.ArgumentParser(description="check the specification")
+    parser.add_argument("--full", action="store_true", help="larger bounds too")
+    arguments = parser.parse_args()
+    cases = (*QUICK, *(FULL if arguments.full else ()), *MUTATED)
+    bad_count = sum(not _report(case) for case in cases)
+    print(f"{len(cases)} cases, {bad_count} bad")
+    return 1 if bad_count else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/spec/membership.py
@@ -0,0 +1,259 @@
+"""Model of membership changes, with learners and a replacement replica.
+
+Replicas 0 to 2 found the cluster; replica 3 is the replacement.  An entry holds
+its term and, for a change, the voters from then on.  A change is in force as soon
+as it stands in a log.  Elections, late messages and acknowledgements are as in
+:mod:`spec.replication`; everything acknowledged is synced.
+
+Examples
+--------
+>>> import minicheck
+>>> checked = minicheck.check_safety(make_model(term_count=1, log_length=1))
+>>> checked["exhaustive"], checked["properties"]["committed_is_kept"]["holds"]
+(True, True)
+"""
+
+import enum
+import itertools
+import typing
+from collections.abc import Iterator
+
+import minicheck
+
+FOUNDERS = frozenset({0, 1, 2})
+REPLACEMENT = 3
+REPLICAS = (0, 1, 2, 3)
+
+
+class Mutation(enum.StrEnum):
+    """Faults that the checker must refute."""
+
+    COUNT_LEARNER = "count_learner"
+    REPLACE_IN_ONE_STEP = "replace_in_one_step"
+    TWO_CHANGES_AT_ONCE = "two_changes_at_once"
+    EMPTY_DISK_VOTES = "empty_disk_votes"
+
+
+class Entry(typing.NamedTuple):
+    """An entry; ``voters`` is None unless it changes the membership."""
+
+    term: int
+    voters: frozenset[int] | None = None
+
+
+Log = tuple[Entry, ...]
+
+
+class Replica(typing.NamedTuple):
+    """One replica; its log is synced."""
+
+    term: int = 0
+    leads: bool = False
+    log: Log = ()
+
+
+class State(typing.NamedTuple):
+    """As in :class:`spec.replication.State`; ``wiped`` if a disk was emptied."""
+
+    replicas: tuple[Replica, ...]
+    sent: tuple[Log | None, ...]
+    acks: tuple[tuple[int, ...], ...]
+    committed: Log
+    commit_term: int
+    conflict: bool
+    wiped: bool
+
+
+Step = tuple[str, State]
+
+
+def make_model(
+    term_count: int = 2, log_length: int = 2, mutation: Mutation | None = None
+) -> minicheck.Protocol:
+    """Return the model with terms up to ``term_count`` and short logs."""
+    slots = term_count + 1
+    initial = State(
+        (Replica(),) * len(REPLICAS),
+        (None,) * slots,
+        ((0,) * len(REPLICAS),) * slots,
+        (),
+        0,
+        False,
+        False,
+    )
+
+    def transitions(packed: tuple) -> list[Step]:
+        return list(steps_from(State(*packed), log_length, mutation))
+
+    return minicheck.Protocol(
+        name="membership",
+        candidate=False,
+        fields=State._fields,
+        initial=initial,
+        transitions=transitions,
+        invariants={
+            "committed_is_kept": _committed_is_kept,
+            "committed_logs_agree": lambda state: not state["conflict"],
+        },
+    )
+
+
+def _committed_is_kept(state: dict) -> bool:
+    committed = state["committed"]
+    return all(
+        replica.log[: len(committed)] == committed
+        for replica in state["replicas"]
+        if replica.leads and replica.term > state["commit_term"]
+    )
+
+
+def voters_of(log: Log) -> frozenset[int]:
+    """Return the voters that the latest change in ``log`` names."""
+    changes = [entry.voters for entry in log if entry.voters is not None]
+    return changes[-1] if changes else FOUNDERS
+
+
+def majority_count(voters: frozenset[int]) -> int:
+    """Return how many of ``voters`` are a quorum."""
+    return len(voters) // 2 + 1
+
+
+def steps_from(
+    state: State, log_length: int, mutation: Mutation | None = None
+) -> Iterator[Step]:
+    """Yield every step that the protocol allows in ``state``."""
+    for number, replica in enumerate(state.replicas):
+        yield from _election_steps(state, number)
+        yield from _receive_steps(state, number)
+        if replica.leads:
+            yield from _leader_steps(state, number, log_length, mutation)
+    if mutation is Mutation.EMPTY_DISK_VOTES and not state.wiped:
+        for number in REPLICAS:
+            wiped = _put(state._replace(wiped=True), number, Replica())
+            yield f"wipe({number})", wiped
+
+
+def _put(state: State, number: int, replica: Replica) -> State:
+    replicas = (*state.replicas[:number], replica, *state.replicas[number + 1 :])
+    return state._replace(replicas=replicas)
+
+
+def _newness(log: Log) -> tuple[int, int]:
+    return (log[-1].term if log else 0, len(log))
+
+
+def _election_steps(state: State, number: int) -> Iterator[Step]:
+    candidate = state.replicas[number]
+    voters = voters_of(candidate.log)
+    if number not in voters:
+        return
+    helpers_count = majority_count(voters) - 1
+    for helpers in itertools.combinations(sorted(voters - {number}), helpers_count):
+        quorum = [state.replicas[helper] for helper in helpers]
+        term = max(replica.term for replica in (candidate, *quorum)) + 1
+        if term >= len(state.sent) or state.sent[term] is not None:
+            continue
+        if any(_newness(voter.log) > _newness(candidate.log) for voter in quorum):
+            continue
+        yield f"elect({number},{helpers},{term})", _elect(state, number, helpers, term)
+
+
+def _elect(state: State, number: int, helpers: tuple[int, ...], term: int) -> State:
+    candidate = state.replicas[number]
+    log = (*candidate.log, Entry(term))
+    sent = (*state.sent[:term], log, *state.sent[term + 1 :])
+    elected = _put(state._replace(sent=sent), number, Replica(term, True, log))
+    for helper in helpers:
+        voter = elected.replicas[helper]._replace(term=term, leads=False)
+        elected = _put(elected, helper, voter)
+    return elected
+
+
+def _receive_steps(state: State, number: int) -> Iterator[Step]:
+    replica = state.replicas[number]
+    for term, log in enumerate(state.sent):
+        behind = term < replica.term or (replica.leads and term == replica.term)
+        if log is None or behind:
+            continue
+        for length in range(1, len(log) + 1):
+            received = _receive(state, number, term, length)
+            if received != state:
+                yield f"receive({number},{term},{length})", received
+
+
+def _receive(state: State, number: int, term: int, length: int) -> State:
+    replica = state.replicas[number]
+    prefix = state.sent[term][:length]
+    log = replica.log if replica.log[:length] == prefix else prefix
+    acks = state.acks[term]
+    acks = (*acks[:number], max(acks[number], length), *acks[number + 1 :])
+    all_acks = (*state.acks[:term], acks, *state.acks[term + 1 :])
+    follower = Replica(term, False, log)
+    return _put(state._replace(acks=all_acks), number, follower)
+
+
+def _leader_steps(
+    state: State, number: int, log_length: int, mutation: Mutation | None
+) -> Iterator[Step]:
+    leader = state.replicas[number]
+    if len(leader.log) < log_length:
+        for voters in _next_voters(state, number, mutation):
+            entry = Entry(leader.term, voters)
+            label = f"change({number},{sorted(voters)})"
+            yield label, _append(state, number, entry)
+    for length in range(1, len(leader.log) + 1):
+        if leader.log[length - 1].term != leader.term:
+            continue
+        if _has_quorum(state, number, length, mutation):
+            committed = _commit(state, leader.log[:length], leader.term)
+            if committed != state:
+                yield f"commit({number},{length})", committed
+
+
+def _next_voters(
+    state: State, number: int, mutation: Mutation | None
+) -> Iterator[frozenset[int]]:
+    leader = state.replicas[number]
+    at_once = mutation is Mutation.TWO_CHANGES_AT_ONCE
+    if state.committed != leader.log and not at_once:
+        return
+    voters = voters_of(leader.log)
+    removable = voters - {number}
+    if len(voters) > 2:
+        yield from (voters - {other} for other in removable)
+    if REPLACEMENT in voters:
+        return
+    caught_up = state.acks[leader.term][REPLACEMENT] >= len(state.committed)
+    if caught_up or at_once:
+        yield voters | {REPLACEMENT}
+    if mutation is Mutation.REPLACE_IN_ONE_STEP:
+        yield from ((voters - {other}) | {REPLACEMENT} for other in removable)
+
+
+def _append(state: State, number: int, entry: Entry) -> State:
+    leader = state.replicas[number]
+    log = (*leader.log, entry)
+    sent = (*state.sent[: leader.term], log, *state.sent[leader.term + 1 :])
+    return _put(state._replace(sent=sent), number, leader._replace(log=log))
+
+
+def _has_quorum(
+    state: State, number: int, length: int, mutation: Mutation | None
+) -> bool:
+    leader = state.replicas[number]
+    voters = voters_of(leader.log)
+    counted = voters
+    if mutation is Mutation.COUNT_LEARNER:
+        counted = voters | {REPLACEMENT}
+    acks = state.acks[leader.term]
+    holding = sum(acks[other] >= length for other in counted - {number})
+    return holding + (number in voters) >= majority_count(voters)
+
+
+def _commit(state: State, log: Log, term: int) -> State:
+    shared = min(len(log), len(state.committed))
+    if log[:shared] != state.committed[:shared]:
+        return state._replace(conflict=True)
+    if len(log) <= len(state.committed):
+        return state
+    return state._replace(committed=log, commit_term=term)
--- /dev/null
+++ b/spec/replication.py
@@ -0,0 +1,265 @@
+"""Model of log replication: appending, acknowledging and committing entries.
+
+An election is one step here: a candidate and one voter whose log is no newer
+agree on a term, as :mod:`spec.elections` shows they may.  An entry is the term
+in which it was appended.  What a leader once had in its log may reach any
+replica, whole or in part, at any later moment; an acknowledgement once sent
+stays sent.  A crash keeps only what was synced.
+
+Examples
+--------
+>>> import minicheck
+>>> checked = minicheck.check_safety(make_model(term_count=2, log_length=1))
+>>> checked["exhaustive"], checked["properties"]["committed_is_kept"]["holds"]
+(True, True)
+"""
+
+import enum
+import itertools
+import typing
+from collections.abc import Iterator
+
+import minicheck
+
+REPLICAS = (0, 1, 2)
+MAJORITY = 2
+
+Log = tuple[int, ...]
+
+
+class Mutation(enum.StrEnum):
+    """Faults that the checker must refute."""
+
+    ACK_BEFORE_FSYNC = "ack_before_fsync"
+    COMMIT_OLD_TERM = "commit_old_term"
+    COMMIT_ON_ONE = "commit_on_one"
+    VOTE_FOR_OLDER_LOG = "vote_for_older_log"
+    TRUNCATE_ON_LATE_MESSAGE = "truncate_on_late_message"
+    ACCEPT_OLD_TERM = "accept_old_term"
+
+
+class Replica(typing.NamedTuple):
+    """One replica; of its log, the first ``synced`` entries are on disk."""
+
+    term: int = 0
+    leads: bool = False
+    log: Log = ()
+    synced: int = 0
+
+
+class State(typing.NamedTuple):
+    """Replicas, messages sent so far, and what was ever committed.
+
+    Attributes
+    ----------
+    sent : tuple of (Log or None)
+        By term, the log of its leader; None if the term has none.
+    acks : tuple of tuple of int
+        By term and replica, the longest acknowledged length.
+    committed : tuple of int
+        Longest committed log.
+    commit_term : int
+        Term of the leader that committed it first.
+    conflict : bool
+        Whether two committed logs disagreed.
+    """
+
+    replicas: tuple[Replica, ...]
+    sent: tuple[Log | None, ...]
+    acks: tuple[tuple[int, ...], ...]
+    committed: Log
+    commit_term: int
+    conflict: bool
+
+
+Step = tuple[str, State]
+
+
+def make_model(
+    term_count: int = 3, log_length: int = 1, mutation: Mutation | None = None
+) -> minicheck.Protocol:
+    """Return the model with terms up to ``term_count`` and short logs."""
+    slots = term_count + 1
+    initial = State(
+        (Replica(),) * len(REPLICAS),
+        (None,) * slots,
+        ((0,) * len(REPLICAS),) * slots,
+        (),
+        0,
+        False,
+    )
+
+    def transitions(packed: tuple) -> list[Step]:
+        return list(steps_from(State(*packed), log_length, mutation))
+
+    return minicheck.Protocol(
+        name="replication",
+        candidate=False,
+        fields=State._fields,
+        initial=initial,
+        transitions=transitions,
+        invariants={
+            "committed_is_kept": _committed_is_kept,
+            "committed_logs_agree": lambda state: not state["conflict"],
+        },
+    )
+
+
+def _committed_is_kept(state: dict) -> bool:
+    committed = state["committed"]
+    return all(
+        replica.log[: len(committed)] == committed
+        for replica in state["replicas"]
+        if replica.leads and replica.term > state["commit_term"]
+    )
+
+
+def steps_from(
+    state: State, log_length: int, mutation: Mutation | None = None
+) -> Iterator[Step]:
+    """Yield every step that the protocol allows in ``state``."""
+    for number, replica in enumerate(state.replicas):
+        yield from _election_steps(state, number, mutation)
+        yield from _receive_steps(state, number, mutation)
+        if replica.leads and len(replica.log) < log_length:
+            yield f"append({number})", append(state, number)
+        if replica.synced < len(replica.log):
+            yield f"sync({number})", sync(state, number)
+        if replica.leads or replica.synced < len(replica.log):
+            yield f"crash({number})", crash(state, number)
+        if replica.leads:
+            yield from _commit_steps(state, number, mutation)
+
+
+def _put(state: State, number: int, replica: Replica) -> State:
+    replicas = (*state.replicas[:number], replica, *state.replicas[number + 1 :])
+    return state._replace(replicas=replicas)
+
+
+def _newness(log: Log) -> tuple[int, int]:
+    return (log[-1] if log else 0, len(log))
+
+
+def _election_steps(
+    state: State, number: int, mutation: Mutation | None
+) -> Iterator[Step]:
+    candidate = state.replicas[number]
+    for voter_number, voter in enumerate(state.replicas):
+        term = max(candidate.term, voter.term) + 1
+        if voter_number == number or term >= len(state.sent):
+            continue
+        if state.sent[term] is not None:
+            continue
+        newer = _newness(voter.log) > _newness(candidate.log)
+        if newer and mutation is not Mutation.VOTE_FOR_OLDER_LOG:
+            continue
+        label = f"elect({number},{voter_number},{term})"
+        yield label, elect(state, number, voter_number, term)
+
+
+def elect(state: State, number: int, voter_number: int, term: int) -> State:
+    """Replica ``number`` leads ``term`` by the vote of ``voter_number``."""
+    candidate = state.replicas[number]._replace(term=term, leads=True)
+    voter = state.replicas[voter_number]._replace(term=term, leads=False)
+    sent = (*state.sent[:term], candidate.log, *state.sent[term + 1 :])
+    elected = _put(state._replace(sent=sent), number, candidate)
+    return _put(elected, voter_number, voter)
+
+
+def append(state: State, number: int) -> State:
+    """Leader ``number`` appends an entry and sends it before its own fsync."""
+    leader = state.replicas[number]
+    log = (*leader.log, leader.term)
+    sent = (*state.sent[: leader.term], log, *state.sent[leader.term + 1 :])
+    return _put(state._replace(sent=sent), number, leader._replace(log=log))
+
+
+def sync(state: State, number: int) -> State:
+    """Replica ``number`` syncs its log."""
+    replica = state.replicas[number]
+    return _put(state, number, replica._replace(synced=len(replica.log)))
+
+
+def crash(state: State, number: int) -> State:
+    """Replica ``number`` restarts with what it had synced."""
+    replica = state.replicas[number]
+    kept = replica._replace(leads=False, log=replica.log[: replica.synced])
+    return _put(state, number, kept)
+
+
+def _receive_steps(
+    state: State, number: int, mutation: Mutation | None
+) -> Iterator[Step]:
+    replica = state.replicas[number]
+    for term, log in enumerate(state.sent):
+        if log is None or (replica.leads and term == replica.term):
+            continue
+        if term < replica.term and mutation is not Mutation.ACCEPT_OLD_TERM:
+            continue
+        for length in range(len(log) + 1):
+            received = receive(state, number, term, length, mutation)
+            if received != state:
+                yield f"receive({number},{term},{length})", received
+
+
+def receive(
+    state: State,
+    number: int,
+    term: int,
+    length: int,
+    mutation: Mutation | None = None,
+) -> State:
+    """Replica ``number`` gets the first ``length`` entries of ``term``'s leader.
+
+    It drops its own entries only where they conflict, syncs, and acknowledges.
+    """
+    replica = state.replicas[number]
+    prefix = (state.sent[term] or ())[:length]
+    log = prefix
+    if replica.log[:length] == prefix:
+        late = mutation is Mutation.TRUNCATE_ON_LATE_MESSAGE
+        log = prefix if late else replica.log
+    synced = len(log)
+    if mutation is Mutation.ACK_BEFORE_FSYNC:
+        synced = min(replica.synced, _common_length(replica.log, log))
+    acks = state.acks[term]
+    longest = max(acks[number], length)
+    acks = (*acks[:number], longest, *acks[number + 1 :])
+    all_acks = (*state.acks[:term], acks, *state.acks[term + 1 :])
+    follower = Replica(max(term, replica.term), False, log, synced)
+    return _put(state._replace(acks=all_acks), number, follower)
+
+
+def _common_length(left: Log, right: Log) -> int:
+    pairs = zip(left, right, strict=False)
+    return sum(1 for _ in itertools.takewhile(lambda pair: pair[0] == pair[1], pairs))
+
+
+def _commit_steps(
+    state: State, number: int, mutation: Mutation | None
+) -> Iterator[Step]:
+    leader = state.replicas[number]
+    needed = 1 if mutation is Mutation.COMMIT_ON_ONE else MAJORITY
+    for length in range(1, leader.synced + 1):
+        own_term = leader.log[length - 1] == leader.term
+        if not own_term and mutation is not Mutation.COMMIT_OLD_TERM:
+            continue
+        others = sum(
+            acked >= length
+            for other, acked in enumerate(state.acks[leader.term])
+            if other != number
+        )
+        if 1 + others >= needed:
+            committed = commit(state, leader.log[:length], leader.term)
+            if committed != state:
+                yield f"commit({number},{length})", committed
+
+
+def commit(state: State, log: Log, term: int) -> State:
+    """Commit ``log`` in ``term``, noting whether it disagrees with the committed."""
+    shared = min(len(log), len(state.committed))
+    if log[:shared] != state.committed[:shared]:
+        return state._replace(conflict=True)
+    if len(log) <= len(state.committed):
+        return state
+    return state._replace(committed=log, commit_term=term)
--- /dev/null
+++ b/spec/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the specification, and of the code against it."""
--- /dev/null
+++ b/spec/versions.py
@@ -0,0 +1,194 @@
+"""Model of configuration versions at replicas, zones and routers.
+
+A replica holds a synced log of versions, knows how much of it is committed, and
+forgets that on a restart.  It tells routers only versions that it knows to be
+committed, and it notes durably the highest one it has told.  A router takes only
+higher versions; after its restart it is ready once its zone's replica has told it
+one.  Two operators race with the same expected version.
+
+Examples
+--------
+>>> import minicheck
+>>> checked = minicheck.check_safety(make_model(version_count=1))
+>>> checked["exhaustive"], checked["properties"]["version_never_falls"]["holds"]
+(True, True)
+"""
+
+import enum
+import typing
+from collections.abc import Iterator
+
+import minicheck
+
+NOT_READY = 0
+
+
+class Mutation(enum.StrEnum):
+    """Faults that the checker must refute."""
+
+    TAKE_ANY_VERSION = "take_any_version"
+    TELL_UNCOMMITTED = "tell_uncommitted"
+    ANSWER_BEFORE_CATCH_UP = "answer_before_catch_up"
+    IGNORE_EXPECTED_VERSION = "ignore_expected_version"
+
+
+class Zone(typing.NamedTuple):
+    """One zone's replica and router.
+
+    Attributes
+    ----------
+    held, known, told : int
+        Versions in the replica's log, known to it as committed, and noted
+        durably as told to routers.
+    in_force : int
+        The router's version; 0 if it isn't ready.
+    acknowledged : int
+        Highest version that was ever in force in the zone.
+    """
+
+    held: int = 0
+    known: int = 0
+    told: int = 0
+    in_force: int = NOT_READY
+    acknowledged: int = 0
+
+
+class State(typing.NamedTuple):
+    """The committed changes, by their operator, and the zones.
+
+    Attributes
+    ----------
+    changes : tuple of (int, int)
+        By version, the operator and the version that it expected.
+    expected : tuple of int
+        By operator, the version that it has seen.
+    committed : int
+        Number of committed changes.
+    zones : tuple of Zone
+        By zone.
+    messages : frozenset of (int, int)
+        Zone and version told to its router; may come late.
+    """
+
+    changes: tuple[tuple[int, int], ...]
+    expected: tuple[int, ...]
+    committed: int
+    zones: tuple[Zone, ...]
+    messages: frozenset[tuple[int, int]]
+
+
+Step = tuple[str, State]
+
+
+def make_model(
+    version_count: int = 2, zone_count: int = 1, mutation: Mutation | None = None
+) -> minicheck.Protocol:
+    """Return the model with ``version_count`` accepted changes at most."""
+    initial = State((), (0, 0), 0, (Zone(),) * zone_count, frozenset())
+
+    def transitions(packed: tuple) -> list[Step]:
+        state = State(*packed)
+        steps = list(_operator_steps(state, version_count, mutation))
+        for number in range(zone_count):
+            steps += _replica_steps(state, number, mutation)
+            steps += _router_steps(state, number, mutation)
+        return steps
+
+    return minicheck.Protocol(
+        name="versions",
+        candidate=False,
+        fields=State._fields,
+        initial=initial,
+        transitions=transitions,
+        invariants={
+            "version_never_falls": _version_never_falls,
+            "only_committed_in_force": _only_committed_in_force,
+            "one_winner_a_version": _one_winner_a_version,
+        },
+    )
+
+
+def _version_never_falls(state: dict) -> bool:
+    return all(
+        zone.in_force in (NOT_READY, zone.acknowledged) for zone in state["zones"]
+    )
+
+
+def _only_committed_in_force(state: dict) -> bool:
+    return all(zone.in_force <= state["committed"] for zone in state["zones"])
+
+
+def _one_winner_a_version(state: dict) -> bool:
+    expected = [version for _, version in state["changes"]]
+    return len(expected) == len(set(expected))
+
+
+def _operator_steps(
+    state: State, version_count: int, mutation: Mutation | None
+) -> Iterator[Step]:
+    version = len(state.changes)
+    for operator, seen in enumerate(state.expected):
+        if seen != version:
+            seen_now = (
+                *state.expected[:operator],
+                version,
+                *state.expected[operator + 1 :],
+            )
+            yield f"read({operator})", state._replace(expected=seen_now)
+        wins = seen == version or mutation is Mutation.IGNORE_EXPECTED_VERSION
+        if wins and version < version_count:
+            changes = (*state.changes, (operator, seen))
+            yield f"propose({operator})", state._replace(changes=changes)
+    if state.committed < version:
+        yield "commit", state._replace(committed=state.committed + 1)
+
+
+def _put(state: State, number: int, zone: Zone) -> State:
+    zones = (*state.zones[:number], zone, *state.zones[number + 1 :])
+    return state._replace(zones=zones)
+
+
+def _replica_steps(
+    state: State, number: int, mutation: Mutation | None
+) -> Iterator[Step]:
+    zone = state.zones[number]
+    if zone.held < len(state.changes):
+        held = zone._replace(held=zone.held + 1)
+        yield f"hold({number})", _put(state, number, held)
+    if zone.known < min(zone.held, state.committed):
+        known = zone._replace(known=zone.known + 1)
+        yield f"learn_commit({number})", _put(state, number, known)
+    version = zone.known
+    if mutation is Mutation.TELL_UNCOMMITTED:
+        version = zone.held
+    caught_up = version >= zone.told or mutation is Mutation.ANSWER_BEFORE_CATCH_UP
+    if version and caught_up:
+        told = zone._replace(told=max(version, zone.told))
+        messages = state.messages | {(number, version)}
+        yield f"tell({number})", _put(state, number, told)._replace(messages=messages)
+    restarted = zone._replace(known=0)
+    yield f"restart_replica({number})", _put(state, number, restarted)
+
+
+def _router_steps(
+    state: State, number: int, mutation: Mutation | None
+) -> Iterator[Step]:
+    zone = state.zones[number]
+    for told_zone, version in state.messages:
+        higher = version > zone.in_force or mutation is Mutation.TAKE_ANY_VERSION
+        if told_zone == number and higher and zone.in_force != NOT_READY:
+            yield f"take({number},{version})", _take(state, number, version)
+    if zone.in_force != NOT_READY:
+        restarted = zone._replace(in_force=NOT_READY)
+        yield f"restart_router({number})", _put(state, number, restarted)
+    early = mutation is Mutation.ANSWER_BEFORE_CATCH_UP
+    if zone.in_force == NOT_READY and zone.known and (zone.known >= zone.told or early):
+        told = _put(state, number, zone._replace(told=max(zone.known, zone.told)))
+        yield f"ask({number})", _take(told, number, zone.known)
+
+
+def _take(state: State, number: int, version: int) -> State:
+    zone = state.zones[number]
+    acknowledged = max(version, zone.acknowledged)
+    taken = zone._replace(in_force=version, acknowledged=acknowledged)
+    return _put(state, number, taken)
