Isolate suspects on the same servers at every router; probe with care

Two routers retried suspects on one server at once, cleared suspects came back by gossip, and calls of a quarantined fingerprint that waited still ran. Each router now tells only of suspects it saw itself, all routers derive the same places from the same digests, and waiting calls are refused. Servers that stop reporting are left out; servers that failed get one call at a time; stragglers are found faster, and sooner when a peer has ejected them.

--- a/hickoryweir/policy/admission.py
+++ b/hickoryweir/policy/admission.py
@@ -116,7 +116,9 @@
 def hopeless(
     core: state.Core, pool: state.Pool, call: state.Call, now_s: float
 ) -> refusals.Refusal | None:
-    """Return the refusal of a waiting call that has no time left to run."""
+    """Return the refusal of a waiting call that must not or can't run any more."""
+    if call.arrived.fingerprint in core.quarantined:
+        return poison.refusal(call.ran)
     if not core.settings.mechanisms.admission or call.next_attempt > 1:
         return None
     if now_s + service_s(pool, call) <= call.arrived.deadline_s:
--- a/hickoryweir/policy/attempts.py
+++ b/hickoryweir/policy/attempts.py
@@ -1,7 +1,7 @@
 """Start and end of attempts and calls: the bookkeeping behind every action."""
 
 from hickoryweir.outcomes import refusals
-from hickoryweir.policy import actions, affinity, load, queues, state
+from hickoryweir.policy import actions, affinity, load, poison, queues, state
 
 
 def start(
@@ -40,7 +40,7 @@
         server.progressed_s = now_s
     server.calls[call.arrived.request_id] = call
     server.top_calls += _is_top(core, call, attempt)
-    if call.arrived.fingerprint in core.suspects:
+    if poison.is_isolated(core, call.arrived.fingerprint):
         server.suspects.add(call.arrived.fingerprint)
     core.running[call.arrived.fingerprint] += 1
     affinity.note_sent(server, call)
--- a/hickoryweir/policy/core.py
+++ b/hickoryweir/policy/core.py
@@ -188,6 +188,7 @@
     server = core.servers.get(event.backend_server)
     if server is None:
         return []
+    server.heard_s = now_s
     load.apply_report(core, server, event)
     return scheduling.serve_server(core, server, now_s)
 
--- a/hickoryweir/policy/digests.py
+++ b/hickoryweir/policy/digests.py
@@ -1,6 +1,8 @@
 """Digests between routers: bounded in size, and aged out when a peer is lost."""
 
-from hickoryweir.policy import events, poison, state
+import collections
+
+from hickoryweir.policy import attempts, events, poison, state
 
 PEER_TIMEOUT_S = 3.0
 SERVERS_COUNT = 64
@@ -12,9 +14,6 @@
     busy = [(n, s) for n, s in core.servers.items() if s.calls]
     busy.sort(key=lambda item: -len(item[1].calls))
     busy = busy[:SERVERS_COUNT]
-    placed = [
-        (fingerprint, name) for name, server in busy for fingerprint in server.suspects
-    ]
     return events.PeerDigestReceived(
         core.settings.router,
         core.settings.availability_zone,
@@ -23,7 +22,7 @@
         tuple(list(core.quarantined)[-FINGERPRINTS_COUNT:]),
         tuple(n for n, s in core.servers.items() if s.speed.ejected)[:SERVERS_COUNT],
         tuple((name, server.top_calls) for name, server in busy if server.top_calls),
-        tuple(placed[:FINGERPRINTS_COUNT]),
+        tuple(poison.placed(core)[:FINGERPRINTS_COUNT]),
     )
 
 
@@ -34,7 +33,11 @@
     _count(core, digest, 1)
     for server in core.servers.values():
         server.peers_at_s = now_s
-    return poison.learn(core, digest, now_s)
+    done = []
+    for call in poison.learn(core, digest, now_s):
+        refusal = poison.refusal(attempts.ran(call))
+        done += attempts.refuse(core, call, refusal, now_s)
+    return done
 
 
 def forget(core: state.Core, router: str) -> None:
@@ -58,6 +61,18 @@
     for name, running in digest.running_top:
         if name in core.servers:
             core.servers[name].peers_top += sign * running
-    for _, name in digest.suspects_placed:
+    for name in digest.ejected:
         if name in core.servers:
-            core.servers[name].peers_suspects += sign
+            core.servers[name].peers_ejected += sign
+    for fingerprint, place in digest.suspects_placed:
+        if place in core.servers:
+            core.servers[place].peers_suspects += sign
+            _add(core.peer_placed, fingerprint, sign)
+    for fingerprint in digest.suspects:
+        _add(core.peer_suspects, fingerprint, sign)
+
+
+def _add(counts: collections.Counter, key: str, sign: int) -> None:
+    counts[key] += sign
+    if counts[key] <= 0:
+        del counts[key]
--- a/hickoryweir/policy/events.py
+++ b/hickoryweir/policy/events.py
@@ -165,7 +165,8 @@
     running_top : tuple of (str, int)
         Part of ``running`` that was sent with the top tier's priority.
     suspects_placed : tuple of (str, str)
-        Backend server on which a suspect's fingerprint runs now.
+        Suspects at hand, each with the backend server on which it runs now, or
+        with the name of its model or service while it waits.
     """
 
     router: str
--- a/hickoryweir/policy/placement.py
+++ b/hickoryweir/policy/placement.py
@@ -15,6 +15,7 @@
 TOP_OVERCOMMIT_CALLS = 1
 AFFINITY_SLACK = 0.15
 SPILL_SLACK = 0.25
+SILENT_AFTER_S = 3.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,22 +97,56 @@
 def candidates(
     core: state.Core, pool: state.Pool, call: state.Call, now_s: float, top: bool
 ) -> list[Candidate]:
-    """Return the backend servers of the subset that can take a call now."""
+    """Return the backend servers of the subset that can take a call now.
+
+    Servers that fell silent are left out while others still report.
+    """
     zone = core.settings.availability_zone
-    suspect = call.arrived.fingerprint in core.suspects
     found = []
+    silent = []
+    heard = False
     for name in pool.subset:
         server = core.servers[name]
-        if not usable(server, now_s) or name in call.avoid:
+        if not usable(server, now_s):
             continue
-        if not stragglers.allows(server):
-            continue
-        if suspect and (server.suspects or server.peers_suspects):
+        is_silent = fell_silent(server, now_s)
+        heard = heard or not is_silent
+        if name in call.avoid or not _allows(core, pool, server, call, now_s):
             continue
         if has_room(core, pool, server, top, now_s):
             share = load.occupancy(server, now_s) / server.backend.max_concurrency
             local = server.backend.availability_zone == zone
-            found.append(Candidate(share, name, local))
+            (silent if is_silent else found).append(Candidate(share, name, local))
+    return found if heard else silent
+
+
+def fell_silent(server: state.Server, now_s: float) -> bool:
+    """Return whether a server that used to report has stopped to."""
+    return server.report is not None and now_s - server.heard_s > SILENT_AFTER_S
+
+
+def _allows(
+    core: state.Core,
+    pool: state.Pool,
+    server: state.Server,
+    call: state.Call,
+    now_s: float,
+) -> bool:
+    """Return whether a doubtful server may have this call, as a probe or at all."""
+    if server.failures_in_row > 0 and server.calls:
+        return False
+    return stragglers.allows(core, pool, server, call, now_s)
+
+
+def without_suspects(core: state.Core, pool: state.Pool, now_s: float) -> list[str]:
+    """Return the usable servers of a pool on which no isolated suspect runs."""
+    found = []
+    for name in pool.subset:
+        server = core.servers[name]
+        if not usable(server, now_s) or fell_silent(server, now_s):
+            continue
+        if not (server.suspects or server.peers_suspects or server.speed.ejected):
+            found.append(name)
     return found
 
 
--- a/hickoryweir/policy/poison.py
+++ b/hickoryweir/policy/poison.py
@@ -1,28 +1,38 @@
 """Requests that crash backend servers: suspects, and their quarantine.
 
-All calls in flight at a crash become suspects.  Suspects are placed apart, so
-that a second crash points at one of them; a suspect that finishes, or gets
-well past the point where it stood at the crash, is cleared.  A fingerprint in
-its second crash is quarantined if it was the only suspect there, else in its
-third.  Routers share both by digests.
+All calls in flight at a crash become suspects.  A suspect that had only
+started, or stood in a second crash, is isolated: no two isolated suspects run
+on one server, so that a further crash points at one of them.  A suspect that
+finishes, or gets well past the point where it stood, is cleared.  A
+fingerprint is quarantined in its second crash if it was the only isolated
+suspect there, else in its third.  Routers share all this by digests: each
+tells only of what it saw itself, so that a cleared suspect is cleared
+everywhere.
 """
 
 from hickoryweir.outcomes import refusals
-from hickoryweir.policy import attempts, events, state
+from hickoryweir.policy import events, state
 
 SUSPECT_TIMEOUT_S = 600.0
 QUARANTINE_TIMEOUT_S = 3600.0
 FINGERPRINTS_COUNT = 1024
-CLEARED_AFTER_TOKENS = 64
+CLEARED_AFTER_TOKENS = 32
+ISOLATED_BELOW_TOKENS = 128
+HOLD_S = 0.6
+ISOLATION_MAX_S = 5.0
+CRASHES_MAX = 3
 
 
-def is_suspect(core: state.Core, call: state.Call) -> bool:
-    """Return whether a call's fingerprint stood in a crash."""
-    return call.arrived.fingerprint in core.suspects
+def is_isolated(core: state.Core, fingerprint: str) -> bool:
+    """Return whether a fingerprint must not run beside another suspect."""
+    suspect = core.suspects.get(fingerprint)
+    if suspect is None:
+        return fingerprint in core.peer_suspects
+    return suspect.crashes >= 2 or suspect.tokens < ISOLATED_BELOW_TOKENS
 
 
-def note_crash(core: state.Core, server: state.Server, now_s: float) -> None:
-    """Note which suspects a crash hit; called before its calls are ended."""
+def note_crash(server: state.Server) -> None:
+    """Note how many suspects a crash hit; called before its calls are ended."""
     server.crash_group = len(server.suspects) + server.peers_suspects
 
 
@@ -34,17 +44,18 @@
     now_s: float,
 ) -> None:
     """Make a call that was in flight at a crash a suspect, or quarantine it."""
-    if not core.settings.mechanisms.poison:
-        return
     fingerprint = call.arrived.fingerprint
+    if not core.settings.mechanisms.poison or fingerprint in core.quarantined:
+        return
     suspect = core.suspects.pop(fingerprint, None)
     if suspect is None:
-        suspect = state.Suspect(0, now_s)
+        suspect = state.Suspect(int(fingerprint in core.peer_suspects), now_s)
     suspect.crashes += 1
     suspect.seen_s = now_s
     suspect.tokens = call.tokens_kept + attempt.tokens
     core.suspects[fingerprint] = suspect
-    if suspect.crashes >= 3 or (suspect.crashes == 2 and server.crash_group <= 1):
+    alone = fingerprint in server.suspects and server.crash_group <= 1
+    if suspect.crashes >= CRASHES_MAX or (suspect.crashes == 2 and alone):
         quarantine(core, fingerprint, now_s)
     _bound(core.suspects)
 
@@ -58,9 +69,13 @@
     _bound(core.quarantined)
 
 
-def cleared(core: state.Core, call: state.Call) -> None:
-    """Clear a call's fingerprint: it finished."""
-    core.suspects.pop(call.arrived.fingerprint, None)
+def clear(core: state.Core, call: state.Call, attempt: state.Attempt) -> None:
+    """Clear a call's fingerprint of suspicion."""
+    fingerprint = call.arrived.fingerprint
+    core.suspects.pop(fingerprint, None)
+    server = core.servers.get(attempt.server)
+    if server is not None:
+        server.suspects.discard(fingerprint)
 
 
 def progressed(core: state.Core, call: state.Call, attempt: state.Attempt) -> None:
@@ -70,33 +85,53 @@
         return
     total = call.tokens_kept + attempt.tokens
     if total >= suspect.tokens + CLEARED_AFTER_TOKENS:
-        cleared(core, call)
-        server = core.servers.get(attempt.server)
-        if server is not None:
-            server.suspects.discard(call.arrived.fingerprint)
+        clear(core, call, attempt)
 
 
-def learn(core: state.Core, digest: events.PeerDigestReceived, now_s: float) -> list:
-    """Take suspects and quarantined fingerprints from a peer."""
+def learn(
+    core: state.Core, digest: events.PeerDigestReceived, now_s: float
+) -> list[state.Call]:
+    """Take quarantined fingerprints from a peer; return the calls to refuse."""
     if not core.settings.mechanisms.poison:
         return []
-    for fingerprint in digest.suspects:
-        if fingerprint not in core.suspects and fingerprint not in core.quarantined:
-            core.suspects[fingerprint] = state.Suspect(1, now_s)
-    fresh = [item for item in digest.quarantined if item not in core.quarantined]
+    fresh = {item for item in digest.quarantined if item not in core.quarantined}
     for fingerprint in fresh:
         quarantine(core, fingerprint, now_s)
-    _bound(core.suspects)
-    return refuse_quarantined(core, set(fresh), now_s) if fresh else []
-
-
-def refuse_quarantined(core: state.Core, fingerprints: set[str], now_s: float) -> list:
-    """Refuse the calls at hand that have a quarantined fingerprint."""
-    done = []
-    for call in list(core.calls.values()):
-        if call.arrived.fingerprint in fingerprints:
-            done += attempts.refuse(core, call, refusal(attempts.ran(call)), now_s)
-    return done
+    if not fresh:
+        return []
+    return [c for c in core.calls.values() if c.arrived.fingerprint in fresh]
+
+
+def placed(core: state.Core) -> list[tuple[str, str]]:
+    """Return the isolated suspects at hand, with their server or model name."""
+    found = [
+        (fingerprint, name)
+        for name, server in core.servers.items()
+        for fingerprint in sorted(server.suspects)
+    ]
+    for pool in core.pools.values():
+        found += [
+            (call.arrived.fingerprint, pool.name)
+            for call in pool.suspects
+            if call.queued
+        ]
+    return found
+
+
+def assignment(core: state.Core, pool: state.Pool, free: list[str]) -> dict[str, str]:
+    """Return which free server each waiting suspect of a pool may use.
+
+    Every router gets the same result from the same digests, so that suspects
+    of different routers don't meet on one server.
+    """
+    waiting = {call.arrived.fingerprint for call in pool.suspects if call.queued}
+    for peer in core.peers.values():
+        waiting.update(
+            fingerprint
+            for fingerprint, place in peer.digest.suspects_placed
+            if place == pool.name
+        )
+    return dict(zip(sorted(waiting), sorted(free), strict=False))
 
 
 def refusal(ran: refusals.Ran = refusals.Ran.NO) -> refusals.Refusal:
--- a/hickoryweir/policy/queues.py
+++ b/hickoryweir/policy/queues.py
@@ -11,13 +11,13 @@
 import heapq
 import math
 
-from hickoryweir.policy import state
+from hickoryweir.policy import poison, state
 
 CREDIT_LIMIT_CALLS = 4.0
 SERVED_WINDOW_S = 5.0
 
 
-def push(core: state.Core, call: state.Call) -> None:
+def push(core: state.Core, call: state.Call, isolate: bool = True) -> None:
     """Queue a call; one that waited before keeps its place.
 
     A suspect waits beside the heap, since it may need a server of its own.
@@ -27,7 +27,7 @@
     queue.cost += call.cost
     call.queued = True
     call.late = False
-    if call.arrived.fingerprint in core.suspects:
+    if isolate and poison.is_isolated(core, call.arrived.fingerprint):
         state.pool_of(core, call.request_class).suspects.append(call)
         return
     if call.next_attempt == 1:
--- a/hickoryweir/policy/recovery.py
+++ b/hickoryweir/policy/recovery.py
@@ -47,7 +47,8 @@
     server = core.servers.get(attempt.server)
     first = attempt.first_token_s is None
     if server is not None:
-        server.progressed_s = now_s
+        server.progressed_s = server.heard_s = now_s
+        server.failures_in_row = 0
         if not first:
             gap_s = now_s - attempt.last_token_s
             stragglers.observe(core, server, gap_s / fresh, now_s)
@@ -77,7 +78,7 @@
     core: state.Core, call: state.Call, attempt: state.Attempt, now_s: float
 ) -> None:
     """Note that a backend server finished an answer."""
-    poison.cleared(core, call)
+    poison.clear(core, call, attempt)
     server = core.servers.get(attempt.server)
     if server is not None:
         server.failures_in_row = 0
@@ -123,7 +124,7 @@
         server.failures_in_row += 1
         pause_s = DOWN_MIN_S * 2 ** min(server.failures_in_row - 1, 8)
         server.down_until_s = now_s + min(pause_s, DOWN_MAX_S)
-        poison.note_crash(core, server, now_s)
+        poison.note_crash(server)
         affinity.clear(server)
     if cause is events.FailureCause.CRASHED:
         poison.note_victim(core, server, call, attempt, now_s)
@@ -146,7 +147,8 @@
     if refusal is not None:
         return attempts.refuse(core, call, refusal, now_s)
     call.retries += 1
-    core.retry_credit -= 1.0
+    core.retry_credit -= call.tokens_kept == 0
+    call.ready_s = now_s + poison.HOLD_S
     core.counters.retries[event.cause, call.request_class.name] += 1
     if len(call.avoid) >= len(pool.subset):
         call.avoid.clear()
@@ -167,7 +169,9 @@
     if call.arrived.fingerprint in core.quarantined:
         return poison.refusal(call.ran)
     allowed = request_class.retries or event.ran is refusals.Ran.NO
-    if not allowed or call.retries >= MAX_RETRIES or core.retry_credit < 1.0:
+    fresh = call.tokens_kept == 0
+    over_budget = fresh and core.retry_credit < 1.0
+    if not allowed or call.retries >= MAX_RETRIES or over_budget:
         return refusals.make_refusal(
             refusals.Reason.RETRIES_EXHAUSTED,
             f"the last attempt ended with {event.cause}",
--- a/hickoryweir/policy/rescue.py
+++ b/hickoryweir/policy/rescue.py
@@ -5,7 +5,7 @@
 already sent.  Both are for idempotent calls only and have a budget.
 """
 
-from hickoryweir.policy import actions, attempts, lengths, placement, state
+from hickoryweir.policy import actions, attempts, lengths, placement, poison, state
 
 HEDGE_BUDGET_SHARE = 0.05
 HEDGE_CREDIT_MAX = 5.0
@@ -71,7 +71,7 @@
     if (
         call.hedged
         or core.hedge_credit < 1.0
-        or call.arrived.fingerprint in core.suspects
+        or poison.is_isolated(core, call.arrived.fingerprint)
     ):
         return []
     patience_s = HEDGE_AFTER_TARGET_SHARE * request_class.first_token_target_s
--- a/hickoryweir/policy/scheduling.py
+++ b/hickoryweir/policy/scheduling.py
@@ -3,7 +3,15 @@
 import heapq
 
 from hickoryweir.outcomes import refusals
-from hickoryweir.policy import actions, admission, attempts, placement, queues, state
+from hickoryweir.policy import (
+    actions,
+    admission,
+    attempts,
+    placement,
+    poison,
+    queues,
+    state,
+)
 
 
 def serve_all(core: state.Core, now_s: float) -> list[actions.Action]:
@@ -72,23 +80,23 @@
 def _serve_suspects(
     core: state.Core, pool: state.Pool, now_s: float
 ) -> list[actions.Action]:
+    """Place isolated suspects, each on a server without another one."""
     done: list[actions.Action] = []
+    free = placement.without_suspects(core, pool, now_s)
+    places = poison.assignment(core, pool, free)
     waiting, pool.suspects = pool.suspects, []
     for call in waiting:
         if not call.queued:
             continue
-        fingerprint = call.arrived.fingerprint
-        if fingerprint not in core.suspects:
+        if _is_over(core, call, now_s):
             queues.remove(core, call)
-            queues.push(core, call)
+            queues.push(core, call, isolate=False)
             continue
-        top = placement.is_top(core, pool, call.request_class)
-        name = None
-        if fingerprint not in core.running:
-            name = placement.choose(core, pool, call, now_s, top)
+        name = _suspect_place(core, pool, call, places, now_s)
         if name is None:
             pool.suspects.append(call)
             continue
+        del places[call.arrived.fingerprint]
         queues.remove(core, call)
         queues.charge(core, pool, call, now_s)
         tier = call.request_class.tier
@@ -96,6 +104,36 @@
     return done
 
 
+def _is_over(core: state.Core, call: state.Call, now_s: float) -> bool:
+    """Return whether a call no longer has to wait for a server of its own."""
+    fingerprint = call.arrived.fingerprint
+    if not poison.is_isolated(core, fingerprint):
+        return True
+    suspect = core.suspects.get(fingerprint)
+    if suspect is None or suspect.crashes > 1:
+        return False
+    return now_s > suspect.seen_s + poison.ISOLATION_MAX_S
+
+
+def _suspect_place(
+    core: state.Core,
+    pool: state.Pool,
+    call: state.Call,
+    places: dict[str, str],
+    now_s: float,
+) -> str | None:
+    fingerprint = call.arrived.fingerprint
+    name = places.get(fingerprint)
+    if name is None or now_s < call.ready_s:
+        return None
+    if fingerprint in core.running or fingerprint in core.peer_placed:
+        return None
+    top = placement.is_top(core, pool, call.request_class)
+    if not placement.has_room(core, pool, core.servers[name], top, now_s):
+        return None
+    return name
+
+
 def expire(core: state.Core, now_s: float) -> list[actions.Action]:
     """Refuse the calls whose deadline has passed."""
     done: list[actions.Action] = []
--- a/hickoryweir/policy/state.py
+++ b/hickoryweir/policy/state.py
@@ -41,6 +41,7 @@
     tokens_kept: int = 0
     next_attempt: int = 1
     late: bool = False
+    ready_s: float = 0.0
     retries: int = 0
     hedged: bool = False
     provider: str | None = None
@@ -78,6 +79,8 @@
     peers_running: int = 0
     peers_top: int = 0
     peers_suspects: int = 0
+    peers_ejected: int = 0
+    heard_s: float = 0.0
     peers_at_s: float = float("-inf")
     report: events.LoadReported | None = None
     down_until_s: float = 0.0
@@ -211,6 +214,12 @@
     sequence: int = 0
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
+    peer_suspects: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    peer_placed: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
     quarantined: dict[str, float] = dataclasses.field(default_factory=dict)
     running: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
--- a/hickoryweir/policy/stragglers.py
+++ b/hickoryweir/policy/stragglers.py
@@ -9,15 +9,18 @@
 
 from hickoryweir.policy import state
 
-SMOOTHING = 0.2
-SAMPLES_MIN = 6
+SMOOTHING = 0.3
+SAMPLES_MIN = 4
 SAMPLE_MAX_S = 2.0
 SLOW_RATIO = 2.5
 RESTORED_RATIO = 1.6
-SLOW_FOR_S = 1.0
+SLOW_FOR_S = 0.5
 EJECT_MIN_S = 5.0
 EJECT_MAX_S = 60.0
 EJECTED_SHARE_MAX = 0.34
+TOP_PROBE_AFTER_S = 5.0
+PEER_SAMPLES_MIN = 2
+PEER_SLOW_RATIO = 1.8
 
 
 def observe(
@@ -67,6 +70,10 @@
             speed.between_tokens_s = median_s
         return
     ratio = speed.between_tokens_s / median_s
+    told = server.peers_ejected > 0 and speed.samples >= PEER_SAMPLES_MIN
+    if told and ratio >= PEER_SLOW_RATIO:
+        _eject(core, pool, server, now_s)
+        return
     if speed.samples < SAMPLES_MIN:
         return
     if speed.probing and ratio < RESTORED_RATIO:
@@ -97,8 +104,23 @@
     core.counters.ejections += 1
 
 
-def allows(server: state.Server) -> bool:
-    """Return whether a server may get a call: not ejected, or one as a probe."""
-    if server.speed.ejected:
+def allows(
+    core: state.Core,
+    pool: state.Pool,
+    server: state.Server,
+    call: state.Call,
+    now_s: float,
+) -> bool:
+    """Return whether a server's speed lets it have a call, if only as a probe.
+
+    Probes are idempotent calls, and at first none of the pool's top tier.
+    """
+    speed = server.speed
+    if speed.ejected:
+        return False
+    if not speed.probing:
+        return True
+    if server.calls or not call.request_class.idempotent:
         return False
-    return not (server.speed.probing and server.calls)
+    top = core.queues[pool.class_names[0]].request_class.tier
+    return call.request_class.tier > top or now_s > speed.until_s + TOP_PROBE_AFTER_S
