Fuzz the policy core against an oracle; floors wait until a call needs them

The promises to the daemon were only tested by example. A stateful machine now sends random events and judges every action: one final answer, one-time calls sent again only if they did not run, truthful ran, no attempt left behind, no low tier dispatched in the step that refuses a high one, bounded queues.

A class now spends floor credit only when its next call nears its first-token target, and calls start only if a long answer fits the deadline.

--- a/hickoryweir/policy/admission.py
+++ b/hickoryweir/policy/admission.py
@@ -14,6 +14,7 @@
 RETRY_AFTER_MAX_S = 60.0
 RETRY_AFTER_JITTER = 0.5
 RATE_MIN_COST_PER_S = 1e-3
+LONG_QUANTILE = 0.75
 
 
 def cost_of(
@@ -28,10 +29,28 @@
     return max(1.0, output + INPUT_COST * arrived.input_tokens)
 
 
-def service_s(pool: state.Pool, call: state.Call) -> float:
+def service_s(core: state.Core, pool: state.Pool, call: state.Call) -> float:
     """Return how long a call is expected to run once it is placed."""
-    left = max(1.0, call.cost - call.tokens_kept)
-    return left / pool.cost_per_slot_s
+    return call.cost / class_rate(core, pool, call.request_class)
+
+
+def long_service_s(core: state.Core, pool: state.Pool, call: state.Call) -> float:
+    """Return how long a call runs if its answer turns out long."""
+    if pool.target is model.Target.SERVICE:
+        return service_s(core, pool, call)
+    known = core.queues[call.request_class.name].lengths
+    output = lengths.quantile(known, LONG_QUANTILE)
+    if call.arrived.max_output_tokens is not None:
+        output = min(output, float(call.arrived.max_output_tokens))
+    cost = output + INPUT_COST * call.arrived.input_tokens
+    return cost / class_rate(core, pool, call.request_class)
+
+
+def class_rate(
+    core: state.Core, pool: state.Pool, request_class: model.RequestClass
+) -> float:
+    """Return the cost per second of one call of a class; low tiers are slower."""
+    return core.queues[request_class.name].cost_per_slot_s or pool.cost_per_slot_s
 
 
 def drain_rate(core: state.Core, pool: state.Pool, now_s: float) -> float:
@@ -104,7 +123,7 @@
         )
     if not core.settings.mechanisms.admission:
         return None
-    if now_s + wait_s + service_s(pool, call) > call.arrived.deadline_s:
+    if now_s + wait_s + service_s(core, pool, call) > call.arrived.deadline_s:
         return refusals.make_refusal(
             refusals.Reason.DEADLINE_UNREACHABLE,
             f"class {request_class.name} would wait about {wait_s:.1f} s",
@@ -121,7 +140,7 @@
         return poison.refusal(call.ran)
     if not core.settings.mechanisms.admission or call.next_attempt > 1:
         return None
-    if now_s + service_s(pool, call) <= call.arrived.deadline_s:
+    if now_s + long_service_s(core, pool, call) <= call.arrived.deadline_s:
         return None
     queue = core.queues[call.request_class.name]
     return shed(core, queue, now_s)
@@ -134,7 +153,7 @@
     pool = state.pool_of(core, queue.request_class)
     floor = queue.request_class.floor_share * drain_rate(core, pool, now_s)
     rate = max(queues.served_rate(queue, now_s), floor, RATE_MIN_COST_PER_S)
-    left_s = call.arrived.deadline_s - now_s - service_s(pool, call)
+    left_s = call.arrived.deadline_s - now_s - service_s(core, pool, call)
     return queue.late_cost / rate > left_s
 
 
--- a/hickoryweir/policy/core.py
+++ b/hickoryweir/policy/core.py
@@ -147,6 +147,9 @@
         cost = output_tokens + admission.INPUT_COST * call.arrived.input_tokens
     rate = cost / max(SHORTEST_ATTEMPT_S, now_s - attempt.started_s)
     pool.cost_per_slot_s += RATE_SMOOTHING * (rate - pool.cost_per_slot_s)
+    queue = core.queues[call.request_class.name]
+    known = queue.cost_per_slot_s or pool.cost_per_slot_s
+    queue.cost_per_slot_s = known + RATE_SMOOTHING * (rate - known)
     _observe_provider(core, call, attempt, now_s)
 
 
--- a/hickoryweir/policy/queues.py
+++ b/hickoryweir/policy/queues.py
@@ -4,8 +4,8 @@
 accounts).  A call that can no longer meet its first-token target moves to the
 class's late lane, which is served after the calls that still can.  Classes of
 a pool are served by tier; a backlogged class earns credit with each dispatch
-of the pool, as its floor share says, and a class with enough credit for its
-next call goes first.
+of the pool, as its floor share says.  A class with enough credit goes first
+once its next call has waited for nearly its first-token target.
 """
 
 import heapq
@@ -15,6 +15,7 @@
 
 CREDIT_LIMIT_CALLS = 4.0
 SERVED_WINDOW_S = 5.0
+CREDIT_PATIENCE = 0.9
 
 
 def push(core: state.Core, call: state.Call, isolate: bool = True) -> None:
@@ -138,7 +139,10 @@
     if not core.settings.mechanisms.floor_shares:
         return False
     call = head(core, queue, now_s)
-    return call is not None and queue.credit >= call.cost
+    if call is None or queue.credit < call.cost:
+        return False
+    patience_s = CREDIT_PATIENCE * call.request_class.first_token_target_s
+    return now_s - call.arrived_s >= patience_s or call.next_attempt > 1
 
 
 def charge(core: state.Core, pool: state.Pool, call: state.Call, now_s: float) -> None:
--- a/hickoryweir/policy/recovery.py
+++ b/hickoryweir/policy/recovery.py
@@ -148,7 +148,7 @@
         return attempts.refuse(core, call, refusal, now_s)
     call.retries += 1
     core.retry_credit -= call.tokens_kept == 0
-    call.ready_s = now_s + poison.HOLD_S
+    call.ready_s = now_s + poison.HOLD_S * bool(core.peers)
     core.counters.retries[event.cause, call.request_class.name] += 1
     if len(call.avoid) >= len(pool.subset):
         call.avoid.clear()
--- a/hickoryweir/policy/state.py
+++ b/hickoryweir/policy/state.py
@@ -108,6 +108,7 @@
     virtual: float = 0.0
     finish: dict[str, float] = dataclasses.field(default_factory=dict)
     credit: float = 0.0
+    cost_per_slot_s: float = 0.0
     served_cost_per_s: float = 0.0
     served_s: float = 0.0
 
--- /dev/null
+++ b/hickoryweir/policy/tests/test_invariants.py
@@ -0,0 +1,232 @@
+"""Stateful fuzzing of the core against a simple oracle of its promises."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from hickoryweir.outcomes import refusals
+from hickoryweir.policy import actions, core, events, examples, settings
+
+QUEUE_LENGTH = 6
+CAPACITY_REASONS = {
+    refusals.Reason.QUEUE_FULL,
+    refusals.Reason.SHED,
+    refusals.Reason.DEADLINE_UNREACHABLE,
+}
+CLASSES = {
+    "charge": (0, False),
+    "balance": (0, True),
+    "summary": (2, True),
+}
+
+
+def make_configuration():
+    classes = [
+        examples.request_class(
+            name,
+            tier,
+            idempotent=idempotent,
+            hedging=idempotent,
+            max_queue_length=QUEUE_LENGTH,
+            floor_share=0.0 if tier == 0 else 0.1,
+        )
+        for name, (tier, idempotent) in CLASSES.items()
+    ]
+    engines = [
+        examples.engine(f"e{n}", zone, max_concurrency=2)
+        for n, zone in enumerate("abc")
+    ]
+    return examples.configuration(classes, engines)
+
+
+@dataclasses.dataclass
+class Known:
+    """What the oracle knows of one call."""
+
+    class_name: str
+    final: bool = False
+    may_have_run: bool = False
+    running: dict = dataclasses.field(default_factory=dict)
+
+
+class PolicyMachine(stateful.RuleBasedStateMachine):
+    """Random events; after each, the core's actions are judged."""
+
+    def __init__(self):
+        super().__init__()
+        own = settings.CoreSettings("router-1", "a", 7)
+        self.core = core.make_core(own, make_configuration())
+        self.now_s = 0.0
+        self.calls = {}
+        self.states = {}
+
+    def feed(self, event):
+        """Apply an event and judge what comes back."""
+        done = core.handle(self.core, event, self.now_s)
+        refused_top = dispatched_low = False
+        for action in done:
+            known = self.calls[action.request_id]
+            assert not known.final, "an action after the final answer"
+            match action:
+                case actions.Dispatch():
+                    self.judge_dispatch(known, action)
+                    dispatched_low |= CLASSES[known.class_name][0] > 0
+                case actions.CancelAttempt(_, attempt):
+                    assert CLASSES[known.class_name][1], "a one-time call is cancelled"
+                    del known.running[attempt]
+                case actions.Refuse(_, refusal):
+                    self.judge_refusal(known, refusal)
+                    top = CLASSES[known.class_name][0] == 0
+                    refused_top |= top and refusal.reason in CAPACITY_REASONS
+        assert not (refused_top and dispatched_low)
+
+    def judge_dispatch(self, known, action):
+        """Judge that a one-time call that may have run isn't sent again."""
+        if not CLASSES[known.class_name][1]:
+            assert not known.running
+            assert not known.may_have_run
+        state = self.states.get(action.backend_server, events.ServerState.LIVE)
+        assert state is events.ServerState.LIVE
+        assert action.hedge == bool(known.running)
+        known.running[action.attempt] = action.backend_server
+
+    def judge_refusal(self, known, refusal):
+        """Judge that a refusal is final and never claims too little."""
+        known.final = True
+        if known.may_have_run or known.running:
+            assert refusal.ran is not refusals.Ran.NO
+        if CLASSES[known.class_name][1]:
+            assert not known.running, "refused while an attempt still runs"
+
+    def running(self):
+        """Return every running attempt."""
+        return [
+            (request_id, attempt)
+            for request_id, known in self.calls.items()
+            for attempt in known.running
+            if not known.final
+        ]
+
+    @stateful.rule(
+        name=strategies.sampled_from(sorted(CLASSES)),
+        fingerprint=strategies.integers(0, 30),
+        patience_s=strategies.floats(1.0, 40.0),
+    )
+    def arrive(self, name, fingerprint, patience_s):
+        """Let a call arrive."""
+        request_id = f"r{len(self.calls)}"
+        self.calls[request_id] = Known(name)
+        event = examples.arrival(
+            request_id,
+            name,
+            fingerprint=f"f{fingerprint}",
+            deadline_s=self.now_s + patience_s,
+        )
+        self.feed(event)
+
+    @stateful.precondition(lambda self: self.running())
+    @stateful.rule(data=strategies.data(), tokens=strategies.integers(1, 300))
+    def progress(self, data, tokens):
+        """Let an attempt get tokens."""
+        key = data.draw(strategies.sampled_from(self.running()))
+        self.feed(events.Progressed(*key, tokens))
+        assert list(self.calls[key[0]].running) == [key[1]]
+
+    @stateful.precondition(lambda self: self.running())
+    @stateful.rule(data=strategies.data(), tokens=strategies.integers(1, 300))
+    def complete(self, data, tokens):
+        """End an attempt with its whole answer."""
+        request_id, attempt = data.draw(strategies.sampled_from(self.running()))
+        known = self.calls[request_id]
+        del known.running[attempt]
+        self.feed(events.Completed(request_id, attempt, tokens))
+        known.final = True
+        assert not known.running, "another attempt outlives the answer"
+
+    @stateful.precondition(lambda self: self.running())
+    @stateful.rule(
+        data=strategies.data(),
+        cause=strategies.sampled_from(events.FailureCause),
+        ran=strategies.sampled_from([refusals.Ran.NO, refusals.Ran.MAYBE]),
+    )
+    def fail(self, data, cause, ran):
+        """End an attempt without its answer."""
+        request_id, attempt = data.draw(strategies.sampled_from(self.running()))
+        known = self.calls[request_id]
+        known.may_have_run |= ran is refusals.Ran.MAYBE
+        del known.running[attempt]
+        self.feed(events.AttemptFailed(request_id, attempt, cause, ran, 0))
+
+    @stateful.precondition(lambda self: self.running())
+    @stateful.rule(data=strategies.data())
+    def withdraw(self, data):
+        """Let a caller leave."""
+        request_id, _ = data.draw(strategies.sampled_from(self.running()))
+        self.calls[request_id].final = True
+        self.feed(events.Withdrawn(request_id))
+
+    @stateful.rule(
+        name=strategies.sampled_from(["e0", "e1", "e2"]),
+        state=strategies.sampled_from(events.ServerState),
+    )
+    def change_server(self, name, state):
+        """Change a backend server's state."""
+        self.states[name] = state
+        self.feed(events.ServerStateChanged(name, state))
+
+    @stateful.rule(
+        running=strategies.integers(0, 4),
+        suspects=strategies.sets(strategies.integers(0, 30), max_size=2),
+        quarantined=strategies.sets(strategies.integers(0, 30), max_size=1),
+    )
+    def hear_peer(self, running, suspects, quarantined):
+        """Hear another router's digest."""
+        digest = events.PeerDigestReceived(
+            "router-2",
+            "b",
+            (("e0", running),),
+            tuple(f"f{item}" for item in sorted(suspects)),
+            tuple(f"f{item}" for item in sorted(quarantined)),
+            (),
+        )
+        self.feed(digest)
+
+    @stateful.rule(elapsed_s=strategies.floats(0.05, 5.0))
+    def pass_time(self, elapsed_s):
+        """Let time pass."""
+        self.now_s += elapsed_s
+        self.feed(events.Ticked())
+
+    @stateful.invariant()
+    def queues_are_bounded_and_agree(self):
+        """Check that each open call is where it should be."""
+        open_calls = {key for key, known in self.calls.items() if not known.final}
+        assert set(self.core.calls) == open_calls
+        waiting = dict.fromkeys(CLASSES, 0)
+        for key in open_calls:
+            known, call = self.calls[key], self.core.calls[key]
+            assert call.queued != bool(known.running)
+            assert set(call.attempts) == set(known.running)
+            waiting[known.class_name] += call.queued
+        for name, length in waiting.items():
+            assert self.core.queues[name].length == length
+        for server in self.core.servers.values():
+            assert 0 <= server.top_calls <= len(server.calls)
+
+    def teardown(self):
+        """Check that every call had its one final answer."""
+        self.now_s += 100.0
+        self.feed(events.Ticked())
+        assert all(known.final for known in self.calls.values())
+        assert not self.core.calls
+
+
+PolicyMachine.TestCase.settings = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=40,
+    derandomize=True,
+    database=None,
+    deadline=None,
+)
+TestPolicy = PolicyMachine.TestCase
