Measurements of the replicated log, each by one command

Cause: latency, throughput, fsyncs, restart and failover have to be measured, not guessed. Change: replicas as processes with a delaying task before each; claims as commands. Conclusion: one command each.

--- /dev/null
+++ b/hickoryweir/replicas/measure.py
@@ -0,0 +1,318 @@
+"""Measurements of the replicated log, each by one command.
+
+``python -m hickoryweir.replicas.measure latency`` (or ``throughput``, ``failover``,
+``restart``).  Commands are claims; replicas are processes of their own on loopback.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+import os
+import statistics
+import tempfile
+import time
+from typing import Annotated
+
+import cappa
+import uvloop
+from hdrh import histogram
+from returns import result
+
+from hickoryweir.claims import commands
+from hickoryweir.replicas import (
+    files,
+    machine,
+    measure_cluster,
+    messages,
+    raft,
+    records,
+    storage,
+)
+from hickoryweir.streams import codec
+
+MAX_LATENCY_US = 60_000_000
+TRY_TIMEOUT_S = 0.5
+PAYLOAD_DIGEST = b"d" * 32
+BATCH_ENTRIES_COUNT = 100
+MEMBERSHIP = messages.Membership((messages.Member("a~1", "", "zone-a", True),))
+
+
+def make_claims():
+    """Return an endless iterator of claims with keys of their own."""
+    start = os.urandom(4).hex()
+    for number in itertools.count():
+        name = f"{start}-{number}"
+        account = f"account-{number % 10}"
+        yield commands.Claim(
+            account,
+            f"key-{name}",
+            time.time(),
+            PAYLOAD_DIGEST,
+            f"attempt-{name}",
+            "top-up-1",
+            "vm-1",
+        )
+
+
+async def _propose_for(log, claims, duration_s, timings, counts) -> None:
+    deadline_s = time.monotonic() + duration_s
+    while time.monotonic() < deadline_s:
+        started_s = time.monotonic()
+        outcome = await log.propose(next(claims), 5.0)
+        timings.record_value((time.monotonic() - started_s) * 1e6)
+        counts["failed" if isinstance(outcome, result.Failure) else "done"] += 1
+
+
+async def _load(log, tasks_count, duration_s):
+    claims = make_claims()
+    timings = histogram.HdrHistogram(1, MAX_LATENCY_US, 3)
+    counts = {"done": 0, "failed": 0}
+    started_s = time.monotonic()
+    await asyncio.gather(
+        *[
+            _propose_for(log, claims, duration_s, timings, counts)
+            for _ in range(tasks_count)
+        ]
+    )
+    return timings, counts, time.monotonic() - started_s
+
+
+def _describe(timings) -> str:
+    p50_ms = timings.get_value_at_percentile(50) / 1000
+    p99_ms = timings.get_value_at_percentile(99) / 1000
+    return f"p50 {p50_ms:.2f} ms, p99 {p99_ms:.2f} ms"
+
+
+async def _latency(folder: str, command: "Latency") -> None:
+    async with measure_cluster.run_cluster(folder, command.delay_ms / 1000) as cluster:
+        finding = cluster.make_client()
+        await finding.wait_until_ready(measure_cluster.START_TIMEOUT_S)
+        leader_name = finding.leader_name
+        await finding.close()
+        for place, near_name in (("leader's", leader_name), ("another", "")):
+            log = cluster.make_client(near_name)
+            await _load(log, 1, 1.0)
+            timings, counts, _ = await _load(log, 1, command.seconds)
+            print(
+                f"router in {place} zone, {command.delay_ms} ms between zones one way:"
+                f" {_describe(timings)} ({counts['done']} done,"
+                f" {counts['failed']} failed)"
+            )
+            await log.close()
+
+
+async def _throughput(folder: str, command: "Throughput") -> None:
+    async with measure_cluster.run_cluster(folder, command.delay_ms / 1000) as cluster:
+        log = cluster.make_client()
+        await _load(log, command.tasks, 1.0)
+        before = {item.member_id: item for item in await log.status()}
+        timings, counts, duration_s = await _load(log, command.tasks, command.seconds)
+        after = await log.status()
+        print(
+            f"{command.tasks} proposing tasks: {counts['done'] / duration_s:.0f}"
+            f" claims/s, {_describe(timings)}, {counts['failed']} failed"
+        )
+        for status in after:
+            start = before[status.member_id]
+            entries_count = max(1, status.last_index - start.last_index)
+            syncs = (status.sync_count - start.sync_count) / entries_count
+            size = status.written_size_bytes - start.written_size_bytes
+            print(
+                f"{status.role}: {syncs:.3f} fsyncs per claim,"
+                f" {size / entries_count:.0f} bytes per record"
+            )
+        await log.close()
+
+
+async def _time_until_committed(log, claims, started_s: float) -> float:
+    while True:
+        outcome = await log.propose(next(claims), TRY_TIMEOUT_S)
+        if isinstance(outcome, result.Success):
+            return time.monotonic() - started_s
+        await asyncio.sleep(0.01)
+
+
+async def _failover(folder: str, command: "Failover") -> None:
+    gaps_s = []
+    for number in range(command.rounds):
+        path = os.path.join(folder, str(number))
+        async with measure_cluster.run_cluster(path, 0.001) as cluster:
+            log = cluster.make_client()
+            claims = make_claims()
+            await _load(log, 1, 1.0)
+            name = log.leader_name
+            started_s = time.monotonic()
+            if command.how == "crash":
+                cluster.kill(name)
+            else:
+                cluster.silence(name)
+            gaps_s.append(await _time_until_committed(log, claims, started_s))
+            await log.close()
+    print(
+        f"{command.how}: {command.rounds} rounds, until the next commit:"
+        f" median {statistics.median(gaps_s):.2f} s, max {max(gaps_s):.2f} s"
+    )
+
+
+def _fill(folder: str, command: "Restart") -> None:
+    opened = storage.open_folder(
+        files.make_files(), folder, "measurement", "", "a"
+    ).unwrap()
+    claims = make_claims()
+    state_machine = machine.make_machine((measure_cluster.CLAIMS,))
+    base = messages.Snapshot(1, 1, MEMBERSHIP, 0.0, b"")
+    storage.save_snapshot(opened.storage, base).unwrap()
+    storage.append(opened.storage, records.Batch(1, "", (), 1, 1)).unwrap()
+    for first_index in range(2, command.entries + 2, BATCH_ENTRIES_COUNT):
+        count = min(BATCH_ENTRIES_COUNT, command.entries + 2 - first_index)
+        entries = tuple(
+            messages.Entry(
+                first_index + offset,
+                1,
+                messages.EntryKind.COMMAND,
+                time.time(),
+                codec.encode(next(claims)),
+            )
+            for offset in range(count)
+        )
+        for entry in entries:
+            machine.apply(state_machine, entry)
+        storage.append(opened.storage, records.Batch(1, "a~1", entries)).unwrap()
+    if command.snapshot:
+        index = command.entries + 1
+        data = machine.dump(state_machine)
+        snapshot = messages.Snapshot(index, 1, MEMBERSHIP, 0.0, data)
+        storage.save_snapshot(opened.storage, snapshot).unwrap()
+        storage.compact(opened.storage, index, records.Batch(1, "a~1", ())).unwrap()
+    storage.close(opened.storage)
+
+
+def _time_restart(folder: str) -> float:
+    started_s = time.monotonic()
+    opened = storage.open_folder(
+        files.make_files(), folder, "measurement", "", "a"
+    ).unwrap()
+    found = opened.recovered
+    state_machine = machine.make_machine((measure_cluster.CLAIMS,))
+    raft.make_state(
+        found.identity.member_id,
+        0.0,
+        snapshot=found.snapshot,
+        entries=tuple(found.entries),
+    )
+    machine.load(state_machine, found.snapshot.data)
+    for entry in found.entries:
+        machine.apply(state_machine, entry)
+    duration_s = time.monotonic() - started_s
+    storage.close(opened.storage)
+    return duration_s
+
+
+async def _restart(folder: str, command: "Restart") -> None:
+    path = os.path.join(folder, "a")
+    _fill(path, command)
+    size_bytes = sum(item.stat().st_size for item in os.scandir(path))
+    durations_s = [_time_restart(path) for _ in range(command.rounds)]
+    kind = "with" if command.snapshot else "without"
+    print(
+        f"{command.entries} claims {kind} snapshot, {size_bytes / 1e6:.1f} MB:"
+        f" median {statistics.median(durations_s):.3f} s until the state is whole"
+    )
+
+
+def _run(coroutine) -> None:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(coroutine)
+
+
+Folder = Annotated[str, cappa.Arg(long=True, help="Where data folders are made.")]
+DelayMs = Annotated[float, cappa.Arg(long=True, help="Delay one way.")]
+Duration = Annotated[float, cappa.Arg(long=True, help="Duration.")]
+
+
+@cappa.command(help="Latency of single claims.")
+@dataclasses.dataclass
+class Latency:
+    """Arguments of ``latency``."""
+
+    delay_ms: DelayMs = 1.0
+    seconds: Duration = 5.0
+    folder: Folder = ""
+
+
+@cappa.command(help="Claims a second under load.")
+@dataclasses.dataclass
+class Throughput:
+    """Arguments of ``throughput``."""
+
+    tasks: Annotated[int, cappa.Arg(long=True, help="Proposing tasks.")] = 256
+    delay_ms: DelayMs = 1.0
+    seconds: Duration = 5.0
+    folder: Folder = ""
+
+
+@cappa.command(help="Time without a leader.")
+@dataclasses.dataclass
+class Failover:
+    """Arguments of ``failover``."""
+
+    how: Annotated[str, cappa.Arg(long=True, help="crash or silent")] = "crash"
+    rounds: Annotated[int, cappa.Arg(long=True, help="Rounds.")] = 5
+    folder: Folder = ""
+
+
+@cappa.command(help="Time to recover a folder.")
+@dataclasses.dataclass
+class Restart:
+    """Arguments of ``restart``."""
+
+    entries: Annotated[int, cappa.Arg(long=True, help="Claims in the log.")] = 1000
+    snapshot: Annotated[bool, cappa.Arg(long=True, help="Take a snapshot.")] = False
+    rounds: Annotated[int, cappa.Arg(long=True, help="Rounds.")] = 3
+    folder: Folder = ""
+
+
+@cappa.command(help="One replica; started by the others.")
+@dataclasses.dataclass
+class Replica:
+    """Arguments of ``replica``."""
+
+    name: str
+    port: int
+    folder: str
+    replicas: str
+
+
+@cappa.command(name="measure", help="Measure the replicated log.")
+@dataclasses.dataclass
+class Measure:
+    """The whole command."""
+
+    command: cappa.Subcommands[Latency | Throughput | Failover | Restart | Replica]
+
+
+MEASUREMENTS = {
+    Latency: _latency,
+    Throughput: _throughput,
+    Failover: _failover,
+    Restart: _restart,
+}
+
+
+def main() -> None:
+    """Run the measurement that the command line names."""
+    command = cappa.parse(Measure).command
+    if isinstance(command, Replica):
+        text = command.replicas
+        _run(
+            measure_cluster.run_replica(
+                command.name, command.port, command.folder, text
+            )
+        )
+        return
+    with tempfile.TemporaryDirectory(dir=command.folder or None) as folder:
+        _run(MEASUREMENTS[type(command)](folder, command))
+
+
+if __name__ == "__main__":
+    main()
