--- a/hickoryweir/replicas/channels.py
+++ b/hickoryweir/replicas/channels.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import itertools
+import time
 
 from returns import result
 
@@ -10,6 +11,14 @@
 from hickoryweir.streams import connections, handshake, hub, tls
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asked:
+    """A request that waits for its answer since `asked_s`, monotonic."""
+
+    answer: asyncio.Future
+    asked_s: float
+
+
 class Channel:
     """Connects when first used and again after a failure."""
 
@@ -30,7 +39,7 @@
         self._connecting: asyncio.Task | None = None
         self._reading: asyncio.Task | None = None
         self._request_ids = itertools.count(1)
-        self._answers: dict[int, asyncio.Future] = {}
+        self._waiting: dict[int, Asked] = {}
 
     async def ask(self, request: wire.Request) -> object | None:
         """Return the answer, or None if the replica is not reached or goes away.
@@ -41,7 +50,7 @@
             return None
         request_id = next(self._request_ids)
         answer = asyncio.get_running_loop().create_future()
-        self._answers[request_id] = answer
+        self._waiting[request_id] = Asked(answer, time.monotonic())
         numbered = dataclasses.replace(request, request_id=request_id)
         try:
             sent = self._connection.offer(numbered)
@@ -49,7 +58,7 @@
                 return None
             return await answer
         finally:
-            self._answers.pop(request_id, None)
+            self._waiting.pop(request_id, None)
 
     async def ensure_open(self) -> bool:
         """Return whether there is a connection, after trying to open one."""
@@ -59,6 +68,17 @@
             self._connecting = asyncio.create_task(self._connect())
         return await asyncio.shield(self._connecting)
 
+    def longest_wait_s(self) -> float:
+        """Return how long the oldest request has waited; 0 if none waits."""
+        oldest = next(iter(self._waiting.values()), None)
+        return 0.0 if oldest is None else time.monotonic() - oldest.asked_s
+
+    def give_up(self) -> None:
+        """Answer None to everyone who waits."""
+        for asked in self._waiting.values():
+            if not asked.answer.done():
+                asked.answer.set_result(None)
+
     async def close(self) -> None:
         """Close the connection; all that waits is given up."""
         tasks = [task for task in (self._connecting, self._reading) if task is not None]
@@ -93,11 +113,9 @@
                 message = (await connection.receive()).value_or(None)
                 if message is None:
                     return
-                answer = self._answers.get(getattr(message, "request_id", None))
-                if answer is not None and not answer.done():
-                    answer.set_result(message)
+                asked = self._waiting.get(getattr(message, "request_id", None))
+                if asked is not None and not asked.answer.done():
+                    asked.answer.set_result(message)
         finally:
             connection.abort()
-            for answer in self._answers.values():
-                if not answer.done():
-                    answer.set_result(None)
+            self.give_up()
--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -21,6 +21,7 @@
 CONNECT_TIMEOUT_S = 0.3
 SURVEY_TIMEOUT_S = 0.3
 PATIENCE_S = 0.4
+IDLE_ROUNDS_COUNT = 25
 RETRY_INTERVAL_S = 0.03
 PROBE_INTERVAL_S = 0.2
 
@@ -88,6 +89,7 @@
         self._channels: dict[str, channels.Channel] = {}
         self._survey_task: asyncio.Task | None = None
         self._probe_task: asyncio.Task | None = None
+        self._patience_task: asyncio.Task | None = None
         for replica in replicas:
             self._add_channel(replica)
 
@@ -204,7 +206,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        tasks = [self._survey_task, self._probe_task]
+        tasks = [self._survey_task, self._probe_task, self._patience_task]
         running = [task for task in tasks if task is not None]
         for task in running:
             task.cancel()
@@ -247,23 +249,27 @@
     async def _ask_patiently(
         self, request: wire.Request, deadline_s: float
     ) -> object | None:
-        """Ask the leader; give up if the others no longer follow it."""
-        loop = asyncio.get_running_loop()
-        leader_name = self.leader_name
-        asked = asyncio.create_task(self._channels[leader_name].ask(request))
-        try:
-            while True:
-                left_s = deadline_s - loop.time()
-                done, _ = await asyncio.wait({asked}, timeout=min(PATIENCE_S, left_s))
-                if done:
-                    return asked.result()
-                if loop.time() >= deadline_s:
-                    return None
+        """Ask the leader; None if time is up or the others no longer follow it."""
+        self._start_patience()
+        left_s = deadline_s - asyncio.get_running_loop().time()
+        return await self._ask_within(self._channels[self.leader_name], request, left_s)
+
+    def _start_patience(self) -> None:
+        if self._patience_task is None or self._patience_task.done():
+            self._patience_task = asyncio.create_task(self._watch_leader())
+
+    async def _watch_leader(self) -> None:
+        """While requests wait for the leader, see whether it still leads."""
+        idle_count = 0
+        while idle_count < IDLE_ROUNDS_COUNT:
+            await asyncio.sleep(PATIENCE_S / 2)
+            channel = self._channels.get(self.leader_name)
+            waits_s = 0.0 if channel is None else channel.longest_wait_s()
+            idle_count = 0 if waits_s else idle_count + 1
+            if waits_s > PATIENCE_S:
                 await self._survey()
-                if self.leader_name != leader_name:
-                    return None
-        finally:
-            asked.cancel()
+                if self._channels.get(self.leader_name) is not channel:
+                    channel.give_up()
 
     async def _follow(self, answer: object) -> None:
         hinted = getattr(answer, "leader_name", "")
