--- a/hickoryweir/callers/app.py
+++ b/hickoryweir/callers/app.py
@@ -20,6 +20,7 @@
 import dataclasses
 import json
 import re
+import secrets
 import time
 import uuid
 import weakref
@@ -45,6 +46,7 @@
 REQUEST_ID = web.RequestKey("request_id", str)
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 SWEEP_INTERVAL_S = 1.0
+CALL_ID_SIZE_BYTES = 8
 NO_CLASS = ""
 
 Parse = Callable[[bytes], result.Result[requests.Prompt, refusals.Refusal]]
@@ -263,7 +265,7 @@
     if not isinstance(read, result.Success):
         return read
     target = classes.Destination(model.Target.SERVICE, service_name)
-    path = "/" + request.match_info["path"]
+    path = service_path(request.rel_url.raw_path)
     content = Content(path, read.unwrap(), None, received_at_s)
     return make_request(request, entry.unwrap(), target, content)
 
@@ -280,6 +282,17 @@
     )
 
 
+def service_path(raw_path: str) -> str:
+    """Return the encoded path behind ``/services/{service}``.
+
+    Examples
+    --------
+    >>> service_path("/services/top-ups/a%20b/c")
+    '/a%20b/c'
+    """
+    return "/" + raw_path.split("/", 3)[3]
+
+
 def make_request(
     request: web.Request,
     entry: Entry,
@@ -301,14 +314,14 @@
     mark = requests.fingerprint(account.name, content.path, content.body)
     return result.Success(
         requests.CallerRequest(
-            call_id=uuid.uuid4().hex,
+            call_id=f"{request_id_of(request)}.{secrets.token_hex(CALL_ID_SIZE_BYTES)}",
             request_id=request_id_of(request),
             request_class=request_class,
             account=account,
             method=request.method,
             path=content.path,
-            query=request.query_string,
-            content_type=request.content_type,
+            query=request.rel_url.raw_query_string,
+            headers=tuple(request.headers.items()),
             body=content.body,
             prompt=content.prompt,
             fingerprint=mark,
@@ -344,10 +357,11 @@
     return web.Response(
         status=answer.status,
         body=answer.body,
-        headers={
-            "Content-Type": answer.content_type,
-            "X-Request-Id": request_id_of(request),
-        },
+        headers=[
+            *answer.headers,
+            ("Content-Type", answer.content_type),
+            ("X-Request-Id", request_id_of(request)),
+        ],
     )
 
 
--- a/hickoryweir/callers/ports.py
+++ b/hickoryweir/callers/ports.py
@@ -15,13 +15,15 @@
 class Answer:
     """A whole answer.
 
-    ``streamed`` says that the body was already written to the sink.
+    ``headers`` come beside the content type; ``streamed`` says that the body was
+    already written to the sink.
     """
 
     status: int
     content_type: str
     body: bytes
     streamed: bool = False
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickoryweir/callers/requests.py
+++ b/hickoryweir/callers/requests.py
@@ -55,7 +55,8 @@
     Attributes
     ----------
     call_id : str
-        Unique in the cluster; names the call towards backend servers.
+        The request id with a random suffix; unique in the cluster, it names the
+        call towards backend servers.
     request_id : str
         Given by the caller or made here; echoed to the caller.
     request_class : model.RequestClass
@@ -64,8 +65,8 @@
         Whose call it is.
     method, path, query : str
         As to be sent to the backend server; the path starts with a slash.
-    content_type : str
-        Media type of the body.
+    headers : tuple of tuple of str
+        The caller's headers, for plain services.
     body : bytes
         The body as it came.
     prompt : Prompt or None
@@ -85,7 +86,7 @@
     method: str
     path: str
     query: str
-    content_type: str
+    headers: tuple[tuple[str, str], ...]
     body: bytes
     prompt: Prompt | None
     fingerprint: str
--- /dev/null
+++ b/hickoryweir/daemon/attempts.py
@@ -0,0 +1,251 @@
+"""Runs one attempt of a call at one backend server.
+
+A non-idempotent call is dispatched only with a permit: its claim has been
+committed to the log and is this attempt's own.  What the attempt then learns is
+recorded in the log before the caller gets its answer.
+
+See Also
+--------
+hickoryweir.claims.gateway : Claims and outcomes.
+"""
+
+import dataclasses
+import time
+from collections.abc import Callable
+
+import aiohttp
+from returns import result
+
+from hickoryweir.callers import ports, requests
+from hickoryweir.claims import commands, gateway, keys
+from hickoryweir.configuration import model
+from hickoryweir.daemon import calls, dispatcher, driver, relay
+from hickoryweir.engines import calls as engine_calls
+from hickoryweir.engines import client as engine_client
+from hickoryweir.observability import metrics
+from hickoryweir.outcomes import refusals
+from hickoryweir.policy import actions, events
+from hickoryweir.services import calls as service_calls
+from hickoryweir.services import client as service_client
+
+CONTENT_TYPE_HEADER = "content-type"
+SHORTEST_WAIT_S = 0.05
+LONGEST_SERVICE_WAIT_S = 600.0
+TIMEOUTS = engine_calls.EngineTimeouts()
+UNKNOWN_SERVER = calls.Failed(
+    events.FailureCause.CONNECT_REFUSED,
+    refusals.Ran.NO,
+    0,
+    "the backend server has left the configuration",
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backends:
+    """What attempts need to reach backend servers and the log.
+
+    Attributes
+    ----------
+    find_server : function
+        Returns a backend server by name, or None.
+    engines, services : aiohttp.ClientSession
+        Sessions that send each request at most once.
+    gateway : gateway.Gateway
+        Claims and outcomes.
+    """
+
+    find_server: Callable[[str], model.BackendServer | None]
+    engines: aiohttp.ClientSession
+    services: aiohttp.ClientSession
+    gateway: gateway.Gateway
+    dispatcher: dispatcher.Dispatcher
+    metrics: metrics.Metrics
+
+
+def make_run_attempt(backends: Backends) -> driver.RunAttempt:
+    """Return the function by which the driver runs attempts."""
+
+    async def run_attempt(
+        call: calls.Call, dispatch: actions.Dispatch
+    ) -> calls.AttemptEnd:
+        server = backends.find_server(dispatch.backend_server)
+        if server is None:
+            return UNKNOWN_SERVER
+        if call.request.request_class.idempotent:
+            return await execute(backends, call, dispatch, server, None)
+        return await run_once(backends, call, dispatch, server)
+
+    return run_attempt
+
+
+async def run_once(
+    backends: Backends,
+    call: calls.Call,
+    dispatch: actions.Dispatch,
+    server: model.BackendServer,
+) -> calls.AttemptEnd:
+    """Run a non-idempotent attempt between its claim and its outcome."""
+    request = call.request
+    parsed = keys.parse_key(request.idempotency_key)
+    if not isinstance(parsed, result.Success):
+        return calls.Settled(result.Failure(parsed.failure()))
+    digest = keys.digest_call(request.method, request.path, request.body)
+    claimed = await backends.gateway.claim(
+        gateway.Call(request.account.name, parsed.unwrap(), digest),
+        server.name,
+        request.deadline_s,
+    )
+    if not isinstance(claimed, result.Success):
+        backends.metrics.claims.labels(claimed.failure().reason).inc()
+        return calls.Settled(result.Failure(claimed.failure()))
+    held = claimed.unwrap()
+    if isinstance(held, gateway.StoredAnswer):
+        backends.metrics.claims.labels("stored_answer").inc()
+        answer = ports.Answer(held.status, held.content_type, held.body)
+        return calls.Settled(result.Success(answer))
+    backends.metrics.claims.labels("granted").inc()
+    recorded: list[bytes] = []
+    end = await execute(backends, call, dispatch, server, recorded)
+    await backends.gateway.finish(held, outcome_of(end))
+    return end
+
+
+def outcome_of(end: calls.AttemptEnd) -> commands.Outcome:
+    """Return what the log records of an attempt's end."""
+    match end:
+        case calls.Finished(answer, _):
+            return commands.Answered(answer.status, answer.content_type, answer.body)
+        case calls.Failed(_, refusals.Ran.NO, _, message):
+            return commands.NotRun(message)
+        case calls.Failed(_, _, _, message):
+            return commands.Unknown(message)
+        case _:
+            return commands.Unknown("the attempt ended without an outcome")
+
+
+async def execute(
+    backends: Backends,
+    call: calls.Call,
+    dispatch: actions.Dispatch,
+    server: model.BackendServer,
+    recorded: list[bytes] | None,
+) -> calls.AttemptEnd:
+    """Send the call to the backend server and bring back its end."""
+    call.dispatched = True
+    if server.target is model.Target.SERVICE:
+        return await call_service(backends, call, server)
+    if call.sent_tokens and not call.resumable:
+        return calls.Settled(result.Failure(refuse_cut_stream()))
+    engine_call = make_engine_call(call)
+    if call.request.stream:
+        return await stream(backends, call, dispatch, server, engine_call, recorded)
+    return await complete(backends, server, engine_call)
+
+
+def refuse_cut_stream() -> refusals.Refusal:
+    """Return the refusal of a stream that was cut and can't be resumed."""
+    return refusals.make_refusal(
+        refusals.Reason.STREAM_CUT,
+        "the stream was cut and can't be resumed",
+        1.0,
+        refusals.Ran.MAYBE,
+    )
+
+
+def make_engine_call(call: calls.Call) -> engine_calls.EngineCall:
+    """Return the call as it is sent to an engine."""
+    request = call.request
+    return engine_calls.EngineCall(
+        request_id=request.call_id,
+        path=request.path,
+        body=request.body,
+        stream=request.stream,
+        priority=request.request_class.tier,
+        resume_tokens=call.sent_tokens,
+        resume_text=call.sent_text,
+    )
+
+
+async def stream(
+    backends: Backends,
+    call: calls.Call,
+    dispatch: actions.Dispatch,
+    server: model.BackendServer,
+    engine_call: engine_calls.EngineCall,
+    recorded: list[bytes] | None,
+) -> calls.AttemptEnd:
+    """Relay an engine's stream to the caller."""
+    opened = await engine_client.open_stream(
+        backends.engines, server, engine_call, TIMEOUTS
+    )
+    if not isinstance(opened, result.Success):
+        return relay.fail(opened.failure(), 0)
+    found = opened.unwrap()
+    if isinstance(found, engine_calls.EngineAnswer):
+        return finish(found)
+    return await relay.relay(call, dispatch, found, backends.dispatcher, recorded)
+
+
+async def complete(
+    backends: Backends,
+    server: model.BackendServer,
+    engine_call: engine_calls.EngineCall,
+) -> calls.AttemptEnd:
+    """Bring an engine's whole answer."""
+    completed = await engine_client.complete(
+        backends.engines, server, engine_call, TIMEOUTS
+    )
+    if not isinstance(completed, result.Success):
+        return relay.fail(completed.failure(), 0)
+    return finish(completed.unwrap())
+
+
+def finish(answer: engine_calls.EngineAnswer) -> calls.Finished:
+    """Return an engine's whole answer as the end of an attempt."""
+    return calls.Finished(
+        ports.Answer(answer.status, answer.content_type, answer.body),
+        answer.output_tokens,
+    )
+
+
+async def call_service(
+    backends: Backends, call: calls.Call, server: model.BackendServer
+) -> calls.AttemptEnd:
+    """Forward the call to a plain service."""
+    request = call.request
+    forwarded = await service_client.forward(
+        backends.services,
+        server,
+        service_calls.ServiceCall(
+            request_id=request.call_id,
+            method=request.method,
+            path=request.path,
+            query=request.query,
+            headers=request.headers,
+            body=request.body,
+            idempotency_key=request.idempotency_key,
+        ),
+        service_limits(backends, request),
+    )
+    if not isinstance(forwarded, result.Success):
+        failure = forwarded.failure()
+        return calls.Failed(failure.cause, failure.ran, 0, failure.message)
+    answer = forwarded.unwrap()
+    passed = tuple(
+        header for header in answer.headers if header[0] != CONTENT_TYPE_HEADER
+    )
+    return calls.Finished(
+        ports.Answer(answer.status, answer.content_type, answer.body, headers=passed),
+        0,
+    )
+
+
+def service_limits(
+    backends: Backends, request: requests.CallerRequest
+) -> service_calls.ServiceLimits:
+    """Return the limits of an attempt; no wait is longer than the deadline."""
+    left_s = max(request.deadline_s - time.monotonic(), SHORTEST_WAIT_S)
+    silence_s = (
+        LONGEST_SERVICE_WAIT_S if not request.request_class.idempotent else left_s
+    )
+    return service_calls.ServiceLimits(silence_s=silence_s)
--- a/hickoryweir/daemon/calls.py
+++ b/hickoryweir/daemon/calls.py
@@ -24,6 +24,8 @@
         Actions of the core and ends of attempts.
     winner : int or None
         Attempt whose output goes to the caller.
+    sent_by : int
+        Attempt that wrote last; 0 before the first.
     sent_tokens : int
         Tokens already sent to the caller.
     sent_text : str
@@ -32,17 +34,27 @@
         Monotonic times; 0 before the first token.
     dispatched : bool
         Whether a byte of the call may have reached a backend server.
+    resumable : bool
+        Whether the text that was sent is enough to resume from.
+    writing : bool
+        Whether a part of the answer is being written to the caller.
+    stopped : set of int
+        Attempts that end after the write in progress, so that no part is lost.
     """
 
     request: requests.CallerRequest
     sink: sinks.Sink
     mailbox: asyncio.Queue
     winner: int | None = None
+    sent_by: int = 0
     sent_tokens: int = 0
     sent_text: str = ""
     first_token_at_s: float = 0.0
     last_token_at_s: float = 0.0
     dispatched: bool = False
+    resumable: bool = True
+    writing: bool = False
+    stopped: set[int] = dataclasses.field(default_factory=set)
 
 
 def make_call(request: requests.CallerRequest, sink: sinks.Sink) -> Call:
@@ -66,6 +78,7 @@
         return True
     if call.winner is None and call.sent_tokens == resumed_from_tokens:
         call.winner = attempt
+        call.sent_by = attempt
         return True
     return False
 
--- a/hickoryweir/daemon/driver.py
+++ b/hickoryweir/daemon/driver.py
@@ -137,7 +137,8 @@
             case actions.Refuse():
                 return result.Failure(message.refusal)
             case calls.AttemptEnded():
-                attempts.pop(message.attempt, None)
+                if attempts.pop(message.attempt, None) is None:
+                    continue
                 outcome = end_attempt(driver, call, message)
                 if outcome is not None:
                     return outcome
@@ -167,7 +168,10 @@
     task = attempts.pop(attempt, None)
     if task is None or not call.request.request_class.idempotent:
         return
-    task.cancel()
+    if call.writing and call.winner == attempt:
+        call.stopped.add(attempt)
+    else:
+        task.cancel()
     if call.winner == attempt:
         call.winner = None
 
@@ -201,12 +205,14 @@
 ) -> None:
     """Give back what a call holds; attempts that may run only once go on."""
     call_id = call.request.call_id
+    idempotent = call.request.request_class.idempotent
+    if idempotent:
+        for task in attempts.values():
+            task.cancel()
     if call_id not in driver.dispatcher.mailboxes:
         return
     withdrawn = events.Withdrawn(call_id)
-    if call.request.request_class.idempotent or not attempts:
-        for task in attempts.values():
-            task.cancel()
+    if idempotent or not attempts:
         dispatcher.leave(driver.dispatcher, call_id, withdrawn)
         return
     driver.dispatcher.mailboxes.pop(call_id)
--- /dev/null
+++ b/hickoryweir/daemon/log_access.py
@@ -0,0 +1,152 @@
+"""The replicated log as this daemon uses it: its submachines and its client.
+
+The log holds two submachines: claims of non-idempotent calls, and operators'
+changes.  Routers reach both through a client of the replicas.
+"""
+
+import dataclasses
+
+from returns import result
+
+from hickoryweir.claims import commands as claim_commands
+from hickoryweir.claims import gateway, snapshots, verdicts
+from hickoryweir.claims import machine as claims_machine
+from hickoryweir.configuration import changes, settings
+from hickoryweir.configuration import commands as change_commands
+from hickoryweir.replicas import client, machine, node, wire
+from hickoryweir.routers import node as router_node
+from hickoryweir.routers import versions
+from hickoryweir.streams import codec, handshake, hub
+
+CLAIM_COMMANDS = (
+    claim_commands.Claim,
+    claim_commands.RecordOutcome,
+    claim_commands.SetRetention,
+)
+CHANGE_COMMANDS = (
+    change_commands.SubmitChange,
+    change_commands.StartStop,
+    change_commands.CancelStop,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadPublished:
+    """Query for the configuration and the planned stops in the log."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishedRead:
+    """Answer to :class:`ReadPublished`; None before any change."""
+
+    published: versions.Published | None
+
+
+codec.register("dm.read-published", ReadPublished)
+codec.register("dm.published-read", PublishedRead)
+codec.register("dm.published", versions.Published)
+
+
+def answer_query(
+    state: changes.State, query: ReadPublished, time_s: float
+) -> PublishedRead:
+    """Answer a query from the state of operators' changes."""
+    return PublishedRead(versions.from_state(state))
+
+
+def make_submachines() -> tuple[machine.Submachine, ...]:
+    """Return the submachines of the log."""
+    return (
+        machine.Submachine(
+            name="claims",
+            command_types=CLAIM_COMMANDS,
+            initial_state=claims_machine.initial_state,
+            apply=claims_machine.apply,
+            dump=snapshots.dump,
+            load=snapshots.load,
+        ),
+        machine.Submachine(
+            name="changes",
+            command_types=CHANGE_COMMANDS,
+            initial_state=changes.initial_state,
+            apply=changes.apply,
+            dump=changes.dump,
+            load=changes.load,
+            query_types=(ReadPublished,),
+            query=answer_query,
+            version=lambda state: state.version,
+        ),
+    )
+
+
+def make_identity(given: settings.Settings) -> handshake.Identity:
+    """Return who this process is towards the others."""
+    process = given.process
+    return handshake.Identity(
+        process.cluster_id, process.name, process.availability_zone
+    )
+
+
+def replica_addresses(given: settings.Settings) -> tuple[wire.ReplicaAddress, ...]:
+    """Return the replicas in the settings, this process included if it is one."""
+    found = [
+        wire.ReplicaAddress(peer.name, peer.host, peer.port, peer.availability_zone)
+        for peer in given.other_processes
+        if settings.Role.REPLICA in peer.roles
+    ]
+    if settings.Role.REPLICA in given.process.roles:
+        own = wire.ReplicaAddress(
+            given.process.name,
+            given.peers.host,
+            given.peers.port,
+            given.process.availability_zone,
+        )
+        found.append(own)
+    return tuple(sorted(found, key=lambda address: address.name))
+
+
+def make_replica(given: settings.Settings, peer_hub: hub.Hub) -> node.Node | None:
+    """Return this process's replica, not started; None if it has no such role."""
+    if settings.Role.REPLICA not in given.process.roles:
+        return None
+    node_settings = node.NodeSettings(
+        identity=make_identity(given),
+        data_folder=str(given.replica.data_folder),
+        replicas=replica_addresses(given),
+        bootstrap=given.replica.bootstrap,
+        files=router_node.make_tls_files(given.peers),
+    )
+    return node.make_node(node_settings, peer_hub, make_submachines())
+
+
+def make_client(given: settings.Settings) -> client.Client:
+    """Return a client of the replicas."""
+    return client.make_client(
+        make_identity(given),
+        replica_addresses(given),
+        router_node.make_tls_files(given.peers),
+    )
+
+
+def make_propose(log: client.Client) -> gateway.Propose:
+    """Return the function by which the claims gateway reaches the log."""
+
+    async def propose(
+        command: claim_commands.Command, timeout_s: float
+    ) -> result.Result[verdicts.Verdict, verdicts.Unavailable]:
+        proposed = await log.propose(command, timeout_s)
+        return proposed.alt(
+            lambda failure: verdicts.Unavailable(
+                str(failure.reason), failure.may_commit, failure.retry_after_s
+            )
+        )
+
+    return propose
+
+
+async def read_published(
+    log: client.Client, timeout_s: float
+) -> result.Result[versions.Published | None, client.Unavailable]:
+    """Return the version in the log, by a linearizable read."""
+    answered = await log.read(ReadPublished(), timeout_s)
+    return answered.map(lambda answer: answer.published)
--- /dev/null
+++ b/hickoryweir/daemon/main.py
@@ -0,0 +1,68 @@
+"""Runs the daemon of one entry VM under aiomisc until it is told to stop.
+
+SIGTERM and SIGINT begin a graceful shutdown (:mod:`hickoryweir.daemon.drain`).
+"""
+
+import asyncio
+import os
+import signal
+
+import aiomisc
+
+from hickoryweir.configuration import settings
+from hickoryweir.daemon import process
+from hickoryweir.observability import logs
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+EXIT_NOT_STARTED = 4
+
+
+class RouterService(aiomisc.Service):
+    """Holds the process for aiomisc's entrypoint."""
+
+    settings: settings.Settings
+    process: process.Process | None = None
+
+    async def start(self) -> None:
+        """Start every part of the process."""
+        self.process = await process.start(self.settings)
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close what a graceful shutdown has not closed already."""
+        if self.process is not None:
+            await process.stop(self.process)
+
+
+def serve(given: settings.Settings) -> int:
+    """Run the daemon until a signal, then drain.
+
+    Parameters
+    ----------
+    given : settings.Settings
+        Checked settings.
+
+    Returns
+    -------
+    int
+        Exit code: 0 after a clean shutdown, 3 if calls were cut off at the
+        drain's limit, 4 if a part could not be started.
+    """
+    logs.configure(str(given.logging.level))
+    service = RouterService(settings=given)
+    try:
+        with aiomisc.entrypoint(service, log_config=False, catch_signals=()) as loop:
+            return loop.run_until_complete(run(service))
+    except OSError as error:
+        logs.error("not started", logs.Fields(detail=str(error)))
+        return EXIT_NOT_STARTED
+
+
+async def run(service: RouterService) -> int:
+    """Wait for a signal or a failed part and shut down gracefully."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, stop.set)
+    logs.info("serving", logs.Fields(detail=f"pid {os.getpid()}"))
+    await stop.wait()
+    return await process.drain_and_stop(service.process)
--- /dev/null
+++ b/hickoryweir/daemon/process.py
@@ -0,0 +1,270 @@
+"""The parts of one daemon, started and stopped in order.
+
+Each part is a task, or a port, with its own state; this module only joins them.
+A configuration comes from the peer routers' node, events for the policy core
+come from the tasks that follow backend servers, and calls come from the
+callers' port.
+"""
+
+import asyncio
+import dataclasses
+import time
+
+import aiohttp
+from returns import result
+
+from hickoryweir.callers import authentication, ports, server
+from hickoryweir.claims import gateway
+from hickoryweir.configuration import model, settings
+from hickoryweir.daemon import (
+    attempts,
+    backends,
+    dispatcher,
+    drain,
+    driver,
+    log_access,
+    status,
+)
+from hickoryweir.engines import sessions
+from hickoryweir.observability import logs, metrics
+from hickoryweir.outcomes import refusals
+from hickoryweir.policy import events, inspection
+from hickoryweir.policy import settings as policy_settings
+from hickoryweir.replicas import client, node
+from hickoryweir.routers import node as router_node
+from hickoryweir.streams import hub
+
+WATCH_TIMEOUT_S = 10.0
+WATCH_RETRY_S = 0.2
+GATEWAY_CLOSE_TIMEOUT_S = 5.0
+MAX_DIGESTS_COUNT = 1_000
+DIGEST_INTERVAL_S = 0.5
+
+EMPTY = model.Configuration("", "", (), (), (), (), (), (), 0.0, 0.0)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Process:
+    """All parts of a running daemon."""
+
+    settings: settings.Settings
+    metrics: metrics.Metrics
+    drain: drain.Drain
+    hub: hub.Hub
+    replica: node.Node | None
+    log: client.Client
+    router: router_node.Node
+    dispatcher: dispatcher.Dispatcher
+    driver: driver.Driver
+    gateway: gateway.Gateway
+    sessions: tuple[aiohttp.ClientSession, ...]
+    backends: backends.Followers
+    configurations: asyncio.Queue
+    digests: asyncio.Queue
+    in_force: ports.InForce | None = None
+    callers: server.Running | None = None
+    tasks: list[asyncio.Task] = dataclasses.field(default_factory=list)
+    stopped: bool = False
+
+
+def make_process(given: settings.Settings) -> Process:
+    """Return the parts of a daemon, none of them started.
+
+    Parameters
+    ----------
+    given : settings.Settings
+        Checked settings.
+
+    Returns
+    -------
+    Process
+        To be given to :func:`start_parts`.
+    """
+    counters = metrics.make_metrics()
+    identity = log_access.make_identity(given)
+    files = router_node.make_tls_files(given.peers)
+    peer_hub = hub.make_hub(identity, given.peers.host, given.peers.port, files)
+    log = log_access.make_client(given)
+    configurations: asyncio.Queue = asyncio.Queue()
+    digests: asyncio.Queue = asyncio.Queue(MAX_DIGESTS_COUNT)
+    core_settings = policy_settings.CoreSettings(
+        given.process.name, given.process.availability_zone
+    )
+    made_dispatcher = dispatcher.make_dispatcher(core_settings, EMPTY, counters)
+    made_gateway = gateway.make_gateway(
+        log_access.make_propose(log), time.monotonic, given.process.name
+    )
+    engine_session = sessions.make_session(keeps_connections=True)
+    service_session = sessions.make_session()
+    followers = backends.make_followers(made_dispatcher, engine_session, counters)
+    made_attempts = attempts.Backends(
+        find_server=followers.servers.get,
+        engines=engine_session,
+        services=service_session,
+        gateway=made_gateway,
+        dispatcher=made_dispatcher,
+        metrics=counters,
+    )
+    run_attempt = attempts.make_run_attempt(made_attempts)
+    return Process(
+        settings=given,
+        metrics=counters,
+        drain=drain.Drain(),
+        hub=peer_hub,
+        replica=log_access.make_replica(given, peer_hub),
+        log=log,
+        router=router_node.make_node(
+            given,
+            peer_hub,
+            lambda timeout_s: log_access.read_published(log, timeout_s),
+            configurations,
+            digests,
+        ),
+        dispatcher=made_dispatcher,
+        driver=driver.make_driver(made_dispatcher, run_attempt, counters),
+        gateway=made_gateway,
+        sessions=(engine_session, service_session),
+        backends=followers,
+        configurations=configurations,
+        digests=digests,
+    )
+
+
+async def start(given: settings.Settings) -> Process:
+    """Start a daemon.
+
+    Raises
+    ------
+    OSError
+        A port is taken, or the data folder can't be used.
+    """
+    process = make_process(given)
+    await process.hub.start()
+    if process.replica is not None:
+        started = await process.replica.start()
+        if not isinstance(started, result.Success):
+            raise OSError(f"data folder: {started.failure()}")
+    process.router.start()
+    for work in (
+        dispatcher.run(process.dispatcher),
+        follow_configurations(process),
+        follow_digests(process),
+        follow_log(process),
+        send_digests(process),
+    ):
+        process.tasks.append(asyncio.create_task(work))
+    process.callers = await server.start(make_ports(process))
+    return process
+
+
+def make_ports(process: Process) -> ports.Ports:
+    """Return what the callers' port asks of this daemon."""
+    return ports.Ports(
+        limits=process.settings.callers,
+        in_force=lambda: process.in_force,
+        not_ready=lambda: not_ready(process),
+        run=lambda call, sink: driver.run(process.driver, call, sink),
+        status=lambda: status.render(make_status_source(process)),
+        metrics=process.metrics,
+    )
+
+
+def make_status_source(process: Process) -> status.Source:
+    """Return what the status document is made from."""
+    return status.Source(
+        name=process.settings.process.name,
+        availability_zone=process.settings.process.availability_zone,
+        is_draining=process.drain.begun,
+        is_ready=process.router.ready.is_set(),
+        in_force=process.in_force,
+        calls_in_flight=len(process.dispatcher.mailboxes),
+        log_standing=str(process.log.standing),
+        leader_name=process.log.leader_name,
+        core=process.dispatcher.core,
+    )
+
+
+def not_ready(process: Process) -> refusals.Refusal | None:
+    """Return why the balancer should send nothing here, or None."""
+    if process.drain.begun:
+        return drain.REFUSAL
+    if process.in_force is None or not process.router.ready.is_set():
+        message = "no configuration is in force here yet"
+        return refusals.make_refusal(refusals.Reason.NOT_READY, message, 1.0)
+    return None
+
+
+async def follow_configurations(process: Process) -> None:
+    """Put each newer version in force at every part of this daemon."""
+    while True:
+        newer: router_node.InForce = await process.configurations.get()
+        configuration = newer.configuration
+        directory = authentication.make_directory(configuration.accounts)
+        process.in_force = ports.InForce(newer.version, configuration, directory)
+        event = events.ConfigurationChanged(configuration, newer.version)
+        dispatcher.post(process.dispatcher, event)
+        backends.follow(process.backends, configuration, newer.running_stops)
+        process.metrics.configuration_version.set(newer.version)
+        logs.info("configuration in force", logs.Fields(version=newer.version))
+
+
+async def follow_digests(process: Process) -> None:
+    """Give other routers' digests to the policy core."""
+    while True:
+        dispatcher.post(process.dispatcher, await process.digests.get())
+
+
+async def send_digests(process: Process) -> None:
+    """Give this router's digest to the peer routers' node."""
+    while True:
+        await asyncio.sleep(DIGEST_INTERVAL_S)
+        digest = inspection.digest(process.dispatcher.core)
+        process.router.offer_digest(digest)
+
+
+async def follow_log(process: Process) -> None:
+    """Give committed versions to the peer routers' node, if a replica runs here."""
+    if process.replica is None:
+        return
+    version = 0
+    while True:
+        query = log_access.ReadPublished()
+        watched = await process.log.watch(query, version, WATCH_TIMEOUT_S)
+        if not isinstance(watched, result.Success):
+            await asyncio.sleep(WATCH_RETRY_S)
+            continue
+        answer = watched.unwrap()
+        if answer is not None and answer.published is not None:
+            version = answer.published.version
+            process.router.offer_source(answer.published)
+
+
+async def drain_and_stop(process: Process) -> int:
+    """Shut down gracefully; return the exit code."""
+    steps = drain.Steps(
+        stop_listening=lambda: server.stop_listening(process.callers),
+        in_flight=process.driver.tasks,
+        stop=lambda: stop(process),
+    )
+    return await drain.run(process.drain, process.settings.drain, steps)
+
+
+async def stop(process: Process) -> None:
+    """Close every part; does nothing the second time."""
+    if process.stopped:
+        return
+    process.stopped = True
+    if process.callers is not None:
+        await server.stop(process.callers)
+    await process.gateway.close(GATEWAY_CLOSE_TIMEOUT_S)
+    backends.stop(process.backends)
+    for task in process.tasks:
+        task.cancel()
+    await asyncio.gather(*process.tasks, return_exceptions=True)
+    await process.router.close()
+    if process.replica is not None:
+        await process.replica.stop()
+    await process.log.close()
+    await process.hub.close()
+    for session in process.sessions:
+        await session.close()
--- /dev/null
+++ b/hickoryweir/daemon/relay.py
@@ -0,0 +1,139 @@
+"""Relays an engine's stream to the caller, counting tokens and times."""
+
+import time
+
+from returns import result
+
+from hickoryweir.callers import ports, sinks
+from hickoryweir.daemon import calls, dispatcher
+from hickoryweir.engines import calls as engine_calls
+from hickoryweir.engines import client
+from hickoryweir.observability import latencies, metrics
+from hickoryweir.outcomes import refusals
+from hickoryweir.policy import actions, events
+
+PROGRESS_INTERVAL_TOKENS = 32
+SUCCESS_STATUS = 200
+LOST_RACE = calls.Failed(
+    events.FailureCause.PREEMPTED,
+    refusals.Ran.MAYBE,
+    0,
+    "another attempt answers the caller",
+)
+
+
+async def relay(
+    call: calls.Call,
+    dispatch: actions.Dispatch,
+    stream: client.EngineStream,
+    given: dispatcher.Dispatcher,
+    recorded: list[bytes] | None,
+) -> calls.AttemptEnd:
+    """Write a stream's events to the caller until the stream ends.
+
+    Parameters
+    ----------
+    call : calls.Call
+        The call that is answered.
+    dispatch : actions.Dispatch
+        The attempt.
+    stream : client.EngineStream
+        The engine's open stream.
+    given : dispatcher.Dispatcher
+        Where progress is reported.
+    recorded : list of bytes or None
+        Gets the events of a call whose answer is kept.
+
+    Returns
+    -------
+    calls.AttemptEnd
+        Finished with the whole answer, or why not.
+    """
+    try:
+        return await copy(call, dispatch, stream, given, recorded)
+    finally:
+        keep_text(call, dispatch, stream)
+        await stream.close()
+
+
+async def copy(
+    call: calls.Call,
+    dispatch: actions.Dispatch,
+    stream: client.EngineStream,
+    given: dispatcher.Dispatcher,
+    recorded: list[bytes] | None,
+) -> calls.AttemptEnd:
+    """Copy a stream's events to the caller; see :func:`relay`."""
+    started_from = stream.call.resume_tokens
+    produced = 0
+    reported = 0
+    while True:
+        read = await stream.read()
+        if not isinstance(read, result.Success):
+            return fail(read.failure(), produced)
+        chunk = read.unwrap()
+        if not calls.take_output(call, dispatch.attempt, started_from):
+            return LOST_RACE
+        note_times(call, chunk.output_tokens, given.metrics)
+        call.sent_tokens += chunk.output_tokens
+        produced += chunk.output_tokens
+        if recorded is not None:
+            recorded.append(chunk.data)
+        await write(call, chunk.data)
+        if dispatch.attempt in call.stopped:
+            return LOST_RACE
+        if chunk.finished:
+            body = b"".join(recorded) if recorded is not None else b""
+            answer = ports.Answer(
+                SUCCESS_STATUS, sinks.EVENT_STREAM, body, streamed=True
+            )
+            return calls.Finished(answer, produced)
+        if reported == 0 or produced - reported >= PROGRESS_INTERVAL_TOKENS:
+            reported = produced
+            call_id = call.request.call_id
+            event = events.Progressed(call_id, dispatch.attempt, produced)
+            dispatcher.post(given, event)
+
+
+async def write(call: calls.Call, data: bytes) -> None:
+    """Write events to the caller; the driver lets a write in progress end."""
+    call.writing = True
+    try:
+        await sinks.write(call.sink, data)
+    finally:
+        call.writing = False
+
+
+def fail(failure: engine_calls.EngineFailure, output_tokens: int) -> calls.Failed:
+    """Return an engine's failure as the end of an attempt."""
+    return calls.Failed(failure.cause, failure.ran, output_tokens, failure.message)
+
+
+def keep_text(
+    call: calls.Call, dispatch: actions.Dispatch, stream: client.EngineStream
+) -> None:
+    """Keep the text that the caller already has, for a resume."""
+    if call.sent_by != dispatch.attempt:
+        return
+    text = stream.text_so_far()
+    if text is None:
+        call.resumable = False
+    else:
+        call.sent_text = text
+
+
+def note_times(call: calls.Call, tokens_count: int, counters: metrics.Metrics) -> None:
+    """Record the time to the first token, or between tokens."""
+    if tokens_count == 0:
+        return
+    now_s = time.monotonic()
+    class_name = call.request.request_class.name
+    store = counters.latencies
+    if call.first_token_at_s == 0:
+        call.first_token_at_s = now_s
+        waited_s = now_s - call.request.received_at_s
+        store.record(class_name, latencies.Interval.FIRST_TOKEN, waited_s)
+    else:
+        between_s = (now_s - call.last_token_at_s) / tokens_count
+        store.record(class_name, latencies.Interval.BETWEEN_TOKENS, between_s)
+    call.last_token_at_s = now_s
--- /dev/null
+++ b/hickoryweir/daemon/status.py
@@ -0,0 +1,59 @@
+"""What one daemon says of itself: status document and policy digest."""
+
+import dataclasses
+import json
+import time
+
+from hickoryweir.callers import ports
+from hickoryweir.policy import inspection, state
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """What the status document is made from."""
+
+    name: str
+    availability_zone: str
+    is_draining: bool
+    is_ready: bool
+    in_force: ports.InForce | None
+    calls_in_flight: int
+    log_standing: str
+    leader_name: str
+    core: state.Core
+
+
+def render(source: Source) -> bytes:
+    """Return the status document as JSON text.
+
+    Parameters
+    ----------
+    source : Source
+        The daemon's state.
+
+    Returns
+    -------
+    bytes
+        One JSON object; the policy core's views are part of it.
+    """
+    now_s = time.monotonic()
+    in_force = source.in_force
+    queues = inspection.queue_views(source.core, now_s)
+    servers = inspection.servers(source.core, now_s)
+    document = {
+        "name": source.name,
+        "availability_zone": source.availability_zone,
+        "draining": source.is_draining,
+        "ready": source.is_ready,
+        "configuration_version": in_force.version if in_force else 0,
+        "configuration_digest": in_force.configuration.digest if in_force else "",
+        "calls_in_flight": source.calls_in_flight,
+        "log": source.log_standing,
+        "leader": source.leader_name,
+        "classes": [dataclasses.asdict(view) for view in queues],
+        "backend_servers": [dataclasses.asdict(view) for view in servers],
+        "decisions": [
+            dataclasses.asdict(view) for view in inspection.counts(source.core)
+        ],
+    }
+    return json.dumps(document).encode()
--- /dev/null
+++ b/hickoryweir/testing/demo/burst.py
@@ -0,0 +1,256 @@
+"""A mixed burst of callers over real HTTP, and what each of them got.
+
+Idempotent calls are streamed chat completions; non-idempotent calls carry an
+``Idempotency-Key``, and every third is sent again at another entry VM.
+"""
+
+import asyncio
+import dataclasses
+import json
+import random
+import time
+import uuid
+
+import aiohttp
+
+from hickoryweir.configuration import model
+from hickoryweir.testing import texts
+
+RETRY_LIMIT_COUNT = 20
+REPEAT_INTERVAL = 3
+SECOND_TRY_DELAY_S = 0.05
+MAX_CONNECTIONS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """One call to be sent.
+
+    Attributes
+    ----------
+    at_s : float
+        When, from the start of the burst.
+    key : str
+        Idempotency key; empty for idempotent classes.
+    url : str
+        Base URL of the entry VM.
+    """
+
+    at_s: float
+    request_id: str
+    request_class: model.RequestClass
+    account: str
+    key: str
+    url: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a caller got in the end.
+
+    Attributes
+    ----------
+    answered, whole : bool
+        Whether there was an answer, and whether it was whole and the caller's own.
+    first_token_s, answer_s : float
+        Times from the first send, waits and retries included.
+    refusals : tuple of str
+        Reasons on the way.
+    ran : str
+        What the last refusal said; empty if answered.
+    """
+
+    plan: Plan
+    answered: bool
+    whole: bool
+    first_token_s: float
+    answer_s: float
+    refusals: tuple[str, ...]
+    ran: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """One HTTP exchange: answer or refusal."""
+
+    answered: bool
+    whole: bool
+    first_byte_s: float
+    reason: str
+    ran: str
+    retry_after_s: float | None
+
+
+def make_plans(
+    configuration: model.Configuration,
+    urls: tuple[str, ...],
+    count: int,
+    duration_s: float,
+    seed: int,
+) -> tuple[Plan, ...]:
+    """Return the calls of a burst, in order of time.
+
+    Parameters
+    ----------
+    configuration : model.Configuration
+        Accounts and the classes that each may use.
+    urls : tuple of str
+        Callers' ports of the entry VMs.
+    count : int
+        Number of calls, repeats not counted.
+    duration_s : float
+        Length of the burst.
+    seed : int
+        Seed of the draw.
+
+    Returns
+    -------
+    tuple of Plan
+        Repeats of non-idempotent calls included.
+    """
+    generator = random.Random(seed)
+    classes = {each.name: each for each in configuration.classes}
+    plans = []
+    for position in range(count):
+        account = generator.choice(configuration.accounts)
+        request_class = classes[generator.choice(account.classes)]
+        key = "" if request_class.idempotent else f"key-{seed}-{position}"
+        plan = Plan(
+            at_s=generator.uniform(0, duration_s),
+            request_id=f"call-{position}",
+            request_class=request_class,
+            account=account.name,
+            key=key,
+            url=generator.choice(urls),
+        )
+        plans.append(plan)
+        if key and position % REPEAT_INTERVAL == 0:
+            plans.append(repeat(plan, generator.choice(urls)))
+    return tuple(sorted(plans, key=lambda plan: plan.at_s))
+
+
+def repeat(plan: Plan, url: str) -> Plan:
+    """Return the same call sent again a little later, maybe elsewhere."""
+    return dataclasses.replace(
+        plan,
+        at_s=plan.at_s + SECOND_TRY_DELAY_S,
+        request_id=f"{plan.request_id}-again",
+        url=url,
+    )
+
+
+async def send_all(plans: tuple[Plan, ...]) -> list[Outcome]:
+    """Send each call at its time and return what each caller got."""
+    connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS)
+    start_s = time.monotonic()
+
+    async def send_at(session: aiohttp.ClientSession, plan: Plan) -> Outcome:
+        await asyncio.sleep(start_s + plan.at_s - time.monotonic())
+        return await send(session, plan)
+
+    async with aiohttp.ClientSession(connector=connector) as session:
+        return await asyncio.gather(*(send_at(session, plan) for plan in plans))
+
+
+async def send(session: aiohttp.ClientSession, plan: Plan) -> Outcome:
+    """Send one call, and again as its refusals allow."""
+    started_s = time.monotonic()
+    refused: list[str] = []
+    ran = ""
+    for _ in range(RETRY_LIMIT_COUNT):
+        reply = await exchange(session, plan)
+        now_s = time.monotonic()
+        if reply.answered:
+            first_token_s = reply.first_byte_s - started_s
+            answer_s = now_s - started_s
+            reasons = tuple(refused)
+            return Outcome(
+                plan, True, reply.whole, first_token_s, answer_s, reasons, ""
+            )
+        refused.append(reply.reason)
+        ran = reply.ran
+        if reply.retry_after_s is None:
+            break
+        await asyncio.sleep(reply.retry_after_s)
+    answer_s = time.monotonic() - started_s
+    return Outcome(plan, False, False, answer_s, answer_s, tuple(refused), ran)
+
+
+async def exchange(session: aiohttp.ClientSession, plan: Plan) -> Reply:
+    """Send one HTTP request and judge its answer."""
+    headers = {
+        "Authorization": f"Bearer demo-{plan.account}",
+        "X-Request-Class": plan.request_class.name,
+        "X-Request-Id": plan.request_id,
+    }
+    if plan.key:
+        headers["Idempotency-Key"] = plan.key
+    path, body = make_body(plan)
+    try:
+        async with session.post(
+            plan.url + path, json=body, headers=headers
+        ) as response:
+            if response.status != 200:
+                return refused_reply(await response.read())
+            return await read_answer(plan, response)
+    except aiohttp.ClientError as error:
+        reason = type(error).__name__
+        return Reply(False, False, time.monotonic(), reason, "maybe", 0.5)
+
+
+def make_body(plan: Plan) -> tuple[str, dict]:
+    """Return path and JSON body of a call."""
+    wanted = plan.request_class
+    if wanted.target is model.Target.SERVICE:
+        return f"/services/{wanted.target_name}/run", {"amount": 500, "for": plan.key}
+    content = f"question {uuid.uuid4().hex}"
+    tokens_count = min(wanted.expected_output_tokens, 40)
+    return "/v1/chat/completions", {
+        "model": wanted.target_name,
+        "stream": wanted.idempotent,
+        "max_tokens": tokens_count,
+        "messages": [{"role": "user", "content": content}],
+    }
+
+
+def refused_reply(body: bytes) -> Reply:
+    """Return a refusal as a reply."""
+    error = json.loads(body)["error"]
+    now_s = time.monotonic()
+    return Reply(
+        False, False, now_s, error["code"], error["ran"], error["retry_after_s"]
+    )
+
+
+async def read_answer(plan: Plan, response: aiohttp.ClientResponse) -> Reply:
+    """Read an answer and judge whether it is whole and the caller's own."""
+    first = await response.content.readany()
+    first_byte_s = time.monotonic()
+    body = first + await response.read()
+    if plan.request_class.target is model.Target.SERVICE:
+        whole = response.headers.get("X-Request-Id") == plan.request_id
+        return Reply(True, whole, first_byte_s, "", "", None)
+    if not plan.request_class.idempotent:
+        text = json.loads(body)["choices"][0]["message"]["content"]
+        return Reply(True, is_own(plan, text), first_byte_s, "", "", None)
+    whole = body.endswith(b"data: [DONE]\n\n") and is_own(plan, stream_text(body))
+    reason = "" if whole else "stream_not_whole"
+    return Reply(whole, whole, first_byte_s, reason, "maybe", None if whole else 0.5)
+
+
+def stream_text(body: bytes) -> str:
+    """Return the text of a chat completion's server-sent events."""
+    parts = []
+    for line in body.decode().splitlines():
+        if not line.startswith("data: {"):
+            continue
+        for choice in json.loads(line[len("data: ") :]).get("choices", []):
+            parts.append(choice["delta"].get("content") or "")
+    return "".join(parts)
+
+
+def is_own(plan: Plan, text: str) -> bool:
+    """Return whether a stand-in's text is whole and names this call."""
+    call_id = text[1:].partition("]")[0]
+    own = call_id.startswith(f"{plan.request_id}.")
+    return own and texts.is_whole_answer(call_id, text)
--- /dev/null
+++ b/hickoryweir/testing/demo/main.py
@@ -0,0 +1,221 @@
+"""Runs the demonstration and judges it: ``bin/demo [kitamori|tamworth]``.
+
+Exit code 0 says that every promise was kept: each answer whole and its caller's
+own, each non-idempotent key run exactly once or refused as not run, and every
+entry VM shut down without a cut.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import pathlib
+import tempfile
+from typing import Annotated
+
+import aiohttp
+import cappa
+from returns import result
+
+from hickoryweir.configuration import generator, model, questionnaire, render
+from hickoryweir.testing.demo import burst, entry_vms, log_submit, stand_ins
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+FIRST_PORT = 8101
+READY_TIMEOUT_S = 30.0
+READY_INTERVAL_S = 0.1
+SEED = 7
+
+
+@dataclasses.dataclass
+class Demo:
+    """Run three entry VMs and stand-ins on loopback and send a mixed burst."""
+
+    deployment: Annotated[str, cappa.Arg(help="kitamori or tamworth")] = "kitamori"
+    calls: Annotated[int, cappa.Arg(long=True, help="Calls in the burst.")] = 200
+    duration_s: Annotated[
+        float, cappa.Arg(long=True, help="Length of the burst in seconds.")
+    ] = 4.0
+    keep: Annotated[bool, cappa.Arg(long=True, help="Go on serving until Ctrl-C.")] = (
+        False
+    )
+
+
+def say(text: str) -> None:
+    """Print a line of progress."""
+    print(text, flush=True)
+
+
+def load_answers(deployment: str) -> questionnaire.Answers:
+    """Return the worked answers of an example deployment.
+
+    Raises
+    ------
+    cappa.Exit
+        There is no such example, or its answers are wrong.
+    """
+    path = EXAMPLES / deployment / "answers.ini"
+    if not path.is_file():
+        raise cappa.Exit(f"no example named {deployment}", code=2)
+    parsed = questionnaire.parse(path.read_text(), str(path))
+    if not isinstance(parsed, result.Success):
+        raise cappa.Exit(str(parsed.failure()), code=2)
+    return parsed.unwrap()
+
+
+async def run(demo: Demo) -> int:
+    """Run the demonstration; return its exit code."""
+    answers = load_answers(demo.deployment)
+    drafted = generator.generate(answers).unwrap()
+    say(f"generated the configuration of {drafted.customer}")
+    servers = await stand_ins.start_all(drafted)
+    configuration = render.seal(stand_ins.locate(drafted, servers))
+    say(f"started {len(servers)} stand-ins")
+    zones = tuple(sorted({each.availability_zone for each in drafted.backend_servers}))
+    with tempfile.TemporaryDirectory(prefix="hickoryweir-demo-") as folder:
+        vms = entry_vms.make_entry_vms(zones, pathlib.Path(folder), FIRST_PORT)
+        entry_vms.write_settings(vms)
+        running = [entry_vms.start(vm) for vm in vms]
+        try:
+            outcomes = await serve_burst(demo, configuration, vms)
+        finally:
+            say("stopping the entry VMs")
+            codes = await asyncio.gather(
+                *(asyncio.to_thread(entry_vms.stop, vm) for vm in running)
+            )
+        if outcomes is None or any(codes):
+            show_logs(vms)
+    await stand_ins.stop_all(servers)
+    if outcomes is None:
+        say("BROKEN: the entry VMs did not become ready")
+        return 1
+    return judge(outcomes, stand_ins.count_executions(servers), codes)
+
+
+async def serve_burst(
+    demo: Demo,
+    configuration: model.Configuration,
+    vms: tuple[entry_vms.EntryVm, ...],
+) -> list[burst.Outcome] | None:
+    """Submit the configuration, send the burst; None if nothing got ready."""
+    say(f"started entry VMs {', '.join(vm.name for vm in vms)}")
+    submitted = await log_submit.submit(vms, render.render(configuration))
+    say(f"submitted: {submitted}")
+    if not await wait_until_ready(vms):
+        return None
+    urls = tuple(vm.callers_url for vm in vms)
+    say(f"ready: {' '.join(urls)}")
+    plans = burst.make_plans(configuration, urls, demo.calls, demo.duration_s, SEED)
+    say(f"sending {len(plans)} calls over {demo.duration_s} s")
+    outcomes = await burst.send_all(plans)
+    if demo.keep:
+        say("serving until Ctrl-C")
+        await asyncio.Event().wait()
+    return outcomes
+
+
+async def wait_until_ready(vms: tuple[entry_vms.EntryVm, ...]) -> bool:
+    """Return True once every entry VM says that it is ready."""
+    async with aiohttp.ClientSession() as session:
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                for vm in vms:
+                    while not await is_ready(session, vm):
+                        await asyncio.sleep(READY_INTERVAL_S)
+        except TimeoutError:
+            return False
+    return True
+
+
+async def is_ready(session: aiohttp.ClientSession, vm: entry_vms.EntryVm) -> bool:
+    """Return whether an entry VM's readiness is on."""
+    try:
+        async with session.get(vm.callers_url + "/readyz") as response:
+            return response.status == 200
+    except aiohttp.ClientError:
+        return False
+
+
+def show_logs(vms: tuple[entry_vms.EntryVm, ...]) -> None:
+    """Print the end of each entry VM's log."""
+    for vm in vms:
+        log = vm.folder / "log.jsonl"
+        lines = log.read_text().splitlines()[-20:] if log.is_file() else []
+        say(f"--- log of {vm.name}")
+        for line in lines:
+            say(line)
+
+
+def judge(
+    outcomes: list[burst.Outcome], executions: dict[str, int], codes: list[int]
+) -> int:
+    """Print a table by class and the promises; return the exit code."""
+    by_class = collections.defaultdict(list)
+    for outcome in outcomes:
+        by_class[outcome.plan.request_class.name].append(outcome)
+    say("")
+    say(f"{'class':22} {'calls':>6} {'answered':>9} {'own':>5} {'attainment':>11}")
+    for name, found in sorted(by_class.items()):
+        say(render_row(name, found))
+    reasons = collections.Counter(
+        reason for outcome in outcomes for reason in outcome.refusals
+    )
+    say(f"refusals: {dict(reasons) or 'none'}")
+    broken = find_broken(outcomes, executions, codes)
+    for text in broken:
+        say(f"BROKEN: {text}")
+    keys_count = sum(1 for count in executions.values() if count == 1)
+    say(f"non-idempotent keys that ran exactly once: {keys_count} of {len(executions)}")
+    say("every promise kept" if not broken else f"{len(broken)} promises broken")
+    return 1 if broken else 0
+
+
+def render_row(name: str, found: list[burst.Outcome]) -> str:
+    """Return one class's row."""
+    answered = sum(outcome.answered for outcome in found)
+    whole = sum(outcome.whole for outcome in found)
+    met = sum(is_met(outcome) for outcome in found)
+    share = met / len(found)
+    return f"{name:22} {len(found):>6} {answered:>9} {whole:>5} {share:>10.1%}"
+
+
+def is_met(outcome: burst.Outcome) -> bool:
+    """Return whether a caller's answer came within its class's target."""
+    wanted = outcome.plan.request_class
+    if not outcome.answered:
+        return False
+    if wanted.target is model.Target.MODEL and wanted.idempotent:
+        return outcome.first_token_s <= wanted.first_token_target_s
+    return outcome.answer_s <= wanted.answer_target_s
+
+
+def find_broken(
+    outcomes: list[burst.Outcome], executions: dict[str, int], codes: list[int]
+) -> list[str]:
+    """Return each broken promise as one line."""
+    broken = []
+    for outcome in outcomes:
+        plan = outcome.plan
+        if outcome.answered and not outcome.whole:
+            broken.append(f"{plan.request_id}: the answer is not whole or not its own")
+        if plan.key and outcome.answered and executions.get(plan.key, 0) != 1:
+            broken.append(f"{plan.key}: answered, but ran {executions.get(plan.key)}")
+        if not outcome.answered:
+            reasons = ", ".join(outcome.refusals)
+            broken.append(f"{plan.request_id}: no answer after {reasons}")
+    for key, count in executions.items():
+        if count > 1:
+            broken.append(f"{key}: ran {count} times")
+    for code in codes:
+        if code != 0:
+            broken.append(f"an entry VM ended with code {code}")
+    return broken
+
+
+def main() -> None:
+    """Run the demonstration from the command line."""
+    demo = cappa.parse(Demo)
+    raise SystemExit(asyncio.run(run(demo)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hickoryweir/testing/demo/stand_ins.py
@@ -0,0 +1,71 @@
+"""Stand-ins of all backend servers of a configuration, in this process."""
+
+import asyncio
+import dataclasses
+
+from hickoryweir.configuration import model
+from hickoryweir.testing import engine, running, service
+
+SERVICE_WORK_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StandIn:
+    """A running stand-in of one backend server.
+
+    Attributes
+    ----------
+    service : service.Service or None
+        The counts of a plain service; None for an engine.
+    """
+
+    server: model.BackendServer
+    running: running.Running
+    service: service.Service | None
+
+
+async def start_all(configuration: model.Configuration) -> tuple[StandIn, ...]:
+    """Start a stand-in for each backend server, on free ports."""
+    return tuple(
+        await asyncio.gather(
+            *(start(server) for server in configuration.backend_servers)
+        )
+    )
+
+
+async def start(server: model.BackendServer) -> StandIn:
+    """Start the stand-in of one backend server."""
+    if server.target is model.Target.SERVICE:
+        settings = service.ServiceSettings(server.name, SERVICE_WORK_S)
+        app = service.make_app(settings)
+        return StandIn(server, await running.start(app), app[service.SERVICE])
+    app = engine.make_app(engine.EngineSettings(server.name, server.serves))
+    return StandIn(server, await running.start(app), None)
+
+
+def locate(
+    configuration: model.Configuration, stand_ins: tuple[StandIn, ...]
+) -> model.Configuration:
+    """Return the configuration with the stand-ins' URLs."""
+    urls = {stand_in.server.name: stand_in.running.url for stand_in in stand_ins}
+    servers = tuple(
+        dataclasses.replace(server, url=urls[server.name])
+        for server in configuration.backend_servers
+    )
+    return dataclasses.replace(configuration, backend_servers=servers)
+
+
+def count_executions(stand_ins: tuple[StandIn, ...]) -> dict[str, int]:
+    """Return how often each idempotency key ran, over all plain services."""
+    counts: dict[str, int] = {}
+    for stand_in in stand_ins:
+        if stand_in.service is None:
+            continue
+        for key, count in stand_in.service.executions.items():
+            counts[key] = counts.get(key, 0) + count
+    return counts
+
+
+async def stop_all(stand_ins: tuple[StandIn, ...]) -> None:
+    """Stop every stand-in."""
+    await asyncio.gather(*(stand_in.running.stop() for stand_in in stand_ins))
