--- a/hickoryweir/testing/demo/main.py
+++ b/hickoryweir/testing/demo/main.py
@@ -119,13 +119,20 @@
         try:
             async with asyncio.timeout(READY_TIMEOUT_S):
                 for vm in vms:
-                    while not await is_ready(session, vm):
-                        await asyncio.sleep(READY_INTERVAL_S)
+                    await wait_for(session, vm)
         except TimeoutError:
             return False
     return True
 
 
+async def wait_for(session: aiohttp.ClientSession, vm: entry_vms.EntryVm) -> None:
+    """Ask an entry VM until it is ready."""
+    while True:
+        if await is_ready(session, vm):
+            return
+        await asyncio.sleep(READY_INTERVAL_S)
+
+
 async def is_ready(session: aiohttp.ClientSession, vm: entry_vms.EntryVm) -> bool:
     """Return whether an entry VM's readiness is on."""
     try:
