--- a/hickoryweir/daemon/backends.py
+++ b/hickoryweir/daemon/backends.py
@@ -1,11 +1,10 @@
 """Follows the backend servers of the configuration in force.
 
-Each engine has a task that reads its load reports and cache events.  Planned
-stops and the platform's list decide which backend servers get no new work; the
-policy core learns of every change of state.
+Reports and probes of each backend server, the platform's list of VMs and the
+planned stops come together here; the policy core learns of reports as they are
+and of every change of state that :mod:`hickoryweir.platform.decisions` finds.
 """
 
-import asyncio
 import dataclasses
 
 import aiohttp
@@ -13,41 +12,45 @@
 from hickoryweir.configuration import commands, model, stops
 from hickoryweir.daemon import dispatcher
 from hickoryweir.engines import reports
-from hickoryweir.observability import logs, metrics
-from hickoryweir.policy import events
+from hickoryweir.observability import logs
+from hickoryweir.platform import decisions
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Followers:
-    """What is known of the backend servers, and the tasks that follow them.
+    """What is known of the backend servers, and the tasks that watch them.
 
     Attributes
     ----------
     servers : dict
         Backend servers in the configuration in force, by name.
-    stopping : frozenset of str
-        Those under a planned stop.
-    leaving : frozenset of str
-        Those that the platform's list says are leaving.
+    state : decisions.State
+        Evidence for each of them.
     """
 
     dispatcher: dispatcher.Dispatcher
-    session: aiohttp.ClientSession
-    metrics: metrics.Metrics
     servers: dict[str, model.BackendServer]
-    tasks: dict[str, asyncio.Task]
-    stopping: frozenset[str] = frozenset()
-    leaving: frozenset[str] = frozenset()
-    states: dict[str, events.ServerState] = dataclasses.field(default_factory=dict)
+    state: decisions.State
+    watcher: reports.Watcher | None = None
 
 
 def make_followers(
-    given: dispatcher.Dispatcher,
-    session: aiohttp.ClientSession,
-    counters: metrics.Metrics,
+    given: dispatcher.Dispatcher, session: aiohttp.ClientSession
 ) -> Followers:
     """Return followers of no backend servers yet."""
-    return Followers(given, session, counters, {}, {})
+    followers = Followers(given, {}, decisions.make_state(()))
+    followers.watcher = reports.make_watcher(
+        session, lambda message: take(followers, message)
+    )
+    return followers
+
+
+def take(followers: Followers, message: reports.Message) -> None:
+    """Take a report, or the result of a probe."""
+    if isinstance(message, decisions.Probed):
+        observe(followers, message)
+    else:
+        dispatcher.post(followers.dispatcher, message)
 
 
 def follow(
@@ -67,17 +70,13 @@
         Planned stops now in force.
     """
     wanted = {server.name: server for server in configuration.backend_servers}
-    for name, known in list(followers.servers.items()):
-        if wanted.get(name) != known:
-            forget(followers, name)
+    followers.servers.clear()
+    followers.servers.update(wanted)
+    reports.update(followers.watcher, configuration.backend_servers)
+    observe(followers, decisions.Configured(tuple(wanted)))
     for name, server in wanted.items():
-        if name not in followers.servers:
-            followers.servers[name] = server
-            start(followers, server)
-    followers.stopping = frozenset(
-        name for name, server in wanted.items() if is_stopping(server, running_stops)
-    )
-    update_states(followers)
+        stopping = is_stopping(server, running_stops)
+        observe(followers, decisions.StopPlanned(name, stopping))
 
 
 def is_stopping(
@@ -92,47 +91,17 @@
     return any((stop.kind, stop.name) in covered for stop in running_stops)
 
 
-def start(followers: Followers, server: model.BackendServer) -> None:
-    """Start the task that reads an engine's reports."""
-    if server.target is not model.Target.MODEL:
-        return
-    work = reports.follow(
-        followers.session,
-        server,
-        lambda event: dispatcher.post(followers.dispatcher, event),
-    )
-    followers.tasks[server.name] = asyncio.create_task(work)
-
-
-def forget(followers: Followers, name: str) -> None:
-    """Stop following a backend server."""
-    followers.servers.pop(name, None)
-    followers.states.pop(name, None)
-    task = followers.tasks.pop(name, None)
-    if task is not None:
-        task.cancel()
-
-
-def note_leaving(followers: Followers, names: frozenset[str]) -> None:
-    """Take the platform's list of leaving backend servers."""
-    followers.leaving = names
-    update_states(followers)
-
-
-def update_states(followers: Followers) -> None:
-    """Tell the policy core of each backend server whose state has changed."""
-    for name in followers.servers:
-        is_leaving = name in followers.stopping or name in followers.leaving
-        state = events.ServerState.LEAVING if is_leaving else events.ServerState.LIVE
-        if followers.states.get(name, events.ServerState.LIVE) is not state:
-            event = events.ServerStateChanged(name, state)
-            dispatcher.post(followers.dispatcher, event)
-            fields = logs.Fields(backend_server=name, detail=str(state))
-            logs.info("backend server changed state", fields)
-        followers.states[name] = state
+def observe(followers: Followers, observation: decisions.Observation) -> None:
+    """Take an observation and tell the policy core of each change of state."""
+    followers.state, changes = decisions.observe(followers.state, observation)
+    for change in changes:
+        dispatcher.post(followers.dispatcher, change)
+        fields = logs.Fields(
+            backend_server=change.backend_server, detail=str(change.state)
+        )
+        logs.info("backend server changed state", fields)
 
 
-def stop(followers: Followers) -> None:
-    """Stop following all backend servers."""
-    for name in list(followers.servers):
-        forget(followers, name)
+async def stop(followers: Followers) -> None:
+    """Stop watching all backend servers."""
+    await reports.close(followers.watcher)
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -96,7 +96,7 @@
     )
     engine_session = sessions.make_session(keeps_connections=True)
     service_session = sessions.make_session()
-    followers = backends.make_followers(made_dispatcher, engine_session, counters)
+    followers = backends.make_followers(made_dispatcher, engine_session)
     made_attempts = attempts.Backends(
         find_server=followers.servers.get,
         engines=engine_session,
@@ -257,7 +257,7 @@
     if process.callers is not None:
         await server.stop(process.callers)
     await process.gateway.close(GATEWAY_CLOSE_TIMEOUT_S)
-    backends.stop(process.backends)
+    await backends.stop(process.backends)
     for task in process.tasks:
         task.cancel()
     await asyncio.gather(*process.tasks, return_exceptions=True)
