--- a/hickoryweir/replicas/recovery.py
+++ b/hickoryweir/replicas/recovery.py
@@ -23,7 +23,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Recovered:
-    """Everything that a folder holds."""
+    """Everything that a folder holds.
+
+    `log_is_stale` says that the log does not reach the snapshot, or disagrees with
+    it: a received snapshot was stored, and the crash came before the log was reset.
+    """
 
     identity: records.Identity
     term: int = 0
@@ -36,6 +40,7 @@
     next_sequence: int = 1
     torn_size_bytes: int = 0
     torn_segment: str = ""
+    log_is_stale: bool = False
 
 
 class _StopError(Exception):
@@ -264,6 +269,7 @@
         _stop(records.Problem.MISSING, folder, "the newest snapshot is missing")
     if _term_at(found, snapshot.index) not in (snapshot.term, -1):
         found.entries.clear()
+        found.log_is_stale = True
     keep_from = snapshot.index - found.base_index
     found.entries = found.entries[keep_from:]
     found.base_index = snapshot.index
--- a/hickoryweir/replicas/storage.py
+++ b/hickoryweir/replicas/storage.py
@@ -251,9 +251,16 @@
     opened = Storage(
         files, folder, found.identity, segments, handle, found.next_sequence
     )
+    if found.log_is_stale:
+        _append(opened, _make_reset(found))
     return Opened(opened, found)
 
 
+def _make_reset(found: recovery.Recovered) -> records.Batch:
+    snapshot = found.snapshot
+    return records.Batch(found.term, found.voted_for, (), snapshot.index, snapshot.term)
+
+
 def _append(storage: Storage, batch: records.Batch) -> None:
     segment = storage.segments[-1]
     data = frames.make_frame(storage.next_sequence, codec.encode(batch), segment.salt)
--- a/hickoryweir/replicas/tests/test_storage.py
+++ b/hickoryweir/replicas/tests/test_storage.py
@@ -132,6 +132,16 @@
     assert len(found.segments) == 1
 
 
+def test_crash_before_a_received_snapshot_resets_the_log_leaves_it_usable():
+    memory, opened = make_filled()
+    snapshot = messages.Snapshot(10, 2, MEMBERSHIP, 0.0, b"state")
+    storage.save_snapshot(opened, snapshot).unwrap()
+    memory.crash(random.Random(1))
+    restarted = open_folder(memory).unwrap().storage
+    storage.append(restarted, make_batch(11, term=2)).unwrap()
+    assert [entry.index for entry in entries_in(memory)] == [11]
+
+
 def test_log_without_its_snapshot_stops_with_an_error():
     memory, opened = make_filled()
     snapshot = messages.Snapshot(5, 1, MEMBERSHIP, 0.0, b"state")
