Command line: submit, rollback, stop, status, history, load, stand-in

Cause: operators and newcomers need one command for all of it, with an exit code for each kind of outcome. Change: cappa commands over the operators' client, plain tables, JSON, a resend hint with change id and expected version, check of a data folder.

--- a/hickoryweir/cli/files.py
+++ b/hickoryweir/cli/files.py
@@ -15,6 +15,7 @@
     render,
     settings,
 )
+from hickoryweir.replicas import inspect
 
 EXPLAIN_WIDTHS = (26, 24, 10)
 
@@ -90,7 +91,12 @@
 
 
 def check(path: pathlib.Path) -> int:
-    """Check settings, answers or a configuration; its sections tell which."""
+    """Check settings, answers, a configuration or a data folder.
+
+    The sections of a file tell its kind.
+    """
+    if path.is_dir():
+        return _check_data_folder(path)
     text = read_text(path)
     if not isinstance(text, result.Success):
         return report(text.failure())
@@ -123,3 +129,15 @@
         "[process], [team] or [configuration]",
     )
     return result.Failure(problems.InvalidInput((problem,)))
+
+
+def _check_data_folder(path):
+    found = inspect.check_folder(str(path))
+    if found.failure is not None:
+        problem = problems.Problem(str(path), "", "", str(found.failure), "")
+        return report(problems.InvalidInput((problem,)))
+    print(f"{path}: data folder of {found.member_id}, cluster {found.cluster_id}")
+    print(f"  term {found.term}, entries {found.first_index} to {found.last_index}")
+    print(f"  snapshot at {found.snapshot_index}: {found.snapshot_size_bytes} bytes")
+    print(f"  torn end: {found.torn_size_bytes} bytes, which a start cuts")
+    return exits.ExitCode.SUCCESS
--- a/hickoryweir/cli/main.py
+++ b/hickoryweir/cli/main.py
@@ -12,7 +12,7 @@
 import cappa
 
 import hickoryweir
-from hickoryweir.cli import exits, files, processes
+from hickoryweir.cli import exits, files, operator_commands, process_commands
 
 
 def _run_generate(command: "Generate") -> int:
@@ -49,25 +49,13 @@
 
 
 @cappa.command(
-    invoke=_run_check, help="Check settings, answers or a configuration file."
+    invoke=_run_check, help="Check settings, answers, a configuration or a data folder."
 )
 @dataclasses.dataclass
 class Check:
     """Arguments of ``check``."""
 
-    file: Annotated[pathlib.Path, cappa.Arg(help="File to check.")]
-
-
-def _run_serve(command: "Serve") -> int:
-    return processes.serve(command.settings)
-
-
-@cappa.command(invoke=_run_serve, help="Run the daemon of one entry VM.")
-@dataclasses.dataclass
-class Serve:
-    """Arguments of ``serve``."""
-
-    settings: Annotated[pathlib.Path, cappa.Arg(help="Settings file.")]
+    file: Annotated[pathlib.Path, cappa.Arg(help="File or data folder.")]
 
 
 @cappa.command(
@@ -79,7 +67,18 @@
 class Hickoryweir:
     """The whole command."""
 
-    command: cappa.Subcommands[Generate | Check | Serve]
+    command: cappa.Subcommands[
+        Generate
+        | Check
+        | process_commands.Serve
+        | operator_commands.Submit
+        | operator_commands.Rollback
+        | operator_commands.Stop
+        | operator_commands.Status
+        | operator_commands.History
+        | process_commands.Load
+        | process_commands.StandIn
+    ]
 
 
 def main(arguments: list[str] | None = None) -> None:
--- /dev/null
+++ b/hickoryweir/cli/operator_commands.py
@@ -0,0 +1,155 @@
+"""Arguments of the operators' commands."""
+
+import dataclasses
+import os
+import pathlib
+from typing import Annotated
+
+import cappa
+
+from hickoryweir.cli import operate
+from hickoryweir.configuration import commands, fields
+from hickoryweir.operators import client
+
+URLS_VARIABLE = "HICKORYWEIR_OPERATOR_URLS"
+KEY_VARIABLE = "HICKORYWEIR_OPERATOR_KEY"
+DEFAULT_WAIT_S = 10.0
+
+ChangeId = Annotated[
+    str | None, cappa.Arg(long=True, help="Send an earlier change again.")
+]
+ExpectedVersion = Annotated[
+    int | None,
+    cappa.Arg(long=True, help="Version that was seen; the one in force if none."),
+]
+WaitSeconds = Annotated[
+    float, cappa.Arg(long=True, help="Seconds to wait for all zones.")
+]
+DryRun = Annotated[bool, cappa.Arg(long=True, help="Only show what would change.")]
+AsJson = Annotated[bool, cappa.Arg(long="--json", help="Print JSON.")]
+
+
+@dataclasses.dataclass(kw_only=True)
+class Access:
+    """Arguments that all operators' commands share."""
+
+    url: Annotated[
+        str | None,
+        cappa.Arg(
+            long=True,
+            help=f"Operators' URLs, separated by commas; else ${URLS_VARIABLE}.",
+        ),
+    ] = None
+    key_file: Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long=True, help=f"File with the key; else ${KEY_VARIABLE}."),
+    ] = None
+    authority_file: Annotated[
+        str, cappa.Arg(long=True, help="Certificate authority's file.")
+    ] = ""
+
+
+def _access(command: Access) -> client.Access:
+    key = os.environ.get(KEY_VARIABLE, "")
+    if command.key_file is not None:
+        key = command.key_file.read_text(encoding="utf-8").strip()
+    text = command.url or os.environ.get(URLS_VARIABLE, "")
+    urls = tuple(url.rstrip("/") for url in fields.split(text))
+    return client.Access(urls, key, command.authority_file)
+
+
+def _run_submit(command: "Submit") -> int:
+    change = operate.make_change(
+        command.change_id, command.expected_version, command.wait_s, command.dry_run
+    )
+    return operate.submit(_access(command), command.answers, change, command.summary)
+
+
+@cappa.command(invoke=_run_submit, help="Submit answers as a change.")
+@dataclasses.dataclass(kw_only=True)
+class Submit(Access):
+    """Arguments of ``submit``."""
+
+    answers: Annotated[pathlib.Path, cappa.Arg(help="Answers file.")]
+    summary: Annotated[str, cappa.Arg(long=True, help="Line for the history.")] = ""
+    dry_run: DryRun = False
+    change_id: ChangeId = None
+    expected_version: ExpectedVersion = None
+    wait_s: WaitSeconds = DEFAULT_WAIT_S
+
+
+def _run_rollback(command: "Rollback") -> int:
+    change = operate.make_change(
+        command.change_id, command.expected_version, command.wait_s, command.dry_run
+    )
+    return operate.rollback(_access(command), command.version, change)
+
+
+@cappa.command(invoke=_run_rollback, help="Submit the answers of an old version.")
+@dataclasses.dataclass(kw_only=True)
+class Rollback(Access):
+    """Arguments of ``rollback``."""
+
+    version: Annotated[int, cappa.Arg(help="Version whose answers come back.")]
+    dry_run: DryRun = False
+    change_id: ChangeId = None
+    expected_version: ExpectedVersion = None
+    wait_s: WaitSeconds = DEFAULT_WAIT_S
+
+
+def _run_stop(command: "Stop") -> int:
+    change = operate.make_change(command.change_id, None, command.wait_s, False)
+    return operate.stop(
+        _access(command),
+        command.kind.value,
+        command.name,
+        change,
+        command.even_so,
+        command.cancel,
+    )
+
+
+@cappa.command(invoke=_run_stop, help="Start or cancel a planned stop.")
+@dataclasses.dataclass(kw_only=True)
+class Stop(Access):
+    """Arguments of ``stop``."""
+
+    kind: Annotated[commands.SubjectKind, cappa.Arg(help="What is stopped.")]
+    name: Annotated[str, cappa.Arg(help="Its name.")]
+    cancel: Annotated[bool, cappa.Arg(long=True, help="Cancel the stop.")] = False
+    even_so: Annotated[
+        bool, cappa.Arg(long=True, help="Accept the loss of a last server or quorum.")
+    ] = False
+    change_id: ChangeId = None
+    wait_s: WaitSeconds = DEFAULT_WAIT_S
+
+
+def _run_status(command: "Status") -> int:
+    return operate.status(_access(command), command.as_json)
+
+
+@cappa.command(invoke=_run_status, help="Show what is in force, where, and why.")
+@dataclasses.dataclass(kw_only=True)
+class Status(Access):
+    """Arguments of ``status``."""
+
+    as_json: AsJson = False
+
+
+def _run_history(command: "History") -> int:
+    if command.version is not None:
+        return operate.answers_of(_access(command), command.version)
+    return operate.history(_access(command), command.as_json)
+
+
+@cappa.command(
+    invoke=_run_history, help="Show who changed what, or the answers of a version."
+)
+@dataclasses.dataclass(kw_only=True)
+class History(Access):
+    """Arguments of ``history``."""
+
+    version: Annotated[
+        int | None, cappa.Arg(help="Print the answers of this version.")
+    ] = None
+    as_json: AsJson = False
--- /dev/null
+++ b/hickoryweir/cli/process_commands.py
@@ -0,0 +1,84 @@
+"""Arguments of the commands that run a process."""
+
+import dataclasses
+import enum
+import pathlib
+from typing import Annotated
+
+import cappa
+
+from hickoryweir.cli import processes
+from hickoryweir.configuration import fields
+
+DEFAULT_SEED_COUNT = 5
+
+
+def _run_serve(command: "Serve") -> int:
+    return processes.serve(command.settings)
+
+
+@cappa.command(invoke=_run_serve, help="Run the daemon of one entry VM.")
+@dataclasses.dataclass
+class Serve:
+    """Arguments of ``serve``."""
+
+    settings: Annotated[pathlib.Path, cappa.Arg(help="Settings file.")]
+
+
+class StandInKind(enum.StrEnum):
+    """What a stand-in stands in for."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+    PLATFORM = "platform"
+    WEIGHTS = "weights"
+
+
+def _run_stand_in(command: "StandIn") -> int:
+    serves = fields.split(command.serves)
+    return processes.stand_in(
+        command.kind.value, command.name, serves, command.host, command.port
+    )
+
+
+@cappa.command(
+    name="stand-in",
+    invoke=_run_stand_in,
+    help="Run a small stand-in of an engine, service, platform or weight store.",
+)
+@dataclasses.dataclass
+class StandIn:
+    """Arguments of ``stand-in``."""
+
+    kind: Annotated[StandInKind, cappa.Arg(help="What it stands in for.")]
+    port: Annotated[int, cappa.Arg(long=True, help="TCP port.")]
+    host: Annotated[str, cappa.Arg(long=True, help="IP number.")] = "127.0.0.1"
+    name: Annotated[str, cappa.Arg(long=True, help="Its name.")] = "stand-in"
+    serves: Annotated[
+        str, cappa.Arg(long=True, help="Models of an engine, VMs of the platform.")
+    ] = "assistant"
+
+
+def _run_load(command: "Load") -> int:
+    return processes.load(
+        tuple(command.scenario), tuple(command.policy), command.seeds, command.json
+    )
+
+
+@cappa.command(invoke=_run_load, help="Compare policies on virtual time.")
+@dataclasses.dataclass
+class Load:
+    """Arguments of ``load``."""
+
+    scenario: Annotated[
+        list[str], cappa.Arg(long=True, help="Scenario or INI file; all if none.")
+    ] = dataclasses.field(default_factory=list)
+    policy: Annotated[list[str], cappa.Arg(long=True, help="Policy; all if none.")] = (
+        dataclasses.field(default_factory=list)
+    )
+    seeds: Annotated[int, cappa.Arg(long=True, help="Number of seeds.")] = (
+        DEFAULT_SEED_COUNT
+    )
+    json: Annotated[
+        pathlib.Path | None, cappa.Arg(long=True, help="Write all results there.")
+    ] = None
--- a/hickoryweir/cli/processes.py
+++ b/hickoryweir/cli/processes.py
@@ -1,11 +1,14 @@
-"""Commands that run a process: ``serve``, ``stand-in`` and ``load``."""
+"""Commands that run a process: ``serve``, ``stand-in`` and ``load``.
+
+Modules are imported when a command needs them, so that the others start fast.
+"""
 
 import importlib
 import pathlib
 
 from returns import result
 
-from hickoryweir.cli import files
+from hickoryweir.cli import exits, files
 from hickoryweir.configuration import settings
 
 
@@ -16,3 +19,28 @@
         return files.report(loaded.failure())
     daemon = importlib.import_module("hickoryweir.daemon.main")
     return daemon.serve(loaded.unwrap())
+
+
+def stand_in(
+    kind: str, name: str, serves: tuple[str, ...], host: str, port: int
+) -> int:
+    """Run a stand-in until it is told to stop."""
+    daemons = importlib.import_module("hickoryweir.testing.daemons")
+    app = daemons.make_app(daemons.StandIn(kind), name, serves)
+    daemons.serve(app, host, port)
+    return exits.ExitCode.SUCCESS
+
+
+def load(
+    scenarios: tuple[str, ...],
+    policies: tuple[str, ...],
+    seed_count: int,
+    json_path: pathlib.Path | None,
+) -> int:
+    """Run experiments on virtual time and print the table."""
+    experiments = importlib.import_module("hickoryweir.load.main")
+    arguments = experiments.Arguments(
+        scenarios, policies, seed_count, json_path=json_path
+    )
+    print(experiments.main(arguments))
+    return exits.ExitCode.SUCCESS
--- /dev/null
+++ b/hickoryweir/cli/tests/test_operate.py
@@ -0,0 +1,148 @@
+"""Operators' commands against a port that answers from a script."""
+
+import asyncio
+import json
+import pathlib
+import threading
+
+import pytest
+from aiohttp import web
+
+from hickoryweir.cli import exits, main
+from hickoryweir.testing import running
+
+ANSWERS = pathlib.Path(__file__).parents[3] / "examples" / "kitamori" / "answers.ini"
+ExitCode = exits.ExitCode
+ZONE = {
+    "availability_zone": "a",
+    "is_in_force": True,
+    "in_force_version": 4,
+    "live_count": 2,
+    "expected_count": 2,
+    "lagging": [],
+    "missing": [],
+}
+PENDING = {**ZONE, "availability_zone": "b", "is_in_force": False, "missing": ["b-1"]}
+STATUS = {
+    "version": 4,
+    "configuration_version": 4,
+    "digest": "abc",
+    "zones": [ZONE, PENDING],
+    "running_stops": [],
+    "log_error": "",
+    "daemon": {"ready": True, "classes": [{"class_name": "top-up", "length": 3}]},
+}
+
+
+class Port:
+    """An operators' port in a thread of its own, with scripted answers."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.bodies = []
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever)
+        self.thread.start()
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self.handle)
+        self.server = self.run(running.start(app))
+
+    def run(self, work):
+        """Run a coroutine in the port's loop."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result()
+
+    async def handle(self, request):
+        """Note the body and answer from the script."""
+        text = await request.text()
+        self.bodies.append(json.loads(text) if text else None)
+        status, document = self.answers[request.path]
+        return web.json_response(document, status=status)
+
+    def close(self):
+        """Stop the port and its thread."""
+        self.run(self.server.stop())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+
+@pytest.fixture
+def command(monkeypatch):
+    ports = []
+
+    def run(answers, *arguments):
+        port = Port(answers)
+        ports.append(port)
+        monkeypatch.setenv("HICKORYWEIR_OPERATOR_URLS", port.server.url)
+        monkeypatch.setenv("HICKORYWEIR_OPERATOR_KEY", "key")
+        with pytest.raises(SystemExit) as caught:
+            main.main([str(each) for each in arguments])
+        return caught.value.code, port.bodies
+
+    yield run
+    for port in ports:
+        port.close()
+
+
+def accepted(*zones):
+    return 200, {"change_id": "1-a", "version": 5, "zones": zones}
+
+
+def refused(reason):
+    return 409, {"reason": reason, "message": "m", "differences": ["[team] x: 1 -> 2"]}
+
+
+def test_submit_expects_the_version_in_force_and_tells_how_to_resend(command, capsys):
+    script = {"/status": (200, STATUS), "/changes": accepted(ZONE)}
+    code, bodies = command(script, "submit", ANSWERS)
+    assert (code, bodies[-1]["expected_version"]) == (ExitCode.SUCCESS, 4)
+    printed = capsys.readouterr()
+    assert "accepted as version 5, in force in a" in printed.out
+    assert f"--change-id {bodies[-1]['change_id']}" in printed.err
+
+
+def test_pending_zone_has_an_exit_code_of_its_own(command, capsys):
+    script = {"/changes": accepted(ZONE, PENDING)}
+    code, _ = command(script, "submit", ANSWERS, "--expected-version", 4)
+    assert code == ExitCode.PENDING
+    assert "pending in b: 2 of 2 routers heard; not heard: b-1" in (
+        capsys.readouterr().out
+    )
+
+
+@pytest.mark.parametrize(
+    ("reason", "code"),
+    [
+        ("conflict", ExitCode.CONFLICT),
+        ("last_server", ExitCode.REFUSED),
+        ("no_quorum", ExitCode.UNREACHABLE),
+        ("answers_invalid", ExitCode.INVALID_FILE),
+    ],
+)
+def test_each_refusal_has_its_exit_code(command, capsys, reason, code):
+    script = {"/rollbacks": refused(reason)}
+    found, _ = command(script, "rollback", 2, "--expected-version", 4)
+    assert found == code
+    assert "[team] x: 1 -> 2" in capsys.readouterr().err
+
+
+def test_stop_and_cancel_use_paths_of_their_own(command):
+    script = {"/stops": accepted(ZONE), "/stops/cancel": accepted(ZONE)}
+    code, bodies = command(script, "stop", "entry-vm", "a-1", "--even-so")
+    assert (code, bodies[0]["even_so"]) == (ExitCode.SUCCESS, True)
+    code, _ = command(script, "stop", "entry-vm", "a-1", "--cancel")
+    assert code == ExitCode.SUCCESS
+
+
+def test_status_shows_tables_or_json(command, capsys):
+    assert command({"/status": (200, STATUS)}, "status")[0] == ExitCode.SUCCESS
+    assert "top-up      3" in capsys.readouterr().out
+    command({"/status": (200, STATUS)}, "status", "--json")
+    assert json.loads(capsys.readouterr().out)["version"] == 4
+
+
+def test_without_a_url_the_command_line_is_wrong(monkeypatch):
+    monkeypatch.delenv("HICKORYWEIR_OPERATOR_URLS", raising=False)
+    with pytest.raises(SystemExit) as caught:
+        main.main(["status"])
+    assert caught.value.code == ExitCode.USAGE
