--- a/hickoryweir/testing/demo/burst.py
+++ b/hickoryweir/testing/demo/burst.py
@@ -20,6 +20,7 @@
 REPEAT_INTERVAL = 3
 SECOND_TRY_DELAY_S = 0.05
 MAX_CONNECTIONS = 200
+AGAIN = "-again"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,7 +135,7 @@
     return dataclasses.replace(
         plan,
         at_s=plan.at_s + SECOND_TRY_DELAY_S,
-        request_id=f"{plan.request_id}-again",
+        request_id=plan.request_id + AGAIN,
         url=url,
     )
 
@@ -228,8 +229,8 @@
     first_byte_s = time.monotonic()
     body = first + await response.read()
     if plan.request_class.target is model.Target.SERVICE:
-        whole = response.headers.get("X-Request-Id") == plan.request_id
-        return Reply(True, whole, first_byte_s, "", "", None)
+        own = is_own_service_answer(plan, response, body)
+        return Reply(True, own, first_byte_s, "", "", None)
     if not plan.request_class.idempotent:
         text = json.loads(body)["choices"][0]["message"]["content"]
         return Reply(True, is_own(plan, text), first_byte_s, "", "", None)
@@ -238,6 +239,16 @@
     return Reply(whole, whole, first_byte_s, reason, "maybe", None if whole else 0.5)
 
 
+def is_own_service_answer(
+    plan: Plan, response: aiohttp.ClientResponse, body: bytes
+) -> bool:
+    """Return whether a plain service's answer is to this call or its repeat."""
+    call_id = json.loads(body)["request_id"]
+    first_id = plan.request_id.removesuffix(AGAIN)
+    echoed = response.headers.get("X-Request-Id") == plan.request_id
+    return echoed and call_id.partition(".")[0].removesuffix(AGAIN) == first_id
+
+
 def stream_text(body: bytes) -> str:
     """Return the text of a chat completion's server-sent events."""
     parts = []
