--- /dev/null
+++ b/hickoryweir/engines/reports.py
@@ -0,0 +1,221 @@
+"""Polls backend servers' load reports and cache events, and probes them.
+
+One task per backend server.  A load report says how old it is, so that clocks
+of different machines don't matter.  Missing reports are not an event: whoever
+uses reports weighs them by age.  A server whose probes fail several times in a
+row is reported down; it is asked on, less often, and reported up again when it
+answers.
+"""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Callable
+
+import aiohttp
+import pydantic
+from returns import result
+
+from hickoryweir.configuration import model
+from hickoryweir.engines import backoff, reads
+from hickoryweir.platform import decisions
+from hickoryweir.policy import events
+
+LARGEST_DIGEST = 2**64 - 1
+Digest = pydantic.conint(ge=0, le=LARGEST_DIGEST)
+Message = events.LoadReported | events.CacheChanged | decisions.Probed
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportSettings:
+    """How often to ask a backend server, and when it counts as down.
+
+    Attributes
+    ----------
+    interval_s, longest_wait_s : float
+        Wait between polls, and its bound when polls fail.
+    timeout_s : float
+        Longest wait for a report.
+    down_after_count : int
+        Failures in a row after which a server is down.
+    """
+
+    interval_s: float = 0.25
+    longest_wait_s: float = 2.0
+    timeout_s: float = 1.0
+    down_after_count: int = 3
+
+
+class LoadDocument(reads.Document):
+    """Body of ``GET /load``."""
+
+    running: int = pydantic.Field(ge=0)
+    waiting: int = pydantic.Field(ge=0)
+    cache_used_share: float = pydantic.Field(ge=0.0, le=1.0)
+    age_s: float = pydantic.Field(ge=0.0, allow_inf_nan=False)
+
+
+class CacheEventDocument(reads.Document):
+    """One cache event."""
+
+    sequence: int = pydantic.Field(ge=0)
+    stored: list[Digest] = []
+    removed: list[Digest] = []
+
+
+class CacheEventsDocument(reads.Document):
+    """Body of ``GET /cache_events``."""
+
+    last_sequence: int = pydantic.Field(ge=0)
+    events: list[CacheEventDocument]
+
+
+class HealthDocument(reads.Document):
+    """Body of ``GET /health``, of which only the answer counts here."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Watch:
+    """State of the task that watches one backend server."""
+
+    server: model.BackendServer
+    sequence: int = 0
+    failures_count: int = 0
+    up: bool = True
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Watcher:
+    """The tasks that watch all backend servers of a configuration."""
+
+    session: aiohttp.ClientSession
+    post: Callable[[Message], None]
+    settings: ReportSettings
+    tasks: dict[model.BackendServer, asyncio.Task]
+
+
+def make_watcher(
+    session: aiohttp.ClientSession,
+    post: Callable[[Message], None],
+    settings: ReportSettings | None = None,
+) -> Watcher:
+    """Return a watcher of no server yet.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        See :func:`hickoryweir.engines.sessions.make_session`.
+    post : function
+        Takes each message, such as a queue's ``put_nowait``.
+    settings : ReportSettings, optional
+        How often to ask.
+    """
+    return Watcher(session, post, settings or ReportSettings(), {})
+
+
+def update(watcher: Watcher, servers: tuple[model.BackendServer, ...]) -> None:
+    """Watch these backend servers, and no others, from now on."""
+    for server in set(watcher.tasks).difference(servers):
+        watcher.tasks.pop(server).cancel()
+    for server in servers:
+        if server not in watcher.tasks:
+            task = asyncio.create_task(watch(watcher, Watch(server)))
+            watcher.tasks[server] = task
+
+
+async def close(watcher: Watcher) -> None:
+    """End all tasks."""
+    tasks = list(watcher.tasks.values())
+    update(watcher, ())
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def watch(watcher: Watcher, state: Watch) -> None:
+    """Ask one backend server for as long as it is watched."""
+    settings = watcher.settings
+    while True:
+        if state.server.target is model.Target.MODEL:
+            answered = await poll_engine(watcher, state)
+        else:
+            answered = await probe(watcher, state.server)
+        note_probe(watcher, state, answered=answered)
+        wait_s = backoff.wait_s(
+            settings.interval_s,
+            settings.longest_wait_s,
+            state.failures_count,
+            state.server.name,
+        )
+        await asyncio.sleep(wait_s)
+
+
+def note_probe(watcher: Watcher, state: Watch, *, answered: bool) -> None:
+    """Count failures in a row; tell when a server goes down or comes back."""
+    state.failures_count = 0 if answered else state.failures_count + 1
+    up = state.failures_count < watcher.settings.down_after_count
+    if up is not state.up:
+        state.up = up
+        state.sequence = 0
+        watcher.post(decisions.Probed(state.server.name, up))
+
+
+async def poll_engine(watcher: Watcher, state: Watch) -> bool:
+    """Ask an engine for its load and cache events; return whether it answered."""
+    url, timeout_s = state.server.url, watcher.settings.timeout_s
+    read = await reads.read_document(
+        watcher.session, f"{url}/load", LoadDocument, timeout_s
+    )
+    if not isinstance(read, result.Success):
+        return False
+    report = read.unwrap()
+    watcher.post(make_load(state.server.name, report, time.monotonic()))
+    await poll_cache(watcher, state)
+    return True
+
+
+def make_load(
+    backend_server: str, report: LoadDocument, now_s: float
+) -> events.LoadReported:
+    """Return a load report with its time by the router's own clock."""
+    return events.LoadReported(
+        backend_server,
+        report.running,
+        report.waiting,
+        report.cache_used_share,
+        now_s - report.age_s,
+    )
+
+
+async def poll_cache(watcher: Watcher, state: Watch) -> None:
+    """Ask an engine for its cache events after the last one seen."""
+    url = f"{state.server.url}/cache_events?after={state.sequence}"
+    timeout_s = watcher.settings.timeout_s
+    read = await reads.read_document(
+        watcher.session, url, CacheEventsDocument, timeout_s
+    )
+    if not isinstance(read, result.Success):
+        return
+    document = read.unwrap()
+    if document.last_sequence < state.sequence:
+        state.sequence = 0
+        return
+    for event in sorted(document.events, key=lambda event: event.sequence):
+        if event.sequence <= state.sequence:
+            continue
+        state.sequence = event.sequence
+        stored, removed = tuple(event.stored), tuple(event.removed)
+        watcher.post(
+            events.CacheChanged(state.server.name, event.sequence, stored, removed)
+        )
+
+
+async def probe(watcher: Watcher, server: model.BackendServer) -> bool:
+    """Return whether a plain service answers at all."""
+    read = await reads.read_document(
+        watcher.session,
+        f"{server.url}/health",
+        HealthDocument,
+        watcher.settings.timeout_s,
+    )
+    if isinstance(read, result.Success):
+        return True
+    return read.failure().answered
--- /dev/null
+++ b/hickoryweir/engines/tests/test_reports.py
@@ -0,0 +1,82 @@
+"""Load reports, cache events and probes, from the stand-in engine."""
+
+import asyncio
+import contextlib
+
+from hickoryweir.engines import reports
+from hickoryweir.engines.tests import benches
+from hickoryweir.platform import decisions
+from hickoryweir.policy import events
+
+QUICK = reports.ReportSettings(
+    interval_s=0.005, longest_wait_s=0.01, timeout_s=2.0, down_after_count=2
+)
+
+
+@contextlib.asynccontextmanager
+async def watched(bench):
+    queue = asyncio.Queue()
+    watcher = reports.make_watcher(bench.session, queue.put_nowait, QUICK)
+    reports.update(watcher, (bench.server,))
+    try:
+        yield queue
+    finally:
+        await reports.close(watcher)
+
+
+async def next_of(queue, kind):
+    while True:
+        message = await queue.get()
+        if isinstance(message, kind):
+            return message
+
+
+def test_load_is_reported():
+    async def test():
+        async with benches.engine_bench() as bench, watched(bench) as queue:
+            call = benches.make_call(stand_in_output_tokens=1_000_000)
+            stream = (await bench.open(call)).unwrap()
+            while (await next_of(queue, events.LoadReported)).running != 1:
+                pass
+            await stream.close()
+
+    asyncio.run(test())
+
+
+def test_cache_events_come_once_and_in_order():
+    async def test():
+        async with benches.engine_bench() as bench, watched(bench) as queue:
+            for number in range(3):
+                content = f"{number}" * 600
+                message = {"role": "user", "content": content}
+                call = benches.make_call(f"r{number}", messages=[message])
+                await benches.read_all((await bench.open(call)).unwrap())
+            found = [await next_of(queue, events.CacheChanged) for _ in range(3)]
+        assert [event.sequence for event in found] == [1, 2, 3]
+        assert all(len(event.stored) == 2 for event in found)
+
+    asyncio.run(test())
+
+
+def test_crashed_engine_goes_down_and_comes_back():
+    async def test():
+        async with benches.engine_bench() as bench, watched(bench) as queue:
+            await next_of(queue, events.LoadReported)
+            await bench.served.crash()
+            down = await next_of(queue, decisions.Probed)
+            await bench.served.restart()
+            up = await next_of(queue, decisions.Probed)
+        assert (down.up, up.up) == (False, True)
+
+    asyncio.run(test())
+
+
+def test_server_that_left_the_configuration_is_asked_no_more():
+    async def test():
+        async with benches.engine_bench() as bench:
+            watcher = reports.make_watcher(bench.session, lambda _: None, QUICK)
+            reports.update(watcher, (bench.server,))
+            reports.update(watcher, ())
+            assert watcher.tasks == {}
+
+    asyncio.run(test())
--- /dev/null
+++ b/hickoryweir/platform/decisions.py
@@ -0,0 +1,173 @@
+"""Decides the state of each backend server from all that is known of it.
+
+Three sources speak: the platform's list of VMs (late, may be missing or old),
+the router's own probes, and operators' planned stops.  A server is leaving as
+soon as one source says so.  It is gone only on evidence: the probes fail, or
+the list, which had it before, no longer has it *and* the probes fail.  A list
+that is missing, old or empty changes nothing.
+
+Pure: ``observe(state, observation) -> (state, changes)``.
+
+Examples
+--------
+>>> state = make_state(("engine-1",))
+>>> state, changes = observe(state, Listed(1, (Vm("engine-1", VmState.LEAVING),)))
+>>> changes[0].state
+<ServerState.LEAVING: 'leaving'>
+>>> observe(state, Listed(2, ()))[1]
+()
+"""
+
+import dataclasses
+import enum
+
+from hickoryweir.policy import events
+
+
+class VmState(enum.StrEnum):
+    """What the platform says of a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Vm:
+    """One VM of the list; its name is the backend server's."""
+
+    name: str
+    state: VmState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listed:
+    """A list of VMs; lists with a lower version than one seen are old."""
+
+    version: int
+    vms: tuple[Vm, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probed:
+    """A probe found a backend server up or down."""
+
+    backend_server: str
+    up: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopPlanned:
+    """An operator stops a backend server, or cancels the stop."""
+
+    backend_server: str
+    stopping: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configured:
+    """The backend servers of the configuration in force."""
+
+    backend_servers: tuple[str, ...]
+
+
+Observation = Listed | Probed | StopPlanned | Configured
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """What is known of one backend server.
+
+    ``listed`` is the platform's last word; None if it never named the server or
+    names it no longer.
+    """
+
+    listed: VmState | None = None
+    up: bool = True
+    stopping: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """Evidence for each backend server, and the newest list's version."""
+
+    list_version: int
+    evidence: dict[str, Evidence]
+
+
+def make_state(backend_servers: tuple[str, ...]) -> State:
+    """Return the state in which every server is taken for live."""
+    return State(-1, dict.fromkeys(backend_servers, Evidence()))
+
+
+def server_state(evidence: Evidence) -> events.ServerState:
+    """Return the state that follows from the evidence."""
+    if not evidence.up:
+        return events.ServerState.GONE
+    if evidence.stopping or evidence.listed is VmState.LEAVING:
+        return events.ServerState.LEAVING
+    return events.ServerState.LIVE
+
+
+def observe(
+    state: State, observation: Observation
+) -> tuple[State, tuple[events.ServerStateChanged, ...]]:
+    """Take an observation.
+
+    Parameters
+    ----------
+    state : State
+        What was known.
+    observation : Observation
+        What is new.
+
+    Returns
+    -------
+    tuple of State and tuple of events.ServerStateChanged
+        What is known now, and each server whose state is another one now.
+    """
+    after = _apply(state, observation)
+    changes = tuple(
+        events.ServerStateChanged(name, server_state(evidence))
+        for name, evidence in after.evidence.items()
+        if name not in state.evidence
+        or server_state(evidence) is not server_state(state.evidence[name])
+    )
+    return after, changes
+
+
+def _apply(state: State, observation: Observation) -> State:
+    match observation:
+        case Listed():
+            return _apply_list(state, observation)
+        case Probed(name, up):
+            return _replace(state, name, up=up)
+        case StopPlanned(name, stopping):
+            return _replace(state, name, stopping=stopping)
+        case Configured(names):
+            evidence = {name: state.evidence.get(name, Evidence()) for name in names}
+            return dataclasses.replace(state, evidence=evidence)
+
+
+def _replace(state: State, name: str, **fields: bool) -> State:
+    known = state.evidence.get(name)
+    if known is None:
+        return state
+    changed = dataclasses.replace(known, **fields)
+    return dataclasses.replace(state, evidence=state.evidence | {name: changed})
+
+
+def _apply_list(state: State, listed: Listed) -> State:
+    if listed.version < state.list_version or not listed.vms:
+        return state
+    named = {vm.name: vm.state for vm in listed.vms}
+    evidence = {
+        name: dataclasses.replace(known, listed=_last_word(known, named.get(name)))
+        for name, known in state.evidence.items()
+    }
+    return State(listed.version, evidence)
+
+
+def _last_word(known: Evidence, said: VmState | None) -> VmState | None:
+    if said is None and known.listed is VmState.LEAVING:
+        return VmState.LEAVING
+    return said
--- /dev/null
+++ b/hickoryweir/platform/poller.py
@@ -0,0 +1,92 @@
+"""Polls the platform's list of live and leaving VMs.
+
+Each new list is given on as a :class:`decisions.Listed`; an outage gives
+nothing, so that it takes no backend server out.  ``docs/peers.md`` has the
+list's shape.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+import aiohttp
+import pydantic
+from returns import result
+
+from hickoryweir.engines import backoff, reads
+from hickoryweir.platform import decisions
+
+POLL_INTERVAL_S = 0.5
+TIMEOUT_S = 2.0
+LONGEST_WAIT_S = 5.0
+
+
+class VmEntry(reads.Document):
+    """One VM as the platform lists it."""
+
+    name: str = pydantic.Field(min_length=1)
+    state: decisions.VmState
+
+
+class VmList(reads.Document):
+    """The platform's list."""
+
+    version: int = pydantic.Field(ge=0)
+    vms: list[VmEntry]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PollSettings:
+    """How often and how long to ask."""
+
+    interval_s: float = POLL_INTERVAL_S
+    timeout_s: float = TIMEOUT_S
+    longest_wait_s: float = LONGEST_WAIT_S
+
+
+async def fetch(
+    session: aiohttp.ClientSession, url: str, timeout_s: float = TIMEOUT_S
+) -> result.Result[decisions.Listed, reads.ReadFailure]:
+    """Return the list of VMs as it is known to the platform now."""
+    read = await reads.read_document(session, f"{url}/vms", VmList, timeout_s)
+    return read.map(make_listed)
+
+
+def make_listed(document: VmList) -> decisions.Listed:
+    """Return a checked list as an observation."""
+    vms = tuple(decisions.Vm(entry.name, entry.state) for entry in document.vms)
+    return decisions.Listed(document.version, vms)
+
+
+async def run(
+    session: aiohttp.ClientSession,
+    url: str,
+    post: Callable[[decisions.Listed], None],
+    settings: PollSettings | None = None,
+) -> None:
+    """Poll until cancelled and give each list on.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        See :func:`hickoryweir.engines.sessions.make_session`.
+    url : str
+        Base URL of the platform's interface.
+    post : function
+        Takes each list, such as a queue's ``put_nowait``.
+    settings : PollSettings, optional
+        How often and how long to ask.
+    """
+    settings = settings or PollSettings()
+    failures_count = 0
+    while True:
+        listed = await fetch(session, url, settings.timeout_s)
+        if isinstance(listed, result.Success):
+            failures_count = 0
+            post(listed.unwrap())
+        else:
+            failures_count += 1
+        wait_s = backoff.wait_s(
+            settings.interval_s, settings.longest_wait_s, failures_count, url
+        )
+        await asyncio.sleep(wait_s)
--- /dev/null
+++ b/hickoryweir/platform/tests/test_poller.py
@@ -0,0 +1,61 @@
+"""Polling the stand-in platform."""
+
+import asyncio
+import contextlib
+
+from hickoryweir.engines.tests import benches
+from hickoryweir.platform import decisions, poller
+from hickoryweir.testing import platform_list
+
+QUICK = poller.PollSettings(interval_s=0.005, timeout_s=2.0, longest_wait_s=0.01)
+SETTINGS = platform_list.PlatformSettings(vms=("e1", "e2"), lag_s=0.02)
+
+
+@contextlib.asynccontextmanager
+async def polled():
+    async with benches.app_bench(platform_list.make_app(SETTINGS)) as bench:
+        queue = asyncio.Queue()
+        running = poller.run(bench.session, bench.server.url, queue.put_nowait, QUICK)
+        task = asyncio.create_task(running)
+        try:
+            yield bench, queue
+        finally:
+            task.cancel()
+
+
+def test_leaving_vm_is_seen_after_the_lag():
+    async def test():
+        async with polled() as (bench, queue):
+            platform = bench.app[platform_list.PLATFORM]
+            platform_list.change(platform, "e1", "leaving")
+            while (await queue.get()).vms[0].state is not decisions.VmState.LEAVING:
+                pass
+
+    asyncio.run(test())
+
+
+def test_outage_gives_nothing_and_the_list_comes_back():
+    async def test():
+        async with polled() as (bench, queue):
+            await queue.get()
+            await bench.faults(unavailable=True)
+            while not queue.empty():
+                queue.get_nowait()
+            await asyncio.sleep(0.03)
+            quiet = queue.qsize()
+            await bench.faults(unavailable=False)
+            back = await queue.get()
+        assert quiet <= 1
+        assert len(back.vms) == 2
+
+    asyncio.run(test())
+
+
+def test_list_of_another_shape_is_a_failure():
+    async def test():
+        async with benches.engine_bench() as bench:
+            url = bench.server.url + "/health?"
+            read = await poller.fetch(bench.session, url)
+        assert read.failure().answered
+
+    asyncio.run(test())
--- a/hickoryweir/testing/engine_control.py
+++ b/hickoryweir/testing/engine_control.py
@@ -82,7 +82,9 @@
         for event in engine.cache_events
         if event.sequence > after and event.changed_at_s <= newest_s
     ]
-    return web.json_response({"events": published})
+    known = (e.sequence for e in engine.cache_events if e.changed_at_s <= newest_s)
+    last = max(known, default=0)
+    return web.json_response({"events": published, "last_sequence": last})
 
 
 async def handle_order(request: web.Request) -> web.Response:
--- /dev/null
+++ b/hickoryweir/testing/platform_list.py
@@ -0,0 +1,106 @@
+"""A stand-in platform: its list of live and leaving VMs, which lags."""
+
+import asyncio
+import dataclasses
+import time
+from typing import Literal
+
+import pydantic
+from aiohttp import web
+
+PLATFORM = web.AppKey("platform", "Platform")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """The VMs at the start, and the age of the list that is shown."""
+
+    vms: tuple[str, ...] = ()
+    lag_s: float = 1.0
+
+
+class Change(pydantic.BaseModel):
+    """Body of ``POST /vms/{name}``."""
+
+    state: Literal["live", "leaving", "removed"]
+
+
+class PlatformFaults(pydantic.BaseModel):
+    """What goes wrong; ``empty`` shows a list without VMs."""
+
+    unavailable: bool = False
+    empty: bool = False
+    delay_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The list as it was from some time on."""
+
+    changed_at_s: float
+    version: int
+    vms: tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Platform:
+    """State of a stand-in platform; the oldest snapshot comes first."""
+
+    settings: PlatformSettings
+    snapshots: list[Snapshot]
+    active_faults: PlatformFaults = dataclasses.field(default_factory=PlatformFaults)
+
+
+def make_app(settings: PlatformSettings) -> web.Application:
+    """Return a stand-in platform as an application."""
+    app = web.Application()
+    vms = tuple((name, "live") for name in settings.vms)
+    app[PLATFORM] = Platform(settings, [Snapshot(-float("inf"), 1, vms)])
+    app.add_routes(
+        [
+            web.get("/vms", handle_list),
+            web.post("/vms/{name}", handle_change),
+            web.post("/faults", handle_faults),
+        ]
+    )
+    return app
+
+
+def change(platform: Platform, name: str, state: str) -> None:
+    """Change one VM; the list shows it later."""
+    last = platform.snapshots[-1]
+    vms = dict(last.vms)
+    vms.pop(name, None)
+    if state != "removed":
+        vms[name] = state
+    snapshot = Snapshot(time.monotonic(), last.version + 1, tuple(sorted(vms.items())))
+    platform.snapshots.append(snapshot)
+
+
+async def handle_list(request: web.Request) -> web.Response:
+    """Answer the list as it was some time ago."""
+    platform = request.app[PLATFORM]
+    await asyncio.sleep(platform.active_faults.delay_s)
+    if platform.active_faults.unavailable:
+        return web.Response(status=503)
+    newest_s = time.monotonic() - platform.settings.lag_s
+    shown = [s for s in platform.snapshots if s.changed_at_s <= newest_s][-1]
+    vms = [{"name": name, "state": state} for name, state in shown.vms]
+    listed = [] if platform.active_faults.empty else vms
+    return web.json_response({"version": shown.version, "vms": listed})
+
+
+async def handle_change(request: web.Request) -> web.Response:
+    """Change one VM."""
+    platform = request.app[PLATFORM]
+    wanted = Change.model_validate_json(await request.read())
+    change(platform, request.match_info["name"], wanted.state)
+    return web.json_response({"version": platform.snapshots[-1].version})
+
+
+async def handle_faults(request: web.Request) -> web.Response:
+    """Switch faults on; fields that are not named are off."""
+    platform = request.app[PLATFORM]
+    body = await request.read()
+    platform.active_faults = PlatformFaults.model_validate_json(body)
+    return web.json_response(platform.active_faults.model_dump())
--- /dev/null
+++ b/hickoryweir/weights/client.py
@@ -0,0 +1,46 @@
+"""Asks the weight store what rate it grants."""
+
+import aiohttp
+import pydantic
+from returns import result
+
+from hickoryweir.engines import reads
+
+TIMEOUT_S = 2.0
+
+
+class RateStatus(reads.Document):
+    """What the weight store says of its rate limit.
+
+    Attributes
+    ----------
+    rate_bytes_per_s : float
+        Bytes that all readers together may fetch in a second.
+    available_bytes : float
+        Bytes that may be fetched at once now.
+    """
+
+    rate_bytes_per_s: float = pydantic.Field(ge=0.0, allow_inf_nan=False)
+    available_bytes: float = pydantic.Field(allow_inf_nan=False)
+
+
+async def fetch_rate(
+    session: aiohttp.ClientSession, url: str, timeout_s: float = TIMEOUT_S
+) -> result.Result[RateStatus, reads.ReadFailure]:
+    """Return the weight store's rate status.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        See :func:`hickoryweir.engines.sessions.make_session`.
+    url : str
+        Base URL of the weight store.
+    timeout_s : float, optional
+        Longest wait.
+
+    Returns
+    -------
+    Result of RateStatus or of reads.ReadFailure
+        A failure means that the configured rate counts.
+    """
+    return await reads.read_document(session, f"{url}/rate", RateStatus, timeout_s)
--- /dev/null
+++ b/hickoryweir/weights/rates.py
@@ -0,0 +1,70 @@
+"""A shared rate as a pure token bucket over bytes.
+
+Examples
+--------
+>>> bucket = make_bucket(rate_bytes_per_s=10.0, capacity_bytes=100.0, now_s=0.0)
+>>> bucket, granted = take(bucket, 100.0, now_s=0.0)
+>>> granted, take(bucket, 50.0, now_s=1.0)[1], ready_at_s(bucket, 50.0)
+(True, False, 5.0)
+"""
+
+import dataclasses
+import math
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bucket:
+    """Bytes that may be fetched: ``available_bytes`` at ``updated_at_s``."""
+
+    rate_bytes_per_s: float
+    capacity_bytes: float
+    available_bytes: float
+    updated_at_s: float
+
+
+def make_bucket(rate_bytes_per_s: float, capacity_bytes: float, now_s: float) -> Bucket:
+    """Return a full bucket."""
+    return Bucket(rate_bytes_per_s, capacity_bytes, capacity_bytes, now_s)
+
+
+def take(bucket: Bucket, size_bytes: float, now_s: float) -> tuple[Bucket, bool]:
+    """Take bytes if the bucket has them.
+
+    More than the bucket's capacity is granted when it is full, and leaves a
+    debt, so that a large load is late but not impossible.
+
+    Parameters
+    ----------
+    bucket : Bucket
+        The bucket before.
+    size_bytes : float
+        Wanted bytes.
+    now_s : float
+        Monotonic time; an earlier one than the bucket's adds nothing.
+
+    Returns
+    -------
+    tuple of Bucket and bool
+        The bucket after, and whether the bytes were granted.
+    """
+    passed_s = max(0.0, now_s - bucket.updated_at_s)
+    gained = bucket.available_bytes + passed_s * bucket.rate_bytes_per_s
+    available = min(bucket.capacity_bytes, gained)
+    granted = available >= min(size_bytes, bucket.capacity_bytes)
+    if granted:
+        available -= size_bytes
+    updated_at_s = max(now_s, bucket.updated_at_s)
+    after = dataclasses.replace(
+        bucket, available_bytes=available, updated_at_s=updated_at_s
+    )
+    return after, granted
+
+
+def ready_at_s(bucket: Bucket, size_bytes: float) -> float:
+    """Return when so many bytes can be taken, if nothing else is."""
+    lacking = min(size_bytes, bucket.capacity_bytes) - bucket.available_bytes
+    if lacking <= 0.0:
+        return bucket.updated_at_s
+    if bucket.rate_bytes_per_s <= 0.0:
+        return math.inf
+    return bucket.updated_at_s + lacking / bucket.rate_bytes_per_s
