--- a/hickoryweir/engines/tests/test_orders_plan.py
+++ b/hickoryweir/engines/tests/test_orders_plan.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from hypothesis import given, settings
+import hypothesis
 from hypothesis import strategies as st
 
 from hickoryweir.configuration import model
@@ -123,8 +123,8 @@
 )
 
 
-@given(VIEWS)
-@settings(derandomize=True, database=None, deadline=None, max_examples=200)
+@hypothesis.given(VIEWS)
+@hypothesis.settings(derandomize=True, database=None, deadline=None, max_examples=200)
 def test_a_served_model_stays_served(drawn):
     views = []
     for number, (version, state, in_hand, status) in enumerate(drawn):
--- a/hickoryweir/platform/tests/test_decisions.py
+++ b/hickoryweir/platform/tests/test_decisions.py
@@ -1,6 +1,6 @@
 """What the platform's list, probes and planned stops mean together."""
 
-from hypothesis import given, settings
+import hypothesis
 from hypothesis import strategies as st
 
 from hickoryweir.platform import decisions
@@ -71,7 +71,7 @@
 )
 
 
-@given(st.lists(LISTED, max_size=10))
-@settings(derandomize=True, database=None, deadline=None, max_examples=100)
+@hypothesis.given(st.lists(LISTED, max_size=10))
+@hypothesis.settings(derandomize=True, database=None, deadline=None, max_examples=100)
 def test_lists_alone_never_make_a_server_gone(lists):
     assert all(state != events.ServerState.GONE for _, state in observe_all(*lists))
--- a/hickoryweir/weights/tests/test_rates.py
+++ b/hickoryweir/weights/tests/test_rates.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from hypothesis import given, settings
+import hypothesis
 from hypothesis import strategies as st
 
 from hickoryweir.engines.tests import benches
@@ -25,8 +25,8 @@
 STEPS = st.lists(st.tuples(st.floats(0.0, 10.0), st.floats(0.0, 300.0)), max_size=30)
 
 
-@given(STEPS)
-@settings(derandomize=True, database=None, deadline=None, max_examples=100)
+@hypothesis.given(STEPS)
+@hypothesis.settings(derandomize=True, database=None, deadline=None, max_examples=100)
 def test_rate_is_kept_over_any_span(steps):
     bucket, now_s, granted_bytes, last_bytes = rates.make_bucket(10, 100, 0), 0.0, 0, 0
     for wait_s, size_bytes in steps:
