--- /dev/null
+++ b/hickoryweir/daemon/backends.py
@@ -0,0 +1,107 @@
+"""Follows the backend servers of the configuration in force.
+
+Reports and probes of each backend server, the platform's list of VMs and the
+planned stops come together here; the policy core learns of reports as they are
+and of every change of state that :mod:`hickoryweir.platform.decisions` finds.
+"""
+
+import dataclasses
+
+import aiohttp
+
+from hickoryweir.configuration import commands, model, stops
+from hickoryweir.daemon import dispatcher
+from hickoryweir.engines import reports
+from hickoryweir.observability import logs
+from hickoryweir.platform import decisions
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Followers:
+    """What is known of the backend servers, and the tasks that watch them.
+
+    Attributes
+    ----------
+    servers : dict
+        Backend servers in the configuration in force, by name.
+    state : decisions.State
+        Evidence for each of them.
+    """
+
+    dispatcher: dispatcher.Dispatcher
+    servers: dict[str, model.BackendServer]
+    state: decisions.State
+    watcher: reports.Watcher | None = None
+
+
+def make_followers(
+    given: dispatcher.Dispatcher, session: aiohttp.ClientSession
+) -> Followers:
+    """Return followers of no backend servers yet."""
+    followers = Followers(given, {}, decisions.make_state(()))
+    followers.watcher = reports.make_watcher(
+        session, lambda message: take(followers, message)
+    )
+    return followers
+
+
+def take(followers: Followers, message: reports.Message) -> None:
+    """Take a report, or the result of a probe."""
+    if isinstance(message, decisions.Probed):
+        observe(followers, message)
+    else:
+        dispatcher.post(followers.dispatcher, message)
+
+
+def follow(
+    followers: Followers,
+    configuration: model.Configuration,
+    running_stops: tuple[stops.Stop, ...],
+) -> None:
+    """Follow the backend servers of a newer configuration.
+
+    Parameters
+    ----------
+    followers : Followers
+        Changed in place; their dictionary of servers stays the same object.
+    configuration : model.Configuration
+        The configuration now in force.
+    running_stops : tuple of stops.Stop
+        Planned stops now in force.
+    """
+    wanted = {server.name: server for server in configuration.backend_servers}
+    followers.servers.clear()
+    followers.servers.update(wanted)
+    reports.update(followers.watcher, configuration.backend_servers)
+    observe(followers, decisions.Configured(tuple(wanted)))
+    for name, server in wanted.items():
+        stopping = is_stopping(server, running_stops)
+        observe(followers, decisions.StopPlanned(name, stopping))
+
+
+def is_stopping(
+    server: model.BackendServer, running_stops: tuple[stops.Stop, ...]
+) -> bool:
+    """Return whether a planned stop covers a backend server."""
+    covered = {
+        (commands.SubjectKind.BACKEND_SERVER, server.name),
+        (commands.SubjectKind.AVAILABILITY_ZONE, server.availability_zone),
+        (commands.SubjectKind.PROVIDER, server.provider),
+    }
+    return any((stop.kind, stop.name) in covered for stop in running_stops)
+
+
+def observe(followers: Followers, observation: decisions.Observation) -> None:
+    """Take an observation and tell the policy core of each change of state."""
+    followers.state, changes = decisions.observe(followers.state, observation)
+    for change in changes:
+        dispatcher.post(followers.dispatcher, change)
+        fields = logs.Fields(
+            backend_server=change.backend_server, detail=str(change.state)
+        )
+        logs.info("backend server changed state", fields)
+
+
+async def stop(followers: Followers) -> None:
+    """Stop watching all backend servers."""
+    await reports.close(followers.watcher)
