Replicas: a copied folder is refused, a member that lost entries is caught up

Cause: an old copy of a data folder that is put back has forgotten votes and acknowledgements. Change: the identity file holds its own inode number, which a copy doesn't share; a leader that sees an acknowledged entry rejected sends it again and shows the member as lagging. An image of a whole disk put back under a member stays undetected.

--- a/hickoryweir/replicas/files.py
+++ b/hickoryweir/replicas/files.py
@@ -28,6 +28,8 @@
         ``reopen(path, size_bytes)`` cuts the file and returns a handle at its end.
     append : callable
         ``append(handle, data)`` writes all of `data`.
+    number : callable
+        ``number(path)`` returns the file's inode number; a copy has another.
     sync : callable
         ``sync(handle)`` returns once the content is durable.
     close : callable
@@ -46,6 +48,7 @@
     create: Callable
     reopen: Callable
     append: Callable
+    number: Callable
     sync: Callable
     close: Callable
     overwrite: Callable
@@ -63,6 +66,7 @@
         create=_create,
         reopen=_reopen,
         append=_append,
+        number=lambda path: os.stat(path).st_ino,
         sync=os.fsync,
         close=os.close,
         overwrite=_overwrite,
--- a/hickoryweir/replicas/inspect.py
+++ b/hickoryweir/replicas/inspect.py
@@ -31,6 +31,8 @@
         Log files.
     members : tuple of messages.Member
         Members of the newest membership in the folder.
+    is_copy : bool
+        Whether a replica would refuse the folder because it is a copy.
     """
 
     path: str
@@ -47,6 +49,7 @@
     segments_count: int = 0
     torn_size_bytes: int = 0
     members: tuple[messages.Member, ...] = ()
+    is_copy: bool = False
 
 
 def check_folder(path: str, files: file_operations.Files | None = None) -> FolderReport:
@@ -59,11 +62,13 @@
     files : files.Files, optional
         Replaces the real file system, for tests.
     """
-    outcome = recovery.recover(files or file_operations.make_files(), path)
+    operations = files or file_operations.make_files()
+    outcome = recovery.recover(operations, path)
     found = outcome.value_or(None)
     if found is None:
         return FolderReport(path, outcome.failure())
-    return _make_report(path, found)
+    is_copy = recovery.is_copy(operations, path, found.identity)
+    return dataclasses.replace(_make_report(path, found), is_copy=is_copy)
 
 
 def _make_report(path: str, found: recovery.Recovered) -> FolderReport:
--- a/hickoryweir/replicas/records.py
+++ b/hickoryweir/replicas/records.py
@@ -30,13 +30,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Identity:
-    """Whose folder it is; `incarnation` is random and never used twice."""
+    """Whose folder it is.
+
+    `incarnation` is random and never used twice.  `file_number` is the inode number
+    of this very file: in a copy that was put back it differs, and what a copy lacks
+    had perhaps been acknowledged.
+    """
 
     format_version: int
     cluster_id: str
     group: str
     replica_name: str
     incarnation: str
+    file_number: int
 
     @property
     def member_id(self) -> str:
@@ -104,6 +110,7 @@
     DAMAGED = "damaged"
     MISSING = "missing"
     FOREIGN = "foreign"
+    COPIED = "copied"
     UNKNOWN_FORMAT = "unknown_format"
     INPUT_OUTPUT = "input_output"
 
--- a/hickoryweir/replicas/recovery.py
+++ b/hickoryweir/replicas/recovery.py
@@ -63,6 +63,14 @@
         return result.Failure(_io_failure(folder, error))
 
 
+def is_copy(
+    files: file_operations.Files, folder: str, identity: records.Identity
+) -> bool:
+    """Return whether the folder's files are a copy that was put back."""
+    path = os.path.join(folder, records.IDENTITY_NAME)
+    return files.number(path) != identity.file_number
+
+
 def recover(
     files: file_operations.Files, folder: str
 ) -> result.Result[Recovered, records.StorageFailure]:
--- a/hickoryweir/replicas/replication.py
+++ b/hickoryweir/replicas/replication.py
@@ -236,8 +236,7 @@
 
 def _step_back(progress: states.Progress, response: messages.AppendResponse) -> None:
     if response.rejected_index <= progress.match_index:
-        progress.lost_entries = True
-        return
+        progress.match_index = 0
     wanted = min(response.rejected_index, response.match_index + 1)
     progress.next_index = max(progress.match_index + 1, wanted)
     progress.probing = True
@@ -265,7 +264,7 @@
     progress.match_index = max(progress.match_index, match_index)
     progress.next_index = max(progress.next_index, progress.match_index + 1)
     progress.probing = False
-    progress.lost_entries = False
+    progress.acknowledged_index = max(progress.acknowledged_index, progress.match_index)
 
 
 def _note_answer(
--- a/hickoryweir/replicas/state.py
+++ b/hickoryweir/replicas/state.py
@@ -59,8 +59,8 @@
 class Progress:
     """What a leader knows of another member.
 
-    `lost_entries` says that the member rejects what it had acknowledged: its folder
-    is older than its word, and it has to be replaced.
+    `match_index` lies below `acknowledged_index` while the member lacks entries that
+    it had acknowledged: its folder is older than its word.
     """
 
     next_index: int
@@ -72,7 +72,12 @@
     acknowledged_s: float = 0.0
     snapshot_offset: int | None = None
     snapshot_index: int = 0
-    lost_entries: bool = False
+    acknowledged_index: int = 0
+
+    @property
+    def lost_entries(self) -> bool:
+        """Return whether the member lacks entries that it had acknowledged."""
+        return self.match_index < self.acknowledged_index
 
 
 @dataclasses.dataclass(slots=True)
--- a/hickoryweir/replicas/storage.py
+++ b/hickoryweir/replicas/storage.py
@@ -87,10 +87,16 @@
         identity = known.unwrap()
         if identity is None:
             incarnation = make_token(INCARNATION_SIZE_BYTES)
-            identity = records.Identity(records.FORMAT_VERSION, *wanted, incarnation)
+            identity = records.Identity(records.FORMAT_VERSION, *wanted, incarnation, 0)
             _make_folder(files, folder, identity, make_token)
         elif (identity.cluster_id, identity.group, identity.replica_name) != wanted:
             return result.Failure(_foreign(folder, identity))
+        elif recovery.is_copy(files, folder, identity):
+            return result.Failure(
+                records.StorageFailure(
+                    records.Problem.COPIED, folder, "a copy of a member's folder"
+                )
+            )
         return recovery.recover(files, folder).map(
             lambda found: _open_recovered(files, folder, found)
         )
@@ -196,7 +202,23 @@
     salt = int(make_token(4), 16)
     handle, _ = _make_segment(files, folder, identity, 1, salt, b"")
     files.close(handle)
-    _write_whole(files, folder, records.IDENTITY_NAME, [codec.encode(identity)])
+    _write_identity(files, folder, identity)
+
+
+def _write_identity(
+    files: file_operations.Files, folder: str, identity: records.Identity
+) -> None:
+    path = os.path.join(folder, records.IDENTITY_NAME)
+    temporary_path = path + records.TEMPORARY_SUFFIX
+    handle = files.create(temporary_path)
+    number = files.number(temporary_path)
+    numbered = dataclasses.replace(identity, file_number=number)
+    body = codec.encode(numbered)
+    files.append(handle, frames.make_frame(0, body, records.FIXED_SALT))
+    files.sync(handle)
+    files.close(handle)
+    files.rename(temporary_path, path)
+    files.sync_folder(folder)
 
 
 def _write_whole(
--- a/hickoryweir/replicas/tests/memory_files.py
+++ b/hickoryweir/replicas/tests/memory_files.py
@@ -1,6 +1,7 @@
 """A file system in memory that forgets what was not synced, and can fail at will."""
 
 import dataclasses
+import itertools
 import os
 
 from hickoryweir.replicas import files
@@ -12,6 +13,7 @@
 
     content: bytearray = dataclasses.field(default_factory=bytearray)
     synced: bytes = b""
+    number: int = dataclasses.field(default_factory=itertools.count(1).__next__)
 
 
 class MemoryFiles:
@@ -32,6 +34,16 @@
         if limit is not None and self.operation_count > limit:
             raise OSError(28, "no space left on device")
 
+    def copy(self):
+        """Return an image of the whole disk as it is now."""
+        other = MemoryFiles()
+        other.names = {
+            name: Inode(bytearray(inode.content), inode.synced, inode.number)
+            for name, inode in self.names.items()
+        }
+        other.synced_names = dict(other.names)
+        return other
+
     def crash(self, random):
         """Lose some of what was not synced, as a power cut would."""
         names = {}
@@ -66,6 +78,7 @@
             create=self._create,
             reopen=self._reopen,
             append=self._append,
+            number=lambda path: self.names[path].number,
             sync=self._sync,
             close=lambda handle: None,
             overwrite=self._overwrite,
--- a/hickoryweir/replicas/tests/test_simulation.py
+++ b/hickoryweir/replicas/tests/test_simulation.py
@@ -198,6 +198,22 @@
     assert healthy.state.role is states.Role.PRE_CANDIDATE
 
 
+def put_back_old_disk(cluster, process, old_disk):
+    cluster.crash(process.name)
+    process.disk = old_disk
+    cluster.start(process.name)
+
+
+def test_old_disk_is_told_and_caught_up_by_the_leader():
+    cluster = make_running()
+    returning = others(cluster)[0]
+    old_disk = returning.disk.copy()
+    propose_and_run(cluster)
+    put_back_old_disk(cluster, returning, old_disk)
+    cluster.run(2.0)
+    assert returning.digest == cluster.leader().digest
+
+
 def test_failed_sync_ends_all_promises():
     cluster = make_running()
     follower = others(cluster)[0]
--- a/hickoryweir/replicas/tests/test_storage.py
+++ b/hickoryweir/replicas/tests/test_storage.py
@@ -1,11 +1,12 @@
 """A data folder through crashes, damage and full disks."""
 
 import random
+import shutil
 
 import pytest
 from returns import result
 
-from hickoryweir.replicas import inspect, messages, records, storage
+from hickoryweir.replicas import files, inspect, messages, records, storage
 from hickoryweir.replicas.tests import memory_files
 
 FOLDER = "/data"
@@ -105,6 +106,16 @@
     assert open_folder(memory).failure().problem is records.Problem.MISSING
 
 
+def test_copy_of_a_folder_is_refused(tmp_path):
+    original, copy = tmp_path / "original", tmp_path / "copy"
+    operations = files.make_files()
+    wanted = ("north", "", "a")
+    storage.open_folder(operations, str(original), *wanted).unwrap()
+    shutil.copytree(original, copy)
+    failure = storage.open_folder(operations, str(copy), *wanted).failure()
+    assert failure.problem is records.Problem.COPIED
+
+
 @pytest.mark.parametrize(("name", "cluster_id"), [("b", "north"), ("a", "south")])
 def test_folder_of_another_is_refused(name, cluster_id):
     memory, _ = make_filled()
