Routers on virtual time, measured; only changed sections are read

Cause: reading the whole configuration took most of the time to the last router. Change: a canonical text is read section by section with a cache of what was read before; topology made once per process; digests get a credit per link; the fault tests and the measurement share one simulation.

--- a/hickoryweir/configuration/inifile.py
+++ b/hickoryweir/configuration/inifile.py
@@ -92,6 +92,37 @@
     Result of Content or InvalidInput
         The sections as data class instances.
     """
+    parsed = _read_text(text, file)
+    return parsed.bind(lambda parser: _check(parser, file, layout))
+
+
+def load_section(
+    text: str, file: str, layout: Layout
+) -> result.Result[tuple[str, Any], problems.InvalidInput]:
+    """Return kind and checked value of a text that is one section.
+
+    Parameters
+    ----------
+    text : str
+        The section with its title line.
+    file, layout
+        As for :func:`load`.
+    """
+    return _read_text(text, file).bind(
+        lambda parser: _check_single(parser, file, layout)
+    )
+
+
+def _check_single(parser, file, layout):
+    found: list[problems.Problem] = []
+    title = parser.sections()[0]
+    kind, value = _check_any(file, title, dict(parser[title]), layout, found)
+    if found:
+        return result.Failure(problems.InvalidInput(tuple(found)))
+    return result.Success((kind, value))
+
+
+def _read_text(text, file):
     parser = configparser.ConfigParser(
         interpolation=None,
         delimiters=("=",),
@@ -105,7 +136,7 @@
             file, "", "", _first_line(error), "INI text: [section] and key = value"
         )
         return result.Failure(problems.InvalidInput((problem,)))
-    return _check(parser, file, layout)
+    return result.Success(parser)
 
 
 def _first_line(error: configparser.Error) -> str:
@@ -117,17 +148,12 @@
     single: dict[str, Any] = {}
     named: dict[str, list[Any]] = {kind: [] for kind in layout.named}
     for title in parser.sections():
-        kind, _, name = title.partition(" ")
         values = dict(parser[title])
-        if kind in layout.named and name.strip():
-            values = {"name": name.strip(), **values}
-            value = _check_section(file, title, values, layout.named[kind], found)
+        kind, value = _check_any(file, title, values, layout, found)
+        if kind in named:
             named[kind].append(value)
-        elif title in layout.single:
-            schema = layout.single[title]
-            single[title] = _check_section(file, title, values, schema, found)
-        else:
-            found.append(_unknown_section(file, title, layout))
+        elif kind:
+            single[kind] = value
     for title in layout.single.keys() - single.keys():
         schema = layout.single[title]
         single[title] = _check_section(file, title, {}, schema, found)
@@ -136,6 +162,20 @@
     return result.Success(Content(single, _sorted_by_name(named)))
 
 
+def _check_any(file, title, values, layout, found):
+    """Return kind and value of a section; no kind if it is unknown."""
+    kind, _, name = title.partition(" ")
+    if kind in layout.named and name.strip():
+        values = {"name": name.strip(), **values}
+        value = _check_section(file, title, values, layout.named[kind], found)
+        return kind, value
+    if title in layout.single:
+        schema = layout.single[title]
+        return title, _check_section(file, title, values, schema, found)
+    found.append(_unknown_section(file, title, layout))
+    return "", None
+
+
 def _sorted_by_name(named):
     return {
         kind: tuple(sorted(values, key=lambda value: value.name))
--- a/hickoryweir/configuration/parse.py
+++ b/hickoryweir/configuration/parse.py
@@ -1,8 +1,19 @@
 """Parses the INI text of a configuration and checks it as a whole."""
 
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
 from returns import result
 
-from hickoryweir.configuration import inifile, model, problems, render, schema
+from hickoryweir.configuration import (
+    deltas,
+    inifile,
+    model,
+    problems,
+    render,
+    schema,
+)
 
 ConfigurationError = problems.InvalidInput
 
@@ -29,26 +40,89 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SectionCache:
+    """Checked sections by their text, as of the last canonical text."""
+
+    sections: Mapping[str, tuple[str, Any]]
+
+
+EMPTY_CACHE = SectionCache({})
+
+
+def parse_canonical(
+    text: str, digest: str, file: str, cache: SectionCache = EMPTY_CACHE
+) -> result.Result[tuple[model.Configuration, SectionCache], ConfigurationError]:
+    """Return the configuration in a canonical text, reading only new sections.
+
+    Parameters
+    ----------
+    text : str
+        Canonical text; a text of another form is read as a whole.
+    digest : str
+        Its digest, already checked.
+    file : str
+        Name for errors.
+    cache : SectionCache, optional
+        Of the text before.
+
+    Returns
+    -------
+    Result of tuple or ConfigurationError
+        The same configuration as from :func:`parse`, and the cache for the next.
+    """
+    sections: dict[str, tuple[str, Any]] = {}
+    for body in text.split(deltas.SEPARATOR)[1:]:
+        known = cache.sections.get(body)
+        if known is None:
+            loaded = inifile.load_section(f"[{body}", file, schema.LAYOUT)
+            if not isinstance(loaded, result.Success):
+                return result.Failure(loaded.failure())
+            known = loaded.unwrap()
+        sections[body] = known
+    content = _group(sections.values())
+    if content is None:
+        return parse(text, file).map(lambda parsed: (parsed, EMPTY_CACHE))
+    configuration = dataclasses.replace(_join(content), digest=digest)
+    checked = _check(configuration, file)
+    return checked.map(lambda valid: (valid, SectionCache(sections)))
+
+
+def _group(sections) -> inifile.Content | None:
+    named: dict[str, list[Any]] = {kind: [] for kind in schema.LAYOUT.named}
+    single: dict[str, Any] = {}
+    for kind, value in sections:
+        if kind in named:
+            named[kind].append(value)
+        else:
+            single[kind] = value
+    if single.keys() != schema.LAYOUT.single.keys():
+        return None
+    return inifile.Content(single, {kind: tuple(named[kind]) for kind in named})
+
+
 def _build(content: inifile.Content) -> model.Configuration:
+    return render.seal(_join(content))
+
+
+def _join(content: inifile.Content) -> model.Configuration:
     general = content.single["configuration"]
     shares = tuple(
         model.ProviderShare(each.name, provider, share)
         for each in content.named["providers"]
         for provider, share in each.shares
     )
-    return render.seal(
-        model.Configuration(
-            customer=general.customer,
-            digest="",
-            classes=content.named["class"],
-            accounts=content.named["account"],
-            models=content.named["model"],
-            services=content.named["service"],
-            backend_servers=content.named["backend-server"],
-            provider_shares=shares,
-            idempotency_retention_s=general.idempotency_retention_s,
-            order_rate_bytes_per_s=general.order_rate_bytes_per_s,
-        )
+    return model.Configuration(
+        customer=general.customer,
+        digest="",
+        classes=content.named["class"],
+        accounts=content.named["account"],
+        models=content.named["model"],
+        services=content.named["service"],
+        backend_servers=content.named["backend-server"],
+        provider_shares=shares,
+        idempotency_retention_s=general.idempotency_retention_s,
+        order_rate_bytes_per_s=general.order_rate_bytes_per_s,
     )
 
 
--- a/hickoryweir/configuration/tests/test_generator.py
+++ b/hickoryweir/configuration/tests/test_generator.py
@@ -34,6 +34,26 @@
     assert configuration.digest == hashlib.sha256(text.encode()).hexdigest()
 
 
+def test_reading_only_new_sections_gives_the_same_configuration():
+    cache = parse.EMPTY_CACHE
+    for old, new in (("", ""), ("entry_vms = 6", "entry_vms = 9"), ("0.8", "0.9")):
+        text = text_of("kitamori").replace(old, new, 1) if old else text_of("kitamori")
+        configuration = generator.generate_text(text, "a.ini").unwrap()
+        canonical = render.render(configuration)
+        found, cache = parse.parse_canonical(
+            canonical, configuration.digest, "c.ini", cache
+        ).unwrap()
+        assert found == configuration
+
+
+@pytest.mark.parametrize(
+    "broken",
+    ["[class x]\n", "# h\n\n[nonsense]\nk = v\n", "# h\n\n[model a]\nversion = 1\n"],
+)
+def test_unsound_canonical_text_is_refused(broken):
+    assert parse.parse_canonical(broken, "0", "c.ini").failure().problems
+
+
 @pytest.mark.parametrize(("customer", "engines"), [("kitamori", 6), ("tamworth", 5)])
 def test_examples_have_the_sizes_of_today(customer, engines):
     servers = configuration_of(customer).backend_servers
--- a/hickoryweir/routers/acknowledgements.py
+++ b/hickoryweir/routers/acknowledgements.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 
-from hickoryweir.routers import messages
+from hickoryweir.routers import messages, topology
 
 LOST_S = 10.0
 REFRESH_S = 2.0
@@ -58,10 +58,8 @@
 
 def compute(
     state: State,
-    name: str,
-    zone: str,
+    layout: topology.Layout,
     incarnation: int,
-    expected: tuple[str, ...],
     own: Heard,
     now_s: float,
 ) -> None:
@@ -71,24 +69,26 @@
     ----------
     state : State
         Changed in place.
-    name, zone : str
-        This router and its zone.
+    layout : topology.Layout
+        This router, and the others of its zone.
     incarnation : int
         This router's.
-    expected : tuple of str
-        All routers of the zone.
     own : Heard
         What this router has in force.
     now_s : float
         Monotonic time.
     """
-    heard = {name: own} | {
-        peer: each
-        for peer, each in state.heard.items()
-        if peer in expected and now_s - each.at_s < LOST_S
-    }
+    name = layout.me.name
+    zone = layout.me.availability_zone
+    expected = layout.relay_order
+    heard = {name: own}
+    for peer in layout.inside:
+        each = state.heard.get(peer)
+        if each is not None and now_s - each.at_s < LOST_S:
+            heard[peer] = each
     numbers = [each.in_force_version for each in heard.values()]
-    lagging = [n for n, each in heard.items() if each.in_force_version < max(numbers)]
+    highest = max(numbers)
+    lagging = [n for n, each in heard.items() if each.in_force_version < highest]
     missing = [each for each in expected if each not in heard]
     report = messages.ZoneReport(
         zone,
--- a/hickoryweir/routers/core.py
+++ b/hickoryweir/routers/core.py
@@ -34,6 +34,7 @@
 
     announced: messages.Announce | None = None
     watched_until_s: float = float("-inf")
+    digest_credit_bytes: float = 0.0
     sent_digests: dict[str, tuple[int, int]] = dataclasses.field(default_factory=dict)
     sent_reports: dict[tuple[str, str], tuple[int, int]] = dataclasses.field(
         default_factory=dict
@@ -44,8 +45,7 @@
 class State:
     """State of one router; :func:`make_state` makes it."""
 
-    me: topology.Member
-    members: tuple[topology.Member, ...]
+    layout: topology.Layout
     incarnation: int
     started_at_s: float
     held: versions.Published | None = None
@@ -84,16 +84,18 @@
     now_s : float
         Monotonic time.
     """
-    ordered = tuple(sorted(members, key=lambda member: member.name))
-    return State(me, ordered, incarnation, now_s)
+    return State(topology.make_layout(me, members), incarnation, now_s)
 
 
-def wanted_peers(state: State, now_s: float) -> tuple[str, ...]:
-    """Return the peers to which the node keeps a connection of its own."""
-    failed = frozenset(
+def _failed(state: State, now_s: float) -> frozenset[str]:
+    return frozenset(
         name for name, until_s in state.failed_until_s.items() if until_s > now_s
     )
-    return topology.wanted_peers(state.members, state.me, failed, now_s)
+
+
+def wanted_peers(state: State, now_s: float) -> tuple[str, ...]:
+    """Return the peers to which the node keeps a connection of its own."""
+    return topology.wanted_peers(state.layout, _failed(state, now_s), now_s)
 
 
 def step(state: State, event: events.Event, now_s: float) -> list[events.Action]:
@@ -179,7 +181,7 @@
             return _watch(state, now_s)
         case messages.Digests():
             taken = digests.take(
-                state.peer_digests, message.digests, state.me.name, now_s
+                state.peer_digests, message.digests, state.layout, now_s
             )
             return [events.DigestArrived(digest) for digest in taken]
     state.counts["message_unexpected"] += 1
@@ -262,12 +264,12 @@
         return state.confirmed_version
     if now_s - state.started_at_s < LOG_WAIT_S:
         return None
-    zone = state.me.availability_zone
-    names = {each.name for each in state.members if each.availability_zone == zone}
     ready = [
         link.announced.in_force_version
         for peer, link in state.links.items()
-        if peer in names and link.announced is not None and link.announced.is_ready
+        if peer in state.layout.inside
+        and link.announced is not None
+        and link.announced.is_ready
     ]
     return max(ready, default=None)
 
@@ -303,33 +305,21 @@
 
 
 def _report_own_zone(state, now_s):
-    zone = state.me.availability_zone
-    names = [each.name for each in state.members if each.availability_zone == zone]
     own = acknowledgements.Heard(
         state.incarnation, state.in_force_version, state.is_ready, now_s
     )
     acknowledgements.compute(
-        state.zone_reports,
-        state.me.name,
-        zone,
-        state.incarnation,
-        tuple(names),
-        own,
-        now_s,
+        state.zone_reports, state.layout, state.incarnation, own, now_s
     )
 
 
 def _send_reports(state, now_s):
-    failed = frozenset(n for n, t in state.failed_until_s.items() if t > now_s)
-    zone = state.me.availability_zone
-    is_relay = state.me.name in topology.relays(state.members, zone, failed)
-    if is_relay:
+    if state.layout.me.name in topology.relays(state.layout, _failed(state, now_s)):
         _report_own_zone(state, now_s)
-    sources = {each.name for each in state.members if each.is_replica}
     live = acknowledgements.live(state.zone_reports, now_s)
     actions = []
     for peer, link in state.links.items():
-        if peer not in sources and link.watched_until_s <= now_s:
+        if peer not in state.layout.sources and link.watched_until_s <= now_s:
             continue
         fresh = [r for r in live if _is_unsent(link, r) and r.computed_by != peer]
         for report in fresh:
--- a/hickoryweir/routers/digests.py
+++ b/hickoryweir/routers/digests.py
@@ -1,20 +1,21 @@
 """Spreads policy digests among routers within a bound of bytes.
 
 Each digest travels from link to link; a link gets a digest once for each
-sequence number.  In a large cluster a digest leaves its zone without load
-figures, since only quarantine, suspicion and ejection matter there.
+sequence number, and no more bytes than its share of the bound.  In a large
+cluster a digest leaves its zone without load figures and only if it says
+something of quarantine, suspicion or ejection.
 """
 
 import dataclasses
 
 from hickoryweir.policy import events
-from hickoryweir.routers import messages
+from hickoryweir.routers import messages, topology
 from hickoryweir.streams import codec
 
 PERIOD_S = 0.5
 LOST_S = 6.0
+LOST_S_PER_ROUTER = 0.25
 BUDGET_BYTES_PER_S = 4096
-MIN_LINK_BUDGET_BYTES = 256
 SMALL_CLUSTER_COUNT = 16
 MAX_DIGEST_SIZE_BYTES = 4096
 
@@ -30,6 +31,11 @@
     sent_at_s: float = float("-inf")
 
 
+def lost_s(layout: topology.Layout) -> float:
+    """Return the age at which a digest is dropped; a large zone takes longer."""
+    return max(LOST_S, LOST_S_PER_ROUTER * len(layout.relay_order))
+
+
 def _order(digest: messages.RouterDigest) -> tuple[int, int]:
     return digest.incarnation, digest.sequence
 
@@ -53,12 +59,15 @@
 
 
 def take(
-    state: State, received: tuple[messages.RouterDigest, ...], me: str, now_s: float
+    state: State,
+    received: tuple[messages.RouterDigest, ...],
+    layout: topology.Layout,
+    now_s: float,
 ) -> list[events.PeerDigestReceived]:
     """Take digests from a peer and return the new ones for the policy core."""
     taken = []
     for digest in received:
-        if digest.router == me or digest.age_s >= LOST_S:
+        if digest.router == layout.me.name or digest.age_s >= lost_s(layout):
             continue
         known = state.known.get(digest.router)
         if known is None or _order(digest) > _order(known[0]):
@@ -86,7 +95,7 @@
     state : State
         Changed in place.
     router : core.State
-        Gives links, members and this router's zone.
+        Gives links and layout.
     now_s : float
         Monotonic time.
 
@@ -95,27 +104,30 @@
     tuple
         List of PeerDigestReceived, list of (peer, tuple of RouterDigest).
     """
-    lost = _drop_lost(state, router.me.name, now_s)
+    layout = router.layout
+    lost = _drop_lost(state, layout, now_s)
     if now_s < state.sent_at_s + PERIOD_S or not router.links:
         return lost, []
     state.sent_at_s = now_s
-    share_bytes = int(BUDGET_BYTES_PER_S * PERIOD_S / len(router.links))
-    budget_bytes = max(share_bytes, MIN_LINK_BUDGET_BYTES)
-    zones = {each.name: each.availability_zone for each in router.members}
-    is_small = len(router.members) <= SMALL_CLUSTER_COUNT
+    share_bytes = BUDGET_BYTES_PER_S * PERIOD_S / len(router.links)
+    is_small = layout.member_count <= SMALL_CLUSTER_COUNT
+    known = _newest_first(state, now_s)
     batches = []
     for peer, link in router.links.items():
-        whole = is_small or zones.get(peer) == router.me.availability_zone
-        batch = _batch(state, link.sent_digests, peer, whole, budget_bytes, now_s)
+        credit_bytes = link.digest_credit_bytes + share_bytes
+        link.digest_credit_bytes = min(credit_bytes, MAX_DIGEST_SIZE_BYTES)
+        whole = is_small or peer in layout.inside
+        batch = _batch(known, link, peer, whole)
         if batch:
             batches.append((peer, batch))
     return lost, batches
 
 
-def _drop_lost(state, me, now_s):
+def _drop_lost(state, layout, now_s):
     lost = []
+    limit_s = lost_s(layout)
     for name, (digest, at_s) in list(state.known.items()):
-        if name != me and now_s - at_s >= LOST_S:
+        if name != layout.me.name and now_s - at_s >= limit_s:
             del state.known[name]
             empty = dataclasses.replace(
                 digest, running=(), suspects=(), quarantined=(), ejected=()
@@ -124,26 +136,34 @@
     return lost
 
 
-def _batch(state, sent, peer, whole, budget_bytes, now_s):
+def _newest_first(state, now_s):
+    aged = [
+        dataclasses.replace(digest, age_s=now_s - at_s)
+        for digest, at_s in state.known.values()
+    ]
+    return sorted(aged, key=lambda digest: (not digest.quarantined, digest.age_s))
+
+
+def _batch(known, link, peer, whole):
     batch = []
-    left_bytes = budget_bytes
-    pending = sorted(
-        (
-            dataclasses.replace(digest, age_s=now_s - at_s)
-            for digest, at_s in state.known.values()
-        ),
-        key=lambda digest: (not digest.quarantined, sent.get(digest.router, (-1, -1))),
-    )
-    for digest in pending:
-        if digest.router == peer or sent.get(digest.router, (-1, -1)) >= _order(digest):
-            continue
-        outgoing = digest if whole else dataclasses.replace(digest, running=())
-        size_bytes = len(codec.encode(outgoing))
-        if size_bytes > left_bytes and batch:
+    for digest in known:
+        if link.digest_credit_bytes <= 0:
             break
-        sent[digest.router] = _order(digest)
-        if size_bytes > MAX_DIGEST_SIZE_BYTES:
+        order = _order(digest)
+        if digest.router == peer or link.sent_digests.get(digest.router) == order:
+            continue
+        link.sent_digests[digest.router] = order
+        outgoing = digest if whole else _marks_only(digest)
+        if outgoing is None:
             continue
-        left_bytes -= size_bytes
-        batch.append(outgoing)
+        size_bytes = len(codec.encode(outgoing))
+        if size_bytes <= MAX_DIGEST_SIZE_BYTES:
+            link.digest_credit_bytes -= size_bytes
+            batch.append(outgoing)
     return tuple(batch)
+
+
+def _marks_only(digest):
+    if not (digest.suspects or digest.quarantined or digest.ejected):
+        return None
+    return dataclasses.replace(digest, running=())
--- /dev/null
+++ b/hickoryweir/routers/measure.py
@@ -0,0 +1,291 @@
+"""Measures how a new version spreads: ``python -m hickoryweir.routers.measure``.
+
+Virtual time gives the slopes against the number of routers: time from the
+source to the last router, bytes and processor time of each role.  ``--sockets``
+runs nodes over loopback connections in this one process instead, where the
+routers share one core and each parses the configuration.
+"""
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import hashlib
+import pathlib
+import statistics
+import time
+
+from returns import result
+
+from hickoryweir.cli import tables
+from hickoryweir.configuration import generator, render, settings
+from hickoryweir.policy import events as policy_events
+from hickoryweir.routers import (
+    events,
+    messages,
+    node,
+    simulation,
+    topology,
+    versions,
+)
+from hickoryweir.streams import handshake, hub
+
+INSIDE_DELAY_S = 0.0005
+OUTSIDE_DELAY_S = 0.001
+REGION_DELAY_S = 0.030
+ZONES_PER_REGION_COUNT = 3
+SEED = 7
+CHANGE_COUNT = 5
+SETTLE_S = 12.0
+IDLE_S = 20.0
+CHANGE_WAIT_S = 5.0
+HOST = "127.0.0.1"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """Results for one number of routers."""
+
+    routers: int
+    zones: int
+    median_ms: float
+    worst_ms: float
+    bytes_per_change: float
+    busiest_bytes_per_change: float
+    idle_bytes_per_s: float
+    busiest_bytes_per_s: float
+    busiest_core_percent: float
+
+
+def make_members(
+    router_count: int, zone_count: int, source_count: int
+) -> tuple[topology.Member, ...]:
+    """Return routers spread over zones; the first ones are sources."""
+    members = []
+    for number in range(router_count):
+        zone = f"z{number % zone_count:02}"
+        name = f"{zone}-{number // zone_count + 1:03}"
+        members.append(topology.Member(name, zone, number < source_count))
+    return tuple(members)
+
+
+def one_way_delay_s(network: simulation.Network, sender: str, receiver: str) -> float:
+    """Return a delay by zone and region of both ends."""
+    zones = [network.members[name].availability_zone for name in (sender, receiver)]
+    if zones[0] == zones[1]:
+        return INSIDE_DELAY_S
+    regions = {int(zone[1:]) // ZONES_PER_REGION_COUNT for zone in zones}
+    return OUTSIDE_DELAY_S if len(regions) == 1 else REGION_DELAY_S
+
+
+def read_text(answers: pathlib.Path) -> str:
+    """Return the canonical text for an answers file."""
+    text = answers.read_text(encoding="utf-8")
+    return render.render(generator.generate_text(text, str(answers)).unwrap())
+
+
+def publish(text: str, version: int) -> versions.Published:
+    """Return a version that differs from the last one in a class."""
+    text = text.replace(
+        "attainment_target = 0.9\n", f"attainment_target = 0.{version}\n"
+    )
+    digest = hashlib.sha256(text.encode()).hexdigest()
+    return versions.Published(version, version, digest, text, ())
+
+
+def measure_virtual(
+    text: str, router_count: int, zone_count: int, source_count: int
+) -> Row:
+    """Run changes on virtual time and return what they cost.
+
+    Parameters
+    ----------
+    text : str
+        Canonical configuration text.
+    router_count, zone_count, source_count : int
+        Size of the system.
+    """
+    members = make_members(router_count, zone_count, source_count)
+    adopted_at_s: dict[str, float] = {}
+
+    def observe(network, name, action):
+        if isinstance(action, events.Adopt):
+            adopted_at_s[name] = network.now_s
+
+    network = simulation.make_network(members, SEED, one_way_delay_s, observe)
+    sources = [member.name for member in members if member.is_replica]
+    simulation.run(network, SETTLE_S)
+    _offer_all(network, sources, publish(text, 1))
+    simulation.run(network, SETTLE_S)
+    idle_bytes_per_s, busiest, core_percent = _measure_idle(network)
+    spreads_s = []
+    network.sent_bytes_by_kind.clear()
+    for version in range(2, CHANGE_COUNT + 2):
+        adopted_at_s.clear()
+        begin_s = network.now_s
+        _offer_all(network, sources, publish(text, version))
+        simulation.run(network, CHANGE_WAIT_S)
+        assert len(adopted_at_s) == router_count, "a router did not get the version"
+        spreads_s.append(max(adopted_at_s.values()) - begin_s)
+    spread_bytes = _bytes_to_spread(network)
+    return Row(
+        router_count,
+        zone_count,
+        statistics.median(spreads_s) * 1000,
+        max(spreads_s) * 1000,
+        spread_bytes.total() / CHANGE_COUNT / router_count,
+        max(spread_bytes.values()) / CHANGE_COUNT,
+        idle_bytes_per_s,
+        busiest,
+        core_percent,
+    )
+
+
+def _offer_all(network, sources, published):
+    for name in sources:
+        simulation.offer(network, name, published)
+
+
+def _bytes_to_spread(network):
+    """Return the bytes that each router sent to spread versions."""
+    found: collections.Counter = collections.Counter()
+    for (name, kind), size_bytes in network.sent_bytes_by_kind.items():
+        if kind in (messages.Pull, messages.Update):
+            found[name] += size_bytes
+    return found
+
+
+def _measure_idle(network):
+    """Return bytes a second of the mean and the busiest router, and its core share."""
+    network.sent_bytes.clear()
+    network.busy_s.clear()
+    digest_period_s = 0.5
+    for _ in range(int(IDLE_S / digest_period_s)):
+        for name, member in network.members.items():
+            digest = policy_events.PeerDigestReceived(
+                name, member.availability_zone, (("engine", 1),) * 8, (), (), ()
+            )
+            simulation.step(network, name, events.LocalDigest(digest))
+        simulation.run(network, digest_period_s)
+    mean = network.sent_bytes.total() / IDLE_S / len(network.members)
+    busiest = max(network.sent_bytes.values()) / IDLE_S
+    core_percent = 100 * max(network.busy_s.values()) / IDLE_S
+    return mean, busiest, core_percent
+
+
+@contextlib.asynccontextmanager
+async def _running_nodes(members):
+    hubs = {}
+    for member in members:
+        identity = handshake.Identity("measure", member.name, member.availability_zone)
+        hubs[member.name] = hub.make_hub(identity, HOST, 0)
+        await hubs[member.name].start()
+    nodes = {}
+    for member in members:
+        values = _make_settings(member, members, hubs)
+        nodes[member.name] = node.make_node(
+            values, hubs[member.name], _read_nothing, asyncio.Queue(), asyncio.Queue()
+        )
+        nodes[member.name].start()
+    try:
+        yield nodes
+    finally:
+        for name, running in nodes.items():
+            await running.close()
+            await hubs[name].close()
+
+
+async def _until(queue: asyncio.Queue, version: int) -> None:
+    in_force = await queue.get()
+    while in_force.version < version:
+        in_force = await queue.get()
+
+
+async def _read_nothing(timeout_s):
+    return result.Success(None)
+
+
+def _make_settings(member, members, hubs):
+    roles = {True: (settings.Role.ROUTER, settings.Role.REPLICA)}
+    return settings.Settings(
+        file=pathlib.Path("measure.ini"),
+        process=settings.Process(
+            member.name,
+            member.availability_zone,
+            "measure",
+            roles.get(member.is_replica, (settings.Role.ROUTER,)),
+        ),
+        callers=settings.Callers(HOST, 0, plain_text=True),
+        operators=settings.Operators(HOST, 0, plain_text=True),
+        operator_keys=(),
+        peers=settings.Peers(HOST, 0, plain_text=True),
+        other_processes=tuple(
+            settings.Peer(
+                other.name,
+                HOST,
+                hubs[other.name].port,
+                other.availability_zone,
+                roles.get(other.is_replica, (settings.Role.ROUTER,)),
+            )
+            for other in members
+            if other.name != member.name
+        ),
+        replica=settings.Replica(),
+        platform=settings.Platform(),
+        weights=settings.Weights(),
+        logging=settings.Logging(),
+        drain=settings.Drain(),
+    )
+
+
+async def measure_sockets(
+    text: str, router_count: int, zone_count: int, source_count: int
+) -> list[float]:
+    """Return the time to the last router of each change, over real connections."""
+    members = make_members(router_count, zone_count, source_count)
+    sources = [member.name for member in members if member.is_replica]
+    spreads_s = []
+    async with _running_nodes(members) as nodes:
+        for version in range(1, CHANGE_COUNT + 2):
+            await asyncio.sleep(1.0)
+            begin_s = time.monotonic()
+            for name in sources:
+                nodes[name].offer_source(publish(text, version))
+            queues = [each.on_configuration for each in nodes.values()]
+            await asyncio.gather(*(_until(queue, version) for queue in queues))
+            spreads_s.append(time.monotonic() - begin_s)
+    return spreads_s[1:]
+
+
+def main() -> None:
+    """Measure and print tables."""
+    parser = argparse.ArgumentParser(prog="python -m hickoryweir.routers.measure")
+    parser.add_argument("--routers", type=int, nargs="+", default=[9, 30, 100, 300])
+    parser.add_argument("--zones", type=int, default=3)
+    parser.add_argument("--sources", type=int, default=3)
+    parser.add_argument("--sockets", action="store_true")
+    parser.add_argument(
+        "--answers",
+        type=pathlib.Path,
+        default=pathlib.Path("examples/kitamori/answers.ini"),
+    )
+    found = parser.parse_args()
+    text = read_text(found.answers)
+    if found.sockets:
+        rows = []
+        for count in found.routers:
+            run = measure_sockets(text, count, found.zones, found.sources)
+            spreads_ms = [1000 * spread_s for spread_s in asyncio.run(run)]
+            rows.append((count, statistics.median(spreads_ms), max(spreads_ms)))
+        print(tables.render(("routers", "median_ms", "worst_ms"), rows))
+        return
+    rows = [
+        measure_virtual(text, count, found.zones, found.sources)
+        for count in found.routers
+    ]
+    print(tables.render_records([dataclasses.asdict(row) for row in rows]))
+
+
+if __name__ == "__main__":
+    main()
--- a/hickoryweir/routers/node.py
+++ b/hickoryweir/routers/node.py
@@ -49,6 +49,8 @@
         Set once this router may serve callers.
     in_force : InForce or None
         The version in force here.
+    on_configuration, on_digest : asyncio.Queue
+        Get :class:`InForce`, and the digests of other routers.
     """
 
     def __init__(
@@ -64,14 +66,15 @@
         self.in_force: InForce | None = None
         self._hub = router_hub
         self._read_log = read_log
-        self._on_configuration = on_configuration
-        self._on_digest = on_digest
+        self.on_configuration = on_configuration
+        self.on_digest = on_digest
         self._now = now
         self._addresses = {each.name: each for each in values.other_processes}
         self._files = make_tls_files(values.peers)
         self._state = core.make_state(
             _own_member(values), _members(values), time.time_ns() // 1_000_000, now()
         )
+        self._sections = parse.EMPTY_CACHE
         self._inbox: asyncio.Queue[events.Event] = asyncio.Queue(MAX_INBOX_COUNT)
         self._connections: dict[str, list[connections.Connection]] = {}
         self._dialled: dict[str, asyncio.Task] = {}
@@ -145,20 +148,23 @@
             self._state.counts["send_failed"] += 1
 
     def _adopt(self, published: versions.Published) -> None:
-        parsed = parse.parse(published.text, TEXT_NAME)
+        parsed = parse.parse_canonical(
+            published.text, published.digest, TEXT_NAME, self._sections
+        )
         if not isinstance(parsed, result.Success):
             self._state.counts["configuration_unreadable"] += 1
             logging.error("version %d: %s", published.version, parsed.failure())
             return
+        configuration, self._sections = parsed.unwrap()
         self.in_force = InForce(
-            published.version, parsed.unwrap(), published.running_stops
+            published.version, configuration, published.running_stops
         )
-        self._on_configuration.put_nowait(self.in_force)
+        self.on_configuration.put_nowait(self.in_force)
         self._put(events.Adopted(published.version))
 
     def _give_digest(self, digest: policy_events.PeerDigestReceived) -> None:
         try:
-            self._on_digest.put_nowait(digest)
+            self.on_digest.put_nowait(digest)
         except asyncio.QueueFull:
             self._state.counts["digest_queue_full"] += 1
 
--- /dev/null
+++ b/hickoryweir/routers/simulation.py
@@ -0,0 +1,216 @@
+"""Cores of many routers on virtual time, with delays and faults from a seed.
+
+Tests watch it for versions that go back; :mod:`hickoryweir.routers.measure` takes
+from it how time, bytes and processor time grow with the number of routers.
+"""
+
+import collections
+import dataclasses
+import heapq
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+from hickoryweir.routers import core, events, messages, topology, versions
+from hickoryweir.streams import codec
+
+TICK_S = 0.1
+DIAL_CHECK_S = 0.25
+FRAME_HEADER_SIZE_BYTES = 4
+
+Delay = Callable[["Network", str, str], float]
+Observe = Callable[["Network", str, events.Action | None], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Network:
+    """All routers, the messages under way and the faults.
+
+    Attributes
+    ----------
+    cut : set of frozenset of str
+        Pairs of availability zones that can't reach each other.
+    drop_share : float
+        Share of messages that are lost.
+    sent_bytes, busy_s : collections.Counter
+        Bytes sent and processor time used, by router.
+    sent_bytes_by_kind : collections.Counter
+        Bytes sent, by router and class of message.
+    """
+
+    members: dict[str, topology.Member]
+    random: random.Random
+    delay_s: Delay
+    observe: Observe
+    now_s: float = 0.0
+    drop_share: float = 0.0
+    incarnation: int = 0
+    order: int = 0
+    states: dict[str, core.State] = dataclasses.field(default_factory=dict)
+    queue: list[tuple[float, int, Callable[[], None]]] = dataclasses.field(
+        default_factory=list
+    )
+    cut: set[frozenset[str]] = dataclasses.field(default_factory=set)
+    sent_bytes: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    sent_bytes_by_kind: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    busy_s: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+
+
+def ignore(network: Network, name: str, action: events.Action | None) -> None:
+    """Observe nothing."""
+
+
+def make_network(
+    members: tuple[topology.Member, ...],
+    seed: int,
+    delay_s: Delay,
+    observe: Observe = ignore,
+) -> Network:
+    """Return a network whose routers have just started and know nothing.
+
+    Parameters
+    ----------
+    members : tuple of Member
+        All processes.
+    seed : int
+        For delays and losses.
+    delay_s : callable
+        ``delay_s(network, sender, receiver)`` of one message.
+    observe : callable, optional
+        Called after each action, and with None after each step.
+    """
+    by_name = {member.name: member for member in members}
+    network = Network(by_name, random.Random(seed), delay_s, observe)
+    for name in by_name:
+        start(network, name)
+        offset_s = network.random.uniform(0.0, TICK_S)
+        _repeat(network, name, TICK_S, offset_s, _tick)
+        _repeat(network, name, DIAL_CHECK_S, offset_s, _dial)
+    return network
+
+
+def start(network: Network, name: str) -> None:
+    """Start a router, or restart it; its links are gone and it knows nothing."""
+    network.incarnation += 1
+    if name in network.states:
+        for peer in list(network.states[name].links):
+            step(network, peer, events.LinkClosed(name))
+    network.states[name] = core.make_state(
+        network.members[name],
+        tuple(network.members.values()),
+        network.incarnation,
+        network.now_s,
+    )
+
+
+def step(network: Network, name: str, event: events.Event) -> None:
+    """Give one event to a router and carry out its actions."""
+    begin_s = time.process_time()
+    actions = core.step(network.states[name], event, network.now_s)
+    network.busy_s[name] += time.process_time() - begin_s
+    for action in actions:
+        match action:
+            case events.Send():
+                _send(network, name, action)
+            case events.Adopt():
+                network.observe(network, name, action)
+                step(network, name, events.Adopted(action.published.version))
+            case events.DigestArrived():
+                network.observe(network, name, action)
+    network.observe(network, name, None)
+
+
+def run(network: Network, duration_s: float) -> None:
+    """Let time pass."""
+    end_s = network.now_s + duration_s
+    while network.queue and network.queue[0][0] <= end_s:
+        network.now_s, _, work = heapq.heappop(network.queue)
+        work()
+    network.now_s = end_s
+
+
+def is_cut(network: Network, one: str, other: str) -> bool:
+    """Return whether two routers stand in zones that are apart."""
+    zones = (network.members[name].availability_zone for name in (one, other))
+    return frozenset(zones) in network.cut
+
+
+def offer(
+    network: Network,
+    name: str,
+    published: versions.Published | None,
+    is_confirmed: bool = False,
+) -> None:
+    """Give a router what its replica has applied, or what the log says."""
+    step(network, name, events.SourceChanged(published, is_confirmed))
+
+
+def _at(network: Network, at_s: float, work: Callable[[], Any]) -> None:
+    network.order += 1
+    heapq.heappush(network.queue, (at_s, network.order, work))
+
+
+def _repeat(network, name, period_s, offset_s, work):
+    def again():
+        work(network, name)
+        _at(network, network.now_s + period_s, again)
+
+    _at(network, network.now_s + offset_s, again)
+
+
+def _tick(network, name):
+    step(network, name, events.Ticked())
+
+
+def _dial(network, name):
+    state = network.states[name]
+    for peer in list(state.links):
+        if is_cut(network, name, peer):
+            step(network, name, events.LinkClosed(peer))
+    for peer in core.wanted_peers(state, network.now_s):
+        if is_cut(network, name, peer):
+            step(network, name, events.DialFailed(peer))
+        elif peer not in state.links:
+            step(network, name, events.LinkOpened(peer))
+            step(network, peer, events.LinkOpened(name))
+    _close_unwanted(network, name)
+
+
+def _close_unwanted(network, name):
+    """Close links that neither side wants any more, as rotation leaves them."""
+    wanted = set(core.wanted_peers(network.states[name], network.now_s))
+    for peer in list(network.states[name].links):
+        if peer in wanted:
+            continue
+        if name not in core.wanted_peers(network.states[peer], network.now_s):
+            step(network, name, events.LinkClosed(peer))
+            step(network, peer, events.LinkClosed(name))
+
+
+def _send(network, sender, action):
+    receiver = action.peer
+    size_bytes = FRAME_HEADER_SIZE_BYTES + len(codec.encode(action.message))
+    network.sent_bytes[sender] += size_bytes
+    network.sent_bytes_by_kind[(sender, type(action.message))] += size_bytes
+    if network.random.random() < network.drop_share:
+        return
+    incarnation = network.states[receiver].incarnation
+
+    def deliver():
+        state = network.states[receiver]
+        if is_cut(network, sender, receiver) or state.incarnation != incarnation:
+            return
+        if sender in state.links:
+            _receive(network, receiver, sender, action.message)
+
+    at_s = network.now_s + network.delay_s(network, sender, receiver)
+    _at(network, at_s, deliver)
+
+
+def _receive(network, receiver, sender, message: messages.Message):
+    step(network, receiver, events.Received(sender, message))
--- a/hickoryweir/routers/tests/test_node.py
+++ b/hickoryweir/routers/tests/test_node.py
@@ -122,6 +122,6 @@
             digest = policy_events.PeerDigestReceived("a-2", "a", (), (), ("f",), ())
             nodes["a-2"].offer_digest(digest)
             async with asyncio.timeout(WAIT_S):
-                return digest == await nodes["b-2"]._on_digest.get()
+                return digest == await nodes["b-2"].on_digest.get()
 
     assert asyncio.run(scenario())
--- a/hickoryweir/routers/topology.py
+++ b/hickoryweir/routers/topology.py
@@ -24,38 +24,78 @@
     is_replica: bool
 
 
-def rank(*parts: str) -> str:
-    """Return a key that sorts names in an order of their own for each caller."""
-    return hashlib.blake2b("\0".join(parts).encode(), digest_size=8).hexdigest()
+@dataclasses.dataclass(frozen=True, slots=True)
+class Layout:
+    """The processes as one of them sees them; made once.
+
+    Attributes
+    ----------
+    me : Member
+        This process.
+    member_count : int
+        All processes.
+    sources : tuple of str
+        Replica processes but this one, in an order of this process's own.
+    relay_order : tuple of str
+        This zone's processes in the order in which they become relays.
+    inside, outside : tuple of str
+        Other processes of this zone, and of all other zones.
+    """
 
+    me: Member
+    member_count: int
+    sources: tuple[str, ...]
+    relay_order: tuple[str, ...]
+    inside: tuple[str, ...]
+    outside: tuple[str, ...]
 
-def relay_order(members: tuple[Member, ...], zone: str) -> tuple[str, ...]:
-    """Return the zone's processes in the order in which they become relays."""
-    inside = [member for member in members if member.availability_zone == zone]
-    inside.sort(key=lambda member: (not member.is_replica, member.name))
-    return tuple(member.name for member in inside)
 
+def make_layout(me: Member, members: tuple[Member, ...]) -> Layout:
+    """Return the layout for one process.
 
-def relays(
-    members: tuple[Member, ...], zone: str, failed: frozenset[str]
-) -> tuple[str, ...]:
-    """Return the zone's relays as seen by a process that failed to reach some."""
-    order = relay_order(members, zone)
-    usable = [name for name in order if name not in failed]
-    return tuple((usable or list(order))[:RELAY_COUNT])
+    Parameters
+    ----------
+    me : Member
+        This process.
+    members : tuple of Member
+        All processes, this one included.
+    """
+    ordered = sorted(members, key=lambda member: member.name)
+    zone = [m for m in ordered if m.availability_zone == me.availability_zone]
+    sources = [m.name for m in ordered if m.is_replica and m.name != me.name]
+    zone.sort(key=lambda member: not member.is_replica)
+    return Layout(
+        me=me,
+        member_count=len(ordered),
+        sources=tuple(sorted(sources, key=lambda name: _rank(me.name, name))),
+        relay_order=tuple(m.name for m in zone),
+        inside=tuple(m.name for m in zone if m.name != me.name),
+        outside=tuple(
+            m.name for m in ordered if m.availability_zone != me.availability_zone
+        ),
+    )
+
+
+def _rank(*parts: str) -> int:
+    data = "\0".join(parts).encode()
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), "big")
+
+
+def relays(layout: Layout, failed: frozenset[str]) -> tuple[str, ...]:
+    """Return the relays of this zone but those that could not be reached."""
+    usable = tuple(name for name in layout.relay_order if name not in failed)
+    return (usable or layout.relay_order)[:RELAY_COUNT]
 
 
 def wanted_peers(
-    members: tuple[Member, ...], me: Member, failed: frozenset[str], now_s: float
+    layout: Layout, failed: frozenset[str], now_s: float
 ) -> tuple[str, ...]:
-    """Return the processes to which `me` keeps a connection of its own.
+    """Return the processes to which this one keeps a connection of its own.
 
     Parameters
     ----------
-    members : tuple of Member
-        All processes, sorted by name.
-    me : Member
-        This process.
+    layout : Layout
+        All processes.
     failed : frozenset of str
         Processes that could not be reached lately.
     now_s : float
@@ -66,32 +106,28 @@
     tuple of str
         Names, each once.
     """
-    sources = [each.name for each in members if each.is_replica]
-    sources = [name for name in sources if name != me.name]
+    me = layout.me
     wanted: list[str] = []
-    zone_relays = relays(members, me.availability_zone, failed)
+    zone_relays = relays(layout, failed)
     if me.is_replica:
-        wanted += [name for name in sources if name > me.name]
+        wanted += [name for name in layout.sources if name > me.name]
     elif me.name in zone_relays:
-        wanted += _pick(sources, me, failed, SOURCE_LINK_COUNT)
+        wanted += _usable(layout.sources, failed)[:SOURCE_LINK_COUNT]
     if me.name not in zone_relays:
         wanted += zone_relays
         if failed.issuperset(zone_relays):
-            wanted += _pick(sources, me, failed, 1)
-    wanted += _rotating(members, me, now_s)
+            wanted += _usable(layout.sources, failed)[:1]
+    wanted += _rotating(layout, now_s)
     return tuple(dict.fromkeys(name for name in wanted if name != me.name))
 
 
-def _pick(names, me, failed, count):
-    usable = [name for name in names if name not in failed] or names
-    return sorted(usable, key=lambda name: rank(me.name, name))[:count]
+def _usable(names: tuple[str, ...], failed: frozenset[str]) -> tuple[str, ...]:
+    return tuple(name for name in names if name not in failed) or names
 
 
-def _rotating(members, me, now_s):
+def _rotating(layout: Layout, now_s: float):
     turn = str(int(now_s // ROTATION_S))
-    inside = [m.name for m in members if m.availability_zone == me.availability_zone]
-    outside = [m.name for m in members if m.availability_zone != me.availability_zone]
-    for names in (inside, outside):
-        others = [name for name in names if name != me.name]
-        if others:
-            yield min(others, key=lambda name: rank(me.name, turn, name))
+    place = _rank(layout.me.name, turn)
+    for names in (layout.inside, layout.outside):
+        if names:
+            yield names[place % len(names)]
