Engine streams: fuzzed reader, cheaper resume text, dropped kept connections

Cause: profile of the stream client showed 16% of time in parsing events for a resume that rarely comes; fuzzing raised on odd shapes; a kept connection that drops looked like a crash and made its request a suspect. Change: kept events are compressed and parsed only when their text is wanted; any JSON shape is a typed fault; after a drop of a kept connection the engine is asked for its health before the failure counts as a crash.

--- a/hickoryweir/engines/client.py
+++ b/hickoryweir/engines/client.py
@@ -15,9 +15,11 @@
 from returns import result
 
 from hickoryweir.configuration import model
-from hickoryweir.engines import calls, events_reader, failures, headers
+from hickoryweir.engines import calls, events_reader, failures, headers, sessions
+from hickoryweir.policy import events
 
 MAX_ANSWER_SIZE_BYTES = 16 * 1024 * 1024
+ALIVE_TIMEOUT_S = 0.25
 END_TIMEOUT_S = 0.05
 EVENT_STREAM = "text/event-stream"
 TOO_MANY_REQUESTS = 429
@@ -113,6 +115,7 @@
     timeouts: calls.EngineTimeouts,
 ) -> result.Result[aiohttp.ClientResponse, calls.EngineFailure]:
     """Send a call; return the response that is bound to it."""
+    sending = sessions.Sending()
     try:
         response = await session.post(
             server.url + call.path,
@@ -124,15 +127,39 @@
                 sock_read=timeouts.silence_s,
             ),
             allow_redirects=False,
+            trace_request_ctx=sending,
         )
     except failures.NETWORK_ERRORS as error:
-        return result.Failure(failures.before_answer(error))
+        failure = failures.before_answer(error)
+        if sending.reuses_connection and await is_alive(session, server, failure):
+            failure = failures.failed("the kept connection had dropped")
+        return result.Failure(failure)
     if response.headers.get(headers.REQUEST_ID, call.request_id) != call.request_id:
         response.close()
         return result.Failure(failures.mismatched())
     return result.Success(response)
 
 
+async def is_alive(
+    session: aiohttp.ClientSession,
+    server: model.BackendServer,
+    failure: calls.EngineFailure,
+) -> bool:
+    """Return whether an engine that seems to have crashed answers all the same.
+
+    A kept connection may drop without a crash, and then the request in flight
+    is not a suspect.
+    """
+    if failure.cause is not events.FailureCause.CRASHED:
+        return False
+    timeout = aiohttp.ClientTimeout(total=ALIVE_TIMEOUT_S)
+    try:
+        async with session.get(f"{server.url}/health", timeout=timeout) as response:
+            return response.status == 200
+    except failures.NETWORK_ERRORS:
+        return False
+
+
 def request_headers(call: calls.EngineCall) -> dict[str, str]:
     """Return the headers of a call."""
     return {
--- a/hickoryweir/engines/events_reader.py
+++ b/hickoryweir/engines/events_reader.py
@@ -12,6 +12,7 @@
 import dataclasses
 import enum
 import json
+import zlib
 from typing import Any
 
 from returns import result
@@ -20,8 +21,9 @@
 
 MAX_EVENT_SIZE_BYTES = 256 * 1024
 MAX_HELD_SIZE_BYTES = 1024 * 1024
-MAX_TEXT_SIZE_CHARACTERS = 4 * 1024 * 1024
 RAW_KEPT_SIZE_BYTES = 32 * 1024
+PACKED_KEPT_SIZE_BYTES = 512 * 1024
+FASTEST_COMPRESSION = 1
 SEPARATOR = b"\n\n"
 DONE = "[DONE]"
 NO_FINISH_REASONS = (b'"finish_reason":null', b'"finish_reason": null')
@@ -67,8 +69,9 @@
         Events from the finish chunk on.
     output_tokens : int
         Tokens of this attempt.
-    raw : list of bytes
-        Passed events whose text was not taken yet.
+    raw, packed : list of bytes
+        Passed events, whose text is taken only when it is wanted; those of a
+        long stream are compressed.
     resumable : bool
         Whether the text alone is enough to resume the answer.
     trailing : bool
@@ -87,8 +90,8 @@
     output_tokens: int = 0
     raw: list[bytes] = dataclasses.field(default_factory=list)
     raw_size_bytes: int = 0
-    texts: list[str] = dataclasses.field(default_factory=list)
-    text_size_characters: int = 0
+    packed: list[bytes] = dataclasses.field(default_factory=list)
+    packed_size_bytes: int = 0
     resumable: bool = True
     trailing: bool = False
 
@@ -180,8 +183,6 @@
     if reader.done and reader.tail:
         reader.trailing = True
     data = b"".join(passed)
-    if not reader.done:
-        keep(reader, data)
     tokens = max(0, reader.output_tokens - before)
     return result.Success(calls.StreamChunk(data, tokens, reader.done))
 
@@ -210,7 +211,9 @@
     event = read_choices(reader, event, value)
     if reader.finish_seen:
         return hold(reader, event)
-    passed.append(event + SEPARATOR if event else b"")
+    if event:
+        passed.append(event + SEPARATOR)
+        keep(reader, event + SEPARATOR)
     return None
 
 
@@ -297,37 +300,59 @@
     reader.raw.append(data)
     reader.raw_size_bytes += len(data)
     if reader.raw_size_bytes > RAW_KEPT_SIZE_BYTES:
-        take_texts(reader)
+        pack(reader)
 
 
-def text_so_far(reader: Reader) -> str | None:
-    """Return the text passed on in this attempt; None if it can't be resumed."""
-    take_texts(reader)
-    return "".join(reader.texts) if reader.resumable else None
-
-
-def take_texts(reader: Reader) -> None:
-    """Replace kept events by their text."""
-    for event in b"".join(reader.raw).split(SEPARATOR):
-        data = data_of(event)
-        if data is not None:
-            take_text(reader, json.loads(data)["choices"])
+def pack(reader: Reader) -> None:
+    """Compress kept events; a stream with too many of them can't be resumed."""
+    packed = zlib.compress(b"".join(reader.raw), FASTEST_COMPRESSION)
     reader.raw.clear()
     reader.raw_size_bytes = 0
-    if reader.text_size_characters > MAX_TEXT_SIZE_CHARACTERS:
+    reader.packed.append(packed)
+    reader.packed_size_bytes += len(packed)
+    if reader.packed_size_bytes > PACKED_KEPT_SIZE_BYTES:
         reader.resumable = False
-    if not reader.resumable:
-        reader.texts.clear()
+        reader.packed.clear()
 
 
-def take_text(reader: Reader, choices: list[dict[str, Any]]) -> None:
-    """Append the text of an event's choices."""
-    for choice in choices:
-        delta = choice.get("delta") or {}
-        text = choice.get("text") or delta.get("content") or ""
-        extra = {key for key, value in delta.items() if value} - RESUMABLE_FIELDS
-        if choice.get("index", 0) != 0 or extra or not isinstance(text, str):
+def text_so_far(reader: Reader) -> str | None:
+    """Return the text passed on in this attempt; None if it can't be resumed."""
+    if not reader.resumable:
+        return None
+    kept = [*map(zlib.decompress, reader.packed), *reader.raw]
+    texts: list[str] = []
+    for event in b"".join(kept).split(SEPARATOR):
+        text = text_of(event)
+        if text is None:
             reader.resumable = False
-            return
-        reader.texts.append(text)
-        reader.text_size_characters += len(text)
+            return None
+        texts.append(text)
+    return "".join(texts)
+
+
+def text_of(event: bytes) -> str | None:
+    """Return an event's text; None if the event is more than its text."""
+    data = data_of(event)
+    if data is None:
+        return ""
+    try:
+        choices = json.loads(data)["choices"]
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
+    if not isinstance(choices, list):
+        return None
+    texts = [text_of_choice(choice) for choice in choices]
+    return None if None in texts else "".join(texts)
+
+
+def text_of_choice(choice: Any) -> str | None:
+    """Return a choice's text; None if the choice is more than its text."""
+    if not isinstance(choice, dict) or choice.get("index", 0) != 0:
+        return None
+    delta = choice.get("delta") or {}
+    if not isinstance(delta, dict):
+        return None
+    if {key for key, value in delta.items() if value} - RESUMABLE_FIELDS:
+        return None
+    text = choice.get("text") or delta.get("content") or ""
+    return text if isinstance(text, str) else None
--- /dev/null
+++ b/hickoryweir/engines/measure.py
@@ -0,0 +1,222 @@
+"""Measures how many streamed tokens one core takes through the engine client.
+
+``python -m hickoryweir.engines.measure`` starts a source of streams as a
+process of its own, opens many streams at once through
+:mod:`hickoryweir.engines.client`, and prints tokens per second of processor
+time, and the time that one short call takes over fresh and kept connections.
+The source sends each token as a TCP segment of its own, paced as an engine
+would, which is the hardest case for the reader.
+"""
+
+import argparse
+import asyncio
+import cProfile
+import dataclasses
+import pstats
+import statistics
+import sys
+import time
+
+import aiohttp
+import uvloop
+
+from hickoryweir.configuration import model
+from hickoryweir.engines import calls, client, sessions
+from hickoryweir.testing import engine_calls, running
+
+HOST = "127.0.0.1"
+TIMEOUTS = calls.EngineTimeouts(connect_s=10.0, silence_s=60.0)
+BODY = b'{"model":"m","prompt":"p","stream":true}'
+PROFILE_LINES_COUNT = 25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measurement:
+    """What one run showed."""
+
+    tokens_count: int
+    wall_s: float
+    processor_s: float
+
+    @property
+    def tokens_per_core_s(self) -> float:
+        """Return tokens per second of processor time."""
+        return self.tokens_count / self.processor_s
+
+
+def make_server(port: int) -> model.BackendServer:
+    """Return the source as a backend server."""
+    return model.BackendServer(
+        name="source",
+        target=model.Target.MODEL,
+        url=f"http://{HOST}:{port}",
+        availability_zone="a",
+        provider="p",
+        serves=("m",),
+        max_concurrency=10_000,
+        tokens_per_s=50.0,
+        checks_fencing=True,
+    )
+
+
+async def serve_streams(tokens_count: int, interval_s: float) -> None:
+    """Serve streams of so many tokens, one each interval, and print the port."""
+
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(len(BODY))
+                await answer(writer, read_id(head), tokens_count, interval_s)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    server = await asyncio.start_server(handle, HOST, 0, backlog=running.BACKLOG)
+    print(server.sockets[0].getsockname()[1], flush=True)
+    await server.serve_forever()
+
+
+def read_id(head: bytes) -> str:
+    """Return the request id of a request's head."""
+    for line in head.split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name.lower() == b"x-request-id":
+            return value.strip().decode()
+    return "none"
+
+
+async def answer(
+    writer: asyncio.StreamWriter, request_id: str, tokens_count: int, interval_s: float
+) -> None:
+    """Write one stream."""
+    call = engine_calls.make_call(request_id, engine_calls.Shape.CHAT, 0, BODY)
+    call = dataclasses.replace(call, output_tokens=tokens_count)
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+    next_s = time.monotonic()
+    for index in range(tokens_count):
+        event = engine_calls.token_events(call, index, index + 1)
+        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        if interval_s:
+            next_s += interval_s
+            await asyncio.sleep(max(0.0, next_s - time.monotonic()))
+        await writer.drain()
+    last = engine_calls.last_events(call)
+    writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (len(last), last))
+    await writer.drain()
+
+
+async def read_stream(
+    session: aiohttp.ClientSession, server: model.BackendServer, request_id: str
+) -> int:
+    """Read one stream to its end and return its tokens."""
+    call = calls.EngineCall(request_id, "/v1/chat/completions", BODY, True, 0)
+    stream = (await client.open_stream(session, server, call, TIMEOUTS)).unwrap()
+    tokens_count = 0
+    while True:
+        chunk = (await stream.read()).unwrap()
+        tokens_count += chunk.output_tokens
+        if chunk.finished:
+            await stream.close()
+            return tokens_count
+
+
+async def measure_streams(port: int, streams_count: int) -> Measurement:
+    """Read so many streams at once."""
+    server = make_server(port)
+    async with sessions.make_session() as session:
+        wall_s, processor_s = time.perf_counter(), time.process_time()
+        counts = await asyncio.gather(
+            *(
+                read_stream(session, server, f"r{number}")
+                for number in range(streams_count)
+            )
+        )
+        wall_s = time.perf_counter() - wall_s
+        processor_s = time.process_time() - processor_s
+    return Measurement(sum(counts), wall_s, processor_s)
+
+
+async def measure_calls(
+    port: int, calls_count: int, *, keeps_connections: bool
+) -> list[float]:
+    """Return the seconds of each of some short streams, one after the other."""
+    server = make_server(port)
+    times = []
+    async with sessions.make_session(keeps_connections=keeps_connections) as session:
+        for number in range(calls_count):
+            started_s = time.perf_counter()
+            await read_stream(session, server, f"r{number}")
+            times.append(time.perf_counter() - started_s)
+    return times
+
+
+async def start_source(
+    tokens_count: int, interval_s: float
+) -> tuple[asyncio.subprocess.Process, int]:
+    """Start a source as a process and return it with its port."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *("-m", "hickoryweir.engines.measure", "--source"),
+        *("--tokens", str(tokens_count), "--interval-s", str(interval_s)),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    line = await process.stdout.readline()
+    return process, int(line)
+
+
+async def report(arguments: argparse.Namespace) -> None:
+    """Run the measurements and print them."""
+    source, port = await start_source(arguments.tokens, arguments.interval_s)
+    try:
+        measured = await measure_streams(port, arguments.streams)
+    finally:
+        source.terminate()
+        await source.wait()
+    print(
+        f"{measured.tokens_count} tokens in {measured.wall_s:.2f} s, "
+        f"{measured.processor_s:.2f} s of processor: "
+        f"{measured.tokens_per_core_s:.0f} tokens/s on one core"
+    )
+    source, port = await start_source(2, 0.0)
+    try:
+        for keeps_connections in (False, True, False, True):
+            times = await measure_calls(port, 500, keeps_connections=keeps_connections)
+            kind = "kept" if keeps_connections else "fresh"
+            tail = statistics.quantiles(times, n=100)[98]
+            print(
+                f"{kind} connection: p50 {statistics.median(times) * 1e3:.3f} ms, "
+                f"p99 {tail * 1e3:.3f} ms"
+            )
+    finally:
+        source.terminate()
+        await source.wait()
+
+
+def main() -> None:
+    """Run the source or the measurements."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--source", action="store_true", help="only serve streams")
+    parser.add_argument("--streams", type=int, default=400)
+    parser.add_argument("--tokens", type=int, default=250, help="tokens of a stream")
+    parser.add_argument("--interval-s", type=float, default=0.02)
+    parser.add_argument("--profile", action="store_true")
+    arguments = parser.parse_args()
+    uvloop.install()
+    if arguments.source:
+        asyncio.run(serve_streams(arguments.tokens, arguments.interval_s))
+        return
+    if not arguments.profile:
+        asyncio.run(report(arguments))
+        return
+    profile = cProfile.Profile()
+    profile.runcall(asyncio.run, report(arguments))
+    pstats.Stats(profile).sort_stats("tottime").print_stats(PROFILE_LINES_COUNT)
+
+
+if __name__ == "__main__":
+    main()
--- a/hickoryweir/engines/sessions.py
+++ b/hickoryweir/engines/sessions.py
@@ -6,6 +6,8 @@
 kept, so that nothing of one caller reaches another.
 """
 
+import dataclasses
+
 import aiohttp
 
 NO_LIMIT = 0
@@ -17,6 +19,22 @@
     """The connection dropped after a byte of the request may have been written."""
 
 
+@dataclasses.dataclass(slots=True)
+class Sending:
+    """What a session notes about one request, given as ``trace_request_ctx``."""
+
+    reuses_connection: bool = False
+
+
+async def note_reuse(
+    session: aiohttp.ClientSession, context: object, parameters: object
+) -> None:
+    """Note that a request goes over a kept connection."""
+    sending = context.trace_request_ctx
+    if sending is not None:
+        sending.reuses_connection = True
+
+
 async def send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
@@ -51,8 +69,11 @@
         )
     else:
         connector = aiohttp.TCPConnector(limit=NO_LIMIT, force_close=True)
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_reuseconn.append(note_reuse)
     return aiohttp.ClientSession(
         connector=connector,
+        trace_configs=[trace],
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(send_once,),
         auto_decompress=False,
--- a/hickoryweir/engines/tests/test_client.py
+++ b/hickoryweir/engines/tests/test_client.py
@@ -184,3 +184,39 @@
         assert connections == 1
 
     run(test)
+
+
+def test_crash_over_a_kept_connection_is_a_crash():
+    async def test():
+        async with benches.engine_bench(keeps_connections=True) as bench:
+            await benches.read_all((await bench.open(benches.make_call())).unwrap())
+            await bench.faults(crash_marker="poison")
+            call = benches.make_call(messages=[{"role": "user", "content": "poison"}])
+            failure = await stream_failure(bench, call)
+        assert failure.cause is events.FailureCause.CRASHED
+
+    run(test)
+
+
+def test_kept_connection_that_drops_is_no_crash():
+    async def test():
+        async with benches.engine_bench(keeps_connections=True) as bench:
+            await benches.read_all((await bench.open(benches.make_call())).unwrap())
+            await bench.faults(dropped_count=1)
+            failure = await stream_failure(bench, benches.make_call("r2"))
+        assert failure.cause is events.FailureCause.FAILED
+        assert failure.ran is refusals.Ran.MAYBE
+
+    run(test)
+
+
+def test_text_of_a_long_stream_is_kept():
+    async def test():
+        async with benches.engine_bench() as bench:
+            call = benches.make_call(stand_in_output_tokens=1000)
+            stream = (await bench.open(call)).unwrap()
+            await benches.read_all(stream)
+        assert stream.reader.packed
+        assert stream.text_so_far() == texts.answer_text("r1", 1000)
+
+    run(test)
--- /dev/null
+++ b/hickoryweir/engines/tests/test_events_reader.py
@@ -0,0 +1,169 @@
+"""The reader of server-sent events, with whole, cut and broken input."""
+
+import json
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+from returns import result
+
+from hickoryweir.engines import events_reader
+from hickoryweir.testing import engine_calls
+
+CALL = engine_calls.make_call(
+    "r1",
+    engine_calls.Shape.CHAT,
+    0,
+    b'{"model":"m","messages":[],"stand_in_output_tokens":6}',
+)
+STREAM = b"".join(
+    [
+        engine_calls.role_event(CALL),
+        engine_calls.token_events(CALL, 0, 6),
+        engine_calls.last_events(CALL),
+    ]
+)
+FUZZ = hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=200
+)
+
+
+def feed_all(parts, **fields):
+    """Return what was passed on and the last end."""
+    reader = events_reader.make_reader("r1", **fields)
+    passed, end = b"", None
+    for part in parts:
+        end = events_reader.feed(reader, part)
+        if not isinstance(end, result.Success):
+            break
+        passed += end.unwrap().data
+    return reader, passed, end
+
+
+def split(data, cuts):
+    places = sorted({cut % (len(data) + 1) for cut in cuts} | {0, len(data)})
+    return [data[a:b] for a, b in zip(places, places[1:], strict=False)]
+
+
+def make_event(value):
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+@hypothesis.given(st.lists(st.integers(0, len(STREAM)), max_size=20))
+@FUZZ
+def test_any_segmentation_passes_the_same_bytes(cuts):
+    reader, passed, end = feed_all(split(STREAM, cuts))
+    assert end.unwrap().finished
+    assert passed == STREAM
+    assert reader.output_tokens == 6
+
+
+@hypothesis.given(st.lists(st.binary(max_size=200), max_size=20))
+@FUZZ
+def test_random_bytes_never_raise_nor_finish(parts):
+    _, _, end = feed_all(parts)
+    finished = isinstance(end, result.Success) and end.unwrap().finished
+    assert not finished
+
+
+@hypothesis.given(st.integers(0, len(STREAM) - 1), st.integers(0, 255))
+@FUZZ
+def test_a_changed_byte_never_raises(place, value):
+    changed = STREAM[:place] + bytes([value]) + STREAM[place + 1 :]
+    reader, _, _ = feed_all(split(changed, range(0, len(changed), 97)))
+    events_reader.text_so_far(reader)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=9),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["delta", "text", "index", "content", "usage"]),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@hypothesis.given(st.lists(JSON, max_size=3), JSON)
+@FUZZ
+def test_values_of_any_shape_never_raise(choices, usage):
+    event = make_event({"id": "r1", "choices": choices, "usage": usage})
+    reader, _, _ = feed_all([event, event])
+    events_reader.text_so_far(reader)
+
+
+@pytest.mark.parametrize(
+    ("data", "kind"),
+    [
+        (b"data: {nonsense\n\n", events_reader.FaultKind.MALFORMED),
+        (b"data: [1]\n\n", events_reader.FaultKind.MALFORMED),
+        (b"data: [DONE]\n\n", events_reader.FaultKind.CUT),
+        (make_event({"id": "r2", "choices": []}), events_reader.FaultKind.MISMATCHED),
+        (make_event({"choices": []}), events_reader.FaultKind.MISMATCHED),
+        (make_event({"id": "r1"}), events_reader.FaultKind.MALFORMED),
+        (make_event({"error": {}}), events_reader.FaultKind.ENGINE_ERROR),
+        (
+            make_event({"error": {"code": "preempted"}}),
+            events_reader.FaultKind.PREEMPTED,
+        ),
+        (b"data: " + b"[" * 100_000 + b"\n\n", events_reader.FaultKind.MALFORMED),
+        (
+            b"x" * (events_reader.MAX_EVENT_SIZE_BYTES + 1),
+            events_reader.FaultKind.TOO_LARGE,
+        ),
+    ],
+)
+def test_faulty_event_is_a_typed_fault(data, kind):
+    assert feed_all([data])[2].failure().kind is kind
+
+
+def test_foreign_event_among_own_ones_is_seen():
+    own = engine_calls.token_events(CALL, 0, 3)
+    foreign = engine_calls.token_events(CALL, 3, 4).replace(b"-r1", b"-r2")
+    _, _, end = feed_all([engine_calls.role_event(CALL), own + foreign])
+    assert end.failure().kind is events_reader.FaultKind.MISMATCHED
+
+
+def test_finish_chunk_is_held_until_the_end_is_seen():
+    without_done = STREAM.removesuffix(b"data: [DONE]\n\n")
+    _, passed, end = feed_all([without_done])
+    assert not end.unwrap().finished
+    assert b'"stop"' not in passed
+
+
+def test_flood_after_the_finish_chunk_is_bounded():
+    finish = engine_calls.last_events(CALL).removesuffix(b"data: [DONE]\n\n")
+    _, _, end = feed_all([finish] * 10_000)
+    assert end.failure().kind is events_reader.FaultKind.TOO_LARGE
+
+
+def test_bytes_after_the_end_are_noticed():
+    reader, _, _ = feed_all([STREAM + b"data: x"])
+    assert reader.trailing
+
+
+def test_other_spacing_and_line_ends_are_read():
+    event = b'data: {"id": "r1", "choices": [{"text": "a", "finish_reason": null}]}'
+    reader, _, _ = feed_all([event + b"\r\n\r\n", b": ping\r\n\r\n" + event + b"\n\n"])
+    assert reader.output_tokens == 2
+
+
+def test_tool_calls_can_not_be_resumed_by_text():
+    choice = {"index": 0, "delta": {"tool_calls": [{"id": "x"}]}}
+    reader, _, _ = feed_all([make_event({"id": "r1", "choices": [choice]})])
+    assert events_reader.text_so_far(reader) is None
+
+
+def test_memory_of_an_endless_stream_is_bounded():
+    tokens = engine_calls.token_events(CALL, 0, 6)
+    reader = events_reader.make_reader("r1")
+    for number in range(3000):
+        noise = b"%032x" % (number * 7919**9 % 2**127)
+        events_reader.feed(reader, tokens.replace(b'" 1"', b'"' + noise * 8 + b'"'))
+    kept = reader.raw_size_bytes + reader.packed_size_bytes
+    limit = events_reader.RAW_KEPT_SIZE_BYTES + events_reader.PACKED_KEPT_SIZE_BYTES
+    assert kept < 2 * limit
--- a/hickoryweir/testing/engine_serving.py
+++ b/hickoryweir/testing/engine_serving.py
@@ -25,6 +25,9 @@
     engine = request.app[engine_state.ENGINE]
     request_id = request.headers.get(headers.REQUEST_ID, "anonymous")
     priority = int(request.headers.get(headers.PRIORITY, "0"))
+    if engine.active_faults.dropped_count > 0:
+        engine.active_faults.dropped_count -= 1
+        return drop(request)
     if engine.active_faults.refused_count > 0:
         engine.active_faults.refused_count -= 1
         return refuse(request_id, 503, "busy", "the engine takes no more work")
--- a/hickoryweir/testing/faults.py
+++ b/hickoryweir/testing/faults.py
@@ -27,6 +27,8 @@
         That many next streams end without finish chunk after some tokens.
     refused_count : int
         That many next calls are refused before running.
+    dropped_count : int
+        That many next calls find their connection dropped; the engine lives on.
     ignores_resume : bool
         Resumed calls start again from the first token.
     lost_orders_count : int
@@ -44,6 +46,7 @@
     cut_count: int = 0
     cut_after_tokens: int = 3
     refused_count: int = 0
+    dropped_count: int = 0
     ignores_resume: bool = False
     lost_orders_count: int = 0
 
--- a/hickoryweir/testing/running.py
+++ b/hickoryweir/testing/running.py
@@ -18,6 +18,7 @@
 
 HOST = "127.0.0.1"
 SHUTDOWN_TIMEOUT_S = 0.1
+BACKLOG = 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,7 +44,7 @@
     async def restart(self) -> None:
         """Listen again on the same port."""
         await self.crash()
-        self.site = web.TCPSite(self.runner, HOST, self.port)
+        self.site = web.TCPSite(self.runner, HOST, self.port, backlog=BACKLOG)
         await self.site.start()
 
     async def stop(self) -> None:
@@ -80,6 +81,6 @@
         app, handler_cancellation=True, shutdown_timeout=SHUTDOWN_TIMEOUT_S
     )
     await runner.setup()
-    site = web.TCPSite(runner, HOST, port)
+    site = web.TCPSite(runner, HOST, port, backlog=BACKLOG)
     await site.start()
     return Running(runner, site, runner.addresses[0][1])
