--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -15,7 +15,7 @@
 
 from returns import result
 
-from hickoryweir.replicas import channels, messages, wire
+from hickoryweir.replicas import channels, messages, standings, wire
 from hickoryweir.streams import codec, handshake, tls
 
 CONNECT_TIMEOUT_S = 0.3
@@ -54,24 +54,17 @@
     retry_after_s: float
 
 
-class Standing(enum.StrEnum):
-    """What the client knows of the log."""
-
-    UNKNOWN = "unknown"
-    LEADER = "leader"
-    ELECTION = "election"
-    NO_QUORUM = "no_quorum"
-
-
 class Client:
     """Made by :func:`make_client`; used from one event loop.
 
     Attributes
     ----------
-    standing : Standing
+    standing : standings.Standing
         What is known now.
     leader_name : str
         Replica that is believed to lead; empty if none.
+    target_name : str
+        Replica that is asked: the leader, or a follower that passes requests on.
     """
 
     def __init__(
@@ -81,8 +74,9 @@
         files: tls.TlsFiles | None,
         group: str,
     ) -> None:
-        self.standing = Standing.UNKNOWN
+        self.standing = standings.Standing.UNKNOWN
         self.leader_name = ""
+        self.target_name = ""
         self._identity = identity
         self._files = files
         self._group = group
@@ -148,7 +142,7 @@
         deadline_s = loop.time() + timeout_s
         while loop.time() < deadline_s:
             await self._survey()
-            if self.standing is Standing.LEADER:
+            if self.standing is standings.Standing.LEADER:
                 return True
             await asyncio.sleep(RETRY_INTERVAL_S)
         return False
@@ -227,12 +221,12 @@
         deadline_s = loop.time() + timeout_s
         may_commit = False
         while loop.time() < deadline_s:
-            if self.standing is Standing.UNKNOWN:
+            if self.standing is standings.Standing.UNKNOWN:
                 await self._survey()
-            if self.standing is Standing.NO_QUORUM:
+            if self.standing is standings.Standing.NO_QUORUM:
                 self._start_probing()
                 return _unavailable(Reason.NO_QUORUM, may_commit)
-            if self.standing is Standing.ELECTION:
+            if self.standing is standings.Standing.ELECTION:
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 await self._survey()
                 continue
@@ -252,7 +246,10 @@
         """Ask the leader; None if time is up or the others no longer follow it."""
         self._start_patience()
         left_s = deadline_s - asyncio.get_running_loop().time()
-        return await self._ask_within(self._channels[self.leader_name], request, left_s)
+        if self.standing is standings.Standing.RELAYED:
+            request = wire.RelayRequest(0, request)
+        channel = self._channels[self.target_name]
+        return await self._ask_within(channel, request, left_s)
 
     def _start_patience(self) -> None:
         if self._patience_task is None or self._patience_task.done():
@@ -263,19 +260,21 @@
         idle_count = 0
         while idle_count < IDLE_ROUNDS_COUNT:
             await asyncio.sleep(PATIENCE_S / 2)
-            channel = self._channels.get(self.leader_name)
+            channel = self._channels.get(self.target_name)
             waits_s = 0.0 if channel is None else channel.longest_wait_s()
             idle_count = 0 if waits_s else idle_count + 1
             if waits_s > PATIENCE_S:
                 await self._survey()
-                if self._channels.get(self.leader_name) is not channel:
+                if self._channels.get(self.target_name) is not channel:
                     channel.give_up()
 
     async def _follow(self, answer: object) -> None:
         hinted = getattr(answer, "leader_name", "")
         if hinted and hinted != self.leader_name and hinted in self._channels:
-            self.leader_name = hinted
+            self.standing = standings.Standing.LEADER
+            self.leader_name = self.target_name = hinted
             return
+        await asyncio.sleep(RETRY_INTERVAL_S)
         await self._survey()
 
     async def _ask_any(
@@ -313,7 +312,9 @@
     async def _ask_all(self) -> None:
         try:
             statuses = await self.status()
-            self.standing, self.leader_name = judge(statuses)
+            self.standing, self.leader_name, self.target_name = standings.judge(
+                statuses
+            )
             for status in statuses:
                 self._learn_addresses(status)
         finally:
@@ -339,7 +340,7 @@
             self._probe_task = asyncio.create_task(self._probe())
 
     async def _probe(self) -> None:
-        while self.standing is Standing.NO_QUORUM:
+        while self.standing is standings.Standing.NO_QUORUM:
             await asyncio.sleep(PROBE_INTERVAL_S)
             await self._survey()
 
@@ -366,26 +367,6 @@
     return Client(identity, replicas, files, group)
 
 
-def judge(statuses: tuple[wire.Status, ...]) -> tuple[Standing, str]:
-    """Return what the answering replicas know together, and the leader's name.
-
-    The leader counts only if it answered itself; of two that both claim to lead,
-    the one with the higher term does.
-
-    Examples
-    --------
-    >>> judge(())
-    (<Standing.NO_QUORUM: 'no_quorum'>, '')
-    """
-    leaders = [status for status in statuses if status.leader_id == status.member_id]
-    if leaders:
-        leader = max(leaders, key=lambda status: status.term)
-        return Standing.LEADER, messages.replica_name_of(leader.member_id)
-    if any(status.has_quorum for status in statuses):
-        return Standing.ELECTION, ""
-    return Standing.NO_QUORUM, ""
-
-
 def _make_reference(member_id: str) -> messages.Member:
     return messages.Member(member_id, "", "", False)
 
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -24,6 +24,7 @@
     messages,
     raft,
     records,
+    relays,
     requests,
     storage,
     wire,
@@ -98,6 +99,7 @@
         self._links = links.Links(
             settings.identity, settings.group, settings.files, self._serve_replica
         )
+        self._relays = relays.Relays(settings.identity, settings.files, settings.group)
         self._queue: asyncio.Queue = asyncio.Queue()
         self._waits = requests.Waits()
         self._tasks: list[asyncio.Task] = []
@@ -149,6 +151,7 @@
         if self.state is not None:
             requests.refuse_appended(self._waits, self.state, time.monotonic())
         await self._links.close()
+        await self._relays.close()
         if self._disk is not None:
             await self._disk.close()
             self._disk = None
@@ -213,6 +216,7 @@
             self._queue.put_nowait(requests.Waiting(connection, message))
 
     async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
             items = [await self._queue.get()]
             while not self._queue.empty():
@@ -222,9 +226,11 @@
             for item in items:
                 self._handle(item, proposals, now_s)
             self._propose(proposals, now_s)
-            requests.serve_watches(
-                self._waits, self.machine, self.state.applied_index, now_s
-            )
+            applied_index = self.state.applied_index
+            requests.serve_reads(self._waits, self.machine, applied_index)
+            requests.serve_watches(self._waits, self.machine, self.state, now_s)
+            if applied_index < self.state.commit_index:
+                loop.call_soon(self._queue.put_nowait, states.Ticked())
 
     def _handle(self, item: object, proposals: list, now_s: float) -> None:
         if not isinstance(item, requests.Waiting):
@@ -247,10 +253,22 @@
                 item.connection.offer(status)
             case wire.ChangeRequest():
                 self._change(item, now_s)
+            case wire.RelayRequest():
+                self._relay(item, proposals, now_s)
+
+    def _relay(self, waiting: requests.Waiting, proposals: list, now_s: float) -> None:
+        leader = self.state.membership.find(self.state.leader_id)
+        if leader is None:
+            requests.refuse(waiting, wire.Hindrance.NOT_LEADER, self.state, now_s)
+        elif leader.member_id == self.state.member_id:
+            self._handle(requests.unwrap_relayed(waiting), proposals, now_s)
+        else:
+            self._relays.pass_on(waiting, leader)
 
     def _step(self, event: states.Event, now_s: float) -> None:
         was_leader = self.state.role is states.Role.LEADER
         term = self.state.term
+        leader_id = self.state.leader_id
         known = self.state.membership
         for action in raft.step(self.state, event, now_s):
             self._carry_out(action, now_s)
@@ -260,6 +278,8 @@
         if was_leader and not is_same_leader:
             requests.refuse_appended(self._waits, self.state, now_s)
             self._not_leading.set()
+        if self.state.leader_id != leader_id:
+            self._relays.follow(self.state.leader_id)
         if self.state.membership is not known:
             self._links.update(self.state.membership, self.state.member_id)
 
@@ -280,25 +300,16 @@
                 self._apply(action)
             case states.ReadReady():
                 waiting = self._waits.reads.pop(action.read_id)
-                self._answer_query(waiting)
+                self._waits.ready_reads.append((action.index, waiting))
             case states.ReadRefused():
                 waiting = self._waits.reads.pop(action.read_id)
                 not_leader = wire.Hindrance.NOT_LEADER
                 requests.refuse(waiting, not_leader, self.state, now_s)
 
     def _apply(self, action: states.Apply) -> None:
-        for entry in action.entries:
-            self._log_size_bytes += len(entry.payload)
-            if entry.kind is messages.EntryKind.COMMAND:
-                response = machine.apply(self.machine, entry)
-                waiting = self._waits.commands.pop(entry.index, None)
-                if waiting is not None:
-                    requests.answer(waiting, response, entry.index)
-            elif entry.kind is messages.EntryKind.MEMBERSHIP:
-                waiting = self._waits.changes.pop(entry.index, None)
-                if waiting is not None:
-                    request_id = waiting.request.request_id
-                    waiting.connection.offer(wire.ChangeAnswered(request_id, ""))
+        self._log_size_bytes += requests.apply_entries(
+            self._waits, self.machine, action.entries
+        )
         self._snapshot_if_due()
 
     def _snapshot_if_due(self) -> None:
@@ -334,18 +345,14 @@
 
     def _read(self, waiting: requests.Waiting, now_s: float) -> None:
         if waiting.request.stale:
-            self._answer_query(waiting)
+            index = self.state.applied_index
+            requests.answer_query(waiting, self.machine, index)
             return
         read_id = self._waits.next_read_id
         self._waits.next_read_id += 1
         self._waits.reads[read_id] = waiting
         self._step(states.ReadRequested(read_id), now_s)
 
-    def _answer_query(self, waiting: requests.Waiting) -> None:
-        query = codec.decode(waiting.request.query).value_or(None)
-        response = machine.query(self.machine, query)
-        requests.answer(waiting, response, self.state.applied_index)
-
     def _watch(self, waiting: requests.Waiting, now_s: float) -> None:
         query = codec.decode(waiting.request.query).value_or(None)
         deadline_s = now_s + waiting.request.timeout_s
--- a/hickoryweir/replicas/raft.py
+++ b/hickoryweir/replicas/raft.py
@@ -77,6 +77,7 @@
     out: list[states.Action] = []
     if state.role is not states.Role.FAILED:
         _dispatch(state, event, now_s, out)
+        replication.apply_committed(state, out)
     return out
 
 
@@ -94,7 +95,7 @@
         case states.Proposed():
             _on_proposed(state, event, now_s, out)
         case states.Persisted():
-            replication.on_persisted(state, event, out)
+            replication.on_persisted(state, event)
             elections.on_persisted(state, event, now_s, out)
         case states.Ticked():
             elections.on_tick(state, now_s, out)
--- /dev/null
+++ b/hickoryweir/replicas/relays.py
@@ -0,0 +1,78 @@
+"""Passing a client's request on to the leader that the client can't reach itself.
+
+Zones can be cut from each other in pairs.  A replica that hears the leader passes
+on what a client asks of it, over a connection of its own.
+"""
+
+import asyncio
+import dataclasses
+
+from hickoryweir.replicas import channels, messages, requests, wire
+from hickoryweir.streams import handshake, tls
+
+CONNECT_TIMEOUT_S = 0.5
+RELAY_TIMEOUT_S = 5.0
+
+
+class Relays:
+    """Connections to leaders, each opened when it is first needed."""
+
+    def __init__(
+        self, identity: handshake.Identity, files: tls.TlsFiles | None, group: str
+    ) -> None:
+        self._identity = identity
+        self._files = files
+        self._group = group
+        self._channels: dict[str, channels.Channel] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def pass_on(self, waiting: requests.Waiting, leader: messages.Member) -> None:
+        """Ask the leader and give its answer to the client."""
+        task = asyncio.create_task(self._pass_on(waiting, leader))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def follow(self, leader_id: str) -> None:
+        """Give up what waits for earlier leaders."""
+        for member_id, channel in self._channels.items():
+            if member_id != leader_id:
+                channel.give_up()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*[item.close() for item in self._channels.values()])
+
+    async def _pass_on(
+        self, waiting: requests.Waiting, leader: messages.Member
+    ) -> None:
+        channel = self._channel(leader)
+        request = waiting.request.request
+        answer = None
+        may_commit = await channel.ensure_open()
+        try:
+            async with asyncio.timeout(RELAY_TIMEOUT_S):
+                answer = await channel.ask(request) if may_commit else None
+        except TimeoutError:
+            pass
+        if answer is None:
+            lost = wire.Hindrance.LEADERSHIP_LOST
+            answer = wire.NotServed(0, lost, "", True, may_commit)
+        request_id = waiting.request.request_id
+        waiting.connection.offer(dataclasses.replace(answer, request_id=request_id))
+
+    def _channel(self, leader: messages.Member) -> channels.Channel:
+        channel = self._channels.get(leader.member_id)
+        if channel is None:
+            name = messages.replica_name_of(leader.member_id)
+            host, port = wire.split_address(leader.address)
+            zone = leader.availability_zone
+            address = wire.ReplicaAddress(name, host, port, zone)
+            channel = channels.Channel(
+                self._identity, address, self._files, self._group, CONNECT_TIMEOUT_S
+            )
+            self._channels[leader.member_id] = channel
+        return channel
--- a/hickoryweir/replicas/replication.py
+++ b/hickoryweir/replicas/replication.py
@@ -76,7 +76,8 @@
         _take_entries(state, new, out)
     match_index = request.previous_index + len(request.entries)
     _answer(state, envelope, True, match_index, out)
-    advance(state, min(request.commit_index, match_index), out)
+    commit_index = min(request.commit_index, match_index)
+    state.commit_index = max(state.commit_index, commit_index)
 
 
 def on_append_response(
@@ -91,7 +92,7 @@
     progress.in_flight_count = max(0, progress.in_flight_count - 1)
     if response.success:
         _note_match(progress, response.match_index)
-        commit_quorum(state, out)
+        commit_quorum(state)
     else:
         _step_back(progress, response)
     send_more(state, envelope.from_id, out)
@@ -134,22 +135,22 @@
     if response.done:
         progress.snapshot_offset = None
         _note_match(progress, response.index)
-        commit_quorum(state, out)
+        commit_quorum(state)
         send_more(state, envelope.from_id, out)
     elif progress.snapshot_index == response.index:
         progress.snapshot_offset = response.next_offset
         _send_chunk(state, envelope.from_id, out)
 
 
-def on_persisted(state: states.State, event: states.Persisted, out: list) -> None:
+def on_persisted(state: states.State, event: states.Persisted) -> None:
     """Note that this replica's own log is synced up to an entry."""
     if state.log.term_at(event.last_index) == event.last_term:
         state.persisted_index = max(state.persisted_index, event.last_index)
     if state.role is states.Role.LEADER:
-        commit_quorum(state, out)
+        commit_quorum(state)
 
 
-def commit_quorum(state: states.State, out: list) -> None:
+def commit_quorum(state: states.State) -> None:
     """Commit up to the last entry of this term that a quorum holds durably."""
     voter_ids = state.membership.voter_ids
     matches = sorted(_match_index(state, voter_id) for voter_id in voter_ids)
@@ -157,16 +158,18 @@
         return
     quorum_index = matches[len(matches) - quorums.majority_count(len(matches))]
     if state.log.term_at(quorum_index) == state.term:
-        advance(state, quorum_index, out)
+        state.commit_index = max(state.commit_index, quorum_index)
 
 
-def advance(state: states.State, commit_index: int, out: list) -> None:
-    """Raise the commit index and apply what it newly covers."""
-    state.commit_index = max(state.commit_index, commit_index)
-    if state.applied_index >= state.commit_index:
+def apply_committed(state: states.State, out: list) -> None:
+    """Apply entries that are committed, a bounded number in one step."""
+    last_index = min(
+        state.commit_index, state.applied_index + state.timing.max_apply_count
+    )
+    if last_index <= state.applied_index:
         return
-    entries = state.log.between(state.applied_index + 1, state.commit_index)
-    state.applied_index = state.commit_index
+    entries = state.log.between(state.applied_index + 1, last_index)
+    state.applied_index = last_index
     out.append(states.Apply(tuple(entries)))
 
 
--- a/hickoryweir/replicas/requests.py
+++ b/hickoryweir/replicas/requests.py
@@ -37,6 +37,8 @@
         By index of the entry in the log.
     reads : dict
         By read id.
+    ready_reads : list
+        Reads with the index that has to be applied before.
     watches : list
         Long polls.
     """
@@ -44,6 +46,7 @@
     commands: dict[int, Waiting] = dataclasses.field(default_factory=dict)
     changes: dict[int, Waiting] = dataclasses.field(default_factory=dict)
     reads: dict[int, Waiting] = dataclasses.field(default_factory=dict)
+    ready_reads: list[tuple[int, Waiting]] = dataclasses.field(default_factory=list)
     watches: list[Watch] = dataclasses.field(default_factory=list)
     next_read_id: int = 1
 
@@ -89,6 +92,35 @@
     return taken
 
 
+def unwrap_relayed(waiting: Waiting) -> Waiting:
+    """Return the request inside a relayed one, to be answered directly."""
+    request_id = waiting.request.request_id
+    inner = dataclasses.replace(waiting.request.request, request_id=request_id)
+    return Waiting(waiting.connection, inner)
+
+
+def apply_entries(
+    waits: Waits,
+    state_machine: machine.Machine,
+    entries: tuple[messages.Entry, ...],
+) -> int:
+    """Apply committed entries, answer who waits and return the entries' size."""
+    size_bytes = 0
+    for entry in entries:
+        size_bytes += len(entry.payload)
+        if entry.kind is messages.EntryKind.COMMAND:
+            response = machine.apply(state_machine, entry)
+            waiting = waits.commands.pop(entry.index, None)
+            if waiting is not None:
+                answer(waiting, response, entry.index)
+        elif entry.kind is messages.EntryKind.MEMBERSHIP:
+            waiting = waits.changes.pop(entry.index, None)
+            if waiting is not None:
+                request_id = waiting.request.request_id
+                waiting.connection.offer(wire.ChangeAnswered(request_id, ""))
+    return size_bytes
+
+
 def refuse_appended(waits: Waits, state: states.State, now_s: float) -> None:
     """Leadership is lost: what was appended may still be committed by another."""
     lost = wire.Hindrance.LEADERSHIP_LOST
@@ -98,11 +130,38 @@
     waits.changes.clear()
 
 
+def answer_query(
+    waiting: Waiting, state_machine: machine.Machine, applied_index: int
+) -> None:
+    """Answer a query from the applied state."""
+    query = codec.decode(waiting.request.query).value_or(None)
+    answer(waiting, machine.query(state_machine, query), applied_index)
+
+
+def serve_reads(
+    waits: Waits, state_machine: machine.Machine, applied_index: int
+) -> None:
+    """Answer reads whose index has been applied."""
+    if not waits.ready_reads:
+        return
+    kept = []
+    for index, waiting in waits.ready_reads:
+        if index > applied_index:
+            kept.append((index, waiting))
+        else:
+            answer_query(waiting, state_machine, applied_index)
+    waits.ready_reads = kept
+
+
 def serve_watches(
-    waits: Waits, state_machine: machine.Machine, index: int, now_s: float
+    waits: Waits, state_machine: machine.Machine, state: states.State, now_s: float
 ) -> None:
-    """Answer watches whose version has come or whose time is up."""
+    """Answer watches whose version has come or whose time is up.
+
+    Without a leader nothing new would come; the client then asks another replica.
+    """
     kept = []
+    index = state.applied_index
     for watch in waits.watches:
         version = machine.version_for(state_machine, watch.query)
         if version is None or version > watch.waiting.request.after_version:
@@ -110,6 +169,8 @@
             answer(watch.waiting, response, index)
         elif now_s >= watch.deadline_s:
             answer(watch.waiting, None, index)
+        elif not state.leader_id:
+            refuse(watch.waiting, wire.Hindrance.NOT_LEADER, state, now_s)
         elif not watch.waiting.connection.is_closed:
             kept.append(watch)
     waits.watches = kept
--- a/hickoryweir/replicas/state.py
+++ b/hickoryweir/replicas/state.py
@@ -50,6 +50,7 @@
     max_append_count: int = 1024
     max_append_size_bytes: int = 512 * 1024
     max_in_flight_count: int = 32
+    max_apply_count: int = 1000
     chunk_size_bytes: int = 1024 * 1024
     max_snapshot_size_bytes: int = 512 * 1024 * 1024
     catch_up_max_lag_count: int = 64
--- a/hickoryweir/replicas/wire.py
+++ b/hickoryweir/replicas/wire.py
@@ -83,6 +83,14 @@
     member: messages.Member
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayRequest:
+    """Asks a follower to pass a request on to the leader."""
+
+    request_id: int
+    request: ProposeRequest | ReadRequest | ChangeRequest
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
     """The response to a command or query; empty if a watch timed out."""
@@ -149,7 +157,14 @@
     membership: messages.Membership
 
 
-Request = ProposeRequest | ReadRequest | WatchRequest | StatusRequest | ChangeRequest
+Request = (
+    ProposeRequest
+    | ReadRequest
+    | WatchRequest
+    | StatusRequest
+    | ChangeRequest
+    | RelayRequest
+)
 
 for _tag, _cls in (
     ("rc.propose", ProposeRequest),
@@ -157,6 +172,7 @@
     ("rc.watch", WatchRequest),
     ("rc.status?", StatusRequest),
     ("rc.change?", ChangeRequest),
+    ("rc.relay?", RelayRequest),
     ("rc.answered", Answered),
     ("rc.not_served", NotServed),
     ("rc.status", Status),
