--- a/hickoryweir/routers/core.py
+++ b/hickoryweir/routers/core.py
@@ -207,7 +207,7 @@
     if state.held is None or state.held.version <= message.known_version:
         return [events.Send(peer, _announce(state))]
     update = versions.make_update(state.held, state.steps, message.known_version)
-    state.counts["delta_sent" if update.delta else "text_sent"] += 1
+    state.counts["delta_sent" if update.base_version else "text_sent"] += 1
     return [events.Send(peer, update)]
 
 
--- a/hickoryweir/routers/digests.py
+++ b/hickoryweir/routers/digests.py
@@ -17,6 +17,7 @@
 LOST_S_PER_ROUTER = 0.25
 BUDGET_BYTES_PER_S = 4096
 SMALL_CLUSTER_COUNT = 16
+MAX_CREDIT_PERIODS = 2
 MAX_DIGEST_SIZE_BYTES = 4096
 
 
@@ -115,7 +116,7 @@
     batches = []
     for peer, link in router.links.items():
         credit_bytes = link.digest_credit_bytes + share_bytes
-        link.digest_credit_bytes = min(credit_bytes, MAX_DIGEST_SIZE_BYTES)
+        link.digest_credit_bytes = min(credit_bytes, MAX_CREDIT_PERIODS * share_bytes)
         whole = is_small or peer in layout.inside
         batch = _batch(known, link, peer, whole)
         if batch:
--- a/hickoryweir/routers/messages.py
+++ b/hickoryweir/routers/messages.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from hickoryweir.configuration import deltas, stops
+from hickoryweir.configuration import stops
 from hickoryweir.streams import codec
 
 
@@ -30,8 +30,8 @@
 class Update:
     """A newer version.
 
-    Either ``text`` (compressed) is the whole text, or ``delta`` leads to it from
-    ``base_version``.  ``digest`` is that of the whole text.
+    ``content`` is compressed: the whole text if ``base_version`` is 0, else the
+    delta that leads to it from that version.  ``digest`` is that of the whole text.
     """
 
     version: int
@@ -39,8 +39,7 @@
     digest: str
     running_stops: tuple[stops.Stop, ...]
     base_version: int
-    text: bytes
-    delta: deltas.Delta | None
+    content: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickoryweir/routers/versions.py
+++ b/hickoryweir/routers/versions.py
@@ -2,11 +2,13 @@
 
 import dataclasses
 import hashlib
+import zlib
 
 from returns import result
 
 from hickoryweir.configuration import changes, commands, deltas, stops
 from hickoryweir.routers import messages
+from hickoryweir.streams import codec
 
 MAX_DELTA_COUNT = 16
 
@@ -80,11 +82,23 @@
         held.digest,
         held.running_stops,
         known_version if delta else 0,
-        b"" if delta else commands.compress(held.text),
-        delta,
+        _pack(delta) if delta else commands.compress(held.text),
     )
 
 
+def _pack(delta: deltas.Delta) -> bytes:
+    return zlib.compress(codec.encode(delta))
+
+
+def _unpack(content: bytes) -> result.Result[deltas.Delta, str]:
+    inflater = zlib.decompressobj()
+    try:
+        data = inflater.decompress(content, commands.MAX_TEXT_SIZE_BYTES)
+    except zlib.error as error:
+        return result.Failure(str(error))
+    return codec.decode(data).alt(str)
+
+
 def _compose_from(steps, known_version):
     for start, step in enumerate(steps):
         if step.base_version == known_version:
@@ -105,15 +119,10 @@
     Result of Published or str
         Fails if the base is not the held version or the digest is wrong.
     """
-    if update.delta is None:
-        try:
-            text = commands.decompress(update.text)
-        except ValueError as error:
-            return result.Failure(str(error))
-    elif held is None or held.version != update.base_version:
-        return result.Failure("delta from another version")
-    else:
-        text = deltas.patch(held.text, update.delta)
+    patched = _read_content(held, update)
+    if not isinstance(patched, result.Success):
+        return patched
+    text = patched.unwrap()
     if hashlib.sha256(text.encode()).hexdigest() != update.digest:
         return result.Failure("digest mismatch")
     return result.Success(
@@ -125,3 +134,14 @@
             update.running_stops,
         )
     )
+
+
+def _read_content(held, update):
+    if update.base_version == 0:
+        try:
+            return result.Success(commands.decompress(update.content))
+        except ValueError as error:
+            return result.Failure(str(error))
+    if held is None or held.version != update.base_version:
+        return result.Failure("delta from another version")
+    return _unpack(update.content).map(lambda delta: deltas.patch(held.text, delta))
