--- /dev/null
+++ b/hickoryweir/engines/issuer.py
@@ -0,0 +1,194 @@
+"""The task that gives orders to engines while this process holds the office.
+
+In each round it asks every engine for its health, plans
+(:mod:`hickoryweir.engines.orders_plan`) and sends what is due.  Nothing is
+remembered over rounds but the orders in hand and the shared rate, so a new
+issuer goes on where the old one stopped.
+"""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Callable
+
+import aiohttp
+from returns import result
+
+from hickoryweir.configuration import model
+from hickoryweir.engines import orders, orders_plan
+from hickoryweir.policy import events
+from hickoryweir.weights import client as weights_client
+from hickoryweir.weights import rates
+
+BURST_S = 10.0
+Office = Callable[[], orders_plan.Issuer | None]
+Sent = result.Result[orders.OrderDone, orders.OrderFailure]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IssuerPorts:
+    """What the issuer asks of the daemon.
+
+    Attributes
+    ----------
+    configuration : function
+        Returns the configuration in force, or None.
+    server_state : function
+        Returns the state of a backend server by its name.
+    office : function
+        Returns the office that this process holds now, or None.
+    note : function
+        Takes how each order ended, for logs and counters.
+    """
+
+    configuration: Callable[[], model.Configuration | None]
+    server_state: Callable[[str], events.ServerState]
+    office: Office
+    note: Callable[[orders.Order, Sent], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoundSettings:
+    """Times of the issuer; ``weights_url`` is empty if there is no store to ask."""
+
+    interval_s: float = 2.0
+    health_timeout_s: float = 1.0
+    order_timeout_s: float = 600.0
+    weights_url: str = ""
+    office: orders_plan.IssuerSettings = orders_plan.IssuerSettings()
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class OrderDesk:
+    """State of the issuer.
+
+    Attributes
+    ----------
+    in_hand : dict
+        Task of each order that was sent and not answered, by backend server.
+    plan : orders_plan.Plan or None
+        The last plan, for the status page.
+    """
+
+    session: aiohttp.ClientSession
+    ports: IssuerPorts
+    settings: RoundSettings
+    bucket: rates.Bucket | None = None
+    in_hand: dict[str, asyncio.Task] = dataclasses.field(default_factory=dict)
+    plan: orders_plan.Plan | None = None
+
+
+def make_desk(
+    session: aiohttp.ClientSession,
+    ports: IssuerPorts,
+    settings: RoundSettings | None = None,
+) -> OrderDesk:
+    """Return an issuer that has sent nothing yet."""
+    return OrderDesk(session, ports, settings or RoundSettings())
+
+
+async def run(desk: OrderDesk) -> None:
+    """Give orders in rounds until cancelled."""
+    try:
+        while True:
+            await run_round(desk)
+            await asyncio.sleep(desk.settings.interval_s)
+    finally:
+        for task in desk.in_hand.values():
+            task.cancel()
+
+
+async def run_round(desk: OrderDesk) -> None:
+    """Plan once and start sending what is due."""
+    configuration, issuer = desk.ports.configuration(), desk.ports.office()
+    if configuration is None or issuer is None:
+        desk.plan = None
+        return
+    views = await look(desk, configuration)
+    desk.bucket = await share_rate(desk, configuration)
+    desk.plan = orders_plan.make_plan(
+        configuration,
+        views,
+        desk.bucket,
+        issuer,
+        desk.settings.office,
+        time.monotonic(),
+    )
+    desk.bucket = desk.plan.bucket
+    servers = {view.backend_server.name: view.backend_server for view in views}
+    for order in desk.plan.due:
+        start(desk, servers[order.backend_server], order)
+
+
+async def look(
+    desk: OrderDesk, configuration: model.Configuration
+) -> tuple[orders_plan.ServerView, ...]:
+    """Ask all engines for their health."""
+    engines = [
+        server
+        for server in configuration.backend_servers
+        if server.target is model.Target.MODEL
+    ]
+    return tuple(await asyncio.gather(*(look_at(desk, server) for server in engines)))
+
+
+async def look_at(
+    desk: OrderDesk, server: model.BackendServer
+) -> orders_plan.ServerView:
+    """Ask one engine for its health.
+
+    An order that was in hand before or after the question counts, since the
+    answer may be older than the order's end.
+    """
+    was_in_hand = server.name in desk.in_hand
+    read = await orders.fetch_health(
+        desk.session, server, desk.settings.health_timeout_s
+    )
+    return orders_plan.ServerView(
+        backend_server=server,
+        state=desk.ports.server_state(server.name),
+        health=read.value_or(None),
+        has_order_in_hand=was_in_hand or server.name in desk.in_hand,
+    )
+
+
+async def share_rate(
+    desk: OrderDesk, configuration: model.Configuration
+) -> rates.Bucket:
+    """Return the shared rate: the configured one, or the store's if lower."""
+    rate_bytes_per_s = configuration.order_rate_bytes_per_s
+    if desk.settings.weights_url:
+        fetched = await weights_client.fetch_rate(
+            desk.session, desk.settings.weights_url
+        )
+        if isinstance(fetched, result.Success):
+            granted = fetched.unwrap().rate_bytes_per_s
+            rate_bytes_per_s = min(rate_bytes_per_s, granted)
+    now_s = time.monotonic()
+    if desk.bucket is None:
+        return rates.make_bucket(rate_bytes_per_s, rate_bytes_per_s * BURST_S, now_s)
+    brought_up, _ = rates.take(desk.bucket, 0.0, now_s)
+    return dataclasses.replace(
+        brought_up,
+        rate_bytes_per_s=rate_bytes_per_s,
+        capacity_bytes=rate_bytes_per_s * BURST_S,
+    )
+
+
+def start(desk: OrderDesk, server: model.BackendServer, order: orders.Order) -> None:
+    """Send an order in a task of its own."""
+
+    def may_issue() -> bool:
+        issuer = desk.ports.office()
+        return issuer is not None and issuer.fencing == order.fencing
+
+    async def send() -> None:
+        try:
+            sent = await orders.send(
+                desk.session, server, order, may_issue, desk.settings.order_timeout_s
+            )
+            desk.ports.note(order, sent)
+        finally:
+            del desk.in_hand[server.name]
+
+    desk.in_hand[server.name] = asyncio.create_task(send())
--- a/hickoryweir/testing/engine_orders.py
+++ b/hickoryweir/testing/engine_orders.py
@@ -41,7 +41,8 @@
     history : list
         Orders in the sequence in which they took effect.
     loading_until_s : float
-        Monotonic time at which the load in progress ends.
+        Monotonic time at which the model load in progress ends; adapters are
+        loaded beside the work.
     """
 
     checks_fencing: bool
@@ -72,6 +73,5 @@
         case "load_adapter":
             loaded = book.models.setdefault(order.model, Loaded(order.version, []))
             loaded.adapters = sorted({*loaded.adapters, order.adapter})
-            book.loading_until_s = now_s + load_s
         case "change_role":
             book.role = order.role
