Operators' port, platform's list and planned stops joined to the daemon

Cause: configurations came in past the operators' port. Change: the daemon mounts the operators' port, follows the platform's list, drains when its own entry VM is stopped; the demo submits answers as an operator does.

--- a/hickoryweir/daemon/log_access.py
+++ b/hickoryweir/daemon/log_access.py
@@ -4,19 +4,17 @@
 changes.  Routers reach both through a client of the replicas.
 """
 
-import dataclasses
-
 from returns import result
 
 from hickoryweir.claims import commands as claim_commands
 from hickoryweir.claims import gateway, snapshots, verdicts
 from hickoryweir.claims import machine as claims_machine
-from hickoryweir.configuration import changes, settings
+from hickoryweir.configuration import changes, queries, settings
 from hickoryweir.configuration import commands as change_commands
 from hickoryweir.replicas import client, machine, node, wire
 from hickoryweir.routers import node as router_node
 from hickoryweir.routers import versions
-from hickoryweir.streams import codec, handshake, hub
+from hickoryweir.streams import handshake, hub
 
 CLAIM_COMMANDS = (
     claim_commands.Claim,
@@ -30,28 +28,17 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReadPublished:
-    """Query for the configuration and the planned stops in the log."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PublishedRead:
-    """Answer to :class:`ReadPublished`; None before any change."""
-
-    published: versions.Published | None
-
-
-codec.register("dm.read-published", ReadPublished)
-codec.register("dm.published-read", PublishedRead)
-codec.register("dm.published", versions.Published)
-
-
-def answer_query(
-    state: changes.State, query: ReadPublished, time_s: float
-) -> PublishedRead:
-    """Answer a query from the state of operators' changes."""
-    return PublishedRead(versions.from_state(state))
+def to_published(standing: queries.Standing) -> versions.Published | None:
+    """Return what the log holds as routers exchange it; None before any change."""
+    if not standing.configuration:
+        return None
+    return versions.Published(
+        standing.version,
+        standing.configuration_version,
+        standing.digest,
+        change_commands.decompress(standing.configuration),
+        standing.running_stops,
+    )
 
 
 def make_submachines() -> tuple[machine.Submachine, ...]:
@@ -72,8 +59,8 @@
             apply=changes.apply,
             dump=changes.dump,
             load=changes.load,
-            query_types=(ReadPublished,),
-            query=answer_query,
+            query_types=queries.QUERY_TYPES,
+            query=queries.answer,
             version=lambda state: state.version,
         ),
     )
@@ -148,5 +135,5 @@
     log: client.Client, timeout_s: float
 ) -> result.Result[versions.Published | None, client.Unavailable]:
     """Return the version in the log, by a linearizable read."""
-    answered = await log.read(ReadPublished(), timeout_s)
-    return answered.map(lambda answer: answer.published)
+    answered = await log.read(queries.ReadStanding(), timeout_s)
+    return answered.map(to_published)
--- a/hickoryweir/daemon/main.py
+++ b/hickoryweir/daemon/main.py
@@ -10,7 +10,7 @@
 import aiomisc
 
 from hickoryweir.configuration import settings
-from hickoryweir.daemon import process
+from hickoryweir.daemon import parts, process
 from hickoryweir.observability import logs
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -21,7 +21,7 @@
     """Holds the process for aiomisc's entrypoint."""
 
     settings: settings.Settings
-    running: process.Process | None = None
+    running: parts.Process | None = None
 
     async def start(self) -> None:
         """Start every part of the process."""
@@ -59,7 +59,7 @@
 
 async def run(service: RouterService) -> int:
     """Wait for a signal or a failed part and shut down gracefully."""
-    stop = asyncio.Event()
+    stop = service.running.stop_requested
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stop.set)
--- /dev/null
+++ b/hickoryweir/daemon/operators_port.py
@@ -0,0 +1,31 @@
+"""What the operators' port asks of the daemon."""
+
+from hickoryweir.configuration import commands
+from hickoryweir.daemon import log_access, parts, status
+from hickoryweir.operators import documents, service
+
+
+def make_ports(process: parts.Process) -> service.Ports:
+    """Return the functions and values for the operators' port."""
+    given = process.settings
+    voters = tuple(
+        commands.Voter(address.name, address.availability_zone)
+        for address in log_access.replica_addresses(given)
+    )
+    zones = {peer.availability_zone for peer in given.other_processes}
+    zones.add(given.process.availability_zone)
+
+    def count_refusal(reason: documents.Reason) -> None:
+        process.metrics.operator_refusals.labels(reason).inc()
+
+    return service.Ports(
+        operators=given.operator_keys,
+        voters=voters,
+        zones=tuple(sorted(zones)),
+        propose=process.log.propose,
+        read=process.log.read,
+        watch=process.router.watch,
+        zone_reports=process.router.zone_reports,
+        status=lambda: status.make_document(status.make_source(process)),
+        count_refusal=count_refusal,
+    )
--- /dev/null
+++ b/hickoryweir/daemon/parts.py
@@ -0,0 +1,42 @@
+"""All parts of a running daemon as one record."""
+
+import asyncio
+import dataclasses
+
+import aiohttp
+
+from hickoryweir.callers import ports, server
+from hickoryweir.claims import gateway
+from hickoryweir.configuration import settings
+from hickoryweir.daemon import backends, dispatcher, drain, driver
+from hickoryweir.observability import metrics
+from hickoryweir.operators import server as operators_server
+from hickoryweir.replicas import client, node
+from hickoryweir.routers import node as router_node
+from hickoryweir.streams import hub
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Process:
+    """All parts of a running daemon."""
+
+    settings: settings.Settings
+    metrics: metrics.Metrics
+    drain: drain.Drain
+    hub: hub.Hub
+    replica: node.Node | None
+    log: client.Client
+    router: router_node.Node
+    dispatcher: dispatcher.Dispatcher
+    driver: driver.Driver
+    gateway: gateway.Gateway
+    sessions: tuple[aiohttp.ClientSession, ...]
+    backends: backends.Followers
+    configurations: asyncio.Queue
+    digests: asyncio.Queue
+    in_force: ports.InForce | None = None
+    callers: server.Running | None = None
+    operators: operators_server.Running | None = None
+    stop_requested: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    tasks: list[asyncio.Task] = dataclasses.field(default_factory=list)
+    stopped: bool = False
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -7,15 +7,13 @@
 """
 
 import asyncio
-import dataclasses
 import time
 
-import aiohttp
 from returns import result
 
 from hickoryweir.callers import authentication, ports, server
 from hickoryweir.claims import gateway
-from hickoryweir.configuration import model, settings
+from hickoryweir.configuration import commands, model, queries, settings, stops
 from hickoryweir.daemon import (
     attempts,
     backends,
@@ -23,14 +21,18 @@
     drain,
     driver,
     log_access,
+    operators_port,
+    parts,
     status,
 )
 from hickoryweir.engines import sessions
 from hickoryweir.observability import logs, metrics
+from hickoryweir.operators import app
+from hickoryweir.operators import server as operators_server
 from hickoryweir.outcomes import refusals
+from hickoryweir.platform import decisions, poller
 from hickoryweir.policy import events, inspection
 from hickoryweir.policy import settings as policy_settings
-from hickoryweir.replicas import client, node
 from hickoryweir.routers import node as router_node
 from hickoryweir.streams import hub
 
@@ -40,34 +42,11 @@
 MAX_DIGESTS_COUNT = 1_000
 DIGEST_INTERVAL_S = 0.5
 
+LEAVING = decisions.VmState.LEAVING
 EMPTY = model.Configuration("", "", (), (), (), (), (), (), 0.0, 0.0)
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Process:
-    """All parts of a running daemon."""
-
-    settings: settings.Settings
-    metrics: metrics.Metrics
-    drain: drain.Drain
-    hub: hub.Hub
-    replica: node.Node | None
-    log: client.Client
-    router: router_node.Node
-    dispatcher: dispatcher.Dispatcher
-    driver: driver.Driver
-    gateway: gateway.Gateway
-    sessions: tuple[aiohttp.ClientSession, ...]
-    backends: backends.Followers
-    configurations: asyncio.Queue
-    digests: asyncio.Queue
-    in_force: ports.InForce | None = None
-    callers: server.Running | None = None
-    tasks: list[asyncio.Task] = dataclasses.field(default_factory=list)
-    stopped: bool = False
-
-
-def make_process(given: settings.Settings) -> Process:
+def make_process(given: settings.Settings) -> parts.Process:
     """Return the parts of a daemon, none of them started.
 
     Parameters
@@ -77,7 +56,7 @@
 
     Returns
     -------
-    Process
+    parts.Process
         To be given to :func:`start_parts`.
     """
     counters = metrics.make_metrics()
@@ -106,7 +85,7 @@
         metrics=counters,
     )
     run_attempt = attempts.make_run_attempt(made_attempts)
-    return Process(
+    return parts.Process(
         settings=given,
         metrics=counters,
         drain=drain.Drain(),
@@ -130,7 +109,7 @@
     )
 
 
-async def start(given: settings.Settings) -> Process:
+async def start(given: settings.Settings) -> parts.Process:
     """Start a daemon.
 
     Raises
@@ -153,38 +132,27 @@
         send_digests(process),
     ):
         process.tasks.append(asyncio.create_task(work))
+    if given.platform.url:
+        process.tasks.append(asyncio.create_task(follow_platform(process)))
     process.callers = await server.start(make_ports(process))
+    operators_app = app.make_app(operators_port.make_ports(process))
+    process.operators = await operators_server.start(operators_app, given.operators)
     return process
 
 
-def make_ports(process: Process) -> ports.Ports:
+def make_ports(process: parts.Process) -> ports.Ports:
     """Return what the callers' port asks of this daemon."""
     return ports.Ports(
         limits=process.settings.callers,
         in_force=lambda: process.in_force,
         not_ready=lambda: not_ready(process),
         run=lambda call, sink: driver.run(process.driver, call, sink),
-        status=lambda: status.render(make_status_source(process)),
+        status=lambda: status.render(status.make_source(process)),
         metrics=process.metrics,
     )
 
 
-def make_status_source(process: Process) -> status.Source:
-    """Return what the status document is made from."""
-    return status.Source(
-        name=process.settings.process.name,
-        availability_zone=process.settings.process.availability_zone,
-        is_draining=process.drain.begun,
-        is_ready=process.router.ready.is_set(),
-        in_force=process.in_force,
-        calls_in_flight=len(process.dispatcher.mailboxes),
-        log_standing=str(process.log.standing),
-        leader_name=process.log.leader_name,
-        core=process.dispatcher.core,
-    )
-
-
-def not_ready(process: Process) -> refusals.Refusal | None:
+def not_ready(process: parts.Process) -> refusals.Refusal | None:
     """Return why the balancer should send nothing here, or None."""
     if process.drain.begun:
         return drain.REFUSAL
@@ -194,7 +162,7 @@
     return None
 
 
-async def follow_configurations(process: Process) -> None:
+async def follow_configurations(process: parts.Process) -> None:
     """Put each newer version in force at every part of this daemon."""
     while True:
         newer: router_node.InForce = await process.configurations.get()
@@ -205,16 +173,42 @@
         dispatcher.post(process.dispatcher, event)
         backends.follow(process.backends, configuration, newer.running_stops)
         process.metrics.configuration_version.set(newer.version)
+        if is_stopping(process, newer.running_stops):
+            process.stop_requested.set()
         logs.info("configuration in force", logs.Fields(version=newer.version))
 
 
-async def follow_digests(process: Process) -> None:
+async def follow_platform(process: parts.Process) -> None:
+    """Give the platform's lists of VMs to those who decide on backend servers."""
+    engine_session, _ = process.sessions
+    await poller.run(
+        engine_session,
+        process.settings.platform.url,
+        lambda listed: take_list(process, listed),
+    )
+
+
+def take_list(process: parts.Process, listed: decisions.Listed) -> None:
+    """Take a list of VMs; this entry VM's own leaving begins its shutdown."""
+    backends.observe(process.backends, listed)
+    name = process.settings.process.name
+    if any(vm.name == name and vm.state is LEAVING for vm in listed.vms):
+        process.stop_requested.set()
+
+
+def is_stopping(process: parts.Process, running_stops: tuple[stops.Stop, ...]) -> bool:
+    """Return whether a planned stop covers this entry VM."""
+    subject = (commands.SubjectKind.ENTRY_VM, process.settings.process.name)
+    return any((stop.kind, stop.name) == subject for stop in running_stops)
+
+
+async def follow_digests(process: parts.Process) -> None:
     """Give other routers' digests to the policy core."""
     while True:
         dispatcher.post(process.dispatcher, await process.digests.get())
 
 
-async def send_digests(process: Process) -> None:
+async def send_digests(process: parts.Process) -> None:
     """Give this router's digest to the peer routers' node."""
     while True:
         await asyncio.sleep(DIGEST_INTERVAL_S)
@@ -222,24 +216,24 @@
         process.router.offer_digest(digest)
 
 
-async def follow_log(process: Process) -> None:
+async def follow_log(process: parts.Process) -> None:
     """Give committed versions to the peer routers' node, if a replica runs here."""
     if process.replica is None:
         return
     version = 0
     while True:
-        query = log_access.ReadPublished()
+        query = queries.ReadStanding()
         watched = await process.log.watch(query, version, WATCH_TIMEOUT_S)
         if not isinstance(watched, result.Success):
             await asyncio.sleep(WATCH_RETRY_S)
             continue
-        answer = watched.unwrap()
-        if answer is not None and answer.published is not None:
-            version = answer.published.version
-            process.router.offer_source(answer.published)
+        standing = watched.unwrap()
+        if standing is not None:
+            version = standing.version
+            process.router.offer_source(log_access.to_published(standing))
 
 
-async def drain_and_stop(process: Process) -> int:
+async def drain_and_stop(process: parts.Process) -> int:
     """Shut down gracefully; return the exit code."""
     steps = drain.Steps(
         stop_listening=lambda: server.stop_listening(process.callers),
@@ -249,13 +243,15 @@
     return await drain.run(process.drain, process.settings.drain, steps)
 
 
-async def stop(process: Process) -> None:
+async def stop(process: parts.Process) -> None:
     """Close every part; does nothing the second time."""
     if process.stopped:
         return
     process.stopped = True
     if process.callers is not None:
         await server.stop(process.callers)
+    if process.operators is not None:
+        await operators_server.stop(process.operators)
     await process.gateway.close(GATEWAY_CLOSE_TIMEOUT_S)
     await backends.stop(process.backends)
     for task in process.tasks:
--- a/hickoryweir/daemon/status.py
+++ b/hickoryweir/daemon/status.py
@@ -3,8 +3,10 @@
 import dataclasses
 import json
 import time
+from typing import Any
 
 from hickoryweir.callers import ports
+from hickoryweir.daemon import parts
 from hickoryweir.policy import inspection, state
 
 
@@ -23,8 +25,28 @@
     core: state.Core
 
 
+def make_source(process: parts.Process) -> Source:
+    """Return what the status document is made from."""
+    return Source(
+        name=process.settings.process.name,
+        availability_zone=process.settings.process.availability_zone,
+        is_draining=process.drain.begun,
+        is_ready=process.router.ready.is_set(),
+        in_force=process.in_force,
+        calls_in_flight=len(process.dispatcher.mailboxes),
+        log_standing=str(process.log.standing),
+        leader_name=process.log.leader_name,
+        core=process.dispatcher.core,
+    )
+
+
 def render(source: Source) -> bytes:
-    """Return the status document as JSON text.
+    """Return the status document as JSON text."""
+    return json.dumps(make_document(source)).encode()
+
+
+def make_document(source: Source) -> dict[str, Any]:
+    """Return the status document, ready to be written as JSON.
 
     Parameters
     ----------
@@ -33,14 +55,14 @@
 
     Returns
     -------
-    bytes
-        One JSON object; the policy core's views are part of it.
+    dict
+        The policy core's views are part of it.
     """
     now_s = time.monotonic()
     in_force = source.in_force
     queues = inspection.queue_views(source.core, now_s)
     servers = inspection.servers(source.core, now_s)
-    document = {
+    return {
         "name": source.name,
         "availability_zone": source.availability_zone,
         "draining": source.is_draining,
@@ -56,4 +78,3 @@
             dataclasses.asdict(view) for view in inspection.counts(source.core)
         ],
     }
-    return json.dumps(document).encode()
--- a/hickoryweir/observability/metrics.py
+++ b/hickoryweir/observability/metrics.py
@@ -27,7 +27,7 @@
     output_tokens: prometheus_client.Counter
     wasted_tokens: prometheus_client.Counter
     claims: prometheus_client.Counter
-    peer_failures: prometheus_client.Counter
+    operator_refusals: prometheus_client.Counter
     configuration_version: prometheus_client.Gauge
     in_flight: prometheus_client.Gauge
     latencies: latencies.Latencies
@@ -86,7 +86,9 @@
         output_tokens=counter("output_tokens", "Tokens sent to callers.", "class"),
         wasted_tokens=counter("wasted_tokens", "Tokens not used, by cause.", "cause"),
         claims=counter("claims", "Claim verdicts.", "verdict"),
-        peer_failures=counter("peer_failures", "Failures by peer.", "peer", "cause"),
+        operator_refusals=counter(
+            "operator_refusals", "Refusals of operators' requests.", "reason"
+        ),
         configuration_version=gauge("configuration_version", "Version in force."),
         in_flight=gauge("calls_in_flight", "Calls in flight or queued."),
         latencies=store,
--- a/hickoryweir/testing/demo/main.py
+++ b/hickoryweir/testing/demo/main.py
@@ -10,20 +10,24 @@
 import dataclasses
 import pathlib
 import tempfile
+import time
 from typing import Annotated
 
 import aiohttp
 import cappa
 from returns import result
 
-from hickoryweir.configuration import generator, model, questionnaire, render
-from hickoryweir.testing.demo import burst, entry_vms, log_submit, stand_ins
+from hickoryweir.configuration import change_ids, generator, model
+from hickoryweir.operators import client, documents
+from hickoryweir.testing.demo import burst, entry_vms, stand_ins
 
 EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
 FIRST_PORT = 8101
 READY_TIMEOUT_S = 30.0
 READY_INTERVAL_S = 0.1
 SEED = 7
+SUBMIT_TRIES_COUNT = 60
+SUBMIT_INTERVAL_S = 0.25
 
 
 @dataclasses.dataclass
@@ -45,30 +49,41 @@
     print(text, flush=True)
 
 
-def load_answers(deployment: str) -> questionnaire.Answers:
-    """Return the worked answers of an example deployment.
+def load_answers(deployment: str) -> str:
+    """Return the text of an example's worked answers.
 
     Raises
     ------
     cappa.Exit
-        There is no such example, or its answers are wrong.
+        There is no such example.
     """
     path = EXAMPLES / deployment / "answers.ini"
     if not path.is_file():
         raise cappa.Exit(f"no example named {deployment}", code=2)
-    parsed = questionnaire.parse(path.read_text(), str(path))
-    if not isinstance(parsed, result.Success):
-        raise cappa.Exit(str(parsed.failure()), code=2)
-    return parsed.unwrap()
+    return path.read_text()
+
+
+def generate(answers_text: str) -> model.Configuration:
+    """Return the configuration for an example's answers.
+
+    Raises
+    ------
+    cappa.Exit
+        The answers are wrong.
+    """
+    generated = generator.generate_text(answers_text, "answers.ini")
+    if not isinstance(generated, result.Success):
+        raise cappa.Exit(str(generated.failure()), code=2)
+    return generated.unwrap()
 
 
 async def run(demo: Demo) -> int:
     """Run the demonstration; return its exit code."""
-    answers = load_answers(demo.deployment)
-    drafted = generator.generate(answers).unwrap()
+    answers_text = load_answers(demo.deployment)
+    drafted = generate(answers_text)
     say(f"generated the configuration of {drafted.customer}")
     servers = await stand_ins.start_all(drafted)
-    configuration = render.seal(stand_ins.locate(drafted, servers))
+    answers_text = stand_ins.locate(answers_text, servers)
     say(f"started {len(servers)} stand-ins")
     zones = tuple(sorted({each.availability_zone for each in drafted.backend_servers}))
     with tempfile.TemporaryDirectory(prefix="hickoryweir-demo-") as folder:
@@ -76,7 +91,7 @@
         entry_vms.write_settings(vms)
         running = [entry_vms.start(vm) for vm in vms]
         try:
-            outcomes = await serve_burst(demo, configuration, vms)
+            outcomes = await serve_burst(demo, answers_text, vms)
         finally:
             say("stopping the entry VMs")
             codes = await asyncio.gather(
@@ -93,17 +108,16 @@
 
 async def serve_burst(
     demo: Demo,
-    configuration: model.Configuration,
+    answers_text: str,
     vms: tuple[entry_vms.EntryVm, ...],
 ) -> list[burst.Outcome] | None:
     """Submit the configuration, send the burst; None if nothing got ready."""
     say(f"started entry VMs {', '.join(vm.name for vm in vms)}")
-    submitted = await log_submit.submit(vms, render.render(configuration))
-    say(f"submitted: {submitted}")
-    if not await wait_until_ready(vms):
+    if not await submit(answers_text, vms) or not await wait_until_ready(vms):
         return None
     urls = tuple(vm.callers_url for vm in vms)
     say(f"ready: {' '.join(urls)}")
+    configuration = generate(answers_text)
     plans = burst.make_plans(configuration, urls, demo.calls, demo.duration_s, SEED)
     say(f"sending {len(plans)} calls over {demo.duration_s} s")
     outcomes = await burst.send_all(plans)
@@ -113,6 +127,29 @@
     return outcomes
 
 
+async def submit(answers_text: str, vms: tuple[entry_vms.EntryVm, ...]) -> bool:
+    """Submit the answers as an operator does; wait until they are in force."""
+    access = client.Access(
+        tuple(vm.operators_url for vm in vms), entry_vms.OPERATOR_KEY
+    )
+    change_id = change_ids.make(time.time())
+    body = {"change_id": change_id, "answers": answers_text, "summary": "demo"}
+    accepted = documents.AcceptedDocument
+    for _ in range(SUBMIT_TRIES_COUNT):
+        asked = await client.request(access, "POST", "/changes", accepted, body)
+        if isinstance(asked, result.Success):
+            found = asked.unwrap()
+            zones = ", ".join(
+                f"{zone.availability_zone} {'in force' if zone.is_in_force else 'pending'}"
+                for zone in found.zones
+            )
+            say(f"accepted as version {found.version}: {zones}")
+            return True
+        await asyncio.sleep(SUBMIT_INTERVAL_S)
+    say(f"BROKEN: not accepted: {asked.failure()}")
+    return False
+
+
 async def wait_until_ready(vms: tuple[entry_vms.EntryVm, ...]) -> bool:
     """Return True once every entry VM says that it is ready."""
     async with aiohttp.ClientSession() as session:
--- a/hickoryweir/testing/demo/stand_ins.py
+++ b/hickoryweir/testing/demo/stand_ins.py
@@ -43,16 +43,13 @@
     return StandIn(server, await running.start(app), None)
 
 
-def locate(
-    configuration: model.Configuration, stand_ins: tuple[StandIn, ...]
-) -> model.Configuration:
-    """Return the configuration with the stand-ins' URLs."""
-    urls = {stand_in.server.name: stand_in.running.url for stand_in in stand_ins}
-    servers = tuple(
-        dataclasses.replace(server, url=urls[server.name])
-        for server in configuration.backend_servers
-    )
-    return dataclasses.replace(configuration, backend_servers=servers)
+def locate(answers_text: str, stand_ins: tuple[StandIn, ...]) -> str:
+    """Return an answers file's text with the stand-ins' URLs."""
+    for stand_in in stand_ins:
+        before = f"url = {stand_in.server.url}\n"
+        after = f"url = {stand_in.running.url}\n"
+        answers_text = answers_text.replace(before, after)
+    return answers_text
 
 
 def count_executions(stand_ins: tuple[StandIn, ...]) -> dict[str, int]:
