--- a/hickoryweir/testing/demo/main.py
+++ b/hickoryweir/testing/demo/main.py
@@ -139,10 +139,7 @@
         asked = await client.request(access, "POST", "/changes", accepted, body)
         if isinstance(asked, result.Success):
             found = asked.unwrap()
-            zones = ", ".join(
-                f"{zone.availability_zone} {'in force' if zone.is_in_force else 'pending'}"
-                for zone in found.zones
-            )
+            zones = ", ".join(describe(zone) for zone in found.zones)
             say(f"accepted as version {found.version}: {zones}")
             return True
         await asyncio.sleep(SUBMIT_INTERVAL_S)
@@ -150,6 +147,11 @@
     return False
 
 
+def describe(zone: documents.ZoneState) -> str:
+    """Return one availability zone's state in words."""
+    return f"{zone.availability_zone} {'in force' if zone.is_in_force else 'pending'}"
+
+
 async def wait_until_ready(vms: tuple[entry_vms.EntryVm, ...]) -> bool:
     """Return True once every entry VM says that it is ready."""
     async with aiohttp.ClientSession() as session:
