Relay: a finished stream's text is not parsed; logs skip the caller's line

Cause: every finished stream was decoded again for a resume that can't come (28% of processor time in a profile), and absl looked up the caller of each entry. Ruled out: the events reader, 11%. Change: text only of unfinished streams; records go straight to absl's logger.

--- /dev/null
+++ b/hickoryweir/daemon/measure.py
@@ -0,0 +1,303 @@
+"""Measures what the router adds: ``python -m hickoryweir.daemon.measure``.
+
+Three processes on loopback: an engine that answers at once, one entry VM
+(router and single replica) and this process as the caller.  The same calls go
+to the engine directly and through the router, in turn.  Then many streams at
+once show how many tokens a second one core of the router relays.
+"""
+
+import asyncio
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Annotated
+
+import aiohttp
+import cappa
+import uvloop
+from aiohttp import web
+from returns import result
+
+from hickoryweir.configuration import change_ids
+from hickoryweir.operators import client, documents
+from hickoryweir.testing.demo import entry_vms
+
+CHUNK_COUNT = 100
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+KEY = "measure"
+MODEL = "assistant"
+ANSWERS = """\
+[team]
+name = measure
+availability_zones = a
+entry_vms = 1
+callers_resend_within_hours = 1
+weight_store_mb_per_s = 100
+
+[request read]
+purpose = measure
+answered_by = model assistant
+may_run_twice = yes
+first_token_within_s = 5.0
+between_tokens_within_s = 5.0
+whole_answer_within_s = 60.0
+gives_up_after_s = 120.0
+met_for_percent = 90
+never_below_percent = 50
+usual_question_tokens = 10
+usual_answer_tokens = 100
+longest_answer_tokens = 100
+retry = yes
+race_a_second_copy = no
+
+[model assistant]
+version = 1
+weights_size_mb = 1
+
+[backend-server engine-1]
+runs = model
+serves = assistant
+url = {url}
+availability_zone = a
+provider = p
+calls_at_once = 1000
+tokens_per_s = 1000
+checks_order_numbers = yes
+
+[account measure]
+key_sha256 = {digest}
+requests = read
+calls_per_s = 100000
+tokens_per_s = 100000000
+weight = 1
+"""
+
+
+@dataclasses.dataclass
+class Measure:
+    """Compare calls through the router with calls straight to an engine."""
+
+    part: Annotated[str, cappa.Arg(long=True, help="all or engine")] = "all"
+    port: Annotated[int, cappa.Arg(long=True, help="Port of the engine.")] = 0
+    calls: Annotated[int, cappa.Arg(long=True, help="Calls one by one.")] = 500
+    streams: Annotated[int, cappa.Arg(long=True, help="Streams at once.")] = 50
+    rounds: Annotated[int, cappa.Arg(long=True, help="Rounds of streams.")] = 10
+    token_interval_ms: Annotated[
+        float, cappa.Arg(long=True, help="Pause between tokens of a stream.")
+    ] = 2.0
+
+
+def make_event(request_id: str, delta: str, finish: str = "null") -> bytes:
+    """Return one event of a chat completion's stream."""
+    return (
+        f'data: {{"id":"chatcmpl-{request_id}","object":"chat.completion.chunk",'
+        f'"created":0,"model":"{MODEL}","choices":[{{"index":0,"delta":{{{delta}}},'
+        f'"finish_reason":{finish}}}]}}\n\n'
+    ).encode()
+
+
+async def answer_chat(request: web.Request) -> web.StreamResponse:
+    """Answer a chat at once, or as a stream of :data:`CHUNK_COUNT` tokens."""
+    body = json.loads(await request.read())
+    request_id = request.headers.get("X-Request-Id", "direct")
+    if not body.get("stream"):
+        message = {"role": "assistant", "content": "ok"}
+        choice = {"index": 0, "message": message, "finish_reason": "stop"}
+        usage = {"prompt_tokens": 1, "completion_tokens": 1, "total_tokens": 2}
+        answer = {"id": f"chatcmpl-{request_id}", "choices": [choice], "usage": usage}
+        return web.json_response(answer, headers={"X-Request-Id": request_id})
+    headers = {"Content-Type": "text/event-stream", "X-Request-Id": request_id}
+    response = web.StreamResponse(headers=headers)
+    await response.prepare(request)
+    token = make_event(request_id, '"content":" word"')
+    pause_s = request.app[PAUSE_S]
+    for _ in range(CHUNK_COUNT):
+        await response.write(token)
+        await asyncio.sleep(pause_s)
+    await response.write(make_event(request_id, "", '"stop"') + b"data: [DONE]\n\n")
+    await response.write_eof()
+    return response
+
+
+PAUSE_S = web.AppKey("pause_s", float)
+
+
+async def answer_load(request: web.Request) -> web.Response:
+    """Answer an idle load report."""
+    report = {"running": 0, "waiting": 0, "cache_used_share": 0.0, "age_s": 0.0}
+    return web.json_response(report)
+
+
+async def answer_cache_events(request: web.Request) -> web.Response:
+    """Answer that there were no cache events."""
+    return web.json_response({"last_sequence": 0, "events": []})
+
+
+def run_engine(port: int, pause_s: float) -> None:
+    """Serve the engine in this process until it is ended."""
+    app = web.Application()
+    app[PAUSE_S] = pause_s
+    app.router.add_post("/v1/chat/completions", answer_chat)
+    app.router.add_get("/load", answer_load)
+    app.router.add_get("/cache_events", answer_cache_events)
+    loop = uvloop.new_event_loop()
+    web.run_app(
+        app,
+        host=entry_vms.HOST,
+        port=port,
+        loop=loop,
+        print=None,
+        access_log=None,
+        handle_signals=False,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Processor time and memory of a process."""
+
+    processor_s: float
+    resident_size_bytes: int
+
+
+def read_usage(pid: int) -> Usage:
+    """Return what a process has used so far."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    ticks = int(fields[11]) + int(fields[12])
+    resident_pages = int(fields[21])
+    return Usage(ticks / TICKS_PER_S, resident_pages * os.sysconf("SC_PAGESIZE"))
+
+
+async def submit(vm: entry_vms.EntryVm, engine_url: str) -> None:
+    """Submit the configuration and wait until it is in force."""
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    access = client.Access((vm.operators_url,), entry_vms.OPERATOR_KEY)
+    body = {
+        "change_id": change_ids.make(time.time()),
+        "answers": ANSWERS.format(url=engine_url, digest=digest),
+    }
+    accepted = documents.AcceptedDocument
+    while True:
+        asked = await client.request(access, "POST", "/changes", accepted, body)
+        if isinstance(asked, result.Success):
+            return
+        print(f"waiting: {asked.failure()}", file=sys.stderr)
+        await asyncio.sleep(0.5)
+
+
+async def call_once(session: aiohttp.ClientSession, url: str, stream: bool) -> int:
+    """Send one call and read its whole answer; return its size in bytes."""
+    body = {
+        "model": MODEL,
+        "stream": stream,
+        "messages": [{"role": "user", "content": "hello"}],
+    }
+    headers = {"Authorization": f"Bearer {KEY}"}
+    async with session.post(
+        f"{url}/v1/chat/completions", json=body, headers=headers
+    ) as response:
+        answer = await response.read()
+        if response.status != 200:
+            raise RuntimeError(answer.decode())
+        return len(answer)
+
+
+async def measure_calls(urls: tuple[str, str], count: int) -> tuple[list, list]:
+    """Return the times of plain calls, direct and routed, sent in turn."""
+    times: tuple[list, list] = ([], [])
+    async with aiohttp.ClientSession() as session:
+        for position in range(count + 20):
+            for kind, url in enumerate(urls):
+                started_s = time.perf_counter()
+                await call_once(session, url, stream=False)
+                if position >= 20:
+                    times[kind].append(time.perf_counter() - started_s)
+    return times
+
+
+async def measure_streams(url: str, streams: int, rounds: int, pid: int) -> None:
+    """Print how many tokens a second are relayed, and per core of the router."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        before = read_usage(pid)
+        started_s = time.perf_counter()
+
+        async def run() -> None:
+            for _ in range(rounds):
+                await call_once(session, url, stream=True)
+
+        await asyncio.gather(*(run() for _ in range(streams)))
+        elapsed_s = time.perf_counter() - started_s
+        after = read_usage(pid)
+    tokens_count = streams * rounds * CHUNK_COUNT
+    processor_s = after.processor_s - before.processor_s
+    print(
+        f"{streams} streams: {tokens_count / elapsed_s:,.0f} tokens/s relayed, "
+        f"{tokens_count / processor_s:,.0f} tokens per processor second, "
+        f"{processor_s / elapsed_s:.0%} of a core, "
+        f"{after.resident_size_bytes / 2**20:.0f} MiB resident"
+    )
+
+
+def show(name: str, times_s: list[float]) -> None:
+    """Print a row of quantiles."""
+    ordered = sorted(times_s)
+    p50_ms = statistics.median(ordered) * 1000
+    p99_ms = ordered[int(len(ordered) * 0.99)] * 1000
+    print(f"{name:24} p50 {p50_ms:7.3f} ms   p99 {p99_ms:7.3f} ms")
+
+
+def start_engine(port: int, token_interval_ms: float) -> subprocess.Popen:
+    """Start the engine as a process of its own."""
+    command = [sys.executable, "-m", "hickoryweir.daemon.measure", "--part", "engine"]
+    pause = ["--token-interval-ms", str(token_interval_ms)]
+    return subprocess.Popen([*command, "--port", str(port), *pause])
+
+
+async def run(arguments: Measure) -> None:
+    """Start the parts, measure, and stop them."""
+    port = entry_vms.free_port()
+    engine_url = f"http://{entry_vms.HOST}:{port}"
+    engine = start_engine(port, arguments.token_interval_ms)
+    with tempfile.TemporaryDirectory(prefix="hickoryweir-measure-") as folder:
+        vms = entry_vms.make_entry_vms(("a",), pathlib.Path(folder), 0)
+        entry_vms.write_settings(vms)
+        running = entry_vms.start(vms[0])
+        try:
+            await submit(vms[0], engine_url)
+            urls = (engine_url, vms[0].callers_url)
+            direct, routed = await measure_calls(urls, arguments.calls)
+            show("plain call, direct", direct)
+            show("plain call, routed", routed)
+            added = statistics.median(routed) - statistics.median(direct)
+            ratio = statistics.median(routed) / statistics.median(direct)
+            print(f"added at p50: {added * 1000:.3f} ms, ratio {ratio:.2f}")
+            pid = running.process.pid
+            await measure_streams(
+                vms[0].callers_url, arguments.streams, arguments.rounds, pid
+            )
+        finally:
+            entry_vms.stop(running)
+            engine.terminate()
+            engine.wait()
+
+
+def main() -> None:
+    """Run from the command line."""
+    arguments = cappa.parse(Measure)
+    if arguments.part == "engine":
+        run_engine(arguments.port, arguments.token_interval_ms / 1000)
+        return
+    uvloop.install()
+    asyncio.run(run(arguments))
+
+
+if __name__ == "__main__":
+    main()
--- a/hickoryweir/daemon/relay.py
+++ b/hickoryweir/daemon/relay.py
@@ -49,10 +49,13 @@
     calls.AttemptEnd
         Finished with the whole answer, or why not.
     """
+    end: calls.AttemptEnd | None = None
     try:
-        return await copy(call, dispatch, stream, given, recorded)
+        end = await copy(call, dispatch, stream, given, recorded)
+        return end
     finally:
-        keep_text(call, dispatch, stream)
+        if not isinstance(end, calls.Finished):
+            keep_text(call, dispatch, stream)
         await stream.close()
 
 
--- a/hickoryweir/observability/logs.py
+++ b/hickoryweir/observability/logs.py
@@ -109,16 +109,32 @@
     logging.set_stderrthreshold("fatal")
 
 
+def write(level: int, message: str, fields: Fields) -> None:
+    """Write an entry at one of the levels of the standard library.
+
+    The record goes straight to absl's logger: looking up the caller's line for
+    each entry would cost more than writing it.
+    """
+    logger = logging.get_absl_logger()
+    if not logger.isEnabledFor(level):
+        return
+    entry = Entry(message, fields)
+    record = standard_logging.LogRecord(
+        logger.name, level, __file__, 0, "%s", (entry,), None
+    )
+    logger.handle(record)
+
+
 def info(message: str, fields: Fields = NO_FIELDS) -> None:
     """Write an entry at level info."""
-    logging.info("%s", Entry(message, fields))
+    write(standard_logging.INFO, message, fields)
 
 
 def warning(message: str, fields: Fields = NO_FIELDS) -> None:
     """Write an entry at level warning."""
-    logging.warning("%s", Entry(message, fields))
+    write(standard_logging.WARNING, message, fields)
 
 
 def error(message: str, fields: Fields = NO_FIELDS) -> None:
     """Write an entry at level error."""
-    logging.error("%s", Entry(message, fields))
+    write(standard_logging.ERROR, message, fields)
