--- a/hickoryweir/engines/tests/test_client.py
+++ b/hickoryweir/engines/tests/test_client.py
@@ -3,8 +3,10 @@
 import asyncio
 import json
 
+from aiohttp import web
 from returns import result
 
+from hickoryweir.engines import headers
 from hickoryweir.engines.tests import benches
 from hickoryweir.outcomes import refusals
 from hickoryweir.policy import events
@@ -220,3 +222,17 @@
         assert stream.text_so_far() == texts.answer_text("r1", 1000)
 
     run(test)
+
+
+def test_refusal_that_names_no_request_is_not_trusted():
+    async def refuse(_):
+        return web.Response(status=503, headers={headers.NOT_RUN: headers.TRUE})
+
+    async def test():
+        app = web.Application()
+        app.add_routes([web.post("/v1/chat/completions", refuse)])
+        async with benches.app_bench(app) as bench:
+            failure = await stream_failure(bench, benches.make_call())
+        assert failure.ran is refusals.Ran.MAYBE
+
+    run(test)
