--- /dev/null
+++ b/hickoryweir/daemon/status.py
@@ -0,0 +1,80 @@
+"""What one daemon says of itself: status document and policy digest."""
+
+import dataclasses
+import json
+import time
+from typing import Any
+
+from hickoryweir.callers import ports
+from hickoryweir.daemon import parts
+from hickoryweir.policy import inspection, state
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """What the status document is made from."""
+
+    name: str
+    availability_zone: str
+    is_draining: bool
+    is_ready: bool
+    in_force: ports.InForce | None
+    calls_in_flight: int
+    log_standing: str
+    leader_name: str
+    core: state.Core
+
+
+def make_source(process: parts.Process) -> Source:
+    """Return what the status document is made from."""
+    return Source(
+        name=process.settings.process.name,
+        availability_zone=process.settings.process.availability_zone,
+        is_draining=process.drain.begun,
+        is_ready=process.router.ready.is_set(),
+        in_force=process.in_force,
+        calls_in_flight=len(process.dispatcher.mailboxes),
+        log_standing=str(process.log.standing),
+        leader_name=process.log.leader_name,
+        core=process.dispatcher.core,
+    )
+
+
+def render(source: Source) -> bytes:
+    """Return the status document as JSON text."""
+    return json.dumps(make_document(source)).encode()
+
+
+def make_document(source: Source) -> dict[str, Any]:
+    """Return the status document, ready to be written as JSON.
+
+    Parameters
+    ----------
+    source : Source
+        The daemon's state.
+
+    Returns
+    -------
+    dict
+        The policy core's views are part of it.
+    """
+    now_s = time.monotonic()
+    in_force = source.in_force
+    queues = inspection.queue_views(source.core, now_s)
+    servers = inspection.servers(source.core, now_s)
+    return {
+        "name": source.name,
+        "availability_zone": source.availability_zone,
+        "draining": source.is_draining,
+        "ready": source.is_ready,
+        "configuration_version": in_force.version if in_force else 0,
+        "configuration_digest": in_force.configuration.digest if in_force else "",
+        "calls_in_flight": source.calls_in_flight,
+        "log": source.log_standing,
+        "leader": source.leader_name,
+        "classes": [dataclasses.asdict(view) for view in queues],
+        "backend_servers": [dataclasses.asdict(view) for view in servers],
+        "decisions": [
+            dataclasses.asdict(view) for view in inspection.counts(source.core)
+        ],
+    }
--- /dev/null
+++ b/hickoryweir/replicas/measure_cluster.py
@@ -0,0 +1,181 @@
+"""Three replicas as processes of their own, for measurements on loopback.
+
+Each replica is reached by the others and by clients of other zones through a
+delaying task.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import functools
+import os
+import signal
+import socket
+import sys
+import time
+
+from hickoryweir.claims import commands, snapshots
+from hickoryweir.claims import machine as claims_machine
+from hickoryweir.replicas import client, machine, node, wire
+from hickoryweir.streams import handshake, hub
+
+CLUSTER_ID = "measurement"
+HOST = "127.0.0.1"
+NAMES = ("a", "b", "c")
+START_TIMEOUT_S = 20.0
+READ_SIZE_BYTES = 64 * 1024
+TIMER_STEP_S = 0.002
+MODULE = "hickoryweir.replicas.measure"
+CLAIMS = machine.Submachine(
+    "claims",
+    (commands.Claim, commands.RecordOutcome),
+    claims_machine.initial_state,
+    claims_machine.apply,
+    snapshots.dump,
+    snapshots.load,
+)
+
+
+async def run_delays(delay_s: float, text: str) -> None:
+    """Run the delaying tasks until the process is killed.
+
+    Parameters
+    ----------
+    delay_s : float
+        Delay one way.
+    text : str
+        Pairs of listening and target port, as ``5001=5002,5003=5004``.
+    """
+    servers = []
+    for pair in text.split(","):
+        port, target_port = (int(item) for item in pair.split("="))
+        accept = functools.partial(_accept_delayed, target_port, delay_s)
+        servers.append(await asyncio.start_server(accept, HOST, port))
+    await asyncio.Event().wait()
+
+
+async def _accept_delayed(target_port: int, delay_s: float, reader, writer) -> None:
+    try:
+        other_reader, other_writer = await asyncio.open_connection(HOST, target_port)
+        await asyncio.gather(
+            _pass_on(reader, other_writer, delay_s),
+            _pass_on(other_reader, writer, delay_s),
+        )
+    except OSError:
+        pass
+    finally:
+        writer.transport.abort()
+
+
+async def _pass_on(reader, writer, delay_s: float) -> None:
+    waiting: asyncio.Queue = asyncio.Queue()
+    sender = asyncio.create_task(_release(waiting, writer))
+    try:
+        while data := await reader.read(READ_SIZE_BYTES):
+            waiting.put_nowait((time.monotonic() + delay_s, data))
+    finally:
+        sender.cancel()
+        writer.transport.abort()
+
+
+async def _release(waiting: asyncio.Queue, writer) -> None:
+    while True:
+        due_s, data = await waiting.get()
+        # The loop's timers step by whole milliseconds; the rest is polled.
+        while (left_s := due_s - time.monotonic()) > 0:  # noqa: ASYNC110
+            await asyncio.sleep(max(0.0, left_s - TIMER_STEP_S))
+        writer.write(data)
+
+
+@dataclasses.dataclass(slots=True)
+class Cluster:
+    """Replicas as processes; `near` addresses are direct, `far` ones delayed."""
+
+    processes: dict[str, asyncio.subprocess.Process]
+    near: dict[str, wire.ReplicaAddress]
+    far: dict[str, wire.ReplicaAddress]
+
+    def addresses(self, near_name: str = "") -> tuple[wire.ReplicaAddress, ...]:
+        """Return the addresses for a client in the zone of `near_name`."""
+        return tuple(
+            self.near[name] if name == near_name else self.far[name] for name in NAMES
+        )
+
+    def make_client(self, near_name: str = "") -> client.Client:
+        """Return a client in the zone of `near_name`, or in a zone of its own."""
+        return make_client(self.addresses(near_name))
+
+    def kill(self, name: str) -> None:
+        """Kill one replica's process."""
+        self.processes[name].send_signal(signal.SIGKILL)
+
+    def silence(self, name: str) -> None:
+        """Stop one replica's process; its connections stay open and say nothing."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+
+@contextlib.asynccontextmanager
+async def run_cluster(folder: str, delay_s: float):
+    """Start a cluster and stop it in the end."""
+    near = {name: _make_address(name) for name in NAMES}
+    far = {name: _make_address(name) for name in NAMES}
+    text = ",".join(f"{item.name}={item.port}" for item in far.values())
+    ports = ",".join(f"{far[name].port}={near[name].port}" for name in NAMES)
+    cluster = Cluster({}, near, far)
+    try:
+        delays = await start_process("delays", str(delay_s), ports)
+        cluster.processes["delays"] = delays
+        for name in NAMES:
+            path = os.path.join(folder, name)
+            port = str(near[name].port)
+            replica = await start_process("replica", name, port, path, text)
+            cluster.processes[name] = replica
+        starting = cluster.make_client()
+        if not await starting.wait_until_ready(START_TIMEOUT_S):
+            raise TimeoutError("no leader")
+        await starting.close()
+        yield cluster
+    finally:
+        for process in cluster.processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+
+def make_client(addresses: tuple[wire.ReplicaAddress, ...]) -> client.Client:
+    """Return a client under a name of its own."""
+    identity = handshake.Identity(CLUSTER_ID, "measuring", "zone-m")
+    return client.make_client(identity, addresses)
+
+
+def parse_addresses(text: str) -> tuple[wire.ReplicaAddress, ...]:
+    """Return the addresses in ``a=5001,b=5002``."""
+    pairs = (pair.split("=") for pair in text.split(","))
+    return tuple(
+        wire.ReplicaAddress(name, HOST, int(port), f"zone-{name}")
+        for name, port in pairs
+    )
+
+
+async def run_replica(name: str, port: int, folder: str, text: str) -> None:
+    """Run one replica until the process is killed."""
+    addresses = parse_addresses(text)
+    identity = handshake.Identity(CLUSTER_ID, name, f"zone-{name}")
+    peer_hub = hub.make_hub(identity, HOST, port)
+    settings = node.NodeSettings(identity, folder, addresses, bootstrap=True)
+    running = node.make_node(settings, peer_hub, (CLAIMS,))
+    (await running.start()).unwrap()
+    await peer_hub.start()
+    await asyncio.Event().wait()
+
+
+async def start_process(*arguments: str, **options) -> asyncio.subprocess.Process:
+    """Start a subcommand of the measurements as a process."""
+    command = (sys.executable, "-m", MODULE, *arguments)
+    return await asyncio.create_subprocess_exec(*command, **options)
+
+
+def _make_address(name: str) -> wire.ReplicaAddress:
+    with socket.create_server((HOST, 0)) as server:
+        port = server.getsockname()[1]
+    return wire.ReplicaAddress(name, HOST, port, f"zone-{name}")
