--- a/hickoryweir/daemon/driver.py
+++ b/hickoryweir/daemon/driver.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 
 from returns import result
@@ -137,7 +138,8 @@
             case actions.Refuse():
                 return result.Failure(message.refusal)
             case calls.AttemptEnded():
-                attempts.pop(message.attempt, None)
+                if attempts.pop(message.attempt, None) is None:
+                    continue
                 outcome = end_attempt(driver, call, message)
                 if outcome is not None:
                     return outcome
@@ -152,7 +154,10 @@
     """Start the task of an attempt, which ends with a message to the mailbox."""
 
     async def run_attempt() -> None:
-        end = await driver.run_attempt(call, dispatch)
+        try:
+            end = await driver.run_attempt(call, dispatch)
+        except Exception as error:
+            end = end_fault(call, dispatch, error)
         call.mailbox.put_nowait(calls.AttemptEnded(dispatch.attempt, end))
 
     task = asyncio.create_task(run_attempt())
@@ -160,6 +165,21 @@
     keep(driver, task)
 
 
+def end_fault(
+    call: calls.Call, dispatch: actions.Dispatch, error: Exception
+) -> calls.Failed:
+    """Return an unforeseen fault as the end of its attempt, and log it."""
+    fields = logs.Fields(
+        request_id=call.request.request_id,
+        backend_server=dispatch.backend_server,
+        attempt=dispatch.attempt,
+        detail="".join(traceback.format_exception(error)),
+    )
+    logs.error("attempt ended by a fault", fields)
+    ran = refusals.Ran.MAYBE if call.dispatched else refusals.Ran.NO
+    return calls.Failed(events.FailureCause.FAILED, ran, 0, "internal error")
+
+
 def cancel_attempt(
     call: calls.Call, attempts: dict[int, asyncio.Task], attempt: int
 ) -> None:
@@ -167,7 +187,10 @@
     task = attempts.pop(attempt, None)
     if task is None or not call.request.request_class.idempotent:
         return
-    task.cancel()
+    if call.writing and call.winner == attempt:
+        call.stopped.add(attempt)
+    else:
+        task.cancel()
     if call.winner == attempt:
         call.winner = None
 
@@ -201,12 +224,14 @@
 ) -> None:
     """Give back what a call holds; attempts that may run only once go on."""
     call_id = call.request.call_id
+    idempotent = call.request.request_class.idempotent
+    if idempotent:
+        for task in attempts.values():
+            task.cancel()
     if call_id not in driver.dispatcher.mailboxes:
         return
     withdrawn = events.Withdrawn(call_id)
-    if call.request.request_class.idempotent or not attempts:
-        for task in attempts.values():
-            task.cancel()
+    if idempotent or not attempts:
         dispatcher.leave(driver.dispatcher, call_id, withdrawn)
         return
     driver.dispatcher.mailboxes.pop(call_id)
--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -15,12 +15,13 @@
 
 from returns import result
 
-from hickoryweir.replicas import channels, messages, wire
+from hickoryweir.replicas import channels, messages, standings, wire
 from hickoryweir.streams import codec, handshake, tls
 
 CONNECT_TIMEOUT_S = 0.3
 SURVEY_TIMEOUT_S = 0.3
 PATIENCE_S = 0.4
+IDLE_ROUNDS_COUNT = 25
 RETRY_INTERVAL_S = 0.03
 PROBE_INTERVAL_S = 0.2
 
@@ -53,24 +54,17 @@
     retry_after_s: float
 
 
-class Standing(enum.StrEnum):
-    """What the client knows of the log."""
-
-    UNKNOWN = "unknown"
-    LEADER = "leader"
-    ELECTION = "election"
-    NO_QUORUM = "no_quorum"
-
-
 class Client:
     """Made by :func:`make_client`; used from one event loop.
 
     Attributes
     ----------
-    standing : Standing
+    standing : standings.Standing
         What is known now.
     leader_name : str
         Replica that is believed to lead; empty if none.
+    target_name : str
+        Replica that is asked: the leader, or a follower that passes requests on.
     """
 
     def __init__(
@@ -80,14 +74,16 @@
         files: tls.TlsFiles | None,
         group: str,
     ) -> None:
-        self.standing = Standing.UNKNOWN
+        self.standing = standings.Standing.UNKNOWN
         self.leader_name = ""
+        self.target_name = ""
         self._identity = identity
         self._files = files
         self._group = group
         self._channels: dict[str, channels.Channel] = {}
         self._survey_task: asyncio.Task | None = None
         self._probe_task: asyncio.Task | None = None
+        self._patience_task: asyncio.Task | None = None
         for replica in replicas:
             self._add_channel(replica)
 
@@ -146,7 +142,7 @@
         deadline_s = loop.time() + timeout_s
         while loop.time() < deadline_s:
             await self._survey()
-            if self.standing is Standing.LEADER:
+            if self.standing is standings.Standing.LEADER:
                 return True
             await asyncio.sleep(RETRY_INTERVAL_S)
         return False
@@ -204,7 +200,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        tasks = [self._survey_task, self._probe_task]
+        tasks = [self._survey_task, self._probe_task, self._patience_task]
         running = [task for task in tasks if task is not None]
         for task in running:
             task.cancel()
@@ -225,12 +221,12 @@
         deadline_s = loop.time() + timeout_s
         may_commit = False
         while loop.time() < deadline_s:
-            if self.standing is Standing.UNKNOWN:
+            if self.standing is standings.Standing.UNKNOWN:
                 await self._survey()
-            if self.standing is Standing.NO_QUORUM:
+            if self.standing is standings.Standing.NO_QUORUM:
                 self._start_probing()
                 return _unavailable(Reason.NO_QUORUM, may_commit)
-            if self.standing is Standing.ELECTION:
+            if self.standing is standings.Standing.ELECTION:
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 await self._survey()
                 continue
@@ -247,29 +243,38 @@
     async def _ask_patiently(
         self, request: wire.Request, deadline_s: float
     ) -> object | None:
-        """Ask the leader; give up if the others no longer follow it."""
-        loop = asyncio.get_running_loop()
-        leader_name = self.leader_name
-        asked = asyncio.create_task(self._channels[leader_name].ask(request))
-        try:
-            while True:
-                left_s = deadline_s - loop.time()
-                done, _ = await asyncio.wait({asked}, timeout=min(PATIENCE_S, left_s))
-                if done:
-                    return asked.result()
-                if loop.time() >= deadline_s:
-                    return None
+        """Ask the leader; None if time is up or the others no longer follow it."""
+        self._start_patience()
+        left_s = deadline_s - asyncio.get_running_loop().time()
+        if self.standing is standings.Standing.RELAYED:
+            request = wire.RelayRequest(0, request)
+        channel = self._channels[self.target_name]
+        return await self._ask_within(channel, request, left_s)
+
+    def _start_patience(self) -> None:
+        if self._patience_task is None or self._patience_task.done():
+            self._patience_task = asyncio.create_task(self._watch_leader())
+
+    async def _watch_leader(self) -> None:
+        """While requests wait for the leader, see whether it still leads."""
+        idle_count = 0
+        while idle_count < IDLE_ROUNDS_COUNT:
+            await asyncio.sleep(PATIENCE_S / 2)
+            channel = self._channels.get(self.target_name)
+            waits_s = 0.0 if channel is None else channel.longest_wait_s()
+            idle_count = 0 if waits_s else idle_count + 1
+            if waits_s > PATIENCE_S:
                 await self._survey()
-                if self.leader_name != leader_name:
-                    return None
-        finally:
-            asked.cancel()
+                if self._channels.get(self.target_name) is not channel:
+                    channel.give_up()
 
     async def _follow(self, answer: object) -> None:
         hinted = getattr(answer, "leader_name", "")
         if hinted and hinted != self.leader_name and hinted in self._channels:
-            self.leader_name = hinted
+            self.standing = standings.Standing.LEADER
+            self.leader_name = self.target_name = hinted
             return
+        await asyncio.sleep(RETRY_INTERVAL_S)
         await self._survey()
 
     async def _ask_any(
@@ -307,7 +312,9 @@
     async def _ask_all(self) -> None:
         try:
             statuses = await self.status()
-            self.standing, self.leader_name = judge(statuses)
+            self.standing, self.leader_name, self.target_name = standings.judge(
+                statuses
+            )
             for status in statuses:
                 self._learn_addresses(status)
         finally:
@@ -333,7 +340,7 @@
             self._probe_task = asyncio.create_task(self._probe())
 
     async def _probe(self) -> None:
-        while self.standing is Standing.NO_QUORUM:
+        while self.standing is standings.Standing.NO_QUORUM:
             await asyncio.sleep(PROBE_INTERVAL_S)
             await self._survey()
 
@@ -360,26 +367,6 @@
     return Client(identity, replicas, files, group)
 
 
-def judge(statuses: tuple[wire.Status, ...]) -> tuple[Standing, str]:
-    """Return what the answering replicas know together, and the leader's name.
-
-    The leader counts only if it answered itself; of two that both claim to lead,
-    the one with the higher term does.
-
-    Examples
-    --------
-    >>> judge(())
-    (<Standing.NO_QUORUM: 'no_quorum'>, '')
-    """
-    leaders = [status for status in statuses if status.leader_id == status.member_id]
-    if leaders:
-        leader = max(leaders, key=lambda status: status.term)
-        return Standing.LEADER, messages.replica_name_of(leader.member_id)
-    if any(status.has_quorum for status in statuses):
-        return Standing.ELECTION, ""
-    return Standing.NO_QUORUM, ""
-
-
 def _make_reference(member_id: str) -> messages.Member:
     return messages.Member(member_id, "", "", False)
 
--- a/hickoryweir/replicas/tests/test_storage.py
+++ b/hickoryweir/replicas/tests/test_storage.py
@@ -1,11 +1,12 @@
 """A data folder through crashes, damage and full disks."""
 
 import random
+import shutil
 
 import pytest
 from returns import result
 
-from hickoryweir.replicas import inspect, messages, records, storage
+from hickoryweir.replicas import files, inspect, messages, records, storage
 from hickoryweir.replicas.tests import memory_files
 
 FOLDER = "/data"
@@ -105,6 +106,16 @@
     assert open_folder(memory).failure().problem is records.Problem.MISSING
 
 
+def test_copy_of_a_folder_is_refused(tmp_path):
+    original, copy = tmp_path / "original", tmp_path / "copy"
+    operations = files.make_files()
+    wanted = ("north", "", "a")
+    storage.open_folder(operations, str(original), *wanted).unwrap()
+    shutil.copytree(original, copy)
+    failure = storage.open_folder(operations, str(copy), *wanted).failure()
+    assert failure.problem is records.Problem.COPIED
+
+
 @pytest.mark.parametrize(("name", "cluster_id"), [("b", "north"), ("a", "south")])
 def test_folder_of_another_is_refused(name, cluster_id):
     memory, _ = make_filled()
@@ -132,6 +143,16 @@
     assert len(found.segments) == 1
 
 
+def test_crash_before_a_received_snapshot_resets_the_log_leaves_it_usable():
+    memory, opened = make_filled()
+    snapshot = messages.Snapshot(10, 2, MEMBERSHIP, 0.0, b"state")
+    storage.save_snapshot(opened, snapshot).unwrap()
+    memory.crash(random.Random(1))
+    restarted = open_folder(memory).unwrap().storage
+    storage.append(restarted, make_batch(11, term=2)).unwrap()
+    assert [entry.index for entry in entries_in(memory)] == [11]
+
+
 def test_log_without_its_snapshot_stops_with_an_error():
     memory, opened = make_filled()
     snapshot = messages.Snapshot(5, 1, MEMBERSHIP, 0.0, b"state")
