Look at a few servers per decision

The cost of a choice grew with the subset, and a subset of 18 left engines of a large zone unused. The subset is now 40 near and 12 far servers, of which six are compared, with the one just freed and the one that last had the prefix. Equal gaps of zero between progress reports no longer divide by zero.

--- a/hickoryweir/policy/admission.py
+++ b/hickoryweir/policy/admission.py
@@ -15,6 +15,7 @@
 RETRY_AFTER_JITTER = 0.5
 RATE_MIN_COST_PER_S = 1e-3
 LONG_QUANTILE = 0.75
+AMPLE_TIME = 4.0
 
 
 def cost_of(
@@ -140,7 +141,10 @@
         return poison.refusal(call.ran)
     if not core.settings.mechanisms.admission or call.next_attempt > 1:
         return None
-    if now_s + long_service_s(core, pool, call) <= call.arrived.deadline_s:
+    left_s = call.arrived.deadline_s - now_s
+    if AMPLE_TIME * service_s(core, pool, call) <= left_s:
+        return None
+    if long_service_s(core, pool, call) <= left_s:
         return None
     queue = core.queues[call.request_class.name]
     return shed(core, queue, now_s)
--- a/hickoryweir/policy/affinity.py
+++ b/hickoryweir/policy/affinity.py
@@ -3,6 +3,7 @@
 from hickoryweir.policy import events, state
 
 PREFIXES_PER_SERVER_COUNT = 4096
+INDEX_COUNT = 16_384
 
 
 def apply(server: state.Server, event: events.CacheChanged) -> None:
@@ -16,9 +17,27 @@
     _store(server, event.stored)
 
 
-def note_sent(server: state.Server, call: state.Call) -> None:
+def note_sent(core: state.Core, server: state.Server, call: state.Call) -> None:
     """Assume that a call's prefix will be cached where it was sent."""
-    _store(server, call.arrived.prefix_digests)
+    digests = call.arrived.prefix_digests
+    _store(server, digests)
+    index = core.prefix_servers
+    for digest in digests:
+        index.pop(digest, None)
+        index[digest] = server
+    while len(index) > INDEX_COUNT:
+        del index[next(iter(index))]
+
+
+def last_server(
+    core: state.Core, prefix_digests: tuple[int, ...]
+) -> state.Server | None:
+    """Return the server to which the longest known prefix was last sent."""
+    for digest in reversed(prefix_digests):
+        server = core.prefix_servers.get(digest)
+        if server is not None:
+            return server
+    return None
 
 
 def matched_blocks(server: state.Server, prefix_digests: tuple[int, ...]) -> int:
--- a/hickoryweir/policy/attempts.py
+++ b/hickoryweir/policy/attempts.py
@@ -43,7 +43,7 @@
     if poison.is_isolated(core, call.arrived.fingerprint):
         server.suspects.add(call.arrived.fingerprint)
     core.running[call.arrived.fingerprint] += 1
-    affinity.note_sent(server, call)
+    affinity.note_sent(core, server, call)
     load.note_in_flight(server, now_s)
 
 
@@ -67,6 +67,7 @@
         return
     server.top_calls = max(0, server.top_calls - _is_top(core, call, attempt))
     server.suspects.discard(call.arrived.fingerprint)
+    state.pool_of(core, call.request_class).freed = server
     load.note_in_flight(server, now_s)
 
 
--- a/hickoryweir/policy/core.py
+++ b/hickoryweir/policy/core.py
@@ -192,6 +192,10 @@
     if server is None:
         return []
     server.heard_s = now_s
+    for name in server.backend.serves:
+        pool = core.pools.get((server.backend.target, name))
+        if pool is not None:
+            pool.heard_s = now_s
     load.apply_report(core, server, event)
     return scheduling.serve_server(core, server, now_s)
 
--- a/hickoryweir/policy/placement.py
+++ b/hickoryweir/policy/placement.py
@@ -1,12 +1,14 @@
 """Choice of a backend server: affinity first, then the better of two at random.
 
-Only the router's subset of a pool is looked at, so the cost of a choice does
-not grow with the fleet.  Servers of the own availability zone go first; calls
-spill to other zones when the own zone has no room.  The pool's top tier may go
-to a full engine, which then preempts its lowest priority.
+Only a few servers of the router's subset of a pool are looked at, so the cost
+of a choice does not grow with the fleet.  Servers of the own availability zone
+go first; calls spill to other zones when the own zone has little room.  The
+pool's top tier may go to a full engine, which then preempts its lowest
+priority.
 """
 
 import dataclasses
+import math
 
 from hickoryweir.configuration import model
 from hickoryweir.policy import affinity, events, load, state, stragglers
@@ -16,6 +18,7 @@
 AFFINITY_SLACK = 0.15
 SPILL_SLACK = 0.25
 SILENT_AFTER_S = 3.5
+LOOKED_AT_COUNT = 6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,8 +26,12 @@
     """A backend server with room, and how loaded it is, 0 to 1 and above."""
 
     load_share: float
-    name: str
-    local: bool
+    server: state.Server
+
+    @property
+    def name(self) -> str:
+        """Return the backend server's name."""
+        return self.server.backend.name
 
 
 def usable(server: state.Server, now_s: float) -> bool:
@@ -40,11 +47,14 @@
 
 
 def has_room(
-    core: state.Core, pool: state.Pool, server: state.Server, top: bool, now_s: float
+    core: state.Core,
+    pool: state.Pool,
+    server: state.Server,
+    top: bool,
+    occupied: float,
 ) -> bool:
     """Return whether a backend server can take one more call."""
     limit = server.backend.max_concurrency
-    occupied = load.occupancy(server, now_s)
     if occupied + 1 <= limit * (1.0 - RESERVE_SHARE):
         return True
     mechanisms = core.settings.mechanisms
@@ -81,43 +91,107 @@
         Name of the backend server.
     """
     found = candidates(core, pool, call, now_s, top)
-    if call.provider is not None:
-        own = [c for c in found if _provider(core, c.name) == call.provider]
-        found = own or found
     if not found:
         return None
-    found = _near(core, found)
     if core.settings.mechanisms.affinity and call.arrived.prefix_digests:
         found = _with_prefix(core, call, found)
     if len(found) > 2:
-        found = core.random.sample(found, 2)
-    return min(found, key=lambda item: item.load_share).name
+        found = _two(core, found)
+    return min(found, key=_load_share).name
+
+
+def _load_share(item: Candidate) -> float:
+    return item.load_share
+
+
+def _two(core: state.Core, found: list[Candidate]) -> list[Candidate]:
+    count = len(found)
+    first = int(core.random.random() * count)
+    step = 1 + int(core.random.random() * (count - 1))
+    return [found[first], found[(first + step) % count]]
 
 
 def candidates(
     core: state.Core, pool: state.Pool, call: state.Call, now_s: float, top: bool
 ) -> list[Candidate]:
-    """Return the backend servers of the subset that can take a call now.
+    """Return backend servers that can take a call now, the own zone's first.
 
-    Servers that fell silent are left out while others still report.
+    Other zones are looked at only if the own zone has no server with much
+    room; servers that fell silent are used only if all did.
     """
-    zone = core.settings.availability_zone
+    near = _some_with_room(core, pool, pool.near, call, now_s, top)
+    if not core.settings.mechanisms.zone_local:
+        return near + _some_with_room(core, pool, pool.far, call, now_s, top)
+    least = min(map(_load_share, near), default=math.inf)
+    if least <= SPILL_SLACK:
+        return near
+    far = _some_with_room(core, pool, pool.far, call, now_s, top)
+    if least <= min(map(_load_share, far), default=math.inf) + SPILL_SLACK:
+        return near
+    core.counters.spills += 1
+    return near + far
+
+
+def _some_with_room(
+    core: state.Core,
+    pool: state.Pool,
+    servers: tuple[state.Server, ...],
+    call: state.Call,
+    now_s: float,
+    top: bool,
+) -> list[Candidate]:
+    looked_at = _look_at(core, pool, servers, call)
+    found = _with_room(core, pool, looked_at, call, now_s, top)
+    return _of_provider(call, found)
+
+
+def _look_at(
+    core: state.Core,
+    pool: state.Pool,
+    servers: tuple[state.Server, ...],
+    call: state.Call,
+) -> list[state.Server] | tuple[state.Server, ...]:
+    """Return a few servers to compare, so that the cost stays flat."""
+    count = len(servers)
+    if count <= LOOKED_AT_COUNT:
+        return servers
+    start = int(core.random.random() * count)
+    found = [servers[(start + index) % count] for index in range(LOOKED_AT_COUNT)]
+    for extra in (pool.freed, affinity.last_server(core, call.arrived.prefix_digests)):
+        if extra is not None and extra in servers and extra not in found:
+            found.append(extra)
+    return found
+
+
+def _with_room(
+    core: state.Core,
+    pool: state.Pool,
+    servers: list[state.Server] | tuple[state.Server, ...],
+    call: state.Call,
+    now_s: float,
+    top: bool,
+) -> list[Candidate]:
     found = []
-    silent = []
-    heard = False
-    for name in pool.subset:
-        server = core.servers[name]
-        if not usable(server, now_s):
+    for server in servers:
+        if server.state is not events.ServerState.LIVE or server.down_until_s > now_s:
             continue
-        is_silent = fell_silent(server, now_s)
-        heard = heard or not is_silent
-        if name in call.avoid or not _allows(core, pool, server, call, now_s):
+        if server.backend.name in call.avoid:
             continue
-        if has_room(core, pool, server, top, now_s):
-            share = load.occupancy(server, now_s) / server.backend.max_concurrency
-            local = server.backend.availability_zone == zone
-            (silent if is_silent else found).append(Candidate(share, name, local))
-    return found if heard else silent
+        if not _allows(core, pool, server, call, now_s):
+            continue
+        occupied = load.occupancy(server, now_s)
+        if has_room(core, pool, server, top, occupied):
+            share = occupied / server.backend.max_concurrency
+            found.append(Candidate(share, server))
+    return found
+
+
+def _of_provider(call: state.Call, found: list[Candidate]) -> list[Candidate]:
+    """Return the servers of the call's provider, or all if it has none."""
+    if call.provider is None:
+        return found
+    own = [c for c in found if c.server.backend.provider == call.provider]
+    return own or found
 
 
 def fell_silent(server: state.Server, now_s: float) -> bool:
@@ -135,6 +209,11 @@
     """Return whether a doubtful server may have this call, as a probe or at all."""
     if server.failures_in_row > 0 and server.calls:
         return False
+    if pool.heard_s > now_s - SILENT_AFTER_S and fell_silent(server, now_s):
+        return False
+    speed = server.speed
+    if not (speed.ejected or speed.probing):
+        return True
     return stragglers.allows(core, pool, server, call, now_s)
 
 
@@ -150,39 +229,22 @@
     return found
 
 
-def _provider(core: state.Core, name: str) -> str:
-    return core.servers[name].backend.provider
-
-
-def _near(core: state.Core, found: list[Candidate]) -> list[Candidate]:
-    """Return the own zone's servers unless the others are clearly less loaded."""
-    if not core.settings.mechanisms.zone_local:
-        return found
-    near = [item for item in found if item.local]
-    if not near:
-        core.counters.spills += 1
-        return found
-    least = min(item.load_share for item in found)
-    if min(item.load_share for item in near) > least + SPILL_SLACK:
-        core.counters.spills += 1
-        return found
-    return near
-
-
 def _with_prefix(
     core: state.Core, call: state.Call, found: list[Candidate]
 ) -> list[Candidate]:
     """Return the servers with the longest cached prefix that are not overloaded."""
     digests = call.arrived.prefix_digests
-    least = min(item.load_share for item in found)
-    open_to = [item for item in found if item.load_share <= least + AFFINITY_SLACK]
-    matched = [
-        affinity.matched_blocks(core.servers[item.name], digests) for item in open_to
-    ]
-    best = max(matched)
-    if best == 0:
-        return found
-    core.counters.affinity_hits += 1
-    return [
-        item for item, blocks in zip(open_to, matched, strict=True) if blocks == best
-    ]
+    bound = min(found, key=_load_share).load_share + AFFINITY_SLACK
+    best = 1
+    matched: list[Candidate] = []
+    for item in found:
+        if item.load_share > bound:
+            continue
+        blocks = affinity.matched_blocks(item.server, digests)
+        if blocks > best:
+            best = blocks
+            matched = []
+        if blocks == best:
+            matched.append(item)
+    core.counters.affinity_hits += bool(matched)
+    return matched or found
--- a/hickoryweir/policy/queues.py
+++ b/hickoryweir/policy/queues.py
@@ -153,7 +153,7 @@
         if queue.length == 0 and name != served:
             queue.credit = 0.0
             continue
-        waiting = head(core, queue, now_s)
+        waiting = head(core, queue, now_s) if queue.length else None
         limit = CREDIT_LIMIT_CALLS * max(call.cost, waiting.cost if waiting else 0.0)
         earned = queue.request_class.floor_share * call.cost
         spent = call.cost if name == served else 0.0
--- a/hickoryweir/policy/scheduling.py
+++ b/hickoryweir/policy/scheduling.py
@@ -7,6 +7,7 @@
     actions,
     admission,
     attempts,
+    load,
     placement,
     poison,
     queues,
@@ -39,11 +40,12 @@
     done: list[actions.Action] = []
     if pool.suspects:
         done += _serve_suspects(core, pool, now_s)
-    while True:
+    while any(core.queues[name].length for name in pool.class_names):
         action = _serve_one(core, pool, now_s)
         if action is None:
-            return done
+            break
         done.append(action)
+    return done
 
 
 def _serve_one(
@@ -129,9 +131,9 @@
     if fingerprint in core.running or fingerprint in core.peer_placed:
         return None
     top = placement.is_top(core, pool, call.request_class)
-    if not placement.has_room(core, pool, core.servers[name], top, now_s):
-        return None
-    return name
+    server = core.servers[name]
+    occupied = load.occupancy(server, now_s)
+    return name if placement.has_room(core, pool, server, top, occupied) else None
 
 
 def expire(core: state.Core, now_s: float) -> list[actions.Action]:
--- a/hickoryweir/policy/state.py
+++ b/hickoryweir/policy/state.py
@@ -27,7 +27,7 @@
     last_token_s: float = 0.0
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Call:
     """A call between its arrival and its final answer or refusal."""
 
@@ -62,7 +62,7 @@
     ejections: int = 0
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Server:
     """What the core knows of one backend server."""
 
@@ -133,6 +133,10 @@
     class_names: tuple[str, ...] = ()
     members: tuple[str, ...] = ()
     subset: tuple[str, ...] = ()
+    near: tuple[Server, ...] = ()
+    far: tuple[Server, ...] = ()
+    freed: Server | None = None
+    heard_s: float = float("-inf")
     cost_per_slot_s: float = 1.0
     first_token_s: float = 0.2
     suspects: list[Call] = dataclasses.field(default_factory=list)
@@ -225,6 +229,7 @@
     running: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    prefix_servers: dict[int, Server] = dataclasses.field(default_factory=dict)
     retry_credit: float = 20.0
     hedge_credit: float = 3.0
     attainment: dict[tuple[str, str], Attainment] = dataclasses.field(
--- a/hickoryweir/policy/stragglers.py
+++ b/hickoryweir/policy/stragglers.py
@@ -11,6 +11,7 @@
 
 SMOOTHING = 0.3
 SAMPLES_MIN = 4
+SAMPLE_MIN_S = 1e-4
 SAMPLE_MAX_S = 2.0
 SLOW_RATIO = 2.5
 RESTORED_RATIO = 1.6
@@ -28,7 +29,7 @@
 ) -> None:
     """Note one time between tokens."""
     speed = server.speed
-    sample = min(between_tokens_s, SAMPLE_MAX_S)
+    sample = max(SAMPLE_MIN_S, min(between_tokens_s, SAMPLE_MAX_S))
     if speed.between_tokens_s is None:
         speed.between_tokens_s = sample
     speed.between_tokens_s += SMOOTHING * (sample - speed.between_tokens_s)
--- a/hickoryweir/policy/topology.py
+++ b/hickoryweir/policy/topology.py
@@ -5,8 +5,8 @@
 from hickoryweir.configuration import model
 from hickoryweir.policy import events, lengths, state
 
-LOCAL_SUBSET_COUNT = 12
-REMOTE_SUBSET_COUNT = 6
+LOCAL_SUBSET_COUNT = 40
+REMOTE_SUBSET_COUNT = 12
 STARTING_SPEED_SHARE = 0.5
 
 
@@ -73,7 +73,7 @@
             for item in core.configuration.backend_servers
             if item.target == pool.target and pool.name in item.serves
         )
-        pool.subset = _subset(core, pool)
+        _choose_subset(core, pool)
         pool.cost_per_slot_s = _starting_rate(core, pool)
 
 
@@ -85,15 +85,17 @@
     return max(1.0, STARTING_SPEED_SHARE * sum(speeds) / len(speeds))
 
 
-def _subset(core: state.Core, pool: state.Pool) -> tuple[str, ...]:
-    """Return the servers this router uses, by rendezvous hashing."""
+def _choose_subset(core: state.Core, pool: state.Pool) -> None:
+    """Choose the servers that this router uses, by rendezvous hashing."""
     router = core.settings.router
 
     def rank(name: str) -> int:
         return zlib.crc32(f"{router}/{name}".encode())
 
     zone = core.settings.availability_zone
-    ranked = sorted(pool.members, key=rank)
-    near = [n for n in ranked if core.servers[n].backend.availability_zone == zone]
-    far = [n for n in ranked if core.servers[n].backend.availability_zone != zone]
-    return tuple(near[:LOCAL_SUBSET_COUNT] + far[:REMOTE_SUBSET_COUNT])
+    ranked = [core.servers[name] for name in sorted(pool.members, key=rank)]
+    near = [s for s in ranked if s.backend.availability_zone == zone]
+    far = [s for s in ranked if s.backend.availability_zone != zone]
+    pool.near = tuple(near[:LOCAL_SUBSET_COUNT])
+    pool.far = tuple(far[:REMOTE_SUBSET_COUNT])
+    pool.subset = tuple(item.backend.name for item in pool.near + pool.far)
