Planned stops are not waited for; a stop of a zone drains its entry VMs

Cause: submit waited for entry VMs and zones that were stopped on purpose, and a stop of a zone left its entry VMs running. Change: zone reports leave out stopped entry VMs; the operators' port leaves out stopped zones; the daemon (daemon/process.py, daemon/operators_port.py) asks stops.covers_process.

--- a/hickoryweir/cli/operate.py
+++ b/hickoryweir/cli/operate.py
@@ -204,7 +204,7 @@
     print("\nAvailability zones")
     print(tables.render_records([dataclasses.asdict(zone) for zone in found.zones]))
     print("\nPlanned stops")
-    print(tables.render_records([dataclasses.asdict(s) for s in found.running_stops]))
+    print(tables.render_records([_stop_row(stop) for stop in found.running_stops]))
     for title, value in found.daemon.items():
         if isinstance(value, list) and value and isinstance(value[0], dict):
             print(f"\n{title.replace('_', ' ').capitalize()}")
@@ -219,6 +219,12 @@
     return ExitCode.SUCCESS
 
 
+def _stop_row(stop):
+    row = dataclasses.asdict(stop)
+    row["since"] = tables.format_time(row.pop("since_s"))
+    return row
+
+
 def _show_history(found):
     for day in found.days:
         counts = ", ".join(f"{name} {count}" for name, count in day.operators)
--- a/hickoryweir/daemon/operators_port.py
+++ b/hickoryweir/daemon/operators_port.py
@@ -1,6 +1,6 @@
 """What the operators' port asks of the daemon."""
 
-from hickoryweir.configuration import commands
+from hickoryweir.configuration import commands, stops
 from hickoryweir.daemon import log_access, parts, status
 from hickoryweir.operators import documents, service
 
@@ -26,6 +26,13 @@
         read=process.log.read,
         watch=process.router.watch,
         zone_reports=process.router.zone_reports,
+        running_stops=lambda: running_stops(process),
         status=lambda: status.make_document(status.make_source(process)),
         count_refusal=count_refusal,
     )
+
+
+def running_stops(process: parts.Process) -> tuple[stops.Stop, ...]:
+    """Return the planned stops that are in force here."""
+    in_force = process.router.in_force
+    return in_force.running_stops if in_force else ()
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -13,7 +13,7 @@
 
 from hickoryweir.callers import authentication, ports, server
 from hickoryweir.claims import gateway
-from hickoryweir.configuration import commands, model, queries, settings, stops
+from hickoryweir.configuration import model, queries, settings, stops
 from hickoryweir.daemon import (
     attempts,
     backends,
@@ -197,9 +197,12 @@
 
 
 def is_stopping(process: parts.Process, running_stops: tuple[stops.Stop, ...]) -> bool:
-    """Return whether a planned stop covers this entry VM."""
-    subject = (commands.SubjectKind.ENTRY_VM, process.settings.process.name)
-    return any((stop.kind, stop.name) == subject for stop in running_stops)
+    """Return whether a planned stop of this entry VM or of its zone is running."""
+    own = process.settings.process
+    return any(
+        stops.covers_process(stop, own.name, own.availability_zone)
+        for stop in running_stops
+    )
 
 
 async def follow_digests(process: parts.Process) -> None:
--- a/hickoryweir/operators/service.py
+++ b/hickoryweir/operators/service.py
@@ -22,6 +22,7 @@
     queries,
     render,
     settings,
+    stops,
 )
 from hickoryweir.operators import documents, replies
 from hickoryweir.replicas import client
@@ -53,6 +54,8 @@
         Asks the routers for zone reports.
     zone_reports : function
         Returns the known zone reports.
+    running_stops : function
+        Returns the planned stops in force here.
     status : function
         Returns this daemon's status document.
     count_refusal : function
@@ -66,6 +69,7 @@
     read: AskLog
     watch: Callable[[], None]
     zone_reports: Callable[[], tuple[messages.ZoneReport, ...]]
+    running_stops: Callable[[], tuple[stops.Stop, ...]]
     status: Callable[[], dict[str, Any]]
     count_refusal: Callable[[documents.Reason], None]
 
@@ -249,9 +253,18 @@
 
 
 def zone_states(ports: Ports, version: int) -> tuple[documents.ZoneState, ...]:
-    """Return for each zone whether a version is in force there."""
+    """Return for each zone that is not stopped whether a version is in force there."""
     reports = {report.availability_zone: report for report in ports.zone_reports()}
-    return tuple(_zone_state(zone, reports.get(zone), version) for zone in ports.zones)
+    stopped = {
+        stop.name
+        for stop in ports.running_stops()
+        if stop.kind is commands.SubjectKind.AVAILABILITY_ZONE
+    }
+    return tuple(
+        _zone_state(zone, reports.get(zone), version)
+        for zone in ports.zones
+        if zone not in stopped
+    )
 
 
 def _zone_state(zone, report, version):
--- a/hickoryweir/operators/tests/test_port.py
+++ b/hickoryweir/operators/tests/test_port.py
@@ -77,6 +77,7 @@
         read=log.read,
         watch=lambda: None,
         zone_reports=log.zone_reports,
+        running_stops=lambda: tuple(log.state.running_stops.values()),
         status=lambda: {"classes": []},
         count_refusal=lambda reason: log.refused.update([reason]),
     )
@@ -164,6 +165,16 @@
     assert log.state.running_stops == {}
 
 
+def test_stopped_zone_is_not_waited_for():
+    log = Log(pending={"hakodate"})
+    submit(log, expected_version=0)
+    accepted = stop(log, "availability-zone", "hakodate").unwrap()
+    assert [each.availability_zone for each in accepted.zones] == [
+        "asahikawa",
+        "sapporo",
+    ]
+
+
 @pytest.mark.parametrize(
     ("send", "reason"),
     [
--- a/hickoryweir/routers/acknowledgements.py
+++ b/hickoryweir/routers/acknowledgements.py
@@ -61,6 +61,7 @@
     layout: topology.Layout,
     incarnation: int,
     own: Heard,
+    stopped: frozenset[str],
     now_s: float,
 ) -> None:
     """Renew this router's report of its own zone if it changed or grew old.
@@ -75,14 +76,18 @@
         This router's.
     own : Heard
         What this router has in force.
+    stopped : frozenset of str
+        Routers under a planned stop; they are not expected.
     now_s : float
         Monotonic time.
     """
     name = layout.me.name
     zone = layout.me.availability_zone
-    expected = layout.relay_order
+    expected = [peer for peer in layout.relay_order if peer not in stopped]
     heard = {name: own}
     for peer in layout.inside:
+        if peer in stopped:
+            continue
         each = state.heard.get(peer)
         if each is not None and now_s - each.at_s < LOST_S:
             heard[peer] = each
--- a/hickoryweir/routers/core.py
+++ b/hickoryweir/routers/core.py
@@ -12,6 +12,7 @@
 
 from returns import result
 
+from hickoryweir.configuration import commands
 from hickoryweir.routers import (
     acknowledgements,
     digests,
@@ -308,8 +309,13 @@
     own = acknowledgements.Heard(
         state.incarnation, state.in_force_version, state.is_ready, now_s
     )
+    stopped = frozenset(
+        stop.name
+        for stop in (state.held.running_stops if state.held else ())
+        if stop.kind is commands.SubjectKind.ENTRY_VM
+    )
     acknowledgements.compute(
-        state.zone_reports, state.layout, state.incarnation, own, now_s
+        state.zone_reports, state.layout, state.incarnation, own, stopped, now_s
     )
 
 
--- a/hickoryweir/routers/tests/test_core.py
+++ b/hickoryweir/routers/tests/test_core.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from hickoryweir.configuration import commands, stops
 from hickoryweir.policy import events as policy_events
 from hickoryweir.routers import (
     acknowledgements,
@@ -132,6 +133,19 @@
     assert lowest_in_force(network) == 2
 
 
+def test_router_under_a_planned_stop_is_not_waited_for():
+    network, _ = make_network(8)
+    stop = stops.Stop(commands.SubjectKind.ENTRY_VM, "a-3", "ann", "1-a", 1, 0.0)
+    stopped = dataclasses.replace(publish(1), running_stops=(stop,))
+    for zone in ZONES:
+        simulation.offer(network, f"{zone}-1", stopped)
+    simulation.run(network, 2.0)
+    for state in network.states.values():
+        state.zone_reports.heard.pop("a-3", None)
+    reports = core.zone_reports(network.states["a-1"], network.now_s)
+    assert (reports[0].expected_count, reports[0].missing) == (2, ())
+
+
 def test_router_that_restarts_in_a_cut_off_zone_asks_a_ready_router():
     network, _ = make_network(3)
     commit(network, 1)
