Long plain answers are put together from streams and resumed

Cause: a plain call whose engine crashes or cuts it was run again from its first token, which wastes work on long histories and summaries. Change: engines.assembly asks for a stream and builds the published plain answer; the daemon does so for idempotent classes that expect 64 tokens or more. This touches daemon/attempts, calls and relay as little as possible. Result: in a test a plain answer of 100 tokens cut after 40 takes 60 more tokens instead of 100, and equals the plain answer.

--- a/hickoryweir/daemon/attempts.py
+++ b/hickoryweir/daemon/attempts.py
@@ -136,8 +136,9 @@
         return await call_service(backends, call, server)
     if call.sent_tokens and not call.resumable:
         return calls.Settled(result.Failure(refuse_cut_stream()))
+    calls.begin_assembly(call)
     engine_call = make_engine_call(call)
-    if call.request.stream:
+    if engine_call.stream:
         return await stream(backends, call, dispatch, server, engine_call, recorded)
     return await complete(backends, server, engine_call)
 
@@ -158,8 +159,8 @@
     return engine_calls.EngineCall(
         request_id=request.call_id,
         path=request.path,
-        body=request.body,
-        stream=request.stream,
+        body=call.assembled_body or request.body,
+        stream=request.stream or call.assembled is not None,
         priority=request.request_class.tier,
         resume_tokens=call.sent_tokens,
         resume_text=call.sent_text,
--- a/hickoryweir/daemon/calls.py
+++ b/hickoryweir/daemon/calls.py
@@ -6,9 +6,12 @@
 from returns import result
 
 from hickoryweir.callers import ports, requests, sinks
+from hickoryweir.engines import assembly
 from hickoryweir.outcomes import refusals
 from hickoryweir.policy import events
 
+LONG_ANSWER_TOKENS = 64
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Call:
@@ -40,6 +43,10 @@
         Whether a part of the answer is being written to the caller.
     stopped : set of int
         Attempts that end after the write in progress, so that no part is lost.
+    assembled : assembly.Assembly or None
+        Gets the parts of a plain answer that engines stream.
+    assembled_body : bytes
+        Body that asks for such a stream.
     """
 
     request: requests.CallerRequest
@@ -55,6 +62,8 @@
     resumable: bool = True
     writing: bool = False
     stopped: set[int] = dataclasses.field(default_factory=set)
+    assembled: assembly.Assembly | None = None
+    assembled_body: bytes = b""
 
 
 def make_call(request: requests.CallerRequest, sink: sinks.Sink) -> Call:
@@ -62,6 +71,21 @@
     return Call(request, sink, asyncio.Queue())
 
 
+def begin_assembly(call: Call) -> None:
+    """Let engines stream a long plain answer, so that a cut one can be resumed.
+
+    A short answer costs less when it is run again.
+    """
+    request = call.request
+    is_long = request.request_class.expected_output_tokens >= LONG_ANSWER_TOKENS
+    if call.assembled or request.stream or not request.request_class.idempotent:
+        return
+    body = assembly.streaming_body(request.body) if is_long else None
+    if body is not None:
+        call.assembled = assembly.make_assembly()
+        call.assembled_body = body
+
+
 def take_output(call: Call, attempt: int, resumed_from_tokens: int) -> bool:
     """Return whether an attempt may write to the caller, and note that it does.
 
--- a/hickoryweir/daemon/relay.py
+++ b/hickoryweir/daemon/relay.py
@@ -6,14 +6,15 @@
 
 from hickoryweir.callers import ports, sinks
 from hickoryweir.daemon import calls, dispatcher
+from hickoryweir.engines import assembly, client
 from hickoryweir.engines import calls as engine_calls
-from hickoryweir.engines import client
 from hickoryweir.observability import latencies, metrics
 from hickoryweir.outcomes import refusals
 from hickoryweir.policy import actions, events
 
 PROGRESS_INTERVAL_TOKENS = 32
 SUCCESS_STATUS = 200
+PLAIN_CONTENT_TYPE = "application/json"
 LOST_RACE = calls.Failed(
     events.FailureCause.PREEMPTED,
     refusals.Ran.MAYBE,
@@ -83,11 +84,7 @@
         if dispatch.attempt in call.stopped:
             return LOST_RACE
         if chunk.finished:
-            body = b"".join(recorded) if recorded is not None else b""
-            answer = ports.Answer(
-                SUCCESS_STATUS, sinks.EVENT_STREAM, body, streamed=True
-            )
-            return calls.Finished(answer, produced)
+            return calls.Finished(make_answer(call, recorded), produced)
         if reported == 0 or produced - reported >= PROGRESS_INTERVAL_TOKENS:
             reported = produced
             call_id = call.request.call_id
@@ -95,8 +92,20 @@
             dispatcher.post(given, event)
 
 
+def make_answer(call: calls.Call, recorded: list[bytes] | None) -> ports.Answer:
+    """Return the answer of a stream that was read to its end."""
+    if call.assembled is not None:
+        body = assembly.whole_body(call.assembled)
+        return ports.Answer(SUCCESS_STATUS, PLAIN_CONTENT_TYPE, body)
+    body = b"".join(recorded) if recorded is not None else b""
+    return ports.Answer(SUCCESS_STATUS, sinks.EVENT_STREAM, body, streamed=True)
+
+
 async def write(call: calls.Call, data: bytes) -> None:
     """Write events to the caller; the driver lets a write in progress end."""
+    if call.assembled is not None:
+        assembly.add(call.assembled, data)
+        return
     call.writing = True
     try:
         await sinks.write(call.sink, data)
@@ -124,7 +133,7 @@
 
 def note_times(call: calls.Call, tokens_count: int, counters: metrics.Metrics) -> None:
     """Record the time to the first token, or between tokens."""
-    if tokens_count == 0:
+    if tokens_count == 0 or call.assembled is not None:
         return
     now_s = time.monotonic()
     class_name = call.request.request_class.name
--- /dev/null
+++ b/hickoryweir/daemon/tests/test_attempts.py
@@ -0,0 +1,86 @@
+"""Attempts at stand-in engines, as the driver runs them."""
+
+import asyncio
+import dataclasses
+import json
+
+from hickoryweir.callers import requests
+from hickoryweir.daemon import attempts, calls, dispatcher
+from hickoryweir.daemon.tests import fakes
+from hickoryweir.engines.tests import benches
+from hickoryweir.outcomes import refusals
+from hickoryweir.policy import actions, settings
+from hickoryweir.testing import engine, texts
+
+BODY = json.dumps(
+    {
+        "model": "assistant",
+        "messages": [{"role": "user", "content": "history"}],
+        "stand_in_output_tokens": 100,
+    }
+).encode()
+
+
+def make_call(expected_output_tokens):
+    request = fakes.make_request("balance")
+    wanted = dataclasses.replace(
+        request.request_class, expected_output_tokens=expected_output_tokens
+    )
+    request = dataclasses.replace(
+        request,
+        request_class=wanted,
+        path="/v1/chat/completions",
+        body=BODY,
+        prompt=requests.parse_chat(BODY).unwrap(),
+    )
+    return calls.make_call(request, None)
+
+
+def make_dispatcher():
+    core_settings = settings.CoreSettings("router-1", "a")
+    configuration = fakes.make_configuration()
+    return dispatcher.make_dispatcher(core_settings, configuration, None)
+
+
+def run_attempts(expected_output_tokens, count):
+    """Return the ends of a plain call's attempts; the first stream is cut."""
+
+    async def main():
+        async with benches.engine_bench() as bench:
+            await bench.faults(cut_count=1, cut_after_tokens=40)
+            backends = attempts.Backends(
+                find_server=lambda _: bench.server,
+                engines=bench.session,
+                services=bench.session,
+                gateway=None,
+                dispatcher=make_dispatcher(),
+                metrics=None,
+            )
+            run_attempt = attempts.make_run_attempt(backends)
+            call = make_call(expected_output_tokens)
+            ends = []
+            for attempt in range(1, count + 1):
+                dispatch = actions.Dispatch("call-1", attempt, "engine-1")
+                ends.append(await run_attempt(call, dispatch))
+                call.winner = None
+            return ends, bench.app[engine.ENGINE].runs["call-1"]
+
+    return asyncio.run(main())
+
+
+def content_of(answer):
+    return json.loads(answer.body)["choices"][0]["message"]["content"]
+
+
+def test_long_plain_answer_goes_on_where_it_was_cut():
+    (cut, finished), _ = run_attempts(expected_output_tokens=400, count=2)
+    assert (cut.ran, cut.output_tokens) == (refusals.Ran.MAYBE, 40)
+    assert finished.output_tokens == 60
+    assert finished.answer.content_type == "application/json"
+    assert texts.is_whole_answer("call-1", content_of(finished.answer))
+
+
+def test_short_plain_answer_is_not_streamed():
+    (finished,), runs = run_attempts(expected_output_tokens=20, count=1)
+    assert texts.is_whole_answer("call-1", content_of(finished.answer))
+    assert runs == 1
--- /dev/null
+++ b/hickoryweir/engines/assembly.py
@@ -0,0 +1,152 @@
+"""Answers plain calls from a stream, so that a cut answer can be resumed.
+
+A plain call that an engine loses has to be run again from its first token.  If
+the router asks for a stream instead and puts the answer together, it can go on
+from the tokens that it has.
+
+Examples
+--------
+>>> made = make_assembly()
+>>> for text, reason in (("a", "null"), ("b", '"stop"')):
+...     choice = '{"index":0,"text":"%s","finish_reason":%s}' % (text, reason)
+...     add(made, b'data: {"id":"cmpl-1","choices":[%b]}' % choice.encode())
+>>> whole_answer(made)["choices"]
+[{'index': 0, 'text': 'ab', 'finish_reason': 'stop'}]
+"""
+
+import dataclasses
+import json
+from typing import Any
+
+from hickoryweir.engines import events_reader
+
+CHUNK_SUFFIX = ".chunk"
+FIELDS_NOT_ASSEMBLED = frozenset(
+    {
+        "audio",
+        "best_of",
+        "echo",
+        "function_call",
+        "functions",
+        "logprobs",
+        "modalities",
+        "response_format",
+        "stream_options",
+        "tool_choice",
+        "tools",
+        "top_logprobs",
+    }
+)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Assembly:
+    """An answer that is being put together.
+
+    Attributes
+    ----------
+    envelope : dict
+        Fields of the answer but its choices.
+    choice : dict
+        Fields of the only choice but its message.
+    message : dict
+        The chat message; empty for completions.
+    texts : dict
+        Parts of each text field of the message, or of the choice.
+    """
+
+    envelope: dict[str, Any] = dataclasses.field(default_factory=dict)
+    choice: dict[str, Any] = dataclasses.field(default_factory=dict)
+    message: dict[str, Any] = dataclasses.field(default_factory=dict)
+    texts: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    is_chat: bool = False
+
+
+def make_assembly() -> Assembly:
+    """Return an empty answer."""
+    return Assembly()
+
+
+def streaming_body(body: bytes) -> bytes | None:
+    """Return a plain call's body as one that asks for a stream.
+
+    Parameters
+    ----------
+    body : bytes
+        The caller's body.
+
+    Returns
+    -------
+    bytes or None
+        None if the answer may be more than one text.
+
+    Examples
+    --------
+    >>> streaming_body(b'{"model": "m", "tools": []}') is None
+    False
+    >>> streaming_body(b'{"model": "m", "n": 2}') is None
+    True
+    """
+    try:
+        decoded = json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+    if not isinstance(decoded, dict) or decoded.get("n") not in (None, 1):
+        return None
+    if any(decoded.get(name) for name in FIELDS_NOT_ASSEMBLED):
+        return None
+    wanted = {"stream": True, "stream_options": {"include_usage": True}}
+    return json.dumps(decoded | wanted).encode()
+
+
+def add(assembly: Assembly, data: bytes) -> None:
+    """Add whole events that the reader has checked."""
+    for event in data.split(events_reader.SEPARATOR):
+        text = events_reader.data_of(event)
+        if text is not None and text != events_reader.DONE:
+            add_value(assembly, json.loads(text))
+
+
+def add_value(assembly: Assembly, value: dict[str, Any]) -> None:
+    """Add one event's value."""
+    choices = value.pop("choices")
+    for name, field in value.items():
+        if field is not None:
+            assembly.envelope.setdefault(name, field)
+    if value.get("usage"):
+        assembly.envelope["usage"] = value["usage"]
+    for choice in choices:
+        delta = choice.pop("delta", None)
+        if isinstance(delta, dict):
+            assembly.is_chat = True
+            merge(assembly, assembly.message, delta)
+        merge(assembly, assembly.choice, choice)
+
+
+def merge(assembly: Assembly, target: dict[str, Any], fields: dict[str, Any]) -> None:
+    """Join text fields in order; of others the last one counts."""
+    for name, field in fields.items():
+        if isinstance(field, str) and name not in ("role", "finish_reason"):
+            assembly.texts.setdefault(name, []).append(field)
+            target[name] = ""
+        elif field is not None or name not in target:
+            target[name] = field
+
+
+def whole_answer(assembly: Assembly) -> dict[str, Any]:
+    """Return the answer in the published plain shape."""
+    for name, parts in assembly.texts.items():
+        target = assembly.message if name in assembly.message else assembly.choice
+        target[name] = "".join(parts)
+    choice = dict(assembly.choice)
+    if assembly.is_chat:
+        choice["message"] = {"role": "assistant", "content": ""} | assembly.message
+    envelope = dict(assembly.envelope)
+    kind = str(envelope.get("object", ""))
+    envelope["object"] = kind.removesuffix(CHUNK_SUFFIX)
+    return envelope | {"choices": [choice]}
+
+
+def whole_body(assembly: Assembly) -> bytes:
+    """Return the answer as JSON text."""
+    return json.dumps(whole_answer(assembly)).encode()
--- /dev/null
+++ b/hickoryweir/engines/tests/test_assembly.py
@@ -0,0 +1,62 @@
+"""Plain answers put together from streams."""
+
+import asyncio
+import json
+
+import pytest
+
+from hickoryweir.engines import assembly, calls
+from hickoryweir.engines.tests import benches
+
+
+async def assemble(bench, call):
+    """Return the answer of a call, resumed once if it is cut."""
+    made = assembly.make_assembly()
+    stream = (await bench.open(call)).unwrap()
+    data, end = await benches.read_all(stream)
+    assembly.add(made, data)
+    if end.value_or(None) is None:
+        again = calls.EngineCall(
+            *(call.request_id, call.path, call.body, True, 0),
+            resume_tokens=stream.reader.output_tokens,
+            resume_text=stream.text_so_far(),
+        )
+        data, end = await benches.read_all((await bench.open(again)).unwrap())
+        assembly.add(made, data)
+        assert end.unwrap().finished
+    return assembly.whole_answer(made)
+
+
+def without_time(answer):
+    return {name: field for name, field in answer.items() if name != "created"}
+
+
+@pytest.mark.parametrize("path", ["/v1/chat/completions", "/v1/completions"])
+@pytest.mark.parametrize("cut_count", [0, 1])
+def test_assembled_answer_equals_the_plain_one(path, cut_count):
+    async def test():
+        body = {"model": "assistant", "stand_in_output_tokens": 12}
+        plain = calls.EngineCall("r1", path, json.dumps(body).encode(), False, 0)
+        streamed = calls.EngineCall(
+            "r1", path, assembly.streaming_body(plain.body), True, 0
+        )
+        async with benches.engine_bench() as bench:
+            expected = (await bench.complete(plain)).unwrap()
+            await bench.faults(cut_count=cut_count, cut_after_tokens=5)
+            answer = await assemble(bench, streamed)
+        assert without_time(answer) == without_time(json.loads(expected.body))
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize(
+    "field",
+    ['"tools": [{}]', '"logprobs": true', '"n": 3', '"stream_options": {"a":1}'],
+)
+def test_answers_of_more_than_one_text_are_left_plain(field):
+    assert assembly.streaming_body(b'{"model": "m", %b}' % field.encode()) is None
+
+
+def test_body_that_is_no_object_is_left_plain():
+    assert assembly.streaming_body(b"[]") is None
+    assert assembly.streaming_body(b"{") is None
