Carry engine priority, top-tier load and placed suspects to where they are used

The daemon sent each class's tier to engines, so calls served on their floor share waited behind the tiers they were to pass; digests between routers left out what runs at the top tier and where suspects run, and one could grow past the 4,096 bytes that routers send.

--- a/hickoryweir/daemon/attempts.py
+++ b/hickoryweir/daemon/attempts.py
@@ -137,7 +137,7 @@
     if call.sent_tokens and not call.resumable:
         return calls.Settled(result.Failure(refuse_cut_stream()))
     calls.begin_assembly(call)
-    engine_call = make_engine_call(call)
+    engine_call = make_engine_call(call, dispatch)
     if engine_call.stream:
         return await stream(backends, call, dispatch, server, engine_call, recorded)
     return await complete(backends, server, engine_call)
@@ -153,7 +153,9 @@
     )
 
 
-def make_engine_call(call: calls.Call) -> engine_calls.EngineCall:
+def make_engine_call(
+    call: calls.Call, dispatch: actions.Dispatch
+) -> engine_calls.EngineCall:
     """Return the call as it is sent to an engine."""
     request = call.request
     return engine_calls.EngineCall(
@@ -161,7 +163,7 @@
         path=request.path,
         body=call.assembled_body or request.body,
         stream=request.stream or call.assembled is not None,
-        priority=request.request_class.tier,
+        priority=dispatch.priority,
         resume_tokens=call.sent_tokens,
         resume_text=call.sent_text,
     )
--- a/hickoryweir/policy/digests.py
+++ b/hickoryweir/policy/digests.py
@@ -5,8 +5,8 @@
 from hickoryweir.policy import attempts, events, poison, state
 
 PEER_TIMEOUT_S = 3.0
-SERVERS_COUNT = 64
-FINGERPRINTS_COUNT = 32
+SERVERS_COUNT = 40
+FINGERPRINTS_COUNT = 10
 
 
 def make(core: state.Core) -> events.PeerDigestReceived:
@@ -14,11 +14,12 @@
     busy = [(n, s) for n, s in core.servers.items() if s.calls]
     busy.sort(key=lambda item: -len(item[1].calls))
     busy = busy[:SERVERS_COUNT]
+    suspects = [item for item in core.suspects if poison.is_isolated(core, item)]
     return events.PeerDigestReceived(
         core.settings.router,
         core.settings.availability_zone,
         tuple((name, len(server.calls)) for name, server in busy),
-        tuple(list(core.suspects)[-FINGERPRINTS_COUNT:]),
+        tuple(suspects[-FINGERPRINTS_COUNT:]),
         tuple(list(core.quarantined)[-FINGERPRINTS_COUNT:]),
         tuple(n for n, s in core.servers.items() if s.speed.ejected)[:SERVERS_COUNT],
         tuple((name, server.top_calls) for name, server in busy if server.top_calls),
--- a/hickoryweir/policy/tests/test_core.py
+++ b/hickoryweir/policy/tests/test_core.py
@@ -2,6 +2,8 @@
 
 from hickoryweir.outcomes import refusals
 from hickoryweir.policy import actions, core, events, examples, inspection, settings
+from hickoryweir.routers import digests
+from hickoryweir.streams import codec
 
 
 def make(configuration=None):
@@ -127,3 +129,29 @@
     uses = {item.name: item.use for item in inspection.servers(it, 1.0)}
     assert uses["e2"] is inspection.Use.GONE
     assert uses["e1"] is inspection.Use.USED
+
+
+def test_digest_fits_the_routers_messages():
+    engines = [examples.engine(f"engine-{n}") for n in range(200)]
+    classes = [examples.request_class("balance", max_queue_length=1000)]
+    it = make(examples.configuration(classes, engines))
+    crash = events.FailureCause.CRASHED
+    for number in range(300):
+        call = examples.arrival(f"r{number}", fingerprint=f"{number:064x}")
+        core.handle(it, call, 0.0)
+        if number % 3 == 0:
+            core.handle(it, failure(f"r{number}", 1, crash, refusals.Ran.MAYBE), 0.0)
+    spread = digests.State()
+    digests.add_local(spread, inspection.digest(it), 1, 0.0)
+    (digest, _) = spread.known["router-1"]
+    assert len(digest.suspects) > 5
+    assert len(codec.encode(digest)) <= digests.MAX_DIGEST_SIZE_BYTES
+
+
+def test_zero_time_between_progress_reports_is_harmless():
+    it = make()
+    for number in range(2):
+        (sent,) = core.handle(it, examples.arrival(f"r{number}"), 0.0)
+        for tokens in range(1, 8):
+            core.handle(it, events.Progressed(f"r{number}", sent.attempt, tokens), 0.0)
+    assert core.handle(it, events.Ticked(), 0.1) == []
--- a/hickoryweir/routers/digests.py
+++ b/hickoryweir/routers/digests.py
@@ -55,6 +55,8 @@
         event.suspects,
         event.quarantined,
         event.ejected,
+        running_top=event.running_top,
+        suspects_placed=event.suspects_placed,
     )
     state.known[event.router] = (digest, now_s)
 
@@ -85,6 +87,8 @@
         digest.suspects,
         digest.quarantined,
         digest.ejected,
+        digest.running_top,
+        digest.suspects_placed,
     )
 
 
@@ -131,7 +135,13 @@
         if name != layout.me.name and now_s - at_s >= limit_s:
             del state.known[name]
             empty = dataclasses.replace(
-                digest, running=(), suspects=(), quarantined=(), ejected=()
+                digest,
+                running=(),
+                suspects=(),
+                quarantined=(),
+                ejected=(),
+                running_top=(),
+                suspects_placed=(),
             )
             lost.append(_to_event(empty))
     return lost
@@ -167,4 +177,4 @@
 def _marks_only(digest):
     if not (digest.suspects or digest.quarantined or digest.ejected):
         return None
-    return dataclasses.replace(digest, running=())
+    return dataclasses.replace(digest, running=(), running_top=())
--- a/hickoryweir/routers/messages.py
+++ b/hickoryweir/routers/messages.py
@@ -102,6 +102,8 @@
     quarantined: tuple[str, ...]
     ejected: tuple[str, ...]
     age_s: float = 0.0
+    running_top: tuple[tuple[str, int], ...] = ()
+    suspects_placed: tuple[tuple[str, str], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
