Traces of the log core are checked against the specification

Cause: a specification proves nothing about code that takes other steps. Change: a simulated cluster under faults is put into the models' terms after each event; votes, terms and messages must follow by steps of spec.elections, changes of logs and commit indices by steps of spec.replication.

--- a/hickoryweir/replicas/replication.py
+++ b/hickoryweir/replicas/replication.py
@@ -30,7 +30,7 @@
     """Keep one progress for each other member."""
     ids = {member.member_id for member in state.membership.members}
     ids.discard(state.member_id)
-    for member_id in ids - state.progress.keys():
+    for member_id in sorted(ids - state.progress.keys()):
         next_index = state.log.last_index + 1
         state.progress[member_id] = states.Progress(next_index, now_s)
     for member_id in state.progress.keys() - ids:
--- /dev/null
+++ b/spec/tests/test_trace.py
@@ -0,0 +1,241 @@
+"""Traces of the real core are traces of the specification.
+
+A simulated cluster runs under faults.  After each event its state is put into the
+specification's terms: what of elections is on disk or was sent must follow by
+steps of :mod:`spec.elections`; each change of a log or of a commit index must be a
+step of :mod:`spec.replication`.
+"""
+
+import random
+
+import pytest
+
+from hickoryweir.replicas import messages
+from hickoryweir.replicas import state as states
+from hickoryweir.replicas.tests import simulation
+from spec import elections, replication
+
+FOUNDING_TERM = 1
+FOUNDING_INDEX = 1
+TERM_SLOTS = 200
+STEPS_MAX = 12
+ACTION_COUNT = 400
+SEED_COUNT = 24
+ROLES = {
+    states.Role.CANDIDATE: elections.Role.CANDIDATE,
+    states.Role.LEADER: elections.Role.LEADER,
+}
+
+
+def may_lead_to(state, after):
+    """Return whether nothing in ``state`` is beyond ``after``."""
+    return (
+        state.requests <= after.requests
+        and state.grants <= after.grants
+        and state.leaders <= after.leaders
+        and all(
+            early.term <= late.term
+            for early, late in zip(state.replicas, after.replicas, strict=True)
+        )
+    )
+
+
+class Traced(simulation.Simulation):
+    """A simulation that checks itself against the specification."""
+
+    def __init__(self, seed):
+        self.depth = 0
+        self.synced = {}
+        self.requests = frozenset()
+        self.grants = frozenset()
+        self.led = frozenset()
+        self.elections = None
+        self.logs = None
+        self.spec_steps = 0
+        super().__init__(seed)
+        self.ids = [
+            process.state.member_id for _, process in sorted(self.processes.items())
+        ]
+        self.sent = [None] * TERM_SLOTS
+        self.acks = [[0] * len(self.ids) for _ in range(TERM_SLOTS)]
+        self.committed = {}
+        self.elections = self.view_elections()
+        self.logs = self.view_logs()
+
+    def step(self, process, event):
+        """Give a replica an event and check what came of it."""
+        self.watch(lambda: super(Traced, self).step(process, event))
+
+    def sync(self, process):
+        """Let a replica's disk finish and check what came of it."""
+        stores = [item for item in process.work if isinstance(item, states.Store)]
+        if stores:
+            self.synced[process.name] = (stores[-1].term, stores[-1].voted_for)
+        self.watch(lambda: super(Traced, self).sync(process))
+
+    def crash(self, name):
+        """Restart a replica at once and check what came of it."""
+        super().crash(name)
+        self.start(name)
+        self.check()
+
+    def watch(self, act):
+        """Act, and check once the outermost action is over."""
+        self.depth += 1
+        act()
+        self.depth -= 1
+        if self.depth == 0:
+            self.check()
+
+    def check(self):
+        """Compare the whole with the specification."""
+        if self.elections is None:
+            return
+        self.note_messages()
+        self.check_elections()
+        self.check_logs()
+
+    def note_messages(self):
+        """Remember votes, requests and acknowledgements that were sent."""
+        for envelope in self.network:
+            term = envelope.term - FOUNDING_TERM
+            sender = self.ids.index(envelope.from_id)
+            match envelope.body:
+                case messages.VoteRequest(pre=False):
+                    self.requests |= {(term, sender)}
+                case messages.VoteResponse(granted=True, pre=False):
+                    candidate = self.ids.index(envelope.to_id)
+                    self.grants |= {elections.Grant(term, candidate, sender)}
+                case messages.AppendResponse(success=True, match_index=index):
+                    length = index - FOUNDING_INDEX
+                    self.acks[term][sender] = max(self.acks[term][sender], length)
+
+    def view_elections(self):
+        """Return the durable state and the sent votes as a model's state."""
+        replicas = []
+        for number, (name, process) in enumerate(sorted(self.processes.items())):
+            term, voted_for = self.synced.get(name, (FOUNDING_TERM, ""))
+            role = elections.Role.FOLLOWER
+            if process.state.term == term:
+                role = ROLES.get(process.state.role, role)
+            term -= FOUNDING_TERM
+            vote = self.ids.index(voted_for) if voted_for else elections.NO_VOTE
+            replicas.append(elections.Replica(role, term, vote, term, vote))
+            if role is elections.Role.LEADER:
+                self.led |= {(term, number)}
+        return elections.State(
+            tuple(replicas), self.requests, self.grants, self.led, True
+        )
+
+    def check_elections(self):
+        """Find steps of the model that lead to the new state."""
+        after = self.view_elections()
+        highest = max(replica.term for replica in after.replicas)
+        reached = {self.elections}
+        for _ in range(STEPS_MAX):
+            if after in reached:
+                break
+            reached |= {
+                state
+                for before in reached
+                for _, state in elections.steps_from(before, highest)
+                if may_lead_to(state, after)
+            }
+        assert after in reached, (self.elections, after)
+        self.spec_steps += after != self.elections
+        self.elections = after
+
+    def view_logs(self):
+        """Return each replica's log and commit index in the model's terms."""
+        views = []
+        for _, process in sorted(self.processes.items()):
+            state = process.state
+            log = tuple(entry.term - FOUNDING_TERM for entry in state.log.entries)
+            leads = state.role is states.Role.LEADER
+            term = state.term - FOUNDING_TERM
+            synced = state.persisted_index - FOUNDING_INDEX
+            view = replication.Replica(term, leads, log, synced)
+            views.append((view, state.commit_index - FOUNDING_INDEX))
+            if leads:
+                self.sent[term] = max(self.sent[term] or (), log, key=len)
+        return views
+
+    def spec_state(self, views):
+        """Return the model's state with these replicas."""
+        acks = tuple(tuple(row) for row in self.acks)
+        replicas = tuple(view for view, _ in views)
+        return replication.State(replicas, tuple(self.sent), acks, (), 0, False)
+
+    def check_logs(self):
+        """Check each change of a log or of a commit index."""
+        before = self.logs
+        self.logs = self.view_logs()
+        for number, (old, new) in enumerate(zip(before, self.logs, strict=True)):
+            if old[0].log != new[0].log:
+                assert self.is_log_step(before, number, new[0]), (old, new)
+                self.spec_steps += 1
+            if old[1] < new[1]:
+                assert self.is_commit_step(number, *new), (old, new)
+                self.spec_steps += 1
+
+    def is_log_step(self, before, number, new):
+        """Return whether a log was appended to, received or cut by a crash."""
+        old = before[number][0]
+        if new.leads:
+            added = new.log[len(old.log) :]
+            return new.log[: len(old.log)] == old.log and set(added) == {new.term}
+        if new.log == old.log[: old.synced]:
+            return True
+        state = self.spec_state(before)
+        lengths = range(len(self.sent[new.term] or ()) + 1)
+        received = (
+            replication.receive(state, number, new.term, length) for length in lengths
+        )
+        return any(state.replicas[number].log == new.log for state in received)
+
+    def is_commit_step(self, number, view, length):
+        """Return whether the model allows this commit index."""
+        log = view.log[:length]
+        known = self.committed_log()
+        if not view.leads:
+            return known[:length] == log
+        steps = replication.steps_from(self.spec_state(self.logs), 0)
+        labels = [label for label, _ in steps]
+        allowed = f"commit({number},{length})" in labels
+        return allowed and known[:length] == log
+
+    def committed_log(self):
+        """Return the terms of all entries that any replica has applied."""
+        entries = [self.committed[index] for index in sorted(self.committed)]
+        kept = [entry for entry in entries if entry.index > FOUNDING_INDEX]
+        return tuple(entry.term - FOUNDING_TERM for entry in kept)
+
+
+def act(cluster, source):
+    """Let one random thing happen."""
+    process = source.choice(list(cluster.processes.values()))
+    kind = source.random()
+    if kind < 0.03:
+        cluster.crash(process.name)
+    elif kind < 0.06:
+        cluster.cut_off(process.name)
+    elif kind < 0.15:
+        cluster.heal()
+    elif kind < 0.25:
+        cluster.propose(cluster.leader() or process)
+    elif kind < 0.55:
+        cluster.tick(source.choice([0.02, 0.1, 0.3]))
+    elif process.work and kind < 0.75:
+        cluster.sync(process)
+    elif cluster.network:
+        cluster.deliver(source.randrange(len(cluster.network)), kind > 0.97)
+
+
+@pytest.mark.parametrize("seed", range(SEED_COUNT))
+def test_core_takes_only_steps_of_the_specification(seed):
+    cluster = Traced(seed)
+    source = random.Random(seed)
+    cluster.run(1.0)
+    for _ in range(ACTION_COUNT):
+        act(cluster, source)
+    assert cluster.spec_steps > 20
