--- a/hickoryweir/testing/demo/burst.py
+++ b/hickoryweir/testing/demo/burst.py
@@ -178,7 +178,22 @@
 
 
 async def exchange(session: aiohttp.ClientSession, plan: Plan) -> Reply:
-    """Send one HTTP request and judge its answer."""
+    """Have one HTTP exchange; a lost connection counts as a refusal."""
+    try:
+        return await exchange_raw(session, plan)
+    except aiohttp.ClientError as error:
+        reason = type(error).__name__
+        return Reply(False, False, time.monotonic(), reason, "maybe", 0.5)
+
+
+async def exchange_raw(session: aiohttp.ClientSession, plan: Plan) -> Reply:
+    """Send one HTTP request and judge its answer.
+
+    Raises
+    ------
+    aiohttp.ClientError
+        The connection was refused or lost.
+    """
     headers = {
         "Authorization": f"Bearer demo-{plan.account}",
         "X-Request-Class": plan.request_class.name,
@@ -187,16 +202,11 @@
     if plan.key:
         headers["Idempotency-Key"] = plan.key
     path, body = make_body(plan)
-    try:
-        async with session.post(
-            plan.url + path, json=body, headers=headers
-        ) as response:
-            if response.status != 200:
-                return refused_reply(await response.read())
-            return await read_answer(plan, response)
-    except aiohttp.ClientError as error:
-        reason = type(error).__name__
-        return Reply(False, False, time.monotonic(), reason, "maybe", 0.5)
+    url = plan.url + path
+    async with session.post(url, json=body, headers=headers) as response:
+        if response.status != 200:
+            return refused_reply(await response.read())
+        return await read_answer(plan, response)
 
 
 def make_body(plan: Plan) -> tuple[str, dict]:
--- a/hickoryweir/testing/demo/entry_vms.py
+++ b/hickoryweir/testing/demo/entry_vms.py
@@ -1,24 +1,33 @@
 """Entry VMs of the demonstration: their settings files and processes."""
 
-import contextlib
 import dataclasses
 import hashlib
+import itertools
 import pathlib
+import random
 import signal
 import socket
 import subprocess
 import sys
+from collections.abc import Callable
 
 HOST = "127.0.0.1"
 OPERATOR_KEY = "demo-operator"
 STOP_TIMEOUT_S = 30.0
 BALANCER_LAG_S = 0.2
 DRAIN_LIMIT_S = 20.0
+LOWEST_PORT = 12_000
+HIGHEST_PORT = 32_000
+FIRST_CANDIDATE_PORT = random.randrange(LOWEST_PORT, HIGHEST_PORT)
+CANDIDATE_PORTS = itertools.chain(
+    range(FIRST_CANDIDATE_PORT, HIGHEST_PORT),
+    range(LOWEST_PORT, FIRST_CANDIDATE_PORT),
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryVm:
-    """One entry VM: its name, zone, ports and folder."""
+    """One entry VM: its name, zone, ports, folder and role."""
 
     name: str
     availability_zone: str
@@ -26,6 +35,7 @@
     operators_port: int
     peers_port: int
     folder: pathlib.Path
+    is_replica: bool = True
 
     @property
     def callers_url(self) -> str:
@@ -37,6 +47,11 @@
         """Return the base URL of its operators' port."""
         return f"http://{HOST}:{self.operators_port}"
 
+    @property
+    def roles(self) -> str:
+        """Return its roles as the settings write them."""
+        return "router, replica" if self.is_replica else "router"
+
     @property
     def settings_file(self) -> pathlib.Path:
         """Return the path of its settings."""
@@ -51,14 +66,26 @@
     process: subprocess.Popen
 
 
-def free_port(preferred: int = 0) -> int:
-    """Return the preferred port if it is free, else one that is."""
+def is_free(port: int) -> bool:
+    """Return whether nothing listens on a port of loopback."""
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        with contextlib.suppress(OSError):
-            probe.bind((HOST, preferred))
-            return probe.getsockname()[1]
-    return free_port()
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+def free_port(preferred: int = 0) -> int:
+    """Return the preferred port if it is free, else one that is.
+
+    Ports lie below the range that the system gives to outgoing connections, and
+    none is returned twice in a process.
+    """
+    if preferred and is_free(preferred):
+        return preferred
+    return next(port for port in CANDIDATE_PORTS if is_free(port))
 
 
 def make_entry_vms(
@@ -96,15 +123,41 @@
     return tuple(made)
 
 
-def render_settings(entry_vm: EntryVm, all_vms: tuple[EntryVm, ...]) -> str:
-    """Return the settings of one entry VM as INI text."""
+FindPort = Callable[[EntryVm, EntryVm], int]
+
+
+def direct_port(source: EntryVm, destination: EntryVm) -> int:
+    """Return the port at which one entry VM reaches another: its own."""
+    return destination.peers_port
+
+
+def render_settings(
+    entry_vm: EntryVm, all_vms: tuple[EntryVm, ...], find_port: FindPort = direct_port
+) -> str:
+    """Return the settings of one entry VM as INI text.
+
+    Parameters
+    ----------
+    entry_vm : EntryVm
+        Whose settings.
+    all_vms : tuple of EntryVm
+        Every entry VM of the cluster.
+    find_port : function, optional
+        Port at which one entry VM reaches another; a link between them may
+        stand there instead of the other's own port.
+
+    Returns
+    -------
+    str
+        Text of a settings file.
+    """
     digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
     own = f"""\
 [process]
 name = {entry_vm.name}
 availability_zone = {entry_vm.availability_zone}
 cluster_id = demo
-roles = router, replica
+roles = {entry_vm.roles}
 
 [callers]
 host = {HOST}
@@ -140,9 +193,9 @@
         f"""
 [peer {other.name}]
 host = {HOST}
-port = {other.peers_port}
+port = {find_port(entry_vm, other)}
 availability_zone = {other.availability_zone}
-roles = router, replica
+roles = {other.roles}
 """
         for other in all_vms
         if other is not entry_vm
@@ -150,11 +203,14 @@
     return own + "".join(others)
 
 
-def write_settings(all_vms: tuple[EntryVm, ...]) -> None:
+def write_settings(
+    all_vms: tuple[EntryVm, ...], find_port: FindPort = direct_port
+) -> None:
     """Write the settings file of each entry VM into its folder."""
     for entry_vm in all_vms:
         entry_vm.folder.mkdir(parents=True, exist_ok=True)
-        entry_vm.settings_file.write_text(render_settings(entry_vm, all_vms))
+        text = render_settings(entry_vm, all_vms, find_port)
+        entry_vm.settings_file.write_text(text)
 
 
 def start(entry_vm: EntryVm) -> RunningVm:
--- /dev/null
+++ b/hickoryweir/testing/drill/cluster.py
@@ -0,0 +1,160 @@
+"""The cluster under drill: entry VMs, their links, and the stand-ins."""
+
+import asyncio
+import dataclasses
+import pathlib
+import signal
+import time
+
+import aiohttp
+
+from hickoryweir.testing.demo import entry_vms, stand_ins
+from hickoryweir.testing.drill import links
+
+LINK_DELAY_S = 0.001
+VMS_PER_ZONE = 2
+POLL_INTERVAL_S = 0.2
+POLL_TIMEOUT_S = 1.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Cluster:
+    """All that the drill runs.
+
+    Attributes
+    ----------
+    running : dict
+        Process of each entry VM by name; absent while it is down.
+    ready : set of str
+        Callers' URLs that the balancer sends to; late, as a balancer's list is.
+    versions : dict
+        Configuration versions that each entry VM served with, as they were seen.
+    exit_codes : list of int
+        Exit codes of graceful stops.
+    """
+
+    vms: tuple[entry_vms.EntryVm, ...]
+    links: tuple[links.Link, ...]
+    servers: tuple[stand_ins.StandIn, ...]
+    running: dict[str, entry_vms.RunningVm]
+    ready: set[str]
+    versions: dict[str, list[int]]
+    exit_codes: list[int]
+
+
+async def start_cluster(
+    zones: tuple[str, ...],
+    servers: tuple[stand_ins.StandIn, ...],
+    folder: pathlib.Path,
+) -> Cluster:
+    """Start two entry VMs in each zone, the first of them a replica."""
+    vms = tuple(
+        entry_vms.EntryVm(
+            name=f"{zone}-{number}",
+            availability_zone=zone,
+            callers_port=entry_vms.free_port(),
+            operators_port=entry_vms.free_port(),
+            peers_port=entry_vms.free_port(),
+            folder=folder / f"{zone}-{number}",
+            is_replica=number == 1,
+        )
+        for zone in zones
+        for number in range(1, VMS_PER_ZONE + 1)
+    )
+    opened = await asyncio.gather(
+        *(
+            links.open_link(source, destination, LINK_DELAY_S)
+            for source in vms
+            for destination in vms
+            if source is not destination
+        )
+    )
+    ports = {(link.source.name, link.destination.name): link.port for link in opened}
+    entry_vms.write_settings(
+        vms, lambda source, destination: ports[(source.name, destination.name)]
+    )
+    running = {vm.name: entry_vms.start(vm) for vm in vms}
+    versions = {vm.name: [] for vm in vms}
+    return Cluster(vms, tuple(opened), servers, running, set(), versions, [])
+
+
+async def follow_readiness(cluster: Cluster) -> None:
+    """Keep the balancer's list and the versions seen, until cancelled."""
+    timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while True:
+            await asyncio.gather(*(poll(session, cluster, vm) for vm in cluster.vms))
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+
+async def poll(
+    session: aiohttp.ClientSession, cluster: Cluster, vm: entry_vms.EntryVm
+) -> None:
+    """Ask one entry VM for its readiness and its version."""
+    try:
+        async with session.get(vm.callers_url + "/readyz") as response:
+            is_ready = response.status == 200
+        async with session.get(vm.callers_url + "/status") as response:
+            version = (await response.json())["configuration_version"]
+    except (aiohttp.ClientError, TimeoutError):
+        is_ready = False
+    if not is_ready:
+        cluster.ready.discard(vm.callers_url)
+        return
+    cluster.ready.add(vm.callers_url)
+    cluster.versions[vm.name].append(version)
+
+
+def kill(cluster: Cluster, name: str) -> None:
+    """End an entry VM's process at once."""
+    running = cluster.running.pop(name)
+    running.process.kill()
+    running.process.wait()
+
+
+def freeze(cluster: Cluster, name: str) -> None:
+    """Stop an entry VM's process where it is."""
+    cluster.running[name].process.send_signal(signal.SIGSTOP)
+
+
+def thaw(cluster: Cluster, name: str) -> None:
+    """Let a frozen process go on."""
+    cluster.running[name].process.send_signal(signal.SIGCONT)
+
+
+def restart(cluster: Cluster, name: str) -> None:
+    """Start an entry VM's process again, on its old folder."""
+    vm = next(vm for vm in cluster.vms if vm.name == name)
+    cluster.running[name] = entry_vms.start(vm)
+
+
+async def stop_gracefully(cluster: Cluster, name: str) -> None:
+    """Stop an entry VM by SIGTERM and keep its exit code."""
+    running = cluster.running.pop(name)
+    code = await asyncio.to_thread(entry_vms.stop, running)
+    cluster.exit_codes.append(code)
+
+
+async def stop_all(cluster: Cluster) -> None:
+    """Stop every entry VM, link and stand-in."""
+    names = list(cluster.running)
+    for name in names:
+        thaw(cluster, name)
+    await asyncio.gather(*(stop_gracefully(cluster, name) for name in names))
+    for link in cluster.links:
+        link.server.close()
+    await stand_ins.stop_all(cluster.servers)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Window:
+    """A time in which connection errors at an entry VM are expected."""
+
+    url: str
+    since_s: float
+    until_s: float
+
+
+def now_s() -> float:
+    """Return monotonic seconds, the drill's clock."""
+    return time.monotonic()
--- /dev/null
+++ b/hickoryweir/testing/drill/oracle.py
@@ -0,0 +1,162 @@
+"""Judges a drill by what callers, backend servers and operators saw."""
+
+import collections
+import dataclasses
+
+from hickoryweir.outcomes import refusals
+from hickoryweir.testing.drill import cluster as clusters
+from hickoryweir.testing.drill import faults, workload
+
+CONNECTION_SLACK_S = 3.0
+CONVERGENCE_LIMIT_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken promise and what shows it."""
+
+    promise: str
+    detail: str
+
+
+def judge(
+    cluster: clusters.Cluster,
+    drawn: faults.Drawn,
+    seen: workload.Seen,
+    executions: dict[str, int],
+) -> list[Violation]:
+    """Return every broken promise.
+
+    Parameters
+    ----------
+    cluster : clusters.Cluster
+        Versions and exit codes that were seen.
+    drawn : faults.Drawn
+        When connection errors were expected.
+    seen : workload.Seen
+        What callers and operators saw.
+    executions : dict
+        How often each idempotency key ran, by the plain services.
+
+    Returns
+    -------
+    list of Violation
+        Empty if every promise was kept.
+    """
+    found = []
+    found += find_repeated(executions)
+    for history in seen.histories:
+        found += judge_history(history, executions)
+    found += find_cut_off(drawn, seen)
+    found += find_reverts(cluster)
+    found += find_behind(cluster, seen)
+    found += [
+        Violation("a planned stop is graceful", f"exit code {code}")
+        for code in cluster.exit_codes
+        if code != 0
+    ]
+    return found
+
+
+def find_repeated(executions: dict[str, int]) -> list[Violation]:
+    """Return the keys that ran more than once."""
+    return [
+        Violation("non-idempotent work runs at most once", f"{key} ran {count} times")
+        for key, count in executions.items()
+        if count > 1
+    ]
+
+
+def judge_history(
+    history: workload.History, executions: dict[str, int]
+) -> list[Violation]:
+    """Return what is wrong with one call."""
+    found = []
+    plan = history.plan
+    replies = [send.reply for send in history.sends if send.reply is not None]
+    found += [
+        Violation("each caller gets its own whole answer", plan.request_id)
+        for reply in replies
+        if reply.answered and not reply.whole
+    ]
+    if not plan.key:
+        return found
+    count = executions.get(plan.key, 0)
+    if history.answered and count != 1:
+        found.append(Violation("an answer means that it ran", f"{plan.key}: {count}"))
+    all_not_run = len(replies) == len(history.sends) and all(
+        reply.ran == refusals.Ran.NO for reply in replies
+    )
+    if replies and all_not_run and count:
+        found.append(Violation("'not run' is true", f"{plan.key} ran {count} times"))
+    if any(reply.reason == refusals.Reason.SHED for reply in replies):
+        found.append(Violation("a top-up or booking is never shed", plan.request_id))
+    return found
+
+
+def find_cut_off(drawn: faults.Drawn, seen: workload.Seen) -> list[Violation]:
+    """Return the connections that were lost where nothing was killed or frozen."""
+    found = []
+    for history in seen.histories:
+        for send in history.sends:
+            if send.failure and not is_expected(drawn, send):
+                detail = f"{history.plan.request_id}: {send.failure} at {send.url}"
+                found.append(Violation("no request is cut off", detail))
+    return found
+
+
+def is_expected(drawn: faults.Drawn, send: workload.Send) -> bool:
+    """Return whether a fault explains a lost connection."""
+    return any(
+        window.url == send.url
+        and window.since_s - CONNECTION_SLACK_S <= send.ended_at_s
+        and send.sent_at_s <= window.until_s + CONNECTION_SLACK_S
+        for window in drawn.windows
+    )
+
+
+def find_reverts(cluster: clusters.Cluster) -> list[Violation]:
+    """Return the entry VMs that served with a lower version than before."""
+    return [
+        Violation("an accepted configuration never reverts", f"{name}: {versions}")
+        for name, versions in cluster.versions.items()
+        if versions != sorted(versions)
+    ]
+
+
+def find_behind(cluster: clusters.Cluster, seen: workload.Seen) -> list[Violation]:
+    """Return the entry VMs that don't serve with the newest accepted version."""
+    newest = max(seen.accepted, default=0)
+    return [
+        Violation("an accepted configuration is in force", f"{name}: {versions[-1:]}")
+        for name, versions in cluster.versions.items()
+        if not versions or versions[-1] < newest
+    ]
+
+
+def summarize(seen: workload.Seen) -> dict[str, collections.Counter]:
+    """Return for each class how its calls ended."""
+    counts: dict[str, collections.Counter] = collections.defaultdict(
+        collections.Counter
+    )
+    for history in seen.histories:
+        name = history.plan.request_class.name
+        last = history.sends[-1] if history.sends else None
+        if history.answered:
+            counts[name]["answered"] += 1
+        elif last is None:
+            counts[name]["never sent"] += 1
+        else:
+            counts[name][last.reply.reason if last.reply else last.failure] += 1
+    return counts
+
+
+def longest_waits_s(seen: workload.Seen) -> dict[str, float]:
+    """Return the longest time from a call's first send to its last reply."""
+    waits: dict[str, float] = collections.defaultdict(float)
+    for history in seen.histories:
+        if history.sends:
+            name = history.plan.request_class.name
+            waited_s = history.sends[-1].ended_at_s - history.sends[0].sent_at_s
+            waits[name] = max(waits[name], waited_s)
+    return waits
--- /dev/null
+++ b/hickoryweir/testing/drill/tests/test_oracle.py
@@ -0,0 +1,95 @@
+"""The drill's oracle sees each broken promise."""
+
+import random
+
+from hickoryweir.callers.tests import fakes
+from hickoryweir.configuration import model
+from hickoryweir.testing.demo import burst
+from hickoryweir.testing.drill import cluster as clusters
+from hickoryweir.testing.drill import faults, oracle, workload
+
+URL = "http://127.0.0.1:1"
+ANSWERED = burst.Reply(True, True, 0.0, "", "", None)
+FOREIGN = burst.Reply(True, False, 0.0, "", "", None)
+NOT_RUN = burst.Reply(False, False, 0.0, "no_quorum", "no", 1.0)
+SHED = burst.Reply(False, False, 0.0, "shed", "no", 1.0)
+
+
+def make_history(*replies):
+    request_class = fakes.make_class("top-up", model.Target.SERVICE, "top-ups", False)
+    plan = burst.Plan(0.0, "call-1", request_class, "school", "key-1", URL)
+    sends = [workload.Send(URL, 10.0, 11.0, reply, "") for reply in replies]
+    return workload.History(plan, sends)
+
+
+def make_cluster(versions=None, exit_codes=()):
+    return clusters.Cluster(
+        (), (), (), {}, set(), versions or {"vm-1": [1, 2]}, list(exit_codes)
+    )
+
+
+def promises(histories=(), executions=None, windows=(), accepted=(), **cluster):
+    made = make_cluster(**cluster)
+    drawn = faults.Drawn(made, random.Random(1), list(windows), [], set())
+    seen = workload.Seen(list(histories), list(accepted))
+    found = oracle.judge(made, drawn, seen, executions or {})
+    return [violation.promise for violation in found]
+
+
+def test_a_call_that_ran_once_and_was_answered_breaks_nothing():
+    assert promises([make_history(ANSWERED)], {"key-1": 1}) == []
+
+
+def test_a_key_that_ran_twice_is_seen():
+    assert "non-idempotent work runs at most once" in promises(executions={"k": 2})
+
+
+def test_an_answer_without_a_run_is_seen():
+    found = promises([make_history(ANSWERED)], {})
+    assert found == ["an answer means that it ran"]
+
+
+def test_a_foreign_answer_is_seen():
+    found = promises([make_history(FOREIGN)], {"key-1": 1})
+    assert found == ["each caller gets its own whole answer"]
+
+
+def test_a_false_not_run_is_seen():
+    assert promises([make_history(NOT_RUN)], {"key-1": 1}) == ["'not run' is true"]
+
+
+def test_a_true_not_run_breaks_nothing():
+    assert promises([make_history(NOT_RUN)], {}) == []
+
+
+def test_a_shed_top_up_is_seen():
+    assert promises([make_history(SHED)]) == ["a top-up or booking is never shed"]
+
+
+def lost_history():
+    history = make_history()
+    history.sends.append(workload.Send(URL, 10.0, 11.0, None, "ServerDisconnected"))
+    return history
+
+
+def test_a_connection_lost_without_a_fault_is_seen():
+    assert promises([lost_history()]) == ["no request is cut off"]
+
+
+def test_a_connection_lost_to_a_kill_breaks_nothing():
+    window = clusters.Window(URL, 9.0, 12.0)
+    assert promises([lost_history()], windows=[window]) == []
+
+
+def test_a_version_that_goes_back_is_seen():
+    found = promises(versions={"vm-1": [1, 2, 1, 2]})
+    assert found == ["an accepted configuration never reverts"]
+
+
+def test_an_accepted_version_not_in_force_is_seen():
+    found = promises(versions={"vm-1": [1]}, accepted=[2])
+    assert found == ["an accepted configuration is in force"]
+
+
+def test_a_graceless_stop_is_seen():
+    assert promises(exit_codes=[3]) == ["a planned stop is graceful"]
--- /dev/null
+++ b/hickoryweir/testing/drill/workload.py
@@ -0,0 +1,175 @@
+"""Callers and operators at work during a drill, and all that they saw."""
+
+import asyncio
+import dataclasses
+import random
+import time
+
+import aiohttp
+from returns import result
+
+from hickoryweir.configuration import change_ids, model
+from hickoryweir.operators import client, documents
+from hickoryweir.testing.demo import burst, entry_vms
+from hickoryweir.testing.drill import cluster as clusters
+
+CALLS_PER_S = 25.0
+CALL_LIMIT_S = 25.0
+LOST_REPLY_PAUSE_S = 0.2
+CHANGE_INTERVAL_S = 2.0
+MAX_CONNECTIONS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """One HTTP exchange that a caller had.
+
+    Attributes
+    ----------
+    failure : str
+        Class of the connection's error; empty if there was a reply.
+    """
+
+    url: str
+    sent_at_s: float
+    ended_at_s: float
+    reply: burst.Reply | None
+    failure: str
+
+
+@dataclasses.dataclass(slots=True)
+class History:
+    """All sends of one call, repeats by its caller included."""
+
+    plan: burst.Plan
+    sends: list[Send]
+
+    @property
+    def answered(self) -> bool:
+        """Return whether the caller got an answer in the end."""
+        return any(send.reply and send.reply.answered for send in self.sends)
+
+
+@dataclasses.dataclass(slots=True)
+class Seen:
+    """What callers and operators saw.
+
+    Attributes
+    ----------
+    accepted : list of int
+        Versions that operators were told of.
+    """
+
+    histories: list[History]
+    accepted: list[int]
+
+
+async def run_callers(
+    cluster: clusters.Cluster,
+    configuration: model.Configuration,
+    seen: Seen,
+    generator: random.Random,
+    until_s: float,
+) -> None:
+    """Send calls at a steady rate until the time is up, and wait for their ends."""
+    connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS)
+    async with (
+        aiohttp.ClientSession(connector=connector) as session,
+        asyncio.TaskGroup() as group,
+    ):
+        position = 0
+        while clusters.now_s() < until_s:
+            plan = draw_plan(configuration, generator, position)
+            history = History(plan, [])
+            seen.histories.append(history)
+            group.create_task(persist(session, cluster, history, generator))
+            position += 1
+            await asyncio.sleep(generator.expovariate(CALLS_PER_S))
+
+
+def draw_plan(
+    configuration: model.Configuration, generator: random.Random, position: int
+) -> burst.Plan:
+    """Return one call of a random account and class."""
+    account = generator.choice(configuration.accounts)
+    classes = {each.name: each for each in configuration.classes}
+    request_class = classes[generator.choice(account.classes)]
+    key = "" if request_class.idempotent else f"drill-{position}"
+    return burst.Plan(0.0, f"call-{position}", request_class, account.name, key, "")
+
+
+async def persist(
+    session: aiohttp.ClientSession,
+    cluster: clusters.Cluster,
+    history: History,
+    generator: random.Random,
+) -> None:
+    """Send a call, and again, until it is answered or its caller gives up."""
+    until_s = clusters.now_s() + CALL_LIMIT_S
+    while clusters.now_s() < until_s:
+        urls = sorted(cluster.ready)
+        if not urls:
+            await asyncio.sleep(LOST_REPLY_PAUSE_S)
+            continue
+        plan = dataclasses.replace(history.plan, url=generator.choice(urls))
+        send = await send_once(session, plan, until_s)
+        history.sends.append(send)
+        if send.reply is not None and send.reply.answered:
+            return
+        if send.reply is not None and send.reply.retry_after_s is None:
+            return
+        pause_s = send.reply.retry_after_s if send.reply else LOST_REPLY_PAUSE_S
+        await asyncio.sleep(pause_s)
+
+
+async def send_once(
+    session: aiohttp.ClientSession, plan: burst.Plan, until_s: float
+) -> Send:
+    """Have one HTTP exchange."""
+    sent_at_s = clusters.now_s()
+    try:
+        async with asyncio.timeout(max(0.1, until_s - sent_at_s)):
+            reply = await burst.exchange_raw(session, plan)
+    except (aiohttp.ClientError, TimeoutError) as error:
+        return Send(plan.url, sent_at_s, clusters.now_s(), None, type(error).__name__)
+    return Send(plan.url, sent_at_s, clusters.now_s(), reply, "")
+
+
+async def run_operators(
+    cluster: clusters.Cluster,
+    answers_text: str,
+    seen: Seen,
+    generator: random.Random,
+    until_s: float,
+) -> None:
+    """Submit small changes, two operators at once, until the time is up."""
+    while clusters.now_s() < until_s:
+        await asyncio.gather(
+            *(change(cluster, answers_text, seen, generator) for _ in range(2))
+        )
+        await asyncio.sleep(CHANGE_INTERVAL_S)
+
+
+async def change(
+    cluster: clusters.Cluster,
+    answers_text: str,
+    seen: Seen,
+    generator: random.Random,
+) -> None:
+    """Submit one change to a random entry VM; note the version if accepted."""
+    hours = generator.randint(24, 72)
+    text = answers_text.replace(
+        "callers_resend_within_hours = 48", f"callers_resend_within_hours = {hours}"
+    )
+    vm = generator.choice(cluster.vms)
+    access = client.Access((vm.operators_url,), entry_vms.OPERATOR_KEY)
+    body = {
+        "change_id": change_ids.make(time.time()),
+        "answers": text,
+        "summary": "drill",
+        "wait_s": 0.0,
+    }
+    accepted = documents.AcceptedDocument
+    asked = await client.request(access, "POST", "/changes", accepted, body)
+    if isinstance(asked, result.Success):
+        seen.accepted.append(asked.unwrap().version)
