Fuzz the border to engines and services with broken HTTP

Cause: a backend server may send anything. Change: hypothesis sends mutated heads, fields and bodies to each client; endless answers and slow readers are tested.

--- /dev/null
+++ b/hickoryweir/engines/tests/test_broken_http.py
@@ -0,0 +1,149 @@
+"""Whatever bytes a backend server answers with, the end is a typed value."""
+
+import asyncio
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+from returns import result
+
+from hickoryweir.engines import calls, client, reads, reports, sessions
+from hickoryweir.engines.tests import benches
+from hickoryweir.outcomes import refusals
+from hickoryweir.services import calls as service_calls
+from hickoryweir.services import client as service_client
+
+LIMITS = calls.EngineTimeouts(connect_s=5.0, silence_s=5.0)
+FUZZ = hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=60
+)
+HEADS = st.sampled_from(
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n",
+        b"HTTP/1.1 503 X\r\nX-Not-Run: true\r\n",
+        b"HTTP/1.1 429 X\r\nX-Not-Run: true\r\nX-Request-Id: other\r\n",
+        b"HTTP/1.1 302 X\r\nLocation: /elsewhere\r\n",
+        b"HTTP/1.1 99999 \xff\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/0.9",
+        b"",
+    ]
+)
+FIELDS = st.sampled_from(
+    [
+        b"Content-Length: 5\r\n",
+        b"Content-Length: -1\r\n",
+        b"Content-Length: 99999999999999999999\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+        b"Content-Type: \x00;;=\r\n",
+        b"Content-Encoding: gzip\r\n",
+        b"Set-Cookie: \xff=;=\r\n",
+        b"X: " + b"y" * 20_000 + b"\r\n",
+        b"no colon\r\n",
+    ]
+)
+BODIES = st.one_of(
+    st.binary(max_size=60),
+    st.sampled_from(
+        [
+            b"5\r\nhello\r\n0\r\n\r\n",
+            b"fffffffffffffffff\r\n",
+            b"data: [DONE]\n\n",
+            b'{"id":"r1","usage":{"completion_tokens":"x"}}',
+            b"[" * 100_000,
+        ]
+    ),
+)
+ANSWERS = st.builds(
+    lambda head, fields, body: head + b"".join(fields) + b"\r\n" + body,
+    HEADS,
+    st.lists(FIELDS, max_size=2),
+    BODIES,
+)
+
+
+async def ask_all(answer):
+    """Return how each kind of question ends at a server that answers so."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        writer.close()
+
+    listening = await asyncio.start_server(serve, benches.running.HOST, 0)
+    port = listening.sockets[0].getsockname()[1]
+    server = benches.make_server(f"http://{benches.running.HOST}:{port}")
+    post = service_calls.ServiceCall("r1", "POST", "/a", "", (), b"x", "k")
+    async with sessions.make_session() as session:
+        opened = await client.open_stream(session, server, benches.make_call(), LIMITS)
+        if isinstance(opened.value_or(None), client.EngineStream):
+            _, opened = await benches.read_all(opened.unwrap())
+        plain = benches.make_call(stream=False)
+        ends = [
+            opened,
+            await client.complete(session, server, plain, LIMITS),
+            await service_client.forward(session, server, post),
+        ]
+        read = await reads.read_document(
+            session, server.url, reports.LoadDocument, LIMITS.silence_s
+        )
+    listening.close()
+    return ends, read
+
+
+@hypothesis.given(ANSWERS)
+@FUZZ
+def test_no_answer_of_a_foreign_shape_raises_or_counts_as_not_run(answer):
+    ends, read = asyncio.run(ask_all(answer))
+    failures = [end.failure() for end in ends if not isinstance(end, result.Success)]
+    assert all(failure.ran is refusals.Ran.MAYBE for failure in failures)
+    assert not isinstance(read, result.Success)
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_endless_answer_is_cut_off(monkeypatch, stream):
+    monkeypatch.setattr(client, "MAX_ANSWER_SIZE_BYTES", 100_000)
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        kind = b"text/event-stream" if stream else b"application/json"
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: %b\r\n\r\n" % kind)
+        try:
+            while True:
+                writer.write(b"x" * 10_000)
+                await writer.drain()
+        except ConnectionError:
+            writer.close()
+
+    async def test():
+        listening = await asyncio.start_server(serve, benches.running.HOST, 0)
+        port = listening.sockets[0].getsockname()[1]
+        server = benches.make_server(f"http://{benches.running.HOST}:{port}")
+        async with sessions.make_session() as session:
+            call = benches.make_call(stream=stream)
+            if not stream:
+                return await client.complete(session, server, call, LIMITS)
+            opened = await client.open_stream(session, server, call, LIMITS)
+            return (await benches.read_all(opened.unwrap()))[1]
+
+    assert "too large" in asyncio.run(test()).failure().message
+
+
+def test_slow_reader_stops_the_engine():
+    async def test():
+        async with benches.engine_bench() as bench:
+            call = benches.make_call(stand_in_output_tokens=40_000)
+            stream = (await bench.open(call)).unwrap()
+            await benches.wait_until(lambda: is_paused(stream))
+            held_bytes = stream.response.content.total_bytes
+            await stream.close()
+        assert held_bytes <= 4 * sessions.READ_BUFFER_SIZE_BYTES
+
+    asyncio.run(test())
+
+
+def is_paused(stream):
+    transport = stream.response.connection.transport
+    return not transport.is_reading()
