--- a/hickoryweir/load/report.py
+++ b/hickoryweir/load/report.py
@@ -75,13 +75,18 @@
 
 
 def _classes(runs: list[results.RunResult]) -> list[str]:
+    return class_table([run.classes for run in runs])
+
+
+def class_table(by_run: list[tuple[results.ClassResult, ...]]) -> list[str]:
+    """Return the lines of a table by class, median and spread over runs."""
     lines = [
         "| class | tier | attainment % | whole % | first token p50/p95/p99 ms"
         " | answer p50/p95/p99 ms | goodput t/s | longest wait s | refusals |",
         "|---|---|---|---|---|---|---|---|---|",
     ]
-    for index, item in enumerate(runs[0].classes):
-        rows = [run.classes[index] for run in runs]
+    for index, item in enumerate(by_run[0]):
+        rows = [classes[index] for classes in by_run]
         cells = [
             item.class_name,
             str(item.tier),
--- a/hickoryweir/load/results.py
+++ b/hickoryweir/load/results.py
@@ -6,6 +6,7 @@
 
 from hdrh import histogram
 
+from hickoryweir.configuration import model
 from hickoryweir.load import bound, fleet
 
 HIGHEST_MS = 600_000
@@ -78,7 +79,10 @@
         run.scenario.name,
         run.policy.name,
         seed,
-        tuple(_class_result(run, item, by_class[item.name]) for item in classes),
+        tuple(
+            class_result(item, by_class[item.name], run.scenario.duration_s)
+            for item in classes
+        ),
         sum(caller.delivered for caller in run.callers),
         bound.goodput_tokens(run),
         sum(engine.generated_tokens for engine in run.engines.values()),
@@ -92,7 +96,10 @@
     )
 
 
-def _class_result(run: fleet.Run, item, callers: list[fleet.Caller]) -> ClassResult:
+def class_result(
+    item: model.RequestClass, callers: list[fleet.Caller], duration_s: float
+) -> ClassResult:
+    """Return the results of one class's callers."""
     first = histogram.HdrHistogram(1, HIGHEST_MS, 3)
     answer = histogram.HdrHistogram(1, HIGHEST_MS, 3)
     refused: collections.Counter = collections.Counter()
@@ -125,7 +132,7 @@
         completed / count,
         tuple(first.get_value_at_percentile(p) for p in PERCENTILES),
         tuple(answer.get_value_at_percentile(p) for p in PERCENTILES),
-        tokens / run.scenario.duration_s,
+        tokens / duration_s,
         dict(refused),
         dict(failed),
         longest_s,
