--- a/hickoryweir/policy/queues.py
+++ b/hickoryweir/policy/queues.py
@@ -146,8 +146,13 @@
 
 
 def charge(core: state.Core, pool: state.Pool, call: state.Call, now_s: float) -> None:
-    """Account for one dispatch in the floor credits of the pool's classes."""
+    """Account for one dispatch in the floor credits of the pool's classes.
+
+    A class that is alone spends nothing.
+    """
     served = call.request_class.name
+    if not any(core.queues[name].length for name in pool.class_names if name != served):
+        return
     for name in pool.class_names:
         queue = core.queues[name]
         if queue.length == 0 and name != served:
