Orders issued by the log's leader; retention follows the configuration

Change: the leader confirms by a linearizable read of its own replica before it issues, fenced by its term; the leader proposes the retention in force; kept connections end while draining. Conclusion: orders and retention need no hand.

--- a/hickoryweir/callers/app.py
+++ b/hickoryweir/callers/app.py
@@ -100,9 +100,20 @@
     app.router.add_get("/metrics", answer_metrics)
     app.router.add_get("/status", answer_status)
     app.cleanup_ctx.append(sweep_sinks)
+    app.on_response_prepare.append(close_when_draining)
     return app
 
 
+async def close_when_draining(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    """End kept connections with their next response during a shutdown."""
+    refusal = request.app[PORTS].not_ready()
+    if refusal is not None and refusal.reason is refusals.Reason.DRAINING:
+        response.force_close()
+        response.headers["Connection"] = "close"
+
+
 async def sweep_sinks(app: web.Application):
     """Cut callers that read too slowly, for as long as the app runs."""
 
--- a/hickoryweir/callers/tests/test_app.py
+++ b/hickoryweir/callers/tests/test_app.py
@@ -298,3 +298,11 @@
         return True
 
     assert asyncio.run(run())
+
+
+def test_a_kept_connection_ends_with_its_next_response_while_draining():
+    refusal = refusals.make_refusal(refusals.Reason.DRAINING, "draining")
+    _, headers, _ = post_chat(fakes.make_ports(not_ready=lambda: refusal))
+    assert headers["Connection"] == "close"
+    _, headers, _ = post_chat(fakes.make_ports())
+    assert "Connection" not in headers
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -22,7 +22,9 @@
     driver,
     log_access,
     operators_port,
+    ordering,
     parts,
+    retention,
     status,
 )
 from hickoryweir.engines import sessions
@@ -130,6 +132,8 @@
         follow_digests(process),
         follow_log(process),
         send_digests(process),
+        ordering.run(process),
+        retention.run(process),
     ):
         process.tasks.append(asyncio.create_task(work))
     if given.platform.url:
--- /dev/null
+++ b/hickoryweir/daemon/tests/test_ordering.py
@@ -0,0 +1,108 @@
+"""Orders and retention: whole daemons with stand-in engines."""
+
+import asyncio
+import pathlib
+import time
+
+import pytest
+from returns import result
+
+from hickoryweir.configuration import change_ids, generator, settings
+from hickoryweir.daemon import ordering, process
+from hickoryweir.operators import client, documents
+from hickoryweir.replicas import state as replica_states
+from hickoryweir.testing import engine, running
+from hickoryweir.testing.demo import entry_vms
+
+LIMIT_S = 60
+ANSWERS = pathlib.Path(__file__).parent / "answers.ini"
+
+
+async def submit(vm, text):
+    access = client.Access((vm.operators_url,), entry_vms.OPERATOR_KEY)
+    body = {"change_id": change_ids.make(time.time()), "answers": text}
+    while True:
+        asked = await client.request(
+            access, "POST", "/changes", documents.AcceptedDocument, body
+        )
+        if isinstance(asked, result.Success):
+            return
+        await asyncio.sleep(0.1)
+
+
+def with_engines(folder, count, look):
+    """Return what `look` returns of one daemon with some engines."""
+
+    async def run():
+        apps = [
+            engine.make_app(engine.EngineSettings(f"engine-{number}"))
+            for number in range(1, count + 1)
+        ]
+        engines = [await running.start(app) for app in apps]
+        (vm,) = entry_vms.make_entry_vms(("a",), folder, 0)
+        entry_vms.write_settings((vm,))
+        daemon = await process.start(settings.load(vm.settings_file).unwrap())
+        text = ANSWERS.read_text()
+        for number, started in enumerate(engines, start=1):
+            text = text.replace(f"http://127.0.0.1:{number}\n", f"{started.url}\n")
+        assert isinstance(generator.generate_text(text, "answers"), result.Success)
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                await submit(vm, text)
+                return await look(daemon, [app[engine.ENGINE] for app in apps])
+        finally:
+            await process.stop(daemon)
+            for started in engines:
+                await started.stop()
+
+    return asyncio.run(run())
+
+
+async def until(condition):
+    while True:
+        if condition():
+            return
+        await asyncio.sleep(0.05)
+
+
+def versions(engines):
+    return [each.orders.models["assistant"].version for each in engines]
+
+
+def test_the_leader_loads_the_wanted_version_one_engine_at_a_time(tmp_path):
+    async def look(daemon, engines):
+        first = versions(engines)
+        await until(lambda: versions(engines) == ["2", "2"])
+        return first
+
+    assert with_engines(tmp_path, 2, look) != ["2", "2"]
+
+
+def test_an_order_is_not_sent_on_an_old_confirmation(tmp_path):
+    async def look(daemon, engines):
+        await until(lambda: daemon.replica.state.role is replica_states.Role.LEADER)
+        office = ordering.Office()
+        confirmed_at_s = await ordering.confirm(daemon, office)
+        stale_s = confirmed_at_s - ordering.SETTINGS.lease_s
+        server = next(iter(daemon.backends.servers.values()))
+        order = ordering.orders.Order(
+            "o-1",
+            server.name,
+            office.issuer.fencing,
+            ordering.orders.OrderKind.CHANGE_ROLE,
+            role="drain",
+        )
+        await ordering.send(daemon, office, server, order, stale_s)
+        return engines[0].orders.role
+
+    assert with_engines(tmp_path, 1, look) == "serve"
+
+
+def test_the_log_gets_the_retention_of_the_configuration(tmp_path):
+    async def look(daemon, engines):
+        claims = daemon.replica.machine.states["claims"]
+        wanted_s = 30 * 3600.0
+        await until(lambda: claims.limits.retention_s >= wanted_s)
+        return claims.limits.retention_s
+
+    assert with_engines(tmp_path, 1, look) == pytest.approx(30 * 3600.0, rel=0.2)
--- a/hickoryweir/observability/metrics.py
+++ b/hickoryweir/observability/metrics.py
@@ -28,6 +28,7 @@
     wasted_tokens: prometheus_client.Counter
     claims: prometheus_client.Counter
     operator_refusals: prometheus_client.Counter
+    orders: prometheus_client.Counter
     configuration_version: prometheus_client.Gauge
     in_flight: prometheus_client.Gauge
     latencies: latencies.Latencies
@@ -86,6 +87,7 @@
         output_tokens=counter("output_tokens", "Tokens sent to callers.", "class"),
         wasted_tokens=counter("wasted_tokens", "Tokens not used, by cause.", "cause"),
         claims=counter("claims", "Claim verdicts.", "verdict"),
+        orders=counter("orders", "Orders to engines, by kind and end.", "kind", "end"),
         operator_refusals=counter(
             "operator_refusals", "Refusals of operators' requests.", "reason"
         ),
