Orders are given by the log's leader

Cause: nothing sent the orders that are due. Change: daemon.office keeps the leader's lease, which runs from before a round that a quorum answered; daemon.orders plans and sends while the lease runs and the log has no newer configuration; the status document lists orders and what holds them. Touches daemon/parts, process and status.

--- /dev/null
+++ b/hickoryweir/daemon/orders.py
@@ -0,0 +1,97 @@
+"""Gives orders to engines while this process's replica leads the log.
+
+Orders are planned from the configuration that is in force here, and only if the
+log has no newer one, so that a new leader whose router lags gives no old orders.
+"""
+
+import asyncio
+import time
+
+from returns import result
+
+from hickoryweir.configuration import model, queries
+from hickoryweir.daemon import office, parts
+from hickoryweir.engines import issuer, orders, orders_plan
+from hickoryweir.observability import logs
+from hickoryweir.platform import decisions
+from hickoryweir.policy import events
+
+SIGHT_INTERVAL_S = 0.05
+READ_TIMEOUT_S = 1.0
+
+
+def make_desk(process: parts.Process) -> issuer.OrderDesk:
+    """Return the issuer of a daemon that runs a replica."""
+    engine_session, _ = process.sessions
+    settings = issuer.RoundSettings(weights_url=process.settings.weights.url)
+    ports = issuer.IssuerPorts(
+        configuration=lambda: find_configuration(process),
+        server_state=lambda name: find_state(process, name),
+        office=lambda: find_office(process, settings.office),
+        note=note,
+    )
+    return issuer.make_desk(engine_session, ports, settings)
+
+
+def find_configuration(process: parts.Process) -> model.Configuration | None:
+    """Return the configuration in force here."""
+    return process.in_force.configuration if process.in_force else None
+
+
+def find_state(process: parts.Process, name: str) -> events.ServerState:
+    """Return the state of a backend server; one that is not known is gone."""
+    evidence = process.backends.state.evidence.get(name)
+    if evidence is None:
+        return events.ServerState.GONE
+    return decisions.server_state(evidence)
+
+
+def find_office(
+    process: parts.Process, settings: orders_plan.IssuerSettings
+) -> orders_plan.Issuer | None:
+    """Return the office that this process holds now."""
+    return office.issuer_at(process.order_office, time.monotonic(), settings.lease_s)
+
+
+def note(order: orders.Order, sent: issuer.Sent) -> None:
+    """Log how an order ended."""
+    failure = sent.failure() if isinstance(sent, result.Failure) else None
+    fields = logs.Fields(
+        backend_server=order.backend_server,
+        reason=failure.end.value if failure else "done",
+        detail=order.order_id,
+    )
+    logs.info("order ended", fields)
+
+
+async def follow_office(process: parts.Process) -> None:
+    """Keep the office up to date with the replica's state."""
+    while True:
+        state = process.replica.state
+        if state is not None:
+            sight = office.look(state, time.monotonic())
+            process.order_office = office.observe(process.order_office, sight)
+        await asyncio.sleep(SIGHT_INTERVAL_S)
+
+
+async def run(process: parts.Process) -> None:
+    """Give orders in rounds for as long as the daemon runs."""
+    desk = make_desk(process)
+    process.order_desk = desk
+    following = asyncio.create_task(follow_office(process))
+    try:
+        while True:
+            await asyncio.sleep(desk.settings.interval_s)
+            if desk.ports.office() is not None and await is_newest(process):
+                await issuer.run_round(desk)
+    finally:
+        following.cancel()
+        issuer.cancel_all(desk)
+
+
+async def is_newest(process: parts.Process) -> bool:
+    """Return whether the log has no newer version than is in force here."""
+    read = await process.log.read(queries.ReadStanding(), READ_TIMEOUT_S)
+    if not isinstance(read, result.Success) or process.in_force is None:
+        return False
+    return read.unwrap().version == process.in_force.version
--- a/hickoryweir/daemon/parts.py
+++ b/hickoryweir/daemon/parts.py
@@ -8,7 +8,8 @@
 from hickoryweir.callers import ports, server
 from hickoryweir.claims import gateway
 from hickoryweir.configuration import settings
-from hickoryweir.daemon import backends, dispatcher, drain, driver
+from hickoryweir.daemon import backends, dispatcher, drain, driver, office
+from hickoryweir.engines import issuer
 from hickoryweir.observability import metrics
 from hickoryweir.operators import server as operators_server
 from hickoryweir.replicas import client, node
@@ -35,6 +36,8 @@
     configurations: asyncio.Queue
     digests: asyncio.Queue
     in_force: ports.InForce | None = None
+    order_office: office.Office = office.NO_OFFICE
+    order_desk: issuer.OrderDesk | None = None
     callers: server.Running | None = None
     operators: operators_server.Running | None = None
     stop_requested: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -22,6 +22,7 @@
     driver,
     log_access,
     operators_port,
+    orders,
     parts,
     status,
 )
@@ -132,6 +133,8 @@
         send_digests(process),
     ):
         process.tasks.append(asyncio.create_task(work))
+    if process.replica is not None:
+        process.tasks.append(asyncio.create_task(orders.run(process)))
     if given.platform.url:
         process.tasks.append(asyncio.create_task(follow_platform(process)))
     process.callers = await server.start(make_ports(process))
--- a/hickoryweir/daemon/status.py
+++ b/hickoryweir/daemon/status.py
@@ -7,6 +7,7 @@
 
 from hickoryweir.callers import ports
 from hickoryweir.daemon import parts
+from hickoryweir.engines import orders_plan
 from hickoryweir.policy import inspection, state
 
 
@@ -23,6 +24,7 @@
     log_standing: str
     leader_name: str
     core: state.Core
+    orders: orders_plan.Plan | None
 
 
 def make_source(process: parts.Process) -> Source:
@@ -37,6 +39,7 @@
         log_standing=str(process.log.standing),
         leader_name=process.log.leader_name,
         core=process.dispatcher.core,
+        orders=process.order_desk.plan if process.order_desk else None,
     )
 
 
@@ -77,4 +80,21 @@
         "decisions": [
             dataclasses.asdict(view) for view in inspection.counts(source.core)
         ],
+        "orders": describe_orders(source.orders),
     }
+
+
+def describe_orders(plan: orders_plan.Plan | None) -> list[dict[str, str]]:
+    """Return the orders of the last round, and why some are held back."""
+    if plan is None:
+        return []
+    due = [(order, "sent") for order in plan.due]
+    held = [(item.order, item.reason.value) for item in plan.held]
+    return [
+        {
+            "backend_server": order.backend_server,
+            "order": order.order_id,
+            "standing": standing,
+        }
+        for order, standing in [*due, *held]
+    ]
--- a/hickoryweir/engines/issuer.py
+++ b/hickoryweir/engines/issuer.py
@@ -94,8 +94,13 @@
             await run_round(desk)
             await asyncio.sleep(desk.settings.interval_s)
     finally:
-        for task in desk.in_hand.values():
-            task.cancel()
+        cancel_all(desk)
+
+
+def cancel_all(desk: OrderDesk) -> None:
+    """Wait for no reply any more; engines may obey orders in hand all the same."""
+    for task in list(desk.in_hand.values()):
+        task.cancel()
 
 
 async def run_round(desk: OrderDesk) -> None:
