--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -22,7 +22,7 @@
     driver,
     log_access,
     operators_port,
-    ordering,
+    orders,
     parts,
     retention,
     status,
@@ -132,10 +132,11 @@
         follow_digests(process),
         follow_log(process),
         send_digests(process),
-        ordering.run(process),
         retention.run(process),
     ):
         process.tasks.append(asyncio.create_task(work))
+    if process.replica is not None:
+        process.tasks.append(asyncio.create_task(orders.run(process)))
     if given.platform.url:
         process.tasks.append(asyncio.create_task(follow_platform(process)))
     process.callers = await server.start(make_ports(process))
