--- a/hickoryweir/claims/snapshots.py
+++ b/hickoryweir/claims/snapshots.py
@@ -31,11 +31,33 @@
     bytes
         Equal for equal states, on every replica.
     """
-    accounts = [
-        [name, _pack_account(state.accounts[name])] for name in sorted(state.accounts)
-    ]
+    packer = msgpack.Packer()
     limits = dataclasses.astuple(state.limits)
-    return msgpack.packb([VERSION, limits, state.floor_s, accounts])
+    parts = [
+        packer.pack_array_header(4),
+        packer.pack(VERSION),
+        packer.pack(limits),
+        packer.pack(state.floor_s),
+        packer.pack_array_header(len(state.accounts)),
+    ]
+    for name in sorted(state.accounts):
+        parts.append(packer.pack([name, _pack_account(state.accounts[name])]))
+    return b"".join(parts)
+
+
+def freeze(state: machine.State) -> machine.State:
+    """Return a copy for :func:`dump` that later commands don't change.
+
+    Records are immutable, so the copy is quick and the dump can run meanwhile in a
+    thread of its own.
+    """
+    accounts = {
+        name: dataclasses.replace(
+            account, records=dict(account.records), retired=set(account.retired)
+        )
+        for name, account in state.accounts.items()
+    }
+    return dataclasses.replace(state, accounts=accounts, expiries=[])
 
 
 def load(data: bytes) -> machine.State:
--- a/hickoryweir/daemon/log_access.py
+++ b/hickoryweir/daemon/log_access.py
@@ -51,6 +51,7 @@
             apply=claims_machine.apply,
             dump=snapshots.dump,
             load=snapshots.load,
+            freeze=snapshots.freeze,
         ),
         machine.Submachine(
             name="changes",
--- a/hickoryweir/replicas/disk.py
+++ b/hickoryweir/replicas/disk.py
@@ -101,20 +101,20 @@
             self._notify(persisted)
 
 
+def make_snapshot_head(state: states.State, time_s: float) -> messages.Snapshot:
+    """Return the snapshot of the applied index, its data still missing."""
+    index = state.applied_index
+    membership = quorums.membership_at(state, index)
+    return messages.Snapshot(index, state.log.term_at(index), membership, time_s, b"")
+
+
 def make_own_snapshot(
-    state: states.State, data: bytes, time_s: float, keep_count: int
+    state: states.State, snapshot: messages.Snapshot, keep_count: int
 ) -> OwnSnapshot:
-    """Return the work that stores the machine's state as of the applied index."""
-    index = state.applied_index
-    snapshot = messages.Snapshot(
-        index,
-        state.log.term_at(index),
-        quorums.membership_at(state, index),
-        time_s,
-        data,
-    )
+    """Return the work that stores a snapshot, under the term and vote of now."""
     taken = states.SnapshotTaken(snapshot, keep_count)
-    return OwnSnapshot(taken, index - keep_count, state.term, state.voted_for)
+    compact_index = snapshot.index - keep_count
+    return OwnSnapshot(taken, compact_index, state.term, state.voted_for)
 
 
 def carry_out(
--- a/hickoryweir/replicas/machine.py
+++ b/hickoryweir/replicas/machine.py
@@ -41,6 +41,9 @@
         ``query(state, query, time_s)`` returns a registered message.
     version : callable, optional
         ``version(state)`` returns a number that watchers wait on.
+    freeze : callable, optional
+        ``freeze(state)`` quickly returns a copy that later commands don't change, so
+        that `dump` can take its time in another thread.
     """
 
     name: str
@@ -52,6 +55,7 @@
     query_types: tuple[type, ...] = ()
     query: Callable[[typing.Any, typing.Any, float], typing.Any] | None = None
     version: Callable[[typing.Any], int] | None = None
+    freeze: Callable[[typing.Any], typing.Any] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,11 +133,32 @@
 
 def dump(machine: Machine) -> bytes:
     """Return the whole state as bytes."""
-    parts = tuple(
-        (name, machine.submachines[name].dump(machine.states[name]))
+    return prepare_dump(machine)()
+
+
+def prepare_dump(machine: Machine) -> Callable[[], bytes]:
+    """Return a function that gives the state of this moment as bytes.
+
+    It may be called in another thread while commands go on being applied.
+    """
+    time_s = machine.time_s
+    parts = [
+        (name, _prepare_part(machine.submachines[name], machine.states[name]))
         for name in sorted(machine.submachines)
-    )
-    return codec.encode(Dump(machine.time_s, parts))
+    ]
+
+    def finish() -> bytes:
+        return codec.encode(Dump(time_s, tuple((name, part()) for name, part in parts)))
+
+    return finish
+
+
+def _prepare_part(submachine: Submachine, state: typing.Any) -> Callable[[], bytes]:
+    if submachine.freeze is None:
+        data = submachine.dump(state)
+        return lambda: data
+    frozen = submachine.freeze(state)
+    return lambda: submachine.dump(frozen)
 
 
 def load(machine: Machine, data: bytes) -> None:
--- a/hickoryweir/replicas/measure_cluster.py
+++ b/hickoryweir/replicas/measure_cluster.py
@@ -33,6 +33,7 @@
     claims_machine.apply,
     snapshots.dump,
     snapshots.load,
+    freeze=snapshots.freeze,
 )
 
 
@@ -117,8 +118,7 @@
 @contextlib.asynccontextmanager
 async def run_cluster(folder: str, delay_s: float):
     """Start a cluster and stop it in the end."""
-    near = {name: _make_address(name) for name in NAMES}
-    far = {name: _make_address(name) for name in NAMES}
+    near, far = _make_addresses()
     text = ",".join(f"{item.name}={item.port}" for item in far.values())
     ports = ",".join(f"{far[name].port}={near[name].port}" for name in NAMES)
     cluster = Cluster({}, near, far)
@@ -132,7 +132,8 @@
             cluster.processes[name] = replica
         starting = cluster.make_client()
         if not await starting.wait_until_ready(START_TIMEOUT_S):
-            raise TimeoutError("no leader")
+            codes = {name: item.returncode for name, item in cluster.processes.items()}
+            raise TimeoutError(f"no leader; exit codes {codes}")
         await starting.close()
         yield cluster
     finally:
@@ -175,7 +176,18 @@
     return await asyncio.create_subprocess_exec(*command, **options)
 
 
-def _make_address(name: str) -> wire.ReplicaAddress:
-    with socket.create_server((HOST, 0)) as server:
-        port = server.getsockname()[1]
-    return wire.ReplicaAddress(name, HOST, port, f"zone-{name}")
+def _make_addresses() -> tuple[dict, dict]:
+    with contextlib.ExitStack() as stack:
+        servers = [
+            stack.enter_context(socket.create_server((HOST, 0)))
+            for _ in range(2 * len(NAMES))
+        ]
+        ports = [server.getsockname()[1] for server in servers]
+    addresses = [
+        {
+            name: wire.ReplicaAddress(name, HOST, port, f"zone-{name}")
+            for name, port in zip(NAMES, part, strict=True)
+        }
+        for part in (ports[: len(NAMES)], ports[len(NAMES) :])
+    ]
+    return addresses[0], addresses[1]
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -26,6 +26,7 @@
     records,
     relays,
     requests,
+    schedules,
     storage,
     wire,
 )
@@ -104,8 +105,12 @@
         self._waits = requests.Waits()
         self._tasks: list[asyncio.Task] = []
         self._not_leading = asyncio.Event()
-        self._snapshot_asked_index = 0
-        self._log_size_bytes = 0
+        self._snapshot_task: asyncio.Task | None = None
+        self._schedule = schedules.SnapshotSchedule(
+            settings.snapshot_entries_count,
+            settings.snapshot_log_size_bytes,
+            settings.identity.process_name,
+        )
         group = settings.group
         peer_hub.register(handshake.Purpose.REPLICA, self._serve_replica, group)
         peer_hub.register(handshake.Purpose.CLIENT, self._serve_client, group)
@@ -140,11 +145,9 @@
 
     async def stop(self) -> None:
         """Hand leadership over, sync what waits and stop."""
-        if self.state is not None and self.state.role is states.Role.LEADER:
-            self._queue.put_nowait(states.TransferRequested(""))
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(STOP_TIMEOUT_S):
-                    await self._wait_until_follower()
+        await self._hand_over()
+        if self._snapshot_task is not None:
+            self._tasks.append(self._snapshot_task)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -156,9 +159,14 @@
             await self._disk.close()
             self._disk = None
 
-    async def _wait_until_follower(self) -> None:
-        if len(self.state.membership.voter_ids) > 1:
-            await self._not_leading.wait()
+    async def _hand_over(self) -> None:
+        state = self.state
+        is_leader = state is not None and state.role is states.Role.LEADER
+        if is_leader and len(state.membership.voter_ids) > 1:
+            self._queue.put_nowait(states.TransferRequested(""))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(STOP_TIMEOUT_S):
+                    await self._not_leading.wait()
 
     def _recover(self, opened: storage.Opened) -> None:
         found = opened.recovered
@@ -174,7 +182,7 @@
         )
         if found.snapshot is not None:
             machine.load(self.machine, found.snapshot.data)
-            self._snapshot_asked_index = found.snapshot.index
+            self._schedule.note_snapshot(found.snapshot.index)
 
     async def _tick(self) -> None:
         while True:
@@ -242,15 +250,11 @@
             case wire.ReadRequest():
                 self._read(item, now_s)
             case wire.WatchRequest():
-                self._watch(item, now_s)
+                self._waits.watches.append(requests.make_watch(item, now_s))
             case wire.StatusRequest():
                 zone = self.settings.identity.availability_zone
-                request_id = item.request.request_id
                 opened = self._disk.storage
-                status = requests.make_status(
-                    request_id, self.state, zone, opened, now_s
-                )
-                item.connection.offer(status)
+                requests.answer_status(item, self.state, zone, opened, now_s)
             case wire.ChangeRequest():
                 self._change(item, now_s)
             case wire.RelayRequest():
@@ -294,7 +298,7 @@
                 self._disk.submit(action)
             case states.SaveSnapshot():
                 machine.load(self.machine, action.snapshot.data)
-                self._snapshot_asked_index = action.snapshot.index
+                self._schedule.note_snapshot(action.snapshot.index)
                 self._disk.submit(action)
             case states.Apply():
                 self._apply(action)
@@ -307,26 +311,24 @@
                 requests.refuse(waiting, not_leader, self.state, now_s)
 
     def _apply(self, action: states.Apply) -> None:
-        self._log_size_bytes += requests.apply_entries(
-            self._waits, self.machine, action.entries
-        )
+        size_bytes = requests.apply_entries(self._waits, self.machine, action.entries)
+        self._schedule.note_applied(size_bytes)
         self._snapshot_if_due()
 
     def _snapshot_if_due(self) -> None:
         index = self.state.applied_index
-        entries_count = index - self._snapshot_asked_index
-        due = (
-            entries_count >= self.settings.snapshot_entries_count
-            or self._log_size_bytes >= self.settings.snapshot_log_size_bytes
-        )
-        if not due:
-            return
-        self._snapshot_asked_index = index
-        self._log_size_bytes = 0
-        data = machine.dump(self.machine)
+        is_idle = self._snapshot_task is None or self._snapshot_task.done()
+        if is_idle and self._schedule.is_due(index):
+            self._schedule.note_snapshot(index)
+            self._snapshot_task = asyncio.create_task(self._take_snapshot())
+
+    async def _take_snapshot(self) -> None:
+        finish = machine.prepare_dump(self.machine)
+        head = disks.make_snapshot_head(self.state, self.machine.time_s)
+        data = await asyncio.get_running_loop().run_in_executor(None, finish)
+        snapshot = dataclasses.replace(head, data=data)
         keep_count = self.settings.keep_entries_count
-        own = disks.make_own_snapshot(self.state, data, self.machine.time_s, keep_count)
-        self._disk.submit(own)
+        self._disk.submit(disks.make_own_snapshot(self.state, snapshot, keep_count))
 
     def _propose(self, proposals: list[requests.Waiting], now_s: float) -> None:
         if not proposals:
@@ -353,11 +355,6 @@
         self._waits.reads[read_id] = waiting
         self._step(states.ReadRequested(read_id), now_s)
 
-    def _watch(self, waiting: requests.Waiting, now_s: float) -> None:
-        query = codec.decode(waiting.request.query).value_or(None)
-        deadline_s = now_s + waiting.request.timeout_s
-        self._waits.watches.append(requests.Watch(waiting, query, deadline_s))
-
     def _change(self, waiting: requests.Waiting, now_s: float) -> None:
         event = requests.make_change_event(waiting.request, time.time())
         index = self.state.log.last_index + 1
--- a/hickoryweir/replicas/requests.py
+++ b/hickoryweir/replicas/requests.py
@@ -176,19 +176,25 @@
     waits.watches = kept
 
 
-def make_status(
-    request_id: int,
+def make_watch(waiting: Waiting, now_s: float) -> Watch:
+    """Return a watch for a watch request."""
+    query = codec.decode(waiting.request.query).value_or(None)
+    return Watch(waiting, query, now_s + waiting.request.timeout_s)
+
+
+def answer_status(
+    waiting: Waiting,
     state: states.State,
     availability_zone: str,
     opened: storage.Storage,
     now_s: float,
-) -> wire.Status:
-    """Return how this replica is."""
+) -> None:
+    """Say how this replica is."""
     members = tuple(
         _member_status(state, member, now_s) for member in state.membership.members
     )
-    return wire.Status(
-        request_id,
+    status = wire.Status(
+        waiting.request.request_id,
         state.member_id,
         availability_zone,
         state.role.value,
@@ -203,6 +209,7 @@
         opened.sync_count,
         opened.written_size_bytes,
     )
+    waiting.connection.offer(status)
 
 
 def _member_status(
--- /dev/null
+++ b/hickoryweir/replicas/schedules.py
@@ -0,0 +1,41 @@
+"""When a replica takes its next snapshot."""
+
+import zlib
+
+SPREAD_STEPS_COUNT = 64
+
+
+class SnapshotSchedule:
+    """Counts entries and bytes since the last snapshot.
+
+    Replicas spread their snapshots by name, so that not all are busy at once.
+
+    Examples
+    --------
+    >>> schedule = SnapshotSchedule(10, 1000, "a")
+    >>> schedule.is_due(5), schedule.is_due(20)
+    (False, True)
+    """
+
+    def __init__(self, entries_count: int, size_bytes: int, name: str) -> None:
+        step = zlib.crc32(name.encode()) % SPREAD_STEPS_COUNT
+        spread = entries_count * step // (2 * SPREAD_STEPS_COUNT)
+        self._max_entries_count = entries_count + spread
+        self._max_size_bytes = size_bytes
+        self._last_index = 0
+        self._size_bytes = 0
+
+    def note_applied(self, size_bytes: int) -> None:
+        """Count applied entries of so many bytes."""
+        self._size_bytes += size_bytes
+
+    def is_due(self, applied_index: int) -> bool:
+        """Return whether a snapshot should be taken."""
+        entries_count = applied_index - self._last_index
+        is_long = entries_count >= self._max_entries_count
+        return is_long or self._size_bytes >= self._max_size_bytes
+
+    def note_snapshot(self, index: int) -> None:
+        """Start anew after a snapshot at `index`."""
+        self._last_index = index
+        self._size_bytes = 0
--- a/hickoryweir/replicas/tests/simulation.py
+++ b/hickoryweir/replicas/tests/simulation.py
@@ -183,7 +183,9 @@
         pending = any(isinstance(item, disk.OwnSnapshot) for item in process.work)
         if index <= known_index or pending:
             return
-        process.work.append(disk.make_own_snapshot(state, process.digest, 0.0, 2))
+        head = disk.make_snapshot_head(state, 0.0)
+        snapshot = dataclasses.replace(head, data=process.digest)
+        process.work.append(disk.make_own_snapshot(state, snapshot, 2))
 
     def cut(self, *pairs):
         """Cut the way from the first to the second of each pair."""
