--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -31,7 +31,7 @@
     wire,
 )
 from hickoryweir.replicas import state as states
-from hickoryweir.streams import codec, connections, handshake, hub, tls
+from hickoryweir.streams import connections, handshake, hub, tls
 
 TICK_INTERVAL_S = 0.025
 STOP_TIMEOUT_S = 2.0
