Reports within a fixed rate of requests, from the servers a router uses

Cause: every router asked every engine four times a second, twice: 923 engines took 72% of a core; and a refusal of a claim in progress at its deadline said 'not run' of a key that another entry VM, since killed, may have run. Change: the watcher follows the policy's subset within 10 requests/s; a late claim is answered by the gateway, and never with 'not run'. The drill tells a caller's own time-out from a cut and checks the deadline. Conclusion: control no longer grows with the engines known.

--- a/hickoryweir/daemon/attempts.py
+++ b/hickoryweir/daemon/attempts.py
@@ -30,6 +30,7 @@
 
 CONTENT_TYPE_HEADER = "content-type"
 SHORTEST_WAIT_S = 0.05
+CLAIM_MARGIN_S = 0.25
 LONGEST_SERVICE_WAIT_S = 600.0
 TIMEOUTS = engine_calls.EngineTimeouts()
 UNKNOWN_SERVER = calls.Failed(
@@ -87,13 +88,14 @@
     """Run a non-idempotent attempt between its claim and its outcome."""
     request = call.request
     parsed = keys.parse_key(request.idempotency_key)
+    call.claiming = True
     if not isinstance(parsed, result.Success):
         return calls.Settled(result.Failure(parsed.failure()))
     digest = keys.digest_call(request.method, request.path, request.body)
     claimed = await backends.gateway.claim(
         gateway.Call(request.account.name, parsed.unwrap(), digest),
         server.name,
-        request.deadline_s,
+        request.deadline_s - CLAIM_MARGIN_S,
     )
     if not isinstance(claimed, result.Success):
         backends.metrics.claims.labels(claimed.failure().reason).inc()
--- a/hickoryweir/daemon/backends.py
+++ b/hickoryweir/daemon/backends.py
@@ -72,13 +72,20 @@
     wanted = {server.name: server for server in configuration.backend_servers}
     followers.servers.clear()
     followers.servers.update(wanted)
-    reports.update(followers.watcher, configuration.backend_servers)
     observe(followers, decisions.Configured(tuple(wanted)))
     for name, server in wanted.items():
         stopping = is_stopping(server, running_stops)
         observe(followers, decisions.StopPlanned(name, stopping))
 
 
+def watch(followers: Followers, names: frozenset[str]) -> None:
+    """Ask these backend servers for reports, and no others."""
+    watched = tuple(
+        server for name, server in followers.servers.items() if name in names
+    )
+    reports.update(followers.watcher, watched)
+
+
 def is_stopping(
     server: model.BackendServer, running_stops: tuple[stops.Stop, ...]
 ) -> bool:
--- a/hickoryweir/daemon/calls.py
+++ b/hickoryweir/daemon/calls.py
@@ -37,6 +37,8 @@
         Monotonic times; 0 before the first token.
     dispatched : bool
         Whether a byte of the call may have reached a backend server.
+    claiming : bool
+        Whether a claim was proposed; its key may be another attempt's.
     resumable : bool
         Whether the text that was sent is enough to resume from.
     writing : bool
@@ -59,6 +61,7 @@
     first_token_at_s: float = 0.0
     last_token_at_s: float = 0.0
     dispatched: bool = False
+    claiming: bool = False
     resumable: bool = True
     writing: bool = False
     stopped: set[int] = dataclasses.field(default_factory=set)
--- a/hickoryweir/daemon/driver.py
+++ b/hickoryweir/daemon/driver.py
@@ -245,7 +245,7 @@
 
 def refuse_late(call: calls.Call) -> refusals.Refusal:
     """Return the refusal of a call whose deadline has passed."""
-    if call.dispatched and not call.request.request_class.idempotent:
+    if call.claiming:
         return refusals.make_refusal(
             refusals.Reason.OUTCOME_UNKNOWN,
             "the outcome is not known yet; ask again with the same key",
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -217,11 +217,13 @@
 
 
 async def send_digests(process: parts.Process) -> None:
-    """Give this router's digest to the peer routers' node."""
+    """Give this router's digest to the others and watch the servers it uses."""
     while True:
         await asyncio.sleep(DIGEST_INTERVAL_S)
         digest = inspection.digest(process.dispatcher.core)
         process.router.offer_digest(digest)
+        names = inspection.used_servers(process.dispatcher.core)
+        backends.watch(process.backends, names)
 
 
 async def follow_log(process: parts.Process) -> None:
--- a/hickoryweir/daemon/tests/fakes.py
+++ b/hickoryweir/daemon/tests/fakes.py
@@ -74,6 +74,7 @@
     async def run_attempt(self, call, dispatch):
         """Take the next end; None waits for the gate."""
         call.dispatched = True
+        call.claiming = not call.request.request_class.idempotent
         self.dispatches.append(dispatch.backend_server)
         self.started.set()
         end = self.ends.pop(0)
--- a/hickoryweir/engines/reports.py
+++ b/hickoryweir/engines/reports.py
@@ -21,6 +21,7 @@
 from hickoryweir.platform import decisions
 from hickoryweir.policy import events
 
+CACHE_POLL_INTERVAL = 3
 LARGEST_DIGEST = 2**64 - 1
 Digest = pydantic.conint(ge=0, le=LARGEST_DIGEST)
 Message = events.LoadReported | events.CacheChanged | decisions.Probed
@@ -33,7 +34,10 @@
     Attributes
     ----------
     interval_s, longest_wait_s : float
-        Wait between polls, and its bound when polls fail.
+        Shortest wait between polls, and its bound when polls fail.
+    max_requests_per_s : float
+        Bound on the requests to all servers together; many servers are each
+        asked less often.
     timeout_s : float
         Longest wait for a report.
     down_after_count : int
@@ -42,6 +46,7 @@
 
     interval_s: float = 0.25
     longest_wait_s: float = 2.0
+    max_requests_per_s: float = 10.0
     timeout_s: float = 1.0
     down_after_count: int = 3
 
@@ -80,6 +85,7 @@
 
     server: model.BackendServer
     sequence: int = 0
+    polls_count: int = 0
     failures_count: int = 0
     up: bool = True
 
@@ -130,6 +136,19 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
+def interval_s(settings: ReportSettings, servers_count: int) -> float:
+    """Return the wait between two polls of one server.
+
+    Examples
+    --------
+    >>> settings = ReportSettings(interval_s=0.25, max_requests_per_s=10.0)
+    >>> interval_s(settings, 1), interval_s(settings, 30)
+    (0.25, 4.0)
+    """
+    requests_per_round = servers_count * (1.0 + 1.0 / CACHE_POLL_INTERVAL)
+    return max(settings.interval_s, requests_per_round / settings.max_requests_per_s)
+
+
 async def watch(watcher: Watcher, state: Watch) -> None:
     """Ask one backend server for as long as it is watched."""
     settings = watcher.settings
@@ -139,9 +158,10 @@
         else:
             answered = await probe(watcher, state.server)
         note_probe(watcher, state, answered=answered)
+        wanted_s = interval_s(settings, len(watcher.tasks))
         wait_s = backoff.wait_s(
-            settings.interval_s,
-            settings.longest_wait_s,
+            wanted_s,
+            max(wanted_s, settings.longest_wait_s),
             state.failures_count,
             state.server.name,
         )
@@ -168,7 +188,9 @@
         return False
     report = read.unwrap()
     watcher.post(make_load(state.server.name, report, time.monotonic()))
-    await poll_cache(watcher, state)
+    if state.polls_count % CACHE_POLL_INTERVAL == 0:
+        await poll_cache(watcher, state)
+    state.polls_count += 1
     return True
 
 
--- a/hickoryweir/policy/inspection.py
+++ b/hickoryweir/policy/inspection.py
@@ -60,9 +60,14 @@
     return digests.make(core)
 
 
+def used_servers(core: state.Core) -> frozenset[str]:
+    """Return the backend servers that this router may use."""
+    return frozenset(name for pool in core.pools.values() for name in pool.subset)
+
+
 def servers(core: state.Core, now_s: float) -> list[ServerView]:
     """Return the view of each backend server."""
-    subset = {name for pool in core.pools.values() for name in pool.subset}
+    subset = used_servers(core)
     return [
         _server_view(server, name in subset, now_s)
         for name, server in sorted(core.servers.items())
--- a/hickoryweir/testing/drill/tests/test_oracle.py
+++ b/hickoryweir/testing/drill/tests/test_oracle.py
@@ -81,6 +81,18 @@
     assert promises([lost_history()], windows=[window]) == []
 
 
+def test_an_answer_long_after_the_deadline_is_seen():
+    history = make_history()
+    history.sends.append(workload.Send(URL, 10.0, 20.0, NOT_RUN, ""))
+    assert promises([history]) == ["a final answer by the deadline"]
+
+
+def test_a_caller_that_gives_up_breaks_nothing():
+    history = make_history()
+    history.sends.append(workload.Send(URL, 10.0, 11.0, None, workload.GAVE_UP))
+    assert promises([history]) == []
+
+
 def test_a_version_that_goes_back_is_seen():
     found = promises(versions={"vm-1": [1, 2, 1, 2]})
     assert found == ["an accepted configuration never reverts"]
--- a/hickoryweir/testing/drill/workload.py
+++ b/hickoryweir/testing/drill/workload.py
@@ -18,6 +18,7 @@
 LOST_REPLY_PAUSE_S = 0.2
 CHANGE_INTERVAL_S = 2.0
 MAX_CONNECTIONS = 500
+GAVE_UP = "gave_up"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,7 +28,8 @@
     Attributes
     ----------
     failure : str
-        Class of the connection's error; empty if there was a reply.
+        Class of the connection's error, or :data:`GAVE_UP` if the caller would
+        wait no longer; empty if there was a reply.
     """
 
     url: str
@@ -130,7 +132,9 @@
     try:
         async with asyncio.timeout(max(0.1, until_s - sent_at_s)):
             reply = await burst.exchange_raw(session, plan)
-    except (aiohttp.ClientError, TimeoutError) as error:
+    except TimeoutError:
+        return Send(plan.url, sent_at_s, clusters.now_s(), None, GAVE_UP)
+    except aiohttp.ClientError as error:
         return Send(plan.url, sent_at_s, clusters.now_s(), None, type(error).__name__)
     return Send(plan.url, sent_at_s, clusters.now_s(), reply, "")
 
