Tests of TLS on the callers' port, and of certificates that change

Cause: the reload of certificates had no test. Change: three tests with certificates made in the test. Conclusion: certificates can be renewed in place.

--- /dev/null
+++ b/hickoryweir/callers/tests/test_tls.py
@@ -0,0 +1,126 @@
+"""TLS on the callers' port, and certificates that change while it serves."""
+
+import asyncio
+import contextlib
+import datetime
+import os
+import ssl
+
+import aiohttp
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509 import oid
+
+from hickoryweir.callers import server
+from hickoryweir.callers.tests import fakes
+
+DAY = datetime.timedelta(days=1)
+
+
+def write_certificate(folder, common_name):
+    """Write a self-signed certificate and its key; return the certificate."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, common_name)])
+    now = datetime.datetime.now(datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - DAY)
+        .not_valid_after(now + DAY)
+        .sign(key, hashes.SHA256())
+    )
+    encoded_key = key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    (folder / "callers.key").write_bytes(encoded_key)
+    encoded = certificate.public_bytes(serialization.Encoding.PEM)
+    (folder / "callers.crt").write_bytes(encoded)
+    return certificate.public_bytes(serialization.Encoding.DER)
+
+
+def make_ports(folder):
+    return fakes.make_ports(
+        plain_text=False,
+        certificate_file=folder / "callers.crt",
+        key_file=folder / "callers.key",
+    )
+
+
+@contextlib.asynccontextmanager
+async def serving(folder):
+    running = await server.start(make_ports(folder))
+    try:
+        yield running.port
+    finally:
+        await server.stop(running)
+
+
+def trusting_context():
+    context = ssl.create_default_context()
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_NONE
+    return context
+
+
+async def shown_certificate(port):
+    """Return the certificate that the port shows, as DER."""
+    _, writer = await asyncio.open_connection("127.0.0.1", port, ssl=trusting_context())
+    shown = writer.get_extra_info("ssl_object").getpeercert(binary_form=True)
+    writer.transport.abort()
+    return shown
+
+
+def test_calls_are_served_over_tls(tmp_path):
+    write_certificate(tmp_path, "first")
+
+    async def run():
+        connector = aiohttp.TCPConnector(ssl=trusting_context())
+        async with (
+            serving(tmp_path) as port,
+            aiohttp.ClientSession(connector=connector) as session,
+            session.get(f"https://127.0.0.1:{port}/healthz") as response,
+        ):
+            return response.status
+
+    assert asyncio.run(run()) == 200
+
+
+def test_plain_text_is_not_served_on_a_tls_port(tmp_path):
+    write_certificate(tmp_path, "first")
+
+    async def run():
+        async with serving(tmp_path) as port, aiohttp.ClientSession() as session:
+            try:
+                async with session.get(f"http://127.0.0.1:{port}/healthz") as response:
+                    return response.status
+            except aiohttp.ClientError:
+                return None
+
+    assert asyncio.run(run()) != 200
+
+
+def test_a_changed_certificate_is_shown_without_a_restart(tmp_path, monkeypatch):
+    monkeypatch.setattr(server, "RELOAD_INTERVAL_S", 0.05)
+    first = write_certificate(tmp_path, "first")
+
+    async def run():
+        async with serving(tmp_path) as port, asyncio.timeout(30):
+            before = await shown_certificate(port)
+            second = write_certificate(tmp_path, "second")
+            for name in ("callers.crt", "callers.key"):
+                os.utime(tmp_path / name, ns=(1, 1))
+            while True:
+                shown = await shown_certificate(port)
+                if shown != before:
+                    return before, shown, second
+                await asyncio.sleep(0.05)
+
+    before, shown, second = asyncio.run(run())
+    assert before == first
+    assert shown == second
