--- a/hickoryweir/policy/queues.py
+++ b/hickoryweir/policy/queues.py
@@ -148,11 +148,10 @@
 def charge(core: state.Core, pool: state.Pool, call: state.Call, now_s: float) -> None:
     """Account for one dispatch in the floor credits of the pool's classes.
 
-    A class that is alone spends nothing.
+    What a class gets without waiting counts too, so that credit only makes up
+    for what is missing from its share.
     """
     served = call.request_class.name
-    if not any(core.queues[name].length for name in pool.class_names if name != served):
-        return
     for name in pool.class_names:
         queue = core.queues[name]
         if queue.length == 0 and name != served:
