Orders: a load of an earlier issuer is waited for, and a new office has no burst

Cause: a trial with three entry VMs, the leader killed after the first load, showed that a new issuer would order a load again while the old one's ran, and that each new office granted itself a burst. A weight store with rate 0 granted everything. Change: engines that load are left alone; the rate starts empty at each office; a bucket without capacity grants nothing.

--- a/hickoryweir/engines/issuer.py
+++ b/hickoryweir/engines/issuer.py
@@ -64,6 +64,11 @@
 
     Attributes
     ----------
+    bucket : rates.Bucket or None
+        The shared rate; empty at the start of each office, since the issuer before
+        may have spent it.
+    fencing : int
+        The office that the shared rate belongs to.
     in_hand : dict
         Task of each order that was sent and not answered, by backend server.
     plan : orders_plan.Plan or None
@@ -74,6 +79,7 @@
     ports: IssuerPorts
     settings: RoundSettings
     bucket: rates.Bucket | None = None
+    fencing: int = -1
     in_hand: dict[str, asyncio.Task] = dataclasses.field(default_factory=dict)
     plan: orders_plan.Plan | None = None
 
@@ -110,7 +116,7 @@
         desk.plan = None
         return
     views = await look(desk, configuration)
-    desk.bucket = await share_rate(desk, configuration)
+    desk.bucket = await share_rate(desk, configuration, issuer)
     desk.plan = orders_plan.make_plan(
         configuration,
         views,
@@ -158,7 +164,7 @@
 
 
 async def share_rate(
-    desk: OrderDesk, configuration: model.Configuration
+    desk: OrderDesk, configuration: model.Configuration, issuer: orders_plan.Issuer
 ) -> rates.Bucket:
     """Return the shared rate: the configured one, or the store's if lower."""
     rate_bytes_per_s = configuration.order_rate_bytes_per_s
@@ -170,13 +176,13 @@
             granted = fetched.unwrap().rate_bytes_per_s
             rate_bytes_per_s = min(rate_bytes_per_s, granted)
     now_s = time.monotonic()
-    if desk.bucket is None:
-        return rates.make_bucket(rate_bytes_per_s, rate_bytes_per_s * BURST_S, now_s)
+    capacity_bytes = rate_bytes_per_s * BURST_S
+    if desk.bucket is None or desk.fencing != issuer.fencing:
+        desk.fencing = issuer.fencing
+        return rates.Bucket(rate_bytes_per_s, capacity_bytes, 0.0, now_s)
     brought_up, _ = rates.take(desk.bucket, 0.0, now_s)
     return dataclasses.replace(
-        brought_up,
-        rate_bytes_per_s=rate_bytes_per_s,
-        capacity_bytes=rate_bytes_per_s * BURST_S,
+        brought_up, rate_bytes_per_s=rate_bytes_per_s, capacity_bytes=capacity_bytes
     )
 
 
--- a/hickoryweir/engines/orders_plan.py
+++ b/hickoryweir/engines/orders_plan.py
@@ -4,7 +4,7 @@
 so a lost reply, a failed load and a new issuer need no memory: what is still
 missing is due again.  An order is held back
 
-* while the engine has another order in hand,
+* while the engine has another order in hand, an earlier issuer's included,
 * if it would take the last healthy server of a model,
 * until the weight store's shared rate allows it, and
 * at an engine that ignores fencing numbers, until the issuer before must have
@@ -21,6 +21,7 @@
 
 SERVING_ROLE = "serve"
 HEALTHY = "ok"
+LOADING = "loading"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -208,7 +209,8 @@
     now_s: float,
 ) -> HoldReason | None:
     """Return why a due order must wait; None if it need not."""
-    if view.has_order_in_hand:
+    is_loading = view.health is not None and view.health.status == LOADING
+    if view.has_order_in_hand or is_loading:
         return HoldReason.ORDER_IN_HAND
     checks_fencing = view.backend_server.checks_fencing
     if not checks_fencing and now_s < old_issuer_stopped_at_s(issuer, settings):
--- a/hickoryweir/engines/tests/test_issuer.py
+++ b/hickoryweir/engines/tests/test_issuer.py
@@ -129,11 +129,31 @@
     asyncio.run(test())
 
 
+def test_new_office_starts_without_a_burst():
+    async def test():
+        async with fleet_of(2) as fleet:
+            desk = issuer.make_desk(fleet.session, fleet.ports(), QUICK)
+            fleet.configuration = dataclasses.replace(
+                fleet.configuration, order_rate_bytes_per_s=1e-9
+            )
+            available = []
+            for fencing in (1, 2):
+                fleet.office = orders_plan.Issuer(fencing, 0.0)
+                await issuer.run_round(desk)
+                available.append(desk.bucket.available_bytes)
+                desk.bucket = dataclasses.replace(desk.bucket, available_bytes=9e9)
+        assert max(available) < 1e-3
+
+    asyncio.run(test())
+
+
 def test_office_lost_between_plan_and_send_sends_nothing():
     async def test():
         async with fleet_of(2) as fleet:
             desk = issuer.make_desk(fleet.session, fleet.ports(), QUICK)
             await issuer.run_round(desk)
+            await asyncio.sleep(0.01)
+            await issuer.run_round(desk)
             fleet.office = None
             await asyncio.gather(*desk.in_hand.values())
             ends = [sent.failure().end for _, sent in fleet.ends]
--- a/hickoryweir/engines/tests/test_orders_plan.py
+++ b/hickoryweir/engines/tests/test_orders_plan.py
@@ -72,6 +72,15 @@
     assert plan.due == ()
 
 
+def test_load_of_an_earlier_issuer_is_waited_for():
+    loading = orders.ServerHealth(status="loading")
+    plan = make_plan(make_view("e1", health=loading), make_view("e2"))
+    assert reasons(plan) == [
+        orders_plan.HoldReason.ORDER_IN_HAND,
+        orders_plan.HoldReason.LAST_HEALTHY_SERVER,
+    ]
+
+
 def test_empty_server_is_loaded_though_no_other_is_healthy():
     empty = orders.ServerHealth(status="ok")
     plan = make_plan(make_view("e1", health=empty))
--- a/hickoryweir/weights/rates.py
+++ b/hickoryweir/weights/rates.py
@@ -31,7 +31,8 @@
     """Take bytes if the bucket has them.
 
     More than the bucket's capacity is granted when it is full, and leaves a
-    debt, so that a large load is late but not impossible.
+    debt, so that a large load is late but not impossible.  A bucket without
+    capacity grants nothing.
 
     Parameters
     ----------
@@ -50,7 +51,8 @@
     passed_s = max(0.0, now_s - bucket.updated_at_s)
     gained = bucket.available_bytes + passed_s * bucket.rate_bytes_per_s
     available = min(bucket.capacity_bytes, gained)
-    granted = available >= min(size_bytes, bucket.capacity_bytes)
+    is_open = bucket.capacity_bytes > 0.0 or size_bytes <= 0.0
+    granted = is_open and available >= min(size_bytes, bucket.capacity_bytes)
     if granted:
         available -= size_bytes
     updated_at_s = max(now_s, bucket.updated_at_s)
--- a/hickoryweir/weights/tests/test_rates.py
+++ b/hickoryweir/weights/tests/test_rates.py
@@ -22,6 +22,12 @@
     assert not rates.take(bucket, 1.0, 0.0)[1]
 
 
+def test_closed_store_grants_nothing():
+    bucket, granted = rates.take(rates.make_bucket(0.0, 0.0, 0.0), 1.0, 100.0)
+    assert not granted
+    assert bucket.available_bytes == 0.0
+
+
 STEPS = st.lists(st.tuples(st.floats(0.0, 10.0), st.floats(0.0, 300.0)), max_size=30)
 
 
