--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -24,6 +24,7 @@
     operators_port,
     orders,
     parts,
+    retention,
     status,
 )
 from hickoryweir.engines import sessions
@@ -131,6 +132,7 @@
         follow_digests(process),
         follow_log(process),
         send_digests(process),
+        retention.run(process),
     ):
         process.tasks.append(asyncio.create_task(work))
     if process.replica is not None:
