Unknown outcomes are looked up at the service

Cause: a service that crashes after it ran a top-up left the caller with an unknown outcome, though the service could tell. Touches daemon/attempts, backends and process.

--- a/hickoryweir/daemon/attempts.py
+++ b/hickoryweir/daemon/attempts.py
@@ -19,7 +19,7 @@
 from hickoryweir.callers import ports, requests
 from hickoryweir.claims import commands, gateway, keys
 from hickoryweir.configuration import model
-from hickoryweir.daemon import calls, dispatcher, driver, relay
+from hickoryweir.daemon import calls, dispatcher, driver, lookups, relay
 from hickoryweir.engines import calls as engine_calls
 from hickoryweir.engines import client as engine_client
 from hickoryweir.observability import metrics
@@ -48,6 +48,8 @@
     ----------
     find_server : function
         Returns a backend server by name, or None.
+    find_lookup_path : function
+        Returns the look-up path of a plain service by name; empty if it has none.
     engines, services : aiohttp.ClientSession
         Sessions that send each request at most once.
     gateway : gateway.Gateway
@@ -55,6 +57,7 @@
     """
 
     find_server: Callable[[str], model.BackendServer | None]
+    find_lookup_path: Callable[[str], str]
     engines: aiohttp.ClientSession
     services: aiohttp.ClientSession
     gateway: gateway.Gateway
@@ -106,10 +109,30 @@
     backends.metrics.claims.labels("granted").inc()
     recorded: list[bytes] = []
     end = await execute(backends, call, dispatch, server, recorded)
+    end = await look_up(backends, call, server, end)
     await backends.gateway.finish(held, outcome_of(end))
     return end
 
 
+async def look_up(
+    backends: Backends,
+    call: calls.Call,
+    server: model.BackendServer,
+    end: calls.AttemptEnd,
+) -> calls.AttemptEnd:
+    """Return an attempt's end, after asking the service if it is not known."""
+    lookup_path = backends.find_lookup_path(call.request.request_class.target_name)
+    if server.target is not model.Target.SERVICE or not lookup_path:
+        return end
+    service_call = make_service_call(call)
+    return await lookups.resolve(
+        end,
+        lambda: service_client.lookup(
+            backends.services, server, lookup_path, service_call
+        ),
+    )
+
+
 def outcome_of(end: calls.AttemptEnd) -> commands.Outcome:
     """Return what the log records of an attempt's end."""
     match end:
@@ -215,20 +238,11 @@
     backends: Backends, call: calls.Call, server: model.BackendServer
 ) -> calls.AttemptEnd:
     """Forward the call to a plain service."""
-    request = call.request
     forwarded = await service_client.forward(
         backends.services,
         server,
-        service_calls.ServiceCall(
-            request_id=request.call_id,
-            method=request.method,
-            path=request.path,
-            query=request.query,
-            headers=request.headers,
-            body=request.body,
-            idempotency_key=request.idempotency_key,
-        ),
-        service_limits(backends, request),
+        make_service_call(call),
+        service_limits(backends, call.request),
     )
     if not isinstance(forwarded, result.Success):
         failure = forwarded.failure()
@@ -243,6 +257,20 @@
     )
 
 
+def make_service_call(call: calls.Call) -> service_calls.ServiceCall:
+    """Return the call as it is sent to a plain service."""
+    request = call.request
+    return service_calls.ServiceCall(
+        request_id=request.call_id,
+        method=request.method,
+        path=request.path,
+        query=request.query,
+        headers=request.headers,
+        body=request.body,
+        idempotency_key=request.idempotency_key,
+    )
+
+
 def service_limits(
     backends: Backends, request: requests.CallerRequest
 ) -> service_calls.ServiceLimits:
--- a/hickoryweir/daemon/backends.py
+++ b/hickoryweir/daemon/backends.py
@@ -26,12 +26,15 @@
         Backend servers in the configuration in force, by name.
     state : decisions.State
         Evidence for each of them.
+    lookup_paths : dict
+        Look-up path of each plain service, by its name.
     """
 
     dispatcher: dispatcher.Dispatcher
     servers: dict[str, model.BackendServer]
     state: decisions.State
     watcher: reports.Watcher | None = None
+    lookup_paths: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 def make_followers(
@@ -72,6 +75,9 @@
     wanted = {server.name: server for server in configuration.backend_servers}
     followers.servers.clear()
     followers.servers.update(wanted)
+    followers.lookup_paths.clear()
+    for service in configuration.services:
+        followers.lookup_paths[service.name] = service.lookup_path
     reports.update(followers.watcher, configuration.backend_servers)
     observe(followers, decisions.Configured(tuple(wanted)))
     for name, server in wanted.items():
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -80,6 +80,7 @@
     followers = backends.make_followers(made_dispatcher, engine_session)
     made_attempts = attempts.Backends(
         find_server=followers.servers.get,
+        find_lookup_path=lambda name: followers.lookup_paths.get(name, ""),
         engines=engine_session,
         services=service_session,
         gateway=made_gateway,
--- a/hickoryweir/daemon/tests/test_attempts.py
+++ b/hickoryweir/daemon/tests/test_attempts.py
@@ -50,6 +50,7 @@
             await bench.faults(cut_count=1, cut_after_tokens=40)
             backends = attempts.Backends(
                 find_server=lambda _: bench.server,
+                find_lookup_path=lambda _: "",
                 engines=bench.session,
                 services=bench.session,
                 gateway=None,
--- a/hickoryweir/services/calls.py
+++ b/hickoryweir/services/calls.py
@@ -64,3 +64,14 @@
     cause: events.FailureCause
     ran: refusals.Ran
     message: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LookedUp:
+    """What a service says of a call whose outcome was not known.
+
+    ``answer`` is the call's own answer, if the service keeps it.
+    """
+
+    ran: refusals.Ran
+    answer: ServiceAnswer | None
--- a/hickoryweir/services/client.py
+++ b/hickoryweir/services/client.py
@@ -6,16 +6,16 @@
 kept connection that dropped can't leave the outcome of a call unknown.
 """
 
-import json
 import urllib.parse
 
 import aiohttp
+import pydantic
 import yarl
 from returns import result
 
 from hickoryweir.configuration import model
 from hickoryweir.engines import calls as engine_calls
-from hickoryweir.engines import client, failures
+from hickoryweir.engines import client, failures, reads
 from hickoryweir.engines import headers as names
 from hickoryweir.outcomes import refusals
 from hickoryweir.policy import events
@@ -55,6 +55,23 @@
 }
 DEFAULT_LIMITS = calls.ServiceLimits()
 
+
+class KeptAnswer(reads.Document):
+    """The answer of a call that ran, as a look-up gives it."""
+
+    status: int = pydantic.Field(ge=200, le=599)
+    content_type: str = "application/json"
+    body: str
+
+
+class LookupDocument(reads.Document):
+    """Body of a look-up's answer."""
+
+    ran: bool
+    request_id: str = ""
+    answer: KeptAnswer | None = None
+
+
 Forwarded = result.Result[calls.ServiceAnswer, calls.ServiceFailure]
 
 
@@ -180,10 +197,13 @@
     session: aiohttp.ClientSession,
     server: model.BackendServer,
     lookup_path: str,
-    idempotency_key: str,
+    call: calls.ServiceCall,
     limits: calls.ServiceLimits = DEFAULT_LIMITS,
-) -> result.Result[refusals.Ran, calls.ServiceFailure]:
-    """Ask a service whether a key ran.
+) -> result.Result[calls.LookedUp, calls.ServiceFailure]:
+    """Ask a service whether a call ran, by its idempotency key.
+
+    Keys of different accounts may be equal, so an answer counts only if it names
+    the call's own request id.
 
     Parameters
     ----------
@@ -193,32 +213,42 @@
         An instance of the service.
     lookup_path : str
         From the service's configuration.
-    idempotency_key : str
-        The key.
+    call : calls.ServiceCall
+        The call whose outcome is not known.
     limits : calls.ServiceLimits, optional
         Longest waits and largest answer.
 
     Returns
     -------
-    Result of Ran or of ServiceFailure
-        ``YES``, or ``MAYBE``: a call that has not run yet may still arrive, so
-        a look-up never shows that a key will not run.
+    Result of LookedUp or of ServiceFailure
+        ``ran`` is ``YES`` or ``MAYBE``: a call that has not run yet may still
+        arrive, so a look-up never shows that it will not run.
     """
-    path = f"{lookup_path.rstrip('/')}/{urllib.parse.quote(idempotency_key, safe='')}"
-    call = calls.ServiceCall("lookup", "GET", path, "", (), b"", "")
-    answered = await forward(session, server, call, limits)
-    return answered.bind(read_lookup)
+    key = urllib.parse.quote(call.idempotency_key, safe="")
+    path = f"{lookup_path.rstrip('/')}/{key}"
+    question_id = f"{call.request_id}-lookup"
+    question = calls.ServiceCall(question_id, "GET", path, "", (), b"", "")
+    answered = await forward(session, server, question, limits)
+    return answered.bind(lambda answer: read_lookup(answer, call.request_id))
 
 
 def read_lookup(
-    answer: calls.ServiceAnswer,
-) -> result.Result[refusals.Ran, calls.ServiceFailure]:
-    """Return what a look-up's answer says."""
+    answer: calls.ServiceAnswer, request_id: str
+) -> result.Result[calls.LookedUp, calls.ServiceFailure]:
+    """Return what a look-up's answer says of one request."""
     try:
-        ran = json.loads(answer.body)["ran"] if answer.status == 200 else None
-    except (ValueError, KeyError, TypeError, RecursionError):
-        ran = None
-    if not isinstance(ran, bool):
+        document = LookupDocument.model_validate_json(answer.body)
+    except ValueError:
+        document = None
+    if document is None or answer.status != 200:
         failure = failures.failed("the look-up has no valid answer")
         return result.Failure(of_engine(failure))
-    return result.Success(refusals.Ran.YES if ran else refusals.Ran.MAYBE)
+    if not document.ran or document.request_id != request_id:
+        return result.Success(calls.LookedUp(refusals.Ran.MAYBE, None))
+    kept = document.answer
+    found = kept and calls.ServiceAnswer(
+        kept.status,
+        (("content-type", kept.content_type),),
+        kept.body.encode(),
+    )
+    return result.Success(calls.LookedUp(refusals.Ran.YES, found))
--- a/hickoryweir/services/tests/test_client.py
+++ b/hickoryweir/services/tests/test_client.py
@@ -4,7 +4,6 @@
 import dataclasses
 
 import pytest
-from returns import result
 
 from hickoryweir.engines import sessions
 from hickoryweir.engines.tests import benches
@@ -122,16 +121,39 @@
     run(test)
 
 
-def test_lookup_says_what_ran():
+async def look_up(bench, call):
+    return await client.lookup(bench.session, bench.server, "/lookup", call)
+
+
+def test_lookup_gives_the_lost_answer():
+    async def test():
+        async with service_bench() as bench:
+            await bench.faults(crash_after_running_count=1)
+            await forward(bench)
+            found = (await look_up(bench, CALL)).unwrap()
+        assert found.ran is refusals.Ran.YES
+        assert b'"executions": 1' in found.answer.body
+
+    run(test)
+
+
+def test_lookup_of_a_call_that_did_not_run_says_maybe():
+    async def test():
+        other = dataclasses.replace(CALL, idempotency_key="k/2")
+        async with service_bench() as bench:
+            found = (await look_up(bench, other)).unwrap()
+        assert found == calls.LookedUp(refusals.Ran.MAYBE, None)
+
+    run(test)
+
+
+def test_lookup_of_an_equal_key_of_another_call_gives_nothing():
     async def test():
+        other = dataclasses.replace(CALL, request_id="r2")
         async with service_bench() as bench:
             await forward(bench)
-            ask = [
-                await client.lookup(bench.session, bench.server, "/lookup", key)
-                for key in ("k1", "k/2")
-            ]
-        assert ask[0] == result.Success(refusals.Ran.YES)
-        assert ask[1] == result.Success(refusals.Ran.MAYBE)
+            found = (await look_up(bench, other)).unwrap()
+        assert found == calls.LookedUp(refusals.Ran.MAYBE, None)
 
     run(test)
 
--- a/hickoryweir/testing/service.py
+++ b/hickoryweir/testing/service.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import dataclasses
+import json
 
 from aiohttp import web
 
@@ -36,6 +37,8 @@
         How often each idempotency key ran.
     calls : collections.Counter
         How often each method and path ran.
+    answers : dict
+        Last request id and answer of each idempotency key.
     """
 
     settings: ServiceSettings
@@ -46,6 +49,7 @@
         default_factory=collections.Counter
     )
     calls: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    answers: dict[str, tuple[str, str]] = dataclasses.field(default_factory=dict)
 
 
 def make_app(settings: ServiceSettings) -> web.Application:
@@ -79,13 +83,6 @@
         return refuse(request_id)
     body = await request.read()
     count = execute(service, request)
-    if service.active_faults.crash_after_running_count > 0:
-        service.active_faults.crash_after_running_count -= 1
-        return drop(request)
-    await asyncio.sleep(service.settings.work_s + service.active_faults.answer_delay_s)
-    if service.active_faults.crossed_count > 0:
-        service.active_faults.crossed_count -= 1
-        request_id = f"not-{request_id}"
     answer = {
         "service": service.settings.name,
         "request_id": request_id,
@@ -94,6 +91,16 @@
         "size_bytes": len(body),
         "executions": count,
     }
+    key = request.headers.get(headers.IDEMPOTENCY_KEY)
+    if key is not None:
+        service.answers[key] = (request_id, json.dumps(answer))
+    if service.active_faults.crash_after_running_count > 0:
+        service.active_faults.crash_after_running_count -= 1
+        return drop(request)
+    await asyncio.sleep(service.settings.work_s + service.active_faults.answer_delay_s)
+    if service.active_faults.crossed_count > 0:
+        service.active_faults.crossed_count -= 1
+        request_id = f"not-{request_id}"
     return web.json_response(answer, headers={headers.REQUEST_ID: request_id})
 
 
@@ -133,12 +140,17 @@
 
 
 async def handle_lookup(request: web.Request) -> web.Response:
-    """Answer whether a key ran."""
+    """Answer whether a key ran, for which request and with what answer."""
     service = request.app[SERVICE]
     if service.active_faults.crashed:
         return drop(request)
-    count = service.executions[request.match_info["key"]]
-    return web.json_response({"ran": count > 0})
+    kept = service.answers.get(request.match_info["key"])
+    if kept is None:
+        return web.json_response({"ran": False})
+    request_id, body = kept
+    answer = {"status": 200, "content_type": "application/json", "body": body}
+    found = {"ran": True, "request_id": request_id, "answer": answer}
+    return web.json_response(found)
 
 
 async def handle_health(request: web.Request) -> web.Response:
