--- a/hickoryweir/cli/main.py
+++ b/hickoryweir/cli/main.py
@@ -12,7 +12,13 @@
 import cappa
 
 import hickoryweir
-from hickoryweir.cli import exits, files, operator_commands, process_commands
+from hickoryweir.cli import (
+    exits,
+    files,
+    operator_commands,
+    process_commands,
+    replica_commands,
+)
 
 
 def _run_generate(command: "Generate") -> int:
@@ -76,6 +82,8 @@
         | operator_commands.Stop
         | operator_commands.Status
         | operator_commands.History
+        | replica_commands.Members
+        | replica_commands.ReplaceReplica
         | process_commands.Load
         | process_commands.StandIn
     ]
--- /dev/null
+++ b/hickoryweir/cli/replica_commands.py
@@ -0,0 +1,97 @@
+"""Commands for the members of the replicated log.
+
+They reach the replicas by the settings of an entry VM, with its certificate.
+"""
+
+import asyncio
+import dataclasses
+import importlib
+import pathlib
+from typing import Annotated
+
+import cappa
+from returns import result
+
+from hickoryweir.cli import exits, files
+from hickoryweir.configuration import settings
+from hickoryweir.replicas import replacement, wire
+
+STEP_TIMEOUT_S = 60.0
+
+
+def _with_log(path: pathlib.Path, work) -> int:
+    loaded = settings.load(path)
+    if not isinstance(loaded, result.Success):
+        return files.report(loaded.failure())
+    return asyncio.run(_run(loaded.unwrap(), work))
+
+
+async def _run(given: settings.Settings, work) -> int:
+    log_access = importlib.import_module("hickoryweir.daemon.log_access")
+    log = log_access.make_client(given)
+    try:
+        return await work(log)
+    finally:
+        await log.close()
+
+
+async def _show_members(log) -> int:
+    members = await replacement.members(log)
+    for known in members:
+        print(
+            known.member.member_id,
+            known.member.address,
+            known.member.availability_zone,
+            "voter" if known.member.voter else "learner",
+            f"holds entries to {known.match_index}",
+            "caught up" if known.caught_up else f"quiet for {known.quiet_s:.1f} s",
+        )
+    if not members:
+        print("no leader answers")
+        return exits.ExitCode.UNREACHABLE
+    return exits.ExitCode.SUCCESS
+
+
+def _run_members(command: "Members") -> int:
+    return _with_log(command.settings, _show_members)
+
+
+@cappa.command(invoke=_run_members, help="Show the replicas as their leader sees them.")
+@dataclasses.dataclass
+class Members:
+    """Arguments of ``members``."""
+
+    settings: Annotated[pathlib.Path, cappa.Arg(help="Settings file.")]
+
+
+def _run_replace(command: "ReplaceReplica") -> int:
+    host, port = wire.split_address(command.address)
+    replica = wire.ReplicaAddress(command.name, host, port, "")
+
+    async def work(log) -> int:
+        outcome = await replacement.replace(
+            log, command.lost_id, replica, STEP_TIMEOUT_S
+        )
+        if isinstance(outcome, result.Failure):
+            print(f"not finished: {outcome.failure().reason.value}; run it again")
+            return exits.ExitCode.UNREACHABLE
+        if outcome.unwrap():
+            print(f"refused: {outcome.unwrap()}")
+            return exits.ExitCode.REFUSED
+        print("replaced; the new replica counts")
+        return exits.ExitCode.SUCCESS
+
+    return _with_log(command.settings, work)
+
+
+@cappa.command(
+    name="replace-replica", invoke=_run_replace, help="Replace a lost replica."
+)
+@dataclasses.dataclass
+class ReplaceReplica:
+    """Arguments of ``replace-replica``."""
+
+    settings: Annotated[pathlib.Path, cappa.Arg(help="Settings file.")]
+    lost_id: Annotated[str, cappa.Arg(help="Member id, as members shows it.")]
+    name: Annotated[str, cappa.Arg(help="Process name of the new replica.")]
+    address: Annotated[str, cappa.Arg(help="Its peer host and port.")]
--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -24,6 +24,7 @@
 IDLE_ROUNDS_COUNT = 25
 RETRY_INTERVAL_S = 0.03
 PROBE_INTERVAL_S = 0.2
+PROBE_INTERVAL_MAX_S = 1.0
 
 
 class Reason(enum.StrEnum):
@@ -340,9 +341,11 @@
             self._probe_task = asyncio.create_task(self._probe())
 
     async def _probe(self) -> None:
+        interval_s = PROBE_INTERVAL_S
         while self.standing is standings.Standing.NO_QUORUM:
-            await asyncio.sleep(PROBE_INTERVAL_S)
+            await asyncio.sleep(interval_s)
             await self._survey()
+            interval_s = min(2 * interval_s, PROBE_INTERVAL_MAX_S)
 
 
 def make_client(
--- a/hickoryweir/replicas/membership.py
+++ b/hickoryweir/replicas/membership.py
@@ -16,15 +16,9 @@
     state: states.State, event: states.LearnerAdded, now_s: float, out: list
 ) -> None:
     """Start adding a learner."""
-    names = {
-        messages.replica_name_of(member.member_id)
-        for member in state.membership.members
-    }
     refusal = _common_refusal(state)
     if state.membership.find(event.member.member_id) is not None:
         refusal = refusal or states.ChangeRefusal.ALREADY_MEMBER
-    elif messages.replica_name_of(event.member.member_id) in names:
-        refusal = refusal or states.ChangeRefusal.NAME_TAKEN
     if refusal is not None:
         out.append(states.ChangeRefused(refusal))
         return
--- a/hickoryweir/replicas/replacement.py
+++ b/hickoryweir/replicas/replacement.py
@@ -39,7 +39,7 @@
     lost_id : str
         Member id of the lost replica.
     replica : wire.ReplicaAddress
-        The new one; it runs and its folder is empty.
+        The new one; it runs and its folder is empty.  It may bear the lost one's name.
     timeout_s : float
         Time for each step.
 
@@ -51,7 +51,7 @@
     outcome = await log.add_learner(replica, timeout_s)
     if outcome.value_or(ALREADY_MEMBER) not in ("", ALREADY_MEMBER):
         return outcome
-    learner_id = await _wait_until_caught_up(log, replica.name, timeout_s)
+    learner_id = await _wait_until_caught_up(log, replica.name, lost_id, timeout_s)
     if learner_id is None:
         reason = client.Reason.TIMED_OUT
         return result.Failure(client.Unavailable(reason, True, RETRY_INTERVAL_S))
@@ -89,14 +89,15 @@
 
 
 async def _wait_until_caught_up(
-    log: client.Client, name: str, timeout_s: float
+    log: client.Client, name: str, lost_id: str, timeout_s: float
 ) -> str | None:
     loop = asyncio.get_running_loop()
     deadline_s = loop.time() + timeout_s
     while loop.time() < deadline_s:
         for known in await members(log):
             member_id = known.member.member_id
-            if messages.replica_name_of(member_id) == name and known.caught_up:
+            is_new = member_id != lost_id and known.caught_up
+            if is_new and messages.replica_name_of(member_id) == name:
                 return member_id
         await asyncio.sleep(RETRY_INTERVAL_S)
     return None
--- a/hickoryweir/replicas/state.py
+++ b/hickoryweir/replicas/state.py
@@ -32,7 +32,6 @@
     ALREADY_MEMBER = "already_member"
     NOT_CAUGHT_UP = "not_caught_up"
     IS_LEADER = "is_leader"
-    NAME_TAKEN = "name_taken"
     TRANSFER_IN_PROGRESS = "transfer_in_progress"
 
 
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -148,6 +148,28 @@
     assert run(scenario()) == "v2"
 
 
+def test_replica_with_an_empty_folder_is_admitted_under_its_old_name(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            await put(router, "k", "v1")
+            lost = next(name for name in replicas if name != router.leader_name)
+            running = replicas.pop(lost)
+            await running.crash()
+            replicas[lost] = await register.start_replica(
+                lost, running.address.port, str(tmp_path / "new")
+            )
+            lost_id = running.node.state.member_id
+            address = replicas[lost].address
+            refusal = await settle(
+                lambda: replacement.replace(router, lost_id, address, 20.0)
+            )
+            await put(router, "k", "v2")
+            new = replicas[lost].node.state
+            return refusal, new.member_id in new.membership.voter_ids
+
+    assert run(scenario()) == ("", True)
+
+
 def test_snapshot_is_installed_at_a_learner(tmp_path):
     async def scenario():
         options = {"snapshot_entries_count": 20, "keep_entries_count": 5}
