--- a/hickoryweir/policy/queues.py
+++ b/hickoryweir/policy/queues.py
@@ -146,7 +146,11 @@
 
 
 def charge(core: state.Core, pool: state.Pool, call: state.Call, now_s: float) -> None:
-    """Account for one dispatch in the floor credits of the pool's classes."""
+    """Account for one dispatch in the floor credits of the pool's classes.
+
+    What a class gets without waiting counts too, so that credit only makes up
+    for what is missing from its share.
+    """
     served = call.request_class.name
     for name in pool.class_names:
         queue = core.queues[name]
