Wait for the failed sync to be noticed in the full-disk test

Cause: the two other replicas may commit a command, and the leader may answer it, before the leader's own failed sync comes back from its thread; the test looked at its role at once and failed once in a landing on the busy machine. Change: the test waits for the role and then asks for one more command. Result: three runs of test_node.py pass (15 tests each). Conclusion: the answer was right, since it stood on two disks; the test was too early.

--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -251,9 +251,17 @@
             opened = running.node._disk.storage
             opened.files = dataclasses.replace(opened.files, sync=fail_to_sync)
             await put(router, "k", "v2")
-            return running.node.state.role, await get(router, "k")
+            role = await settle(lambda: role_after_failure(running))
+            await put(router, "k", "v3")
+            return role, await get(router, "k")
+
+    assert run(scenario()) == (states.Role.FAILED, "v3")
+
 
-    assert run(scenario()) == (states.Role.FAILED, "v2")
+async def role_after_failure(running):
+    role = running.node.state.role
+    failed = role is states.Role.FAILED
+    return result.Success(role) if failed else result.Failure(role)
 
 
 def fail_to_sync(handle):
