Policy: pools outlive a change of configuration

Ruled out: counts of peers' suspects, which the status documents showed at zero effect on idle engines. Change: pools are kept, with what they have learned. Result: the new test fails before (no dispatch) and passes after.

--- a/hickoryweir/policy/tests/test_mechanisms.py
+++ b/hickoryweir/policy/tests/test_mechanisms.py
@@ -327,3 +327,17 @@
         (item,) = sent(arrive(it, f"n{number}", now_s=2.0))
         assert item.backend_server == "e2"
     assert core.handle(it, events.Completed("r", first.attempt, 5), 3.0) == []
+
+
+def test_a_suspect_that_waits_is_served_after_a_change_of_configuration():
+    it = make([examples.request_class("balance")], ["e1", "e2"])
+    place = sent(arrive(it, "r1"))[0].backend_server
+    other = {"e1": "e2", "e2": "e1"}[place]
+    gone, live = events.ServerState.GONE, events.ServerState.LIVE
+    core.handle(it, events.ServerStateChanged(other, gone), 0.1)
+    core.handle(it, events.AttemptFailed("r1", 1, CRASHED, MAYBE, 0), 0.2)
+    core.handle(it, events.ConfigurationChanged(it.configuration, 2), 0.3)
+    done = core.handle(it, events.ServerStateChanged(other, live), 0.4)
+    for step in range(100):
+        done += core.handle(it, events.Ticked(), 0.5 + step * 0.05)
+    assert [item.request_id for item in sent(done)] == ["r1"]
--- a/hickoryweir/policy/topology.py
+++ b/hickoryweir/policy/topology.py
@@ -55,11 +55,12 @@
 
 
 def _install_pools(core: state.Core) -> None:
-    core.pools = {}
+    before, core.pools = core.pools, {}
     requested = [queue.request_class for queue in core.queues.values()]
     for item in requested:
         key = (item.target, item.target_name)
-        core.pools.setdefault(key, state.Pool(item.target, item.target_name))
+        kept = before.get(key) or state.Pool(item.target, item.target_name)
+        core.pools.setdefault(key, kept)
     for pool in core.pools.values():
         served = [
             item
@@ -74,7 +75,8 @@
             if item.target == pool.target and pool.name in item.serves
         )
         _choose_subset(core, pool)
-        pool.cost_per_slot_s = _starting_rate(core, pool)
+        if (pool.target, pool.name) not in before:
+            pool.cost_per_slot_s = _starting_rate(core, pool)
 
 
 def _starting_rate(core: state.Core, pool: state.Pool) -> float:
