--- a/hickoryweir/testing/engine_model.py
+++ b/hickoryweir/testing/engine_model.py
@@ -29,6 +29,8 @@
 import dataclasses
 import math
 
+from hickoryweir.testing import prefix_cache
+
 SMALLEST_STEP_TOKENS = 1e-6
 
 
@@ -297,15 +299,12 @@
 
 
 def _end_sequences(state: State, outputs: list[Output]) -> State:
-    decoding = []
-    for sequence in state.decoding:
-        if _left_tokens(state, sequence) > 0.0:
-            decoding.append(sequence)
-        else:
-            outputs.append(Finished(sequence.call.request_id, state.now_s))
-    if len(decoding) == len(state.decoding):
+    ended = [s for s in state.decoding if _left_tokens(state, s) <= 0.0]
+    if not ended:
         return state
-    return dataclasses.replace(state, decoding=tuple(decoding))
+    outputs.extend(Finished(s.call.request_id, state.now_s) for s in ended)
+    decoding = tuple(s for s in state.decoding if s not in ended)
+    return dataclasses.replace(state, decoding=decoding)
 
 
 def _apply(
@@ -377,7 +376,8 @@
 
 def _admit(settings: EngineModelSettings, state: State, outputs: list[Output]) -> State:
     head, *rest = state.waiting
-    cached = _cached_tokens(settings, state, head.call.prefix_digests)
+    blocks = prefix_cache.held_blocks(state.cache, head.call.prefix_digests)
+    cached = blocks * settings.block_tokens
     needed = head.call.prompt_tokens + head.produced_tokens - cached
     head = dataclasses.replace(head, prefill_left_tokens=float(max(0, needed)))
     state = dataclasses.replace(
@@ -386,32 +386,14 @@
     return _store_prefixes(settings, state, head.call.prefix_digests, outputs)
 
 
-def _cached_tokens(
-    settings: EngineModelSettings, state: State, prefix_digests: tuple[int, ...]
-) -> int:
-    cached = set(state.cache)
-    blocks = 0
-    for digest in prefix_digests:
-        if digest not in cached:
-            break
-        blocks += 1
-    return blocks * settings.block_tokens
-
-
 def _store_prefixes(
     settings: EngineModelSettings,
     state: State,
     prefix_digests: tuple[int, ...],
     outputs: list[Output],
 ) -> State:
-    if not prefix_digests:
-        return state
-    wanted = set(prefix_digests)
-    kept = [digest for digest in state.cache if digest not in wanted]
-    stored = tuple(wanted.difference(state.cache))
-    cache = [*kept, *prefix_digests]
-    excess = max(0, len(cache) - settings.cache_capacity_blocks)
-    removed = tuple(cache[:excess])
+    capacity = settings.cache_capacity_blocks
+    cache, stored, removed = prefix_cache.store(state.cache, prefix_digests, capacity)
     if stored or removed:
         outputs.append(CacheChanged(stored, removed))
-    return dataclasses.replace(state, cache=tuple(cache[excess:]))
+    return dataclasses.replace(state, cache=cache)
