--- a/hickoryweir/claims/commands.py
+++ b/hickoryweir/claims/commands.py
@@ -93,9 +93,17 @@
     """Keep records for ``retention_s`` from now on.
 
     Keys that were already refused as expired stay refused.
+
+    Attributes
+    ----------
+    retention_s : float
+        The new retention.
+    configuration_version : int
+        Where it stands; a lower one than the last is ignored.
     """
 
     retention_s: float
+    configuration_version: int
 
 
 Command = Claim | RecordOutcome | SetRetention
--- a/hickoryweir/claims/gateway.py
+++ b/hickoryweir/claims/gateway.py
@@ -96,6 +96,12 @@
         ``await finish(permit, outcome)`` records how the attempt ended.  After
         a failure the recording goes on in the background, and the caller may
         be answered.
+    abandon : callable
+        ``abandon(permit, reason)`` records in the background that the outcome is
+        unknown; for an attempt that is cancelled.
+    set_retention : callable
+        ``set_retention(retention_s, configuration_version)`` has the log take
+        over the retention of a configuration, in the background.
     close : callable
         ``await close(timeout_s)`` waits for recordings in the background and
         returns how many were given up.
@@ -113,6 +119,8 @@
             result.Result[verdicts.RecordVerdict, verdicts.Unavailable]
         ],
     ]
+    abandon: collections.abc.Callable[[Permit, str], None]
+    set_retention: collections.abc.Callable[[float, int], None]
     close: collections.abc.Callable[[float], collections.abc.Awaitable[int]]
 
 
@@ -148,13 +156,13 @@
     background: set[asyncio.Task] = set()
 
     async def record(
-        command: commands.RecordOutcome, timeout_s: float
+        command: commands.Command, timeout_s: float
     ) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
         return await _record_until(propose, clock, sleep, command, timeout_s)
 
-    def record_in_background(command: commands.RecordOutcome) -> None:
+    def record_in_background(command: commands.Command) -> None:
         if len(background) >= BACKGROUND_TASKS_MAX:
-            logging.warning("outcome of attempt %s is given up", command.attempt_id)
+            logging.warning("too many outcomes wait: %s is given up", _name(command))
             return
         task = asyncio.get_running_loop().create_task(
             record(command, BACKGROUND_TIMEOUT_S)
@@ -180,12 +188,8 @@
     async def finish(
         permit: Permit, outcome: commands.Outcome
     ) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
-        command = commands.RecordOutcome(
-            permit.call.account,
-            permit.call.key.text,
-            permit.call.key.issued_at_s,
-            permit.attempt_id,
-            replies.bound_outcome(outcome, answer_max_bytes),
+        command = _outcome_command(
+            permit, replies.bound_outcome(outcome, answer_max_bytes)
         )
         stored = False
         try:
@@ -196,6 +200,12 @@
             if not stored:
                 record_in_background(command)
 
+    def abandon(permit: Permit, reason: str) -> None:
+        record_in_background(_outcome_command(permit, commands.Unknown(reason)))
+
+    def set_retention(retention_s: float, configuration_version: int) -> None:
+        record_in_background(commands.SetRetention(retention_s, configuration_version))
+
     async def close(timeout_s: float) -> int:
         if not background:
             return 0
@@ -204,7 +214,7 @@
             task.cancel()
         return len(pending)
 
-    return Gateway(claim, finish, close)
+    return Gateway(claim, finish, abandon, set_retention, close)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -235,6 +245,22 @@
     )
 
 
+def _outcome_command(
+    permit: Permit, outcome: commands.Outcome
+) -> commands.RecordOutcome:
+    return commands.RecordOutcome(
+        permit.call.account,
+        permit.call.key.text,
+        permit.call.key.issued_at_s,
+        permit.attempt_id,
+        outcome,
+    )
+
+
+def _name(command: commands.Command) -> str:
+    return getattr(command, "attempt_id", type(command).__name__)
+
+
 def _release(attempt: _Attempt, reason: str) -> commands.RecordOutcome:
     return commands.RecordOutcome(
         attempt.call.account,
@@ -303,10 +329,10 @@
     propose: Propose,
     clock: Clock,
     sleep: Sleep,
-    command: commands.RecordOutcome,
+    command: commands.Command,
     timeout_s: float,
 ) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
-    """Propose the outcome until it is stored or time is up."""
+    """Propose the command until it is stored or time is up."""
     until_s = clock() + timeout_s
     backoff_s = BACKOFF_START_S
     while True:
@@ -323,14 +349,10 @@
 
 def _unstored(
     proposed: result.Result[verdicts.RecordVerdict, verdicts.Unavailable],
-    command: commands.RecordOutcome,
+    command: commands.Command,
     retry_after_s: float,
 ) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
-    logging.warning(
-        "outcome of attempt %s of account %s is not stored yet",
-        command.attempt_id,
-        command.account,
-    )
+    logging.warning("the log has not stored %s yet", _name(command))
     if isinstance(proposed, result.Failure):
         return proposed
     message = "the account's records are full"
--- a/hickoryweir/claims/machine.py
+++ b/hickoryweir/claims/machine.py
@@ -64,6 +64,8 @@
         Untimed keys of one account, live and retired.
     account_answers_max_bytes, answer_max_bytes : int
         Stored answers of one account, and the largest of them.
+    configuration_version : int
+        Version that the retention comes from.
     """
 
     retention_s: float = RETENTION_S
@@ -72,6 +74,7 @@
     account_untimed_max: int = ACCOUNT_UNTIMED_MAX
     account_answers_max_bytes: int = ACCOUNT_ANSWERS_MAX_BYTES
     answer_max_bytes: int = ANSWER_MAX_BYTES
+    configuration_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -186,10 +189,19 @@
         case commands.RecordOutcome():
             return _record(state, command, time_s)
         case commands.SetRetention():
-            state.limits = dataclasses.replace(
-                state.limits, retention_s=command.retention_s
-            )
-            return verdicts.RetentionSet()
+            return _set_retention(state, command)
+
+
+def _set_retention(
+    state: State, command: commands.SetRetention
+) -> verdicts.RetentionSet:
+    if command.configuration_version >= state.limits.configuration_version:
+        state.limits = dataclasses.replace(
+            state.limits,
+            retention_s=command.retention_s,
+            configuration_version=command.configuration_version,
+        )
+    return verdicts.RetentionSet(state.limits.retention_s)
 
 
 def _claim(
--- a/hickoryweir/claims/snapshots.py
+++ b/hickoryweir/claims/snapshots.py
@@ -1,4 +1,7 @@
-"""The claims state as bytes, equal for equal states.
+"""The claims state as bytes, equal on every replica.
+
+Accounts and records stand in the order in which the log made them, which a load
+keeps, so nothing is sorted.
 
 Examples
 --------
@@ -9,13 +12,20 @@
 
 import dataclasses
 import heapq
+import operator
 
 import msgpack
 
 from hickoryweir.claims import machine
 
 VERSION = 1
+PART_COUNT = 4
+ACCOUNT_PART_COUNT = 3
 RETIRED_BYTES = machine.DIGEST_BYTES
+STATUSES = tuple(machine.Status)
+RECORD_FIELDS = operator.attrgetter(
+    *(field.name for field in dataclasses.fields(machine.Record))
+)
 
 
 def dump(state: machine.State) -> bytes:
@@ -29,13 +39,17 @@
     Returns
     -------
     bytes
-        Equal for equal states, on every replica.
+        Equal on every replica that has applied the same log.
     """
-    accounts = [
-        [name, _pack_account(state.accounts[name])] for name in sorted(state.accounts)
-    ]
-    limits = dataclasses.astuple(state.limits)
-    return msgpack.packb([VERSION, limits, state.floor_s, accounts])
+    packer = msgpack.Packer(autoreset=False)
+    packer.pack_array_header(PART_COUNT)
+    packer.pack(VERSION)
+    packer.pack(dataclasses.astuple(state.limits))
+    packer.pack(state.floor_s)
+    packer.pack_array_header(len(state.accounts))
+    for name, account in state.accounts.items():
+        _pack_account(packer, name, account)
+    return packer.bytes()
 
 
 def load(data: bytes) -> machine.State:
@@ -50,8 +64,8 @@
     if version != VERSION:
         raise ValueError(f"claims snapshot of version {version}, not {VERSION}")
     state = machine.State(machine.Limits(*limits), floor_s=floor_s)
-    for name, packed in accounts:
-        account = _unpack_account(packed)
+    for name, records, retired in accounts:
+        account = _unpack_account(records, retired)
         state.accounts[name] = account
         state.expiries.extend(
             (record.issued_at_s, name, key) for key, record in account.records.items()
@@ -60,27 +74,23 @@
     return state
 
 
-def _pack_account(account: machine.Account) -> list:
-    records = [
-        [key, *_pack_record(account.records[key])] for key in sorted(account.records)
-    ]
-    retired = b"".join(
-        digest.to_bytes(RETIRED_BYTES, "big") for digest in sorted(account.retired)
+def _pack_account(packer: msgpack.Packer, name: str, account: machine.Account) -> None:
+    packer.pack_array_header(ACCOUNT_PART_COUNT)
+    packer.pack(name)
+    packer.pack_array_header(len(account.records))
+    for key, record in account.records.items():
+        packer.pack((key, RECORD_FIELDS(record)))
+    packer.pack(
+        b"".join(
+            digest.to_bytes(RETIRED_BYTES, "big") for digest in sorted(account.retired)
+        )
     )
-    return [records, retired]
-
 
-def _pack_record(record: machine.Record) -> list:
-    return [getattr(record, field.name) for field in dataclasses.fields(record)]
 
-
-def _unpack_account(packed: list) -> machine.Account:
-    records, retired = packed
+def _unpack_account(records: list, retired: bytes) -> machine.Account:
     account = machine.Account()
-    for key, status, *values, released in records:
-        record = machine.Record(
-            machine.Status(status), *values, released=tuple(released)
-        )
+    for key, (status, *values, released) in records:
+        record = machine.Record(STATUSES[status], *values, tuple(released))
         account.records[key] = record
         account.untimed_count += not record.timed
         account.answers_size_bytes += machine.kept_bytes(record)
--- a/hickoryweir/claims/tests/test_gateway.py
+++ b/hickoryweir/claims/tests/test_gateway.py
@@ -277,3 +277,25 @@
         return (await claim(make_router(log, "vm-2"), log)).failure()
 
     assert run(main()).ran is refusals.Ran.YES
+
+
+def test_abandoned_attempt_is_never_run_again():
+    async def main():
+        log = FakeLog()
+        one = make_router(log, "vm-1")
+        one.abandon((await claim(one, log)).unwrap(), "caller left")
+        assert await one.close(1.0) == 0
+        return (await claim(make_router(log, "vm-2"), log)).failure()
+
+    assert run(main()).reason is refusals.Reason.OUTCOME_UNKNOWN
+
+
+def test_retention_reaches_the_log_after_an_outage():
+    async def main():
+        log = FakeLog(script=["no leader", "lost"])
+        one = make_router(log, "vm-1")
+        one.set_retention(50.0, 3)
+        assert await one.close(1.0) == 0
+        return log.state.limits
+
+    assert run(main()).retention_s == 50.0
--- a/hickoryweir/claims/tests/test_machine.py
+++ b/hickoryweir/claims/tests/test_machine.py
@@ -131,10 +131,16 @@
     _, run = make_log()
     run(FIRST)
     later_s = NOW_S + machine.RETENTION_S
-    run(commands.SetRetention(10 * machine.RETENTION_S), later_s)
+    run(commands.SetRetention(10 * machine.RETENTION_S, 1), later_s)
     assert run(SECOND, later_s) == verdicts.KeyExpired()
 
 
+def test_retention_of_an_older_configuration_is_ignored():
+    _, run = make_log()
+    run(commands.SetRetention(50.0, 7))
+    assert run(commands.SetRetention(90.0, 6)) == verdicts.RetentionSet(50.0)
+
+
 def test_untimed_key_is_refused_forever_after_its_retention():
     state, run = make_log()
     untimed = dataclasses.replace(FIRST, issued_at_s=None)
@@ -193,7 +199,7 @@
     run(record(FIRST, ANSWER))
     run(dataclasses.replace(SECOND, key="u", issued_at_s=None))
     run(record(THIRD, commands.NotRun("gave up")))
-    run(commands.SetRetention(5.0), NOW_S + 6)
+    run(commands.SetRetention(5.0, 1), NOW_S + 6)
     loaded = snapshots.load(snapshots.dump(state))
     assert loaded == state
     assert snapshots.dump(loaded) == snapshots.dump(state)
--- a/hickoryweir/claims/verdicts.py
+++ b/hickoryweir/claims/verdicts.py
@@ -116,7 +116,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetentionSet:
-    """The retention is in force."""
+    """The retention that is in force."""
+
+    retention_s: float
 
 
 ClaimVerdict = (
--- a/hickoryweir/daemon/attempts.py
+++ b/hickoryweir/daemon/attempts.py
@@ -89,7 +89,8 @@
     parsed = keys.parse_key(request.idempotency_key)
     if not isinstance(parsed, result.Success):
         return calls.Settled(result.Failure(parsed.failure()))
-    digest = keys.digest_call(request.method, request.path, request.body)
+    target = f"{request.path}?{request.query}"
+    digest = keys.digest_call(request.method, target, request.body)
     claimed = await backends.gateway.claim(
         gateway.Call(request.account.name, parsed.unwrap(), digest),
         server.name,
@@ -105,7 +106,11 @@
         return calls.Settled(result.Success(answer))
     backends.metrics.claims.labels("granted").inc()
     recorded: list[bytes] = []
-    end = await execute(backends, call, dispatch, server, recorded)
+    try:
+        end = await execute(backends, call, dispatch, server, recorded)
+    except BaseException:
+        backends.gateway.abandon(held, "the attempt was cancelled")
+        raise
     await backends.gateway.finish(held, outcome_of(end))
     return end
 
--- a/spec/claims_fuzz.py
+++ b/spec/claims_fuzz.py
@@ -181,7 +181,7 @@
     @stateful.rule(retention_s=st.sampled_from([50.0, 100.0, 400.0]))
     def set_retention(self, retention_s):
         """Change the retention."""
-        self.apply(commands.SetRetention(retention_s))
+        self.apply(commands.SetRetention(retention_s, 0))
         self.retention_s = retention_s
 
     @stateful.rule()
@@ -237,7 +237,7 @@
         assert names == [body]
 
     @stateful.invariant()
-    def stays_within_its_limits(self):
+    def check_limits(self):
         """Check that the state is bounded and its counts are true."""
         for account in self.state.accounts.values():
             assert len(account.records) <= LIMITS.account_records_max
@@ -247,6 +247,6 @@
             assert account.answers_size_bytes == kept
 
     @stateful.invariant()
-    def copy_is_equal(self):
+    def check_copy(self):
         """Check that a state that went through snapshots is the same."""
         assert snapshots.dump(self.copy) == snapshots.dump(self.state)
--- a/spec/cluster_fuzz.py
+++ b/spec/cluster_fuzz.py
@@ -324,7 +324,7 @@
             return
         self.cluster.cut_off(behind.name)
         for _ in range(4):
-            self.cluster.offer(leader, Request(commands.SetRetention(100.0)))
+            self.cluster.offer(leader, Request(commands.SetRetention(100.0, 0)))
         self.cluster.run(0.2)
         self.cluster.snapshot(leader)
         self.cluster.run(0.1)
@@ -348,13 +348,13 @@
             self.cluster.step(leader, states.TransferRequested(target))
 
     @stateful.invariant()
-    def one_run_a_key(self):
+    def check_one_run_a_key(self):
         """Check that no key was dispatched twice, whoever heard what."""
         keys = [request.command.key for request in self.requests if request.dispatched]
         assert len(keys) == len(set(keys))
 
     @stateful.invariant()
-    def one_change_a_version(self):
+    def check_one_change_a_version(self):
         """Check that each accepted version belongs to one change for ever."""
         for request in self.requests:
             for answer in request.answers:
--- a/spec/fuzz.py
+++ b/spec/fuzz.py
@@ -18,7 +18,7 @@
 
 SECONDS_PER_MINUTE = 60.0
 SEED_MAX = 2**31
-INVARIANT_LINE = re.compile(r"state\.\w+\(\)$")
+INVARIANT_LINE = re.compile(r"state\.check_\w+\(\)$")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,7 +82,7 @@
             tally.run_count += 1
 
         @stateful.invariant()
-        def count_step(self):
+        def check_count(self):
             tally.step_count += 1
 
     settings = make_settings(target.example_count, target.step_count, False)
--- a/spec/tests/test_claims.py
+++ b/spec/tests/test_claims.py
@@ -28,7 +28,7 @@
     "apply_not_run": lambda n: outcome_of(n, commands.NotRun("not sent")),
     "apply_answer": lambda n: outcome_of(n, commands.Answered(200, "a/b", b"x")),
     "apply_unknown": lambda n: outcome_of(n, commands.Unknown("lost")),
-    "expire": lambda _: commands.SetRetention(machine.RETENTION_S),
+    "expire": lambda _: commands.SetRetention(machine.RETENTION_S, 0),
 }
 
 
