--- a/hickoryweir/claims/snapshots.py
+++ b/hickoryweir/claims/snapshots.py
@@ -52,6 +52,21 @@
     return packer.bytes()
 
 
+def freeze(state: machine.State) -> machine.State:
+    """Return a copy for :func:`dump` that later commands don't change.
+
+    Records are immutable, so the copy is quick and the dump can run meanwhile in a
+    thread of its own.
+    """
+    accounts = {
+        name: dataclasses.replace(
+            account, records=dict(account.records), retired=set(account.retired)
+        )
+        for name, account in state.accounts.items()
+    }
+    return dataclasses.replace(state, accounts=accounts, expiries=[])
+
+
 def load(data: bytes) -> machine.State:
     """Return the state that :func:`dump` wrote.
 
