Retention: the daemon proposes it with its configuration's version

Cause: SetRetention now carries the version, so that a leader which lags can't put an older retention back.

--- a/hickoryweir/claims/gateway.py
+++ b/hickoryweir/claims/gateway.py
@@ -99,9 +99,6 @@
     abandon : callable
         ``abandon(permit, reason)`` records in the background that the outcome is
         unknown; for an attempt that is cancelled.
-    set_retention : callable
-        ``set_retention(retention_s, configuration_version)`` has the log take
-        over the retention of a configuration, in the background.
     close : callable
         ``await close(timeout_s)`` waits for recordings in the background and
         returns how many were given up.
@@ -120,7 +117,6 @@
         ],
     ]
     abandon: collections.abc.Callable[[Permit, str], None]
-    set_retention: collections.abc.Callable[[float, int], None]
     close: collections.abc.Callable[[float], collections.abc.Awaitable[int]]
 
 
@@ -156,13 +152,13 @@
     background: set[asyncio.Task] = set()
 
     async def record(
-        command: commands.Command, timeout_s: float
+        command: commands.RecordOutcome, timeout_s: float
     ) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
         return await _record_until(propose, clock, sleep, command, timeout_s)
 
-    def record_in_background(command: commands.Command) -> None:
+    def record_in_background(command: commands.RecordOutcome) -> None:
         if len(background) >= BACKGROUND_TASKS_MAX:
-            logging.warning("too many outcomes wait: %s is given up", _name(command))
+            logging.warning("outcome of attempt %s is given up", command.attempt_id)
             return
         task = asyncio.get_running_loop().create_task(
             record(command, BACKGROUND_TIMEOUT_S)
@@ -203,9 +199,6 @@
     def abandon(permit: Permit, reason: str) -> None:
         record_in_background(_outcome_command(permit, commands.Unknown(reason)))
 
-    def set_retention(retention_s: float, configuration_version: int) -> None:
-        record_in_background(commands.SetRetention(retention_s, configuration_version))
-
     async def close(timeout_s: float) -> int:
         if not background:
             return 0
@@ -214,7 +207,7 @@
             task.cancel()
         return len(pending)
 
-    return Gateway(claim, finish, abandon, set_retention, close)
+    return Gateway(claim, finish, abandon, close)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -257,10 +250,6 @@
     )
 
 
-def _name(command: commands.Command) -> str:
-    return getattr(command, "attempt_id", type(command).__name__)
-
-
 def _release(attempt: _Attempt, reason: str) -> commands.RecordOutcome:
     return commands.RecordOutcome(
         attempt.call.account,
@@ -329,7 +318,7 @@
     propose: Propose,
     clock: Clock,
     sleep: Sleep,
-    command: commands.Command,
+    command: commands.RecordOutcome,
     timeout_s: float,
 ) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
     """Propose the command until it is stored or time is up."""
@@ -349,10 +338,10 @@
 
 def _unstored(
     proposed: result.Result[verdicts.RecordVerdict, verdicts.Unavailable],
-    command: commands.Command,
+    command: commands.RecordOutcome,
     retry_after_s: float,
 ) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
-    logging.warning("the log has not stored %s yet", _name(command))
+    logging.warning("outcome of attempt %s is not stored yet", command.attempt_id)
     if isinstance(proposed, result.Failure):
         return proposed
     message = "the account's records are full"
--- a/hickoryweir/claims/tests/test_gateway.py
+++ b/hickoryweir/claims/tests/test_gateway.py
@@ -288,14 +288,3 @@
         return (await claim(make_router(log, "vm-2"), log)).failure()
 
     assert run(main()).reason is refusals.Reason.OUTCOME_UNKNOWN
-
-
-def test_retention_reaches_the_log_after_an_outage():
-    async def main():
-        log = FakeLog(script=["no leader", "lost"])
-        one = make_router(log, "vm-1")
-        one.set_retention(50.0, 3)
-        assert await one.close(1.0) == 0
-        return log.state.limits
-
-    assert run(main()).retention_s == 50.0
--- a/hickoryweir/daemon/retention.py
+++ b/hickoryweir/daemon/retention.py
@@ -14,18 +14,20 @@
     """Propose the retention in force while this process's replica leads."""
     while process.replica is not None:
         await asyncio.sleep(INTERVAL_S)
-        wanted_s = find_due(process)
-        if wanted_s is not None:
-            command = commands.SetRetention(wanted_s)
+        command = find_due(process)
+        if command is not None:
             await process.log.propose(command, PROPOSE_TIMEOUT_S)
 
 
-def find_due(process: parts.Process) -> float | None:
+def find_due(process: parts.Process) -> commands.SetRetention | None:
     """Return the retention to propose, or None if none is due here."""
     if process.in_force is None:
         return None
     if process.replica.state.role is not replica_states.Role.LEADER:
         return None
+    limits = process.replica.machine.states["claims"].limits
+    version = process.in_force.version
     wanted_s = process.in_force.configuration.idempotency_retention_s
-    held_s = process.replica.machine.states["claims"].limits.retention_s
-    return wanted_s if wanted_s != held_s else None
+    if wanted_s == limits.retention_s or version < limits.configuration_version:
+        return None
+    return commands.SetRetention(wanted_s, version)
