--- a/hickoryweir/claims/gateway.py
+++ b/hickoryweir/claims/gateway.py
@@ -96,6 +96,9 @@
         ``await finish(permit, outcome)`` records how the attempt ended.  After
         a failure the recording goes on in the background, and the caller may
         be answered.
+    abandon : callable
+        ``abandon(permit, reason)`` records in the background that the outcome is
+        unknown; for an attempt that is cancelled.
     close : callable
         ``await close(timeout_s)`` waits for recordings in the background and
         returns how many were given up.
@@ -113,6 +116,7 @@
             result.Result[verdicts.RecordVerdict, verdicts.Unavailable]
         ],
     ]
+    abandon: collections.abc.Callable[[Permit, str], None]
     close: collections.abc.Callable[[float], collections.abc.Awaitable[int]]
 
 
@@ -180,12 +184,8 @@
     async def finish(
         permit: Permit, outcome: commands.Outcome
     ) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
-        command = commands.RecordOutcome(
-            permit.call.account,
-            permit.call.key.text,
-            permit.call.key.issued_at_s,
-            permit.attempt_id,
-            replies.bound_outcome(outcome, answer_max_bytes),
+        command = _outcome_command(
+            permit, replies.bound_outcome(outcome, answer_max_bytes)
         )
         stored = False
         try:
@@ -196,6 +196,9 @@
             if not stored:
                 record_in_background(command)
 
+    def abandon(permit: Permit, reason: str) -> None:
+        record_in_background(_outcome_command(permit, commands.Unknown(reason)))
+
     async def close(timeout_s: float) -> int:
         if not background:
             return 0
@@ -204,7 +207,7 @@
             task.cancel()
         return len(pending)
 
-    return Gateway(claim, finish, close)
+    return Gateway(claim, finish, abandon, close)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -235,6 +238,18 @@
     )
 
 
+def _outcome_command(
+    permit: Permit, outcome: commands.Outcome
+) -> commands.RecordOutcome:
+    return commands.RecordOutcome(
+        permit.call.account,
+        permit.call.key.text,
+        permit.call.key.issued_at_s,
+        permit.attempt_id,
+        outcome,
+    )
+
+
 def _release(attempt: _Attempt, reason: str) -> commands.RecordOutcome:
     return commands.RecordOutcome(
         attempt.call.account,
@@ -306,7 +321,7 @@
     command: commands.RecordOutcome,
     timeout_s: float,
 ) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
-    """Propose the outcome until it is stored or time is up."""
+    """Propose the command until it is stored or time is up."""
     until_s = clock() + timeout_s
     backoff_s = BACKOFF_START_S
     while True:
@@ -326,11 +341,7 @@
     command: commands.RecordOutcome,
     retry_after_s: float,
 ) -> result.Result[verdicts.RecordVerdict, verdicts.Unavailable]:
-    logging.warning(
-        "outcome of attempt %s of account %s is not stored yet",
-        command.attempt_id,
-        command.account,
-    )
+    logging.warning("outcome of attempt %s is not stored yet", command.attempt_id)
     if isinstance(proposed, result.Failure):
         return proposed
     message = "the account's records are full"
