Measures of control and of a plain call's processor time

Change: measure_idle runs a replica and a router of their own, measure prints the processor time of a plain call.

--- a/hickoryweir/daemon/measure.py
+++ b/hickoryweir/daemon/measure.py
@@ -29,6 +29,7 @@
 from hickoryweir.testing.demo import entry_vms
 
 CHUNK_COUNT = 100
+WARM_UP_COUNT = 20
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 KEY = "measure"
 MODEL = "assistant"
@@ -213,11 +214,11 @@
     """Return the times of plain calls, direct and routed, sent in turn."""
     times: tuple[list, list] = ([], [])
     async with aiohttp.ClientSession() as session:
-        for position in range(count + 20):
+        for position in range(count + WARM_UP_COUNT):
             for kind, url in enumerate(urls):
                 started_s = time.perf_counter()
                 await call_once(session, url, stream=False)
-                if position >= 20:
+                if position >= WARM_UP_COUNT:
                     times[kind].append(time.perf_counter() - started_s)
     return times
 
@@ -273,12 +274,17 @@
         try:
             await submit(vms[0], ANSWERS.format(url=engine_url))
             urls = (engine_url, vms[0].callers_url)
+            before = read_usage(running.process.pid)
             direct, routed = await measure_calls(urls, arguments.calls)
+            after = read_usage(running.process.pid)
             show("plain call, direct", direct)
             show("plain call, routed", routed)
             added = statistics.median(routed) - statistics.median(direct)
             ratio = statistics.median(routed) / statistics.median(direct)
             print(f"added at p50: {added * 1000:.3f} ms, ratio {ratio:.2f}")
+            calls_count = arguments.calls + WARM_UP_COUNT
+            call_ms = (after.processor_s - before.processor_s) / calls_count * 1000
+            print(f"processor time of the router: {call_ms:.2f} ms per plain call")
             pid = running.process.pid
             await measure_streams(
                 vms[0].callers_url, arguments.streams, arguments.rounds, pid
--- a/hickoryweir/daemon/measure_idle.py
+++ b/hickoryweir/daemon/measure_idle.py
@@ -1,8 +1,8 @@
 """Measures what control costs: ``python -m hickoryweir.daemon.measure_idle``.
 
-One entry VM (router and single replica) follows a number of engines that answer
-load reports at once and serve nothing else.  The processor time, memory and
-bytes that it uses without a single call are what control costs.
+Two entry VMs, one of them the only replica, follow a number of engines that
+answer load reports at once and serve nothing else.  The processor time and the
+memory that each uses without a single call are what control costs.
 """
 
 import asyncio
@@ -55,40 +55,42 @@
     return measure.ANSWERS[:start] + servers + measure.ANSWERS[end:]
 
 
-def loopback_size_bytes() -> int:
-    """Return the bytes that loopback has carried so far."""
-    for line in pathlib.Path("/proc/net/dev").read_text().splitlines():
-        name, _, counts = line.partition(":")
-        if name.strip() == "lo":
-            return int(counts.split()[0])
-    return 0
+def make_vms(folder: pathlib.Path) -> tuple[entry_vms.EntryVm, ...]:
+    """Return a replica and a router of one availability zone."""
+    (first,) = entry_vms.make_entry_vms(("a",), folder, 0)
+    (second,) = entry_vms.make_entry_vms(("a",), folder, 0)
+    router = dataclasses.replace(
+        second, name="a-2", folder=folder / "a-2", is_replica=False
+    )
+    return first, router
 
 
 async def measure_one(engine_url: str, count: int, duration_s: float) -> None:
-    """Print the row for one number of engines."""
+    """Print the rows for one number of engines."""
     with tempfile.TemporaryDirectory(prefix="hickoryweir-idle-") as folder:
-        vms = entry_vms.make_entry_vms(("a",), pathlib.Path(folder), 0)
+        vms = make_vms(pathlib.Path(folder))
         entry_vms.write_settings(vms)
-        running = entry_vms.start(vms[0])
+        running = [entry_vms.start(vm) for vm in vms]
         try:
             await measure.submit(vms[0], make_answers(engine_url, count))
             await asyncio.sleep(SETTLE_S)
-            pid = running.process.pid
-            before, bytes_before = measure.read_usage(pid), loopback_size_bytes()
+            before = [measure.read_usage(each.process.pid) for each in running]
             started_s = time.monotonic()
             await asyncio.sleep(duration_s)
             elapsed_s = time.monotonic() - started_s
-            after, bytes_after = measure.read_usage(pid), loopback_size_bytes()
+            after = [measure.read_usage(each.process.pid) for each in running]
         finally:
-            entry_vms.stop(running)
-    share = (after.processor_s - before.processor_s) / elapsed_s
-    resident_mib = after.resident_size_bytes / 2**20
-    rate_kb = (bytes_after - bytes_before) / elapsed_s / 1000
-    print(
-        f"{count:5d} engines: {share:7.2%} of a core, {resident_mib:6.1f} MiB "
-        f"resident, {rate_kb:8.1f} KB/s on loopback in all",
-        flush=True,
-    )
+            for each in running:
+                entry_vms.stop(each)
+    for vm, first, last in zip(vms, before, after, strict=True):
+        share = (last.processor_s - first.processor_s) / elapsed_s
+        resident_mib = last.resident_size_bytes / 2**20
+        role = "replica and router" if vm.is_replica else "router"
+        print(
+            f"{count:5d} engines, {role:18}: {share:7.2%} of a core, "
+            f"{resident_mib:6.1f} MiB resident",
+            flush=True,
+        )
 
 
 async def run(arguments: MeasureIdle) -> None:
