Callers: connections bounded at a burst; faults logged without their text

Cause: four faults of the callers' port, each seen by its test. - The limit counted only connections that the server knew. The event loop makes many protocols before it hands over the first, so of 500 idle connections at once with a limit of 50 none was turned away, on asyncio and on uvloop. - The TLS handshake had the loop's own time limit, beside the one for callers. - A fault after the start of a stream wrote a second response into it. - The log kept the text of faults, which held the Authorization line of a malformed request and the text of a prompt.

Change: connections being opened count too, until the server knows them or the handshake's limit (body_timeout_s) has passed; a fault amid a response closes the connection; the log names a fault's type and place only.

A reader that takes nothing holds the writer back and is cut after the write limit; that held before.

--- a/hickoryweir/callers/server.py
+++ b/hickoryweir/callers/server.py
@@ -4,6 +4,7 @@
 import dataclasses
 import ssl
 import time
+import traceback
 from collections.abc import Callable
 
 from aiohttp import http_exceptions, web
@@ -56,11 +57,18 @@
         Where refusals are counted.
     opened_at_s : float
         Monotonic time of the connection.
+    opening : set of CallerConnection
+        Accepted connections that the server doesn't know yet.
     is_served : bool
         Whether the headers of a first request have come.
     """
 
-    __slots__ = ("counters", "opened_at_s", "is_served")
+    __slots__ = ("counters", "is_served", "opened_at_s", "opening")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Go from the connections being opened to the server's own."""
+        self.opening.discard(self)
+        super().connection_made(transport)
 
     def handle_error(
         self,
@@ -69,16 +77,31 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Return the refusal for a malformed request or an unforeseen fault."""
+        """Return the refusal for a malformed request or an unforeseen fault.
+
+        Raises
+        ------
+        ConnectionError
+            The response has begun, so that aiohttp closes the connection.
+        """
         refusal = refuse_fault(status, exc)
         self.counters.refusals.labels(NO_CLASS, refusal.reason).inc()
-        fields = logs.Fields(reason=str(refusal.reason), detail=repr(exc))
+        fields = logs.Fields(reason=str(refusal.reason), detail=describe_fault(exc))
         logs.warning("request not served", fields)
+        if request.writer.output_size > 0:
+            raise ConnectionError("the response has begun")
         response = errors.make_response(refusal, "")
         response.force_close()
         return response
 
 
+def describe_fault(fault: BaseException | None) -> str:
+    """Return a fault's type and place; its text may hold a key or a body."""
+    frames = traceback.extract_tb(fault.__traceback__) if fault else ()
+    where = f" in {frames[-1].name}:{frames[-1].lineno}" if frames else ""
+    return type(fault).__name__ + where
+
+
 def refuse_fault(status: int, fault: BaseException | None) -> refusals.Refusal:
     """Return the refusal for a fault that aiohttp reports."""
     if isinstance(fault, http_exceptions.LineTooLong):
@@ -94,13 +117,19 @@
 def make_protocol_factory(
     server: web.Server, limits: settings.Callers, counters: metrics.Metrics
 ) -> Callable[[], asyncio.Protocol]:
-    """Return a factory that turns connections away over the limit."""
+    """Return a factory that turns connections away over the limit.
+
+    The event loop may ask for many protocols before it hands the first of them
+    to the server, so those being opened count too; one whose TLS handshake fails
+    counts until the handshake's time limit.
+    """
     loop = asyncio.get_running_loop()
     response = make_turnaway_response(limits.max_connections)
     reason = refusals.Reason.TOO_MANY_CONNECTIONS
+    opening: set[CallerConnection] = set()
 
     def make_protocol() -> asyncio.Protocol:
-        if len(server.connections) >= limits.max_connections:
+        if len(server.connections) + len(opening) >= limits.max_connections:
             counters.refusals.labels(NO_CLASS, reason).inc()
             return Turnaway(response)
         connection = CallerConnection(
@@ -114,6 +143,9 @@
         connection.counters = counters
         connection.opened_at_s = time.monotonic()
         connection.is_served = False
+        connection.opening = opening
+        opening.add(connection)
+        loop.call_later(limits.body_timeout_s, opening.discard, connection)
         return connection
 
     return make_protocol
@@ -193,7 +225,12 @@
         context = make_tls_context(limits.certificate_file, limits.key_file)
         watchers.append(reload_on_change(context, limits, RELOAD_INTERVAL_S))
     listener = await asyncio.get_running_loop().create_server(
-        factory, limits.host, limits.port, ssl=context, backlog=BACKLOG_COUNT
+        factory,
+        limits.host,
+        limits.port,
+        ssl=context,
+        ssl_handshake_timeout=limits.body_timeout_s if context else None,
+        backlog=BACKLOG_COUNT,
     )
     port = listener.sockets[0].getsockname()[1]
     tasks = tuple(asyncio.create_task(watcher) for watcher in watchers)
--- a/hickoryweir/callers/tests/test_hostile.py
+++ b/hickoryweir/callers/tests/test_hostile.py
@@ -1,12 +1,16 @@
 """The callers' border under hostile input, slow callers and many connections."""
 
+import asyncio
+import contextlib
 import json
 
 import hypothesis
 import pytest
+import uvloop
 from hypothesis import strategies as st
+from returns import result
 
-from hickoryweir.callers import requests
+from hickoryweir.callers import ports, requests, sinks
 from hickoryweir.callers.tests import exchanges, fakes
 
 FEW = hypothesis.settings(
@@ -185,3 +189,98 @@
     headers = {b"Idempotency-Key": b"k"}
     path = b"/services/" + rest
     assert exchanges.exchange(exchanges.make_request(path, b"{}", headers=headers))
+
+
+def test_a_malformed_key_is_not_logged(caplog):
+    headers = {b"Authorization": b"Bearer hush\x01hush"}
+    exchanges.exchange(exchanges.make_request(CHAT_PATH, b"{}", headers=headers))
+    assert "body_invalid" in caplog.text
+    assert "hush" not in caplog.text
+
+
+def test_the_text_of_a_fault_is_not_logged(caplog):
+    async def fail(call, sink):
+        raise ValueError("hush")
+
+    async def run():
+        async with exchanges.listening(fakes.make_ports(run=fail)) as port:
+            body = json.dumps(fakes.CHAT).encode()
+            return await exchanges.send(port, exchanges.make_request(CHAT_PATH, body))
+
+    assert b"internal_error" in asyncio.run(run())
+    assert "ValueError in fail" in caplog.text
+    assert "hush" not in caplog.text
+
+
+def test_a_fault_amid_a_stream_sends_no_second_response():
+    async def fail(call, sink):
+        await sinks.write(sink, b"data: a\n\n")
+        raise ValueError("fault")
+
+    async def run():
+        async with exchanges.listening(fakes.make_ports(run=fail)) as port:
+            body = json.dumps(fakes.CHAT).encode()
+            return await exchanges.send(port, exchanges.make_request(CHAT_PATH, body))
+
+    assert asyncio.run(run()).count(b"HTTP/1.1") == 1
+
+
+async def open_idle(port):
+    """Return how many of many idle connections at once are turned away."""
+    opened = await asyncio.gather(
+        *(asyncio.open_connection("127.0.0.1", port) for _ in range(IDLE_COUNT))
+    )
+    reads = [asyncio.create_task(reader.read()) for reader, _ in opened]
+    wanted_count = IDLE_COUNT - CONNECTION_LIMIT
+    async with asyncio.timeout(exchanges.REPLY_LIMIT_S):
+        while sum(read.done() for read in reads) < wanted_count:
+            await asyncio.wait(reads, timeout=0.1)
+    answered = [read.result() for read in reads if read.done()]
+    for read in reads:
+        read.cancel()
+    for _, writer in opened:
+        writer.close()
+    for data in answered:
+        exchanges.check(data)
+    return sum(b"too_many_connections" in data for data in answered)
+
+
+@pytest.mark.parametrize(
+    "loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop]
+)
+def test_idle_connections_over_the_limit_are_turned_away(loop_factory):
+    async def run():
+        given = fakes.make_ports(max_connections=CONNECTION_LIMIT)
+        async with exchanges.listening(given) as port:
+            return await open_idle(port)
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        assert runner.run(run()) == IDLE_COUNT - CONNECTION_LIMIT
+
+
+def test_a_slow_reader_holds_the_writer_and_is_cut():
+    async def run():
+        seen = asyncio.get_running_loop().create_future()
+
+        async def flood(call, sink):
+            try:
+                for _ in range(PIECES_COUNT):
+                    await sinks.write(sink, PIECE)
+            finally:
+                seen.set_result((sink.size_bytes, sink.cut))
+            return result.Success(ports.Answer(200, "", b"", streamed=True))
+
+        given = fakes.make_ports(run=flood, write_timeout_s=0.2)
+        async with exchanges.listening(given) as port:
+            _, writer = await asyncio.open_connection("127.0.0.1", port, limit=1_024)
+            body = json.dumps(fakes.CHAT).encode()
+            writer.write(exchanges.make_request(CHAT_PATH, body))
+            found = await asyncio.wait_for(seen, exchanges.REPLY_LIMIT_S)
+            writer.close()
+            with contextlib.suppress(ConnectionError):
+                await writer.wait_closed()
+            return found
+
+    size_bytes, cut = asyncio.run(run())
+    assert cut
+    assert size_bytes < len(PIECE) * PIECES_COUNT // 4
