--- a/hickoryweir/policy/tests/test_invariants.py
+++ b/hickoryweir/policy/tests/test_invariants.py
@@ -34,7 +34,7 @@
         for name, (tier, idempotent) in CLASSES.items()
     ]
     engines = [
-        examples.engine(f"e{n}", zone, max_concurrency=2)
+        examples.engine(f"e{n}", zone, max_concurrency=4)
         for n, zone in enumerate("abc")
     ]
     return examples.configuration(classes, engines)
@@ -223,7 +223,7 @@
 
 
 PolicyMachine.TestCase.settings = hypothesis.settings(
-    max_examples=60,
+    max_examples=100,
     stateful_step_count=40,
     derandomize=True,
     database=None,
