--- a/hickoryweir/callers/server.py
+++ b/hickoryweir/callers/server.py
@@ -228,7 +228,9 @@
 
 
 async def reload_on_change(
-    context: ssl.SSLContext, limits: settings.Callers, interval_s: float
+    context: ssl.SSLContext,
+    limits: settings.Callers | settings.Operators,
+    interval_s: float,
 ) -> None:
     """Load certificate and key again whenever either file changes."""
     files = (limits.certificate_file, limits.key_file)
--- a/hickoryweir/cli/processes.py
+++ b/hickoryweir/cli/processes.py
@@ -3,7 +3,6 @@
 Modules are imported when a command needs them, so that the others start fast.
 """
 
-import importlib
 import pathlib
 
 from returns import result
@@ -17,7 +16,8 @@
     loaded = settings.load(path)
     if not isinstance(loaded, result.Success):
         return files.report(loaded.failure())
-    daemon = importlib.import_module("hickoryweir.daemon.main")
+    from hickoryweir.daemon import main as daemon
+
     return daemon.serve(loaded.unwrap())
 
 
@@ -25,7 +25,8 @@
     kind: str, name: str, serves: tuple[str, ...], host: str, port: int
 ) -> int:
     """Run a stand-in until it is told to stop."""
-    daemons = importlib.import_module("hickoryweir.testing.daemons")
+    from hickoryweir.testing import daemons
+
     app = daemons.make_app(daemons.StandIn(kind), name, serves)
     daemons.serve(app, host, port)
     return exits.ExitCode.SUCCESS
@@ -38,7 +39,8 @@
     json_path: pathlib.Path | None,
 ) -> int:
     """Run experiments on virtual time and print the table."""
-    experiments = importlib.import_module("hickoryweir.load.main")
+    from hickoryweir.load import main as experiments
+
     arguments = experiments.Arguments(
         scenarios, policies, seed_count, json_path=json_path
     )
--- a/hickoryweir/operators/server.py
+++ b/hickoryweir/operators/server.py
@@ -1,13 +1,15 @@
 """The listening socket of the operators' port."""
 
+import asyncio
 import dataclasses
-import ssl
 
 from aiohttp import web
 
+from hickoryweir.callers import server as callers_server
 from hickoryweir.configuration import settings
 
 SHUTDOWN_TIMEOUT_S = 5.0
+RELOAD_INTERVAL_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,9 +19,14 @@
     runner: web.AppRunner
     host: str
     port: int
+    tasks: tuple[asyncio.Task, ...] = ()
 
 
-async def start(app: web.Application, limits: settings.Operators) -> Running:
+async def start(
+    app: web.Application,
+    limits: settings.Operators,
+    reload_interval_s: float = RELOAD_INTERVAL_S,
+) -> Running:
     """Listen on the operators' port.
 
     Parameters
@@ -27,7 +34,9 @@
     app : web.Application
         From :func:`hickoryweir.operators.app.make_app`.
     limits : settings.Operators
-        Address and certificate files.
+        Address and certificate files; changed files are loaded again.
+    reload_interval_s : float, optional
+        How often the files are looked at.
 
     Returns
     -------
@@ -41,23 +50,22 @@
     """
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
     await runner.setup()
-    site = web.TCPSite(
-        runner, limits.host, limits.port, ssl_context=_make_context(limits)
-    )
+    context = None
+    tasks = ()
+    if not limits.plain_text:
+        context = callers_server.make_tls_context(
+            limits.certificate_file, limits.key_file
+        )
+        watch = callers_server.reload_on_change(context, limits, reload_interval_s)
+        tasks = (asyncio.create_task(watch),)
+    site = web.TCPSite(runner, limits.host, limits.port, ssl_context=context)
     await site.start()
     host, port = runner.addresses[0][:2]
-    return Running(runner, host, port)
+    return Running(runner, host, port, tasks)
 
 
 async def stop(running: Running) -> None:
     """Stop listening and end the requests that are running."""
+    for task in running.tasks:
+        task.cancel()
     await running.runner.cleanup()
-
-
-def _make_context(limits: settings.Operators) -> ssl.SSLContext | None:
-    if limits.plain_text:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.minimum_version = ssl.TLSVersion.TLSv1_2
-    context.load_cert_chain(limits.certificate_file, limits.key_file)
-    return context
