--- a/hickoryweir/cli/main.py
+++ b/hickoryweir/cli/main.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import os
 import pathlib
 import sys
 from typing import Annotated
@@ -89,9 +90,15 @@
     arguments : list of str, optional
         Arguments without the program's name; those of the process if None.
     """
-    code = cappa.invoke(
-        Hickoryweir,
-        argv=sys.argv[1:] if arguments is None else arguments,
-        version=hickoryweir.__version__,
-    )
+    try:
+        code = cappa.invoke(
+            Hickoryweir,
+            argv=sys.argv[1:] if arguments is None else arguments,
+            version=hickoryweir.__version__,
+        )
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader has seen enough; nothing is left to flush at exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = exits.ExitCode.SUCCESS
     sys.exit(int(code))
--- a/hickoryweir/operators/tests/test_server.py
+++ b/hickoryweir/operators/tests/test_server.py
@@ -4,9 +4,10 @@
 import datetime
 import ipaddress
 
+import cryptography.hazmat.primitives.serialization as serialization
 from aiohttp import web
 from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives import hashes
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509 import oid
 
