--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -80,6 +80,7 @@
     followers = backends.make_followers(made_dispatcher, engine_session)
     made_attempts = attempts.Backends(
         find_server=followers.servers.get,
+        find_lookup_path=lambda name: followers.lookup_paths.get(name, ""),
         engines=engine_session,
         services=service_session,
         gateway=made_gateway,
@@ -217,11 +218,13 @@
 
 
 async def send_digests(process: parts.Process) -> None:
-    """Give this router's digest to the peer routers' node."""
+    """Give this router's digest to the others and watch the servers it uses."""
     while True:
         await asyncio.sleep(DIGEST_INTERVAL_S)
         digest = inspection.digest(process.dispatcher.core)
         process.router.offer_digest(digest)
+        names = inspection.used_servers(process.dispatcher.core)
+        backends.watch(process.backends, names)
 
 
 async def follow_log(process: parts.Process) -> None:
