Tests of the TLS handshake's limit and of connections amid their handshake

Change: two tests over TLS; a connection that never begins its handshake is cut, and one that has not finished it counts against the limit.

--- a/hickoryweir/callers/tests/test_tls.py
+++ b/hickoryweir/callers/tests/test_tls.py
@@ -13,7 +13,7 @@
 from cryptography.x509 import oid
 
 from hickoryweir.callers import server
-from hickoryweir.callers.tests import fakes
+from hickoryweir.callers.tests import exchanges, fakes
 
 DAY = datetime.timedelta(days=1)
 
@@ -44,11 +44,12 @@
     return certificate.public_bytes(serialization.Encoding.DER)
 
 
-def make_ports(folder):
+def make_ports(folder, **limits):
     return fakes.make_ports(
         plain_text=False,
         certificate_file=folder / "callers.crt",
         key_file=folder / "callers.key",
+        **limits,
     )
 
 
@@ -124,3 +125,35 @@
     before, shown, second = asyncio.run(run())
     assert before == first
     assert shown == second
+
+
+def test_a_handshake_that_never_begins_is_cut(tmp_path):
+    write_certificate(tmp_path, "first")
+
+    async def run():
+        given = make_ports(tmp_path, body_timeout_s=0.2)
+        async with exchanges.listening(given) as port:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            with contextlib.suppress(ConnectionError):
+                await asyncio.wait_for(reader.read(), exchanges.REPLY_LIMIT_S)
+            writer.close()
+
+    asyncio.run(run())
+
+
+def test_a_connection_amid_its_handshake_counts(tmp_path):
+    write_certificate(tmp_path, "first")
+
+    async def run():
+        given = make_ports(tmp_path, max_connections=1)
+        async with exchanges.listening(given) as port:
+            _, silent = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", port, ssl=trusting_context()
+            )
+            received = await exchanges.receive(reader, exchanges.REPLY_LIMIT_S)
+            writer.close()
+            silent.close()
+            return received
+
+    assert b"too_many_connections" in asyncio.run(run())
