One digest of keys, checks of callers apart, the core's counters on /metrics

Change: configuration/key_digests.py for both ports, callers/checks.py, a collector over the policy core's counters. Conclusion: wasted work is on /metrics as hickoryweir_policy_wasted_tokens_total.

--- a/hickoryweir/callers/authentication.py
+++ b/hickoryweir/callers/authentication.py
@@ -6,8 +6,8 @@
 
 Examples
 --------
->>> from hickoryweir.configuration import model
->>> digest = digest_key("secret")
+>>> from hickoryweir.configuration import key_digests, model
+>>> digest = key_digests.digest_key("secret")
 >>> school = model.Account("school", (digest,), ("balance",), 1, 1, 1, 1, 1)
 >>> directory = make_directory((school,))
 >>> authenticate(directory, "Bearer secret").unwrap().name
@@ -21,7 +21,7 @@
 
 from returns import result
 
-from hickoryweir.configuration import model
+from hickoryweir.configuration import key_digests, model
 from hickoryweir.outcomes import refusals
 
 SECRET_SIZE_BYTES = 32
@@ -44,11 +44,6 @@
     credentials: dict[bytes, Credential]
 
 
-def digest_key(key: str) -> str:
-    """Return the digest under which a key is stored: SHA-256, lower-case hex."""
-    return hashlib.sha256(key.encode(errors="surrogateescape")).hexdigest()
-
-
 def index_digest(secret: bytes, key_digest: str) -> bytes:
     """Return the position of a key digest in a directory."""
     return hashlib.blake2b(key_digest.encode(), key=secret, digest_size=16).digest()
@@ -100,7 +95,7 @@
                 "send Authorization: Bearer KEY",
             )
         )
-    key_digest = digest_key(header[len(SCHEME) :].strip())
+    key_digest = key_digests.digest_key(header[len(SCHEME) :].strip())
     found = directory.credentials.get(index_digest(directory.secret, key_digest))
     if found is None or not hmac.compare_digest(found.key_digest, key_digest):
         return result.Failure(
--- /dev/null
+++ b/hickoryweir/callers/checks.py
@@ -0,0 +1,191 @@
+"""Checks a caller's request step by step; each step gives a value or a refusal.
+
+The key is checked before the body is read; then come the body's size and shape,
+the model or plain service, the class and the idempotency key.
+"""
+
+import asyncio
+import dataclasses
+import re
+import secrets
+import time
+import uuid
+from collections.abc import Callable
+
+from aiohttp import web
+from returns import result
+
+from hickoryweir.callers import authentication, classes, ports, requests
+from hickoryweir.configuration import model
+from hickoryweir.outcomes import refusals
+
+PORTS = web.AppKey("ports", ports.Ports)
+REQUEST_ID = web.RequestKey("request_id", str)
+REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+CALL_ID_SIZE_BYTES = 8
+Parse = Callable[[bytes], result.Result[requests.Prompt, refusals.Refusal]]
+Checked = result.Result[requests.CallerRequest, refusals.Refusal]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """The configuration in force and the caller's account."""
+
+    configuration: model.Configuration
+    account: model.Account
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Content:
+    """What a request carries; ``received_at_s`` is monotonic."""
+
+    path: str
+    body: bytes
+    prompt: requests.Prompt | None
+    received_at_s: float
+
+
+def request_id_of(request: web.Request) -> str:
+    """Return the caller's request id if it is well formed, else a new one."""
+    if REQUEST_ID not in request:
+        given = request.headers.get("X-Request-Id", "")
+        fits = REQUEST_ID_PATTERN.fullmatch(given)
+        request[REQUEST_ID] = given if fits else uuid.uuid4().hex
+    return request[REQUEST_ID]
+
+
+def refuse_body_size(given: ports.Ports) -> refusals.Refusal:
+    """Return the refusal of a body over the limit."""
+    limit = given.limits.max_body_size_bytes
+    message = f"the body is larger than {limit} bytes"
+    return refusals.make_refusal(refusals.Reason.BODY_TOO_LARGE, message)
+
+
+async def read_body(request: web.Request) -> result.Result[bytes, refusals.Refusal]:
+    """Return the body, or the refusal of one that is too large or too slow."""
+    given = request.app[PORTS]
+    declared_size_bytes = request.content_length or 0
+    if declared_size_bytes > given.limits.max_body_size_bytes:
+        return result.Failure(refuse_body_size(given))
+    try:
+        async with asyncio.timeout(given.limits.body_timeout_s):
+            return result.Success(await request.read())
+    except TimeoutError:
+        message = f"the body took longer than {given.limits.body_timeout_s} s"
+        reason = refusals.Reason.CLIENT_TOO_SLOW
+        return result.Failure(refusals.make_refusal(reason, message))
+
+
+def check_entry(request: web.Request) -> result.Result[Entry, refusals.Refusal]:
+    """Return configuration and account, before the body is read."""
+    in_force = request.app[PORTS].in_force()
+    if in_force is None:
+        message = "no configuration is in force here yet"
+        reason = refusals.Reason.NOT_READY
+        return result.Failure(refusals.make_refusal(reason, message, 1.0))
+    header = request.headers.get("Authorization")
+    account = authentication.authenticate(in_force.directory, header)
+    return account.map(lambda found: Entry(in_force.configuration, found))
+
+
+async def check_model(request: web.Request, parse: Parse) -> Checked:
+    """Return the checked request for a model engine."""
+    received_at_s = time.monotonic()
+    entry = check_entry(request)
+    if not isinstance(entry, result.Success):
+        return entry
+    read = await read_body(request)
+    if not isinstance(read, result.Success):
+        return read
+    body = read.unwrap()
+    parsed = parse(body)
+    if not isinstance(parsed, result.Success):
+        return parsed
+    prompt = parsed.unwrap()
+    found = find_model(entry.unwrap().configuration, prompt)
+    if not isinstance(found, result.Success):
+        return found
+    target = classes.Destination(model.Target.MODEL, prompt.model_name)
+    content = Content(request.path, body, prompt, received_at_s)
+    return make_request(request, entry.unwrap(), target, content)
+
+
+async def check_service(request: web.Request) -> Checked:
+    """Return the checked request for a plain service."""
+    received_at_s = time.monotonic()
+    service_name = request.match_info["service"]
+    entry = check_entry(request)
+    if not isinstance(entry, result.Success):
+        return entry
+    services = entry.unwrap().configuration.services
+    if all(service.name != service_name for service in services):
+        reason = refusals.Reason.SERVICE_UNKNOWN
+        return result.Failure(refusals.make_refusal(reason, "no such service"))
+    read = await read_body(request)
+    if not isinstance(read, result.Success):
+        return read
+    target = classes.Destination(model.Target.SERVICE, service_name)
+    path = service_path(request.rel_url.raw_path)
+    content = Content(path, read.unwrap(), None, received_at_s)
+    return make_request(request, entry.unwrap(), target, content)
+
+
+def find_model(
+    configuration: model.Configuration, prompt: requests.Prompt
+) -> result.Result[model.Model, refusals.Refusal]:
+    """Return the model that a prompt names."""
+    for candidate in configuration.models:
+        if candidate.name == prompt.model_name:
+            return result.Success(candidate)
+    return result.Failure(
+        refusals.make_refusal(refusals.Reason.MODEL_UNKNOWN, "no such model")
+    )
+
+
+def service_path(raw_path: str) -> str:
+    """Return the encoded path behind ``/services/{service}``.
+
+    Examples
+    --------
+    >>> service_path("/services/top-ups/a%20b/c")
+    '/a%20b/c'
+    """
+    return "/" + raw_path.split("/", 3)[3]
+
+
+def make_request(
+    request: web.Request,
+    entry: Entry,
+    destination: classes.Destination,
+    content: Content,
+) -> Checked:
+    """Return the request with its class, if the account may use it."""
+    account = entry.account
+    header = request.headers.get("X-Request-Class")
+    found = classes.find_class(entry.configuration, account, header, destination)
+    if not isinstance(found, result.Success):
+        return found
+    request_class = found.unwrap()
+    key = request.headers.get("Idempotency-Key", "")
+    if not request_class.idempotent and not key:
+        message = f"class {request_class.name} needs an Idempotency-Key"
+        reason = refusals.Reason.IDEMPOTENCY_KEY_MISSING
+        return result.Failure(refusals.make_refusal(reason, message))
+    mark = requests.fingerprint(account.name, content.path, content.body)
+    return result.Success(
+        requests.CallerRequest(
+            call_id=f"{request_id_of(request)}.{secrets.token_hex(CALL_ID_SIZE_BYTES)}",
+            request_id=request_id_of(request),
+            request_class=request_class,
+            account=account,
+            method=request.method,
+            path=content.path,
+            query=request.rel_url.raw_query_string,
+            headers=tuple(request.headers.items()),
+            body=content.body,
+            prompt=content.prompt,
+            fingerprint=mark,
+            idempotency_key=key,
+            received_at_s=content.received_at_s,
+        )
+    )
--- a/hickoryweir/callers/tests/fakes.py
+++ b/hickoryweir/callers/tests/fakes.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from hickoryweir.callers import authentication, ports, server
-from hickoryweir.configuration import model, settings
+from hickoryweir.configuration import key_digests, model, settings
 from hickoryweir.observability import metrics
 
 KEY = "secret-of-school"
@@ -37,7 +37,7 @@
 
 
 def make_configuration():
-    digest = authentication.digest_key(KEY)
+    digest = key_digests.digest_key(KEY)
     return model.Configuration(
         customer="test",
         digest="",
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -27,6 +27,7 @@
     retention,
     status,
 )
+from hickoryweir.daemon import decisions as daemon_decisions
 from hickoryweir.engines import sessions
 from hickoryweir.observability import logs, metrics
 from hickoryweir.operators import app
@@ -72,6 +73,7 @@
         given.process.name, given.process.availability_zone
     )
     made_dispatcher = dispatcher.make_dispatcher(core_settings, EMPTY, counters)
+    daemon_decisions.expose(made_dispatcher.core, counters)
     made_gateway = gateway.make_gateway(
         log_access.make_propose(log), time.monotonic, given.process.name
     )
--- a/hickoryweir/observability/metrics.py
+++ b/hickoryweir/observability/metrics.py
@@ -25,7 +25,6 @@
     retries: prometheus_client.Counter
     attainment: prometheus_client.Counter
     output_tokens: prometheus_client.Counter
-    wasted_tokens: prometheus_client.Counter
     claims: prometheus_client.Counter
     operator_refusals: prometheus_client.Counter
     configuration_version: prometheus_client.Gauge
@@ -84,7 +83,6 @@
             "attainment", "Answered calls by class and target met.", "class", "met"
         ),
         output_tokens=counter("output_tokens", "Tokens sent to callers.", "class"),
-        wasted_tokens=counter("wasted_tokens", "Tokens not used, by cause.", "cause"),
         claims=counter("claims", "Claim verdicts.", "verdict"),
         operator_refusals=counter(
             "operator_refusals", "Refusals of operators' requests.", "reason"
--- a/hickoryweir/operators/authentication.py
+++ b/hickoryweir/operators/authentication.py
@@ -2,31 +2,25 @@
 
 Examples
 --------
->>> from hickoryweir.configuration import settings
+>>> from hickoryweir.configuration import key_digests, settings
 >>> read = settings.Permission.READ
->>> ann = settings.Operator("ann", (digest_key("k"),), (read,))
+>>> ann = settings.Operator("ann", (key_digests.digest_key("k"),), (read,))
 >>> authenticate((ann,), "Bearer k", read).unwrap()
 'ann'
 >>> authenticate((ann,), "Bearer x", read).failure().reason
 <Reason.AUTHENTICATION_INVALID: 'authentication_invalid'>
 """
 
-import hashlib
 import hmac
 
 from returns import result
 
-from hickoryweir.configuration import settings
+from hickoryweir.configuration import key_digests, settings
 from hickoryweir.operators import documents
 
 SCHEME = "Bearer "
 
 
-def digest_key(key: str) -> str:
-    """Return the SHA-256 of a key as lower-case hex."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 def authenticate(
     operators: tuple[settings.Operator, ...],
     header: str | None,
@@ -50,7 +44,7 @@
     """
     if header is None or not header.startswith(SCHEME):
         return _refuse(documents.Reason.AUTHENTICATION_MISSING, "no bearer key")
-    shown = digest_key(header.removeprefix(SCHEME))
+    shown = key_digests.digest_key(header.removeprefix(SCHEME))
     found = [
         operator
         for operator in operators
--- a/hickoryweir/operators/tests/test_port.py
+++ b/hickoryweir/operators/tests/test_port.py
@@ -9,7 +9,14 @@
 import pytest
 from returns import result
 
-from hickoryweir.configuration import change_ids, changes, commands, queries, settings
+from hickoryweir.configuration import (
+    change_ids,
+    changes,
+    commands,
+    key_digests,
+    queries,
+    settings,
+)
 from hickoryweir.operators import (
     app,
     authentication,
@@ -64,10 +71,10 @@
 
 def make_ports(log):
     everything = tuple(settings.Permission)
-    ann = settings.Operator("ann", (authentication.digest_key("k-ann"),), everything)
-    bob = settings.Operator("bob", (authentication.digest_key("k-bob"),), everything)
+    ann = settings.Operator("ann", (key_digests.digest_key("k-ann"),), everything)
+    bob = settings.Operator("bob", (key_digests.digest_key("k-bob"),), everything)
     reader = settings.Operator(
-        "eve", (authentication.digest_key("k-eve"),), (settings.Permission.READ,)
+        "eve", (key_digests.digest_key("k-eve"),), (settings.Permission.READ,)
     )
     return service.Ports(
         operators=(ann, bob, reader),
@@ -237,3 +244,8 @@
     cls = documents.StatusDocument
     failure = asyncio.run(client.request(access, "GET", "/status", cls)).failure()
     assert len(failure.errors) == 1
+
+
+def test_a_key_that_is_not_utf_8_is_refused():
+    found = authentication.authenticate((), "Bearer \udcff", settings.Permission.READ)
+    assert found.failure().reason is documents.Reason.AUTHENTICATION_INVALID
