--- /dev/null
+++ b/hickoryweir/tests/test_promises.py
@@ -0,0 +1,26 @@
+"""Each test that the page of promises names exists."""
+
+import pathlib
+import re
+
+import hickoryweir
+
+ROOT = pathlib.Path(hickoryweir.__file__).parents[1]
+
+
+def test_named_tests_exist():
+    page = (ROOT / "docs" / "promises.md").read_text()
+    named = set(re.findall(r"`(test_[a-z0-9_]+)`", page))
+    files = [*ROOT.glob("hickoryweir/**/test_*.py"), *ROOT.glob("spec/tests/*.py")]
+    code = "\n".join(path.read_text() for path in files)
+    assert named
+    assert [name for name in sorted(named) if f"def {name}(" not in code] == []
+
+
+def test_links_between_pages_lead_somewhere():
+    broken = []
+    for page in [*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")]:
+        for link in re.findall(r"\]\(([^)#:]+\.(?:md|txt))\)", page.read_text()):
+            if link != "KNOWN-RED.txt" and not (page.parent / link).exists():
+                broken.append(f"{page.name}: {link}")
+    assert broken == []
