Poison requests cost at most three backend servers over real routers

News of suspects took up to 3 s: digests waited for a period at each hop and for the bound of bytes; each router counted its own crashes only; two routers ran the same suspect at once; a resend at a third router ran before the news. Ruled out: the quarantine itself, which held at the router that saw the crashes. Change: news of suspects and quarantine goes at once, first, and on credit; a peer's crash counts; one router at a time runs a suspect; a peer's suspect that arrives waits 0.6 s. The drill also plans stops of backend servers and waits for a restarted entry VM before it goes on (SIGTERM before the handler gave code -15).

--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -44,6 +44,7 @@
 GATEWAY_CLOSE_TIMEOUT_S = 5.0
 MAX_DIGESTS_COUNT = 1_000
 DIGEST_INTERVAL_S = 0.5
+DIGEST_CHECK_INTERVAL_S = 0.05
 
 LEAVING = decisions.VmState.LEAVING
 EMPTY = model.Configuration("", "", (), (), (), (), (), (), 0.0, 0.0)
@@ -221,9 +222,17 @@
 
 async def send_digests(process: parts.Process) -> None:
     """Give this router's digest to the others and watch the servers it uses."""
+    offered_at_s = float("-inf")
+    marks = None
     while True:
-        await asyncio.sleep(DIGEST_INTERVAL_S)
+        await asyncio.sleep(DIGEST_CHECK_INTERVAL_S)
         digest = inspection.digest(process.dispatcher.core)
+        found = (digest.suspects, digest.quarantined, digest.suspects_placed)
+        is_due = time.monotonic() >= offered_at_s + DIGEST_INTERVAL_S
+        if not is_due and found == marks:
+            continue
+        offered_at_s = time.monotonic()
+        marks = found
         process.router.offer_digest(digest)
         names = inspection.used_servers(process.dispatcher.core)
         backends.watch(process.backends, names)
--- a/hickoryweir/policy/core.py
+++ b/hickoryweir/policy/core.py
@@ -103,6 +103,7 @@
     recovery.earn(core)
     rescue.earn(core)
     call.provider = providers.choose(core, call)
+    call.ready_s = poison.ready_s(core, event.fingerprint, now_s)
     admission.take_in(core, call)
     heapq.heappush(core.deadlines, (event.deadline_s, event.request_id))
     return scheduling.serve(core, pool, now_s)
--- a/hickoryweir/policy/poison.py
+++ b/hickoryweir/policy/poison.py
@@ -31,9 +31,19 @@
     return suspect.crashes >= 2 or suspect.tokens < ISOLATED_BELOW_TOKENS
 
 
-def note_crash(server: state.Server) -> None:
-    """Note how many suspects a crash hit; called before its calls are ended."""
-    server.crash_group = len(server.suspects) + server.peers_suspects
+def note_crash(core: state.Core, server: state.Server) -> None:
+    """Note how many suspects a crash hit; called before its calls are ended.
+
+    The same fingerprint at several routers is one suspect.
+    """
+    hit = set(server.suspects)
+    for peer in core.peers.values():
+        hit.update(
+            fingerprint
+            for fingerprint, place in peer.digest.suspects_placed
+            if place == server.backend.name
+        )
+    server.crash_group = len(hit)
 
 
 def note_victim(
@@ -49,13 +59,14 @@
         return
     suspect = core.suspects.pop(fingerprint, None)
     if suspect is None:
-        suspect = state.Suspect(int(fingerprint in core.peer_suspects), now_s)
+        suspect = state.Suspect(0, now_s)
     suspect.crashes += 1
+    crashes = suspect.crashes + int(fingerprint in core.peer_suspects)
     suspect.seen_s = now_s
     suspect.tokens = call.tokens_kept + attempt.tokens
     core.suspects[fingerprint] = suspect
     alone = fingerprint in server.suspects and server.crash_group <= 1
-    if suspect.crashes >= CRASHES_MAX or (suspect.crashes == 2 and alone):
+    if crashes >= CRASHES_MAX or (crashes == 2 and alone):
         quarantine(core, fingerprint, now_s)
     _bound(core.suspects)
 
@@ -102,6 +113,28 @@
     return [c for c in core.calls.values() if c.arrived.fingerprint in fresh]
 
 
+def is_anothers(core: state.Core, pool: state.Pool, fingerprint: str) -> bool:
+    """Return whether a router before this one waits to run the same suspect.
+
+    One router at a time runs a suspect, the first by name.
+    """
+    waiting = (fingerprint, pool.name)
+    return any(
+        waiting in peer.digest.suspects_placed
+        for router, peer in core.peers.items()
+        if router < core.settings.router
+    )
+
+
+def ready_s(core: state.Core, fingerprint: str, now_s: float) -> float:
+    """Return when a call that arrives may be sent.
+
+    A peer's suspect waits until a quarantine there would be known here.
+    """
+    held = fingerprint in core.peer_suspects
+    return now_s + HOLD_S * held
+
+
 def placed(core: state.Core) -> list[tuple[str, str]]:
     """Return the isolated suspects at hand, with their server or model name."""
     found = [
--- a/hickoryweir/policy/recovery.py
+++ b/hickoryweir/policy/recovery.py
@@ -124,7 +124,7 @@
         server.failures_in_row += 1
         pause_s = DOWN_MIN_S * 2 ** min(server.failures_in_row - 1, 8)
         server.down_until_s = now_s + min(pause_s, DOWN_MAX_S)
-        poison.note_crash(server)
+        poison.note_crash(core, server)
         affinity.clear(server)
     if cause is events.FailureCause.CRASHED:
         poison.note_victim(core, server, call, attempt, now_s)
--- a/hickoryweir/policy/scheduling.py
+++ b/hickoryweir/policy/scheduling.py
@@ -130,6 +130,8 @@
         return None
     if fingerprint in core.running or fingerprint in core.peer_placed:
         return None
+    if poison.is_anothers(core, pool, fingerprint):
+        return None
     top = placement.is_top(core, pool, call.request_class)
     server = core.servers[name]
     occupied = load.occupancy(server, now_s)
--- a/hickoryweir/policy/tests/test_mechanisms.py
+++ b/hickoryweir/policy/tests/test_mechanisms.py
@@ -341,3 +341,51 @@
     for step in range(100):
         done += core.handle(it, events.Ticked(), 0.5 + step * 0.05)
     assert [item.request_id for item in sent(done)] == ["r1"]
+
+
+def tell(it, router, now_s, suspects=(), placed=(), quarantined=()):
+    digest = events.PeerDigestReceived(
+        router, "b", (), suspects, quarantined, (), (), placed
+    )
+    return core.handle(it, digest, now_s)
+
+
+def run_until(it, since_s, until_s):
+    steps = int((until_s - since_s) / 0.05)
+    done = []
+    for step in range(steps):
+        done += core.handle(it, events.Ticked(), since_s + step * 0.05)
+    return done
+
+
+def crash_first(it):
+    """Let a call crash its first backend server at 0.1 s, with a peer known."""
+    tell(it, "router-9", 0.0)
+    arrive(it, "r1")
+    core.handle(it, events.AttemptFailed("r1", 1, CRASHED, MAYBE, 0), 0.1)
+
+
+def test_one_router_at_a_time_runs_a_suspect_of_several():
+    it = make([examples.request_class("balance")], ["e1", "e2", "e3"], "router-2")
+    crash_first(it)
+    tell(it, "router-1", 0.2, ("r1",), (("r1", "assistant"),))
+    assert sent(run_until(it, 0.3, 2.0)) == []
+    done = tell(it, "router-1", 2.0) + run_until(it, 2.1, 3.0)
+    assert len(sent(done)) == 1
+
+
+def test_a_peers_crash_counts_towards_the_quarantine():
+    it = make([examples.request_class("balance")], ["e1", "e2", "e3"])
+    crash_first(it)
+    tell(it, "router-2", 0.2, ("r1",))
+    assert len(sent(run_until(it, 0.3, 2.0))) == 1
+    done = core.handle(it, events.AttemptFailed("r1", 2, CRASHED, MAYBE, 0), 2.0)
+    assert refused(done)["r1"].reason is refusals.Reason.QUARANTINED
+
+
+def test_a_peers_suspect_that_arrives_waits_for_news_of_its_quarantine():
+    it = make([examples.request_class("balance")], ["e1", "e2", "e3"])
+    tell(it, "router-2", 0.0, ("r1",))
+    assert sent(arrive(it, "r1", now_s=0.1)) == []
+    done = tell(it, "router-2", 0.3, quarantined=("r1",))
+    assert refused(done)["r1"].reason is refusals.Reason.QUARANTINED
--- a/hickoryweir/routers/digests.py
+++ b/hickoryweir/routers/digests.py
@@ -20,17 +20,26 @@
 SMALL_CLUSTER_COUNT = 16
 MAX_CREDIT_PERIODS = 2
 MAX_DIGEST_SIZE_BYTES = 4096
+FRESH_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
 class State:
-    """The newest digest of each router, and when it came."""
+    """The newest digest of each router, and when it came.
+
+    ``marked_at_s`` holds when a router's suspects or quarantine last changed.  While
+    such news is fresh it goes first, and neither the period nor the bound of bytes
+    holds it up; later digests make up for the bytes.  ``is_urgent`` says that some
+    was taken since digests were last sent.
+    """
 
     known: dict[str, tuple[messages.RouterDigest, float]] = dataclasses.field(
         default_factory=dict
     )
     sequence: int = 0
     sent_at_s: float = float("-inf")
+    is_urgent: bool = False
+    marked_at_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def lost_s(layout: topology.Layout) -> float:
@@ -59,7 +68,22 @@
         running_top=event.running_top,
         suspects_placed=event.suspects_placed,
     )
-    state.known[event.router] = (digest, now_s)
+    _keep(state, digest, now_s, now_s)
+
+
+def _keep(
+    state: State, digest: messages.RouterDigest, at_s: float, now_s: float
+) -> None:
+    known = state.known.get(digest.router)
+    before = ((), (), ()) if known is None else _marks(known[0])
+    if _marks(digest) != before:
+        state.is_urgent = True
+        state.marked_at_s[digest.router] = now_s
+    state.known[digest.router] = (digest, at_s)
+
+
+def _marks(digest: messages.RouterDigest) -> tuple[tuple, tuple, tuple]:
+    return digest.suspects, digest.quarantined, digest.suspects_placed
 
 
 def take(
@@ -75,7 +99,7 @@
             continue
         known = state.known.get(digest.router)
         if known is None or _order(digest) > _order(known[0]):
-            state.known[digest.router] = (digest, now_s - digest.age_s)
+            _keep(state, digest, now_s - digest.age_s, now_s)
             taken.append(_to_event(digest))
     return taken
 
@@ -112,10 +136,13 @@
     """
     layout = router.layout
     lost = _drop_lost(state, layout, now_s)
-    if now_s < state.sent_at_s + PERIOD_S or not router.links:
+    since_s = min(now_s - state.sent_at_s, PERIOD_S)
+    is_due = state.is_urgent or since_s >= PERIOD_S
+    if not is_due or not router.links:
         return lost, []
     state.sent_at_s = now_s
-    share_bytes = BUDGET_BYTES_PER_S * PERIOD_S / len(router.links)
+    state.is_urgent = False
+    share_bytes = BUDGET_BYTES_PER_S * since_s / len(router.links)
     is_small = layout.member_count <= SMALL_CLUSTER_COUNT
     known = _newest_first(state, now_s)
     batches = []
@@ -123,7 +150,10 @@
         credit_bytes = link.digest_credit_bytes + share_bytes
         link.digest_credit_bytes = min(credit_bytes, MAX_CREDIT_PERIODS * share_bytes)
         whole = is_small or peer in layout.zone_names
-        batch = _batch(known, link, peer, whole)
+        fresh = {
+            name for name, at_s in state.marked_at_s.items() if now_s - at_s < FRESH_S
+        }
+        batch = _batch(known, link, peer, whole, fresh)
         if batch:
             batches.append((peer, batch))
     return lost, batches
@@ -153,13 +183,20 @@
         dataclasses.replace(digest, age_s=now_s - at_s)
         for digest, at_s in state.known.values()
     ]
-    return sorted(aged, key=lambda digest: (not digest.quarantined, digest.age_s))
+    return sorted(
+        aged,
+        key=lambda digest: (-_marked_at_s(state, digest.router), digest.age_s),
+    )
+
+
+def _marked_at_s(state, router):
+    return state.marked_at_s.get(router, float("-inf"))
 
 
-def _batch(known, link, peer, whole):
+def _batch(known, link, peer, whole, fresh):
     batch = []
     for digest in known:
-        if link.digest_credit_bytes <= 0:
+        if link.digest_credit_bytes <= 0 and digest.router not in fresh:
             break
         order = _order(digest)
         if digest.router == peer or link.sent_digests.get(digest.router) == order:
@@ -177,6 +214,6 @@
 
 
 def _marks_only(digest):
-    if not (digest.suspects or digest.quarantined or digest.ejected):
+    if not (any(_marks(digest)) or digest.ejected):
         return None
     return dataclasses.replace(digest, running=(), running_top=())
--- a/hickoryweir/routers/tests/test_core.py
+++ b/hickoryweir/routers/tests/test_core.py
@@ -250,3 +250,25 @@
     assert not state.is_ready
     core.step(state, events.Adopted(5), now_s)
     assert state.is_ready
+
+
+def test_suspects_do_not_wait_for_the_period():
+    state = digests.State()
+    digests.add_local(
+        state, policy_events.PeerDigestReceived("vm-1", "a", (), (), (), ()), 1, 0.0
+    )
+    state.is_urgent = False
+    digests.add_local(
+        state,
+        policy_events.PeerDigestReceived("vm-1", "a", (("engine-1", 3),), (), (), ()),
+        1,
+        0.1,
+    )
+    assert not state.is_urgent
+    digests.add_local(
+        state,
+        policy_events.PeerDigestReceived("vm-1", "a", (), ("suspect",), (), ()),
+        1,
+        0.2,
+    )
+    assert state.is_urgent
--- a/hickoryweir/testing/drill/cluster.py
+++ b/hickoryweir/testing/drill/cluster.py
@@ -15,6 +15,7 @@
 VMS_PER_ZONE = 2
 POLL_INTERVAL_S = 0.2
 POLL_TIMEOUT_S = 1.0
+RESTART_LIMIT_S = 15.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -128,6 +129,15 @@
     cluster.running[name] = entry_vms.start(vm)
 
 
+async def wait_until_ready(cluster: Cluster, vm: entry_vms.EntryVm) -> None:
+    """Wait until an entry VM is in the balancer's list again, but not for ever."""
+    until_s = now_s() + RESTART_LIMIT_S
+    while now_s() < until_s:
+        if vm.callers_url in cluster.ready:
+            return
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
 async def stop_gracefully(cluster: Cluster, name: str) -> None:
     """Stop an entry VM by SIGTERM and keep its exit code."""
     running = cluster.running.pop(name)
--- a/hickoryweir/testing/drill/faults.py
+++ b/hickoryweir/testing/drill/faults.py
@@ -31,6 +31,12 @@
         Faults in the order they were brought about.
     busy : set of str
         Entry VMs that a fault has now.
+    configuration : model.Configuration or None
+        Accounts and classes for faults that send calls.
+    is_alone : bool
+        Whether no other fault goes on; some bounds hold only then.
+    found : list of tuple of str
+        Promise and detail of what faults saw broken by themselves.
     """
 
     cluster: clusters.Cluster
@@ -38,6 +44,9 @@
     windows: list[clusters.Window]
     names: list[str]
     busy: set[str]
+    configuration: model.Configuration | None = None
+    is_alone: bool = True
+    found: list[tuple[str, str]] = dataclasses.field(default_factory=list)
 
 
 Fault = Callable[[Drawn], Awaitable[None]]
@@ -103,6 +112,7 @@
             return
         await clusters.stop_gracefully(drawn.cluster, vm.name)
         clusters.restart(drawn.cluster, vm.name)
+        await clusters.wait_until_ready(drawn.cluster, vm)
 
 
 def draw_zones(drawn: Drawn) -> tuple[str, str]:
--- a/hickoryweir/testing/drill/main.py
+++ b/hickoryweir/testing/drill/main.py
@@ -16,7 +16,7 @@
 from hickoryweir.testing.demo import main as demo
 from hickoryweir.testing.demo import stand_ins
 from hickoryweir.testing.drill import cluster as clusters
-from hickoryweir.testing.drill import faults, oracle, workload
+from hickoryweir.testing.drill import faults, operated, oracle, workload
 
 PAUSE_S = 1.0
 PAIR_SHARE = 0.4
@@ -66,6 +66,7 @@
     drawn = faults.Drawn(cluster, random.Random(drill.seed + 1), [], [], set())
     until_s = clusters.now_s() + drill.minutes * S_PER_MINUTE
     configuration = demo.generate(answers_text)
+    drawn.configuration = configuration
     work = asyncio.gather(
         workload.run_callers(cluster, configuration, seen, generator, until_s),
         workload.run_operators(cluster, answers_text, seen, generator, until_s),
@@ -91,11 +92,13 @@
 
 async def draw_faults(drill: Drill, drawn: faults.Drawn, until_s: float) -> None:
     """Bring faults about, one or two at a time, until the time is up."""
-    choices = [fault for fault in faults.FAULTS if drill.only in ("", fault.__name__)]
+    known = (*faults.FAULTS, operated.send_poison, operated.stop_backend_server)
+    choices = [fault for fault in known if drill.only in ("", fault.__name__)]
     while clusters.now_s() < until_s:
         count = 2 if drawn.random.random() < PAIR_SHARE else 1
         chosen = drawn.random.choices(choices, k=count)
         drawn.names.append(" and ".join(fault.__name__ for fault in chosen))
+        drawn.is_alone = count == 1
         demo.say(f"fault: {drawn.names[-1]}")
         await asyncio.gather(*(fault(drawn) for fault in chosen))
         await asyncio.sleep(PAUSE_S)
--- a/hickoryweir/testing/drill/oracle.py
+++ b/hickoryweir/testing/drill/oracle.py
@@ -43,7 +43,7 @@
     list of Violation
         Empty if every promise was kept.
     """
-    found = []
+    found = [Violation(promise, detail) for promise, detail in drawn.found]
     found += find_repeated(executions)
     for history in seen.histories:
         found += judge_history(history, executions)
