--- a/hickoryweir/callers/tests/test_tls.py
+++ b/hickoryweir/callers/tests/test_tls.py
@@ -2,46 +2,19 @@
 
 import asyncio
 import contextlib
-import datetime
 import os
 import ssl
 
 import aiohttp
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509 import oid
 
 from hickoryweir.callers import server
 from hickoryweir.callers.tests import exchanges, fakes
+from hickoryweir.testing import certificates
 
-DAY = datetime.timedelta(days=1)
-
-
-def write_certificate(folder, common_name):
-    """Write a self-signed certificate and its key; return the certificate."""
-    key = ec.generate_private_key(ec.SECP256R1())
-    name = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, common_name)])
-    now = datetime.datetime.now(datetime.UTC)
-    certificate = (
-        x509.CertificateBuilder()
-        .subject_name(name)
-        .issuer_name(name)
-        .public_key(key.public_key())
-        .serial_number(x509.random_serial_number())
-        .not_valid_before(now - DAY)
-        .not_valid_after(now + DAY)
-        .sign(key, hashes.SHA256())
-    )
-    encoded_key = key.private_bytes(
-        serialization.Encoding.PEM,
-        serialization.PrivateFormat.PKCS8,
-        serialization.NoEncryption(),
-    )
-    (folder / "callers.key").write_bytes(encoded_key)
-    encoded = certificate.public_bytes(serialization.Encoding.PEM)
-    (folder / "callers.crt").write_bytes(encoded)
-    return certificate.public_bytes(serialization.Encoding.DER)
+
+def write_certificate(folder):
+    """Write a certificate of the callers' port; return it as DER."""
+    return certificates.write_certificate(folder, "callers").der
 
 
 def make_ports(folder, **limits):
@@ -78,7 +51,7 @@
 
 
 def test_calls_are_served_over_tls(tmp_path):
-    write_certificate(tmp_path, "first")
+    write_certificate(tmp_path)
 
     async def run():
         connector = aiohttp.TCPConnector(ssl=trusting_context())
@@ -93,7 +66,7 @@
 
 
 def test_plain_text_is_not_served_on_a_tls_port(tmp_path):
-    write_certificate(tmp_path, "first")
+    write_certificate(tmp_path)
 
     async def run():
         async with serving(tmp_path) as port, aiohttp.ClientSession() as session:
@@ -108,12 +81,12 @@
 
 def test_a_changed_certificate_is_shown_without_a_restart(tmp_path, monkeypatch):
     monkeypatch.setattr(server, "RELOAD_INTERVAL_S", 0.05)
-    first = write_certificate(tmp_path, "first")
+    first = write_certificate(tmp_path)
 
     async def run():
         async with serving(tmp_path) as port, asyncio.timeout(30):
             before = await shown_certificate(port)
-            second = write_certificate(tmp_path, "second")
+            second = write_certificate(tmp_path)
             for name in ("callers.crt", "callers.key"):
                 os.utime(tmp_path / name, ns=(1, 1))
             while True:
@@ -128,7 +101,7 @@
 
 
 def test_a_handshake_that_never_begins_is_cut(tmp_path):
-    write_certificate(tmp_path, "first")
+    write_certificate(tmp_path)
 
     async def run():
         given = make_ports(tmp_path, body_timeout_s=0.2)
@@ -142,7 +115,7 @@
 
 
 def test_a_connection_amid_its_handshake_counts(tmp_path):
-    write_certificate(tmp_path, "first")
+    write_certificate(tmp_path)
 
     async def run():
         given = make_ports(tmp_path, max_connections=1)
--- a/hickoryweir/operators/tests/test_server.py
+++ b/hickoryweir/operators/tests/test_server.py
@@ -1,18 +1,12 @@
 """TLS on the operators' port."""
 
 import asyncio
-import datetime
-import ipaddress
 
-import cryptography.hazmat.primitives.serialization as serialization
 from aiohttp import web
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509 import oid
 
 from hickoryweir.configuration import settings
 from hickoryweir.operators import client, documents, server
+from hickoryweir.testing import certificates
 
 HOST = "127.0.0.1"
 RELOAD_INTERVAL_S = 0.02
@@ -20,30 +14,7 @@
 
 
 def write_certificate(folder):
-    key = ec.generate_private_key(ec.SECP256R1())
-    name = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, "operators")])
-    start = datetime.datetime(2020, 1, 1)
-    address = x509.IPAddress(ipaddress.ip_address(HOST))
-    certificate = (
-        x509.CertificateBuilder()
-        .subject_name(name)
-        .issuer_name(name)
-        .public_key(key.public_key())
-        .serial_number(x509.random_serial_number())
-        .not_valid_before(start)
-        .not_valid_after(start + datetime.timedelta(days=365 * 80))
-        .add_extension(x509.SubjectAlternativeName([address]), critical=False)
-        .sign(key, hashes.SHA256())
-    )
-    pem = serialization.Encoding.PEM
-    (folder / "port.crt").write_bytes(certificate.public_bytes(pem))
-    (folder / "port.key").write_bytes(
-        key.private_bytes(
-            pem,
-            serialization.PrivateFormat.PKCS8,
-            serialization.NoEncryption(),
-        )
-    )
+    certificates.write_certificate(folder, "port", address=HOST)
 
 
 def make_app():
--- a/hickoryweir/streams/tests/test_hub.py
+++ b/hickoryweir/streams/tests/test_hub.py
@@ -2,18 +2,13 @@
 
 import asyncio
 import dataclasses
-import datetime
 
-import cryptography.hazmat.primitives.serialization as serialization
 import pytest
 import uvloop
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509 import oid
 from returns import result
 
 from hickoryweir.streams import codec, connections, handshake, hub, tls
+from hickoryweir.testing import certificates as made
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,33 +149,6 @@
     assert failure is connections.StreamFailure.QUEUE_FULL
 
 
-def make_certificate(folder, name, authority=None):
-    key = ec.generate_private_key(ec.SECP256R1())
-    subject = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, name)])
-    issuer, issuer_key = authority or (subject, key)
-    start = datetime.datetime(2020, 1, 1)
-    certificate = (
-        x509.CertificateBuilder()
-        .subject_name(subject)
-        .issuer_name(issuer)
-        .public_key(key.public_key())
-        .serial_number(x509.random_serial_number())
-        .not_valid_before(start)
-        .not_valid_after(start + datetime.timedelta(days=365 * 80))
-        .add_extension(x509.BasicConstraints(authority is None, None), critical=True)
-        .sign(issuer_key, hashes.SHA256())
-    )
-    pem = serialization.Encoding.PEM
-    (folder / f"{name}.crt").write_bytes(certificate.public_bytes(pem))
-    private = key.private_bytes(
-        pem,
-        serialization.PrivateFormat.PKCS8,
-        serialization.NoEncryption(),
-    )
-    (folder / f"{name}.key").write_bytes(private)
-    return subject, key
-
-
 def make_files(folder, name):
     return tls.TlsFiles(
         str(folder / f"{name}.crt"),
@@ -192,9 +160,9 @@
 @pytest.fixture(scope="module")
 def certificates(tmp_path_factory):
     folder = tmp_path_factory.mktemp("certificates")
-    authority = make_certificate(folder, "authority")
+    authority = made.write_certificate(folder, "authority")
     for name in ("vm-1", "vm-2"):
-        make_certificate(folder, name, authority)
+        made.write_certificate(folder, name, authority)
     return folder
 
 
