Silence of a server is judged by how often it is asked

Cause: reports are bounded to 10 requests/s, so a router of 52 engines hears each every 7 s, and the limit of 3.5 s would pass most of them over. Change: the limit is at least three times the last gap. Result: two tests; the first fails with the fixed limit. Conclusion: today's sizes keep 3.5 s (about 1 s between reports).

--- a/hickoryweir/policy/core.py
+++ b/hickoryweir/policy/core.py
@@ -192,7 +192,9 @@
     server = core.servers.get(event.backend_server)
     if server is None:
         return []
-    server.heard_s = now_s
+    if server.report is not None:
+        server.report_gap_s = now_s - server.report_heard_s
+    server.report_heard_s = server.heard_s = now_s
     for name in server.backend.serves:
         pool = core.pools.get((server.backend.target, name))
         if pool is not None:
--- a/hickoryweir/policy/placement.py
+++ b/hickoryweir/policy/placement.py
@@ -18,6 +18,7 @@
 AFFINITY_SLACK = 0.15
 SPILL_SLACK = 0.25
 SILENT_AFTER_S = 3.5
+SILENT_AFTER_GAPS = 3.0
 LOOKED_AT_COUNT = 6
 
 
@@ -195,8 +196,13 @@
 
 
 def fell_silent(server: state.Server, now_s: float) -> bool:
-    """Return whether a server that used to report has stopped to."""
-    return server.report is not None and now_s - server.heard_s > SILENT_AFTER_S
+    """Return whether a server that used to report has stopped to.
+
+    A router of many servers asks each of them less often, so the limit grows with
+    the time between the last two reports.
+    """
+    limit_s = max(SILENT_AFTER_S, SILENT_AFTER_GAPS * server.report_gap_s)
+    return server.report is not None and now_s - server.heard_s > limit_s
 
 
 def _allows(
--- a/hickoryweir/policy/state.py
+++ b/hickoryweir/policy/state.py
@@ -81,6 +81,8 @@
     peers_suspects: int = 0
     peers_ejected: int = 0
     heard_s: float = 0.0
+    report_heard_s: float = 0.0
+    report_gap_s: float = 0.0
     peers_at_s: float = float("-inf")
     report: events.LoadReported | None = None
     down_until_s: float = 0.0
--- a/hickoryweir/policy/tests/test_mechanisms.py
+++ b/hickoryweir/policy/tests/test_mechanisms.py
@@ -11,6 +11,7 @@
     events,
     examples,
     inspection,
+    placement,
     providers,
     settings,
     state,
@@ -389,3 +390,22 @@
     assert sent(arrive(it, "r1", now_s=0.1)) == []
     done = tell(it, "router-2", 0.3, quarantined=("r1",))
     assert refused(done)["r1"].reason is refusals.Reason.QUARANTINED
+
+
+def report(it, name, now_s):
+    core.handle(it, events.LoadReported(name, 0, 0, 0.0, now_s), now_s)
+
+
+def test_a_server_asked_seldom_has_not_fallen_silent():
+    it = make([examples.request_class("balance")], ["e1", "e2"])
+    for now_s in (0.0, 7.0):
+        report(it, "e1", now_s)
+    assert not placement.fell_silent(it.servers["e1"], 13.0)
+    assert placement.fell_silent(it.servers["e1"], 29.0)
+
+
+def test_a_server_asked_often_falls_silent_soon():
+    it = make([examples.request_class("balance")], ["e1", "e2"])
+    for now_s in (0.0, 0.5):
+        report(it, "e1", now_s)
+    assert placement.fell_silent(it.servers["e1"], 4.5)
