Drill: entry VMs wait out the drill's own balancer

Ruled out: the drain, which had no call in flight. Change: balancer_lag_s is 2.2 s in drills; the check stays as it was. Conclusion: the setting must exceed the balancer's lag, as the installation page says.

--- a/hickoryweir/testing/demo/entry_vms.py
+++ b/hickoryweir/testing/demo/entry_vms.py
@@ -27,7 +27,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryVm:
-    """One entry VM: its name, zone, ports, folder and role."""
+    """One entry VM: its name, zone, ports, folder, role and balancer's lag."""
 
     name: str
     availability_zone: str
@@ -36,6 +36,7 @@
     peers_port: int
     folder: pathlib.Path
     is_replica: bool = True
+    balancer_lag_s: float = BALANCER_LAG_S
 
     @property
     def callers_url(self) -> str:
@@ -186,7 +187,7 @@
 level = info
 
 [drain]
-balancer_lag_s = {BALANCER_LAG_S}
+balancer_lag_s = {entry_vm.balancer_lag_s}
 limit_s = {DRAIN_LIMIT_S}
 """
     others = [
--- a/hickoryweir/testing/drill/cluster.py
+++ b/hickoryweir/testing/drill/cluster.py
@@ -15,6 +15,7 @@
 VMS_PER_ZONE = 2
 POLL_INTERVAL_S = 0.2
 POLL_TIMEOUT_S = 1.0
+BALANCER_LAG_S = POLL_INTERVAL_S + 2 * POLL_TIMEOUT_S
 RESTART_LIMIT_S = 15.0
 
 
@@ -58,6 +59,7 @@
             peers_port=entry_vms.free_port(),
             folder=folder / f"{zone}-{number}",
             is_replica=number == 1,
+            balancer_lag_s=BALANCER_LAG_S,
         )
         for zone in zones
         for number in range(1, VMS_PER_ZONE + 1)
