--- a/spec/replication.py
+++ b/spec/replication.py
@@ -21,6 +21,8 @@
 
 import minicheck
 
+from spec import log_models
+
 REPLICAS = (0, 1, 2)
 MAJORITY = 2
 
@@ -92,26 +94,7 @@
     def transitions(packed: tuple) -> list[Step]:
         return list(steps_from(State(*packed), log_length, mutation))
 
-    return minicheck.Protocol(
-        name="replication",
-        candidate=False,
-        fields=State._fields,
-        initial=initial,
-        transitions=transitions,
-        invariants={
-            "committed_is_kept": _committed_is_kept,
-            "committed_logs_agree": lambda state: not state["conflict"],
-        },
-    )
-
-
-def _committed_is_kept(state: dict) -> bool:
-    committed = state["committed"]
-    return all(
-        replica.log[: len(committed)] == committed
-        for replica in state["replicas"]
-        if replica.leads and replica.term > state["commit_term"]
-    )
+    return log_models.make_protocol("replication", initial, transitions)
 
 
 def steps_from(
