Planned stops: the twin check goes, and only changes are observed

Cause: read-through. daemon/backends.py wrote again what stops.leaving_servers says, and observed each backend server at every version; each observation copies the evidence of all. Change: stops.leaving_servers decides, and a server is observed only if its stop has changed; a docstring named a function that does not exist.

--- a/hickoryweir/daemon/backends.py
+++ b/hickoryweir/daemon/backends.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from hickoryweir.configuration import commands, model, stops
+from hickoryweir.configuration import model, stops
 from hickoryweir.daemon import dispatcher
 from hickoryweir.engines import reports
 from hickoryweir.observability import logs
@@ -79,9 +79,11 @@
     for service in configuration.services:
         followers.lookup_paths[service.name] = service.lookup_path
     observe(followers, decisions.Configured(tuple(wanted)))
-    for name, server in wanted.items():
-        stopping = is_stopping(server, running_stops)
-        observe(followers, decisions.StopPlanned(name, stopping))
+    leaving = stops.leaving_servers(configuration, running_stops)
+    for name, evidence in followers.state.evidence.items():
+        stopping = name in leaving
+        if evidence.stopping is not stopping:
+            observe(followers, decisions.StopPlanned(name, stopping))
 
 
 def watch(followers: Followers, names: frozenset[str]) -> None:
@@ -92,18 +94,6 @@
     reports.update(followers.watcher, watched)
 
 
-def is_stopping(
-    server: model.BackendServer, running_stops: tuple[stops.Stop, ...]
-) -> bool:
-    """Return whether a planned stop covers a backend server."""
-    covered = {
-        (commands.SubjectKind.BACKEND_SERVER, server.name),
-        (commands.SubjectKind.AVAILABILITY_ZONE, server.availability_zone),
-        (commands.SubjectKind.PROVIDER, server.provider),
-    }
-    return any((stop.kind, stop.name) in covered for stop in running_stops)
-
-
 def observe(followers: Followers, observation: decisions.Observation) -> None:
     """Take an observation and tell the policy core of each change of state."""
     followers.state, changes = decisions.observe(followers.state, observation)
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -61,7 +61,7 @@
     Returns
     -------
     parts.Process
-        To be given to :func:`start_parts`.
+        What :func:`start` starts, in order.
     """
     counters = metrics.make_metrics()
     identity = log_access.make_identity(given)
