--- a/hickoryweir/callers/authentication.py
+++ b/hickoryweir/callers/authentication.py
@@ -46,7 +46,7 @@
 
 def digest_key(key: str) -> str:
     """Return the digest under which a key is stored: SHA-256, lower-case hex."""
-    return hashlib.sha256(key.encode()).hexdigest()
+    return hashlib.sha256(key.encode(errors="surrogateescape")).hexdigest()
 
 
 def index_digest(secret: bytes, key_digest: str) -> bytes:
--- a/hickoryweir/callers/requests.py
+++ b/hickoryweir/callers/requests.py
@@ -164,11 +164,11 @@
     try:
         decoded = json.loads(body)
         checked = shape.model_validate(decoded)
+        return result.Success(make_prompt(decoded, checked))
     except pydantic.ValidationError as error:
         return result.Failure(refuse_body(describe(error)))
     except (ValueError, RecursionError):
         return result.Failure(refuse_body("the body is not JSON"))
-    return result.Success(make_prompt(decoded, checked))
 
 
 def describe(error: pydantic.ValidationError) -> str:
--- /dev/null
+++ b/hickoryweir/callers/tests/exchanges.py
@@ -0,0 +1,110 @@
+"""Raw exchanges with the callers' port, and what every reply must fulfil."""
+
+import asyncio
+import contextlib
+import http.client
+import io
+import json
+
+from hickoryweir.callers import server
+from hickoryweir.callers.tests import fakes
+from hickoryweir.outcomes import refusals
+
+REPLY_LIMIT_S = 20.0
+QUIET_S = 0.03
+LEAKS = (b"Traceback", b"site-packages", b".py", b"/work/", b"/usr/", b"/home/")
+GOOD_REQUEST = b"GET /v1/models HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+GOOD_REQUEST += f"Authorization: Bearer {fakes.KEY}\r\n\r\n".encode()
+
+
+class Socket(io.BytesIO):
+    """Received bytes in the shape that ``http.client`` reads from."""
+
+    def makefile(self, mode):
+        """Return the bytes themselves; closing them is left to the caller."""
+        return self
+
+    def close(self):
+        """Keep the bytes, since more replies may follow."""
+
+
+@contextlib.asynccontextmanager
+async def listening(given):
+    """Run the callers' port and yield its number."""
+    running = await server.start(given)
+    try:
+        yield running.port
+    finally:
+        await server.stop(running)
+
+
+async def receive(reader, limit_s):
+    """Return what comes until the end, or until nothing comes for a while."""
+    received = b""
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        while piece := await asyncio.wait_for(reader.read(65_536), limit_s):
+            received += piece
+    return received
+
+
+async def send(port, data, limit_s=REPLY_LIMIT_S):
+    """Send bytes on a connection of their own and return what comes back."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    received = await receive(reader, limit_s)
+    writer.close()
+    with contextlib.suppress(ConnectionError):
+        await writer.wait_closed()
+    return received
+
+
+def parse(received):
+    """Return (status, body) of each reply."""
+    socket = Socket(received)
+    replies = []
+    while socket.tell() < len(received):
+        response = http.client.HTTPResponse(socket)
+        response.begin()
+        replies.append((response.status, response.read()))
+    return replies
+
+
+def check(received):
+    """Fail unless each reply is whole, typed if it refuses, and leaks nothing."""
+    assert not [leak for leak in LEAKS if leak in received]
+    replies = parse(received)
+    for status, body in replies:
+        assert status != 500, body
+        if status >= 400:
+            error = json.loads(body)["error"]
+            reason = refusals.Reason(error["code"])
+            assert refusals.HTTP_STATUS[reason] == status
+            assert refusals.Ran(error["ran"])
+    return replies
+
+
+def exchange(data, limit_s=REPLY_LIMIT_S):
+    """Send bytes to a new port, check the replies and that it still serves."""
+
+    async def run():
+        async with listening(fakes.make_ports()) as port:
+            received = await send(port, data, limit_s)
+            afterwards = await send(port, GOOD_REQUEST)
+        return received, afterwards
+
+    received, afterwards = asyncio.run(run())
+    assert [status for status, _ in check(afterwards)] == [200]
+    return check(received)
+
+
+def make_request(path, body=b"", method=b"POST", headers=()):
+    """Return the bytes of a request of the known account."""
+    given = {
+        b"Host": b"x",
+        b"Authorization": f"Bearer {fakes.KEY}".encode(),
+        b"Connection": b"close",
+        b"Content-Length": str(len(body)).encode(),
+        **dict(headers),
+    }
+    lines = [b"%b: %b\r\n" % item for item in given.items()]
+    return b"%b %b HTTP/1.1\r\n%b\r\n%b" % (method, path, b"".join(lines), body)
--- a/hickoryweir/engines/prefixes.py
+++ b/hickoryweir/engines/prefixes.py
@@ -41,7 +41,8 @@
     for block in range(whole_blocks):
         start = block * BLOCK_SIZE_CHARACTERS
         piece = text[start : start + BLOCK_SIZE_CHARACTERS]
-        previous = xxhash.xxh64_intdigest(piece.encode(), seed=previous)
+        encoded = piece.encode(errors="surrogatepass")
+        previous = xxhash.xxh64_intdigest(encoded, seed=previous)
         digests.append(previous)
     return tuple(digests)
 
