Discovery: the package of the list of VMs gets a name of its own

The folder platform/ will hold the adapter to the users' platform, and a package of the same word would make each sentence about either unclear. Names only, no change of behaviour.

--- a/hickoryweir/daemon/backends.py
+++ b/hickoryweir/daemon/backends.py
@@ -2,7 +2,7 @@
 
 Reports and probes of each backend server, the platform's list of VMs and the
 planned stops come together here; the policy core learns of reports as they are
-and of every change of state that :mod:`hickoryweir.platform.decisions` finds.
+and of every change of state that :mod:`hickoryweir.discovery.decisions` finds.
 """
 
 import dataclasses
@@ -13,7 +13,7 @@
 from hickoryweir.daemon import dispatcher
 from hickoryweir.engines import reports
 from hickoryweir.observability import logs
-from hickoryweir.platform import decisions
+from hickoryweir.discovery import decisions
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/hickoryweir/daemon/orders.py
+++ b/hickoryweir/daemon/orders.py
@@ -13,7 +13,7 @@
 from hickoryweir.daemon import office, parts
 from hickoryweir.engines import issuer, orders, orders_plan
 from hickoryweir.observability import logs
-from hickoryweir.platform import decisions
+from hickoryweir.discovery import decisions
 from hickoryweir.policy import events
 
 SIGHT_INTERVAL_S = 0.05
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -33,7 +33,7 @@
 from hickoryweir.operators import app
 from hickoryweir.operators import server as operators_server
 from hickoryweir.outcomes import refusals
-from hickoryweir.platform import decisions, poller
+from hickoryweir.discovery import decisions, poller
 from hickoryweir.policy import events, inspection
 from hickoryweir.policy import settings as policy_settings
 from hickoryweir.routers import node as router_node
--- a/hickoryweir/platform/poller.py
+++ b/hickoryweir/discovery/poller.py
@@ -14,7 +14,7 @@
 from returns import result
 
 from hickoryweir.engines import backoff, reads
-from hickoryweir.platform import decisions
+from hickoryweir.discovery import decisions
 
 POLL_INTERVAL_S = 0.5
 TIMEOUT_S = 2.0
--- a/hickoryweir/platform/tests/test_decisions.py
+++ b/hickoryweir/discovery/tests/test_decisions.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from hickoryweir.platform import decisions
+from hickoryweir.discovery import decisions
 from hickoryweir.policy import events
 
 NAMES = ("e1", "e2")
--- a/hickoryweir/engines/reports.py
+++ b/hickoryweir/engines/reports.py
@@ -18,7 +18,7 @@
 
 from hickoryweir.configuration import model
 from hickoryweir.engines import backoff, reads
-from hickoryweir.platform import decisions
+from hickoryweir.discovery import decisions
 from hickoryweir.policy import events
 
 CACHE_POLL_INTERVAL = 3
--- a/hickoryweir/engines/tests/test_reports.py
+++ b/hickoryweir/engines/tests/test_reports.py
@@ -5,7 +5,7 @@
 
 from hickoryweir.engines import reports
 from hickoryweir.engines.tests import benches
-from hickoryweir.platform import decisions
+from hickoryweir.discovery import decisions
 from hickoryweir.policy import events
 
 QUICK = reports.ReportSettings(
