--- a/hickoryweir/daemon/backends.py
+++ b/hickoryweir/daemon/backends.py
@@ -11,9 +11,9 @@
 
 from hickoryweir.configuration import model, stops
 from hickoryweir.daemon import dispatcher
+from hickoryweir.discovery import decisions
 from hickoryweir.engines import reports
 from hickoryweir.observability import logs
-from hickoryweir.discovery import decisions
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/hickoryweir/daemon/orders.py
+++ b/hickoryweir/daemon/orders.py
@@ -11,9 +11,9 @@
 
 from hickoryweir.configuration import model, queries
 from hickoryweir.daemon import office, parts
+from hickoryweir.discovery import decisions
 from hickoryweir.engines import issuer, orders, orders_plan
 from hickoryweir.observability import logs
-from hickoryweir.discovery import decisions
 from hickoryweir.policy import events
 
 SIGHT_INTERVAL_S = 0.05
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -28,12 +28,12 @@
     status,
 )
 from hickoryweir.daemon import decisions as daemon_decisions
+from hickoryweir.discovery import decisions, poller
 from hickoryweir.engines import sessions
 from hickoryweir.observability import logs, metrics
 from hickoryweir.operators import app
 from hickoryweir.operators import server as operators_server
 from hickoryweir.outcomes import refusals
-from hickoryweir.discovery import decisions, poller
 from hickoryweir.policy import events, inspection
 from hickoryweir.policy import settings as policy_settings
 from hickoryweir.routers import node as router_node
--- a/hickoryweir/discovery/poller.py
+++ b/hickoryweir/discovery/poller.py
@@ -13,8 +13,8 @@
 import pydantic
 from returns import result
 
-from hickoryweir.engines import backoff, reads
 from hickoryweir.discovery import decisions
+from hickoryweir.engines import backoff, reads
 
 POLL_INTERVAL_S = 0.5
 TIMEOUT_S = 2.0
--- a/hickoryweir/discovery/tests/test_poller.py
+++ b/hickoryweir/discovery/tests/test_poller.py
@@ -3,8 +3,8 @@
 import asyncio
 import contextlib
 
-from hickoryweir.engines.tests import benches
 from hickoryweir.discovery import decisions, poller
+from hickoryweir.engines.tests import benches
 from hickoryweir.testing import platform_list
 
 QUICK = poller.PollSettings(interval_s=0.005, timeout_s=2.0, longest_wait_s=0.01)
--- a/hickoryweir/engines/reports.py
+++ b/hickoryweir/engines/reports.py
@@ -17,8 +17,8 @@
 from returns import result
 
 from hickoryweir.configuration import model
-from hickoryweir.engines import backoff, reads
 from hickoryweir.discovery import decisions
+from hickoryweir.engines import backoff, reads
 from hickoryweir.policy import events
 
 CACHE_POLL_INTERVAL = 3
--- a/hickoryweir/engines/sessions.py
+++ b/hickoryweir/engines/sessions.py
@@ -50,20 +50,28 @@
         raise ConnectionLostError(type(error).__name__) from error
 
 
-def make_session(*, keeps_connections: bool = False) -> aiohttp.ClientSession:
+def make_session(
+    *,
+    keeps_connections: bool = False,
+    connector: aiohttp.BaseConnector | None = None,
+) -> aiohttp.ClientSession:
     """Return a session for backend servers; the caller closes it.
 
     Parameters
     ----------
     keeps_connections : bool, optional
         Whether a connection serves several requests, one after the other.
+    connector : aiohttp.BaseConnector, optional
+        Makes the connections instead; `keeps_connections` then has no effect.
 
     Returns
     -------
     aiohttp.ClientSession
         Without limits of its own; admission bounds the number of calls.
     """
-    if keeps_connections:
+    if connector is not None:
+        pass
+    elif keeps_connections:
         connector = aiohttp.TCPConnector(
             limit=NO_LIMIT, keepalive_timeout=KEEPALIVE_TIMEOUT_S
         )
--- a/hickoryweir/engines/tests/test_reports.py
+++ b/hickoryweir/engines/tests/test_reports.py
@@ -3,9 +3,9 @@
 import asyncio
 import contextlib
 
+from hickoryweir.discovery import decisions
 from hickoryweir.engines import reports
 from hickoryweir.engines.tests import benches
-from hickoryweir.discovery import decisions
 from hickoryweir.policy import events
 
 QUICK = reports.ReportSettings(
--- /dev/null
+++ b/hickoryweir/entry/main.py
@@ -0,0 +1,66 @@
+"""Runs a router or replica process until it is told to stop."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+
+import aiomisc
+from returns import result
+
+from hickoryweir.entry import adapters, replica, router, settings
+from hickoryweir.observability import logs
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+EXIT_INVALID_SETTINGS = 2
+EXIT_NOT_STARTED = 4
+
+
+def serve(path: pathlib.Path, given_adapters: adapters.Adapters) -> int:
+    """Run the process that a settings file describes.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        INI file, see :mod:`hickoryweir.entry.settings`.
+    given_adapters : adapters.Adapters
+        Formats towards the outside.
+
+    Returns
+    -------
+    int
+        Exit code: 0 after a clean stop, 2 for invalid settings, 4 if a part could
+        not be started.
+    """
+    logs.configure("info", sys.stdout)
+    loaded = settings.load(path)
+    if isinstance(loaded, result.Failure):
+        logs.error("invalid settings", logs.Fields(detail=str(loaded.failure())))
+        return EXIT_INVALID_SETTINGS
+    given = loaded.unwrap()
+    try:
+        with aiomisc.entrypoint(log_config=False, catch_signals=()) as loop:
+            loop.run_until_complete(_run(given, given_adapters))
+    except OSError as error:
+        logs.error("not started", logs.Fields(detail=str(error)))
+        return EXIT_NOT_STARTED
+    return 0
+
+
+async def _run(
+    given: settings.EntrySettings, given_adapters: adapters.Adapters
+) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, stop.set)
+    # Settings are read at each start; a changed file takes effect at the next one.
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    if given.process.role is settings.Role.REPLICA:
+        await replica.run(given, given_adapters, stop)
+    else:
+        await router.Router(given, given_adapters).run(stop)
+
+
+def _note_reload() -> None:
+    logs.info("settings changed", logs.Fields())
--- /dev/null
+++ b/hickoryweir/entry/replica.py
@@ -0,0 +1,124 @@
+"""A replica process: the log, the feeds to the routers and the operators' port."""
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+from returns import result
+
+from hickoryweir.engines import sessions
+from hickoryweir.entry import adapters, settings, tables
+from hickoryweir.feeds import publisher
+from hickoryweir.observability import logs
+from hickoryweir.replicas import automation, client, messages, node, wire
+from hickoryweir.routes import store
+from hickoryweir.streams import handshake, hub
+
+CLUSTER_ID = "hickoryweir"
+# A table of 350 routes is some ten kilobytes; 4 MiB of log restart in well under 1 s.
+SNAPSHOT_LOG_SIZE_BYTES = 4 * 1024 * 1024
+SNAPSHOT_ENTRIES_COUNT = 500
+# A replica that missed more is sent the snapshot, which is one table.
+KEEP_ENTRIES_COUNT = 50
+
+
+def make_identity(given: settings.EntrySettings) -> handshake.Identity:
+    """Return who this process is towards the others."""
+    process = given.process
+    return handshake.Identity(CLUSTER_ID, process.host, process.availability_zone)
+
+
+def _make_node(given: settings.EntrySettings, peer_hub: hub.Hub) -> node.Node:
+    replicas = settings.seed_replicas(given)
+    names = {replica.name for replica in replicas}
+    node_settings = node.NodeSettings(
+        identity=make_identity(given),
+        data_folder=given.replica.data_folder,
+        replicas=replicas,
+        bootstrap=given.replica.bootstrap and given.process.host in names,
+        snapshot_entries_count=SNAPSHOT_ENTRIES_COUNT,
+        snapshot_log_size_bytes=SNAPSHOT_LOG_SIZE_BYTES,
+        keep_entries_count=KEEP_ENTRIES_COUNT,
+        voters_wanted_count=2 * given.replica.tolerated_losses_count + 1,
+    )
+    return node.make_node(node_settings, peer_hub, (store.make_submachine(),))
+
+
+def _standing_of(replica: node.Node) -> publisher.Standing:
+    state = replica.state
+    stored = replica.machine.states["routing_table"].stored
+    if state is None:
+        return publisher.Standing(stored, False, False, ())
+    addresses = []
+    for member in state.membership.members:
+        host, port = wire.split_address(member.address)
+        name = messages.replica_name_of(member.member_id)
+        zone = member.availability_zone
+        addresses.append(wire.ReplicaAddress(name, host, port, zone))
+    is_leader = bool(state.leader_id) and state.leader_id == state.member_id
+    return publisher.Standing(
+        stored, is_leader, bool(state.leader_id), tuple(addresses)
+    )
+
+
+async def run(
+    given: settings.EntrySettings,
+    given_adapters: adapters.Adapters,
+    stop: asyncio.Event,
+) -> None:
+    """Run until `stop` is set, then hand leadership over and close.
+
+    Raises
+    ------
+    OSError
+        A port is taken or the data folder can't be used.
+    """
+    process = given.process
+    identity = make_identity(given)
+    peer_hub = hub.make_hub(identity, process.host, process.peer_port)
+    replica = _make_node(given, peer_hub)
+    own = wire.ReplicaAddress(
+        process.host, process.host, process.peer_port, process.availability_zone
+    )
+    log = client.make_client(identity, settings.seed_replicas(given), None)
+    session = sessions.make_session(keeps_connections=True)
+    source = given_adapters.make_source(given.discovery.address)
+    publishing = publisher.make_publisher(
+        peer_hub, lambda: _standing_of(replica), session, source
+    )
+    await peer_hub.start()
+    started = await replica.start()
+    if isinstance(started, result.Failure):
+        raise OSError(str(started.failure()))
+    service = tables.TableService(log, given_adapters.decode_table)
+    runner = web.AppRunner(given_adapters.make_operators_app(service), access_log=None)
+    await runner.setup()
+    host, port = wire.split_address(given.ports.operators)
+    await web.TCPSite(runner, host, port).start()
+    tasks = [
+        asyncio.create_task(publishing.run()),
+        asyncio.create_task(automation.keep_joining(log, own, lambda: replica.state)),
+    ]
+    logs.info("serving", logs.Fields(detail=f"replica at {own.address}"))
+    try:
+        await _wait(stop, tasks)
+    finally:
+        logs.info("stopping", logs.Fields(detail="replica"))
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await replica.stop()
+        await runner.cleanup()
+        with contextlib.suppress(OSError):
+            await log.close()
+        await peer_hub.close()
+        await session.close()
+
+
+async def _wait(stop: asyncio.Event, tasks: list[asyncio.Task]) -> None:
+    """Return when the process should stop; a task that fails ends it at once."""
+    waiting = asyncio.create_task(stop.wait())
+    done, _ = await asyncio.wait([waiting, *tasks], return_when=asyncio.FIRST_COMPLETED)
+    waiting.cancel()
+    for task in done:
+        task.result()
--- /dev/null
+++ b/hickoryweir/entry/router.py
@@ -0,0 +1,165 @@
+"""A router process: feeds from the replicas, and the clients' port."""
+
+import asyncio
+import random
+
+from returns import result
+
+from hickoryweir.discovery import listing
+from hickoryweir.engines import sessions
+from hickoryweir.entry import adapters, replica, settings
+from hickoryweir.feeds import subscriber
+from hickoryweir.forwarding import passages, server, server_pool, sockets
+from hickoryweir.observability import logs
+from hickoryweir.policy import retry_budget
+from hickoryweir.replicas import client, wire
+from hickoryweir.routes import checks, matching, store
+
+# Shorter than backend servers keep idle connections.
+REPEATABLE_KEEPALIVE_S = 8.0
+# A connection that was idle for less is hardly ever closed at the moment of a send.
+SINGLE_KEEPALIVE_S = 3.0
+FIRST_READ_TIMEOUT_S = 0.5
+FIRST_READ_RETRY_S = 0.1
+# A leader is elected within about a second; a cut-off zone serves without one.
+UNCONFIRMED_AFTER_S = 5.0
+LIST_CHECK_INTERVAL_S = 0.25
+# Two readings and an election of a new reader; leaving servers allow three seconds.
+LIST_STALE_AFTER_S = 2.2
+# Two misses of a balancer that asks each second.
+BALANCER_LAG_S = 2.6
+CLOSE_MARGIN_S = 0.6
+
+
+class Router:
+    """The parts of a router process."""
+
+    def __init__(
+        self, given: settings.EntrySettings, given_adapters: adapters.Adapters
+    ) -> None:
+        self._given = given
+        self._adapters = given_adapters
+        self._is_confirmed = False
+        identity = replica.make_identity(given)
+        seeds = settings.seed_replicas(given)
+        self._log = client.make_client(identity, seeds, None)
+        callbacks = subscriber.Callbacks(
+            self._take_table, self._take_servers, lambda: self._is_confirmed
+        )
+        self._subscriber = subscriber.make_subscriber(identity, seeds, callbacks)
+        self._list_session = sessions.make_session(keeps_connections=True)
+        self.forwarder = passages.Forwarder(
+            settings=passages.Settings(
+                given.process.availability_zone,
+                retry_budget.Settings(
+                    given.retries.ratio,
+                    given.retries.window_s,
+                    given.retries.extra_count,
+                ),
+            ),
+            rules=given_adapters.rules,
+            repeatable_session=sockets.make_session(REPEATABLE_KEEPALIVE_S),
+            single_session=sockets.make_session(SINGLE_KEEPALIVE_S),
+            generator=random.Random(),
+        )
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until `stop` is set, then drain."""
+        host, port = wire.split_address(self._given.ports.readiness)
+        await server.start_readiness(self.forwarder, host, port)
+        host, port = wire.split_address(self._given.ports.clients)
+        running = await server.start(self.forwarder, host, port)
+        tasks = [
+            asyncio.create_task(self._subscriber.run()),
+            asyncio.create_task(self._read_first_table()),
+            asyncio.create_task(self._watch_list()),
+        ]
+        logs.info("serving", logs.Fields(detail=f"router at {host}:{port}"))
+        await stop.wait()
+        await self._drain(running)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._close()
+
+    async def _drain(self, running: server.Running) -> None:
+        grace_s = self._given.shutdown.grace_s
+        count = len(running.server.connections)
+        logs.info("draining", logs.Fields(detail=f"{count} connections"))
+        self.forwarder.is_draining = True
+        await asyncio.sleep(BALANCER_LAG_S)
+        await server.stop(running, grace_s - BALANCER_LAG_S - CLOSE_MARGIN_S)
+        logs.info("drained", logs.Fields())
+
+    async def _close(self) -> None:
+        await self._log.close()
+        for session in (
+            self._list_session,
+            self.forwarder.repeatable_session,
+            self.forwarder.single_session,
+        ):
+            await session.close()
+
+    def _take_table(self, version: int, content: bytes) -> bool:
+        decoded = self._adapters.decode_table(content)
+        if isinstance(decoded, result.Failure):
+            fields = logs.Fields(version=version, reason=decoded.failure())
+            logs.error("a table in the log can't be read", fields)
+            return False
+        table = decoded.unwrap()
+        problems = checks.find_problems(table)
+        if problems:
+            fields = logs.Fields(version=version, reason=problems[0])
+            logs.error("a table in the log is invalid", fields)
+            return False
+        self.forwarder.directory = matching.make_directory(table)
+        routes_count = len(table.routes)
+        fields = logs.Fields(version=version, detail=f"{routes_count} routes")
+        logs.info("table in force", fields)
+        return True
+
+    def _take_servers(self, found: listing.ServerList) -> None:
+        server_pool.take_list(self.forwarder.pool, found)
+        fields = logs.Fields(detail=f"{len(found.servers)} servers")
+        logs.info("list of servers taken", fields)
+
+    async def _read_first_table(self) -> None:
+        """Begin with a table that a majority confirms, so that none goes back.
+
+        Where no majority is reached, the highest version that any replica holds
+        is served after a while: a zone that is cut off goes on.
+        """
+        loop = asyncio.get_running_loop()
+        give_up_s = loop.time() + UNCONFIRMED_AFTER_S
+        while loop.time() < give_up_s or self._subscriber.view.offered_version < 0:
+            answer = await self._log.read(store.ReadTable(), FIRST_READ_TIMEOUT_S)
+            stored = answer.value_or(None)
+            if isinstance(stored, store.StoredTable) and stored.compressed:
+                self._subscriber.take_table(stored)
+                break
+            await asyncio.sleep(FIRST_READ_RETRY_S)
+        self._is_confirmed = True
+
+    async def _watch_list(self) -> None:
+        """Read the list of servers oneself while the reader for all is silent."""
+        source = self._adapters.make_source(self._given.discovery.address)
+        started_s = listing.elapsed_s()
+        while True:
+            await asyncio.sleep(LIST_CHECK_INTERVAL_S)
+            view = self._subscriber.view
+            made = self.forwarder
+            made.routers_count = view.routers_count
+            age_s = listing.elapsed_s() - started_s
+            if view.servers is not None:
+                made.list_read_at_s = view.servers.read_at_s
+                age_s = listing.elapsed_s() - view.servers.read_at_s
+            if age_s < LIST_STALE_AFTER_S:
+                continue
+            logs.info(
+                "reading the list oneself", logs.Fields(detail=f"age {age_s:.1f} s")
+            )
+            outcome = await listing.read_all(self._list_session, source)
+            if isinstance(outcome, result.Success):
+                self._subscriber.take_list(outcome.unwrap())
+            pause_s = 2 * view.routers_count / self._given.discovery.rate_per_s
+            await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
--- /dev/null
+++ b/hickoryweir/feeds/messages.py
@@ -0,0 +1,66 @@
+"""Messages between a replica and the routers that follow it."""
+
+import dataclasses
+
+from hickoryweir.discovery import listing
+from hickoryweir.replicas import wire
+from hickoryweir.streams import codec
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Beat:
+    """What a replica knows now.
+
+    Attributes
+    ----------
+    table_version : int
+        Version of the newest table that it has applied.
+    has_leader : bool
+        Whether it leads or hears a leader.
+    routers_count : int
+        Routers that follow it.
+    list_number : int
+        Number of the list of servers that it sent last; 0 if it reads none.
+    list_age_s : float
+        Seconds since that list was read, also if the reading brought nothing new.
+    replicas : tuple of ReplicaAddress
+        The members of the replicated log.
+    """
+
+    table_version: int
+    has_leader: bool
+    routers_count: int
+    list_number: int
+    list_age_s: float
+    replicas: tuple[wire.ReplicaAddress, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableRequest:
+    """Asks a replica for the table that it has applied."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableContent:
+    """The table that a replica has applied, compressed."""
+
+    version: int
+    compressed: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServersRead:
+    """The list of servers, sent when it has changed and to each new follower."""
+
+    list_number: int
+    age_s: float
+    servers: tuple[listing.BackendServer, ...]
+
+
+for _tag, _cls in (
+    ("fd.beat", Beat),
+    ("fd.table_request", TableRequest),
+    ("fd.table", TableContent),
+    ("fd.servers", ServersRead),
+):
+    codec.register(_tag, _cls)
--- /dev/null
+++ b/hickoryweir/feeds/publisher.py
@@ -0,0 +1,167 @@
+"""The replicas' side of the feeds: beats, tables and the list of servers."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+from collections.abc import Callable
+
+import aiohttp
+from returns import result
+
+from hickoryweir.discovery import listing
+from hickoryweir.feeds import messages
+from hickoryweir.observability import logs
+from hickoryweir.replicas import wire
+from hickoryweir.routes import store
+from hickoryweir.streams import connections, handshake, hub
+
+# Routers take a replica for silent after four beats.
+BEAT_INTERVAL_S = 0.5
+# A new version waits this long at most before routers hear of it.
+LOOK_INTERVAL_S = 0.03
+# Three readings fit into the shortest bound for leaving servers, three seconds.
+READ_INTERVAL_S = 0.8
+# Numbers of different readers must not meet.
+LIST_NUMBERS_COUNT = 1 << 48
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """What a replica knows of the replicated log at one moment."""
+
+    stored: store.StoredTable
+    is_leader: bool
+    has_leader: bool
+    replicas: tuple[wire.ReplicaAddress, ...]
+
+
+class Publisher:
+    """Made by :func:`make_publisher`; :meth:`run` sends until it is cancelled."""
+
+    def __init__(
+        self,
+        get_standing: Callable[[], Standing],
+        session: aiohttp.ClientSession,
+        source: listing.Source,
+    ) -> None:
+        self._get_standing = get_standing
+        self._session = session
+        self._source = source
+        self._followers: dict[connections.Connection, str] = {}
+        self._servers: listing.ServerList | None = None
+        self._list_number = 0
+
+    async def serve(self, connection: connections.Connection) -> None:
+        """Serve one router until it goes away."""
+        self._followers[connection] = connection.peer.process_name
+        self._send_servers([connection])
+        connection.offer(self._make_beat(self._get_standing()))
+        try:
+            while True:
+                message = (await connection.receive()).value_or(None)
+                if not isinstance(message, messages.TableRequest):
+                    return
+                stored = self._get_standing().stored
+                content = messages.TableContent(stored.version, stored.compressed)
+                connection.offer(content)
+        finally:
+            del self._followers[connection]
+
+    async def run(self) -> None:
+        """Send beats and, while this replica leads, read the list of servers."""
+        reading = asyncio.create_task(self._read_servers())
+        try:
+            await self._send_beats()
+        finally:
+            reading.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await reading
+
+    async def _send_beats(self) -> None:
+        loop = asyncio.get_running_loop()
+        sent_version, sent_s = store.NO_VERSION, 0.0
+        while True:
+            standing = self._get_standing()
+            is_due = loop.time() - sent_s >= BEAT_INTERVAL_S
+            if is_due or standing.stored.version != sent_version:
+                sent_version, sent_s = standing.stored.version, loop.time()
+                beat = self._make_beat(standing)
+                for connection in list(self._followers):
+                    connection.offer(beat)
+            await asyncio.sleep(LOOK_INTERVAL_S)
+
+    def _make_beat(self, standing: Standing) -> messages.Beat:
+        age_s = 0.0
+        if self._servers is not None:
+            age_s = listing.elapsed_s() - self._servers.read_at_s
+        return messages.Beat(
+            standing.stored.version,
+            standing.has_leader,
+            len(set(self._followers.values())),
+            self._list_number if self._servers is not None else 0,
+            age_s,
+            standing.replicas,
+        )
+
+    async def _read_servers(self) -> None:
+        was_reader = False
+        while True:
+            is_reader = self._get_standing().is_leader
+            if is_reader != was_reader:
+                state = "begins" if is_reader else "ends"
+                logs.info("reading the list of servers", logs.Fields(reason=state))
+                was_reader = is_reader
+            if not is_reader:
+                self._servers = None
+                await asyncio.sleep(LOOK_INTERVAL_S)
+                continue
+            await self._read_once()
+            await asyncio.sleep(READ_INTERVAL_S)
+
+    async def _read_once(self) -> None:
+        outcome = await listing.read_all(self._session, self._source)
+        if isinstance(outcome, result.Failure):
+            logs.warning(
+                "the list of servers was not read",
+                logs.Fields(reason=outcome.failure()),
+            )
+            return
+        found = outcome.unwrap()
+        known = self._servers
+        self._servers = found
+        if known is None or known.servers != found.servers:
+            self._list_number = random.randrange(1, LIST_NUMBERS_COUNT)
+            self._send_servers(list(self._followers))
+
+    def _send_servers(self, receivers: list[connections.Connection]) -> None:
+        if self._servers is None:
+            return
+        age_s = listing.elapsed_s() - self._servers.read_at_s
+        message = messages.ServersRead(self._list_number, age_s, self._servers.servers)
+        for connection in receivers:
+            connection.offer(message)
+
+
+def make_publisher(
+    peer_hub: hub.Hub,
+    get_standing: Callable[[], Standing],
+    session: aiohttp.ClientSession,
+    source: listing.Source,
+) -> Publisher:
+    """Return a publisher whose handler is in the hub.
+
+    Parameters
+    ----------
+    peer_hub : hub.Hub
+        The process's peer port.
+    get_standing : callable
+        Returns what the replica knows now.
+    session : aiohttp.ClientSession
+        To read the list of servers with.
+    source : listing.Source
+        Where the list is.
+    """
+    publisher = Publisher(get_standing, session, source)
+    peer_hub.register(handshake.Purpose.FEED, publisher.serve)
+    return publisher
--- /dev/null
+++ b/hickoryweir/feeds/subscriber.py
@@ -0,0 +1,214 @@
+"""The routers' side of the feeds: one task for each replica.
+
+A router takes a table only if its version is above the one in force, and a list of
+servers only if it was read later, so a replica that lags or is cut off can't bring
+an older one back.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from hickoryweir.discovery import listing
+from hickoryweir.feeds import messages
+from hickoryweir.observability import logs
+from hickoryweir.replicas import wire
+from hickoryweir.routes import store
+from hickoryweir.streams import connections, handshake, hub
+
+# Four beats: fewer would take a slow replica for a silent one.
+SILENT_AFTER_S = 2.0
+CONNECT_TIMEOUT_S = 0.7
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 1.0
+# A table of a few hundred routes crosses a zone in some ten milliseconds.
+TABLE_WAIT_S = 0.4
+
+
+@dataclasses.dataclass(slots=True)
+class View:
+    """What a router has learned from all replicas together.
+
+    Attributes
+    ----------
+    table_version : int
+        Version of the table in force.
+    offered_version : int
+        Highest version that any replica told of.
+    servers : listing.ServerList or None
+        The list that was read last.
+    routers_count : int
+        Routers that the replica heard last counts.
+    """
+
+    table_version: int = store.NO_VERSION
+    offered_version: int = store.NO_VERSION
+    servers: listing.ServerList | None = None
+    routers_count: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Callbacks:
+    """What the router does with news.
+
+    Attributes
+    ----------
+    on_table : callable
+        Takes a version and bytes; returns whether the table is now in force.
+    on_servers : callable
+        Takes a new list of servers.
+    may_fetch : callable
+        Returns whether tables may be taken from any replica yet.
+    """
+
+    on_table: Callable[[int, bytes], bool]
+    on_servers: Callable[[listing.ServerList], None]
+    may_fetch: Callable[[], bool]
+
+
+class Subscriber:
+    """Made by :func:`make_subscriber`; :meth:`run` follows until cancelled."""
+
+    def __init__(
+        self,
+        identity: handshake.Identity,
+        replicas: tuple[wire.ReplicaAddress, ...],
+        callbacks: Callbacks,
+    ) -> None:
+        self.view = View()
+        self._identity = identity
+        self._callbacks = callbacks
+        self._tasks: dict[str, asyncio.Task] = {}
+        self._first = replicas
+        self._asked_s = 0.0
+        self._list_number = 0
+
+    async def run(self) -> None:
+        """Follow the given replicas and all that these name."""
+        self.follow(self._first)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+            await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+    def follow(self, replicas: tuple[wire.ReplicaAddress, ...]) -> None:
+        """Begin to follow replicas that are not followed yet."""
+        for replica in replicas:
+            if replica.address not in self._tasks:
+                task = asyncio.create_task(self._follow(replica))
+                self._tasks[replica.address] = task
+
+    def take_table(self, stored: store.StoredTable) -> None:
+        """Put a table in force if it is newer than the one that is."""
+        if stored.version <= self.view.table_version:
+            return
+        if self._callbacks.on_table(stored.version, store.read_content(stored)):
+            self.view.table_version = stored.version
+
+    async def _follow(self, replica: wire.ReplicaAddress) -> None:
+        retry_s = RETRY_MIN_S
+        is_known = True
+        while True:
+            outcome = await hub.connect(
+                self._identity,
+                replica.host,
+                replica.port,
+                handshake.Purpose.FEED,
+                None,
+                CONNECT_TIMEOUT_S,
+            )
+            connection = outcome.value_or(None)
+            if connection is not None:
+                logs.info("replica followed", logs.Fields(peer=replica.address))
+                is_known, retry_s = True, RETRY_MIN_S
+                reason = await self._receive(connection)
+                logs.warning(
+                    "replica lost", logs.Fields(peer=replica.address, reason=reason)
+                )
+            elif is_known:
+                is_known = False
+                reason = outcome.failure().reason.value
+                fields = logs.Fields(peer=replica.address, reason=reason)
+                logs.warning("replica not reached", fields)
+            await asyncio.sleep(retry_s)
+            retry_s = min(2 * retry_s, RETRY_MAX_S)
+
+    async def _receive(self, connection: connections.Connection) -> str:
+        try:
+            while True:
+                async with asyncio.timeout(SILENT_AFTER_S):
+                    received = await connection.receive()
+                message = received.value_or(None)
+                if message is None:
+                    return received.failure().value
+                self._take(connection, message)
+        except TimeoutError:
+            return "silent"
+        finally:
+            connection.abort()
+
+    def _take(self, connection: connections.Connection, message: object) -> None:
+        match message:
+            case messages.Beat():
+                self._take_beat(connection, message)
+            case messages.TableContent():
+                self._asked_s = 0.0
+                stored = store.StoredTable(message.version, message.compressed)
+                if self._callbacks.may_fetch():
+                    self.take_table(stored)
+            case messages.ServersRead():
+                self._take_servers(message)
+
+    def _take_beat(
+        self, connection: connections.Connection, beat: messages.Beat
+    ) -> None:
+        view = self.view
+        view.routers_count = max(1, beat.routers_count)
+        view.offered_version = max(view.offered_version, beat.table_version)
+        self.follow(beat.replicas)
+        if beat.list_number and beat.list_number == self._list_number:
+            read_at_s = listing.elapsed_s() - beat.list_age_s
+            if read_at_s > view.servers.read_at_s:
+                view.servers = dataclasses.replace(view.servers, read_at_s=read_at_s)
+        now_s = asyncio.get_running_loop().time()
+        is_newer = beat.table_version > view.table_version
+        waits = now_s - self._asked_s < TABLE_WAIT_S
+        if is_newer and self._callbacks.may_fetch() and not waits:
+            self._asked_s = now_s
+            connection.offer(messages.TableRequest())
+
+    def _take_servers(self, message: messages.ServersRead) -> None:
+        read_at_s = listing.elapsed_s() - message.age_s
+        self.take_list(listing.ServerList(message.servers, read_at_s))
+        if self.view.servers.read_at_s == read_at_s:
+            self._list_number = message.list_number
+
+    def take_list(self, found: listing.ServerList) -> None:
+        """Take a list of servers that was read later than the one known."""
+        known = self.view.servers
+        if known is not None and found.read_at_s <= known.read_at_s:
+            return
+        self.view.servers = found
+        self._list_number = 0
+        self._callbacks.on_servers(found)
+
+
+def make_subscriber(
+    identity: handshake.Identity,
+    replicas: tuple[wire.ReplicaAddress, ...],
+    callbacks: Callbacks,
+) -> Subscriber:
+    """Return a subscriber that follows nothing yet.
+
+    Parameters
+    ----------
+    identity : handshake.Identity
+        Who this router is.
+    replicas : tuple of ReplicaAddress
+        Replicas to begin with; the others are learned from them.
+    callbacks : Callbacks
+        What is done with news.
+    """
+    return Subscriber(identity, replicas, callbacks)
--- /dev/null
+++ b/hickoryweir/forwarding/border.py
@@ -0,0 +1,160 @@
+"""How requests and answers describe themselves in headers.
+
+A :class:`Border` is a set of functions between headers and the types below, so the
+names on the wire stay in one module.  :func:`make_border` returns the project's own.
+"""
+
+import dataclasses
+from collections.abc import Callable, Mapping
+
+import multidict
+
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt; requests that share leading parts share its cache."""
+
+    part_id: str
+    tokens_count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prompt:
+    """What is known of a prompt without its text."""
+
+    model: str
+    input_tokens_count: int
+    max_output_tokens_count: int
+    parts: tuple[PromptPart, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallFacts:
+    """What a client's request says of itself.
+
+    Attributes
+    ----------
+    request_id : str
+        The client's id of this attempt; empty if it gave none.
+    time_left_s : float or None
+        How long the client waits for the answer.
+    key : str
+        Key of a client account; empty if none was given.
+    last_event_id : str
+        The last event of a stream that the client has; empty for a new one.
+    """
+
+    request_id: str
+    time_left_s: float | None
+    key: str
+    last_event_id: str
+    prompt: Prompt | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sending:
+    """What the router tells a backend server beside the request itself."""
+
+    server_id: str
+    account_name: str
+    time_left_s: float | None
+    urgency: int | None
+    last_event_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """A backend server's load as it said in an answer."""
+
+    running_count: int
+    waiting_count: int
+    slots_count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """What an answer's head says of itself.
+
+    Attributes
+    ----------
+    is_not_run : bool
+        Whether the backend server states that it did not run the request.
+    is_other_server : bool
+        Whether another incarnation than the one meant answered.
+    """
+
+    request_id: str
+    is_not_run: bool
+    is_other_server: bool
+    load: Load | None
+    idle_timeout_s: float | None
+    is_leaving: bool
+
+
+Headers = Mapping[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Border:
+    """Functions between headers and types.
+
+    Attributes
+    ----------
+    read_call : callable
+        Returns the facts of a client's request.
+    make_headers : callable
+        ``make_headers(headers, sending)`` returns the headers for a backend server.
+    read_answer : callable
+        ``read_answer(status, headers)`` returns the facts of an answer.
+    """
+
+    read_call: Callable[[Headers], CallFacts]
+    make_headers: Callable[[Headers, Sending], multidict.CIMultiDict]
+    read_answer: Callable[[int, Headers], AnswerFacts]
+
+
+def passable(headers: Headers, dropped: frozenset[str]) -> multidict.CIMultiDict:
+    """Return the headers that go beyond one connection, less those dropped.
+
+    Headers named in ``Connection`` concern one connection as well.
+    """
+    named = {
+        token.strip().lower() for token in headers.get("Connection", "").split(",")
+    }
+    kept = multidict.CIMultiDict()
+    for name, value in headers.items():
+        lowered = name.lower()
+        if lowered not in HOP_HEADERS and lowered not in named | dropped:
+            kept.add(name, value)
+    return kept
+
+
+def read_number(text: str, default: float | None = None) -> float | None:
+    """Return a non-negative number in a header, or the default.
+
+    Examples
+    --------
+    >>> read_number("12"), read_number("-1"), read_number("x", 0.0)
+    (12.0, None, 0.0)
+    """
+    try:
+        number = float(text)
+    except ValueError:
+        return default
+    return number if 0.0 <= number < float("inf") else default
--- /dev/null
+++ b/hickoryweir/forwarding/event_stream.py
@@ -0,0 +1,51 @@
+"""Whole events of an event stream, and the id of each."""
+
+import dataclasses
+
+SEPARATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+
+
+@dataclasses.dataclass(slots=True)
+class Splitter:
+    """Bytes that have come but do not end an event yet."""
+
+    pending: bytes = b""
+
+
+def split_events(splitter: Splitter, chunk: bytes) -> bytes:
+    r"""Return the whole events that a chunk completes, as one run of bytes.
+
+    Examples
+    --------
+    >>> splitter = Splitter()
+    >>> split_events(splitter, b"id: 1" + bytes([10]) + b"data: a")
+    b''
+    >>> split_events(splitter, bytes([10, 10]) + b"id: 2")
+    b'id: 1\ndata: a\n\n'
+    """
+    joined = splitter.pending + chunk
+    end = max(
+        (
+            found + len(separator)
+            for separator in SEPARATORS
+            if (found := joined.rfind(separator)) >= 0
+        ),
+        default=0,
+    )
+    splitter.pending = joined[end:]
+    return joined[:end]
+
+
+def last_event_id(events: bytes) -> str:
+    """Return the id of the last event that has one, empty if none has.
+
+    Examples
+    --------
+    >>> last_event_id(b"id: 4" + bytes([10]) + b"data: x" + bytes([10, 10]))
+    '4'
+    """
+    for line in reversed(events.splitlines()):
+        name, colon, value = line.partition(b":")
+        if colon and name == b"id":
+            return value.strip().decode("latin-1")
+    return ""
--- /dev/null
+++ b/hickoryweir/forwarding/exchange.py
@@ -0,0 +1,187 @@
+"""One attempt at one backend server.
+
+An attempt ends as a value that says whether the request can have run.  Only a
+connection that was never made, or the server's own statement, means that it has not.
+"""
+
+import asyncio
+import dataclasses
+
+import aiohttp
+import multidict
+import yarl
+
+from hickoryweir.engines import sessions
+from hickoryweir.forwarding import border
+
+# Aborting a connection is cheaper than reading on beyond this much of an answer.
+MAX_BUFFERED_ANSWER_SIZE_BYTES = 4 * 1024 * 1024
+# A second round trip fits in; a server that takes longer to connect is in trouble.
+CONNECT_TIMEOUT_S = 0.4
+# A refusal's body is short and comes with its head; more time is not worth a wait.
+DRAIN_TIMEOUT_S = 0.05
+OWN_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """What is sent to a backend server."""
+
+    method: str
+    address: str
+    target: str
+    headers: multidict.CIMultiDict
+    body: bytes
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request left this process."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The server states that it did not run the request."""
+
+    status: int
+    facts: border.AnswerFacts
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """The request was sent and no answer came that belongs to it."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The head of the answer has come; its body is still to be read."""
+
+    response: aiohttp.ClientResponse
+    protocol: object
+    facts: border.AnswerFacts
+
+
+Outcome = NotSent | NotRun | Lost | Answered
+
+
+async def send(
+    session: aiohttp.ClientSession, call: Call, rules: border.Border
+) -> Outcome:
+    """Send a request and wait for the head of the answer.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        See :func:`hickoryweir.engines.sessions.make_session`.
+    call : Call
+        What is sent.
+    rules : border.Border
+        Reads the head of the answer.
+    """
+    try:
+        response = await session.request(
+            call.method,
+            yarl.URL(f"http://{call.address}{call.target}", encoded=True),
+            headers=call.headers,
+            data=call.body or None,
+            skip_auto_headers=OWN_HEADERS,
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        )
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        return NotSent(type(error).__name__)
+    except sessions.ConnectionLostError as error:
+        return Lost(str(error))
+    except (aiohttp.ClientError, OSError, ValueError) as error:
+        return Lost(type(error).__name__)
+    return await _judge(response, call, rules)
+
+
+async def _judge(
+    response: aiohttp.ClientResponse, call: Call, rules: border.Border
+) -> Outcome:
+    facts = rules.read_answer(response.status, response.headers)
+    if facts.request_id != call.request_id and not facts.is_other_server:
+        response.close()
+        return Lost("the answer belongs to another request")
+    if facts.is_not_run or facts.is_other_server:
+        await _drain(response)
+        return NotRun(response.status, facts)
+    connection = response.connection
+    protocol = None if connection is None else connection.protocol
+    return Answered(response, protocol, facts)
+
+
+async def _drain(response: aiohttp.ClientResponse) -> None:
+    """Read a refusal's body, so that its connection can serve again."""
+    try:
+        async with asyncio.timeout(DRAIN_TIMEOUT_S):
+            await response.read()
+    except (aiohttp.ClientError, sessions.ConnectionLostError, OSError, TimeoutError):
+        # The refusal stands; only the connection is of no more use.
+        response.close()
+
+
+async def read_body(answered: Answered) -> bytes | None:
+    """Return the whole body of an answer; None if it is not whole.
+
+    A body that is larger than the buffer counts as not whole.
+    """
+    chunks, size_bytes = [], 0
+    try:
+        while chunk := await read_chunk(answered):
+            chunks.append(chunk)
+            size_bytes += len(chunk)
+            if size_bytes > MAX_BUFFERED_ANSWER_SIZE_BYTES:
+                answered.response.close()
+                return None
+    except BrokenAnswerError:
+        return None
+    return b"".join(chunks)
+
+
+class BrokenAnswerError(Exception):
+    """An answer ended before its end."""
+
+
+async def read_chunk(answered: Answered) -> bytes:
+    """Return the next bytes of the body, empty at its end.
+
+    Raises
+    ------
+    BrokenAnswerError
+        The connection ended first.
+    """
+    response = answered.response
+    try:
+        chunk = await response.content.readany()
+    except (aiohttp.ClientError, sessions.ConnectionLostError, OSError) as error:
+        response.close()
+        raise BrokenAnswerError(type(error).__name__) from error
+    except asyncio.CancelledError:
+        response.close()
+        raise
+    if not chunk and _ended_by_reset(answered):
+        raise BrokenAnswerError("reset")
+    return chunk
+
+
+def _ended_by_reset(answered: Answered) -> bool:
+    """Return whether a body that ends with its connection was cut by a reset.
+
+    aiohttp ends such a body alike for a clean close and for a reset; the protocol
+    keeps the difference.
+    """
+    response = answered.response
+    has_end_mark = "Content-Length" in response.headers or (
+        "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    )
+    if has_end_mark or answered.protocol is None:
+        return False
+    failure = answered.protocol.exception()
+    return isinstance(failure, aiohttp.ClientOSError)
--- /dev/null
+++ b/hickoryweir/forwarding/forwarder.py
@@ -0,0 +1,307 @@
+"""A request's way through the router: route, account, attempts, answer.
+
+A :class:`~hickoryweir.forwarding.passages.Forwarder` holds what the router knows;
+:func:`serve` carries one request through it and is cancelled when the client goes
+away, which ends the attempt at the backend server as well.
+"""
+
+import asyncio
+import time
+
+from aiohttp import web
+
+from hickoryweir.discovery import listing
+from hickoryweir.forwarding import (
+    answers,
+    border,
+    exchange,
+    passages,
+    replies,
+    requests,
+    server_pool,
+)
+from hickoryweir.observability import logs
+from hickoryweir.policy import next_attempts, prompt_placement, retry_budget
+from hickoryweir.routes import matching, model
+
+# Until a table has come; replicas hand one on within a second of their first leader.
+NO_TABLE_RETRY_AFTER_S = 1.0
+# A server that just failed is tried again after half a second.
+UNREACHABLE_RETRY_AFTER_S = 0.5
+# Connections that were never made cost no attempt, but each takes time.
+MAX_UNSENT_COUNT = 4
+
+
+async def serve(
+    forwarder: passages.Forwarder, client: web.BaseRequest
+) -> web.StreamResponse:
+    """Return the final answer to a request, which may already be on its way."""
+    facts = forwarder.rules.read_call(client.headers)
+    admitted = await _admit(forwarder, client, facts)
+    if isinstance(admitted, replies.Reason):
+        return _refuse(forwarder, facts.request_id, admitted)
+    budget = _budget(forwarder, admitted.service_name)
+    retry_budget.note_request(budget, admitted.started_s)
+    try:
+        async with asyncio.timeout(admitted.time_left_s):
+            reply = await _attempt_all(admitted)
+    except TimeoutError:
+        reply = _give_up_at_deadline(admitted)
+    if forwarder.is_draining:
+        reply.force_close()
+    return reply
+
+
+async def _admit(
+    forwarder: passages.Forwarder, client: web.BaseRequest, facts: border.CallFacts
+) -> passages.Passage | replies.Reason:
+    started_s = time.monotonic()
+    directory = forwarder.directory
+    if directory is None:
+        return replies.Reason.NO_TABLE
+    path = requests.path_of(client.raw_path)
+    if path is None or not client.host:
+        return replies.Reason.REQUEST_INVALID
+    host = client.host.partition(":")[0]
+    route = matching.find_route(directory, host, path)
+    if route is None:
+        return replies.Reason.NO_ROUTE
+    account = directory.accounts_by_key.get(facts.key) if facts.key else None
+    is_closed = directory.table.accounts and not route.allows_anonymous
+    if is_closed and account is None:
+        return replies.Reason.KEY_UNKNOWN
+    limits = directory.table.limits
+    body = await requests.read_body(client, limits.max_body_size_bytes)
+    if isinstance(body, replies.Reason):
+        return body
+    wait_s = route.timeout_s
+    if facts.time_left_s is not None:
+        wait_s = min(wait_s, facts.time_left_s)
+    return passages.Passage(
+        forwarder=forwarder,
+        client=client,
+        facts=facts,
+        route=route,
+        service_name=matching.choose_service(route, forwarder.generator),
+        account=account,
+        body=body,
+        started_s=started_s,
+        deadline_s=started_s + wait_s,
+        last_event_id=facts.last_event_id,
+    )
+
+
+def _refuse(
+    forwarder: passages.Forwarder,
+    request_id: str,
+    reason: replies.Reason,
+    retry_after_s: float | None = None,
+) -> web.Response:
+    forwarder.counts[reason] += 1
+    directory = forwarder.directory
+    version = None if directory is None else directory.table.version
+    fields = logs.Fields(request_id=request_id, reason=reason.value, version=version)
+    logs.info("request answered by the router", fields)
+    if reason is replies.Reason.NO_TABLE:
+        retry_after_s = NO_TABLE_RETRY_AFTER_S
+    return replies.make_reply(reason, request_id, retry_after_s)
+
+
+def _budget(forwarder: passages.Forwarder, service_name: str) -> retry_budget.Budget:
+    found = forwarder.budgets.get(service_name)
+    if found is None:
+        found = retry_budget.Budget(forwarder.settings.budget)
+        forwarder.budgets[service_name] = found
+    return found
+
+
+async def _attempt_all(passage: passages.Passage) -> web.StreamResponse:
+    reason = replies.Reason.NO_SERVER
+    while True:
+        view = _choose(passage)
+        if view is None:
+            return _give_up(passage, reason)
+        if not _may_send(passage):
+            return _give_up(passage, reason)
+        outcome = await _attempt(passage, view)
+        if isinstance(outcome, web.StreamResponse):
+            return outcome
+        reason = outcome
+
+
+def _may_send(passage: passages.Passage) -> bool:
+    """Return whether the next attempt may be made, and take it from the budget."""
+    route = passage.route
+    if passage.unsent_count > MAX_UNSENT_COUNT:
+        return False
+    if not passage.sent_count:
+        return True
+    ran = next_attempts.Ran.MAYBE if passage.may_have_run else next_attempts.Ran.NO
+    if passage.sent_count >= route.max_attempts_count:
+        return False
+    if not next_attempts.may_run_again(route.execution, ran):
+        return False
+    if not next_attempts.is_worth_sending(route, passage.time_left_s):
+        return False
+    forwarder = passage.forwarder
+    budget = _budget(forwarder, passage.service_name)
+    return retry_budget.take(budget, forwarder.routers_count, time.monotonic())
+
+
+def _choose(passage: passages.Passage) -> server_pool.ServerView | None:
+    forwarder = passage.forwarder
+    now_s = time.monotonic()
+    views = [
+        view
+        for view in server_pool.usable(forwarder.pool, passage.service_name)
+        if view.listed.server_id not in passage.tried
+    ]
+    zone = forwarder.settings.availability_zone
+    candidates = [
+        prompt_placement.Candidate(
+            view.listed.server_id,
+            _load_count(view, passage.facts.prompt is not None),
+            view.suspect_until_s > now_s,
+            view.listed.availability_zone == zone,
+        )
+        for view in views
+    ]
+    prompt = passage.facts.prompt
+    if prompt is None or not prompt.parts:
+        salt = passage.facts.request_id
+        chosen = prompt_placement.choose_least_loaded(candidates, salt)
+    else:
+        chosen = prompt_placement.choose_for_prompt(
+            candidates,
+            prompt.parts[0].part_id,
+            prompt.input_tokens_count,
+            forwarder.settings.long_prompt_share,
+        )
+    if chosen is None:
+        return None
+    return forwarder.pool.servers[chosen.server_id]
+
+
+def _load_count(view: server_pool.ServerView, has_prompt: bool) -> float:
+    """Return the load that placement goes by.
+
+    Prompts are placed by the router's own requests: all routers keep to one order of
+    the servers, and what others sent would drive a prompt from its cached parts.
+    """
+    if has_prompt:
+        return len(view.running)
+    return server_pool.known_load_count(view)
+
+
+async def _attempt(
+    passage: passages.Passage, view: server_pool.ServerView
+) -> web.StreamResponse | replies.Reason:
+    forwarder = passage.forwarder
+    passage.tried.add(view.listed.server_id)
+    number = forwarder.next_number = forwarder.next_number + 1
+    prompt = passage.facts.prompt
+    tokens_count = 0 if prompt is None else prompt.input_tokens_count
+    view.running[number] = server_pool.Running(
+        tokens_count, tokens_count, time.monotonic()
+    )
+    try:
+        return await _exchange(passage, view)
+    finally:
+        view.running.pop(number, None)
+
+
+async def _exchange(
+    passage: passages.Passage, view: server_pool.ServerView
+) -> web.StreamResponse | replies.Reason:
+    forwarder = passage.forwarder
+    is_single = passage.route.execution is model.Execution.AT_MOST_ONCE
+    session = forwarder.single_session if is_single else forwarder.repeatable_session
+    passage.sent_count += 1
+    outcome = await exchange.send(session, _make_call(passage, view), forwarder.rules)
+    now_s = time.monotonic()
+    _log_attempt(passage, view, outcome)
+    match outcome:
+        case exchange.NotSent():
+            passage.sent_count -= 1
+            passage.unsent_count += 1
+            server_pool.note_failure(view, now_s)
+            return replies.Reason.SERVER_UNREACHABLE
+        case exchange.NotRun():
+            server_pool.note_load(view, outcome.facts.load, now_s)
+            if outcome.facts.is_other_server:
+                view.is_leaving = True
+            return replies.Reason.SERVER_REFUSED
+        case exchange.Lost():
+            passage.may_have_run = True
+            server_pool.note_failure(view, now_s)
+            return replies.Reason.OUTCOME_UNKNOWN
+        case exchange.Answered():
+            server_pool.note_load(view, outcome.facts.load, now_s)
+            return await answers.pass_on(passage, view, outcome)
+
+
+def _make_call(
+    passage: passages.Passage, view: server_pool.ServerView
+) -> exchange.Call:
+    account = passage.account
+    priority = passage.route.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
+    sending = border.Sending(
+        server_id=view.listed.server_id,
+        account_name="" if account is None else account.name,
+        time_left_s=passage.time_left_s,
+        urgency=priority if passage.route.has_prompt else None,
+        last_event_id=passage.last_event_id,
+    )
+    return exchange.Call(
+        method=passage.client.method,
+        address=view.listed.address,
+        target=passage.client.raw_path,
+        headers=passage.forwarder.rules.make_headers(passage.client.headers, sending),
+        body=passage.body,
+        request_id=passage.facts.request_id,
+    )
+
+
+def _log_attempt(
+    passage: passages.Passage, view: server_pool.ServerView, outcome: exchange.Outcome
+) -> None:
+    forwarder = passage.forwarder
+    age_s = listing.elapsed_s() - forwarder.list_read_at_s
+    detail = getattr(outcome, "reason", "")
+    logs.info(
+        "request sent",
+        logs.Fields(
+            request_id=passage.facts.request_id,
+            class_name=passage.route.name,
+            reason=type(outcome).__name__ + (f": {detail}" if detail else ""),
+            backend_server=view.listed.server_id,
+            attempt=passage.sent_count,
+            version=forwarder.directory.table.version,
+            duration_s=round(time.monotonic() - passage.started_s, 4),
+            detail=f"list {age_s:.2f} s old, {len(view.running)} own requests there",
+        ),
+    )
+
+
+def _give_up(passage: passages.Passage, reason: replies.Reason) -> web.StreamResponse:
+    """Return the final answer of a request that no server answered whole."""
+    if passage.reply is not None:
+        return answers.break_off(passage)
+    if passage.failure is not None:
+        return passage.failure
+    retry_after_s = None
+    if passage.may_have_run:
+        reason = replies.Reason.OUTCOME_UNKNOWN
+    else:
+        retry_after_s = passage.retry_after_s or UNREACHABLE_RETRY_AFTER_S
+    request_id = passage.facts.request_id
+    return _refuse(passage.forwarder, request_id, reason, retry_after_s)
+
+
+def _give_up_at_deadline(passage: passages.Passage) -> web.StreamResponse:
+    if passage.reply is not None:
+        return answers.break_off(passage)
+    reason = replies.Reason.TIMED_OUT
+    return _refuse(passage.forwarder, passage.facts.request_id, reason)
--- /dev/null
+++ b/hickoryweir/forwarding/passages.py
@@ -0,0 +1,97 @@
+"""What a router holds for forwarding, and one request on its way."""
+
+import collections
+import dataclasses
+import random
+import time
+
+import aiohttp
+from aiohttp import web
+
+from hickoryweir.forwarding import border, server_pool
+from hickoryweir.policy import retry_budget
+from hickoryweir.routes import matching, model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """What the router is told at its start."""
+
+    availability_zone: str
+    budget: retry_budget.Settings
+    long_prompt_share: float = 0.8
+
+
+@dataclasses.dataclass(slots=True)
+class Forwarder:
+    """Everything that a router knows and owns for forwarding.
+
+    Attributes
+    ----------
+    directory : matching.Directory or None
+        The table in force.
+    routers_count : int
+        Routers that share the retry budget.
+    is_draining : bool
+        Whether the process is about to stop.
+    counts : collections.Counter
+        Outcomes by reason.
+    """
+
+    settings: Settings
+    rules: border.Border
+    repeatable_session: aiohttp.ClientSession
+    single_session: aiohttp.ClientSession
+    generator: random.Random
+    directory: matching.Directory | None = None
+    pool: server_pool.Pool = dataclasses.field(default_factory=server_pool.Pool)
+    list_read_at_s: float = 0.0
+    routers_count: int = 1
+    is_draining: bool = False
+    budgets: dict = dataclasses.field(default_factory=dict)
+    counts: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    next_number: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Passage:
+    """One request on its way.
+
+    Attributes
+    ----------
+    deadline_s : float
+        Monotonic time of the final answer at the latest.
+    tried : set of str
+        Servers to which a byte was sent, or that could not be reached.
+    sent_count : int
+        Attempts that left this process.
+    may_have_run : bool
+        Whether any attempt can have run.
+    reply : web.StreamResponse or None
+        A stream's answer once it has begun.
+    failure : web.Response or None
+        The last failure that a server answered with.
+    """
+
+    forwarder: Forwarder
+    client: web.BaseRequest
+    facts: border.CallFacts
+    route: model.Route
+    service_name: str
+    account: model.ClientAccount | None
+    body: bytes
+    started_s: float
+    deadline_s: float
+    tried: set[str] = dataclasses.field(default_factory=set)
+    reply: web.StreamResponse | None = None
+    failure: web.Response | None = None
+    sent_count: int = 0
+    unsent_count: int = 0
+    may_have_run: bool = False
+    last_event_id: str = ""
+    retry_after_s: float | None = None
+
+    @property
+    def time_left_s(self) -> float:
+        """Return the time until the final answer is due."""
+        return self.deadline_s - time.monotonic()
--- /dev/null
+++ b/hickoryweir/forwarding/replies.py
@@ -0,0 +1,77 @@
+"""Answers of the router's own: refusals that tell whether the request has run.
+
+429 and 503 promise that the request has not run and never will, and say when to come
+back.  502 and 504 promise nothing.
+"""
+
+import enum
+
+import multidict
+from aiohttp import web
+
+
+class Reason(enum.StrEnum):
+    """Why the router gave an answer of its own."""
+
+    NO_TABLE = "no_table"
+    NO_ROUTE = "no_route"
+    KEY_UNKNOWN = "key_unknown"
+    REQUEST_INVALID = "request_invalid"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_TIMED_OUT = "body_timed_out"
+    NO_SERVER = "no_server"
+    OVERLOADED = "overloaded"
+    SERVER_REFUSED = "server_refused"
+    SERVER_FAILED = "server_failed"
+    SERVER_UNREACHABLE = "server_unreachable"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    TIMED_OUT = "timed_out"
+    TIMED_OUT_NOT_RUN = "timed_out_not_run"
+    INTERNAL_ERROR = "internal_error"
+
+
+STATUSES = {
+    Reason.NO_TABLE: 503,
+    Reason.NO_ROUTE: 404,
+    Reason.KEY_UNKNOWN: 401,
+    Reason.REQUEST_INVALID: 400,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.BODY_TIMED_OUT: 408,
+    Reason.NO_SERVER: 503,
+    Reason.OVERLOADED: 503,
+    Reason.SERVER_REFUSED: 503,
+    Reason.SERVER_FAILED: 502,
+    Reason.SERVER_UNREACHABLE: 503,
+    Reason.OUTCOME_UNKNOWN: 502,
+    Reason.TIMED_OUT: 504,
+    Reason.TIMED_OUT_NOT_RUN: 503,
+    Reason.INTERNAL_ERROR: 500,
+}
+CLOSING = frozenset({Reason.REQUEST_INVALID, Reason.BODY_TOO_LARGE})
+
+
+def make_reply(
+    reason: Reason, request_id: str, retry_after_s: float | None = None
+) -> web.Response:
+    """Return the router's own answer.
+
+    Parameters
+    ----------
+    reason : Reason
+        Why.
+    request_id : str
+        The client's id of the request.
+    retry_after_s : float, optional
+        When to come back; only for a request that has not run.
+    """
+    headers = multidict.CIMultiDict()
+    if request_id:
+        headers["Request-Id"] = request_id
+    if retry_after_s is not None:
+        headers["Retry-After"] = f"{retry_after_s:.2f}"
+    reply = web.Response(
+        status=STATUSES[reason], headers=headers, text=f"{reason.value}\n"
+    )
+    if reason in CLOSING:
+        reply.force_close()
+    return reply
--- /dev/null
+++ b/hickoryweir/forwarding/requests.py
@@ -0,0 +1,46 @@
+"""What is read of a client's request before it is passed on."""
+
+import asyncio
+
+from aiohttp import web
+
+from hickoryweir.forwarding import replies
+
+# A client on a phone sends a few kilobytes in well under this.
+BODY_TIMEOUT_S = 10.0
+
+
+def path_of(target: str) -> str | None:
+    """Return the path of a request target, without the query.
+
+    Examples
+    --------
+    >>> path_of("/a/b?c=1")
+    '/a/b'
+    >>> path_of("http://elsewhere/a") is None
+    True
+    """
+    if not target.startswith("/"):
+        return None
+    return target.partition("?")[0]
+
+
+async def read_body(
+    client: web.BaseRequest, max_size_bytes: int
+) -> bytes | replies.Reason:
+    """Return the whole body, or why the request is refused."""
+    if not client.body_exists:
+        return b""
+    if (client.content_length or 0) > max_size_bytes:
+        return replies.Reason.BODY_TOO_LARGE
+    chunks, size_bytes = [], 0
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            async for chunk in client.content.iter_any():
+                chunks.append(chunk)
+                size_bytes += len(chunk)
+                if size_bytes > max_size_bytes:
+                    return replies.Reason.BODY_TOO_LARGE
+    except TimeoutError:
+        return replies.Reason.BODY_TIMED_OUT
+    return b"".join(chunks)
--- /dev/null
+++ b/hickoryweir/forwarding/server.py
@@ -0,0 +1,114 @@
+"""The listening port for clients, and the one that the balancer asks for readiness."""
+
+import asyncio
+import dataclasses
+
+from aiohttp import http_exceptions, web
+
+from hickoryweir.forwarding import forwarder, passages, replies
+from hickoryweir.observability import logs
+
+BACKLOG_COUNT = 1_024
+# Before a table is known; clients reuse connections that were idle for less.
+DEFAULT_IDLE_TIMEOUT_S = 15.0
+MAX_HEADER_SIZE_BYTES = 16 * 1024
+
+
+class ClientConnection(web.RequestHandler):
+    """A client's connection, whose parse errors become plain refusals."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = web.HTTPInternalServerError.status_code,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the refusal for a malformed request or an unforeseen fault.
+
+        Raises
+        ------
+        ConnectionError
+            The answer has begun, so that aiohttp closes the connection.
+        """
+        is_malformed = isinstance(exc, http_exceptions.HttpProcessingError)
+        reason = replies.Reason.REQUEST_INVALID
+        if not is_malformed:
+            reason = replies.Reason.INTERNAL_ERROR
+            logs.error("request failed", logs.Fields(detail=repr(exc)))
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun")
+        reply = replies.make_reply(reason, "")
+        reply.force_close()
+        return reply
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """The open ports of a router."""
+
+    server: web.Server
+    listener: asyncio.Server
+    connections: set[ClientConnection]
+
+
+async def start(made: passages.Forwarder, host: str, port: int) -> Running:
+    """Listen for clients.
+
+    Raises
+    ------
+    OSError
+        The address is taken.
+    """
+    loop = asyncio.get_running_loop()
+
+    async def handle(client: web.BaseRequest) -> web.StreamResponse:
+        return await forwarder.serve(made, client)
+
+    server = web.Server(handle, handler_cancellation=True)
+    connections: set[ClientConnection] = set()
+
+    def make_connection() -> ClientConnection:
+        idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+        if made.directory is not None:
+            idle_timeout_s = made.directory.table.limits.idle_timeout_s
+        return ClientConnection(
+            server,
+            loop=loop,
+            keepalive_timeout=idle_timeout_s,
+            access_log=None,
+            max_line_size=MAX_HEADER_SIZE_BYTES,
+            max_field_size=MAX_HEADER_SIZE_BYTES,
+            auto_decompress=False,
+            lingering_time=0,
+        )
+
+    listener = await loop.create_server(
+        make_connection, host, port, backlog=BACKLOG_COUNT
+    )
+    return Running(server, listener, connections)
+
+
+async def start_readiness(made: passages.Forwarder, host: str, port: int) -> web.Server:
+    """Listen for the balancer's questions: 200 while clients should come here."""
+    loop = asyncio.get_running_loop()
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        is_ready = made.directory is not None and not made.is_draining
+        return web.Response(status=200 if is_ready else 503)
+
+    server = web.Server(handle, access_log=None)
+    await loop.create_server(server, host, port)
+    return server
+
+
+async def stop(running: Running, time_left_s: float) -> None:
+    """Let open requests end within `time_left_s` and close the connections.
+
+    Connections without a request are closed at once; the others after the answer that
+    they wait for.
+    """
+    running.listener.close()
+    await running.server.shutdown(time_left_s)
--- /dev/null
+++ b/hickoryweir/forwarding/sockets.py
@@ -0,0 +1,60 @@
+"""Sessions towards backend servers whose silent connections end by themselves."""
+
+import socket
+
+import aiohttp
+
+from hickoryweir.engines import sessions
+
+# Unacknowledged bytes for this long mean a cut link: three lost packets in a row.
+UNACKNOWLEDGED_TIMEOUT_MS = 1_500
+# Probes find a dead link below an answer that is awaited, within about two seconds.
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES_COUNT = 2
+
+
+class StrictConnector(aiohttp.TCPConnector):
+    """Never reuses a connection on which bytes came that nobody asked for.
+
+    aiohttp looks for such bytes when a connection is given back, but not when it is
+    taken again, and a late surplus answer would then be taken for the next one.
+    """
+
+    async def _get(self, key, traces):
+        for protocol, _ in tuple(self._conns.get(key, ())):
+            if protocol.should_close:
+                protocol.close()
+        return await super()._get(key, traces)
+
+
+def make_socket(address_info) -> socket.socket:
+    """Return a socket that notices a silent peer."""
+    family, kind, protocol, _, _ = address_info
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
+        (socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES_COUNT),
+    ):
+        made.setsockopt(socket.IPPROTO_TCP, option, value)
+    return made
+
+
+def make_session(keepalive_timeout_s: float) -> aiohttp.ClientSession:
+    """Return a session for backend servers; the caller closes it.
+
+    Parameters
+    ----------
+    keepalive_timeout_s : float
+        How long an idle connection is kept.
+    """
+    connector = StrictConnector(
+        limit=sessions.NO_LIMIT,
+        keepalive_timeout=keepalive_timeout_s,
+        socket_factory=make_socket,
+    )
+    return sessions.make_session(connector=connector)
--- /dev/null
+++ b/hickoryweir/policy/retry_budget.py
@@ -0,0 +1,74 @@
+"""A budget for sending requests to a second backend server, shared by all routers.
+
+For each service, repeats in a sliding window stay below a ratio of the requests plus
+a fixed extra.  A router spends the ratio of its own requests and its share of the
+extra, so the sum over all routers keeps the bound without messages.
+"""
+
+import collections
+import dataclasses
+
+# Windows are counted where the requests arrive, a little later than they are sent.
+SAFETY_SHARE = 0.8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """The bound for all routers together.
+
+    Attributes
+    ----------
+    ratio : float
+        Repeats allowed for each request.
+    window_s : float
+        Length of the sliding window.
+    extra_count : int
+        Repeats allowed in a window whatever the requests.
+    """
+
+    ratio: float = 0.2
+    window_s: float = 10.0
+    extra_count: int = 10
+
+
+@dataclasses.dataclass(slots=True)
+class Budget:
+    """Times of requests and repeats of one service, oldest first."""
+
+    settings: Settings
+    requests_s: collections.deque = dataclasses.field(default_factory=collections.deque)
+    repeats_s: collections.deque = dataclasses.field(default_factory=collections.deque)
+
+
+def note_request(budget: Budget, now_s: float) -> None:
+    """Count a client's request."""
+    budget.requests_s.append(now_s)
+    _forget(budget, now_s)
+
+
+def take(budget: Budget, routers_count: int, now_s: float) -> bool:
+    """Return whether a repeat may be sent now, and count it if so.
+
+    Examples
+    --------
+    >>> budget = Budget(Settings(ratio=0.0, window_s=10.0, extra_count=5))
+    >>> [take(budget, 2, 0.0) for _ in range(3)]
+    [True, True, False]
+    >>> take(budget, 2, 10.1)
+    True
+    """
+    _forget(budget, now_s)
+    settings = budget.settings
+    own_extra = settings.extra_count / max(1, routers_count)
+    allowed = SAFETY_SHARE * (settings.ratio * len(budget.requests_s) + own_extra)
+    if len(budget.repeats_s) + 1 > allowed:
+        return False
+    budget.repeats_s.append(now_s)
+    return True
+
+
+def _forget(budget: Budget, now_s: float) -> None:
+    oldest_s = now_s - budget.settings.window_s
+    for times_s in (budget.requests_s, budget.repeats_s):
+        while times_s and times_s[0] <= oldest_s:
+            times_s.popleft()
--- /dev/null
+++ b/hickoryweir/replicas/automation.py
@@ -0,0 +1,150 @@
+"""Members that join, are promoted and are replaced without an operator.
+
+A replica that finds no leader, or is no member, asks to be admitted as a learner; the
+leader promotes learners and removes lost members.  :func:`next_change` is the
+leader's decision, one step at a time; the order of the steps is that of
+:mod:`hickoryweir.replicas.replacement`: learner, removal, promotion.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from hickoryweir.observability import logs
+from hickoryweir.replicas import client, membership, messages, quorums, wire
+from hickoryweir.replicas import state as states
+
+CHECK_INTERVAL_S = 0.1
+# Three election timeouts: a member that only restarts is heard again before that.
+SILENT_AFTER_S = 1.5
+# A learner that is gone costs only messages; ten seconds outlast a restart.
+LEARNER_GONE_AFTER_S = 10.0
+# Two elections fit in, so that a replica does not ask to join amid one.
+JOIN_AFTER_S = 1.0
+JOIN_TIMEOUT_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberView:
+    """A member as the leader sees it.
+
+    Attributes
+    ----------
+    is_caught_up : bool
+        Whether it holds all that is committed and answers.
+    quiet_s : float
+        Seconds since it was last heard.
+    """
+
+    member: messages.Member
+    is_caught_up: bool
+    quiet_s: float
+
+
+def next_change(
+    views: tuple[MemberView, ...], own_id: str, voters_wanted_count: int
+) -> wire.ChangeRequest | None:
+    """Return the next change of the members that the leader should make.
+
+    Answers the loss of replicas for good: a lost voter is removed only while a
+    caught-up learner stands ready to take its place, so the group never shrinks for
+    a replica that merely restarts.
+
+    Parameters
+    ----------
+    views : tuple of MemberView
+        All members, the leader included.
+    own_id : str
+        The leader's member id.
+    voters_wanted_count : int
+        Size that the group should have.
+    """
+    voters = [view for view in views if view.member.voter]
+    others = [view for view in voters if view.member.member_id != own_id]
+    ready = [view for view in views if not view.member.voter and view.is_caught_up]
+    gone = _gone_learner(views)
+    if gone is not None:
+        return _change(wire.Change.REMOVE, gone.member)
+    if not ready:
+        return None
+    lost = _lost_voter(others, ready)
+    if lost is not None:
+        return _change(wire.Change.REMOVE, lost.member)
+    if len(voters) < voters_wanted_count:
+        newcomer = _best_placed(ready, voters)
+        return _change(wire.Change.PROMOTE, newcomer.member)
+    return None
+
+
+def _lost_voter(others: list[MemberView], ready: list[MemberView]) -> MemberView | None:
+    names = {messages.replica_name_of(view.member.member_id) for view in ready}
+    for view in others:
+        if messages.replica_name_of(view.member.member_id) in names:
+            return view
+    silent = [view for view in others if view.quiet_s > SILENT_AFTER_S]
+    return max(silent, key=lambda view: view.quiet_s, default=None)
+
+
+def _gone_learner(views: tuple[MemberView, ...]) -> MemberView | None:
+    names = [messages.replica_name_of(view.member.member_id) for view in views]
+    for view, name in zip(views, names, strict=True):
+        if view.member.voter or view.is_caught_up:
+            continue
+        limit_s = SILENT_AFTER_S if names.count(name) > 1 else LEARNER_GONE_AFTER_S
+        if view.quiet_s > limit_s:
+            return view
+    return None
+
+
+def _best_placed(ready: list[MemberView], voters: list[MemberView]) -> MemberView:
+    """Return the learner whose availability zone has the fewest voters."""
+    zones = [view.member.availability_zone for view in voters]
+    return min(
+        ready,
+        key=lambda view: (
+            zones.count(view.member.availability_zone),
+            view.member.member_id,
+        ),
+    )
+
+
+def _change(change: wire.Change, member: messages.Member) -> wire.ChangeRequest:
+    return wire.ChangeRequest(0, change, member)
+
+
+def view_members(state: states.State, now_s: float) -> tuple[MemberView, ...]:
+    """Return the members as the leader's core sees them."""
+    views = []
+    for member in state.membership.members:
+        progress = state.progress.get(member.member_id)
+        quiet_s = 0.0 if progress is None else now_s - progress.heard_s
+        is_caught_up = membership.is_caught_up(state, member.member_id, now_s)
+        views.append(MemberView(member, is_caught_up, quiet_s))
+    return tuple(views)
+
+
+def needs_to_join(state: states.State) -> bool:
+    """Return whether a replica takes no part: no member, or without a leader."""
+    return not state.leader_id or not quorums.is_member(state)
+
+
+async def keep_joining(
+    log: client.Client,
+    own: wire.ReplicaAddress,
+    get_state: Callable[[], states.State],
+) -> None:
+    """Ask to be admitted whenever this replica has taken no part for a while.
+
+    A member that asks is refused without harm, so an election that takes long or a
+    cut network costs a message a second and nothing else.
+    """
+    outside_s = 0.0
+    while True:
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        outside_s = outside_s + CHECK_INTERVAL_S if needs_to_join(get_state()) else 0.0
+        if outside_s < JOIN_AFTER_S:
+            continue
+        outside_s = 0.0
+        outcome = await log.add_learner(own, JOIN_TIMEOUT_S)
+        said = outcome.value_or("no answer") or "admitted"
+        logs.info("asked to join the replicated log", logs.Fields(reason=said))
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -15,9 +15,9 @@
 from absl import logging
 from returns import result
 
-from hickoryweir.replicas import disk as disks
-from hickoryweir.replicas import files as file_operations
+from hickoryweir.observability import logs
 from hickoryweir.replicas import (
+    automation,
     founding,
     links,
     machine,
@@ -30,6 +30,8 @@
     storage,
     wire,
 )
+from hickoryweir.replicas import disk as disks
+from hickoryweir.replicas import files as file_operations
 from hickoryweir.replicas import state as states
 from hickoryweir.streams import connections, handshake, hub, tls
 
@@ -59,6 +61,9 @@
         A snapshot is taken after so many entries or bytes of commands.
     keep_entries_count : int
         Entries kept before a snapshot, for replicas that lag a little.
+    voters_wanted_count : int
+        Size that the leader keeps the group at by itself; 0 leaves the members to
+        operators.
     """
 
     identity: handshake.Identity
@@ -71,6 +76,7 @@
     snapshot_entries_count: int = 20_000
     snapshot_log_size_bytes: int = 32 * 1024 * 1024
     keep_entries_count: int = 2_000
+    voters_wanted_count: int = 0
 
 
 class Node:
@@ -233,6 +239,7 @@
             proposals = []
             for item in items:
                 self._handle(item, proposals, now_s)
+            self._manage_members(now_s)
             self._propose(proposals, now_s)
             applied_index = self.state.applied_index
             requests.serve_reads(self._waits, self.machine, applied_index)
@@ -356,24 +363,42 @@
         self._step(states.ReadRequested(read_id), now_s)
 
     def _change(self, waiting: requests.Waiting, now_s: float) -> None:
-        event = requests.make_change_event(waiting.request, time.time())
         index = self.state.log.last_index + 1
         request_id = waiting.request.request_id
+        refusal = self._change_members(waiting.request, now_s)
+        if not refusal and waiting.request.change is not wire.Change.TRANSFER:
+            self._waits.changes[index] = waiting
+            return
+        waiting.connection.offer(wire.ChangeAnswered(request_id, refusal))
+
+    def _change_members(self, request: wire.ChangeRequest, now_s: float) -> str:
+        """Start a change; return why not, or empty text."""
+        event = requests.make_change_event(request, time.time())
         known = self.state.membership
         actions = raft.step(self.state, event, now_s)
         refusals = [item for item in actions if isinstance(item, states.ChangeRefused)]
         if refusals:
-            refusal = refusals[0].reason.value
-            waiting.connection.offer(wire.ChangeAnswered(request_id, refusal))
-            return
-        if isinstance(event, states.TransferRequested):
-            waiting.connection.offer(wire.ChangeAnswered(request_id, ""))
-        else:
-            self._waits.changes[index] = waiting
+            return refusals[0].reason.value
         for action in actions:
             self._carry_out(action, now_s)
         if self.state.membership is not known:
             self._links.update(self.state.membership, self.state.member_id)
+        return ""
+
+    def _manage_members(self, now_s: float) -> None:
+        wanted_count = self.settings.voters_wanted_count
+        if not wanted_count or self.state.role is not states.Role.LEADER:
+            return
+        views = automation.view_members(self.state, now_s)
+        request = automation.next_change(views, self.state.member_id, wanted_count)
+        if request is None:
+            return
+        refusal = self._change_members(request, now_s)
+        if not refusal:
+            fields = logs.Fields(
+                reason=request.change.value, peer=request.member.member_id
+            )
+            logs.info("changing the members", fields)
 
 
 def make_node(
--- a/hickoryweir/replicas/quorums.py
+++ b/hickoryweir/replicas/quorums.py
@@ -28,6 +28,11 @@
     return state.member_id in state.membership.voter_ids
 
 
+def is_member(state: states.State) -> bool:
+    """Return whether this replica takes part, as a voter or a learner."""
+    return state.membership.find(state.member_id) is not None
+
+
 def note_entries(state: states.State, entries: tuple[messages.Entry, ...]) -> None:
     """Keep the history of memberships in step with entries that replace the tail."""
     first_index = entries[0].index
--- /dev/null
+++ b/hickoryweir/routes/checks.py
@@ -0,0 +1,84 @@
+"""What makes a routing table invalid."""
+
+import collections
+
+from hickoryweir.routes import model
+
+
+def find_problems(table: model.RoutingTable) -> tuple[str, ...]:
+    """Return every problem of a table; an empty tuple if it is valid.
+
+    Examples
+    --------
+    >>> find_problems(model.RoutingTable(1, (), (), model.Limits(), ()))
+    ()
+    """
+    return (
+        *_repeated_services(table),
+        *_unknown_services(table),
+        *_repeated_places(table),
+        *_weights(table),
+        *_numbers(table),
+        *_shared_keys(table),
+    )
+
+
+def _repeated(items: list) -> list:
+    return sorted(
+        item for item, count in collections.Counter(items).items() if count > 1
+    )
+
+
+def _repeated_services(table: model.RoutingTable) -> list[str]:
+    names = [service.name for service in table.services]
+    return [f"service {name} is defined twice" for name in _repeated(names)]
+
+
+def _unknown_services(table: model.RoutingTable) -> list[str]:
+    known = {service.name for service in table.services}
+    return [
+        f"route {route.name} names the unknown service {destination.service_name}"
+        for route in table.routes
+        for destination in route.destinations
+        if destination.service_name not in known
+    ]
+
+
+def _repeated_places(table: model.RoutingTable) -> list[str]:
+    places = [(route.host.lower(), route.path_prefix) for route in table.routes]
+    return [
+        f"two routes share host {host} and prefix {prefix}"
+        for host, prefix in _repeated(places)
+    ]
+
+
+def _weights(table: model.RoutingTable) -> list[str]:
+    return [
+        f"the weights of route {route.name} add up to nothing"
+        for route in table.routes
+        if sum(destination.weight for destination in route.destinations) <= 0
+        or any(destination.weight < 0 for destination in route.destinations)
+    ]
+
+
+def _numbers(table: model.RoutingTable) -> list[str]:
+    found = []
+    for route in table.routes:
+        if route.timeout_s <= 0:
+            found.append(f"the timeout of route {route.name} is not above 0")
+        if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
+            found.append(f"the prefix of route {route.name} lacks a slash at an end")
+    return found
+
+
+def _shared_keys(table: model.RoutingTable) -> list[str]:
+    holders = collections.defaultdict(set)
+    for position, account in enumerate(table.accounts):
+        for key in account.keys:
+            holders[key].add(position)
+    # The key itself is a secret and stays out of the text.
+    return [
+        "two client accounts share a key"
+        for positions in holders.values()
+        if len(positions) > 1
+    ]
--- a/hickoryweir/streams/handshake.py
+++ b/hickoryweir/streams/handshake.py
@@ -19,6 +19,7 @@
     REPLICA = "replica"
     CLIENT = "client"
     ROUTER = "router"
+    FEED = "feed"
 
 
 class RefusalReason(enum.StrEnum):
