--- a/hickoryweir/forwarding/border.py
+++ b/hickoryweir/forwarding/border.py
@@ -104,7 +104,6 @@
     is_other_server: bool
     load: Load | None
     idle_timeout_s: float | None
-    is_leaving: bool
 
 
 Headers = Mapping[str, str]
@@ -158,3 +157,17 @@
     except ValueError:
         return default
     return number if 0.0 <= number < float("inf") else default
+
+
+def read_load(text: str) -> Load | None:
+    """Return running, waiting and slots from three numbers between commas.
+
+    Examples
+    --------
+    >>> read_load("3,0,8")
+    Load(running_count=3, waiting_count=0, slots_count=8)
+    """
+    numbers = text.replace(" ", "").split(",")
+    if len(numbers) != 3 or not all(number.isdecimal() for number in numbers):
+        return None
+    return Load(*(int(number) for number in numbers))
--- /dev/null
+++ b/hickoryweir/forwarding/headers.py
@@ -0,0 +1,91 @@
+"""The project's own headers of requests and answers; see :mod:`.border`.
+
+A client sends ``X-Request-Id``, ``X-Time-Left-S``, ``Last-Event-ID`` and, for prompts,
+``X-Prompt: MODEL;INPUT;OUTPUT;ID:TOKENS,ID:TOKENS``.  The router adds
+``X-Server-Id``, ``X-Client-Account`` and ``X-Urgency``.  A backend server echoes
+``X-Request-Id`` and says ``X-Not-Run`` when it did not run a request.
+"""
+
+import multidict
+
+from hickoryweir.forwarding import border
+from hickoryweir.routes import matching
+
+REQUEST_ID = "X-Request-Id"
+TIME_LEFT = "X-Time-Left-S"
+LAST_EVENT_ID = "Last-Event-ID"
+PROMPT = "X-Prompt"
+SERVER_ID = "X-Server-Id"
+ACCOUNT_NAME = "X-Client-Account"
+URGENCY = "X-Urgency"
+NOT_RUN = "X-Not-Run"
+LOAD = "X-Load"
+OTHER_SERVER_STATUS = 421
+ROUTER_HEADERS = frozenset(
+    {"authorization", "x-client-account", "x-server-id", "x-urgency", "x-time-left-s"}
+)
+
+
+def make_border() -> border.Border:
+    """Return the functions between the project's headers and its types."""
+    return border.Border(read_call, make_headers, read_answer)
+
+
+def read_call(headers: border.Headers) -> border.CallFacts:
+    """Return what a client's request says of itself."""
+    return border.CallFacts(
+        request_id=headers.get(REQUEST_ID, ""),
+        time_left_s=border.read_number(headers.get(TIME_LEFT, "")),
+        key=matching.bearer_key(headers.get("Authorization", "")),
+        last_event_id=headers.get(LAST_EVENT_ID, ""),
+        prompt=read_prompt(headers.get(PROMPT, "")),
+    )
+
+
+def read_prompt(text: str) -> border.Prompt | None:
+    """Return the prompt that a header describes, if it can be read.
+
+    Examples
+    --------
+    >>> read_prompt("m;30;5;a1:20,b2:10").parts[0]
+    PromptPart(part_id='a1', tokens_count=20)
+    >>> read_prompt("m;many;5;") is None
+    True
+    """
+    fields = text.split(";")
+    if len(fields) != 4 or not (fields[1].isdecimal() and fields[2].isdecimal()):
+        return None
+    parts = []
+    for entry in fields[3].split(","):
+        part_id, _, tokens = entry.partition(":")
+        if part_id and tokens.isdecimal():
+            parts.append(border.PromptPart(part_id, int(tokens)))
+    return border.Prompt(fields[0], int(fields[1]), int(fields[2]), tuple(parts))
+
+
+def make_headers(
+    headers: border.Headers, sending: border.Sending
+) -> multidict.CIMultiDict:
+    """Return the headers for a backend server."""
+    made = border.passable(headers, ROUTER_HEADERS)
+    made[SERVER_ID] = sending.server_id
+    if sending.account_name:
+        made[ACCOUNT_NAME] = sending.account_name
+    if sending.time_left_s is not None:
+        made[TIME_LEFT] = f"{sending.time_left_s:.3f}"
+    if sending.urgency is not None:
+        made[URGENCY] = str(sending.urgency)
+    if sending.last_event_id:
+        made[LAST_EVENT_ID] = sending.last_event_id
+    return made
+
+
+def read_answer(status: int, headers: border.Headers) -> border.AnswerFacts:
+    """Return what the head of an answer says of itself."""
+    return border.AnswerFacts(
+        request_id=headers.get(REQUEST_ID, ""),
+        is_not_run=NOT_RUN in headers,
+        is_other_server=status == OTHER_SERVER_STATUS,
+        load=border.read_load(headers.get(LOAD, "")),
+        idle_timeout_s=None,
+    )
--- /dev/null
+++ b/hickoryweir/forwarding/tests/sites.py
@@ -0,0 +1,149 @@
+"""A router's clients' port before backend servers that tests write as functions."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+
+import aiohttp
+from aiohttp import web
+
+from hickoryweir.discovery import listing
+from hickoryweir.forwarding import headers, passages, server, server_pool, sockets
+from hickoryweir.policy import retry_budget
+from hickoryweir.routes import matching, model
+from hickoryweir.routes.tests import tables
+
+HOST = "127.0.0.1"
+IDLE_S = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class Backend:
+    """A backend server with the requests that reached it."""
+
+    server_id: str
+    address: str
+    listener: asyncio.Server
+    seen: list
+
+
+@dataclasses.dataclass(slots=True)
+class Site:
+    """A router with its backend servers and a client."""
+
+    forwarder: passages.Forwarder
+    running: server.Running
+    backends: list[Backend]
+    client: aiohttp.ClientSession
+    port: int
+
+    async def call(self, method="POST", path="/chat/x", given=None, **options):
+        """Return status, headers and body of a call."""
+        sent = {"Host": "site.example", headers.REQUEST_ID: "r-1"} | (given or {})
+        url = f"http://{HOST}:{self.port}{path}"
+        async with self.client.request(method, url, headers=sent, **options) as reply:
+            return reply.status, reply.headers, await reply.read()
+
+
+async def start_backend(server_id, answer) -> Backend:
+    """Start a server; `answer(request, body)` returns or sends the response."""
+    seen = []
+
+    async def handle(request):
+        body = await request.read()
+        seen.append((request, body))
+        return await answer(request, body)
+
+    made = web.Server(handle, access_log=None)
+    listener = await asyncio.get_running_loop().create_server(made, HOST, 0)
+    port = listener.sockets[0].getsockname()[1]
+    return Backend(server_id, f"{HOST}:{port}", listener, seen)
+
+
+def answering(status=200, text="whole", **more):
+    """Return a backend server's function that echoes the request's id."""
+
+    async def answer(request, body):
+        given = {headers.REQUEST_ID: request.headers.get(headers.REQUEST_ID, "")}
+        return web.Response(status=status, text=text, headers=given | more)
+
+    return answer
+
+
+def make_forwarder(routes, accounts=(), budget=None) -> passages.Forwarder:
+    """Return a forwarder with a table in force and no server."""
+    directory = matching.make_directory(tables.make_table(routes, accounts))
+    return passages.Forwarder(
+        settings=passages.Settings(
+            "a", budget or retry_budget.Settings(1.0, 10.0, 100)
+        ),
+        rules=headers.make_border(),
+        repeatable_session=sockets.make_session(IDLE_S),
+        single_session=sockets.make_session(IDLE_S),
+        generator=random.Random(1),
+        directory=directory,
+    )
+
+
+@contextlib.asynccontextmanager
+async def run_site(answers, routes=None, **options):
+    """Run a router before one backend server for each function in `answers`."""
+    if routes is None:
+        routes = (tables.make_route(allows_anonymous=True),)
+    forwarder = make_forwarder(routes, **options)
+    backends = []
+    for number, answer in enumerate(answers):
+        backends.append(await start_backend(f"s{number}", answer))
+    list_servers(forwarder, backends)
+    running = await server.start(forwarder, HOST, 0)
+    port = running.listener.sockets[0].getsockname()[1]
+    client = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(force_close=True), auto_decompress=False
+    )
+    try:
+        yield Site(forwarder, running, backends, client, port)
+    finally:
+        await client.close()
+        await server.stop(running, 0.1)
+        for backend in backends:
+            backend.listener.close()
+        await forwarder.repeatable_session.close()
+        await forwarder.single_session.close()
+
+
+def list_servers(forwarder, backends, state=listing.ServerState.READY) -> None:
+    """Put backend servers into the router's list."""
+    servers = tuple(
+        listing.BackendServer(
+            backend.server_id, "app", backend.address, "a", state, 8, 0.0
+        )
+        for backend in backends
+    )
+    found = listing.ServerList(servers, listing.elapsed_s())
+    server_pool.take_list(forwarder.pool, found)
+
+
+def resumable_route():
+    """Return a route of resumable streams."""
+    return tables.make_route(
+        allows_anonymous=True,
+        is_stream=True,
+        execution=model.Execution.RESUMABLE_STREAM,
+    )
+
+
+def single_route(**changes):
+    """Return a route whose requests run at most once."""
+    return tables.make_route(
+        allows_anonymous=True, execution=model.Execution.AT_MOST_ONCE, **changes
+    )
+
+
+async def wait_until(condition, timeout_s=5.0) -> None:
+    """Return once `condition()` holds."""
+    async with asyncio.timeout(timeout_s):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/hickoryweir/forwarding/tests/test_forwarder.py
@@ -0,0 +1,268 @@
+"""Requests through a router over loopback sockets."""
+
+import asyncio
+
+from aiohttp import web
+
+from hickoryweir.discovery import listing
+from hickoryweir.forwarding import headers
+from hickoryweir.forwarding.tests import sites
+from hickoryweir.policy import retry_budget
+from hickoryweir.routes import model
+from hickoryweir.routes.tests import tables
+
+
+def run(answers, scenario, **options):
+    async def main():
+        async with sites.run_site(answers, **options) as site:
+            return await scenario(site)
+
+    return asyncio.run(main())
+
+
+async def drop(request, body):
+    """End the connection without an answer."""
+    request.transport.abort()
+    return web.Response()
+
+
+def failing_first(count, then):
+    """Return a function that drops the first requests and then answers."""
+    left = [count]
+
+    async def answer(request, body):
+        if left[0]:
+            left[0] -= 1
+            return await drop(request, body)
+        return await then(request, body)
+
+    return answer
+
+
+def test_method_path_query_and_body_pass_unchanged():
+    async def scenario(site):
+        await site.call("PUT", "/chat/a%2Fb?c=%20d&c", data=b"\x00body")
+        return site.backends[0].seen[0]
+
+    request, body = run([sites.answering()], scenario)
+    assert (request.method, request.raw_path) == ("PUT", "/chat/a%2Fb?c=%20d&c")
+    assert body == b"\x00body"
+
+
+def test_key_ends_at_the_router_and_the_account_is_named():
+    account = model.ClientAccount("north", ("k1",), None)
+
+    async def scenario(site):
+        given = {"Authorization": "Bearer k1", headers.ACCOUNT_NAME: "forged"}
+        await site.call(given=given)
+        return site.backends[0].seen[0][0].headers
+
+    routes = (tables.make_route(),)
+    seen = run([sites.answering()], scenario, routes=routes, accounts=(account,))
+    assert "Authorization" not in seen
+    assert seen.getall(headers.ACCOUNT_NAME) == ["north"]
+
+
+def test_unknown_key_is_refused_before_any_server():
+    account = model.ClientAccount("north", ("k1",), None)
+
+    async def scenario(site):
+        status, _, _ = await site.call(given={"Authorization": "Bearer k2"})
+        return status, site.backends[0].seen
+
+    routes = (tables.make_route(),)
+    assert run([sites.answering()], scenario, routes=routes, accounts=(account,)) == (
+        401,
+        [],
+    )
+
+
+def test_unknown_path_is_not_found():
+    async def scenario(site):
+        return (await site.call(path="/elsewhere/"))[0]
+
+    assert run([sites.answering()], scenario) == 404
+
+
+def test_without_a_table_the_client_is_told_when_to_come_back():
+    async def scenario(site):
+        site.forwarder.directory = None
+        status, given, _ = await site.call()
+        return status, float(given["Retry-After"]) > 0
+
+    assert run([sites.answering()], scenario) == (503, True)
+
+
+def test_repeatable_request_goes_to_a_second_server():
+    answer = failing_first(1, sites.answering())
+
+    async def scenario(site):
+        status, _, body = await site.call()
+        return status, body, sum(len(item.seen) for item in site.backends)
+
+    assert run([answer, answer], scenario) == (200, b"whole", 2)
+
+
+def test_request_at_most_once_is_not_sent_again_after_a_break():
+    async def scenario(site):
+        status, given, _ = await site.call()
+        return status, "Retry-After" in given, [len(b.seen) for b in site.backends]
+
+    status, may_retry, seen = run(
+        [drop, drop], scenario, routes=(sites.single_route(),)
+    )
+    assert (status, may_retry, sum(seen)) == (502, False, 1)
+
+
+def test_request_at_most_once_goes_on_when_it_has_certainly_not_run():
+    full = sites.answering(503, **{headers.NOT_RUN: "1"})
+    answer_by_order = [full, sites.answering()]
+
+    async def answer(request, body):
+        return await answer_by_order.pop(0)(request, body)
+
+    async def scenario(site):
+        return (await site.call())[0]
+
+    assert run([answer, answer], scenario, routes=(sites.single_route(),)) == 200
+
+
+def test_refusals_of_all_servers_promise_that_it_has_not_run():
+    full = sites.answering(503, **{headers.NOT_RUN: "1"})
+
+    async def scenario(site):
+        status, given, _ = await site.call()
+        return status, float(given["Retry-After"]) > 0
+
+    assert run([full, full], scenario) == (503, True)
+
+
+def test_unreachable_server_is_passed_over_without_an_attempt():
+    async def scenario(site):
+        site.backends[0].listener.close()
+        await site.backends[0].listener.wait_closed()
+        return [(await site.call())[0] for _ in range(4)]
+
+    routes = (sites.single_route(max_attempts_count=1),)
+    answers = [sites.answering(), sites.answering()]
+    assert run(answers, scenario, routes=routes) == [200] * 4
+
+
+def test_failure_of_a_server_passes_when_nothing_better_comes():
+    async def scenario(site):
+        return (await site.call())[0], sum(len(b.seen) for b in site.backends)
+
+    assert run([sites.answering(500)] * 3, scenario) == (500, 2)
+
+
+def test_empty_budget_allows_no_second_send():
+    async def scenario(site):
+        return (await site.call())[0], sum(len(b.seen) for b in site.backends)
+
+    budget = retry_budget.Settings(0.0, 10.0, 0)
+    assert run([sites.answering(500)] * 2, scenario, budget=budget) == (500, 1)
+
+
+def test_answer_to_another_request_is_never_passed_on():
+    async def other(request, body):
+        return web.Response(text="other's", headers={headers.REQUEST_ID: "r-9"})
+
+    async def scenario(site):
+        status, _, body = await site.call()
+        return status, b"other's" in body
+
+    assert run([other, other], scenario) == (502, False)
+
+
+def test_truncated_answer_is_asked_for_again():
+    async def truncated(request, body):
+        reply = web.StreamResponse(headers={headers.REQUEST_ID: "r-1"})
+        reply.content_length = 100
+        await reply.prepare(request)
+        await reply.write(b"half")
+        request.transport.close()
+        return reply
+
+    answers = [truncated, sites.answering()]
+
+    async def answer(request, body):
+        return await answers.pop(0)(request, body)
+
+    async def scenario(site):
+        status, _, body = await site.call()
+        return status, body
+
+    assert run([answer, answer], scenario) == (200, b"whole")
+
+
+def test_final_answer_comes_at_the_end_of_the_clients_time():
+    async def slow(request, body):
+        await asyncio.sleep(30.0)
+
+    async def scenario(site):
+        return (await site.call(given={headers.TIME_LEFT: "0.2"}))[0]
+
+    assert run([slow], scenario) == 504
+
+
+def test_leaving_server_gets_no_new_request():
+    async def scenario(site):
+        sites.list_servers(site.forwarder, site.backends, listing.ServerState.DRAINING)
+        return (await site.call())[0], len(site.backends[0].seen)
+
+    assert run([sites.answering()], scenario) == (503, 0)
+
+
+def test_attempt_ends_when_the_client_goes_away():
+    transports = []
+
+    async def slow(request, body):
+        transports.append(request.transport)
+        await asyncio.sleep(30.0)
+
+    async def scenario(site):
+        call = asyncio.create_task(site.call())
+        await sites.wait_until(lambda: transports)
+        call.cancel()
+        await sites.wait_until(transports[0].is_closing)
+        return len(next(iter(site.forwarder.pool.servers.values())).running)
+
+    assert run([slow], scenario) == 0
+
+
+def test_body_over_the_limit_is_refused_and_the_connection_closed():
+    async def scenario(site):
+        limit = site.forwarder.directory.table.limits.max_body_size_bytes
+        status, given, _ = await site.call(data=b"x" * (limit + 1))
+        return status, given.get("Connection"), len(site.backends[0].seen)
+
+    assert run([sites.answering()], scenario) == (413, "close", 0)
+
+
+def raw_call(data):
+    """Return what the router answers to bytes, and what the server saw."""
+
+    async def scenario(site):
+        reader, writer = await asyncio.open_connection(sites.HOST, site.port)
+        writer.write(data)
+        async with asyncio.timeout(5.0):
+            answer = await reader.read()
+        writer.close()
+        return answer.split(b"\r\n")[0], len(site.backends[0].seen)
+
+    return run([sites.answering()], scenario)
+
+
+def test_length_with_chunks_is_refused():
+    head = b"POST /chat/x HTTP/1.1\r\nHost: site.example\r\n"
+    both = b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    status, seen_count = raw_call(head + both)
+    assert (b"400" in status, seen_count) == (True, 0)
+
+
+def test_two_lengths_are_refused():
+    head = b"POST /chat/x HTTP/1.1\r\nHost: site.example\r\n"
+    status, seen_count = raw_call(
+        head + b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde"
+    )
+    assert (b"400" in status, seen_count) == (True, 0)
--- /dev/null
+++ b/hickoryweir/replicas/tests/test_automation.py
@@ -0,0 +1,114 @@
+"""The leader's decisions on its members."""
+
+import asyncio
+
+from hickoryweir.replicas import automation, client, messages, wire
+from hickoryweir.replicas.tests import register
+
+
+def view(name, *, voter=True, caught_up=True, quiet_s=0.0, zone="a", number=1):
+    member = messages.Member(
+        messages.make_member_id(name, f"{number}"), f"{name}:1", zone, voter
+    )
+    return automation.MemberView(member, caught_up, quiet_s)
+
+
+def decide(*views, wanted_count=3):
+    own_id = views[0].member.member_id
+    request = automation.next_change(tuple(views), own_id, wanted_count)
+    if request is None:
+        return None
+    return request.change, request.member.member_id
+
+
+def test_whole_group_is_left_alone():
+    assert decide(view("a"), view("b"), view("c")) is None
+
+
+def test_silent_voter_stays_while_nobody_can_replace_it():
+    lost = view("c", caught_up=False, quiet_s=60.0)
+    assert decide(view("a"), view("b"), lost) is None
+
+
+def test_silent_voter_goes_once_a_learner_has_caught_up():
+    lost = view("c", caught_up=False, quiet_s=2.0)
+    learner = view("d", voter=False)
+    assert decide(view("a"), view("b"), lost, learner) == (
+        wire.Change.REMOVE,
+        lost.member.member_id,
+    )
+
+
+def test_learner_that_lags_replaces_nobody():
+    lost = view("c", caught_up=False, quiet_s=2.0)
+    learner = view("d", voter=False, caught_up=False)
+    assert decide(view("a"), view("b"), lost, learner) is None
+
+
+def test_learner_is_promoted_when_a_place_is_free():
+    learner = view("d", voter=False)
+    assert decide(view("a"), view("b"), learner) == (
+        wire.Change.PROMOTE,
+        learner.member.member_id,
+    )
+
+
+def test_spare_learner_waits_while_the_group_is_whole():
+    learner = view("d", voter=False)
+    assert decide(view("a"), view("b"), view("c"), learner) is None
+
+
+def test_empty_disk_replaces_the_member_of_its_own_vm_at_once():
+    old = view("c", caught_up=False, quiet_s=0.1)
+    new = view("c", voter=False, number=2)
+    assert decide(view("a"), view("b"), old, new) == (
+        wire.Change.REMOVE,
+        old.member.member_id,
+    )
+
+
+def test_zone_with_the_fewest_voters_comes_first():
+    near = view("d", voter=False, zone="a")
+    far = view("e", voter=False, zone="b")
+    assert decide(view("a", zone="a"), view("b", zone="c"), near, far) == (
+        wire.Change.PROMOTE,
+        far.member.member_id,
+    )
+
+
+def test_learner_that_is_gone_is_removed():
+    gone = view("d", voter=False, caught_up=False, quiet_s=11.0)
+    assert decide(view("a"), view("b"), view("c"), gone) == (
+        wire.Change.REMOVE,
+        gone.member.member_id,
+    )
+
+
+async def _joining(log, running):
+    own = running.address
+    state = running.node.state
+    joining = asyncio.create_task(automation.keep_joining(log, own, lambda: state))
+    try:
+        async with asyncio.timeout(register.START_TIMEOUT_S):
+            while True:
+                if not automation.needs_to_join(state):
+                    return
+                await asyncio.sleep(0.05)
+    finally:
+        joining.cancel()
+
+
+def test_empty_replica_joins_by_itself(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            assert await router.wait_until_ready(register.START_TIMEOUT_S)
+            running = await register.start_replica("z", 0, str(tmp_path / "z"))
+            replicas["z"] = running
+            identity = register.make_identity("z")
+            addresses = tuple(item.address for item in replicas.values())
+            log = client.make_client(identity, addresses, None)
+            await _joining(log, running)
+            await log.close()
+            return running.node.state.membership.find(running.node.state.member_id)
+
+    assert asyncio.run(scenario()) is not None
--- /dev/null
+++ b/hickoryweir/routes/tests/test_matching.py
@@ -0,0 +1,54 @@
+"""The choice of a route, a service and a key."""
+
+import random
+
+from hickoryweir.routes import matching, model
+from hickoryweir.routes.tests import tables
+
+
+def directory():
+    routes = (
+        tables.make_route("outer", "/a/"),
+        tables.make_route("inner", "/a/b/"),
+        tables.make_route("root", "/", host="other.example"),
+    )
+    return matching.make_directory(tables.make_table(routes))
+
+
+def name_of(host, path):
+    route = matching.find_route(directory(), host, path)
+    return None if route is None else route.name
+
+
+def test_longest_prefix_wins():
+    assert name_of("site.example", "/a/b/c") == "inner"
+    assert name_of("site.example", "/a/x") == "outer"
+
+
+def test_prefix_matches_whole_segments_only():
+    assert name_of("site.example", "/a/bc") == "outer"
+    assert name_of("site.example", "/a") is None
+
+
+def test_host_is_matched_without_regard_to_case():
+    assert name_of("SITE.Example", "/a/") == "outer"
+
+
+def test_routes_of_other_hosts_do_not_match():
+    assert name_of("other.example", "/a/b/") == "root"
+    assert name_of("third.example", "/a/b/") is None
+
+
+def test_split_follows_the_weights():
+    destinations = (model.Destination("app", 9), model.Destination("new", 1))
+    route = tables.make_route(destinations=destinations)
+    generator = random.Random(7)
+    chosen = [matching.choose_service(route, generator) for _ in range(1000)]
+    assert 60 <= chosen.count("new") <= 140
+
+
+def test_service_without_weight_is_never_chosen():
+    destinations = (model.Destination("app", 1), model.Destination("new", 0))
+    route = tables.make_route(destinations=destinations)
+    generator = random.Random(7)
+    assert {matching.choose_service(route, generator) for _ in range(200)} == {"app"}
