--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -1,6 +1,7 @@
 """The listening port for clients, and the one that the balancer asks for readiness."""
 
 import asyncio
+import collections
 import dataclasses
 
 from aiohttp import http_exceptions, web
@@ -12,6 +13,9 @@
 # Before a table is known; clients reuse connections that were idle for less.
 DEFAULT_IDLE_TIMEOUT_S = 15.0
 MAX_HEADER_SIZE_BYTES = 16 * 1024
+STOP_CHECK_INTERVAL_S = 0.05
+# An answer is handed to the transport within one turn of the loop.
+WRITE_MARGIN_S = 0.02
 
 
 class ClientConnection(web.RequestHandler):
@@ -47,11 +51,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Running:
-    """The open ports of a router."""
+    """The open port of a router; `busy` counts the requests of each connection."""
 
     server: web.Server
     listener: asyncio.Server
-    connections: set[ClientConnection]
+    busy: collections.Counter
 
 
 async def start(made: passages.Forwarder, host: str, port: int) -> Running:
@@ -63,12 +67,18 @@
         The address is taken.
     """
     loop = asyncio.get_running_loop()
+    busy: collections.Counter = collections.Counter()
 
     async def handle(client: web.BaseRequest) -> web.StreamResponse:
-        return await forwarder.serve(made, client)
+        connection = client.protocol
+        busy[connection] += 1
+        try:
+            return await forwarder.serve(made, client)
+        finally:
+            # A plain answer is written after the handler, within the next turns.
+            loop.call_later(WRITE_MARGIN_S, _leave, busy, connection)
 
     server = web.Server(handle, handler_cancellation=True)
-    connections: set[ClientConnection] = set()
 
     def make_connection() -> ClientConnection:
         idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -88,11 +98,23 @@
     listener = await loop.create_server(
         make_connection, host, port, backlog=BACKLOG_COUNT
     )
-    return Running(server, listener, connections)
+    return Running(server, listener, busy)
 
 
-async def start_readiness(made: passages.Forwarder, host: str, port: int) -> web.Server:
-    """Listen for the balancer's questions: 200 while clients should come here."""
+def _leave(busy: collections.Counter, connection: ClientConnection) -> None:
+    busy[connection] -= 1
+    if not busy[connection]:
+        del busy[connection]
+
+
+async def start_readiness(made: passages.Forwarder, host: str, port: int) -> int:
+    """Listen for the balancer's questions: 200 while clients should come here.
+
+    Returns
+    -------
+    int
+        The port in use.
+    """
     loop = asyncio.get_running_loop()
 
     async def handle(request: web.BaseRequest) -> web.Response:
@@ -100,15 +122,32 @@
         return web.Response(status=200 if is_ready else 503)
 
     server = web.Server(handle, access_log=None)
-    await loop.create_server(server, host, port)
-    return server
+    listener = await loop.create_server(server, host, port)
+    return listener.sockets[0].getsockname()[1]
 
 
 async def stop(running: Running, time_left_s: float) -> None:
     """Let open requests end within `time_left_s` and close the connections.
 
-    Connections without a request are closed at once; the others after the answer that
-    they wait for.
+    Connections without a request are closed at once; a request that crosses the
+    close has not been read.  The others close after the answer that they wait for.
+    aiohttp's own shutdown would keep idle connections open meanwhile and read requests
+    from them without an answer.
     """
     running.listener.close()
-    await running.server.shutdown(time_left_s)
+    for connection in list(running.server.connections):
+        if connection in running.busy:
+            connection.close()
+        else:
+            connection.force_close()
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + time_left_s
+    while True:
+        if not running.busy or loop.time() >= end_s:
+            break
+        await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+    for connection in list(running.server.connections):
+        connection.force_close()
+    if running.busy:
+        cut_off = logs.Fields(detail=f"{len(running.busy)} requests cut off")
+        logs.warning("stopped before all answers had ended", cut_off)
