Replicas on disks that renumber files, that fail and that hang; bounded logs

A replica whose disk fails is opened anew inside its process, and one that can't be opened is tried again instead of ending the process. Logs go through a bounded queue.

--- a/hickoryweir/entry/main.py
+++ b/hickoryweir/entry/main.py
@@ -9,11 +9,13 @@
 from returns import result
 
 from hickoryweir.entry import adapters, replica, router, settings
-from hickoryweir.observability import logs
+from hickoryweir.observability import bounded, logs
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 EXIT_INVALID_SETTINGS = 2
 EXIT_NOT_STARTED = 4
+# What is queued is written in milliseconds; a reader that stands still is left.
+LOG_CLOSE_TIMEOUT_S = 0.2
 
 
 def serve(path: pathlib.Path, given_adapters: adapters.Adapters) -> int:
@@ -32,7 +34,15 @@
         Exit code: 0 after a clean stop, 2 for invalid settings, 4 if a part could
         not be started.
     """
-    logs.configure("info", sys.stdout)
+    stream = bounded.make_stream(sys.stdout)
+    logs.configure("info", stream)
+    try:
+        return _serve(path, given_adapters)
+    finally:
+        stream.close(LOG_CLOSE_TIMEOUT_S)
+
+
+def _serve(path: pathlib.Path, given_adapters: adapters.Adapters) -> int:
     loaded = settings.load(path)
     if isinstance(loaded, result.Failure):
         logs.error("invalid settings", logs.Fields(detail=str(loaded.failure())))
--- a/hickoryweir/entry/settings.py
+++ b/hickoryweir/entry/settings.py
@@ -82,11 +82,15 @@
         Whether an empty folder may found the log with the seeds.
     tolerated_losses_count : int
         Replicas that may be lost at once.
+    detects_copies : bool
+        Whether a folder that was copied is refused, by the inode number of a file;
+        off where the disk renumbers files.
     """
 
     data_folder: OptionalText = ""
     bootstrap: fields.Flag = False
     tolerated_losses_count: fields.Count = 1
+    detects_copies: fields.Flag = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/hickoryweir/entry/tests/test_replica.py
@@ -0,0 +1,78 @@
+"""A replica process's keeper over a disk that fails."""
+
+import asyncio
+
+from hickoryweir.entry import replica, settings
+from hickoryweir.replicas import state as states
+from hickoryweir.streams import hub
+
+TIMEOUT_S = 10.0
+
+
+def make_settings(folder):
+    text = f"""
+[process]
+role = replica
+host = 127.0.0.1
+availability_zone = a
+peer_port = 0
+seeds = 127.0.0.1:1
+
+[replica]
+data_folder = {folder}
+bootstrap = no
+"""
+    return settings.parse(text, "a.ini").unwrap()
+
+
+async def wait_until(condition):
+    async with asyncio.timeout(TIMEOUT_S):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.02)
+
+
+def test_replica_whose_disk_failed_is_opened_anew_as_the_same_member(tmp_path):
+    async def main():
+        given = make_settings(tmp_path / "data")
+        peer_hub = hub.make_hub(replica.make_identity(given), "127.0.0.1", 0)
+        await peer_hub.start()
+        keeper = replica.Keeper(given, peer_hub)
+        task = asyncio.create_task(keeper.run())
+        await wait_until(lambda: keeper.node.state is not None)
+        first = keeper.node
+        first._queue.put_nowait(states.StorageFailed())
+        await wait_until(
+            lambda: keeper.node is not first and keeper.node.state is not None
+        )
+        ids = first.state.member_id, keeper.node.state.member_id
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await keeper.node.stop()
+        await peer_hub.close()
+        return ids
+
+    first_id, second_id = asyncio.run(main())
+    assert first_id == second_id
+
+
+def test_folder_that_can_not_be_opened_is_tried_again(tmp_path):
+    blocked = tmp_path / "data"
+    blocked.write_text("in the way")
+
+    async def main():
+        given = make_settings(blocked)
+        peer_hub = hub.make_hub(replica.make_identity(given), "127.0.0.1", 0)
+        await peer_hub.start()
+        keeper = replica.Keeper(given, peer_hub)
+        task = asyncio.create_task(keeper.run())
+        await wait_until(lambda: keeper.node.failure is not None)
+        blocked.unlink()
+        await wait_until(lambda: keeper.node.state is not None)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await keeper.node.stop()
+        await peer_hub.close()
+
+    asyncio.run(main())
--- /dev/null
+++ b/hickoryweir/entry/tests/test_settings.py
@@ -0,0 +1,52 @@
+"""Settings of a router or replica process."""
+
+from hickoryweir.entry import settings
+
+TEXT = """
+[process]
+role = router
+host = 10.1.0.19
+availability_zone = north
+peer_port = 7340
+seeds = 10.1.0.22:8229, 10.2.0.39:8229,10.1.0.22:8230
+
+[ports]
+clients = 10.1.0.19:8227
+readiness = 10.1.0.19:8220
+operators =
+
+[retries]
+ratio = 0.2
+"""
+
+
+def test_settings_are_read():
+    given = settings.parse(TEXT, "a.ini").unwrap()
+    assert given.process.role is settings.Role.ROUTER
+    assert given.ports.operators == ""
+    assert given.retries.ratio == 0.2
+    assert not given.replica.bootstrap
+
+
+def test_each_seed_host_has_one_replica():
+    given = settings.parse(TEXT, "a.ini").unwrap()
+    addresses = [item.address for item in settings.seed_replicas(given)]
+    assert addresses == ["10.1.0.22:7340", "10.2.0.39:7340"]
+
+
+def test_every_problem_is_told():
+    text = TEXT.replace("router", "boss").replace("7340", "many")
+    found = settings.parse(text, "a.ini").failure().problems
+    assert {(item.section, item.key) for item in found} == {
+        ("process", "role"),
+        ("process", "peer_port"),
+    }
+
+
+def test_unknown_key_is_told():
+    found = settings.parse(TEXT + "oddly = 1\n", "a.ini").failure().problems
+    assert found[0].message == "unknown key"
+
+
+def test_missing_file_is_told(tmp_path):
+    assert settings.load(tmp_path / "none.ini").failure().problems
--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -123,15 +123,20 @@
     return tuple(views)
 
 
-def needs_to_join(state: states.State) -> bool:
-    """Return whether a replica takes no part: no member, or without a leader."""
+def needs_to_join(state: states.State | None) -> bool:
+    """Return whether a replica takes no part: no member, or without a leader.
+
+    One whose folder is not open (no state) can't take part yet and need not ask.
+    """
+    if state is None:
+        return False
     return not state.leader_id or not quorums.is_member(state)
 
 
 async def keep_joining(
     log: client.Client,
     own: wire.ReplicaAddress,
-    get_state: Callable[[], states.State],
+    get_state: Callable[[], states.State | None],
 ) -> None:
     """Ask to be admitted whenever this replica has taken no part for a while.
 
--- a/hickoryweir/replicas/disk.py
+++ b/hickoryweir/replicas/disk.py
@@ -15,6 +15,9 @@
 from hickoryweir.replicas import messages, quorums, records, storage
 from hickoryweir.replicas import state as states
 
+# A sync takes milliseconds; one that takes this long hangs.
+CLOSE_TIMEOUT_S = 2.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnSnapshot:
@@ -63,12 +66,22 @@
         self._wake.set()
 
     async def close(self) -> None:
-        """Finish what waits and close the folder."""
-        await self._idle.wait()
+        """Finish what waits and close the folder.
+
+        A disk that hangs is left alone after a while, its folder still open.
+        """
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._idle.wait()
+        except TimeoutError:
+            logging.warning("the disk hangs; the folder stays open")
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
-        self._executor.shutdown()
-        storage.close(self.storage)
+        if self._idle.is_set():
+            self._executor.shutdown()
+            storage.close(self.storage)
+        else:
+            self._executor.shutdown(wait=False)
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import secrets
 import time
 
@@ -64,6 +65,8 @@
     voters_wanted_count : int
         Size that the leader keeps the group at by itself; 0 leaves the members to
         operators.
+    detects_copies : bool
+        See :func:`hickoryweir.replicas.storage.open_folder`.
     """
 
     identity: handshake.Identity
@@ -77,6 +80,7 @@
     snapshot_log_size_bytes: int = 32 * 1024 * 1024
     keep_entries_count: int = 2_000
     voters_wanted_count: int = 0
+    detects_copies: bool = True
 
 
 class Node:
@@ -111,6 +115,7 @@
         self._waits = requests.Waits()
         self._tasks: list[asyncio.Task] = []
         self._not_leading = asyncio.Event()
+        self._served: set[connections.Connection] = set()
         self._snapshot_task: asyncio.Task | None = None
         self._schedule = schedules.SnapshotSchedule(
             settings.snapshot_entries_count,
@@ -126,7 +131,9 @@
         identity = self.settings.identity
         outcome = await asyncio.get_running_loop().run_in_executor(
             None,
-            storage.open_folder,
+            functools.partial(
+                storage.open_folder, detects_copies=self.settings.detects_copies
+            ),
             self._files,
             self.settings.data_folder,
             identity.cluster_id,
@@ -159,6 +166,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self.state is not None:
             requests.refuse_appended(self._waits, self.state, time.monotonic())
+        for connection in list(self._served):
+            connection.abort()
         await self._links.close()
         await self._relays.close()
         if self._disk is not None:
@@ -207,6 +216,7 @@
 
     async def _serve_replica(self, connection: connections.Connection) -> None:
         name = connection.peer.process_name
+        self._served.add(connection)
         try:
             while True:
                 message = (await connection.receive()).value_or(None)
@@ -220,14 +230,19 @@
                     self._links.note_incoming(message.from_id, connection)
                     self._queue.put_nowait(states.Received(message))
         finally:
+            self._served.discard(connection)
             self._links.forget_incoming(connection)
 
     async def _serve_client(self, connection: connections.Connection) -> None:
-        while True:
-            message = (await connection.receive()).value_or(None)
-            if message is None or not hasattr(message, "request_id"):
-                return
-            self._queue.put_nowait(requests.Waiting(connection, message))
+        self._served.add(connection)
+        try:
+            while True:
+                message = (await connection.receive()).value_or(None)
+                if message is None or not hasattr(message, "request_id"):
+                    return
+                self._queue.put_nowait(requests.Waiting(connection, message))
+        finally:
+            self._served.discard(connection)
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
--- a/hickoryweir/replicas/storage.py
+++ b/hickoryweir/replicas/storage.py
@@ -59,6 +59,7 @@
     group: str,
     replica_name: str,
     make_token=secrets.token_hex,
+    detects_copies: bool = True,
 ) -> result.Result[Opened, records.StorageFailure]:
     """Open a data folder; an empty one gets an identity with a new incarnation.
 
@@ -72,6 +73,9 @@
         Whom the folder must belong to.
     make_token : callable, optional
         Makes random hexadecimal text of so many bytes.
+    detects_copies : bool, optional
+        Whether a folder whose files have other inode numbers than when it was made is
+        refused as a copy; off for file systems that renumber files.
 
     Returns
     -------
@@ -91,7 +95,7 @@
             _make_folder(files, folder, identity, make_token)
         elif (identity.cluster_id, identity.group, identity.replica_name) != wanted:
             return result.Failure(_foreign(folder, identity))
-        elif recovery.is_copy(files, folder, identity):
+        elif detects_copies and recovery.is_copy(files, folder, identity):
             return result.Failure(
                 records.StorageFailure(
                     records.Problem.COPIED, folder, "a copy of a member's folder"
--- a/hickoryweir/replicas/tests/test_storage.py
+++ b/hickoryweir/replicas/tests/test_storage.py
@@ -106,6 +106,20 @@
     assert open_folder(memory).failure().problem is records.Problem.MISSING
 
 
+def test_renumbered_files_are_no_copy_where_that_is_switched_off(tmp_path):
+    original, copy = tmp_path / "original", tmp_path / "copy"
+    operations = files.make_files()
+    wanted = ("north", "", "a")
+    storage.close(
+        storage.open_folder(operations, str(original), *wanted).unwrap().storage
+    )
+    shutil.copytree(original, copy)
+    opened = storage.open_folder(
+        operations, str(copy), *wanted, detects_copies=False
+    ).unwrap()
+    storage.close(opened.storage)
+
+
 def test_copy_of_a_folder_is_refused(tmp_path):
     original, copy = tmp_path / "original", tmp_path / "copy"
     operations = files.make_files()
