A request that is taken in the turn of the stop is not passed on

The request was taken from an idle connection, the stop closed it as idle, and the handler then passed the request on. Ruled out: requests counted as busy and cut (the log says drained at once); connections still in the listener's queue (the balancer had left 0.6 s before).

--- a/hickoryweir/entry/main.py
+++ b/hickoryweir/entry/main.py
@@ -14,8 +14,6 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 EXIT_INVALID_SETTINGS = 2
 EXIT_NOT_STARTED = 4
-# What is queued is written in milliseconds; a reader that stands still is left.
-LOG_CLOSE_TIMEOUT_S = 0.2
 
 
 def serve(path: pathlib.Path, given_adapters: adapters.Adapters) -> int:
@@ -39,7 +37,7 @@
     try:
         return _serve(path, given_adapters)
     finally:
-        stream.close(LOG_CLOSE_TIMEOUT_S)
+        stream.close()
 
 
 def _serve(path: pathlib.Path, given_adapters: adapters.Adapters) -> int:
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -71,6 +71,10 @@
 
     async def handle(client: web.BaseRequest) -> web.StreamResponse:
         connection = client.protocol
+        if connection.transport is None or connection.transport.is_closing():
+            # Read in the turn in which the port was stopped: passing the request on
+            # would leave it without an answer.
+            raise ConnectionError("the connection is closing")
         busy[connection] += 1
         try:
             return await forwarder.serve(made, client)
--- a/hickoryweir/forwarding/tests/test_server.py
+++ b/hickoryweir/forwarding/tests/test_server.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import aiohttp
+import uvloop
 
 from hickoryweir.forwarding import server
 from hickoryweir.forwarding.tests import sites
@@ -63,3 +64,26 @@
             return found
 
     assert asyncio.run(main()) == [200, 503, 503]
+
+
+def test_request_that_crosses_the_close_is_not_passed_on():
+    head = "POST /chat/x HTTP/1.1\r\nHost: site.example\r\nContent-Length: 0\r\n\r\n"
+
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            await site.call()
+            await sites.wait_until(lambda: not site.running.server.connections)
+            _, writer = await asyncio.open_connection(HOST, site.port)
+            await sites.wait_until(lambda: site.running.server.connections)
+            (connection,) = site.running.server.connections
+            connection.data_received(head.encode())
+            # One turn: the request is taken, its handler has not begun.
+            await asyncio.sleep(0)
+            await server.stop(site.running, 1.0)
+            await asyncio.sleep(0.1)
+            writer.close()
+            return site.forwarder.next_number
+
+    # The order of events that shows the fault is that of the loop in use.
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(main()) == 1
--- a/hickoryweir/observability/bounded.py
+++ b/hickoryweir/observability/bounded.py
@@ -16,6 +16,8 @@
 # Two seconds of the peak rate at once, such as when a backend server is lost.
 BURST_LINES_COUNT = 400.0
 QUEUE_LINES_COUNT = 2_000
+# What is queued is written in milliseconds; a reader that stands still is left.
+CLOSE_TIMEOUT_S = 0.2
 
 
 class BoundedStream:
@@ -55,7 +57,7 @@
     def flush(self) -> None:
         """Do nothing; the thread flushes."""
 
-    def close(self, timeout_s: float) -> None:
+    def close(self, timeout_s: float = CLOSE_TIMEOUT_S) -> None:
         """Wait until what is queued has been written, for so long at most."""
         try:
             self._queue.put(None, timeout=timeout_s)
