Requests that crash backend servers are refused at all routers after three

Each router counts the servers on which a request was lost, tells the others through the replicas' feeds, and refuses it from the third on; one that ends well is cleared. Ages and deadlines count a suspension of the machine.

--- a/hickoryweir/discovery/listing.py
+++ b/hickoryweir/discovery/listing.py
@@ -3,12 +3,13 @@
 import asyncio
 import dataclasses
 import enum
-import time
 from collections.abc import Callable
 
 import aiohttp
 from returns import result
 
+from hickoryweir import clocks
+
 # A page comes in milliseconds; a second bounds a reading through a lossy link.
 PAGE_TIMEOUT_S = 1.0
 # Fifty entries a page, so this many pages hold more servers than one site has.
@@ -57,7 +58,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerList:
-    """A whole list and when its reading began, on :func:`elapsed_s`."""
+    """A whole list and when its reading began, on :func:`clocks.elapsed_s`."""
 
     servers: tuple[BackendServer, ...]
     read_at_s: float
@@ -79,11 +80,6 @@
     decode_page: Callable[[bytes], result.Result[Page, str]]
 
 
-def elapsed_s() -> float:
-    """Return a clock that also counts while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 async def read_all(
     session: aiohttp.ClientSession, source: Source
 ) -> result.Result[ServerList, str]:
@@ -101,7 +97,7 @@
     Result of ServerList or str
         The list, or why it could not be read as a whole.
     """
-    started_s = elapsed_s()
+    started_s = clocks.elapsed_s()
     servers: list[BackendServer] = []
     token = None
     for _ in range(MAX_PAGES_COUNT):
--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -5,13 +5,14 @@
 
 from returns import result
 
+from hickoryweir import clocks
 from hickoryweir.discovery import listing
 from hickoryweir.engines import sessions
 from hickoryweir.entry import adapters, replica, settings
 from hickoryweir.feeds import subscriber
 from hickoryweir.forwarding import passages, server, server_pool, sockets
 from hickoryweir.observability import logs
-from hickoryweir.policy import retry_budget
+from hickoryweir.policy import crash_counts, retry_budget
 from hickoryweir.replicas import client, wire
 from hickoryweir.routes import checks, matching, store
 
@@ -44,7 +45,10 @@
         seeds = settings.seed_replicas(given)
         self._log = client.make_client(identity, seeds, None)
         callbacks = subscriber.Callbacks(
-            self._take_table, self._take_servers, lambda: self._is_confirmed
+            self._take_table,
+            self._take_servers,
+            lambda: self._is_confirmed,
+            self._take_lost,
         )
         self._subscriber = subscriber.make_subscriber(identity, seeds, callbacks)
         self._list_session = sessions.make_session(keeps_connections=True)
@@ -61,6 +65,7 @@
             repeatable_session=sockets.make_session(REPEATABLE_KEEPALIVE_S),
             single_session=sockets.make_session(SINGLE_KEEPALIVE_S),
             generator=random.Random(),
+            report_lost=self._subscriber.report_lost,
         )
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -123,6 +128,13 @@
         fields = logs.Fields(detail=f"{len(found.servers)} servers")
         logs.info("list of servers taken", fields)
 
+    def _take_lost(self, server_id: str, fingerprints: tuple[int, ...]) -> None:
+        now_s = clocks.elapsed_s()
+        for fingerprint in fingerprints:
+            crash_counts.note_loss(
+                self.forwarder.crashes, fingerprint, server_id, now_s
+            )
+
     async def _read_first_table(self) -> None:
         """Begin with a table that a majority confirms, so that none goes back.
 
@@ -143,16 +155,16 @@
     async def _watch_list(self) -> None:
         """Read the list of servers oneself while the reader for all is silent."""
         source = self._adapters.make_source(self._given.discovery.address)
-        started_s = listing.elapsed_s()
+        started_s = clocks.elapsed_s()
         while True:
             await asyncio.sleep(LIST_CHECK_INTERVAL_S)
             view = self._subscriber.view
             made = self.forwarder
             made.routers_count = view.routers_count
-            age_s = listing.elapsed_s() - started_s
+            age_s = clocks.elapsed_s() - started_s
             if view.servers is not None:
                 made.list_read_at_s = view.servers.read_at_s
-                age_s = listing.elapsed_s() - view.servers.read_at_s
+                age_s = clocks.elapsed_s() - view.servers.read_at_s
             if age_s < LIST_STALE_AFTER_S:
                 continue
             logs.info(
--- a/hickoryweir/feeds/messages.py
+++ b/hickoryweir/feeds/messages.py
@@ -57,7 +57,16 @@
     servers: tuple[listing.BackendServer, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestsLost:
+    """Fingerprints of requests that were lost on a server; passed to all routers."""
+
+    server_id: str
+    fingerprints: tuple[int, ...]
+
+
 for _tag, _cls in (
+    ("fd.lost", RequestsLost),
     ("fd.beat", Beat),
     ("fd.table_request", TableRequest),
     ("fd.table", TableContent),
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -9,6 +9,7 @@
 import aiohttp
 from returns import result
 
+from hickoryweir import clocks
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages
 from hickoryweir.observability import logs
@@ -60,14 +61,26 @@
         try:
             while True:
                 message = (await connection.receive()).value_or(None)
-                if not isinstance(message, messages.TableRequest):
-                    return
-                stored = self._get_standing().stored
-                content = messages.TableContent(stored.version, stored.compressed)
-                connection.offer(content)
+                match message:
+                    case messages.TableRequest():
+                        stored = self._get_standing().stored
+                        connection.offer(
+                            messages.TableContent(stored.version, stored.compressed)
+                        )
+                    case messages.RequestsLost():
+                        self._pass_on(message, connection)
+                    case _:
+                        return
         finally:
             del self._followers[connection]
 
+    def _pass_on(
+        self, message: messages.RequestsLost, sender: connections.Connection
+    ) -> None:
+        for connection in list(self._followers):
+            if connection is not sender:
+                connection.offer(message)
+
     async def run(self) -> None:
         """Send beats and, while this replica leads, read the list of servers."""
         reading = asyncio.create_task(self._read_servers())
@@ -94,7 +107,7 @@
     def _make_beat(self, standing: Standing) -> messages.Beat:
         age_s = 0.0
         if self._servers is not None:
-            age_s = listing.elapsed_s() - self._servers.read_at_s
+            age_s = clocks.elapsed_s() - self._servers.read_at_s
         return messages.Beat(
             standing.stored.version,
             standing.has_leader,
@@ -137,7 +150,7 @@
     def _send_servers(self, receivers: list[connections.Connection]) -> None:
         if self._servers is None:
             return
-        age_s = listing.elapsed_s() - self._servers.read_at_s
+        age_s = clocks.elapsed_s() - self._servers.read_at_s
         message = messages.ServersRead(self._list_number, age_s, self._servers.servers)
         for connection in receivers:
             connection.offer(message)
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -9,6 +9,7 @@
 import dataclasses
 from collections.abc import Callable
 
+from hickoryweir import clocks
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages
 from hickoryweir.observability import logs
@@ -23,6 +24,10 @@
 RETRY_MAX_S = 1.0
 # A table of a few hundred routes crosses a zone in some ten milliseconds.
 TABLE_WAIT_S = 0.4
+# A crash loses many requests within milliseconds; one message tells of them.
+REPORT_AFTER_S = 0.02
+# One more than needed, for a replica that is just being lost.
+REPORT_REPLICAS_COUNT = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,11 +64,14 @@
         Takes a new list of servers.
     may_fetch : callable
         Returns whether tables may be taken from any replica yet.
+    on_lost : callable
+        Takes a server and fingerprints of requests that another router lost there.
     """
 
     on_table: Callable[[int, bytes], bool]
     on_servers: Callable[[listing.ServerList], None]
     may_fetch: Callable[[], bool]
+    on_lost: Callable[[str, tuple[int, ...]], None] = lambda server_id, lost: None
 
 
 class Subscriber:
@@ -82,6 +90,8 @@
         self._first = replicas
         self._asked_s = 0.0
         self._list_number = 0
+        self._open: list[connections.Connection] = []
+        self._lost: dict[str, list[int]] = {}
 
     async def run(self) -> None:
         """Follow the given replicas and all that these name."""
@@ -107,6 +117,19 @@
         if self._callbacks.on_table(stored.version, store.read_content(stored)):
             self.view.table_version = stored.version
 
+    def report_lost(self, server_id: str, fingerprint: int) -> None:
+        """Tell the other routers of a lost request, together with the next ones."""
+        if not self._lost:
+            asyncio.get_running_loop().call_later(REPORT_AFTER_S, self._send_lost)
+        self._lost.setdefault(server_id, []).append(fingerprint)
+
+    def _send_lost(self) -> None:
+        lost, self._lost = self._lost, {}
+        for server_id, fingerprints in lost.items():
+            message = messages.RequestsLost(server_id, tuple(fingerprints))
+            for connection in self._open[:REPORT_REPLICAS_COUNT]:
+                connection.offer(message)
+
     async def _follow(self, replica: wire.ReplicaAddress) -> None:
         retry_s = RETRY_MIN_S
         is_known = True
@@ -136,6 +159,7 @@
             retry_s = min(2 * retry_s, RETRY_MAX_S)
 
     async def _receive(self, connection: connections.Connection) -> str:
+        self._open.append(connection)
         try:
             while True:
                 async with asyncio.timeout(SILENT_AFTER_S):
@@ -147,6 +171,7 @@
         except TimeoutError:
             return "silent"
         finally:
+            self._open.remove(connection)
             connection.abort()
 
     def _take(self, connection: connections.Connection, message: object) -> None:
@@ -160,6 +185,8 @@
                     self.take_table(stored)
             case messages.ServersRead():
                 self._take_servers(message)
+            case messages.RequestsLost():
+                self._callbacks.on_lost(message.server_id, message.fingerprints)
 
     def _take_beat(
         self, connection: connections.Connection, beat: messages.Beat
@@ -169,7 +196,7 @@
         view.offered_version = max(view.offered_version, beat.table_version)
         self.follow(beat.replicas)
         if beat.list_number and beat.list_number == self._list_number:
-            read_at_s = listing.elapsed_s() - beat.list_age_s
+            read_at_s = clocks.elapsed_s() - beat.list_age_s
             if read_at_s > view.servers.read_at_s:
                 view.servers = dataclasses.replace(view.servers, read_at_s=read_at_s)
         now_s = asyncio.get_running_loop().time()
@@ -180,7 +207,7 @@
             connection.offer(messages.TableRequest())
 
     def _take_servers(self, message: messages.ServersRead) -> None:
-        read_at_s = listing.elapsed_s() - message.age_s
+        read_at_s = clocks.elapsed_s() - message.age_s
         self.take_list(listing.ServerList(message.servers, read_at_s))
         if self.view.servers.read_at_s == read_at_s:
             self._list_number = message.list_number
--- a/hickoryweir/feeds/tests/test_feeds.py
+++ b/hickoryweir/feeds/tests/test_feeds.py
@@ -200,3 +200,31 @@
     follower.take_list(listing.ServerList((), 9.0))
     assert taken == [newer]
     assert follower.view.servers == newer
+
+
+def test_lost_requests_reach_the_other_routers_once_for_a_burst():
+    heard = []
+
+    async def main():
+        async with run_feeds([1, 1]) as (replicas, first, _):
+            second = subscriber.make_subscriber(
+                handshake.Identity("test", "router-2", "a"),
+                tuple(item.address for item in replicas),
+                subscriber.Callbacks(
+                    lambda *given: True,
+                    lambda found: None,
+                    lambda: True,
+                    lambda server_id, lost: heard.append((server_id, lost)),
+                ),
+            )
+            task = asyncio.create_task(second.run())
+            await wait_until(lambda: second.view.table_version == 1)
+            await wait_until(lambda: first.view.routers_count == 2)
+            for fingerprint in (7, 8):
+                first.report_lost("s1", fingerprint)
+            await wait_until(lambda: heard)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(main())
+    assert set(heard) == {("s1", (7, 8))}
--- a/hickoryweir/forwarding/answers.py
+++ b/hickoryweir/forwarding/answers.py
@@ -75,6 +75,7 @@
         passage.failure = whole
         return replies.Reason.SERVER_FAILED
     server_pool.note_success(view)
+    passages.note_whole(passage)
     return whole
 
 
@@ -95,6 +96,7 @@
     if splitter.pending:
         await passage.reply.write(splitter.pending)
     await passage.reply.write_eof()
+    passages.note_whole(passage)
     return passage.reply
 
 
@@ -127,6 +129,7 @@
     passage: passages.Passage, view: server_pool.ServerView, detail: str
 ) -> replies.Reason:
     server_pool.note_failure(view, time.monotonic())
+    passages.note_lost(passage, view.listed.server_id)
     fields = logs.Fields(
         request_id=passage.facts.request_id,
         class_name=passage.route.name,
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from hickoryweir.discovery import listing
+from hickoryweir import clocks
 from hickoryweir.forwarding import (
     answers,
     border,
@@ -21,11 +21,20 @@
     server_pool,
 )
 from hickoryweir.observability import logs
-from hickoryweir.policy import next_attempts, prompt_placement, retry_budget
+from hickoryweir.policy import (
+    crash_counts,
+    next_attempts,
+    prompt_placement,
+    retry_budget,
+)
 from hickoryweir.routes import matching, model
 
 # Until a table has come; replicas hand one on within a second of their first leader.
 NO_TABLE_RETRY_AFTER_S = 1.0
+RETRY_AFTERS_S = {
+    replies.Reason.NO_TABLE: NO_TABLE_RETRY_AFTER_S,
+    replies.Reason.CRASHES_SERVERS: crash_counts.FORGET_AFTER_S,
+}
 # A server that just failed is tried again after half a second.
 UNREACHABLE_RETRY_AFTER_S = 0.5
 # Connections that were never made cost no attempt, but each takes time.
@@ -41,7 +50,7 @@
     if isinstance(admitted, replies.Reason):
         return _refuse(forwarder, facts.request_id, admitted)
     budget = _budget(forwarder, admitted.service_name)
-    retry_budget.note_request(budget, admitted.started_s)
+    retry_budget.note_request(budget, time.monotonic())
     try:
         async with asyncio.timeout(admitted.time_left_s):
             reply = await _attempt_all(admitted)
@@ -55,7 +64,7 @@
 async def _admit(
     forwarder: passages.Forwarder, client: web.BaseRequest, facts: border.CallFacts
 ) -> passages.Passage | replies.Reason:
-    started_s = time.monotonic()
+    started_s = clocks.elapsed_s()
     directory = forwarder.directory
     if directory is None:
         return replies.Reason.NO_TABLE
@@ -74,6 +83,11 @@
     body = await requests.read_body(client, limits.max_body_size_bytes)
     if isinstance(body, replies.Reason):
         return body
+    fingerprint = crash_counts.fingerprint(
+        facts.key, client.method, client.raw_path, body
+    )
+    if crash_counts.is_blocked(forwarder.crashes, fingerprint, started_s):
+        return replies.Reason.CRASHES_SERVERS
     wait_s = route.timeout_s
     if facts.time_left_s is not None:
         wait_s = min(wait_s, facts.time_left_s)
@@ -85,6 +99,7 @@
         service_name=matching.choose_service(route, forwarder.generator),
         account=account,
         body=body,
+        fingerprint=fingerprint,
         started_s=started_s,
         deadline_s=started_s + wait_s,
         last_event_id=facts.last_event_id,
@@ -102,8 +117,8 @@
     version = None if directory is None else directory.table.version
     fields = logs.Fields(request_id=request_id, reason=reason.value, version=version)
     logs.info("request answered by the router", fields)
-    if reason is replies.Reason.NO_TABLE:
-        retry_after_s = NO_TABLE_RETRY_AFTER_S
+    if retry_after_s is None:
+        retry_after_s = RETRY_AFTERS_S.get(reason)
     return replies.make_reply(reason, request_id, retry_after_s)
 
 
@@ -144,6 +159,9 @@
     if not next_attempts.is_worth_sending(route, passage.time_left_s):
         return False
     forwarder = passage.forwarder
+    now_s = clocks.elapsed_s()
+    if crash_counts.is_blocked(forwarder.crashes, passage.fingerprint, now_s):
+        return False
     budget = _budget(forwarder, passage.service_name)
     return retry_budget.take(budget, forwarder.routers_count, time.monotonic())
 
@@ -233,6 +251,7 @@
             return replies.Reason.SERVER_REFUSED
         case exchange.Lost():
             passage.may_have_run = True
+            passages.note_lost(passage, view.listed.server_id)
             server_pool.note_failure(view, now_s)
             return replies.Reason.OUTCOME_UNKNOWN
         case exchange.Answered():
@@ -268,7 +287,7 @@
     passage: passages.Passage, view: server_pool.ServerView, outcome: exchange.Outcome
 ) -> None:
     forwarder = passage.forwarder
-    age_s = listing.elapsed_s() - forwarder.list_read_at_s
+    age_s = clocks.elapsed_s() - forwarder.list_read_at_s
     detail = getattr(outcome, "reason", "")
     logs.info(
         "request sent",
@@ -279,7 +298,7 @@
             backend_server=view.listed.server_id,
             attempt=passage.sent_count,
             version=forwarder.directory.table.version,
-            duration_s=round(time.monotonic() - passage.started_s, 4),
+            duration_s=round(clocks.elapsed_s() - passage.started_s, 4),
             detail=f"list {age_s:.2f} s old, {len(view.running)} own requests there",
         ),
     )
--- a/hickoryweir/forwarding/passages.py
+++ b/hickoryweir/forwarding/passages.py
@@ -3,13 +3,14 @@
 import collections
 import dataclasses
 import random
-import time
+from collections.abc import Callable
 
 import aiohttp
 from aiohttp import web
 
+from hickoryweir import clocks
 from hickoryweir.forwarding import border, server_pool
-from hickoryweir.policy import retry_budget
+from hickoryweir.policy import crash_counts, retry_budget
 from hickoryweir.routes import matching, model
 
 
@@ -36,6 +37,10 @@
         Whether the process is about to stop.
     counts : collections.Counter
         Outcomes by reason.
+    crashes : crash_counts.CrashCounts
+        Requests that were lost, here and at other routers.
+    report_lost : callable
+        Tells the other routers of a server and the fingerprint of a request lost there.
     """
 
     settings: Settings
@@ -51,6 +56,10 @@
     budgets: dict = dataclasses.field(default_factory=dict)
     counts: collections.Counter = dataclasses.field(default_factory=collections.Counter)
     next_number: int = 0
+    crashes: crash_counts.CrashCounts = dataclasses.field(
+        default_factory=crash_counts.CrashCounts
+    )
+    report_lost: Callable[[str, int], None] = lambda server_id, fingerprint: None
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,8 +68,10 @@
 
     Attributes
     ----------
-    deadline_s : float
-        Monotonic time of the final answer at the latest.
+    fingerprint : int
+        What the same request has in common whenever its caller sends it.
+    started_s, deadline_s : float
+        When it came, and when its final answer is due, on :func:`clocks.elapsed_s`.
     tried : set of str
         Servers to which a byte was sent, or that could not be reached.
     sent_count : int
@@ -80,6 +91,7 @@
     service_name: str
     account: model.ClientAccount | None
     body: bytes
+    fingerprint: int
     started_s: float
     deadline_s: float
     tried: set[str] = dataclasses.field(default_factory=set)
@@ -94,4 +106,17 @@
     @property
     def time_left_s(self) -> float:
         """Return the time until the final answer is due."""
-        return self.deadline_s - time.monotonic()
+        return self.deadline_s - clocks.elapsed_s()
+
+
+def note_lost(passage: Passage, server_id: str) -> None:
+    """Note that a request was lost on a server, and tell the other routers."""
+    forwarder = passage.forwarder
+    request = passage.fingerprint
+    crash_counts.note_loss(forwarder.crashes, request, server_id, clocks.elapsed_s())
+    forwarder.report_lost(server_id, request)
+
+
+def note_whole(passage: Passage) -> None:
+    """Note that a request ended well."""
+    crash_counts.clear(passage.forwarder.crashes, passage.fingerprint)
--- a/hickoryweir/forwarding/replies.py
+++ b/hickoryweir/forwarding/replies.py
@@ -20,6 +20,7 @@
     BODY_TOO_LARGE = "body_too_large"
     BODY_TIMED_OUT = "body_timed_out"
     NO_SERVER = "no_server"
+    CRASHES_SERVERS = "crashes_servers"
     OVERLOADED = "overloaded"
     SERVER_REFUSED = "server_refused"
     SERVER_FAILED = "server_failed"
@@ -38,6 +39,7 @@
     Reason.BODY_TOO_LARGE: 413,
     Reason.BODY_TIMED_OUT: 408,
     Reason.NO_SERVER: 503,
+    Reason.CRASHES_SERVERS: 503,
     Reason.OVERLOADED: 503,
     Reason.SERVER_REFUSED: 503,
     Reason.SERVER_FAILED: 502,
--- a/hickoryweir/forwarding/tests/sites.py
+++ b/hickoryweir/forwarding/tests/sites.py
@@ -8,6 +8,7 @@
 import aiohttp
 from aiohttp import web
 
+from hickoryweir import clocks
 from hickoryweir.discovery import listing
 from hickoryweir.forwarding import headers, passages, server, server_pool, sockets
 from hickoryweir.policy import retry_budget
@@ -120,7 +121,7 @@
         )
         for backend in backends
     )
-    found = listing.ServerList(servers, listing.elapsed_s())
+    found = listing.ServerList(servers, clocks.elapsed_s())
     server_pool.take_list(forwarder.pool, found)
 
 
--- a/hickoryweir/forwarding/tests/test_forwarder.py
+++ b/hickoryweir/forwarding/tests/test_forwarder.py
@@ -266,3 +266,40 @@
         head + b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde"
     )
     assert (b"400" in status, seen_count) == (True, 0)
+
+
+def test_request_that_is_lost_on_three_servers_is_refused():
+    async def scenario(site):
+        statuses = [(await site.call(data=b"poison"))[0] for _ in range(4)]
+        other = (await site.call(data=b"other"))[0]
+        return statuses, other, sum(len(b.seen) for b in site.backends)
+
+    async def crash_on_poison(request, body):
+        if body == b"poison":
+            return await drop(request, body)
+        return await sites.answering()(request, body)
+
+    statuses, other, seen_count = run([crash_on_poison] * 6, scenario)
+    assert statuses == [502, 502, 503, 503]
+    assert (other, seen_count) == (200, 4)
+
+
+def test_losses_are_told_to_the_other_routers():
+    told = []
+
+    async def scenario(site):
+        site.forwarder.report_lost = lambda server_id, lost: told.append(server_id)
+        await site.call()
+
+    run([drop, drop], scenario)
+    assert sorted(told) == ["s0", "s1"]
+
+
+def test_answer_that_is_whole_clears_the_request():
+    answer = failing_first(1, sites.answering())
+
+    async def scenario(site):
+        await site.call()
+        return len(site.forwarder.crashes.servers)
+
+    assert run([answer, answer], scenario) == 0
