A body that ends by a reset is not whole, also when both come at once

Ruled out: answers with a length or in chunks (aiohttp checks those). The socket is now asked for its error at the end.

--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -12,7 +12,7 @@
 import yarl
 
 from hickoryweir.engines import sessions
-from hickoryweir.forwarding import border
+from hickoryweir.forwarding import border, sockets
 
 # Aborting a connection is cheaper than reading on beyond this much of an answer.
 MAX_BUFFERED_ANSWER_SIZE_BYTES = 4 * 1024 * 1024
@@ -62,7 +62,7 @@
     """The head of the answer has come; its body is still to be read."""
 
     response: aiohttp.ClientResponse
-    protocol: object
+    protocol: sockets.StrictProtocol | None
     facts: border.AnswerFacts
 
 
@@ -174,8 +174,7 @@
 def _ended_by_reset(answered: Answered) -> bool:
     """Return whether a body that ends with its connection was cut by a reset.
 
-    aiohttp ends such a body alike for a clean close and for a reset; the protocol
-    keeps the difference.
+    aiohttp ends such a body alike for a clean close and for a reset.
     """
     response = answered.response
     has_end_mark = "Content-Length" in response.headers or (
@@ -183,5 +182,4 @@
     )
     if has_end_mark or answered.protocol is None:
         return False
-    failure = answered.protocol.exception()
-    return isinstance(failure, aiohttp.ClientOSError)
+    return answered.protocol.was_reset
--- a/hickoryweir/forwarding/sockets.py
+++ b/hickoryweir/forwarding/sockets.py
@@ -1,8 +1,10 @@
 """Sessions towards backend servers whose silent connections end by themselves."""
 
+import functools
 import socket
 
 import aiohttp
+from aiohttp import client_proto
 
 from hickoryweir.engines import sessions
 
@@ -14,6 +16,35 @@
 KEEP_ALIVE_PROBES_COUNT = 2
 
 
+class StrictProtocol(client_proto.ResponseHandler):
+    """Remembers whether the connection ended by a reset.
+
+    When bytes and a reset are there at once, uvloop reads the bytes and reports a
+    clean end; the socket still knows better.
+
+    Attributes
+    ----------
+    was_reset : bool
+        Whether the server reset the connection.
+    """
+
+    was_reset = False
+
+    def eof_received(self) -> None:
+        """Ask the socket whether this end is a reset."""
+        sock = None
+        if self.transport is not None:
+            sock = self.transport.get_extra_info("socket")
+        if sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.was_reset = True
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note a reset that the loop itself reports."""
+        self.was_reset = self.was_reset or exc is not None
+        super().connection_lost(exc)
+
+
 class StrictConnector(aiohttp.TCPConnector):
     """Never reuses a connection on which bytes came that nobody asked for.
 
@@ -21,6 +52,10 @@
     taken again, and a late surplus answer would then be taken for the next one.
     """
 
+    def __init__(self, **options) -> None:
+        super().__init__(**options)
+        self._factory = functools.partial(StrictProtocol, loop=self._loop)
+
     async def _get(self, key, traces):
         for protocol, _ in tuple(self._conns.get(key, ())):
             if protocol.should_close:
--- a/hickoryweir/forwarding/tests/test_streams.py
+++ b/hickoryweir/forwarding/tests/test_streams.py
@@ -1,8 +1,12 @@
 """Event streams through a router over loopback sockets."""
 
 import asyncio
+import socket
+import struct
+import threading
 
 import pytest
+import uvloop
 from aiohttp import ClientError, web
 
 from hickoryweir.forwarding import headers
@@ -11,6 +15,7 @@
 from hickoryweir.routes.tests import tables
 
 EVENTS_COUNT = 5
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def make_event(number):
@@ -107,7 +112,7 @@
 
 
 def unframed(ends_well):
-    """Return a server whose answer ends with its connection."""
+    """Return a server whose answer ends with its connection, or with a reset."""
 
     async def answer(request, body):
         transport = request.transport
@@ -117,6 +122,8 @@
         if ends_well:
             transport.close()
         else:
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             transport.abort()
         await asyncio.sleep(1.0)
         return web.Response()
@@ -127,3 +134,53 @@
 def test_answer_without_a_length_ends_with_its_connection():
     found = run([unframed(True)], call, tables.make_route(allows_anonymous=True))
     assert found == (200, WHOLE, 1)
+
+
+@pytest.mark.parametrize("loop_factory", [None, uvloop.new_event_loop])
+def test_answer_without_a_length_that_is_reset_is_not_whole(loop_factory):
+    async def main():
+        route = sites.single_route()
+        async with sites.run_site([unframed(False)], routes=(route,)) as site:
+            return await call(site)
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        status, body, _ = runner.run(main())
+    assert (status, WHOLE in body) == (502, False)
+
+
+def reset_at_once(listener, is_read, may_answer):
+    """Answer one request with a body that a reset follows within the same moment."""
+    connection, _ = listener.accept()
+    connection.recv(65536)
+    is_read.set()
+    may_answer.wait()
+    head = f"HTTP/1.1 200 OK\r\n{headers.REQUEST_ID}: r-1\r\n\r\n"
+    connection.sendall(head.encode() + WHOLE)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    connection.close()
+
+
+@pytest.mark.parametrize("loop_factory", [None, uvloop.new_event_loop])
+def test_body_and_reset_that_come_together_are_not_whole(loop_factory):
+    """A loop that was busy finds both at once, and uvloop then reports a clean end."""
+    is_read, may_answer = threading.Event(), threading.Event()
+
+    async def main(listener):
+        port = listener.getsockname()[1]
+        backend = sites.Backend("s0", f"{sites.HOST}:{port}", None, [])
+        async with sites.run_site([], routes=(sites.single_route(),)) as site:
+            sites.list_servers(site.forwarder, [backend])
+            running = asyncio.create_task(site.call())
+            await sites.wait_until(is_read.is_set)
+            may_answer.set()
+            thread.join()
+            return await running
+
+    with socket.create_server((sites.HOST, 0)) as listener:
+        thread = threading.Thread(
+            target=reset_at_once, args=(listener, is_read, may_answer)
+        )
+        thread.start()
+        with asyncio.Runner(loop_factory=loop_factory) as runner:
+            status, _, body = runner.run(main(listener))
+    assert (status, WHOLE in body) == (502, False)
