Placement by the time to read a prompt; routers' loads are added up

Cause: each router counted only its own requests, so nine of them filled one engine. The routers now tell the leading replica what they have at the servers and hear the sum each tenth of a second; a prompt goes where it is read soonest, counting its shared parts as held at its first server and weighing a repeated reading of them three times. The part that ties is now the deepest shared one: four system prompts would tie all reviews to four engines.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 from returns import result
 
@@ -9,7 +10,7 @@
 from hickoryweir.discovery import listing
 from hickoryweir.engines import sessions
 from hickoryweir.entry import adapters, replica, settings
-from hickoryweir.feeds import subscriber
+from hickoryweir.feeds import messages, subscriber
 from hickoryweir.forwarding import passages, server, server_pool, sockets
 from hickoryweir.observability import logs
 from hickoryweir.policy import crash_counts, retry_budget
@@ -25,6 +26,8 @@
 # A leader is elected within about a second; a cut-off zone serves without one.
 UNCONFIRMED_AFTER_S = 5.0
 LIST_CHECK_INTERVAL_S = 0.25
+# As often as the routers' loads are added up.
+LOADS_INTERVAL_S = 0.1
 # Two readings and an election of a new reader; leaving servers allow three seconds.
 LIST_STALE_AFTER_S = 2.2
 # Two misses of a balancer that asks each second.
@@ -49,6 +52,7 @@
             self._take_servers,
             lambda: self._is_confirmed,
             self._take_lost,
+            self._take_loads,
         )
         self._subscriber = subscriber.make_subscriber(identity, seeds, callbacks)
         self._list_session = sessions.make_session(keeps_connections=True)
@@ -78,6 +82,7 @@
             asyncio.create_task(self._subscriber.run()),
             asyncio.create_task(self._read_first_table()),
             asyncio.create_task(self._watch_list()),
+            asyncio.create_task(self._tell_loads()),
         ]
         logs.info("serving", logs.Fields(detail=f"router at {host}:{port}"))
         await stop.wait()
@@ -135,6 +140,19 @@
                 self.forwarder.crashes, fingerprint, server_id, now_s
             )
 
+    def _take_loads(self, loads: tuple[messages.ServerLoad, ...]) -> None:
+        server_pool.take_loads(self.forwarder.pool, loads, time.monotonic())
+
+    async def _tell_loads(self) -> None:
+        """Tell the other routers what this one has at the servers, when it changes."""
+        told: tuple[messages.ServerLoad, ...] = ()
+        while True:
+            await asyncio.sleep(LOADS_INTERVAL_S)
+            loads = server_pool.own_loads(self.forwarder.pool)
+            if loads != told and self._subscriber.send_loads(loads):
+                told = loads
+                server_pool.note_told(self.forwarder.pool, loads)
+
     async def _read_first_table(self) -> None:
         """Begin with a table that a majority confirms, so that none goes back.
 
--- a/hickoryweir/feeds/messages.py
+++ b/hickoryweir/feeds/messages.py
@@ -65,7 +65,32 @@
     fingerprints: tuple[int, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """Requests at a backend server, and prompt tokens that it has still to read."""
+
+    server_id: str
+    requests_count: int
+    backlog_tokens_count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnLoads:
+    """What one router has at the servers; those without any are left out."""
+
+    loads: tuple[ServerLoad, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AllLoads:
+    """What all routers together have at the servers."""
+
+    loads: tuple[ServerLoad, ...]
+
+
 for _tag, _cls in (
+    ("fd.own_loads", OwnLoads),
+    ("fd.all_loads", AllLoads),
     ("fd.lost", RequestsLost),
     ("fd.beat", Beat),
     ("fd.table_request", TableRequest),
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -1,7 +1,6 @@
 """The replicas' side of the feeds: beats, tables and the list of servers."""
 
 import asyncio
-import contextlib
 import dataclasses
 import random
 from collections.abc import Callable
@@ -23,6 +22,8 @@
 LOOK_INTERVAL_S = 0.03
 # Three readings fit into the shortest bound for leaving servers, three seconds.
 READ_INTERVAL_S = 0.8
+# A tenth of the time that a request lasts; twice as often would double the bytes.
+LOADS_INTERVAL_S = 0.1
 # Numbers of different readers must not meet.
 LIST_NUMBERS_COUNT = 1 << 48
 
@@ -52,6 +53,8 @@
         self._followers: dict[connections.Connection, str] = {}
         self._servers: listing.ServerList | None = None
         self._list_number = 0
+        self._loads: dict[connections.Connection, tuple[messages.ServerLoad, ...]] = {}
+        self._loads_changed = False
 
     async def serve(self, connection: connections.Connection) -> None:
         """Serve one router until it goes away."""
@@ -69,10 +72,15 @@
                         )
                     case messages.RequestsLost():
                         self._pass_on(message, connection)
+                    case messages.OwnLoads():
+                        self._loads[connection] = message.loads
+                        self._loads_changed = True
                     case _:
                         return
         finally:
             del self._followers[connection]
+            self._loads.pop(connection, None)
+            self._loads_changed = True
 
     def _pass_on(
         self, message: messages.RequestsLost, sender: connections.Connection
@@ -83,13 +91,25 @@
 
     async def run(self) -> None:
         """Send beats and, while this replica leads, read the list of servers."""
-        reading = asyncio.create_task(self._read_servers())
+        tasks = [
+            asyncio.create_task(self._read_servers()),
+            asyncio.create_task(self._send_loads()),
+        ]
         try:
             await self._send_beats()
         finally:
-            reading.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await reading
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _send_loads(self) -> None:
+        while True:
+            await asyncio.sleep(LOADS_INTERVAL_S)
+            if self._loads_changed and self._servers is not None:
+                self._loads_changed = False
+                message = messages.AllLoads(add_loads(list(self._loads.values())))
+                for connection in list(self._followers):
+                    connection.offer(message)
 
     async def _send_beats(self) -> None:
         loop = asyncio.get_running_loop()
@@ -156,6 +176,27 @@
             connection.offer(message)
 
 
+def add_loads(
+    reports: list[tuple[messages.ServerLoad, ...]],
+) -> tuple[messages.ServerLoad, ...]:
+    """Return the sum of several routers' loads, by server.
+
+    Examples
+    --------
+    >>> first = (messages.ServerLoad("a", 1, 100),)
+    >>> second = (messages.ServerLoad("a", 2, 0), messages.ServerLoad("b", 1, 5))
+    >>> [tuple(dataclasses.astuple(load)) for load in add_loads([first, second])]
+    [('a', 3, 100), ('b', 1, 5)]
+    """
+    sums: dict[str, list[int]] = {}
+    for report in reports:
+        for load in report:
+            known = sums.setdefault(load.server_id, [0, 0])
+            known[0] += load.requests_count
+            known[1] += load.backlog_tokens_count
+    return tuple(messages.ServerLoad(name, *counts) for name, counts in sums.items())
+
+
 def make_publisher(
     peer_hub: hub.Hub,
     get_standing: Callable[[], Standing],
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -66,12 +66,15 @@
         Returns whether tables may be taken from any replica yet.
     on_lost : callable
         Takes a server and fingerprints of requests that another router lost there.
+    on_loads : callable
+        Takes what all routers together have at the servers.
     """
 
     on_table: Callable[[int, bytes], bool]
     on_servers: Callable[[listing.ServerList], None]
     may_fetch: Callable[[], bool]
     on_lost: Callable[[str, tuple[int, ...]], None] = lambda server_id, lost: None
+    on_loads: Callable[[tuple[messages.ServerLoad, ...]], None] = lambda loads: None
 
 
 class Subscriber:
@@ -92,6 +95,7 @@
         self._list_number = 0
         self._open: list[connections.Connection] = []
         self._lost: dict[str, list[int]] = {}
+        self._reader: connections.Connection | None = None
 
     async def run(self) -> None:
         """Follow the given replicas and all that these name."""
@@ -123,6 +127,13 @@
             asyncio.get_running_loop().call_later(REPORT_AFTER_S, self._send_lost)
         self._lost.setdefault(server_id, []).append(fingerprint)
 
+    def send_loads(self, loads: tuple[messages.ServerLoad, ...]) -> bool:
+        """Tell the replica that adds the loads up; return whether there is one."""
+        if self._reader is None or self._reader.is_closed:
+            return False
+        self._reader.offer(messages.OwnLoads(loads))
+        return True
+
     def _send_lost(self) -> None:
         lost, self._lost = self._lost, {}
         for server_id, fingerprints in lost.items():
@@ -185,6 +196,8 @@
                     self.take_table(stored)
             case messages.ServersRead():
                 self._take_servers(message)
+            case messages.AllLoads():
+                self._callbacks.on_loads(message.loads)
             case messages.RequestsLost():
                 self._callbacks.on_lost(message.server_id, message.fingerprints)
 
@@ -195,6 +208,8 @@
         view.routers_count = max(1, beat.routers_count)
         view.offered_version = max(view.offered_version, beat.table_version)
         self.follow(beat.replicas)
+        if beat.list_number:
+            self._reader = connection
         if beat.list_number and beat.list_number == self._list_number:
             read_at_s = clocks.elapsed_s() - beat.list_age_s
             if read_at_s > view.servers.read_at_s:
--- a/hickoryweir/feeds/tests/test_feeds.py
+++ b/hickoryweir/feeds/tests/test_feeds.py
@@ -9,7 +9,7 @@
 from returns import result
 
 from hickoryweir.discovery import listing
-from hickoryweir.feeds import publisher, subscriber
+from hickoryweir.feeds import messages, publisher, subscriber
 from hickoryweir.replicas import wire
 from hickoryweir.routes import store
 from hickoryweir.streams import handshake, hub
@@ -228,3 +228,30 @@
 
     asyncio.run(main())
     assert set(heard) == {("s1", (7, 8))}
+
+
+def test_loads_of_the_routers_are_added_up_by_the_leader():
+    heard = []
+
+    async def main():
+        async with run_feeds([1, 1], leader_number=0) as (replicas, first, _):
+            second = subscriber.make_subscriber(
+                handshake.Identity("test", "router-2", "a"),
+                tuple(item.address for item in replicas),
+                subscriber.Callbacks(
+                    lambda *given: True,
+                    lambda found: None,
+                    lambda: True,
+                    on_loads=heard.append,
+                ),
+            )
+            task = asyncio.create_task(second.run())
+            load = messages.ServerLoad("s1", 2, 100)
+            await wait_until(lambda: first.send_loads((load,)))
+            await wait_until(lambda: second.send_loads((load,)))
+            await wait_until(lambda: heard and heard[-1][0].requests_count == 4)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(main())
+    assert heard[-1] == (messages.ServerLoad("s1", 4, 200),)
--- a/hickoryweir/forwarding/answers.py
+++ b/hickoryweir/forwarding/answers.py
@@ -87,6 +87,7 @@
         while chunk := await exchange.read_chunk(answered):
             events = event_stream.split_events(splitter, chunk)
             if events:
+                passage.running.has_begun = True
                 server_pool.note_success(view)
                 await _write_events(passage, answered, events)
     except exchange.BrokenAnswerError as error:
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -133,12 +133,10 @@
 async def _attempt_all(passage: passages.Passage) -> web.StreamResponse:
     reason = replies.Reason.NO_SERVER
     while True:
-        view = _choose(passage)
-        if view is None:
+        placement = _choose(passage)
+        if placement is None or not _may_send(passage):
             return _give_up(passage, reason)
-        if not _may_send(passage):
-            return _give_up(passage, reason)
-        outcome = await _attempt(passage, view)
+        outcome = await _attempt(passage, placement)
         if isinstance(outcome, web.StreamResponse):
             return outcome
         reason = outcome
@@ -166,62 +164,59 @@
     return retry_budget.take(budget, forwarder.routers_count, time.monotonic())
 
 
-def _choose(passage: passages.Passage) -> server_pool.ServerView | None:
+def _choose(passage: passages.Passage) -> prompt_placement.Placement | None:
     forwarder = passage.forwarder
-    now_s = time.monotonic()
+    prompt = passage.facts.prompt
+    has_prompt = prompt is not None and bool(prompt.parts)
     views = [
         view
         for view in server_pool.usable(forwarder.pool, passage.service_name)
         if view.listed.server_id not in passage.tried
     ]
-    zone = forwarder.settings.availability_zone
-    candidates = [
-        prompt_placement.Candidate(
-            view.listed.server_id,
-            _load_count(view, passage.facts.prompt is not None),
-            view.suspect_until_s > now_s,
-            view.listed.availability_zone == zone,
-        )
-        for view in views
-    ]
-    prompt = passage.facts.prompt
-    if prompt is None or not prompt.parts:
-        salt = passage.facts.request_id
-        chosen = prompt_placement.choose_least_loaded(candidates, salt)
-    else:
-        chosen = prompt_placement.choose_for_prompt(
+    parts = prompt.parts if has_prompt else ()
+    candidates = [_make_candidate(forwarder, view, parts) for view in views]
+    if has_prompt:
+        shared = parts[:-1] or parts
+        return prompt_placement.choose_for_prompt(
             candidates,
-            prompt.parts[0].part_id,
+            shared[-1].part_id,
             prompt.input_tokens_count,
+            sum(part.tokens_count for part in parts[:-1]),
             forwarder.settings.long_prompt_share,
         )
-    if chosen is None:
-        return None
-    return forwarder.pool.servers[chosen.server_id]
-
+    salt = passage.facts.request_id
+    return prompt_placement.choose_least_loaded(candidates, salt)
 
-def _load_count(view: server_pool.ServerView, has_prompt: bool) -> float:
-    """Return the load that placement goes by.
 
-    Prompts are placed by the router's own requests: all routers keep to one order of
-    the servers, and what others sent would drive a prompt from its cached parts.
-    """
-    if has_prompt:
-        return len(view.running)
-    return server_pool.known_load_count(view)
+def _make_candidate(
+    forwarder: passages.Forwarder,
+    view: server_pool.ServerView,
+    parts: tuple[border.PromptPart, ...],
+) -> prompt_placement.Candidate:
+    now_s = time.monotonic()
+    zone = forwarder.settings.availability_zone
+    return prompt_placement.Candidate(
+        server_id=view.listed.server_id,
+        requests_count=server_pool.requests_count(view, now_s),
+        backlog_tokens_count=server_pool.backlog_count(view, now_s),
+        cached_tokens_count=server_pool.cached_count(view, parts),
+        is_suspect=view.suspect_until_s > now_s,
+        is_near=view.listed.availability_zone == zone,
+    )
 
 
 async def _attempt(
-    passage: passages.Passage, view: server_pool.ServerView
+    passage: passages.Passage, placement: prompt_placement.Placement
 ) -> web.StreamResponse | replies.Reason:
     forwarder = passage.forwarder
+    view = forwarder.pool.servers[placement.server_id]
     passage.tried.add(view.listed.server_id)
     number = forwarder.next_number = forwarder.next_number + 1
-    prompt = passage.facts.prompt
-    tokens_count = 0 if prompt is None else prompt.input_tokens_count
-    view.running[number] = server_pool.Running(
-        tokens_count, tokens_count, time.monotonic()
-    )
+    now_s = time.monotonic()
+    passage.running = server_pool.Running(placement.unread_tokens_count, now_s)
+    view.running[number] = passage.running
+    if passage.facts.prompt is not None:
+        server_pool.note_parts(view, passage.facts.prompt.parts, now_s)
     try:
         return await _exchange(passage, view)
     finally:
--- a/hickoryweir/forwarding/passages.py
+++ b/hickoryweir/forwarding/passages.py
@@ -78,6 +78,8 @@
         Attempts that left this process.
     may_have_run : bool
         Whether any attempt can have run.
+    running : server_pool.Running or None
+        The present attempt as its server's load counts it.
     reply : web.StreamResponse or None
         A stream's answer once it has begun.
     failure : web.Response or None
@@ -95,6 +97,7 @@
     started_s: float
     deadline_s: float
     tried: set[str] = dataclasses.field(default_factory=set)
+    running: server_pool.Running | None = None
     reply: web.StreamResponse | None = None
     failure: web.Response | None = None
     sent_count: int = 0
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -6,19 +6,23 @@
 import dataclasses
 
 from hickoryweir.discovery import listing
+from hickoryweir.feeds import messages
 from hickoryweir.forwarding import border
 
 # A restart behind an address takes seconds; half of one lets a reset pass quickly.
 SUSPECT_MIN_S = 0.5
 SUSPECT_MAX_S = 4.0
+# Ten of the routers' reports; after that their sender or the way here is lost.
+OTHERS_STALE_AFTER_S = 1.0
+# Shared parts are thousands of tokens long, so an engine holds fewer than this.
+MAX_PARTS_COUNT = 512
 
 
 @dataclasses.dataclass(slots=True)
 class Running:
     """One request that this router has at a server."""
 
-    prompt_tokens_count: int
-    uncached_tokens_count: int
+    unread_tokens_count: int
     started_s: float
     has_begun: bool = False
 
@@ -37,6 +41,11 @@
         Until when it is avoided after failures.
     parts : dict
         Ids of prompt parts sent there, with the time of the last use.
+    others_requests_count, others_backlog_count : int
+        Requests of the other routers there, and prompt tokens still to be read, as of
+        `others_s`.
+    told_requests_count, told_backlog_count : int
+        This router's own part of the sum, as it told it last.
     """
 
     listed: listing.BackendServer
@@ -48,6 +57,11 @@
     suspect_until_s: float = 0.0
     parts: dict[str, float] = dataclasses.field(default_factory=dict)
     is_leaving: bool = False
+    others_requests_count: int = 0
+    others_backlog_count: int = 0
+    others_s: float = float("-inf")
+    told_requests_count: int = 0
+    told_backlog_count: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,11 +121,77 @@
         view.own_at_load_count = len(view.running)
 
 
-def known_load_count(view: ServerView) -> float:
-    """Return the requests at a server, from its last word and own sends since."""
-    own_count = len(view.running)
-    if view.load is None:
-        return own_count
-    said_count = view.load.running_count + view.load.waiting_count
-    others_count = max(0, said_count - view.own_at_load_count)
-    return own_count + others_count
+def requests_count(view: ServerView, now_s: float) -> int:
+    """Return the requests of all routers at a server, as far as is known."""
+    others_count = view.others_requests_count if _hears(view, now_s) else 0
+    return len(view.running) + others_count
+
+
+def backlog_count(view: ServerView, now_s: float) -> int:
+    """Return the prompt tokens that a server has still to read, for all routers."""
+    others_count = view.others_backlog_count if _hears(view, now_s) else 0
+    return own_backlog_count(view) + others_count
+
+
+def own_backlog_count(view: ServerView) -> int:
+    """Return the prompt tokens of this router's requests that have not begun."""
+    return sum(
+        item.unread_tokens_count for item in view.running.values() if not item.has_begun
+    )
+
+
+def _hears(view: ServerView, now_s: float) -> bool:
+    return now_s - view.others_s < OTHERS_STALE_AFTER_S
+
+
+def cached_count(view: ServerView, parts: tuple[border.PromptPart, ...]) -> int:
+    """Return the tokens of the leading parts that this router has sent there."""
+    found = 0
+    for part in parts:
+        if part.part_id not in view.parts:
+            break
+        found += part.tokens_count
+    return found
+
+
+def note_parts(
+    view: ServerView, parts: tuple[border.PromptPart, ...], now_s: float
+) -> None:
+    """Note that a server is given these parts to read, oldest use first."""
+    for part in parts:
+        view.parts.pop(part.part_id, None)
+        view.parts[part.part_id] = now_s
+    while len(view.parts) > MAX_PARTS_COUNT:
+        del view.parts[next(iter(view.parts))]
+
+
+def own_loads(pool: Pool) -> tuple[messages.ServerLoad, ...]:
+    """Return what this router has at the servers, those without any left out."""
+    return tuple(
+        messages.ServerLoad(server_id, len(view.running), own_backlog_count(view))
+        for server_id, view in pool.servers.items()
+        if view.running
+    )
+
+
+def note_told(pool: Pool, loads: tuple[messages.ServerLoad, ...]) -> None:
+    """Note the own part of the sum that the routers' loads will make."""
+    told = {load.server_id: load for load in loads}
+    for server_id, view in pool.servers.items():
+        load = told.get(server_id)
+        view.told_requests_count = 0 if load is None else load.requests_count
+        view.told_backlog_count = 0 if load is None else load.backlog_tokens_count
+
+
+def take_loads(
+    pool: Pool, loads: tuple[messages.ServerLoad, ...], now_s: float
+) -> None:
+    """Take the sum of all routers' loads, less the own part."""
+    summed = {load.server_id: load for load in loads}
+    for server_id, view in pool.servers.items():
+        load = summed.get(server_id)
+        total_count = 0 if load is None else load.requests_count
+        backlog_count = 0 if load is None else load.backlog_tokens_count
+        view.others_requests_count = max(0, total_count - view.told_requests_count)
+        view.others_backlog_count = max(0, backlog_count - view.told_backlog_count)
+        view.others_s = now_s
--- a/hickoryweir/policy/prompt_placement.py
+++ b/hickoryweir/policy/prompt_placement.py
@@ -19,8 +19,17 @@
 
 # Prompts above this read for longer than a short request may wait for a token.
 LONG_PROMPT_TOKENS_COUNT = 3_500
-# Requests above the least loaded server's at which a prompt goes to its next server.
-MAX_EXCESS_COUNT = 3
+# Order of magnitude of the engines of today; only ratios of costs matter.
+READ_TOKENS_PER_S = 40_000.0
+# Each request more in a batch makes every step a few hundredths slower.
+REQUEST_COST_S = 0.005
+# A long prompt beside short requests delays each of their tokens while it is read.
+SPILL_COST_S = 0.15
+# Shared parts that are read once more take capacity from all that wait: under load
+# each second of reading delays about this many requests more.
+REREAD_WEIGHT = 2.0
+# Servers that cost the same are taken in the order that all routers agree on.
+ORDER_COST_S = 0.002
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,8 +38,12 @@
 
     Attributes
     ----------
-    load_count : float
-        Requests at it that this router knows of.
+    requests_count : int
+        Requests of all routers at it, as far as is known.
+    backlog_tokens_count : int
+        Prompt tokens that it has still to read for them.
+    cached_tokens_count : int
+        Tokens of this prompt that it is known to hold.
     is_suspect : bool
         Whether it failed just now.
     is_near : bool
@@ -38,11 +51,21 @@
     """
 
     server_id: str
-    load_count: float
+    requests_count: int
+    backlog_tokens_count: int = 0
+    cached_tokens_count: int = 0
     is_suspect: bool = False
     is_near: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """A chosen server, and the tokens of the prompt that it will have to read."""
+
+    server_id: str
+    unread_tokens_count: int = 0
+
+
 def rank(server_id: str, text: str) -> int:
     """Return the rendezvous weight of a server for a text; the highest is first."""
     return xxhash.xxh64_intdigest(f"{server_id}\n{text}".encode())
@@ -52,9 +75,10 @@
     candidates: list[Candidate],
     affinity: str,
     prompt_tokens_count: int,
+    shared_tokens_count: int,
     long_share: float,
-) -> Candidate | None:
-    """Return the server for a request with a prompt.
+) -> Placement | None:
+    """Return the server where a prompt is read soonest.
 
     Parameters
     ----------
@@ -62,8 +86,8 @@
         Servers that may take it.
     affinity : str
         Id of the prompt part that it shares with others.
-    prompt_tokens_count : int
-        Length of the prompt.
+    prompt_tokens_count, shared_tokens_count : int
+        Length of the prompt, and of the parts that it shares with others.
     long_share : float
         Share of the servers, in an order on which all routers agree, that long
         prompts go to; short ones prefer the rest.
@@ -71,42 +95,70 @@
     sound = [item for item in candidates if not item.is_suspect] or candidates
     if not sound:
         return None
-    least_count = min(item.load_count for item in sound)
-    preferred = _split(sound, prompt_tokens_count, long_share)
-    for group in (preferred, sound):
-        ordered = sorted(
-            group, key=lambda item: rank(item.server_id, affinity), reverse=True
+    is_preferred = _preferred_ids(sound, prompt_tokens_count, long_share)
+    ordered = sorted(
+        sound,
+        key=lambda item: (
+            item.server_id in is_preferred,
+            rank(item.server_id, affinity),
+        ),
+        reverse=True,
+    )
+
+    def unread_count(position: int) -> int:
+        cached_count = ordered[position].cached_tokens_count
+        if position == 0:
+            # All routers send this prompt's like here first.
+            cached_count = max(cached_count, shared_tokens_count)
+        return max(0, prompt_tokens_count - cached_count)
+
+    def missing_count(position: int) -> int:
+        own_count = prompt_tokens_count - shared_tokens_count
+        return max(0, unread_count(position) - own_count)
+
+    def cost_s(position: int) -> float:
+        item = ordered[position]
+        spill_s = 0.0 if item.server_id in is_preferred else SPILL_COST_S
+        return (
+            (unread_count(position) + item.backlog_tokens_count) / READ_TOKENS_PER_S
+            + REREAD_WEIGHT * missing_count(position) / READ_TOKENS_PER_S
+            + REQUEST_COST_S * item.requests_count
+            + ORDER_COST_S * position
+            + spill_s
         )
-        for item in ordered:
-            if item.load_count < least_count + MAX_EXCESS_COUNT:
-                return item
-    return min(sound, key=lambda item: item.load_count)
+
+    best = min(range(len(ordered)), key=cost_s)
+    return Placement(ordered[best].server_id, unread_count(best))
 
 
-def _split(
+def _preferred_ids(
     candidates: list[Candidate], prompt_tokens_count: int, long_share: float
-) -> list[Candidate]:
-    if len(candidates) < 2:
-        return candidates
-    ordered = sorted(candidates, key=lambda item: rank(item.server_id, ""))
-    long_count = min(len(ordered) - 1, max(1, round(len(ordered) * long_share)))
+) -> set[str]:
+    ids = sorted(
+        (item.server_id for item in candidates), key=lambda name: rank(name, "")
+    )
+    if len(ids) < 2:
+        return set(ids)
+    long_count = min(len(ids) - 1, max(1, round(len(ids) * long_share)))
     if prompt_tokens_count > LONG_PROMPT_TOKENS_COUNT:
-        return ordered[:long_count]
-    return ordered[long_count:]
+        return set(ids[:long_count])
+    return set(ids[long_count:])
 
 
-def choose_least_loaded(candidates: list[Candidate], salt: str) -> Candidate | None:
+def choose_least_loaded(candidates: list[Candidate], salt: str) -> Placement | None:
     """Return the least loaded server for a plain call, near ones first.
 
     `salt` breaks ties differently for each request, so that routers don't herd.
     """
     sound = [item for item in candidates if not item.is_suspect] or candidates
-    return min(
+    if not sound:
+        return None
+    best = min(
         sound,
         key=lambda item: (
-            item.load_count,
+            item.requests_count,
             not item.is_near,
             rank(item.server_id, salt),
         ),
-        default=None,
     )
+    return Placement(best.server_id)
--- /dev/null
+++ b/hickoryweir/policy/tests/test_prompt_placement.py
@@ -0,0 +1,140 @@
+"""Placement of prompts: close to their cached parts, spread by what is unread."""
+
+import collections
+import random
+
+from hickoryweir.policy import prompt_placement
+
+NAMES = [f"s{number}" for number in range(6)]
+LONG, SHARED = 17_000, 13_300
+
+
+def candidates(**changes):
+    """Return six idle servers; `changes` maps a name to changed fields."""
+    return [
+        prompt_placement.Candidate(**({"server_id": name, "requests_count": 0} | more))
+        for name, more in ((name, changes.get(name, {})) for name in NAMES)
+    ]
+
+
+def choose(servers, affinity="part", tokens=LONG, shared=SHARED, long_share=0.8):
+    return prompt_placement.choose_for_prompt(
+        servers, affinity, tokens, shared, long_share
+    )
+
+
+def test_like_prompts_go_to_one_server():
+    chosen = {choose(candidates()).server_id for _ in range(5)}
+    assert len(chosen) == 1
+
+
+def test_order_of_the_list_does_not_matter():
+    first = choose(candidates())
+    assert choose(candidates()[::-1]) == first
+
+
+def test_prompts_with_other_parts_are_spread():
+    chosen = collections.Counter(
+        choose(candidates(), f"part-{number}").server_id for number in range(300)
+    )
+    assert len(chosen) == 5
+    assert max(chosen.values()) < 2 * min(chosen.values())
+
+
+def test_only_what_is_not_shared_counts_as_unread_at_the_first_server():
+    assert choose(candidates()).unread_tokens_count == LONG - SHARED
+
+
+def test_prompt_stays_while_waiting_costs_less_than_reading_its_parts_again():
+    home = choose(candidates()).server_id
+    busy = candidates(**{home: {"backlog_tokens_count": 2 * SHARED}})
+    assert choose(busy).server_id == home
+
+
+def test_prompt_leaves_a_server_that_has_far_more_to_read():
+    home = choose(candidates()).server_id
+    busy = candidates(**{home: {"backlog_tokens_count": 5 * SHARED}})
+    placement = choose(busy)
+    assert placement.server_id != home
+    assert placement.unread_tokens_count == LONG
+
+
+def test_server_that_holds_the_parts_takes_the_overflow():
+    home = choose(candidates()).server_id
+    holder = next(
+        name
+        for name in sorted(NAMES, key=lambda name: prompt_placement.rank(name, ""))[:5]
+        if name != home
+    )
+    busy = candidates(
+        **{
+            home: {"backlog_tokens_count": 2 * SHARED},
+            holder: {"cached_tokens_count": SHARED},
+        }
+    )
+    assert choose(busy).server_id == holder
+
+
+def test_short_prompts_keep_off_the_servers_of_long_ones():
+    long_homes = {
+        choose(candidates(), f"part-{number}").server_id for number in range(100)
+    }
+    short = choose(candidates(), tokens=1_500, shared=350).server_id
+    assert short not in long_homes
+
+
+def test_short_prompts_spill_when_their_servers_are_busy():
+    short = choose(candidates(), tokens=1_500, shared=350).server_id
+    busy = candidates(**{short: {"backlog_tokens_count": 20_000}})
+    assert choose(busy, tokens=1_500, shared=350).server_id != short
+
+
+def test_suspect_is_passed_over_unless_all_are():
+    home = choose(candidates()).server_id
+    assert choose(candidates(**{home: {"is_suspect": True}})).server_id != home
+    suspects = candidates(**{name: {"is_suspect": True} for name in NAMES})
+    assert choose(suspects).server_id == home
+
+
+def test_no_server_is_no_placement():
+    assert choose([]) is None
+    assert prompt_placement.choose_least_loaded([], "r") is None
+
+
+def test_plain_call_goes_to_the_least_loaded_then_to_the_nearest():
+    servers = candidates(
+        s0={"requests_count": 2},
+        s1={"requests_count": 1},
+        s2={"requests_count": 1, "is_near": True},
+        s3={"requests_count": 3, "is_near": True},
+        s4={"requests_count": 1},
+        s5={"requests_count": 1},
+    )
+    assert prompt_placement.choose_least_loaded(servers, "r").server_id == "s2"
+
+
+def test_burst_of_one_part_is_read_by_few_servers():
+    """Plays arrivals of one hot part at twice what its first server can read."""
+    generator = random.Random(5)
+    backlog = dict.fromkeys(NAMES, 0.0)
+    cached = dict.fromkeys(NAMES, 0)
+    reads = 0
+    for _ in range(200):
+        for name in NAMES:
+            read = prompt_placement.READ_TOKENS_PER_S * generator.uniform(0.02, 0.06)
+            backlog[name] = max(0.0, backlog[name] - read)
+        servers = candidates(
+            **{
+                name: {
+                    "backlog_tokens_count": int(backlog[name]),
+                    "cached_tokens_count": cached[name],
+                }
+                for name in NAMES
+            }
+        )
+        placement = choose(servers)
+        backlog[placement.server_id] += placement.unread_tokens_count
+        reads += placement.unread_tokens_count > LONG - SHARED
+        cached[placement.server_id] = SHARED
+    assert reads <= len(NAMES) - 1
+    assert max(backlog.values()) < 4 * SHARED
