--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -22,7 +22,7 @@
 # A connection that was idle for less is hardly ever closed at the moment of a send.
 SINGLE_KEEPALIVE_S = 3.0
 FIRST_READ_TIMEOUT_S = 0.5
-FIRST_READ_RETRY_S = 0.1
+FIRST_READ_RETRY_S = 0.05
 # A leader is elected within about a second; a cut-off zone serves without one.
 UNCONFIRMED_AFTER_S = 5.0
 LIST_CHECK_INTERVAL_S = 0.25
@@ -161,15 +161,24 @@
         """
         loop = asyncio.get_running_loop()
         give_up_s = loop.time() + UNCONFIRMED_AFTER_S
-        while loop.time() < give_up_s or self._subscriber.view.offered_version < 0:
-            answer = await self._log.read(store.ReadTable(), FIRST_READ_TIMEOUT_S)
-            stored = answer.value_or(None)
-            if isinstance(stored, store.StoredTable) and stored.compressed:
-                self._subscriber.take_table(stored)
+        view = self._subscriber.view
+        while loop.time() < give_up_s or view.offered_version < 0:
+            if view.has_leader and await self._read_confirmed():
                 break
             await asyncio.sleep(FIRST_READ_RETRY_S)
         self._is_confirmed = True
 
+    async def _read_confirmed(self) -> bool:
+        """Take the table that a majority confirms; return whether there is one."""
+        if not await self._log.wait_until_ready(FIRST_READ_TIMEOUT_S):
+            return False
+        answer = await self._log.read(store.ReadTable(), FIRST_READ_TIMEOUT_S)
+        stored = answer.value_or(None)
+        if not isinstance(stored, store.StoredTable) or not stored.compressed:
+            return False
+        self._subscriber.take_table(stored)
+        return True
+
     async def _watch_list(self) -> None:
         """Read the list of servers oneself while the reader for all is silent."""
         source = self._adapters.make_source(self._given.discovery.address)
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -113,12 +113,13 @@
 
     async def _send_beats(self) -> None:
         loop = asyncio.get_running_loop()
-        sent_version, sent_s = store.NO_VERSION, 0.0
+        sent, sent_s = (store.NO_VERSION, False), 0.0
         while True:
             standing = self._get_standing()
+            news = (standing.stored.version, standing.has_leader)
             is_due = loop.time() - sent_s >= BEAT_INTERVAL_S
-            if is_due or standing.stored.version != sent_version:
-                sent_version, sent_s = standing.stored.version, loop.time()
+            if is_due or news != sent:
+                sent, sent_s = news, loop.time()
                 beat = self._make_beat(standing)
                 for connection in list(self._followers):
                     connection.offer(beat)
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -44,12 +44,15 @@
         The list that was read last.
     routers_count : int
         Routers that the replica heard last counts.
+    has_leader : bool
+        Whether the replica heard last leads or hears a leader.
     """
 
     table_version: int = store.NO_VERSION
     offered_version: int = store.NO_VERSION
     servers: listing.ServerList | None = None
     routers_count: int = 1
+    has_leader: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -205,6 +208,7 @@
         self, connection: connections.Connection, beat: messages.Beat
     ) -> None:
         view = self.view
+        view.has_leader = beat.has_leader
         view.routers_count = max(1, beat.routers_count)
         view.offered_version = max(view.offered_version, beat.table_version)
         self.follow(beat.replicas)
