--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -7,9 +7,9 @@
 from returns import result
 
 from hickoryweir.engines import sessions
-from hickoryweir.entry import adapters, settings, tables
+from hickoryweir.entry import adapters, metrics_port, settings, tables
 from hickoryweir.feeds import publisher
-from hickoryweir.observability import logs
+from hickoryweir.observability import forwarding_metrics, logs
 from hickoryweir.replicas import automation, client, messages, node, wire
 from hickoryweir.replicas import state as states
 from hickoryweir.routes import store
@@ -128,6 +128,10 @@
         peer_hub, lambda: _standing_of(keeper.node), session, source
     )
     await peer_hub.start()
+    metrics = forwarding_metrics.make_metrics()
+    metrics.table_version.set_function(lambda: _standing_of(keeper.node).stored.version)
+    if process.metrics_port:
+        await metrics_port.start(metrics, process.host, process.metrics_port)
     service = tables.TableService(log, given_adapters.decode_table)
     runner = web.AppRunner(given_adapters.make_operators_app(service), access_log=None)
     await runner.setup()
--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -9,7 +9,7 @@
 from hickoryweir import clocks
 from hickoryweir.discovery import listing
 from hickoryweir.engines import sessions
-from hickoryweir.entry import adapters, replica, settings
+from hickoryweir.entry import adapters, metrics_port, replica, settings
 from hickoryweir.feeds import messages, subscriber
 from hickoryweir.forwarding import passages, server, server_pool, sockets
 from hickoryweir.observability import logs
@@ -74,6 +74,10 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set, then drain."""
+        process = self._given.process
+        metrics = self.forwarder.metrics
+        if process.metrics_port:
+            await metrics_port.start(metrics, process.host, process.metrics_port)
         host, port = wire.split_address(self._given.ports.readiness)
         await server.start_readiness(self.forwarder, host, port)
         host, port = wire.split_address(self._given.ports.clients)
@@ -123,6 +127,7 @@
             logs.error("a table in the log is invalid", fields)
             return False
         self.forwarder.directory = matching.make_directory(table)
+        self.forwarder.metrics.table_version.set(table.version)
         routes_count = len(table.routes)
         fields = logs.Fields(version=version, detail=f"{routes_count} routes")
         logs.info("table in force", fields)
@@ -192,6 +197,7 @@
             if view.servers is not None:
                 made.list_read_at_s = view.servers.read_at_s
                 age_s = clocks.elapsed_s() - view.servers.read_at_s
+            made.metrics.list_age_s.set(age_s)
             if age_s < LIST_STALE_AFTER_S:
                 continue
             logs.info(
--- a/hickoryweir/forwarding/answers.py
+++ b/hickoryweir/forwarding/answers.py
@@ -30,7 +30,8 @@
     transport = passage.client.transport
     if transport is not None:
         transport.abort()
-    passage.forwarder.counts["broken_off"] += 1
+    route_name = passage.route.name
+    passage.forwarder.metrics.answers.labels(route_name, "broken_off").inc()
     fields = logs.Fields(
         request_id=passage.facts.request_id,
         class_name=passage.route.name,
@@ -87,7 +88,7 @@
         while chunk := await exchange.read_chunk(answered):
             events = event_stream.split_events(splitter, chunk)
             if events:
-                passage.running.has_begun = True
+                passages.note_begun(passage)
                 server_pool.note_success(view)
                 await _write_events(passage, answered, events)
     except exchange.BrokenAnswerError as error:
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -20,7 +20,7 @@
     requests,
     server_pool,
 )
-from hickoryweir.observability import logs
+from hickoryweir.observability import latencies, logs
 from hickoryweir.policy import (
     crash_counts,
     next_attempts,
@@ -51,11 +51,14 @@
         return _refuse(forwarder, facts.request_id, admitted)
     budget = _budget(forwarder, admitted.service_name)
     retry_budget.note_request(budget, time.monotonic())
+    forwarder.metrics.open_requests.inc()
     try:
         async with asyncio.timeout(admitted.time_left_s):
             reply = await _attempt_all(admitted)
     except TimeoutError:
         reply = _give_up_at_deadline(admitted)
+    finally:
+        forwarder.metrics.open_requests.dec()
     if forwarder.is_draining:
         reply.force_close()
     return reply
@@ -111,8 +114,9 @@
     request_id: str,
     reason: replies.Reason,
     retry_after_s: float | None = None,
+    route_name: str = "",
 ) -> web.Response:
-    forwarder.counts[reason] += 1
+    forwarder.metrics.answers.labels(route_name, reason.value).inc()
     directory = forwarder.directory
     version = None if directory is None else directory.table.version
     fields = logs.Fields(request_id=request_id, reason=reason.value, version=version)
@@ -138,10 +142,19 @@
             return _give_up(passage, reason)
         outcome = await _attempt(passage, placement)
         if isinstance(outcome, web.StreamResponse):
+            _note_passed_on(passage)
             return outcome
         reason = outcome
 
 
+def _note_passed_on(passage: passages.Passage) -> None:
+    metrics = passage.forwarder.metrics
+    name = passage.route.name
+    metrics.answers.labels(name, "passed_on").inc()
+    answer_s = clocks.elapsed_s() - passage.started_s
+    metrics.latencies.record(name, latencies.Interval.ANSWER, answer_s)
+
+
 def _may_send(passage: passages.Passage) -> bool:
     """Return whether the next attempt may be made, and take it from the budget."""
     route = passage.route
@@ -161,7 +174,10 @@
     if crash_counts.is_blocked(forwarder.crashes, passage.fingerprint, now_s):
         return False
     budget = _budget(forwarder, passage.service_name)
-    return retry_budget.take(budget, forwarder.routers_count, time.monotonic())
+    taken = retry_budget.take(budget, forwarder.routers_count, time.monotonic())
+    allowed = "yes" if taken else "no"
+    forwarder.metrics.second_sends.labels(passage.service_name, allowed).inc()
+    return taken
 
 
 def _choose(passage: passages.Passage) -> prompt_placement.Placement | None:
@@ -282,6 +298,8 @@
     passage: passages.Passage, view: server_pool.ServerView, outcome: exchange.Outcome
 ) -> None:
     forwarder = passage.forwarder
+    kind = type(outcome).__name__
+    forwarder.metrics.attempts.labels(passage.service_name, kind).inc()
     age_s = clocks.elapsed_s() - forwarder.list_read_at_s
     detail = getattr(outcome, "reason", "")
     logs.info(
@@ -289,7 +307,7 @@
         logs.Fields(
             request_id=passage.facts.request_id,
             class_name=passage.route.name,
-            reason=type(outcome).__name__ + (f": {detail}" if detail else ""),
+            reason=kind + (f": {detail}" if detail else ""),
             backend_server=view.listed.server_id,
             attempt=passage.sent_count,
             version=forwarder.directory.table.version,
@@ -311,11 +329,14 @@
     else:
         retry_after_s = passage.retry_after_s or UNREACHABLE_RETRY_AFTER_S
     request_id = passage.facts.request_id
-    return _refuse(passage.forwarder, request_id, reason, retry_after_s)
+    name = passage.route.name
+    return _refuse(passage.forwarder, request_id, reason, retry_after_s, name)
 
 
 def _give_up_at_deadline(passage: passages.Passage) -> web.StreamResponse:
     if passage.reply is not None:
         return answers.break_off(passage)
     reason = replies.Reason.TIMED_OUT
-    return _refuse(passage.forwarder, passage.facts.request_id, reason)
+    request_id = passage.facts.request_id
+    name = passage.route.name
+    return _refuse(passage.forwarder, request_id, reason, None, name)
--- a/hickoryweir/forwarding/passages.py
+++ b/hickoryweir/forwarding/passages.py
@@ -1,6 +1,5 @@
 """What a router holds for forwarding, and one request on its way."""
 
-import collections
 import dataclasses
 import random
 from collections.abc import Callable
@@ -10,6 +9,7 @@
 
 from hickoryweir import clocks
 from hickoryweir.forwarding import border, server_pool
+from hickoryweir.observability import forwarding_metrics, latencies
 from hickoryweir.policy import crash_counts, retry_budget
 from hickoryweir.routes import matching, model
 
@@ -35,8 +35,8 @@
         Routers that share the retry budget.
     is_draining : bool
         Whether the process is about to stop.
-    counts : collections.Counter
-        Outcomes by reason.
+    metrics : forwarding_metrics.ForwardingMetrics
+        What this process counts.
     crashes : crash_counts.CrashCounts
         Requests that were lost, here and at other routers.
     report_lost : callable
@@ -54,7 +54,9 @@
     routers_count: int = 1
     is_draining: bool = False
     budgets: dict = dataclasses.field(default_factory=dict)
-    counts: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    metrics: forwarding_metrics.ForwardingMetrics = dataclasses.field(
+        default_factory=forwarding_metrics.make_metrics
+    )
     next_number: int = 0
     crashes: crash_counts.CrashCounts = dataclasses.field(
         default_factory=crash_counts.CrashCounts
@@ -123,3 +125,16 @@
 def note_whole(passage: Passage) -> None:
     """Note that a request ended well."""
     crash_counts.clear(passage.forwarder.crashes, passage.fingerprint)
+
+
+def note_begun(passage: Passage) -> None:
+    """Note that the first event of the present attempt has come."""
+    if passage.running.has_begun:
+        return
+    passage.running.has_begun = True
+    if passage.reply is None:
+        passage.forwarder.metrics.latencies.record(
+            passage.route.name,
+            latencies.Interval.FIRST_TOKEN,
+            clocks.elapsed_s() - passage.started_s,
+        )
--- /dev/null
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -0,0 +1,68 @@
+"""Counters and latencies of a router that forwards, and of a replica beside it."""
+
+import dataclasses
+
+import prometheus_client
+
+from hickoryweir.observability import latencies, metrics
+
+
+@dataclasses.dataclass(slots=True)
+class ForwardingMetrics:
+    """What one process counts.
+
+    Attributes
+    ----------
+    answers : prometheus_client.Counter
+        Final answers by route and reason; ``passed_on`` for a server's own answer.
+    attempts : prometheus_client.Counter
+        Attempts at backend servers by service and outcome.
+    second_sends : prometheus_client.Counter
+        Attempts after the first, by service, allowed or not by the budget.
+    table_version : prometheus_client.Gauge
+        Version in force, or stored on a replica.
+    list_age_s : prometheus_client.Gauge
+        Age of the list of servers.
+    open_requests : prometheus_client.Gauge
+        Requests without a final answer.
+    """
+
+    registry: prometheus_client.CollectorRegistry
+    answers: prometheus_client.Counter
+    attempts: prometheus_client.Counter
+    second_sends: prometheus_client.Counter
+    table_version: prometheus_client.Gauge
+    list_age_s: prometheus_client.Gauge
+    open_requests: prometheus_client.Gauge
+    latencies: latencies.Latencies
+
+
+def make_metrics() -> ForwardingMetrics:
+    """Return the metrics of one process, all at zero."""
+    registry = prometheus_client.CollectorRegistry()
+
+    def counter(name: str, text: str, *labels: str) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f"hickoryweir_{name}", text, labels, registry=registry
+        )
+
+    def gauge(name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(f"hickoryweir_{name}", text, registry=registry)
+
+    store = latencies.make_latencies()
+    registry.register(metrics.LatencyCollector(store))
+    return ForwardingMetrics(
+        registry=registry,
+        answers=counter("answers", "Final answers.", "route", "reason"),
+        attempts=counter("attempts", "Attempts at servers.", "service", "outcome"),
+        second_sends=counter("second_sends", "Repeats.", "service", "allowed"),
+        table_version=gauge("table_version", "Version of the routing table."),
+        list_age_s=gauge("list_age_seconds", "Age of the list of servers."),
+        open_requests=gauge("open_requests", "Requests without a final answer."),
+        latencies=store,
+    )
+
+
+def expose(found: ForwardingMetrics) -> bytes:
+    """Return all metrics in the Prometheus text format."""
+    return prometheus_client.generate_latest(found.registry)
