--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -9,7 +9,7 @@
 from hickoryweir import clocks
 from hickoryweir.discovery import listing
 from hickoryweir.engines import sessions
-from hickoryweir.entry import adapters, replica, settings
+from hickoryweir.entry import adapters, metrics_port, replica, settings
 from hickoryweir.feeds import messages, subscriber
 from hickoryweir.forwarding import passages, server, server_pool, sockets
 from hickoryweir.observability import logs
@@ -22,7 +22,7 @@
 # A connection that was idle for less is hardly ever closed at the moment of a send.
 SINGLE_KEEPALIVE_S = 3.0
 FIRST_READ_TIMEOUT_S = 0.5
-FIRST_READ_RETRY_S = 0.1
+FIRST_READ_RETRY_S = 0.05
 # A leader is elected within about a second; a cut-off zone serves without one.
 UNCONFIRMED_AFTER_S = 5.0
 LIST_CHECK_INTERVAL_S = 0.25
@@ -74,6 +74,10 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set, then drain."""
+        process = self._given.process
+        metrics = self.forwarder.metrics
+        if process.metrics_port:
+            await metrics_port.start(metrics, process.host, process.metrics_port)
         host, port = wire.split_address(self._given.ports.readiness)
         await server.start_readiness(self.forwarder, host, port)
         host, port = wire.split_address(self._given.ports.clients)
@@ -123,6 +127,7 @@
             logs.error("a table in the log is invalid", fields)
             return False
         self.forwarder.directory = matching.make_directory(table)
+        self.forwarder.metrics.table_version.set(table.version)
         routes_count = len(table.routes)
         fields = logs.Fields(version=version, detail=f"{routes_count} routes")
         logs.info("table in force", fields)
@@ -161,15 +166,24 @@
         """
         loop = asyncio.get_running_loop()
         give_up_s = loop.time() + UNCONFIRMED_AFTER_S
-        while loop.time() < give_up_s or self._subscriber.view.offered_version < 0:
-            answer = await self._log.read(store.ReadTable(), FIRST_READ_TIMEOUT_S)
-            stored = answer.value_or(None)
-            if isinstance(stored, store.StoredTable) and stored.compressed:
-                self._subscriber.take_table(stored)
+        view = self._subscriber.view
+        while loop.time() < give_up_s or view.offered_version < 0:
+            if view.has_leader and await self._read_confirmed():
                 break
             await asyncio.sleep(FIRST_READ_RETRY_S)
         self._is_confirmed = True
 
+    async def _read_confirmed(self) -> bool:
+        """Take the table that a majority confirms; return whether there is one."""
+        if not await self._log.wait_until_ready(FIRST_READ_TIMEOUT_S):
+            return False
+        answer = await self._log.read(store.ReadTable(), FIRST_READ_TIMEOUT_S)
+        stored = answer.value_or(None)
+        if not isinstance(stored, store.StoredTable) or not stored.compressed:
+            return False
+        self._subscriber.take_table(stored)
+        return True
+
     async def _watch_list(self) -> None:
         """Read the list of servers oneself while the reader for all is silent."""
         source = self._adapters.make_source(self._given.discovery.address)
@@ -183,6 +197,7 @@
             if view.servers is not None:
                 made.list_read_at_s = view.servers.read_at_s
                 age_s = clocks.elapsed_s() - view.servers.read_at_s
+            made.metrics.list_age_s.set(age_s)
             if age_s < LIST_STALE_AFTER_S:
                 continue
             logs.info(
