--- a/hickoryweir/forwarding/tests/test_streams.py
+++ b/hickoryweir/forwarding/tests/test_streams.py
@@ -5,9 +5,10 @@
 import struct
 import threading
 
+import aiohttp
 import pytest
 import uvloop
-from aiohttp import ClientError, web
+from aiohttp import web
 
 from hickoryweir.forwarding import headers
 from hickoryweir.forwarding.tests import sites
@@ -95,7 +96,7 @@
     )
 
     async def scenario(site):
-        with pytest.raises(ClientError):
+        with pytest.raises(aiohttp.ClientError):
             await site.call()
         return sum(len(backend.seen) for backend in site.backends)
 
--- a/hickoryweir/claims/measure.py
+++ b/hickoryweir/measures/claims.py
@@ -1,4 +1,4 @@
-"""Measure the claims machine: ``python -m hickoryweir.claims.measure``.
+"""Measure the claims machine: ``python -m hickoryweir.measures.claims``.
 
 Prints, per record, the bytes of its commands in the log, of a snapshot and of
 memory, and the time to apply a claim with its outcome, to dump and to load.
--- a/hickoryweir/configuration/measure.py
+++ b/hickoryweir/measures/configuration.py
@@ -1,4 +1,4 @@
-"""Measures a day of changes: ``python -m hickoryweir.configuration.measure``.
+"""Measures a day of changes: ``python -m hickoryweir.measures.configuration``.
 
 Applies changes in a row to the state machine and prints time, memory, the bytes
 that they take in the log and in a snapshot; then the time to read a large
@@ -128,7 +128,9 @@
 
 def main() -> None:
     """Measure and print tables."""
-    parser = argparse.ArgumentParser(prog="python -m hickoryweir.configuration.measure")
+    parser = argparse.ArgumentParser(
+        prog="python -m hickoryweir.measures.configuration"
+    )
     parser.add_argument("--changes", type=int, nargs="+", default=[1000, 10_000])
     parser.add_argument("--servers", type=int, nargs="+", default=[0, 1000, 12_000])
     parser.add_argument(
--- a/hickoryweir/daemon/measure.py
+++ b/hickoryweir/measures/daemon.py
@@ -1,4 +1,4 @@
-"""Measures what the router adds: ``python -m hickoryweir.daemon.measure``.
+"""Measures what the router adds: ``python -m hickoryweir.measures.daemon``.
 
 Three processes on loopback: an engine that answers at once, one entry VM
 (router and single replica) and this process as the caller.  The same calls go
@@ -257,7 +257,7 @@
 
 def start_engine(port: int, token_interval_ms: float) -> subprocess.Popen:
     """Start the engine as a process of its own."""
-    command = [sys.executable, "-m", "hickoryweir.daemon.measure", "--part", "engine"]
+    command = [sys.executable, "-m", "hickoryweir.measures.daemon", "--part", "engine"]
     pause = ["--token-interval-ms", str(token_interval_ms)]
     return subprocess.Popen([*command, "--port", str(port), *pause])
 
--- a/hickoryweir/engines/measure.py
+++ b/hickoryweir/measures/engines.py
@@ -1,6 +1,6 @@
 """Measures how many streamed tokens one core takes through the engine client.
 
-``python -m hickoryweir.engines.measure`` starts a source of streams as a
+``python -m hickoryweir.measures.engines`` starts a source of streams as a
 process of its own, opens many streams at once through
 :mod:`hickoryweir.engines.client`, and prints tokens per second of processor
 time, and the time that one short call takes over fresh and kept connections.
@@ -161,7 +161,7 @@
     """Start a source as a process and return it with its port."""
     process = await asyncio.create_subprocess_exec(
         sys.executable,
-        *("-m", "hickoryweir.engines.measure", "--source"),
+        *("-m", "hickoryweir.measures.engines", "--source"),
         *("--tokens", str(tokens_count), "--interval-s", str(interval_s)),
         stdout=asyncio.subprocess.PIPE,
     )
--- a/hickoryweir/daemon/measure_idle.py
+++ b/hickoryweir/measures/idle.py
@@ -1,4 +1,4 @@
-"""Measures what control costs: ``python -m hickoryweir.daemon.measure_idle``.
+"""Measures what control costs: ``python -m hickoryweir.measures.idle``.
 
 Two entry VMs, one of them the only replica, follow a number of engines that
 answer load reports at once and serve nothing else.  The processor time and the
@@ -14,7 +14,7 @@
 
 import cappa
 
-from hickoryweir.daemon import measure
+from hickoryweir.measures import daemon
 from hickoryweir.testing.demo import entry_vms
 
 SETTLE_S = 5.0
@@ -46,13 +46,13 @@
 
 def make_answers(engine_url: str, count: int) -> str:
     """Return answers with many engines, all of them one stand-in."""
-    start = measure.ANSWERS.index("[backend-server")
-    end = measure.ANSWERS.index("[account")
+    start = daemon.ANSWERS.index("[backend-server")
+    end = daemon.ANSWERS.index("[account")
     servers = "".join(
         SERVER.format(number=number, url=f"{engine_url}/{number}")
         for number in range(1, count + 1)
     )
-    return measure.ANSWERS[:start] + servers + measure.ANSWERS[end:]
+    return daemon.ANSWERS[:start] + servers + daemon.ANSWERS[end:]
 
 
 def make_vms(folder: pathlib.Path) -> tuple[entry_vms.EntryVm, ...]:
@@ -72,13 +72,13 @@
         entry_vms.write_settings(vms)
         running = [entry_vms.start(vm) for vm in vms]
         try:
-            await measure.submit(vms[0], make_answers(engine_url, count))
+            await daemon.submit(vms[0], make_answers(engine_url, count))
             await asyncio.sleep(SETTLE_S)
-            before = [measure.read_usage(each.process.pid) for each in running]
+            before = [daemon.read_usage(each.process.pid) for each in running]
             started_s = time.monotonic()
             await asyncio.sleep(duration_s)
             elapsed_s = time.monotonic() - started_s
-            after = [measure.read_usage(each.process.pid) for each in running]
+            after = [daemon.read_usage(each.process.pid) for each in running]
         finally:
             for each in running:
                 entry_vms.stop(each)
@@ -96,7 +96,7 @@
 async def run(arguments: MeasureIdle) -> None:
     """Print a row for each number of engines."""
     port = entry_vms.free_port()
-    engine = measure.start_engine(port, 0.0)
+    engine = daemon.start_engine(port, 0.0)
     try:
         for count in arguments.engines:
             url = f"http://{entry_vms.HOST}:{port}"
--- a/hickoryweir/policy/measure.py
+++ b/hickoryweir/measures/policy.py
@@ -1,4 +1,4 @@
-"""Cost of decisions: ``python -m hickoryweir.policy.measure``.
+"""Cost of decisions: ``python -m hickoryweir.measures.policy``.
 
 Calls are kept in flight at a steady share of the router's capacity; each
 request costs one ``Arrived``, two ``Progressed`` and one ``Completed``.
--- a/hickoryweir/replicas/measure.py
+++ b/hickoryweir/measures/replicas.py
@@ -1,6 +1,6 @@
 """Measurements of the replicated log, each by one command.
 
-``python -m hickoryweir.replicas.measure latency`` (or ``throughput``, ``failover``,
+``python -m hickoryweir.measures.replicas latency`` (or ``throughput``, ``failover``,
 ``restart``).  Commands are claims; replicas are processes of their own on loopback.
 """
 
@@ -19,10 +19,10 @@
 from returns import result
 
 from hickoryweir.claims import commands
+from hickoryweir.measures import replicas_cluster
 from hickoryweir.replicas import (
     files,
     machine,
-    measure_cluster,
     messages,
     raft,
     records,
@@ -84,9 +84,9 @@
 
 
 async def _latency(folder: str, command: "Latency") -> None:
-    async with measure_cluster.run_cluster(folder, command.delay_ms / 1000) as cluster:
+    async with replicas_cluster.run_cluster(folder, command.delay_ms / 1000) as cluster:
         finding = cluster.make_client()
-        await finding.wait_until_ready(measure_cluster.START_TIMEOUT_S)
+        await finding.wait_until_ready(replicas_cluster.START_TIMEOUT_S)
         leader_name = finding.leader_name
         await finding.close()
         for place, near_name in (("leader's", leader_name), ("another", "")):
@@ -102,7 +102,7 @@
 
 
 async def _throughput(folder: str, command: "Throughput") -> None:
-    async with measure_cluster.run_cluster(folder, command.delay_ms / 1000) as cluster:
+    async with replicas_cluster.run_cluster(folder, command.delay_ms / 1000) as cluster:
         log = cluster.make_client()
         await _load(log, command.tasks, 1.0)
         before = {item.member_id: item for item in await log.status()}
@@ -130,7 +130,7 @@
     arguments = ("load", text, str(command.tasks), str(command.seconds))
     pipe = asyncio.subprocess.PIPE
     processes = [
-        await measure_cluster.start_process(*arguments, stdout=pipe)
+        await replicas_cluster.start_process(*arguments, stdout=pipe)
         for _ in range(command.clients)
     ]
     timings = histogram.HdrHistogram(1, MAX_LATENCY_US, 3)
@@ -147,9 +147,9 @@
 
 
 async def _run_load(command: "Load") -> None:
-    addresses = measure_cluster.parse_addresses(command.replicas)
-    log = measure_cluster.make_client(addresses)
-    await log.wait_until_ready(measure_cluster.START_TIMEOUT_S)
+    addresses = replicas_cluster.parse_addresses(command.replicas)
+    log = replicas_cluster.make_client(addresses)
+    await log.wait_until_ready(replicas_cluster.START_TIMEOUT_S)
     timings, counts, duration_s = await _load(log, command.tasks, command.seconds)
     print(counts["done"], counts["failed"], duration_s, timings.encode().decode())
     await log.close()
@@ -167,7 +167,7 @@
     gaps_s = []
     for number in range(command.rounds):
         path = os.path.join(folder, str(number))
-        async with measure_cluster.run_cluster(path, 0.001) as cluster:
+        async with replicas_cluster.run_cluster(path, 0.001) as cluster:
             log = cluster.make_client()
             claims = make_claims()
             await _load(log, 1, 1.0)
@@ -190,7 +190,7 @@
         files.make_files(), folder, "measurement", "", "a"
     ).unwrap()
     claims = make_claims()
-    state_machine = machine.make_machine((measure_cluster.CLAIMS,))
+    state_machine = machine.make_machine((replicas_cluster.CLAIMS,))
     base = messages.Snapshot(1, 1, MEMBERSHIP, 0.0, b"")
     storage.save_snapshot(opened.storage, base).unwrap()
     storage.append(opened.storage, records.Batch(1, "", (), 1, 1)).unwrap()
@@ -224,7 +224,7 @@
         files.make_files(), folder, "measurement", "", "a"
     ).unwrap()
     found = opened.recovered
-    state_machine = machine.make_machine((measure_cluster.CLAIMS,))
+    state_machine = machine.make_machine((replicas_cluster.CLAIMS,))
     raft.make_state(
         found.identity.member_id,
         0.0,
@@ -357,11 +357,11 @@
     command = cappa.parse(Measure).command
     match command:
         case Replica(name, port, folder, replicas):
-            _run(measure_cluster.run_replica(name, port, folder, replicas))
+            _run(replicas_cluster.run_replica(name, port, folder, replicas))
         case Load():
             _run(_run_load(command))
         case Delays(delay_s, ports):
-            _run(measure_cluster.run_delays(delay_s, ports))
+            _run(replicas_cluster.run_delays(delay_s, ports))
         case _:
             with tempfile.TemporaryDirectory(dir=command.folder or None) as folder:
                 _run(MEASUREMENTS[type(command)](folder, command))
--- a/hickoryweir/replicas/measure_cluster.py
+++ b/hickoryweir/measures/replicas_cluster.py
@@ -25,7 +25,7 @@
 START_TIMEOUT_S = 20.0
 READ_SIZE_BYTES = 64 * 1024
 TIMER_STEP_S = 0.002
-MODULE = "hickoryweir.replicas.measure"
+MODULE = "hickoryweir.measures.replicas"
 CLAIMS = machine.Submachine(
     "claims",
     (commands.Claim, commands.RecordOutcome),
--- a/hickoryweir/routers/measure.py
+++ b/hickoryweir/measures/routers.py
@@ -1,4 +1,4 @@
-"""Measures how a new version spreads: ``python -m hickoryweir.routers.measure``.
+"""Measures how a new version spreads: ``python -m hickoryweir.measures.routers``.
 
 Virtual time gives the slopes against the number of routers: time from the
 source to the last router, bytes and processor time of each role.  ``--sockets``
@@ -21,12 +21,12 @@
 
 from hickoryweir.cli import tables
 from hickoryweir.configuration import generator, render, settings
+from hickoryweir.measures import routers_simulation
 from hickoryweir.policy import events as policy_events
 from hickoryweir.routers import (
     events,
     messages,
     node,
-    simulation,
     topology,
     versions,
 )
@@ -71,7 +71,9 @@
     return tuple(members)
 
 
-def one_way_delay_s(network: simulation.Network, sender: str, receiver: str) -> float:
+def one_way_delay_s(
+    network: routers_simulation.Network, sender: str, receiver: str
+) -> float:
     """Return a delay by zone and region of both ends."""
     zones = [network.members[name].availability_zone for name in (sender, receiver)]
     if zones[0] == zones[1]:
@@ -114,13 +116,13 @@
         if isinstance(action, events.Adopt):
             adopted_at_s[name] = network.now_s
 
-    network = simulation.make_network(members, SEED, one_way_delay_s, observe)
+    network = routers_simulation.make_network(members, SEED, one_way_delay_s, observe)
     sources = [member.name for member in members if member.is_replica]
-    simulation.run(network, SETTLE_S)
+    routers_simulation.run(network, SETTLE_S)
     _offer_all(network, sources, publish(text, 1))
     for name in network.members:
-        simulation.offer(network, name, None, is_confirmed=True)
-    simulation.run(network, SETTLE_S)
+        routers_simulation.offer(network, name, None, is_confirmed=True)
+    routers_simulation.run(network, SETTLE_S)
     idle_bytes_per_s, busiest, core_percent = _measure_idle(network)
     spreads_s = []
     network.sent_bytes_by_kind.clear()
@@ -128,7 +130,7 @@
         adopted_at_s.clear()
         begin_s = network.now_s
         _offer_all(network, sources, publish(text, version))
-        simulation.run(network, CHANGE_WAIT_S)
+        routers_simulation.run(network, CHANGE_WAIT_S)
         assert len(adopted_at_s) == router_count, "a router did not get the version"
         spreads_s.append(max(adopted_at_s.values()) - begin_s)
     spread_bytes = _bytes_to_spread(network)
@@ -147,7 +149,7 @@
 
 def _offer_all(network, sources, published):
     for name in sources:
-        simulation.offer(network, name, published)
+        routers_simulation.offer(network, name, published)
 
 
 def _bytes_to_spread(network):
@@ -171,8 +173,8 @@
             digest = policy_events.PeerDigestReceived(
                 name, member.availability_zone, (("engine", 1),) * 8, (), (), ()
             )
-            simulation.step(network, name, events.LocalDigest(digest))
-        simulation.run(network, digest_period_s)
+            routers_simulation.step(network, name, events.LocalDigest(digest))
+        routers_simulation.run(network, digest_period_s)
     mean = network.sent_bytes.total() / IDLE_S / len(network.members)
     busiest = max(network.sent_bytes.values()) / IDLE_S
     gc.unfreeze()
@@ -266,7 +268,7 @@
 
 def main() -> None:
     """Measure and print tables."""
-    parser = argparse.ArgumentParser(prog="python -m hickoryweir.routers.measure")
+    parser = argparse.ArgumentParser(prog="python -m hickoryweir.measures.routers")
     parser.add_argument("--routers", type=int, nargs="+", default=[9, 30, 100, 300])
     parser.add_argument("--zones", type=int, default=3)
     parser.add_argument("--sources", type=int, default=3)
--- a/hickoryweir/routers/simulation.py
+++ b/hickoryweir/measures/routers_simulation.py
@@ -1,6 +1,6 @@
 """Cores of many routers on virtual time, with delays and faults from a seed.
 
-Tests watch it for versions that go back; :mod:`hickoryweir.routers.measure` takes
+Tests watch it for versions that go back; :mod:`hickoryweir.measures.routers` takes
 from it how time, bytes and processor time grow with the number of routers.
 """
 
--- a/hickoryweir/configuration/tests/test_measure.py
+++ b/hickoryweir/measures/tests/test_configuration.py
@@ -1,12 +1,15 @@
 """A day of changes leaves a bounded state."""
 
-from hickoryweir.configuration import changes, history, measure
+from hickoryweir.configuration import changes, history
+from hickoryweir.measures import configuration
 
 
 def snapshot_size_bytes(change_count):
     state = changes.initial_state()
     for number in range(change_count):
-        command = measure.make_change("answers", "customer = x", number, number * 10.0)
+        command = configuration.make_change(
+            "answers", "customer = x", number, number * 10.0
+        )
         changes.apply(state, command, number + 1, number * 10.0)
     return len(changes.dump(state))
 
@@ -18,4 +21,4 @@
 
 
 def test_measurement_runs():
-    assert measure.measure_changes("answers", "customer = x", 20)["changes"] == 20
+    assert configuration.measure_changes("answers", "customer = x", 20)["changes"] == 20
--- a/hickoryweir/routers/tests/test_core.py
+++ b/hickoryweir/routers/tests/test_core.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hickoryweir.configuration import commands, stops
+from hickoryweir.measures import routers_simulation
 from hickoryweir.policy import events as policy_events
 from hickoryweir.routers import (
     acknowledgements,
@@ -14,7 +15,6 @@
     digests,
     events,
     messages,
-    simulation,
     topology,
     versions,
 )
@@ -77,22 +77,22 @@
 
 def make_network(seed):
     watcher = Watcher()
-    network = simulation.make_network(MEMBERS, seed, slow, watcher.observe)
+    network = routers_simulation.make_network(MEMBERS, seed, slow, watcher.observe)
     for member in MEMBERS:
-        simulation.offer(network, member.name, None, is_confirmed=True)
+        routers_simulation.offer(network, member.name, None, is_confirmed=True)
     return network, watcher
 
 
 def commit(network, version):
     for zone in ZONES:
         if frozenset((zone, "a")) not in network.cut:
-            simulation.offer(network, f"{zone}-1", publish(version))
+            routers_simulation.offer(network, f"{zone}-1", publish(version))
 
 
 def read_log(network, name, version):
     if frozenset((name[0], "a")) not in network.cut:
         published = publish(version) if version else None
-        simulation.offer(network, name, published, is_confirmed=True)
+        routers_simulation.offer(network, name, published, is_confirmed=True)
 
 
 def lowest_in_force(network):
@@ -110,10 +110,10 @@
 
 def test_new_version_reaches_every_router_and_is_reported_by_zone():
     network, _ = make_network(1)
-    simulation.run(network, 1.0)
+    routers_simulation.run(network, 1.0)
     commit(network, 1)
-    simulation.step(network, "b-3", events.WatchRequested())
-    simulation.run(network, 4.0)
+    routers_simulation.step(network, "b-3", events.WatchRequested())
+    routers_simulation.run(network, 4.0)
     assert lowest_in_force(network) == 1
     assert zones_in_force(network, "b-3", 1) == set(ZONES)
 
@@ -121,15 +121,15 @@
 def test_cut_off_zone_is_pending_then_catches_up():
     network, _ = make_network(2)
     commit(network, 1)
-    simulation.run(network, 5.0)
+    routers_simulation.run(network, 5.0)
     network.cut = {frozenset("ac"), frozenset("bc")}
     commit(network, 2)
     for _ in range(3):
-        simulation.step(network, "a-2", events.WatchRequested())
-        simulation.run(network, 5.0)
+        routers_simulation.step(network, "a-2", events.WatchRequested())
+        routers_simulation.run(network, 5.0)
     assert zones_in_force(network, "a-2", 2) == {"a", "b"}
     network.cut = set()
-    simulation.run(network, 8.0)
+    routers_simulation.run(network, 8.0)
     assert lowest_in_force(network) == 2
 
 
@@ -138,8 +138,8 @@
     stop = stops.Stop(commands.SubjectKind.ENTRY_VM, "a-3", "ann", "1-a", 1, 0.0)
     stopped = dataclasses.replace(publish(1), running_stops=(stop,))
     for zone in ZONES:
-        simulation.offer(network, f"{zone}-1", stopped)
-    simulation.run(network, 2.0)
+        routers_simulation.offer(network, f"{zone}-1", stopped)
+    routers_simulation.run(network, 2.0)
     for state in network.states.values():
         state.zone_reports.heard.pop("a-3", None)
     reports = core.zone_reports(network.states["a-1"], network.now_s)
@@ -149,23 +149,23 @@
 def test_router_that_restarts_in_a_cut_off_zone_asks_a_ready_router():
     network, _ = make_network(3)
     commit(network, 1)
-    simulation.run(network, 5.0)
+    routers_simulation.run(network, 5.0)
     network.cut = {frozenset("ac"), frozenset("bc")}
-    simulation.start(network, "c-2")
-    simulation.run(network, 1.0)
+    routers_simulation.start(network, "c-2")
+    routers_simulation.run(network, 1.0)
     assert not network.states["c-2"].is_ready
-    simulation.run(network, 8.0)
+    routers_simulation.run(network, 8.0)
     assert network.states["c-2"].is_ready
 
 
 def test_zone_without_any_ready_router_waits_for_the_log():
     network, _ = make_network(4)
     commit(network, 1)
-    simulation.run(network, 5.0)
+    routers_simulation.run(network, 5.0)
     network.cut = {frozenset("ac"), frozenset("bc")}
     for name in ("c-1", "c-2", "c-3"):
-        simulation.start(network, name)
-    simulation.run(network, 20.0)
+        routers_simulation.start(network, name)
+    routers_simulation.run(network, 20.0)
     assert not any(network.states[f"c-{n}"].is_ready for n in (1, 2, 3))
 
 
@@ -181,18 +181,18 @@
             commit(network, version)
         elif choice < 0.6:
             name = network.random.choice(MEMBERS).name
-            simulation.start(network, name)
+            routers_simulation.start(network, name)
             if network.random.random() < 0.5:
                 read_log(network, name, version)
         elif choice < 0.75:
             pair = frozenset(network.random.sample(ZONES, 2))
             network.cut.symmetric_difference_update({pair})
-        simulation.run(network, network.random.uniform(0.1, 2.0))
+        routers_simulation.run(network, network.random.uniform(0.1, 2.0))
     network.cut = set()
     network.drop_share = 0.0
     for member in MEMBERS:
         read_log(network, member.name, version)
-    simulation.run(network, 10.0)
+    routers_simulation.run(network, 10.0)
     assert lowest_in_force(network) == version
     assert all(state.is_ready for state in network.states.values())
 
@@ -200,35 +200,35 @@
 def test_digests_reach_all_routers_and_a_lost_router_ages_out():
     network, watcher = make_network(5)
     digest = policy_events.PeerDigestReceived("a-2", "a", (("e", 3),), (), ("f",), ())
-    simulation.run(network, 1.0)
-    simulation.step(network, "a-2", events.LocalDigest(digest))
-    simulation.run(network, 5.0)
+    routers_simulation.run(network, 1.0)
+    routers_simulation.step(network, "a-2", events.LocalDigest(digest))
+    routers_simulation.run(network, 5.0)
     receivers = {name for name, router in watcher.digests if router == "a-2"}
     assert receivers == {m.name for m in MEMBERS} - {"a-2"}
     before = watcher.digests[("c-3", "a-2")]
-    simulation.run(network, 30.0)
+    routers_simulation.run(network, 30.0)
     assert watcher.digests[("c-3", "a-2")] == before + 1
 
 
 def test_digests_stay_within_their_bound_of_bytes():
     network, _ = make_network(6)
     running = tuple((f"engine-{number}", number) for number in range(100))
-    simulation.run(network, 2.0)
+    routers_simulation.run(network, 2.0)
     network.sent_bytes.clear()
     for _ in range(20):
         for name in network.states:
             digest = policy_events.PeerDigestReceived(
                 name, name[0], running, (), (), ()
             )
-            simulation.step(network, name, events.LocalDigest(digest))
-        simulation.run(network, 0.5)
+            routers_simulation.step(network, name, events.LocalDigest(digest))
+        routers_simulation.run(network, 0.5)
     allowed_bytes = 10 * digests.BUDGET_BYTES_PER_S + 10 * 1024
     assert max(network.sent_bytes.values()) < allowed_bytes + 8 * 2048
 
 
 def test_wrong_digest_makes_the_router_ask_for_the_whole_text():
     network, _ = make_network(7)
-    simulation.step(network, "a-2", events.LinkOpened("a-1"))
+    routers_simulation.step(network, "a-2", events.LinkOpened("a-1"))
     state = network.states["a-2"]
     damaged = dataclasses.replace(versions.make_update(publish(3), (), 0), digest="0")
     actions = core.step(state, events.Received("a-1", damaged), network.now_s)
--- a/hickoryweir/routes/tests/test_store.py
+++ b/hickoryweir/routes/tests/test_store.py
@@ -1,7 +1,7 @@
 """The table in the replicated log."""
 
-from hypothesis import given
-from hypothesis import strategies as st
+import hypothesis
+from hypothesis import strategies
 
 from hickoryweir.routes import store
 
@@ -24,7 +24,7 @@
     assert store.read_content(state.stored) == b"first"
 
 
-@given(st.lists(st.integers(0, 9), min_size=1))
+@hypothesis.given(strategies.lists(strategies.integers(0, 9), min_size=1))
 def test_highest_version_wins_in_any_order(versions):
     state = store.initial_state()
     held = [put(state, version, b"%d" % version) for version in versions]
