--- a/hickoryweir/testing/demo/main.py
+++ b/hickoryweir/testing/demo/main.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import pathlib
+import signal
 import tempfile
 import time
 from typing import Annotated
@@ -26,6 +27,8 @@
 READY_TIMEOUT_S = 30.0
 READY_INTERVAL_S = 0.1
 SEED = 7
+# What shells report for a process that SIGTERM has ended.
+EXIT_TERMINATED = 128 + signal.SIGTERM
 SUBMIT_TRIES_COUNT = 60
 SUBMIT_INTERVAL_S = 0.25
 
@@ -106,6 +109,13 @@
     return judge(outcomes, stand_ins.count_executions(servers), codes)
 
 
+async def run_until_stopped(demo: Demo) -> int:
+    """Run the demonstration; SIGTERM ends it as Ctrl-C does, its processes too."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await run(demo)
+
+
 async def serve_burst(
     demo: Demo,
     answers_text: str,
@@ -260,7 +270,11 @@
 def main() -> None:
     """Run the demonstration from the command line."""
     demo = cappa.parse(Demo)
-    raise SystemExit(asyncio.run(run(demo)))
+    try:
+        code = asyncio.run(run_until_stopped(demo))
+    except asyncio.CancelledError:
+        code = EXIT_TERMINATED
+    raise SystemExit(code)
 
 
 if __name__ == "__main__":
