Grey servers are set aside by the answers that all routers got; silent ones given up

A plain call that may run again leaves a silent server after half of its time if another server is there; a server that stays silent past three targets is avoided for a while; and one that fails clearly more often than the others of its service, by the answers of all routers in the last seconds, gets no new request until the counts fade.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -153,7 +153,7 @@
         told: tuple[messages.ServerLoad, ...] = ()
         while True:
             await asyncio.sleep(LOADS_INTERVAL_S)
-            loads = server_pool.own_loads(self.forwarder.pool)
+            loads = server_pool.own_loads(self.forwarder.pool, time.monotonic())
             if loads != told and self._subscriber.send_loads(loads):
                 told = loads
                 server_pool.note_told(self.forwarder.pool, loads)
--- a/hickoryweir/feeds/messages.py
+++ b/hickoryweir/feeds/messages.py
@@ -67,11 +67,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerLoad:
-    """Requests at a backend server, and prompt tokens that it has still to read."""
+    """What routers have at a backend server, and how it answered lately.
+
+    Attributes
+    ----------
+    backlog_tokens_count : int
+        Prompt tokens that it has still to read.
+    answers_count, failures_count : int
+        Answers of the last seconds, and failures among them, in tenths.
+    """
 
     server_id: str
     requests_count: int
     backlog_tokens_count: int
+    answers_count: int = 0
+    failures_count: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -187,14 +187,16 @@
     >>> first = (messages.ServerLoad("a", 1, 100),)
     >>> second = (messages.ServerLoad("a", 2, 0), messages.ServerLoad("b", 1, 5))
     >>> [tuple(dataclasses.astuple(load)) for load in add_loads([first, second])]
-    [('a', 3, 100), ('b', 1, 5)]
+    [('a', 3, 100, 0, 0), ('b', 1, 5, 0, 0)]
     """
     sums: dict[str, list[int]] = {}
     for report in reports:
         for load in report:
-            known = sums.setdefault(load.server_id, [0, 0])
+            known = sums.setdefault(load.server_id, [0, 0, 0, 0])
             known[0] += load.requests_count
             known[1] += load.backlog_tokens_count
+            known[2] += load.answers_count
+            known[3] += load.failures_count
     return tuple(messages.ServerLoad(name, *counts) for name, counts in sums.items())
 
 
--- a/hickoryweir/forwarding/answers.py
+++ b/hickoryweir/forwarding/answers.py
@@ -68,10 +68,12 @@
     body = await exchange.read_body(answered)
     if body is None:
         server_pool.note_failure(view, time.monotonic())
+        server_pool.note_answer(view, True, time.monotonic())
         return replies.Reason.OUTCOME_UNKNOWN
     headers = border.passable(answered.response.headers, NOTHING_DROPPED)
     status = answered.response.status
     whole = web.Response(status=status, headers=headers, body=body)
+    server_pool.note_answer(view, is_failure, time.monotonic())
     if is_failure:
         passage.failure = whole
         return replies.Reason.SERVER_FAILED
@@ -99,6 +101,7 @@
         await passage.reply.write(splitter.pending)
     await passage.reply.write_eof()
     passages.note_whole(passage)
+    server_pool.note_answer(view, False, time.monotonic())
     return passage.reply
 
 
@@ -131,6 +134,7 @@
     passage: passages.Passage, view: server_pool.ServerView, detail: str
 ) -> replies.Reason:
     server_pool.note_failure(view, time.monotonic())
+    server_pool.note_answer(view, True, time.monotonic())
     passages.note_lost(passage, view.listed.server_id)
     fields = logs.Fields(
         request_id=passage.facts.request_id,
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 import asyncio
 import time
 
+import aiohttp
 from aiohttp import web
 
 from hickoryweir import clocks
@@ -190,7 +191,11 @@
         if view.listed.server_id not in passage.tried
     ]
     parts = prompt.parts if has_prompt else ()
-    candidates = [_make_candidate(forwarder, view, parts) for view in views]
+    now_s = time.monotonic()
+    grey_ids = server_pool.set_aside(views, now_s)
+    candidates = [
+        _make_candidate(forwarder, view, parts, grey_ids, now_s) for view in views
+    ]
     if has_prompt:
         shared = parts[:-1] or parts
         return prompt_placement.choose_for_prompt(
@@ -208,15 +213,16 @@
     forwarder: passages.Forwarder,
     view: server_pool.ServerView,
     parts: tuple[border.PromptPart, ...],
+    grey_ids: frozenset[str],
+    now_s: float,
 ) -> prompt_placement.Candidate:
-    now_s = time.monotonic()
     zone = forwarder.settings.availability_zone
     return prompt_placement.Candidate(
         server_id=view.listed.server_id,
         requests_count=server_pool.requests_count(view, now_s),
         backlog_tokens_count=server_pool.backlog_count(view, now_s),
         cached_tokens_count=server_pool.cached_count(view, parts),
-        is_suspect=view.suspect_until_s > now_s,
+        is_suspect=view.suspect_until_s > now_s or view.listed.server_id in grey_ids,
         is_near=view.listed.availability_zone == zone,
     )
 
@@ -235,6 +241,13 @@
         server_pool.note_parts(view, passage.facts.prompt.parts, now_s)
     try:
         return await _exchange(passage, view)
+    except asyncio.CancelledError:
+        # The client's time is up, or it has left.
+        waited_s = time.monotonic() - now_s
+        if not passage.has_answer and next_attempts.is_mute(passage.route, waited_s):
+            server_pool.note_failure(view, now_s + waited_s)
+            server_pool.note_answer(view, True, now_s + waited_s)
+        raise
     finally:
         view.running.pop(number, None)
 
@@ -246,7 +259,8 @@
     is_single = passage.route.execution is model.Execution.AT_MOST_ONCE
     session = forwarder.single_session if is_single else forwarder.repeatable_session
     passage.sent_count += 1
-    outcome = await exchange.send(session, _make_call(passage, view), forwarder.rules)
+    passage.has_answer = False
+    outcome = await _send(passage, session, _make_call(passage, view))
     now_s = time.monotonic()
     _log_attempt(passage, view, outcome)
     match outcome:
@@ -263,13 +277,33 @@
         case exchange.Lost():
             passage.may_have_run = True
             passages.note_lost(passage, view.listed.server_id)
+            server_pool.note_answer(view, True, now_s)
             server_pool.note_failure(view, now_s)
             return replies.Reason.OUTCOME_UNKNOWN
         case exchange.Answered():
+            passage.has_answer = True
             server_pool.note_load(view, outcome.facts.load, now_s)
             return await answers.pass_on(passage, view, outcome)
 
 
+async def _send(
+    passage: passages.Passage, session: aiohttp.ClientSession, call: exchange.Call
+) -> exchange.Outcome:
+    usable = server_pool.usable(passage.forwarder.pool, passage.service_name)
+    others = {view.listed.server_id for view in usable} - passage.tried
+    left_count = min(len(others), passage.route.max_attempts_count - passage.sent_count)
+    timeout_s = next_attempts.answer_timeout_s(
+        passage.route, left_count, passage.time_left_s
+    )
+    if timeout_s >= passage.time_left_s:
+        return await exchange.send(session, call, passage.forwarder.rules)
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await exchange.send(session, call, passage.forwarder.rules)
+    except TimeoutError:
+        return exchange.Lost("no answer in time")
+
+
 def _make_call(
     passage: passages.Passage, view: server_pool.ServerView
 ) -> exchange.Call:
--- a/hickoryweir/forwarding/passages.py
+++ b/hickoryweir/forwarding/passages.py
@@ -78,6 +78,8 @@
         Servers to which a byte was sent, or that could not be reached.
     sent_count : int
         Attempts that left this process.
+    has_answer : bool
+        Whether the head of an answer has come in the present attempt.
     may_have_run : bool
         Whether any attempt can have run.
     running : server_pool.Running or None
@@ -104,6 +106,7 @@
     failure: web.Response | None = None
     sent_count: int = 0
     unsent_count: int = 0
+    has_answer: bool = False
     may_have_run: bool = False
     last_event_id: str = ""
     retry_after_s: float | None = None
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -8,6 +8,7 @@
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages
 from hickoryweir.forwarding import border
+from hickoryweir.policy import grey_servers
 
 # A restart behind an address takes seconds; half of one lets a reset pass quickly.
 SUSPECT_MIN_S = 0.5
@@ -18,6 +19,11 @@
 MAX_PARTS_COUNT = 512
 
 
+# Failures are told in tenths, so that fading counts stay whole numbers.
+TENTHS = 10
+NO_LOAD = messages.ServerLoad("", 0, 0)
+
+
 @dataclasses.dataclass(slots=True)
 class Running:
     """One request that this router has at a server."""
@@ -44,8 +50,10 @@
     others_requests_count, others_backlog_count : int
         Requests of the other routers there, and prompt tokens still to be read, as of
         `others_s`.
-    told_requests_count, told_backlog_count : int
+    told : messages.ServerLoad
         This router's own part of the sum, as it told it last.
+    answered, others_answered : grey_servers.Record
+        Answers and failures of the last seconds, to this router and to the others.
     """
 
     listed: listing.BackendServer
@@ -60,8 +68,9 @@
     others_requests_count: int = 0
     others_backlog_count: int = 0
     others_s: float = float("-inf")
-    told_requests_count: int = 0
-    told_backlog_count: int = 0
+    told: messages.ServerLoad = NO_LOAD
+    answered: grey_servers.Record = grey_servers.Record()
+    others_answered: grey_servers.Record = grey_servers.Record()
 
 
 @dataclasses.dataclass(slots=True)
@@ -165,12 +174,24 @@
         del view.parts[next(iter(view.parts))]
 
 
-def own_loads(pool: Pool) -> tuple[messages.ServerLoad, ...]:
+def own_loads(pool: Pool, now_s: float) -> tuple[messages.ServerLoad, ...]:
     """Return what this router has at the servers, those without any left out."""
     return tuple(
-        messages.ServerLoad(server_id, len(view.running), own_backlog_count(view))
+        load
         for server_id, view in pool.servers.items()
-        if view.running
+        if (load := _own_load(server_id, view, now_s)).requests_count
+        or load.answers_count >= TENTHS
+    )
+
+
+def _own_load(server_id: str, view: ServerView, now_s: float) -> messages.ServerLoad:
+    answered = grey_servers.fade(view.answered, now_s)
+    return messages.ServerLoad(
+        server_id,
+        len(view.running),
+        own_backlog_count(view),
+        round(TENTHS * answered.answers),
+        round(TENTHS * answered.failures),
     )
 
 
@@ -178,9 +199,7 @@
     """Note the own part of the sum that the routers' loads will make."""
     told = {load.server_id: load for load in loads}
     for server_id, view in pool.servers.items():
-        load = told.get(server_id)
-        view.told_requests_count = 0 if load is None else load.requests_count
-        view.told_backlog_count = 0 if load is None else load.backlog_tokens_count
+        view.told = told.get(server_id, NO_LOAD)
 
 
 def take_loads(
@@ -189,9 +208,31 @@
     """Take the sum of all routers' loads, less the own part."""
     summed = {load.server_id: load for load in loads}
     for server_id, view in pool.servers.items():
-        load = summed.get(server_id)
-        total_count = 0 if load is None else load.requests_count
-        backlog_count = 0 if load is None else load.backlog_tokens_count
-        view.others_requests_count = max(0, total_count - view.told_requests_count)
-        view.others_backlog_count = max(0, backlog_count - view.told_backlog_count)
+        load, told = summed.get(server_id, NO_LOAD), view.told
+        view.others_requests_count = max(0, load.requests_count - told.requests_count)
+        view.others_backlog_count = max(
+            0, load.backlog_tokens_count - told.backlog_tokens_count
+        )
+        view.others_answered = grey_servers.Record(
+            max(0, load.answers_count - told.answers_count) / TENTHS,
+            max(0, load.failures_count - told.failures_count) / TENTHS,
+            now_s,
+        )
         view.others_s = now_s
+
+
+def note_answer(view: ServerView, failed: bool, now_s: float) -> None:
+    """Note whether a server answered as it should."""
+    view.answered = grey_servers.note(view.answered, failed, now_s)
+
+
+def set_aside(views: list[ServerView], now_s: float) -> frozenset[str]:
+    """Return the ids of servers that fail clearly more often than the others."""
+    records = {}
+    for view in views:
+        own = grey_servers.fade(view.answered, now_s)
+        others = grey_servers.fade(view.others_answered, now_s)
+        records[view.listed.server_id] = grey_servers.Record(
+            own.answers + others.answers, own.failures + others.failures, now_s
+        )
+    return grey_servers.set_aside(records)
--- a/hickoryweir/forwarding/tests/test_forwarder.py
+++ b/hickoryweir/forwarding/tests/test_forwarder.py
@@ -303,3 +303,42 @@
         return len(site.forwarder.crashes.servers)
 
     assert run([answer, answer], scenario) == 0
+
+
+def test_silent_server_is_given_up_for_another_in_time():
+    first = []
+
+    async def mute_once(request, body):
+        if not first:
+            first.append(request)
+            await asyncio.sleep(30.0)
+        return await sites.answering()(request, body)
+
+    async def scenario(site):
+        return (await site.call(given={headers.TIME_LEFT: "0.6"}))[0]
+
+    assert run([mute_once, mute_once], scenario) == 200
+
+
+def test_silent_server_keeps_a_request_that_runs_once():
+    async def mute(request, body):
+        await asyncio.sleep(30.0)
+
+    async def scenario(site):
+        status = (await site.call(given={headers.TIME_LEFT: "0.3"}))[0]
+        return status, sum(len(b.seen) for b in site.backends)
+
+    routes = (sites.single_route(),)
+    assert run([mute, mute], scenario, routes=routes) == (504, 1)
+
+
+def test_server_that_fails_most_requests_is_set_aside():
+    async def scenario(site):
+        for number in range(60):
+            given = {headers.REQUEST_ID: f"r-{number}"}
+            await site.call(given=given, data=b"%d" % number)
+        seen = [len(backend.seen) for backend in site.backends]
+        return seen[0] < min(seen[1:]) / 2
+
+    answers = [sites.answering(500), sites.answering(), sites.answering()]
+    assert run(answers, scenario)
--- a/hickoryweir/forwarding/tests/test_server_pool.py
+++ b/hickoryweir/forwarding/tests/test_server_pool.py
@@ -20,7 +20,7 @@
 def test_own_requests_are_told_apart_from_the_sum_of_all():
     pool, view = make_pool()
     view.running[1] = server_pool.Running(500, 0.0)
-    server_pool.note_told(pool, server_pool.own_loads(pool))
+    server_pool.note_told(pool, server_pool.own_loads(pool, 0.0))
     server_pool.take_loads(pool, (messages.ServerLoad("s1", 4, 800),), 10.0)
     assert server_pool.requests_count(view, 10.5) == 4
     assert server_pool.backlog_count(view, 10.5) == 800
--- a/hickoryweir/policy/next_attempts.py
+++ b/hickoryweir/policy/next_attempts.py
@@ -11,6 +11,11 @@
 
 # With less time left than this share of the target, a second answer would be late.
 MIN_TIME_LEFT_SHARE = 0.25
+# The second server has then as long as the first one had.
+FIRST_ATTEMPT_SHARE = 0.5
+# Slow answers under load stay below it; a server that is mute does not.
+MUTE_AFTER_TARGETS = 3.0
+MUTE_MIN_S = 1.0
 
 
 class Ran(enum.StrEnum):
@@ -36,3 +41,23 @@
 def is_worth_sending(route: model.Route, time_left_s: float) -> bool:
     """Return whether enough time is left for another attempt to be of use."""
     return time_left_s > MIN_TIME_LEFT_SHARE * route.target_latency_s
+
+
+def answer_timeout_s(
+    route: model.Route, attempts_left_count: int, time_left_s: float
+) -> float:
+    """Return how long one attempt waits for the head of its answer.
+
+    Only a plain call that may run again gives up a silent server before its time is
+    up, and only while another attempt may follow.  A stream's wait under load is long
+    and costs what was read when it is given up.
+    """
+    is_plain = route.execution is model.Execution.IDEMPOTENT and not route.is_stream
+    if is_plain and attempts_left_count > 0:
+        return FIRST_ATTEMPT_SHARE * time_left_s
+    return time_left_s
+
+
+def is_mute(route: model.Route, waited_s: float) -> bool:
+    """Return whether a server that has said nothing for so long is to be avoided."""
+    return waited_s > max(MUTE_MIN_S, MUTE_AFTER_TARGETS * route.target_latency_s)
