Forwarding in the project's own formats: hickoryweir forward, INI tables, a list of servers

Three replicas and a router run as processes on loopback in a test: a table is put, served, replaced while a replica is killed, and the router drains. It found that a field called keys broke the INI reader (dict() took it for the mapping's method).

--- a/hickoryweir/cli/main.py
+++ b/hickoryweir/cli/main.py
@@ -78,6 +78,7 @@
         Generate
         | Check
         | process_commands.Serve
+        | process_commands.Forward
         | operator_commands.Submit
         | operator_commands.Rollback
         | operator_commands.Stop
--- a/hickoryweir/cli/process_commands.py
+++ b/hickoryweir/cli/process_commands.py
@@ -25,6 +25,21 @@
     settings: Annotated[pathlib.Path, cappa.Arg(help="Settings file.")]
 
 
+def _run_forward(command: "Forward") -> int:
+    return processes.forward(command.settings)
+
+
+@cappa.command(
+    invoke=_run_forward,
+    help="Run a router or replica that forwards opaque requests by routes.",
+)
+@dataclasses.dataclass
+class Forward:
+    """Arguments of ``forward``."""
+
+    settings: Annotated[pathlib.Path, cappa.Arg(help="Settings file.")]
+
+
 class StandInKind(enum.StrEnum):
     """What a stand-in stands in for."""
 
--- a/hickoryweir/cli/processes.py
+++ b/hickoryweir/cli/processes.py
@@ -21,6 +21,14 @@
     return daemon.serve(loaded.unwrap())
 
 
+def forward(path: pathlib.Path) -> int:
+    """Run a forwarding process with the project's own formats."""
+    from hickoryweir.entry import main as entry
+    from hickoryweir.entry import own_formats
+
+    return entry.serve(path, own_formats.make_adapters())
+
+
 def stand_in(
     kind: str, name: str, serves: tuple[str, ...], host: str, port: int
 ) -> int:
--- a/hickoryweir/configuration/inifile.py
+++ b/hickoryweir/configuration/inifile.py
@@ -199,7 +199,9 @@
         for detail in error.errors():
             found.append(_to_problem(file, title, detail, schema))
         return None
-    return schema.cls(**dict(checked))
+    # dict() would take a field called "keys" for the method of that name.
+    names = schema.border.model_fields
+    return schema.cls(**{name: getattr(checked, name) for name in names})
 
 
 def _to_problem(file, title, detail, schema):
--- /dev/null
+++ b/hickoryweir/entry/tests/test_processes.py
@@ -0,0 +1,181 @@
+"""Three replicas and a router as processes, with the project's own formats."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import socket
+import sys
+
+import aiohttp
+from aiohttp import web
+
+from hickoryweir.forwarding import headers
+
+HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+ROUTER_HOST = "127.0.0.4"
+START_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 20.0
+EXAMPLE = pathlib.Path(__file__).parents[3] / "examples/forwarding/table.ini"
+SETTINGS = """
+[process]
+role = {role}
+host = {host}
+availability_zone = a
+peer_port = {peer_port}
+seeds = 127.0.0.1:1, 127.0.0.2:1, 127.0.0.3:1
+
+[ports]
+clients = {host}:{port}
+readiness = {host}:{ready_port}
+operators = {host}:{port}
+
+[replica]
+data_folder = {folder}
+bootstrap = yes
+
+[discovery]
+address = {list_address}
+
+[shutdown]
+grace_s = 4
+"""
+
+
+def free_ports(count):
+    sockets = [socket.create_server((ROUTER_HOST, 0)) for _ in range(count)]
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+async def start_server(host, handle):
+    server = web.Server(handle, access_log=None)
+    listener = await asyncio.get_running_loop().create_server(server, host, 0)
+    return listener.sockets[0].getsockname()[1]
+
+
+async def answer(request):
+    given = {headers.REQUEST_ID: request.headers.get(headers.REQUEST_ID, "")}
+    return web.Response(text="balance", headers=given)
+
+
+async def start_process(folder, name, **values):
+    path = folder / f"{name}.ini"
+    path.write_text(SETTINGS.format(folder=folder / name, **values))
+    return await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "hickoryweir", "forward", str(path)),
+        stdout=(folder / f"{name}.log").open("wb"),
+    )
+
+
+@contextlib.asynccontextmanager
+async def run_processes(folder):
+    """Run replicas and a router; give their processes and ports."""
+    backend_port = await start_server("127.0.0.1", answer)
+    entries = [
+        {"id": f"{name}-1", "service": name, "address": f"127.0.0.1:{backend_port}"}
+        for name in ("app", "app2", "llm")
+    ]
+
+    async def list_servers(request):
+        return web.json_response({"servers": entries})
+
+    list_port = await start_server("127.0.0.1", list_servers)
+    port, ready_port, peer_port = free_ports(3)
+    values = {
+        "port": port,
+        "ready_port": ready_port,
+        "peer_port": peer_port,
+        "list_address": f"127.0.0.1:{list_port}",
+    }
+    processes = {}
+    try:
+        for host in HOSTS:
+            name = f"replica-{host}"
+            processes[host] = await start_process(
+                folder, name, role="replica", host=host, **values
+            )
+        processes["router"] = await start_process(
+            folder, "router", role="router", host=ROUTER_HOST, **values
+        )
+        yield processes, port, ready_port
+    finally:
+        for process in processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+
+async def until(attempt, wanted):
+    """Repeat `attempt` until it returns what is wanted."""
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while True:
+            with contextlib.suppress(aiohttp.ClientError):
+                found = await attempt()
+                if found == wanted:
+                    return
+            await asyncio.sleep(0.1)
+
+
+def test_table_is_put_served_and_survives_a_lost_replica(tmp_path):
+    async def scenario(session, processes, port, ready_port):
+        table = EXAMPLE.read_text()
+
+        async def put(host, text):
+            url = f"http://{host}:{port}/table"
+            async with session.put(url, data=text) as reply:
+                return reply.status
+
+        async def read(host):
+            async with session.get(f"http://{host}:{port}/table") as reply:
+                return await reply.text()
+
+        async def is_ready():
+            async with session.get(f"http://{ROUTER_HOST}:{ready_port}/") as reply:
+                return reply.status
+
+        async def call(path):
+            sent = {"Host": "site.example", headers.REQUEST_ID: "r-1"}
+            url = f"http://{ROUTER_HOST}:{port}{path}"
+            async with session.get(url, headers=sent) as reply:
+                return reply.status, await reply.text()
+
+        await until(lambda: put(HOSTS[0], table), 200)
+        assert (
+            await put(HOSTS[1], table.replace("services = llm", "services = x")) == 400
+        )
+        await until(is_ready, 200)
+        await until(lambda: call("/balance/7"), (200, "balance"))
+        assert (await call("/charge/7"))[0] == 401
+        processes[HOSTS[0]].kill()
+        newer = table.replace("version = 1", "version = 2").replace(
+            "/balance/", "/saldo/"
+        )
+        await until(lambda: put(HOSTS[1], newer), 200)
+        await until(lambda: read(HOSTS[2]), newer)
+        await until(lambda: call("/saldo/7"), (200, "balance"))
+        assert (await call("/balance/7"))[0] == 404
+        processes["router"].send_signal(signal.SIGTERM)
+        await until(is_ready_refused(is_ready), True)
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            return await processes["router"].wait()
+
+    def is_ready_refused(is_ready):
+        async def attempt():
+            try:
+                return await is_ready() == 503
+            except aiohttp.ClientConnectionError:
+                return True
+
+        return attempt
+
+    async def main():
+        async with (
+            aiohttp.ClientSession() as session,
+            run_processes(tmp_path) as (processes, port, ready_port),
+        ):
+            return await scenario(session, processes, port, ready_port)
+
+    assert asyncio.run(main()) == 0
