--- a/hickoryweir/forwarding/replies.py
+++ b/hickoryweir/forwarding/replies.py
@@ -18,6 +18,7 @@
     KEY_UNKNOWN = "key_unknown"
     REQUEST_INVALID = "request_invalid"
     BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TIMED_OUT = "body_timed_out"
     NO_SERVER = "no_server"
     CRASHES_SERVERS = "crashes_servers"
@@ -37,6 +38,7 @@
     Reason.KEY_UNKNOWN: 401,
     Reason.REQUEST_INVALID: 400,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.HEADERS_TOO_LARGE: 431,
     Reason.BODY_TIMED_OUT: 408,
     Reason.NO_SERVER: 503,
     Reason.CRASHES_SERVERS: 503,
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -8,20 +8,42 @@
 
 from hickoryweir.forwarding import forwarder, passages, replies
 from hickoryweir.observability import logs
+from hickoryweir.routes import model
 
 BACKLOG_COUNT = 1_024
 # Before a table is known; clients reuse connections that were idle for less.
 DEFAULT_IDLE_TIMEOUT_S = 15.0
 MAX_HEADER_SIZE_BYTES = 16 * 1024
 STOP_CHECK_INTERVAL_S = 0.05
+# A sixth of the shortest time that clients are given for a head.
+HEAD_CHECK_INTERVAL_S = 0.5
 # An answer is handed to the transport within one turn of the loop.
 WRITE_MARGIN_S = 0.02
 
 
 class ClientConnection(web.RequestHandler):
-    """A client's connection, whose parse errors become plain refusals."""
+    """A client's connection, whose parse errors become plain refusals.
+
+    Attributes
+    ----------
+    is_serving : bool
+        Whether a request's handler runs.
+    head_since_s : float or None
+        Loop time of the first byte of a head that is not whole yet.
+    """
+
+    __slots__ = ("head_since_s", "is_serving")
 
-    __slots__ = ()
+    def __init__(self, *arguments, **options) -> None:
+        super().__init__(*arguments, **options)
+        self.is_serving = False
+        self.head_since_s: float | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Note when a request's head begins."""
+        if not self.is_serving and self.head_since_s is None:
+            self.head_since_s = asyncio.get_running_loop().time()
+        super().data_received(data)
 
     def handle_error(
         self,
@@ -37,9 +59,10 @@
         ConnectionError
             The answer has begun, so that aiohttp closes the connection.
         """
-        is_malformed = isinstance(exc, http_exceptions.HttpProcessingError)
         reason = replies.Reason.REQUEST_INVALID
-        if not is_malformed:
+        if isinstance(exc, http_exceptions.LineTooLong):
+            reason = replies.Reason.HEADERS_TOO_LARGE
+        elif not isinstance(exc, http_exceptions.HttpProcessingError):
             reason = replies.Reason.INTERNAL_ERROR
             logs.error("request failed", logs.Fields(detail=repr(exc)))
         if request.writer.output_size > 0:
@@ -56,6 +79,7 @@
     server: web.Server
     listener: asyncio.Server
     busy: collections.Counter
+    watcher: asyncio.Task
 
 
 async def start(made: passages.Forwarder, host: str, port: int) -> Running:
@@ -76,9 +100,11 @@
             # would leave it without an answer.
             raise ConnectionError("the connection is closing")
         busy[connection] += 1
+        connection.is_serving, connection.head_since_s = True, None
         try:
             return await forwarder.serve(made, client)
         finally:
+            connection.is_serving = False
             # A plain answer is written after the handler, within the next turns.
             loop.call_later(WRITE_MARGIN_S, _leave, busy, connection)
 
@@ -102,7 +128,24 @@
     listener = await loop.create_server(
         make_connection, host, port, backlog=BACKLOG_COUNT
     )
-    return Running(server, listener, busy)
+    watcher = asyncio.create_task(_close_slow_heads(made, server))
+    return Running(server, listener, busy, watcher)
+
+
+async def _close_slow_heads(made: passages.Forwarder, server: web.Server) -> None:
+    """Close connections whose client takes too long over a request's head."""
+    loop = asyncio.get_running_loop()
+    while True:
+        await asyncio.sleep(HEAD_CHECK_INTERVAL_S)
+        limits = model.Limits()
+        if made.directory is not None:
+            limits = made.directory.table.limits
+        begun_before_s = loop.time() - limits.header_timeout_s
+        for connection in list(server.connections):
+            since_s = connection.head_since_s
+            if since_s is not None and since_s < begun_before_s:
+                logs.info("client too slow", logs.Fields(reason="head"))
+                connection.force_close()
 
 
 def _leave(busy: collections.Counter, connection: ClientConnection) -> None:
@@ -139,6 +182,7 @@
     from them without an answer.
     """
     running.listener.close()
+    running.watcher.cancel()
     for connection in list(running.server.connections):
         if connection in running.busy:
             connection.close()
--- a/hickoryweir/forwarding/tests/test_forwarder.py
+++ b/hickoryweir/forwarding/tests/test_forwarder.py
@@ -1,6 +1,7 @@
 """Requests through a router over loopback sockets."""
 
 import asyncio
+import dataclasses
 
 from aiohttp import web
 
@@ -8,7 +9,7 @@
 from hickoryweir.forwarding import headers
 from hickoryweir.forwarding.tests import sites
 from hickoryweir.policy import retry_budget
-from hickoryweir.routes import model
+from hickoryweir.routes import matching, model
 from hickoryweir.routes.tests import tables
 
 
@@ -342,3 +343,26 @@
 
     answers = [sites.answering(500), sites.answering(), sites.answering()]
     assert run(answers, scenario)
+
+
+def test_head_over_the_limit_is_refused():
+    head = b"POST /chat/x HTTP/1.1\r\nHost: site.example\r\nX-Long: "
+    status, seen_count = raw_call(head + b"x" * 70_000 + b"\r\n\r\n")
+    assert (b"431" in status, seen_count) == (True, 0)
+
+
+def test_head_that_does_not_end_closes_the_connection():
+    async def scenario(site):
+        table = site.forwarder.directory.table
+        limits = dataclasses.replace(table.limits, header_timeout_s=0.1)
+        site.forwarder.directory = matching.make_directory(
+            dataclasses.replace(table, limits=limits)
+        )
+        reader, writer = await asyncio.open_connection(sites.HOST, site.port)
+        writer.write(b"POST /chat/x HTTP/1.1\r\nHost: si")
+        async with asyncio.timeout(5.0):
+            ended = await reader.read()
+        writer.close()
+        return ended
+
+    assert run([sites.answering()], scenario) == b""
