--- a/hickoryweir/tests/test_promises.py
+++ b/hickoryweir/tests/test_promises.py
@@ -11,7 +11,8 @@
 def test_named_tests_exist():
     page = (ROOT / "docs" / "promises.md").read_text()
     named = set(re.findall(r"`(test_[a-z0-9_]+)`", page))
-    files = [*ROOT.glob("hickoryweir/**/test_*.py"), *ROOT.glob("spec/tests/*.py")]
+    patterns = ("hickoryweir/**/test_*.py", "spec/tests/*.py", "platform/tests/*.py")
+    files = [path for pattern in patterns for path in ROOT.glob(pattern)]
     code = "\n".join(path.read_text() for path in files)
     assert named
     assert [name for name in sorted(named) if f"def {name}(" not in code] == []
