Prompts are refused by the wait before them, the least urgent kind first

A prompt is now refused at once, with a time to come back, when the tokens before it take longer to read than its kind may wait; less urgent kinds wait less. Reading rates are learned from first events. A long prompt also goes to the servers of short ones only for a second's gain: each of their tokens waits for it.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -127,6 +127,7 @@
             logs.error("a table in the log is invalid", fields)
             return False
         self.forwarder.directory = matching.make_directory(table)
+        self.forwarder.waits.clear()
         self.forwarder.metrics.table_version.set(table.version)
         routes_count = len(table.routes)
         fields = logs.Fields(version=version, detail=f"{routes_count} routes")
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -25,6 +25,7 @@
 from hickoryweir.policy import (
     crash_counts,
     next_attempts,
+    prompt_admission,
     prompt_placement,
     retry_budget,
 )
@@ -141,6 +142,8 @@
         placement = _choose(passage)
         if placement is None or not _may_send(passage):
             return _give_up(passage, reason)
+        if not passage.sent_count and _is_wait_too_long(passage, placement):
+            return _give_up(passage, replies.Reason.OVERLOADED)
         outcome = await _attempt(passage, placement)
         if isinstance(outcome, web.StreamResponse):
             _note_passed_on(passage)
@@ -148,6 +151,32 @@
         reason = outcome
 
 
+def _is_wait_too_long(
+    passage: passages.Passage, placement: prompt_placement.Placement
+) -> bool:
+    """Return whether a prompt is refused, and note when it should come back."""
+    if passage.facts.prompt is None:
+        return False
+    forwarder = passage.forwarder
+    name = passage.service_name
+    waits = forwarder.waits.get(name)
+    if waits is None:
+        waits = prompt_admission.make_waits(forwarder.directory.table, name)
+        forwarder.waits[name] = waits
+    factor = forwarder.read_factors.get(name, 1.0)
+    wait_s = prompt_admission.predict_wait_s(placement.backlog_tokens_count, factor)
+    allowed_s = prompt_admission.limit_s(waits, _priority(passage))
+    passage.retry_after_s = prompt_admission.retry_after_s(wait_s, allowed_s)
+    return bool(allowed_s) and wait_s > allowed_s
+
+
+def _priority(passage: passages.Passage) -> int:
+    account = passage.account
+    if account is not None and account.priority is not None:
+        return account.priority
+    return passage.route.priority
+
+
 def _note_passed_on(passage: passages.Passage) -> None:
     metrics = passage.forwarder.metrics
     name = passage.route.name
@@ -237,6 +266,8 @@
     now_s = time.monotonic()
     passage.running = server_pool.Running(placement.unread_tokens_count, now_s)
     view.running[number] = passage.running
+    unread_count = placement.backlog_tokens_count + placement.unread_tokens_count
+    passage.predicted_s = prompt_admission.predict_wait_s(unread_count, 1.0)
     if passage.facts.prompt is not None:
         server_pool.note_parts(view, passage.facts.prompt.parts, now_s)
     try:
@@ -308,14 +339,11 @@
     passage: passages.Passage, view: server_pool.ServerView
 ) -> exchange.Call:
     account = passage.account
-    priority = passage.route.priority
-    if account is not None and account.priority is not None:
-        priority = account.priority
     sending = border.Sending(
         server_id=view.listed.server_id,
         account_name="" if account is None else account.name,
         time_left_s=passage.time_left_s,
-        urgency=priority if passage.route.has_prompt else None,
+        urgency=_priority(passage) if passage.route.has_prompt else None,
         last_event_id=passage.last_event_id,
     )
     return exchange.Call(
--- a/hickoryweir/forwarding/passages.py
+++ b/hickoryweir/forwarding/passages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import time
 from collections.abc import Callable
 
 import aiohttp
@@ -10,7 +11,7 @@
 from hickoryweir import clocks
 from hickoryweir.forwarding import border, server_pool
 from hickoryweir.observability import forwarding_metrics, latencies
-from hickoryweir.policy import crash_counts, retry_budget
+from hickoryweir.policy import crash_counts, prompt_admission, retry_budget
 from hickoryweir.routes import matching, model
 
 
@@ -37,6 +38,10 @@
         Whether the process is about to stop.
     metrics : forwarding_metrics.ForwardingMetrics
         What this process counts.
+    waits : dict
+        How long prompts may wait, by service, for the table in force.
+    read_factors : dict
+        How much longer than predicted a service's servers read.
     crashes : crash_counts.CrashCounts
         Requests that were lost, here and at other routers.
     report_lost : callable
@@ -58,6 +63,8 @@
         default_factory=forwarding_metrics.make_metrics
     )
     next_number: int = 0
+    waits: dict[str, prompt_admission.Waits] = dataclasses.field(default_factory=dict)
+    read_factors: dict[str, float] = dataclasses.field(default_factory=dict)
     crashes: crash_counts.CrashCounts = dataclasses.field(
         default_factory=crash_counts.CrashCounts
     )
@@ -82,6 +89,8 @@
         Whether the head of an answer has come in the present attempt.
     may_have_run : bool
         Whether any attempt can have run.
+    predicted_s : float
+        How long the present attempt was expected to wait for its first event.
     running : server_pool.Running or None
         The present attempt as its server's load counts it.
     reply : web.StreamResponse or None
@@ -101,6 +110,7 @@
     started_s: float
     deadline_s: float
     tried: set[str] = dataclasses.field(default_factory=set)
+    predicted_s: float = 0.0
     running: server_pool.Running | None = None
     reply: web.StreamResponse | None = None
     failure: web.Response | None = None
@@ -130,11 +140,21 @@
     crash_counts.clear(passage.forwarder.crashes, passage.fingerprint)
 
 
+def _learn_reading(passage: Passage) -> None:
+    factors = passage.forwarder.read_factors
+    measured_s = time.monotonic() - passage.running.started_s
+    known = factors.get(passage.service_name, 1.0)
+    factors[passage.service_name] = prompt_admission.learn_factor(
+        known, passage.predicted_s, measured_s
+    )
+
+
 def note_begun(passage: Passage) -> None:
     """Note that the first event of the present attempt has come."""
     if passage.running.has_begun:
         return
     passage.running.has_begun = True
+    _learn_reading(passage)
     if passage.reply is None:
         passage.forwarder.metrics.latencies.record(
             passage.route.name,
--- a/hickoryweir/forwarding/tests/test_forwarder.py
+++ b/hickoryweir/forwarding/tests/test_forwarder.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from hickoryweir.discovery import listing
-from hickoryweir.forwarding import headers
+from hickoryweir.forwarding import headers, server_pool
 from hickoryweir.forwarding.tests import sites
 from hickoryweir.policy import retry_budget
 from hickoryweir.routes import matching, model
@@ -366,3 +366,23 @@
         return ended
 
     assert run([sites.answering()], scenario) == b""
+
+
+def test_prompt_is_told_when_to_come_back_while_too_much_waits_before_it():
+    route = tables.make_route(
+        allows_anonymous=True,
+        is_stream=True,
+        has_prompt=True,
+        execution=model.Execution.RESUMABLE_STREAM,
+    )
+
+    async def scenario(site):
+        (view,) = site.forwarder.pool.servers.values()
+        view.running[0] = server_pool.Running(10**6, 0.0)
+        given = {headers.PROMPT: "m;1000;10;a:500,b:500"}
+        status, answered, body = await site.call(given=given)
+        retry_after_s = float(answered["Retry-After"])
+        return status, retry_after_s > 0, body, len(site.backends[0].seen)
+
+    found = run([sites.answering()], scenario, routes=(route,))
+    assert found == (503, True, b"overloaded\n", 0)
--- a/hickoryweir/policy/prompt_placement.py
+++ b/hickoryweir/policy/prompt_placement.py
@@ -23,8 +23,10 @@
 READ_TOKENS_PER_S = 40_000.0
 # Each request more in a batch makes every step a few hundredths slower.
 REQUEST_COST_S = 0.005
-# A long prompt beside short requests delays each of their tokens while it is read.
-SPILL_COST_S = 0.15
+# A long prompt beside short requests delays each of their tokens while it is read:
+# a short one among long ones suffers itself, a long one makes all short ones suffer.
+SHORT_SPILL_COST_S = 0.15
+LONG_SPILL_COST_S = 1.0
 # Shared parts that are read once more take capacity from all that wait: under load
 # each second of reading delays about this many requests more.
 REREAD_WEIGHT = 2.0
@@ -60,10 +62,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
-    """A chosen server, and the tokens of the prompt that it will have to read."""
+    """A chosen server, the tokens that it will read of the prompt, and those before."""
 
     server_id: str
     unread_tokens_count: int = 0
+    backlog_tokens_count: int = 0
 
 
 def rank(server_id: str, text: str) -> int:
@@ -105,6 +108,9 @@
         reverse=True,
     )
 
+    is_long = prompt_tokens_count > LONG_PROMPT_TOKENS_COUNT
+    spill_cost_s = LONG_SPILL_COST_S if is_long else SHORT_SPILL_COST_S
+
     def unread_count(position: int) -> int:
         cached_count = ordered[position].cached_tokens_count
         if position == 0:
@@ -118,7 +124,7 @@
 
     def cost_s(position: int) -> float:
         item = ordered[position]
-        spill_s = 0.0 if item.server_id in is_preferred else SPILL_COST_S
+        spill_s = 0.0 if item.server_id in is_preferred else spill_cost_s
         return (
             (unread_count(position) + item.backlog_tokens_count) / READ_TOKENS_PER_S
             + REREAD_WEIGHT * missing_count(position) / READ_TOKENS_PER_S
@@ -128,7 +134,8 @@
         )
 
     best = min(range(len(ordered)), key=cost_s)
-    return Placement(ordered[best].server_id, unread_count(best))
+    chosen = ordered[best]
+    return Placement(chosen.server_id, unread_count(best), chosen.backlog_tokens_count)
 
 
 def _preferred_ids(
--- /dev/null
+++ b/hickoryweir/policy/tests/test_prompt_admission.py
@@ -0,0 +1,78 @@
+"""Prompts refused by the wait before them."""
+
+import pytest
+
+from hickoryweir.policy import prompt_admission, prompt_placement
+from hickoryweir.routes import model
+from hickoryweir.routes.tests import tables
+
+RATE = prompt_placement.READ_TOKENS_PER_S
+
+
+def make_table():
+    def route(name, priority, target_s):
+        return tables.make_route(
+            name,
+            f"/{name}/",
+            priority=priority,
+            target_latency_s=target_s,
+            has_prompt=True,
+            is_stream=True,
+            execution=model.Execution.RESUMABLE_STREAM,
+        )
+
+    routes = (
+        route("chat", 0, 0.5),
+        route("draft", 1, 0.8),
+        route("digest", 2, 2.5),
+        tables.make_route("plain", "/plain/", target_latency_s=9.0, priority=7),
+    )
+    return tables.make_table(routes)
+
+
+def test_waits_follow_the_routes_with_prompts():
+    waits = prompt_admission.make_waits(make_table(), "app")
+    assert waits == prompt_admission.Waits(2.5, 2)
+
+
+def test_least_urgent_kind_is_refused_first():
+    waits = prompt_admission.make_waits(make_table(), "app")
+    limits = [prompt_admission.limit_s(waits, priority) for priority in range(3)]
+    assert limits == sorted(limits, reverse=True)
+    assert len(set(limits)) == 3
+
+
+def test_service_without_prompts_refuses_none():
+    waits = prompt_admission.make_waits(make_table(), "other")
+    assert prompt_admission.limit_s(waits, 0) == 0.0
+
+
+def test_slow_reading_is_learned_and_bounded():
+    factor = 1.0
+    for _ in range(200):
+        factor = prompt_admission.learn_factor(factor, 0.1, 100.0)
+    assert factor == pytest.approx(prompt_admission.FACTOR_MAX)
+    assert prompt_admission.predict_wait_s(RATE, factor) == pytest.approx(8.0)
+
+
+def test_client_comes_back_when_half_of_the_wait_is_gone():
+    assert prompt_admission.retry_after_s(3.0, 2.5) == 1.75
+    assert prompt_admission.retry_after_s(0.1, 2.5) == prompt_admission.RETRY_MIN_S
+    assert prompt_admission.retry_after_s(60.0, 2.5) == prompt_admission.RETRY_MAX_S
+
+
+def test_overload_of_the_least_urgent_kind_leaves_room_for_the_others():
+    """Plays digests at twice what is read, and chats beside them, for a minute."""
+    waits = prompt_admission.make_waits(make_table(), "app")
+    backlog, step_s = 0.0, 0.1
+    taken = {"chat": 0, "digest": 0}
+    asked_count = 600
+    for _ in range(asked_count):
+        backlog = max(0.0, backlog - step_s * RATE)
+        for name, priority, tokens in (("digest", 2, 8_000), ("chat", 0, 1_000)):
+            wait_s = prompt_admission.predict_wait_s(int(backlog), 1.0)
+            if wait_s <= prompt_admission.limit_s(waits, priority):
+                backlog += tokens
+                taken[name] += 1
+    assert taken["chat"] == asked_count
+    assert taken["digest"] > asked_count / 3
