--- a/hickoryweir/forwarding/tests/test_forwarder.py
+++ b/hickoryweir/forwarding/tests/test_forwarder.py
@@ -1,14 +1,15 @@
 """Requests through a router over loopback sockets."""
 
 import asyncio
+import dataclasses
 
 from aiohttp import web
 
 from hickoryweir.discovery import listing
-from hickoryweir.forwarding import headers
+from hickoryweir.forwarding import headers, server_pool
 from hickoryweir.forwarding.tests import sites
 from hickoryweir.policy import retry_budget
-from hickoryweir.routes import model
+from hickoryweir.routes import matching, model
 from hickoryweir.routes.tests import tables
 
 
@@ -342,3 +343,46 @@
 
     answers = [sites.answering(500), sites.answering(), sites.answering()]
     assert run(answers, scenario)
+
+
+def test_head_over_the_limit_is_refused():
+    head = b"POST /chat/x HTTP/1.1\r\nHost: site.example\r\nX-Long: "
+    status, seen_count = raw_call(head + b"x" * 70_000 + b"\r\n\r\n")
+    assert (b"431" in status, seen_count) == (True, 0)
+
+
+def test_head_that_does_not_end_closes_the_connection():
+    async def scenario(site):
+        table = site.forwarder.directory.table
+        limits = dataclasses.replace(table.limits, header_timeout_s=0.1)
+        site.forwarder.directory = matching.make_directory(
+            dataclasses.replace(table, limits=limits)
+        )
+        reader, writer = await asyncio.open_connection(sites.HOST, site.port)
+        writer.write(b"POST /chat/x HTTP/1.1\r\nHost: si")
+        async with asyncio.timeout(5.0):
+            ended = await reader.read()
+        writer.close()
+        return ended
+
+    assert run([sites.answering()], scenario) == b""
+
+
+def test_prompt_is_told_when_to_come_back_while_too_much_waits_before_it():
+    route = tables.make_route(
+        allows_anonymous=True,
+        is_stream=True,
+        has_prompt=True,
+        execution=model.Execution.RESUMABLE_STREAM,
+    )
+
+    async def scenario(site):
+        (view,) = site.forwarder.pool.servers.values()
+        view.running[0] = server_pool.Running(10**6, 0.0)
+        given = {headers.PROMPT: "m;1000;10;a:500,b:500"}
+        status, answered, body = await site.call(given=given)
+        retry_after_s = float(answered["Retry-After"])
+        return status, retry_after_s > 0, body, len(site.backends[0].seen)
+
+    found = run([sites.answering()], scenario, routes=(route,))
+    assert found == (503, True, b"overloaded\n", 0)
