Placing stands in a module of its own; loads and idle times in answers are not read

Nothing had used the load that servers add to their answers since the routers' own loads are added up, nor the stated idle time, so their fields, and the tests' lines on them, go with the code.

--- a/hickoryweir/forwarding/border.py
+++ b/hickoryweir/forwarding/border.py
@@ -78,15 +78,6 @@
     last_event_id: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Load:
-    """A backend server's load as it said in an answer."""
-
-    running_count: int
-    waiting_count: int
-    slots_count: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """What an answer's head says of itself.
@@ -102,8 +93,6 @@
     request_id: str
     is_not_run: bool
     is_other_server: bool
-    load: Load | None
-    idle_timeout_s: float | None
 
 
 Headers = Mapping[str, str]
@@ -157,17 +146,3 @@
     except ValueError:
         return default
     return number if 0.0 <= number < float("inf") else default
-
-
-def read_load(text: str) -> Load | None:
-    """Return running, waiting and slots from three numbers between commas.
-
-    Examples
-    --------
-    >>> read_load("3,0,8")
-    Load(running_count=3, waiting_count=0, slots_count=8)
-    """
-    numbers = text.replace(" ", "").split(",")
-    if len(numbers) != 3 or not all(number.isdecimal() for number in numbers):
-        return None
-    return Load(*(int(number) for number in numbers))
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -17,6 +17,7 @@
     border,
     exchange,
     passages,
+    placing,
     replies,
     requests,
     server_pool,
@@ -139,11 +140,13 @@
 async def _attempt_all(passage: passages.Passage) -> web.StreamResponse:
     reason = replies.Reason.NO_SERVER
     while True:
-        placement = _choose(passage)
+        placement = placing.choose(passage)
         if placement is None or not _may_send(passage):
             return _give_up(passage, reason)
-        if not passage.sent_count and _is_wait_too_long(passage, placement):
-            return _give_up(passage, replies.Reason.OVERLOADED)
+        if not passage.sent_count:
+            passage.retry_after_s = placing.find_overload(passage, placement)
+            if passage.retry_after_s is not None:
+                return _give_up(passage, replies.Reason.OVERLOADED)
         outcome = await _attempt(passage, placement)
         if isinstance(outcome, web.StreamResponse):
             _note_passed_on(passage)
@@ -151,32 +154,6 @@
         reason = outcome
 
 
-def _is_wait_too_long(
-    passage: passages.Passage, placement: prompt_placement.Placement
-) -> bool:
-    """Return whether a prompt is refused, and note when it should come back."""
-    if passage.facts.prompt is None:
-        return False
-    forwarder = passage.forwarder
-    name = passage.service_name
-    waits = forwarder.waits.get(name)
-    if waits is None:
-        waits = prompt_admission.make_waits(forwarder.directory.table, name)
-        forwarder.waits[name] = waits
-    factor = forwarder.read_factors.get(name, 1.0)
-    wait_s = prompt_admission.predict_wait_s(placement.backlog_tokens_count, factor)
-    allowed_s = prompt_admission.limit_s(waits, _priority(passage))
-    passage.retry_after_s = prompt_admission.retry_after_s(wait_s, allowed_s)
-    return bool(allowed_s) and wait_s > allowed_s
-
-
-def _priority(passage: passages.Passage) -> int:
-    account = passage.account
-    if account is not None and account.priority is not None:
-        return account.priority
-    return passage.route.priority
-
-
 def _note_passed_on(passage: passages.Passage) -> None:
     metrics = passage.forwarder.metrics
     name = passage.route.name
@@ -210,52 +187,6 @@
     return taken
 
 
-def _choose(passage: passages.Passage) -> prompt_placement.Placement | None:
-    forwarder = passage.forwarder
-    prompt = passage.facts.prompt
-    has_prompt = prompt is not None and bool(prompt.parts)
-    views = [
-        view
-        for view in server_pool.usable(forwarder.pool, passage.service_name)
-        if view.listed.server_id not in passage.tried
-    ]
-    parts = prompt.parts if has_prompt else ()
-    now_s = time.monotonic()
-    grey_ids = server_pool.set_aside(views, now_s)
-    candidates = [
-        _make_candidate(forwarder, view, parts, grey_ids, now_s) for view in views
-    ]
-    if has_prompt:
-        shared = parts[:-1] or parts
-        return prompt_placement.choose_for_prompt(
-            candidates,
-            shared[-1].part_id,
-            prompt.input_tokens_count,
-            sum(part.tokens_count for part in parts[:-1]),
-            forwarder.settings.long_prompt_share,
-        )
-    salt = passage.facts.request_id
-    return prompt_placement.choose_least_loaded(candidates, salt)
-
-
-def _make_candidate(
-    forwarder: passages.Forwarder,
-    view: server_pool.ServerView,
-    parts: tuple[border.PromptPart, ...],
-    grey_ids: frozenset[str],
-    now_s: float,
-) -> prompt_placement.Candidate:
-    zone = forwarder.settings.availability_zone
-    return prompt_placement.Candidate(
-        server_id=view.listed.server_id,
-        requests_count=server_pool.requests_count(view, now_s),
-        backlog_tokens_count=server_pool.backlog_count(view, now_s),
-        cached_tokens_count=server_pool.cached_count(view, parts),
-        is_suspect=view.suspect_until_s > now_s or view.listed.server_id in grey_ids,
-        is_near=view.listed.availability_zone == zone,
-    )
-
-
 async def _attempt(
     passage: passages.Passage, placement: prompt_placement.Placement
 ) -> web.StreamResponse | replies.Reason:
@@ -301,7 +232,6 @@
             server_pool.note_failure(view, now_s)
             return replies.Reason.SERVER_UNREACHABLE
         case exchange.NotRun():
-            server_pool.note_load(view, outcome.facts.load, now_s)
             if outcome.facts.is_other_server:
                 view.is_leaving = True
             return replies.Reason.SERVER_REFUSED
@@ -313,7 +243,6 @@
             return replies.Reason.OUTCOME_UNKNOWN
         case exchange.Answered():
             passage.has_answer = True
-            server_pool.note_load(view, outcome.facts.load, now_s)
             return await answers.pass_on(passage, view, outcome)
 
 
@@ -343,7 +272,7 @@
         server_id=view.listed.server_id,
         account_name="" if account is None else account.name,
         time_left_s=passage.time_left_s,
-        urgency=_priority(passage) if passage.route.has_prompt else None,
+        urgency=placing.priority_of(passage) if passage.route.has_prompt else None,
         last_event_id=passage.last_event_id,
     )
     return exchange.Call(
--- a/hickoryweir/forwarding/headers.py
+++ b/hickoryweir/forwarding/headers.py
@@ -19,7 +19,6 @@
 ACCOUNT_NAME = "X-Client-Account"
 URGENCY = "X-Urgency"
 NOT_RUN = "X-Not-Run"
-LOAD = "X-Load"
 OTHER_SERVER_STATUS = 421
 ROUTER_HEADERS = frozenset(
     {"authorization", "x-client-account", "x-server-id", "x-urgency", "x-time-left-s"}
@@ -86,6 +85,4 @@
         request_id=headers.get(REQUEST_ID, ""),
         is_not_run=NOT_RUN in headers,
         is_other_server=status == OTHER_SERVER_STATUS,
-        load=border.read_load(headers.get(LOAD, "")),
-        idle_timeout_s=None,
     )
--- /dev/null
+++ b/hickoryweir/forwarding/placing.py
@@ -0,0 +1,86 @@
+"""Which backend server a request goes to, and whether a prompt is taken at all.
+
+Joins what the router knows of the servers with the pure decisions in
+:mod:`hickoryweir.policy.prompt_placement` and
+:mod:`hickoryweir.policy.prompt_admission`.
+"""
+
+import time
+
+from hickoryweir.forwarding import border, passages, server_pool
+from hickoryweir.policy import prompt_admission, prompt_placement
+
+
+def choose(passage: passages.Passage) -> prompt_placement.Placement | None:
+    """Return the server for the next attempt; None if there is none left."""
+    forwarder = passage.forwarder
+    prompt = passage.facts.prompt
+    parts = () if prompt is None else prompt.parts
+    views = [
+        view
+        for view in server_pool.usable(forwarder.pool, passage.service_name)
+        if view.listed.server_id not in passage.tried
+    ]
+    now_s = time.monotonic()
+    grey_ids = server_pool.set_aside(views, now_s)
+    candidates = [
+        _make_candidate(forwarder, view, parts, grey_ids, now_s) for view in views
+    ]
+    if not parts:
+        salt = passage.facts.request_id
+        return prompt_placement.choose_least_loaded(candidates, salt)
+    # The last part is the request's own; the one before ties most of its like.
+    shared = parts[:-1] or parts
+    return prompt_placement.choose_for_prompt(
+        candidates,
+        shared[-1].part_id,
+        prompt.input_tokens_count,
+        sum(part.tokens_count for part in parts[:-1]),
+        forwarder.settings.long_prompt_share,
+    )
+
+
+def _make_candidate(
+    forwarder: passages.Forwarder,
+    view: server_pool.ServerView,
+    parts: tuple[border.PromptPart, ...],
+    grey_ids: frozenset[str],
+    now_s: float,
+) -> prompt_placement.Candidate:
+    zone = forwarder.settings.availability_zone
+    return prompt_placement.Candidate(
+        server_id=view.listed.server_id,
+        requests_count=server_pool.requests_count(view, now_s),
+        backlog_tokens_count=server_pool.backlog_count(view, now_s),
+        cached_tokens_count=server_pool.cached_count(view, parts),
+        is_suspect=view.suspect_until_s > now_s or view.listed.server_id in grey_ids,
+        is_near=view.listed.availability_zone == zone,
+    )
+
+
+def find_overload(
+    passage: passages.Passage, placement: prompt_placement.Placement
+) -> float | None:
+    """Return when a prompt should come back, or None if it is taken now."""
+    if passage.facts.prompt is None:
+        return None
+    forwarder = passage.forwarder
+    name = passage.service_name
+    waits = forwarder.waits.get(name)
+    if waits is None:
+        waits = prompt_admission.make_waits(forwarder.directory.table, name)
+        forwarder.waits[name] = waits
+    factor = forwarder.read_factors.get(name, 1.0)
+    wait_s = prompt_admission.predict_wait_s(placement.backlog_tokens_count, factor)
+    allowed_s = prompt_admission.limit_s(waits, priority_of(passage))
+    if not allowed_s or wait_s <= allowed_s:
+        return None
+    return prompt_admission.retry_after_s(wait_s, allowed_s)
+
+
+def priority_of(passage: passages.Passage) -> int:
+    """Return the client account's priority, or else the route's."""
+    account = passage.account
+    if account is not None and account.priority is not None:
+        return account.priority
+    return passage.route.priority
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -41,8 +41,6 @@
     ----------
     running : dict
         Own requests there, by a number of this router.
-    load : border.Load or None
-        Last load that it said, at `load_s`, with `own_at_load_count` own requests.
     suspect_until_s : float
         Until when it is avoided after failures.
     parts : dict
@@ -58,9 +56,6 @@
 
     listed: listing.BackendServer
     running: dict[int, Running] = dataclasses.field(default_factory=dict)
-    load: border.Load | None = None
-    load_s: float = 0.0
-    own_at_load_count: int = 0
     failures_count: int = 0
     suspect_until_s: float = 0.0
     parts: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -122,14 +117,6 @@
     view.suspect_until_s = 0.0
 
 
-def note_load(view: ServerView, load: border.Load | None, now_s: float) -> None:
-    """Take the load that a server said in an answer."""
-    if load is not None:
-        view.load = load
-        view.load_s = now_s
-        view.own_at_load_count = len(view.running)
-
-
 def requests_count(view: ServerView, now_s: float) -> int:
     """Return the requests of all routers at a server, as far as is known."""
     others_count = view.others_requests_count if _hears(view, now_s) else 0
