--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -10,7 +10,7 @@
 from hickoryweir.entry import adapters, metrics_port, settings, tables
 from hickoryweir.feeds import publisher
 from hickoryweir.observability import forwarding_metrics, logs
-from hickoryweir.replicas import automation, client, messages, node, wire
+from hickoryweir.replicas import automation, client, node, wire
 from hickoryweir.replicas import state as states
 from hickoryweir.routes import store
 from hickoryweir.streams import handshake, hub
@@ -90,16 +90,9 @@
     stored = replica.machine.states["routing_table"].stored
     if state is None:
         return publisher.Standing(stored, False, False, ())
-    addresses = []
-    for member in state.membership.members:
-        host, port = wire.split_address(member.address)
-        name = messages.replica_name_of(member.member_id)
-        zone = member.availability_zone
-        addresses.append(wire.ReplicaAddress(name, host, port, zone))
+    addresses = tuple(wire.address_of(member) for member in state.membership.members)
     is_leader = bool(state.leader_id) and state.leader_id == state.member_id
-    return publisher.Standing(
-        stored, is_leader, bool(state.leader_id), tuple(addresses)
-    )
+    return publisher.Standing(stored, is_leader, bool(state.leader_id), addresses)
 
 
 async def run(
--- a/hickoryweir/policy/grey_servers.py
+++ b/hickoryweir/policy/grey_servers.py
@@ -57,15 +57,17 @@
     >>> set_aside(sound)
     frozenset()
     """
+    if len(records) < 2:
+        return frozenset()
+    all_answers = sum(record.answers for record in records.values())
+    all_failures = sum(record.failures for record in records.values())
     found = []
     for name, record in records.items():
-        others = [other for key, other in records.items() if key != name]
         share = record.failures / max(1.0, record.answers)
-        others_failures = sum(other.failures for other in others)
-        others_answers = sum(other.answers for other in others)
-        others_share = others_failures / max(1.0, others_answers)
+        others_answers = max(1.0, all_answers - record.answers)
+        others_share = (all_failures - record.failures) / others_answers
         is_worse = share > max(MIN_SHARE, SHARE_RATIO * others_share)
-        if others and record.failures >= MIN_FAILURES and is_worse:
+        if record.failures >= MIN_FAILURES and is_worse:
             found.append((share, name))
     limit = int(MAX_SET_ASIDE_SHARE * len(records))
     return frozenset(name for _, name in sorted(found, reverse=True)[:limit])
--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -325,9 +325,7 @@
         for known in status.members:
             name = messages.replica_name_of(known.member.member_id)
             if name not in self._channels:
-                host, port = wire.split_address(known.member.address)
-                zone = known.member.availability_zone
-                self._add_channel(wire.ReplicaAddress(name, host, port, zone))
+                self._add_channel(wire.address_of(known.member))
 
     def _add_channel(self, replica: wire.ReplicaAddress) -> channels.Channel:
         channel = channels.Channel(
--- a/hickoryweir/replicas/relays.py
+++ b/hickoryweir/replicas/relays.py
@@ -67,10 +67,7 @@
     def _channel(self, leader: messages.Member) -> channels.Channel:
         channel = self._channels.get(leader.member_id)
         if channel is None:
-            name = messages.replica_name_of(leader.member_id)
-            host, port = wire.split_address(leader.address)
-            zone = leader.availability_zone
-            address = wire.ReplicaAddress(name, host, port, zone)
+            address = wire.address_of(leader)
             channel = channels.Channel(
                 self._identity, address, self._files, self._group, CONNECT_TIMEOUT_S
             )
--- a/hickoryweir/replicas/wire.py
+++ b/hickoryweir/replicas/wire.py
@@ -192,3 +192,10 @@
     """
     host, _, port = address.rpartition(":")
     return host, int(port)
+
+
+def address_of(member: messages.Member) -> ReplicaAddress:
+    """Return where a member of the replicated log listens."""
+    host, port = split_address(member.address)
+    name = messages.replica_name_of(member.member_id)
+    return ReplicaAddress(name, host, port, member.availability_zone)
