Quiet servers by age and load, repeated prefills weigh more

The oldest servers are the quiet ones now. - Under overload, long prompts spilled to the quiet servers (69 of 279 at one). A tolerant prompt goes there only with a prefill of one chunk; two chunks of two routers at once made a run of four. - A burst of sensitive streams filled a fixed fifth of the servers with 60 streams each. The number of quiet servers follows their requests, up to 0.35 of all. - 1.1 to 2.3 million tokens of shared parts were prefilled again in the first ten seconds, a fifth of all prefill, since a prompt left a loaded holder too early. The weight of a repeated prefill rises from 2 to 4; a full server costs 2.5 s instead of 1, so that it is still left.

--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -71,6 +71,8 @@
     sensitive_routes : dict
         Routes whose streams a long prefill makes late, by service, for the table in
         force.
+    quiet_sets : dict
+        Servers kept for such streams, by service.
     prefill_factors : dict
         Ratio of the measured to the predicted prefill time, by service.
     crashes : crash_counts.CrashCounts
@@ -102,6 +104,9 @@
     sensitive_routes: dict[str, prefill_interference.SensitiveRoutes] = (
         dataclasses.field(default_factory=dict)
     )
+    quiet_sets: dict[str, prefill_interference.QuietSet] = dataclasses.field(
+        default_factory=dict
+    )
     prefill_factors: dict[str, float] = dataclasses.field(default_factory=dict)
     crashes: crash_counts.CrashCounts = dataclasses.field(
         default_factory=crash_counts.CrashCounts
--- a/hickoryweir/forwarding/server_selection.py
+++ b/hickoryweir/forwarding/server_selection.py
@@ -17,6 +17,12 @@
 
 # Below 1: other routers' requests of the last tenths of a second are not counted yet.
 FULL_SLOTS_SHARE = 0.8
+ISOLATED_KINDS = frozenset(
+    {
+        prefill_interference.PromptKind.SENSITIVE,
+        prefill_interference.PromptKind.TOLERANT,
+    }
+)
 # Route priorities that the urgency of an account's prompts distinguishes.
 URGENCY_STEPS_COUNT = 3
 
@@ -41,6 +47,7 @@
     if not parts:
         salt = context.metadata.request_id
         return prompt_placement.choose_least_loaded(candidates, salt)
+    kind = _prompt_kind(context)
     return prompt_placement.choose_for_prompt(
         candidates,
         shared_parts(parts)[-1].part_id,
@@ -48,7 +55,8 @@
         sum(part.tokens_count for part in parts[:-1]),
         forwarder.settings.long_prompt_share,
         _max_wait_s(context) / _prefill_factor(context),
-        _prompt_kind(context),
+        kind,
+        _quiet_count(context, candidates, now_s) if kind in ISOLATED_KINDS else None,
     )
 
 
@@ -79,6 +87,7 @@
         is_full=_is_full(view.listed.slots_count, requests_count),
         is_suspect=view.suspect_until_s > now_s or view.listed.server_id in outlier_ids,
         is_near=view.listed.availability_zone == zone,
+        started_at_ms=view.listed.started_at_ms,
     )
 
 
@@ -138,6 +147,24 @@
     return prefill_interference.classify(routes, context.route.name, tokens_count)
 
 
+def _quiet_count(
+    context: contexts.RequestContext,
+    candidates: list[prompt_placement.Candidate],
+    now_s: float,
+) -> int:
+    """Return the number of quiet servers, adapted to their load."""
+    sets, name = context.forwarder.quiet_sets, context.service_name
+    ordered = prompt_placement.order_for_quiet(candidates)
+    service = context.forwarder.route_index.services.get(name)
+    sets[name] = prefill_interference.resize_quiet_set(
+        sets.get(name, prefill_interference.QuietSet()),
+        tuple(item.requests_count for item in ordered),
+        0 if service is None else service.slots_count,
+        now_s,
+    )
+    return sets[name].servers_count
+
+
 def urgency_of(context: contexts.RequestContext) -> int:
     """Return the urgency that engines order a prompt by; 0 is the most urgent.
 
--- a/hickoryweir/policy/prefill_interference.py
+++ b/hickoryweir/policy/prefill_interference.py
@@ -6,7 +6,8 @@
 between two events of every stream at the engine approaches `pause_s`.  A stream whose
 target is about as short is late whenever such a prefill runs beside it, however few
 requests the engine has.  Such streams are kept at a share of the engines, the quiet
-ones, which take other prompts only while these can't fill a whole pause.
+ones, which take other prompts only while these can't fill a whole pause.  The number of
+quiet engines follows their load, since a large batch makes every step longer.
 
 References
 ----------
@@ -26,7 +27,15 @@
 # A batch of many requests makes a step longer than estimated here.
 PAUSE_MARGIN = 1.25
 # A shorter run of prefill ends within a pause of the usual number of steps.
-QUIET_RUN_TOKENS_COUNT = 2 * CHUNK_TOKENS_COUNT
+QUIET_RUN_TOKENS_COUNT = CHUNK_TOKENS_COUNT
+# With more requests at once, the decode steps alone use up much of a short pause.
+CROWDED_SLOTS_SHARE = 0.5
+# Far below the upper limit, so that one more or one less engine changes nothing.
+SPARSE_SLOTS_SHARE = 0.12
+# A shorter interval than a stream's length would count its streams at both engines.
+RESIZE_INTERVAL_S = 0.3
+QUIET_SHARE_MIN = 0.2
+QUIET_SHARE_MAX = 0.35
 # Where no stream is sensitive, the prefill of a longer prompt takes longer than a
 # short prompt may wait for its first token.
 LONG_PROMPT_TOKENS_COUNT = 3_500
@@ -125,7 +134,64 @@
 
     Examples
     --------
-    >>> fits_between_events(0, 1_800), fits_between_events(2_500, 1_800)
+    >>> fits_between_events(0, 1_800), fits_between_events(500, 1_800)
     (True, False)
     """
     return backlog_tokens_count + uncached_tokens_count <= QUIET_RUN_TOKENS_COUNT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuietSet:
+    """Number of quiet servers of a service, and when it last changed."""
+
+    servers_count: int = 0
+    changed_s: float = float("-inf")
+
+
+def resize_quiet_set(
+    quiet: QuietSet,
+    requests_counts: tuple[int, ...],
+    slots_count: int,
+    now_s: float,
+) -> QuietSet:
+    """Return the quiet set, larger or smaller by a server as its load requires.
+
+    All routers receive the same sums of the loads, so their sets agree but for the
+    delay of a report.
+
+    Parameters
+    ----------
+    quiet : QuietSet
+        The current set.
+    requests_counts : tuple of int
+        Requests at each server, in the order in which servers become quiet.
+    slots_count : int
+        Requests that a server runs at once; 0 if unknown, which keeps the least set.
+    now_s : float
+        Monotonic time.
+
+    Examples
+    --------
+    >>> counts = (40, 40) + 8 * (5,)
+    >>> quiet = resize_quiet_set(QuietSet(), counts, 64, 0.0)
+    >>> quiet.servers_count
+    2
+    >>> resize_quiet_set(quiet, counts, 64, 1.0).servers_count
+    3
+    >>> resize_quiet_set(QuietSet(3, 1.0), 10 * (5,), 64, 2.0).servers_count
+    2
+    """
+    servers_count = len(requests_counts)
+    least_count = max(1, round(QUIET_SHARE_MIN * servers_count))
+    most_count = max(least_count, int(QUIET_SHARE_MAX * servers_count))
+    count = min(max(quiet.servers_count, least_count), most_count)
+    if count != quiet.servers_count:
+        return QuietSet(count, now_s)
+    if not servers_count or now_s - quiet.changed_s < RESIZE_INTERVAL_S:
+        return quiet
+    mean_count = sum(requests_counts[:count]) / count
+    if mean_count > CROWDED_SLOTS_SHARE * slots_count > 0 and count < most_count:
+        return QuietSet(count + 1, now_s)
+    if mean_count < SPARSE_SLOTS_SHARE * slots_count and count > least_count:
+        return QuietSet(count - 1, now_s)
+    return quiet
--- a/hickoryweir/policy/prompt_placement.py
+++ b/hickoryweir/policy/prompt_placement.py
@@ -37,16 +37,9 @@
 PREFILL_TOKENS_PER_S = prefill_interference.PREFILL_TOKENS_PER_S
 # Each additional request in a batch slows every step by a few percent.
 REQUEST_COST_S = 0.005
-# The prefill of a long prompt delays every token of the short requests at its server.
-# A short prompt among long ones is only delayed itself, whereas a long prompt delays
-# all short ones.
-SHORT_SPILL_COST_S = 0.15
-LONG_SPILL_COST_S = 1.0
-# A sensitive stream beside long prompts is late, unless its server happens to be idle.
-SENSITIVE_SPILL_COST_S = 1.0
 # Prefilling shared parts again takes capacity from all waiting requests: under load,
 # each second of prefill delays about this many further requests.
-REPEATED_PREFILL_WEIGHT = 2.0
+REPEATED_PREFILL_WEIGHT = 4.0
 # Servers at the head of its rendezvous order that a prompt considers: two choices
 # balance load well even with delayed reports [3].
 CHOICES_COUNT = 2
@@ -58,7 +51,7 @@
 # A server whose backlog is shorter than the prefill of a short prompt counts as idle.
 IDLE_WAIT_S = 0.05
 # At a full server, a request waits for another one to end or preempts one.
-FULL_COST_S = 1.0
+FULL_COST_S = 2.5
 # Breaks ties between equal costs by the rendezvous order, the same at all routers.
 ORDER_COST_S = 0.002
 NO_SENSITIVE_ROUTES = prefill_interference.SensitiveRoutes(frozenset())
@@ -69,6 +62,16 @@
         prefill_interference.PromptKind.SHORT,
     }
 )
+# Cost of a server that a prompt does not prefer.  A short prompt among long ones is
+# only delayed itself, whereas a long prompt delays all short ones.  A sensitive stream
+# beside long prompts is late, unless its server happens to be idle.  A tolerant prompt
+# goes to a quiet server only where its prefill harms no stream.
+SPILL_COSTS_S = {
+    prefill_interference.PromptKind.SENSITIVE: 1.0,
+    prefill_interference.PromptKind.TOLERANT: 0.15,
+    prefill_interference.PromptKind.SHORT: 0.15,
+    prefill_interference.PromptKind.LONG: 1.0,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +92,8 @@
         Whether the server failed recently.
     is_near : bool
         Whether the server is in the router's availability zone.
+    started_at_ms : int
+        Start time in Unix milliseconds; 0 if unknown.
     """
 
     server_id: str
@@ -98,6 +103,7 @@
     is_full: bool = False
     is_suspect: bool = False
     is_near: bool = False
+    started_at_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,6 +146,7 @@
     long_share: float,
     wait_max_s: float = math.inf,
     kind: prefill_interference.PromptKind | None = None,
+    quiet_count: int | None = None,
 ) -> Placement | None:
     """Return the server with the lowest expected cost for a prompt.
 
@@ -158,6 +165,8 @@
         Prefill time of the backlog above which a server would refuse the prompt.
     kind : prefill_interference.PromptKind, optional
         How the prompt is placed; by default short or long.
+    quiet_count : int, optional
+        Number of quiet servers; by default those that `long_share` leaves.
     """
     healthy = [item for item in candidates if not item.is_suspect] or candidates
     if not healthy:
@@ -166,7 +175,9 @@
         kind = prefill_interference.classify(
             NO_SENSITIVE_ROUTES, "", prompt_tokens_count
         )
-    preferred_ids = _preferred_ids(healthy, kind, long_share)
+    if quiet_count is None:
+        quiet_count = _default_quiet_count(len(healthy), long_share)
+    preferred_ids = _preferred_ids(healthy, kind, quiet_count)
     ordered = _order(healthy, affinity, preferred_ids)
     is_small = shared_tokens_count <= SMALL_SHARED_TOKENS_COUNT
     positions = _choose_positions(
@@ -192,7 +203,7 @@
         item = ordered[position]
         spill_s = 0.0
         if item.server_id not in preferred_ids:
-            spill_s = _spill_cost_s(kind, item, uncached_count(position))
+            spill_s = SPILL_COSTS_S[kind]
         return (
             (FULL_COST_S if item.is_full else 0.0)
             + (uncached_count(position) + item.backlog_tokens_count)
@@ -203,30 +214,25 @@
             + spill_s
         )
 
-    best = min(positions, key=cost_s)
+    def is_allowed(position: int) -> bool:
+        item = ordered[position]
+        if kind is not prefill_interference.PromptKind.TOLERANT:
+            return True
+        return (
+            item.server_id in preferred_ids
+            or prefill_interference.fits_between_events(
+                item.backlog_tokens_count, uncached_count(position)
+            )
+        )
+
+    allowed_positions = [item for item in positions if is_allowed(item)] or positions
+    best = min(allowed_positions, key=cost_s)
     chosen = ordered[best]
     return Placement(
         chosen.server_id, uncached_count(best), chosen.backlog_tokens_count
     )
 
 
-def _spill_cost_s(
-    kind: prefill_interference.PromptKind, item: Candidate, uncached_tokens_count: int
-) -> float:
-    """Return the cost of a server that a prompt of this kind does not prefer."""
-    match kind:
-        case prefill_interference.PromptKind.SENSITIVE:
-            return SENSITIVE_SPILL_COST_S
-        case prefill_interference.PromptKind.SHORT:
-            return SHORT_SPILL_COST_S
-        case prefill_interference.PromptKind.LONG:
-            return LONG_SPILL_COST_S
-    fits = prefill_interference.fits_between_events(
-        item.backlog_tokens_count, uncached_tokens_count
-    )
-    return SHORT_SPILL_COST_S if fits else LONG_SPILL_COST_S
-
-
 def _order(
     candidates: list[Candidate], affinity: str, preferred_ids: set[str]
 ) -> list[Candidate]:
@@ -283,16 +289,35 @@
     return item.is_full or wait_s > wait_max_s
 
 
+def _default_quiet_count(servers_count: int, long_share: float) -> int:
+    if servers_count < 2:
+        return 0
+    long_count = max(1, round(servers_count * long_share))
+    return servers_count - min(servers_count - 1, long_count)
+
+
+def order_for_quiet(candidates: list[Candidate]) -> list[Candidate]:
+    """Return the servers in the order in which they become quiet ones.
+
+    The servers that started first are the first, so that a new server does not take
+    the place of one that runs sensitive streams.
+    """
+    return sorted(
+        candidates,
+        key=lambda item: (item.started_at_ms, -_rank_for_length(item.server_id)),
+    )
+
+
 def _preferred_ids(
     candidates: list[Candidate],
     kind: prefill_interference.PromptKind,
-    long_share: float,
+    quiet_count: int,
 ) -> set[str]:
-    ids = sorted((item.server_id for item in candidates), key=_rank_for_length)
+    """Return the quiet servers, or the others, as the kind of prompt prefers."""
+    ids = [item.server_id for item in order_for_quiet(candidates)]
     if len(ids) < 2:
         return set(ids)
-    long_count = min(len(ids) - 1, max(1, round(len(ids) * long_share)))
-    return set(ids[long_count:] if kind in QUIET_KINDS else ids[:long_count])
+    return set(ids[:quiet_count] if kind in QUIET_KINDS else ids[quiet_count:])
 
 
 def choose_least_loaded(candidates: list[Candidate], salt: str) -> Placement | None:
--- a/hickoryweir/policy/tests/engine_simulation.py
+++ b/hickoryweir/policy/tests/engine_simulation.py
@@ -119,6 +119,7 @@
     engines = {f"s{number}": Engine(f"s{number}") for number in range(servers_count)}
     streams = _make_arrivals(loads, length_s, random.Random(seed))
     reported, reported_s = {}, float("-inf")
+    quiet = prefill_interference.QuietSet()
     for stream in streams:
         now_s = stream.arrived_s
         for engine in engines.values():
@@ -126,7 +127,14 @@
         if now_s - reported_s >= REPORT_INTERVAL_S:
             reported_s = now_s
             reported = {name: _load_of(engine) for name, engine in engines.items()}
-        _place(stream, engines, reported, engine_model, sensitive, bounds)
+        quiet = prefill_interference.resize_quiet_set(
+            quiet,
+            tuple(reported[name][0] for name in _order_for_quiet(engines)),
+            engine_model.slots_count,
+            now_s,
+        )
+        quiet_count = quiet.servers_count if sensitive.names else None
+        _place(stream, engines, reported, engine_model, sensitive, bounds, quiet_count)
     for engine in engines.values():
         _advance(engine, engine_model, float("inf"))
     return streams
@@ -175,7 +183,15 @@
     return len(engine.waiting) + len(engine.running), backlog
 
 
-def _place(stream, engines, reported, engine_model, sensitive, bounds) -> None:
+def _order_for_quiet(engines) -> list[str]:
+    candidates = [prompt_placement.Candidate(name, 0) for name in engines]
+    ordered = prompt_placement.order_for_quiet(candidates)
+    return [item.server_id for item in ordered]
+
+
+def _place(
+    stream, engines, reported, engine_model, sensitive, bounds, quiet_count
+) -> None:
     load = stream.load
     tokens_count = load.shared_tokens_count + stream.own_tokens_count
     candidates = [
@@ -197,6 +213,7 @@
         0.8,
         allowed_s,
         prefill_interference.classify(sensitive, load.route.name, tokens_count),
+        quiet_count,
     )
     wait_s = prompt_admission.predict_wait_s(placement.backlog_tokens_count, 1.0)
     if wait_s > allowed_s:
--- a/hickoryweir/policy/tests/test_prefill_interference.py
+++ b/hickoryweir/policy/tests/test_prefill_interference.py
@@ -63,6 +63,40 @@
     assert refused[1] < 1 / 12
 
 
+def test_burst_of_sensitive_streams_gets_more_servers():
+    """Plays chats at four times their usual rate beside a steady load of summaries."""
+    chat, summary = engine_simulation.make_routes(
+        ("chat", 0, 0.5, 0.4), ("summary", 2, 2.0, 1.5)
+    )
+    engines = engine_simulation.EngineModel(48_200.0, 0.0026, 0.00015, 7, 0.002)
+    loads = [
+        engine_simulation.Load(chat, 25.0, 1_110, 350, 80, 25, 4.0, (3.0, 9.0)),
+        engine_simulation.Load(summary, 10.0, 3_720, 13_300, 70, 17),
+    ]
+    streams = engine_simulation.run(loads, engines, 13, 12.0, 3)
+    chats, summaries = (
+        engine_simulation.share_on_time(streams, route.name)
+        for route in (chat, summary)
+    )
+    assert chats >= summaries - ORDER_MARGIN
+    in_burst = [item for item in streams if 4.0 < item.arrived_s < 9.0]
+    least_count = round(prefill_interference.QUIET_SHARE_MIN * 13)
+    assert len(engine_simulation.count_by_server(in_burst, "chat")) > least_count
+
+
+def test_quiet_set_keeps_its_size_between_the_limits():
+    quiet = prefill_interference.QuietSet(2, 0.0)
+    counts = (16, 16, 40, 40, 40, 40, 40, 40)
+    assert prefill_interference.resize_quiet_set(quiet, counts, 64, 9.0) == quiet
+
+
+def test_quiet_set_never_exceeds_its_largest_share():
+    quiet = prefill_interference.QuietSet()
+    for number in range(100):
+        quiet = prefill_interference.resize_quiet_set(quiet, (64,) * 20, 64, number)
+    assert quiet.servers_count == 20 * prefill_interference.QUIET_SHARE_MAX
+
+
 def test_streams_with_a_pause_target_near_a_full_pause_are_sensitive():
     assert find_sensitive_names(ROUTES, 4) == {"narrative"}
 
--- a/hickoryweir/policy/tests/test_prompt_placement.py
+++ b/hickoryweir/policy/tests/test_prompt_placement.py
@@ -279,3 +279,17 @@
     short = choose(candidates(), tokens=1_500, shared=350).server_id
     crowded = candidates(**{short: {"is_full": True}})
     assert choose(crowded, tokens=1_500, shared=350).server_id in long_names()
+
+
+def test_new_server_does_not_become_a_quiet_one():
+    quiet = choose(candidates(), tokens=1_500, shared=350).server_id
+    others_started = {name: {"started_at_ms": 2_000} for name in NAMES if name != quiet}
+    servers = candidates(**{quiet: {"started_at_ms": 1_000}}, **others_started)
+    added = [
+        prompt_placement.Candidate(f"new{number}", 0, started_at_ms=3_000 + number)
+        for number in range(4)
+    ]
+    chosen = choose(servers + added[:1], tokens=1_500, shared=350).server_id
+    assert chosen == quiet
+    crowded = choose(servers + added, tokens=1_500, shared=350).server_id
+    assert crowded not in {item.server_id for item in added}
