Close a replaced channel to a replica; set SIGHUP's disposition in its test

"Task was destroyed but it is pending" of Channel._read at each start of the replicas: a replica that asks for admission replaced its open channel to itself, and nothing held the old one. The channel is kept where the address is the same, else closed.

test_long_running_commands_hold_signals_before_imports failed whenever the tests were started with SIGHUP ignored (nohup): the program inherits that. It restores the default now, and the test runs with both dispositions.

Both tests failed before.

--- a/hickoryweir/entry/tests/test_early_signals.py
+++ b/hickoryweir/entry/tests/test_early_signals.py
@@ -1,5 +1,6 @@
 """Signals that arrive while a process starts."""
 
+import signal
 import subprocess
 import sys
 
@@ -33,9 +34,11 @@
 
 
 # The command line, which is slow to import, is replaced by a stub that prints
-# whether SIGHUP is ignored.
+# whether SIGHUP is ignored.  A program that is started with SIGHUP ignored, as by
+# nohup, inherits that, so the default is restored first.
 COMMAND = """
 import runpy, signal, sys, types
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
 tell = lambda: print(signal.getsignal(signal.SIGHUP) == signal.SIG_IGN)
 stub = types.ModuleType("hickoryweir.cli")
 stub.main = types.SimpleNamespace(main=tell)
@@ -45,10 +48,21 @@
 """
 
 
+@pytest.fixture(params=[signal.SIG_DFL, signal.SIG_IGN])
+def inherited_sighup(request):
+    """Set the disposition of SIGHUP that started programs inherit."""
+    former = signal.signal(signal.SIGHUP, request.param)
+    yield request.param
+    signal.signal(signal.SIGHUP, former)
+
+
 @pytest.mark.parametrize(
     ("command", "holds"), [("forward", True), ("serve", True), ("load", False)]
 )
-def test_long_running_commands_hold_signals_before_imports(command, holds):
+def test_long_running_commands_hold_signals_before_imports(
+    command, holds, inherited_sighup
+):
+    assert signal.getsignal(signal.SIGHUP) == inherited_sighup
     ended = subprocess.run(
         [sys.executable, "-c", COMMAND.format(command=command)],
         capture_output=True,
--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -82,6 +82,7 @@
         self._files = files
         self._group = group
         self._channels: dict[str, channels.Channel] = {}
+        self._closing_tasks: set[asyncio.Task] = set()
         self._poll_task: asyncio.Task | None = None
         self._probe_task: asyncio.Task | None = None
         self._leader_check_task: asyncio.Task | None = None
@@ -211,7 +212,7 @@
         running = [task for task in tasks if task is not None]
         for task in running:
             task.cancel()
-        await asyncio.gather(*running, return_exceptions=True)
+        await asyncio.gather(*running, *self._closing_tasks, return_exceptions=True)
         await asyncio.gather(*[item.close() for item in self._channels.values()])
 
     async def _change(
@@ -336,6 +337,14 @@
         )
 
     def _add_channel(self, replica: wire.ReplicaAddress) -> channels.Channel:
+        """Return the channel to a replica; one to a former address is closed."""
+        former = self._channels.get(replica.name)
+        if former is not None and former.replica == replica:
+            return former
+        if former is not None:
+            closing = asyncio.create_task(former.close())
+            self._closing_tasks.add(closing)
+            closing.add_done_callback(self._closing_tasks.discard)
         channel = channels.Channel(
             self._identity, replica, self._files, self._group, CONNECT_TIMEOUT_S
         )
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import dataclasses
+import gc
 import pathlib
 
+import pytest
 from returns import result
 
 from hickoryweir.replicas import client, node, reachability, records, replacement
@@ -293,3 +295,25 @@
             return (await damaged.start()).failure().problem
 
     assert run(scenario()) is records.Problem.DAMAGED
+
+
+@pytest.mark.parametrize("moves", [False, True])
+def test_repeated_admission_leaves_no_task_behind(tmp_path, moves):
+    problems = []
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: problems.append(context))
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            address = replicas["a"].address
+            await router.add_learner(address, 0.5)
+            if moves:
+                (closed_port,) = register.reserve_ports(1)
+                address = dataclasses.replace(address, port=closed_port)
+            await router.add_learner(address, 0.5)
+            gc.collect()
+            await asyncio.sleep(0)
+
+    run(scenario())
+    gc.collect()
+    assert problems == []
