--- a/hickoryweir/routes/model.py
+++ b/hickoryweir/routes/model.py
@@ -24,7 +24,7 @@
     """A service with its weight among a route's services."""
 
     service_name: str
-    weight: int
+    weight: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
