Avoid servers and zones that can't be reached until a probe reaches them

A failed connection now marks its server until a background probe connects, and two servers of another zone within 2 s mark that zone. The connect timeout falls to 0.25 s.

Left: what was sent over kept connections before the first failure.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -12,7 +12,7 @@
 from hickoryweir.engines import sessions
 from hickoryweir.entry import adapters, metrics_port, settings
 from hickoryweir.feeds import messages, subscriber
-from hickoryweir.forwarding import contexts, server, server_pool, sockets
+from hickoryweir.forwarding import contexts, probing, server, server_pool, sockets
 from hickoryweir.observability import logs
 from hickoryweir.policy import crash_counts, retry_budget
 from hickoryweir.replicas import client, wire
@@ -93,6 +93,7 @@
             asyncio.create_task(self._load_initial_table()),
             asyncio.create_task(self._monitor_list()),
             asyncio.create_task(self._send_loads()),
+            asyncio.create_task(probing.run(self.forwarder)),
         ]
         logs.info("serving", logs.Fields(detail=f"router at {host}:{port}"))
         await stop.wait()
--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -16,8 +16,8 @@
 
 # Closing the connection is cheaper than reading a larger response.
 MAX_BUFFERED_RESPONSE_SIZE_BYTES = 4 * 1024 * 1024
-# Allows for a second round trip; a server that takes longer to connect is failing.
-CONNECT_TIMEOUT_S = 0.4
+# Many round trips; a lost packet is sent again only later, so waiting gains nothing.
+CONNECT_TIMEOUT_S = 0.25
 # A refusal's body is short and arrives with its head, so a longer wait gains nothing.
 DRAIN_TIMEOUT_S = 0.05
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -275,7 +275,7 @@
         case exchange.NotSent():
             context.sent_count -= 1
             context.unsent_count += 1
-            server_pool.record_failure(view, now_s)
+            _record_unreachable(context, view, now_s)
             return errors.Reason.SERVER_UNREACHABLE
         case exchange.NotRun():
             if outcome.metadata.is_misdirected:
@@ -291,6 +291,21 @@
             return await responses.forward_response(context, view, outcome)
 
 
+def _record_unreachable(
+    context: contexts.RequestContext, view: server_pool.ServerView, now_s: float
+) -> None:
+    forwarder = context.forwarder
+    was_unreachable = view.is_unreachable
+    zones = server_pool.record_unreachable(
+        forwarder.pool, view, forwarder.settings.availability_zone, now_s
+    )
+    if was_unreachable:
+        return
+    detail = f"avoids zones {', '.join(sorted(zones))}" if zones else None
+    fields = logs.Fields(backend_server=view.listed.server_id, detail=detail)
+    logs.warning("server can't be reached", fields)
+
+
 async def _send(
     context: contexts.RequestContext,
     session: aiohttp.ClientSession,
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -4,12 +4,13 @@
 """
 
 import dataclasses
+import random
 from collections.abc import Iterable
 
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages
 from hickoryweir.forwarding import header_codec
-from hickoryweir.policy import grey_servers
+from hickoryweir.policy import grey_servers, unreachable_servers
 
 # A restart takes seconds; half a second is enough after a mere connection reset.
 SUSPECT_MIN_S = 0.5
@@ -51,6 +52,12 @@
         Own requests there, by attempt number.
     suspect_until_s : float
         Until when the server is avoided after failures.
+    is_unreachable : bool
+        Whether the server is avoided until a probe reaches it.
+    probes_count : int
+        Failed probes since it became unreachable.
+    next_probe_s : float
+        When the next probe is due.
     parts : dict
         Time of the last use of prompt parts sent there, by part id, least recent first.
     parts_announced_s : dict
@@ -70,6 +77,9 @@
     in_flight: dict[int, InFlightRequest] = dataclasses.field(default_factory=dict)
     failures_count: int = 0
     suspect_until_s: float = 0.0
+    is_unreachable: bool = False
+    probes_count: int = 0
+    next_probe_s: float = 0.0
     parts: dict[str, float] = dataclasses.field(default_factory=dict)
     parts_announced_s: dict[str, float] = dataclasses.field(default_factory=dict)
     unannounced_parts: dict[str, None] = dataclasses.field(default_factory=dict)
@@ -89,6 +99,9 @@
     servers: dict[str, ServerView] = dataclasses.field(default_factory=dict)
     by_service: dict[str, list[ServerView]] = dataclasses.field(default_factory=dict)
     by_address: dict[str, ServerView] = dataclasses.field(default_factory=dict)
+    connect_failures: list[unreachable_servers.Failure] = dataclasses.field(
+        default_factory=list
+    )
 
 
 def update_servers(pool: Pool, found: listing.ServerList) -> None:
@@ -131,6 +144,67 @@
     """Reset the backoff of earlier failures."""
     view.failures_count = 0
     view.suspect_until_s = 0.0
+    view.is_unreachable = False
+
+
+def record_unreachable(
+    pool: Pool, view: ServerView, own_zone: str, now_s: float
+) -> frozenset[str]:
+    """Avoid a server, and the zone that seems cut off, until probes reach them.
+
+    Returns
+    -------
+    frozenset of str
+        The zones whose servers are avoided by this failure.
+    """
+    listed = view.listed
+    failure = unreachable_servers.Failure(
+        listed.server_id, listed.availability_zone, now_s
+    )
+    oldest_s = now_s - unreachable_servers.WINDOW_S
+    recent = [item for item in pool.connect_failures if item.at_s >= oldest_s]
+    pool.connect_failures = [*recent, failure]
+    zones = unreachable_servers.find_partitioned_zones(
+        pool.connect_failures, own_zone, now_s
+    )
+    _mark_unreachable(view, now_s)
+    for other in pool.servers.values():
+        if other.listed.availability_zone in zones:
+            _mark_unreachable(other, now_s)
+    return zones
+
+
+def _mark_unreachable(view: ServerView, now_s: float) -> None:
+    if not view.is_unreachable:
+        view.is_unreachable = True
+        view.probes_count = 0
+        view.next_probe_s = now_s
+
+
+def due_probes(pool: Pool, now_s: float) -> list[ServerView]:
+    """Return the unreachable servers whose next probe is due."""
+    return [
+        view
+        for view in pool.servers.values()
+        if view.is_unreachable and view.next_probe_s <= now_s
+    ]
+
+
+def record_failed_probe(
+    view: ServerView, now_s: float, generator: random.Random
+) -> None:
+    """Schedule the next probe of a server."""
+    view.next_probe_s = unreachable_servers.next_probe_s(
+        view.probes_count, now_s, generator
+    )
+    view.probes_count += 1
+
+
+def record_reachable(view: ServerView) -> None:
+    """Give a server requests again."""
+    view.is_unreachable = False
+    view.failures_count = 0
+    view.suspect_until_s = 0.0
 
 
 def requests_count(view: ServerView, now_s: float) -> int:
--- a/hickoryweir/forwarding/server_selection.py
+++ b/hickoryweir/forwarding/server_selection.py
@@ -85,7 +85,9 @@
         backlog_tokens_count=server_pool.backlog_tokens_count(view, now_s),
         cached_tokens_count=server_pool.cached_tokens_count(view, parts),
         is_full=_is_full(view.listed.slots_count, requests_count),
-        is_suspect=view.suspect_until_s > now_s or view.listed.server_id in outlier_ids,
+        is_suspect=view.is_unreachable
+        or view.suspect_until_s > now_s
+        or view.listed.server_id in outlier_ids,
         is_near=view.listed.availability_zone == zone,
         started_at_ms=view.listed.started_at_ms,
     )
--- a/hickoryweir/forwarding/tests/test_server_pool.py
+++ b/hickoryweir/forwarding/tests/test_server_pool.py
@@ -1,6 +1,7 @@
 """Tests of a router's view of the backend servers."""
 
 import dataclasses
+import random
 
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages
@@ -121,3 +122,59 @@
     assert view.suspect_until_s > first_s
     server_pool.record_success(view)
     assert view.suspect_until_s == 0.0
+
+
+def make_zoned_pool():
+    return make_pool(
+        *(
+            dataclasses.replace(SERVER, server_id=name, availability_zone=zone)
+            for name, zone in (("s1", "a"), ("n1", "b"), ("n2", "b"), ("n3", "b"))
+        )
+    )
+
+
+def unreachable_ids(pool):
+    return {name for name, view in pool.servers.items() if view.is_unreachable}
+
+
+def test_one_unreachable_server_does_not_mark_its_zone():
+    pool, _ = make_zoned_pool()
+    server_pool.record_unreachable(pool, pool.servers["n1"], "a", 1.0)
+    assert unreachable_ids(pool) == {"n1"}
+
+
+def test_two_unreachable_servers_mark_their_zone():
+    pool, _ = make_zoned_pool()
+    server_pool.record_unreachable(pool, pool.servers["n1"], "a", 1.0)
+    server_pool.record_unreachable(pool, pool.servers["n2"], "a", 1.4)
+    assert unreachable_ids(pool) == {"n1", "n2", "n3"}
+
+
+def test_own_zone_is_never_marked_as_a_whole():
+    pool, _ = make_zoned_pool()
+    server_pool.record_unreachable(pool, pool.servers["n1"], "b", 1.0)
+    server_pool.record_unreachable(pool, pool.servers["n2"], "b", 1.4)
+    assert unreachable_ids(pool) == {"n1", "n2"}
+
+
+def test_failures_long_apart_do_not_mark_the_zone():
+    pool, _ = make_zoned_pool()
+    server_pool.record_unreachable(pool, pool.servers["n1"], "a", 1.0)
+    server_pool.record_reachable(pool.servers["n1"])
+    server_pool.record_unreachable(pool, pool.servers["n2"], "a", 9.0)
+    assert unreachable_ids(pool) == {"n2"}
+
+
+def test_probes_of_an_unreachable_server_back_off():
+    pool, view = make_zoned_pool()
+    server_pool.record_unreachable(pool, view, "a", 1.0)
+    assert server_pool.due_probes(pool, 1.0) == [view]
+    generator, now_s, waits_s = random.Random(1), 1.0, []
+    for _ in range(8):
+        server_pool.record_failed_probe(view, now_s, generator)
+        waits_s.append(view.next_probe_s - now_s)
+        now_s = view.next_probe_s
+    assert waits_s[0] < 0.5
+    assert 1.0 < waits_s[-1] < 3.0
+    server_pool.record_reachable(view)
+    assert server_pool.due_probes(pool, now_s) == []
--- /dev/null
+++ b/hickoryweir/policy/unreachable_servers.py
@@ -0,0 +1,68 @@
+"""Servers that can't be reached, and the network partitions that explain them.
+
+Handles a partition between availability zones that drops packets silently.  Each
+server behind it costs a request the connect timeout, so a router that tries them one
+after the other serves little until it has tried all, and again whenever it retries
+them.  Failed connections to two servers of another zone within a short time therefore
+mark all servers of that zone.  Marked servers get no requests while there are others;
+they are probed in the background, so that no request pays for finding out that the
+partition has ended, and a wrong conclusion is corrected by the first probe.
+"""
+
+import dataclasses
+import random
+
+# Fewer servers may have crashed independently.
+MIN_SERVERS_COUNT = 2
+# Requests to several servers meet a partition within this time.
+WINDOW_S = 2.0
+# A probe fails after the time in which a server at another zone answers twice.
+PROBE_TIMEOUT_S = 0.25
+# The first probe follows at once, to correct a wrong conclusion about a zone.
+PROBE_INTERVAL_MIN_S = 0.25
+PROBE_INTERVAL_MAX_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """A connection to a server that could not be established."""
+
+    server_id: str
+    availability_zone: str
+    at_s: float
+
+
+def find_partitioned_zones(
+    failures: list[Failure], own_zone: str, now_s: float
+) -> frozenset[str]:
+    """Return the other zones that can't be reached, judging by recent failures.
+
+    Examples
+    --------
+    >>> failures = [Failure("a", "north", 0.0), Failure("b", "north", 0.4)]
+    >>> find_partitioned_zones(failures, "south", 0.5)
+    frozenset({'north'})
+    >>> find_partitioned_zones(failures, "north", 0.5)
+    frozenset()
+    >>> find_partitioned_zones(failures[:1], "south", 0.5)
+    frozenset()
+    """
+    servers_by_zone: dict[str, set[str]] = {}
+    for failure in failures:
+        if now_s - failure.at_s <= WINDOW_S:
+            servers = servers_by_zone.setdefault(failure.availability_zone, set())
+            servers.add(failure.server_id)
+    return frozenset(
+        zone
+        for zone, servers in servers_by_zone.items()
+        if zone != own_zone and len(servers) >= MIN_SERVERS_COUNT
+    )
+
+
+def next_probe_s(probes_count: int, now_s: float, generator: random.Random) -> float:
+    """Return the time of the next probe, with exponential backoff and jitter.
+
+    The jitter keeps many routers from probing a server at the same moment.
+    """
+    interval_s = min(PROBE_INTERVAL_MIN_S * 2**probes_count, PROBE_INTERVAL_MAX_S)
+    return now_s + interval_s * generator.uniform(0.7, 1.3)
