--- a/hickoryweir/testing/demo/entry_vms.py
+++ b/hickoryweir/testing/demo/entry_vms.py
@@ -1,6 +1,7 @@
 """Entry VMs on loopback: their settings files and processes."""
 
 import dataclasses
+import fcntl
 import hashlib
 import itertools
 import pathlib
@@ -9,13 +10,17 @@
 import socket
 import subprocess
 import sys
+import tempfile
 from collections.abc import Callable
+from typing import TextIO
 
 HOST = "127.0.0.1"
 OPERATOR_KEY = "demo-operator"
 STOP_TIMEOUT_S = 30.0
 BALANCER_LAG_S = 0.2
 DRAIN_LIMIT_S = 20.0
+# Names a lock file for each port that some process has reserved.
+LOCK_FOLDER = pathlib.Path(tempfile.gettempdir(), "hickoryweir-ports")
 LOWEST_PORT = 12_000
 HIGHEST_PORT = 32_000
 FIRST_CANDIDATE_PORT = random.randrange(LOWEST_PORT, HIGHEST_PORT)
@@ -67,6 +72,30 @@
     process: subprocess.Popen
 
 
+# Open lock files of the ports that this process has reserved.
+_port_locks: list[TextIO] = []
+
+
+def reserve(port: int, folder: pathlib.Path = LOCK_FOLDER) -> bool:
+    """Reserve a free port until this process ends; return whether it was possible.
+
+    The lock keeps other processes that use this function from taking the port before
+    the entry VM has bound it.
+    """
+    folder.mkdir(exist_ok=True)
+    lock = (folder / str(port)).open("w")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        lock.close()
+        return False
+    if not is_free(port):
+        lock.close()
+        return False
+    _port_locks.append(lock)
+    return True
+
+
 def is_free(port: int) -> bool:
     """Return whether a loopback port can be bound."""
     with socket.socket() as probe:
@@ -79,14 +108,14 @@
 
 
 def free_port(preferred: int = 0) -> int:
-    """Return the preferred port if it is free, else another free port.
+    """Reserve and return the preferred port if it is free, else another free port.
 
     The other ports lie below the system's ephemeral port range, and none of them is
     returned twice in a process.
     """
-    if preferred and is_free(preferred):
+    if preferred and reserve(preferred):
         return preferred
-    return next(port for port in CANDIDATE_PORTS if is_free(port))
+    return next(port for port in CANDIDATE_PORTS if reserve(port))
 
 
 def make_entry_vms(
--- a/hickoryweir/testing/demo/main.py
+++ b/hickoryweir/testing/demo/main.py
@@ -29,7 +29,7 @@
 SEED = 7
 # Exit code that shells report for a process terminated by SIGTERM.
 EXIT_TERMINATED = 128 + signal.SIGTERM
-SUBMIT_ATTEMPTS_COUNT = 60
+SUBMIT_ATTEMPTS_COUNT = 120
 SUBMIT_INTERVAL_S = 0.25
 
 
