Open a router's port before its slow imports

The port is opened first now; the kernel accepts connections, which are served once the imports are done. Weighed: a single router that restarts refused at once before, so that its client retried at another one, and holds the request for up to a second now; all routers starting at once is the heavier case, and the balancer leaves a stopped router out.

--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -6,11 +6,11 @@
 
 from aiohttp import http_exceptions, web
 
+from hickoryweir import early_listener
 from hickoryweir.forwarding import contexts, errors, forwarder
 from hickoryweir.observability import logs
 from hickoryweir.routes import model
 
-BACKLOG_COUNT = 1_024
 # Used until a table is in force; clients reuse connections that were idle for less.
 DEFAULT_IDLE_TIMEOUT_S = 15.0
 MAX_HEADER_SIZE_BYTES = 16 * 1024
@@ -86,7 +86,7 @@
 
 
 async def start(router: contexts.Forwarder, host: str, port: int) -> RunningServer:
-    """Listen for clients.
+    """Listen for clients, on the listener that was opened early if there is one.
 
     Raises
     ------
@@ -130,9 +130,15 @@
             lingering_time=0,
         )
 
-    listener = await loop.create_server(
-        make_connection, host, port, backlog=BACKLOG_COUNT
-    )
+    early = early_listener.take(host, port)
+    if early is None:
+        listener = await loop.create_server(
+            make_connection, host, port, backlog=early_listener.BACKLOG_COUNT
+        )
+    else:
+        listener = await loop.create_server(
+            make_connection, sock=early, backlog=early_listener.BACKLOG_COUNT
+        )
     header_watcher = asyncio.create_task(_close_slow_clients(router, server))
     return RunningServer(server, listener, open_requests, header_watcher)
 
--- /dev/null
+++ b/hickoryweir/forwarding/tests/test_early_listener.py
@@ -0,0 +1,70 @@
+"""Clients that connect before a router has finished its imports."""
+
+import asyncio
+import socket
+
+import pytest
+
+from hickoryweir import early_listener
+from hickoryweir.forwarding import server
+from hickoryweir.forwarding.tests import sites
+from hickoryweir.routes.tests import tables
+from hickoryweir.testing.demo import entry_vms
+
+
+def write_settings(folder, text):
+    path = folder / "settings.ini"
+    path.write_text(text)
+    return path
+
+
+def test_request_sent_before_the_router_serves_is_answered(tmp_path):
+    port = entry_vms.free_port()
+    path = write_settings(tmp_path, f"[ports]\nclients = {sites.HOST}:{port}\n")
+
+    async def main():
+        early_listener.open_from(path)
+        reader, writer = await asyncio.open_connection(sites.HOST, port)
+        writer.write(b"GET /none/ HTTP/1.1\r\nHost: site.example\r\n\r\n")
+        forwarder = sites.make_forwarder((tables.make_route(),))
+        forwarder.started.set()
+        running = await server.start(forwarder, sites.HOST, port)
+        status_line = await reader.readline()
+        writer.close()
+        await server.stop(running, 0.1)
+        await forwarder.retryable_session.close()
+        await forwarder.at_most_once_session.close()
+        return status_line
+
+    assert asyncio.run(main()).startswith(b"HTTP/1.1 404")
+
+
+def test_listener_is_taken_once(tmp_path):
+    port = entry_vms.free_port()
+    path = write_settings(tmp_path, f"[ports]\nclients = {sites.HOST}:{port}\n")
+    early_listener.open_from(path)
+    listener = early_listener.take(sites.HOST, port)
+    assert listener.getsockname() == (sites.HOST, port)
+    listener.close()
+    assert early_listener.take(sites.HOST, port) is None
+
+
+@pytest.mark.parametrize(
+    "text", ["", "[ports]\nclients =\n", "[ports]\nclients = nowhere\n", "no section"]
+)
+def test_settings_without_a_valid_address_open_nothing(tmp_path, text):
+    early_listener.open_from(write_settings(tmp_path, text))
+    assert early_listener._listeners == {}
+
+
+def test_missing_settings_open_nothing(tmp_path):
+    early_listener.open_from(tmp_path / "none.ini")
+    assert early_listener._listeners == {}
+
+
+def test_address_in_use_is_left_to_the_router(tmp_path):
+    with socket.create_server((sites.HOST, 0)) as taken:
+        port = taken.getsockname()[1]
+        path = write_settings(tmp_path, f"[ports]\nclients = {sites.HOST}:{port}\n")
+        early_listener.open_from(path)
+        assert early_listener.take(sites.HOST, port) is None
