--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -150,7 +150,7 @@
 def record_unreachable(
     pool: Pool, view: ServerView, own_zone: str, now_s: float
 ) -> frozenset[str]:
-    """Avoid a server, and the zone that seems cut off, until probes reach them.
+    """Avoid a server, and a zone that seems partitioned, until probes reach them.
 
     Returns
     -------
--- a/hickoryweir/policy/prefill_interference.py
+++ b/hickoryweir/policy/prefill_interference.py
@@ -20,19 +20,19 @@
 
 from hickoryweir.routes import model
 
-# The order of magnitude of current engines, for the length of a step during prefill.
+# Order of magnitude of current engines; sets the length of a step during prefill.
 PREFILL_TOKENS_PER_S = 40_000.0
 CHUNK_TOKENS_COUNT = 2_048
 DECODE_STEP_S = 0.005
 # A batch of many requests makes a step longer than estimated here.
 PAUSE_MARGIN = 1.25
-# A shorter run of prefill ends within a pause of the usual number of steps.
+# A single chunk lengthens one step of an event, which a sensitive stream can bear.
 QUIET_RUN_TOKENS_COUNT = CHUNK_TOKENS_COUNT
 # With more requests at once, the decode steps alone use up much of a short pause.
 CROWDED_SLOTS_SHARE = 0.5
-# Far below the upper limit, so that one more or one less engine changes nothing.
+# Hysteresis: far below the upper limit, so that the number does not alternate.
 SPARSE_SLOTS_SHARE = 0.12
-# A shorter interval than a stream's length would count its streams at both engines.
+# The loads must reflect the last change before the next one is decided.
 RESIZE_INTERVAL_S = 0.3
 QUIET_SHARE_MIN = 0.2
 QUIET_SHARE_MAX = 0.35
--- a/hickoryweir/policy/prompt_placement.py
+++ b/hickoryweir/policy/prompt_placement.py
@@ -187,49 +187,81 @@
         wait_max_s,
         wait_max_s if is_small else IDLE_WAIT_S,
     )
-    is_cached = any(item.cached_tokens_count for item in ordered)
-
-    def uncached_count(position: int) -> int:
-        return max(0, prompt_tokens_count - ordered[position].cached_tokens_count)
-
-    def repeated_count(position: int) -> int:
-        if position == 0 and not is_cached:
-            # Some server must prefill the parts, and all routers choose this one.
-            return 0
-        own_count = prompt_tokens_count - shared_tokens_count
-        return max(0, uncached_count(position) - own_count)
-
-    def cost_s(position: int) -> float:
-        item = ordered[position]
-        spill_s = 0.0
-        if item.server_id not in preferred_ids:
-            spill_s = SPILL_COSTS_S[kind]
-        return (
-            (FULL_COST_S if item.is_full else 0.0)
-            + (uncached_count(position) + item.backlog_tokens_count)
-            / PREFILL_TOKENS_PER_S
-            + REPEATED_PREFILL_WEIGHT * repeated_count(position) / PREFILL_TOKENS_PER_S
-            + REQUEST_COST_S * item.requests_count
-            + ORDER_COST_S * position
-            + spill_s
-        )
-
-    def is_allowed(position: int) -> bool:
-        item = ordered[position]
-        if kind is not prefill_interference.PromptKind.TOLERANT:
-            return True
-        return (
-            item.server_id in preferred_ids
-            or prefill_interference.fits_between_events(
-                item.backlog_tokens_count, uncached_count(position)
-            )
-        )
-
-    allowed_positions = [item for item in positions if is_allowed(item)] or positions
-    best = min(allowed_positions, key=cost_s)
+    choice = _Choice(
+        tuple(ordered),
+        frozenset(preferred_ids),
+        kind,
+        prompt_tokens_count,
+        shared_tokens_count,
+    )
+    allowed_positions = [
+        position for position in positions if _is_allowed(choice, position)
+    ]
+    best = min(
+        allowed_positions or positions,
+        key=lambda position: _cost_s(choice, position),
+    )
     chosen = ordered[best]
     return Placement(
-        chosen.server_id, uncached_count(best), chosen.backlog_tokens_count
+        chosen.server_id, _uncached_count(choice, best), chosen.backlog_tokens_count
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Choice:
+    """A prompt and the servers in the order in which it prefers them."""
+
+    ordered: tuple[Candidate, ...]
+    preferred_ids: frozenset[str]
+    kind: prefill_interference.PromptKind
+    prompt_tokens_count: int
+    shared_tokens_count: int
+
+
+def _uncached_count(choice: _Choice, position: int) -> int:
+    """Return the tokens of the prompt that a server would prefill."""
+    cached_count = choice.ordered[position].cached_tokens_count
+    return max(0, choice.prompt_tokens_count - cached_count)
+
+
+def _repeated_count(choice: _Choice, position: int) -> int:
+    """Return the tokens of shared parts that a server would prefill again."""
+    is_cached = any(item.cached_tokens_count for item in choice.ordered)
+    if position == 0 and not is_cached:
+        # Some server must prefill the parts, and all routers choose this one.
+        return 0
+    own_count = choice.prompt_tokens_count - choice.shared_tokens_count
+    return max(0, _uncached_count(choice, position) - own_count)
+
+
+def _cost_s(choice: _Choice, position: int) -> float:
+    """Return the expected cost of a server, as a time."""
+    item = choice.ordered[position]
+    spill_s = 0.0
+    if item.server_id not in choice.preferred_ids:
+        spill_s = SPILL_COSTS_S[choice.kind]
+    return (
+        (FULL_COST_S if item.is_full else 0.0)
+        + (_uncached_count(choice, position) + item.backlog_tokens_count)
+        / PREFILL_TOKENS_PER_S
+        + REPEATED_PREFILL_WEIGHT
+        * _repeated_count(choice, position)
+        / PREFILL_TOKENS_PER_S
+        + REQUEST_COST_S * item.requests_count
+        + ORDER_COST_S * position
+        + spill_s
+    )
+
+
+def _is_allowed(choice: _Choice, position: int) -> bool:
+    """Return whether the prompt harms no sensitive stream at a server."""
+    item = choice.ordered[position]
+    if choice.kind is not prefill_interference.PromptKind.TOLERANT:
+        return True
+    if item.server_id in choice.preferred_ids:
+        return True
+    return prefill_interference.fits_between_events(
+        item.backlog_tokens_count, _uncached_count(choice, position)
     )
 
 
