Log what each request that a stop aborts was waiting for

The users' record of lost answers around SIGTERM has the line 'stopped with open requests' and no line that names one of them: the hypotheses H1 to H5 of docs/incidents/lost-answers-at-planned-stops.md can't be told apart. No logic of the stop is changed.

The port keeps a record of each open request. New lines: 'stop requested' (signal, repeated or not), 'port for clients closed' and 'draining' with how many requests wait for what, and 'request aborted by the stop' for each one: id, route, server, ages, time left, last event, unsent bytes, requests queued behind it. The reason 'no answer in the client's time' of an attempt that ended is now said only where the deadline has passed.

--- a/hickoryweir/entry/main.py
+++ b/hickoryweir/entry/main.py
@@ -64,7 +64,7 @@
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, _request_stop, stop, number)
     process = _make_process(entry_settings, site_adapters)
     watcher = reloading.Watcher(path, entry_settings, process.apply_settings)
     loop.add_signal_handler(signal.SIGHUP, watcher.reload_requested.set)
@@ -76,6 +76,12 @@
         await asyncio.gather(watching, return_exceptions=True)
 
 
+def _request_stop(stop: asyncio.Event, number: signal.Signals) -> None:
+    repeated = "repeated" if stop.is_set() else None
+    logs.info("stop requested", logs.Fields(reason=number.name, detail=repeated))
+    stop.set()
+
+
 def _make_process(
     entry_settings: settings.EntrySettings, site_adapters: adapters.Adapters
 ):
--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -12,7 +12,14 @@
 from hickoryweir.engines import sessions
 from hickoryweir.entry import adapters, metrics_port, settings
 from hickoryweir.feeds import messages, subscriber
-from hickoryweir.forwarding import contexts, probing, server, server_pool, sockets
+from hickoryweir.forwarding import (
+    contexts,
+    open_requests,
+    probing,
+    server,
+    server_pool,
+    sockets,
+)
 from hickoryweir.observability import logs
 from hickoryweir.policy import crash_counts, retry_budget
 from hickoryweir.replicas import client, wire
@@ -118,7 +125,9 @@
     async def _drain(self, running: server.RunningServer) -> None:
         grace_s = self._settings.shutdown.grace_s
         count = len(running.server.connections)
-        logs.info("draining", logs.Fields(detail=f"{count} connections"))
+        phases = open_requests.count_phases(running.open_requests.values())
+        detail = f"{count} connections, grace {grace_s:g} s, open: {phases}"
+        logs.info("draining", logs.Fields(detail=detail))
         self.forwarder.is_draining = True
         await asyncio.sleep(BALANCER_LAG_S)
         await server.stop(running, grace_s - BALANCER_LAG_S - CLOSE_MARGIN_S)
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -17,6 +17,7 @@
     errors,
     exchange,
     header_codec,
+    open_requests,
     requests,
     responses,
     server_pool,
@@ -48,13 +49,17 @@
 
 
 async def serve(
-    forwarder: contexts.Forwarder, request: web.BaseRequest
+    forwarder: contexts.Forwarder,
+    request: web.BaseRequest,
+    open_request: open_requests.OpenRequest,
 ) -> web.StreamResponse:
     """Return the final response to a request, which may already be partly sent."""
     metadata = forwarder.codec.parse_request(request.headers)
+    open_request.request_id = metadata.request_id
     admitted = await _admit(forwarder, request, metadata)
     if isinstance(admitted, errors.Reason):
         return _refuse(forwarder, metadata.request_id, admitted)
+    open_requests.admit(open_request, admitted)
     budget = _budget(forwarder, admitted.service_name)
     retry_budget.record_request(budget, time.monotonic())
     forwarder.metrics.open_requests.inc()
@@ -243,10 +248,9 @@
     try:
         return await _forward_once(context, view)
     except asyncio.CancelledError:
-        # The client's deadline has passed, or it has disconnected.
         waited_s = time.monotonic() - now_s
         if not context.has_response_head:
-            _log_attempt(context, view, "Ended", "no answer in the client's time")
+            _log_attempt(context, view, "Ended", _describe_end(context))
         if not context.has_response_head and next_attempts.is_unresponsive(
             context.route, waited_s
         ):
@@ -256,6 +260,15 @@
         view.in_flight.pop(number, None)
 
 
+def _describe_end(context: contexts.RequestContext) -> str:
+    """Return why an attempt was given up before its response."""
+    if context.time_left_s <= 0:
+        return "no answer in the client's time"
+    if context.forwarder.is_draining:
+        return "the client has left, or the router stops"
+    return "the client has left"
+
+
 async def _forward_once(
     context: contexts.RequestContext, view: server_pool.ServerView
 ) -> web.StreamResponse | errors.Reason:
--- /dev/null
+++ b/hickoryweir/forwarding/open_requests.py
@@ -0,0 +1,108 @@
+"""Requests that a router has read and not answered completely yet.
+
+The port for clients keeps one record per request; a stop decides from these records
+what it has to wait for and describes what it gave up on.
+"""
+
+import collections
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+from hickoryweir import clocks
+from hickoryweir.forwarding import contexts
+
+
+class Phase(enum.StrEnum):
+    """What an open request is waiting for."""
+
+    RECEIVING = "the body or a table"
+    AWAITING_RESPONSE = "a backend server's response"
+    STREAMING = "the end of the stream"
+    WRITING = "the client to read the response"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class OpenRequest:
+    """One request.
+
+    Attributes
+    ----------
+    request_id : str
+        The client's id of the request.
+    received_at_s : float
+        When its headers were read, on :func:`clocks.boottime_s`.
+    admitted_at_s : float or None
+        When it was received completely and admitted; None before.
+    context : contexts.RequestContext or None
+        State of its forwarding; None before it is admitted.
+    is_handled : bool
+        Whether the handler has returned its response.
+    """
+
+    request_id: str = ""
+    received_at_s: float = dataclasses.field(default_factory=clocks.boottime_s)
+    admitted_at_s: float | None = None
+    context: contexts.RequestContext | None = None
+    is_handled: bool = False
+
+
+def phase_of(request: OpenRequest) -> Phase:
+    """Return what a request is waiting for."""
+    if request.is_handled:
+        return Phase.WRITING
+    if request.context is None:
+        return Phase.RECEIVING
+    if request.context.stream_response is not None:
+        return Phase.STREAMING
+    return Phase.AWAITING_RESPONSE
+
+
+def admit(request: OpenRequest, context: contexts.RequestContext) -> None:
+    """Record that a request was received completely and is being forwarded."""
+    request.admitted_at_s = clocks.boottime_s()
+    request.context = context
+
+
+def count_phases(requests: Iterable[OpenRequest]) -> str:
+    """Return how many requests wait for what, for the log.
+
+    Examples
+    --------
+    >>> count_phases([OpenRequest(), OpenRequest(is_handled=True), OpenRequest()])
+    '2 wait for the body or a table, 1 wait for the client to read the response'
+    >>> count_phases([])
+    'none'
+    """
+    counts = collections.Counter(phase_of(request) for request in requests)
+    return (
+        ", ".join(
+            f"{counts[phase]} wait for {phase}" for phase in Phase if counts[phase]
+        )
+        or "none"
+    )
+
+
+def describe(request: OpenRequest, unsent_size_bytes: int, queued_count: int) -> str:
+    """Return a description of an open request for the log.
+
+    Parameters
+    ----------
+    request : OpenRequest
+        The request.
+    unsent_size_bytes : int
+        Bytes written to its connection and not sent yet.
+    queued_count : int
+        Requests that were read from its connection after it.
+    """
+    parts = [f"waits for {phase_of(request)}"]
+    context = request.context
+    if context is not None:
+        admitted_after_s = request.admitted_at_s - request.received_at_s
+        parts.append(f"admitted after {admitted_after_s:.3f} s")
+        parts.append(f"{context.time_left_s:.3f} s left")
+        if context.stream_response is not None:
+            parts.append(f"at event {context.last_event_id or 'none'}")
+    parts.append(f"{unsent_size_bytes} bytes unsent")
+    parts.append(f"{queued_count} requests queued behind it")
+    return ", ".join(parts)
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -1,13 +1,12 @@
 """The port for clients, and the readiness port for the load balancer."""
 
 import asyncio
-import collections
 import dataclasses
 
 from aiohttp import http_exceptions, web
 
-from hickoryweir import early_listener
-from hickoryweir.forwarding import contexts, errors, forwarder
+from hickoryweir import clocks, early_listener
+from hickoryweir.forwarding import contexts, errors, forwarder, open_requests
 from hickoryweir.observability import logs
 from hickoryweir.routes import model
 
@@ -39,6 +38,18 @@
         self.is_serving = False
         self.head_started_s: float | None = None
 
+    @property
+    def unsent_size_bytes(self) -> int:
+        """Return the size of what was written and not passed to the kernel yet."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
+    @property
+    def queued_requests_count(self) -> int:
+        """Return how many requests were read that no handler has started on."""
+        return len(self._messages)
+
     def data_received(self, data: bytes) -> None:
         """Record when a request's headers begin."""
         if not self.is_serving and self.head_started_s is None:
@@ -77,11 +88,11 @@
 
 @dataclasses.dataclass(slots=True)
 class RunningServer:
-    """A listening server; `open_requests` counts requests by connection."""
+    """A listening server, with the open request of each connection that has one."""
 
     server: web.Server
     listener: asyncio.Server
-    open_requests: collections.Counter
+    open_requests: dict[ClientConnection, open_requests.OpenRequest]
     header_watcher: asyncio.Task
 
 
@@ -94,7 +105,7 @@
         The address is in use.
     """
     loop = asyncio.get_running_loop()
-    open_requests: collections.Counter = collections.Counter()
+    open_by_connection: dict[ClientConnection, open_requests.OpenRequest] = {}
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
@@ -102,15 +113,20 @@
             # The request was read in the loop iteration in which the server stopped;
             # if it were forwarded, its response could not be delivered.
             raise ConnectionError("the connection is closing")
-        open_requests[connection] += 1
+        open_request = open_requests.OpenRequest()
+        open_by_connection[connection] = open_request
         connection.is_serving, connection.head_started_s = True, None
         try:
-            return await forwarder.serve(router, request)
+            return await forwarder.serve(router, request, open_request)
         finally:
-            connection.is_serving = False
+            connection.is_serving, open_request.is_handled = False, True
             # aiohttp writes a plain response after the handler has returned.
             loop.call_later(
-                WRITE_MARGIN_S, _request_finished, open_requests, connection
+                WRITE_MARGIN_S,
+                _request_finished,
+                open_by_connection,
+                connection,
+                open_request,
             )
 
     server = web.Server(handle, handler_cancellation=True)
@@ -140,7 +156,7 @@
             make_connection, sock=early, backlog=early_listener.BACKLOG_COUNT
         )
     header_watcher = asyncio.create_task(_close_slow_clients(router, server))
-    return RunningServer(server, listener, open_requests, header_watcher)
+    return RunningServer(server, listener, open_by_connection, header_watcher)
 
 
 async def _close_slow_clients(router: contexts.Forwarder, server: web.Server) -> None:
@@ -160,11 +176,12 @@
 
 
 def _request_finished(
-    open_requests: collections.Counter, connection: ClientConnection
+    open_by_connection: dict[ClientConnection, open_requests.OpenRequest],
+    connection: ClientConnection,
+    finished: open_requests.OpenRequest,
 ) -> None:
-    open_requests[connection] -= 1
-    if not open_requests[connection]:
-        del open_requests[connection]
+    if open_by_connection.get(connection) is finished:
+        del open_by_connection[connection]
 
 
 async def start_readiness(router: contexts.Forwarder, host: str, port: int) -> int:
@@ -198,6 +215,8 @@
     """
     running.listener.close()
     running.header_watcher.cancel()
+    phases = open_requests.count_phases(running.open_requests.values())
+    logs.info("port for clients closed", logs.Fields(detail=f"open: {phases}"))
     for connection in list(running.server.connections):
         if connection in running.open_requests:
             connection.close()
@@ -209,8 +228,32 @@
         if not running.open_requests or loop.time() >= end_s:
             break
         await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+    if running.open_requests:
+        _log_aborted(running.open_requests)
     for connection in list(running.server.connections):
         connection.force_close()
-    if running.open_requests:
-        fields = logs.Fields(detail=f"{len(running.open_requests)} requests aborted")
-        logs.warning("stopped with open requests", fields)
+
+
+def _log_aborted(
+    open_by_connection: dict[ClientConnection, open_requests.OpenRequest],
+) -> None:
+    """Log each request whose connection the stop closes without a whole response."""
+    now_s = clocks.boottime_s()
+    for connection, request in open_by_connection.items():
+        context = request.context
+        placement = None if context is None else context.placement
+        fields = logs.Fields(
+            request_id=request.request_id or None,
+            class_name=None if context is None else context.route.name,
+            backend_server=None if placement is None else placement.server_id,
+            attempt=None if context is None else context.sent_count,
+            duration_s=round(now_s - request.received_at_s, 4),
+            detail=open_requests.describe(
+                request,
+                connection.unsent_size_bytes,
+                connection.queued_requests_count,
+            ),
+        )
+        logs.warning("request aborted by the stop", fields)
+    fields = logs.Fields(detail=f"{len(open_by_connection)} requests aborted")
+    logs.warning("stopped with open requests", fields)
--- a/hickoryweir/forwarding/tests/test_server.py
+++ b/hickoryweir/forwarding/tests/test_server.py
@@ -5,7 +5,7 @@
 import aiohttp
 import uvloop
 
-from hickoryweir.forwarding import server
+from hickoryweir.forwarding import headers, server
 from hickoryweir.forwarding.tests import sites
 
 HOST = sites.HOST
@@ -87,3 +87,27 @@
     # uvloop as in production: its order of events exposes the fault.
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         assert runner.run(main()) == 1
+
+
+def test_stop_logs_each_aborted_request_and_what_it_waits_for(caplog):
+    async def silent(request, body):
+        await asyncio.sleep(sites.WAIT_S)
+
+    async def main():
+        async with sites.run_site([silent]) as site:
+            call = asyncio.create_task(site.call(given={headers.REQUEST_ID: "r-7"}))
+            await sites.wait_until(lambda: site.backends[0].seen)
+            await server.stop(site.running, 0.1)
+            await asyncio.gather(call, return_exceptions=True)
+
+    with caplog.at_level("INFO"):
+        asyncio.run(main())
+    entries = [record.args[0] for record in caplog.records if record.args]
+    aborted = [
+        entry.fields
+        for entry in entries
+        if entry.message == "request aborted by the stop"
+    ]
+    assert [fields.request_id for fields in aborted] == ["r-7"]
+    assert aborted[0].backend_server == "s0"
+    assert "waits for a backend server's response" in aborted[0].detail
