Reproduce: a stop closes unanswered requests without an answer (known red)

What a caller sees: the connection ends without a byte 7.4 s after SIGTERM, although the request was read whole and its deadline is later.

--- a/hickoryweir/forwarding/tests/test_server.py
+++ b/hickoryweir/forwarding/tests/test_server.py
@@ -111,3 +111,38 @@
     assert [fields.request_id for fields in aborted] == ["r-7"]
     assert aborted[0].backend_server == "s0"
     assert "waits for a backend server's response" in aborted[0].detail
+
+
+def test_stop_answers_a_request_that_no_server_has_answered():
+    async def silent(request, body):
+        await asyncio.sleep(sites.WAIT_S)
+
+    async def main():
+        async with sites.run_site([silent]) as site:
+            call = asyncio.create_task(site.call())
+            await sites.wait_until(lambda: site.backends[0].seen)
+            await server.stop(site.running, 0.5)
+            return await call
+
+    status, given, body = asyncio.run(main())
+    assert (status, body) == (502, b"stopping\n")
+    assert given["Connection"] == "close"
+
+
+def test_stop_answers_a_request_whose_body_is_incomplete():
+    head = "POST /chat/x HTTP/1.1\r\nHost: site.example\r\nContent-Length: 9\r\n\r\n"
+
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(f"{head}half".encode())
+            await sites.wait_until(lambda: site.running.open_requests)
+            await server.stop(site.running, 0.5)
+            response = await reader.read()
+            writer.close()
+            return response, site.forwarder.last_attempt_number
+
+    response, attempts_count = asyncio.run(main())
+    assert response.startswith(b"HTTP/1.1 503 ")
+    assert b"\r\nRetry-After: " in response
+    assert attempts_count == 0
