Reproduce: a body that arrives after the port closed is discarded (known red)

What a caller sees: the request is sent whole, and 7.4 s after SIGTERM its connection ends without an answer. The stop calls close() on the connections with an open request when it closes the port, 2.6 s after the signal; aiohttp then ignores what such a connection receives, so a body that is still on its way never becomes complete and its handler waits until the stop closes the connection. No log line names such a request, as in the users' record.

--- a/hickoryweir/forwarding/tests/test_server.py
+++ b/hickoryweir/forwarding/tests/test_server.py
@@ -146,3 +146,24 @@
     assert response.startswith(b"HTTP/1.1 503 ")
     assert b"\r\nRetry-After: " in response
     assert attempts_count == 0
+
+
+def test_body_that_arrives_after_the_port_closed_is_read():
+    head = "POST /chat/x HTTP/1.1\r\nHost: site.example\r\nContent-Length: 9\r\n\r\n"
+
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(f"{head}half".encode())
+            await sites.wait_until(lambda: site.running.open_requests)
+            stopping = asyncio.create_task(server.stop(site.running, 1.0))
+            await sites.wait_until(lambda: not site.running.listener.is_serving())
+            writer.write(b" more")
+            response = await reader.read()
+            writer.close()
+            await stopping
+            return response, [body for _, body in site.backends[0].seen]
+
+    response, bodies = asyncio.run(main())
+    assert response.startswith(b"HTTP/1.1 200 ")
+    assert bodies == [b"half more"]
