Receive and answer what was read in part when the port closes

Cause: the stop called aiohttp's close() on each connection with an open request. A connection closed so ignores what it receives, so the rest of a body was discarded and its handler waited in vain until the stop closed the connection. The window is the time that a body takes to arrive; history-digest has the largest ones.

The stop no longer closes connections with a request, even one read in part. Every response of a stopping router says 'Connection: close' (refusals before the admission did not), and connections are closed as soon as they are idle, also those accepted while the port closes.

--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -54,6 +54,17 @@
     open_request: open_requests.OpenRequest,
 ) -> web.StreamResponse:
     """Return the final response to a request, which may already be partly sent."""
+    response = await _serve(forwarder, request, open_request)
+    if forwarder.is_draining:
+        response.force_close()
+    return response
+
+
+async def _serve(
+    forwarder: contexts.Forwarder,
+    request: web.BaseRequest,
+    open_request: open_requests.OpenRequest,
+) -> web.StreamResponse:
     metadata = forwarder.codec.parse_request(request.headers)
     open_request.request_id = metadata.request_id
     admitted = await _admit(forwarder, request, metadata)
@@ -65,14 +76,11 @@
     forwarder.metrics.open_requests.inc()
     try:
         async with asyncio.timeout(admitted.time_left_s):
-            response = await _attempt_all(admitted)
+            return await _attempt_all(admitted)
     except TimeoutError:
-        response = _deadline_failure(admitted)
+        return _deadline_failure(admitted)
     finally:
         forwarder.metrics.open_requests.dec()
-    if forwarder.is_draining:
-        response.force_close()
-    return response
 
 
 async def _admit(
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -27,17 +27,30 @@
     ----------
     is_serving : bool
         Whether the handler of a request is running.
+    has_received : bool
+        Whether any byte was received.
     head_started_s : float or None
-        Loop time of the first byte of headers that are still incomplete.
+        Loop time of the first byte of a request that no handler has started on.
     """
 
-    __slots__ = ("head_started_s", "is_serving")
+    __slots__ = ("has_received", "head_started_s", "is_serving")
 
     def __init__(self, *arguments, **options) -> None:
         super().__init__(*arguments, **options)
         self.is_serving = False
+        self.has_received = False
         self.head_started_s: float | None = None
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no byte of another request has been received."""
+        if self.is_serving or self._messages or self.head_started_s is not None:
+            return False
+        if not self.has_received:
+            return True
+        # Without a waiter, aiohttp is starting a handler or writing a response.
+        return self._waiter is not None and not self._waiter.done()
+
     @property
     def unsent_size_bytes(self) -> int:
         """Return the size of what was written and not passed to the kernel yet."""
@@ -52,6 +65,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Record when a request's headers begin."""
+        self.has_received = True
         if not self.is_serving and self.head_started_s is None:
             self.head_started_s = asyncio.get_running_loop().time()
         super().data_received(data)
@@ -90,6 +104,7 @@
 class RunningServer:
     """A listening server, with the open request of each connection that has one."""
 
+    router: contexts.Forwarder
     server: web.Server
     listener: asyncio.Server
     open_requests: dict[ClientConnection, open_requests.OpenRequest]
@@ -156,7 +171,7 @@
             make_connection, sock=early, backlog=early_listener.BACKLOG_COUNT
         )
     header_watcher = asyncio.create_task(_close_slow_clients(router, server))
-    return RunningServer(server, listener, open_by_connection, header_watcher)
+    return RunningServer(router, server, listener, open_by_connection, header_watcher)
 
 
 async def _close_slow_clients(router: contexts.Forwarder, server: web.Server) -> None:
@@ -207,33 +222,42 @@
 
 
 async def stop(running: RunningServer, time_left_s: float) -> None:
-    """Let open requests end within `time_left_s` and close all connections.
+    """Close the port, and let open requests end within `time_left_s`.
 
-    Idle connections are closed at once; a request that arrives at that moment is not
-    read.  The others are closed after their response.  aiohttp's own shutdown would
-    keep idle connections open meanwhile and read requests from them without answering.
+    A connection is closed once it has no request: at once if it is idle, else after the
+    response.  What was read, even in part, is still received and answered.  aiohttp's
+    own shutdown would keep idle connections open and read requests from them without
+    answering, and its ``close`` of a connection discards the rest of a request.
     """
+    running.router.is_draining = True
     running.listener.close()
-    running.header_watcher.cancel()
     phases = open_requests.count_phases(running.open_requests.values())
     logs.info("port for clients closed", logs.Fields(detail=f"open: {phases}"))
-    for connection in list(running.server.connections):
-        if connection in running.open_requests:
-            connection.close()
-        else:
-            connection.force_close()
     loop = asyncio.get_running_loop()
     end_s = loop.time() + time_left_s
     while True:
-        if not running.open_requests or loop.time() >= end_s:
+        are_busy = _close_idle_connections(running.server)
+        if not are_busy or loop.time() >= end_s:
             break
         await asyncio.sleep(STOP_CHECK_INTERVAL_S)
-    if running.open_requests:
+    running.header_watcher.cancel()
+    if are_busy:
         _log_aborted(running.open_requests)
     for connection in list(running.server.connections):
         connection.force_close()
 
 
+def _close_idle_connections(server: web.Server) -> bool:
+    """Close the idle connections; return whether there are others."""
+    are_busy = False
+    for connection in list(server.connections):
+        if connection.is_idle:
+            connection.force_close()
+        else:
+            are_busy = True
+    return are_busy
+
+
 def _log_aborted(
     open_by_connection: dict[ClientConnection, open_requests.OpenRequest],
 ) -> None:
