Answer the requests that have no response when a planned stop ends

Cause: the end of the stop closed connections instead of answering requests. The handler of a request now runs under a timer, which the stop ends 0.25 s before it closes the connections: 502 stopped_unanswered where the request may have run, 503 stopping with Retry-After 0.1 s where it was not sent. A stream that has begun goes on to the end of the stop.

Ruled out: giving up sooner; a silent server may still answer within the grace.

--- a/hickoryweir/forwarding/errors.py
+++ b/hickoryweir/forwarding/errors.py
@@ -29,6 +29,8 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     TIMED_OUT = "timed_out"
     TIMED_OUT_NOT_RUN = "timed_out_not_run"
+    STOPPING = "stopping"
+    STOPPED_UNANSWERED = "stopped_unanswered"
     INTERNAL_ERROR = "internal_error"
 
 
@@ -49,6 +51,8 @@
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.TIMED_OUT: 504,
     Reason.TIMED_OUT_NOT_RUN: 503,
+    Reason.STOPPING: 503,
+    Reason.STOPPED_UNANSWERED: 502,
     Reason.INTERNAL_ERROR: 500,
 }
 CLOSING_REASONS = frozenset({Reason.REQUEST_INVALID, Reason.BODY_TOO_LARGE})
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -38,9 +38,12 @@
 START_WAIT_MAX_S = 0.6
 # Leaves time to answer, or to come back to another router.
 START_WAIT_SHARE = 0.5
+# Other routers take the request at once.
+STOPPING_RETRY_AFTER_S = 0.1
 RETRY_AFTERS_S = {
     errors.Reason.NO_TABLE: NO_TABLE_RETRY_AFTER_S,
     errors.Reason.CRASHES_SERVERS: crash_counts.RETENTION_S,
+    errors.Reason.STOPPING: STOPPING_RETRY_AFTER_S,
 }
 # The same as the backoff after a server's first failure.
 UNREACHABLE_RETRY_AFTER_S = 0.5
@@ -54,7 +57,11 @@
     open_request: open_requests.OpenRequest,
 ) -> web.StreamResponse:
     """Return the final response to a request, which may already be partly sent."""
-    response = await _serve(forwarder, request, open_request)
+    try:
+        async with asyncio.timeout(None) as open_request.timer:
+            response = await _serve(forwarder, request, open_request)
+    except TimeoutError:
+        response = _stop_failure(forwarder, open_request)
     if forwarder.is_draining:
         response.force_close()
     return response
@@ -445,6 +452,19 @@
     )
 
 
+def _stop_failure(
+    forwarder: contexts.Forwarder, open_request: open_requests.OpenRequest
+) -> web.Response:
+    """Return the final response to a request that the stop of the router ended."""
+    context = open_request.context
+    request_id = open_request.request_id
+    if context is None or not (context.sent_count or context.may_have_run):
+        return _refuse(forwarder, request_id, errors.Reason.STOPPING)
+    name = context.route.name
+    reason = errors.Reason.STOPPED_UNANSWERED
+    return _refuse(forwarder, request_id, reason, None, name)
+
+
 def _deadline_failure(context: contexts.RequestContext) -> web.StreamResponse:
     if context.stream_response is not None:
         return responses.abort_response(context)
--- a/hickoryweir/forwarding/open_requests.py
+++ b/hickoryweir/forwarding/open_requests.py
@@ -4,6 +4,7 @@
 what it has to wait for and describes what it gave up on.
 """
 
+import asyncio
 import collections
 import dataclasses
 import enum
@@ -36,6 +37,8 @@
         When it was received completely and admitted; None before.
     context : contexts.RequestContext or None
         State of its forwarding; None before it is admitted.
+    timer : asyncio.Timeout or None
+        Ends the handling when the router gives up on the request; None before it.
     is_handled : bool
         Whether the handler has returned its response.
     """
@@ -44,6 +47,7 @@
     received_at_s: float = dataclasses.field(default_factory=clocks.boottime_s)
     admitted_at_s: float | None = None
     context: contexts.RequestContext | None = None
+    timer: asyncio.Timeout | None = None
     is_handled: bool = False
 
 
@@ -64,6 +68,16 @@
     request.context = context
 
 
+def give_up(request: OpenRequest) -> None:
+    """End the handling of a request, unless its response has begun.
+
+    The handler then returns a final response that says whether it may have run.
+    """
+    has_response = phase_of(request) in (Phase.STREAMING, Phase.WRITING)
+    if not has_response and not request.timer.expired():
+        request.timer.reschedule(asyncio.get_running_loop().time())
+
+
 def count_phases(requests: Iterable[OpenRequest]) -> str:
     """Return how many requests wait for what, for the log.
 
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -14,6 +14,8 @@
 DEFAULT_IDLE_TIMEOUT_S = 15.0
 MAX_HEADER_SIZE_BYTES = 16 * 1024
 STOP_CHECK_INTERVAL_S = 0.05
+# Time for the final responses at the end of a stop to reach the clients.
+ANSWER_MARGIN_S = 0.25
 # A sixth of the shortest header timeout.
 HEAD_CHECK_INTERVAL_S = 0.5
 # The response is written to the transport within one iteration of the event loop.
@@ -225,7 +227,8 @@
     """Close the port, and let open requests end within `time_left_s`.
 
     A connection is closed once it has no request: at once if it is idle, else after the
-    response.  What was read, even in part, is still received and answered.  aiohttp's
+    response.  What was read, even in part, is still received and answered; a request
+    without a response by the end gets a final one from the router.  aiohttp's
     own shutdown would keep idle connections open and read requests from them without
     answering, and its ``close`` of a connection discards the rest of a request.
     """
@@ -237,8 +240,12 @@
     end_s = loop.time() + time_left_s
     while True:
         are_busy = _close_idle_connections(running.server)
-        if not are_busy or loop.time() >= end_s:
+        now_s = loop.time()
+        if not are_busy or now_s >= end_s:
             break
+        if now_s >= end_s - ANSWER_MARGIN_S:
+            for request in running.open_requests.values():
+                open_requests.give_up(request)
         await asyncio.sleep(STOP_CHECK_INTERVAL_S)
     running.header_watcher.cancel()
     if are_busy:
