Test that a stop waits for slow readers of complete responses

What callers could see: a response that was complete in the router, cut off where it exceeded the sockets' buffers and the client read slowly, because the process exited. Cause: the old stop counted a request as ended 20 ms after its handler had returned. No change of code here.

--- a/hickoryweir/forwarding/tests/test_server.py
+++ b/hickoryweir/forwarding/tests/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the shutdown of a router's port, and of its readiness."""
 
 import asyncio
+import socket
 
 import aiohttp
 import uvloop
@@ -177,3 +178,28 @@
     response, bodies = asyncio.run(main())
     assert response.startswith(b"HTTP/1.1 200 ")
     assert bodies == [b"half more"]
+
+
+def test_stop_waits_for_a_slow_reader_of_a_complete_response():
+    text = "x" * 3_000_000
+
+    async def main():
+        async with sites.run_site([sites.answering(text=text)]) as site:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, (HOST, site.port))
+            reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+            writer.write(b"GET /chat/x HTTP/1.1\r\nHost: site.example\r\n\r\n")
+            await sites.wait_until(lambda: site.backends[0].seen)
+            # Longer than the response takes to pass from the router to its sockets.
+            await asyncio.sleep(0.3)
+            stopping = asyncio.create_task(server.stop(site.running, 5.0))
+            await asyncio.sleep(0.3)
+            is_stopped_early = stopping.done()
+            response = await reader.read()
+            writer.close()
+            await stopping
+            return is_stopped_early, len(response.partition(b"\r\n\r\n")[2])
+
+    assert asyncio.run(main()) == (False, len(text))
