Answer requests queued on a connection behind an open stream at a stop

What a caller saw: a request sent on a connection whose stream had begun before SIGTERM was read, and the connection ended after the stream without an answer to it.

Cause: a stopping router closed the connection after the current response, whether or not further requests had been read from it. Now a response closes its connection only if none is queued behind it; the last one says 'Connection: close'.

test_request_queued_behind_an_open_stream_is_answered_by_a_stop failed before (the connection ended after the first stream).

--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -186,6 +186,15 @@
         return self.deadline_s - clocks.boottime_s()
 
 
+def is_last_on_connection(forwarder: Forwarder, request: web.BaseRequest) -> bool:
+    """Return whether to close the client's connection after a response.
+
+    A router that stops closes connections, but first answers what it has read from
+    them.
+    """
+    return forwarder.is_draining and not request.protocol.queued_requests_count
+
+
 def max_idle_connections_count(forwarder: Forwarder, address: str) -> int:
     """Return how many idle connections one session keeps to a server.
 
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -62,7 +62,7 @@
             response = await _serve(forwarder, request, open_request)
     except TimeoutError:
         response = _stop_failure(forwarder, open_request)
-    if forwarder.is_draining:
+    if contexts.is_last_on_connection(forwarder, request):
         response.force_close()
     return response
 
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -135,7 +135,7 @@
         client_response.content_length = response.content_length
     else:
         client_response.enable_chunked_encoding()
-    if context.forwarder.is_draining:
+    if contexts.is_last_on_connection(context.forwarder, context.client_request):
         client_response.force_close()
     context.stream_response = client_response
     await client_response.prepare(context.client_request)
--- a/hickoryweir/forwarding/tests/test_server.py
+++ b/hickoryweir/forwarding/tests/test_server.py
@@ -203,3 +203,37 @@
             return is_stopped_early, len(response.partition(b"\r\n\r\n")[2])
 
     assert asyncio.run(main()) == (False, len(text))
+
+
+def test_request_queued_behind_an_open_stream_is_answered_by_a_stop():
+    head = "GET /chat/{} HTTP/1.1\r\nHost: site.example\r\n{}: r-{}\r\n\r\n"
+    release = asyncio.Event()
+
+    async def stream(request, body):
+        request_id = request.headers[headers.REQUEST_ID]
+        response = web.StreamResponse(headers={headers.REQUEST_ID: request_id})
+        await response.prepare(request)
+        await response.write(b"id: 1\ndata: " + request_id.encode() + b"\n\n")
+        await release.wait()
+        return response
+
+    async def main():
+        routes = (sites.resumable_route(),)
+        async with sites.run_site([stream], routes) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(head.format(1, headers.REQUEST_ID, 1).encode())
+            await reader.readuntil(b"data: r-1")
+            writer.write(head.format(2, headers.REQUEST_ID, 2).encode())
+            await asyncio.sleep(0.1)
+            stopping = asyncio.create_task(server.stop(site.running, 2.0))
+            await asyncio.sleep(0.1)
+            release.set()
+            rest = await reader.read()
+            writer.close()
+            await stopping
+            return rest
+
+    rest = asyncio.run(main())
+    assert b"data: r-2" in rest
+    assert rest.endswith(b"0\r\n\r\n")
+    assert rest.count(b"Connection: close") == 1
