Refuse requests that can't end before a router stops

What callers could see: a request accepted seconds after SIGTERM, forwarded, and cut off when the stop ended, although another router could have served it whole.

Cause: nothing compared the time that a request needs with the time left of the stop. Now a request that arrives at a stopping router, or whose body becomes complete there, is forwarded only if its deadline, or 95 in 100 answers of its route so far and the oldest open request of the route, lie within the rest of the stop. Else it gets 503 stopping, not run, with Retry-After 0.1 s. The open requests move from the port to the forwarder's state for it.

Weighed: refusing everything with a deadline beyond the stop; that turns away all streams of 10 s deadline for 2.6 s although most end within 4 s.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -125,12 +125,13 @@
     async def _drain(self, running: server.RunningServer) -> None:
         grace_s = self._settings.shutdown.grace_s
         count = len(running.server.connections)
-        phases = open_requests.count_phases(running.open_requests.values())
+        phases = open_requests.count_phases(self.forwarder.open_requests.values())
         detail = f"{count} connections, grace {grace_s:g} s, open: {phases}"
         logs.info("draining", logs.Fields(detail=detail))
-        self.forwarder.is_draining = True
+        time_left_s = grace_s - CLOSE_MARGIN_S
+        server.begin_stop(self.forwarder, time_left_s)
         await asyncio.sleep(BALANCER_LAG_S)
-        await server.stop(running, grace_s - BALANCER_LAG_S - CLOSE_MARGIN_S)
+        await server.stop(running, time_left_s - BALANCER_LAG_S)
         logs.info("drained", logs.Fields())
 
     async def _close(self) -> None:
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -60,6 +60,11 @@
         Routers that share the retry budget.
     is_draining : bool
         Whether the process is about to stop.
+    stops_at_s : float or None
+        While it stops, when the last responses end, on :func:`clocks.boottime_s`.
+    open_requests : dict
+        The open request of each client connection that has one, as
+        :class:`.open_requests.OpenRequest`.
     started : asyncio.Event
         Set once there are a table and a list of servers.
     budgets : dict
@@ -92,6 +97,8 @@
     list_read_at_s: float = 0.0
     routers_count: int = 1
     is_draining: bool = False
+    stops_at_s: float | None = None
+    open_requests: dict = dataclasses.field(default_factory=dict)
     started: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     budgets: dict = dataclasses.field(default_factory=dict)
     metrics: forwarding_metrics.ForwardingMetrics = dataclasses.field(
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -29,6 +29,7 @@
     next_attempts,
     prompt_placement,
     retry_budget,
+    stop_admission,
 )
 from hickoryweir.routes import matching, model
 
@@ -38,6 +39,8 @@
 START_WAIT_MAX_S = 0.6
 # Leaves time to answer, or to come back to another router.
 START_WAIT_SHARE = 0.5
+# A request that arrives during a stop is expected to last as long as this share did.
+USUAL_QUANTILE = 0.95
 # Other routers take the request at once.
 STOPPING_RETRY_AFTER_S = 0.1
 RETRY_AFTERS_S = {
@@ -195,6 +198,9 @@
 async def _attempt_all(context: contexts.RequestContext) -> web.StreamResponse:
     reason = errors.Reason.NO_SERVER
     while True:
+        if not context.may_have_run and not _can_end(context):
+            context.retry_after_s = STOPPING_RETRY_AFTER_S
+            return _final_failure(context, errors.Reason.STOPPING)
         placement = server_selection.choose_server(context)
         if placement is None or not _reserve_attempt(context):
             return _final_failure(context, reason)
@@ -212,6 +218,29 @@
         reason = outcome
 
 
+def _can_end(context: contexts.RequestContext) -> bool:
+    """Return whether a request is expected to end before the router stops."""
+    forwarder = context.forwarder
+    if forwarder.stops_at_s is None:
+        return True
+    now_s = clocks.boottime_s()
+    name = context.route.name
+    usual_s = forwarder.metrics.latencies.quantile_s(
+        name, latencies.Interval.ANSWER, USUAL_QUANTILE
+    )
+    ages_s = [
+        now_s - other.received_at_s
+        for other in forwarder.open_requests.values()
+        if other.context is not None and other.context.route.name == name
+    ]
+    return stop_admission.can_end(
+        forwarder.stops_at_s - now_s,
+        context.time_left_s,
+        usual_s,
+        max(ages_s, default=0.0),
+    )
+
+
 def _record_forwarded(context: contexts.RequestContext) -> None:
     metrics = context.forwarder.metrics
     name = context.route.name
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -104,12 +104,11 @@
 
 @dataclasses.dataclass(slots=True)
 class RunningServer:
-    """A listening server, with the open request of each connection that has one."""
+    """A listening server of a router."""
 
     router: contexts.Forwarder
     server: web.Server
     listener: asyncio.Server
-    open_requests: dict[ClientConnection, open_requests.OpenRequest]
     header_watcher: asyncio.Task
 
 
@@ -122,7 +121,7 @@
         The address is in use.
     """
     loop = asyncio.get_running_loop()
-    open_by_connection: dict[ClientConnection, open_requests.OpenRequest] = {}
+    open_by_connection = router.open_requests
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
@@ -173,7 +172,7 @@
             make_connection, sock=early, backlog=early_listener.BACKLOG_COUNT
         )
     header_watcher = asyncio.create_task(_close_slow_clients(router, server))
-    return RunningServer(router, server, listener, open_by_connection, header_watcher)
+    return RunningServer(router, server, listener, header_watcher)
 
 
 async def _close_slow_clients(router: contexts.Forwarder, server: web.Server) -> None:
@@ -223,6 +222,12 @@
     return listener.sockets[0].getsockname()[1]
 
 
+def begin_stop(router: contexts.Forwarder, time_left_s: float) -> None:
+    """Announce that the router answers its last requests within `time_left_s`."""
+    router.is_draining = True
+    router.stops_at_s = clocks.boottime_s() + time_left_s - ANSWER_MARGIN_S
+
+
 async def stop(running: RunningServer, time_left_s: float) -> None:
     """Close the port, and let open requests end within `time_left_s`.
 
@@ -232,9 +237,9 @@
     own shutdown would keep idle connections open and read requests from them without
     answering, and its ``close`` of a connection discards the rest of a request.
     """
-    running.router.is_draining = True
+    begin_stop(running.router, time_left_s)
     running.listener.close()
-    phases = open_requests.count_phases(running.open_requests.values())
+    phases = open_requests.count_phases(running.router.open_requests.values())
     logs.info("port for clients closed", logs.Fields(detail=f"open: {phases}"))
     loop = asyncio.get_running_loop()
     end_s = loop.time() + time_left_s
@@ -244,12 +249,12 @@
         if not are_busy or now_s >= end_s:
             break
         if now_s >= end_s - ANSWER_MARGIN_S:
-            for request in running.open_requests.values():
+            for request in running.router.open_requests.values():
                 open_requests.give_up(request)
         await asyncio.sleep(STOP_CHECK_INTERVAL_S)
     running.header_watcher.cancel()
     if are_busy:
-        _log_aborted(running.open_requests)
+        _log_aborted(running.router.open_requests)
     for connection in list(running.server.connections):
         connection.force_close()
 
