Leave open requests half of a short grace

Cause: a stopping router kept its port open for 2.6 s whatever the grace, so that with a grace of 3.2 s or less nothing was left and every open request was aborted at once. The port now stays open for half of the grace at most; with a grace of 8 s nothing changes (2.6 s and 4.8 s, as the doctest says). Found while reading the stop for the incident; the users' deployments have 8 s, so it isn't the cause there.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -42,6 +42,8 @@
 # A load balancer that checks once per second removes a router after two failures.
 BALANCER_LAG_S = 2.6
 CLOSE_MARGIN_S = 0.6
+# With a short grace, open requests need more of it than the load balancer.
+OPEN_PORT_SHARE = 0.5
 
 
 def _make_budget(entry_settings: settings.EntrySettings) -> retry_budget.Settings:
@@ -49,6 +51,21 @@
     return retry_budget.Settings(retries.ratio, retries.window_s, retries.extra_count)
 
 
+def split_grace(grace_s: float) -> tuple[float, float]:
+    """Return for how long a stopping router keeps its port open and then closed.
+
+    Examples
+    --------
+    >>> [round(part_s, 3) for part_s in split_grace(8.0)]
+    [2.6, 4.8]
+    >>> [round(part_s, 3) for part_s in split_grace(3.0)]
+    [1.2, 1.2]
+    """
+    time_left_s = max(0.0, grace_s - CLOSE_MARGIN_S)
+    open_port_s = min(BALANCER_LAG_S, OPEN_PORT_SHARE * time_left_s)
+    return open_port_s, time_left_s - open_port_s
+
+
 class Router:
     """A router process and its components."""
 
@@ -128,10 +145,10 @@
         phases = open_requests.count_phases(self.forwarder.open_requests.values())
         detail = f"{count} connections, grace {grace_s:g} s, open: {phases}"
         logs.info("draining", logs.Fields(detail=detail))
-        time_left_s = grace_s - CLOSE_MARGIN_S
-        server.begin_stop(self.forwarder, time_left_s)
-        await asyncio.sleep(BALANCER_LAG_S)
-        await server.stop(running, time_left_s - BALANCER_LAG_S)
+        open_port_s, closed_port_s = split_grace(grace_s)
+        server.begin_stop(self.forwarder, open_port_s + closed_port_s)
+        await asyncio.sleep(open_port_s)
+        await server.stop(running, closed_port_s)
         logs.info("drained", logs.Fields())
 
     async def _close(self) -> None:
