Heed servers that say that they leave, or ask for a pause

What callers could see: requests sent on to a server that had announced that it leaves, because the list of servers still said ready, and a server that had turned requests away for a time being sent more of them meanwhile. Neither header was read.

The codecs read both headers once; policy/server_notices.py decides whether a server takes another request, and every path that sends one chooses from those that do. What an incarnation has said is kept by id, address and start time, also while a list lacks the server or its start time. After a pause a server gets 1, 2, 4 ... requests at a time. If all servers of a service want a pause, clients get 503 servers_paused at once with the shortest of them. One log line and counter for each announcement, pause, return and header that is not taken; a gauge of servers by state.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -14,6 +14,7 @@
 from hickoryweir.feeds import messages, subscriber
 from hickoryweir.forwarding import (
     contexts,
+    notices,
     open_requests,
     probing,
     server,
@@ -267,6 +268,7 @@
                 forwarder.list_read_at_s = view.servers.read_at_s
                 age_s = clocks.boottime_s() - view.servers.read_at_s
             forwarder.metrics.list_age_s.set(age_s)
+            notices.update_gauges(forwarder)
             if age_s < LIST_STALE_AFTER_S:
                 continue
             logs.info(
--- a/hickoryweir/forwarding/errors.py
+++ b/hickoryweir/forwarding/errors.py
@@ -26,6 +26,7 @@
     SERVER_REFUSED = "server_refused"
     SERVER_FAILED = "server_failed"
     SERVER_UNREACHABLE = "server_unreachable"
+    SERVERS_PAUSED = "servers_paused"
     OUTCOME_UNKNOWN = "outcome_unknown"
     TIMED_OUT = "timed_out"
     TIMED_OUT_NOT_RUN = "timed_out_not_run"
@@ -48,6 +49,7 @@
     Reason.SERVER_REFUSED: 503,
     Reason.SERVER_FAILED: 502,
     Reason.SERVER_UNREACHABLE: 503,
+    Reason.SERVERS_PAUSED: 503,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.TIMED_OUT: 504,
     Reason.TIMED_OUT_NOT_RUN: 503,
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -17,6 +17,7 @@
     errors,
     exchange,
     header_codec,
+    notices,
     open_requests,
     requests,
     responses,
@@ -202,7 +203,9 @@
             context.retry_after_s = STOPPING_RETRY_AFTER_S
             return _final_failure(context, errors.Reason.STOPPING)
         placement = server_selection.choose_server(context)
-        if placement is None or not _reserve_attempt(context):
+        if placement is None:
+            return _refuse_without_server(context, reason)
+        if not _reserve_attempt(context):
             return _final_failure(context, reason)
         context.placement = placement
         if not context.sent_count:
@@ -218,6 +221,19 @@
         reason = outcome
 
 
+def _refuse_without_server(
+    context: contexts.RequestContext, reason: errors.Reason
+) -> web.StreamResponse:
+    """Return the final response to a request for which no server is left."""
+    forwarder, name = context.forwarder, context.service_name
+    if not server_pool.available_servers(forwarder.pool, name):
+        after_s = server_pool.available_after_s(forwarder.pool, name)
+        if after_s is not None:
+            context.retry_after_s = after_s
+            reason = errors.Reason.SERVERS_PAUSED
+    return _final_failure(context, reason)
+
+
 def _can_end(context: contexts.RequestContext) -> bool:
     """Return whether a request is expected to end before the router stops."""
     forwarder = context.forwarder
@@ -328,6 +344,8 @@
     outcome = await _send(context, session, _make_backend_request(context, view))
     now_s = time.monotonic()
     _log_attempt(context, view, type(outcome).__name__, getattr(outcome, "reason", ""))
+    if isinstance(outcome, exchange.NotRun | exchange.Answered):
+        notices.record(context, view, outcome.metadata)
     match outcome:
         case exchange.NotSent():
             context.sent_count -= 1
@@ -336,7 +354,7 @@
             return errors.Reason.SERVER_UNREACHABLE
         case exchange.NotRun():
             if outcome.metadata.is_misdirected:
-                view.is_leaving = True
+                view.is_misdirected = True
             return errors.Reason.SERVER_REFUSED
         case exchange.Lost():
             context.may_have_run = True
--- a/hickoryweir/forwarding/header_codec.py
+++ b/hickoryweir/forwarding/header_codec.py
@@ -15,6 +15,9 @@
 NOT_FORWARDED_HEADERS = header_names.HOP_HEADERS | {"content-length", "expect"}
 # 421 Misdirected Request: a different incarnation of the server responded.
 MISDIRECTED_REQUEST_STATUS = 421
+SERVICE_UNAVAILABLE_STATUS = 503
+LEAVING_VALUE = "1"
+MAX_LOGGED_VALUE_LENGTH = 40
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,11 +85,20 @@
         Whether the backend server states that it did not run the request.
     is_misdirected : bool
         Whether a different incarnation of the server responded.
+    is_leaving : bool
+        Whether the server says that it leaves.
+    pause_s : float or None
+        For how long the server wants no requests from this router.
+    ignored_notice : str
+        Why a notice of the server was not taken; empty if none was ignored.
     """
 
     request_id: str
     is_not_run: bool
     is_misdirected: bool
+    is_leaving: bool = False
+    pause_s: float | None = None
+    ignored_notice: str = ""
 
 
 Headers = Mapping[str, str]
@@ -109,7 +121,7 @@
 
     parse_request: Callable[[Headers], RequestMetadata]
     make_request_headers: Callable[[Headers, RouterMetadata], multidict.CIMultiDict]
-    parse_response: Callable[[int, Headers], ResponseMetadata]
+    parse_response: Callable[[int, multidict.MultiMapping], ResponseMetadata]
 
 
 def end_to_end_headers(
@@ -145,16 +157,56 @@
     return number if 0.0 <= number < float("inf") else default
 
 
-def make_response_parser(
-    request_id_name: str, not_run_name: str
-) -> Callable[[int, Headers], ResponseMetadata]:
-    """Return a parser of response heads, given the names of two headers."""
+def parse_pause(status: int, values: list[str]) -> tuple[float | None, str]:
+    """Return the pause that ``Retry-After`` headers ask for, and what was ignored.
+
+    Only a server that turns a request away with 503 asks for a pause, in seconds.  Of
+    several values the longest counts.
+
+    Examples
+    --------
+    >>> parse_pause(503, ["1.5"]), parse_pause(503, ["1", "3"]), parse_pause(503, [])
+    ((1.5, ''), (3.0, ''), (None, ''))
+    >>> parse_pause(503, ["-1", "soon"])
+    (None, "Retry-After: '-1', 'soon'")
+    >>> parse_pause(200, ["5"])
+    (None, 'Retry-After on a response with status 200')
+    """
+    if not values:
+        return None, ""
+    if status != SERVICE_UNAVAILABLE_STATUS:
+        return None, f"Retry-After on a response with status {status}"
+    numbers = [parse_number(value) for value in values]
+    ignored = [
+        repr(value[:MAX_LOGGED_VALUE_LENGTH])
+        for value, number in zip(values, numbers, strict=True)
+        if number is None
+    ]
+    problem = f"Retry-After: {', '.join(ignored)}" if ignored else ""
+    return max((item for item in numbers if item is not None), default=None), problem
 
-    def parse_response(status: int, headers: Headers) -> ResponseMetadata:
+
+def make_response_parser(
+    request_id_name: str, not_run_name: str, leaving_name: str
+) -> Callable[[int, multidict.MultiMapping], ResponseMetadata]:
+    """Return a parser of response heads, given the names of three headers."""
+
+    def parse_response(
+        status: int, headers: multidict.MultiMapping
+    ) -> ResponseMetadata:
+        pause_s, problem = parse_pause(status, headers.getall("Retry-After", []))
+        leaving_values = headers.getall(leaving_name, [])
+        is_leaving = LEAVING_VALUE in leaving_values
+        if leaving_values and not is_leaving:
+            value = leaving_values[0][:MAX_LOGGED_VALUE_LENGTH]
+            problem = f"{leaving_name}: {value!r}"
         return ResponseMetadata(
             request_id=headers.get(request_id_name, ""),
             is_not_run=not_run_name in headers,
             is_misdirected=status == MISDIRECTED_REQUEST_STATUS,
+            is_leaving=is_leaving,
+            pause_s=pause_s,
+            ignored_notice=problem,
         )
 
     return parse_response
--- a/hickoryweir/forwarding/headers.py
+++ b/hickoryweir/forwarding/headers.py
@@ -4,6 +4,8 @@
 ``X-Prompt: MODEL;INPUT;OUTPUT;ID:TOKENS,ID:TOKENS``.  The router adds
 ``X-Server-Id``, ``X-Client-Account`` and ``X-Urgency``.  A backend server echoes
 ``X-Request-Id`` and sets ``X-Not-Run`` on a response to a request that it did not run.
+A server that leaves sets ``X-Server-Leaving: 1`` on all its responses, and one that
+turns a request away with 503 may ask for a pause by ``Retry-After``.
 """
 
 import multidict
@@ -19,6 +21,7 @@
 ACCOUNT_NAME = "X-Client-Account"
 URGENCY = "X-Urgency"
 NOT_RUN = "X-Not-Run"
+LEAVING = "X-Server-Leaving"
 ROUTER_HEADERS = frozenset(
     {"authorization", "x-client-account", "x-server-id", "x-urgency", "x-time-left-s"}
 )
@@ -29,7 +32,7 @@
     return header_codec.HeaderCodec(
         parse_request,
         make_request_headers,
-        header_codec.make_response_parser(REQUEST_ID, NOT_RUN),
+        header_codec.make_response_parser(REQUEST_ID, NOT_RUN, LEAVING),
     )
 
 
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -4,13 +4,15 @@
 """
 
 import dataclasses
+import math
 import random
 from collections.abc import Iterable
 
+from hickoryweir import clocks
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages
 from hickoryweir.forwarding import header_codec
-from hickoryweir.policy import grey_servers, unreachable_servers
+from hickoryweir.policy import grey_servers, server_notices, unreachable_servers
 
 # A restart takes seconds; half a second is enough after a mere connection reset.
 SUSPECT_MIN_S = 0.5
@@ -22,6 +24,10 @@
 # A new router knows the parts in use within this time; engines cache them longer.
 ANNOUNCE_PARTS_INTERVAL_S = 5.0
 
+# Servers whose notices are kept, more than any list has.
+MAX_NOTICES_COUNT = 20_000
+UNKNOWN_START_MS = 0
+
 # Decaying counts are sent in tenths, so that they are integers on the wire.
 TENTHS = 10
 NO_LOAD = messages.ServerLoad("", 0, 0)
@@ -64,6 +70,10 @@
         When a shared part was last announced, by this or another router, by part id.
     unannounced_parts : dict
         Ids of shared parts still to be announced to the other routers.
+    is_misdirected : bool
+        Whether another incarnation of the server responded.
+    notices : server_notices.Notices
+        What the server has said of itself.
     others_requests_count, others_backlog_tokens_count : int
         Requests of the other routers there, and their prompt tokens still to prefill,
         as of `others_updated_s`.
@@ -83,7 +93,8 @@
     parts: dict[str, float] = dataclasses.field(default_factory=dict)
     parts_announced_s: dict[str, float] = dataclasses.field(default_factory=dict)
     unannounced_parts: dict[str, None] = dataclasses.field(default_factory=dict)
-    is_leaving: bool = False
+    is_misdirected: bool = False
+    notices: server_notices.Notices = server_notices.NO_NOTICES
     others_requests_count: int = 0
     others_backlog_tokens_count: int = 0
     others_updated_s: float = float("-inf")
@@ -94,7 +105,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Pool:
-    """All servers in the list, by id."""
+    """All servers in the list, by id.
+
+    Attributes
+    ----------
+    notices : dict
+        What servers have said, by id and address and then by start time; kept when a
+        server is missing from a list, since an older list may follow.
+    """
 
     servers: dict[str, ServerView] = dataclasses.field(default_factory=dict)
     by_service: dict[str, list[ServerView]] = dataclasses.field(default_factory=dict)
@@ -102,6 +120,9 @@
     connect_failures: list[unreachable_servers.Failure] = dataclasses.field(
         default_factory=list
     )
+    notices: dict[tuple[str, str], dict[int, server_notices.Notices]] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 def update_servers(pool: Pool, found: listing.ServerList) -> None:
@@ -114,7 +135,9 @@
             and known.listed.address == listed.address
             and known.listed.started_at_ms == listed.started_at_ms
         )
+        _identify_notices(pool, listed)
         view = known if is_same else ServerView(listed)
+        view.notices = notices_of(pool, listed)
         view.listed = listed
         servers[listed.server_id] = view
     pool.servers = servers
@@ -124,13 +147,82 @@
     pool.by_address = {view.listed.address: view for view in servers.values()}
 
 
+def notices_of(pool: Pool, listed: listing.BackendServer) -> server_notices.Notices:
+    """Return what an incarnation of a server has said.
+
+    Where the list gives no start time, the newest known incarnation is meant.
+    """
+    by_start = pool.notices.get((listed.server_id, listed.address), {})
+    start_ms = _meant_start_ms(by_start, listed)
+    return by_start.get(start_ms, server_notices.NO_NOTICES)
+
+
+def _meant_start_ms(
+    by_start: dict[int, server_notices.Notices], listed: listing.BackendServer
+) -> int:
+    if listed.started_at_ms != UNKNOWN_START_MS:
+        return listed.started_at_ms
+    return max(by_start, default=UNKNOWN_START_MS)
+
+
+def _identify_notices(pool: Pool, listed: listing.BackendServer) -> None:
+    """Assign notices of an incarnation of unknown start to the first known start."""
+    by_start = pool.notices.get((listed.server_id, listed.address), {})
+    if UNKNOWN_START_MS in by_start and listed.started_at_ms != UNKNOWN_START_MS:
+        by_start[listed.started_at_ms] = by_start.pop(UNKNOWN_START_MS)
+
+
+def record_notices(
+    pool: Pool, view: ServerView, notices: server_notices.Notices
+) -> None:
+    """Store what a server has said, for this and later lists."""
+    view.notices = notices
+    listed = view.listed
+    key = (listed.server_id, listed.address)
+    by_start = pool.notices.pop(key, {})
+    by_start[_meant_start_ms(by_start, listed)] = notices
+    pool.notices[key] = by_start
+    while len(pool.notices) > MAX_NOTICES_COUNT:
+        del pool.notices[next(iter(pool.notices))]
+    current = pool.servers.get(listed.server_id)
+    if current is not None and current is not view:
+        # A newer list has replaced the view that the request was sent with.
+        current.notices = notices_of(pool, current.listed)
+
+
 def available_servers(pool: Pool, service_name: str) -> list[ServerView]:
     """Return the servers of a service that accept new requests."""
+    now_s = clocks.boottime_s()
     return [
         view
         for view in pool.by_service.get(service_name, ())
-        if view.listed.state is listing.ServerState.READY and not view.is_leaving
+        if _is_usable(view)
+        and server_notices.accepts(view.notices, len(view.in_flight), now_s)
+    ]
+
+
+def _is_usable(view: ServerView) -> bool:
+    is_ready = view.listed.state is listing.ServerState.READY
+    return is_ready and not view.is_misdirected
+
+
+def available_after_s(pool: Pool, service_name: str) -> float | None:
+    """Return when a service without available servers may have one again.
+
+    Returns
+    -------
+    float or None
+        Seconds until the first pause of its servers ends; None if none has asked for
+        one.
+    """
+    now_s = clocks.boottime_s()
+    waits_s = [
+        server_notices.accepts_after_s(view.notices, now_s)
+        for view in pool.by_service.get(service_name, ())
+        if _is_usable(view)
     ]
+    shortest_s = min(waits_s, default=math.inf)
+    return None if math.isinf(shortest_s) else shortest_s
 
 
 def record_failure(view: ServerView, now_s: float) -> None:
@@ -186,7 +278,9 @@
     return [
         view
         for view in pool.servers.values()
-        if view.is_unreachable and view.next_probe_s <= now_s
+        if view.is_unreachable
+        and view.next_probe_s <= now_s
+        and view.notices.leaving_since_s is None
     ]
 
 
--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -20,6 +20,12 @@
         Attempts at backend servers by service and outcome.
     second_sends : prometheus_client.Counter
         Further attempts by service, and whether the budget allowed them.
+    notices : prometheus_client.Counter
+        Notices of servers by service and kind: ``leaving``, ``pause``, ``return``,
+        ``ignored``.
+    servers : prometheus_client.Gauge
+        Servers of the list by service and state: ``ready``, ``draining``, ``leaving``,
+        ``paused``, ``returning``.
     table_version : prometheus_client.Gauge
         Table version in force on a router, or stored on a replica.
     list_age_s : prometheus_client.Gauge
@@ -32,6 +38,8 @@
     answers: prometheus_client.Counter
     attempts: prometheus_client.Counter
     second_sends: prometheus_client.Counter
+    notices: prometheus_client.Counter
+    servers: prometheus_client.Gauge
     table_version: prometheus_client.Gauge
     list_age_s: prometheus_client.Gauge
     open_requests: prometheus_client.Gauge
@@ -50,6 +58,8 @@
         answers=counter("answers", "Final answers.", "route", "reason"),
         attempts=counter("attempts", "Attempts at servers.", "service", "outcome"),
         second_sends=counter("second_sends", "Repeats.", "service", "allowed"),
+        notices=counter("server_notices", "Notices of servers.", "service", "kind"),
+        servers=gauge("servers", "Servers in the list.", "service", "state"),
         table_version=gauge("table_version", "Version of the routing table."),
         list_age_s=gauge("list_age_seconds", "Age of the list of servers."),
         open_requests=gauge("open_requests", "Requests without a final answer."),
--- a/hickoryweir/observability/metrics.py
+++ b/hickoryweir/observability/metrics.py
@@ -70,11 +70,14 @@
 
 
 def make_gauge(
-    registry: prometheus_client.CollectorRegistry, name: str, documentation: str
+    registry: prometheus_client.CollectorRegistry,
+    name: str,
+    documentation: str,
+    *labels: str,
 ) -> prometheus_client.Gauge:
     """Return a registered gauge whose name has the project's prefix."""
     return prometheus_client.Gauge(
-        f"hickoryweir_{name}", documentation, registry=registry
+        f"hickoryweir_{name}", documentation, labels, registry=registry
     )
 
 
--- /dev/null
+++ b/hickoryweir/policy/server_notices.py
@@ -0,0 +1,131 @@
+"""What a backend server's responses say of itself: that it leaves, or wants a pause.
+
+Answers two loads.  A server that leaves would have to break off what it is still given;
+its own word is newer than the list of servers, which lags and may come from a replica
+that lags as well, so a list does not undo it.  A server that turns requests away and
+names a pause is overloaded; what it gets meanwhile delays its recovery, and all callers
+that return at the end of the pause would overload it again.  After a pause a server
+therefore gets few requests at a time, twice as many after each response.
+
+Times are on a clock that includes time suspended.
+"""
+
+import dataclasses
+import math
+
+# Longer pauses are shortened to this; a server that is gone for longer leaves the list.
+PAUSE_MAX_S = 600.0
+# Responses after a pause until a server gets any number of requests.
+RETURN_RESPONSES_COUNT = 6
+# A server that returns after a pause answers its first request within this time.
+RETURN_RETRY_AFTER_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notices:
+    """What one incarnation of a server has said.
+
+    Attributes
+    ----------
+    leaving_since_s : float or None
+        When it first said that it leaves.
+    paused_until_s : float
+        End of the pause that it asked for; 0 if it never did.
+    responses_count : int
+        Responses since the end of the pause.
+    """
+
+    leaving_since_s: float | None = None
+    paused_until_s: float = 0.0
+    responses_count: int = RETURN_RESPONSES_COUNT
+
+
+NO_NOTICES = Notices()
+
+
+def record_leaving(notices: Notices, now_s: float) -> Notices:
+    """Return the notices with the server's word that it leaves."""
+    if notices.leaving_since_s is not None:
+        return notices
+    return dataclasses.replace(notices, leaving_since_s=now_s)
+
+
+def record_pause(notices: Notices, pause_s: float, now_s: float) -> Notices:
+    """Return the notices with a pause; a longer one that is in force stays.
+
+    Examples
+    --------
+    >>> asked = record_pause(NO_NOTICES, 4.0, 10.0)
+    >>> asked.paused_until_s, record_pause(asked, 1.0, 11.0).paused_until_s
+    (14.0, 14.0)
+    >>> record_pause(NO_NOTICES, 1e9, 0.0).paused_until_s == PAUSE_MAX_S
+    True
+    """
+    until_s = now_s + min(pause_s, PAUSE_MAX_S)
+    return dataclasses.replace(
+        notices,
+        paused_until_s=max(notices.paused_until_s, until_s),
+        responses_count=0,
+    )
+
+
+def record_response(notices: Notices, now_s: float) -> Notices:
+    """Return the notices after a response that did not turn the request away."""
+    if is_paused(notices, now_s) or not is_returning(notices, now_s):
+        return notices
+    return dataclasses.replace(notices, responses_count=notices.responses_count + 1)
+
+
+def is_paused(notices: Notices, now_s: float) -> bool:
+    """Return whether the server wants no requests now."""
+    return now_s < notices.paused_until_s
+
+
+def is_returning(notices: Notices, now_s: float) -> bool:
+    """Return whether a pause has ended and the server gets few requests at a time."""
+    has_ended = not is_paused(notices, now_s)
+    return has_ended and notices.responses_count < RETURN_RESPONSES_COUNT
+
+
+def accepts(notices: Notices, in_flight_count: int, now_s: float) -> bool:
+    """Return whether a server takes another request of this router.
+
+    Parameters
+    ----------
+    notices : Notices
+        What the server has said.
+    in_flight_count : int
+        Requests of this router that it has not answered yet.
+    now_s : float
+        Current time.
+
+    Examples
+    --------
+    >>> accepts(record_leaving(NO_NOTICES, 5.0), 0, 5.1)
+    False
+    >>> asked = record_pause(NO_NOTICES, 4.0, 10.0)
+    >>> [accepts(asked, 0, now_s) for now_s in (10.0, 13.9, 14.0)]
+    [False, False, True]
+    >>> accepts(asked, 1, 14.0), accepts(record_response(asked, 14.0), 1, 14.0)
+    (False, True)
+    """
+    if notices.leaving_since_s is not None or is_paused(notices, now_s):
+        return False
+    if is_returning(notices, now_s):
+        return in_flight_count < 2**notices.responses_count
+    return True
+
+
+def accepts_after_s(notices: Notices, now_s: float) -> float:
+    """Return the time until a server that takes nothing now may take a request.
+
+    Examples
+    --------
+    >>> accepts_after_s(record_pause(NO_NOTICES, 4.0, 10.0), 11.0)
+    3.0
+    >>> accepts_after_s(record_leaving(NO_NOTICES, 5.0), 5.0)
+    inf
+    """
+    if notices.leaving_since_s is not None:
+        return math.inf
+    return max(RETURN_RETRY_AFTER_S, notices.paused_until_s - now_s)
