Tests: what requests get when serve or a replica stops

What a caller sees:

- a call whose body is still arriving when a stop begins gets 408 after 10 s though the rest of the body was sent 0.2 s later: aiohttp's RequestHandler.data_received discards everything after close();
- a call that is open at the drain's limit gets nothing: aiohttp waits 60 s for it, twice, and then closes the connection (measured: b'' after 121.03 s);
- half a table sent by an operator keeps a replica from stopping for 60 s (measured: exit 61.12 s after SIGTERM, without a response).

--- a/hickoryweir/daemon/tests/test_process.py
+++ b/hickoryweir/daemon/tests/test_process.py
@@ -1,6 +1,8 @@
 """A complete daemon in this process, on the event loop used in production."""
 
 import asyncio
+import dataclasses
+import json
 import os
 import pathlib
 
@@ -8,10 +10,17 @@
 import aiomisc
 import uvloop
 
+from hickoryweir.callers import authentication, interface
+from hickoryweir.callers.tests import exchanges
+from hickoryweir.callers.tests import fakes as callers_fakes
 from hickoryweir.configuration import settings
 from hickoryweir.daemon import drain, main
+from hickoryweir.daemon.tests import fakes
 from hickoryweir.testing.demo import entry_vms
 
+HOST = "127.0.0.1"
+RECEIVE_TIMEOUT_S = 6.0
+
 
 def make_settings(folder):
     (vm,) = entry_vms.make_entry_vms(("a",), folder, 0)
@@ -99,3 +108,65 @@
         return await drain.run(drain.Drain(), limits, steps)
 
     assert asyncio.run(run()) == drain.EXIT_CUT_OFF
+
+
+def put_configuration_in_force(running):
+    """Let a daemon without a majority serve calls of an hour, and drain quickly."""
+    running.settings = dataclasses.replace(
+        running.settings, drain=settings.Drain(balancer_lag_s=0.1, limit_s=2.0)
+    )
+    made = callers_fakes.make_configuration()
+    classes = tuple(
+        dataclasses.replace(each, deadline_s=3_600.0) for each in made.classes
+    )
+    configuration = dataclasses.replace(made, classes=classes)
+    directory = authentication.make_directory(configuration.accounts)
+    running.in_force = interface.ConfigurationInForce(1, configuration, directory)
+
+
+def test_a_call_whose_body_arrives_during_a_drain_is_read(tmp_path):
+    # The body is complete but isn't JSON, so that no backend server is needed.
+    body = b"x" * 100
+    request = exchanges.make_request(b"/v1/chat/completions", body)
+
+    async def inspect_daemon(vm, service, loop):
+        running = service.running
+        put_configuration_in_force(running)
+        reader, writer = await asyncio.open_connection(HOST, running.callers.port)
+        writer.write(request[:-50])
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(main.process.drain_and_stop(running))
+        await asyncio.sleep(0.5)
+        writer.write(request[-50:])
+        received = await exchanges.receive(reader, exchanges.RESPONSE_TIMEOUT_S)
+        writer.close()
+        return await stopping, exchanges.parse(received)
+
+    code, responses = run_daemon(tmp_path, inspect_daemon)
+    assert (code, [status for status, _ in responses]) == (drain.EXIT_CLEAN, [400])
+
+
+def test_calls_at_the_drain_limit_get_a_final_refusal(tmp_path):
+    body = json.dumps(callers_fakes.CHAT).encode()
+    request = exchanges.make_request(b"/v1/chat/completions", body)
+
+    async def inspect_daemon(vm, service, loop):
+        running = service.running
+        put_configuration_in_force(running)
+        script = fakes.Script([None])
+        async with fakes.running_driver(script) as call_driver:
+            running.driver = call_driver
+            reader, writer = await asyncio.open_connection(HOST, running.callers.port)
+            writer.write(request)
+            await script.started.wait()
+            stopping = asyncio.create_task(main.process.drain_and_stop(running))
+            received = await exchanges.receive(reader, RECEIVE_TIMEOUT_S)
+            writer.close()
+            # If nothing was received, the daemon's stop would take two minutes more.
+            assert received
+            return await stopping, exchanges.check(received)
+
+    code, ((status, answer),) = run_daemon(tmp_path, inspect_daemon)
+    assert (code, status) == (drain.EXIT_CUT_OFF, 503)
+    error = json.loads(answer)["error"]
+    assert (error["code"], error["ran"]) == ("draining", "maybe")
--- a/hickoryweir/entry/tests/test_replica.py
+++ b/hickoryweir/entry/tests/test_replica.py
@@ -1,13 +1,18 @@
-"""Restarts of a replica's node after disk failures."""
+"""Restarts of a replica's node after disk failures, and a replica's stop."""
 
 import asyncio
+import dataclasses
 
-from hickoryweir.entry import replica, settings
+from hickoryweir.entry import own_formats, replica, settings
 from hickoryweir.replicas import state as states
 from hickoryweir.streams import hub
 from hickoryweir.testing import waiting
+from hickoryweir.testing.demo import entry_vms
 
 TIMEOUT_S = 10.0
+HALF_REQUEST_DELAY_S = 0.3
+# The platform kills a process that runs longer than this after SIGTERM.
+GRACE_S = 8.0
 
 
 def make_settings(folder):
@@ -73,3 +78,25 @@
         await peer_hub.close()
 
     asyncio.run(main())
+
+
+def test_replica_stops_in_time_while_an_operator_sends_half_a_table(tmp_path):
+    port = entry_vms.free_port()
+    ports = settings.Ports(operators=f"127.0.0.1:{port}")
+    entry_settings = dataclasses.replace(make_settings(tmp_path / "data"), ports=ports)
+    half_request = b"PUT /table HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf"
+
+    async def main():
+        stop = asyncio.Event()
+        process = replica.Replica(entry_settings, own_formats.make_adapters())
+        running = asyncio.create_task(process.run(stop))
+        await asyncio.sleep(HALF_REQUEST_DELAY_S)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(half_request)
+        await asyncio.sleep(HALF_REQUEST_DELAY_S)
+        stop.set()
+        async with asyncio.timeout(GRACE_S):
+            await running
+        writer.close()
+
+    asyncio.run(main())
