Let open requests end before an HTTP server stops

Callers' port, operators' port and the replica's port for tables: aiohttp's shutdown discards the rest of a body that is still being received (RequestHandler.data_received returns after close()), waits up to 60 s twice for a handler, and doesn't wait until a response has left the process. A stop now waits, within a limit, until each request is received, handled and answered and closing connections have sent their last byte.

--- a/hickoryweir/callers/server.py
+++ b/hickoryweir/callers/server.py
@@ -9,6 +9,7 @@
 
 from aiohttp import http_exceptions, web
 
+from hickoryweir import open_requests
 from hickoryweir.callers import app, errors, interface
 from hickoryweir.configuration import settings
 from hickoryweir.observability import logs, metrics
@@ -18,6 +19,7 @@
 HEADER_CHECK_INTERVAL_S = 1.0
 KEEPALIVE_TIMEOUT_S = 75.0
 RELOAD_INTERVAL_S = 5.0
+STOP_LIMIT_S = 5.0
 NO_CLASS = ""
 
 
@@ -191,11 +193,14 @@
     ----------
     port : int
         TCP port that it listens on.
+    open_requests : set of asyncio.Task
+        Tasks of the requests that are being received, handled or answered.
     """
 
     port: int
     runner: web.AppRunner
     listener: asyncio.Server
+    open_requests: set[asyncio.Task]
     tasks: tuple[asyncio.Task, ...]
 
 
@@ -219,7 +224,12 @@
     """
     limits = daemon.limits
     application = app.make_app(daemon)
-    runner = web.AppRunner(application, handler_cancellation=True)
+    open_requests.track(application)
+    runner = web.AppRunner(
+        application,
+        handler_cancellation=True,
+        shutdown_timeout=open_requests.SHUTDOWN_TIMEOUT_S,
+    )
     await runner.setup()
     factory = make_protocol_factory(runner.server, limits, daemon.metrics)
     context = None
@@ -239,7 +249,8 @@
     )
     port = listener.sockets[0].getsockname()[1]
     tasks = tuple(asyncio.create_task(coroutine) for coroutine in coroutines)
-    return RunningServer(port, runner, listener, tasks)
+    tracked = application[open_requests.OPEN_REQUESTS]
+    return RunningServer(port, runner, listener, tracked, tasks)
 
 
 def stop_listening(running: RunningServer) -> None:
@@ -248,11 +259,11 @@
 
 
 async def stop(running: RunningServer) -> None:
-    """Stop the server and close its connections."""
+    """Let open requests end within `STOP_LIMIT_S` and close all connections."""
     stop_listening(running)
     for task in running.tasks:
         task.cancel()
-    await running.runner.cleanup()
+    await open_requests.stop(running.runner, STOP_LIMIT_S)
 
 
 def make_tls_context(certificate_file: object, key_file: object) -> ssl.SSLContext:
--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 from returns import result
 
+from hickoryweir import open_requests
 from hickoryweir.engines import sessions
 from hickoryweir.entry import adapters, metrics_port, settings, tables
 from hickoryweir.feeds import publisher
@@ -22,6 +23,8 @@
 # A disk that hangs or is full usually stays so for seconds.
 REOPEN_INTERVAL_S = 0.5
 FAILURE_CHECK_INTERVAL_S = 0.2
+# Longer than tables.LOG_TIMEOUT_S, which bounds each complete request.
+OPERATORS_STOP_LIMIT_S = 1.5
 
 
 def _make_node(entry_settings: settings.EntrySettings, peer_hub: hub.Hub) -> node.Node:
@@ -152,7 +155,7 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
             await self._supervisor.node.stop()
-            await runner.cleanup()
+            await open_requests.stop(runner, OPERATORS_STOP_LIMIT_S)
             await self._close()
 
     async def _serve_operators(self) -> web.AppRunner:
@@ -165,7 +168,12 @@
             await metrics_port.start(metrics, process.host, process.metrics_port)
         service = tables.TableService(self._log, self._adapters.decode_table)
         app = self._adapters.make_operators_app(service)
-        runner = web.AppRunner(app, access_log=None)
+        open_requests.track(app)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            shutdown_timeout=open_requests.SHUTDOWN_TIMEOUT_S,
+        )
         await runner.setup()
         host, port = wire.split_address(self._settings.ports.operators)
         await web.TCPSite(runner, host, port).start()
--- /dev/null
+++ b/hickoryweir/open_requests.py
@@ -0,0 +1,65 @@
+"""Open requests of an HTTP application, which end before its server stops.
+
+aiohttp's own shutdown discards the rest of a body that is still being received, and
+does not wait until responses have left the process.
+"""
+
+import asyncio
+
+from aiohttp import web
+
+CHECK_INTERVAL_S = 0.02
+# aiohttp waits twice: for a handler, and for its cancellation.
+SHUTDOWN_TIMEOUT_S = 0.5
+OPEN_REQUESTS = web.AppKey("open_requests", set)
+
+
+def track(app: web.Application) -> None:
+    """Record the tasks of an application's open requests in `app[OPEN_REQUESTS]`."""
+    app[OPEN_REQUESTS] = set()
+    app.middlewares.insert(0, _record)
+
+
+@web.middleware
+async def _record(request: web.Request, handler) -> web.StreamResponse:
+    tasks, task = request.app[OPEN_REQUESTS], asyncio.current_task()
+    tasks.add(task)
+    try:
+        return await handler(request)
+    finally:
+        tasks.discard(task)
+
+
+async def stop(runner: web.AppRunner, limit_s: float) -> None:
+    """Stop listening, let open requests end within `limit_s`, and close connections.
+
+    Parameters
+    ----------
+    runner : web.AppRunner
+        Runs an application with :func:`track`; its shutdown timeout should be
+        `SHUTDOWN_TIMEOUT_S`.
+    limit_s : float
+        Maximum time until all requests have been received, handled and answered.
+    """
+    for site in runner.sites:
+        await site.stop()
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + limit_s
+    while _has_open_requests(runner):
+        if loop.time() >= end_s:
+            break
+        await asyncio.sleep(CHECK_INTERVAL_S)
+    await runner.cleanup()
+
+
+def _has_open_requests(runner: web.AppRunner) -> bool:
+    """Return whether a request is open or a response is not fully sent."""
+    if runner.app[OPEN_REQUESTS]:
+        return True
+    # A connection that is closing is in the list until its last byte is sent.
+    transports = [connection.transport for connection in runner.server.connections]
+    return any(
+        transport is not None
+        and (transport.is_closing() or transport.get_write_buffer_size())
+        for transport in transports
+    )
--- a/hickoryweir/operators/server.py
+++ b/hickoryweir/operators/server.py
@@ -5,10 +5,11 @@
 
 from aiohttp import web
 
+from hickoryweir import open_requests
 from hickoryweir.callers import server as callers_server
 from hickoryweir.configuration import settings
 
-SHUTDOWN_TIMEOUT_S = 5.0
+STOP_LIMIT_S = 5.0
 RELOAD_INTERVAL_S = 5.0
 
 
@@ -48,7 +49,10 @@
     OSError
         The port is in use or a certificate file can't be read.
     """
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
+    open_requests.track(app)
+    runner = web.AppRunner(
+        app, access_log=None, shutdown_timeout=open_requests.SHUTDOWN_TIMEOUT_S
+    )
     await runner.setup()
     context = None
     tasks = ()
@@ -65,7 +69,7 @@
 
 
 async def stop(running: RunningServer) -> None:
-    """Stop the server and its running requests."""
+    """Let open requests end within `STOP_LIMIT_S` and close all connections."""
     for task in running.tasks:
         task.cancel()
-    await running.runner.cleanup()
+    await open_requests.stop(running.runner, STOP_LIMIT_S)
