Refuse calls that are open at the drain's limit

At the limit drain.run logged them as cut off and stopped the HTTP server, which waited up to two minutes and then closed their connections without an answer (b'' after 121.03 s). Each call now gets its final refusal: 503 draining, ran maybe or no, or 504 outcome_unknown once a claim is proposed; a stream ends with an error event. The drain also waits for calls whose body is still being received, which were not counted as in flight.

drain.Steps takes a function for the calls in flight and one that refuses them, so the existing test of the exit code passes functions; its assertion is the same.

--- a/hickoryweir/daemon/drain.py
+++ b/hickoryweir/daemon/drain.py
@@ -2,6 +2,7 @@
 
 1. Readiness is withdrawn, and calls are still served for the balancer's lag.
 2. New connections are no longer accepted, and calls in flight end, up to a limit.
+   Those that are still open then get their final refusal.
 3. The replica transfers leadership, and the process exits: with code 0, or with
    code 3 if calls were still in flight at the limit.
 """
@@ -20,9 +21,8 @@
 EXIT_CLEAN = 0
 EXIT_CUT_OFF = 3
 
-REFUSAL = refusals.make_refusal(
-    refusals.Reason.DRAINING, "this entry VM is shutting down", RETRY_AFTER_S
-)
+MESSAGE = "this entry VM is shutting down"
+REFUSAL = refusals.make_refusal(refusals.Reason.DRAINING, MESSAGE, RETRY_AFTER_S)
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,14 +40,17 @@
     ----------
     stop_listening : function
         Stops accepting connections.
-    in_flight : collection
-        Calls in flight; empty when all have ended.
+    in_flight : function
+        Returns the calls in flight, also those that are still being received.
+    refuse_calls : function
+        Gives each call that is still open its final refusal.
     stop : function
         Closes the remaining components and transfers leadership.
     """
 
     stop_listening: Callable[[], None]
-    in_flight: Collection[asyncio.Task]
+    in_flight: Callable[[], Collection[asyncio.Task]]
+    refuse_calls: Callable[[], None]
     stop: Callable[[], Awaitable[None]]
 
 
@@ -69,22 +72,25 @@
         0, or 3 if calls were still in flight at the limit.
     """
     drain.begun = True
-    logs.info("draining", logs.Fields(detail=f"{len(steps.in_flight)} in flight"))
+    logs.info("draining", logs.Fields(detail=f"{len(steps.in_flight())} in flight"))
     await asyncio.sleep(limits.balancer_lag_s)
     steps.stop_listening()
     ended = await wait_until_empty(steps.in_flight, limits.limit_s)
     if not ended:
-        fields = logs.Fields(detail=f"{len(steps.in_flight)} cut off")
+        fields = logs.Fields(detail=f"{len(steps.in_flight())} cut off")
         logs.error("drain limit reached", fields)
+        steps.refuse_calls()
     await steps.stop()
     logs.info("stopped")
     return EXIT_CLEAN if ended else EXIT_CUT_OFF
 
 
-async def wait_until_empty(tasks: Collection[asyncio.Task], limit_s: float) -> bool:
+async def wait_until_empty(
+    in_flight: Callable[[], Collection[asyncio.Task]], limit_s: float
+) -> bool:
     """Return whether all tasks ended within the limit."""
     until_s = time.monotonic() + limit_s
-    while tasks:
+    while in_flight():
         if time.monotonic() >= until_s:
             return False
         await asyncio.sleep(POLL_INTERVAL_S)
--- a/hickoryweir/daemon/driver.py
+++ b/hickoryweir/daemon/driver.py
@@ -35,12 +35,15 @@
         Runs one attempt at a backend server.
     tasks : set of asyncio.Task
         Calls, and attempts that outlive them; empty when nothing is in flight.
+    calls : set of calls.Call
+        Calls without an outcome.
     """
 
     dispatcher: dispatcher.Dispatcher
     run_attempt: RunAttempt
     metrics: metrics.Metrics
     tasks: set[asyncio.Task]
+    calls: set[calls.Call]
 
 
 def make_driver(
@@ -49,7 +52,7 @@
     counters: metrics.Metrics,
 ) -> Driver:
     """Return a driver with no calls in flight."""
-    return Driver(core_dispatcher, run_attempt, counters, set())
+    return Driver(core_dispatcher, run_attempt, counters, set(), set())
 
 
 def track_task(driver: Driver, task: asyncio.Task) -> None:
@@ -97,6 +100,7 @@
     """Run a call until its outcome or its deadline, and record the outcome."""
     request = call.request
     attempts: dict[int, asyncio.Task] = {}
+    driver.calls.add(call)
     dispatcher.submit(driver.dispatcher, make_arrival(request), call.mailbox)
     try:
         async with asyncio.timeout(request.deadline_s - time.monotonic()):
@@ -104,6 +108,7 @@
     except TimeoutError:
         outcome = result.Failure(make_deadline_refusal(call))
     finally:
+        driver.calls.discard(call)
         release_call(driver, call, attempts)
     record_outcome(driver, call, outcome)
     return outcome
@@ -244,8 +249,23 @@
     track_task(driver, asyncio.create_task(wait_for_attempts()))
 
 
+def refuse_calls(driver: Driver, reason: refusals.Reason, message: str) -> None:
+    """Give each call that has no outcome its final refusal."""
+    for call in driver.calls:
+        refusal = make_early_refusal(call, reason, message)
+        call.mailbox.put_nowait(actions.Refuse(call.request.call_id, refusal))
+
+
 def make_deadline_refusal(call: calls.Call) -> refusals.Refusal:
     """Return the refusal of a call whose deadline has passed."""
+    reason = refusals.Reason.DEADLINE_EXCEEDED
+    return make_early_refusal(call, reason, "the class's deadline has passed")
+
+
+def make_early_refusal(
+    call: calls.Call, reason: refusals.Reason, message: str
+) -> refusals.Refusal:
+    """Return the refusal of a call that ends before its attempts do."""
     if call.claim_proposed:
         return refusals.make_refusal(
             refusals.Reason.OUTCOME_UNKNOWN,
@@ -254,8 +274,7 @@
             refusals.Ran.MAYBE,
         )
     ran = refusals.Ran.MAYBE if call.dispatched else refusals.Ran.NO
-    message = "the class's deadline has passed"
-    return refusals.make_refusal(refusals.Reason.DEADLINE_EXCEEDED, message, 1.0, ran)
+    return refusals.make_refusal(reason, message, 1.0, ran)
 
 
 def record_outcome(driver: Driver, call: calls.Call, outcome: Outcome) -> None:
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -277,7 +277,10 @@
     """Shut down gracefully and return the exit code."""
     steps = drain.Steps(
         stop_listening=lambda: server.stop_listening(process.callers),
-        in_flight=process.driver.tasks,
+        in_flight=lambda: process.driver.tasks | process.callers.open_requests,
+        refuse_calls=lambda: driver.refuse_calls(
+            process.driver, refusals.Reason.DRAINING, drain.MESSAGE
+        ),
         stop=lambda: stop(process),
     )
     return await drain.run(process.drain, process.settings.drain, steps)
--- a/hickoryweir/daemon/tests/test_process.py
+++ b/hickoryweir/daemon/tests/test_process.py
@@ -103,7 +103,7 @@
         async def stop():
             forever.cancel()
 
-        steps = drain.Steps(lambda: None, {forever}, stop)
+        steps = drain.Steps(lambda: None, lambda: {forever}, lambda: None, stop)
         limits = settings.Drain(balancer_lag_s=0.0, limit_s=0.1)
         return await drain.run(drain.Drain(), limits, steps)
 
