Replica: end operators' requests before the node stops

Responses given during a stop close their connection, so that the client's next request isn't sent on it.

--- a/hickoryweir/callers/server.py
+++ b/hickoryweir/callers/server.py
@@ -249,7 +249,7 @@
     )
     port = listener.sockets[0].getsockname()[1]
     tasks = tuple(asyncio.create_task(coroutine) for coroutine in coroutines)
-    tracked = application[open_requests.OPEN_REQUESTS]
+    tracked = application[open_requests.OPEN_REQUESTS].tasks
     return RunningServer(port, runner, listener, tracked, tasks)
 
 
--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -124,7 +124,7 @@
         )
 
     async def run(self, stop: asyncio.Event) -> None:
-        """Run until `stop` is set, then transfer leadership and shut down.
+        """Run until `stop` is set, then let requests end and transfer leadership.
 
         Raises
         ------
@@ -151,11 +151,11 @@
             await _wait(stop, tasks)
         finally:
             logs.info("stopping", logs.Fields(detail="replica"))
+            await open_requests.stop(runner, OPERATORS_STOP_LIMIT_S)
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
             await self._supervisor.node.stop()
-            await open_requests.stop(runner, OPERATORS_STOP_LIMIT_S)
             await self._close()
 
     async def _serve_operators(self) -> web.AppRunner:
--- a/hickoryweir/open_requests.py
+++ b/hickoryweir/open_requests.py
@@ -5,29 +5,44 @@
 """
 
 import asyncio
+import dataclasses
 
 from aiohttp import web
 
 CHECK_INTERVAL_S = 0.02
 # aiohttp waits twice: for a handler, and for its cancellation.
 SHUTDOWN_TIMEOUT_S = 0.5
-OPEN_REQUESTS = web.AppKey("open_requests", set)
+
+
+@dataclasses.dataclass(slots=True)
+class OpenRequests:
+    """Tasks of an application's open requests, and whether its server stops."""
+
+    tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
+    is_stopping: bool = False
+
+
+OPEN_REQUESTS = web.AppKey("open_requests", OpenRequests)
 
 
 def track(app: web.Application) -> None:
-    """Record the tasks of an application's open requests in `app[OPEN_REQUESTS]`."""
-    app[OPEN_REQUESTS] = set()
+    """Record an application's open requests in `app[OPEN_REQUESTS]`."""
+    app[OPEN_REQUESTS] = OpenRequests()
     app.middlewares.insert(0, _record)
 
 
 @web.middleware
 async def _record(request: web.Request, handler) -> web.StreamResponse:
-    tasks, task = request.app[OPEN_REQUESTS], asyncio.current_task()
-    tasks.add(task)
+    opened, task = request.app[OPEN_REQUESTS], asyncio.current_task()
+    opened.tasks.add(task)
     try:
-        return await handler(request)
+        response = await handler(request)
     finally:
-        tasks.discard(task)
+        opened.tasks.discard(task)
+    if opened.is_stopping:
+        # The client then sends its next request elsewhere, and none is lost.
+        response.force_close()
+    return response
 
 
 async def stop(runner: web.AppRunner, limit_s: float) -> None:
@@ -41,6 +56,7 @@
     limit_s : float
         Maximum time until all requests have been received, handled and answered.
     """
+    runner.app[OPEN_REQUESTS].is_stopping = True
     for site in runner.sites:
         await site.stop()
     loop = asyncio.get_running_loop()
@@ -54,7 +70,7 @@
 
 def _has_open_requests(runner: web.AppRunner) -> bool:
     """Return whether a request is open or a response is not fully sent."""
-    if runner.app[OPEN_REQUESTS]:
+    if runner.app[OPEN_REQUESTS].tasks:
         return True
     # A connection that is closing is in the list until its last byte is sent.
     transports = [connection.transport for connection in runner.server.connections]
