--- a/hickoryweir/operators/tests/test_server.py
+++ b/hickoryweir/operators/tests/test_server.py
@@ -1,4 +1,4 @@
-"""TLS at the operators' interface."""
+"""TLS and the stop of the operators' interface."""
 
 import asyncio
 
@@ -11,6 +11,7 @@
 HOST = "127.0.0.1"
 RELOAD_INTERVAL_S = 0.02
 MAX_ATTEMPTS_COUNT = 500
+REST_DELAY_S = 0.2
 
 
 def write_certificate(folder):
@@ -58,3 +59,29 @@
             await server.stop(running)
 
     assert asyncio.run(run())
+
+
+def test_body_that_arrives_during_a_stop_is_not_discarded():
+    head = b"POST /changes HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
+
+    async def answer(request):
+        return web.Response(body=await request.read())
+
+    async def run():
+        app = web.Application()
+        app.router.add_post("/changes", answer)
+        running = await server.start(app, settings.Operators(HOST, 0, plain_text=True))
+        reader, writer = await asyncio.open_connection(HOST, running.port)
+        writer.write(head + b"bo")
+        await asyncio.sleep(REST_DELAY_S)
+        stopping = asyncio.create_task(server.stop(running))
+        await asyncio.sleep(REST_DELAY_S)
+        writer.write(b"dy")
+        received = await reader.read()
+        await stopping
+        writer.close()
+        return received.partition(b"\r\n\r\n")
+
+    received_head, _, body = asyncio.run(run())
+    assert body == b"body"
+    assert b"\r\nConnection: close" in received_head
