--- a/hickoryweir/entry/tests/test_early_signals.py
+++ b/hickoryweir/entry/tests/test_early_signals.py
@@ -1,11 +1,33 @@
-"""Signals that arrive while a process starts."""
+"""Signals that arrive while a process starts or ends."""
 
+import os
 import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
+from hickoryweir.testing.demo import entry_vms
+
+SETTINGS = """
+[process]
+role = replica
+host = 127.0.0.1
+availability_zone = a
+peer_port = {peer_port}
+seeds = 127.0.0.1:1
+
+[ports]
+operators = 127.0.0.1:{port}
+
+[replica]
+data_folder = {folder}
+bootstrap = yes
+"""
+SIGNAL_INTERVAL_S = 0.002
+STOP_TIMEOUT_S = 10.0
+
 # The process signals itself at the point where its imports would run.
 PROGRAM = """
 import os, signal
@@ -70,3 +92,25 @@
         check=True,
     )
     assert ended.stdout == f"{holds}\n"
+
+
+def test_repeated_sigterm_does_not_change_the_exit_code_of_a_stop(tmp_path):
+    path = tmp_path / "replica.ini"
+    path.write_text(
+        SETTINGS.format(
+            peer_port=entry_vms.free_port(),
+            port=entry_vms.free_port(),
+            folder=tmp_path / "data",
+        )
+    )
+    command = [sys.executable, "-m", "hickoryweir", "forward", str(path)]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        for line in process.stdout:
+            if "serving" in line:
+                break
+        give_up_s = time.monotonic() + STOP_TIMEOUT_S
+        while process.poll() is None and time.monotonic() < give_up_s:
+            os.kill(process.pid, signal.SIGTERM)
+            time.sleep(SIGNAL_INTERVAL_S)
+        process.kill()
+    assert process.returncode == 0
