--- a/hickoryweir/daemon/main.py
+++ b/hickoryweir/daemon/main.py
@@ -9,7 +9,7 @@
 
 import aiomisc
 
-from hickoryweir import early_signals
+from hickoryweir import late_signals
 from hickoryweir.configuration import settings
 from hickoryweir.daemon import components, process
 from hickoryweir.observability import logs
@@ -69,4 +69,4 @@
     try:
         return await process.drain_and_stop(service.running)
     finally:
-        early_signals.ignore_until_exit(loop)
+        late_signals.ignore_until_exit(loop)
--- a/hickoryweir/entry/main.py
+++ b/hickoryweir/entry/main.py
@@ -9,7 +9,7 @@
 import aiomisc
 from returns import result
 
-from hickoryweir import early_signals
+from hickoryweir import late_signals
 from hickoryweir.entry import adapters, reloading, settings
 from hickoryweir.observability import bounded, logs
 
@@ -75,7 +75,7 @@
     finally:
         watching.cancel()
         await asyncio.gather(watching, return_exceptions=True)
-        early_signals.ignore_until_exit(loop)
+        late_signals.ignore_until_exit(loop)
 
 
 def _make_process(
