--- a/hickoryweir/callers/server.py
+++ b/hickoryweir/callers/server.py
@@ -9,7 +9,7 @@
 
 from aiohttp import http_exceptions, web
 
-from hickoryweir import open_requests
+from hickoryweir import graceful_stop
 from hickoryweir.callers import app, errors, interface
 from hickoryweir.configuration import settings
 from hickoryweir.observability import logs, metrics
@@ -224,11 +224,11 @@
     """
     limits = daemon.limits
     application = app.make_app(daemon)
-    open_requests.track(application)
+    graceful_stop.track(application)
     runner = web.AppRunner(
         application,
         handler_cancellation=True,
-        shutdown_timeout=open_requests.SHUTDOWN_TIMEOUT_S,
+        shutdown_timeout=graceful_stop.SHUTDOWN_TIMEOUT_S,
     )
     await runner.setup()
     factory = make_protocol_factory(runner.server, limits, daemon.metrics)
@@ -249,7 +249,7 @@
     )
     port = listener.sockets[0].getsockname()[1]
     tasks = tuple(asyncio.create_task(coroutine) for coroutine in coroutines)
-    tracked = application[open_requests.OPEN_REQUESTS].tasks
+    tracked = application[graceful_stop.OPEN_REQUESTS].tasks
     return RunningServer(port, runner, listener, tracked, tasks)
 
 
@@ -263,7 +263,7 @@
     stop_listening(running)
     for task in running.tasks:
         task.cancel()
-    await open_requests.stop(running.runner, STOP_LIMIT_S)
+    await graceful_stop.stop(running.runner, STOP_LIMIT_S)
 
 
 def make_tls_context(certificate_file: object, key_file: object) -> ssl.SSLContext:
--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 from returns import result
 
-from hickoryweir import open_requests
+from hickoryweir import graceful_stop
 from hickoryweir.engines import sessions
 from hickoryweir.entry import adapters, metrics_port, settings, tables
 from hickoryweir.feeds import publisher
@@ -151,7 +151,7 @@
             await _wait(stop, tasks)
         finally:
             logs.info("stopping", logs.Fields(detail="replica"))
-            await open_requests.stop(runner, OPERATORS_STOP_LIMIT_S)
+            await graceful_stop.stop(runner, OPERATORS_STOP_LIMIT_S)
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -168,11 +168,11 @@
             await metrics_port.start(metrics, process.host, process.metrics_port)
         service = tables.TableService(self._log, self._adapters.decode_table)
         app = self._adapters.make_operators_app(service)
-        open_requests.track(app)
+        graceful_stop.track(app)
         runner = web.AppRunner(
             app,
             access_log=None,
-            shutdown_timeout=open_requests.SHUTDOWN_TIMEOUT_S,
+            shutdown_timeout=graceful_stop.SHUTDOWN_TIMEOUT_S,
         )
         await runner.setup()
         host, port = wire.split_address(self._settings.ports.operators)
--- a/hickoryweir/operators/server.py
+++ b/hickoryweir/operators/server.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from hickoryweir import open_requests
+from hickoryweir import graceful_stop
 from hickoryweir.callers import server as callers_server
 from hickoryweir.configuration import settings
 
@@ -49,9 +49,9 @@
     OSError
         The port is in use or a certificate file can't be read.
     """
-    open_requests.track(app)
+    graceful_stop.track(app)
     runner = web.AppRunner(
-        app, access_log=None, shutdown_timeout=open_requests.SHUTDOWN_TIMEOUT_S
+        app, access_log=None, shutdown_timeout=graceful_stop.SHUTDOWN_TIMEOUT_S
     )
     await runner.setup()
     context = None
@@ -72,4 +72,4 @@
     """Let open requests end within `STOP_LIMIT_S` and close all connections."""
     for task in running.tasks:
         task.cancel()
-    await open_requests.stop(running.runner, STOP_LIMIT_S)
+    await graceful_stop.stop(running.runner, STOP_LIMIT_S)
