Wait for the last byte of responses on connections that a stop finds idle

What a caller saw: 16,213 of 40,000 bytes of a complete response, to a client that reads slowly, because the process exited.

Cause: the stop ended as soon as every connection was idle, and a kept connection whose response is still in the write buffer is idle.

--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -244,38 +244,38 @@
     loop = asyncio.get_running_loop()
     end_s = loop.time() + time_left_s
     while True:
-        are_busy = _close_idle_connections(running.server)
+        _close_idle_connections(running.server)
         now_s = loop.time()
-        if not are_busy or now_s >= end_s:
+        # A closed connection stays in the list until its last byte is sent.
+        if not running.server.connections or now_s >= end_s:
             break
         if now_s >= end_s - ANSWER_MARGIN_S:
             for request in running.router.open_requests.values():
                 open_requests.give_up(request)
         await asyncio.sleep(STOP_CHECK_INTERVAL_S)
     running.header_watcher.cancel()
-    if are_busy:
-        _log_aborted(running.router.open_requests)
+    if running.server.connections:
+        _log_aborted(running)
     for connection in list(running.server.connections):
         connection.force_close()
 
 
-def _close_idle_connections(server: web.Server) -> bool:
-    """Close the idle connections; return whether there are others."""
-    are_busy = False
+def _close_idle_connections(server: web.Server) -> None:
     for connection in list(server.connections):
         if connection.is_idle:
             connection.force_close()
-        else:
-            are_busy = True
-    return are_busy
 
 
-def _log_aborted(
-    open_by_connection: dict[ClientConnection, open_requests.OpenRequest],
-) -> None:
+def _log_aborted(running: RunningServer) -> None:
     """Log each request whose connection the stop closes without a whole response."""
     now_s = clocks.boottime_s()
-    for connection, request in open_by_connection.items():
+    connections = running.server.connections
+    aborted = {
+        connection: request
+        for connection, request in running.router.open_requests.items()
+        if connection in connections
+    }
+    for connection, request in aborted.items():
         context = request.context
         placement = None if context is None else context.placement
         fields = logs.Fields(
@@ -291,5 +291,6 @@
             ),
         )
         logs.warning("request aborted by the stop", fields)
-    fields = logs.Fields(detail=f"{len(open_by_connection)} requests aborted")
-    logs.warning("stopped with open requests", fields)
+    unread_count = len(connections) - len(aborted)
+    detail = f"{len(aborted)} requests aborted, {unread_count} responses not read"
+    logs.warning("stopped with open requests", logs.Fields(detail=detail))
--- a/hickoryweir/forwarding/tests/test_stop.py
+++ b/hickoryweir/forwarding/tests/test_stop.py
@@ -30,7 +30,7 @@
         async with sites.run_site([sites.answering()]) as site:
             reader, writer = await asyncio.open_connection(HOST, site.port)
             writer.write(head.encode() + body[:50])
-            await sites.wait_until(lambda: site.running.open_requests)
+            await sites.wait_until(lambda: site.forwarder.open_requests)
             stopping = asyncio.create_task(server.stop(site.running, 4.8))
             await asyncio.sleep(REST_DELAY_S)
             writer.write(body[50:])
