Wait for the one request that reaches the server in a test of pauses

It failed once beside other runs (1 instead of 2 requests seen): nine calls were answered before the tenth, which is forwarded, had reached the server. The bound stays.

--- a/hickoryweir/forwarding/tests/test_notices.py
+++ b/hickoryweir/forwarding/tests/test_notices.py
@@ -149,6 +149,7 @@
             advance(monkeypatch, 0.2)
             calls = [asyncio.create_task(site.call()) for _ in range(10)]
             await sites.wait_until(lambda: sum(call.done() for call in calls) == 9)
+            await sites.wait_until(lambda: len(site.backends[0].seen) >= 2)
             seen = len(site.backends[0].seen)
             release.set()
             await asyncio.gather(*calls)
