Test that a stall at the end of a stop leaves no request unanswered (fails)

Cause: the stop loop leaves at end_s before it gives up requests. If the event loop stalls over the last 0.25 s (ANSWER_MARGIN_S), no request is given up and all are closed without a byte. Seen with a stall of 0.4 s: ServerDisconnectedError instead of 502.

--- a/hickoryweir/forwarding/tests/test_server_stop_races.py
+++ b/hickoryweir/forwarding/tests/test_server_stop_races.py
@@ -1,6 +1,7 @@
 """Tests of races between the stop of a router's port and the requests on it."""
 
 import asyncio
+import time
 
 from aiohttp import web
 
@@ -68,3 +69,21 @@
     response = asyncio.run(main())
     assert b"data: r-1" in response
     assert response.count(b"HTTP/1.1") == 1
+
+
+def test_stop_answers_unanswered_requests_after_a_stall_of_the_event_loop():
+    async def silent(request, body):
+        await asyncio.sleep(sites.WAIT_S)
+
+    async def main():
+        async with sites.run_site([silent]) as site:
+            call = asyncio.create_task(site.call())
+            await sites.wait_until(lambda: site.backends[0].seen)
+            stopping = asyncio.create_task(server.stop(site.running, 1.0))
+            # Longer than the margin in which requests are given up.
+            asyncio.get_running_loop().call_later(0.7, time.sleep, 0.4)
+            status, _, body = await call
+            await stopping
+            return status, body
+
+    assert asyncio.run(main()) == (502, b"stopped_unanswered\n")
