Test four ways in which a stopping router drops what it reads (fails)

- A request read between the return of a stream's handler and the next step of aiohttp's start(): serve() has set force_close after it looked at the queue, and start() leaves with the request queued.
Seen: end of file after the stream, whose head had no 'Connection: close'.
- A request whose first bytes came while a stream was served: head_started_s isn't set while is_serving, so the connection counts as idle.
Seen: end of file.
- A connection accepted in the iteration in which the port closes, if no other is busy: the stop returns before connection_made and the request is served by a router that has stopped.
Seen with one iteration between connect and stop (uvloop): 1 attempt after the stop returned, 0 expected; 0, 2, 3 and 4 iterations pass.
- A complete request behind a response that its client reads slowly: head_started_s is set since is_serving is false during the write, and the header watcher, which now runs during the stop too, closes the connection.
Seen: 1 response instead of 2.

--- a/hickoryweir/forwarding/tests/test_server_stop_races.py
+++ b/hickoryweir/forwarding/tests/test_server_stop_races.py
@@ -1,17 +1,22 @@
 """Tests of races between the stop of a router's port and the requests on it."""
 
 import asyncio
+import socket
 import time
 
+import pytest
+import uvloop
 from aiohttp import web
 
 from hickoryweir.forwarding import (
     exchange,
+    forwarder,
     headers,
     open_requests,
     server,
 )
 from hickoryweir.forwarding.tests import sites
+from hickoryweir.observability import latencies
 
 HOST = sites.HOST
 HEAD = "GET /chat/{0} HTTP/1.1\r\nHost: site.example\r\n{1}: r-{0}\r\n\r\n"
@@ -87,3 +92,122 @@
             return status, body
 
     assert asyncio.run(main()) == (502, b"stopped_unanswered\n")
+
+
+def test_request_read_as_a_kept_stream_ends_is_answered_by_a_stop(monkeypatch):
+    release = asyncio.Event()
+    serve = forwarder.serve
+
+    async def serve_before_more_data(router, request, open_request):
+        response = await serve(router, request, open_request)
+        if request.path == "/chat/1":
+            # uvloop reads between the return of the handler and its caller's step.
+            asyncio.get_running_loop().call_soon(
+                request.protocol.data_received, make_head(2)
+            )
+        return response
+
+    monkeypatch.setattr(forwarder, "serve", serve_before_more_data)
+
+    async def main():
+        async def answer(request, body):
+            return await stream_one_event(request, release)
+
+        routes = (sites.resumable_route(),)
+        async with sites.run_site([answer], routes) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(make_head(1))
+            head = await reader.readuntil(b"data: r-1")
+            stopping = asyncio.create_task(server.stop(site.running, 2.0))
+            await asyncio.sleep(0.1)
+            release.set()
+            rest = await reader.read()
+            writer.close()
+            await stopping
+            return head, rest
+
+    head, rest = asyncio.run(main())
+    assert b"Connection: close" not in head
+    assert b"data: r-2" in rest
+
+
+def test_stop_receives_the_rest_of_a_request_that_began_behind_another():
+    release = asyncio.Event()
+
+    async def main():
+        async def answer(request, body):
+            return await stream_one_event(request, release)
+
+        routes = (sites.resumable_route(),)
+        async with sites.run_site([answer], routes) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(make_head(1))
+            await reader.readuntil(b"data: r-1")
+            second = make_head(2)
+            writer.write(second[:20])
+            await asyncio.sleep(0.1)
+            stopping = asyncio.create_task(server.stop(site.running, 2.0))
+            await asyncio.sleep(0.1)
+            release.set()
+            await reader.readuntil(b"0\r\n\r\n")
+            # Longer than the interval at which a stop closes idle connections.
+            await asyncio.sleep(0.2)
+            writer.write(second[20:])
+            rest = await reader.read()
+            writer.close()
+            await stopping
+            return rest
+
+    assert b"data: r-2" in asyncio.run(main())
+
+
+@pytest.mark.parametrize("iterations_count", range(5))
+def test_connection_accepted_as_the_port_closes_is_not_served_after_the_stop(
+    iterations_count,
+):
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            site.forwarder.metrics.latencies.record(
+                "chat", latencies.Interval.ANSWER, 0.1
+            )
+            sock = socket.create_connection((HOST, site.port))
+            sock.sendall(make_head(1))
+            for _ in range(iterations_count):
+                await asyncio.sleep(0)
+            await server.stop(site.running, 1.0)
+            attempts_count = site.forwarder.last_attempt_number
+            # The process goes on for as long as it closes its other parts.
+            await asyncio.sleep(0.3)
+            sock.close()
+            return attempts_count, site.forwarder.last_attempt_number
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        at_stop_count, later_count = runner.run(main())
+    assert later_count == at_stop_count
+
+
+def test_complete_request_behind_a_slow_reader_is_no_slow_header():
+    text = "x" * 3_000_000
+
+    async def main():
+        async with sites.run_site([sites.answering(text=text)]) as site:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, (HOST, site.port))
+            reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+            writer.write(make_head(1))
+            await sites.wait_until(lambda: site.backends[0].seen)
+            await asyncio.sleep(0.3)
+            writer.write(make_head(2))
+            stopping = asyncio.create_task(server.stop(site.running, 6.0))
+            # Longer than the limit on the time that headers take.
+            await asyncio.sleep(4.2)
+            response = await reader.read()
+            writer.close()
+            await stopping
+            return response
+
+    response = asyncio.run(main())
+    assert response.count(b"HTTP/1.1 200 ") == 2
+    assert response.count(b"x") >= 2 * len(text)
