Test that a stop names a response that it cuts off while it is written (fails)

Cause: the record of a request is removed 20 ms after its handler returned, and _log_aborted() goes through the records, not through the busy connections.

--- a/hickoryweir/forwarding/tests/test_server_stop_races.py
+++ b/hickoryweir/forwarding/tests/test_server_stop_races.py
@@ -211,3 +211,28 @@
     response = asyncio.run(main())
     assert response.count(b"HTTP/1.1 200 ") == 2
     assert response.count(b"x") >= 2 * len(text)
+
+
+def test_stop_logs_a_complete_response_that_its_client_has_not_read(caplog):
+    async def main():
+        async with sites.run_site([sites.answering(text="x" * 3_000_000)]) as site:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, (HOST, site.port))
+            reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+            writer.write(make_head(1))
+            await sites.wait_until(lambda: site.backends[0].seen)
+            await asyncio.sleep(0.3)
+            await server.stop(site.running, 0.5)
+            writer.transport.abort()
+
+    with caplog.at_level("INFO"):
+        asyncio.run(main())
+    entries = [record.args[0] for record in caplog.records if record.args]
+    aborted = [
+        entry.fields.request_id
+        for entry in entries
+        if entry.message == "request aborted by the stop"
+    ]
+    assert aborted == ["r-1"]
