Test that a stopping router serves short requests (fails)

Cause: _can_end() takes the largest age of all open requests of the route, from the arrival of their headers, and its own request is one of them. Seen: 503 for a request whose body took 5 s to arrive on a route whose answers take 0.1 s; 503 for 5 of 5 requests beside one that has been open for 8 s, after 200 answers of 0.1 s.

The second is a judgement on the policy: one stuck request says little about the others.

--- a/hickoryweir/forwarding/tests/test_server_stop_races.py
+++ b/hickoryweir/forwarding/tests/test_server_stop_races.py
@@ -17,6 +17,7 @@
 )
 from hickoryweir.forwarding.tests import sites
 from hickoryweir.observability import latencies
+from hickoryweir.routes.tests import tables
 
 HOST = sites.HOST
 HEAD = "GET /chat/{0} HTTP/1.1\r\nHost: site.example\r\n{1}: r-{0}\r\n\r\n"
@@ -236,3 +237,55 @@
         if entry.message == "request aborted by the stop"
     ]
     assert aborted == ["r-1"]
+
+
+def test_stopping_router_forwards_a_short_request_whose_body_came_slowly():
+    head = "POST /chat/1 HTTP/1.1\r\nHost: site.example\r\nContent-Length: 9\r\n\r\n"
+
+    async def main():
+        routes = (tables.make_route(allows_anonymous=True, timeout_s=30.0),)
+        async with sites.run_site([sites.answering()], routes) as site:
+            record = site.forwarder.metrics.latencies.record
+            record("chat", latencies.Interval.ANSWER, 0.1)
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(f"{head}half".encode())
+            await sites.wait_until(lambda: site.forwarder.open_requests)
+            (request,) = site.forwarder.open_requests.values()
+            request.received_at_s -= 5.0
+            stopping = asyncio.create_task(server.stop(site.running, 4.8))
+            await asyncio.sleep(0.1)
+            writer.write(b" more")
+            response = await reader.read()
+            writer.close()
+            await stopping
+            return response
+
+    assert asyncio.run(main()).startswith(b"HTTP/1.1 200 ")
+
+
+def test_stopping_router_forwards_short_requests_beside_one_stuck_request():
+    release = asyncio.Event()
+
+    async def answer(request, body):
+        if request.path == "/chat/stuck":
+            await release.wait()
+        return await sites.answering()(request, body)
+
+    async def main():
+        routes = (tables.make_route(allows_anonymous=True, timeout_s=30.0),)
+        async with sites.run_site([answer], routes) as site:
+            for _ in range(200):
+                site.forwarder.metrics.latencies.record(
+                    "chat", latencies.Interval.ANSWER, 0.1
+                )
+            stuck = asyncio.create_task(site.call(path="/chat/stuck"))
+            await sites.wait_until(lambda: site.backends[0].seen)
+            (request,) = site.forwarder.open_requests.values()
+            request.received_at_s -= 8.0
+            server.begin_stop(site.forwarder, 7.4)
+            statuses = [(await site.call())[0] for _ in range(5)]
+            release.set()
+            await stuck
+            return statuses
+
+    assert asyncio.run(main()) == [200] * 5
