Test that a kept connection is usable while a stopping router's port is open (fails)

What a client sees: a stream that began before the stop and said nothing of closing ends during the open-port phase, and the next request on that connection gets a reset.

Cause: serve() calls force_close() on a response whose head is already sent.

--- a/hickoryweir/forwarding/tests/test_server_stop_races.py
+++ b/hickoryweir/forwarding/tests/test_server_stop_races.py
@@ -289,3 +289,32 @@
             return statuses
 
     assert asyncio.run(main()) == [200] * 5
+
+
+def test_connection_kept_by_a_stream_serves_the_next_request_while_the_port_is_open():
+    release = asyncio.Event()
+
+    async def main():
+        async def answer(request, body):
+            return await stream_one_event(request, release)
+
+        routes = (sites.resumable_route(),)
+        async with sites.run_site([answer], routes) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(make_head(1))
+            head = await reader.readuntil(b"data: r-1")
+            server.begin_stop(site.forwarder, 5.0)
+            release.set()
+            await reader.readuntil(b"0\r\n\r\n")
+            writer.write(make_head(2))
+            try:
+                rest = await reader.read()
+            except ConnectionError:
+                rest = b""
+            writer.close()
+            return head, rest
+
+    head, rest = asyncio.run(main())
+    assert b"Connection: close" not in head
+    assert rest.startswith(b"HTTP/1.1 200 ")
+    assert b"Connection: close" in rest
