--- /dev/null
+++ b/hickoryweir/forwarding/tests/test_server_stop_races.py
@@ -0,0 +1,320 @@
+"""Tests of races between the stop of a router's port and the requests on it."""
+
+import asyncio
+import socket
+import time
+
+import pytest
+import uvloop
+from aiohttp import web
+
+from hickoryweir.forwarding import (
+    exchange,
+    forwarder,
+    headers,
+    open_requests,
+    server,
+)
+from hickoryweir.forwarding.tests import sites
+from hickoryweir.observability import latencies
+from hickoryweir.routes.tests import tables
+
+HOST = sites.HOST
+HEAD = "GET /chat/{0} HTTP/1.1\r\nHost: site.example\r\n{1}: r-{0}\r\n\r\n"
+
+
+def make_head(number: int) -> bytes:
+    """Return a request without a body."""
+    return HEAD.format(number, headers.REQUEST_ID).encode()
+
+
+async def stream_one_event(request, release):
+    """Send a stream of one event that ends on release."""
+    request_id = request.headers[headers.REQUEST_ID]
+    response = web.StreamResponse(headers={headers.REQUEST_ID: request_id})
+    await response.prepare(request)
+    await response.write(b"id: 1\ndata: " + request_id.encode() + b"\n\n")
+    await release.wait()
+    return response
+
+
+def test_request_given_up_as_its_stream_starts_gets_no_second_response(monkeypatch):
+    gate, release = asyncio.Event(), asyncio.Event()
+    send, give_up = exchange.send, open_requests.give_up
+
+    async def send_and_wait(*arguments):
+        outcome = await send(*arguments)
+        await gate.wait()
+        return outcome
+
+    def start_and_give_up(request):
+        # The head of the response is handled in the iteration of the give-up.
+        gate.set()
+        give_up(request)
+
+    monkeypatch.setattr(exchange, "send", send_and_wait)
+    monkeypatch.setattr(open_requests, "give_up", start_and_give_up)
+
+    async def main():
+        routes = (sites.resumable_route(),)
+
+        async def answer(request, body):
+            return await stream_one_event(request, release)
+
+        async with sites.run_site([answer], routes) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(make_head(1))
+            await sites.wait_until(lambda: site.backends[0].seen)
+            await asyncio.sleep(0.1)
+            await server.stop(site.running, 0.5)
+            response = await reader.read()
+            writer.close()
+            release.set()
+            return response
+
+    response = asyncio.run(main())
+    assert b"data: r-1" in response
+    assert response.count(b"HTTP/1.1") == 1
+
+
+def test_stop_answers_unanswered_requests_after_a_stall_of_the_event_loop():
+    async def silent(request, body):
+        await asyncio.sleep(sites.WAIT_S)
+
+    async def main():
+        async with sites.run_site([silent]) as site:
+            call = asyncio.create_task(site.call())
+            await sites.wait_until(lambda: site.backends[0].seen)
+            stopping = asyncio.create_task(server.stop(site.running, 1.0))
+            # Longer than the margin in which requests are given up.
+            asyncio.get_running_loop().call_later(0.7, time.sleep, 0.4)
+            status, _, body = await call
+            await stopping
+            return status, body
+
+    assert asyncio.run(main()) == (502, b"stopped_unanswered\n")
+
+
+def test_request_read_as_a_kept_stream_ends_is_answered_by_a_stop(monkeypatch):
+    release = asyncio.Event()
+    serve = forwarder.serve
+
+    async def serve_before_more_data(router, request, open_request):
+        response = await serve(router, request, open_request)
+        if request.path == "/chat/1":
+            # uvloop reads between the return of the handler and its caller's step.
+            asyncio.get_running_loop().call_soon(
+                request.protocol.data_received, make_head(2)
+            )
+        return response
+
+    monkeypatch.setattr(forwarder, "serve", serve_before_more_data)
+
+    async def main():
+        async def answer(request, body):
+            return await stream_one_event(request, release)
+
+        routes = (sites.resumable_route(),)
+        async with sites.run_site([answer], routes) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(make_head(1))
+            head = await reader.readuntil(b"data: r-1")
+            stopping = asyncio.create_task(server.stop(site.running, 2.0))
+            await asyncio.sleep(0.1)
+            release.set()
+            rest = await reader.read()
+            writer.close()
+            await stopping
+            return head, rest
+
+    head, rest = asyncio.run(main())
+    assert b"Connection: close" not in head
+    assert b"data: r-2" in rest
+
+
+def test_stop_receives_the_rest_of_a_request_that_began_behind_another():
+    release = asyncio.Event()
+
+    async def main():
+        async def answer(request, body):
+            return await stream_one_event(request, release)
+
+        routes = (sites.resumable_route(),)
+        async with sites.run_site([answer], routes) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(make_head(1))
+            await reader.readuntil(b"data: r-1")
+            second = make_head(2)
+            writer.write(second[:20])
+            await asyncio.sleep(0.1)
+            stopping = asyncio.create_task(server.stop(site.running, 2.0))
+            await asyncio.sleep(0.1)
+            release.set()
+            await reader.readuntil(b"0\r\n\r\n")
+            # Longer than the interval at which a stop closes idle connections.
+            await asyncio.sleep(0.2)
+            writer.write(second[20:])
+            rest = await reader.read()
+            writer.close()
+            await stopping
+            return rest
+
+    assert b"data: r-2" in asyncio.run(main())
+
+
+@pytest.mark.parametrize("iterations_count", range(5))
+def test_connection_accepted_as_the_port_closes_is_not_served_after_the_stop(
+    iterations_count,
+):
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            site.forwarder.metrics.latencies.record(
+                "chat", latencies.Interval.ANSWER, 0.1
+            )
+            sock = socket.create_connection((HOST, site.port))
+            sock.sendall(make_head(1))
+            for _ in range(iterations_count):
+                await asyncio.sleep(0)
+            await server.stop(site.running, 1.0)
+            attempts_count = site.forwarder.last_attempt_number
+            # The process goes on for as long as it closes its other parts.
+            await asyncio.sleep(0.3)
+            sock.close()
+            return attempts_count, site.forwarder.last_attempt_number
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        at_stop_count, later_count = runner.run(main())
+    assert later_count == at_stop_count
+
+
+def test_complete_request_behind_a_slow_reader_is_no_slow_header():
+    text = "x" * 3_000_000
+
+    async def main():
+        async with sites.run_site([sites.answering(text=text)]) as site:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, (HOST, site.port))
+            reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+            writer.write(make_head(1))
+            await sites.wait_until(lambda: site.backends[0].seen)
+            await asyncio.sleep(0.3)
+            writer.write(make_head(2))
+            stopping = asyncio.create_task(server.stop(site.running, 6.0))
+            # Longer than the limit on the time that headers take.
+            await asyncio.sleep(4.2)
+            response = await reader.read()
+            writer.close()
+            await stopping
+            return response
+
+    response = asyncio.run(main())
+    assert response.count(b"HTTP/1.1 200 ") == 2
+    assert response.count(b"x") >= 2 * len(text)
+
+
+def test_stop_logs_a_complete_response_that_its_client_has_not_read(caplog):
+    async def main():
+        async with sites.run_site([sites.answering(text="x" * 3_000_000)]) as site:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, (HOST, site.port))
+            reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+            writer.write(make_head(1))
+            await sites.wait_until(lambda: site.backends[0].seen)
+            await asyncio.sleep(0.3)
+            await server.stop(site.running, 0.5)
+            writer.transport.abort()
+
+    with caplog.at_level("INFO"):
+        asyncio.run(main())
+    entries = [record.args[0] for record in caplog.records if record.args]
+    aborted = [
+        entry.fields.request_id
+        for entry in entries
+        if entry.message == "request aborted by the stop"
+    ]
+    assert aborted == ["r-1"]
+
+
+def test_stopping_router_forwards_a_short_request_whose_body_came_slowly():
+    head = "POST /chat/1 HTTP/1.1\r\nHost: site.example\r\nContent-Length: 9\r\n\r\n"
+
+    async def main():
+        routes = (tables.make_route(allows_anonymous=True, timeout_s=30.0),)
+        async with sites.run_site([sites.answering()], routes) as site:
+            record = site.forwarder.metrics.latencies.record
+            record("chat", latencies.Interval.ANSWER, 0.1)
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(f"{head}half".encode())
+            await sites.wait_until(lambda: site.forwarder.open_requests)
+            (request,) = site.forwarder.open_requests.values()
+            request.received_at_s -= 5.0
+            stopping = asyncio.create_task(server.stop(site.running, 4.8))
+            await asyncio.sleep(0.1)
+            writer.write(b" more")
+            response = await reader.read()
+            writer.close()
+            await stopping
+            return response
+
+    assert asyncio.run(main()).startswith(b"HTTP/1.1 200 ")
+
+
+def test_stopping_router_forwards_short_requests_beside_one_stuck_request():
+    release = asyncio.Event()
+
+    async def answer(request, body):
+        if request.path == "/chat/stuck":
+            await release.wait()
+        return await sites.answering()(request, body)
+
+    async def main():
+        routes = (tables.make_route(allows_anonymous=True, timeout_s=30.0),)
+        async with sites.run_site([answer], routes) as site:
+            for _ in range(200):
+                site.forwarder.metrics.latencies.record(
+                    "chat", latencies.Interval.ANSWER, 0.1
+                )
+            stuck = asyncio.create_task(site.call(path="/chat/stuck"))
+            await sites.wait_until(lambda: site.backends[0].seen)
+            (request,) = site.forwarder.open_requests.values()
+            request.received_at_s -= 8.0
+            server.begin_stop(site.forwarder, 7.4)
+            statuses = [(await site.call())[0] for _ in range(5)]
+            release.set()
+            await stuck
+            return statuses
+
+    assert asyncio.run(main()) == [200] * 5
+
+
+def test_connection_kept_by_a_stream_serves_the_next_request_while_the_port_is_open():
+    release = asyncio.Event()
+
+    async def main():
+        async def answer(request, body):
+            return await stream_one_event(request, release)
+
+        routes = (sites.resumable_route(),)
+        async with sites.run_site([answer], routes) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(make_head(1))
+            head = await reader.readuntil(b"data: r-1")
+            server.begin_stop(site.forwarder, 5.0)
+            release.set()
+            await reader.readuntil(b"0\r\n\r\n")
+            writer.write(make_head(2))
+            try:
+                rest = await reader.read()
+            except ConnectionError:
+                rest = b""
+            writer.close()
+            return head, rest
+
+    head, rest = asyncio.run(main())
+    assert b"Connection: close" not in head
+    assert rest.startswith(b"HTTP/1.1 200 ")
+    assert b"Connection: close" in rest
