Abort a stream that begins as the stop gives up on its request

What a caller would see: inside the chunked body of a stream a second whole response, 502 stopped_unanswered, with a regular end. Cause: the phase of a request is read in one iteration of the event loop and its timer cancels the handler in the next; a handler that was already woken starts the stream in between. The handler now looks at the stream, as it does at a deadline. test_request_given_up_as_its_stream_starts_gets_no_second_response failed before (two heads in one response).

--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -505,6 +505,9 @@
     """Return the final response to a request that the stop of the router ended."""
     context = open_request.context
     request_id = open_request.request_id
+    if context is not None and context.stream_response is not None:
+        # The stream began after the stop had decided to give up.
+        return responses.abort_response(context)
     if context is None or not (context.sent_count or context.may_have_run):
         return _refuse(forwarder, request_id, errors.Reason.STOPPING)
     name = context.route.name
