Answer open requests also after a stall at the end of a stop

What a caller would see: the connection closed without a byte, on an entry VM whose event loop stands still over the last 0.25 s of the stop. Cause: the loop of the stop looked at its end before it gave up requests.

--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -243,16 +243,11 @@
     logs.info("port for clients closed", logs.Fields(detail=f"open: {phases}"))
     loop = asyncio.get_running_loop()
     end_s = loop.time() + time_left_s
-    while True:
-        _close_idle_connections(running.server)
-        now_s = loop.time()
-        # A closed connection stays in the list until its last byte is sent.
-        if not running.server.connections or now_s >= end_s:
-            break
-        if now_s >= end_s - ANSWER_MARGIN_S:
-            for request in running.router.open_requests.values():
-                open_requests.give_up(request)
-        await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+    await _wait_until_closed(running, end_s - ANSWER_MARGIN_S)
+    for request in running.router.open_requests.values():
+        open_requests.give_up(request)
+    # After a stall of the event loop, the final responses still need their time.
+    await _wait_until_closed(running, max(end_s, loop.time() + ANSWER_MARGIN_S))
     running.header_watcher.cancel()
     if running.server.connections:
         _log_aborted(running)
@@ -260,6 +255,17 @@
         connection.force_close()
 
 
+async def _wait_until_closed(running: RunningServer, until_s: float) -> None:
+    """Close idle connections until none is left, or until a time of the event loop."""
+    loop = asyncio.get_running_loop()
+    while True:
+        _close_idle_connections(running.server)
+        # A closed connection stays in the list until its last byte is sent.
+        if not running.server.connections or loop.time() >= until_s:
+            return
+        await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+
+
 def _close_idle_connections(server: web.Server) -> None:
     for connection in list(server.connections):
         if connection.is_idle:
