Wait for connections accepted as the port closes

What a caller would see: a request served by a router whose stop has returned, and cut off by the exit. Cause: with no other connection the stop returned in the iteration in which it closed the port, before the event loop had made the accepted connection known. The stop now looks at the connections one check interval (50 ms) later at the earliest. test_connection_accepted_as_the_port_closes_is_not_served_after_the_stop[1] failed before (one attempt after the stop).

--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -243,6 +243,8 @@
     logs.info("port for clients closed", logs.Fields(detail=f"open: {phases}"))
     loop = asyncio.get_running_loop()
     end_s = loop.time() + time_left_s
+    # Connections that were accepted before are in the server's list after this.
+    await asyncio.sleep(STOP_CHECK_INTERVAL_S)
     await _wait_until_closed(running, end_s - ANSWER_MARGIN_S)
     for request in running.router.open_requests.values():
         open_requests.give_up(request)
