Keep the connection of a stream whose head has not announced the close

Cause: the connection was closed after the stream although its head, sent before the signal, did not say so.

--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -66,7 +66,8 @@
             response = await _serve(forwarder, request, open_request)
     except TimeoutError:
         response = _stop_failure(forwarder, open_request)
-    if contexts.is_last_on_connection(forwarder, request):
+    # A client whose response has not announced the close may send another request.
+    if not response.prepared and contexts.is_last_on_connection(forwarder, request):
         response.force_close()
     return response
 
