Track a request that begins behind another one

Cause: the beginning of a request was recorded only while no handler runs, and the limit on the time of headers was applied whenever one was recorded. Bytes that don't belong to the current body are now recorded at any time, and the limit holds only while aiohttp waits for a request. test_stop_receives_the_rest_of_a_request_that_began_behind_another and test_complete_request_behind_a_slow_reader_is_no_slow_header failed before.

--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -53,6 +53,12 @@
         # Without a waiter, aiohttp is starting a handler or writing a response.
         return self._waiter is not None and not self._waiter.done()
 
+    @property
+    def is_awaiting_headers(self) -> bool:
+        """Return whether only a part of a request's headers has been received."""
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        return is_waiting and self.head_started_s is not None
+
     @property
     def unsent_size_bytes(self) -> int:
         """Return the size of what was written and not passed to the kernel yet."""
@@ -68,10 +74,14 @@
     def data_received(self, data: bytes) -> None:
         """Record when a request's headers begin."""
         self.has_received = True
-        if not self.is_serving and self.head_started_s is None:
+        if self.head_started_s is None and not self._is_receiving_body():
             self.head_started_s = asyncio.get_running_loop().time()
         super().data_received(data)
 
+    def _is_receiving_body(self) -> bool:
+        request = self._current_request
+        return request is not None and not request.content.is_eof()
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -136,6 +146,9 @@
             return await forwarder.serve(router, request, open_request)
         finally:
             connection.is_serving, open_request.is_handled = False, True
+            if connection.head_started_s is not None:
+                # The client was not slow while the request before it was served.
+                connection.head_started_s = loop.time()
             # aiohttp writes a plain response after the handler has returned.
             loop.call_later(
                 WRITE_MARGIN_S,
@@ -185,8 +198,9 @@
             limits = router.route_index.table.limits
         latest_start_s = loop.time() - limits.header_timeout_s
         for connection in list(server.connections):
-            started_s = connection.head_started_s
-            if started_s is not None and started_s < latest_start_s:
+            if not connection.is_awaiting_headers:
+                continue
+            if connection.head_started_s < latest_start_s:
                 logs.info("request headers timed out", logs.Fields(reason="head"))
                 connection.force_close()
 
