Log responses that a stop cuts off while they are written

The record of a request was dropped 20 ms after its handler had returned, so the log of a stop did not name a response that its client reads slowly. It now stays until the last byte has left the process, and the log goes through the connections that the stop closes. test_stop_logs_a_complete_response_that_its_client_has_not_read failed before (no line).

--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -27,6 +27,8 @@
 
     Attributes
     ----------
+    client_transport : asyncio.Transport or None
+        Its transport until the last byte is sent or the connection is lost.
     is_serving : bool
         Whether the handler of a request is running.
     has_received : bool
@@ -35,10 +37,11 @@
         Loop time of the first byte of a request that no handler has started on.
     """
 
-    __slots__ = ("has_received", "head_started_s", "is_serving")
+    __slots__ = ("client_transport", "has_received", "head_started_s", "is_serving")
 
     def __init__(self, *arguments, **options) -> None:
         super().__init__(*arguments, **options)
+        self.client_transport: asyncio.Transport | None = None
         self.is_serving = False
         self.has_received = False
         self.head_started_s: float | None = None
@@ -62,15 +65,25 @@
     @property
     def unsent_size_bytes(self) -> int:
         """Return the size of what was written and not passed to the kernel yet."""
-        if self.transport is None:
+        if self.client_transport is None:
             return 0
-        return self.transport.get_write_buffer_size()
+        return self.client_transport.get_write_buffer_size()
 
     @property
     def queued_requests_count(self) -> int:
         """Return how many requests were read that no handler has started on."""
         return len(self._messages)
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport, which aiohttp forgets when it closes a connection."""
+        self.client_transport = transport
+        super().connection_made(transport)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the transport."""
+        self.client_transport = None
+        super().connection_lost(exc)
+
     def data_received(self, data: bytes) -> None:
         """Record when a request's headers begin."""
         self.has_received = True
@@ -210,8 +223,14 @@
     connection: ClientConnection,
     finished: open_requests.OpenRequest,
 ) -> None:
-    if open_by_connection.get(connection) is finished:
-        del open_by_connection[connection]
+    if open_by_connection.get(connection) is not finished:
+        return
+    if connection.unsent_size_bytes:
+        asyncio.get_running_loop().call_later(
+            WRITE_MARGIN_S, _request_finished, open_by_connection, connection, finished
+        )
+        return
+    del open_by_connection[connection]
 
 
 async def start_readiness(router: contexts.Forwarder, host: str, port: int) -> int:
@@ -291,28 +310,30 @@
 def _log_aborted(running: RunningServer) -> None:
     """Log each request whose connection the stop closes without a whole response."""
     now_s = clocks.boottime_s()
-    connections = running.server.connections
     aborted = {
-        connection: request
-        for connection, request in running.router.open_requests.items()
-        if connection in connections
+        connection: running.router.open_requests.get(connection)
+        for connection in running.server.connections
     }
     for connection, request in aborted.items():
-        context = request.context
-        placement = None if context is None else context.placement
-        fields = logs.Fields(
-            request_id=request.request_id or None,
-            class_name=None if context is None else context.route.name,
-            backend_server=None if placement is None else placement.server_id,
-            attempt=None if context is None else context.sent_count,
-            duration_s=round(now_s - request.received_at_s, 4),
-            detail=open_requests.describe(
-                request,
-                connection.unsent_size_bytes,
-                connection.queued_requests_count,
-            ),
-        )
-        logs.warning("request aborted by the stop", fields)
-    unread_count = len(connections) - len(aborted)
-    detail = f"{len(aborted)} requests aborted, {unread_count} responses not read"
-    logs.warning("stopped with open requests", logs.Fields(detail=detail))
+        if request is not None:
+            _log_aborted_request(connection, request, now_s)
+    fields = logs.Fields(detail=f"{len(aborted)} requests aborted")
+    logs.warning("stopped with open requests", fields)
+
+
+def _log_aborted_request(
+    connection: ClientConnection, request: open_requests.OpenRequest, now_s: float
+) -> None:
+    context = request.context
+    placement = None if context is None else context.placement
+    fields = logs.Fields(
+        request_id=request.request_id or None,
+        class_name=None if context is None else context.route.name,
+        backend_server=None if placement is None else placement.server_id,
+        attempt=None if context is None else context.sent_count,
+        duration_s=round(now_s - request.received_at_s, 4),
+        detail=open_requests.describe(
+            request, connection.unsent_size_bytes, connection.queued_requests_count
+        ),
+    )
+    logs.warning("request aborted by the stop", fields)
