Judge by the share of long requests whether one can end before a stop

What a caller saw: 503 stopping for a request whose own body took 5 s to arrive, on a route whose answers take 0.1 s, and for all requests beside one that is stuck. Cause: the decision took the age of the oldest open request of the route, its own included. Now at most 5 in 100 of the ended requests and of the open ones that are already older than the time left may take longer.

--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -40,8 +40,6 @@
 START_WAIT_MAX_S = 0.6
 # Leaves time to answer, or to come back to another router.
 START_WAIT_SHARE = 0.5
-# A request that arrives during a stop is expected to last as long as this share did.
-USUAL_QUANTILE = 0.95
 # Other routers take the request at once.
 STOPPING_RETRY_AFTER_S = 0.1
 RETRY_AFTERS_S = {
@@ -241,21 +239,23 @@
     if forwarder.stops_at_s is None:
         return True
     now_s = clocks.boottime_s()
+    left_s = forwarder.stops_at_s - now_s
     name = context.route.name
-    usual_s = forwarder.metrics.latencies.quantile_s(
-        name, latencies.Interval.ANSWER, USUAL_QUANTILE
-    )
-    ages_s = [
-        now_s - other.received_at_s
+    long_open_count = sum(
+        other.context is not None
+        and other.context is not context
+        and other.context.route.name == name
+        and now_s - other.admitted_at_s > left_s
         for other in forwarder.open_requests.values()
-        if other.context is not None and other.context.route.name == name
-    ]
-    return stop_admission.can_end(
-        forwarder.stops_at_s - now_s,
-        context.time_left_s,
-        usual_s,
-        max(ages_s, default=0.0),
     )
+    durations, interval = forwarder.metrics.latencies, latencies.Interval.ANSWER
+    quantile = stop_admission.quantile_to_end(
+        durations.count(name, interval), long_open_count
+    )
+    duration_s = None
+    if quantile is not None:
+        duration_s = durations.quantile_s(name, interval, quantile)
+    return stop_admission.can_end(left_s, context.time_left_s, duration_s)
 
 
 def _record_forwarded(context: contexts.RequestContext) -> None:
--- a/hickoryweir/observability/latencies.py
+++ b/hickoryweir/observability/latencies.py
@@ -52,6 +52,11 @@
             return 0.0
         return found.get_value_at_percentile(quantile * 100) / US_PER_S
 
+    def count(self, class_name: str, interval: Interval) -> int:
+        """Return how many values were recorded."""
+        found = self.histograms.get((class_name, interval))
+        return 0 if found is None else found.get_total_count()
+
 
 def make_latencies() -> Latencies:
     """Return an empty set of histograms."""
--- a/hickoryweir/policy/stop_admission.py
+++ b/hickoryweir/policy/stop_admission.py
@@ -6,10 +6,40 @@
 another router can still serve it whole.
 """
 
+# Share of the requests that may take longer than the rest of the stop.
+LONG_SHARE = 0.05
 
-def can_end(
-    left_s: float, client_time_left_s: float, usual_s: float, oldest_open_s: float
-) -> bool:
+
+def quantile_to_end(ended_count: int, long_open_count: int) -> float | None:
+    """Return the quantile of ended requests that has to lie within the time left.
+
+    Parameters
+    ----------
+    ended_count : int
+        Requests of the route that have ended.
+    long_open_count : int
+        Open requests of the route that are older than the time left.  Under load these
+        say more than the ended ones, which were the short ones.
+
+    Returns
+    -------
+    float or None
+        None if no quantile would do, because too many open requests are long.
+
+    Examples
+    --------
+    >>> quantile_to_end(100, 0), quantile_to_end(0, 0) is None
+    (0.95, True)
+    >>> quantile_to_end(199, 1), quantile_to_end(9, 1) is None
+    (0.9547738693467337, True)
+    """
+    allowed_count = LONG_SHARE * (ended_count + long_open_count) - long_open_count
+    if ended_count == 0 or allowed_count < 0:
+        return None
+    return 1.0 - allowed_count / ended_count
+
+
+def can_end(left_s: float, client_time_left_s: float, duration_s: float | None) -> bool:
     """Return whether a request is expected to end before the router stops.
 
     Parameters
@@ -18,23 +48,16 @@
         Time until the router stops.
     client_time_left_s : float
         Time until the request's deadline, by which it has ended in any case.
-    usual_s : float
-        Duration of most requests of the route so far; 0 if none has ended.
-    oldest_open_s : float
-        Age of the oldest open request of the route; under load it exceeds `usual_s`,
-        which contains only requests that have ended.
+    duration_s : float or None
+        Duration at the quantile of :func:`quantile_to_end`; None without one.
 
     Examples
     --------
-    >>> can_end(5.0, 10.0, usual_s=2.0, oldest_open_s=1.0)
-    True
-    >>> can_end(5.0, 10.0, usual_s=2.0, oldest_open_s=7.0)
-    False
-    >>> can_end(5.0, 10.0, usual_s=0.0, oldest_open_s=0.0)
-    False
-    >>> can_end(5.0, 1.5, usual_s=0.0, oldest_open_s=0.0)
+    >>> can_end(5.0, 10.0, 2.0), can_end(5.0, 10.0, 7.0), can_end(5.0, 10.0, None)
+    (True, False, False)
+    >>> can_end(5.0, 1.5, None)
     True
     """
     if client_time_left_s <= left_s:
         return True
-    return 0.0 < usual_s <= left_s and oldest_open_s <= left_s
+    return duration_s is not None and duration_s <= left_s
