--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -147,9 +147,11 @@
         detail = f"{count} connections, grace {grace_s:g} s, open: {phases}"
         logs.info("draining", logs.Fields(detail=detail))
         open_port_s, closed_port_s = split_grace(grace_s)
+        end_s = clocks.boottime_s() + open_port_s + closed_port_s
         server.begin_stop(self.forwarder, open_port_s + closed_port_s)
         await asyncio.sleep(open_port_s)
-        await server.stop(running, closed_port_s)
+        # A stall of the event loop shortens the rest, since the process is killed then.
+        await server.stop(running, max(0.0, end_s - clocks.boottime_s()))
         logs.info("drained", logs.Fields())
 
     async def _close(self) -> None:
