Answer Expect: 100-continue before reading a body

What a caller saw: a client that waits for '100 Continue' sends its body only after a timeout of its own, a second or more. Cause: aiohttp answers it for applications, not for the plain server that the router uses. It is sent before the body is read, and not to a request that is refused. test_client_that_waits_for_100_continue_is_told_to_go_on failed before (timeout).

--- a/hickoryweir/forwarding/requests.py
+++ b/hickoryweir/forwarding/requests.py
@@ -25,6 +25,13 @@
     return target.partition("?")[0]
 
 
+async def _send_continue(request: web.BaseRequest) -> None:
+    """Tell the client, which waits for it, to send the body."""
+    await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    # An interim response is not the start of the final one.
+    request.writer.output_size = 0
+
+
 async def read_body(
     request: web.BaseRequest, max_size_bytes: int
 ) -> bytes | errors.Reason:
@@ -33,6 +40,8 @@
         return b""
     if (request.content_length or 0) > max_size_bytes:
         return errors.Reason.BODY_TOO_LARGE
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await _send_continue(request)
     chunks, size_bytes = [], 0
     try:
         async with asyncio.timeout(BODY_TIMEOUT_S):
--- a/hickoryweir/forwarding/tests/test_server.py
+++ b/hickoryweir/forwarding/tests/test_server.py
@@ -264,3 +264,43 @@
     assert statuses == {"chat": 200, "new": 503, "long": 503, "due": 200}
     assert found["long"][2] == b"stopping\n"
     assert float(found["long"][1]["Retry-After"]) < 1.0
+
+
+def test_client_that_waits_for_100_continue_is_told_to_go_on():
+    head = (
+        "POST /chat/x HTTP/1.1\r\nHost: site.example\r\n"
+        "Content-Length: 4\r\nExpect: 100-continue\r\n\r\n"
+    )
+
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(head.encode())
+            async with asyncio.timeout(sites.WAIT_S):
+                interim = await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"body")
+            response = await reader.readuntil(b"whole")
+            writer.close()
+            return interim, response, [body for _, body in site.backends[0].seen]
+
+    interim, response, bodies = asyncio.run(main())
+    assert interim == b"HTTP/1.1 100 Continue\r\n\r\n"
+    assert response.startswith(b"HTTP/1.1 200 ")
+    assert bodies == [b"body"]
+
+
+def test_refused_request_is_not_told_to_send_its_body():
+    head = (
+        "POST /elsewhere/x HTTP/1.1\r\nHost: site.example\r\n"
+        "Content-Length: 4\r\nExpect: 100-continue\r\n\r\n"
+    )
+
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(head.encode())
+            response = await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+            return response
+
+    assert asyncio.run(main()).startswith(b"HTTP/1.1 404 ")
