--- a/hickoryweir/forwarding/tests/test_notices.py
+++ b/hickoryweir/forwarding/tests/test_notices.py
@@ -114,6 +114,56 @@
     assert seen == [1, 8]
 
 
+@pytest.mark.parametrize("notice", ["leaving", "pause"])
+def test_broken_stream_resumes_only_at_a_server_without_a_notice(notice):
+    async def stream(request, body):
+        request_id = request.headers[headers.REQUEST_ID]
+        first = int(request.headers.get(headers.LAST_EVENT_ID, "0")) + 1
+        response = web.StreamResponse(headers={headers.REQUEST_ID: request_id})
+        await response.prepare(request)
+        await response.write(b"id: %d\ndata: x\n\n" % first)
+        if first == 1:
+            await asyncio.sleep(0.05)
+            request.transport.abort()
+        return response
+
+    async def main():
+        routes = (sites.resumable_route(),)
+        async with sites.run_site([stream] * 3, routes) as site:
+            pool = site.forwarder.pool
+            call = asyncio.create_task(site.call())
+            await sites.wait_until(
+                lambda: any(view.in_flight for view in pool.servers.values())
+            )
+            idle = [view for view in pool.servers.values() if not view.in_flight]
+            now_s = clocks.boottime_s()
+            notices = server_notices.record_leaving(server_notices.NO_NOTICES, now_s)
+            if notice == "pause":
+                notices = server_notices.record_pause(
+                    server_notices.NO_NOTICES, 30.0, now_s
+                )
+            server_pool.record_notices(pool, idle[0], notices)
+            status, _, body = await call
+            return status, body, counts(site), idle[0].listed.server_id
+
+    status, body, seen, server_id = asyncio.run(main())
+    assert (status, body) == (200, b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
+    assert sorted(seen) == [0, 1, 1]
+    assert seen[int(server_id[1:])] == 0
+
+
+def test_server_that_leaves_is_not_probed():
+    pool = server_pool.Pool()
+    starts = dict.fromkeys(SERVER_NAMES, 1)
+    server_pool.update_servers(pool, draw_list(random.Random(3), starts))
+    views = list(pool.servers.values())
+    for view in views:
+        server_pool.record_unreachable(pool, view, "a", 0.0)
+    notices = server_notices.record_leaving(views[0].notices, 1.0)
+    server_pool.record_notices(pool, views[0], notices)
+    assert server_pool.due_probes(pool, 1.0) == views[1:]
+
+
 def test_all_servers_paused_gives_the_shortest_pause_at_once():
     async def main():
         answers = [refusing("30"), refusing("12")]
