Take only the bytes of a request for its beginning

What a caller saw: a kept connection closed 3 s after a request with a body instead of after the idle timeout of 15 s, and a router that stops waited for such a connection until its limit.

Beside it, a connection that never sends a byte is closed at the idle timeout; aiohttp does so only after a first request.

--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -33,17 +33,26 @@
         Whether the handler of a request is running.
     has_received : bool
         Whether any byte was received.
+    opened_s : float
+        Loop time of the connection.
     head_started_s : float or None
         Loop time of the first byte of a request that no handler has started on.
     """
 
-    __slots__ = ("client_transport", "has_received", "head_started_s", "is_serving")
+    __slots__ = (
+        "client_transport",
+        "has_received",
+        "head_started_s",
+        "is_serving",
+        "opened_s",
+    )
 
     def __init__(self, *arguments, **options) -> None:
         super().__init__(*arguments, **options)
         self.client_transport: asyncio.Transport | None = None
         self.is_serving = False
         self.has_received = False
+        self.opened_s = 0.0
         self.head_started_s: float | None = None
 
     @property
@@ -77,6 +86,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, which aiohttp forgets when it closes a connection."""
         self.client_transport = transport
+        self.opened_s = asyncio.get_running_loop().time()
         super().connection_made(transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -86,8 +96,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Record when a request's headers begin."""
-        self.has_received = True
-        if self.head_started_s is None and not self._is_receiving_body():
+        # aiohttp passes no bytes when it resumes reading, and clients may send empty
+        # lines between requests.
+        is_content = bool(data.strip(b"\r\n"))
+        self.has_received = self.has_received or is_content
+        is_head = is_content and not self._is_receiving_body()
+        if is_head and self.head_started_s is None:
             self.head_started_s = asyncio.get_running_loop().time()
         super().data_received(data)
 
@@ -202,18 +216,26 @@
 
 
 async def _close_slow_clients(router: contexts.Forwarder, server: web.Server) -> None:
-    """Close connections on which a request's headers exceed the header timeout."""
+    """Close connections with slow headers, and those that never sent a byte.
+
+    aiohttp closes idle connections only after their first request.
+    """
     loop = asyncio.get_running_loop()
     while True:
         await asyncio.sleep(HEAD_CHECK_INTERVAL_S)
         limits = model.Limits()
         if router.route_index is not None:
             limits = router.route_index.table.limits
-        latest_start_s = loop.time() - limits.header_timeout_s
+        now_s = loop.time()
         for connection in list(server.connections):
-            if not connection.is_awaiting_headers:
-                continue
-            if connection.head_started_s < latest_start_s:
+            if connection.is_awaiting_headers:
+                is_late = now_s - connection.head_started_s > limits.header_timeout_s
+            else:
+                is_unused = not connection.has_received
+                is_late = is_unused and (
+                    now_s - connection.opened_s > limits.idle_timeout_s
+                )
+            if is_late:
                 logs.info("request headers timed out", logs.Fields(reason="head"))
                 connection.force_close()
 
