Return servers after a pause by time as well, and keep notices that were lost

Requests count only if sent after the pause and not yet answered, and the bound doubles each second too. - A burst after a pause: refusals, and responses to requests from before it, widened the return; a list that lacked the server once forgot its requests in flight. - Requests to a server that leaves: a list older than its restart undid the announcement; one was lost where the client left while the refusal's body was read, and where the view of the server was replaced by one with a start time. - A server without start times was never used again; what it said is now forgotten after 600 s without it in the lists. - A Retry-After too large for a number was ignored instead of shortened. - What the incarnations of one server said was kept without a bound.

--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 import aiohttp
 import multidict
@@ -73,6 +74,7 @@
     session: aiohttp.ClientSession,
     request: BackendRequest,
     codec: header_codec.HeaderCodec,
+    on_head: Callable[[int, header_codec.ResponseMetadata], None],
 ) -> Outcome:
     """Send a request and wait for the head of the response.
 
@@ -84,6 +86,9 @@
         The request.
     codec : header_codec.HeaderCodec
         Parses the head of the response.
+    on_head : callable
+        Called with the status and metadata of a response to this request, also if the
+        caller is cancelled while the body of a refusal is read.
     """
     try:
         response = await session.request(
@@ -101,18 +106,20 @@
         return Lost(str(error))
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return Lost(type(error).__name__)
-    return await _classify_response(response, request, codec)
+    return await _classify_response(response, request, codec, on_head)
 
 
 async def _classify_response(
     response: aiohttp.ClientResponse,
     request: BackendRequest,
     codec: header_codec.HeaderCodec,
+    on_head: Callable[[int, header_codec.ResponseMetadata], None],
 ) -> Outcome:
     metadata = codec.parse_response(response.status, response.headers)
     if metadata.request_id != request.request_id and not metadata.is_misdirected:
         response.close()
         return Lost("response has the id of another request")
+    on_head(response.status, metadata)
     if metadata.is_not_run or metadata.is_misdirected:
         await _discard_body(response)
         return NotRun(response.status, metadata)
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import time
 
 import aiohttp
@@ -342,11 +343,9 @@
     )
     context.sent_count += 1
     context.has_response_head = False
-    outcome = await _send(context, session, _make_backend_request(context, view))
+    outcome = await _send(context, session, view)
     now_s = time.monotonic()
     _log_attempt(context, view, type(outcome).__name__, getattr(outcome, "reason", ""))
-    if isinstance(outcome, exchange.NotRun | exchange.Answered):
-        notices.record(context, view, outcome.metadata)
     match outcome:
         case exchange.NotSent():
             context.sent_count -= 1
@@ -385,11 +384,10 @@
 async def _send(
     context: contexts.RequestContext,
     session: aiohttp.ClientSession,
-    request: exchange.BackendRequest,
+    view: server_pool.ServerView,
 ) -> exchange.Outcome:
-    available = server_pool.available_servers(
-        context.forwarder.pool, context.service_name
-    )
+    forwarder = context.forwarder
+    available = server_pool.available_servers(forwarder.pool, context.service_name)
     others = {view.listed.server_id for view in available} - context.tried_server_ids
     untried_count = min(
         len(others), context.route.max_attempts_count - context.sent_count
@@ -397,11 +395,17 @@
     timeout_s = next_attempts.response_timeout_s(
         context.route, untried_count, context.time_left_s
     )
+    sending = exchange.send(
+        session,
+        _make_backend_request(context, view),
+        forwarder.codec,
+        functools.partial(notices.record, context, view),
+    )
     if timeout_s >= context.time_left_s:
-        return await exchange.send(session, request, context.forwarder.codec)
+        return await sending
     try:
         async with asyncio.timeout(timeout_s):
-            return await exchange.send(session, request, context.forwarder.codec)
+            return await sending
     except TimeoutError:
         return exchange.Lost("no response within the attempt's timeout")
 
--- a/hickoryweir/forwarding/header_codec.py
+++ b/hickoryweir/forwarding/header_codec.py
@@ -157,6 +157,16 @@
     return number if 0.0 <= number < float("inf") else default
 
 
+def _parse_seconds(text: str) -> float | None:
+    """Return a number of seconds, infinite if it is too large to represent."""
+    if text[:1].isdecimal() and text[-1:].isdecimal():
+        try:
+            return float(text)
+        except ValueError:
+            return None
+    return parse_number(text)
+
+
 def parse_pause(status: int, values: list[str]) -> tuple[float | None, str]:
     """Return the pause that ``Retry-After`` headers ask for, and what was ignored.
 
@@ -176,7 +186,7 @@
         return None, ""
     if status != SERVICE_UNAVAILABLE_STATUS:
         return None, f"Retry-After on a response with status {status}"
-    numbers = [parse_number(value) for value in values]
+    numbers = [_parse_seconds(value) for value in values]
     ignored = [
         repr(value[:MAX_LOGGED_VALUE_LENGTH])
         for value, number in zip(values, numbers, strict=True)
--- a/hickoryweir/forwarding/notices.py
+++ b/hickoryweir/forwarding/notices.py
@@ -11,13 +11,16 @@
 from hickoryweir.observability import logs
 from hickoryweir.policy import server_notices
 
+FIRST_FAILURE_STATUS = 500
+
 
 def record(
     context: contexts.RequestContext,
     view: server_pool.ServerView,
+    status: int,
     metadata: header_codec.ResponseMetadata,
 ) -> None:
-    """Record the notices of a response's head, and the response itself."""
+    """Record the notices of a response's head, and whether the server has served."""
     if metadata.is_misdirected:
         # Another incarnation responded; what it says does not concern this one.
         return
@@ -33,8 +36,9 @@
         notices = server_notices.record_pause(notices, metadata.pause_s, now_s)
         asked = f"{metadata.pause_s:g} s, {_describe_list(context, view, now_s)}"
         _report(context, view, "pause", asked)
-    else:
-        notices = server_notices.record_response(notices, now_s)
+    elif not metadata.is_not_run and status < FIRST_FAILURE_STATUS:
+        sent_at_s = context.in_flight.sent_at_s
+        notices = server_notices.record_response(notices, sent_at_s, now_s)
         if known.responses_count == 0 and notices.responses_count == 1:
             after_s = now_s - known.paused_until_s
             _report(context, view, "return", f"{after_s:.3f} s after its pause")
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -26,6 +26,9 @@
 
 # Servers whose notices are kept, more than any list has.
 MAX_NOTICES_COUNT = 20_000
+MAX_INCARNATIONS_COUNT = 4
+# Longer than any list lags.
+NOTICES_RETENTION_S = 600.0
 UNKNOWN_START_MS = 0
 
 # Decaying counts are sent in tenths, so that they are integers on the wire.
@@ -41,11 +44,14 @@
     ----------
     uncached_tokens_count : int
         Tokens of its prompt that the server must prefill.
+    sent_at_s : float
+        When it was sent, on :func:`clocks.boottime_s`.
     """
 
     uncached_tokens_count: int
     started_s: float
     has_first_event: bool = False
+    sent_at_s: float = dataclasses.field(default_factory=lambda: clocks.boottime_s())
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,6 +118,10 @@
     notices : dict
         What servers have said, by id and address and then by start time; kept when a
         server is missing from a list, since an older list may follow.
+    missing_since_s : dict
+        Since when lists lack a server that has said something, by id and address.
+    departed : dict
+        Servers with requests in flight that the list lacks, by id.
     """
 
     servers: dict[str, ServerView] = dataclasses.field(default_factory=dict)
@@ -123,13 +133,20 @@
     notices: dict[tuple[str, str], dict[int, server_notices.Notices]] = (
         dataclasses.field(default_factory=dict)
     )
+    missing_since_s: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+    departed: dict[str, ServerView] = dataclasses.field(default_factory=dict)
 
 
 def update_servers(pool: Pool, found: listing.ServerList) -> None:
     """Replace the list; keep the state of servers that stay and did not restart."""
+    _forget_notices(pool, found)
     servers = {}
     for listed in found.servers:
-        known = pool.servers.get(listed.server_id)
+        known = pool.servers.get(listed.server_id) or pool.departed.get(
+            listed.server_id
+        )
         is_same = (
             known is not None
             and known.listed.address == listed.address
@@ -140,6 +157,11 @@
         view.notices = notices_of(pool, listed)
         view.listed = listed
         servers[listed.server_id] = view
+    pool.departed = {
+        server_id: view
+        for server_id, view in (pool.departed | pool.servers).items()
+        if server_id not in servers and view.in_flight
+    }
     pool.servers = servers
     pool.by_service = {}
     for view in servers.values():
@@ -147,10 +169,25 @@
     pool.by_address = {view.listed.address: view for view in servers.values()}
 
 
+def _forget_notices(pool: Pool, found: listing.ServerList) -> None:
+    """Forget what servers have said that lists have lacked for long."""
+    now_s = clocks.boottime_s()
+    listed_keys = {(listed.server_id, listed.address) for listed in found.servers}
+    for key in list(pool.notices):
+        since_s = pool.missing_since_s.get(key, now_s)
+        if now_s - since_s > NOTICES_RETENTION_S:
+            del pool.notices[key]
+        elif key not in listed_keys:
+            pool.missing_since_s.setdefault(key, now_s)
+        if key in listed_keys or key not in pool.notices:
+            pool.missing_since_s.pop(key, None)
+
+
 def notices_of(pool: Pool, listed: listing.BackendServer) -> server_notices.Notices:
     """Return what an incarnation of a server has said.
 
-    Where the list gives no start time, the newest known incarnation is meant.
+    Where the list gives no start time, or one before the newest that has said anything,
+    that newest one is meant: the list is older than its word.
     """
     by_start = pool.notices.get((listed.server_id, listed.address), {})
     start_ms = _meant_start_ms(by_start, listed)
@@ -160,9 +197,7 @@
 def _meant_start_ms(
     by_start: dict[int, server_notices.Notices], listed: listing.BackendServer
 ) -> int:
-    if listed.started_at_ms != UNKNOWN_START_MS:
-        return listed.started_at_ms
-    return max(by_start, default=UNKNOWN_START_MS)
+    return max(listed.started_at_ms, max(by_start, default=UNKNOWN_START_MS))
 
 
 def _identify_notices(pool: Pool, listed: listing.BackendServer) -> None:
@@ -180,13 +215,19 @@
     listed = view.listed
     key = (listed.server_id, listed.address)
     by_start = pool.notices.pop(key, {})
-    by_start[_meant_start_ms(by_start, listed)] = notices
+    if listed.started_at_ms == UNKNOWN_START_MS:
+        by_start[_meant_start_ms(by_start, listed)] = notices
+    else:
+        by_start[listed.started_at_ms] = notices
+    while len(by_start) > MAX_INCARNATIONS_COUNT:
+        del by_start[min(by_start)]
     pool.notices[key] = by_start
     while len(pool.notices) > MAX_NOTICES_COUNT:
         del pool.notices[next(iter(pool.notices))]
     current = pool.servers.get(listed.server_id)
     if current is not None and current is not view:
         # A newer list has replaced the view that the request was sent with.
+        _identify_notices(pool, current.listed)
         current.notices = notices_of(pool, current.listed)
 
 
@@ -197,10 +238,21 @@
         view
         for view in pool.by_service.get(service_name, ())
         if _is_usable(view)
-        and server_notices.accepts(view.notices, len(view.in_flight), now_s)
+        and (
+            view.notices is server_notices.NO_NOTICES
+            or server_notices.accepts(view.notices, _unanswered_count(view), now_s)
+        )
     ]
 
 
+def _unanswered_count(view: ServerView) -> int:
+    """Return the requests sent since a server's pause that it has not answered."""
+    return sum(
+        not request.has_first_event and request.sent_at_s >= view.notices.paused_until_s
+        for request in view.in_flight.values()
+    )
+
+
 def _is_usable(view: ServerView) -> bool:
     is_ready = view.listed.state is listing.ServerState.READY
     return is_ready and not view.is_misdirected
--- a/hickoryweir/policy/server_notices.py
+++ b/hickoryweir/policy/server_notices.py
@@ -5,7 +5,8 @@
 that lags as well, so a list does not undo it.  A server that turns requests away and
 names a pause is overloaded; what it gets meanwhile delays its recovery, and all callers
 that return at the end of the pause would overload it again.  After a pause a server
-therefore gets few requests at a time, twice as many after each response.
+therefore gets few requests at a time, twice as many after each response and after each
+second, so that one long request does not keep it idle.
 
 Times are on a clock that includes time suspended.
 """
@@ -15,8 +16,9 @@
 
 # Longer pauses are shortened to this; a server that is gone for longer leaves the list.
 PAUSE_MAX_S = 600.0
-# Responses after a pause until a server gets any number of requests.
-RETURN_RESPONSES_COUNT = 6
+# Responses and seconds after a pause until a server gets any number of requests.
+RETURN_STEPS_COUNT = 6
+RETURN_STEP_S = 1.0
 # A server that returns after a pause answers its first request within this time.
 RETURN_RETRY_AFTER_S = 0.2
 
@@ -32,12 +34,12 @@
     paused_until_s : float
         End of the pause that it asked for; 0 if it never did.
     responses_count : int
-        Responses since the end of the pause.
+        Responses to requests sent since the end of the pause.
     """
 
     leaving_since_s: float | None = None
     paused_until_s: float = 0.0
-    responses_count: int = RETURN_RESPONSES_COUNT
+    responses_count: int = RETURN_STEPS_COUNT
 
 
 NO_NOTICES = Notices()
@@ -69,9 +71,20 @@
     )
 
 
-def record_response(notices: Notices, now_s: float) -> Notices:
-    """Return the notices after a response that did not turn the request away."""
-    if is_paused(notices, now_s) or not is_returning(notices, now_s):
+def record_response(notices: Notices, sent_at_s: float, now_s: float) -> Notices:
+    """Return the notices after a response to a request that the server has served.
+
+    Parameters
+    ----------
+    notices : Notices
+        What the server has said.
+    sent_at_s : float
+        When the request was sent; one from before the pause says nothing of the load
+        that the server bears after it.
+    now_s : float
+        Current time.
+    """
+    if sent_at_s < notices.paused_until_s or not is_returning(notices, now_s):
         return notices
     return dataclasses.replace(notices, responses_count=notices.responses_count + 1)
 
@@ -84,18 +97,24 @@
 def is_returning(notices: Notices, now_s: float) -> bool:
     """Return whether a pause has ended and the server gets few requests at a time."""
     has_ended = not is_paused(notices, now_s)
-    return has_ended and notices.responses_count < RETURN_RESPONSES_COUNT
+    return has_ended and _steps_count(notices, now_s) < RETURN_STEPS_COUNT
+
 
+def _steps_count(notices: Notices, now_s: float) -> int:
+    elapsed_s = now_s - notices.paused_until_s
+    return notices.responses_count + int(elapsed_s / RETURN_STEP_S)
 
-def accepts(notices: Notices, in_flight_count: int, now_s: float) -> bool:
+
+def accepts(notices: Notices, unanswered_count: int, now_s: float) -> bool:
     """Return whether a server takes another request of this router.
 
     Parameters
     ----------
     notices : Notices
         What the server has said.
-    in_flight_count : int
-        Requests of this router that it has not answered yet.
+    unanswered_count : int
+        Requests that this router has sent since the end of the pause, and that the
+        server has not begun to answer.
     now_s : float
         Current time.
 
@@ -106,13 +125,15 @@
     >>> asked = record_pause(NO_NOTICES, 4.0, 10.0)
     >>> [accepts(asked, 0, now_s) for now_s in (10.0, 13.9, 14.0)]
     [False, False, True]
-    >>> accepts(asked, 1, 14.0), accepts(record_response(asked, 14.0), 1, 14.0)
+    >>> accepts(asked, 1, 14.0), accepts(asked, 1, 15.0)
     (False, True)
+    >>> accepts(record_response(asked, 14.0, 14.1), 1, 14.1)
+    True
     """
     if notices.leaving_since_s is not None or is_paused(notices, now_s):
         return False
     if is_returning(notices, now_s):
-        return in_flight_count < 2**notices.responses_count
+        return unanswered_count < 2 ** _steps_count(notices, now_s)
     return True
 
 
