--- a/hickoryweir/forwarding/notices.py
+++ b/hickoryweir/forwarding/notices.py
@@ -7,12 +7,10 @@
 
 from hickoryweir import clocks
 from hickoryweir.discovery import listing
-from hickoryweir.forwarding import contexts, header_codec, server_pool
+from hickoryweir.forwarding import contexts, header_codec, responses, server_pool
 from hickoryweir.observability import logs
 from hickoryweir.policy import server_notices
 
-FIRST_FAILURE_STATUS = 500
-
 
 def record(
     context: contexts.RequestContext,
@@ -36,7 +34,7 @@
         notices = server_notices.record_pause(notices, metadata.pause_s, now_s)
         asked = f"{metadata.pause_s:g} s, {_describe_list(context, view, now_s)}"
         _report(context, view, "pause", asked)
-    elif not metadata.is_not_run and status < FIRST_FAILURE_STATUS:
+    elif not metadata.is_not_run and status < responses.FIRST_FAILURE_STATUS:
         sent_at_s = context.in_flight.sent_at_s
         notices = server_notices.record_response(notices, sent_at_s, now_s)
         if known.responses_count == 0 and notices.responses_count == 1:
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -3,7 +3,8 @@
 import asyncio
 import dataclasses
 
-from aiohttp import http_exceptions, web
+import multidict
+from aiohttp import http_exceptions, http_parser, web
 
 from hickoryweir import clocks, early_listener
 from hickoryweir.forwarding import contexts, errors, forwarder, open_requests
@@ -83,6 +84,15 @@
         """Return how many requests were read that no handler has started on."""
         return len(self._messages)
 
+    @property
+    def queued_headers(self) -> list[multidict.CIMultiDictProxy]:
+        """Return the headers of these requests, without malformed ones."""
+        return [
+            message.headers
+            for message, _ in self._messages
+            if isinstance(message, http_parser.RawRequestMessage)
+        ]
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, which aiohttp forgets when it closes a connection."""
         self.client_transport = transport
@@ -228,18 +238,18 @@
             limits = router.route_index.table.limits
         now_s = loop.time()
         for connection in list(server.connections):
-            if connection.is_awaiting_headers:
-                is_late = now_s - connection.head_started_s > limits.header_timeout_s
-            else:
-                is_unused = not connection.has_received
-                is_late = is_unused and (
-                    now_s - connection.opened_s > limits.idle_timeout_s
-                )
-            if is_late:
+            if _is_late(connection, limits, now_s):
                 logs.info("request headers timed out", logs.Fields(reason="head"))
                 connection.force_close()
 
 
+def _is_late(connection: ClientConnection, limits: model.Limits, now_s: float) -> bool:
+    if connection.is_awaiting_headers:
+        return now_s - connection.head_started_s > limits.header_timeout_s
+    is_unused = not connection.has_received
+    return is_unused and now_s - connection.opened_s > limits.idle_timeout_s
+
+
 def _request_finished(
     open_by_connection: dict[ClientConnection, open_requests.OpenRequest],
     connection: ClientConnection,
@@ -339,6 +349,12 @@
     for connection, request in aborted.items():
         if request is not None:
             _log_aborted_request(connection, request, now_s)
+        for headers in connection.queued_headers:
+            metadata = running.router.codec.parse_request(headers)
+            fields = logs.Fields(
+                request_id=metadata.request_id, detail="queued behind another request"
+            )
+            logs.warning("request aborted by the stop", fields)
     fields = logs.Fields(detail=f"{len(aborted)} requests aborted")
     logs.warning("stopped with open requests", fields)
 
--- a/hickoryweir/forwarding/tests/test_server.py
+++ b/hickoryweir/forwarding/tests/test_server.py
@@ -125,6 +125,37 @@
     assert "at event 4" in aborted[0].detail
 
 
+def test_stop_logs_requests_queued_behind_an_aborted_stream(caplog):
+    head = "GET /chat/x HTTP/1.1\r\nHost: site.example\r\n{}: {}\r\n\r\n"
+
+    async def stalled(request, body):
+        response = web.StreamResponse(headers={headers.REQUEST_ID: "r-1"})
+        await response.prepare(request)
+        await response.write(b"id: 1\ndata: x\n\n")
+        await asyncio.sleep(sites.WAIT_S)
+
+    async def main():
+        routes = (sites.resumable_route(),)
+        async with sites.run_site([stalled], routes) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(head.format(headers.REQUEST_ID, "r-1").encode())
+            await reader.readuntil(b"data: x")
+            writer.write(head.format(headers.REQUEST_ID, "r-2").encode())
+            await asyncio.sleep(0.1)
+            await server.stop(site.running, 0.3)
+            writer.close()
+
+    with caplog.at_level("INFO"):
+        asyncio.run(main())
+    entries = [record.args[0] for record in caplog.records if record.args]
+    aborted = [
+        entry.fields.request_id
+        for entry in entries
+        if entry.message == "request aborted by the stop"
+    ]
+    assert aborted == ["r-1", "r-2"]
+
+
 def test_stop_answers_a_request_that_no_server_has_answered():
     async def silent(request, body):
         await asyncio.sleep(sites.WAIT_S)
