Make planned stops under raw clients a part of bin/soak

The oracle also checks not run, at most once, whole bodies, exits and ready answers, and a violation is shown with its time line and the command that plays it again.

--- /dev/null
+++ b/hickoryweir/testing/soak/stop_backends.py
@@ -0,0 +1,131 @@
+"""Backend servers that follow the plan in each request's header, and their faults."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import time
+
+from aiohttp import web
+
+from hickoryweir.forwarding import headers
+from hickoryweir.testing.soak import stop_records
+
+HOST = "127.0.0.1"
+PLAN_HEADER = "X-Plan"
+FAULTS = ("refuse", "silent", "gone")
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Backend:
+    """A backend server on a port of its own.
+
+    Attributes
+    ----------
+    refuses : bool
+        Whether it states of each new request that it did not run it.
+    awake : asyncio.Event
+        Cleared while the server neither starts a request nor sends a byte.
+    open_attempts : dict
+        Arrivals that have not ended, and their connections.
+    """
+
+    server_id: str
+    attempts: dict[str, list[stop_records.Attempt]]
+    refuses: bool = False
+    awake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    open_attempts: dict = dataclasses.field(default_factory=dict)
+    listener: asyncio.Server | None = None
+    port: int = 0
+
+
+async def start(server_id: str, attempts: dict) -> Backend:
+    """Return a listening backend server."""
+    backend = Backend(server_id, attempts)
+    backend.awake.set()
+    await _listen(backend)
+    return backend
+
+
+async def _listen(backend: Backend) -> None:
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        return await _serve(backend, request)
+
+    server = web.Server(handle, access_log=None, handler_cancellation=True)
+    loop = asyncio.get_running_loop()
+    backend.listener = await loop.create_server(server, HOST, backend.port)
+    backend.port = backend.listener.sockets[0].getsockname()[1]
+
+
+async def _serve(backend: Backend, request: web.BaseRequest) -> web.StreamResponse:
+    """Record the arrival and answer as planned."""
+    request_id = request.headers[headers.REQUEST_ID]
+    plan = stop_records.Plan(**json.loads(request.headers[PLAN_HEADER]))
+    attempt = stop_records.Attempt(backend.server_id, time.monotonic())
+    backend.attempts.setdefault(request_id, []).append(attempt)
+    backend.open_attempts[id(attempt)] = (attempt, request.transport)
+    try:
+        return await _answer(backend, request, request_id, plan, attempt)
+    finally:
+        backend.open_attempts.pop(id(attempt))
+
+
+async def _answer(backend, request, request_id, plan, attempt) -> web.StreamResponse:
+    await request.read()
+    await asyncio.sleep(plan.queue_s)
+    await backend.awake.wait()
+    echoed = {headers.REQUEST_ID: request_id}
+    if plan.refuses or backend.refuses:
+        return web.Response(status=503, headers=echoed | {headers.NOT_RUN: "1"})
+    attempt.run_s = time.monotonic()
+    if "/stream/" in request.raw_path:
+        return await _send_stream(backend, request, request_id, plan, attempt)
+    await asyncio.sleep(plan.work_s)
+    await backend.awake.wait()
+    attempt.finished_s = time.monotonic()
+    body = stop_records.make_body(request_id, plan.size_bytes)
+    return web.Response(body=body, headers=echoed)
+
+
+async def _send_stream(
+    backend, request, request_id, plan, attempt
+) -> web.StreamResponse:
+    """Send the events after the last one that the client has, over the run's time."""
+    first = int(request.headers.get(headers.LAST_EVENT_ID, "-1")) + 1
+    given = {headers.REQUEST_ID: request_id, "Content-Type": "text/event-stream"}
+    response = web.StreamResponse(headers=given)
+    with contextlib.suppress(ConnectionError):
+        await response.prepare(request)
+        for number in range(first, stop_records.EVENTS_COUNT):
+            if number == stop_records.EVENTS_COUNT // 2:
+                await asyncio.sleep(plan.silence_s)
+                if plan.breaks:
+                    attempt.broke_off = True
+                    request.transport.abort()
+            await backend.awake.wait()
+            await response.write(stop_records.make_event(request_id, plan, number))
+            await asyncio.sleep(plan.work_s / stop_records.EVENTS_COUNT)
+        await response.write_eof()
+        attempt.finished_s = time.monotonic()
+    return response
+
+
+async def disturb(backend: Backend, fault: str, duration_s: float) -> None:
+    """Let a server refuse, fall silent or go away; it is sound again afterwards."""
+    if fault == "refuse":
+        backend.refuses = True
+    if fault == "silent":
+        backend.awake.clear()
+    if fault == "gone":
+        backend.listener.close()
+        for attempt, transport in list(backend.open_attempts.values()):
+            attempt.broke_off = True
+            if transport is not None:
+                transport.abort()
+    try:
+        await asyncio.sleep(duration_s)
+    finally:
+        backend.refuses = False
+        backend.awake.set()
+        if fault == "gone":
+            await _listen(backend)
--- /dev/null
+++ b/hickoryweir/testing/soak/stop_events.py
@@ -0,0 +1,127 @@
+"""The events of one round of planned stops, drawn from a seed."""
+
+import asyncio
+import dataclasses
+import random
+import signal
+
+from hickoryweir.testing.soak import cluster as clusters
+from hickoryweir.testing.soak import stop_backends, stop_records
+
+TERMINATE, TERMINATE_AGAIN, RELOAD = "SIGTERM", "SIGTERM again", "SIGHUP"
+REPLACE_TABLE, STOP_REPLICA = "table", "stop of a replica"
+STOPS_SPAN_S = 9.0
+STOP_INTERVAL_MAX_S = 3.5
+# A stop as the router's clients see it ends with the process.
+STOP_DURATION_S = stop_records.CONNECTIONS_CLOSE_S
+FAULT_DURATION_MIN_S, FAULT_DURATION_MAX_S = 0.5, 3.0
+TABLES_COUNT_MAX = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """One event.
+
+    Attributes
+    ----------
+    at_s : float
+        Time since the first signal of the round.
+    index : int
+        Number of the router, replica or backend server; 0 for a table.
+    duration_s : float
+        How long a replica is down or a backend server has its fault.
+    """
+
+    at_s: float
+    kind: str
+    index: int = 0
+    duration_s: float = 0.0
+
+
+def draw(
+    generator: random.Random,
+    routers_count: int,
+    replicas_count: int,
+    servers_count: int,
+) -> list[Event]:
+    """Return the events of a round in order; each router gets one planned stop."""
+    stops = draw_stops(generator, routers_count)
+    events = list(stops)
+    for stop in stops:
+        events += draw_signals(generator, stop)
+    span_s = stops[-1].at_s + STOP_DURATION_S
+    for _ in range(generator.randint(0, TABLES_COUNT_MAX)):
+        events.append(Event(generator.uniform(0.0, span_s), REPLACE_TABLE))
+    if generator.random() < 0.5:
+        index, duration_s = (
+            generator.randrange(replicas_count),
+            _draw_duration(generator),
+        )
+        at_s = generator.uniform(0.0, span_s)
+        events.append(Event(at_s, STOP_REPLICA, index, duration_s))
+    events += draw_server_faults(generator, span_s, servers_count)
+    return sorted(events, key=lambda event: event.at_s)
+
+
+def draw_stops(generator: random.Random, routers_count: int) -> list[Event]:
+    """Return the planned stops: all at once, or one after the other."""
+    interval_s = 0.0
+    if routers_count > 1 and generator.random() < 0.5:
+        latest_s = min(STOP_INTERVAL_MAX_S, STOPS_SPAN_S / (routers_count - 1))
+        interval_s = generator.uniform(0.0, latest_s)
+    order = list(range(routers_count))
+    generator.shuffle(order)
+    return [
+        Event(position * interval_s, TERMINATE, index)
+        for position, index in enumerate(order)
+    ]
+
+
+def draw_signals(generator: random.Random, stop: Event) -> list[Event]:
+    """Return further signals to a router during its stop."""
+    events = []
+    for kind in (TERMINATE_AGAIN, RELOAD):
+        if generator.random() < 0.4:
+            at_s = stop.at_s + generator.uniform(0.0, STOP_DURATION_S)
+            events.append(Event(at_s, kind, stop.index))
+    return events
+
+
+def draw_server_faults(
+    generator: random.Random, span_s: float, servers_count: int
+) -> list[Event]:
+    """Return faults of backend servers; one server at least has none."""
+    indexes = generator.sample(range(servers_count), generator.randint(0, 2))
+    return [
+        Event(
+            generator.uniform(-1.0, span_s),
+            generator.choice(stop_backends.FAULTS),
+            index,
+            _draw_duration(generator),
+        )
+        for index in indexes[: servers_count - 1]
+    ]
+
+
+def _draw_duration(generator: random.Random) -> float:
+    return generator.uniform(FAULT_DURATION_MIN_S, FAULT_DURATION_MAX_S)
+
+
+def signal_router(cluster: clusters.Cluster, event: Event) -> None:
+    """Send a router the signal of an event, unless its process has ended."""
+    member = cluster.routers[event.index]
+    if member.process.poll() is not None:
+        return
+    if event.kind == RELOAD:
+        clusters.write_settings(cluster, member, extra_count=101)
+        member.process.send_signal(signal.SIGHUP)
+    else:
+        member.process.send_signal(signal.SIGTERM)
+
+
+async def restart_replica(cluster: clusters.Cluster, event: Event) -> None:
+    """Stop a replica as planned and start it again."""
+    member = cluster.replicas[event.index]
+    await clusters.stop(cluster, member)
+    await asyncio.sleep(event.duration_s)
+    clusters.launch(member)
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -1,19 +1,18 @@
-"""Planned stops of router processes, and the requests that they lose.
+"""Runs the soak test of planned stops: ``bin/soak stops --seed N --rounds M``.
 
-``python -m hickoryweir.testing.soak.stops --seed N --rounds M`` starts replicas and,
-in each round, routers that get SIGTERM while raw clients keep using them.  A request is
-lost if the router has read it and its connection ends without a complete answer; see
-:func:`find_excuse` for the exceptions.
+In each round every router gets SIGTERM while raw clients keep using it, among other
+events that overlap; its successor starts right after the exit.  The exit code is 1 if
+a promise was broken.
 """
 
 import asyncio
 import collections
 import contextlib
 import dataclasses
-import json
 import pathlib
 import random
-import signal
+import subprocess
+import sys
 import tempfile
 import time
 from typing import Annotated
@@ -21,17 +20,26 @@
 import cappa
 from aiohttp import web
 
-from hickoryweir.forwarding import headers
-from hickoryweir.testing import waiting
+from hickoryweir.testing import promises, waiting
 from hickoryweir.testing.demo import entry_vms
-from hickoryweir.testing.soak import callers, stop_clients
+from hickoryweir.testing.soak import (
+    callers,
+    stop_backends,
+    stop_clients,
+    stop_events,
+    stop_oracle,
+    stop_records,
+    stop_timelines,
+)
 from hickoryweir.testing.soak import cluster as clusters
 
 HOST = "127.0.0.1"
-LATE_WORK_S = stop_clients.GRACE_S * 5 / 6
-EXCUSED_SENT_S = 3.0
-LOSS_SLACK_S = 0.2
-SERVERS_COUNT = 3
+REPLICAS_COUNT = 3
+# Time from the start of a round until its first signal.
+ROUND_LEAD_S = stop_clients.LEAD_S + 0.2
+KILL_AFTER_S = stop_records.GRACE_S + 10.0
+SHOWN_COUNT = 10
+BUSY_LOOP = "while True: pass"
 TABLE = """[table]
 version = {version}
 
@@ -59,259 +67,113 @@
 """
 
 
+@dataclasses.dataclass
+class Stops:
+    """Stop routers under load from raw clients among other events; check promises."""
+
+    seed: Annotated[int, cappa.Arg(long=True, help="Seed of the first round.")] = 1
+    rounds: Annotated[
+        int, cappa.Arg(long=True, help="Number of rounds; each has the next seed.")
+    ] = 1
+    routers: Annotated[int, cappa.Arg(long=True, help="Number of routers.")] = 3
+    servers: Annotated[int, cappa.Arg(long=True, help="Backend servers.")] = 3
+    clients: Annotated[int, cappa.Arg(long=True, help="Clients per router.")] = 40
+    behaviours: Annotated[
+        str, cappa.Arg(long=True, help="Names of clients' behaviours, by commas.")
+    ] = ""
+    busy: Annotated[
+        int, cappa.Arg(long=True, help="Busy processes beside, for want of time.")
+    ] = 0
+    untimed: Annotated[
+        bool, cappa.Arg(long=True, help="Judge only what no delay can cause.")
+    ] = False
+    logs: Annotated[
+        pathlib.Path | None, cappa.Arg(long=True, help="Folder for the logs.")
+    ] = None
+
+
 @dataclasses.dataclass(slots=True)
-class Tally:
-    """Counts over all stops of a run.
+class Site:
+    """The processes and backend servers of a run, and what was seen of them.
 
     Attributes
     ----------
-    lost : collections.Counter
-        Lost requests by client and by how far they came.
-    logged : collections.Counter
-        Lost requests by whether the router's log names them.
-    aborted : collections.Counter
-        Stops by the number of requests that the router says it aborted.
+    attempts : dict
+        Arrivals at backend servers by request id.
+    table_version : int
+        The newest version sent.
+    ends : collections.Counter
+        Requests by status, excuse or promise broken.
     """
 
-    lost: collections.Counter = dataclasses.field(default_factory=collections.Counter)
-    logged: collections.Counter = dataclasses.field(default_factory=collections.Counter)
-    aborted: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
-    )
-
-
-async def start_backend(
-    records: dict[str, stop_clients.BackendRecord], is_silent: bool
-) -> str:
-    """Start a backend server that follows the plan in each request's header."""
-
-    async def handle(request: web.BaseRequest) -> web.StreamResponse:
-        request_id = request.headers[headers.REQUEST_ID]
-        plan = stop_clients.Plan(
-            **json.loads(request.headers[stop_clients.PLAN_HEADER])
-        )
-        record = records.setdefault(request_id, stop_clients.BackendRecord())
-        record.received_s.append(time.monotonic())
-        await request.read()
-        await asyncio.sleep(
-            2 * stop_clients.CLIENT_END_S if is_silent else plan.queue_s
-        )
-        echoed = {headers.REQUEST_ID: request_id}
-        if plan.refuses:
-            return web.Response(status=503, headers=echoed | {headers.NOT_RUN: "1"})
-        record.run_s = time.monotonic()
-        if "/stream/" in request.raw_path:
-            with contextlib.suppress(ConnectionError):
-                response = await send_stream(request, plan, echoed, record)
-                record.finished_s = time.monotonic()
-                return response
-            return web.Response()
-        await asyncio.sleep(plan.work_s)
-        record.finished_s = time.monotonic()
-        return web.Response(body=b"x" * plan.size_bytes, headers=echoed)
-
-    server = web.Server(handle, access_log=None, handler_cancellation=True)
-    listener = await asyncio.get_running_loop().create_server(server, HOST, 0)
-    return f"{HOST}:{listener.sockets[0].getsockname()[1]}"
-
-
-async def send_stream(request, plan, echoed, record) -> web.StreamResponse:
-    """Send ten events over the duration of the run."""
-    response = web.StreamResponse(
-        headers=echoed | {"Content-Type": "text/event-stream"}
-    )
-    await response.prepare(request)
-    for number in range(10):
-        if number == 5:
-            await asyncio.sleep(plan.silence_s)
-            if plan.breaks:
-                record.broke_off = True
-                request.transport.abort()
-        data = b"x" * (plan.size_bytes // 10)
-        await response.write(b"id: %d\ndata: " % number + data + b"\n\n")
-        await asyncio.sleep(plan.work_s / 10)
-    await response.write_eof()
-    return response
-
-
-def find_excuse(target: stop_clients.Target, request: stop_clients.Request) -> str:
-    """Return why a request without a complete answer is not lost, or an empty text."""
-    if request.left:
-        return "the client left"
-    if request.last_byte_s is None:
-        return "not sent completely"
-    if (
-        request.last_byte_s > stop_clients.GRACE_S + 1.0
-        or request.ended_s < stop_clients.SIGNAL_S
-    ):
-        return "outside the planned stop"
-    record = target.records.get(request.request_id)
-    if record is None:
-        if request.end != "closed":
-            return "not read: reset with unread bytes"
-        if request.ended_s - request.last_byte_s <= LOSS_SLACK_S:
-            return "not passed on and within the slack"
-        return ""
-    if record.broke_off:
-        return "the server broke off"
-    was_at_work = (
-        record.run_s is not None
-        and (
-            record.finished_s is None
-            or record.finished_s - target.signal_s >= LATE_WORK_S
-        )
-        and request.ended_s >= LATE_WORK_S
-    )
-    if was_at_work and request.last_byte_s <= EXCUSED_SENT_S:
-        return "the server was at work in the last sixth of the grace"
-    return ""
-
-
-def describe(target: stop_clients.Target, request: stop_clients.Request) -> str:
-    """Return one line on a request without a complete answer."""
-    record = target.records.get(request.request_id)
-    seen = "not passed on"
-    if record is not None:
-        times = (record.received_s[0], record.run_s, record.finished_s)
-        relative = [
-            None if at is None else round(at - target.signal_s, 3) for at in times
-        ]
-        seen = "backend received/ran/finished {}/{}/{}".format(*relative)
-    last_s = None if request.last_byte_s is None else round(request.last_byte_s, 3)
-    return (
-        f"{request.behaviour}: sent {request.sent_s:.3f} to {last_s}, "
-        f"{seen}, status {request.status}, {request.received_bytes} bytes, "
-        f"{request.end} at {request.ended_s:.3f}; {request.plan}"
-    )
-
-
-async def stop_router(
-    cluster, member, options, generator, records
-) -> tuple[stop_clients.Target, str]:
-    """Start a router, stop it under load; return its clients' view and its log."""
-    clusters.launch(member)
-    async with callers.make_session(5.0) as session:
-        await clusters.wait_until_ready(session, cluster, member)
-    signal_s = time.monotonic() + stop_clients.LEAD_S + 0.2
-    target = stop_clients.Target(
-        member.host, cluster.port, signal_s, generator, records
-    )
-    names = (
-        options.behaviours.split(",")
-        if options.behaviours
-        else list(stop_clients.BEHAVIOURS)
-    )
-    tasks = [
-        asyncio.create_task(stop_clients.BEHAVIOURS[generator.choice(names)](target))
-        for _ in range(options.clients)
-    ]
-    await stop_clients.sleep_until(target, stop_clients.SIGNAL_S)
-    log_start = (member.folder / "log").stat().st_size
-    member.process.send_signal(signal.SIGTERM)
-    disturbing = asyncio.create_task(disturb(cluster, member, target, options.disturb))
-    with contextlib.suppress(TimeoutError):
-        await waiting.wait_until(
-            lambda: member.process.poll() is not None, stop_clients.CLIENT_END_S
-        )
-    exit_s = target.now_s()
-    _, pending = await asyncio.wait(
-        tasks, timeout=stop_clients.CLIENT_END_S - target.now_s()
-    )
-    for task in (*pending, disturbing):
-        task.cancel()
-    await asyncio.gather(*tasks, disturbing, return_exceptions=True)
-    log = (member.folder / "log").read_bytes()[log_start:].decode()
-    print(f"{member.host} exit {member.process.poll()} at {exit_s:.2f} s", flush=True)
-    return target, log
-
-
-async def disturb(cluster, member, target, kind: str) -> None:
-    """Send a second signal or a new table during the stop."""
-    if kind == "term":
-        await stop_clients.sleep_until(target, target.generator.uniform(0.0, 7.0))
-        member.process.send_signal(signal.SIGTERM)
-    while kind == "terms" and member.process.poll() is None:
-        member.process.send_signal(signal.SIGTERM)
-        await asyncio.sleep(0.01)
-    if kind == "reload":
-        await stop_clients.sleep_until(target, target.generator.uniform(0.0, 5.0))
-        clusters.write_settings(
-            cluster, member, extra_count=101, grace_s=stop_clients.GRACE_S
-        )
-        member.process.send_signal(signal.SIGHUP)
-    if kind == "table":
-        async with callers.make_session(3.0) as session:
-            for version in range(2, 9):
-                await stop_clients.sleep_until(target, float(version - 2))
-                await put_table(session, cluster, int(time.time() * 10) + version)
-
-
-async def put_table(session, cluster, version: int) -> bool:
-    """Send a table to the first replica; return whether it was acknowledged."""
-    url = f"http://{cluster.replicas[0].host}:{cluster.port}/table"
-    try:
-        async with session.put(url, data=TABLE.format(version=version)) as reply:
-            return reply.status == 200
-    except callers.CONNECTION_ERRORS:
-        return False
-
-
-@dataclasses.dataclass
-class Stops:
-    """Stop routers under load and print the requests that were lost."""
-
-    seed: Annotated[int, cappa.Arg(long=True, help="Seed.")] = 1
-    rounds: Annotated[int, cappa.Arg(long=True, help="Number of rounds.")] = 1
-    routers: Annotated[int, cappa.Arg(long=True, help="Routers per round.")] = 3
-    clients: Annotated[int, cappa.Arg(long=True, help="Clients per router.")] = 40
-    behaviours: Annotated[str, cappa.Arg(long=True, help="Names of clients.")] = ""
-    silent: Annotated[
-        bool, cappa.Arg(long=True, help="One backend server never answers.")
-    ] = False
-    disturb: Annotated[str, cappa.Arg(long=True, help="term, reload or table.")] = ""
+    cluster: clusters.Cluster
+    servers: list[stop_backends.Backend]
+    attempts: dict[str, list[stop_records.Attempt]]
+    table_version: int = 0
+    stops_count: int = 0
+    events_count: int = 0
+    ends: collections.Counter = dataclasses.field(default_factory=collections.Counter)
 
 
-async def run(options: Stops) -> Tally:
-    """Run all rounds."""
+async def run(options: Stops) -> list[stop_oracle.Finding]:
+    """Run all rounds, print the violations, and return them."""
+    findings = []
+    busy = start_busy_processes(options.busy)
     with tempfile.TemporaryDirectory(prefix="hickoryweir-stops-") as temporary:
-        cluster, records = await start(pathlib.Path(temporary), options)
-        tally = Tally()
+        site = await start(options.logs or pathlib.Path(temporary), options)
         try:
             for number in range(options.rounds):
-                seed = options.seed + number
-                outcomes = await asyncio.gather(
-                    *(
-                        stop_router(
-                            cluster,
-                            member,
-                            options,
-                            random.Random(f"{seed}-{index}"),
-                            records,
-                        )
-                        for index, member in enumerate(cluster.routers)
-                    )
-                )
-                for outcome in outcomes:
-                    report(tally, seed, *outcome)
-                records.clear()
+                findings += await run_round(site, options, options.seed + number)
         finally:
-            for member in (*cluster.routers, *cluster.replicas):
-                if member.process is not None and member.process.poll() is None:
-                    member.process.kill()
-                    member.process.wait()
-    return tally
-
-
-async def start(folder, options) -> tuple[clusters.Cluster, dict]:
-    """Start backend servers and three replicas, and put the table."""
-    records: dict[str, stop_clients.BackendRecord] = {}
-    addresses = [
-        await start_backend(records, options.silent and not number)
-        for number in range(SERVERS_COUNT)
+            end_processes(site.cluster, busy)
+    findings += check_replicas(site.cluster)
+    if options.untimed:
+        findings = stop_oracle.untimed(findings, site.stops_count)
+    report(site, options, findings)
+    return findings
+
+
+def start_busy_processes(count: int) -> list[subprocess.Popen]:
+    """Start processes that leave little processor time to the others."""
+    return [subprocess.Popen([sys.executable, "-c", BUSY_LOOP]) for _ in range(count)]
+
+
+def end_processes(cluster: clusters.Cluster, busy: list[subprocess.Popen]) -> None:
+    """Kill the processes that still run."""
+    members = (*cluster.routers, *cluster.replicas)
+    for process in (*(member.process for member in members), *busy):
+        if process is not None and process.poll() is None:
+            process.kill()
+            process.wait()
+
+
+async def start(folder: pathlib.Path, options: Stops) -> Site:
+    """Start backend servers, replicas and routers, and put the first table."""
+    attempts: dict[str, list[stop_records.Attempt]] = {}
+    servers = [
+        await stop_backends.start(f"s{number}", attempts)
+        for number in range(options.servers)
     ]
+    list_address = await start_list(servers)
+    cluster = make_cluster(folder, options.routers, list_address)
+    site = Site(cluster, servers, attempts)
+    for member in (*cluster.replicas, *cluster.routers):
+        member.folder.mkdir(parents=True)
+        clusters.write_settings(cluster, member)
+        clusters.launch(member)
+    async with callers.make_session(callers.OPERATOR_TIMEOUT_S) as session:
+        for _ in range(round(clusters.READY_TIMEOUT_S / clusters.POLL_INTERVAL_S)):
+            if await put_next_table(session, site):
+                break
+            await asyncio.sleep(clusters.POLL_INTERVAL_S)
+    return site
+
+
+async def start_list(servers: list[stop_backends.Backend]) -> str:
+    """Serve the list of backend servers; return its address."""
     entries = [
-        {"id": f"s{number}", "service": "app", "address": address}
-        for number, address in enumerate(addresses)
+        {"id": item.server_id, "service": "app", "address": f"{HOST}:{item.port}"}
+        for item in servers
     ]
 
     async def list_servers(request: web.BaseRequest) -> web.Response:
@@ -320,77 +182,227 @@
     listener = await asyncio.get_running_loop().create_server(
         web.Server(list_servers, access_log=None), HOST, 0
     )
-    hosts = [f"127.0.5.{number + 1}" for number in range(3)]
+    return f"{HOST}:{listener.sockets[0].getsockname()[1]}"
+
+
+def make_cluster(folder, routers_count: int, list_address: str) -> clusters.Cluster:
+    """Return the processes of a run, not started yet."""
+    hosts = [f"127.0.5.{number + 1}" for number in range(REPLICAS_COUNT)]
     ports = [entry_vms.free_port() for _ in range(4)]
     names = ("port", "ready_port", "peer_port", "metrics_port")
     values = dict(zip(names, ports, strict=True)) | {
         "zone": clusters.ZONE,
         "seeds": ", ".join(f"{host}:{ports[0]}" for host in hosts),
-        "list_address": f"{HOST}:{listener.sockets[0].getsockname()[1]}",
-        "grace_s": stop_clients.GRACE_S,
+        "list_address": list_address,
+        "grace_s": stop_records.GRACE_S,
         "extra_count": 100,
     }
     replicas = [clusters.Member("replica", host, folder / host) for host in hosts]
     routers = [
-        clusters.Member("router", f"127.0.6.{number + 1}", folder / f"r{number}")
-        for number in range(options.routers)
+        clusters.Member("router", f"127.0.6.{number + 1}", folder / f"router-{number}")
+        for number in range(routers_count)
     ]
-    cluster = clusters.Cluster(replicas, routers, [], values)
-    for member in (*replicas, *routers):
-        member.folder.mkdir(parents=True)
-        clusters.write_settings(cluster, member)
-    for member in replicas:
-        clusters.launch(member)
+    return clusters.Cluster(replicas, routers, [], values)
+
+
+async def put_next_table(session, site: Site) -> bool:
+    """Send the next version to a replica that answers; return whether one did."""
+    site.table_version += 1
+    cluster = site.cluster
+    for member in cluster.replicas:
+        url = f"http://{member.host}:{cluster.port}/table"
+        table = TABLE.format(version=site.table_version)
+        with contextlib.suppress(*callers.CONNECTION_ERRORS):
+            async with session.put(url, data=table) as reply:
+                if reply.status == 200:
+                    return True
+    return False
+
+
+async def run_round(site: Site, options: Stops, seed: int) -> list[stop_oracle.Finding]:
+    """Stop each router once among the events of a seed; print what was broken."""
+    cluster = site.cluster
+    findings = await check_ready(site, seed)
+    generator = random.Random(seed)
+    events = stop_events.draw(
+        generator, len(cluster.routers), len(cluster.replicas), len(site.servers)
+    )
+    start_s = time.monotonic() + ROUND_LEAD_S
+    stops = [event for event in events if event.kind == stop_events.TERMINATE]
+    targets = [make_target(site, event, start_s, seed) for event in stops]
+    others = [
+        asyncio.create_task(carry_out(site, event, start_s))
+        for event in events
+        if event.kind != stop_events.TERMINATE
+    ]
+    await asyncio.gather(
+        *(
+            stop_router(cluster, event, target, options)
+            for event, target in zip(stops, targets, strict=True)
+        )
+    )
+    await asyncio.gather(*others)
+    findings += stop_oracle.find_violations(targets)
+    show(site, options, findings, events, start_s)
+    count_ends(site, targets)
+    site.stops_count += len(targets)
+    site.events_count += len(events)
+    site.attempts.clear()
+    return findings
+
+
+async def check_ready(site: Site, seed: int) -> list[stop_oracle.Finding]:
+    """Wait until all routers are ready; return a finding for each that isn't."""
+    cluster = site.cluster
     async with callers.make_session(callers.OPERATOR_TIMEOUT_S) as session:
-        for _ in range(round(clusters.READY_TIMEOUT_S / clusters.POLL_INTERVAL_S)):
-            if await put_table(session, cluster, 1):
-                break
-            await asyncio.sleep(clusters.POLL_INTERVAL_S)
-    return cluster, records
-
-
-def classify(target: stop_clients.Target, request: stop_clients.Request) -> str:
-    """Return the behaviour of the client and how far a lost request came."""
-    record = target.records.get(request.request_id)
-    state = "not passed on"
-    if record is not None:
-        state = "queued" if record.run_s is None else "running"
-        if record.finished_s is not None:
-            state = "finished"
-    return f"{request.behaviour}, {state}, status {request.status or 'none'}"
-
-
-def report(tally: Tally, seed: int, target: stop_clients.Target, log: str) -> None:
-    """Print what happened at one stop and add it to the tally."""
-    counts = collections.Counter()
-    for request in target.requests:
-        if request.is_whole:
-            counts[f"whole {request.status}"] += 1
-            continue
-        excuse = find_excuse(target, request)
-        counts[excuse or "LOST"] += 1
-        if not excuse:
-            is_named = f'"{request.request_id}"' in log
-            tally.lost[classify(target, request)] += 1
-            tally.logged["named" if is_named else "not named"] += 1
-            print(f"LOST seed {seed} {describe(target, request)}")
-    print(f"seed {seed} {target.host}: {dict(counts)}")
-    for line in log.splitlines():
-        if "aborted" in line:
-            tally.aborted[json.loads(line)["detail"]] += 1
-        if "ERROR" in line or "Traceback" in line:
-            print("  log:", line)
+        are_ready = await asyncio.gather(
+            *(
+                clusters.wait_until_ready(session, cluster, member)
+                for member in cluster.routers
+            )
+        )
+    findings = []
+    for member, is_ready in zip(cluster.routers, are_ready, strict=True):
+        if not is_ready:
+            target = stop_records.Target(
+                member.host, cluster.port, 0.0, random.Random(seed), {}, seed
+            )
+            violation = promises.Violation("a router becomes ready", member.host)
+            findings.append(stop_oracle.Finding(violation, target, is_timed=True))
+    return findings
+
+
+def make_target(
+    site: Site, event: stop_events.Event, start_s: float, seed: int
+) -> stop_records.Target:
+    """Return the clients' view of a router that is to be stopped."""
+    return stop_records.Target(
+        site.cluster.routers[event.index].host,
+        site.cluster.port,
+        start_s + event.at_s,
+        random.Random(f"{seed}-{event.index}"),
+        site.attempts,
+        seed,
+    )
+
+
+async def stop_router(
+    cluster: clusters.Cluster,
+    event: stop_events.Event,
+    target: stop_records.Target,
+    options: Stops,
+) -> None:
+    """Stop a router under load from its clients, and start its successor."""
+    member = cluster.routers[event.index]
+    names = list(stop_clients.BEHAVIOURS)
+    if options.behaviours:
+        names = options.behaviours.split(",")
+    await stop_clients.sleep_until(target, -stop_clients.LEAD_S)
+    tasks = [
+        asyncio.create_task(
+            stop_clients.BEHAVIOURS[target.generator.choice(names)](target)
+        )
+        for _ in range(options.clients)
+    ]
+    await stop_clients.sleep_until(target, stop_records.SIGNAL_S)
+    stop_events.signal_router(cluster, event)
+    await await_exit(member, target)
+    clusters.write_settings(cluster, member)
+    clusters.launch(member)
+    _, pending = await asyncio.wait(
+        tasks, timeout=max(0.0, stop_clients.CLIENT_END_S - target.now_s())
+    )
+    for task in pending:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def await_exit(member: clusters.Member, target: stop_records.Target) -> None:
+    """Wait for the end of a stopped process; kill it long after the grace."""
+    process = member.process
+    with contextlib.suppress(TimeoutError):
+        await waiting.wait_until(lambda: process.poll() is not None, KILL_AFTER_S)
+    if process.poll() is None:
+        process.kill()
+        process.wait()
+    target.exit_s, target.exit_code = round(target.now_s(), 3), process.poll()
+
+
+async def carry_out(site: Site, event: stop_events.Event, start_s: float) -> None:
+    """Bring about an event other than a planned stop of a router at its time."""
+    await asyncio.sleep(max(0.0, start_s + event.at_s - time.monotonic()))
+    if event.kind == stop_events.REPLACE_TABLE:
+        async with callers.make_session(callers.OPERATOR_TIMEOUT_S) as session:
+            await put_next_table(session, site)
+    elif event.kind == stop_events.STOP_REPLICA:
+        await stop_events.restart_replica(site.cluster, event)
+    elif event.kind in stop_backends.FAULTS:
+        backend = site.servers[event.index]
+        await stop_backends.disturb(backend, event.kind, event.duration_s)
+    else:
+        stop_events.signal_router(site.cluster, event)
+
+
+def check_replicas(cluster: clusters.Cluster) -> list[stop_oracle.Finding]:
+    """Check the exit codes of the replicas that were stopped."""
+    findings = []
+    for host, code in cluster.exit_codes:
+        if code != 0:
+            target = stop_records.Target(host, cluster.port, 0.0, random.Random(0), {})
+            detail = f"{host} ended with {code}"
+            violation = promises.Violation("a planned stop ends clean", detail)
+            findings.append(stop_oracle.Finding(violation, target))
+    return findings
+
+
+def count_ends(site: Site, targets: list[stop_records.Target]) -> None:
+    """Count the requests by how they ended."""
+    for target in targets:
+        for request in target.requests:
+            end = f"status {request.status}"
+            if not request.is_whole:
+                end = stop_oracle.find_excuse(target, request) or "LOST"
+            site.ends[end] += 1
+
+
+def show(site, options, findings, events, start_s) -> None:
+    """Print the first violations of a round with their time lines."""
+    members = (*site.cluster.replicas, *site.cluster.routers)
+    logs = [member.folder / "log" for member in members]
+    arguments = (
+        f"--routers {options.routers} --servers {options.servers} "
+        f"--clients {options.clients}"
+    )
+    if options.behaviours:
+        arguments += f" --behaviours {options.behaviours}"
+    if options.busy:
+        arguments += f" --busy {options.busy}"
+    for finding in findings[:SHOWN_COUNT]:
+        lines = stop_timelines.make_lines(finding, events, start_s, logs, arguments)
+        print("\n".join(lines), flush=True)
+
+
+def report(site: Site, options: Stops, findings: list[stop_oracle.Finding]) -> None:
+    """Print a summary of the run."""
+    for end, count in sorted(site.ends.items()):
+        print(f"{count:6} {end}")
+    promises_broken = collections.Counter(
+        finding.violation.promise for finding in findings
+    )
+    for promise, count in promises_broken.items():
+        print(f"BROKEN {count} times: {promise}")
+    last_seed = options.seed + options.rounds - 1
+    print(
+        f"seeds {options.seed} to {last_seed}: {site.ends.total()} requests, "
+        f"{site.stops_count} stops, {site.events_count} events, "
+        f"{len(findings)} violations"
+    )
 
 
 def main() -> None:
     """Run from the command line."""
-    options = cappa.parse(Stops)
-    tally = asyncio.run(run(options))
-    for name, count in sorted(tally.lost.items()):
-        print(f"{count} lost: {name}")
-    print(f"log lines of lost requests: {dict(tally.logged)}")
-    print(f"{tally.lost.total()} lost; aborted by stop: {dict(tally.aborted)}")
-    raise SystemExit(1 if tally.lost else 0)
+    findings = asyncio.run(run(cappa.parse(Stops)))
+    raise SystemExit(1 if findings else 0)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/hickoryweir/testing/soak/tests/test_stop_events.py
@@ -0,0 +1,40 @@
+"""The events of a round follow from its seed."""
+
+import random
+
+import pytest
+
+from hickoryweir.testing.soak import stop_backends, stop_events
+
+
+def draw(seed):
+    return stop_events.draw(random.Random(seed), 3, 3, 3)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_same_seed_draws_the_same_events(seed):
+    events = draw(seed)
+    assert events == draw(seed)
+    assert events != draw(seed + 1)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_each_router_gets_one_planned_stop_and_one_server_stays_sound(seed):
+    events = draw(seed)
+    stops = [item for item in events if item.kind == stop_events.TERMINATE]
+    assert sorted(stop.index for stop in stops) == [0, 1, 2]
+    assert stops[0].at_s == 0.0
+    disturbed = {item.index for item in events if item.kind in stop_backends.FAULTS}
+    assert len(disturbed) < 3
+
+
+def test_seeds_draw_all_kinds_of_events():
+    kinds = {event.kind for seed in range(20) for event in draw(seed)}
+    assert kinds == {
+        stop_events.TERMINATE,
+        stop_events.TERMINATE_AGAIN,
+        stop_events.RELOAD,
+        stop_events.REPLACE_TABLE,
+        stop_events.STOP_REPLICA,
+        *stop_backends.FAULTS,
+    }
