--- a/hickoryweir/testing/soak/stop_clients.py
+++ b/hickoryweir/testing/soak/stop_clients.py
@@ -285,7 +285,8 @@
 
 async def receive_next(connection, first, second) -> None:
     """Read the second answer, which doesn't come where the first one has no end."""
-    if first.is_whole and not connection.is_closing:
+    second.before = first
+    if first.is_whole:
         await connection.receive(second)
         return
     second.end, second.ended_s = "closed", connection.target.now_s()
--- a/hickoryweir/testing/soak/stop_oracle.py
+++ b/hickoryweir/testing/soak/stop_oracle.py
@@ -115,7 +115,7 @@
         return "outside the planned stop"
     attempts = target.attempts.get(request.request_id, [])
     if not attempts:
-        return _excuse_not_passed_on(request)
+        return _excuse_not_passed_on(target, request)
     if any(attempt.broke_off for attempt in attempts):
         return "the server broke off"
     was_at_work = request.ended_s >= LATE_WORK_S and any(
@@ -134,7 +134,11 @@
     return is_late or request.ended_s < stop_records.SIGNAL_S
 
 
-def _excuse_not_passed_on(request: stop_records.Request) -> str:
+def _excuse_not_passed_on(target, request: stop_records.Request) -> str:
+    before = request.before
+    if before is not None and not before.is_whole and find_excuse(target, before):
+        # HTTP/1.1 has no place for an answer behind one that has no end.
+        return "behind an answer that has an excuse"
     if request.end in ("ConnectionResetError", "BrokenPipeError"):
         return "not read: reset with unread bytes"
     if request.ended_s - request.last_byte_s <= LOSS_SLACK_S:
--- a/hickoryweir/testing/soak/stop_records.py
+++ b/hickoryweir/testing/soak/stop_records.py
@@ -65,6 +65,8 @@
         this request.
     end : str
         How the answer ended; empty while the client still reads.
+    before : Request or None
+        Request whose answer comes first on the connection.
     """
 
     request_id: str
@@ -81,6 +83,7 @@
     ended_s: float = 0.0
     end: str = ""
     left: bool = False
+    before: "Request | None" = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/hickoryweir/testing/soak/tests/test_stop_oracle.py
+++ b/hickoryweir/testing/soak/tests/test_stop_oracle.py
@@ -71,6 +71,16 @@
     assert find_promises(target, request) == []
 
 
+def test_request_behind_an_answer_is_lost_unless_that_answer_has_an_excuse():
+    first = make_request()
+    second = make_request(before=first)
+    second.request_id = "r-2"
+    assert stop_oracle.find_excuse(make_target(RAN), second)
+    assert find_promises(make_target(QUEUED), second) == [stop_oracle.CUT_OFF]
+    first.is_whole = True
+    assert find_promises(make_target(RAN), second) == [stop_oracle.CUT_OFF]
+
+
 def test_ready_answer_that_is_not_delivered_is_reported():
     findings = stop_oracle.check_request(make_target(FINISHED_EARLY), make_request())
     assert [item.violation.promise for item in findings] == [stop_oracle.UNDELIVERED]
