--- a/hickoryweir/testing/soak/stop_events.py
+++ b/hickoryweir/testing/soak/stop_events.py
@@ -10,6 +10,7 @@
 
 TERMINATE, TERMINATE_AGAIN, RELOAD = "SIGTERM", "SIGTERM again", "SIGHUP"
 REPLACE_TABLE, STOP_REPLICA = "table", "stop of a replica"
+KINDS = (TERMINATE, TERMINATE_AGAIN, RELOAD, REPLACE_TABLE, STOP_REPLICA)
 STOPS_SPAN_S = 9.0
 STOP_INTERVAL_MAX_S = 3.5
 # A stop as the router's clients see it ends with the process.
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -378,6 +378,8 @@
     if options.busy:
         arguments += f" --busy {options.busy}"
     for finding in findings[:SHOWN_COUNT]:
+        if options.untimed and finding.is_timed:
+            print("depends on the moment:")
         lines = stop_timelines.make_lines(finding, events, start_s, logs, arguments)
         print("\n".join(lines), flush=True)
 
