--- a/hickoryweir/testing/soak/stop_backends.py
+++ b/hickoryweir/testing/soak/stop_backends.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import json
+import socket
 import time
 
 from aiohttp import web
@@ -27,7 +28,7 @@
     awake : asyncio.Event
         Cleared while the server neither starts a request nor sends a byte.
     open_attempts : dict
-        Arrivals that have not ended, and their connections.
+        Arrivals that have not ended.
     """
 
     server_id: str
@@ -35,6 +36,7 @@
     refuses: bool = False
     awake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     open_attempts: dict = dataclasses.field(default_factory=dict)
+    server: web.Server | None = None
     listener: asyncio.Server | None = None
     port: int = 0
 
@@ -43,18 +45,27 @@
     """Return a listening backend server."""
     backend = Backend(server_id, attempts)
     backend.awake.set()
-    await _listen(backend)
-    return backend
-
 
-async def _listen(backend: Backend) -> None:
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         return await _serve(backend, request)
 
-    server = web.Server(handle, access_log=None, handler_cancellation=True)
+    backend.server = web.Server(handle, access_log=None, handler_cancellation=True)
+    await _listen(backend, _bind(0))
+    return backend
+
+
+def _bind(port: int) -> socket.socket:
+    """Return a socket that has a port and refuses connections until it listens."""
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((HOST, port))
+    return bound
+
+
+async def _listen(backend: Backend, bound: socket.socket) -> None:
+    backend.port = bound.getsockname()[1]
     loop = asyncio.get_running_loop()
-    backend.listener = await loop.create_server(server, HOST, backend.port)
-    backend.port = backend.listener.sockets[0].getsockname()[1]
+    backend.listener = await loop.create_server(backend.server, sock=bound)
 
 
 async def _serve(backend: Backend, request: web.BaseRequest) -> web.StreamResponse:
@@ -63,7 +74,7 @@
     plan = stop_records.Plan(**json.loads(request.headers[PLAN_HEADER]))
     attempt = stop_records.Attempt(backend.server_id, time.monotonic())
     backend.attempts.setdefault(request_id, []).append(attempt)
-    backend.open_attempts[id(attempt)] = (attempt, request.transport)
+    backend.open_attempts[id(attempt)] = attempt
     try:
         return await _answer(backend, request, request_id, plan, attempt)
     finally:
@@ -114,18 +125,20 @@
     """Let a server refuse, fall silent or go away; it is sound again afterwards."""
     if fault == "refuse":
         backend.refuses = True
-    if fault == "silent":
+        await asyncio.sleep(duration_s)
+        backend.refuses = False
+    elif fault == "silent":
         backend.awake.clear()
-    if fault == "gone":
+        await asyncio.sleep(duration_s)
+        backend.awake.set()
+    else:
         backend.listener.close()
-        for attempt, transport in list(backend.open_attempts.values()):
+        # No connection of another process may take the port meanwhile.
+        bound = _bind(backend.port)
+        for attempt in backend.open_attempts.values():
             attempt.broke_off = True
-            if transport is not None:
-                transport.abort()
-    try:
+        for connection in list(backend.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
         await asyncio.sleep(duration_s)
-    finally:
-        backend.refuses = False
-        backend.awake.set()
-        if fault == "gone":
-            await _listen(backend)
+        await _listen(backend, bound)
