--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -120,8 +120,9 @@
     findings = []
     busy = start_busy_processes(options.busy)
     with tempfile.TemporaryDirectory(prefix="hickoryweir-stops-") as temporary:
-        site = await start(options.logs or pathlib.Path(temporary), options)
+        site = await make_site(options.logs or pathlib.Path(temporary), options)
         try:
+            await start(site)
             for number in range(options.rounds):
                 findings += await run_round(site, options, options.seed + number)
         finally:
@@ -147,8 +148,8 @@
             process.wait()
 
 
-async def start(folder: pathlib.Path, options: Stops) -> Site:
-    """Start backend servers, replicas and routers, and put the first table."""
+async def make_site(folder: pathlib.Path, options: Stops) -> Site:
+    """Start backend servers, and return them with the processes to be started."""
     attempts: dict[str, list[stop_records.Attempt]] = {}
     servers = [
         await stop_backends.start(f"s{number}", attempts)
@@ -156,7 +157,12 @@
     ]
     list_address = await start_list(servers)
     cluster = make_cluster(folder, options.routers, list_address)
-    site = Site(cluster, servers, attempts)
+    return Site(cluster, servers, attempts)
+
+
+async def start(site: Site) -> None:
+    """Start replicas and routers, and put the first table."""
+    cluster = site.cluster
     for member in (*cluster.replicas, *cluster.routers):
         member.folder.mkdir(parents=True)
         clusters.write_settings(cluster, member)
@@ -166,7 +172,6 @@
             if await put_next_table(session, site):
                 break
             await asyncio.sleep(clusters.POLL_INTERVAL_S)
-    return site
 
 
 async def start_list(servers: list[stop_backends.Backend]) -> str:
