--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -319,7 +319,10 @@
     )
     for task in pending:
         task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    for outcome in await asyncio.gather(*tasks, return_exceptions=True):
+        # The router refuses connections once its port is closed.
+        if isinstance(outcome, Exception) and not isinstance(outcome, OSError):
+            raise outcome
 
 
 async def await_exit(member: clusters.Member, target: stop_records.Target) -> None:
