Send second signals only to the process that is stopped

A router whose requests had ended exits early; its successor then got the second SIGTERM and nothing started it again.

--- a/hickoryweir/testing/soak/stop_events.py
+++ b/hickoryweir/testing/soak/stop_events.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 import signal
+import subprocess
 
 from hickoryweir.testing.soak import cluster as clusters
 from hickoryweir.testing.soak import stop_backends, stop_records
@@ -108,16 +109,18 @@
     return generator.uniform(FAULT_DURATION_MIN_S, FAULT_DURATION_MAX_S)
 
 
-def signal_router(cluster: clusters.Cluster, event: Event) -> None:
-    """Send a router the signal of an event, unless its process has ended."""
-    member = cluster.routers[event.index]
-    if member.process.poll() is not None:
+def signal_router(
+    cluster: clusters.Cluster, event: Event, process: subprocess.Popen
+) -> None:
+    """Send a router's process the signal of an event, but not its successor."""
+    if process.poll() is not None:
         return
     if event.kind == RELOAD:
+        member = cluster.routers[event.index]
         clusters.write_settings(cluster, member, extra_count=101)
-        member.process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGHUP)
     else:
-        member.process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGTERM)
 
 
 async def restart_replica(cluster: clusters.Cluster, event: Event) -> None:
--- a/hickoryweir/testing/soak/stop_oracle.py
+++ b/hickoryweir/testing/soak/stop_oracle.py
@@ -87,11 +87,21 @@
     """Check that a request without a complete answer has an excuse."""
     if request.is_whole or find_excuse(target, request):
         return []
-    is_ready = was_ready(target, request)
-    promise = UNDELIVERED if is_ready else CUT_OFF
+    promise = UNDELIVERED if was_ready(target, request) else CUT_OFF
     violation = promises.Violation(promise, describe(target, request))
-    is_timed = not is_ready or request.behaviour in SLOW_READERS
-    return [Finding(violation, target, request, is_timed)]
+    return [Finding(violation, target, request, is_timed(target, request))]
+
+
+def is_timed(target: stop_records.Target, request: stop_records.Request) -> bool:
+    """Return whether a delay of a loaded computer could have lost a request."""
+    if was_ready(target, request):
+        return request.behaviour in SLOW_READERS
+    if request.ended_s > READY_S:
+        return True
+    # A connection that ends long before the others was not in need of time.
+    is_passed_on = request.request_id in target.attempts
+    waited_s = request.ended_s - request.last_byte_s
+    return not is_passed_on and waited_s <= READY_MARGIN_S
 
 
 def was_ready(target: stop_records.Target, request: stop_records.Request) -> bool:
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -235,8 +235,9 @@
     start_s = time.monotonic() + ROUND_LEAD_S
     stops = [event for event in events if event.kind == stop_events.TERMINATE]
     targets = [make_target(site, event, start_s, seed) for event in stops]
+    processes = [member.process for member in cluster.routers]
     others = [
-        asyncio.create_task(carry_out(site, event, start_s))
+        asyncio.create_task(carry_out(site, event, start_s, processes))
         for event in events
         if event.kind != stop_events.TERMINATE
     ]
@@ -310,7 +311,7 @@
         for _ in range(options.clients)
     ]
     await stop_clients.sleep_until(target, stop_records.SIGNAL_S)
-    stop_events.signal_router(cluster, event)
+    stop_events.signal_router(cluster, event, member.process)
     await await_exit(member, target)
     clusters.write_settings(cluster, member)
     clusters.launch(member)
@@ -336,8 +337,19 @@
     target.exit_s, target.exit_code = round(target.now_s(), 3), process.poll()
 
 
-async def carry_out(site: Site, event: stop_events.Event, start_s: float) -> None:
-    """Bring about an event other than a planned stop of a router at its time."""
+async def carry_out(
+    site: Site,
+    event: stop_events.Event,
+    start_s: float,
+    processes: list[subprocess.Popen],
+) -> None:
+    """Bring about an event other than a planned stop of a router at its time.
+
+    Parameters
+    ----------
+    processes : list of Popen
+        Of the routers at the start of the round; signals are not for the successors.
+    """
     await asyncio.sleep(max(0.0, start_s + event.at_s - time.monotonic()))
     if event.kind == stop_events.REPLACE_TABLE:
         async with callers.make_session(callers.OPERATOR_TIMEOUT_S) as session:
@@ -348,7 +360,7 @@
         backend = site.servers[event.index]
         await stop_backends.disturb(backend, event.kind, event.duration_s)
     else:
-        stop_events.signal_router(site.cluster, event)
+        stop_events.signal_router(site.cluster, event, processes[event.index])
 
 
 def check_replicas(cluster: clusters.Cluster) -> list[stop_oracle.Finding]:
--- a/hickoryweir/testing/soak/tests/test_stop_events.py
+++ b/hickoryweir/testing/soak/tests/test_stop_events.py
@@ -1,6 +1,9 @@
 """The events of a round follow from its seed."""
 
 import random
+import signal
+import subprocess
+import sys
 
 import pytest
 
@@ -31,3 +34,17 @@
 def test_seeds_draw_all_kinds_of_events():
     kinds = {event.kind for seed in range(20) for event in draw(seed)}
     assert kinds == {*stop_events.KINDS, *stop_backends.FAULTS}
+
+
+def test_second_signal_does_not_reach_the_successor():
+    # An event holds for the process that got the first signal, which has ended here.
+    process = subprocess.Popen([sys.executable, "-c", ""])
+    process.wait()
+    sent = []
+    process.send_signal = sent.append
+    event = stop_events.Event(1.0, stop_events.TERMINATE_AGAIN)
+    stop_events.signal_router(None, event, process)
+    assert sent == []
+    process.poll = lambda: None
+    stop_events.signal_router(None, event, process)
+    assert sent == [signal.SIGTERM]
--- a/hickoryweir/testing/soak/tests/test_stop_oracle.py
+++ b/hickoryweir/testing/soak/tests/test_stop_oracle.py
@@ -24,8 +24,8 @@
 def make_request(**changes):
     """Return a request whose connection ends closed at the end of a stop."""
     fields = {"sent_s": 1.0, "last_byte_s": 1.0, "ended_s": 7.4, "end": "closed"}
-    plan = stop_records.Plan()
-    return stop_records.Request("r-1", "keep", "127.0.0.1", plan, **fields | changes)
+    fields |= {"behaviour": "keep", "router": "127.0.0.1", "plan": stop_records.Plan()}
+    return stop_records.Request("r-1", **fields | changes)
 
 
 def find_promises(target, request):
@@ -150,3 +150,22 @@
         "a planned stop ends clean",
         stop_oracle.UNDELIVERED,
     ]
+
+
+@pytest.mark.parametrize(
+    ("attempts", "changes", "count"),
+    [
+        ([QUEUED], {"ended_s": 4.0}, 1),
+        ([QUEUED], {"ended_s": 7.4}, 0),
+        ([], {"ended_s": 4.3}, 1),
+        ([], {"ended_s": 3.5}, 0),
+        ([FINISHED_EARLY], {"behaviour": "slow reader"}, 0),
+    ],
+)
+def test_untimed_verdict_keeps_connections_that_end_long_before_the_stop(
+    attempts, changes, count
+):
+    target, request = make_target(*attempts), make_request(**changes)
+    findings = stop_oracle.check_request(target, request)
+    assert len(findings) == 1
+    assert len(stop_oracle.untimed(findings, 6)) == count
