--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -37,7 +37,7 @@
 REPLICAS_COUNT = 3
 # Time from the start of a round until its first signal.
 ROUND_LEAD_S = stop_clients.LEAD_S + 0.2
-KILL_AFTER_S = stop_records.GRACE_S + 10.0
+KILL_AFTER_S = stop_records.GRACE_S + 30.0
 SHOWN_COUNT = 10
 BUSY_LOOP = "while True: pass"
 TABLE = """[table]
