--- a/hickoryweir/testing/soak/stop_oracle.py
+++ b/hickoryweir/testing/soak/stop_oracle.py
@@ -190,7 +190,7 @@
 def untimed(findings: list[Finding], stops_count: int) -> list[Finding]:
     """Return the findings that no delay of a loaded computer can have caused.
 
-    Requests that a stop cut off at its last moment, and processes that had to be killed,
+    Requests that a stop cut off at its last moment, and processes that were killed,
     count if more than half of the stops show some: a delay of that moment at most stops
     is no accident.
     """
