--- a/hickoryweir/forwarding/tests/sites.py
+++ b/hickoryweir/forwarding/tests/sites.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import random
+import socket
 
 import aiohttp
 from aiohttp import web
@@ -19,6 +20,7 @@
 HOST = "127.0.0.1"
 IDLE_S = 5.0
 WAIT_S = 5.0
+SLOW_READER_BUFFER_SIZE_BYTES = 4_096
 
 
 @dataclasses.dataclass(slots=True)
@@ -122,6 +124,15 @@
         await forwarder.at_most_once_session.close()
 
 
+async def open_slow_reader(port):
+    """Connect with small buffers, so that a large response stays in the router."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READER_BUFFER_SIZE_BYTES)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (HOST, port))
+    return await asyncio.open_connection(sock=sock, limit=SLOW_READER_BUFFER_SIZE_BYTES)
+
+
 def list_servers(forwarder, backends, state=listing.ServerState.READY) -> None:
     """Set the router's list of backend servers."""
     servers = tuple(
--- a/hickoryweir/forwarding/tests/test_server.py
+++ b/hickoryweir/forwarding/tests/test_server.py
@@ -1,7 +1,6 @@
 """Tests of the shutdown of a router's port, and of its readiness."""
 
 import asyncio
-import socket
 
 import aiohttp
 import uvloop
@@ -218,11 +217,7 @@
 
     async def main():
         async with sites.run_site([sites.answering(text=text)]) as site:
-            sock = socket.socket()
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            sock.setblocking(False)
-            await asyncio.get_running_loop().sock_connect(sock, (HOST, site.port))
-            reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+            reader, writer = await sites.open_slow_reader(site.port)
             writer.write(b"GET /chat/x HTTP/1.1\r\nHost: site.example\r\n\r\n")
             await sites.wait_until(lambda: site.backends[0].seen)
             # Longer than the response takes to pass from the router to its sockets.
--- a/hickoryweir/forwarding/tests/test_server_stop_races.py
+++ b/hickoryweir/forwarding/tests/test_server_stop_races.py
@@ -192,11 +192,7 @@
 
     async def main():
         async with sites.run_site([sites.answering(text=text)]) as site:
-            sock = socket.socket()
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            sock.setblocking(False)
-            await asyncio.get_running_loop().sock_connect(sock, (HOST, site.port))
-            reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+            reader, writer = await sites.open_slow_reader(site.port)
             writer.write(make_head(1))
             await sites.wait_until(lambda: site.backends[0].seen)
             await asyncio.sleep(0.3)
@@ -217,11 +213,7 @@
 def test_stop_logs_a_complete_response_that_its_client_has_not_read(caplog):
     async def main():
         async with sites.run_site([sites.answering(text="x" * 3_000_000)]) as site:
-            sock = socket.socket()
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            sock.setblocking(False)
-            await asyncio.get_running_loop().sock_connect(sock, (HOST, site.port))
-            reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+            reader, writer = await sites.open_slow_reader(site.port)
             writer.write(make_head(1))
             await sites.wait_until(lambda: site.backends[0].seen)
             await asyncio.sleep(0.3)
