Let the soak's backend servers leave and ask for pauses

The emulator sends both notices now, and the test of servers replaced in series uses it instead of servers of its own; callers' bodies are checked whole.

--- a/hickoryweir/entry/tests/test_server_notices.py
+++ b/hickoryweir/entry/tests/test_server_notices.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import collections
-import dataclasses
-import time
 
 import aiohttp
 from aiohttp import web
@@ -11,6 +9,7 @@
 from hickoryweir.entry.tests import test_processes as processes
 from hickoryweir.forwarding import headers
 from hickoryweir.testing.demo import entry_vms
+from hickoryweir.testing.soak import backends
 
 SERVERS_COUNT = 3
 CALLERS_COUNT = 4
@@ -23,56 +22,6 @@
 ALLOWED_IN_PAUSE_COUNT = 2
 
 
-@dataclasses.dataclass(eq=False)
-class Server:
-    """A backend server that says that it leaves, or asks for one pause.
-
-    Attributes
-    ----------
-    received_s : list of float
-        Times of all requests.
-    left_s, paused_s : float or None
-        When it first said that it leaves, or asked for a pause.
-    """
-
-    server_id: str
-    received_s: list[float] = dataclasses.field(default_factory=list)
-    is_leaving: bool = False
-    is_full: bool = False
-    left_s: float | None = None
-    paused_s: float | None = None
-    address: str = ""
-
-
-async def start_server(server_id) -> Server:
-    server = Server(server_id)
-
-    async def handle(request):
-        await request.read()
-        server.received_s.append(time.monotonic())
-        given = {headers.REQUEST_ID: request.headers[headers.REQUEST_ID]}
-        if server.is_leaving:
-            server.left_s = server.left_s or time.monotonic()
-            given |= {headers.LEAVING: "1", "Connection": "close"}
-        if server.is_full:
-            server.is_full, server.paused_s = False, time.monotonic()
-            given |= {headers.NOT_RUN: "1", "Retry-After": str(PAUSE_S)}
-            return web.Response(status=503, headers=given)
-        return web.Response(text=server.server_id, headers=given)
-
-    server.address = f"{processes.HOSTS[0]}:" + str(
-        await processes.start_server(processes.HOSTS[0], handle)
-    )
-    return server
-
-
-def list_entries(servers):
-    return [
-        {"id": server.server_id, "service": "app", "address": server.address}
-        for server in servers
-    ]
-
-
 async def call_repeatedly(session, port, name, statuses) -> None:
     """Send requests until cancelled, and count their statuses."""
     number = 0
@@ -81,18 +30,19 @@
         sent = {"Host": "site.example", headers.REQUEST_ID: f"{name}-{number}"}
         url = f"http://{processes.ROUTER_HOST}:{port}/balance/7"
         async with session.get(url, headers=sent) as response:
-            statuses[response.status, (await response.text())[:7] == "server-"] += 1
+            is_whole = await response.text() == backends.make_body(f"{name}-{number}")
+            statuses[response.status, is_whole] += 1
         await asyncio.sleep(CALL_INTERVAL_S)
 
 
 async def replace_in_series(servers, listed):
     """Replace each server, and let one of the others pause meanwhile."""
     for number, leaving in enumerate(servers[:SERVERS_COUNT]):
-        successor = await start_server(f"server-{SERVERS_COUNT + number}")
+        successor = await backends.start(f"server-{SERVERS_COUNT + number}")
         servers.append(successor)
         listed.append(successor)
         leaving.is_leaving = True
-        servers[number + 1].is_full = True
+        servers[number + 1].pause_s = PAUSE_S
         await asyncio.sleep(LIST_LAG_S)
         listed.remove(leaving)
         await asyncio.sleep(PAUSE_S)
@@ -102,12 +52,12 @@
     tmp_path,
 ):
     async def main():
-        servers = [await start_server(f"server-{n}") for n in range(SERVERS_COUNT)]
+        servers = [await backends.start(f"server-{n}") for n in range(SERVERS_COUNT)]
         listed = list(servers)
         statuses = collections.Counter()
 
         async def list_servers(request):
-            return web.json_response({"servers": list_entries(listed)})
+            return web.json_response(backends.list_document(listed))
 
         list_port = await processes.start_server(processes.HOSTS[0], list_servers)
         port, ready_port, peer_port = (entry_vms.free_port() for _ in range(3))
--- a/hickoryweir/testing/soak/backends.py
+++ b/hickoryweir/testing/soak/backends.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import hashlib
+import time
 
 from aiohttp import web
 
@@ -28,6 +29,14 @@
         Number of executions by request id.
     fault : str
         Active fault: ``refuse``, ``cut``, ``slow``, or empty if there is none.
+    is_leaving : bool
+        Whether it says on all its responses that it leaves.
+    pause_s : float
+        Pause that it asks for once, by turning the next request away; 0 for none.
+    received_s : list of float
+        Times of all requests, on the monotonic clock.
+    left_s, paused_s : float or None
+        When it first said that it leaves, or asked for a pause.
     """
 
     server_id: str
@@ -35,6 +44,16 @@
     listener: asyncio.Server
     runs: collections.Counter
     fault: str = ""
+    is_leaving: bool = False
+    pause_s: float = 0.0
+    received_s: list[float] = dataclasses.field(default_factory=list)
+    left_s: float | None = None
+    paused_s: float | None = None
+
+    @property
+    def address(self) -> str:
+        """Return the address of its proxy."""
+        return f"{proxies.HOST}:{self.proxy.port}"
 
 
 def make_body(request_id: str) -> str:
@@ -68,9 +87,25 @@
     return started[0]
 
 
+def _give_notice(backend: Backend) -> dict[str, str]:
+    """Return the headers by which a server says that it leaves or wants a pause."""
+    now_s = time.monotonic()
+    backend.received_s.append(now_s)
+    given = {}
+    if backend.is_leaving:
+        backend.left_s = backend.left_s or now_s
+        given[headers.LEAVING] = "1"
+    if backend.pause_s:
+        given |= {headers.NOT_RUN: "1", "Retry-After": str(backend.pause_s)}
+        backend.pause_s, backend.paused_s = 0.0, now_s
+    return given
+
+
 async def _answer(backend: Backend, request: web.BaseRequest) -> web.StreamResponse:
     request_id = request.headers.get(headers.REQUEST_ID, "")
-    echoed = {headers.REQUEST_ID: request_id}
+    echoed = {headers.REQUEST_ID: request_id} | _give_notice(backend)
+    if "Retry-After" in echoed:
+        return web.Response(status=503, headers=echoed)
     if backend.fault == "refuse":
         return web.Response(status=503, headers=echoed | {headers.NOT_RUN: "1"})
     backend.runs[request_id] += 1
@@ -105,7 +140,7 @@
         {
             "id": backend.server_id,
             "service": "app",
-            "address": f"{proxies.HOST}:{backend.proxy.port}",
+            "address": backend.address,
             "availability_zone": "a",
             "slots_count": 64,
         }
