--- a/hickoryweir/entry/tests/test_server_notices.py
+++ b/hickoryweir/entry/tests/test_server_notices.py
@@ -17,7 +17,7 @@
 # The list still has a server as ready for this time after it has said that it leaves.
 LIST_LAG_S = 1.0
 PAUSE_S = 1.5
-# The rule allows two requests in the rest of a pause, beginning this long after it.
+# A router has this long to heed a pause; two requests may cross it after that.
 PAUSE_SLACK_S = 0.5
 ALLOWED_IN_PAUSE_COUNT = 2
 
