--- a/hickoryweir/forwarding/open_requests.py
+++ b/hickoryweir/forwarding/open_requests.py
@@ -25,7 +25,7 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class OpenRequest:
-    """One request.
+    """A request whose response is not complete yet.
 
     Attributes
     ----------
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -184,7 +184,7 @@
         finally:
             connection.is_serving, open_request.is_handled = False, True
             if connection.head_started_s is not None:
-                # The client was not slow while the request before it was served.
+                # The header timeout does not run while an earlier request is served.
                 connection.head_started_s = loop.time()
             # aiohttp writes a plain response after the handler has returned.
             loop.call_later(
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -27,7 +27,7 @@
 # Servers whose notices are kept, more than any list has.
 MAX_NOTICES_COUNT = 20_000
 MAX_INCARNATIONS_COUNT = 4
-# Longer than any list lags.
+# Longer than the lag of a list, so that a stale one does not undo an announcement.
 NOTICES_RETENTION_S = 600.0
 UNKNOWN_START_MS = 0
 
@@ -187,7 +187,7 @@
     """Return what an incarnation of a server has said.
 
     Where the list gives no start time, or one before the newest that has said anything,
-    that newest one is meant: the list is older than its word.
+    that newest one is meant, since the list is older than its notices.
     """
     by_start = pool.notices.get((listed.server_id, listed.address), {})
     start_ms = _meant_start_ms(by_start, listed)
--- a/hickoryweir/policy/server_notices.py
+++ b/hickoryweir/policy/server_notices.py
@@ -1,12 +1,12 @@
 """What a backend server's responses say of itself: that it leaves, or wants a pause.
 
 Answers two loads.  A server that leaves would have to break off what it is still given;
-its own word is newer than the list of servers, which lags and may come from a replica
-that lags as well, so a list does not undo it.  A server that turns requests away and
-names a pause is overloaded; what it gets meanwhile delays its recovery, and all callers
-that return at the end of the pause would overload it again.  After a pause a server
-therefore gets few requests at a time, twice as many after each response and after each
-second, so that one long request does not keep it idle.
+its announcement is newer than the list of servers, which lags and may come from a
+replica that lags as well, so a list does not undo it.  A server that turns requests
+away and names a pause is overloaded; what it gets meanwhile delays its recovery, and
+all callers that return at the end of the pause would overload it again.  After a pause
+a server therefore gets few requests at a time, twice as many after each response and
+after each second, so that one long request does not keep it idle.
 
 Times are on a clock that includes time suspended.
 """
@@ -25,7 +25,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Notices:
-    """What one incarnation of a server has said.
+    """What one incarnation of a server has announced.
 
     Attributes
     ----------
@@ -46,7 +46,7 @@
 
 
 def record_leaving(notices: Notices, now_s: float) -> Notices:
-    """Return the notices with the server's word that it leaves."""
+    """Return the notices with the announcement that the server leaves."""
     if notices.leaving_since_s is not None:
         return notices
     return dataclasses.replace(notices, leaving_since_s=now_s)
