Log the framing of streams and what an event left open at their end

'stream completed' and 'stream ended early' now say what marked the end of the server's response and how many bytes of an unfinished event it left. Needed to tell the hypotheses of the truncated streams apart; no logic changed.

--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import enum
 from collections.abc import Callable
 
 import aiohttp
@@ -156,6 +157,23 @@
     return b"".join(chunks)
 
 
+class Framing(enum.StrEnum):
+    """What marks the end of a response's body (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "end of connection"
+
+
+def framing_of(response: aiohttp.ClientResponse) -> Framing:
+    """Return what marks the end of a response's body."""
+    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+        return Framing.CHUNKS
+    if "Content-Length" in response.headers:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 class IncompleteResponseError(Exception):
     """The connection ended before the end of the response."""
 
@@ -188,10 +206,6 @@
     A body with neither a length nor chunked encoding ends with its connection, and
     aiohttp reports a clean close and a reset of the connection alike.
     """
-    response = answered.response
-    has_framing = "Content-Length" in response.headers or (
-        "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-    )
-    if has_framing or answered.protocol is None:
+    if framing_of(answered.response) is not Framing.CONNECTION:
         return False
-    return answered.protocol.was_reset
+    return answered.protocol is not None and answered.protocol.was_reset
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -102,7 +102,8 @@
                 server_pool.record_success(view)
                 await _write_events(context, answered, events)
     except exchange.IncompleteResponseError as error:
-        return _record_broken_stream(context, view, str(error))
+        end = _describe_end(answered, splitter)
+        return _record_broken_stream(context, view, str(error), end)
     if context.stream_response is None:
         await _start_stream_response(context, answered)
     if splitter.pending:
@@ -110,10 +111,17 @@
     await context.stream_response.write_eof()
     contexts.record_completion(context)
     server_pool.record_response(view, False, time.monotonic())
-    _record_completed_stream(context, view)
+    _record_completed_stream(context, view, _describe_end(answered, splitter))
     return context.stream_response
 
 
+def _describe_end(answered: exchange.Answered, splitter: event_stream.Splitter) -> str:
+    """Return how a server's stream was framed, and what it left incomplete."""
+    framing = exchange.framing_of(answered.response)
+    open_size_bytes = len(splitter.pending)
+    return f"framed by {framing}, {open_size_bytes} bytes of an open event"
+
+
 async def _write_events(
     context: contexts.RequestContext, answered: exchange.Answered, events: bytes
 ) -> None:
@@ -142,7 +150,7 @@
 
 
 def _record_completed_stream(
-    context: contexts.RequestContext, view: server_pool.ServerView
+    context: contexts.RequestContext, view: server_pool.ServerView, end: str
 ) -> None:
     route_name = context.route.name
     longest_s = context.pauses.longest_s
@@ -156,13 +164,17 @@
         backend_server=view.listed.server_id,
         attempt=context.sent_count,
         duration_s=round(clocks.boottime_s() - context.started_s, 4),
-        detail=f"first event after {first_s:.3f} s, longest pause {longest_s:.3f} s",
+        detail=f"first event after {first_s:.3f} s, "
+        f"longest pause {longest_s:.3f} s, {end}",
     )
     logs.info("stream completed", fields)
 
 
 def _record_broken_stream(
-    context: contexts.RequestContext, view: server_pool.ServerView, detail: str
+    context: contexts.RequestContext,
+    view: server_pool.ServerView,
+    reason: str,
+    end: str,
 ) -> errors.Reason:
     server_pool.record_failed_response(view, time.monotonic())
     contexts.record_loss(context, view.listed.server_id)
@@ -170,8 +182,8 @@
         request_id=context.metadata.request_id,
         class_name=context.route.name,
         backend_server=view.listed.server_id,
-        reason=detail,
-        detail=f"after event {context.last_event_id or 'none'}",
+        reason=reason,
+        detail=f"after event {context.last_event_id or 'none'}, {end}",
     )
     logs.warning("stream ended early", fields)
     return errors.Reason.OUTCOME_UNKNOWN
