Add failing tests of streams that end inside an event

Six cases (no framing, length, chunks; at most once and resumable) fail on the code as it is: the client gets the cut stream as a complete response.

--- a/hickoryweir/forwarding/tests/sites.py
+++ b/hickoryweir/forwarding/tests/sites.py
@@ -68,6 +68,31 @@
     return Backend(server_id, f"{HOST}:{port}", listener, seen)
 
 
+@contextlib.asynccontextmanager
+async def run_raw_backends(count, *responses):
+    """Run backend servers that send the bytes of the next response, then close.
+
+    They share the responses and the list of received heads.
+    """
+    seen, left = [], list(responses)
+
+    async def handle(reader, writer):
+        seen.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(left.pop(0))
+        writer.close()
+
+    backends = []
+    for number in range(count):
+        listener = await asyncio.start_server(handle, HOST, 0)
+        address = f"{HOST}:{listener.sockets[0].getsockname()[1]}"
+        backends.append(Backend(f"s{number}", address, listener, seen))
+    try:
+        yield backends
+    finally:
+        for backend in backends:
+            backend.listener.close()
+
+
 def answering(status=200, text="whole", **more):
     """Return a backend function that echoes the request's id."""
 
--- /dev/null
+++ b/hickoryweir/forwarding/tests/test_truncated_streams.py
@@ -0,0 +1,57 @@
+"""Tests of streams that a backend server breaks off without an error."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from hickoryweir.forwarding import headers
+from hickoryweir.forwarding.tests import sites
+
+EVENTS = [b"id: %d\ndata: text %d\n\n" % (number, number) for number in range(1, 6)]
+WHOLE = b"".join(EVENTS)
+CUT_IN_AN_EVENT = b"".join(EVENTS[:3])[:-9]
+REST = b"".join(EVENTS[2:])
+HEAD = f"HTTP/1.1 200 OK\r\n{headers.REQUEST_ID}: r-1\r\n".encode()
+
+
+def unframed(body):
+    return HEAD + b"\r\n" + body
+
+
+def with_length(body):
+    return HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def in_chunks(body):
+    chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+    return HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunk
+
+
+FRAMINGS = [unframed, with_length, in_chunks]
+
+
+async def call(route, *responses):
+    """Return the status and body of a call, and the heads that the servers received."""
+    async with (
+        sites.run_site([], routes=(route,)) as site,
+        sites.run_raw_backends(2, *responses) as backends,
+    ):
+        sites.list_servers(site.forwarder, backends)
+        status, _, body = await site.call()
+        return status, body, backends[0].seen
+
+
+@pytest.mark.parametrize("make_response", FRAMINGS)
+def test_stream_that_ends_inside_an_event_is_not_framed_as_complete(make_response):
+    route = sites.at_most_once_route(is_stream=True)
+    with pytest.raises(aiohttp.ClientPayloadError):
+        asyncio.run(call(route, make_response(CUT_IN_AN_EVENT)))
+
+
+@pytest.mark.parametrize("make_response", FRAMINGS)
+def test_stream_that_ends_inside_an_event_resumes_on_another_server(make_response):
+    responses = make_response(CUT_IN_AN_EVENT), unframed(REST)
+    status, body, seen = asyncio.run(call(sites.resumable_route(), *responses))
+    assert (status, body) == (200, WHOLE)
+    assert b"Last-Event-ID: 2\r\n" in seen[-1]
