Treat a stream that ends inside an event as broken off

Callers saw: a stream whose last event was cut, in a chunked response that ended normally.

Cause: at the end of a server's response the router forwarded what it had of an unfinished event and ended its own response. A response without a length or chunks ends with its connection, so nothing but the open event says that it was broken off; the router's own framing then states the opposite.

Class: an end that the server did not mark is translated into one that says 'complete'.

Ruled out: a reset taken for a clean close (tests of resets pass on both event loops), a chunked response without its last chunk (aiohttp raises, 'stream ended early'). A length or chunks do not change the verdict, since a peer before the server may have translated the end in the same way.

Why it works: an open event counts as a lost connection, so a resumable stream goes on after the last whole event and any other one is aborted. Responses with another media type or status have no events and end as before.

--- a/hickoryweir/forwarding/event_stream.py
+++ b/hickoryweir/forwarding/event_stream.py
@@ -1,7 +1,12 @@
 """Splitting of a server-sent event stream into complete events."""
 
 import dataclasses
+import re
 
+NEWLINE = re.compile(rb"\r\n|\n|\r")
+MEDIA_TYPE = "text/event-stream"
+# Says nothing of the content, and stands for a missing type (RFC 9110, section 8.3).
+UNKNOWN_MEDIA_TYPE = "application/octet-stream"
 SEPARATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 
 
@@ -28,6 +33,20 @@
     longest_s: float = 0.0
 
 
+def is_event_stream(status: int, media_type: str) -> bool:
+    """Return whether a response on a route of streams consists of events.
+
+    Examples
+    --------
+    >>> is_event_stream(200, MEDIA_TYPE), is_event_stream(404, MEDIA_TYPE)
+    (True, False)
+    >>> is_event_stream(200, "application/json")
+    False
+    """
+    is_success = 200 <= status < 300
+    return is_success and media_type in (MEDIA_TYPE, UNKNOWN_MEDIA_TYPE)
+
+
 def record_event(pauses: Pauses, now_s: float) -> None:
     """Record the arrival of one or more events.
 
@@ -68,6 +87,25 @@
     return joined[:end]
 
 
+def has_open_event(splitter: Splitter) -> bool:
+    r"""Return whether the received bytes end inside an event.
+
+    A client discards such an event (WHATWG HTML, section 9.2.6).  Blank lines and
+    complete comments do not begin one.
+
+    Examples
+    --------
+    >>> newline = bytes([10])
+    >>> [
+    ...     has_open_event(Splitter(pending))
+    ...     for pending in (b"", newline, b": ping" + newline, b": pi", b"id: 1")
+    ... ]
+    [False, False, False, True, True]
+    """
+    *complete, partial = NEWLINE.split(splitter.pending)
+    return bool(partial) or any(line and line[:1] != b":" for line in complete)
+
+
 def last_event_id(events: bytes) -> str:
     """Return the id of the last event that has one; empty if none has.
 
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -93,6 +93,9 @@
     answered: exchange.Answered,
 ) -> ForwardingResult:
     splitter = event_stream.Splitter()
+    has_events = event_stream.is_event_stream(
+        answered.response.status, answered.response.content_type
+    )
     try:
         while chunk := await exchange.read_chunk(answered):
             events = event_stream.split_events(splitter, chunk)
@@ -101,6 +104,9 @@
                 event_stream.record_event(context.pauses, time.monotonic())
                 server_pool.record_success(view)
                 await _write_events(context, answered, events)
+        if has_events and event_stream.has_open_event(splitter):
+            answered.response.close()
+            raise exchange.IncompleteResponseError("ends inside an event")
     except exchange.IncompleteResponseError as error:
         end = _describe_end(answered, splitter)
         return _record_broken_stream(context, view, str(error), end)
