Send streams without the length of their first server

Callers saw: a stream that began on a server with a Content-Length and went on at another server kept the first length. A longer text lost its end in a response that was complete by its length; a shorter one left the client waiting. A client of HTTP/1.0 got 500 for any other stream, since chunks are not allowed there.

Cause: the router copied the framing of the first server, or forced chunks, instead of letting its own response have its own framing. Now aiohttp frames it: chunks in HTTP/1.1, the end of the connection in HTTP/1.0.

--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -145,10 +145,7 @@
     response = answered.response
     headers = header_codec.end_to_end_headers(response.headers, NOTHING_DROPPED)
     client_response = web.StreamResponse(status=response.status, headers=headers)
-    if response.content_length is not None:
-        client_response.content_length = response.content_length
-    else:
-        client_response.enable_chunked_encoding()
+    # No length: another server may continue the stream with a text of another length.
     if contexts.is_last_on_connection(context.forwarder, context.client_request):
         client_response.force_close()
     context.stream_response = client_response
--- a/hickoryweir/forwarding/tests/test_truncated_streams.py
+++ b/hickoryweir/forwarding/tests/test_truncated_streams.py
@@ -55,3 +55,33 @@
     status, body, seen = asyncio.run(call(sites.resumable_route(), *responses))
     assert (status, body) == (200, WHOLE)
     assert b"Last-Event-ID: 2\r\n" in seen[-1]
+
+
+async def read_raw(route, client_version, *responses):
+    """Return the bytes that a client gets, and whether a reset ended them."""
+    async with (
+        sites.run_site([], routes=(route,)) as site,
+        sites.run_raw_backends(2, *responses) as backends,
+    ):
+        sites.list_servers(site.forwarder, backends)
+        reader, writer = await asyncio.open_connection(sites.HOST, site.port)
+        writer.write(
+            f"POST /chat/x HTTP/{client_version}\r\nHost: site.example\r\n"
+            f"{headers.REQUEST_ID}: r-1\r\nContent-Length: 0\r\n"
+            "Connection: close\r\n\r\n".encode()
+        )
+        received, is_reset = b"", False
+        try:
+            while chunk := await asyncio.wait_for(reader.read(65536), sites.WAIT_S):
+                received += chunk
+        except ConnectionResetError:
+            is_reset = True
+        writer.close()
+        return received, is_reset
+
+
+def test_stream_to_a_client_of_http_1_0_ends_with_its_connection():
+    route = sites.resumable_route()
+    received, is_reset = asyncio.run(read_raw(route, "1.0", in_chunks(WHOLE)))
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert (head.split(b" ", 2)[1], body, is_reset) == (b"200", WHOLE, False)
