Reset the connection of an HTTP/1.0 client whose stream is broken off

Callers saw: nothing; found while looking for the class of the truncated streams on other paths. A response to HTTP/1.0 ends with its connection, and an aborted one was closed cleanly, so a truncated stream looked complete.

Evidence: test_truncated_stream_to_a_client_of_http_1_0_ends_with_a_reset failed before (clean end of file) and passes. Clients of HTTP/1.1 are still closed without a reset, since the missing last chunk already says so and a reset may discard events that they could resume after.

--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -8,6 +8,7 @@
 
 import time
 
+import aiohttp
 from aiohttp import web
 
 from hickoryweir import clocks
@@ -18,6 +19,7 @@
     exchange,
     header_codec,
     server_pool,
+    sockets,
 )
 from hickoryweir.observability import latencies, logs
 
@@ -31,6 +33,9 @@
     """Abort the client's connection, so that the response is seen as truncated."""
     transport = context.client_request.transport
     if transport is not None:
+        if context.client_request.version < aiohttp.HttpVersion11:
+            # Without chunks, only a reset differs from the end of a whole response.
+            sockets.reset_on_close(transport)
         transport.abort()
     route_name = context.route.name
     context.forwarder.metrics.answers.labels(route_name, "broken_off").inc()
--- a/hickoryweir/forwarding/sockets.py
+++ b/hickoryweir/forwarding/sockets.py
@@ -1,7 +1,9 @@
 """Client sessions for backend servers that detect and close dead connections."""
 
+import asyncio
 import functools
 import socket
+import struct
 from collections.abc import Callable
 
 import aiohttp
@@ -20,6 +22,10 @@
 DEFAULT_MAX_IDLE_CONNECTIONS_COUNT = 64
 
 
+# A linger time of 0 s discards unsent bytes and sends a reset (socket(7)).
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
 class ResetDetectingProtocol(client_proto.ResponseHandler):
     """Records whether the connection ended by a reset.
 
@@ -80,6 +86,13 @@
         return await super()._get(key, traces)
 
 
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Make a transport send a reset when it is closed."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def make_socket(address_info) -> socket.socket:
     """Return a socket whose connection ends when the peer is silent."""
     family, kind, protocol, _, _ = address_info
--- a/hickoryweir/forwarding/tests/test_streams.py
+++ b/hickoryweir/forwarding/tests/test_streams.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-import struct
 import threading
 
 import aiohttp
@@ -10,13 +9,12 @@
 import uvloop
 from aiohttp import web
 
-from hickoryweir.forwarding import headers
+from hickoryweir.forwarding import headers, sockets
 from hickoryweir.forwarding.tests import sites
 from hickoryweir.routes import model
 from hickoryweir.routes.tests import tables
 
 EVENTS_COUNT = 5
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def make_event(number):
@@ -124,7 +122,7 @@
             transport.close()
         else:
             sock = transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, sockets.RESET_ON_CLOSE)
             transport.abort()
         await asyncio.sleep(1.0)
         return web.Response()
@@ -157,7 +155,7 @@
     may_answer.wait()
     head = f"HTTP/1.1 200 OK\r\n{headers.REQUEST_ID}: r-1\r\n\r\n"
     connection.sendall(head.encode() + WHOLE)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, sockets.RESET_ON_CLOSE)
     connection.close()
 
 
--- a/hickoryweir/forwarding/tests/test_truncated_streams.py
+++ b/hickoryweir/forwarding/tests/test_truncated_streams.py
@@ -85,3 +85,10 @@
     received, is_reset = asyncio.run(read_raw(route, "1.0", in_chunks(WHOLE)))
     head, _, body = received.partition(b"\r\n\r\n")
     assert (head.split(b" ", 2)[1], body, is_reset) == (b"200", WHOLE, False)
+
+
+def test_truncated_stream_to_a_client_of_http_1_0_ends_with_a_reset():
+    route = sites.at_most_once_route(is_stream=True)
+    response = unframed(CUT_IN_AN_EVENT)
+    _, is_reset = asyncio.run(read_raw(route, "1.0", response))
+    assert is_reset
