Detect truncated responses of plain services

Callers saw: nothing; found while looking for the class of the truncated streams in services. A response with neither a length nor chunks that is reset came through as whole, and so did an event stream that ends inside an event. As the outcome of a non-idempotent call it was stored and repeated.

Cause: aiohttp reports a reset and a clean close of such a body alike, and only the sessions of forwarding told them apart. All sessions of backend servers now do (engines/framing.py); the splitter of event streams moves to engines, its use in forwarding is unchanged.

The call counts as lost: it may have run, and it is not sent again.

--- a/hickoryweir/engines/client.py
+++ b/hickoryweir/engines/client.py
@@ -15,7 +15,14 @@
 from returns import result
 
 from hickoryweir.configuration import model
-from hickoryweir.engines import calls, events_reader, failures, headers, sessions
+from hickoryweir.engines import (
+    calls,
+    events_reader,
+    failures,
+    framing,
+    headers,
+    sessions,
+)
 from hickoryweir.policy import events
 
 MAX_RESPONSE_SIZE_BYTES = 16 * 1024 * 1024
@@ -199,7 +206,14 @@
 
 
 async def read_body(response: aiohttp.ClientResponse, limit_bytes: int) -> bytes | None:
-    """Return the body; close the connection and return None if it is too large."""
+    """Return the body; close the connection and return None if it is too large.
+
+    Raises
+    ------
+    ConnectionLostError
+        The connection was reset before the end of the body.
+    """
+    protocol = framing.protocol_of(response)
     parts: list[bytes] = []
     size_bytes = 0
     while part := await response.content.readany():
@@ -208,6 +222,8 @@
         if size_bytes > limit_bytes:
             response.close()
             return None
+    if framing.ended_by_reset(response, protocol):
+        raise sessions.ConnectionLostError("reset")
     return b"".join(parts)
 
 
--- a/hickoryweir/forwarding/event_stream.py
+++ b/hickoryweir/engines/event_stream.py
@@ -17,22 +17,6 @@
     pending: bytes = b""
 
 
-@dataclasses.dataclass(slots=True)
-class Pauses:
-    """Times between the events of one stream.
-
-    Attributes
-    ----------
-    last_event_s : float or None
-        When the last event arrived; None before the first one.
-    longest_s : float
-        Longest time between two events so far.
-    """
-
-    last_event_s: float | None = None
-    longest_s: float = 0.0
-
-
 def is_event_stream(status: int, media_type: str) -> bool:
     """Return whether a response on a route of streams consists of events.
 
@@ -47,22 +31,6 @@
     return is_success and media_type in (MEDIA_TYPE, UNKNOWN_MEDIA_TYPE)
 
 
-def record_event(pauses: Pauses, now_s: float) -> None:
-    """Record the arrival of one or more events.
-
-    Examples
-    --------
-    >>> pauses = Pauses()
-    >>> for now_s in (1.0, 1.5, 3.0, 3.25):
-    ...     record_event(pauses, now_s)
-    >>> pauses.longest_s
-    1.5
-    """
-    if pauses.last_event_s is not None:
-        pauses.longest_s = max(pauses.longest_s, now_s - pauses.last_event_s)
-    pauses.last_event_s = now_s
-
-
 def split_events(splitter: Splitter, chunk: bytes) -> bytes:
     r"""Return the bytes of all events that a chunk completes.
 
@@ -106,6 +74,26 @@
     return bool(partial) or any(line and line[:1] != b":" for line in complete)
 
 
+def is_truncated(media_type: str, body: bytes) -> bool:
+    """Return whether a whole body is an event stream that ends inside an event.
+
+    Examples
+    --------
+    >>> separator = bytes([10, 10])
+    >>> is_truncated(MEDIA_TYPE, b"data: a" + separator + b"data: b")
+    True
+    >>> is_truncated(MEDIA_TYPE, b"data: a" + separator)
+    False
+    >>> is_truncated("text/plain", b"data: a")
+    False
+    """
+    if media_type != MEDIA_TYPE:
+        return False
+    splitter = Splitter()
+    split_events(splitter, body)
+    return has_open_event(splitter)
+
+
 def last_event_id(events: bytes) -> str:
     """Return the id of the last event that has one; empty if none has.
 
--- a/hickoryweir/engines/sessions.py
+++ b/hickoryweir/engines/sessions.py
@@ -7,12 +7,17 @@
 """
 
 import dataclasses
+import struct
 
 import aiohttp
 
+from hickoryweir.engines import framing
+
 NO_LIMIT = 0
 KEEPALIVE_TIMEOUT_S = 15.0
 READ_BUFFER_SIZE_BYTES = 64 * 1024
+# A linger time of 0 s discards unsent bytes and sends a reset (socket(7)).
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ConnectionLostError(Exception):
@@ -73,11 +78,11 @@
     if connector is not None:
         pass
     elif keeps_connections:
-        connector = aiohttp.TCPConnector(
+        connector = framing.ResetDetectingConnector(
             limit=NO_LIMIT, keepalive_timeout=KEEPALIVE_TIMEOUT_S
         )
     else:
-        connector = aiohttp.TCPConnector(limit=NO_LIMIT, force_close=True)
+        connector = framing.ResetDetectingConnector(limit=NO_LIMIT, force_close=True)
     trace_config = aiohttp.TraceConfig()
     trace_config.on_connection_reuseconn.append(record_reuse)
     return aiohttp.ClientSession(
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from hickoryweir import clocks
-from hickoryweir.forwarding import event_stream, header_codec, server_pool, sockets
+from hickoryweir.forwarding import header_codec, pauses, server_pool, sockets
 from hickoryweir.observability import forwarding_metrics, latencies
 from hickoryweir.policy import (
     crash_counts,
@@ -156,7 +156,7 @@
         Id of the last event that the client has received.
     first_event_after_s : float or None
         Time from the request's arrival to the first event; None before it.
-    pauses : event_stream.Pauses
+    event_pauses : pauses.Pauses
         Times between the events that the client has received.
     retry_after_s : float or None
         Value of ``Retry-After`` in a refusal because of overload.
@@ -184,7 +184,7 @@
     may_have_run: bool = False
     last_event_id: str = ""
     first_event_after_s: float | None = None
-    pauses: event_stream.Pauses = dataclasses.field(default_factory=event_stream.Pauses)
+    event_pauses: pauses.Pauses = dataclasses.field(default_factory=pauses.Pauses)
     retry_after_s: float | None = None
 
     @property
--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -6,15 +6,14 @@
 
 import asyncio
 import dataclasses
-import enum
 from collections.abc import Callable
 
 import aiohttp
 import multidict
 import yarl
 
-from hickoryweir.engines import sessions
-from hickoryweir.forwarding import header_codec, sockets
+from hickoryweir.engines import framing, sessions
+from hickoryweir.forwarding import header_codec
 
 # Closing the connection is cheaper than reading a larger response.
 MAX_BUFFERED_RESPONSE_SIZE_BYTES = 4 * 1024 * 1024
@@ -64,7 +63,7 @@
     """The head of the response was received; its body is still unread."""
 
     response: aiohttp.ClientResponse
-    protocol: sockets.ResetDetectingProtocol | None
+    protocol: framing.ResetDetectingProtocol | None
     metadata: header_codec.ResponseMetadata
 
 
@@ -124,9 +123,7 @@
     if metadata.is_not_run or metadata.is_misdirected:
         await _discard_body(response)
         return NotRun(response.status, metadata)
-    connection = response.connection
-    protocol = None if connection is None else connection.protocol
-    return Answered(response, protocol, metadata)
+    return Answered(response, framing.protocol_of(response), metadata)
 
 
 async def _discard_body(response: aiohttp.ClientResponse) -> None:
@@ -157,23 +154,6 @@
     return b"".join(chunks)
 
 
-class Framing(enum.StrEnum):
-    """What marks the end of a response's body (RFC 9112, section 6.3)."""
-
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    CONNECTION = "end of connection"
-
-
-def framing_of(response: aiohttp.ClientResponse) -> Framing:
-    """Return what marks the end of a response's body."""
-    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
-        return Framing.CHUNKS
-    if "Content-Length" in response.headers:
-        return Framing.LENGTH
-    return Framing.CONNECTION
-
-
 class IncompleteResponseError(Exception):
     """The connection ended before the end of the response."""
 
@@ -195,17 +175,6 @@
     except asyncio.CancelledError:
         response.close()
         raise
-    if not chunk and _ended_by_reset(answered):
+    if not chunk and framing.ended_by_reset(response, answered.protocol):
         raise IncompleteResponseError("reset")
     return chunk
-
-
-def _ended_by_reset(answered: Answered) -> bool:
-    """Return whether a body without framing was truncated by a reset.
-
-    A body with neither a length nor chunked encoding ends with its connection, and
-    aiohttp reports a clean close and a reset of the connection alike.
-    """
-    if framing_of(answered.response) is not Framing.CONNECTION:
-        return False
-    return answered.protocol is not None and answered.protocol.was_reset
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -12,12 +12,13 @@
 from aiohttp import web
 
 from hickoryweir import clocks
+from hickoryweir.engines import event_stream, framing
 from hickoryweir.forwarding import (
     contexts,
     errors,
-    event_stream,
     exchange,
     header_codec,
+    pauses,
     server_pool,
     sockets,
 )
@@ -106,7 +107,7 @@
             events = event_stream.split_events(splitter, chunk)
             if events:
                 contexts.record_first_event(context)
-                event_stream.record_event(context.pauses, time.monotonic())
+                pauses.record_event(context.event_pauses, time.monotonic())
                 server_pool.record_success(view)
                 await _write_events(context, answered, events)
         if has_events and event_stream.has_open_event(splitter):
@@ -128,9 +129,9 @@
 
 def _describe_end(answered: exchange.Answered, splitter: event_stream.Splitter) -> str:
     """Return how a server's stream was framed, and what it left incomplete."""
-    framing = exchange.framing_of(answered.response)
+    framed_by = framing.framing_of(answered.response)
     open_size_bytes = len(splitter.pending)
-    return f"framed by {framing}, {open_size_bytes} bytes of an open event"
+    return f"framed by {framed_by}, {open_size_bytes} bytes of an open event"
 
 
 async def _write_events(
@@ -161,7 +162,7 @@
     context: contexts.RequestContext, view: server_pool.ServerView, end: str
 ) -> None:
     route_name = context.route.name
-    longest_s = context.pauses.longest_s
+    longest_s = context.event_pauses.longest_s
     context.forwarder.metrics.latencies.record(
         route_name, latencies.Interval.LONGEST_PAUSE, longest_s
     )
--- a/hickoryweir/forwarding/sockets.py
+++ b/hickoryweir/forwarding/sockets.py
@@ -1,15 +1,12 @@
 """Client sessions for backend servers that detect and close dead connections."""
 
 import asyncio
-import functools
 import socket
-import struct
 from collections.abc import Callable
 
 import aiohttp
-from aiohttp import client_proto
 
-from hickoryweir.engines import sessions
+from hickoryweir.engines import framing, sessions
 from hickoryweir.streams import keepalive
 
 # Long enough for three lost packets in a row; after that the link counts as broken.
@@ -22,40 +19,7 @@
 DEFAULT_MAX_IDLE_CONNECTIONS_COUNT = 64
 
 
-# A linger time of 0 s discards unsent bytes and sends a reset (socket(7)).
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
-
-class ResetDetectingProtocol(client_proto.ResponseHandler):
-    """Records whether the connection ended by a reset.
-
-    If bytes and a reset arrive together, uvloop reads the bytes and reports a clean
-    end of file; the socket's ``SO_ERROR`` still holds the error.
-
-    Attributes
-    ----------
-    was_reset : bool
-        Whether the server reset the connection.
-    """
-
-    was_reset = False
-
-    def eof_received(self) -> None:
-        """Check the socket for a reset."""
-        sock = None
-        if self.transport is not None:
-            sock = self.transport.get_extra_info("socket")
-        if sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            self.was_reset = True
-        super().eof_received()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Record a reset that the event loop reports."""
-        self.was_reset = self.was_reset or exc is not None
-        super().connection_lost(exc)
-
-
-class ValidatingConnector(aiohttp.TCPConnector):
+class ValidatingConnector(framing.ResetDetectingConnector):
     """Limits idle connections, and closes those that received unsolicited bytes.
 
     aiohttp checks for such bytes when a connection is released, but not when it is
@@ -72,7 +36,6 @@
     ) -> None:
         super().__init__(**options)
         self._max_idle_connections_count = max_idle_connections_count
-        self._factory = functools.partial(ResetDetectingProtocol, loop=self._loop)
 
     def _release(self, key, protocol, *, should_close=False) -> None:
         limit = self._max_idle_connections_count(f"{key.host}:{key.port}")
@@ -90,7 +53,7 @@
     """Make a transport send a reset when it is closed."""
     sock = transport.get_extra_info("socket")
     if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, sessions.RESET_ON_CLOSE)
 
 
 def make_socket(address_info) -> socket.socket:
--- a/hickoryweir/forwarding/tests/test_streams.py
+++ b/hickoryweir/forwarding/tests/test_streams.py
@@ -9,7 +9,8 @@
 import uvloop
 from aiohttp import web
 
-from hickoryweir.forwarding import headers, sockets
+from hickoryweir.engines import sessions
+from hickoryweir.forwarding import headers
 from hickoryweir.forwarding.tests import sites
 from hickoryweir.routes import model
 from hickoryweir.routes.tests import tables
@@ -122,7 +123,9 @@
             transport.close()
         else:
             sock = transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, sockets.RESET_ON_CLOSE)
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, sessions.RESET_ON_CLOSE
+            )
             transport.abort()
         await asyncio.sleep(1.0)
         return web.Response()
@@ -155,7 +158,7 @@
     may_answer.wait()
     head = f"HTTP/1.1 200 OK\r\n{headers.REQUEST_ID}: r-1\r\n\r\n"
     connection.sendall(head.encode() + WHOLE)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, sockets.RESET_ON_CLOSE)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, sessions.RESET_ON_CLOSE)
     connection.close()
 
 
--- a/hickoryweir/services/client.py
+++ b/hickoryweir/services/client.py
@@ -15,7 +15,7 @@
 
 from hickoryweir.configuration import model
 from hickoryweir.engines import calls as engine_calls
-from hickoryweir.engines import client, failures, reads
+from hickoryweir.engines import client, event_stream, failures, reads
 from hickoryweir.engines import headers as header_names
 from hickoryweir.outcomes import refusals
 from hickoryweir.policy import events
@@ -167,6 +167,8 @@
         return result.Failure(
             from_engine_failure(failures.failed("the response is too large"))
         )
+    if event_stream.is_truncated(response.content_type, body):
+        return result.Failure(from_engine_failure(failures.stream_cut()))
     if response.status >= 500 or response.status == TOO_MANY_REQUESTS:
         not_run = failures.is_not_run(response, call.request_id)
         failure = failures.refused(response.status, not_run=not_run)
