Detect broken-off event streams on routes of plain requests

Same class as the truncated streams: a plain route may serve an event stream, and its body ended inside an event in a response framed as complete.

Evidence: test_event_stream_on_a_plain_route_that_is_broken_off_is_not_taken _for_whole got status 200 with the cut body before, and gets 502 now.

--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -76,7 +76,8 @@
     if context.route.is_stream and not is_failure:
         return await _forward_stream(context, view, answered)
     body = await exchange.read_body(answered)
-    if body is None:
+    media_type = answered.response.content_type
+    if body is None or event_stream.is_truncated(media_type, body):
         server_pool.record_failed_response(view, time.monotonic())
         return errors.Reason.OUTCOME_UNKNOWN
     headers = header_codec.end_to_end_headers(
--- a/hickoryweir/forwarding/tests/test_truncated_streams.py
+++ b/hickoryweir/forwarding/tests/test_truncated_streams.py
@@ -92,3 +92,10 @@
     response = unframed(CUT_IN_AN_EVENT)
     _, is_reset = asyncio.run(read_raw(route, "1.0", response))
     assert is_reset
+
+
+def test_event_stream_on_a_plain_route_that_is_broken_off_is_not_taken_for_whole():
+    head = HEAD + b"Content-Type: text/event-stream\r\n\r\n"
+    route = sites.at_most_once_route()
+    status, body, _ = asyncio.run(call(route, head + CUT_IN_AN_EVENT))
+    assert (status, EVENTS[0] in body) == (502, False)
