Close connections of backend servers that send no content without end

Callers would see: a response that waits for the deadline, beside a router that reads up to 64 MB (the test's bound) of informational responses, chunk extensions or the digits of a chunk size.

Now 128 KiB without any byte of content end the attempt as lost, counted per response on the connection itself, in all sessions of backend servers.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -1,7 +1,9 @@
-"""Detects how the body of a response ends.
+"""Reads responses of backend servers up to a bound and detects how they end.
 
 A body with neither a length nor chunks ends with its connection, and aiohttp reports a
-clean close and a reset alike.  The classes below tell the two apart.
+clean close and a reset alike; :class:`ResponseProtocol` tells the two apart.  It also
+bounds the bytes that carry no content, such as informational responses and chunk
+extensions, which aiohttp reads without end.
 """
 
 import enum
@@ -11,6 +13,9 @@
 import aiohttp
 from aiohttp import client_proto
 
+# Several times the largest header section that aiohttp accepts.
+MAX_OVERHEAD_SIZE_BYTES = 128 * 1024
+
 
 class Framing(enum.StrEnum):
     """What marks the end of a response's body (RFC 9112, section 6.3)."""
@@ -29,8 +34,8 @@
     return Framing.CONNECTION
 
 
-class ResetDetectingProtocol(client_proto.ResponseHandler):
-    """Records whether the connection ended by a reset.
+class ResponseProtocol(client_proto.ResponseHandler):
+    """Records a reset, and closes a connection that receives too much but content.
 
     If bytes and a reset arrive together, uvloop reads the bytes and reports a clean
     end of file; the socket's ``SO_ERROR`` still holds the error.
@@ -42,6 +47,34 @@
     """
 
     was_reset = False
+    _overhead_size_bytes = 0
+    _content_size_bytes = 0
+
+    def set_response_params(self, **options) -> None:
+        """Begin to count for the next response on the connection."""
+        self._overhead_size_bytes = self._content_size_bytes = 0
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Count the bytes received since the last content."""
+        super().data_received(data)
+        content_size_bytes = 0 if self._payload is None else self._payload.total_bytes
+        if content_size_bytes != self._content_size_bytes:
+            self._content_size_bytes = content_size_bytes
+            self._overhead_size_bytes = 0
+            return
+        self._overhead_size_bytes += len(data)
+        if self._overhead_size_bytes > MAX_OVERHEAD_SIZE_BYTES:
+            self._give_up("too many bytes without content")
+
+    def _give_up(self, reason: str) -> None:
+        """Fail the response that is being received, and close the connection."""
+        error = aiohttp.ClientPayloadError(reason)
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
 
     def eof_received(self) -> None:
         """Check the socket for a reset."""
@@ -58,22 +91,22 @@
         super().connection_lost(exc)
 
 
-class ResetDetectingConnector(aiohttp.TCPConnector):
+class ResponseConnector(aiohttp.TCPConnector):
     """Connector whose connections record a reset."""
 
     def __init__(self, **options) -> None:
         super().__init__(**options)
-        self._factory = functools.partial(ResetDetectingProtocol, loop=self._loop)
+        self._factory = functools.partial(ResponseProtocol, loop=self._loop)
 
 
-def protocol_of(response: aiohttp.ClientResponse) -> ResetDetectingProtocol | None:
+def protocol_of(response: aiohttp.ClientResponse) -> ResponseProtocol | None:
     """Return the protocol of a response whose body is unread; None if it has ended."""
     connection = response.connection
     return None if connection is None else connection.protocol
 
 
 def ended_by_reset(
-    response: aiohttp.ClientResponse, protocol: ResetDetectingProtocol | None
+    response: aiohttp.ClientResponse, protocol: ResponseProtocol | None
 ) -> bool:
     """Return whether a body that ends with its connection was truncated by a reset."""
     if framing_of(response) is not Framing.CONNECTION:
--- a/hickoryweir/engines/sessions.py
+++ b/hickoryweir/engines/sessions.py
@@ -78,11 +78,11 @@
     if connector is not None:
         pass
     elif keeps_connections:
-        connector = framing.ResetDetectingConnector(
+        connector = framing.ResponseConnector(
             limit=NO_LIMIT, keepalive_timeout=KEEPALIVE_TIMEOUT_S
         )
     else:
-        connector = framing.ResetDetectingConnector(limit=NO_LIMIT, force_close=True)
+        connector = framing.ResponseConnector(limit=NO_LIMIT, force_close=True)
     trace_config = aiohttp.TraceConfig()
     trace_config.on_connection_reuseconn.append(record_reuse)
     return aiohttp.ClientSession(
--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -63,7 +63,7 @@
     """The head of the response was received; its body is still unread."""
 
     response: aiohttp.ClientResponse
-    protocol: framing.ResetDetectingProtocol | None
+    protocol: framing.ResponseProtocol | None
     metadata: header_codec.ResponseMetadata
 
 
--- a/hickoryweir/forwarding/sockets.py
+++ b/hickoryweir/forwarding/sockets.py
@@ -19,7 +19,7 @@
 DEFAULT_MAX_IDLE_CONNECTIONS_COUNT = 64
 
 
-class ValidatingConnector(framing.ResetDetectingConnector):
+class ValidatingConnector(framing.ResponseConnector):
     """Limits idle connections, and closes those that received unsolicited bytes.
 
     aiohttp checks for such bytes when a connection is released, but not when it is
