Bound events of streams, and split them in linear time

Callers would see: a server that sends an event without end is collected for as long as it sends; each chunk copied what was there, on the loop that all calls share.

Now an event of more than 1 MiB ends the attempt, a blank line of any mix of LF, CRLF and CR ends an event, and only new bytes are searched.

--- a/hickoryweir/engines/event_stream.py
+++ b/hickoryweir/engines/event_stream.py
@@ -7,14 +7,17 @@
 MEDIA_TYPE = "text/event-stream"
 # Says nothing of the content, and stands for a missing type (RFC 9110, section 8.3).
 UNKNOWN_MEDIA_TYPE = "application/octet-stream"
-SEPARATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+# Atomic groups, so that a CRLF is never read as two ends of lines.
+BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
+MAX_BLANK_LINE_SIZE_BYTES = 4
+MAX_EVENT_SIZE_BYTES = 1024 * 1024
 
 
 @dataclasses.dataclass(slots=True)
 class Splitter:
     """Received bytes of an event that is not complete yet."""
 
-    pending: bytes = b""
+    pending: bytearray = dataclasses.field(default_factory=bytearray)
 
 
 def is_event_stream(status: int, media_type: str) -> bool:
@@ -34,6 +37,9 @@
 def split_events(splitter: Splitter, chunk: bytes) -> bytes:
     r"""Return the bytes of all events that a chunk completes.
 
+    An event ends with a blank line; lines end with CRLF, LF or CR, also mixed (WHATWG
+    HTML, section 9.2.5).
+
     Examples
     --------
     >>> splitter = Splitter()
@@ -41,18 +47,19 @@
     b''
     >>> split_events(splitter, bytes([10, 10]) + b"id: 2")
     b'id: 1\ndata: a\n\n'
+    >>> bytes(splitter.pending)
+    b'id: 2'
     """
-    joined = splitter.pending + chunk
-    end = max(
-        (
-            found + len(separator)
-            for separator in SEPARATORS
-            if (found := joined.rfind(separator)) >= 0
-        ),
-        default=0,
-    )
-    splitter.pending = joined[end:]
-    return joined[:end]
+    pending = splitter.pending
+    # A blank line that the chunk completes may begin in the last bytes before it.
+    searched_from = max(0, len(pending) - MAX_BLANK_LINE_SIZE_BYTES + 1)
+    pending += chunk
+    end = 0
+    for found in BLANK_LINE.finditer(pending, searched_from):
+        end = found.end()
+    events = bytes(pending[:end])
+    del pending[:end]
+    return events
 
 
 def has_open_event(splitter: Splitter) -> bool:
@@ -65,7 +72,7 @@
     --------
     >>> newline = bytes([10])
     >>> [
-    ...     has_open_event(Splitter(pending))
+    ...     has_open_event(Splitter(bytearray(pending)))
     ...     for pending in (b"", newline, b": ping" + newline, b": pi", b"id: 1")
     ... ]
     [False, False, False, True, True]
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -106,6 +106,9 @@
     try:
         while chunk := await exchange.read_chunk(answered):
             events = event_stream.split_events(splitter, chunk)
+            if len(splitter.pending) > event_stream.MAX_EVENT_SIZE_BYTES:
+                answered.response.close()
+                raise exchange.IncompleteResponseError("event too large")
             if events:
                 contexts.record_first_event(context)
                 pauses.record_event(context.event_pauses, time.monotonic())
@@ -120,7 +123,7 @@
     if context.stream_response is None:
         await _start_stream_response(context, answered)
     if splitter.pending:
-        await context.stream_response.write(splitter.pending)
+        await context.stream_response.write(bytes(splitter.pending))
     await context.stream_response.write_eof()
     contexts.record_completion(context)
     server_pool.record_response(view, False, time.monotonic())
