Resume a stream only after an event that has an id

Callers saw: nothing; found while looking for the class of the truncated streams. A broken stream whose last event had no id was begun again, or resumed after an older id, within the same response, which then held events twice and was framed as complete.

Now such a stream is aborted; one that sent only comments begins again, as no event reached the client.

Evidence: three of the four new tests of test_truncated_streams.py failed before; the one on comments is a guard.

--- a/hickoryweir/engines/event_stream.py
+++ b/hickoryweir/engines/event_stream.py
@@ -4,6 +4,7 @@
 import re
 
 NEWLINE = re.compile(rb"\r\n|\n|\r")
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 MEDIA_TYPE = "text/event-stream"
 # Says nothing of the content, and stands for a missing type (RFC 9110, section 8.3).
 UNKNOWN_MEDIA_TYPE = "application/octet-stream"
@@ -15,23 +16,33 @@
 
 @dataclasses.dataclass(slots=True)
 class Splitter:
-    """Received bytes of an event that is not complete yet."""
+    """State of a body that is split into events.
+
+    Attributes
+    ----------
+    pending : bytearray
+        Received bytes of an event that is not complete yet.
+    is_opaque : bool
+        Whether the body has another format and passes unsplit.
+    """
 
     pending: bytearray = dataclasses.field(default_factory=bytearray)
+    is_opaque: bool = False
 
 
-def is_event_stream(status: int, media_type: str) -> bool:
-    """Return whether a response on a route of streams consists of events.
+def make_splitter(status: int, media_type: str) -> Splitter:
+    """Return a splitter for a response on a route of streams.
 
     Examples
     --------
-    >>> is_event_stream(200, MEDIA_TYPE), is_event_stream(404, MEDIA_TYPE)
-    (True, False)
-    >>> is_event_stream(200, "application/json")
-    False
+    >>> make_splitter(200, MEDIA_TYPE).is_opaque, make_splitter(404, "").is_opaque
+    (False, True)
+    >>> make_splitter(200, "application/json").is_opaque
+    True
     """
     is_success = 200 <= status < 300
-    return is_success and media_type in (MEDIA_TYPE, UNKNOWN_MEDIA_TYPE)
+    has_events = is_success and media_type in (MEDIA_TYPE, UNKNOWN_MEDIA_TYPE)
+    return Splitter(is_opaque=not has_events)
 
 
 def split_events(splitter: Splitter, chunk: bytes) -> bytes:
@@ -50,6 +61,8 @@
     >>> bytes(splitter.pending)
     b'id: 2'
     """
+    if splitter.is_opaque:
+        return chunk
     pending = splitter.pending
     # A blank line that the chunk completes may begin in the last bytes before it.
     searched_from = max(0, len(pending) - MAX_BLANK_LINE_SIZE_BYTES + 1)
@@ -101,16 +114,41 @@
     return has_open_event(splitter)
 
 
-def last_event_id(events: bytes) -> str:
-    """Return the id of the last event that has one; empty if none has.
+def resume_point(known_id: str, events: bytes) -> str | None:
+    """Return the id after which a stream can be resumed once events were forwarded.
+
+    Parameters
+    ----------
+    known_id : str
+        The id before these events; empty if there is none.
+    events : bytes
+        Whole events.
+
+    Returns
+    -------
+    str or None
+        None if the last event has no id: a server that resumes after an earlier one
+        would send it again.  Comments leave the id as it is.
 
     Examples
     --------
-    >>> last_event_id(b"id: 4" + bytes([10]) + b"data: x" + bytes([10, 10]))
+    >>> end, separator = bytes([10]), bytes([10, 10])
+    >>> resume_point("3", b"id: 4" + end + b"data: x" + separator)
     '4'
+    >>> resume_point("3", b": ping" + separator)
+    '3'
+    >>> resume_point("3", b"data: x" + separator) is None
+    True
     """
-    for line in reversed(events.splitlines()):
-        name, colon, value = line.partition(b":")
-        if colon and name == b"id":
-            return value.strip().decode("latin-1")
-    return ""
+    for event in reversed(BLANK_LINE.split(events)):
+        lines = [line for line in NEWLINE.split(event) if line and line[:1] != b":"]
+        if lines:
+            ids = [value for name, value in map(_parse_field, lines) if name == b"id"]
+            return (ids[-1].decode("latin-1") or None) if ids else None
+    return known_id
+
+
+def _parse_field(line: bytes) -> tuple[bytes, bytes]:
+    """Return the name and value of a line; a byte-order mark may precede the first."""
+    name, _, value = line.removeprefix(BYTE_ORDER_MARK).partition(b":")
+    return name, value.removeprefix(b" ")
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -154,6 +154,8 @@
         The last response with a server error.
     last_event_id : str
         Id of the last event that the client has received.
+    can_resume : bool
+        Whether a stream that has started can go on after `last_event_id`.
     first_event_after_s : float or None
         Time from the request's arrival to the first event; None before it.
     event_pauses : pauses.Pauses
@@ -183,6 +185,7 @@
     has_response_head: bool = False
     may_have_run: bool = False
     last_event_id: str = ""
+    can_resume: bool = True
     first_event_after_s: float | None = None
     event_pauses: pauses.Pauses = dataclasses.field(default_factory=pauses.Pauses)
     retry_after_s: float | None = None
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -275,7 +275,7 @@
     if not context.sent_count:
         return True
     ran = next_attempts.Ran.MAYBE if context.may_have_run else next_attempts.Ran.NO
-    if context.sent_count >= route.max_attempts_count:
+    if context.sent_count >= route.max_attempts_count or not context.can_resume:
         return False
     if not next_attempts.may_run_again(route.execution, ran):
         return False
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -99,25 +99,13 @@
     view: server_pool.ServerView,
     answered: exchange.Answered,
 ) -> ForwardingResult:
-    splitter = event_stream.Splitter()
-    has_events = event_stream.is_event_stream(
+    splitter = event_stream.make_splitter(
         answered.response.status, answered.response.content_type
     )
     try:
-        while chunk := await exchange.read_chunk(answered):
-            events = event_stream.split_events(splitter, chunk)
-            if len(splitter.pending) > event_stream.MAX_EVENT_SIZE_BYTES:
-                answered.response.close()
-                raise exchange.IncompleteResponseError("event too large")
-            if events:
-                contexts.record_first_event(context)
-                pauses.record_event(context.event_pauses, time.monotonic())
-                server_pool.record_success(view)
-                await _write_events(context, answered, events)
-        if has_events and event_stream.has_open_event(splitter):
-            answered.response.close()
-            raise exchange.IncompleteResponseError("ends inside an event")
+        await _forward_events(context, view, answered, splitter)
     except exchange.IncompleteResponseError as error:
+        answered.response.close()
         end = _describe_end(answered, splitter)
         return _record_broken_stream(context, view, str(error), end)
     if context.stream_response is None:
@@ -131,6 +119,33 @@
     return context.stream_response
 
 
+async def _forward_events(
+    context: contexts.RequestContext,
+    view: server_pool.ServerView,
+    answered: exchange.Answered,
+    splitter: event_stream.Splitter,
+) -> None:
+    """Forward all whole events of a response.
+
+    Raises
+    ------
+    IncompleteResponseError
+        The response was broken off, or an event is too large.
+    """
+    while chunk := await exchange.read_chunk(answered):
+        events = event_stream.split_events(splitter, chunk)
+        if len(splitter.pending) > event_stream.MAX_EVENT_SIZE_BYTES:
+            raise exchange.IncompleteResponseError("event too large")
+        if events:
+            contexts.record_first_event(context)
+            pauses.record_event(context.event_pauses, time.monotonic())
+            server_pool.record_success(view)
+            await _write_events(context, answered, events)
+            _record_resume_point(context, splitter, events)
+    if event_stream.has_open_event(splitter):
+        raise exchange.IncompleteResponseError("ends inside an event")
+
+
 def _describe_end(answered: exchange.Answered, splitter: event_stream.Splitter) -> str:
     """Return how a server's stream was framed, and what it left incomplete."""
     framed_by = framing.framing_of(answered.response)
@@ -144,9 +159,16 @@
     if context.stream_response is None:
         await _start_stream_response(context, answered)
     await context.stream_response.write(events)
-    last_id = event_stream.last_event_id(events)
-    if last_id:
-        context.last_event_id = last_id
+
+
+def _record_resume_point(
+    context: contexts.RequestContext, splitter: event_stream.Splitter, events: bytes
+) -> None:
+    resume_id = None
+    if not splitter.is_opaque:
+        resume_id = event_stream.resume_point(context.last_event_id, events)
+    context.can_resume = resume_id is not None
+    context.last_event_id = resume_id or ""
 
 
 async def _start_stream_response(
--- a/hickoryweir/forwarding/tests/test_truncated_streams.py
+++ b/hickoryweir/forwarding/tests/test_truncated_streams.py
@@ -99,3 +99,28 @@
     route = sites.at_most_once_route()
     status, body, _ = asyncio.run(call(route, head + CUT_IN_AN_EVENT))
     assert (status, EVENTS[0] in body) == (502, False)
+
+
+def test_broken_stream_without_ids_is_not_begun_again_within_its_response():
+    events = b"data: a\n\ndata: b\n\n"
+    responses = unframed(events + b"data: c"), unframed(events)
+    with pytest.raises(aiohttp.ClientPayloadError):
+        asyncio.run(call(sites.resumable_route(), *responses))
+
+
+def test_broken_stream_whose_last_event_has_no_id_is_not_resumed():
+    responses = unframed(EVENTS[0] + b"data: b\n\ndata: c"), unframed(REST)
+    with pytest.raises(aiohttp.ClientPayloadError):
+        asyncio.run(call(sites.resumable_route(), *responses))
+
+
+def test_broken_stream_that_sent_only_comments_begins_again():
+    responses = unframed(b": ping\n\ndata"), unframed(WHOLE)
+    status, body, _ = asyncio.run(call(sites.resumable_route(), *responses))
+    assert (status, body) == (200, b": ping\n\n" + WHOLE)
+
+
+def test_large_response_of_another_type_on_a_route_of_streams_is_whole():
+    body = b"x" * (3 * 1024 * 1024)
+    response = HEAD + b"Content-Type: application/json\r\n\r\n" + body
+    assert asyncio.run(call(sites.resumable_route(), response))[:2] == (200, body)
