Treat an unframed stream without any event as broken off

A resumed stream may still have nothing left, and responses without a body (HEAD, 204) are whole.

Evidence: two of the tests failed before (200 with an empty body); a resumable stream now begins again, another one gets 502.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -11,7 +11,7 @@
 import socket
 
 import aiohttp
-from aiohttp import client_proto
+from aiohttp import client_proto, helpers
 
 # Several times the largest header section that aiohttp accepts.
 MAX_OVERHEAD_SIZE_BYTES = 128 * 1024
@@ -20,6 +20,7 @@
 class Framing(enum.StrEnum):
     """What marks the end of a response's body (RFC 9112, section 6.3)."""
 
+    NO_BODY = "no body"
     LENGTH = "length"
     CHUNKS = "chunks"
     CONNECTION = "end of connection"
@@ -27,6 +28,8 @@
 
 def framing_of(response: aiohttp.ClientResponse) -> Framing:
     """Return what marks the end of a response's body."""
+    if helpers.must_be_empty_body(response.method, response.status):
+        return Framing.NO_BODY
     if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
         return Framing.CHUNKS
     if "Content-Length" in response.headers:
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -144,6 +144,10 @@
             _record_resume_point(context, splitter, events)
     if event_stream.has_open_event(splitter):
         raise exchange.IncompleteResponseError("ends inside an event")
+    is_empty = context.stream_response is None and not context.last_event_id
+    is_unframed = framing.framing_of(answered.response) is framing.Framing.CONNECTION
+    if is_empty and is_unframed and not splitter.is_opaque:
+        raise exchange.IncompleteResponseError("ends before its first event")
 
 
 def _describe_end(answered: exchange.Answered, splitter: event_stream.Splitter) -> str:
--- a/hickoryweir/forwarding/tests/test_truncated_streams.py
+++ b/hickoryweir/forwarding/tests/test_truncated_streams.py
@@ -31,14 +31,14 @@
 FRAMINGS = [unframed, with_length, in_chunks]
 
 
-async def call(route, *responses):
+async def call(route, *responses, method="POST"):
     """Return the status and body of a call, and the heads that the servers received."""
     async with (
         sites.run_site([], routes=(route,)) as site,
         sites.run_raw_backends(2, *responses) as backends,
     ):
         sites.list_servers(site.forwarder, backends)
-        status, _, body = await site.call()
+        status, _, body = await site.call(method)
         return status, body, backends[0].seen
 
 
@@ -124,3 +124,28 @@
     body = b"x" * (3 * 1024 * 1024)
     response = HEAD + b"Content-Type: application/json\r\n\r\n" + body
     assert asyncio.run(call(sites.resumable_route(), response))[:2] == (200, body)
+
+
+def test_unframed_stream_that_ends_before_its_first_event_begins_again():
+    responses = unframed(b""), unframed(WHOLE)
+    status, body, _ = asyncio.run(call(sites.resumable_route(), *responses))
+    assert (status, body) == (200, WHOLE)
+
+
+def test_unframed_stream_without_an_event_is_not_taken_for_whole():
+    route = sites.at_most_once_route(is_stream=True)
+    assert asyncio.run(call(route, unframed(b"")))[0] == 502
+
+
+def test_resumed_stream_may_have_nothing_left():
+    responses = unframed(WHOLE + b"id"), unframed(b"")
+    status, body, _ = asyncio.run(call(sites.resumable_route(), *responses))
+    assert (status, body) == (200, WHOLE)
+
+
+@pytest.mark.parametrize("method", ["HEAD", "POST"])
+def test_response_without_a_body_on_a_route_of_streams_is_whole(method):
+    status = b"204 No Content" if method == "POST" else b"200 OK"
+    response = HEAD.replace(b"200 OK", status) + b"\r\n"
+    found = asyncio.run(call(sites.resumable_route(), response, method=method))
+    assert found[:2] == (int(status[:3]), b"")
