--- a/hickoryweir/discovery/listing.py
+++ b/hickoryweir/discovery/listing.py
@@ -35,6 +35,8 @@
         Remaining warm-up time when the list was read, during which it is slow.
     started_at_ms : int
         Start time in Unix milliseconds; 0 if the list does not include it.
+    software_version : str
+        Version of the server's software; empty if the list does not include it.
     """
 
     server_id: str
@@ -45,6 +47,7 @@
     slots_count: int
     warmup_left_s: float
     started_at_ms: int = 0
+    software_version: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickoryweir/discovery/own_list.py
+++ b/hickoryweir/discovery/own_list.py
@@ -1,7 +1,7 @@
 """List of backend servers in the project's own format: one JSON document.
 
 ``GET /servers`` returns ``{"servers": [{"id", "service", "address",
-"availability_zone", "state", "slots_count"}, ...]}``.
+"availability_zone", "state", "slots_count", "software_version"}, ...]}``.
 """
 
 import pydantic
@@ -21,6 +21,7 @@
     availability_zone: str = ""
     state: listing.ServerState = listing.ServerState.READY
     slots_count: int = 0
+    software_version: str = ""
 
 
 class ServerDocument(pydantic.BaseModel):
@@ -57,6 +58,7 @@
             entry.state,
             entry.slots_count,
             0.0,
+            software_version=entry.software_version,
         )
         for entry in document.servers
     )
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -454,11 +454,23 @@
             attempt=context.sent_count,
             version=forwarder.route_index.table.version,
             duration_s=round(clocks.boottime_s() - context.started_s, 4),
-            detail=f"list {age_s:.2f} s old, {_describe_placement(context)}",
+            detail=f"list {age_s:.2f} s old, {_describe_placement(context)}"
+            f"{_describe_resumption(context, view)}",
         ),
     )
 
 
+def _describe_resumption(
+    context: contexts.RequestContext, view: server_pool.ServerView
+) -> str:
+    """Return which stream an attempt resumes, and on which software version."""
+    if not context.last_event_id:
+        return ""
+    version = view.listed.software_version or "unknown"
+    stream_id = context.metadata.resumed_stream_id or context.metadata.request_id
+    return f", resumes {stream_id} on version {version}"
+
+
 def _describe_placement(context: contexts.RequestContext) -> str:
     """Return a description of the inputs to the choice of the current server."""
     text = f"{context.own_requests_count} own requests there"
--- a/hickoryweir/forwarding/header_codec.py
+++ b/hickoryweir/forwarding/header_codec.py
@@ -53,6 +53,9 @@
     last_event_id : str
         Id of the last event that the client received of a stream it resumes; empty
         for a new stream.
+    resumed_stream_id : str
+        The client's id of the request that brought the first event of that stream;
+        empty if it sent none.
     prompt : Prompt or None
         The prompt that the request describes.
     """
@@ -62,6 +65,7 @@
     key: str
     last_event_id: str
     prompt: Prompt | None
+    resumed_stream_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickoryweir/forwarding/headers.py
+++ b/hickoryweir/forwarding/headers.py
@@ -1,7 +1,8 @@
 """The project's own headers of requests and responses; see :mod:`.header_codec`.
 
 A client sends ``X-Request-Id``, ``X-Time-Left-S``, ``Last-Event-ID`` and, for prompts,
-``X-Prompt: MODEL;INPUT;OUTPUT;ID:TOKENS,ID:TOKENS``.  The router adds
+``X-Prompt: MODEL;INPUT;OUTPUT;ID:TOKENS,ID:TOKENS``.  One that resumes a stream names
+in ``X-Resumes`` the request that brought the stream's first event.  The router adds
 ``X-Server-Id``, ``X-Client-Account`` and ``X-Urgency``.  A backend server echoes
 ``X-Request-Id`` and sets ``X-Not-Run`` on a response to a request that it did not run.
 A server that leaves sets ``X-Server-Leaving: 1`` on all its responses, and one that
@@ -16,6 +17,7 @@
 REQUEST_ID = "X-Request-Id"
 TIME_LEFT = "X-Time-Left-S"
 LAST_EVENT_ID = "Last-Event-ID"
+RESUMED_STREAM_ID = "X-Resumes"
 PROMPT = "X-Prompt"
 SERVER_ID = "X-Server-Id"
 ACCOUNT_NAME = "X-Client-Account"
@@ -44,6 +46,7 @@
         key=matching.bearer_key(headers.get("Authorization", "")),
         last_event_id=headers.get(LAST_EVENT_ID, ""),
         prompt=parse_prompt(headers.get(PROMPT, "")),
+        resumed_stream_id=headers.get(RESUMED_STREAM_ID, ""),
     )
 
 
