--- a/hickoryweir/forwarding/tests/sites.py
+++ b/hickoryweir/forwarding/tests/sites.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import random
 import socket
 
@@ -158,13 +159,23 @@
     return await asyncio.open_connection(sock=sock, limit=SLOW_READER_BUFFER_SIZE_BYTES)
 
 
-def list_servers(forwarder, backends, state=listing.ServerState.READY) -> None:
-    """Set the router's list of backend servers."""
+def list_servers(
+    forwarder, backends, state=listing.ServerState.READY, versions=()
+) -> None:
+    """Set the router's list of backend servers, with software versions in order."""
+    pairs = itertools.zip_longest(backends, versions, fillvalue="")
     servers = tuple(
         listing.BackendServer(
-            backend.server_id, "app", backend.address, "a", state, 8, 0.0
+            backend.server_id,
+            "app",
+            backend.address,
+            "a",
+            state,
+            8,
+            0.0,
+            software_version=version,
         )
-        for backend in backends
+        for backend, version in pairs
     )
     found = listing.ServerList(servers, clocks.boottime_s())
     server_pool.update_servers(forwarder.pool, found)
--- /dev/null
+++ b/hickoryweir/forwarding/tests/test_stream_versions.py
@@ -0,0 +1,138 @@
+"""Tests of streams while servers of two software versions serve side by side."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import pytest
+
+from hickoryweir.forwarding import headers
+from hickoryweir.forwarding.tests import sites
+
+EVENTS_COUNT = 5
+STREAM_ID = "r-1"
+
+
+def make_event(number, version):
+    return b"id: %d\ndata: %b\n\n" % (number, version.encode())
+
+
+def serving(version, broken_after=None):
+    """Return a backend function whose events name its software version."""
+
+    async def answer(request, body):
+        given = {headers.REQUEST_ID: request.headers[headers.REQUEST_ID]}
+        response = aiohttp.web.StreamResponse(headers=given)
+        await response.prepare(request)
+        first = int(request.headers.get(headers.LAST_EVENT_ID, "0")) + 1
+        for number in range(first, EVENTS_COUNT + 1):
+            if broken_after is not None and number > broken_after:
+                await asyncio.sleep(0.02)
+                request.transport.abort()
+                return response
+            await response.write(make_event(number, version))
+        await response.write_eof()
+        return response
+
+    return answer
+
+
+@contextlib.asynccontextmanager
+async def run_site(*servers):
+    """Run a router with a backend server for each (version, broken_after)."""
+    answers = [serving(*server) for server in servers]
+    async with sites.run_site(answers, routes=(sites.resumable_route(),)) as site:
+        list_versions(site, [server[0] for server in servers])
+        yield site
+
+
+def list_versions(site, versions, backends=None):
+    sites.list_servers(site.forwarder, backends or site.backends, versions=versions)
+
+
+async def take_up(site, stream_id=STREAM_ID, after="2", request_id="r-2"):
+    """Take a stream up as a client does; return status, headers and body."""
+    given = {
+        headers.REQUEST_ID: request_id,
+        headers.LAST_EVENT_ID: after,
+        headers.RESUMED_STREAM_ID: stream_id,
+    }
+    return await site.call(given=given)
+
+
+def versions_in(body):
+    """Return the software versions that wrote the events of a response."""
+    return {line for line in body.split(b"\n") if line.startswith(b"data: ")}
+
+
+async def begin(site, versions):
+    """Begin the stream on the first server, then list all of them."""
+    list_versions(site, versions[:1], site.backends[:1])
+    await site.call()
+    list_versions(site, versions)
+
+
+def test_broken_stream_does_not_go_on_at_another_software_version():
+    async def main():
+        async with run_site(("v1", 2), ("v2", None), ("v2", None)) as site:
+            list_versions(site, ["v1"], site.backends[:1])
+            task = asyncio.create_task(site.call())
+            await sites.wait_until(lambda: site.backends[0].seen)
+            list_versions(site, ["v1", "v2", "v2"])
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await task
+            return [len(backend.seen) for backend in site.backends]
+
+    assert asyncio.run(main()) == [1, 0, 0]
+
+
+def test_broken_stream_goes_on_at_a_server_of_its_software_version():
+    async def main():
+        servers = ("v1", 2), *[("v2", None)] * 6, ("v1", None)
+        async with run_site(*servers) as site:
+            list_versions(site, ["v1"], site.backends[:1])
+            task = asyncio.create_task(site.call())
+            await sites.wait_until(lambda: site.backends[0].seen)
+            list_versions(site, [version for version, _ in servers])
+            return await task
+
+    status, _, body = asyncio.run(main())
+    assert (status, versions_in(body)) == (200, {b"data: v1"})
+
+
+@pytest.mark.parametrize("versions", [["v1", "v2", "v2"], ["v2", "v1", "v1"]])
+def test_stream_taken_up_at_the_same_router_goes_on_at_its_version(versions):
+    async def main():
+        async with run_site(*((version, None) for version in versions)) as site:
+            await begin(site, versions)
+            request_ids = [f"r-{number}" for number in range(2, 8)]
+            return [await take_up(site, request_id=name) for name in request_ids]
+
+    bodies = [body for _, _, body in asyncio.run(main())]
+    assert {versions[0].encode()} == {
+        line.removeprefix(b"data: ") for body in bodies for line in versions_in(body)
+    }
+
+
+@pytest.mark.parametrize(
+    "stream_id",
+    ["r-9", "", "x" * 5000, "r 1", "\u00e9"],
+    ids=["unknown", "empty", "long", "space", "not ASCII"],
+)
+def test_stream_of_unknown_version_is_refused_while_two_versions_serve(stream_id):
+    async def main():
+        async with run_site(("v1", None), ("v2", None)) as site:
+            found = await take_up(site, stream_id)
+            return found, sum(len(backend.seen) for backend in site.backends)
+
+    (status, answer_headers, _), seen_count = asyncio.run(main())
+    assert (status, seen_count) == (503, 0)
+    assert float(answer_headers["Retry-After"]) > 0.0
+
+
+def test_stream_of_unknown_version_goes_on_while_one_version_serves():
+    async def main():
+        async with run_site(("v1", None), ("v1", None)) as site:
+            return await take_up(site, "r-9")
+
+    assert asyncio.run(main())[0] == 200
