Let a stream go on only at the software version that began it

Callers saw: streams whose events come from servers of two software versions, which do not fit together.

Cause: the version in the list of servers was not read, so a broken stream went on at any server of its service, and a router that a client came back to knew nothing of the stream. Class: a choice among servers that ignores what binds a request to one of them.

Now a router binds a stream to the version of the server that sent its first event. A client that takes it up names that request; nothing else in what it sends tells the version, so routers tell each other the streams that begin while a service has more than one version in use (a hash of 8 bytes a stream, batched, over the feeds of the replicas), and the replicas hand what they have heard to routers that start. A stream whose version is not known is refused with 503 and when to come back, after a wait of up to 0.2 s for the announcement; with a single version in use nothing is sent or refused.

--- a/hickoryweir/discovery/listing.py
+++ b/hickoryweir/discovery/listing.py
@@ -67,6 +67,13 @@
     read_at_s: float
 
 
+def versions_of(server_list: ServerList) -> frozenset[tuple[str, str]]:
+    """Return the pairs of a service and a software version that a list has."""
+    return frozenset(
+        (server.service_name, server.software_version) for server in server_list.servers
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Source:
     """Location of the list and decoder of its pages.
--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -11,12 +11,13 @@
 from hickoryweir.discovery import listing
 from hickoryweir.engines import sessions
 from hickoryweir.entry import adapters, metrics_port, settings
-from hickoryweir.feeds import messages, subscriber
+from hickoryweir.feeds import messages, publisher, subscriber
 from hickoryweir.forwarding import (
     contexts,
     notices,
     open_requests,
     probing,
+    resumption,
     server,
     server_pool,
     sockets,
@@ -85,6 +86,9 @@
             lambda: self._is_confirmed,
             self._record_lost_requests,
             self._apply_loads,
+            self._apply_origins,
+            self._apply_listed_versions,
+            self._make_greeting,
         )
         self._subscriber = subscriber.make_subscriber(identity, seeds, callbacks)
         self._list_session = sessions.make_session(keeps_connections=True)
@@ -101,6 +105,7 @@
             ),
             generator=random.Random(),
             report_lost=self._subscriber.report_lost,
+            report_origin=self._subscriber.report_origin,
         )
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -181,6 +186,7 @@
         self.forwarder.route_index = matching.make_index(table)
         self.forwarder.wait_bounds.clear()
         self.forwarder.sensitive_routes.clear()
+        self.forwarder.stream_lifetimes_s.clear()
         self._update_started()
         self.forwarder.metrics.table_version.set(table.version)
         routes_count = len(table.routes)
@@ -191,6 +197,8 @@
     def _apply_server_list(self, server_list: listing.ServerList) -> None:
         server_pool.update_servers(self.forwarder.pool, server_list)
         self.forwarder.list_read_at_s = server_list.read_at_s
+        if resumption.apply_list(self.forwarder, server_list):
+            self._send_listed_versions()
         self._update_started()
         fields = logs.Fields(detail=f"{len(server_list.servers)} servers")
         logs.info("list of servers taken", fields)
@@ -210,6 +218,31 @@
                 self.forwarder.crashes, fingerprint, server_id, now_s
             )
 
+    def _apply_origins(self, message: messages.StreamOrigins) -> None:
+        resumption.apply_origins(self.forwarder, message)
+
+    def _apply_listed_versions(self, message: messages.ListedVersions) -> None:
+        resumption.apply_listed_versions(self.forwarder, message)
+
+    def _send_listed_versions(self) -> None:
+        for message in self._make_listed_versions():
+            self._subscriber.send_to_all(message)
+
+    def _make_listed_versions(self) -> list[messages.ListedVersions]:
+        """Return the versions to tell the replicas; none while one serves."""
+        message = publisher.make_listed_versions(
+            self.forwarder.known_streams, publisher.ORIGINS_RETENTION_S
+        )
+        return [message] if message.versions else []
+
+    def _make_greeting(self) -> list:
+        """Return what a replica that may have restarted has to know."""
+        listed = self._make_listed_versions()
+        if not listed:
+            return []
+        origins = resumption.own_origins(self.forwarder)
+        return [*listed, *publisher.make_stream_origins(origins)]
+
     def _apply_loads(self, total: messages.TotalLoads) -> None:
         now_s = time.monotonic()
         server_pool.update_loads(self.forwarder.pool, total.loads, now_s)
--- a/hickoryweir/feeds/messages.py
+++ b/hickoryweir/feeds/messages.py
@@ -116,7 +116,43 @@
     parts: tuple[ServerParts, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOrigins:
+    """Streams that began at a software version; relayed to all other routers.
+
+    Sent only while more than one version of the service is in use.
+
+    Attributes
+    ----------
+    keys : tuple of int
+        See :func:`hickoryweir.policy.stream_versions.stream_key`.
+    """
+
+    service_name: str
+    software_version: str
+    keys: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedVersion:
+    """A software version, and how long ago it was in a list of servers."""
+
+    service_name: str
+    software_version: str
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedVersions:
+    """Versions that were listed lately; sent while a service has more than one."""
+
+    versions: tuple[ListedVersion, ...]
+
+
 for _tag, _cls in (
+    ("fd.stream_origins", StreamOrigins),
+    ("fd.listed_version", ListedVersion),
+    ("fd.listed_versions", ListedVersions),
     ("fd.server_parts", ServerParts),
     ("fd.own_loads", RouterLoads),
     ("fd.all_loads", TotalLoads),
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import aiohttp
 from returns import result
@@ -12,6 +12,7 @@
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages
 from hickoryweir.observability import logs
+from hickoryweir.policy import stream_versions
 from hickoryweir.replicas import wire
 from hickoryweir.routes import store
 from hickoryweir.streams import connections, handshake, hub
@@ -24,6 +25,10 @@
 LIST_READ_INTERVAL_S = 0.8
 # A tenth of the duration of a request; halving it would double the traffic.
 LOADS_INTERVAL_S = 0.1
+# Longer than a stream and the time for which its client comes back.
+ORIGINS_RETENTION_S = 120.0
+# About 4 kB.
+MAX_ORIGINS_PER_MESSAGE = 400
 # Random ids from a range this large do not collide between successive leaders.
 LIST_IDS_COUNT = 1 << 48
 
@@ -62,10 +67,13 @@
         self._loads: dict[connections.Connection, tuple[messages.ServerLoad, ...]] = {}
         self._loads_changed = False
         self._parts: dict[str, dict[str, None]] = {}
+        self._versions = stream_versions.StreamVersions()
 
     async def serve(self, connection: connections.Connection) -> None:
         """Serve one router until it disconnects."""
         self._subscribers[connection] = connection.peer.process_name
+        # Before the list, with which a router starts to serve.
+        self._send_versions(connection)
         self._send_servers([connection])
         connection.offer(self._make_heartbeat(self._get_log_status()))
         try:
@@ -79,6 +87,11 @@
                         )
                     case messages.RequestsLost():
                         self._relay(message, connection)
+                    case messages.StreamOrigins():
+                        if self._add_origins(message):
+                            self._relay(message, connection)
+                    case messages.ListedVersions():
+                        add_listed_versions(self._versions, message)
                     case messages.RouterLoads():
                         self._loads[connection] = message.loads
                         self._loads_changed = True
@@ -90,8 +103,28 @@
             self._loads.pop(connection, None)
             self._loads_changed = True
 
+    def _add_origins(self, message: messages.StreamOrigins) -> bool:
+        """Store the origins of streams; return whether any of them is new."""
+        origin = make_origin(message, ORIGINS_RETENTION_S)
+        added = [
+            stream_versions.record_origin(self._versions, key, origin)
+            for key in message.keys
+        ]
+        return any(added)
+
+    def _send_versions(self, connection: connections.Connection) -> None:
+        """Send a new subscriber what the other routers have told of versions."""
+        listed = make_listed_versions(self._versions, ORIGINS_RETENTION_S)
+        if not listed.versions:
+            return
+        connection.offer(listed)
+        for message in make_stream_origins(self._versions.origins.items()):
+            connection.offer(message)
+
     def _relay(
-        self, message: messages.RequestsLost, sender: connections.Connection
+        self,
+        message: messages.RequestsLost | messages.StreamOrigins,
+        sender: connections.Connection,
     ) -> None:
         for connection in list(self._subscribers):
             if connection is not sender:
@@ -179,6 +212,9 @@
         server_list = outcome.unwrap()
         previous = self._servers
         self._servers = server_list
+        stream_versions.record_listed(
+            self._versions, listing.versions_of(server_list), server_list.read_at_s
+        )
         if previous is None or previous.servers != server_list.servers:
             self._list_id = random.randrange(1, LIST_IDS_COUNT)
             self._send_servers(list(self._subscribers))
@@ -192,6 +228,68 @@
             connection.offer(message)
 
 
+def make_origin(
+    message: messages.StreamOrigins, lifetime_s: float
+) -> stream_versions.Origin:
+    """Return the origin that a message announces."""
+    now_s = clocks.boottime_s()
+    return stream_versions.Origin(
+        message.service_name,
+        message.software_version,
+        stream_versions.Source.ANNOUNCED,
+        now_s,
+        now_s + lifetime_s,
+    )
+
+
+def make_stream_origins(
+    origins: Iterable[tuple[int, stream_versions.Origin]],
+) -> list[messages.StreamOrigins]:
+    """Return messages that announce the origins of streams that are still alive."""
+    now_s = clocks.boottime_s()
+    keys: dict[tuple[str, str], list[int]] = {}
+    for key, origin in origins:
+        if origin.version is not None and origin.expires_at_s > now_s:
+            keys.setdefault((origin.service_name, origin.version), []).append(key)
+    return [
+        messages.StreamOrigins(*pair, tuple(found[at : at + MAX_ORIGINS_PER_MESSAGE]))
+        for pair, found in keys.items()
+        for at in range(0, len(found), MAX_ORIGINS_PER_MESSAGE)
+    ]
+
+
+def make_listed_versions(
+    state: stream_versions.StreamVersions, retention_s: float
+) -> messages.ListedVersions:
+    """Return the versions of the services that have had more than one lately."""
+    now_s = clocks.boottime_s()
+    names = {name for name, _ in state.listed_at_s}
+    found = {
+        name: stream_versions.versions_in_use(state, name, now_s, retention_s)
+        for name in names
+    }
+    return messages.ListedVersions(
+        tuple(
+            messages.ListedVersion(
+                name, version, now_s - state.listed_at_s[name, version]
+            )
+            for name, versions in sorted(found.items())
+            if len(versions) > 1
+            for version in versions
+        )
+    )
+
+
+def add_listed_versions(
+    state: stream_versions.StreamVersions, message: messages.ListedVersions
+) -> None:
+    """Store versions that another process has seen in a list."""
+    now_s = clocks.boottime_s()
+    for item in message.versions:
+        pair = (item.service_name, item.software_version)
+        stream_versions.record_listed(state, [pair], now_s - item.age_s)
+
+
 def sum_loads(
     reports: list[tuple[messages.ServerLoad, ...]],
 ) -> tuple[messages.ServerLoad, ...]:
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -73,6 +73,12 @@
         lost there.
     on_loads : callable
         Called with the summed load of all routers and newly sent prompt parts.
+    on_origins : callable
+        Called with streams that began at other routers.
+    on_listed_versions : callable
+        Called with software versions that were listed lately.
+    greet : callable
+        Returns the messages to send to a replica at the start of its connection.
     """
 
     on_table: Callable[[int, bytes], bool]
@@ -80,6 +86,9 @@
     may_fetch: Callable[[], bool]
     on_lost: Callable[[str, tuple[int, ...]], None] = lambda server_id, lost: None
     on_loads: Callable[[messages.TotalLoads], None] = lambda loads: None
+    on_origins: Callable[[messages.StreamOrigins], None] = lambda origins: None
+    on_listed_versions: Callable[[messages.ListedVersions], None] = lambda listed: None
+    greet: Callable[[], list] = list
 
 
 class Subscriber:
@@ -101,6 +110,7 @@
         self._open_connections: list[connections.Connection] = []
         self._lost_fingerprints: dict[str, list[int]] = {}
         self._list_reader: connections.Connection | None = None
+        self._origins: dict[tuple[str, str], list[int]] = {}
 
     async def run(self) -> None:
         """Follow the initial replicas and all members they report, until cancelled."""
@@ -132,6 +142,25 @@
             asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._send_lost)
         self._lost_fingerprints.setdefault(server_id, []).append(fingerprint)
 
+    def report_origin(self, service_name: str, software_version: str, key: int) -> None:
+        """Report where a stream began, batched with subsequent ones."""
+        if not self._origins:
+            asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._send_origins)
+        pair = (service_name, software_version)
+        self._origins.setdefault(pair, []).append(key)
+
+    def _send_origins(self) -> None:
+        origins, self._origins = self._origins, {}
+        for pair, keys in origins.items():
+            message = messages.StreamOrigins(*pair, tuple(keys))
+            for connection in self._open_connections[:REPORT_REPLICAS_COUNT]:
+                connection.offer(message)
+
+    def send_to_all(self, message: object) -> None:
+        """Send a message to all replicas that are connected."""
+        for connection in self._open_connections:
+            connection.offer(message)
+
     def send_loads(self, loads: messages.RouterLoads) -> bool:
         """Send loads to the replica that sums them; return whether there is one."""
         if self._list_reader is None or self._list_reader.is_closed:
@@ -176,6 +205,8 @@
 
     async def _receive(self, connection: connections.Connection) -> str:
         self._open_connections.append(connection)
+        for message in self._callbacks.greet():
+            connection.offer(message)
         try:
             while True:
                 async with asyncio.timeout(HEARTBEAT_TIMEOUT_S):
@@ -203,6 +234,10 @@
                 self._handle_server_list(message)
             case messages.TotalLoads():
                 self._callbacks.on_loads(message)
+            case messages.StreamOrigins():
+                self._callbacks.on_origins(message)
+            case messages.ListedVersions():
+                self._callbacks.on_listed_versions(message)
             case messages.RequestsLost():
                 self._callbacks.on_lost(message.server_id, message.fingerprints)
 
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -18,6 +18,7 @@
     prompt_admission,
     prompt_placement,
     retry_budget,
+    stream_versions,
 )
 from hickoryweir.routes import matching, model
 
@@ -82,6 +83,15 @@
         Ratio of the measured to the predicted prefill time, by service.
     crashes : crash_counts.CrashCounts
         Requests that were lost, at this router and at the others.
+    known_streams : stream_versions.StreamVersions
+        Software versions in use, and those at which streams began.
+    listed_versions : frozenset
+        The pairs of a service and a software version in the list in force.
+    stream_lifetimes_s : dict
+        For how long streams may be taken up, by service, for the table in force.
+    report_origin : callable
+        ``report_origin(service_name, software_version, key)`` tells the other routers
+        where a stream began.
     report_lost : callable
         ``report_lost(server_id, fingerprint)`` reports a lost request to the other
         routers.
@@ -118,6 +128,12 @@
     crashes: crash_counts.CrashCounts = dataclasses.field(
         default_factory=crash_counts.CrashCounts
     )
+    known_streams: stream_versions.StreamVersions = dataclasses.field(
+        default_factory=stream_versions.StreamVersions
+    )
+    listed_versions: frozenset[tuple[str, str]] = frozenset()
+    stream_lifetimes_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    report_origin: Callable[[str, str, int], None] = lambda service, version, key: None
     report_lost: Callable[[str, int], None] = lambda server_id, fingerprint: None
 
 
@@ -144,6 +160,11 @@
         Whether any attempt may have run.
     placement : prompt_placement.Placement or None
         Server of the current attempt, and the prefill that was expected there.
+    stream_version : str or None
+        Software version at which the request's stream may go on; None while any may
+        begin it.
+    attempt_version : str
+        Software version of the current attempt's server when it was sent.
     own_requests_count : int
         Other requests of this router at that server when the attempt began.
     in_flight : server_pool.InFlightRequest or None
@@ -176,6 +197,8 @@
     deadline_s: float
     tried_server_ids: set[str] = dataclasses.field(default_factory=set)
     placement: prompt_placement.Placement | None = None
+    stream_version: str | None = None
+    attempt_version: str = ""
     own_requests_count: int = 0
     in_flight: server_pool.InFlightRequest | None = None
     stream_response: web.StreamResponse | None = None
--- a/hickoryweir/forwarding/errors.py
+++ b/hickoryweir/forwarding/errors.py
@@ -27,6 +27,8 @@
     SERVER_FAILED = "server_failed"
     SERVER_UNREACHABLE = "server_unreachable"
     SERVERS_PAUSED = "servers_paused"
+    VERSION_UNKNOWN = "version_unknown"
+    VERSION_UNAVAILABLE = "version_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
     TIMED_OUT = "timed_out"
     TIMED_OUT_NOT_RUN = "timed_out_not_run"
@@ -50,6 +52,8 @@
     Reason.SERVER_FAILED: 502,
     Reason.SERVER_UNREACHABLE: 503,
     Reason.SERVERS_PAUSED: 503,
+    Reason.VERSION_UNKNOWN: 503,
+    Reason.VERSION_UNAVAILABLE: 503,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.TIMED_OUT: 504,
     Reason.TIMED_OUT_NOT_RUN: 503,
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -22,6 +22,7 @@
     open_requests,
     requests,
     responses,
+    resumption,
     server_pool,
     server_selection,
 )
@@ -197,6 +198,9 @@
 
 
 async def _attempt_all(context: contexts.RequestContext) -> web.StreamResponse:
+    unresumable = await resumption.admit(context)
+    if unresumable is not None:
+        return _final_failure(context, unresumable)
     reason = errors.Reason.NO_SERVER
     while True:
         if not context.may_have_run and not _can_end(context):
@@ -231,6 +235,8 @@
         if after_s is not None:
             context.retry_after_s = after_s
             reason = errors.Reason.SERVERS_PAUSED
+    elif context.stream_version is not None and not context.sent_count:
+        reason = errors.Reason.VERSION_UNAVAILABLE
     return _final_failure(context, reason)
 
 
@@ -343,6 +349,7 @@
     )
     context.sent_count += 1
     context.has_response_head = False
+    context.attempt_version = view.listed.software_version
     outcome = await _send(context, session, view)
     now_s = time.monotonic()
     _log_attempt(context, view, type(outcome).__name__, getattr(outcome, "reason", ""))
@@ -387,10 +394,9 @@
     view: server_pool.ServerView,
 ) -> exchange.Outcome:
     forwarder = context.forwarder
-    available = server_pool.available_servers(forwarder.pool, context.service_name)
-    others = {view.listed.server_id for view in available} - context.tried_server_ids
     untried_count = min(
-        len(others), context.route.max_attempts_count - context.sent_count
+        len(server_selection.untried_servers(context)),
+        context.route.max_attempts_count - context.sent_count,
     )
     timeout_s = next_attempts.response_timeout_s(
         context.route, untried_count, context.time_left_s
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -19,6 +19,7 @@
     exchange,
     header_codec,
     pauses,
+    resumption,
     server_pool,
     sockets,
 )
@@ -137,6 +138,8 @@
         if len(splitter.pending) > event_stream.MAX_EVENT_SIZE_BYTES:
             raise exchange.IncompleteResponseError("event too large")
         if events:
+            if not context.in_flight.has_first_event:
+                resumption.record_first_event(context)
             contexts.record_first_event(context)
             pauses.record_event(context.event_pauses, time.monotonic())
             server_pool.record_success(view)
--- /dev/null
+++ b/hickoryweir/forwarding/resumption.py
@@ -0,0 +1,223 @@
+"""Keeps each stream at the software version that began it.
+
+The decisions are in :mod:`hickoryweir.policy.stream_versions`.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+
+from hickoryweir import clocks
+from hickoryweir.discovery import listing
+from hickoryweir.feeds import messages, publisher
+from hickoryweir.forwarding import contexts, errors
+from hickoryweir.observability import logs
+from hickoryweir.policy import stream_versions
+from hickoryweir.routes import model
+
+# Another router's announcement takes two hops and a delay of batching.
+ANNOUNCEMENT_WAIT_S = 0.2
+CHECK_INTERVAL_S = 0.02
+
+
+def lifetime_s(forwarder: contexts.Forwarder, service_name: str) -> float:
+    """Return how long streams of a service may be taken up after their beginning."""
+    known_s = forwarder.stream_lifetimes_s.get(service_name)
+    if known_s is not None:
+        return known_s
+    table = forwarder.route_index.table
+    timeouts_s = [
+        route.timeout_s
+        for route in table.routes
+        if _is_resumable(route)
+        and any(item.service_name == service_name for item in route.destinations)
+    ]
+    found_s = stream_versions.LIFETIME_TIMEOUTS_COUNT * max(timeouts_s, default=0.0)
+    forwarder.stream_lifetimes_s[service_name] = found_s
+    return found_s
+
+
+def _is_resumable(route: model.Route) -> bool:
+    return route.is_stream and route.execution is not model.Execution.AT_MOST_ONCE
+
+
+async def admit(context: contexts.RequestContext) -> errors.Reason | None:
+    """Bind a stream that a client takes up to its software version.
+
+    Returns
+    -------
+    Reason or None
+        Why the stream can't go on; None if it can, or if the request begins one.
+    """
+    if not context.last_event_id or not _is_resumable(context.route):
+        return None
+    decision = _decide(context)
+    give_up_s = clocks.boottime_s() + ANNOUNCEMENT_WAIT_S
+    while isinstance(decision, stream_versions.Unknown):
+        if clocks.boottime_s() >= give_up_s:
+            break
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        decision = _decide(context)
+    _report(context, decision)
+    if isinstance(decision, stream_versions.Unknown):
+        return errors.Reason.VERSION_UNKNOWN
+    context.stream_version = decision.version
+    return None
+
+
+def _decide(
+    context: contexts.RequestContext,
+) -> stream_versions.Resumption | stream_versions.Unknown:
+    """Decide for the service of the request, or for the one where it began."""
+    forwarder, state = context.forwarder, context.forwarder.known_streams
+    now_s = clocks.boottime_s()
+    names = [item.service_name for item in context.route.destinations if item.weight]
+    for name in names:
+        if _key(context, name, context.metadata.resumed_stream_id) in state.origins:
+            context.service_name = name
+    name = context.service_name
+    key = _key(context, name, context.metadata.resumed_stream_id)
+    alive_s = lifetime_s(forwarder, name)
+    return stream_versions.decide(state, name, key, now_s, alive_s)
+
+
+def _key(context: contexts.RequestContext, service_name: str, stream_id: str) -> int:
+    account_name = "" if context.account is None else context.account.name
+    return stream_versions.stream_key(service_name, account_name, stream_id)
+
+
+def _report(
+    context: contexts.RequestContext,
+    decision: stream_versions.Resumption | stream_versions.Unknown,
+) -> None:
+    if isinstance(decision, stream_versions.Unknown):
+        outcome = "refused"
+        detail = f"version not known, in use: {', '.join(decision.versions)}"
+    else:
+        outcome = "goes on"
+        version = decision.version or "unknown"
+        detail = f"version {version}, {decision.source}, {decision.age_s:.2f} s old"
+    _count(context, outcome)
+    fields = logs.Fields(
+        request_id=context.metadata.request_id,
+        class_name=context.route.name,
+        reason=outcome,
+        detail=f"stream {context.metadata.resumed_stream_id[:64] or 'unnamed'} "
+        f"after event {context.last_event_id[:64]}: {detail}",
+    )
+    logs.info("stream taken up", fields)
+
+
+def _count(context: contexts.RequestContext, outcome: str) -> None:
+    context.forwarder.metrics.resumptions.labels(context.service_name, outcome).inc()
+
+
+def record_first_event(context: contexts.RequestContext) -> None:
+    """Record the version of an attempt whose first event is about to be forwarded.
+
+    A stream that was taken up is known by the request that began it, and by this one.
+    """
+    if context.stream_version is None:
+        context.stream_version = context.attempt_version
+    if not _is_resumable(context.route):
+        return
+    if context.metadata.last_event_id:
+        _record(context, context.metadata.resumed_stream_id)
+    _record(context, context.metadata.request_id)
+
+
+def _record(context: contexts.RequestContext, stream_id: str) -> None:
+    if not stream_id:
+        return
+    forwarder, name = context.forwarder, context.service_name
+    now_s = clocks.boottime_s()
+    origin = stream_versions.Origin(
+        name,
+        context.stream_version,
+        stream_versions.Source.OWN,
+        now_s,
+        now_s + lifetime_s(forwarder, name),
+    )
+    key = _key(context, name, stream_id)
+    if stream_versions.record_origin(forwarder.known_streams, key, origin):
+        _announce(forwarder, key, origin)
+
+
+def _announce(
+    forwarder: contexts.Forwarder, key: int, origin: stream_versions.Origin
+) -> None:
+    """Tell the other routers where a stream began if they can't infer it."""
+    if origin.version is not None and has_several_versions(
+        forwarder, origin.service_name
+    ):
+        forwarder.report_origin(origin.service_name, origin.version, key)
+
+
+def apply_list(forwarder: contexts.Forwarder, server_list: listing.ServerList) -> bool:
+    """Record the versions in a list; return whether they differ from the last one's."""
+    listed = listing.versions_of(server_list)
+    with _announcing_earlier_streams(forwarder):
+        stream_versions.record_listed(
+            forwarder.known_streams, listed, server_list.read_at_s
+        )
+    has_changed = listed != forwarder.listed_versions
+    forwarder.listed_versions = listed
+    return has_changed
+
+
+def apply_listed_versions(
+    forwarder: contexts.Forwarder, message: messages.ListedVersions
+) -> None:
+    """Record versions that other processes have seen in a list."""
+    with _announcing_earlier_streams(forwarder):
+        publisher.add_listed_versions(forwarder.known_streams, message)
+
+
+@contextlib.contextmanager
+def _announcing_earlier_streams(forwarder: contexts.Forwarder) -> Iterator[None]:
+    """Announce this router's streams of services that get a second version."""
+    state = forwarder.known_streams
+    names = {origin.service_name for origin in state.origins.values()}
+    single = {name for name in names if not has_several_versions(forwarder, name)}
+    yield
+    for key, origin in own_origins(forwarder):
+        if origin.service_name in single:
+            _announce(forwarder, key, origin)
+
+
+def own_origins(
+    forwarder: contexts.Forwarder,
+) -> list[tuple[int, stream_versions.Origin]]:
+    """Return the streams that began at this router and may still be taken up."""
+    now_s = clocks.boottime_s()
+    return [
+        (key, origin)
+        for key, origin in forwarder.known_streams.origins.items()
+        if origin.source is stream_versions.Source.OWN and origin.expires_at_s > now_s
+    ]
+
+
+def apply_origins(
+    forwarder: contexts.Forwarder, message: messages.StreamOrigins
+) -> None:
+    """Record where streams of other routers began."""
+    if forwarder.route_index is None:
+        alive_s = publisher.ORIGINS_RETENTION_S
+    else:
+        alive_s = lifetime_s(forwarder, message.service_name)
+    origin = publisher.make_origin(message, alive_s)
+    for key in message.keys:
+        stream_versions.record_origin(forwarder.known_streams, key, origin)
+
+
+def has_several_versions(forwarder: contexts.Forwarder, service_name: str) -> bool:
+    """Return whether streams that are still alive may have begun at two versions."""
+    if forwarder.route_index is None:
+        return False
+    versions = stream_versions.versions_in_use(
+        forwarder.known_streams,
+        service_name,
+        clocks.boottime_s(),
+        lifetime_s(forwarder, service_name),
+    )
+    return len(versions) > 1
--- a/hickoryweir/forwarding/server_selection.py
+++ b/hickoryweir/forwarding/server_selection.py
@@ -34,11 +34,7 @@
     forwarder = context.forwarder
     prompt = context.metadata.prompt
     parts = () if prompt is None else prompt.parts
-    views = [
-        view
-        for view in server_pool.available_servers(forwarder.pool, context.service_name)
-        if view.listed.server_id not in context.tried_server_ids
-    ]
+    views = untried_servers(context)
     now_s = time.monotonic()
     outlier_ids = server_pool.find_outliers(views, now_s)
     candidates = [
@@ -60,6 +56,20 @@
     )
 
 
+def untried_servers(
+    context: contexts.RequestContext,
+) -> list[server_pool.ServerView]:
+    """Return the available servers that may get the next attempt."""
+    version = context.stream_version
+    pool, name = context.forwarder.pool, context.service_name
+    return [
+        view
+        for view in server_pool.available_servers(pool, name)
+        if view.listed.server_id not in context.tried_server_ids
+        and version in (None, view.listed.software_version)
+    ]
+
+
 def shared_parts(
     parts: tuple[header_codec.PromptPart, ...],
 ) -> tuple[header_codec.PromptPart, ...]:
--- a/hickoryweir/forwarding/tests/sites.py
+++ b/hickoryweir/forwarding/tests/sites.py
@@ -12,7 +12,14 @@
 
 from hickoryweir import clocks
 from hickoryweir.discovery import listing
-from hickoryweir.forwarding import contexts, headers, server, server_pool, sockets
+from hickoryweir.forwarding import (
+    contexts,
+    headers,
+    resumption,
+    server,
+    server_pool,
+    sockets,
+)
 from hickoryweir.policy import retry_budget
 from hickoryweir.routes import matching, model
 from hickoryweir.routes.tests import tables
@@ -125,7 +132,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_site(answers, routes=None, **options):
+async def run_site(answers, routes=None, versions=(), **options):
     """Run a router with one backend server for each function in `answers`."""
     if routes is None:
         routes = (tables.make_route(allows_anonymous=True),)
@@ -133,7 +140,7 @@
     backends = []
     for number, answer in enumerate(answers):
         backends.append(await start_backend(f"s{number}", answer))
-    list_servers(forwarder, backends)
+    list_servers(forwarder, backends, versions=versions)
     running = await server.start(forwarder, HOST, 0)
     port = running.listener.sockets[0].getsockname()[1]
     client = aiohttp.ClientSession(
@@ -179,6 +186,7 @@
     )
     found = listing.ServerList(servers, clocks.boottime_s())
     server_pool.update_servers(forwarder.pool, found)
+    resumption.apply_list(forwarder, found)
     forwarder.started.set()
 
 
--- a/hickoryweir/forwarding/tests/test_stream_versions.py
+++ b/hickoryweir/forwarding/tests/test_stream_versions.py
@@ -41,8 +41,8 @@
 async def run_site(*servers):
     """Run a router with a backend server for each (version, broken_after)."""
     answers = [serving(*server) for server in servers]
-    async with sites.run_site(answers, routes=(sites.resumable_route(),)) as site:
-        list_versions(site, [server[0] for server in servers])
+    route, versions = sites.resumable_route(), [version for version, _ in servers]
+    async with sites.run_site(answers, routes=(route,), versions=versions) as site:
         yield site
 
 
--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -23,6 +23,8 @@
     notices : prometheus_client.Counter
         Notices of servers by service and kind: ``leaving``, ``pause``, ``return``,
         ``ignored``.
+    resumptions : prometheus_client.Counter
+        Streams that clients took up, by service and outcome: ``goes on``, ``refused``.
     servers : prometheus_client.Gauge
         Servers of the list by service and state: ``ready``, ``draining``, ``leaving``,
         ``paused``, ``returning``.
@@ -39,6 +41,7 @@
     attempts: prometheus_client.Counter
     second_sends: prometheus_client.Counter
     notices: prometheus_client.Counter
+    resumptions: prometheus_client.Counter
     servers: prometheus_client.Gauge
     table_version: prometheus_client.Gauge
     list_age_s: prometheus_client.Gauge
@@ -59,6 +62,7 @@
         attempts=counter("attempts", "Attempts at servers.", "service", "outcome"),
         second_sends=counter("second_sends", "Repeats.", "service", "allowed"),
         notices=counter("server_notices", "Notices of servers.", "service", "kind"),
+        resumptions=counter("resumptions", "Streams taken up.", "service", "outcome"),
         servers=gauge("servers", "Servers in the list.", "service", "state"),
         table_version=gauge("table_version", "Version of the routing table."),
         list_age_s=gauge("list_age_seconds", "Age of the list of servers."),
--- /dev/null
+++ b/hickoryweir/policy/stream_versions.py
@@ -0,0 +1,194 @@
+"""Software versions of streams, so that each goes on at the version that began it.
+
+Events of two software versions do not fit together.  Within one response a router
+knows the version of its stream.  A client that takes a stream up at another router
+names the request that brought the first event; nothing in that name tells the version,
+so routers tell each other while more than one version of a service is in use, and a
+stream whose version is not known is not resumed.
+
+The load this answers: resumable streams during a roll-out, in which servers of two
+versions serve side by side while routers and servers restart.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+import xxhash
+
+# More than the resumable streams of a router's peers within their lifetime.
+MAX_ORIGINS_COUNT = 50_000
+# More than the software versions that a site uses within a day.
+MAX_VERSIONS_COUNT = 256
+# A stream lasts up to its route's timeout, and its client comes back for as long.
+LIFETIME_TIMEOUTS_COUNT = 2.0
+
+
+class Source(enum.StrEnum):
+    """Where the knowledge of a stream's version came from."""
+
+    OWN = "own stream"
+    ANNOUNCED = "another router"
+    LIST = "the only version in use"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """The software version at which a stream began.
+
+    Attributes
+    ----------
+    version : str or None
+        None if two versions are known for the same stream.
+    known_since_s, expires_at_s : float
+        Times on :func:`hickoryweir.clocks.boottime_s`.
+    """
+
+    service_name: str
+    version: str | None
+    source: Source
+    known_since_s: float
+    expires_at_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class StreamVersions:
+    """What a process knows of versions in use and of the origins of streams.
+
+    Attributes
+    ----------
+    origins : dict
+        The :class:`Origin` of each stream by its key, oldest first.
+    listed_at_s : dict
+        When each version of each service was last in a list of servers.
+    """
+
+    origins: dict[int, Origin] = dataclasses.field(default_factory=dict)
+    listed_at_s: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resumption:
+    """A stream may go on at one version."""
+
+    version: str | None
+    source: Source
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The version of a stream is not known, and several are in use."""
+
+    versions: tuple[str, ...]
+
+
+def stream_key(service_name: str, account_name: str, stream_id: str) -> int:
+    """Return the key of a stream; a client account reaches only its own streams.
+
+    Examples
+    --------
+    >>> stream_key("app", "a", "r-1") == stream_key("app", "b", "r-1")
+    False
+    """
+    # NUL occurs in none of the names.
+    text = "\0".join((service_name, account_name, stream_id))
+    return xxhash.xxh3_64_intdigest(text.encode("utf-8", "surrogateescape"))
+
+
+def record_listed(
+    state: StreamVersions, listed: Iterable[tuple[str, str]], at_s: float
+) -> None:
+    """Record the (service, version) pairs of a list of servers."""
+    for pair in listed:
+        known_s = state.listed_at_s.pop(pair, at_s)
+        state.listed_at_s[pair] = max(known_s, at_s)
+    while len(state.listed_at_s) > MAX_VERSIONS_COUNT:
+        del state.listed_at_s[min(state.listed_at_s, key=state.listed_at_s.get)]
+
+
+def versions_in_use(
+    state: StreamVersions, service_name: str, now_s: float, lifetime_s: float
+) -> tuple[str, ...]:
+    """Return the versions at which a stream that is still alive may have begun.
+
+    Examples
+    --------
+    >>> state = StreamVersions()
+    >>> record_listed(state, [("app", "v1"), ("app", "v2"), ("jobs", "v7")], 10.0)
+    >>> record_listed(state, [("app", "v2")], 40.0)
+    >>> versions_in_use(state, "app", 41.0, 35.0), versions_in_use(
+    ...     state, "app", 41.0, 20.0
+    ... )
+    (('v1', 'v2'), ('v2',))
+    """
+    return tuple(
+        sorted(
+            version
+            for (name, version), at_s in state.listed_at_s.items()
+            if name == service_name and now_s - at_s <= lifetime_s
+        )
+    )
+
+
+def record_origin(state: StreamVersions, key: int, origin: Origin) -> bool:
+    """Store the version at which a stream began; return whether it is new.
+
+    An id that began streams at two versions names neither of them.
+    """
+    _forget_expired(state, origin.known_since_s)
+    known = state.origins.get(key)
+    if known is not None and known.version in (origin.version, None):
+        return False
+    if known is not None:
+        origin = dataclasses.replace(origin, version=None)
+    state.origins[key] = origin
+    while len(state.origins) > MAX_ORIGINS_COUNT:
+        del state.origins[next(iter(state.origins))]
+    return True
+
+
+def _forget_expired(state: StreamVersions, now_s: float) -> None:
+    while state.origins:
+        oldest = next(iter(state.origins))
+        if state.origins[oldest].expires_at_s > now_s:
+            return
+        del state.origins[oldest]
+
+
+def decide(
+    state: StreamVersions, service_name: str, key: int, now_s: float, lifetime_s: float
+) -> Resumption | Unknown:
+    """Decide at which version a stream that a client takes up may go on.
+
+    Parameters
+    ----------
+    state : StreamVersions
+        What this router knows.
+    service_name : str
+        Service of the request.
+    key : int
+        See :func:`stream_key`.
+    now_s : float
+        Time on :func:`hickoryweir.clocks.boottime_s`.
+    lifetime_s : float
+        How long a stream may be taken up after its beginning.
+
+    Returns
+    -------
+    Resumption or Unknown
+        With a single version in use, that one, whoever asks.
+    """
+    origin = state.origins.get(key)
+    if origin is not None and origin.expires_at_s > now_s:
+        if origin.version is not None:
+            age_s = now_s - origin.known_since_s
+            return Resumption(origin.version, origin.source, age_s)
+        return Unknown(versions_in_use(state, service_name, now_s, lifetime_s))
+    versions = versions_in_use(state, service_name, now_s, lifetime_s)
+    if len(versions) > 1:
+        return Unknown(versions)
+    if not versions:
+        return Resumption(None, Source.LIST, 0.0)
+    age_s = now_s - state.listed_at_s[service_name, versions[0]]
+    return Resumption(versions[0], Source.LIST, age_s)
