--- a/hickoryweir/feeds/tests/test_feeds.py
+++ b/hickoryweir/feeds/tests/test_feeds.py
@@ -258,3 +258,101 @@
     assert received[-1].loads == (messages.ServerLoad("s1", 4, 200),)
     sent_parts = [message.parts for message in received if message.parts]
     assert sent_parts == [(messages.ServerParts("s1", ("p1", "p2")),)]
+
+
+ORIGINS = messages.StreamOrigins("app", "v1", (7, 8))
+LISTED = messages.ListedVersions(
+    (
+        messages.ListedVersion("app", "v1", 1.0),
+        messages.ListedVersion("app", "v2", 0.0),
+    )
+)
+
+
+def follow(replicas, received, greet=list):
+    """Return a further router that stores what it is told of streams."""
+    return subscriber.make_subscriber(
+        handshake.Identity("test", f"router-{len(received)}", "a"),
+        tuple(item.address for item in replicas),
+        subscriber.Callbacks(
+            lambda *args: True,
+            lambda server_list: received.append("list"),
+            lambda: True,
+            on_origins=received.append,
+            on_listed_versions=received.append,
+            greet=greet,
+        ),
+    )
+
+
+def test_origin_of_a_stream_reaches_other_routers_in_one_message():
+    received = []
+
+    async def main():
+        async with run_feeds([1, 1]) as (replicas, first, _):
+            second = follow(replicas, received)
+            task = asyncio.create_task(second.run())
+            await wait_until(lambda: first.view.routers_count == 2)
+            for key in ORIGINS.keys:
+                first.report_origin("app", "v1", key)
+            await wait_until(lambda: received)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(main())
+    assert set(received) == {ORIGINS}
+
+
+def test_router_that_starts_is_told_of_streams_before_it_gets_the_list():
+    received = []
+
+    async def main():
+        async with run_feeds([1], leader_number=0) as (replicas, first, _):
+            await wait_until(lambda: first.view.servers is not None)
+            first.send_to_all(LISTED)
+            first.send_to_all(ORIGINS)
+            await asyncio.sleep(0.1)
+            task = asyncio.create_task(follow(replicas, received).run())
+            await wait_until(lambda: "list" in received)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(main())
+    listed, origins, last = received
+    pairs = [(item.service_name, item.software_version) for item in listed.versions]
+    # The list that the leader itself has read names no version.
+    assert pairs == [("app", ""), ("app", "v1"), ("app", "v2")]
+    assert (origins, last) == (ORIGINS, "list")
+
+
+def test_replica_that_has_restarted_learns_of_streams_from_routers():
+    received = []
+
+    async def main():
+        async with run_feeds([1]) as (replicas, _, _):
+            greeted = follow(replicas, [], greet=lambda: [LISTED, ORIGINS])
+            tasks = [asyncio.create_task(greeted.run())]
+            await wait_until(lambda: greeted.view.table_version == 1)
+            await asyncio.sleep(0.1)
+            tasks.append(asyncio.create_task(follow(replicas, received).run()))
+            await wait_until(lambda: ORIGINS in received)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    asyncio.run(main())
+
+
+def test_nothing_is_sent_of_versions_while_one_serves():
+    received = []
+
+    async def main():
+        async with run_feeds([1], leader_number=0) as (replicas, _, _):
+            task = asyncio.create_task(follow(replicas, received).run())
+            await wait_until(lambda: received)
+            await asyncio.sleep(2 * publisher.LIST_READ_INTERVAL_S)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(main())
+    assert received == ["list"]
--- a/hickoryweir/forwarding/tests/test_stream_versions.py
+++ b/hickoryweir/forwarding/tests/test_stream_versions.py
@@ -6,8 +6,10 @@
 import aiohttp
 import pytest
 
-from hickoryweir.forwarding import headers
+from hickoryweir.feeds import messages
+from hickoryweir.forwarding import headers, resumption
 from hickoryweir.forwarding.tests import sites
+from hickoryweir.policy import stream_versions
 
 EVENTS_COUNT = 5
 STREAM_ID = "r-1"
@@ -136,3 +138,66 @@
             return await take_up(site, "r-9")
 
     assert asyncio.run(main())[0] == 200
+
+
+def test_streams_are_announced_only_while_two_versions_are_in_use():
+    announced = []
+
+    async def main():
+        async with run_site(("v1", None), ("v2", None)) as site:
+            site.forwarder.report_origin = lambda *origin: announced.append(origin)
+            site.forwarder.known_streams.listed_at_s.clear()
+            list_versions(site, ["v1"], site.backends[:1])
+            await site.call()
+            before = list(announced)
+            list_versions(site, ["v1", "v2"])
+            await site.call(given={headers.REQUEST_ID: "r-2"})
+            return before
+
+    assert asyncio.run(main()) == []
+    versions = [version for _, version, _ in announced]
+    keys = [key for *_, key in announced]
+    assert versions[0] == "v1"
+    assert keys == [stream_versions.stream_key("app", "", f"r-{n}") for n in (1, 2)]
+
+
+def test_stream_that_another_router_began_goes_on_at_its_version():
+    key = stream_versions.stream_key("app", "", "r-9")
+    message = messages.StreamOrigins("app", "v2", (key,))
+
+    async def main():
+        async with run_site(*[("v1", None)] * 4, ("v2", None)) as site:
+            task = asyncio.create_task(take_up(site, "r-9"))
+            # The announcement arrives after the client.
+            await asyncio.sleep(0.05)
+            resumption.apply_origins(site.forwarder, message)
+            return await task
+
+    status, _, body = asyncio.run(main())
+    assert (status, versions_in(body)) == (200, {b"data: v2"})
+
+
+def test_stream_is_refused_while_its_version_has_no_server_left():
+    async def main():
+        async with run_site(("v1", None), ("v2", None)) as site:
+            await begin(site, ["v1", "v2"])
+            list_versions(site, ["v2"], site.backends[1:])
+            found = await take_up(site)
+            return found, len(site.backends[1].seen)
+
+    (status, answer_headers, body), seen_count = asyncio.run(main())
+    assert (status, body, seen_count) == (503, b"version_unavailable\n", 0)
+    assert float(answer_headers["Retry-After"]) > 0.0
+
+
+@pytest.mark.parametrize("named", ["r-1", "r-2"])
+def test_stream_taken_up_twice_goes_on_by_either_id(named):
+    async def main():
+        servers = ("v1", None), *[("v2", None)] * 4
+        async with run_site(*servers) as site:
+            await begin(site, [version for version, _ in servers])
+            await take_up(site, "r-1", after="2", request_id="r-2")
+            return await take_up(site, named, after="4", request_id="r-3")
+
+    status, _, body = asyncio.run(main())
+    assert (status, versions_in(body)) == (200, {b"data: v1"})
