--- a/hickoryweir/forwarding/resumption.py
+++ b/hickoryweir/forwarding/resumption.py
@@ -10,7 +10,7 @@
 from hickoryweir import clocks
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages, publisher
-from hickoryweir.forwarding import contexts, errors
+from hickoryweir.forwarding import contexts, errors, server_pool
 from hickoryweir.observability import logs
 from hickoryweir.policy import stream_versions
 from hickoryweir.routes import model
@@ -18,6 +18,8 @@
 # Another router's announcement takes two hops and a delay of batching.
 ANNOUNCEMENT_WAIT_S = 0.2
 CHECK_INTERVAL_S = 0.02
+# A list shows a restart after its lag of about a second.
+RESTART_LISTED_AFTER_S = 2.0
 
 
 def lifetime_s(forwarder: contexts.Forwarder, service_name: str) -> float:
@@ -37,6 +39,31 @@
     return found_s
 
 
+def eligible_servers(context: contexts.RequestContext) -> list[server_pool.ServerView]:
+    """Return the available servers of the software version that binds a request.
+
+    A server that may have restarted since the list was read may run another version
+    than the list says, under the same id.
+    """
+    forwarder, name = context.forwarder, context.service_name
+    available = server_pool.available_servers(forwarder.pool, name)
+    if context.stream_version is None:
+        return available
+    has_several = has_several_versions(forwarder, name)
+    return [
+        view
+        for view in available
+        if view.listed.software_version == context.stream_version
+        and not (has_several and _may_have_restarted(forwarder, view))
+    ]
+
+
+def _may_have_restarted(
+    forwarder: contexts.Forwarder, view: server_pool.ServerView
+) -> bool:
+    return forwarder.list_read_at_s < view.lost_at_s + RESTART_LISTED_AFTER_S
+
+
 def _is_resumable(route: model.Route) -> bool:
     return route.is_stream and route.execution is not model.Execution.AT_MOST_ONCE
 
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -64,6 +64,8 @@
         Own requests there, by attempt number.
     suspect_until_s : float
         Until when the server is avoided after failures.
+    lost_at_s : float
+        When a response of it was last lost, on :func:`clocks.boottime_s`.
     is_unreachable : bool
         Whether the server is avoided until a probe reaches it.
     probes_count : int
@@ -93,6 +95,7 @@
     in_flight: dict[int, InFlightRequest] = dataclasses.field(default_factory=dict)
     failures_count: int = 0
     suspect_until_s: float = 0.0
+    lost_at_s: float = float("-inf")
     is_unreachable: bool = False
     probes_count: int = 0
     next_probe_s: float = 0.0
@@ -498,6 +501,7 @@
 
 def record_failed_response(view: ServerView, now_s: float) -> None:
     """Record a lost request or truncated response, and avoid the server."""
+    view.lost_at_s = clocks.boottime_s()
     record_failure(view, now_s)
     record_response(view, True, now_s)
 
--- a/hickoryweir/forwarding/server_selection.py
+++ b/hickoryweir/forwarding/server_selection.py
@@ -8,7 +8,12 @@
 import math
 import time
 
-from hickoryweir.forwarding import contexts, header_codec, server_pool
+from hickoryweir.forwarding import (
+    contexts,
+    header_codec,
+    resumption,
+    server_pool,
+)
 from hickoryweir.policy import (
     prefill_interference,
     prompt_admission,
@@ -60,13 +65,10 @@
     context: contexts.RequestContext,
 ) -> list[server_pool.ServerView]:
     """Return the available servers that may get the next attempt."""
-    version = context.stream_version
-    pool, name = context.forwarder.pool, context.service_name
     return [
         view
-        for view in server_pool.available_servers(pool, name)
+        for view in resumption.eligible_servers(context)
         if view.listed.server_id not in context.tried_server_ids
-        and version in (None, view.listed.software_version)
     ]
 
 
--- a/hickoryweir/forwarding/tests/test_stream_versions.py
+++ b/hickoryweir/forwarding/tests/test_stream_versions.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import contextlib
+import time
 
 import aiohttp
 import pytest
 
 from hickoryweir.feeds import messages
-from hickoryweir.forwarding import headers, resumption
+from hickoryweir.forwarding import headers, resumption, server_pool
 from hickoryweir.forwarding.tests import sites
 from hickoryweir.policy import stream_versions
 
@@ -201,3 +202,21 @@
 
     status, _, body = asyncio.run(main())
     assert (status, versions_in(body)) == (200, {b"data: v1"})
+
+
+def test_stream_does_not_go_on_at_a_server_that_may_have_restarted_since_the_list():
+    async def main():
+        async with run_site(("v1", None), ("v1", None), ("v2", None)) as site:
+            await begin(site, ["v1", "v1", "v2"])
+            views = site.forwarder.pool.servers
+            server_pool.record_failed_response(views["s0"], time.monotonic())
+            names = [f"r-{number}" for number in range(2, 8)]
+            taken_up = [await take_up(site, request_id=name) for name in names]
+            server_pool.record_failed_response(views["s1"], time.monotonic())
+            refused = await take_up(site, request_id="r-9")
+            return taken_up, refused, len(site.backends[0].seen)
+
+    taken_up, refused, seen_count = asyncio.run(main())
+    assert {status for status, _, _ in taken_up} == {200}
+    # The first server got the stream's beginning only.
+    assert (refused[0], seen_count) == (503, 1)
