Do not infer a stream's version from an old list of servers

A router that is cut off, or was suspended, holds a list from before a roll-out: it shows one version, and a stream that began at the second one would have gone on at the first. A list older than 3 s no longer vouches that one version is in use; a version that the router has been told holds.

Evidence: test_old_list_does_not_vouch_that_one_version_is_in_use; the decision did not take the age of the list before.

--- a/hickoryweir/forwarding/resumption.py
+++ b/hickoryweir/forwarding/resumption.py
@@ -105,7 +105,8 @@
     name = context.service_name
     key = _key(context, name, context.metadata.resumed_stream_id)
     alive_s = lifetime_s(forwarder, name)
-    return stream_versions.decide(state, name, key, now_s, alive_s)
+    list_age_s = now_s - forwarder.list_read_at_s
+    return stream_versions.decide(state, name, key, now_s, alive_s, list_age_s)
 
 
 def _key(context: contexts.RequestContext, service_name: str, stream_id: str) -> int:
--- a/hickoryweir/policy/stream_versions.py
+++ b/hickoryweir/policy/stream_versions.py
@@ -22,6 +22,8 @@
 MAX_VERSIONS_COUNT = 256
 # A stream lasts up to its route's timeout, and its client comes back for as long.
 LIFETIME_TIMEOUTS_COUNT = 2.0
+# Longer than the interval between two reads, also while the reader changes.
+MAX_LIST_AGE_S = 3.0
 
 
 class Source(enum.StrEnum):
@@ -157,7 +159,12 @@
 
 
 def decide(
-    state: StreamVersions, service_name: str, key: int, now_s: float, lifetime_s: float
+    state: StreamVersions,
+    service_name: str,
+    key: int,
+    now_s: float,
+    lifetime_s: float,
+    list_age_s: float,
 ) -> Resumption | Unknown:
     """Decide at which version a stream that a client takes up may go on.
 
@@ -173,11 +180,14 @@
         Time on :func:`hickoryweir.clocks.boottime_s`.
     lifetime_s : float
         How long a stream may be taken up after its beginning.
+    list_age_s : float
+        Age of the list of servers; an old one does not show that one version is in
+        use.
 
     Returns
     -------
     Resumption or Unknown
-        With a single version in use, that one, whoever asks.
+        With a single version in use, that one, also for a stream that is not known.
     """
     origin = state.origins.get(key)
     if origin is not None and origin.expires_at_s > now_s:
@@ -186,7 +196,7 @@
             return Resumption(origin.version, origin.source, age_s)
         return Unknown(versions_in_use(state, service_name, now_s, lifetime_s))
     versions = versions_in_use(state, service_name, now_s, lifetime_s)
-    if len(versions) > 1:
+    if len(versions) > 1 or list_age_s > MAX_LIST_AGE_S:
         return Unknown(versions)
     if not versions:
         return Resumption(None, Source.LIST, 0.0)
--- a/hickoryweir/policy/tests/test_stream_versions.py
+++ b/hickoryweir/policy/tests/test_stream_versions.py
@@ -22,8 +22,8 @@
     return stream_versions.Origin(SERVICE, version, source, at_s, at_s + LIFETIME_S)
 
 
-def decide(state, now_s=101.0, key=KEY):
-    return stream_versions.decide(state, SERVICE, key, now_s, LIFETIME_S)
+def decide(state, now_s=101.0, key=KEY, list_age_s=1.0):
+    return stream_versions.decide(state, SERVICE, key, now_s, LIFETIME_S, list_age_s)
 
 
 def test_known_stream_goes_on_at_its_version_whatever_is_listed():
@@ -37,6 +37,13 @@
     assert decide(make_state("v1")).version == "v1"
 
 
+def test_old_list_does_not_vouch_that_one_version_is_in_use():
+    state = make_state("v1")
+    assert isinstance(decide(state, list_age_s=3.5), stream_versions.Unknown)
+    stream_versions.record_origin(state, KEY, origin("v1"))
+    assert decide(state, list_age_s=3.5).version == "v1"
+
+
 @pytest.mark.parametrize(("now_s", "is_known"), [(119.0, False), (141.0, True)])
 def test_version_that_has_left_the_list_stays_in_use_for_a_streams_lifetime(
     now_s, is_known
@@ -152,7 +159,9 @@
         if site.now_s - at_s > LIFETIME_S:
             continue
         state = generator.choice(site.routers)
-        found = stream_versions.decide(state, SERVICE, taken_up, site.now_s, LIFETIME_S)
+        found = stream_versions.decide(
+            state, SERVICE, taken_up, site.now_s, LIFETIME_S, 0.0
+        )
         if isinstance(found, stream_versions.Resumption):
             resumed_count += 1
             assert found.version == version
