Ask replicas where a stream began instead of telling every router

Relaying each begun stream to all routers grows with the square of their number: at 18 streams a second and router a router would receive 46 kB/s among 30 routers and 2.2 MB/s among 1,404 (computed: two copies of 43 bytes a stream). Now a router tells two replicas and asks all of them when a client takes up a stream that it does not know: 1.5 kB/s sent, whatever the number of routers, and nothing received but answers.

The tests of relays became tests of questions: what a router gets is checked as strictly, and that it gets nothing unasked. The test with killed processes passes as before.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -106,6 +106,7 @@
             generator=random.Random(),
             report_lost=self._subscriber.report_lost,
             report_origin=self._subscriber.report_origin,
+            ask_origins=self._subscriber.ask_origins,
         )
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/hickoryweir/feeds/messages.py
+++ b/hickoryweir/feeds/messages.py
@@ -118,9 +118,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamOrigins:
-    """Streams that began at a software version; relayed to all other routers.
+    """Streams that began at a software version.
 
-    Sent only while more than one version of the service is in use.
+    Routers tell replicas while more than one version of the service is in use, and
+    replicas tell a router that asks.
 
     Attributes
     ----------
@@ -133,6 +134,13 @@
     keys: tuple[int, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginsRequest:
+    """Requests the origins of the streams with these keys."""
+
+    keys: tuple[int, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListedVersion:
     """A software version, and how long ago it was in a list of servers."""
@@ -151,6 +159,7 @@
 
 for _tag, _cls in (
     ("fd.stream_origins", StreamOrigins),
+    ("fd.origins_request", OriginsRequest),
     ("fd.listed_version", ListedVersion),
     ("fd.listed_versions", ListedVersions),
     ("fd.server_parts", ServerParts),
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -88,8 +88,9 @@
                     case messages.RequestsLost():
                         self._relay(message, connection)
                     case messages.StreamOrigins():
-                        if self._add_origins(message):
-                            self._relay(message, connection)
+                        self._add_origins(message)
+                    case messages.OriginsRequest():
+                        self._send_origins(connection, message.keys)
                     case messages.ListedVersions():
                         add_listed_versions(self._versions, message)
                     case messages.RouterLoads():
@@ -103,28 +104,27 @@
             self._loads.pop(connection, None)
             self._loads_changed = True
 
-    def _add_origins(self, message: messages.StreamOrigins) -> bool:
-        """Store the origins of streams; return whether any of them is new."""
+    def _add_origins(self, message: messages.StreamOrigins) -> None:
         origin = make_origin(message, ORIGINS_RETENTION_S)
-        added = [
+        for key in message.keys:
             stream_versions.record_origin(self._versions, key, origin)
-            for key in message.keys
-        ]
-        return any(added)
+
+    def _send_origins(
+        self, connection: connections.Connection, keys: tuple[int, ...]
+    ) -> None:
+        known = self._versions.origins
+        found = [(key, known[key]) for key in keys if key in known]
+        for message in make_stream_origins(found):
+            connection.offer(message)
 
     def _send_versions(self, connection: connections.Connection) -> None:
-        """Send a new subscriber what the other routers have told of versions."""
+        """Send a new subscriber the versions in use if a service has several."""
         listed = make_listed_versions(self._versions, ORIGINS_RETENTION_S)
-        if not listed.versions:
-            return
-        connection.offer(listed)
-        for message in make_stream_origins(self._versions.origins.items()):
-            connection.offer(message)
+        if listed.versions:
+            connection.offer(listed)
 
     def _relay(
-        self,
-        message: messages.RequestsLost | messages.StreamOrigins,
-        sender: connections.Connection,
+        self, message: messages.RequestsLost, sender: connections.Connection
     ) -> None:
         for connection in list(self._subscribers):
             if connection is not sender:
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -74,7 +74,7 @@
     on_loads : callable
         Called with the summed load of all routers and newly sent prompt parts.
     on_origins : callable
-        Called with streams that began at other routers.
+        Called with streams that a replica was asked for.
     on_listed_versions : callable
         Called with software versions that were listed lately.
     greet : callable
@@ -143,7 +143,7 @@
         self._lost_fingerprints.setdefault(server_id, []).append(fingerprint)
 
     def report_origin(self, service_name: str, software_version: str, key: int) -> None:
-        """Report where a stream began, batched with subsequent ones."""
+        """Tell replicas where a stream began, batched with subsequent ones."""
         if not self._origins:
             asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._send_origins)
         pair = (service_name, software_version)
@@ -156,6 +156,10 @@
             for connection in self._open_connections[:REPORT_REPLICAS_COUNT]:
                 connection.offer(message)
 
+    def ask_origins(self, keys: tuple[int, ...]) -> None:
+        """Ask all replicas where streams began."""
+        self.send_to_all(messages.OriginsRequest(keys))
+
     def send_to_all(self, message: object) -> None:
         """Send a message to all replicas that are connected."""
         for connection in self._open_connections:
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -90,8 +90,10 @@
     stream_lifetimes_s : dict
         For how long streams may be taken up, by service, for the table in force.
     report_origin : callable
-        ``report_origin(service_name, software_version, key)`` tells the other routers
+        ``report_origin(service_name, software_version, key)`` tells the replicas
         where a stream began.
+    ask_origins : callable
+        ``ask_origins(keys)`` asks the replicas where streams began.
     report_lost : callable
         ``report_lost(server_id, fingerprint)`` reports a lost request to the other
         routers.
@@ -134,6 +136,7 @@
     listed_versions: frozenset[tuple[str, str]] = frozenset()
     stream_lifetimes_s: dict[str, float] = dataclasses.field(default_factory=dict)
     report_origin: Callable[[str, str, int], None] = lambda service, version, key: None
+    ask_origins: Callable[[tuple[int, ...]], None] = lambda keys: None
     report_lost: Callable[[str, int], None] = lambda server_id, fingerprint: None
 
 
--- a/hickoryweir/forwarding/resumption.py
+++ b/hickoryweir/forwarding/resumption.py
@@ -15,8 +15,8 @@
 from hickoryweir.policy import stream_versions
 from hickoryweir.routes import model
 
-# Another router's announcement takes two hops and a delay of batching.
-ANNOUNCEMENT_WAIT_S = 0.2
+# A replica answers within milliseconds; its link may be slow.
+ORIGIN_WAIT_S = 0.2
 CHECK_INTERVAL_S = 0.02
 # A list shows a restart after its lag of about a second.
 RESTART_LISTED_AFTER_S = 2.0
@@ -79,12 +79,8 @@
     if not context.last_event_id or not _is_resumable(context.route):
         return None
     decision = _decide(context)
-    give_up_s = clocks.boottime_s() + ANNOUNCEMENT_WAIT_S
-    while isinstance(decision, stream_versions.Unknown):
-        if clocks.boottime_s() >= give_up_s:
-            break
-        await asyncio.sleep(CHECK_INTERVAL_S)
-        decision = _decide(context)
+    if isinstance(decision, stream_versions.Unknown):
+        decision = await _ask(context)
     _report(context, decision)
     if isinstance(decision, stream_versions.Unknown):
         return errors.Reason.VERSION_UNKNOWN
@@ -92,18 +88,42 @@
     return None
 
 
+async def _ask(
+    context: contexts.RequestContext,
+) -> stream_versions.Resumption | stream_versions.Unknown:
+    """Ask the replicas where a stream began, and decide by what they say in time."""
+    context.forwarder.ask_origins(tuple(_keys_by_service(context).values()))
+    give_up_s = clocks.boottime_s() + ORIGIN_WAIT_S
+    while True:
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        decision = _decide(context)
+        is_known = isinstance(decision, stream_versions.Resumption)
+        if is_known or clocks.boottime_s() >= give_up_s:
+            return decision
+
+
+def _keys_by_service(context: contexts.RequestContext) -> dict[str, int]:
+    """Return the stream's key at each service that its route may use."""
+    stream_id = context.metadata.resumed_stream_id
+    return {
+        item.service_name: _key(context, item.service_name, stream_id)
+        for item in context.route.destinations
+        if item.weight
+    }
+
+
 def _decide(
     context: contexts.RequestContext,
 ) -> stream_versions.Resumption | stream_versions.Unknown:
     """Decide for the service of the request, or for the one where it began."""
     forwarder, state = context.forwarder, context.forwarder.known_streams
     now_s = clocks.boottime_s()
-    names = [item.service_name for item in context.route.destinations if item.weight]
-    for name in names:
-        if _key(context, name, context.metadata.resumed_stream_id) in state.origins:
+    keys = _keys_by_service(context)
+    for name, key in keys.items():
+        if key in state.origins:
             context.service_name = name
     name = context.service_name
-    key = _key(context, name, context.metadata.resumed_stream_id)
+    key = keys[name]
     alive_s = lifetime_s(forwarder, name)
     list_age_s = now_s - forwarder.list_read_at_s
     return stream_versions.decide(state, name, key, now_s, alive_s, list_age_s)
@@ -174,7 +194,7 @@
 def _announce(
     forwarder: contexts.Forwarder, key: int, origin: stream_versions.Origin
 ) -> None:
-    """Tell the other routers where a stream began if they can't infer it."""
+    """Tell the replicas where a stream began if other routers can't infer it."""
     if origin.version is not None and has_several_versions(
         forwarder, origin.service_name
     ):
@@ -228,7 +248,7 @@
 def apply_origins(
     forwarder: contexts.Forwarder, message: messages.StreamOrigins
 ) -> None:
-    """Record where streams of other routers began."""
+    """Record where streams began that a replica was asked for."""
     if forwarder.route_index is None:
         alive_s = publisher.ORIGINS_RETENTION_S
     else:
--- a/hickoryweir/policy/stream_versions.py
+++ b/hickoryweir/policy/stream_versions.py
@@ -2,9 +2,10 @@
 
 Events of two software versions do not fit together.  Within one response a router
 knows the version of its stream.  A client that takes a stream up at another router
-names the request that brought the first event; nothing in that name tells the version,
-so routers tell each other while more than one version of a service is in use, and a
-stream whose version is not known is not resumed.
+names the request that brought the first event; nothing in that name tells the version.
+So while more than one version of a service is in use, routers tell the replicas where
+streams began and ask them for those they don't know, and a stream whose version stays
+unknown is not resumed.
 
 The load this answers: resumable streams during a roll-out, in which servers of two
 versions serve side by side while routers and servers restart.
