Fail a response with a malformed chunk at once

Callers saw: a stream or body whose chunk is malformed waited for the route's timeout (2.0 s in the tests, 504 for a body), although the fault was known at once, and a resumable stream did not go on at a second server.

Cause: aiohttp reports an error of its parser to the reader of the next head only. The connection now fails the body that is being read as well.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -61,6 +61,10 @@
     def data_received(self, data: bytes) -> None:
         """Count the bytes received since the last content."""
         super().data_received(data)
+        if self.exception() is not None:
+            # aiohttp tells this to the next reader of a head, not to that of the body.
+            self._give_up("malformed response")
+            return
         content_size_bytes = 0 if self._payload is None else self._payload.total_bytes
         if content_size_bytes != self._content_size_bytes:
             self._content_size_bytes = content_size_bytes
--- a/hickoryweir/forwarding/tests/sites.py
+++ b/hickoryweir/forwarding/tests/sites.py
@@ -28,6 +28,8 @@
 HOST = "127.0.0.1"
 IDLE_S = 5.0
 WAIT_S = 5.0
+# Long enough for the router to read a part by itself.
+PART_INTERVAL_S = 0.02
 SLOW_READER_BUFFER_SIZE_BYTES = 4_096
 
 
@@ -77,16 +79,21 @@
 
 
 @contextlib.asynccontextmanager
-async def run_raw_backends(count, *responses):
+async def run_raw_backends(count, *responses, open_s=0.0):
     """Run backend servers that send the bytes of the next response, then close.
 
-    They share the responses and the list of received heads.
+    They share the responses and the list of received heads.  A response may be a tuple
+    of parts that are sent apart.  Connections stay open for `open_s` after a response.
     """
     seen, left = [], list(responses)
 
     async def handle(reader, writer):
         seen.append(await reader.readuntil(b"\r\n\r\n"))
-        writer.write(left.pop(0))
+        response = left.pop(0)
+        for part in response if isinstance(response, tuple) else (response,):
+            writer.write(part)
+            await asyncio.sleep(PART_INTERVAL_S)
+        await asyncio.sleep(open_s)
         writer.close()
 
     backends = []
--- a/hickoryweir/forwarding/tests/test_truncated_streams.py
+++ b/hickoryweir/forwarding/tests/test_truncated_streams.py
@@ -31,11 +31,11 @@
 FRAMINGS = [unframed, with_length, in_chunks]
 
 
-async def call(route, *responses, method="POST"):
+async def call(route, *responses, method="POST", open_s=0.0):
     """Return the status and body of a call, and the heads that the servers received."""
     async with (
         sites.run_site([], routes=(route,)) as site,
-        sites.run_raw_backends(2, *responses) as backends,
+        sites.run_raw_backends(2, *responses, open_s=open_s) as backends,
     ):
         sites.list_servers(site.forwarder, backends)
         status, _, body = await site.call(method)
