Give the ends of responses a type, a counter and a line for plain ones

How a response of a server ended is one type (engines/framing.End), counted by service and logged for plain responses too, which failed without a line before.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -37,6 +37,35 @@
     return Framing.CONNECTION
 
 
+class End(enum.StrEnum):
+    """How a response ended; all but `WHOLE` count as lost."""
+
+    WHOLE = "whole"
+    NO_HEAD = "no valid head"
+    CUT_IN_BODY = "cut in its body"
+    CUT_IN_EVENT = "ends inside an event"
+    CUT_BEFORE_EVENTS = "ends before its first event"
+    MALFORMED = "malformed"
+    TOO_LARGE = "beyond a bound"
+
+
+class MalformedResponseError(aiohttp.ClientPayloadError):
+    """A response that is being read is not valid HTTP."""
+
+
+class OversizedResponseError(aiohttp.ClientPayloadError):
+    """A response that is being read exceeds a bound."""
+
+
+def end_of(error: Exception) -> End:
+    """Return how a body ended that could not be read further."""
+    if isinstance(error, MalformedResponseError):
+        return End.MALFORMED
+    if isinstance(error, OversizedResponseError):
+        return End.TOO_LARGE
+    return End.CUT_IN_BODY
+
+
 class ResponseProtocol(client_proto.ResponseHandler):
     """Records a reset, and closes a connection that receives too much but content.
 
@@ -63,7 +92,7 @@
         super().data_received(data)
         if self.exception() is not None:
             # aiohttp tells this to the next reader of a head, not to that of the body.
-            self._give_up("malformed response")
+            self._give_up(MalformedResponseError("malformed response"))
             return
         content_size_bytes = 0 if self._payload is None else self._payload.total_bytes
         if content_size_bytes != self._content_size_bytes:
@@ -72,11 +101,10 @@
             return
         self._overhead_size_bytes += len(data)
         if self._overhead_size_bytes > MAX_OVERHEAD_SIZE_BYTES:
-            self._give_up("too many bytes without content")
+            self._give_up(OversizedResponseError("too many bytes without content"))
 
-    def _give_up(self, reason: str) -> None:
+    def _give_up(self, error: aiohttp.ClientPayloadError) -> None:
         """Fail the response that is being received, and close the connection."""
-        error = aiohttp.ClientPayloadError(reason)
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(error)
         self.set_exception(error)
--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -12,7 +12,7 @@
 import multidict
 import yarl
 
-from hickoryweir.engines import framing, sessions
+from hickoryweir.engines import event_stream, framing, sessions
 from hickoryweir.forwarding import header_codec
 
 # Closing the connection is cheaper than reading a larger response.
@@ -136,26 +136,38 @@
         response.close()
 
 
-async def read_body(answered: Answered) -> bytes | None:
-    """Return the body of a response; None if it is incomplete.
+async def read_body(answered: Answered) -> bytes:
+    """Return the body of a response.
 
-    A body larger than `MAX_BUFFERED_RESPONSE_SIZE_BYTES` counts as incomplete.
+    Raises
+    ------
+    IncompleteResponseError
+        It is not whole, or larger than `MAX_BUFFERED_RESPONSE_SIZE_BYTES`.
     """
     chunks, size_bytes = [], 0
-    try:
-        while chunk := await read_chunk(answered):
-            chunks.append(chunk)
-            size_bytes += len(chunk)
-            if size_bytes > MAX_BUFFERED_RESPONSE_SIZE_BYTES:
-                answered.response.close()
-                return None
-    except IncompleteResponseError:
-        return None
-    return b"".join(chunks)
+    while chunk := await read_chunk(answered):
+        chunks.append(chunk)
+        size_bytes += len(chunk)
+        if size_bytes > MAX_BUFFERED_RESPONSE_SIZE_BYTES:
+            raise IncompleteResponseError(framing.End.TOO_LARGE, "body")
+    body = b"".join(chunks)
+    if event_stream.is_truncated(answered.response.content_type, body):
+        raise IncompleteResponseError(framing.End.CUT_IN_EVENT)
+    return body
 
 
 class IncompleteResponseError(Exception):
-    """The connection ended before the end of the response."""
+    """A response is not whole.
+
+    Attributes
+    ----------
+    end : framing.End
+        How it ended instead.
+    """
+
+    def __init__(self, end: framing.End, detail: str = "") -> None:
+        super().__init__(f"{end}: {detail}" if detail else str(end))
+        self.end = end
 
 
 async def read_chunk(answered: Answered) -> bytes:
@@ -171,10 +183,11 @@
         chunk = await response.content.readany()
     except (aiohttp.ClientError, sessions.ConnectionLostError, OSError) as error:
         response.close()
-        raise IncompleteResponseError(type(error).__name__) from error
+        detail = type(error).__name__
+        raise IncompleteResponseError(framing.end_of(error), detail) from error
     except asyncio.CancelledError:
         response.close()
         raise
     if not chunk and framing.ended_by_reset(response, answered.protocol):
-        raise IncompleteResponseError("reset")
+        raise IncompleteResponseError(framing.End.CUT_IN_BODY, "reset")
     return chunk
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from hickoryweir import clocks
+from hickoryweir.engines import framing
 from hickoryweir.forwarding import (
     contexts,
     errors,
@@ -364,6 +365,7 @@
                 view.is_misdirected = True
             return errors.Reason.SERVER_REFUSED
         case exchange.Lost():
+            responses.count_end(context, framing.End.NO_HEAD)
             context.may_have_run = True
             contexts.record_loss(context, view.listed.server_id)
             server_pool.record_failed_response(view, now_s)
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -76,11 +76,13 @@
     is_failure = answered.response.status >= FIRST_FAILURE_STATUS
     if context.route.is_stream and not is_failure:
         return await _forward_stream(context, view, answered)
-    body = await exchange.read_body(answered)
-    media_type = answered.response.content_type
-    if body is None or event_stream.is_truncated(media_type, body):
-        server_pool.record_failed_response(view, time.monotonic())
+    try:
+        body = await exchange.read_body(answered)
+    except exchange.IncompleteResponseError as error:
+        answered.response.close()
+        _record_incomplete(context, view, error, _describe_framing(answered))
         return errors.Reason.OUTCOME_UNKNOWN
+    count_end(context, framing.End.WHOLE)
     headers = header_codec.end_to_end_headers(
         answered.response.headers, NOTHING_DROPPED
     )
@@ -107,8 +109,9 @@
         await _forward_events(context, view, answered, splitter)
     except exchange.IncompleteResponseError as error:
         answered.response.close()
-        end = _describe_end(answered, splitter)
-        return _record_broken_stream(context, view, str(error), end)
+        contexts.record_loss(context, view.listed.server_id)
+        _record_incomplete(context, view, error, _describe_end(answered, splitter))
+        return errors.Reason.OUTCOME_UNKNOWN
     if context.stream_response is None:
         await _start_stream_response(context, answered)
     if splitter.pending:
@@ -116,6 +119,7 @@
     await context.stream_response.write_eof()
     contexts.record_completion(context)
     server_pool.record_response(view, False, time.monotonic())
+    count_end(context, framing.End.WHOLE)
     _record_completed_stream(context, view, _describe_end(answered, splitter))
     return context.stream_response
 
@@ -136,7 +140,7 @@
     while chunk := await exchange.read_chunk(answered):
         events = event_stream.split_events(splitter, chunk)
         if len(splitter.pending) > event_stream.MAX_EVENT_SIZE_BYTES:
-            raise exchange.IncompleteResponseError("event too large")
+            raise exchange.IncompleteResponseError(framing.End.TOO_LARGE, "event")
         if events:
             if not context.in_flight.has_first_event:
                 resumption.record_first_event(context)
@@ -146,18 +150,27 @@
             await _write_events(context, answered, events)
             _record_resume_point(context, splitter, events)
     if event_stream.has_open_event(splitter):
-        raise exchange.IncompleteResponseError("ends inside an event")
+        raise exchange.IncompleteResponseError(framing.End.CUT_IN_EVENT)
     is_empty = context.stream_response is None and not context.last_event_id
     is_unframed = framing.framing_of(answered.response) is framing.Framing.CONNECTION
     if is_empty and is_unframed and not splitter.is_opaque:
-        raise exchange.IncompleteResponseError("ends before its first event")
+        raise exchange.IncompleteResponseError(framing.End.CUT_BEFORE_EVENTS)
 
 
 def _describe_end(answered: exchange.Answered, splitter: event_stream.Splitter) -> str:
     """Return how a server's stream was framed, and what it left incomplete."""
-    framed_by = framing.framing_of(answered.response)
     open_size_bytes = len(splitter.pending)
-    return f"framed by {framed_by}, {open_size_bytes} bytes of an open event"
+    return f"{_describe_framing(answered)}, {open_size_bytes} bytes of an open event"
+
+
+def _describe_framing(answered: exchange.Answered) -> str:
+    return f"framed by {framing.framing_of(answered.response)}"
+
+
+def count_end(context: contexts.RequestContext, end: framing.End) -> None:
+    """Count how a response of a server ended."""
+    ends = context.forwarder.metrics.response_ends
+    ends.labels(context.service_name, end.value).inc()
 
 
 async def _write_events(
@@ -212,20 +225,20 @@
     logs.info("stream completed", fields)
 
 
-def _record_broken_stream(
+def _record_incomplete(
     context: contexts.RequestContext,
     view: server_pool.ServerView,
-    reason: str,
+    error: exchange.IncompleteResponseError,
     end: str,
-) -> errors.Reason:
+) -> None:
     server_pool.record_failed_response(view, time.monotonic())
-    contexts.record_loss(context, view.listed.server_id)
+    count_end(context, error.end)
     fields = logs.Fields(
         request_id=context.metadata.request_id,
         class_name=context.route.name,
         backend_server=view.listed.server_id,
-        reason=reason,
+        reason=str(error),
         detail=f"after event {context.last_event_id or 'none'}, {end}",
     )
-    logs.warning("stream ended early", fields)
-    return errors.Reason.OUTCOME_UNKNOWN
+    kind = "stream" if context.route.is_stream else "response"
+    logs.warning(f"{kind} ended early", fields)
--- a/hickoryweir/forwarding/tests/test_truncated_streams.py
+++ b/hickoryweir/forwarding/tests/test_truncated_streams.py
@@ -1,6 +1,7 @@
 """Tests of streams that a backend server breaks off without an error."""
 
 import asyncio
+import contextlib
 
 import aiohttp
 import pytest
@@ -149,3 +150,31 @@
     response = HEAD.replace(b"200 OK", status) + b"\r\n"
     found = asyncio.run(call(sites.resumable_route(), response, method=method))
     assert found[:2] == (int(status[:3]), b"")
+
+
+@pytest.mark.parametrize(
+    ("response", "end"),
+    [
+        (unframed(WHOLE), "whole"),
+        (unframed(CUT_IN_AN_EVENT), "ends inside an event"),
+        (unframed(b""), "ends before its first event"),
+        (with_length(WHOLE)[:-5], "cut in its body"),
+        (HEAD, "no valid head"),
+    ],
+    ids=["whole", "in an event", "empty", "short", "no head"],
+)
+def test_ends_of_responses_are_counted(response, end):
+    async def main():
+        route = sites.at_most_once_route(is_stream=True)
+        async with (
+            sites.run_site([], routes=(route,)) as site,
+            sites.run_raw_backends(1, response) as backends,
+        ):
+            sites.list_servers(site.forwarder, backends)
+            with contextlib.suppress(aiohttp.ClientPayloadError):
+                await site.call()
+            return site.forwarder.metrics.registry.get_sample_value(
+                "hickoryweir_response_ends_total", {"service": "app", "end": end}
+            )
+
+    assert asyncio.run(main()) == 1.0
--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -23,6 +23,8 @@
     notices : prometheus_client.Counter
         Notices of servers by service and kind: ``leaving``, ``pause``, ``return``,
         ``ignored``.
+    response_ends : prometheus_client.Counter
+        Responses of servers by service and end: ``whole``, or how they fell short.
     resumptions : prometheus_client.Counter
         Streams that clients took up, by service and outcome: ``goes on``, ``refused``.
     servers : prometheus_client.Gauge
@@ -41,6 +43,7 @@
     attempts: prometheus_client.Counter
     second_sends: prometheus_client.Counter
     notices: prometheus_client.Counter
+    response_ends: prometheus_client.Counter
     resumptions: prometheus_client.Counter
     servers: prometheus_client.Gauge
     table_version: prometheus_client.Gauge
@@ -62,6 +65,7 @@
         attempts=counter("attempts", "Attempts at servers.", "service", "outcome"),
         second_sends=counter("second_sends", "Repeats.", "service", "allowed"),
         notices=counter("server_notices", "Notices of servers.", "service", "kind"),
+        response_ends=counter("response_ends", "Responses.", "service", "end"),
         resumptions=counter("resumptions", "Streams taken up.", "service", "outcome"),
         servers=gauge("servers", "Servers in the list.", "service", "state"),
         table_version=gauge("table_version", "Version of the routing table."),
