--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -11,7 +11,7 @@
 from hickoryweir.discovery import listing
 from hickoryweir.engines import sessions
 from hickoryweir.entry import adapters, metrics_port, settings
-from hickoryweir.feeds import messages, publisher, subscriber
+from hickoryweir.feeds import messages, subscriber, versions
 from hickoryweir.forwarding import (
     contexts,
     notices,
@@ -231,8 +231,8 @@
 
     def _make_listed_versions(self) -> list[messages.ListedVersions]:
         """Return the versions to tell the replicas; none while one serves."""
-        message = publisher.make_listed_versions(
-            self.forwarder.known_streams, publisher.ORIGINS_RETENTION_S
+        message = versions.make_listed_versions(
+            self.forwarder.known_streams, versions.ORIGINS_RETENTION_S
         )
         return [message] if message.versions else []
 
@@ -242,7 +242,7 @@
         if not listed:
             return []
         origins = resumption.own_origins(self.forwarder)
-        return [*listed, *publisher.make_stream_origins(origins)]
+        return [*listed, *versions.make_stream_origins(origins)]
 
     def _apply_loads(self, total: messages.TotalLoads) -> None:
         now_s = time.monotonic()
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -3,14 +3,14 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import aiohttp
 from returns import result
 
 from hickoryweir import clocks
 from hickoryweir.discovery import listing
-from hickoryweir.feeds import messages
+from hickoryweir.feeds import messages, versions
 from hickoryweir.observability import logs
 from hickoryweir.policy import stream_versions
 from hickoryweir.replicas import wire
@@ -25,10 +25,6 @@
 LIST_READ_INTERVAL_S = 0.8
 # A tenth of the duration of a request; halving it would double the traffic.
 LOADS_INTERVAL_S = 0.1
-# Longer than a stream and the time for which its client comes back.
-ORIGINS_RETENTION_S = 120.0
-# About 4 kB.
-MAX_ORIGINS_PER_MESSAGE = 400
 # Random ids from a range this large do not collide between successive leaders.
 LIST_IDS_COUNT = 1 << 48
 
@@ -92,7 +88,7 @@
                     case messages.OriginsRequest():
                         self._send_origins(connection, message.keys)
                     case messages.ListedVersions():
-                        add_listed_versions(self._versions, message)
+                        versions.add_listed_versions(self._versions, message)
                     case messages.RouterLoads():
                         self._loads[connection] = message.loads
                         self._loads_changed = True
@@ -105,7 +101,7 @@
             self._loads_changed = True
 
     def _add_origins(self, message: messages.StreamOrigins) -> None:
-        origin = make_origin(message, ORIGINS_RETENTION_S)
+        origin = versions.make_origin(message, versions.ORIGINS_RETENTION_S)
         for key in message.keys:
             stream_versions.record_origin(self._versions, key, origin)
 
@@ -114,12 +110,14 @@
     ) -> None:
         known = self._versions.origins
         found = [(key, known[key]) for key in keys if key in known]
-        for message in make_stream_origins(found):
+        for message in versions.make_stream_origins(found):
             connection.offer(message)
 
     def _send_versions(self, connection: connections.Connection) -> None:
         """Send a new subscriber the versions in use if a service has several."""
-        listed = make_listed_versions(self._versions, ORIGINS_RETENTION_S)
+        listed = versions.make_listed_versions(
+            self._versions, versions.ORIGINS_RETENTION_S
+        )
         if listed.versions:
             connection.offer(listed)
 
@@ -228,68 +226,6 @@
             connection.offer(message)
 
 
-def make_origin(
-    message: messages.StreamOrigins, lifetime_s: float
-) -> stream_versions.Origin:
-    """Return the origin that a message announces."""
-    now_s = clocks.boottime_s()
-    return stream_versions.Origin(
-        message.service_name,
-        message.software_version,
-        stream_versions.Source.ANNOUNCED,
-        now_s,
-        now_s + lifetime_s,
-    )
-
-
-def make_stream_origins(
-    origins: Iterable[tuple[int, stream_versions.Origin]],
-) -> list[messages.StreamOrigins]:
-    """Return messages that announce the origins of streams that are still alive."""
-    now_s = clocks.boottime_s()
-    keys: dict[tuple[str, str], list[int]] = {}
-    for key, origin in origins:
-        if origin.version is not None and origin.expires_at_s > now_s:
-            keys.setdefault((origin.service_name, origin.version), []).append(key)
-    return [
-        messages.StreamOrigins(*pair, tuple(found[at : at + MAX_ORIGINS_PER_MESSAGE]))
-        for pair, found in keys.items()
-        for at in range(0, len(found), MAX_ORIGINS_PER_MESSAGE)
-    ]
-
-
-def make_listed_versions(
-    state: stream_versions.StreamVersions, retention_s: float
-) -> messages.ListedVersions:
-    """Return the versions of the services that have had more than one lately."""
-    now_s = clocks.boottime_s()
-    names = {name for name, _ in state.listed_at_s}
-    found = {
-        name: stream_versions.versions_in_use(state, name, now_s, retention_s)
-        for name in names
-    }
-    return messages.ListedVersions(
-        tuple(
-            messages.ListedVersion(
-                name, version, now_s - state.listed_at_s[name, version]
-            )
-            for name, versions in sorted(found.items())
-            if len(versions) > 1
-            for version in versions
-        )
-    )
-
-
-def add_listed_versions(
-    state: stream_versions.StreamVersions, message: messages.ListedVersions
-) -> None:
-    """Store versions that another process has seen in a list."""
-    now_s = clocks.boottime_s()
-    for item in message.versions:
-        pair = (item.service_name, item.software_version)
-        stream_versions.record_listed(state, [pair], now_s - item.age_s)
-
-
 def sum_loads(
     reports: list[tuple[messages.ServerLoad, ...]],
 ) -> tuple[messages.ServerLoad, ...]:
--- a/hickoryweir/forwarding/resumption.py
+++ b/hickoryweir/forwarding/resumption.py
@@ -9,7 +9,7 @@
 
 from hickoryweir import clocks
 from hickoryweir.discovery import listing
-from hickoryweir.feeds import messages, publisher
+from hickoryweir.feeds import messages, versions
 from hickoryweir.forwarding import contexts, errors, server_pool
 from hickoryweir.observability import logs
 from hickoryweir.policy import stream_versions
@@ -218,7 +218,7 @@
 ) -> None:
     """Record versions that other processes have seen in a list."""
     with _announcing_earlier_streams(forwarder):
-        publisher.add_listed_versions(forwarder.known_streams, message)
+        versions.add_listed_versions(forwarder.known_streams, message)
 
 
 @contextlib.contextmanager
@@ -250,10 +250,10 @@
 ) -> None:
     """Record where streams began that a replica was asked for."""
     if forwarder.route_index is None:
-        alive_s = publisher.ORIGINS_RETENTION_S
+        alive_s = versions.ORIGINS_RETENTION_S
     else:
         alive_s = lifetime_s(forwarder, message.service_name)
-    origin = publisher.make_origin(message, alive_s)
+    origin = versions.make_origin(message, alive_s)
     for key in message.keys:
         stream_versions.record_origin(forwarder.known_streams, key, origin)
 
