--- a/hickoryweir/testing/soak/backends.py
+++ b/hickoryweir/testing/soak/backends.py
@@ -11,6 +11,9 @@
 from hickoryweir.forwarding import headers
 from hickoryweir.testing import proxies
 
+# Ways in which a response is broken off; ``unframed`` ends it by a clean close.
+TRUNCATIONS = ("cut", "unframed", "malformed", "endless")
+ENDLESS_BLOCK = b"x" * 16_384
 EVENTS_COUNT = 20
 EVENT_INTERVAL_S = 0.03
 EXECUTION_S = 0.02
@@ -28,7 +31,8 @@
     runs : collections.Counter
         Number of executions by request id.
     fault : str
-        Active fault: ``refuse``, ``cut``, ``slow``, or empty if there is none.
+        Active fault: ``refuse``, ``slow``, one of `TRUNCATIONS`, or empty if there is
+        none.
     is_leaving : bool
         Whether it says on all its responses that it leaves.
     pause_s : float
@@ -112,19 +116,51 @@
     await asyncio.sleep(SLOW_EXECUTION_S if backend.fault == "slow" else EXECUTION_S)
     if "/stream/" in request.raw_path:
         return await _stream(backend, request, request_id)
-    if backend.fault == "cut":
+    if backend.fault in ("malformed", "endless"):
+        return await _break_off(backend, request, request_id, b"")
+    if backend.fault in TRUNCATIONS:
         request.transport.abort()
     return web.Response(text=make_body(request_id), headers=echoed)
 
 
+async def _break_off(
+    backend: Backend, request: web.BaseRequest, request_id: str, body: bytes
+) -> web.StreamResponse:
+    """Send a part of a response and break it off in the way of the active fault."""
+    fault, transport = backend.fault, request.transport
+    framing = "" if fault == "unframed" else "Transfer-Encoding: chunked\r\n"
+    head = (
+        f"HTTP/1.1 200 OK\r\n{headers.REQUEST_ID}: {request_id}\r\n"
+        f"Content-Type: text/event-stream\r\n{framing}\r\n"
+    )
+    chunk = b"%x\r\n%b\r\n" % (len(body), body) if framing and body else body
+    transport.write(head.encode() + chunk)
+    await asyncio.sleep(EVENT_INTERVAL_S)
+    if fault == "unframed":
+        transport.write(b"data: ")
+    elif fault == "malformed":
+        transport.write(b"zz\r\n")
+    else:
+        transport.write(b"5;")
+        while not transport.is_closing():
+            transport.write(ENDLESS_BLOCK)
+            await asyncio.sleep(EVENT_INTERVAL_S)
+    transport.close()
+    return web.Response()
+
+
 async def _stream(
     backend: Backend, request: web.BaseRequest, request_id: str
 ) -> web.StreamResponse:
+    last = request.headers.get(headers.LAST_EVENT_ID, "")
+    first = int(last) + 1 if last.isdecimal() else 0
+    if backend.fault in TRUNCATIONS[1:]:
+        numbers = range(first, (first + EVENTS_COUNT) // 2)
+        body = b"".join(make_event(request_id, number) for number in numbers)
+        return await _break_off(backend, request, request_id, body)
     sent_headers = {headers.REQUEST_ID: request_id, "Content-Type": "text/event-stream"}
     response = web.StreamResponse(headers=sent_headers)
     await response.prepare(request)
-    last = request.headers.get(headers.LAST_EVENT_ID, "")
-    first = int(last) + 1 if last.isdecimal() else 0
     for number in range(first, EVENTS_COUNT):
         if backend.fault == "cut" and number == EVENTS_COUNT // 2:
             request.transport.abort()
--- a/hickoryweir/testing/soak/faults.py
+++ b/hickoryweir/testing/soak/faults.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from hickoryweir.testing import proxies
+from hickoryweir.testing.soak import backends
 from hickoryweir.testing.soak import cluster as clusters
 
 FAULT_INTERVAL_MIN_S, FAULT_INTERVAL_MAX_S = 0.3, 2.0
@@ -142,7 +143,8 @@
     """Make a backend server refuse requests, truncate its answers, or be slow."""
     server = context.generator.choice(context.cluster.servers)
     began_s = time.monotonic()
-    server.fault = context.generator.choice(("refuse", "cut", "slow"))
+    faults = ("refuse", "slow", *backends.TRUNCATIONS)
+    server.fault = context.generator.choice(faults)
     kind = server.fault
     await asyncio.sleep(
         context.generator.uniform(FAULT_DURATION_MIN_S, FAULT_DURATION_MAX_S)
