Count a version as in use until the last list that had it

A list that is read again without a change is not applied again, so the versions of an unchanged list were forgotten after two route timeouts: with two versions listed for longer than that, a stream that a router did not know would have gone on at any of them, and a version that left counted as gone since the list's last change. Found by reading the code, not seen.

Now the versions of the list in force count as listed at its last read.

Evidence: two tests of test_stream_versions.py failed before. The setup of test_streams_are_announced_only_while_two_versions_are_in_use also clears the list in force, as the second version is not to be listed yet there.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -197,7 +197,6 @@
 
     def _apply_server_list(self, server_list: listing.ServerList) -> None:
         server_pool.update_servers(self.forwarder.pool, server_list)
-        self.forwarder.list_read_at_s = server_list.read_at_s
         if resumption.apply_list(self.forwarder, server_list):
             self._send_listed_versions()
         self._update_started()
@@ -231,6 +230,7 @@
 
     def _make_listed_versions(self) -> list[messages.ListedVersions]:
         """Return the versions to tell the replicas; none while one serves."""
+        resumption.refresh_versions(self.forwarder)
         message = versions.make_listed_versions(
             self.forwarder.known_streams, versions.ORIGINS_RETENTION_S
         )
--- a/hickoryweir/forwarding/resumption.py
+++ b/hickoryweir/forwarding/resumption.py
@@ -117,6 +117,7 @@
 ) -> stream_versions.Resumption | stream_versions.Unknown:
     """Decide for the service of the request, or for the one where it began."""
     forwarder, state = context.forwarder, context.forwarder.known_streams
+    refresh_versions(forwarder)
     now_s = clocks.boottime_s()
     keys = _keys_by_service(context)
     for name, key in keys.items():
@@ -204,15 +205,27 @@
 def apply_list(forwarder: contexts.Forwarder, server_list: listing.ServerList) -> bool:
     """Record the versions in a list; return whether they differ from the last one's."""
     listed = listing.versions_of(server_list)
+    refresh_versions(forwarder)
     with _announcing_earlier_streams(forwarder):
         stream_versions.record_listed(
             forwarder.known_streams, listed, server_list.read_at_s
         )
     has_changed = listed != forwarder.listed_versions
     forwarder.listed_versions = listed
+    forwarder.list_read_at_s = server_list.read_at_s
     return has_changed
 
 
+def refresh_versions(forwarder: contexts.Forwarder) -> None:
+    """Record that the versions of the list in force were in its last read as well.
+
+    A list that is read again without a change is not applied again.
+    """
+    stream_versions.record_listed(
+        forwarder.known_streams, forwarder.listed_versions, forwarder.list_read_at_s
+    )
+
+
 def apply_listed_versions(
     forwarder: contexts.Forwarder, message: messages.ListedVersions
 ) -> None:
@@ -262,10 +275,11 @@
     """Return whether streams that are still alive may have begun at two versions."""
     if forwarder.route_index is None:
         return False
-    versions = stream_versions.versions_in_use(
+    refresh_versions(forwarder)
+    in_use = stream_versions.versions_in_use(
         forwarder.known_streams,
         service_name,
         clocks.boottime_s(),
         lifetime_s(forwarder, service_name),
     )
-    return len(versions) > 1
+    return len(in_use) > 1
--- a/hickoryweir/forwarding/tests/sites.py
+++ b/hickoryweir/forwarding/tests/sites.py
@@ -193,7 +193,6 @@
     )
     found = listing.ServerList(servers, clocks.boottime_s())
     server_pool.update_servers(forwarder.pool, found)
-    forwarder.list_read_at_s = found.read_at_s
     resumption.apply_list(forwarder, found)
     forwarder.started.set()
 
--- a/hickoryweir/forwarding/tests/test_stream_versions.py
+++ b/hickoryweir/forwarding/tests/test_stream_versions.py
@@ -147,7 +147,9 @@
     async def main():
         async with run_site(("v1", None), ("v2", None)) as site:
             site.forwarder.report_origin = lambda *origin: announced.append(origin)
+            # As if the second version had not been listed yet.
             site.forwarder.known_streams.listed_at_s.clear()
+            site.forwarder.listed_versions = frozenset()
             list_versions(site, ["v1"], site.backends[:1])
             await site.call()
             before = list(announced)
@@ -223,3 +225,29 @@
     assert {status for status, _, _ in taken_up} == {200}
     # The first server got the stream's beginning only.
     assert (refused[0], seen_count) == (503, 1)
+
+
+def forget_changes(site):
+    """Let the list be unchanged for longer than any stream lasts."""
+    listed_at_s = site.forwarder.known_streams.listed_at_s
+    for pair in listed_at_s:
+        listed_at_s[pair] -= 1000.0
+
+
+def test_versions_of_a_list_that_has_not_changed_for_long_are_still_in_use():
+    async def main():
+        async with run_site(("v1", None), ("v2", None)) as site:
+            forget_changes(site)
+            return await take_up(site, "r-9")
+
+    assert asyncio.run(main())[0] == 503
+
+
+def test_version_is_in_use_from_the_last_list_that_had_it():
+    async def main():
+        async with run_site(("v1", None), ("v2", None)) as site:
+            forget_changes(site)
+            list_versions(site, ["v2"], site.backends[1:])
+            return await take_up(site, "r-9")
+
+    assert asyncio.run(main())[0] == 503
