Close the connection on which another request's response came

Callers saw: nothing; found by the test with random bytes. A response without a body is at its end when its head is read, so its connection went back to the pool before the router saw that it bears another request's id, and closing the response had no effect any more. The next response on that connection may again be another request's, and was recognized by its id only.

The readers of engines and services close it likewise.

--- a/hickoryweir/engines/client.py
+++ b/hickoryweir/engines/client.py
@@ -142,7 +142,7 @@
             failure = failures.failed("the reused connection had been closed")
         return result.Failure(failure)
     if response.headers.get(headers.REQUEST_ID, call.request_id) != call.request_id:
-        response.close()
+        framing.close_connection(response)
         return result.Failure(failures.mismatched())
     return result.Success(response)
 
--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -135,9 +135,16 @@
 
 
 def protocol_of(response: aiohttp.ClientResponse) -> ResponseProtocol | None:
-    """Return the protocol of a response whose body is unread; None if it has ended."""
-    connection = response.connection
-    return None if connection is None else connection.protocol
+    """Return the protocol of a response, also after it has been released."""
+    return response._protocol
+
+
+def close_connection(response: aiohttp.ClientResponse) -> None:
+    """Close the connection of a response, also after it has been released."""
+    response.close()
+    protocol = protocol_of(response)
+    if protocol is not None:
+        protocol.close()
 
 
 def ended_by_reset(
--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -117,7 +117,7 @@
 ) -> Outcome:
     metadata = codec.parse_response(response.status, response.headers)
     if metadata.request_id != request.request_id and not metadata.is_misdirected:
-        response.close()
+        framing.close_connection(response)
         return Lost("response has the id of another request")
     on_head(response.status, metadata)
     if metadata.is_not_run or metadata.is_misdirected:
--- a/hickoryweir/services/client.py
+++ b/hickoryweir/services/client.py
@@ -15,7 +15,7 @@
 
 from hickoryweir.configuration import model
 from hickoryweir.engines import calls as engine_calls
-from hickoryweir.engines import client, event_stream, failures, reads
+from hickoryweir.engines import client, event_stream, failures, framing, reads
 from hickoryweir.engines import headers as header_names
 from hickoryweir.outcomes import refusals
 from hickoryweir.policy import events
@@ -95,7 +95,7 @@
         return result.Failure(from_engine_failure(failures.request_failure(error)))
     echoed_id = response.headers.get(header_names.REQUEST_ID, call.request_id)
     if echoed_id != call.request_id:
-        response.close()
+        framing.close_connection(response)
         return result.Failure(from_engine_failure(failures.mismatched()))
     return await read_response(response, call, limits)
 
