--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -67,7 +67,7 @@
 
 
 class ResponseProtocol(client_proto.ResponseHandler):
-    """Records a reset, and closes a connection that receives too much but content.
+    """Records a reset, and bounds the bytes that carry no content.
 
     If bytes and a reset arrive together, uvloop reads the bytes and reports a clean
     end of file; the socket's ``SO_ERROR`` still holds the error.
@@ -127,7 +127,7 @@
 
 
 class ResponseConnector(aiohttp.TCPConnector):
-    """Connector whose connections record a reset."""
+    """Connector whose connections use :class:`ResponseProtocol`."""
 
     def __init__(self, **options) -> None:
         super().__init__(**options)
--- a/hickoryweir/entry/tests/test_processes.py
+++ b/hickoryweir/entry/tests/test_processes.py
@@ -53,6 +53,13 @@
     return web.Response(text="balance", headers=reply_headers)
 
 
+def make_values(list_port):
+    """Return the ports of all processes and the address of the list, for `SETTINGS`."""
+    names = ("port", "ready_port", "peer_port")
+    ports = {name: entry_vms.free_port() for name in names}
+    return ports | {"list_address": f"{HOSTS[0]}:{list_port}"}
+
+
 async def start_process(folder, name, **values):
     path = folder / f"{name}.ini"
     path.write_text(SETTINGS.format(folder=folder / name, **values))
@@ -75,13 +82,8 @@
         return web.json_response({"servers": entries})
 
     list_port = await start_server("127.0.0.1", list_servers)
-    port, ready_port, peer_port = (entry_vms.free_port() for _ in range(3))
-    values = {
-        "port": port,
-        "ready_port": ready_port,
-        "peer_port": peer_port,
-        "list_address": f"127.0.0.1:{list_port}",
-    }
+    values = make_values(list_port)
+    port, ready_port = values["port"], values["ready_port"]
     processes = {}
     try:
         for host in HOSTS:
--- a/hickoryweir/entry/tests/test_server_notices.py
+++ b/hickoryweir/entry/tests/test_server_notices.py
@@ -8,7 +8,6 @@
 
 from hickoryweir.entry.tests import test_processes as processes
 from hickoryweir.forwarding import headers
-from hickoryweir.testing.demo import entry_vms
 from hickoryweir.testing.soak import backends
 
 SERVERS_COUNT = 3
@@ -60,13 +59,8 @@
             return web.json_response(backends.list_document(listed))
 
         list_port = await processes.start_server(processes.HOSTS[0], list_servers)
-        port, ready_port, peer_port = (entry_vms.free_port() for _ in range(3))
-        values = {
-            "port": port,
-            "ready_port": ready_port,
-            "peer_port": peer_port,
-            "list_address": f"{processes.HOSTS[0]}:{list_port}",
-        }
+        values = processes.make_values(list_port)
+        port, ready_port = values["port"], values["ready_port"]
         started = [
             await processes.start_process(
                 tmp_path, f"{role}-{host}", role=role, host=host, **values
--- a/hickoryweir/entry/tests/test_stream_versions.py
+++ b/hickoryweir/entry/tests/test_stream_versions.py
@@ -9,7 +9,6 @@
 
 from hickoryweir.entry.tests import test_processes as processes
 from hickoryweir.forwarding import headers
-from hickoryweir.testing.demo import entry_vms
 
 ROUTER_HOSTS = ("127.0.0.4", "127.0.0.5", "127.0.0.6")
 EVENTS_COUNT = 30
@@ -133,13 +132,8 @@
             return web.json_response({"servers": listed})
 
         list_port = await processes.start_server(processes.HOSTS[0], list_servers)
-        port, ready_port, peer_port = (entry_vms.free_port() for _ in range(3))
-        values = {
-            "port": port,
-            "ready_port": ready_port,
-            "peer_port": peer_port,
-            "list_address": f"{processes.HOSTS[0]}:{list_port}",
-        }
+        values = processes.make_values(list_port)
+        port, ready_port = values["port"], values["ready_port"]
 
         async def start(role, host):
             name = f"{role}-{host}"
