Notice a part of a head that came with the end of the request before it

Callers saw: a connection whose second head came in part with a whole request was not closed at the header timeout, and a stop closed it without receiving the rest.

Cause: the HTTP parser does not tell that it holds a part of a head. The connection now passes each segment on in parts that end where a message may end (an empty line, or the length that a request states), so that what comes after a message is known to begin another one. At most 64 parts a segment.

--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -4,13 +4,16 @@
 import dataclasses
 
 import multidict
-from aiohttp import http_exceptions, http_parser, web
+from aiohttp import http_exceptions, http_parser, streams, web
 
 from hickoryweir import clocks, early_listener
 from hickoryweir.forwarding import contexts, errors, forwarder, open_requests
 from hickoryweir.observability import logs
 from hickoryweir.routes import model
 
+EMPTY_LINE = b"\r\n\r\n"
+# More than the pipelined requests that one segment usually has; the rest is not split.
+MAX_PARTS_COUNT = 64
 # Used until a table is in force; clients reuse connections that were idle for less.
 DEFAULT_IDLE_TIMEOUT_S = 15.0
 MAX_HEADER_SIZE_BYTES = 16 * 1024
@@ -37,10 +40,14 @@
     opened_s : float
         Loop time of the connection.
     head_started_s : float or None
-        Loop time of the first byte of a request that no handler has started on.
+        Loop time of the first byte of a head that is not complete, or of the end of the
+        request before it if that is later; None between heads.
     """
 
     __slots__ = (
+        "_last_bytes",
+        "_last_length_bytes",
+        "_last_payload",
         "client_transport",
         "has_received",
         "head_started_s",
@@ -55,6 +62,10 @@
         self.has_received = False
         self.opened_s = 0.0
         self.head_started_s: float | None = None
+        # Of the message that was parsed last: its body, and the length that it states.
+        self._last_payload: streams.StreamReader | None = None
+        self._last_length_bytes: int | None = None
+        self._last_bytes = b""
 
     @property
     def is_idle(self) -> bool:
@@ -105,7 +116,30 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Record when a request's headers begin."""
+        """Pass bytes to the parser so that each part ends where a message may end.
+
+        The parser does not tell whether it holds a part of a head.
+        """
+        for _ in range(MAX_PARTS_COUNT):
+            end = self._find_end(data)
+            if end >= len(data) or self._buffer_paused:
+                break
+            self._receive_part(data[:end])
+            data = data[end:]
+        self._receive_part(data)
+
+    def _find_end(self, data: bytes) -> int:
+        """Return how many bytes to pass on so that no message ends before the last."""
+        if self._is_receiving_body() and self._last_length_bytes is not None:
+            return max(1, self._last_length_bytes - self._last_payload.total_bytes)
+        # Heads and chunked bodies end with an empty line.
+        found = (self._last_bytes + data).find(EMPTY_LINE)
+        if found < 0:
+            return len(data)
+        return found + len(EMPTY_LINE) - len(self._last_bytes)
+
+    def _receive_part(self, data: bytes) -> None:
+        """Record when a request's head begins and ends."""
         # aiohttp passes no bytes when it resumes reading, and clients may send empty
         # lines between requests.
         is_content = bool(data.strip(b"\r\n"))
@@ -113,11 +147,16 @@
         is_head = is_content and not self._is_receiving_body()
         if is_head and self.head_started_s is None:
             self.head_started_s = asyncio.get_running_loop().time()
+        known_count = self._request_count
         super().data_received(data)
+        self._last_bytes = (self._last_bytes + data)[-len(EMPTY_LINE) + 1 :]
+        if self._request_count > known_count and self._messages:
+            self.head_started_s = None
+            message, self._last_payload = self._messages[-1]
+            self._last_length_bytes = _content_length(message)
 
     def _is_receiving_body(self) -> bool:
-        request = self._current_request
-        return request is not None and not request.content.is_eof()
+        return self._last_payload is not None and not self._last_payload.is_eof()
 
     def handle_error(
         self,
@@ -149,6 +188,14 @@
         return response
 
 
+def _content_length(message: object) -> int | None:
+    """Return the length that a parsed message states; None for chunks or an error."""
+    if not isinstance(message, http_parser.RawRequestMessage) or message.chunked:
+        return None
+    text = message.headers.get("Content-Length", "")
+    return int(text) if text.isdecimal() else None
+
+
 @dataclasses.dataclass(slots=True)
 class RunningServer:
     """A listening server of a router."""
@@ -178,7 +225,7 @@
             raise ConnectionError("the connection is closing")
         open_request = open_requests.OpenRequest()
         open_by_connection[connection] = open_request
-        connection.is_serving, connection.head_started_s = True, None
+        connection.is_serving = True
         try:
             return await forwarder.serve(router, request, open_request)
         finally:
--- a/hickoryweir/forwarding/tests/test_server_partial_heads.py
+++ b/hickoryweir/forwarding/tests/test_server_partial_heads.py
@@ -3,7 +3,9 @@
 import asyncio
 import dataclasses
 
+import hypothesis
 import pytest
+from hypothesis import strategies as st
 
 from hickoryweir.forwarding import headers, server
 from hickoryweir.forwarding.tests import sites, test_server_stop_races
@@ -153,3 +155,47 @@
     assert statuses == [200, 200]
     assert body == b"a" * 10 + b"b" * 10
     assert took_s < 0.5
+
+
+BODY = b"a\r\n\r\nGET /chat/9 HTTP/1.1\r\n\r\n"
+REQUESTS = [
+    test_server_stop_races.make_head(1),
+    b"\r\n" + test_server_stop_races.make_head(2),
+    POST.replace("Content-Length: 4", f"Content-Length: {len(BODY)}").encode() + BODY,
+    POST.replace("Content-Length: 4", "Transfer-Encoding: chunked").encode()
+    + b"%x\r\n%b\r\n0\r\n\r\n" % (len(BODY), BODY),
+]
+
+
+@hypothesis.settings(derandomize=True, database=None, deadline=None, max_examples=80)
+@hypothesis.given(
+    st.permutations(REQUESTS),
+    st.integers(0, 40),
+    st.lists(st.integers(1, 90), max_size=12),
+)
+def test_requests_are_read_and_a_part_of_a_head_is_noticed_however_they_are_cut(
+    requests, part_size, sizes
+):
+    part = test_server_stop_races.make_head(5)[:part_size]
+    sent = b"".join(requests) + part
+
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            at = 0
+            for size in [*sizes, len(sent)]:
+                writer.write(sent[at : at + size])
+                at += size
+                await asyncio.sleep(0.001)
+            for _ in requests:
+                await read_response(reader)
+            await sites.wait_until(lambda: not site.forwarder.open_requests)
+            await asyncio.sleep(0.01)
+            (connection,) = site.running.server.connections
+            found = connection.is_idle, connection.is_awaiting_headers
+            writer.close()
+            return found, sorted(body for _, body in site.backends[0].seen)
+
+    (is_idle, is_awaiting), bodies = asyncio.run(main())
+    assert bodies == sorted([b"", b"", BODY, BODY])
+    assert (is_idle, is_awaiting) == (part_size == 0, part_size > 0)
