Never cancel the step that makes a transport of a connected socket

Cause: when a connect is cancelled after the socket is connected and before uvloop has made its transport (the connect timeout of 0.25 s, or a client that leaves), uvloop closes the descriptor, and the socket object closes the same number again when it is deleted, which may be another connection's by then. libuv aborts the process when it meets such a descriptor. Shown by a script: the descriptor is closed, the socket object still has its number.

Now that step, one iteration of the event loop, is shielded, and a transport that nobody waits for is aborted. aiohappyeyeballs, which aiohttp brings, is named as a dependency, since the connector now calls it.

Evidence: test_connect_that_is_cancelled_closes_no_other_connections _descriptor failed before on uvloop (a socket object keeps descriptor 23).

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -6,10 +6,12 @@
 extensions, which aiohttp reads without end.
 """
 
+import asyncio
 import enum
 import functools
 import socket
 
+import aiohappyeyeballs
 import aiohttp
 from aiohttp import client_proto, helpers
 
@@ -133,6 +135,58 @@
         super().__init__(**options)
         self._factory = functools.partial(ResponseProtocol, loop=self._loop)
 
+    async def _wrap_create_connection(
+        self,
+        *args,
+        addr_infos,
+        req,
+        timeout,
+        client_error=aiohttp.ClientConnectorError,
+        **kwargs,
+    ):
+        if kwargs.get("ssl"):
+            return await super()._wrap_create_connection(
+                *args,
+                addr_infos=addr_infos,
+                req=req,
+                timeout=timeout,
+                client_error=client_error,
+                **kwargs,
+            )
+        try:
+            async with asyncio.timeout(timeout.sock_connect):
+                sock = await aiohappyeyeballs.start_connection(
+                    addr_infos=addr_infos,
+                    loop=self._loop,
+                    socket_factory=self._socket_factory,
+                )
+            return await self._make_transport(*args, sock=sock, **kwargs)
+        except TimeoutError:
+            raise
+        except OSError as error:
+            raise client_error(req.connection_key, error) from error
+
+    async def _make_transport(self, *args, **kwargs):
+        """Return a transport and protocol for a connected socket.
+
+        This takes one iteration of the event loop.  It is not cancelled: uvloop would
+        close the descriptor, which the socket object closes again when it is deleted,
+        although it may belong to another connection by then.
+        """
+        making = asyncio.ensure_future(self._loop.create_connection(*args, **kwargs))
+        try:
+            return await asyncio.shield(making)
+        except asyncio.CancelledError:
+            making.add_done_callback(_close_unused)
+            raise
+
+
+def _close_unused(making: asyncio.Future) -> None:
+    """Close a transport that nobody waits for any more."""
+    if not making.cancelled() and making.exception() is None:
+        transport, _ = making.result()
+        transport.abort()
+
 
 def protocol_of(response: aiohttp.ClientResponse) -> ResponseProtocol | None:
     """Return the protocol of a response, also after it has been released."""
--- a/hickoryweir/engines/tests/test_broken_http.py
+++ b/hickoryweir/engines/tests/test_broken_http.py
@@ -1,13 +1,15 @@
 """Tests that any bytes from a backend server lead to a typed result."""
 
 import asyncio
+import socket
 
 import hypothesis
 import pytest
+import uvloop
 from hypothesis import strategies as st
 from returns import result
 
-from hickoryweir.engines import calls, client, reads, reports, sessions
+from hickoryweir.engines import calls, client, framing, reads, reports, sessions
 from hickoryweir.engines.tests import benches
 from hickoryweir.outcomes import refusals
 from hickoryweir.services import calls as service_calls
@@ -153,3 +155,38 @@
 def is_paused(stream):
     transport = stream.response.connection.transport
     return not transport.is_reading()
+
+
+@pytest.mark.parametrize("loop_factory", [None, uvloop.new_event_loop])
+def test_connect_that_is_cancelled_closes_no_other_connections_descriptor(
+    loop_factory,
+):
+    """A descriptor that is closed twice may belong to another connection by then."""
+    made = []
+
+    def make_socket(address_info):
+        made.append(socket.socket(*address_info[:3]))
+        return made[-1]
+
+    async def main():
+        listener = await asyncio.start_server(
+            lambda reader, writer: None, "127.0.0.1", 0
+        )
+        port = listener.sockets[0].getsockname()[1]
+        connector = framing.ResponseConnector(socket_factory=make_socket)
+        async with sessions.make_session(connector=connector) as session:
+            for steps_count in range(12):
+                call = asyncio.ensure_future(session.get(f"http://127.0.0.1:{port}/"))
+                for _ in range(steps_count):
+                    await asyncio.sleep(0)
+                call.cancel()
+                await asyncio.gather(call, return_exceptions=True)
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.05)
+        listener.close()
+        return [sock.fileno() for sock in made]
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        descriptors = runner.run(main())
+    assert descriptors
+    assert set(descriptors) == {-1}
