Use a connect that ended while the event loop was stalled

Callers saw: 503 'server can't be reached' for a sound server, since the connect timeout of 0.25 s passed while the router's own event loop was held up.

Cause: timers run before the events of sockets, so a timeout that passed during a stall wins over a connect that has ended meanwhile. Now the events that are due are processed before a connect counts as timed out, and a socket that nobody waits for is closed.

Evidence: test_connect_that_ended_during_a_stall_of_the_event_loop_is_used failed before on uvloop. Class: a deadline that measures our own delay.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -10,6 +10,7 @@
 import enum
 import functools
 import socket
+from collections.abc import Coroutine
 
 import aiohappyeyeballs
 import aiohttp
@@ -17,6 +18,8 @@
 
 # Several times the largest header section that aiohttp accepts.
 MAX_OVERHEAD_SIZE_BYTES = 128 * 1024
+# Iterations of the event loop in which a connect that has ended is noticed.
+STEPS_AFTER_TIMEOUT_COUNT = 5
 
 
 class Framing(enum.StrEnum):
@@ -154,12 +157,12 @@
                 **kwargs,
             )
         try:
-            async with asyncio.timeout(timeout.sock_connect):
-                sock = await aiohappyeyeballs.start_connection(
-                    addr_infos=addr_infos,
-                    loop=self._loop,
-                    socket_factory=self._socket_factory,
-                )
+            connecting = aiohappyeyeballs.start_connection(
+                addr_infos=addr_infos,
+                loop=self._loop,
+                socket_factory=self._socket_factory,
+            )
+            sock = await _wait_for(connecting, timeout.sock_connect)
             return await self._make_transport(*args, sock=sock, **kwargs)
         except TimeoutError:
             raise
@@ -181,6 +184,37 @@
             raise
 
 
+async def _wait_for(
+    coroutine: Coroutine[None, None, socket.socket], timeout_s: float | None
+) -> socket.socket:
+    """Return a connected socket; a stall of the event loop is no timeout.
+
+    Raises
+    ------
+    TimeoutError
+        The connection is not established although its events were processed.
+    """
+    connecting = asyncio.ensure_future(coroutine)
+    try:
+        await asyncio.wait({connecting}, timeout=timeout_s)
+        for _ in range(STEPS_AFTER_TIMEOUT_COUNT):
+            if not connecting.done():
+                await asyncio.sleep(0)
+        if not connecting.done():
+            raise TimeoutError
+        return connecting.result()
+    except (asyncio.CancelledError, TimeoutError):
+        connecting.add_done_callback(_close_socket)
+        connecting.cancel()
+        raise
+
+
+def _close_socket(connecting: asyncio.Future) -> None:
+    """Close a socket that nobody waits for any more."""
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result().close()
+
+
 def _close_unused(making: asyncio.Future) -> None:
     """Close a transport that nobody waits for any more."""
     if not making.cancelled() and making.exception() is None:
--- a/hickoryweir/engines/tests/test_broken_http.py
+++ b/hickoryweir/engines/tests/test_broken_http.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import socket
+import time
 
+import aiohttp
 import hypothesis
 import pytest
 import uvloop
@@ -16,6 +18,7 @@
 from hickoryweir.services import client as service_client
 
 TIMEOUTS = calls.EngineTimeouts(connect_timeout_s=5.0, read_timeout_s=5.0)
+STEPS_BEFORE_STALL_COUNT = 3
 FUZZ = hypothesis.settings(
     derandomize=True, database=None, deadline=None, max_examples=150
 )
@@ -190,3 +193,31 @@
         descriptors = runner.run(main())
     assert descriptors
     assert set(descriptors) == {-1}
+
+
+@pytest.mark.parametrize("loop_factory", [None, uvloop.new_event_loop])
+def test_connect_that_ended_during_a_stall_of_the_event_loop_is_used(loop_factory):
+    timeout = aiohttp.ClientTimeout(sock_connect=0.1)
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    async def main():
+        listener = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        async with sessions.make_session() as session:
+            url = f"http://127.0.0.1:{port}/"
+            call = asyncio.ensure_future(session.get(url, timeout=timeout))
+            # The connect has begun by then, and the timeout passes during the stall.
+            for _ in range(STEPS_BEFORE_STALL_COUNT):
+                await asyncio.sleep(0)
+            time.sleep(0.3)  # noqa: ASYNC251
+            response = await call
+            status = response.status
+            response.close()
+        listener.close()
+        return status
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        assert runner.run(main()) == 200
