--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -1,4 +1,4 @@
-"""Reads responses of backend servers up to a bound and detects how they end.
+"""Connects to backend servers, bounds their responses and detects how these end.
 
 A body with neither a length nor chunks ends with its connection, and aiohttp reports a
 clean close and a reset alike; :class:`ResponseProtocol` tells the two apart.  It also
@@ -132,7 +132,10 @@
 
 
 class ResponseConnector(aiohttp.TCPConnector):
-    """Connector whose connections use :class:`ResponseProtocol`."""
+    """Connector whose connections use :class:`ResponseProtocol`.
+
+    A connect that is cancelled, or that times out, leaves other connections alone.
+    """
 
     def __init__(self, **options) -> None:
         super().__init__(**options)
@@ -147,6 +150,7 @@
         client_error=aiohttp.ClientConnectorError,
         **kwargs,
     ):
+        """Connect as aiohttp does, but cancel only what is safe to cancel."""
         if kwargs.get("ssl"):
             return await super()._wrap_create_connection(
                 *args,
