--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -214,13 +214,13 @@
 
 
 def _close_socket(connecting: asyncio.Future) -> None:
-    """Close a socket that nobody waits for any more."""
+    """Close a socket whose connect was abandoned."""
     if not connecting.cancelled() and connecting.exception() is None:
         connecting.result().close()
 
 
 def _close_unused(making: asyncio.Future) -> None:
-    """Close a transport that nobody waits for any more."""
+    """Close a transport whose request was cancelled."""
     if not making.cancelled() and making.exception() is None:
         transport, _ = making.result()
         transport.abort()
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -88,7 +88,7 @@
     listed_versions : frozenset
         The pairs of a service and a software version in the list in force.
     stream_lifetimes_s : dict
-        For how long streams may be taken up, by service, for the table in force.
+        For how long streams may be resumed, by service, for the table in force.
     report_origin : callable
         ``report_origin(service_name, software_version, key)`` tells the replicas
         where a stream began.
@@ -164,7 +164,7 @@
     placement : prompt_placement.Placement or None
         Server of the current attempt, and the prefill that was expected there.
     stream_version : str or None
-        Software version at which the request's stream may go on; None while any may
+        Software version that the request's stream is bound to; None while any may
         begin it.
     attempt_version : str
         Software version of the current attempt's server when it was sent.
@@ -179,7 +179,7 @@
     last_event_id : str
         Id of the last event that the client has received.
     can_resume : bool
-        Whether a stream that has started can go on after `last_event_id`.
+        Whether a stream that has started can be resumed after `last_event_id`.
     first_event_after_s : float or None
         Time from the request's arrival to the first event; None before it.
     event_pauses : pauses.Pauses
--- a/hickoryweir/forwarding/resumption.py
+++ b/hickoryweir/forwarding/resumption.py
@@ -23,7 +23,7 @@
 
 
 def lifetime_s(forwarder: contexts.Forwarder, service_name: str) -> float:
-    """Return how long streams of a service may be taken up after their beginning."""
+    """Return how long streams of a service may be resumed after their beginning."""
     known_s = forwarder.stream_lifetimes_s.get(service_name)
     if known_s is not None:
         return known_s
@@ -69,12 +69,12 @@
 
 
 async def admit(context: contexts.RequestContext) -> errors.Reason | None:
-    """Bind a stream that a client takes up to its software version.
+    """Bind a stream that a client resumes to its software version.
 
     Returns
     -------
     Reason or None
-        Why the stream can't go on; None if it can, or if the request begins one.
+        Why the stream can't be resumed; None if it can, or if the request begins one.
     """
     if not context.last_event_id or not _is_resumable(context.route):
         return None
@@ -143,7 +143,7 @@
         outcome = "refused"
         detail = f"version not known, in use: {', '.join(decision.versions)}"
     else:
-        outcome = "goes on"
+        outcome = "resumed"
         version = decision.version or "unknown"
         detail = f"version {version}, {decision.source}, {decision.age_s:.2f} s old"
     _count(context, outcome)
@@ -154,7 +154,7 @@
         detail=f"stream {context.metadata.resumed_stream_id[:64] or 'unnamed'} "
         f"after event {context.last_event_id[:64]}: {detail}",
     )
-    logs.info("stream taken up", fields)
+    logs.info("stream resumption decided", fields)
 
 
 def _count(context: contexts.RequestContext, outcome: str) -> None:
@@ -164,7 +164,7 @@
 def record_first_event(context: contexts.RequestContext) -> None:
     """Record the version of an attempt whose first event is about to be forwarded.
 
-    A stream that was taken up is known by the request that began it, and by this one.
+    A resumed stream is known by the request that began it, and by this one.
     """
     if context.stream_version is None:
         context.stream_version = context.attempt_version
@@ -249,7 +249,7 @@
 def own_origins(
     forwarder: contexts.Forwarder,
 ) -> list[tuple[int, stream_versions.Origin]]:
-    """Return the streams that began at this router and may still be taken up."""
+    """Return the streams that began at this router and may still be resumed."""
     now_s = clocks.boottime_s()
     return [
         (key, origin)
--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -26,7 +26,7 @@
     response_ends : prometheus_client.Counter
         Responses of servers by service and end: ``whole``, or how they fell short.
     resumptions : prometheus_client.Counter
-        Streams that clients took up, by service and outcome: ``goes on``, ``refused``.
+        Resumptions by clients, by service and outcome: ``resumed``, ``refused``.
     servers : prometheus_client.Gauge
         Servers of the list by service and state: ``ready``, ``draining``, ``leaving``,
         ``paused``, ``returning``.
@@ -66,7 +66,9 @@
         second_sends=counter("second_sends", "Repeats.", "service", "allowed"),
         notices=counter("server_notices", "Notices of servers.", "service", "kind"),
         response_ends=counter("response_ends", "Responses.", "service", "end"),
-        resumptions=counter("resumptions", "Streams taken up.", "service", "outcome"),
+        resumptions=counter(
+            "resumptions", "Resumptions by clients.", "service", "outcome"
+        ),
         servers=gauge("servers", "Servers in the list.", "service", "state"),
         table_version=gauge("table_version", "Version of the routing table."),
         list_age_s=gauge("list_age_seconds", "Age of the list of servers."),
--- a/hickoryweir/policy/stream_versions.py
+++ b/hickoryweir/policy/stream_versions.py
@@ -1,4 +1,4 @@
-"""Software versions of streams, so that each goes on at the version that began it.
+"""Software versions of streams, so that each is resumed at the version that began it.
 
 Events of two software versions do not fit together.  Within one response a router
 knows the version of its stream.  A client that takes a stream up at another router
@@ -72,7 +72,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Resumption:
-    """A stream may go on at one version."""
+    """A stream may be resumed at one version."""
 
     version: str | None
     source: Source
@@ -167,7 +167,7 @@
     lifetime_s: float,
     list_age_s: float,
 ) -> Resumption | Unknown:
-    """Decide at which version a stream that a client takes up may go on.
+    """Decide at which version a client may resume a stream.
 
     Parameters
     ----------
@@ -180,7 +180,7 @@
     now_s : float
         Time on :func:`hickoryweir.clocks.boottime_s`.
     lifetime_s : float
-        How long a stream may be taken up after its beginning.
+        How long a stream may be resumed after its beginning.
     list_age_s : float
         Age of the list of servers; an old one does not show that one version is in
         use.
