Log the shared prompt parts of lost requests, and reports of other routers

A line about a loss named one part of a prompt at most, and nothing was logged of what other routers reported, so the hypotheses of the incident could not be told apart.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -213,6 +213,9 @@
         self, server_id: str, fingerprints: tuple[int, ...]
     ) -> None:
         now_s = clocks.boottime_s()
+        detail = f"{len(fingerprints)} requests"
+        fields = logs.Fields(backend_server=server_id, detail=detail)
+        logs.info("lost requests reported", fields)
         for fingerprint in fingerprints:
             crash_counts.record_loss(
                 self.forwarder.crashes, fingerprint, server_id, now_s
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -24,6 +24,9 @@
 
 # One for requests that may be retried, one for at-most-once requests.
 SESSIONS_PER_ROUTER_COUNT = 2
+# Clients choose the ids and the number of parts.
+MAX_LOGGED_ID_LENGTH = 32
+MAX_LOGGED_PARTS_COUNT = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -256,6 +259,15 @@
     forwarder.report_lost(server_id, request)
 
 
+def describe_parts(context: RequestContext) -> str:
+    """Return the ids of the prompt's parts for a log line, without the last one."""
+    prompt = context.metadata.prompt
+    if prompt is None:
+        return "no prompt parts"
+    part_ids = [part.part_id[:MAX_LOGGED_ID_LENGTH] for part in prompt.parts[:-1]]
+    return f"shared parts {' '.join(part_ids[:MAX_LOGGED_PARTS_COUNT]) or 'none'}"
+
+
 def record_completion(context: RequestContext) -> None:
     """Record that a server responded completely to a request."""
     crash_counts.clear(context.forwarder.crashes, context.fingerprint)
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -452,6 +452,9 @@
     forwarder = context.forwarder
     forwarder.metrics.attempts.labels(context.service_name, kind).inc()
     age_s = clocks.boottime_s() - forwarder.list_read_at_s
+    lost_parts = ""
+    if kind == exchange.Lost.__name__:
+        lost_parts = f", {contexts.describe_parts(context)}"
     logs.info(
         "request sent",
         logs.Fields(
@@ -463,7 +466,7 @@
             version=forwarder.route_index.table.version,
             duration_s=round(clocks.boottime_s() - context.started_s, 4),
             detail=f"list {age_s:.2f} s old, {_describe_placement(context)}"
-            f"{_describe_resumption(context, view)}",
+            f"{_describe_resumption(context, view)}{lost_parts}",
         ),
     )
 
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -238,7 +238,8 @@
         class_name=context.route.name,
         backend_server=view.listed.server_id,
         reason=str(error),
-        detail=f"after event {context.last_event_id or 'none'}, {end}",
+        detail=f"after event {context.last_event_id or 'none'}, {end}, "
+        f"{contexts.describe_parts(context)}",
     )
     kind = "stream" if context.route.is_stream else "response"
     logs.warning(f"{kind} ended early", fields)
