Block parts of prompts that crash the servers that begin to answer them

Cause: losses were counted for whole requests (caller, method, path, body), so requests that share a part and nothing else were counted apart, each at one router. The class: evidence that is keyed by too much, and that no process but one holds.

Each loss of a request whose response had made no progress now speaks against every shared part of its prompt. Routers report it to all replicas, which merge the evidence, pass on what concerns two crashes or more, and keep it in a file. A part is blocked when three crashes speak against it that no likelier part explains; progress of any request with it clears it.

--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -8,9 +8,9 @@
 from hickoryweir import graceful_stop
 from hickoryweir.engines import sessions
 from hickoryweir.entry import adapters, metrics_port, settings, tables
-from hickoryweir.feeds import publisher
+from hickoryweir.feeds import evidence_file, publisher
 from hickoryweir.observability import forwarding_metrics, logs
-from hickoryweir.replicas import automation, client, node, wire
+from hickoryweir.replicas import automation, client, files, node, wire
 from hickoryweir.replicas import state as states
 from hickoryweir.routes import store
 from hickoryweir.streams import hub
@@ -115,6 +115,9 @@
             self._session,
             site_adapters.make_source(entry_settings.discovery.address),
         )
+        self._evidence_file = evidence_file.EvidenceFile(
+            files.make_files(), entry_settings.replica.data_folder, self._publisher
+        )
 
     def apply_settings(self, entry_settings: settings.EntrySettings) -> None:
         """Apply changed settings, see :mod:`hickoryweir.entry.reloading`."""
@@ -140,6 +143,7 @@
         tasks = [
             asyncio.create_task(self._supervisor.run()),
             asyncio.create_task(self._publisher.run()),
+            asyncio.create_task(self._evidence_file.run()),
             asyncio.create_task(
                 automation.request_admission(
                     self._log, own_address, lambda: self._supervisor.node.state
--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -11,9 +11,11 @@
 from hickoryweir.discovery import listing
 from hickoryweir.engines import sessions
 from hickoryweir.entry import adapters, metrics_port, settings
+from hickoryweir.feeds import crashes as messages_of_crashes
 from hickoryweir.feeds import messages, subscriber, versions
 from hickoryweir.forwarding import (
     contexts,
+    crashes,
     notices,
     open_requests,
     probing,
@@ -88,6 +90,7 @@
             self._apply_loads,
             self._apply_origins,
             self._apply_listed_versions,
+            self._apply_evidence,
             self._make_greeting,
         )
         self._subscriber = subscriber.make_subscriber(identity, seeds, callbacks)
@@ -108,6 +111,10 @@
             report_origin=self._subscriber.report_origin,
             ask_origins=self._subscriber.ask_origins,
         )
+        evidence_sender = messages_of_crashes.EvidenceSender(
+            self.forwarder.suspect_parts, self._subscriber.send_to_all
+        )
+        self.forwarder.report_evidence = evidence_sender.add
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set, then drain."""
@@ -239,13 +246,20 @@
         )
         return [message] if message.versions else []
 
+    def _apply_evidence(self, message: messages.CrashEvidence) -> None:
+        crashes.apply_evidence(self.forwarder, message)
+
     def _make_greeting(self) -> list:
         """Return what a replica that may have restarted has to know."""
+        state = self.forwarder.suspect_parts
+        evidence = messages_of_crashes.make_messages(
+            state, messages_of_crashes.greeting_keys(state), clocks.boottime_s()
+        )
         listed = self._make_listed_versions()
         if not listed:
-            return []
+            return evidence
         origins = resumption.own_origins(self.forwarder)
-        return [*listed, *versions.make_stream_origins(origins)]
+        return [*evidence, *listed, *versions.make_stream_origins(origins)]
 
     def _apply_loads(self, total: messages.TotalLoads) -> None:
         now_s = time.monotonic()
@@ -308,6 +322,7 @@
                 age_s = clocks.boottime_s() - view.servers.read_at_s
             forwarder.metrics.list_age_s.set(age_s)
             notices.update_gauges(forwarder)
+            crashes.remove_expired(forwarder)
             if age_s < LIST_STALE_AFTER_S:
                 continue
             logs.info(
--- a/hickoryweir/entry/tests/test_crashing_parts.py
+++ b/hickoryweir/entry/tests/test_crashing_parts.py
@@ -191,7 +191,9 @@
         host = self._random.choice(ROUTER_HOSTS)
         url = f"http://{host}:{self._values['port']}/chat/x"
         try:
-            async with self._session.post(url, headers=sent) as response:
+            async with self._session.post(
+                url, headers=sent, data=str(number)
+            ) as response:
                 await response.read()
                 statuses[response.status] += 1
         except aiohttp.ClientError:
--- a/hickoryweir/feeds/messages.py
+++ b/hickoryweir/feeds/messages.py
@@ -65,6 +65,46 @@
     fingerprints: tuple[int, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartCrash:
+    """A crash that lost a request with a part of a prompt, and how long ago."""
+
+    server_id: str
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartEvidence:
+    """What crashes say of one part of prompts.
+
+    Attributes
+    ----------
+    request_keys : tuple of int
+        Hashes of requests that were lost, a few of them.
+    earlier_part_ids : tuple of str
+        Parts that precede it in prompts.
+    progress_age_s : float or None
+        How long ago a request with the part made progress; None if none did.
+    refusal_age_s : float or None
+        How long ago a request was refused because of the part; None if none was.
+    """
+
+    service_name: str
+    part_id: str
+    crashes: tuple[PartCrash, ...]
+    request_keys: tuple[int, ...]
+    earlier_part_ids: tuple[str, ...]
+    progress_age_s: float | None
+    refusal_age_s: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashEvidence:
+    """Evidence on parts; sent by routers, merged and passed on by replicas."""
+
+    parts: tuple[PartEvidence, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerLoad:
     """Load that routers have on a backend server, and its recent failures.
@@ -166,6 +206,9 @@
     ("fd.own_loads", RouterLoads),
     ("fd.all_loads", TotalLoads),
     ("fd.lost", RequestsLost),
+    ("fd.part_crash", PartCrash),
+    ("fd.part_evidence", PartEvidence),
+    ("fd.crash_evidence", CrashEvidence),
     ("fd.beat", Heartbeat),
     ("fd.table_request", TableRequest),
     ("fd.table", TableContent),
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -10,9 +10,9 @@
 
 from hickoryweir import clocks
 from hickoryweir.discovery import listing
-from hickoryweir.feeds import messages, versions
+from hickoryweir.feeds import crashes, messages, versions
 from hickoryweir.observability import logs
-from hickoryweir.policy import stream_versions
+from hickoryweir.policy import crashing_parts, stream_versions
 from hickoryweir.replicas import wire
 from hickoryweir.routes import store
 from hickoryweir.streams import connections, handshake, hub
@@ -46,6 +46,10 @@
     ----------
     source : listing.Source
         Source of the server list.
+    suspect_parts : crashing_parts.CrashingParts
+        What the routers report of parts of prompts that crash servers.
+    on_evidence : callable
+        Called after that has changed.
     """
 
     def __init__(
@@ -64,12 +68,18 @@
         self._loads_changed = False
         self._parts: dict[str, dict[str, None]] = {}
         self._versions = stream_versions.StreamVersions()
+        self.suspect_parts = crashing_parts.CrashingParts()
+        self.on_evidence: Callable[[], None] = lambda: None
+        self._evidence_sender = crashes.EvidenceSender(
+            self.suspect_parts, self._send_to_subscribers
+        )
 
     async def serve(self, connection: connections.Connection) -> None:
         """Serve one router until it disconnects."""
         self._subscribers[connection] = connection.peer.process_name
         # Before the list, with which a router starts to serve.
         self._send_versions(connection)
+        self._send_evidence(connection)
         self._send_servers([connection])
         connection.offer(self._make_heartbeat(self._get_log_status()))
         try:
@@ -83,6 +93,8 @@
                         )
                     case messages.RequestsLost():
                         self._relay(message, connection)
+                    case messages.CrashEvidence():
+                        self.add_evidence([message])
                     case messages.StreamOrigins():
                         self._add_origins(message)
                     case messages.OriginsRequest():
@@ -121,6 +133,36 @@
         if listed.versions:
             connection.offer(listed)
 
+    def _send_evidence(self, connection: connections.Connection) -> None:
+        """Send a new subscriber the parts that others have reported."""
+        state = self.suspect_parts
+        keys = crashes.shared_keys(state)
+        for message in crashes.make_messages(state, keys, clocks.boottime_s()):
+            connection.offer(message)
+
+    def add_evidence(self, found: list[messages.CrashEvidence]) -> None:
+        """Merge evidence, and tell the routers what concerns several crashes."""
+        state, now_s = self.suspect_parts, clocks.boottime_s()
+        changed = [
+            key for message in found for key in crashes.merge(state, message, now_s)
+        ]
+        shared = [
+            key
+            for key in changed
+            if key in state.evidence
+            and crashing_parts.is_shared_evidence(state.evidence[key])
+        ]
+        if not shared:
+            return
+        self._evidence_sender.add(shared)
+        crashing_parts.remove_expired(state, now_s)
+        crashing_parts.update_blocked(state)
+        self.on_evidence()
+
+    def _send_to_subscribers(self, message: object) -> None:
+        for connection in list(self._subscribers):
+            connection.offer(message)
+
     def _relay(
         self, message: messages.RequestsLost, sender: connections.Connection
     ) -> None:
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -77,6 +77,8 @@
         Called with streams that a replica was asked for.
     on_listed_versions : callable
         Called with software versions that were listed lately.
+    on_evidence : callable
+        Called with evidence on parts of prompts that crash servers.
     greet : callable
         Returns the messages to send to a replica at the start of its connection.
     """
@@ -88,6 +90,7 @@
     on_loads: Callable[[messages.TotalLoads], None] = lambda loads: None
     on_origins: Callable[[messages.StreamOrigins], None] = lambda origins: None
     on_listed_versions: Callable[[messages.ListedVersions], None] = lambda listed: None
+    on_evidence: Callable[[messages.CrashEvidence], None] = lambda evidence: None
     greet: Callable[[], list] = list
 
 
@@ -242,6 +245,8 @@
                 self._callbacks.on_origins(message)
             case messages.ListedVersions():
                 self._callbacks.on_listed_versions(message)
+            case messages.CrashEvidence():
+                self._callbacks.on_evidence(message)
             case messages.RequestsLost():
                 self._callbacks.on_lost(message.server_id, message.fingerprints)
 
--- /dev/null
+++ b/hickoryweir/feeds/tests/test_evidence_file.py
@@ -0,0 +1,87 @@
+"""The replica's file of crash evidence under losses and failures of its disk."""
+
+import asyncio
+import dataclasses
+
+from hickoryweir.feeds import crashes, evidence_file
+from hickoryweir.policy import crashing_parts
+from hickoryweir.replicas import files as file_operations
+from hickoryweir.testing import waiting
+
+WAIT_S = 5.0
+
+
+def make_state():
+    state = crashing_parts.CrashingParts()
+    for number in range(3):
+        crash = crashing_parts.Crash(f"s{number}", 100.0 + number)
+        crashing_parts.record_loss(state, "llm", ("all", "bad"), number, crash)
+    crashing_parts.update_blocked(state)
+    return state
+
+
+def make_content():
+    state = make_state()
+    return crashes.make_messages(state, crashes.shared_keys(state), 104.0)
+
+
+class Feed:
+    """Stands in for a publisher."""
+
+    def __init__(self):
+        self.suspect_parts = crashing_parts.CrashingParts()
+        self.on_evidence = None
+
+    def add_evidence(self, found):
+        """Merge the content of the file."""
+        for message in found:
+            crashes.merge(self.suspect_parts, message, 1_000.0)
+
+
+def blocked_after_load(folder):
+    state = crashing_parts.CrashingParts()
+    for message in evidence_file.load(file_operations.make_files(), str(folder)):
+        crashes.merge(state, message, 1_000.0)
+    crashing_parts.update_blocked(state)
+    return set(state.blocked)
+
+
+def test_saved_evidence_blocks_the_same_parts(tmp_path):
+    evidence_file.save(file_operations.make_files(), str(tmp_path), make_content())
+    assert blocked_after_load(tmp_path) == {"bad"}
+
+
+def test_missing_and_damaged_files_hold_no_evidence(tmp_path):
+    assert blocked_after_load(tmp_path) == set()
+    evidence_file.save(file_operations.make_files(), str(tmp_path), make_content())
+    path = tmp_path / evidence_file.FILE_NAME
+    path.write_bytes(path.read_bytes()[:-1])
+    assert blocked_after_load(tmp_path) == set()
+
+
+def test_evidence_is_saved_once_a_failing_disk_works_again(tmp_path, monkeypatch):
+    monkeypatch.setattr(evidence_file, "RETRY_INTERVAL_S", 0.01)
+    failures = []
+
+    def fail_twice(path):
+        if len(failures) < 2:
+            failures.append(path)
+            raise OSError("no space left")
+        return working.create(path)
+
+    working = file_operations.make_files()
+    failing = dataclasses.replace(working, create=fail_twice)
+
+    async def main():
+        feed = Feed()
+        keeper = evidence_file.EvidenceFile(failing, str(tmp_path), feed)
+        task = asyncio.create_task(keeper.run())
+        feed.suspect_parts = make_state()
+        feed.on_evidence()
+        path = tmp_path / evidence_file.FILE_NAME
+        await waiting.wait_until(path.exists, WAIT_S)
+        task.cancel()
+
+    asyncio.run(main())
+    assert len(failures) == 2
+    assert blocked_after_load(tmp_path) == {"bad"}
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -14,6 +14,7 @@
 from hickoryweir.observability import forwarding_metrics, latencies
 from hickoryweir.policy import (
     crash_counts,
+    crashing_parts,
     prefill_interference,
     prompt_admission,
     prompt_placement,
@@ -86,6 +87,8 @@
         Ratio of the measured to the predicted prefill time, by service.
     crashes : crash_counts.CrashCounts
         Requests that were lost, at this router and at the others.
+    suspect_parts : crashing_parts.CrashingParts
+        Parts of prompts that were in lost requests, at this router and at the others.
     known_streams : stream_versions.StreamVersions
         Software versions in use, and those at which streams began.
     listed_versions : frozenset
@@ -100,6 +103,8 @@
     report_lost : callable
         ``report_lost(server_id, fingerprint)`` reports a lost request to the other
         routers.
+    report_evidence : callable
+        ``report_evidence(keys)`` reports what is known of parts to the other routers.
     """
 
     settings: Settings
@@ -133,6 +138,9 @@
     crashes: crash_counts.CrashCounts = dataclasses.field(
         default_factory=crash_counts.CrashCounts
     )
+    suspect_parts: crashing_parts.CrashingParts = dataclasses.field(
+        default_factory=crashing_parts.CrashingParts
+    )
     known_streams: stream_versions.StreamVersions = dataclasses.field(
         default_factory=stream_versions.StreamVersions
     )
@@ -141,6 +149,7 @@
     report_origin: Callable[[str, str, int], None] = lambda service, version, key: None
     ask_origins: Callable[[tuple[int, ...]], None] = lambda keys: None
     report_lost: Callable[[str, int], None] = lambda server_id, fingerprint: None
+    report_evidence: Callable[[list[crashing_parts.PartKey]], None] = lambda keys: None
 
 
 @dataclasses.dataclass(slots=True)
@@ -162,6 +171,10 @@
         Attempts for which no connection was established.
     has_response_head : bool
         Whether the current attempt has received the head of a response.
+    events_began_s : float or None
+        When the first event of the current attempt arrived, on the steady clock.
+    has_progressed : bool
+        Whether the current attempt shows that the prompt does not crash servers.
     may_have_run : bool
         Whether any attempt may have run.
     placement : prompt_placement.Placement or None
@@ -212,6 +225,8 @@
     sent_count: int = 0
     unsent_count: int = 0
     has_response_head: bool = False
+    events_began_s: float | None = None
+    has_progressed: bool = False
     may_have_run: bool = False
     last_event_id: str = ""
     can_resume: bool = True
@@ -251,14 +266,6 @@
     return max(1, share // SESSIONS_PER_ROUTER_COUNT)
 
 
-def record_loss(context: RequestContext, server_id: str) -> None:
-    """Record that a server lost a request, and report it to the other routers."""
-    forwarder = context.forwarder
-    request = context.fingerprint
-    crash_counts.record_loss(forwarder.crashes, request, server_id, clocks.boottime_s())
-    forwarder.report_lost(server_id, request)
-
-
 def describe_parts(context: RequestContext) -> str:
     """Return the ids of the prompt's parts for a log line, without the last one."""
     prompt = context.metadata.prompt
@@ -268,11 +275,6 @@
     return f"shared parts {' '.join(part_ids[:MAX_LOGGED_PARTS_COUNT]) or 'none'}"
 
 
-def record_completion(context: RequestContext) -> None:
-    """Record that a server responded completely to a request."""
-    crash_counts.clear(context.forwarder.crashes, context.fingerprint)
-
-
 def _update_prefill_factor(context: RequestContext) -> None:
     factors = context.forwarder.prefill_factors
     measured_s = time.monotonic() - context.in_flight.started_s
--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -53,9 +53,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lost:
-    """The request was sent and no valid response to it came back."""
+    """The request was sent and no valid response to it came back.
+
+    Attributes
+    ----------
+    is_connection_end : bool
+        Whether the connection ended without a response.
+    """
 
     reason: str
+    is_connection_end: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,7 +110,7 @@
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         return NotSent(type(error).__name__)
     except sessions.ConnectionLostError as error:
-        return Lost(str(error))
+        return Lost(str(error), is_connection_end=True)
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return Lost(type(error).__name__)
     return await _classify_response(response, request, codec, on_head)
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -16,6 +16,7 @@
 from hickoryweir.engines import framing
 from hickoryweir.forwarding import (
     contexts,
+    crashes,
     errors,
     exchange,
     header_codec,
@@ -83,6 +84,12 @@
     admitted = await _admit(forwarder, request, metadata)
     if isinstance(admitted, errors.Reason):
         return _refuse(forwarder, metadata.request_id, admitted)
+    name, prompt = admitted.service_name, metadata.prompt
+    blocked_part_id = crashes.find_blocked(forwarder, name, prompt)
+    if blocked_part_id is not None:
+        detail = crashes.record_refusal(forwarder, blocked_part_id)
+        reason, route_name = errors.Reason.CRASHES_SERVERS, admitted.route.name
+        return _refuse(forwarder, metadata.request_id, reason, None, route_name, detail)
     open_requests.admit(open_request, admitted)
     budget = _budget(forwarder, admitted.service_name)
     retry_budget.record_request(budget, time.monotonic())
@@ -224,6 +231,8 @@
             _record_forwarded(context)
             return outcome
         reason = outcome
+        if crashes.is_suspect(context):
+            await asyncio.sleep(crashes.REPORTS_WAIT_S)
 
 
 def _refuse_without_server(
@@ -288,10 +297,9 @@
         return False
     if not next_attempts.is_worth_sending(route, context.time_left_s):
         return False
-    forwarder = context.forwarder
-    now_s = clocks.boottime_s()
-    if crash_counts.is_blocked(forwarder.crashes, context.fingerprint, now_s):
+    if crashes.is_blocked(context):
         return False
+    forwarder = context.forwarder
     budget = _budget(forwarder, context.service_name)
     taken = retry_budget.try_acquire(budget, forwarder.routers_count, time.monotonic())
     allowed = "yes" if taken else "no"
@@ -350,6 +358,7 @@
     )
     context.sent_count += 1
     context.has_response_head = False
+    context.events_began_s, context.has_progressed = None, False
     context.attempt_version = view.listed.software_version
     outcome = await _send(context, session, view)
     now_s = time.monotonic()
@@ -367,7 +376,8 @@
         case exchange.Lost():
             responses.count_end(context, framing.End.NO_HEAD)
             context.may_have_run = True
-            contexts.record_loss(context, view.listed.server_id)
+            server_id = view.listed.server_id
+            crashes.record_loss(context, server_id, outcome.is_connection_end)
             server_pool.record_failed_response(view, now_s)
             return errors.Reason.OUTCOME_UNKNOWN
         case exchange.Answered():
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -15,6 +15,7 @@
 from hickoryweir.engines import event_stream, framing
 from hickoryweir.forwarding import (
     contexts,
+    crashes,
     errors,
     exchange,
     header_codec,
@@ -93,7 +94,7 @@
         context.failed_response = client_response
         return errors.Reason.SERVER_FAILED
     server_pool.record_success(view)
-    contexts.record_completion(context)
+    crashes.record_completion(context)
     return client_response
 
 
@@ -109,7 +110,8 @@
         await _forward_events(context, view, answered, splitter)
     except exchange.IncompleteResponseError as error:
         answered.response.close()
-        contexts.record_loss(context, view.listed.server_id)
+        may_be_crash = error.end in crashes.CRASH_ENDS
+        crashes.record_loss(context, view.listed.server_id, may_be_crash)
         _record_incomplete(context, view, error, _describe_end(answered, splitter))
         return errors.Reason.OUTCOME_UNKNOWN
     if context.stream_response is None:
@@ -117,7 +119,7 @@
     if splitter.pending:
         await context.stream_response.write(bytes(splitter.pending))
     await context.stream_response.write_eof()
-    contexts.record_completion(context)
+    crashes.record_completion(context)
     server_pool.record_response(view, False, time.monotonic())
     count_end(context, framing.End.WHOLE)
     _record_completed_stream(context, view, _describe_end(answered, splitter))
@@ -145,6 +147,7 @@
             if not context.in_flight.has_first_event:
                 resumption.record_first_event(context)
             contexts.record_first_event(context)
+            crashes.record_event(context)
             pauses.record_event(context.event_pauses, time.monotonic())
             server_pool.record_success(view)
             await _write_events(context, answered, events)
--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -27,6 +27,12 @@
         Responses of servers by service and end: ``whole``, or how they fell short.
     resumptions : prometheus_client.Counter
         Resumptions by clients, by service and outcome: ``resumed``, ``refused``.
+    crash_evidence : prometheus_client.Counter
+        Evidence on parts of prompts that crash servers, by service and kind: ``loss``
+        and ``progress`` of own requests, ``reported`` by others, ``blocked`` and
+        ``released`` parts.
+    blocked_parts : prometheus_client.Gauge
+        Parts of prompts that are refused.
     servers : prometheus_client.Gauge
         Servers of the list by service and state: ``ready``, ``draining``, ``leaving``,
         ``paused``, ``returning``.
@@ -45,6 +51,8 @@
     notices: prometheus_client.Counter
     response_ends: prometheus_client.Counter
     resumptions: prometheus_client.Counter
+    crash_evidence: prometheus_client.Counter
+    blocked_parts: prometheus_client.Gauge
     servers: prometheus_client.Gauge
     table_version: prometheus_client.Gauge
     list_age_s: prometheus_client.Gauge
@@ -69,6 +77,10 @@
         resumptions=counter(
             "resumptions", "Resumptions by clients.", "service", "outcome"
         ),
+        crash_evidence=counter(
+            "crash_evidence", "Evidence on prompt parts.", "service", "kind"
+        ),
+        blocked_parts=gauge("blocked_parts", "Prompt parts that are refused."),
         servers=gauge("servers", "Servers in the list.", "service", "state"),
         table_version=gauge("table_version", "Version of the routing table."),
         list_age_s=gauge("list_age_seconds", "Age of the list of servers."),
--- a/hickoryweir/replicas/storage.py
+++ b/hickoryweir/replicas/storage.py
@@ -147,7 +147,7 @@
     bodies = [codec.encode(header), *chunks]
     try:
         name = records.snapshot_name(snapshot.index)
-        _write_atomically(storage.files, storage.folder, name, bodies)
+        write_atomically(storage.files, storage.folder, name, bodies)
     except OSError as error:
         return _fail(storage, error)
     return result.Success(None)
@@ -229,9 +229,16 @@
     files.sync_folder(folder)
 
 
-def _write_atomically(
+def write_atomically(
     files: file_operations.Files, folder: str, name: str, bodies: list[bytes]
 ) -> None:
+    """Replace a file by frames with the given bodies, and sync it.
+
+    Raises
+    ------
+    OSError
+        The file can't be written.
+    """
     path = os.path.join(folder, name)
     temporary_path = path + records.TEMPORARY_SUFFIX
     handle = files.create(temporary_path)
