Count a plain response that was cut as a lost request

Callers saw: a plain request that crashed a server after the head of its response was sent to any number of servers. Cause: only lost heads and cut streams were counted; a cut plain response was retried and not recorded. After: 503 at the third call, three servers.

--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -81,6 +81,7 @@
         body = await exchange.read_body(answered)
     except exchange.IncompleteResponseError as error:
         answered.response.close()
+        _record_loss(context, view, error)
         _record_incomplete(context, view, error, _describe_framing(answered))
         return errors.Reason.OUTCOME_UNKNOWN
     count_end(context, framing.End.WHOLE)
@@ -110,8 +111,7 @@
         await _forward_events(context, view, answered, splitter)
     except exchange.IncompleteResponseError as error:
         answered.response.close()
-        may_be_crash = error.end in crashes.CRASH_ENDS
-        crashes.record_loss(context, view.listed.server_id, may_be_crash)
+        _record_loss(context, view, error)
         _record_incomplete(context, view, error, _describe_end(answered, splitter))
         return errors.Reason.OUTCOME_UNKNOWN
     if context.stream_response is None:
@@ -126,6 +126,15 @@
     return context.stream_response
 
 
+def _record_loss(
+    context: contexts.RequestContext,
+    view: server_pool.ServerView,
+    error: exchange.IncompleteResponseError,
+) -> None:
+    may_be_crash = error.end in crashes.CRASH_ENDS
+    crashes.record_loss(context, view.listed.server_id, may_be_crash)
+
+
 async def _forward_events(
     context: contexts.RequestContext,
     view: server_pool.ServerView,
--- a/hickoryweir/forwarding/tests/test_forwarder.py
+++ b/hickoryweir/forwarding/tests/test_forwarder.py
@@ -506,3 +506,19 @@
     status, has_retry_after, waited_s = run([sites.answering()], scenario)
     assert (status, has_retry_after) == (503, True)
     assert waited_s < 0.3
+
+
+def test_request_whose_plain_response_is_cut_on_three_servers_is_refused():
+    async def cut(request, body):
+        given = {headers.REQUEST_ID: request.headers[headers.REQUEST_ID]}
+        response = web.StreamResponse(headers=given)
+        await response.prepare(request)
+        await response.write(b"begun")
+        request.transport.abort()
+        return response
+
+    async def scenario(site):
+        statuses = [(await site.call(data=b"poison"))[0] for _ in range(3)]
+        return statuses, sum(len(b.seen) for b in site.backends)
+
+    assert run([cut] * 6, scenario) == ([502, 502, 503], 3)
