Refuse calls of serve with a prefix that crashes backend servers

The quarantine of serve went by whole calls, as forwarding did: the same cause, found on the other path. Each call that was lost before 32 output tokens now speaks against every prefix of its prompt, by the same decisions; digests tell the other routers the last lost calls and the suspected prefixes that made progress, with ages that include the time the digest has travelled.

Before: a fourth call was sent at one router and at each of three; after: refused, and sound calls with the same first prefix are sent.

--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -35,6 +35,7 @@
 from hickoryweir.outcomes import refusals
 from hickoryweir.policy import events, inspection
 from hickoryweir.policy import settings as policy_settings
+from hickoryweir.routers import digests
 from hickoryweir.routers import node as router_node
 from hickoryweir.streams import hub
 
@@ -244,8 +245,8 @@
     sent_suspects = None
     while True:
         await asyncio.sleep(DIGEST_CHECK_INTERVAL_S)
-        digest = inspection.digest(process.dispatcher.core)
-        suspects = (digest.suspects, digest.quarantined, digest.suspects_placed)
+        digest = inspection.digest(process.dispatcher.core, time.monotonic())
+        suspects = digests.suspicion(digest)
         is_due = time.monotonic() >= sent_at_s + DIGEST_INTERVAL_S
         if not is_due and suspects == sent_suspects:
             continue
--- a/hickoryweir/load/baselines.py
+++ b/hickoryweir/load/baselines.py
@@ -140,7 +140,7 @@
     state.assigned_servers.pop(request_id, None)
 
 
-def no_digest(state: State) -> None:
+def no_digest(state: State, now_s: float) -> None:
     """Return no digest: baselines do not exchange state."""
 
 
--- a/hickoryweir/load/environment.py
+++ b/hickoryweir/load/environment.py
@@ -40,7 +40,7 @@
 
 def send_digest(run: fleet.Run, router: fleet.Router) -> None:
     """Send a router's digest to the other routers that it can reach."""
-    digest = run.policy.digest(router.policy_state)
+    digest = run.policy.digest(router.policy_state, run.clock.now_s)
     if digest is None:
         return
     for other in run.routers:
--- a/hickoryweir/policy/admission.py
+++ b/hickoryweir/policy/admission.py
@@ -103,7 +103,7 @@
     core: state.Core, pool: state.Pool, call: state.Call, now_s: float
 ) -> refusals.Refusal | None:
     """Return the refusal of a new call, or None if it is admitted."""
-    if call.arrived.fingerprint in core.quarantined:
+    if poison.is_refused(core, call):
         return poison.refusal()
     if not any(placement.is_usable(core.servers[n], now_s) for n in pool.subset):
         return refusals.make_refusal(
@@ -148,7 +148,7 @@
 
     Return None if the call stays in the queue.
     """
-    if call.arrived.fingerprint in core.quarantined:
+    if poison.is_refused(core, call):
         return poison.refusal(call.ran)
     if not core.settings.mechanisms.admission or call.next_attempt > 1:
         return None
--- a/hickoryweir/policy/digests.py
+++ b/hickoryweir/policy/digests.py
@@ -2,14 +2,14 @@
 
 import collections
 
-from hickoryweir.policy import attempts, events, poison, state
+from hickoryweir.policy import attempts, crashing_prefixes, events, poison, state
 
 PEER_TIMEOUT_S = 3.0
 SERVERS_MAX_COUNT = 40
 FINGERPRINTS_MAX_COUNT = 10
 
 
-def make(core: state.Core) -> events.PeerDigestReceived:
+def make(core: state.Core, now_s: float) -> events.PeerDigestReceived:
     """Return the digest of this router for its peers."""
     busy = [(n, s) for n, s in core.servers.items() if s.calls]
     busy.sort(key=lambda item: -len(item[1].calls))
@@ -26,6 +26,8 @@
         ],
         tuple((name, server.top_calls) for name, server in busy if server.top_calls),
         tuple(poison.suspects_placed(core)[:FINGERPRINTS_MAX_COUNT]),
+        crashing_prefixes.shared_losses(core.prefixes, now_s),
+        crashing_prefixes.shared_progress(core.prefixes, now_s),
     )
 
 
@@ -36,6 +38,9 @@
     _apply_counts(core, digest, 1)
     for server in core.servers.values():
         server.peers_updated_at_s = now_s
+    crashing_prefixes.merge(
+        core.prefixes, digest.lost_calls, digest.prefix_progress, now_s
+    )
     result = []
     for call in poison.merge_quarantine(core, digest, now_s):
         refusal = poison.refusal(attempts.ran(call))
--- a/hickoryweir/policy/events.py
+++ b/hickoryweir/policy/events.py
@@ -167,6 +167,11 @@
     suspects_placed : tuple of (str, str)
         Isolated suspects of the router, each with the backend server on which it
         runs, or with the name of its model or service while it is queued.
+    lost_calls : tuple
+        The last calls that crashes lost, see :mod:`.crashing_prefixes`: model or
+        service, backend server, prefix digests, hash of the call, and age.
+    prefix_progress : tuple
+        Suspected prefixes that made progress: model or service, digest, and age.
     """
 
     router: str
@@ -177,6 +182,8 @@
     ejected: tuple[str, ...]
     running_top: tuple[tuple[str, int], ...] = ()
     suspects_placed: tuple[tuple[str, str], ...] = ()
+    lost_calls: tuple[tuple[str, str, tuple[int, ...], int, float], ...] = ()
+    prefix_progress: tuple[tuple[str, int, float], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickoryweir/policy/inspection.py
+++ b/hickoryweir/policy/inspection.py
@@ -55,9 +55,9 @@
     value: int
 
 
-def digest(core: state.Core) -> events.PeerDigestReceived:
+def digest(core: state.Core, now_s: float) -> events.PeerDigestReceived:
     """Return the digest of this router for its peers, bounded in size."""
-    return digests.make(core)
+    return digests.make(core, now_s)
 
 
 def used_servers(core: state.Core) -> frozenset[str]:
--- a/hickoryweir/policy/poison.py
+++ b/hickoryweir/policy/poison.py
@@ -10,13 +10,13 @@
 """
 
 from hickoryweir.outcomes import refusals
-from hickoryweir.policy import events, state
+from hickoryweir.policy import crashing_prefixes, events, state
 
 SUSPECT_TIMEOUT_S = 600.0
 QUARANTINE_TIMEOUT_S = 3600.0
 FINGERPRINTS_MAX_COUNT = 1024
 # A suspect is cleared this many output tokens after its position at the crash.
-CLEARED_AFTER_TOKENS = 32
+CLEARED_AFTER_TOKENS = crashing_prefixes.PROGRESS_TOKENS
 # After one crash, a suspect is isolated if it had fewer output tokens.
 ISOLATED_BELOW_TOKENS = 128
 # Time in which a peer's quarantine reaches this router by digests.
@@ -58,7 +58,14 @@
 ) -> None:
     """Make a call that was in flight at a crash a suspect, or quarantine it."""
     fingerprint = call.arrived.fingerprint
-    if not core.settings.mechanisms.poison or fingerprint in core.quarantined:
+    if not core.settings.mechanisms.poison:
+        return
+    if attempt.tokens < crashing_prefixes.PROGRESS_TOKENS:
+        name = call.request_class.target_name
+        crashing_prefixes.record_lost_call(
+            core.prefixes, name, call.arrived, attempt.server, now_s
+        )
+    if fingerprint in core.quarantined:
         return
     suspect = core.suspects.pop(fingerprint, None)
     if suspect is None:
@@ -85,8 +92,30 @@
     _evict_oldest(core.quarantined)
 
 
-def clear(core: state.Core, call: state.Call, attempt: state.Attempt) -> None:
-    """Remove a call's fingerprint from the suspects."""
+def is_refused(core: state.Core, call: state.Call) -> bool:
+    """Return whether a call must not run, because of itself or of a prefix."""
+    is_quarantined = call.arrived.fingerprint in core.quarantined
+    return is_quarantined or crashing_prefixes.is_blocked(
+        core.prefixes, call.request_class.target_name, call.arrived
+    )
+
+
+def clear(
+    core: state.Core, call: state.Call, attempt: state.Attempt, now_s: float
+) -> None:
+    """Remove a call's fingerprint from the suspects, and clear its prefixes."""
+    _record_progress(core, call, now_s)
+    _clear_fingerprint(core, call, attempt)
+
+
+def _record_progress(core: state.Core, call: state.Call, now_s: float) -> None:
+    name = call.request_class.target_name
+    crashing_prefixes.record_progress(core.prefixes, name, call.arrived, now_s)
+
+
+def _clear_fingerprint(
+    core: state.Core, call: state.Call, attempt: state.Attempt
+) -> None:
     fingerprint = call.arrived.fingerprint
     core.suspects.pop(fingerprint, None)
     server = core.servers.get(attempt.server)
@@ -94,14 +123,18 @@
         server.suspects.discard(fingerprint)
 
 
-def progressed(core: state.Core, call: state.Call, attempt: state.Attempt) -> None:
+def progressed(
+    core: state.Core, call: state.Call, attempt: state.Attempt, now_s: float
+) -> None:
     """Clear a suspect that got well past its position at the crash."""
+    if attempt.tokens >= crashing_prefixes.PROGRESS_TOKENS:
+        _record_progress(core, call, now_s)
     suspect = core.suspects.get(call.arrived.fingerprint)
     if suspect is None:
         return
     total_tokens = call.resume_tokens + attempt.tokens
     if total_tokens >= suspect.tokens + CLEARED_AFTER_TOKENS:
-        clear(core, call, attempt)
+        _clear_fingerprint(core, call, attempt)
 
 
 def merge_quarantine(
@@ -188,6 +221,7 @@
 
 def remove_expired(core: state.Core, now_s: float) -> None:
     """Remove expired suspects and quarantines; both tables are ordered by time."""
+    crashing_prefixes.remove_expired(core.prefixes, now_s)
     while core.suspects:
         fingerprint = next(iter(core.suspects))
         if core.suspects[fingerprint].seen_s > now_s - SUSPECT_TIMEOUT_S:
--- a/hickoryweir/policy/recovery.py
+++ b/hickoryweir/policy/recovery.py
@@ -57,7 +57,7 @@
             stragglers.observe(core, server, gap_s / new_tokens, now_s)
     attempt.tokens = output_tokens
     attempt.last_token_s = now_s
-    poison.progressed(core, call, attempt)
+    poison.progressed(core, call, attempt, now_s)
     if not is_first:
         return []
     attempt.first_token_s = now_s
@@ -81,7 +81,7 @@
     core: state.Core, call: state.Call, attempt: state.Attempt, now_s: float
 ) -> None:
     """Record that a backend server finished an answer."""
-    poison.clear(core, call, attempt)
+    poison.clear(core, call, attempt, now_s)
     server = core.servers.get(attempt.server)
     if server is not None:
         server.failures_in_row = 0
@@ -171,7 +171,7 @@
             "the backend server failed after the call was sent",
             ran=refusals.Ran.MAYBE,
         )
-    if call.arrived.fingerprint in core.quarantined:
+    if poison.is_refused(core, call):
         return poison.refusal(call.ran)
     may_retry = request_class.retries or event.ran is refusals.Ran.NO
     is_restart = call.resume_tokens == 0
--- a/hickoryweir/policy/state.py
+++ b/hickoryweir/policy/state.py
@@ -10,7 +10,7 @@
 
 from hickoryweir.configuration import model
 from hickoryweir.outcomes import refusals
-from hickoryweir.policy import events, lengths, settings
+from hickoryweir.policy import crashing_prefixes, events, lengths, settings
 
 
 @dataclasses.dataclass(slots=True)
@@ -323,6 +323,9 @@
         default_factory=collections.Counter
     )
     quarantined: dict[str, float] = dataclasses.field(default_factory=dict)
+    prefixes: crashing_prefixes.Prefixes = dataclasses.field(
+        default_factory=crashing_prefixes.Prefixes
+    )
     running: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/hickoryweir/policy/tests/test_core.py
+++ b/hickoryweir/policy/tests/test_core.py
@@ -152,7 +152,7 @@
                 core_state, failure(f"r{number}", 1, crash, refusals.Ran.MAYBE), 0.0
             )
     spread = digests.State()
-    digests.add_local(spread, inspection.digest(core_state), 1, 0.0)
+    digests.add_local(spread, inspection.digest(core_state, 0.0), 1, 0.0)
     (digest, _) = spread.known["router-1"]
     assert len(digest.suspects) > 5
     assert len(codec.encode(digest)) <= digests.MAX_DIGEST_SIZE_BYTES
--- a/hickoryweir/policy/tests/test_crashing_prefixes.py
+++ b/hickoryweir/policy/tests/test_crashing_prefixes.py
@@ -46,7 +46,7 @@
     for router in routers:
         for other in routers:
             if other is not router:
-                core.handle(other, inspection.digest(router), 13.5)
+                core.handle(other, inspection.digest(router, 13.5), 13.5)
     for number, router in enumerate(routers):
         name = f"later{number}"
         assert is_quarantined(send(router, name, 666, 14.0), name)
--- a/hickoryweir/policy/tests/test_mechanisms.py
+++ b/hickoryweir/policy/tests/test_mechanisms.py
@@ -202,7 +202,7 @@
     for now_s in (1.0, 2.0):
         (attempt,) = mine.calls["r"].attempts.values()
         crash(mine, attempt.server, now_s)
-    core.handle(other, inspection.digest(mine), 2.5)
+    core.handle(other, inspection.digest(mine, 2.5), 2.5)
     found = refused(arrive(other, "resent", now_s=3.0, fingerprint="r"))
     assert found["resent"].reason is refusals.Reason.QUARANTINED
 
@@ -216,12 +216,12 @@
         (attempt,) = core_state.calls[f"r{number}"].attempts.values()
         for other in routers:
             if other is not core_state:
-                core.handle(other, inspection.digest(core_state), 0.5)
+                core.handle(other, inspection.digest(core_state, 0.5), 0.5)
         crash(core_state, attempt.server, 1.0)
     for core_state in routers:
         for other in routers:
             if other is not core_state:
-                core.handle(other, inspection.digest(core_state), 1.2)
+                core.handle(other, inspection.digest(core_state, 1.2), 1.2)
     places = []
     for number, core_state in enumerate(routers):
         core.handle(core_state, events.Ticked(), 2.0)
@@ -237,11 +237,11 @@
     arrive(mine, "r")
     (attempt,) = mine.calls["r"].attempts.values()
     crash(mine, attempt.server, 1.0)
-    core.handle(other, inspection.digest(mine), 1.1)
+    core.handle(other, inspection.digest(mine, 1.1), 1.1)
     assert "r" in other.peer_suspects
     (attempt,) = mine.calls["r"].attempts.values()
     core.handle(mine, events.Completed("r", attempt.number, 10), 2.0)
-    core.handle(other, inspection.digest(mine), 2.1)
+    core.handle(other, inspection.digest(mine, 2.1), 2.1)
     assert "r" not in other.peer_suspects
 
 
--- a/hickoryweir/routers/digests.py
+++ b/hickoryweir/routers/digests.py
@@ -22,6 +22,7 @@
 MAX_CREDIT_INTERVALS = 2
 MAX_DIGEST_SIZE_BYTES = 4096
 URGENT_DURATION_S = 1.0
+NO_SUSPICION: tuple[tuple, ...] = ((), (), (), (), ())
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,6 +70,8 @@
         event.ejected,
         running_top=event.running_top,
         suspects_placed=event.suspects_placed,
+        lost_calls=event.lost_calls,
+        prefix_progress=event.prefix_progress,
     )
     _store(state, digest, now_s, now_s)
 
@@ -77,15 +80,24 @@
     state: State, digest: messages.RouterDigest, at_s: float, now_s: float
 ) -> None:
     known = state.known.get(digest.router)
-    previous = ((), (), ()) if known is None else _suspicion(known[0])
-    if _suspicion(digest) != previous:
+    previous = NO_SUSPICION if known is None else suspicion(known[0])
+    if suspicion(digest) != previous:
         state.is_urgent = True
         state.suspicion_changed_at_s[digest.router] = now_s
     state.known[digest.router] = (digest, at_s)
 
 
-def _suspicion(digest: messages.RouterDigest) -> tuple[tuple, tuple, tuple]:
-    return digest.suspects, digest.quarantined, digest.suspects_placed
+def suspicion(
+    digest: messages.RouterDigest | events.PeerDigestReceived,
+) -> tuple[tuple, ...]:
+    """Return what a digest says of calls and prefixes, without its ages."""
+    return (
+        digest.suspects,
+        digest.quarantined,
+        digest.suspects_placed,
+        tuple(lost[:-1] for lost in digest.lost_calls),
+        tuple(progress[:-1] for progress in digest.prefix_progress),
+    )
 
 
 def merge(
@@ -116,6 +128,11 @@
         digest.ejected,
         digest.running_top,
         digest.suspects_placed,
+        tuple((*lost[:-1], lost[-1] + digest.age_s) for lost in digest.lost_calls),
+        tuple(
+            (*progress[:-1], progress[-1] + digest.age_s)
+            for progress in digest.prefix_progress
+        ),
     )
 
 
@@ -206,6 +223,8 @@
                 ejected=(),
                 running_top=(),
                 suspects_placed=(),
+                lost_calls=(),
+                prefix_progress=(),
             )
             expired.append(_to_event(emptied))
     return expired
@@ -253,6 +272,6 @@
 
 
 def _without_load(digest):
-    if not (any(_suspicion(digest)) or digest.ejected):
+    if not (any(suspicion(digest)) or digest.ejected):
         return None
     return dataclasses.replace(digest, running=(), running_top=())
--- a/hickoryweir/routers/messages.py
+++ b/hickoryweir/routers/messages.py
@@ -105,6 +105,8 @@
     age_s: float = 0.0
     running_top: tuple[tuple[str, int], ...] = ()
     suspects_placed: tuple[tuple[str, str], ...] = ()
+    lost_calls: tuple[tuple[str, str, tuple[int, ...], int, float], ...] = ()
+    prefix_progress: tuple[tuple[str, int, float], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
