--- a/hickoryweir/forwarding/headers.py
+++ b/hickoryweir/forwarding/headers.py
@@ -24,6 +24,7 @@
 URGENCY = "X-Urgency"
 NOT_RUN = "X-Not-Run"
 LEAVING = "X-Server-Leaving"
+LIMIT = "X-Server-Limit"
 ROUTER_HEADERS = frozenset(
     {"authorization", "x-client-account", "x-server-id", "x-urgency", "x-time-left-s"}
 )
