Read and log the limit that a server names

Nothing read the header, so the logs could not tell whether a router knew a limit. The value is parsed in the codecs; what is no decimal number is ignored with a line.

--- a/hickoryweir/forwarding/header_codec.py
+++ b/hickoryweir/forwarding/header_codec.py
@@ -93,6 +93,10 @@
         Whether the server says that it leaves.
     pause_s : float or None
         For how long the server wants no requests from this router.
+    limit_per_s : float or None
+        Requests a second that the server takes from all routers together.
+    has_limit : bool
+        Whether the response names a limit, also one that can't be read.
     ignored_notice : str
         Why a notice of the server was not taken; empty if none was ignored.
     """
@@ -102,6 +106,8 @@
     is_misdirected: bool
     is_leaving: bool = False
     pause_s: float | None = None
+    limit_per_s: float | None = None
+    has_limit: bool = False
     ignored_notice: str = ""
 
 
@@ -200,10 +206,34 @@
     return max((item for item in numbers if item is not None), default=None), problem
 
 
+def parse_limit(name: str, values: list[str]) -> tuple[float | None, str]:
+    """Return the limit that a header names, and what was ignored of it.
+
+    A limit is a decimal number of requests a second.  Of several the lowest counts.
+
+    Examples
+    --------
+    >>> parse_limit("L", ["0.5"]), parse_limit("L", ["0"]), parse_limit("L", [])
+    ((0.5, ''), (0.0, ''), (None, ''))
+    >>> parse_limit("L", ["3", "2"]), parse_limit("L", ["1e9"])
+    ((2.0, ''), (1000000000.0, ''))
+    >>> parse_limit("L", ["-1", "few", "", "inf", "4"])
+    (4.0, "L: '-1', 'few', '', 'inf'")
+    """
+    numbers = [parse_number(value) for value in values]
+    ignored = [
+        repr(value[:MAX_LOGGED_VALUE_LENGTH])
+        for value, number in zip(values, numbers, strict=True)
+        if number is None
+    ]
+    problem = f"{name}: {', '.join(ignored)}" if ignored else ""
+    return min((item for item in numbers if item is not None), default=None), problem
+
+
 def make_response_parser(
-    request_id_name: str, not_run_name: str, leaving_name: str
+    request_id_name: str, not_run_name: str, leaving_name: str, limit_name: str
 ) -> Callable[[int, multidict.MultiMapping], ResponseMetadata]:
-    """Return a parser of response heads, given the names of three headers."""
+    """Return a parser of response heads, given the names of four headers."""
 
     def parse_response(
         status: int, headers: multidict.MultiMapping
@@ -214,13 +244,17 @@
         if leaving_values and not is_leaving:
             value = leaving_values[0][:MAX_LOGGED_VALUE_LENGTH]
             problem = f"{leaving_name}: {value!r}"
+        limit_values = headers.getall(limit_name, [])
+        limit_per_s, limit_problem = parse_limit(limit_name, limit_values)
         return ResponseMetadata(
             request_id=headers.get(request_id_name, ""),
             is_not_run=not_run_name in headers,
             is_misdirected=status == MISDIRECTED_REQUEST_STATUS,
             is_leaving=is_leaving,
             pause_s=pause_s,
-            ignored_notice=problem,
+            limit_per_s=limit_per_s,
+            has_limit=bool(limit_values),
+            ignored_notice=problem or limit_problem,
         )
 
     return parse_response
--- a/hickoryweir/forwarding/headers.py
+++ b/hickoryweir/forwarding/headers.py
@@ -6,7 +6,8 @@
 ``X-Server-Id``, ``X-Client-Account`` and ``X-Urgency``.  A backend server echoes
 ``X-Request-Id`` and sets ``X-Not-Run`` on a response to a request that it did not run.
 A server that leaves sets ``X-Server-Leaving: 1`` on all its responses, and one that
-turns a request away with 503 may ask for a pause by ``Retry-After``.
+turns a request away with 503 may ask for a pause by ``Retry-After``.  One that takes
+few requests names in ``X-Server-Limit`` how many a second, of all routers together.
 """
 
 import multidict
@@ -35,7 +36,7 @@
     return header_codec.HeaderCodec(
         parse_request,
         make_request_headers,
-        header_codec.make_response_parser(REQUEST_ID, NOT_RUN, LEAVING),
+        header_codec.make_response_parser(REQUEST_ID, NOT_RUN, LEAVING, LIMIT),
     )
 
 
--- a/hickoryweir/forwarding/notices.py
+++ b/hickoryweir/forwarding/notices.py
@@ -26,6 +26,9 @@
         _report(context, view, "ignored", metadata.ignored_notice)
     now_s = clocks.boottime_s()
     known = notices = server_pool.notices_of(context.forwarder.pool, view.listed)
+    if metadata.limit_per_s is not None:
+        named = f"{metadata.limit_per_s:g} a second"
+        _report(context, view, "limit", named)
     if metadata.is_leaving:
         notices = server_notices.record_leaving(notices, now_s)
         if known.leaving_since_s is None:
--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -22,7 +22,7 @@
         Further attempts by service, and whether the budget allowed them.
     notices : prometheus_client.Counter
         Notices of servers by service and kind: ``leaving``, ``pause``, ``return``,
-        ``ignored``.
+        ``limit``, ``limit_end``, ``ignored``.
     response_ends : prometheus_client.Counter
         Responses of servers by service and end: ``whole``, or how they fell short.
     resumptions : prometheus_client.Counter
