Keep the limits that servers name, summed over all routers

Callers saw: a server in need that named 1.3 requests a second got 13 in 4 s. Cause: no router read the limit, so the server got its share of the load. The class: a bound on a sum over all routers that no single router can keep by itself.

The leading replica issues grants at the rate of the limit to routers chosen by their load, each the right to send one request within a second; every path to a server goes through the choice among available servers, which needs a grant. Routers report limits to all replicas, which pass them on. Without a leader for 3 s a router sends its equal share. A limit of 0 gets a request in five seconds, which finds out when it has ended; then routers return as after a pause.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -16,6 +16,7 @@
 from hickoryweir.forwarding import (
     contexts,
     crashes,
+    limits,
     notices,
     open_requests,
     probing,
@@ -91,6 +92,8 @@
             self._apply_origins,
             self._apply_listed_versions,
             self._apply_evidence,
+            self._apply_limits,
+            self._apply_grants,
             self._make_greeting,
         )
         self._subscriber = subscriber.make_subscriber(identity, seeds, callbacks)
@@ -110,6 +113,7 @@
             report_lost=self._subscriber.report_lost,
             report_origin=self._subscriber.report_origin,
             ask_origins=self._subscriber.ask_origins,
+            report_limits=self._subscriber.send_to_all,
         )
         evidence_sender = messages_of_crashes.EvidenceSender(
             self.forwarder.suspect_parts, self._subscriber.send_to_all
@@ -249,6 +253,12 @@
     def _apply_evidence(self, message: messages.CrashEvidence) -> None:
         crashes.apply_evidence(self.forwarder, message)
 
+    def _apply_limits(self, message: messages.ServerLimits) -> None:
+        limits.apply_limits(self.forwarder, message)
+
+    def _apply_grants(self, message: messages.SendGrants) -> None:
+        limits.apply_grants(self.forwarder, message)
+
     def _make_greeting(self) -> list:
         """Return what a replica that may have restarted has to know."""
         state = self.forwarder.suspect_parts
@@ -272,6 +282,8 @@
         pool = self.forwarder.pool
         while True:
             await asyncio.sleep(LOADS_INTERVAL_S)
+            view = self._subscriber.view
+            limits.add_own_shares(self.forwarder, view.leader_heard_at_s)
             now_s = time.monotonic()
             loads = server_pool.own_loads(pool, now_s)
             parts = server_pool.unannounced_parts(pool)
--- a/hickoryweir/feeds/messages.py
+++ b/hickoryweir/feeds/messages.py
@@ -25,6 +25,8 @@
         Seconds since the last successful read, including reads that found no change.
     replicas : tuple of ReplicaAddress
         The members of the replicated log.
+    is_leader : bool
+        Whether the replica is the leader, which issues grants.
     """
 
     table_version: int
@@ -33,6 +35,7 @@
     list_id: int
     list_age_s: float
     replicas: tuple[wire.ReplicaAddress, ...]
+    is_leader: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +129,47 @@
     failures_count: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLimit:
+    """What a server said of its limit, and how long ago.
+
+    Attributes
+    ----------
+    per_s : float or None
+        Requests a second of all routers together; None if it names no limit any more.
+    """
+
+    server_id: str
+    address: str
+    started_at_ms: int
+    per_s: float | None
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Limits of servers; sent by routers, and passed on by replicas."""
+
+    limits: tuple[ServerLimit, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerGrant:
+    """The right to send requests to a server that names a limit."""
+
+    server_id: str
+    address: str
+    started_at_ms: int
+    requests_count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendGrants:
+    """Grants that the leading replica issues to one router."""
+
+    grants: tuple[ServerGrant, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerParts:
     """Shared prompt parts that were sent to a backend server."""
@@ -202,6 +246,10 @@
     ("fd.origins_request", OriginsRequest),
     ("fd.listed_version", ListedVersion),
     ("fd.listed_versions", ListedVersions),
+    ("fd.server_limit", ServerLimit),
+    ("fd.server_limits", ServerLimits),
+    ("fd.server_grant", ServerGrant),
+    ("fd.send_grants", SendGrants),
     ("fd.server_parts", ServerParts),
     ("fd.own_loads", RouterLoads),
     ("fd.all_loads", TotalLoads),
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -10,7 +10,7 @@
 
 from hickoryweir import clocks
 from hickoryweir.discovery import listing
-from hickoryweir.feeds import crashes, messages, versions
+from hickoryweir.feeds import crashes, limits, messages, versions
 from hickoryweir.observability import logs
 from hickoryweir.policy import crashing_parts, stream_versions
 from hickoryweir.replicas import wire
@@ -25,6 +25,8 @@
 LIST_READ_INTERVAL_S = 0.8
 # A tenth of the duration of a request; halving it would double the traffic.
 LOADS_INTERVAL_S = 0.1
+# Grants of a server with ten requests a second are issued one at a time.
+GRANTS_INTERVAL_S = 0.1
 # Random ids from a range this large do not collide between successive leaders.
 LIST_IDS_COUNT = 1 << 48
 
@@ -68,6 +70,7 @@
         self._loads_changed = False
         self._parts: dict[str, dict[str, None]] = {}
         self._versions = stream_versions.StreamVersions()
+        self._limits = limits.LimitKeeper()
         self.suspect_parts = crashing_parts.CrashingParts()
         self.on_evidence: Callable[[], None] = lambda: None
         self._evidence_sender = crashes.EvidenceSender(
@@ -95,6 +98,8 @@
                         self._relay(message, connection)
                     case messages.CrashEvidence():
                         self.add_evidence([message])
+                    case messages.ServerLimits():
+                        self._limits.add(message)
                     case messages.StreamOrigins():
                         self._add_origins(message)
                     case messages.OriginsRequest():
@@ -178,6 +183,7 @@
         tasks = [
             asyncio.create_task(self._read_list_while_leader()),
             asyncio.create_task(self._send_loads()),
+            asyncio.create_task(self._send_limits()),
         ]
         try:
             await self._send_heartbeats()
@@ -199,6 +205,26 @@
                 for connection in list(self._subscribers):
                     connection.offer(message)
 
+    async def _send_limits(self) -> None:
+        """Tell the routers servers' limits and, while leader, issue grants."""
+        while True:
+            await asyncio.sleep(GRANTS_INTERVAL_S)
+            message = self._limits.due_message()
+            if message is not None:
+                self._send_to_subscribers(message)
+            if not self._get_log_status().is_leader:
+                self._limits.stop_issuing()
+                continue
+            receivers = list(self._subscribers)
+            weights = [self._weight(connection) for connection in receivers]
+            for position, grants in self._limits.issue(weights).items():
+                receivers[position].offer(grants)
+
+    def _weight(self, connection: connections.Connection) -> float:
+        """Return a router's load; one without load may get its first request."""
+        loads = self._loads.get(connection, ())
+        return 1.0 + sum(load.requests_count for load in loads)
+
     async def _send_heartbeats(self) -> None:
         loop = asyncio.get_running_loop()
         sent, sent_s = (store.NO_VERSION, False), 0.0
@@ -224,6 +250,7 @@
             self._list_id if self._servers is not None else 0,
             age_s,
             log_status.replicas,
+            log_status.is_leader,
         )
 
     async def _read_list_while_leader(self) -> None:
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -47,6 +47,8 @@
     has_leader : bool
         Whether the sender of the latest heartbeat is the leader or has contact with
         one.
+    leader_heard_at_s : float
+        When the leader last sent a heartbeat, on :func:`clocks.boottime_s`.
     """
 
     table_version: int = store.NO_VERSION
@@ -54,6 +56,7 @@
     servers: listing.ServerList | None = None
     routers_count: int = 1
     has_leader: bool = False
+    leader_heard_at_s: float = float("-inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,6 +82,10 @@
         Called with software versions that were listed lately.
     on_evidence : callable
         Called with evidence on parts of prompts that crash servers.
+    on_limits : callable
+        Called with limits that servers name.
+    on_grants : callable
+        Called with grants to send to such servers.
     greet : callable
         Returns the messages to send to a replica at the start of its connection.
     """
@@ -91,6 +98,8 @@
     on_origins: Callable[[messages.StreamOrigins], None] = lambda origins: None
     on_listed_versions: Callable[[messages.ListedVersions], None] = lambda listed: None
     on_evidence: Callable[[messages.CrashEvidence], None] = lambda evidence: None
+    on_limits: Callable[[messages.ServerLimits], None] = lambda limits: None
+    on_grants: Callable[[messages.SendGrants], None] = lambda grants: None
     greet: Callable[[], list] = list
 
 
@@ -247,6 +256,10 @@
                 self._callbacks.on_listed_versions(message)
             case messages.CrashEvidence():
                 self._callbacks.on_evidence(message)
+            case messages.ServerLimits():
+                self._callbacks.on_limits(message)
+            case messages.SendGrants():
+                self._callbacks.on_grants(message)
             case messages.RequestsLost():
                 self._callbacks.on_lost(message.server_id, message.fingerprints)
 
@@ -256,6 +269,8 @@
         view = self.view
         view.has_leader = heartbeat.has_leader
         view.routers_count = max(1, heartbeat.routers_count)
+        if heartbeat.is_leader:
+            view.leader_heard_at_s = clocks.boottime_s()
         view.announced_version = max(view.announced_version, heartbeat.table_version)
         self.follow(heartbeat.replicas)
         if heartbeat.list_id:
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from hickoryweir import clocks
+from hickoryweir.feeds import messages
 from hickoryweir.forwarding import header_codec, pauses, server_pool, sockets
 from hickoryweir.observability import forwarding_metrics, latencies
 from hickoryweir.policy import (
@@ -103,6 +104,8 @@
     report_lost : callable
         ``report_lost(server_id, fingerprint)`` reports a lost request to the other
         routers.
+    report_limits : callable
+        ``report_limits(message)`` tells the replicas what servers say of their limits.
     report_evidence : callable
         ``report_evidence(keys)`` reports what is known of parts to the other routers.
     """
@@ -149,6 +152,7 @@
     report_origin: Callable[[str, str, int], None] = lambda service, version, key: None
     ask_origins: Callable[[tuple[int, ...]], None] = lambda keys: None
     report_lost: Callable[[str, int], None] = lambda server_id, fingerprint: None
+    report_limits: Callable[[messages.ServerLimits], None] = lambda limits: None
     report_evidence: Callable[[list[crashing_parts.PartKey]], None] = lambda keys: None
 
 
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -20,6 +20,7 @@
     errors,
     exchange,
     header_codec,
+    limits,
     notices,
     open_requests,
     requests,
@@ -313,6 +314,7 @@
     forwarder = context.forwarder
     view = forwarder.pool.servers[placement.server_id]
     context.tried_server_ids.add(view.listed.server_id)
+    limits.use_grant(forwarder, view, context.metadata.request_id)
     context.own_requests_count = len(view.in_flight)
     number = forwarder.last_attempt_number = forwarder.last_attempt_number + 1
     now_s = time.monotonic()
--- a/hickoryweir/forwarding/notices.py
+++ b/hickoryweir/forwarding/notices.py
@@ -7,7 +7,13 @@
 
 from hickoryweir import clocks
 from hickoryweir.discovery import listing
-from hickoryweir.forwarding import contexts, header_codec, responses, server_pool
+from hickoryweir.forwarding import (
+    contexts,
+    header_codec,
+    limits,
+    responses,
+    server_pool,
+)
 from hickoryweir.observability import logs
 from hickoryweir.policy import server_notices
 
@@ -26,9 +32,11 @@
         _report(context, view, "ignored", metadata.ignored_notice)
     now_s = clocks.boottime_s()
     known = notices = server_pool.notices_of(context.forwarder.pool, view.listed)
-    if metadata.limit_per_s is not None:
-        named = f"{metadata.limit_per_s:g} a second"
-        _report(context, view, "limit", named)
+    if metadata.limit_per_s is not None or not metadata.has_limit:
+        notices = server_notices.record_limit(
+            notices, metadata.limit_per_s, now_s, context.in_flight.sent_at_s
+        )
+        _report_limit(context, view, known, notices)
     if metadata.is_leaving:
         notices = server_notices.record_leaving(notices, now_s)
         if known.leaving_since_s is None:
@@ -47,6 +55,22 @@
         server_pool.record_notices(context.forwarder.pool, view, notices)
 
 
+def _report_limit(
+    context: contexts.RequestContext,
+    view: server_pool.ServerView,
+    known: server_notices.Notices,
+    notices: server_notices.Notices,
+) -> None:
+    limits.report(context.forwarder, view, known, notices)
+    if notices.limit_per_s == known.limit_per_s:
+        return
+    if server_notices.is_limited(notices):
+        _report(context, view, "limit", f"{notices.limit_per_s:g} a second")
+    else:
+        named_s = notices.limit_at_s - known.limit_at_s
+        _report(context, view, "limit_end", f"last named {named_s:.3f} s ago")
+
+
 def _describe_list(
     context: contexts.RequestContext, view: server_pool.ServerView, now_s: float
 ) -> str:
@@ -91,6 +115,8 @@
         return "draining"
     if server_notices.is_paused(view.notices, now_s):
         return "paused"
+    if server_notices.is_limited(view.notices):
+        return "limited"
     if server_notices.is_returning(view.notices, now_s):
         return "returning"
     return "ready"
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -12,7 +12,12 @@
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages
 from hickoryweir.forwarding import header_codec
-from hickoryweir.policy import grey_servers, server_notices, unreachable_servers
+from hickoryweir.policy import (
+    grey_servers,
+    server_limits,
+    server_notices,
+    unreachable_servers,
+)
 
 # A restart takes seconds; half a second is enough after a mere connection reset.
 SUSPECT_MIN_S = 0.5
@@ -82,6 +87,8 @@
         Whether another incarnation of the server responded.
     notices : server_notices.Notices
         What the server has said of itself.
+    grants : server_limits.Grants
+        Rights to send requests to it while it names a limit.
     others_requests_count, others_backlog_tokens_count : int
         Requests of the other routers there, and their prompt tokens still to prefill,
         as of `others_updated_s`.
@@ -104,6 +111,9 @@
     unannounced_parts: dict[str, None] = dataclasses.field(default_factory=dict)
     is_misdirected: bool = False
     notices: server_notices.Notices = server_notices.NO_NOTICES
+    grants: server_limits.Grants = dataclasses.field(
+        default_factory=server_limits.Grants
+    )
     others_requests_count: int = 0
     others_backlog_tokens_count: int = 0
     others_updated_s: float = float("-inf")
@@ -241,13 +251,19 @@
         view
         for view in pool.by_service.get(service_name, ())
         if _is_usable(view)
-        and (
-            view.notices is server_notices.NO_NOTICES
-            or server_notices.accepts(view.notices, _unanswered_count(view), now_s)
-        )
+        and (view.notices is server_notices.NO_NOTICES or _accepts(view, now_s))
     ]
 
 
+def _accepts(view: ServerView, now_s: float) -> bool:
+    """Return whether what a server has said allows another request now."""
+    if not server_notices.accepts(view.notices, _unanswered_count(view), now_s):
+        return False
+    if not server_notices.is_limited(view.notices):
+        return True
+    return server_limits.has_grant(view.grants, now_s)
+
+
 def _unanswered_count(view: ServerView) -> int:
     """Return the requests sent since a server's pause that it has not answered."""
     return sum(
@@ -271,15 +287,36 @@
         one.
     """
     now_s = clocks.boottime_s()
+    usable = [
+        view for view in pool.by_service.get(service_name, ()) if _is_usable(view)
+    ]
     waits_s = [
         server_notices.accepts_after_s(view.notices, now_s)
-        for view in pool.by_service.get(service_name, ())
-        if _is_usable(view)
+        for view in usable
+        if not server_notices.is_limited(view.notices)
     ]
+    limits_per_s = [
+        view.notices.limit_per_s
+        for view in usable
+        if server_notices.is_limited(view.notices)
+        and view.notices.leaving_since_s is None
+    ]
+    if limits_per_s:
+        least_s = server_notices.RETURN_RETRY_AFTER_S
+        waits_s.append(server_limits.retry_after_s(limits_per_s, least_s))
     shortest_s = min(waits_s, default=math.inf)
     return None if math.isinf(shortest_s) else shortest_s
 
 
+def limited_servers(pool: Pool) -> list[ServerView]:
+    """Return the listed servers that name a limit."""
+    return [
+        view
+        for view in pool.servers.values()
+        if server_notices.is_limited(view.notices)
+    ]
+
+
 def record_failure(view: ServerView, now_s: float) -> None:
     """Avoid a server for a while, with exponential backoff on consecutive failures."""
     view.failures_count += 1
--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -27,6 +27,8 @@
         Responses of servers by service and end: ``whole``, or how they fell short.
     resumptions : prometheus_client.Counter
         Resumptions by clients, by service and outcome: ``resumed``, ``refused``.
+    grants : prometheus_client.Counter
+        Grants for servers that name a limit, by service: ``received``, ``used``.
     crash_evidence : prometheus_client.Counter
         Evidence on parts of prompts that crash servers, by service and kind: ``loss``
         and ``progress`` of own requests, ``reported`` by others, ``blocked`` and
@@ -35,7 +37,7 @@
         Parts of prompts that are refused.
     servers : prometheus_client.Gauge
         Servers of the list by service and state: ``ready``, ``draining``, ``leaving``,
-        ``paused``, ``returning``.
+        ``paused``, ``returning``, ``limited``.
     table_version : prometheus_client.Gauge
         Table version in force on a router, or stored on a replica.
     list_age_s : prometheus_client.Gauge
@@ -51,6 +53,7 @@
     notices: prometheus_client.Counter
     response_ends: prometheus_client.Counter
     resumptions: prometheus_client.Counter
+    grants: prometheus_client.Counter
     crash_evidence: prometheus_client.Counter
     blocked_parts: prometheus_client.Gauge
     servers: prometheus_client.Gauge
@@ -77,6 +80,7 @@
         resumptions=counter(
             "resumptions", "Resumptions by clients.", "service", "outcome"
         ),
+        grants=counter("grants", "Grants for limited servers.", "service", "kind"),
         crash_evidence=counter(
             "crash_evidence", "Evidence on prompt parts.", "service", "kind"
         ),
--- a/hickoryweir/policy/server_notices.py
+++ b/hickoryweir/policy/server_notices.py
@@ -1,4 +1,6 @@
-"""What a backend server's responses say of itself: that it leaves, or wants a pause.
+"""What a backend server's responses say of itself.
+
+It may say that it leaves, ask for a pause, or name a limit for all routers together.
 
 Answers two loads.  A server that leaves would have to break off what it is still given;
 its announcement is newer than the list of servers, which lags and may come from a
@@ -35,11 +37,17 @@
         End of the pause that it asked for; 0 if it never did.
     responses_count : int
         Responses to requests sent since the end of the pause.
+    limit_per_s : float or None
+        Requests a second that it takes from all routers; None if it names no limit.
+    limit_at_s : float
+        When it last named a limit, or was first seen to name none any more.
     """
 
     leaving_since_s: float | None = None
     paused_until_s: float = 0.0
     responses_count: int = RETURN_STEPS_COUNT
+    limit_per_s: float | None = None
+    limit_at_s: float = float("-inf")
 
 
 NO_NOTICES = Notices()
@@ -89,6 +97,47 @@
     return dataclasses.replace(notices, responses_count=notices.responses_count + 1)
 
 
+def record_limit(
+    notices: Notices, limit_per_s: float | None, at_s: float, sent_at_s: float
+) -> Notices:
+    """Return the notices after a response that names a limit, or names none.
+
+    Parameters
+    ----------
+    notices : Notices
+        What the server has said.
+    limit_per_s : float or None
+        The limit that the response names.
+    at_s : float
+        When the response came.
+    sent_at_s : float
+        When its request was sent.  Responses overtake each other, so only a request
+        sent after the limit was named last shows that it has ended.
+
+    Examples
+    --------
+    >>> limited = record_limit(NO_NOTICES, 2.0, 5.0, 4.0)
+    >>> record_limit(limited, None, 5.5, 4.5) == limited
+    True
+    >>> record_limit(limited, None, 6.5, 6.0).limit_per_s is None
+    True
+    """
+    if at_s <= notices.limit_at_s:
+        return notices
+    if limit_per_s is not None:
+        return dataclasses.replace(notices, limit_per_s=limit_per_s, limit_at_s=at_s)
+    if notices.limit_per_s is None or sent_at_s <= notices.limit_at_s:
+        return notices
+    # Routers return to it as after a pause.
+    ended = dataclasses.replace(notices, limit_per_s=None, limit_at_s=at_s)
+    return record_pause(ended, 0.0, at_s)
+
+
+def is_limited(notices: Notices) -> bool:
+    """Return whether requests to the server need a grant."""
+    return notices.limit_per_s is not None
+
+
 def is_paused(notices: Notices, now_s: float) -> bool:
     """Return whether the server wants no requests now."""
     return now_s < notices.paused_until_s
