Leave the grants of limited servers to the more urgent requests that wait

Now a request leaves its grant for 2 s to more urgent ones that were refused, and every fourth uses it all the same, so that none starves.

--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -20,6 +20,7 @@
     prompt_admission,
     prompt_placement,
     retry_budget,
+    server_limits,
     stream_versions,
 )
 from hickoryweir.routes import matching, model
@@ -104,6 +105,8 @@
     report_lost : callable
         ``report_lost(server_id, fingerprint)`` reports a lost request to the other
         routers.
+    yielding : dict
+        Requests that found no grant at a limited server, by service.
     report_limits : callable
         ``report_limits(message)`` tells the replicas what servers say of their limits.
     report_evidence : callable
@@ -152,6 +155,9 @@
     report_origin: Callable[[str, str, int], None] = lambda service, version, key: None
     ask_origins: Callable[[tuple[int, ...]], None] = lambda keys: None
     report_lost: Callable[[str, int], None] = lambda server_id, fingerprint: None
+    yielding: dict[str, server_limits.Yielding] = dataclasses.field(
+        default_factory=dict
+    )
     report_limits: Callable[[messages.ServerLimits], None] = lambda limits: None
     report_evidence: Callable[[list[crashing_parts.PartKey]], None] = lambda keys: None
 
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -241,6 +241,7 @@
 ) -> web.StreamResponse:
     """Return the final response to a request for which no server is left."""
     forwarder, name = context.forwarder, context.service_name
+    server_selection.record_refusal(context)
     if not server_pool.available_servers(forwarder.pool, name):
         after_s = server_pool.available_after_s(forwarder.pool, name)
         if after_s is not None:
--- a/hickoryweir/forwarding/server_selection.py
+++ b/hickoryweir/forwarding/server_selection.py
@@ -8,6 +8,7 @@
 import math
 import time
 
+from hickoryweir import clocks
 from hickoryweir.forwarding import (
     contexts,
     header_codec,
@@ -18,6 +19,8 @@
     prefill_interference,
     prompt_admission,
     prompt_placement,
+    server_limits,
+    server_notices,
 )
 
 # Below 1: other routers' requests of the last tenths of a second are not counted yet.
@@ -39,7 +42,7 @@
     forwarder = context.forwarder
     prompt = context.metadata.prompt
     parts = () if prompt is None else prompt.parts
-    views = untried_servers(context)
+    views = _without_yielded_grants(context, untried_servers(context))
     now_s = time.monotonic()
     outlier_ids = server_pool.find_outliers(views, now_s)
     candidates = [
@@ -72,6 +75,30 @@
     ]
 
 
+def _without_yielded_grants(
+    context: contexts.RequestContext, views: list[server_pool.ServerView]
+) -> list[server_pool.ServerView]:
+    """Leave out limited servers whose grants are left to more urgent requests."""
+    free = [view for view in views if not server_notices.is_limited(view.notices)]
+    if len(free) == len(views):
+        return views
+    yielding = context.forwarder.yielding.get(context.service_name)
+    urgency, now_s = urgency_of(context), clocks.boottime_s()
+    if yielding is None or not server_limits.must_yield(yielding, urgency, now_s):
+        return views
+    return free
+
+
+def record_refusal(context: contexts.RequestContext) -> None:
+    """Record that no server took a request, for the grants of limited ones."""
+    forwarder, name = context.forwarder, context.service_name
+    views = forwarder.pool.by_service.get(name, ())
+    if any(server_notices.is_limited(view.notices) for view in views):
+        yielding = forwarder.yielding.setdefault(name, server_limits.Yielding())
+        urgency, now_s = urgency_of(context), clocks.boottime_s()
+        server_limits.record_refusal(yielding, urgency, now_s)
+
+
 def shared_parts(
     parts: tuple[header_codec.PromptPart, ...],
 ) -> tuple[header_codec.PromptPart, ...]:
--- a/hickoryweir/forwarding/tests/test_limits.py
+++ b/hickoryweir/forwarding/tests/test_limits.py
@@ -170,3 +170,22 @@
 
     run([answer], scenario)
     assert [item.limits[0].per_s for item in reported] == [4.0, 2.0, None]
+
+
+def test_grants_go_to_the_urgent_requests_that_wait_and_some_to_the_others():
+    urgent = tables.make_route("charge", "/charge/", allows_anonymous=True, priority=0)
+    routes = (urgent, tables.make_route(allows_anonymous=True, priority=2))
+
+    async def scenario(site):
+        await site.call()
+        assert (await site.call(path="/charge/x"))[0] == 503
+        statuses = {"/chat/x": 0, "/charge/x": 0}
+        for _ in range(8):
+            grant(site, 0, 1)
+            for path in statuses:
+                statuses[path] += (await site.call(path=path))[0] == 200
+        return statuses
+
+    served = run([naming("5")], scenario, routes)
+    assert served["/charge/x"] >= 5
+    assert 1 <= served["/chat/x"] <= 3
--- a/hickoryweir/policy/server_limits.py
+++ b/hickoryweir/policy/server_limits.py
@@ -23,6 +23,10 @@
 MIN_RATE_PER_S = 0.2
 # Grants that were not issued in time, as a share of a second's.
 BURST_SHARE = 0.2
+# Longer than the `Retry-After` that refused requests are given.
+YIELD_S = 2.0
+# One in so many requests uses a grant although more urgent ones wait.
+FLOOR_EVERY_COUNT = 4
 # An election takes about a second.
 LEADER_TIMEOUT_S = 3.0
 # A server that named a limit is asked again long before.
@@ -216,6 +220,51 @@
     add_grants(grants, count, now_s)
 
 
+@dataclasses.dataclass(slots=True)
+class Yielding:
+    """Requests that found no grant at a service, for those that are less urgent.
+
+    Attributes
+    ----------
+    refused_at_s : dict
+        When a request of an urgency was last refused.
+    yielded_count : int
+        Requests that have left a grant to a more urgent one.
+    """
+
+    refused_at_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    yielded_count: int = 0
+
+
+def record_refusal(yielding: Yielding, urgency: int, now_s: float) -> None:
+    """Record that a request was refused for want of a grant."""
+    yielding.refused_at_s[urgency] = now_s
+
+
+def must_yield(yielding: Yielding, urgency: int, now_s: float) -> bool:
+    """Return whether a request leaves its grant to more urgent ones that come back.
+
+    So that no urgency starves, some requests use a grant all the same.
+
+    Examples
+    --------
+    >>> yielding = Yielding()
+    >>> record_refusal(yielding, 1, 10.0)
+    >>> must_yield(yielding, 0, 10.5), must_yield(yielding, 3, 12.5)
+    (False, False)
+    >>> [must_yield(yielding, 3, 10.5) for _ in range(4)]
+    [True, True, True, False]
+    """
+    oldest_s = now_s - YIELD_S
+    if not any(
+        at_s > oldest_s and other < urgency
+        for other, at_s in yielding.refused_at_s.items()
+    ):
+        return False
+    yielding.yielded_count += 1
+    return yielding.yielded_count % FLOOR_EVERY_COUNT != 0
+
+
 def retry_after_s(limits_per_s: Sequence[float], least_s: float) -> float:
     """Return when to come back to a service whose servers all name a limit.
 
