Judge first parts by the crashes that later parts leave, and try blocked parts again

A part now yields only to later parts that leave fewer than two of its crashes unexplained, and the leading replica lets one request with a blocked part through, 60 s after the last crash (2 s for a part that made progress before) and then four times later each.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -92,6 +92,7 @@
             self._apply_origins,
             self._apply_listed_versions,
             self._apply_evidence,
+            self._allow_trial,
             self._apply_limits,
             self._apply_grants,
             self._make_greeting,
@@ -253,6 +254,9 @@
     def _apply_evidence(self, message: messages.CrashEvidence) -> None:
         crashes.apply_evidence(self.forwarder, message)
 
+    def _allow_trial(self, message: messages.PartTrial) -> None:
+        crashes.allow_trial(self.forwarder, message)
+
     def _apply_limits(self, message: messages.ServerLimits) -> None:
         limits.apply_limits(self.forwarder, message)
 
--- a/hickoryweir/feeds/crashes.py
+++ b/hickoryweir/feeds/crashes.py
@@ -98,6 +98,8 @@
         tuple(known.earlier_part_ids),
         _age_s(known.cleared_at_s, now_s),
         _age_s(known.refused_at_s, now_s),
+        known.trials_count,
+        _age_s(known.tried_at_s, now_s),
     )
 
 
@@ -125,6 +127,8 @@
             set(part.earlier_part_ids),
             _at_s(part.progress_age_s, now_s),
             _at_s(part.refusal_age_s, now_s),
+            part.trials_count,
+            _at_s(part.trial_age_s, now_s),
         )
         if crashing_parts.merge(state, key, found):
             changed.append(key)
--- a/hickoryweir/feeds/messages.py
+++ b/hickoryweir/feeds/messages.py
@@ -90,6 +90,10 @@
         How long ago a request with the part made progress; None if none did.
     refusal_age_s : float or None
         How long ago a request was refused because of the part; None if none was.
+    trials_count : int
+        Requests with the part that were let through while it was blocked.
+    trial_age_s : float or None
+        How long ago the last of them was allowed; None if none was.
     """
 
     service_name: str
@@ -99,6 +103,8 @@
     earlier_part_ids: tuple[str, ...]
     progress_age_s: float | None
     refusal_age_s: float | None
+    trials_count: int = 0
+    trial_age_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,6 +114,14 @@
     parts: tuple[PartEvidence, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartTrial:
+    """Lets one request with a blocked part through, at the router that gets this."""
+
+    service_name: str
+    part_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerLoad:
     """Load that routers have on a backend server, and its recent failures.
@@ -257,6 +271,7 @@
     ("fd.part_crash", PartCrash),
     ("fd.part_evidence", PartEvidence),
     ("fd.crash_evidence", CrashEvidence),
+    ("fd.part_trial", PartTrial),
     ("fd.beat", Heartbeat),
     ("fd.table_request", TableRequest),
     ("fd.table", TableContent),
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -27,6 +27,7 @@
 LOADS_INTERVAL_S = 0.1
 # Grants of a server with ten requests a second are issued one at a time.
 GRANTS_INTERVAL_S = 0.1
+TRIALS_INTERVAL_S = 0.5
 # Random ids from a range this large do not collide between successive leaders.
 LIST_IDS_COUNT = 1 << 48
 
@@ -161,7 +162,11 @@
             return
         self._evidence_sender.add(shared)
         crashing_parts.remove_expired(state, now_s)
-        crashing_parts.update_blocked(state)
+        change = crashing_parts.update_blocked(state)
+        for key in change.blocked:
+            logs.info(
+                "prompt part blocked", logs.Fields(detail=f"{key[1]} at {key[0]}")
+            )
         self.on_evidence()
 
     def _send_to_subscribers(self, message: object) -> None:
@@ -184,6 +189,7 @@
             asyncio.create_task(self._read_list_while_leader()),
             asyncio.create_task(self._send_loads()),
             asyncio.create_task(self._send_limits()),
+            asyncio.create_task(self._send_trials()),
         ]
         try:
             await self._send_heartbeats()
@@ -220,6 +226,25 @@
             for position, grants in self._limits.issue(weights).items():
                 receivers[position].offer(grants)
 
+    async def _send_trials(self) -> None:
+        """While leader, let routers try a request with a part that is blocked."""
+        while True:
+            await asyncio.sleep(TRIALS_INTERVAL_S)
+            receivers = list(self._subscribers)
+            if not receivers or not self._get_log_status().is_leader:
+                continue
+            due = crashing_parts.due_trials(self.suspect_parts, clocks.boottime_s())
+            weights = [self._weight(connection) for connection in receivers]
+            for key in due:
+                (receiver,) = random.choices(receivers, weights)
+                receiver.offer(messages.PartTrial(*key))
+                detail = f"{key[1]} at {key[0]}"
+                fields = logs.Fields(peer=receiver.peer.process_name, detail=detail)
+                logs.info("trial of a blocked prompt part", fields)
+            if due:
+                self._evidence_sender.add(due)
+                self.on_evidence()
+
     def _weight(self, connection: connections.Connection) -> float:
         """Return a router's load; one without load may get its first request."""
         loads = self._loads.get(connection, ())
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -82,6 +82,8 @@
         Called with software versions that were listed lately.
     on_evidence : callable
         Called with evidence on parts of prompts that crash servers.
+    on_trial : callable
+        Called with a blocked part of which one request may be sent.
     on_limits : callable
         Called with limits that servers name.
     on_grants : callable
@@ -98,6 +100,7 @@
     on_origins: Callable[[messages.StreamOrigins], None] = lambda origins: None
     on_listed_versions: Callable[[messages.ListedVersions], None] = lambda listed: None
     on_evidence: Callable[[messages.CrashEvidence], None] = lambda evidence: None
+    on_trial: Callable[[messages.PartTrial], None] = lambda trial: None
     on_limits: Callable[[messages.ServerLimits], None] = lambda limits: None
     on_grants: Callable[[messages.SendGrants], None] = lambda grants: None
     greet: Callable[[], list] = list
@@ -256,6 +259,8 @@
                 self._callbacks.on_listed_versions(message)
             case messages.CrashEvidence():
                 self._callbacks.on_evidence(message)
+            case messages.PartTrial():
+                self._callbacks.on_trial(message)
             case messages.ServerLimits():
                 self._callbacks.on_limits(message)
             case messages.SendGrants():
--- a/hickoryweir/forwarding/crashes.py
+++ b/hickoryweir/forwarding/crashes.py
@@ -51,9 +51,26 @@
     service_name: str,
     prompt: header_codec.Prompt | None,
 ) -> str | None:
-    """Return the part because of which a prompt must not be sent to a service."""
-    state = forwarder.suspect_parts
-    return crashing_parts.find_blocked(state, service_name, shared_part_ids(prompt))
+    """Return the part because of which a prompt must not be sent to a service.
+
+    A trial that this router was allowed is used up, and lets the prompt through.
+    """
+    state, part_ids = forwarder.suspect_parts, shared_part_ids(prompt)
+    part_id = crashing_parts.find_blocked(state, service_name, part_ids)
+    if part_id is None or not state.trials:
+        return part_id
+    now_s = clocks.boottime_s()
+    if not crashing_parts.use_trial(state, service_name, part_ids, now_s):
+        return part_id
+    logs.info("trial of a blocked prompt part", logs.Fields(detail=part_id))
+    return None
+
+
+def allow_trial(forwarder: contexts.Forwarder, message: messages.PartTrial) -> None:
+    """Let one request with a blocked part through."""
+    key = (message.service_name, message.part_id)
+    now_s = clocks.boottime_s()
+    crashing_parts.allow_trial(forwarder.suspect_parts, key, now_s)
 
 
 def is_blocked(context: contexts.RequestContext) -> bool:
--- a/hickoryweir/policy/crashing_parts.py
+++ b/hickoryweir/policy/crashing_parts.py
@@ -21,12 +21,20 @@
 MIN_CRASHES_COUNT = 3
 # Losses on one server within this time belong to one crash.
 SAME_CRASH_S = 2.0
+# Other crashes that a part may have been in by chance, before a later one is known.
+CLEAR_MARGIN_COUNT = 2
 # A part that progressed this shortly before its first crash is probably sound.
 TRUST_S = 60.0
 # Servers lost together, with an availability zone, say little against such a part.
 TRUSTED_SPAN_S = 3.0
 # A blocked part is refused for as long as requests with it come, and this much longer.
 RETENTION_S = 3_600.0
+# When one request with a blocked part is let through, and the growth of later waits.
+TRIAL_AFTER_S = 60.0
+TRUSTED_TRIAL_AFTER_S = 2.0
+TRIAL_BACKOFF = 4
+# A popular part is tried at once; a rare one may not come to the chosen router.
+TRIAL_LIFETIME_S = 10.0
 MAX_PARTS_COUNT = 4_096
 MAX_CLEARED_PARTS_COUNT = 8_192
 MAX_CRASHES_PER_PART = 16
@@ -61,6 +69,10 @@
         When a request with the part last made progress.
     refused_at_s : float
         When a request was last refused because of the part.
+    trials_count : int
+        Requests with the part that were let through while it was blocked.
+    tried_at_s : float
+        When the last of them was allowed.
     """
 
     crashes: list[Crash] = dataclasses.field(default_factory=list)
@@ -68,6 +80,8 @@
     earlier_part_ids: set[str] = dataclasses.field(default_factory=set)
     cleared_at_s: float = float("-inf")
     refused_at_s: float = float("-inf")
+    trials_count: int = 0
+    tried_at_s: float = float("-inf")
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,6 +96,9 @@
         When parts last made progress at this router, by :data:`PartKey`.
     blocked : dict
         Services whose servers a part crashes, by the id of the part.
+    trials : dict
+        Until when one request with a blocked part may be sent by this router, by
+        :data:`PartKey`.
     """
 
     evidence: collections.OrderedDict = dataclasses.field(
@@ -91,6 +108,7 @@
         default_factory=collections.OrderedDict
     )
     blocked: dict[str, frozenset[str]] = dataclasses.field(default_factory=dict)
+    trials: dict[PartKey, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,7 +177,10 @@
         known.earlier_part_ids, found.earlier_part_ids, MAX_EARLIER_PARTS_COUNT
     )
     known.cleared_at_s = max(known.cleared_at_s, found.cleared_at_s)
+    is_new |= found.trials_count > known.trials_count
     known.refused_at_s = max(known.refused_at_s, found.refused_at_s)
+    known.trials_count = max(known.trials_count, found.trials_count)
+    known.tried_at_s = max(known.tried_at_s, found.tried_at_s)
     _evict(state)
     return is_new
 
@@ -246,21 +267,17 @@
         if len(known.crashes) >= MIN_CRASHES_COUNT
         and len(crashes := crashes_since_progress(known)) >= MIN_CRASHES_COUNT
     }
-    shared_keys = {
-        (key[0], part_id)
-        for key in accused
-        for part_id in evidence[key].earlier_part_ids
-    }
+    counts = {key: len(crashes) for key, crashes in accused.items()}
+    yielding = _find_yielding(evidence, accused)
 
     def likelihood(key: PartKey) -> tuple:
         known = evidence[key]
-        return (
-            _is_trusted(known),
-            key in shared_keys,
-            -len(accused[key]),
-            -len(known.request_keys),
-            key,
+        rank = max(
+            [counts[key], *(counts[general] for general in yielding.get(key, ()))]
         )
+        is_yielding = any(key in generals for generals in yielding.values())
+        requests_count = len(known.request_keys)
+        return _is_trusted(known), -rank, is_yielding, -requests_count, key
 
     explained: dict[str, list[Crash]] = collections.defaultdict(list)
     found = []
@@ -276,6 +293,32 @@
     return found
 
 
+def _find_yielding(
+    evidence: dict[PartKey, Evidence], accused: dict[PartKey, list[Crash]]
+) -> dict[PartKey, list[PartKey]]:
+    """Return the parts that are blocked only after later ones, by later part.
+
+    Fewer callers share a later part, so it is blocked first, unless the part before it
+    explains several crashes that the later ones don't.
+    """
+    later_keys: dict[PartKey, list[PartKey]] = {}
+    for key in accused:
+        if _is_trusted(evidence[key]):
+            continue
+        for part_id in evidence[key].earlier_part_ids:
+            earlier = (key[0], part_id)
+            if earlier in accused and not _is_trusted(evidence[earlier]):
+                later_keys.setdefault(earlier, []).append(key)
+    found: dict[PartKey, list[PartKey]] = {}
+    for earlier, keys in later_keys.items():
+        explained = [crash for key in keys for crash in accused[key]]
+        own = [crash for crash in accused[earlier] if not _contains(explained, crash)]
+        if len(own) < CLEAR_MARGIN_COUNT:
+            for key in keys:
+                found.setdefault(key, []).append(earlier)
+    return found
+
+
 def _is_trusted(known: Evidence) -> bool:
     first = crashes_since_progress(known)[0]
     return first.at_s - known.cleared_at_s < TRUST_S
@@ -316,6 +359,58 @@
     return None
 
 
+def due_trials(state: CrashingParts, now_s: float) -> list[PartKey]:
+    """Return the blocked parts of which one request should be let through now.
+
+    One process calls this for all routers.  A part may be blocked by chance, or may
+    have become harmless, and nothing else would show it; each further trial of a part
+    waits much longer than the one before.
+
+    Examples
+    --------
+    >>> state = CrashingParts()
+    >>> for number in range(3):
+    ...     _ = record_loss(state, "llm", ("bad",), number, Crash(f"s{number}", 0.0))
+    >>> _ = update_blocked(state)
+    >>> [bool(due_trials(state, now_s)) for now_s in (59.0, 61.0, 99.0, 300.0, 302.0)]
+    [False, True, False, False, True]
+    """
+    due = []
+    for key in _pairs(state.blocked):
+        known = state.evidence[key]
+        has_progressed = known.cleared_at_s > float("-inf")
+        first_s = TRUSTED_TRIAL_AFTER_S if has_progressed else TRIAL_AFTER_S
+        wait_s = first_s * TRIAL_BACKOFF**known.trials_count
+        since_s = max(known.crashes[-1].at_s, known.tried_at_s)
+        if now_s - since_s >= wait_s:
+            known.trials_count += 1
+            known.tried_at_s = now_s
+            due.append(key)
+    return sorted(due)
+
+
+def allow_trial(state: CrashingParts, key: PartKey, now_s: float) -> None:
+    """Let the next request with a blocked part through, if it comes soon."""
+    state.trials[key] = now_s + TRIAL_LIFETIME_S
+
+
+def use_trial(
+    state: CrashingParts, service_name: str, part_ids: Iterable[str], now_s: float
+) -> bool:
+    """Return whether a request with blocked parts may be sent; use up the trials."""
+    keys = {
+        (name, part_id)
+        for part_id in part_ids
+        for name in state.blocked.get(part_id, ())
+        if find_blocked(state, service_name, [part_id]) is not None
+    }
+    if not all(state.trials.get(key, now_s) > now_s for key in keys):
+        return False
+    for key in keys:
+        del state.trials[key]
+    return True
+
+
 def record_refusal(state: CrashingParts, part_id: str, now_s: float) -> list[PartKey]:
     """Record that a request was refused because of a part; return the blocked keys."""
     keys = [(name, part_id) for name in state.blocked.get(part_id, ())]
