Keep the signal handlers of a process until it exits

Seen: under signals without pause a stop ended with -15 or -1 instead of 0 (in 8 stops of 16). Cause: removing a handler from the event loop sets the default action, as closing the loop does, for some microseconds until the signal was ignored. Ruled out: blocking the signals, since each thread has its own mask. The loop is not closed any more; the process exits while its handlers are in place. The test failed in both runs before, for SIGTERM and SIGHUP, and passes in three runs (24 stops) after.

--- a/hickoryweir/daemon/main.py
+++ b/hickoryweir/daemon/main.py
@@ -9,7 +9,7 @@
 
 import aiomisc
 
-from hickoryweir import late_signals
+from hickoryweir import process_exit
 from hickoryweir.configuration import settings
 from hickoryweir.daemon import components, process
 from hickoryweir.observability import logs
@@ -35,7 +35,7 @@
 
 
 def serve(process_settings: settings.Settings) -> int:
-    """Run the daemon until a signal, then drain.
+    """Run the daemon until a signal, then drain and end the process.
 
     Parameters
     ----------
@@ -45,14 +45,16 @@
     Returns
     -------
     int
-        Exit code: 0 after a clean shutdown, 3 if calls were cut off at the
-        drain's limit, 4 if the daemon could not be started.
+        Exit code: 4 if the daemon could not be started.  Otherwise the process ends
+        with 0 after a clean shutdown, or 3 if calls were cut off at the drain's limit.
     """
     logs.configure(str(process_settings.logging.level))
     service = RouterService(settings=process_settings)
     try:
         with aiomisc.entrypoint(service, log_config=False, catch_signals=()) as loop:
-            return loop.run_until_complete(run(service))
+            code = loop.run_until_complete(run(service))
+            # Closing the loop would restore the default actions of signals.
+            process_exit.exit_at_once(code)
     except OSError as error:
         logs.error("daemon could not be started", logs.Fields(detail=str(error)))
         return EXIT_NOT_STARTED
@@ -66,7 +68,4 @@
         loop.add_signal_handler(number, stop.set)
     logs.info("serving", logs.Fields(detail=f"pid {os.getpid()}"))
     await stop.wait()
-    try:
-        return await process.drain_and_stop(service.running)
-    finally:
-        late_signals.ignore_until_exit(loop)
+    return await process.drain_and_stop(service.running)
--- a/hickoryweir/entry/main.py
+++ b/hickoryweir/entry/main.py
@@ -9,7 +9,7 @@
 import aiomisc
 from returns import result
 
-from hickoryweir import late_signals
+from hickoryweir import process_exit
 from hickoryweir.entry import adapters, reloading, settings
 from hickoryweir.observability import bounded, logs
 
@@ -19,7 +19,7 @@
 
 
 def serve(path: pathlib.Path, site_adapters: adapters.Adapters) -> int:
-    """Run the process that a settings file describes.
+    """Run the process that a settings file describes, and end it after a clean stop.
 
     Parameters
     ----------
@@ -31,18 +31,22 @@
     Returns
     -------
     int
-        Exit code: 0 after a clean stop, 2 for invalid settings, 4 if an
-        operating system error, such as a port in use, prevented the start.
+        Exit code: 2 for invalid settings, 4 if an operating system error, such as a
+        port in use, prevented the start.
     """
     stream = bounded.make_stream(sys.stdout)
     logs.configure("info", stream)
     try:
-        return _serve(path, site_adapters)
+        return _serve(path, site_adapters, stream)
     finally:
         stream.close()
 
 
-def _serve(path: pathlib.Path, site_adapters: adapters.Adapters) -> int:
+def _serve(
+    path: pathlib.Path,
+    site_adapters: adapters.Adapters,
+    stream: bounded.BoundedStream,
+) -> int:
     loaded = settings.load(path)
     if isinstance(loaded, result.Failure):
         logs.error("invalid settings", logs.Fields(detail=str(loaded.failure())))
@@ -51,10 +55,12 @@
     try:
         with aiomisc.entrypoint(log_config=False, catch_signals=()) as loop:
             loop.run_until_complete(_run(path, entry_settings, site_adapters))
+            stream.close()
+            # Closing the loop would restore the default actions of signals.
+            process_exit.exit_at_once(0)
     except OSError as error:
         logs.error("process could not be started", logs.Fields(detail=str(error)))
         return EXIT_NOT_STARTED
-    return 0
 
 
 async def _run(
@@ -75,7 +81,6 @@
     finally:
         watching.cancel()
         await asyncio.gather(watching, return_exceptions=True)
-        late_signals.ignore_until_exit(loop)
 
 
 def _request_stop(stop: asyncio.Event, number: signal.Signals) -> None:
--- a/hickoryweir/entry/tests/test_early_signals.py
+++ b/hickoryweir/entry/tests/test_early_signals.py
@@ -27,6 +27,7 @@
 """
 SIGNAL_INTERVAL_S = 0.002
 STOP_TIMEOUT_S = 10.0
+STOPS_COUNT = 4
 
 # The process signals itself at the point where its imports would run.
 PROGRAM = """
@@ -94,13 +95,14 @@
     assert ended.stdout == f"{holds}\n"
 
 
-def test_repeated_sigterm_does_not_change_the_exit_code_of_a_stop(tmp_path):
-    path = tmp_path / "replica.ini"
+def stop_under_signals(folder, number, interval_s):
+    """Stop a replica, and send it a signal until it has ended; return its exit code."""
+    path = folder / "replica.ini"
     path.write_text(
         SETTINGS.format(
             peer_port=entry_vms.free_port(),
             port=entry_vms.free_port(),
-            folder=tmp_path / "data",
+            folder=folder / "data",
         )
     )
     command = [sys.executable, "-m", "hickoryweir", "forward", str(path)]
@@ -108,9 +110,20 @@
         for line in process.stdout:
             if "serving" in line:
                 break
+        os.kill(process.pid, signal.SIGTERM)
         give_up_s = time.monotonic() + STOP_TIMEOUT_S
         while process.poll() is None and time.monotonic() < give_up_s:
-            os.kill(process.pid, signal.SIGTERM)
-            time.sleep(SIGNAL_INTERVAL_S)
+            os.kill(process.pid, number)
+            time.sleep(interval_s)
         process.kill()
-    assert process.returncode == 0
+    return process.returncode
+
+
+def test_repeated_sigterm_does_not_change_the_exit_code_of_a_stop(tmp_path):
+    assert stop_under_signals(tmp_path, signal.SIGTERM, SIGNAL_INTERVAL_S) == 0
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_no_moment_of_a_stop_has_the_default_action_of_a_signal(tmp_path, number):
+    codes = [stop_under_signals(tmp_path, number, 0.0) for _ in range(STOPS_COUNT)]
+    assert codes == [0] * STOPS_COUNT
