Start processes of the soak with SIGHUP ignored, and print early reloads

Evidence: the log of the router ends with the line drained of the process before, the one after it wrote none, and -1 is SIGHUP, which the soak sends at once after a start (a fault begins when the one before has ended). The interpreter needs this time before a process can do anything, so the gap can only be closed by whoever starts it: installation.md says how. The soak still sends SIGHUP at any age of a process, and says how early.

--- a/hickoryweir/testing/soak/cluster.py
+++ b/hickoryweir/testing/soak/cluster.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 import aiohttp
 from aiohttp import web
@@ -23,6 +24,8 @@
 EXIT_TIMEOUT_S = GRACE_S + 3.0
 READY_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.1
+# A process that starts serves within this time.
+EARLY_S = 1.0
 SETTINGS = """[process]
 role = {role}
 host = {host}
@@ -59,12 +62,15 @@
     ----------
     process : subprocess.Popen or None
         None while it is stopped deliberately.
+    started_s : float
+        When the process was started, on the steady clock.
     """
 
     role: str
     host: str
     folder: pathlib.Path
     process: subprocess.Popen | None = None
+    started_s: float = 0.0
 
     @property
     def settings_path(self) -> pathlib.Path:
@@ -74,13 +80,22 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Cluster:
-    """The processes and backend servers of the soak test, and the settings' values."""
+    """The processes and backend servers of the soak test, and the settings' values.
+
+    Attributes
+    ----------
+    exit_codes : list of (str, int)
+        Hosts whose processes were stopped, with their exit codes.
+    early_reloads : list of (str, float)
+        Hosts whose processes got SIGHUP while they started, with their ages in seconds.
+    """
 
     replicas: list[Member]
     routers: list[Member]
     servers: list[backends.Backend]
     values: dict
     exit_codes: list[tuple[str, int]] = dataclasses.field(default_factory=list)
+    early_reloads: list[tuple[str, float]] = dataclasses.field(default_factory=list)
 
     @property
     def port(self) -> int:
@@ -135,7 +150,20 @@
 
 
 def launch(member: Member) -> None:
-    """Start a member's process, appending to its log file."""
+    """Start a member's process, appending to its log file.
+
+    As under a supervisor, it inherits that SIGHUP is ignored, since the interpreter
+    starts before the process can set a handler.
+    """
+    former = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    try:
+        _launch(member)
+    finally:
+        signal.signal(signal.SIGHUP, former)
+    member.started_s = time.monotonic()
+
+
+def _launch(member: Member) -> None:
     with (member.folder / "log").open("ab") as log:
         member.process = subprocess.Popen(
             [sys.executable, "-m", "hickoryweir", "forward", str(member.settings_path)],
@@ -144,6 +172,14 @@
         )
 
 
+def reload(cluster: Cluster, member: Member) -> None:
+    """Send SIGHUP to a member, at any age of its process."""
+    age_s = time.monotonic() - member.started_s
+    if age_s < EARLY_S:
+        cluster.early_reloads.append((member.host, age_s))
+    member.process.send_signal(signal.SIGHUP)
+
+
 def kill(member: Member) -> None:
     """Kill a member's process with SIGKILL."""
     member.process.kill()
--- a/hickoryweir/testing/soak/faults.py
+++ b/hickoryweir/testing/soak/faults.py
@@ -94,7 +94,7 @@
     """Change the settings file, at random with a SIGHUP, and change it back."""
     clusters.write_settings(context.cluster, member, extra_count=7)
     if context.generator.random() < 0.5:
-        member.process.send_signal(signal.SIGHUP)
+        clusters.reload(context.cluster, member)
     await asyncio.sleep(duration_s)
     clusters.write_settings(context.cluster, member)
 
--- a/hickoryweir/testing/soak/main.py
+++ b/hickoryweir/testing/soak/main.py
@@ -138,6 +138,8 @@
         print(f"{kind}: {end}: {count}")
     kinds = collections.Counter(item.kind for item in context.injected)
     print("faults:", ", ".join(f"{kind} {n}" for kind, n in sorted(kinds.items())))
+    for host, age_s in context.cluster.early_reloads:
+        print(f"SIGHUP {1000 * age_s:.1f} ms after the start of {host}")
     print(
         f"seed {soak.seed}: {len(observations.calls)} calls, "
         f"{len(observations.accepted)} tables, "
