--- a/hickoryweir/policy/crashing_parts.py
+++ b/hickoryweir/policy/crashing_parts.py
@@ -92,6 +92,8 @@
     ----------
     evidence : collections.OrderedDict
         :class:`Evidence` by :data:`PartKey`.
+    accusable_keys : set
+        Parts with enough crashes to be blocked, unless they made progress since.
     cleared_at_s : collections.OrderedDict
         When parts last made progress at this router, by :data:`PartKey`.
     blocked : dict
@@ -104,6 +106,7 @@
     evidence: collections.OrderedDict = dataclasses.field(
         default_factory=collections.OrderedDict
     )
+    accusable_keys: set[PartKey] = dataclasses.field(default_factory=set)
     cleared_at_s: collections.OrderedDict = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -172,6 +175,8 @@
     crashes = sorted([*known.crashes, *new_crashes], key=lambda crash: crash.at_s)
     is_new = bool(new_crashes) or found.cleared_at_s > known.cleared_at_s
     known.crashes = crashes[-MAX_CRASHES_PER_PART:]
+    if len(known.crashes) >= MIN_CRASHES_COUNT:
+        state.accusable_keys.add(key)
     _add_bounded(known.request_keys, found.request_keys, MAX_REQUESTS_PER_PART)
     _add_bounded(
         known.earlier_part_ids, found.earlier_part_ids, MAX_EARLIER_PARTS_COUNT
@@ -199,7 +204,12 @@
         if is_blocked(state, key):
             state.evidence.move_to_end(key)
             key = next(iter(state.evidence))
-        del state.evidence[key]
+        _forget(state, key)
+
+
+def _forget(state: CrashingParts, key: PartKey) -> None:
+    del state.evidence[key]
+    state.accusable_keys.discard(key)
 
 
 def record_progress(
@@ -247,7 +257,8 @@
 def update_blocked(state: CrashingParts) -> Change:
     """Decide anew which parts are blocked, and return what has changed."""
     blocked: dict[str, frozenset[str]] = {}
-    for service_name, part_id in _find_crashing(state.evidence):
+    accusable = {key: state.evidence[key] for key in state.accusable_keys}
+    for service_name, part_id in _find_crashing(accusable):
         names = blocked.get(part_id, frozenset())
         blocked[part_id] = names | {service_name}
     before, after = _pairs(state.blocked), _pairs(blocked)
@@ -264,8 +275,7 @@
     accused = {
         key: crashes
         for key, known in evidence.items()
-        if len(known.crashes) >= MIN_CRASHES_COUNT
-        and len(crashes := crashes_since_progress(known)) >= MIN_CRASHES_COUNT
+        if len(crashes := crashes_since_progress(known)) >= MIN_CRASHES_COUNT
     }
     counts = {key: len(crashes) for key, crashes in accused.items()}
     yielding = _find_yielding(evidence, accused)
@@ -448,4 +458,4 @@
         if now_s - max(known.refused_at_s, known.crashes[-1].at_s) > RETENTION_S
     ]
     for key in expired:
-        del state.evidence[key]
+        _forget(state, key)
