--- a/hickoryweir/testing/soak/cluster.py
+++ b/hickoryweir/testing/soak/cluster.py
@@ -64,6 +64,8 @@
         None while it is stopped deliberately.
     started_s : float
         When the process was started, on the steady clock.
+    log_start_bytes : int
+        Size of the log when it was started.
     """
 
     role: str
@@ -71,6 +73,7 @@
     folder: pathlib.Path
     process: subprocess.Popen | None = None
     started_s: float = 0.0
+    log_start_bytes: int = 0
 
     @property
     def settings_path(self) -> pathlib.Path:
@@ -88,6 +91,8 @@
         Hosts whose processes were stopped, with their exit codes.
     early_reloads : list of (str, float)
         Hosts whose processes got SIGHUP while they started, with their ages in seconds.
+    early_stops : list of (str, float)
+        Hosts whose processes SIGTERM ended before they had handlers, with their ages.
     """
 
     replicas: list[Member]
@@ -96,6 +101,7 @@
     values: dict
     exit_codes: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     early_reloads: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    early_stops: list[tuple[str, float]] = dataclasses.field(default_factory=list)
 
     @property
     def port(self) -> int:
@@ -165,6 +171,7 @@
 
 def _launch(member: Member) -> None:
     with (member.folder / "log").open("ab") as log:
+        member.log_start_bytes = log.tell()
         member.process = subprocess.Popen(
             [sys.executable, "-m", "hickoryweir", "forward", str(member.settings_path)],
             stdout=log,
@@ -193,8 +200,13 @@
 
 
 async def stop(cluster: Cluster, member: Member) -> None:
-    """Stop a member with SIGTERM and record its exit code."""
+    """Stop a member with SIGTERM and record its exit code.
+
+    The interpreter starts before a process can set a handler.  SIGTERM then ends it by
+    its default action, before it has written a line or done anything else.
+    """
     process = member.process
+    age_s = time.monotonic() - member.started_s
     process.send_signal(signal.SIGTERM)
     try:
         code = await asyncio.to_thread(process.wait, EXIT_TIMEOUT_S)
@@ -202,7 +214,11 @@
         code = -signal.SIGKILL
         process.kill()
         process.wait()
-    cluster.exit_codes.append((member.host, code))
+    has_begun = (member.folder / "log").stat().st_size > member.log_start_bytes
+    if code == -signal.SIGTERM and age_s < EARLY_S and not has_begun:
+        cluster.early_stops.append((member.host, age_s))
+    else:
+        cluster.exit_codes.append((member.host, code))
     member.process = None
 
 
--- a/hickoryweir/testing/soak/main.py
+++ b/hickoryweir/testing/soak/main.py
@@ -140,6 +140,8 @@
     print("faults:", ", ".join(f"{kind} {n}" for kind, n in sorted(kinds.items())))
     for host, age_s in context.cluster.early_reloads:
         print(f"SIGHUP {1000 * age_s:.1f} ms after the start of {host}")
+    for host, age_s in context.cluster.early_stops:
+        print(f"SIGTERM {1000 * age_s:.1f} ms after the start of {host} ended it")
     print(
         f"seed {soak.seed}: {len(observations.calls)} calls, "
         f"{len(observations.accepted)} tables, "
