--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -11,8 +11,7 @@
 from hickoryweir.discovery import listing
 from hickoryweir.engines import sessions
 from hickoryweir.entry import adapters, metrics_port, settings
-from hickoryweir.feeds import crashes as messages_of_crashes
-from hickoryweir.feeds import messages, subscriber, versions
+from hickoryweir.feeds import evidence, messages, subscriber, versions
 from hickoryweir.forwarding import (
     contexts,
     crashes,
@@ -116,7 +115,7 @@
             ask_origins=self._subscriber.ask_origins,
             report_limits=self._subscriber.send_to_all,
         )
-        evidence_sender = messages_of_crashes.EvidenceSender(
+        evidence_sender = evidence.Sender(
             self.forwarder.suspect_parts, self._subscriber.send_to_all
         )
         self.forwarder.report_evidence = evidence_sender.add
@@ -266,14 +265,14 @@
     def _make_greeting(self) -> list:
         """Return what a replica that may have restarted has to know."""
         state = self.forwarder.suspect_parts
-        evidence = messages_of_crashes.make_messages(
-            state, messages_of_crashes.greeting_keys(state), clocks.boottime_s()
+        known = evidence.make_messages(
+            state, evidence.greeting_keys(state), clocks.boottime_s()
         )
         listed = self._make_listed_versions()
         if not listed:
-            return evidence
+            return known
         origins = resumption.own_origins(self.forwarder)
-        return [*evidence, *listed, *versions.make_stream_origins(origins)]
+        return [*known, *listed, *versions.make_stream_origins(origins)]
 
     def _apply_loads(self, total: messages.TotalLoads) -> None:
         now_s = time.monotonic()
--- a/hickoryweir/feeds/crashes.py
+++ b/hickoryweir/feeds/evidence.py
@@ -16,7 +16,7 @@
 MAX_RECENT_PARTS_COUNT = 256
 
 
-class EvidenceSender:
+class Sender:
     """Sends evidence in batches.
 
     Parameters
--- a/hickoryweir/feeds/evidence_file.py
+++ b/hickoryweir/feeds/evidence_file.py
@@ -10,7 +10,7 @@
 import os
 
 from hickoryweir import clocks
-from hickoryweir.feeds import crashes, messages, publisher
+from hickoryweir.feeds import evidence, messages, publisher
 from hickoryweir.observability import logs
 from hickoryweir.replicas import files as file_operations
 from hickoryweir.replicas import frames, records, storage
@@ -66,8 +66,8 @@
 
     async def _save(self) -> None:
         state = self._feed.suspect_parts
-        keys = crashes.shared_keys(state)
-        content = crashes.make_messages(state, keys, clocks.boottime_s())
+        keys = evidence.shared_keys(state)
+        content = evidence.make_messages(state, keys, clocks.boottime_s())
         try:
             await asyncio.get_running_loop().run_in_executor(
                 self._executor, save, self._files, self._folder, content
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -10,7 +10,7 @@
 
 from hickoryweir import clocks
 from hickoryweir.discovery import listing
-from hickoryweir.feeds import crashes, limits, messages, versions
+from hickoryweir.feeds import evidence, limits, messages, versions
 from hickoryweir.observability import logs
 from hickoryweir.policy import crashing_parts, stream_versions
 from hickoryweir.replicas import wire
@@ -74,7 +74,7 @@
         self._limits = limits.LimitKeeper()
         self.suspect_parts = crashing_parts.CrashingParts()
         self.on_evidence: Callable[[], None] = lambda: None
-        self._evidence_sender = crashes.EvidenceSender(
+        self._evidence_sender = evidence.Sender(
             self.suspect_parts, self._send_to_subscribers
         )
 
@@ -142,15 +142,15 @@
     def _send_evidence(self, connection: connections.Connection) -> None:
         """Send a new subscriber the parts that others have reported."""
         state = self.suspect_parts
-        keys = crashes.shared_keys(state)
-        for message in crashes.make_messages(state, keys, clocks.boottime_s()):
+        keys = evidence.shared_keys(state)
+        for message in evidence.make_messages(state, keys, clocks.boottime_s()):
             connection.offer(message)
 
     def add_evidence(self, found: list[messages.CrashEvidence]) -> None:
         """Merge evidence, and tell the routers what concerns several crashes."""
         state, now_s = self.suspect_parts, clocks.boottime_s()
         changed = [
-            key for message in found for key in crashes.merge(state, message, now_s)
+            key for message in found for key in evidence.merge(state, message, now_s)
         ]
         shared = [
             key
--- a/hickoryweir/feeds/tests/test_evidence_file.py
+++ b/hickoryweir/feeds/tests/test_evidence_file.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from hickoryweir.feeds import crashes, evidence_file
+from hickoryweir.feeds import evidence, evidence_file
 from hickoryweir.policy import crashing_parts
 from hickoryweir.replicas import files as file_operations
 from hickoryweir.testing import waiting
@@ -22,7 +22,7 @@
 
 def make_content():
     state = make_state()
-    return crashes.make_messages(state, crashes.shared_keys(state), 104.0)
+    return evidence.make_messages(state, evidence.shared_keys(state), 104.0)
 
 
 class Feed:
@@ -35,13 +35,13 @@
     def add_evidence(self, found):
         """Merge the content of the file."""
         for message in found:
-            crashes.merge(self.suspect_parts, message, 1_000.0)
+            evidence.merge(self.suspect_parts, message, 1_000.0)
 
 
 def blocked_after_load(folder):
     state = crashing_parts.CrashingParts()
     for message in evidence_file.load(file_operations.make_files(), str(folder)):
-        crashes.merge(state, message, 1_000.0)
+        evidence.merge(state, message, 1_000.0)
     crashing_parts.update_blocked(state)
     return set(state.blocked)
 
--- a/hickoryweir/forwarding/crashes.py
+++ b/hickoryweir/forwarding/crashes.py
@@ -10,8 +10,7 @@
 
 from hickoryweir import clocks
 from hickoryweir.engines import framing
-from hickoryweir.feeds import crashes as messages_of_crashes
-from hickoryweir.feeds import messages
+from hickoryweir.feeds import evidence, messages
 from hickoryweir.forwarding import contexts, header_codec
 from hickoryweir.observability import logs
 from hickoryweir.policy import crash_counts, crashing_parts
@@ -179,7 +178,7 @@
 ) -> None:
     """Merge evidence that a replica has passed on."""
     state, now_s = forwarder.suspect_parts, clocks.boottime_s()
-    changed = messages_of_crashes.merge(state, message, now_s)
+    changed = evidence.merge(state, message, now_s)
     if not changed:
         return
     name = changed[0][0]
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -85,12 +85,9 @@
     admitted = await _admit(forwarder, request, metadata)
     if isinstance(admitted, errors.Reason):
         return _refuse(forwarder, metadata.request_id, admitted)
-    name, prompt = admitted.service_name, metadata.prompt
-    blocked_part_id = crashes.find_blocked(forwarder, name, prompt)
-    if blocked_part_id is not None:
-        detail = crashes.record_refusal(forwarder, blocked_part_id)
-        reason, route_name = errors.Reason.CRASHES_SERVERS, admitted.route.name
-        return _refuse(forwarder, metadata.request_id, reason, None, route_name, detail)
+    refusal = _refuse_blocked(admitted)
+    if refusal is not None:
+        return refusal
     open_requests.admit(open_request, admitted)
     budget = _budget(forwarder, admitted.service_name)
     retry_budget.record_request(budget, time.monotonic())
@@ -104,6 +101,17 @@
         forwarder.metrics.open_requests.dec()
 
 
+def _refuse_blocked(context: contexts.RequestContext) -> web.Response | None:
+    """Return the refusal of a request with a part that crashes servers."""
+    forwarder, prompt = context.forwarder, context.metadata.prompt
+    part_id = crashes.find_blocked(forwarder, context.service_name, prompt)
+    if part_id is None:
+        return None
+    detail = crashes.record_refusal(forwarder, part_id)
+    reason, name = errors.Reason.CRASHES_SERVERS, context.route.name
+    return _refuse(forwarder, context.metadata.request_id, reason, None, name, detail)
+
+
 async def _admit(
     forwarder: contexts.Forwarder,
     request: web.BaseRequest,
--- a/hickoryweir/measures/crash_evidence.py
+++ b/hickoryweir/measures/crash_evidence.py
@@ -8,7 +8,7 @@
 import timeit
 import tracemalloc
 
-from hickoryweir.feeds import crashes, messages
+from hickoryweir.feeds import evidence, messages
 from hickoryweir.policy import crashing_parts, server_limits
 from hickoryweir.streams import codec
 
@@ -73,7 +73,7 @@
         crash = crashing_parts.Crash(f"i-{number:010x}", float(number))
         request = generator.getrandbits(64)
         crashing_parts.record_loss(state, SERVICE, parts, request, crash)
-    (message,) = crashes.make_messages(state, state.evidence, 10.0)
+    (message,) = evidence.make_messages(state, state.evidence, 10.0)
     size_bytes = len(codec.encode(message)) / len(parts)
     print(f"evidence: {size_bytes:.0f} bytes a part with three crashes")
 
