Tell replicas of a limit again, also after their restart, and end an unheard one

Found in the read-through, not seen by a caller yet. A limit that a router is told more than once a second was never reported again, and one that replicas did not know after a restart was reported only with the next response; in both cases the leader issues no grants, and since a leader is there no router uses its own share, so the server would get nothing for good (in the first case after 600 s). Routers also kept a limit of which nothing was heard, which the replicas forget. Reports are now limited by what was last reported, routers tell limits with each connection to a replica, and end one unheard for 600 s. The three new tests failed before.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -268,6 +268,7 @@
         known = evidence.make_messages(
             state, evidence.greeting_keys(state), clocks.boottime_s()
         )
+        known += limits.make_greeting(self.forwarder)
         listed = self._make_listed_versions()
         if not listed:
             return known
--- a/hickoryweir/forwarding/limits.py
+++ b/hickoryweir/forwarding/limits.py
@@ -20,20 +20,37 @@
     notices: server_notices.Notices,
 ) -> None:
     """Tell the replicas what a response says of its server's limit, if it is news."""
-    age_s = notices.limit_at_s - known.limit_at_s
-    if age_s <= 0 or (
-        notices.limit_per_s == known.limit_per_s and age_s < REPORT_INTERVAL_S
-    ):
+    if notices.limit_at_s <= known.limit_at_s:
         return
+    is_same = notices.limit_per_s == known.limit_per_s
+    unreported_s = notices.limit_at_s - view.limit_reported_at_s
+    if is_same and unreported_s < REPORT_INTERVAL_S:
+        return
+    view.limit_reported_at_s = notices.limit_at_s
+    found = _make_limit(view, notices)
+    forwarder.report_limits(messages.ServerLimits((found,)))
+
+
+def _make_limit(
+    view: server_pool.ServerView, notices: server_notices.Notices
+) -> messages.ServerLimit:
     listed = view.listed
-    found = messages.ServerLimit(
+    return messages.ServerLimit(
         listed.server_id,
         listed.address,
         listed.started_at_ms,
         notices.limit_per_s,
         clocks.boottime_s() - notices.limit_at_s,
     )
-    forwarder.report_limits(messages.ServerLimits((found,)))
+
+
+def make_greeting(forwarder: contexts.Forwarder) -> list[messages.ServerLimits]:
+    """Return the limits to tell a replica that may have restarted."""
+    found = tuple(
+        _make_limit(view, view.notices)
+        for view in server_pool.limited_servers(forwarder.pool)
+    )
+    return [messages.ServerLimits(found)] if found else []
 
 
 def apply_limits(forwarder: contexts.Forwarder, message: messages.ServerLimits) -> None:
@@ -72,9 +89,16 @@
 
 
 def add_own_shares(forwarder: contexts.Forwarder, leader_heard_at_s: float) -> None:
-    """Grant this router its share of each limit while it knows of no leader."""
+    """Grant this router its share of each limit while it knows of no leader.
+
+    A limit of which nothing was heard for long ends, as it does at the replicas.
+    """
     now_s = clocks.boottime_s()
     for view in server_pool.limited_servers(forwarder.pool):
+        if now_s - view.notices.limit_at_s >= server_limits.LIMIT_RETENTION_S:
+            ended = server_notices.record_limit(view.notices, None, now_s, now_s)
+            server_pool.record_notices(forwarder.pool, view, ended)
+            continue
         server_limits.add_own_share(
             view.grants,
             view.notices.limit_per_s,
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -89,6 +89,8 @@
         What the server has said of itself.
     grants : server_limits.Grants
         Rights to send requests to it while it names a limit.
+    limit_reported_at_s : float
+        Observation of its limit that the replicas were told last.
     others_requests_count, others_backlog_tokens_count : int
         Requests of the other routers there, and their prompt tokens still to prefill,
         as of `others_updated_s`.
@@ -114,6 +116,7 @@
     grants: server_limits.Grants = dataclasses.field(
         default_factory=server_limits.Grants
     )
+    limit_reported_at_s: float = float("-inf")
     others_requests_count: int = 0
     others_backlog_tokens_count: int = 0
     others_updated_s: float = float("-inf")
--- a/hickoryweir/forwarding/tests/test_limits.py
+++ b/hickoryweir/forwarding/tests/test_limits.py
@@ -6,11 +6,12 @@
 import pytest
 from aiohttp import web
 
+from hickoryweir import clocks
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages
 from hickoryweir.forwarding import headers, limits, server_pool
 from hickoryweir.forwarding.tests import sites
-from hickoryweir.policy import server_notices
+from hickoryweir.policy import server_limits, server_notices
 from hickoryweir.routes.tests import tables
 
 REFUSED = {headers.NOT_RUN: "1"}
@@ -189,3 +190,39 @@
     served = run([naming("5")], scenario, routes)
     assert served["/charge/x"] >= 5
     assert 1 <= served["/chat/x"] <= 3
+
+
+def test_limit_that_is_named_often_is_reported_again(monkeypatch):
+    monkeypatch.setattr(limits, "REPORT_INTERVAL_S", 0.1)
+    reported = []
+
+    async def scenario(site):
+        site.forwarder.report_limits = reported.append
+        for _ in range(8):
+            grant(site, 0, 1)
+            await site.call()
+            await asyncio.sleep(0.05)
+
+    run([naming("4")], scenario)
+    assert len(reported) >= 3
+
+
+def test_replica_that_restarted_is_told_the_limits_in_force():
+    async def scenario(site):
+        await site.call()
+        return limits.make_greeting(site.forwarder)
+
+    (greeting,) = run([naming("4")], scenario)
+    assert [item.per_s for item in greeting.limits] == [4.0]
+    assert run([sites.answering()], scenario) == []
+
+
+def test_limit_of_which_nothing_is_heard_for_long_ends(monkeypatch):
+    async def scenario(site):
+        await site.call()
+        now_s = clocks.boottime_s() + server_limits.LIMIT_RETENTION_S
+        monkeypatch.setattr(clocks, "boottime_s", lambda: now_s)
+        limits.add_own_shares(site.forwarder, now_s)
+        return (await site.call())[0]
+
+    assert run([naming("0")], scenario) == 200
