Reserve ports of replicas in tests outside the ephemeral range

Same class elsewhere: the measuring tool of replicas, a test of probes, and RunningServer, which gave up its port between a crash and the restart. The first two reserve ports as the entry VMs of the demonstration do, below the ephemeral range and locked against other processes; a crashed stand-in keeps a socket bound, with the function that the soak already had.

--- a/hickoryweir/forwarding/tests/test_probing.py
+++ b/hickoryweir/forwarding/tests/test_probing.py
@@ -3,12 +3,12 @@
 import asyncio
 import contextlib
 import dataclasses
-import socket
 
 from aiohttp import web
 
 from hickoryweir.forwarding import headers, probing, server_pool
 from hickoryweir.forwarding.tests import sites
+from hickoryweir.testing.demo import entry_vms
 
 
 @contextlib.asynccontextmanager
@@ -39,8 +39,7 @@
     async def main():
         async with probing_site([sites.answering()] * 2) as site:
             first = site.backends[0]
-            with socket.create_server((sites.HOST, 0)) as reserved:
-                port = reserved.getsockname()[1]
+            port = entry_vms.free_port()
             view = replace_address(site, f"{sites.HOST}:{port}")
             await call_all(site, 10)
             unreachable_failures = len(site.forwarder.pool.connect_failures)
--- a/hickoryweir/measures/replicas_cluster.py
+++ b/hickoryweir/measures/replicas_cluster.py
@@ -10,7 +10,6 @@
 import functools
 import os
 import signal
-import socket
 import sys
 import time
 
@@ -18,6 +17,7 @@
 from hickoryweir.claims import machine as claims_machine
 from hickoryweir.replicas import client, machine, node, wire
 from hickoryweir.streams import handshake, hub
+from hickoryweir.testing.demo import entry_vms
 
 CLUSTER_ID = "measurement"
 HOST = "127.0.0.1"
@@ -182,12 +182,7 @@
 
 
 def _make_addresses() -> tuple[dict, dict]:
-    with contextlib.ExitStack() as stack:
-        servers = [
-            stack.enter_context(socket.create_server((HOST, 0)))
-            for _ in range(2 * len(NAMES))
-        ]
-        ports = [server.getsockname()[1] for server in servers]
+    ports = [entry_vms.free_port() for _ in range(2 * len(NAMES))]
     addresses = [
         {
             name: wire.ReplicaAddress(name, HOST, port, f"zone-{name}")
--- a/hickoryweir/replicas/tests/register.py
+++ b/hickoryweir/replicas/tests/register.py
@@ -3,12 +3,12 @@
 import asyncio
 import contextlib
 import dataclasses
-import socket
 
 import msgpack
 
 from hickoryweir.replicas import client, machine, node, wire
 from hickoryweir.streams import codec, handshake, hub
+from hickoryweir.testing.demo import entry_vms
 
 CLUSTER_ID = "north"
 HOST = "127.0.0.1"
@@ -164,11 +164,7 @@
 
 
 def reserve_ports(count):
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    return [entry_vms.free_port() for _ in range(count)]
 
 
 @contextlib.asynccontextmanager
--- a/hickoryweir/testing/running.py
+++ b/hickoryweir/testing/running.py
@@ -13,6 +13,7 @@
 """
 
 import dataclasses
+import socket
 
 from aiohttp import web
 
@@ -23,11 +24,24 @@
 
 @dataclasses.dataclass(slots=True)
 class RunningServer:
-    """A running stand-in; it keeps its port across restarts."""
+    """A running stand-in; it keeps its port across restarts.
+
+    Attributes
+    ----------
+    runner : web.AppRunner
+        Runs the application.
+    site : web.BaseSite or None
+        The listener; None after a crash.
+    port : int
+        TCP port.
+    reserved : socket.socket or None
+        Keeps the port from other sockets after a crash.
+    """
 
     runner: web.AppRunner
-    site: web.TCPSite | None
+    site: web.BaseSite | None
     port: int
+    reserved: socket.socket | None = None
 
     @property
     def url(self) -> str:
@@ -39,18 +53,30 @@
         if self.site is not None:
             await self.site.stop()
             self.site = None
+            self.reserved = bind_port(HOST, self.port)
         drop_connections(self.runner)
 
     async def restart(self) -> None:
         """Listen again on the same port."""
         await self.crash()
-        self.site = web.TCPSite(self.runner, HOST, self.port, backlog=BACKLOG)
+        self.site = web.SockSite(self.runner, self.reserved, backlog=BACKLOG)
+        self.reserved = None
         await self.site.start()
 
     async def stop(self) -> None:
         """Abort every connection and shut the runner down."""
         drop_connections(self.runner)
         await self.runner.cleanup()
+        if self.reserved is not None:
+            self.reserved.close()
+
+
+def bind_port(host: str, port: int) -> socket.socket:
+    """Return a socket that has a port and refuses connections until it listens."""
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((host, port))
+    return bound
 
 
 def drop_connections(runner: web.AppRunner) -> None:
--- a/hickoryweir/testing/soak/stop_backends.py
+++ b/hickoryweir/testing/soak/stop_backends.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from hickoryweir.forwarding import headers
+from hickoryweir.testing import running
 from hickoryweir.testing.soak import stop_records
 
 HOST = "127.0.0.1"
@@ -50,18 +51,10 @@
         return await _serve(backend, request)
 
     backend.server = web.Server(handle, access_log=None, handler_cancellation=True)
-    await _listen(backend, _bind(0))
+    await _listen(backend, running.bind_port(HOST, 0))
     return backend
 
 
-def _bind(port: int) -> socket.socket:
-    """Return a socket that has a port and refuses connections until it listens."""
-    bound = socket.socket()
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bound.bind((HOST, port))
-    return bound
-
-
 async def _listen(backend: Backend, bound: socket.socket) -> None:
     backend.port = bound.getsockname()[1]
     loop = asyncio.get_running_loop()
@@ -134,7 +127,7 @@
     else:
         backend.listener.close()
         # No connection of another process may take the port meanwhile.
-        bound = _bind(backend.port)
+        bound = running.bind_port(HOST, backend.port)
         for attempt in backend.open_attempts.values():
             attempt.broke_off = True
         for connection in list(backend.server.connections):
