Bound the trials of a blocked prompt part for all time

Cause: a trial was decided by time alone, without the crashes that earlier trials had added.

Now a part in eight crashes, trials included, is tried no more: with a block at the third crash the trials are crashes four to eight, three of them after the fifth; with a later block there are fewer. What is left is a sound part that was in eight crashes by chance, so operators get GET and DELETE /blocked-parts at each replica; a release is progress in the evidence, and routers pass it on to the other replicas.

Weighed: no trials at all (a sound part blocked by chance stays so until somebody looks), trials by software version (each roll-out of N versions costs N servers).

test_part_that_crashes_servers_for_weeks_costs_three_requests_after_the_fifth_crash failed before in all ten cases (five more or none more crashes before the block, with and without progress before): 6 to 10 requests after the fifth crash in three weeks. test_part_that_an_operator_released_at_one_replica_is_told_to_the_others fails without the change of forwarding/crashes.py.

--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -7,7 +7,7 @@
 
 from hickoryweir import graceful_stop
 from hickoryweir.engines import sessions
-from hickoryweir.entry import adapters, metrics_port, settings, tables
+from hickoryweir.entry import adapters, metrics_port, parts_app, settings, tables
 from hickoryweir.feeds import evidence_file, publisher
 from hickoryweir.observability import forwarding_metrics, logs
 from hickoryweir.replicas import automation, client, files, node, wire
@@ -172,6 +172,7 @@
             await metrics_port.start(metrics, process.host, process.metrics_port)
         service = tables.TableService(self._log, self._adapters.decode_table)
         app = self._adapters.make_operators_app(service)
+        parts_app.add_routes(app, self._publisher)
         graceful_stop.track(app)
         runner = web.AppRunner(
             app,
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -169,6 +169,20 @@
             )
         self.on_evidence()
 
+    def release_part(self, key: crashing_parts.PartKey) -> bool:
+        """Release a blocked part at all routers; return whether it was blocked."""
+        state = self.suspect_parts
+        if not crashing_parts.release(state, key, clocks.boottime_s()):
+            return False
+        crashing_parts.update_blocked(state)
+        detail = f"{key[1]} at {key[0]}"
+        logs.warning(
+            "prompt part released", logs.Fields(reason="operator", detail=detail)
+        )
+        self._evidence_sender.add([key])
+        self.on_evidence()
+        return True
+
     def _send_to_subscribers(self, message: object) -> None:
         for connection in list(self._subscribers):
             connection.offer(message)
--- a/hickoryweir/forwarding/crashes.py
+++ b/hickoryweir/forwarding/crashes.py
@@ -184,8 +184,9 @@
     name = changed[0][0]
     forwarder.metrics.crash_evidence.labels(name, "reported").inc(len(changed))
     cleared = [key for key in changed if crashing_parts.add_own_progress(state, key)]
-    forwarder.report_evidence(cleared)
-    update_blocked(forwarder)
+    # A part that an operator has released is known to one replica only.
+    released = update_blocked(forwarder).released
+    forwarder.report_evidence([*cleared, *released])
 
 
 def remove_expired(forwarder: contexts.Forwarder) -> None:
@@ -196,8 +197,8 @@
         update_blocked(forwarder)
 
 
-def update_blocked(forwarder: contexts.Forwarder) -> None:
-    """Decide anew which parts are blocked, and log what has changed."""
+def update_blocked(forwarder: contexts.Forwarder) -> crashing_parts.Change:
+    """Decide anew which parts are blocked, and log and return what has changed."""
     state = forwarder.suspect_parts
     change = crashing_parts.update_blocked(state)
     log_change(state, change)
@@ -205,6 +206,7 @@
         for name, _ in keys:
             forwarder.metrics.crash_evidence.labels(name, outcome).inc()
     forwarder.metrics.blocked_parts.set(len(state.blocked))
+    return change
 
 
 def log_change(
--- a/hickoryweir/forwarding/tests/test_crashing_parts.py
+++ b/hickoryweir/forwarding/tests/test_crashing_parts.py
@@ -1,6 +1,7 @@
 """Requests that share a part of their prompts with which servers crash."""
 
 import asyncio
+import dataclasses
 import itertools
 
 import pytest
@@ -189,3 +190,20 @@
 
     found = run([end_after_one_event], scenario, routes=(ROUTES[0],))
     assert {item.server_id for item in found} == {"x", "y"}
+
+
+def test_part_that_an_operator_released_at_one_replica_is_told_to_the_others():
+    reported = []
+
+    async def scenario(site):
+        site.forwarder.report_evidence = reported.extend
+        found = evidence_of("bad", ("x", "y", "z"))
+        crashes.apply_evidence(site.forwarder, found)
+        assert (await call(site, "bad"))[0] == 503
+        reported.clear()
+        released = dataclasses.replace(found.parts[0], progress_age_s=0.0)
+        crashes.apply_evidence(site.forwarder, messages.CrashEvidence((released,)))
+        return (await call(site, "bad"))[0]
+
+    assert run([sites.answering()] * 2, scenario, routes=(ROUTES[1],)) == 200
+    assert reported == [("app", "bad")]
--- a/hickoryweir/policy/crashing_parts.py
+++ b/hickoryweir/policy/crashing_parts.py
@@ -29,6 +29,8 @@
 TRUSTED_SPAN_S = 3.0
 # A blocked part is refused for as long as requests with it come, and this much longer.
 RETENTION_S = 3_600.0
+# A part in more crashes, trials included, is released by progress or an operator only.
+MAX_TRIED_CRASHES_COUNT = 7
 # When one request with a blocked part is let through, and the growth of later waits.
 TRIAL_AFTER_S = 60.0
 TRUSTED_TRIAL_AFTER_S = 2.0
@@ -374,7 +376,7 @@
 
     One process calls this for all routers.  A part may be blocked by chance, or may
     have become harmless, and nothing else would show it; each further trial of a part
-    waits much longer than the one before.
+    waits much longer than the one before, and their number is bounded.
 
     Examples
     --------
@@ -388,6 +390,8 @@
     due = []
     for key in _pairs(state.blocked):
         known = state.evidence[key]
+        if len(crashes_since_progress(known)) > MAX_TRIED_CRASHES_COUNT:
+            continue
         has_progressed = known.cleared_at_s > float("-inf")
         first_s = TRUSTED_TRIAL_AFTER_S if has_progressed else TRIAL_AFTER_S
         wait_s = first_s * TRIAL_BACKOFF**known.trials_count
@@ -450,6 +454,14 @@
     return len(known.crashes) > 1
 
 
+def release(state: CrashingParts, key: PartKey, now_s: float) -> bool:
+    """Release a part on an operator's request; return whether it was blocked."""
+    if not is_blocked(state, key):
+        return False
+    state.evidence[key].cleared_at_s = now_s
+    return True
+
+
 def remove_expired(state: CrashingParts, now_s: float) -> None:
     """Forget parts that neither crashed a server nor were refused for long."""
     expired = [
--- a/hickoryweir/policy/tests/test_crashing_parts.py
+++ b/hickoryweir/policy/tests/test_crashing_parts.py
@@ -4,6 +4,8 @@
 import itertools
 import random
 
+import pytest
+
 from hickoryweir.policy import crashing_parts
 
 
@@ -177,3 +179,26 @@
     assert len(state.cleared_at_s) <= crashing_parts.MAX_CLEARED_PARTS_COUNT
     crashing_parts.update_blocked(state)
     assert blocked(state) == {"bad"}
+
+
+@pytest.mark.parametrize("has_progressed", [False, True])
+@pytest.mark.parametrize("crashes_count", range(3, 8))
+def test_part_that_crashes_servers_for_weeks_costs_three_requests_after_the_fifth_crash(
+    crashes_count, has_progressed
+):
+    state = crashing_parts.CrashingParts()
+    if has_progressed:
+        progress(state, ("bad",), 99.0)
+    for number in range(crashes_count):
+        lose(state, number, ("bad",), at_s=100.0 + 2.5 * number)
+    crashed_count, later_count = crashes_count, 0
+    for now_s in range(120, 21 * 86_400, 60):
+        crashing_parts.remove_expired(state, now_s)
+        crashing_parts.update_blocked(state)
+        assert blocked(state) == {"bad"}
+        crashing_parts.record_refusal(state, "bad", now_s)
+        if crashing_parts.due_trials(state, now_s):
+            later_count += crashed_count >= 5
+            crashed_count += 1
+            lose(state, f"trial{crashed_count}", ("bad",), at_s=now_s + 0.5)
+    assert later_count <= 3
