Keep crashes of a prompt part for a week

Evidence was forgotten an hour after the last crash, so a part that is asked for every two hours could crash servers for ever without being blocked: at each crash nothing was known of the ones before. Evidence that no progress has cleared is kept for a week now; cleared evidence for an hour, as before.

test_rare_part_is_blocked_although_its_crashes_are_hours_apart failed before: nothing was blocked after three crashes that are two hours apart.

--- a/hickoryweir/policy/crashing_parts.py
+++ b/hickoryweir/policy/crashing_parts.py
@@ -27,8 +27,10 @@
 TRUST_S = 60.0
 # Servers lost together, with an availability zone, say little against such a part.
 TRUSTED_SPAN_S = 3.0
-# A blocked part is refused for as long as requests with it come, and this much longer.
-RETENTION_S = 3_600.0
+# Keeps crashes of a part that is asked for once a day.
+RETENTION_S = 7 * 86_400.0
+# Of parts that no crash speaks against any more.
+CLEARED_RETENTION_S = 3_600.0
 # A part in more crashes, trials included, is released by progress or an operator only.
 MAX_TRIED_CRASHES_COUNT = 7
 # When one request with a blocked part is let through, and the growth of later waits.
@@ -462,12 +464,16 @@
     return True
 
 
+def _retention_s(known: Evidence) -> float:
+    return RETENTION_S if crashes_since_progress(known) else CLEARED_RETENTION_S
+
+
 def remove_expired(state: CrashingParts, now_s: float) -> None:
     """Forget parts that neither crashed a server nor were refused for long."""
     expired = [
         key
         for key, known in state.evidence.items()
-        if now_s - max(known.refused_at_s, known.crashes[-1].at_s) > RETENTION_S
+        if now_s - max(known.refused_at_s, known.crashes[-1].at_s) > _retention_s(known)
     ]
     for key in expired:
         _forget(state, key)
--- a/hickoryweir/policy/tests/test_crashing_parts.py
+++ b/hickoryweir/policy/tests/test_crashing_parts.py
@@ -202,3 +202,12 @@
             crashed_count += 1
             lose(state, f"trial{crashed_count}", ("bad",), at_s=now_s + 0.5)
     assert later_count <= 3
+
+
+def test_rare_part_is_blocked_although_its_crashes_are_hours_apart():
+    state = crashing_parts.CrashingParts()
+    for number in range(3):
+        at_s = 7_200.0 * number
+        crashing_parts.remove_expired(state, at_s)
+        lose(state, number, ("rare",), at_s=at_s)
+    assert blocked(state) == {"rare"}
