Block no prompt part for the crashes of a single request

Found with six routers and three replicas while one request that crashes servers was sent again and again (a request of the older kind, known by its whole content): the first part of its prompt was blocked with the third crash, so every sound request with that part was refused for a minute, though the request itself is refused by its fingerprint at the same moment. Sound requests with the part that progress clear it; parts that few requests share are not cleared in time.

Cause: three crashes were enough, also when all had lost the same request. Now the crashes must have lost two different requests. Requests with a part that crashes servers are all different, so the block comes no later, unless one request is sent to three servers (then with the next one). Requests are told apart by fingerprint and parts, so that equal bodies with different prompts count as different.

--- a/hickoryweir/forwarding/crashes.py
+++ b/hickoryweir/forwarding/crashes.py
@@ -8,6 +8,8 @@
 import time
 from collections.abc import Iterable
 
+import xxhash
+
 from hickoryweir import clocks
 from hickoryweir.engines import framing
 from hickoryweir.feeds import evidence, messages
@@ -118,14 +120,21 @@
         return
     crash = crashing_parts.Crash(server_id, now_s)
     state = forwarder.suspect_parts
+    request_key = _make_request_key(request, context.metadata.prompt)
     changed = crashing_parts.record_loss(
-        state, context.service_name, part_ids, request, crash
+        state, context.service_name, part_ids, request_key, crash
     )
     forwarder.metrics.crash_evidence.labels(context.service_name, "loss").inc()
     forwarder.report_evidence(changed)
     update_blocked(forwarder)
 
 
+def _make_request_key(fingerprint: int, prompt: header_codec.Prompt) -> int:
+    """Return a hash that differs for requests that are equal but for their prompts."""
+    part_ids = ",".join(part.part_id for part in prompt.parts)
+    return xxhash.xxh64_intdigest(f"{fingerprint},{part_ids}".encode())
+
+
 def record_completion(context: contexts.RequestContext, is_framed: bool) -> None:
     """Record that a server responded completely to a request.
 
--- a/hickoryweir/policy/crashing_parts.py
+++ b/hickoryweir/policy/crashing_parts.py
@@ -19,6 +19,8 @@
 
 # Two sound requests that are resumed side by side see the same two crashes.
 MIN_CRASHES_COUNT = 3
+# A single request that is sent again may crash servers by itself.
+MIN_REQUESTS_COUNT = 2
 # Losses on one server within this time belong to one crash.
 SAME_CRASH_S = 2.0
 # Other crashes that a part may have been in by chance, before a later one is known.
@@ -279,7 +281,8 @@
     accused = {
         key: crashes
         for key, known in evidence.items()
-        if len(crashes := crashes_since_progress(known)) >= MIN_CRASHES_COUNT
+        if len(known.request_keys) >= MIN_REQUESTS_COUNT
+        and len(crashes := crashes_since_progress(known)) >= MIN_CRASHES_COUNT
     }
     counts = {key: len(crashes) for key, crashes in accused.items()}
     yielding = _find_yielding(evidence, accused)
