Keep equal requests that crash servers known over restarts

Replicas relayed lost requests to the routers that were connected at that moment and kept nothing, so a restarted router sent a request that crashes servers to three more; with routers restarted in turn the sum has no bound. A router that lost a request and completed it later cleared it for itself only.

Replicas now keep the losses (2,048 requests at most), pass on what is news to them, tell new subscribers, and write them to the file of crash evidence; a router tells a replica that may have restarted. Completions of requests that had been lost are told too, so that the history that a new router gets does not refuse a sound request.

Messages of lost requests have a new field: upgrade in one go, as for the evidence.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -11,7 +11,7 @@
 from hickoryweir.discovery import listing
 from hickoryweir.engines import sessions
 from hickoryweir.entry import adapters, metrics_port, settings
-from hickoryweir.feeds import evidence, messages, subscriber, versions
+from hickoryweir.feeds import evidence, losses, messages, subscriber, versions
 from hickoryweir.forwarding import (
     contexts,
     crashes,
@@ -25,7 +25,7 @@
     sockets,
 )
 from hickoryweir.observability import logs
-from hickoryweir.policy import crash_counts, retry_budget
+from hickoryweir.policy import retry_budget
 from hickoryweir.replicas import client, wire
 from hickoryweir.routes import checks, matching, store
 
@@ -94,6 +94,7 @@
             self._allow_trial,
             self._apply_limits,
             self._apply_grants,
+            self._record_completed_requests,
             self._make_greeting,
         )
         self._subscriber = subscriber.make_subscriber(identity, seeds, callbacks)
@@ -111,6 +112,7 @@
             ),
             generator=random.Random(),
             report_lost=self._subscriber.report_lost,
+            report_completed=self._subscriber.report_completed,
             report_origin=self._subscriber.report_origin,
             ask_origins=self._subscriber.ask_origins,
             report_limits=self._subscriber.send_to_all,
@@ -220,17 +222,18 @@
         if forwarder.route_index is not None and forwarder.list_read_at_s:
             forwarder.started.set()
 
-    def _record_lost_requests(
-        self, server_id: str, fingerprints: tuple[int, ...]
-    ) -> None:
-        now_s = clocks.boottime_s()
-        detail = f"{len(fingerprints)} requests"
-        fields = logs.Fields(backend_server=server_id, detail=detail)
-        logs.info("lost requests reported", fields)
-        for fingerprint in fingerprints:
-            crash_counts.record_loss(
-                self.forwarder.crashes, fingerprint, server_id, now_s
-            )
+    def _record_lost_requests(self, message: messages.RequestsLost) -> None:
+        counts, now_s = self.forwarder.crashes, clocks.boottime_s()
+        if losses.record_lost(counts, message, now_s):
+            detail = f"{len(message.fingerprints)} requests {message.age_s:.2f} s ago"
+            fields = logs.Fields(backend_server=message.server_id, detail=detail)
+            logs.info("lost requests reported", fields)
+
+    def _record_completed_requests(self, message: messages.RequestsCompleted) -> None:
+        counts, now_s = self.forwarder.crashes, clocks.boottime_s()
+        if losses.record_completed(counts, message, now_s):
+            detail = f"{len(message.fingerprints)} requests"
+            logs.info("completed requests reported", logs.Fields(detail=detail))
 
     def _apply_origins(self, message: messages.StreamOrigins) -> None:
         resumption.apply_origins(self.forwarder, message)
@@ -264,10 +267,9 @@
 
     def _make_greeting(self) -> list:
         """Return what a replica that may have restarted has to know."""
-        state = self.forwarder.suspect_parts
-        known = evidence.make_messages(
-            state, evidence.greeting_keys(state), clocks.boottime_s()
-        )
+        state, now_s = self.forwarder.suspect_parts, clocks.boottime_s()
+        known = evidence.make_messages(state, evidence.greeting_keys(state), now_s)
+        known += losses.make_messages(self.forwarder.crashes, now_s)
         known += limits.make_greeting(self.forwarder)
         listed = self._make_listed_versions()
         if not listed:
--- a/hickoryweir/entry/tests/test_crashing_parts.py
+++ b/hickoryweir/entry/tests/test_crashing_parts.py
@@ -181,6 +181,10 @@
 
         await processes.wait_for_result(attempt, 200)
 
+    def url_of(self, host):
+        """Return where a router takes requests with prompts."""
+        return f"http://{host}:{self._values['port']}/chat/x"
+
     async def _call(self, middle_part, statuses):
         number = next(self._numbers)
         sent = {
@@ -188,8 +192,7 @@
             headers.REQUEST_ID: f"r-{number}",
             headers.PROMPT: f"m;100;10;common:40,{middle_part}:40,own{number}:20",
         }
-        host = self._random.choice(ROUTER_HOSTS)
-        url = f"http://{host}:{self._values['port']}/chat/x"
+        url = self.url_of(self._random.choice(ROUTER_HOSTS))
         try:
             async with self._session.post(
                 url, headers=sent, data=str(number)
--- a/hickoryweir/feeds/evidence_file.py
+++ b/hickoryweir/feeds/evidence_file.py
@@ -1,5 +1,7 @@
 """A replica's file of crash evidence, so that it outlives the loss of all processes.
 
+It holds the evidence on parts of prompts and the lost requests.
+
 Evidence merges in any order, so each replica keeps a file of its own and needs no
 agreement.  Ages in the file are those at the time of writing; a longer retention is
 harmless.
@@ -10,7 +12,7 @@
 import os
 
 from hickoryweir import clocks
-from hickoryweir.feeds import evidence, messages, publisher
+from hickoryweir.feeds import evidence, losses, messages, publisher
 from hickoryweir.observability import logs
 from hickoryweir.replicas import files as file_operations
 from hickoryweir.replicas import frames, records, storage
@@ -20,6 +22,8 @@
 # A disk that is full or hangs usually stays so for seconds.
 RETRY_INTERVAL_S = 1.0
 
+Content = messages.CrashEvidence | messages.RequestsLost
+
 
 class EvidenceFile:
     """Loads a publisher's evidence, and saves it after each change.
@@ -56,7 +60,7 @@
             found = await loop.run_in_executor(
                 self._executor, load, self._files, self._folder
             )
-            self._feed.add_evidence(found)
+            self._feed.restore(found)
             while True:
                 await self._changed.wait()
                 self._changed.clear()
@@ -65,9 +69,9 @@
             self._executor.shutdown(wait=False, cancel_futures=True)
 
     async def _save(self) -> None:
-        state = self._feed.suspect_parts
-        keys = evidence.shared_keys(state)
-        content = evidence.make_messages(state, keys, clocks.boottime_s())
+        state, now_s = self._feed.suspect_parts, clocks.boottime_s()
+        content = evidence.make_messages(state, evidence.shared_keys(state), now_s)
+        content += losses.make_messages(self._feed.crashes, now_s)
         try:
             await asyncio.get_running_loop().run_in_executor(
                 self._executor, save, self._files, self._folder, content
@@ -81,7 +85,7 @@
 def save(
     files: file_operations.Files,
     folder: str,
-    content: list[messages.CrashEvidence],
+    content: list[Content],
 ) -> None:
     """Replace the file.
 
@@ -95,7 +99,7 @@
     storage.write_atomically(files, folder, FILE_NAME, bodies)
 
 
-def load(files: file_operations.Files, folder: str) -> list[messages.CrashEvidence]:
+def load(files: file_operations.Files, folder: str) -> list[Content]:
     """Return the content of the file, up to its first damaged frame."""
     try:
         data = files.read(os.path.join(folder, FILE_NAME))
@@ -107,7 +111,7 @@
     found, offset = [], 0
     while frame := frames.read_frame(data, offset, records.FIXED_SALT):
         message = codec.decode(frame.body).value_or(None)
-        if isinstance(message, messages.CrashEvidence):
+        if isinstance(message, Content):
             found.append(message)
         offset = frame.end_offset
     if offset < len(data):
--- a/hickoryweir/feeds/messages.py
+++ b/hickoryweir/feeds/messages.py
@@ -62,10 +62,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestsLost:
-    """Fingerprints of requests lost on a server; relayed to all other routers."""
+    """Fingerprints of requests lost on a server, and how long ago.
+
+    Replicas pass on what is news to them to all other routers.
+    """
 
     server_id: str
     fingerprints: tuple[int, ...]
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestsCompleted:
+    """Fingerprints of requests that had been lost and completed, and how long ago."""
+
+    fingerprints: tuple[int, ...]
+    age_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -268,6 +280,7 @@
     ("fd.own_loads", RouterLoads),
     ("fd.all_loads", TotalLoads),
     ("fd.lost", RequestsLost),
+    ("fd.completed", RequestsCompleted),
     ("fd.part_crash", PartCrash),
     ("fd.part_evidence", PartEvidence),
     ("fd.crash_evidence", CrashEvidence),
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -10,9 +10,9 @@
 
 from hickoryweir import clocks
 from hickoryweir.discovery import listing
-from hickoryweir.feeds import evidence, limits, messages, versions
+from hickoryweir.feeds import evidence, limits, losses, messages, versions
 from hickoryweir.observability import logs
-from hickoryweir.policy import crashing_parts, stream_versions
+from hickoryweir.policy import crash_counts, crashing_parts, stream_versions
 from hickoryweir.replicas import wire
 from hickoryweir.routes import store
 from hickoryweir.streams import connections, handshake, hub
@@ -51,8 +51,10 @@
         Source of the server list.
     suspect_parts : crashing_parts.CrashingParts
         What the routers report of parts of prompts that crash servers.
+    crashes : crash_counts.CrashCounts
+        What the routers report of lost requests.
     on_evidence : callable
-        Called after that has changed.
+        Called after either has changed.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self._versions = stream_versions.StreamVersions()
         self._limits = limits.LimitKeeper()
         self.suspect_parts = crashing_parts.CrashingParts()
+        self.crashes = crash_counts.CrashCounts()
         self.on_evidence: Callable[[], None] = lambda: None
         self._evidence_sender = evidence.Sender(
             self.suspect_parts, self._send_to_subscribers
@@ -95,8 +98,9 @@
                         connection.offer(
                             messages.TableContent(stored.version, stored.compressed)
                         )
-                    case messages.RequestsLost():
-                        self._relay(message, connection)
+                    case messages.RequestsLost() | messages.RequestsCompleted():
+                        if self.add_losses([message]):
+                            self._relay(message, connection)
                     case messages.CrashEvidence():
                         self.add_evidence([message])
                     case messages.ServerLimits():
@@ -140,12 +144,41 @@
             connection.offer(listed)
 
     def _send_evidence(self, connection: connections.Connection) -> None:
-        """Send a new subscriber the parts that others have reported."""
+        """Send a new subscriber the parts and requests that others have reported."""
         state = self.suspect_parts
         keys = evidence.shared_keys(state)
-        for message in evidence.make_messages(state, keys, clocks.boottime_s()):
+        now_s = clocks.boottime_s()
+        for message in evidence.make_messages(state, keys, now_s):
+            connection.offer(message)
+        for message in losses.make_messages(self.crashes, now_s):
             connection.offer(message)
 
+    def restore(
+        self, saved: list[messages.CrashEvidence | messages.RequestsLost]
+    ) -> None:
+        """Add what was known before a restart."""
+        self.add_evidence(
+            [item for item in saved if isinstance(item, messages.CrashEvidence)]
+        )
+        self.add_losses(
+            [item for item in saved if isinstance(item, messages.RequestsLost)]
+        )
+
+    def add_losses(
+        self, found: list[messages.RequestsLost | messages.RequestsCompleted]
+    ) -> bool:
+        """Record lost and completed requests; return whether any of it is news."""
+        now_s = clocks.boottime_s()
+        is_news = False
+        for message in found:
+            if isinstance(message, messages.RequestsLost):
+                is_news |= losses.record_lost(self.crashes, message, now_s)
+            else:
+                is_news |= losses.record_completed(self.crashes, message, now_s)
+        if is_news:
+            self.on_evidence()
+        return is_news
+
     def add_evidence(self, found: list[messages.CrashEvidence]) -> None:
         """Merge evidence, and tell the routers what concerns several crashes."""
         state, now_s = self.suspect_parts, clocks.boottime_s()
@@ -188,7 +221,9 @@
             connection.offer(message)
 
     def _relay(
-        self, message: messages.RequestsLost, sender: connections.Connection
+        self,
+        message: messages.RequestsLost | messages.RequestsCompleted,
+        sender: connections.Connection,
     ) -> None:
         for connection in list(self._subscribers):
             if connection is not sender:
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -72,8 +72,9 @@
     may_fetch : callable
         Returns whether tables may be fetched from any replica yet.
     on_lost : callable
-        Called with a server and the fingerprints of requests that another router
-        lost there.
+        Called with requests that other routers lost.
+    on_completed : callable
+        Called with requests that had been lost, and completed at another router.
     on_loads : callable
         Called with the summed load of all routers and newly sent prompt parts.
     on_origins : callable
@@ -95,7 +96,7 @@
     on_table: Callable[[int, bytes], bool]
     on_servers: Callable[[listing.ServerList], None]
     may_fetch: Callable[[], bool]
-    on_lost: Callable[[str, tuple[int, ...]], None] = lambda server_id, lost: None
+    on_lost: Callable[[messages.RequestsLost], None] = lambda lost: None
     on_loads: Callable[[messages.TotalLoads], None] = lambda loads: None
     on_origins: Callable[[messages.StreamOrigins], None] = lambda origins: None
     on_listed_versions: Callable[[messages.ListedVersions], None] = lambda listed: None
@@ -103,6 +104,7 @@
     on_trial: Callable[[messages.PartTrial], None] = lambda trial: None
     on_limits: Callable[[messages.ServerLimits], None] = lambda limits: None
     on_grants: Callable[[messages.SendGrants], None] = lambda grants: None
+    on_completed: Callable[[messages.RequestsCompleted], None] = lambda completed: None
     greet: Callable[[], list] = list
 
 
@@ -124,6 +126,7 @@
         self._list_id = 0
         self._open_connections: list[connections.Connection] = []
         self._lost_fingerprints: dict[str, list[int]] = {}
+        self._completed_fingerprints: list[int] = []
         self._list_reader: connections.Connection | None = None
         self._origins: dict[tuple[str, str], list[int]] = {}
 
@@ -157,6 +160,12 @@
             asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._send_lost)
         self._lost_fingerprints.setdefault(server_id, []).append(fingerprint)
 
+    def report_completed(self, fingerprint: int) -> None:
+        """Report that a request which had been lost has completed, batched likewise."""
+        if not self._completed_fingerprints:
+            asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._send_completed)
+        self._completed_fingerprints.append(fingerprint)
+
     def report_origin(self, service_name: str, software_version: str, key: int) -> None:
         """Tell replicas where a stream began, batched with subsequent ones."""
         if not self._origins:
@@ -190,9 +199,11 @@
     def _send_lost(self) -> None:
         lost, self._lost_fingerprints = self._lost_fingerprints, {}
         for server_id, fingerprints in lost.items():
-            message = messages.RequestsLost(server_id, tuple(fingerprints))
-            for connection in self._open_connections[:REPORT_REPLICAS_COUNT]:
-                connection.offer(message)
+            self.send_to_all(messages.RequestsLost(server_id, tuple(fingerprints), 0.0))
+
+    def _send_completed(self) -> None:
+        completed, self._completed_fingerprints = self._completed_fingerprints, []
+        self.send_to_all(messages.RequestsCompleted(tuple(completed), 0.0))
 
     async def _follow(self, replica: wire.ReplicaAddress) -> None:
         retry_s = RETRY_MIN_S
@@ -266,7 +277,9 @@
             case messages.SendGrants():
                 self._callbacks.on_grants(message)
             case messages.RequestsLost():
-                self._callbacks.on_lost(message.server_id, message.fingerprints)
+                self._callbacks.on_lost(message)
+            case messages.RequestsCompleted():
+                self._callbacks.on_completed(message)
 
     def _handle_heartbeat(
         self, connection: connections.Connection, heartbeat: messages.Heartbeat
--- a/hickoryweir/feeds/tests/test_evidence_file.py
+++ b/hickoryweir/feeds/tests/test_evidence_file.py
@@ -3,8 +3,8 @@
 import asyncio
 import dataclasses
 
-from hickoryweir.feeds import evidence, evidence_file
-from hickoryweir.policy import crashing_parts
+from hickoryweir.feeds import evidence, evidence_file, losses
+from hickoryweir.policy import crash_counts, crashing_parts
 from hickoryweir.replicas import files as file_operations
 from hickoryweir.testing import waiting
 
@@ -30,9 +30,10 @@
 
     def __init__(self):
         self.suspect_parts = crashing_parts.CrashingParts()
+        self.crashes = crash_counts.CrashCounts()
         self.on_evidence = None
 
-    def add_evidence(self, found):
+    def restore(self, found):
         """Merge the content of the file."""
         for message in found:
             evidence.merge(self.suspect_parts, message, 1_000.0)
@@ -51,6 +52,18 @@
     assert blocked_after_load(tmp_path) == {"bad"}
 
 
+def test_saved_losses_of_equal_requests_are_known_again(tmp_path):
+    counts = crash_counts.CrashCounts()
+    for server_id in ("a", "b", "c"):
+        crash_counts.record_loss(counts, 7, server_id, 100.0)
+    content = losses.make_messages(counts, 101.0)
+    evidence_file.save(file_operations.make_files(), str(tmp_path), content)
+    found = crash_counts.CrashCounts()
+    for message in evidence_file.load(file_operations.make_files(), str(tmp_path)):
+        losses.record_lost(found, message, 1_000.0)
+    assert crash_counts.is_blocked(found, 7, 1_000.0)
+
+
 def test_missing_and_damaged_files_hold_no_evidence(tmp_path):
     assert blocked_after_load(tmp_path) == set()
     evidence_file.save(file_operations.make_files(), str(tmp_path), make_content())
--- a/hickoryweir/feeds/tests/test_feeds.py
+++ b/hickoryweir/feeds/tests/test_feeds.py
@@ -211,7 +211,7 @@
                     lambda *args: True,
                     lambda server_list: None,
                     lambda: True,
-                    lambda server_id, lost: received.append((server_id, lost)),
+                    lambda lost: received.append((lost.server_id, lost.fingerprints)),
                 ),
             )
             task = asyncio.create_task(second.run())
@@ -227,6 +227,65 @@
     assert set(received) == {("s1", (7, 8))}
 
 
+def follow_losses(replicas, received):
+    """Return a further router that stores what it is told of lost requests."""
+    return subscriber.make_subscriber(
+        handshake.Identity("test", "router-2", "a"),
+        tuple(item.address for item in replicas),
+        subscriber.Callbacks(
+            lambda *args: True,
+            lambda server_list: None,
+            lambda: True,
+            received.append,
+            on_completed=received.append,
+        ),
+    )
+
+
+def test_router_that_starts_later_is_told_of_lost_requests():
+    received = []
+
+    async def main():
+        async with run_feeds([1, 1]) as (replicas, first, _):
+            await wait_until(lambda: first.view.routers_count == 1)
+            for server_id in ("s1", "s2"):
+                first.report_lost(server_id, 7)
+            await asyncio.sleep(0.1)
+            second = follow_losses(replicas, received)
+            task = asyncio.create_task(second.run())
+            await wait_until(lambda: len(received) == 4)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(main())
+    assert {message.server_id for message in received} == {"s1", "s2"}
+    assert all(0.05 < message.age_s < TIMEOUT_S for message in received)
+
+
+def test_completion_of_a_lost_request_is_told_to_the_other_routers_and_later_ones():
+    received, later = [], []
+
+    async def main():
+        async with run_feeds([1, 1]) as (replicas, first, _):
+            second = follow_losses(replicas, received)
+            task = asyncio.create_task(second.run())
+            await wait_until(lambda: first.view.routers_count == 2)
+            first.report_lost("s1", 7)
+            await wait_until(lambda: received)
+            first.report_completed(7)
+            completed = messages.RequestsCompleted((7,), 0.0)
+            await wait_until(lambda: received[-1] == completed)
+            third = follow_losses(replicas, later)
+            other = asyncio.create_task(third.run())
+            await wait_until(lambda: third.view.table_version == 1)
+            for started in (task, other):
+                started.cancel()
+            await asyncio.gather(task, other, return_exceptions=True)
+
+    asyncio.run(main())
+    assert not later
+
+
 def test_leader_sums_the_loads_of_all_routers():
     received = []
 
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -105,6 +105,8 @@
     report_lost : callable
         ``report_lost(server_id, fingerprint)`` reports a lost request to the other
         routers.
+    report_completed : callable
+        ``report_completed(fingerprint)`` reports that a lost request has completed.
     yielding : dict
         Requests that found no grant at a limited server, by service.
     report_limits : callable
@@ -155,6 +157,7 @@
     report_origin: Callable[[str, str, int], None] = lambda service, version, key: None
     ask_origins: Callable[[tuple[int, ...]], None] = lambda keys: None
     report_lost: Callable[[str, int], None] = lambda server_id, fingerprint: None
+    report_completed: Callable[[int], None] = lambda fingerprint: None
     yielding: dict[str, server_limits.Yielding] = dataclasses.field(
         default_factory=dict
     )
--- a/hickoryweir/forwarding/crashes.py
+++ b/hickoryweir/forwarding/crashes.py
@@ -146,7 +146,9 @@
         Whether a length or chunks show that the response is whole; otherwise the
         server's process may have ended between two events.
     """
-    crash_counts.clear(context.forwarder.crashes, context.fingerprint)
+    forwarder = context.forwarder
+    if crash_counts.clear(forwarder.crashes, context.fingerprint, clocks.boottime_s()):
+        forwarder.report_completed(context.fingerprint)
     if is_framed:
         _record_progress(context)
 
--- a/hickoryweir/policy/crash_counts.py
+++ b/hickoryweir/policy/crash_counts.py
@@ -4,7 +4,7 @@
 router.  Each router records the servers on which a request was lost, receives the
 losses seen by other routers, and refuses the request once it has been lost on several
 servers.  A request that completes anywhere is cleared, so a request that was merely in
-flight at a crash is not refused.
+flight at a crash is not refused.  Losses and completions merge in any order.
 """
 
 import collections
@@ -18,15 +18,28 @@
 # Callers resend within seconds, and crashed servers have restarted by then.
 RETENTION_S = 120.0
 MAX_REQUESTS_COUNT = 2_048
+# Losses on one server within this time are one.
+SAME_LOSS_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
 class CrashCounts:
-    """Servers and times at which each request was lost, oldest request first."""
+    """Servers and times at which each request was lost, oldest request first.
+
+    Attributes
+    ----------
+    servers : collections.OrderedDict
+        When a request was lost on each server since it last completed, by its hash.
+    cleared_at_s : collections.OrderedDict
+        When a request that had been lost has completed, by its hash.
+    """
 
     servers: collections.OrderedDict = dataclasses.field(
         default_factory=collections.OrderedDict
     )
+    cleared_at_s: collections.OrderedDict = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
 
 
 def fingerprint(key: str, method: str, target: str, body: bytes) -> int:
@@ -37,33 +50,58 @@
 
 
 def record_loss(
-    counts: CrashCounts, request: int, server_id: str, now_s: float
-) -> None:
-    """Record that a request was lost on a server.
+    counts: CrashCounts, request: int, server_id: str, lost_s: float
+) -> bool:
+    """Record that a request was lost on a server; return whether it is news.
 
     Examples
     --------
     >>> counts = CrashCounts()
     >>> for server_id in ("a", "a", "b"):
     ...     record_loss(counts, 7, server_id, 0.0)
-    >>> is_blocked(counts, 7, 1.0)
+    True
     False
-    >>> record_loss(counts, 7, "c", 1.0)
-    >>> is_blocked(counts, 7, 2.0)
     True
-    >>> clear(counts, 7)
-    >>> is_blocked(counts, 7, 2.0)
+    >>> is_blocked(counts, 7, 1.0)
+    False
+    >>> record_loss(counts, 7, "c", 1.0), is_blocked(counts, 7, 2.0)
+    (True, True)
+    >>> clear(counts, 7, 3.0), is_blocked(counts, 7, 3.0)
+    (True, False)
+    >>> record_loss(counts, 7, "a", 2.5)
     False
     """
-    counts.servers.setdefault(request, {})[server_id] = now_s
+    if lost_s <= counts.cleared_at_s.get(request, float("-inf")):
+        return False
+    servers = counts.servers.setdefault(request, {})
+    known_s = servers.get(server_id, float("-inf"))
+    servers[server_id] = max(known_s, lost_s)
     counts.servers.move_to_end(request)
-    while len(counts.servers) > MAX_REQUESTS_COUNT:
-        counts.servers.popitem(last=False)
+    _evict(counts.servers)
+    return lost_s - known_s >= SAME_LOSS_S
 
 
-def clear(counts: CrashCounts, request: int) -> None:
-    """Clear a request that completed."""
-    counts.servers.pop(request, None)
+def clear(counts: CrashCounts, request: int, completed_s: float) -> bool:
+    """Clear a request that completed; return whether it had been lost before."""
+    servers = counts.servers.get(request)
+    if servers is None:
+        return False
+    later = {name: lost_s for name, lost_s in servers.items() if lost_s > completed_s}
+    if len(later) == len(servers):
+        return False
+    if later:
+        counts.servers[request] = later
+    else:
+        del counts.servers[request]
+    counts.cleared_at_s[request] = completed_s
+    counts.cleared_at_s.move_to_end(request)
+    _evict(counts.cleared_at_s)
+    return True
+
+
+def _evict(requests: collections.OrderedDict) -> None:
+    while len(requests) > MAX_REQUESTS_COUNT:
+        requests.popitem(last=False)
 
 
 def is_blocked(counts: CrashCounts, request: int, now_s: float) -> bool:
