Refuse an equal request that crashes servers for as long as it comes

A request that was lost on three servers was refused for two minutes after the losses and then forgotten, so one that comes again and again crashed three more every two minutes, and one that comes every 40 s or slower was hardly ever refused: losses older than two minutes did not count.

It is tried two minutes after the third crash and eight minutes after the fourth; after the fifth it is refused until it was neither lost nor refused for an hour.

Open: refusals are not told to other routers. A request that comes to each of N routers less than once an hour is tried again by each.

--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -49,7 +49,7 @@
 STOPPING_RETRY_AFTER_S = 0.1
 RETRY_AFTERS_S = {
     errors.Reason.NO_TABLE: NO_TABLE_RETRY_AFTER_S,
-    errors.Reason.CRASHES_SERVERS: crash_counts.RETENTION_S,
+    errors.Reason.CRASHES_SERVERS: crash_counts.TRIAL_AFTER_S,
     errors.Reason.STOPPING: STOPPING_RETRY_AFTER_S,
 }
 # The same as the backoff after a server's first failure.
@@ -142,6 +142,7 @@
         metadata.key, request.method, request.raw_path, body
     )
     if crash_counts.is_blocked(forwarder.crashes, fingerprint, started_s):
+        crash_counts.record_refusal(forwarder.crashes, fingerprint, started_s)
         return errors.Reason.CRASHES_SERVERS
     wait_s = route.timeout_s
     if metadata.time_left_s is not None:
--- a/hickoryweir/policy/crash_counts.py
+++ b/hickoryweir/policy/crash_counts.py
@@ -12,11 +12,16 @@
 
 import xxhash
 
-# A lower limit would refuse requests that were merely in flight at a crash; a poison
-# request crashes at most three servers.
-MAX_SERVERS_COUNT = 3
-# Callers resend within seconds, and crashed servers have restarted by then.
-RETENTION_S = 120.0
+# A lower limit would refuse requests that were merely in flight at a crash.
+MIN_CRASHES_COUNT = 3
+# A request in as many crashes is refused for as long as it comes.
+MAX_CRASHES_COUNT = 5
+# When a blocked request is tried again after its last crash, and the growth of later
+# waits.
+TRIAL_AFTER_S = 120.0
+TRIAL_BACKOFF = 4
+# Callers that send a request again do so sooner.
+RETENTION_S = 3_600.0
 MAX_REQUESTS_COUNT = 2_048
 # Losses on one server within this time are one.
 SAME_LOSS_S = 2.0
@@ -32,6 +37,8 @@
         When a request was lost on each server since it last completed, by its hash.
     cleared_at_s : collections.OrderedDict
         When a request that had been lost has completed, by its hash.
+    refused_at_s : dict
+        When a blocked request was last refused, by its hash.
     """
 
     servers: collections.OrderedDict = dataclasses.field(
@@ -40,6 +47,7 @@
     cleared_at_s: collections.OrderedDict = dataclasses.field(
         default_factory=collections.OrderedDict
     )
+    refused_at_s: dict[int, float] = dataclasses.field(default_factory=dict)
 
 
 def fingerprint(key: str, method: str, target: str, body: bytes) -> int:
@@ -73,11 +81,14 @@
     """
     if lost_s <= counts.cleared_at_s.get(request, float("-inf")):
         return False
+    if _is_expired(counts, request, lost_s):
+        _forget(counts, request)
     servers = counts.servers.setdefault(request, {})
     known_s = servers.get(server_id, float("-inf"))
     servers[server_id] = max(known_s, lost_s)
     counts.servers.move_to_end(request)
-    _evict(counts.servers)
+    while len(counts.servers) > MAX_REQUESTS_COUNT:
+        _forget(counts, next(iter(counts.servers)))
     return lost_s - known_s >= SAME_LOSS_S
 
 
@@ -92,23 +103,45 @@
     if later:
         counts.servers[request] = later
     else:
-        del counts.servers[request]
+        _forget(counts, request)
     counts.cleared_at_s[request] = completed_s
     counts.cleared_at_s.move_to_end(request)
-    _evict(counts.cleared_at_s)
+    while len(counts.cleared_at_s) > MAX_REQUESTS_COUNT:
+        counts.cleared_at_s.popitem(last=False)
     return True
 
 
-def _evict(requests: collections.OrderedDict) -> None:
-    while len(requests) > MAX_REQUESTS_COUNT:
-        requests.popitem(last=False)
+def _forget(counts: CrashCounts, request: int) -> None:
+    del counts.servers[request]
+    counts.refused_at_s.pop(request, None)
+
+
+def _is_expired(counts: CrashCounts, request: int, now_s: float) -> bool:
+    """Return whether a request was neither lost nor refused for long."""
+    if request not in counts.servers:
+        return False
+    refused_s = counts.refused_at_s.get(request, float("-inf"))
+    seen_s = max(refused_s, *counts.servers[request].values())
+    return now_s - seen_s >= RETENTION_S
 
 
 def is_blocked(counts: CrashCounts, request: int, now_s: float) -> bool:
-    """Return whether a request is refused because it was lost on too many servers."""
+    """Return whether a request is refused because it was lost on too many servers.
+
+    It may have been in flight at their ends by chance, so it is tried now and then, a
+    bounded number of times.
+    """
     servers = counts.servers.get(request)
-    if servers is None:
+    if servers is None or len(servers) < MIN_CRASHES_COUNT:
+        return False
+    if _is_expired(counts, request, now_s):
         return False
-    oldest_s = now_s - RETENTION_S
-    fresh_count = sum(lost_s > oldest_s for lost_s in servers.values())
-    return fresh_count >= MAX_SERVERS_COUNT
+    if len(servers) >= MAX_CRASHES_COUNT:
+        return True
+    wait_s = TRIAL_AFTER_S * TRIAL_BACKOFF ** (len(servers) - MIN_CRASHES_COUNT)
+    return now_s - max(servers.values()) < wait_s
+
+
+def record_refusal(counts: CrashCounts, request: int, now_s: float) -> None:
+    """Record that a blocked request was refused."""
+    counts.refused_at_s[request] = now_s
