Begin the shares of routers without a leader at random moments

Routers that hear of no leader for 3 s send equal shares of a server's limit. They lose the leader at one time, and each began to count its share from that moment, so all first requests came together: in the play without a leader 60 requests in 4 s with 60 routers and a limit of 1 (11 allowed), 300 with 300 routers and 10 (65 allowed), 6 with six routers and 0 (5 allowed). Such routers are out of touch, but the server gets the requests all the same.

Each router now begins at a random part of its interval.

--- a/hickoryweir/forwarding/limits.py
+++ b/hickoryweir/forwarding/limits.py
@@ -105,6 +105,7 @@
             forwarder.routers_count,
             leader_heard_at_s,
             now_s,
+            forwarder.generator.random(),
         )
 
 
--- a/hickoryweir/policy/server_limits.py
+++ b/hickoryweir/policy/server_limits.py
@@ -29,6 +29,8 @@
 FLOOR_EVERY_COUNT = 4
 # An election takes about a second.
 LEADER_TIMEOUT_S = 3.0
+# Routers without a leader do not take turns, so some of their requests come together.
+OWN_SHARE = 0.7
 # A server that named a limit is asked again long before.
 LIMIT_RETENTION_S = 600.0
 MAX_LIMITS_COUNT = 20_000
@@ -204,14 +206,20 @@
     routers_count: int,
     leader_heard_at_s: float,
     now_s: float,
+    phase: float,
 ) -> None:
-    """Grant a router its equal share of a limit while it knows of no leader."""
+    """Grant a router its equal share of a limit while it knows of no leader.
+
+    All routers may lose the leader at one time; their `phase`, a random number from 0
+    to 1, keeps their first shares apart.
+    """
     if now_s - leader_heard_at_s < LEADER_TIMEOUT_S:
         grants.bucket = None
         return
     if grants.bucket is None:
-        grants.bucket = Bucket(now_s)
-    share_per_s = max(MIN_RATE_PER_S, limit_per_s) / max(1, routers_count)
+        grants.bucket = Bucket(now_s, phase)
+    rate_per_s = OWN_SHARE * max(MIN_RATE_PER_S, limit_per_s)
+    share_per_s = rate_per_s / max(1, routers_count)
     elapsed_s = now_s - grants.bucket.updated_s
     grants.bucket.updated_s = now_s
     grants.bucket.grants += share_per_s * elapsed_s
