Release a blocked prefix of `serve` an hour after its last crash again

It has a retention of its own now.

test_blocked_prefix_is_released_an_hour_after_its_last_crash failed before.

--- a/hickoryweir/policy/crashing_parts.py
+++ b/hickoryweir/policy/crashing_parts.py
@@ -467,16 +467,17 @@
     return True
 
 
-def _retention_s(known: Evidence) -> float:
-    return RETENTION_S if crashes_since_progress(known) else CLEARED_RETENTION_S
+def remove_expired(
+    state: CrashingParts, now_s: float, retention_s: float = RETENTION_S
+) -> None:
+    """Forget parts that neither crashed a server nor were refused for long."""
 
+    def is_expired(known: Evidence) -> bool:
+        seen_s = max(known.refused_at_s, known.crashes[-1].at_s)
+        is_cleared = not crashes_since_progress(known)
+        limit_s = CLEARED_RETENTION_S if is_cleared else retention_s
+        return now_s - seen_s > limit_s
 
-def remove_expired(state: CrashingParts, now_s: float) -> None:
-    """Forget parts that neither crashed a server nor were refused for long."""
-    expired = [
-        key
-        for key, known in state.evidence.items()
-        if now_s - max(known.refused_at_s, known.crashes[-1].at_s) > _retention_s(known)
-    ]
+    expired = [key for key, known in state.evidence.items() if is_expired(known)]
     for key in expired:
         _forget(state, key)
--- a/hickoryweir/policy/crashing_prefixes.py
+++ b/hickoryweir/policy/crashing_prefixes.py
@@ -17,6 +17,8 @@
 
 # Output tokens after which a prompt is known not to crash the server.
 PROGRESS_TOKENS = 32
+# No request tries a blocked prefix, so it is released by time.
+RETENTION_S = 3_600.0
 # About 0.7 kB of a digest.
 MAX_SHARED_LOSSES_COUNT = 3
 MAX_SHARED_PROGRESS_COUNT = 10
@@ -180,5 +182,5 @@
     """Forget old evidence, and release the prefixes that it blocked."""
     parts = prefixes.parts
     if parts.evidence:
-        crashing_parts.remove_expired(parts, now_s)
+        crashing_parts.remove_expired(parts, now_s, RETENTION_S)
         crashing_parts.update_blocked(parts)
--- a/hickoryweir/policy/tests/test_crashing_prefixes.py
+++ b/hickoryweir/policy/tests/test_crashing_prefixes.py
@@ -1,7 +1,7 @@
 """Calls that share a prefix of their prompts with which backend servers crash."""
 
 from hickoryweir.outcomes import refusals
-from hickoryweir.policy import core, examples, inspection
+from hickoryweir.policy import core, events, examples, inspection
 from hickoryweir.policy.tests import test_mechanisms as mechanisms
 
 SERVER_NAMES = [f"e{number}" for number in range(8)]
@@ -51,3 +51,13 @@
         name = f"later{number}"
         assert is_quarantined(send(router, name, 666, 14.0), name)
         assert not is_quarantined(send(router, f"sound{number}", 7, 14.0), name)
+
+
+def test_blocked_prefix_is_released_an_hour_after_its_last_crash():
+    router = make_router("router-1")
+    for number in range(3):
+        crash_with(router, f"bad{number}", 666, 10.0 + number)
+    core.handle(router, events.Ticked(), 3_600.0)
+    assert is_quarantined(send(router, "early", 666, 3_600.0), "early")
+    core.handle(router, events.Ticked(), 3_620.0)
+    assert not is_quarantined(send(router, "late", 666, 3_620.0), "late")
