--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from typing import Annotated
 
 import cappa
@@ -40,6 +41,7 @@
 KILL_AFTER_S = stop_records.GRACE_S + 30.0
 SHOWN_COUNT = 10
 BUSY_LOOP = "while True: pass"
+FIRST_VERSION = 1
 TABLE = """[table]
 version = {version}
 
@@ -109,7 +111,7 @@
     cluster: clusters.Cluster
     servers: list[stop_backends.Backend]
     attempts: dict[str, list[stop_records.Attempt]]
-    table_version: int = 0
+    table_version: int = FIRST_VERSION
     stops_count: int = 0
     events_count: int = 0
     ends: collections.Counter = dataclasses.field(default_factory=collections.Counter)
@@ -122,7 +124,7 @@
     with tempfile.TemporaryDirectory(prefix="hickoryweir-stops-") as temporary:
         site = await make_site(options.logs or pathlib.Path(temporary), options)
         try:
-            await start(site)
+            await start_processes(site.cluster, TABLE)
             for number in range(options.rounds):
                 findings += await run_round(site, options, options.seed + number)
         finally:
@@ -155,34 +157,34 @@
         await stop_backends.start(f"s{number}", attempts)
         for number in range(options.servers)
     ]
-    list_address = await start_list(servers)
+    entries = [
+        {"id": item.server_id, "service": "app", "address": f"{HOST}:{item.port}"}
+        for item in servers
+    ]
+    list_address = await start_list(lambda: entries)
     cluster = make_cluster(folder, options.routers, list_address)
     return Site(cluster, servers, attempts)
 
 
-async def start(site: Site) -> None:
-    """Start replicas and routers, and put the first table."""
-    cluster = site.cluster
+async def start_processes(cluster: clusters.Cluster, table: str) -> None:
+    """Start replicas and routers, and put the first version of a table."""
     for member in (*cluster.replicas, *cluster.routers):
         member.folder.mkdir(parents=True)
         clusters.write_settings(cluster, member)
         clusters.launch(member)
+    text = table.format(version=FIRST_VERSION)
     async with callers.make_session(callers.OPERATOR_TIMEOUT_S) as session:
         for _ in range(round(clusters.READY_TIMEOUT_S / clusters.POLL_INTERVAL_S)):
-            if await put_next_table(session, site):
+            if await put_table(session, cluster, text):
                 break
             await asyncio.sleep(clusters.POLL_INTERVAL_S)
 
 
-async def start_list(servers: list[stop_backends.Backend]) -> str:
-    """Serve the list of backend servers; return its address."""
-    entries = [
-        {"id": item.server_id, "service": "app", "address": f"{HOST}:{item.port}"}
-        for item in servers
-    ]
+async def start_list(get_entries: Callable[[], list[dict]]) -> str:
+    """Serve the current list of backend servers; return its address."""
 
     async def list_servers(request: web.BaseRequest) -> web.Response:
-        return web.json_response({"servers": entries})
+        return web.json_response({"servers": get_entries()})
 
     listener = await asyncio.get_running_loop().create_server(
         web.Server(list_servers, access_log=None), HOST, 0
@@ -213,10 +215,14 @@
 async def put_next_table(session, site: Site) -> bool:
     """Send the next version to a replica that answers; return whether one did."""
     site.table_version += 1
-    cluster = site.cluster
+    table = TABLE.format(version=site.table_version)
+    return await put_table(session, site.cluster, table)
+
+
+async def put_table(session, cluster: clusters.Cluster, table: str) -> bool:
+    """Send a table to a replica that answers; return whether one did."""
     for member in cluster.replicas:
         url = f"http://{member.host}:{cluster.port}/table"
-        table = TABLE.format(version=site.table_version)
         with contextlib.suppress(*callers.CONNECTION_ERRORS):
             async with session.put(url, data=table) as reply:
                 if reply.status == 200:
--- a/hickoryweir/testing/soak/tests/test_exit_margin.py
+++ b/hickoryweir/testing/soak/tests/test_exit_margin.py
@@ -26,7 +26,7 @@
     """Return the processor time of a router between the end of its drain and exit."""
     site = await stops.make_site(folder, stops.Stops(routers=1))
     try:
-        await stops.start(site)
+        await stops.start_processes(site.cluster, stops.TABLE)
         router = site.cluster.routers[0]
         async with callers.make_session(5.0) as session:
             await clusters.wait_until_ready(session, site.cluster, router)
