Keep a part blocked that five crashes speak against

Cause: parts are blocked as few as explain the crashes, the likeliest first, and that is decided anew with each crash. A blocked part gets no further crashes; a sound part that few requests share gets more by chance, becomes likelier, explains the blocked part's crashes, and the blocked part was released without any progress.

A part in five crashes that has been refused is kept now, and explains its crashes first; progress, a trial or an operator releases it. Both facts are evidence that processes share, so a new router decides the same.

The simulation tells refusals as routers do.

--- a/hickoryweir/policy/crashing_parts.py
+++ b/hickoryweir/policy/crashing_parts.py
@@ -21,6 +21,9 @@
 MIN_CRASHES_COUNT = 3
 # A single request that is sent again may crash servers by itself.
 MIN_REQUESTS_COUNT = 2
+# A part in as many crashes that is refused stays so, whatever else explains them: it
+# gets no further crashes, while sound parts do.
+KEPT_CRASHES_COUNT = 5
 # Losses on one server within this time belong to one crash.
 SAME_CRASH_S = 2.0
 # Other crashes that a part may have been in by chance, before a later one is known.
@@ -294,22 +297,29 @@
         )
         is_yielding = any(key in generals for generals in yielding.values())
         requests_count = len(known.request_keys)
-        return _is_trusted(known), -rank, is_yielding, -requests_count, key
+        is_new = not _is_kept(known)
+        return is_new, _is_trusted(known), -rank, is_yielding, -requests_count, key
 
     explained: dict[str, list[Crash]] = collections.defaultdict(list)
     found = []
     for key in sorted(accused, key=likelihood):
         others = explained[key[0]]
         own = [crash for crash in accused[key] if not _contains(others, crash)]
-        if len(own) < MIN_CRASHES_COUNT:
-            continue
-        if _is_trusted(evidence[key]) and own[-1].at_s - own[0].at_s < TRUSTED_SPAN_S:
+        if not _is_kept(evidence[key]) and not _speak_against(own, evidence[key]):
             continue
         found.append(key)
         others.extend(accused[key])
     return found
 
 
+def _speak_against(crashes: list[Crash], known: Evidence) -> bool:
+    """Return whether crashes that nothing else explains are enough to block a part."""
+    if len(crashes) < MIN_CRASHES_COUNT:
+        return False
+    span_s = crashes[-1].at_s - crashes[0].at_s
+    return not _is_trusted(known) or span_s >= TRUSTED_SPAN_S
+
+
 def _find_yielding(
     evidence: dict[PartKey, Evidence], accused: dict[PartKey, list[Crash]]
 ) -> dict[PartKey, list[PartKey]]:
@@ -336,6 +346,12 @@
     return found
 
 
+def _is_kept(known: Evidence) -> bool:
+    """Return whether a part that was blocked is released by progress only."""
+    has_been_refused = known.refused_at_s > known.cleared_at_s
+    return has_been_refused and len(crashes_since_progress(known)) >= KEPT_CRASHES_COUNT
+
+
 def _is_trusted(known: Evidence) -> bool:
     first = crashes_since_progress(known)[0]
     return first.at_s - known.cleared_at_s < TRUST_S
--- a/hickoryweir/policy/tests/test_crashing_parts_simulation.py
+++ b/hickoryweir/policy/tests/test_crashing_parts_simulation.py
@@ -104,9 +104,11 @@
     def _send(self, request):
         state = self.states[request.router]
         self.first_part_was_blocked |= "all" in state.blocked
-        if crashing_parts.find_blocked(state, SERVICE, request.parts) is not None:
+        blocked = crashing_parts.find_blocked(state, SERVICE, request.parts)
+        if blocked is not None:
             parts, now_s = request.parts, self.now_s
             if not crashing_parts.use_trial(state, SERVICE, parts, now_s):
+                self._record_refusal(request.router, blocked)
                 self.refused += "bad" not in request.parts
                 return
         if not self.servers:
@@ -117,6 +119,15 @@
             self.bad_reached_at_s.append(self.now_s)
         self.after(self.random.uniform(0.05, 0.8), self._begin, name, request)
 
+    def _record_refusal(self, router, part_id):
+        """Tell the first refusal because of a part, as routers do."""
+        state = self.states[router]
+        known = state.evidence[SERVICE, part_id]
+        is_first = known.refused_at_s < known.cleared_at_s or known.refused_at_s < 0
+        keys = crashing_parts.record_refusal(state, part_id, self.now_s)
+        if is_first:
+            self._report(router, keys)
+
     def _begin(self, name, request):
         if request not in self.servers.get(name, ()):
             return
@@ -214,6 +225,12 @@
     assert world.refused <= 0.05 * world.sound
 
 
+@pytest.mark.parametrize("seed", [19, 30, 42, 49, 59])
+def test_blocked_part_stays_blocked_beside_many_resets_and_ends_of_servers(seed):
+    world = World(seed, bad_part="second", resets_per_s=5.0, ends_per_s=1.0).run()
+    assert world.reached_later_count() <= ALLOWED_MORE_COUNT
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_resets_and_servers_that_end_by_themselves_block_few_sound_requests(seed):
     world = World(seed, bad_part="second", resets_per_s=2.0, ends_per_s=0.4).run()
