--- a/hickoryweir/measures/crash_evidence.py
+++ b/hickoryweir/measures/crash_evidence.py
@@ -8,14 +8,15 @@
 import timeit
 import tracemalloc
 
-from hickoryweir.feeds import evidence, messages
-from hickoryweir.policy import crashing_parts, server_limits
+from hickoryweir.feeds import evidence, losses, messages
+from hickoryweir.policy import crash_counts, crashing_parts, server_limits
 from hickoryweir.streams import codec
 
 SERVICE = "assistant"
 PARTS_PER_PROMPT = 3
 REQUESTS_COUNT = 20_000
 LOSSES_COUNT = 200
+LOST_IN_CRASH_COUNT = 64
 GRANTS_COUNT = 2_000
 MICROSECONDS_PER_SECOND = 1e6
 
@@ -78,6 +79,20 @@
     print(f"evidence: {size_bytes:.0f} bytes a part with three crashes")
 
 
+def print_losses_size(generator: random.Random) -> None:
+    """Print the bytes of a crash's lost requests, and of all that a new router gets."""
+    counts = crash_counts.CrashCounts()
+    for number in range(crash_counts.MAX_REQUESTS_COUNT):
+        crash_number, request = number // LOST_IN_CRASH_COUNT, generator.getrandbits(64)
+        server_id = f"i-{crash_number:010x}"
+        crash_counts.record_loss(counts, request, server_id, float(crash_number))
+    sizes_bytes = [
+        len(codec.encode(message)) for message in losses.make_messages(counts, 100.0)
+    ]
+    print(f"lost requests: {sizes_bytes[0]} bytes for {LOST_IN_CRASH_COUNT} of a crash")
+    print(f"lost requests: {sum(sizes_bytes)} bytes for a router that starts, at most")
+
+
 def measure_grants(generator: random.Random) -> None:
     """Print the bytes of a grant, and the time to issue grants to many routers."""
     grant = messages.ServerGrant("i-0123456789", "10.1.64.8:8362", 1_700_000_000_000, 1)
@@ -103,6 +118,7 @@
     generator = random.Random(1)
     measure_requests(generator)
     print_message_size(generator)
+    print_losses_size(generator)
     measure_grants(generator)
 
 
