Save only requests that were lost twice or more

Every loss of a request made each replica write its file of crash evidence, up to 20 KB and a sync, though most lost requests are lost once; beside a server that resets connections that is a write for each. Parts were saved like this before: only those in two crashes or more.

test_requests_that_were_lost_once_are_not_saved.

--- a/hickoryweir/feeds/evidence_file.py
+++ b/hickoryweir/feeds/evidence_file.py
@@ -1,6 +1,6 @@
 """A replica's file of crash evidence, so that it outlives the loss of all processes.
 
-It holds the evidence on parts of prompts and the lost requests.
+It holds the evidence on parts of prompts, and the requests that were lost repeatedly.
 
 Evidence merges in any order, so each replica keeps a file of its own and needs no
 agreement.  Ages in the file are those at the time of writing; a longer retention is
@@ -71,7 +71,9 @@
     async def _save(self) -> None:
         state, now_s = self._feed.suspect_parts, clocks.boottime_s()
         content = evidence.make_messages(state, evidence.shared_keys(state), now_s)
-        content += losses.make_messages(self._feed.crashes, now_s)
+        content += losses.make_messages(
+            self._feed.crashes, now_s, losses.MIN_SAVED_LOSSES_COUNT
+        )
         try:
             await asyncio.get_running_loop().run_in_executor(
                 self._executor, save, self._files, self._folder, content
--- a/hickoryweir/feeds/losses.py
+++ b/hickoryweir/feeds/losses.py
@@ -5,11 +5,14 @@
 from hickoryweir.feeds import messages
 from hickoryweir.policy import crash_counts
 
+# Most requests that a crash loses are in no other one.
+MIN_SAVED_LOSSES_COUNT = 2
+
 
 def make_messages(
-    counts: crash_counts.CrashCounts, now_s: float
+    counts: crash_counts.CrashCounts, now_s: float, min_losses_count: int = 1
 ) -> list[messages.RequestsLost]:
-    """Return messages with all losses that are known.
+    """Return messages with the requests that were lost so often at least.
 
     Examples
     --------
@@ -21,6 +24,8 @@
     """
     groups = collections.defaultdict(list)
     for request, servers in counts.servers.items():
+        if len(servers) < min_losses_count:
+            continue
         for server_id, lost_s in servers.items():
             groups[server_id, lost_s].append(request)
     return [
@@ -41,6 +46,16 @@
     return any(news)
 
 
+def are_worth_saving(
+    counts: crash_counts.CrashCounts, message: messages.RequestsLost
+) -> bool:
+    """Return whether any request of a message was lost before."""
+    return any(
+        len(counts.servers.get(request, ())) >= MIN_SAVED_LOSSES_COUNT
+        for request in message.fingerprints
+    )
+
+
 def record_completed(
     counts: crash_counts.CrashCounts,
     message: messages.RequestsCompleted,
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -171,12 +171,12 @@
         now_s = clocks.boottime_s()
         is_news = False
         for message in found:
-            if isinstance(message, messages.RequestsLost):
-                is_news |= losses.record_lost(self.crashes, message, now_s)
-            else:
+            if isinstance(message, messages.RequestsCompleted):
                 is_news |= losses.record_completed(self.crashes, message, now_s)
-        if is_news:
-            self.on_evidence()
+            elif losses.record_lost(self.crashes, message, now_s):
+                is_news = True
+                if losses.are_worth_saving(self.crashes, message):
+                    self.on_evidence()
         return is_news
 
     def add_evidence(self, found: list[messages.CrashEvidence]) -> None:
--- a/hickoryweir/feeds/tests/test_evidence_file.py
+++ b/hickoryweir/feeds/tests/test_evidence_file.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from hickoryweir.feeds import evidence, evidence_file, losses
+from hickoryweir.feeds import evidence, evidence_file, losses, messages
 from hickoryweir.policy import crash_counts, crashing_parts
 from hickoryweir.replicas import files as file_operations
 from hickoryweir.testing import waiting
@@ -64,6 +64,17 @@
     assert crash_counts.is_blocked(found, 7, 1_000.0)
 
 
+def test_requests_that_were_lost_once_are_not_saved():
+    counts = crash_counts.CrashCounts()
+    for request, server_id in ((7, "a"), (7, "b"), (8, "a")):
+        crash_counts.record_loss(counts, request, server_id, 100.0)
+    saved = losses.make_messages(counts, 101.0, losses.MIN_SAVED_LOSSES_COUNT)
+    assert {message.fingerprints for message in saved} == {(7,)}
+    once, twice = (messages.RequestsLost("a", (request,), 1.0) for request in (8, 7))
+    assert not losses.are_worth_saving(counts, once)
+    assert losses.are_worth_saving(counts, twice)
+
+
 def test_missing_and_damaged_files_hold_no_evidence(tmp_path):
     assert blocked_after_load(tmp_path) == set()
     evidence_file.save(file_operations.make_files(), str(tmp_path), make_content())
