--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -117,19 +117,16 @@
     request: web.BaseRequest,
     metadata: header_codec.RequestMetadata,
 ) -> contexts.RequestContext | errors.Reason:
+    """Return the context of a request that may be forwarded, or why it may not."""
     started_s = clocks.boottime_s()
     if not forwarder.started.is_set():
         await _wait_for_start(forwarder, metadata)
     route_index = forwarder.route_index
     if route_index is None:
         return errors.Reason.NO_TABLE
-    path = requests.path_of(request.raw_path)
-    if path is None or not request.host:
-        return errors.Reason.REQUEST_INVALID
-    host = request.host.partition(":")[0]
-    route = matching.find_route(route_index, host, path)
-    if route is None:
-        return errors.Reason.NO_ROUTE
+    route = _find_route(route_index, request)
+    if isinstance(route, errors.Reason):
+        return route
     account = route_index.accounts_by_key.get(metadata.key) if metadata.key else None
     requires_key = route_index.table.accounts and not route.allows_anonymous
     if requires_key and account is None:
@@ -144,9 +141,6 @@
     if crash_counts.is_blocked(forwarder.crashes, fingerprint, started_s):
         crash_counts.record_refusal(forwarder.crashes, fingerprint, started_s)
         return errors.Reason.CRASHES_SERVERS
-    wait_s = route.timeout_s
-    if metadata.time_left_s is not None:
-        wait_s = min(wait_s, metadata.time_left_s)
     return contexts.RequestContext(
         forwarder=forwarder,
         client_request=request,
@@ -157,11 +151,28 @@
         body=body,
         fingerprint=fingerprint,
         started_s=started_s,
-        deadline_s=started_s + wait_s,
+        deadline_s=started_s + _wait_s(route, metadata),
         last_event_id=metadata.last_event_id,
     )
 
 
+def _find_route(
+    route_index: matching.RouteIndex, request: web.BaseRequest
+) -> model.Route | errors.Reason:
+    path = requests.path_of(request.raw_path)
+    if path is None or not request.host:
+        return errors.Reason.REQUEST_INVALID
+    host = request.host.partition(":")[0]
+    return matching.find_route(route_index, host, path) or errors.Reason.NO_ROUTE
+
+
+def _wait_s(route: model.Route, metadata: header_codec.RequestMetadata) -> float:
+    """Return how long a client waits for the final response."""
+    if metadata.time_left_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, metadata.time_left_s)
+
+
 async def _wait_for_start(
     forwarder: contexts.Forwarder, metadata: header_codec.RequestMetadata
 ) -> None:
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Awaitable, Callable
 
 import multidict
 from aiohttp import http_exceptions, http_parser, streams, web
@@ -196,6 +197,9 @@
     return int(text) if text.isdecimal() else None
 
 
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
 @dataclasses.dataclass(slots=True)
 class RunningServer:
     """A listening server of a router."""
@@ -214,6 +218,14 @@
     OSError
         The address is in use.
     """
+    server = web.Server(_make_handler(router), handler_cancellation=True)
+    listener = await _listen(_make_connection_factory(router, server), host, port)
+    header_watcher = asyncio.create_task(_close_slow_clients(router, server))
+    return RunningServer(router, server, listener, header_watcher)
+
+
+def _make_handler(router: contexts.Forwarder) -> Handler:
+    """Return the handler of all requests, which keeps record of the open ones."""
     loop = asyncio.get_running_loop()
     open_by_connection = router.open_requests
 
@@ -242,7 +254,14 @@
                 open_request,
             )
 
-    server = web.Server(handle, handler_cancellation=True)
+    return handle
+
+
+def _make_connection_factory(
+    router: contexts.Forwarder, server: web.Server
+) -> Callable[[], ClientConnection]:
+    """Return a function that makes connections with the idle timeout in force."""
+    loop = asyncio.get_running_loop()
 
     def make_connection() -> ClientConnection:
         idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -259,17 +278,18 @@
             lingering_time=0,
         )
 
+    return make_connection
+
+
+async def _listen(
+    make_connection: Callable[[], ClientConnection], host: str, port: int
+) -> asyncio.Server:
+    loop = asyncio.get_running_loop()
+    backlog = early_listener.BACKLOG_COUNT
     early = early_listener.take(host, port)
-    if early is None:
-        listener = await loop.create_server(
-            make_connection, host, port, backlog=early_listener.BACKLOG_COUNT
-        )
-    else:
-        listener = await loop.create_server(
-            make_connection, sock=early, backlog=early_listener.BACKLOG_COUNT
-        )
-    header_watcher = asyncio.create_task(_close_slow_clients(router, server))
-    return RunningServer(router, server, listener, header_watcher)
+    if early is not None:
+        return await loop.create_server(make_connection, sock=early, backlog=backlog)
+    return await loop.create_server(make_connection, host, port, backlog=backlog)
 
 
 async def _close_slow_clients(router: contexts.Forwarder, server: web.Server) -> None:
