Tell lost requests to two replicas, and completions only after repeated losses

Found by reading, before it was measured: since losses and completions went to all replicas and these passed them on, each lost request cost a message from each replica to each router, and each retry that succeeded another one. With six replicas that is six times as much as before, beside servers that reset connections. Two replicas are told, as before, and a completion is told only if the request had been lost twice or more; a single loss refuses nothing.

--- a/hickoryweir/feeds/losses.py
+++ b/hickoryweir/feeds/losses.py
@@ -64,7 +64,7 @@
     """Record what a message says; return whether any of it is news."""
     completed_s = now_s - message.age_s
     news = [
-        crash_counts.clear(counts, request, completed_s)
+        crash_counts.clear(counts, request, completed_s) > 0
         for request in message.fingerprints
     ]
     return any(news)
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -176,9 +176,7 @@
     def _send_origins(self) -> None:
         origins, self._origins = self._origins, {}
         for pair, keys in origins.items():
-            message = messages.StreamOrigins(*pair, tuple(keys))
-            for connection in self._open_connections[:REPORT_REPLICAS_COUNT]:
-                connection.offer(message)
+            self._send_to_some(messages.StreamOrigins(*pair, tuple(keys)))
 
     def ask_origins(self, keys: tuple[int, ...]) -> None:
         """Ask all replicas where streams began."""
@@ -199,11 +197,18 @@
     def _send_lost(self) -> None:
         lost, self._lost_fingerprints = self._lost_fingerprints, {}
         for server_id, fingerprints in lost.items():
-            self.send_to_all(messages.RequestsLost(server_id, tuple(fingerprints), 0.0))
+            self._send_to_some(
+                messages.RequestsLost(server_id, tuple(fingerprints), 0.0)
+            )
 
     def _send_completed(self) -> None:
         completed, self._completed_fingerprints = self._completed_fingerprints, []
-        self.send_to_all(messages.RequestsCompleted(tuple(completed), 0.0))
+        self._send_to_some(messages.RequestsCompleted(tuple(completed), 0.0))
+
+    def _send_to_some(self, message: object) -> None:
+        """Send a message to replicas that pass it on, or that are asked together."""
+        for connection in self._open_connections[:REPORT_REPLICAS_COUNT]:
+            connection.offer(message)
 
     async def _follow(self, replica: wire.ReplicaAddress) -> None:
         retry_s = RETRY_MIN_S
--- a/hickoryweir/forwarding/crashes.py
+++ b/hickoryweir/forwarding/crashes.py
@@ -26,6 +26,8 @@
 REPORTS_WAIT_S = 0.1
 # Tells the other routers that requests with a blocked part still come.
 REFUSAL_REPORT_INTERVAL_S = 60.0
+# Other routers may refuse a request soon that was lost so often.
+MIN_TOLD_LOSSES_COUNT = 2
 # Ends of a response that the end of the server's process may have caused.
 CRASH_ENDS = frozenset(
     {framing.End.CUT_IN_BODY, framing.End.CUT_IN_EVENT, framing.End.CUT_BEFORE_EVENTS}
@@ -147,7 +149,10 @@
         server's process may have ended between two events.
     """
     forwarder = context.forwarder
-    if crash_counts.clear(forwarder.crashes, context.fingerprint, clocks.boottime_s()):
+    cleared_count = crash_counts.clear(
+        forwarder.crashes, context.fingerprint, clocks.boottime_s()
+    )
+    if cleared_count >= MIN_TOLD_LOSSES_COUNT:
         forwarder.report_completed(context.fingerprint)
     if is_framed:
         _record_progress(context)
--- a/hickoryweir/forwarding/tests/test_forwarder.py
+++ b/hickoryweir/forwarding/tests/test_forwarder.py
@@ -4,6 +4,7 @@
 import dataclasses
 import time
 
+import pytest
 from aiohttp import web
 
 from hickoryweir.discovery import listing
@@ -522,3 +523,19 @@
         return statuses, sum(len(b.seen) for b in site.backends)
 
     assert run([cut] * 6, scenario) == ([502, 502, 503], 3)
+
+
+@pytest.mark.parametrize(("losses_count", "is_told"), [(1, False), (2, True)])
+def test_completion_is_told_to_the_other_routers_after_repeated_losses(
+    losses_count, is_told
+):
+    told = []
+    answer = dropping_first(losses_count, sites.answering())
+
+    async def scenario(site):
+        site.forwarder.report_completed = told.append
+        for _ in range(2):
+            await site.call()
+
+    run([answer] * 3, scenario)
+    assert bool(told) == is_told
--- a/hickoryweir/policy/crash_counts.py
+++ b/hickoryweir/policy/crash_counts.py
@@ -75,7 +75,7 @@
     >>> record_loss(counts, 7, "c", 1.0), is_blocked(counts, 7, 2.0)
     (True, True)
     >>> clear(counts, 7, 3.0), is_blocked(counts, 7, 3.0)
-    (True, False)
+    (3, False)
     >>> record_loss(counts, 7, "a", 2.5)
     False
     """
@@ -92,14 +92,13 @@
     return lost_s - known_s >= SAME_LOSS_S
 
 
-def clear(counts: CrashCounts, request: int, completed_s: float) -> bool:
-    """Clear a request that completed; return whether it had been lost before."""
-    servers = counts.servers.get(request)
-    if servers is None:
-        return False
+def clear(counts: CrashCounts, request: int, completed_s: float) -> int:
+    """Clear a request that completed; return how often it had been lost before."""
+    servers = counts.servers.get(request, {})
     later = {name: lost_s for name, lost_s in servers.items() if lost_s > completed_s}
-    if len(later) == len(servers):
-        return False
+    cleared_count = len(servers) - len(later)
+    if not cleared_count:
+        return 0
     if later:
         counts.servers[request] = later
     else:
@@ -108,7 +107,7 @@
     counts.cleared_at_s.move_to_end(request)
     while len(counts.cleared_at_s) > MAX_REQUESTS_COUNT:
         counts.cleared_at_s.popitem(last=False)
-    return True
+    return cleared_count
 
 
 def _forget(counts: CrashCounts, request: int) -> None:
