Look only at servers of `serve` that said something of themselves

Each tick, twenty times a second, and each digest went over all backend servers to find the limited ones; at the size of the users' plan a router of `serve` knows 12,000. The core keeps the names of those that said anything. Found by reading; no behaviour changes.

--- a/hickoryweir/policy/core.py
+++ b/hickoryweir/policy/core.py
@@ -39,7 +39,6 @@
     providers,
     recovery,
     scheduling,
-    server_notices,
     settings,
     state,
     stragglers,
@@ -227,7 +226,7 @@
         server.down_until_s = 0.0
         if server.state is events.ServerState.GONE:
             # Another incarnation has started under the same name.
-            server.notices = server_notices.NO_NOTICES
+            noticed_servers.forget(core, server)
     server.state = event.state
     return scheduling.serve_server(core, server, now_s)
 
--- a/hickoryweir/policy/noticed_servers.py
+++ b/hickoryweir/policy/noticed_servers.py
@@ -34,7 +34,26 @@
         notices = server_notices.record_pause(notices, event.pause_s, now_s)
     elif event.has_served:
         notices = server_notices.record_response(notices, event.sent_at_s, now_s)
+    _set_notices(core, server, notices)
+
+
+def _set_notices(
+    core: state.Core, server: state.Server, notices: server_notices.Notices
+) -> None:
     server.notices = notices
+    if notices is not server_notices.NO_NOTICES:
+        core.noticed.add(server.backend.name)
+
+
+def forget(core: state.Core, server: state.Server) -> None:
+    """Forget what an incarnation of a server has said."""
+    server.notices = server_notices.NO_NOTICES
+    core.noticed.discard(server.backend.name)
+
+
+def _noticed_servers(core: state.Core) -> list[state.Server]:
+    core.noticed &= core.servers.keys()
+    return [core.servers[name] for name in sorted(core.noticed)]
 
 
 def accepts(server: state.Server, now_s: float) -> bool:
@@ -59,14 +78,11 @@
 
 def review(core: state.Core, now_s: float) -> None:
     """Add this router's shares of limits, and forget what servers said long ago."""
-    for server in core.servers.values():
-        notices = server.notices
-        if notices is server_notices.NO_NOTICES:
-            continue
-        leaving_s = notices.leaving_since_s
+    for server in _noticed_servers(core):
+        leaving_s = server.notices.leaving_since_s
         if leaving_s is not None and now_s - leaving_s >= LEAVING_RETENTION_S:
-            server.notices = server_notices.NO_NOTICES
-        elif server_notices.is_limited(notices):
+            forget(core, server)
+        elif server_notices.is_limited(server.notices):
             _review_limit(core, server, now_s)
 
 
@@ -87,6 +103,8 @@
 
 def limited_rate_per_s(core: state.Core, pool: state.Pool) -> float | None:
     """Return this router's share of the limits if all servers of a pool name one."""
+    if not core.noticed:
+        return None
     notices = [core.servers[name].notices for name in pool.subset]
     if not notices or not all(map(server_notices.is_limited, notices)):
         return None
@@ -110,20 +128,25 @@
 def shared_limits(core: state.Core, now_s: float) -> tuple[SharedLimit, ...]:
     """Return the limits that servers named to this router or others, for a digest."""
     found = [
-        (name, server.notices.limit_per_s, now_s - server.notices.limit_at_s)
-        for name, server in core.servers.items()
+        (server.backend.name, server.notices.limit_per_s, _limit_age_s(server, now_s))
+        for server in _noticed_servers(core)
         if server_notices.is_limited(server.notices)
     ]
     latest = sorted(found, key=lambda item: item[2])[:MAX_SHARED_LIMITS_COUNT]
     return tuple(sorted(latest))
 
 
+def _limit_age_s(server: state.Server, now_s: float) -> float:
+    return now_s - server.notices.limit_at_s
+
+
 def merge(core: state.Core, limits: tuple[SharedLimit, ...], now_s: float) -> None:
     """Record the limits that another router tells."""
     for name, limit_per_s, age_s in limits:
         server = core.servers.get(name)
         if server is not None:
             at_s = now_s - age_s
-            server.notices = server_notices.record_limit(
+            notices = server_notices.record_limit(
                 server.notices, limit_per_s, at_s, at_s
             )
+            _set_notices(core, server, notices)
--- a/hickoryweir/policy/state.py
+++ b/hickoryweir/policy/state.py
@@ -305,6 +305,8 @@
     ----------
     deadlines : list of (float, str)
         Heap of deadlines with request ids.
+    noticed : set of str
+        Backend servers that have said something of themselves.
     peer_suspects, peer_placed : Counter
         Number of peers that report a fingerprint as suspect, or as running.
     running : Counter
@@ -325,6 +327,7 @@
         default_factory=dict
     )
     servers: dict[str, Server] = dataclasses.field(default_factory=dict)
+    noticed: set[str] = dataclasses.field(default_factory=set)
     accounts: dict[str, AccountUse] = dataclasses.field(default_factory=dict)
     calls: dict[str, Call] = dataclasses.field(default_factory=dict)
     deadlines: list[tuple[float, str]] = dataclasses.field(default_factory=list)
