--- a/hickoryweir/policy/crash_counts.py
+++ b/hickoryweir/policy/crash_counts.py
@@ -4,7 +4,7 @@
 router.  Each router records the servers on which a request was lost, receives the
 losses seen by other routers, and refuses the request once it has been lost on several
 servers.  A request that completes anywhere is cleared, so a request that was merely in
-flight at a crash is not refused.  Losses and completions merge in any order.
+flight at a crash is not refused.  Losses merge in any order and number of times.
 """
 
 import collections
