Let servers of the soak that have ended answer nothing

Request 127.0.6.4-697, with that part, was answered whole by server s26 at 14:58:10.445, 1.4 s after another part had crashed s26. So the stand-in answered on a connection that it still had after its end, and as an ended server it did not crash any more; most likely a connection that was being accepted at that moment, which was not shown. Ruled out: the routers, since a whole response to a part does clear it.

Connections of an ended server are reset.

--- a/hickoryweir/testing/soak/notice_servers.py
+++ b/hickoryweir/testing/soak/notice_servers.py
@@ -119,6 +119,10 @@
     server = Server(f"s{next(fleet.numbers)}")
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if server not in fleet.servers:
+            # The connection was accepted in the loop iteration in which it ended.
+            request.transport.abort()
+            return web.Response()
         with contextlib.suppress(ConnectionError, aiohttp.ClientConnectionResetError):
             return await _answer(fleet, server, request)
         return web.Response()
@@ -154,6 +158,7 @@
         if part_id:
             await asyncio.sleep(BEGIN_TO_CRASH_S)
             _crash(fleet, server, part_id)
+            request.transport.abort()
         await response.write(b"id: %d\ndata: x\n\n" % number)
     return response
 
@@ -191,6 +196,7 @@
 def _crash(fleet: Fleet, server: Server, part_id: str) -> None:
     """End a server with all its connections, and start another one later."""
     if server not in fleet.servers:
+        # Another request has crashed it in the meantime.
         return
     fleet.crashes.append((part_id, time.monotonic()))
     _end(fleet, server)
