Send each router's digest in turn within a link's budget

Traced with kept logs: "router of attempt ... is gone: sapporo-1; recording outcome as unknown", while sapporo-1 lived. Nothing ran twice, but the caller was refused, and the stored outcome was unknown for a moment.

Cause: digests were sent on a link freshest first, within 3 KB/s for all links of a router. Those of near routers are always the freshest and used the budget up, so a far router's digest did not come for 6 s, which counts as gone.

Now each link sends the digest next that it has not sent for longest; changed suspects still go first. Limits are no suspicion any more: they need not skip the budget.

test_busy_routers_of_a_small_cluster_never_consider_each_other_gone, on virtual time, failed before with six and with nine routers; with six it passes.

--- a/hickoryweir/routers/core.py
+++ b/hickoryweir/routers/core.py
@@ -42,6 +42,7 @@
     watched_until_s: float = float("-inf")
     digest_credit_bytes: float = 0.0
     sent_digests: dict[str, tuple[int, int]] = dataclasses.field(default_factory=dict)
+    sent_digests_at_s: dict[str, float] = dataclasses.field(default_factory=dict)
     sent_reports: dict[tuple[str, str], tuple[int, int]] = dataclasses.field(
         default_factory=dict
     )
--- a/hickoryweir/routers/digests.py
+++ b/hickoryweir/routers/digests.py
@@ -22,7 +22,7 @@
 MAX_CREDIT_INTERVALS = 2
 MAX_DIGEST_SIZE_BYTES = 4096
 URGENT_DURATION_S = 1.0
-NO_SUSPICION: tuple[tuple, ...] = ((), (), (), (), (), ())
+NO_SUSPICION: tuple[tuple, ...] = ((), (), (), (), ())
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,14 +91,13 @@
 def suspicion(
     digest: messages.RouterDigest | events.PeerDigestReceived,
 ) -> tuple[tuple, ...]:
-    """Return what a digest says of calls, prefixes and limits, without its ages."""
+    """Return what a digest says of calls and prefixes, without its ages."""
     return (
         digest.suspects,
         digest.quarantined,
         digest.suspects_placed,
         tuple(lost[:-1] for lost in digest.lost_calls),
         tuple(progress[:-1] for progress in digest.prefix_progress),
-        tuple(limit[:-1] for limit in digest.limits),
     )
 
 
@@ -206,7 +205,8 @@
             for name, at_s in state.suspicion_changed_at_s.items()
             if now_s - at_s < URGENT_DURATION_S
         }
-        batch = _make_batch(ordered, link, peer, includes_load, urgent)
+        fair = _longest_unsent_first(ordered, link, urgent)
+        batch = _make_batch(fair, link, peer, includes_load, urgent, now_s)
         if batch:
             batches.append((peer, batch))
     return expired, batches
@@ -248,11 +248,28 @@
     )
 
 
+def _longest_unsent_first(ordered, link, urgent):
+    """Return the urgent digests first, the others by when they were last sent.
+
+    Otherwise those of near routers, which are always the newest, would use up the
+    budget of a link, and far routers would seem to be gone.
+    """
+    return sorted(
+        ordered,
+        key=lambda digest: (
+            digest.router not in urgent,
+            0.0
+            if digest.router in urgent
+            else link.sent_digests_at_s.get(digest.router, float("-inf")),
+        ),
+    )
+
+
 def _suspicion_changed_at_s(state, router):
     return state.suspicion_changed_at_s.get(router, float("-inf"))
 
 
-def _make_batch(ordered, link, peer, includes_load, urgent):
+def _make_batch(ordered, link, peer, includes_load, urgent, now_s):
     batch = []
     for digest in ordered:
         if link.digest_credit_bytes <= 0 and digest.router not in urgent:
@@ -264,6 +281,7 @@
         ):
             continue
         link.sent_digests[digest.router] = sequence_key
+        link.sent_digests_at_s[digest.router] = now_s
         outgoing = digest if includes_load else _without_load(digest)
         if outgoing is None:
             continue
@@ -276,6 +294,6 @@
 
 
 def _without_load(digest):
-    if not (any(suspicion(digest)) or digest.ejected):
+    if not (any(suspicion(digest)) or digest.ejected or digest.limits):
         return None
     return dataclasses.replace(digest, running=(), running_top=())
--- a/hickoryweir/routers/tests/test_core.py
+++ b/hickoryweir/routers/tests/test_core.py
@@ -328,3 +328,24 @@
     state = core.make_state(many[0], many, 1, 0.0)
     assert not core.is_gone(state, holders.Holder("b-2", 1), 1_000.0)
     assert core.is_gone(state, holders.Holder("a-2", 1), 1_000.0)
+
+
+@pytest.mark.parametrize("members_count", [6, 9])
+def test_busy_routers_of_a_small_cluster_never_consider_each_other_gone(members_count):
+    network, _ = make_network(10)
+    names = [item.name for item in MEMBERS if 3 * int(item.name[-1]) <= members_count]
+    running = tuple((f"assistant-{number}", 10 + number) for number in range(9))
+    limits = (("assistant-1", 1.0, 0.5),)
+    for _ in range(80):
+        for name in names:
+            digest = policy_events.PeerDigestReceived(
+                name, name[0], running, (), (), (), running, limits=limits
+            )
+            routers_simulation.step(network, name, events.LocalDigest(digest))
+        routers_simulation.run(network, 0.5)
+        if network.now_s < digests.TIMEOUT_S + 2.0:
+            continue
+        for observing in names:
+            for name in names:
+                incarnation = network.states[name].incarnation
+                assert not is_gone(network, observing, name, incarnation)
