--- a/hickoryweir/routers/digests.py
+++ b/hickoryweir/routers/digests.py
@@ -1,9 +1,9 @@
 """Gossips policy digests among routers within a byte budget.
 
 Routers forward digests over all links.  A sequence number of a digest is sent at most
-once per link, and each link has an equal share of the byte budget.  In a large
-cluster, a digest is sent to other zones without load figures, and only if it has
-suspects, quarantined fingerprints or ejected servers.
+once per link, and each link has an equal share of the byte budget, in which the digests
+take turns.  In a large cluster, a digest is sent to other zones without load figures,
+and only if it has suspects, quarantined fingerprints, ejected servers or limits.
 """
 
 import dataclasses
@@ -254,15 +254,13 @@
     Otherwise those of near routers, which are always the newest, would use up the
     budget of a link, and far routers would seem to be gone.
     """
-    return sorted(
-        ordered,
-        key=lambda digest: (
-            digest.router not in urgent,
-            0.0
-            if digest.router in urgent
-            else link.sent_digests_at_s.get(digest.router, float("-inf")),
-        ),
-    )
+
+    def turn(digest):
+        if digest.router in urgent:
+            return 0, 0.0
+        return 1, link.sent_digests_at_s.get(digest.router, float("-inf"))
+
+    return sorted(ordered, key=turn)
 
 
 def _suspicion_changed_at_s(state, router):
