Log and count when a router reaches no backend server

'isolated from all servers' (begun, ended) has the number of servers that can be reached and when any was last heard; hickoryweir_isolations_total counts both. No decision changes.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -15,6 +15,7 @@
 from hickoryweir.forwarding import (
     contexts,
     crashes,
+    isolation,
     limits,
     notices,
     open_requests,
@@ -340,6 +341,7 @@
                 age_s = clocks.boottime_s() - view.servers.read_at_s
             forwarder.metrics.list_age_s.set(age_s)
             notices.update_gauges(forwarder)
+            isolation.update(forwarder)
             crashes.remove_expired(forwarder)
             if age_s < LIST_STALE_AFTER_S:
                 continue
--- a/hickoryweir/forwarding/probing.py
+++ b/hickoryweir/forwarding/probing.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from hickoryweir import clocks
 from hickoryweir.forwarding import contexts, server_pool
 from hickoryweir.observability import logs
 from hickoryweir.policy import unreachable_servers
@@ -41,6 +42,7 @@
         server_pool.record_failed_probe(view, time.monotonic(), forwarder.generator)
         return
     writer.close()
+    forwarder.pool.heard_at_s = clocks.boottime_s()
     server_pool.record_reachable(view)
     fields = logs.Fields(backend_server=view.listed.server_id)
     logs.info("server can be reached again", fields)
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -159,6 +159,7 @@
             crashes.record_event(context)
             pauses.record_event(context.event_pauses, time.monotonic())
             server_pool.record_success(view)
+            context.forwarder.pool.heard_at_s = clocks.boottime_s()
             await _write_events(context, answered, events)
             _record_resume_point(context, splitter, events)
     if event_stream.has_open_event(splitter):
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -138,6 +138,11 @@
         Since when lists lack a server that has said something, by id and address.
     departed : dict
         Servers with requests in flight that the list lacks, by id.
+    heard_at_s : float
+        When any server last responded or accepted a connection, on
+        :func:`clocks.boottime_s`.
+    is_isolated : bool
+        Whether no server could be reached when that was last checked.
     """
 
     servers: dict[str, ServerView] = dataclasses.field(default_factory=dict)
@@ -153,6 +158,8 @@
         default_factory=dict
     )
     departed: dict[str, ServerView] = dataclasses.field(default_factory=dict)
+    heard_at_s: float = float("-inf")
+    is_isolated: bool = False
 
 
 def update_servers(pool: Pool, found: listing.ServerList) -> None:
@@ -368,6 +375,13 @@
         view.next_probe_s = now_s
 
 
+def reaches_none(pool: Pool) -> bool:
+    """Return whether there are servers in the list, and none can be reached."""
+    return bool(pool.servers) and all(
+        view.is_unreachable for view in pool.servers.values()
+    )
+
+
 def due_probes(pool: Pool, now_s: float) -> list[ServerView]:
     """Return the unreachable servers whose next probe is due."""
     return [
--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -35,6 +35,8 @@
         ``released`` parts.
     blocked_parts : prometheus_client.Gauge
         Parts of prompts that are refused.
+    isolations : prometheus_client.Counter
+        Changes of whether any server can be reached: ``begun``, ``ended``.
     servers : prometheus_client.Gauge
         Servers of the list by service and state: ``ready``, ``draining``, ``leaving``,
         ``paused``, ``returning``, ``limited``.
@@ -56,6 +58,7 @@
     grants: prometheus_client.Counter
     crash_evidence: prometheus_client.Counter
     blocked_parts: prometheus_client.Gauge
+    isolations: prometheus_client.Counter
     servers: prometheus_client.Gauge
     table_version: prometheus_client.Gauge
     list_age_s: prometheus_client.Gauge
@@ -85,6 +88,7 @@
             "crash_evidence", "Evidence on prompt parts.", "service", "kind"
         ),
         blocked_parts=gauge("blocked_parts", "Prompt parts that are refused."),
+        isolations=counter("isolations", "Loss of all servers.", "change"),
         servers=gauge("servers", "Servers in the list.", "service", "state"),
         table_version=gauge("table_version", "Version of the routing table."),
         list_age_s=gauge("list_age_seconds", "Age of the list of servers."),
