--- a/hickoryweir/testing/proxies.py
+++ b/hickoryweir/testing/proxies.py
@@ -41,7 +41,7 @@
     proxy.forward.set()
     proxy.backward.set()
     proxy.server = await asyncio.start_server(
-        lambda reader, writer: _relay_connection(proxy, reader, writer), host, 0
+        lambda reader, writer: relay_connection(proxy, reader, writer), host, 0
     )
     proxy.port = proxy.server.sockets[0].getsockname()[1]
     return proxy
@@ -61,7 +61,7 @@
         writer.transport.abort()
 
 
-async def _relay_connection(
+async def relay_connection(
     proxy: Proxy, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
     """Relay one connection in both directions until either side ends."""
