Send requests through another router while none of a service's servers can be reached

Callers of routers that were cut off from all servers, while the routers beside them reached all, got 503 server_unreachable (or 502 on connections that were reset).

Class: the reach of one router taken for the reach of the service.

Why it works: replicas name each router up to twelve others (a ring over zones); a router that finds the servers of a service unreachable asks them what they reach, twice a second and only while it needs them, and sends the request through one, in its own zone first. The relay checks key, route, body and limits again with its own table, refuses with an older table than the sender's, sends to a server or refuses, and never relays again. Each relayed request has its own connection, so no kept connection can close under it.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -20,13 +20,16 @@
     notices,
     open_requests,
     probing,
+    relay_pool,
+    relay_port,
+    relaying,
     resumption,
     server,
     server_pool,
     sockets,
 )
 from hickoryweir.observability import logs
-from hickoryweir.policy import retry_budget
+from hickoryweir.policy import relays, retry_budget
 from hickoryweir.replicas import client, wire
 from hickoryweir.routes import checks, matching, store
 
@@ -97,6 +100,7 @@
             self._apply_grants,
             self._record_completed_requests,
             self._make_greeting,
+            self._apply_relays,
         )
         self._subscriber = subscriber.make_subscriber(identity, seeds, callbacks)
         self._list_session = sessions.make_session(keeps_connections=True)
@@ -133,16 +137,18 @@
         await server.start_readiness(self.forwarder, host, port)
         host, port = wire.split_address(self._settings.ports.clients)
         running = await server.start(self.forwarder, host, port)
+        relay_server = await self._start_relay_port()
         tasks = [
             asyncio.create_task(self._subscriber.run()),
             asyncio.create_task(self._load_initial_table()),
             asyncio.create_task(self._monitor_list()),
             asyncio.create_task(self._send_loads()),
             asyncio.create_task(probing.run(self.forwarder)),
+            asyncio.create_task(relaying.run(self.forwarder)),
         ]
         logs.info("serving", logs.Fields(detail=f"router at {host}:{port}"))
         await stop.wait()
-        await self._drain(running)
+        await self._drain(running, relay_server)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -160,7 +166,22 @@
         for service_budget in forwarder.budgets.values():
             retry_budget.update_settings(service_budget, budget)
 
-    async def _drain(self, running: server.RunningServer) -> None:
+    async def _start_relay_port(self) -> server.RunningServer | None:
+        """Listen for other routers; a VM that runs a replica as well relays nothing."""
+        process, relays = self._settings.process, self.forwarder.relays
+        relays.own_host, relays.port = process.host, process.peer_port
+        try:
+            return await relay_port.start(
+                self.forwarder, process.host, process.peer_port
+            )
+        except OSError as error:
+            fields = logs.Fields(reason=str(error))
+            logs.warning("requests of other routers are not relayed", fields)
+            return None
+
+    async def _drain(
+        self, running: server.RunningServer, relay_server: server.RunningServer | None
+    ) -> None:
         grace_s = self._settings.shutdown.grace_s
         count = len(running.server.connections)
         phases = open_requests.count_phases(self.forwarder.open_requests.values())
@@ -171,7 +192,11 @@
         server.begin_stop(self.forwarder, open_port_s + closed_port_s)
         await asyncio.sleep(open_port_s)
         # A stall of the event loop shortens the rest, since the process is killed then.
-        await server.stop(running, max(0.0, end_s - clocks.boottime_s()))
+        left_s = max(0.0, end_s - clocks.boottime_s())
+        stops = [server.stop(running, left_s)]
+        if relay_server is not None:
+            stops.append(server.stop(relay_server, left_s))
+        await asyncio.gather(*stops)
         logs.info("drained", logs.Fields())
 
     async def _close(self) -> None:
@@ -266,6 +291,15 @@
     def _apply_grants(self, message: messages.SendGrants) -> None:
         limits.apply_grants(self.forwarder, message)
 
+    def _apply_relays(
+        self, replica_address: str, message: messages.RelayRouters
+    ) -> None:
+        routers = tuple(
+            relays.Router(router.host, router.availability_zone)
+            for router in message.routers
+        )
+        relay_pool.update_named(self.forwarder.relays, replica_address, routers)
+
     def _make_greeting(self) -> list:
         """Return what a replica that may have restarted has to know."""
         state, now_s = self.forwarder.suspect_parts, clocks.boottime_s()
--- a/hickoryweir/entry/tests/test_isolated_routers.py
+++ b/hickoryweir/entry/tests/test_isolated_routers.py
@@ -157,7 +157,9 @@
         at_s = asyncio.get_running_loop().time()
         status = "broken off"
         with contextlib.suppress(aiohttp.ClientError):
-            async with self.session.post(url, headers=sent, data=b"x") as response:
+            async with self.session.post(
+                url, headers=sent, data=request_id
+            ) as response:
                 await response.read()
                 status = response.status
         took_s = asyncio.get_running_loop().time() - at_s
--- a/hickoryweir/feeds/messages.py
+++ b/hickoryweir/feeds/messages.py
@@ -60,6 +60,21 @@
     servers: tuple[listing.BackendServer, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayRouter:
+    """A router that may relay requests, by its host."""
+
+    host: str
+    availability_zone: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayRouters:
+    """The routers that one router may use as relays; replaces those known before."""
+
+    routers: tuple[RelayRouter, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestsLost:
     """Fingerprints of requests lost on a server, and how long ago.
@@ -276,6 +291,8 @@
     ("fd.server_limits", ServerLimits),
     ("fd.server_grant", ServerGrant),
     ("fd.send_grants", SendGrants),
+    ("fd.relay_router", RelayRouter),
+    ("fd.relay_routers", RelayRouters),
     ("fd.server_parts", ServerParts),
     ("fd.own_loads", RouterLoads),
     ("fd.all_loads", TotalLoads),
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -12,7 +12,7 @@
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import evidence, limits, losses, messages, versions
 from hickoryweir.observability import logs
-from hickoryweir.policy import crash_counts, crashing_parts, stream_versions
+from hickoryweir.policy import crash_counts, crashing_parts, relays, stream_versions
 from hickoryweir.replicas import wire
 from hickoryweir.routes import store
 from hickoryweir.streams import connections, handshake, hub
@@ -28,6 +28,7 @@
 # Grants of a server with ten requests a second are issued one at a time.
 GRANTS_INTERVAL_S = 0.1
 TRIALS_INTERVAL_S = 0.5
+RELAYS_INTERVAL_S = 0.5
 # Random ids from a range this large do not collide between successive leaders.
 LIST_IDS_COUNT = 1 << 48
 
@@ -239,6 +240,7 @@
             asyncio.create_task(self._send_loads()),
             asyncio.create_task(self._send_limits()),
             asyncio.create_task(self._send_trials()),
+            asyncio.create_task(self._send_relays()),
         ]
         try:
             await self._send_heartbeats()
@@ -294,6 +296,22 @@
                 self._evidence_sender.add(due)
                 self.on_evidence()
 
+    async def _send_relays(self) -> None:
+        """Tell each router the others that may relay its requests, on changes."""
+        sent: dict[connections.Connection, messages.RelayRouters] = {}
+        known: set[connections.Connection] = set()
+        while True:
+            await asyncio.sleep(RELAYS_INTERVAL_S)
+            current = set(self._subscribers)
+            if current == known:
+                continue
+            known = current
+            found = make_relay_routers(list(known))
+            for connection, message in found.items():
+                if sent.get(connection) != message:
+                    connection.offer(message)
+            sent = found
+
     def _weight(self, connection: connections.Connection) -> float:
         """Return a router's load; one without load may get its first request."""
         loads = self._loads.get(connection, ())
@@ -392,6 +410,28 @@
     return tuple(messages.ServerLoad(name, *counts) for name, counts in sums.items())
 
 
+def make_relay_routers(
+    subscribers: list[connections.Connection],
+) -> dict[connections.Connection, messages.RelayRouters]:
+    """Return the routers that each subscriber may use as relays."""
+    routers = {
+        connection: relays.Router(
+            connection.peer.process_name, connection.peer.availability_zone
+        )
+        for connection in subscribers
+    }
+    assigned = relays.assign(list(set(routers.values())))
+    return {
+        connection: messages.RelayRouters(
+            tuple(
+                messages.RelayRouter(other.host, other.availability_zone)
+                for other in assigned[router]
+            )
+        )
+        for connection, router in routers.items()
+    }
+
+
 def merge_parts(
     known: dict[str, dict[str, None]], updates: tuple[messages.ServerParts, ...]
 ) -> None:
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -89,6 +89,8 @@
         Called with limits that servers name.
     on_grants : callable
         Called with grants to send to such servers.
+    on_relays : callable
+        Called with a replica's address and the routers that may relay requests.
     greet : callable
         Returns the messages to send to a replica at the start of its connection.
     """
@@ -106,6 +108,9 @@
     on_grants: Callable[[messages.SendGrants], None] = lambda grants: None
     on_completed: Callable[[messages.RequestsCompleted], None] = lambda completed: None
     greet: Callable[[], list] = list
+    on_relays: Callable[[str, messages.RelayRouters], None] = lambda address, relays: (
+        None
+    )
 
 
 class Subscriber:
@@ -226,7 +231,7 @@
             if connection is not None:
                 logs.info("replica followed", logs.Fields(peer=replica.address))
                 was_reachable, retry_s = True, RETRY_MIN_S
-                reason = await self._receive(connection)
+                reason = await self._receive(replica, connection)
                 logs.warning(
                     "replica lost", logs.Fields(peer=replica.address, reason=reason)
                 )
@@ -238,7 +243,9 @@
             await asyncio.sleep(retry_s)
             retry_s = min(2 * retry_s, RETRY_MAX_S)
 
-    async def _receive(self, connection: connections.Connection) -> str:
+    async def _receive(
+        self, replica: wire.ReplicaAddress, connection: connections.Connection
+    ) -> str:
         self._open_connections.append(connection)
         for message in self._callbacks.greet():
             connection.offer(message)
@@ -249,7 +256,10 @@
                 message = received.value_or(None)
                 if message is None:
                     return received.failure().value
-                self._handle(connection, message)
+                if isinstance(message, messages.RelayRouters):
+                    self._callbacks.on_relays(replica.address, message)
+                else:
+                    self._handle(connection, message)
         except TimeoutError:
             return "silent"
         finally:
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -7,11 +7,19 @@
 from collections.abc import Callable
 
 import aiohttp
+import multidict
 from aiohttp import web
 
 from hickoryweir import clocks
 from hickoryweir.feeds import messages
-from hickoryweir.forwarding import header_codec, pauses, server_pool, sockets
+from hickoryweir.forwarding import (
+    header_codec,
+    pauses,
+    relay_messages,
+    relay_pool,
+    server_pool,
+    sockets,
+)
 from hickoryweir.observability import forwarding_metrics, latencies
 from hickoryweir.policy import (
     crash_counts,
@@ -113,6 +121,8 @@
         ``report_limits(message)`` tells the replicas what servers say of their limits.
     report_evidence : callable
         ``report_evidence(keys)`` reports what is known of parts to the other routers.
+    relays : relay_pool.RelayPool
+        The routers that may relay requests.
     """
 
     settings: Settings
@@ -163,6 +173,9 @@
     )
     report_limits: Callable[[messages.ServerLimits], None] = lambda limits: None
     report_evidence: Callable[[list[crashing_parts.PartKey]], None] = lambda keys: None
+    relays: relay_pool.RelayPool = dataclasses.field(
+        default_factory=relay_pool.RelayPool
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -215,6 +228,14 @@
         Times between the events that the client has received.
     retry_after_s : float or None
         Value of ``Retry-After`` in a refusal because of overload.
+    max_attempts_count : int
+        Servers that the request may be sent to.
+    relayed : relay_messages.RelayedRequest or None
+        What the sender says of a request that this router relays.
+    tried_relays : set of str
+        Hosts of the routers that were asked to relay the request.
+    uses_relay : bool
+        Whether the current attempt goes through another router.
     """
 
     forwarder: Forwarder
@@ -246,6 +267,10 @@
     first_event_after_s: float | None = None
     event_pauses: pauses.Pauses = dataclasses.field(default_factory=pauses.Pauses)
     retry_after_s: float | None = None
+    max_attempts_count: int = 1
+    relayed: relay_messages.RelayedRequest | None = None
+    tried_relays: set[str] = dataclasses.field(default_factory=set)
+    uses_relay: bool = False
 
     @property
     def time_left_s(self) -> float:
@@ -262,6 +287,20 @@
     return forwarder.is_draining and not request.protocol.queued_requests_count
 
 
+def add_relay_reply(context: RequestContext, headers: multidict.CIMultiDict) -> None:
+    """Tell the sender of a relayed request which server has responded."""
+    if context.relayed is None:
+        return
+    reply = relay_messages.RelayReply(
+        context.relayed.hop_id,
+        "",
+        context.sent_count,
+        context.placement.server_id,
+        context.attempt_version,
+    )
+    relay_messages.write(headers, reply)
+
+
 def max_idle_connections_count(forwarder: Forwarder, address: str) -> int:
     """Return how many idle connections one session keeps to a server.
 
@@ -289,6 +328,9 @@
 
 
 def _update_prefill_factor(context: RequestContext) -> None:
+    if context.uses_relay:
+        # The prefill was predicted, and is measured, at the relay.
+        return
     factors = context.forwarder.prefill_factors
     measured_s = time.monotonic() - context.in_flight.started_s
     placement = context.placement
--- a/hickoryweir/forwarding/errors.py
+++ b/hickoryweir/forwarding/errors.py
@@ -27,6 +27,7 @@
     SERVER_FAILED = "server_failed"
     SERVER_UNREACHABLE = "server_unreachable"
     SERVERS_PAUSED = "servers_paused"
+    RELAY_FULL = "relay_full"
     VERSION_UNKNOWN = "version_unknown"
     VERSION_UNAVAILABLE = "version_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -52,6 +53,7 @@
     Reason.SERVER_FAILED: 502,
     Reason.SERVER_UNREACHABLE: 503,
     Reason.SERVERS_PAUSED: 503,
+    Reason.RELAY_FULL: 503,
     Reason.VERSION_UNKNOWN: 503,
     Reason.VERSION_UNAVAILABLE: 503,
     Reason.OUTCOME_UNKNOWN: 502,
@@ -61,6 +63,12 @@
     Reason.STOPPED_UNANSWERED: 502,
     Reason.INTERNAL_ERROR: 500,
 }
+# The request has not run, and this router will not send it.
+NOT_RUN_REASONS = frozenset(
+    reason for reason, status in STATUSES.items() if status not in (500, 502, 504)
+)
+# Key of the reason in an error response, which aiohttp keeps beside its headers.
+REASON_KEY = web.ResponseKey("reason", Reason)
 CLOSING_REASONS = frozenset({Reason.REQUEST_INVALID, Reason.BODY_TOO_LARGE})
 
 
@@ -86,6 +94,7 @@
     response = web.Response(
         status=STATUSES[reason], headers=headers, text=f"{reason.value}\n"
     )
+    response[REASON_KEY] = reason
     if reason in CLOSING_REASONS:
         response.force_close()
     return response
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import functools
 import time
 
@@ -23,6 +24,9 @@
     limits,
     notices,
     open_requests,
+    probing,
+    relay_messages,
+    relaying,
     requests,
     responses,
     resumption,
@@ -62,11 +66,24 @@
     forwarder: contexts.Forwarder,
     request: web.BaseRequest,
     open_request: open_requests.OpenRequest,
+    relayed: relay_messages.RelayedRequest | None = None,
 ) -> web.StreamResponse:
-    """Return the final response to a request, which may already be partly sent."""
+    """Return the final response to a request, which may already be partly sent.
+
+    Parameters
+    ----------
+    forwarder : contexts.Forwarder
+        State of the router.
+    request : web.BaseRequest
+        The request.
+    open_request : open_requests.OpenRequest
+        Record of it.
+    relayed : relay_messages.RelayedRequest, optional
+        What another router says of it that has relayed it to this one.
+    """
     try:
         async with asyncio.timeout(None) as open_request.timer:
-            response = await _serve(forwarder, request, open_request)
+            response = await _serve(forwarder, request, open_request, relayed)
     except TimeoutError:
         response = _stop_failure(forwarder, open_request)
     # A client whose response has not announced the close may send another request.
@@ -79,18 +96,26 @@
     forwarder: contexts.Forwarder,
     request: web.BaseRequest,
     open_request: open_requests.OpenRequest,
+    relayed: relay_messages.RelayedRequest | None,
 ) -> web.StreamResponse:
     metadata = forwarder.codec.parse_request(request.headers)
+    if relayed is not None:
+        metadata = dataclasses.replace(
+            metadata,
+            time_left_s=relayed.time_left_s,
+            last_event_id=relayed.last_event_id,
+        )
     open_request.request_id = metadata.request_id
-    admitted = await _admit(forwarder, request, metadata)
+    admitted = await _admit(forwarder, request, metadata, relayed)
     if isinstance(admitted, errors.Reason):
-        return _refuse(forwarder, metadata.request_id, admitted)
+        return refuse(forwarder, metadata.request_id, admitted)
     refusal = _refuse_blocked(admitted)
     if refusal is not None:
         return refusal
     open_requests.admit(open_request, admitted)
-    budget = _budget(forwarder, admitted.service_name)
-    retry_budget.record_request(budget, time.monotonic())
+    if relayed is None:
+        budget = _budget(forwarder, admitted.service_name)
+        retry_budget.record_request(budget, time.monotonic())
     forwarder.metrics.open_requests.inc()
     try:
         async with asyncio.timeout(admitted.time_left_s):
@@ -109,13 +134,14 @@
         return None
     detail = crashes.record_refusal(forwarder, part_id)
     reason, name = errors.Reason.CRASHES_SERVERS, context.route.name
-    return _refuse(forwarder, context.metadata.request_id, reason, None, name, detail)
+    return refuse(forwarder, context.metadata.request_id, reason, None, name, detail)
 
 
 async def _admit(
     forwarder: contexts.Forwarder,
     request: web.BaseRequest,
     metadata: header_codec.RequestMetadata,
+    relayed: relay_messages.RelayedRequest | None,
 ) -> contexts.RequestContext | errors.Reason:
     """Return the context of a request that may be forwarded, or why it may not."""
     started_s = clocks.boottime_s()
@@ -124,6 +150,8 @@
     route_index = forwarder.route_index
     if route_index is None:
         return errors.Reason.NO_TABLE
+    if relayed is not None and route_index.table.version < relayed.table_version:
+        return errors.Reason.NO_TABLE
     route = _find_route(route_index, request)
     if isinstance(route, errors.Reason):
         return route
@@ -141,21 +169,39 @@
     if crash_counts.is_blocked(forwarder.crashes, fingerprint, started_s):
         crash_counts.record_refusal(forwarder.crashes, fingerprint, started_s)
         return errors.Reason.CRASHES_SERVERS
+    max_attempts_count = route.max_attempts_count
+    if relayed is not None:
+        max_attempts_count = min(max_attempts_count, relayed.attempts_count)
     return contexts.RequestContext(
         forwarder=forwarder,
         client_request=request,
         metadata=metadata,
         route=route,
-        service_name=matching.choose_service(route, forwarder.generator),
+        service_name=_choose_service(forwarder, route, relayed),
         account=account,
         body=body,
         fingerprint=fingerprint,
         started_s=started_s,
         deadline_s=started_s + _wait_s(route, metadata),
         last_event_id=metadata.last_event_id,
+        stream_version=None if relayed is None else relayed.stream_version,
+        max_attempts_count=max_attempts_count,
+        relayed=relayed,
     )
 
 
+def _choose_service(
+    forwarder: contexts.Forwarder,
+    route: model.Route,
+    relayed: relay_messages.RelayedRequest | None,
+) -> str:
+    """Return the service for a request, the sender's if the route still allows it."""
+    allowed = {item.service_name for item in route.destinations if item.weight}
+    if relayed is not None and relayed.service_name in allowed:
+        return relayed.service_name
+    return matching.choose_service(route, forwarder.generator)
+
+
 def _find_route(
     route_index: matching.RouteIndex, request: web.BaseRequest
 ) -> model.Route | errors.Reason:
@@ -194,7 +240,7 @@
         logs.info("no table or list of servers in time", fields)
 
 
-def _refuse(
+def refuse(
     forwarder: contexts.Forwarder,
     request_id: str,
     reason: errors.Reason,
@@ -202,6 +248,7 @@
     route_name: str = "",
     detail: str | None = None,
 ) -> web.Response:
+    """Return, log and count an error response of the router."""
     forwarder.metrics.answers.labels(route_name, reason.value).inc()
     route_index = forwarder.route_index
     version = None if route_index is None else route_index.table.version
@@ -227,7 +274,9 @@
 
 
 async def _attempt_all(context: contexts.RequestContext) -> web.StreamResponse:
-    unresumable = await resumption.admit(context)
+    unresumable = None
+    if context.stream_version is None:
+        unresumable = await resumption.admit(context)
     if unresumable is not None:
         return _final_failure(context, unresumable)
     reason = errors.Reason.NO_SERVER
@@ -235,27 +284,37 @@
         if not context.may_have_run and not _can_end(context):
             context.retry_after_s = STOPPING_RETRY_AFTER_S
             return _final_failure(context, errors.Reason.STOPPING)
+        relay = await relaying.find(context)
         placement = server_selection.choose_server(context)
-        if placement is None:
+        if placement is None and relay is None:
             return _refuse_without_server(context, reason)
         if not _reserve_attempt(context):
             return _final_failure(context, reason)
-        context.placement = placement
-        if not context.sent_count:
-            context.retry_after_s = server_selection.overload_retry_after_s(
-                context, placement
-            )
-            if context.retry_after_s is not None:
+        if relay is not None:
+            outcome = await relaying.attempt(context, relay)
+        else:
+            context.placement = placement
+            if not context.sent_count and _is_overloaded(context):
                 return _final_failure(context, errors.Reason.OVERLOADED)
-        outcome = await _attempt(context, placement)
+            outcome = await _attempt(context, placement)
         if isinstance(outcome, web.StreamResponse):
             _record_forwarded(context)
             return outcome
         reason = outcome
+        if relay is not None and reason in relaying.FINAL_REASONS:
+            return _final_failure(context, reason)
         if crashes.is_suspect(context):
             await asyncio.sleep(crashes.REPORTS_WAIT_S)
 
 
+def _is_overloaded(context: contexts.RequestContext) -> bool:
+    """Return whether the chosen server has too much to do for a prompt."""
+    context.retry_after_s = server_selection.overload_retry_after_s(
+        context, context.placement
+    )
+    return context.retry_after_s is not None
+
+
 def _refuse_without_server(
     context: contexts.RequestContext, reason: errors.Reason
 ) -> web.StreamResponse:
@@ -313,7 +372,7 @@
     if not context.sent_count:
         return True
     ran = next_attempts.Ran.MAYBE if context.may_have_run else next_attempts.Ran.NO
-    if context.sent_count >= route.max_attempts_count or not context.can_resume:
+    if context.sent_count >= context.max_attempts_count or not context.can_resume:
         return False
     if not next_attempts.may_run_again(route.execution, ran):
         return False
@@ -390,7 +449,7 @@
         case exchange.NotSent():
             context.sent_count -= 1
             context.unsent_count += 1
-            _record_unreachable(context, view, now_s)
+            probing.record_unreachable(forwarder, view)
             return errors.Reason.SERVER_UNREACHABLE
         case exchange.NotRun():
             if outcome.metadata.is_misdirected:
@@ -408,21 +467,6 @@
             return await responses.forward_response(context, view, outcome)
 
 
-def _record_unreachable(
-    context: contexts.RequestContext, view: server_pool.ServerView, now_s: float
-) -> None:
-    forwarder = context.forwarder
-    was_unreachable = view.is_unreachable
-    zones = server_pool.record_unreachable(
-        forwarder.pool, view, forwarder.settings.availability_zone, now_s
-    )
-    if was_unreachable:
-        return
-    detail = f"avoids zones {', '.join(sorted(zones))}" if zones else None
-    fields = logs.Fields(backend_server=view.listed.server_id, detail=detail)
-    logs.warning("server can't be reached", fields)
-
-
 async def _send(
     context: contexts.RequestContext,
     session: aiohttp.ClientSession,
@@ -431,7 +475,7 @@
     forwarder = context.forwarder
     untried_count = min(
         len(server_selection.untried_servers(context)),
-        context.route.max_attempts_count - context.sent_count,
+        context.max_attempts_count - context.sent_count,
     )
     timeout_s = next_attempts.response_timeout_s(
         context.route, untried_count, context.time_left_s
@@ -547,7 +591,7 @@
     detail = None
     if reason is errors.Reason.OVERLOADED:
         detail = _describe_overload(context, retry_after_s)
-    return _refuse(context.forwarder, request_id, reason, retry_after_s, name, detail)
+    return refuse(context.forwarder, request_id, reason, retry_after_s, name, detail)
 
 
 def _describe_overload(context: contexts.RequestContext, retry_after_s: float) -> str:
@@ -570,10 +614,10 @@
         # The stream began after the stop had decided to give up.
         return responses.abort_response(context)
     if context is None or not (context.sent_count or context.may_have_run):
-        return _refuse(forwarder, request_id, errors.Reason.STOPPING)
+        return refuse(forwarder, request_id, errors.Reason.STOPPING)
     name = context.route.name
     reason = errors.Reason.STOPPED_UNANSWERED
-    return _refuse(forwarder, request_id, reason, None, name)
+    return refuse(forwarder, request_id, reason, None, name)
 
 
 def _deadline_failure(context: contexts.RequestContext) -> web.StreamResponse:
@@ -582,4 +626,4 @@
     reason = errors.Reason.TIMED_OUT
     request_id = context.metadata.request_id
     name = context.route.name
-    return _refuse(context.forwarder, request_id, reason, None, name)
+    return refuse(context.forwarder, request_id, reason, None, name)
--- a/hickoryweir/forwarding/header_codec.py
+++ b/hickoryweir/forwarding/header_codec.py
@@ -12,7 +12,13 @@
 
 from hickoryweir.engines import headers as header_names
 
-NOT_FORWARDED_HEADERS = header_names.HOP_HEADERS | {"content-length", "expect"}
+# See :mod:`hickoryweir.forwarding.relay_messages`.
+RELAY_HEADER = "X-Relay"
+NOT_FORWARDED_HEADERS = header_names.HOP_HEADERS | {
+    "content-length",
+    "expect",
+    RELAY_HEADER.lower(),
+}
 # 421 Misdirected Request: a different incarnation of the server responded.
 MISDIRECTED_REQUEST_STATUS = 421
 SERVICE_UNAVAILABLE_STATUS = 503
@@ -99,6 +105,8 @@
         Whether the response names a limit, also one that can't be read.
     ignored_notice : str
         Why a notice of the server was not taken; empty if none was ignored.
+    relay_reply : object
+        What a relay says of its response; None for a server's own.
     """
 
     request_id: str
@@ -109,6 +117,7 @@
     limit_per_s: float | None = None
     has_limit: bool = False
     ignored_notice: str = ""
+    relay_reply: object = None
 
 
 Headers = Mapping[str, str]
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -89,6 +89,7 @@
         answered.response.headers, NOTHING_DROPPED
     )
     status = answered.response.status
+    contexts.add_relay_reply(context, headers)
     client_response = web.Response(status=status, headers=headers, body=body)
     server_pool.record_response(view, is_failure, time.monotonic())
     if is_failure:
@@ -131,6 +132,9 @@
     view: server_pool.ServerView,
     error: exchange.IncompleteResponseError,
 ) -> None:
+    if context.uses_relay:
+        # The relay has recorded what its server lost.
+        return
     may_be_crash = error.end in crashes.CRASH_ENDS
     crashes.record_loss(context, view.listed.server_id, may_be_crash)
 
@@ -159,7 +163,8 @@
             crashes.record_event(context)
             pauses.record_event(context.event_pauses, time.monotonic())
             server_pool.record_success(view)
-            context.forwarder.pool.heard_at_s = clocks.boottime_s()
+            if not context.uses_relay:
+                context.forwarder.pool.heard_at_s = clocks.boottime_s()
             await _write_events(context, answered, events)
             _record_resume_point(context, splitter, events)
     if event_stream.has_open_event(splitter):
@@ -213,6 +218,7 @@
 ) -> None:
     response = answered.response
     headers = header_codec.end_to_end_headers(response.headers, NOTHING_DROPPED)
+    contexts.add_relay_reply(context, headers)
     client_response = web.StreamResponse(status=response.status, headers=headers)
     # No length: another server may continue the stream with a text of another length.
     if contexts.is_last_on_connection(context.forwarder, context.client_request):
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -198,6 +198,10 @@
 
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+Serve = Callable[
+    [contexts.Forwarder, web.BaseRequest, open_requests.OpenRequest],
+    Awaitable[web.StreamResponse],
+]
 
 
 @dataclasses.dataclass(slots=True)
@@ -210,21 +214,36 @@
     header_watcher: asyncio.Task
 
 
-async def start(router: contexts.Forwarder, host: str, port: int) -> RunningServer:
+async def start(
+    router: contexts.Forwarder,
+    host: str,
+    port: int,
+    serve: Serve | None = None,
+) -> RunningServer:
     """Listen for clients, on the listener that was opened early if there is one.
 
+    Parameters
+    ----------
+    router : contexts.Forwarder
+        State of the router.
+    host, port : str, int
+        Address to listen on.
+    serve : callable, optional
+        ``serve(router, request, open_request)`` returns the response; that of a
+        client's request by default.
+
     Raises
     ------
     OSError
         The address is in use.
     """
-    server = web.Server(_make_handler(router), handler_cancellation=True)
+    server = web.Server(_make_handler(router, serve), handler_cancellation=True)
     listener = await _listen(_make_connection_factory(router, server), host, port)
     header_watcher = asyncio.create_task(_close_slow_clients(router, server))
     return RunningServer(router, server, listener, header_watcher)
 
 
-def _make_handler(router: contexts.Forwarder) -> Handler:
+def _make_handler(router: contexts.Forwarder, serve: Serve | None) -> Handler:
     """Return the handler of all requests, which keeps record of the open ones."""
     loop = asyncio.get_running_loop()
     open_by_connection = router.open_requests
@@ -239,7 +258,8 @@
         open_by_connection[connection] = open_request
         connection.is_serving = True
         try:
-            return await forwarder.serve(router, request, open_request)
+            handle_request = serve or forwarder.serve
+            return await handle_request(router, request, open_request)
         finally:
             connection.is_serving, open_request.is_handled = False, True
             if connection.head_started_s is not None:
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -77,6 +77,8 @@
         Failed probes since it became unreachable.
     next_probe_s : float
         When the next probe is due.
+    verified_at_s : float
+        When it last accepted a probe, on :func:`clocks.boottime_s`.
     parts : dict
         Time of the last use of prompt parts sent there, by part id, least recent first.
     parts_announced_s : dict
@@ -108,6 +110,7 @@
     is_unreachable: bool = False
     probes_count: int = 0
     next_probe_s: float = 0.0
+    verified_at_s: float = float("-inf")
     parts: dict[str, float] = dataclasses.field(default_factory=dict)
     parts_announced_s: dict[str, float] = dataclasses.field(default_factory=dict)
     unannounced_parts: dict[str, None] = dataclasses.field(default_factory=dict)
@@ -141,6 +144,8 @@
     heard_at_s : float
         When any server last responded or accepted a connection, on
         :func:`clocks.boottime_s`.
+    failed_at_s : float
+        When a connection to a server last failed, on :func:`clocks.boottime_s`.
     is_isolated : bool
         Whether no server could be reached when that was last checked.
     """
@@ -159,6 +164,7 @@
     )
     departed: dict[str, ServerView] = dataclasses.field(default_factory=dict)
     heard_at_s: float = float("-inf")
+    failed_at_s: float = float("-inf")
     is_isolated: bool = False
 
 
@@ -358,9 +364,18 @@
     oldest_s = now_s - unreachable_servers.WINDOW_S
     recent = [item for item in pool.connect_failures if item.at_s >= oldest_s]
     pool.connect_failures = [*recent, failure]
+    pool.failed_at_s = clocks.boottime_s()
     zones = unreachable_servers.find_partitioned_zones(
         pool.connect_failures, own_zone, now_s
     )
+    all_zones = frozenset(
+        other.listed.availability_zone for other in pool.servers.values()
+    )
+    heard_at_s = now_s - (pool.failed_at_s - pool.heard_at_s)
+    if unreachable_servers.is_isolated(
+        pool.connect_failures, all_zones, heard_at_s, now_s
+    ):
+        zones = all_zones
     _mark_unreachable(view, now_s)
     for other in pool.servers.values():
         if other.listed.availability_zone in zones:
@@ -382,6 +397,33 @@
     )
 
 
+def servers_to_verify(pool: Pool) -> list[ServerView]:
+    """Return the servers to probe because none has been heard for a while.
+
+    These are servers that owe a response, and all others once a connection has failed
+    since any server was heard.
+    """
+    now_s = clocks.boottime_s()
+    if now_s - pool.heard_at_s < unreachable_servers.QUIET_S:
+        return []
+    has_failed = pool.failed_at_s > pool.heard_at_s
+    return [
+        view
+        for view in pool.servers.values()
+        if not view.is_unreachable
+        and view.notices.leaving_since_s is None
+        and now_s - view.verified_at_s >= unreachable_servers.VERIFY_INTERVAL_S
+        and (has_failed or _owes_response(view, now_s))
+    ]
+
+
+def _owes_response(view: ServerView, now_s: float) -> bool:
+    return any(
+        now_s - request.sent_at_s >= unreachable_servers.QUIET_S
+        for request in view.in_flight.values()
+    )
+
+
 def due_probes(pool: Pool, now_s: float) -> list[ServerView]:
     """Return the unreachable servers whose next probe is due."""
     return [
--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -35,6 +35,9 @@
         ``released`` parts.
     blocked_parts : prometheus_client.Gauge
         Parts of prompts that are refused.
+    relayed : prometheus_client.Counter
+        Requests through another router, by direction, ``sent`` or ``received``, and
+        outcome.
     isolations : prometheus_client.Counter
         Changes of whether any server can be reached: ``begun``, ``ended``.
     servers : prometheus_client.Gauge
@@ -58,6 +61,7 @@
     grants: prometheus_client.Counter
     crash_evidence: prometheus_client.Counter
     blocked_parts: prometheus_client.Gauge
+    relayed: prometheus_client.Counter
     isolations: prometheus_client.Counter
     servers: prometheus_client.Gauge
     table_version: prometheus_client.Gauge
@@ -88,6 +92,7 @@
             "crash_evidence", "Evidence on prompt parts.", "service", "kind"
         ),
         blocked_parts=gauge("blocked_parts", "Prompt parts that are refused."),
+        relayed=counter("relayed", "Relayed requests.", "direction", "outcome"),
         isolations=counter("isolations", "Loss of all servers.", "change"),
         servers=gauge("servers", "Servers in the list.", "service", "state"),
         table_version=gauge("table_version", "Version of the routing table."),
--- a/hickoryweir/policy/unreachable_servers.py
+++ b/hickoryweir/policy/unreachable_servers.py
@@ -7,6 +7,11 @@
 mark all servers of that zone.  Marked servers get no requests while there are others;
 they are probed in the background, so that no request pays for finding out that the
 partition has ended, and a wrong conclusion is corrected by the first probe.
+
+A router that is cut off from all servers loses every request that it sends on an open
+connection while those are silent.  Where requests wait and no server has been heard for
+a while, their servers are therefore probed, and all others once one of them can't be
+reached.
 """
 
 import dataclasses
@@ -21,6 +26,12 @@
 # The first probe follows at once, to correct a wrong conclusion about a zone.
 PROBE_INTERVAL_MIN_S = 0.25
 PROBE_INTERVAL_MAX_S = 2.0
+# Between servers that respond within tens of milliseconds, silence this long is rare.
+QUIET_S = 0.3
+# A server that has just accepted a probe is only slow.
+VERIFY_INTERVAL_S = 2.0
+# Together with failures in every zone; fewer may have crashed independently.
+MIN_ISOLATING_SERVERS_COUNT = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +70,32 @@
     )
 
 
+def is_isolated(
+    failures: list[Failure], zones: frozenset[str], heard_at_s: float, now_s: float
+) -> bool:
+    """Return whether failures since any server was heard concern all zones.
+
+    Examples
+    --------
+    >>> zones = frozenset({"north", "south"})
+    >>> failures = [Failure("a", "north", 0.0), Failure("b", "south", 0.4)]
+    >>> is_isolated([*failures, Failure("c", "south", 0.5)], zones, -1.0, 0.5)
+    True
+    >>> is_isolated([*failures, Failure("c", "south", 0.5)], zones, 0.2, 0.5)
+    False
+    >>> is_isolated(failures, zones, -1.0, 0.5)
+    False
+    """
+    recent = [
+        item
+        for item in failures
+        if now_s - item.at_s <= WINDOW_S and item.at_s >= heard_at_s
+    ]
+    failed_ids = {item.server_id for item in recent}
+    failed_zones = {item.availability_zone for item in recent}
+    return failed_zones >= zones and len(failed_ids) >= MIN_ISOLATING_SERVERS_COUNT
+
+
 def next_probe_s(probes_count: int, now_s: float, generator: random.Random) -> float:
     """Return the time of the next probe, with exponential backoff and jitter.
 
