--- a/hickoryweir/entry/tests/test_server_limits.py
+++ b/hickoryweir/entry/tests/test_server_limits.py
@@ -18,6 +18,8 @@
 
 ROUTER_HOSTS = tuple(f"127.0.0.{number}" for number in range(4, 10))
 SERVERS_COUNT = 4
+# None, so that calls don't wait for each other.
+CONNECTIONS_LIMIT = 0
 CALL_INTERVAL_S = 0.02
 # Routers have this long to heed a limit that a server has just named.
 PROPAGATION_S = 3.0
@@ -53,6 +55,11 @@
         self.address = ""
         self.reached_at_s = []
 
+    @property
+    def entry(self):
+        """Return its entry in the list of servers."""
+        return {"id": self.name, "service": "app", "address": self.address}
+
     async def start(self):
         """Start to listen."""
         port = await processes.start_server(processes.HOSTS[0], self._answer)
@@ -105,11 +112,7 @@
     """Run three replicas and six routers; yield session, ports and processes."""
 
     async def list_servers(request):
-        entries = [
-            {"id": server.name, "service": "app", "address": server.address}
-            for server in servers
-        ]
-        return web.json_response({"servers": entries})
+        return web.json_response({"servers": [server.entry for server in servers]})
 
     list_port = await processes.start_server(processes.HOSTS[0], list_servers)
     values = processes.make_values(list_port)
@@ -120,7 +123,8 @@
                 started[host] = await processes.start_process(
                     folder, f"{role}-{host}", role=role, host=host, **values
                 )
-        async with aiohttp.ClientSession() as session:
+        connector = aiohttp.TCPConnector(limit=CONNECTIONS_LIMIT)
+        async with aiohttp.ClientSession(connector=connector) as session:
 
             async def put():
                 url = f"http://{processes.HOSTS[0]}:{values['port']}/table"
