Spare servers that fail when they reject too many requests

Servers may name in each response how many rejections a second they bear, of all routers together, and fail beyond it. Cause of the falls: nothing read that, and a full server was tried by every router, again and again. Class: a bound on a sum over all routers, as with limits of requests; a grant for each request was weighed and not needed, since the slots are known, and a share of them needs no message.

Each router keeps within its equal share of the slots (and of an engine's memory), so that a server neither needs a queue nor rejects; with more routers than slots a hash decides who has a share. A rejection shrinks the room that the router counts on, and keeps it away for a second. Requests without room wait at the router for a quarter of their target at most, the most urgent first, and are refused then. The limit holds for all servers of a service, so that one that returns is not met by all routers at once.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -170,6 +170,7 @@
         """Listen for other routers; a VM that runs a replica as well relays nothing."""
         process, relays = self._settings.process, self.forwarder.relays
         relays.own_host, relays.port = process.host, process.peer_port
+        self.forwarder.pool.own_host = process.host
         try:
             return await relay_port.start(
                 self.forwarder, process.host, process.peer_port
@@ -224,6 +225,9 @@
             logs.error("table in the replicated log is invalid", fields)
             return False
         self.forwarder.route_index = matching.make_index(table)
+        self.forwarder.pool.memory_tokens_counts = {
+            service.name: service.cache_tokens_count for service in table.services
+        }
         self.forwarder.wait_bounds.clear()
         self.forwarder.sensitive_routes.clear()
         self.forwarder.stream_lifetimes_s.clear()
@@ -369,6 +373,7 @@
             view = self._subscriber.view
             forwarder = self.forwarder
             forwarder.routers_count = view.routers_count
+            forwarder.pool.routers_count = view.routers_count
             age_s = clocks.boottime_s() - started_s
             if view.servers is not None:
                 forwarder.list_read_at_s = view.servers.read_at_s
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -27,6 +27,7 @@
     prefill_interference,
     prompt_admission,
     prompt_placement,
+    rejection_limits,
     retry_budget,
     server_limits,
     stream_versions,
@@ -123,6 +124,8 @@
         ``report_evidence(keys)`` reports what is known of parts to the other routers.
     relays : relay_pool.RelayPool
         The routers that may relay requests.
+    waiting : dict
+        Requests that wait for room at servers, by service.
     """
 
     settings: Settings
@@ -173,6 +176,9 @@
     )
     report_limits: Callable[[messages.ServerLimits], None] = lambda limits: None
     report_evidence: Callable[[list[crashing_parts.PartKey]], None] = lambda keys: None
+    waiting: dict[str, rejection_limits.Waiting] = dataclasses.field(
+        default_factory=dict
+    )
     relays: relay_pool.RelayPool = dataclasses.field(
         default_factory=relay_pool.RelayPool
     )
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -30,6 +30,7 @@
     requests,
     responses,
     resumption,
+    room,
     server_pool,
     server_selection,
 )
@@ -280,13 +281,19 @@
     if unresumable is not None:
         return _final_failure(context, unresumable)
     reason = errors.Reason.NO_SERVER
+    has_turn = False
     while True:
         if not context.may_have_run and not _can_end(context):
             context.retry_after_s = STOPPING_RETRY_AFTER_S
             return _final_failure(context, errors.Reason.STOPPING)
         relay = await relaying.find(context)
-        placement = server_selection.choose_server(context)
+        placement = None
+        if has_turn or not room.must_wait(context):
+            placement = server_selection.choose_server(context)
         if placement is None and relay is None:
+            has_turn = await room.wait(context)
+            if has_turn:
+                continue
             return _refuse_without_server(context, reason)
         if not _reserve_attempt(context):
             return _final_failure(context, reason)
--- a/hickoryweir/forwarding/header_codec.py
+++ b/hickoryweir/forwarding/header_codec.py
@@ -105,6 +105,10 @@
         Whether the response names a limit, also one that can't be read.
     ignored_notice : str
         Why a notice of the server was not taken; empty if none was ignored.
+    max_rejections_per_s : float or None
+        Rejections a second that the server bears, of all routers together.
+    has_max_rejections : bool
+        Whether the response names that, also if it can't be read.
     relay_reply : object
         What a relay says of its response; None for a server's own.
     """
@@ -117,6 +121,8 @@
     limit_per_s: float | None = None
     has_limit: bool = False
     ignored_notice: str = ""
+    max_rejections_per_s: float | None = None
+    has_max_rejections: bool = False
     relay_reply: object = None
 
 
@@ -240,9 +246,13 @@
 
 
 def make_response_parser(
-    request_id_name: str, not_run_name: str, leaving_name: str, limit_name: str
+    request_id_name: str,
+    not_run_name: str,
+    leaving_name: str,
+    limit_name: str,
+    max_rejections_name: str,
 ) -> Callable[[int, multidict.MultiMapping], ResponseMetadata]:
-    """Return a parser of response heads, given the names of four headers."""
+    """Return a parser of response heads, given the names of five headers."""
 
     def parse_response(
         status: int, headers: multidict.MultiMapping
@@ -255,6 +265,10 @@
             problem = f"{leaving_name}: {value!r}"
         limit_values = headers.getall(limit_name, [])
         limit_per_s, limit_problem = parse_limit(limit_name, limit_values)
+        rejections_values = headers.getall(max_rejections_name, [])
+        max_rejections_per_s, rejections_problem = parse_limit(
+            max_rejections_name, rejections_values
+        )
         return ResponseMetadata(
             request_id=headers.get(request_id_name, ""),
             is_not_run=not_run_name in headers,
@@ -263,7 +277,9 @@
             pause_s=pause_s,
             limit_per_s=limit_per_s,
             has_limit=bool(limit_values),
-            ignored_notice=problem or limit_problem,
+            ignored_notice=problem or limit_problem or rejections_problem,
+            max_rejections_per_s=max_rejections_per_s,
+            has_max_rejections=bool(rejections_values),
         )
 
     return parse_response
--- a/hickoryweir/forwarding/headers.py
+++ b/hickoryweir/forwarding/headers.py
@@ -8,6 +8,8 @@
 A server that leaves sets ``X-Server-Leaving: 1`` on all its responses, and one that
 turns a request away with 503 may ask for a pause by ``Retry-After``.  One that takes
 few requests names in ``X-Server-Limit`` how many a second, of all routers together.
+One that fails when it must reject many names in ``X-Server-Max-Rejections`` how many
+rejections a second it bears, of all routers together.
 """
 
 import multidict
@@ -26,6 +28,7 @@
 NOT_RUN = "X-Not-Run"
 LEAVING = "X-Server-Leaving"
 LIMIT = "X-Server-Limit"
+MAX_REJECTIONS = "X-Server-Max-Rejections"
 ROUTER_HEADERS = frozenset(
     {"authorization", "x-client-account", "x-server-id", "x-urgency", "x-time-left-s"}
 )
@@ -36,7 +39,9 @@
     return header_codec.HeaderCodec(
         parse_request,
         make_request_headers,
-        header_codec.make_response_parser(REQUEST_ID, NOT_RUN, LEAVING, LIMIT),
+        header_codec.make_response_parser(
+            REQUEST_ID, NOT_RUN, LEAVING, LIMIT, MAX_REJECTIONS
+        ),
     )
 
 
--- a/hickoryweir/forwarding/notices.py
+++ b/hickoryweir/forwarding/notices.py
@@ -12,6 +12,7 @@
     header_codec,
     limits,
     responses,
+    room,
     server_pool,
 )
 from hickoryweir.observability import logs
@@ -31,6 +32,7 @@
         return
     if metadata.ignored_notice:
         _report(context, view, "ignored", metadata.ignored_notice)
+    room.record(context, view, metadata)
     now_s = clocks.boottime_s()
     known = notices = server_pool.notices_of(context.forwarder.pool, view.listed)
     if metadata.limit_per_s is not None or not metadata.has_limit:
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -6,6 +6,7 @@
 import dataclasses
 import math
 import random
+import time
 from collections.abc import Iterable
 
 from hickoryweir import clocks
@@ -14,6 +15,7 @@
 from hickoryweir.forwarding import header_codec
 from hickoryweir.policy import (
     grey_servers,
+    rejection_limits,
     server_limits,
     server_notices,
     unreachable_servers,
@@ -29,6 +31,9 @@
 # A new router knows the parts in use within this time; engines cache them longer.
 ANNOUNCE_PARTS_INTERVAL_S = 5.0
 
+# Sooner, refused requests would only meet the same overload.
+ROOM_RETRY_AFTER_S = 0.5
+
 # Servers whose notices are kept, more than any list has.
 MAX_NOTICES_COUNT = 20_000
 MAX_INCARNATIONS_COUNT = 4
@@ -91,6 +96,8 @@
         What the server has said of itself.
     grants : server_limits.Grants
         Rights to send requests to it while it names a limit.
+    room : rejection_limits.Room
+        What its rejections show of its room.
     limit_reported_at_s : float
         Observation of its limit that the replicas were told last.
     others_requests_count, others_backlog_tokens_count : int
@@ -119,6 +126,9 @@
     grants: server_limits.Grants = dataclasses.field(
         default_factory=server_limits.Grants
     )
+    room: rejection_limits.Room = dataclasses.field(
+        default_factory=rejection_limits.Room
+    )
     limit_reported_at_s: float = float("-inf")
     others_requests_count: int = 0
     others_backlog_tokens_count: int = 0
@@ -148,6 +158,14 @@
         When a connection to a server last failed, on :func:`clocks.boottime_s`.
     is_isolated : bool
         Whether no server could be reached when that was last checked.
+    max_rejections : dict
+        How many rejections servers bear, by service; services without are left out.
+    memory_tokens_counts : dict
+        Tokens that fit into an engine's memory, by service.
+    own_host : str
+        Host of this router.
+    routers_count : int
+        Routers that share the servers.
     """
 
     servers: dict[str, ServerView] = dataclasses.field(default_factory=dict)
@@ -166,6 +184,12 @@
     heard_at_s: float = float("-inf")
     failed_at_s: float = float("-inf")
     is_isolated: bool = False
+    max_rejections: dict[str, rejection_limits.RejectionLimit] = dataclasses.field(
+        default_factory=dict
+    )
+    memory_tokens_counts: dict[str, int] = dataclasses.field(default_factory=dict)
+    own_host: str = ""
+    routers_count: int = 1
 
 
 def update_servers(pool: Pool, found: listing.ServerList) -> None:
@@ -268,9 +292,36 @@
         for view in pool.by_service.get(service_name, ())
         if _is_usable(view)
         and (view.notices is server_notices.NO_NOTICES or _accepts(view, now_s))
+        and (service_name not in pool.max_rejections or _has_room(pool, view, now_s))
     ]
 
 
+def _has_room(pool: Pool, view: ServerView, now_s: float) -> bool:
+    """Return whether a server that bears few rejections has room for a request."""
+    if now_s < view.room.blocked_until_s:
+        return False
+    own_count = len(view.in_flight)
+    slots_count = rejection_limits.current_slots_count(
+        view.room, view.listed.slots_count or pool.routers_count, now_s
+    )
+    others_count = known_requests_count(view) - own_count
+    key = f"{pool.own_host} {view.listed.server_id}"
+    if not rejection_limits.has_room(
+        slots_count, pool.routers_count, own_count, others_count, key
+    ):
+        return False
+    capacity = pool.memory_tokens_counts.get(view.listed.service_name, 0)
+    own_tokens_count = sum(
+        request.uncached_tokens_count for request in view.in_flight.values()
+    )
+    return rejection_limits.has_memory(capacity, pool.routers_count, own_tokens_count)
+
+
+def known_requests_count(view: ServerView) -> int:
+    """Return the known number of requests of all routers at a server now."""
+    return requests_count(view, time.monotonic())
+
+
 def _accepts(view: ServerView, now_s: float) -> bool:
     """Return whether what a server has said allows another request now."""
     if not server_notices.accepts(view.notices, _unanswered_count(view), now_s):
@@ -320,6 +371,8 @@
     if limits_per_s:
         least_s = server_notices.RETURN_RETRY_AFTER_S
         waits_s.append(server_limits.retry_after_s(limits_per_s, least_s))
+    if service_name in pool.max_rejections:
+        waits_s = [max(wait_s, ROOM_RETRY_AFTER_S) for wait_s in waits_s]
     shortest_s = min(waits_s, default=math.inf)
     return None if math.isinf(shortest_s) else shortest_s
 
--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -38,6 +38,9 @@
     relayed : prometheus_client.Counter
         Requests through another router, by direction, ``sent`` or ``received``, and
         outcome.
+    rejection_limits : prometheus_client.Counter
+        Servers that bear few rejections, by service and kind: ``begun``, ``ended``,
+        ``rejected`` requests.
     isolations : prometheus_client.Counter
         Changes of whether any server can be reached: ``begun``, ``ended``.
     servers : prometheus_client.Gauge
@@ -62,6 +65,7 @@
     crash_evidence: prometheus_client.Counter
     blocked_parts: prometheus_client.Gauge
     relayed: prometheus_client.Counter
+    rejection_limits: prometheus_client.Counter
     isolations: prometheus_client.Counter
     servers: prometheus_client.Gauge
     table_version: prometheus_client.Gauge
@@ -93,6 +97,9 @@
         ),
         blocked_parts=gauge("blocked_parts", "Prompt parts that are refused."),
         relayed=counter("relayed", "Relayed requests.", "direction", "outcome"),
+        rejection_limits=counter(
+            "rejection_limits", "Servers that bear few rejections.", "service", "kind"
+        ),
         isolations=counter("isolations", "Loss of all servers.", "change"),
         servers=gauge("servers", "Servers in the list.", "service", "state"),
         table_version=gauge("table_version", "Version of the routing table."),
