Take no silence of all servers for a server that a request has crashed

Callers of all routers got 503 crashes_servers for reads that are equal, while some routers were silently cut off from all servers. Cause: a request that times out counts as lost at that server, also when no server at all has been heard since it was sent; three of those look like three crashes, and are told to all routers. Class: evidence of a link taken for evidence of a server.

A loss counts if its connection ended, or if any server was heard since it was sent; the end of a connection doesn't count while no server can be reached. A request that crashes a server ends its connection, so such requests are still found (the tests of crashing requests and parts pass).

--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -465,8 +465,9 @@
         case exchange.Lost():
             responses.count_end(context, framing.End.NO_HEAD)
             context.may_have_run = True
-            server_id = view.listed.server_id
-            crashes.record_loss(context, server_id, outcome.is_connection_end)
+            if not _may_be_partition(context, outcome):
+                server_id = view.listed.server_id
+                crashes.record_loss(context, server_id, outcome.is_connection_end)
             server_pool.record_failed_response(view, now_s)
             return errors.Reason.OUTCOME_UNKNOWN
         case exchange.Answered():
@@ -474,6 +475,17 @@
             return await responses.forward_response(context, view, outcome)
 
 
+def _may_be_partition(context: contexts.RequestContext, lost: exchange.Lost) -> bool:
+    """Return whether a loss says nothing of the server, since none is heard.
+
+    A server that crashes on a request ends the connection, and others go on responding.
+    """
+    pool = context.forwarder.pool
+    if pool.heard_at_s >= context.in_flight.sent_at_s:
+        return False
+    return not lost.is_connection_end or server_pool.reaches_none(pool)
+
+
 async def _send(
     context: contexts.RequestContext,
     session: aiohttp.ClientSession,
