--- a/hickoryweir/entry/settings.py
+++ b/hickoryweir/entry/settings.py
@@ -51,7 +51,8 @@
     host : str
         IP address of this VM, also the name of this process in peer handshakes.
     peer_port : int
-        Port for connections between the processes, the same on all VMs.
+        Port for connections between the processes, the same on all VMs.  Replicas
+        listen there for peers, routers for requests of other routers.
     seeds : tuple of str
         Addresses of hosts that run replicas.
     """
--- a/hickoryweir/forwarding/relaying.py
+++ b/hickoryweir/forwarding/relaying.py
@@ -46,8 +46,6 @@
         errors.Reason.RELAY_FULL,
     }
 )
-
-
 # The relay decided with all that it knows; another one would decide alike.
 FINAL_REASONS = errors.NOT_RUN_REASONS - RELAY_REASONS
 
