Send no digest back to the router that it came from, and top-tier counts without names

Cause: each digest crossed each link in both directions, and named every busy server twice, once for the top tier. Class: a fixed budget for messages that repeat what the receiver has.

A digest that a peer has sent counts as sent to it, and the top tier's calls are counts in the order of 'running'. A field of digests changed: upgrade processes of serve in one go.

--- a/hickoryweir/routers/core.py
+++ b/hickoryweir/routers/core.py
@@ -199,6 +199,7 @@
             link.watched_until_s = now_s + WATCH_DURATION_S
             return _request_reports(state, now_s)
         case messages.Digests():
+            digests.record_received(link, message.digests)
             new_digests = digests.merge(
                 state.peer_digests, message.digests, state.layout, now_s
             )
--- a/hickoryweir/routers/digests.py
+++ b/hickoryweir/routers/digests.py
@@ -68,7 +68,7 @@
         event.suspects,
         event.quarantined,
         event.ejected,
-        running_top=event.running_top,
+        top_counts=_top_counts(event),
         suspects_placed=event.suspects_placed,
         lost_calls=event.lost_calls,
         prefix_progress=event.prefix_progress,
@@ -77,6 +77,12 @@
     _store(state, digest, now_s, now_s)
 
 
+def _top_counts(event: events.PeerDigestReceived) -> tuple[int, ...]:
+    top = dict(event.running_top)
+    counts = tuple(top.get(name, 0) for name, _ in event.running)
+    return counts if any(counts) else ()
+
+
 def _store(
     state: State, digest: messages.RouterDigest, at_s: float, now_s: float
 ) -> None:
@@ -119,6 +125,13 @@
     return merged
 
 
+def record_received(link, received: tuple[messages.RouterDigest, ...]) -> None:
+    """Record that a peer has the digests that it sent, so that they don't go back."""
+    for digest in received:
+        sent = link.sent_digests.get(digest.router, (-1, -1))
+        link.sent_digests[digest.router] = max(sent, _sequence_key(digest))
+
+
 def _to_event(digest: messages.RouterDigest) -> events.PeerDigestReceived:
     return events.PeerDigestReceived(
         digest.router,
@@ -127,7 +140,13 @@
         digest.suspects,
         digest.quarantined,
         digest.ejected,
-        digest.running_top,
+        tuple(
+            (name, top_count)
+            for (name, _), top_count in zip(
+                digest.running, digest.top_counts, strict=False
+            )
+            if top_count
+        ),
         digest.suspects_placed,
         tuple((*lost[:-1], lost[-1] + digest.age_s) for lost in digest.lost_calls),
         tuple(
@@ -224,7 +243,7 @@
                 suspects=(),
                 quarantined=(),
                 ejected=(),
-                running_top=(),
+                top_counts=(),
                 suspects_placed=(),
                 lost_calls=(),
                 prefix_progress=(),
@@ -294,4 +313,4 @@
 def _without_load(digest):
     if not (any(suspicion(digest)) or digest.ejected or digest.limits):
         return None
-    return dataclasses.replace(digest, running=(), running_top=())
+    return dataclasses.replace(digest, running=(), top_counts=())
--- a/hickoryweir/routers/messages.py
+++ b/hickoryweir/routers/messages.py
@@ -92,6 +92,8 @@
     """A router's policy digest; a higher (incarnation, sequence) is newer.
 
     ``age_s`` is the time since it was created, by the clock of the sender.
+    ``top_counts`` has, for each server in ``running``, the part of its calls that was
+    sent with the top tier's priority.
     """
 
     router: str
@@ -103,7 +105,7 @@
     quarantined: tuple[str, ...]
     ejected: tuple[str, ...]
     age_s: float = 0.0
-    running_top: tuple[tuple[str, int], ...] = ()
+    top_counts: tuple[int, ...] = ()
     suspects_placed: tuple[tuple[str, str], ...] = ()
     lost_calls: tuple[tuple[str, str, tuple[int, ...], int, float], ...] = ()
     prefix_progress: tuple[tuple[str, int, float], ...] = ()
