--- a/hickoryweir/policy/events.py
+++ b/hickoryweir/policy/events.py
@@ -158,6 +158,10 @@
         Calls a second that it takes from all routers.
     has_limit : bool
         Whether the head has the header of a limit, valid or not.
+    max_rejections_per_s : float or None
+        Rejections a second that the server bears, of all routers together.
+    has_max_rejections : bool
+        Whether the head has the header of that, valid or not.
     """
 
     backend_server: str
@@ -167,6 +171,8 @@
     pause_s: float | None = None
     limit_per_s: float | None = None
     has_limit: bool = False
+    max_rejections_per_s: float | None = None
+    has_max_rejections: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
