Keep calls of serve within a share of servers that bear few rejections

The core reads the number in responses and sends to such a server only within its equal share of the concurrency; calls wait in their queues, as for grants. Why it works: no call needs the server's own queue, and no digest is waited for.

--- a/hickoryweir/daemon/notices.py
+++ b/hickoryweir/daemon/notices.py
@@ -35,6 +35,9 @@
             metadata.pause_s,
             metadata.limit_per_s,
             metadata.has_limit,
+            metadata.max_rejections_per_s,
+            metadata.has_max_rejections,
+            metadata.is_not_run,
         )
         dispatcher.post(core_dispatcher, event)
 
--- a/hickoryweir/policy/events.py
+++ b/hickoryweir/policy/events.py
@@ -162,6 +162,8 @@
         Rejections a second that the server bears, of all routers together.
     has_max_rejections : bool
         Whether the head has the header of that, valid or not.
+    is_rejected : bool
+        Whether the server states that it did not run the call.
     """
 
     backend_server: str
@@ -173,6 +175,7 @@
     has_limit: bool = False
     max_rejections_per_s: float | None = None
     has_max_rejections: bool = False
+    is_rejected: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickoryweir/policy/noticed_servers.py
+++ b/hickoryweir/policy/noticed_servers.py
@@ -6,7 +6,13 @@
 moment; digests tell the limits.  A grant that no call uses in time expires.
 """
 
-from hickoryweir.policy import events, server_limits, server_notices, state
+from hickoryweir.policy import (
+    events,
+    rejection_limits,
+    server_limits,
+    server_notices,
+    state,
+)
 
 # Time of a leader that was never heard.
 NO_LEADER_S = float("-inf")
@@ -23,6 +29,7 @@
     server = core.servers.get(event.backend_server)
     if server is None:
         return
+    _record_rejections(server, event, now_s)
     notices = server.notices
     if event.limit_per_s is not None or not event.has_limit:
         notices = server_notices.record_limit(
@@ -63,13 +70,49 @@
     return server_notices.accepts(server.notices, len(server.calls), now_s)
 
 
-def has_grant(server: state.Server, now_s: float) -> bool:
-    """Return whether the limit that a server may have named allows a call now."""
+def may_send(core: state.Core, server: state.Server, now_s: float) -> bool:
+    """Return whether the limits that a server may have named allow a call now."""
+    if server.rejection_limit is not None and not _has_room(core, server, now_s):
+        return False
     if not server_notices.is_limited(server.notices):
         return True
     return server_limits.has_grant(server.grants, now_s)
 
 
+def _has_room(core: state.Core, server: state.Server, now_s: float) -> bool:
+    """Return whether a server that bears few rejections has room for a call."""
+    if now_s < server.room.blocked_until_s:
+        return False
+    slots_count = rejection_limits.current_slots_count(
+        server.room, server.backend.max_concurrency, now_s
+    )
+    return rejection_limits.has_room(
+        slots_count,
+        core.settings.routers_count,
+        len(server.calls),
+        server.peers_running,
+        f"{core.settings.router} {server.backend.name}",
+    )
+
+
+def _record_rejections(
+    server: state.Server, event: events.ServerNoticed, now_s: float
+) -> None:
+    """Record how many rejections a server bears, and a rejection."""
+    known, named = server.rejection_limit, event.max_rejections_per_s
+    if named is not None:
+        server.rejection_limit = rejection_limits.RejectionLimit(named, now_s)
+    elif (
+        known is not None
+        and not event.has_max_rejections
+        and rejection_limits.has_ended(known, event.sent_at_s)
+    ):
+        server.rejection_limit = None
+    if event.is_rejected and server.rejection_limit is not None:
+        calls_count = len(server.calls) + server.peers_running
+        rejection_limits.record_rejection(server.room, calls_count, now_s)
+
+
 def record_sent(server: state.Server, now_s: float) -> None:
     """Use a grant for a call, if the server names a limit."""
     if server_notices.is_limited(server.notices):
--- a/hickoryweir/policy/placement.py
+++ b/hickoryweir/policy/placement.py
@@ -192,7 +192,9 @@
 ) -> list[Candidate]:
     found = []
     for server in servers:
-        if not is_usable(server, now_s) or not noticed_servers.has_grant(server, now_s):
+        if not is_usable(server, now_s) or not noticed_servers.may_send(
+            core, server, now_s
+        ):
             continue
         if server.backend.name in call.avoided_servers:
             continue
@@ -254,7 +256,7 @@
         server = core.servers[name]
         if not is_usable(server, now_s) or has_stopped_reporting(server, now_s):
             continue
-        if not noticed_servers.has_grant(server, now_s):
+        if not noticed_servers.may_send(core, server, now_s):
             continue
         if not (server.suspects or server.peers_suspects or server.speed.ejected):
             found.append(name)
--- a/hickoryweir/policy/state.py
+++ b/hickoryweir/policy/state.py
@@ -14,6 +14,7 @@
     crashing_prefixes,
     events,
     lengths,
+    rejection_limits,
     server_limits,
     server_notices,
     settings,
@@ -113,6 +114,10 @@
         What the server says of itself.
     grants : server_limits.Grants
         Calls that may be sent to it while it names a limit.
+    rejection_limit : rejection_limits.RejectionLimit or None
+        How many rejections a second it bears; None if it names no number.
+    room : rejection_limits.Room
+        What its rejections show of its room.
     """
 
     backend: model.BackendServer
@@ -147,6 +152,10 @@
     grants: server_limits.Grants = dataclasses.field(
         default_factory=server_limits.Grants
     )
+    rejection_limit: rejection_limits.RejectionLimit | None = None
+    room: rejection_limits.Room = dataclasses.field(
+        default_factory=rejection_limits.Room
+    )
 
 
 @dataclasses.dataclass(slots=True)
--- a/hickoryweir/policy/tests/test_brittle_servers.py
+++ b/hickoryweir/policy/tests/test_brittle_servers.py
@@ -34,7 +34,9 @@
             }
             if self.running_count >= SLOTS_COUNT:
                 self.rejected_s.append(now_s)
-                head = events.ServerNoticed("e1", now_s, has_served=False, **said)
+                head = events.ServerNoticed(
+                    "e1", now_s, has_served=False, is_rejected=True, **said
+                )
                 end = events.AttemptFailed(
                     item.request_id,
                     item.attempt,
