Relay only requests whose servers can't be reached

A request was relayed as soon as no server was left that could be used, and one could not be reached; the others may only have been paused, limited or full, and another router would have sent it to them. Found by reading the change. test_pause_of_a_reachable_server_is_not_passed_by_through_a_relay failed before (200 through the other router) and passes now; the tests of routers cut off from all servers pass. The reply of a relay is typed where responses are parsed.

--- a/hickoryweir/forwarding/header_codec.py
+++ b/hickoryweir/forwarding/header_codec.py
@@ -11,13 +11,12 @@
 import multidict
 
 from hickoryweir.engines import headers as header_names
+from hickoryweir.forwarding import relay_messages
 
-# See :mod:`hickoryweir.forwarding.relay_messages`.
-RELAY_HEADER = "X-Relay"
 NOT_FORWARDED_HEADERS = header_names.HOP_HEADERS | {
     "content-length",
     "expect",
-    RELAY_HEADER.lower(),
+    relay_messages.HEADER.lower(),
 }
 # 421 Misdirected Request: a different incarnation of the server responded.
 MISDIRECTED_REQUEST_STATUS = 421
@@ -109,7 +108,7 @@
         Rejections a second that the server bears, of all routers together.
     has_max_rejections : bool
         Whether the response names that, also if it can't be read.
-    relay_reply : object
+    relay_reply : relay_messages.RelayReply or None
         What a relay says of its response; None for a server's own.
     """
 
@@ -123,7 +122,7 @@
     ignored_notice: str = ""
     max_rejections_per_s: float | None = None
     has_max_rejections: bool = False
-    relay_reply: object = None
+    relay_reply: relay_messages.RelayReply | None = None
 
 
 Headers = Mapping[str, str]
--- a/hickoryweir/forwarding/relay_messages.py
+++ b/hickoryweir/forwarding/relay_messages.py
@@ -11,10 +11,9 @@
 
 import multidict
 
-from hickoryweir.forwarding import header_codec
 from hickoryweir.streams import codec
 
-HEADER = header_codec.RELAY_HEADER
+HEADER = "X-Relay"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickoryweir/forwarding/relaying.py
+++ b/hickoryweir/forwarding/relaying.py
@@ -20,7 +20,6 @@
     relay_pool,
     responses,
     server_pool,
-    server_selection,
 )
 from hickoryweir.observability import logs
 from hickoryweir.policy import next_attempts, relays, server_notices
@@ -83,18 +82,19 @@
 def _is_needed(context: contexts.RequestContext) -> bool:
     """Return whether the servers of a request can't be reached from here.
 
-    Servers that are paused, limited or leaving are not used through a relay either.
+    One that can be reached, but is paused, limited or full, is no reason for a relay.
     """
     if context.relayed is not None or len(context.tried_relays) >= MAX_RELAYS_COUNT:
         return False
     if context.unsent_count >= MIN_UNREACHABLE_COUNT:
         return True
-    views = context.forwarder.pool.by_service.get(context.service_name, ())
-    if not any(view.is_unreachable for view in views):
-        return False
-    return all(
-        view.is_unreachable for view in server_selection.untried_servers(context)
-    )
+    untried = [
+        view
+        for view in context.forwarder.pool.by_service.get(context.service_name, ())
+        if server_pool.is_usable(view)
+        and view.listed.server_id not in context.tried_server_ids
+    ]
+    return bool(untried) and all(view.is_unreachable for view in untried)
 
 
 async def attempt(
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -290,7 +290,7 @@
     return [
         view
         for view in pool.by_service.get(service_name, ())
-        if _is_usable(view)
+        if is_usable(view)
         and (view.notices is server_notices.NO_NOTICES or _accepts(view, now_s))
         and (service_name not in pool.max_rejections or _has_room(pool, view, now_s))
     ]
@@ -339,7 +339,8 @@
     )
 
 
-def _is_usable(view: ServerView) -> bool:
+def is_usable(view: ServerView) -> bool:
+    """Return whether the list and the server's last response allow its use."""
     is_ready = view.listed.state is listing.ServerState.READY
     return is_ready and not view.is_misdirected
 
@@ -354,9 +355,7 @@
         one.
     """
     now_s = clocks.boottime_s()
-    usable = [
-        view for view in pool.by_service.get(service_name, ()) if _is_usable(view)
-    ]
+    usable = [view for view in pool.by_service.get(service_name, ()) if is_usable(view)]
     waits_s = [
         server_notices.accepts_after_s(view.notices, now_s)
         for view in usable
--- a/hickoryweir/forwarding/tests/test_relaying.py
+++ b/hickoryweir/forwarding/tests/test_relaying.py
@@ -19,7 +19,7 @@
     server_pool,
 )
 from hickoryweir.forwarding.tests import sites
-from hickoryweir.policy import relays
+from hickoryweir.policy import relays, server_notices
 from hickoryweir.routes import model
 from hickoryweir.routes.tests import tables
 from hickoryweir.testing.demo import entry_vms
@@ -316,3 +316,17 @@
         (False, False),
         (False, True),
     ]
+
+
+def test_pause_of_a_reachable_server_is_not_passed_by_through_a_relay():
+    async def main():
+        async with run_pair([sites.answering()] * 2) as pair:
+            pool = pair.near.forwarder.pool
+            view = pool.servers["s1"]
+            server_pool.record_reachable(view)
+            paused = server_notices.record_pause(view.notices, 5.0, clocks.boottime_s())
+            server_pool.record_notices(pool, view, paused)
+            status = (await pair.near.call())[0]
+            return status, runs_count(pair.far)
+
+    assert asyncio.run(main()) == (503, 0)
