--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -168,13 +168,11 @@
 
     async def _start_relay_port(self) -> server.RunningServer | None:
         """Listen for other routers; a VM that runs a replica as well relays nothing."""
-        process, relays = self._settings.process, self.forwarder.relays
-        relays.own_host, relays.port = process.host, process.peer_port
-        self.forwarder.pool.own_host = process.host
+        process, forwarder = self._settings.process, self.forwarder
+        forwarder.relays.own_host = forwarder.pool.own_host = process.host
+        forwarder.relays.port = process.peer_port
         try:
-            return await relay_port.start(
-                self.forwarder, process.host, process.peer_port
-            )
+            return await relay_port.start(forwarder, process.host, process.peer_port)
         except OSError as error:
             fields = logs.Fields(reason=str(error))
             logs.warning("requests of other routers are not relayed", fields)
--- a/hickoryweir/forwarding/relaying.py
+++ b/hickoryweir/forwarding/relaying.py
@@ -34,7 +34,6 @@
 CHECK_INTERVAL_S = 0.05
 # A round trip between zones many times over.
 FIRST_STATUS_WAIT_S = 0.1
-NOTHING_DROPPED: frozenset[str] = frozenset()
 # Another relay may take a request that was refused because of the relay itself.
 RELAY_REASONS = frozenset(
     {
@@ -184,7 +183,9 @@
     context: contexts.RequestContext, relay: relay_pool.Relay, hop_id: str
 ) -> exchange.BackendRequest:
     forwarder, request = context.forwarder, context.client_request
-    headers = header_codec.end_to_end_headers(request.headers, NOTHING_DROPPED)
+    headers = header_codec.end_to_end_headers(
+        request.headers, responses.NOTHING_DROPPED
+    )
     message = relay_messages.RelayedRequest(
         hop_id=hop_id,
         sender=forwarder.relays.own_host,
--- a/hickoryweir/forwarding/room.py
+++ b/hickoryweir/forwarding/room.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import time
 
 from hickoryweir import clocks
 from hickoryweir.forwarding import contexts, header_codec, server_pool, server_selection
@@ -34,7 +35,7 @@
         del known_limits[name]
         _report(context, view, "ended", "a later response names none")
     if metadata.is_not_run and name in known_limits:
-        count = server_pool.known_requests_count(view)
+        count = server_pool.requests_count(view, time.monotonic())
         rejection_limits.record_rejection(view.room, count, now_s)
         room = f"room {view.room.slots_count:.1f} of {view.listed.slots_count}"
         _report(context, view, "rejected", f"{count} requests known, {room}")
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -304,7 +304,7 @@
     slots_count = rejection_limits.current_slots_count(
         view.room, view.listed.slots_count or pool.routers_count, now_s
     )
-    others_count = known_requests_count(view) - own_count
+    others_count = requests_count(view, time.monotonic()) - own_count
     key = f"{pool.own_host} {view.listed.server_id}"
     if not rejection_limits.has_room(
         slots_count, pool.routers_count, own_count, others_count, key
@@ -317,11 +317,6 @@
     return rejection_limits.has_memory(capacity, pool.routers_count, own_tokens_count)
 
 
-def known_requests_count(view: ServerView) -> int:
-    """Return the known number of requests of all routers at a server now."""
-    return requests_count(view, time.monotonic())
-
-
 def _accepts(view: ServerView, now_s: float) -> bool:
     """Return whether what a server has said allows another request now."""
     if not server_notices.accepts(view.notices, _unanswered_count(view), now_s):
