--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,6 +9,8 @@
 
 import stand_ins  # noqa: E402
 
+# With TROUBLE=0 the case does the same without its disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE") != "0"
 SERVICE = "fieldbook"
 ROUTE = "book"
 # With 1 the router answers 503 instead of sending the request again.
@@ -74,7 +76,7 @@
         echoed = request.headers["request-id"]
         if request.headers.get("expect-instance") != engine.server_id:
             misdirected.setdefault(writer, echoed)
-        elif writer in misdirected and not sent and stand_ins.has_trouble():
+        elif writer in misdirected and not sent and HAS_TROUBLE:
             earlier = misdirected[writer]
             sent.append(earlier)
             writer.write(engine.misdirected(earlier))
@@ -112,4 +114,4 @@
 
 
 if __name__ == "__main__":
-    stand_ins.run(__file__, play)
+    stand_ins.run(__file__, play, HAS_TROUBLE)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,6 +12,8 @@
 
 import stand_ins  # noqa: E402
 
+# With TROUBLE=0 the case does the same without its disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE") != "0"
 SERVICE = "assistant-llm"
 ROUTE = "digest"
 ROUTERS_COUNT = 3
@@ -152,7 +154,7 @@
     system.platform.show([*old, *new])
     leaving = asyncio.create_task(leave(record, system, old, new))
     await asyncio.sleep(LOST_AFTER_S)
-    if stand_ins.has_trouble():
+    if HAS_TROUBLE:
         await lose_processes(system)
     await streaming
     await leaving
@@ -217,4 +219,4 @@
 
 
 if __name__ == "__main__":
-    stand_ins.run(__file__, play)
+    stand_ins.run(__file__, play, HAS_TROUBLE)
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -93,11 +93,6 @@
         self._file.flush()
 
 
-def has_trouble() -> bool:
-    """Return whether the disruption is to be brought about."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def free_port() -> int:
     """Return a port that is free at this moment."""
     with socket.socket() as sock:
@@ -607,7 +602,9 @@
 
 
 def run(
-    case_file: str, play: Callable[[Record, list[System]], Awaitable[list[str]]]
+    case_file: str,
+    play: Callable[[Record, list[System]], Awaitable[list[str]]],
+    has_trouble: bool,
 ) -> None:
     """Run a case, and end the process with its exit code.
 
@@ -618,9 +615,11 @@
     play : callable
         ``await play(record, systems)`` adds the systems that it starts to `systems` and
         returns the breaks of the rule.
+    has_trouble : bool
+        Whether the case brings its disruption about.
     """
     record = Record(pathlib.Path(case_file).resolve().parent)
-    trouble = "with" if has_trouble() else "without"
+    trouble = "with" if has_trouble else "without"
     record.write(f"{trouble} the disruption")
     systems: list[System] = []
 
