--- a/hickoryweir/testing/soak/callers.py
+++ b/hickoryweir/testing/soak/callers.py
@@ -211,6 +211,13 @@
 ) -> bool:
     """Send a table to a random replica; return whether it was acknowledged."""
     host = generator.choice(cluster.replicas).host
+    return await put_table_to(session, cluster, version, host)
+
+
+async def put_table_to(
+    session: aiohttp.ClientSession, cluster: clusters.Cluster, version: int, host: str
+) -> bool:
+    """Send a table to a replica; return whether it was acknowledged."""
     url = f"http://{host}:{cluster.port}/table"
     try:
         async with session.put(url, data=TABLE.format(version=version)) as reply:
