Go on with background tasks after an unexpected error

What callers may see: a router that silently no longer follows a replica, or the list of servers, keeps its table for good and refuses routes that were added later. Cause: long-lived tasks that nobody awaits; an exception that is neither OSError nor a timeout ends them without a line. Evidence: an error in the greeting ends the following for good, and ValueError from a socket that was reset in the handshake passes hub.connect; both tests fail before (TimeoutError after 5 s, ValueError).

All tasks of a router, a replica, the feeds, the links between replicas and the reports of usage now run under background.keep_running, which logs the error and goes on.

--- a/hickoryweir/duties/usage_feed.py
+++ b/hickoryweir/duties/usage_feed.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 from returns import result
 
-from hickoryweir import clocks
+from hickoryweir import background, clocks
 from hickoryweir.duties import true_time, usage_counts, usage_reporter, usage_sums
 from hickoryweir.feeds import messages
 from hickoryweir.observability import logs
@@ -133,7 +134,12 @@
                 )
                 for address, replica in list(self._get_replicas().items()):
                     if address not in self._tasks:
-                        task = asyncio.create_task(self._follow(replica))
+                        task = asyncio.create_task(
+                            background.keep_running(
+                                f"usage to {address}",
+                                functools.partial(self._follow, replica),
+                            )
+                        )
                         self._tasks[address] = task
                 await asyncio.sleep(SEND_INTERVAL_S)
         finally:
--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -1,11 +1,12 @@
 """Replica process: replicated log, feeds to the routers and operators' port."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from returns import result
 
-from hickoryweir import graceful_stop
+from hickoryweir import background, graceful_stop
 from hickoryweir.duties import (
     calls,
     duty_metrics,
@@ -191,21 +192,12 @@
             process.host, process.host, process.peer_port, process.availability_zone
         )
         tasks = [
-            asyncio.create_task(self._supervisor.run()),
-            asyncio.create_task(self._publisher.run()),
-            asyncio.create_task(self._evidence_file.run()),
-            asyncio.create_task(
-                automation.request_admission(
-                    self._log, own_address, lambda: self._supervisor.node.state
-                )
-            ),
+            asyncio.create_task(background.keep_running(name, work))
+            for name, work in self._background_work(own_address).items()
         ]
-        if self._duties is not None:
-            tasks.append(asyncio.create_task(self._duties.run()))
-        tasks += self._start_ordering()
         logs.info("serving", logs.Fields(detail=f"replica at {own_address.address}"))
         try:
-            await _wait(stop, tasks)
+            await stop.wait()
         finally:
             logs.info("stopping", logs.Fields(detail="replica"))
             await graceful_stop.stop(runner, OPERATORS_STOP_LIMIT_S)
@@ -215,16 +207,33 @@
             await self._supervisor.node.stop()
             await self._close()
 
-    def _start_ordering(self) -> list[asyncio.Task]:
-        """Return the task that orders servers, if this is a duty of the replicas."""
-        duties = self._settings.duties
-        if self._caller is None or settings.Duty.AUTOSCALE not in duties.names:
-            return []
+    def _background_work(
+        self, own_address: wire.ReplicaAddress
+    ) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return by name what runs until the process ends."""
+        work = {
+            "replicated log": self._supervisor.run,
+            "feeds": self._publisher.run,
+            "file of evidence": self._evidence_file.run,
+            "admission": lambda: automation.request_admission(
+                self._log, own_address, lambda: self._supervisor.node.state
+            ),
+        }
+        if self._duties is not None:
+            work["duties"] = self._duties.run
+        if self._has_duty(settings.Duty.AUTOSCALE):
+            work["orders"] = self._make_ordering().run
+        return work
+
+    def _has_duty(self, duty: settings.Duty) -> bool:
+        return self._caller is not None and duty in self._settings.duties.names
+
+    def _make_ordering(self) -> ordering.Ordering:
         table = ordering.TableReader(
             lambda: _make_log_status(self._supervisor.node).stored,
             self._adapters.decode_table,
         )
-        orders = ordering.Ordering(
+        return ordering.Ordering(
             self._caller,
             self._publisher,
             ordered_servers.LogRecorder(
@@ -233,9 +242,8 @@
             ),
             table.read_services,
             self._metrics,
-            duties.checks_fencing,
+            self._settings.duties.checks_fencing,
         )
-        return [asyncio.create_task(orders.run())]
 
     async def _serve_operators(self) -> web.AppRunner:
         process = self._settings.process
@@ -271,14 +279,3 @@
             )
         await self._hub.close()
         await self._session.close()
-
-
-async def _wait(stop: asyncio.Event, tasks: list[asyncio.Task]) -> None:
-    """Wait until `stop` is set; raise immediately if a task fails."""
-    stop_waiter = asyncio.create_task(stop.wait())
-    done, _ = await asyncio.wait(
-        [stop_waiter, *tasks], return_when=asyncio.FIRST_COMPLETED
-    )
-    stop_waiter.cancel()
-    for task in done:
-        task.result()
--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -6,10 +6,11 @@
 import random
 import time
 import uuid
+from collections.abc import Awaitable, Callable
 
 from returns import result
 
-from hickoryweir import clocks
+from hickoryweir import background, clocks
 from hickoryweir.discovery import listing
 from hickoryweir.duties import usage_counts, usage_feed
 from hickoryweir.engines import sessions
@@ -209,20 +210,9 @@
         running = await server.start(self.forwarder, host, port)
         relay_server = await self._start_relay_port()
         tasks = [
-            asyncio.create_task(self._subscriber.run()),
-            asyncio.create_task(self._load_initial_table()),
-            asyncio.create_task(self._monitor_list()),
-            asyncio.create_task(self._send_loads()),
-            asyncio.create_task(self._send_speeds()),
-            asyncio.create_task(self._send_work()),
-            asyncio.create_task(probing.run(self.forwarder)),
-            asyncio.create_task(relaying.run(self.forwarder)),
-            asyncio.create_task(router_load.run(self.forwarder)),
+            asyncio.create_task(background.keep_running(name, work))
+            for name, work in self._background_work().items()
         ]
-        if self._usage_sender is not None:
-            tasks.append(asyncio.create_task(self._usage_sender.run()))
-        if settings.Duty.AUTOSCALE in self._settings.duties.names:
-            tasks.append(asyncio.create_task(self._send_demand()))
         logs.info("serving", logs.Fields(detail=f"router at {host}:{port}"))
         await stop.wait()
         await self._drain(running, relay_server)
@@ -231,6 +221,25 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._close()
 
+    def _background_work(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return by name what runs beside the requests until the process ends."""
+        work = {
+            "feeds": self._subscriber.run,
+            "first table": self._load_initial_table,
+            "list of servers": self._monitor_list,
+            "loads": self._send_loads,
+            "speeds": self._send_speeds,
+            "work of accounts": self._send_work,
+            "probes": functools.partial(probing.run, self.forwarder),
+            "relays": functools.partial(relaying.run, self.forwarder),
+            "capacity": functools.partial(router_load.run, self.forwarder),
+        }
+        if self._usage_sender is not None:
+            work["usage"] = self._usage_sender.run
+        if settings.Duty.AUTOSCALE in self._settings.duties.names:
+            work["demand"] = self._send_demand
+        return work
+
     def apply_settings(self, entry_settings: settings.EntrySettings) -> None:
         """Apply changed settings, see :mod:`hickoryweir.entry.reloading`."""
         self._settings = entry_settings
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -3,12 +3,12 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import aiohttp
 from returns import result
 
-from hickoryweir import clocks
+from hickoryweir import background, clocks
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import (
     account_work,
@@ -55,7 +55,6 @@
 RELAYS_INTERVAL_S = 0.5
 # Random ids from a range this large do not collide between successive leaders.
 LIST_IDS_COUNT = 1 << 48
-RESTART_AFTER_S = 0.2
 MAX_LOGGED_LENGTH = 200
 # Sums over 1 << 23 routers fit into a message.
 MAX_LOAD_COUNT = 1 << 40
@@ -326,9 +325,12 @@
             self._send_trials,
             self._send_relays,
         )
-        tasks = [asyncio.create_task(_keep_running(loop)) for loop in loops]
+        tasks = [
+            asyncio.create_task(background.keep_running(loop.__name__, loop))
+            for loop in loops
+        ]
         try:
-            await _keep_running(self._send_heartbeats)
+            await background.keep_running("_send_heartbeats", self._send_heartbeats)
         finally:
             for task in tasks:
                 task.cancel()
@@ -543,17 +545,6 @@
             connection.offer(message)
 
 
-async def _keep_running(loop: Callable[[], Awaitable[None]]) -> None:
-    """Run a loop again after an unexpected error, which must not end the feed."""
-    while True:
-        try:
-            await loop()
-        except Exception as error:
-            detail = f"{loop.__name__}: {error!r}"[:MAX_LOGGED_LENGTH]
-            logs.error("feed restarts", logs.Fields(reason=detail))
-        await asyncio.sleep(RESTART_AFTER_S)
-
-
 def is_plausible(load: messages.ServerLoad) -> bool:
     """Return whether sums of such loads fit into a message.
 
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -7,9 +7,10 @@
 
 import asyncio
 import dataclasses
+import functools
 from collections.abc import Callable
 
-from hickoryweir import clocks
+from hickoryweir import background, clocks
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages
 from hickoryweir.observability import logs
@@ -165,7 +166,9 @@
         """Start following replicas that are not followed yet."""
         for replica in replicas:
             if replica.address not in self._tasks:
-                task = asyncio.create_task(self._follow(replica))
+                work = functools.partial(self._follow, replica)
+                name = f"following {replica.address}"
+                task = asyncio.create_task(background.keep_running(name, work))
                 self._tasks[replica.address] = task
                 self.followed[replica.address] = replica
 
@@ -299,9 +302,9 @@
         self, replica: wire.ReplicaAddress, connection: connections.Connection
     ) -> str:
         self._open_connections.append(connection)
-        for message in self._callbacks.greet():
-            connection.offer(message)
         try:
+            for message in self._callbacks.greet():
+                connection.offer(message)
             while True:
                 async with asyncio.timeout(HEARTBEAT_TIMEOUT_S):
                     received = await connection.receive()
--- /dev/null
+++ b/hickoryweir/feeds/tests/test_following.py
@@ -0,0 +1,94 @@
+"""Routers that follow faulty replicas, and connections that are lost early."""
+
+import asyncio
+import contextlib
+
+from hickoryweir.feeds import messages, subscriber
+from hickoryweir.feeds.tests import test_feeds
+from hickoryweir.replicas import wire
+from hickoryweir.streams import handshake, hub, keepalive
+
+HOST = test_feeds.HOST
+IDENTITY = handshake.Identity("test", "router", "a")
+
+
+@contextlib.asynccontextmanager
+async def run_replica(name, serve):
+    """Run a hub whose feed is served by ``serve(connection)``."""
+    peer_hub = hub.make_hub(handshake.Identity("test", name, "a"), HOST, 0)
+    peer_hub.register(handshake.Purpose.FEED, serve)
+    await peer_hub.start()
+    try:
+        yield wire.ReplicaAddress(name, HOST, peer_hub.port, "a")
+    finally:
+        await peer_hub.close()
+
+
+@contextlib.asynccontextmanager
+async def run_subscriber(addresses, greet=list):
+    """Run a router that follows replicas; yield the versions that it applies."""
+    applied = []
+    feed = subscriber.make_subscriber(
+        IDENTITY,
+        addresses,
+        subscriber.Callbacks(
+            lambda version, content: not applied.append(version),
+            lambda server_list: None,
+            lambda: True,
+            greet=greet,
+        ),
+    )
+    task = asyncio.create_task(feed.run())
+    try:
+        yield applied
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+def make_feed(version, responds=True):
+    """Return the handler of a replica that announces a version, and may send it."""
+
+    async def serve(connection):
+        content = test_feeds.make_stored(version).compressed
+        connection.offer(messages.Heartbeat(version, True, 1, 0, 0.0, ()))
+        while (message := (await connection.receive()).value_or(None)) is not None:
+            if responds and isinstance(message, messages.TableRequest):
+                connection.offer(messages.TableContent(version, content))
+
+    return serve
+
+
+def test_replica_is_followed_again_after_an_unexpected_error():
+    errors = [ValueError("first"), ValueError("second")]
+
+    def greet():
+        if errors:
+            raise errors.pop()
+        return []
+
+    async def main():
+        sound = make_feed(3, responds=True)
+        async with (
+            run_replica("sound", sound) as address,
+            run_subscriber((address,), greet) as applied,
+        ):
+            await test_feeds.wait_until(lambda: applied)
+
+    asyncio.run(main())
+
+
+def test_connection_that_is_reset_in_the_handshake_is_a_failure(monkeypatch):
+    def configure(sock, **options):
+        # What uvloop raises for a transport that was closed meanwhile.
+        raise ValueError("negative file descriptor")
+
+    async def main():
+        sound = make_feed(3, responds=True)
+        async with run_replica("sound", sound) as address:
+            monkeypatch.setattr(keepalive, "configure", configure)
+            return await hub.connect(
+                IDENTITY, HOST, address.port, handshake.Purpose.FEED
+            )
+
+    assert asyncio.run(main()).failure().reason is hub.ConnectReason.UNREACHABLE
--- a/hickoryweir/replicas/links.py
+++ b/hickoryweir/replicas/links.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import functools
 from collections.abc import Awaitable, Callable
 
+from hickoryweir import background
 from hickoryweir.replicas import messages, wire
 from hickoryweir.streams import connections, handshake, hub, tls
 
@@ -49,7 +51,10 @@
                 del self._addresses[member_id]
         for member_id in wanted.keys() - self._tasks.keys():
             self._addresses[member_id] = wanted[member_id]
-            task = asyncio.create_task(self._maintain(member_id, wanted[member_id]))
+            work = functools.partial(self._maintain, member_id, wanted[member_id])
+            task = asyncio.create_task(
+                background.keep_running(f"connection to {member_id}", work)
+            )
             self._tasks[member_id] = task
 
     def add_incoming(self, member_id: str, connection: connections.Connection) -> None:
--- a/hickoryweir/streams/hub.py
+++ b/hickoryweir/streams/hub.py
@@ -40,6 +40,9 @@
     refusal: handshake.RefusalReason | None = None
 
 
+Connected = result.Result[connections.Connection, ConnectFailure]
+
+
 class Hub:
     """The listening port; created by :func:`make_hub`.
 
@@ -198,7 +201,7 @@
     files: tls.TlsFiles | None = None,
     timeout_s: float = HANDSHAKE_TIMEOUT_S,
     group: str = "",
-) -> result.Result[connections.Connection, ConnectFailure]:
+) -> Connected:
     """Open a connection to the hub of another process.
 
     Parameters
@@ -229,12 +232,13 @@
             reader, writer = await asyncio.open_connection(host, port, ssl=context)
             await connections.write_frame(writer, hello)
             outcome = await _read_welcome(reader, writer, files)
+            if isinstance(outcome, connections.Peer):
+                return result.Success(connections.Connection(reader, writer, outcome))
     except TimeoutError:
         outcome = ConnectFailure(ConnectReason.TIMED_OUT)
-    except OSError:
+    except (OSError, RuntimeError, ValueError):
+        # uvloop raises the last two for a connection that the peer has reset meanwhile.
         outcome = ConnectFailure(ConnectReason.UNREACHABLE)
-    if isinstance(outcome, connections.Peer):
-        return result.Success(connections.Connection(reader, writer, outcome))
     if writer is not None:
         writer.transport.abort()
     return result.Failure(outcome)
