Ask another replica for a table if the one that announced it does not send it

What callers may see: a router that refuses a new route although two of three replicas would send it the table. A router asked the replica whose announcement came first, and ignored all others for 0.4 s; announcements come every 0.5 s, all replicas' within milliseconds after a change, so that the same replica was asked again and again. If that one does not receive (a link cut one way, a process that stands still) or is lost after it was asked, the table came with its connection's end, seconds later, or not at all.

Routers now keep what each replica has announced, and ask the next one after 0.2 s or at once if the connection is lost.

--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -24,7 +24,7 @@
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
 # A table of a few hundred routes takes about 10 ms to cross an availability zone.
-TABLE_REQUEST_TIMEOUT_S = 0.4
+TABLE_REQUEST_TIMEOUT_S = 0.2
 # Batches the many requests that a crash loses within milliseconds in one message.
 REPORT_DELAY_S = 0.02
 # One more than needed, in case one of the replicas is failing.
@@ -61,6 +61,14 @@
     leader_heard_at_s: float = float("-inf")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableAsked:
+    """The replica that was asked for its table, and until when it may respond."""
+
+    connection: connections.Connection
+    until_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Callbacks:
     """Handlers of the router for updates.
@@ -142,7 +150,9 @@
         self.followed: dict[str, wire.ReplicaAddress] = {}
         self._tasks: dict[str, asyncio.Task] = {}
         self._initial_replicas = replicas
-        self._requested_at_s = 0.0
+        # The version that each connected replica has announced.
+        self._announced: dict[connections.Connection, int] = {}
+        self._asked: TableAsked | None = None
         self._list_id = 0
         self._open_connections: list[connections.Connection] = []
         self._lost_fingerprints: dict[str, list[int]] = {}
@@ -324,17 +334,16 @@
             return "silent"
         finally:
             self._open_connections.remove(connection)
+            self._announced.pop(connection, None)
             connection.abort()
+            self._ask_for_table()
 
     def _handle(self, connection: connections.Connection, message: object) -> None:
         match message:
             case messages.Heartbeat():
                 self._handle_heartbeat(connection, message)
             case messages.TableContent():
-                self._requested_at_s = 0.0
-                stored = store.StoredTable(message.version, message.compressed)
-                if self._callbacks.may_fetch():
-                    self.apply_table(stored)
+                self._handle_table(connection, message)
             case messages.ServerListUpdate():
                 self._handle_server_list(message)
             case messages.TotalLoads():
@@ -378,12 +387,44 @@
             read_at_s = clocks.boottime_s() - max(0.0, heartbeat.list_age_s)
             if read_at_s > view.servers.read_at_s:
                 view.servers = dataclasses.replace(view.servers, read_at_s=read_at_s)
-        now_s = asyncio.get_running_loop().time()
-        is_newer = heartbeat.table_version > view.table_version
-        is_pending = now_s - self._requested_at_s < TABLE_REQUEST_TIMEOUT_S
-        if is_newer and self._callbacks.may_fetch() and not is_pending:
-            self._requested_at_s = now_s
-            connection.offer(messages.TableRequest())
+        self._announced[connection] = heartbeat.table_version
+        self._ask_for_table()
+
+    def _handle_table(
+        self, connection: connections.Connection, message: messages.TableContent
+    ) -> None:
+        if self._asked is not None and self._asked.connection is connection:
+            self._asked = None
+        if self._callbacks.may_fetch():
+            self.apply_table(store.StoredTable(message.version, message.compressed))
+        # Announcements that came meanwhile.
+        self._ask_for_table()
+
+    def _ask_for_table(self) -> None:
+        """Ask a replica for a newer table that it has announced.
+
+        One replica is asked at a time, and another one if it is lost or does not
+        respond within `TABLE_REQUEST_TIMEOUT_S`.
+        """
+        announced = [
+            connection
+            for connection, version in self._announced.items()
+            if version > self.view.table_version
+        ]
+        if not announced or not self._callbacks.may_fetch():
+            return
+        loop = asyncio.get_running_loop()
+        asked = self._asked
+        if asked is not None and asked.connection in announced:
+            if loop.time() < asked.until_s:
+                return
+            announced.remove(asked.connection)
+            # Asked again only after all others.
+            self._announced[asked.connection] = self._announced.pop(asked.connection)
+        connection = announced[0] if announced else asked.connection
+        connection.offer(messages.TableRequest())
+        self._asked = TableAsked(connection, loop.time() + TABLE_REQUEST_TIMEOUT_S)
+        loop.call_later(TABLE_REQUEST_TIMEOUT_S, self._ask_for_table)
 
     def _handle_server_list(self, message: messages.ServerListUpdate) -> None:
         # A negative age would make the list newer than all later ones.
--- a/hickoryweir/feeds/tests/test_following.py
+++ b/hickoryweir/feeds/tests/test_following.py
@@ -9,6 +9,8 @@
 from hickoryweir.streams import handshake, hub, keepalive
 
 HOST = test_feeds.HOST
+# Less than two heartbeats, so that an answer does not come by the next announcement.
+PROMPT_S = 0.45
 IDENTITY = handshake.Identity("test", "router", "a")
 
 
@@ -59,6 +61,42 @@
     return serve
 
 
+def test_table_is_fetched_elsewhere_if_the_replica_that_announced_it_does_not_send_it():
+    async def main():
+        silent, sound = make_feed(3, responds=False), make_feed(3, responds=True)
+        async with (
+            run_replica("silent", silent) as first,
+            run_replica("sound", sound) as second,
+            run_subscriber((first, second)) as applied,
+        ):
+            loop = asyncio.get_running_loop()
+            started_s = loop.time()
+            await test_feeds.wait_until(lambda: applied)
+            return loop.time() - started_s
+
+    assert asyncio.run(main()) < PROMPT_S
+
+
+def test_table_is_fetched_elsewhere_if_the_replica_that_was_asked_is_lost():
+    async def close_on_request(connection):
+        connection.offer(messages.Heartbeat(3, True, 1, 0, 0.0, ()))
+        await connection.receive()
+
+    async def main():
+        sound = make_feed(3, responds=True)
+        async with (
+            run_replica("lost", close_on_request) as first,
+            run_replica("sound", sound) as second,
+            run_subscriber((first, second)) as applied,
+        ):
+            loop = asyncio.get_running_loop()
+            started_s = loop.time()
+            await test_feeds.wait_until(lambda: applied)
+            return loop.time() - started_s
+
+    assert asyncio.run(main()) < PROMPT_S
+
+
 def test_replica_is_followed_again_after_an_unexpected_error():
     errors = [ValueError("first"), ValueError("second")]
 
