Acknowledge a table once the routers have it in force

Cause: a replica acknowledged what a majority had stored, and routers learned of it afterwards by a poll, an announcement and a request.

Routers confirm the version that they have in force to each replica that they follow; the one that was asked waits for them, 0.5 s at most. Why this works: once acknowledged, nothing but the routers is needed any more.

--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -253,7 +253,9 @@
         )
         if process.metrics_port:
             await metrics_port.start(metrics, process.host, process.metrics_port)
-        service = tables.TableService(self._log, self._adapters.decode_table)
+        service = tables.TableService(
+            self._log, self._adapters.decode_table, self._publisher.confirmations
+        )
         app = self._adapters.make_operators_app(service)
         parts_app.add_routes(app, self._publisher)
         if self._duties is not None:
--- a/hickoryweir/entry/tables.py
+++ b/hickoryweir/entry/tables.py
@@ -5,12 +5,17 @@
 
 from returns import result
 
+from hickoryweir import clocks
+from hickoryweir.feeds import confirmations
 from hickoryweir.observability import logs
 from hickoryweir.replicas import client
 from hickoryweir.routes import checks, model, store
 
 # Operators try another replica after 1 s without a response.
+RESPONSE_TIMEOUT_S = 0.95
 LOG_TIMEOUT_S = 0.9
+# Several times as long as routers need for a table of a few hundred routes.
+CONFIRMATION_TIMEOUT_S = 0.5
 
 
 class Reason(enum.StrEnum):
@@ -29,20 +34,40 @@
 
 
 class TableService:
-    """Access to the routing table for the operators' port."""
-
-    def __init__(self, log: client.Client, decode_table) -> None:
+    """Access to the routing table for the operators' port.
+
+    Parameters
+    ----------
+    log : client.Client
+        The replicated log.
+    decode_table : callable
+        Decodes a table's bytes.
+    in_force : confirmations.Confirmations
+        What the routers that follow this replica have in force.
+    """
+
+    def __init__(
+        self,
+        log: client.Client,
+        decode_table,
+        in_force: confirmations.Confirmations,
+    ) -> None:
         self._log = log
         self._decode_table = decode_table
+        self._in_force = in_force
 
     async def replace(self, content: bytes) -> result.Result[int, Refused]:
         """Validate a table and store it in the log if its version is the highest.
 
+        Returns once the routers have it in force, or at `RESPONSE_TIMEOUT_S`: the table
+        is stored then all the same.
+
         Returns
         -------
         Result of int or Refused
             The version in the log afterwards, which may be higher than the table's.
         """
+        respond_until_s = clocks.boottime_s() + RESPONSE_TIMEOUT_S
         decoded = self._decode_table(content)
         if isinstance(decoded, result.Failure):
             return self._refuse(Reason.INVALID, decoded.failure())
@@ -56,10 +81,23 @@
             failure = outcome.failure()
             return self._refuse(Reason.UNAVAILABLE, failure.reason.value)
         held = outcome.unwrap().version
-        fields = logs.Fields(version=table.version, detail=f"version held: {held}")
-        logs.info("table accepted", fields)
+        await self._wait_until_in_force(table.version, held, respond_until_s)
         return result.Success(held)
 
+    async def _wait_until_in_force(
+        self, version: int, held: int, respond_until_s: float
+    ) -> None:
+        """Wait until the routers have a stored table, or a later one, in force."""
+        started_s = clocks.boottime_s()
+        timeout_s = min(CONFIRMATION_TIMEOUT_S, max(0.0, respond_until_s - started_s))
+        late = await self._in_force.wait(version, timeout_s)
+        fields = logs.Fields(
+            version=version,
+            duration_s=round(clocks.boottime_s() - started_s, 4),
+            detail=f"version held: {held}, not in force at {len(late)} routers",
+        )
+        logs.info("table accepted", fields)
+
     async def read(self) -> result.Result[bytes, Refused]:
         """Return the newest table's bytes, confirmed by a majority of replicas."""
         outcome = await self._log.read(store.ReadTable(), LOG_TIMEOUT_S)
--- a/hickoryweir/feeds/messages.py
+++ b/hickoryweir/feeds/messages.py
@@ -52,6 +52,18 @@
     compressed: bytes
 
 
+# Group of the feeds over which routers confirm tables.  Replicas of earlier versions
+# refuse it, and would close a connection on which a confirmation comes.
+CONFIRMED_FEED = "confirmed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableInForce:
+    """Confirms that a router has a table in force."""
+
+    version: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerListUpdate:
     """The server list, sent on each change and to each new subscriber."""
@@ -550,6 +562,7 @@
     ("fd.beat", Heartbeat),
     ("fd.table_request", TableRequest),
     ("fd.table", TableContent),
+    ("fd.in_force", TableInForce),
     ("fd.servers", ServerListUpdate),
 ):
     codec.register(_tag, _cls)
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -12,6 +12,7 @@
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import (
     account_work,
+    confirmations,
     demand,
     evidence,
     limits,
@@ -85,6 +86,8 @@
         Called after either has changed.
     demand : demand.DemandKeeper
         What the routers report of their requests by service.
+    confirmations : confirmations.Confirmations
+        Which table each router has in force.
     """
 
     def __init__(
@@ -114,11 +117,20 @@
         self.suspect_parts = crashing_parts.CrashingParts()
         self.crashes = crash_counts.CrashCounts()
         self.demand = demand.DemandKeeper()
+        self.confirmations = confirmations.make_confirmations()
         self.on_evidence: Callable[[], None] = lambda: None
         self._evidence_sender = evidence.Sender(
             self.suspect_parts, self._send_to_subscribers
         )
 
+    async def serve_confirmed(self, connection: connections.Connection) -> None:
+        """Serve one router that confirms tables until it disconnects."""
+        self.confirmations.add(connection)
+        try:
+            await self.serve(connection)
+        finally:
+            self.confirmations.remove(connection)
+
     async def serve(self, connection: connections.Connection) -> None:
         """Serve one router until it disconnects."""
         self._subscribers[connection] = connection.peer.process_name
@@ -148,6 +160,8 @@
                 connection.offer(
                     messages.TableContent(stored.version, stored.compressed)
                 )
+            case messages.TableInForce():
+                self.confirmations.confirm(connection, message.version)
             case messages.RequestsLost() | messages.RequestsCompleted():
                 if self.add_losses([message]):
                     self._relay(message, connection)
@@ -636,7 +650,7 @@
     session: aiohttp.ClientSession,
     source: listing.Source,
 ) -> Publisher:
-    """Create a publisher and register its handler with the hub.
+    """Create a publisher and register its handlers with the hub.
 
     Parameters
     ----------
@@ -650,5 +664,8 @@
         Source of the server list.
     """
     publisher = Publisher(get_log_status, session, source)
-    peer_hub.register(handshake.Purpose.FEED, publisher.serve)
+    feed = handshake.Purpose.FEED
+    # Routers of earlier versions follow a feed without confirmations.
+    peer_hub.register(feed, publisher.serve)
+    peer_hub.register(feed, publisher.serve_confirmed, messages.CONFIRMED_FEED)
     return publisher
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -10,6 +10,8 @@
 import functools
 from collections.abc import Callable
 
+from returns import result
+
 from hickoryweir import background, clocks
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages
@@ -22,8 +24,12 @@
 HEARTBEAT_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 0.7
 RETRY_MIN_S = 0.1
-RETRY_MAX_S = 1.0
+# A replica that has started acknowledges no table before its routers are back.
+RETRY_MAX_S = 0.4
+# Time in which a replica completes the handshake of one router.
+HANDSHAKE_S = 0.0007
 # A table of a few hundred routes takes about 10 ms to cross an availability zone.
+# Another replica is asked in time for an acknowledgement that waits for this router.
 TABLE_REQUEST_TIMEOUT_S = 0.2
 # Batches the many requests that a crash loses within milliseconds in one message.
 REPORT_DELAY_S = 0.02
@@ -153,6 +159,7 @@
         # The version that each connected replica has announced.
         self._announced: dict[connections.Connection, int] = {}
         self._asked: TableAsked | None = None
+        self._confirming: set[connections.Connection] = set()
         self._list_id = 0
         self._open_connections: list[connections.Connection] = []
         self._lost_fingerprints: dict[str, list[int]] = {}
@@ -188,6 +195,8 @@
             return
         if self._callbacks.on_table(stored.version, store.read_content(stored)):
             self.view.table_version = stored.version
+            for connection in self._confirming:
+                connection.offer(messages.TableInForce(stored.version))
 
     def report_lost(self, server_id: str, fingerprint: int) -> None:
         """Report a lost request to the other routers, batched with subsequent ones."""
@@ -284,18 +293,18 @@
         retry_s = RETRY_MIN_S
         was_reachable = True
         while True:
-            outcome = await hub.connect(
-                self._identity,
-                replica.host,
-                replica.port,
-                handshake.Purpose.FEED,
-                None,
-                CONNECT_TIMEOUT_S,
-            )
+            outcome = await self._connect(replica, messages.CONFIRMED_FEED)
+            if _is_earlier_version(outcome):
+                outcome = await self._connect(replica, "")
+                confirms = False
+            else:
+                confirms = True
             connection = outcome.value_or(None)
             if connection is not None:
                 logs.info("replica followed", logs.Fields(peer=replica.address))
                 was_reachable, retry_s = True, RETRY_MIN_S
+                if confirms:
+                    self._confirming.add(connection)
                 reason = await self._receive(replica, connection)
                 logs.warning(
                     "replica lost", logs.Fields(peer=replica.address, reason=reason)
@@ -306,14 +315,26 @@
                 fields = logs.Fields(peer=replica.address, reason=reason)
                 logs.warning("replica not reached", fields)
             await asyncio.sleep(retry_s)
-            retry_s = min(2 * retry_s, RETRY_MAX_S)
+            longest_s = max(RETRY_MAX_S, self.view.routers_count * HANDSHAKE_S)
+            retry_s = min(2 * retry_s, longest_s)
+
+    async def _connect(self, replica: wire.ReplicaAddress, group: str) -> hub.Connected:
+        return await hub.connect(
+            self._identity,
+            replica.host,
+            replica.port,
+            handshake.Purpose.FEED,
+            None,
+            CONNECT_TIMEOUT_S,
+            group,
+        )
 
     async def _receive(
         self, replica: wire.ReplicaAddress, connection: connections.Connection
     ) -> str:
         self._open_connections.append(connection)
         try:
-            for message in self._callbacks.greet():
+            for message in self._make_greeting(connection):
                 connection.offer(message)
             while True:
                 async with asyncio.timeout(HEARTBEAT_TIMEOUT_S):
@@ -334,10 +355,19 @@
             return "silent"
         finally:
             self._open_connections.remove(connection)
+            self._confirming.discard(connection)
             self._announced.pop(connection, None)
             connection.abort()
             self._ask_for_table()
 
+    def _make_greeting(self, connection: connections.Connection) -> list:
+        """Return the messages to send to a replica first."""
+        greeting = self._callbacks.greet()
+        version = self.view.table_version
+        if connection in self._confirming and version > store.NO_VERSION:
+            return [messages.TableInForce(version), *greeting]
+        return greeting
+
     def _handle(self, connection: connections.Connection, message: object) -> None:
         match message:
             case messages.Heartbeat():
@@ -443,6 +473,13 @@
         self._callbacks.on_servers(server_list)
 
 
+def _is_earlier_version(outcome: hub.Connected) -> bool:
+    """Return whether a replica knows no confirmations of tables."""
+    if not isinstance(outcome, result.Failure):
+        return False
+    return outcome.failure().refusal is handshake.RefusalReason.WRONG_GROUP
+
+
 def make_subscriber(
     identity: handshake.Identity,
     replicas: tuple[wire.ReplicaAddress, ...],
--- a/hickoryweir/feeds/tests/test_feeds.py
+++ b/hickoryweir/feeds/tests/test_feeds.py
@@ -32,6 +32,7 @@
     """A publisher whose log status tests can change."""
 
     address: wire.ReplicaAddress
+    publisher: publisher.Publisher | None
     hub: hub.Hub
     log_status: publisher.LogStatus
     pages: list
@@ -58,11 +59,12 @@
     peer_hub = hub.make_hub(handshake.Identity("test", name, "a"), HOST, 0)
     log_status = publisher.LogStatus(make_stored(version), is_leader, True, ())
     pages = [(SERVER,)]
-    replica = Replica(None, peer_hub, log_status, pages, [])
+    replica = Replica(None, None, peer_hub, log_status, pages, [])
     source = await start_list(pages)
     feed_publisher = publisher.make_publisher(
         peer_hub, lambda: replica.log_status, session, source
     )
+    replica.publisher = feed_publisher
     await peer_hub.start()
     replica.address = wire.ReplicaAddress(name, HOST, peer_hub.port, "a")
     replica.tasks.append(asyncio.create_task(feed_publisher.run()))
--- a/hickoryweir/feeds/tests/test_following.py
+++ b/hickoryweir/feeds/tests/test_following.py
@@ -15,10 +15,10 @@
 
 
 @contextlib.asynccontextmanager
-async def run_replica(name, serve):
-    """Run a hub whose feed is served by ``serve(connection)``."""
+async def run_replica(name, serve, group=messages.CONFIRMED_FEED):
+    """Run a hub whose feed, of one group, is served by ``serve(connection)``."""
     peer_hub = hub.make_hub(handshake.Identity("test", name, "a"), HOST, 0)
-    peer_hub.register(handshake.Purpose.FEED, serve)
+    peer_hub.register(handshake.Purpose.FEED, serve, group)
     await peer_hub.start()
     try:
         yield wire.ReplicaAddress(name, HOST, peer_hub.port, "a")
@@ -48,13 +48,15 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
-def make_feed(version, responds=True):
+def make_feed(version, responds=True, received=None):
     """Return the handler of a replica that announces a version, and may send it."""
 
     async def serve(connection):
         content = test_feeds.make_stored(version).compressed
         connection.offer(messages.Heartbeat(version, True, 1, 0, 0.0, ()))
         while (message := (await connection.receive()).value_or(None)) is not None:
+            if received is not None:
+                received.append(message)
             if responds and isinstance(message, messages.TableRequest):
                 connection.offer(messages.TableContent(version, content))
 
@@ -126,7 +128,11 @@
         async with run_replica("sound", sound) as address:
             monkeypatch.setattr(keepalive, "configure", configure)
             return await hub.connect(
-                IDENTITY, HOST, address.port, handshake.Purpose.FEED
+                IDENTITY,
+                HOST,
+                address.port,
+                handshake.Purpose.FEED,
+                group=messages.CONFIRMED_FEED,
             )
 
     assert asyncio.run(main()).failure().reason is hub.ConnectReason.UNREACHABLE
