Soak: cut links between processes, and lose all replicas at an acknowledgement

Links between processes now go through proxies, processes are slowed down, and the oracle checks that acknowledged tables are in force after 2 s.

--- a/hickoryweir/testing/soak/callers.py
+++ b/hickoryweir/testing/soak/callers.py
@@ -108,12 +108,15 @@
     ----------
     accepted : list of tuple
         Versions and the times of their acknowledgement.
+    acknowledged : asyncio.Event
+        Set at each acknowledgement.
     read_back, in_force : list of VersionReading
         Versions read back from replicas, and those in force at routers.
     """
 
     calls: list[Call] = dataclasses.field(default_factory=list)
     accepted: list[tuple[int, float]] = dataclasses.field(default_factory=list)
+    acknowledged: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     read_back: list[VersionReading] = dataclasses.field(default_factory=list)
     in_force: list[VersionReading] = dataclasses.field(default_factory=list)
 
@@ -197,6 +200,7 @@
         while True:
             if await put_table(session, cluster, version, generator):
                 observations.accepted.append((version, time.monotonic()))
+                observations.acknowledged.set()
                 version += 1
                 await asyncio.sleep(TABLE_INTERVAL_S)
             else:
--- a/hickoryweir/testing/soak/cluster.py
+++ b/hickoryweir/testing/soak/cluster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import json
 import pathlib
 import shutil
 import signal
@@ -66,6 +67,9 @@
         When the process was started, on the steady clock.
     log_start_bytes : int
         Size of the log when it was started.
+    links : dict
+        The proxies before the replicas by host, through which it connects to them;
+        none if it connects to them itself.
     """
 
     role: str
@@ -74,6 +78,12 @@
     process: subprocess.Popen | None = None
     started_s: float = 0.0
     log_start_bytes: int = 0
+    links: dict[str, proxies.Proxy] = dataclasses.field(default_factory=dict)
+
+    @property
+    def links_path(self) -> pathlib.Path:
+        """Return the path of the file with the ports of its proxies."""
+        return self.folder / "links.json"
 
     @property
     def settings_path(self) -> pathlib.Path:
@@ -109,8 +119,13 @@
         return self.values["port"]
 
 
-async def start_cluster(folder: pathlib.Path, routers_count: int) -> Cluster:
-    """Start backend servers, replicas and routers, without waiting for readiness."""
+async def start_cluster(
+    folder: pathlib.Path, routers_count: int, has_links: bool = False
+) -> Cluster:
+    """Start backend servers, replicas and routers, without waiting for readiness.
+
+    With `has_links`, the processes connect to replicas through proxies.
+    """
     servers = [await backends.start(f"s{number}") for number in range(SERVERS_COUNT)]
 
     async def list_servers(request: web.BaseRequest) -> web.Response:
@@ -142,10 +157,31 @@
     for member in (*replicas, *routers):
         member.folder.mkdir(parents=True)
         write_settings(cluster, member)
+        if has_links:
+            await make_links(cluster, member)
         launch(member)
     return cluster
 
 
+async def make_links(cluster: Cluster, member: Member) -> None:
+    """Start the proxies through which a member connects to the other replicas."""
+    port = cluster.values["peer_port"]
+    for replica in cluster.replicas:
+        if replica is not member:
+            member.links[replica.host] = await proxies.start_proxy(replica.host, port)
+    ports = {host: proxy.port for host, proxy in member.links.items()}
+    member.links_path.write_text(json.dumps(ports))
+
+
+def links_of(cluster: Cluster, member: Member) -> list[proxies.Proxy]:
+    """Return the proxies of a member's connections to and from the other processes."""
+    links = list(member.links.values())
+    for other in (*cluster.replicas, *cluster.routers):
+        if member.host in other.links:
+            links.append(other.links[member.host])
+    return links
+
+
 def write_settings(cluster: Cluster, member: Member, **changes) -> None:
     """Write a member's settings file."""
     values = cluster.values | changes
@@ -173,12 +209,21 @@
     with (member.folder / "log").open("ab") as log:
         member.log_start_bytes = log.tell()
         member.process = subprocess.Popen(
-            [sys.executable, "-m", "hickoryweir", "forward", str(member.settings_path)],
+            [sys.executable, "-m", *_program(member)],
             stdout=log,
             stderr=log,
         )
 
 
+def _program(member: Member) -> tuple[str, ...]:
+    """Return the module that a member runs, and its arguments."""
+    settings_path = str(member.settings_path)
+    if member.links:
+        program = "hickoryweir.testing.linked_process"
+        return program, settings_path, str(member.links_path)
+    return "hickoryweir", "forward", settings_path
+
+
 def reload(cluster: Cluster, member: Member) -> None:
     """Send SIGHUP to a member, at any age of its process."""
     age_s = time.monotonic() - member.started_s
--- a/hickoryweir/testing/soak/faults.py
+++ b/hickoryweir/testing/soak/faults.py
@@ -1,6 +1,7 @@
 """Random, possibly overlapping faults injected into the processes from outside."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import signal
@@ -16,6 +17,8 @@
 # Time in which a restarted replica, even with an empty folder, rejoins and catches up.
 REPLICA_RECOVERY_S = 6.0
 LINK_DELAY_S = 0.2
+SUSPENDED_MAX_S, RESUMED_S = 0.2, 0.02
+ACKNOWLEDGEMENT_TIMEOUT_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +40,8 @@
     replica_lock : asyncio.Lock
         Held while a replica is down or recovering, because the group tolerates the
         loss of only one.
+    acknowledged : asyncio.Event
+        Set by the operator at each acknowledgement of a table.
     busy_hosts : set of str
         Hosts that a fault currently affects.
     """
@@ -44,6 +49,7 @@
     cluster: clusters.Cluster
     generator: random.Random
     replica_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    acknowledged: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     busy_hosts: set[str] = dataclasses.field(default_factory=set)
     injected: list[InjectedFault] = dataclasses.field(default_factory=list)
 
@@ -99,8 +105,63 @@
     clusters.write_settings(context.cluster, member)
 
 
-ROUTER_FAULTS: tuple[MemberFault, ...] = (kill, pause, stop, stop, reload)
-REPLICA_FAULTS: tuple[MemberFault, ...] = (kill, pause, stop, wipe, reload)
+async def cut_off(
+    context: FaultContext, member: clusters.Member, duration_s: float
+) -> None:
+    """Block a process's connections to the replicas, in one or both directions."""
+    forward, backward = context.generator.choice(
+        ((True, True), (True, False), (False, True))
+    )
+    links = clusters.links_of(context.cluster, member)
+    for proxy in links:
+        proxies.set_relaying(proxy.forward, not forward)
+        proxies.set_relaying(proxy.backward, not backward)
+    await asyncio.sleep(duration_s)
+    for proxy in links:
+        restore_link(proxy)
+
+
+async def delay_links(
+    context: FaultContext, member: clusters.Member, duration_s: float
+) -> None:
+    """Delay each part of a process's connections to the replicas differently."""
+    links = clusters.links_of(context.cluster, member)
+    for proxy in links:
+        proxy.delay_s = context.generator.uniform(0.0, LINK_DELAY_S)
+    await asyncio.sleep(duration_s)
+    for proxy in links:
+        restore_link(proxy)
+
+
+async def reset_links(
+    context: FaultContext, member: clusters.Member, duration_s: float
+) -> None:
+    """Reset a process's connections to the replicas."""
+    for proxy in clusters.links_of(context.cluster, member):
+        proxies.reset_all(proxy)
+
+
+async def slow_down(
+    context: FaultContext, member: clusters.Member, duration_s: float
+) -> None:
+    """Suspend a process in short turns, as on a VM with too little processor time."""
+    until_s = time.monotonic() + duration_s
+    while time.monotonic() < until_s:
+        member.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(context.generator.uniform(0.02, SUSPENDED_MAX_S))
+        member.process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(RESUMED_S)
+
+
+LINK_FAULTS: tuple[MemberFault, ...] = (cut_off, delay_links, reset_links)
+ROUTER_FAULTS: tuple[MemberFault, ...] = (
+    *(kill, pause, stop, stop, reload, slow_down),
+    *LINK_FAULTS,
+)
+REPLICA_FAULTS: tuple[MemberFault, ...] = (
+    *(kill, pause, stop, wipe, reload, slow_down),
+    *LINK_FAULTS,
+)
 
 
 async def disturb_router(context: FaultContext) -> None:
@@ -126,6 +187,28 @@
         await asyncio.sleep(REPLICA_RECOVERY_S)
 
 
+async def lose_replicas(context: FaultContext) -> None:
+    """Kill all replicas right after an acknowledgement, and restart them."""
+    if context.replica_lock.locked():
+        return
+    async with context.replica_lock:
+        replicas = context.cluster.replicas
+        context.acknowledged.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ACKNOWLEDGEMENT_TIMEOUT_S):
+                await context.acknowledged.wait()
+        began_s = time.monotonic()
+        for replica in replicas:
+            clusters.kill(replica)
+        await asyncio.sleep(
+            context.generator.uniform(FAULT_DURATION_MIN_S, FAULT_DURATION_MAX_S)
+        )
+        for replica in replicas:
+            clusters.launch(replica)
+            _record_fault(context, "kill", replica.host, began_s)
+        await asyncio.sleep(REPLICA_RECOVERY_S)
+
+
 async def _change(
     context: FaultContext, member: clusters.Member, fault: MemberFault
 ) -> None:
@@ -186,7 +269,10 @@
     context.injected.append(InjectedFault(kind, target, began_s, time.monotonic()))
 
 
-FAULTS = (disturb_router, disturb_router, disturb_replica, disturb_server, disturb_link)
+FAULTS = (
+    *(disturb_router, disturb_router, disturb_replica, lose_replicas),
+    *(disturb_server, disturb_link),
+)
 
 
 async def draw(context: FaultContext, until_s: float) -> None:
--- a/hickoryweir/testing/soak/main.py
+++ b/hickoryweir/testing/soak/main.py
@@ -49,7 +49,7 @@
     """Run one soak test, print a summary, and return every violation."""
     with tempfile.TemporaryDirectory(prefix="hickoryweir-soak-") as temporary:
         folder = soak.logs or pathlib.Path(temporary)
-        cluster = await clusters.start_cluster(folder, soak.routers)
+        cluster = await clusters.start_cluster(folder, soak.routers, has_links=True)
         try:
             observations, context, unrecovered = await run_workload(soak, cluster)
         finally:
@@ -71,7 +71,9 @@
     """Run callers, the operator and faults; then end the faults and check recovery."""
     generator = random.Random(soak.seed)
     observations = callers.Observations()
-    context = faults.FaultContext(cluster, random.Random(soak.seed))
+    context = faults.FaultContext(
+        cluster, random.Random(soak.seed), acknowledged=observations.acknowledged
+    )
     operating = asyncio.create_task(
         callers.replace_tables(cluster, observations, generator)
     )
--- a/hickoryweir/testing/soak/oracle.py
+++ b/hickoryweir/testing/soak/oracle.py
@@ -11,6 +11,12 @@
 DISRUPTIVE_KINDS = ("kill", "pause")
 # Time within which a caller detects a lost connection.
 DETECTION_TOLERANCE_S = 1.0
+# Time in which an acknowledged table is in force at each router, and time that
+# processes have after a fault; both are those of the smallest sites.
+IN_FORCE_S = 2.0
+CONTACT_S = 3.0
+# Kinds of faults that may delay what processes send each other.
+DELAYING_KINDS = ("cut_off", "delay_links", "pause", "slow_down")
 
 
 def find_violations(
@@ -37,6 +43,7 @@
         *find_lost_answers(observations.calls, runs, injected),
         *find_stale_reads(observations),
         *find_reverted(observations.in_force),
+        *find_late(observations, injected),
         *(
             promises.Violation("a planned stop ends clean", f"{host} ended with {code}")
             for host, code in exit_codes
@@ -122,6 +129,40 @@
     return violations
 
 
+def find_late(
+    observations: callers.Observations, injected: list[faults.InjectedFault]
+) -> list[promises.Violation]:
+    """Check that acknowledged tables are in force, whether replicas are lost or not.
+
+    Not checked: routers without a table, which refuse requests as not run, and readings
+    shortly after a fault of the router, or of any process's connections or speed.
+    """
+    violations = []
+    for reading in observations.in_force:
+        due = [
+            version
+            for version, at_s in observations.accepted
+            if at_s <= reading.asked_s - IN_FORCE_S
+        ]
+        is_late = due and 0 < reading.version < max(due)
+        if is_late and not _is_excused(reading, injected):
+            detail = f"{max(due)} was acknowledged: {reading}"
+            promise = "an acknowledged table is in force"
+            violations.append(promises.Violation(promise, detail))
+    return violations
+
+
+def _is_excused(
+    reading: callers.VersionReading, injected: list[faults.InjectedFault]
+) -> bool:
+    """Return whether a fault may have delayed a router's table."""
+    return any(
+        (fault.target == reading.host or fault.kind in DELAYING_KINDS)
+        and fault.began_s <= reading.asked_s <= fault.ended_s + CONTACT_S
+        for fault in injected
+    )
+
+
 def find_unrecovered(
     versions: dict[str, int], expected_version: int, calls: list[callers.Call]
 ) -> list[promises.Violation]:
--- a/hickoryweir/testing/soak/tests/test_oracle.py
+++ b/hickoryweir/testing/soak/tests/test_oracle.py
@@ -90,3 +90,26 @@
         "an accepted table is in force everywhere",
         "all is served again",
     ]
+
+
+def find_late_tables(version, asked_s, injected=()):
+    """Return the promises that a reading breaks; version 5 was acknowledged at 10 s."""
+    reading = callers.VersionReading("127.0.3.1", 1, asked_s, version)
+    observations = callers.Observations(accepted=[(5, 10.0)], in_force=[reading])
+    return [item.promise for item in oracle.find_late(observations, list(injected))]
+
+
+def test_acknowledged_table_that_is_not_in_force_in_time_is_reported():
+    late = ["an acknowledged table is in force"]
+    assert find_late_tables(4, 13.0) == late
+    assert find_late_tables(5, 13.0) == []
+    assert find_late_tables(4, 11.0) == []
+
+
+def test_loss_of_replicas_is_no_excuse_for_a_late_table():
+    lost = faults.InjectedFault("kill", "127.0.2.1", 10.1, 14.0)
+    cut = faults.InjectedFault("cut_off", "127.0.2.1", 9.0, 12.0)
+    assert find_late_tables(4, 13.0, [lost]) != []
+    assert find_late_tables(4, 13.0, [cut]) == []
+    assert find_late_tables(4, 16.0, [cut]) != []
+    assert find_late_tables(4, 13.0, [KILL]) == []
