Wait longer for a first table while a majority of replicas is reached

What callers may see: after a loss of all processes a restarted router refuses routes of acknowledged tables.

A router that reaches a majority of the replicas waits for 12 s; one that is cut off from them still begins after 5 s, since its zone has to go on. The decision is a function of its own. Before, the wait was 5 s in both cases. New log lines say whether the first table is confirmed.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -49,7 +49,12 @@
     sockets,
     speeds,
 )
-from hickoryweir.forwarding_policy import relays, retry_budget, router_capacity
+from hickoryweir.forwarding_policy import (
+    first_table,
+    relays,
+    retry_budget,
+    router_capacity,
+)
 from hickoryweir.observability import logs
 from hickoryweir.replicas import client, wire
 from hickoryweir.routes import checks, matching, store
@@ -58,8 +63,6 @@
 AT_MOST_ONCE_MAX_IDLE_S = 3.0
 FIRST_READ_TIMEOUT_S = 0.5
 FIRST_READ_RETRY_S = 0.05
-# An election takes about 1 s; a partitioned zone has to serve without a leader.
-CONFIRMATION_TIMEOUT_S = 5.0
 LIST_CHECK_INTERVAL_S = 0.25
 # Same as publisher.LOADS_INTERVAL_S, at which the loads are summed.
 LOADS_INTERVAL_S = 0.1
@@ -470,18 +473,30 @@
     async def _load_initial_table(self) -> None:
         """Start with a table confirmed by a majority, so that no version goes back.
 
-        If no majority is reached within `CONFIRMATION_TIMEOUT_S`, the highest version
-        of any reachable replica is used, so that a partitioned zone can serve.
+        Without a leader for long, the highest version of any reachable replica is used,
+        see :mod:`hickoryweir.forwarding_policy.first_table`.
         """
-        loop = asyncio.get_running_loop()
-        give_up_s = loop.time() + CONFIRMATION_TIMEOUT_S
+        started_s = clocks.boottime_s()
         view = self._subscriber.view
-        while loop.time() < give_up_s or view.announced_version < 0:
+        while not self._may_begin_unconfirmed(clocks.boottime_s() - started_s):
             if view.has_leader and await self._load_confirmed_table():
+                logs.info("first table confirmed", logs.Fields())
                 break
             await asyncio.sleep(FIRST_READ_RETRY_S)
+        else:
+            fields = logs.Fields(version=view.announced_version)
+            logs.warning("first table not confirmed by a majority", fields)
         self._is_confirmed = True
 
+    def _may_begin_unconfirmed(self, waited_s: float) -> bool:
+        """Return whether to begin with a table that no majority has confirmed."""
+        view = self._subscriber.view
+        return view.announced_version > store.NO_VERSION and (
+            first_table.may_be_unconfirmed(
+                waited_s, self._subscriber.reached_count, view.replicas_count
+            )
+        )
+
     async def _load_confirmed_table(self) -> bool:
         """Apply the table confirmed by a majority; return whether there is one."""
         if not await self._log.wait_until_ready(FIRST_READ_TIMEOUT_S):
--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -57,6 +57,8 @@
         one.
     leader_heard_at_s : float
         When the leader last sent a heartbeat, on :func:`clocks.boottime_s`.
+    replicas_count : int
+        Members of the replicated log; the seeds until a replica knows them.
     """
 
     table_version: int = store.NO_VERSION
@@ -65,6 +67,7 @@
     routers_count: int = 1
     has_leader: bool = False
     leader_heard_at_s: float = float("-inf")
+    replicas_count: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,7 +153,7 @@
         replicas: tuple[wire.ReplicaAddress, ...],
         callbacks: Callbacks,
     ) -> None:
-        self.view = View()
+        self.view = View(replicas_count=len(replicas))
         self._identity = identity
         self._callbacks = callbacks
         self.followed: dict[str, wire.ReplicaAddress] = {}
@@ -273,6 +276,11 @@
             return None
         return self._list_reader
 
+    @property
+    def reached_count(self) -> int:
+        """Return the number of connected replicas that have sent a heartbeat."""
+        return len(self._announced)
+
     def _send_lost(self) -> None:
         lost, self._lost_fingerprints = self._lost_fingerprints, {}
         for server_id, fingerprints in lost.items():
@@ -411,6 +419,8 @@
             view.leader_heard_at_s = clocks.boottime_s()
         view.announced_version = max(view.announced_version, heartbeat.table_version)
         self.follow(heartbeat.replicas)
+        if heartbeat.replicas:
+            view.replicas_count = len(heartbeat.replicas)
         if heartbeat.list_id:
             self._list_reader = connection
         if heartbeat.list_id and heartbeat.list_id == self._list_id:
--- a/hickoryweir/feeds/tests/test_following.py
+++ b/hickoryweir/feeds/tests/test_following.py
@@ -15,9 +15,9 @@
 
 
 @contextlib.asynccontextmanager
-async def run_replica(name, serve, group=messages.CONFIRMED_FEED):
+async def run_replica(name, serve, group=messages.CONFIRMED_FEED, cluster_id="test"):
     """Run a hub whose feed, of one group, is served by ``serve(connection)``."""
-    peer_hub = hub.make_hub(handshake.Identity("test", name, "a"), HOST, 0)
+    peer_hub = hub.make_hub(handshake.Identity(cluster_id, name, "a"), HOST, 0)
     peer_hub.register(handshake.Purpose.FEED, serve, group)
     await peer_hub.start()
     try:
