Sync the folder's names when a data folder is opened

A replica that was killed between the rename of a new segment and the sync of the folder, or whose disk refused that sync, recovered the segment under its new name and went on appending to it. Only the segment's content was synced at the start, never the folder. A later loss of power could take the name away, and with it all entries that the replica had acknowledged since: an acknowledged routing table is lost if the disk of another replica is lost at that moment.

The simulated disk could not show it, since each of its crashes was a loss of power, never a kill that leaves the files as they are. The new test kills a writer at each of its 40 file operations, opens the folder, acknowledges one entry and then loses the power, with 8 outcomes each. On the old code it failed at operations 9 (identity), 28 and 36 (segments after a rotation):

AssertionError: assert (4 + 3) >= 8

A start now syncs the folder before it acknowledges anything.

--- a/hickoryweir/replicas/storage.py
+++ b/hickoryweir/replicas/storage.py
@@ -284,6 +284,9 @@
     segment = found.segments[-1]
     handle = files.reopen(os.path.join(folder, segment.name), segment.size_bytes)
     files.sync(handle)
+    # A process that was killed, or whose sync was refused, leaves names that are in
+    # force but not durable; what is acknowledged from now on depends on them.
+    files.sync_folder(folder)
     segments = list(found.segments)
     opened = Storage(
         files, folder, found.identity, segments, handle, found.next_sequence
--- a/hickoryweir/replicas/tests/test_storage.py
+++ b/hickoryweir/replicas/tests/test_storage.py
@@ -241,6 +241,22 @@
         assert last_index >= acknowledged[-1]
 
 
+@pytest.mark.parametrize("limit", range(count_operations()))
+def test_entries_acknowledged_after_a_kill_survive_a_loss_of_power(limit):
+    for seed in range(8):
+        memory = memory_files.MemoryFiles()
+        memory.fail_after_count = limit
+        write_everything(memory, [])
+        # A killed process leaves its files as they were, synced or not.
+        memory.fail_after_count = None
+        opened = open_folder(memory).unwrap()
+        last_index = opened.recovered.base_index + len(opened.recovered.entries) + 1
+        storage.append(opened.storage, make_batch(last_index)).unwrap()
+        memory.crash(random.Random(seed))
+        found = open_folder(memory).unwrap().recovered
+        assert found.base_index + len(found.entries) >= last_index
+
+
 def test_report_shows_the_folder_contents():
     memory, _ = make_filled()
     report = inspect.check_folder(FOLDER, memory.make_files())
