Execute the actions of a refused member change

Each step of the core also applies committed entries, at most 1,000 at a time. `Node._change_members` returned at the first refusal and dropped all other actions of the step, so that entries which the core had counted as applied never reached the state machine.

It needs committed entries that wait when the change is refused, that is more than 1,000 committed in one step, as after a long stall of a disk.

The change now goes through `_step`, the only caller of the core that is left; it executes all actions. The test lets one entry be applied a step and sends changes that are refused meanwhile.

--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -294,12 +294,14 @@
         else:
             self._relays.forward(pending, leader)
 
-    def _step(self, event: states.Event, now_s: float) -> None:
+    def _step(self, event: states.Event, now_s: float) -> list[states.Action]:
+        """Pass an event to the core; return its actions, which have been executed."""
         was_leader = self.state.role is states.Role.LEADER
         term = self.state.term
         leader_id = self.state.leader_id
         previous = self.state.membership
-        for action in raft.step(self.state, event, now_s):
+        actions = raft.step(self.state, event, now_s)
+        for action in actions:
             self._execute(action, now_s)
         is_same_leader = (
             self.state.role is states.Role.LEADER and self.state.term == term
@@ -311,6 +313,7 @@
             self._relays.on_leader_change(self.state.leader_id)
         if self.state.membership is not previous:
             self._links.update(self.state.membership, self.state.member_id)
+        return actions
 
     def _execute(self, action: states.Action, now_s: float) -> None:
         match action:
@@ -394,16 +397,12 @@
     def _change_members(self, request: wire.ChangeRequest, now_s: float) -> str:
         """Start a membership change; return the reason of a refusal, or empty text."""
         event = requests.make_change_event(request, time.time())
-        previous = self.state.membership
-        actions = raft.step(self.state, event, now_s)
-        refusals = [item for item in actions if isinstance(item, states.ChangeRefused)]
-        if refusals:
-            return refusals[0].reason.value
-        for action in actions:
-            self._execute(action, now_s)
-        if self.state.membership is not previous:
-            self._links.update(self.state.membership, self.state.member_id)
-        return ""
+        refusals = [
+            action
+            for action in self._step(event, now_s)
+            if isinstance(action, states.ChangeRefused)
+        ]
+        return refusals[0].reason.value if refusals else ""
 
     def _manage_members(self, now_s: float) -> None:
         wanted_count = self.settings.voters_wanted_count
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -8,7 +8,15 @@
 import pytest
 from returns import result
 
-from hickoryweir.replicas import client, node, reachability, records, replacement
+from hickoryweir.replicas import (
+    client,
+    node,
+    reachability,
+    records,
+    replacement,
+    requests,
+    wire,
+)
 from hickoryweir.replicas import state as states
 from hickoryweir.replicas.tests import register
 from hickoryweir.streams import hub
@@ -270,6 +278,34 @@
     return result.Success(role) if failed else result.Failure(role)
 
 
+class SilentConnection:
+    """A client's connection that discards responses."""
+
+    def offer(self, message):
+        """Discard a response."""
+
+
+def test_refused_member_change_drops_no_committed_entries(tmp_path):
+    async def scenario():
+        # One entry a step, so that committed entries wait while changes are refused.
+        timing = states.Timing(max_apply_count=1)
+        async with register.run_cluster(tmp_path, timing=timing) as (replicas, router):
+            await put(router, "k", "v")
+            leader = replicas[router.leader_name].node
+            own = leader.state.membership.find(leader.state.member_id)
+            request = wire.ChangeRequest(1, wire.Change.ADD_LEARNER, own)
+            refused = requests.PendingRequest(SilentConnection(), request)
+            puts = asyncio.gather(*[put(router, f"k{i}", "v") for i in range(50)])
+            async with asyncio.timeout(5.0):
+                while not puts.done():
+                    if leader.state.applied_index < leader.state.commit_index:
+                        leader._queue.put_nowait(refused)
+                    await asyncio.sleep(0)
+            return leader.machine.states["register"].version
+
+    assert run(scenario()) == 51
+
+
 def fail_to_sync(handle):
     raise OSError(28, "no space left on device")
 
