Restart a replica whose task ended by an error of the program

The task that owns the core ended for good by any exception, such as an assertion of the core or an error while a command is applied. Nobody waited for it: the replica went on announcing the state it had. A former leader kept `is_leader`, `has_leader` and its table version in all heartbeats to routers for ever, read the list of servers as a second leader and never applied a later table; requests to it and to its status got no answer, and its queue grew without a bound. No line was logged.

An error of any of these tasks now fails the replica as a disk failure does: it knows no leader, refuses what is pending and logs the error and its place, and the supervisor opens the folder again. The supervisor first waits for a write that hangs, since a second writer on the same folder would damage it.

--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -68,7 +68,7 @@
 
 
 class NodeSupervisor:
-    """Restarts the replica's node after a disk failure.
+    """Restarts the replica's node after a disk failure or an error of the program.
 
     After a failed write the content of the disk is unknown, so the node stops and
     recovers from its data folder as after a restart, retrying until the disk works.
@@ -87,14 +87,14 @@
         self.node = _make_node(entry_settings, peer_hub)
 
     async def run(self) -> None:
-        """Start the node, and restart it after each disk failure, until cancelled."""
+        """Start the node, and restart it after each failure, until cancelled."""
         while True:
             started = await self.node.start()
             if isinstance(started, result.Success):
                 logs.info("data folder opened", logs.Fields())
                 await self._wait_for_failure()
-                logs.error("the disk failed", logs.Fields())
-            await self.node.stop()
+                logs.error("replica restarts after a failure", logs.Fields())
+            await self.node.stop(disk_timeout_s=None)
             await asyncio.sleep(REOPEN_INTERVAL_S)
             self.node = _make_node(self._settings, self._hub)
 
--- a/hickoryweir/entry/tests/test_replica.py
+++ b/hickoryweir/entry/tests/test_replica.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 
+import pytest
+
 from hickoryweir.entry import own_formats, replica, settings
 from hickoryweir.replicas import state as states
 from hickoryweir.streams import hub
@@ -35,7 +37,12 @@
     await waiting.wait_until(condition, TIMEOUT_S)
 
 
-def test_replica_reopens_after_disk_failure_as_the_same_member(tmp_path):
+# An event that can't be handled, for an error of the program in the core.
+BROKEN_EVENT = states.Received(None)
+
+
+@pytest.mark.parametrize("event", [states.StorageFailed(), BROKEN_EVENT])
+def test_replica_reopens_after_a_failure_as_the_same_member(tmp_path, event):
     async def main():
         entry_settings = make_settings(tmp_path / "data")
         peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
@@ -44,7 +51,7 @@
         task = asyncio.create_task(supervisor.run())
         await wait_until(lambda: supervisor.node.state is not None)
         first = supervisor.node
-        first._queue.put_nowait(states.StorageFailed())
+        first._queue.put_nowait(event)
         await wait_until(
             lambda: supervisor.node is not first and supervisor.node.state is not None
         )
--- a/hickoryweir/replicas/disk.py
+++ b/hickoryweir/replicas/disk.py
@@ -53,6 +53,7 @@
             1, thread_name_prefix="replica-files"
         )
         self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task.add_done_callback(self._on_done)
 
     def submit(self, work: Work) -> None:
         """Queue an action; a message is sent at once if nothing is queued before it."""
@@ -65,13 +66,13 @@
         self._idle.clear()
         self._wake.set()
 
-    async def close(self) -> None:
+    async def close(self, timeout_s: float | None = CLOSE_TIMEOUT_S) -> None:
         """Finish queued actions and close the folder.
 
-        If the disk stalls for `CLOSE_TIMEOUT_S`, the folder is left open.
+        If the disk stalls for `timeout_s`, the folder is left open; None waits for it.
         """
         try:
-            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 await self._idle.wait()
         except TimeoutError:
             logging.warning(
@@ -107,6 +108,13 @@
                 self._report(work)
             self._idle.set()
 
+    def _on_done(self, task: asyncio.Task) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        logging.error("writing to the data folder ended by %r", task.exception())
+        self._notify(states.StorageFailed())
+        self._idle.set()
+
     def _report(self, work: list[Work]) -> None:
         for item in work:
             if isinstance(item, states.Send):
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -12,6 +12,8 @@
 import functools
 import secrets
 import time
+import traceback
+from collections.abc import Coroutine
 
 from absl import logging
 from returns import result
@@ -38,6 +40,7 @@
 
 TICK_INTERVAL_S = 0.025
 TRANSFER_TIMEOUT_S = 2.0
+MAX_LOGGED_LENGTH = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,7 +117,7 @@
         self._relays = relays.Relays(settings.identity, settings.files, settings.group)
         self._queue: asyncio.Queue = asyncio.Queue()
         self._request_table = requests.RequestTable()
-        self._tasks: list[asyncio.Task] = []
+        self._tasks: set[asyncio.Task] = set()
         self._leadership_ended = asyncio.Event()
         self._connections: set[connections.Connection] = set()
         self._snapshot_task: asyncio.Task | None = None
@@ -151,17 +154,44 @@
             opened.storage, self._links.send, self._queue.put_nowait
         )
         self._links.update(self.state.membership, self.state.member_id)
-        self._tasks.append(asyncio.create_task(self._run()))
-        self._tasks.append(asyncio.create_task(self._tick()))
+        self._start_task(self._run())
+        self._start_task(self._tick())
         if self.settings.bootstrap:
-            self._tasks.append(asyncio.create_task(self._bootstrap()))
+            self._start_task(self._bootstrap())
         return result.Success(None)
 
-    async def stop(self) -> None:
-        """Transfer leadership, finish pending writes and stop."""
+    def _start_task(self, coroutine: Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._on_task_done)
+        self._tasks.add(task)
+        return task
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        """Fail the replica if a task ended by an error, so that it is restarted."""
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        frames = traceback.extract_tb(task.exception().__traceback__)
+        fields = logs.Fields(
+            reason=repr(task.exception())[:MAX_LOGGED_LENGTH],
+            detail=f"{frames[-1].name}, line {frames[-1].lineno}",
+        )
+        logs.error("replica failed by an error of the program", fields)
+        now_s = time.monotonic()
+        for action in raft.fail(self.state):
+            self._execute(action, now_s)
+        requests.refuse_appended(self._request_table, self.state, now_s)
+
+    async def stop(self, disk_timeout_s: float | None = disks.CLOSE_TIMEOUT_S) -> None:
+        """Transfer leadership, finish pending writes and stop.
+
+        Parameters
+        ----------
+        disk_timeout_s : float or None
+            For how long a write that hangs is waited for.  None waits until it ends,
+            as is needed before the folder is opened again.
+        """
         await self._transfer_leadership()
-        if self._snapshot_task is not None:
-            self._tasks.append(self._snapshot_task)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -172,7 +202,7 @@
         await self._links.close()
         await self._relays.close()
         if self._disk is not None:
-            await self._disk.close()
+            await self._disk.close(disk_timeout_s)
             self._disk = None
 
     async def _transfer_leadership(self) -> None:
@@ -350,7 +380,7 @@
         is_idle = self._snapshot_task is None or self._snapshot_task.done()
         if is_idle and self._schedule.is_due(index):
             self._schedule.record_snapshot(index)
-            self._snapshot_task = asyncio.create_task(self._take_snapshot())
+            self._snapshot_task = self._start_task(self._take_snapshot())
 
     async def _take_snapshot(self) -> None:
         finish = machine.prepare_dump(self.machine)
--- a/hickoryweir/replicas/raft.py
+++ b/hickoryweir/replicas/raft.py
@@ -86,6 +86,13 @@
     return actions
 
 
+def fail(state: states.State) -> list[states.Action]:
+    """Stop taking part until a restart; return the actions that refuse reads."""
+    actions: list[states.Action] = []
+    _on_storage_failed(state, actions)
+    return actions
+
+
 def can_propose(state: states.State) -> bool:
     """Return whether this replica accepts proposals now."""
     return state.role is states.Role.LEADER and not state.transfer_target
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -278,6 +278,33 @@
     return result.Success(role) if failed else result.Failure(role)
 
 
+def test_replica_whose_task_ended_by_an_error_knows_no_leader(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            await put(router, "k", "v1")
+            running = replicas[router.leader_name]
+            running.node._queue.put_nowait(states.Received(None))
+            role = await retry_until_success(lambda: role_after_failure(running))
+            await put(router, "k", "v2")
+            return role, running.node.state.leader_id, await get(router, "k")
+
+    assert run(scenario()) == (states.Role.FAILED, "", "v2")
+
+
+def test_error_in_the_thread_that_writes_fails_the_replica(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            await put(router, "k", "v1")
+            running = replicas[router.leader_name]
+            opened = running.node._disk.storage
+            opened.files = dataclasses.replace(opened.files, sync=None)
+            await put(router, "k", "v2")
+            role = await retry_until_success(lambda: role_after_failure(running))
+            return role, await get(router, "k")
+
+    assert run(scenario()) == (states.Role.FAILED, "v2")
+
+
 class SilentConnection:
     """A client's connection that discards responses."""
 
