Let a replica that can't vote lose a silent leader

Only voters forgot a leader that was silent, since only they start a pre-vote. A learner, and a replica that had been removed, kept the last leader for good. While it was cut off it told routers that it had a leader, with the version it had when the leader fell silent, and told clients that there was a quorum and that it would relay to that leader. A learner that was removed while it was cut off or frozen (after 10 s, or 1.5 s if its name came back with an empty disk) never noticed: it did not ask to be admitted again and stayed at its old table.

A replica that can't vote now forgets the leader at its election deadline, like a voter. Both tests failed on the old code (leader still known; no wish to join).

--- a/hickoryweir/replicas/elections.py
+++ b/hickoryweir/replicas/elections.py
@@ -8,8 +8,18 @@
     """Start an election or send heartbeats when due."""
     if state.role is states.Role.LEADER:
         _tick_leader(state, now_s, actions)
-    elif now_s >= state.election_deadline_s and quorums.is_voter(state):
-        start_pre_vote(state, now_s, actions)
+    elif now_s >= state.election_deadline_s:
+        if quorums.is_voter(state):
+            start_pre_vote(state, now_s, actions)
+        else:
+            _lose_leader(state, now_s)
+
+
+def _lose_leader(state: states.State, now_s: float) -> None:
+    """Forget the leader of a replica that can't vote, as a voter does at a pre-vote."""
+    state.leader_id = ""
+    state.heard_from_ids.clear()
+    roles.reset_election_deadline(state, now_s)
 
 
 def start_pre_vote(state: states.State, now_s: float, actions: list) -> None:
--- a/hickoryweir/replicas/tests/test_simulation.py
+++ b/hickoryweir/replicas/tests/test_simulation.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hickoryweir.replicas import elections, messages
+from hickoryweir.replicas import automation, elections, messages
 from hickoryweir.replicas import state as states
 from hickoryweir.replicas.tests import simulation
 
@@ -138,6 +138,36 @@
     assert committed_payloads(cluster) == []
 
 
+def add_learner(cluster, name):
+    learner_id = cluster.add(name)
+    member = messages.Member(learner_id, name, "zone", False)
+    cluster.step(cluster.leader(), states.LearnerAdded(member, 0.0))
+    cluster.run(1.0)
+    learner = cluster.processes[name]
+    assert learner.state.leader_id == cluster.leader().state.member_id
+    return learner
+
+
+def test_isolated_learner_knows_no_leader_and_no_quorum():
+    cluster = make_running()
+    learner = add_learner(cluster, "d")
+    cluster.isolate("d")
+    cluster.run(3.0)
+    has_quorum = elections.has_quorum(learner.state, cluster.now_s)
+    assert (learner.state.leader_id, has_quorum) == ("", False)
+
+
+def test_learner_that_was_removed_while_isolated_asks_to_join_again():
+    cluster = make_running()
+    learner = add_learner(cluster, "d")
+    cluster.isolate("d")
+    cluster.step(cluster.leader(), states.MemberRemoved(learner.state.member_id, 0.0))
+    cluster.run(3.0)
+    cluster.heal()
+    cluster.run(3.0)
+    assert automation.needs_to_join(learner.state)
+
+
 def change(cluster, event):
     cluster.step(cluster.leader(), event)
     cluster.run(1.0)
