Bootstrap a core one of whose seeds was killed before the bootstrap

`bootstrap` is set only at the first start. If the first seed by name was killed before it had stored the membership, it came back with `bootstrap = no` and no other seed took its part: the core had no leader for ever, and each put and read was refused with `no_quorum`.

A folder that is created with `bootstrap` set now keeps the permission together with the initial replicas, so a killed seed goes on after a restart. A seed that was killed before it had a folder comes back without the permission, like one that lost its disk; the first by name of those that have it then bootstraps. All initial replicas must answer twice in a row, as the same incarnations, that they are empty: after the first round a lost incarnation can't act any more, and the second finds what it had committed at the others. Before, one round was enough, as only one name could ever bootstrap. The permission is in the status only while the folder is empty, so earlier versions read the status of a cluster that runs.

A crash at each of the first 20 file operations of a new folder never separates a member from its permission. Not covered: all seeds killed before any has a folder, which can't be told from the loss of all disks (see docs/design/replicated-log.md).

--- a/hickoryweir/replicas/bootstrap.py
+++ b/hickoryweir/replicas/bootstrap.py
@@ -1,18 +1,20 @@
 """Bootstrap of a new cluster, safe against replicas whose disks come back empty.
 
-Only a replica with an empty folder and ``bootstrap`` set may bootstrap a cluster, only
-the first by name among the configured ones, and only if *every* configured replica
-answers that its folder is empty too.  The member ids contain the incarnations from
+A folder that is created with ``bootstrap`` set keeps the permission to bootstrap a
+cluster.  A replica that has it and is empty bootstraps a cluster only if *every*
+initial replica answers that its folder is empty too, and only if it is the first by
+name of those that have the permission.  The member ids contain the incarnations from
 those answers.  The bootstrapping replica stores the membership first and then sends it
 to the others until there is a leader.  If any replica holds state or does not answer,
 no cluster is created: an empty replica then waits to be admitted as a learner.
+
+A folder never gains or loses the permission, so two replicas can regard themselves as
+the first only if one of them has been replaced by an empty folder without it.
 """
 
 import asyncio
 from collections.abc import Callable
 
-from absl import logging
-
 from hickoryweir.replicas import messages, wire
 from hickoryweir.replicas import state as states
 from hickoryweir.streams import handshake, hub, tls
@@ -30,7 +32,7 @@
     get_state: Callable[[], states.State],
     submit: Callable[[states.Event], None],
 ) -> None:
-    """Bootstrap the cluster if this replica is the first by name.
+    """Bootstrap the cluster if this replica is the one to do so.
 
     Parameters
     ----------
@@ -43,11 +45,9 @@
     submit : callable
         Passes an event to the core.
     """
-    if min(replica.name for replica in replicas) != identity.process_name:
-        return
     ask = _make_ask(identity, group, files)
     while _is_empty(get_state()):
-        membership = await _gather_members(ask, replicas)
+        membership = await _gather_members(ask, replicas, identity.process_name)
         if membership is not None and _is_empty(get_state()):
             submit(states.Bootstrapped(membership))
             await asyncio.sleep(0)
@@ -57,25 +57,32 @@
         await asyncio.sleep(RETRY_INTERVAL_S)
 
 
-def _is_empty(state: states.State) -> bool:
-    return not state.memberships and state.log.last_index == 0
-
-
-def _has_had_leader(state: states.State) -> bool:
-    return bool(state.leader_id) or state.log.last_index > BOOTSTRAP_INDEX
-
+def choose_members(
+    replicas: tuple[wire.ReplicaAddress, ...],
+    statuses: list[wire.Status | None],
+    own_name: str,
+) -> messages.Membership | None:
+    """Return the membership that a replica should bootstrap, if any.
 
-async def _gather_members(ask, replicas) -> messages.Membership | None:
-    request = wire.StatusRequest(0)
-    statuses = await asyncio.gather(
-        *[ask(replica, handshake.Purpose.CLIENT, request) for replica in replicas]
-    )
+    Parameters
+    ----------
+    replicas : tuple of wire.ReplicaAddress
+        The initial members.
+    statuses : list of wire.Status or None
+        Their answers in the same order; None if there was none.
+    own_name : str
+        Name of the replica that asked.
+    """
     if not all(isinstance(status, wire.Status) for status in statuses):
         return None
     if not all(status.empty for status in statuses):
-        logging.warning(
-            "cluster not bootstrapped: a configured replica already holds state"
-        )
+        return None
+    permitted = [
+        replica.name
+        for replica, status in zip(replicas, statuses, strict=True)
+        if status.may_bootstrap
+    ]
+    if min(permitted, default="") != own_name:
         return None
     members = [
         messages.Member(
@@ -87,6 +94,33 @@
     return messages.Membership(tuple(ordered))
 
 
+def _is_empty(state: states.State) -> bool:
+    return not state.memberships and state.log.last_index == 0
+
+
+def _has_had_leader(state: states.State) -> bool:
+    return bool(state.leader_id) or state.log.last_index > BOOTSTRAP_INDEX
+
+
+async def _gather_members(ask, replicas, own_name: str) -> messages.Membership | None:
+    """Return the members if they are empty, and still are when asked again.
+
+    A former incarnation of one of them may have bootstrapped a cluster between the
+    answers of the others and its own; it has ended before the second round.
+    """
+    request = wire.StatusRequest(0)
+    membership = None
+    for _ in range(2):
+        previous = membership
+        statuses = await asyncio.gather(
+            *[ask(replica, handshake.Purpose.CLIENT, request) for replica in replicas]
+        )
+        membership = choose_members(replicas, statuses, own_name)
+        if membership is None:
+            return None
+    return membership if membership == previous else None
+
+
 async def _send_membership(ask, replicas, state: states.State) -> None:
     request = wire.BootstrapRequest(state.membership)
     own_name = messages.replica_name_of(state.member_id)
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -56,7 +56,8 @@
     replicas : tuple of wire.ReplicaAddress
         The initial members of a new cluster, this replica included.
     bootstrap : bool
-        Whether a replica with an empty folder may bootstrap a cluster with them.
+        Whether a folder that is created now may bootstrap a cluster with them, also
+        after later restarts.
     group : str
         Name of the replicated log.
     files : tls.TlsFiles or None
@@ -110,6 +111,7 @@
         self.state: states.State | None = None
         self.failure: records.StorageFailure | None = None
         self._files = files
+        self._initial_replicas: tuple[wire.ReplicaAddress, ...] = ()
         self._disk: disks.DiskWriter | None = None
         self._links = links.Links(
             settings.identity, settings.group, settings.files, self._serve_replica
@@ -133,10 +135,13 @@
     async def start(self) -> result.Result[None, records.StorageFailure]:
         """Recover the data folder and start; a failure leaves the folder unchanged."""
         identity = self.settings.identity
+        initial_replicas = self.settings.replicas if self.settings.bootstrap else ()
         outcome = await asyncio.get_running_loop().run_in_executor(
             None,
             functools.partial(
-                storage.open_folder, detects_copies=self.settings.detects_copies
+                storage.open_folder,
+                detects_copies=self.settings.detects_copies,
+                initial_replicas=initial_replicas,
             ),
             self._files,
             self.settings.data_folder,
@@ -156,7 +161,7 @@
         self._links.update(self.state.membership, self.state.member_id)
         self._start_task(self._run())
         self._start_task(self._tick())
-        if self.settings.bootstrap:
+        if self._initial_replicas:
             self._start_task(self._bootstrap())
         return result.Success(None)
 
@@ -216,6 +221,7 @@
 
     def _recover(self, opened: storage.OpenedFolder) -> None:
         found = opened.recovered
+        self._initial_replicas = found.initial_replicas
         self.state = raft.make_state(
             found.identity.member_id,
             time.monotonic(),
@@ -240,7 +246,7 @@
             self.settings.identity,
             self.settings.group,
             self.settings.files,
-            self.settings.replicas,
+            self._initial_replicas,
             lambda: self.state,
             self._queue.put_nowait,
         )
@@ -307,7 +313,10 @@
             case wire.StatusRequest():
                 zone = self.settings.identity.availability_zone
                 opened = self._disk.storage
-                requests.respond_with_status(item, self.state, zone, opened, now_s)
+                may_bootstrap = bool(self._initial_replicas)
+                requests.respond_with_status(
+                    item, self.state, zone, opened, may_bootstrap, now_s
+                )
             case wire.ChangeRequest():
                 self._change(item, now_s)
             case wire.RelayRequest():
--- a/hickoryweir/replicas/records.py
+++ b/hickoryweir/replicas/records.py
@@ -2,6 +2,9 @@
 
 ``identity``
     The owner of the folder; written once, as the last step of creating the folder.
+``bootstrap``
+    The initial replicas, if the folder was created with bootstrap permitted; written
+    before the identity.
 ``log-<sequence>``
     A segment: a header, then one frame per synced batch.  Each batch repeats term
     and vote; the newest batch holds the current ones.  An entry replaces all earlier
@@ -16,11 +19,12 @@
 import dataclasses
 import enum
 
-from hickoryweir.replicas import messages
+from hickoryweir.replicas import messages, wire
 from hickoryweir.streams import codec
 
 FORMAT_VERSION = 1
 IDENTITY_NAME = "identity"
+BOOTSTRAP_NAME = "bootstrap"
 SYNCED_NAME = "synced"
 LOG_PREFIX = "log-"
 SNAPSHOT_PREFIX = "snapshot-"
@@ -50,6 +54,13 @@
         return messages.make_member_id(self.replica_name, self.incarnation)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bootstrap:
+    """Permission to bootstrap a cluster with these replicas."""
+
+    replicas: tuple[wire.ReplicaAddress, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SegmentHeader:
     """First frame of a segment; `salt` is that of the frames after it."""
@@ -96,6 +107,7 @@
 
 for _tag, _cls in (
     ("rf.identity", Identity),
+    ("rf.bootstrap", Bootstrap),
     ("rf.segment", SegmentHeader),
     ("rf.batch", Batch),
     ("rf.snapshot", SnapshotHeader),
--- a/hickoryweir/replicas/recovery.py
+++ b/hickoryweir/replicas/recovery.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from hickoryweir.replicas import files as file_operations
-from hickoryweir.replicas import frames, messages, records
+from hickoryweir.replicas import frames, messages, records, wire
 from hickoryweir.streams import codec
 
 
@@ -27,9 +27,11 @@
 
     `log_is_stale` means that the log ends before the snapshot or conflicts with it: a
     received snapshot was stored, and a crash came before the log was reset.
+    `initial_replicas` is empty unless the folder was created with bootstrap permitted.
     """
 
     identity: records.Identity
+    initial_replicas: tuple[wire.ReplicaAddress, ...] = ()
     term: int = 0
     voted_for: str = ""
     snapshot: messages.Snapshot | None = None
@@ -134,7 +136,7 @@
     identity = _read_identity(files, folder)
     if identity is None:
         _fail(records.Problem.MISSING, folder, "no identity file")
-    found = Recovered(identity)
+    found = Recovered(identity, _read_initial_replicas(files, folder))
     found.snapshot = _read_snapshot(files, folder, identity)
     _read_segments(files, folder, found)
     _check_synced(files, folder, found)
@@ -152,6 +154,18 @@
     return message
 
 
+def _read_initial_replicas(
+    files: file_operations.Files, folder: str
+) -> tuple[wire.ReplicaAddress, ...]:
+    if records.BOOTSTRAP_NAME not in files.list_names(folder):
+        return ()
+    path = os.path.join(folder, records.BOOTSTRAP_NAME)
+    frame = frames.read_frame(files.read(path), 0, records.FIXED_SALT)
+    if frame is None:
+        _fail(records.Problem.DAMAGED, path, "checksum mismatch")
+    return _decode(frame.body, records.Bootstrap, path).replicas
+
+
 def _read_snapshot(
     files: file_operations.Files, folder: str, identity: records.Identity
 ) -> messages.Snapshot | None:
--- a/hickoryweir/replicas/requests.py
+++ b/hickoryweir/replicas/requests.py
@@ -196,9 +196,11 @@
     state: states.State,
     availability_zone: str,
     opened: storage.Storage,
+    may_bootstrap: bool,
     now_s: float,
 ) -> None:
     """Respond to a status request."""
+    is_empty = not state.memberships and state.log.last_index == 0
     members = tuple(
         _member_status(state, member, now_s) for member in state.membership.members
     )
@@ -210,13 +212,14 @@
         state.term,
         state.leader_id,
         elections.has_quorum(state, now_s),
-        not state.memberships and state.log.last_index == 0,
+        is_empty,
         state.log.last_index,
         state.commit_index,
         0 if state.snapshot is None else state.snapshot.index,
         members,
         opened.sync_count,
         opened.written_size_bytes,
+        may_bootstrap and is_empty,
     )
     pending.connection.offer(status)
 
--- a/hickoryweir/replicas/storage.py
+++ b/hickoryweir/replicas/storage.py
@@ -13,7 +13,7 @@
 from returns import result
 
 from hickoryweir.replicas import files as file_operations
-from hickoryweir.replicas import frames, messages, records, recovery
+from hickoryweir.replicas import frames, messages, records, recovery, wire
 from hickoryweir.streams import codec
 
 MAX_SEGMENT_SIZE_BYTES = 8 * 1024 * 1024
@@ -60,6 +60,7 @@
     replica_name: str,
     make_token=secrets.token_hex,
     detects_copies: bool = True,
+    initial_replicas: tuple[wire.ReplicaAddress, ...] = (),
 ) -> result.Result[OpenedFolder, records.StorageFailure]:
     """Open a data folder; an empty one is initialized with a new incarnation.
 
@@ -76,6 +77,8 @@
     detects_copies : bool, optional
         Whether a folder whose identity file has another inode number than when it was
         written is refused as a copy; off for file systems that change inode numbers.
+    initial_replicas : tuple of wire.ReplicaAddress, optional
+        Stored in a new folder, as the permission to bootstrap a cluster with them.
 
     Returns
     -------
@@ -92,6 +95,9 @@
         if identity is None:
             incarnation = make_token(INCARNATION_SIZE_BYTES)
             identity = records.Identity(records.FORMAT_VERSION, *wanted, incarnation, 0)
+            if initial_replicas:
+                permission = codec.encode(records.Bootstrap(initial_replicas))
+                write_atomically(files, folder, records.BOOTSTRAP_NAME, [permission])
             _make_folder(files, folder, identity, make_token)
         elif (identity.cluster_id, identity.group, identity.replica_name) != wanted:
             return result.Failure(_make_foreign_failure(folder, identity))
--- a/hickoryweir/replicas/tests/test_storage.py
+++ b/hickoryweir/replicas/tests/test_storage.py
@@ -6,11 +6,12 @@
 import pytest
 from returns import result
 
-from hickoryweir.replicas import files, inspect, messages, records, storage
+from hickoryweir.replicas import files, inspect, messages, records, storage, wire
 from hickoryweir.replicas.tests import memory_files
 
 FOLDER = "/data"
 KIND = messages.EntryKind.COMMAND
+REPLICAS = tuple(wire.ReplicaAddress(name, "h", 1, "z") for name in "ab")
 MEMBERSHIP = messages.Membership((messages.Member("a~1", "h:1", "z", True),))
 
 
@@ -20,6 +21,18 @@
     )
 
 
+def open_with_permission(memory, replicas=()):
+    return storage.open_folder(
+        memory.make_files(),
+        FOLDER,
+        "north",
+        "",
+        "a",
+        make_token,
+        initial_replicas=replicas,
+    )
+
+
 def make_token(size_bytes):
     return "5a" * size_bytes
 
@@ -257,6 +270,20 @@
         assert found.base_index + len(found.entries) >= last_index
 
 
+@pytest.mark.parametrize("limit", range(20))
+def test_member_whose_folder_was_created_with_permission_to_bootstrap_keeps_it(limit):
+    for seed in range(8):
+        memory = memory_files.MemoryFiles()
+        memory.fail_after_count = limit
+        created = open_with_permission(memory, REPLICAS)
+        memory.crash(random.Random(seed))
+        found = open_with_permission(memory).unwrap().recovered
+        if isinstance(created, result.Success):
+            assert found.initial_replicas == REPLICAS
+        found = open_with_permission(memory, REPLICAS[::-1]).unwrap().recovered
+        assert found.initial_replicas in ((), REPLICAS)
+
+
 def test_report_shows_the_folder_contents():
     memory, _ = make_filled()
     report = inspect.check_folder(FOLDER, memory.make_files())
--- a/hickoryweir/replicas/wire.py
+++ b/hickoryweir/replicas/wire.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from typing import ClassVar
 
 from hickoryweir.replicas import messages
 from hickoryweir.streams import codec
@@ -124,7 +125,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Status:
-    """Status of a replica."""
+    """Status of a replica.
+
+    `may_bootstrap` is set only while the folder is empty, so that a cluster that runs
+    sends no field that earlier versions don't know.
+    """
+
+    OMITS_DEFAULTS: ClassVar[bool] = True
 
     request_id: int
     member_id: str
@@ -140,6 +147,7 @@
     members: tuple[MemberStatus, ...]
     sync_count: int = 0
     written_size_bytes: int = 0
+    may_bootstrap: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
