Log the state of a replica and how puts ended

The logs could not tell a table that was never committed from one that was committed late, lost with a disk or not yet applied after a restart: a replica logged that its folder was open and which tables it accepted, nothing else.

"data folder opened" says what was recovered. A put says how long it took and through which leader, and a put without an answer, whose table may be in force later, has a line of its own.

--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -20,12 +20,13 @@
     duty_settings,
     metrics_port,
     parts_app,
+    replica_log,
     settings,
     tables,
 )
 from hickoryweir.feeds import evidence_file, publisher
 from hickoryweir.observability import forwarding_metrics, logs
-from hickoryweir.replicas import automation, client, files, node, wire
+from hickoryweir.replicas import automation, client, files, node, quorums, wire
 from hickoryweir.replicas import state as states
 from hickoryweir.routes import store
 from hickoryweir.streams import hub
@@ -91,7 +92,7 @@
         while True:
             started = await self.node.start()
             if isinstance(started, result.Success):
-                logs.info("data folder opened", logs.Fields())
+                logs.info("data folder opened", _describe_recovered(self.node))
                 await self._wait_for_failure()
                 logs.error("replica restarts after a failure", logs.Fields())
             await self.node.stop(disk_timeout_s=None)
@@ -115,6 +116,24 @@
     return publisher.LogStatus(stored, is_leader, bool(state.leader_id), addresses)
 
 
+def _describe_recovered(replica: node.Node) -> logs.Fields:
+    state = replica.state
+    snapshot_index = 0 if state.snapshot is None else state.snapshot.index
+    detail = (
+        f"term {state.term}, snapshot at {snapshot_index}, "
+        f"log to {state.log.last_index}, member: {quorums.is_member(state)}"
+    )
+    version = replica.machine.states["routing_table"].stored.version
+    return logs.Fields(peer=state.member_id, version=version, detail=detail)
+
+
+def _summarize(replica: node.Node) -> replica_log.Summary | None:
+    if replica.state is None:
+        return None
+    version = replica.machine.states["routing_table"].stored.version
+    return replica_log.summarize(replica.state, version)
+
+
 class Replica:
     """A replica process and its components."""
 
@@ -193,6 +212,9 @@
         tasks = [
             asyncio.create_task(self._supervisor.run()),
             asyncio.create_task(self._publisher.run()),
+            asyncio.create_task(
+                replica_log.log_changes(lambda: _summarize(self._supervisor.node))
+            ),
             asyncio.create_task(self._evidence_file.run()),
             asyncio.create_task(
                 automation.request_admission(
--- a/hickoryweir/entry/tables.py
+++ b/hickoryweir/entry/tables.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import time
 
 from returns import result
 
@@ -51,12 +52,22 @@
         if problems:
             return self._refuse(Reason.INVALID, problems[0])
         command = store.make_command(table.version, content)
+        started_s = time.monotonic()
         outcome = await self._log.propose(command, LOG_TIMEOUT_S)
+        duration_s = round(time.monotonic() - started_s, 3)
+        fields = logs.Fields(
+            peer=self._log.leader_name or None,
+            version=table.version,
+            duration_s=duration_s,
+        )
         if isinstance(outcome, result.Failure):
             failure = outcome.failure()
-            return self._refuse(Reason.UNAVAILABLE, failure.reason.value)
+            if failure.may_commit:
+                # Without an answer, the table may be in force later.
+                logs.warning("table may be taken without an answer", fields)
+            return self._refuse(Reason.UNAVAILABLE, failure.reason.value, table.version)
         held = outcome.unwrap().version
-        fields = logs.Fields(version=table.version, detail=f"version held: {held}")
+        fields = dataclasses.replace(fields, detail=f"version held: {held}")
         logs.info("table accepted", fields)
         return result.Success(held)
 
@@ -70,7 +81,9 @@
             return self._refuse(Reason.UNAVAILABLE, "no table yet")
         return result.Success(store.read_content(stored))
 
-    def _refuse(self, reason: Reason, detail: str) -> result.Result:
-        fields = logs.Fields(reason=reason.value, detail=detail)
+    def _refuse(
+        self, reason: Reason, detail: str, version: int | None = None
+    ) -> result.Result:
+        fields = logs.Fields(reason=reason.value, detail=detail, version=version)
         logs.warning("table not taken or read", fields)
         return result.Failure(Refused(reason, detail))
