--- a/hickoryweir/replicas/tests/simulation.py
+++ b/hickoryweir/replicas/tests/simulation.py
@@ -71,12 +71,19 @@
         """Return the generator of random tokens for a new folder's identity."""
         return lambda size: self.random.randbytes(size).hex()
 
+    def open_folder(self, name):
+        """Open a replica's data folder; return the outcome."""
+        files = self.processes[name].disk.make_files()
+        token = self.make_token(name)
+        return storage.open_folder(files, FOLDER, "north", "", name, token)
+
     def start(self, name):
         """Start a replica from its disk."""
+        self.start_from(name, self.open_folder(name).unwrap())
+
+    def start_from(self, name, opened):
+        """Start a replica from its data folder, which has been opened."""
         process = self.processes[name]
-        opened = storage.open_folder(
-            process.disk.make_files(), FOLDER, "north", "", name, self.make_token(name)
-        ).unwrap()
         found = opened.recovered
         process.storage = opened.storage
         process.work = []
