Ask the replicas again at once when the own replica knows a leader

While there is no quorum the client refuses requests at once and asks the replicas after 0.2, 0.4, 0.8 and then each 1.0 s. Operators were therefore refused with `no_quorum` for up to 1 s after a leader was there, although the process that refused them hosts a replica which follows that leader.

The client of a replica's process now polls once when its own replica knows a leader.

--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -147,7 +147,9 @@
         self._hub = hub.make_hub(identity, process.host, process.peer_port)
         self._supervisor = NodeSupervisor(entry_settings, self._hub)
         self._log = client.make_client(
-            identity, settings.seed_replicas(entry_settings), None
+            identity,
+            settings.seed_replicas(entry_settings),
+            is_leader_known=lambda: _make_log_status(self._supervisor.node).has_leader,
         )
         self._session = sessions.make_session(keeps_connections=True)
         self._publisher = publisher.make_publisher(
--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -12,6 +12,7 @@
 import dataclasses
 import enum
 import typing
+from collections.abc import Callable
 
 from returns import result
 
@@ -74,6 +75,7 @@
         replicas: tuple[wire.ReplicaAddress, ...],
         files: tls.TlsFiles | None,
         group: str,
+        is_leader_known: Callable[[], bool],
     ) -> None:
         self.reachability = reachability.Reachability.UNKNOWN
         self.leader_name = ""
@@ -81,6 +83,7 @@
         self._identity = identity
         self._files = files
         self._group = group
+        self._is_leader_known = is_leader_known
         self._channels: dict[str, channels.Channel] = {}
         self._closing_tasks: set[asyncio.Task] = set()
         self._poll_task: asyncio.Task | None = None
@@ -232,8 +235,12 @@
             if self.reachability is reachability.Reachability.UNKNOWN:
                 await self._poll()
             if self.reachability is reachability.Reachability.NO_QUORUM:
-                self._start_probing()
-                return _unavailable(Reason.NO_QUORUM, may_commit)
+                if self._is_leader_known():
+                    await self._poll()
+                if self.reachability is reachability.Reachability.NO_QUORUM:
+                    self._start_probing()
+                    return _unavailable(Reason.NO_QUORUM, may_commit)
+                continue
             if self.reachability is reachability.Reachability.ELECTION:
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 await self._poll()
@@ -368,6 +375,7 @@
     replicas: tuple[wire.ReplicaAddress, ...],
     files: tls.TlsFiles | None = None,
     group: str = "",
+    is_leader_known: Callable[[], bool] = lambda: False,
 ) -> Client:
     """Return a client; it connects on first use.
 
@@ -381,8 +389,11 @@
         Mutual TLS if given.
     group : str, optional
         Name of the replicated log.
+    is_leader_known : callable, optional
+        Returns whether this process knows from another source that there is a leader.
+        The client then asks the replicas again at once instead of at its next poll.
     """
-    return Client(identity, replicas, files, group)
+    return Client(identity, replicas, files, group, is_leader_known)
 
 
 def _make_reference(member_id: str) -> messages.Member:
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -257,6 +257,31 @@
     assert run(scenario()) == (reachability.Reachability.RELAYED, "v2")
 
 
+def test_client_that_saw_no_quorum_serves_as_soon_as_a_leader_is_known(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            closed_ports = register.reserve_ports(len(replicas))
+            addresses = tuple(
+                dataclasses.replace(item.address, port=port)
+                for item, port in zip(replicas.values(), closed_ports, strict=True)
+            )
+            is_known = False
+            late_client = client.make_client(
+                register.make_identity("late"),
+                addresses,
+                is_leader_known=lambda: is_known,
+            )
+            before = await late_client.propose(register.Put("k", "v1"), 1.0)
+            for item in replicas.values():
+                late_client._add_channel(item.address)
+            is_known = True
+            after = await late_client.propose(register.Put("k", "v2"), 1.0)
+            await late_client.close()
+            return before.failure().reason, after.unwrap().value
+
+    assert run(scenario()) == (client.Reason.NO_QUORUM, "v2")
+
+
 def test_full_disk_stops_one_replica_but_not_the_group(tmp_path):
     async def scenario():
         async with register.run_cluster(tmp_path) as (replicas, router):
