--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -21,12 +21,13 @@
     duty_settings,
     metrics_port,
     parts_app,
+    replica_log,
     settings,
     tables,
 )
 from hickoryweir.feeds import evidence_file, publisher
 from hickoryweir.observability import forwarding_metrics, logs
-from hickoryweir.replicas import automation, client, files, node, wire
+from hickoryweir.replicas import automation, client, files, node, quorums, wire
 from hickoryweir.replicas import state as states
 from hickoryweir.routes import store
 from hickoryweir.streams import hub
@@ -69,7 +70,7 @@
 
 
 class NodeSupervisor:
-    """Restarts the replica's node after a disk failure.
+    """Restarts the replica's node after a disk failure or an error of the program.
 
     After a failed write the content of the disk is unknown, so the node stops and
     recovers from its data folder as after a restart, retrying until the disk works.
@@ -88,14 +89,14 @@
         self.node = _make_node(entry_settings, peer_hub)
 
     async def run(self) -> None:
-        """Start the node, and restart it after each disk failure, until cancelled."""
+        """Start the node, and restart it after each failure, until cancelled."""
         while True:
             started = await self.node.start()
             if isinstance(started, result.Success):
-                logs.info("data folder opened", logs.Fields())
+                logs.info("data folder opened", _describe_recovered(self.node))
                 await self._wait_for_failure()
-                logs.error("the disk failed", logs.Fields())
-            await self.node.stop()
+                logs.error("replica restarts after a failure", logs.Fields())
+            await self.node.stop(disk_timeout_s=None)
             await asyncio.sleep(REOPEN_INTERVAL_S)
             self.node = _make_node(self._settings, self._hub)
 
@@ -116,6 +117,24 @@
     return publisher.LogStatus(stored, is_leader, bool(state.leader_id), addresses)
 
 
+def _describe_recovered(replica: node.Node) -> logs.Fields:
+    state = replica.state
+    snapshot_index = 0 if state.snapshot is None else state.snapshot.index
+    detail = (
+        f"term {state.term}, snapshot at {snapshot_index}, "
+        f"log to {state.log.last_index}, member: {quorums.is_member(state)}"
+    )
+    version = replica.machine.states["routing_table"].stored.version
+    return logs.Fields(peer=state.member_id, version=version, detail=detail)
+
+
+def _summarize(replica: node.Node) -> replica_log.Summary | None:
+    if replica.state is None:
+        return None
+    version = replica.machine.states["routing_table"].stored.version
+    return replica_log.summarize(replica.state, version)
+
+
 class Replica:
     """A replica process and its components."""
 
@@ -129,7 +148,9 @@
         self._hub = hub.make_hub(identity, process.host, process.peer_port)
         self._supervisor = NodeSupervisor(entry_settings, self._hub)
         self._log = client.make_client(
-            identity, settings.seed_replicas(entry_settings), None
+            identity,
+            settings.seed_replicas(entry_settings),
+            is_leader_known=lambda: _make_log_status(self._supervisor.node).has_leader,
         )
         self._session = sessions.make_session(keeps_connections=True)
         self._publisher = publisher.make_publisher(
@@ -214,6 +235,9 @@
         work = {
             "replicated log": self._supervisor.run,
             "feeds": self._publisher.run,
+            "state lines": lambda: replica_log.log_changes(
+                lambda: _summarize(self._supervisor.node)
+            ),
             "file of evidence": self._evidence_file.run,
             "admission": lambda: automation.request_admission(
                 self._log, own_address, lambda: self._supervisor.node.state
--- a/hickoryweir/entry/tables.py
+++ b/hickoryweir/entry/tables.py
@@ -76,27 +76,31 @@
         if problems:
             return self._refuse(Reason.INVALID, problems[0])
         command = store.make_command(table.version, content)
+        started_s = clocks.boottime_s()
         outcome = await self._log.propose(command, LOG_TIMEOUT_S)
+        duration_s = round(clocks.boottime_s() - started_s, 3)
+        fields = logs.Fields(
+            peer=self._log.leader_name or None,
+            version=table.version,
+            duration_s=duration_s,
+        )
         if isinstance(outcome, result.Failure):
             failure = outcome.failure()
-            return self._refuse(Reason.UNAVAILABLE, failure.reason.value)
+            if failure.may_commit:
+                # Without an answer, the table may be in force later.
+                logs.warning("table may be taken without an answer", fields)
+            return self._refuse(Reason.UNAVAILABLE, failure.reason.value, table.version)
         held = outcome.unwrap().version
-        await self._wait_until_in_force(table.version, held, respond_until_s)
+        late = await self._wait_until_in_force(table.version, respond_until_s)
+        detail = f"version held: {held}, not in force at {len(late)} routers"
+        logs.info("table accepted", dataclasses.replace(fields, detail=detail))
         return result.Success(held)
 
-    async def _wait_until_in_force(
-        self, version: int, held: int, respond_until_s: float
-    ) -> None:
-        """Wait until the routers have a stored table, or a later one, in force."""
-        started_s = clocks.boottime_s()
-        timeout_s = min(CONFIRMATION_TIMEOUT_S, max(0.0, respond_until_s - started_s))
-        late = await self._in_force.wait(version, timeout_s)
-        fields = logs.Fields(
-            version=version,
-            duration_s=round(clocks.boottime_s() - started_s, 4),
-            detail=f"version held: {held}, not in force at {len(late)} routers",
-        )
-        logs.info("table accepted", fields)
+    async def _wait_until_in_force(self, version: int, respond_until_s: float) -> set:
+        """Wait for the routers; return those that lack a table in the end."""
+        left_s = respond_until_s - clocks.boottime_s()
+        timeout_s = min(CONFIRMATION_TIMEOUT_S, max(0.0, left_s))
+        return await self._in_force.wait(version, timeout_s)
 
     async def read(self) -> result.Result[bytes, Refused]:
         """Return the newest table's bytes, confirmed by a majority of replicas."""
@@ -108,7 +112,9 @@
             return self._refuse(Reason.UNAVAILABLE, "no table yet")
         return result.Success(store.read_content(stored))
 
-    def _refuse(self, reason: Reason, detail: str) -> result.Result:
-        fields = logs.Fields(reason=reason.value, detail=detail)
+    def _refuse(
+        self, reason: Reason, detail: str, version: int | None = None
+    ) -> result.Result:
+        fields = logs.Fields(reason=reason.value, detail=detail, version=version)
         logs.warning("table not taken or read", fields)
         return result.Failure(Refused(reason, detail))
--- a/hickoryweir/entry/tests/test_tables.py
+++ b/hickoryweir/entry/tests/test_tables.py
@@ -25,6 +25,8 @@
 class Log:
     """Accepts each table after a delay."""
 
+    leader_name = "r1"
+
     def __init__(self, delay_s):
         self._delay_s = delay_s
 
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -12,6 +12,8 @@
 import functools
 import secrets
 import time
+import traceback
+from collections.abc import Coroutine
 
 from absl import logging
 from returns import result
@@ -38,6 +40,7 @@
 
 TICK_INTERVAL_S = 0.025
 TRANSFER_TIMEOUT_S = 2.0
+MAX_LOGGED_LENGTH = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,7 +56,8 @@
     replicas : tuple of wire.ReplicaAddress
         The initial members of a new cluster, this replica included.
     bootstrap : bool
-        Whether a replica with an empty folder may bootstrap a cluster with them.
+        Whether a folder that is created now may bootstrap a cluster with them, also
+        after later restarts.
     group : str
         Name of the replicated log.
     files : tls.TlsFiles or None
@@ -107,6 +111,7 @@
         self.state: states.State | None = None
         self.failure: records.StorageFailure | None = None
         self._files = files
+        self._initial_replicas: tuple[wire.ReplicaAddress, ...] = ()
         self._disk: disks.DiskWriter | None = None
         self._links = links.Links(
             settings.identity, settings.group, settings.files, self._serve_replica
@@ -114,7 +119,7 @@
         self._relays = relays.Relays(settings.identity, settings.files, settings.group)
         self._queue: asyncio.Queue = asyncio.Queue()
         self._request_table = requests.RequestTable()
-        self._tasks: list[asyncio.Task] = []
+        self._tasks: set[asyncio.Task] = set()
         self._leadership_ended = asyncio.Event()
         self._connections: set[connections.Connection] = set()
         self._snapshot_task: asyncio.Task | None = None
@@ -130,10 +135,13 @@
     async def start(self) -> result.Result[None, records.StorageFailure]:
         """Recover the data folder and start; a failure leaves the folder unchanged."""
         identity = self.settings.identity
+        initial_replicas = self.settings.replicas if self.settings.bootstrap else ()
         outcome = await asyncio.get_running_loop().run_in_executor(
             None,
             functools.partial(
-                storage.open_folder, detects_copies=self.settings.detects_copies
+                storage.open_folder,
+                detects_copies=self.settings.detects_copies,
+                initial_replicas=initial_replicas,
             ),
             self._files,
             self.settings.data_folder,
@@ -151,17 +159,44 @@
             opened.storage, self._links.send, self._queue.put_nowait
         )
         self._links.update(self.state.membership, self.state.member_id)
-        self._tasks.append(asyncio.create_task(self._run()))
-        self._tasks.append(asyncio.create_task(self._tick()))
-        if self.settings.bootstrap:
-            self._tasks.append(asyncio.create_task(self._bootstrap()))
+        self._start_task(self._run())
+        self._start_task(self._tick())
+        if self._initial_replicas:
+            self._start_task(self._bootstrap())
         return result.Success(None)
 
-    async def stop(self) -> None:
-        """Transfer leadership, finish pending writes and stop."""
+    def _start_task(self, coroutine: Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._on_task_done)
+        self._tasks.add(task)
+        return task
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        """Fail the replica if a task ended by an error, so that it is restarted."""
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        frames = traceback.extract_tb(task.exception().__traceback__)
+        fields = logs.Fields(
+            reason=repr(task.exception())[:MAX_LOGGED_LENGTH],
+            detail=f"{frames[-1].name}, line {frames[-1].lineno}",
+        )
+        logs.error("replica failed by an error of the program", fields)
+        now_s = time.monotonic()
+        for action in raft.fail(self.state):
+            self._execute(action, now_s)
+        requests.refuse_appended(self._request_table, self.state, now_s)
+
+    async def stop(self, disk_timeout_s: float | None = disks.CLOSE_TIMEOUT_S) -> None:
+        """Transfer leadership, finish pending writes and stop.
+
+        Parameters
+        ----------
+        disk_timeout_s : float or None
+            For how long a write that hangs is waited for.  None waits until it ends,
+            as is needed before the folder is opened again.
+        """
         await self._transfer_leadership()
-        if self._snapshot_task is not None:
-            self._tasks.append(self._snapshot_task)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -172,7 +207,7 @@
         await self._links.close()
         await self._relays.close()
         if self._disk is not None:
-            await self._disk.close()
+            await self._disk.close(disk_timeout_s)
             self._disk = None
 
     async def _transfer_leadership(self) -> None:
@@ -186,6 +221,7 @@
 
     def _recover(self, opened: storage.OpenedFolder) -> None:
         found = opened.recovered
+        self._initial_replicas = found.initial_replicas
         self.state = raft.make_state(
             found.identity.member_id,
             time.monotonic(),
@@ -210,7 +246,7 @@
             self.settings.identity,
             self.settings.group,
             self.settings.files,
-            self.settings.replicas,
+            self._initial_replicas,
             lambda: self.state,
             self._queue.put_nowait,
         )
@@ -277,7 +313,10 @@
             case wire.StatusRequest():
                 zone = self.settings.identity.availability_zone
                 opened = self._disk.storage
-                requests.respond_with_status(item, self.state, zone, opened, now_s)
+                may_bootstrap = bool(self._initial_replicas)
+                requests.respond_with_status(
+                    item, self.state, zone, opened, may_bootstrap, now_s
+                )
             case wire.ChangeRequest():
                 self._change(item, now_s)
             case wire.RelayRequest():
@@ -294,12 +333,14 @@
         else:
             self._relays.forward(pending, leader)
 
-    def _step(self, event: states.Event, now_s: float) -> None:
+    def _step(self, event: states.Event, now_s: float) -> list[states.Action]:
+        """Pass an event to the core; return its actions, which have been executed."""
         was_leader = self.state.role is states.Role.LEADER
         term = self.state.term
         leader_id = self.state.leader_id
         previous = self.state.membership
-        for action in raft.step(self.state, event, now_s):
+        actions = raft.step(self.state, event, now_s)
+        for action in actions:
             self._execute(action, now_s)
         is_same_leader = (
             self.state.role is states.Role.LEADER and self.state.term == term
@@ -311,6 +352,7 @@
             self._relays.on_leader_change(self.state.leader_id)
         if self.state.membership is not previous:
             self._links.update(self.state.membership, self.state.member_id)
+        return actions
 
     def _execute(self, action: states.Action, now_s: float) -> None:
         match action:
@@ -347,7 +389,7 @@
         is_idle = self._snapshot_task is None or self._snapshot_task.done()
         if is_idle and self._schedule.is_due(index):
             self._schedule.record_snapshot(index)
-            self._snapshot_task = asyncio.create_task(self._take_snapshot())
+            self._snapshot_task = self._start_task(self._take_snapshot())
 
     async def _take_snapshot(self) -> None:
         finish = machine.prepare_dump(self.machine)
@@ -394,16 +436,12 @@
     def _change_members(self, request: wire.ChangeRequest, now_s: float) -> str:
         """Start a membership change; return the reason of a refusal, or empty text."""
         event = requests.make_change_event(request, time.time())
-        previous = self.state.membership
-        actions = raft.step(self.state, event, now_s)
-        refusals = [item for item in actions if isinstance(item, states.ChangeRefused)]
-        if refusals:
-            return refusals[0].reason.value
-        for action in actions:
-            self._execute(action, now_s)
-        if self.state.membership is not previous:
-            self._links.update(self.state.membership, self.state.member_id)
-        return ""
+        refusals = [
+            action
+            for action in self._step(event, now_s)
+            if isinstance(action, states.ChangeRefused)
+        ]
+        return refusals[0].reason.value if refusals else ""
 
     def _manage_members(self, now_s: float) -> None:
         wanted_count = self.settings.voters_wanted_count
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -8,7 +8,15 @@
 import pytest
 from returns import result
 
-from hickoryweir.replicas import client, node, reachability, records, replacement
+from hickoryweir.replicas import (
+    client,
+    node,
+    reachability,
+    records,
+    replacement,
+    requests,
+    wire,
+)
 from hickoryweir.replicas import state as states
 from hickoryweir.replicas.tests import register
 from hickoryweir.streams import hub
@@ -249,6 +257,31 @@
     assert run(scenario()) == (reachability.Reachability.RELAYED, "v2")
 
 
+def test_client_that_saw_no_quorum_serves_as_soon_as_a_leader_is_known(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            closed_ports = register.reserve_ports(len(replicas))
+            addresses = tuple(
+                dataclasses.replace(item.address, port=port)
+                for item, port in zip(replicas.values(), closed_ports, strict=True)
+            )
+            is_known = False
+            late_client = client.make_client(
+                register.make_identity("late"),
+                addresses,
+                is_leader_known=lambda: is_known,
+            )
+            before = await late_client.propose(register.Put("k", "v1"), 1.0)
+            for item in replicas.values():
+                late_client._add_channel(item.address)
+            is_known = True
+            after = await late_client.propose(register.Put("k", "v2"), 1.0)
+            await late_client.close()
+            return before.failure().reason, after.unwrap().value
+
+    assert run(scenario()) == (client.Reason.NO_QUORUM, "v2")
+
+
 def test_full_disk_stops_one_replica_but_not_the_group(tmp_path):
     async def scenario():
         async with register.run_cluster(tmp_path) as (replicas, router):
@@ -270,6 +303,61 @@
     return result.Success(role) if failed else result.Failure(role)
 
 
+def test_replica_whose_task_ended_by_an_error_knows_no_leader(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            await put(router, "k", "v1")
+            running = replicas[router.leader_name]
+            running.node._queue.put_nowait(states.Received(None))
+            role = await retry_until_success(lambda: role_after_failure(running))
+            await put(router, "k", "v2")
+            return role, running.node.state.leader_id, await get(router, "k")
+
+    assert run(scenario()) == (states.Role.FAILED, "", "v2")
+
+
+def test_error_in_the_thread_that_writes_fails_the_replica(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            await put(router, "k", "v1")
+            running = replicas[router.leader_name]
+            opened = running.node._disk.storage
+            opened.files = dataclasses.replace(opened.files, sync=None)
+            await put(router, "k", "v2")
+            role = await retry_until_success(lambda: role_after_failure(running))
+            return role, await get(router, "k")
+
+    assert run(scenario()) == (states.Role.FAILED, "v2")
+
+
+class SilentConnection:
+    """A client's connection that discards responses."""
+
+    def offer(self, message):
+        """Discard a response."""
+
+
+def test_refused_member_change_drops_no_committed_entries(tmp_path):
+    async def scenario():
+        # One entry a step, so that committed entries wait while changes are refused.
+        timing = states.Timing(max_apply_count=1)
+        async with register.run_cluster(tmp_path, timing=timing) as (replicas, router):
+            await put(router, "k", "v")
+            leader = replicas[router.leader_name].node
+            own = leader.state.membership.find(leader.state.member_id)
+            request = wire.ChangeRequest(1, wire.Change.ADD_LEARNER, own)
+            refused = requests.PendingRequest(SilentConnection(), request)
+            puts = asyncio.gather(*[put(router, f"k{i}", "v") for i in range(50)])
+            async with asyncio.timeout(5.0):
+                while not puts.done():
+                    if leader.state.applied_index < leader.state.commit_index:
+                        leader._queue.put_nowait(refused)
+                    await asyncio.sleep(0)
+            return leader.machine.states["register"].version
+
+    assert run(scenario()) == 51
+
+
 def fail_to_sync(handle):
     raise OSError(28, "no space left on device")
 
