Match every refusal to its request by id, also a 421

What callers saw: a request of an at-most-once route ran at two servers, or was answered 503 ("not run, try again") although a server ran it; the sound server then got no request until its entry in the list changed.

Cause: `_classify_response` compared the id of a response with that of the request, except on responses with status 421. A late second copy of an earlier 421 on a kept connection, with the earlier request's id, another one or none, counted as "not run" for the request that was open there.

The exemption is gone: a response with any status, without the request's own id, closes its connection and leaves the outcome unknown. Servers without a fault echo the id on a 421 as on all responses, so none of theirs is lost.

Test: test_late_refusals.py, against a stand-in server that repeats a refusal once; drawn are the status (400, 408, 421, 429, 503), the moment (between two requests, when the next head was read, amid its body, when it was read), the copy's id (the earlier one, another one, none), and one or two servers. Before this change 21 of 128 failed, all of status 421 ("n0 ran and was answered 503", "n0 ran 2 times, status 200"); now none does. The tests of sound refusals with their own id on a kept connection passed before and after.

--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -128,7 +128,7 @@
 ) -> Outcome:
     _record_idle_timeout(response)
     metadata = codec.parse_response(response.status, response.headers)
-    if metadata.request_id != request.request_id and not metadata.is_misdirected:
+    if metadata.request_id != request.request_id:
         framing.close_connection(response)
         return Lost("response has the id of another request")
     protocol = framing.protocol_of(response)
