Reuse a connection only where its next bytes can belong to no earlier request

What callers saw: 503 for a request that a server ran, or a second run, where the id doesn't tell a late copy from the response: a request whose id a connection had carried more than eight responses ago, and any request without an id. Besides, 502 for a request that met the rest of a copy.

Cause: a connection remembered the ids of eight answered requests; a request without an id was reused like others. Whether bytes had come that nobody asked for was seen only where they were a whole response: aiohttp replaces the parser for each request, so the beginning of a copy was dropped with the old one, and its rest was read as the next response. Bytes that the kernel held when the connection was chosen were taken for the response, too.

Now ResponseProtocol knows when a request is open on its connection. Bytes at any other time, also before the first request and behind a whole response in the same segment, end the connection. ResponseConnector looks whether the socket is readable before it reuses a connection (one poll), gives a request without an id a new connection, and never sends an id where one was carried before; a connection ends after 512 requests, so that the ids need at most 4 KiB. A response that comes before its whole request was written still counts, since it has the request's id, but its connection is not used again. All of this stands in engines/framing.py, so that the sessions of `serve` have it as well.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -4,25 +4,38 @@
 clean close and a reset alike; :class:`ResponseProtocol` tells the two apart.  It also
 bounds the bytes that carry no content, such as informational responses and chunk
 extensions, which aiohttp reads without end.
+
+A server may write an earlier response once more, late.  On a kept connection the copy
+would be taken for the response to the next request, so :class:`ResponseProtocol` closes
+a connection that receives bytes while no request is open on it, and
+:class:`ResponseConnector` reuses none that has carried a request with the same id.
 """
 
+import array
 import asyncio
-import collections
+import contextvars
 import enum
 import functools
+import http
+import select
 import socket
 from collections.abc import Coroutine
 
 import aiohappyeyeballs
 import aiohttp
-from aiohttp import client_proto, helpers
+from aiohttp import client_proto, helpers, http_exceptions
 
 # Several times the largest header section that aiohttp accepts.
 MAX_OVERHEAD_SIZE_BYTES = 128 * 1024
 # Iterations of the event loop in which a connect that has ended is noticed.
 STEPS_AFTER_TIMEOUT_COUNT = 5
-# A late copy of a response comes with one of the next few requests.
-MAX_ANSWERED_IDS_COUNT = 8
+# A connection remembers all ids that it carried, so this bounds their memory to 4 KiB.
+MAX_REQUESTS_COUNT = 512
+# Id of the current request: empty if it has none, None if it is a read that may use any
+# connection.
+sent_request_id: contextvars.ContextVar[str | None] = contextvars.ContextVar(
+    "sent_request_id", default=None
+)
 
 
 class Framing(enum.StrEnum):
@@ -65,6 +78,10 @@
     """A response that is being read exceeds a bound."""
 
 
+class UnaskedBytesError(aiohttp.ClientPayloadError):
+    """Bytes came while no request was open on the connection."""
+
+
 def end_of(error: Exception) -> End:
     """Return how a body ended that could not be read further."""
     if isinstance(error, MalformedResponseError):
@@ -75,7 +92,7 @@
 
 
 class ResponseProtocol(client_proto.ResponseHandler):
-    """Records a reset, and bounds the bytes that carry no content.
+    """Records a reset, and closes a connection whose bytes can't be told apart.
 
     If bytes and a reset arrive together, uvloop reads the bytes and reports a clean
     end of file; the socket's ``SO_ERROR`` still holds the error.
@@ -86,33 +103,67 @@
         Whether the server reset the connection.
     idle_timeout_s : float or None
         Idle time after which the server closes the connection; None if unknown.
-    answered_ids : collections.deque
-        Ids of the last requests that were answered on the connection.
+    carried_ids : array.array
+        Hashes of the ids of all requests that the connection has carried; two that are
+        equal by chance only open another connection.
+    requests_count : int
+        Requests that the connection has carried.
     """
 
     was_reset = False
     idle_timeout_s: float | None = None
+    requests_count = 0
     _overhead_size_bytes = 0
     _content_size_bytes = 0
+    # Between the first byte of a request and the last one of its response.
+    _is_open = False
+    # The whole request was written.
+    _is_written = False
+    # Body of the response to the open request; None before its head.
+    _body: aiohttp.StreamReader | None = None
 
     def __init__(self, *args, **options) -> None:
         super().__init__(*args, **options)
-        self.answered_ids: collections.deque[str] = collections.deque(
-            maxlen=MAX_ANSWERED_IDS_COUNT
-        )
+        self.carried_ids = array.array("q")
 
     def set_response_params(self, **options) -> None:
         """Begin to count for the next response on the connection."""
         self._overhead_size_bytes = self._content_size_bytes = 0
         super().set_response_params(**options)
 
+    def begin_request(self) -> None:
+        """Expect a response, since the request is written now."""
+        self._is_open, self._is_written, self._body = True, False, None
+
+    def end_request(self) -> None:
+        """Record that the whole request was written."""
+        self._is_written = True
+
+    def feed_data(self, message: tuple, size: int = 0) -> None:
+        """Take the head of a response."""
+        head, body = message
+        if self._body is None and not _is_interim(head.code):
+            self._body = body
+            if not self._is_written:
+                # The server may take the rest of the request for the next one.
+                self.force_close()
+        super().feed_data(message, size)
+
     def data_received(self, data: bytes) -> None:
-        """Count the bytes received since the last content."""
+        """Refuse bytes that nobody asked for, and bound those without content."""
+        if data and not self._is_open:
+            self._give_up(UnaskedBytesError("bytes while no request was open"))
+            return
         super().data_received(data)
         if self.exception() is not None:
             # aiohttp tells this to the next reader of a head, not to that of the body.
             self._give_up(MalformedResponseError("malformed response"))
             return
+        if self._is_open and self._body is not None and self._body.is_eof():
+            self._is_open = False
+            if self._has_begun_another():
+                self._give_up(UnaskedBytesError("bytes after a whole response"))
+            return
         content_size_bytes = 0 if self._payload is None else self._payload.total_bytes
         if content_size_bytes != self._content_size_bytes:
             self._content_size_bytes = content_size_bytes
@@ -122,6 +173,15 @@
         if self._overhead_size_bytes > MAX_OVERHEAD_SIZE_BYTES:
             self._give_up(OversizedResponseError("too many bytes without content"))
 
+    def _has_begun_another(self) -> bool:
+        """Return whether the parser holds a part of a response after a whole one."""
+        if self._parser is None:
+            return False
+        try:
+            return self._parser.feed_eof() is not None
+        except http_exceptions.HttpProcessingError:
+            return True
+
     def _give_up(self, error: aiohttp.ClientPayloadError) -> None:
         """Fail the response that is being received, and close the connection."""
         if self._payload is not None and not self._payload.is_eof():
@@ -145,16 +205,82 @@
         super().connection_lost(exc)
 
 
+def _is_interim(status: int) -> bool:
+    """Return whether another response follows (RFC 9110, section 15.2)."""
+    return 100 <= status <= 199 and status != http.HTTPStatus.SWITCHING_PROTOCOLS
+
+
+class TrackedRequest(aiohttp.ClientRequest):
+    """Tells the connection when a request begins and ends."""
+
+    async def send(self, conn: object) -> aiohttp.ClientResponse:
+        """Send the request."""
+        protocol = conn.protocol
+        protocol.requests_count += 1
+        request_id = sent_request_id.get()
+        if request_id:
+            protocol.carried_ids.append(hash(request_id))
+        response = await super().send(conn)
+        if self._writer is None:
+            # Without a body it is written by now, and nothing was read meanwhile.
+            protocol.begin_request()
+            protocol.end_request()
+        return response
+
+    async def write_bytes(self, writer, conn, content_length=None) -> None:
+        """Write the request with its body."""
+        protocol = conn.protocol
+        protocol.begin_request()
+        await super().write_bytes(writer, conn, content_length)
+        protocol.end_request()
+
+
 class ResponseConnector(aiohttp.TCPConnector):
     """Connector whose connections use :class:`ResponseProtocol`.
 
-    A connect that is cancelled, or that times out, leaves other connections alone.
+    The connection that was used last is reused first.  One is not reused that has bytes
+    which nobody asked for, or that has carried a request with the current request's id;
+    a request without an id gets a new one.  A connect that is cancelled, or that times
+    out, leaves other connections alone.
     """
 
     def __init__(self, **options) -> None:
         super().__init__(**options)
         self._factory = functools.partial(ResponseProtocol, loop=self._loop)
 
+    def _release(self, key, protocol, *, should_close=False) -> None:
+        is_used_up = protocol.requests_count >= MAX_REQUESTS_COUNT
+        super()._release(key, protocol, should_close=should_close or is_used_up)
+
+    async def _get(self, key, traces):
+        chosen = self._choose(key)
+        if chosen is None:
+            return None
+        # aiohttp reuses the first connection of the queue.
+        kept = self._conns[key]
+        kept.remove(chosen)
+        kept.appendleft(chosen)
+        return await super()._get(key, traces)
+
+    def _choose(self, key) -> tuple[ResponseProtocol, float] | None:
+        """Return the idle connection to reuse; close those that can't be used."""
+        request_id, chosen = sent_request_id.get(), None
+        if request_id == "":
+            # Nothing would tell the response from a late one.
+            return None
+        kept = self._conns.get(key, ())
+        for entry in reversed(tuple(kept)):
+            protocol = entry[0]
+            if _may_carry(protocol, request_id):
+                if _is_clean(protocol) and (key.is_ssl or not _has_unread(protocol)):
+                    chosen = entry
+                    break
+                kept.remove(entry)
+                protocol.close()
+        if not kept:
+            self._conns.pop(key, None)
+        return chosen
+
     async def _wrap_create_connection(
         self,
         *args,
@@ -240,6 +366,29 @@
         transport.abort()
 
 
+def _may_carry(protocol: ResponseProtocol, request_id: str | None) -> bool:
+    """Return whether a connection has carried no request with this id."""
+    return request_id is None or hash(request_id) not in protocol.carried_ids
+
+
+def _is_clean(protocol: ResponseProtocol) -> bool:
+    """Return whether an idle connection is open and has received nothing since."""
+    return protocol.is_connected() and not protocol.should_close
+
+
+def _has_unread(protocol: ResponseProtocol) -> bool:
+    """Return whether the kernel has bytes, or the end, of an idle connection.
+
+    The event loop may not have read them yet when it runs late.
+    """
+    sock = protocol.transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def protocol_of(response: aiohttp.ClientResponse) -> ResponseProtocol | None:
     """Return the protocol of a response, also after it has been released."""
     return response._protocol
--- a/hickoryweir/engines/sessions.py
+++ b/hickoryweir/engines/sessions.py
@@ -96,6 +96,7 @@
     trace_config.on_connection_reuseconn.append(record_reuse)
     return aiohttp.ClientSession(
         connector=connector,
+        request_class=framing.TrackedRequest,
         trace_configs=[trace_config],
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(send_once, *middlewares),
--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -13,7 +13,7 @@
 import yarl
 
 from hickoryweir.engines import event_stream, framing, sessions
-from hickoryweir.forwarding import header_codec, sockets
+from hickoryweir.forwarding import header_codec
 from hickoryweir.forwarding_policy import kept_connections
 
 # Closing the connection is cheaper than reading a larger response.
@@ -98,7 +98,7 @@
         Called with the status and metadata of a response to this request, also if the
         caller is cancelled while the body of a refusal is read.
     """
-    token = sockets.sent_request_id.set(request.request_id)
+    token = framing.sent_request_id.set(request.request_id)
     try:
         response = await session.request(
             request.method,
@@ -116,7 +116,7 @@
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return Lost(type(error).__name__)
     finally:
-        sockets.sent_request_id.reset(token)
+        framing.sent_request_id.reset(token)
     return await _classify_response(response, request, codec, on_head)
 
 
@@ -131,9 +131,6 @@
     if metadata.request_id != request.request_id:
         framing.close_connection(response)
         return Lost("response has the id of another request")
-    protocol = framing.protocol_of(response)
-    if protocol is not None:
-        protocol.answered_ids.append(request.request_id)
     on_head(response.status, metadata)
     if metadata.is_not_run or metadata.is_misdirected:
         await _discard_body(response)
--- a/hickoryweir/forwarding/sockets.py
+++ b/hickoryweir/forwarding/sockets.py
@@ -27,19 +27,12 @@
 max_reused_idle_s: contextvars.ContextVar[float] = contextvars.ContextVar(
     "max_reused_idle_s", default=math.inf
 )
-# Id of the current request; it does not reuse a connection that answered the same id.
-sent_request_id: contextvars.ContextVar[str] = contextvars.ContextVar(
-    "sent_request_id", default=""
-)
 
 
 class KeepAliveConnector(framing.ResponseConnector):
     """Keeps idle connections to servers, for all sessions of a router.
 
-    The connection that was used last is reused first.  A connection that received
-    unsolicited bytes is closed; aiohttp checks for such bytes when a connection is
-    released, but not when it is reused, so that a late surplus response would be taken
-    for the next one.
+    See :class:`.framing.ResponseConnector` for which of them is reused.
 
     Parameters
     ----------
@@ -70,32 +63,13 @@
         elif self._expiry_handle is None:
             self._schedule_expiry()
 
-    async def _get(self, key, traces):
-        kept, now_s = self._conns.get(key), time.monotonic()
-        if kept is None:
-            return None
-        for entry in tuple(kept):
-            protocol = entry[0]
-            is_usable = protocol.is_connected() and not protocol.should_close
-            if not is_usable or _is_expired(*entry, now_s):
-                kept.remove(entry)
-                protocol.close()
-        if not kept:
-            del self._conns[key]
-            return None
-        # Callers choose request ids, so two may be equal; a late copy of the first
-        # response would be taken for the second one.
-        request_id = sent_request_id.get()
-        reusable = (
-            entry for entry in reversed(kept) if not _answered(entry[0], request_id)
-        )
-        chosen = next(reusable, None)
+    def _choose(self, key) -> tuple[framing.ResponseProtocol, float] | None:
+        now_s = time.monotonic()
+        self._close_expired_of(key, now_s)
+        chosen = super()._choose(key)
         if chosen is None or now_s - chosen[1] > max_reused_idle_s.get():
             return None
-        # aiohttp reuses the first connection of the queue.
-        kept.remove(chosen)
-        kept.appendleft(chosen)
-        return await super()._get(key, traces)
+        return chosen
 
     def _schedule_expiry(self) -> None:
         self._expiry_handle = self._loop.call_later(
@@ -105,20 +79,19 @@
     def _close_expired(self) -> None:
         """Close connections before their servers do."""
         self._expiry_handle, now_s = None, time.monotonic()
-        for key, kept in list(self._conns.items()):
-            for entry in tuple(kept):
-                if _is_expired(*entry, now_s):
-                    kept.remove(entry)
-                    entry[0].close()
-            if not kept:
-                del self._conns[key]
+        for key in list(self._conns):
+            self._close_expired_of(key, now_s)
         if self._conns and not self.closed:
             self._schedule_expiry()
 
-
-def _answered(protocol: framing.ResponseProtocol, request_id: str) -> bool:
-    """Return whether a connection has had a response to a request with this id."""
-    return bool(request_id) and request_id in protocol.answered_ids
+    def _close_expired_of(self, key, now_s: float) -> None:
+        kept = self._conns.get(key, ())
+        for entry in tuple(kept):
+            if _is_expired(*entry, now_s):
+                kept.remove(entry)
+                entry[0].close()
+        if not kept:
+            self._conns.pop(key, None)
 
 
 def _is_expired(
--- a/hickoryweir/forwarding/tests/late_copies.py
+++ b/hickoryweir/forwarding/tests/late_copies.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import re
+import socket
 from collections.abc import Callable
 
 from hickoryweir.forwarding import headers
@@ -12,9 +13,9 @@
 
 # Long enough for the router to read what was written before.
 PAUSE_S = 0.02
-# More than the socket buffers of both ends hold, so that the router still writes it.
+# More than the buffers of both ends hold, so that the router still writes it.
 LARGE_BODY_SIZE_BYTES = 3_900_000
-RECEIVE_LIMIT_BYTES = 1024
+RECEIVE_BUFFER_SIZE_BYTES = 16 * 1024
 NOT_RUN_STATUSES = (400, 408, 421, 429, 503)
 # A client takes these for the promise that its request has not run.
 PROMISES = frozenset({408, 421, 429, 503})
@@ -93,6 +94,17 @@
     return success(name, request_id), True
 
 
+async def listen(handle: Callable) -> asyncio.Server:
+    """Return a server on whose connections little is in transit."""
+    sock = socket.socket()
+    # Connections that it accepts have this size as well.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_SIZE_BYTES)
+    sock.bind((sites.HOST, 0))
+    return await asyncio.start_server(
+        handle, sock=sock, limit=RECEIVE_BUFFER_SIZE_BYTES
+    )
+
+
 @contextlib.asynccontextmanager
 async def run_server(
     server_id: str,
@@ -108,9 +120,7 @@
             while True:
                 await _serve_request(server, connection, reader)
 
-    listener = await asyncio.start_server(
-        handle, sites.HOST, 0, limit=RECEIVE_LIMIT_BYTES
-    )
+    listener = await listen(handle)
     address = f"{sites.HOST}:{listener.sockets[0].getsockname()[1]}"
     server = Server(sites.Backend(server_id, address, listener, []), respond, extras)
     try:
