Refuse a response whose head is put together from those of two

What callers saw: 503 for a request that a server ran, or its second run, and 400 in place of its result.

Cause: a late copy of a refusal that is cut in its reason phrase, or in a field's value, goes on with the status line of the next response, which is a valid reason or value. What is read is one response with the status (and the statement) of the copy and the id of the request.

A head with another status line inside its reason or a value leaves the outcome unknown and closes the connection, whatever its status.

Test: test_cut_copy_in_front_of_a_response_is_no_promise cuts a refusal at each of its bytes, for each of five statuses; all five failed before ("n13 ran and was answered 503"; with 400 its status was passed on), none does now.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -17,6 +17,7 @@
 import enum
 import functools
 import http
+import re
 import select
 import socket
 from collections.abc import Coroutine
@@ -38,6 +39,9 @@
 )
 
 
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}\b")
+
+
 class Framing(enum.StrEnum):
     """What marks the end of a response's body (RFC 9112, section 6.3)."""
 
@@ -394,6 +398,17 @@
     return response._protocol
 
 
+def has_second_status_line(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response's head is put together from those of two.
+
+    A copy that is cut in its reason phrase or a field's value goes on with the status
+    line of the next response; the status is then of the one, the id of the other.
+    """
+    reason = (response.reason or "").encode("utf-8", "replace")
+    values = (reason, *(value for _, value in response.raw_headers))
+    return any(STATUS_LINE.search(value) for value in values)
+
+
 def close_connection(response: aiohttp.ClientResponse) -> None:
     """Close the connection of a response, also after it has been released."""
     response.close()
--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -131,6 +131,9 @@
     if metadata.request_id != request.request_id:
         framing.close_connection(response)
         return Lost("response has the id of another request")
+    if framing.has_second_status_line(response):
+        framing.close_connection(response)
+        return Lost("response begins with a part of another one")
     on_head(response.status, metadata)
     if metadata.is_not_run or metadata.is_misdirected:
         await _discard_body(response)
--- a/hickoryweir/forwarding/tests/test_late_refusals.py
+++ b/hickoryweir/forwarding/tests/test_late_refusals.py
@@ -147,3 +147,41 @@
     assert len(server.arrived) > 2
     assert (server.runs, len(server.connections)) == (["before"], 1)
     assert other.runs == [f"n{number}" for number in range(CALLS_COUNT)]
+
+
+@pytest.mark.parametrize("status", late_copies.NOT_RUN_STATUSES)
+def test_cut_copy_in_front_of_a_response_is_no_promise(status):
+    """Guards against a head whose status is of a copy and whose id is the request's."""
+
+    def respond(name, request_id):
+        if name.startswith("first"):
+            return late_copies.refusal(status, request_id), False
+        return late_copies.run_all(name, request_id)
+
+    def extras(connection, moment):
+        is_due = len(connection.sent) == 1 and moment is late_copies.Moment.READ
+        if not is_due or late_copies.REFUSED not in connection.sent[0]:
+            return b""
+        return connection.sent[0][: sizes[-1]]
+
+    sizes = [0]
+
+    async def main():
+        async with (
+            late_copies.run_server("s0", respond, extras) as server,
+            sites.run_site([], routes=(sites.at_most_once_route(),)) as site,
+        ):
+            sites.list_servers(site.forwarder, [server.backend])
+            found = {}
+            for size in range(1, len(late_copies.refusal(status, b"r-first-000"))):
+                sizes.append(size)
+                site.forwarder.pool.servers["s0"].is_misdirected = False
+                assert await call(site, f"first-{size:03}") in late_copies.PROMISES
+                site.forwarder.pool.servers["s0"].is_misdirected = False
+                found[f"n{size}"] = await call(site, f"n{size}")
+            return found, server
+
+    found, server = asyncio.run(main())
+    late_copies.check_promises(found, [server])
+    assert server.extras_count == len(found)
+    assert set(found.values()) <= {200, 502}
