Pass on no status that promises "not run" without the server's statement

What callers saw: 503 (or 408, 429) for an at-most-once request that its server ran: such a response had the request's id but not the header by which a server states that it did not run the request, and its status went to the client, which takes it for the promise.

Cause: `forward_response` passes a server's status on whatever it means to the client. On a route whose requests run at most once, 408, 421, 429 and 503 without the statement now count as a failed response with an unknown outcome, so the client gets 502. Other routes are as before: they may run again.

--- a/hickoryweir/forwarding/errors.py
+++ b/hickoryweir/forwarding/errors.py
@@ -73,6 +73,8 @@
 NOT_RUN_REASONS = frozenset(
     reason for reason, status in STATUSES.items() if status not in (500, 502, 504)
 )
+# Clients take these for "not run, and never will be", whoever responded.
+PROMISED_STATUSES = frozenset({408, 421, 429, 503})
 # Key of the reason in an error response, which aiohttp keeps beside its headers.
 REASON_KEY = web.ResponseKey("reason", Reason)
 CLOSING_REASONS = frozenset({Reason.REQUEST_INVALID, Reason.BODY_TOO_LARGE})
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -29,6 +29,7 @@
     speeds,
 )
 from hickoryweir.observability import latencies, logs
+from hickoryweir.routes import model
 
 NOTHING_DROPPED: frozenset[str] = frozenset()
 FIRST_FAILURE_STATUS = 500
@@ -80,6 +81,10 @@
         The complete response, or why another attempt should be made.
     """
     context.may_have_run = True
+    if _promises_too_much(context, answered):
+        framing.close_connection(answered.response)
+        server_pool.record_failed_response(view, time.monotonic())
+        return errors.Reason.OUTCOME_UNKNOWN
     is_failure = answered.response.status >= FIRST_FAILURE_STATUS
     if context.route.is_stream and not is_failure:
         return await _forward_stream(context, view, answered)
@@ -109,6 +114,17 @@
     return client_response
 
 
+def _promises_too_much(
+    context: contexts.RequestContext, answered: exchange.Answered
+) -> bool:
+    """Return whether a status says "not run" to the client without such a statement.
+
+    A server that has not run a request states so in a header as well.
+    """
+    is_at_most_once = context.route.execution is model.Execution.AT_MOST_ONCE
+    return is_at_most_once and answered.response.status in errors.PROMISED_STATUSES
+
+
 def _record_began(
     context: contexts.RequestContext, answered: exchange.Answered
 ) -> None:
--- a/hickoryweir/forwarding/tests/test_late_refusals.py
+++ b/hickoryweir/forwarding/tests/test_late_refusals.py
@@ -185,3 +185,25 @@
     late_copies.check_promises(found, [server])
     assert server.extras_count == len(found)
     assert set(found.values()) <= {200, 502}
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_response_without_the_statement_is_no_promise(status):
+    """Guards against a status that promises more than the server has stated."""
+
+    def respond(name, request_id):
+        return late_copies.refusal(status, request_id, b""), True
+
+    async def main():
+        async with (
+            late_copies.run_server("s0", respond) as server,
+            late_copies.run_server("s1", respond) as other,
+            sites.run_site([], routes=(sites.at_most_once_route(),)) as site,
+        ):
+            servers = [server, other]
+            sites.list_servers(site.forwarder, [item.backend for item in servers])
+            return {"n0": await call(site, "n0"), "n1": await call(site, "n1")}, servers
+
+    found, servers = asyncio.run(main())
+    late_copies.check_promises(found, servers)
+    assert set(found.values()) == {502}
