--- a/hickoryweir/forwarding/tests/late_copies.py
+++ b/hickoryweir/forwarding/tests/late_copies.py
@@ -43,6 +43,8 @@
 
     writer: asyncio.StreamWriter
     sent: list[bytes] = dataclasses.field(default_factory=list)
+    # Parts of copies that are not written yet.
+    unwritten: bytes = b""
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,6 +62,8 @@
         Names of the requests that it ran, in order.
     extras_count : int
         How often it has written extra bytes.
+    pause_s : float
+        How long it waits before and after extra bytes.
     """
 
     backend: sites.Backend
@@ -69,6 +73,7 @@
     arrived: list[str] = dataclasses.field(default_factory=list)
     connections: list[Connection] = dataclasses.field(default_factory=list)
     extras_count: int = 0
+    pause_s: float = PAUSE_S
 
 
 def no_extras(connection: Connection, moment: Moment) -> bytes:
@@ -110,6 +115,7 @@
     server_id: str,
     respond: Callable[[str, bytes], tuple[bytes, bool]] = run_all,
     extras: Callable[[Connection, Moment], bytes] = no_extras,
+    pause_s: float = PAUSE_S,
 ):
     """Run a server until the block ends."""
 
@@ -122,7 +128,12 @@
 
     listener = await listen(handle)
     address = f"{sites.HOST}:{listener.sockets[0].getsockname()[1]}"
-    server = Server(sites.Backend(server_id, address, listener, []), respond, extras)
+    server = Server(
+        sites.Backend(server_id, address, listener, []),
+        respond,
+        extras,
+        pause_s=pause_s,
+    )
     try:
         yield server
     finally:
@@ -158,9 +169,9 @@
     if extra:
         server.extras_count += 1
         # The router reads what was written before, and then this, by itself.
-        await asyncio.sleep(PAUSE_S)
+        await asyncio.sleep(server.pause_s)
         connection.writer.write(extra)
-        await asyncio.sleep(PAUSE_S)
+        await asyncio.sleep(server.pause_s)
 
 
 def check_promises(found: dict[str, int | None], servers: list[Server]) -> None:
