Tie the responses of `serve` to their calls on kept connections

What callers saw (of the clients; the daemon was not run for it): "not run" for an attempt that runs, or the status of another call or of a report's response (404) as a call's final answer.

Cause: all attempts of a call have one id, so a late copy of the refusal of an earlier attempt had the id of the next one at the same engine. And a response without an id counted on any connection, also on one that had carried reports and other calls. The sessions of services open a connection for each call, so there it can't act as the daemon is set up; the client has the same rules.

Now an attempt uses no connection that has carried its id, a response without an id counts on the first use of a connection only, which is then closed, and a head put together from two is refused.

--- a/hickoryweir/engines/client.py
+++ b/hickoryweir/engines/client.py
@@ -128,6 +128,7 @@
 ) -> result.Result[aiohttp.ClientResponse, calls.EngineFailure]:
     """Send a call; return the response after a check of its request id."""
     trace = sessions.RequestTrace()
+    token = framing.sent_request_id.set(call.request_id)
     try:
         response = await session.post(
             server.url + call.path,
@@ -143,16 +144,36 @@
         )
     except failures.NETWORK_ERRORS as error:
         failure = failures.request_failure(error)
+    else:
+        failure = None
+    finally:
+        framing.sent_request_id.reset(token)
+    if failure is not None:
         if trace.reuses_connection and await is_alive(session, server, failure):
             failure = failures.failed("the reused connection had been closed")
         return result.Failure(failure)
-    if response.headers.get(headers.REQUEST_ID, call.request_id) != call.request_id:
+    if not is_of_call(response, call.request_id):
         framing.close_connection(response)
         return result.Failure(failures.mismatched())
     on_head(response.status, response.headers)
     return result.Success(response)
 
 
+def is_of_call(response: aiohttp.ClientResponse, request_id: str) -> bool:
+    """Return whether a response can belong to no other call.
+
+    One without an id counts on the first use of a connection, which is then closed.
+    """
+    if framing.has_second_status_line(response):
+        return False
+    echoed_id = response.headers.get(headers.REQUEST_ID)
+    if echoed_id is not None:
+        return echoed_id == request_id
+    protocol = framing.protocol_of(response)
+    protocol.force_close()
+    return protocol.requests_count == 1
+
+
 async def is_alive(
     session: aiohttp.ClientSession,
     server: model.BackendServer,
--- a/hickoryweir/services/client.py
+++ b/hickoryweir/services/client.py
@@ -96,8 +96,7 @@
         response = await send(session, server, call, limits)
     except failures.NETWORK_ERRORS as error:
         return result.Failure(from_engine_failure(failures.request_failure(error)))
-    echoed_id = response.headers.get(header_names.REQUEST_ID, call.request_id)
-    if echoed_id != call.request_id:
+    if not client.is_of_call(response, call.request_id):
         framing.close_connection(response)
         return result.Failure(from_engine_failure(failures.mismatched()))
     on_head(response.status, response.headers)
@@ -125,18 +124,22 @@
 ) -> aiohttp.ClientResponse:
     """Send a call and wait for the headers of its response."""
     target = f"{call.path}?{call.query}" if call.query else call.path
-    return await session.request(
-        call.method,
-        yarl.URL(server.url + target, encoded=True),
-        data=call.body or None,
-        headers=request_headers(call),
-        timeout=aiohttp.ClientTimeout(
-            total=None,
-            connect=limits.connect_timeout_s,
-            sock_read=limits.read_timeout_s,
-        ),
-        allow_redirects=False,
-    )
+    token = framing.sent_request_id.set(call.request_id)
+    try:
+        return await session.request(
+            call.method,
+            yarl.URL(server.url + target, encoded=True),
+            data=call.body or None,
+            headers=request_headers(call),
+            timeout=aiohttp.ClientTimeout(
+                total=None,
+                connect=limits.connect_timeout_s,
+                sock_read=limits.read_timeout_s,
+            ),
+            allow_redirects=False,
+        )
+    finally:
+        framing.sent_request_id.reset(token)
 
 
 def request_headers(call: calls.ServiceCall) -> list[tuple[str, str]]:
