Split the list of servers into entries before decoding them

Cause: `decode_page` parsed a page as a whole. One entry that isn't UTF-8, is nested thousands of levels deep (RecursionError), has an integer of 5,000 digits (ValueError) or is no JSON made the page a failure, so that the list was unread at the leader and at each router. Other entries were taken as servers: a port of 65,536 or 0, the host 10.0.0.999, an id with CR LF, an id that occurs twice, slots of 2^53, a zone of 3 MB. A lone surrogate in the version passed validation, and no update with it can be encoded for the routers; updates over 8 MiB aren't sent at all. A page token that repeats was followed for 400 pages, a token that is no text ended the list as if it were complete.

Pages are now split into the bytes of their entries by strings, brackets and commas alone, and each entry is decoded and checked by itself; one that can't be used is skipped, counted (`skipped_entries`) and logged when what is skipped changes. Bounds: 64 KiB and 8 levels an entry, 16 MiB a page, 30 s a read. A page that can't be split, or whose next page is unclear, is a failed read. Larger pages are decoded by a thread. The project's own list does the same.

--- a/hickoryweir/discovery/listing.py
+++ b/hickoryweir/discovery/listing.py
@@ -1,8 +1,14 @@
-"""Reads the paginated list of backend servers that the infrastructure maintains."""
+"""Reads the paginated list of backend servers that the infrastructure maintains.
+
+Several writers share the list.  An entry that names no usable server is skipped and
+counted, whatever it holds; the other entries are in force.  See also
+:mod:`hickoryweir.discovery.entries`.
+"""
 
 import asyncio
 import dataclasses
 import enum
+import re
 from collections.abc import Callable
 from typing import ClassVar
 
@@ -16,8 +22,27 @@
 PAGE_TIMEOUT_S = 1.0
 # At 50 entries per page, this is more than the servers of any one site.
 MAX_PAGES_COUNT = 400
+# Ten times the page of a site with several thousand servers that has no pagination.
+MAX_PAGE_SIZE_BYTES = 16 * 1024 * 1024
+CHUNK_SIZE_BYTES = 64 * 1024
+# An entry as large as this blocks the event loop for 15 ms at most; a larger page is
+# decoded by a thread.
+MAX_INLINE_SIZE_BYTES = 64 * 1024
+# At the usual pause between pages, more than a list of `MAX_PAGES_COUNT` pages takes.
+MAX_READ_S = 30.0
 # Larger integers are not exact as floats, and far larger ones fit into no message.
 MAX_FIGURE = 1 << 53
+# Far more than a server runs; sums over all servers of a list fit into a message.
+MAX_SLOTS_COUNT = 1 << 20
+MAX_PORT = (1 << 16) - 1
+LABEL = "[A-Za-z0-9_-]{1,63}"
+ADDRESS = re.compile(rf"(?P<host>{LABEL}(?:\.{LABEL})*):(?P<port>[0-9]{{1,5}})")
+OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+IPV4_ADDRESS = re.compile(rf"{OCTET}(?:\.{OCTET}){{3}}")
+VISIBLE_TEXT = re.compile(r"[!-~]+")
+LONE_SURROGATE = re.compile(r"[\ud800-\udfff]")
+# An update with the servers of a large list still fits into a message to the routers.
+MAX_TEXT_LENGTH = 256
 MAX_LOGGED_LENGTH = 200
 
 
@@ -65,19 +90,38 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Page:
-    """One page of the list; `unreadable_count` malformed entries were skipped."""
+    """One page of the list.
+
+    Attributes
+    ----------
+    unreadable_count : int
+        Entries that were skipped.
+    problem : str
+        What is wrong with the first of them; empty if there are none.
+    """
 
     servers: tuple[BackendServer, ...]
     next_token: str | None
     unreadable_count: int = 0
+    problem: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerList:
-    """A complete list and the start of its read, on :func:`clocks.boottime_s`."""
+    """A complete list and the start of its read, on :func:`clocks.boottime_s`.
+
+    Attributes
+    ----------
+    unreadable_count : int
+        Entries that were skipped.
+    problem : str
+        What is wrong with the first of them; empty if there are none.
+    """
 
     servers: tuple[BackendServer, ...]
     read_at_s: float
+    unreadable_count: int = 0
+    problem: str = ""
 
 
 def without_plans(server: BackendServer) -> BackendServer:
@@ -111,33 +155,107 @@
     decode_page: Callable[[bytes], result.Result[Page, str]]
 
 
-def is_plausible(server: BackendServer) -> bool:
-    """Return whether a server's figures fit into a message to the routers.
+def find_problem(server: BackendServer) -> str | None:
+    r"""Return why a server can't be used; None if it can.
+
+    Its id is sent to it in a header, and its address is connected to.
 
     Examples
     --------
     >>> server = BackendServer("s", "app", "10.0.0.1:80", "", ServerState.READY, 8, 0.0)
-    >>> is_plausible(server)
-    True
-    >>> is_plausible(dataclasses.replace(server, slots_count=10**30))
-    False
-    >>> is_plausible(dataclasses.replace(server, warmup_left_s=float("nan")))
-    False
+    >>> find_problem(server)
+    >>> find_problem(dataclasses.replace(server, slots_count=10**30))
+    'slots out of range'
+    >>> find_problem(dataclasses.replace(server, warmup_left_s=float("nan")))
+    'warm-up out of range'
+    >>> find_problem(dataclasses.replace(server, address="10.0.0.1:65536"))
+    'no address with a port'
+    >>> find_problem(dataclasses.replace(server, server_id="s\r\nX: y"))
+    'id with other characters than visible ASCII'
     """
-    return (
-        abs(server.slots_count) <= MAX_FIGURE
-        and abs(server.started_at_ms) <= MAX_FIGURE
-        and abs(server.warmup_left_s) <= MAX_FIGURE
+    texts = (
+        server.server_id,
+        server.service_name,
+        server.availability_zone,
+        server.software_version,
     )
+    if max(map(len, texts)) > MAX_TEXT_LENGTH:
+        return f"text longer than {MAX_TEXT_LENGTH} characters"
+    if LONE_SURROGATE.search("".join(texts)):
+        return "text with a lone surrogate"
+    if not VISIBLE_TEXT.fullmatch(server.server_id):
+        return "id with other characters than visible ASCII"
+    if not _is_address(server.address):
+        return "no address with a port"
+    if not 0 <= server.slots_count <= MAX_SLOTS_COUNT:
+        return "slots out of range"
+    if not abs(server.started_at_ms) <= MAX_FIGURE:
+        return "start out of range"
+    if not abs(server.warmup_left_s) <= MAX_FIGURE:
+        return "warm-up out of range"
+    return None
+
+
+def _is_address(address: str) -> bool:
+    """Return whether an address has an IPv4 address or a host name, and a port."""
+    match = ADDRESS.fullmatch(address)
+    if match is None or not 0 < int(match["port"]) <= MAX_PORT:
+        return False
+    host = match["host"]
+    is_numeric = host.replace(".", "").isdecimal()
+    return not is_numeric or IPV4_ADDRESS.fullmatch(host) is not None
+
+
+def make_page(
+    decoded: list[result.Result[BackendServer, str]],
+    problems: tuple[str, ...],
+    next_token: str | None,
+) -> Page:
+    """Return a page with the usable ones of its entries.
+
+    Parameters
+    ----------
+    decoded : list of Result of BackendServer or str
+        Entries that were decoded, or why they can't be.
+    problems : tuple of str
+        Why other entries were not decoded.
+    next_token : str or None
+        Token of the next page.
+    """
+    servers, found = [], list(problems)
+    for item in decoded:
+        server = item.value_or(None)
+        problem = item.failure() if server is None else find_problem(server)
+        if problem is None:
+            servers.append(server)
+        else:
+            found.append(problem)
+    problem = found[0][:MAX_LOGGED_LENGTH] if found else ""
+    return Page(tuple(servers), next_token, len(found), problem)
+
+
+@dataclasses.dataclass(slots=True)
+class SkippedEntries:
+    """Counts and logs the entries that reads of the list have skipped.
 
+    Attributes
+    ----------
+    count : callable
+        Called with the number of entries that a read has skipped.
+    """
 
-def _log_implausible(server: BackendServer) -> None:
-    figures = (server.slots_count, server.started_at_ms, server.warmup_left_s)
-    detail = f"slots, start and warm-up: {figures}"[:MAX_LOGGED_LENGTH]
-    fields = logs.Fields(
-        backend_server=server.server_id[:MAX_LOGGED_LENGTH], detail=detail
-    )
-    logs.warning("server with absurd figures ignored", fields)
+    count: Callable[[int], None] = lambda number: None
+    _last: tuple[int, str] = (0, "")
+
+    def record(self, server_list: ServerList) -> None:
+        """Count the entries that a read has skipped, and log a change."""
+        self.count(server_list.unreadable_count)
+        current = (server_list.unreadable_count, server_list.problem)
+        if current == self._last:
+            return
+        self._last = current
+        fields = logs.Fields(reason=server_list.problem, detail=f"{current[0]} entries")
+        logs.warning("unusable entries in the list of servers", fields)
 
 
 async def read_all(
@@ -158,38 +276,62 @@
         The complete list, or the reason why a page could not be read.
     """
     started_s = clocks.boottime_s()
-    servers: list[BackendServer] = []
+    pages: list[Page] = []
+    tokens: set[str | None] = set()
     token = None
-    for _ in range(MAX_PAGES_COUNT):
-        try:
-            body = await _read_body(session, source.make_url(token))
-            page = body.bind(source.decode_page)
-        except Exception as error:
-            # An unreadable list must not end the task; the last one stays in use.
-            return result.Failure(f"page not decoded: {error!r}"[:MAX_LOGGED_LENGTH])
-        if isinstance(page, result.Failure):
-            return page
-        decoded_page = page.unwrap()
-        for server in decoded_page.servers:
-            if is_plausible(server):
-                servers.append(server)
-            else:
-                _log_implausible(server)
-        token = decoded_page.next_token
+    while token not in tokens:
+        if len(pages) == MAX_PAGES_COUNT:
+            return result.Failure(f"server list exceeds {MAX_PAGES_COUNT} pages")
+        if clocks.boottime_s() - started_s > MAX_READ_S:
+            return result.Failure(f"server list takes longer than {MAX_READ_S:g} s")
+        tokens.add(token)
+        found = await _read_page(session, source, token)
+        if isinstance(found, result.Failure):
+            return found
+        pages.append(found.unwrap())
+        token = pages[-1].next_token
         if token is None:
-            return result.Success(ServerList(tuple(servers), started_s))
-    return result.Failure(f"server list exceeds {MAX_PAGES_COUNT} pages")
+            return result.Success(_join(pages, started_s))
+    return result.Failure("a page token of the server list repeats")
+
+
+def _join(pages: list[Page], read_at_s: float) -> ServerList:
+    return ServerList(
+        tuple(server for page in pages for server in page.servers),
+        read_at_s,
+        sum(page.unreadable_count for page in pages),
+        next((page.problem for page in pages if page.problem), ""),
+    )
+
+
+async def _read_page(
+    session: aiohttp.ClientSession, source: Source, token: str | None
+) -> result.Result[Page, str]:
+    try:
+        found = await _read_body(session, source.make_url(token))
+        body = found.value_or(b"")
+        if isinstance(found, result.Failure) or len(body) <= MAX_INLINE_SIZE_BYTES:
+            return found.bind(source.decode_page)
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(None, source.decode_page, body)
+    except Exception as error:
+        # An unreadable list must not end the task; the last one stays in use.
+        return result.Failure(f"page not decoded: {error!r}"[:MAX_LOGGED_LENGTH])
 
 
 async def _read_body(
     session: aiohttp.ClientSession, url: str
 ) -> result.Result[bytes, str]:
     timeout = aiohttp.ClientTimeout(total=PAGE_TIMEOUT_S)
+    body = bytearray()
     try:
         async with session.get(url, timeout=timeout, allow_redirects=False) as response:
             if response.status != 200:
                 return result.Failure(f"status {response.status}")
-            return result.Success(await response.read())
+            async for chunk in response.content.iter_chunked(CHUNK_SIZE_BYTES):
+                body += chunk
+                if len(body) > MAX_PAGE_SIZE_BYTES:
+                    return result.Failure(f"page size over {MAX_PAGE_SIZE_BYTES} bytes")
     except (
         aiohttp.ClientError,
         TimeoutError,
@@ -197,3 +339,4 @@
         asyncio.IncompleteReadError,
     ) as error:
         return result.Failure(type(error).__name__)
+    return result.Success(bytes(body))
--- a/hickoryweir/discovery/own_list.py
+++ b/hickoryweir/discovery/own_list.py
@@ -5,10 +5,14 @@
 "leaves_ms"}, ...]}``.
 """
 
+from typing import Any
+
 import pydantic
 from returns import result
 
-from hickoryweir.discovery import listing
+from hickoryweir.discovery import entries, listing
+
+LIST_NAME = "servers"
 
 
 class ServerEntry(pydantic.BaseModel):
@@ -27,44 +31,44 @@
     leaves_ms: float | None = None
 
 
-class ServerDocument(pydantic.BaseModel):
-    """The complete list."""
-
-    servers: list[ServerEntry]
-
-
 def make_source(address: str) -> listing.Source:
     """Return the source of the list served at `address`."""
     return listing.Source(lambda token: f"http://{address}/servers", decode_page)
 
 
 def decode_page(body: bytes) -> result.Result[listing.Page, str]:
-    """Decode the list, which is a single page.
+    """Decode the list, which is a single page; invalid entries are skipped.
 
     Examples
     --------
     >>> decode_page(b'{"servers": []}').unwrap().servers
     ()
     """
+    found = entries.split(body, LIST_NAME)
+    if isinstance(found, result.Failure):
+        return result.Failure(f"the server list is unreadable: {found.failure()}")
+    document = found.unwrap()
+    decoded = [
+        entries.decode_entry(entry).bind(_parse_entry) for entry in document.entries
+    ]
+    return result.Success(listing.make_page(decoded, document.problems, None))
+
+
+def _parse_entry(entry: dict[str, Any]) -> result.Result[listing.BackendServer, str]:
     try:
-        document = ServerDocument.model_validate_json(body)
+        parsed = ServerEntry.model_validate(entry)
     except pydantic.ValidationError as error:
-        return result.Failure(
-            f"server list has {error.error_count()} validation errors"
-        )
-    servers = tuple(
-        listing.BackendServer(
-            entry.id,
-            entry.service,
-            entry.address,
-            entry.availability_zone,
-            entry.state,
-            entry.slots_count,
-            0.0,
-            software_version=entry.software_version,
-            is_spot=entry.is_spot,
-            leaves_ms=entry.leaves_ms,
-        )
-        for entry in document.servers
+        return result.Failure(entries.describe_invalid(error))
+    server = listing.BackendServer(
+        parsed.id,
+        parsed.service,
+        parsed.address,
+        parsed.availability_zone,
+        parsed.state,
+        parsed.slots_count,
+        0.0,
+        software_version=parsed.software_version,
+        is_spot=parsed.is_spot,
+        leaves_ms=parsed.leaves_ms,
     )
-    return result.Success(listing.Page(servers, None))
+    return result.Success(server)
--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -141,6 +141,7 @@
             files.make_files(), entry_settings.replica.data_folder, self._publisher
         )
         self._metrics = forwarding_metrics.make_metrics()
+        self._publisher.skipped_entries.count = self._metrics.skipped_entries.inc
         self._duties = self._make_duties()
         # None if the settings name no duties.
         self._caller: calls.Caller | None = None
--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -119,6 +119,9 @@
         )
         self._list_session = sessions.make_session(keeps_connections=True)
         self.forwarder = self._make_forwarder()
+        self._skipped_entries = listing.SkippedEntries(
+            self.forwarder.metrics.skipped_entries.inc
+        )
         self._usage_sender = self._make_usage_sender()
 
     def _make_callbacks(self) -> subscriber.Callbacks:
@@ -525,4 +528,5 @@
             fields = logs.Fields(reason=outcome.failure())
             logs.warning("reading the list of servers failed", fields)
             return
+        self._skipped_entries.record(outcome.unwrap())
         self._subscriber.apply_list(outcome.unwrap())
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -86,6 +86,8 @@
         Called after either has changed.
     demand : demand.DemandKeeper
         What the routers report of their requests by service.
+    skipped_entries : listing.SkippedEntries
+        Counts unusable entries of the server list.
     """
 
     def __init__(
@@ -115,6 +117,7 @@
         self.suspect_parts = crashing_parts.CrashingParts()
         self.crashes = crash_counts.CrashCounts()
         self.demand = demand.DemandKeeper()
+        self.skipped_entries = listing.SkippedEntries()
         self.on_evidence: Callable[[], None] = lambda: None
         self._evidence_sender = evidence.Sender(
             self.suspect_parts, self._send_to_subscribers
@@ -524,6 +527,7 @@
             )
             return
         server_list = outcome.unwrap()
+        self.skipped_entries.record(server_list)
         previous = self._servers
         self._servers = server_list
         stream_versions.record_listed(
--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -59,6 +59,8 @@
         Table version in force on a router, or stored on a replica.
     list_age_s : prometheus_client.Gauge
         Age of the list of servers.
+    skipped_entries : prometheus_client.Counter
+        Unusable entries that reads of the list of servers have skipped.
     limit_use : prometheus_client.Gauge
         Used share of the VM's limits, by resource.
     open_requests : prometheus_client.Gauge
@@ -89,6 +91,7 @@
     ordered_servers: prometheus_client.Gauge
     table_version: prometheus_client.Gauge
     list_age_s: prometheus_client.Gauge
+    skipped_entries: prometheus_client.Counter
     limit_use: prometheus_client.Gauge
     open_requests: prometheus_client.Gauge
     server_slowness: prometheus_client.Gauge
@@ -138,6 +141,7 @@
         ),
         table_version=gauge("table_version", "Version of the routing table."),
         list_age_s=gauge("list_age_seconds", "Age of the list of servers."),
+        skipped_entries=counter("skipped_entries", "Unusable entries of the list."),
         limit_use=gauge("limit_use", "Used share of the VM's limits.", "resource"),
         open_requests=gauge("open_requests", "Requests without a final answer."),
         server_slowness=gauge("server_slowness", "Slowness of servers.", "server"),
