Use only entries of services that a table names, one for each id

Cause: `update_servers` kept the servers in a dictionary by id alone, so that the last entry of an id replaced the others, whatever its service. Entries of unknown services were probed, too, and counted in whether servers can be reached: one that accepts connections hid that a router was isolated.

The pool now selects the entries in force by a pure decision (`forwarding_policy/listed_entries.py`): usable entries of services that a table names; of several with one id the one in the current table, then the one that started last, then the one that is known already, then the last. The list as it was read is kept and selected from again when a table changes its services.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -303,6 +303,9 @@
             logs.error("table in the replicated log is invalid", fields)
             return False
         self.forwarder.route_index = matching.make_index(table)
+        server_pool.update_services(
+            self.forwarder.pool, [service.name for service in table.services]
+        )
         self.forwarder.pool.memory_tokens_counts = {
             service.name: service.cache_tokens_count for service in table.services
         }
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -14,6 +14,7 @@
 from hickoryweir.forwarding import header_codec, server_memory
 from hickoryweir.forwarding_policy import (
     grey_servers,
+    listed_entries,
     rejection_limits,
     router_shares,
     server_limits,
@@ -215,6 +216,10 @@
         before the first sum.
     traffic : router_shares.Traffic
         Open requests of this router and of all of them.
+    found : listing.ServerList or None
+        The list as it was read, with the entries that are not in force.
+    services : listed_entries.NamedServices
+        Services that tables name.
     """
 
     servers: dict[str, ServerView] = dataclasses.field(default_factory=dict)
@@ -246,14 +251,36 @@
     position: int = 0
     summed_count: int = 0
     traffic: router_shares.Traffic = router_shares.NO_TRAFFIC
+    found: listing.ServerList | None = None
+    services: listed_entries.NamedServices = listed_entries.NO_TABLE
+
+
+def update_services(pool: Pool, names: Iterable[str]) -> None:
+    """Use the entries of the services that a new table names."""
+    services = listed_entries.record_table(pool.services, names, clocks.boottime_s())
+    is_changed = services != pool.services
+    pool.services = services
+    if is_changed and pool.found is not None:
+        _select_servers(pool, pool.found)
 
 
 def update_servers(pool: Pool, found: listing.ServerList) -> None:
     """Replace the list; keep the state of servers that stay and did not restart."""
+    pool.found = found
     _forget_notices(pool, found)
-    servers = {}
+    _select_servers(pool, found)
+
+
+def _select_servers(pool: Pool, found: listing.ServerList) -> None:
+    """Replace the servers by those of the entries that are in force."""
     is_first_list = not pool.servers
-    for listed in found.servers:
+    servers = {}
+    known_entries = {
+        server_id: view.listed
+        for server_id, view in (pool.departed | pool.servers).items()
+    }
+    selected = listed_entries.select(found.servers, pool.services, known_entries)
+    for listed in selected:
         known = pool.servers.get(listed.server_id) or pool.departed.get(
             listed.server_id
         )
--- a/hickoryweir/forwarding/tests/test_server_pool.py
+++ b/hickoryweir/forwarding/tests/test_server_pool.py
@@ -3,6 +3,8 @@
 import dataclasses
 import random
 
+import pytest
+
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages
 from hickoryweir.forwarding import header_codec, server_pool, server_reachability
@@ -18,6 +20,78 @@
     return pool, pool.servers.get("s1")
 
 
+FOREIGN = dataclasses.replace(
+    SERVER, service_name="host-metrics", address="10.0.0.1:9100"
+)
+
+
+@pytest.mark.parametrize("entries", [(SERVER, FOREIGN), (FOREIGN, SERVER)])
+@pytest.mark.parametrize("is_table_first", [True, False])
+def test_entry_of_an_unknown_service_does_not_hide_the_engine_with_its_id(
+    entries, is_table_first
+):
+    pool = server_pool.Pool()
+    if is_table_first:
+        server_pool.update_services(pool, ["app"])
+    server_pool.update_servers(pool, listing.ServerList(entries, 0.0))
+    if not is_table_first:
+        server_pool.update_services(pool, ["app"])
+    (view,) = server_pool.available_servers(pool, "app")
+    assert view.listed == SERVER
+
+
+def test_list_counts_for_a_service_that_a_later_table_adds():
+    pool = server_pool.Pool()
+    server_pool.update_services(pool, ["jobs"])
+    server_pool.update_servers(pool, listing.ServerList((SERVER,), 0.0))
+    assert server_pool.available_servers(pool, "app") == []
+    server_pool.update_services(pool, ["app"])
+    assert len(server_pool.available_servers(pool, "app")) == 1
+
+
+def test_requests_of_an_earlier_table_keep_their_servers():
+    # A table that drops a service would refuse requests that are already admitted.
+    pool = server_pool.Pool()
+    server_pool.update_services(pool, ["app"])
+    server_pool.update_servers(pool, listing.ServerList((SERVER,), 0.0))
+    view = pool.servers["s1"]
+    server_pool.update_services(pool, ["jobs"])
+    assert server_pool.available_servers(pool, "app") == [view]
+
+
+def test_foreign_entries_say_nothing_of_whether_servers_can_be_reached():
+    # They were probed, and one that accepts connections hid an isolation.
+    pool = server_pool.Pool()
+    server_pool.update_services(pool, ["app"])
+    other = dataclasses.replace(FOREIGN, server_id="s2", availability_zone="x")
+    server_pool.update_servers(pool, listing.ServerList((SERVER, other), 0.0))
+    server_reachability.record_unreachable(pool, pool.servers["s1"], "a", 0.0)
+    assert server_reachability.reaches_none(pool)
+
+
+def test_entry_that_started_later_wins_over_a_stale_one_with_its_id():
+    reborn = dataclasses.replace(SERVER, started_at_ms=2, address="10.0.0.2:80")
+    stale = dataclasses.replace(SERVER, started_at_ms=1)
+    for entries in ((reborn, stale), (stale, reborn)):
+        _, view = make_pool(*entries)
+        assert view.listed == reborn
+
+
+def test_known_server_wins_over_a_copy_at_another_address():
+    # Without a start time nothing else says which of the two is the engine.
+    copy = dataclasses.replace(SERVER, address="10.0.0.1:9100")
+    pool, view = make_pool()
+    for entries in ((SERVER, copy), (copy, SERVER)):
+        server_pool.update_servers(pool, listing.ServerList(entries, 1.0))
+        assert pool.servers["s1"] is view
+
+
+def test_unusable_server_in_the_list_of_an_earlier_replica_is_left_out():
+    # A connection to this port goes to the port modulo 65,536, or fails with a 500.
+    pool, _ = make_pool(SERVER, dataclasses.replace(SERVER, address="10.0.0.1:65536"))
+    assert pool.servers["s1"].listed == SERVER
+
+
 def test_own_load_is_subtracted_from_the_sum_of_all_routers():
     pool, view = make_pool()
     view.in_flight[1] = server_pool.InFlightRequest(500, 0.0)
