Refuse every key once the list of client accounts is empty

Cause: the decoder made an empty and an absent list the same, and a key was asked for only if the table had accounts.

A table now says whether it has a list (`checks_keys`); with one, a route that doesn't allow anonymous requests needs a key of an account. Absent and null `tenants` stay open. The project's own INI tables can't hold an empty list of accounts.

--- a/hickoryweir/forwarding/admission.py
+++ b/hickoryweir/forwarding/admission.py
@@ -99,7 +99,9 @@
 
 def requires_account(route_index: matching.RouteIndex, route: model.Route) -> bool:
     """Return whether requests on a route need the key of a client account."""
-    return bool(route_index.table.accounts) and not route.allows_anonymous
+    table = route_index.table
+    checks_keys = table.checks_keys or bool(table.accounts)
+    return checks_keys and not route.allows_anonymous
 
 
 def _find_shortage(
--- a/hickoryweir/forwarding/tests/test_forwarder.py
+++ b/hickoryweir/forwarding/tests/test_forwarder.py
@@ -82,6 +82,25 @@
     )
 
 
+def test_every_key_is_refused_once_the_last_account_is_removed():
+    async def scenario(site):
+        forwarder = site.forwarder
+        table = forwarder.route_index.table
+        forwarder.route_index = matching.make_index(
+            dataclasses.replace(table, accounts=(), checks_keys=True)
+        )
+        given = {"Authorization": "Bearer k1"}
+        statuses = [(await site.call(given=given))[0], (await site.call())[0]]
+        return statuses, site.backends[0].seen
+
+    account = model.ClientAccount("north", ("k1",), None)
+    routes = (tables.make_route(),)
+    assert run([sites.answering()], scenario, routes=routes, accounts=(account,)) == (
+        [401, 401],
+        [],
+    )
+
+
 def test_unknown_path_is_not_found():
     async def scenario(site):
         return (await site.call(path="/elsewhere/"))[0]
--- a/hickoryweir/routes/model.py
+++ b/hickoryweir/routes/model.py
@@ -147,10 +147,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutingTable:
-    """The complete configuration of the routers' forwarding."""
+    """The complete configuration of the routers' forwarding.
+
+    Attributes
+    ----------
+    checks_keys : bool
+        Whether requests need a key though there is no account, since the table has a
+        list of accounts that is empty.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: Limits
     accounts: tuple[ClientAccount, ...]
+    checks_keys: bool = False
