Fuzz the list of servers that other writers share

After each read, through `listing.read_all` and the messages to the routers, the sound servers are in force as listed and nothing else; a list with an entry that has no end is a failed read.

--- a/spec/fuzz.py
+++ b/spec/fuzz.py
@@ -19,6 +19,7 @@
     claims_fuzz,
     cluster_fuzz,
     feeds_fuzz,
+    lists_fuzz,
     members_fuzz,
     responses_fuzz,
 )
@@ -41,6 +42,7 @@
     "claims": Target(claims_fuzz.ClaimsMachine, 100, 60),
     "cluster": Target(cluster_fuzz.ClusterMachine, 100, 80),
     "feeds": Target(feeds_fuzz.FeedsMachine, 10, 5),
+    "lists": Target(lists_fuzz.ListsMachine, 100, 40),
     "members": Target(members_fuzz.MembersMachine, 60, 60),
     "responses": Target(responses_fuzz.ResponsesMachine, 20, 5),
 }
@@ -137,7 +139,7 @@
 def main() -> int:
     """Fuzz the chosen targets and return the exit status."""
     parser = argparse.ArgumentParser(
-        description="fuzz claims, replicas, feeds and responses"
+        description="fuzz claims, replicas, feeds, lists and responses"
     )
     parser.add_argument(
         "--minutes", type=float, default=1.0, help="duration per target"
