--- a/hickoryweir/entry/tables.py
+++ b/hickoryweir/entry/tables.py
@@ -11,6 +11,8 @@
 
 # Operators try another replica after 1 s without a response.
 LOG_TIMEOUT_S = 0.9
+# Names in a table, which the reason may cite, have any length.
+MAX_DETAIL_LENGTH = 500
 
 
 class Reason(enum.StrEnum):
@@ -71,6 +73,7 @@
         return result.Success(store.read_content(stored))
 
     def _refuse(self, reason: Reason, detail: str) -> result.Result:
+        detail = detail[:MAX_DETAIL_LENGTH]
         fields = logs.Fields(reason=reason.value, detail=detail)
         logs.warning("table not taken or read", fields)
         return result.Failure(Refused(reason, detail))
--- a/hickoryweir/routes/checks.py
+++ b/hickoryweir/routes/checks.py
@@ -1,9 +1,13 @@
 """Validation of routing tables."""
 
 import collections
+import math
 
 from hickoryweir.routes import model
 
+# The largest integer that a message of the replicated log holds.
+MAX_VERSION = (1 << 64) - 1
+
 
 def find_problems(table: model.RoutingTable) -> tuple[str, ...]:
     """Return every problem of a table; an empty tuple if it is valid.
@@ -14,6 +18,7 @@
     ()
     """
     return (
+        *_invalid_version(table),
         *_duplicate_services(table),
         *_unknown_services(table),
         *_duplicate_prefixes(table),
@@ -23,6 +28,12 @@
     )
 
 
+def _invalid_version(table: model.RoutingTable) -> list[str]:
+    if 0 <= table.version <= MAX_VERSION:
+        return []
+    return [f"the version must be from 0 to {MAX_VERSION}"]
+
+
 def _duplicates(items: list) -> list:
     return sorted(
         item for item, count in collections.Counter(items).items() if count > 1
@@ -53,12 +64,16 @@
 
 
 def _invalid_weights(table: model.RoutingTable) -> list[str]:
-    return [
-        f"route {route.name} has a negative weight or weights that sum to 0"
-        for route in table.routes
-        if sum(destination.weight for destination in route.destinations) <= 0
-        or any(destination.weight < 0 for destination in route.destinations)
-    ]
+    found = []
+    for route in table.routes:
+        weights = [destination.weight for destination in route.destinations]
+        if sum(weights) <= 0 or min(weights) < 0:
+            found.append(
+                f"route {route.name} has a negative weight or weights that sum to 0"
+            )
+        elif not math.isfinite(sum(weights)):
+            found.append(f"the weights of route {route.name} have no finite sum")
+    return found
 
 
 def _invalid_values(table: model.RoutingTable) -> list[str]:
