Bound the figures in the headers of clients and servers

A server that names a limit of 1e9 requests a second blocks the leader: it draws a router for each of 1e8 grants every 0.1 s, with 1e300 without an end, and sends no heartbeat meanwhile; routers without a leader kept a list of as many grants of their own. A prompt of 1e300 tokens, as a client may state, made a router's loads too large for any message: encoding them raises OverflowError in the task that sends them, which ends. In the project's own headers 5,000 digits raised ValueError, so that the client got a 500.

Cause: numbers were only checked to be finite and not negative.

Counts in headers are at most 2^32 now; a prompt or a load with more counts as malformed, as one with a letter does. Limits of servers count as 10,000 a second at most, which is no limit in effect, and a router keeps at most 20,000 grants.

--- a/hickoryweir/forwarding/header_codec.py
+++ b/hickoryweir/forwarding/header_codec.py
@@ -24,6 +24,8 @@
 LEAVING_VALUE = "1"
 PERCENT = 100.0
 MAX_LOGGED_VALUE_LENGTH = 40
+# Of tokens or requests; sums over all of them fit into a message between processes.
+MAX_COUNT = 1 << 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -204,6 +206,18 @@
     return number if 0.0 <= number < float("inf") else default
 
 
+def parse_count(text: str) -> int | None:
+    """Return the number in a header as a whole one; None if it is none or absurd.
+
+    Examples
+    --------
+    >>> parse_count("12"), parse_count("1.5"), parse_count("-1"), parse_count("1e300")
+    (12, 1, None, None)
+    """
+    number = parse_number(text)
+    return None if number is None or number > MAX_COUNT else int(number)
+
+
 def _parse_seconds(text: str) -> float | None:
     """Return a number of seconds, infinite if it is too large to represent."""
     if text[:1].isdecimal() and text[-1:].isdecimal():
@@ -282,15 +296,17 @@
     >>> parse_load("3,1"), parse_load("3,1,x"), parse_load("3,1,8,0"), parse_load("")
     (None, None, None, None)
     """
-    numbers = [parse_number(field.strip()) for field in text.split(",")]
-    if not 3 <= len(numbers) <= 4 or None in numbers:
+    texts = [field.strip() for field in text.split(",")]
+    counts = [parse_count(item) for item in texts[:3]]
+    if not 3 <= len(texts) <= 4 or None in counts:
         return None
     slowness = None
-    if len(numbers) == 4:
-        if not numbers[3]:
+    if len(texts) == 4:
+        percent = parse_number(texts[3])
+        if not percent:
             return None
-        slowness = numbers[3] / PERCENT
-    return AnnouncedLoad(int(numbers[0]), int(numbers[1]), int(numbers[2]), slowness)
+        slowness = percent / PERCENT
+    return AnnouncedLoad(*counts, slowness)
 
 
 def make_response_parser(
--- a/hickoryweir/forwarding/headers.py
+++ b/hickoryweir/forwarding/headers.py
@@ -71,14 +71,20 @@
     True
     """
     fields = text.split(";")
-    if len(fields) != 4 or not (fields[1].isdecimal() and fields[2].isdecimal()):
+    counts = [_parse_digits(field) for field in fields[1:3]]
+    if len(fields) != 4 or None in counts:
         return None
     parts = []
     for entry in fields[3].split(","):
         part_id, _, tokens = entry.partition(":")
-        if part_id and tokens.isdecimal():
-            parts.append(header_codec.PromptPart(part_id, int(tokens)))
-    return header_codec.Prompt(fields[0], int(fields[1]), int(fields[2]), tuple(parts))
+        tokens_count = _parse_digits(tokens)
+        if part_id and tokens_count is not None:
+            parts.append(header_codec.PromptPart(part_id, tokens_count))
+    return header_codec.Prompt(fields[0], *counts, tuple(parts))
+
+
+def _parse_digits(text: str) -> int | None:
+    return header_codec.parse_count(text) if text.isdecimal() else None
 
 
 def make_request_headers(
--- a/hickoryweir/forwarding_policy/server_limits.py
+++ b/hickoryweir/forwarding_policy/server_limits.py
@@ -21,6 +21,10 @@
 GRANT_LIFETIME_S = 1.0
 # Finds out in time that a server with a limit of 0 takes requests again.
 MIN_RATE_PER_S = 0.2
+# A server that takes more has no limit in effect; grants are drawn and kept one by one.
+MAX_RATE_PER_S = 10_000.0
+# A second's grants, and those that were not issued in time.
+MAX_GRANTS_COUNT = 20_000
 # Grants that were not issued in time, as a share of a second's.
 BURST_SHARE = 0.2
 # Longer than the `Retry-After` that refused requests are given.
@@ -58,7 +62,7 @@
     >>> take_grants(bucket, 10.0, 60.0), take_grants(bucket, 0.0, 64.0)
     (3, 0)
     """
-    rate_per_s = max(MIN_RATE_PER_S, limit_per_s)
+    rate_per_s = _usable_rate(limit_per_s)
     elapsed_s = max(0.0, now_s - bucket.updated_s)
     burst = 1.0 + BURST_SHARE * rate_per_s
     bucket.grants = min(burst, bucket.grants + rate_per_s * elapsed_s)
@@ -68,6 +72,10 @@
     return count
 
 
+def _usable_rate(limit_per_s: float) -> float:
+    return min(max(MIN_RATE_PER_S, limit_per_s), MAX_RATE_PER_S)
+
+
 @dataclasses.dataclass(slots=True)
 class Limit:
     """What a server said last; `per_s` is None once it names no limit any more."""
@@ -173,7 +181,7 @@
 
 
 def add_grants(grants: Grants, count: int, now_s: float) -> None:
-    """Add grants.
+    """Add grants, up to :data:`MAX_GRANTS_COUNT`.
 
     Examples
     --------
@@ -182,7 +190,9 @@
     >>> use_grant(grants, 10.5), has_grant(grants, 10.9), use_grant(grants, 11.1)
     (True, True, False)
     """
-    grants.expires_at_s.extend([now_s + GRANT_LIFETIME_S] * count)
+    room_count = MAX_GRANTS_COUNT - len(grants.expires_at_s)
+    added = [now_s + GRANT_LIFETIME_S] * min(count, max(0, room_count))
+    grants.expires_at_s.extend(added)
 
 
 def has_grant(grants: Grants, now_s: float) -> bool:
@@ -218,7 +228,7 @@
         return
     if grants.bucket is None:
         grants.bucket = Bucket(now_s, phase)
-    rate_per_s = OWN_SHARE * max(MIN_RATE_PER_S, limit_per_s)
+    rate_per_s = OWN_SHARE * _usable_rate(limit_per_s)
     share_per_s = rate_per_s / max(1, routers_count)
     elapsed_s = now_s - grants.bucket.updated_s
     grants.bucket.updated_s = now_s
--- a/hickoryweir/forwarding_policy/tests/test_server_limits.py
+++ b/hickoryweir/forwarding_policy/tests/test_server_limits.py
@@ -133,3 +133,22 @@
     allowed = ALLOWED_FACTOR * limit_per_s * WINDOW_S + ALLOWED_MORE_COUNT
     assert most_in_window(sent_s) <= allowed
     assert len(sent_s) >= 0.5 * limit_per_s * 300.0
+
+
+@pytest.mark.parametrize("limit_per_s", [1e9, 1e300, float("inf")])
+def test_absurd_limit_of_a_server_issues_a_bounded_number_of_grants(limit_per_s):
+    # The leader drew a router for each of 1e8 grants, and sent no heartbeat meanwhile.
+    most = 2 * server_limits.MAX_RATE_PER_S
+    limits, key = server_limits.Limits(), ("s", "h:1", 0)
+    server_limits.record(limits, key, server_limits.Limit(limit_per_s, 0.0))
+    for now_s in (0.0, 0.1, 100.0):
+        issued = server_limits.issue(limits, [1.0, 2.0], now_s, random.Random(1))
+        assert sum(issued.get(key, {}).values()) <= most
+    assert sum(issued[key].values()) > 1
+    own = server_limits.Grants()
+    for now_s in (0.0, 0.1, 1000.0):
+        server_limits.add_own_share(own, limit_per_s, 1, float("-inf"), now_s, 0.0)
+    assert 1 < len(own.expires_at_s) <= most
+    received = server_limits.Grants()
+    server_limits.add_grants(received, 1 << 62, 0.0)
+    assert len(received.expires_at_s) <= most
