Bound the powers of pauses that double

The doubling is a function of its own now with a bounded exponent, used for servers that fail, for probes, for orders of servers without an answer or without servers, and for ejected servers of `serve`, which had the same power.

Both tests failed on the old code with OverflowError.

--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -13,6 +13,7 @@
 from hickoryweir.feeds import messages
 from hickoryweir.forwarding import header_codec, server_memory
 from hickoryweir.forwarding_policy import (
+    doubling,
     grey_servers,
     listed_entries,
     rejection_limits,
@@ -470,8 +471,9 @@
 def record_failure(view: ServerView, now_s: float) -> None:
     """Avoid a server for a while, with exponential backoff on consecutive failures."""
     view.failures_count += 1
-    pause_s = SUSPECT_MIN_S * 2 ** (view.failures_count - 1)
-    view.suspect_until_s = now_s + min(pause_s, SUSPECT_MAX_S)
+    view.suspect_until_s = now_s + doubling.pause_s(
+        SUSPECT_MIN_S, SUSPECT_MAX_S, view.failures_count - 1
+    )
 
 
 def record_success(view: ServerView) -> None:
--- a/hickoryweir/forwarding/tests/test_server_pool.py
+++ b/hickoryweir/forwarding/tests/test_server_pool.py
@@ -8,10 +8,12 @@
 from hickoryweir.discovery import listing
 from hickoryweir.feeds import messages
 from hickoryweir.forwarding import header_codec, server_pool, server_reachability
+from hickoryweir.forwarding_policy import unreachable_servers
 
 SERVER = listing.BackendServer(
     "s1", "app", "10.0.0.1:80", "a", listing.ServerState.READY, 8, 0.0
 )
+PROBE_INTERVAL_MAX_S = unreachable_servers.PROBE_INTERVAL_MAX_S
 
 
 def make_pool(*servers):
@@ -92,6 +94,23 @@
     assert pool.servers["s1"].listed == SERVER
 
 
+def test_server_that_fails_thousands_of_times_is_avoided_for_a_bounded_time():
+    # The power overflowed after 1,025 failures in a row; requests were answered 500.
+    _, view = make_pool()
+    for _ in range(3000):
+        server_pool.record_failure(view, 10.0)
+        assert 10.0 < view.suspect_until_s <= 10.0 + server_pool.SUSPECT_MAX_S
+
+
+def test_server_that_is_not_reached_thousands_of_times_is_probed_at_intervals():
+    # The power overflowed after 1,025 probes in a row; probes had no pause any more.
+    _, view = make_pool()
+    generator = random.Random(1)
+    for _ in range(3000):
+        server_reachability.record_failed_probe(view, 10.0, generator)
+        assert 10.0 < view.next_probe_s <= 10.0 + 2 * PROBE_INTERVAL_MAX_S
+
+
 def test_own_load_is_subtracted_from_the_sum_of_all_routers():
     pool, view = make_pool()
     view.in_flight[1] = server_pool.InFlightRequest(500, 0.0)
--- a/hickoryweir/forwarding_policy/order_outcomes.py
+++ b/hickoryweir/forwarding_policy/order_outcomes.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from hickoryweir.duties import calls
-from hickoryweir.forwarding_policy import order_state
+from hickoryweir.forwarding_policy import doubling, order_state
 
 # A zone is dry while the infrastructure has no servers of a kind to give there; a
 # reclaimed zone has no spot servers for about 10 s.
@@ -113,7 +113,7 @@
     if not is_dry:
         return dataclasses.replace(subject, sent_at_s=now_s, is_retried=True)
     count = subject.consecutive_dry_count
-    pause_s = min(DRY_PAUSE_S * 2**count, DRY_PAUSE_MAX_S)
+    pause_s = doubling.pause_s(DRY_PAUSE_S, DRY_PAUSE_MAX_S, count)
     return dataclasses.replace(
         subject,
         sent_at_s=now_s,
@@ -128,7 +128,7 @@
     subject: order_state.Subject, order: calls.ServerOrder, now_s: float
 ) -> order_state.Subject:
     count = subject.consecutive_unanswered_count
-    pause_s = min(UNANSWERED_PAUSE_MIN_S * 2**count, UNANSWERED_PAUSE_MAX_S)
+    pause_s = doubling.pause_s(UNANSWERED_PAUSE_MIN_S, UNANSWERED_PAUSE_MAX_S, count)
     call = order_state.Unanswered(order.servers_count, now_s + LATE_EXECUTION_S)
     others = tuple(
         item for item in subject.unanswered if item.servers_count != order.servers_count
--- a/hickoryweir/forwarding_policy/unreachable_servers.py
+++ b/hickoryweir/forwarding_policy/unreachable_servers.py
@@ -22,6 +22,8 @@
 import dataclasses
 import random
 
+from hickoryweir.forwarding_policy import doubling
+
 # Fewer servers may have crashed independently.
 MIN_SERVERS_COUNT = 2
 # Requests to several servers meet a partition within this time.
@@ -110,5 +112,7 @@
 
     The jitter keeps many routers from probing a server at the same moment.
     """
-    interval_s = min(PROBE_INTERVAL_MIN_S * 2**probes_count, PROBE_INTERVAL_MAX_S)
+    interval_s = doubling.pause_s(
+        PROBE_INTERVAL_MIN_S, PROBE_INTERVAL_MAX_S, probes_count
+    )
     return now_s + interval_s * generator.uniform(0.7, 1.3)
--- a/hickoryweir/policy/stragglers.py
+++ b/hickoryweir/policy/stragglers.py
@@ -7,6 +7,7 @@
 
 import statistics
 
+from hickoryweir.forwarding_policy import doubling
 from hickoryweir.policy import state
 
 # Weight of a new sample in the moving average of the time between tokens.
@@ -104,8 +105,9 @@
     speed.ejected = True
     speed.probing = False
     speed.slow_since_s = None
-    ejection_s = min(EJECT_MAX_S, EJECT_MIN_S * 2**speed.ejections)
-    speed.ejected_until_s = now_s + ejection_s
+    speed.ejected_until_s = now_s + doubling.pause_s(
+        EJECT_MIN_S, EJECT_MAX_S, speed.ejections
+    )
     speed.ejections += 1
     core.counters.ejections += 1
 
