Keep a replica running when crash evidence can't be merged or encoded

The task that loads and saves crash evidence ended by any exception but OSError, and a replica ends when one of its tasks does: content of the file, which other processes have reported, would have ended it at each start anew. Found by looking at each task that reads shared input; no value is known that does it.

An exception is logged now; loading goes on without the file, and saving is tried again. The test makes the merge raise and one message too large to encode; on the old code the task was done with "ValueError: absurd".

--- a/hickoryweir/feeds/evidence_file.py
+++ b/hickoryweir/feeds/evidence_file.py
@@ -21,6 +21,7 @@
 FILE_NAME = "crash-evidence"
 # A disk that is full or hangs usually stays so for seconds.
 RETRY_INTERVAL_S = 1.0
+MAX_LOGGED_LENGTH = 200
 
 Content = messages.CrashEvidence | messages.RequestsLost
 
@@ -60,7 +61,7 @@
             found = await loop.run_in_executor(
                 self._executor, load, self._files, self._folder
             )
-            self._feed.restore(found)
+            self._restore(found)
             while True:
                 await self._changed.wait()
                 self._changed.clear()
@@ -68,18 +69,28 @@
         finally:
             self._executor.shutdown(wait=False, cancel_futures=True)
 
+    def _restore(self, found: list[Content]) -> None:
+        try:
+            self._feed.restore(found)
+        except Exception as error:
+            # Without it the replica ends at each start, as long as the file is there.
+            reason = repr(error)[:MAX_LOGGED_LENGTH]
+            logs.error("crash evidence not restored", logs.Fields(reason=reason))
+
     async def _save(self) -> None:
-        state, now_s = self._feed.suspect_parts, clocks.boottime_s()
-        content = evidence.make_messages(state, evidence.shared_keys(state), now_s)
-        content += losses.make_messages(
-            self._feed.crashes, now_s, losses.MIN_SAVED_LOSSES_COUNT
-        )
         try:
+            state, now_s = self._feed.suspect_parts, clocks.boottime_s()
+            content = evidence.make_messages(state, evidence.shared_keys(state), now_s)
+            content += losses.make_messages(
+                self._feed.crashes, now_s, losses.MIN_SAVED_LOSSES_COUNT
+            )
             await asyncio.get_running_loop().run_in_executor(
                 self._executor, save, self._files, self._folder, content
             )
-        except OSError as error:
-            logs.warning("crash evidence not saved", logs.Fields(reason=str(error)))
+        except Exception as error:
+            # Not only the disk may fail: the content comes from other processes.
+            reason = repr(error)[:MAX_LOGGED_LENGTH]
+            logs.warning("crash evidence not saved", logs.Fields(reason=reason))
             self._changed.set()
             await asyncio.sleep(RETRY_INTERVAL_S)
 
--- a/hickoryweir/feeds/tests/test_evidence_file.py
+++ b/hickoryweir/feeds/tests/test_evidence_file.py
@@ -109,3 +109,39 @@
     asyncio.run(main())
     assert len(failures) == 2
     assert blocked_after_load(tmp_path) == {"bad"}
+
+
+def test_content_that_cannot_be_merged_or_encoded_does_not_end_the_replica(
+    tmp_path, monkeypatch
+):
+    # A task that ends by an exception ends the replica's process, at each start anew.
+    monkeypatch.setattr(evidence_file, "RETRY_INTERVAL_S", 0.01)
+    evidence_file.save(file_operations.make_files(), str(tmp_path), make_content())
+    path, refused = tmp_path / evidence_file.FILE_NAME, []
+    absurd = [messages.RequestsLost("a", (1 << 64,), 0.0)]
+
+    class AbsurdFeed(Feed):
+        def restore(self, found):
+            refused.append(found)
+            raise ValueError("absurd")
+
+    def make_absurd_once(*given):
+        return absurd if len(refused) == 1 and not refused.append(given) else []
+
+    async def main():
+        feed = AbsurdFeed()
+        files = file_operations.make_files()
+        keeper = evidence_file.EvidenceFile(files, str(tmp_path), feed)
+        task = asyncio.create_task(keeper.run())
+        await waiting.wait_until(lambda: refused or task.done(), WAIT_S)
+        path.unlink()
+        monkeypatch.setattr(losses, "make_messages", make_absurd_once)
+        feed.suspect_parts = make_state()
+        feed.on_evidence()
+        await waiting.wait_until(lambda: path.exists() or task.done(), WAIT_S)
+        assert not task.done()
+        task.cancel()
+
+    asyncio.run(main())
+    assert len(refused) == 2
+    assert blocked_after_load(tmp_path) == {"bad"}
