--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -123,6 +123,9 @@
         )
         self._list_session = sessions.make_session(keeps_connections=True)
         self.forwarder = self._make_forwarder()
+        self._skipped_entries = listing.SkippedEntries(
+            self.forwarder.metrics.skipped_entries.inc
+        )
         self._usage_sender = self._make_usage_sender()
 
     def _make_callbacks(self) -> subscriber.Callbacks:
@@ -312,6 +315,9 @@
             logs.error("table in the replicated log is invalid", fields)
             return False
         self.forwarder.route_index = matching.make_index(table)
+        server_pool.update_services(
+            self.forwarder.pool, [service.name for service in table.services]
+        )
         self.forwarder.pool.memory_tokens_counts = {
             service.name: service.cache_tokens_count for service in table.services
         }
@@ -549,4 +555,5 @@
             fields = logs.Fields(reason=outcome.failure())
             logs.warning("reading the list of servers failed", fields)
             return
+        self._skipped_entries.record(outcome.unwrap())
         self._subscriber.apply_list(outcome.unwrap())
--- a/hickoryweir/entry/tables.py
+++ b/hickoryweir/entry/tables.py
@@ -16,6 +16,8 @@
 LOG_TIMEOUT_S = 0.9
 # Several times as long as routers need for a table of a few hundred routes.
 CONFIRMATION_TIMEOUT_S = 0.5
+# Names in a table, which the reason may cite, have any length.
+MAX_DETAIL_LENGTH = 500
 
 
 class Reason(enum.StrEnum):
@@ -115,6 +117,7 @@
     def _refuse(
         self, reason: Reason, detail: str, version: int | None = None
     ) -> result.Result:
+        detail = detail[:MAX_DETAIL_LENGTH]
         fields = logs.Fields(reason=reason.value, detail=detail, version=version)
         logs.warning("table not taken or read", fields)
         return result.Failure(Refused(reason, detail))
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -88,6 +88,8 @@
         What the routers report of their requests by service.
     confirmations : confirmations.Confirmations
         Which table each router has in force.
+    skipped_entries : listing.SkippedEntries
+        Counts unusable entries of the server list.
     """
 
     def __init__(
@@ -118,6 +120,7 @@
         self.crashes = crash_counts.CrashCounts()
         self.demand = demand.DemandKeeper()
         self.confirmations = confirmations.make_confirmations()
+        self.skipped_entries = listing.SkippedEntries()
         self.on_evidence: Callable[[], None] = lambda: None
         self._evidence_sender = evidence.Sender(
             self.suspect_parts, self._send_to_subscribers
@@ -540,6 +543,7 @@
             )
             return
         server_list = outcome.unwrap()
+        self.skipped_entries.record(server_list)
         previous = self._servers
         self._servers = server_list
         stream_versions.record_listed(
--- a/spec/fuzz.py
+++ b/spec/fuzz.py
@@ -20,6 +20,7 @@
     cluster_fuzz,
     copies_fuzz,
     feeds_fuzz,
+    lists_fuzz,
     members_fuzz,
     responses_fuzz,
 )
@@ -43,6 +44,7 @@
     "cluster": Target(cluster_fuzz.ClusterMachine, 100, 80),
     "copies": Target(copies_fuzz.CopiesMachine, 20, 5),
     "feeds": Target(feeds_fuzz.FeedsMachine, 10, 5),
+    "lists": Target(lists_fuzz.ListsMachine, 100, 40),
     "members": Target(members_fuzz.MembersMachine, 60, 60),
     "responses": Target(responses_fuzz.ResponsesMachine, 20, 5),
 }
@@ -139,7 +141,7 @@
 def main() -> int:
     """Fuzz the chosen targets and return the exit status."""
     parser = argparse.ArgumentParser(
-        description="fuzz claims, replicas, copies, feeds and responses"
+        description="fuzz claims, replicas, copies, feeds, lists and responses"
     )
     parser.add_argument(
         "--minutes", type=float, default=1.0, help="duration per target"
