Take no response that came before its call for the outcome of a duty's call

What was seen in a test: a usage report counted as accepted though the infrastructure had not received a byte of it, since a response was on the new connection before the call.

Cause: duties' calls open a connection each, so no late copy of another response can be on it; but bytes that came before the call was written were kept and read as its response. They now use the connector and the request class of the other clients, which end such a connection; the call counts as not sent. A connection that ended between connect and write gives the same outcome now instead of an AttributeError.

--- a/hickoryweir/duties/checked_requests.py
+++ b/hickoryweir/duties/checked_requests.py
@@ -2,8 +2,9 @@
 
 A process may be frozen at any point between the decision to send and the write.  The
 check is therefore part of the transport's `write`, with nothing that waits after it.
-Connections are not reused, and unsent bytes are discarded when a call is given up, so
-that the kernel sends nothing later on behalf of it.
+Connections are not reused, so that a response can be no late copy of another one, and
+unsent bytes are discarded when a call is given up, so that the kernel sends nothing
+later on behalf of it.
 """
 
 import asyncio
@@ -12,7 +13,7 @@
 
 import aiohttp
 
-from hickoryweir.engines import sessions
+from hickoryweir.engines import framing, sessions
 from hickoryweir.forwarding import sockets
 
 
@@ -89,11 +90,14 @@
 _CHECK: contextvars.ContextVar[Check] = contextvars.ContextVar("check")
 
 
-class CheckedRequest(aiohttp.ClientRequest):
+class CheckedRequest(framing.TrackedRequest):
     """Request that is written through a :class:`CheckedTransport`."""
 
     async def send(self, conn: object) -> aiohttp.ClientResponse:
         """Send the request."""
+        if conn.protocol.transport is None:
+            # It ended, or was closed since bytes came that nobody asked for.
+            raise aiohttp.ClientConnectionResetError("closed before the request")
         conn.protocol.transport = _CHECK.get().attach(conn.protocol.transport)
         return await super().send(conn)
 
@@ -101,7 +105,7 @@
 def make_session() -> aiohttp.ClientSession:
     """Return a session for checked requests; the caller closes it."""
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=framing.ResponseConnector(
             limit=sessions.NO_LIMIT,
             force_close=True,
             socket_factory=sockets.make_socket,
--- a/hickoryweir/duties/tests/test_calls.py
+++ b/hickoryweir/duties/tests/test_calls.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from hickoryweir.duties import calls
+from hickoryweir.engines import framing
 from hickoryweir.entry import own_calls
 
 PERMISSION = calls.Permission("vm1", 7)
@@ -186,3 +187,31 @@
     counts = [sum(0 <= later - time < 1 for later in times) for time in times]
     assert max(counts) <= 20
     assert len(times) == 40
+
+
+def test_response_that_comes_before_its_call_is_no_outcome(monkeypatch):
+    """Guards against a report that counts as accepted and was never received."""
+    received = []
+
+    async def answer_at_once(reader, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        with contextlib.suppress(OSError):
+            received.append(await reader.read())
+        writer.close()
+
+    async def make_late(*args, **options):
+        made = await make_transport(*args, **options)
+        await asyncio.sleep(0.05)
+        return made
+
+    make_transport = framing.ResponseConnector._make_transport
+    monkeypatch.setattr(framing.ResponseConnector, "_make_transport", make_late)
+
+    async def main():
+        listener = await asyncio.start_server(answer_at_once, "127.0.0.1", 0)
+        async with listener:
+            port = listener.sockets[0].getsockname()[1]
+            return await send(f"127.0.0.1:{port}", Holder())
+
+    assert asyncio.run(main()) is calls.Outcome.FAILED
+    assert received in ([], [b""])
