Describe the placement of a prompt that names no parts

What callers saw: 500 for a request with token counts and without parts of its prompt, after its server ran it.

Cause: the log line on a sent request names the last shared part, and `_describe_placement` indexed an empty tuple (IndexError). It says "none" now. The choice of the server handles such a prompt as a request without one already; no other place indexes the shared parts.

Test: test_prompt_without_parts_gets_the_response_of_its_server; before, (500, "internal_error", 1 run) on routes with and without prompts.

--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -530,7 +530,8 @@
     if context.metadata.prompt is None:
         return text
     chosen = context.placement
-    part_id = server_selection.shared_parts(context.metadata.prompt.parts)[-1].part_id
+    shared = server_selection.shared_parts(context.metadata.prompt.parts)
+    part_id = shared[-1].part_id if shared else "none"
     return (
         f"{text}, urgency {server_selection.urgency_of(context)}, part {part_id}, "
         f"{chosen.uncached_tokens_count} tokens to read after "
--- a/hickoryweir/forwarding/tests/test_forwarder.py
+++ b/hickoryweir/forwarding/tests/test_forwarder.py
@@ -392,6 +392,18 @@
     assert found == (503, True, b"overloaded\n", 0)
 
 
+@pytest.mark.parametrize("has_prompt", [False, True])
+def test_prompt_without_parts_gets_the_response_of_its_server(has_prompt):
+    """Guards against a 500 for a request that a server has run."""
+    route = tables.make_route(allows_anonymous=True, has_prompt=has_prompt)
+
+    async def scenario(site):
+        status, _, body = await site.call(given={headers.PROMPT: "m;30;5;"})
+        return status, body, len(site.backends[0].seen)
+
+    assert run([sites.answering()], scenario, routes=(route,)) == (200, b"whole", 1)
+
+
 def kept_after_parallel_calls(calls_count, connections_count, routers_count):
     """Return how many connections stay open after concurrent calls."""
     arrived = []
