Answer 503 to a request that a relay refuses as overload

What callers saw: 500 ("internal_error") in place of 503 for a prompt that the relay had refused because of the backlog at its servers; found by the test of late copies of a relay's refusals.

Cause: the sender described the refusal with its own placement, which it hasn't made (AttributeError on None). It is described only where there is one; the relay logs its own.

Test: test_copy_of_a_relays_refusal_is_no_promise now runs with each final reason of a relay; before, those with "overloaded" got 500 and the other 26 of 28 passed.

--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -556,7 +556,8 @@
     request_id = context.metadata.request_id
     name = context.route.name
     detail = None
-    if reason is errors.Reason.OVERLOADED:
+    if reason is errors.Reason.OVERLOADED and context.placement is not None:
+        # A relay that refuses has logged its own placement.
         detail = _describe_overload(context, retry_after_s)
     return refuse(context.forwarder, request_id, reason, retry_after_s, name, detail)
 
--- a/hickoryweir/forwarding/tests/test_relayed_refusals.py
+++ b/hickoryweir/forwarding/tests/test_relayed_refusals.py
@@ -6,7 +6,7 @@
 import multidict
 import pytest
 
-from hickoryweir.forwarding import relay_messages, relay_pool
+from hickoryweir.forwarding import errors, relay_messages, relay_pool, relaying
 from hickoryweir.forwarding.tests import (
     late_copies,
     sites,
@@ -46,16 +46,17 @@
     assert list(found.values()) == [503, 502, 200, 200]
 
 
-def make_reply(hop_id):
+def make_reply(hop_id, reason):
     """Return a relay's refusal."""
     fields = multidict.CIMultiDict()
-    relay_messages.write(fields, relay_messages.RelayReply(hop_id, "servers_full", 0))
+    relay_messages.write(fields, relay_messages.RelayReply(hop_id, reason, 0))
     field = f"{relay_messages.HEADER}: {fields[relay_messages.HEADER]}\r\n"
     return f"HTTP/1.1 503 X\r\n{field}Content-Length: 0\r\n\r\n".encode()
 
 
+@pytest.mark.parametrize("reason", sorted(relaying.FINAL_REASONS))
 @pytest.mark.parametrize("is_copied", [False, True])
-def test_copy_of_a_relays_refusal_is_no_promise(is_copied):
+def test_copy_of_a_relays_refusal_is_no_promise(is_copied, reason):
     """Guards against a refusal of a relay that counts for another request there."""
     sent, runs, writers = [], [], []
 
@@ -73,13 +74,13 @@
                     length = b"Content-Length: %d\r\n\r\n" % len(status)
                     writer.write(b"HTTP/1.1 200 OK\r\n" + length + status)
                 elif not sent:
-                    sent.append(make_reply(message.hop_id))
+                    sent.append(make_reply(message.hop_id, reason))
                     writer.write(sent[0])
                 elif is_copied:
                     runs.append(message.hop_id)
                     writer.write(sent[0])
                 else:
-                    writer.write(make_reply(message.hop_id))
+                    writer.write(make_reply(message.hop_id, reason))
 
     async def main():
         listener = await asyncio.start_server(handle, sites.HOST, 0)
@@ -100,5 +101,6 @@
                 await writer.wait_closed()
             return found
 
-    assert asyncio.run(main()) == [503, 502 if is_copied else 503]
+    status = errors.STATUSES[reason]
+    assert asyncio.run(main()) == [status, 502 if is_copied else status]
     assert len(runs) == is_copied
