Write no response without events into a running stream

What callers saw: a stream of events with an error's text in it ("gone"), ended as whole, when the server that was asked to go on with it answered 4xx, or 2xx with another media type.

Cause: such a response passes unsplit on a route of streams, also where the client already had a part of the stream. Then it counts as lost now: another server may go on within the attempts that are left, else the connection is aborted.

Test: test_response_without_events_is_no_part_of_a_resumed_stream; six of six rows failed before. test_streams, test_response_table, test_truncated_streams: 41 passed.

--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -141,6 +141,9 @@
         answered.response.status, answered.response.content_type
     )
     try:
+        if context.stream_response is not None and splitter.is_opaque:
+            detail = f"status {answered.response.status} without events"
+            raise exchange.IncompleteResponseError(framing.End.NO_HEAD, detail)
         await _forward_events(context, view, answered, splitter)
     except exchange.IncompleteResponseError as error:
         answered.response.close()
--- a/hickoryweir/forwarding/tests/test_streams.py
+++ b/hickoryweir/forwarding/tests/test_streams.py
@@ -1,6 +1,7 @@
 """Tests of event streams through a router over loopback sockets."""
 
 import asyncio
+import dataclasses
 import socket
 import threading
 
@@ -87,6 +88,44 @@
     assert found == (200, WHOLE, 2)
 
 
+def refusing_to_resume(status, media_type):
+    return sites.answering(status, "gone\n", **{"Content-Type": media_type})
+
+
+@pytest.mark.parametrize("attempts_count", [2, 3])
+@pytest.mark.parametrize(
+    ("status", "media_type"),
+    [(404, "text/plain"), (409, "text/event-stream"), (200, "application/json")],
+)
+def test_response_without_events_is_no_part_of_a_resumed_stream(
+    status, media_type, attempts_count
+):
+    """Guards against an error's text within a stream of events."""
+    route = dataclasses.replace(
+        sites.resumable_route(), max_attempts_count=attempts_count
+    )
+
+    async def scenario(site):
+        url = f"http://{sites.HOST}:{site.port}/chat/x"
+        sent = {"Host": "site.example", headers.REQUEST_ID: "r-1"}
+        received = b""
+        try:
+            async with site.client.post(url, headers=sent) as response:
+                async for chunk in response.content.iter_any():
+                    received += chunk
+        except aiohttp.ClientPayloadError:
+            return received, True
+        return received, False
+
+    last = [streaming()] if attempts_count == 3 else []
+    answer = answering_in_turn(
+        streaming(break_after=2), refusing_to_resume(status, media_type), *last
+    )
+    begun = make_event(1) + make_event(2)
+    expected = (WHOLE, False) if last else (begun, True)
+    assert run([answer] * 3, scenario, route) == expected
+
+
 def test_broken_at_most_once_stream_is_aborted():
     route = tables.make_route(
         allows_anonymous=True,
