Read the list of VMs entry by entry, and bound engines' reports

The list is split into entries like that of the servers.

Engines' load reports and cache events had counts without an upper bound; integers of 400 digits were taken, which have no float. They are no report now.

--- a/hickoryweir/discovery/tests/test_poller.py
+++ b/hickoryweir/discovery/tests/test_poller.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+import pytest
+
 from hickoryweir.discovery import decisions, poller
 from hickoryweir.engines.tests import benches
 from hickoryweir.testing import platform_list
@@ -55,6 +57,44 @@
     asyncio.run(test())
 
 
+FOREIGN_VMS = [
+    b'{"name":"\xff","state":"live"}',
+    b'{"name":"\\ud800","state":"live"}',
+    b'{"name":"e9","state":"odd"}',
+    b'{"name":"e9","name":"e8","state":"live"}',
+    b'{"state":"live"}',
+    b'{"name":' + b"9" * 5000 + b"}",
+    b"[" * 5000 + b"]" * 5000,
+    b"null",
+    b"",
+]
+
+
+@pytest.mark.parametrize("foreign", FOREIGN_VMS)
+def test_vm_of_another_writer_leaves_the_others_in_the_list(foreign):
+    # Leaving VMs went unseen for as long as one entry didn't match the schema.
+    sound = b'{"name":"e1","state":"leaving"}'
+    for vms in (foreign + b"," + sound, sound + b"," + foreign):
+        listed = poller.decode_list(b'{"version":3,"vms":[%s]}' % vms).unwrap()
+        assert listed.version == 3
+        assert listed.vms == (decisions.Vm("e1", decisions.VmState.LEAVING),)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b'{"vms":[]}',
+        b'{"version":-1,"vms":[]}',
+        b'{"version":' + b"9" * 5000 + b',"vms":[]}',
+        b'{"version":1}',
+        b'{"version":1,"vms":[{"name":"e1"',
+    ],
+)
+def test_list_of_vms_that_cannot_be_split_is_a_failure(body):
+    assert poller.decode_list(body).failure().got_response
+
+
 def test_list_with_unexpected_fields_is_a_failure():
     async def test():
         async with benches.engine_bench() as bench:
--- a/hickoryweir/engines/reads.py
+++ b/hickoryweir/engines/reads.py
@@ -55,6 +55,21 @@
     Result of the document or of ReadFailure
         Network errors and invalid responses are returned, not raised.
     """
+
+    def decode(body: bytes) -> result.Result[DocumentT, ReadFailure]:
+        try:
+            return result.Success(document_type.model_validate_json(body))
+        except ValueError:
+            message = "the document does not match its schema"
+            return result.Failure(ReadFailure(message, got_response=True))
+
+    return (await read_bytes(session, url, timeout_s)).bind(decode)
+
+
+async def read_bytes(
+    session: aiohttp.ClientSession, url: str, timeout_s: float
+) -> result.Result[bytes, ReadFailure]:
+    """Fetch the bytes of a document; see :func:`read_document`."""
     try:
         async with session.get(
             url,
@@ -72,8 +87,4 @@
         return result.Failure(
             ReadFailure("the document is too large", got_response=True)
         )
-    try:
-        return result.Success(document_type.model_validate_json(body))
-    except ValueError:
-        message = "the document does not match its schema"
-        return result.Failure(ReadFailure(message, got_response=True))
+    return result.Success(body)
--- a/hickoryweir/engines/reports.py
+++ b/hickoryweir/engines/reports.py
@@ -24,6 +24,9 @@
 CACHE_POLL_INTERVAL = 3
 MAX_DIGEST = 2**64 - 1
 Digest = pydantic.conint(ge=0, le=MAX_DIGEST)
+# More than a server runs, and exact as a float.
+Count = pydantic.conint(ge=0, le=1 << 32)
+Sequence = pydantic.conint(ge=0, le=1 << 63)
 Message = events.LoadReported | events.CacheChanged | decisions.Probed
 
 
@@ -54,8 +57,8 @@
 class LoadDocument(reads.Document):
     """Response body of ``GET /load``."""
 
-    running: int = pydantic.Field(ge=0)
-    waiting: int = pydantic.Field(ge=0)
+    running: Count
+    waiting: Count
     cache_used_share: float = pydantic.Field(ge=0.0, le=1.0)
     age_s: float = pydantic.Field(ge=0.0, allow_inf_nan=False)
 
@@ -63,7 +66,7 @@
 class CacheEventDocument(reads.Document):
     """One cache event."""
 
-    sequence: int = pydantic.Field(ge=0)
+    sequence: Sequence
     stored: list[Digest] = []
     removed: list[Digest] = []
 
@@ -71,7 +74,7 @@
 class CacheEventsDocument(reads.Document):
     """Response body of ``GET /cache_events``."""
 
-    last_sequence: int = pydantic.Field(ge=0)
+    last_sequence: Sequence
     events: list[CacheEventDocument]
 
 
--- a/hickoryweir/engines/tests/test_reports.py
+++ b/hickoryweir/engines/tests/test_reports.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+import pytest
+
 from hickoryweir.discovery import decisions
 from hickoryweir.engines import reports
 from hickoryweir.engines.tests import benches
@@ -43,6 +45,20 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("number", ["9" * 400, "9" * 5000, "1e300", "1e999", "-1"])
+@pytest.mark.parametrize("name", ["running", "waiting", "last_sequence", "sequence"])
+def test_report_with_an_absurd_count_is_no_report(name, number):
+    # Integers without a bound have no float, so that decisions on them would fail.
+    event = '{"sequence": 1}'.replace("1", number if name == "sequence" else "1")
+    counts = {"running": "1", "waiting": "1", "last_sequence": "1"} | {name: number}
+    fields = ",".join(f'"{key}":{value}' for key, value in counts.items())
+    body = f'{{"cache_used_share":0.5,"age_s":0,"events":[{event}],{fields}}}'
+    is_load = name in ("running", "waiting")
+    document = reports.LoadDocument if is_load else reports.CacheEventsDocument
+    with pytest.raises(ValueError, match="validation error"):
+        document.model_validate_json(body)
+
+
 def test_cache_events_come_once_and_in_order():
     async def test():
         async with benches.engine_bench() as bench, polled_reports(bench) as queue:
