--- a/hickoryweir/discovery/listing.py
+++ b/hickoryweir/discovery/listing.py
@@ -28,7 +28,7 @@
 # An entry as large as this blocks the event loop for 15 ms at most; a larger page is
 # decoded by a thread.
 MAX_INLINE_SIZE_BYTES = 64 * 1024
-# At the usual pause between pages, more than a list of `MAX_PAGES_COUNT` pages takes.
+# Ends a read whose pages each come just within `PAGE_TIMEOUT_S`.
 MAX_READ_S = 30.0
 # Larger integers are not exact as floats, and far larger ones fit into no message.
 MAX_FIGURE = 1 << 53
--- a/hickoryweir/forwarding/tests/test_server_pool.py
+++ b/hickoryweir/forwarding/tests/test_server_pool.py
@@ -89,7 +89,7 @@
 
 
 def test_unusable_server_in_the_list_of_an_earlier_replica_is_left_out():
-    # A connection to this port goes to the port modulo 65,536, or fails with a 500.
+    # A probe of port 65,616 would connect to port 80, of any service.
     pool, _ = make_pool(SERVER, dataclasses.replace(SERVER, address="10.0.0.1:65536"))
     assert pool.servers["s1"].listed == SERVER
 
