Admit a replica with an empty folder sooner

After the loss of a disk the core tolerates no further loss until the replica with the empty folder is a voter. It waited 1.0 s before it asked for admission, a time meant for members during an election, and after a refusal for lack of a quorum its client asked the others again only after up to 1 s, since such a replica hears from no leader itself.

An empty replica now asks after 0.3 s, as it takes part in no election, and each request for admission polls the replicas first. The line on it is written only when the answer changes.

--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -21,6 +21,8 @@
 LEARNER_REMOVED_AFTER_S = 10.0
 # Longer than two elections, so that a replica does not ask for admission during one.
 JOIN_AFTER_S = 1.0
+# An empty replica takes part in no election; this is longer than the bootstrap takes.
+EMPTY_JOIN_AFTER_S = 0.3
 JOIN_TIMEOUT_S = 1.0
 
 
@@ -172,25 +174,34 @@
     return not state.leader_id or not quorums.is_member(state)
 
 
+def join_delay_s(state: states.State | None) -> float:
+    """Return for how long a replica must be inactive before it asks for admission."""
+    is_empty = state is not None and not state.memberships
+    return EMPTY_JOIN_AFTER_S if is_empty else JOIN_AFTER_S
+
+
 async def request_admission(
     log: client.Client,
     own: wire.ReplicaAddress,
     get_state: Callable[[], states.State | None],
 ) -> None:
-    """Ask for admission whenever this replica has been inactive for `JOIN_AFTER_S`.
+    """Ask for admission whenever this replica has been inactive for some time.
 
     A request from a current member is refused without effect, so a long election or a
     network partition costs only one message per second.
     """
+    logged_answer = ""
     inactive_s = 0.0
     while True:
         await asyncio.sleep(CHECK_INTERVAL_S)
         inactive_s = (
             inactive_s + CHECK_INTERVAL_S if needs_to_join(get_state()) else 0.0
         )
-        if inactive_s < JOIN_AFTER_S:
+        if inactive_s < join_delay_s(get_state()):
             continue
         inactive_s = 0.0
         outcome = await log.add_learner(own, JOIN_TIMEOUT_S)
         answer = outcome.value_or("no answer") or "admitted"
-        logs.info("asked to join the replicated log", logs.Fields(reason=answer))
+        if answer != logged_answer:
+            logged_answer = answer
+            logs.info("asked to join the replicated log", logs.Fields(reason=answer))
--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -186,6 +186,9 @@
         member = messages.Member(
             status.member_id, replica.address, status.availability_zone, False
         )
+        if self.reachability is reachability.Reachability.NO_QUORUM:
+            # The replica hears from no leader, so only a poll can find one.
+            await self._poll()
         return await self._change(wire.Change.ADD_LEARNER, member, timeout_s)
 
     async def promote(
--- a/hickoryweir/replicas/tests/managed_simulation.py
+++ b/hickoryweir/replicas/tests/managed_simulation.py
@@ -194,7 +194,7 @@
         since_s = self.inactive_since_s.get(process.name)
         if since_s is None:
             self.inactive_since_s[process.name] = self.now_s
-        elif self.now_s - since_s >= automation.JOIN_AFTER_S:
+        elif self.now_s - since_s >= automation.join_delay_s(process.state):
             self.inactive_since_s[process.name] = None
             leader = self.leader()
             if leader is not None and (process.name, leader.name) not in self.cuts:
--- a/hickoryweir/replicas/tests/test_automation.py
+++ b/hickoryweir/replicas/tests/test_automation.py
@@ -1,8 +1,10 @@
 """Automatic membership changes."""
 
 import asyncio
+import random
 
 from hickoryweir.replicas import automation, client, messages, wire
+from hickoryweir.replicas import state as states
 from hickoryweir.replicas.tests import register
 
 
@@ -146,6 +148,14 @@
         admission.cancel()
 
 
+def test_empty_replica_asks_for_admission_sooner_than_a_member():
+    empty = states.State("z~1", states.Timing(), random.Random(1))
+    member = states.State("z~1", states.Timing(), random.Random(1))
+    member.memberships = [(1, messages.Membership((view("z").member,)))]
+    assert automation.join_delay_s(empty) < 0.5
+    assert automation.join_delay_s(member) >= 2 * states.Timing().election_timeout_s
+
+
 def test_empty_replica_joins_automatically(tmp_path):
     async def scenario():
         async with register.run_cluster(tmp_path) as (replicas, router):
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -282,6 +282,24 @@
     assert run(scenario()) == (client.Reason.NO_QUORUM, "v2")
 
 
+def test_admission_does_not_wait_for_the_next_poll_after_no_quorum(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, _):
+            running = await register.start_replica("z", 0, str(tmp_path / "z"))
+            replicas["z"] = running
+            (closed_port,) = register.reserve_ports(1)
+            nobody = dataclasses.replace(replicas["a"].address, port=closed_port)
+            log = client.make_client(register.make_identity("z"), (nobody,))
+            before = await log.add_learner(running.address, 1.0)
+            for name in ("a", "b", "c"):
+                log._add_channel(replicas[name].address)
+            after = await log.add_learner(running.address, 10.0)
+            await log.close()
+            return before.failure().reason, after.unwrap()
+
+    assert run(scenario()) == (client.Reason.NO_QUORUM, "")
+
+
 def test_full_disk_stops_one_replica_but_not_the_group(tmp_path):
     async def scenario():
         async with register.run_cluster(tmp_path) as (replicas, router):
