Keep links between replicas after an unexpected error

Each replica has one task for each other member that connects, serves and connects again. Any exception ended it for good, nobody waited for it and no line was logged: the replica then reached that member only over connections that the member opened itself, and a member that had the same fault not at all.

Such errors occur: if a connection is reset between its opening and the next step of the task, uvloop 0.17 raises RuntimeError for the write of the handshake, and `get_extra_info('socket')` returns None, so that keepalive.configure fails with AttributeError (a run on loopback with a reset 10 ms and 50 ms before the write showed both; none with 0 ms). `hub.connect` passes on both.

The task now logs the error and connects again.

--- a/hickoryweir/replicas/links.py
+++ b/hickoryweir/replicas/links.py
@@ -7,12 +7,14 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from hickoryweir.observability import logs
 from hickoryweir.replicas import messages, wire
 from hickoryweir.streams import connections, handshake, hub, tls
 
 BACK_OFF_START_S = 0.05
 BACK_OFF_MAX_S = 0.5
 CONNECT_TIMEOUT_S = 1.0
+MAX_LOGGED_LENGTH = 200
 
 Handler = Callable[[connections.Connection], Awaitable[None]]
 
@@ -78,25 +80,41 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _maintain(self, member_id: str, address: str) -> None:
-        host, port = wire.split_address(address)
         back_off_s = BACK_OFF_START_S
         while True:
-            outcome = await hub.connect(
-                self._identity,
-                host,
-                port,
-                handshake.Purpose.REPLICA,
-                self._files,
-                CONNECT_TIMEOUT_S,
-                self._group,
-            )
-            connection = outcome.value_or(None)
-            if connection is not None:
+            is_connected = False
+            try:
+                is_connected = await self._connect_and_serve(member_id, address)
+            except Exception as error:
+                # Nobody waits for this task; without it the member gets no messages.
+                detail = repr(error)[:MAX_LOGGED_LENGTH]
+                logs.error(
+                    "link to a replica restarts",
+                    logs.Fields(peer=member_id, reason=detail),
+                )
+            if is_connected:
                 back_off_s = BACK_OFF_START_S
-                await self._serve(member_id, connection)
             await asyncio.sleep(back_off_s)
             back_off_s = min(2 * back_off_s, BACK_OFF_MAX_S)
 
+    async def _connect_and_serve(self, member_id: str, address: str) -> bool:
+        """Serve one connection until it ends; return whether there was one."""
+        host, port = wire.split_address(address)
+        outcome = await hub.connect(
+            self._identity,
+            host,
+            port,
+            handshake.Purpose.REPLICA,
+            self._files,
+            CONNECT_TIMEOUT_S,
+            self._group,
+        )
+        connection = outcome.value_or(None)
+        if connection is None:
+            return False
+        await self._serve(member_id, connection)
+        return True
+
     async def _serve(self, member_id: str, connection: connections.Connection) -> None:
         wanted_name = messages.replica_name_of(member_id)
         try:
