Serve requests when connecting to one replica fails unexpectedly

A poll asks all replicas together.

A channel now logs such an error and counts the replica as not reached. The test failed on the old code for both errors (the exception came out of the request).

--- a/hickoryweir/replicas/channels.py
+++ b/hickoryweir/replicas/channels.py
@@ -7,9 +7,12 @@
 
 from returns import result
 
+from hickoryweir.observability import logs
 from hickoryweir.replicas import wire
 from hickoryweir.streams import connections, handshake, hub, tls
 
+MAX_LOGGED_LENGTH = 200
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingResponse:
@@ -106,6 +109,13 @@
                 return False
             self._read_task = asyncio.create_task(self._read(self._connection))
             return True
+        except Exception as error:
+            # All requests to all replicas wait for this attempt in a poll.
+            fields = logs.Fields(
+                peer=self.replica.name, reason=repr(error)[:MAX_LOGGED_LENGTH]
+            )
+            logs.error("connecting to a replica failed", fields)
+            return False
         finally:
             self._connect_task = None
 
--- a/hickoryweir/replicas/tests/test_links.py
+++ b/hickoryweir/replicas/tests/test_links.py
@@ -1,19 +1,22 @@
-"""Connections to other replicas."""
+"""Connections of replicas and clients to replicas."""
 
 import asyncio
 
 import pytest
 from returns import result
 
-from hickoryweir.replicas import links, messages
+from hickoryweir.replicas import client, links, messages
 from hickoryweir.replicas.tests import register
 from hickoryweir.streams import hub
 
 TIMEOUT_S = 5.0
 
 
-# uvloop raises RuntimeError for a write on a connection that was reset meanwhile.
-@pytest.mark.parametrize("error", [RuntimeError("closed"), ValueError("unexpected")])
+# With uvloop, a connection that was reset meanwhile raises these.
+ERRORS = (RuntimeError("the handler is closed"), AttributeError("setsockopt"))
+
+
+@pytest.mark.parametrize("error", ERRORS)
 def test_error_while_connecting_does_not_end_a_link(monkeypatch, error):
     async def main():
         attempts = []
@@ -35,3 +38,30 @@
         await maintained.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("error", ERRORS)
+def test_error_while_connecting_to_one_replica_fails_no_request(
+    tmp_path, monkeypatch, error
+):
+    async def main():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            assert await router.wait_until_ready(register.START_TIMEOUT_S)
+            connect = hub.connect
+            broken = next(name for name in replicas if name != router.leader_name)
+            broken_port = replicas[broken].address.port
+
+            async def connect_or_raise(identity, host, port, *arguments):
+                if port == broken_port:
+                    raise error
+                return await connect(identity, host, port, *arguments)
+
+            monkeypatch.setattr(hub, "connect", connect_or_raise)
+            addresses = tuple(item.address for item in replicas.values())
+            other = client.make_client(register.make_identity("other"), addresses)
+            outcome = await other.propose(register.Put("k", "v"), TIMEOUT_S)
+            await other.close()
+            monkeypatch.undo()
+            return outcome.unwrap().value
+
+    assert asyncio.run(main()) == "v"
