Open a folder whose log was replaced across a removed segment

A new leader can replace uncommitted entries that lie in two segments. The batch with the new entries is in the later segment and begins below its first entry. The replica did not come back after a kill or a loss of power, and could not be admitted again, as its folder never opened: its disk is as good as lost, unnoticed until the restart, and the loss of one more disk loses what was acknowledged.

The trace: segment 19 ends with entry 24, segment 29 has 25 to 29 and then 24 of a later term, segment 19 is removed, all machines lose power.

Where the oldest segment's start is only known from its first entry, a later batch may now begin before it and moves the start.

--- a/hickoryweir/replicas/recovery.py
+++ b/hickoryweir/replicas/recovery.py
@@ -9,6 +9,9 @@
 from hickoryweir.replicas import frames, messages, records, wire
 from hickoryweir.streams import codec
 
+# Term of the last entry before the oldest segment.
+UNKNOWN_TERM = -1
+
 
 @dataclasses.dataclass(slots=True)
 class Segment:
@@ -264,9 +267,13 @@
     path: str, entries: tuple[messages.Entry, ...], found: Recovered
 ) -> None:
     first_index = entries[0].index
-    if not found.entries and not found.base_index and first_index > 1:
+    is_first = not found.entries and not found.base_index and first_index > 1
+    # A later batch may replace entries of an earlier segment that has been removed.
+    is_lower = found.base_term == UNKNOWN_TERM and first_index <= found.base_index
+    if is_first or is_lower:
+        found.entries.clear()
         found.base_index = first_index - 1
-        found.base_term = -1
+        found.base_term = UNKNOWN_TERM
     keep_count = first_index - found.base_index - 1
     if not 0 <= keep_count <= len(found.entries):
         _fail(
@@ -297,7 +304,7 @@
         return
     if found.base_index > snapshot.index:
         _fail(records.Problem.MISSING, folder, "the newest snapshot is missing")
-    if _term_at(found, snapshot.index) not in (snapshot.term, -1):
+    if _term_at(found, snapshot.index) not in (snapshot.term, UNKNOWN_TERM):
         found.entries.clear()
         found.log_is_stale = True
     keep_from = snapshot.index - found.base_index
--- a/hickoryweir/replicas/tests/managed_simulation.py
+++ b/hickoryweir/replicas/tests/managed_simulation.py
@@ -7,7 +7,7 @@
 
 from returns import result
 
-from hickoryweir.replicas import automation, messages, quorums, requests
+from hickoryweir.replicas import automation, messages, quorums, records, requests
 from hickoryweir.replicas import state as states
 from hickoryweir.replicas.tests import memory_files, simulation
 
@@ -148,6 +148,8 @@
             if self.now_s >= starts_at_s:
                 opened = self.open_folder(name)
                 if isinstance(opened, result.Failure):
+                    problem = opened.failure().problem
+                    assert problem is records.Problem.INPUT_OUTPUT, opened.failure()
                     self.starts_at_s[name] = self.now_s + REOPEN_INTERVAL_S
                     continue
                 del self.starts_at_s[name]
--- a/hickoryweir/replicas/tests/test_losses.py
+++ b/hickoryweir/replicas/tests/test_losses.py
@@ -51,7 +51,8 @@
     return cluster
 
 
-@pytest.mark.parametrize("seed", range(20))
+# The last seed replaces entries of a segment that is removed later.
+@pytest.mark.parametrize("seed", [*range(20), 3495])
 def test_acknowledged_commands_survive_losses_of_disks_and_power(seed):
     cluster = play(seed)
     assert acknowledged_by(cluster) == cluster.acknowledged
--- a/hickoryweir/replicas/tests/test_storage.py
+++ b/hickoryweir/replicas/tests/test_storage.py
@@ -195,6 +195,19 @@
         assert open_folder(memory).unwrap().recovered.snapshot == snapshot
 
 
+def test_entries_replaced_across_removed_segments_leave_the_folder_usable():
+    memory, opened = make_filled(5)
+    storage.compact(opened, 0, make_batch(5)).unwrap()
+    storage.append(opened, make_batch(6, 3)).unwrap()
+    storage.append(opened, make_batch(5, 6, term=2)).unwrap()
+    snapshot = messages.Snapshot(8, 2, MEMBERSHIP, 0.0, b"state")
+    storage.save_snapshot(opened, snapshot).unwrap()
+    storage.compact(opened, 6, make_batch(10, term=2)).unwrap()
+    found = open_folder(memory).unwrap().recovered
+    assert len(found.segments) == 2
+    assert [(entry.index, entry.term) for entry in found.entries] == [(9, 2), (10, 2)]
+
+
 def test_log_without_its_snapshot_is_an_error():
     memory, opened = make_filled()
     snapshot = messages.Snapshot(5, 1, MEMBERSHIP, 0.0, b"state")
