Count a connection that is reset in the handshake as not reached

A replica that resets a connection right after its welcome, before the other process has gone on, made hub.connect raise AttributeError: uvloop returns no socket for a transport that is closed.

The test resets a real connection and goes on 0.1 s later, as a process does that is slow; it failed before ('NoneType' object has no attribute 'setsockopt'). The test it replaces raised the error by a stub.

--- a/hickoryweir/feeds/tests/test_following.py
+++ b/hickoryweir/feeds/tests/test_following.py
@@ -2,15 +2,21 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
+
+import uvloop
 
 from hickoryweir.feeds import messages, subscriber
 from hickoryweir.feeds.tests import test_feeds
 from hickoryweir.replicas import wire
-from hickoryweir.streams import handshake, hub, keepalive
+from hickoryweir.streams import handshake, hub
 
 HOST = test_feeds.HOST
 # Less than two heartbeats, so that an answer does not come by the next announcement.
 PROMPT_S = 0.45
+# Time in which a reset reaches the other side.
+RESET_S = 0.1
 IDENTITY = handshake.Identity("test", "router", "a")
 
 
@@ -119,14 +125,22 @@
 
 
 def test_connection_that_is_reset_in_the_handshake_is_a_failure(monkeypatch):
-    def configure(sock, **options):
-        # What uvloop raises for a transport that was closed meanwhile.
-        raise ValueError("negative file descriptor")
+    async def close(connection):
+        connection._writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        connection.abort()
+
+    async def read_welcome_late(*args):
+        peer = await read_welcome(*args)
+        await asyncio.sleep(RESET_S)
+        return peer
+
+    read_welcome = hub._read_welcome
 
     async def main():
-        sound = make_feed(3, responds=True)
-        async with run_replica("sound", sound) as address:
-            monkeypatch.setattr(keepalive, "configure", configure)
+        async with run_replica("sound", close) as address:
+            monkeypatch.setattr(hub, "_read_welcome", read_welcome_late)
             return await hub.connect(
                 IDENTITY,
                 HOST,
@@ -135,4 +149,6 @@
                 group=messages.CONFIRMED_FEED,
             )
 
-    assert asyncio.run(main()).failure().reason is hub.ConnectReason.UNREACHABLE
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        outcome = runner.run(main())
+    assert outcome.failure().reason is hub.ConnectReason.UNREACHABLE
--- a/hickoryweir/streams/connections.py
+++ b/hickoryweir/streams/connections.py
@@ -44,7 +44,13 @@
 
 
 class Connection:
-    """An open connection; `receive` must not be called concurrently."""
+    """An open connection; `receive` must not be called concurrently.
+
+    Raises
+    ------
+    ConnectionResetError
+        The peer has reset it already.
+    """
 
     def __init__(
         self,
@@ -58,8 +64,12 @@
         self._writer = writer
         self._max_queued_size_bytes = max_queued_size_bytes
         self._closed = False
+        sock = writer.get_extra_info("socket")
+        # What uvloop returns for a transport that was closed meanwhile.
+        if sock is None or sock.fileno() < 0:
+            raise ConnectionResetError("the connection was reset in the handshake")
         keepalive.configure(
-            writer.get_extra_info("socket"),
+            sock,
             unacknowledged_timeout_ms=UNACKNOWLEDGED_TIMEOUT_MS,
             idle_s=KEEP_ALIVE_IDLE_S,
             interval_s=KEEP_ALIVE_INTERVAL_S,
--- a/hickoryweir/streams/hub.py
+++ b/hickoryweir/streams/hub.py
@@ -236,8 +236,8 @@
                 return result.Success(connections.Connection(reader, writer, outcome))
     except TimeoutError:
         outcome = ConnectFailure(ConnectReason.TIMED_OUT)
-    except (OSError, RuntimeError, ValueError):
-        # uvloop raises the last two for a connection that the peer has reset meanwhile.
+    except (OSError, RuntimeError):
+        # uvloop raises the latter for a connection that the peer has reset meanwhile.
         outcome = ConnectFailure(ConnectReason.UNREACHABLE)
     if writer is not None:
         writer.transport.abort()
