Record software versions in the log before streams begin at them

Cause: a router took the only version in its own lists for the only one in use, as long as its list was at most 3 s old. A router that is cut off, or whose feed is silent one way, has such a list while others are told of a new version; one that was suspended gets a list at once after a version has come and left. The replicas were not asked, since one version seemed to be in use.

Change: versions are a set in the replicated log. The leader records the versions of a list before it sends the list; a router begins resumable streams only at versions that it read there or recorded itself (without a log, at those that its lists had for 4 s). A take-up of an unknown stream needs a linearizable read of the set that began after the client asked; otherwise it is refused with 503 and Retry-After before anything is sent. Causality instead of clocks: what happened to the router before does not matter. The leader removes a version that its lists have lacked for two route timeouts.

--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from hickoryweir import graceful_stop
+from hickoryweir.discovery import version_log, version_record
 from hickoryweir.duties import (
     calls,
     duty_metrics,
@@ -21,6 +22,7 @@
     metrics_port,
     parts_app,
     settings,
+    stream_lifetimes,
     tables,
 )
 from hickoryweir.feeds import evidence_file, publisher
@@ -63,6 +65,7 @@
         store.make_submachine(),
         duties_machine.make_submachine(),
         ordered_servers.make_submachine(),
+        version_record.make_submachine(),
     )
     return node.make_node(node_settings, peer_hub, submachines)
 
@@ -137,6 +140,15 @@
             self._session,
             site_adapters.make_source(entry_settings.discovery.address),
         )
+        lifetimes = stream_lifetimes.LifetimeReader(
+            lambda: _make_log_status(self._supervisor.node).stored,
+            site_adapters.decode_table,
+        )
+        self._publisher.version_recorder = version_log.Recorder(
+            self._log,
+            lambda: self._supervisor.node.machine.states[version_record.NAME],
+            lifetimes.lifetime_s,
+        )
         self._evidence_file = evidence_file.EvidenceFile(
             files.make_files(), entry_settings.replica.data_folder, self._publisher
         )
--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -10,7 +10,7 @@
 from returns import result
 
 from hickoryweir import clocks
-from hickoryweir.discovery import listing
+from hickoryweir.discovery import listing, version_log
 from hickoryweir.duties import usage_counts, usage_feed
 from hickoryweir.engines import sessions
 from hickoryweir.entry import (
@@ -55,6 +55,8 @@
 
 # A connection idle for less is rarely closed by the server while a request is sent.
 AT_MOST_ONCE_MAX_IDLE_S = 3.0
+# A log that elects a leader answers within about a second.
+RECORD_RETRY_S = 0.1
 FIRST_READ_TIMEOUT_S = 0.5
 FIRST_READ_RETRY_S = 0.05
 # An election takes about 1 s; a partitioned zone has to serve without a leader.
@@ -117,6 +119,8 @@
         self._subscriber = subscriber.make_subscriber(
             identity, seeds, self._make_callbacks()
         )
+        self._version_log = version_log.VersionLog(self._log)
+        self._versions_listed = asyncio.Event()
         self._list_session = sessions.make_session(keeps_connections=True)
         self.forwarder = self._make_forwarder()
         self._usage_sender = self._make_usage_sender()
@@ -165,6 +169,7 @@
             report_completed=self._subscriber.report_completed,
             report_origin=self._subscriber.report_origin,
             ask_origins=self._subscriber.ask_origins,
+            read_versions=self._version_log.read,
             report_limits=self._subscriber.send_to_all,
             held_limits=held_limits,
             capacity=router_capacity.Capacity(settings.vm_limits(entry_settings)),
@@ -212,6 +217,7 @@
             asyncio.create_task(self._subscriber.run()),
             asyncio.create_task(self._load_initial_table()),
             asyncio.create_task(self._monitor_list()),
+            asyncio.create_task(self._record_versions()),
             asyncio.create_task(self._send_loads()),
             asyncio.create_task(self._send_speeds()),
             asyncio.create_task(self._send_work()),
@@ -318,10 +324,22 @@
         server_pool.update_servers(self.forwarder.pool, server_list)
         if resumption.apply_list(self.forwarder, server_list):
             self._send_listed_versions()
+            self._versions_listed.set()
         self._update_started()
         fields = logs.Fields(detail=f"{len(server_list.servers)} servers")
         logs.info("list of servers taken", fields)
 
+    async def _record_versions(self) -> None:
+        """Let streams begin at listed versions once these are in the replicated log."""
+        while True:
+            await self._versions_listed.wait()
+            self._versions_listed.clear()
+            while listed := resumption.unrecorded_versions(self.forwarder):
+                if await self._version_log.record(listed):
+                    resumption.apply_recorded(self.forwarder, listed)
+                else:
+                    await asyncio.sleep(RECORD_RETRY_S)
+
     def _update_started(self) -> None:
         """Let requests in once there are a table and a list of servers."""
         forwarder = self.forwarder
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -9,7 +9,7 @@
 from returns import result
 
 from hickoryweir import clocks
-from hickoryweir.discovery import listing
+from hickoryweir.discovery import listing, version_log
 from hickoryweir.feeds import (
     account_work,
     demand,
@@ -86,6 +86,8 @@
         Called after either has changed.
     demand : demand.DemandKeeper
         What the routers report of their requests by service.
+    version_recorder : version_log.Recorder or None
+        Records the versions of each list before the routers get it.
     """
 
     def __init__(
@@ -116,6 +118,7 @@
         self.crashes = crash_counts.CrashCounts()
         self.demand = demand.DemandKeeper()
         self.on_evidence: Callable[[], None] = lambda: None
+        self.version_recorder: version_log.Recorder | None = None
         self._evidence_sender = evidence.Sender(
             self.suspect_parts, self._send_to_subscribers
         )
@@ -506,6 +509,8 @@
                 state = "begins" if is_leader else "ends"
                 logs.info("reading the list of servers", logs.Fields(reason=state))
                 was_leader = is_leader
+                if self.version_recorder is not None:
+                    self.version_recorder.begin_term()
                 # Loads of an earlier term would count as those of all routers.
                 self._loads.clear()
             if not is_leader:
@@ -524,6 +529,8 @@
             )
             return
         server_list = outcome.unwrap()
+        if self.version_recorder is not None:
+            await self.version_recorder.record_new(server_list)
         previous = self._servers
         self._servers = server_list
         stream_versions.record_listed(
@@ -532,6 +539,8 @@
         if previous is None or previous.servers != server_list.servers:
             self._list_id = random.randrange(1, LIST_IDS_COUNT)
             self._send_servers(list(self._subscribers))
+        if self.version_recorder is not None:
+            await self.version_recorder.refresh(server_list)
 
     def _send_servers(self, receivers: list[connections.Connection]) -> None:
         if self._servers is None:
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import aiohttp
 import multidict
@@ -195,6 +195,10 @@
         where a stream began.
     ask_origins : callable
         ``ask_origins(keys)`` asks the replicas where streams began.
+    read_versions : callable or None
+        ``await read_versions()`` returns the versions that are recorded in the
+        replicated log, None if it does not answer.  None for a router that serves
+        alone, whose own list shows all versions.
     report_lost : callable
         ``report_lost(server_id, fingerprint)`` reports a lost request to the other
         routers.
@@ -274,6 +278,9 @@
     stream_lifetimes_s: dict[str, float] = dataclasses.field(default_factory=dict)
     report_origin: Callable[[str, str, int], None] = lambda service, version, key: None
     ask_origins: Callable[[tuple[int, ...]], None] = lambda keys: None
+    read_versions: Callable[[], Awaitable[frozenset[tuple[str, str]] | None]] | None = (
+        None
+    )
     report_lost: Callable[[str, int], None] = lambda server_id, fingerprint: None
     report_completed: Callable[[int], None] = lambda fingerprint: None
     yielding: dict[str, server_limits.Yielding] = dataclasses.field(
--- a/hickoryweir/forwarding/resumption.py
+++ b/hickoryweir/forwarding/resumption.py
@@ -27,14 +27,8 @@
     known_s = forwarder.stream_lifetimes_s.get(service_name)
     if known_s is not None:
         return known_s
-    table = forwarder.route_index.table
-    timeouts_s = [
-        route.timeout_s
-        for route in table.routes
-        if _is_resumable(route)
-        and any(item.service_name == service_name for item in route.destinations)
-    ]
-    found_s = stream_versions.LIFETIME_TIMEOUTS_COUNT * max(timeouts_s, default=0.0)
+    routes = forwarder.route_index.table.routes
+    found_s = stream_versions.lifetime_s(routes, service_name)
     forwarder.stream_lifetimes_s[service_name] = found_s
     return found_s
 
@@ -42,13 +36,14 @@
 def eligible_servers(context: contexts.RequestContext) -> list[server_pool.ServerView]:
     """Return the available servers of the software version that binds a request.
 
-    A server that may have restarted since the list was read may run another version
-    than the list says, under the same id.
+    A stream begins only at versions that other routers can find out about.  A server
+    that may have restarted since the list was read may run another version than the
+    list says, under the same id.
     """
     forwarder, name = context.forwarder, context.service_name
     available = server_pool.available_servers(forwarder.pool, name)
     if context.stream_version is None:
-        return available
+        return _servers_to_begin_at(context, available)
     has_several = has_several_versions(forwarder, name)
     return [
         view
@@ -58,6 +53,27 @@
     ]
 
 
+def _servers_to_begin_at(
+    context: contexts.RequestContext, available: list[server_pool.ServerView]
+) -> list[server_pool.ServerView]:
+    forwarder = context.forwarder
+    if forwarder.read_versions is None or not _is_resumable(context.route):
+        return available
+    name, now_s = context.service_name, clocks.boottime_s()
+    versions = {view.listed.software_version for view in available}
+    usable = {
+        version
+        for version in versions
+        if stream_versions.may_begin(
+            forwarder.known_streams,
+            (name, version),
+            now_s,
+            now_s - forwarder.list_read_at_s,
+        )
+    }
+    return [view for view in available if view.listed.software_version in usable]
+
+
 def _may_have_restarted(
     forwarder: contexts.Forwarder, view: server_pool.ServerView
 ) -> bool:
@@ -65,7 +81,7 @@
 
 
 def _is_resumable(route: model.Route) -> bool:
-    return route.is_stream and route.execution is not model.Execution.AT_MOST_ONCE
+    return stream_versions.is_resumable(route)
 
 
 async def admit(context: contexts.RequestContext) -> errors.Reason | None:
@@ -78,7 +94,7 @@
     """
     if not context.last_event_id or not _is_resumable(context.route):
         return None
-    decision = _decide(context)
+    decision = _decide(context, None)
     if isinstance(decision, stream_versions.Unknown):
         decision = await _ask(context)
     _report(context, decision)
@@ -91,15 +107,36 @@
 async def _ask(
     context: contexts.RequestContext,
 ) -> stream_versions.Resumption | stream_versions.Unknown:
-    """Ask the replicas where a stream began, and decide by what they say in time."""
-    context.forwarder.ask_origins(tuple(_keys_by_service(context).values()))
+    """Ask the replicas where a stream began, and which versions are recorded.
+
+    Decides by what they say in time; the log ends a read by itself.
+    """
+    forwarder = context.forwarder
+    forwarder.ask_origins(tuple(_keys_by_service(context).values()))
+    reading = asyncio.create_task(_read_versions(forwarder))
     give_up_s = clocks.boottime_s() + ORIGIN_WAIT_S
-    while True:
-        await asyncio.sleep(CHECK_INTERVAL_S)
-        decision = _decide(context)
-        is_known = isinstance(decision, stream_versions.Resumption)
-        if is_known or clocks.boottime_s() >= give_up_s:
-            return decision
+    try:
+        while True:
+            await asyncio.wait([reading], timeout=CHECK_INTERVAL_S)
+            recorded = reading.result() if reading.done() else None
+            decision = _decide(context, recorded)
+            is_known = isinstance(decision, stream_versions.Resumption)
+            is_late = clocks.boottime_s() >= give_up_s
+            if is_known or (is_late and reading.done()):
+                return decision
+            if reading.done():
+                await asyncio.sleep(CHECK_INTERVAL_S)
+    finally:
+        reading.cancel()
+
+
+async def _read_versions(
+    forwarder: contexts.Forwarder,
+) -> frozenset[tuple[str, str]] | None:
+    """Return the recorded versions; without a log to read, those that are listed."""
+    if forwarder.read_versions is None:
+        return forwarder.listed_versions
+    return await forwarder.read_versions()
 
 
 def _keys_by_service(context: contexts.RequestContext) -> dict[str, int]:
@@ -113,7 +150,7 @@
 
 
 def _decide(
-    context: contexts.RequestContext,
+    context: contexts.RequestContext, recorded: frozenset[tuple[str, str]] | None
 ) -> stream_versions.Resumption | stream_versions.Unknown:
     """Decide for the service of the request, or for the one where it began."""
     forwarder, state = context.forwarder, context.forwarder.known_streams
@@ -127,7 +164,9 @@
     key = keys[name]
     alive_s = lifetime_s(forwarder, name)
     list_age_s = now_s - forwarder.list_read_at_s
-    return stream_versions.decide(state, name, key, now_s, alive_s, list_age_s)
+    return stream_versions.decide(
+        state, name, key, now_s, alive_s, list_age_s, recorded
+    )
 
 
 def _key(context: contexts.RequestContext, service_name: str, stream_id: str) -> int:
@@ -141,7 +180,8 @@
 ) -> None:
     if isinstance(decision, stream_versions.Unknown):
         outcome = "refused"
-        detail = f"version not known, in use: {', '.join(decision.versions)}"
+        known = ", ".join(decision.versions) or "none known"
+        detail = f"version not known, in use: {known}"
     else:
         outcome = "resumed"
         version = decision.version or "unknown"
@@ -210,12 +250,31 @@
         stream_versions.record_listed(
             forwarder.known_streams, listed, server_list.read_at_s
         )
+    stream_versions.replace_listed(
+        forwarder.known_streams,
+        listed,
+        server_list.read_at_s,
+        forwarder.list_read_at_s,
+    )
     has_changed = listed != forwarder.listed_versions
     forwarder.listed_versions = listed
     forwarder.list_read_at_s = server_list.read_at_s
     return has_changed
 
 
+def unrecorded_versions(forwarder: contexts.Forwarder) -> frozenset[tuple[str, str]]:
+    """Return the listed versions that are not known to be recorded in the log."""
+    return stream_versions.unrecorded(forwarder.known_streams)
+
+
+def apply_recorded(
+    forwarder: contexts.Forwarder, pairs: frozenset[tuple[str, str]]
+) -> None:
+    """Let streams begin at versions that were recorded while they were listed."""
+    state = forwarder.known_streams
+    state.recorded |= pairs & state.listed_since_s.keys()
+
+
 def refresh_versions(forwarder: contexts.Forwarder) -> None:
     """Record that the versions of the list in force were in its last read as well.
 
--- a/hickoryweir/forwarding/tests/test_stream_versions.py
+++ b/hickoryweir/forwarding/tests/test_stream_versions.py
@@ -251,3 +251,72 @@
             return await take_up(site, "r-9")
 
     assert asyncio.run(main())[0] == 503
+
+
+def reading(*versions, after_s=0.0):
+    """Return a function that reads a record with these versions, None without any."""
+
+    async def read_versions():
+        await asyncio.sleep(after_s)
+        return frozenset(("app", version) for version in versions) or None
+
+    return read_versions
+
+
+@pytest.mark.parametrize(
+    ("recorded", "status"), [(["v1"], 200), (["v1", "v2"], 503), ([], 503)]
+)
+def test_router_with_an_incomplete_list_resumes_only_what_the_record_proves(
+    recorded, status
+):
+    async def main():
+        async with run_site(("v1", None), ("v1", None)) as site:
+            site.forwarder.read_versions = reading(*recorded, after_s=0.05)
+            found = await take_up(site, "r-9")
+            return found, sum(len(backend.seen) for backend in site.backends)
+
+    (found, answer_headers, _), seen_count = asyncio.run(main())
+    assert (found, seen_count) == (status, int(status == 200))
+    assert status == 200 or float(answer_headers["Retry-After"]) > 0.0
+
+
+def test_known_stream_is_resumed_while_the_record_cannot_be_read():
+    async def main():
+        async with run_site(("v1", None)) as site:
+            site.forwarder.read_versions = reading()
+            resumption.apply_recorded(site.forwarder, frozenset({("app", "v1")}))
+            await site.call()
+            return await take_up(site)
+
+    assert asyncio.run(main())[0] == 200
+
+
+def test_stream_does_not_begin_at_a_version_before_it_is_recorded():
+    async def main():
+        async with run_site(("v1", None), *[("v2", None)] * 4) as site:
+            site.forwarder.read_versions = reading("v1")
+            resumption.apply_recorded(site.forwarder, frozenset({("app", "v1")}))
+            names = [f"r-{number}" for number in range(10, 16)]
+            before = [await site.call(given={headers.REQUEST_ID: n}) for n in names]
+            pairs = resumption.unrecorded_versions(site.forwarder)
+            resumption.apply_recorded(site.forwarder, pairs)
+            names = [f"r-{number}" for number in range(20, 40)]
+            after = [await site.call(given={headers.REQUEST_ID: n}) for n in names]
+            return before, after
+
+    before, after = asyncio.run(main())
+    assert {frozenset(versions_in(body)) for *_, body in before} == {
+        frozenset({b"data: v1"})
+    }
+    assert {b"data: v2"} in [versions_in(body) for *_, body in after]
+
+
+def test_requests_that_are_no_resumable_streams_need_no_recorded_version():
+    async def main():
+        routes = (sites.at_most_once_route(),)
+        answers = [sites.answering()]
+        async with sites.run_site(answers, routes=routes, versions=["v1"]) as site:
+            site.forwarder.read_versions = reading()
+            return await site.call()
+
+    assert asyncio.run(main())[0] == 200
--- a/hickoryweir/forwarding_policy/stream_versions.py
+++ b/hickoryweir/forwarding_policy/stream_versions.py
@@ -7,6 +7,11 @@
 streams began and ask them for those they don't know, and a stream whose version stays
 unknown is not resumed.
 
+That a single version is in use is not seen in a router's own lists: a router that was
+cut off or suspended does not know what other routers were told meanwhile.  So a version
+is recorded in the replicated log before a stream begins at it, and a router reads the
+record after the client has asked.
+
 The load this answers: resumable streams during a roll-out, in which servers of two
 versions serve side by side while routers and servers restart.
 """
@@ -17,6 +22,8 @@
 
 import xxhash
 
+from hickoryweir.routes import model
+
 # More than the resumable streams of a router's peers within their lifetime.
 MAX_ORIGINS_COUNT = 50_000
 # More than the software versions that a site uses within a day.
@@ -25,6 +32,9 @@
 LIFETIME_TIMEOUTS_COUNT = 2.0
 # Longer than the interval between two reads, also while the reader changes.
 MAX_LIST_AGE_S = 3.0
+# Without a log that records it, streams begin at a version that was listed for longer
+# than MAX_LIST_AGE_S, so that the list of a router that resumes streams has it as well.
+UNRECORDED_LISTED_S = 4.0
 
 
 class Source(enum.StrEnum):
@@ -32,7 +42,7 @@
 
     OWN = "own stream"
     ANNOUNCED = "another router"
-    LIST = "the only version in use"
+    RECORD = "the only version in use"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,10 +74,18 @@
         The :class:`Origin` of each stream by its key, oldest first.
     listed_at_s : dict
         When each version of each service was last in a list of servers.
+    listed_since_s : dict
+        Since when the versions in the list in force have been listed without a gap.
+    recorded : frozenset
+        Those of them that are recorded in the replicated log.
     """
 
     origins: dict[int, Origin] = dataclasses.field(default_factory=dict)
     listed_at_s: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
+    listed_since_s: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+    recorded: frozenset[tuple[str, str]] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,7 +99,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unknown:
-    """The version of a stream is not known, and several are in use."""
+    """The version of a stream is not known, and several are or may be in use."""
 
     versions: tuple[str, ...]
 
@@ -110,6 +128,65 @@
         del state.listed_at_s[min(state.listed_at_s, key=state.listed_at_s.get)]
 
 
+def replace_listed(
+    state: StreamVersions,
+    listed: frozenset[tuple[str, str]],
+    at_s: float,
+    earlier_at_s: float,
+) -> None:
+    """Replace the versions in the list in force; one that comes back is new.
+
+    All are new if too much time has passed since the earlier list was last read.
+    """
+    known = state.listed_since_s if at_s - earlier_at_s <= MAX_LIST_AGE_S else {}
+    state.listed_since_s = {pair: known.get(pair, at_s) for pair in listed}
+    state.recorded &= listed
+
+
+def unrecorded(state: StreamVersions) -> frozenset[tuple[str, str]]:
+    """Return the listed versions that are not known to be recorded."""
+    return frozenset(state.listed_since_s) - state.recorded
+
+
+def may_begin(
+    state: StreamVersions, pair: tuple[str, str], now_s: float, list_age_s: float
+) -> bool:
+    """Return whether a stream may begin at a listed version.
+
+    Examples
+    --------
+    >>> state = StreamVersions()
+    >>> replace_listed(state, frozenset({("app", "v1"), ("app", "v2")}), 10.0, 9.0)
+    >>> state.recorded = frozenset({("app", "v1")})
+    >>> [may_begin(state, ("app", version), 11.0, 1.0) for version in ("v1", "v2")]
+    [True, False]
+    >>> may_begin(state, ("app", "v2"), 10.0 + UNRECORDED_LISTED_S, 1.0)
+    True
+    """
+    if pair in state.recorded:
+        return True
+    since_s = state.listed_since_s.get(pair)
+    if since_s is None or list_age_s > MAX_LIST_AGE_S:
+        return False
+    return now_s - since_s >= UNRECORDED_LISTED_S
+
+
+def lifetime_s(routes: Iterable[model.Route], service_name: str) -> float:
+    """Return for how long streams of a service may be resumed after their beginning."""
+    timeouts_s = [
+        route.timeout_s
+        for route in routes
+        if is_resumable(route)
+        and any(item.service_name == service_name for item in route.destinations)
+    ]
+    return LIFETIME_TIMEOUTS_COUNT * max(timeouts_s, default=0.0)
+
+
+def is_resumable(route: model.Route) -> bool:
+    """Return whether streams of a route may be resumed."""
+    return route.is_stream and route.execution is not model.Execution.AT_MOST_ONCE
+
+
 def versions_in_use(
     state: StreamVersions, service_name: str, now_s: float, lifetime_s: float
 ) -> tuple[str, ...]:
@@ -166,6 +243,7 @@
     now_s: float,
     lifetime_s: float,
     list_age_s: float,
+    recorded: Iterable[tuple[str, str]] | None,
 ) -> Resumption | Unknown:
     """Decide at which version a client may resume a stream.
 
@@ -184,6 +262,9 @@
     list_age_s : float
         Age of the list of servers; an old one does not show that one version is in
         use.
+    recorded : iterable or None
+        The recorded versions, read after the client has asked; None if they could not
+        be read, so that any version may be in use.
 
     Returns
     -------
@@ -197,9 +278,11 @@
             return Resumption(origin.version, origin.source, age_s)
         return Unknown(versions_in_use(state, service_name, now_s, lifetime_s))
     versions = versions_in_use(state, service_name, now_s, lifetime_s)
-    if len(versions) > 1 or list_age_s > MAX_LIST_AGE_S:
+    if recorded is None or list_age_s > MAX_LIST_AGE_S:
+        return Unknown(versions)
+    named = {version for name, version in recorded if name == service_name}
+    versions = tuple(sorted(named.union(versions)))
+    if len(versions) != 1:
         return Unknown(versions)
-    if not versions:
-        return Resumption(None, Source.LIST, 0.0)
-    age_s = now_s - state.listed_at_s[service_name, versions[0]]
-    return Resumption(versions[0], Source.LIST, age_s)
+    listed_at_s = state.listed_at_s.get((service_name, versions[0]), now_s)
+    return Resumption(versions[0], Source.RECORD, now_s - listed_at_s)
--- a/hickoryweir/measures/stream_versions.py
+++ b/hickoryweir/measures/stream_versions.py
@@ -57,7 +57,9 @@
     pairs = [(SERVICE, "v1.1"), (SERVICE, VERSION)]
     stream_versions.record_listed(state, pairs, now_s)
     seconds = timeit.timeit(
-        lambda: stream_versions.decide(state, SERVICE, 5, now_s, LIFETIME_S, 1.0),
+        lambda: stream_versions.decide(
+            state, SERVICE, 5, now_s, LIFETIME_S, 1.0, pairs
+        ),
         number=DECISIONS_COUNT,
     )
     print(f"decision: {seconds / DECISIONS_COUNT * MICROSECONDS_PER_SECOND:.1f} us")
