Test that streams are not joined after the loss of all processes

Cause: the versions that were lately listed were kept in the memory of routers and replicas alone, and the only version in the first list after a start was taken for the only one at which a stream can have begun.

The tests now wait until the routers are ready.

--- a/hickoryweir/entry/tests/test_stream_versions.py
+++ b/hickoryweir/entry/tests/test_stream_versions.py
@@ -19,6 +19,8 @@
 # The list is read every 0.8 s.
 LIST_READ_S = 1.2
 CLIENT_DEADLINE_S = 6.0
+# Six processes start at the same time on a busy machine, and elect a leader.
+RESTART_DEADLINE_S = 60.0
 TABLE = """
 [table]
 version = 1
@@ -58,10 +60,11 @@
 class Client:
     """A client that takes its stream up at other routers until it is whole."""
 
-    def __init__(self, session, port, name, first_host):
+    def __init__(self, session, port, name, first_host, deadline_s=CLIENT_DEADLINE_S):
         hosts = itertools.cycle(ROUTER_HOSTS)
         self._hosts = itertools.dropwhile(lambda host: host != first_host, hosts)
         self._session, self._port, self._name = session, port, name
+        self._deadline_s = deadline_s
         self._stream_id = ""
         self.last_id = 0
         self.versions = set()
@@ -70,7 +73,7 @@
     async def run(self):
         """Send tries until the stream is whole or the deadline has passed."""
         try:
-            async with asyncio.timeout(CLIENT_DEADLINE_S):
+            async with asyncio.timeout(self._deadline_s):
                 for number in itertools.count():
                     await self._try(f"{self._name}-{number}", next(self._hosts))
                     if self.last_id == EVENTS_COUNT:
@@ -125,11 +128,16 @@
     return entries
 
 
+# Streams may be resumed for two of these after their beginning.
+LONG_TABLE = TABLE.replace("timeout_s = 6", f"timeout_s = {RESTART_DEADLINE_S:.0f}")
+
+
 class Site:
     """Replicas, routers and servers of two software versions; the list may change."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, table=TABLE):
         self.folder = folder
+        self.table = table
         self.entries = []
         self.listed = []
         self.values = {}
@@ -167,7 +175,7 @@
 
     async def _put_table(self):
         url = f"http://{processes.HOSTS[0]}:{self.values['port']}/table"
-        async with self.session.put(url, data=TABLE) as response:
+        async with self.session.put(url, data=self.table) as response:
             return response.status
 
     async def wait_until_ready(self):
@@ -181,11 +189,12 @@
         for host in ROUTER_HOSTS:
             await processes.wait_for_result(lambda host=host: is_ready(host), 200)
 
-    def begin_streams(self, count):
+    def begin_streams(self, count, deadline_s=CLIENT_DEADLINE_S):
         """Begin streams at all routers in turn."""
         for number in range(count):
             name, host = f"c{len(self.clients)}", ROUTER_HOSTS[number % 3]
-            client = Client(self.session, self.values["port"], name, host)
+            port = self.values["port"]
+            client = Client(self.session, port, name, host, deadline_s)
             self.clients.append(client)
             self.tasks.append(asyncio.create_task(client.run()))
 
@@ -196,6 +205,42 @@
         for host in ROUTER_HOSTS:
             self.routers[host] = await self.start_process("router", host)
 
+    async def restart_all(self):
+        """Kill all processes at once, and start them again with their disks."""
+        for process in self.started:
+            if process.returncode is None:
+                process.kill()
+        for process in self.started:
+            await process.wait()
+        for host in processes.HOSTS:
+            await self.start_process("replica", host)
+        for host in ROUTER_HOSTS:
+            self.routers[host] = await self.start_process("router", host)
+
+    async def wait_until_answered(self):
+        """Wait until a ready router refuses each client, or its stream goes on.
+
+        Routers that are not ready refuse as well, without a decision on the stream.
+        """
+        await self.wait_until_ready()
+        counts = {client: client.outcomes["refused"] for client in self.clients}
+        while counts:
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            counts = {
+                client: count
+                for client, count in counts.items()
+                if client.outcomes["refused"] == count
+                and not client.outcomes["goes on"]
+            }
+
+    async def end_clients(self):
+        """End the clients after each was answered, and got events if it goes on."""
+        await self.wait_until_answered()
+        await asyncio.sleep(LIST_READ_S)
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
     async def close(self):
         """End all processes."""
         for process in self.started:
@@ -215,8 +260,8 @@
 
 
 @contextlib.asynccontextmanager
-async def run_site(folder):
-    site = Site(folder)
+async def run_site(folder, table=TABLE):
+    site = Site(folder, table)
     try:
         await site.start()
         yield site
@@ -282,3 +327,29 @@
 
     # Without a server of their version, streams are refused until they give up.
     assert not asyncio.run(main()).mixed_streams()
+
+
+async def lose_all(folder, list_versions):
+    """Begin streams, let the list change, and lose all processes."""
+    async with run_site(folder, LONG_TABLE) as site:
+        site.begin_streams(STREAMS_COUNT, RESTART_DEADLINE_S)
+        await asyncio.sleep(LIST_READ_S / 4)
+        site.listed = list_versions(site)
+        await asyncio.sleep(LIST_READ_S)
+        await site.restart_all()
+        await site.end_clients()
+        return site
+
+
+def test_streams_are_not_joined_after_a_roll_out_and_the_loss_of_all_processes(
+    tmp_path,
+):
+    site = asyncio.run(lose_all(tmp_path, lambda site: site.entries[2:]))
+    assert site.count_outcomes()["refused"]
+    assert not site.mixed_streams()
+
+
+def test_streams_of_the_only_version_go_on_after_the_loss_of_all_processes(tmp_path):
+    site = asyncio.run(lose_all(tmp_path, lambda site: site.entries[:2]))
+    assert site.count_outcomes()["goes on"] == STREAMS_COUNT
+    assert not site.mixed_streams()
