--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -11,7 +11,7 @@
 from returns import result
 
 from hickoryweir import background, clocks
-from hickoryweir.discovery import listing
+from hickoryweir.discovery import listing, version_log
 from hickoryweir.duties import usage_counts, usage_feed
 from hickoryweir.engines import sessions
 from hickoryweir.entry import (
@@ -61,6 +61,8 @@
 
 # A connection idle for less is rarely closed by the server while a request is sent.
 AT_MOST_ONCE_MAX_IDLE_S = 3.0
+# A log that elects a leader answers within about a second.
+RECORD_RETRY_S = 0.1
 FIRST_READ_TIMEOUT_S = 0.5
 FIRST_READ_RETRY_S = 0.05
 LIST_CHECK_INTERVAL_S = 0.25
@@ -121,6 +123,8 @@
         self._subscriber = subscriber.make_subscriber(
             identity, seeds, self._make_callbacks()
         )
+        self._version_log = version_log.VersionLog(self._log)
+        self._versions_listed = asyncio.Event()
         self._list_session = sessions.make_session(keeps_connections=True)
         self.forwarder = self._make_forwarder()
         self._skipped_entries = listing.SkippedEntries(
@@ -172,6 +176,7 @@
             report_completed=self._subscriber.report_completed,
             report_origin=self._subscriber.report_origin,
             ask_origins=self._subscriber.ask_origins,
+            read_versions=self._version_log.read,
             report_limits=self._subscriber.send_to_all,
             held_limits=held_limits,
             capacity=router_capacity.Capacity(settings.vm_limits(entry_settings)),
@@ -233,6 +238,7 @@
             "feeds": self._subscriber.run,
             "first table": self._load_initial_table,
             "list of servers": self._monitor_list,
+            "software versions": self._record_versions,
             "loads": self._send_loads,
             "speeds": self._send_speeds,
             "work of accounts": self._send_work,
@@ -336,10 +342,22 @@
         server_pool.update_servers(self.forwarder.pool, server_list)
         if resumption.apply_list(self.forwarder, server_list):
             self._send_listed_versions()
+            self._versions_listed.set()
         self._update_started()
         fields = logs.Fields(detail=f"{len(server_list.servers)} servers")
         logs.info("list of servers taken", fields)
 
+    async def _record_versions(self) -> None:
+        """Let streams begin at listed versions once these are in the replicated log."""
+        while True:
+            await self._versions_listed.wait()
+            self._versions_listed.clear()
+            while listed := resumption.unrecorded_versions(self.forwarder):
+                if await self._version_log.record(listed):
+                    resumption.apply_recorded(self.forwarder, listed)
+                else:
+                    await asyncio.sleep(RECORD_RETRY_S)
+
     def _update_started(self) -> None:
         """Let requests in once there are a table and a list of servers."""
         forwarder = self.forwarder
