--- a/hickoryweir/entry/tests/test_out_of_step_routers.py
+++ b/hickoryweir/entry/tests/test_out_of_step_routers.py
@@ -10,14 +10,14 @@
 
 from hickoryweir.entry.tests import test_processes as processes
 from hickoryweir.entry.tests import test_stream_versions as streams
-from hickoryweir.testing import proxies
+from hickoryweir.testing import proxies, waiting
 
 # Clients whose first router is lost come to this one next.
 FIRST_HOST, OUT_OF_STEP_HOST, _ = streams.ROUTER_HOSTS
 STREAMS_COUNT = 12
 # The list reaches a router that is in step within this time.
 LISTED_S = 1.1
-EVENTS_S = 0.2
+BEGIN_TIMEOUT_S = 5.0
 
 
 class Site(streams.Site):
@@ -69,6 +69,12 @@
             self.clients.append(client)
             self.tasks.append(asyncio.create_task(client.run()))
 
+    async def wait_until_begun(self):
+        """Wait until each stream has its first event."""
+        await waiting.wait_until(
+            lambda: all(client.versions for client in self.clients), BEGIN_TIMEOUT_S
+        )
+
     async def lose_first_router(self):
         """Let the clients of the first router take their streams up elsewhere."""
         self.routers[FIRST_HOST].kill()
@@ -96,7 +102,7 @@
             site.listed = site.entries
             await asyncio.sleep(LISTED_S)
             site.begin_at(FIRST_HOST, STREAMS_COUNT)
-            await asyncio.sleep(EVENTS_S)
+            await site.wait_until_begun()
             began = [set(client.versions) for client in site.clients]
             await site.lose_first_router()
             await asyncio.gather(*site.tasks)
@@ -118,7 +124,7 @@
             site.listed = site.entries
             await asyncio.sleep(LISTED_S)
             site.begin_at(FIRST_HOST, STREAMS_COUNT)
-            await asyncio.sleep(EVENTS_S)
+            await site.wait_until_begun()
             site.listed = site.entries[:2]
             began = [set(client.versions) for client in site.clients]
             await asyncio.sleep(LISTED_S)
