Do not request a table in a loop that a router cannot apply

What was seen: a router that can't put a replica's table in force asked for it again as soon as each response had come. The same holds for a replica whose state has gone back after a disk failure, until its next announcement.

Evidence: with two replicas that announce once, both new tests of the loop failed with 2297 and 2583 requests in 0.45 s (2 expected).

A response that has not helped now counts as the replica's announcement, so that it is asked again after its next one; the others are asked at once.

--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -437,6 +437,9 @@
             self._asked = None
         if self._callbacks.may_fetch():
             self.apply_table(store.StoredTable(message.version, message.compressed))
+        if self._announced.get(connection, store.NO_VERSION) > self.view.table_version:
+            # The same response again would not help: wait for its next announcement.
+            self._announced[connection] = self.view.table_version
         # Announcements that came meanwhile.
         self._ask_for_table()
 
--- a/hickoryweir/feeds/tests/test_following.py
+++ b/hickoryweir/feeds/tests/test_following.py
@@ -27,14 +27,14 @@
 
 
 @contextlib.asynccontextmanager
-async def run_subscriber(addresses, greet=list):
+async def run_subscriber(addresses, greet=list, is_valid=lambda version: True):
     """Run a router that follows replicas; yield the versions that it applies."""
     applied = []
     feed = subscriber.make_subscriber(
         IDENTITY,
         addresses,
         subscriber.Callbacks(
-            lambda version, content: not applied.append(version),
+            lambda version, content: is_valid(version) and not applied.append(version),
             lambda server_list: None,
             lambda: True,
             greet=greet,
@@ -48,17 +48,18 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
-def make_feed(version, responds=True, received=None):
+def make_feed(version, responds=True, received=None, sent_version=None):
     """Return the handler of a replica that announces a version, and may send it."""
+    sent_version = version if sent_version is None else sent_version
 
     async def serve(connection):
-        content = test_feeds.make_stored(version).compressed
+        content = test_feeds.make_stored(sent_version).compressed
         connection.offer(messages.Heartbeat(version, True, 1, 0, 0.0, ()))
         while (message := (await connection.receive()).value_or(None)) is not None:
             if received is not None:
                 received.append(message)
             if responds and isinstance(message, messages.TableRequest):
-                connection.offer(messages.TableContent(version, content))
+                connection.offer(messages.TableContent(sent_version, content))
 
     return serve
 
@@ -99,6 +100,63 @@
     assert asyncio.run(main()) < PROMPT_S
 
 
+def count_requests(version, sent_version, is_valid):
+    """Return how often a router asks two replicas that announce a version once."""
+
+    async def main():
+        received = []
+        feeds = [make_feed(version, True, received, sent_version) for _ in range(2)]
+        async with (
+            run_replica("first", feeds[0]) as first,
+            run_replica("second", feeds[1]) as second,
+            run_subscriber((first, second), is_valid=is_valid),
+        ):
+            await asyncio.sleep(PROMPT_S)
+        return received.count(messages.TableRequest())
+
+    return asyncio.run(main())
+
+
+def test_table_that_a_router_cannot_apply_is_not_requested_in_a_loop():
+    assert count_requests(3, 3, lambda version: False) == 2
+
+
+def test_replica_that_sends_no_newer_table_is_not_asked_in_a_loop():
+    assert count_requests(3, -1, lambda version: True) == 2
+
+
+def test_table_that_could_not_be_applied_is_requested_after_the_next_announcement():
+    attempts = []
+
+    async def announce(connection):
+        while True:
+            connection.offer(messages.Heartbeat(3, True, 1, 0, 0.0, ()))
+            await asyncio.sleep(0.05)
+
+    async def main():
+        respond = make_feed(3, True)
+
+        async def serve(connection):
+            announcing = asyncio.create_task(announce(connection))
+            try:
+                await respond(connection)
+            finally:
+                announcing.cancel()
+
+        def is_valid(version):
+            attempts.append(version)
+            return len(attempts) > 2
+
+        async with (
+            run_replica("sound", serve) as address,
+            run_subscriber((address,), is_valid=is_valid) as applied,
+        ):
+            await test_feeds.wait_until(lambda: applied)
+
+    asyncio.run(main())
+    assert attempts == [3, 3, 3]
+
+
 def test_replica_is_followed_again_after_an_unexpected_error():
     errors = [ValueError("first"), ValueError("second")]
 
