Go on with the background tasks of `serve` after an unexpected error

What was seen: one faulty message of a peer, or one configuration whose application raises, ended the task that puts configurations in force. The process went on with its last configuration, said that it was ready and logged nothing.

Evidence: an update whose content is no delta ends `Node._run`, and the next version was not in force after 20 s (TimeoutError); an error while a configuration is applied ends `apply_configurations`, and the next one was not in force after 5 s (TimeoutError).

The tasks of a node of the routers and of a daemon run under background.keep_running, which logs the error and starts them again.

--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -6,10 +6,13 @@
 """
 
 import asyncio
+import functools
 import time
+from collections.abc import Awaitable, Callable
 
 from returns import result
 
+from hickoryweir import background
 from hickoryweir.callers import authentication, interface, server
 from hickoryweir.claims import gateway, holders
 from hickoryweir.configuration import model, queries, settings, stops
@@ -140,19 +143,9 @@
         if not isinstance(started, result.Success):
             raise OSError(f"data folder can't be opened: {started.failure()}")
     process.router.start()
-    for work in (
-        dispatcher.run(process.dispatcher),
-        apply_configurations(process),
-        forward_digests(process),
-        watch_log(process),
-        send_digests(process),
-        retention.run(process),
-    ):
-        process.tasks.append(asyncio.create_task(work))
-    if process.replica is not None:
-        process.tasks.append(asyncio.create_task(orders.run(process)))
-    if process_settings.platform.url:
-        process.tasks.append(asyncio.create_task(watch_platform(process)))
+    for name, work in _background_work(process).items():
+        running = background.keep_running(name, work)
+        process.tasks.append(asyncio.create_task(running))
     process.callers = await server.start(make_daemon_interface(process))
     operators_app = app.make_app(operators_interface.make_daemon_interface(process))
     process.operators = await operators_server.start(
@@ -161,6 +154,25 @@
     return process
 
 
+def _background_work(
+    process: components.Process,
+) -> dict[str, Callable[[], Awaitable[None]]]:
+    """Return by name what runs until the process ends."""
+    work = {
+        "policy": functools.partial(dispatcher.run, process.dispatcher),
+        "configurations": functools.partial(apply_configurations, process),
+        "digests of others": functools.partial(forward_digests, process),
+        "log": functools.partial(watch_log, process),
+        "own digests": functools.partial(send_digests, process),
+        "retention": functools.partial(retention.run, process),
+    }
+    if process.replica is not None:
+        work["orders"] = functools.partial(orders.run, process)
+    if process.settings.platform.url:
+        work["platform"] = functools.partial(watch_platform, process)
+    return work
+
+
 def make_daemon_interface(process: components.Process) -> interface.DaemonInterface:
     """Return the interface that the callers' HTTP server needs."""
     return interface.DaemonInterface(
--- a/hickoryweir/daemon/tests/test_process.py
+++ b/hickoryweir/daemon/tests/test_process.py
@@ -16,10 +16,13 @@
 from hickoryweir.configuration import settings
 from hickoryweir.daemon import drain, main
 from hickoryweir.daemon.tests import fakes
+from hickoryweir.routers import node
+from hickoryweir.testing import waiting
 from hickoryweir.testing.demo import entry_vms
 
 HOST = "127.0.0.1"
 RECEIVE_TIMEOUT_S = 6.0
+APPLY_TIMEOUT_S = 5.0
 
 
 def make_settings(folder):
@@ -124,6 +127,33 @@
     running.in_force = interface.ConfigurationInForce(1, configuration, directory)
 
 
+def test_configurations_are_applied_after_one_that_causes_an_error(
+    tmp_path, monkeypatch
+):
+    apply = main.process.backends.apply_configuration
+
+    def apply_or_fail(tracker, configuration, running_stops):
+        if running.in_force.version == 1:
+            raise ValueError("first")
+        apply(tracker, configuration, running_stops)
+
+    running = None
+    monkeypatch.setattr(main.process.backends, "apply_configuration", apply_or_fail)
+
+    async def inspect_daemon(vm, service, loop):
+        nonlocal running
+        running = service.running
+        configuration = callers_fakes.make_configuration()
+        for version in (1, 2):
+            running.configurations.put_nowait(node.InForce(version, configuration, ()))
+        await waiting.wait_until(
+            lambda: running.in_force and running.in_force.version == 2,
+            APPLY_TIMEOUT_S,
+        )
+
+    run_daemon(tmp_path, inspect_daemon)
+
+
 def test_a_call_whose_body_arrives_during_a_drain_is_read(tmp_path):
     # The body is complete but isn't JSON, so that no backend server is needed.
     body = b"x" * 100
--- a/hickoryweir/routers/node.py
+++ b/hickoryweir/routers/node.py
@@ -14,6 +14,7 @@
 from absl import logging
 from returns import result
 
+from hickoryweir import background
 from hickoryweir.claims import holders
 from hickoryweir.configuration import model, parse, settings, stops
 from hickoryweir.policy import events as policy_events
@@ -92,8 +93,9 @@
 
     def start(self) -> None:
         """Start the tasks; the owner of the hub starts the hub."""
-        for coroutine in (self._run(), self._tick(), self._dial(), self._poll_log()):
-            self._tasks.append(asyncio.create_task(coroutine))
+        for work in (self._run, self._tick, self._dial, self._poll_log):
+            running = background.keep_running(f"router {work.__name__}", work)
+            self._tasks.append(asyncio.create_task(running))
 
     async def close(self) -> None:
         """Cancel all tasks and abort all connections of this node."""
--- a/hickoryweir/routers/tests/test_node.py
+++ b/hickoryweir/routers/tests/test_node.py
@@ -5,13 +5,14 @@
 import dataclasses
 import hashlib
 import pathlib
+import zlib
 
 from returns import result
 
 from hickoryweir.configuration import generator, render, settings
 from hickoryweir.policy import events as policy_events
-from hickoryweir.routers import acknowledgements, node, versions
-from hickoryweir.streams import handshake, hub
+from hickoryweir.routers import acknowledgements, messages, node, versions
+from hickoryweir.streams import codec, handshake, hub
 
 ANSWERS = pathlib.Path(__file__).parents[3] / "examples" / "kitamori" / "answers.ini"
 TEXT = render.render(generator.generate_text(ANSWERS.read_text(), "a").unwrap())
@@ -125,3 +126,29 @@
                 return digest == await nodes["b-2"].digest_queue.get()
 
     assert asyncio.run(scenario())
+
+
+def test_node_that_received_a_faulty_update_puts_later_versions_in_force():
+    # The content is no delta, which is found only while it is applied.
+    content = zlib.compress(codec.encode(messages.Pull(0)))
+    faulty = messages.Update(5, 5, "", (), 1, content)
+
+    async def scenario():
+        async with running_nodes() as nodes:
+            tested = nodes["a-1"]
+            tested.offer_version(make_published(1))
+            await wait_until(lambda: tested.in_force is not None)
+            outcome = await hub.connect(
+                handshake.Identity("test", "b-3", "b"),
+                "127.0.0.1",
+                tested._hub.port,
+                handshake.Purpose.ROUTER,
+            )
+            connection = outcome.unwrap()
+            connection.offer(faulty)
+            await asyncio.sleep(0.5)
+            tested.offer_version(make_published(2))
+            await wait_until(lambda: tested.in_force.version == 2)
+            connection.abort()
+
+    asyncio.run(scenario())
