--- a/hickoryweir/forwarding/tests/late_copies.py
+++ b/hickoryweir/forwarding/tests/late_copies.py
@@ -23,6 +23,8 @@
 REFUSED = b" Refused\r\n"
 NOT_RUN = headers.NOT_RUN.encode() + b": true\r\n"
 ID_FIELD = re.compile(rb"\r\n" + ID_NAME + rb":[^\r]*", re.IGNORECASE)
+# The router asks a server that it could not reach.
+PROBE = b"GET /health "
 REQUEST_ID = re.compile(rb"\r\n" + ID_NAME + rb": ([^\r]*)\r\n", re.IGNORECASE)
 NAME = re.compile(rb"^\S+ /\w+/(\S+) ")
 LENGTH = re.compile(rb"\r\nContent-Length: (\d+)\r\n", re.IGNORECASE)
@@ -146,6 +148,9 @@
 
 async def _serve_request(server, connection, reader) -> None:
     head = await reader.readuntil(b"\r\n\r\n")
+    if head.startswith(PROBE):
+        connection.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        return
     name = NAME.search(head).group(1).decode()
     found_id, found_length = REQUEST_ID.search(head), LENGTH.search(head)
     request_id = b"" if found_id is None else found_id.group(1)
