Test that a folder is not opened again while a write hangs

A supervisor that opened the folder while the failed node's thread still writes to it would have two writers on one log. The test fails if the supervisor stops the node with the time limit that a process uses at its end.

--- a/hickoryweir/entry/tests/test_replica.py
+++ b/hickoryweir/entry/tests/test_replica.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import dataclasses
+import threading
 
 import pytest
 
 from hickoryweir.entry import own_formats, replica, settings
+from hickoryweir.replicas import disk, messages
 from hickoryweir.replicas import state as states
 from hickoryweir.streams import hub
 from hickoryweir.testing import waiting
@@ -66,6 +68,38 @@
     assert first_id == second_id
 
 
+def test_folder_is_not_opened_again_while_a_write_of_the_failed_node_hangs(tmp_path):
+    async def main():
+        entry_settings = make_settings(tmp_path / "data")
+        peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
+        await peer_hub.start()
+        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
+        task = asyncio.create_task(supervisor.run())
+        await wait_until(lambda: supervisor.node.state is not None)
+        first = supervisor.node
+        disk_works = threading.Event()
+        opened = first._disk.storage
+        opened.files = dataclasses.replace(
+            opened.files, sync=lambda handle: disk_works.wait()
+        )
+        member = messages.Member(first.state.member_id, "h:1", "a", True)
+        first._queue.put_nowait(states.Bootstrapped(messages.Membership((member,))))
+        first._queue.put_nowait(BROKEN_EVENT)
+        await asyncio.sleep(disk.CLOSE_TIMEOUT_S + 2 * replica.REOPEN_INTERVAL_S)
+        was_reopened = supervisor.node is not first
+        disk_works.set()
+        await wait_until(
+            lambda: supervisor.node is not first and supervisor.node.state is not None
+        )
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await supervisor.node.stop()
+        await peer_hub.close()
+        return was_reopened
+
+    assert not asyncio.run(main())
+
+
 def test_data_folder_that_cannot_be_opened_is_retried(tmp_path):
     blocked = tmp_path / "data"
     blocked.write_text("in the way")
