Keep absurd versions of listed servers out of the log

Versions of more than 512 characters, with their service, are now left out of the record, and no stream begins at their servers. Both tests failed before the change: the recorder recorded the long version, and a router waited for it.

--- a/hickoryweir/discovery/tests/test_version_log.py
+++ b/hickoryweir/discovery/tests/test_version_log.py
@@ -86,6 +86,12 @@
     assert len(log.commands) == 2
 
 
+def test_absurd_version_of_a_listed_server_is_not_kept_in_the_log():
+    log = FakeLog()
+    read_lists(make_recorder(log), 0.0, 1.6, "v1", "v" * 5000)
+    assert log.versions() == ["v1"]
+
+
 def test_leader_records_a_version_later_if_the_log_did_not_answer():
     log = FakeLog()
     log.has_leader = False
--- a/hickoryweir/discovery/version_log.py
+++ b/hickoryweir/discovery/version_log.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from hickoryweir.discovery import listing, version_record
+from hickoryweir.forwarding_policy import stream_versions
 from hickoryweir.observability import logs
 from hickoryweir.replicas import client, machine
 
@@ -168,7 +169,7 @@
 
     async def record_new(self, server_list: listing.ServerList) -> None:
         """Record the versions of a list that the routers are about to be sent."""
-        listed = listing.versions_of(server_list)
+        listed = stream_versions.recordable(listing.versions_of(server_list))
         self._recorded &= listed
         known = version_record.make_record(self._read_state())
         await self._record(listed - self._recorded - version_record.pairs_of(known))
@@ -178,7 +179,8 @@
 
         An earlier leader's late command does not remove what was recorded again.
         """
-        await self._record(listing.versions_of(server_list) - self._recorded)
+        listed = stream_versions.recordable(listing.versions_of(server_list))
+        await self._record(listed - self._recorded)
         await self._remove_expired(server_list)
 
     async def _record(self, pairs: Pairs) -> None:
--- a/hickoryweir/forwarding_policy/stream_versions.py
+++ b/hickoryweir/forwarding_policy/stream_versions.py
@@ -28,6 +28,8 @@
 MAX_ORIGINS_COUNT = 50_000
 # More than the software versions that a site uses within a day.
 MAX_VERSIONS_COUNT = 256
+# Longer than names that people choose; the replicated log keeps recorded ones.
+MAX_PAIR_LENGTH = 512
 # A stream lasts up to its route's timeout, and its client comes back for as long.
 LIFETIME_TIMEOUTS_COUNT = 2.0
 # Longer than the interval between two reads, also while the reader changes.
@@ -128,6 +130,17 @@
         del state.listed_at_s[min(state.listed_at_s, key=state.listed_at_s.get)]
 
 
+def recordable(listed: Iterable[tuple[str, str]]) -> frozenset[tuple[str, str]]:
+    """Return the versions whose names are short enough to be recorded.
+
+    Examples
+    --------
+    >>> recordable([("app", "v1"), ("app", "v" * 1000)])
+    frozenset({('app', 'v1')})
+    """
+    return frozenset(pair for pair in listed if sum(map(len, pair)) <= MAX_PAIR_LENGTH)
+
+
 def replace_listed(
     state: StreamVersions,
     listed: frozenset[tuple[str, str]],
@@ -136,10 +149,11 @@
 ) -> None:
     """Replace the versions in the list in force; one that comes back is new.
 
-    All are new if too much time has passed since the earlier list was last read.
+    No stream begins at a version that can't be recorded.  All are new if too much time
+    has passed since the earlier list was last read.
     """
     known = state.listed_since_s if at_s - earlier_at_s <= MAX_LIST_AGE_S else {}
-    state.listed_since_s = {pair: known.get(pair, at_s) for pair in listed}
+    state.listed_since_s = {pair: known.get(pair, at_s) for pair in recordable(listed)}
     state.recorded &= listed
 
 
--- a/hickoryweir/forwarding_policy/tests/test_stream_versions.py
+++ b/hickoryweir/forwarding_policy/tests/test_stream_versions.py
@@ -70,6 +70,14 @@
     assert not stream_versions.may_begin(state, pair, 102.5, 0.5)
 
 
+def test_version_that_cannot_be_recorded_keeps_no_other_one_from_being_recorded():
+    state, absurd = make_state(), (SERVICE, "v" * 5000)
+    listed = frozenset({(SERVICE, "v1"), absurd})
+    stream_versions.replace_listed(state, listed, 100.0, 99.0)
+    assert stream_versions.unrecorded(state) == {(SERVICE, "v1")}
+    assert not stream_versions.may_begin(state, absurd, 200.0, 0.5)
+
+
 @pytest.mark.parametrize(
     ("earlier_at_s", "list_age_s", "may_begin"),
     [(103.0, 1.0, True), (99.0, 1.0, False), (103.0, 3.5, False)],
