Correct the sizes on the page of stream versions

The answer of a read of the record has 38 bytes with one version, 64 with two and 28,600 with 1,024 (service assistant-llm, encoded); the page had estimates.

--- a/hickoryweir/discovery/version_record.py
+++ b/hickoryweir/discovery/version_record.py
@@ -22,7 +22,7 @@
 from hickoryweir.streams import codec
 
 NAME = "served_versions"
-# More than the versions of all services at one time; about 40 kB.
+# More than the versions of all services at one time; 29 kB with names of 18 characters.
 MAX_VERSIONS_COUNT = 1024
 
 
