--- a/hickoryweir/duties/ordering.py
+++ b/hickoryweir/duties/ordering.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from returns import result
-
 from hickoryweir import clocks
 from hickoryweir.discovery import listing
 from hickoryweir.duties import calls, ordered_servers
@@ -24,7 +22,7 @@
     server_orders,
 )
 from hickoryweir.observability import forwarding_metrics, logs
-from hickoryweir.routes import model, store
+from hickoryweir.routes import model
 
 DECISION_INTERVAL_S = 0.25
 # Inputs of the later orders of a decision are out of date after a slow call.
@@ -80,42 +78,6 @@
     kinds: server_kinds.Kinds = dataclasses.field(default_factory=server_kinds.Kinds)
 
 
-class TableReader:
-    """Decodes the table in the log whenever its version changes.
-
-    Parameters
-    ----------
-    read_stored : callable
-        Returns the table in the log.
-    decode_table : callable
-        Returns the decoded table, or an error message.
-    """
-
-    def __init__(
-        self,
-        read_stored: Callable[[], store.StoredTable],
-        decode_table: Callable[[bytes], result.Result[model.RoutingTable, str]],
-    ) -> None:
-        self._read_stored = read_stored
-        self._decode_table = decode_table
-        self._version = store.NO_VERSION
-        self._services: tuple[model.Service, ...] = ()
-
-    def read_services(self) -> tuple[model.Service, ...]:
-        """Return the services of the newest table that can be decoded."""
-        stored = self._read_stored()
-        if stored.version == self._version or not stored.compressed:
-            return self._services
-        self._version = stored.version
-        decoded = self._decode_table(store.read_content(stored))
-        if isinstance(decoded, result.Failure):
-            fields = logs.Fields(version=stored.version, reason=decoded.failure())
-            logs.error("table in the replicated log can't be decoded", fields)
-        else:
-            self._services = decoded.unwrap().services
-        return self._services
-
-
 class Ordering:
     """Decides and sends orders for all services of the table that have scaling.
 
--- a/hickoryweir/duties/tests/test_ordering.py
+++ b/hickoryweir/duties/tests/test_ordering.py
@@ -13,7 +13,7 @@
 from hickoryweir.feeds import demand, messages
 from hickoryweir.forwarding_policy import order_outcomes, server_orders
 from hickoryweir.observability import forwarding_metrics, logs
-from hickoryweir.routes import model, store
+from hickoryweir.routes import model, reading, store
 
 ACCEPTED = calls.Outcome.ACCEPTED
 REFUSED = calls.Outcome.REFUSED
@@ -427,7 +427,7 @@
         return result.Success(table)
 
     stored = [store.StoredTable(store.NO_VERSION, b"")]
-    reader = ordering.TableReader(lambda: stored[0], decode)
+    reader = reading.TableReader(lambda: stored[0], decode)
     assert reader.read_services() == ()
     stored[0] = store.StoredTable(1, zlib.compress(b"good"))
     assert reader.read_services() == reader.read_services() == (SERVICE,)
--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -1,6 +1,7 @@
 """Replica process: replicated log, feeds to the routers and operators' port."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -24,14 +25,14 @@
     parts_app,
     replica_log,
     settings,
-    stream_lifetimes,
     tables,
 )
 from hickoryweir.feeds import evidence_file, publisher
+from hickoryweir.forwarding_policy import stream_versions
 from hickoryweir.observability import forwarding_metrics, logs
 from hickoryweir.replicas import automation, client, files, node, quorums, wire
 from hickoryweir.replicas import state as states
-from hickoryweir.routes import store
+from hickoryweir.routes import reading, store
 from hickoryweir.streams import hub
 
 # A table of 350 routes has about 10 kB; replaying 4 MiB takes well under 1 s.
@@ -162,14 +163,14 @@
             self._session,
             site_adapters.make_source(entry_settings.discovery.address),
         )
-        lifetimes = stream_lifetimes.LifetimeReader(
+        self._table = reading.TableReader(
             lambda: _make_log_status(self._supervisor.node).stored,
             site_adapters.decode_table,
         )
         self._publisher.version_recorder = version_log.Recorder(
             self._log,
             lambda: self._supervisor.node.machine.states[version_record.NAME],
-            lifetimes.lifetime_s,
+            self._stream_lifetime_s,
         )
         self._evidence_file = evidence_file.EvidenceFile(
             files.make_files(), entry_settings.replica.data_folder, self._publisher
@@ -265,11 +266,14 @@
     def _has_duty(self, duty: settings.Duty) -> bool:
         return self._caller is not None and duty in self._settings.duties.names
 
+    def _stream_lifetime_s(self, service_name: str) -> float:
+        """Return for how long streams may be resumed; infinite without a table."""
+        table = self._table.read()
+        if table is None:
+            return math.inf
+        return stream_versions.lifetime_s(table.routes, service_name)
+
     def _make_ordering(self) -> ordering.Ordering:
-        table = ordering.TableReader(
-            lambda: _make_log_status(self._supervisor.node).stored,
-            self._adapters.decode_table,
-        )
         return ordering.Ordering(
             self._caller,
             self._publisher,
@@ -277,7 +281,7 @@
                 self._log,
                 lambda: self._supervisor.node.machine.states[ordered_servers.NAME],
             ),
-            table.read_services,
+            self._table.read_services,
             self._metrics,
             self._settings.duties.checks_fencing,
         )
--- a/hickoryweir/feeds/tests/test_following.py
+++ b/hickoryweir/feeds/tests/test_following.py
@@ -70,12 +70,13 @@
     return serve
 
 
-def test_table_is_fetched_elsewhere_if_the_replica_that_announced_it_does_not_send_it():
+def measure_fetch(serve_first):
+    """Return after which time a router has the table of the second of two replicas."""
+
     async def main():
-        silent, sound = make_feed(3, responds=False), make_feed(3, responds=True)
         async with (
-            run_replica("silent", silent) as first,
-            run_replica("sound", sound) as second,
+            run_replica("first", serve_first) as first,
+            run_replica("sound", make_feed(3, responds=True)) as second,
             run_subscriber((first, second)) as applied,
         ):
             loop = asyncio.get_running_loop()
@@ -83,7 +84,11 @@
             await test_feeds.wait_until(lambda: applied)
             return loop.time() - started_s
 
-    assert asyncio.run(main()) < PROMPT_S
+    return asyncio.run(main())
+
+
+def test_table_is_fetched_elsewhere_if_the_replica_that_announced_it_does_not_send_it():
+    assert measure_fetch(make_feed(3, responds=False)) < PROMPT_S
 
 
 def test_table_is_fetched_elsewhere_if_the_replica_that_was_asked_is_lost():
@@ -91,19 +96,7 @@
         connection.offer(messages.Heartbeat(3, True, 1, 0, 0.0, ()))
         await connection.receive()
 
-    async def main():
-        sound = make_feed(3, responds=True)
-        async with (
-            run_replica("lost", close_on_request) as first,
-            run_replica("sound", sound) as second,
-            run_subscriber((first, second)) as applied,
-        ):
-            loop = asyncio.get_running_loop()
-            started_s = loop.time()
-            await test_feeds.wait_until(lambda: applied)
-            return loop.time() - started_s
-
-    assert asyncio.run(main()) < PROMPT_S
+    assert measure_fetch(close_on_request) < PROMPT_S
 
 
 def count_requests(version, sent_version, is_valid):
--- a/hickoryweir/entry/stream_lifetimes.py
+++ b/hickoryweir/routes/reading.py
@@ -1,17 +1,15 @@
-"""How long streams may be resumed, by the table in the replicated log."""
+"""Reads the routing table that the replicated log holds."""
 
-import math
 from collections.abc import Callable
 
 from returns import result
 
-from hickoryweir.forwarding_policy import stream_versions
 from hickoryweir.observability import logs
 from hickoryweir.routes import model, store
 
 
-class LifetimeReader:
-    """Reads lifetimes of streams; the table is decoded when its version has changed.
+class TableReader:
+    """Decodes the table in the log whenever its version changes.
 
     Parameters
     ----------
@@ -31,23 +29,21 @@
         self._version = store.NO_VERSION
         self._table: model.RoutingTable | None = None
 
-    def lifetime_s(self, service_name: str) -> float:
-        """Return for how long a service's streams may be resumed.
-
-        Infinite while the table is not known.
-        """
+    def read(self) -> model.RoutingTable | None:
+        """Return the newest table that can be decoded; None if there is none."""
         stored = self._read_stored()
-        if stored.version != self._version and stored.compressed:
-            self._version = stored.version
-            self._table = self._decode(stored)
-        if self._table is None:
-            return math.inf
-        return stream_versions.lifetime_s(self._table.routes, service_name)
-
-    def _decode(self, stored: store.StoredTable) -> model.RoutingTable | None:
+        if stored.version == self._version or not stored.compressed:
+            return self._table
+        self._version = stored.version
         decoded = self._decode_table(store.read_content(stored))
         if isinstance(decoded, result.Failure):
             fields = logs.Fields(version=stored.version, reason=decoded.failure())
             logs.error("table in the replicated log can't be decoded", fields)
-            return None
-        return decoded.unwrap()
+        else:
+            self._table = decoded.unwrap()
+        return self._table
+
+    def read_services(self) -> tuple[model.Service, ...]:
+        """Return the services of the table."""
+        table = self.read()
+        return () if table is None else table.services
