Go on with background tasks after a cancellation that was not theirs

A task under keep_running that awaits something which others cancel ended without a line, as if it had been cancelled itself. One such path is a connection of the log's client that is closed while it is being opened.

The new test failed before with CancelledError; a second test shows that a task that is cancelled itself still ends.

--- a/hickoryweir/background.py
+++ b/hickoryweir/background.py
@@ -26,7 +26,10 @@
         try:
             await work()
             return
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Without a request to cancel this task, something it awaits was cancelled.
+            if asyncio.current_task().cancelling():
+                raise
             reason = f"{name}: {error!r}"[:MAX_LOGGED_LENGTH]
             logs.error("background task restarts", logs.Fields(reason=reason))
         await asyncio.sleep(RESTART_AFTER_S)
