Complete a request whose connection is closed while it is being opened

Callers of the log's client got CancelledError, which they took for their own cancellation, if the channel to a replica was closed while they waited for its connection, as when a replica gets another address. The poll that all callers share ended with it as well, and so did each request and background task that waited for the poll.

--- a/hickoryweir/replicas/channels.py
+++ b/hickoryweir/replicas/channels.py
@@ -66,7 +66,10 @@
             return True
         if self._connect_task is None:
             self._connect_task = asyncio.create_task(self._connect())
-        return await asyncio.shield(self._connect_task)
+        connecting = self._connect_task
+        # Unlike a shield, this does not cancel the caller when the channel is closed.
+        await asyncio.wait({connecting})
+        return not connecting.cancelled() and connecting.result()
 
     def longest_wait_s(self) -> float:
         """Return how long the oldest pending request has waited; 0 if there is none."""
