Report a configuration as in force only once the daemon has applied it

What operators saw: a change listed as in force in every zone although a router's process had only queued it, or had failed to apply it. Cause: the node of the routers reported a version when it handed it to its daemon.

The daemon now confirms each version after it has applied it.

The nodes in the tests and measurements confirm what they take, as a daemon.

--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -213,6 +213,7 @@
         if is_stopping(process, in_force.running_stops):
             process.stop_requested.set()
         logs.info("configuration in force", logs.Fields(version=in_force.version))
+        await process.router.confirm(in_force.version)
 
 
 async def watch_platform(process: components.Process) -> None:
--- a/hickoryweir/measures/routers.py
+++ b/hickoryweir/measures/routers.py
@@ -207,10 +207,11 @@
             await hubs[name].close()
 
 
-async def _wait_for_version(queue: asyncio.Queue, version: int) -> None:
-    in_force = await queue.get()
-    while in_force.version < version:
-        in_force = await queue.get()
+async def _wait_for_version(running: node.Node, version: int) -> None:
+    applied_version = 0
+    while applied_version < version:
+        applied_version = (await running.configuration_queue.get()).version
+        await running.confirm(applied_version)
 
 
 async def _read_nothing(timeout_s):
@@ -263,9 +264,8 @@
             started_s = time.monotonic()
             for name in sources:
                 nodes[name].offer_version(make_published(text, version))
-            queues = [running.configuration_queue for running in nodes.values()]
             await asyncio.gather(
-                *(_wait_for_version(queue, version) for queue in queues)
+                *(_wait_for_version(running, version) for running in nodes.values())
             )
             propagation_times_s.append(time.monotonic() - started_s)
     return propagation_times_s[1:]
--- a/hickoryweir/routers/node.py
+++ b/hickoryweir/routers/node.py
@@ -111,6 +111,10 @@
         """Accept a committed version from the replica in this process."""
         self._enqueue(events.LogRead(published, is_confirmed=False))
 
+    async def confirm(self, version: int) -> None:
+        """Report a version of `configuration_queue` as applied by this process."""
+        await self._inbox.put(events.Adopted(version))
+
     def offer_digest(self, digest: policy_events.PeerDigestReceived) -> None:
         """Accept the digest of this router's own policy core."""
         self._enqueue(events.LocalDigest(digest))
@@ -177,7 +181,6 @@
             published.version, configuration, published.running_stops
         )
         self.configuration_queue.put_nowait(self.in_force)
-        self._enqueue(events.Adopted(published.version))
 
     def _deliver_digest(self, digest: policy_events.PeerDigestReceived) -> None:
         try:
@@ -299,7 +302,8 @@
     read_log : callable
         ``read_log(timeout_s)`` returns the committed version by a linearizable read.
     configuration_queue : asyncio.Queue
-        Receives each :class:`InForce`; must be unbounded.
+        Receives each :class:`InForce`, whose version is reported to others once
+        ``confirm`` was called; must be unbounded.
     digest_queue : asyncio.Queue
         Receives ``PeerDigestReceived`` events of other routers.
     now : callable, optional
--- a/hickoryweir/routers/tests/test_node.py
+++ b/hickoryweir/routers/tests/test_node.py
@@ -18,6 +18,8 @@
 TEXT = render.render(generator.generate_text(ANSWERS.read_text(), "a").unwrap())
 WAIT_S = 20.0
 POLL_S = 0.02
+# Several reports of a zone, which follow a change within one tick.
+REPORT_DELAY_S = 1.0
 NAMES = ("a-1", "a-2", "b-1", "b-2")
 
 
@@ -51,8 +53,16 @@
     return result.Success(None)
 
 
+async def confirm_all(running):
+    """Confirm each configuration, as a daemon that has applied it."""
+    while True:
+        in_force = await running.configuration_queue.get()
+        await running.confirm(in_force.version)
+
+
 @contextlib.asynccontextmanager
-async def running_nodes():
+async def running_nodes(confirming=NAMES):
+    """Run nodes, of which some have a daemon that applies configurations."""
     hubs = {}
     for name in NAMES:
         identity = handshake.Identity("test", name, name[0])
@@ -71,9 +81,12 @@
     }
     for each in nodes.values():
         each.start()
+    tasks = [asyncio.create_task(confirm_all(nodes[name])) for name in confirming]
     try:
         yield nodes
     finally:
+        for task in tasks:
+            task.cancel()
         for name in NAMES:
             await nodes[name].close()
             await hubs[name].close()
@@ -105,6 +118,32 @@
     assert asyncio.run(scenario()) == {"kitamori"}
 
 
+def test_version_that_a_daemon_has_not_applied_is_not_reported_as_in_force():
+    async def scenario():
+        async with running_nodes(confirming=NAMES[:-1]) as nodes:
+            slow, reader = nodes["b-2"], nodes["a-1"]
+            reader.offer_version(make_published(1))
+            await wait_until(lambda: not slow.configuration_queue.empty())
+
+            def zones_in_force():
+                reader.watch()
+                reports = reader.zone_reports()
+                return {
+                    report.availability_zone
+                    for report in reports
+                    if acknowledgements.is_in_force(report, 1)
+                }
+
+            await wait_until(lambda: "a" in zones_in_force())
+            await asyncio.sleep(REPORT_DELAY_S)
+            before = zones_in_force()
+            await slow.confirm(1)
+            await wait_until(lambda: "b" in zones_in_force())
+            return before
+
+    assert asyncio.run(scenario()) == {"a"}
+
+
 def test_invalid_configuration_is_counted_and_not_put_in_force():
     async def scenario():
         async with running_nodes() as nodes:
