Ask the next replica for a table by the timer of the request

The timer compared the time with the end of the request. A timer that fires in the same millisecond could find it not over by a rounding error, and the next replica was then asked only at the next announcement, up to 0.5 s later. Found by reading; not seen.

--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -70,12 +70,11 @@
     replicas_count: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class TableAsked:
-    """The replica that was asked for its table, and until when it may respond."""
+    """A request for the table of a replica."""
 
     connection: connections.Connection
-    until_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -456,18 +455,22 @@
         ]
         if not announced or not self._callbacks.may_fetch():
             return
+        if self._asked is not None and self._asked.connection in announced:
+            return
+        self._asked = asked = TableAsked(announced[0])
+        asked.connection.offer(messages.TableRequest())
         loop = asyncio.get_running_loop()
-        asked = self._asked
-        if asked is not None and asked.connection in announced:
-            if loop.time() < asked.until_s:
-                return
-            announced.remove(asked.connection)
-            # Asked again only after all others.
-            self._announced[asked.connection] = self._announced.pop(asked.connection)
-        connection = announced[0] if announced else asked.connection
-        connection.offer(messages.TableRequest())
-        self._asked = TableAsked(connection, loop.time() + TABLE_REQUEST_TIMEOUT_S)
-        loop.call_later(TABLE_REQUEST_TIMEOUT_S, self._ask_for_table)
+        loop.call_later(TABLE_REQUEST_TIMEOUT_S, self._give_up, asked)
+
+    def _give_up(self, asked: TableAsked) -> None:
+        """Ask another replica if one has not responded; the same after all others."""
+        if self._asked is not asked:
+            return
+        self._asked = None
+        connection = asked.connection
+        if connection in self._announced:
+            self._announced[connection] = self._announced.pop(connection)
+        self._ask_for_table()
 
     def _handle_server_list(self, message: messages.ServerListUpdate) -> None:
         # A negative age would make the list newer than all later ones.
