--- a/hickoryweir/entry/reloading.py
+++ b/hickoryweir/entry/reloading.py
@@ -14,6 +14,7 @@
 
 from returns import result
 
+from hickoryweir import background
 from hickoryweir.entry import settings
 from hickoryweir.observability import logs
 
@@ -104,6 +105,9 @@
 
     async def run(self) -> None:
         """Check the file every second and on each signal, until cancelled."""
+        await background.keep_running("settings", self._watch)
+
+    async def _watch(self) -> None:
         while True:
             try:
                 async with asyncio.timeout(CHECK_INTERVAL_S):
--- a/hickoryweir/entry/tests/test_reloading.py
+++ b/hickoryweir/entry/tests/test_reloading.py
@@ -160,3 +160,29 @@
         return followed
 
     assert asyncio.run(main()) == {"10.0.0.9:7000"}
+
+
+def test_changes_are_applied_after_one_that_causes_an_error(watched_file):
+    path, watcher, _ = watched_file
+    attempts = []
+
+    def apply_or_fail(entry_settings):
+        attempts.append(entry_settings.retries.extra_count)
+        if len(attempts) == 1:
+            raise ValueError("first")
+
+    watcher._apply = apply_or_fail
+
+    async def main():
+        watching = asyncio.create_task(watcher.run())
+        for count in (3, 4):
+            path.write_text(TEXT.replace("extra_count = 10", f"extra_count = {count}"))
+            watcher.reload_requested.set()
+            await waiting.wait_until(
+                lambda count=count: attempts[-1:] == [count], TIMEOUT_S
+            )
+        watching.cancel()
+        await asyncio.gather(watching, return_exceptions=True)
+
+    asyncio.run(main())
+    assert attempts == [3, 4]
