Acknowledge no table whose routers had too little time to confirm it

After a slow commit, as around an election, hardly any of the operator's second was left, and the table was acknowledged without a wait (0.05 s after a commit of 0.9 s).

Such a change is now answered with 503 and stays stored, so that the operator sends it again; the replica waits 1.2 s after its start. The log line says at how many of the connected routers the table is in force.

test_slow_log_leaves_less_time_for_confirmations expected the acknowledgement without a wait, which was the fault; it is replaced by one that expects the refusal in the same time. The other new tests fail without the change.

--- a/hickoryweir/entry/tables.py
+++ b/hickoryweir/entry/tables.py
@@ -14,8 +14,6 @@
 # Operators try another replica after 1 s without a response.
 RESPONSE_TIMEOUT_S = 0.95
 LOG_TIMEOUT_S = 0.9
-# Several times as long as routers need for a table of a few hundred routes.
-CONFIRMATION_TIMEOUT_S = 0.5
 # Names in a table, which the reason may cite, have any length.
 MAX_DETAIL_LENGTH = 500
 
@@ -61,8 +59,9 @@
     async def replace(self, content: bytes) -> result.Result[int, Refused]:
         """Validate a table and store it in the log if its version is the highest.
 
-        Returns once the routers have it in force, or at `RESPONSE_TIMEOUT_S`: the table
-        is stored then all the same.
+        Returns once the routers have it in force.  If the log leaves them too little
+        time for that until `RESPONSE_TIMEOUT_S`, the table is stored and the operator
+        has to ask again; sent once more, it changes nothing.
 
         Returns
         -------
@@ -93,18 +92,20 @@
                 logs.warning("table may be taken without an answer", fields)
             return self._refuse(Reason.UNAVAILABLE, failure.reason.value, table.version)
         held = outcome.unwrap().version
-        late = await self._wait_until_in_force(table.version, respond_until_s)
-        detail = f"version held: {held}, not in force at {len(late)} routers"
+        left_s = respond_until_s - clocks.boottime_s()
+        waited = await self._in_force.wait(table.version, left_s)
+        if not waited.is_conclusive:
+            return self._refuse(
+                Reason.UNAVAILABLE, "stored, not yet in force", table.version
+            )
+        in_force_count = self._in_force.count_in_force(table.version)
+        detail = (
+            f"version held: {held}, in force at {in_force_count} of "
+            f"{self._in_force.routers_count} routers"
+        )
         logs.info("table accepted", dataclasses.replace(fields, detail=detail))
         return result.Success(held)
 
-    async def _wait_until_in_force(self, version: int, respond_until_s: float) -> set:
-        """Wait for the routers; return those that lack a table in the end."""
-        left_s = respond_until_s - clocks.boottime_s()
-        timeout_s = min(CONFIRMATION_TIMEOUT_S, max(0.0, left_s))
-        is_deadline = timeout_s >= CONFIRMATION_TIMEOUT_S
-        return await self._in_force.wait(version, timeout_s, is_deadline)
-
     async def read(self) -> result.Result[bytes, Refused]:
         """Return the newest table's bytes, confirmed by a majority of replicas."""
         outcome = await self._log.read(store.ReadTable(), LOG_TIMEOUT_S)
--- a/hickoryweir/entry/tests/test_tables.py
+++ b/hickoryweir/entry/tests/test_tables.py
@@ -56,12 +56,12 @@
 def test_table_is_acknowledged_in_time_beside_a_router_that_never_confirms():
     outcome, duration_s = replace_beside_silent_router(0.0)
     assert outcome == result.Success(2)
-    assert tables.CONFIRMATION_TIMEOUT_S <= duration_s < 1.0
+    assert confirmations.CONFIRMATION_TIMEOUT_S <= duration_s < 1.0
 
 
-def test_slow_log_leaves_less_time_for_confirmations():
+def test_table_is_not_acknowledged_if_a_slow_log_left_routers_too_little_time():
     outcome, duration_s = replace_beside_silent_router(0.8)
-    assert outcome == result.Success(2)
+    assert outcome.failure().reason is tables.Reason.UNAVAILABLE
     assert duration_s < 1.0
 
 
--- a/hickoryweir/feeds/confirmations.py
+++ b/hickoryweir/feeds/confirmations.py
@@ -5,13 +5,34 @@
 """
 
 import asyncio
+import dataclasses
 from collections.abc import Hashable
 
 from hickoryweir import clocks
 from hickoryweir.routes import store
 
-# Longer than subscriber.RETRY_MAX_S, the interval at which routers try to reconnect.
-SETTLING_S = 0.6
+# Longer than an attempt to connect to a VM that is silent and the pause after it, see
+# subscriber.CONNECT_TIMEOUT_S and RETRY_MAX_S.
+SETTLING_S = 1.2
+# Several times as long as routers need for a table of a few hundred routes.
+CONFIRMATION_TIMEOUT_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waited:
+    """Outcome of a wait for the routers.
+
+    Attributes
+    ----------
+    late : frozenset
+        The routers that had not confirmed the version.
+    is_conclusive : bool
+        Whether the routers had enough time; otherwise the version may come into force
+        at any of them later.
+    """
+
+    late: frozenset = frozenset()
+    is_conclusive: bool = True
 
 
 class Confirmations:
@@ -72,38 +93,41 @@
             if store.NO_VERSION < confirmed < version and router not in self._late
         }
 
-    async def wait(
-        self, version: int, timeout_s: float, is_deadline: bool = True
-    ) -> set:
+    def count_in_force(self, version: int) -> int:
+        """Return how many routers have confirmed a version or a later one."""
+        return sum(confirmed >= version for confirmed in self._versions.values())
+
+    @property
+    def routers_count(self) -> int:
+        """Return the number of connected routers."""
+        return len(self._versions)
+
+    async def wait(self, version: int, left_s: float) -> Waited:
         """Wait until a version or a later one is in force at the routers.
 
         Parameters
         ----------
         version : int
             The version to wait for.
-        timeout_s : float
-            Maximum time to wait.
-        is_deadline : bool, optional
-            Whether routers had enough time, so that later changes don't wait for those
-            that have missed it.
-
-        Returns
-        -------
-        set
-            The routers that had not confirmed it after `timeout_s`.
+        left_s : float
+            Time that is left for the wait.  Routers that miss `CONFIRMATION_TIMEOUT_S`
+            are late, and not waited for any more; those that had less time are not.
         """
+        settling_s = max(0.0, self._settled_s - clocks.boottime_s())
+        wanted_s = settling_s + CONFIRMATION_TIMEOUT_S
         try:
-            async with asyncio.timeout(timeout_s):
-                await asyncio.sleep(max(0.0, self._settled_s - clocks.boottime_s()))
+            async with asyncio.timeout(max(0.0, min(wanted_s, left_s))):
+                await asyncio.sleep(settling_s)
                 while self.pending(version):
                     self._changed.clear()
                     await self._changed.wait()
         except TimeoutError:
-            late = self.pending(version)
-            if is_deadline:
+            late = frozenset(self.pending(version))
+            is_conclusive = left_s >= wanted_s
+            if is_conclusive:
                 self._late |= late
-            return late
-        return set()
+            return Waited(late, is_conclusive)
+        return Waited()
 
 
 def make_confirmations() -> Confirmations:
--- a/hickoryweir/feeds/tests/test_confirmations.py
+++ b/hickoryweir/feeds/tests/test_confirmations.py
@@ -8,6 +8,7 @@
 
 HOST = test_feeds.HOST
 TIMEOUT_S = 0.5
+IN_FORCE = confirmations.Waited()
 
 
 def make_settled():
@@ -25,11 +26,11 @@
         asyncio.get_running_loop().call_later(0.1, known.confirm, "b", 3)
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        late = await known.wait(3, TIMEOUT_S)
-        return late, loop.time() - started_s
+        waited = await known.wait(3, TIMEOUT_S)
+        return waited, loop.time() - started_s
 
-    late, duration_s = asyncio.run(main())
-    assert late == set()
+    waited, duration_s = asyncio.run(main())
+    assert waited == IN_FORCE
     assert 0.09 <= duration_s < TIMEOUT_S
 
 
@@ -38,13 +39,25 @@
         known = make_settled()
         known.add("a")
         known.confirm("a", 1)
-        first = await known.wait(2, 0.05)
-        second = await known.wait(3, 0.05)
+        first = await known.wait(2, TIMEOUT_S)
+        second = await known.wait(3, TIMEOUT_S)
         known.confirm("a", 2)
-        third = await known.wait(3, 0.05)
+        third = await known.wait(3, TIMEOUT_S)
         return first, second, third
 
-    assert asyncio.run(main()) == ({"a"}, set(), {"a"})
+    late = confirmations.Waited(frozenset({"a"}))
+    assert asyncio.run(main()) == (late, IN_FORCE, late)
+
+
+def test_wait_that_left_routers_too_little_time_is_not_conclusive():
+    async def main():
+        known = make_settled()
+        known.add("a")
+        known.confirm("a", 1)
+        return [await known.wait(2, left_s) for left_s in (0.05, -1.0)]
+
+    waited = confirmations.Waited(frozenset({"a"}), is_conclusive=False)
+    assert asyncio.run(main()) == [waited, waited]
 
 
 def test_router_that_disconnects_is_no_longer_waited_for():
@@ -55,7 +68,7 @@
         asyncio.get_running_loop().call_later(0.05, known.remove, "a")
         return await known.wait(2, TIMEOUT_S)
 
-    assert asyncio.run(main()) == set()
+    assert asyncio.run(main()) == IN_FORCE
 
 
 def test_replica_that_has_just_started_gives_its_routers_time_to_connect():
@@ -63,10 +76,14 @@
         known = confirmations.make_confirmations()
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        await known.wait(2, 2 * confirmations.SETTLING_S)
-        return loop.time() - started_s
+        too_soon = await known.wait(2, TIMEOUT_S)
+        settled = await known.wait(2, 2 * confirmations.SETTLING_S)
+        return too_soon, settled, loop.time() - started_s
 
-    assert asyncio.run(main()) >= subscriber.RETRY_MAX_S
+    too_soon, settled, duration_s = asyncio.run(main())
+    assert not too_soon.is_conclusive
+    assert settled == IN_FORCE
+    assert duration_s >= subscriber.CONNECT_TIMEOUT_S + subscriber.RETRY_MAX_S
 
 
 def test_replica_waits_until_its_router_has_applied_the_table():
@@ -75,11 +92,11 @@
             known = replicas[0].publisher.confirmations
             await test_feeds.wait_until(lambda: known.pending(2))
             test_feeds.set_version(replicas[0], 2)
-            late = await known.wait(2, test_feeds.TIMEOUT_S)
-            return late, applied[-1]
+            waited = await known.wait(2, test_feeds.TIMEOUT_S)
+            return waited, applied[-1]
 
-    late, applied = asyncio.run(main())
-    assert late == set()
+    waited, applied = asyncio.run(main())
+    assert waited == IN_FORCE
     assert applied == (2, b"table 2")
 
 
@@ -108,13 +125,13 @@
             )
             connection = outcome.unwrap()
             heartbeat = (await connection.receive()).unwrap()
-            late = await replica.publisher.confirmations.wait(1, TIMEOUT_S)
+            waited = await replica.publisher.confirmations.wait(1, TIMEOUT_S)
             connection.abort()
-            return heartbeat, late
+            return heartbeat, waited
 
-    heartbeat, late = asyncio.run(main())
+    heartbeat, waited = asyncio.run(main())
     assert isinstance(heartbeat, messages.Heartbeat)
-    assert late == set()
+    assert waited.late == frozenset()
 
 
 def test_replica_of_an_earlier_version_is_followed_and_sent_no_confirmation():
