--- a/spec/tests/test_fuzz.py
+++ b/spec/tests/test_fuzz.py
@@ -82,7 +82,7 @@
 )
 def test_faults_of_reading_lists_are_found(machine):
     settings = hypothesis.settings(
-        fuzz.make_settings(200, 60, derandomize=True),
+        fuzz.make_settings(600, 60, derandomize=True),
         phases=(hypothesis.Phase.generate,),
         report_multiple_bugs=False,
     )
