Admission: ask the new leader when a former one refuses a membership change

What was seen: a replica with an empty folder, or one that was removed, asked for admission every 0.3 s and was refused "not_leader" each time, for as long as no operator asked the same process for the table. The group stayed at two voters of three, so that the next loss left no quorum.

Cause: a replica that does not lead answers a membership change with ChangeAnswered and the refusal "not_leader", where it answers commands and reads with NotServed. The client took the first for a final answer, so it neither polled nor followed the new leader, and its cached leader stayed the former one.

Evidence: a leader was transferred after the client had found it. Ruled out: a broken connection, after which the client polls anyway.

Why it works: the refusal shows that nothing was appended, so the client treats it as a request that was not served: it polls and asks the leader that it finds, within its time limit. Messages between replicas are unchanged, so earlier builds are asked the same way.

The test failed on the old code ("not_leader" in place of an empty text).

--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -17,6 +17,7 @@
 from returns import result
 
 from hickoryweir.replicas import channels, messages, reachability, wire
+from hickoryweir.replicas import state as states
 from hickoryweir.streams import codec, handshake, tls
 
 CONNECT_TIMEOUT_S = 0.3
@@ -249,7 +250,7 @@
                 await self._poll()
                 continue
             response = await self._ask_target(request, deadline_s)
-            if isinstance(response, wire.Answered | wire.ChangeAnswered):
+            if _is_served(response):
                 return result.Success(response)
             may_commit = may_commit or _may_have_committed(response)
             failure = _final_failure(response, may_commit)
@@ -411,7 +412,22 @@
     return result.Failure(Unavailable(reason, may_commit, PROBE_INTERVAL_S))
 
 
+def _is_served(response: object | None) -> bool:
+    return isinstance(response, wire.Answered | wire.ChangeAnswered) and (
+        not _is_from_former_leader(response)
+    )
+
+
+def _is_from_former_leader(response: object | None) -> bool:
+    return (
+        isinstance(response, wire.ChangeAnswered)
+        and response.refusal == states.ChangeRefusal.NOT_LEADER.value
+    )
+
+
 def _may_have_committed(response: object | None) -> bool:
+    if _is_from_former_leader(response):
+        return False
     return not isinstance(response, wire.NotServed) or response.may_commit
 
 
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -300,6 +300,26 @@
     assert run(scenario()) == (client.Reason.NO_QUORUM, "")
 
 
+def test_admission_that_a_former_leader_refuses_is_asked_of_the_new_one(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            running = await register.start_replica("z", 0, str(tmp_path / "z"))
+            replicas["z"] = running
+            addresses = tuple(replicas[name].address for name in ("a", "b", "c"))
+            log = client.make_client(register.make_identity("z"), addresses)
+            assert await log.wait_until_ready(register.START_TIMEOUT_S)
+            former_leader = replicas[log.leader_name].node
+            await retry_until_success(lambda: router.transfer("", 10.0))
+            await asyncio.wait_for(
+                former_leader._leadership_ended.wait(), register.START_TIMEOUT_S
+            )
+            answer = await log.add_learner(running.address, 10.0)
+            await log.close()
+            return answer.unwrap()
+
+    assert run(scenario()) == ""
+
+
 def test_full_disk_stops_one_replica_but_not_the_group(tmp_path):
     async def scenario():
         async with register.run_cluster(tmp_path) as (replicas, router):
