Disk writer: refuse work once the writing task has ended

What callers would see: a replica whose writing thread ended by an error of the program, not by a refused write, could stay failed for good in place of being restarted, while its process went on. Found by reading; not seen in a run of processes.

Cause: the task that writes notifies the core and ends.

Evidence: the test did not end within 30 s on the old code (TimeoutError in `close`); it passes with this change. Ruled out: refused writes, after which the storage has a failure before the task ends, so that nothing is queued.

Why it works: whether the task has ended is asked where work is queued, so nothing can be queued that nobody executes.

--- a/hickoryweir/replicas/disk.py
+++ b/hickoryweir/replicas/disk.py
@@ -57,7 +57,8 @@
 
     def submit(self, work: Work) -> None:
         """Queue an action; a message is sent at once if nothing is queued before it."""
-        if self.storage.failure is not None:
+        # Nobody would execute it, and closing would wait for it.
+        if self.storage.failure is not None or self._task.done():
             return
         if isinstance(work, states.Send) and not self._busy and not self._work:
             self._send(work.envelope)
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -10,11 +10,14 @@
 
 from hickoryweir.replicas import (
     client,
+    disk,
+    files,
     node,
     reachability,
     records,
     replacement,
     requests,
+    storage,
     wire,
 )
 from hickoryweir.replicas import state as states
@@ -368,6 +371,23 @@
     assert run(scenario()) == (states.Role.FAILED, "v2")
 
 
+def test_write_after_an_error_in_the_writing_thread_does_not_block_the_stop(tmp_path):
+    async def scenario():
+        opened = storage.open_folder(
+            files.make_files(), str(tmp_path), register.CLUSTER_ID, "", "a"
+        ).unwrap()
+        opened.storage.files = dataclasses.replace(opened.storage.files, sync=None)
+        failed = asyncio.Event()
+        writer = disk.DiskWriter(opened.storage, None, lambda event: failed.set())
+        writer.submit(states.Store(1, "", ()))
+        await asyncio.wait_for(failed.wait(), register.START_TIMEOUT_S)
+        # As for an event that the core takes before it hears of the failure.
+        writer.submit(states.Store(2, "", ()))
+        await asyncio.wait_for(writer.close(None), register.START_TIMEOUT_S)
+
+    run(scenario())
+
+
 class SilentConnection:
     """A client's connection that discards responses."""
 
