Replicas: a stopped node serves no connections

One refusal is enough to leave a replica that hears nobody; the quorum of the two others hides it until one of them is lost.

Cause: a node registered its handlers with the hub when it was made, and nothing removed them. After a failed write the supervisor stops the node and makes the next one once a pending write has ended and 0.5 s have passed. The other replicas reconnect within 0.05 s, and the hub gave these connections to the stopped node, whose queue nobody reads and which had aborted only the connections open at its stop. Both ends looked healthy, so nothing ended them. A folder that can't be opened and clients' channels were affected likewise.

Fix: hub.register returns a Registration that its owner closes. It knows the connections that it serves; closing it removes the handler, aborts them and ends their tasks. A node registers once its folder is open and closes its registrations when it stops, before its tasks are cancelled, so a handshake in between is refused and retried. Registering closes a former registration, and the late close of that one does nothing. hub.connect also closes its socket when it is cancelled.

The new tests in test_replica.py (4) and test_hub.py (3 of 4) fail with the former hub.py and node.py; the one of a registration closed during the handshake does not, since an exception ended that connection by accident. Ruled out as the cause here: links that wait for ever, since the replica that reopened its folder connects to the others and is heard by them.

--- a/hickoryweir/entry/tests/test_replica.py
+++ b/hickoryweir/entry/tests/test_replica.py
@@ -9,7 +9,7 @@
 from hickoryweir.entry import own_formats, replica, settings
 from hickoryweir.replicas import disk, messages
 from hickoryweir.replicas import state as states
-from hickoryweir.streams import hub
+from hickoryweir.streams import handshake, hub
 from hickoryweir.testing import waiting
 from hickoryweir.testing.demo import entry_vms
 
@@ -68,6 +68,80 @@
     assert first_id == second_id
 
 
+async def try_to_connect(peer_hub, purpose):
+    other = handshake.Identity(settings.CLUSTER_ID, "127.0.0.9", "a")
+    outcome = await hub.connect(other, "127.0.0.1", peer_hub.port, purpose)
+    connection = outcome.value_or(None)
+    if connection is not None:
+        connection.abort()
+    return connection is not None
+
+
+NODE_PURPOSES = (handshake.Purpose.REPLICA, handshake.Purpose.CLIENT)
+
+
+@pytest.mark.parametrize("purpose", NODE_PURPOSES)
+def test_node_whose_write_hangs_while_it_stops_accepts_no_connection(tmp_path, purpose):
+    async def main():
+        entry_settings = make_settings(tmp_path / "data")
+        peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
+        await peer_hub.start()
+        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
+        task = asyncio.create_task(supervisor.run())
+        await wait_until(lambda: supervisor.node.state is not None)
+        first = supervisor.node
+        disk_works = threading.Event()
+        opened = first._disk.storage
+        opened.files = dataclasses.replace(
+            opened.files, sync=lambda handle: disk_works.wait()
+        )
+        member = messages.Member(first.state.member_id, "h:1", "a", True)
+        first._queue.put_nowait(states.Bootstrapped(messages.Membership((member,))))
+        before = await try_to_connect(peer_hub, purpose)
+        first._queue.put_nowait(BROKEN_EVENT)
+        await asyncio.sleep(2 * replica.FAILURE_CHECK_INTERVAL_S)
+        meanwhile = await try_to_connect(peer_hub, purpose)
+        disk_works.set()
+        await wait_until(
+            lambda: supervisor.node is not first and supervisor.node.state is not None
+        )
+        after = await try_to_connect(peer_hub, purpose)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await supervisor.node.stop()
+        await peer_hub.close()
+        return before, meanwhile, after
+
+    assert asyncio.run(main()) == (True, False, True)
+
+
+@pytest.mark.parametrize("purpose", NODE_PURPOSES)
+def test_node_whose_folder_cannot_be_opened_accepts_no_connection(tmp_path, purpose):
+    blocked = tmp_path / "data"
+    blocked.write_text("in the way")
+
+    async def main():
+        entry_settings = make_settings(blocked)
+        peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
+        await peer_hub.start()
+        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
+        before = await try_to_connect(peer_hub, purpose)
+        task = asyncio.create_task(supervisor.run())
+        await wait_until(lambda: supervisor.node.failure is not None)
+        meanwhile = await try_to_connect(peer_hub, purpose)
+        blocked.unlink()
+        await wait_until(lambda: supervisor.node.state is not None)
+        after = await try_to_connect(peer_hub, purpose)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await supervisor.node.stop()
+        stopped = await try_to_connect(peer_hub, purpose)
+        await peer_hub.close()
+        return before, meanwhile, after, stopped
+
+    assert asyncio.run(main()) == (False, False, True, False)
+
+
 def test_folder_is_not_opened_again_while_a_write_of_the_failed_node_hangs(tmp_path):
     async def main():
         entry_settings = make_settings(tmp_path / "data")
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -121,16 +121,14 @@
         self._request_table = requests.RequestTable()
         self._tasks: set[asyncio.Task] = set()
         self._leadership_ended = asyncio.Event()
-        self._connections: set[connections.Connection] = set()
+        self._hub = peer_hub
+        self._registrations: list[hub.Registration] = []
         self._snapshot_task: asyncio.Task | None = None
         self._schedule = schedules.SnapshotSchedule(
             settings.snapshot_entries_count,
             settings.snapshot_log_size_bytes,
             settings.identity.process_name,
         )
-        group = settings.group
-        peer_hub.register(handshake.Purpose.REPLICA, self._serve_replica, group)
-        peer_hub.register(handshake.Purpose.CLIENT, self._serve_client, group)
 
     async def start(self) -> result.Result[None, records.StorageFailure]:
         """Recover the data folder and start; a failure leaves the folder unchanged."""
@@ -163,8 +161,19 @@
         self._start_task(self._tick())
         if self._initial_replicas:
             self._start_task(self._bootstrap())
+        self._register_handlers()
         return result.Success(None)
 
+    def _register_handlers(self) -> None:
+        handlers = {
+            handshake.Purpose.REPLICA: self._serve_replica,
+            handshake.Purpose.CLIENT: self._serve_client,
+        }
+        self._registrations = [
+            self._hub.register(purpose, handler, self.settings.group)
+            for purpose, handler in handlers.items()
+        ]
+
     def _start_task(self, coroutine: Coroutine) -> asyncio.Task:
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self._on_task_done)
@@ -197,13 +206,14 @@
             as is needed before the folder is opened again.
         """
         await self._transfer_leadership()
+        if self.state is not None:
+            requests.refuse_appended(self._request_table, self.state, time.monotonic())
+        # From here on nothing reads the queue.
+        for registration in self._registrations:
+            registration.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self.state is not None:
-            requests.refuse_appended(self._request_table, self.state, time.monotonic())
-        for connection in list(self._connections):
-            connection.abort()
         await self._links.close()
         await self._relays.close()
         if self._disk is not None:
@@ -253,7 +263,6 @@
 
     async def _serve_replica(self, connection: connections.Connection) -> None:
         name = connection.peer.process_name
-        self._connections.add(connection)
         try:
             while True:
                 message = (await connection.receive()).value_or(None)
@@ -267,19 +276,14 @@
                     self._links.add_incoming(message.from_id, connection)
                     self._queue.put_nowait(states.Received(message))
         finally:
-            self._connections.discard(connection)
             self._links.remove_incoming(connection)
 
     async def _serve_client(self, connection: connections.Connection) -> None:
-        self._connections.add(connection)
-        try:
-            while True:
-                message = (await connection.receive()).value_or(None)
-                if message is None or not hasattr(message, "request_id"):
-                    return
-                self._queue.put_nowait(requests.PendingRequest(connection, message))
-        finally:
-            self._connections.discard(connection)
+        while True:
+            message = (await connection.receive()).value_or(None)
+            if message is None or not hasattr(message, "request_id"):
+                return
+            self._queue.put_nowait(requests.PendingRequest(connection, message))
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -465,14 +469,15 @@
     submachines: tuple[machine.Submachine, ...],
     files: file_operations.Files | None = None,
 ) -> Node:
-    """Return a replica that is not started; registers its handlers with the hub.
+    """Return a replica that is not started.
 
     Parameters
     ----------
     settings : NodeSettings
         Settings.
     peer_hub : hub.Hub
-        Accepts peer connections; the caller starts and closes it.
+        Accepts peer connections while the replica is started; the caller starts and
+        closes it.
     submachines : tuple of machine.Submachine
         Parts of the replicated state machine.
     files : files.Files, optional
--- a/hickoryweir/streams/hub.py
+++ b/hickoryweir/streams/hub.py
@@ -2,6 +2,9 @@
 
 Handlers are registered by purpose and group.  The handler of an accepted connection
 runs as a task; the connection is closed when the handler returns.
+
+The component that registers a handler owns the :class:`Registration` and closes it
+before it stops to serve, so that no connection is left to a component that has stopped.
 """
 
 import asyncio
@@ -43,6 +46,37 @@
 Connected = result.Result[connections.Connection, ConnectFailure]
 
 
+class Registration:
+    """A registered handler and the connections it serves; closed by its owner."""
+
+    def __init__(self, handler: Handler, remove: Callable[[], None]) -> None:
+        self._handler = handler
+        self._remove = remove
+        self._is_closed = False
+        self._served: dict[asyncio.Task, connections.Connection] = {}
+
+    def close(self) -> None:
+        """Remove the handler and abort its connections; later calls do nothing."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._remove()
+        for task, connection in list(self._served.items()):
+            connection.abort()
+            if task is not asyncio.current_task():
+                task.cancel()
+
+    async def serve(self, connection: connections.Connection) -> None:
+        """Run the handler for a connection in the current task, and close it."""
+        task = asyncio.current_task()
+        self._served[task] = connection
+        try:
+            await self._handler(connection)
+        finally:
+            del self._served[task]
+            await connection.close()
+
+
 class Hub:
     """The listening port; created by :func:`make_hub`.
 
@@ -64,7 +98,7 @@
         self._host = host
         self._port = port
         self._files = files
-        self._handlers: dict[tuple[str, str], Handler] = {}
+        self._registrations: dict[tuple[str, str], Registration] = {}
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -75,9 +109,19 @@
 
     def register(
         self, purpose: handshake.Purpose, handler: Handler, group: str = ""
-    ) -> None:
-        """Register the handler for connections of a purpose and group."""
-        self._handlers[(purpose.value, group)] = handler
+    ) -> Registration:
+        """Register the handler for connections of a purpose and group.
+
+        A former registration for them is closed.  Handshakes for which there is none
+        are refused.
+        """
+        key = (purpose.value, group)
+        former = self._registrations.get(key)
+        if former is not None:
+            former.close()
+        registration = Registration(handler, lambda: self._registrations.pop(key))
+        self._registrations[key] = registration
+        return registration
 
     async def start(self) -> None:
         """Start listening.
@@ -133,10 +177,12 @@
             return
         peer = connections.Peer(hello.process_name, hello.availability_zone)
         connection = connections.Connection(reader, writer, peer)
-        try:
-            await self._handlers[(hello.purpose, hello.group)](connection)
-        finally:
-            await connection.close()
+        registration = self._registrations.get((hello.purpose, hello.group))
+        if registration is None:
+            # It was closed while the handshake ended.
+            connection.abort()
+            return
+        await registration.serve(connection)
 
     async def _check_hello(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -149,7 +195,7 @@
             return None, handshake.RefusalReason.MALFORMED
         if len(self._tasks) > MAX_CONNECTIONS_COUNT:
             return hello, handshake.RefusalReason.TOO_MANY_CONNECTIONS
-        served = frozenset(self._handlers)
+        served = frozenset(self._registrations)
         certificate_names = _peer_certificate_names(writer, self._files)
         return hello, handshake.check_hello(
             hello, self.identity, served, certificate_names
@@ -239,6 +285,10 @@
     except (OSError, RuntimeError):
         # uvloop raises the latter for a connection that the peer has reset meanwhile.
         outcome = ConnectFailure(ConnectReason.UNREACHABLE)
+    except asyncio.CancelledError:
+        if writer is not None:
+            writer.transport.abort()
+        raise
     if writer is not None:
         writer.transport.abort()
     return result.Failure(outcome)
--- a/hickoryweir/streams/tests/test_hub.py
+++ b/hickoryweir/streams/tests/test_hub.py
@@ -205,3 +205,86 @@
         return outcome
 
     assert asyncio.run(attempt()).failure().reason is hub.ConnectReason.UNREACHABLE
+
+
+async def connect_as_client(server):
+    return await hub.connect(
+        CLIENT, LOCALHOST, server.port, handshake.Purpose.CLIENT, timeout_s=1.0
+    )
+
+
+async def receive_soon(connection):
+    async with asyncio.timeout(1.0):
+        return await connection.receive()
+
+
+@pytest.mark.parametrize("reads", [True, False])
+def test_closed_registration_leaves_no_connection_open_and_gets_no_new_one(reads):
+    async def hang(connection):
+        await asyncio.Event().wait()
+
+    async def scenario():
+        server = hub.make_hub(SERVER, LOCALHOST, 0)
+        handler = echo if reads else hang
+        registration = server.register(handshake.Purpose.CLIENT, handler)
+        await server.start()
+        connection = (await connect_as_client(server)).unwrap()
+        await asyncio.sleep(0.05)
+        registration.close()
+        received = await receive_soon(connection)
+        again = await connect_as_client(server)
+        served_count = len(server._tasks)
+        await server.close()
+        return received, again.failure(), served_count
+
+    received, refused, served_count = asyncio.run(scenario())
+    assert received == result.Failure(connections.StreamFailure.CLOSED)
+    reason = handshake.RefusalReason.WRONG_PURPOSE
+    assert refused == hub.ConnectFailure(hub.ConnectReason.REFUSED, reason)
+    assert served_count == 0
+
+
+def test_late_close_of_a_registration_does_not_remove_its_successor():
+    async def scenario():
+        server = hub.make_hub(SERVER, LOCALHOST, 0)
+        former = server.register(handshake.Purpose.CLIENT, echo)
+        await server.start()
+        old = (await connect_as_client(server)).unwrap()
+        await asyncio.sleep(0.05)
+        server.register(handshake.Purpose.CLIENT, echo)
+        ended = await receive_soon(old)
+        former.close()
+        new = (await connect_as_client(server)).unwrap()
+        await new.send(Text("hello"))
+        answer = await receive_soon(new)
+        await new.close()
+        await server.close()
+        return ended, answer
+
+    ended, answer = asyncio.run(scenario())
+    assert ended == result.Failure(connections.StreamFailure.CLOSED)
+    assert answer == result.Success(Text("hello"))
+
+
+def test_registration_closed_during_a_handshake_serves_no_connection(monkeypatch):
+    write_frame = connections.write_frame
+
+    async def scenario():
+        server = hub.make_hub(SERVER, LOCALHOST, 0)
+        registration = server.register(handshake.Purpose.CLIENT, echo)
+        await server.start()
+
+        async def write_and_close(writer, message):
+            await write_frame(writer, message)
+            if isinstance(message, handshake.Welcome):
+                registration.close()
+
+        monkeypatch.setattr(connections, "write_frame", write_and_close)
+        outcome = await connect_as_client(server)
+        connection = outcome.value_or(None)
+        if connection is not None:
+            outcome = await receive_soon(connection)
+        await server.close()
+        return outcome
+
+    assert isinstance(asyncio.run(scenario()), result.Failure)
