Elections: longer timeouts after terms without a leader

What callers would see: after a restart of all replicas, no leader for as long as disks and links stay slow, though all replicas run and hear each other: changes are refused with no_quorum or time out.

Cause: until the first leader since the start is known, an election times out after 0.2 to 0.4 s. It takes two syncs and two round trips. Where that is longer, each replica begins its next pre-vote before the votes of the election before arrive, and a replica that has voted campaigns before the candidate hears of its vote. The timeout never grew.

Why it works: the timeout grows until it is longer than the election, for voters as well as candidates, and is back at its usual value with the next leader. The first two terms are as before, so the usual loss of a leader takes no longer.

test_restarted_replicas_with_slow_disks_and_links_elect_a_leader failed for all of its five seeds on the old code.

--- a/hickoryweir/replicas/elections.py
+++ b/hickoryweir/replicas/elections.py
@@ -43,6 +43,7 @@
 ) -> None:
     """Become a candidate in a new term; the own vote counts once it is synced."""
     state.term += 1
+    state.terms_without_leader_count += 1
     state.voted_for = state.member_id
     state.role = states.Role.CANDIDATE
     state.leader_id = ""
@@ -189,6 +190,7 @@
     state.role = states.Role.LEADER
     state.leader_id = state.member_id
     state.has_known_leader = True
+    state.terms_without_leader_count = 0
     state.progress.clear()
     state.transfer_target = ""
     state.term_start_index = state.log.last_index + 1
--- a/hickoryweir/replicas/roles.py
+++ b/hickoryweir/replicas/roles.py
@@ -3,6 +3,11 @@
 from hickoryweir.replicas import messages
 from hickoryweir.replicas import state as states
 
+# So many elections in series may fail by split votes, which random timeouts resolve.
+TERMS_OF_SPLIT_VOTES = 2
+# Keeps the product finite, however many terms pass.
+MAX_DOUBLINGS_COUNT = 8
+
 
 def make_send(
     state: states.State, to_id: str, body: messages.Body, durable: bool
@@ -24,12 +29,16 @@
 def reset_election_deadline(state: states.State, now_s: float) -> None:
     """Set the election deadline to one to two election timeouts from now.
 
-    The timeout is shorter until the first leader since the start is known.
+    The timeout is shorter until the first leader since the start is known, and longer
+    after elections without a result.
     """
     timing = state.timing
     timeout_s = timing.startup_timeout_s
     if state.has_known_leader:
         timeout_s = timing.election_timeout_s
+    failed_count = max(0, state.terms_without_leader_count - TERMS_OF_SPLIT_VOTES)
+    timeout_s *= 2 ** min(failed_count, MAX_DOUBLINGS_COUNT)
+    timeout_s = min(timeout_s, timing.max_election_timeout_s)
     state.election_deadline_s = now_s + timeout_s * (1.0 + state.random.random())
 
 
@@ -40,6 +49,7 @@
     if term > state.term:
         state.term = term
         state.voted_for = ""
+        state.terms_without_leader_count += 1
         actions.append(states.Store(state.term, state.voted_for, ()))
     if state.role is states.Role.LEADER:
         state.pre_vote_started_s = now_s
@@ -61,6 +71,7 @@
         become_follower(state, envelope.term, now_s, actions)
     state.leader_id = envelope.from_id
     state.has_known_leader = True
+    state.terms_without_leader_count = 0
     state.last_leader_contact_s = now_s
     state.last_pre_vote_reached_quorum = True
     reset_election_deadline(state, now_s)
--- a/hickoryweir/replicas/state.py
+++ b/hickoryweir/replicas/state.py
@@ -48,11 +48,16 @@
     `startup_timeout_s`, since after a loss of all replicas there is none to wait for.
     It is longer than a leader takes to contact a replica that has just started, and an
     election before that contact does not disturb the leader because of the pre-vote.
+
+    After several terms in which no leader was known, the timeout doubles with each
+    further one up to `max_election_timeout_s`, so that it becomes longer than an
+    election takes with slow disks or links.
     """
 
     heartbeat_interval_s: float = 0.1
     election_timeout_s: float = 0.5
     startup_timeout_s: float = 0.2
+    max_election_timeout_s: float = 1.0
     pre_vote_grace_s: float = 0.15
     disk_stall_timeout_s: float = 1.0
     max_append_count: int = 1024
@@ -153,6 +158,7 @@
     role: Role = Role.FOLLOWER
     leader_id: str = ""
     has_known_leader: bool = False
+    terms_without_leader_count: int = 0
     log: Log = dataclasses.field(default_factory=Log)
     snapshot: messages.Snapshot | None = None
     memberships: list[tuple[int, messages.Membership]] = dataclasses.field(
--- a/hickoryweir/replicas/tests/simulation.py
+++ b/hickoryweir/replicas/tests/simulation.py
@@ -229,6 +229,34 @@
                 for _ in range(len(self.network)):
                     self.deliver(0)
 
+    def run_until_leader(self, limit_s, sync_s, delay_s, step_s=0.005):
+        """Run with slow disks and links until a leader has committed an entry.
+
+        Return whether there was one within `limit_s`.
+        """
+        end_s = self.now_s + limit_s
+        synced_at_s, in_transit = {}, []
+        while self.now_s < end_s:
+            self.tick(step_s)
+            for name, process in self.processes.items():
+                if not self.is_running(process) or not process.work:
+                    synced_at_s.pop(name, None)
+                elif self.now_s >= synced_at_s.setdefault(name, self.now_s + sync_s):
+                    del synced_at_s[name]
+                    self.sync(process)
+            in_transit += [(self.now_s + delay_s, item) for item in self.network]
+            arrived = [item for at_s, item in in_transit if at_s <= self.now_s]
+            in_transit = [entry for entry in in_transit if entry[0] > self.now_s]
+            self.network = arrived
+            for _ in arrived:
+                self.deliver(0)
+            leader = self.leader()
+            if leader is not None:
+                state = leader.state
+                if state.commit_index >= state.term_start_index:
+                    return True
+        return False
+
     def leader(self):
         """Return the running leader with the highest term."""
         running = [item for item in self.processes.values() if self.is_running(item)]
--- a/hickoryweir/replicas/tests/test_simulation.py
+++ b/hickoryweir/replicas/tests/test_simulation.py
@@ -4,7 +4,7 @@
 
 from hickoryweir.replicas import automation, elections, messages
 from hickoryweir.replicas import state as states
-from hickoryweir.replicas.tests import simulation
+from hickoryweir.replicas.tests import managed_simulation, simulation
 
 RANDOM_STEPS_COUNT = 1500
 
@@ -106,6 +106,30 @@
     assert committed_payloads(cluster) == [b"command-0"]
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_restarted_replicas_with_slow_disks_and_links_elect_a_leader(seed):
+    cluster = make_running(seed)
+    for name in cluster.processes:
+        cluster.crash(name)
+        cluster.start(name)
+    cluster.network.clear()
+    assert cluster.run_until_leader(
+        managed_simulation.RECOVERY_S, sync_s=0.2, delay_s=0.1
+    )
+
+
+def test_isolated_replica_campaigns_on_after_thousands_of_terms():
+    cluster = make_running()
+    isolated = others(cluster)[0]
+    cluster.isolate(isolated.name)
+    isolated.state.terms_without_leader_count = 10_000
+    cluster.run(3.0)
+    assert isolated.state.role is states.Role.PRE_CANDIDATE
+    cluster.heal()
+    cluster.run(3.0)
+    assert isolated.state.leader_id == cluster.leader().state.member_id
+
+
 def test_flapping_links_lose_nothing():
     cluster = make_running()
     for round_number in range(10):
