Replicas: a node that ended with an error is not started again

If start or stop of a node raised, for instance since closing the folder failed (EIO), the supervisor's task was run again and started the same node once more. Its links had ended and are kept by member, so it connected to nobody, and its state machine held what it had applied before. A close that fails each time kept the replica down for good.

The supervisor now replaces a node that it has started once, whatever ended it; an error while the folder is closed is logged, since all that was acknowledged has been synced; and a node whose recovery raises closes the folder it has opened.

The three new tests fail with the former replica.py, node.py and disk.py: the same node was started twice, or the replica did not come back within 10 s.

--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -78,6 +78,7 @@
 
     After a failed write the content of the disk is unknown, so the node stops and
     recovers from its data folder as after a restart, retrying until the disk works.
+    No node is started twice: what it has applied and its links belong to one run.
 
     Attributes
     ----------
@@ -90,23 +91,36 @@
     ) -> None:
         self._settings = entry_settings
         self._hub = peer_hub
+        self._is_used = False
+        self._is_open = False
         self.node = _make_node(entry_settings, peer_hub)
 
     async def run(self) -> None:
-        """Start the node, and restart it after each failure, until cancelled."""
+        """Start the node, and replace it after each failure, until cancelled.
+
+        May run again after an unexpected error.
+        """
         while True:
-            started = await self.node.start()
-            if isinstance(started, result.Success):
-                logs.info("data folder opened", _describe_recovered(self.node))
-                await self._wait_for_failure()
-                logs.error("replica restarts after a failure", logs.Fields())
+            if not self._is_used:
+                await self._start()
+            await self._wait_for_failure()
+            self._is_open = False
             await self.node.stop(disk_timeout_s=None)
             await asyncio.sleep(REOPEN_INTERVAL_S)
             self.node = _make_node(self._settings, self._hub)
+            self._is_used = False
+
+    async def _start(self) -> None:
+        self._is_used = True
+        started = await self.node.start()
+        if isinstance(started, result.Success):
+            self._is_open = True
+            logs.info("data folder opened", _describe_recovered(self.node))
 
     async def _wait_for_failure(self) -> None:
-        while True:
+        while self._is_open:
             if self.node.state.role is states.Role.FAILED:
+                logs.error("replica restarts after a failure", logs.Fields())
                 return
             await asyncio.sleep(FAILURE_CHECK_INTERVAL_S)
 
--- a/hickoryweir/entry/tests/test_replica.py
+++ b/hickoryweir/entry/tests/test_replica.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import dataclasses
+import errno
 import threading
 
 import pytest
 
+from hickoryweir import background
 from hickoryweir.entry import own_formats, replica, settings
-from hickoryweir.replicas import disk, messages
+from hickoryweir.replicas import disk, messages, node
 from hickoryweir.replicas import state as states
 from hickoryweir.streams import handshake, hub
 from hickoryweir.testing import waiting
@@ -174,6 +176,74 @@
     assert not asyncio.run(main())
 
 
+@pytest.mark.parametrize("step", ["start", "stop"])
+def test_node_that_ended_with_an_error_is_not_started_again(
+    tmp_path, monkeypatch, step
+):
+    errors = [RuntimeError(step)]
+    starts = []
+    work, start = getattr(node.Node, step), node.Node.start
+
+    async def fail_once(self, *args, **options):
+        outcome = await work(self, *args, **options)
+        if errors:
+            raise errors.pop()
+        return outcome
+
+    async def record_start(self):
+        starts.append(self)
+        return await (fail_once(self) if step == "start" else start(self))
+
+    monkeypatch.setattr(node.Node, step, fail_once)
+    monkeypatch.setattr(node.Node, "start", record_start)
+
+    async def main():
+        entry_settings = make_settings(tmp_path / "data")
+        peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
+        await peer_hub.start()
+        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
+        first = supervisor.node
+        task = asyncio.create_task(background.keep_running("node", supervisor.run))
+        await wait_until(lambda: first.state is not None)
+        first._queue.put_nowait(BROKEN_EVENT)
+        await wait_until(lambda: len(starts) > 1 and supervisor.node.state is not None)
+        is_reachable = await try_to_connect(peer_hub, handshake.Purpose.REPLICA)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await supervisor.node.stop()
+        await peer_hub.close()
+        return is_reachable
+
+    assert asyncio.run(main())
+    assert len(set(starts)) == len(starts)
+
+
+def test_failed_close_of_the_data_folder_does_not_keep_the_replica_down(tmp_path):
+    def refuse(handle):
+        raise OSError(errno.EIO, "input/output error")
+
+    async def main():
+        entry_settings = make_settings(tmp_path / "data")
+        peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
+        await peer_hub.start()
+        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
+        task = asyncio.create_task(background.keep_running("node", supervisor.run))
+        await wait_until(lambda: supervisor.node.state is not None)
+        first = supervisor.node
+        opened = first._disk.storage
+        opened.files = dataclasses.replace(opened.files, close=refuse)
+        first._queue.put_nowait(BROKEN_EVENT)
+        await wait_until(
+            lambda: supervisor.node is not first and supervisor.node.state is not None
+        )
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await supervisor.node.stop()
+        await peer_hub.close()
+
+    asyncio.run(main())
+
+
 def test_data_folder_that_cannot_be_opened_is_retried(tmp_path):
     blocked = tmp_path / "data"
     blocked.write_text("in the way")
--- a/hickoryweir/replicas/disk.py
+++ b/hickoryweir/replicas/disk.py
@@ -82,7 +82,11 @@
         await asyncio.gather(self._task, return_exceptions=True)
         if self._idle.is_set():
             self._executor.shutdown()
-            storage.close(self.storage)
+            try:
+                storage.close(self.storage)
+            except OSError as error:
+                # What was acknowledged has been synced.
+                logging.error("closing the data folder failed: %s", error)
         else:
             self._executor.shutdown(wait=False)
 
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -152,10 +152,10 @@
             logging.error("cannot open data folder: %s", self.failure)
             return outcome
         opened = outcome.unwrap()
-        self._recover(opened)
         self._disk = disks.DiskWriter(
             opened.storage, self._links.send, self._queue.put_nowait
         )
+        self._recover(opened)
         self._links.update(self.state.membership, self.state.member_id)
         self._start_task(self._run())
         self._start_task(self._tick())
