Replicas: a node that failed by an error of the program serves no connection

When a task of a node ended by an error, the node was marked as failed, but its connections stayed open and new ones were accepted until it was stopped; in 'hickoryweir serve', where nothing restarts a node, for good. The task that reads the queue may be the one that ended.

The node now closes its registrations when it fails in this way. The new test fails for both purposes with the former node.py: the connection stays open for the 30 s of the test.

--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -174,6 +174,10 @@
             for purpose, handler in handlers.items()
         ]
 
+    def _close_registrations(self) -> None:
+        for registration in self._registrations:
+            registration.close()
+
     def _start_task(self, coroutine: Coroutine) -> asyncio.Task:
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self._on_task_done)
@@ -195,6 +199,7 @@
         for action in raft.fail(self.state):
             self._execute(action, now_s)
         requests.refuse_appended(self._request_table, self.state, now_s)
+        self._close_registrations()
 
     async def stop(self, disk_timeout_s: float | None = disks.CLOSE_TIMEOUT_S) -> None:
         """Transfer leadership, finish pending writes and stop.
@@ -209,8 +214,7 @@
         if self.state is not None:
             requests.refuse_appended(self._request_table, self.state, time.monotonic())
         # From here on nothing reads the queue.
-        for registration in self._registrations:
-            registration.close()
+        self._close_registrations()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -19,7 +19,7 @@
 )
 from hickoryweir.replicas import state as states
 from hickoryweir.replicas.tests import register
-from hickoryweir.streams import hub
+from hickoryweir.streams import handshake, hub
 
 
 def run(coroutine):
@@ -403,6 +403,29 @@
     assert run(scenario()) is records.Problem.DAMAGED
 
 
+@pytest.mark.parametrize(
+    "purpose", [handshake.Purpose.REPLICA, handshake.Purpose.CLIENT]
+)
+def test_node_that_failed_by_an_error_serves_no_connection(tmp_path, purpose):
+    async def connect(running):
+        identity = register.make_identity("z")
+        return await hub.connect(identity, register.HOST, running.hub.port, purpose)
+
+    async def scenario():
+        running = await register.start_replica("a", 0, str(tmp_path / "a"))
+        connection = (await connect(running)).unwrap()
+        running.node._queue.put_nowait(states.Received(None))
+        async with asyncio.timeout(register.START_TIMEOUT_S):
+            received = await connection.receive()
+        again = await connect(running)
+        await running.stop()
+        return received, again.failure().reason
+
+    received, reason = run(scenario())
+    assert isinstance(received, result.Failure)
+    assert reason is hub.ConnectReason.REFUSED
+
+
 @pytest.mark.parametrize("moves", [False, True])
 def test_repeated_admission_leaves_no_task_behind(tmp_path, moves):
     problems = []
