State lines of a replica: who was heard comes before the members

The test of the line checked its end; it now checks the whole of it, and fails with the former order.

--- a/hickoryweir/entry/replica_log.py
+++ b/hickoryweir/entry/replica_log.py
@@ -60,13 +60,14 @@
 
 def make_fields(summary: Summary) -> logs.Fields:
     """Return the fields of a line."""
-    detail = (
-        f"{summary.role} in term {summary.term}, "
+    detail = f"{summary.role} in term {summary.term}, "
+    if not summary.leader:
+        # Before the members, as long lines are cut where logs are collected.
+        detail += f"heard from: {' '.join(summary.heard_from) or 'none'}, "
+    detail += (
         f"committed {summary.commit_index}, applied {summary.applied_index}, "
         f"members: {', '.join(summary.members) or 'none'}"
     )
-    if not summary.leader:
-        detail += f", heard from: {', '.join(summary.heard_from) or 'none'}"
     return logs.Fields(
         reason="leader known" if summary.leader else "no leader",
         peer=summary.leader or None,
--- a/hickoryweir/entry/tests/test_replica_log.py
+++ b/hickoryweir/entry/tests/test_replica_log.py
@@ -38,7 +38,10 @@
 def test_line_without_a_leader_names_the_replicas_that_respond():
     fields = replica_log.make_fields(replica_log.summarize(make_state(""), 7))
     assert fields.reason == "no leader"
-    assert fields.detail.endswith("heard from: c")
+    assert fields.detail == (
+        "follower in term 3, heard from: c, committed 9, applied 8, "
+        "members: a~1, b~1 (learner)"
+    )
 
 
 def test_line_is_due_on_a_change_of_leader_table_or_members():
