Replicas: metrics of role, quorum and who is heard; count connections that nobody serves

A replica now exports its role (also 'not_open'), has_quorum, the open connections that each other member has opened to it and the time since it last heard from it. The hub counts by purpose the connections that it refuses because nothing serves them now. Its line on refused handshakes, written for each before, is written at most once a second for each reason and purpose, with the process and the number skipped: the others retry up to 20 times a second while a folder is not open.

--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -24,6 +24,7 @@
     metrics_port,
     parts_app,
     replica_log,
+    replica_metrics,
     settings,
     tables,
 )
@@ -190,6 +191,9 @@
             files.make_files(), entry_settings.replica.data_folder, self._publisher
         )
         self._metrics = forwarding_metrics.make_metrics()
+        self._metrics.registry.register(
+            replica_metrics.ReplicaCollector(lambda: self._supervisor.node, self._hub)
+        )
         self._publisher.skipped_entries.count = self._metrics.skipped_entries.inc
         self._duties = self._make_duties()
         # None if the settings name no duties.
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import functools
@@ -97,6 +98,10 @@
         The core's state; read-only for callers.
     machine : machine.Machine
         The state machine; read-only for callers.
+    heard_at_s : dict of str to float
+        When the last message of each other replica arrived, in monotonic time.
+    incoming_counts : collections.Counter
+        Number of open connections that each other replica has opened to this one.
     """
 
     def __init__(
@@ -110,6 +115,8 @@
         self.machine = machine.make_machine(submachines)
         self.state: states.State | None = None
         self.failure: records.StorageFailure | None = None
+        self.heard_at_s: dict[str, float] = {}
+        self.incoming_counts: collections.Counter[str] = collections.Counter()
         self._files = files
         self._initial_replicas: tuple[wire.ReplicaAddress, ...] = ()
         self._disk: disks.DiskWriter | None = None
@@ -166,7 +173,7 @@
 
     def _register_handlers(self) -> None:
         handlers = {
-            handshake.Purpose.REPLICA: self._serve_replica,
+            handshake.Purpose.REPLICA: self._serve_incoming,
             handshake.Purpose.CLIENT: self._serve_client,
         }
         self._registrations = [
@@ -265,6 +272,14 @@
             self._queue.put_nowait,
         )
 
+    async def _serve_incoming(self, connection: connections.Connection) -> None:
+        name = connection.peer.process_name
+        self.incoming_counts[name] += 1
+        try:
+            await self._serve_replica(connection)
+        finally:
+            self.incoming_counts[name] -= 1
+
     async def _serve_replica(self, connection: connections.Connection) -> None:
         name = connection.peer.process_name
         try:
@@ -277,6 +292,7 @@
                 elif isinstance(message, messages.Envelope):
                     if messages.replica_name_of(message.from_id) != name:
                         return
+                    self.heard_at_s[name] = time.monotonic()
                     self._links.add_incoming(message.from_id, connection)
                     self._queue.put_nowait(states.Received(message))
         finally:
--- a/hickoryweir/streams/hub.py
+++ b/hickoryweir/streams/hub.py
@@ -12,17 +12,29 @@
 import contextlib
 import dataclasses
 import enum
+import math
+import time
 from collections.abc import Awaitable, Callable
 
 from absl import logging
 from returns import result
 
+from hickoryweir.observability import logs
 from hickoryweir.streams import codec, connections, handshake, tls
 
 HANDSHAKE_TIMEOUT_S = 3.0
 MAX_HANDSHAKE_SIZE_BYTES = 4096
 MAX_CONNECTIONS_COUNT = 4096
 
+UNSERVED_REASONS = (
+    handshake.RefusalReason.WRONG_PURPOSE,
+    handshake.RefusalReason.WRONG_GROUP,
+)
+# For each reason and purpose; the other side tries again many times a second.
+REFUSAL_LOG_INTERVAL_S = 1.0
+MAX_LOGGED_LENGTH = 200
+UNKNOWN_PURPOSE = "unknown"
+
 Handler = Callable[[connections.Connection], Awaitable[None]]
 
 
@@ -84,6 +96,8 @@
     ----------
     refusals : collections.Counter
         Number of refused handshakes by reason.
+    unserved_counts : collections.Counter
+        Number of refused connections by purpose, for those that nothing serves now.
     """
 
     def __init__(
@@ -95,6 +109,8 @@
     ) -> None:
         self.identity = identity
         self.refusals: collections.Counter = collections.Counter()
+        self.unserved_counts: collections.Counter[str] = collections.Counter()
+        self._log_refusal = _make_refusal_log()
         self._host = host
         self._port = port
         self._files = files
@@ -169,7 +185,7 @@
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
                 hello, refusal = await self._check_hello(reader, writer)
                 if refusal is not None:
-                    await self._refuse(writer, refusal)
+                    await self._refuse(writer, refusal, hello)
                     return
                 await connections.write_frame(writer, self._make_welcome())
         except (TimeoutError, OSError):
@@ -180,6 +196,7 @@
         registration = self._registrations.get((hello.purpose, hello.group))
         if registration is None:
             # It was closed while the handshake ended.
+            self.unserved_counts[hello.purpose] += 1
             connection.abort()
             return
         await registration.serve(connection)
@@ -202,10 +219,15 @@
         )
 
     async def _refuse(
-        self, writer: asyncio.StreamWriter, reason: handshake.RefusalReason
+        self,
+        writer: asyncio.StreamWriter,
+        reason: handshake.RefusalReason,
+        hello: handshake.Hello | None,
     ) -> None:
         self.refusals[reason] += 1
-        logging.warning("connection refused in the handshake: %s", reason.value)
+        if reason in UNSERVED_REASONS:
+            self.unserved_counts[_known_purpose(hello)] += 1
+        self._log_refusal(reason, hello)
         with contextlib.suppress(OSError):
             await connections.write_frame(writer, handshake.Refused(reason))
             writer.close()
@@ -239,6 +261,36 @@
     return Hub(identity, host, port, files)
 
 
+def _known_purpose(hello: handshake.Hello | None) -> str:
+    """Return the purpose, or a fixed text for one that this version doesn't know."""
+    is_known = hello is not None and hello.purpose in set(handshake.Purpose)
+    return hello.purpose if is_known else UNKNOWN_PURPOSE
+
+
+def _make_refusal_log() -> Callable[
+    [handshake.RefusalReason, handshake.Hello | None], None
+]:
+    logged_at_s: dict[tuple[str, str], float] = {}
+    unlogged_counts: collections.Counter[tuple[str, str]] = collections.Counter()
+
+    def log(reason: handshake.RefusalReason, hello: handshake.Hello | None) -> None:
+        key = (reason.value, _known_purpose(hello))
+        now_s = time.monotonic()
+        if now_s < logged_at_s.get(key, -math.inf) + REFUSAL_LOG_INTERVAL_S:
+            unlogged_counts[key] += 1
+            return
+        logged_at_s[key] = now_s
+        skipped_count = unlogged_counts.pop(key, 0)
+        fields = logs.Fields(
+            reason=reason.value,
+            peer=None if hello is None else hello.process_name[:MAX_LOGGED_LENGTH],
+            detail=f"purpose {key[1]}, {skipped_count} more since the last line",
+        )
+        logs.warning("connection refused in the handshake", fields)
+
+    return log
+
+
 async def connect(
     identity: handshake.Identity,
     host: str,
--- a/hickoryweir/streams/tests/test_hub.py
+++ b/hickoryweir/streams/tests/test_hub.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import dataclasses
+import time
 
 import pytest
 import uvloop
 from returns import result
 
+from hickoryweir.observability import logs
 from hickoryweir.streams import codec, connections, handshake, hub, tls
 from hickoryweir.testing import certificates as certificate_files
 
@@ -288,3 +290,33 @@
         return outcome
 
     assert isinstance(asyncio.run(scenario()), result.Failure)
+
+
+def test_connections_that_nothing_serves_are_counted_and_logged_once_a_second(
+    monkeypatch,
+):
+    lines = []
+    monkeypatch.setattr(logs, "warning", lambda *entry: lines.append(entry))
+    attempts_count = 20
+
+    async def scenario():
+        server = hub.make_hub(SERVER, LOCALHOST, 0)
+        server.register(handshake.Purpose.CLIENT, echo).close()
+        await server.start()
+        started_s = time.monotonic()
+        for _ in range(attempts_count):
+            await connect_as_client(server)
+        duration_s = time.monotonic() - started_s
+        await server.close()
+        return dict(server.unserved_counts), duration_s
+
+    counts, duration_s = asyncio.run(scenario())
+    assert counts == {"client": attempts_count}
+    assert 1 <= len(lines) <= 1 + duration_s / hub.REFUSAL_LOG_INTERVAL_S
+    message, fields = lines[0]
+    assert message == "connection refused in the handshake"
+    assert fields == logs.Fields(
+        reason="wrong_purpose",
+        peer=CLIENT.process_name,
+        detail="purpose client, 0 more since the last line",
+    )
