--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -24,6 +24,7 @@
     metrics_port,
     parts_app,
     replica_log,
+    replica_metrics,
     settings,
     tables,
 )
@@ -78,6 +79,7 @@
 
     After a failed write the content of the disk is unknown, so the node stops and
     recovers from its data folder as after a restart, retrying until the disk works.
+    No node is started twice: what it has applied and its links belong to one run.
 
     Attributes
     ----------
@@ -90,23 +92,36 @@
     ) -> None:
         self._settings = entry_settings
         self._hub = peer_hub
+        self._is_used = False
+        self._is_open = False
         self.node = _make_node(entry_settings, peer_hub)
 
     async def run(self) -> None:
-        """Start the node, and restart it after each failure, until cancelled."""
+        """Start the node, and replace it after each failure, until cancelled.
+
+        May run again after an unexpected error.
+        """
         while True:
-            started = await self.node.start()
-            if isinstance(started, result.Success):
-                logs.info("data folder opened", _describe_recovered(self.node))
-                await self._wait_for_failure()
-                logs.error("replica restarts after a failure", logs.Fields())
+            if not self._is_used:
+                await self._start()
+            await self._wait_for_failure()
+            self._is_open = False
             await self.node.stop(disk_timeout_s=None)
             await asyncio.sleep(REOPEN_INTERVAL_S)
             self.node = _make_node(self._settings, self._hub)
+            self._is_used = False
+
+    async def _start(self) -> None:
+        self._is_used = True
+        started = await self.node.start()
+        if isinstance(started, result.Success):
+            self._is_open = True
+            logs.info("data folder opened", _describe_recovered(self.node))
 
     async def _wait_for_failure(self) -> None:
-        while True:
+        while self._is_open:
             if self.node.state.role is states.Role.FAILED:
+                logs.error("replica restarts after a failure", logs.Fields())
                 return
             await asyncio.sleep(FAILURE_CHECK_INTERVAL_S)
 
@@ -176,6 +191,9 @@
             files.make_files(), entry_settings.replica.data_folder, self._publisher
         )
         self._metrics = forwarding_metrics.make_metrics()
+        self._metrics.registry.register(
+            replica_metrics.ReplicaCollector(lambda: self._supervisor.node, self._hub)
+        )
         self._publisher.skipped_entries.count = self._metrics.skipped_entries.inc
         self._duties = self._make_duties()
         # None if the settings name no duties.
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import functools
@@ -97,6 +98,10 @@
         The core's state; read-only for callers.
     machine : machine.Machine
         The state machine; read-only for callers.
+    heard_at_s : dict of str to float
+        When the last message of each other replica arrived, in monotonic time.
+    incoming_counts : collections.Counter
+        Number of open connections that each other replica has opened to this one.
     """
 
     def __init__(
@@ -110,6 +115,8 @@
         self.machine = machine.make_machine(submachines)
         self.state: states.State | None = None
         self.failure: records.StorageFailure | None = None
+        self.heard_at_s: dict[str, float] = {}
+        self.incoming_counts: collections.Counter[str] = collections.Counter()
         self._files = files
         self._initial_replicas: tuple[wire.ReplicaAddress, ...] = ()
         self._disk: disks.DiskWriter | None = None
@@ -152,10 +159,10 @@
             logging.error("cannot open data folder: %s", self.failure)
             return outcome
         opened = outcome.unwrap()
-        self._recover(opened)
         self._disk = disks.DiskWriter(
             opened.storage, self._links.send, self._queue.put_nowait
         )
+        self._recover(opened)
         self._links.update(self.state.membership, self.state.member_id)
         self._start_task(self._run())
         self._start_task(self._tick())
@@ -166,7 +173,7 @@
 
     def _register_handlers(self) -> None:
         handlers = {
-            handshake.Purpose.REPLICA: self._serve_replica,
+            handshake.Purpose.REPLICA: self._serve_incoming,
             handshake.Purpose.CLIENT: self._serve_client,
         }
         self._registrations = [
@@ -174,6 +181,10 @@
             for purpose, handler in handlers.items()
         ]
 
+    def _close_registrations(self) -> None:
+        for registration in self._registrations:
+            registration.close()
+
     def _start_task(self, coroutine: Coroutine) -> asyncio.Task:
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self._on_task_done)
@@ -195,6 +206,7 @@
         for action in raft.fail(self.state):
             self._execute(action, now_s)
         requests.refuse_appended(self._request_table, self.state, now_s)
+        self._close_registrations()
 
     async def stop(self, disk_timeout_s: float | None = disks.CLOSE_TIMEOUT_S) -> None:
         """Transfer leadership, finish pending writes and stop.
@@ -209,8 +221,7 @@
         if self.state is not None:
             requests.refuse_appended(self._request_table, self.state, time.monotonic())
         # From here on nothing reads the queue.
-        for registration in self._registrations:
-            registration.close()
+        self._close_registrations()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -261,6 +272,14 @@
             self._queue.put_nowait,
         )
 
+    async def _serve_incoming(self, connection: connections.Connection) -> None:
+        name = connection.peer.process_name
+        self.incoming_counts[name] += 1
+        try:
+            await self._serve_replica(connection)
+        finally:
+            self.incoming_counts[name] -= 1
+
     async def _serve_replica(self, connection: connections.Connection) -> None:
         name = connection.peer.process_name
         try:
@@ -273,6 +292,7 @@
                 elif isinstance(message, messages.Envelope):
                     if messages.replica_name_of(message.from_id) != name:
                         return
+                    self.heard_at_s[name] = time.monotonic()
                     self._links.add_incoming(message.from_id, connection)
                     self._queue.put_nowait(states.Received(message))
         finally:
