End connections on which nothing of the other process arrives

Cause: only TCP judged a connection between processes. Its probes and acknowledgements may come from a middlebox, and nothing that a replica sends asks for a reply on the same connection, so that a silent one was used for ever.

On every connection of the hub, the connecting side now sends a probe of some 10 bytes in each interval in which there were not messages in both directions, and the accepting side replies on the same connection, while it receives and independently of queues and disks.

The interval is a trailing field of the greeting. An earlier build refuses that as malformed and gets its own form at once, without probes; this is remembered for 10 s, or until connecting fails. Greetings of earlier builds are served as before.

--- a/hickoryweir/replicas/tests/test_silent_links.py
+++ b/hickoryweir/replicas/tests/test_silent_links.py
@@ -1,8 +1,10 @@
 """Open connections between replicas that go silent while new ones work."""
 
 import asyncio
+import dataclasses
 import enum
 import shutil
+import threading
 
 import pytest
 import uvloop
@@ -10,6 +12,7 @@
 
 from hickoryweir.replicas import automation, client
 from hickoryweir.replicas.tests import register, silent_links
+from hickoryweir.streams import liveness
 from hickoryweir.testing import proxies, waiting
 
 # A leader and a committed command, since the silence began.
@@ -17,6 +20,7 @@
 SERIES_INTERVAL_S = 0.5
 PROPOSE_TIMEOUT_S = 1.0
 ADMISSION_TIMEOUT_S = 20.0
+HANG_S = 4.0
 LOOPS = (
     pytest.param(asyncio.new_event_loop, id="asyncio"),
     pytest.param(uvloop.new_event_loop, id="uvloop"),
@@ -178,3 +182,32 @@
     asking.cancel()
     await asyncio.gather(asking, return_exceptions=True)
     await log.close()
+
+
+def test_replica_whose_disk_hangs_keeps_its_links(tmp_path):
+    is_released = threading.Event()
+
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            await _commit(router, "before")
+            name = next(name for name in replicas if name != router.leader_name)
+            opened = replicas[name].node._disk.storage
+            files = opened.files
+
+            def sync(handle):
+                is_released.wait(HANG_S)
+                files.sync(handle)
+
+            opened.files = dataclasses.replace(files, sync=sync)
+            before = _links_of(replicas)
+            ended_counts = liveness.ended_counts.copy()
+            await _commit(router, "during")
+            await asyncio.sleep(HANG_S)
+            is_released.set()
+            return before == _links_of(replicas), ended_counts == liveness.ended_counts
+
+    assert asyncio.run(scenario()) == (True, True)
+
+
+def _links_of(replicas):
+    return [dict(item.node._links._outgoing) for item in replicas.values()]
--- a/hickoryweir/streams/connections.py
+++ b/hickoryweir/streams/connections.py
@@ -1,7 +1,8 @@
 """Framed connections: a frame is a length prefix and one encoded message.
 
 Messages to send are queued in the write buffer of the transport, whose size is
-bounded.  Messages are received by the owner of the connection.
+bounded.  Messages are received by the owner of the connection.  Probes and replies of
+:mod:`~hickoryweir.streams.liveness` are handled while it receives, and not returned.
 """
 
 import asyncio
@@ -14,12 +15,14 @@
 from absl import logging
 from returns import result
 
-from hickoryweir.streams import codec, keepalive
+from hickoryweir.observability import logs
+from hickoryweir.streams import codec, keepalive, liveness
 
 MAX_FRAME_SIZE_BYTES = 8 * 1024 * 1024
 MAX_QUEUED_SIZE_BYTES = 16 * 1024 * 1024
 CLOSE_TIMEOUT_S = 1.0
 MAX_LOGGED_LENGTH = 200
+READ_SIZE_BYTES = 256 * 1024
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
 KEEP_ALIVE_IDLE_S = 5
 KEEP_ALIVE_INTERVAL_S = 2
@@ -33,6 +36,7 @@
     QUEUE_FULL = "queue_full"
     FRAME_TOO_LARGE = "frame_too_large"
     MALFORMED = "malformed"
+    SILENT = "silent"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,12 +62,18 @@
         writer: asyncio.StreamWriter,
         peer: Peer,
         max_queued_size_bytes: int = MAX_QUEUED_SIZE_BYTES,
+        liveness_state: liveness.State | None = None,
     ) -> None:
         self.peer = peer
         self._reader = reader
         self._writer = writer
         self._max_queued_size_bytes = max_queued_size_bytes
         self._closed = False
+        self._received = bytearray()
+        self._is_reading = False
+        self._is_silent = False
+        self._liveness = liveness_state
+        self._timer: asyncio.TimerHandle | None = None
         sock = writer.get_extra_info("socket")
         # What uvloop returns for a transport that was closed meanwhile.
         if sock is None or sock.fileno() < 0:
@@ -74,6 +84,13 @@
             idle_s=KEEP_ALIVE_IDLE_S,
             interval_s=KEEP_ALIVE_INTERVAL_S,
         )
+        if liveness_state is not None:
+            self._start_timer()
+
+    @property
+    def silent_s(self) -> float:
+        """Return for about how long nothing has arrived; 0 without probes."""
+        return 0.0 if self._liveness is None else liveness.silent_s(self._liveness)
 
     @property
     def is_closed(self) -> bool:
@@ -95,6 +112,8 @@
         queued_size_bytes = self._writer.transport.get_write_buffer_size()
         if queued_size_bytes > self._max_queued_size_bytes:
             return result.Failure(StreamFailure.QUEUE_FULL)
+        if self._liveness is not None:
+            liveness.record_sent(self._liveness, len(frame))
         self._writer.write(frame)
         return result.Success(None)
 
@@ -109,21 +128,106 @@
 
     async def receive(self) -> result.Result[typing.Any, StreamFailure]:
         """Return the next message; close the connection if it is malformed."""
-        frame = await read_frame(self._reader, MAX_FRAME_SIZE_BYTES)
-        if not isinstance(frame, bytes):
-            if frame is StreamFailure.FRAME_TOO_LARGE:
-                self._log_malformed("frame too large")
-            self.abort()
-            return result.Failure(frame)
-        message = codec.decode(frame)
-        if isinstance(message, result.Success):
-            return message
-        failure = message.failure()
+        while True:
+            frame = await self._read_frame()
+            if not isinstance(frame, bytes):
+                if frame is StreamFailure.FRAME_TOO_LARGE:
+                    self._log_malformed("frame too large")
+                self.abort()
+                return result.Failure(frame)
+            message = codec.decode(frame)
+            if isinstance(message, result.Failure):
+                return self._refuse(message.failure(), len(frame))
+            if not self._handle_probe(message.unwrap()):
+                return message
+
+    async def _read_frame(self) -> bytes | StreamFailure:
+        """Return the body of the next frame, or the reason of the failure."""
+        try:
+            await self._read_until(LENGTH_PREFIX.size)
+            (size_bytes,) = LENGTH_PREFIX.unpack_from(self._received)
+            if size_bytes > MAX_FRAME_SIZE_BYTES:
+                return StreamFailure.FRAME_TOO_LARGE
+            end = LENGTH_PREFIX.size + size_bytes
+            await self._read_until(end)
+        except (OSError, EOFError):
+            return StreamFailure.SILENT if self._is_silent else StreamFailure.CLOSED
+        with memoryview(self._received) as view:
+            frame = bytes(view[LENGTH_PREFIX.size : end])
+        del self._received[:end]
+        return frame
+
+    async def _read_until(self, size_bytes: int) -> None:
+        """Read until `size_bytes` have arrived that no frame was made of."""
+        while len(self._received) < size_bytes:
+            self._is_reading = True
+            try:
+                data = await self._reader.read(READ_SIZE_BYTES)
+            finally:
+                self._is_reading = False
+            if not data:
+                raise EOFError
+            if self._liveness is not None:
+                liveness.record_received(self._liveness)
+            self._received += data
+
+    def _refuse(
+        self, failure: codec.DecodeFailure, size_bytes: int
+    ) -> result.Result[typing.Any, StreamFailure]:
         detail = failure.detail[:MAX_LOGGED_LENGTH]
-        self._log_malformed(f"{len(frame)} bytes, {failure.reason.value}: {detail}")
+        self._log_malformed(f"{size_bytes} bytes, {failure.reason.value}: {detail}")
         self.abort()
         return result.Failure(StreamFailure.MALFORMED)
 
+    def _handle_probe(self, message: object) -> bool:
+        """Handle a probe or a reply; return whether `message` is one."""
+        if isinstance(message, liveness.Probe):
+            self._write(liveness.Reply(message.sequence))
+            return True
+        if isinstance(message, liveness.Reply):
+            if self._liveness is not None:
+                liveness.record_reply(self._liveness, message.sequence)
+            return True
+        if self._liveness is not None:
+            liveness.record_message(self._liveness)
+        return False
+
+    def _start_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._liveness.interval_s, self._tick)
+
+    def _tick(self) -> None:
+        if self.is_closed:
+            return
+        # What the owner does not read yet is not missing.
+        if self._is_reading:
+            match liveness.tick(self._liveness):
+                case liveness.Verdict.PROBE:
+                    self._write(liveness.Probe(self._liveness.sequence))
+                case liveness.Verdict.SILENT:
+                    self._end_silent()
+                    return
+        self._start_timer()
+
+    def _write(self, message: liveness.Probe | liveness.Reply) -> None:
+        """Queue a message that is no part of what the owner sends."""
+        queued_size_bytes = self._writer.transport.get_write_buffer_size()
+        if not self.is_closed and queued_size_bytes <= self._max_queued_size_bytes:
+            self._writer.write(make_frame(message))
+
+    def _end_silent(self) -> None:
+        liveness.ended_counts[self._liveness.purpose.value] += 1
+        side = "opened here" if self._liveness.is_connecting else "accepted"
+        fields = logs.Fields(
+            peer=self.peer.process_name[:MAX_LOGGED_LENGTH],
+            reason=self._liveness.purpose.value,
+            duration_s=round(self.silent_s, 3),
+            detail=side,
+        )
+        logs.warning("connection ends because nothing arrives", fields)
+        self._is_silent = True
+        self.abort()
+
     def _log_malformed(self, detail: str) -> None:
         name = self.peer.process_name[:MAX_LOGGED_LENGTH]
         logging.warning("malformed message from %r: %s", name, detail)
@@ -131,6 +235,8 @@
     def abort(self) -> None:
         """Close immediately and discard queued messages."""
         self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
         with contextlib.suppress(Exception):
             self._writer.transport.abort()
 
--- a/hickoryweir/streams/handshake.py
+++ b/hickoryweir/streams/handshake.py
@@ -3,10 +3,16 @@
 The connecting side sends :class:`Hello`; the accepting side responds with
 :class:`Welcome` or :class:`Refused`.  With mutual TLS, the process name in the
 message must be one of the names in the sender's certificate.
+
+The connecting side names the interval of its probes, see
+:mod:`~hickoryweir.streams.liveness`.  An earlier version refuses such a message as
+malformed, and gets one without an interval; so no probes are sent to one that would
+close the connection on them.
 """
 
 import dataclasses
 import enum
+import typing
 
 from hickoryweir.streams import codec
 
@@ -57,7 +63,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hello:
-    """Requests a connection; `purpose` is a str so that unknown ones can be refused."""
+    """Requests a connection; `purpose` is a str so that unknown ones can be refused.
+
+    Attributes
+    ----------
+    probe_interval_ms : int
+        Interval at which this side probes the connection; 0 if it does not.
+    """
+
+    OMITS_DEFAULTS: typing.ClassVar[bool] = True
 
     protocol_version: int
     cluster_id: str
@@ -65,6 +79,7 @@
     availability_zone: str
     purpose: str
     group: str = ""
+    probe_interval_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,7 +102,9 @@
 codec.register("hs.refused", Refused)
 
 
-def make_hello(identity: Identity, purpose: Purpose, group: str = "") -> Hello:
+def make_hello(
+    identity: Identity, purpose: Purpose, group: str = "", probe_interval_ms: int = 0
+) -> Hello:
     """Return the first message of the connecting side."""
     return Hello(
         PROTOCOL_VERSION,
@@ -96,6 +113,7 @@
         identity.availability_zone,
         purpose.value,
         group,
+        probe_interval_ms,
     )
 
 
--- a/hickoryweir/streams/hub.py
+++ b/hickoryweir/streams/hub.py
@@ -9,14 +9,17 @@
 import contextlib
 import dataclasses
 import enum
+import time
 from collections.abc import Awaitable, Callable
 
 from absl import logging
 from returns import result
 
-from hickoryweir.streams import codec, connections, handshake, tls
+from hickoryweir.streams import codec, connections, handshake, liveness, tls
 
 HANDSHAKE_TIMEOUT_S = 3.0
+# Each connection that is opened meanwhile saves one that is refused.
+EARLIER_VERSION_RETENTION_S = 10.0
 MAX_HANDSHAKE_SIZE_BYTES = 4096
 MAX_CONNECTIONS_COUNT = 4096
 
@@ -42,6 +45,9 @@
 
 Connected = result.Result[connections.Connection, ConnectFailure]
 
+# Until when each address is taken for a process of a version that knows no probes.
+_earlier_versions: dict[tuple[str, int], float] = {}
+
 
 class Hub:
     """The listening port; created by :func:`make_hub`.
@@ -132,7 +138,12 @@
             self.refusals[handshake.RefusalReason.TIMED_OUT] += 1
             return
         peer = connections.Peer(hello.process_name, hello.availability_zone)
-        connection = connections.Connection(reader, writer, peer)
+        liveness_state = liveness.make_accepting(
+            handshake.Purpose(hello.purpose), hello.probe_interval_ms
+        )
+        connection = connections.Connection(
+            reader, writer, peer, liveness_state=liveness_state
+        )
         try:
             await self._handlers[(hello.purpose, hello.group)](connection)
         finally:
@@ -224,24 +235,73 @@
     Result of Connection or ConnectFailure
         The connection, or the reason of the failure.
     """
-    hello = handshake.make_hello(identity, purpose, group)
-    writer = None
+    address = host, port
     try:
         async with asyncio.timeout(timeout_s):
-            context = None if files is None else tls.make_client_context(files)
-            reader, writer = await asyncio.open_connection(host, port, ssl=context)
-            await connections.write_frame(writer, hello)
-            outcome = await _read_welcome(reader, writer, files)
-            if isinstance(outcome, connections.Peer):
-                return result.Success(connections.Connection(reader, writer, outcome))
+            probes = not _is_earlier_version(address)
+            outcome = await _open(identity, address, purpose, files, group, probes)
+            if probes and _is_refused_as_malformed(outcome):
+                outcome = await _open(identity, address, purpose, files, group, False)
+                if isinstance(outcome, result.Success):
+                    _remember_earlier_version(address)
     except TimeoutError:
-        outcome = ConnectFailure(ConnectReason.TIMED_OUT)
+        outcome = result.Failure(ConnectFailure(ConnectReason.TIMED_OUT))
     except (OSError, RuntimeError):
         # uvloop raises the latter for a connection that the peer has reset meanwhile.
-        outcome = ConnectFailure(ConnectReason.UNREACHABLE)
-    if writer is not None:
-        writer.transport.abort()
-    return result.Failure(outcome)
+        outcome = result.Failure(ConnectFailure(ConnectReason.UNREACHABLE))
+    if isinstance(outcome, result.Failure):
+        # The process may be replaced by one of a later version.
+        _earlier_versions.pop(address, None)
+    return outcome
+
+
+async def _open(
+    identity: handshake.Identity,
+    address: tuple[str, int],
+    purpose: handshake.Purpose,
+    files: tls.TlsFiles | None,
+    group: str,
+    probes: bool,
+) -> Connected:
+    """Open a connection, with probes or as earlier versions do."""
+    interval_ms = liveness.LIMITS[purpose].interval_ms if probes else 0
+    hello = handshake.make_hello(identity, purpose, group, interval_ms)
+    context = None if files is None else tls.make_client_context(files)
+    reader, writer = await asyncio.open_connection(*address, ssl=context)
+    connection = None
+    try:
+        await connections.write_frame(writer, hello)
+        outcome = await _read_welcome(reader, writer, files)
+        if not isinstance(outcome, connections.Peer):
+            return result.Failure(outcome)
+        liveness_state = liveness.make_connecting(purpose) if probes else None
+        connection = connections.Connection(
+            reader, writer, outcome, liveness_state=liveness_state
+        )
+        return result.Success(connection)
+    finally:
+        if connection is None:
+            writer.transport.abort()
+
+
+def _is_refused_as_malformed(outcome: Connected) -> bool:
+    malformed = handshake.RefusalReason.MALFORMED
+    failed = isinstance(outcome, result.Failure)
+    return failed and outcome.failure() == ConnectFailure(
+        ConnectReason.REFUSED, malformed
+    )
+
+
+def _is_earlier_version(address: tuple[str, int]) -> bool:
+    return _earlier_versions.get(address, 0.0) > time.monotonic()
+
+
+def _remember_earlier_version(address: tuple[str, int]) -> None:
+    now_s = time.monotonic()
+    for known, until_s in list(_earlier_versions.items()):
+        if until_s <= now_s:
+            del _earlier_versions[known]
+    _earlier_versions[address] = now_s + EARLIER_VERSION_RETENTION_S
 
 
 async def _read_welcome(
