Daemon: a replica opens its folder again after a disk failure

In 'hickoryweir serve' a replica whose disk refused one write, or whose node ended by an error of the program, stayed failed until an operator restarted the process; replicas.md said so. Full disks one after another therefore cost the quorum for good there as well.

The supervisor of 'hickoryweir forward' moves to replicas/supervisor.py and both use it. A process of 'serve' that can't open its folder at its start still ends. What reads the replica's state there takes the current node and allows for one that is not open yet; the lease for orders then ends, as it does for duties.

The new test fails for both kinds of failure with the former files of daemon/: the replica does not lead again within 5 s. In existing tests only the names of the supervisor and its constants changed.

--- a/hickoryweir/daemon/components.py
+++ b/hickoryweir/daemon/components.py
@@ -12,7 +12,7 @@
 from hickoryweir.engines import issuer
 from hickoryweir.observability import metrics
 from hickoryweir.operators import server as operators_server
-from hickoryweir.replicas import client, leader_lease, node
+from hickoryweir.replicas import client, leader_lease, node, supervisor
 from hickoryweir.routers import node as router_node
 from hickoryweir.streams import hub
 
@@ -25,7 +25,7 @@
     metrics: metrics.Metrics
     drain: drain.Drain
     hub: hub.Hub
-    replica: node.Node | None
+    supervisor: supervisor.Supervisor | None
     log: client.Client
     router: router_node.Node
     dispatcher: dispatcher.Dispatcher
@@ -43,3 +43,8 @@
     stop_requested: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     tasks: list[asyncio.Task] = dataclasses.field(default_factory=list)
     stopped: bool = False
+
+    @property
+    def replica(self) -> node.Node | None:
+        """Return the current node of this process's replica; None without one."""
+        return None if self.supervisor is None else self.supervisor.node
--- a/hickoryweir/daemon/orders.py
+++ b/hickoryweir/daemon/orders.py
@@ -74,7 +74,9 @@
     """Update the lease from the replica's state at a fixed interval."""
     while True:
         state = process.replica.state
-        if state is not None:
+        if state is None:
+            process.order_lease = leader_lease.NO_LEASE
+        else:
             observation = leader_lease.make_observation(state, time.monotonic())
             process.order_lease = leader_lease.observe(process.order_lease, observation)
         await asyncio.sleep(OBSERVATION_INTERVAL_S)
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -115,7 +115,7 @@
         metrics=counters,
         drain=drain.Drain(),
         hub=peer_hub,
-        replica=replicated_log.make_replica(process_settings, peer_hub),
+        supervisor=replicated_log.make_supervisor(process_settings, peer_hub),
         log=log,
         router=router,
         dispatcher=core_dispatcher,
@@ -139,7 +139,7 @@
     process = make_process(process_settings)
     await process.hub.start()
     if process.replica is not None:
-        started = await process.replica.start()
+        started = await process.supervisor.start()
         if not isinstance(started, result.Success):
             raise OSError(f"data folder can't be opened: {started.failure()}")
     process.router.start()
@@ -166,7 +166,8 @@
         "own digests": functools.partial(send_digests, process),
         "retention": functools.partial(retention.run, process),
     }
-    if process.replica is not None:
+    if process.supervisor is not None:
+        work["replica"] = process.supervisor.run
         work["orders"] = functools.partial(orders.run, process)
     if process.settings.platform.url:
         work["platform"] = functools.partial(watch_platform, process)
--- a/hickoryweir/daemon/replicated_log.py
+++ b/hickoryweir/daemon/replicated_log.py
@@ -12,7 +12,7 @@
 from hickoryweir.claims import queries as claim_queries
 from hickoryweir.configuration import changes, queries, settings
 from hickoryweir.configuration import commands as change_commands
-from hickoryweir.replicas import client, machine, node, wire
+from hickoryweir.replicas import client, machine, node, supervisor, wire
 from hickoryweir.routers import node as router_node
 from hickoryweir.routers import versions
 from hickoryweir.streams import handshake, hub
@@ -98,10 +98,10 @@
     return tuple(sorted(addresses, key=lambda address: address.name))
 
 
-def make_replica(
+def make_supervisor(
     process_settings: settings.Settings, peer_hub: hub.Hub
-) -> node.Node | None:
-    """Return this process's replica, not started; None without the replica role."""
+) -> supervisor.Supervisor | None:
+    """Return the supervisor of this process's replica; None without the role."""
     if settings.Role.REPLICA not in process_settings.process.roles:
         return None
     node_settings = node.NodeSettings(
@@ -111,7 +111,9 @@
         bootstrap=process_settings.replica.bootstrap,
         files=router_node.make_tls_files(process_settings.peers),
     )
-    return node.make_node(node_settings, peer_hub, make_submachines())
+    return supervisor.Supervisor(
+        lambda: node.make_node(node_settings, peer_hub, make_submachines())
+    )
 
 
 def make_client(process_settings: settings.Settings) -> client.Client:
--- a/hickoryweir/daemon/retention.py
+++ b/hickoryweir/daemon/retention.py
@@ -23,7 +23,8 @@
     """Return the command to propose, or None if this replica has none to propose."""
     if process.in_force is None:
         return None
-    if process.replica.state.role is not replica_states.Role.LEADER:
+    state = process.replica.state
+    if state is None or state.role is not replica_states.Role.LEADER:
         return None
     limits = process.replica.machine.states["claims"].limits
     version = process.in_force.version
--- a/hickoryweir/daemon/tests/test_process.py
+++ b/hickoryweir/daemon/tests/test_process.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import aiomisc
+import pytest
 import uvloop
 
 from hickoryweir.callers import authentication, interface
@@ -16,6 +17,7 @@
 from hickoryweir.configuration import settings
 from hickoryweir.daemon import drain, main
 from hickoryweir.daemon.tests import fakes
+from hickoryweir.replicas import state as states
 from hickoryweir.routers import node
 from hickoryweir.testing import waiting
 from hickoryweir.testing.demo import entry_vms
@@ -87,6 +89,26 @@
     assert run_daemon(tmp_path, inspect_daemon) == (200, 503)
 
 
+@pytest.mark.parametrize("event", [states.StorageFailed(), states.Received(None)])
+def test_a_replica_whose_disk_failed_for_a_moment_leads_again(tmp_path, event):
+    async def inspect_daemon(vm, service, loop):
+        running = service.running
+
+        def leads():
+            state = running.replica.state
+            return state is not None and state.role is states.Role.LEADER
+
+        await waiting.wait_until(leads, APPLY_TIMEOUT_S)
+        first = running.replica
+        first._queue.put_nowait(event)
+        await waiting.wait_until(
+            lambda: running.replica is not first and leads(), APPLY_TIMEOUT_S
+        )
+        return first.state.member_id == running.replica.state.member_id
+
+    assert run_daemon(tmp_path, inspect_daemon)
+
+
 def test_a_graceful_shutdown_waits_for_calls_and_ends_clean(tmp_path):
     async def inspect_daemon(vm, service, loop):
         running = service.running
--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
-from returns import result
 
 from hickoryweir import background, graceful_stop
 from hickoryweir.discovery import version_log, version_record
@@ -31,8 +30,7 @@
 from hickoryweir.feeds import evidence_file, publisher
 from hickoryweir.forwarding_policy import stream_versions
 from hickoryweir.observability import forwarding_metrics, logs
-from hickoryweir.replicas import automation, client, files, node, quorums, wire
-from hickoryweir.replicas import state as states
+from hickoryweir.replicas import automation, client, files, node, supervisor, wire
 from hickoryweir.routes import reading, store
 from hickoryweir.streams import hub
 
@@ -41,9 +39,6 @@
 SNAPSHOT_ENTRIES_COUNT = 500
 # A replica that lags by more is sent the snapshot, which is a single table.
 RETAINED_ENTRIES_COUNT = 50
-# A disk that hangs or is full usually stays so for seconds.
-REOPEN_INTERVAL_S = 0.5
-FAILURE_CHECK_INTERVAL_S = 0.2
 # Longer than tables.LOG_TIMEOUT_S, which bounds each complete request.
 OPERATORS_STOP_LIMIT_S = 1.5
 
@@ -74,56 +69,17 @@
     return node.make_node(node_settings, peer_hub, submachines)
 
 
-class NodeSupervisor:
-    """Restarts the replica's node after a disk failure or an error of the program.
-
-    After a failed write the content of the disk is unknown, so the node stops and
-    recovers from its data folder as after a restart, retrying until the disk works.
-    No node is started twice: what it has applied and its links belong to one run.
-
-    Attributes
-    ----------
-    node : node.Node
-        The current node.
-    """
-
-    def __init__(
-        self, entry_settings: settings.EntrySettings, peer_hub: hub.Hub
-    ) -> None:
-        self._settings = entry_settings
-        self._hub = peer_hub
-        self._is_used = False
-        self._is_open = False
-        self.node = _make_node(entry_settings, peer_hub)
-
-    async def run(self) -> None:
-        """Start the node, and replace it after each failure, until cancelled.
-
-        May run again after an unexpected error.
-        """
-        while True:
-            if not self._is_used:
-                await self._start()
-            await self._wait_for_failure()
-            self._is_open = False
-            await self.node.stop(disk_timeout_s=None)
-            await asyncio.sleep(REOPEN_INTERVAL_S)
-            self.node = _make_node(self._settings, self._hub)
-            self._is_used = False
+def make_supervisor(
+    entry_settings: settings.EntrySettings, peer_hub: hub.Hub
+) -> supervisor.Supervisor:
+    """Return the supervisor of this process's node, which is not started."""
+    return supervisor.Supervisor(
+        lambda: _make_node(entry_settings, peer_hub), _table_version
+    )
 
-    async def _start(self) -> None:
-        self._is_used = True
-        started = await self.node.start()
-        if isinstance(started, result.Success):
-            self._is_open = True
-            logs.info("data folder opened", _describe_recovered(self.node))
 
-    async def _wait_for_failure(self) -> None:
-        while self._is_open:
-            if self.node.state.role is states.Role.FAILED:
-                logs.error("replica restarts after a failure", logs.Fields())
-                return
-            await asyncio.sleep(FAILURE_CHECK_INTERVAL_S)
+def _table_version(replica: node.Node) -> int:
+    return replica.machine.states["routing_table"].stored.version
 
 
 def _make_log_status(replica: node.Node) -> publisher.LogStatus:
@@ -136,22 +92,10 @@
     return publisher.LogStatus(stored, is_leader, bool(state.leader_id), addresses)
 
 
-def _describe_recovered(replica: node.Node) -> logs.Fields:
-    state = replica.state
-    snapshot_index = 0 if state.snapshot is None else state.snapshot.index
-    detail = (
-        f"term {state.term}, snapshot at {snapshot_index}, "
-        f"log to {state.log.last_index}, member: {quorums.is_member(state)}"
-    )
-    version = replica.machine.states["routing_table"].stored.version
-    return logs.Fields(peer=state.member_id, version=version, detail=detail)
-
-
 def _summarize(replica: node.Node) -> replica_log.Summary | None:
     if replica.state is None:
         return None
-    version = replica.machine.states["routing_table"].stored.version
-    return replica_log.summarize(replica.state, version)
+    return replica_log.summarize(replica.state, _table_version(replica))
 
 
 class Replica:
@@ -165,7 +109,7 @@
         self._settings = entry_settings
         self._adapters = site_adapters
         self._hub = hub.make_hub(identity, process.host, process.peer_port)
-        self._supervisor = NodeSupervisor(entry_settings, self._hub)
+        self._supervisor = make_supervisor(entry_settings, self._hub)
         self._log = client.make_client(
             identity,
             settings.seed_replicas(entry_settings),
--- a/hickoryweir/entry/tests/test_refused_writes.py
+++ b/hickoryweir/entry/tests/test_refused_writes.py
@@ -11,7 +11,7 @@
 from returns import result
 
 from hickoryweir.entry import replica, settings
-from hickoryweir.replicas import client, files
+from hickoryweir.replicas import client, files, supervisor
 from hickoryweir.replicas import state as states
 from hickoryweir.routes import store
 from hickoryweir.streams import hub
@@ -73,7 +73,7 @@
 class Cluster:
     """Three supervised nodes on loopback sockets, and a client of their log."""
 
-    supervisors: dict[str, replica.NodeSupervisor]
+    supervisors: dict[str, supervisor.Supervisor]
     log: client.Client
     full_hosts: set[str]
     versions: itertools.count = dataclasses.field(default_factory=itertools.count)
@@ -139,7 +139,7 @@
         peer_hub = hub.make_hub(identity, host, port)
         await peer_hub.start()
         hubs.append(peer_hub)
-        supervisors[host] = replica.NodeSupervisor(entry_settings, peer_hub)
+        supervisors[host] = replica.make_supervisor(entry_settings, peer_hub)
         tasks.append(asyncio.create_task(supervisors[host].run()))
     log = client.make_client(identity, settings.seed_replicas(entry_settings))
     try:
@@ -150,8 +150,8 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await log.close()
-        for supervisor in supervisors.values():
-            await supervisor.node.stop()
+        for supervised in supervisors.values():
+            await supervised.node.stop()
         for peer_hub in hubs:
             await peer_hub.close()
 
--- a/hickoryweir/entry/tests/test_replica.py
+++ b/hickoryweir/entry/tests/test_replica.py
@@ -9,7 +9,7 @@
 
 from hickoryweir import background
 from hickoryweir.entry import own_formats, replica, settings
-from hickoryweir.replicas import disk, messages, node
+from hickoryweir.replicas import disk, messages, node, supervisor
 from hickoryweir.replicas import state as states
 from hickoryweir.streams import handshake, hub
 from hickoryweir.testing import waiting
@@ -51,18 +51,18 @@
         entry_settings = make_settings(tmp_path / "data")
         peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
         await peer_hub.start()
-        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
-        task = asyncio.create_task(supervisor.run())
-        await wait_until(lambda: supervisor.node.state is not None)
-        first = supervisor.node
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
+        task = asyncio.create_task(supervised.run())
+        await wait_until(lambda: supervised.node.state is not None)
+        first = supervised.node
         first._queue.put_nowait(event)
         await wait_until(
-            lambda: supervisor.node is not first and supervisor.node.state is not None
+            lambda: supervised.node is not first and supervised.node.state is not None
         )
-        ids = first.state.member_id, supervisor.node.state.member_id
+        ids = first.state.member_id, supervised.node.state.member_id
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await supervisor.node.stop()
+        await supervised.node.stop()
         await peer_hub.close()
         return ids
 
@@ -88,10 +88,10 @@
         entry_settings = make_settings(tmp_path / "data")
         peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
         await peer_hub.start()
-        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
-        task = asyncio.create_task(supervisor.run())
-        await wait_until(lambda: supervisor.node.state is not None)
-        first = supervisor.node
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
+        task = asyncio.create_task(supervised.run())
+        await wait_until(lambda: supervised.node.state is not None)
+        first = supervised.node
         disk_works = threading.Event()
         opened = first._disk.storage
         opened.files = dataclasses.replace(
@@ -101,16 +101,16 @@
         first._queue.put_nowait(states.Bootstrapped(messages.Membership((member,))))
         before = await try_to_connect(peer_hub, purpose)
         first._queue.put_nowait(BROKEN_EVENT)
-        await asyncio.sleep(2 * replica.FAILURE_CHECK_INTERVAL_S)
+        await asyncio.sleep(2 * supervisor.FAILURE_CHECK_INTERVAL_S)
         meanwhile = await try_to_connect(peer_hub, purpose)
         disk_works.set()
         await wait_until(
-            lambda: supervisor.node is not first and supervisor.node.state is not None
+            lambda: supervised.node is not first and supervised.node.state is not None
         )
         after = await try_to_connect(peer_hub, purpose)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await supervisor.node.stop()
+        await supervised.node.stop()
         await peer_hub.close()
         return before, meanwhile, after
 
@@ -126,17 +126,17 @@
         entry_settings = make_settings(blocked)
         peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
         await peer_hub.start()
-        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
         before = await try_to_connect(peer_hub, purpose)
-        task = asyncio.create_task(supervisor.run())
-        await wait_until(lambda: supervisor.node.failure is not None)
+        task = asyncio.create_task(supervised.run())
+        await wait_until(lambda: supervised.node.failure is not None)
         meanwhile = await try_to_connect(peer_hub, purpose)
         blocked.unlink()
-        await wait_until(lambda: supervisor.node.state is not None)
+        await wait_until(lambda: supervised.node.state is not None)
         after = await try_to_connect(peer_hub, purpose)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await supervisor.node.stop()
+        await supervised.node.stop()
         stopped = await try_to_connect(peer_hub, purpose)
         await peer_hub.close()
         return before, meanwhile, after, stopped
@@ -149,10 +149,10 @@
         entry_settings = make_settings(tmp_path / "data")
         peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
         await peer_hub.start()
-        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
-        task = asyncio.create_task(supervisor.run())
-        await wait_until(lambda: supervisor.node.state is not None)
-        first = supervisor.node
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
+        task = asyncio.create_task(supervised.run())
+        await wait_until(lambda: supervised.node.state is not None)
+        first = supervised.node
         disk_works = threading.Event()
         opened = first._disk.storage
         opened.files = dataclasses.replace(
@@ -161,15 +161,15 @@
         member = messages.Member(first.state.member_id, "h:1", "a", True)
         first._queue.put_nowait(states.Bootstrapped(messages.Membership((member,))))
         first._queue.put_nowait(BROKEN_EVENT)
-        await asyncio.sleep(disk.CLOSE_TIMEOUT_S + 2 * replica.REOPEN_INTERVAL_S)
-        was_reopened = supervisor.node is not first
+        await asyncio.sleep(disk.CLOSE_TIMEOUT_S + 2 * supervisor.REOPEN_INTERVAL_S)
+        was_reopened = supervised.node is not first
         disk_works.set()
         await wait_until(
-            lambda: supervisor.node is not first and supervisor.node.state is not None
+            lambda: supervised.node is not first and supervised.node.state is not None
         )
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await supervisor.node.stop()
+        await supervised.node.stop()
         await peer_hub.close()
         return was_reopened
 
@@ -201,16 +201,16 @@
         entry_settings = make_settings(tmp_path / "data")
         peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
         await peer_hub.start()
-        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
-        first = supervisor.node
-        task = asyncio.create_task(background.keep_running("node", supervisor.run))
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
+        first = supervised.node
+        task = asyncio.create_task(background.keep_running("node", supervised.run))
         await wait_until(lambda: first.state is not None)
         first._queue.put_nowait(BROKEN_EVENT)
-        await wait_until(lambda: len(starts) > 1 and supervisor.node.state is not None)
+        await wait_until(lambda: len(starts) > 1 and supervised.node.state is not None)
         is_reachable = await try_to_connect(peer_hub, handshake.Purpose.REPLICA)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await supervisor.node.stop()
+        await supervised.node.stop()
         await peer_hub.close()
         return is_reachable
 
@@ -226,19 +226,19 @@
         entry_settings = make_settings(tmp_path / "data")
         peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
         await peer_hub.start()
-        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
-        task = asyncio.create_task(background.keep_running("node", supervisor.run))
-        await wait_until(lambda: supervisor.node.state is not None)
-        first = supervisor.node
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
+        task = asyncio.create_task(background.keep_running("node", supervised.run))
+        await wait_until(lambda: supervised.node.state is not None)
+        first = supervised.node
         opened = first._disk.storage
         opened.files = dataclasses.replace(opened.files, close=refuse)
         first._queue.put_nowait(BROKEN_EVENT)
         await wait_until(
-            lambda: supervisor.node is not first and supervisor.node.state is not None
+            lambda: supervised.node is not first and supervised.node.state is not None
         )
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await supervisor.node.stop()
+        await supervised.node.stop()
         await peer_hub.close()
 
     asyncio.run(main())
@@ -252,14 +252,14 @@
         entry_settings = make_settings(blocked)
         peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
         await peer_hub.start()
-        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
-        task = asyncio.create_task(supervisor.run())
-        await wait_until(lambda: supervisor.node.failure is not None)
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
+        task = asyncio.create_task(supervised.run())
+        await wait_until(lambda: supervised.node.failure is not None)
         blocked.unlink()
-        await wait_until(lambda: supervisor.node.state is not None)
+        await wait_until(lambda: supervised.node.state is not None)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await supervisor.node.stop()
+        await supervised.node.stop()
         await peer_hub.close()
 
     asyncio.run(main())
