Routers and feeds: serve connections only while running

A peer router accepted connections before its start and after its close, while its inbox was read by nobody; the replica in the same process may take seconds to open its folder, and up to 4 s to stop. A replica that stopped kept its routers' feeds open, and accepted new ones, while it transferred leadership and waited for its disk, with the tasks that send heartbeats and grants ended; routers noticed after 2 s of silence.

The peer router registers in start and closes its registration in close; a replica closes its feeds before it stops its node. Counts of usage stay served until the hub closes: a router that is refused there waits 5 s, longer than a restart, and nothing of them waits in a queue.

--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -201,6 +201,7 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
+            self._publisher.close()
             await self._supervisor.node.stop()
             await self._close()
 
--- a/hickoryweir/entry/tests/test_replica.py
+++ b/hickoryweir/entry/tests/test_replica.py
@@ -285,3 +285,35 @@
         writer.close()
 
     asyncio.run(main())
+
+
+def test_replica_that_waits_for_its_disk_while_it_stops_feeds_no_router(
+    tmp_path, monkeypatch
+):
+    stop_node = node.Node.stop
+    disk_works = asyncio.Event()
+
+    async def stop_late(self, *args, **options):
+        await disk_works.wait()
+        await stop_node(self, *args, **options)
+
+    monkeypatch.setattr(node.Node, "stop", stop_late)
+    port = entry_vms.free_port()
+    ports = settings.Ports(operators=f"127.0.0.1:{port}")
+    entry_settings = dataclasses.replace(make_settings(tmp_path / "data"), ports=ports)
+
+    async def main():
+        stop = asyncio.Event()
+        process = replica.Replica(entry_settings, own_formats.make_adapters())
+        running = asyncio.create_task(process.run(stop))
+        await wait_until(lambda: process._supervisor.node.state is not None)
+        before = await try_to_connect(process._hub, handshake.Purpose.FEED)
+        stop.set()
+        await asyncio.sleep(HALF_REQUEST_DELAY_S)
+        meanwhile = await try_to_connect(process._hub, handshake.Purpose.FEED)
+        disk_works.set()
+        async with asyncio.timeout(GRACE_S):
+            await running
+        return before, meanwhile
+
+    assert asyncio.run(main()) == (True, False)
--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -125,10 +125,16 @@
         self.skipped_entries = listing.SkippedEntries()
         self.on_evidence: Callable[[], None] = lambda: None
         self.version_recorder: version_log.Recorder | None = None
+        self.registrations: list[hub.Registration] = []
         self._evidence_sender = evidence.Sender(
             self.suspect_parts, self._send_to_subscribers
         )
 
+    def close(self) -> None:
+        """End all connections, so that routers turn to other replicas at once."""
+        for registration in self.registrations:
+            registration.close()
+
     async def serve_confirmed(self, connection: connections.Connection) -> None:
         """Serve one router that confirms tables until it disconnects."""
         self.confirmations.add(connection)
@@ -679,6 +685,8 @@
     publisher = Publisher(get_log_status, session, source)
     feed = handshake.Purpose.FEED
     # Routers of earlier versions follow a feed without confirmations.
-    peer_hub.register(feed, publisher.serve)
-    peer_hub.register(feed, publisher.serve_confirmed, messages.CONFIRMED_FEED)
+    publisher.registrations = [
+        peer_hub.register(feed, publisher.serve),
+        peer_hub.register(feed, publisher.serve_confirmed, messages.CONFIRMED_FEED),
+    ]
     return publisher
--- a/hickoryweir/routers/node.py
+++ b/hickoryweir/routers/node.py
@@ -84,7 +84,7 @@
         self._connections: dict[str, list[connections.Connection]] = {}
         self._dial_tasks: dict[str, asyncio.Task] = {}
         self._tasks: list[asyncio.Task] = []
-        router_hub.register(handshake.Purpose.ROUTER, self._serve)
+        self._registration: hub.Registration | None = None
 
     @property
     def state(self) -> core.State:
@@ -93,12 +93,15 @@
 
     def start(self) -> None:
         """Start the tasks; the owner of the hub starts the hub."""
+        self._registration = self._hub.register(handshake.Purpose.ROUTER, self._serve)
         for work in (self._run, self._tick, self._dial, self._poll_log):
             running = background.keep_running(f"router {work.__name__}", work)
             self._tasks.append(asyncio.create_task(running))
 
     async def close(self) -> None:
-        """Cancel all tasks and abort all connections of this node."""
+        """Abort all connections of this node and cancel all tasks."""
+        if self._registration is not None:
+            self._registration.close()
         tasks = [*self._tasks, *self._dial_tasks.values()]
         for task in tasks:
             task.cancel()
--- a/hickoryweir/routers/tests/test_node.py
+++ b/hickoryweir/routers/tests/test_node.py
@@ -118,6 +118,37 @@
     assert asyncio.run(scenario()) == {"kitamori"}
 
 
+def test_node_serves_connections_only_between_its_start_and_its_close():
+    async def is_served(router_hub):
+        identity = handshake.Identity("test", "b-1", "b")
+        purpose = handshake.Purpose.ROUTER
+        outcome = await hub.connect(identity, "127.0.0.1", router_hub.port, purpose)
+        connection = outcome.value_or(None)
+        if connection is not None:
+            connection.abort()
+        return connection is not None
+
+    async def scenario():
+        router_hub = hub.make_hub(
+            handshake.Identity("test", "a-1", "a"), "127.0.0.1", 0
+        )
+        await router_hub.start()
+        ports = dict.fromkeys(NAMES, router_hub.port)
+        queues = asyncio.Queue(), asyncio.Queue()
+        made = node.make_node(
+            make_settings("a-1", ports), router_hub, read_nothing, *queues
+        )
+        served = [await is_served(router_hub)]
+        made.start()
+        served.append(await is_served(router_hub))
+        await made.close()
+        served.append(await is_served(router_hub))
+        await router_hub.close()
+        return served
+
+    assert asyncio.run(scenario()) == [False, True, False]
+
+
 def test_version_that_a_daemon_has_not_applied_is_not_reported_as_in_force():
     async def scenario():
         async with running_nodes(confirming=NAMES[:-1]) as nodes:
