Balancing zones: promote the learner before the voter is removed

What callers would see: no change is acknowledged any more after one replica has lost its disk, though the site tolerates that: a live voter of three had just been removed so that a learner of another zone could take its place, and of the two voters left one is lost. Two replicas are up and can't elect a leader, a third has an empty folder.

Cause: `next_change` kept the order removal, promotion, which is right for a voter that has been lost, for a voter that responds as well. Between both changes the group tolerates no loss. The time is that of one commit, or that of an election if the leader is lost.

Why it works: with the promotion first, the group has one voter more, all of which respond, and tolerates as many losses as the complete one. A group that is too large loses a voter that does not respond, or one of the zone with most voters once no other lags.

Tests: test_losses_while_zones_are_balanced_leave_a_quorum replaces the one with five voters. It keeps its bounds on the number of changes and on the zones, and asks for a quorum after the tolerated losses in place of four or five voters, which was the fault. test_learner_of_another_zone_replaces_a_voter_of_an_overrepresented_one replaces the one that expected the removal first and checks both changes. On the old code both cases of the former, the latter and test_surplus_voter_that_does_not_respond_is_removed_first failed.

--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -3,7 +3,8 @@
 A replica that knows no leader or is not a member asks to be admitted as a learner; the
 leader promotes learners and removes lost members.  :func:`next_change` is the
 leader's decision, one change at a time; the order of the changes is that of
-:mod:`hickoryweir.replicas.replacement`: learner, removal, promotion.
+:mod:`hickoryweir.replicas.replacement`: learner, removal, promotion.  A voter that is
+moved between zones has not been lost, so there the promotion comes before the removal.
 """
 
 import asyncio
@@ -51,7 +52,9 @@
     Handles permanent loss of replicas: a lost voter is removed only while a caught-up
     learner can take its place, so the group never shrinks for a replica that merely
     restarts.  A complete group moves voters out of overrepresented availability zones,
-    so that the loss of one zone costs as few voters as possible.
+    so that the loss of one zone costs as few voters as possible.  There the learner is
+    promoted before the voter is removed: all of them respond, and the larger group
+    tolerates as many losses as the complete one, a smaller group would not.
 
     Parameters
     ----------
@@ -68,17 +71,19 @@
     unreachable = _find_unreachable_learner(views)
     if unreachable is not None:
         return _change(wire.Change.REMOVE, unreachable.member)
-    if not caught_up:
+    has_surplus = len(voters) > voters_wanted_count
+    if not caught_up and not has_surplus:
         return None
     lost = _find_lost_voter(others, caught_up)
     if lost is not None:
         return _change(wire.Change.REMOVE, lost.member)
-    if len(voters) < voters_wanted_count:
+    if has_surplus:
+        surplus = _find_surplus_voter(others, voters)
+        return None if surplus is None else _change(wire.Change.REMOVE, surplus.member)
+    is_incomplete = len(voters) < voters_wanted_count
+    if is_incomplete or _is_unbalanced(others, voters, caught_up):
         learner = _choose_learner(caught_up, voters)
         return _change(wire.Change.PROMOTE, learner.member)
-    overrepresented = _find_voter_to_move(others, voters, caught_up)
-    if overrepresented is not None:
-        return _change(wire.Change.REMOVE, overrepresented.member)
     return None
 
 
@@ -122,25 +127,32 @@
     )
 
 
-def _find_voter_to_move(
+def _is_unbalanced(
     others: list[MemberView], voters: list[MemberView], caught_up: list[MemberView]
-) -> MemberView | None:
-    """Return a voter whose zone has two voters more than one with a caught-up learner.
+) -> bool:
+    """Return whether a zone has two voters more than one with a caught-up learner.
 
-    That learner takes its place, so each move balances the zones.  Nothing is moved
-    while another voter lags or does not respond.
+    That learner takes the place of a voter, so each move balances the zones.  Nothing
+    is moved while another voter lags or does not respond.
     """
     if not all(view.is_caught_up for view in others):
-        return None
+        return False
     zones = [view.member.availability_zone for view in voters]
     fewest = min(zones.count(view.member.availability_zone) for view in caught_up)
-    overrepresented = [
-        view
-        for view in others
-        if zones.count(view.member.availability_zone) >= fewest + 2
-    ]
+    return any(
+        zones.count(view.member.availability_zone) >= fewest + 2 for view in others
+    )
+
+
+def _find_surplus_voter(
+    others: list[MemberView], voters: list[MemberView]
+) -> MemberView | None:
+    """Return the voter to remove from a group that is too large, once none lags."""
+    if not all(view.is_caught_up for view in others):
+        return None
+    zones = [view.member.availability_zone for view in voters]
     return max(
-        overrepresented,
+        others,
         key=lambda view: (
             zones.count(view.member.availability_zone),
             view.member.member_id,
