Proxies: open connections can go silent for good

`silence_open` does this in one or both directions; the end of a connection isn't relayed in a silent direction either.

--- a/hickoryweir/testing/proxies.py
+++ b/hickoryweir/testing/proxies.py
@@ -8,6 +8,21 @@
 READ_SIZE_BYTES = 64 * 1024
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Direction:
+    """One direction of an open connection; `is_silent` if its bytes are discarded."""
+
+    is_silent: bool = False
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Connection:
+    """The directions of an open connection, to the target and from it."""
+
+    forward: Direction = dataclasses.field(default_factory=Direction)
+    backward: Direction = dataclasses.field(default_factory=Direction)
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Proxy:
     """Listens on a port of its own and relays each connection to one target.
@@ -21,6 +36,8 @@
         Set while bytes are relayed to the target, and from the target.
     writers : set
         Writers to both sides of every open connection.
+    connections : set
+        The open connections.
     """
 
     target_host: str
@@ -29,6 +46,7 @@
     forward: asyncio.Event
     backward: asyncio.Event
     writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
+    connections: set[Connection] = dataclasses.field(default_factory=set)
     server: asyncio.Server | None = None
     port: int = 0
 
@@ -61,28 +79,46 @@
         writer.transport.abort()
 
 
+def silence_open(proxy: Proxy, forward: bool, backward: bool) -> None:
+    """Let the open connections carry no byte any more in one or both directions.
+
+    They stay open and are read from, so each sender sees its bytes acknowledged.  In a
+    silent direction the end of a connection isn't relayed either.  New ones work.
+    """
+    for connection in proxy.connections:
+        connection.forward.is_silent |= forward
+        connection.backward.is_silent |= backward
+
+
 async def relay_connection(
     proxy: Proxy, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
     """Relay one connection in both directions until either side ends."""
-    tasks, target_writer = [], None
+    tasks, target_writer, connection = {}, None, Connection()
+    ways = (connection.forward, connection.backward)
     proxy.writers.add(writer)
     with contextlib.suppress(OSError, asyncio.CancelledError):
         target_reader, target_writer = await asyncio.open_connection(
             proxy.target_host, proxy.target_port
         )
         proxy.writers.add(target_writer)
-        tasks = [
-            asyncio.create_task(
-                _relay_direction(proxy, proxy.forward, reader, target_writer)
-            ),
-            asyncio.create_task(
-                _relay_direction(proxy, proxy.backward, target_reader, writer)
-            ),
-        ]
-        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        proxy.connections.add(connection)
+        forward = _relay_direction(proxy, proxy.forward, ways, reader, target_writer)
+        backward = _relay_direction(
+            proxy, proxy.backward, ways[::-1], target_reader, writer
+        )
+        tasks = {
+            asyncio.create_task(forward): connection.forward,
+            asyncio.create_task(backward): connection.backward,
+        }
+        ended, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        if all(tasks[task].is_silent for task in ended):
+            # The other side isn't told; what it sends has no receiver any more.
+            connection.forward.is_silent = connection.backward.is_silent = True
+            await asyncio.wait(tasks)
     for task in tasks:
         task.cancel()
+    proxy.connections.discard(connection)
     for side in (writer, target_writer):
         if side is not None:
             proxy.writers.discard(side)
@@ -92,14 +128,27 @@
 async def _relay_direction(
     proxy: Proxy,
     passing: asyncio.Event,
+    ways: tuple[Direction, Direction],
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
 ) -> None:
-    """Relay bytes in one direction after the proxy's delay, while it is enabled."""
+    """Relay bytes in one direction after the proxy's delay, while it is enabled.
+
+    `ways` are the direction itself and the opposite one.
+    """
+    own, opposite = ways
     with contextlib.suppress(OSError):
         while data := await reader.read(READ_SIZE_BYTES):
-            await passing.wait()
+            if not own.is_silent:
+                await passing.wait()
             if proxy.delay_s:
                 await asyncio.sleep(proxy.delay_s)
-            writer.write(data)
-            await writer.drain()
+            if own.is_silent:
+                continue
+            try:
+                writer.write(data)
+                await writer.drain()
+            except OSError:
+                if not opposite.is_silent:
+                    return
+                own.is_silent = True
