--- a/hickoryweir/testing/soak/faults.py
+++ b/hickoryweir/testing/soak/faults.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import random
+import resource
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -19,16 +20,19 @@
 LINK_DELAY_S = 0.2
 SUSPENDED_MAX_S, RESUMED_S = 0.2, 0.02
 ACKNOWLEDGEMENT_TIMEOUT_S = 5.0
+# Whether a link is disturbed towards the process that listens, and away from it.
+DIRECTIONS = ((True, True), (True, False), (False, True))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InjectedFault:
-    """Kind, target and interval of one injected fault."""
+    """Kind, target and interval of one injected fault, and what was drawn besides."""
 
     kind: str
     target: str
     began_s: float
     ended_s: float
+    detail: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,7 +58,8 @@
     injected: list[InjectedFault] = dataclasses.field(default_factory=list)
 
 
-MemberFault = Callable[[FaultContext, clusters.Member, float], Awaitable[None]]
+# A fault for a duration; returns what it has drawn, if that is worth showing.
+MemberFault = Callable[[FaultContext, clusters.Member, float], Awaitable[str | None]]
 
 
 async def kill(
@@ -109,9 +114,7 @@
     context: FaultContext, member: clusters.Member, duration_s: float
 ) -> None:
     """Block a process's connections to the replicas, in one or both directions."""
-    forward, backward = context.generator.choice(
-        ((True, True), (True, False), (False, True))
-    )
+    forward, backward = context.generator.choice(DIRECTIONS)
     links = clusters.links_of(context.cluster, member)
     for proxy in links:
         proxies.set_relaying(proxy.forward, not forward)
@@ -141,6 +144,50 @@
         proxies.reset_all(proxy)
 
 
+async def refuse_writes(
+    context: FaultContext, member: clusters.Member, duration_s: float
+) -> None:
+    """Let a process's writes to files fail temporarily, as on a full disk."""
+    process, limit = member.process, resource.RLIMIT_FSIZE
+    soft, hard = resource.prlimit(process.pid, limit)
+    resource.prlimit(process.pid, limit, (0, hard))
+    await asyncio.sleep(duration_s)
+    if process.poll() is None:
+        resource.prlimit(process.pid, limit, (soft, hard))
+
+
+async def silence_link(
+    context: FaultContext, member: clusters.Member, duration_s: float
+) -> str:
+    """Let a process's open connections to one replica go silent for good."""
+    proxy = context.generator.choice(list(member.links.values()))
+    return _silence(context, [proxy]) + f", to {proxy.target_host}"
+
+
+async def silence_links(
+    context: FaultContext, member: clusters.Member, duration_s: float
+) -> str:
+    """Let a process's open connections to and from the others go silent for good."""
+    return _silence(context, clusters.links_of(context.cluster, member))
+
+
+async def silence_all(
+    context: FaultContext, member: clusters.Member, duration_s: float
+) -> str:
+    """Let all processes' open connections to replicas go silent for good."""
+    cluster = context.cluster
+    members = (*cluster.replicas, *cluster.routers)
+    return _silence(context, [item for each in members for item in each.links.values()])
+
+
+def _silence(context: FaultContext, links: list[proxies.Proxy]) -> str:
+    forward, backward = context.generator.choice(DIRECTIONS)
+    for proxy in links:
+        proxies.silence_open(proxy, forward, backward)
+    count = sum(len(proxy.connections) for proxy in links)
+    return f"{count} connections, to listeners {forward}, from them {backward}"
+
+
 async def slow_down(
     context: FaultContext, member: clusters.Member, duration_s: float
 ) -> None:
@@ -153,13 +200,17 @@
         await asyncio.sleep(RESUMED_S)
 
 
-LINK_FAULTS: tuple[MemberFault, ...] = (cut_off, delay_links, reset_links)
+LINK_FAULTS: tuple[MemberFault, ...] = (
+    *(cut_off, delay_links, reset_links),
+    *(silence_link, silence_links),
+)
 ROUTER_FAULTS: tuple[MemberFault, ...] = (
     *(kill, pause, stop, stop, reload, slow_down),
     *LINK_FAULTS,
 )
 REPLICA_FAULTS: tuple[MemberFault, ...] = (
     *(kill, pause, stop, wipe, reload, slow_down),
+    *(refuse_writes, silence_all),
     *LINK_FAULTS,
 )
 
@@ -213,15 +264,27 @@
     context: FaultContext, member: clusters.Member, fault: MemberFault
 ) -> None:
     context.busy_hosts.add(member.host)
-    began_s = time.monotonic()
     duration_s = context.generator.uniform(FAULT_DURATION_MIN_S, FAULT_DURATION_MAX_S)
     try:
-        await fault(context, member, duration_s)
+        await inject(context, member, fault, duration_s)
     finally:
-        _record_fault(context, fault.__name__, member.host, began_s)
         context.busy_hosts.discard(member.host)
 
 
+async def inject(
+    context: FaultContext,
+    member: clusters.Member,
+    fault: MemberFault,
+    duration_s: float,
+) -> None:
+    """Inject a fault into a process and record it."""
+    began_s, detail = time.monotonic(), None
+    try:
+        detail = await fault(context, member, duration_s)
+    finally:
+        _record_fault(context, fault.__name__, member.host, began_s, detail or "")
+
+
 async def disturb_server(context: FaultContext) -> None:
     """Make a backend server refuse requests, truncate its answers, or be slow."""
     server = context.generator.choice(context.cluster.servers)
@@ -264,9 +327,10 @@
 
 
 def _record_fault(
-    context: FaultContext, kind: str, target: str, began_s: float
+    context: FaultContext, kind: str, target: str, began_s: float, detail: str = ""
 ) -> None:
-    context.injected.append(InjectedFault(kind, target, began_s, time.monotonic()))
+    ended_s = time.monotonic()
+    context.injected.append(InjectedFault(kind, target, began_s, ended_s, detail))
 
 
 FAULTS = (
--- a/hickoryweir/testing/soak/oracle.py
+++ b/hickoryweir/testing/soak/oracle.py
@@ -16,7 +16,10 @@
 IN_FORCE_S = 2.0
 CONTACT_S = 3.0
 # Kinds of faults that may delay what processes send each other.
-DELAYING_KINDS = ("cut_off", "delay_links", "pause", "slow_down")
+DELAYING_KINDS = (
+    *("cut_off", "delay_links", "pause", "slow_down"),
+    *("silence_link", "silence_links", "silence_all"),
+)
 
 
 def find_violations(
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -192,9 +192,17 @@
     return f"{HOST}:{listener.sockets[0].getsockname()[1]}"
 
 
-def make_cluster(folder, routers_count: int, list_address: str) -> clusters.Cluster:
-    """Return the processes of a run, not started yet."""
-    hosts = [f"127.0.5.{number + 1}" for number in range(REPLICAS_COUNT)]
+def make_cluster(
+    folder: pathlib.Path,
+    routers_count: int,
+    list_address: str,
+    networks: tuple[str, str] = ("127.0.5", "127.0.6"),
+) -> clusters.Cluster:
+    """Return the processes of a run, replicas and routers in a network each.
+
+    They are not started yet.
+    """
+    hosts = [f"{networks[0]}.{number + 1}" for number in range(REPLICAS_COUNT)]
     ports = [entry_vms.free_port() for _ in range(4)]
     names = ("port", "ready_port", "peer_port", "metrics_port")
     values = dict(zip(names, ports, strict=True)) | {
@@ -206,7 +214,9 @@
     }
     replicas = [clusters.Member("replica", host, folder / host) for host in hosts]
     routers = [
-        clusters.Member("router", f"127.0.6.{number + 1}", folder / f"router-{number}")
+        clusters.Member(
+            "router", f"{networks[1]}.{number + 1}", folder / f"router-{number}"
+        )
         for number in range(routers_count)
     ]
     return clusters.Cluster(replicas, routers, [], values)
