Simulations of replicas: each replica is heard by the others once faults have ended

The random simulation also lets a disk refuse a write, after which the node opens its folder again, and the managed one cuts up to all links at once. Silent connections don't fit the model: it has links of messages without connections, so a silent link is a cut that ends when the processes replace the connection, which is drawn.

Planted fault: test_deaf_pair_that_the_third_replica_hides_is_found.

--- a/hickoryweir/replicas/tests/managed_simulation.py
+++ b/hickoryweir/replicas/tests/managed_simulation.py
@@ -16,6 +16,8 @@
 CATCH_UP_S = 4.0
 # Time after the last fault within which service must be back, likewise.
 RECOVERY_S = 12.0
+# Time within which two replicas go on without the third, while no fault is near.
+RECOVERY_BOUND_S = 5.0
 VOTERS_WANTED_COUNT = 3
 MAX_START_DELAY_S = 1.5
 # As entry.replica.REOPEN_INTERVAL_S.
@@ -239,7 +241,7 @@
         if self.random.random() < 0.4:
             names = sorted(self.processes)
             pairs = [(x, y) for x in names for y in names if x != y]
-            self.cut(*self.random.sample(pairs, self.random.randint(1, 3)))
+            self.cut(*self.random.sample(pairs, self.random.randint(1, len(pairs))))
             self.heals_at_s = self.now_s + self.random.uniform(0.5, 3.0)
 
     def _disturb(self, name, is_stopped):
--- a/hickoryweir/replicas/tests/simulation.py
+++ b/hickoryweir/replicas/tests/simulation.py
@@ -184,6 +184,16 @@
             if self.is_running(process):
                 self.step(process, states.Ticked())
 
+    def fail_storage(self, name):
+        """Let a replica's disk refuse a write; open its folder again if it fails."""
+        process = self.processes[name]
+        files = process.disk
+        files.fail_after_count = files.operation_count + self.random.randrange(4)
+        self.sync(process)
+        files.fail_after_count = None
+        if process.state.role is states.Role.FAILED:
+            self.start(name)
+
     def propose(self, process):
         """Propose a new command at a replica."""
         payload = f"command-{next(self.proposals)}".encode()
--- a/hickoryweir/replicas/tests/test_losses.py
+++ b/hickoryweir/replicas/tests/test_losses.py
@@ -24,6 +24,21 @@
     return False
 
 
+def goes_on_without(cluster, name):
+    """Return whether the others acknowledge a table within the bound without a replica.
+
+    Two of three hide a third that hears nobody.
+    """
+    cluster.isolate(name)
+    cluster.heals_at_s = cluster.now_s + 2 * managed_simulation.RECOVERY_BOUND_S
+    is_acknowledged = put_until_acknowledged(
+        cluster, managed_simulation.RECOVERY_BOUND_S
+    )
+    cluster.heals_at_s = cluster.now_s
+    cluster.advance(managed_simulation.CATCH_UP_S)
+    return is_acknowledged
+
+
 def play(seed, rounds_count=ROUNDS_COUNT):
     """Play rounds of faults; each begins right after an acknowledgement."""
     cluster = managed_simulation.ManagedSimulation(seed)
@@ -42,6 +57,8 @@
         cluster.advance(managed_simulation.CATCH_UP_S)
         if loses_disk:
             assert len(cluster.voters()) == 3, f"round {round_number}: not replaced"
+        name = sorted(cluster.processes)[round_number % 3]
+        assert goes_on_without(cluster, name), f"round {round_number}: no {name}"
     assert put_until_acknowledged(cluster, managed_simulation.RECOVERY_S)
     cluster.advance(2.0)
     leader = cluster.leader()
--- a/hickoryweir/replicas/tests/test_simulation.py
+++ b/hickoryweir/replicas/tests/test_simulation.py
@@ -7,6 +7,8 @@
 from hickoryweir.replicas.tests import simulation
 
 RANDOM_STEPS_COUNT = 1500
+# Within which replicas that reach each other take changes.
+RECOVERY_BOUND_S = 5.0
 
 
 def make_running(seed=1, names=("a", "b", "c")):
@@ -333,9 +335,12 @@
     process = cluster.processes[random.choice(sorted(cluster.processes))]
     running = cluster.is_running(process)
     chance = random.random()
-    if chance < 0.55 and cluster.network:
+    if chance < 0.53 and cluster.network:
         position = random.randrange(min(len(cluster.network), 8))
         cluster.deliver(position, keep=random.random() < 0.05)
+    elif 0.53 <= chance < 0.55 and running and process.work:
+        cluster.fail_storage(process.name)
+        counts["refused"] += 1
     elif chance < 0.70:
         cluster.tick(random.uniform(0.005, 0.15))
     elif chance < 0.85 and running and process.work:
@@ -385,7 +390,7 @@
 def test_random_faults_keep_every_invariant(seed):
     cluster = simulation.Simulation(seed)
     cluster.add("d")
-    counts = {"crash": 0}
+    counts = {"crash": 0, "refused": 0}
     for _ in range(RANDOM_STEPS_COUNT):
         inject_random_event(cluster, counts)
     cluster.heal()
@@ -401,7 +406,30 @@
         for member in members
     }
     assert len(digests) == 1
-    assert counts["crash"] > 0
+    assert min(counts.values()) > 0
+    for name in cluster.processes:
+        assert goes_on_without(cluster, name), f"a replica hears nobody, beside {name}"
+
+
+def goes_on_without(cluster, name):
+    """Return whether the others commit a command within the bound without a replica."""
+    cluster.run(RECOVERY_BOUND_S)
+    known_count = len(committed_payloads(cluster))
+    cluster.isolate(name)
+    cluster.run(RECOVERY_BOUND_S)
+    if cluster.leader() is not None:
+        propose_and_run(cluster)
+    cluster.heal()
+    return len(committed_payloads(cluster)) > known_count
+
+
+def test_deaf_pair_that_the_third_replica_hides_is_found(monkeypatch):
+    cluster = make_running()
+    deaf = {("a", "b"), ("b", "a")}
+    monkeypatch.setattr(cluster, "heal", lambda: cluster.cuts.intersection_update(deaf))
+    cluster.cut(*deaf)
+    found = {name: goes_on_without(cluster, name) for name in cluster.processes}
+    assert found == {"a": True, "b": True, "c": False}
 
 
 @pytest.mark.parametrize("seed", range(1, 13))
