--- a/hickoryweir/entry/tests/test_replica.py
+++ b/hickoryweir/entry/tests/test_replica.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import dataclasses
+import errno
 import threading
 
 import pytest
 
+from hickoryweir import background
 from hickoryweir.entry import own_formats, replica, settings
-from hickoryweir.replicas import disk, messages
+from hickoryweir.replicas import disk, messages, node, supervisor
 from hickoryweir.replicas import state as states
-from hickoryweir.streams import hub
+from hickoryweir.streams import handshake, hub
 from hickoryweir.testing import waiting
 from hickoryweir.testing.demo import entry_vms
 
@@ -49,18 +51,18 @@
         entry_settings = make_settings(tmp_path / "data")
         peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
         await peer_hub.start()
-        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
-        task = asyncio.create_task(supervisor.run())
-        await wait_until(lambda: supervisor.node.state is not None)
-        first = supervisor.node
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
+        task = asyncio.create_task(supervised.run())
+        await wait_until(lambda: supervised.node.state is not None)
+        first = supervised.node
         first._queue.put_nowait(event)
         await wait_until(
-            lambda: supervisor.node is not first and supervisor.node.state is not None
+            lambda: supervised.node is not first and supervised.node.state is not None
         )
-        ids = first.state.member_id, supervisor.node.state.member_id
+        ids = first.state.member_id, supervised.node.state.member_id
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await supervisor.node.stop()
+        await supervised.node.stop()
         await peer_hub.close()
         return ids
 
@@ -68,15 +70,89 @@
     assert first_id == second_id
 
 
+async def try_to_connect(peer_hub, purpose):
+    other = handshake.Identity(settings.CLUSTER_ID, "127.0.0.9", "a")
+    outcome = await hub.connect(other, "127.0.0.1", peer_hub.port, purpose)
+    connection = outcome.value_or(None)
+    if connection is not None:
+        connection.abort()
+    return connection is not None
+
+
+NODE_PURPOSES = (handshake.Purpose.REPLICA, handshake.Purpose.CLIENT)
+
+
+@pytest.mark.parametrize("purpose", NODE_PURPOSES)
+def test_node_whose_write_hangs_while_it_stops_accepts_no_connection(tmp_path, purpose):
+    async def main():
+        entry_settings = make_settings(tmp_path / "data")
+        peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
+        await peer_hub.start()
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
+        task = asyncio.create_task(supervised.run())
+        await wait_until(lambda: supervised.node.state is not None)
+        first = supervised.node
+        disk_works = threading.Event()
+        opened = first._disk.storage
+        opened.files = dataclasses.replace(
+            opened.files, sync=lambda handle: disk_works.wait()
+        )
+        member = messages.Member(first.state.member_id, "h:1", "a", True)
+        first._queue.put_nowait(states.Bootstrapped(messages.Membership((member,))))
+        before = await try_to_connect(peer_hub, purpose)
+        first._queue.put_nowait(BROKEN_EVENT)
+        await asyncio.sleep(2 * supervisor.FAILURE_CHECK_INTERVAL_S)
+        meanwhile = await try_to_connect(peer_hub, purpose)
+        disk_works.set()
+        await wait_until(
+            lambda: supervised.node is not first and supervised.node.state is not None
+        )
+        after = await try_to_connect(peer_hub, purpose)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await supervised.node.stop()
+        await peer_hub.close()
+        return before, meanwhile, after
+
+    assert asyncio.run(main()) == (True, False, True)
+
+
+@pytest.mark.parametrize("purpose", NODE_PURPOSES)
+def test_node_whose_folder_cannot_be_opened_accepts_no_connection(tmp_path, purpose):
+    blocked = tmp_path / "data"
+    blocked.write_text("in the way")
+
+    async def main():
+        entry_settings = make_settings(blocked)
+        peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
+        await peer_hub.start()
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
+        before = await try_to_connect(peer_hub, purpose)
+        task = asyncio.create_task(supervised.run())
+        await wait_until(lambda: supervised.node.failure is not None)
+        meanwhile = await try_to_connect(peer_hub, purpose)
+        blocked.unlink()
+        await wait_until(lambda: supervised.node.state is not None)
+        after = await try_to_connect(peer_hub, purpose)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await supervised.node.stop()
+        stopped = await try_to_connect(peer_hub, purpose)
+        await peer_hub.close()
+        return before, meanwhile, after, stopped
+
+    assert asyncio.run(main()) == (False, False, True, False)
+
+
 def test_folder_is_not_opened_again_while_a_write_of_the_failed_node_hangs(tmp_path):
     async def main():
         entry_settings = make_settings(tmp_path / "data")
         peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
         await peer_hub.start()
-        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
-        task = asyncio.create_task(supervisor.run())
-        await wait_until(lambda: supervisor.node.state is not None)
-        first = supervisor.node
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
+        task = asyncio.create_task(supervised.run())
+        await wait_until(lambda: supervised.node.state is not None)
+        first = supervised.node
         disk_works = threading.Event()
         opened = first._disk.storage
         opened.files = dataclasses.replace(
@@ -85,21 +161,89 @@
         member = messages.Member(first.state.member_id, "h:1", "a", True)
         first._queue.put_nowait(states.Bootstrapped(messages.Membership((member,))))
         first._queue.put_nowait(BROKEN_EVENT)
-        await asyncio.sleep(disk.CLOSE_TIMEOUT_S + 2 * replica.REOPEN_INTERVAL_S)
-        was_reopened = supervisor.node is not first
+        await asyncio.sleep(disk.CLOSE_TIMEOUT_S + 2 * supervisor.REOPEN_INTERVAL_S)
+        was_reopened = supervised.node is not first
         disk_works.set()
         await wait_until(
-            lambda: supervisor.node is not first and supervisor.node.state is not None
+            lambda: supervised.node is not first and supervised.node.state is not None
         )
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await supervisor.node.stop()
+        await supervised.node.stop()
         await peer_hub.close()
         return was_reopened
 
     assert not asyncio.run(main())
 
 
+@pytest.mark.parametrize("step", ["start", "stop"])
+def test_node_that_ended_with_an_error_is_not_started_again(
+    tmp_path, monkeypatch, step
+):
+    errors = [RuntimeError(step)]
+    starts = []
+    work, start = getattr(node.Node, step), node.Node.start
+
+    async def fail_once(self, *args, **options):
+        outcome = await work(self, *args, **options)
+        if errors:
+            raise errors.pop()
+        return outcome
+
+    async def record_start(self):
+        starts.append(self)
+        return await (fail_once(self) if step == "start" else start(self))
+
+    monkeypatch.setattr(node.Node, step, fail_once)
+    monkeypatch.setattr(node.Node, "start", record_start)
+
+    async def main():
+        entry_settings = make_settings(tmp_path / "data")
+        peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
+        await peer_hub.start()
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
+        first = supervised.node
+        task = asyncio.create_task(background.keep_running("node", supervised.run))
+        await wait_until(lambda: first.state is not None)
+        first._queue.put_nowait(BROKEN_EVENT)
+        await wait_until(lambda: len(starts) > 1 and supervised.node.state is not None)
+        is_reachable = await try_to_connect(peer_hub, handshake.Purpose.REPLICA)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await supervised.node.stop()
+        await peer_hub.close()
+        return is_reachable
+
+    assert asyncio.run(main())
+    assert len(set(starts)) == len(starts)
+
+
+def test_failed_close_of_the_data_folder_does_not_keep_the_replica_down(tmp_path):
+    def refuse(handle):
+        raise OSError(errno.EIO, "input/output error")
+
+    async def main():
+        entry_settings = make_settings(tmp_path / "data")
+        peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
+        await peer_hub.start()
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
+        task = asyncio.create_task(background.keep_running("node", supervised.run))
+        await wait_until(lambda: supervised.node.state is not None)
+        first = supervised.node
+        opened = first._disk.storage
+        opened.files = dataclasses.replace(opened.files, close=refuse)
+        first._queue.put_nowait(BROKEN_EVENT)
+        await wait_until(
+            lambda: supervised.node is not first and supervised.node.state is not None
+        )
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await supervised.node.stop()
+        await peer_hub.close()
+
+    asyncio.run(main())
+
+
 def test_data_folder_that_cannot_be_opened_is_retried(tmp_path):
     blocked = tmp_path / "data"
     blocked.write_text("in the way")
@@ -108,14 +252,14 @@
         entry_settings = make_settings(blocked)
         peer_hub = hub.make_hub(settings.peer_identity(entry_settings), "127.0.0.1", 0)
         await peer_hub.start()
-        supervisor = replica.NodeSupervisor(entry_settings, peer_hub)
-        task = asyncio.create_task(supervisor.run())
-        await wait_until(lambda: supervisor.node.failure is not None)
+        supervised = replica.make_supervisor(entry_settings, peer_hub)
+        task = asyncio.create_task(supervised.run())
+        await wait_until(lambda: supervised.node.failure is not None)
         blocked.unlink()
-        await wait_until(lambda: supervisor.node.state is not None)
+        await wait_until(lambda: supervised.node.state is not None)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await supervisor.node.stop()
+        await supervised.node.stop()
         await peer_hub.close()
 
     asyncio.run(main())
--- a/hickoryweir/replicas/disk.py
+++ b/hickoryweir/replicas/disk.py
@@ -57,7 +57,8 @@
 
     def submit(self, work: Work) -> None:
         """Queue an action; a message is sent at once if nothing is queued before it."""
-        if self.storage.failure is not None:
+        # Nobody would execute it, and closing would wait for it.
+        if self.storage.failure is not None or self._task.done():
             return
         if isinstance(work, states.Send) and not self._busy and not self._work:
             self._send(work.envelope)
@@ -82,7 +83,11 @@
         await asyncio.gather(self._task, return_exceptions=True)
         if self._idle.is_set():
             self._executor.shutdown()
-            storage.close(self.storage)
+            try:
+                storage.close(self.storage)
+            except OSError as error:
+                # What was acknowledged has been synced.
+                logging.error("closing the data folder failed: %s", error)
         else:
             self._executor.shutdown(wait=False)
 
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import functools
@@ -97,6 +98,10 @@
         The core's state; read-only for callers.
     machine : machine.Machine
         The state machine; read-only for callers.
+    heard_at_s : dict of str to float
+        When the last message of each other replica arrived, in monotonic time.
+    incoming_counts : collections.Counter
+        Number of open connections that each other replica has opened to this one.
     """
 
     def __init__(
@@ -110,6 +115,8 @@
         self.machine = machine.make_machine(submachines)
         self.state: states.State | None = None
         self.failure: records.StorageFailure | None = None
+        self.heard_at_s: dict[str, float] = {}
+        self.incoming_counts: collections.Counter[str] = collections.Counter()
         self._files = files
         self._initial_replicas: tuple[wire.ReplicaAddress, ...] = ()
         self._disk: disks.DiskWriter | None = None
@@ -121,16 +128,14 @@
         self._request_table = requests.RequestTable()
         self._tasks: set[asyncio.Task] = set()
         self._leadership_ended = asyncio.Event()
-        self._connections: set[connections.Connection] = set()
+        self._hub = peer_hub
+        self._registrations: list[hub.Registration] = []
         self._snapshot_task: asyncio.Task | None = None
         self._schedule = schedules.SnapshotSchedule(
             settings.snapshot_entries_count,
             settings.snapshot_log_size_bytes,
             settings.identity.process_name,
         )
-        group = settings.group
-        peer_hub.register(handshake.Purpose.REPLICA, self._serve_replica, group)
-        peer_hub.register(handshake.Purpose.CLIENT, self._serve_client, group)
 
     async def start(self) -> result.Result[None, records.StorageFailure]:
         """Recover the data folder and start; a failure leaves the folder unchanged."""
@@ -154,17 +159,32 @@
             logging.error("cannot open data folder: %s", self.failure)
             return outcome
         opened = outcome.unwrap()
-        self._recover(opened)
         self._disk = disks.DiskWriter(
             opened.storage, self._links.send, self._queue.put_nowait
         )
+        self._recover(opened)
         self._links.update(self.state.membership, self.state.member_id)
         self._start_task(self._run())
         self._start_task(self._tick())
         if self._initial_replicas:
             self._start_task(self._bootstrap())
+        self._register_handlers()
         return result.Success(None)
 
+    def _register_handlers(self) -> None:
+        handlers = {
+            handshake.Purpose.REPLICA: self._serve_incoming,
+            handshake.Purpose.CLIENT: self._serve_client,
+        }
+        self._registrations = [
+            self._hub.register(purpose, handler, self.settings.group)
+            for purpose, handler in handlers.items()
+        ]
+
+    def _close_registrations(self) -> None:
+        for registration in self._registrations:
+            registration.close()
+
     def _start_task(self, coroutine: Coroutine) -> asyncio.Task:
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self._on_task_done)
@@ -186,6 +206,7 @@
         for action in raft.fail(self.state):
             self._execute(action, now_s)
         requests.refuse_appended(self._request_table, self.state, now_s)
+        self._close_registrations()
 
     async def stop(self, disk_timeout_s: float | None = disks.CLOSE_TIMEOUT_S) -> None:
         """Transfer leadership, finish pending writes and stop.
@@ -197,13 +218,13 @@
             as is needed before the folder is opened again.
         """
         await self._transfer_leadership()
+        if self.state is not None:
+            requests.refuse_appended(self._request_table, self.state, time.monotonic())
+        # From here on nothing reads the queue.
+        self._close_registrations()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self.state is not None:
-            requests.refuse_appended(self._request_table, self.state, time.monotonic())
-        for connection in list(self._connections):
-            connection.abort()
         await self._links.close()
         await self._relays.close()
         if self._disk is not None:
@@ -251,9 +272,16 @@
             self._queue.put_nowait,
         )
 
+    async def _serve_incoming(self, connection: connections.Connection) -> None:
+        name = connection.peer.process_name
+        self.incoming_counts[name] += 1
+        try:
+            await self._serve_replica(connection)
+        finally:
+            self.incoming_counts[name] -= 1
+
     async def _serve_replica(self, connection: connections.Connection) -> None:
         name = connection.peer.process_name
-        self._connections.add(connection)
         try:
             while True:
                 message = (await connection.receive()).value_or(None)
@@ -264,22 +292,18 @@
                 elif isinstance(message, messages.Envelope):
                     if messages.replica_name_of(message.from_id) != name:
                         return
+                    self.heard_at_s[name] = time.monotonic()
                     self._links.add_incoming(message.from_id, connection)
                     self._queue.put_nowait(states.Received(message))
         finally:
-            self._connections.discard(connection)
             self._links.remove_incoming(connection)
 
     async def _serve_client(self, connection: connections.Connection) -> None:
-        self._connections.add(connection)
-        try:
-            while True:
-                message = (await connection.receive()).value_or(None)
-                if message is None or not hasattr(message, "request_id"):
-                    return
-                self._queue.put_nowait(requests.PendingRequest(connection, message))
-        finally:
-            self._connections.discard(connection)
+        while True:
+            message = (await connection.receive()).value_or(None)
+            if message is None or not hasattr(message, "request_id"):
+                return
+            self._queue.put_nowait(requests.PendingRequest(connection, message))
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -465,14 +489,15 @@
     submachines: tuple[machine.Submachine, ...],
     files: file_operations.Files | None = None,
 ) -> Node:
-    """Return a replica that is not started; registers its handlers with the hub.
+    """Return a replica that is not started.
 
     Parameters
     ----------
     settings : NodeSettings
         Settings.
     peer_hub : hub.Hub
-        Accepts peer connections; the caller starts and closes it.
+        Accepts peer connections while the replica is started; the caller starts and
+        closes it.
     submachines : tuple of machine.Submachine
         Parts of the replicated state machine.
     files : files.Files, optional
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -10,16 +10,19 @@
 
 from hickoryweir.replicas import (
     client,
+    disk,
+    files,
     node,
     reachability,
     records,
     replacement,
     requests,
+    storage,
     wire,
 )
 from hickoryweir.replicas import state as states
 from hickoryweir.replicas.tests import register
-from hickoryweir.streams import hub
+from hickoryweir.streams import handshake, hub
 
 
 def run(coroutine):
@@ -300,6 +303,26 @@
     assert run(scenario()) == (client.Reason.NO_QUORUM, "")
 
 
+def test_admission_that_a_former_leader_refuses_is_asked_of_the_new_one(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            running = await register.start_replica("z", 0, str(tmp_path / "z"))
+            replicas["z"] = running
+            addresses = tuple(replicas[name].address for name in ("a", "b", "c"))
+            log = client.make_client(register.make_identity("z"), addresses)
+            assert await log.wait_until_ready(register.START_TIMEOUT_S)
+            former_leader = replicas[log.leader_name].node
+            await retry_until_success(lambda: router.transfer("", 10.0))
+            await asyncio.wait_for(
+                former_leader._leadership_ended.wait(), register.START_TIMEOUT_S
+            )
+            answer = await log.add_learner(running.address, 10.0)
+            await log.close()
+            return answer.unwrap()
+
+    assert run(scenario()) == ""
+
+
 def test_full_disk_stops_one_replica_but_not_the_group(tmp_path):
     async def scenario():
         async with register.run_cluster(tmp_path) as (replicas, router):
@@ -348,6 +371,23 @@
     assert run(scenario()) == (states.Role.FAILED, "v2")
 
 
+def test_write_after_an_error_in_the_writing_thread_does_not_block_the_stop(tmp_path):
+    async def scenario():
+        opened = storage.open_folder(
+            files.make_files(), str(tmp_path), register.CLUSTER_ID, "", "a"
+        ).unwrap()
+        opened.storage.files = dataclasses.replace(opened.storage.files, sync=None)
+        failed = asyncio.Event()
+        writer = disk.DiskWriter(opened.storage, None, lambda event: failed.set())
+        writer.submit(states.Store(1, "", ()))
+        await asyncio.wait_for(failed.wait(), register.START_TIMEOUT_S)
+        # As for an event that the core takes before it hears of the failure.
+        writer.submit(states.Store(2, "", ()))
+        await asyncio.wait_for(writer.close(None), register.START_TIMEOUT_S)
+
+    run(scenario())
+
+
 class SilentConnection:
     """A client's connection that discards responses."""
 
@@ -403,6 +443,29 @@
     assert run(scenario()) is records.Problem.DAMAGED
 
 
+@pytest.mark.parametrize(
+    "purpose", [handshake.Purpose.REPLICA, handshake.Purpose.CLIENT]
+)
+def test_node_that_failed_by_an_error_serves_no_connection(tmp_path, purpose):
+    async def connect(running):
+        identity = register.make_identity("z")
+        return await hub.connect(identity, register.HOST, running.hub.port, purpose)
+
+    async def scenario():
+        running = await register.start_replica("a", 0, str(tmp_path / "a"))
+        connection = (await connect(running)).unwrap()
+        running.node._queue.put_nowait(states.Received(None))
+        async with asyncio.timeout(register.START_TIMEOUT_S):
+            received = await connection.receive()
+        again = await connect(running)
+        await running.stop()
+        return received, again.failure().reason
+
+    received, reason = run(scenario())
+    assert isinstance(received, result.Failure)
+    assert reason is hub.ConnectReason.REFUSED
+
+
 @pytest.mark.parametrize("moves", [False, True])
 def test_repeated_admission_leaves_no_task_behind(tmp_path, moves):
     problems = []
--- a/hickoryweir/testing/soak/faults.py
+++ b/hickoryweir/testing/soak/faults.py
@@ -184,7 +184,7 @@
     forward, backward = context.generator.choice(DIRECTIONS)
     for proxy in links:
         proxies.silence_open(proxy, forward, backward)
-    count = sum(len(proxy.connections) for proxy in links)
+    count = sum(len(proxy.relayed) for proxy in links)
     return f"{count} connections, to listeners {forward}, from them {backward}"
 
 
--- a/hickoryweir/testing/tests/test_proxies.py
+++ b/hickoryweir/testing/tests/test_proxies.py
@@ -14,31 +14,35 @@
 
 @contextlib.asynccontextmanager
 async def run_proxy():
-    """Run a proxy before a server; yield it with the server's connections."""
+    """Run a proxy before a server; yield it and a function that opens a connection."""
     accepted: asyncio.Queue = asyncio.Queue()
+    sides = []
+
+    async def connect():
+        """Return the reader and writer of both sides of a new connection."""
+        async with asyncio.timeout(TIMEOUT_S):
+            sides.append(await asyncio.open_connection(proxies.HOST, proxy.port))
+            sides.append(await accepted.get())
+        outer, inner = sides[-2:]
+        assert await carries(outer, inner)
+        assert await carries(inner, outer)
+        return outer, inner
+
     server = await asyncio.start_server(
         lambda reader, writer: accepted.put_nowait((reader, writer)), proxies.HOST, 0
     )
     port = server.sockets[0].getsockname()[1]
     proxy = await proxies.start_proxy(proxies.HOST, port)
     try:
-        yield proxy, accepted
+        yield proxy, connect
     finally:
-        proxies.reset_all(proxy)
+        for _, writer in sides:
+            writer.transport.abort()
+        await waiting.wait_until(lambda: not proxy.relayed, TIMEOUT_S)
         proxy.server.close()
         server.close()
 
 
-async def connect(proxy, accepted):
-    """Return the reader and writer of both sides of a new connection."""
-    outer = await asyncio.open_connection(proxies.HOST, proxy.port)
-    async with asyncio.timeout(TIMEOUT_S):
-        inner = await accepted.get()
-        assert await carries(outer, inner)
-        assert await carries(inner, outer)
-    return outer, inner
-
-
 async def carries(sender, receiver) -> bool:
     """Return whether a byte that one side sends reaches the other."""
     sender[1].write(b"x")
@@ -53,20 +57,20 @@
 @pytest.mark.parametrize("backward", [False, True])
 def test_silent_directions_carry_nothing_and_new_connections_work(forward, backward):
     async def play():
-        async with run_proxy() as (proxy, accepted):
-            outer, inner = await connect(proxy, accepted)
+        async with run_proxy() as (proxy, connect):
+            outer, inner = await connect()
             proxies.silence_open(proxy, forward, backward)
             assert await carries(outer, inner) is not forward
             assert await carries(inner, outer) is not backward
-            await connect(proxy, accepted)
+            await connect()
 
     asyncio.run(play())
 
 
 def test_silent_connection_takes_all_bytes_of_its_sender():
     async def play():
-        async with run_proxy() as (proxy, accepted):
-            outer, _ = await connect(proxy, accepted)
+        async with run_proxy() as (proxy, connect):
+            outer, _ = await connect()
             proxies.silence_open(proxy, forward=True, backward=True)
             async with asyncio.timeout(TIMEOUT_S):
                 for _ in range(200):
@@ -79,8 +83,8 @@
 @pytest.mark.parametrize("backward", [False, True])
 def test_end_of_a_silent_connection_is_not_relayed(backward):
     async def play():
-        async with run_proxy() as (proxy, accepted):
-            outer, inner = await connect(proxy, accepted)
+        async with run_proxy() as (proxy, connect):
+            outer, inner = await connect()
             proxies.silence_open(proxy, forward=True, backward=backward)
             outer[1].transport.abort()
             for _ in range(5):
@@ -89,15 +93,15 @@
                 inner[1].write(b"x")
             assert not inner[0].at_eof()
             inner[1].transport.abort()
-            await waiting.wait_until(lambda: not proxy.connections, TIMEOUT_S)
+            await waiting.wait_until(lambda: not proxy.relayed, TIMEOUT_S)
 
     asyncio.run(play())
 
 
 def test_end_of_a_connection_is_relayed_in_the_direction_that_works():
     async def play():
-        async with run_proxy() as (proxy, accepted):
-            outer, inner = await connect(proxy, accepted)
+        async with run_proxy() as (proxy, connect):
+            outer, inner = await connect()
             proxies.silence_open(proxy, forward=True, backward=False)
             inner[1].transport.abort()
             with contextlib.suppress(ConnectionError):
