--- a/hickoryweir/streams/connections.py
+++ b/hickoryweir/streams/connections.py
@@ -85,6 +85,7 @@
             interval_s=KEEP_ALIVE_INTERVAL_S,
         )
         if liveness_state is not None:
+            liveness.begin(liveness_state)
             self._start_timer()
 
     @property
@@ -182,11 +183,11 @@
     def _handle_probe(self, message: object) -> bool:
         """Handle a probe or a reply; return whether `message` is one."""
         if isinstance(message, liveness.Probe):
-            self._write(liveness.Reply(message.sequence))
+            self._write(liveness.make_reply(self._liveness, message))
             return True
         if isinstance(message, liveness.Reply):
             if self._liveness is not None:
-                liveness.record_reply(self._liveness, message.sequence)
+                liveness.record_reply(self._liveness, message)
             return True
         if self._liveness is not None:
             liveness.record_message(self._liveness)
@@ -237,6 +238,7 @@
         self._closed = True
         if self._timer is not None:
             self._timer.cancel()
+            liveness.end(self._liveness)
         with contextlib.suppress(Exception):
             self._writer.transport.abort()
 
--- a/hickoryweir/streams/hub.py
+++ b/hickoryweir/streams/hub.py
@@ -73,6 +73,7 @@
         self._handlers: dict[tuple[str, str], Handler] = {}
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
+        self._population = liveness.Population()
 
     @property
     def port(self) -> int:
@@ -139,7 +140,7 @@
             return
         peer = connections.Peer(hello.process_name, hello.availability_zone)
         liveness_state = liveness.make_accepting(
-            handshake.Purpose(hello.purpose), hello.probe_interval_ms
+            handshake.Purpose(hello.purpose), hello.probe_interval_ms, self._population
         )
         connection = connections.Connection(
             reader, writer, peer, liveness_state=liveness_state
--- a/hickoryweir/streams/liveness.py
+++ b/hickoryweir/streams/liveness.py
@@ -11,17 +11,19 @@
 The limit of the connecting side grows with the bytes ahead of its oldest probe without
 a reply, so that a large message on a slow link does not look like silence.
 
+A process with many connections asks in its replies for longer intervals.
+
 Examples
 --------
 >>> state = make_connecting(handshake.Purpose.FEED)
->>> [tick(state).value for _ in range(3)]
-['probe', 'probe', 'silent']
+>>> [tick(state).value for _ in range(4)]
+['probe', 'probe', 'probe', 'silent']
 >>> state = make_connecting(handshake.Purpose.FEED)
 >>> verdicts = []
 >>> for sequence in range(1, 4):
 ...     verdicts.append(tick(state).value)
 ...     record_received(state)
-...     record_reply(state, sequence)
+...     record_reply(state, Reply(sequence))
 >>> verdicts
 ['probe', 'probe', 'probe']
 """
@@ -30,6 +32,7 @@
 import dataclasses
 import enum
 import math
+import typing
 
 from hickoryweir.streams import codec, handshake
 
@@ -39,6 +42,8 @@
 MIN_INTERVAL_MS = 100
 MAX_INTERVAL_MS = 60_000
 MAX_UNANSWERED_COUNT = 64
+# Of all routers together, at each replica, which takes 5% of a core.
+MAX_PROBES_PER_S = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,9 +55,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """Replies to a probe."""
+    """Replies to a probe.
+
+    Attributes
+    ----------
+    interval_ms : int
+        The interval that the accepting side asks for; 0 if it stays.
+    """
+
+    OMITS_DEFAULTS: typing.ClassVar[bool] = True
 
     sequence: int
+    interval_ms: int = 0
 
 
 codec.register("pr", Probe)
@@ -69,18 +83,21 @@
         Time between ticks.
     connecting_count, accepting_count : int
         Ticks without a byte after which each side ends a connection.
+    is_stretched : bool
+        Whether many connections lengthen the interval.
     """
 
     interval_ms: int
     connecting_count: int
     accepting_count: int
+    is_stretched: bool = False
 
 
 # A replica whose event loop stands still for most of a second keeps its connections,
 # and there is time left for an election within 3 s.
 _FAST = Limits(200, 6, 9)
-# Several times as long as a heartbeat of the feeds, and cheap with 1,400 routers.
-_SLOW = Limits(1000, 3, 5)
+# As long as routers wait for heartbeats.
+_SLOW = Limits(500, 4, 6, is_stretched=True)
 LIMITS = {
     handshake.Purpose.REPLICA: _FAST,
     handshake.Purpose.CLIENT: _FAST,
@@ -109,6 +126,13 @@
     sent_size_bytes: int
 
 
+@dataclasses.dataclass(slots=True)
+class Population:
+    """Connections that a process has accepted and whose interval is stretched."""
+
+    count: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class State:
     """What one side has sent and received on a connection.
@@ -125,6 +149,7 @@
     interval_s: float
     limit_count: int
     is_connecting: bool
+    population: Population | None = None
     silent_count: int = 0
     sequence: int = 0
     has_received: bool = False
@@ -143,12 +168,52 @@
     return State(purpose, limits.interval_ms / 1000, limits.connecting_count, True)
 
 
-def make_accepting(purpose: handshake.Purpose, interval_ms: int) -> State | None:
+def make_accepting(
+    purpose: handshake.Purpose, interval_ms: int, population: Population
+) -> State | None:
     """Return the state of a side that replies; None if the other does not probe."""
     if interval_ms <= 0:
         return None
-    interval_s = min(max(interval_ms, MIN_INTERVAL_MS), MAX_INTERVAL_MS) / 1000
-    return State(purpose, interval_s, LIMITS[purpose].accepting_count, False)
+    limits = LIMITS[purpose]
+    interval_s = _bounded_s(interval_ms)
+    state = State(purpose, interval_s, limits.accepting_count, False)
+    state.population = population if limits.is_stretched else None
+    return state
+
+
+def begin(state: State) -> None:
+    """Record that a connection is open."""
+    if state.population is not None:
+        state.population.count += 1
+
+
+def end(state: State) -> None:
+    """Record the end of a connection."""
+    if state.population is not None:
+        state.population.count -= 1
+        state.population = None
+
+
+def make_reply(state: State | None, probe: Probe) -> Reply:
+    """Return the reply to a probe.
+
+    Examples
+    --------
+    >>> crowd = Population(1404)
+    >>> state = make_accepting(handshake.Purpose.FEED, 500, crowd)
+    >>> make_reply(state, Probe(1))
+    Reply(sequence=1, interval_ms=1404)
+    """
+    if state is None or state.population is None:
+        return Reply(probe.sequence)
+    wanted_ms = state.population.count * 1000 // MAX_PROBES_PER_S
+    interval_ms = max(wanted_ms, LIMITS[state.purpose].interval_ms)
+    state.interval_s = _bounded_s(interval_ms)
+    return Reply(probe.sequence, interval_ms)
+
+
+def _bounded_s(interval_ms: int) -> float:
+    return min(max(interval_ms, MIN_INTERVAL_MS), MAX_INTERVAL_MS) / 1000
 
 
 def record_sent(state: State, size_bytes: int) -> None:
@@ -167,10 +232,12 @@
     state.has_received_message = True
 
 
-def record_reply(state: State, sequence: int) -> None:
+def record_reply(state: State, reply: Reply) -> None:
     """Record a reply to a probe and so to those before it."""
-    while state.unanswered and state.unanswered[0].sequence <= sequence:
+    while state.unanswered and state.unanswered[0].sequence <= reply.sequence:
         state.confirmed_size_bytes = state.unanswered.popleft().sent_size_bytes
+    if state.is_connecting and reply.interval_ms > 0:
+        state.interval_s = _bounded_s(reply.interval_ms)
 
 
 def tick(state: State) -> Verdict:
