--- a/hickoryweir/testing/soak/replica_oracle.py
+++ b/hickoryweir/testing/soak/replica_oracle.py
@@ -16,6 +16,10 @@
 
     Attributes
     ----------
+    began_s : float
+        End of the last fault, on the steady clock.
+    paused_s : dict
+        When each replica was paused, on the steady clock.
     newest_version : int
         Highest version acknowledged before the end of the last fault.
     read_versions : dict
@@ -33,6 +37,8 @@
         Hosts whose processes had ended by themselves, with exit codes.
     """
 
+    began_s: float = 0.0
+    paused_s: dict[str, float] = dataclasses.field(default_factory=dict)
     newest_version: int = 0
     read_versions: dict[str, int | None] = dataclasses.field(default_factory=dict)
     acknowledged_s: dict[str, float | None] = dataclasses.field(default_factory=dict)
--- a/hickoryweir/testing/soak/replicas.py
+++ b/hickoryweir/testing/soak/replicas.py
@@ -10,12 +10,15 @@
 import collections
 import contextlib
 import dataclasses
+import functools
+import multiprocessing
 import pathlib
 import random
 import signal
 import tempfile
 import time
 from collections.abc import Iterable
+from concurrent import futures
 from typing import Annotated
 
 import aiohttp
@@ -39,6 +42,9 @@
 RECOVERY_LIMIT_S = 2 * replica_oracle.RECOVERY_BOUND_S
 # Time in which a replica that was paused is heard again.
 RESUMED_S = 1.5
+NETWORKS_COUNT = 256
+# Delays of the soak's own event loop, and so of the proxies, that are shown.
+DELAY_CHECK_S, DELAY_SHOWN_S = 0.02, 0.1
 ALL = "all"
 SHOWN_LINES_COUNT = 12
 COMMAND = "bin/soak replicas --seed {seed} --rounds 1 --faults {faults}"
@@ -71,6 +77,8 @@
     ----------
     locks : dict
         Held while a fault affects the process of a host.
+    delays_s : list of (float, float)
+        When the soak's own event loop was late, and by how much.
     """
 
     seed: int
@@ -85,6 +93,7 @@
     locks: dict[str, asyncio.Lock] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(asyncio.Lock)
     )
+    delays_s: list[tuple[float, float]] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,35 +105,34 @@
     violations: list[promises.Violation]
 
 
-async def run(options: Replicas) -> list[Outcome]:
-    """Play all rounds, some at a time; print and return their outcomes."""
-    slots: asyncio.Queue[int] = asyncio.Queue()
-    for slot in range(options.parallel):
-        slots.put_nowait(slot)
-    list_address = await stops.start_list(list)
-
-    async def play_in_slot(seed: int, folder: pathlib.Path) -> Outcome:
-        slot = await slots.get()
-        try:
-            return await play(options, seed, slot, folder, list_address)
-        finally:
-            slots.put_nowait(slot)
-
+def run(options: Replicas) -> list[Outcome]:
+    """Play all rounds, some at a time in processes of their own; print the outcomes."""
+    seeds = range(options.seed, options.seed + options.rounds)
     with tempfile.TemporaryDirectory(prefix="hickoryweir-replicas-") as temporary:
-        folder = options.logs or pathlib.Path(temporary)
-        seeds = range(options.seed, options.seed + options.rounds)
-        outcomes = await asyncio.gather(
-            *(play_in_slot(seed, folder / f"seed-{seed}") for seed in seeds)
+        play_seed = functools.partial(
+            play_in_folder, options, options.logs or pathlib.Path(temporary)
         )
+        if options.parallel == 1:
+            outcomes = [play_seed(seed) for seed in seeds]
+        else:
+            # The proxies of a round must not wait for the processes of another.
+            context = multiprocessing.get_context("spawn")
+            with futures.ProcessPoolExecutor(options.parallel, context) as executor:
+                outcomes = list(executor.map(play_seed, seeds))
     report(options, outcomes)
     return outcomes
 
 
-async def play(
-    options: Replicas, seed: int, slot: int, folder: pathlib.Path, list_address: str
-) -> Outcome:
+def play_in_folder(options: Replicas, folder: pathlib.Path, seed: int) -> Outcome:
+    """Play the round of a seed with its own event loop and folder."""
+    return asyncio.run(play(options, seed, folder / f"seed-{seed}"))
+
+
+async def play(options: Replicas, seed: int, folder: pathlib.Path) -> Outcome:
     """Play the round of a seed with processes of its own."""
-    networks = (f"127.0.{20 + 2 * slot}", f"127.0.{21 + 2 * slot}")
+    list_address = await stops.start_list(list)
+    number = seed % NETWORKS_COUNT
+    networks = (f"127.1.{number}", f"127.2.{number}")
     cluster = stops.make_cluster(folder, options.routers, list_address, networks)
     async with callers.make_session(ATTEMPT_TIMEOUT_S) as session:
         current = Round(seed, cluster, session)
@@ -133,7 +141,10 @@
             await start(current)
             began_s = time.monotonic()
             polling = callers.poll_versions(cluster, current.observations)
-            tasks = [asyncio.create_task(polling)]
+            tasks = [
+                asyncio.create_task(polling),
+                asyncio.create_task(watch_delays(current)),
+            ]
             ended_s = await play_faults(options, current, context)
             await check_recovery(current, context, ended_s)
             await end_tasks(tasks)
@@ -167,6 +178,16 @@
         raise TimeoutError(f"seed {current.seed}: no table at the start: {are_taken}")
 
 
+async def watch_delays(current: Round) -> None:
+    """Record when the soak's own event loop is late, until cancelled."""
+    while True:
+        due_s = time.monotonic() + DELAY_CHECK_S
+        await asyncio.sleep(DELAY_CHECK_S)
+        late_s = time.monotonic() - due_s
+        if late_s > DELAY_SHOWN_S:
+            current.delays_s.append((due_s, late_s))
+
+
 async def play_faults(
     options: Replicas, current: Round, context: faults.FaultContext
 ) -> float:
@@ -290,6 +311,7 @@
     """Record what an operator sees after the last fault."""
     cluster, recovery = current.cluster, current.recovery
     record_ended(current)
+    recovery.began_s = ended_s
     recovery.newest_version = newest_version(current)
     await asyncio.gather(
         *(read_and_change(current, replica, ended_s) for replica in cluster.replicas)
@@ -387,6 +409,7 @@
     await end_tasks(tasks)
     replica.process.send_signal(signal.SIGCONT)
     current.recovery.pairs_s[replica.host] = took_s if is_taken else None
+    current.recovery.paused_s[replica.host] = began_s
     await asyncio.sleep(RESUMED_S)
 
 
@@ -411,17 +434,27 @@
             f"{name} {describe(times_s.values())}"
             for name, times_s in slowest_s.items()
         )
-        + f", {len(outcome.violations)} violations"
+        + f", {len(outcome.violations)} violations",
+        flush=True,
     )
     if not outcome.violations:
         return
     for violation in outcome.violations:
         print(f"BROKEN: {violation.promise}: {violation.detail}")
-    for item in sorted(context.injected, key=lambda item: item.began_s):
-        print(
-            f"  {item.began_s - began_s:7.3f} to {item.ended_s - began_s:7.3f} "
-            f"{item.kind} {item.target} {item.detail}"
+    lines = [
+        (
+            item.began_s,
+            f"{item.kind} {item.target} {item.detail}, to {item.ended_s - began_s:.3f}",
         )
+        for item in context.injected
+    ]
+    lines += [
+        (at_s, f"own loop late by {late_s:.3f} s") for at_s, late_s in current.delays_s
+    ]
+    lines.append((recovery.began_s, "last fault has ended"))
+    lines += [(at_s, f"pause {host}") for host, at_s in recovery.paused_s.items()]
+    for at_s, text in sorted(lines):
+        print(f"  {at_s - began_s:7.3f} {text}")
     for member in current.cluster.replicas:
         print(f"  log of {member.host}, without its operators' requests")
         log = (member.folder / "log").read_text(errors="replace")
@@ -454,7 +487,7 @@
 
 def main() -> None:
     """Run from the command line."""
-    outcomes = asyncio.run(run(cappa.parse(Replicas)))
+    outcomes = run(cappa.parse(Replicas))
     raise SystemExit(1 if any(outcome.violations for outcome in outcomes) else 0)
 
 
