Membership: no change without a quorum that responds, before and after it

What callers saw (three replicas and a spare one as processes, one loses its folder while the others are frozen for up to 3 s): changes are refused with no_quorum or time out to the end.

Cause: a leader that has been frozen has heard nobody for longer than UNREACHABLE_AFTER_S. The spare learner's response was handled before the tick by which the leader steps down, so the learner counted as caught up, and of the two voters that seemed lost the leader removed the live one. A change is in force once it is appended. This one left the leader and the emptied replica as voters, so that it could neither be committed nor lead, and its longer log kept it from voting for the voter that it had removed.

Ruled out: links (the removed voter hears the refusals of its pre-votes, and both stay in term 9), and balancing of zones (the change was a removal of a voter taken for lost). Why the simulations missed it: they tick every replica before it gets messages, so a frozen leader always steps down first.

Why it works: the leader starts a change only while it has heard, within an election timeout, a quorum of the voters before it and of the voters after it, so what it appends can be committed. After a freeze it hears the live voters first, or steps down. Operators' changes are refused likewise; replacement.replace tries them again.

Both tests failed on the old code: no leader within 12 s, and the removal was accepted.

--- a/hickoryweir/replicas/elections.py
+++ b/hickoryweir/replicas/elections.py
@@ -114,13 +114,8 @@
 
 
 def _tick_leader(state: states.State, now_s: float, actions: list) -> None:
-    oldest_s = now_s - state.timing.election_timeout_s
-    heard = {
-        member_id
-        for member_id, progress in state.progress.items()
-        if progress.last_contact_s >= oldest_s
-    }
-    if not quorums.is_quorum(state, heard | {state.member_id}):
+    responding_ids = quorums.responding_ids(state, now_s)
+    if not quorums.is_quorum(state, responding_ids | {state.member_id}):
         _step_down(state, now_s, actions)
         return
     if state.transfer_target and now_s >= state.transfer_deadline_s:
--- a/hickoryweir/replicas/membership.py
+++ b/hickoryweir/replicas/membership.py
@@ -3,11 +3,15 @@
 A change takes effect as soon as its entry is appended to the log, as in published
 Raft.  A new replica starts as a learner; a separate change promotes it to voter, which
 the leader starts only once the learner has caught up.
+
+A leader that hears no quorum of the voters before or after a change does not start it.
+A change that can't be committed is in force all the same, so that its voters could not
+elect a leader either; a leader that was frozen takes all others for lost at first.
 """
 
 import dataclasses
 
-from hickoryweir.replicas import messages, replication
+from hickoryweir.replicas import messages, quorums, replication
 from hickoryweir.replicas import state as states
 from hickoryweir.streams import codec
 
@@ -44,7 +48,7 @@
         return
     voter = dataclasses.replace(member, voter=True)
     others = _members_without(state, event.member_id)
-    _append(state, (*others, voter), event.time_s, now_s, actions)
+    _append_if_quorum(state, (*others, voter), event.time_s, now_s, actions)
 
 
 def remove_member(
@@ -60,7 +64,7 @@
         actions.append(states.ChangeRefused(refusal))
         return
     others = _members_without(state, event.member_id)
-    _append(state, others, event.time_s, now_s, actions)
+    _append_if_quorum(state, others, event.time_s, now_s, actions)
 
 
 def is_caught_up(state: states.State, member_id: str, now_s: float) -> bool:
@@ -96,6 +100,22 @@
     )
 
 
+def _append_if_quorum(
+    state: states.State,
+    members: tuple[messages.Member, ...],
+    time_s: float,
+    now_s: float,
+    actions: list,
+) -> None:
+    responding_ids = quorums.responding_ids(state, now_s) | {state.member_id}
+    voter_ids = messages.Membership(members).voter_ids
+    has_quorum = quorums.is_quorum(state, responding_ids)
+    if has_quorum and quorums.is_majority(voter_ids, responding_ids):
+        _append(state, members, time_s, now_s, actions)
+    else:
+        actions.append(states.ChangeRefused(states.ChangeRefusal.NO_QUORUM))
+
+
 def _append(
     state: states.State,
     members: tuple[messages.Member, ...],
--- a/hickoryweir/replicas/quorums.py
+++ b/hickoryweir/replicas/quorums.py
@@ -18,11 +18,25 @@
 
 def is_quorum(state: states.State, member_ids: set[str]) -> bool:
     """Return whether these members are a quorum of the latest membership."""
-    voter_ids = state.membership.voter_ids
+    return is_majority(state.membership.voter_ids, member_ids)
+
+
+def is_majority(voter_ids: tuple[str, ...], member_ids: set[str]) -> bool:
+    """Return whether these members are a quorum of these voters."""
     count = sum(voter_id in member_ids for voter_id in voter_ids)
     return bool(voter_ids) and count >= majority_count(len(voter_ids))
 
 
+def responding_ids(state: states.State, now_s: float) -> set[str]:
+    """Return the members that a leader has heard from within an election timeout."""
+    oldest_s = now_s - state.timing.election_timeout_s
+    return {
+        member_id
+        for member_id, progress in state.progress.items()
+        if progress.last_contact_s >= oldest_s
+    }
+
+
 def is_voter(state: states.State) -> bool:
     """Return whether this replica is a voter."""
     return state.member_id in state.membership.voter_ids
--- a/hickoryweir/replicas/replacement.py
+++ b/hickoryweir/replicas/replacement.py
@@ -18,6 +18,7 @@
 UNKNOWN_MEMBER = states.ChangeRefusal.UNKNOWN_MEMBER.value
 TEMPORARY_REFUSALS = (
     states.ChangeRefusal.NOT_CAUGHT_UP.value,
+    states.ChangeRefusal.NO_QUORUM.value,
     states.ChangeRefusal.CHANGE_IN_PROGRESS.value,
     states.ChangeRefusal.TERM_NOT_COMMITTED.value,
     states.ChangeRefusal.TRANSFER_IN_PROGRESS.value,
--- a/hickoryweir/replicas/state.py
+++ b/hickoryweir/replicas/state.py
@@ -31,6 +31,7 @@
     UNKNOWN_MEMBER = "unknown_member"
     ALREADY_MEMBER = "already_member"
     NOT_CAUGHT_UP = "not_caught_up"
+    NO_QUORUM = "no_quorum"
     IS_LEADER = "is_leader"
     TRANSFER_IN_PROGRESS = "transfer_in_progress"
 
--- a/hickoryweir/replicas/tests/test_simulation.py
+++ b/hickoryweir/replicas/tests/test_simulation.py
@@ -2,11 +2,14 @@
 
 import pytest
 
-from hickoryweir.replicas import automation, elections, messages
+from hickoryweir.replicas import automation, elections, messages, requests
 from hickoryweir.replicas import state as states
 from hickoryweir.replicas.tests import managed_simulation, simulation
 
 RANDOM_STEPS_COUNT = 1500
+# Longer than `automation.UNREACHABLE_AFTER_S`.
+FROZEN_S = 3.0
+RECOVERY_S = managed_simulation.RECOVERY_S
 
 
 def make_running(seed=1, names=("a", "b", "c")):
@@ -113,9 +116,7 @@
         cluster.crash(name)
         cluster.start(name)
     cluster.network.clear()
-    assert cluster.run_until_leader(
-        managed_simulation.RECOVERY_S, sync_s=0.2, delay_s=0.1
-    )
+    assert cluster.run_until_leader(RECOVERY_S, sync_s=0.2, delay_s=0.1)
 
 
 def test_isolated_replica_campaigns_on_after_thousands_of_terms():
@@ -192,6 +193,42 @@
     assert automation.needs_to_join(learner.state)
 
 
+def test_frozen_leader_removes_no_voter_that_it_needs():
+    cluster = make_running()
+    leader = cluster.leader()
+    kept, lost = sorted(others(cluster), key=lambda item: item.state.member_id)
+    learner = add_learner(cluster, "d")
+    cluster.crash(lost.name)
+    cluster.network.clear()
+    cluster.now_s += FROZEN_S
+    # The leader gets the learner's response before it notices how late it is.
+    response = messages.AppendResponse(True, leader.state.log.last_index, 0, 0)
+    envelope = messages.Envelope(
+        leader.state.member_id, learner.state.member_id, leader.state.term, response
+    )
+    cluster.step(leader, states.Received(envelope))
+    views = automation.view_members(leader.state, cluster.now_s)
+    decided = automation.next_change(views, leader.state.member_id, 3)
+    cluster.step(leader, requests.make_change_event(decided, cluster.now_s))
+    cluster.run(RECOVERY_S)
+    assert cluster.leader() is not None
+    propose_and_run(cluster)
+    assert committed_payloads(cluster) == [b"command-0"]
+    assert decided.member.member_id == kept.state.member_id
+
+
+def test_voter_without_which_there_is_no_quorum_is_not_removed():
+    cluster = make_running()
+    leader = cluster.leader()
+    kept, lost = others(cluster)
+    cluster.crash(lost.name)
+    cluster.run(1.0)
+    cluster.step(leader, states.MemberRemoved(kept.state.member_id, cluster.now_s))
+    assert kept.state.member_id in leader.state.membership.voter_ids
+    propose_and_run(cluster)
+    assert committed_payloads(cluster) == [b"command-0"]
+
+
 def change(cluster, event):
     cluster.step(cluster.leader(), event)
     cluster.run(1.0)
