--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from hickoryweir.replicas import (
+    channels,
     client,
     disk,
     files,
@@ -22,7 +23,7 @@
 )
 from hickoryweir.replicas import state as states
 from hickoryweir.replicas.tests import register
-from hickoryweir.streams import handshake, hub
+from hickoryweir.streams import codec, handshake, hub
 
 
 def run(coroutine):
@@ -466,6 +467,27 @@
     assert reason is hub.ConnectReason.REFUSED
 
 
+def test_watch_at_a_node_that_fails_by_an_error_ends_at_once(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            name = next(name for name in replicas if name != router.leader_name)
+            running = replicas[name]
+            identity = register.make_identity("z")
+            channel = channels.Channel(identity, running.address, None, "", 1.0)
+            query = codec.encode(register.Get("k"))
+            watch = wire.WatchRequest(0, query, 0, 2 * register.START_TIMEOUT_S)
+            asked = asyncio.create_task(channel.ask(watch))
+            await asyncio.sleep(0.2)
+            waits = not asked.done()
+            running.node._queue.put_nowait(states.Received(None))
+            async with asyncio.timeout(5.0):
+                answer = await asked
+            await channel.close()
+            return waits, answer
+
+    assert run(scenario()) == (True, None)
+
+
 @pytest.mark.parametrize("moves", [False, True])
 def test_repeated_admission_leaves_no_task_behind(tmp_path, moves):
     problems = []
