Test: clients of the log and relays whose connections go silent

A channel that timed out was kept, so each later request on it timed out as well, and a relay of a follower waited 5 s for each.

--- a/hickoryweir/replicas/tests/test_silent_links.py
+++ b/hickoryweir/replicas/tests/test_silent_links.py
@@ -239,3 +239,33 @@
                 return link.is_closed
 
     assert not asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("layout", Layout)
+def test_client_whose_open_connections_went_silent_commits_in_time(
+    tmp_path, monkeypatch, layout
+):
+    async def break_links(mesh, replicas, router):
+        mesh.silence({"router"}, *DIRECTIONS[layout])
+
+    assert _run(monkeypatch, tmp_path, break_links) < RECOVERY_S
+
+
+@pytest.mark.parametrize("layout", Layout)
+def test_follower_whose_relay_went_silent_relays_again_in_time(
+    tmp_path, monkeypatch, layout
+):
+    async def scenario():
+        with silent_links.link_by_proxies(monkeypatch) as mesh:
+            async with register.run_cluster(tmp_path) as (replicas, router):
+                port = replicas[router.leader_name].address.port
+                proxy = mesh.by_link[("router", port)]
+                proxy.server.close()
+                proxies.reset_all(proxy)
+                await _commit(router, "before")
+                assert router.target_name != router.leader_name
+                relay = mesh.by_link[(router.target_name, port)]
+                proxies.silence_open(relay, *DIRECTIONS[layout])
+                return await _recover(replicas, router)
+
+    assert asyncio.run(scenario()) < RECOVERY_S
