Test: counts of usage whose connection goes silent

A replica missed what a router counted after the connection had gone silent, for as long as it stayed open.

--- a/hickoryweir/duties/tests/test_usage_feed.py
+++ b/hickoryweir/duties/tests/test_usage_feed.py
@@ -5,6 +5,7 @@
 import time
 
 import prometheus_client
+import pytest
 from returns import result
 
 from hickoryweir import clocks
@@ -18,11 +19,14 @@
     usage_sums,
 )
 from hickoryweir.replicas import wire
+from hickoryweir.replicas.tests import silent_links
 from hickoryweir.streams import handshake, hub
 from hickoryweir.testing import waiting
 
 HOST = "127.0.0.1"
 TIMEOUT_S = 10.0
+# The length of the shortest window.
+SILENCE_TIMEOUT_S = 5.0
 SETTINGS = usage_plan.Settings(5.0, 10.0)
 
 
@@ -170,3 +174,25 @@
     true_s, waited_s = asyncio.run(main())
     assert abs(true_s - 50_000.0) < 0.5
     assert waited_s < 1.0
+
+
+@pytest.mark.parametrize(
+    ("forward", "backward"), [(True, True), (True, False), (False, True)]
+)
+def test_counts_arrive_after_the_connection_went_silent(monkeypatch, forward, backward):
+    async def main():
+        reporter, counts = make_reporter(), usage_counts.make_state("p1", 5.0)
+        with silent_links.link_by_proxies(monkeypatch) as mesh:
+            async with (
+                run_hub(reporter) as peer_hub,
+                run_sender(peer_hub, counts, lambda: 1_000.0) as sender,
+            ):
+                sender.count("a")
+                await waiting.wait_until(lambda: total(reporter) == 1, TIMEOUT_S)
+                mesh.silence({"router"}, forward, backward)
+                sender.count("a")
+                await waiting.wait_until(
+                    lambda: total(reporter) == 2, SILENCE_TIMEOUT_S
+                )
+
+    asyncio.run(main())
