End a router's silent feed when the router opens another

A replica kept the subscriber of a feed that had gone silent: it waited 0.5 s for its confirmation of the next table, counted the router's last loads for good, and sent it all messages. A router whose messages alone were lost got heartbeats, asked for each announced table in vain, and never left the feed.

--- a/hickoryweir/feeds/publisher.py
+++ b/hickoryweir/feeds/publisher.py
@@ -139,6 +139,7 @@
 
     async def serve(self, connection: connections.Connection) -> None:
         """Serve one router until it disconnects."""
+        self._end_silent_feeds(connection.peer.process_name)
         self._subscribers[connection] = connection.peer.process_name
         # Before the list, with which a router starts to serve.
         self._send_versions(connection)
@@ -158,6 +159,12 @@
             self._loads_changed = True
             self._work.remove(connection)
 
+    def _end_silent_feeds(self, process_name: str) -> None:
+        """End former feeds of a router that has opened another."""
+        for connection, name in list(self._subscribers.items()):
+            if name == process_name and connection.silent_s:
+                connection.abort()
+
     def _handle(self, connection: connections.Connection, message: object) -> bool:
         """Handle a message of a router; return whether routers may send such ones."""
         match message:
