--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -106,6 +106,7 @@
     gauge = functools.partial(metrics.make_gauge, registry)
     store = latencies.make_latencies()
     registry.register(metrics.LatencyCollector(store))
+    registry.register(metrics.SilentConnectionCollector())
     return ForwardingMetrics(
         registry=registry,
         answers=counter("answers", "Final answers.", "route", "reason"),
--- a/hickoryweir/observability/metrics.py
+++ b/hickoryweir/observability/metrics.py
@@ -12,6 +12,7 @@
 from prometheus_client import registry as prometheus_registry
 
 from hickoryweir.observability import latencies
+from hickoryweir.streams import handshake, liveness
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 
@@ -57,6 +58,21 @@
         yield family
 
 
+class SilentConnectionCollector(prometheus_registry.Collector):
+    """Exports how many connections to other processes have ended as silent."""
+
+    def collect(self) -> Iterable[prometheus_core.Metric]:
+        """Yield one counter family with a sample per purpose."""
+        family = prometheus_core.CounterMetricFamily(
+            "hickoryweir_silent_connections",
+            "Connections to other processes ended because nothing arrived.",
+            labels=["purpose"],
+        )
+        for purpose in handshake.Purpose:
+            family.add_metric([purpose.value], liveness.ended_counts[purpose.value])
+        yield family
+
+
 def make_counter(
     registry: prometheus_client.CollectorRegistry,
     name: str,
@@ -88,6 +104,7 @@
     gauge = functools.partial(make_gauge, registry)
     store = latencies.make_latencies()
     registry.register(LatencyCollector(store))
+    registry.register(SilentConnectionCollector())
     return Metrics(
         registry=registry,
         calls=counter("calls", "Calls ended, by class and result.", "class", "result"),
--- a/hickoryweir/observability/tests/test_metrics.py
+++ b/hickoryweir/observability/tests/test_metrics.py
@@ -1,6 +1,7 @@
 """Tests of counters and histograms."""
 
 from hickoryweir.observability import latencies, metrics
+from hickoryweir.streams import liveness
 
 
 def test_a_refusal_is_exposed_with_its_reason():
@@ -29,3 +30,10 @@
 def test_quantile_without_values_is_zero():
     store = latencies.make_latencies()
     assert store.quantile_s("summary", latencies.Interval.ANSWER, 0.5) == 0.0
+
+
+def test_connections_that_ended_as_silent_are_exposed_by_purpose(monkeypatch):
+    monkeypatch.setitem(liveness.ended_counts, "replica", 2)
+    text = metrics.expose(metrics.make_metrics()).decode()
+    assert 'hickoryweir_silent_connections_total{purpose="replica"} 2.0' in text
+    assert 'hickoryweir_silent_connections_total{purpose="feed"}' in text
--- a/hickoryweir/streams/connections.py
+++ b/hickoryweir/streams/connections.py
@@ -212,8 +212,10 @@
 
     def _write(self, message: liveness.Probe | liveness.Reply) -> None:
         """Queue a message that is no part of what the owner sends."""
+        if self.is_closed:
+            return
         queued_size_bytes = self._writer.transport.get_write_buffer_size()
-        if not self.is_closed and queued_size_bytes <= self._max_queued_size_bytes:
+        if queued_size_bytes <= self._max_queued_size_bytes:
             self._writer.write(make_frame(message))
 
     def _end_silent(self) -> None:
