--- a/hickoryweir/testing/soak/replicas.py
+++ b/hickoryweir/testing/soak/replicas.py
@@ -42,6 +42,8 @@
 RECOVERY_LIMIT_S = 2 * replica_oracle.RECOVERY_BOUND_S
 # Time in which a replica that was paused is heard again.
 RESUMED_S = 1.5
+# Beside load, the processes of all rounds take long to start at once.
+START_TIMEOUT_S = 120.0
 NETWORKS_COUNT = 256
 # Delays of the soak's own event loop, and so of the proxies, that are shown.
 DELAY_CHECK_S, DELAY_SHOWN_S = 0.02, 0.1
@@ -162,7 +164,7 @@
     Raises
     ------
     TimeoutError
-        It is not within `clusters.READY_TIMEOUT_S`.
+        It is not within `START_TIMEOUT_S`.
     """
     cluster = current.cluster
     for member in (*cluster.replicas, *cluster.routers):
@@ -170,7 +172,7 @@
         clusters.write_settings(cluster, member)
         await clusters.make_links(cluster, member)
         clusters.launch(member)
-    until_s = time.monotonic() + clusters.READY_TIMEOUT_S
+    until_s = time.monotonic() + START_TIMEOUT_S
     are_taken = await asyncio.gather(
         *(change(current, replica.host, 1, until_s) for replica in cluster.replicas)
     )
