--- a/hickoryweir/replicas/links.py
+++ b/hickoryweir/replicas/links.py
@@ -14,8 +14,6 @@
 BACK_OFF_START_S = 0.05
 BACK_OFF_MAX_S = 0.5
 CONNECT_TIMEOUT_S = 1.0
-# Two intervals of the probes between replicas; a sound connection misses one at times.
-SUSPECT_AFTER_S = 0.4
 MAX_LOGGED_LENGTH = 200
 
 Handler = Callable[[connections.Connection], Awaitable[None]]
@@ -57,7 +55,7 @@
             self._tasks[member_id] = task
 
     def add_incoming(self, member_id: str, connection: connections.Connection) -> None:
-        """Record an incoming connection, used while the outgoing one is missing."""
+        """Record an incoming connection, used while there is no outgoing one."""
         self._incoming[member_id] = connection
 
     def remove_incoming(self, connection: connections.Connection) -> None:
@@ -68,8 +66,8 @@
 
     def send(self, envelope: messages.Envelope) -> None:
         """Send a message, or drop it if there is no connection with a free queue."""
-        connection = choose_connection(
-            self._outgoing.get(envelope.to_id), self._incoming.get(envelope.to_id)
+        connection = self._outgoing.get(envelope.to_id) or self._incoming.get(
+            envelope.to_id
         )
         if connection is not None:
             connection.offer(envelope)
@@ -126,19 +124,3 @@
         finally:
             self._outgoing.pop(member_id, None)
             connection.abort()
-
-
-def choose_connection(
-    outgoing: connections.Connection | None, incoming: connections.Connection | None
-) -> connections.Connection | None:
-    """Return the connection to send by: the outgoing one unless it may be silent.
-
-    On that one the other replica replies to probes, so that it is known to carry
-    messages.
-    """
-    if outgoing is None or incoming is None:
-        return outgoing or incoming
-    is_suspect = outgoing.silent_s >= SUSPECT_AFTER_S
-    if is_suspect and incoming.silent_s < outgoing.silent_s:
-        return incoming
-    return outgoing
