Replicas: the time since a member was heard counts replies to probes

replica_last_heard_seconds rose without end between two followers, which exchange no messages while there is a leader, so it could not show that one of them is deaf to the other.

The new test fails with the former metric: the followers do not hear each other within 10 s.

--- a/hickoryweir/entry/replica_metrics.py
+++ b/hickoryweir/entry/replica_metrics.py
@@ -1,6 +1,5 @@
 """Metrics of a replica's node and of its connections with the other replicas."""
 
-import math
 import time
 from collections.abc import Callable, Iterable
 
@@ -86,11 +85,11 @@
 def _last_heard_family(
     current: node.Node, names: list[str], now_s: float
 ) -> prometheus_core.Metric:
-    text = "Time since a message of another member; infinite if there was none."
+    text = "Time since another member was heard; infinite if it was not."
     family = _make_gauge("replica_last_heard_seconds", text)
     for name in names:
-        heard_at_s = current.heard_at_s.get(name, -math.inf)
-        family.add_sample(family.name, {"member": name}, now_s - heard_at_s)
+        silent_s = current.silent_s(name, now_s)
+        family.add_sample(family.name, {"member": name}, silent_s)
     return family
 
 
--- a/hickoryweir/entry/tests/test_replica_metrics.py
+++ b/hickoryweir/entry/tests/test_replica_metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a replica's node and of its connections."""
 
 import asyncio
+import itertools
 
 from hickoryweir.entry import own_formats, replica, replica_metrics, settings
 from hickoryweir.observability import forwarding_metrics
@@ -9,6 +10,7 @@
 from hickoryweir.testing import waiting
 
 TIMEOUT_S = 10.0
+QUIET_S = 2.0
 SETTINGS = """
 [process]
 role = replica
@@ -61,6 +63,24 @@
     assert leading["replica_has_quorum",] == following["replica_has_quorum",] == 1
 
 
+def test_followers_that_exchange_nothing_but_probes_hear_each_other(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, _):
+            pairs = list(itertools.permutations(replicas, 2))
+
+            def are_heard():
+                return all(
+                    collect(replicas[name])["replica_last_heard_seconds", other] < 1.0
+                    for name, other in pairs
+                )
+
+            await waiting.wait_until(are_heard, TIMEOUT_S)
+            await asyncio.sleep(QUIET_S)
+            await waiting.wait_until(are_heard, TIMEOUT_S)
+
+    asyncio.run(scenario())
+
+
 def test_metrics_tell_a_replica_that_nobody_reaches_from_a_healthy_one(tmp_path):
     async def scenario():
         async with register.run_cluster(tmp_path) as (replicas, router):
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -11,6 +11,7 @@
 import contextlib
 import dataclasses
 import functools
+import math
 import secrets
 import time
 import traceback
@@ -98,8 +99,6 @@
         The core's state; read-only for callers.
     machine : machine.Machine
         The state machine; read-only for callers.
-    heard_at_s : dict of str to float
-        When the last message of each other replica arrived, in monotonic time.
     incoming_counts : collections.Counter
         Number of open connections that each other replica has opened to this one.
     """
@@ -115,7 +114,8 @@
         self.machine = machine.make_machine(submachines)
         self.state: states.State | None = None
         self.failure: records.StorageFailure | None = None
-        self.heard_at_s: dict[str, float] = {}
+        self._heard_at_s: dict[str, float] = {}
+        self._replica_connections: set[connections.Connection] = set()
         self.incoming_counts: collections.Counter[str] = collections.Counter()
         self._files = files
         self._initial_replicas: tuple[wire.ReplicaAddress, ...] = ()
@@ -181,6 +181,20 @@
             for purpose, handler in handlers.items()
         ]
 
+    def silent_s(self, replica_name: str, now_s: float) -> float:
+        """Return for how long nothing of another replica has arrived.
+
+        Replies to probes count, as followers exchange nothing else while there is a
+        leader.  Infinite if nothing has arrived since the data folder was opened.
+        """
+        ages_s = [
+            connection.silent_s
+            for connection in self._replica_connections
+            if connection.peer.process_name == replica_name
+        ]
+        heard_at_s = self._heard_at_s.get(replica_name, -math.inf)
+        return min(now_s - heard_at_s, *ages_s, math.inf)
+
     def _close_registrations(self) -> None:
         for registration in self._registrations:
             registration.close()
@@ -282,6 +296,7 @@
 
     async def _serve_replica(self, connection: connections.Connection) -> None:
         name = connection.peer.process_name
+        self._replica_connections.add(connection)
         try:
             while True:
                 message = (await connection.receive()).value_or(None)
@@ -292,10 +307,11 @@
                 elif isinstance(message, messages.Envelope):
                     if messages.replica_name_of(message.from_id) != name:
                         return
-                    self.heard_at_s[name] = time.monotonic()
+                    self._heard_at_s[name] = time.monotonic()
                     self._links.add_incoming(message.from_id, connection)
                     self._queue.put_nowait(states.Received(message))
         finally:
+            self._replica_connections.discard(connection)
             self._links.remove_incoming(connection)
 
     async def _serve_client(self, connection: connections.Connection) -> None:
--- a/hickoryweir/streams/connections.py
+++ b/hickoryweir/streams/connections.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import enum
+import math
 import struct
 import typing
 
@@ -90,8 +91,10 @@
 
     @property
     def silent_s(self) -> float:
-        """Return for about how long nothing has arrived; 0 without probes."""
-        return 0.0 if self._liveness is None else liveness.silent_s(self._liveness)
+        """Return for about how long nothing has arrived; infinite without probes."""
+        if self._liveness is None:
+            return math.inf
+        return liveness.silent_s(self._liveness)
 
     @property
     def is_closed(self) -> bool:
