Close kept connections that went silent together with one that timed out

Callers of `serve` and the readers of small documents (load reports, health checks, the list of VMs, the list of servers, the rate of the weight store) keep connections to a server. When these go silent for good, open and acknowledged at the level of TCP, each of them cost one read or call its whole timeout: after KEPT_COUNT (4) connections went silent, three reads in a row failed and two silent connections were still kept. Three failed probes mark a sound engine as down.

Cause: a connection that times out is closed, but the next request takes another one that was idle since before the silence. Only TCP (user timeout and keep-alive probes) judged idle connections, and a middlebox answers these.

Each connection now records when it was last heard. When a request is given up that had no byte for 0.25 s, the idle connections to the same server that were not heard since it was sent are closed. A server that was merely slow costs new connections, nothing else. Nothing is sent again.

Evidence: engines/tests/test_silent_connections.py silences four kept connections in both directions, or in one, for six readers. Before: 18 of 18 fail with ([False, False, False], 2 silent connections open) against ([False, True, True], 0). After: 18 pass. The 19th test, that each call to a plain service has a connection of its own, passes before and after.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -20,6 +20,7 @@
 import re
 import select
 import socket
+import time
 from collections.abc import Coroutine
 
 import aiohappyeyeballs
@@ -32,6 +33,9 @@
 STEPS_AFTER_TIMEOUT_COUNT = 5
 # A connection remembers all ids that it carried, so this bounds their memory to 4 KiB.
 MAX_REQUESTS_COUNT = 512
+# A request that has waited for so long without a byte, when it is given up, shows that
+# its connection may be silent.
+SILENT_AFTER_S = 0.25
 # Size of a hash in Python.
 DIGEST_SIZE_BYTES = 8
 # Id of the current request: empty if it has none, None if it is a read that may use any
@@ -117,11 +121,16 @@
         equal by chance only open another connection.
     requests_count : int
         Requests that the connection has carried.
+    sent_at_s : float
+        When the last request began, on :func:`time.monotonic`.
+    heard_at_s : float
+        When the connection was established or last received a byte, likewise.
     """
 
     was_reset = False
     idle_timeout_s: float | None = None
     requests_count = 0
+    sent_at_s = float("-inf")
     _overhead_size_bytes = 0
     _content_size_bytes = 0
     # Between the first byte of a request and the last one of its response.
@@ -134,6 +143,7 @@
     def __init__(self, *args, **options) -> None:
         super().__init__(*args, **options)
         self.carried_ids = bytearray()
+        self.heard_at_s = time.monotonic()
 
     def set_response_params(self, **options) -> None:
         """Begin to count for the next response on the connection."""
@@ -143,6 +153,15 @@
     def begin_request(self) -> None:
         """Expect a response, since the request is written now."""
         self._is_open, self._is_written, self._body = True, False, None
+        self.sent_at_s = time.monotonic()
+
+    def is_silent(self, after_s: float) -> bool:
+        """Return whether the open request has had no byte for `after_s` or longer."""
+        return (
+            self._is_open
+            and self.heard_at_s < self.sent_at_s
+            and time.monotonic() - self.sent_at_s >= after_s
+        )
 
     def end_request(self) -> None:
         """Record that the whole request was written."""
@@ -160,6 +179,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Refuse bytes that nobody asked for, and bound those without content."""
+        self.heard_at_s = time.monotonic()
         if data and not self._is_open:
             self._give_up(UnaskedBytesError("bytes while no request was open"))
             return
@@ -267,16 +287,43 @@
     which nobody asked for, or that has carried a request with the current request's id;
     a request without an id gets a new one.  A connect that is cancelled, or that times
     out, leaves other connections alone.
+
+    Connections may go silent together, and TCP does not show it where a middlebox
+    acknowledges.  When a request is given up that had no byte for `silent_after_s`, the
+    idle connections to its server are closed that were not heard since it was sent.
     """
 
-    def __init__(self, **options) -> None:
+    def __init__(self, silent_after_s: float = SILENT_AFTER_S, **options) -> None:
         super().__init__(**options)
+        self._silent_after_s = silent_after_s
         self._factory = functools.partial(ResponseProtocol, loop=self._loop)
 
     def _release(self, key, protocol, *, should_close=False) -> None:
         is_used_up = protocol.requests_count >= MAX_REQUESTS_COUNT
+        if protocol.is_silent(self._silent_after_s):
+            self._close_unheard_of(key, protocol.sent_at_s)
         super()._release(key, protocol, should_close=should_close or is_used_up)
 
+    def close_unheard(self, since_s: float) -> None:
+        """Close the idle connections to all servers that were not heard since then.
+
+        Parameters
+        ----------
+        since_s : float
+            Time on :func:`time.monotonic`.
+        """
+        for key in list(self._conns):
+            self._close_unheard_of(key, since_s)
+
+    def _close_unheard_of(self, key, since_s: float) -> None:
+        kept = self._conns.get(key, ())
+        for entry in tuple(kept):
+            if entry[0].heard_at_s < since_s:
+                kept.remove(entry)
+                entry[0].close()
+        if not kept:
+            self._conns.pop(key, None)
+
     async def _get(self, key, traces):
         chosen = self._choose(key)
         if chosen is None:
