Send requests again that wait on a connection to a server that is silent

Clients of `forward` waited to their deadline, and got 504, when the kept connection of their request was open but carried nothing in one direction or both, while new connections to the server worked. Plain requests that may run again were sent again after half of their time, but over a connection to another server that was silent as well. Each kept connection cost one request; at-most-once requests met them one after another.

Cause: the response's arrival was bounded by the deadline only, and idle connections were judged by TCP, which a middlebox answers.

A request without a byte of its response for max(1 s, 3 targets) plus twice the expected prefill now asks its server for a slot, by a health check over a new connection. A server that has one would have begun a request that it got before, so a slow or full server is told apart. If it passes:

- idle connections to all servers that were not heard since the request was sent are closed (close_unheard);
- a request that may run again is sent once more to the same server over a new connection, within the retry budget.
The first connection stays open, and the first response counts, so that a request that is only slow loses nothing;
- an at-most-once request is never sent again.

After an attempt that timed out, the request's next attempts use new connections.

Not changed: such a stream is not resumed by the router before its deadline.

--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -330,6 +330,9 @@
         Attempts of which a byte was sent.
     unsent_count : int
         Attempts for which no connection was established.
+    needs_new_connection : bool
+        Whether an attempt had no response in time, so that kept connections may be
+        silent.
     has_response_head : bool
         Whether the current attempt has received the head of a response.
     events_began_s : float or None
@@ -399,6 +402,7 @@
     failed_response: web.Response | None = None
     sent_count: int = 0
     unsent_count: int = 0
+    needs_new_connection: bool = False
     has_response_head: bool = False
     events_began_s: float | None = None
     has_progressed: bool = False
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -8,7 +8,9 @@
 import asyncio
 import dataclasses
 import functools
+import math
 import time
+from collections.abc import Awaitable
 
 import aiohttp
 from aiohttp import web
@@ -39,6 +41,8 @@
     server_reachability,
     server_selection,
     service_demand,
+    silent_connections,
+    sockets,
     speeds,
 )
 from hickoryweir.forwarding_policy import (
@@ -324,6 +328,11 @@
         return False
     if crashes.is_blocked(context):
         return False
+    return _acquire_retry(context)
+
+
+def _acquire_retry(context: contexts.RequestContext) -> bool:
+    """Return whether the retry budget of a request's service allows another send."""
     forwarder = context.forwarder
     budget = _budget(forwarder, context.service_name)
     taken = retry_budget.try_acquire(
@@ -445,19 +454,45 @@
     timeout_s = next_attempts.response_timeout_s(
         context.route, untried_count, context.time_left_s
     )
-    sending = exchange.send(
-        session,
-        _make_backend_request(context, view),
-        forwarder.codec,
-        functools.partial(notices.record, context, view),
+
+    def send_once() -> Awaitable[exchange.Outcome]:
+        return exchange.send(
+            session,
+            _make_backend_request(context, view),
+            forwarder.codec,
+            functools.partial(notices.record, context, view),
+        )
+
+    sending = silent_connections.send(
+        context, view, send_once, functools.partial(_reserve_second_send, context)
     )
-    if timeout_s >= context.time_left_s:
-        return await sending
+    limit_s = sockets.NO_IDLE_S if context.needs_new_connection else math.inf
+    token = sockets.max_reused_idle_s.set(limit_s)
     try:
-        async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout(
+            timeout_s if timeout_s < context.time_left_s else None
+        ):
             return await sending
     except TimeoutError:
+        context.needs_new_connection = True
         return exchange.Lost("no response within the attempt's timeout")
+    finally:
+        sockets.max_reused_idle_s.reset(token)
+
+
+def _reserve_second_send(context: contexts.RequestContext) -> bool:
+    """Return whether a request may be sent once more before its first send has ended.
+
+    Its server counts once, but the second send is taken from the retry budget.
+    """
+    if context.route.execution is model.Execution.AT_MOST_ONCE:
+        return False
+    if not next_attempts.is_worth_sending(context.route, context.time_left_s):
+        return False
+    if crashes.is_blocked(context) or not _acquire_retry(context):
+        return False
+    router_load.count_passed(context.forwarder, 0, len(context.body))
+    return True
 
 
 def _make_backend_request(
--- a/hickoryweir/forwarding/probing.py
+++ b/hickoryweir/forwarding/probing.py
@@ -1,6 +1,7 @@
 """Background probes of servers that could not be reached, or that may not be."""
 
 import asyncio
+import re
 import time
 
 from hickoryweir import clocks
@@ -13,6 +14,7 @@
 # Bounds the connections that are opened at once when many servers are lost.
 MAX_PROBES_COUNT = 16
 DEFAULT_HEALTH_PATH = "/"
+HEALTHY_STATUS_LINE = re.compile(rb"HTTP/1\.[01] 200 ")
 
 
 async def run(forwarder: contexts.Forwarder) -> None:
@@ -107,18 +109,46 @@
     writer: asyncio.StreamWriter,
 ) -> bool:
     """Return whether any byte of a response comes in time, whatever it says."""
+    try:
+        _write_health_check(forwarder, view, writer)
+        async with asyncio.timeout(unreachable_servers.RESPONSE_TIMEOUT_S):
+            return bool(await reader.read(1))
+    except (OSError, TimeoutError):
+        # The caller records that the server was silent.
+        return False
+
+
+def _write_health_check(
+    forwarder: contexts.Forwarder,
+    view: server_pool.ServerView,
+    writer: asyncio.StreamWriter,
+) -> None:
     route_index = forwarder.route_index
     services = {} if route_index is None else route_index.services
     service = services.get(view.listed.service_name)
     path = DEFAULT_HEALTH_PATH if service is None else service.health_path
     head = f"GET {path} HTTP/1.1\r\nHost: {view.listed.address}\r\n"
+    writer.write(f"{head}Connection: close\r\n\r\n".encode())
+
+
+async def has_slot(forwarder: contexts.Forwarder, view: server_pool.ServerView) -> bool:
+    """Return whether a server passes a health check on a new connection in time.
+
+    A health check waits for a slot, or is rejected, as a request does.
+    """
+    host, port = wire.split_address(view.listed.address)
+    writer = None
     try:
-        writer.write(f"{head}Connection: close\r\n\r\n".encode())
         async with asyncio.timeout(unreachable_servers.RESPONSE_TIMEOUT_S):
-            return bool(await reader.read(1))
-    except (OSError, TimeoutError):
-        # The caller records that the server was silent.
+            reader, writer = await asyncio.open_connection(host, port)
+            _write_health_check(forwarder, view, writer)
+            return bool(HEALTHY_STATUS_LINE.match(await reader.readline()))
+    except (OSError, TimeoutError, ValueError):
+        # Without a whole status line the server has not said that it is healthy.
         return False
+    finally:
+        if writer is not None:
+            writer.close()
 
 
 def record_silent(forwarder: contexts.Forwarder, view: server_pool.ServerView) -> None:
--- a/hickoryweir/forwarding/server_pool.py
+++ b/hickoryweir/forwarding/server_pool.py
@@ -102,6 +102,10 @@
         When it last accepted a probe, on :func:`clocks.boottime_s`.
     asked_at_s : float
         When it was last asked to respond to a probe, likewise.
+    slot_asked_at_s : float
+        When it was last asked for a slot by a health check, on :func:`time.monotonic`.
+    served_check_at_s : float
+        When it was asked for the last one that it passed, likewise.
     parts : dict
         Time of the last use of prompt parts sent there, by part id, least recent first.
     parts_announced_s : dict
@@ -150,6 +154,8 @@
     next_probe_s: float = 0.0
     verified_at_s: float = float("-inf")
     asked_at_s: float = float("-inf")
+    slot_asked_at_s: float = float("-inf")
+    served_check_at_s: float = float("-inf")
     parts: dict[str, float] = dataclasses.field(default_factory=dict)
     parts_announced_s: dict[str, float] = dataclasses.field(default_factory=dict)
     unannounced_parts: dict[str, None] = dataclasses.field(default_factory=dict)
--- a/hickoryweir/forwarding/sockets.py
+++ b/hickoryweir/forwarding/sockets.py
@@ -23,6 +23,10 @@
 # Used where no limit is configured: the usual number of slots of a server.
 DEFAULT_MAX_IDLE_CONNECTIONS_COUNT = 64
 EXPIRY_INTERVAL_S = 0.5
+# Busy servers let requests wait, so clients that leave earlier show nothing.
+SILENT_AFTER_S = 1.0
+# Idle time below that of any connection, so that a new one is opened.
+NO_IDLE_S = -1.0
 # Longest idle time of a connection that the current request may reuse.
 max_reused_idle_s: contextvars.ContextVar[float] = contextvars.ContextVar(
     "max_reused_idle_s", default=math.inf
@@ -46,6 +50,7 @@
         super().__init__(
             limit=sessions.NO_LIMIT,
             keepalive_timeout=kept_connections.MAX_IDLE_S,
+            silent_after_s=SILENT_AFTER_S,
             **options,
         )
         self._max_idle_connections_count = max_idle_connections_count
@@ -108,7 +113,7 @@
     async def send(
         request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
     ) -> aiohttp.ClientResponse:
-        token = max_reused_idle_s.set(limit_s)
+        token = max_reused_idle_s.set(min(limit_s, max_reused_idle_s.get()))
         try:
             return await handler(request)
         finally:
--- a/hickoryweir/forwarding_policy/next_attempts.py
+++ b/hickoryweir/forwarding_policy/next_attempts.py
@@ -15,6 +15,7 @@
 # Slow responses under load stay below this limit; an unresponsive server exceeds it.
 UNRESPONSIVE_AFTER_TARGETS = 3.0
 UNRESPONSIVE_MIN_S = 1.0
+UNRESPONSIVE_AFTER_WAITS = 2.0
 
 
 class Ran(enum.StrEnum):
@@ -59,6 +60,21 @@
 
 def is_unresponsive(route: model.Route, waited_s: float) -> bool:
     """Return whether a server that has sent nothing for `waited_s` is to be avoided."""
-    return waited_s > max(
-        UNRESPONSIVE_MIN_S, UNRESPONSIVE_AFTER_TARGETS * route.target_latency_s
-    )
+    return waited_s > _unresponsive_after_s(route)
+
+
+def silent_after_s(route: model.Route, expected_wait_s: float) -> float:
+    """Return after what time without a byte a connection may have gone silent.
+
+    Parameters
+    ----------
+    route : model.Route
+        Route of the request that waits.
+    expected_wait_s : float
+        Time until the first event that was expected when it was sent; 0 if unknown.
+    """
+    return _unresponsive_after_s(route) + UNRESPONSIVE_AFTER_WAITS * expected_wait_s
+
+
+def _unresponsive_after_s(route: model.Route) -> float:
+    return max(UNRESPONSIVE_MIN_S, UNRESPONSIVE_AFTER_TARGETS * route.target_latency_s)
