Send each order to an engine over a new connection

An order to load a model over a kept connection that had gone silent never reached its engine, and the issuer waited for it for up to 600 s; meanwhile the engine counted as having an order in progress and got no other one.

Cause: orders shared the kept connections of calls and reports, and the time limit of an order covers a whole load. An order is rare, so it now has a connection of its own, as a request without an id has.

Evidence: test_order_is_not_sent_over_a_silent_connection fails on (0 orders arrived, 1 expected) and passes now; test_orders and test_issuer pass. Open: a connection that goes silent while an order is executed is noticed after 600 s.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -38,8 +38,8 @@
 SILENT_AFTER_S = 0.25
 # Size of a hash in Python.
 DIGEST_SIZE_BYTES = 8
-# Id of the current request: empty if it has none, None if it is a read that may use any
-# connection.
+# Id of the current request: empty if it has none and needs a new connection, None if it
+# is a read that may use any connection.
 sent_request_id: contextvars.ContextVar[str | None] = contextvars.ContextVar(
     "sent_request_id", default=None
 )
--- a/hickoryweir/engines/orders.py
+++ b/hickoryweir/engines/orders.py
@@ -16,7 +16,7 @@
 from returns import result
 
 from hickoryweir.configuration import model
-from hickoryweir.engines import client, failures, reads
+from hickoryweir.engines import client, failures, framing, reads
 
 CONFLICT = 409
 MAX_RESPONSE_SIZE_BYTES = 64 * 1024
@@ -117,7 +117,9 @@
     holds_lease: Callable[[], bool],
     timeout_s: float,
 ) -> result.Result[OrderDone, OrderFailure]:
-    """Send an order once.
+    """Send an order once, over a new connection.
+
+    A kept one may have gone silent, and an order may wait for minutes.
 
     Parameters
     ----------
@@ -140,6 +142,7 @@
     if not holds_lease():
         message = "the issuer's lease has expired"
         return result.Failure(OrderFailure(OrderFailureReason.NOT_SENT, message))
+    token = framing.sent_request_id.set("")
     try:
         async with session.post(
             f"{server.url}/orders",
@@ -160,6 +163,8 @@
     except failures.NETWORK_ERRORS as error:
         name = type(error).__name__
         return result.Failure(OrderFailure(OrderFailureReason.UNKNOWN, name))
+    finally:
+        framing.sent_request_id.reset(token)
 
 
 def order_body(order: Order) -> bytes:
--- a/hickoryweir/engines/tests/test_silent_connections.py
+++ b/hickoryweir/engines/tests/test_silent_connections.py
@@ -9,7 +9,7 @@
 from returns import result
 
 from hickoryweir.discovery import listing, poller
-from hickoryweir.engines import calls, client, reads, reports, sessions
+from hickoryweir.engines import calls, client, orders, reads, reports, sessions
 from hickoryweir.engines.tests import benches
 from hickoryweir.policy import events
 from hickoryweir.services import calls as service_calls
@@ -147,3 +147,20 @@
             return has_run, arrived.count("/pay")
 
     assert asyncio.run(main()) == ([True] * 3, 3)
+
+
+def test_order_is_not_sent_over_a_silent_connection():
+    """Guards against an engine without orders for as long as a load may take."""
+
+    async def main():
+        async with (
+            sessions.make_session(keeps_connections=True) as session,
+            run_link(session) as (link, url, arrived),
+        ):
+            silent_links.silence(link)
+            order = orders.Order("1/2", "engine-1", 1, orders.OrderKind.LOAD_MODEL)
+            server = benches.make_server(url)
+            await orders.send(session, server, order, lambda: True, TIMEOUT_S)
+            return arrived.count("/orders")
+
+    assert asyncio.run(main()) == 1
