--- a/hickoryweir/duties/tests/test_calls.py
+++ b/hickoryweir/duties/tests/test_calls.py
@@ -8,6 +8,7 @@
 from hickoryweir.duties import calls
 from hickoryweir.engines import framing
 from hickoryweir.entry import own_calls
+from hickoryweir.testing import silent_links
 
 PERMISSION = calls.Permission("vm1", 7)
 CALL = calls.UsageReport(3, (("a", 2),))
@@ -154,6 +155,32 @@
     assert holder.given_up == [7]
 
 
+def test_call_never_meets_a_silent_connection():
+    """Guards against a token that is given up since an earlier connection is silent."""
+    holder = Holder()
+
+    async def run():
+        async with (
+            serving(respond(200)) as (address, received),
+            silent_links.run_link(address) as link,
+        ):
+            caller = calls.Caller(
+                link.address,
+                own_calls.make_format(),
+                calls.Holding(holder.permission, holder.give_up),
+                10.0,
+            )
+            found = []
+            for _ in range(3):
+                found.append(await caller.send(CALL))
+                silent_links.silence(link)
+            await caller.close()
+            return found, len(received)
+
+    assert asyncio.run(run()) == ([calls.Outcome.ACCEPTED] * 3, 3)
+    assert holder.given_up == []
+
+
 def test_unreachable_infrastructure_keeps_the_token():
     # Nothing was sent, so that nothing can be executed later.
     holder = Holder()
--- a/hickoryweir/forwarding/tests/test_relaying.py
+++ b/hickoryweir/forwarding/tests/test_relaying.py
@@ -24,6 +24,7 @@
 from hickoryweir.forwarding_policy import relays, server_notices
 from hickoryweir.routes import model
 from hickoryweir.routes.tests import tables
+from hickoryweir.testing import silent_links
 from hickoryweir.testing.demo import entry_vms
 
 KEY = "demo-key"
@@ -100,6 +101,32 @@
     assert sent[headers.SERVER_ID] == "s0"
 
 
+def test_relayed_request_never_meets_a_silent_connection():
+    """Guards against a request that waits on a connection kept from an earlier one."""
+
+    async def main():
+        async with run_pair([sites.answering()]) as pair:
+            pool = pair.near.forwarder.relays
+            target_address = f"{sites.HOST}:{pool.port}"
+            async with silent_links.run_link(target_address) as link:
+                pool.port = int(link.address.rpartition(":")[2])
+                pool.by_host.clear()
+                relay_pool.update_named(
+                    pool, "replica", (relays.Router(sites.HOST, "a"),)
+                )
+                found = []
+                for number in range(4):
+                    given = {headers.REQUEST_ID: f"r-{number}"}
+                    started_s = time.monotonic()
+                    status = (await pair.near.call(given=given))[0]
+                    found.append((status, time.monotonic() - started_s < 0.5))
+                    silent_links.silence(link)
+                await sites.wait_until(lambda: not silent_links.open_silent_count(link))
+                return found
+
+    assert asyncio.run(main()) == [(200, True)] * 4
+
+
 def test_events_of_a_relayed_stream_are_forwarded_as_they_come():
     async def answer(request, body):
         return await stream_events(request, 4, 0.1)
