Resume a stream of a split route only at the service where it began

A client that resumed a stream at a router which did not know it got events of the route's other service, by the weights of the split, while each service had one software version in use. The same happened to a stream of a service that had lost its weight.

Cause: an unknown stream was sent to a service by weight, as a new request, and its version was then inferred from the one version in use there. Routers told replicas where streams began only while a service had two versions.

- A stream of a route with several services goes on only where it is known to have begun; otherwise it is refused with 503 `version_unknown` and Retry-After, and nothing is sent.
- Routers tell the replicas of the streams of such routes at all times, and of those that they began earlier when a table splits a route (apply_table).
- A service without weight counts as one where a stream may have begun, and gets none.

Not covered: a route that a table moves as a whole to another service.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -320,7 +320,7 @@
             fields = logs.Fields(version=version, reason=problems[0])
             logs.error("table in the replicated log is invalid", fields)
             return False
-        self.forwarder.route_index = matching.make_index(table)
+        resumption.apply_table(self.forwarder, matching.make_index(table))
         server_pool.update_services(
             self.forwarder.pool, [service.name for service in table.services]
         )
@@ -330,7 +330,6 @@
         self.forwarder.wait_bounds.clear()
         account_sharing.apply_table(self.forwarder)
         self.forwarder.sensitive_routes.clear()
-        self.forwarder.stream_lifetimes_s.clear()
         self._update_started()
         self.forwarder.metrics.table_version.set(table.version)
         routes_count = len(table.routes)
--- a/hickoryweir/forwarding/resumption.py
+++ b/hickoryweir/forwarding/resumption.py
@@ -13,7 +13,7 @@
 from hickoryweir.forwarding import contexts, errors, server_pool
 from hickoryweir.forwarding_policy import stream_versions
 from hickoryweir.observability import logs
-from hickoryweir.routes import model
+from hickoryweir.routes import matching, model
 
 # A replica answers within milliseconds; its link may be slow.
 ORIGIN_WAIT_S = 0.2
@@ -140,27 +140,35 @@
 
 
 def _keys_by_service(context: contexts.RequestContext) -> dict[str, int]:
-    """Return the stream's key at each service that its route may use."""
+    """Return the stream's key at each service where it can have begun.
+
+    A service without weight may have had one when the stream began.
+    """
     stream_id = context.metadata.resumed_stream_id
     return {
         item.service_name: _key(context, item.service_name, stream_id)
         for item in context.route.destinations
-        if item.weight
     }
 
 
 def _decide(
     context: contexts.RequestContext, recorded: frozenset[tuple[str, str]] | None
 ) -> stream_versions.Resumption | stream_versions.Unknown:
-    """Decide for the service of the request, or for the one where it began."""
+    """Decide for the service where a stream began; it may go on at no other."""
     forwarder, state = context.forwarder, context.forwarder.known_streams
     refresh_versions(forwarder)
     now_s = clocks.boottime_s()
     keys = _keys_by_service(context)
-    for name, key in keys.items():
-        if key in state.origins:
-            context.service_name = name
-    name = context.service_name
+    began_at = [
+        name
+        for name, key in keys.items()
+        if key in state.origins and state.origins[key].expires_at_s > now_s
+    ]
+    name = began_at[0] if began_at else context.service_name
+    is_known = len(began_at) == 1 or len(keys) == 1
+    if not is_known or not _uses_service(context.route, name):
+        return stream_versions.Unknown(_versions_in_use(context, tuple(keys)))
+    context.service_name = name
     key = keys[name]
     alive_s = lifetime_s(forwarder, name)
     list_age_s = now_s - forwarder.list_read_at_s
@@ -169,6 +177,27 @@
     )
 
 
+def _versions_in_use(
+    context: contexts.RequestContext, service_names: tuple[str, ...]
+) -> tuple[str, ...]:
+    """Return the versions in use at services, with the names of these."""
+    forwarder, now_s = context.forwarder, clocks.boottime_s()
+    return tuple(
+        f"{version or 'unnamed'} of {name}"
+        for name in service_names
+        for version in stream_versions.versions_in_use(
+            forwarder.known_streams, name, now_s, lifetime_s(forwarder, name)
+        )
+    )
+
+
+def _uses_service(route: model.Route, service_name: str) -> bool:
+    """Return whether a route sends requests to a service."""
+    return any(
+        item.weight and item.service_name == service_name for item in route.destinations
+    )
+
+
 def _key(context: contexts.RequestContext, service_name: str, stream_id: str) -> int:
     account_name = "" if context.account is None else context.account.name
     return stream_versions.stream_key(service_name, account_name, stream_id)
@@ -181,7 +210,7 @@
     if isinstance(decision, stream_versions.Unknown):
         outcome = "refused"
         known = ", ".join(decision.versions) or "none known"
-        detail = f"version not known, in use: {known}"
+        detail = f"service or version not known, in use: {known}"
     else:
         outcome = "resumed"
         version = decision.version or "unknown"
@@ -229,19 +258,47 @@
     )
     key = _key(context, name, stream_id)
     if stream_versions.record_origin(forwarder.known_streams, key, origin):
-        _announce(forwarder, key, origin)
+        _announce(forwarder, key, origin, is_split=len(context.route.destinations) > 1)
 
 
 def _announce(
-    forwarder: contexts.Forwarder, key: int, origin: stream_versions.Origin
+    forwarder: contexts.Forwarder,
+    key: int,
+    origin: stream_versions.Origin,
+    *,
+    is_split: bool = False,
 ) -> None:
     """Tell the replicas where a stream began if other routers can't infer it."""
-    if origin.version is not None and has_several_versions(
-        forwarder, origin.service_name
-    ):
+    if origin.version is None:
+        return
+    if is_split or has_several_versions(forwarder, origin.service_name):
         forwarder.report_origin(origin.service_name, origin.version, key)
 
 
+def apply_table(
+    forwarder: contexts.Forwarder, route_index: matching.RouteIndex
+) -> None:
+    """Put a table in force; announce the streams of services that share a route now."""
+    earlier = forwarder.route_index
+    known = frozenset() if earlier is None else _split_services(earlier.table)
+    forwarder.route_index = route_index
+    forwarder.stream_lifetimes_s.clear()
+    split = _split_services(route_index.table) - known
+    for key, origin in own_origins(forwarder):
+        if origin.service_name in split:
+            _announce(forwarder, key, origin, is_split=True)
+
+
+def _split_services(table: model.RoutingTable) -> frozenset[str]:
+    """Return the services that share a route of resumable streams with another one."""
+    return frozenset(
+        item.service_name
+        for route in table.routes
+        if _is_resumable(route) and len(route.destinations) > 1
+        for item in route.destinations
+    )
+
+
 def apply_list(forwarder: contexts.Forwarder, server_list: listing.ServerList) -> bool:
     """Record the versions in a list; return whether they differ from the last one's."""
     listed = listing.versions_of(server_list)
