Bound the bodies of requests where the feature pressure is off

Without the feature, or without a known memory limit, a router read the bodies of any number of requests; slow servers or clients made it hold them until its process was killed for its memory.

The bodies may now take half of the VM's memory ([vm] memory_mb, else what the kernel reports), each counted twice as elsewhere. Requests beyond it get 503 `buffers_full` with Retry-After, before a byte is sent to a server. Each priority has a part of its own (0.5, 0.3, 0.2 for 0, 1, 2 and more), so that no request is refused for the bytes of a less urgent one and the parts together stay within the half.

Evidence: forwarding/tests/test_body_limits.py, 30 bodies of 0.5 MB with and without a stated length beside 40 MB of memory. After: 20 refused with Retry-After, none of them run, at most 10 MB counted; 10 urgent requests of 10 get 200 while less urgent ones fill their part. Responses and streams stay without a bound where the feature is off.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -179,6 +179,7 @@
             read_versions=self._version_log.read,
             report_limits=self._subscriber.send_to_all,
             held_limits=held_limits,
+            memory_size_bytes=settings.memory_size_bytes(entry_settings),
             capacity=router_capacity.Capacity(settings.vm_limits(entry_settings)),
         )
         evidence_sender = evidence.Sender(
--- a/hickoryweir/entry/settings.py
+++ b/hickoryweir/entry/settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import os
 import pathlib
 from typing import Annotated
 
@@ -315,6 +316,13 @@
     )
 
 
+def memory_size_bytes(entry_settings: EntrySettings) -> int:
+    """Return the memory of the VM: its stated limit, else what the kernel reports."""
+    if entry_settings.vm.memory_mb:
+        return int(entry_settings.vm.memory_mb * held_bytes.MB)
+    return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+
+
 def vm_limits(entry_settings: EntrySettings) -> router_capacity.Limits:
     """Return the limits of the VM for requests; none without pressure."""
     vm = entry_settings.vm
--- a/hickoryweir/entry/tests/test_settings.py
+++ b/hickoryweir/entry/tests/test_settings.py
@@ -84,6 +84,14 @@
     }
 
 
+def test_memory_of_the_vm_is_known_without_a_stated_limit():
+    """Guards against bodies without a bound where no feature is configured."""
+    unknown = settings.parse(TEXT, "a.ini").unwrap()
+    assert settings.memory_size_bytes(unknown) > 64 * 1024 * 1024
+    known = settings.parse(TEXT + "[vm]\nmemory_mb = 200\n", "a.ini").unwrap()
+    assert settings.memory_size_bytes(known) == 200 * 1024 * 1024
+
+
 def test_bounds_on_held_bytes_follow_from_the_memory_limit():
     """Guards against bounds that do not fit the VM, or that apply without a limit."""
     unknown = settings.parse(TEXT, "a.ini").unwrap()
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -226,6 +226,9 @@
         Tokens that requests take in a server's memory, by service.
     held_limits : held_bytes.Limits or None
         Bounds on the bytes held for clients and servers; None without bounds.
+    memory_size_bytes : int
+        Memory of the VM, of which the bodies of requests may take a part where
+        `held_limits` is None; 0 if it is not known.
     response_sizes_bytes : dict
         Expected size of plain responses, by route.
     reading : dict
@@ -304,6 +307,7 @@
         default_factory=dict
     )
     held_limits: held_bytes.Limits | None = None
+    memory_size_bytes: int = 0
     response_sizes_bytes: dict[str, float] = dataclasses.field(default_factory=dict)
     reading: dict[int, "RequestContext"] = dataclasses.field(default_factory=dict)
     capacity: router_capacity.Capacity = dataclasses.field(
--- a/hickoryweir/forwarding/held_bytes.py
+++ b/hickoryweir/forwarding/held_bytes.py
@@ -2,7 +2,8 @@
 
 The bounds are in :mod:`hickoryweir.forwarding_policy.held_bytes`.  Sizes are summed
 over the open requests whenever they are needed, so no counter can be left behind by a
-request that ends in an unusual way.  Without bounds nothing is counted.
+request that ends in an unusual way.  Without bounds only the bodies of requests are
+counted, which each priority may fill up to a part of the VM's memory.
 """
 
 import asyncio
@@ -167,9 +168,13 @@
         Size of its body as stated, in bytes; 0 if it is not stated.
     """
     request.held.account_name = NO_ACCOUNT if account is None else account.name
+    request.held.priority = priority_of(route, account)
     limits = forwarder.held_limits
     if limits is None:
-        return None
+        has_room = not content_length or _has_room_beside(
+            forwarder, request, content_length
+        )
+        return None if has_room else errors.Reason.BUFFERS_FULL
     size_bytes = held_bytes.BODY_COPIES_COUNT * content_length
     size_bytes += _expected_size_bytes(forwarder, route)
     usage = measure(forwarder, request.held.account_name, counts_expected=True)
@@ -184,11 +189,31 @@
     """Return whether a request's body may be read further."""
     limits = forwarder.held_limits
     if limits is None:
-        return True
+        return _has_room_beside(forwarder, request, request.held.body_size_bytes)
     usage = measure(forwarder, request.held.account_name)
     return held_bytes.fits(limits, usage, 0)
 
 
+def _has_room_beside(
+    forwarder: contexts.Forwarder,
+    request: open_requests.OpenRequest,
+    body_size_bytes: int,
+) -> bool:
+    """Return whether a body fits beside those of all other requests of its priority."""
+    if not forwarder.memory_size_bytes:
+        return True
+    priority = request.held.priority
+    others_size_bytes = sum(
+        other.held.body_size_bytes
+        for other in forwarder.open_requests.values()
+        if other is not request and other.held.priority == priority
+    )
+    size_bytes = held_bytes.BODY_COPIES_COUNT * (others_size_bytes + body_size_bytes)
+    return size_bytes <= held_bytes.max_bodies_size_bytes(
+        forwarder.memory_size_bytes, priority
+    )
+
+
 def priority_of(route: model.Route, account: model.ClientAccount | None) -> int:
     """Return the priority of a request; that of its account overrides the route's."""
     if account is not None and account.priority is not None:
@@ -201,6 +226,12 @@
     limits = forwarder.held_limits
     usage = measure(forwarder, account_name, counts_expected=True)
     mb = held_bytes.MB
+    if limits is None:
+        return (
+            f"{usage.size_bytes / mb:.1f} MB held beside "
+            f"{forwarder.memory_size_bytes / mb:.0f} MB of memory, "
+            f"{len(forwarder.open_requests)} open requests"
+        )
     return (
         f"{usage.size_bytes / mb:.1f} of {limits.process_size_bytes / mb:.1f} MB held, "
         f"{usage.account_size_bytes / mb:.1f} of "
--- a/hickoryweir/forwarding/open_requests.py
+++ b/hickoryweir/forwarding/open_requests.py
@@ -33,6 +33,8 @@
     ----------
     account_name : str
         Client account whose bound they count towards; empty without one.
+    priority : int
+        Priority of the request.
     body_size_bytes : int
         Size of the request's body, as far as it was read.
     response_size_bytes : int
@@ -46,6 +48,7 @@
     """
 
     account_name: str = ""
+    priority: int = 0
     body_size_bytes: int = 0
     response_size_bytes: int = 0
     reserved_size_bytes: int = 0
--- /dev/null
+++ b/hickoryweir/forwarding/tests/test_body_limits.py
@@ -0,0 +1,112 @@
+"""Bodies of requests that a router holds where no other bounds are configured."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import pytest
+
+from hickoryweir.forwarding import headers
+from hickoryweir.forwarding.tests import sites
+from hickoryweir.forwarding_policy import held_bytes
+from hickoryweir.routes.tests import tables
+
+BODY = b"x" * 500_000
+# The most urgent requests may fill a quarter of it with their bodies, each held twice.
+MEMORY_SIZE_BYTES = 40_000_000
+FITTING_COUNT = 10
+CLIENTS_COUNT = 30
+PRIORITIES = {"urgent": 0, "later": 2}
+ROUTES = tuple(
+    dataclasses.replace(
+        tables.make_route(name, f"/{name}/", allows_anonymous=True, timeout_s=20.0),
+        priority=priority,
+    )
+    for name, priority in PRIORITIES.items()
+)
+
+
+@contextlib.asynccontextmanager
+async def run_site():
+    """Run a router with a server that answers once it is released."""
+    release = asyncio.Event()
+
+    async def answer(request, body):
+        await release.wait()
+        return await sites.answering()(request, body)
+
+    async with sites.run_site([answer], routes=ROUTES) as site:
+        site.forwarder.memory_size_bytes = MEMORY_SIZE_BYTES
+        yield site, release
+
+
+async def chunks():
+    """Yield a body whose length is not stated."""
+    for start in range(0, len(BODY), 50_000):
+        yield BODY[start : start + 50_000]
+        await asyncio.sleep(0)
+
+
+def send(site, name, number, data=BODY):
+    given = {headers.REQUEST_ID: f"{name}-{number}"}
+    return asyncio.create_task(site.call(path=f"/{name}/x", given=given, data=data))
+
+
+def held_size_bytes(site):
+    return held_bytes.BODY_COPIES_COUNT * sum(
+        request.held.body_size_bytes
+        for request in site.forwarder.open_requests.values()
+    )
+
+
+def runs(site):
+    return [
+        request.headers.get(headers.REQUEST_ID) for request, _ in site.backends[0].seen
+    ]
+
+
+@pytest.mark.parametrize("has_length", [True, False])
+def test_bodies_beyond_the_bound_are_refused_and_not_run(has_length):
+    """Guards against a router that is killed for the bodies of slow requests."""
+
+    async def main():
+        async with run_site() as (site, release):
+            found = []
+            for number in range(CLIENTS_COUNT):
+                data = BODY if has_length else chunks()
+                found.append(send(site, "urgent", number, data))
+                await asyncio.wait({found[-1]}, timeout=0.1)
+            most_size_bytes = held_size_bytes(site)
+            release.set()
+            return await asyncio.gather(*found), most_size_bytes, runs(site)
+
+    found, most_size_bytes, run_ids = asyncio.run(main())
+    refused = {
+        f"urgent-{number}": given
+        for number, (status, given, _) in enumerate(found)
+        if status == 503
+    }
+    assert len(refused) == CLIENTS_COUNT - FITTING_COUNT
+    assert all(float(given["Retry-After"]) > 0.0 for given in refused.values())
+    assert refused.keys().isdisjoint(run_ids)
+    assert most_size_bytes <= held_bytes.max_bodies_size_bytes(MEMORY_SIZE_BYTES, 0)
+
+
+def test_urgent_body_is_not_refused_for_the_bytes_of_others():
+    """Guards against paid work that is refused while summaries fill the bound."""
+
+    async def main():
+        async with run_site() as (site, release):
+            later = [send(site, "later", number) for number in range(CLIENTS_COUNT)]
+            await asyncio.wait(later, timeout=1.0)
+            urgent = [send(site, "urgent", number) for number in range(FITTING_COUNT)]
+            await asyncio.wait(urgent, timeout=1.0)
+            most_size_bytes = held_size_bytes(site)
+            release.set()
+            found = await asyncio.gather(*urgent), await asyncio.gather(*later)
+            return *found, most_size_bytes
+
+    urgent, later, most_size_bytes = asyncio.run(main())
+    assert {status for status, _, _ in urgent} == {200}
+    assert {status for status, _, _ in later} == {200, 503}
+    assert most_size_bytes <= held_bytes.BODIES_SHARE * MEMORY_SIZE_BYTES
--- a/hickoryweir/forwarding_policy/held_bytes.py
+++ b/hickoryweir/forwarding_policy/held_bytes.py
@@ -59,6 +59,10 @@
 # nothing for up to 64 s, since the window opens by one segment at a time.
 STALL_TIMEOUTS_COUNT = 6
 MIN_STALL_TIMEOUT_S = 90.0
+# Without the other bounds, the bodies of requests may take this share of the memory.
+BODIES_SHARE = 0.5
+# Parts of it by priority; none is refused because of the bytes of another one.
+BODY_SHARES = (0.5, 0.3, 0.2)
 # Weight of the newest response in the expected size of a route's responses.
 SIZE_LEARNING_RATE = 0.1
 
@@ -252,6 +256,25 @@
     return usage.resident_size_bytes >= limits.resident_size_bytes
 
 
+def max_bodies_size_bytes(memory_size_bytes: int, priority: int) -> int:
+    """Return how much the bodies of all requests with a priority may take.
+
+    Parameters
+    ----------
+    memory_size_bytes : int
+        Memory of the VM.
+    priority : int
+        The priority; 0 is the most urgent.
+
+    Examples
+    --------
+    >>> [max_bodies_size_bytes(1_000, priority) for priority in (0, 1, 2, 9)]
+    [250, 150, 100, 100]
+    """
+    share = BODY_SHARES[min(priority, len(BODY_SHARES) - 1)]
+    return int(BODIES_SHARE * share * memory_size_bytes)
+
+
 def stall_timeout_s(route_timeout_s: float) -> float:
     """Return after how long a client that reads nothing is disconnected.
 
