Probes: traffic in both directions does not hide a later silence

What callers could see: after a while with messages in both directions in each interval, as in a storm of changes, a connection that goes silent is kept for many times its limit, and requests on it wait.

Cause: the limit of the connecting side grows with the bytes sent since the last reply to a probe, but no probe is sent while there are messages in both directions. So all that was sent in that time counted as being on its way.

Fix: a probe is also due once more bytes were sent since the last one than pass in an interval on the slowest link, so that they add at most one tick.

--- a/hickoryweir/streams/liveness.py
+++ b/hickoryweir/streams/liveness.py
@@ -2,9 +2,10 @@
 
 TCP can't: a middlebox that has lost a connection may go on acknowledging its bytes, and
 where nothing is sent there is nothing to acknowledge.  So the connecting side sends a
-:class:`Probe` in each interval in which the processes have not both sent messages, and
-the accepting side replies on the same connection.  Either side ends a connection on
-which it has received no bytes for a number of intervals, the connecting side first.
+:class:`Probe` in each interval in which the processes have not both sent messages, or
+once many bytes were sent since the last one, and the accepting side replies on the same
+connection.  Either side ends a connection on which it has received no bytes for a
+number of intervals, the connecting side first.
 
 Intervals are ticks of a timer of this process, not times of a clock: a process that
 stood still has missed ticks as well, and reads what has arrived before the next one.
@@ -247,7 +248,7 @@
     state.has_received = state.has_received_message = state.has_sent_message = False
     if state.silent_count >= state.limit_count + _count_for_sent(state):
         return Verdict.SILENT
-    if not (state.is_connecting and is_idle):
+    if not (state.is_connecting and (is_idle or _is_confirmation_due(state))):
         return Verdict.WAIT
     state.sequence += 1
     state.unanswered.append(SentProbe(state.sequence, state.sent_size_bytes))
@@ -259,6 +260,18 @@
     return state.silent_count * state.interval_s
 
 
+def _is_confirmation_due(state: State) -> bool:
+    """Return whether more was sent since the last probe than passes in an interval.
+
+    Otherwise the limit would grow with all that was sent while no probe was due.
+    """
+    probed_bytes = state.confirmed_size_bytes
+    if state.unanswered:
+        probed_bytes = state.unanswered[-1].sent_size_bytes
+    unprobed_bytes = state.sent_size_bytes - probed_bytes
+    return unprobed_bytes > MIN_RATE_BYTES_PER_S * state.interval_s
+
+
 def _count_for_sent(state: State) -> int:
     """Return the ticks that the bytes ahead of the oldest probe may take."""
     if not state.unanswered:
--- a/hickoryweir/streams/tests/test_liveness.py
+++ b/hickoryweir/streams/tests/test_liveness.py
@@ -244,6 +244,20 @@
     assert verdicts[-1] is liveness.Verdict.SILENT
 
 
+@pytest.mark.parametrize("purpose", handshake.Purpose)
+def test_long_traffic_in_both_directions_does_not_hide_a_later_silence(purpose):
+    state = liveness.make_connecting(purpose)
+    for _ in range(1000):
+        liveness.record_sent(state, 20_000)
+        liveness.record_received(state)
+        liveness.record_message(state)
+        if liveness.tick(state) is liveness.Verdict.PROBE:
+            liveness.record_reply(state, liveness.Reply(state.sequence))
+    # One more tick for the bytes since the last probe.
+    verdicts = [liveness.tick(state) for _ in range(state.limit_count + 1)]
+    assert liveness.Verdict.SILENT in verdicts
+
+
 def test_messages_in_both_directions_need_no_probes():
     state = liveness.make_connecting(handshake.Purpose.FEED)
     for _ in range(10):
