Handshake: an earlier version is remembered even if time is short for the second attempt

What callers could see during an upgrade: a process of this version never reaches one of an earlier version over a link on which one handshake fits into the time for connecting and two don't (0.3 s for clients of the log, so four round trips of 75 ms without TLS).

Cause: the refusal of the greeting with probes was remembered only after the second attempt had succeeded. A timeout in it forgot the refusal, so that each later call began with the refused greeting again.

Evidence: the new test, with a server that takes 0.6 s for each handshake and 1 s for connecting, failed on the former code and passes now; the tests on earlier versions pass.

Fix: the refusal is remembered when it comes. Only a failure of a connection without probes forgets it, as before.

--- a/hickoryweir/streams/hub.py
+++ b/hickoryweir/streams/hub.py
@@ -334,20 +334,20 @@
         The connection, or the reason of the failure.
     """
     address = host, port
+    probes = not _is_earlier_version(address)
     try:
         async with asyncio.timeout(timeout_s):
-            probes = not _is_earlier_version(address)
             outcome = await _open(identity, address, purpose, files, group, probes)
             if probes and _is_refused_as_malformed(outcome):
+                # Before the second attempt, for which the time may not suffice.
+                _remember_earlier_version(address)
                 outcome = await _open(identity, address, purpose, files, group, False)
-                if isinstance(outcome, result.Success):
-                    _remember_earlier_version(address)
     except TimeoutError:
         outcome = result.Failure(ConnectFailure(ConnectReason.TIMED_OUT))
     except (OSError, RuntimeError):
         # uvloop raises the latter for a connection that the peer has reset meanwhile.
         outcome = result.Failure(ConnectFailure(ConnectReason.UNREACHABLE))
-    if isinstance(outcome, result.Failure):
+    if not probes and isinstance(outcome, result.Failure):
         # The process may be replaced by one of a later version.
         _earlier_versions.pop(address, None)
     return outcome
--- a/hickoryweir/streams/tests/test_liveness.py
+++ b/hickoryweir/streams/tests/test_liveness.py
@@ -285,11 +285,12 @@
     writer.write(connections.LENGTH_PREFIX.pack(len(data)) + data)
 
 
-def _make_earlier_server(received):
+def _make_earlier_server(received, delay_s=0.0):
     """Return a handler that knows six fields of a greeting, and no probes."""
 
     async def accept(reader, writer):
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+        with contextlib.closing(writer), contextlib.suppress(EOFError, OSError):
+            await asyncio.sleep(delay_s)
             while True:
                 tag, fields = await _read_body(reader)
                 received.append((tag, len(fields)))
@@ -302,7 +303,6 @@
                     break
                 else:
                     _write_body(writer, [tag, fields])
-        writer.close()
 
     return accept
 
@@ -336,6 +336,25 @@
     assert not is_remembered
 
 
+def test_earlier_version_is_reached_with_time_for_one_handshake_only():
+    async def main():
+        accept = _make_earlier_server([], delay_s=0.6)
+        server = await asyncio.start_server(accept, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        for _ in range(2):
+            outcome = await hub.connect(
+                CLIENT, HOST, port, handshake.Purpose.REPLICA, timeout_s=1.0
+            )
+        connection = outcome.value_or(None)
+        if connection is not None:
+            await connection.close()
+        server.close()
+        await server.wait_closed()
+        return connection is not None
+
+    assert asyncio.run(main())
+
+
 @pytest.mark.parametrize("group", [[], [""]])
 def test_greeting_of_an_earlier_version_gets_an_answer_it_can_read_and_no_end(group):
     purpose = handshake.Purpose.REPLICA
