Peer routers: a connection that ends while the inbox is full is not kept

Cause: the first event of a link was put into the inbox before the block that closes and forgets the connection. If the task was cancelled while the inbox was full, an outgoing connection stayed open with nobody reading it, and messages to the peer went to it.

Evidence: the new test, with an inbox of one event, failed on the former code (the connection was open and known) and passes now, with the 6 others of the file.

Fix: the event is put inside the block.

--- a/hickoryweir/routers/node.py
+++ b/hickoryweir/routers/node.py
@@ -237,8 +237,8 @@
         peer = connection.peer.process_name
         opened = self._connections.setdefault(peer, [])
         opened.append(connection)
-        await self._inbox.put(events.LinkOpened(peer))
         try:
+            await self._inbox.put(events.LinkOpened(peer))
             while True:
                 async with asyncio.timeout(LINK_IDLE_TIMEOUT_S):
                     received = await connection.receive()
--- a/hickoryweir/routers/tests/test_node.py
+++ b/hickoryweir/routers/tests/test_node.py
@@ -149,6 +149,38 @@
     assert asyncio.run(scenario()) == [False, True, False]
 
 
+def test_connection_that_ends_while_the_inbox_is_full_is_not_kept(monkeypatch):
+    monkeypatch.setattr(node, "MAX_INBOX_EVENTS_COUNT", 1)
+
+    async def scenario():
+        hubs = {}
+        for name in ("a-1", "b-1"):
+            identity = handshake.Identity("test", name, name[0])
+            hubs[name] = hub.make_hub(identity, "127.0.0.1", 0)
+            await hubs[name].start()
+        ports = dict.fromkeys(NAMES, hubs["b-1"].port)
+        queues = asyncio.Queue(), asyncio.Queue()
+        made = node.make_node(
+            make_settings("a-1", ports), hubs["a-1"], read_nothing, *queues
+        )
+        made.watch()
+        hubs["b-1"].register(
+            handshake.Purpose.ROUTER, lambda connection: asyncio.sleep(WAIT_S)
+        )
+        dialing = asyncio.create_task(made._dial_one("b-1"))
+        await wait_until(lambda: made._connections)
+        (connection,) = made._connections["b-1"]
+        dialing.cancel()
+        await asyncio.gather(dialing, return_exceptions=True)
+        kept = connection.is_closed, dict(made._connections)
+        connection.abort()
+        for each in hubs.values():
+            await each.close()
+        return kept
+
+    assert asyncio.run(scenario()) == (True, {})
+
+
 def test_version_that_a_daemon_has_not_applied_is_not_reported_as_in_force():
     async def scenario():
         async with running_nodes(confirming=NAMES[:-1]) as nodes:
