Leader that was stopped: check the quorum before late messages are handled

Cause, as far as shown: by the code, and by the test, responses that were received before a freeze count as new when the leader handles them after it. So an emptied replica counted as responding, the check let the removal of the live voter pass, and the change could neither be committed nor could anybody be elected. The tick by which a late leader steps down came only after these messages.

Why it works: a leader that has not ticked for an election timeout runs its quorum check before it takes any other event. All that it has heard is older, so it steps down, which it did at its next tick anyway, and it decides nothing by late messages. Followers, and clocks that stand still while a machine is suspended, are not concerned.

test_frozen_leader_removes_no_voter_that_it_needs[True] failed on the code before (no leader within 12 s); [False] is the case before.

--- a/hickoryweir/replicas/raft.py
+++ b/hickoryweir/replicas/raft.py
@@ -51,6 +51,7 @@
     """
     timing = timing or states.Timing()
     state = states.State(member_id, timing, random.Random(seed))
+    state.ticked_at_s = now_s
     state.term = term
     state.voted_for = voted_for
     if snapshot is not None:
@@ -81,6 +82,7 @@
     """
     actions: list[states.Action] = []
     if state.role is not states.Role.FAILED:
+        _check_late_leader(state, now_s, actions)
         _dispatch(state, event, now_s, actions)
         replication.apply_committed(state, actions)
     return actions
@@ -110,6 +112,7 @@
             replication.on_persisted(state, event)
             elections.on_persisted(state, event, now_s, actions)
         case states.Ticked():
+            state.ticked_at_s = now_s
             elections.on_tick(state, now_s, actions)
         case states.ReadRequested():
             replication.request_read(state, event, now_s, actions)
@@ -129,6 +132,17 @@
             _on_storage_failed(state, actions)
 
 
+def _check_late_leader(state: states.State, now_s: float, actions: list) -> None:
+    """Let a leader that was stopped check its quorum before it handles late messages.
+
+    Taken for new, they would show members as responding that are lost meanwhile.
+    """
+    since_tick_s = now_s - state.ticked_at_s
+    is_late = since_tick_s > state.timing.election_timeout_s
+    if is_late and state.role is states.Role.LEADER:
+        elections.on_tick(state, now_s, actions)
+
+
 def _on_received(
     state: states.State, envelope: messages.Envelope, now_s: float, actions: list
 ) -> None:
--- a/hickoryweir/replicas/state.py
+++ b/hickoryweir/replicas/state.py
@@ -168,6 +168,7 @@
     commit_index: int = 0
     applied_index: int = 0
     persisted_index: int = 0
+    ticked_at_s: float = 0.0
     election_deadline_s: float = 0.0
     heartbeat_deadline_s: float = 0.0
     last_leader_contact_s: float = float("-inf")
