Leader that was stopped: no change of members instead of a step down

The fault was a change of members decided by messages from before the pause, so that is what is refused now, for an election timeout after the pause; the leader goes on if it hears a quorum.

--- a/hickoryweir/replicas/membership.py
+++ b/hickoryweir/replicas/membership.py
@@ -110,7 +110,9 @@
     responding_ids = quorums.responding_ids(state, now_s) | {state.member_id}
     voter_ids = messages.Membership(members).voter_ids
     has_quorum = quorums.is_quorum(state, responding_ids)
-    if has_quorum and quorums.is_majority(voter_ids, responding_ids):
+    # Messages from before a pause may make lost members seem to respond.
+    is_certain = now_s - state.resumed_at_s > state.timing.election_timeout_s
+    if is_certain and has_quorum and quorums.is_majority(voter_ids, responding_ids):
         _append(state, members, time_s, now_s, actions)
     else:
         actions.append(states.ChangeRefused(states.ChangeRefusal.NO_QUORUM))
--- a/hickoryweir/replicas/raft.py
+++ b/hickoryweir/replicas/raft.py
@@ -82,7 +82,7 @@
     """
     actions: list[states.Action] = []
     if state.role is not states.Role.FAILED:
-        _check_late_leader(state, now_s, actions)
+        _record_pause(state, now_s)
         _dispatch(state, event, now_s, actions)
         replication.apply_committed(state, actions)
     return actions
@@ -132,15 +132,13 @@
             _on_storage_failed(state, actions)
 
 
-def _check_late_leader(state: states.State, now_s: float, actions: list) -> None:
-    """Let a leader that was stopped check its quorum before it handles late messages.
+def _record_pause(state: states.State, now_s: float) -> None:
+    """Record that this replica was stopped, and has messages from before that.
 
     Taken for new, they would show members as responding that are lost meanwhile.
     """
-    since_tick_s = now_s - state.ticked_at_s
-    is_late = since_tick_s > state.timing.election_timeout_s
-    if is_late and state.role is states.Role.LEADER:
-        elections.on_tick(state, now_s, actions)
+    if now_s - state.ticked_at_s > state.timing.election_timeout_s:
+        state.resumed_at_s = now_s
 
 
 def _on_received(
--- a/hickoryweir/replicas/state.py
+++ b/hickoryweir/replicas/state.py
@@ -169,6 +169,7 @@
     applied_index: int = 0
     persisted_index: int = 0
     ticked_at_s: float = 0.0
+    resumed_at_s: float = float("-inf")
     election_deadline_s: float = 0.0
     heartbeat_deadline_s: float = 0.0
     last_leader_contact_s: float = float("-inf")
