--- a/hickoryweir/testing/soak/faults.py
+++ b/hickoryweir/testing/soak/faults.py
@@ -210,7 +210,7 @@
 )
 REPLICA_FAULTS: tuple[MemberFault, ...] = (
     *(kill, pause, stop, wipe, reload, slow_down),
-    *(refuse_writes, silence_all),
+    *(refuse_writes, refuse_writes, silence_all, silence_all),
     *LINK_FAULTS,
 )
 
