--- a/hickoryweir/replicas/raft.py
+++ b/hickoryweir/replicas/raft.py
@@ -51,6 +51,7 @@
     """
     timing = timing or states.Timing()
     state = states.State(member_id, timing, random.Random(seed))
+    state.ticked_at_s = now_s
     state.term = term
     state.voted_for = voted_for
     if snapshot is not None:
@@ -81,6 +82,7 @@
     """
     actions: list[states.Action] = []
     if state.role is not states.Role.FAILED:
+        _record_pause(state, now_s)
         _dispatch(state, event, now_s, actions)
         replication.apply_committed(state, actions)
     return actions
@@ -110,6 +112,7 @@
             replication.on_persisted(state, event)
             elections.on_persisted(state, event, now_s, actions)
         case states.Ticked():
+            state.ticked_at_s = now_s
             elections.on_tick(state, now_s, actions)
         case states.ReadRequested():
             replication.request_read(state, event, now_s, actions)
@@ -129,6 +132,15 @@
             _on_storage_failed(state, actions)
 
 
+def _record_pause(state: states.State, now_s: float) -> None:
+    """Record that this replica was stopped, and has messages from before that.
+
+    Taken for new, they would show members as responding that are lost meanwhile.
+    """
+    if now_s - state.ticked_at_s > state.timing.election_timeout_s:
+        state.resumed_at_s = now_s
+
+
 def _on_received(
     state: states.State, envelope: messages.Envelope, now_s: float, actions: list
 ) -> None:
