--- a/hickoryweir/duties/tests/test_calls.py
+++ b/hickoryweir/duties/tests/test_calls.py
@@ -8,7 +8,7 @@
 from hickoryweir.duties import calls
 from hickoryweir.engines import framing
 from hickoryweir.entry import own_calls
-from hickoryweir.testing import silent_links
+from hickoryweir.testing import proxies
 
 PERMISSION = calls.Permission("vm1", 7)
 CALL = calls.UsageReport(3, (("a", 2),))
@@ -162,7 +162,7 @@
     async def run():
         async with (
             serving(respond(200)) as (address, received),
-            silent_links.run_link(address) as link,
+            proxies.run_proxy(address) as link,
         ):
             caller = calls.Caller(
                 link.address,
@@ -173,7 +173,7 @@
             found = []
             for _ in range(3):
                 found.append(await caller.send(CALL))
-                silent_links.silence(link)
+                proxies.silence_open(link)
             await caller.close()
             return found, len(received)
 
--- a/hickoryweir/engines/tests/test_silent_connections.py
+++ b/hickoryweir/engines/tests/test_silent_connections.py
@@ -14,7 +14,7 @@
 from hickoryweir.policy import events
 from hickoryweir.services import calls as service_calls
 from hickoryweir.services import client as service_client
-from hickoryweir.testing import running, silent_links
+from hickoryweir.testing import proxies, running
 from hickoryweir.weights import client as weights_client
 
 KEPT_COUNT = 4
@@ -53,7 +53,7 @@
     served = await running.start(app)
     try:
         target_address = served.url.removeprefix("http://")
-        async with silent_links.run_link(target_address) as link:
+        async with proxies.run_proxy(target_address) as link:
             url = f"http://{link.address}"
             await asyncio.gather(
                 *(reads.read_bytes(session, url, TIMEOUT_S) for _ in range(KEPT_COUNT))
@@ -116,10 +116,10 @@
             sessions.make_session(keeps_connections=True) as session,
             run_link(session) as (link, url, _),
         ):
-            assert len(link.connections) == KEPT_COUNT
-            silent_links.silence(link, **directions)
+            assert link.accepted_count == KEPT_COUNT
+            proxies.silence_open(link, **directions)
             has_read = [await read(session, url) for _ in range(3)]
-            return has_read, silent_links.open_silent_count(link)
+            return has_read, proxies.open_silent_count(link)
 
     assert asyncio.run(main()) == ([False, True, True], 0)
 
@@ -143,7 +143,7 @@
             has_run = []
             for number in range(3):
                 has_run.append(await call_service(session, url, number))
-                silent_links.silence(link)
+                proxies.silence_open(link)
             return has_run, arrived.count("/pay")
 
     assert asyncio.run(main()) == ([True] * 3, 3)
@@ -157,7 +157,7 @@
             sessions.make_session(keeps_connections=True) as session,
             run_link(session) as (link, url, arrived),
         ):
-            silent_links.silence(link)
+            proxies.silence_open(link)
             order = orders.Order("1/2", "engine-1", 1, orders.OrderKind.LOAD_MODEL)
             server = benches.make_server(url)
             await orders.send(session, server, order, lambda: True, TIMEOUT_S)
--- a/hickoryweir/forwarding/tests/test_relaying.py
+++ b/hickoryweir/forwarding/tests/test_relaying.py
@@ -24,7 +24,7 @@
 from hickoryweir.forwarding_policy import relays, server_notices
 from hickoryweir.routes import model
 from hickoryweir.routes.tests import tables
-from hickoryweir.testing import silent_links
+from hickoryweir.testing import proxies
 from hickoryweir.testing.demo import entry_vms
 
 KEY = "demo-key"
@@ -108,7 +108,7 @@
         async with run_pair([sites.answering()]) as pair:
             pool = pair.near.forwarder.relays
             target_address = f"{sites.HOST}:{pool.port}"
-            async with silent_links.run_link(target_address) as link:
+            async with proxies.run_proxy(target_address) as link:
                 pool.port = int(link.address.rpartition(":")[2])
                 pool.by_host.clear()
                 relay_pool.update_named(
@@ -120,8 +120,8 @@
                     started_s = time.monotonic()
                     status = (await pair.near.call(given=given))[0]
                     found.append((status, time.monotonic() - started_s < 0.5))
-                    silent_links.silence(link)
-                await sites.wait_until(lambda: not silent_links.open_silent_count(link))
+                    proxies.silence_open(link)
+                await sites.wait_until(lambda: not proxies.open_silent_count(link))
                 return found
 
     assert asyncio.run(main()) == [(200, True)] * 4
--- a/hickoryweir/forwarding/tests/test_silent_connections.py
+++ b/hickoryweir/forwarding/tests/test_silent_connections.py
@@ -14,7 +14,7 @@
 from hickoryweir.forwarding.tests import sites, test_streams
 from hickoryweir.routes import model
 from hickoryweir.routes.tests import tables
-from hickoryweir.testing import silent_links
+from hickoryweir.testing import proxies
 
 KEPT_COUNT = 4
 TIMEOUT_S = 3.0
@@ -51,13 +51,13 @@
     """A router that reaches each server through a link."""
 
     site: sites.Site
-    links: list[silent_links.Link]
+    links: list[proxies.Proxy]
 
 
 def silence(linked, **directions):
     """Let all open connections to the servers go silent."""
     for link in linked.links:
-        silent_links.silence(link, **directions)
+        proxies.silence_open(link, **directions)
 
 
 @contextlib.asynccontextmanager
@@ -79,7 +79,7 @@
         contextlib.AsyncExitStack() as stack,
     ):
         links = [
-            await stack.enter_async_context(silent_links.run_link(backend.address))
+            await stack.enter_async_context(proxies.run_proxy(backend.address))
             for backend in site.backends
         ]
         reached = [
@@ -91,7 +91,7 @@
             *(call(site) for _ in range(servers_count * KEPT_COUNT))
         )
         assert {status for status, _ in found} == {200}
-        assert [len(link.connections) for link in links] == [KEPT_COUNT] * servers_count
+        assert [link.accepted_count for link in links] == [KEPT_COUNT] * servers_count
         yield LinkedSite(site, links)
 
 
@@ -135,7 +135,7 @@
             silence(linked, **directions)
             await call(linked.site)
             found = [await call(linked.site) for _ in range(KEPT_COUNT)]
-            return found, silent_links.open_silent_count(linked.links[0])
+            return found, proxies.open_silent_count(linked.links[0])
 
     found, open_count = asyncio.run(main())
     assert [status for status, _ in found] == [200] * KEPT_COUNT
@@ -220,17 +220,17 @@
     async def main():
         async with (
             sites.run_site([answer], routes=ROUTES) as site,
-            silent_links.run_link(site.backends[0].address) as link,
+            proxies.run_proxy(site.backends[0].address) as link,
         ):
             reached = dataclasses.replace(site.backends[0], address=link.address)
             sites.list_servers(site.forwarder, [reached])
             asyncio.get_running_loop().call_later(
-                TARGET_S / 2, lambda: silent_links.silence(link, **directions)
+                TARGET_S / 2, lambda: proxies.silence_open(link, **directions)
             )
             started_s = time.monotonic()
             with pytest.raises(aiohttp.ClientPayloadError):
                 await call(site, "/stream/x")
-            await sites.wait_until(lambda: not silent_links.open_silent_count(link))
+            await sites.wait_until(lambda: not proxies.open_silent_count(link))
             return time.monotonic() - started_s
 
     assert TIMEOUT_S - 0.1 < asyncio.run(main()) < TIMEOUT_S + 1.0
--- a/hickoryweir/testing/proxies.py
+++ b/hickoryweir/testing/proxies.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+from collections.abc import AsyncIterator
 
 HOST = "127.0.0.1"
 READ_SIZE_BYTES = 64 * 1024
@@ -13,9 +14,15 @@
     """One direction of a relayed connection.
 
     A silent one drops what it reads, and does not tell its receiver of the end.
+
+    Attributes
+    ----------
+    has_ended : bool
+        Whether its sender has closed the connection.
     """
 
     is_silent: bool = False
+    has_ended: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -42,6 +49,8 @@
         Writers to both sides of every open connection.
     relayed : set
         The open connections.
+    accepted_count : int
+        Number of connections that were ever accepted.
     """
 
     target_host: str
@@ -51,9 +60,15 @@
     backward: asyncio.Event
     writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
     relayed: set[Relayed] = dataclasses.field(default_factory=set)
+    accepted_count: int = 0
     server: asyncio.Server | None = None
     port: int = 0
 
+    @property
+    def address(self) -> str:
+        """Return the address to connect to instead of the target's."""
+        return f"{HOST}:{self.port}"
+
 
 async def start_proxy(
     target_host: str, target_port: int, delay_s: float = 0.0, host: str = HOST
@@ -69,6 +84,18 @@
     return proxy
 
 
+@contextlib.asynccontextmanager
+async def run_proxy(target_address: str) -> AsyncIterator[Proxy]:
+    """Relay connections to a target until the block ends."""
+    host, _, port = target_address.rpartition(":")
+    proxy = await start_proxy(host, int(port))
+    try:
+        yield proxy
+    finally:
+        proxy.server.close()
+        reset_all(proxy)
+
+
 def set_relaying(direction: asyncio.Event, enabled: bool) -> None:
     """Enable or stall one direction of a proxy."""
     if enabled:
@@ -84,6 +111,15 @@
         relayed.backward.is_silent |= backward
 
 
+def open_silent_count(proxy: Proxy) -> int:
+    """Return how many silent connections have not been closed by who opened them."""
+    return sum(
+        (relayed.forward.is_silent or relayed.backward.is_silent)
+        and not relayed.forward.has_ended
+        for relayed in proxy.relayed
+    )
+
+
 def reset_all(proxy: Proxy) -> None:
     """Abort every open connection on both sides."""
     for writer in list(proxy.writers):
@@ -97,6 +133,7 @@
     relayed, tasks, target_writer = Relayed(), [], None
     proxy.writers.add(writer)
     proxy.relayed.add(relayed)
+    proxy.accepted_count += 1
     with contextlib.suppress(OSError, asyncio.CancelledError):
         target_reader, target_writer = await asyncio.open_connection(
             proxy.target_host, proxy.target_port
@@ -153,3 +190,4 @@
                 await asyncio.sleep(proxy.delay_s)
             writer.write(data)
             await writer.drain()
+    direction.has_ended = True
