Clients of the log: close connections that are idle for 5 s

What operators would see: with many routers, replicas that spend a good part of a core on probes. Longer intervals for them were weighed: a replica's own client has to notice a silent leader within about a second.

A channel now closes its connection 5 s after the last request, and connects again for the next.

--- a/hickoryweir/replicas/channels.py
+++ b/hickoryweir/replicas/channels.py
@@ -12,6 +12,8 @@
 from hickoryweir.streams import connections, handshake, hub, tls
 
 MAX_LOGGED_LENGTH = 200
+# Each open connection is probed several times a second, and most clients ask rarely.
+IDLE_TIMEOUT_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,7 +25,7 @@
 
 
 class Channel:
-    """Connects on first use and reconnects after a failure."""
+    """Connects on first use, and again after a failure or when it was idle."""
 
     def __init__(
         self,
@@ -41,6 +43,7 @@
         self._connection: connections.Connection | None = None
         self._connect_task: asyncio.Task | None = None
         self._read_task: asyncio.Task | None = None
+        self._idle_timer: asyncio.TimerHandle | None = None
         self._request_ids = itertools.count(1)
         self._pending: dict[int, PendingResponse] = {}
 
@@ -51,6 +54,7 @@
         """
         if not await self.ensure_open():
             return None
+        self._cancel_idle_timer()
         request_id = next(self._request_ids)
         response = asyncio.get_running_loop().create_future()
         self._pending[request_id] = PendingResponse(response, time.monotonic())
@@ -62,6 +66,7 @@
             return await response
         finally:
             self._pending.pop(request_id, None)
+            self._start_idle_timer()
 
     async def ensure_open(self) -> bool:
         """Open a connection if there is none; return whether there is one."""
@@ -87,6 +92,7 @@
 
     async def close(self) -> None:
         """Close the connection; pending requests complete with None."""
+        self._cancel_idle_timer()
         tasks = [
             task for task in (self._connect_task, self._read_task) if task is not None
         ]
@@ -96,6 +102,21 @@
         if self._connection is not None:
             await self._connection.close()
 
+    def _start_idle_timer(self) -> None:
+        self._cancel_idle_timer()
+        if not self._pending:
+            loop = asyncio.get_running_loop()
+            self._idle_timer = loop.call_later(IDLE_TIMEOUT_S, self._close_idle)
+
+    def _cancel_idle_timer(self) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+    def _close_idle(self) -> None:
+        if self._connection is not None and not self._pending:
+            self._connection.abort()
+
     async def _connect(self) -> bool:
         try:
             outcome = await hub.connect(
