--- a/hickoryweir/streams/liveness.py
+++ b/hickoryweir/streams/liveness.py
@@ -43,7 +43,7 @@
 MIN_INTERVAL_MS = 100
 MAX_INTERVAL_MS = 60_000
 MAX_UNANSWERED_COUNT = 64
-# Of all routers together, at each replica, which takes 5% of a core.
+# Of all connections whose interval is stretched, at the process that accepts them.
 MAX_PROBES_PER_S = 1000
 
 
