--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -287,6 +287,7 @@
         )
 
     async def _serve_incoming(self, connection: connections.Connection) -> None:
+        """Serve a connection that another replica has opened."""
         name = connection.peer.process_name
         self.incoming_counts[name] += 1
         try:
@@ -295,6 +296,7 @@
             self.incoming_counts[name] -= 1
 
     async def _serve_replica(self, connection: connections.Connection) -> None:
+        """Receive on a connection with another replica, whichever has opened it."""
         name = connection.peer.process_name
         self._replica_connections.add(connection)
         try:
