Test of random bytes: an undecodable frame on each run, not only by the draw

None of the samples is malformed unchanged. Now each sample is sent unchanged as well, and one of them can't be decoded, so that the check of the log line no longer depends on the draw; the seed, the draws and the checks stay.

--- a/hickoryweir/entry/tests/test_random_bytes.py
+++ b/hickoryweir/entry/tests/test_random_bytes.py
@@ -17,6 +17,8 @@
 CONNECTIONS_COUNT = 40
 MAX_OPEN_COUNT = 10
 OPEN_S = 0.1
+# A byte that msgpack never uses.
+UNDECODABLE_FRAME = connections.LENGTH_PREFIX.pack(1) + b"\xc1"
 HTTP = (
     b"GET / HTTP/1.1\r\nHost: site.example\r\n\r\n",
     b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n",
@@ -53,6 +55,7 @@
         ),
     ]
     frames = [connections.make_frame(message) for message in sent]
+    frames.append(UNDECODABLE_FRAME)
     hellos = [
         connections.make_frame(handshake.make_hello(identity, purpose, group))
         for purpose in handshake.Purpose
@@ -72,15 +75,15 @@
 
 
 async def send_all(host, port, samples, generator):
-    """Send many times to one port, a few connections at once."""
+    """Send each sample and many changed ones to one port, a few at once."""
     limit = asyncio.Semaphore(MAX_OPEN_COUNT)
 
     async def send(data):
         async with limit:
             await send_bytes(host, port, data)
 
-    found = [make_bytes(generator, samples) for _ in range(CONNECTIONS_COUNT)]
-    await asyncio.gather(*[send(data) for data in found])
+    changed = [make_bytes(generator, samples) for _ in range(CONNECTIONS_COUNT)]
+    await asyncio.gather(*[send(data) for data in (*samples, *changed)])
 
 
 def test_random_bytes_on_every_port_end_no_process(tmp_path, monkeypatch):
