Links: no fallback on an old incoming connection once the own one went silent

Cause: a follower's connection to a leader that new connections can't reach ends as silent after 1.2 s. The follower then answered by the connection that the leader had opened, so a leader elected again after that stayed the leader, while neither clients nor relays reached it. Without the end of silent connections the answers were lost, and the leader was replaced.

Fix: after the own connection went silent, an incoming one that was open before is not used until there is a new connection in either direction. Where new connections work that takes a back-off of 0.05 s.

--- a/hickoryweir/replicas/links.py
+++ b/hickoryweir/replicas/links.py
@@ -37,6 +37,7 @@
         self._tasks: dict[str, asyncio.Task] = {}
         self._outgoing: dict[str, connections.Connection] = {}
         self._incoming: dict[str, connections.Connection] = {}
+        self._unreachable_ids: set[str] = set()
 
     def update(self, membership: messages.Membership, own_id: str) -> None:
         """Connect to the members of `membership` and disconnect from others."""
@@ -56,7 +57,9 @@
 
     def add_incoming(self, member_id: str, connection: connections.Connection) -> None:
         """Record an incoming connection, used while there is no outgoing one."""
-        self._incoming[member_id] = connection
+        if self._incoming.get(member_id) is not connection:
+            self._incoming[member_id] = connection
+            self._unreachable_ids.discard(member_id)
 
     def remove_incoming(self, connection: connections.Connection) -> None:
         """Remove a closed incoming connection."""
@@ -65,10 +68,16 @@
                 del self._incoming[member_id]
 
     def send(self, envelope: messages.Envelope) -> None:
-        """Send a message, or drop it if there is no connection with a free queue."""
-        connection = self._outgoing.get(envelope.to_id) or self._incoming.get(
-            envelope.to_id
-        )
+        """Send a message, or drop it if there is no connection with a free queue.
+
+        After the outgoing connection went silent, an incoming one from before that is
+        not used: a leader that new connections can't reach would hear its followers by
+        it and stay the leader, out of its clients' reach.
+        """
+        member_id = envelope.to_id
+        connection = self._outgoing.get(member_id)
+        if connection is None and member_id not in self._unreachable_ids:
+            connection = self._incoming.get(member_id)
         if connection is not None:
             connection.offer(envelope)
 
@@ -120,7 +129,10 @@
         try:
             if connection.peer.process_name == wanted_name:
                 self._outgoing[member_id] = connection
+                self._unreachable_ids.discard(member_id)
                 await self._handler(connection)
         finally:
             self._outgoing.pop(member_id, None)
+            if connection.has_gone_silent:
+                self._unreachable_ids.add(member_id)
             connection.abort()
--- a/hickoryweir/replicas/tests/test_links.py
+++ b/hickoryweir/replicas/tests/test_links.py
@@ -7,7 +7,7 @@
 
 from hickoryweir.replicas import client, links, messages
 from hickoryweir.replicas.tests import register
-from hickoryweir.streams import hub
+from hickoryweir.streams import connections, hub
 
 TIMEOUT_S = 5.0
 
@@ -65,3 +65,39 @@
             return outcome.unwrap().value
 
     assert asyncio.run(main()) == "v"
+
+
+class RecordingConnection:
+    """A connection that records what is sent, and ends when it is told to."""
+
+    def __init__(self, name, has_gone_silent=False):
+        self.peer = connections.Peer(name, "a")
+        self.has_gone_silent = has_gone_silent
+        self.sent = []
+
+    def offer(self, message):
+        """Record a message."""
+        self.sent.append(message)
+
+    def abort(self):
+        """End; nothing is left to do."""
+
+
+def test_leader_that_new_connections_cannot_reach_gets_nothing_by_its_own_ones():
+    async def handle(connection):
+        pass
+
+    async def main():
+        found = links.Links(register.make_identity("b"), "", None, handle)
+        before, after = RecordingConnection("a"), RecordingConnection("a")
+        envelope = messages.Envelope("a~1", "b~1", 1, None)
+        found.add_incoming("a~1", before)
+        found.send(envelope)
+        silent = RecordingConnection("a", has_gone_silent=True)
+        await found._serve("a~1", silent)
+        found.send(envelope)
+        found.add_incoming("a~1", after)
+        found.send(envelope)
+        return len(before.sent), len(after.sent)
+
+    assert asyncio.run(main()) == (1, 1)
--- a/hickoryweir/streams/connections.py
+++ b/hickoryweir/streams/connections.py
@@ -96,6 +96,11 @@
             return math.inf
         return liveness.silent_s(self._liveness)
 
+    @property
+    def has_gone_silent(self) -> bool:
+        """Return whether the connection was ended because nothing arrived."""
+        return self._is_silent
+
     @property
     def is_closed(self) -> bool:
         """Return whether the connection is closed or closing."""
