--- a/hickoryweir/streams/liveness.py
+++ b/hickoryweir/streams/liveness.py
@@ -97,7 +97,7 @@
 # A replica whose event loop stands still for most of a second keeps its connections,
 # and there is time left for an election within 3 s.
 _FAST = Limits(200, 6, 9)
-# As long as routers wait for heartbeats.
+# The connecting side waits as long as a router waits for a heartbeat of its feed.
 _SLOW = Limits(500, 4, 6, is_stretched=True)
 LIMITS = {
     handshake.Purpose.REPLICA: _FAST,
