Routers: answer requests received before a stop during the start

Callers saw connections closed without a response: the platform's entry point opens the clients' port before the slow imports, so that the kernel accepts connections and receives requests while the process starts. A SIGTERM in that time ended the process at once, and the kernel reset them. A request may be sent seconds before, on a VM where the imports take that long.

Without an open port the process still ends at once.

Ruled out: processes started by `hickoryweir forward`, which opens the port after its imports.

--- a/hickoryweir/early_listener.py
+++ b/hickoryweir/early_listener.py
@@ -10,6 +10,8 @@
 import pathlib
 import socket
 
+from hickoryweir import early_signals
+
 BACKLOG_COUNT = 1_024
 
 _listeners: dict[tuple[str, int], socket.socket] = {}
@@ -33,6 +35,8 @@
         listener.close()
         return
     listener.setblocking(False)
+    # The end of the process would reset the connections that the kernel has accepted.
+    early_signals.defer_stop()
     _listeners[address] = listener
 
 
--- a/hickoryweir/entry/main.py
+++ b/hickoryweir/entry/main.py
@@ -9,7 +9,7 @@
 import aiomisc
 from returns import result
 
-from hickoryweir import process_exit
+from hickoryweir import early_signals, process_exit
 from hickoryweir.entry import adapters, reloading, settings
 from hickoryweir.observability import bounded, logs
 
@@ -70,9 +70,12 @@
 ) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    # Imports take time, in which only the early handlers record when a signal came.
+    process = _make_process(entry_settings, site_adapters)
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, _request_stop, stop, number)
-    process = _make_process(entry_settings, site_adapters)
+    if early_signals.stop_requested_at_s() is not None:
+        _request_stop(stop, signal.SIGTERM)
     watcher = reloading.Watcher(path, entry_settings, process.apply_settings)
     loop.add_signal_handler(signal.SIGHUP, watcher.reload_requested.set)
     watching = asyncio.create_task(watcher.run())
