Routers: answer requests that arrive during a stall before the port closes

Callers saw connections reset without a response at a planned stop, up to the length of a stall of the router's event loop after they had sent their requests.

Two causes of one class: the kernel had accepted the connection and received the request, and the process closed it unread. - After a stall, the loop runs the timers that fell due before it polls. The timer that ends the open-port time closed the listener, and the kernel reset the connections that waited in its queue. `listening.close` now takes them first. - Connections without a received byte counted as idle, though bytes waited in the kernel; the first check of a stop closed them. Kept connections already looked there.

Ruled out: a stall within a timer or a ready callback, which the loop follows with a poll.

The relay port is stopped by the same code.

--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -7,7 +7,13 @@
 import multidict
 from aiohttp import http_exceptions, http_parser, web
 
-from hickoryweir import bounded_connections, clocks, early_listener, parsing_turns
+from hickoryweir import (
+    bounded_connections,
+    clocks,
+    early_listener,
+    listening,
+    parsing_turns,
+)
 from hickoryweir.forwarding import (
     contexts,
     errors,
@@ -89,7 +95,8 @@
         if self.has_unparsed:
             return False
         if not self.has_received:
-            return True
+            # Bytes that came during a stall of the event loop have not been read yet.
+            return not self._has_unread
         # Without a waiter, aiohttp is starting a handler or writing a response.
         is_waiting = self._waiter is not None and not self._waiter.done()
         # A close with unread bytes would also discard the end of the last response.
@@ -230,6 +237,8 @@
 
     Attributes
     ----------
+    make_connection : callable
+        Makes the protocol of a connection.
     peers : str
         Who connects to its port, for the log.
     """
@@ -237,6 +246,7 @@
     router: contexts.Forwarder
     server: web.Server
     listener: asyncio.Server
+    make_connection: Callable[[], ClientConnection]
     header_watcher: asyncio.Task
     peers: str
 
@@ -268,9 +278,12 @@
         The address is in use.
     """
     server = web.Server(_make_handler(router, serve), handler_cancellation=True)
-    listener = await _listen(_make_connection_factory(router, server), host, port)
+    make_connection = _make_connection_factory(router, server)
+    listener = await _listen(make_connection, host, port)
     header_watcher = asyncio.create_task(_close_slow_clients(router, server))
-    return RunningServer(router, server, listener, header_watcher, peers)
+    return RunningServer(
+        router, server, listener, make_connection, header_watcher, peers
+    )
 
 
 def _make_handler(router: contexts.Forwarder, serve: Serve | None) -> Handler:
@@ -438,7 +451,7 @@
     a connection discards the rest of a request.
     """
     begin_stop(running.router, time_left_s)
-    running.listener.close()
+    await listening.close(running.listener, running.make_connection)
     phases = open_requests.count_phases(_open_requests(running))
     logs.info(f"port for {running.peers} closed", logs.Fields(detail=f"open: {phases}"))
     loop = asyncio.get_running_loop()
