Ports of replicas and of serve: a stop answers requests that were not read yet

Callers saw connections reset without a response when the port of operators stopped: a stop waited only for requests whose handlers ran. Connections in the listener's queue, received bytes that were not read, and requests whose handler had not started were closed after a stall of the event loop.

`graceful_stop.stop` now takes the queue first and counts a request as open from its first received byte. A head that is never completed holds it up to its limit, as a body did before. `listening.close` opens the connections in background tasks, so that no TLS handshake delays a stop.

Evidence: test_graceful_stop.py, uvloop, a stall of 0.5 s.

--- a/hickoryweir/bounded_connections.py
+++ b/hickoryweir/bounded_connections.py
@@ -8,7 +8,7 @@
 
 from aiohttp import http_exceptions, http_parser, streams, web, web_protocol
 
-from hickoryweir import parsing_turns
+from hickoryweir import parsing_turns, unread
 
 EMPTY_LINE = b"\r\n\r\n"
 # More than the pipelined requests that one segment usually has; the rest waits.
@@ -117,6 +117,12 @@
         """Return whether bytes were received that have not been parsed."""
         return self._unparsed_size_bytes > 0
 
+    @property
+    def has_request(self) -> bool:
+        """Return whether bytes of a request were received that no handler serves."""
+        is_read = bool(self._messages) or self.head_started_s is not None
+        return is_read or self.has_unparsed or unread.size_bytes(self.transport) > 0
+
     def _parse_in_turn(self) -> bool:
         """Parse one part; return whether another turn is needed."""
         self._parse_part(COSTLY_PART_SIZE_BYTES)
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -13,6 +13,7 @@
     early_listener,
     listening,
     parsing_turns,
+    unread,
 )
 from hickoryweir.forwarding import (
     contexts,
@@ -127,8 +128,7 @@
 
     @property
     def _has_unread(self) -> bool:
-        transport = self.client_transport
-        return transport is not None and sockets.unread_size_bytes(transport) > 0
+        return unread.size_bytes(self.client_transport) > 0
 
     @property
     def queued_headers(self) -> list[multidict.CIMultiDictProxy]:
@@ -451,7 +451,7 @@
     a connection discards the rest of a request.
     """
     begin_stop(running.router, time_left_s)
-    await listening.close(running.listener, running.make_connection)
+    listening.close(running.listener, running.make_connection)
     phases = open_requests.count_phases(_open_requests(running))
     logs.info(f"port for {running.peers} closed", logs.Fields(detail=f"open: {phases}"))
     loop = asyncio.get_running_loop()
--- a/hickoryweir/forwarding/sockets.py
+++ b/hickoryweir/forwarding/sockets.py
@@ -2,13 +2,10 @@
 
 import asyncio
 import contextvars
-import fcntl
 import functools
 import math
 import select
 import socket
-import struct
-import termios
 import time
 from collections.abc import Callable
 
@@ -27,8 +24,6 @@
 # Used where no limit is configured: the usual number of slots of a server.
 DEFAULT_MAX_IDLE_CONNECTIONS_COUNT = 64
 EXPIRY_INTERVAL_S = 0.5
-# The kernel returns sizes as a C int.
-IOCTL_INT = struct.Struct("i")
 # Busy servers let requests wait, so clients that leave earlier show nothing.
 SILENT_AFTER_S = 1.0
 # Idle time below that of any connection, so that a new one is opened.
@@ -135,15 +130,6 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, sessions.RESET_ON_CLOSE)
 
 
-def unread_size_bytes(transport: asyncio.BaseTransport) -> int:
-    """Return the bytes in the kernel that this process has not read."""
-    sock = transport.get_extra_info("socket")
-    if sock is None or transport.is_closing():
-        return 0
-    packed = fcntl.ioctl(sock.fileno(), termios.FIONREAD, IOCTL_INT.pack(0))
-    return IOCTL_INT.unpack(packed)[0]
-
-
 def has_peer_left(transport: asyncio.BaseTransport) -> bool:
     """Return whether the peer has closed a connection, behind unread bytes as well."""
     sock = transport.get_extra_info("socket")
--- a/hickoryweir/graceful_stop.py
+++ b/hickoryweir/graceful_stop.py
@@ -9,6 +9,8 @@
 
 from aiohttp import web
 
+from hickoryweir import bounded_connections, listening
+
 CHECK_INTERVAL_S = 0.02
 # aiohttp waits twice: for a handler, and for its cancellation.
 SHUTDOWN_TIMEOUT_S = 0.5
@@ -48,19 +50,25 @@
 async def stop(runner: web.AppRunner, limit_s: float) -> None:
     """Stop listening, let open requests end within `limit_s`, and close connections.
 
+    Requests count as open from the moment at which the kernel has received a byte.
+
     Parameters
     ----------
     runner : web.AppRunner
-        Runs an application with :func:`track`; its shutdown timeout should be
-        `SHUTDOWN_TIMEOUT_S`.
+        Runs an application with :func:`track` on a server whose connections are
+        :class:`.bounded_connections.BoundedConnection`; its shutdown timeout should
+        be `SHUTDOWN_TIMEOUT_S`.
     limit_s : float
         Maximum time until all requests have been received, handled and answered.
     """
     runner.app[OPEN_REQUESTS].is_stopping = True
-    for site in runner.sites:
-        await site.stop()
     loop = asyncio.get_running_loop()
     end_s = loop.time() + limit_s
+    for site in list(runner.sites):
+        listening.close(site._server, runner.server, site._ssl_context)
+        await site.stop()
+    # Connections that were accepted before are in the server's list after this.
+    await asyncio.sleep(CHECK_INTERVAL_S)
     while _has_open_requests(runner):
         if loop.time() >= end_s:
             break
@@ -72,10 +80,13 @@
     """Return whether a request is open or a response is not fully sent."""
     if runner.app[OPEN_REQUESTS].tasks:
         return True
+    return any(_is_open(connection) for connection in runner.server.connections)
+
+
+def _is_open(connection: bounded_connections.BoundedConnection) -> bool:
+    transport = connection.transport
+    if transport is None:
+        return False
     # A connection that is closing is in the list until its last byte is sent.
-    transports = [connection.transport for connection in runner.server.connections]
-    return any(
-        transport is not None
-        and (transport.is_closing() or transport.get_write_buffer_size())
-        for transport in transports
-    )
+    is_sending = transport.is_closing() or transport.get_write_buffer_size() > 0
+    return is_sending or connection.has_request
--- a/hickoryweir/listening.py
+++ b/hickoryweir/listening.py
@@ -12,17 +12,22 @@
 
 from hickoryweir.observability import logs
 
-# Of one listener; more than the backlog of any, so that new ones can't go on forever.
+# More than the backlog of any listener, so that new connections can't go on forever.
 MAX_ACCEPTED_COUNT = 4_096
 
+# The event loop holds only weak references to its tasks.
+_opening: set[asyncio.Task] = set()
 
-async def close(
+
+def close(
     listener: asyncio.Server,
     make_protocol: Callable[[], asyncio.BaseProtocol],
     ssl_context: ssl.SSLContext | None = None,
 ) -> None:
     """Close a listener after the connections in its queue have been taken.
 
+    They are open after a few iterations of the event loop, or after their handshakes.
+
     Parameters
     ----------
     listener : asyncio.Server
@@ -32,24 +37,15 @@
     ssl_context : ssl.SSLContext, optional
         If the connections use TLS.
     """
-    accepted = []
+    accepted: list[socket.socket] = []
     for bound in listener.sockets:
         with bound.dup() as queue:
             accepted += _accept_waiting(queue)
     listener.close()
-    loop = asyncio.get_running_loop()
-    outcomes = await asyncio.gather(
-        *(
-            loop.connect_accepted_socket(make_protocol, connection, ssl=ssl_context)
-            for connection in accepted
-        ),
-        return_exceptions=True,
-    )
-    for connection, outcome in zip(accepted, outcomes, strict=True):
-        if isinstance(outcome, BaseException):
-            connection.close()
-            fields = logs.Fields(reason=repr(outcome))
-            logs.warning("connection could not be taken over", fields)
+    for connection in accepted:
+        opening = asyncio.create_task(_open(connection, make_protocol, ssl_context))
+        _opening.add(opening)
+        opening.add_done_callback(_opening.discard)
 
 
 def _accept_waiting(queue: socket.socket) -> list[socket.socket]:
@@ -67,3 +63,17 @@
         connection.setblocking(False)
         accepted.append(connection)
     return accepted
+
+
+async def _open(
+    connection: socket.socket,
+    make_protocol: Callable[[], asyncio.BaseProtocol],
+    ssl_context: ssl.SSLContext | None,
+) -> None:
+    loop = asyncio.get_running_loop()
+    try:
+        await loop.connect_accepted_socket(make_protocol, connection, ssl=ssl_context)
+    except OSError as error:
+        connection.close()
+        fields = logs.Fields(reason=str(error))
+        logs.warning("accepted connection could not be opened", fields)
--- /dev/null
+++ b/hickoryweir/tests/test_graceful_stop.py
@@ -0,0 +1,83 @@
+"""Requests of an application whose server stops after a stall of the event loop."""
+
+import asyncio
+
+import pytest
+import uvloop
+from aiohttp import web
+
+from hickoryweir import bounded_connections, graceful_stop
+from hickoryweir.testing import stalls
+
+HOST = "127.0.0.1"
+REQUEST = b"PUT /table HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
+LIMIT_S = 1.5
+CONNECT_S = 0.1
+
+
+async def start(duration_s=0.0):
+    """Serve an application that answers after a time; return its runner and address."""
+
+    async def answer(request):
+        await request.read()
+        await asyncio.sleep(duration_s)
+        return web.Response(text="whole")
+
+    app = web.Application()
+    app.router.add_put("/table", answer)
+    graceful_stop.track(app)
+    runner = bounded_connections.BoundedRunner(
+        app, access_log=None, shutdown_timeout=graceful_stop.SHUTDOWN_TIMEOUT_S
+    )
+    await runner.setup()
+    await web.TCPSite(runner, HOST, 0).start()
+    return runner, runner.addresses[0]
+
+
+def run(main):
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(main())
+
+
+@pytest.mark.parametrize("connects_early", [False, True])
+def test_request_received_in_a_stall_before_the_port_closes_is_answered(connects_early):
+    async def main():
+        runner, address = await start()
+        client = stalls.Client(address, REQUEST, connects_early)
+        await asyncio.sleep(CONNECT_S)
+        with stalls.stall(client):
+            await asyncio.sleep(stalls.STALL_S / 2)
+            await graceful_stop.stop(runner, LIMIT_S)
+        return await client.receive()
+
+    assert run(main).endswith(b"whole")
+
+
+def test_request_whose_response_falls_into_a_stall_past_the_limit_is_answered():
+    async def main():
+        limit_s = 2 * stalls.STALL_S
+        runner, address = await start(duration_s=limit_s)
+        client = stalls.Client(address, REQUEST, connects_early=True)
+        client.send()
+        await asyncio.sleep(CONNECT_S)
+        stopping = asyncio.create_task(graceful_stop.stop(runner, limit_s))
+        await asyncio.sleep(limit_s - stalls.STALL_S / 2)
+        with stalls.stall(client):
+            await stopping
+        return await client.receive()
+
+    assert run(main).endswith(b"whole")
+
+
+def test_request_received_in_a_stall_longer_than_the_limit_is_answered():
+    async def main():
+        runner, address = await start()
+        client = stalls.Client(address, REQUEST, connects_early=True)
+        await asyncio.sleep(CONNECT_S)
+        stopping = asyncio.create_task(graceful_stop.stop(runner, stalls.STALL_S / 2))
+        await asyncio.sleep(0)
+        with stalls.stall(client):
+            await stopping
+        return await client.receive()
+
+    assert run(main).endswith(b"whole")
