serve: a stop answers calls that wait in the queue of the callers' port

Callers saw a connection reset without a response when the port closed after a stall of the event loop: the kernel had accepted the connection and received the call.

The callers' port now takes its queue before it closes, as the ports of routers and replicas do, and the drain begins to wait once these calls are in flight.

--- a/hickoryweir/callers/server.py
+++ b/hickoryweir/callers/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import ssl
 import time
 import traceback
@@ -9,7 +10,12 @@
 
 from aiohttp import http_exceptions, web
 
-from hickoryweir import bounded_connections, graceful_stop, parsing_turns
+from hickoryweir import (
+    bounded_connections,
+    graceful_stop,
+    listening,
+    parsing_turns,
+)
 from hickoryweir.callers import app, errors, interface
 from hickoryweir.configuration import settings
 from hickoryweir.observability import logs, metrics
@@ -195,6 +201,8 @@
     ----------
     port : int
         TCP port that it listens on.
+    stop_listening : callable
+        Stops accepting connections, after those that the kernel has accepted.
     open_requests : set of asyncio.Task
         Tasks of the requests that are being received, handled or answered.
     """
@@ -202,6 +210,7 @@
     port: int
     runner: web.AppRunner
     listener: asyncio.Server
+    stop_listening: Callable[[], None]
     open_requests: set[asyncio.Task]
     tasks: tuple[asyncio.Task, ...]
 
@@ -217,7 +226,7 @@
     Returns
     -------
     RunningServer
-        Argument of :func:`stop_listening` and :func:`stop`.
+        Argument of :func:`stop`.
 
     Raises
     ------
@@ -252,17 +261,15 @@
     port = listener.sockets[0].getsockname()[1]
     tasks = tuple(asyncio.create_task(coroutine) for coroutine in coroutines)
     tracked = application[graceful_stop.OPEN_REQUESTS].tasks
-    return RunningServer(port, runner, listener, tracked, tasks)
-
-
-def stop_listening(running: RunningServer) -> None:
-    """Stop accepting connections; open ones are still served."""
-    running.listener.close()
+    stop_listening = functools.partial(
+        listening.close, listener, factory, context, limits.body_timeout_s
+    )
+    return RunningServer(port, runner, listener, stop_listening, tracked, tasks)
 
 
 async def stop(running: RunningServer) -> None:
     """Let open requests end within `STOP_LIMIT_S` and close all connections."""
-    stop_listening(running)
+    running.stop_listening()
     for task in running.tasks:
         task.cancel()
     await graceful_stop.stop(running.runner, STOP_LIMIT_S)
--- a/hickoryweir/callers/tests/test_stop.py
+++ b/hickoryweir/callers/tests/test_stop.py
@@ -6,11 +6,13 @@
 import time
 from concurrent import futures
 
+import pytest
 import uvloop
 from returns import result
 
 from hickoryweir.callers import interface, server
 from hickoryweir.callers.tests import exchanges, fakes
+from hickoryweir.testing import stalls
 
 HOST = "127.0.0.1"
 CHAT_PATH = b"/v1/chat/completions"
@@ -93,3 +95,21 @@
         writer.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("connects_early", [False, True])
+def test_call_received_in_a_stall_before_the_port_closes_is_answered(connects_early):
+    request = exchanges.make_request(CHAT_PATH, CHAT_BODY)
+
+    async def run():
+        running = await server.start(fakes.make_daemon())
+        client = stalls.Client((HOST, running.port), request, connects_early)
+        await asyncio.sleep(REST_DELAY_S)
+        with stalls.stall(client):
+            await asyncio.sleep(stalls.STALL_S / 2)
+            await server.stop(running)
+        return await client.receive()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        received = runner.run(run())
+    assert [status for status, _ in exchanges.parse(received)] == [200]
--- a/hickoryweir/daemon/drain.py
+++ b/hickoryweir/daemon/drain.py
@@ -75,6 +75,8 @@
     logs.info("draining", logs.Fields(detail=f"{len(steps.in_flight())} in flight"))
     await asyncio.sleep(limits.balancer_lag_s)
     steps.stop_listening()
+    # Calls that the kernel had received are in flight after this.
+    await asyncio.sleep(POLL_INTERVAL_S)
     ended = await wait_until_empty(steps.in_flight, limits.limit_s)
     if not ended:
         fields = logs.Fields(detail=f"{len(steps.in_flight())} cut off")
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -293,7 +293,7 @@
 async def drain_and_stop(process: components.Process) -> int:
     """Shut down gracefully and return the exit code."""
     steps = drain.Steps(
-        stop_listening=lambda: server.stop_listening(process.callers),
+        stop_listening=process.callers.stop_listening,
         in_flight=lambda: process.driver.tasks | process.callers.open_requests,
         refuse_calls=lambda: driver.refuse_calls(
             process.driver, refusals.Reason.DRAINING, drain.MESSAGE
--- a/hickoryweir/listening.py
+++ b/hickoryweir/listening.py
@@ -8,7 +8,7 @@
 import asyncio
 import socket
 import ssl
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from hickoryweir.observability import logs
 
@@ -23,6 +23,7 @@
     listener: asyncio.Server,
     make_protocol: Callable[[], asyncio.BaseProtocol],
     ssl_context: ssl.SSLContext | None = None,
+    handshake_timeout_s: float | None = None,
 ) -> None:
     """Close a listener after the connections in its queue have been taken.
 
@@ -36,14 +37,21 @@
         Makes the protocol of a connection.
     ssl_context : ssl.SSLContext, optional
         If the connections use TLS.
+    handshake_timeout_s : float, optional
+        Longest time for a handshake; the event loop's default by default.
     """
     accepted: list[socket.socket] = []
     for bound in listener.sockets:
         with bound.dup() as queue:
             accepted += _accept_waiting(queue)
     listener.close()
+    loop = asyncio.get_running_loop()
+    timeout_s = None if ssl_context is None else handshake_timeout_s
     for connection in accepted:
-        opening = asyncio.create_task(_open(connection, make_protocol, ssl_context))
+        connecting = loop.connect_accepted_socket(
+            make_protocol, connection, ssl=ssl_context, ssl_handshake_timeout=timeout_s
+        )
+        opening = asyncio.create_task(_open(connection, connecting))
         _opening.add(opening)
         opening.add_done_callback(_opening.discard)
 
@@ -65,14 +73,9 @@
     return accepted
 
 
-async def _open(
-    connection: socket.socket,
-    make_protocol: Callable[[], asyncio.BaseProtocol],
-    ssl_context: ssl.SSLContext | None,
-) -> None:
-    loop = asyncio.get_running_loop()
+async def _open(connection: socket.socket, connecting: Awaitable) -> None:
     try:
-        await loop.connect_accepted_socket(make_protocol, connection, ssl=ssl_context)
+        await connecting
     except OSError as error:
         connection.close()
         fields = logs.Fields(reason=str(error))
