Routers: refuse requests received before a start that fails

Callers saw connections reset without a response when a router could not start: the platform's entry point opens the clients' port before the imports, and with invalid settings (exit code 2), a port in use (4) or an unexpected error the process ended while the kernel had received requests.

The process now refuses these with 503 and Retry-After before it ends; it has not passed any of them on. It reads what else their clients send for up to 1 s, since unread bytes would discard the refusal. Connections without a byte are closed without a response.

--- a/hickoryweir/early_listener.py
+++ b/hickoryweir/early_listener.py
@@ -7,12 +7,22 @@
 """
 
 import configparser
+import contextlib
 import pathlib
 import socket
+import time
 
 from hickoryweir import early_signals
 
 BACKLOG_COUNT = 1_024
+# Time for the refusals to reach clients, and for the rest of what they send.
+REFUSAL_TIMEOUT_S = 1.0
+READ_SIZE_BYTES = 65_536
+# Says that the request was not run, as the router's own refusals do.
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 _listeners: dict[tuple[str, int], socket.socket] = {}
 
@@ -45,6 +55,50 @@
     return _listeners.pop((host, port), None)
 
 
+def refuse_waiting() -> None:
+    """Close the listeners that nobody took, and refuse the requests received on them.
+
+    For a process that could not start, which is about to end; this blocks.
+    """
+    connections = []
+    for listener in _listeners.values():
+        # None waits, or none can be accepted without a descriptor.
+        with listener, contextlib.suppress(OSError):
+            while len(connections) < BACKLOG_COUNT:
+                connections.append(listener.accept()[0])
+    _listeners.clear()
+    end_s = time.monotonic() + REFUSAL_TIMEOUT_S
+    refused = [each for each in connections if _refuse(each)]
+    for connection in refused:
+        _read_until(connection, end_s)
+    for connection in connections:
+        connection.close()
+
+
+def _refuse(connection: socket.socket) -> bool:
+    """Refuse the request on a connection; return whether one has begun."""
+    connection.setblocking(False)
+    try:
+        if not connection.recv(1, socket.MSG_PEEK):
+            return False
+        connection.sendall(REFUSAL)
+        connection.shutdown(socket.SHUT_WR)
+    except OSError:
+        # The client has left, or has sent nothing.
+        return False
+    return True
+
+
+def _read_until(connection: socket.socket, end_s: float) -> None:
+    """Read until the client closes, since unread bytes would discard the refusal."""
+    # The client has left or is still sending at the end.
+    with contextlib.suppress(OSError):
+        while (left_s := end_s - time.monotonic()) > 0:
+            connection.settimeout(left_s)
+            if not connection.recv(READ_SIZE_BYTES):
+                return
+
+
 def _read_address(path: pathlib.Path) -> tuple[str, int] | None:
     parser = configparser.ConfigParser(interpolation=None)
     try:
