Soak of planned stops: stop routers that start, pause processes, judge resets

Successors get SIGTERM up to 1.2 s after their start, while clients use them from the moment their port opens, and processes are paused around the signal and the close of the port.

--- a/hickoryweir/testing/soak/cluster.py
+++ b/hickoryweir/testing/soak/cluster.py
@@ -73,6 +73,8 @@
     links : dict
         The proxies before the replicas by host, through which it connects to them;
         none if it connects to them itself.
+    opens_early : bool
+        Whether it opens the clients' port before its imports.
     """
 
     role: str
@@ -82,6 +84,7 @@
     started_s: float = 0.0
     log_start_bytes: int = 0
     links: dict[str, proxies.Proxy] = dataclasses.field(default_factory=dict)
+    opens_early: bool = False
 
     @property
     def links_path(self) -> pathlib.Path:
@@ -224,6 +227,8 @@
     if member.links:
         program = "hickoryweir.testing.linked_process"
         return program, settings_path, str(member.links_path)
+    if member.opens_early:
+        return "hickoryweir.testing.early_process", settings_path
     return "hickoryweir", "forward", settings_path
 
 
--- a/hickoryweir/testing/soak/stop_clients.py
+++ b/hickoryweir/testing/soak/stop_clients.py
@@ -23,6 +23,7 @@
 READ_SIZE_BYTES = 65_536
 NO_ANSWER = "no answer in the protocol"
 FEW_BYTES = 16
+CONNECT_INTERVAL_S = 0.02
 FEW_BYTES_PACE_S = 0.1
 
 
@@ -47,7 +48,8 @@
     async def send(self, behaviour, plan, kind="once", body_parts=(b"",), pause_s=0.0):
         """Send a request; the pause is between the parts of its body."""
         target = self.target
-        request_id = f"{target.seed}-{target.host}-{len(target.requests)}"
+        number = f"{target.prefix}{len(target.requests)}"
+        request_id = f"{target.seed}-{target.host}-{number}"
         request = stop_records.Request(request_id, behaviour, target.host, plan, kind)
         target.requests.append(request)
         # Identical bodies would be taken for resends of one request, which would then
@@ -375,6 +377,25 @@
         await connection.receive(await connection.send("outlast", plan, "stream"))
 
 
+async def use_from_the_start(target: stop_records.Target) -> None:
+    """Use a process from the moment its port opens until it closes connections."""
+    generator = target.generator
+    while target.now_s() < stop_records.LISTENER_CLOSE_S:
+        try:
+            async with connect(target) as connection:
+                await asyncio.sleep(generator.choice((0.0, 0.0, 0.05, 0.3)))
+                while True:
+                    kind = generator.choice(("once", "stream"))
+                    plan = stop_records.Plan(work_s=generator.choice((0.05, 1.0)))
+                    request = await connection.send("start", plan, kind)
+                    await connection.receive(request)
+                    if not request.is_whole or connection.is_closing:
+                        break
+        except OSError:
+            pass
+        await asyncio.sleep(CONNECT_INTERVAL_S)
+
+
 BEHAVIOURS = {
     "keep": keep_using,
     "body": send_slowly,
--- a/hickoryweir/testing/soak/stop_events.py
+++ b/hickoryweir/testing/soak/stop_events.py
@@ -12,12 +12,18 @@
 TERMINATE, TERMINATE_AGAIN, RELOAD = "SIGTERM", "SIGTERM again", "SIGHUP"
 REPLACE_TABLE, STOP_REPLICA = "table", "stop of a replica"
 KINDS = (TERMINATE, TERMINATE_AGAIN, RELOAD, REPLACE_TABLE, STOP_REPLICA)
+# Drawn apart, see :func:`draw_pauses` and :func:`draw_start_stops`.
+PAUSE, START_STOP = "pause", "SIGTERM in the start"
 STOPS_SPAN_S = 9.0
 STOP_INTERVAL_MAX_S = 3.5
 # A stop as the router's clients see it ends with the process.
 STOP_DURATION_S = stop_records.CONNECTIONS_CLOSE_S
 FAULT_DURATION_MIN_S, FAULT_DURATION_MAX_S = 0.5, 3.0
 TABLES_COUNT_MAX = 4
+# A pause begins before a moment of the stop and ends after it.
+PAUSE_LEAD_MAX_S, PAUSE_REST_MIN_S, PAUSE_REST_MAX_S = 0.4, 0.02, 0.4
+# Imports take about half a second, and more on a busy computer.
+START_AGE_MAX_S = 1.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +111,38 @@
     ]
 
 
+def draw_pauses(generator: random.Random, stops: list[Event]) -> list[Event]:
+    """Return pauses of routers' processes around moments of their stops."""
+    events = []
+    for stop in stops:
+        for moment_s in (stop_records.SIGNAL_S, stop_records.LISTENER_CLOSE_S):
+            if generator.random() < 0.5:
+                lead_s = generator.uniform(0.0, PAUSE_LEAD_MAX_S)
+                rest_s = generator.uniform(PAUSE_REST_MIN_S, PAUSE_REST_MAX_S)
+                at_s = stop.at_s + moment_s - lead_s
+                events.append(Event(at_s, PAUSE, stop.index, lead_s + rest_s))
+    return events
+
+
+def draw_start_stops(generator: random.Random, stops: list[Event]) -> list[Event]:
+    """Return planned stops of successors, whose `duration_s` is their age then."""
+    return [
+        Event(stop.at_s + STOP_DURATION_S, START_STOP, stop.index, age_s)
+        for stop in stops
+        for age_s in (generator.uniform(0.0, START_AGE_MAX_S),)
+        if generator.random() < 0.7
+    ]
+
+
+async def pause_router(process: subprocess.Popen, event: Event) -> None:
+    """Pause a router's process for the time of an event."""
+    if process.poll() is not None:
+        return
+    process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(event.duration_s)
+    process.send_signal(signal.SIGCONT)
+
+
 def _draw_duration(generator: random.Random) -> float:
     return generator.uniform(FAULT_DURATION_MIN_S, FAULT_DURATION_MAX_S)
 
--- a/hickoryweir/testing/soak/stop_records.py
+++ b/hickoryweir/testing/soak/stop_records.py
@@ -99,6 +99,8 @@
         Arrivals at backend servers by request id, of all routers.
     exit_s : float or None
         When the process ended, relative to the signal.
+    prefix : str
+        Tells the ids of its requests from those of another process of the router.
     """
 
     host: str
@@ -107,6 +109,7 @@
     generator: random.Random
     attempts: dict[str, list[Attempt]]
     seed: int = 0
+    prefix: str = ""
     requests: list[Request] = dataclasses.field(default_factory=list)
     exit_s: float | None = None
     exit_code: int | None = None
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -9,6 +9,7 @@
 import collections
 import contextlib
 import dataclasses
+import itertools
 import pathlib
 import random
 import subprocess
@@ -91,6 +92,14 @@
         int,
         cappa.Arg(long=True, help="Floods by backend servers per router and round."),
     ] = 0
+    starts: Annotated[
+        bool,
+        cappa.Arg(
+            long=True,
+            help="Open most routers' ports before their imports, stop routers that "
+            "start, and pause processes around moments of their stops.",
+        ),
+    ] = False
     untimed: Annotated[
         bool, cappa.Arg(long=True, help="Judge only what no delay can cause.")
     ] = False
@@ -181,6 +190,10 @@
         entries += await stack.enter_async_context(stop_floods.run_servers())
     list_address = await start_list(lambda: entries)
     cluster = make_cluster(folder, options.routers, list_address)
+    if options.starts:
+        # The others are started by the command line.
+        for member in cluster.routers[::2]:
+            member.opens_early = True
     site = Site(cluster, servers, attempts)
     if options.floods:
         cluster.values["memory_mb"] = stop_floods.MEMORY_MB
@@ -277,6 +290,11 @@
         )
     stops = [event for event in events if event.kind == stop_events.TERMINATE]
     targets = [make_target(site, event, start_s, seed) for event in stops]
+    starts: list[stop_events.Event] = []
+    if options.starts:
+        drawn_apart = random.Random(f"{seed} starts")
+        starts = stop_events.draw_start_stops(drawn_apart, stops)
+        events += stop_events.draw_pauses(drawn_apart, stops)
     processes = [member.process for member in cluster.routers]
     others = [
         asyncio.create_task(carry_out(site, event, start_s, processes))
@@ -285,12 +303,13 @@
     ]
     peaks_mb: dict[str, float] = {}
     watching = asyncio.create_task(stop_floods.watch_memory(cluster, peaks_mb))
-    await asyncio.gather(
+    start_targets = await asyncio.gather(
         *(
-            stop_router(cluster, event, target, options)
+            stop_router(site, event, target, options, starts)
             for event, target in zip(stops, targets, strict=True)
         )
     )
+    targets += itertools.chain.from_iterable(start_targets)
     await asyncio.gather(*others)
     watching.cancel()
     findings += stop_oracle.find_violations(targets)
@@ -341,12 +360,20 @@
 
 
 async def stop_router(
-    cluster: clusters.Cluster,
+    site: Site,
     event: stop_events.Event,
     target: stop_records.Target,
     options: Stops,
-) -> None:
-    """Stop a router under load from its clients, and start its successor."""
+    starts: list[stop_events.Event],
+) -> list[stop_records.Target]:
+    """Stop a router under load from its clients, and start its successor.
+
+    Returns
+    -------
+    list of Target
+        The clients' view of successors that were stopped while they started.
+    """
+    cluster = site.cluster
     member = cluster.routers[event.index]
     names = list(stop_clients.BEHAVIOURS)
     if options.behaviours:
@@ -363,6 +390,11 @@
     await await_exit(member, target)
     clusters.write_settings(cluster, member)
     clusters.launch(member)
+    start_targets = [
+        await stop_starting_router(site, start, target.seed, options)
+        for start in starts
+        if start.index == event.index
+    ]
     _, pending = await asyncio.wait(
         tasks, timeout=max(0.0, stop_clients.CLIENT_END_S - target.now_s())
     )
@@ -372,6 +404,34 @@
         # The router refuses connections once its port is closed.
         if isinstance(outcome, Exception) and not isinstance(outcome, OSError):
             raise outcome
+    return start_targets
+
+
+async def stop_starting_router(
+    site: Site, event: stop_events.Event, seed: int, options: Stops
+) -> stop_records.Target:
+    """Stop a router that has just been started, and start its successor."""
+    member = site.cluster.routers[event.index]
+    at_start = dataclasses.replace(event, at_s=0.0)
+    signal_s = member.started_s + event.duration_s
+    target = make_target(site, at_start, signal_s, seed)
+    target.prefix = "start-"
+    tasks = [
+        asyncio.create_task(stop_clients.use_from_the_start(target))
+        for _ in range(options.clients)
+    ]
+    await stop_clients.sleep_until(target, stop_records.SIGNAL_S)
+    stop_events.signal_router(site.cluster, event, member.process)
+    await await_exit(member, target)
+    # Clients see the end of their connections meanwhile.
+    await asyncio.sleep(stop_oracle.LOSS_SLACK_S)
+    for task in tasks:
+        task.cancel()
+    for outcome in await asyncio.gather(*tasks, return_exceptions=True):
+        if isinstance(outcome, Exception):
+            raise outcome
+    clusters.launch(member)
+    return target
 
 
 async def await_exit(member: clusters.Member, target: stop_records.Target) -> None:
@@ -410,6 +470,8 @@
         stop_floods.kill_successor(site.cluster, event, processes[event.index])
     elif isinstance(event, stop_floods.Flood):
         await stop_floods.call(site.cluster, event)
+    elif event.kind == stop_events.PAUSE:
+        await stop_events.pause_router(processes[event.index], event)
     elif event.kind in stop_backends.FAULTS:
         backend = site.servers[event.index]
         await stop_backends.disturb(backend, event.kind, event.duration_s)
@@ -455,6 +517,8 @@
         arguments += f" --floods {options.floods}"
     if options.busy:
         arguments += f" --busy {options.busy}"
+    if options.starts:
+        arguments += " --starts"
     for finding in findings[:SHOWN_COUNT]:
         if options.untimed and finding.is_timed:
             print("depends on the moment:")
--- a/hickoryweir/testing/soak/tests/test_stop_events.py
+++ b/hickoryweir/testing/soak/tests/test_stop_events.py
@@ -36,6 +36,16 @@
     assert kinds == {*stop_events.KINDS, *stop_backends.FAULTS}
 
 
+def test_seeds_draw_pauses_and_stops_of_routers_that_start():
+    stops = [item for item in draw(1) if item.kind == stop_events.TERMINATE]
+    generator = random.Random(1)
+    events = stop_events.draw_pauses(generator, stops)
+    events += stop_events.draw_start_stops(generator, stops)
+    kinds = {event.kind for event in events}
+    assert kinds == {stop_events.PAUSE, stop_events.START_STOP}
+    assert all(event.duration_s > 0.0 for event in events)
+
+
 def test_second_signal_does_not_reach_the_successor():
     # An event holds for the process that got the first signal, which has ended here.
     process = subprocess.Popen([sys.executable, "-c", ""])
--- a/hickoryweir/testing/soak/tests/test_stop_oracle.py
+++ b/hickoryweir/testing/soak/tests/test_stop_oracle.py
@@ -41,6 +41,7 @@
         ([stop_records.Attempt("s0", 3.1, 3.1)], {"last_byte_s": 3.1}),
         ([], {}),
         ([], {"end": "TimeoutError"}),
+        ([], {"end": "ConnectionResetError"}),
         ([RAN], {"ended_s": 5.0}),
         ([QUEUED], {"end": "ConnectionResetError"}),
     ],
@@ -57,7 +58,7 @@
         ([RAN], {}),
         ([BROKE_OFF], {"ended_s": 3.0}),
         ([], {"last_byte_s": 7.3}),
-        ([], {"end": "ConnectionResetError"}),
+        ([], {"last_byte_s": 7.3, "end": "ConnectionResetError"}),
         ([], {"last_byte_s": None}),
         ([QUEUED], {"left": True}),
         ([QUEUED], {"ended_s": -0.5}),
@@ -217,3 +218,15 @@
 
     assert stop_oracle.untimed(kill(3), 6) == []
     assert len(stop_oracle.untimed(kill(4), 6)) == 4
+
+
+@pytest.mark.parametrize(
+    ("exit_code", "requests", "is_found"),
+    [(-15, [], False), (-15, [make_request(left=True)], True), (1, [], True)],
+)
+def test_process_that_sigterm_ends_has_served_nobody(exit_code, requests, is_found):
+    target = make_target()
+    target.exit_code = exit_code
+    target.requests += requests
+    promises = [item.violation.promise for item in stop_oracle.check_exit(target)]
+    assert promises == [stop_oracle.ENDS_CLEAN] * is_found
