Routers: refuse requests at once when a stop comes during the start

Callers saw connections closed without a response if the imports took longer than the grace: a router that gets SIGTERM while it starts went on starting to answer them.

SIGTERM now refuses what the kernel has received with 503 and Retry-After, true since nothing was passed on, and ends the process; the time for this does not depend on the imports. This replaces the stop after a delayed start, with its own count of the grace. Connections without a byte are closed at once.

The new row of test_request_received_before_a_stop_during_the_start_is_answered has imports of twice the grace; the design before answers after them, past its bound.

Log lines tell requests that only the kernel had received from those that were read: connections taken from a queue, requests refused before the process served, connections closed with unread bytes.

--- a/hickoryweir/early_listener.py
+++ b/hickoryweir/early_listener.py
@@ -8,6 +8,7 @@
 
 import configparser
 import contextlib
+import json
 import pathlib
 import socket
 import time
@@ -18,6 +19,7 @@
 # Time for the refusals to reach clients, and for the rest of what they send.
 REFUSAL_TIMEOUT_S = 1.0
 READ_SIZE_BYTES = 65_536
+STOPPED_MESSAGE = "stopped while starting"
 # Says that the request was not run, as the router's own refusals do.
 REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
@@ -38,15 +40,15 @@
         return
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setblocking(False)
+    # The end of the process would reset the connections that the kernel has accepted.
+    early_signals.call_before_exit(_refuse_before_stop)
     try:
         listener.bind(address)
         listener.listen(BACKLOG_COUNT)
     except OSError:
         listener.close()
         return
-    listener.setblocking(False)
-    # The end of the process would reset the connections that the kernel has accepted.
-    early_signals.defer_stop()
     _listeners[address] = listener
 
 
@@ -55,10 +57,22 @@
     return _listeners.pop((host, port), None)
 
 
-def refuse_waiting() -> None:
+def _refuse_before_stop() -> None:
+    refused_count = refuse_waiting()
+    # The log is not set up yet.
+    line = {"message": STOPPED_MESSAGE, "detail": f"{refused_count} requests refused"}
+    print(json.dumps({"level": "INFO"} | line), flush=True)
+
+
+def refuse_waiting() -> int:
     """Close the listeners that nobody took, and refuse the requests received on them.
 
-    For a process that could not start, which is about to end; this blocks.
+    For a process that ends before it has served; this blocks.
+
+    Returns
+    -------
+    int
+        How many requests were refused.
     """
     connections = []
     for listener in _listeners.values():
@@ -67,12 +81,17 @@
             while len(connections) < BACKLOG_COUNT:
                 connections.append(listener.accept()[0])
     _listeners.clear()
+    refused = []
+    for connection in connections:
+        if _refuse(connection):
+            refused.append(connection)
+        else:
+            connection.close()
     end_s = time.monotonic() + REFUSAL_TIMEOUT_S
-    refused = [each for each in connections if _refuse(each)]
     for connection in refused:
-        _read_until(connection, end_s)
-    for connection in connections:
-        connection.close()
+        with connection:
+            _read_until(connection, end_s)
+    return len(refused)
 
 
 def _refuse(connection: socket.socket) -> bool:
--- a/hickoryweir/entry/main.py
+++ b/hickoryweir/entry/main.py
@@ -9,7 +9,7 @@
 import aiomisc
 from returns import result
 
-from hickoryweir import early_listener, early_signals, process_exit
+from hickoryweir import early_listener, process_exit
 from hickoryweir.entry import adapters, reloading, settings
 from hickoryweir.observability import bounded, logs
 
@@ -39,7 +39,10 @@
     try:
         return _serve(path, site_adapters, stream)
     finally:
-        early_listener.refuse_waiting()
+        refused_count = early_listener.refuse_waiting()
+        if refused_count:
+            detail = f"{refused_count} requests refused"
+            logs.warning("ended before it served", logs.Fields(detail=detail))
         stream.close()
 
 
@@ -71,12 +74,10 @@
 ) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    # Imports take time, in which only the early handlers record when a signal came.
+    # Until the event loop runs again, only the early handlers act on a signal.
     process = _make_process(entry_settings, site_adapters)
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, _request_stop, stop, number)
-    if early_signals.stop_requested_at_s() is not None:
-        _request_stop(stop, signal.SIGTERM)
     watcher = reloading.Watcher(path, entry_settings, process.apply_settings)
     loop.add_signal_handler(signal.SIGHUP, watcher.reload_requested.set)
     watching = asyncio.create_task(watcher.run())
--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -10,7 +10,7 @@
 
 from returns import result
 
-from hickoryweir import background, clocks, early_signals
+from hickoryweir import background, clocks
 from hickoryweir.discovery import list_reader, listing, version_log
 from hickoryweir.duties import usage_counts, usage_feed
 from hickoryweir.engines import sessions
@@ -87,8 +87,6 @@
 CLOSE_MARGIN_S = 0.6
 # With a short grace, open requests need more of it than the load balancer.
 OPEN_PORT_SHARE = 0.5
-# Until connections that the kernel has accepted are the process's own.
-MIN_OPEN_PORT_S = 0.05
 
 
 def _make_budget(entry_settings: settings.EntrySettings) -> retry_budget.Settings:
@@ -120,12 +118,6 @@
     return open_port_s, time_left_s - open_port_s
 
 
-def _used_grace_s() -> float:
-    """Return how much of the grace the start has used since a stop was requested."""
-    requested_at_s = early_signals.stop_requested_at_s()
-    return 0.0 if requested_at_s is None else clocks.boottime_s() - requested_at_s
-
-
 class Router:
     """A router process and its components."""
 
@@ -302,7 +294,7 @@
     async def _drain(
         self, running: server.RunningServer, relay_server: server.RunningServer | None
     ) -> None:
-        grace_s = self._settings.shutdown.grace_s - _used_grace_s()
+        grace_s = self._settings.shutdown.grace_s
         count = len(running.server.connections)
         phases = open_requests.count_phases(self.forwarder.open_requests.values())
         detail = f"{count} connections, grace {grace_s:g} s, open: {phases}"
@@ -310,7 +302,7 @@
         open_port_s, closed_port_s = split_grace(grace_s)
         end_s = clocks.boottime_s() + open_port_s + closed_port_s
         server.begin_stop(self.forwarder, open_port_s + closed_port_s)
-        await asyncio.sleep(max(open_port_s, MIN_OPEN_PORT_S))
+        await asyncio.sleep(open_port_s)
         # A stall of the event loop shortens the rest, since the process is killed then.
         left_s = max(0.0, end_s - clocks.boottime_s())
         stops = [server.stop(running, left_s)]
--- a/hickoryweir/entry/tests/test_stops_during_start.py
+++ b/hickoryweir/entry/tests/test_stops_during_start.py
@@ -17,7 +17,7 @@
 # A request that is closed later than this after it was sent counts as lost.
 LOSS_SLACK_S = 0.2
 # The line after which the signal comes, and how much longer the imports take.
-MOMENTS = [("listening", 1.0), ("importing", 0.0)]
+MOMENTS = [("listening", 1.0), ("listening", 2 * GRACE_S), ("importing", 0.0)]
 PROGRAM = """
 import os, pathlib, sys, time
 from hickoryweir import early_listener, early_signals, process_exit
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -528,7 +528,11 @@
                 request_id=metadata.request_id, detail="queued behind another request"
             )
             logs.warning("request aborted by the stop", fields)
-    fields = logs.Fields(detail=f"{len(aborted)} requests aborted")
+    unread_count = sum(
+        unread.size_bytes(connection.client_transport) > 0 for connection in aborted
+    )
+    detail = f"{len(aborted)} connections closed, {unread_count} with unread bytes"
+    fields = logs.Fields(detail=detail)
     logs.warning("stopped with open requests", fields)
 
 
--- a/hickoryweir/listening.py
+++ b/hickoryweir/listening.py
@@ -45,6 +45,9 @@
         with bound.dup() as queue:
             accepted += _accept_waiting(queue)
     listener.close()
+    if accepted:
+        fields = logs.Fields(detail=f"{len(accepted)} connections")
+        logs.info("connections taken from the queue of a port", fields)
     loop = asyncio.get_running_loop()
     timeout_s = None if ssl_context is None else handshake_timeout_s
     for connection in accepted:
