Stops: wait until connections from a port's queue are open

A stop that takes connections from the queue of its port looked for requests 20 or 50 ms later; a stall in that time could end the stop before the connections were open, by reading of the code (no run shows it). It now waits for them, except for TLS handshakes, whose time the client decides.

--- a/hickoryweir/callers/server.py
+++ b/hickoryweir/callers/server.py
@@ -210,7 +210,7 @@
     port: int
     runner: web.AppRunner
     listener: asyncio.Server
-    stop_listening: Callable[[], None]
+    stop_listening: Callable[[], object]
     open_requests: set[asyncio.Task]
     tasks: tuple[asyncio.Task, ...]
 
--- a/hickoryweir/daemon/drain.py
+++ b/hickoryweir/daemon/drain.py
@@ -48,7 +48,7 @@
         Closes the remaining components and transfers leadership.
     """
 
-    stop_listening: Callable[[], None]
+    stop_listening: Callable[[], object]
     in_flight: Callable[[], Collection[asyncio.Task]]
     refuse_calls: Callable[[], None]
     stop: Callable[[], Awaitable[None]]
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -451,12 +451,13 @@
     a connection discards the rest of a request.
     """
     begin_stop(running.router, time_left_s)
-    listening.close(running.listener, running.make_connection)
+    opening = listening.close(running.listener, running.make_connection)
     phases = open_requests.count_phases(_open_requests(running))
     logs.info(f"port for {running.peers} closed", logs.Fields(detail=f"open: {phases}"))
     loop = asyncio.get_running_loop()
     end_s = loop.time() + time_left_s
     # Connections that were accepted before are in the server's list after this.
+    await asyncio.gather(*opening)
     await asyncio.sleep(STOP_CHECK_INTERVAL_S)
     give_up_s = end_s - ANSWER_MARGIN_S
     await _wait_until_closed(running, give_up_s - STOP_CHECK_INTERVAL_S)
--- a/hickoryweir/graceful_stop.py
+++ b/hickoryweir/graceful_stop.py
@@ -65,7 +65,11 @@
     loop = asyncio.get_running_loop()
     end_s = loop.time() + limit_s
     for site in list(runner.sites):
-        listening.close(site._server, runner.server, site._ssl_context)
+        context = site._ssl_context
+        opening = listening.close(site._server, runner.server, context)
+        if context is None:
+            # A client may never complete a handshake.
+            await asyncio.gather(*opening)
         await site.stop()
     # Connections that were accepted before are in the server's list after this.
     await asyncio.sleep(CHECK_INTERVAL_S)
--- a/hickoryweir/listening.py
+++ b/hickoryweir/listening.py
@@ -24,11 +24,9 @@
     make_protocol: Callable[[], asyncio.BaseProtocol],
     ssl_context: ssl.SSLContext | None = None,
     handshake_timeout_s: float | None = None,
-) -> None:
+) -> list[asyncio.Task]:
     """Close a listener after the connections in its queue have been taken.
 
-    They are open after a few iterations of the event loop, or after their handshakes.
-
     Parameters
     ----------
     listener : asyncio.Server
@@ -39,6 +37,12 @@
         If the connections use TLS.
     handshake_timeout_s : float, optional
         Longest time for a handshake; the event loop's default by default.
+
+    Returns
+    -------
+    list of asyncio.Task
+        One for each of the connections, which ends once it is open; with TLS, after
+        the handshake.
     """
     accepted: list[socket.socket] = []
     for bound in listener.sockets:
@@ -50,6 +54,7 @@
         logs.info("connections taken from the queue of a port", fields)
     loop = asyncio.get_running_loop()
     timeout_s = None if ssl_context is None else handshake_timeout_s
+    tasks = []
     for connection in accepted:
         connecting = loop.connect_accepted_socket(
             make_protocol, connection, ssl=ssl_context, ssl_handshake_timeout=timeout_s
@@ -57,6 +62,8 @@
         opening = asyncio.create_task(_open(connection, connecting))
         _opening.add(opening)
         opening.add_done_callback(_opening.discard)
+        tasks.append(opening)
+    return tasks
 
 
 def _accept_waiting(queue: socket.socket) -> list[socket.socket]:
