Routers: a stall makes no received request count as late or idle

Callers saw a connection reset without a response when a stall of the router's event loop went past the idle timeout of their connection, though they had sent the request before: after a stall the loop runs the timers that fell due before it reads.

The timers for idle connections, for connections without a byte and for heads now leave a connection open while the kernel holds bytes of it, until these have been read.

The head timeout has the same check and no test of its own. Idle timeouts that a table changes hold for new connections only.

--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -97,11 +97,11 @@
             return False
         if not self.has_received:
             # Bytes that came during a stall of the event loop have not been read yet.
-            return not self._has_unread
+            return not self.has_unread
         # Without a waiter, aiohttp is starting a handler or writing a response.
         is_waiting = self._waiter is not None and not self._waiter.done()
         # A close with unread bytes would also discard the end of the last response.
-        return is_waiting and not self._has_unread
+        return is_waiting and not self.has_unread
 
     @property
     def is_awaiting_headers(self) -> bool:
@@ -124,10 +124,11 @@
     @property
     def has_next(self) -> bool:
         """Return whether the client has sent more than the request that is served."""
-        return bool(self._messages) or self.has_unparsed or self._has_unread
+        return bool(self._messages) or self.has_unparsed or self.has_unread
 
     @property
-    def _has_unread(self) -> bool:
+    def has_unread(self) -> bool:
+        """Return whether the kernel has received bytes that were not read."""
         return unread.size_bytes(self.client_transport) > 0
 
     @property
@@ -139,6 +140,16 @@
             if isinstance(message, http_parser.RawRequestMessage)
         ]
 
+    def _process_keepalive(self) -> None:
+        """Close the connection after its idle time, unless a request has arrived."""
+        if self.has_unread:
+            # After a stall of the event loop, timers come before what was received.
+            self._keepalive_handle = self._loop.call_later(
+                LEFT_CHECK_INTERVAL_S, self._process_keepalive
+            )
+            return
+        super()._process_keepalive()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, which aiohttp forgets when it closes a connection."""
         self.client_transport = transport
@@ -389,9 +400,12 @@
 
 def _is_late(connection: ClientConnection, limits: model.Limits, now_s: float) -> bool:
     if connection.is_awaiting_headers:
-        return now_s - connection.head_started_s > limits.header_timeout_s
-    is_unused = not connection.has_received
-    return is_unused and now_s - connection.opened_s > limits.idle_timeout_s
+        is_late = now_s - connection.head_started_s > limits.header_timeout_s
+    else:
+        is_unused = not connection.has_received
+        is_late = is_unused and now_s - connection.opened_s > limits.idle_timeout_s
+    # After a stall of the event loop, what was received in time is read first.
+    return is_late and not connection.has_unread
 
 
 def _request_finished(
--- a/hickoryweir/forwarding/tests/test_stop_after_stalls.py
+++ b/hickoryweir/forwarding/tests/test_stop_after_stalls.py
@@ -1,12 +1,14 @@
-"""Requests that reach a router's port while a stall of its event loop lasts."""
+"""Requests that reach a router while a stall of its event loop lasts."""
 
 import asyncio
+import dataclasses
 
 import pytest
 import uvloop
 
 from hickoryweir.forwarding import server
 from hickoryweir.forwarding.tests import sites
+from hickoryweir.routes import matching
 from hickoryweir.testing import stalls
 
 REQUEST = b"GET /chat/x HTTP/1.1\r\nHost: site.example\r\nConnection: close\r\n\r\n"
@@ -14,6 +16,14 @@
 GRACE_S = 3.0
 
 
+def use_idle_timeout(forwarder, idle_timeout_s):
+    """Bring a table with another idle timeout into force."""
+    table = forwarder.route_index.table
+    limits = dataclasses.replace(table.limits, idle_timeout_s=idle_timeout_s)
+    changed = dataclasses.replace(table, limits=limits)
+    forwarder.route_index = matching.make_index(changed)
+
+
 @pytest.mark.parametrize("connects_early", [False, True])
 def test_stop_answers_requests_received_in_a_stall_before_the_port_closes(
     connects_early,
@@ -44,3 +54,22 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         assert runner.run(main()).startswith(b"HTTP/1.1 200 OK\r\n")
+
+
+@pytest.mark.parametrize("is_kept", [False, True])
+def test_request_received_in_a_stall_before_its_connection_was_idle_too_long(is_kept):
+    """Guards against a reset of a request that came before the idle timeout."""
+    first = REQUEST.replace(b"Connection: close\r\n", b"")
+
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            use_idle_timeout(site.forwarder, stalls.STALL_S)
+            client = stalls.Client((sites.HOST, site.port), REQUEST, True)
+            if is_kept:
+                await asyncio.to_thread(client.exchange, first, b"whole")
+            await asyncio.sleep(stalls.STALL_S / 2)
+            with stalls.stall(client):
+                return await client.receive()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(main()).startswith(b"HTTP/1.1 200 OK\r\n")
--- a/hickoryweir/testing/stalls.py
+++ b/hickoryweir/testing/stalls.py
@@ -44,6 +44,13 @@
             while part := self._connection.recv(65_536):
                 self.received += part
 
+    def exchange(self, request: bytes, end: bytes) -> None:
+        """Send another request on the connection, and receive up to an end."""
+        self._connection.sendall(request)
+        received = b""
+        while not received.endswith(end):
+            received += self._connection.recv(65_536)
+
     def send(self) -> None:
         """Send the request, on a new connection if there is none."""
         self._may_send.set()
