--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -290,11 +290,9 @@
         )
     stops = [event for event in events if event.kind == stop_events.TERMINATE]
     targets = [make_target(site, event, start_s, seed) for event in stops]
-    starts: list[stop_events.Event] = []
-    if options.starts:
-        drawn_apart = random.Random(f"{seed} starts")
-        starts = stop_events.draw_start_stops(drawn_apart, stops)
-        events += stop_events.draw_pauses(drawn_apart, stops)
+    drawn_apart = draw_starts(seed, stops) if options.starts else []
+    starts = [event for event in drawn_apart if event.kind == stop_events.START_STOP]
+    events += [event for event in drawn_apart if event not in starts]
     processes = [member.process for member in cluster.routers]
     others = [
         asyncio.create_task(carry_out(site, event, start_s, processes))
@@ -324,6 +322,13 @@
     return findings
 
 
+def draw_starts(seed: int, stops: list[stop_events.Event]) -> list[stop_events.Event]:
+    """Return pauses and stops of successors, which change no other event of a seed."""
+    generator = random.Random(f"{seed} starts")
+    starts = stop_events.draw_start_stops(generator, stops)
+    return starts + stop_events.draw_pauses(generator, stops)
+
+
 async def check_ready(site: Site, seed: int) -> list[stop_oracle.Finding]:
     """Wait until all routers are ready; return a finding for each that isn't."""
     cluster = site.cluster
--- a/hickoryweir/testing/soak/tests/test_planned_stops.py
+++ b/hickoryweir/testing/soak/tests/test_planned_stops.py
@@ -10,6 +10,7 @@
 from hickoryweir.testing.soak import stop_backends, stop_events, stops
 
 SEED, ROUNDS_COUNT, ROUTERS_COUNT = 253, 2, 3
+STARTS_SEED, STARTS_ROUTERS_COUNT = 71001, 2
 
 
 def test_fixed_rounds_have_every_kind_of_event():
@@ -29,3 +30,22 @@
         untimed=True,
     )
     assert asyncio.run(stops.run(options)) == []
+
+
+def test_fixed_round_of_starts_has_pauses_and_stops_of_routers_that_start():
+    events = stop_events.draw(random.Random(STARTS_SEED), STARTS_ROUTERS_COUNT, 3, 3)
+    stopped = [event for event in events if event.kind == stop_events.TERMINATE]
+    drawn = stops.draw_starts(STARTS_SEED, stopped)
+    kinds = {event.kind for event in drawn}
+    assert kinds == {stop_events.PAUSE, stop_events.START_STOP}
+
+
+def test_planned_stops_of_routers_that_start_break_no_promise():
+    options = stops.Stops(
+        seed=STARTS_SEED,
+        routers=STARTS_ROUTERS_COUNT,
+        clients=20,
+        starts=True,
+        untimed=True,
+    )
+    assert asyncio.run(stops.run(options)) == []
