Tests of uploads: memory, answers, true refusals and small calls beside them

40 clients that upload sound bodies side by side, each again 20 ms after the answer, take a router of 150 MB to 124 to 378 MB; on a VM of that size the process is killed, and all requests on it end without an answer. A refusal that is written while the client sends is lost by the reset of the connection.

One run of each row is judged by four tests, so that a red row names what is red: life and memory, answers, truth of refusals, and the rate of small calls. Further rows send bodies of the largest size, one and three at once, fast and slow. Clients and the server of uploads are processes of their own.

--- a/hickoryweir/entry/tests/test_flooding_servers.py
+++ b/hickoryweir/entry/tests/test_flooding_servers.py
@@ -68,6 +68,13 @@
             is_stream="no",
             timeout_s=LARGE_TIMEOUT_S,
         ),
+        ROUTE.format(
+            name="upload",
+            service="faulty",
+            execution="at_most_once",
+            is_stream="no",
+            timeout_s=LARGE_TIMEOUT_S,
+        ),
         ROUTE.format(
             name="plain",
             service="faulty",
--- /dev/null
+++ b/hickoryweir/entry/tests/test_uploads.py
@@ -0,0 +1,199 @@
+"""Router processes beside clients that upload large bodies."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import functools
+import json
+import math
+import pathlib
+import signal
+import sys
+import tempfile
+
+import pytest
+
+from hickoryweir.entry.tests import test_flooding_servers as flooding
+from hickoryweir.entry.tests import test_processes as processes
+from hickoryweir.testing import uploads
+
+CLIENTS_COUNT = 40
+PATH = "/upload/x"
+NOT_RUN_RESULTS = frozenset({"413", "503"})
+# In the middle of the uploads.
+STOP_AFTER_S = 2.0
+# Form, time that the server waits, and whether the router is stopped in the middle.
+ROWS = [
+    ("1_mib-length", 0.0, False),
+    ("1_mib-chunks", 0.0, False),
+    ("1_mib-length", 1.0, False),
+    ("1_mib-slow", 0.0, False),
+    ("4_mib-length", 0.0, False),
+    ("4_mib-chunks", 0.0, False),
+    ("4_mib-chunks", 1.0, False),
+    ("4_mib-slow", 0.0, False),
+    ("1_mib-length", 0.0, True),
+    ("4_mib-length", 0.0, True),
+]
+RUNNING_ROWS = [row for row in ROWS if not row[-1]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Seen:
+    """What one run shows.
+
+    Attributes
+    ----------
+    peak : float
+        Largest resident size of the router in MB.
+    received_ids : collections.Counter
+        How often the server received each upload.
+    """
+
+    undisturbed: flooding.Calls
+    disturbed: flooding.Calls
+    peak: float
+    returncode: int | None
+    outcomes: list[uploads.Outcome]
+    received_ids: collections.Counter
+
+
+def describe(seen):
+    results = collections.Counter(outcome.result for outcome in seen.outcomes)
+    calls = flooding.describe(seen.undisturbed, seen.disturbed, seen.peak)
+    return f"{calls}, uploads {dict(results)}"
+
+
+@contextlib.asynccontextmanager
+async def run_server(wait_s):
+    """Run the server of uploads; yield its port and what ends and reports it."""
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "hickoryweir.testing.uploads"),
+        *("serve", flooding.HOST, str(wait_s)),
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+        limit=2**24,
+    )
+
+    async def end():
+        process.stdin.close()
+        return collections.Counter(json.loads(await process.stdout.readline()))
+
+    try:
+        yield int(await process.stdout.readline()), end
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+async def start_clients(port, form, count, for_s):
+    return await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "hickoryweir.testing.uploads", "call"),
+        *(processes.ROUTER_HOST, str(port), PATH, form, str(count), str(for_s)),
+        stdout=asyncio.subprocess.PIPE,
+    )
+
+
+async def sample_peak_mb(router):
+    """Return the largest resident size of a process, which may end."""
+    peak = 0.0
+    while router.returncode is None:
+        with contextlib.suppress(OSError, TypeError):
+            peak = flooding.peak_mb(router)
+        await asyncio.sleep(0.02)
+    return peak
+
+
+async def measure(folder, form, wait_s, is_stopped):
+    """Return what is seen of uploads, of small calls beside them and of the router."""
+    async with (
+        run_server(wait_s) as (server_port, end),
+        flooding.run_router(folder, server_port) as (router, port),
+    ):
+        undisturbed = await flooding.call_sound(port, flooding.UNDISTURBED_S)
+        sampling = asyncio.create_task(sample_peak_mb(router))
+        clients = await start_clients(port, form, CLIENTS_COUNT, flooding.DISTURBED_S)
+        disturbed = flooding.Calls()
+        if is_stopped:
+            await asyncio.sleep(STOP_AFTER_S)
+            router.send_signal(signal.SIGTERM)
+            peak = await sampling
+        else:
+            disturbed = await flooding.call_sound(port, flooding.DISTURBED_S)
+            peak = flooding.peak_mb(router) if router.returncode is None else math.inf
+        stdout, _ = await clients.communicate()
+        sampling.cancel()
+        outcomes = [uploads.Outcome(**item) for item in json.loads(stdout)]
+        received_ids = await end()
+        returncode = router.returncode
+    return Seen(undisturbed, disturbed, peak, returncode, outcomes, received_ids)
+
+
+@functools.cache
+def measure_once(form, wait_s, is_stopped):
+    """Return what one run shows, which several tests judge."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(measure(pathlib.Path(folder), form, wait_s, is_stopped))
+
+
+@pytest.mark.parametrize(("form", "wait_s", "is_stopped"), ROWS)
+def test_router_lives_within_its_memory_beside_uploads(form, wait_s, is_stopped):
+    """Guards against a router that is killed because of sound uploads."""
+    seen = measure_once(form, wait_s, is_stopped)
+    assert seen.returncode == (0 if is_stopped else None), describe(seen)
+    assert not seen.disturbed.failures, describe(seen)
+    assert seen.peak < flooding.MAX_MEMORY_SHARE * flooding.MEMORY_MB, describe(seen)
+
+
+@pytest.mark.parametrize(("form", "wait_s", "is_stopped"), ROWS)
+def test_every_upload_is_answered(form, wait_s, is_stopped):
+    """Guards against a response that is lost with its connection."""
+    seen = measure_once(form, wait_s, is_stopped)
+    allowed = {"200"} | NOT_RUN_RESULTS
+    if is_stopped:
+        # The port is closed for clients that come back.
+        allowed |= {"ClientConnectorError"}
+    results = collections.Counter(outcome.result for outcome in seen.outcomes)
+    assert results["200"], describe(seen)
+    assert results.keys() <= allowed, describe(seen)
+
+
+@pytest.mark.parametrize(("form", "wait_s", "is_stopped"), ROWS)
+def test_refused_uploads_have_not_run(form, wait_s, is_stopped):
+    """Guards against a refusal that is untrue or says no time to come back."""
+    seen = measure_once(form, wait_s, is_stopped)
+    refused = [
+        outcome for outcome in seen.outcomes if outcome.result in NOT_RUN_RESULTS
+    ]
+    assert all(outcome.has_retry_after for outcome in refused), describe(seen)
+    refused_ids = {outcome.request_id for outcome in refused}
+    assert refused_ids.isdisjoint(seen.received_ids), describe(seen)
+    assert max(seen.received_ids.values()) == 1, describe(seen)
+
+
+@pytest.mark.parametrize(("form", "wait_s", "is_stopped"), RUNNING_ROWS)
+def test_small_calls_keep_their_rate_beside_uploads(form, wait_s, is_stopped):
+    """Guards against a router that stands still because of sound uploads."""
+    seen = measure_once(form, wait_s, is_stopped)
+    flooding.check_rate(seen.undisturbed, seen.disturbed, seen.peak)
+
+
+@pytest.mark.parametrize("count", [1, 3])
+@pytest.mark.parametrize("form", ["largest-length", "largest-slow"])
+def test_largest_bodies_are_served(tmp_path, form, count):
+    """Guards against a bound of the memory that costs bodies of the largest size."""
+
+    async def main():
+        async with (
+            run_server(0.0) as (server_port, _),
+            flooding.run_router(tmp_path, server_port) as (router, port),
+        ):
+            clients = await start_clients(port, form, count, 0.0)
+            stdout, _ = await clients.communicate()
+            return json.loads(stdout), flooding.peak_mb(router)
+
+    outcomes, peak = asyncio.run(main())
+    assert [outcome["result"] for outcome in outcomes] == ["200"] * count
+    assert peak < flooding.MAX_MEMORY_SHARE * flooding.MEMORY_MB
