Refused uploads: discard the rest of the body so that the refusal is read

Callers whose upload was refused saw a reset connection and no response: the router wrote 503 or 404 while the body was on its way and closed the connection, and the kernel answers bytes that nobody reads with a reset, which discards what the client has not read yet.

A request whose body is not complete when its handler returns now announces the close, and its connection is read on without keeping or parsing the bytes until the body ends, the client closes, 5 s have passed or 8 MiB were received. All such connections share 400 reads a second, of 256 KiB at most, so that clients that send without end take none of the others' time.

Weighed: aiohttp's own lingering reads each such connection as fast as it sends, which 40 clients without end turn into all of the router's time; a half- close alone leaves a client that reads only after sending waiting for ever.

--- a/hickoryweir/bounded_connections.py
+++ b/hickoryweir/bounded_connections.py
@@ -11,6 +11,8 @@
 from hickoryweir import parsing_turns
 
 EMPTY_LINE = b"\r\n\r\n"
+# The end of a body in chunks without trailers.
+LAST_CHUNK = b"0\r\n\r\n"
 # More than the pipelined requests that one segment usually has; the rest waits.
 MAX_PARTS_COUNT = 64
 # Bounds the time of one call of the parser.
@@ -25,6 +27,10 @@
 MAX_SEARCHED_SIZE_BYTES = 64 * 1024
 # Time for a refusal to reach a client that still sends its body.
 LINGERING_S = 1.0
+# The rest of a body that is discarded; also beyond what the largest body has.
+MAX_DISCARDED_SIZE_BYTES = 8 * 1024 * 1024
+# One connection is read in it, up to 256 KiB.
+DISCARD_INTERVAL_S = 0.0025
 # Of a line, in aiohttp.
 DEFAULT_MAX_LINE_SIZE_BYTES = 8190
 # Clients send one empty line between requests, if any (RFC 9112, section 2.2).
@@ -47,9 +53,12 @@
 
     __slots__ = (
         "_body_size_bytes",
+        "_discard_turns",
+        "_discarded_size_bytes",
         "_empty_size_bytes",
         "_has_failed",
         "_head_size_bytes",
+        "_is_discarding",
         "_last_bytes",
         "_last_length_bytes",
         "_last_payload",
@@ -83,6 +92,9 @@
         self._unparsed, self._parsed_size_bytes = b"", 0
         self._waits_for_turn = False
         self._has_failed = False
+        self._is_discarding = False
+        self._discard_turns: parsing_turns.ParsingTurns | None = None
+        self._discarded_size_bytes = 0
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release what was received; the handler is cancelled and reads no more.
@@ -102,6 +114,51 @@
             # aiohttp reads nothing from a body whose request has ended.
             payload._buffer.clear()
 
+    def discard_rest(
+        self, turns: parsing_turns.ParsingTurns, lingering_s: float
+    ) -> None:
+        """Discard the rest of the body that is received, after its response.
+
+        A connection that is closed while its client sends is reset, and the client may
+        lose a response that it has not read.  So it is read on, in turn with others,
+        until the body or the client's connection ends, or up to a bound.
+
+        Parameters
+        ----------
+        turns : parsing_turns.ParsingTurns
+            Of all connections whose bytes are discarded.
+        lingering_s : float
+            Time after which the connection is closed.
+        """
+        received_size_bytes = self._body_size_bytes + self._unparsed_size_bytes
+        self._discarded_size_bytes = received_size_bytes
+        self._is_discarding, self._discard_turns = True, turns
+        self._release_received()
+        self._lingering_time = lingering_s
+        self._pause_transport_reading()
+        parsing_turns.add(turns, self._read_discarded)
+
+    def _read_discarded(self) -> bool:
+        """Read once; what is received adds the next turn."""
+        super()._resume_transport_reading()
+        return False
+
+    def _discard(self, data: bytes) -> None:
+        """Count bytes that are not parsed; end the body after its last or too many."""
+        self._pause_transport_reading()
+        self._discarded_size_bytes += len(data)
+        self._last_bytes = (self._last_bytes + data)[-len(LAST_CHUNK) :]
+        max_size_bytes = MAX_DISCARDED_SIZE_BYTES
+        if self._last_length_bytes is not None:
+            max_size_bytes = min(max_size_bytes, self._last_length_bytes)
+            is_end = False
+        else:
+            is_end = self._last_bytes == LAST_CHUNK
+        if self._discarded_size_bytes < max_size_bytes and not is_end:
+            parsing_turns.add(self._discard_turns, self._read_discarded)
+        elif self._is_receiving_body():
+            self._last_payload.feed_eof()
+
     def data_received(self, data: bytes) -> None:
         """Pass bytes to the parser so that each part ends where a message may end.
 
@@ -110,6 +167,10 @@
         """
         if self._has_failed:
             return
+        if self._is_discarding:
+            if data:
+                self._discard(data)
+            return
         self._unparsed = self._unparsed[self._parsed_size_bytes :] + data
         self._parsed_size_bytes = 0
         if self._waits_for_turn:
@@ -148,6 +209,8 @@
 
     def _resume_transport_reading(self) -> None:
         """Read on once all that was received before has been parsed."""
+        if self._is_discarding:
+            return
         if not self.has_unparsed:
             super()._resume_transport_reading()
         elif not self._waits_for_turn:
@@ -180,10 +243,11 @@
         if size_bytes == left:
             self._unparsed, self._parsed_size_bytes = b"", 0
         self._receive_part(part)
+        if is_body:
+            self._body_size_bytes += size_bytes
         if not is_chunked or self._has_failed:
             return False
         content_size_bytes = payload.total_bytes - known_size_bytes
-        self._body_size_bytes += size_bytes
         if not self._is_parser_paused() and not payload.is_eof():
             self._check_overhead(payload)
         return content_size_bytes < MIN_CONTENT_SHARE * size_bytes
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -122,7 +122,7 @@
     )
     if isinstance(admitted, errors.Reason):
         if admitted in (errors.Reason.BUFFERS_FULL, errors.Reason.ROUTER_FULL):
-            return _refuse_without_capacity(forwarder, request, open_request, admitted)
+            return _refuse_without_capacity(forwarder, open_request, admitted)
         return refuse(forwarder, metadata.request_id, admitted)
     refusal = _refuse_blocked(admitted)
     if refusal is not None:
@@ -145,7 +145,6 @@
 
 def _refuse_without_capacity(
     forwarder: contexts.Forwarder,
-    request: web.BaseRequest,
     open_request: open_requests.OpenRequest,
     reason: errors.Reason,
 ) -> web.Response:
@@ -153,11 +152,7 @@
     detail = open_request.shortage
     if reason is errors.Reason.BUFFERS_FULL:
         detail = held_bytes.describe(forwarder, open_request.held.account_name)
-    response = refuse(forwarder, open_request.request_id, reason, detail=detail)
-    if not request.content.is_eof():
-        # The rest of the body will not be read.
-        response.force_close()
-    return response
+    return refuse(forwarder, open_request.request_id, reason, detail=detail)
 
 
 def _refuse_blocked(context: contexts.RequestContext) -> web.Response | None:
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -34,6 +34,8 @@
 HEAD_CHECK_INTERVAL_S = 0.5
 # aiohttp stops reading a client once twice as much of a body waits for its reader.
 BODY_READ_AHEAD_SIZE_BYTES = 32 * 1024
+# Time for a refusal to reach a client that sends its body slowly.
+LINGERING_S = 5.0
 # Servers have to be told within half a second that a client has left.
 LEFT_CHECK_INTERVAL_S = 0.05
 # The response is written to the transport within one iteration of the event loop.
@@ -279,6 +281,7 @@
     """Return the handler of all requests, which keeps record of the open ones."""
     loop = asyncio.get_running_loop()
     open_by_connection = router.open_requests
+    discard_turns = parsing_turns.ParsingTurns(bounded_connections.DISCARD_INTERVAL_S)
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
@@ -293,7 +296,12 @@
             connection.hold_next()
         try:
             handle_request = serve or forwarder.serve
-            return await handle_request(router, request, open_request)
+            response = await handle_request(router, request, open_request)
+            if not request.content.is_eof() and request.content.exception() is None:
+                # The rest of the body will not be forwarded.
+                response.force_close()
+                connection.discard_rest(discard_turns, LINGERING_S)
+            return response
         finally:
             connection.is_serving, open_request.is_handled = False, True
             connection.release_next()
--- a/hickoryweir/parsing_turns.py
+++ b/hickoryweir/parsing_turns.py
@@ -1,4 +1,4 @@
-"""Parsing of client bytes that cost much time and bring little content.
+"""Work for client bytes that take much time and bring little or no content.
 
 Such bytes of all connections share one part of the event loop's time, so that they take
 none from other clients; the connections are not read meanwhile.
@@ -18,10 +18,13 @@
 
     Attributes
     ----------
+    interval_s : float
+        Time between turns.
     waiting : collections.deque of callable
         Functions that parse one part; each returns whether more is left.
     """
 
+    interval_s: float = INTERVAL_S
     waiting: collections.deque[Callable[[], bool]] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -37,7 +40,7 @@
 def _schedule(turns: ParsingTurns) -> None:
     if turns.waiting and not turns._is_scheduled:
         turns._is_scheduled = True
-        asyncio.get_running_loop().call_later(INTERVAL_S, _run_turn, turns)
+        asyncio.get_running_loop().call_later(turns.interval_s, _run_turn, turns)
 
 
 def _run_turn(turns: ParsingTurns) -> None:
