Uploads beyond the room for bodies wait unread instead of being refused

A stated length was compared with what other bodies had been read so far, so uploads that began together were all admitted and refused in the middle; nothing was reserved. Now a body gets room for its stated length before it is read; one without a length for 128 KiB, and then for what was read of it. A request without room waits for half of its time at most, and its client is not read, so that TCP holds it; the time for a body does not run meanwhile.

The rule is a pure function, find_bodies_with_room: the most urgent first, then the oldest; bodies of up to 128 KiB do not wait behind larger ones; bodies without a length leave the room of the largest one to the first of them, so that they do not wait for each other for ever. What was received of the bodies that wait is bounded by 0.3, 0.25 and 0.2 of the room by priority; beyond that the newest request is refused with 503, not run. Bounds that accounts divide (the feature pressure) are unchanged.

test_body_limits.py keeps its counts and bounds: requests beyond the room are refused after their wait, which the tests shorten, so they look at the refusals after it and before the server answers. A new test holds that bodies that fit later are served, the urgent ones first, within the same bound.

--- a/hickoryweir/forwarding/admission.py
+++ b/hickoryweir/forwarding/admission.py
@@ -16,6 +16,7 @@
     router_load,
 )
 from hickoryweir.forwarding_policy import crash_counts
+from hickoryweir.forwarding_policy import held_bytes as held_bytes_policy
 from hickoryweir.observability import logs
 from hickoryweir.routes import matching, model
 
@@ -69,7 +70,7 @@
     )
     if refusal is not None:
         return refusal
-    body = await _read_body(forwarder, request, open_request)
+    body = await _read_body(forwarder, request, open_request, timeout_s)
     if isinstance(body, errors.Reason):
         return body
     fingerprint = crash_counts.fingerprint(
@@ -130,15 +131,32 @@
     forwarder: contexts.Forwarder,
     request: web.BaseRequest,
     open_request: open_requests.OpenRequest,
+    timeout_s: float,
 ) -> bytes | errors.Reason:
     """Return the complete body, or why the request is refused."""
-
-    def record_size(size_bytes: int) -> bool:
-        open_request.held.body_size_bytes = size_bytes
-        return held_bytes.has_room_for_body(forwarder, open_request)
+    wait_s = held_bytes_policy.BODY_WAIT_SHARE * timeout_s
+
+    async def reserve(read_size_bytes: int, size_bytes: int) -> bool:
+        if forwarder.held_limits is None or forwarder.held_limits.divides_accounts:
+            open_request.held.body_size_bytes = read_size_bytes
+            return held_bytes.has_room_for_body(forwarder, open_request)
+        has_room = await held_bytes.reserve_body(
+            forwarder,
+            open_request,
+            request.content,
+            size_bytes,
+            request.content_length,
+            wait_s,
+        )
+        # Until then, it counts towards what bodies hold that wait.
+        open_request.held.body_size_bytes = read_size_bytes
+        return has_room
 
     max_size_bytes = forwarder.route_index.table.limits.max_body_size_bytes
-    return await requests.read_body(request, max_size_bytes, record_size)
+    body = await requests.read_body(request, max_size_bytes, reserve)
+    if not isinstance(body, errors.Reason):
+        held_bytes.end_body(open_request)
+    return body
 
 
 def _choose_service(
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -227,6 +227,10 @@
         Tokens that requests take in a server's memory, by service.
     held_limits : held_bytes.Limits or None
         Bounds on the bytes held for clients and servers; None without bounds.
+    waiting_bodies : dict
+        What tells a request that there is room for its body, by its record.
+    bodies_check : asyncio.TimerHandle or None
+        The next check for room for them; None while none waits.
     held_responses : held_bytes.Estimate
         Bytes held for responses, where room is not divided among accounts.
     memory_size_bytes : int
@@ -311,6 +315,10 @@
         default_factory=dict
     )
     held_limits: held_bytes.Limits | None = None
+    waiting_bodies: dict[object, asyncio.Future[bool]] = dataclasses.field(
+        default_factory=dict
+    )
+    bodies_check: asyncio.TimerHandle | None = None
     held_responses: held_bytes.Estimate = dataclasses.field(
         default_factory=held_bytes.Estimate
     )
--- a/hickoryweir/forwarding/held_bytes.py
+++ b/hickoryweir/forwarding/held_bytes.py
@@ -11,6 +11,8 @@
 import resource
 import time
 
+import aiohttp
+
 from hickoryweir.engines import event_stream, framing
 from hickoryweir.forwarding import contexts, errors, exchange, open_requests
 from hickoryweir.forwarding_policy import held_bytes
@@ -20,6 +22,7 @@
 # Requests without an account count as those of one account.
 NO_ACCOUNT = ""
 CHECK_INTERVAL_S = 0.02
+BODY_CHECK_INTERVAL_S = 0.01
 RESIDENT_CHECK_INTERVAL_S = 0.1
 STATM_FILE = "/proc/self/statm"
 # A refused request is admitted as soon as some slow readers have taken their responses.
@@ -78,7 +81,7 @@
     )
     return (
         held_bytes.REQUEST_OVERHEAD_SIZE_BYTES
-        + held_bytes.BODY_COPIES_COUNT * held.body_size_bytes
+        + _held_body_size_bytes(held)
         + response_size_bytes
         + queued_size_bytes
     )
@@ -184,8 +187,7 @@
     request.held.priority = priority_of(route, account)
     limits = forwarder.held_limits
     if limits is None or not limits.divides_accounts:
-        has_room = not content_length or _fits_body(forwarder, request, content_length)
-        return None if has_room else errors.Reason.BUFFERS_FULL
+        return None
     size_bytes = held_bytes.BODY_COPIES_COUNT * content_length
     size_bytes += _expected_size_bytes(forwarder, route)
     usage = measure(forwarder, request.held.account_name, counts_expected=True)
@@ -197,35 +199,134 @@
 def has_room_for_body(
     forwarder: contexts.Forwarder, request: open_requests.OpenRequest
 ) -> bool:
-    """Return whether a request's body may be read further."""
+    """Return whether a body may be read further, where accounts divide the room."""
     limits = forwarder.held_limits
-    if limits is None or not limits.divides_accounts:
-        return _fits_body(forwarder, request, request.held.body_size_bytes)
+    if limits is None or not request.held.body_size_bytes:
+        return True
     usage = measure(forwarder, request.held.account_name)
     return held_bytes.fits(limits, usage, 0)
 
 
-def _fits_body(
+async def reserve_body(
     forwarder: contexts.Forwarder,
     request: open_requests.OpenRequest,
-    body_size_bytes: int,
+    content: aiohttp.StreamReader,
+    size_bytes: int,
+    stated_size_bytes: int | None,
+    wait_s: float,
 ) -> bool:
-    """Return whether a body fits beside those of all other requests."""
-    if forwarder.held_limits is None:
+    """Return whether a request's body may be read up to a size.
+
+    This is for bounds that are not divided among accounts.  It waits until there is
+    room, and the client is not read meanwhile.
+
+    Parameters
+    ----------
+    forwarder : contexts.Forwarder
+        State of the router.
+    request : open_requests.OpenRequest
+        Record of the request.
+    content : aiohttp.StreamReader
+        Its body.
+    size_bytes : int
+        The size; what was read of a body without a stated length.
+    stated_size_bytes : int or None
+        Length of the body that its head states; None without one.
+    wait_s : float
+        Longest time to wait.
+    """
+    limits, held = forwarder.held_limits, request.held
+    if size_bytes <= held.body_reserved_size_bytes:
         return True
+    held.body_content = content
+    if stated_size_bytes is None:
+        size_bytes = max(size_bytes, held_bytes.USUAL_BODY_SIZE_BYTES)
+    held.body_demand = held_bytes.BodyDemand(
+        held.priority,
+        request.received_at_s,
+        _held_body_size_bytes(held),
+        held_bytes.BODY_COPIES_COUNT * size_bytes,
+        stated_size_bytes is not None,
+    )
+    granted = asyncio.get_running_loop().create_future()
+    forwarder.waiting_bodies[request] = granted
+    try:
+        _grant_bodies(forwarder)
+        if not granted.done():
+            waiting_size_bytes = _waiting_bodies_size_bytes(forwarder)
+            if not held_bytes.may_wait(limits, waiting_size_bytes, held.priority):
+                return False
+            if forwarder.bodies_check is None:
+                _check_waiting_bodies(forwarder)
+            async with asyncio.timeout(wait_s):
+                await granted
+    except TimeoutError:
+        return False
+    finally:
+        del forwarder.waiting_bodies[request]
+    return True
+
+
+def end_body(request: open_requests.OpenRequest) -> None:
+    """Release the room that a body which was read whole does not need."""
+    held = request.held
+    held.body_reserved_size_bytes = 0
+    held.body_content = held.body_demand = None
+
+
+def _grant_bodies(forwarder: contexts.Forwarder) -> None:
+    """Tell the bodies that wait of the room that there is now."""
+    demands = {
+        request: request.held.body_demand
+        for request, granted in forwarder.waiting_bodies.items()
+        if not granted.done()
+    }
+    if not demands:
+        return
     sizes_bytes = collections.Counter()
-    for other in forwarder.open_requests.values():
-        if other is not request and other.held.body_size_bytes:
-            size_bytes = held_bytes.BODY_COPIES_COUNT * other.held.body_size_bytes
-            sizes_bytes[other.held.priority] += size_bytes
-    return held_bytes.fits_body(
+    ranks = []
+    for request in forwarder.open_requests.values():
+        held = request.held
+        sizes_bytes[held.priority] += _held_body_size_bytes(held)
+        if held.body_demand is not None and not held.body_demand.is_length_known:
+            ranks.append(held.body_demand.rank)
+    table_limits = forwarder.route_index.table.limits
+    for request in held_bytes.find_bodies_with_room(
         forwarder.held_limits,
         sizes_bytes,
-        held_bytes.BODY_COPIES_COUNT * body_size_bytes,
-        request.held.priority,
+        demands,
+        held_bytes.BODY_COPIES_COUNT * table_limits.max_body_size_bytes,
+        min(ranks, default=None),
+    ):
+        room_size_bytes = demands[request].size_bytes // held_bytes.BODY_COPIES_COUNT
+        request.held.body_reserved_size_bytes = room_size_bytes
+        forwarder.waiting_bodies[request].set_result(True)
+
+
+def _check_waiting_bodies(forwarder: contexts.Forwarder) -> None:
+    """Look for room for the bodies that wait, again and again while there are any."""
+    _grant_bodies(forwarder)
+    forwarder.bodies_check = None
+    if forwarder.waiting_bodies:
+        forwarder.bodies_check = asyncio.get_running_loop().call_later(
+            BODY_CHECK_INTERVAL_S, _check_waiting_bodies, forwarder
+        )
+
+
+def _waiting_bodies_size_bytes(forwarder: contexts.Forwarder) -> int:
+    """Return what was received of the bodies that wait beyond the room they have."""
+    return sum(
+        max(0, request.held.body_content.total_bytes - request.held.body_size_bytes)
+        for request in forwarder.waiting_bodies
     )
 
 
+def _held_body_size_bytes(held: open_requests.Held) -> int:
+    """Return what a body takes, or may take without waiting for more room."""
+    size_bytes = max(held.body_size_bytes, held.body_reserved_size_bytes)
+    return held_bytes.BODY_COPIES_COUNT * size_bytes
+
+
 def priority_of(route: model.Route, account: model.ClientAccount | None) -> int:
     """Return the priority of a request; that of its account overrides the route's."""
     if account is not None and account.priority is not None:
@@ -319,8 +420,9 @@
 
 def _bodies_size_bytes(forwarder: contexts.Forwarder) -> int:
     """Return the bytes held for the bodies of all requests."""
-    return held_bytes.BODY_COPIES_COUNT * sum(
-        request.held.body_size_bytes for request in forwarder.open_requests.values()
+    return sum(
+        _held_body_size_bytes(request.held)
+        for request in forwarder.open_requests.values()
     )
 
 
@@ -610,6 +712,7 @@
 def end_handling(request: open_requests.OpenRequest) -> None:
     """Release what is held only until the handler has returned the response."""
     held = request.held
+    end_body(request)
     held.body_size_bytes = held.response_size_bytes = held.reserved_size_bytes = 0
     held.content = None
     held.open_event_size_bytes = held.kept_size_bytes = 0
--- a/hickoryweir/forwarding/open_requests.py
+++ b/hickoryweir/forwarding/open_requests.py
@@ -14,6 +14,7 @@
 
 from hickoryweir import clocks
 from hickoryweir.forwarding import contexts
+from hickoryweir.forwarding_policy import held_bytes
 
 
 class Phase(enum.StrEnum):
@@ -37,6 +38,12 @@
         Priority of the request.
     body_size_bytes : int
         Size of the request's body, as far as it was read.
+    body_reserved_size_bytes : int
+        Size up to which it may be read.
+    body_content : aiohttp.StreamReader or None
+        The body while it is being read.
+    body_demand : held_bytes.BodyDemand or None
+        Room that it has asked for last, while it is being read.
     response_size_bytes : int
         Size of a plain response, as far as it was read and not written.
     reserved_size_bytes : int
@@ -56,6 +63,9 @@
     account_name: str = ""
     priority: int = 0
     body_size_bytes: int = 0
+    body_reserved_size_bytes: int = 0
+    body_content: aiohttp.StreamReader | None = None
+    body_demand: held_bytes.BodyDemand | None = None
     response_size_bytes: int = 0
     reserved_size_bytes: int = 0
     content: aiohttp.StreamReader | None = None
--- a/hickoryweir/forwarding/requests.py
+++ b/hickoryweir/forwarding/requests.py
@@ -1,7 +1,7 @@
 """Reading of a client's request before it is forwarded."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
@@ -35,10 +35,14 @@
     request.writer.output_size = 0
 
 
+async def _always_reserve(read_size_bytes: int, size_bytes: int) -> bool:
+    return True
+
+
 async def read_body(
     request: web.BaseRequest,
     max_size_bytes: int,
-    record_size: Callable[[int], bool] = lambda size_bytes: True,
+    reserve: Callable[[int, int], Awaitable[bool]] = _always_reserve,
 ) -> bytes | errors.Reason:
     """Return the complete body, or why the request is refused.
 
@@ -48,26 +52,34 @@
         The request.
     max_size_bytes : int
         Largest size of a body.
-    record_size : callable, optional
-        ``record_size(size_bytes)`` is told how much of it was read, and returns whether
-        more may be read.
+    reserve : callable, optional
+        ``await reserve(read_size_bytes, size_bytes)`` is told how much of it was read,
+        waits for room and returns whether the body may be read up to a size.  The time
+        for the body does not run meanwhile.
     """
     if not request.body_exists:
         return b""
-    if (request.content_length or 0) > max_size_bytes:
+    stated_size_bytes = request.content_length or 0
+    if stated_size_bytes > max_size_bytes:
         return errors.Reason.BODY_TOO_LARGE
+    if not await reserve(0, stated_size_bytes):
+        return errors.Reason.BUFFERS_FULL
     if request.headers.get("Expect", "").lower() == "100-continue":
         await _send_continue(request)
     chunks, size_bytes = [], 0
+    loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
+        async with asyncio.timeout(BODY_TIMEOUT_S) as timer:
             async for chunk in request.content.iter_any():
                 chunks.append(chunk)
                 size_bytes += len(chunk)
                 if size_bytes > max_size_bytes:
                     return errors.Reason.BODY_TOO_LARGE
-                if not record_size(size_bytes):
+                began_s, end_s = loop.time(), timer.when()
+                timer.reschedule(None)
+                if not await reserve(size_bytes, size_bytes):
                     return errors.Reason.BUFFERS_FULL
+                timer.reschedule(end_s + loop.time() - began_s)
     except TimeoutError:
         return errors.Reason.BODY_TIMED_OUT
     return b"".join(chunks)
--- a/hickoryweir/forwarding/tests/test_body_limits.py
+++ b/hickoryweir/forwarding/tests/test_body_limits.py
@@ -17,6 +17,9 @@
 # As many bodies fit, each held twice.
 FITTING_SIZE_BYTES = FITTING_COUNT * held_bytes.BODY_COPIES_COUNT * len(BODY)
 CLIENTS_COUNT = 30
+# Of the time of a request, in which its body may wait for room.
+SHORT_WAIT_SHARE = 0.05
+WAIT_S = 3.0
 PRIORITIES = {"urgent": 0, "later": 2}
 ROUTES = tuple(
     dataclasses.replace(
@@ -73,6 +76,13 @@
     ]
 
 
+@pytest.fixture
+def short_waits(monkeypatch):
+    """Refuse bodies without room after a second."""
+    monkeypatch.setattr(held_bytes, "BODY_WAIT_SHARE", SHORT_WAIT_SHARE)
+
+
+@pytest.mark.usefixtures("short_waits")
 @pytest.mark.parametrize("has_length", [True, False])
 def test_bodies_beyond_the_bound_are_refused_and_not_run(has_length):
     """Guards against a router that is killed for the bodies of slow requests."""
@@ -85,6 +95,8 @@
                 found.append(send(site, "urgent", number, data))
                 await asyncio.wait({found[-1]}, timeout=0.1)
             most_size_bytes = held_size_bytes(site)
+            await asyncio.wait(found, timeout=WAIT_S)
+            most_size_bytes = max(most_size_bytes, held_size_bytes(site))
             release.set()
             return await asyncio.gather(*found), most_size_bytes, runs(site)
 
@@ -100,6 +112,7 @@
     assert most_size_bytes <= FITTING_SIZE_BYTES
 
 
+@pytest.mark.usefixtures("short_waits")
 def test_urgent_body_is_not_refused_for_the_bytes_of_others():
     """Guards against paid work that is refused while summaries fill the bound."""
     bodies_size_bytes = math.ceil(FITTING_SIZE_BYTES / held_bytes.BODY_SHARES[0])
@@ -107,7 +120,7 @@
     async def main():
         async with run_site(bodies_size_bytes) as (site, release):
             later = [send(site, "later", number) for number in range(CLIENTS_COUNT)]
-            await asyncio.wait(later, timeout=1.0)
+            await asyncio.wait(later, timeout=WAIT_S)
             urgent = [send(site, "urgent", number) for number in range(FITTING_COUNT)]
             await asyncio.wait(urgent, timeout=1.0)
             most_size_bytes = held_size_bytes(site)
@@ -119,3 +132,31 @@
     assert {status for status, _, _ in urgent} == {200}
     assert {status for status, _, _ in later} == {200, 503}
     assert most_size_bytes <= bodies_size_bytes
+
+
+@pytest.mark.parametrize("has_length", [True, False])
+def test_bodies_beyond_the_bound_wait_and_are_served_by_priority(has_length):
+    """Guards against uploads that are refused and come back at once."""
+
+    async def main():
+        async with run_site(FITTING_SIZE_BYTES) as (site, release):
+            found, most_size_bytes = [], 0
+            for name in ("later", "urgent"):
+                for number in range(FITTING_COUNT):
+                    data = BODY if has_length else chunks()
+                    found.append(send(site, name, number, data))
+                await asyncio.wait(found, timeout=0.5)
+            first_ids = runs(site)
+            release.set()
+            while not all(call.done() for call in found):
+                most_size_bytes = max(most_size_bytes, held_size_bytes(site))
+                await asyncio.sleep(0.001)
+            return await asyncio.gather(*found), most_size_bytes, first_ids, runs(site)
+
+    found, most_size_bytes, first_ids, run_ids = asyncio.run(main())
+    assert {status for status, _, _ in found} == {200}
+    assert len(run_ids) == len(set(run_ids)) == 2 * FITTING_COUNT
+    assert most_size_bytes <= FITTING_SIZE_BYTES
+    waited_ids = run_ids[len(first_ids) :]
+    urgent_ids = [run_id for run_id in waited_ids if run_id.startswith("urgent")]
+    assert waited_ids[: len(urgent_ids)] == urgent_ids
--- a/hickoryweir/forwarding_policy/held_bytes.py
+++ b/hickoryweir/forwarding_policy/held_bytes.py
@@ -76,6 +76,14 @@
 BODIES_SHARE = 0.6
 # Parts of that by priority, which no less urgent body uses.
 BODY_SHARES = (0.4, 0.2, 0.4)
+# Room for a body without a stated length at first; a body up to this size does not wait
+# behind larger ones.
+USUAL_BODY_SIZE_BYTES = 128 * KB
+# Part of the room for bodies, by priority, up to which what was received of bodies that
+# wait for room lets another one wait.
+WAITING_BODY_SHARES = (0.3, 0.25, 0.2)
+# Leaves time to answer, or to come back to another router.
+BODY_WAIT_SHARE = 0.5
 # A response of up to this size never waits for room.
 USUAL_RESPONSE_SIZE_BYTES = FIRST_STEP_SIZE_BYTES
 # The largest response, and one step that shows that another one is larger.
@@ -159,6 +167,36 @@
     accounts_count: int = 1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyDemand:
+    """A body that waits for room.
+
+    Attributes
+    ----------
+    priority : int
+        Priority of its request; 0 is the most urgent.
+    began_at_s : float
+        Time at which its request was received.
+    held_size_bytes : int
+        What room it has already, as it counts.
+    size_bytes : int
+        What room it needs, as it counts.
+    is_length_known : bool
+        Whether this is all that it needs.
+    """
+
+    priority: int
+    began_at_s: float
+    held_size_bytes: int
+    size_bytes: int
+    is_length_known: bool
+
+    @property
+    def rank(self) -> tuple[int, float]:
+        """Return the key by which bodies get room: the most urgent, then the oldest."""
+        return self.priority, self.began_at_s
+
+
 @dataclasses.dataclass(slots=True)
 class Reading:
     """A response that is being read.
@@ -434,6 +472,101 @@
     return total_size_bytes + size_bytes <= part_size_bytes - kept_size_bytes
 
 
+def find_bodies_with_room(
+    limits: Limits,
+    held_sizes_bytes: Mapping[int, int],
+    demands: Mapping[Hashable, BodyDemand],
+    largest_size_bytes: int = 0,
+    first_rank: tuple[int, float] | None = None,
+) -> list[Hashable]:
+    """Return the keys of the waiting bodies that may be read further now.
+
+    This answers more uploads than there is room for: the most urgent and oldest get
+    room first, and small ones do not wait behind large ones.  Bodies whose length is
+    not known leave the room of the largest body to the first of them, so that some
+    body always completes.
+
+    Parameters
+    ----------
+    limits : Limits
+        The bounds, which are not divided among accounts.
+    held_sizes_bytes : mapping
+        What the bodies of all requests take, by priority, with the waiting ones.
+    demands : mapping
+        The bodies that wait.
+    largest_size_bytes : int, optional
+        What the largest body takes.
+    first_rank : tuple, optional
+        Rank of the most urgent and oldest body without a stated length that is read.
+
+    Examples
+    --------
+    >>> limits = Limits(10 * MB, 10 * MB, 10, 0, 50 * MB, divides_accounts=False)
+    >>> later = BodyDemand(0, 2.0, 0, 3 * MB, is_length_known=True)
+    >>> demands = {"later": later, "old": dataclasses.replace(later, began_at_s=1.0)}
+    >>> find_bodies_with_room(limits, {}, demands)
+    ['old', 'later']
+    >>> find_bodies_with_room(limits, {0: MB}, demands)
+    ['old']
+    >>> urgent = BodyDemand(0, 9.0, 0, 5 * MB, is_length_known=True)
+    >>> demands = {"old": BodyDemand(1, 1.0, 0, MB, True), "urgent": urgent}
+    >>> find_bodies_with_room(limits, {1: 2 * MB}, demands)
+    []
+    >>> first = BodyDemand(0, 1.0, MB, 2 * MB, is_length_known=False)
+    >>> demands = {"first": first, "second": dataclasses.replace(first, began_at_s=2.0)}
+    >>> find_bodies_with_room(limits, {0: 3 * MB}, demands, 4 * MB, first.rank)
+    ['first']
+    """
+    sizes_bytes = dict(held_sizes_bytes)
+    granted, is_blocked = [], False
+    for key in sorted(demands, key=lambda key: demands[key].rank):
+        demand, priority = demands[key], demands[key].priority
+        is_small = demand.size_bytes <= BODY_COPIES_COUNT * USUAL_BODY_SIZE_BYTES
+        if is_blocked and not is_small:
+            continue
+        own_size_bytes = sizes_bytes.get(priority, 0) - demand.held_size_bytes
+        others = sizes_bytes | {priority: own_size_bytes}
+        if demand.is_length_known or is_small:
+            has_room = fits_body(limits, others, demand.size_bytes, priority)
+        elif demand.rank == first_rank:
+            total_size_bytes = sum(others.values()) + demand.size_bytes
+            has_room = total_size_bytes <= limits.bodies_size_bytes
+        else:
+            needed_size_bytes = demand.size_bytes + largest_size_bytes
+            has_room = fits_body(limits, others, needed_size_bytes, priority)
+        if has_room:
+            granted.append(key)
+            sizes_bytes[priority] = own_size_bytes + demand.size_bytes
+        elif not is_small:
+            is_blocked = True
+    return granted
+
+
+def may_wait(limits: Limits, received_size_bytes: int, priority: int) -> bool:
+    """Return whether another body may wait for room instead of being refused.
+
+    This answers more uploads than may wait: what was received of those that wait stays
+    within a part of the room, and less urgent ones are refused first.
+
+    Parameters
+    ----------
+    limits : Limits
+        The bounds, which are not divided among accounts.
+    received_size_bytes : int
+        What was received of the bodies that wait.
+    priority : int
+        Priority of the request; 0 is the most urgent.
+
+    Examples
+    --------
+    >>> limits = Limits(1_000, 1_000, 10, 0, 5_000, divides_accounts=False)
+    >>> [may_wait(limits, 160, priority) for priority in (0, 1, 2)]
+    [True, False, False]
+    """
+    share = WAITING_BODY_SHARES[min(priority, len(WAITING_BODY_SHARES) - 1)]
+    return received_size_bytes <= share * limits.bodies_size_bytes
+
+
 def large_size_bytes(size_bytes: int) -> int:
     """Return how much of what is held of a response is beyond the usual.
 
