Bodies without a stated length: one after the other while room is short

40 clients that upload 3.9 MiB in chunks to servers that wait 1 s got 14 responses 200, 9 refusals and 17 times 504 in 6 s and the time after: all 40 bodies grew side by side until none had room, each waited up to half of its request's time at each step, and its time was over before it was sent.

Beyond 128 KiB, only the first of such bodies grows with what is received of it; each other one gets the room of the largest body at once or none. All waits of a body together end after half of the request's time, with a 503.

--- a/hickoryweir/forwarding/admission.py
+++ b/hickoryweir/forwarding/admission.py
@@ -134,7 +134,8 @@
     timeout_s: float,
 ) -> bytes | errors.Reason:
     """Return the complete body, or why the request is refused."""
-    wait_s = held_bytes_policy.BODY_WAIT_SHARE * timeout_s
+    wait_until_s = asyncio.get_running_loop().time()
+    wait_until_s += held_bytes_policy.BODY_WAIT_SHARE * timeout_s
 
     async def reserve(read_size_bytes: int, size_bytes: int) -> bool:
         if forwarder.held_limits is None or forwarder.held_limits.divides_accounts:
@@ -146,7 +147,7 @@
             request.content,
             size_bytes,
             request.content_length,
-            wait_s,
+            wait_until_s,
         )
         # Until then, it counts towards what bodies hold that wait.
         open_request.held.body_size_bytes = read_size_bytes
--- a/hickoryweir/forwarding/held_bytes.py
+++ b/hickoryweir/forwarding/held_bytes.py
@@ -213,7 +213,7 @@
     content: aiohttp.StreamReader,
     size_bytes: int,
     stated_size_bytes: int | None,
-    wait_s: float,
+    wait_until_s: float,
 ) -> bool:
     """Return whether a request's body may be read up to a size.
 
@@ -232,8 +232,8 @@
         The size; what was read of a body without a stated length.
     stated_size_bytes : int or None
         Length of the body that its head states; None without one.
-    wait_s : float
-        Longest time to wait.
+    wait_until_s : float
+        Loop time of the end of all waits for this body.
     """
     limits, held = forwarder.held_limits, request.held
     if size_bytes <= held.body_reserved_size_bytes:
@@ -258,7 +258,7 @@
                 return False
             if forwarder.bodies_check is None:
                 _check_waiting_bodies(forwarder)
-            async with asyncio.timeout(wait_s):
+            async with asyncio.timeout_at(wait_until_s):
                 await granted
     except TimeoutError:
         return False
@@ -291,14 +291,15 @@
         if held.body_demand is not None and not held.body_demand.is_length_known:
             ranks.append(held.body_demand.rank)
     table_limits = forwarder.route_index.table.limits
-    for request in held_bytes.find_bodies_with_room(
+    found = held_bytes.find_bodies_with_room(
         forwarder.held_limits,
         sizes_bytes,
         demands,
         held_bytes.BODY_COPIES_COUNT * table_limits.max_body_size_bytes,
         min(ranks, default=None),
-    ):
-        room_size_bytes = demands[request].size_bytes // held_bytes.BODY_COPIES_COUNT
+    )
+    for request, size_bytes in found.items():
+        room_size_bytes = size_bytes // held_bytes.BODY_COPIES_COUNT
         request.held.body_reserved_size_bytes = room_size_bytes
         forwarder.waiting_bodies[request].set_result(True)
 
--- a/hickoryweir/forwarding_policy/held_bytes.py
+++ b/hickoryweir/forwarding_policy/held_bytes.py
@@ -478,13 +478,14 @@
     demands: Mapping[Hashable, BodyDemand],
     largest_size_bytes: int = 0,
     first_rank: tuple[int, float] | None = None,
-) -> list[Hashable]:
-    """Return the keys of the waiting bodies that may be read further now.
+) -> dict[Hashable, int]:
+    """Return the waiting bodies that may be read further now, with what room each has.
 
     This answers more uploads than there is room for: the most urgent and oldest get
     room first, and small ones do not wait behind large ones.  Bodies whose length is
-    not known leave the room of the largest body to the first of them, so that some
-    body always completes.
+    not known leave the room of the largest body to the first of them, which gets what
+    it has received; each other one gets the room of the largest body at once, since
+    many that are read in part would leave room to none.
 
     Parameters
     ----------
@@ -505,20 +506,20 @@
     >>> later = BodyDemand(0, 2.0, 0, 3 * MB, is_length_known=True)
     >>> demands = {"later": later, "old": dataclasses.replace(later, began_at_s=1.0)}
     >>> find_bodies_with_room(limits, {}, demands)
-    ['old', 'later']
+    {'old': 3145728, 'later': 3145728}
     >>> find_bodies_with_room(limits, {0: MB}, demands)
-    ['old']
+    {'old': 3145728}
     >>> urgent = BodyDemand(0, 9.0, 0, 5 * MB, is_length_known=True)
     >>> demands = {"old": BodyDemand(1, 1.0, 0, MB, True), "urgent": urgent}
     >>> find_bodies_with_room(limits, {1: 2 * MB}, demands)
-    []
+    {}
     >>> first = BodyDemand(0, 1.0, MB, 2 * MB, is_length_known=False)
     >>> demands = {"first": first, "second": dataclasses.replace(first, began_at_s=2.0)}
     >>> find_bodies_with_room(limits, {0: 3 * MB}, demands, 4 * MB, first.rank)
-    ['first']
+    {'first': 2097152}
     """
     sizes_bytes = dict(held_sizes_bytes)
-    granted, is_blocked = [], False
+    granted, is_blocked = {}, False
     for key in sorted(demands, key=lambda key: demands[key].rank):
         demand, priority = demands[key], demands[key].priority
         is_small = demand.size_bytes <= BODY_COPIES_COUNT * USUAL_BODY_SIZE_BYTES
@@ -526,17 +527,17 @@
             continue
         own_size_bytes = sizes_bytes.get(priority, 0) - demand.held_size_bytes
         others = sizes_bytes | {priority: own_size_bytes}
+        size_bytes = demand.size_bytes
         if demand.is_length_known or is_small:
-            has_room = fits_body(limits, others, demand.size_bytes, priority)
+            has_room = fits_body(limits, others, size_bytes, priority)
         elif demand.rank == first_rank:
-            total_size_bytes = sum(others.values()) + demand.size_bytes
-            has_room = total_size_bytes <= limits.bodies_size_bytes
+            has_room = sum(others.values()) + size_bytes <= limits.bodies_size_bytes
         else:
-            needed_size_bytes = demand.size_bytes + largest_size_bytes
-            has_room = fits_body(limits, others, needed_size_bytes, priority)
+            size_bytes = largest_size_bytes
+            has_room = fits_body(limits, others, 2 * size_bytes, priority)
         if has_room:
-            granted.append(key)
-            sizes_bytes[priority] = own_size_bytes + demand.size_bytes
+            granted[key] = size_bytes
+            sizes_bytes[priority] = own_size_bytes + size_bytes
         elif not is_small:
             is_blocked = True
     return granted
