Crash counts: a loss that its server survives does not count

Callers of a popular prompt, or of equal calls of a plain service, got 503 crashes_servers with Retry-After 120 while equal requests completed, beside servers that reset connections, broke responses off or went mute.

Cause: every loss of a request counted as the end of its server, whatever had happened; three losses on different servers between two completions blocked all equal requests. With half of the requests failing that is the usual case.

A router now asks the server of a lost request for its health, 50 to 350 ms after the loss, on a new connection. A refused connection, or no answer in that time, confirms the loss, which is then reported to the other routers (before: at once; the message is the same). A status below 500 withdraws it. Until then the loss counts at its own router as before; a request that it blocks waits up to 0.5 s for the decision instead of being refused. After 32 withdrawn losses without a completion or a lasting stream, losses count regardless, for servers that restart within a check.

Tests whose backends reset a connection and went on running now end their listener too, since that is what they mean by a crash; the bounds are kept.

--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -164,7 +164,7 @@
         self._confirming: set[connections.Connection] = set()
         self._list_id = 0
         self._open_connections: list[connections.Connection] = []
-        self._lost_fingerprints: dict[str, list[int]] = {}
+        self._lost: dict[str, list[tuple[int, float]]] = {}
         self._completed_fingerprints: list[int] = []
         self._list_reader: connections.Connection | None = None
         # The replica whose sums have shown that it reads the messages of this version.
@@ -200,11 +200,11 @@
             for connection in self._confirming:
                 connection.offer(messages.TableInForce(stored.version))
 
-    def report_lost(self, server_id: str, fingerprint: int) -> None:
+    def report_lost(self, server_id: str, fingerprint: int, lost_s: float) -> None:
         """Report a lost request to the other routers, batched with subsequent ones."""
-        if not self._lost_fingerprints:
+        if not self._lost:
             asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._send_lost)
-        self._lost_fingerprints.setdefault(server_id, []).append(fingerprint)
+        self._lost.setdefault(server_id, []).append((fingerprint, lost_s))
 
     def report_completed(self, fingerprint: int) -> None:
         """Report that a request which had been lost has completed, batched likewise."""
@@ -281,11 +281,12 @@
         return len(self._announced)
 
     def _send_lost(self) -> None:
-        lost, self._lost_fingerprints = self._lost_fingerprints, {}
-        for server_id, fingerprints in lost.items():
-            self._send_to_some(
-                messages.RequestsLost(server_id, tuple(fingerprints), 0.0)
-            )
+        lost, self._lost = self._lost, {}
+        now_s = clocks.boottime_s()
+        for server_id, pairs in lost.items():
+            fingerprints = tuple(fingerprint for fingerprint, _ in pairs)
+            age_s = now_s - max(lost_s for _, lost_s in pairs)
+            self._send_to_some(messages.RequestsLost(server_id, fingerprints, age_s))
 
     def _send_completed(self) -> None:
         completed, self._completed_fingerprints = self._completed_fingerprints, []
--- a/hickoryweir/forwarding/admission.py
+++ b/hickoryweir/forwarding/admission.py
@@ -10,6 +10,7 @@
     errors,
     header_codec,
     held_bytes,
+    loss_checks,
     open_requests,
     relay_messages,
     requests,
@@ -75,8 +76,7 @@
     fingerprint = crash_counts.fingerprint(
         metadata.key, request.method, request.raw_path, body
     )
-    if crash_counts.is_blocked(forwarder.crashes, fingerprint, started_s):
-        crash_counts.record_refusal(forwarder.crashes, fingerprint, started_s)
+    if await _crashes_servers(forwarder, open_request, fingerprint):
         return errors.Reason.CRASHES_SERVERS
     max_attempts_count = route.max_attempts_count
     if relayed is not None:
@@ -99,6 +99,21 @@
     )
 
 
+async def _crashes_servers(
+    forwarder: contexts.Forwarder,
+    open_request: open_requests.OpenRequest,
+    fingerprint: int,
+) -> bool:
+    """Return whether equal requests crash servers; say in the record what shows it."""
+    await loss_checks.wait_for_decision(forwarder, fingerprint)
+    counts, now_s = forwarder.crashes, clocks.boottime_s()
+    if not crash_counts.is_blocked(counts, fingerprint, now_s):
+        return False
+    crash_counts.record_refusal(counts, fingerprint, now_s)
+    open_request.shortage = crash_counts.describe(counts, fingerprint, now_s)
+    return True
+
+
 def requires_account(route_index: matching.RouteIndex, route: model.Route) -> bool:
     """Return whether requests on a route need the key of a client account."""
     table = route_index.table
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -143,6 +143,36 @@
     refused_tokens_count: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UncheckedLoss:
+    """A lost request whose server is being checked."""
+
+    service_name: str
+    fingerprint: int
+    loss: crash_counts.Loss
+
+
+@dataclasses.dataclass(slots=True)
+class LossChecks:
+    """Checks whether servers survived losses.
+
+    Attributes
+    ----------
+    pending : dict
+        Losses still to be decided, by the id of the server.
+    tasks : set
+        The checks that are running.
+    decided : asyncio.Event
+        Set, and replaced, with each decision.
+    """
+
+    pending: dict[str, list[UncheckedLoss]] = dataclasses.field(default_factory=dict)
+    tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
+    decided: asyncio.Event = dataclasses.field(
+        default_factory=asyncio.Event, compare=False
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Forwarder:
     """State that all requests of a router share.
@@ -183,6 +213,8 @@
         Ratio of the measured to the predicted prefill time, by service.
     crashes : crash_counts.CrashCounts
         Requests that were lost, at this router and at the others.
+    loss_checks : LossChecks
+        Own losses whose servers are being checked.
     suspect_parts : crashing_parts.CrashingParts
         Parts of prompts that were in lost requests, at this router and at the others.
     known_streams : stream_versions.StreamVersions
@@ -201,8 +233,8 @@
         replicated log, None if it does not answer.  None for a router that serves
         alone, whose own list shows all versions.
     report_lost : callable
-        ``report_lost(server_id, fingerprint)`` reports a lost request to the other
-        routers.
+        ``report_lost(server_id, fingerprint, lost_s)`` reports to the other routers a
+        request that was lost at the end of a server.
     report_completed : callable
         ``report_completed(fingerprint)`` reports that a lost request has completed.
     yielding : dict
@@ -288,7 +320,10 @@
     read_versions: Callable[[], Awaitable[frozenset[tuple[str, str]] | None]] | None = (
         None
     )
-    report_lost: Callable[[str, int], None] = lambda server_id, fingerprint: None
+    loss_checks: LossChecks = dataclasses.field(default_factory=LossChecks)
+    report_lost: Callable[[str, int, float], None] = (
+        lambda server_id, fingerprint, lost_s: None
+    )
     report_completed: Callable[[int], None] = lambda fingerprint: None
     yielding: dict[str, server_limits.Yielding] = dataclasses.field(
         default_factory=dict
--- a/hickoryweir/forwarding/crashes.py
+++ b/hickoryweir/forwarding/crashes.py
@@ -13,7 +13,7 @@
 from hickoryweir import clocks
 from hickoryweir.engines import framing
 from hickoryweir.feeds import evidence, messages
-from hickoryweir.forwarding import contexts, header_codec
+from hickoryweir.forwarding import contexts, header_codec, loss_checks
 from hickoryweir.forwarding_policy import crash_counts, crashing_parts
 from hickoryweir.observability import logs
 
@@ -102,7 +102,9 @@
 def record_loss(
     context: contexts.RequestContext, server_id: str, may_be_crash: bool
 ) -> None:
-    """Record that a server lost a request, and report it to the other routers.
+    """Record that a server lost a request.
+
+    The other routers are told once the server is known not to have survived it.
 
     Parameters
     ----------
@@ -115,8 +117,9 @@
     """
     forwarder, now_s = context.forwarder, clocks.boottime_s()
     request = context.fingerprint
-    crash_counts.record_loss(forwarder.crashes, request, server_id, now_s)
-    forwarder.report_lost(server_id, request)
+    counts = forwarder.crashes
+    loss = crash_counts.record_unverified(counts, request, server_id, now_s)
+    loss_checks.begin(context, server_id, loss)
     part_ids = shared_part_ids(context.metadata.prompt)
     if not may_be_crash or context.has_progressed or not part_ids:
         return
@@ -171,6 +174,7 @@
 def _record_progress(context: contexts.RequestContext) -> None:
     forwarder, name = context.forwarder, context.service_name
     context.has_progressed = True
+    crash_counts.record_progress(forwarder.crashes, context.fingerprint)
     part_ids = shared_part_ids(context.metadata.prompt)
     suspects = crashing_parts.record_progress(
         forwarder.suspect_parts, name, part_ids, clocks.boottime_s()
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -27,6 +27,7 @@
     header_codec,
     held_bytes,
     limits,
+    loss_checks,
     memory_room,
     notices,
     open_requests,
@@ -123,7 +124,8 @@
     if isinstance(admitted, errors.Reason):
         if admitted in (errors.Reason.BUFFERS_FULL, errors.Reason.ROUTER_FULL):
             return _refuse_without_capacity(forwarder, request, open_request, admitted)
-        return refuse(forwarder, metadata.request_id, admitted)
+        detail = open_request.shortage
+        return refuse(forwarder, metadata.request_id, admitted, detail=detail)
     refusal = _refuse_blocked(admitted)
     if refusal is not None:
         return refusal
@@ -242,6 +244,7 @@
         reason = outcome
         if relay is not None and reason in relaying.FINAL_REASONS:
             return _final_failure(context, reason)
+        await loss_checks.wait_for_decision(context.forwarder, context.fingerprint)
         if crashes.is_suspect(context):
             await asyncio.sleep(crashes.REPORTS_WAIT_S)
 
--- a/hickoryweir/forwarding/probing.py
+++ b/hickoryweir/forwarding/probing.py
@@ -6,7 +6,7 @@
 
 from hickoryweir import clocks
 from hickoryweir.forwarding import contexts, server_pool, server_reachability
-from hickoryweir.forwarding_policy import unreachable_servers
+from hickoryweir.forwarding_policy import server_survival, unreachable_servers
 from hickoryweir.observability import logs
 from hickoryweir.replicas import wire
 
@@ -15,6 +15,8 @@
 MAX_PROBES_COUNT = 16
 DEFAULT_HEALTH_PATH = "/"
 HEALTHY_STATUS_LINE = re.compile(rb"HTTP/1\.[01] 200 ")
+# A proxy in front of a process that has ended answers with a status of 500 or more.
+ALIVE_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [234]\d\d\b")
 
 
 async def run(forwarder: contexts.Forwarder) -> None:
@@ -151,6 +153,28 @@
             writer.close()
 
 
+async def ask_alive(
+    forwarder: contexts.Forwarder, view: server_pool.ServerView, timeout_s: float
+) -> server_survival.Answer:
+    """Return what comes of a health check on a new connection."""
+    host, port = wire.split_address(view.listed.address)
+    writer = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            reader, writer = await asyncio.open_connection(host, port)
+            _write_health_check(forwarder, view, writer)
+            is_alive = bool(ALIVE_STATUS_LINE.match(await reader.readline()))
+    except ConnectionRefusedError:
+        return server_survival.Answer.REFUSED
+    except (OSError, TimeoutError, ValueError):
+        # Without a whole status line the server has not shown that it is alive.
+        return server_survival.Answer.NONE
+    finally:
+        if writer is not None:
+            writer.close()
+    return server_survival.Answer.ALIVE if is_alive else server_survival.Answer.NONE
+
+
 def record_silent(forwarder: contexts.Forwarder, view: server_pool.ServerView) -> None:
     """Record and log that a server accepted a connection, and sent nothing on it."""
     were_reached = not server_reachability.reaches_none(forwarder.pool)
--- a/hickoryweir/forwarding/tests/sites.py
+++ b/hickoryweir/forwarding/tests/sites.py
@@ -69,6 +69,7 @@
 
     async def handle(request):
         body = await request.read()
+        request["listener"] = listener
         seen.append((request, body))
         return await answer(request, body)
 
@@ -108,6 +109,13 @@
             backend.listener.close()
 
 
+def end_server(request):
+    """End the connection of a request as the end of its server's process does."""
+    request["listener"].close()
+    request.transport.abort()
+    return web.Response()
+
+
 def answering(status=200, text="whole", **more):
     """Return a backend function that echoes the request's id."""
 
--- a/hickoryweir/forwarding_policy/crash_counts.py
+++ b/hickoryweir/forwarding_policy/crash_counts.py
@@ -5,6 +5,11 @@
 losses seen by other routers, and refuses the request once it has been lost on several
 servers.  A request that completes anywhere is cleared, so a request that was merely in
 flight at a crash is not refused.  Losses merge in any order and number of times.
+
+A reset connection, a response that was broken off or a mute request ends no server.  A
+loss therefore counts here from its first moment, and is withdrawn if the server turns
+out to have survived it (:mod:`hickoryweir.forwarding_policy.server_survival`); the
+others are told only of a loss that its server did not survive.
 """
 
 import collections
@@ -25,6 +30,17 @@
 MAX_REQUESTS_COUNT = 2_048
 # Losses on one server within this time are one.
 SAME_LOSS_S = 2.0
+# A server that restarts within a check seems to survive.  Of a request that completes
+# nowhere, and whose streams do not last, so many losses are withdrawn by one router.
+MAX_SURVIVED_COUNT = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """The loss of a request on a server."""
+
+    server_id: str
+    lost_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +55,11 @@
         When a request that had been lost has completed, by its hash.
     refused_at_s : dict
         When a blocked request was last refused, by its hash.
+    unverified : dict
+        Own losses whose servers are being checked, by the hash of the request.
+    survived_counts : collections.OrderedDict
+        Losses of a request that were withdrawn since it last made progress, by its
+        hash.
     """
 
     servers: collections.OrderedDict = dataclasses.field(
@@ -48,6 +69,10 @@
         default_factory=collections.OrderedDict
     )
     refused_at_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    unverified: dict[int, list[Loss]] = dataclasses.field(default_factory=dict)
+    survived_counts: collections.OrderedDict = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
 
 
 def fingerprint(key: str, method: str, target: str, body: bytes) -> int:
@@ -92,16 +117,86 @@
     return lost_s - known_s >= SAME_LOSS_S
 
 
+def record_unverified(
+    counts: CrashCounts, request: int, server_id: str, lost_s: float
+) -> Loss:
+    """Count a loss on a server that is yet to be checked; return it.
+
+    Examples
+    --------
+    >>> counts = CrashCounts()
+    >>> losses = [record_unverified(counts, 7, name, 0.0) for name in "abc"]
+    >>> is_blocked(counts, 7, 0.1), is_undecided(counts, 7)
+    (True, True)
+    >>> [settle(counts, 7, loss, has_survived=True) for loss in losses[:2]]
+    [False, False]
+    >>> settle(counts, 7, losses[2], has_survived=False), list(counts.servers[7])
+    (True, ['c'])
+    >>> is_blocked(counts, 7, 0.1), is_undecided(counts, 7)
+    (False, False)
+    """
+    loss = Loss(server_id, lost_s)
+    counts.unverified.setdefault(request, []).append(loss)
+    return loss
+
+
+def settle(
+    counts: CrashCounts, request: int, loss: Loss, *, has_survived: bool
+) -> bool:
+    """Withdraw a loss that its server survived, or record it as a crash.
+
+    Returns
+    -------
+    bool
+        Whether it is a crash, which the others are to be told.
+    """
+    unverified = counts.unverified.get(request, [])
+    if loss not in unverified:
+        # The request has completed since.
+        return False
+    unverified.remove(loss)
+    if not unverified:
+        del counts.unverified[request]
+    survived_count = counts.survived_counts.get(request, 0)
+    if not has_survived or survived_count >= MAX_SURVIVED_COUNT:
+        record_loss(counts, request, loss.server_id, loss.lost_s)
+        return True
+    counts.survived_counts[request] = survived_count + 1
+    counts.survived_counts.move_to_end(request)
+    while len(counts.survived_counts) > MAX_REQUESTS_COUNT:
+        counts.survived_counts.popitem(last=False)
+    return False
+
+
+def is_undecided(counts: CrashCounts, request: int) -> bool:
+    """Return whether losses of a request may still be withdrawn."""
+    return request in counts.unverified
+
+
+def record_progress(counts: CrashCounts, request: int) -> None:
+    """Record that a response to a request has lasted, which a quick crash rules out."""
+    counts.survived_counts.pop(request, None)
+
+
 def clear(counts: CrashCounts, request: int, completed_s: float) -> int:
-    """Clear a request that completed; return how often it had been lost before."""
+    """Clear a request that completed; return on how many servers it had been lost."""
+    record_progress(counts, request)
+    unverified = counts.unverified.get(request, [])
+    undecided = [loss for loss in unverified if loss.lost_s > completed_s]
     servers = counts.servers.get(request, {})
     later = {name: lost_s for name, lost_s in servers.items() if lost_s > completed_s}
-    cleared_count = len(servers) - len(later)
+    cleared = servers.keys() - later.keys()
+    cleared |= {loss.server_id for loss in unverified if loss not in undecided}
+    cleared_count = len(cleared)
     if not cleared_count:
         return 0
+    if undecided:
+        counts.unverified[request] = undecided
+    else:
+        counts.unverified.pop(request, None)
     if later:
         counts.servers[request] = later
-    else:
+    elif servers:
         _forget(counts, request)
     counts.cleared_at_s[request] = completed_s
     counts.cleared_at_s.move_to_end(request)
@@ -130,10 +225,8 @@
     It may have been in flight at their ends by chance, so it is tried now and then, a
     bounded number of times.
     """
-    servers = counts.servers.get(request)
-    if servers is None or len(servers) < MIN_CRASHES_COUNT:
-        return False
-    if _is_expired(counts, request, now_s):
+    servers = _lost_at_s(counts, request, now_s)
+    if len(servers) < MIN_CRASHES_COUNT:
         return False
     if len(servers) >= MAX_CRASHES_COUNT:
         return True
@@ -141,6 +234,43 @@
     return now_s - max(servers.values()) < wait_s
 
 
+def _lost_at_s(counts: CrashCounts, request: int, now_s: float) -> dict[str, float]:
+    """Return when a request was lost on each server, as far as that speaks against it.
+
+    Losses that are being checked are among them.
+    """
+    servers = counts.servers.get(request, {})
+    if _is_expired(counts, request, now_s):
+        servers = {}
+    unverified = counts.unverified.get(request)
+    if not unverified:
+        return servers
+    found = dict(servers)
+    for loss in unverified:
+        known_s = found.get(loss.server_id, float("-inf"))
+        found[loss.server_id] = max(known_s, loss.lost_s)
+    return found
+
+
 def record_refusal(counts: CrashCounts, request: int, now_s: float) -> None:
     """Record that a blocked request was refused."""
-    counts.refused_at_s[request] = now_s
+    if request in counts.servers:
+        counts.refused_at_s[request] = now_s
+
+
+def describe(counts: CrashCounts, request: int, now_s: float) -> str:
+    """Return on which servers a request was lost, and how long ago.
+
+    Examples
+    --------
+    >>> counts = CrashCounts()
+    >>> _ = record_loss(counts, 7, "a", 1.0)
+    >>> describe(counts, 7, 3.0)
+    'equal requests lost: a 2.00 s ago; 0 withdrawn'
+    """
+    servers = _lost_at_s(counts, request, now_s)
+    losses = ", ".join(
+        f"{name} {now_s - lost_s:.2f} s ago" for name, lost_s in servers.items()
+    )
+    withdrawn_count = counts.survived_counts.get(request, 0)
+    return f"equal requests lost: {losses or 'none'}; {withdrawn_count} withdrawn"
--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -37,6 +37,9 @@
         Evidence on parts of prompts that crash servers, by service and kind: ``loss``
         and ``progress`` of own requests, ``reported`` by others, ``blocked`` and
         ``released`` parts.
+    checked_losses : prometheus_client.Counter
+        Lost requests by service and what became of their servers: ``survived`` a
+        request that does not count, ``crashed``, or ``counted`` although it survived.
     blocked_parts : prometheus_client.Gauge
         Parts of prompts that are refused.
     relayed : prometheus_client.Counter
@@ -90,6 +93,7 @@
     resumptions: prometheus_client.Counter
     grants: prometheus_client.Counter
     crash_evidence: prometheus_client.Counter
+    checked_losses: prometheus_client.Counter
     blocked_parts: prometheus_client.Gauge
     relayed: prometheus_client.Counter
     rejection_limits: prometheus_client.Counter
@@ -140,6 +144,9 @@
         crash_evidence=counter(
             "crash_evidence", "Evidence on prompt parts.", "service", "kind"
         ),
+        checked_losses=counter(
+            "checked_losses", "Lost requests.", "service", "outcome"
+        ),
         blocked_parts=gauge("blocked_parts", "Prompt parts that are refused."),
         relayed=counter("relayed", "Relayed requests.", "direction", "outcome"),
         rejection_limits=counter(
