Tests of crashing parts: servers pass health checks until they crash

The servers answered every health check with 500, so a request that ends servers was never seen beside servers that pass the check of losses. They answer 200 now as long as they run.

--- a/hickoryweir/entry/tests/test_crashing_parts.py
+++ b/hickoryweir/entry/tests/test_crashing_parts.py
@@ -23,6 +23,7 @@
 HEAD_TO_CRASH_S = 0.03
 RESTART_AFTER_S = 1.0
 CRASHING_PART = "c0ffee"
+HEALTH_PATH = "/health"
 CRASHING_INTERVAL_S = 0.15
 SOUND_INTERVAL_S = 0.02
 SUBJECTS_COUNT = 12
@@ -85,13 +86,15 @@
 
     async def _serve(self, request, entry, server, listener):
         response = web.StreamResponse()
+        if request.path == HEALTH_PATH and entry in self.listed:
+            return response
         with contextlib.suppress(aiohttp.ClientConnectionResetError):
             response = await self._answer(request, entry, server, listener)
         return response
 
     async def _answer(self, request, entry, server, listener):
         now_s = asyncio.get_running_loop().time()
-        is_crashing = CRASHING_PART in request.headers[headers.PROMPT]
+        is_crashing = CRASHING_PART in request.headers.get(headers.PROMPT, "")
         if is_crashing:
             self.reached_at_s.append(now_s)
         if entry not in self.listed:
