Spare replicas: give the vote back to one that counts

Callers: an acknowledged table could not be read after a spare replica was lost for good while one of the others lost its disk and the rest lost power. The settings say which VMs the tolerance includes; others may be lost besides.

Cause: a spare replica that had taken the place of a voter (which was cut off, emptied, restarted or replaced) kept the vote when that was back, so two of the three votes could be lost at once.

Fix: is_in_fault_budget = no in [replica]. Such a replica votes in place of a lost one as before, and the leader gives the vote to one that counts once that has caught up: promotion, then removal; a leader that yields lets another voter lead before. The members in the log keep their format, so earlier builds read it; the leader learns of it by a message every 0.5 s.

--- a/hickoryweir/entry/reloading.py
+++ b/hickoryweir/entry/reloading.py
@@ -23,6 +23,7 @@
 # Keys by section that can change at run time; all others need a restart.
 RELOADABLE_KEYS = {
     "process": ("seeds",),
+    "replica": ("is_in_fault_budget",),
     "discovery": ("address", "rate_per_s"),
     "retries": ("ratio", "window_s", "extra_count"),
     "shutdown": ("grace_s",),
--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -1,6 +1,7 @@
 """Replica process: replicated log, feeds to the routers and operators' port."""
 
 import asyncio
+import dataclasses
 import math
 from collections.abc import Awaitable, Callable
 
@@ -177,6 +178,9 @@
 
     def apply_settings(self, entry_settings: settings.EntrySettings) -> None:
         """Apply changed settings, see :mod:`hickoryweir.entry.reloading`."""
+        self._settings = dataclasses.replace(
+            self._settings, replica=entry_settings.replica
+        )
         self._log.add_replicas(settings.seed_replicas(entry_settings))
         address = entry_settings.discovery.address
         self._publisher.source = self._adapters.make_source(address)
@@ -240,6 +244,11 @@
             "admission": lambda: automation.request_admission(
                 self._log, own_address, lambda: self._supervisor.node.state
             ),
+            "yielding": lambda: automation.yield_votes(
+                self._log,
+                lambda: self._supervisor.node.state,
+                lambda: not self._settings.replica.is_in_fault_budget,
+            ),
         }
         if self._duties is not None:
             work["duties"] = self._duties.run
--- a/hickoryweir/entry/settings.py
+++ b/hickoryweir/entry/settings.py
@@ -96,12 +96,16 @@
     detects_copies : bool
         Whether to reject a copied folder, detected by the inode number of a file;
         disable on file systems that change inode numbers.
+    is_in_fault_budget : bool
+        Whether the tolerated losses include this VM.  One that may be lost besides
+        votes only where others are missing.
     """
 
     data_folder: OptionalText = ""
     bootstrap: fields.Flag = False
     tolerated_losses_count: fields.Count = 1
     detects_copies: fields.Flag = True
+    is_in_fault_budget: fields.Flag = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickoryweir/entry/tests/test_lost_disks.py
+++ b/hickoryweir/entry/tests/test_lost_disks.py
@@ -14,6 +14,8 @@
 # Within this time after the last fault the table is read.
 RECOVERY_S = 12.0
 START_TIMEOUT_S = 60.0
+# Longer than it takes until a spare replica votes in place of one that is down.
+ABSENT_S = 3.0
 READ_TIMEOUT_S = 1.0
 RETRY_INTERVAL_S = 0.05
 
@@ -45,6 +47,45 @@
     return seen.read_back[0].version if seen.read_back else None
 
 
+async def launch(cluster, members):
+    """Start replicas; return once they listen, as each takes long beside load."""
+    for member in members:
+        clusters.launch(member)
+    await wait_until_listening(cluster, members)
+
+
+async def wait_until_listening(cluster, members=()):
+    """Wait for some replicas, or for all."""
+    waiting = list(members or cluster.replicas)
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while True:
+            waiting = [
+                member for member in waiting if not await is_listening(cluster, member)
+            ]
+            if not waiting:
+                return
+            await asyncio.sleep(RETRY_INTERVAL_S)
+
+
+async def is_listening(cluster, member):
+    """Return whether a replica accepts connections of operators."""
+    try:
+        _, writer = await asyncio.open_connection(member.host, cluster.port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+async def lose_disk_and_power(cluster, lost):
+    """Kill all replicas that run; start them again, one of them with an empty disk."""
+    running = [replica for replica in cluster.replicas if replica.process]
+    for replica in running:
+        clusters.kill(replica)
+    empty_disk(lost)
+    await launch(cluster, running)
+
+
 def empty_disk(member):
     """Empty the data folder of a member that is down and may not bootstrap."""
     clusters.wipe(member)
@@ -60,15 +101,39 @@
         cluster = await clusters.start_cluster(tmp_path, ROUTERS_COUNT)
         try:
             await put(cluster, 1)
+            await wait_until_listening(cluster)
             await asyncio.sleep(CATCH_UP_S)
             await clusters.stop(cluster, cluster.replicas[stopped])
             await put(cluster, 2)
             running = [replica for replica in cluster.replicas if replica.process]
-            for replica in running:
-                clusters.kill(replica)
-            empty_disk(running[stopped % 2])
-            for replica in running:
-                clusters.launch(replica)
+            await lose_disk_and_power(cluster, running[stopped % 2])
+            return await read_newest(cluster, RECOVERY_S)
+        finally:
+            await clusters.stop_all(cluster)
+
+    assert asyncio.run(main()) == 2
+
+
+@pytest.mark.parametrize("restarted", range(clusters.SEEDS_COUNT))
+def test_table_is_read_after_a_spare_that_had_voted_and_a_disk_are_lost(
+    tmp_path, restarted
+):
+    async def main():
+        cluster = await clusters.start_cluster(tmp_path, ROUTERS_COUNT)
+        try:
+            await put(cluster, 1)
+            await wait_until_listening(cluster)
+            spare = cluster.replicas[clusters.SEEDS_COUNT]
+            clusters.write_settings(cluster, spare, is_in_fault_budget="no")
+            clusters.reload(cluster, spare)
+            await asyncio.sleep(CATCH_UP_S)
+            clusters.kill(cluster.replicas[restarted])
+            await asyncio.sleep(ABSENT_S)
+            await launch(cluster, [cluster.replicas[restarted]])
+            await asyncio.sleep(CATCH_UP_S)
+            await put(cluster, 2)
+            clusters.kill(spare)
+            await lose_disk_and_power(cluster, cluster.replicas[restarted - 1])
             return await read_newest(cluster, RECOVERY_S)
         finally:
             await clusters.stop_all(cluster)
--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -28,6 +28,10 @@
 JOIN_TIMEOUT_S = 1.0
 # A voter that stops asks again before; one that has restarted is a voter like others.
 LEAVING_FOR_S = 0.5
+YIELD_INTERVAL_S = 0.5
+YIELD_TIMEOUT_S = 0.5
+# Longer than an attempt that is lost and the next one.
+YIELDS_FOR_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,12 +46,15 @@
         Seconds since the leader last heard from it.
     is_leaving : bool
         Whether it is about to stop.
+    yields : bool
+        Whether it votes only where others are missing.
     """
 
     member: messages.Member
     is_caught_up: bool
     since_contact_s: float
     is_leaving: bool = False
+    yields: bool = False
 
 
 def next_change(
@@ -64,6 +71,10 @@
     that is about to stop is replaced in the same order, since it may never return, and
     the next loss may follow at once.
 
+    A member that yields may be lost beyond the tolerance.  It takes the place of a lost
+    voter, and gives it back to one that doesn't yield once that has caught up.  A
+    leader that has to be removed lets another voter lead first.
+
     Parameters
     ----------
     views : tuple of MemberView
@@ -89,12 +100,18 @@
     lost = _find_lost_voter(others, caught_up)
     if lost is not None:
         return _change(wire.Change.REMOVE, lost.member)
+    steady = [view for view in caught_up if not view.yields]
+    successor = _find_successor(views, own_id) if has_surplus or steady else None
+    if successor is not None:
+        return _change(wire.Change.TRANSFER, successor.member)
     if has_surplus:
         surplus = _find_surplus_voter(others, voters)
         return None if surplus is None else _change(wire.Change.REMOVE, surplus.member)
     is_incomplete = len(voters) < voters_wanted_count
     is_leaving = any(view.is_leaving for view in others)
-    if is_incomplete or is_leaving or _is_unbalanced(others, voters, caught_up):
+    gives_back = bool(steady) and _can_give_back(others)
+    is_unbalanced = bool(steady) and _is_unbalanced(others, voters, steady)
+    if is_incomplete or is_leaving or gives_back or is_unbalanced:
         learner = _choose_learner(caught_up, voters)
         return _change(wire.Change.PROMOTE, learner.member)
     return None
@@ -113,6 +130,26 @@
     return max(unreachable, key=lambda view: view.since_contact_s, default=None)
 
 
+def _find_successor(views: tuple[MemberView, ...], own_id: str) -> MemberView | None:
+    """Return the voter that should lead instead of a leader that yields, if any."""
+    if not any(view.member.member_id == own_id and view.yields for view in views):
+        return None
+    for view in views:
+        is_steady = not view.yields and not view.is_leaving
+        if view.member.voter and view.is_caught_up and is_steady:
+            return view
+    return None
+
+
+def _can_give_back(others: list[MemberView]) -> bool:
+    """Return whether a voter yields while no voter lags.
+
+    As with a move between availability zones, the promotion comes first.
+    """
+    are_caught_up = all(view.is_caught_up for view in others)
+    return are_caught_up and any(view.yields for view in others)
+
+
 def _find_unreachable_learner(views: tuple[MemberView, ...]) -> MemberView | None:
     names = [messages.replica_name_of(view.member.member_id) for view in views]
     for view, name in zip(views, names, strict=True):
@@ -129,11 +166,15 @@
 def _choose_learner(
     caught_up: list[MemberView], voters: list[MemberView]
 ) -> MemberView:
-    """Return the learner whose availability zone has the fewest voters."""
+    """Return the learner whose availability zone has the fewest voters.
+
+    One that yields is chosen only without others.
+    """
     zones = [view.member.availability_zone for view in voters if not view.is_leaving]
     return min(
         caught_up,
         key=lambda view: (
+            view.yields,
             zones.count(view.member.availability_zone),
             view.member.member_id,
         ),
@@ -162,7 +203,8 @@
 ) -> MemberView | None:
     """Return the voter to remove from a group that is too large, once none lags.
 
-    A voter that is about to stop is removed first, and its own lag doesn't matter.
+    A voter that is about to stop is removed first, and its own lag doesn't matter; then
+    one that yields.
     """
     if not all(view.is_caught_up or view.is_leaving for view in others):
         return None
@@ -171,6 +213,7 @@
         others,
         key=lambda view: (
             view.is_leaving,
+            view.yields,
             zones.count(view.member.availability_zone),
             view.member.member_id,
         ),
@@ -183,7 +226,10 @@
 
 
 def view_members(
-    state: states.State, now_s: float, leaving_ids: frozenset[str] = frozenset()
+    state: states.State,
+    now_s: float,
+    leaving_ids: frozenset[str] = frozenset(),
+    yielding_ids: frozenset[str] = frozenset(),
 ) -> tuple[MemberView, ...]:
     """Return the members as seen by the leader's core."""
     views = []
@@ -192,7 +238,10 @@
         since_contact_s = 0.0 if progress is None else now_s - progress.last_contact_s
         is_caught_up = membership.is_caught_up(state, member.member_id, now_s)
         is_leaving = member.member_id in leaving_ids
-        views.append(MemberView(member, is_caught_up, since_contact_s, is_leaving))
+        yields = member.member_id in yielding_ids
+        views.append(
+            MemberView(member, is_caught_up, since_contact_s, is_leaving, yields)
+        )
     return tuple(views)
 
 
@@ -261,3 +310,19 @@
         if answer != logged_answer:
             logged_answer = answer
             logs.info("asked to join the replicated log", logs.Fields(reason=answer))
+
+
+async def yield_votes(
+    log: client.Client,
+    get_state: Callable[[], states.State | None],
+    yields: Callable[[], bool],
+) -> None:
+    """Tell the leader again and again while this replica yields, until cancelled.
+
+    Not stored: the settings may change, and earlier versions read the same log.
+    """
+    while True:
+        await asyncio.sleep(YIELD_INTERVAL_S)
+        state = get_state()
+        if state is not None and yields() and quorums.is_member(state):
+            await log.yield_vote(state.member_id, YIELD_TIMEOUT_S)
--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -226,6 +226,13 @@
         member = _make_reference(member_id)
         return await self._change(wire.Change.LEAVE, member, timeout_s)
 
+    async def yield_vote(
+        self, member_id: str, timeout_s: float
+    ) -> result.Result[str, Unavailable]:
+        """Ask that a member vote only where others are missing, for a short time."""
+        member = _make_reference(member_id)
+        return await self._change(wire.Change.YIELD, member, timeout_s)
+
     async def close(self) -> None:
         """Close all connections."""
         tasks = [self._poll_task, self._probe_task, self._leader_check_task]
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -129,6 +129,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._leadership_ended = asyncio.Event()
         self._left_at_s: dict[str, float] = {}
+        self._yielded_at_s: dict[str, float] = {}
         self._hub = peer_hub
         self._registrations: list[hub.Registration] = []
         self._snapshot_task: asyncio.Task | None = None
@@ -476,6 +477,10 @@
             answer = self._record_leaving(pending.request.member.member_id, now_s)
             pending.connection.offer(wire.ChangeAnswered(request_id, answer))
             return
+        if pending.request.change is wire.Change.YIELD:
+            answer = self._record_yielding(pending.request.member.member_id, now_s)
+            pending.connection.offer(wire.ChangeAnswered(request_id, answer))
+            return
         refusal = self._change_members(pending.request, now_s)
         if not refusal and pending.request.change is not wire.Change.TRANSFER:
             self._request_table.changes[index] = pending
@@ -498,21 +503,19 @@
             self.state, member_id, self.settings.voters_wanted_count, now_s
         )
 
-    def _leaving_ids(self, now_s: float) -> frozenset[str]:
-        oldest_s = now_s - automation.LEAVING_FOR_S
-        self._left_at_s = {
-            member_id: left_at_s
-            for member_id, left_at_s in self._left_at_s.items()
-            if left_at_s >= oldest_s
-        }
-        return frozenset(self._left_at_s)
+    def _record_yielding(self, member_id: str, now_s: float) -> str:
+        if self.state.role is not states.Role.LEADER:
+            return states.ChangeRefusal.NOT_LEADER.value
+        self._yielded_at_s[member_id] = now_s
+        return ""
 
     def _manage_members(self, now_s: float) -> None:
         wanted_count = self.settings.voters_wanted_count
         if not wanted_count or self.state.role is not states.Role.LEADER:
             return
-        leaving_ids = self._leaving_ids(now_s)
-        views = automation.view_members(self.state, now_s, leaving_ids)
+        leaving_ids = _recent_ids(self._left_at_s, now_s, automation.LEAVING_FOR_S)
+        yielding_ids = _recent_ids(self._yielded_at_s, now_s, automation.YIELDS_FOR_S)
+        views = automation.view_members(self.state, now_s, leaving_ids, yielding_ids)
         request = automation.next_change(views, self.state.member_id, wanted_count)
         if request is None:
             return
@@ -524,6 +527,17 @@
             logs.info("changing the members", fields)
 
 
+def _recent_ids(
+    at_s: dict[str, float], now_s: float, duration_s: float
+) -> frozenset[str]:
+    """Return the ids of which a time is not longer ago; remove the others."""
+    for member_id in [
+        key for key, seen_s in at_s.items() if now_s - seen_s > duration_s
+    ]:
+        del at_s[member_id]
+    return frozenset(at_s)
+
+
 def make_node(
     settings: NodeSettings,
     peer_hub: hub.Hub,
--- a/hickoryweir/replicas/tests/managed_simulation.py
+++ b/hickoryweir/replicas/tests/managed_simulation.py
@@ -111,6 +111,10 @@
         process.state = None
         process.work = []
 
+    def yields(self, name):
+        """Return whether a replica votes only where others are missing."""
+        return False
+
     def _waits_for_successor(self, process):
         """Tell the leader that a voter is about to stop; return whether it waits."""
         member_id = process.state.member_id
@@ -227,7 +231,14 @@
         leader = self.leader()
         if leader is None or leader.name in self.frozen:
             return
-        views = automation.view_members(leader.state, self.now_s, self.leaving_ids)
+        yielding_ids = frozenset(
+            process.state.member_id
+            for process in self.processes.values()
+            if self.is_running(process) and self.yields(process.name)
+        )
+        views = automation.view_members(
+            leader.state, self.now_s, self.leaving_ids, yielding_ids
+        )
         own_id = leader.state.member_id
         change = automation.next_change(views, own_id, VOTERS_WANTED_COUNT)
         if change is not None:
--- a/hickoryweir/replicas/tests/test_automation.py
+++ b/hickoryweir/replicas/tests/test_automation.py
@@ -19,11 +19,12 @@
     zone="a",
     number=1,
     leaving=False,
+    yields=False,
 ):
     member = messages.Member(
         messages.make_member_id(name, f"{number}"), f"{name}:1", zone, voter
     )
-    return automation.MemberView(member, caught_up, since_contact_s, leaving)
+    return automation.MemberView(member, caught_up, since_contact_s, leaving, yields)
 
 
 def decide(*views, wanted_count=3):
@@ -131,6 +132,50 @@
     assert decide(*voters) is None
 
 
+def test_voter_that_yields_is_replaced_by_a_learner_that_does_not():
+    spare = view("d", yields=True)
+    voters = (view("a"), view("b"), spare)
+    assert decide(*voters, view("c", voter=False)) == (
+        wire.Change.PROMOTE,
+        view("c").member.member_id,
+    )
+    assert decide(*voters, view("c")) == (wire.Change.REMOVE, spare.member.member_id)
+    assert decide(*voters, view("c", voter=False, caught_up=False)) is None
+    assert decide(*voters, view("e", voter=False, yields=True)) is None
+
+
+def test_voter_that_yields_stays_while_another_lags():
+    lagging = view("b", caught_up=False, since_contact_s=0.2)
+    voters = (view("a"), lagging, view("d", yields=True))
+    assert decide(*voters, view("c", voter=False)) is None
+
+
+def test_leader_that_yields_lets_another_voter_lead():
+    voters = (view("d", yields=True), view("a"), view("b"))
+    transfer = (wire.Change.TRANSFER, view("a").member.member_id)
+    assert decide(*voters, view("c", voter=False)) == transfer
+    assert decide(*voters, view("c")) == transfer
+    assert decide(*voters) is None
+
+
+def test_learner_that_yields_is_promoted_only_without_others():
+    lost = view("c", caught_up=False, since_contact_s=2.0)
+    spare = view("d", voter=False, yields=True)
+    assert decide(view("a"), view("b"), lost, spare) == (
+        wire.Change.REMOVE,
+        lost.member.member_id,
+    )
+    assert decide(view("a"), view("b"), spare, view("e", voter=False)) == (
+        wire.Change.PROMOTE,
+        view("e").member.member_id,
+    )
+
+
+def test_zones_are_not_balanced_with_a_learner_that_yields():
+    spare = view("d", voter=False, zone="b", yields=True)
+    assert decide(view("a"), view("b"), view("c"), spare) is None
+
+
 def test_balanced_zones_need_no_change():
     learner = view("d", voter=False, zone="b")
     voters = (view("a"), view("b"), view("c", zone="b"))
--- a/hickoryweir/replicas/tests/test_final_losses.py
+++ b/hickoryweir/replicas/tests/test_final_losses.py
@@ -24,6 +24,10 @@
         """Return the availability zone of a replica."""
         return name[0]
 
+    def yields(self, name):
+        """Return whether a replica votes only where others are missing."""
+        return name not in self.counted
+
 
 def draw_lead_s(cluster):
     return cluster.random.uniform(0.5, MAX_LEAD_S)
@@ -104,6 +108,22 @@
     wait_until_counted(cluster, cluster.now_s, None)
 
 
+def restart_in_turn(cluster):
+    """Stop replicas as planned and start them again, one after another."""
+    names = sorted(cluster.counted & cluster.processes.keys())
+    for name in cluster.random.sample(names, cluster.random.randint(1, len(names))):
+        cluster.stop_as_planned(name)
+        put_for(cluster, managed_simulation.MAX_START_DELAY_S)
+        wait_until_counted(cluster, cluster.now_s, None)
+
+
+def disturb(cluster):
+    """Let power, processes, disks and links fail right before the losses."""
+    for _ in range(cluster.random.randint(1, 3)):
+        cluster.inject_faults(loses_disk=False)
+        put_for(cluster, cluster.random.uniform(0.0, 3.0))
+
+
 def nothing(cluster):
     """Change no members."""
 
@@ -118,12 +138,17 @@
         replace_after_loss,
         empty_disk,
         cut_one_off,
+        restart_in_turn,
+        disturb,
     )
 }
 
 
-def lose_finally(cluster):
-    """Let one counted replica lose its disk, and all others power, at a moment."""
+def lose_finally(cluster, loses_spares):
+    """Let one counted replica lose its disk, and all others power, at a moment.
+
+    Replicas that don't count may be lost for good as well.
+    """
     cluster.propose_table()
     for _ in range(cluster.random.choice((1, 1, 2))):
         cluster.advance(cluster.random.uniform(0.0, LATEST_LOSS_S / 2))
@@ -140,6 +165,9 @@
         if cluster.is_running(cluster.processes[name]):
             cluster.lose_power(name)
     cluster.lose_disk(lost)
+    if loses_spares:
+        for name in sorted(cluster.processes.keys() - cluster.counted):
+            cluster.remove_machine(name)
 
 
 def is_read_within(cluster, limit_s):
@@ -157,14 +185,14 @@
     return False
 
 
-def play(seed, names):
+def play(seed, names, loses_spares=False):
     """Play preludes, the losses and the recovery; return the cluster."""
     cluster = SpreadSimulation(seed)
     cluster.advance(2.0)
     for name in names:
         PRELUDES[name](cluster)
     put_for(cluster, 0.3)
-    lose_finally(cluster)
+    lose_finally(cluster, loses_spares)
     acknowledged = set(cluster.acknowledged)
     assert is_read_within(cluster, managed_simulation.RECOVERY_S), "no read"
     committed = {entry.payload for entry in cluster.committed.values()}
@@ -180,3 +208,11 @@
     prelude, seed
 ):
     assert play(seed, [prelude]).acknowledged
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize(
+    "prelude", ["cut_one_off", "empty_disk", "restart_in_turn", "replace_after_loss"]
+)
+def test_acknowledged_tables_survive_a_lost_disk_and_the_loss_of_a_spare(prelude, seed):
+    assert play(seed, ["add_spare", prelude], loses_spares=True).acknowledged
--- a/hickoryweir/replicas/wire.py
+++ b/hickoryweir/replicas/wire.py
@@ -27,7 +27,8 @@
     """A membership change or leadership transfer.
 
     With `LEAVE` a voter that is about to stop asks to be replaced by a learner.  It is
-    answered with an empty refusal once the voter has nothing more to wait for.
+    answered with an empty refusal once the voter has nothing more to wait for.  With
+    `YIELD` a member asks to vote only where others are missing.
     """
 
     ADD_LEARNER = "add_learner"
@@ -35,6 +36,7 @@
     REMOVE = "remove"
     TRANSFER = "transfer"
     LEAVE = "leave"
+    YIELD = "yield"
 
 
 class NotServedReason(enum.StrEnum):
--- a/hickoryweir/testing/soak/cluster.py
+++ b/hickoryweir/testing/soak/cluster.py
@@ -43,6 +43,7 @@
 [replica]
 data_folder = {folder}
 bootstrap = yes
+is_in_fault_budget = {is_in_fault_budget}
 
 [discovery]
 address = {list_address}
@@ -187,7 +188,7 @@
 
 def write_settings(cluster: Cluster, member: Member, **changes) -> None:
     """Write a member's settings file."""
-    values = {"memory_mb": 0} | cluster.values | changes
+    values = {"memory_mb": 0, "is_in_fault_budget": "yes"} | cluster.values | changes
     text = SETTINGS.format(
         role=member.role, host=member.host, folder=member.folder / "data", **values
     )
