Data folder: sync the parents of folders that are created

Callers could lose everything that a replica had stored in a folder that it had created itself: after a loss of power the folder's name may be gone, and the replica comes back as an empty one. Where all replicas made their folders, all tables are gone with one loss of power.

Cause: os.makedirs without a sync of the parent folder. Found by reading; where the folder exists before the first start, as on the users' site, nothing changes.

Evidence: test_names_of_new_folders_survive_a_loss_of_power, which found no sync of either parent before (assert set() == {..}). Open: a process that is killed between the creation and the sync does not sync at its next start.

--- a/hickoryweir/replicas/files.py
+++ b/hickoryweir/replicas/files.py
@@ -17,7 +17,8 @@
     Attributes
     ----------
     make_folder : callable
-        ``make_folder(path)``; does nothing if the folder exists.
+        ``make_folder(path)`` creates missing folders durably; does nothing if the
+        folder exists.
     list_names : callable
         ``list_names(folder)`` returns the names in a folder, sorted.
     read : callable
@@ -61,7 +62,7 @@
 def make_files() -> Files:
     """Return the operations of the real file system."""
     return Files(
-        make_folder=lambda path: os.makedirs(path, mode=0o700, exist_ok=True),
+        make_folder=_make_folder,
         list_names=lambda folder: tuple(sorted(os.listdir(folder))),
         read=_read,
         create=_create,
@@ -77,6 +78,15 @@
     )
 
 
+def _make_folder(path: str) -> None:
+    if os.path.isdir(path):
+        return
+    parent = os.path.dirname(os.path.abspath(path))
+    _make_folder(parent)
+    os.makedirs(path, mode=0o700, exist_ok=True)
+    _sync_folder(parent)
+
+
 def _read(path: str) -> bytes:
     with open(path, "rb") as file:
         return file.read()
--- a/hickoryweir/replicas/tests/test_storage.py
+++ b/hickoryweir/replicas/tests/test_storage.py
@@ -1,5 +1,6 @@
 """Storage under crashes, corruption and failed writes."""
 
+import os
 import random
 import shutil
 
@@ -308,3 +309,16 @@
     log_inode(memory).content[-1] ^= 0xFF
     report = inspect.check_folder(FOLDER, memory.make_files())
     assert report.failure.problem is records.Problem.DAMAGED
+
+
+def test_names_of_new_folders_survive_a_loss_of_power(tmp_path, monkeypatch):
+    synced = set()
+    sync = os.fsync
+
+    def record(handle):
+        synced.add(os.fstat(handle).st_ino)
+        sync(handle)
+
+    monkeypatch.setattr(os, "fsync", record)
+    files.make_files().make_folder(str(tmp_path / "state" / "replica"))
+    assert synced == {item.stat().st_ino for item in (tmp_path, tmp_path / "state")}
