--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -128,6 +128,8 @@
         self._request_table = requests.RequestTable()
         self._tasks: set[asyncio.Task] = set()
         self._leadership_ended = asyncio.Event()
+        self._left_at_s: dict[str, float] = {}
+        self._yielded_at_s: dict[str, float] = {}
         self._hub = peer_hub
         self._registrations: list[hub.Registration] = []
         self._snapshot_task: asyncio.Task | None = None
@@ -231,7 +233,7 @@
             For how long a write that hangs is waited for.  None waits until it ends,
             as is needed before the folder is opened again.
         """
-        await self._transfer_leadership()
+        await self.transfer_leadership()
         if self.state is not None:
             requests.refuse_appended(self._request_table, self.state, time.monotonic())
         # From here on nothing reads the queue.
@@ -245,10 +247,12 @@
             await self._disk.close(disk_timeout_s)
             self._disk = None
 
-    async def _transfer_leadership(self) -> None:
+    async def transfer_leadership(self) -> None:
+        """Let another voter lead; return once one does or after a time limit."""
         state = self.state
         is_leader = state is not None and state.role is states.Role.LEADER
         if is_leader and len(state.membership.voter_ids) > 1:
+            self._leadership_ended.clear()
             self._queue.put_nowait(states.TransferRequested(""))
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TRANSFER_TIMEOUT_S):
@@ -469,6 +473,14 @@
     def _change(self, pending: requests.PendingRequest, now_s: float) -> None:
         index = self.state.log.last_index + 1
         request_id = pending.request.request_id
+        if pending.request.change is wire.Change.LEAVE:
+            answer = self._record_leaving(pending.request.member.member_id, now_s)
+            pending.connection.offer(wire.ChangeAnswered(request_id, answer))
+            return
+        if pending.request.change is wire.Change.YIELD:
+            answer = self._record_yielding(pending.request.member.member_id, now_s)
+            pending.connection.offer(wire.ChangeAnswered(request_id, answer))
+            return
         refusal = self._change_members(pending.request, now_s)
         if not refusal and pending.request.change is not wire.Change.TRANSFER:
             self._request_table.changes[index] = pending
@@ -485,11 +497,25 @@
         ]
         return refusals[0].reason.value if refusals else ""
 
+    def _record_leaving(self, member_id: str, now_s: float) -> str:
+        self._left_at_s[member_id] = now_s
+        return automation.answer_leaving(
+            self.state, member_id, self.settings.voters_wanted_count, now_s
+        )
+
+    def _record_yielding(self, member_id: str, now_s: float) -> str:
+        if self.state.role is not states.Role.LEADER:
+            return states.ChangeRefusal.NOT_LEADER.value
+        self._yielded_at_s[member_id] = now_s
+        return ""
+
     def _manage_members(self, now_s: float) -> None:
         wanted_count = self.settings.voters_wanted_count
         if not wanted_count or self.state.role is not states.Role.LEADER:
             return
-        views = automation.view_members(self.state, now_s)
+        leaving_ids = _recent_ids(self._left_at_s, now_s, automation.LEAVING_FOR_S)
+        yielding_ids = _recent_ids(self._yielded_at_s, now_s, automation.YIELDS_FOR_S)
+        views = automation.view_members(self.state, now_s, leaving_ids, yielding_ids)
         request = automation.next_change(views, self.state.member_id, wanted_count)
         if request is None:
             return
@@ -501,6 +527,17 @@
             logs.info("changing the members", fields)
 
 
+def _recent_ids(
+    at_s: dict[str, float], now_s: float, duration_s: float
+) -> frozenset[str]:
+    """Return the ids of which a time is not longer ago; remove the others."""
+    for member_id in [
+        key for key, seen_s in at_s.items() if now_s - seen_s > duration_s
+    ]:
+        del at_s[member_id]
+    return frozenset(at_s)
+
+
 def make_node(
     settings: NodeSettings,
     peer_hub: hub.Hub,
