Known red: an entry names its rows

An entry of a whole parametrized function marks nothing any more, and each row of that function ends with an error that names the list. The rows and not the collection fail, since xdist workers drop the text of an error of usage.

--- a/conftest.py
+++ b/conftest.py
@@ -7,6 +7,7 @@
 from hickoryweir.testing import known_red
 
 LIST_PATH = pathlib.Path(__file__).parent / "KNOWN-RED.txt"
+IS_WHOLE_FUNCTION = pytest.StashKey[bool]()
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
@@ -14,10 +15,19 @@
     if not LIST_PATH.exists():
         return
     listed = known_red.listed_tests(LIST_PATH.read_text())
+    whole = known_red.whole_functions(listed, (item.nodeid for item in items))
     for item in items:
-        # An entry without parameters stands for all of a test's.
-        name = item.nodeid if item.nodeid in listed else item.nodeid.partition("[")[0]
-        if name in listed:
-            is_strict = listed[name]
+        if item.nodeid in listed:
+            is_strict = listed[item.nodeid]
             mark = pytest.mark.xfail(reason="KNOWN-RED.txt", strict=is_strict)
             item.add_marker(mark)
+        item.stash[IS_WHOLE_FUNCTION] = item.nodeid.partition("[")[0] in whole
+
+
+def pytest_runtest_setup(item: pytest.Item) -> None:
+    """Fail the rows of a function that is listed without parameters."""
+    if item.stash.get(IS_WHOLE_FUNCTION, False):
+        pytest.fail(
+            f"{LIST_PATH.name} lists this function without the parameters of a row",
+            pytrace=False,
+        )
--- a/hickoryweir/testing/known_red.py
+++ b/hickoryweir/testing/known_red.py
@@ -1,11 +1,14 @@
 """The tests listed in ``KNOWN-RED.txt``, which fail because of a known fault.
 
-An entry begins in the first column with the id of a test, without its parameters if it
-stands for all of them; its other lines are indented.
+An entry begins in the first column with the id of a test, with its parameters where it
+has some, so that a row that passes is never covered by another one that fails.  The
+other lines of an entry are indented.
 One with a line ``flaky: REASON`` may pass or fail, since its measured figure varies
 around the bound between runs; all others have to fail until they are removed.
 """
 
+from collections.abc import Iterable
+
 FLAKY = "flaky:"
 
 
@@ -32,3 +35,21 @@
         elif line.strip().startswith(FLAKY):
             must_fail[name] = False
     return must_fail
+
+
+def whole_functions(listed: Iterable[str], collected: Iterable[str]) -> set[str]:
+    """Return the entries that name a parametrized function instead of its rows.
+
+    Examples
+    --------
+    >>> whole_functions(["a.py::test_b"], ["a.py::test_b[1]", "a.py::test_b[2]"])
+    {'a.py::test_b'}
+    >>> whole_functions(["a.py::test_b[1]"], ["a.py::test_b[1]", "a.py::test_b[2]"])
+    set()
+    """
+    parametrized = {
+        name
+        for name, bracket, _ in (item.partition("[") for item in collected)
+        if bracket
+    }
+    return parametrized.intersection(listed)
