Soak of planned stops: clients that send without end, and large uploads

New promise: an upload that a router read of is answered. Clients read while they send and go on reading after a reset, so only answers that no client can read count as missing. Whether a router read is known from arrivals at servers, or from the bytes sent: a connection that nobody accepts takes 271,360 bytes with this send buffer (measured), 384 KiB is the bound. Other resets of connections that were opened 0.2 s before the port closes depend on time. The summary counts uploads by form, phase of the stop and end.

Backend servers read bodies in parts, since aiohttp's read() refuses more than 1 MiB, and serve requests without a plan.

--- a/hickoryweir/testing/soak/stop_backends.py
+++ b/hickoryweir/testing/soak/stop_backends.py
@@ -64,7 +64,7 @@
 async def _serve(backend: Backend, request: web.BaseRequest) -> web.StreamResponse:
     """Record the arrival and answer as planned."""
     request_id = request.headers[headers.REQUEST_ID]
-    plan = stop_records.Plan(**json.loads(request.headers[PLAN_HEADER]))
+    plan = stop_records.Plan(**json.loads(request.headers.get(PLAN_HEADER, "{}")))
     attempt = stop_records.Attempt(backend.server_id, time.monotonic())
     backend.attempts.setdefault(request_id, []).append(attempt)
     backend.open_attempts[id(attempt)] = attempt
@@ -75,7 +75,8 @@
 
 
 async def _answer(backend, request, request_id, plan, attempt) -> web.StreamResponse:
-    await request.read()
+    while await request.content.readany():
+        pass
     await asyncio.sleep(plan.queue_s)
     await backend.awake.wait()
     echoed = {headers.REQUEST_ID: request_id}
--- a/hickoryweir/testing/soak/stop_floods.py
+++ b/hickoryweir/testing/soak/stop_floods.py
@@ -1,7 +1,8 @@
-"""Floods in the soak of planned stops: servers that send without end, and their calls.
+"""Floods in the soak of planned stops: servers and clients that send without end.
 
 Each form of :data:`hickoryweir.testing.floods.FORMS` has a service of its own, so that
-the clients of a flood choose its form.  Routers are watched for their memory.
+the clients that call it choose its form.  Clients that send without end are those of
+:data:`hickoryweir.testing.client_floods.FORMS`.  Routers are watched for their memory.
 """
 
 import asyncio
@@ -15,7 +16,7 @@
 import sys
 from collections.abc import AsyncIterator
 
-from hickoryweir.testing import floods, promises
+from hickoryweir.testing import client_floods, floods, promises
 from hickoryweir.testing.soak import cluster as clusters
 from hickoryweir.testing.soak import stop_events, stop_oracle, stop_records
 
@@ -23,7 +24,11 @@
 MEMORY_MB = 150
 WATCH_INTERVAL_S = 0.05
 FLOOD, KILL_REPLICA, KILL_ROUTER = "flood", "kill of a replica", "kill of a router"
+SENDERS = "senders of"
 CLIENTS_COUNTS = (4, 40)
+# Whole requests without end are work, which leaves others less of the router's time.
+WORK_CLIENTS_COUNT = 4
+SOUND_SERVICE = "sound"
 DURATION_MIN_S, DURATION_MAX_S = 3.0, 8.0
 # A flood is under way when the clients of a stop send their first requests.
 EARLIEST_S = -2.0
@@ -63,9 +68,17 @@
     reads: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sending(stop_events.Event):
+    """Clients that send to the router with the number `index` without end."""
+
+    form: str = ""
+    clients_count: int = 0
+
+
 def make_table() -> str:
     """Return the services and routes of all forms, to be added to a table."""
-    return "".join(
+    return SERVICE.format(name=SOUND_SERVICE, is_stream="no") + "".join(
         SERVICE.format(name=name_of(name), is_stream="yes" if form.is_stream else "no")
         for name, form in floods.FORMS.items()
     )
@@ -110,6 +123,25 @@
     return sorted(found, key=lambda event: event.at_s)
 
 
+def draw_senders(
+    generator: random.Random, events: list[stop_events.Event], forms_count: int
+) -> list[stop_events.Event]:
+    """Return the events of a round with clients that send to each router."""
+    found = list(events)
+    for stop in events:
+        if stop.kind != stop_events.TERMINATE:
+            continue
+        for name in generator.sample(list(client_floods.FORMS), forms_count):
+            count = generator.choice(CLIENTS_COUNTS)
+            if client_floods.FORMS[name].is_work:
+                count = WORK_CLIENTS_COUNT
+            at_s = stop.at_s + generator.uniform(EARLIEST_S, 2.0)
+            duration_s = generator.uniform(DURATION_MIN_S, DURATION_MAX_S)
+            kind = f"{SENDERS} {name}"
+            found.append(Sending(at_s, kind, stop.index, duration_s, name, count))
+    return sorted(found, key=lambda event: event.at_s)
+
+
 @contextlib.asynccontextmanager
 async def run_servers() -> AsyncIterator[list[dict]]:
     """Run a flooding server of each form; yield their entries of the list."""
@@ -130,8 +162,12 @@
 
 
 async def _run_floods(*arguments: str, stdout=None) -> asyncio.subprocess.Process:
+    return await _run("hickoryweir.testing.floods", *arguments, stdout=stdout)
+
+
+async def _run(module: str, *arguments: str, stdout=None) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
-        *(sys.executable, "-m", "hickoryweir.testing.floods", *arguments),
+        *(sys.executable, "-m", module, *arguments),
         stdin=asyncio.subprocess.PIPE,
         stdout=stdout,
     )
@@ -148,6 +184,23 @@
         str(flood.duration_s),
         "yes" if flood.reads else "no",
     )
+    await _await_end(process)
+
+
+async def send(cluster: clusters.Cluster, sending: Sending) -> None:
+    """Send what an event says until its time is over."""
+    process = await _run(
+        "hickoryweir.testing.client_floods",
+        cluster.routers[sending.index].host,
+        str(cluster.port),
+        sending.form,
+        str(sending.clients_count),
+        str(sending.duration_s),
+    )
+    await _await_end(process)
+
+
+async def _await_end(process: asyncio.subprocess.Process) -> None:
     try:
         await process.wait()
     finally:
--- a/hickoryweir/testing/soak/stop_records.py
+++ b/hickoryweir/testing/soak/stop_records.py
@@ -63,6 +63,8 @@
     is_whole, is_correct : bool
         Whether the answer was complete, and whether its body was the server's for
         this request.
+    sent_bytes : int
+        Bytes of the body that a client of large uploads has sent.
     end : str
         How the answer ended; empty while the client still reads.
     before : Request or None
@@ -82,6 +84,7 @@
     is_whole: bool = False
     is_correct: bool = True
     received_bytes: int = 0
+    sent_bytes: int = 0
     ended_s: float = 0.0
     end: str = ""
     left: bool = False
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -32,6 +32,7 @@
     stop_oracle,
     stop_records,
     stop_timelines,
+    stop_uploads,
 )
 from hickoryweir.testing.soak import cluster as clusters
 
@@ -91,6 +92,12 @@
         int,
         cappa.Arg(long=True, help="Floods by backend servers per router and round."),
     ] = 0
+    senders: Annotated[
+        int, cappa.Arg(long=True, help="Floods by clients per router and round.")
+    ] = 0
+    uploads: Annotated[
+        int, cappa.Arg(long=True, help="Clients per router that upload large bodies.")
+    ] = 0
     untimed: Annotated[
         bool, cappa.Arg(long=True, help="Judge only what no delay can cause.")
     ] = False
@@ -98,6 +105,11 @@
         pathlib.Path | None, cappa.Arg(long=True, help="Folder for the logs.")
     ] = None
 
+    @property
+    def has_floods(self) -> bool:
+        """Return whether routers are judged by their memory beside floods."""
+        return any((self.floods, self.senders, self.uploads))
+
 
 @dataclasses.dataclass(slots=True)
 class Site:
@@ -111,8 +123,8 @@
         Text of the table but for its version.
     table_version : int
         The newest version sent.
-    ends : collections.Counter
-        Requests by status, excuse or promise broken.
+    ends, uploads : collections.Counter
+        Requests by status, excuse or promise broken, and uploads by form and end.
     """
 
     cluster: clusters.Cluster
@@ -124,6 +136,9 @@
     events_count: int = 0
     peak_mb: float = 0.0
     ends: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    uploads: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 async def run(options: Stops) -> list[stop_oracle.Finding]:
@@ -177,12 +192,17 @@
         {"id": item.server_id, "service": "app", "address": f"{HOST}:{item.port}"}
         for item in servers
     ]
+    if options.senders:
+        entries += [
+            entry | {"id": f"sound-{entry['id']}", "service": stop_floods.SOUND_SERVICE}
+            for entry in entries
+        ]
     if options.floods:
         entries += await stack.enter_async_context(stop_floods.run_servers())
     list_address = await start_list(lambda: entries)
     cluster = make_cluster(folder, options.routers, list_address)
     site = Site(cluster, servers, attempts)
-    if options.floods:
+    if options.has_floods:
         cluster.values["memory_mb"] = stop_floods.MEMORY_MB
         site.table += stop_floods.make_table()
     return site
@@ -275,6 +295,7 @@
         events = stop_floods.draw(
             generator, events, options.floods, len(cluster.replicas)
         )
+    events = stop_floods.draw_senders(generator, events, options.senders)
     stops = [event for event in events if event.kind == stop_events.TERMINATE]
     targets = [make_target(site, event, start_s, seed) for event in stops]
     processes = [member.process for member in cluster.routers]
@@ -294,8 +315,9 @@
     await asyncio.gather(*others)
     watching.cancel()
     findings += stop_oracle.find_violations(targets)
-    if options.floods:
+    if options.has_floods:
         findings += stop_floods.check(cluster, targets, peaks_mb)
+        findings += stop_uploads.check(targets)
         site.peak_mb = max(site.peak_mb, *peaks_mb.values())
     show(site, options, findings, events, start_s)
     count_ends(site, targets)
@@ -353,11 +375,15 @@
         names = options.behaviours.split(",")
     await stop_clients.sleep_until(target, -stop_clients.LEAD_S)
     chosen = [target.generator.choice(names) for _ in range(options.clients)]
-    if options.floods:
+    if options.has_floods:
         chosen += [stop_floods.JUDGED_BEHAVIOUR] * stop_floods.JUDGED_CLIENTS_COUNT
     tasks = [
         asyncio.create_task(stop_clients.BEHAVIOURS[name](target)) for name in chosen
     ]
+    tasks += [
+        asyncio.create_task(stop_uploads.upload_repeatedly(target))
+        for _ in range(options.uploads)
+    ]
     await stop_clients.sleep_until(target, stop_records.SIGNAL_S)
     stop_events.signal_router(cluster, event, member.process)
     await await_exit(member, target)
@@ -410,6 +436,8 @@
         stop_floods.kill_successor(site.cluster, event, processes[event.index])
     elif isinstance(event, stop_floods.Flood):
         await stop_floods.call(site.cluster, event)
+    elif isinstance(event, stop_floods.Sending):
+        await stop_floods.send(site.cluster, event)
     elif event.kind in stop_backends.FAULTS:
         backend = site.servers[event.index]
         await stop_backends.disturb(backend, event.kind, event.duration_s)
@@ -439,6 +467,7 @@
             if not request.is_whole:
                 end = stop_oracle.find_excuse(target, request) or "LOST"
             site.ends[end] += 1
+    site.uploads.update(stop_uploads.count_ends(targets))
 
 
 def show(site, options, findings, events, start_s) -> None:
@@ -453,6 +482,10 @@
         arguments += f" --behaviours {options.behaviours}"
     if options.floods:
         arguments += f" --floods {options.floods}"
+    if options.senders:
+        arguments += f" --senders {options.senders}"
+    if options.uploads:
+        arguments += f" --uploads {options.uploads}"
     if options.busy:
         arguments += f" --busy {options.busy}"
     for finding in findings[:SHOWN_COUNT]:
@@ -471,7 +504,9 @@
     )
     for promise, count in promises_broken.items():
         print(f"BROKEN {count} times: {promise}")
-    if options.floods:
+    for end, count in sorted(site.uploads.items()):
+        print(f"{count:6} uploads of {end}")
+    if options.has_floods:
         print(f"peak of a router {site.peak_mb:.0f} MB of {stop_floods.MEMORY_MB}")
     last_seed = options.seed + options.rounds - 1
     print(
