Tests of relays: wait until the relay is known

A call waits 0.1 s for the state of a relay it has not heard of (FIRST_STATUS_WAIT_S), and is then refused, which is true. So on a busy machine the first call never came to the relay, and the second one was its first. The test asks for the state before its calls, and its expectations are the same. The new tests of floods through a relay wait likewise.

--- a/hickoryweir/forwarding/tests/test_floods_through_relays.py
+++ b/hickoryweir/forwarding/tests/test_floods_through_relays.py
@@ -6,6 +6,7 @@
 import aiohttp
 import pytest
 
+from hickoryweir.forwarding import relaying
 from hickoryweir.forwarding.tests import (
     sites,
     test_endless_responses,
@@ -37,6 +38,12 @@
         yield sites.Backend("s0", address, listener, []), sent
 
 
+async def wait_for_relay(site):
+    """Wait until a router knows its relay; a call waits only 0.1 s for that."""
+    relaying.ask_due(site.forwarder)
+    await waiting.wait_until(lambda: not site.forwarder.relays.tasks, sites.WAIT_S)
+
+
 def list_server(pair, backend):
     """Let both routers know one server, which only the relay reaches."""
     for site in (pair.near, pair.far):
@@ -67,6 +74,7 @@
             test_relaying.run_pair([], (route,)) as pair,
         ):
             list_server(pair, backend)
+            await wait_for_relay(pair.near)
             found = await call(pair.near)
             await waiting.wait_until(lambda: None not in sent, sites.WAIT_S)
             return found, sent
@@ -100,6 +108,7 @@
                 # Servers and equal requests that failed are avoided for a while.
                 backend.server_id = f"flood-{number}"
                 list_server(pair, backend)
+                await wait_for_relay(pair.near)
                 await call(pair.near, b"flood %d" % number)
             list_server(pair, sound)
             bodies = [b"call %d" % number for number in range(CALLS_COUNT)]
--- a/hickoryweir/forwarding/tests/test_relayed_refusals.py
+++ b/hickoryweir/forwarding/tests/test_relayed_refusals.py
@@ -15,6 +15,7 @@
 )
 from hickoryweir.forwarding_policy import relays
 from hickoryweir.streams import codec
+from hickoryweir.testing import waiting
 
 CALLS_COUNT = 3
 
@@ -94,6 +95,9 @@
             pool = site.forwarder.relays
             pool.port = listener.sockets[0].getsockname()[1]
             relay_pool.update_named(pool, "replica", (relays.Router(sites.HOST, "a"),))
+            # A call waits only 0.1 s for the state of a relay.
+            relaying.ask_due(site.forwarder)
+            await waiting.wait_until(lambda: not pool.tasks, sites.WAIT_S)
             names = ("first", "second")
             found = [await test_late_refusals.call(site, name) for name in names]
             for writer in writers:
