Early listener: read what all refused clients send at once

Clients that keep their connection open after the refusal held the others up: these were read only after them, or not at all after a second, and the close then reset what they were still sending.

--- a/hickoryweir/early_listener.py
+++ b/hickoryweir/early_listener.py
@@ -18,7 +18,8 @@
 BACKLOG_COUNT = 1_024
 # Time for the refusals to reach clients, and for the rest of what they send.
 REFUSAL_TIMEOUT_S = 1.0
-READ_SIZE_BYTES = 65_536
+READ_INTERVAL_S = 0.01
+READ_SIZE_BYTES = 1_048_576
 STOPPED_MESSAGE = "stopped while starting"
 # Says that the request was not run, as the router's own refusals do.
 REFUSAL = (
@@ -87,11 +88,15 @@
             refused.append(connection)
         else:
             connection.close()
-    end_s = time.monotonic() + REFUSAL_TIMEOUT_S
-    for connection in refused:
-        with connection:
-            _read_until(connection, end_s)
-    return len(refused)
+    refused_count, end_s = len(refused), time.monotonic() + REFUSAL_TIMEOUT_S
+    # Unread bytes would discard the refusals.
+    while refused := [each for each in refused if not _has_ended(each)]:
+        if time.monotonic() >= end_s:
+            break
+        time.sleep(READ_INTERVAL_S)
+    for connection in connections:
+        connection.close()
+    return refused_count
 
 
 def _refuse(connection: socket.socket) -> bool:
@@ -108,14 +113,14 @@
     return True
 
 
-def _read_until(connection: socket.socket, end_s: float) -> None:
-    """Read until the client closes, since unread bytes would discard the refusal."""
-    # The client has left or is still sending at the end.
-    with contextlib.suppress(OSError):
-        while (left_s := end_s - time.monotonic()) > 0:
-            connection.settimeout(left_s)
-            if not connection.recv(READ_SIZE_BYTES):
-                return
+def _has_ended(connection: socket.socket) -> bool:
+    """Read what has arrived; return whether the client has closed the connection."""
+    try:
+        return not connection.recv(READ_SIZE_BYTES)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
 
 
 def _read_address(path: pathlib.Path) -> tuple[str, int] | None:
--- a/hickoryweir/forwarding/tests/test_early_listener.py
+++ b/hickoryweir/forwarding/tests/test_early_listener.py
@@ -1,7 +1,10 @@
 """Clients that connect before a router has finished its imports."""
 
 import asyncio
+import contextlib
 import socket
+import time
+from concurrent import futures
 
 import pytest
 
@@ -11,6 +14,8 @@
 from hickoryweir.routes.tests import tables
 from hickoryweir.testing.demo import entry_vms
 
+CLIENTS_COUNT = 4
+
 
 def write_settings(folder, text):
     path = folder / "settings.ini"
@@ -68,3 +73,28 @@
         path = write_settings(tmp_path, f"[ports]\nclients = {sites.HOST}:{port}\n")
         early_listener.open_from(path)
         assert early_listener.take(sites.HOST, port) is None
+
+
+def test_refusals_reach_all_clients_that_keep_their_connections_open(tmp_path):
+    port = entry_vms.free_port()
+    path = write_settings(tmp_path, f"[ports]\nclients = {sites.HOST}:{port}\n")
+    early_listener.open_from(path)
+    body = b"x" * 1_000_000
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body)
+    with contextlib.ExitStack() as stack:
+        clients = [
+            stack.enter_context(socket.create_connection((sites.HOST, port)))
+            for _ in range(CLIENTS_COUNT)
+        ]
+        for client in clients:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
+        unused = stack.enter_context(socket.create_connection((sites.HOST, port)))
+        threads = stack.enter_context(futures.ThreadPoolExecutor(CLIENTS_COUNT))
+        sending = [threads.submit(each.sendall, head + body) for each in clients]
+        time.sleep(0.1)
+        assert early_listener.refuse_waiting() == CLIENTS_COUNT
+        errors = [each.exception() for each in sending]
+        received = [client.recv(65_536) for client in clients]
+        assert unused.recv(65_536) == b""
+    assert errors == [None] * CLIENTS_COUNT
+    assert all(each.startswith(b"HTTP/1.1 503 ") for each in received)
