Tests: planned stops of processes that are paused as their port closes

Not reproduced: a router process that SIGSTOP pauses from 0.5 s before to 0.5 s after its port closes resets connections of that time. The stall has to fall into a callback of received bytes, as in test_stop_after_stalls.py.

--- /dev/null
+++ b/hickoryweir/entry/tests/test_stops_after_pauses.py
@@ -0,0 +1,49 @@
+"""Planned stops of router processes that are paused around a moment of the stop."""
+
+import re
+import signal
+import socket
+import time
+
+import pytest
+
+from hickoryweir.entry import router as routers
+from hickoryweir.entry.tests import test_stops_during_start as starts
+
+OPEN_PORT_S, _ = routers.split_grace(starts.GRACE_S)
+# From the signal: the pause, which ends after the port would have been closed.
+PAUSE_S, RESUME_S = OPEN_PORT_S - 0.5, OPEN_PORT_S + 0.5
+
+
+def sleep_until(at_s):
+    time.sleep(max(0.0, at_s - time.monotonic()))
+
+
+@pytest.mark.parametrize("connects_early", [False, True])
+def test_request_received_in_a_pause_before_the_port_closes_is_answered(
+    tmp_path, connects_early
+):
+    """Guards against a reset of connections that wait in the queue of the port."""
+    router, address = starts.start_router(tmp_path, 0.0)
+    try:
+        starts.wait_for_line(router, '"serving"')
+        connection = socket.socket()
+        connection.settimeout(2 * starts.GRACE_S)
+        if connects_early:
+            connection.connect(address)
+        router.send_signal(signal.SIGTERM)
+        stopped_s = time.monotonic()
+        sleep_until(stopped_s + PAUSE_S)
+        router.send_signal(signal.SIGSTOP)
+        if not connects_early:
+            connection.connect(address)
+        with connection:
+            connection.sendall(starts.REQUEST)
+            sleep_until(stopped_s + RESUME_S)
+            router.send_signal(signal.SIGCONT)
+            answer = starts.receive(connection)
+        assert router.wait(2 * starts.GRACE_S) == 0
+        assert re.match(rb"HTTP/1.1 503 ", answer), answer
+    finally:
+        router.kill()
+        router.wait()
