Client connections: read in turn after an error

Cause: after an error a connection discards what comes, but a request before the error may still be served, and until its response is written the connection was read as fast as the client sent: 1.93 GB in 1 s from one client (new test, which allows 43 MB and failed so).

After an error, connections are read once and then wait for their turn with all others whose bytes bring nothing, one read of at most 256 KiB every 10 ms. They are read on, not left, since unread bytes would reset the connection and its answers could be lost.

The tests of bounded connections, partial heads, body limits, server and random bytes pass.

--- a/hickoryweir/bounded_connections.py
+++ b/hickoryweir/bounded_connections.py
@@ -88,9 +88,14 @@
         """Pass bytes to the parser so that each part ends where a message may end.
 
         The parser does not tell whether it holds a part of a head.  Bytes that bring
-        little content wait for their turn, and after an error none is parsed.
+        little content wait for their turn, and so do those after an error, which are
+        discarded.
         """
         if self._has_failed:
+            if data:
+                # Unread bytes would reset the connection before its answers are read.
+                self._pause_transport_reading()
+                parsing_turns.add(self._turns, self._read_discarded)
             return
         self._unparsed = self._unparsed[self._parsed_size_bytes :] + data
         self._parsed_size_bytes = 0
@@ -108,6 +113,12 @@
         self._pause_transport_reading()
         parsing_turns.add(self._turns, self._parse_in_turn)
 
+    def _read_discarded(self) -> bool:
+        """Read once more after an error; what comes adds the next turn."""
+        if self.transport is not None:
+            super()._resume_transport_reading()
+        return False
+
     @property
     def _unparsed_size_bytes(self) -> int:
         return len(self._unparsed) - self._parsed_size_bytes
--- a/hickoryweir/tests/test_bounded_connections.py
+++ b/hickoryweir/tests/test_bounded_connections.py
@@ -6,7 +6,7 @@
 import pytest
 from aiohttp import web
 
-from hickoryweir import bounded_connections
+from hickoryweir import bounded_connections, parsing_turns
 from hickoryweir.entry import metrics_port
 from hickoryweir.forwarding import server
 from hickoryweir.forwarding.tests import sites
@@ -16,6 +16,12 @@
 CLOSED_AFTER_S = 3.0
 PIPELINED_COUNT = 300
 BODY_SIZE_BYTES = 20_000
+SLOW_S = 1.0
+EMPTY_LINES = b"\r\n" * 32_768
+# Of the event loop, at most.
+READ_SIZE_BYTES = 256 * 1024
+# What the sockets of both ends hold.
+BUFFERS_SIZE_BYTES = 16 * 1024 * 1024
 FORMS = [
     name
     for name, form in client_floods.FORMS.items()
@@ -144,3 +150,32 @@
             return await exchange(port, sent, b"x" * 3000)
 
     assert asyncio.run(main()).count(b"200 OK") == 20
+
+
+def test_bytes_after_an_error_take_no_time_from_other_connections():
+    """Guards against reads without end while a request before the error is served."""
+
+    async def serve_slowly(request):
+        await asyncio.sleep(SLOW_S)
+        return web.Response()
+
+    async def main():
+        made = bounded_connections.BoundedServer(serve_slowly, access_log=None)
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(made, sites.HOST, 0)
+        sent_size_bytes = 0
+        async with listener:
+            port = listener.sockets[0].getsockname()[1]
+            reader, writer = await asyncio.open_connection(sites.HOST, port)
+            writer.write(client_floods.GET + b"\r\n")
+            with contextlib.suppress(ConnectionError):
+                async with asyncio.timeout(CLOSED_AFTER_S):
+                    while True:
+                        writer.write(EMPTY_LINES)
+                        await writer.drain()
+                        sent_size_bytes += len(EMPTY_LINES)
+            writer.transport.abort()
+        return sent_size_bytes
+
+    turns_count = SLOW_S / parsing_turns.INTERVAL_S
+    assert asyncio.run(main()) < turns_count * READ_SIZE_BYTES + BUFFERS_SIZE_BYTES
