--- a/hickoryweir/forwarding/crashes.py
+++ b/hickoryweir/forwarding/crashes.py
@@ -32,6 +32,8 @@
 CRASH_ENDS = frozenset(
     {framing.End.CUT_IN_BODY, framing.End.CUT_IN_EVENT, framing.End.CUT_BEFORE_EVENTS}
 )
+# Ends that the router brings about while the server goes on sending.
+ALIVE_ENDS = frozenset({framing.End.NO_ROOM, framing.End.TOO_LARGE})
 
 
 def shared_part_ids(prompt: header_codec.Prompt | None) -> tuple[str, ...]:
