Simulated losses at the end: slow disks, and power lost amid member changes

The disks of some replicas are slow right before all power is lost, so that unsynced writes exist then. Power is also lost at any moment of a change of members, with the disk of the replica that is being replaced lost once more.

--- a/hickoryweir/replicas/tests/test_final_losses.py
+++ b/hickoryweir/replicas/tests/test_final_losses.py
@@ -4,13 +4,17 @@
 it, or the successor of a removed one, has run for the time to catch up.
 """
 
+import dataclasses
+
 import pytest
 
-from hickoryweir.replicas.tests import managed_simulation
+from hickoryweir.replicas import state as states
+from hickoryweir.replicas.tests import managed_simulation, simulation
 
 # After a change was sent, within which the losses come at the latest.
 LATEST_LOSS_S = 0.4
 MAX_LEAD_S = 3.0
+SLOW_DISKS_SHARE = 0.5
 
 
 class SpreadSimulation(managed_simulation.ManagedSimulation):
@@ -144,11 +148,17 @@
 }
 
 
-def lose_finally(cluster, loses_spares):
+def lose_finally(cluster, loses_spares=False, lost=None):
     """Let one counted replica lose its disk, and all others power, at a moment.
 
-    Replicas that don't count may be lost for good as well.
+    Replicas that don't count may be lost for good as well.  `lost` names the replica
+    whose disk is lost; by default it is drawn.
     """
+    for name in sorted(cluster.processes):
+        if cluster.random.random() < SLOW_DISKS_SHARE:
+            # What is not synced yet at the loss of power is torn or gone.
+            slow_s = cluster.random.uniform(0.0, LATEST_LOSS_S)
+            cluster.hangs_until_s[name] = cluster.now_s + slow_s
     cluster.propose_table()
     for _ in range(cluster.random.choice((1, 1, 2))):
         cluster.advance(cluster.random.uniform(0.0, LATEST_LOSS_S / 2))
@@ -159,12 +169,15 @@
         end_s = cluster.now_s + LATEST_LOSS_S
         while len(cluster.acknowledged) == known_count and cluster.now_s < end_s:
             cluster.advance(managed_simulation.STEP_S)
-    lost = cluster.random.choice(sorted(cluster.counted))
+    if lost is None:
+        lost = cluster.random.choice(sorted(cluster.counted))
     cluster.heal()
+    cluster.hangs_until_s.clear()
     for name in sorted(cluster.processes):
         if cluster.is_running(cluster.processes[name]):
             cluster.lose_power(name)
-    cluster.lose_disk(lost)
+    if lost in cluster.processes:
+        cluster.lose_disk(lost)
     if loses_spares:
         for name in sorted(cluster.processes.keys() - cluster.counted):
             cluster.remove_machine(name)
@@ -193,13 +206,56 @@
         PRELUDES[name](cluster)
     put_for(cluster, 0.3)
     lose_finally(cluster, loses_spares)
+    check_recovery(cluster)
+    return cluster
+
+
+def empty_a_disk(cluster, name):
+    cluster.lose_power(name)
+    cluster.lose_disk(name)
+
+
+def lose_for_good(cluster, name):
+    cluster.lose_power(name)
+    cluster.remove_machine(name)
+    cluster.add_machine(f"{name}-new")
+
+
+def stop_for_good(cluster, name):
+    cluster.add_machine(f"{name}-new")
+    put_for(cluster, cluster.random.uniform(0.0, 2.0))
+    cluster.stop_as_planned(name)
+    cluster.remove_machine(name)
+
+
+CHANGES = {
+    function.__name__: function
+    for function in (empty_a_disk, lose_for_good, stop_for_good)
+}
+
+
+def play_amid(seed, name):
+    """Lose all power at any moment of a change of members, and a lost disk again."""
+    cluster = SpreadSimulation(seed)
+    cluster.advance(2.0)
+    if cluster.random.random() < 0.5:
+        add_spare(cluster)
+    lost = cluster.random.choice(sorted(cluster.counted))
+    CHANGES[name](cluster, lost)
+    put_for(cluster, cluster.random.uniform(0.0, 3.0))
+    lose_finally(cluster, lost=lost)
+    check_recovery(cluster)
+    return cluster
+
+
+def check_recovery(cluster):
+    """Check that a read succeeds in time and that nothing acknowledged is lost."""
     acknowledged = set(cluster.acknowledged)
     assert is_read_within(cluster, managed_simulation.RECOVERY_S), "no read"
     committed = {entry.payload for entry in cluster.committed.values()}
     leader = cluster.leader()
     assert leader.state.applied_index == max(cluster.committed)
     assert committed >= acknowledged, "acknowledged tables are lost"
-    return cluster
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -216,3 +272,25 @@
 )
 def test_acknowledged_tables_survive_a_lost_disk_and_the_loss_of_a_spare(prelude, seed):
     assert play(seed, ["add_spare", prelude], loses_spares=True).acknowledged
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("change", CHANGES)
+def test_acknowledged_tables_survive_a_loss_of_power_amid_a_change_of_members(
+    change, seed
+):
+    assert play_amid(seed, change).acknowledged
+
+
+@pytest.mark.parametrize("seed", [15, 18, 21])
+def test_answers_before_the_sync_are_found(seed, monkeypatch):
+    execute = simulation.Simulation._execute
+
+    def execute_early(cluster, process, action):
+        if isinstance(action, states.Send):
+            action = dataclasses.replace(action, durable=False)
+        execute(cluster, process, action)
+
+    monkeypatch.setattr(simulation.Simulation, "_execute", execute_early)
+    with pytest.raises(AssertionError, match="two entries committed"):
+        play(seed, ["nothing"])
