--- a/hickoryweir/testing/soak/faults.py
+++ b/hickoryweir/testing/soak/faults.py
@@ -99,6 +99,13 @@
     clusters.launch(member)
 
 
+async def leave(
+    context: FaultContext, member: clusters.Member, duration_s: float
+) -> None:
+    """Stop a process gracefully and for good."""
+    await clusters.stop(context.cluster, member)
+
+
 async def reload(
     context: FaultContext, member: clusters.Member, duration_s: float
 ) -> None:
--- a/hickoryweir/testing/soak/replicas.py
+++ b/hickoryweir/testing/soak/replicas.py
@@ -2,8 +2,9 @@
 
 In each round three replicas and some routers start anew, and faults follow from the
 round's seed: writes that are refused, links that go silent, and others beside.  After
-the last one a change must be acknowledged, with each replica paused in turn too.  The
-exit code is 1 if a promise was broken.
+the last one a change must be acknowledged, with each replica paused in turn too.  With
+``--loses-disk`` each round ends its faults with the loss of a disk while all other
+replicas are killed.  The exit code is 1 if a promise was broken.
 """
 
 import asyncio
@@ -45,11 +46,18 @@
 # Beside load, the processes of all rounds take long to start at once.
 START_TIMEOUT_S = 120.0
 NETWORKS_COUNT = 256
+# From the moment at which a change is sent until the disk is lost.
+LOSS_MIN_S, LOSS_MAX_S = 0.005, 0.4
+# Each process starts again within this time.
+RELAUNCH_MAX_S = 1.5
+LEAVING_SHARE = 0.5
 # Delays of the soak's own event loop, and so of the proxies, that are shown.
 DELAY_CHECK_S, DELAY_SHOWN_S = 0.02, 0.1
 ALL = "all"
 SHOWN_LINES_COUNT = 12
-COMMAND = "bin/soak replicas --seed {seed} --rounds 1 --faults {faults}"
+COMMAND = (
+    "bin/soak replicas --seed {seed} --rounds 1 --faults {faults} --routers {routers}"
+)
 
 
 @dataclasses.dataclass
@@ -65,6 +73,13 @@
         cappa.Arg(long=True, help="By commas: refused, silent, others; or all."),
     ] = ALL
     routers: Annotated[int, cappa.Arg(long=True, help="Number of routers.")] = 2
+    spares: Annotated[
+        int, cappa.Arg(long=True, help="Replicas beside the three seeds.")
+    ] = 0
+    loses_disk: Annotated[
+        bool,
+        cappa.Arg(long=True, help="Kill all replicas at the end, and empty one."),
+    ] = False
     parallel: Annotated[int, cappa.Arg(long=True, help="Rounds at a time.")] = 1
     logs: Annotated[
         pathlib.Path | None, cappa.Arg(long=True, help="Folder for the logs.")
@@ -136,6 +151,11 @@
     number = seed % NETWORKS_COUNT
     networks = (f"127.1.{number}", f"127.2.{number}")
     cluster = stops.make_cluster(folder, options.routers, list_address, networks)
+    for number in range(options.spares):
+        host = f"{networks[0]}.{len(cluster.replicas) + 1}"
+        cluster.replicas.append(
+            clusters.Member("replica", host, folder / f"spare-{number}")
+        )
     async with callers.make_session(ATTEMPT_TIMEOUT_S) as session:
         current = Round(seed, cluster, session)
         context = faults.FaultContext(cluster, random.Random(seed))
@@ -148,6 +168,8 @@
                 asyncio.create_task(watch_delays(current)),
             ]
             ended_s = await play_faults(options, current, context)
+            if options.loses_disk:
+                ended_s = await lose_disk(options, current, context)
             await check_recovery(current, context, ended_s)
             await end_tasks(tasks)
         finally:
@@ -214,6 +236,50 @@
     return ended_s
 
 
+async def lose_disk(
+    options: Replicas, current: Round, context: faults.FaultContext
+) -> float:
+    """Empty a disk while all replicas are killed; return when they listen again.
+
+    It is right after a change was sent, acknowledged or not.  Beside a spare replica,
+    another one may have been stopped for good before.
+    """
+    cluster, generator = current.cluster, random.Random(f"{current.seed}-loss")
+    await asyncio.sleep(faults.REPLICA_RECOVERY_S)
+    if options.spares and generator.random() < LEAVING_SHARE:
+        leaving = generator.choice(cluster.replicas)
+        await faults.inject(context, leaving, faults.leave, 0.0)
+        cluster.replicas.remove(leaving)
+    asked = generator.choice(cluster.replicas)
+    version = newest_version(current) + 2
+    sending = asyncio.create_task(put(current, asked.host, version))
+    await asyncio.sleep(generator.uniform(LOSS_MIN_S, LOSS_MAX_S))
+    for replica in cluster.replicas:
+        clusters.kill(replica)
+    emptied = generator.choice(cluster.replicas)
+    await sending
+    delays_s = {
+        replica.host: generator.uniform(0.0, RELAUNCH_MAX_S)
+        for replica in cluster.replicas
+    }
+    clusters.wipe(emptied)
+
+    async def relaunch(replica: clusters.Member) -> None:
+        await asyncio.sleep(delays_s[replica.host])
+        clusters.launch(replica)
+        await wait_until_serving(current, replica)
+
+    lost_s = time.monotonic()
+    await asyncio.gather(*(relaunch(replica) for replica in cluster.replicas))
+    ended_s = time.monotonic()
+    for replica in cluster.replicas:
+        kind = "lost disk" if replica is emptied else "kill"
+        context.injected.append(
+            faults.InjectedFault(kind, replica.host, lost_s, ended_s)
+        )
+    return ended_s
+
+
 async def end_tasks(tasks: list[asyncio.Task]) -> None:
     """Cancel tasks until they end, and raise what ended them earlier.
 
@@ -323,7 +389,11 @@
     in_force_s = max(heard_s, time.monotonic() + oracle.IN_FORCE_S)
     await wait_for_routers(current, recovery.expected_version, in_force_s)
     if all(at_s is not None for at_s in recovery.acknowledged_s.values()):
-        wiped_s = [item.ended_s for item in context.injected if item.kind == "wipe"]
+        wiped_s = [
+            item.ended_s
+            for item in context.injected
+            if item.kind in ("wipe", "lost disk")
+        ]
         caught_up_s = max(wiped_s, default=0.0) + faults.REPLICA_RECOVERY_S
         await asyncio.sleep(max(heard_s, caught_up_s) - time.monotonic())
         for replica in cluster.replicas:
@@ -462,8 +532,12 @@
         log = (member.folder / "log").read_text(errors="replace")
         lines = [line for line in log.splitlines() if '"message": "table' not in line]
         print("\n".join(f"    {line}" for line in lines[-SHOWN_LINES_COUNT:]))
-    command = COMMAND.format(seed=current.seed, faults=options.faults)
-    print(f"  again: {command} --routers {options.routers}", flush=True)
+    command = COMMAND.format(
+        seed=current.seed, faults=options.faults, routers=options.routers
+    )
+    command += f" --spares {options.spares}"
+    command += " --loses-disk" * options.loses_disk
+    print(f"  again: {command}", flush=True)
 
 
 def describe(times_s: Iterable[float | None]) -> str:
