Large bodies: read clients in turn, so that small calls are served beside them

Small calls beside 40 clients that upload 1 MiB by length, again and again, fell to 357 of about 618 in 6 s, p99 0.22 s: in each turn of the event loop the router read up to 256 KiB from each client that sends, before it came back to the others.

A client that has sent more than 128 KiB of a body is now read in turn with the others, one read a millisecond for all together.

--- a/hickoryweir/bounded_connections.py
+++ b/hickoryweir/bounded_connections.py
@@ -32,6 +32,10 @@
 MAX_DISCARDED_SIZE_BYTES = 8 * 1024 * 1024
 # One connection is read in it, up to 256 KiB.
 DISCARD_INTERVAL_S = 0.0025
+# A client that has sent more than this of a body is read in turn with others.
+UNPACED_BODY_SIZE_BYTES = 128 * 1024
+# One connection is read in it, up to 256 KiB.
+READ_INTERVAL_S = 0.001
 # Of a line, in aiohttp.
 DEFAULT_MAX_LINE_SIZE_BYTES = 8190
 # Clients send one empty line between requests, if any (RFC 9112, section 2.2).
@@ -65,8 +69,10 @@
         "_last_payload",
         "_max_head_size_bytes",
         "_parsed_size_bytes",
+        "_read_turns",
         "_turns",
         "_unparsed",
+        "_waits_for_read",
         "_waits_for_turn",
         "has_received",
         "head_started_s",
@@ -92,6 +98,8 @@
         self._empty_size_bytes = 0
         self._unparsed, self._parsed_size_bytes = b"", 0
         self._waits_for_turn = False
+        self._waits_for_read = False
+        self._read_turns: parsing_turns.ParsingTurns | None = None
         self._has_failed = False
         self._is_discarding = False
         self._discard_turns: parsing_turns.ParsingTurns | None = None
@@ -161,6 +169,27 @@
             self._last_payload.feed_eof()
 
     def data_received(self, data: bytes) -> None:
+        """Pass bytes to the parser, and leave the rest of a large body for a turn."""
+        self._parse_received(data)
+        is_large = self._body_size_bytes > UNPACED_BODY_SIZE_BYTES
+        if not data or not is_large or self._read_turns is None:
+            return
+        if self._is_receiving_body() and not (
+            self._is_discarding or self._waits_for_read
+        ):
+            self._waits_for_read = True
+            self._pause_transport_reading()
+            parsing_turns.add(self._read_turns, self._read_on)
+
+    def _read_on(self) -> bool:
+        """Read once, unless the body's reader or parser waits."""
+        self._waits_for_read = False
+        is_ready = not self._waits_for_turn and not self._is_parser_paused()
+        if self.transport is not None and is_ready:
+            self._resume_transport_reading()
+        return False
+
+    def _parse_received(self, data: bytes) -> None:
         """Pass bytes to the parser so that each part ends where a message may end.
 
         The parser does not tell whether it holds a part of a head.  Bytes that bring
@@ -210,7 +239,7 @@
 
     def _resume_transport_reading(self) -> None:
         """Read on once all that was received before has been parsed."""
-        if self._is_discarding:
+        if self._is_discarding or self._waits_for_read:
             return
         if not self.has_unparsed:
             super()._resume_transport_reading()
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -74,9 +74,11 @@
         server: web.Server,
         turns: parsing_turns.ParsingTurns,
         held_limits: held_bytes_policy.Limits | None = None,
+        read_turns: parsing_turns.ParsingTurns | None = None,
         **options,
     ) -> None:
         super().__init__(server, turns, **options)
+        self._read_turns = read_turns
         self._held_limits = held_limits
         self.client_transport: asyncio.Transport | None = None
         self.is_serving = False
@@ -330,6 +332,7 @@
     """
     loop = asyncio.get_running_loop()
     turns = parsing_turns.ParsingTurns()
+    read_turns = parsing_turns.ParsingTurns(bounded_connections.READ_INTERVAL_S)
 
     def make_connection() -> ClientConnection:
         table_limits, idle_timeout_s = model.Limits(), DEFAULT_IDLE_TIMEOUT_S
@@ -341,6 +344,7 @@
             server,
             turns,
             router.held_limits,
+            read_turns,
             loop=loop,
             keepalive_timeout=idle_timeout_s,
             access_log=None,
