--- a/hickoryweir/forwarding/tests/test_floods_through_relays.py
+++ b/hickoryweir/forwarding/tests/test_floods_through_relays.py
@@ -16,7 +16,7 @@
 
 ENDED = (502, "ClientPayloadError")
 FLOODS_COUNT, CALLS_COUNT = 5, 3
-HEALTH_CHECK = b"GET / "
+HEALTH_CHECK = b"GET /health "
 
 
 @contextlib.asynccontextmanager
