Early refusals: neither a second signal nor a full standard output holds them up

A process that ends by itself ignores further SIGTERM, and the handler's line is written only if it can be without waiting.

--- a/hickoryweir/early_listener.py
+++ b/hickoryweir/early_listener.py
@@ -9,7 +9,9 @@
 import configparser
 import contextlib
 import json
+import os
 import pathlib
+import select
 import socket
 import time
 
@@ -19,6 +21,7 @@
 # Time for the refusals to reach clients, and for the rest of what they send.
 REFUSAL_TIMEOUT_S = 1.0
 READ_INTERVAL_S = 0.01
+STANDARD_OUTPUT = 1
 READ_SIZE_BYTES = 1_048_576
 STOPPED_MESSAGE = "stopped while starting"
 # Says that the request was not run, as the router's own refusals do.
@@ -62,7 +65,14 @@
     refused_count = refuse_waiting()
     # The log is not set up yet.
     line = {"message": STOPPED_MESSAGE, "detail": f"{refused_count} requests refused"}
-    print(json.dumps({"level": "INFO"} | line), flush=True)
+    _write_without_waiting(json.dumps({"level": "INFO"} | line) + "\n")
+
+
+def _write_without_waiting(text: str) -> None:
+    """Write to the standard output if it takes bytes now; nobody may read it."""
+    with contextlib.suppress(OSError):
+        if select.select([], [STANDARD_OUTPUT], [], 0)[1]:
+            os.write(STANDARD_OUTPUT, text.encode())
 
 
 def refuse_waiting() -> int:
--- a/hickoryweir/early_signals.py
+++ b/hickoryweir/early_signals.py
@@ -33,8 +33,13 @@
     _exit.prepare = prepare
 
 
-def _exit_cleanly(number: int, frame: object) -> None:
+def ignore_stop() -> None:
+    """Ignore SIGTERM from here on, in a process that is about to end."""
     signal.signal(signal.SIGTERM, signal.SIG_IGN)
+
+
+def _exit_cleanly(number: int, frame: object) -> None:
+    ignore_stop()
     try:
         if _exit.prepare is not None:
             _exit.prepare()
--- a/hickoryweir/entry/main.py
+++ b/hickoryweir/entry/main.py
@@ -9,7 +9,7 @@
 import aiomisc
 from returns import result
 
-from hickoryweir import early_listener, process_exit
+from hickoryweir import early_listener, early_signals, process_exit
 from hickoryweir.entry import adapters, reloading, settings
 from hickoryweir.observability import bounded, logs
 
@@ -39,6 +39,8 @@
     try:
         return _serve(path, site_adapters, stream)
     finally:
+        # Another stop would cut the refusals short.
+        early_signals.ignore_stop()
         refused_count = early_listener.refuse_waiting()
         if refused_count:
             detail = f"{refused_count} requests refused"
