All HTTP ports: idle times close no connection with a request under way; errors are read

And without a stall, the idle time of the clients' port cut a head of which the first part had been read; the header timeout governs it now.

--- a/hickoryweir/bounded_connections.py
+++ b/hickoryweir/bounded_connections.py
@@ -28,6 +28,8 @@
 MAX_SEARCHED_SIZE_BYTES = 64 * 1024
 # Time for a refusal to reach a client that still sends its body.
 LINGERING_S = 1.0
+# Nothing is kept for it.
+LINGERING_SIZE_BYTES = 1
 # The rest of a body that is discarded; also beyond what the largest body has.
 MAX_DISCARDED_SIZE_BYTES = 8 * 1024 * 1024
 # One connection is read in it, up to 256 KiB.
@@ -36,6 +38,8 @@
 UNPACED_BODY_SIZE_BYTES = 128 * 1024
 # One connection is read in it, up to 256 KiB.
 READ_INTERVAL_S = 0.001
+# Until the idle time of a connection with unread bytes is checked again.
+IDLE_CHECK_INTERVAL_S = 0.05
 # Of a line, in aiohttp.
 DEFAULT_MAX_LINE_SIZE_BYTES = 8190
 # Clients send one empty line between requests, if any (RFC 9112, section 2.2).
@@ -79,10 +83,15 @@
     )
 
     def __init__(
-        self, server: web.Server, turns: parsing_turns.ParsingTurns, **options
+        self,
+        server: web.Server,
+        turns: parsing_turns.ParsingTurns,
+        discard_turns: parsing_turns.ParsingTurns | None = None,
+        **options,
     ) -> None:
         super().__init__(server, **options)
         self._turns = turns
+        self._discard_turns = turns if discard_turns is None else discard_turns
         max_line_size = options.get("max_line_size", DEFAULT_MAX_LINE_SIZE_BYTES)
         # A request line and the fields of a head each fit into one line's limit.
         self._max_head_size_bytes = 2 * max_line_size + HEAD_MARGIN_SIZE_BYTES
@@ -102,7 +111,6 @@
         self._read_turns: parsing_turns.ParsingTurns | None = None
         self._has_failed = False
         self._is_discarding = False
-        self._discard_turns: parsing_turns.ParsingTurns | None = None
         self._discarded_size_bytes = 0
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -123,9 +131,7 @@
             # aiohttp reads nothing from a body whose request has ended.
             payload._buffer.clear()
 
-    def discard_rest(
-        self, turns: parsing_turns.ParsingTurns, lingering_s: float
-    ) -> None:
+    def discard_rest(self, lingering_s: float) -> None:
         """Discard the rest of the body that is received, after its response.
 
         A connection that is closed while its client sends is reset, and the client may
@@ -134,18 +140,16 @@
 
         Parameters
         ----------
-        turns : parsing_turns.ParsingTurns
-            Of all connections whose bytes are discarded.
         lingering_s : float
             Time after which the connection is closed.
         """
         received_size_bytes = self._body_size_bytes + self._unparsed_size_bytes
         self._discarded_size_bytes = received_size_bytes
-        self._is_discarding, self._discard_turns = True, turns
+        self._is_discarding = True
         self._release_received()
         self._lingering_time = lingering_s
         self._pause_transport_reading()
-        parsing_turns.add(turns, self._read_discarded)
+        parsing_turns.add(self._discard_turns, self._read_discarded)
 
     def _discard(self, data: bytes) -> None:
         """Count bytes that are not parsed; end the body after its last or too many."""
@@ -195,7 +199,7 @@
             if data:
                 # Unread bytes would reset the connection before its answers are read.
                 self._pause_transport_reading()
-                parsing_turns.add(self._turns, self._read_discarded)
+                parsing_turns.add(self._discard_turns, self._read_discarded)
             return
         if self._is_discarding:
             if data:
@@ -238,6 +242,21 @@
         is_read = bool(self._messages) or self.head_started_s is not None
         return is_read or self.has_unparsed or unread.size_bytes(self.transport) > 0
 
+    @property
+    def _has_arrived(self) -> bool:
+        """Return whether bytes have arrived that the idle time must not discard."""
+        return self.has_unparsed or unread.size_bytes(self.transport) > 0
+
+    def _process_keepalive(self) -> None:
+        """Close the connection after its idle time, unless a request has arrived."""
+        if self._has_arrived:
+            # After a stall of the event loop, timers come before what was received.
+            self._keepalive_handle = self._loop.call_later(
+                IDLE_CHECK_INTERVAL_S, self._process_keepalive
+            )
+            return
+        super()._process_keepalive()
+
     def _parse_in_turn(self) -> bool:
         """Parse one part; return whether another turn is needed."""
         self._parse_part(COSTLY_PART_SIZE_BYTES)
@@ -349,6 +368,7 @@
             self._empty_size_bytes = 0
             if not isinstance(message, http_parser.RawRequestMessage):
                 self._fail()
+                self._messages[-1] = (message, self._linger())
                 if is_body and not earlier.is_eof():
                     # The error is in its trailers; its reader would wait for the rest.
                     earlier.set_exception(message.exc)
@@ -368,7 +388,7 @@
             error = http_exceptions.LineTooLong(b"", size_bytes)
         self._fail()
         found = web_protocol._ErrInfo(status=400, exc=error, message=error.message)
-        self._messages.append((found, streams.EMPTY_PAYLOAD))
+        self._messages.append((found, self._linger()))
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
         return True
@@ -378,6 +398,14 @@
         self._has_failed = True
         self._unparsed, self._parsed_size_bytes = b"", 0
 
+    def _linger(self) -> streams.StreamReader:
+        """Return a body without an end, for which aiohttp waits after the response.
+
+        What its client sends meanwhile is discarded, so that the response is read.
+        """
+        self._lingering_time = LINGERING_S
+        return streams.StreamReader(self, LINGERING_SIZE_BYTES, loop=self._loop)
+
     def _is_receiving_body(self) -> bool:
         return self._last_payload is not None and not self._last_payload.is_eof()
 
--- a/hickoryweir/callers/server.py
+++ b/hickoryweir/callers/server.py
@@ -15,6 +15,7 @@
     graceful_stop,
     listening,
     parsing_turns,
+    unread,
 )
 from hickoryweir.callers import app, errors, interface
 from hickoryweir.configuration import settings
@@ -188,7 +189,9 @@
             transport = connection.transport
             if connection.headers_received or transport is None:
                 continue
-            if now_s - connection.opened_at_s >= limit_s:
+            is_late = now_s - connection.opened_at_s >= limit_s
+            # After a stall of the event loop, its headers may wait unread.
+            if is_late and not unread.size_bytes(transport):
                 counters.refusals.labels(NO_CLASS, reason).inc()
                 transport.abort()
 
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -146,15 +146,11 @@
             if isinstance(message, http_parser.RawRequestMessage)
         ]
 
-    def _process_keepalive(self) -> None:
-        """Close the connection after its idle time, unless a request has arrived."""
-        if self.has_unread:
-            # After a stall of the event loop, timers come before what was received.
-            self._keepalive_handle = self._loop.call_later(
-                LEFT_CHECK_INTERVAL_S, self._process_keepalive
-            )
-            return
-        super()._process_keepalive()
+    @property
+    def _has_arrived(self) -> bool:
+        """Return whether a byte of another request has arrived, for the idle time."""
+        # The header timeout bounds the time of a head.
+        return super()._has_arrived or self.head_started_s is not None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, which aiohttp forgets when it closes a connection."""
@@ -307,7 +303,6 @@
     """Return the handler of all requests, which keeps record of the open ones."""
     loop = asyncio.get_running_loop()
     open_by_connection = router.open_requests
-    discard_turns = parsing_turns.ParsingTurns(bounded_connections.DISCARD_INTERVAL_S)
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
@@ -326,7 +321,7 @@
             if not request.content.is_eof() and request.content.exception() is None:
                 # The rest of the body will not be forwarded.
                 response.force_close()
-                connection.discard_rest(discard_turns, LINGERING_S)
+                connection.discard_rest(LINGERING_S)
             return response
         finally:
             connection.is_serving, open_request.is_handled = False, True
@@ -357,6 +352,7 @@
     loop = asyncio.get_running_loop()
     turns = parsing_turns.ParsingTurns()
     read_turns = parsing_turns.ParsingTurns(bounded_connections.READ_INTERVAL_S)
+    discard_turns = parsing_turns.ParsingTurns(bounded_connections.DISCARD_INTERVAL_S)
 
     def make_connection() -> ClientConnection:
         table_limits, idle_timeout_s = model.Limits(), DEFAULT_IDLE_TIMEOUT_S
@@ -369,6 +365,7 @@
             turns,
             router.held_limits,
             read_turns,
+            discard_turns=discard_turns,
             loop=loop,
             keepalive_timeout=idle_timeout_s,
             access_log=None,
--- a/hickoryweir/forwarding/tests/test_stop_after_stalls.py
+++ b/hickoryweir/forwarding/tests/test_stop_after_stalls.py
@@ -56,6 +56,26 @@
         assert runner.run(main()).startswith(b"HTTP/1.1 200 OK\r\n")
 
 
+def test_head_that_has_begun_is_received_beyond_the_idle_time():
+    """Guards against a close of an idle connection that cuts a request's head."""
+    first = REQUEST.replace(b"Connection: close\r\n", b"")
+
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            use_idle_timeout(site.forwarder, stalls.STALL_S)
+            reader, writer = await asyncio.open_connection(sites.HOST, site.port)
+            writer.write(first)
+            await reader.readuntil(b"whole")
+            await asyncio.sleep(0.8 * stalls.STALL_S)
+            writer.write(REQUEST[:20])
+            await asyncio.sleep(0.4 * stalls.STALL_S)
+            writer.write(REQUEST[20:])
+            return await reader.read()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(main()).startswith(b"HTTP/1.1 200")
+
+
 @pytest.mark.parametrize("is_kept", [False, True])
 def test_request_received_in_a_stall_before_its_connection_was_idle_too_long(is_kept):
     """Guards against a reset of a request that came before the idle timeout."""
--- a/hickoryweir/tests/test_graceful_stop.py
+++ b/hickoryweir/tests/test_graceful_stop.py
@@ -81,3 +81,29 @@
         return await client.receive()
 
     assert run(main).endswith(b"whole")
+
+
+@pytest.mark.parametrize("is_kept", [False, True])
+def test_request_received_in_a_stall_before_its_connection_was_idle_too_long(is_kept):
+    """Guards against a reset of a request that came before the idle timeout."""
+    last = REQUEST.replace(b"Host: x\r\n", b"Host: x\r\nConnection: close\r\n")
+
+    async def main():
+        async def answer(request):
+            return web.Response(text="whole")
+
+        app = web.Application()
+        app.router.add_put("/table", answer)
+        runner = bounded_connections.BoundedRunner(
+            app, access_log=None, keepalive_timeout=stalls.STALL_S
+        )
+        await runner.setup()
+        await web.TCPSite(runner, HOST, 0).start()
+        client = stalls.Client(runner.addresses[0], last, True)
+        if is_kept:
+            await asyncio.to_thread(client.exchange, REQUEST, b"whole")
+        await asyncio.sleep(stalls.STALL_S / 2)
+        with stalls.stall(client):
+            return await client.receive()
+
+    assert run(main).endswith(b"whole")
