--- a/hickoryweir/bounded_connections.py
+++ b/hickoryweir/bounded_connections.py
@@ -8,13 +8,16 @@
 
 from aiohttp import http_exceptions, http_parser, streams, web, web_protocol
 
-from hickoryweir import parsing_turns
+from hickoryweir import parsing_turns, unread
 
 EMPTY_LINE = b"\r\n\r\n"
+# The end of a body in chunks without trailers.
+LAST_CHUNK = b"0\r\n\r\n"
 # More than the pipelined requests that one segment usually has; the rest waits.
 MAX_PARTS_COUNT = 64
-# Bounds the time of one call of the parser.
-CHUNKED_PART_SIZE_BYTES = 16 * 1024
+# Bounds the time of one call of the parser.  aiohttp pauses a body beyond one chunk for
+# each 16 bytes of its buffer; a part has fewer, so that it is seen to be costly first.
+CHUNKED_PART_SIZE_BYTES = 8 * 1024
 COSTLY_PART_SIZE_BYTES = 4 * 1024
 # Of a part of a chunked body; below it, parsing costs more than the content does.
 MIN_CONTENT_SHARE = 0.5
@@ -25,6 +28,18 @@
 MAX_SEARCHED_SIZE_BYTES = 64 * 1024
 # Time for a refusal to reach a client that still sends its body.
 LINGERING_S = 1.0
+# Nothing is kept for it.
+LINGERING_SIZE_BYTES = 1
+# The rest of a body that is discarded; also beyond what the largest body has.
+MAX_DISCARDED_SIZE_BYTES = 8 * 1024 * 1024
+# One connection is read in it, up to 256 KiB.
+DISCARD_INTERVAL_S = 0.0025
+# A client that has sent more than this of a body is read in turn with others.
+UNPACED_BODY_SIZE_BYTES = 128 * 1024
+# One connection is read in it, up to 256 KiB.
+READ_INTERVAL_S = 0.001
+# Until the idle time of a connection with unread bytes is checked again.
+IDLE_CHECK_INTERVAL_S = 0.05
 # Of a line, in aiohttp.
 DEFAULT_MAX_LINE_SIZE_BYTES = 8190
 # Clients send one empty line between requests, if any (RFC 9112, section 2.2).
@@ -47,26 +62,36 @@
 
     __slots__ = (
         "_body_size_bytes",
+        "_discard_turns",
+        "_discarded_size_bytes",
         "_empty_size_bytes",
         "_has_failed",
         "_head_size_bytes",
+        "_is_discarding",
         "_last_bytes",
         "_last_length_bytes",
         "_last_payload",
         "_max_head_size_bytes",
         "_parsed_size_bytes",
+        "_read_turns",
         "_turns",
         "_unparsed",
+        "_waits_for_read",
         "_waits_for_turn",
         "has_received",
         "head_started_s",
     )
 
     def __init__(
-        self, server: web.Server, turns: parsing_turns.ParsingTurns, **options
+        self,
+        server: web.Server,
+        turns: parsing_turns.ParsingTurns,
+        discard_turns: parsing_turns.ParsingTurns | None = None,
+        **options,
     ) -> None:
         super().__init__(server, **options)
         self._turns = turns
+        self._discard_turns = turns if discard_turns is None else discard_turns
         max_line_size = options.get("max_line_size", DEFAULT_MAX_LINE_SIZE_BYTES)
         # A request line and the fields of a head each fit into one line's limit.
         self._max_head_size_bytes = 2 * max_line_size + HEAD_MARGIN_SIZE_BYTES
@@ -82,15 +107,103 @@
         self._empty_size_bytes = 0
         self._unparsed, self._parsed_size_bytes = b"", 0
         self._waits_for_turn = False
+        self._waits_for_read = False
+        self._read_turns: parsing_turns.ParsingTurns | None = None
         self._has_failed = False
+        self._is_discarding = False
+        self._discarded_size_bytes = 0
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Release what was received; the handler is cancelled and reads no more.
+
+        The connection and its last body refer to each other, so both may stay in memory
+        until the next garbage collection.
+        """
+        self._release_received()
+        super().connection_lost(exc)
+        self._last_payload = None
+
+    def _release_received(self) -> None:
+        """Discard what was received of the last body and has not been read."""
+        self._unparsed, self._parsed_size_bytes = b"", 0
+        payload = self._last_payload
+        if payload is not None and payload is not streams.EMPTY_PAYLOAD:
+            # aiohttp reads nothing from a body whose request has ended.
+            payload._buffer.clear()
+
+    def discard_rest(self, lingering_s: float) -> None:
+        """Discard the rest of the body that is received, after its response.
+
+        A connection that is closed while its client sends is reset, and the client may
+        lose a response that it has not read.  So it is read on, in turn with others,
+        until the body or the client's connection ends, or up to a bound.
+
+        Parameters
+        ----------
+        lingering_s : float
+            Time after which the connection is closed.
+        """
+        received_size_bytes = self._body_size_bytes + self._unparsed_size_bytes
+        self._discarded_size_bytes = received_size_bytes
+        self._is_discarding = True
+        self._release_received()
+        self._lingering_time = lingering_s
+        self._pause_transport_reading()
+        parsing_turns.add(self._discard_turns, self._read_discarded)
+
+    def _discard(self, data: bytes) -> None:
+        """Count bytes that are not parsed; end the body after its last or too many."""
+        self._pause_transport_reading()
+        self._discarded_size_bytes += len(data)
+        self._last_bytes = (self._last_bytes + data)[-len(LAST_CHUNK) :]
+        max_size_bytes = MAX_DISCARDED_SIZE_BYTES
+        if self._last_length_bytes is not None:
+            max_size_bytes = min(max_size_bytes, self._last_length_bytes)
+            is_end = False
+        else:
+            is_end = self._last_bytes == LAST_CHUNK
+        if self._discarded_size_bytes < max_size_bytes and not is_end:
+            parsing_turns.add(self._discard_turns, self._read_discarded)
+        elif self._is_receiving_body():
+            self._last_payload.feed_eof()
 
     def data_received(self, data: bytes) -> None:
+        """Pass bytes to the parser, and leave the rest of a large body for a turn."""
+        self._parse_received(data)
+        is_large = self._body_size_bytes > UNPACED_BODY_SIZE_BYTES
+        if not data or not is_large or self._read_turns is None:
+            return
+        if self._is_receiving_body() and not (
+            self._is_discarding or self._waits_for_read
+        ):
+            self._waits_for_read = True
+            self._pause_transport_reading()
+            parsing_turns.add(self._read_turns, self._read_on)
+
+    def _read_on(self) -> bool:
+        """Read once, unless the body's reader or parser waits."""
+        self._waits_for_read = False
+        is_ready = not self._waits_for_turn and not self._is_parser_paused()
+        if self.transport is not None and is_ready:
+            self._resume_transport_reading()
+        return False
+
+    def _parse_received(self, data: bytes) -> None:
         """Pass bytes to the parser so that each part ends where a message may end.
 
         The parser does not tell whether it holds a part of a head.  Bytes that bring
-        little content wait for their turn, and after an error none is parsed.
+        little content wait for their turn, and so do those after an error, which are
+        discarded.
         """
         if self._has_failed:
+            if data:
+                # Unread bytes would reset the connection before its answers are read.
+                self._pause_transport_reading()
+                parsing_turns.add(self._discard_turns, self._read_discarded)
+            return
+        if self._is_discarding:
+            if data:
+                self._discard(data)
             return
         self._unparsed = self._unparsed[self._parsed_size_bytes :] + data
         self._parsed_size_bytes = 0
@@ -108,6 +221,12 @@
         self._pause_transport_reading()
         parsing_turns.add(self._turns, self._parse_in_turn)
 
+    def _read_discarded(self) -> bool:
+        """Read once what is not parsed; what is received adds the next turn."""
+        if self.transport is not None:
+            super()._resume_transport_reading()
+        return False
+
     @property
     def _unparsed_size_bytes(self) -> int:
         return len(self._unparsed) - self._parsed_size_bytes
@@ -117,6 +236,27 @@
         """Return whether bytes were received that have not been parsed."""
         return self._unparsed_size_bytes > 0
 
+    @property
+    def has_request(self) -> bool:
+        """Return whether bytes of a request were received that no handler serves."""
+        is_read = bool(self._messages) or self.head_started_s is not None
+        return is_read or self.has_unparsed or unread.size_bytes(self.transport) > 0
+
+    @property
+    def _has_arrived(self) -> bool:
+        """Return whether bytes have arrived that the idle time must not discard."""
+        return self.has_unparsed or unread.size_bytes(self.transport) > 0
+
+    def _process_keepalive(self) -> None:
+        """Close the connection after its idle time, unless a request has arrived."""
+        if self._has_arrived:
+            # After a stall of the event loop, timers come before what was received.
+            self._keepalive_handle = self._loop.call_later(
+                IDLE_CHECK_INTERVAL_S, self._process_keepalive
+            )
+            return
+        super()._process_keepalive()
+
     def _parse_in_turn(self) -> bool:
         """Parse one part; return whether another turn is needed."""
         self._parse_part(COSTLY_PART_SIZE_BYTES)
@@ -130,6 +270,8 @@
 
     def _resume_transport_reading(self) -> None:
         """Read on once all that was received before has been parsed."""
+        if self._is_discarding or self._waits_for_read:
+            return
         if not self.has_unparsed:
             super()._resume_transport_reading()
         elif not self._waits_for_turn:
@@ -162,10 +304,11 @@
         if size_bytes == left:
             self._unparsed, self._parsed_size_bytes = b"", 0
         self._receive_part(part)
+        if is_body:
+            self._body_size_bytes += size_bytes
         if not is_chunked or self._has_failed:
             return False
         content_size_bytes = payload.total_bytes - known_size_bytes
-        self._body_size_bytes += size_bytes
         if not self._is_parser_paused() and not payload.is_eof():
             self._check_overhead(payload)
         return content_size_bytes < MIN_CONTENT_SHARE * size_bytes
@@ -225,6 +368,7 @@
             self._empty_size_bytes = 0
             if not isinstance(message, http_parser.RawRequestMessage):
                 self._fail()
+                self._messages[-1] = (message, self._linger())
                 if is_body and not earlier.is_eof():
                     # The error is in its trailers; its reader would wait for the rest.
                     earlier.set_exception(message.exc)
@@ -244,7 +388,7 @@
             error = http_exceptions.LineTooLong(b"", size_bytes)
         self._fail()
         found = web_protocol._ErrInfo(status=400, exc=error, message=error.message)
-        self._messages.append((found, streams.EMPTY_PAYLOAD))
+        self._messages.append((found, self._linger()))
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
         return True
@@ -254,6 +398,14 @@
         self._has_failed = True
         self._unparsed, self._parsed_size_bytes = b"", 0
 
+    def _linger(self) -> streams.StreamReader:
+        """Return a body without an end, for which aiohttp waits after the response.
+
+        What its client sends meanwhile is discarded, so that the response is read.
+        """
+        self._lingering_time = LINGERING_S
+        return streams.StreamReader(self, LINGERING_SIZE_BYTES, loop=self._loop)
+
     def _is_receiving_body(self) -> bool:
         return self._last_payload is not None and not self._last_payload.is_eof()
 
--- a/hickoryweir/early_listener.py
+++ b/hickoryweir/early_listener.py
@@ -7,12 +7,28 @@
 """
 
 import configparser
+import contextlib
+import json
+import os
 import pathlib
+import select
 import socket
+import time
 
 from hickoryweir import early_signals
 
 BACKLOG_COUNT = 1_024
+# Time for the refusals to reach clients, and for the rest of what they send.
+REFUSAL_TIMEOUT_S = 1.0
+READ_INTERVAL_S = 0.01
+STANDARD_OUTPUT = 1
+READ_SIZE_BYTES = 1_048_576
+STOPPED_MESSAGE = "stopped while starting"
+# Says that the request was not run, as the router's own refusals do.
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 _listeners: dict[tuple[str, int], socket.socket] = {}
 
@@ -28,15 +44,15 @@
         return
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setblocking(False)
+    # The end of the process would reset the connections that the kernel has accepted.
+    early_signals.call_before_exit(_refuse_before_stop)
     try:
         listener.bind(address)
         listener.listen(BACKLOG_COUNT)
     except OSError:
         listener.close()
         return
-    listener.setblocking(False)
-    # The end of the process would reset the connections that the kernel has accepted.
-    early_signals.defer_stop()
     _listeners[address] = listener
 
 
@@ -45,6 +61,78 @@
     return _listeners.pop((host, port), None)
 
 
+def _refuse_before_stop() -> None:
+    refused_count = refuse_waiting()
+    # The log is not set up yet.
+    line = {"message": STOPPED_MESSAGE, "detail": f"{refused_count} requests refused"}
+    _write_without_waiting(json.dumps({"level": "INFO"} | line) + "\n")
+
+
+def _write_without_waiting(text: str) -> None:
+    """Write to the standard output if it takes bytes now; nobody may read it."""
+    with contextlib.suppress(OSError):
+        if select.select([], [STANDARD_OUTPUT], [], 0)[1]:
+            os.write(STANDARD_OUTPUT, text.encode())
+
+
+def refuse_waiting() -> int:
+    """Close the listeners that nobody took, and refuse the requests received on them.
+
+    For a process that ends before it has served; this blocks.
+
+    Returns
+    -------
+    int
+        How many requests were refused.
+    """
+    connections = []
+    for listener in _listeners.values():
+        # None waits, or none can be accepted without a descriptor.
+        with listener, contextlib.suppress(OSError):
+            while len(connections) < BACKLOG_COUNT:
+                connections.append(listener.accept()[0])
+    _listeners.clear()
+    refused = []
+    for connection in connections:
+        if _refuse(connection):
+            refused.append(connection)
+        else:
+            connection.close()
+    refused_count, end_s = len(refused), time.monotonic() + REFUSAL_TIMEOUT_S
+    # Unread bytes would discard the refusals.
+    while refused := [each for each in refused if not _has_ended(each)]:
+        if time.monotonic() >= end_s:
+            break
+        time.sleep(READ_INTERVAL_S)
+    for connection in connections:
+        connection.close()
+    return refused_count
+
+
+def _refuse(connection: socket.socket) -> bool:
+    """Refuse the request on a connection; return whether one has begun."""
+    connection.setblocking(False)
+    try:
+        if not connection.recv(1, socket.MSG_PEEK):
+            return False
+        connection.sendall(REFUSAL)
+        connection.shutdown(socket.SHUT_WR)
+    except OSError:
+        # The client has left, or has sent nothing.
+        return False
+    return True
+
+
+def _has_ended(connection: socket.socket) -> bool:
+    """Read what has arrived; return whether the client has closed the connection."""
+    try:
+        return not connection.recv(READ_SIZE_BYTES)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def _read_address(path: pathlib.Path) -> tuple[str, int] | None:
     parser = configparser.ConfigParser(interpolation=None)
     try:
--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -1,6 +1,7 @@
 """Replica process: replicated log, feeds to the routers and operators' port."""
 
 import asyncio
+import dataclasses
 import math
 from collections.abc import Awaitable, Callable
 
@@ -30,7 +31,15 @@
 from hickoryweir.feeds import evidence_file, publisher
 from hickoryweir.forwarding_policy import stream_versions
 from hickoryweir.observability import forwarding_metrics, logs
-from hickoryweir.replicas import automation, client, files, node, supervisor, wire
+from hickoryweir.replicas import (
+    automation,
+    client,
+    files,
+    node,
+    replacement,
+    supervisor,
+    wire,
+)
 from hickoryweir.routes import reading, store
 from hickoryweir.streams import hub
 
@@ -169,6 +178,9 @@
 
     def apply_settings(self, entry_settings: settings.EntrySettings) -> None:
         """Apply changed settings, see :mod:`hickoryweir.entry.reloading`."""
+        self._settings = dataclasses.replace(
+            self._settings, replica=entry_settings.replica
+        )
         self._log.add_replicas(settings.seed_replicas(entry_settings))
         address = entry_settings.discovery.address
         self._publisher.source = self._adapters.make_source(address)
@@ -201,6 +213,7 @@
         finally:
             logs.info("stopping", logs.Fields(detail="replica"))
             await graceful_stop.stop(runner, OPERATORS_STOP_LIMIT_S)
+            await self._hand_over()
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -208,6 +221,15 @@
             await self._supervisor.node.stop()
             await self._close()
 
+    async def _hand_over(self) -> None:
+        """Let other replicas lead and vote in place of this one, which stops."""
+        replica = self._supervisor.node
+        await replica.transfer_leadership()
+        if replica.state is not None:
+            await replacement.hand_over_vote(
+                self._log, replica.state, replica.settings.voters_wanted_count
+            )
+
     def _background_work(
         self, own_address: wire.ReplicaAddress
     ) -> dict[str, Callable[[], Awaitable[None]]]:
@@ -222,6 +244,11 @@
             "admission": lambda: automation.request_admission(
                 self._log, own_address, lambda: self._supervisor.node.state
             ),
+            "yielding": lambda: automation.yield_votes(
+                self._log,
+                lambda: self._supervisor.node.state,
+                lambda: not self._settings.replica.is_in_fault_budget,
+            ),
         }
         if self._duties is not None:
             work["duties"] = self._duties.run
--- a/hickoryweir/forwarding/admission.py
+++ b/hickoryweir/forwarding/admission.py
@@ -10,12 +10,14 @@
     errors,
     header_codec,
     held_bytes,
+    loss_checks,
     open_requests,
     relay_messages,
     requests,
     router_load,
 )
 from hickoryweir.forwarding_policy import crash_counts
+from hickoryweir.forwarding_policy import held_bytes as held_bytes_policy
 from hickoryweir.observability import logs
 from hickoryweir.routes import matching, model
 
@@ -69,14 +71,13 @@
     )
     if refusal is not None:
         return refusal
-    body = await _read_body(forwarder, request, open_request)
+    body = await _read_body(forwarder, request, open_request, timeout_s)
     if isinstance(body, errors.Reason):
         return body
     fingerprint = crash_counts.fingerprint(
         metadata.key, request.method, request.raw_path, body
     )
-    if crash_counts.is_blocked(forwarder.crashes, fingerprint, started_s):
-        crash_counts.record_refusal(forwarder.crashes, fingerprint, started_s)
+    if await _crashes_servers(forwarder, open_request, fingerprint):
         return errors.Reason.CRASHES_SERVERS
     max_attempts_count = route.max_attempts_count
     if relayed is not None:
@@ -99,6 +100,24 @@
     )
 
 
+async def _crashes_servers(
+    forwarder: contexts.Forwarder,
+    open_request: open_requests.OpenRequest,
+    fingerprint: int,
+) -> bool:
+    """Return whether equal requests crash servers; say in the record what shows it."""
+    await loss_checks.wait_for_decision(forwarder, fingerprint)
+    counts, now_s = forwarder.crashes, clocks.boottime_s()
+    if not crash_counts.is_blocked(counts, fingerprint, now_s):
+        if crash_counts.record_admission(counts, fingerprint, now_s):
+            detail = crash_counts.describe(counts, fingerprint, now_s)
+            logs.info("trial of a blocked request", logs.Fields(detail=detail))
+        return False
+    crash_counts.record_refusal(counts, fingerprint, now_s)
+    open_request.shortage = crash_counts.describe(counts, fingerprint, now_s)
+    return True
+
+
 def requires_account(route_index: matching.RouteIndex, route: model.Route) -> bool:
     """Return whether requests on a route need the key of a client account."""
     table = route_index.table
@@ -130,15 +149,33 @@
     forwarder: contexts.Forwarder,
     request: web.BaseRequest,
     open_request: open_requests.OpenRequest,
+    timeout_s: float,
 ) -> bytes | errors.Reason:
     """Return the complete body, or why the request is refused."""
-
-    def record_size(size_bytes: int) -> bool:
-        open_request.held.body_size_bytes = size_bytes
-        return held_bytes.has_room_for_body(forwarder, open_request)
+    wait_until_s = asyncio.get_running_loop().time()
+    wait_until_s += held_bytes_policy.BODY_WAIT_SHARE * timeout_s
+
+    async def reserve(read_size_bytes: int, size_bytes: int) -> bool:
+        if forwarder.held_limits is None or forwarder.held_limits.divides_accounts:
+            open_request.held.body_size_bytes = read_size_bytes
+            return held_bytes.has_room_for_body(forwarder, open_request)
+        has_room = await held_bytes.reserve_body(
+            forwarder,
+            open_request,
+            request.content,
+            size_bytes,
+            request.content_length,
+            wait_until_s,
+        )
+        # Until then, it counts towards what bodies hold that wait.
+        open_request.held.body_size_bytes = read_size_bytes
+        return has_room
 
     max_size_bytes = forwarder.route_index.table.limits.max_body_size_bytes
-    return await requests.read_body(request, max_size_bytes, record_size)
+    body = await requests.read_body(request, max_size_bytes, reserve)
+    if not isinstance(body, errors.Reason):
+        held_bytes.end_body(open_request)
+    return body
 
 
 def _choose_service(
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -27,6 +27,7 @@
     header_codec,
     held_bytes,
     limits,
+    loss_checks,
     memory_room,
     notices,
     open_requests,
@@ -122,8 +123,9 @@
     )
     if isinstance(admitted, errors.Reason):
         if admitted in (errors.Reason.BUFFERS_FULL, errors.Reason.ROUTER_FULL):
-            return _refuse_without_capacity(forwarder, request, open_request, admitted)
-        return refuse(forwarder, metadata.request_id, admitted)
+            return _refuse_without_capacity(forwarder, open_request, admitted)
+        detail = open_request.shortage
+        return refuse(forwarder, metadata.request_id, admitted, detail=detail)
     refusal = _refuse_blocked(admitted)
     if refusal is not None:
         return refusal
@@ -145,7 +147,6 @@
 
 def _refuse_without_capacity(
     forwarder: contexts.Forwarder,
-    request: web.BaseRequest,
     open_request: open_requests.OpenRequest,
     reason: errors.Reason,
 ) -> web.Response:
@@ -153,11 +154,7 @@
     detail = open_request.shortage
     if reason is errors.Reason.BUFFERS_FULL:
         detail = held_bytes.describe(forwarder, open_request.held.account_name)
-    response = refuse(forwarder, open_request.request_id, reason, detail=detail)
-    if not request.content.is_eof():
-        # The rest of the body will not be read.
-        response.force_close()
-    return response
+    return refuse(forwarder, open_request.request_id, reason, detail=detail)
 
 
 def _refuse_blocked(context: contexts.RequestContext) -> web.Response | None:
@@ -242,6 +239,7 @@
         reason = outcome
         if relay is not None and reason in relaying.FINAL_REASONS:
             return _final_failure(context, reason)
+        await loss_checks.wait_for_decision(context.forwarder, context.fingerprint)
         if crashes.is_suspect(context):
             await asyncio.sleep(crashes.REPORTS_WAIT_S)
 
--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -178,7 +178,7 @@
     if context.uses_relay:
         # The relay has recorded what its server lost.
         return
-    if error.end is framing.End.NO_ROOM:
+    if error.end in crashes.ALIVE_ENDS:
         return
     may_be_crash = error.end in crashes.CRASH_ENDS
     crashes.record_loss(context, view.listed.server_id, may_be_crash)
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -7,7 +7,14 @@
 import multidict
 from aiohttp import http_exceptions, http_parser, web
 
-from hickoryweir import bounded_connections, clocks, early_listener, parsing_turns
+from hickoryweir import (
+    bounded_connections,
+    clocks,
+    early_listener,
+    listening,
+    parsing_turns,
+    unread,
+)
 from hickoryweir.forwarding import (
     contexts,
     errors,
@@ -32,6 +39,10 @@
 MIN_ANSWER_CHECKS_COUNT = 5
 # A sixth of the shortest header timeout.
 HEAD_CHECK_INTERVAL_S = 0.5
+# aiohttp stops reading a client once twice as much of a body waits for its reader.
+BODY_READ_AHEAD_SIZE_BYTES = 32 * 1024
+# Time for a refusal to reach a client that sends its body slowly.
+LINGERING_S = 5.0
 # Servers have to be told within half a second that a client has left.
 LEFT_CHECK_INTERVAL_S = 0.05
 # The response is written to the transport within one iteration of the event loop.
@@ -70,9 +81,11 @@
         server: web.Server,
         turns: parsing_turns.ParsingTurns,
         held_limits: held_bytes_policy.Limits | None = None,
+        read_turns: parsing_turns.ParsingTurns | None = None,
         **options,
     ) -> None:
         super().__init__(server, turns, **options)
+        self._read_turns = read_turns
         self._held_limits = held_limits
         self.client_transport: asyncio.Transport | None = None
         self.is_serving = False
@@ -89,11 +102,12 @@
         if self.has_unparsed:
             return False
         if not self.has_received:
-            return True
+            # Bytes that came during a stall of the event loop have not been read yet.
+            return not self.has_unread
         # Without a waiter, aiohttp is starting a handler or writing a response.
         is_waiting = self._waiter is not None and not self._waiter.done()
         # A close with unread bytes would also discard the end of the last response.
-        return is_waiting and not self._has_unread
+        return is_waiting and not self.has_unread
 
     @property
     def is_awaiting_headers(self) -> bool:
@@ -116,12 +130,12 @@
     @property
     def has_next(self) -> bool:
         """Return whether the client has sent more than the request that is served."""
-        return bool(self._messages) or self.has_unparsed or self._has_unread
+        return bool(self._messages) or self.has_unparsed or self.has_unread
 
     @property
-    def _has_unread(self) -> bool:
-        transport = self.client_transport
-        return transport is not None and sockets.unread_size_bytes(transport) > 0
+    def has_unread(self) -> bool:
+        """Return whether the kernel has received bytes that were not read."""
+        return unread.size_bytes(self.client_transport) > 0
 
     @property
     def queued_headers(self) -> list[multidict.CIMultiDictProxy]:
@@ -132,6 +146,12 @@
             if isinstance(message, http_parser.RawRequestMessage)
         ]
 
+    @property
+    def _has_arrived(self) -> bool:
+        """Return whether a byte of another request has arrived, for the idle time."""
+        # The header timeout bounds the time of a head.
+        return super()._has_arrived or self.head_started_s is not None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, which aiohttp forgets when it closes a connection."""
         self.client_transport = transport
@@ -230,6 +250,8 @@
 
     Attributes
     ----------
+    make_connection : callable
+        Makes the protocol of a connection.
     peers : str
         Who connects to its port, for the log.
     """
@@ -237,6 +259,7 @@
     router: contexts.Forwarder
     server: web.Server
     listener: asyncio.Server
+    make_connection: Callable[[], ClientConnection]
     header_watcher: asyncio.Task
     peers: str
 
@@ -268,9 +291,12 @@
         The address is in use.
     """
     server = web.Server(_make_handler(router, serve), handler_cancellation=True)
-    listener = await _listen(_make_connection_factory(router, server), host, port)
+    make_connection = _make_connection_factory(router, server)
+    listener = await _listen(make_connection, host, port)
     header_watcher = asyncio.create_task(_close_slow_clients(router, server))
-    return RunningServer(router, server, listener, header_watcher, peers)
+    return RunningServer(
+        router, server, listener, make_connection, header_watcher, peers
+    )
 
 
 def _make_handler(router: contexts.Forwarder, serve: Serve | None) -> Handler:
@@ -291,7 +317,12 @@
             connection.hold_next()
         try:
             handle_request = serve or forwarder.serve
-            return await handle_request(router, request, open_request)
+            response = await handle_request(router, request, open_request)
+            if not request.content.is_eof() and request.content.exception() is None:
+                # The rest of the body will not be forwarded.
+                response.force_close()
+                connection.discard_rest(LINGERING_S)
+            return response
         finally:
             connection.is_serving, open_request.is_handled = False, True
             connection.release_next()
@@ -320,6 +351,8 @@
     """
     loop = asyncio.get_running_loop()
     turns = parsing_turns.ParsingTurns()
+    read_turns = parsing_turns.ParsingTurns(bounded_connections.READ_INTERVAL_S)
+    discard_turns = parsing_turns.ParsingTurns(bounded_connections.DISCARD_INTERVAL_S)
 
     def make_connection() -> ClientConnection:
         table_limits, idle_timeout_s = model.Limits(), DEFAULT_IDLE_TIMEOUT_S
@@ -331,12 +364,15 @@
             server,
             turns,
             router.held_limits,
+            read_turns,
+            discard_turns=discard_turns,
             loop=loop,
             keepalive_timeout=idle_timeout_s,
             access_log=None,
             max_line_size=max_line_size,
             max_field_size=max_line_size,
             auto_decompress=False,
+            read_bufsize=BODY_READ_AHEAD_SIZE_BYTES,
             lingering_time=0,
         )
 
@@ -376,9 +412,12 @@
 
 def _is_late(connection: ClientConnection, limits: model.Limits, now_s: float) -> bool:
     if connection.is_awaiting_headers:
-        return now_s - connection.head_started_s > limits.header_timeout_s
-    is_unused = not connection.has_received
-    return is_unused and now_s - connection.opened_s > limits.idle_timeout_s
+        is_late = now_s - connection.head_started_s > limits.header_timeout_s
+    else:
+        is_unused = not connection.has_received
+        is_late = is_unused and now_s - connection.opened_s > limits.idle_timeout_s
+    # After a stall of the event loop, what was received in time is read first.
+    return is_late and not connection.has_unread
 
 
 def _request_finished(
@@ -438,12 +477,13 @@
     a connection discards the rest of a request.
     """
     begin_stop(running.router, time_left_s)
-    running.listener.close()
+    opening = listening.close(running.listener, running.make_connection)
     phases = open_requests.count_phases(_open_requests(running))
     logs.info(f"port for {running.peers} closed", logs.Fields(detail=f"open: {phases}"))
     loop = asyncio.get_running_loop()
     end_s = loop.time() + time_left_s
     # Connections that were accepted before are in the server's list after this.
+    await asyncio.gather(*opening)
     await asyncio.sleep(STOP_CHECK_INTERVAL_S)
     give_up_s = end_s - ANSWER_MARGIN_S
     await _wait_until_closed(running, give_up_s - STOP_CHECK_INTERVAL_S)
@@ -515,7 +555,11 @@
                 request_id=metadata.request_id, detail="queued behind another request"
             )
             logs.warning("request aborted by the stop", fields)
-    fields = logs.Fields(detail=f"{len(aborted)} requests aborted")
+    unread_count = sum(
+        unread.size_bytes(connection.client_transport) > 0 for connection in aborted
+    )
+    detail = f"{len(aborted)} connections closed, {unread_count} with unread bytes"
+    fields = logs.Fields(detail=detail)
     logs.warning("stopped with open requests", fields)
 
 
--- a/hickoryweir/replicas/tests/test_automation.py
+++ b/hickoryweir/replicas/tests/test_automation.py
@@ -10,11 +10,21 @@
 from hickoryweir.replicas.tests import register
 
 
-def view(name, *, voter=True, caught_up=True, since_contact_s=0.0, zone="a", number=1):
+def view(
+    name,
+    *,
+    voter=True,
+    caught_up=True,
+    since_contact_s=0.0,
+    zone="a",
+    number=1,
+    leaving=False,
+    yields=False,
+):
     member = messages.Member(
         messages.make_member_id(name, f"{number}"), f"{name}:1", zone, voter
     )
-    return automation.MemberView(member, caught_up, since_contact_s)
+    return automation.MemberView(member, caught_up, since_contact_s, leaving, yields)
 
 
 def decide(*views, wanted_count=3):
@@ -82,6 +92,90 @@
     assert decide(view("a"), view("b"), view("c"), lagging) is None
 
 
+def test_learner_is_promoted_before_a_voter_that_stops_is_removed():
+    leaving = view("b", leaving=True)
+    voters = (view("a"), leaving, view("c"))
+    assert decide(*voters, view("d", voter=False)) == (
+        wire.Change.PROMOTE,
+        view("d").member.member_id,
+    )
+    assert decide(*voters, view("d")) == (wire.Change.REMOVE, leaving.member.member_id)
+
+
+def test_voter_that_stops_is_kept_without_a_learner_that_has_caught_up():
+    voters = (view("a"), view("b", leaving=True), view("c"))
+    lagging = view("d", voter=False, caught_up=False)
+    stopping = view("d", voter=False, leaving=True)
+    assert [decide(*voters), decide(*voters, lagging), decide(*voters, stopping)] == [
+        None,
+        None,
+        None,
+    ]
+
+
+def test_voter_that_stops_is_replaced_by_a_learner_of_its_zone():
+    voters = (
+        view("a", zone="a"),
+        view("b", zone="b", leaving=True),
+        view("c", zone="c"),
+    )
+    learners = (view("d", voter=False, zone="a"), view("e", voter=False, zone="b"))
+    assert decide(*voters, *learners) == (
+        wire.Change.PROMOTE,
+        view("e").member.member_id,
+    )
+
+
+def test_lagging_voter_is_not_left_alone_by_the_removal_of_one_that_stops():
+    lagging = view("c", caught_up=False, since_contact_s=0.2)
+    voters = (view("a"), view("b", leaving=True), lagging, view("d"))
+    assert decide(*voters) is None
+
+
+def test_voter_that_yields_is_replaced_by_a_learner_that_does_not():
+    spare = view("d", yields=True)
+    voters = (view("a"), view("b"), spare)
+    assert decide(*voters, view("c", voter=False)) == (
+        wire.Change.PROMOTE,
+        view("c").member.member_id,
+    )
+    assert decide(*voters, view("c")) == (wire.Change.REMOVE, spare.member.member_id)
+    assert decide(*voters, view("c", voter=False, caught_up=False)) is None
+    assert decide(*voters, view("e", voter=False, yields=True)) is None
+
+
+def test_voter_that_yields_stays_while_another_lags():
+    lagging = view("b", caught_up=False, since_contact_s=0.2)
+    voters = (view("a"), lagging, view("d", yields=True))
+    assert decide(*voters, view("c", voter=False)) is None
+
+
+def test_leader_that_yields_lets_another_voter_lead():
+    voters = (view("d", yields=True), view("a"), view("b"))
+    transfer = (wire.Change.TRANSFER, view("a").member.member_id)
+    assert decide(*voters, view("c", voter=False)) == transfer
+    assert decide(*voters, view("c")) == transfer
+    assert decide(*voters) is None
+
+
+def test_learner_that_yields_is_promoted_only_without_others():
+    lost = view("c", caught_up=False, since_contact_s=2.0)
+    spare = view("d", voter=False, yields=True)
+    assert decide(view("a"), view("b"), lost, spare) == (
+        wire.Change.REMOVE,
+        lost.member.member_id,
+    )
+    assert decide(view("a"), view("b"), spare, view("e", voter=False)) == (
+        wire.Change.PROMOTE,
+        view("e").member.member_id,
+    )
+
+
+def test_zones_are_not_balanced_with_a_learner_that_yields():
+    spare = view("d", voter=False, zone="b", yields=True)
+    assert decide(view("a"), view("b"), view("c"), spare) is None
+
+
 def test_balanced_zones_need_no_change():
     learner = view("d", voter=False, zone="b")
     voters = (view("a"), view("b"), view("c", zone="b"))
--- a/hickoryweir/testing/soak/cluster.py
+++ b/hickoryweir/testing/soak/cluster.py
@@ -43,6 +43,7 @@
 [replica]
 data_folder = {folder}
 bootstrap = yes
+is_in_fault_budget = {is_in_fault_budget}
 
 [discovery]
 address = {list_address}
@@ -73,6 +74,8 @@
     links : dict
         The proxies before the replicas by host, through which it connects to them;
         none if it connects to them itself.
+    opens_early : bool
+        Whether it opens the clients' port before its imports.
     """
 
     role: str
@@ -82,6 +85,7 @@
     started_s: float = 0.0
     log_start_bytes: int = 0
     links: dict[str, proxies.Proxy] = dataclasses.field(default_factory=dict)
+    opens_early: bool = False
 
     @property
     def links_path(self) -> pathlib.Path:
@@ -187,7 +191,7 @@
 
 def write_settings(cluster: Cluster, member: Member, **changes) -> None:
     """Write a member's settings file."""
-    values = {"memory_mb": 0} | cluster.values | changes
+    values = {"memory_mb": 0, "is_in_fault_budget": "yes"} | cluster.values | changes
     text = SETTINGS.format(
         role=member.role, host=member.host, folder=member.folder / "data", **values
     )
@@ -224,6 +228,8 @@
     if member.links:
         program = "hickoryweir.testing.linked_process"
         return program, settings_path, str(member.links_path)
+    if member.opens_early:
+        return "hickoryweir.testing.early_process", settings_path
     return "hickoryweir", "forward", settings_path
 
 
--- a/hickoryweir/testing/soak/stop_records.py
+++ b/hickoryweir/testing/soak/stop_records.py
@@ -63,6 +63,8 @@
     is_whole, is_correct : bool
         Whether the answer was complete, and whether its body was the server's for
         this request.
+    sent_bytes : int
+        Bytes of the body that a client of large uploads has sent.
     end : str
         How the answer ended; empty while the client still reads.
     before : Request or None
@@ -82,6 +84,7 @@
     is_whole: bool = False
     is_correct: bool = True
     received_bytes: int = 0
+    sent_bytes: int = 0
     ended_s: float = 0.0
     end: str = ""
     left: bool = False
@@ -99,6 +102,8 @@
         Arrivals at backend servers by request id, of all routers.
     exit_s : float or None
         When the process ended, relative to the signal.
+    prefix : str
+        Tells the ids of its requests from those of another process of the router.
     """
 
     host: str
@@ -107,6 +112,7 @@
     generator: random.Random
     attempts: dict[str, list[Attempt]]
     seed: int = 0
+    prefix: str = ""
     requests: list[Request] = dataclasses.field(default_factory=list)
     exit_s: float | None = None
     exit_code: int | None = None
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -9,6 +9,7 @@
 import collections
 import contextlib
 import dataclasses
+import itertools
 import pathlib
 import random
 import subprocess
@@ -32,6 +33,7 @@
     stop_oracle,
     stop_records,
     stop_timelines,
+    stop_uploads,
 )
 from hickoryweir.testing.soak import cluster as clusters
 
@@ -91,6 +93,20 @@
         int,
         cappa.Arg(long=True, help="Floods by backend servers per router and round."),
     ] = 0
+    starts: Annotated[
+        bool,
+        cappa.Arg(
+            long=True,
+            help="Open most routers' ports before their imports, stop routers that "
+            "start, and pause processes around moments of their stops.",
+        ),
+    ] = False
+    senders: Annotated[
+        int, cappa.Arg(long=True, help="Floods by clients per router and round.")
+    ] = 0
+    uploads: Annotated[
+        int, cappa.Arg(long=True, help="Clients per router that upload large bodies.")
+    ] = 0
     untimed: Annotated[
         bool, cappa.Arg(long=True, help="Judge only what no delay can cause.")
     ] = False
@@ -98,6 +114,11 @@
         pathlib.Path | None, cappa.Arg(long=True, help="Folder for the logs.")
     ] = None
 
+    @property
+    def has_floods(self) -> bool:
+        """Return whether routers are judged by their memory beside floods."""
+        return any((self.floods, self.senders, self.uploads))
+
 
 @dataclasses.dataclass(slots=True)
 class Site:
@@ -111,8 +132,8 @@
         Text of the table but for its version.
     table_version : int
         The newest version sent.
-    ends : collections.Counter
-        Requests by status, excuse or promise broken.
+    ends, uploads : collections.Counter
+        Requests by status, excuse or promise broken, and uploads by form and end.
     """
 
     cluster: clusters.Cluster
@@ -124,6 +145,9 @@
     events_count: int = 0
     peak_mb: float = 0.0
     ends: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    uploads: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 async def run(options: Stops) -> list[stop_oracle.Finding]:
@@ -177,12 +201,21 @@
         {"id": item.server_id, "service": "app", "address": f"{HOST}:{item.port}"}
         for item in servers
     ]
+    if options.senders:
+        entries += [
+            entry | {"id": f"sound-{entry['id']}", "service": stop_floods.SOUND_SERVICE}
+            for entry in entries
+        ]
     if options.floods:
         entries += await stack.enter_async_context(stop_floods.run_servers())
     list_address = await start_list(lambda: entries)
     cluster = make_cluster(folder, options.routers, list_address)
+    if options.starts:
+        # The others are started by the command line.
+        for member in cluster.routers[::2]:
+            member.opens_early = True
     site = Site(cluster, servers, attempts)
-    if options.floods:
+    if options.has_floods:
         cluster.values["memory_mb"] = stop_floods.MEMORY_MB
         site.table += stop_floods.make_table()
     return site
@@ -275,8 +308,12 @@
         events = stop_floods.draw(
             generator, events, options.floods, len(cluster.replicas)
         )
+    events = stop_floods.draw_senders(generator, events, options.senders)
     stops = [event for event in events if event.kind == stop_events.TERMINATE]
     targets = [make_target(site, event, start_s, seed) for event in stops]
+    drawn_apart = draw_starts(seed, stops) if options.starts else []
+    starts = [event for event in drawn_apart if event.kind == stop_events.START_STOP]
+    events += [event for event in drawn_apart if event not in starts]
     processes = [member.process for member in cluster.routers]
     others = [
         asyncio.create_task(carry_out(site, event, start_s, processes))
@@ -285,17 +322,19 @@
     ]
     peaks_mb: dict[str, float] = {}
     watching = asyncio.create_task(stop_floods.watch_memory(cluster, peaks_mb))
-    await asyncio.gather(
+    start_targets = await asyncio.gather(
         *(
-            stop_router(cluster, event, target, options)
+            stop_router(site, event, target, options, starts)
             for event, target in zip(stops, targets, strict=True)
         )
     )
+    targets += itertools.chain.from_iterable(start_targets)
     await asyncio.gather(*others)
     watching.cancel()
     findings += stop_oracle.find_violations(targets)
-    if options.floods:
+    if options.has_floods:
         findings += stop_floods.check(cluster, targets, peaks_mb)
+        findings += stop_uploads.check(targets)
         site.peak_mb = max(site.peak_mb, *peaks_mb.values())
     show(site, options, findings, events, start_s)
     count_ends(site, targets)
@@ -305,6 +344,13 @@
     return findings
 
 
+def draw_starts(seed: int, stops: list[stop_events.Event]) -> list[stop_events.Event]:
+    """Return pauses and stops of successors, which change no other event of a seed."""
+    generator = random.Random(f"{seed} starts")
+    starts = stop_events.draw_start_stops(generator, stops)
+    return starts + stop_events.draw_pauses(generator, stops)
+
+
 async def check_ready(site: Site, seed: int) -> list[stop_oracle.Finding]:
     """Wait until all routers are ready; return a finding for each that isn't."""
     cluster = site.cluster
@@ -341,28 +387,45 @@
 
 
 async def stop_router(
-    cluster: clusters.Cluster,
+    site: Site,
     event: stop_events.Event,
     target: stop_records.Target,
     options: Stops,
-) -> None:
-    """Stop a router under load from its clients, and start its successor."""
+    starts: list[stop_events.Event],
+) -> list[stop_records.Target]:
+    """Stop a router under load from its clients, and start its successor.
+
+    Returns
+    -------
+    list of Target
+        The clients' view of successors that were stopped while they started.
+    """
+    cluster = site.cluster
     member = cluster.routers[event.index]
     names = list(stop_clients.BEHAVIOURS)
     if options.behaviours:
         names = options.behaviours.split(",")
     await stop_clients.sleep_until(target, -stop_clients.LEAD_S)
     chosen = [target.generator.choice(names) for _ in range(options.clients)]
-    if options.floods:
+    if options.has_floods:
         chosen += [stop_floods.JUDGED_BEHAVIOUR] * stop_floods.JUDGED_CLIENTS_COUNT
     tasks = [
         asyncio.create_task(stop_clients.BEHAVIOURS[name](target)) for name in chosen
     ]
+    tasks += [
+        asyncio.create_task(stop_uploads.upload_repeatedly(target))
+        for _ in range(options.uploads)
+    ]
     await stop_clients.sleep_until(target, stop_records.SIGNAL_S)
     stop_events.signal_router(cluster, event, member.process)
     await await_exit(member, target)
     clusters.write_settings(cluster, member)
     clusters.launch(member)
+    start_targets = [
+        await stop_starting_router(site, start, target.seed, options)
+        for start in starts
+        if start.index == event.index
+    ]
     _, pending = await asyncio.wait(
         tasks, timeout=max(0.0, stop_clients.CLIENT_END_S - target.now_s())
     )
@@ -372,6 +435,34 @@
         # The router refuses connections once its port is closed.
         if isinstance(outcome, Exception) and not isinstance(outcome, OSError):
             raise outcome
+    return start_targets
+
+
+async def stop_starting_router(
+    site: Site, event: stop_events.Event, seed: int, options: Stops
+) -> stop_records.Target:
+    """Stop a router that has just been started, and start its successor."""
+    member = site.cluster.routers[event.index]
+    at_start = dataclasses.replace(event, at_s=0.0)
+    signal_s = member.started_s + event.duration_s
+    target = make_target(site, at_start, signal_s, seed)
+    target.prefix = "start-"
+    tasks = [
+        asyncio.create_task(stop_clients.use_from_the_start(target))
+        for _ in range(options.clients)
+    ]
+    await stop_clients.sleep_until(target, stop_records.SIGNAL_S)
+    stop_events.signal_router(site.cluster, event, member.process)
+    await await_exit(member, target)
+    # Clients see the end of their connections meanwhile.
+    await asyncio.sleep(stop_oracle.LOSS_SLACK_S)
+    for task in tasks:
+        task.cancel()
+    for outcome in await asyncio.gather(*tasks, return_exceptions=True):
+        if isinstance(outcome, Exception):
+            raise outcome
+    clusters.launch(member)
+    return target
 
 
 async def await_exit(member: clusters.Member, target: stop_records.Target) -> None:
@@ -410,6 +501,10 @@
         stop_floods.kill_successor(site.cluster, event, processes[event.index])
     elif isinstance(event, stop_floods.Flood):
         await stop_floods.call(site.cluster, event)
+    elif event.kind == stop_events.PAUSE:
+        await stop_events.pause_router(processes[event.index], event)
+    elif isinstance(event, stop_floods.Sending):
+        await stop_floods.send(site.cluster, event)
     elif event.kind in stop_backends.FAULTS:
         backend = site.servers[event.index]
         await stop_backends.disturb(backend, event.kind, event.duration_s)
@@ -439,6 +534,7 @@
             if not request.is_whole:
                 end = stop_oracle.find_excuse(target, request) or "LOST"
             site.ends[end] += 1
+    site.uploads.update(stop_uploads.count_ends(targets))
 
 
 def show(site, options, findings, events, start_s) -> None:
@@ -453,8 +549,14 @@
         arguments += f" --behaviours {options.behaviours}"
     if options.floods:
         arguments += f" --floods {options.floods}"
+    if options.senders:
+        arguments += f" --senders {options.senders}"
+    if options.uploads:
+        arguments += f" --uploads {options.uploads}"
     if options.busy:
         arguments += f" --busy {options.busy}"
+    if options.starts:
+        arguments += " --starts"
     for finding in findings[:SHOWN_COUNT]:
         if options.untimed and finding.is_timed:
             print("depends on the moment:")
@@ -471,7 +573,9 @@
     )
     for promise, count in promises_broken.items():
         print(f"BROKEN {count} times: {promise}")
-    if options.floods:
+    for end, count in sorted(site.uploads.items()):
+        print(f"{count:6} uploads of {end}")
+    if options.has_floods:
         print(f"peak of a router {site.peak_mb:.0f} MB of {stop_floods.MEMORY_MB}")
     last_seed = options.seed + options.rounds - 1
     print(
