--- a/hickoryweir/entry/tests/test_flooding_clients.py
+++ b/hickoryweir/entry/tests/test_flooding_clients.py
@@ -11,7 +11,7 @@
 
 from hickoryweir.entry.tests import test_flooding_servers as flooding
 from hickoryweir.entry.tests import test_processes as processes
-from hickoryweir.testing import client_floods
+from hickoryweir.testing import client_floods, processor_slots
 
 
 async def measure(folder, form, count):
@@ -35,7 +35,7 @@
 @functools.cache
 def measure_once(form, count):
     """Return what one run shows, which several tests judge."""
-    with tempfile.TemporaryDirectory() as folder:
+    with processor_slots.hold(), tempfile.TemporaryDirectory() as folder:
         return asyncio.run(measure(pathlib.Path(folder), form, count))
 
 
--- a/hickoryweir/entry/tests/test_flooding_servers.py
+++ b/hickoryweir/entry/tests/test_flooding_servers.py
@@ -19,7 +19,7 @@
 
 from hickoryweir.entry.tests import test_processes as processes
 from hickoryweir.forwarding import headers
-from hickoryweir.testing import floods
+from hickoryweir.testing import floods, processor_slots
 
 HOST = "127.0.0.1"
 MEMORY_MB = 150
@@ -305,7 +305,7 @@
 @functools.cache
 def measure_once(form, count, reads):
     """Return what one run shows, which several tests judge."""
-    with tempfile.TemporaryDirectory() as folder:
+    with processor_slots.hold(), tempfile.TemporaryDirectory() as folder:
         return asyncio.run(measure(pathlib.Path(folder), form, count, reads))
 
 
--- a/hickoryweir/entry/tests/test_uploads.py
+++ b/hickoryweir/entry/tests/test_uploads.py
@@ -16,7 +16,7 @@
 
 from hickoryweir.entry.tests import test_flooding_servers as flooding
 from hickoryweir.entry.tests import test_processes as processes
-from hickoryweir.testing import uploads
+from hickoryweir.testing import processor_slots, uploads
 
 CLIENTS_COUNT = 40
 PATH = "/upload/x"
@@ -134,7 +134,7 @@
 @functools.cache
 def measure_once(form, wait_s, is_stopped):
     """Return what one run shows, which several tests judge."""
-    with tempfile.TemporaryDirectory() as folder:
+    with processor_slots.hold(), tempfile.TemporaryDirectory() as folder:
         return asyncio.run(measure(pathlib.Path(folder), form, wait_s, is_stopped))
 
 
