--- a/hickoryweir/bounded_connections.py
+++ b/hickoryweir/bounded_connections.py
@@ -28,15 +28,15 @@
 MAX_SEARCHED_SIZE_BYTES = 64 * 1024
 # Time for a refusal to reach a client that still sends its body.
 LINGERING_S = 1.0
-# Nothing is kept for it.
+# Buffer of a body that never receives a byte.
 LINGERING_SIZE_BYTES = 1
 # The rest of a body that is discarded; also beyond what the largest body has.
 MAX_DISCARDED_SIZE_BYTES = 8 * 1024 * 1024
-# One connection is read in it, up to 256 KiB.
+# One connection is read in each interval, up to 256 KiB.
 DISCARD_INTERVAL_S = 0.0025
 # A client that has sent more than this of a body is read in turn with others.
 UNPACED_BODY_SIZE_BYTES = 128 * 1024
-# One connection is read in it, up to 256 KiB.
+# One connection is read in each interval, up to 256 KiB.
 READ_INTERVAL_S = 0.001
 # Until the idle time of a connection with unread bytes is checked again.
 IDLE_CHECK_INTERVAL_S = 0.05
@@ -368,7 +368,7 @@
             self._empty_size_bytes = 0
             if not isinstance(message, http_parser.RawRequestMessage):
                 self._fail()
-                self._messages[-1] = (message, self._linger())
+                self._messages[-1] = (message, self._make_lingering_body())
                 if is_body and not earlier.is_eof():
                     # The error is in its trailers; its reader would wait for the rest.
                     earlier.set_exception(message.exc)
@@ -388,7 +388,7 @@
             error = http_exceptions.LineTooLong(b"", size_bytes)
         self._fail()
         found = web_protocol._ErrInfo(status=400, exc=error, message=error.message)
-        self._messages.append((found, self._linger()))
+        self._messages.append((found, self._make_lingering_body()))
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
         return True
@@ -398,7 +398,7 @@
         self._has_failed = True
         self._unparsed, self._parsed_size_bytes = b"", 0
 
-    def _linger(self) -> streams.StreamReader:
+    def _make_lingering_body(self) -> streams.StreamReader:
         """Return a body without an end, for which aiohttp waits after the response.
 
         What its client sends meanwhile is discarded, so that the response is read.
--- a/hickoryweir/forwarding/loss_checks.py
+++ b/hickoryweir/forwarding/loss_checks.py
@@ -10,7 +10,7 @@
 from hickoryweir.forwarding_policy import crash_counts, server_survival
 from hickoryweir.observability import logs
 
-# A blocked request waits so long for the checks that may release it.
+# Longest wait of a blocked request for the checks that may release it.
 DECISION_WAIT_S = 0.5
 
 
--- a/hickoryweir/forwarding_policy/crash_counts.py
+++ b/hickoryweir/forwarding_policy/crash_counts.py
@@ -34,8 +34,8 @@
 MAX_REQUESTS_COUNT = 2_048
 # Losses on one server within this time are one.
 SAME_LOSS_S = 2.0
-# A server that restarts within a check seems to survive.  Of a request that completes
-# nowhere, and whose streams do not last, so many losses are withdrawn by one router.
+# A server that restarts within a check seems to survive, so a router withdraws no more
+# losses of a request than this without a completion or a stream that lasts.
 MAX_SURVIVED_COUNT = 32
 
 
