Tests: measure rates after the other tests, two at a time

The rows measure a router beside 40 faulty parties, three of them side by side and beside three more test workers, on eight cores; each needs about three.

Tests that measure are marked `timing` and run in a second phase of bin/test, two at a time. Bounds, rows and times are as before. Tests that judge one measurement are sorted next to each other, so that a worker makes it once for all of them.

--- a/conftest.py
+++ b/conftest.py
@@ -10,8 +10,16 @@
 IS_WHOLE_FUNCTION = pytest.StashKey[bool]()
 
 
+def pytest_configure(config: pytest.Config) -> None:
+    """Register the marker by which ``bin/test`` runs some tests apart."""
+    config.addinivalue_line(
+        "markers", "timing: measures rates or latencies; runs beside few other tests"
+    )
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Mark the listed tests; one that passes fails the run until it is delisted."""
+    items.sort(key=_measurement)
     if not LIST_PATH.exists():
         return
     listed = known_red.listed_tests(LIST_PATH.read_text())
@@ -24,6 +32,13 @@
         item.stash[IS_WHOLE_FUNCTION] = item.nodeid.partition("[")[0] in whole
 
 
+def _measurement(item: pytest.Item) -> tuple[str, str]:
+    """Return what keeps tests of one measurement together, which one worker makes."""
+    if item.get_closest_marker("timing") is None:
+        return "", ""
+    return str(item.path), item.callspec.id
+
+
 def pytest_runtest_setup(item: pytest.Item) -> None:
     """Fail the rows of a function that is listed without parameters."""
     if item.stash.get(IS_WHOLE_FUNCTION, False):
--- a/hickoryweir/entry/tests/test_flooding_clients.py
+++ b/hickoryweir/entry/tests/test_flooding_clients.py
@@ -39,6 +39,7 @@
         return asyncio.run(measure(pathlib.Path(folder), form, count))
 
 
+@pytest.mark.timing
 @pytest.mark.parametrize("count", [40, 4])
 @pytest.mark.parametrize("form", client_floods.FORMS)
 def test_router_lives_and_answers_beside_clients_that_send_without_end(form, count):
@@ -46,6 +47,7 @@
     flooding.check_life(*measure_once(form, count))
 
 
+@pytest.mark.timing
 @pytest.mark.parametrize("count", [40, 4])
 @pytest.mark.parametrize("form", client_floods.FORMS)
 def test_sound_calls_keep_their_rate_beside_clients_that_send_without_end(form, count):
--- a/hickoryweir/entry/tests/test_flooding_servers.py
+++ b/hickoryweir/entry/tests/test_flooding_servers.py
@@ -312,6 +312,7 @@
 FORMS = [*((form, True) for form in floods.FORMS), ("events", False)]
 
 
+@pytest.mark.timing
 @pytest.mark.parametrize("count", [40, 4])
 @pytest.mark.parametrize(("form", "reads"), FORMS)
 def test_router_lives_and_answers_beside_servers_that_send_without_end(
@@ -321,6 +322,7 @@
     check_life(*measure_once(form, count, reads))
 
 
+@pytest.mark.timing
 @pytest.mark.parametrize("count", [40, 4])
 @pytest.mark.parametrize(("form", "reads"), FORMS)
 def test_sound_calls_keep_their_rate_beside_servers_that_send_without_end(
--- a/hickoryweir/entry/tests/test_uploads.py
+++ b/hickoryweir/entry/tests/test_uploads.py
@@ -138,6 +138,7 @@
         return asyncio.run(measure(pathlib.Path(folder), form, wait_s, is_stopped))
 
 
+@pytest.mark.timing
 @pytest.mark.parametrize(("form", "wait_s", "is_stopped"), ROWS)
 def test_router_lives_within_its_memory_beside_uploads(form, wait_s, is_stopped):
     """Guards against a router that is killed because of sound uploads."""
@@ -147,6 +148,7 @@
     assert seen.peak < flooding.MAX_MEMORY_SHARE * flooding.MEMORY_MB, describe(seen)
 
 
+@pytest.mark.timing
 @pytest.mark.parametrize(("form", "wait_s", "is_stopped"), ROWS)
 def test_every_upload_is_answered(form, wait_s, is_stopped):
     """Guards against a response that is lost with its connection."""
@@ -160,6 +162,7 @@
     assert results.keys() <= allowed, describe(seen)
 
 
+@pytest.mark.timing
 @pytest.mark.parametrize(("form", "wait_s", "is_stopped"), ROWS)
 def test_refused_uploads_have_not_run(form, wait_s, is_stopped):
     """Guards against a refusal that is untrue or says no time to come back."""
@@ -173,6 +176,7 @@
     assert max(seen.received_ids.values()) == 1, describe(seen)
 
 
+@pytest.mark.timing
 @pytest.mark.parametrize(("form", "wait_s", "is_stopped"), RUNNING_ROWS)
 def test_small_calls_keep_their_rate_beside_uploads(form, wait_s, is_stopped):
     """Guards against a router that stands still because of sound uploads."""
--- a/hickoryweir/testing/processor_slots.py
+++ b/hickoryweir/testing/processor_slots.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterator
 from typing import TextIO
 
-SLOTS_COUNT = 3
+SLOTS_COUNT = 2
 POLL_INTERVAL_S = 0.05
 
 
