SIGINT during the start refuses what the kernel has received, as SIGTERM does

Callers saw a reset: until the event loop runs, SIGINT raised KeyboardInterrupt, and the end of the process closed the port with requests in its queue. The early handlers act on both signals to stop now, and a process that is ending ignores both.

--- a/hickoryweir/early_signals.py
+++ b/hickoryweir/early_signals.py
@@ -3,17 +3,19 @@
 Imports and reading the settings take half a second, and many times that on a VM that
 has little processor time.  Until the event loop installs its own handlers, SIGHUP would
 end the process by default; it announces changed settings, which are only being read at
-this point, so it is ignored.  SIGTERM ends the process at once, since no work has
-started.  This module imports nothing that loads slowly.
+this point, so it is ignored.  SIGTERM and SIGINT end the process at once, since no work
+has started.  This module imports nothing that loads slowly.
 """
 
 import os
 import signal
 from collections.abc import Callable
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 class _Exit:
-    """What SIGTERM does before the process ends."""
+    """What a signal to stop does before the process ends."""
 
     def __init__(self) -> None:
         self.prepare: Callable[[], None] | None = None
@@ -23,19 +25,21 @@
 
 
 def install_handlers() -> None:
-    """Ignore SIGHUP and exit with code 0 on SIGTERM until handlers are replaced."""
+    """Ignore SIGHUP and exit with code 0 on a stop until handlers are replaced."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    signal.signal(signal.SIGTERM, _exit_cleanly)
+    for number in STOP_SIGNALS:
+        signal.signal(number, _exit_cleanly)
 
 
 def call_before_exit(prepare: Callable[[], None]) -> None:
-    """Call a function when SIGTERM comes, before the process ends."""
+    """Call a function when a signal to stop comes, before the process ends."""
     _exit.prepare = prepare
 
 
 def ignore_stop() -> None:
-    """Ignore SIGTERM from here on, in a process that is about to end."""
-    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    """Ignore signals to stop from here on, in a process that is about to end."""
+    for number in STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _exit_cleanly(number: int, frame: object) -> None:
--- a/hickoryweir/entry/tests/test_stops_during_start.py
+++ b/hickoryweir/entry/tests/test_stops_during_start.py
@@ -33,7 +33,7 @@
 REQUEST = b"GET /none/ HTTP/1.1\r\nHost: site.example\r\nConnection: close\r\n\r\n"
 
 
-def start_router(folder, pause_s):
+def start_router(folder, pause_s, program=PROGRAM):
     """Start a router that no replica answers; return its process and its address."""
     values = processes.make_values(entry_vms.free_port())
     path = folder / "router.ini"
@@ -42,7 +42,7 @@
             role="router", host=processes.ROUTER_HOST, folder=folder, **values
         )
     )
-    command = [sys.executable, "-c", PROGRAM, str(path), str(pause_s)]
+    command = [sys.executable, "-c", program, str(path), str(pause_s)]
     router = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
     return router, (processes.ROUTER_HOST, values["port"])
 
@@ -62,9 +62,10 @@
     return received
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 @pytest.mark.parametrize(("line", "pause_s"), MOMENTS)
 def test_request_received_before_a_stop_during_the_start_is_answered(
-    tmp_path, line, pause_s
+    tmp_path, line, pause_s, number
 ):
     """Guards against a reset of connections that only the kernel has accepted."""
     router, address = start_router(tmp_path, pause_s)
@@ -77,7 +78,7 @@
             else:
                 wait_for_line(router, line)
             stopped_s = time.monotonic()
-            router.send_signal(signal.SIGTERM)
+            router.send_signal(number)
             answer = receive(connection)
         router.wait(2 * GRACE_S)
         assert re.match(rb"HTTP/1.1 503 ", answer), answer
