An error in the imports of an entry point refuses what the kernel has received

Callers saw a reset: an exception before main.serve ended the process with its port open and requests in the port's queue, since only main.serve and signals refused them. The refusals now also run at the interpreter's exit, unless the listener was taken.

test_early_refusals.py, 2 of 2 rows of errors failed before.

--- a/hickoryweir/early_listener.py
+++ b/hickoryweir/early_listener.py
@@ -6,6 +6,7 @@
 loads slowly.
 """
 
+import atexit
 import configparser
 import contextlib
 import json
@@ -47,6 +48,7 @@
     listener.setblocking(False)
     # The end of the process would reset the connections that the kernel has accepted.
     early_signals.call_before_exit(_refuse_before_stop)
+    atexit.register(_refuse_before_end)
     try:
         listener.bind(address)
         listener.listen(BACKLOG_COUNT)
@@ -61,6 +63,13 @@
     return _listeners.pop((host, port), None)
 
 
+def _refuse_before_end() -> None:
+    """Refuse what was received by a process that ends of an exception."""
+    if _listeners:
+        early_signals.ignore_stop()
+        refuse_waiting()
+
+
 def _refuse_before_stop() -> None:
     refused_count = refuse_waiting()
     # The log is not set up yet.
