Early refusals reach more waiting connections than there are descriptors

Callers saw a reset: refuse_waiting accepted until there was no descriptor left, and closed the port with the rest in its queue. With a limit of 64, 200 waiting requests were not all refused. The queue is now accepted on as refused connections end; while others wait, a client has 0.05 s in place of 1 s to read its refusal.

test_requests_beyond_the_descriptors_of_a_process_are_refused failed before.

--- a/hickoryweir/early_listener.py
+++ b/hickoryweir/early_listener.py
@@ -9,6 +9,7 @@
 import atexit
 import configparser
 import contextlib
+import errno
 import json
 import os
 import pathlib
@@ -21,7 +22,10 @@
 BACKLOG_COUNT = 1_024
 # Time for the refusals to reach clients, and for the rest of what they send.
 REFUSAL_TIMEOUT_S = 1.0
+# The same where others wait for its descriptor.
+SHORT_REFUSAL_TIMEOUT_S = 0.05
 READ_INTERVAL_S = 0.01
+NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE)
 STANDARD_OUTPUT = 1
 READ_SIZE_BYTES = 1_048_576
 STOPPED_MESSAGE = "stopped while starting"
@@ -94,30 +98,55 @@
     int
         How many requests were refused.
     """
-    connections = []
+    refused_count, end_s = 0, time.monotonic() + REFUSAL_TIMEOUT_S
     for listener in _listeners.values():
-        # None waits, or none can be accepted without a descriptor.
-        with listener, contextlib.suppress(OSError):
-            while len(connections) < BACKLOG_COUNT:
-                connections.append(listener.accept()[0])
+        with listener:
+            refused_count += _refuse_queue(listener, end_s)
     _listeners.clear()
-    refused = []
-    for connection in connections:
-        if _refuse(connection):
-            refused.append(connection)
-        else:
-            connection.close()
-    refused_count, end_s = len(refused), time.monotonic() + REFUSAL_TIMEOUT_S
-    # Unread bytes would discard the refusals.
-    while refused := [each for each in refused if not _has_ended(each)]:
-        if time.monotonic() >= end_s:
+    return refused_count
+
+
+def _refuse_queue(listener: socket.socket, end_s: float) -> int:
+    """Refuse all requests in a queue until a monotonic time; return their number."""
+    refused_count, is_short = 0, True
+    # By connection, until when its client may send the rest and read the refusal.
+    open_until_s: dict[socket.socket, float] = {}
+    while is_short or open_until_s:
+        now_s, accepted = time.monotonic(), []
+        if is_short:
+            accepted, is_short = _accept_waiting(listener)
+        if not is_short:
+            listener.close()
+        # Others wait for the descriptors of these.
+        until_s = now_s + SHORT_REFUSAL_TIMEOUT_S if is_short else end_s
+        for connection in accepted:
+            if _refuse(connection):
+                refused_count += 1
+                open_until_s[connection] = until_s
+            else:
+                connection.close()
+        for connection, until_s in list(open_until_s.items()):
+            # Unread bytes would discard the refusal.
+            if _has_ended(connection) or now_s >= min(until_s, end_s):
+                connection.close()
+                del open_until_s[connection]
+        if now_s >= end_s:
             break
         time.sleep(READ_INTERVAL_S)
-    for connection in connections:
-        connection.close()
     return refused_count
 
 
+def _accept_waiting(listener: socket.socket) -> tuple[list[socket.socket], bool]:
+    """Return the connections that wait, and whether descriptors ran out."""
+    connections: list[socket.socket] = []
+    while len(connections) < BACKLOG_COUNT:
+        try:
+            connections.append(listener.accept()[0])
+        except OSError as error:
+            return connections, error.errno in NO_DESCRIPTOR_ERRORS
+    return connections, False
+
+
 def _refuse(connection: socket.socket) -> bool:
     """Refuse the request on a connection; return whether one has begun."""
     connection.setblocking(False)
--- a/hickoryweir/entry/tests/test_early_refusals.py
+++ b/hickoryweir/entry/tests/test_early_refusals.py
@@ -13,8 +13,13 @@
 PAUSE_S = 1.0
 CONNECT_TIMEOUT_S = 10.0
 CLIENTS_COUNT = 200
+DESCRIPTORS_COUNT = 64
 IMPORTS = "from hickoryweir.entry import main, own_formats\n"
 PORT_OPENING = "early_listener.open_from(path)\n"
+FEW_DESCRIPTORS = f"""
+import resource
+resource.setrlimit(resource.RLIMIT_NOFILE, ({DESCRIPTORS_COUNT}, {DESCRIPTORS_COUNT}))
+"""
 # Nobody reads from the pipe.
 FULL_STANDARD_OUTPUT = """
 os.set_blocking(1, False)
@@ -73,6 +78,16 @@
         assert router.wait(CONNECT_TIMEOUT_S) != 0
 
 
+def test_requests_beyond_the_descriptors_of_a_process_are_refused(tmp_path):
+    """Guards against a reset of connections for which there is no descriptor."""
+    program = replace(PORT_OPENING, FEW_DESCRIPTORS + PORT_OPENING)
+    clients = run_clients(tmp_path, CONNECT_TIMEOUT_S, program, CLIENTS_COUNT)
+    with clients as (router, connections):
+        router.send_signal(signal.SIGTERM)
+        assert count_refused(connections) == CLIENTS_COUNT
+        assert router.wait(CONNECT_TIMEOUT_S) == 0
+
+
 def test_second_stop_signal_does_not_end_the_refusals_of_a_failed_start(tmp_path):
     """Guards against refusals that are cut short by another signal."""
     clients = run_clients(tmp_path, PAUSE_S, starts.PROGRAM, CLIENTS_COUNT)
