A stop leaves new connections the time for their first byte

A trace of the router shows why: their connections were opened in the last 10 ms before the port closed, had received no byte, and were closed as idle 57 ms later; the clients, which were busy, had sent the head and 192 KB 18 ms before.

A connection without a byte counts as idle only 0.25 s after it was opened, on the port for clients, for other routers and on those of graceful_stop.

The two tests named ..._opened_before_the_port_closes_is_answered failed before. What the kernel receives between the last check and the close is still reset.

--- a/hickoryweir/bounded_connections.py
+++ b/hickoryweir/bounded_connections.py
@@ -40,6 +40,8 @@
 READ_INTERVAL_S = 0.001
 # Until the idle time of a connection with unread bytes is checked again.
 IDLE_CHECK_INTERVAL_S = 0.05
+# Within it, a client sends the first byte on a connection that it has opened.
+FIRST_BYTE_TIME_S = 0.25
 # Of a line, in aiohttp.
 DEFAULT_MAX_LINE_SIZE_BYTES = 8190
 # Clients send one empty line between requests, if any (RFC 9112, section 2.2).
@@ -58,6 +60,8 @@
     head_started_s : float or None
         Loop time of the first byte of a head that is not complete, or of the end of the
         request before it if that is later; None between heads.
+    opened_s : float
+        Loop time of the connection.
     """
 
     __slots__ = (
@@ -80,6 +84,7 @@
         "_waits_for_turn",
         "has_received",
         "head_started_s",
+        "opened_s",
     )
 
     def __init__(
@@ -97,6 +102,7 @@
         self._max_head_size_bytes = 2 * max_line_size + HEAD_MARGIN_SIZE_BYTES
         self.has_received = False
         self.head_started_s: float | None = None
+        self.opened_s = 0.0
         # Of the message that was parsed last: its body, and the length that it states.
         self._last_payload: streams.StreamReader | None = None
         self._last_length_bytes: int | None = None
@@ -113,6 +119,11 @@
         self._is_discarding = False
         self._discarded_size_bytes = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Record the time."""
+        self.opened_s = self._loop.time()
+        super().connection_made(transport)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release what was received; the handler is cancelled and reads no more.
 
@@ -236,6 +247,15 @@
         """Return whether bytes were received that have not been parsed."""
         return self._unparsed_size_bytes > 0
 
+    @property
+    def is_new(self) -> bool:
+        """Return whether its first byte is still to be expected.
+
+        A close would cross the request of the client that has just connected.
+        """
+        age_s = self._loop.time() - self.opened_s
+        return not self.has_received and age_s < FIRST_BYTE_TIME_S
+
     @property
     def has_request(self) -> bool:
         """Return whether bytes of a request were received that no handler serves."""
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -60,8 +60,6 @@
         Whether the handler of a request is running.
     is_held : bool
         Whether what follows the request that is served stays unread in the kernel.
-    opened_s : float
-        Loop time of the connection.
     delivery : slow_readers.Delivery
         What the client has taken of what was written.
     """
@@ -73,7 +71,6 @@
         "delivery",
         "is_held",
         "is_serving",
-        "opened_s",
     )
 
     def __init__(
@@ -91,7 +88,6 @@
         self.is_serving = False
         self.is_held = False
         self._holds_next = False
-        self.opened_s = 0.0
         self.delivery = slow_readers.Delivery()
 
     @property
@@ -155,7 +151,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, which aiohttp forgets when it closes a connection."""
         self.client_transport = transport
-        self.opened_s = asyncio.get_running_loop().time()
         super().connection_made(transport)
         if self._held_limits is not None and self._held_limits.divides_accounts:
             slow_readers.limit_buffers(transport, self._held_limits)
@@ -535,7 +530,7 @@
 
 def _close_idle_connections(server: web.Server) -> None:
     for connection in list(server.connections):
-        if connection.is_idle:
+        if connection.is_idle and not connection.is_new:
             connection.force_close()
 
 
--- a/hickoryweir/forwarding/tests/test_server_stop_races.py
+++ b/hickoryweir/forwarding/tests/test_server_stop_races.py
@@ -163,6 +163,24 @@
     assert b"data: r-2" in asyncio.run(main())
 
 
+def test_request_on_a_connection_opened_before_the_port_closes_is_answered():
+    """Guards against a close that crosses the first request on a connection."""
+
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            stopping = asyncio.create_task(server.stop(site.running, 3.0))
+            await asyncio.sleep(2 * server.STOP_CHECK_INTERVAL_S)
+            writer.write(make_head(1))
+            response = await reader.read()
+            writer.close()
+            await stopping
+            return response
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(main()).startswith(b"HTTP/1.1 200 ")
+
+
 @pytest.mark.parametrize("iterations_count", range(5))
 def test_connection_accepted_as_the_port_closes_is_not_served_after_the_stop(
     iterations_count,
--- a/hickoryweir/graceful_stop.py
+++ b/hickoryweir/graceful_stop.py
@@ -50,7 +50,8 @@
 async def stop(runner: web.AppRunner, limit_s: float) -> None:
     """Stop listening, let open requests end within `limit_s`, and close connections.
 
-    Requests count as open from the moment at which the kernel has received a byte.
+    Requests count as open from the moment at which the kernel has received a byte, and
+    so does a connection that was opened a short time ago.
 
     Parameters
     ----------
@@ -93,4 +94,4 @@
         return False
     # A connection that is closing is in the list until its last byte is sent.
     is_sending = transport.is_closing() or transport.get_write_buffer_size() > 0
-    return is_sending or connection.has_request
+    return is_sending or connection.has_request or connection.is_new
--- a/hickoryweir/tests/test_graceful_stop.py
+++ b/hickoryweir/tests/test_graceful_stop.py
@@ -13,6 +13,7 @@
 REQUEST = b"PUT /table HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
 LIMIT_S = 1.5
 CONNECT_S = 0.1
+FIRST_BYTE_DELAY_S = 0.1
 
 
 async def start(duration_s=0.0):
@@ -83,6 +84,23 @@
     assert run(main).endswith(b"whole")
 
 
+def test_request_on_a_connection_opened_before_the_port_closes_is_answered():
+    """Guards against a close that crosses the first request on a connection."""
+
+    async def main():
+        runner, address = await start()
+        reader, writer = await asyncio.open_connection(*address)
+        stopping = asyncio.create_task(graceful_stop.stop(runner, LIMIT_S))
+        await asyncio.sleep(FIRST_BYTE_DELAY_S)
+        writer.write(REQUEST)
+        received = await reader.read()
+        writer.close()
+        await stopping
+        return received
+
+    assert run(main).endswith(b"whole")
+
+
 @pytest.mark.parametrize("is_kept", [False, True])
 def test_request_received_in_a_stall_before_its_connection_was_idle_too_long(is_kept):
     """Guards against a reset of a request that came before the idle timeout."""
