Held responses: give room to a response that waits only while its server sends

What callers saw: where memory is short, a sound response waited for servers that send nothing, half a second for each of them: each silent response got the room that was taken back from another one, and kept it for 1 s.

Cause: room is taken back from a response of which nothing has come for 1 s, but those that waited for it were equal, whether their servers sent or not. Which of them got the room next was left to the order of their timers.

Evidence: test_silent_servers_get_no_room_in_turn_while_a_sound_response_waits (40 silent servers) failed on the unchanged code after 5 s, load 39.

Now a response that waits counts as idle once nothing of it has come for 1 s, unless it is whole, has failed or fills its buffers, so that it can't show progress. An idle one gets no room until more comes, except for the first one, and none is given up for it.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -191,6 +191,11 @@
             and time.monotonic() - self.sent_at_s >= after_s
         )
 
+    @property
+    def is_reading_paused(self) -> bool:
+        """Whether the server is left unread because its buffers are full."""
+        return self._reading_paused or self._buffer_paused
+
     def end_request(self) -> None:
         """Record that the whole request was written."""
         self._is_written = True
@@ -549,6 +554,16 @@
     return response._protocol
 
 
+def awaits_server(content: aiohttp.StreamReader) -> bool:
+    """Return whether a body that is not being read grows if its server sends more.
+
+    It does not once it is whole, has failed, or fills the buffers of its connection.
+    """
+    if content.is_eof() or content.exception() is not None:
+        return False
+    return not content._protocol.is_reading_paused
+
+
 def has_second_status_line(response: aiohttp.ClientResponse) -> bool:
     """Return whether a response's head is put together from those of two.
 
--- a/hickoryweir/forwarding/held_bytes.py
+++ b/hickoryweir/forwarding/held_bytes.py
@@ -449,17 +449,23 @@
 def _reclaim_idle(forwarder: contexts.Forwarder) -> None:
     """Take back room from responses that have not grown while others wait.
 
-    They are not given up; each asks for room again before it is read further.
+    They are not given up; each asks for room again before it is read further.  Those
+    that wait get no room until their servers send more.
     """
     now_s = asyncio.get_running_loop().time()
     for request in forwarder.open_requests.values():
         reading, held = forwarder.reading.get(id(request.context)), request.held
-        if reading is None or held.content is None or reading.waits_since_s is not None:
+        if reading is None or held.content is None:
             continue
         if reading.received_size_bytes != held.content.total_bytes:
             reading.received_size_bytes = held.content.total_bytes
             reading.received_at_s = now_s
-        elif now_s - reading.received_at_s >= held_bytes.MAX_WAIT_FOR_ROOM_S:
+            reading.is_idle = False
+        elif now_s - reading.received_at_s < held_bytes.MAX_WAIT_FOR_ROOM_S:
+            continue
+        elif reading.waits_since_s is not None:
+            reading.is_idle = framing.awaits_server(held.content)
+        else:
             held.reserved_size_bytes = min(
                 held.reserved_size_bytes, held.response_size_bytes
             )
@@ -524,8 +530,12 @@
     forwarder, loop = context.forwarder, asyncio.get_running_loop()
     reading = _register(context, held)
     _sum_responses(forwarder, 0.0)
-    while not _fits_response(context, own := _read_size_bytes(held), size_bytes):
+    while True:
+        own = _read_size_bytes(held)
         is_first = forwarder.held_responses.first == id(context)
+        may_read = is_first or not reading.is_idle
+        if may_read and _fits_response(context, own, size_bytes):
+            break
         if is_first and _fits_response(context, own, most_size_bytes, is_first=True):
             size_bytes = most_size_bytes
             break
@@ -539,6 +549,7 @@
         if reading.is_given_up:
             raise exchange.IncompleteResponseError(framing.End.NO_ROOM)
     reading.waits_since_s, reading.size_bytes = None, size_bytes
+    reading.is_idle = False
     held.read_ahead_size_bytes = held_bytes.LARGE_READ_AHEAD_SIZE_BYTES
     allowed_size_bytes = size_bytes + held.read_ahead_size_bytes
     forwarder.held_responses.size_bytes += max(
--- a/hickoryweir/forwarding/tests/test_held_responses.py
+++ b/hickoryweir/forwarding/tests/test_held_responses.py
@@ -20,6 +20,7 @@
 BODY = b"x" * 4_000
 TEXT_SIZE_BYTES = 20_000
 LARGE_COUNT = 12
+STALLED_COUNT = 40
 LARGE = b"x" * exchange.MAX_BUFFERED_RESPONSE_SIZE_BYTES
 TIMEOUT_S = 20.0
 PIECE_SIZE_BYTES = 64 * 1024
@@ -254,6 +255,39 @@
     assert not counts
 
 
+def test_silent_servers_get_no_room_in_turn_while_a_sound_response_waits():
+    """Guards against a wait that grows with the number of silent servers."""
+    routes = (make_route("stalled"), make_route("chat"))
+
+    async def main():
+        async def answer(request, body):
+            given = {headers.REQUEST_ID: request.headers[headers.REQUEST_ID]}
+            if request.path.startswith("/chat/"):
+                return web.Response(body=LARGE, headers=given)
+            response = begin_response(request)
+            response.content_length = len(LARGE)
+            await response.prepare(request)
+            await response.write(LARGE[:100])
+            await asyncio.sleep(TIMEOUT_S)
+            return response
+
+        limits = held_bytes.derive_vm_limits(SMALL_VM_MB)
+        async with run_site(answer, routes, limits) as site:
+            stalled = [send(site, "/stalled/x", n) for n in range(STALLED_COUNT)]
+            await sites.wait_until(lambda: len(site.forwarder.reading) == STALLED_COUNT)
+            sound = send(site, "/chat/x", STALLED_COUNT)
+            await asyncio.wait([sound], timeout=TIMEOUT_S / 4)
+            is_served = sound.done()
+            for call in (sound, *stalled):
+                call.cancel()
+            await asyncio.gather(sound, *stalled, return_exceptions=True)
+            return is_served, given_up_counts(site)
+
+    is_served, counts = asyncio.run(main())
+    assert is_served
+    assert not counts
+
+
 def test_response_beyond_its_bound_is_not_read_and_counted():
     """Guards against memory that is kept for a response that will be given up."""
     routes = (make_route("chat"),)
--- a/hickoryweir/forwarding_policy/held_bytes.py
+++ b/hickoryweir/forwarding_policy/held_bytes.py
@@ -216,6 +216,8 @@
         Whether it is given up for others.
     received_size_bytes, received_at_s : int, float
         What had been received of it when this was last looked at, and since when.
+    is_idle : bool
+        Whether it waits for room although its server has sent nothing for a while.
     """
 
     priority: int = 0
@@ -225,6 +227,7 @@
     is_given_up: bool = False
     received_size_bytes: int = -1
     received_at_s: float = 0.0
+    is_idle: bool = False
 
     @property
     def rank(self) -> tuple[int, float]:
@@ -628,9 +631,9 @@
 
     This answers responses that were read in part and hold the room of a more urgent or
     older one: once the first one has waited for too long, the last one that holds more
-    than usual is given up.  While the first one is read, all others wait.  It also
-    answers more responses than there is memory for: the last of those that wait are
-    given up at once.
+    than usual is given up.  While the first one is read, all others wait.  No response
+    is given up for one whose server sends nothing.  It also answers more responses than
+    there is memory for: the last of those that wait are given up at once.
 
     Parameters
     ----------
@@ -652,6 +655,9 @@
     ([], ['newest'])
     >>> find_given_up({"urgent": Reading(0, 9.0)} | reading, 99.0)
     []
+    >>> idle = dataclasses.replace(reading["oldest"], is_idle=True)
+    >>> find_given_up(reading | {"oldest": idle}, 99.0)
+    []
     >>> find_given_up(reading, 5.6, 1), find_given_up(reading, 5.6, 3 * MB)
     (['newest'], ['newest'])
     >>> find_given_up({"oldest": reading["oldest"]}, 99.0, MB)
@@ -666,8 +672,10 @@
             given_up.append(key)
             beyond_size_bytes -= reading[key].size_bytes
     first = reading[ranked[0]] if ranked else None
-    if given_up or first is None or first.waits_since_s is None:
+    if given_up or first is None:
         return given_up
+    if first.waits_since_s is None or first.is_idle:
+        return []
     if now_s - first.waits_since_s < MAX_WAIT_FOR_ROOM_S:
         return []
     holding = [key for key in ranked[1:] if large_size_bytes(reading[key].size_bytes)]
