Ports: close without a free descriptor

At the limit of descriptors, a planned stop failed with EMFILE before it had closed the port: the process ended, and every open request was reset.

Cause: to take the connections that wait in a port's queue, the listener was duplicated, which needs a descriptor. The queue is now read through the listener's own descriptor; where nothing can be accepted, this is logged as before, and the stop goes on.

--- a/hickoryweir/listening.py
+++ b/hickoryweir/listening.py
@@ -46,8 +46,7 @@
     """
     accepted: list[socket.socket] = []
     for bound in listener.sockets:
-        with bound.dup() as queue:
-            accepted += _accept_waiting(queue)
+        accepted += _accept_waiting(bound.fileno())
     listener.close()
     if accepted:
         fields = logs.Fields(detail=f"{len(accepted)} connections")
@@ -66,8 +65,17 @@
     return tasks
 
 
-def _accept_waiting(queue: socket.socket) -> list[socket.socket]:
+def _accept_waiting(descriptor: int) -> list[socket.socket]:
     """Return the connections that wait in a listener's queue."""
+    # A duplicate would need a free descriptor.
+    queue = socket.socket(fileno=descriptor)
+    try:
+        return _accept_all(queue)
+    finally:
+        queue.detach()
+
+
+def _accept_all(queue: socket.socket) -> list[socket.socket]:
     accepted: list[socket.socket] = []
     while len(accepted) < MAX_ACCEPTED_COUNT:
         try:
