Bodies that wait for room: notice clients that leave

Uploads of clients that had left were forwarded to servers when room came, up to half of the route's time later, and kept their place among the bodies that wait until then: uploads of clients that were still there were refused meanwhile.

Cause: a body that waits for room stays unread, and a connection that is not read reports neither its end nor its reset. While its body waits, each connection is now checked for its peer's end every 50 ms, as one whose next request is held already is, and closed; the handler is then cancelled.

--- a/hickoryweir/forwarding/admission.py
+++ b/hickoryweir/forwarding/admission.py
@@ -162,9 +162,8 @@
         has_room = await held_bytes.reserve_body(
             forwarder,
             open_request,
-            request.content,
+            request,
             size_bytes,
-            request.content_length,
             wait_until_s,
         )
         # Until then, it counts towards what bodies hold that wait.
--- a/hickoryweir/forwarding/held_bytes.py
+++ b/hickoryweir/forwarding/held_bytes.py
@@ -11,7 +11,7 @@
 import resource
 import time
 
-import aiohttp
+from aiohttp import web
 
 from hickoryweir.engines import event_stream, framing
 from hickoryweir.forwarding import contexts, errors, exchange, open_requests
@@ -210,15 +210,14 @@
 async def reserve_body(
     forwarder: contexts.Forwarder,
     request: open_requests.OpenRequest,
-    content: aiohttp.StreamReader,
+    client_request: web.BaseRequest,
     size_bytes: int,
-    stated_size_bytes: int | None,
     wait_until_s: float,
 ) -> bool:
     """Return whether a request's body may be read up to a size.
 
     This is for bounds that are not divided among accounts.  It waits until there is
-    room, and the client is not read meanwhile.
+    room, and the client is not read meanwhile; if it leaves, its connection is closed.
 
     Parameters
     ----------
@@ -226,27 +225,26 @@
         State of the router.
     request : open_requests.OpenRequest
         Record of the request.
-    content : aiohttp.StreamReader
-        Its body.
+    client_request : web.BaseRequest
+        The request, whose body is read.
     size_bytes : int
         The size; what was read of a body without a stated length.
-    stated_size_bytes : int or None
-        Length of the body that its head states; None without one.
     wait_until_s : float
         Loop time of the end of all waits for this body.
     """
     limits, held = forwarder.held_limits, request.held
     if size_bytes <= held.body_reserved_size_bytes:
         return True
-    held.body_content = content
-    if stated_size_bytes is None:
+    held.body_content = client_request.content
+    is_length_known = client_request.content_length is not None
+    if not is_length_known:
         size_bytes = max(size_bytes, held_bytes.USUAL_BODY_SIZE_BYTES)
     held.body_demand = held_bytes.BodyDemand(
         held.priority,
         request.received_at_s,
         _held_body_size_bytes(held),
         held_bytes.BODY_COPIES_COUNT * size_bytes,
-        stated_size_bytes is not None,
+        is_length_known,
     )
     granted = asyncio.get_running_loop().create_future()
     forwarder.waiting_bodies[request] = granted
@@ -259,7 +257,8 @@
             if forwarder.bodies_check is None:
                 _check_waiting_bodies(forwarder)
             async with asyncio.timeout_at(wait_until_s):
-                await granted
+                with client_request.protocol.closing_if_left():
+                    await granted
     except TimeoutError:
         return False
     finally:
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -1,8 +1,9 @@
 """The port for clients, and the readiness port for the load balancer."""
 
 import asyncio
+import contextlib
 import dataclasses
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import multidict
 from aiohttp import http_exceptions, http_parser, web
@@ -69,6 +70,7 @@
     __slots__ = (
         "_held_limits",
         "_holds_next",
+        "_left_check",
         "client_transport",
         "delivery",
         "is_held",
@@ -91,6 +93,7 @@
         self.is_serving = False
         self.is_held = False
         self._holds_next = False
+        self._left_check: asyncio.TimerHandle | None = None
         self.opened_s = 0.0
         self.delivery = slow_readers.Delivery()
 
@@ -202,6 +205,27 @@
             return
         self._loop.call_later(LEFT_CHECK_INTERVAL_S, self._check_left)
 
+    @contextlib.contextmanager
+    def closing_if_left(self) -> Iterator[None]:
+        """Close the connection if the client leaves while its body waits unread."""
+        self._left_check = self._loop.call_later(
+            LEFT_CHECK_INTERVAL_S, self._close_if_left
+        )
+        try:
+            yield
+        finally:
+            self._left_check.cancel()
+
+    def _close_if_left(self) -> None:
+        if self.client_transport is None:
+            return
+        if sockets.has_peer_left(self.client_transport):
+            self.client_transport.abort()
+            return
+        self._left_check = self._loop.call_later(
+            LEFT_CHECK_INTERVAL_S, self._close_if_left
+        )
+
     def _receive_part(self, data: bytes) -> None:
         super()._receive_part(data)
         if self._holds_next:
--- a/hickoryweir/forwarding/tests/test_body_limits.py
+++ b/hickoryweir/forwarding/tests/test_body_limits.py
@@ -4,6 +4,8 @@
 import contextlib
 import dataclasses
 import math
+import socket
+import struct
 
 import pytest
 
@@ -20,6 +22,10 @@
 # Of the time of a request, in which its body may wait for room.
 SHORT_WAIT_SHARE = 0.05
 WAIT_S = 3.0
+# More than a body that does not wait behind larger ones; the kernel receives it whole.
+WAITING_SIZE_BYTES = 160_000
+# Within which a client that has left is noticed.
+LEFT_S = 0.4
 PRIORITIES = {"urgent": 0, "later": 2}
 ROUTES = tuple(
     dataclasses.replace(
@@ -160,3 +166,38 @@
     waited_ids = run_ids[len(first_ids) :]
     urgent_ids = [run_id for run_id in waited_ids if run_id.startswith("urgent")]
     assert waited_ids[: len(urgent_ids)] == urgent_ids
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_body_that_waits_is_not_forwarded_after_its_client_has_left(is_reset):
+    """Guards against clients that left: run later, and in the way of other bodies."""
+    head = (
+        "POST /urgent/x HTTP/1.1\r\nHost: site.example\r\n"
+        f"{headers.REQUEST_ID}: left\r\n"
+        f"Content-Length: {WAITING_SIZE_BYTES}\r\n\r\n"
+    )
+
+    async def main():
+        async with run_site(FITTING_SIZE_BYTES) as (site, release):
+            found = [send(site, "urgent", number) for number in range(FITTING_COUNT)]
+            await asyncio.wait(found, timeout=0.5)
+            _, writer = await asyncio.open_connection(sites.HOST, site.port)
+            writer.write(head.encode() + b"x" * WAITING_SIZE_BYTES)
+            await sites.wait_until(lambda: site.forwarder.waiting_bodies)
+            await asyncio.sleep(0.1)
+            if is_reset:
+                linger = struct.pack("ii", 1, 0)
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.close()
+            await asyncio.sleep(LEFT_S)
+            waiting_count = len(site.forwarder.waiting_bodies)
+            release.set()
+            statuses = {status for status, _, _ in await asyncio.gather(*found)}
+            await asyncio.sleep(0.2)
+            return waiting_count, statuses, runs(site)
+
+    waiting_count, statuses, run_ids = asyncio.run(main())
+    assert waiting_count == 0
+    assert statuses == {200}
+    assert "left" not in run_ids
