Stops of serve and of the operators' ports answer pipelined requests

Callers saw a connection that ends after its first response: the response of a request that ended in a stop closed its connection, also when another request had been read behind it (graceful_stop), and so did each response of serve while it drains (callers/app.py).

A response closes the connection only if nothing else has been received on it, as on the port for clients. The stop's time bounds a client that goes on.

test_request_pipelined_behind_another_is_answered_during_a_stop and test_call_pipelined_behind_another_is_answered_during_a_stop failed before.

--- a/hickoryweir/callers/app.py
+++ b/hickoryweir/callers/app.py
@@ -25,6 +25,7 @@
 from aiohttp import web
 from returns import result
 
+from hickoryweir import graceful_stop
 from hickoryweir.callers import (
     checks,
     errors,
@@ -78,7 +79,8 @@
 ) -> None:
     """Close keep-alive connections after their next response while draining."""
     refusal = request.app[checks.DAEMON].not_ready()
-    if refusal is not None and refusal.reason is refusals.Reason.DRAINING:
+    is_draining = refusal is not None and refusal.reason is refusals.Reason.DRAINING
+    if is_draining and graceful_stop.is_last_on_connection(request):
         response.force_close()
         response.headers["Connection"] = "close"
 
--- a/hickoryweir/callers/tests/test_stop.py
+++ b/hickoryweir/callers/tests/test_stop.py
@@ -12,6 +12,7 @@
 
 from hickoryweir.callers import interface, server
 from hickoryweir.callers.tests import exchanges, fakes
+from hickoryweir.outcomes import refusals
 from hickoryweir.testing import stalls
 
 HOST = "127.0.0.1"
@@ -97,6 +98,34 @@
     asyncio.run(run())
 
 
+def test_call_pipelined_behind_another_is_answered_during_a_stop():
+    """Guards against a last response that discards the call behind it."""
+    draining = refusals.make_refusal(refusals.Reason.DRAINING, "draining")
+    state = {"refusal": None}
+    first = exchanges.make_request(
+        CHAT_PATH, CHAT_BODY, headers={b"Connection": b"keep-alive"}
+    )
+
+    async def answer(call, sink):
+        await asyncio.sleep(2 * REST_DELAY_S)
+        return result.Success(interface.Response(200, "text/plain", b"whole"))
+
+    async def run():
+        daemon = fakes.make_daemon(answer, not_ready=lambda: state["refusal"])
+        running = await server.start(daemon)
+        reader, writer = await asyncio.open_connection(HOST, running.port)
+        writer.write(first + exchanges.make_request(CHAT_PATH, CHAT_BODY))
+        await asyncio.sleep(REST_DELAY_S)
+        state["refusal"] = draining
+        await server.stop(running)
+        received = await exchanges.receive(reader, exchanges.RESPONSE_TIMEOUT_S)
+        writer.close()
+        return received
+
+    statuses = [status for status, _ in exchanges.parse(asyncio.run(run()))]
+    assert statuses == [200, 200]
+
+
 @pytest.mark.parametrize("connects_early", [False, True])
 def test_call_received_in_a_stall_before_the_port_closes_is_answered(connects_early):
     request = exchanges.make_request(CHAT_PATH, CHAT_BODY)
--- a/hickoryweir/graceful_stop.py
+++ b/hickoryweir/graceful_stop.py
@@ -41,12 +41,17 @@
         response = await handler(request)
     finally:
         opened.tasks.discard(task)
-    if opened.is_stopping:
+    if opened.is_stopping and is_last_on_connection(request):
         # The client then sends its next request elsewhere, and none is lost.
         response.force_close()
     return response
 
 
+def is_last_on_connection(request: web.Request) -> bool:
+    """Return whether no other request was received on a request's connection."""
+    return not request.protocol.has_request
+
+
 async def stop(runner: web.AppRunner, limit_s: float) -> None:
     """Stop listening, let open requests end within `limit_s`, and close connections.
 
--- a/hickoryweir/tests/test_graceful_stop.py
+++ b/hickoryweir/tests/test_graceful_stop.py
@@ -14,6 +14,7 @@
 LIMIT_S = 1.5
 CONNECT_S = 0.1
 FIRST_BYTE_DELAY_S = 0.1
+DURATION_S = 0.3
 
 
 async def start(duration_s=0.0):
@@ -101,6 +102,22 @@
     assert run(main).endswith(b"whole")
 
 
+def test_request_pipelined_behind_another_is_answered_during_a_stop():
+    """Guards against a last response that discards the request behind it."""
+
+    async def main():
+        runner, address = await start(duration_s=DURATION_S)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(2 * REQUEST)
+        await asyncio.sleep(CONNECT_S)
+        await graceful_stop.stop(runner, LIMIT_S)
+        received = await reader.read()
+        writer.close()
+        return received
+
+    assert run(main).count(b"whole") == 2
+
+
 @pytest.mark.parametrize("is_kept", [False, True])
 def test_request_received_in_a_stall_before_its_connection_was_idle_too_long(is_kept):
     """Guards against a reset of a request that came before the idle timeout."""
