serve: a refusal over the limit of connections reaches clients that send

Callers saw a reset: the connection was closed right after its 503, and what the client still sent discarded the refusal.

--- a/hickoryweir/callers/server.py
+++ b/hickoryweir/callers/server.py
@@ -27,19 +27,53 @@
 KEEPALIVE_TIMEOUT_S = 75.0
 RELOAD_INTERVAL_S = 5.0
 STOP_LIMIT_S = 5.0
+# Connections that were refused and whose clients may still send.
+MAX_LINGERING_COUNT = 256
 NO_CLASS = ""
 
 
 class RejectingProtocol(asyncio.Protocol):
-    """Refuses a connection over the limit and closes it."""
+    """Refuses a connection over the limit, and closes it once its client has.
 
-    def __init__(self, response: bytes) -> None:
+    A connection that is closed while its client sends is reset, and the client may lose
+    the refusal.  So what it sends is discarded, within bounds.
+
+    Parameters
+    ----------
+    response : bytes
+        The refusal.
+    lingering : set of RejectingProtocol
+        Connections that were refused and are open; shared by all of them.
+    """
+
+    def __init__(self, response: bytes, lingering: set["RejectingProtocol"]) -> None:
         self._response = response
+        self._lingering = lingering
+        self._transport: asyncio.Transport | None = None
+        self._discarded_size_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Write the refusal and close."""
+        """Write the refusal."""
+        self._transport = transport
         transport.write(self._response)
-        transport.close()
+        if len(self._lingering) >= MAX_LINGERING_COUNT:
+            transport.close()
+            return
+        self._lingering.add(self)
+        if transport.can_write_eof():
+            transport.write_eof()
+        loop = asyncio.get_running_loop()
+        loop.call_later(bounded_connections.LINGERING_S, transport.close)
+
+    def data_received(self, data: bytes) -> None:
+        """Discard what the client sends, up to a bound."""
+        self._discarded_size_bytes += len(data)
+        if self._discarded_size_bytes > bounded_connections.MAX_DISCARDED_SIZE_BYTES:
+            self._transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self._lingering.discard(self)
 
 
 def make_rejection_response(limit_count: int) -> bytes:
@@ -139,12 +173,13 @@
     response = make_rejection_response(limits.max_connections)
     reason = refusals.Reason.TOO_MANY_CONNECTIONS
     opening: set[CallerConnection] = set()
+    lingering: set[RejectingProtocol] = set()
     turns = parsing_turns.ParsingTurns()
 
     def make_protocol() -> asyncio.Protocol:
         if len(server.connections) + len(opening) >= limits.max_connections:
             counters.refusals.labels(NO_CLASS, reason).inc()
-            return RejectingProtocol(response)
+            return RejectingProtocol(response, lingering)
         connection = CallerConnection(
             server,
             turns,
--- a/hickoryweir/callers/tests/test_hostile.py
+++ b/hickoryweir/callers/tests/test_hostile.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import socket
 
 import hypothesis
 import pytest
@@ -20,6 +21,7 @@
 COMPLETION_PATH = b"/v1/completions"
 DEEPLY_NESTED_JSON = b"[" * 100_000
 LONE_SURROGATE = "\ud800" * 600
+SENT_SIZE_BYTES = 4_000_000
 IDLE_COUNT = 500
 CONNECTION_LIMIT = 50
 CHUNK = b"x" * 65_536
@@ -258,6 +260,32 @@
         assert runner.run(run()) == IDLE_COUNT - CONNECTION_LIMIT
 
 
+@pytest.mark.parametrize(
+    "loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop]
+)
+def test_refusal_over_the_limit_reaches_a_client_that_sends(loop_factory):
+    """Guards against a reset by unread bytes, which discards the refusal."""
+    request = exchanges.make_request(CHAT_PATH, b"x" * SENT_SIZE_BYTES)
+
+    def send_then_read(port):
+        address = ("127.0.0.1", port)
+        timeout_s = exchanges.RESPONSE_TIMEOUT_S
+        with socket.create_connection(address, timeout=timeout_s) as client:
+            client.sendall(request)
+            return client.recv(65_536)
+
+    async def run():
+        daemon = fakes.make_daemon(max_connections=1)
+        async with exchanges.listening(daemon) as port:
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            received = await asyncio.to_thread(send_then_read, port)
+            writer.close()
+            return received
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        assert b"too_many_connections" in runner.run(run())
+
+
 def test_slow_reader_blocks_the_writer_and_is_disconnected():
     async def run():
         final_state = asyncio.get_running_loop().create_future()
