Soak of planned stops: tables that move routes and change idle times

--moves puts six tables around each stop: every other one moves the routes to another service while requests wait, every other pair changes the idle time of kept connections.

--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -30,6 +30,7 @@
     stop_clients,
     stop_events,
     stop_floods,
+    stop_moves,
     stop_oracle,
     stop_records,
     stop_timelines,
@@ -107,6 +108,13 @@
     uploads: Annotated[
         int, cappa.Arg(long=True, help="Clients per router that upload large bodies.")
     ] = 0
+    moves: Annotated[
+        bool,
+        cappa.Arg(
+            long=True,
+            help="Tables around the stops that move routes and change the idle time.",
+        ),
+    ] = False
     untimed: Annotated[
         bool, cappa.Arg(long=True, help="Judge only what no delay can cause.")
     ] = False
@@ -130,6 +138,8 @@
         Arrivals at backend servers by request id.
     table : str
         Text of the table but for its version.
+    moves_routes : bool
+        Whether tables move routes and change the idle time.
     table_version : int
         The newest version sent.
     ends, uploads : collections.Counter
@@ -140,6 +150,7 @@
     servers: list[stop_backends.Backend]
     attempts: dict[str, list[stop_records.Attempt]]
     table: str = TABLE
+    moves_routes: bool = False
     table_version: int = FIRST_VERSION
     stops_count: int = 0
     events_count: int = 0
@@ -206,6 +217,8 @@
             entry | {"id": f"sound-{entry['id']}", "service": stop_floods.SOUND_SERVICE}
             for entry in entries
         ]
+    if options.moves:
+        entries = stop_moves.add_entries(entries)
     if options.floods:
         entries += await stack.enter_async_context(stop_floods.run_servers())
     list_address = await start_list(lambda: entries)
@@ -215,6 +228,8 @@
         for member in cluster.routers[::2]:
             member.opens_early = True
     site = Site(cluster, servers, attempts)
+    if options.moves:
+        site.table, site.moves_routes = stop_moves.add_service(site.table), True
     if options.has_floods:
         cluster.values["memory_mb"] = stop_floods.MEMORY_MB
         site.table += stop_floods.make_table()
@@ -281,6 +296,8 @@
     """Send the next version to a replica that answers; return whether one did."""
     site.table_version += 1
     table = site.table.format(version=site.table_version)
+    if site.moves_routes:
+        table = stop_moves.move(table, site.table_version)
     return await put_table(session, site.cluster, table)
 
 
@@ -314,6 +331,15 @@
     drawn_apart = draw_starts(seed, stops) if options.starts else []
     starts = [event for event in drawn_apart if event.kind == stop_events.START_STOP]
     events += [event for event in drawn_apart if event not in starts]
+    if options.moves:
+        events += stop_moves.draw(seed, stops)
+    # A request that is lost in a kill is not lost in a planned stop.
+    indexes = {event.index for event in starts}
+    events = [
+        event
+        for event in events
+        if event.kind != stop_floods.KILL_ROUTER or event.index not in indexes
+    ]
     processes = [member.process for member in cluster.routers]
     others = [
         asyncio.create_task(carry_out(site, event, start_s, processes))
@@ -557,6 +583,8 @@
         arguments += f" --busy {options.busy}"
     if options.starts:
         arguments += " --starts"
+    if options.moves:
+        arguments += " --moves"
     for finding in findings[:SHOWN_COUNT]:
         if options.untimed and finding.is_timed:
             print("depends on the moment:")
