Spare replicas: tell all replicas that they yield, not only the leader

Callers: after a replica that led was replaced as planned beside a spare one, and a disk and the spare one were lost right afterwards while all others lost power, the acknowledged table could not be read.

Cause: a spare replica told only the leader, every 0.5 s. A leader that had just been elected took it for one that counts, and let it take the place of the voter that stopped though the successor had caught up as well.

Fix: it tells every replica, so that any that is elected knows already, and tells so first as soon as it is a member. A leader that it can't reach is still told by a relay.

In the rows that replace a replica, the successor counts from its start: its settings say so from then on, and it yielded until the stop.

--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -319,12 +319,16 @@
     get_state: Callable[[], states.State | None],
     yields: Callable[[], bool],
 ) -> None:
-    """Tell the leader again and again while this replica yields, until cancelled.
+    """Tell all replicas again and again while this one yields, until cancelled.
 
     Not stored: the settings may change, and earlier versions read the same log.
     """
     while True:
-        await asyncio.sleep(YIELD_INTERVAL_S)
         state = get_state()
         if state is not None and yields() and quorums.is_member(state):
-            await log.yield_vote(state.member_id, YIELD_TIMEOUT_S)
+            members = state.membership.members
+            addresses = tuple(wire.address_of(member) for member in members)
+            await log.yield_vote(state.member_id, addresses, YIELD_TIMEOUT_S)
+            await asyncio.sleep(YIELD_INTERVAL_S)
+        else:
+            await asyncio.sleep(CHECK_INTERVAL_S)
--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -227,11 +227,27 @@
         return await self._change(wire.Change.LEAVE, member, timeout_s)
 
     async def yield_vote(
-        self, member_id: str, timeout_s: float
-    ) -> result.Result[str, Unavailable]:
-        """Ask that a member vote only where others are missing, for a short time."""
+        self,
+        member_id: str,
+        replicas: tuple[wire.ReplicaAddress, ...],
+        timeout_s: float,
+    ) -> None:
+        """Ask that a member vote only where others are missing, for a short time.
+
+        All replicas are asked, since any of them may be elected next.
+        """
+        self.add_replicas(replicas)
         member = _make_reference(member_id)
-        return await self._change(wire.Change.YIELD, member, timeout_s)
+        request = wire.ChangeRequest(0, wire.Change.YIELD, member)
+        await asyncio.gather(
+            # Relayed if the leader can't be reached.
+            self._change(wire.Change.YIELD, member, timeout_s),
+            *[
+                self._ask_within(channel, request, timeout_s)
+                for name, channel in list(self._channels.items())
+                if name != self.leader_name
+            ],
+        )
 
     async def close(self) -> None:
         """Close all connections."""
--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -197,6 +197,13 @@
         heard_at_s = self._heard_at_s.get(replica_name, -math.inf)
         return min(now_s - heard_at_s, *ages_s, math.inf)
 
+    @property
+    def yielding_ids(self) -> frozenset[str]:
+        """Return the members that vote only where others are missing."""
+        return _recent_ids(
+            self._yielded_at_s, time.monotonic(), automation.YIELDS_FOR_S
+        )
+
     def _close_registrations(self) -> None:
         for registration in self._registrations:
             registration.close()
@@ -504,9 +511,9 @@
         )
 
     def _record_yielding(self, member_id: str, now_s: float) -> str:
+        self._yielded_at_s[member_id] = now_s
         if self.state.role is not states.Role.LEADER:
             return states.ChangeRefusal.NOT_LEADER.value
-        self._yielded_at_s[member_id] = now_s
         return ""
 
     def _manage_members(self, now_s: float) -> None:
@@ -514,8 +521,9 @@
         if not wanted_count or self.state.role is not states.Role.LEADER:
             return
         leaving_ids = _recent_ids(self._left_at_s, now_s, automation.LEAVING_FOR_S)
-        yielding_ids = _recent_ids(self._yielded_at_s, now_s, automation.YIELDS_FOR_S)
-        views = automation.view_members(self.state, now_s, leaving_ids, yielding_ids)
+        views = automation.view_members(
+            self.state, now_s, leaving_ids, self.yielding_ids
+        )
         request = automation.next_change(views, self.state.member_id, wanted_count)
         if request is None:
             return
--- a/hickoryweir/replicas/tests/managed_simulation.py
+++ b/hickoryweir/replicas/tests/managed_simulation.py
@@ -43,6 +43,8 @@
         self.proposed = {}
         self.acknowledged = set()
         self.leaving_ids = frozenset()
+        self.yield_due_s = {}
+        self.yielded_at_s = {}
 
     def _apply(self, process, entry):
         super()._apply(process, entry)
@@ -161,6 +163,9 @@
     def _stopped(self, name):
         for key in [key for key in self.proposed if key[0] == name]:
             del self.proposed[key]
+        for key in [key for key in self.yielded_at_s if key[0] == name]:
+            del self.yielded_at_s[key]
+        self.yield_due_s.pop(name, None)
         self.network = [
             item
             for item in self.network
@@ -191,6 +196,7 @@
             self._manage()
             for process in self.processes.values():
                 self._ask_for_admission(process)
+                self._tell_to_yield(process)
                 self._maintain(process)
 
     def _start_due(self):
@@ -231,19 +237,41 @@
         leader = self.leader()
         if leader is None or leader.name in self.frozen:
             return
-        yielding_ids = frozenset(
-            process.state.member_id
-            for process in self.processes.values()
-            if self.is_running(process) and self.yields(process.name)
-        )
         views = automation.view_members(
-            leader.state, self.now_s, self.leaving_ids, yielding_ids
+            leader.state, self.now_s, self.leaving_ids, self._yielding_ids(leader.name)
         )
         own_id = leader.state.member_id
         change = automation.next_change(views, own_id, VOTERS_WANTED_COUNT)
         if change is not None:
             self.step(leader, requests.make_change_event(change, self.now_s))
 
+    def _tell_to_yield(self, process):
+        """Let a replica that yields tell so, as automation.yield_votes does."""
+        name = process.name
+        if name in self.frozen or not self.is_running(process):
+            return
+        is_due = self.now_s >= self.yield_due_s.get(name, 0.0)
+        if not is_due or not self.yields(name) or not quorums.is_member(process.state):
+            return
+        self.yield_due_s[name] = self.now_s + automation.YIELD_INTERVAL_S
+        for receiver in self.receivers_of_yield():
+            if (name, receiver.name) not in self.cuts:
+                member_id = process.state.member_id
+                self.yielded_at_s[receiver.name, member_id] = self.now_s
+
+    def receivers_of_yield(self):
+        """Return the processes that replicas tell that they yield."""
+        return [item for item in self.processes.values() if self.is_running(item)]
+
+    def _yielding_ids(self, name):
+        """Return the members of which a replica knows that they yield."""
+        return frozenset(
+            member_id
+            for (receiver_name, member_id), told_at_s in self.yielded_at_s.items()
+            if receiver_name == name
+            and self.now_s - told_at_s <= automation.YIELDS_FOR_S
+        )
+
     def _ask_for_admission(self, process):
         if process.name in self.frozen:
             return
--- a/hickoryweir/replicas/tests/test_automation.py
+++ b/hickoryweir/replicas/tests/test_automation.py
@@ -8,6 +8,7 @@
 from hickoryweir.replicas import automation, client, messages, quorums, wire
 from hickoryweir.replicas import state as states
 from hickoryweir.replicas.tests import register
+from hickoryweir.testing import waiting
 
 
 def view(
@@ -306,3 +307,22 @@
             return running.node.state.membership.find(running.node.state.member_id)
 
     assert asyncio.run(scenario()) is not None
+
+
+def test_all_replicas_know_which_one_yields(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            assert await router.wait_until_ready(register.START_TIMEOUT_S)
+            nodes = [item.node for item in replicas.values()]
+            state = nodes[0].state
+            yielding = asyncio.create_task(
+                automation.yield_votes(router, lambda: state, lambda: True)
+            )
+            await waiting.wait_until(
+                lambda: all(state.member_id in node.yielding_ids for node in nodes),
+                register.START_TIMEOUT_S,
+            )
+            yielding.cancel()
+            await asyncio.gather(yielding, return_exceptions=True)
+
+    asyncio.run(scenario())
--- a/hickoryweir/replicas/tests/test_final_losses.py
+++ b/hickoryweir/replicas/tests/test_final_losses.py
@@ -59,37 +59,43 @@
     put_for(cluster, cluster.random.uniform(0.0, 6.0))
 
 
+def add_spare_named_first(cluster):
+    """Add a replica that doesn't count and by name precedes those added later."""
+    cluster.add_machine(cluster.random.choice("abc") + "-extra")
+    put_for(cluster, cluster.random.uniform(0.0, 6.0))
+
+
 def replace_as_planned(cluster):
     """Add a replica, and stop and remove the one that it replaces."""
     name = cluster.random.choice(sorted(cluster.counted))
     started_at_s = cluster.now_s
+    cluster.counted.add(f"{name}-new")
     cluster.add_machine(f"{name}-new")
     put_for(cluster, draw_lead_s(cluster))
     cluster.stop_as_planned(name)
     cluster.remove_machine(name)
-    cluster.counted.add(f"{name}-new")
     wait_until_counted(cluster, started_at_s, name)
 
 
 def replace_long_joined(cluster):
     """Replace a replica by one that has run for long, so that nothing is excused."""
     name = cluster.random.choice(sorted(cluster.counted))
+    cluster.counted.add(f"{name}-new")
     cluster.add_machine(f"{name}-new")
     put_for(cluster, managed_simulation.CATCH_UP_S + draw_lead_s(cluster))
     cluster.stop_as_planned(name)
     cluster.remove_machine(name)
-    cluster.counted.add(f"{name}-new")
     cluster.counted.discard(name)
 
 
 def lose_long_joined(cluster, delay_s):
     """Lose a replica for good, without a stop, beside one that has run for long."""
     name = cluster.random.choice(sorted(cluster.counted))
+    cluster.counted.add(f"{name}-new")
     cluster.add_machine(f"{name}-new")
     put_for(cluster, managed_simulation.CATCH_UP_S + draw_lead_s(cluster))
     cluster.random.choice((cluster.lose_power, cluster.kill))(name)
     cluster.remove_machine(name)
-    cluster.counted.add(f"{name}-new")
     cluster.counted.discard(name)
     put_for(cluster, delay_s)
 
@@ -154,6 +160,7 @@
     for function in (
         nothing,
         add_spare,
+        add_spare_named_first,
         replace_as_planned,
         replace_long_joined,
         lose_beside_successor,
@@ -297,6 +304,12 @@
     assert play(seed, ["add_spare", prelude], loses_spares=True).acknowledged
 
 
+@pytest.mark.parametrize("seed", [138])
+def test_new_leader_knows_at_once_which_replicas_yield(seed):
+    names = ["add_spare_named_first", "replace_long_joined"]
+    assert play(seed, names, loses_spares=True).acknowledged
+
+
 @pytest.mark.parametrize("seed", range(6))
 @pytest.mark.parametrize("change", CHANGES)
 def test_acknowledged_tables_survive_a_loss_of_power_amid_a_change_of_members(
