Tests: close what test servers leave open, and keep health checks apart

What was seen: pytest-xdist ended with an internal error, "AST constructor recursion depth mismatch", while it formatted the failure of test_truncated_streams.py.

- CPython 3.11 keeps the recursion depth of AST conversion in state that is shared.
A garbage collection amid ast.parse ran StreamWriter.__del__ of a test that had left its writer open with its event loop closed; pytest formats the traceback of such an error at once, which parses its lines.
- The test itself failed because a router asks a server for its health 50 ms after a loss.
The scripted servers took the check for a request and gave it the next response, or ended with an IndexError that was reported at a later collection.

The servers now close their connections in any case, and answer health checks, which have no request id, without recording them. test_large_heads uses a route that is never sent twice: it counted the second send of a request whose server is silent, which is right at a stall of the machine. test_broken_http leaves no stream open.

--- a/hickoryweir/engines/tests/test_broken_http.py
+++ b/hickoryweir/engines/tests/test_broken_http.py
@@ -1,6 +1,7 @@
 """Tests that any bytes from a backend server lead to a typed result."""
 
 import asyncio
+import contextlib
 import socket
 import time
 
@@ -122,10 +123,11 @@
         kind = b"text/event-stream" if stream else b"application/json"
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: %b\r\n\r\n" % kind)
         try:
-            while True:
-                writer.write(b"x" * 10_000)
-                await writer.drain()
-        except ConnectionError:
+            with contextlib.suppress(ConnectionError):
+                while True:
+                    writer.write(b"x" * 10_000)
+                    await writer.drain()
+        finally:
             writer.close()
 
     async def test():
@@ -172,9 +174,8 @@
         return made[-1]
 
     async def main():
-        listener = await asyncio.start_server(
-            lambda reader, writer: None, "127.0.0.1", 0
-        )
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
         connector = framing.ResponseConnector(socket_factory=make_socket)
         async with sessions.make_session(connector=connector) as session:
@@ -202,6 +203,7 @@
     async def answer(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        writer.close()
 
     async def main():
         listener = await asyncio.start_server(answer, "127.0.0.1", 0)
--- a/hickoryweir/forwarding/tests/late_copies.py
+++ b/hickoryweir/forwarding/tests/late_copies.py
@@ -107,8 +107,15 @@
     # Connections that it accepts have this size as well.
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_SIZE_BYTES)
     sock.bind((sites.HOST, 0))
+
+    async def handle_and_close(reader, writer):
+        try:
+            await handle(reader, writer)
+        finally:
+            writer.close()
+
     return await asyncio.start_server(
-        handle, sock=sock, limit=RECEIVE_BUFFER_SIZE_BYTES
+        handle_and_close, sock=sock, limit=RECEIVE_BUFFER_SIZE_BYTES
     )
 
 
--- a/hickoryweir/forwarding/tests/sites.py
+++ b/hickoryweir/forwarding/tests/sites.py
@@ -31,6 +31,8 @@
 # Long enough for the router to read a part by itself.
 PART_INTERVAL_S = 0.02
 SLOW_READER_BUFFER_SIZE_BYTES = 4_096
+HEALTHY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+REQUEST_ID_FIELD = f"\r\n{headers.REQUEST_ID}:".lower().encode()
 LISTENER_KEY = web.RequestKey("listener", asyncio.Server)
 
 
@@ -65,10 +67,15 @@
 
 
 async def start_backend(server_id, answer) -> Backend:
-    """Start a backend server; `answer(request, body)` returns or sends the response."""
+    """Start a backend server; `answer(request, body)` returns or sends the response.
+
+    Health checks, which have no id, are neither recorded nor passed to `answer`.
+    """
     seen = []
 
     async def handle(request):
+        if headers.REQUEST_ID not in request.headers:
+            return web.Response()
         body = await request.read()
         request[LISTENER_KEY] = listener
         seen.append((request, body))
@@ -85,18 +92,31 @@
     """Run backend servers that send the bytes of the next response, then close.
 
     They share the responses and the list of received heads.  A response may be a tuple
-    of parts that are sent apart.  Connections stay open for `open_s` after a response.
+    of parts that are sent apart.  Connections stay open for `open_s` after a response;
+    they are closed at once if no response is left.  Health checks, which have no id,
+    take no response.
     """
     seen, left = [], list(responses)
 
     async def handle(reader, writer):
-        seen.append(await reader.readuntil(b"\r\n\r\n"))
-        response = left.pop(0)
-        for part in response if isinstance(response, tuple) else (response,):
-            writer.write(part)
-            await asyncio.sleep(PART_INTERVAL_S)
-        await asyncio.sleep(open_s)
-        writer.close()
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            if REQUEST_ID_FIELD not in head.lower():
+                writer.write(HEALTHY)
+                return
+            seen.append(head)
+            if not left:
+                return
+            response = left.pop(0)
+            for part in response if isinstance(response, tuple) else (response,):
+                writer.write(part)
+                await asyncio.sleep(PART_INTERVAL_S)
+            await asyncio.sleep(open_s)
+        except asyncio.IncompleteReadError:
+            # The client has closed.
+            return
+        finally:
+            writer.close()
 
     backends = []
     for number in range(count):
--- a/hickoryweir/forwarding/tests/test_large_heads.py
+++ b/hickoryweir/forwarding/tests/test_large_heads.py
@@ -34,7 +34,8 @@
             await release.wait()
             return await sites.answering()(request, body)
 
-        async with sites.run_site([answer]) as site:
+        # A request that may run again is sent twice if its server is silent for long.
+        async with sites.run_site([answer], (sites.at_most_once_route(),)) as site:
             reader, writer = await asyncio.open_connection(sites.HOST, site.port)
             writer.write((START.format(1) + "\r\n").encode())
             await sites.wait_until(lambda: site.backends[0].seen)
