--- a/hickoryweir/entry/tests/test_flooding_servers.py
+++ b/hickoryweir/entry/tests/test_flooding_servers.py
@@ -138,9 +138,9 @@
 
 
 @contextlib.asynccontextmanager
-async def run_router(folder, flood_port, vm=VM):
+async def run_router(folder, flood_port, vm=VM, table=TABLE, answer_sound=None):
     """Run three replicas and a router; yield the router's process and its port."""
-    sound_port = await processes.start_server(HOST, answer)
+    sound_port = await processes.start_server(HOST, answer_sound or answer)
     ports = {"sound": sound_port, "faulty": flood_port}
     entries = [
         {"id": f"{name}-1", "service": name, "address": f"{HOST}:{port}"}
@@ -163,7 +163,7 @@
                     folder, name, role=role, host=host, **values
                 )
             )
-        await wait_until_ready(values["port"], values["ready_port"])
+        await wait_until_ready(values["port"], values["ready_port"], table)
         yield started[-1], values["port"]
     finally:
         processes.SETTINGS = settings
@@ -173,12 +173,12 @@
             await process.wait()
 
 
-async def wait_until_ready(port, ready_port):
+async def wait_until_ready(port, ready_port, table):
     async with aiohttp.ClientSession() as session:
 
         async def put():
             url = f"http://{processes.HOSTS[0]}:{port}/table"
-            async with session.put(url, data=TABLE) as response:
+            async with session.put(url, data=table) as response:
                 return response.status
 
         async def is_ready():
