Bodies without a stated length: the first one always gets on

Uploads stopped each other until half of their route's time was over, and were then refused, although there was room for them one after the other.

Cause, in two forms: the first body without a stated length waited behind a more urgent or older one with a length, which in turn waited for what those behind it held; and bodies that were read up to 128 KiB together took the room that the first one needed to be read whole. Now the first one waits for no other body, is one of which a part is held, and all that are read in part leave room for the largest body, unless none is read.

That a first body which holds nothing could block one that is read in part is by reading.

--- a/hickoryweir/forwarding/held_bytes.py
+++ b/hickoryweir/forwarding/held_bytes.py
@@ -283,12 +283,14 @@
     if not demands:
         return
     sizes_bytes = collections.Counter()
-    ranks = []
+    unknown_size_bytes, ranks = 0, []
     for request in forwarder.open_requests.values():
-        held = request.held
-        sizes_bytes[held.priority] += _held_body_size_bytes(held)
-        if held.body_demand is not None and not held.body_demand.is_length_known:
-            ranks.append(held.body_demand.rank)
+        held, demand = request.held, request.held.body_demand
+        size_bytes = _held_body_size_bytes(held)
+        sizes_bytes[held.priority] += size_bytes
+        if size_bytes and demand is not None and not demand.is_length_known:
+            unknown_size_bytes += size_bytes
+            ranks.append(demand.rank)
     table_limits = forwarder.route_index.table.limits
     found = held_bytes.find_bodies_with_room(
         forwarder.held_limits,
@@ -296,6 +298,7 @@
         demands,
         held_bytes.BODY_COPIES_COUNT * table_limits.max_body_size_bytes,
         min(ranks, default=None),
+        unknown_size_bytes,
     )
     for request, size_bytes in found.items():
         room_size_bytes = size_bytes // held_bytes.BODY_COPIES_COUNT
--- a/hickoryweir/forwarding/tests/test_body_limits.py
+++ b/hickoryweir/forwarding/tests/test_body_limits.py
@@ -12,6 +12,7 @@
 from hickoryweir.forwarding import headers
 from hickoryweir.forwarding.tests import sites
 from hickoryweir.forwarding_policy import held_bytes
+from hickoryweir.routes import matching
 from hickoryweir.routes.tests import tables
 
 BODY = b"x" * 500_000
@@ -24,6 +25,11 @@
 WAIT_S = 3.0
 # More than a body that does not wait behind larger ones; the kernel receives it whole.
 WAITING_SIZE_BYTES = 160_000
+# Room for a few bodies of the largest size beside some that are read in part.
+LARGEST_SIZE_BYTES = 900_000
+MIXED_SIZE_BYTES = 6_000_000
+# As many bodies may wait for it.
+WAITING_COUNT = 12
 # Within which a client that has left is noticed.
 LEFT_S = 0.4
 PRIORITIES = {"urgent": 0, "later": 2}
@@ -64,11 +70,26 @@
         await asyncio.sleep(0)
 
 
+async def slow_chunks():
+    """Yield a body that is read in part, and the rest of it later."""
+    yield bytes(held_bytes.USUAL_BODY_SIZE_BYTES + 1_000)
+    await asyncio.sleep(1.0)
+    yield bytes(LARGEST_SIZE_BYTES // 2)
+
+
 def send(site, name, number, data=BODY):
     given = {headers.REQUEST_ID: f"{name}-{number}"}
     return asyncio.create_task(site.call(path=f"/{name}/x", given=given, data=data))
 
 
+def use_largest_body(forwarder, max_body_size_bytes):
+    """Bring a table with another size of the largest body into force."""
+    table = forwarder.route_index.table
+    limits = dataclasses.replace(table.limits, max_body_size_bytes=max_body_size_bytes)
+    changed = dataclasses.replace(table, limits=limits)
+    forwarder.route_index = matching.make_index(changed)
+
+
 def held_size_bytes(site):
     return held_bytes.BODY_COPIES_COUNT * sum(
         request.held.body_size_bytes
@@ -201,3 +222,47 @@
     assert waiting_count == 0
     assert statuses == {200}
     assert "left" not in run_ids
+
+
+def test_body_with_a_length_and_those_without_do_not_wait_for_each_other():
+    """Guards against a large upload that stops all uploads until its time is over."""
+
+    async def main():
+        async with run_site(MIXED_SIZE_BYTES) as (site, release):
+            release.set()
+            use_largest_body(site.forwarder, LARGEST_SIZE_BYTES)
+            found = []
+            for number in range(WAITING_COUNT):
+                data = slow_chunks()
+                if number == WAITING_COUNT // 2:
+                    data = bytes(LARGEST_SIZE_BYTES)
+                found.append(send(site, "later", number, data))
+                await asyncio.sleep(0.02)
+            done, _ = await asyncio.wait(found, timeout=WAIT_S)
+            statuses = [call.result()[0] for call in done]
+            for call in found:
+                call.cancel()
+            return statuses
+
+    assert asyncio.run(main()) == [200] * WAITING_COUNT
+
+
+def test_bodies_without_a_length_that_are_read_in_part_leave_room_for_one():
+    """Guards against uploads that all wait for each other's room."""
+
+    async def main():
+        async with run_site(MIXED_SIZE_BYTES) as (site, release):
+            release.set()
+            use_largest_body(site.forwarder, LARGEST_SIZE_BYTES)
+            found = []
+            for number in range(CLIENTS_COUNT):
+                found.append(send(site, "urgent", number, slow_chunks()))
+            done, _ = await asyncio.wait(found, timeout=WAIT_S)
+            statuses = [call.result()[0] for call in done]
+            for call in found:
+                call.cancel()
+            return statuses
+
+    statuses = asyncio.run(main())
+    assert len(statuses) == CLIENTS_COUNT
+    assert statuses.count(200) >= CLIENTS_COUNT // 2
--- a/hickoryweir/forwarding_policy/held_bytes.py
+++ b/hickoryweir/forwarding_policy/held_bytes.py
@@ -478,6 +478,7 @@
     demands: Mapping[Hashable, BodyDemand],
     largest_size_bytes: int = 0,
     first_rank: tuple[int, float] | None = None,
+    unknown_size_bytes: int = 0,
 ) -> dict[Hashable, int]:
     """Return the waiting bodies that may be read further now, with what room each has.
 
@@ -485,7 +486,8 @@
     room first, and small ones do not wait behind large ones.  Bodies whose length is
     not known leave the room of the largest body to the first of them, which gets what
     it has received; each other one gets the room of the largest body at once, since
-    many that are read in part would leave room to none.
+    many that are read in part would leave room to none.  The first one waits for no
+    other body that waits, since that one may wait for the room of those behind it.
 
     Parameters
     ----------
@@ -498,7 +500,10 @@
     largest_size_bytes : int, optional
         What the largest body takes.
     first_rank : tuple, optional
-        Rank of the most urgent and oldest body without a stated length that is read.
+        Rank of the most urgent and oldest body without a stated length of which a part
+        is held.
+    unknown_size_bytes : int, optional
+        What all bodies without a stated length take that are being read.
 
     Examples
     --------
@@ -517,27 +522,45 @@
     >>> demands = {"first": first, "second": dataclasses.replace(first, began_at_s=2.0)}
     >>> find_bodies_with_room(limits, {0: 3 * MB}, demands, 4 * MB, first.rank)
     {'first': 2097152}
+    >>> demands |= {"large": BodyDemand(0, 0.0, 0, 9 * MB, is_length_known=True)}
+    >>> find_bodies_with_room(limits, {0: 3 * MB}, demands, 4 * MB, first.rank)
+    {'first': 2097152}
+    >>> new = BodyDemand(0, 3.0, 0, 256 * KB, is_length_known=False)
+    >>> find_bodies_with_room(limits, {}, {"new": new}, 4 * MB, None, MB)
+    {'new': 262144}
+    >>> find_bodies_with_room(limits, {}, {"new": new}, 4 * MB, None, 2 * MB)
+    {}
+    >>> find_bodies_with_room(limits, {}, {"new": new}, 9 * MB)
+    {'new': 262144}
     """
     sizes_bytes = dict(held_sizes_bytes)
     granted, is_blocked = {}, False
     for key in sorted(demands, key=lambda key: demands[key].rank):
         demand, priority = demands[key], demands[key].priority
         is_small = demand.size_bytes <= BODY_COPIES_COUNT * USUAL_BODY_SIZE_BYTES
-        if is_blocked and not is_small:
+        is_first = not demand.is_length_known and demand.rank == first_rank
+        if is_blocked and not (is_small or is_first):
             continue
         own_size_bytes = sizes_bytes.get(priority, 0) - demand.held_size_bytes
         others = sizes_bytes | {priority: own_size_bytes}
         size_bytes = demand.size_bytes
-        if demand.is_length_known or is_small:
+        if demand.is_length_known:
             has_room = fits_body(limits, others, size_bytes, priority)
-        elif demand.rank == first_rank:
+        elif is_first:
             has_room = sum(others.values()) + size_bytes <= limits.bodies_size_bytes
+        elif is_small:
+            left_size_bytes = limits.bodies_size_bytes - largest_size_bytes
+            leaves_room = unknown_size_bytes + size_bytes <= left_size_bytes
+            leaves_room |= not unknown_size_bytes
+            has_room = leaves_room and fits_body(limits, others, size_bytes, priority)
         else:
             size_bytes = largest_size_bytes
             has_room = fits_body(limits, others, 2 * size_bytes, priority)
         if has_room:
             granted[key] = size_bytes
             sizes_bytes[priority] = own_size_bytes + size_bytes
+            if not demand.is_length_known:
+                unknown_size_bytes += size_bytes - demand.held_size_bytes
         elif not is_small:
             is_blocked = True
     return granted
