A stream of large events passes beside floods of lines

Beyond their own budgets, streams share one rate piece by piece. 16 KiB of blank lines are 33 times the work of 16 KiB of a large event, so that each piece of the sound stream waited for one costly piece of each flood: by simulation, 4 MiB beside 40 floods of blank lines were given up after 154 s, beside 4 after 9 s.

test_large_stream_gets_an_equal_part_of_the_shared_rate: 7 of 8 rows failed before.

--- a/hickoryweir/forwarding_policy/stream_pacing.py
+++ b/hickoryweir/forwarding_policy/stream_pacing.py
@@ -6,13 +6,15 @@
 
 Work is counted in bytes, plus a fixed number of bytes for each line.  Each stream has a
 budget of work that refills with time, except while the stream is held back.  Beyond
-it, all streams of a router share a second budget, one piece at a time, so that a large
-event or a long catch-up of a sound server still passes at the shared rate.  A stream
-that goes on in this way, or sends much without any event, is given up.
+it, all streams of a router share a second budget, one piece at a time.  A piece with
+few lines waits only for an equal part of it, so that a large event or a long catch-up
+of a sound server passes beside floods of lines.  A stream that goes on in this way, or
+sends much without any event, is given up.
 """
 
 import dataclasses
 import enum
+import heapq
 
 KIB = 1024
 MIB = 1024 * KIB
@@ -20,6 +22,8 @@
 PIECE_SIZE_BYTES = 16 * KIB
 # Parsing at clients and relays costs about as much for a line as for this many bytes.
 LINE_WORK_BYTES = 32
+# Of a piece with few lines, or of a small one.
+CHEAP_WORK_BYTES = 2 * PIECE_SIZE_BYTES
 # More than a thousand events of a few hundred bytes each second.
 STREAM_RATE_BYTES_PER_S = 512 * KIB
 STREAM_BURST_BYTES = 128 * KIB
@@ -53,9 +57,12 @@
     ----------
     used_until_s : float
         When the work that was granted so far is paid for.
+    held_until_s : list of float
+        A heap of when the streams that are held back go on.
     """
 
     used_until_s: float = float("-inf")
+    held_until_s: list[float] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,7 +77,7 @@
         Work that is left.
     excess_bytes, held_back_s : float
         Work beyond the budget and the time it was held back for, since the budget was
-        last full.
+        last full; for a piece with few lines, without the time of other streams.
     eventless_size_bytes : int
         Bytes of comments and blank lines since the last event.
     """
@@ -124,13 +131,26 @@
     burst_s = SHARED_BURST_BYTES / SHARED_RATE_BYTES_PER_S
     used_until_s = max(shared.used_until_s, now_s - burst_s)
     shared.used_until_s = used_until_s + work_bytes / SHARED_RATE_BYTES_PER_S
-    held_back_s = max(0.0, shared.used_until_s - now_s)
+    held_back_s = own_held_back_s = max(0.0, shared.used_until_s - now_s)
+    if held_back_s:
+        if work_bytes <= CHEAP_WORK_BYTES:
+            own_held_back_s = work_bytes / SHARED_RATE_BYTES_PER_S
+            streams_count = _held_back_count(shared, now_s) + 1
+            held_back_s = min(held_back_s, streams_count * own_held_back_s)
+        heapq.heappush(shared.held_until_s, now_s + held_back_s)
     stream.refilled_at_s = now_s + held_back_s
     stream.excess_bytes += work_bytes
-    stream.held_back_s += held_back_s
+    stream.held_back_s += min(held_back_s, own_held_back_s)
     return held_back_s
 
 
+def _held_back_count(shared: SharedBudget, now_s: float) -> int:
+    """Return how many streams are held back."""
+    while shared.held_until_s and shared.held_until_s[0] <= now_s:
+        heapq.heappop(shared.held_until_s)
+    return len(shared.held_until_s)
+
+
 def _refill(stream: StreamBudget, now_s: float) -> None:
     elapsed_s = max(0.0, now_s - stream.refilled_at_s)
     stream.refilled_at_s = max(now_s, stream.refilled_at_s)
--- a/hickoryweir/forwarding_policy/tests/test_stream_pacing.py
+++ b/hickoryweir/forwarding_policy/tests/test_stream_pacing.py
@@ -1,11 +1,15 @@
 """Tests of the budgets of streams."""
 
+import heapq
+
 import pytest
 
 from hickoryweir.forwarding_policy import stream_pacing
 
 EVENT = b"id: 12\ndata: " + b"x" * 280 + b"\n\n"
 PIECE_SIZE_BYTES = stream_pacing.PIECE_SIZE_BYTES
+# The largest streams of the soak of planned stops.
+LARGE_STREAM_SIZE_BYTES = 4 * stream_pacing.MIB
 FLOODS = {
     "comments": b": ping\n\n",
     "blank lines": b"\n",
@@ -58,6 +62,36 @@
         assert stream_pacing.find_exceeded(stream) is None
 
 
+@pytest.mark.parametrize("count", [4, 40])
+@pytest.mark.parametrize("unit", FLOODS.values(), ids=FLOODS)
+def test_large_stream_gets_an_equal_part_of_the_shared_rate(unit, count):
+    """Guards against a sound stream that waits for the work of faulty ones."""
+    shared, piece = stream_pacing.SharedBudget(), (unit * PIECE_SIZE_BYTES)
+    work_bytes = stream_pacing.work_of(piece[:PIECE_SIZE_BYTES])
+    sound, left_bytes = stream_pacing.StreamBudget(0.0), LARGE_STREAM_SIZE_BYTES
+    due = [
+        (0.0, number, stream_pacing.StreamBudget(0.0, 0.0)) for number in range(count)
+    ]
+    due.append((0.0, count, sound))
+    while True:
+        now_s, number, stream = heapq.heappop(due)
+        is_sound = stream is sound
+        wait_s = stream_pacing.take(
+            stream, shared, PIECE_SIZE_BYTES if is_sound else work_bytes, now_s
+        )
+        if is_sound:
+            assert stream_pacing.find_exceeded(stream) is None
+            left_bytes -= PIECE_SIZE_BYTES
+            if left_bytes <= 0:
+                break
+        elif stream_pacing.find_exceeded(stream) is not None:
+            # Its client calls again.
+            stream = stream_pacing.StreamBudget(now_s + wait_s)
+        heapq.heappush(due, (now_s + max(1e-4, wait_s), number, stream))
+    part_bytes_per_s = stream_pacing.SHARED_RATE_BYTES_PER_S / (count + 1)
+    assert now_s <= LARGE_STREAM_SIZE_BYTES / part_bytes_per_s
+
+
 @pytest.mark.parametrize("count", [1, 4, 40, 400])
 @pytest.mark.parametrize("unit", FLOODS.values(), ids=FLOODS)
 def test_floods_share_a_bounded_rate(unit, count):
