Elections: of two that ask for pre-votes at once, one goes first

Callers: no change is taken for a further election timeout of 0.5 to 1 s after a leader was lost, if the two other replicas ask for votes at the same moment.

Cause: both got the other's pre-vote, became candidates of the same term, voted for themselves and waited for another timeout.

Fix: a pre-candidate refuses the pre-vote of one with a smaller member id and the same log for 0.2 s after it began to ask, while it hears a quorum itself. After that, or without a quorum, it answers as before, so it holds up nobody.

--- a/hickoryweir/replicas/elections.py
+++ b/hickoryweir/replicas/elections.py
@@ -61,12 +61,32 @@
     if has_live_leader(state, now_s) and not request.transfer:
         _respond(state, envelope, False, actions)
     elif request.pre:
-        granted = envelope.term >= state.term and _is_up_to_date(state, request)
+        granted = (
+            envelope.term >= state.term
+            and _is_up_to_date(state, request)
+            and not _goes_first(state, envelope, now_s)
+        )
         _respond(state, envelope, granted, actions)
     else:
         _handle_vote_request(state, envelope, now_s, actions)
 
 
+def _goes_first(state: states.State, envelope: messages.Envelope, now_s: float) -> bool:
+    """Return whether this replica goes first of two that ask for pre-votes at once.
+
+    Otherwise both get them, become candidates of the same term and split the votes.
+    One that hears no quorum itself does not hold up the others.
+    """
+    request: messages.VoteRequest = envelope.body
+    own = (state.log.last_term, state.log.last_index, state.member_id)
+    return (
+        state.role is states.Role.PRE_CANDIDATE
+        and now_s - state.pre_vote_started_s < state.timing.pre_vote_priority_s
+        and _has_heard_from_quorum(state)
+        and own > (request.last_term, request.last_index, envelope.from_id)
+    )
+
+
 def on_vote_response(
     state: states.State, envelope: messages.Envelope, now_s: float, actions: list
 ) -> None:
--- a/hickoryweir/replicas/state.py
+++ b/hickoryweir/replicas/state.py
@@ -60,6 +60,7 @@
     startup_timeout_s: float = 0.2
     max_election_timeout_s: float = 1.0
     pre_vote_grace_s: float = 0.15
+    pre_vote_priority_s: float = 0.2
     disk_stall_timeout_s: float = 1.0
     max_append_count: int = 1024
     max_append_size_bytes: int = 512 * 1024
--- a/hickoryweir/replicas/tests/test_simulation.py
+++ b/hickoryweir/replicas/tests/test_simulation.py
@@ -121,6 +121,24 @@
     assert cluster.run_until_leader(RECOVERY_S, sync_s=0.2, delay_s=0.1)
 
 
+@pytest.mark.parametrize(
+    ("sync_s", "delay_s", "limit_s"), [(0.002, 0.001, 1.0), (0.1, 0.05, 1.5)]
+)
+@pytest.mark.parametrize("seed", range(20))
+def test_replicas_that_reach_each_other_again_soon_elect_a_leader(
+    seed, sync_s, delay_s, limit_s
+):
+    cluster = make_running(seed)
+    cluster.crash(cluster.leader().name)
+    for name in cluster.processes:
+        cluster.isolate(name)
+    # Several timeouts, at the end of which both ask for pre-votes in vain.
+    cluster.run(cluster.random.uniform(1.5, 2.5))
+    cluster.network.clear()
+    cluster.heal()
+    assert cluster.run_until_leader(limit_s, sync_s, delay_s)
+
+
 def test_isolated_replica_campaigns_on_after_thousands_of_terms():
     cluster = make_running()
     isolated = others(cluster)[0]
