Client of the log: refusals without a quorum let the event loop run

Callers: none known on a site; a caller that tries again at once while there is no quorum would stop its whole process. test_refused_writes.py did: it stalled until it was killed, in about 1 of 65 runs.

Cause: without a quorum `propose` returned without ever yielding to the event loop. The test repeats a refused change at once, so that neither the replicas of the same process nor the test's time limit of 5 s could run.

Evidence: 65 and some 85 runs in a loop, loads of 17 to 46: two stalled (120 and 60 s). The stacks of the second show the event loop starved: the test's main task is running at change_until_acknowledged, all nodes are at their queues with timers that are due.

Fix: a refusal without a quorum yields once.

Test: test_refusals_without_a_quorum_do_not_hold_up_the_event_loop fails on the code before.

--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -279,6 +279,8 @@
                     await self._poll()
                 if self.reachability is reachability.Reachability.NO_QUORUM:
                     self._start_probing()
+                    # Callers that try again at once must not hold up the event loop.
+                    await asyncio.sleep(0)
                     return _unavailable(Reason.NO_QUORUM, may_commit)
                 continue
             if self.reachability is reachability.Reachability.ELECTION:
--- a/hickoryweir/replicas/tests/test_channels.py
+++ b/hickoryweir/replicas/tests/test_channels.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from hickoryweir.replicas import channels, wire
+from hickoryweir.replicas import channels, client, reachability, wire
 from hickoryweir.streams import handshake, hub
 
 CONNECT_TIMEOUT_S = 5.0
@@ -71,3 +71,18 @@
     answers, are_closed = asyncio.run(main())
     assert all(isinstance(answer, wire.ChangeAnswered) for answer in answers)
     assert are_closed == [True, True]
+
+
+def test_refusals_without_a_quorum_do_not_hold_up_the_event_loop():
+    async def main():
+        replica = wire.ReplicaAddress("replica", HOST, 1, "a")
+        log = client.make_client(handshake.Identity("test", "client", "a"), (replica,))
+        log.reachability = reachability.Reachability.NO_QUORUM
+        has_run = asyncio.Event()
+        asyncio.get_running_loop().call_soon(has_run.set)
+        outcome = await log.propose(wire.StatusRequest(0), CONNECT_TIMEOUT_S)
+        was_run = has_run.is_set()
+        await log.close()
+        return outcome.failure().reason, was_run
+
+    assert asyncio.run(main()) == (client.Reason.NO_QUORUM, True)
