Revert "Replicas: replace a lost voter sooner beside a successor that counts"

One of three voters was killed and about to return, another lost its disk; between the two the leader had begun to remove the killed one. The removal was in force but could not be committed, and the two voters that it left were the leader and the replica without a disk. With 1.5 s a restart is seldom that long, though the order (removal, then promotion) has the same gap.

The gap that narrowed is open again: a voter removed for good without SIGTERM beside a successor that has caught up keeps its vote for 1.5 s, up to about 3 s if it led.

--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -19,9 +19,6 @@
 CHECK_INTERVAL_S = 0.1
 # Three election timeouts: a member that merely restarts responds before that.
 UNREACHABLE_AFTER_S = 1.5
-# One and a half election timeouts, with a successor that counts towards the tolerance:
-# the next loss may follow at once, and a replica that restarts returns as a learner.
-REPLACED_AFTER_S = 0.75
 # An unreachable learner costs only messages; ten seconds are longer than a restart.
 LEARNER_REMOVED_AFTER_S = 10.0
 # Longer than two elections, so that a replica does not ask for admission during one.
@@ -100,11 +97,10 @@
     has_surplus = len(voters) > voters_wanted_count
     if not caught_up and not has_surplus:
         return None
-    steady = [view for view in caught_up if not view.yields]
-    limit_s = REPLACED_AFTER_S if has_surplus or steady else UNREACHABLE_AFTER_S
-    lost = _find_lost_voter(others, caught_up, limit_s)
+    lost = _find_lost_voter(others, caught_up)
     if lost is not None:
         return _change(wire.Change.REMOVE, lost.member)
+    steady = [view for view in caught_up if not view.yields]
     successor = _find_successor(views, own_id) if has_surplus or steady else None
     if successor is not None:
         return _change(wire.Change.TRANSFER, successor.member)
@@ -122,13 +118,15 @@
 
 
 def _find_lost_voter(
-    others: list[MemberView], caught_up: list[MemberView], limit_s: float
+    others: list[MemberView], caught_up: list[MemberView]
 ) -> MemberView | None:
     names = {messages.replica_name_of(view.member.member_id) for view in caught_up}
     for view in others:
         if messages.replica_name_of(view.member.member_id) in names:
             return view
-    unreachable = [view for view in others if view.since_contact_s > limit_s]
+    unreachable = [
+        view for view in others if view.since_contact_s > UNREACHABLE_AFTER_S
+    ]
     return max(unreachable, key=lambda view: view.since_contact_s, default=None)
 
 
--- a/hickoryweir/replicas/elections.py
+++ b/hickoryweir/replicas/elections.py
@@ -210,24 +210,11 @@
     state.transfer_target = ""
     state.term_start_index = state.log.last_index + 1
     replication.track_members(state, now_s)
-    _record_silence_of_former_leader(state, now_s)
     kind = messages.EntryKind.NOOP
     replication.append_as_leader(state, kind, (b"",), 0.0, now_s, actions)
     replication.broadcast_heartbeat(state, now_s, actions)
 
 
-def _record_silence_of_former_leader(state: states.State, now_s: float) -> None:
-    """Count the silence of the former leader from before the election.
-
-    Only up to an election timeout, so that one that is not lost can still respond.
-    """
-    progress = state.progress.get(state.former_leader_id)
-    if progress is not None and state.former_leader_id not in state.votes:
-        oldest_s = now_s - state.timing.election_timeout_s
-        progress.last_contact_s = max(state.last_leader_contact_s, oldest_s)
-    state.former_leader_id = ""
-
-
 def _is_up_to_date(state: states.State, request: messages.VoteRequest) -> bool:
     theirs = (request.last_term, request.last_index)
     return theirs >= (state.log.last_term, state.log.last_index)
--- a/hickoryweir/replicas/roles.py
+++ b/hickoryweir/replicas/roles.py
@@ -69,7 +69,7 @@
         raise AssertionError("two leaders in one term")
     if state.role is not states.Role.FOLLOWER:
         become_follower(state, envelope.term, now_s, actions)
-    state.leader_id = state.former_leader_id = envelope.from_id
+    state.leader_id = envelope.from_id
     state.has_known_leader = True
     state.terms_without_leader_count = 0
     state.last_leader_contact_s = now_s
--- a/hickoryweir/replicas/state.py
+++ b/hickoryweir/replicas/state.py
@@ -159,7 +159,6 @@
     voted_for: str = ""
     role: Role = Role.FOLLOWER
     leader_id: str = ""
-    former_leader_id: str = ""
     has_known_leader: bool = False
     terms_without_leader_count: int = 0
     log: Log = dataclasses.field(default_factory=Log)
