--- a/hickoryweir/replicas/tests/test_final_losses.py
+++ b/hickoryweir/replicas/tests/test_final_losses.py
@@ -88,6 +88,17 @@
     cluster.counted.discard(name)
 
 
+def lose_long_joined(cluster):
+    """Lose a replica for good, without a stop, beside one that has run for long."""
+    name = cluster.random.choice(sorted(cluster.counted))
+    cluster.counted.add(f"{name}-new")
+    cluster.add_machine(f"{name}-new")
+    put_for(cluster, managed_simulation.CATCH_UP_S + draw_lead_s(cluster))
+    cluster.random.choice((cluster.lose_power, cluster.kill))(name)
+    cluster.remove_machine(name)
+    cluster.counted.discard(name)
+
+
 def replace_after_loss(cluster):
     """Lose a replica for good; an empty one comes at another address later."""
     name = cluster.random.choice(sorted(cluster.counted))
@@ -307,3 +318,14 @@
     monkeypatch.setattr(simulation.Simulation, "_execute", execute_early)
     with pytest.raises(AssertionError, match="two entries committed"):
         play(seed, ["nothing"])
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_acknowledged_tables_survive_the_loss_of_a_replica_beside_its_successor(seed):
+    cluster = SpreadSimulation(seed)
+    cluster.advance(2.0)
+    lose_long_joined(cluster)
+    put_for(cluster, cluster.random.uniform(0.0, 0.3))
+    lose_finally(cluster)
+    check_recovery(cluster)
+    assert cluster.acknowledged
