--- a/hickoryweir/entry/tests/test_flooding_servers.py
+++ b/hickoryweir/entry/tests/test_flooding_servers.py
@@ -351,7 +351,8 @@
             )
             peak = peak_mb(router) if router.returncode is None else math.inf
             if clients is not None:
-                clients.kill()
+                with contextlib.suppress(ProcessLookupError):
+                    clients.kill()
                 await clients.wait()
             return outcomes, small, peak
 
