Test of a replica that is lost beside its successor, with processes

Callers saw that an acknowledged table could not be read after the last fault. Three replicas in a zone each; a fourth one joins in the zone of one of them and runs for 4 s; the older one is killed for good; 0 or 0.6 s later a table is acknowledged, all replicas are killed, and one of the two others loses its disk.

The soak's replicas get an availability zone each if asked.

--- a/hickoryweir/entry/tests/test_lost_disks.py
+++ b/hickoryweir/entry/tests/test_lost_disks.py
@@ -14,6 +14,8 @@
 # Within this time after the last fault the table is read.
 RECOVERY_S = 12.0
 START_TIMEOUT_S = 60.0
+# Three replicas in a zone each, and one that joins in the zone of the one it succeeds.
+SEED_ZONES = ("a", "b", "c")
 # Longer than it takes until a spare replica votes in place of one that is down.
 ABSENT_S = 3.0
 READ_TIMEOUT_S = 1.0
@@ -139,3 +141,30 @@
             await clusters.stop_all(cluster)
 
     assert asyncio.run(main()) == 2
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.6])
+@pytest.mark.parametrize("lost", range(clusters.SEEDS_COUNT))
+def test_table_is_read_after_a_replica_beside_its_successor_and_a_disk_are_lost(
+    tmp_path, lost, delay_s
+):
+    async def main():
+        zones = (*SEED_ZONES, SEED_ZONES[lost])
+        other = (lost + 1) % len(SEED_ZONES)
+        cluster = await clusters.start_cluster(
+            tmp_path, ROUTERS_COUNT, replica_zones=zones, started_count=len(SEED_ZONES)
+        )
+        try:
+            await put(cluster, 1)
+            await wait_until_listening(cluster, cluster.replicas[: len(SEED_ZONES)])
+            await launch(cluster, [cluster.replicas[-1]])
+            await asyncio.sleep(CATCH_UP_S)
+            clusters.kill(cluster.replicas[lost])
+            await asyncio.sleep(delay_s)
+            await put(cluster, 2)
+            await lose_disk_and_power(cluster, cluster.replicas[other])
+            return await read_newest(cluster, RECOVERY_S)
+        finally:
+            await clusters.stop_all(cluster)
+
+    assert asyncio.run(main()) == 2
--- a/hickoryweir/testing/soak/cluster.py
+++ b/hickoryweir/testing/soak/cluster.py
@@ -76,6 +76,8 @@
         none if it connects to them itself.
     opens_early : bool
         Whether it opens the clients' port before its imports.
+    zone : str
+        Its availability zone.
     """
 
     role: str
@@ -86,6 +88,7 @@
     log_start_bytes: int = 0
     links: dict[str, proxies.Proxy] = dataclasses.field(default_factory=dict)
     opens_early: bool = False
+    zone: str = ZONE
 
     @property
     def links_path(self) -> pathlib.Path:
@@ -127,11 +130,17 @@
 
 
 async def start_cluster(
-    folder: pathlib.Path, routers_count: int, has_links: bool = False
+    folder: pathlib.Path,
+    routers_count: int,
+    has_links: bool = False,
+    replica_zones: tuple[str, ...] = (ZONE,) * REPLICAS_COUNT,
+    started_count: int = REPLICAS_COUNT,
 ) -> Cluster:
     """Start backend servers, replicas and routers, without waiting for readiness.
 
-    With `has_links`, the processes connect to replicas through proxies.
+    With `has_links`, the processes connect to replicas through proxies.  Of the
+    replicas, which are in the zones of `replica_zones`, the first `started_count` are
+    started.
     """
     servers = [await backends.start(f"s{number}") for number in range(SERVERS_COUNT)]
 
@@ -143,9 +152,8 @@
     port, ready_port, peer_port, metrics_port = (
         entry_vms.free_port() for _ in range(4)
     )
-    hosts = [f"127.0.2.{number + 1}" for number in range(REPLICAS_COUNT)]
+    hosts = [f"127.0.2.{number + 1}" for number in range(len(replica_zones))]
     values = {
-        "zone": ZONE,
         "port": port,
         "ready_port": ready_port,
         "peer_port": peer_port,
@@ -155,7 +163,10 @@
         "grace_s": GRACE_S,
         "extra_count": 100,
     }
-    replicas = [Member("replica", host, folder / host) for host in hosts]
+    replicas = [
+        Member("replica", host, folder / host, zone=zone)
+        for host, zone in zip(hosts, replica_zones, strict=True)
+    ]
     routers = [
         Member("router", f"127.0.3.{number + 1}", folder / f"router-{number + 1}")
         for number in range(routers_count)
@@ -166,7 +177,8 @@
         write_settings(cluster, member)
         if has_links:
             await make_links(cluster, member)
-        launch(member)
+        if member not in replicas[started_count:]:
+            launch(member)
     return cluster
 
 
@@ -191,7 +203,8 @@
 
 def write_settings(cluster: Cluster, member: Member, **changes) -> None:
     """Write a member's settings file."""
-    values = {"memory_mb": 0, "is_in_fault_budget": "yes"} | cluster.values | changes
+    values = {"memory_mb": 0, "is_in_fault_budget": "yes"} | cluster.values
+    values |= {"zone": member.zone} | changes
     text = SETTINGS.format(
         role=member.role, host=member.host, folder=member.folder / "data", **values
     )
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -276,7 +276,6 @@
     ports = [entry_vms.free_port() for _ in range(4)]
     names = ("port", "ready_port", "peer_port", "metrics_port")
     values = dict(zip(names, ports, strict=True)) | {
-        "zone": clusters.ZONE,
         "seeds": ", ".join(f"{host}:{ports[0]}" for host in hosts),
         "list_address": list_address,
         "grace_s": stop_records.GRACE_S,
