Replicas: a successor takes over the vote of an older replica while both live

Callers could not read an acknowledged table: a replica that had joined and counted stayed a learner while the replica that it succeeded kept its vote until it had been silent for 1.5 s (3 s if it led). The older one may be lost for good without SIGTERM from then on, and one more disk with it; the two remaining replicas then held everything and had one vote of three.

Cause: a vote rested on a machine that may be gone at no cost. Now the leader lets a learner take over the vote of an older voter as soon as it has caught up, in single changes: transfer if the older one leads, promotion, demotion to a learner. Older is by the index of the first known membership that contains a replica, so the vote does not return.

Without the take-over the test finds the fault.

Ruled out: removal after a shorter silence, which leaves no quorum when it is in force and not committed.

--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -6,6 +6,10 @@
 :mod:`hickoryweir.replicas.replacement`: learner, removal, promotion.  A voter that is
 moved between zones has not been lost, so there the promotion comes before the removal,
 as it does for a voter that is about to stop.
+
+A replica that joins takes over the vote of an older one as soon as it has caught up,
+while both are live.  The older one may be lost for good from then on, at the same
+moment as one more disk.
 """
 
 import asyncio
@@ -48,6 +52,8 @@
         Whether it is about to stop.
     yields : bool
         Whether it votes only where others are missing.
+    joined_index : int
+        Index of the first known membership that contains it.
     """
 
     member: messages.Member
@@ -55,6 +61,7 @@
     since_contact_s: float
     is_leaving: bool = False
     yields: bool = False
+    joined_index: int = 0
 
 
 def next_change(
@@ -75,6 +82,10 @@
     voter, and gives it back to one that doesn't yield once that has caught up.  A
     leader that has to be removed lets another voter lead first.
 
+    A learner that counts takes over the vote of an older voter (`_find_superseded`):
+    promotion, then demotion, with a transfer before if the older one leads.  A demoted
+    voter stays a learner; it is older than its successor, so the vote does not return.
+
     Parameters
     ----------
     views : tuple of MemberView
@@ -101,12 +112,19 @@
     if lost is not None:
         return _change(wire.Change.REMOVE, lost.member)
     steady = [view for view in caught_up if not view.yields]
-    successor = _find_successor(views, own_id) if has_surplus or steady else None
+    superseding = _find_superseding_learner(others, voters, steady)
+    leaves_soon = None
+    if has_surplus:
+        leaves_soon = _find_surplus_voter(others, voters)
+    elif superseding is not None:
+        leaves_soon = _find_superseded(superseding, voters)
+    own = next(view for view in views if view.member.member_id == own_id)
+    has_to_transfer = (own.yields and (has_surplus or steady)) or leaves_soon is own
+    successor = _find_successor(others) if has_to_transfer else None
     if successor is not None:
         return _change(wire.Change.TRANSFER, successor.member)
     if has_surplus:
-        surplus = _find_surplus_voter(others, voters)
-        return None if surplus is None else _change(wire.Change.REMOVE, surplus.member)
+        return _reduce_voters(others, voters, leaves_soon)
     is_incomplete = len(voters) < voters_wanted_count
     is_leaving = any(view.is_leaving for view in others)
     gives_back = bool(steady) and _can_give_back(others)
@@ -114,6 +132,8 @@
     if is_incomplete or is_leaving or gives_back or is_unbalanced:
         learner = _choose_learner(caught_up, voters)
         return _change(wire.Change.PROMOTE, learner.member)
+    if superseding is not None:
+        return _change(wire.Change.PROMOTE, superseding.member)
     return None
 
 
@@ -130,17 +150,59 @@
     return max(unreachable, key=lambda view: view.since_contact_s, default=None)
 
 
-def _find_successor(views: tuple[MemberView, ...], own_id: str) -> MemberView | None:
-    """Return the voter that should lead instead of a leader that yields, if any."""
-    if not any(view.member.member_id == own_id and view.yields for view in views):
-        return None
-    for view in views:
+def _find_successor(others: list[MemberView]) -> MemberView | None:
+    """Return the voter that should lead instead of the leader, if any."""
+    for view in others:
         is_steady = not view.yields and not view.is_leaving
-        if view.member.voter and view.is_caught_up and is_steady:
+        if view.is_caught_up and is_steady:
             return view
     return None
 
 
+def _find_superseding_learner(
+    others: list[MemberView], voters: list[MemberView], steady: list[MemberView]
+) -> MemberView | None:
+    """Return a learner that takes over the vote of an older voter, if any.
+
+    Nothing is taken over while a voter lags: the group of one more voter would tolerate
+    no loss.
+    """
+    if not all(view.is_caught_up for view in others):
+        return None
+    for view in sorted(steady, key=lambda view: view.joined_index, reverse=True):
+        if _find_superseded(view, voters) is not None:
+            return view
+    return None
+
+
+def _find_superseded(
+    newcomer: MemberView, voters: list[MemberView]
+) -> MemberView | None:
+    """Return the older voter whose vote a newcomer takes over, if any.
+
+    Which replica will be removed is not known.  A successor usually comes in the same
+    availability zone; where the zone has no other voter, it replaces the oldest one of
+    a zone with the most voters.
+    """
+    zone = newcomer.member.availability_zone
+    older = [view for view in voters if view.joined_index < newcomer.joined_index]
+    near = [view for view in older if view.member.availability_zone == zone]
+    if near:
+        return min(near, key=lambda view: (view.joined_index, view.member.member_id))
+    zones = [view.member.availability_zone for view in voters if view is not newcomer]
+    if zone in zones:
+        return None
+    return max(
+        older,
+        key=lambda view: (
+            zones.count(view.member.availability_zone),
+            -view.joined_index,
+            view.member.member_id,
+        ),
+        default=None,
+    )
+
+
 def _can_give_back(others: list[MemberView]) -> bool:
     """Return whether a voter yields while no voter lags.
 
@@ -198,23 +260,58 @@
     )
 
 
+def _reduce_voters(
+    others: list[MemberView], voters: list[MemberView], surplus: MemberView | None
+) -> wire.ChangeRequest | None:
+    """Return the change that makes a group that is too large smaller, once none lags.
+
+    The lag of the voter that leaves, or of one that is about to stop, doesn't matter.
+    A voter that a newer one supersedes stays as a learner.
+    """
+    if surplus not in others:
+        return None
+    remaining = [view for view in others if view is not surplus]
+    if not all(view.is_caught_up or view.is_leaving for view in remaining):
+        return None
+    is_superseded = _find_newest(voters) is not None
+    is_demoted = is_superseded and not surplus.is_leaving and not surplus.yields
+    change = wire.Change.DEMOTE if is_demoted else wire.Change.REMOVE
+    return _change(change, surplus.member)
+
+
+def _find_newest(voters: list[MemberView]) -> MemberView | None:
+    """Return the voter that joined after all others; None if that is not known."""
+    newest = max(voters, key=lambda view: view.joined_index)
+    is_only = sum(view.joined_index == newest.joined_index for view in voters) == 1
+    return newest if is_only else None
+
+
 def _find_surplus_voter(
     others: list[MemberView], voters: list[MemberView]
 ) -> MemberView | None:
-    """Return the voter to remove from a group that is too large, once none lags.
+    """Return the voter that leaves a group that is too large.
 
-    A voter that is about to stop is removed first, and its own lag doesn't matter; then
-    one that yields.
+    A voter that is about to stop is the first, then one that yields, then the oldest
+    one of a zone with the most voters.  Of such zones, that of the newest voter
+    precedes the others.  The leader may be chosen only if another voter is the newest
+    one.
     """
-    if not all(view.is_caught_up or view.is_leaving for view in others):
-        return None
+    newest = _find_newest(voters)
+    candidates = others
+    if newest is not None and not any(
+        view.is_leaving or view.yields for view in others
+    ):
+        candidates = [view for view in voters if view is not newest]
     zones = [view.member.availability_zone for view in voters]
+    newest_zone = "" if newest is None else newest.member.availability_zone
     return max(
-        others,
+        candidates,
         key=lambda view: (
             view.is_leaving,
             view.yields,
             zones.count(view.member.availability_zone),
+            view.member.availability_zone == newest_zone,
+            -view.joined_index,
             view.member.member_id,
         ),
         default=None,
@@ -239,8 +336,11 @@
         is_caught_up = membership.is_caught_up(state, member.member_id, now_s)
         is_leaving = member.member_id in leaving_ids
         yields = member.member_id in yielding_ids
+        joined_index = state.joined_indexes.get(member.member_id, 0)
         views.append(
-            MemberView(member, is_caught_up, since_contact_s, is_leaving, yields)
+            MemberView(
+                member, is_caught_up, since_contact_s, is_leaving, yields, joined_index
+            )
         )
     return tuple(views)
 
--- a/hickoryweir/replicas/membership.py
+++ b/hickoryweir/replicas/membership.py
@@ -67,6 +67,24 @@
     _append_if_quorum(state, others, event.time_s, now_s, actions)
 
 
+def demote_voter(
+    state: states.State, event: states.VoterDemoted, now_s: float, actions: list
+) -> None:
+    """Start making a voter a learner; a leader must transfer leadership first."""
+    member = state.membership.find(event.member_id)
+    refusal = _common_refusal(state)
+    if member is None or not member.voter:
+        refusal = refusal or states.ChangeRefusal.UNKNOWN_MEMBER
+    elif event.member_id == state.member_id:
+        refusal = refusal or states.ChangeRefusal.IS_LEADER
+    if refusal is not None:
+        actions.append(states.ChangeRefused(refusal))
+        return
+    learner = dataclasses.replace(member, voter=False)
+    others = _members_without(state, event.member_id)
+    _append_if_quorum(state, (*others, learner), event.time_s, now_s, actions)
+
+
 def is_caught_up(state: states.State, member_id: str, now_s: float) -> bool:
     """Return whether a member responds and holds all committed entries."""
     progress = state.progress.get(member_id)
--- a/hickoryweir/replicas/raft.py
+++ b/hickoryweir/replicas/raft.py
@@ -56,7 +56,7 @@
     state.voted_for = voted_for
     if snapshot is not None:
         state.snapshot = snapshot
-        state.memberships = [(snapshot.index, snapshot.membership)]
+        quorums.reset_memberships(state, snapshot)
         state.commit_index = state.applied_index = snapshot.index
         state.log.reset(snapshot.index, snapshot.term)
     newer = tuple(entry for entry in entries if entry.index > state.log.last_index)
@@ -122,6 +122,8 @@
             membership.promote_learner(state, event, now_s, actions)
         case states.MemberRemoved():
             membership.remove_member(state, event, now_s, actions)
+        case states.VoterDemoted():
+            membership.demote_voter(state, event, now_s, actions)
         case states.TransferRequested():
             transfer.request_transfer(state, event, now_s, actions)
         case states.SnapshotTaken():
--- a/hickoryweir/replicas/requests.py
+++ b/hickoryweir/replicas/requests.py
@@ -251,5 +251,7 @@
             return states.LearnerPromoted(member.member_id, time_s)
         case wire.Change.REMOVE:
             return states.MemberRemoved(member.member_id, time_s)
+        case wire.Change.DEMOTE:
+            return states.VoterDemoted(member.member_id, time_s)
         case wire.Change.TRANSFER:
             return states.TransferRequested(member.member_id)
--- a/hickoryweir/replicas/state.py
+++ b/hickoryweir/replicas/state.py
@@ -150,7 +150,11 @@
 
 @dataclasses.dataclass(slots=True)
 class State:
-    """The Raft state of one replica; owned by one task."""
+    """The Raft state of one replica; owned by one task.
+
+    `joined_indexes` has, for each member, the index of the first known membership that
+    contains it.  What a snapshot covers is not known further back.
+    """
 
     member_id: str
     timing: Timing
@@ -166,6 +170,7 @@
     memberships: list[tuple[int, messages.Membership]] = dataclasses.field(
         default_factory=list
     )
+    joined_indexes: dict[str, int] = dataclasses.field(default_factory=dict)
     commit_index: int = 0
     applied_index: int = 0
     persisted_index: int = 0
@@ -256,6 +261,14 @@
     time_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VoterDemoted:
+    """A voter is to become a learner."""
+
+    member_id: str
+    time_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TransferRequested:
     """Leadership is to be transferred; an empty id means the most up-to-date voter."""
@@ -292,6 +305,7 @@
     | LearnerAdded
     | LearnerPromoted
     | MemberRemoved
+    | VoterDemoted
     | TransferRequested
     | SnapshotTaken
     | Bootstrapped
--- a/hickoryweir/replicas/tests/test_automation.py
+++ b/hickoryweir/replicas/tests/test_automation.py
@@ -1,6 +1,7 @@
 """Automatic membership changes."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -21,11 +22,14 @@
     number=1,
     leaving=False,
     yields=False,
+    joined=0,
 ):
     member = messages.Member(
         messages.make_member_id(name, f"{number}"), f"{name}:1", zone, voter
     )
-    return automation.MemberView(member, caught_up, since_contact_s, leaving, yields)
+    return automation.MemberView(
+        member, caught_up, since_contact_s, leaving, yields, joined
+    )
 
 
 def decide(*views, wanted_count=3):
@@ -189,6 +193,107 @@
     assert decide(view("a"), view("b"), lagging, learner) is None
 
 
+SPREAD = (view("a", zone="a"), view("b", zone="b"), view("c", zone="c"))
+
+
+def test_learner_takes_over_the_vote_of_the_older_voter_of_its_zone():
+    newcomer = view("d", voter=False, zone="b", joined=9)
+    assert decide(*SPREAD, newcomer) == (
+        wire.Change.PROMOTE,
+        newcomer.member.member_id,
+    )
+    assert decide(*SPREAD, view("d", zone="b", joined=9)) == (
+        wire.Change.DEMOTE,
+        SPREAD[1].member.member_id,
+    )
+
+
+def test_vote_does_not_return_to_the_older_replica():
+    voters = (SPREAD[0], view("d", zone="b", joined=9), SPREAD[2])
+    assert decide(*voters, view("b", voter=False, zone="b")) is None
+
+
+def test_leader_whose_vote_is_taken_over_lets_another_voter_lead_first():
+    newcomer = view("d", voter=False, zone="a", joined=9)
+    transfer = (wire.Change.TRANSFER, SPREAD[1].member.member_id)
+    assert decide(*SPREAD, newcomer) == transfer
+    assert decide(*SPREAD, view("d", zone="a", joined=9)) == transfer
+
+
+def test_vote_is_not_taken_over_while_a_voter_lags():
+    lagging = view("c", zone="c", caught_up=False, since_contact_s=0.2)
+    voters = (*SPREAD[:2], lagging)
+    assert decide(*voters, view("d", voter=False, zone="b", joined=9)) is None
+    assert decide(*voters, view("d", zone="b", joined=9)) is None
+
+
+def test_older_voter_that_lags_is_demoted_beside_its_successor():
+    lagging = view("b", zone="b", caught_up=False, since_contact_s=0.2)
+    voters = (SPREAD[0], lagging, SPREAD[2])
+    assert decide(*voters, view("d", zone="b", joined=9)) == (
+        wire.Change.DEMOTE,
+        lagging.member.member_id,
+    )
+
+
+def test_vote_is_taken_over_neither_by_a_learner_that_yields_nor_by_one_that_stops():
+    spare = view("d", voter=False, zone="b", joined=9, yields=True)
+    stopping = view("d", voter=False, zone="b", joined=9, leaving=True)
+    assert decide(*SPREAD, spare) is None
+    assert decide(*SPREAD, stopping) is None
+
+
+def test_learner_of_a_zone_with_newer_voters_takes_over_no_vote():
+    voters = (SPREAD[0], view("d", zone="b", joined=9), SPREAD[2])
+    assert decide(*voters, view("e", voter=False, zone="b", joined=5)) is None
+
+
+def test_newcomer_of_a_zone_without_voters_takes_over_the_oldest_vote():
+    voters = (view("a", zone="a", joined=3), SPREAD[1], view("c", zone="c", joined=2))
+    assert decide(*voters, view("d", zone="d", joined=9)) == (
+        wire.Change.DEMOTE,
+        SPREAD[1].member.member_id,
+    )
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_changes_of_members_that_stay_come_to_an_end(seed):
+    generator = random.Random(seed)
+    # Members join one at a time; nothing is known before the oldest membership.
+    joined = [max(index, generator.randint(0, 5)) for index in range(7)]
+    generator.shuffle(joined)
+    members = [
+        view(
+            f"r{number}",
+            voter=number < 3,
+            zone=generator.choice("abcd"),
+            joined=joined[number],
+            yields=generator.random() < 0.2,
+        )
+        for number in range(generator.randint(3, 7))
+    ]
+    for _ in range(4 * len(members)):
+        decided = decide(*members)
+        if decided is None:
+            break
+        members = apply_change(members, *decided)
+        voters_count = sum(item.member.voter for item in members)
+        assert 3 <= voters_count <= 4
+    else:
+        pytest.fail("the members change without end")
+
+
+def apply_change(members, change, member_id):
+    """Return the members after a change, the leader first; all of them respond."""
+    changed = next(item for item in members if item.member.member_id == member_id)
+    others = [item for item in members if item is not changed]
+    if change is wire.Change.TRANSFER:
+        return [changed, *others]
+    is_voter = change is wire.Change.PROMOTE
+    member = dataclasses.replace(changed.member, voter=is_voter)
+    return [*others, dataclasses.replace(changed, member=member)]
+
+
 @pytest.mark.parametrize(
     ("voters", "learners"),
     [
--- a/hickoryweir/replicas/tests/test_final_losses.py
+++ b/hickoryweir/replicas/tests/test_final_losses.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from hickoryweir.replicas import automation
 from hickoryweir.replicas import state as states
 from hickoryweir.replicas.tests import managed_simulation, simulation
 
@@ -99,6 +100,43 @@
     cluster.counted.discard(name)
 
 
+def lose_at_once(cluster, name):
+    """Lose a replica for good without a stop."""
+    cluster.random.choice((cluster.lose_power, cluster.kill))(name)
+
+
+def lose_frozen(cluster, name):
+    """Lose a replica for good that has been frozen for a while."""
+    cluster.frozen.add(name)
+    put_for(cluster, cluster.random.uniform(0.0, 1.5))
+    cluster.lose_power(name)
+
+
+def lose_as_its_disk_hangs(cluster, name):
+    """Lose a replica for good whose disk hangs when it is told to stop."""
+    cluster.hangs_until_s[name] = cluster.now_s + managed_simulation.STOP_LIMIT_S
+    cluster.stop_as_planned(name)
+
+
+LOSSES = {
+    function.__name__: function
+    for function in (lose_at_once, lose_frozen, lose_as_its_disk_hangs)
+}
+
+
+def lose_beside_successor(cluster, loss, leads=False):
+    """Lose a replica, perhaps the leader, whose successor has just begun to count."""
+    name = cluster.random.choice(sorted(cluster.counted))
+    if leads:
+        name = cluster.leader().name
+    cluster.add_machine(f"{name}-new")
+    cluster.counted.add(f"{name}-new")
+    put_for(cluster, managed_simulation.CATCH_UP_S + cluster.random.choice((0, 0.1, 1)))
+    LOSSES[loss](cluster, name)
+    cluster.remove_machine(name)
+    cluster.counted.discard(name)
+
+
 def replace_after_loss(cluster):
     """Lose a replica for good; an empty one comes at another address later."""
     name = cluster.random.choice(sorted(cluster.counted))
@@ -329,3 +367,51 @@
     lose_finally(cluster)
     check_recovery(cluster)
     assert cluster.acknowledged
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("delay_s", [0.0, 0.1, 0.3, 0.6, 1.0, 2.0, 3.0])
+@pytest.mark.parametrize("leads", [False, True])
+@pytest.mark.parametrize("loss", LOSSES)
+def test_acknowledged_tables_survive_losses_at_any_time_after_that_of_a_replica(
+    loss, leads, delay_s, seed
+):
+    assert play_beside_successor(seed, loss, leads, delay_s).acknowledged
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_acknowledged_tables_survive_two_losses_beside_successors_in_series(seed):
+    assert play_two_beside_successors(seed).acknowledged
+
+
+def play_beside_successor(seed, loss, leads, delay_s):
+    cluster = SpreadSimulation(seed)
+    cluster.advance(2.0)
+    lose_beside_successor(cluster, loss, leads)
+    put_for(cluster, delay_s)
+    lose_finally(cluster)
+    check_recovery(cluster)
+    return cluster
+
+
+def play_two_beside_successors(seed):
+    cluster = SpreadSimulation(seed)
+    cluster.advance(2.0)
+    for _ in range(2):
+        loss = cluster.random.choice(sorted(LOSSES))
+        lose_beside_successor(cluster, loss, leads=cluster.random.random() < 0.5)
+        put_for(cluster, cluster.random.uniform(0.0, 1.0))
+    lose_finally(cluster)
+    check_recovery(cluster)
+    return cluster
+
+
+@pytest.mark.parametrize("seed", [0, 1, 3])
+def test_vote_that_stays_with_a_lost_replica_is_found(seed, monkeypatch):
+    monkeypatch.setattr(automation, "_find_superseding_learner", lambda *_: None)
+    cluster = SpreadSimulation(seed)
+    cluster.advance(2.0)
+    lose_long_joined(cluster)
+    lose_finally(cluster)
+    with pytest.raises(AssertionError):
+        check_recovery(cluster)
--- a/hickoryweir/replicas/wire.py
+++ b/hickoryweir/replicas/wire.py
@@ -28,12 +28,14 @@
 
     With `LEAVE` a voter that is about to stop asks to be replaced by a learner.  It is
     answered with an empty refusal once the voter has nothing more to wait for.  With
-    `YIELD` a member asks to vote only where others are missing.
+    `YIELD` a member asks to vote only where others are missing.  `DEMOTE` makes a voter
+    a learner; only a leader's own decisions use it.
     """
 
     ADD_LEARNER = "add_learner"
     PROMOTE = "promote"
     REMOVE = "remove"
+    DEMOTE = "demote"
     TRANSFER = "transfer"
     LEAVE = "leave"
     YIELD = "yield"
