Replicas: a leader does not transfer while a voter is missing

Votes are taken over only in a complete group that has no other reason to promote a learner.

test_leader_that_is_the_oldest_voter_goes_on_while_a_voter_is_missing failed before.

--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -111,30 +111,44 @@
     lost = _find_lost_voter(others, caught_up)
     if lost is not None:
         return _change(wire.Change.REMOVE, lost.member)
-    steady = [view for view in caught_up if not view.yields]
-    superseding = _find_superseding_learner(others, voters, steady)
-    leaves_soon = None
+    promoted = None
     if has_surplus:
-        leaves_soon = _find_surplus_voter(others, voters)
-    elif superseding is not None:
-        leaves_soon = _find_superseded(superseding, voters)
+        leaving = _find_surplus_voter(others, voters)
+    else:
+        promoted, leaving = _choose_promotion(
+            others, voters, caught_up, voters_wanted_count
+        )
     own = next(view for view in views if view.member.member_id == own_id)
-    has_to_transfer = (own.yields and (has_surplus or steady)) or leaves_soon is own
+    has_steady = any(not view.yields for view in caught_up)
+    has_to_transfer = (own.yields and (has_surplus or has_steady)) or leaving is own
     successor = _find_successor(others) if has_to_transfer else None
     if successor is not None:
         return _change(wire.Change.TRANSFER, successor.member)
     if has_surplus:
-        return _reduce_voters(others, voters, leaves_soon)
+        return _reduce_voters(others, voters, leaving)
+    if promoted is not None:
+        return _change(wire.Change.PROMOTE, promoted.member)
+    return None
+
+
+def _choose_promotion(
+    others: list[MemberView],
+    voters: list[MemberView],
+    caught_up: list[MemberView],
+    voters_wanted_count: int,
+) -> tuple[MemberView | None, MemberView | None]:
+    """Return the learner to promote, and the voter whose vote it takes over, if any."""
+    steady = [view for view in caught_up if not view.yields]
     is_incomplete = len(voters) < voters_wanted_count
     is_leaving = any(view.is_leaving for view in others)
     gives_back = bool(steady) and _can_give_back(others)
     is_unbalanced = bool(steady) and _is_unbalanced(others, voters, steady)
     if is_incomplete or is_leaving or gives_back or is_unbalanced:
-        learner = _choose_learner(caught_up, voters)
-        return _change(wire.Change.PROMOTE, learner.member)
-    if superseding is not None:
-        return _change(wire.Change.PROMOTE, superseding.member)
-    return None
+        return _choose_learner(caught_up, voters), None
+    superseding = _find_superseding_learner(others, voters, steady)
+    if superseding is None:
+        return None, None
+    return superseding, _find_superseded(superseding, voters)
 
 
 def _find_lost_voter(
--- a/hickoryweir/replicas/tests/test_automation.py
+++ b/hickoryweir/replicas/tests/test_automation.py
@@ -220,6 +220,14 @@
     assert decide(*SPREAD, view("d", zone="a", joined=9)) == transfer
 
 
+def test_leader_that_is_the_oldest_voter_goes_on_while_a_voter_is_missing():
+    newcomer = view("d", voter=False, zone="c", joined=9)
+    assert decide(*SPREAD[:2], newcomer) == (
+        wire.Change.PROMOTE,
+        newcomer.member.member_id,
+    )
+
+
 def test_vote_is_not_taken_over_while_a_voter_lags():
     lagging = view("c", zone="c", caught_up=False, since_contact_s=0.2)
     voters = (*SPREAD[:2], lagging)
