Test of a leader beside a missing voter: the leader is the oldest voter

As committed in the test also passed on the code before, since the other voter was chosen by its id.

--- a/hickoryweir/replicas/tests/test_automation.py
+++ b/hickoryweir/replicas/tests/test_automation.py
@@ -221,8 +221,9 @@
 
 
 def test_leader_that_is_the_oldest_voter_goes_on_while_a_voter_is_missing():
+    oldest, newer = view("a", zone="a", joined=1), view("b", zone="b", joined=2)
     newcomer = view("d", voter=False, zone="c", joined=9)
-    assert decide(*SPREAD[:2], newcomer) == (
+    assert decide(oldest, newer, newcomer) == (
         wire.Change.PROMOTE,
         newcomer.member.member_id,
     )
