Replicas: a replica asks the members that its log names, not only the seeds

Callers could not read an acknowledged table: after two of three seeds had been replaced and the third came back with an empty disk, the restarted members elected a leader and still answered reads and changes with no_quorum. A replica's client of the log knew the seeds of its settings and what these tell; the only one that answered was empty and knew nobody. Now the client also asks the members that the replica's own log names.

Open: a replica with an empty disk that knows only seeds which are gone does not find the others.

--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -96,9 +96,17 @@
     stored = replica.machine.states["routing_table"].stored
     if state is None:
         return publisher.LogStatus(stored, False, False, ())
-    addresses = tuple(wire.address_of(member) for member in state.membership.members)
     is_leader = bool(state.leader_id) and state.leader_id == state.member_id
-    return publisher.LogStatus(stored, is_leader, bool(state.leader_id), addresses)
+    return publisher.LogStatus(
+        stored, is_leader, bool(state.leader_id), _member_addresses(replica)
+    )
+
+
+def _member_addresses(replica: node.Node) -> tuple[wire.ReplicaAddress, ...]:
+    """Return the members that the log of this replica names."""
+    if replica.state is None:
+        return ()
+    return tuple(wire.address_of(member) for member in replica.state.membership.members)
 
 
 def _summarize(replica: node.Node) -> replica_log.Summary | None:
@@ -123,6 +131,7 @@
             identity,
             settings.seed_replicas(entry_settings),
             is_leader_known=lambda: _make_log_status(self._supervisor.node).has_leader,
+            get_members=lambda: _member_addresses(self._supervisor.node),
         )
         self._session = sessions.make_session(keeps_connections=True)
         self._publisher = publisher.make_publisher(
--- a/hickoryweir/entry/tests/test_lost_disks.py
+++ b/hickoryweir/entry/tests/test_lost_disks.py
@@ -168,3 +168,25 @@
             await clusters.stop_all(cluster)
 
     assert asyncio.run(main()) == 2
+
+
+def test_table_is_read_when_no_seed_is_left_but_one_with_an_empty_disk(tmp_path):
+    async def main():
+        zones = (*SEED_ZONES, *SEED_ZONES[1:])
+        cluster = await clusters.start_cluster(
+            tmp_path, ROUTERS_COUNT, replica_zones=zones, started_count=len(SEED_ZONES)
+        )
+        try:
+            await put(cluster, 1)
+            await wait_until_listening(cluster, cluster.replicas[: len(SEED_ZONES)])
+            for former, successor in ((1, 3), (2, 4)):
+                await launch(cluster, [cluster.replicas[successor]])
+                await asyncio.sleep(CATCH_UP_S)
+                clusters.kill(cluster.replicas[former])
+            await put(cluster, 2)
+            await lose_disk_and_power(cluster, cluster.replicas[0])
+            return await read_newest(cluster, RECOVERY_S)
+        finally:
+            await clusters.stop_all(cluster)
+
+    assert asyncio.run(main()) == 2
--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -77,6 +77,7 @@
         files: tls.TlsFiles | None,
         group: str,
         is_leader_known: Callable[[], bool],
+        get_members: Callable[[], tuple[wire.ReplicaAddress, ...]],
     ) -> None:
         self.reachability = reachability.Reachability.UNKNOWN
         self.leader_name = ""
@@ -85,6 +86,7 @@
         self._files = files
         self._group = group
         self._is_leader_known = is_leader_known
+        self._get_members = get_members
         self._channels: dict[str, channels.Channel] = {}
         self._closing_tasks: set[asyncio.Task] = set()
         self._poll_task: asyncio.Task | None = None
@@ -371,6 +373,7 @@
 
     async def _poll_all(self) -> None:
         try:
+            self.add_replicas(self._get_members())
             statuses = await self.status()
             self.reachability, self.leader_name, self.target_name = reachability.assess(
                 statuses
@@ -418,6 +421,7 @@
     files: tls.TlsFiles | None = None,
     group: str = "",
     is_leader_known: Callable[[], bool] = lambda: False,
+    get_members: Callable[[], tuple[wire.ReplicaAddress, ...]] = tuple,
 ) -> Client:
     """Return a client; it connects on first use.
 
@@ -434,8 +438,11 @@
     is_leader_known : callable, optional
         Returns whether this process knows from another source that there is a leader.
         The client then asks the replicas again at once instead of at its next poll.
+    get_members : callable, optional
+        Returns the members that this process knows from another source.  None of the
+        initial replicas may be left.
     """
-    return Client(identity, replicas, files, group, is_leader_known)
+    return Client(identity, replicas, files, group, is_leader_known, get_members)
 
 
 def _make_reference(member_id: str) -> messages.Member:
--- a/hickoryweir/replicas/tests/test_automation.py
+++ b/hickoryweir/replicas/tests/test_automation.py
@@ -431,3 +431,22 @@
             await asyncio.gather(yielding, return_exceptions=True)
 
     asyncio.run(scenario())
+
+
+def test_client_whose_replicas_are_all_empty_asks_the_members_that_it_knows(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            assert await router.wait_until_ready(register.START_TIMEOUT_S)
+            members = tuple(item.address for item in replicas.values())
+            empty = await register.start_replica("z", 0, str(tmp_path / "z"))
+            replicas["z"] = empty
+            log = client.make_client(
+                register.make_identity("z"),
+                (empty.address,),
+                get_members=lambda: members,
+            )
+            is_ready = await log.wait_until_ready(register.START_TIMEOUT_S)
+            await log.close()
+            return is_ready
+
+    assert asyncio.run(scenario())
