Model of successors: three losses after which no leader can be elected

A model of replicas that join, take over a vote and are removed, with one outage and the final fault, checked over every interleaving within bounds.

The eight mutations have counterexamples.

Ruled out: that a promotion while one voter lags is a fault; it holds in every state, and waiting is what leaves no quorum.

Not covered: splits of the network, outages in quick succession, and that a newcomer sees a settled moment within its time to catch up.

--- a/spec/check.py
+++ b/spec/check.py
@@ -14,7 +14,15 @@
 
 import minicheck
 
-from spec import claims, duties, elections, membership, replication, versions
+from spec import (
+    claims,
+    duties,
+    elections,
+    membership,
+    replication,
+    successors,
+    versions,
+)
 
 MAX_STATES = 20_000_000
 
@@ -26,7 +34,7 @@
     """A model with its bounds, and optionally a mutation that must be refuted."""
 
     make_model: ModelFactory
-    bounds: dict[str, int]
+    bounds: dict[str, int | tuple[int, ...]]
     mutation: enum.StrEnum | None = None
 
     @property
@@ -66,6 +74,8 @@
     Case(replication.make_model, {"term_count": 3, "log_length": 1}),
     Case(replication.make_model, {"term_count": 2, "log_length": 2}),
     Case(membership.make_model, {"term_count": 2, "log_length": 2}),
+    Case(successors.make_model, {"term_count": 2, "log_length": 5}),
+    Case(successors.make_model, {"term_count": 1, "log_length": 5, "outage_count": 1}),
     Case(versions.make_model, {"version_count": 3, "zone_count": 1}),
     Case(duties.make_model, {"tick_count": 2, "election_count": 2}),
 )
@@ -74,13 +84,24 @@
     Case(elections.make_model, {"term_count": 3}),
     Case(replication.make_model, {"term_count": 4, "log_length": 1}),
     Case(membership.make_model, {"term_count": 2, "log_length": 3}),
+    Case(successors.make_model, {"term_count": 1, "log_length": 7, "outage_count": 1}),
+    Case(
+        successors.make_model,
+        {"succeeded": (0, 1), "term_count": 1, "log_length": 8},
+    ),
+    Case(
+        successors.make_model,
+        {"succeeded": (0, 3), "term_count": 1, "log_length": 8},
+    ),
     Case(versions.make_model, {"version_count": 2, "zone_count": 2}),
     Case(duties.make_model, {"tick_count": 4, "election_count": 3}),
 )
 
 
 def _mutation_cases(
-    make_model: ModelFactory, bounds: dict[str, int], mutations: type[enum.StrEnum]
+    make_model: ModelFactory,
+    bounds: dict[str, int | tuple[int, ...]],
+    mutations: collections.abc.Iterable[enum.StrEnum],
 ) -> tuple[Case, ...]:
     return tuple(Case(make_model, bounds, mutation) for mutation in mutations)
 
@@ -98,6 +119,32 @@
         {"term_count": 2, "log_length": 3},
         membership.Mutation,
     ),
+    *_mutation_cases(
+        successors.make_model,
+        {"term_count": 1, "log_length": 5},
+        (
+            successors.Mutation.VOTE_STAYS,
+            successors.Mutation.REPLACE_IN_ONE_STEP,
+            successors.Mutation.TWO_CHANGES_AT_ONCE,
+            successors.Mutation.ONLY_VOTERS_STAND,
+            successors.Mutation.OTHER_ZONE,
+        ),
+    ),
+    Case(
+        successors.make_model,
+        {"term_count": 1, "log_length": 3, "outage_count": 1},
+        successors.Mutation.WAITS_FOR_SLOW_VOTER,
+    ),
+    Case(
+        successors.make_model,
+        {"succeeded": (0, 3), "term_count": 1, "log_length": 7},
+        successors.Mutation.SUPERSEDED_REPLACES_LEAVING,
+    ),
+    Case(
+        successors.make_model,
+        {"term_count": 1, "log_length": 7, "outage_count": 1},
+        successors.Mutation.LOST_AGAIN,
+    ),
     *_mutation_cases(versions.make_model, {"version_count": 2}, versions.Mutation),
     *_mutation_cases(
         duties.make_model, {"tick_count": 3, "election_count": 3}, duties.Mutation
--- a/spec/tests/test_check.py
+++ b/spec/tests/test_check.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from spec import check
+from spec import check, successors
 
 
 @pytest.mark.parametrize("case", check.QUICK, ids=lambda case: case.name)
@@ -17,3 +17,10 @@
     checked = check.check(case)
     assert checked.violated
     assert checked.trace
+
+
+def test_no_mutation_of_successors_is_left_out():
+    cases = [case.mutation for case in check.MUTATED]
+    assert set(successors.Mutation) <= {
+        each for each in cases if isinstance(each, successors.Mutation)
+    }
