Replicas: a demoted voter is sent its demotion once that is committed

After the loss of the leader's disk in the moment of a demotion, the others could not elect a leader: by their own logs they needed the vote of the demoted replica, which held a longer log, refused them its vote, and did not stand for election as a learner.

Weighed: learners that stand for election (a leader without a vote has to hand over at once), and committed entries only for all learners (they would never be caught up while tables come fast).

--- a/hickoryweir/replicas/replication.py
+++ b/hickoryweir/replicas/replication.py
@@ -56,7 +56,7 @@
 def send_more(state: states.State, member_id: str, actions: list) -> None:
     """Send a member missing entries, within the limit of requests in flight."""
     progress = state.progress[member_id]
-    if progress.next_index > state.log.last_index:
+    if progress.next_index > _last_sent_index(state, member_id):
         return
     limit = 1 if progress.probing else state.timing.max_in_flight_count
     if progress.in_flight_count < limit and progress.snapshot_offset is None:
@@ -295,7 +295,7 @@
         _send_chunk(state, member_id, actions)
         return
     progress.snapshot_offset = None
-    entries = _next_entries(state, progress)
+    entries = _next_entries(state, member_id)
     previous_index = progress.next_index - 1
     request = messages.AppendRequest(
         previous_index,
@@ -311,13 +311,28 @@
     actions.append(roles.make_send(state, member_id, request, False))
 
 
-def _next_entries(
-    state: states.State, progress: states.Progress
-) -> tuple[messages.Entry, ...]:
+def _last_sent_index(state: states.State, member_id: str) -> int:
+    """Return the index up to which a member is sent entries.
+
+    A voter that is demoted is sent nothing from its demotion on until that is
+    committed.  With a longer log than the other voters it would refuse them its vote,
+    which they still need by their own logs, and could not stand for election itself.
+    """
+    if len(state.memberships) < 2 or member_id in state.membership.voter_ids:
+        return state.log.last_index
+    index, _ = state.memberships[-1]
+    was_voter = member_id in state.memberships[-2][1].voter_ids
+    is_held_back = was_voter and index > state.commit_index
+    return index - 1 if is_held_back else state.log.last_index
+
+
+def _next_entries(state: states.State, member_id: str) -> tuple[messages.Entry, ...]:
+    progress = state.progress[member_id]
     limit = 1 if progress.probing else state.timing.max_in_flight_count
     if progress.in_flight_count >= limit:
         return ()
     last_index = progress.next_index + state.timing.max_append_count - 1
+    last_index = min(last_index, _last_sent_index(state, member_id))
     entries = state.log.between(progress.next_index, last_index)
     size_bytes = 0
     for count, entry in enumerate(entries):
