Replicas: a slow voter or a superseded learner holds up no vote

The new rows failed before: slow disks with syncs of 0.8 and 1.2 s, and both rows of test_automation.

--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -21,6 +21,8 @@
 from hickoryweir.replicas import state as states
 
 CHECK_INTERVAL_S = 0.1
+# Some heartbeats.
+RESPONDS_WITHIN_S = 0.3
 # Three election timeouts: a member that merely restarts responds before that.
 UNREACHABLE_AFTER_S = 1.5
 # An unreachable learner costs only messages; ten seconds are longer than a restart.
@@ -143,8 +145,11 @@
     is_leaving = any(view.is_leaving for view in others)
     gives_back = bool(steady) and _can_give_back(others)
     is_unbalanced = bool(steady) and _is_unbalanced(others, voters, steady)
-    if is_incomplete or is_leaving or gives_back or is_unbalanced:
+    if is_incomplete or gives_back or is_unbalanced:
         return _choose_learner(caught_up, voters), None
+    lasting = [view for view in caught_up if not _is_superseded(view, voters)]
+    if is_leaving and lasting:
+        return _choose_learner(lasting, voters), None
     superseding = _find_superseding_learner(others, voters, steady)
     if superseding is None:
         return None, None
@@ -178,10 +183,10 @@
 ) -> MemberView | None:
     """Return a learner that takes over the vote of an older voter, if any.
 
-    Nothing is taken over while a voter lags: the group of one more voter would tolerate
-    no loss.
+    Nothing is taken over while two voters lag: the group of one more voter would have
+    no quorum without them.  A single one may lag for long, since its disk is slow.
     """
-    if not all(view.is_caught_up for view in others):
+    if not _may_lag([view for view in others if not view.is_caught_up]):
         return None
     for view in sorted(steady, key=lambda view: view.joined_index, reverse=True):
         if _find_superseded(view, voters) is not None:
@@ -189,6 +194,31 @@
     return None
 
 
+def _may_lag(lagging: list[MemberView]) -> bool:
+    """Return whether a vote may be taken over beside voters that lag.
+
+    One may, if it responds: its disk is slow.  A silent one may be lost already.
+    """
+    return len(lagging) < 2 and all(
+        view.since_contact_s < RESPONDS_WITHIN_S for view in lagging
+    )
+
+
+def _is_superseded(learner: MemberView, voters: list[MemberView]) -> bool:
+    """Return whether a newer voter of its zone has taken over a learner's vote.
+
+    Such a learner may be lost at any time, so it takes the place of no voter that is
+    about to stop.
+    """
+    zone = learner.member.availability_zone
+    return any(
+        view.member.availability_zone == zone
+        and view.joined_index > learner.joined_index
+        and not view.is_leaving
+        for view in voters
+    )
+
+
 def _find_superseded(
     newcomer: MemberView, voters: list[MemberView]
 ) -> MemberView | None:
@@ -280,15 +310,20 @@
     """Return the change that makes a group that is too large smaller, once none lags.
 
     The lag of the voter that leaves, or of one that is about to stop, doesn't matter.
-    A voter that a newer one supersedes stays as a learner.
+    A voter that a newer one supersedes stays as a learner; one other voter may lag
+    then, as at the promotion of the newer one.
     """
     if surplus not in others:
         return None
-    remaining = [view for view in others if view is not surplus]
-    if not all(view.is_caught_up or view.is_leaving for view in remaining):
-        return None
     is_superseded = _find_newest(voters) is not None
     is_demoted = is_superseded and not surplus.is_leaving and not surplus.yields
+    lagging = [
+        view
+        for view in others
+        if view is not surplus and not (view.is_caught_up or view.is_leaving)
+    ]
+    if lagging and not (is_demoted and _may_lag(lagging)):
+        return None
     change = wire.Change.DEMOTE if is_demoted else wire.Change.REMOVE
     return _change(change, surplus.member)
 
@@ -375,7 +410,9 @@
     else:
         responding_ids = quorums.responding_ids(state, now_s)
         has_learner = any(
-            other.member_id in responding_ids and not other.voter
+            other.member_id in responding_ids
+            and not other.voter
+            and not _has_successor(state, other, member_id)
             for other in state.membership.members
         )
         has_surplus = len(state.membership.voter_ids) > voters_wanted_count
@@ -383,6 +420,20 @@
     return "" if is_done else states.ChangeRefusal.CHANGE_IN_PROGRESS.value
 
 
+def _has_successor(
+    state: states.State, learner: messages.Member, leaving_id: str
+) -> bool:
+    """Return whether a newer voter of its zone has taken over a learner's vote."""
+    joined = state.joined_indexes
+    return any(
+        other.voter
+        and other.member_id != leaving_id
+        and other.availability_zone == learner.availability_zone
+        and joined.get(other.member_id, 0) > joined.get(learner.member_id, 0)
+        for other in state.membership.members
+    )
+
+
 def needs_to_join(state: states.State | None) -> bool:
     """Return whether a replica is not a member or knows no leader.
 
