Replicas: the order of joining is that of the members in the log

The order in which replicas joined was rebuilt from the memberships that a replica still had in its log.

No format changes.

--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -54,8 +54,8 @@
         Whether it is about to stop.
     yields : bool
         Whether it votes only where others are missing.
-    joined_index : int
-        Index of the first known membership that contains it.
+    joining_order : int
+        Its position in the order of joining.
     """
 
     member: messages.Member
@@ -63,7 +63,7 @@
     since_contact_s: float
     is_leaving: bool = False
     yields: bool = False
-    joined_index: int = 0
+    joining_order: int = 0
 
 
 def next_change(
@@ -188,7 +188,7 @@
     """
     if not _may_lag([view for view in others if not view.is_caught_up]):
         return None
-    for view in sorted(steady, key=lambda view: view.joined_index, reverse=True):
+    for view in sorted(steady, key=lambda view: view.joining_order, reverse=True):
         if _find_superseded(view, voters) is not None:
             return view
     return None
@@ -213,7 +213,7 @@
     zone = learner.member.availability_zone
     return any(
         view.member.availability_zone == zone
-        and view.joined_index > learner.joined_index
+        and view.joining_order > learner.joining_order
         and not view.is_leaving
         for view in voters
     )
@@ -229,10 +229,10 @@
     a zone with the most voters.
     """
     zone = newcomer.member.availability_zone
-    older = [view for view in voters if view.joined_index < newcomer.joined_index]
+    older = [view for view in voters if view.joining_order < newcomer.joining_order]
     near = [view for view in older if view.member.availability_zone == zone]
     if near:
-        return min(near, key=lambda view: (view.joined_index, view.member.member_id))
+        return min(near, key=lambda view: (view.joining_order, view.member.member_id))
     zones = [view.member.availability_zone for view in voters if view is not newcomer]
     if zone in zones:
         return None
@@ -240,7 +240,7 @@
         older,
         key=lambda view: (
             zones.count(view.member.availability_zone),
-            -view.joined_index,
+            -view.joining_order,
             view.member.member_id,
         ),
         default=None,
@@ -330,8 +330,8 @@
 
 def _find_newest(voters: list[MemberView]) -> MemberView | None:
     """Return the voter that joined after all others; None if that is not known."""
-    newest = max(voters, key=lambda view: view.joined_index)
-    is_only = sum(view.joined_index == newest.joined_index for view in voters) == 1
+    newest = max(voters, key=lambda view: view.joining_order)
+    is_only = sum(view.joining_order == newest.joining_order for view in voters) == 1
     return newest if is_only else None
 
 
@@ -360,7 +360,7 @@
             view.yields,
             zones.count(view.member.availability_zone),
             view.member.availability_zone == newest_zone,
-            -view.joined_index,
+            -view.joining_order,
             view.member.member_id,
         ),
         default=None,
@@ -379,16 +379,15 @@
 ) -> tuple[MemberView, ...]:
     """Return the members as seen by the leader's core."""
     views = []
-    for member in state.membership.members:
+    for position, member in enumerate(state.membership.members):
         progress = state.progress.get(member.member_id)
         since_contact_s = 0.0 if progress is None else now_s - progress.last_contact_s
         is_caught_up = membership.is_caught_up(state, member.member_id, now_s)
         is_leaving = member.member_id in leaving_ids
         yields = member.member_id in yielding_ids
-        joined_index = state.joined_indexes.get(member.member_id, 0)
         views.append(
             MemberView(
-                member, is_caught_up, since_contact_s, is_leaving, yields, joined_index
+                member, is_caught_up, since_contact_s, is_leaving, yields, position
             )
         )
     return tuple(views)
@@ -424,13 +423,12 @@
     state: states.State, learner: messages.Member, leaving_id: str
 ) -> bool:
     """Return whether a newer voter of its zone has taken over a learner's vote."""
-    joined = state.joined_indexes
+    members = state.membership.members
     return any(
         other.voter
         and other.member_id != leaving_id
         and other.availability_zone == learner.availability_zone
-        and joined.get(other.member_id, 0) > joined.get(learner.member_id, 0)
-        for other in state.membership.members
+        for other in members[members.index(learner) + 1 :]
     )
 
 
--- a/hickoryweir/replicas/membership.py
+++ b/hickoryweir/replicas/membership.py
@@ -46,9 +46,8 @@
     if refusal is not None:
         actions.append(states.ChangeRefused(refusal))
         return
-    voter = dataclasses.replace(member, voter=True)
-    others = _members_without(state, event.member_id)
-    _append_if_quorum(state, (*others, voter), event.time_s, now_s, actions)
+    members = _members_with(state, dataclasses.replace(member, voter=True))
+    _append_if_quorum(state, members, event.time_s, now_s, actions)
 
 
 def remove_member(
@@ -80,9 +79,8 @@
     if refusal is not None:
         actions.append(states.ChangeRefused(refusal))
         return
-    learner = dataclasses.replace(member, voter=False)
-    others = _members_without(state, event.member_id)
-    _append_if_quorum(state, (*others, learner), event.time_s, now_s, actions)
+    members = _members_with(state, dataclasses.replace(member, voter=False))
+    _append_if_quorum(state, members, event.time_s, now_s, actions)
 
 
 def is_caught_up(state: states.State, member_id: str, now_s: float) -> bool:
@@ -118,6 +116,16 @@
     )
 
 
+def _members_with(
+    state: states.State, changed: messages.Member
+) -> tuple[messages.Member, ...]:
+    """Return the members with one of them changed, in the same order."""
+    return tuple(
+        changed if member.member_id == changed.member_id else member
+        for member in state.membership.members
+    )
+
+
 def _append_if_quorum(
     state: states.State,
     members: tuple[messages.Member, ...],
@@ -143,7 +151,6 @@
     now_s: float,
     actions: list,
 ) -> None:
-    ordered = tuple(sorted(members, key=lambda member: member.member_id))
-    payload = codec.encode(messages.Membership(ordered))
+    payload = codec.encode(messages.Membership(members))
     kind = messages.EntryKind.MEMBERSHIP
     replication.append_as_leader(state, kind, (payload,), time_s, now_s, actions)
--- a/hickoryweir/replicas/messages.py
+++ b/hickoryweir/replicas/messages.py
@@ -44,7 +44,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Membership:
-    """The members of the group, sorted by id."""
+    """The members of the group, in the order of joining.
+
+    The initial members are sorted by id.  Earlier versions sort all members by id with
+    each change.
+    """
 
     members: tuple[Member, ...]
 
--- a/hickoryweir/replicas/quorums.py
+++ b/hickoryweir/replicas/quorums.py
@@ -52,39 +52,12 @@
 ) -> None:
     """Update the membership history for entries that replace the end of the log."""
     first_index = entries[0].index
-    if state.memberships and state.memberships[-1][0] >= first_index:
-        _truncate_memberships(state, first_index)
+    while state.memberships and state.memberships[-1][0] >= first_index:
+        state.memberships.pop()
     for entry in entries:
         if entry.kind is messages.EntryKind.MEMBERSHIP:
             membership = codec.decode(entry.payload).unwrap()
             state.memberships.append((entry.index, membership))
-            _record_joined(state, entry.index, membership)
-
-
-def reset_memberships(state: states.State, snapshot: messages.Snapshot) -> None:
-    """Let the membership history begin with that of a snapshot."""
-    _truncate_memberships(state, snapshot.index + 1)
-    state.memberships = [(snapshot.index, snapshot.membership)]
-    _record_joined(state, snapshot.index, snapshot.membership)
-    _forget_former_members(state)
-
-
-def _truncate_memberships(state: states.State, first_index: int) -> None:
-    """Remove the memberships from `first_index` on."""
-    while state.memberships and state.memberships[-1][0] >= first_index:
-        state.memberships.pop()
-    state.joined_indexes = {
-        member_id: index
-        for member_id, index in state.joined_indexes.items()
-        if index < first_index
-    }
-
-
-def _record_joined(
-    state: states.State, index: int, membership: messages.Membership
-) -> None:
-    for member in membership.members:
-        state.joined_indexes.setdefault(member.member_id, index)
 
 
 def membership_at(state: states.State, index: int) -> messages.Membership:
@@ -100,14 +73,3 @@
     """Discard memberships that a snapshot at `index` supersedes."""
     while len(state.memberships) > 1 and state.memberships[1][0] <= index:
         state.memberships.pop(0)
-    _forget_former_members(state)
-
-
-def _forget_former_members(state: states.State) -> None:
-    known_ids = {
-        member.member_id
-        for _, membership in state.memberships
-        for member in membership.members
-    }
-    for member_id in state.joined_indexes.keys() - known_ids:
-        del state.joined_indexes[member_id]
--- a/hickoryweir/replicas/state.py
+++ b/hickoryweir/replicas/state.py
@@ -150,11 +150,7 @@
 
 @dataclasses.dataclass(slots=True)
 class State:
-    """The Raft state of one replica; owned by one task.
-
-    `joined_indexes` has, for each member, the index of the first known membership that
-    contains it.  What a snapshot covers is not known further back.
-    """
+    """The Raft state of one replica; owned by one task."""
 
     member_id: str
     timing: Timing
@@ -170,7 +166,6 @@
     memberships: list[tuple[int, messages.Membership]] = dataclasses.field(
         default_factory=list
     )
-    joined_indexes: dict[str, int] = dataclasses.field(default_factory=dict)
     commit_index: int = 0
     applied_index: int = 0
     persisted_index: int = 0
--- a/hickoryweir/replicas/tests/test_final_losses.py
+++ b/hickoryweir/replicas/tests/test_final_losses.py
@@ -496,3 +496,22 @@
     cluster.advance(managed_simulation.CATCH_UP_S)
     assert cluster.watched not in cluster.voters()
     assert not cluster.has_early_demotion
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_all_replicas_know_the_order_of_joining_after_snapshots_and_restarts(seed):
+    cluster = SpreadSimulation(seed)
+    cluster.advance(2.0)
+    cluster.add_machine("a-new")
+    cluster.counted.add("a-new")
+    put_for(cluster, managed_simulation.CATCH_UP_S)
+    for name in sorted(cluster.processes):
+        cluster.snapshot(cluster.processes[name])
+        cluster.kill(name)
+    put_for(cluster, managed_simulation.CATCH_UP_S)
+    assert cluster.voters() == ["a-new", "b", "c"]
+    for process in cluster.processes.values():
+        views = automation.view_members(process.state, cluster.now_s)
+        newest = max(views, key=lambda view: view.joining_order)
+        assert messages.replica_name_of(newest.member.member_id) == "a-new"
+        assert len({view.joining_order for view in views}) == len(views)
