Room in servers' memory: what a router sends stays unseen while sums are late

A router counted a request as known to the others 0.4 s after it was sent, but used sums of up to 1 s of age. With late sums each router took its part of the same rest again after 0.4 s, 2.5 times at most. Requests are now unseen since 0.3 s before the last sum, or for 0.4 s, whichever is longer; nothing changes while sums are in time.

--- a/hickoryweir/forwarding/memory_room.py
+++ b/hickoryweir/forwarding/memory_room.py
@@ -81,8 +81,9 @@
 
 def _unseen(view: server_pool.ServerView, now_s: float) -> int:
     """Return the tokens of requests that the other routers may not know yet."""
+    from_s = server_room.unseen_from_s(now_s, view.memory.summed_at_s)
     return sum(
         request.memory_tokens_count
         for request in view.in_flight.values()
-        if now_s - request.started_s < server_room.UNSEEN_S
+        if request.started_s > from_s
     )
--- a/hickoryweir/forwarding_policy/server_room.py
+++ b/hickoryweir/forwarding_policy/server_room.py
@@ -26,6 +26,7 @@
 # Loads are announced and summed every 0.1 s, and take a few milliseconds to arrive;
 # a stall of the event loop of a router with half a core adds to that.
 UNSEEN_S = 0.4
+SUM_INTERVAL_S = 0.1
 # Ten sums; after that the sender or the link counts as lost.
 STALE_AFTER_S = 1.0
 # At least as long as a request stays unseen, so that no more than two turns overlap.
@@ -56,7 +57,7 @@
     own_tokens_count : int
         Those of this router's requests there.
     unseen_tokens_count : int
-        Those of its requests that were sent in the last `UNSEEN_S`.
+        Those of its requests that were sent after :func:`unseen_from_s`.
     others_tokens_count : int
         Those of the other routers' requests, as of the last sums.
     others_age_s : float
@@ -70,6 +71,19 @@
     others_age_s: float
 
 
+def unseen_from_s(now_s: float, summed_at_s: float) -> float:
+    """Return since when the others may not know a router's requests.
+
+    Where sums are late, the others have not heard of newer requests either.
+
+    Examples
+    --------
+    >>> round(unseen_from_s(10.0, 9.95), 3), round(unseen_from_s(10.0, 9.2), 3)
+    (9.6, 8.9)
+    """
+    return min(now_s, summed_at_s + SUM_INTERVAL_S) - UNSEEN_S
+
+
 def request_tokens_count(input_tokens_count: int, max_output_tokens_count: int) -> int:
     """Return the tokens that a request takes in a server's memory.
 
--- a/hickoryweir/forwarding_policy/tests/room_simulation.py
+++ b/hickoryweir/forwarding_policy/tests/room_simulation.py
@@ -8,6 +8,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 
 import xxhash
@@ -81,6 +82,7 @@
         self.departed = []
         self.epochs = [0 for _ in routers]
         self.sizes = [server_room.Sizes() for _ in routers]
+        self.no_sums_until_s = -math.inf
 
     def at(self, time_s, call, *arguments):
         """Call a function at a time."""
@@ -121,6 +123,7 @@
         for loads in [*self.reported.values(), *(item[1] for item in self.departed)]:
             total.update(loads)
         is_complete = len(self.reported) == self.site.routers_count
+        is_complete &= self.now_s >= self.no_sums_until_s
         for router in range(self.site.routers_count):
             if is_complete:
                 self.at(self.now_s + self._delay_s(), self._receive, router, total)
@@ -130,6 +133,10 @@
         for server, memory in enumerate(self.memories[router]):
             server_memory.record_sum(memory, total[server], self.now_s)
 
+    def stop_sums(self, for_s):
+        """Keep the leading replica from telling sums for a while."""
+        self.no_sums_until_s = self.now_s + for_s
+
     def restart(self, routers):
         """Restart routers: they forget all, and their requests run on for a while."""
         until_s = self.now_s + server_room.DEPARTED_S
@@ -157,7 +164,7 @@
     def _known(self, router, server):
         memory, own = self.memories[router][server], self.own[router][server]
         recent = self.recent[router][server]
-        unseen_from_s = self.now_s - server_room.UNSEEN_S
+        unseen_from_s = server_room.unseen_from_s(self.now_s, memory.summed_at_s)
         while recent and recent[0][0] <= unseen_from_s:
             recent.pop(0)
         return server_room.Known(
--- a/hickoryweir/forwarding_policy/tests/test_server_room.py
+++ b/hickoryweir/forwarding_policy/tests/test_server_room.py
@@ -55,6 +55,24 @@
     assert outcome.crashes_count == 0, outcome
 
 
+@pytest.mark.parametrize("stop_s", [0.5, 0.9])
+@pytest.mark.parametrize(
+    ("name", "seed"), [("few", 1), ("few", 2), ("few", 3), ("a", 1)]
+)
+def test_burst_while_sums_are_late_fills_no_server(name, seed, stop_s):
+    """Guards against routers that take the same room again before they hear of it."""
+
+    def prepare(simulation):
+        simulation.send_load(1.0, 2.0, 5.0)
+        simulation.send_load(6.0, 3.0, 4.5, parts_count=1)
+        for start_s in (3.0, 4.0):
+            simulation.at(start_s, simulation.stop_sums, stop_s)
+
+    outcome = run(SITES[name], seed, prepare, until_s=6.0)
+    assert outcome.crashes_count == 0, outcome
+    assert outcome.served_count > 0
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("name", SITES)
 def test_start_of_all_servers_under_load_fills_none(name, seed):
