Tests of small bodies beside uploads that hold the room for bodies

Small calls with a body waited for over a second beside sound uploads.

The server of uploads may read a body some time after its head.

--- a/hickoryweir/entry/tests/test_uploads.py
+++ b/hickoryweir/entry/tests/test_uploads.py
@@ -11,11 +11,15 @@
 import signal
 import sys
 import tempfile
+import time
 
+import aiohttp
 import pytest
 
 from hickoryweir.entry.tests import test_flooding_servers as flooding
 from hickoryweir.entry.tests import test_processes as processes
+from hickoryweir.entry.tests import test_stops_beside_floods as stops
+from hickoryweir.forwarding import headers
 from hickoryweir.testing import processor_slots, uploads
 
 CLIENTS_COUNT = 40
@@ -37,6 +41,14 @@
     ("4_mib-length", 0.0, True),
 ]
 RUNNING_ROWS = [row for row in ROWS if not row[-1]]
+SMALL_BODY = b"x" * 1_024
+# Form, time after which the server reads a body, and whether the router is stopped.
+SMALL_BODY_ROWS = [
+    ("4_mib-chunks", 1.0, False),
+    ("1_mib-chunks-slow", 0.0, True),
+]
+# How calls end once the port is closed.
+CLOSED_OUTCOMES = {stops.NOT_CONNECTED, stops.CLOSED, "ClientOSError"}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,11 +78,11 @@
 
 
 @contextlib.asynccontextmanager
-async def run_server(wait_s):
+async def run_server(wait_s, read_after_s=0.0):
     """Run the server of uploads; yield its port and what ends and reports it."""
     process = await asyncio.create_subprocess_exec(
         *(sys.executable, "-m", "hickoryweir.testing.uploads"),
-        *("serve", flooding.HOST, str(wait_s)),
+        *("serve", flooding.HOST, str(wait_s), str(read_after_s)),
         stdin=asyncio.subprocess.PIPE,
         stdout=asyncio.subprocess.PIPE,
         limit=2**24,
@@ -184,6 +196,114 @@
     flooding.check_rate(seen.undisturbed, seen.disturbed, seen.peak)
 
 
+async def small_chunks():
+    yield SMALL_BODY
+
+
+async def call_with_small_bodies(port, for_s):
+    """Post small bodies in chunks for a time, or until the port is closed.
+
+    Returns the calls that began within the time, and how the others ended.
+    """
+    calls, end_s = flooding.Calls(), time.monotonic() + for_s
+    url = f"http://{processes.ROUTER_HOST}:{port}/sound/x"
+
+    async def run_client(session, number):
+        while time.monotonic() < end_s:
+            began_s = time.monotonic()
+            sent = {
+                "Host": "site.example",
+                headers.REQUEST_ID: f"b-{number}-{began_s:.6f}",
+            }
+            try:
+                async with session.post(
+                    url, headers=sent, data=small_chunks()
+                ) as response:
+                    await response.read()
+                if response.status == 200:
+                    calls.durations_s.append(time.monotonic() - began_s)
+                else:
+                    calls.failures.append(str(response.status))
+            except (aiohttp.ClientError, TimeoutError) as error:
+                calls.failures.append(type(error).__name__)
+                if type(error).__name__ == stops.NOT_CONNECTED:
+                    return
+
+    timeout = aiohttp.ClientTimeout(total=flooding.CALL_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        numbers = range(flooding.SOUND_CLIENTS_COUNT)
+        await asyncio.gather(*(run_client(session, number) for number in numbers))
+    return calls
+
+
+async def measure_small_bodies(folder, form, read_after_s, is_stopped):
+    """Return what is seen of small bodies before and beside uploads, and of these.
+
+    With a stop, the calls after it are returned too.
+    """
+    async with (
+        run_server(0.0, read_after_s) as (server_port, end),
+        flooding.run_router(folder, server_port) as (router, port),
+    ):
+        undisturbed = await call_with_small_bodies(port, flooding.UNDISTURBED_S)
+        sampling = asyncio.create_task(sample_peak_mb(router))
+        clients = await start_clients(port, form, CLIENTS_COUNT, flooding.DISTURBED_S)
+        for_s = STOP_AFTER_S if is_stopped else flooding.DISTURBED_S
+        disturbed, after = await call_with_small_bodies(port, for_s), flooding.Calls()
+        if is_stopped:
+            router.send_signal(signal.SIGTERM)
+            after = await call_with_small_bodies(port, flooding.DISTURBED_S)
+            peak = await sampling
+        else:
+            peak = flooding.peak_mb(router) if router.returncode is None else math.inf
+        stdout, _ = await clients.communicate()
+        sampling.cancel()
+        outcomes = [uploads.Outcome(**item) for item in json.loads(stdout)]
+        received_ids = await end()
+        returncode = router.returncode
+    seen = Seen(undisturbed, disturbed, peak, returncode, outcomes, received_ids)
+    return seen, for_s, after
+
+
+@functools.cache
+def measure_small_bodies_once(form, read_after_s, is_stopped):
+    """Return what one run shows, which several tests judge."""
+    with processor_slots.hold(), tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(
+            measure_small_bodies(pathlib.Path(folder), form, read_after_s, is_stopped)
+        )
+
+
+@pytest.mark.timing
+@pytest.mark.parametrize(("form", "read_after_s", "is_stopped"), SMALL_BODY_ROWS)
+def test_small_bodies_do_not_wait_behind_uploads(form, read_after_s, is_stopped):
+    """Guards against calls out of their time while uploads hold the room for bodies."""
+    seen, for_s, after = measure_small_bodies_once(form, read_after_s, is_stopped)
+    shown = f"{describe(seen)}; after the stop {after.failures}, {after.p99_s:.3f} s"
+    alone = len(seen.undisturbed.durations_s) / flooding.UNDISTURBED_S
+    served_count = len(seen.disturbed.durations_s)
+    assert not seen.disturbed.failures, shown
+    assert served_count >= flooding.MIN_SERVED_SHARE * alone * for_s, shown
+    assert seen.disturbed.p99_s < flooding.MAX_P99_S, shown
+    assert set(after.failures) <= CLOSED_OUTCOMES, shown
+    assert not after.durations_s or after.p99_s < flooding.MAX_P99_S, shown
+
+
+@pytest.mark.timing
+@pytest.mark.parametrize(("form", "read_after_s", "is_stopped"), SMALL_BODY_ROWS)
+def test_uploads_beside_small_bodies_are_answered(form, read_after_s, is_stopped):
+    """Guards against room for small bodies that costs memory or uploads."""
+    seen, _, _ = measure_small_bodies_once(form, read_after_s, is_stopped)
+    results = collections.Counter(outcome.result for outcome in seen.outcomes)
+    allowed = (
+        {"200"} | NOT_RUN_RESULTS | ({stops.NOT_CONNECTED} if is_stopped else set())
+    )
+    assert seen.returncode == (0 if is_stopped else None), describe(seen)
+    assert seen.peak < flooding.MAX_MEMORY_SHARE * flooding.MEMORY_MB, describe(seen)
+    assert results["200"], describe(seen)
+    assert results.keys() <= allowed, describe(seen)
+
+
 @pytest.mark.parametrize("count", [1, 3])
 @pytest.mark.parametrize("form", ["largest-length", "largest-slow"])
 def test_largest_bodies_are_served(tmp_path, form, count):
--- a/hickoryweir/forwarding/tests/test_body_limits.py
+++ b/hickoryweir/forwarding/tests/test_body_limits.py
@@ -34,6 +34,11 @@
 WAITING_COUNT = 12
 # Within which a client that has left is noticed.
 LEFT_S = 0.4
+SMALL_BODY = b"x" * 1_000
+# Parts of a small body come so far apart.
+PART_PAUSE_S = 0.1
+# More than two of them.
+SMALL_WAIT_S = 1.0
 PRIORITIES = {"urgent": 0, "later": 2}
 ROUTES = tuple(
     dataclasses.replace(
@@ -79,6 +84,13 @@
     yield bytes(LARGEST_SIZE_BYTES // 2)
 
 
+async def small_chunks():
+    """Yield a small body whose length is not stated, in parts."""
+    for _ in range(2):
+        yield SMALL_BODY
+        await asyncio.sleep(PART_PAUSE_S)
+
+
 def send(site, name, number, data=BODY):
     given = {headers.REQUEST_ID: f"{name}-{number}"}
     return asyncio.create_task(site.call(path=f"/{name}/x", given=given, data=data))
@@ -268,3 +280,23 @@
     statuses = asyncio.run(main())
     assert len(statuses) == CLIENTS_COUNT
     assert statuses.count(200) >= CLIENTS_COUNT // 2
+
+
+@pytest.mark.parametrize("has_length", [True, False])
+@pytest.mark.parametrize("name", PRIORITIES)
+def test_small_body_does_not_wait_while_uploads_hold_all_room(name, has_length):
+    """Guards against small calls that wait for slow servers of uploads."""
+
+    async def main():
+        async with run_site(FITTING_SIZE_BYTES) as (site, release):
+            uploads = [send(site, "urgent", number) for number in range(CLIENTS_COUNT)]
+            await asyncio.wait(uploads, timeout=0.5)
+            data = SMALL_BODY if has_length else small_chunks()
+            small = send(site, name, "small", data)
+            await asyncio.wait({small}, timeout=SMALL_WAIT_S)
+            run_ids = runs(site)
+            release.set()
+            await asyncio.gather(small, *uploads)
+            return run_ids
+
+    assert f"{name}-small" in asyncio.run(main())
--- a/hickoryweir/forwarding_policy/tests/test_held_bytes.py
+++ b/hickoryweir/forwarding_policy/tests/test_held_bytes.py
@@ -56,6 +56,23 @@
     assert held_bytes.fits_body(limits, {}, size_bytes, priority)
 
 
+@pytest.mark.parametrize("memory_mb", MEMORY_MB)
+@pytest.mark.parametrize("priority", PRIORITIES)
+def test_small_body_does_not_wait_while_large_ones_hold_all_room(memory_mb, priority):
+    """Guards against small calls that wait for uploads which hold all room."""
+    limits = held_bytes.derive_vm_limits(memory_mb)
+    size_bytes = held_bytes.BODY_COPIES_COUNT * held_bytes.KB
+    small = held_bytes.BodyDemand(priority, 9.0, 0, size_bytes, is_length_known=True)
+    large = held_bytes.BodyDemand(0, 1.0, 0, held_bytes.MB, is_length_known=True)
+    granted = held_bytes.find_bodies_with_room(
+        limits,
+        {0: limits.bodies_size_bytes},
+        {"large": large, "small": small},
+        held_bytes.BODY_COPIES_COUNT * LARGEST_BODY_SIZE_BYTES,
+    )
+    assert granted == {"small": size_bytes}
+
+
 def draw_responses(generator, states_length):
     """Return sizes, and records in the order of arrival."""
     sizes = [
--- a/hickoryweir/testing/uploads.py
+++ b/hickoryweir/testing/uploads.py
@@ -2,11 +2,12 @@
 
 Both run as processes of their own::
 
-    python -m hickoryweir.testing.uploads serve HOST WAIT_S
+    python -m hickoryweir.testing.uploads serve HOST WAIT_S READ_AFTER_S
     python -m hickoryweir.testing.uploads call HOST PORT PATH FORM CLIENTS SECONDS
 
 ``serve`` prints its port, serves until its standard input ends, and prints the ids of
-the requests that it received as a JSON list.  ``call`` prints the outcomes of the
+the requests that it received as a JSON list.  It reads a body READ_AFTER_S after its
+head.  ``call`` prints the outcomes of the
 uploads as a JSON list.
 """
 
@@ -55,6 +56,7 @@
     "1_mib-length": Form(SMALL_SIZE_BYTES),
     "1_mib-chunks": Form(SMALL_SIZE_BYTES, is_chunked=True),
     "1_mib-slow": Form(SMALL_SIZE_BYTES, part_pause_s=0.1),
+    "1_mib-chunks-slow": Form(SMALL_SIZE_BYTES, is_chunked=True, part_pause_s=0.1),
     "4_mib-length": Form(LARGE_SIZE_BYTES),
     "4_mib-chunks": Form(LARGE_SIZE_BYTES, is_chunked=True),
     "4_mib-slow": Form(LARGE_SIZE_BYTES, part_pause_s=0.1),
@@ -133,13 +135,14 @@
     return outcomes
 
 
-async def serve(host: str, wait_s: float) -> None:
+async def serve(host: str, wait_s: float, read_after_s: float) -> None:
     """Receive uploads until the standard input ends, then print their ids."""
     received: collections.Counter[str] = collections.Counter()
 
     async def answer(request: web.BaseRequest) -> web.Response:
         request_id = request.headers[headers.REQUEST_ID]
         received[request_id] += 1
+        await asyncio.sleep(read_after_s)
         async for _ in request.content.iter_any():
             pass
         await asyncio.sleep(wait_s)
@@ -156,8 +159,8 @@
 def main() -> None:
     """Run a server or clients, as the command line says."""
     match sys.argv[1:]:
-        case ["serve", host, wait]:
-            asyncio.run(serve(host, float(wait)))
+        case ["serve", host, wait, read_after]:
+            asyncio.run(serve(host, float(wait), float(read_after)))
         case ["call", host, port, path, form, clients, seconds]:
             url = f"http://{host}:{port}{path}"
             outcomes = asyncio.run(run(url, FORMS[form], int(clients), float(seconds)))
