Bodies: room of their own for small ones

Small calls with a body waited for over a second beside sound uploads, or were refused. Cause: uploads hold the room for bodies until their server has read them, and a body in chunks needs room for 128 KiB however small it is; where much of others waits, it is refused at once.

Small bodies now have room beside that of all bodies, a tenth as much. One without a stated length gets it once it has been received whole, which aiohttp does ahead of the handler, and may wait for that while too much of others waits. find_bodies_with_room is split.

Ruled out: parts of the room of others, and counting small bodies towards what may wait; docs/design/bytes-held.md.

The pure test asks the new function for the small body, and the old one for the large one as well; its assertion is the same.

--- a/hickoryweir/forwarding/held_bytes.py
+++ b/hickoryweir/forwarding/held_bytes.py
@@ -232,7 +232,7 @@
     wait_until_s : float
         Loop time of the end of all waits for this body.
     """
-    limits, held = forwarder.held_limits, request.held
+    held = request.held
     if size_bytes <= held.body_reserved_size_bytes:
         return True
     held.body_content = client_request.content
@@ -251,19 +251,21 @@
     try:
         _grant_bodies(forwarder)
         if not granted.done():
-            waiting_size_bytes = _waiting_bodies_size_bytes(forwarder)
-            if not held_bytes.may_wait(limits, waiting_size_bytes, held.priority):
-                return False
+            if not _may_wait(forwarder, held):
+                held.may_body_grow = _may_grow(forwarder, held)
+                if not held.may_body_grow:
+                    return False
             if forwarder.bodies_check is None:
                 _check_waiting_bodies(forwarder)
             async with asyncio.timeout_at(wait_until_s):
                 with client_request.protocol.closing_if_left():
                     await granted
+        return granted.result()
     except TimeoutError:
         return False
     finally:
+        held.may_body_grow = False
         del forwarder.waiting_bodies[request]
-    return True
 
 
 def end_body(request: open_requests.OpenRequest) -> None:
@@ -276,23 +278,68 @@
 def _grant_bodies(forwarder: contexts.Forwarder) -> None:
     """Tell the bodies that wait of the room that there is now."""
     demands = {
-        request: request.held.body_demand
+        request: _resolve_demand(request.held)
         for request, granted in forwarder.waiting_bodies.items()
         if not granted.done()
     }
     if not demands:
         return
+    small = held_bytes.find_small_bodies_with_room(
+        forwarder.held_limits, _small_bodies_sizes_bytes(forwarder), demands
+    )
+    for request, size_bytes in small.items():
+        request.held.is_body_small = True
+        _grant_body(forwarder, request, size_bytes)
+    larger = {
+        request: demand for request, demand in demands.items() if request not in small
+    }
+    for request, size_bytes in _find_larger_bodies(forwarder, larger).items():
+        _grant_body(forwarder, request, size_bytes)
+
+
+def _resolve_demand(held: open_requests.Held) -> held_bytes.BodyDemand:
+    """Return what a body that waits needs, as far as it has been received."""
+    if held.body_content.is_eof():
+        held.body_demand = held.body_demand.resolve(held.body_content.total_bytes)
+    return held.body_demand
+
+
+def _grant_body(
+    forwarder: contexts.Forwarder, request: open_requests.OpenRequest, size_bytes: int
+) -> None:
+    """Let a body that waits be read up to a size, as it counts."""
+    room_size_bytes = size_bytes // held_bytes.BODY_COPIES_COUNT
+    request.held.body_reserved_size_bytes = room_size_bytes
+    forwarder.waiting_bodies[request].set_result(True)
+
+
+def _small_bodies_sizes_bytes(forwarder: contexts.Forwarder) -> dict[int, int]:
+    """Return what the bodies in the part for small ones take, by priority."""
+    sizes_bytes = collections.Counter()
+    for request in forwarder.open_requests.values():
+        if request.held.is_body_small:
+            sizes_bytes[request.held.priority] += _held_body_size_bytes(request.held)
+    return sizes_bytes
+
+
+def _find_larger_bodies(
+    forwarder: contexts.Forwarder,
+    demands: dict[open_requests.OpenRequest, held_bytes.BodyDemand],
+) -> dict[open_requests.OpenRequest, int]:
+    """Return the bodies with room in the part for all of them, and how much."""
     sizes_bytes = collections.Counter()
     unknown_size_bytes, ranks = 0, []
     for request in forwarder.open_requests.values():
         held, demand = request.held, request.held.body_demand
+        if held.is_body_small:
+            continue
         size_bytes = _held_body_size_bytes(held)
         sizes_bytes[held.priority] += size_bytes
         if size_bytes and demand is not None and not demand.is_length_known:
             unknown_size_bytes += size_bytes
             ranks.append(demand.rank)
     table_limits = forwarder.route_index.table.limits
-    found = held_bytes.find_bodies_with_room(
+    return held_bytes.find_bodies_with_room(
         forwarder.held_limits,
         sizes_bytes,
         demands,
@@ -300,15 +347,12 @@
         min(ranks, default=None),
         unknown_size_bytes,
     )
-    for request, size_bytes in found.items():
-        room_size_bytes = size_bytes // held_bytes.BODY_COPIES_COUNT
-        request.held.body_reserved_size_bytes = room_size_bytes
-        forwarder.waiting_bodies[request].set_result(True)
 
 
 def _check_waiting_bodies(forwarder: contexts.Forwarder) -> None:
     """Look for room for the bodies that wait, again and again while there are any."""
     _grant_bodies(forwarder)
+    _refuse_grown_bodies(forwarder)
     forwarder.bodies_check = None
     if forwarder.waiting_bodies:
         forwarder.bodies_check = asyncio.get_running_loop().call_later(
@@ -316,11 +360,44 @@
         )
 
 
+def _may_wait(forwarder: contexts.Forwarder, held: open_requests.Held) -> bool:
+    """Return whether a body may wait for room, by what the waiting ones hold."""
+    size_bytes = _waiting_bodies_size_bytes(forwarder)
+    return held_bytes.may_wait(forwarder.held_limits, size_bytes, held.priority)
+
+
+def _may_grow(forwarder: contexts.Forwarder, held: open_requests.Held) -> bool:
+    """Return whether a body may wait to be received whole."""
+    if held.body_demand.is_length_known:
+        return False
+    others_size_bytes = sum(_small_bodies_sizes_bytes(forwarder).values())
+    others_size_bytes += sum(
+        request.held.body_content.total_bytes
+        for request in forwarder.waiting_bodies
+        if request.held.may_body_grow and request.held is not held
+    )
+    received_size_bytes = held.body_content.total_bytes
+    limits = forwarder.held_limits
+    return held_bytes.may_grow(limits, others_size_bytes, received_size_bytes)
+
+
+def _refuse_grown_bodies(forwarder: contexts.Forwarder) -> None:
+    """Refuse bodies that are not small after all while too many wait for room."""
+    for request, granted in forwarder.waiting_bodies.items():
+        held = request.held
+        if granted.done() or not held.may_body_grow or _may_grow(forwarder, held):
+            continue
+        held.may_body_grow = False
+        if not _may_wait(forwarder, held):
+            granted.set_result(False)
+
+
 def _waiting_bodies_size_bytes(forwarder: contexts.Forwarder) -> int:
     """Return what was received of the bodies that wait beyond the room they have."""
     return sum(
         max(0, request.held.body_content.total_bytes - request.held.body_size_bytes)
         for request in forwarder.waiting_bodies
+        if not request.held.may_body_grow
     )
 
 
--- a/hickoryweir/forwarding/open_requests.py
+++ b/hickoryweir/forwarding/open_requests.py
@@ -40,6 +40,10 @@
         Size of the request's body, as far as it was read.
     body_reserved_size_bytes : int
         Size up to which it may be read.
+    is_body_small : bool
+        Whether its room is in the part for small bodies.
+    may_body_grow : bool
+        Whether it waits to be received whole, beyond what bodies may hold that wait.
     body_content : aiohttp.StreamReader or None
         The body while it is being read.
     body_demand : held_bytes.BodyDemand or None
@@ -64,6 +68,8 @@
     priority: int = 0
     body_size_bytes: int = 0
     body_reserved_size_bytes: int = 0
+    is_body_small: bool = False
+    may_body_grow: bool = False
     body_content: aiohttp.StreamReader | None = None
     body_demand: held_bytes.BodyDemand | None = None
     response_size_bytes: int = 0
--- a/hickoryweir/forwarding_policy/held_bytes.py
+++ b/hickoryweir/forwarding_policy/held_bytes.py
@@ -16,9 +16,9 @@
 
 Where room is not divided among accounts, a part of the memory is for the bodies of
 requests and another one for responses.  Bodies beyond their part are refused, the less
-urgent ones first.  Responses of usual size are always read; larger ones wait unread
-until there is room, and the newest of the least urgent ones is given up once a more
-urgent or older one has waited for too long.
+urgent ones first; small ones have room of their own.  Responses of usual size are
+always read; larger ones wait unread until there is room, and the newest of the least
+urgent ones is given up once a more urgent or older one has waited for too long.
 """
 
 import dataclasses
@@ -74,7 +74,9 @@
 # Part of the bound of the process that is for the bodies of requests; the rest is for
 # responses.
 BODIES_SHARE = 0.6
-# Parts of that by priority, which no less urgent body uses.
+# As much as this part of the room for bodies is for small ones only, beside it.
+SMALL_BODIES_SHARE = 0.1
+# Parts of each by priority, which no less urgent body uses.
 BODY_SHARES = (0.4, 0.2, 0.4)
 # Room for a body without a stated length at first; a body up to this size does not wait
 # behind larger ones.
@@ -141,6 +143,11 @@
         """Return the part for bodies where room is not divided among accounts."""
         return int(BODIES_SHARE * self.process_size_bytes)
 
+    @property
+    def small_bodies_size_bytes(self) -> int:
+        """Return the room for small bodies only, beside the part for all bodies."""
+        return int(SMALL_BODIES_SHARE * self.bodies_size_bytes)
+
     @property
     def responses_size_bytes(self) -> int:
         """Return the part for responses where room is not divided among accounts."""
@@ -196,6 +203,34 @@
         """Return the key by which bodies get room: the most urgent, then the oldest."""
         return self.priority, self.began_at_s
 
+    @property
+    def is_usual(self) -> bool:
+        """Return whether it does not wait behind larger ones."""
+        return self.size_bytes <= BODY_COPIES_COUNT * USUAL_BODY_SIZE_BYTES
+
+    @property
+    def is_small(self) -> bool:
+        """Return whether it may use the room for small bodies."""
+        return self.is_length_known and self.is_usual
+
+    def resolve(self, received_size_bytes: int) -> "BodyDemand":
+        """Return the demand once the body has been received whole.
+
+        A small one without a stated length then needs no more than that.
+
+        Examples
+        --------
+        >>> demand = BodyDemand(0, 1.0, 0, 256 * KB, is_length_known=False)
+        >>> demand.is_small, demand.resolve(KB).is_small, demand.resolve(KB).size_bytes
+        (False, True, 2048)
+        >>> demand.resolve(MB).is_small
+        False
+        """
+        if self.is_length_known or received_size_bytes > USUAL_BODY_SIZE_BYTES:
+            return self
+        size_bytes = BODY_COPIES_COUNT * received_size_bytes
+        return dataclasses.replace(self, size_bytes=size_bytes, is_length_known=True)
+
 
 @dataclasses.dataclass(slots=True)
 class Reading:
@@ -464,8 +499,18 @@
     >>> fits_body(limits, {}, 600, 2), fits_body(limits, {}, 601, 0)
     (True, False)
     """
-    total_size_bytes = sum(held_sizes_bytes.values())
     part_size_bytes = limits.bodies_size_bytes
+    return _fits_part(part_size_bytes, held_sizes_bytes, size_bytes, priority)
+
+
+def _fits_part(
+    part_size_bytes: int,
+    held_sizes_bytes: Mapping[int, int],
+    size_bytes: int,
+    priority: int,
+) -> bool:
+    """Return whether a body fits in a part of the memory beside others."""
+    total_size_bytes = sum(held_sizes_bytes.values())
     if not total_size_bytes:
         return size_bytes <= part_size_bytes
     kept_size_bytes = sum(
@@ -475,6 +520,49 @@
     return total_size_bytes + size_bytes <= part_size_bytes - kept_size_bytes
 
 
+def find_small_bodies_with_room(
+    limits: Limits,
+    held_sizes_bytes: Mapping[int, int],
+    demands: Mapping[Hashable, BodyDemand],
+) -> dict[Hashable, int]:
+    """Return the waiting bodies that have room in the part for small ones.
+
+    This answers small bodies beside any load of larger ones, which hold their room for
+    as long as a server takes to read them.  A body without a stated length is small
+    once all of it has been received; until then nothing shows that it is.
+
+    Parameters
+    ----------
+    limits : Limits
+        The bounds, which are not divided among accounts.
+    held_sizes_bytes : mapping
+        What the bodies in that part take, by priority.
+    demands : mapping
+        The bodies that wait.
+
+    Examples
+    --------
+    >>> limits = Limits(10 * MB, 10 * MB, 10, 0, 50 * MB, divides_accounts=False)
+    >>> small = BodyDemand(0, 2.0, 0, 256 * KB, is_length_known=True)
+    >>> large = BodyDemand(0, 1.0, 0, 257 * KB, is_length_known=True)
+    >>> unknown = dataclasses.replace(small, is_length_known=False)
+    >>> demands = {"large": large, "unknown": unknown, "small": small}
+    >>> find_small_bodies_with_room(limits, {}, demands)
+    {'small': 262144}
+    >>> find_small_bodies_with_room(limits, {0: 500 * KB}, demands)
+    {}
+    """
+    sizes_bytes, granted = dict(held_sizes_bytes), {}
+    small = {key: demand for key, demand in demands.items() if demand.is_small}
+    for key in sorted(small, key=lambda key: small[key].rank):
+        size_bytes, priority = small[key].size_bytes, small[key].priority
+        part_size_bytes = limits.small_bodies_size_bytes
+        if _fits_part(part_size_bytes, sizes_bytes, size_bytes, priority):
+            granted[key] = size_bytes
+            sizes_bytes[priority] = sizes_bytes.get(priority, 0) + size_bytes
+    return granted
+
+
 def find_bodies_with_room(
     limits: Limits,
     held_sizes_bytes: Mapping[int, int],
@@ -540,35 +628,52 @@
     granted, is_blocked = {}, False
     for key in sorted(demands, key=lambda key: demands[key].rank):
         demand, priority = demands[key], demands[key].priority
-        is_small = demand.size_bytes <= BODY_COPIES_COUNT * USUAL_BODY_SIZE_BYTES
         is_first = not demand.is_length_known and demand.rank == first_rank
-        if is_blocked and not (is_small or is_first):
+        if is_blocked and not (demand.is_usual or is_first):
             continue
         own_size_bytes = sizes_bytes.get(priority, 0) - demand.held_size_bytes
         others = sizes_bytes | {priority: own_size_bytes}
-        size_bytes = demand.size_bytes
         if demand.is_length_known:
+            size_bytes = demand.size_bytes
             has_room = fits_body(limits, others, size_bytes, priority)
         elif is_first:
+            size_bytes = demand.size_bytes
             has_room = sum(others.values()) + size_bytes <= limits.bodies_size_bytes
-        elif is_small:
-            left_size_bytes = limits.bodies_size_bytes - largest_size_bytes
-            leaves_room = unknown_size_bytes + size_bytes <= left_size_bytes
-            leaves_room |= not unknown_size_bytes
-            has_room = leaves_room and fits_body(limits, others, size_bytes, priority)
         else:
-            size_bytes = largest_size_bytes
-            has_room = fits_body(limits, others, 2 * size_bytes, priority)
+            size_bytes, has_room = _find_room_beside_first(
+                limits, others, demand, largest_size_bytes, unknown_size_bytes
+            )
         if has_room:
             granted[key] = size_bytes
             sizes_bytes[priority] = own_size_bytes + size_bytes
             if not demand.is_length_known:
                 unknown_size_bytes += size_bytes - demand.held_size_bytes
-        elif not is_small:
+        elif not demand.is_usual:
             is_blocked = True
     return granted
 
 
+def _find_room_beside_first(
+    limits: Limits,
+    others: Mapping[int, int],
+    demand: BodyDemand,
+    largest_size_bytes: int,
+    unknown_size_bytes: int,
+) -> tuple[int, bool]:
+    """Return the room for a body without a stated length, and whether there is as much.
+
+    The room of the largest body is left to the first body without a stated length.
+    """
+    if not demand.is_usual:
+        fits_two = fits_body(limits, others, 2 * largest_size_bytes, demand.priority)
+        return largest_size_bytes, fits_two
+    left_size_bytes = limits.bodies_size_bytes - largest_size_bytes
+    leaves_room = unknown_size_bytes + demand.size_bytes <= left_size_bytes
+    leaves_room |= not unknown_size_bytes
+    fits = fits_body(limits, others, demand.size_bytes, demand.priority)
+    return demand.size_bytes, leaves_room and fits
+
+
 def may_wait(limits: Limits, received_size_bytes: int, priority: int) -> bool:
     """Return whether another body may wait for room instead of being refused.
 
@@ -594,6 +699,34 @@
     return received_size_bytes <= share * limits.bodies_size_bytes
 
 
+def may_grow(limits: Limits, others_size_bytes: int, received_size_bytes: int) -> bool:
+    """Return whether a body without a stated length may wait to be received whole.
+
+    This answers small bodies beside more uploads than may wait: one of which little has
+    been received may be small.  Once it has grown it waits as a large one, or is
+    refused.
+
+    Parameters
+    ----------
+    limits : Limits
+        The bounds, which are not divided among accounts.
+    others_size_bytes : int
+        What the room for small bodies holds, with what was received of the other ones
+        that wait for this.
+    received_size_bytes : int
+        What was received of this one.
+
+    Examples
+    --------
+    >>> limits = Limits(10 * MB, 10 * MB, 10, 0, 50 * MB, divides_accounts=False)
+    >>> may_grow(limits, 0, KB), may_grow(limits, 0, 64 * KB), may_grow(limits, MB, KB)
+    (True, False, False)
+    """
+    if received_size_bytes >= READ_AHEAD_SIZE_BYTES:
+        return False
+    return others_size_bytes + received_size_bytes <= limits.small_bodies_size_bytes
+
+
 def large_size_bytes(size_bytes: int) -> int:
     """Return how much of what is held of a response is beyond the usual.
 
--- a/hickoryweir/forwarding_policy/tests/test_held_bytes.py
+++ b/hickoryweir/forwarding_policy/tests/test_held_bytes.py
@@ -64,13 +64,15 @@
     size_bytes = held_bytes.BODY_COPIES_COUNT * held_bytes.KB
     small = held_bytes.BodyDemand(priority, 9.0, 0, size_bytes, is_length_known=True)
     large = held_bytes.BodyDemand(0, 1.0, 0, held_bytes.MB, is_length_known=True)
-    granted = held_bytes.find_bodies_with_room(
-        limits,
-        {0: limits.bodies_size_bytes},
-        {"large": large, "small": small},
-        held_bytes.BODY_COPIES_COUNT * LARGEST_BODY_SIZE_BYTES,
-    )
+    demands = {"large": large, "small": small}
+    granted = held_bytes.find_small_bodies_with_room(limits, {}, demands)
     assert granted == {"small": size_bytes}
+    del demands["small"]
+    largest_size_bytes = held_bytes.BODY_COPIES_COUNT * LARGEST_BODY_SIZE_BYTES
+    held_sizes_bytes = {0: limits.bodies_size_bytes}
+    assert not held_bytes.find_bodies_with_room(
+        limits, held_sizes_bytes, demands, largest_size_bytes
+    )
 
 
 def draw_responses(generator, states_length):
