Soak of planned stops: at most three requests on kept connections get no answer

No soak judged the users' rule on kept connections, which holds at any time: a request that was passed on to a sound server and whose connection was closed without an answer, more than three times. The soak of planned stops now counts them over all rounds of a run, whatever excuse they have around a stop, and reports all of them from the fourth on. Not counted are those whose server broke off or whose client left, and those to a successor that the soak kills.

The count is tested with planted requests only.

--- a/hickoryweir/testing/soak/stop_clients.py
+++ b/hickoryweir/testing/soak/stop_clients.py
@@ -44,6 +44,7 @@
         self.read_size_bytes = read_size_bytes
         self._received = b""
         self.is_closing = False
+        self._is_used = False
 
     async def send(self, behaviour, plan, kind="once", body_parts=(b"",), pause_s=0.0):
         """Send a request; the pause is between the parts of its body."""
@@ -51,6 +52,7 @@
         number = f"{target.prefix}{len(target.requests)}"
         request_id = f"{target.seed}-{target.host}-{number}"
         request = stop_records.Request(request_id, behaviour, target.host, plan, kind)
+        request.is_kept, self._is_used = self._is_used, True
         target.requests.append(request)
         # Identical bodies would be taken for resends of one request, which would then
         # be quarantined as poison when servers crash.
--- a/hickoryweir/testing/soak/stop_oracle.py
+++ b/hickoryweir/testing/soak/stop_oracle.py
@@ -19,6 +19,8 @@
 CUT_OFF = "a planned stop cuts nothing off"
 GIVEN_UP = "a planned stop waits for servers until the last sixth of the grace"
 UNDELIVERED = "a ready answer is delivered"
+KEPT = "at most three requests on kept connections get no answer in a run"
+KEPT_LOSSES_MAX = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -256,6 +258,31 @@
     )
 
 
+def list_kept_losses(targets: list[stop_records.Target]) -> list[Finding]:
+    """Return the requests on kept connections that count towards their limit."""
+    return [
+        Finding(promises.Violation(KEPT, describe(target, request)), target, request)
+        for target in targets
+        for request in target.requests
+        if is_kept_loss(target, request)
+    ]
+
+
+def is_kept_loss(target: stop_records.Target, request: stop_records.Request) -> bool:
+    """Return whether a router closed a kept connection on a request it passed on."""
+    if target.kills_successor and is_to_successor(target, request):
+        return False
+    attempts = target.attempts.get(request.request_id, [])
+    was_closed = bool(request.end) and not request.status and not request.left
+    is_sound = bool(attempts) and not any(attempt.broke_off for attempt in attempts)
+    return request.is_kept and was_closed and is_sound
+
+
+def check_kept(losses: list[Finding]) -> list[Finding]:
+    """Return the losses of a run on kept connections if there are too many."""
+    return losses if len(losses) > KEPT_LOSSES_MAX else []
+
+
 def find_excuse(target: stop_records.Target, request: stop_records.Request) -> str:
     """Return why a request without a complete answer is not lost, or an empty text."""
     if request.left:
@@ -279,12 +306,17 @@
 
 def is_outside_stop(target: stop_records.Target, request: stop_records.Request) -> bool:
     """Return whether a request ended before the signal or came to the successor."""
-    if target.exit_s is not None and request.sent_s > target.exit_s:
+    if is_to_successor(target, request):
         return True
     is_late = request.last_byte_s > PLANNED_WORK_END_S
     return is_late or request.ended_s < stop_records.SIGNAL_S
 
 
+def is_to_successor(target: stop_records.Target, request: stop_records.Request) -> bool:
+    """Return whether a request was sent after the exit of the stopped process."""
+    return target.exit_s is not None and request.sent_s > target.exit_s
+
+
 def _excuse_not_passed_on(target, request: stop_records.Request) -> str:
     before = request.before
     if was_read_ahead(request) and not before.is_whole and find_excuse(target, before):
--- a/hickoryweir/testing/soak/stop_records.py
+++ b/hickoryweir/testing/soak/stop_records.py
@@ -74,6 +74,8 @@
         How the answer ended; empty while the client still reads.
     before : Request or None
         Request whose answer comes first on the connection.
+    is_kept : bool
+        Whether the connection has had another request before.
     reason : str
         Why the router answered itself with 502; empty for other answers.
     """
@@ -94,6 +96,7 @@
     end: str = ""
     left: bool = False
     before: "Request | None" = None
+    is_kept: bool = False
     reason: str = ""
 
 
@@ -111,6 +114,8 @@
         Tells the ids of its requests from those of another process of the router.
     signal_delay_s : float
         How much later than planned the soak sent the signal.
+    kills_successor : bool
+        Whether the soak kills the process that follows.
     gaps, soak_gaps : list of Gap
         When the process, and the soak itself, was not scheduled.
     """
@@ -126,6 +131,7 @@
     exit_s: float | None = None
     exit_code: int | None = None
     signal_delay_s: float = 0.0
+    kills_successor: bool = False
     gaps: list[stop_delays.Gap] = dataclasses.field(default_factory=list)
     soak_gaps: list[stop_delays.Gap] = dataclasses.field(default_factory=list)
 
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -145,6 +145,8 @@
         When the processes and the soak itself were not scheduled.
     replica_targets : list of Target
         The replicas that were stopped; nobody uses them.
+    kept_losses : list of Finding
+        Requests on kept connections without an answer, of all rounds.
     ends, uploads, excused : collections.Counter
         Requests by status, excuse or promise broken, uploads by form and end, and
         violations by promise that the run's own figures excuse.
@@ -163,6 +165,7 @@
         default_factory=stop_delays.Recorder
     )
     replica_targets: list[stop_records.Target] = dataclasses.field(default_factory=list)
+    kept_losses: list[stop_oracle.Finding] = dataclasses.field(default_factory=list)
     excused: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -194,6 +197,7 @@
     late, excused = stop_oracle.split(check_replicas(site))
     show_excused(site, excused)
     findings += late
+    findings += stop_oracle.check_kept(site.kept_losses)
     report(site, options, findings)
     return findings
 
@@ -363,6 +367,9 @@
         for event in events
         if event.kind != stop_floods.KILL_ROUTER or event.index not in indexes
     ]
+    killed = {event.index for event in events if event.kind == stop_floods.KILL_ROUTER}
+    for event, target in zip(stops, targets, strict=True):
+        target.kills_successor = event.index in killed
     processes = [member.process for member in cluster.routers]
     others = [
         asyncio.create_task(carry_out(site, event, start_s, processes))
@@ -388,6 +395,7 @@
     findings, excused = stop_oracle.split(findings)
     show(site, options, findings, events, start_s)
     show_excused(site, excused)
+    site.kept_losses += stop_oracle.list_kept_losses(targets)
     count_ends(site, targets)
     site.stops_count += len(targets)
     site.events_count += len(events)
@@ -664,6 +672,10 @@
         print(f"BROKEN {count} times: {promise}")
     for promise, count in site.excused.items():
         print(f"excused {count} times by its figures: {promise}")
+    print(
+        f"{len(site.kept_losses)} requests on kept connections without an answer "
+        f"(at most {stop_oracle.KEPT_LOSSES_MAX})"
+    )
     for end, count in sorted(site.uploads.items()):
         print(f"{count:6} uploads of {end}")
     if options.has_floods:
--- a/hickoryweir/testing/soak/tests/test_stop_oracle.py
+++ b/hickoryweir/testing/soak/tests/test_stop_oracle.py
@@ -332,6 +332,42 @@
     assert find_promises(make_target(attempt), make_request()) == []
 
 
+def test_more_than_three_kept_connections_in_a_run_without_an_answer_are_reported():
+    lost = make_request(is_kept=True)
+    target = make_target(RAN)
+    target.requests += [lost] * 3
+    losses = stop_oracle.list_kept_losses([target])
+    assert (len(losses), stop_oracle.check_kept(losses)) == (3, [])
+    losses += stop_oracle.list_kept_losses([target])[:1]
+    assert stop_oracle.check_kept(losses) == losses
+
+
+@pytest.mark.parametrize(
+    ("attempts", "changes", "is_counted"),
+    [
+        ([RAN], {}, True),
+        ([RAN], {"ended_s": -0.5}, True),
+        ([RAN], {"sent_s": 7.6}, True),
+        ([RAN], {"is_kept": False}, False),
+        ([], {}, False),
+        ([BROKE_OFF], {}, False),
+        ([RAN], {"status": 200}, False),
+        ([RAN], {"left": True}, False),
+        ([RAN], {"end": ""}, False),
+    ],
+)
+def test_loss_on_a_kept_connection_counts_at_any_time(attempts, changes, is_counted):
+    request = make_request(**{"is_kept": True} | changes)
+    assert stop_oracle.is_kept_loss(make_target(*attempts), request) is is_counted
+
+
+def test_loss_on_a_kept_connection_to_a_killed_successor_does_not_count():
+    target = make_target(RAN)
+    target.kills_successor = True
+    assert not stop_oracle.is_kept_loss(target, make_request(is_kept=True, sent_s=7.6))
+    assert stop_oracle.is_kept_loss(target, make_request(is_kept=True, sent_s=7.4))
+
+
 @pytest.mark.parametrize(
     ("exit_code", "requests", "is_found"),
     [(-15, [], False), (-15, [make_request(left=True)], True), (1, [], True)],
