--- a/hickoryweir/testing/soak/stop_records.py
+++ b/hickoryweir/testing/soak/stop_records.py
@@ -5,6 +5,8 @@
 import time
 import zlib
 
+from hickoryweir.testing.soak import stop_delays
+
 GRACE_S = 8.0
 # The signal, the close of the listener, and the end of open connections.
 SIGNAL_S, LISTENER_CLOSE_S, CONNECTIONS_CLOSE_S = 0.0, 2.6, 7.4
@@ -45,6 +47,8 @@
         When the server began to work on the request, and when its answer was complete.
     broke_off : bool
         Whether the server reset the connection while it had the request.
+    left_s : float or None
+        When the server no longer had the request.
     """
 
     server: str
@@ -52,6 +56,7 @@
     run_s: float | None = None
     finished_s: float | None = None
     broke_off: bool = False
+    left_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,6 +74,8 @@
         How the answer ended; empty while the client still reads.
     before : Request or None
         Request whose answer comes first on the connection.
+    is_kept : bool
+        Whether the connection has had another request before.
     reason : str
         Why the router answered itself with 502; empty for other answers.
     """
@@ -89,6 +96,7 @@
     end: str = ""
     left: bool = False
     before: "Request | None" = None
+    is_kept: bool = False
     reason: str = ""
 
 
@@ -104,6 +112,12 @@
         When the process ended, relative to the signal.
     prefix : str
         Tells the ids of its requests from those of another process of the router.
+    signal_delay_s : float
+        How much later than planned the soak sent the signal.
+    kills_successor : bool
+        Whether the soak kills the process that follows.
+    gaps, soak_gaps : list of Gap
+        When the process, and the soak itself, was not scheduled.
     """
 
     host: str
@@ -116,6 +130,10 @@
     requests: list[Request] = dataclasses.field(default_factory=list)
     exit_s: float | None = None
     exit_code: int | None = None
+    signal_delay_s: float = 0.0
+    kills_successor: bool = False
+    gaps: list[stop_delays.Gap] = dataclasses.field(default_factory=list)
+    soak_gaps: list[stop_delays.Gap] = dataclasses.field(default_factory=list)
 
     def now_s(self) -> float:
         """Return the time since the signal."""
