Soak: health checks of planned stops' servers get an answer

A backend server of the soak failed with a KeyError on requests without an id, which are routers' health checks, and so answered them with 500. It answers 200 now, or 503 while it refuses.

--- a/hickoryweir/testing/soak/stop_backends.py
+++ b/hickoryweir/testing/soak/stop_backends.py
@@ -63,6 +63,9 @@
 
 async def _serve(backend: Backend, request: web.BaseRequest) -> web.StreamResponse:
     """Record the arrival and answer as planned."""
+    if headers.REQUEST_ID not in request.headers:
+        # A health check.
+        return web.Response(status=503 if backend.refuses else 200)
     request_id = request.headers[headers.REQUEST_ID]
     plan = stop_records.Plan(**json.loads(request.headers.get(PLAN_HEADER, "{}")))
     attempt = stop_records.Attempt(backend.server_id, time.monotonic())
