--- a/hickoryweir/testing/soak/callers.py
+++ b/hickoryweir/testing/soak/callers.py
@@ -219,12 +219,16 @@
 
 
 async def put_table_to(
-    session: aiohttp.ClientSession, cluster: clusters.Cluster, version: int, host: str
+    session: aiohttp.ClientSession,
+    cluster: clusters.Cluster,
+    version: int,
+    host: str,
+    table: str = TABLE,
 ) -> bool:
     """Send a table to a replica; return whether it was acknowledged."""
     url = f"http://{host}:{cluster.port}/table"
     try:
-        async with session.put(url, data=TABLE.format(version=version)) as reply:
+        async with session.put(url, data=table.format(version=version)) as reply:
             return reply.status == 200
     except CONNECTION_ERRORS:
         return False
--- a/hickoryweir/testing/soak/cluster.py
+++ b/hickoryweir/testing/soak/cluster.py
@@ -42,7 +42,7 @@
 
 [replica]
 data_folder = {folder}
-bootstrap = yes
+bootstrap = {bootstrap}
 is_in_fault_budget = {is_in_fault_budget}
 
 [discovery]
@@ -203,7 +203,8 @@
 
 def write_settings(cluster: Cluster, member: Member, **changes) -> None:
     """Write a member's settings file."""
-    values = {"memory_mb": 0, "is_in_fault_budget": "yes"} | cluster.values
+    values = {"memory_mb": 0, "is_in_fault_budget": "yes", "bootstrap": "yes"}
+    values |= cluster.values
     values |= {"zone": member.zone} | changes
     text = SETTINGS.format(
         role=member.role, host=member.host, folder=member.folder / "data", **values
--- /dev/null
+++ b/hickoryweir/testing/soak/tests/test_day_events.py
@@ -0,0 +1,63 @@
+"""The events of a day follow from its seed, within the losses allowed."""
+
+import itertools
+
+import pytest
+
+from hickoryweir.testing.soak import day_events, stop_events, stop_records
+
+SEEDS = range(75001, 75041)
+SPAN_S, ROUTERS_COUNT, SERVERS_COUNT = 36.0, 3, 4
+
+
+def draw(seed, span_s=SPAN_S):
+    return day_events.draw(seed, span_s, ROUTERS_COUNT, SERVERS_COUNT)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_same_seed_draws_the_same_day(seed):
+    assert draw(seed) == draw(seed)
+    assert draw(seed) != draw(seed + 1)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_replicas_are_never_lost_at_once(seed):
+    day = draw(seed)
+    losses = [*day.losses, day.last_loss]
+    for earlier, later in itertools.pairwise(losses):
+        caught_up_s = day_events.CATCH_UP_S + earlier.duration_s
+        assert later.at_s >= earlier.at_s + caught_up_s
+    assert all(loss.index < day_events.REPLICAS_COUNT for loss in losses)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_router_is_never_stopped_twice_at_once(seed):
+    stops = draw(seed).stops
+    for index in range(ROUTERS_COUNT):
+        times_s = [stop.at_s for stop in stops if stop.index == index]
+        assert times_s
+        assert all(
+            later - earlier > stop_records.GRACE_S + day_events.LEAD_S
+            for earlier, later in itertools.pairwise(times_s)
+        )
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_backend_server_without_a_fault_is_left(seed):
+    servers = draw(seed).servers
+    for earlier, later in itertools.pairwise(servers):
+        assert earlier.at_s + earlier.duration_s <= later.at_s
+
+
+def test_days_have_every_kind_of_event():
+    days = [draw(seed) for seed in SEEDS]
+    assert {day.final.kind for day in days} == set(day_events.FINALS)
+    assert {day.last_loss.kind for day in days} == set(day_events.LOSSES)
+    for drawn, kinds in (
+        ([day.losses for day in days], day_events.LOSSES),
+        ([day.changes for day in days], day_events.CHANGES),
+        ([day.servers for day in days], day_events.SERVER_FAULTS),
+        ([day.stops for day in days], (stop_events.TERMINATE,)),
+        ([day.reloads for day in days], (stop_events.RELOAD,)),
+    ):
+        assert {event.kind for events in drawn for event in events} == set(kinds)
