--- a/hickoryweir/testing/soak/day_oracle.py
+++ b/hickoryweir/testing/soak/day_oracle.py
@@ -128,6 +128,12 @@
     return waits_s.get("", 0.0) + waits_s.get(reading.host, 0.0) + of_replicas_s
 
 
+def longest_wait_s(record: Record) -> float:
+    """Return the longest time by which a reading is judged as earlier."""
+    readings = record.observations.in_force
+    return max((waited_s(record, reading) for reading in readings), default=0.0)
+
+
 def check_requests(record: Record) -> list[promises.Violation]:
     """Check all requests, and the losses of those beside planned stops."""
     targets, beside = [], set()
