Soak: a frozen router has its tables late, by its measured wait

Readings of a process that waited 1.2 s within 2.5 s count like those beside a pause, with the figure printed.

--- a/hickoryweir/testing/soak/day_oracle.py
+++ b/hickoryweir/testing/soak/day_oracle.py
@@ -14,6 +14,9 @@
 FINAL_READ_S = 12.0
 # A machine may close so many kept connections with requests that it passed on.
 KEPT_CLOSED_COUNT = 3
+# A process that waits for a processor for this time, within that window, counts as
+# frozen: the others take it for lost.
+FROZEN_S, FROZEN_WINDOW_S = 1.2, 2.5
 KEPT = "kept"
 UNREAD = "an acknowledged table can be read after the final fault"
 LOST = "an acknowledged table is not lost"
@@ -74,7 +77,7 @@
         *check_final(record),
         *oracle.find_stale_reads(observations),
         *oracle.find_reverted(observations.in_force),
-        *oracle.find_late(judge_earlier(record), record.injected),
+        *oracle.find_late(judge_earlier(record), record.injected + find_frozen(record)),
         *check_requests(record),
         *check_kept(record),
         *(
@@ -128,6 +131,33 @@
     return waits_s.get("", 0.0) + waits_s.get(reading.host, 0.0) + of_replicas_s
 
 
+def find_frozen(record: Record) -> list[faults.InjectedFault]:
+    """Return when processes were frozen, by how long they waited for a processor.
+
+    One that is frozen before the final fault can catch up once replicas are back.
+    """
+    finals = [item for item in record.injected if item.began_s == record.final_s]
+    back_s = max((item.ended_s for item in finals), default=0.0)
+    frozen = []
+    for last in record.delays:
+        began_s = last.ended_s - FROZEN_WINDOW_S
+        waits_s = [
+            item.waited_s
+            for item in record.delays
+            if item.host == last.host and began_s <= item.ended_s <= last.ended_s
+        ]
+        if last.host and last.waited_s and sum(waits_s) >= FROZEN_S:
+            is_final = (
+                bool(finals) and last.ended_s + oracle.CONTACT_S >= record.final_s
+            )
+            ended_s = max(last.ended_s, back_s) if is_final else last.ended_s
+            detail = f"waited {sum(waits_s):.2f} s for a processor"
+            frozen.append(
+                faults.InjectedFault("frozen", last.host, began_s, ended_s, detail)
+            )
+    return frozen
+
+
 def longest_wait_s(record: Record) -> float:
     """Return the longest time by which a reading is judged as earlier."""
     readings = record.observations.in_force
--- a/hickoryweir/testing/soak/days.py
+++ b/hickoryweir/testing/soak/days.py
@@ -226,10 +226,12 @@
         return
     for violation in violations[: stops.SHOWN_COUNT]:
         print(f"BROKEN: {violation.promise}: {violation.detail}")
-    for item in sorted(record.injected, key=lambda item: item.began_s):
+    frozen = day_oracle.find_frozen(record)
+    for item in sorted(record.injected + frozen, key=lambda item: item.began_s):
         print(
             f"  {item.began_s - play.began_s:7.3f} to "
-            f"{item.ended_s - play.began_s:7.3f} {item.kind} {item.target}"
+            f"{item.ended_s - play.began_s:7.3f} "
+            f"{item.kind} {item.target} {item.detail}"
         )
     print(
         f"  again: bin/soak days --seed {play.seed} --span {options.span} "
--- a/hickoryweir/testing/soak/tests/test_day_oracle.py
+++ b/hickoryweir/testing/soak/tests/test_day_oracle.py
@@ -125,6 +125,22 @@
     assert find_broken(observations=observations, delays=before) == broken
 
 
+def test_late_table_of_a_router_that_was_frozen_until_the_final_fault_is_no_violation():
+    final = faults.InjectedFault("all killed", REPLICAS[0], FINAL_S, FINAL_S + 1.0)
+    observations = callers.Observations(
+        accepted=[(6, 10.0), (7, FINAL_S)],
+        in_force=[callers.VersionReading(ROUTER, 1, FINAL_S + 3.0, 6)],
+    )
+    broken = ["an acknowledged table is in force"]
+    for waited_s, expected in ((0.7, []), (0.5, broken)):
+        delays = [
+            day_oracle.Delay(ROUTER, at_s - 0.9, at_s, waited_s)
+            for at_s in (FINAL_S - 0.9, FINAL_S)
+        ]
+        changes = {"injected": [final], "delays": delays}
+        assert find_broken(observations=observations, **changes) == expected
+
+
 def test_late_table_of_a_router_that_was_stopped_is_no_violation():
     stopped = faults.InjectedFault("stop", ROUTER, 28.0, 31.0)
     assert (
