--- a/hickoryweir/testing/soak/day_plays.py
+++ b/hickoryweir/testing/soak/day_plays.py
@@ -129,7 +129,7 @@
             if member.process is not None and member.process.poll() is None:
                 process_id = member.process.pid
                 total_s = read_waited_s(process_id)
-                waits[member.host] = total_s - former.get(process_id, 0.0)
+                waits[member.host] = total_s - former.get(process_id, total_s)
                 former[process_id] = total_s
         play.record.delays += [
             day_oracle.Delay(host, began_s, at_s, waited_s)
