--- a/hickoryweir/testing/soak/day_oracle.py
+++ b/hickoryweir/testing/soak/day_oracle.py
@@ -16,7 +16,7 @@
 KEPT_CLOSED_COUNT = 3
 # A process that waits for a processor for this time, within that window, counts as
 # frozen: the others take it for lost.
-FROZEN_S, FROZEN_WINDOW_S = 1.2, 2.5
+FROZEN_S, FROZEN_WINDOW_S = 1.2, 1.6
 KEPT = "kept"
 UNREAD = "an acknowledged table can be read after the final fault"
 LOST = "an acknowledged table is not lost"
@@ -138,24 +138,27 @@
     """
     finals = [item for item in record.injected if item.began_s == record.final_s]
     back_s = max((item.ended_s for item in finals), default=0.0)
-    frozen = []
+    frozen: dict[str, list[faults.InjectedFault]] = {}
     for last in record.delays:
-        began_s = last.ended_s - FROZEN_WINDOW_S
-        waits_s = [
+        began_s, ended_s = last.ended_s - FROZEN_WINDOW_S, last.ended_s
+        total_s = sum(
             item.waited_s
             for item in record.delays
-            if item.host == last.host and began_s <= item.ended_s <= last.ended_s
-        ]
-        if last.host and last.waited_s and sum(waits_s) >= FROZEN_S:
-            is_final = (
-                bool(finals) and last.ended_s + oracle.CONTACT_S >= record.final_s
-            )
-            ended_s = max(last.ended_s, back_s) if is_final else last.ended_s
-            detail = f"waited {sum(waits_s):.2f} s for a processor"
-            frozen.append(
+            if item.host == last.host and began_s <= item.began_s < ended_s
+        )
+        if not last.host or total_s < FROZEN_S:
+            continue
+        if finals and ended_s + oracle.CONTACT_S >= record.final_s:
+            ended_s = max(ended_s, back_s)
+        detail = f"waited {total_s:.2f} s of {FROZEN_WINDOW_S} for a processor"
+        found = frozen.setdefault(last.host, [])
+        if found and began_s <= found[-1].ended_s:
+            found[-1] = dataclasses.replace(found[-1], ended_s=ended_s)
+        else:
+            found.append(
                 faults.InjectedFault("frozen", last.host, began_s, ended_s, detail)
             )
-    return frozen
+    return [item for each in frozen.values() for item in each]
 
 
 def longest_wait_s(record: Record) -> float:
--- a/hickoryweir/testing/soak/tests/test_day_oracle.py
+++ b/hickoryweir/testing/soak/tests/test_day_oracle.py
@@ -134,8 +134,8 @@
     broken = ["an acknowledged table is in force"]
     for waited_s, expected in ((0.7, []), (0.5, broken)):
         delays = [
-            day_oracle.Delay(ROUTER, at_s - 0.9, at_s, waited_s)
-            for at_s in (FINAL_S - 0.9, FINAL_S)
+            day_oracle.Delay(ROUTER, at_s - 0.7, at_s, waited_s)
+            for at_s in (FINAL_S - 0.7, FINAL_S)
         ]
         changes = {"injected": [final], "delays": delays}
         assert find_broken(observations=observations, **changes) == expected
