--- a/hickoryweir/testing/soak/days.py
+++ b/hickoryweir/testing/soak/days.py
@@ -77,10 +77,12 @@
     async with callers.make_session(ATTEMPT_TIMEOUT_S) as session:
         play = await make_play(options, seed, folder, session)
         day = day_events.draw(seed, options.span, options.routers, options.servers)
+        recording = asyncio.create_task(stops.record_delays(play.site))
         try:
             await start(play)
             await play_events(play, day)
         finally:
+            recording.cancel()
             stops.end_processes(play.cluster, [])
     violations = day_oracle.find_violations(play.record)
     show(options, play, day, violations)
@@ -222,6 +224,9 @@
         f"{day_oracle.longest_wait_s(record):.2f} s, {len(violations)} violations",
         flush=True,
     )
+    for finding, evidence in record.excused:
+        violation = finding.violation
+        print(f"EXCUSED: {violation.promise}: {violation.detail}: {evidence}")
     if not violations:
         return
     for violation in violations[: stops.SHOWN_COUNT]:
