--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -109,6 +109,23 @@
     return tuple(wire.address_of(member) for member in replica.state.membership.members)
 
 
+def _known_addresses(
+    replica: node.Node, peer_port: int
+) -> tuple[wire.ReplicaAddress, ...]:
+    """Return the members in the log, or what connects to a replica without any.
+
+    Others still connect to a replica that lost its disk; its seeds may all be gone.
+    """
+    members = _member_addresses(replica)
+    if members:
+        return members
+    return tuple(
+        wire.ReplicaAddress(name, name, peer_port, "")
+        for name, count in replica.incoming_counts.items()
+        if count
+    )
+
+
 def _summarize(replica: node.Node) -> replica_log.Summary | None:
     if replica.state is None:
         return None
@@ -131,7 +148,9 @@
             identity,
             settings.seed_replicas(entry_settings),
             is_leader_known=lambda: _make_log_status(self._supervisor.node).has_leader,
-            get_members=lambda: _member_addresses(self._supervisor.node),
+            get_members=lambda: _known_addresses(
+                self._supervisor.node, process.peer_port
+            ),
         )
         self._session = sessions.make_session(keeps_connections=True)
         self._publisher = publisher.make_publisher(
--- a/hickoryweir/entry/tests/test_lost_disks.py
+++ b/hickoryweir/entry/tests/test_lost_disks.py
@@ -170,7 +170,7 @@
     assert asyncio.run(main()) == 2
 
 
-def test_table_is_read_when_no_seed_is_left_but_one_with_an_empty_disk(tmp_path):
+def test_replica_with_an_empty_disk_joins_again_when_no_other_seed_is_left(tmp_path):
     async def main():
         zones = (*SEED_ZONES, *SEED_ZONES[1:])
         cluster = await clusters.start_cluster(
@@ -185,8 +185,12 @@
                 clusters.kill(cluster.replicas[former])
             await put(cluster, 2)
             await lose_disk_and_power(cluster, cluster.replicas[0])
-            return await read_newest(cluster, RECOVERY_S)
+            versions = [await read_newest(cluster, RECOVERY_S)]
+            await asyncio.sleep(CATCH_UP_S)
+            await put(cluster, 3)
+            await lose_disk_and_power(cluster, cluster.replicas[3])
+            return [*versions, await read_newest(cluster, RECOVERY_S)]
         finally:
             await clusters.stop_all(cluster)
 
-    assert asyncio.run(main()) == 2
+    assert asyncio.run(main()) == [2, 3]
