Replicas: a superseded learner replaces a voter of its own zone that stops

A learner whose vote was taken over may be the one that stays, if a voter of the same zone stops; it takes that place again. In another zone it still does not.

--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -142,13 +142,13 @@
     """Return the learner to promote, and the voter whose vote it takes over, if any."""
     steady = [view for view in caught_up if not view.yields]
     is_incomplete = len(voters) < voters_wanted_count
-    is_leaving = any(view.is_leaving for view in others)
+    leaving = [view for view in others if view.is_leaving]
     gives_back = bool(steady) and _can_give_back(others)
     is_unbalanced = bool(steady) and _is_unbalanced(others, voters, steady)
     if is_incomplete or gives_back or is_unbalanced:
         return _choose_learner(caught_up, voters), None
-    lasting = [view for view in caught_up if not _is_superseded(view, voters)]
-    if is_leaving and lasting:
+    lasting = [view for view in caught_up if not _is_superseded(view, voters, leaving)]
+    if leaving and lasting:
         return _choose_learner(lasting, voters), None
     superseding = _find_superseding_learner(others, voters, steady)
     if superseding is None:
@@ -204,17 +204,20 @@
     )
 
 
-def _is_superseded(learner: MemberView, voters: list[MemberView]) -> bool:
+def _is_superseded(
+    learner: MemberView, voters: list[MemberView], leaving: list[MemberView]
+) -> bool:
     """Return whether a newer voter of its zone has taken over a learner's vote.
 
     Such a learner may be lost at any time, so it takes the place of no voter that is
-    about to stop.
+    about to stop.  One of its own zone that stops may be the one that was succeeded.
     """
     zone = learner.member.availability_zone
+    if any(view.member.availability_zone == zone for view in leaving):
+        return False
     return any(
         view.member.availability_zone == zone
         and view.joining_order > learner.joining_order
-        and not view.is_leaving
         for view in voters
     )
 
@@ -422,12 +425,16 @@
 def _has_successor(
     state: states.State, learner: messages.Member, leaving_id: str
 ) -> bool:
-    """Return whether a newer voter of its zone has taken over a learner's vote."""
+    """Return whether a learner takes no place of a voter that is about to stop.
+
+    As by :func:`_is_superseded`.
+    """
     members = state.membership.members
+    leaving = state.membership.find(leaving_id)
+    if leaving is not None and leaving.availability_zone == learner.availability_zone:
+        return False
     return any(
-        other.voter
-        and other.member_id != leaving_id
-        and other.availability_zone == learner.availability_zone
+        other.voter and other.availability_zone == learner.availability_zone
         for other in members[members.index(learner) + 1 :]
     )
 
--- a/hickoryweir/replicas/tests/test_automation.py
+++ b/hickoryweir/replicas/tests/test_automation.py
@@ -270,6 +270,17 @@
     )
 
 
+def test_superseded_learner_replaces_another_voter_of_its_zone_that_stops():
+    stopping = view("b", zone="a", joined=1, leaving=True)
+    voters = (view("c", zone="a", joined=2), stopping, view("d", zone="a", joined=9))
+    learner = view("a", voter=False, zone="a")
+    assert decide(*voters, learner) == (wire.Change.PROMOTE, learner.member.member_id)
+    assert decide(*voters, view("a", zone="a")) == (
+        wire.Change.REMOVE,
+        stopping.member.member_id,
+    )
+
+
 def test_superseded_learner_replaces_its_successor_when_that_stops():
     voters = (SPREAD[0], view("d", zone="b", joined=9, leaving=True), SPREAD[2])
     learner = view("b", voter=False, zone="b")
