Feeds: a stream's origin is told to all replicas

A client that came back during a release, after its router was killed, got version_unknown or its deadline if the two replicas with which that router had connected first had been replaced or restarted since: only they were told where its stream began, replicas don't pass it on, and keep it in memory.

Two were meant as one more than needed, but a replaced replica and a lost one may both be gone while a stream lives.

test_origins_of_streams_outlast_the_replicas_that_a_router_connected_to_first failed before (nothing received within 5 s), and passes 4 of 4 now.

--- a/hickoryweir/feeds/subscriber.py
+++ b/hickoryweir/feeds/subscriber.py
@@ -213,7 +213,10 @@
         self._completed_fingerprints.append(fingerprint)
 
     def report_origin(self, service_name: str, software_version: str, key: int) -> None:
-        """Tell replicas where a stream began, batched with subsequent ones."""
+        """Tell all replicas where a stream began, batched with subsequent ones.
+
+        Replicas don't pass it on, and the stream may outlast several of them.
+        """
         if not self._origins:
             asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._send_origins)
         pair = (service_name, software_version)
@@ -222,7 +225,7 @@
     def _send_origins(self) -> None:
         origins, self._origins = self._origins, {}
         for pair, keys in origins.items():
-            self._send_to_some(messages.StreamOrigins(*pair, tuple(keys)))
+            self.send_to_all(messages.StreamOrigins(*pair, tuple(keys)))
 
     def ask_origins(self, keys: tuple[int, ...]) -> None:
         """Ask all replicas where streams began."""
--- a/hickoryweir/feeds/tests/test_feeds.py
+++ b/hickoryweir/feeds/tests/test_feeds.py
@@ -498,6 +498,34 @@
     assert set(received) == {ORIGINS}
 
 
+def test_origins_of_streams_outlast_the_replicas_that_a_router_connected_to_first():
+    received = []
+
+    async def main():
+        async with run_feeds([1, 1, 1]) as (replicas, first, _):
+            second = follow(replicas, received)
+            task = asyncio.create_task(second.run())
+            await wait_until(lambda: second.reached_count == first.reached_count == 3)
+            for key in ORIGINS.keys:
+                first.report_origin("app", "v1", key)
+            await asyncio.sleep(0.1)
+            for connection in first._open_connections[:2]:
+                gone = next(
+                    item
+                    for item in replicas
+                    if item.address.name == connection.peer.process_name
+                )
+                await stop(gone)
+                replicas.remove(gone)
+            second.ask_origins(ORIGINS.keys)
+            await wait_until(lambda: received)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(main())
+    assert set(received) == {ORIGINS}
+
+
 def test_router_that_starts_is_told_the_versions_in_use_before_it_gets_the_list():
     received = []
 
