Replicas: a silent former member does not delay each poll of the leader

A machine that is gone answers no connection, unlike a process that has ended on a machine that lives. Seeds stay in the settings, so after a replaced replica each poll of a router or replica for the leader took its whole timeout of 0.3 s: reads of versions for clients that come back, the first table, and changes after each election waited for it. Tests on loopback never showed it, since a connection to an ended process is refused at once.

A poll ends now as soon as a replica claims to lead, a majority of the voters that it names has answered, and none is in a later term: a later leader has a vote of any majority.

test_silent_former_member_does_not_delay_each_poll failed before (five polls took longer than one timeout of 0.3 s, the bound), and passes now.

--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -163,14 +163,32 @@
 
     async def status(self) -> tuple[wire.Status, ...]:
         """Return the status of each replica that answers within the poll timeout."""
+        return await self._ask_statuses(lambda statuses: False)
+
+    async def _ask_statuses(
+        self, are_enough: Callable[[tuple[wire.Status, ...]], bool]
+    ) -> tuple[wire.Status, ...]:
+        """Return the statuses that come within the timeout or are enough before it."""
         request = wire.StatusRequest(0)
-        statuses = await asyncio.gather(
-            *[
-                self._ask_within(channel, request, POLL_TIMEOUT_S)
-                for channel in list(self._channels.values())
-            ]
-        )
-        return tuple(item for item in statuses if isinstance(item, wire.Status))
+        waiting = {
+            asyncio.create_task(self._ask_within(channel, request, POLL_TIMEOUT_S))
+            for channel in list(self._channels.values())
+        }
+        statuses: tuple[wire.Status, ...] = ()
+        try:
+            while waiting and not are_enough(statuses):
+                done, waiting = await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
+                )
+                answers = [task.result() for task in done]
+                statuses += tuple(
+                    item for item in answers if isinstance(item, wire.Status)
+                )
+            return statuses
+        finally:
+            for task in waiting:
+                task.cancel()
+            await asyncio.gather(*waiting, return_exceptions=True)
 
     async def add_learner(
         self, replica: wire.ReplicaAddress, timeout_s: float
@@ -374,7 +392,7 @@
     async def _poll_all(self) -> None:
         try:
             self.add_replicas(self._get_members())
-            statuses = await self.status()
+            statuses = await self._ask_statuses(reachability.is_decided)
             self.reachability, self.leader_name, self.target_name = reachability.assess(
                 statuses
             )
--- a/hickoryweir/replicas/reachability.py
+++ b/hickoryweir/replicas/reachability.py
@@ -40,3 +40,24 @@
     if any(status.has_quorum for status in statuses):
         return Reachability.ELECTION, "", ""
     return Reachability.NO_QUORUM, "", ""
+
+
+def is_decided(statuses: tuple[wire.Status, ...]) -> bool:
+    """Return whether no further status could name another leader.
+
+    A later leader has a vote of any majority.  This answers polls while a member is
+    silent, whose status would only come at the timeout.
+
+    Examples
+    --------
+    >>> is_decided(())
+    False
+    """
+    leaders = [status for status in statuses if status.leader_id == status.member_id]
+    if not leaders:
+        return False
+    leader = max(leaders, key=lambda status: status.term)
+    voter_ids = {item.member.member_id for item in leader.members if item.member.voter}
+    voted = [status for status in statuses if status.member_id in voter_ids]
+    is_latest = all(status.term <= leader.term for status in statuses)
+    return is_latest and 2 * len(voted) > len(voter_ids)
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -4,6 +4,8 @@
 import dataclasses
 import gc
 import pathlib
+import socket
+import time
 
 import pytest
 from returns import result
@@ -13,6 +15,7 @@
     client,
     disk,
     files,
+    messages,
     node,
     reachability,
     records,
@@ -25,6 +28,8 @@
 from hickoryweir.replicas.tests import register
 from hickoryweir.streams import codec, handshake, hub
 
+POLLS_COUNT = 5
+
 
 def run(coroutine):
     return asyncio.run(coroutine)
@@ -261,6 +266,55 @@
     assert run(scenario()) == (reachability.Reachability.RELAYED, "v2")
 
 
+def test_silent_former_member_does_not_delay_each_poll(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            await put(router, "k", "v1")
+            with socket.create_server((register.HOST, 0)) as silent:
+                port = silent.getsockname()[1]
+                former = wire.ReplicaAddress("gone", register.HOST, port, "a")
+                addresses = tuple(item.address for item in replicas.values())
+                log = client.make_client(
+                    register.make_identity("other"), (former, *addresses)
+                )
+                began_s = time.monotonic()
+                for _ in range(POLLS_COUNT):
+                    assert await log.wait_until_ready(register.START_TIMEOUT_S)
+                took_s = time.monotonic() - began_s
+                await log.close()
+            return took_s
+
+    assert run(scenario()) < client.POLL_TIMEOUT_S
+
+
+@pytest.mark.parametrize(
+    ("terms", "names", "is_decided"),
+    [
+        ({"a": 5, "b": 4}, "abc", True),
+        ({"a": 5}, "abc", False),
+        ({"a": 5, "b": 6}, "abc", False),
+        ({"a": 5, "d": 5}, "abc", False),
+        ({"a": 5, "b": 5}, "abcde", False),
+        ({"b": 5, "c": 5}, "abc", False),
+    ],
+)
+def test_poll_ends_early_only_if_no_other_replica_can_lead(terms, names, is_decided):
+    members = tuple(
+        wire.MemberStatus(
+            messages.Member(f"{name}~1", "", name, name in names), 0, True, False, 0.0
+        )
+        for name in sorted({*names, *terms})
+    )
+    statuses = tuple(
+        wire.Status(
+            *(0, f"{name}~1", name, "", term, "a~1", True, False, 0, 0, 0),
+            members=members,
+        )
+        for name, term in terms.items()
+    )
+    assert reachability.is_decided(statuses) is is_decided
+
+
 def test_client_that_saw_no_quorum_serves_as_soon_as_a_leader_is_known(tmp_path):
     async def scenario():
         async with register.run_cluster(tmp_path) as (replicas, router):
