--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -129,7 +129,9 @@
         self._is_confirmed = False
         identity = settings.peer_identity(entry_settings)
         seeds = settings.seed_replicas(entry_settings)
-        self._log = client.make_client(identity, seeds, None)
+        self._log = client.make_client(
+            identity, seeds, None, get_members=self._followed_replicas
+        )
         self._subscriber = subscriber.make_subscriber(
             identity, seeds, self._make_callbacks()
         )
@@ -430,6 +432,10 @@
         )
         relay_pool.update_named(self.forwarder.relays, replica_address, routers)
 
+    def _followed_replicas(self) -> tuple[wire.ReplicaAddress, ...]:
+        """Return the replicas that the feeds have named; all seeds may be gone."""
+        return tuple(self._subscriber.followed.values())
+
     def _make_greeting(self) -> list:
         """Return what a replica that may have restarted has to know."""
         state, now_s = self.forwarder.suspect_parts, clocks.boottime_s()
@@ -437,9 +443,10 @@
         known += losses.make_messages(self.forwarder.crashes, now_s)
         known += limits.make_greeting(self.forwarder)
         listed = self._make_listed_versions()
-        if not listed:
-            return known
-        origins = resumption.own_origins(self.forwarder)
+        if listed:
+            origins = resumption.own_origins(self.forwarder)
+        else:
+            origins = resumption.split_origins(self.forwarder)
         return [*known, *listed, *versions.make_stream_origins(origins)]
 
     def _apply_loads(self, total: messages.TotalLoads) -> None:
