Feeds: a new replica is told where streams of a split route began

Once all replicas had been replaced or restarted, another router refused to resume a stream of a route with two services (503, version_unknown): a router told its own streams to a replica that connected later only while some service had two versions.

--- a/hickoryweir/forwarding/resumption.py
+++ b/hickoryweir/forwarding/resumption.py
@@ -374,6 +374,20 @@
     ]
 
 
+def split_origins(
+    forwarder: contexts.Forwarder,
+) -> list[tuple[int, stream_versions.Origin]]:
+    """Return the own streams of services that share a route with another service."""
+    if forwarder.route_index is None:
+        return []
+    split = _split_services(forwarder.route_index.table)
+    return [
+        (key, origin)
+        for key, origin in own_origins(forwarder)
+        if origin.service_name in split
+    ]
+
+
 def apply_origins(
     forwarder: contexts.Forwarder, message: messages.StreamOrigins
 ) -> None:
