--- a/hickoryweir/entry/tests/test_flooding_clients.py
+++ b/hickoryweir/entry/tests/test_flooding_clients.py
@@ -17,7 +17,10 @@
 async def measure(folder, form, count):
     """Return sound calls before and beside floods, the router's peak and its end."""
     faulty_port = await processes.start_server(flooding.HOST, flooding.answer)
-    async with flooding.run_router(folder, faulty_port) as (router, port):
+    async with (
+        flooding.run_router(folder, faulty_port) as (router, port),
+        processor_slots.measure_alone(),
+    ):
         undisturbed = await flooding.call_sound(port, flooding.UNDISTURBED_S)
         clients = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "hickoryweir.testing.client_floods"),
--- a/hickoryweir/entry/tests/test_flooding_servers.py
+++ b/hickoryweir/entry/tests/test_flooding_servers.py
@@ -265,6 +265,7 @@
     async with (
         run_floods() as ports,
         run_router(folder, ports[form]) as (router, port),
+        processor_slots.measure_alone(),
     ):
         undisturbed = await call_sound(port, UNDISTURBED_S)
         path = "/stream/x" if floods.FORMS[form].is_stream else "/plain/x"
--- a/hickoryweir/entry/tests/test_memory_limit.py
+++ b/hickoryweir/entry/tests/test_memory_limit.py
@@ -222,6 +222,7 @@
         flooding.run_router(
             folder, ports[response_form], table=TABLE, answer_sound=answer_and_record
         ) as (router, port),
+        processor_slots.measure_alone(),
     ):
         sampling = asyncio.create_task(test_uploads.sample_peak_mb(router))
         small = asyncio.create_task(stops.call_until_closed(port))
--- a/hickoryweir/entry/tests/test_uploads.py
+++ b/hickoryweir/entry/tests/test_uploads.py
@@ -123,6 +123,7 @@
     async with (
         run_server(wait_s) as (server_port, end),
         flooding.run_router(folder, server_port) as (router, port),
+        processor_slots.measure_alone(),
     ):
         undisturbed = await flooding.call_sound(port, flooding.UNDISTURBED_S)
         sampling = asyncio.create_task(sample_peak_mb(router))
@@ -244,6 +245,7 @@
     async with (
         run_server(0.0, read_after_s) as (server_port, end),
         flooding.run_router(folder, server_port) as (router, port),
+        processor_slots.measure_alone(),
     ):
         undisturbed = await call_with_small_bodies(port, flooding.UNDISTURBED_S)
         sampling = asyncio.create_task(sample_peak_mb(router))
--- a/hickoryweir/testing/processor_slots.py
+++ b/hickoryweir/testing/processor_slots.py
@@ -1,16 +1,18 @@
 """Slots for measurements that need processors of their own.
 
 Tests that measure rates and latencies of processes disturb each other when many test
-workers run them at once.  The locks are files, which the workers share.
+workers run them at once.  Their processes may start beside another measurement, but
+only one measures at a time.  The locks are files, which the workers share.
 """
 
+import asyncio
 import contextlib
 import fcntl
 import os
 import pathlib
 import tempfile
 import time
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 from typing import TextIO
 
 SLOTS_COUNT = 2
@@ -45,6 +47,21 @@
         yield number
 
 
+def measuring_path() -> pathlib.Path:
+    """Return the lock file of the measurement in progress of this user."""
+    name = f"hickoryweir-measuring-{os.getuid()}"
+    return pathlib.Path(tempfile.gettempdir()) / name
+
+
+@contextlib.asynccontextmanager
+async def measure_alone() -> AsyncIterator[None]:
+    """Wait until no other measurement is in progress; the event loop goes on."""
+    with measuring_path().open("a") as file:
+        # Closing the file releases the lock.
+        await asyncio.to_thread(fcntl.flock, file, fcntl.LOCK_EX)
+        yield
+
+
 def _lock_one(files: list[TextIO]) -> int | None:
     """Lock one of the files; return its number, None if others hold all locks."""
     for number, file in enumerate(files):
--- a/hickoryweir/testing/tests/test_processor_slots.py
+++ b/hickoryweir/testing/tests/test_processor_slots.py
@@ -1,5 +1,6 @@
 """Slots that test workers share."""
 
+import asyncio
 import threading
 
 from hickoryweir.testing import processor_slots
@@ -31,3 +32,28 @@
     for thread in threads:
         thread.join()
     assert most_count == 2
+
+
+def test_measurements_wait_for_each_other_without_stopping_the_event_loop(
+    tmp_path, monkeypatch
+):
+    """Guards against rates that another measurement lowers."""
+    monkeypatch.setattr(
+        processor_slots, "measuring_path", lambda: tmp_path / "measuring"
+    )
+    measuring_count, seen_counts = 0, []
+
+    async def measure():
+        nonlocal measuring_count
+        async with processor_slots.measure_alone():
+            measuring_count += 1
+            await asyncio.sleep(0.1)
+            seen_counts.append(measuring_count)
+            measuring_count -= 1
+
+    async def main():
+        async with asyncio.timeout(5.0):
+            await asyncio.gather(*(measure() for _ in range(4)))
+
+    asyncio.run(main())
+    assert seen_counts == [1] * 4
