--- a/hickoryweir/testing/soak/day_events.py
+++ b/hickoryweir/testing/soak/day_events.py
@@ -19,6 +19,7 @@
 CHANGES = (CHANGE, RACE, REPEAT)
 LEAVE = "leave"
 SERVER_FAULTS = (LEAVE, *stop_backends.FAULTS)
+ADD = "router added"
 FINAL_KILL, FINAL_DISK = "all killed", "disk lost, other replicas killed"
 FINAL_DISK_ALL = "disk lost, all others killed"
 FINALS = (FINAL_KILL, FINAL_DISK, FINAL_DISK_ALL)
@@ -29,6 +30,9 @@
 # From one stop of a router to its next one.
 STOP_INTERVAL_MIN_S, STOP_INTERVAL_MAX_S = 16.0, 24.0
 FINAL_DELAY_MAX_S, FINAL_SOON_MAX_S = 3.0, 0.6
+ADDED_MAX_COUNT = 2
+# From the moment at which an added router is ready until its planned stop.
+ADDED_MIN_S, ADDED_MAX_S = 2.0, 8.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +44,8 @@
     losses, changes, servers, stops, reloads : list of Event
         Events of replicas, the operator, backend servers and routers, each in order.
         Losses follow one another; so do changes, and faults of backend servers.
+    additions : list of Event
+        Routers that are added; the duration is from ready to the planned stop.
     last_loss : Event
         The loss after all other events but changes.
     final : Event
@@ -51,6 +57,7 @@
     servers: list[stop_events.Event]
     stops: list[stop_events.Event]
     reloads: list[stop_events.Event]
+    additions: list[stop_events.Event]
     last_loss: stop_events.Event
     final: stop_events.Event
 
@@ -75,6 +82,7 @@
         draw_servers(random.Random(f"{seed} servers"), span_s, servers_count),
         stops,
         draw_reloads(random.Random(f"{seed} reloads"), span_s, stops, routers_count),
+        draw_additions(random.Random(f"{seed} additions"), span_s),
         last_loss,
         final,
     )
@@ -161,3 +169,15 @@
         events.append(stop_events.Event(at_s, stop_events.RELOAD, index))
     reloads = [event for event in events if event.kind == stop_events.RELOAD]
     return sorted(reloads, key=lambda event: event.at_s)
+
+
+def draw_additions(generator: random.Random, span_s: float) -> list[stop_events.Event]:
+    """Return routers that are added in the middle of the day."""
+    events = []
+    for _ in range(generator.randint(1, ADDED_MAX_COUNT)):
+        at_s = generator.uniform(span_s / 4, span_s / 2)
+        rest_s = span_s - at_s - START_S - LEAD_S - stop_records.GRACE_S
+        latest_s = max(ADDED_MIN_S, min(ADDED_MAX_S, rest_s))
+        duration_s = generator.uniform(ADDED_MIN_S, latest_s)
+        events.append(stop_events.Event(at_s, ADD, duration_s=duration_s))
+    return events
--- a/hickoryweir/testing/soak/day_oracle.py
+++ b/hickoryweir/testing/soak/day_oracle.py
@@ -20,6 +20,7 @@
 KEPT = "kept"
 UNREAD = "an acknowledged table can be read after the final fault"
 LOST = "an acknowledged table is not lost"
+UNREADY = "a router becomes ready"
 KEPT_CLOSED = "kept connections are not closed without an answer"
 NOT_ACKNOWLEDGED = "a change is acknowledged with one replica lost"
 
@@ -49,6 +50,8 @@
         Of replicas that were stopped, and of processes that ended by themselves.
     replicas : list of str
         Hosts of all replicas.
+    unready : list of str
+        Hosts of added routers that did not become ready in time.
     final_s : float or None
         When the final fault began.
     final_version : int or None
@@ -67,6 +70,7 @@
     ended: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     replicas: list[str] = dataclasses.field(default_factory=list)
     delays: list[Delay] = dataclasses.field(default_factory=list)
+    unready: list[str] = dataclasses.field(default_factory=list)
     final_s: float | None = None
     final_version: int | None = None
     final_reads: dict[str, int | None] = dataclasses.field(default_factory=dict)
@@ -94,6 +98,7 @@
             promises.Violation("processes go on", f"{host} ended with {code}")
             for host, code in record.ended
         ),
+        *(promises.Violation(UNREADY, host) for host in record.unready),
     ]
 
 
--- a/hickoryweir/testing/soak/days.py
+++ b/hickoryweir/testing/soak/days.py
@@ -1,8 +1,8 @@
 """Plays whole days on processes: ``bin/soak days --seed N --days M``.
 
-Routers stop as planned and replicas are lost and replaced while the operator changes
-the table, backend servers come and go, and clients keep calling; a final fault ends the
-day.  The exit code is 1 if a promise was broken.
+Routers are added and stop as planned, and replicas are lost and replaced while the
+operator changes the table, backend servers come and go, and clients keep calling; a
+final fault ends the day.  The exit code is 1 if a promise was broken.
 """
 
 import asyncio
@@ -27,10 +27,12 @@
     faults,
     replicas,
     stop_backends,
+    stop_clients,
     stop_events,
     stop_records,
     stops,
 )
+from hickoryweir.testing.soak import cluster as clusters
 
 ROUTERS_COUNT, SERVERS_COUNT, CLIENTS_COUNT = 3, 4, 6
 SPAN_S = 36.0
@@ -143,17 +145,14 @@
     polling = callers.poll_versions(play.cluster, play.record.observations)
     tasks = [asyncio.create_task(polling), asyncio.create_task(day_plays.watch(play))]
     for router in play.cluster.routers:
-        target = day_clients.make_target(play, router)
-        play.record.clients.append(target)
-        tasks += [
-            asyncio.create_task(day_clients.keep_calling(target, number))
-            for number in range(play.clients_count)
-        ]
+        tasks += start_clients(play, router)
+    added = enumerate(day.additions, len(day.stops))
     await asyncio.gather(
         in_series(play, day.losses, day_losses.lose),
         in_series(play, day.servers, disturb),
         in_series(play, day.reloads, reload),
         *(stop_router(play, event, n) for n, event in enumerate(day.stops)),
+        *(add_router(play, event, n, tasks) for n, event in added),
     )
     await day_losses.lose(play, day.last_loss)
     await asyncio.sleep(day.final.duration_s)
@@ -162,6 +161,16 @@
     await replicas.end_tasks(tasks)
 
 
+def start_clients(play: day_plays.Play, router: clusters.Member) -> list[asyncio.Task]:
+    """Start clients that use a router through the rest of the day."""
+    target = day_clients.make_target(play, router)
+    play.record.clients.append(target)
+    return [
+        asyncio.create_task(day_clients.keep_calling(target, number))
+        for number in range(play.clients_count)
+    ]
+
+
 async def in_series(
     play: day_plays.Play, events: list[stop_events.Event], carry_out
 ) -> None:
@@ -204,6 +213,40 @@
     )
 
 
+async def add_router(
+    play: day_plays.Play, event: stop_events.Event, number: int, tasks: list
+) -> None:
+    """Start a further router and clients of it; stop it as planned some time later.
+
+    Parameters
+    ----------
+    number : int
+        Number of its stop.
+    tasks : list of Task
+        Gets the clients.
+    """
+    await day_plays.sleep_until(play, event.at_s)
+    cluster, index = play.cluster, len(play.cluster.routers)
+    first = cluster.routers[0]
+    host = f"{first.host.rpartition('.')[0]}.{index + 1}"
+    folder = first.folder.parent / f"router-{index}"
+    member = clusters.Member("router", host, folder, zone=ZONES[index % len(ZONES)])
+    cluster.routers.append(member)
+    folder.mkdir()
+    clusters.write_settings(cluster, member)
+    clusters.launch(member)
+    play.record.injected.append(
+        faults.InjectedFault(event.kind, host, member.started_s, member.started_s)
+    )
+    if not await clusters.wait_until_ready(play.current.session, cluster, member):
+        play.record.unready.append(host)
+    tasks += start_clients(play, member)
+    await asyncio.sleep(event.duration_s)
+    at_s = time.monotonic() - play.began_s + stop_clients.LEAD_S
+    stop = stop_events.Event(at_s, stop_events.TERMINATE, index)
+    await stop_router(play, stop, number)
+
+
 def show(
     options: Days, play: day_plays.Play, day: day_events.Day, violations: list
 ) -> None:
@@ -218,6 +261,7 @@
     print(
         f"seed {play.seed}: {len(requests)} requests {dict(statuses)}, "
         f"{len(record.stops)} stops, {len(day.losses) + 1} losses, "
+        f"{len(day.additions)} routers added, "
         f"{len(record.observations.accepted)} changes, "
         f"{day.last_loss.kind} then {day.final.kind} {day.final.duration_s:.2f} s "
         f"later, reads {record.final_reads}, processes waited for up to "
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -204,9 +204,9 @@
 
 async def record_delays(site: Site) -> None:
     """Record when the processes of a run are not scheduled."""
-    members = (*site.cluster.replicas, *site.cluster.routers)
 
     def list_pids() -> list[int]:
+        members = (*site.cluster.replicas, *site.cluster.routers)
         processes = (member.process for member in members)
         return [process.pid for process in processes if process is not None]
 
--- a/hickoryweir/testing/soak/tests/test_day_events.py
+++ b/hickoryweir/testing/soak/tests/test_day_events.py
@@ -49,6 +49,16 @@
         assert earlier.at_s + earlier.duration_s <= later.at_s
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_routers_are_added_in_the_middle_of_a_day(seed):
+    additions = draw(seed).additions
+    assert 1 <= len(additions) <= day_events.ADDED_MAX_COUNT
+    for event in additions:
+        assert SPAN_S / 4 <= event.at_s <= SPAN_S / 2
+        stop_s = event.at_s + event.duration_s + day_events.START_S + day_events.LEAD_S
+        assert stop_s + stop_records.GRACE_S <= SPAN_S
+
+
 def test_days_have_every_kind_of_event():
     days = [draw(seed) for seed in SEEDS]
     assert {day.final.kind for day in days} == set(day_events.FINALS)
@@ -59,5 +69,6 @@
         ([day.servers for day in days], day_events.SERVER_FAULTS),
         ([day.stops for day in days], (stop_events.TERMINATE,)),
         ([day.reloads for day in days], (stop_events.RELOAD,)),
+        ([day.additions for day in days], (day_events.ADD,)),
     ):
         assert {event.kind for events in drawn for event in events} == set(kinds)
--- a/hickoryweir/testing/soak/tests/test_day_oracle.py
+++ b/hickoryweir/testing/soak/tests/test_day_oracle.py
@@ -189,3 +189,7 @@
     codes = [(REPLICAS[0], 0), (REPLICAS[1], 1)]
     assert find_broken(exit_codes=codes) == [stop_oracle.ENDS_CLEAN]
     assert find_broken(ended=[(ROUTER, -6)]) == ["processes go on"]
+
+
+def test_added_router_that_does_not_become_ready_is_reported():
+    assert find_broken(unready=[ROUTER]) == [day_oracle.UNREADY]
