--- a/hickoryweir/testing/soak/cluster.py
+++ b/hickoryweir/testing/soak/cluster.py
@@ -76,6 +76,8 @@
         none if it connects to them itself.
     opens_early : bool
         Whether it opens the clients' port before its imports.
+    has_slow_disk : bool
+        Whether the soak can make its disk slow.
     zone : str
         Its availability zone.
     """
@@ -88,6 +90,7 @@
     log_start_bytes: int = 0
     links: dict[str, proxies.Proxy] = dataclasses.field(default_factory=dict)
     opens_early: bool = False
+    has_slow_disk: bool = False
     zone: str = ZONE
 
     @property
@@ -100,6 +103,11 @@
         """Return the path of its settings file."""
         return self.folder / "settings.ini"
 
+    @property
+    def sync_delay_path(self) -> pathlib.Path:
+        """Return the path of the file with the delay of its syncs, if there is one."""
+        return self.folder / "sync-delay"
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Cluster:
@@ -244,6 +252,9 @@
         return program, settings_path, str(member.links_path)
     if member.opens_early:
         return "hickoryweir.testing.early_process", settings_path
+    if member.has_slow_disk:
+        program = "hickoryweir.testing.slow_disk_process"
+        return program, str(member.sync_delay_path), "forward", settings_path
     return "hickoryweir", "forward", settings_path
 
 
@@ -262,6 +273,16 @@
     member.process = None
 
 
+def delay_syncs(member: Member, delay_s: float) -> None:
+    """Make each sync of a replica take longer; 0 makes its disk sound."""
+    if delay_s:
+        new_path = member.sync_delay_path.with_suffix(".new")
+        new_path.write_text(str(delay_s))
+        new_path.rename(member.sync_delay_path)
+    else:
+        member.sync_delay_path.unlink(missing_ok=True)
+
+
 def wipe(member: Member) -> None:
     """Empty the data folder of a member that is down."""
     shutil.rmtree(member.folder / "data", ignore_errors=True)
--- a/hickoryweir/testing/soak/day_events.py
+++ b/hickoryweir/testing/soak/day_events.py
@@ -20,6 +20,8 @@
 LEAVE = "leave"
 SERVER_FAULTS = (LEAVE, *stop_backends.FAULTS)
 ADD = "router added"
+# By how much longer each sync takes.
+SLOW_DISKS_S = {"disk a little slow": 0.05, "slow disk": 0.2, "hanging disk": 0.8}
 FINAL_KILL, FINAL_DISK = "all killed", "disk lost, other replicas killed"
 FINAL_DISK_ALL = "disk lost, all others killed"
 FINALS = (FINAL_KILL, FINAL_DISK, FINAL_DISK_ALL)
@@ -31,6 +33,8 @@
 STOP_INTERVAL_MIN_S, STOP_INTERVAL_MAX_S = 16.0, 24.0
 FINAL_DELAY_MAX_S, FINAL_SOON_MAX_S = 3.0, 0.6
 ADDED_MAX_COUNT = 2
+SLOW_MIN_S, SLOW_MAX_S = 1.0, 4.0
+SLOW_INTERVAL_MAX_S = 16.0
 # From the moment at which an added router is ready until its planned stop.
 ADDED_MIN_S, ADDED_MAX_S = 2.0, 8.0
 
@@ -44,6 +48,8 @@
     losses, changes, servers, stops, reloads : list of Event
         Events of replicas, the operator, backend servers and routers, each in order.
         Losses follow one another; so do changes, and faults of backend servers.
+    slow_disks : list of Event
+        Slow disks of replicas, in order; they may overlap losses, but not each other.
     additions : list of Event
         Routers that are added; the duration is from ready to the planned stop.
     last_loss : Event
@@ -57,6 +63,7 @@
     servers: list[stop_events.Event]
     stops: list[stop_events.Event]
     reloads: list[stop_events.Event]
+    slow_disks: list[stop_events.Event]
     additions: list[stop_events.Event]
     last_loss: stop_events.Event
     final: stop_events.Event
@@ -82,6 +89,7 @@
         draw_servers(random.Random(f"{seed} servers"), span_s, servers_count),
         stops,
         draw_reloads(random.Random(f"{seed} reloads"), span_s, stops, routers_count),
+        draw_slow_disks(random.Random(f"{seed} slow disks"), span_s),
         draw_additions(random.Random(f"{seed} additions"), span_s),
         last_loss,
         final,
@@ -171,6 +179,19 @@
     return sorted(reloads, key=lambda event: event.at_s)
 
 
+def draw_slow_disks(generator: random.Random, span_s: float) -> list[stop_events.Event]:
+    """Return slow disks of replicas, of which each is sound again by the span."""
+    events: list[stop_events.Event] = []
+    at_s = generator.uniform(0.0, SLOW_INTERVAL_MAX_S)
+    while at_s + SLOW_MAX_S <= span_s:
+        kind = generator.choice(list(SLOW_DISKS_S))
+        index = generator.randrange(REPLICAS_COUNT)
+        duration_s = generator.uniform(SLOW_MIN_S, SLOW_MAX_S)
+        events.append(stop_events.Event(at_s, kind, index, duration_s))
+        at_s += duration_s + generator.uniform(0.0, SLOW_INTERVAL_MAX_S)
+    return events
+
+
 def draw_additions(generator: random.Random, span_s: float) -> list[stop_events.Event]:
     """Return routers that are added in the middle of the day."""
     events = []
--- a/hickoryweir/testing/soak/day_losses.py
+++ b/hickoryweir/testing/soak/day_losses.py
@@ -21,7 +21,10 @@
 
 
 async def lose(play: day_plays.Play, event: stop_events.Event) -> None:
-    """Lose a replica; return once as many as before count again."""
+    """Lose a replica; return once as many as before count again.
+
+    Beside a slow disk, a replica counts some time after that disk is sound.
+    """
     cluster = play.cluster
     member = cluster.replicas[event.index]
     began_s = time.monotonic()
@@ -44,12 +47,28 @@
         await launch(play, member)
         cluster.replicas.insert(event.index, member)
         await asyncio.sleep(day_events.CATCH_UP_S)
+    sound_s = play.slow_until_s + day_events.CATCH_UP_S
+    await asyncio.sleep(max(0.0, sound_s - time.monotonic()))
     ended_s = time.monotonic()
     play.record.injected.append(
         faults.InjectedFault(event.kind, member.host, began_s, ended_s)
     )
 
 
+async def slow_disk(play: day_plays.Play, event: stop_events.Event) -> None:
+    """Make the disk of a replica slow for a time, through its restarts too."""
+    running = play.cluster.replicas
+    member = running[event.index % len(running)]
+    began_s = time.monotonic()
+    play.slow_until_s = began_s + event.duration_s
+    clusters.delay_syncs(member, day_events.SLOW_DISKS_S[event.kind])
+    await asyncio.sleep(event.duration_s)
+    clusters.delay_syncs(member, 0.0)
+    play.record.injected.append(
+        faults.InjectedFault(event.kind, member.host, began_s, time.monotonic())
+    )
+
+
 async def succeed(play: day_plays.Play, member: clusters.Member) -> None:
     """Start the successor of a replica in its zone; return once it counts."""
     cluster = play.cluster
@@ -59,6 +78,7 @@
     successor = clusters.Member(
         "replica", host, member.folder.parent / host, zone=member.zone
     )
+    successor.has_slow_disk = member.has_slow_disk
     successor.folder.mkdir()
     clusters.write_settings(cluster, successor)
     await launch(play, successor)
--- a/hickoryweir/testing/soak/day_plays.py
+++ b/hickoryweir/testing/soak/day_plays.py
@@ -48,6 +48,8 @@
         What an operator sees of the replicas.
     gone : list of Member
         Replicas that never return.
+    slow_until_s : float
+        When the latest slow disk is sound again, on the steady clock.
     version : int
         The newest version sent.
     """
@@ -60,6 +62,7 @@
     record: day_oracle.Record
     began_s: float = 0.0
     gone: list[clusters.Member] = dataclasses.field(default_factory=list)
+    slow_until_s: float = 0.0
     version: int = stops.FIRST_VERSION
 
     @property
--- a/hickoryweir/testing/soak/days.py
+++ b/hickoryweir/testing/soak/days.py
@@ -116,6 +116,7 @@
     for members in (cluster.replicas, cluster.routers):
         for index, member in enumerate(members):
             member.zone = ZONES[index % len(ZONES)]
+            member.has_slow_disk = member in cluster.replicas
     site = stops.Site(cluster, servers, attempts, day_plays.TABLE)
     current = replicas.Round(seed, cluster, session)
     record = day_oracle.Record(
@@ -149,6 +150,7 @@
     added = enumerate(day.additions, len(day.stops))
     await asyncio.gather(
         in_series(play, day.losses, day_losses.lose),
+        in_series(play, day.slow_disks, day_losses.slow_disk),
         in_series(play, day.servers, disturb),
         in_series(play, day.reloads, reload),
         *(stop_router(play, event, n) for n, event in enumerate(day.stops)),
@@ -261,6 +263,7 @@
     print(
         f"seed {play.seed}: {len(requests)} requests {dict(statuses)}, "
         f"{len(record.stops)} stops, {len(day.losses) + 1} losses, "
+        f"{len(day.slow_disks)} slow disks, "
         f"{len(day.additions)} routers added, "
         f"{len(record.observations.accepted)} changes, "
         f"{day.last_loss.kind} then {day.final.kind} {day.final.duration_s:.2f} s "
--- a/hickoryweir/testing/soak/tests/test_day_events.py
+++ b/hickoryweir/testing/soak/tests/test_day_events.py
@@ -59,6 +59,16 @@
         assert stop_s + stop_records.GRACE_S <= SPAN_S
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_one_disk_at_a_time_is_slow_and_all_are_sound_at_the_last_loss(seed):
+    ends_s = [0.0]
+    for event in draw(seed).slow_disks:
+        assert event.at_s >= ends_s[-1]
+        assert event.index < day_events.REPLICAS_COUNT
+        ends_s.append(event.at_s + event.duration_s)
+    assert ends_s[-1] <= SPAN_S
+
+
 def test_days_have_every_kind_of_event():
     days = [draw(seed) for seed in SEEDS]
     assert {day.final.kind for day in days} == set(day_events.FINALS)
@@ -69,6 +79,7 @@
         ([day.servers for day in days], day_events.SERVER_FAULTS),
         ([day.stops for day in days], (stop_events.TERMINATE,)),
         ([day.reloads for day in days], (stop_events.RELOAD,)),
+        ([day.slow_disks for day in days], day_events.SLOW_DISKS_S),
         ([day.additions for day in days], (day_events.ADD,)),
     ):
         assert {event.kind for events in drawn for event in events} == set(kinds)
