--- a/hickoryweir/testing/soak/tests/test_day_events.py
+++ b/hickoryweir/testing/soak/tests/test_day_events.py
@@ -1,5 +1,6 @@
 """The events of a day follow from its seed, within the losses allowed."""
 
+import dataclasses
 import itertools
 
 import pytest
@@ -8,10 +9,11 @@
 
 SEEDS = range(75001, 75041)
 SPAN_S, ROUTERS_COUNT, SERVERS_COUNT = 36.0, 3, 4
+MORE_ROUTERS_COUNT = 6
 
 
-def draw(seed, span_s=SPAN_S):
-    return day_events.draw(seed, span_s, ROUTERS_COUNT, SERVERS_COUNT)
+def draw(seed, span_s=SPAN_S, routers_count=ROUTERS_COUNT):
+    return day_events.draw(seed, span_s, routers_count, SERVERS_COUNT)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -30,10 +32,11 @@
     assert all(loss.index < day_events.REPLICAS_COUNT for loss in losses)
 
 
+@pytest.mark.parametrize("routers_count", [ROUTERS_COUNT, MORE_ROUTERS_COUNT])
 @pytest.mark.parametrize("seed", SEEDS)
-def test_a_router_is_never_stopped_twice_at_once(seed):
-    stops = draw(seed).stops
-    for index in range(ROUTERS_COUNT):
+def test_a_router_is_never_stopped_twice_at_once(seed, routers_count):
+    stops = draw(seed, routers_count=routers_count).stops
+    for index in range(routers_count):
         times_s = [stop.at_s for stop in stops if stop.index == index]
         assert times_s
         assert all(
@@ -69,6 +72,14 @@
     assert ends_s[-1] <= SPAN_S
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_more_routers_change_no_event_but_their_own(seed):
+    few, more = draw(seed), draw(seed, routers_count=MORE_ROUTERS_COUNT)
+    assert [stop for stop in more.stops if stop.index < ROUTERS_COUNT] == few.stops
+    own = {"stops": few.stops, "reloads": few.reloads}
+    assert dataclasses.replace(more, **own) == few
+
+
 def test_days_have_every_kind_of_event():
     days = [draw(seed) for seed in SEEDS]
     assert {day.final.kind for day in days} == set(day_events.FINALS)
