Limits of a client's connection are those in force when a request begins

Callers on a connection opened under an earlier table were refused: after a table with a larger limit of headers, 96 kB of fields got 431 on a kept connection and 200 on a new one. Idle time was fixed likewise.

The bounds of aiohttp's parser and the idle time were set when the connection was opened. Now they are read at the first byte of each head. aiohttp's parser can't change its bounds, so that a new one is used if they differ; nothing of a request is in the one before, since parts end where messages do. The end of a body with a Content-Encoding was not known, although clients' bodies are not decompressed; it is now. An idle time that has become longer delays aiohttp's timer, and one that has become shorter is found by the check of slow clients. The idle time of a connection that is idle when a table comes stays until its next request.

Ruled out: a close of idle connections that were opened under other limits, since a client's next request may cross it.

--- a/hickoryweir/bounded_connections.py
+++ b/hickoryweir/bounded_connections.py
@@ -66,6 +66,7 @@
 
     __slots__ = (
         "_body_size_bytes",
+        "_decompresses",
         "_discard_turns",
         "_discarded_size_bytes",
         "_empty_size_bytes",
@@ -97,9 +98,9 @@
         super().__init__(server, **options)
         self._turns = turns
         self._discard_turns = turns if discard_turns is None else discard_turns
+        self._decompresses = options.get("auto_decompress", True)
         max_line_size = options.get("max_line_size", DEFAULT_MAX_LINE_SIZE_BYTES)
-        # A request line and the fields of a head each fit into one line's limit.
-        self._max_head_size_bytes = 2 * max_line_size + HEAD_MARGIN_SIZE_BYTES
+        self._max_head_size_bytes = _max_head_size_bytes(max_line_size)
         self.has_received = False
         self.head_started_s: float | None = None
         self.opened_s = 0.0
@@ -376,6 +377,7 @@
         is_head = is_content and not is_body
         if is_head and self.head_started_s is None:
             self.head_started_s = asyncio.get_running_loop().time()
+            self._begin_head()
         if not is_body and self._exceeds_head(data):
             return
         known_count = self._request_count
@@ -385,7 +387,7 @@
             self.head_started_s = None
             earlier = self._last_payload
             message, self._last_payload = self._messages[-1]
-            self._last_length_bytes = _content_length(message)
+            self._last_length_bytes = _content_length(message, self._decompresses)
             self._head_size_bytes = self._body_size_bytes = 0
             self._empty_size_bytes = 0
             if not isinstance(message, http_parser.RawRequestMessage):
@@ -395,6 +397,32 @@
                     # The error is in its trailers; its reader would wait for the rest.
                     earlier.set_exception(message.exc)
 
+    def _begin_head(self) -> None:
+        """Prepare for a head whose first bytes are parsed next."""
+
+    def _use_max_line_size(self, max_line_size: int) -> None:
+        """Parse a head that begins, and those after it, with a bound on lines.
+
+        aiohttp's parser can't change its bounds.  Parts end where messages do, so that
+        the parser in use holds nothing between them.
+        """
+        if self._upgraded:
+            # What follows waits beside the parser until the upgrade is answered.
+            return
+        self.max_line_size = self.max_field_size = max_line_size
+        self._max_head_size_bytes = _max_head_size_bytes(max_line_size)
+        self._parser = http_parser.HttpRequestParser(
+            self,
+            self._loop,
+            self._read_bufsize,
+            max_line_size=max_line_size,
+            max_field_size=max_line_size,
+            max_headers=self.max_headers,
+            payload_exception=web_protocol.RequestPayloadError,
+            auto_decompress=self._decompresses,
+            max_msg_queue_size=self._max_msg_queue_size,
+        )
+
     def _exceeds_head(self, data: bytes) -> bool:
         """Count what was received of a head; end the connection beyond its bound."""
         if self.head_started_s is None:
@@ -437,11 +465,16 @@
     return (known + data[-size_bytes:])[-size_bytes:]
 
 
-def _content_length(message: object) -> int | None:
+def _max_head_size_bytes(max_line_size: int) -> int:
+    # A request line and the fields of a head each fit into one line's limit.
+    return 2 * max_line_size + HEAD_MARGIN_SIZE_BYTES
+
+
+def _content_length(message: object, decompresses: bool) -> int | None:
     """Return the length that a parsed message states; None for chunks or an error."""
     if not isinstance(message, http_parser.RawRequestMessage) or message.chunked:
         return None
-    if message.compression:
+    if message.compression and decompresses:
         # The size of the body that is read is another one.
         return None
     text = message.headers.get("Content-Length", "")
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 from collections.abc import Awaitable, Callable, Iterator
 
 import multidict
@@ -50,9 +51,27 @@
 WRITE_MARGIN_S = 0.02
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """Limits of a client's connection.
+
+    Attributes
+    ----------
+    max_line_size_bytes : int
+        Of a request line, and of a field.
+    idle_timeout_s : float
+        After the response to a request.
+    """
+
+    max_line_size_bytes: int
+    idle_timeout_s: float
+
+
 class ClientConnection(bounded_connections.BoundedConnection):
     """A client's connection that answers parse errors with plain error responses.
 
+    Its limits are those in force when a request begins.
+
     Attributes
     ----------
     client_transport : asyncio.Transport or None
@@ -66,9 +85,11 @@
     """
 
     __slots__ = (
+        "_get_limits",
         "_held_limits",
         "_holds_next",
         "_left_check",
+        "_limits",
         "client_transport",
         "delivery",
         "is_held",
@@ -79,11 +100,21 @@
         self,
         server: web.Server,
         turns: parsing_turns.ParsingTurns,
+        get_limits: Callable[[], ConnectionLimits],
         held_limits: held_bytes_policy.Limits | None = None,
         read_turns: parsing_turns.ParsingTurns | None = None,
         **options,
     ) -> None:
-        super().__init__(server, turns, **options)
+        self._limits = get_limits()
+        super().__init__(
+            server,
+            turns,
+            keepalive_timeout=self._limits.idle_timeout_s,
+            max_line_size=self._limits.max_line_size_bytes,
+            max_field_size=self._limits.max_line_size_bytes,
+            **options,
+        )
+        self._get_limits = get_limits
         self._read_turns = read_turns
         self._held_limits = held_limits
         self.client_transport: asyncio.Transport | None = None
@@ -221,6 +252,35 @@
             LEFT_CHECK_INTERVAL_S, self._close_if_left
         )
 
+    def is_past_idle_time(self, now_s: float) -> bool:
+        """Return whether it has been idle after a response for its idle time."""
+        return self.has_received and now_s >= self._idle_until_s and self.is_idle
+
+    @property
+    def _idle_until_s(self) -> float:
+        """Return the loop time at which the idle time after a response ends."""
+        # aiohttp adds the idle time with which the connection was opened.
+        idle_since_s = self._next_keepalive_close_time - self._keepalive_timeout
+        return idle_since_s + self._limits.idle_timeout_s
+
+    def _process_keepalive(self) -> None:
+        """Wait on if the idle time has become longer since the connection was opened.
+
+        One that has become shorter is found by :func:`_close_slow_clients`.
+        """
+        if self._loop.time() < self._idle_until_s:
+            self._keepalive_handle = self._loop.call_at(
+                self._idle_until_s, self._process_keepalive
+            )
+            return
+        super()._process_keepalive()
+
+    def _begin_head(self) -> None:
+        limits = self._get_limits()
+        if limits.max_line_size_bytes != self.max_line_size:
+            self._use_max_line_size(limits.max_line_size_bytes)
+        self._limits = limits
+
     def _receive_part(self, data: bytes) -> None:
         super()._receive_part(data)
         if self._holds_next:
@@ -364,32 +424,22 @@
 def _make_connection_factory(
     router: contexts.Forwarder, server: web.Server
 ) -> Callable[[], ClientConnection]:
-    """Return a function that makes connections with the limits in force.
-
-    The parser bounds single lines; :mod:`admission` checks the size of all fields.
-    """
+    """Return a function that makes connections, which read the limits in force."""
     loop = asyncio.get_running_loop()
     turns = parsing_turns.ParsingTurns()
     read_turns = parsing_turns.ParsingTurns(bounded_connections.READ_INTERVAL_S)
     discard_turns = parsing_turns.ParsingTurns(bounded_connections.DISCARD_INTERVAL_S)
 
     def make_connection() -> ClientConnection:
-        table_limits, idle_timeout_s = model.Limits(), DEFAULT_IDLE_TIMEOUT_S
-        if router.route_index is not None:
-            table_limits = router.route_index.table.limits
-            idle_timeout_s = table_limits.idle_timeout_s
-        max_line_size = table_limits.max_header_size_bytes + HEADER_MARGIN_SIZE_BYTES
         return ClientConnection(
             server,
             turns,
+            functools.partial(_limits_in_force, router),
             router.held_limits,
             read_turns,
             discard_turns=discard_turns,
             loop=loop,
-            keepalive_timeout=idle_timeout_s,
             access_log=None,
-            max_line_size=max_line_size,
-            max_field_size=max_line_size,
             auto_decompress=False,
             read_bufsize=BODY_READ_AHEAD_SIZE_BYTES,
             lingering_time=0,
@@ -398,6 +448,19 @@
     return make_connection
 
 
+def _limits_in_force(router: contexts.Forwarder) -> ConnectionLimits:
+    """Return the limits of the table, or the defaults until there is one.
+
+    The parser bounds single lines; :mod:`admission` checks the size of all fields.
+    """
+    table_limits, idle_timeout_s = model.Limits(), DEFAULT_IDLE_TIMEOUT_S
+    if router.route_index is not None:
+        table_limits = router.route_index.table.limits
+        idle_timeout_s = table_limits.idle_timeout_s
+    max_line_size_bytes = table_limits.max_header_size_bytes + HEADER_MARGIN_SIZE_BYTES
+    return ConnectionLimits(max_line_size_bytes, idle_timeout_s)
+
+
 async def _listen(
     make_connection: Callable[[], ClientConnection], host: str, port: int
 ) -> asyncio.Server:
@@ -410,7 +473,7 @@
 
 
 async def _close_slow_clients(router: contexts.Forwarder, server: web.Server) -> None:
-    """Close connections with slow headers, those without a byte, and stalled ones.
+    """Close connections with slow headers, idle ones, and stalled ones.
 
     aiohttp closes idle connections only after their first request.
     """
@@ -425,6 +488,8 @@
             if _is_late(connection, limits, now_s):
                 logs.info("request headers timed out", logs.Fields(reason="head"))
                 connection.force_close()
+            elif connection.is_past_idle_time(now_s):
+                connection.force_close()
             elif slow_readers.is_stalled(router, connection, now_s):
                 slow_readers.disconnect(router, connection)
 
