A router that stops as planned sends its last usage counts

Reports lacked requests of a router that stopped as planned: those that servers began after its last message, which is sent every 0.25 s or less often.

The feed of counts was cancelled as soon as the open requests had ended. Now, after these, the router sends each connected replica what has changed, and ends its direction of the connection; the replica's end shows that it has received the counts. This takes 0.2 s at most, within the margin that the grace leaves for the close, and less if the grace ends before. Replicas that have not confirmed the counts by then are logged. Replicas need no change.

Ruled out: a shorter interval between messages, which loses fewer counts but not none.

--- a/hickoryweir/duties/tests/test_usage_feed.py
+++ b/hickoryweir/duties/tests/test_usage_feed.py
@@ -27,6 +27,7 @@
 TIMEOUT_S = 10.0
 # The length of the shortest window.
 SILENCE_TIMEOUT_S = 5.0
+FINISH_TIMEOUT_S = 0.2
 SETTINGS = usage_plan.Settings(5.0, 10.0)
 
 
@@ -196,3 +197,51 @@
                 )
 
     asyncio.run(main())
+
+
+def test_last_counts_of_a_router_that_stops_arrive_at_once():
+    async def main():
+        reporter, counts = make_reporter(), usage_counts.make_state("p1", 5.0)
+        async with (
+            run_hub(reporter) as peer_hub,
+            run_sender(peer_hub, counts, lambda: 1_000.0) as sender,
+        ):
+            sender.count("a")
+            await waiting.wait_until(lambda: total(reporter) == 1, TIMEOUT_S)
+            sender.count("a")
+            started_s = time.monotonic()
+            await sender.finish(TIMEOUT_S)
+            return total(reporter), time.monotonic() - started_s
+
+    count, took_s = asyncio.run(main())
+    assert count == 2
+    assert took_s < TIMEOUT_S / 2
+
+
+def test_stop_of_a_router_does_not_wait_for_a_silent_replica(monkeypatch):
+    async def main():
+        reporter, counts = make_reporter(), usage_counts.make_state("p1", 5.0)
+        with silent_links.link_by_proxies(monkeypatch) as mesh:
+            async with (
+                run_hub(reporter) as peer_hub,
+                run_sender(peer_hub, counts, lambda: 1_000.0) as sender,
+            ):
+                sender.count("a")
+                await waiting.wait_until(lambda: total(reporter) == 1, TIMEOUT_S)
+                mesh.silence({"router"})
+                started_s = time.monotonic()
+                await sender.finish(FINISH_TIMEOUT_S)
+                return time.monotonic() - started_s
+
+    assert FINISH_TIMEOUT_S - 0.05 < asyncio.run(main()) < FINISH_TIMEOUT_S + 1.0
+
+
+def test_stop_of_a_router_without_a_replica_does_not_wait():
+    async def main():
+        counts = usage_counts.make_state("p1", 5.0)
+        sender = usage_feed.Sender(make_identity("router"), counts, dict)
+        started_s = time.monotonic()
+        await sender.finish(TIMEOUT_S)
+        return time.monotonic() - started_s
+
+    assert asyncio.run(main()) < 1.0
--- a/hickoryweir/duties/usage_feed.py
+++ b/hickoryweir/duties/usage_feed.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import functools
 from collections.abc import Callable
 
@@ -119,6 +120,8 @@
         self._get_routers_count = get_routers_count
         self._read_wall_s = read_wall_s
         self._tasks: dict[str, asyncio.Task] = {}
+        self._connected: set[asyncio.Task] = set()
+        self._is_ending = asyncio.Event()
 
     def count(self, account_name: str) -> None:
         """Count a request that a server began now."""
@@ -147,9 +150,25 @@
                 task.cancel()
             await asyncio.gather(*self._tasks.values(), return_exceptions=True)
 
+    async def finish(self, timeout_s: float) -> None:
+        """Send the last counts, and wait until the replicas have received them.
+
+        Parameters
+        ----------
+        timeout_s : float
+            For how long to wait at most.
+        """
+        self._is_ending.set()
+        if not self._connected:
+            return
+        _, unconfirmed = await asyncio.wait(set(self._connected), timeout=timeout_s)
+        if unconfirmed:
+            fields = logs.Fields(detail=f"{len(unconfirmed)} replicas")
+            logs.warning("last counts of usage not confirmed", fields)
+
     async def _follow(self, replica: wire.ReplicaAddress) -> None:
         retry_s = RETRY_MIN_S
-        while True:
+        while not self._is_ending.is_set():
             outcome = await hub.connect(
                 self._identity,
                 replica.host,
@@ -163,16 +182,20 @@
                 retry_s = RETRY_MIN_S
                 logs.info("usage sent to a replica", logs.Fields(peer=replica.address))
                 reason = None
+                task = asyncio.current_task()
+                self._connected.add(task)
                 try:
                     await self._serve(connection)
                 except Exception as error:
                     # After an unexpected error, the counts go over a new connection.
                     reason = repr(error)
+                finally:
+                    self._connected.discard(task)
                 fields = logs.Fields(peer=replica.address, reason=reason)
                 logs.info("usage no longer sent to a replica", fields)
             elif outcome.failure().reason is hub.ConnectReason.REFUSED:
                 retry_s = REFUSED_RETRY_S
-            await asyncio.sleep(retry_s)
+            await self._pause(retry_s)
             retry_s = min(2 * retry_s, RETRY_MAX_S)
 
     async def _serve(self, connection: connections.Connection) -> None:
@@ -204,6 +227,7 @@
         """Send all kept counts first, then changes, until the connection ends."""
         sent_count, sent_window, was_sent = 0, -1, True
         while not connection.is_closed:
+            is_last = self._is_ending.is_set()
             counts = self._counts
             message = usage_counts.make_message(
                 counts, sent_count, clocks.boottime_s(), self._read_wall_s()
@@ -216,7 +240,16 @@
                 elif was_sent:
                     _log_not_queued(connection, repr(queued.failure()))
                 was_sent = isinstance(queued, result.Success)
-            await asyncio.sleep(interval_s(self._get_routers_count()))
+            if is_last:
+                connection.end_sending()
+                return
+            await self._pause(interval_s(self._get_routers_count()))
+
+    async def _pause(self, time_s: float) -> None:
+        """Wait for a time, or until the last counts are to be sent."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(time_s):
+                await self._is_ending.wait()
 
 
 def _log_not_queued(connection: connections.Connection, reason: str) -> None:
--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -87,6 +87,8 @@
 CLOSE_MARGIN_S = 0.6
 # With a short grace, open requests need more of it than the load balancer.
 OPEN_PORT_SHARE = 0.5
+# Within the margin of the close.
+LAST_COUNTS_TIMEOUT_S = 0.2
 
 
 def _make_budget(entry_settings: settings.EntrySettings) -> retry_budget.Settings:
@@ -240,7 +242,9 @@
         ]
         logs.info("serving", logs.Fields(detail=f"router at {host}:{port}"))
         await stop.wait()
+        grace_end_s = clocks.boottime_s() + self._settings.shutdown.grace_s
         await self._drain(running, relay_server)
+        await self._send_last_counts(grace_end_s)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -311,6 +315,12 @@
         await asyncio.gather(*stops)
         logs.info("drained", logs.Fields())
 
+    async def _send_last_counts(self, grace_end_s: float) -> None:
+        if self._usage_sender is None:
+            return
+        left_s = max(0.0, grace_end_s - clocks.boottime_s())
+        await self._usage_sender.finish(min(LAST_COUNTS_TIMEOUT_S, left_s))
+
     async def _close(self) -> None:
         await self._log.close()
         for session in (
--- a/hickoryweir/streams/connections.py
+++ b/hickoryweir/streams/connections.py
@@ -243,6 +243,20 @@
         name = self.peer.process_name[:MAX_LOGGED_LENGTH]
         logging.warning("malformed message from %r: %s", name, detail)
 
+    def end_sending(self) -> None:
+        """Send queued messages and nothing after them; what arrives is still received.
+
+        The peer's end of the connection then shows that it has received them.  With
+        TLS, which can't end one direction alone, nothing more is received.
+        """
+        if self.is_closed:
+            return
+        self._closed = True
+        if self._writer.can_write_eof():
+            self._writer.write_eof()
+        else:
+            self._writer.close()
+
     def abort(self) -> None:
         """Close immediately and discard queued messages."""
         self._closed = True
--- a/hickoryweir/streams/tests/test_hub.py
+++ b/hickoryweir/streams/tests/test_hub.py
@@ -24,6 +24,8 @@
 SERVER = handshake.Identity("north", "vm-1", "zone-a")
 CLIENT = handshake.Identity("north", "vm-2", "zone-b")
 LOCALHOST = "127.0.0.1"
+# More than the kernel takes at once.
+LARGE_TEXT = Text("x" * 6_000_000)
 
 
 async def echo(connection):
@@ -180,6 +182,39 @@
     assert answer.unwrap() == Text("hello")
 
 
+@pytest.mark.parametrize("has_tls", [False, True])
+def test_what_was_sent_before_the_end_of_sending_arrives(certificates, has_tls):
+    received = []
+
+    async def collect(connection):
+        while (message := (await connection.receive()).value_or(None)) is not None:
+            received.append(message)
+
+    async def main():
+        names = ("vm-1", "vm-2")
+        files = [make_files(certificates, name) if has_tls else None for name in names]
+        server = hub.make_hub(SERVER, LOCALHOST, 0, files[0])
+        server.register(handshake.Purpose.CLIENT, collect)
+        await server.start()
+        purpose = handshake.Purpose.CLIENT
+        outcome = await hub.connect(CLIENT, LOCALHOST, server.port, purpose, files[1])
+        connection = outcome.unwrap()
+        connection.offer(LARGE_TEXT)
+        connection.offer(Text("last"))
+        connection.end_sending()
+        refused = connection.offer(Text("late"))
+        async with asyncio.timeout(10.0):
+            ended = await connection.receive()
+        await connection.close()
+        await server.close()
+        return refused, ended
+
+    closed = result.Failure(connections.StreamFailure.CLOSED)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(main()) == (closed, closed)
+    assert received == [LARGE_TEXT, Text("last")]
+
+
 def test_name_missing_from_the_certificate_is_refused(certificates):
     other_process = handshake.Identity("north", "vm-3", "zone-b")
     failure, _ = asyncio.run(
