Router: a peer that is gone does not hold up a stop beyond the grace

A process that is late is killed. After its open requests had ended, a router closed its feeds and its client of the log, up to a second each for a peer that answers nothing, whatever was left of the grace.

The close has what is left of the grace but 0.2 s now; the end of the process closes the rest. test_silent_replica_does_not_hold_up_a_stop_beyond_the_grace fails without it (the function is new; a close that never ends held up the stop for ever).

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -87,6 +87,8 @@
 CLOSE_MARGIN_S = 0.6
 # With a short grace, open requests need more of it than the load balancer.
 OPEN_PORT_SHARE = 0.5
+# For what follows the close: the log is flushed, and the process ends.
+EXIT_MARGIN_S = 0.2
 # Within the margin of the close.
 LAST_COUNTS_TIMEOUT_S = 0.2
 
@@ -247,6 +249,19 @@
         grace_end_s = clocks.boottime_s() + self._settings.shutdown.grace_s
         await self._drain(running, relay_server)
         await self._send_last_counts(grace_end_s)
+        await self._close_before(grace_end_s - EXIT_MARGIN_S, tasks)
+
+    async def _close_before(self, end_s: float, tasks: list[asyncio.Task]) -> None:
+        """Close connections until a time; the end of the process closes the others."""
+        closing = asyncio.create_task(self._end_tasks_and_close(tasks))
+        left_s = max(0.0, end_s - clocks.boottime_s())
+        await asyncio.wait({closing}, timeout=left_s)
+        if not closing.done():
+            logs.warning("not all connections closed in time", logs.Fields())
+            return
+        closing.result()
+
+    async def _end_tasks_and_close(self, tasks: list[asyncio.Task]) -> None:
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
