Replicas: the log's client forgets members that no log names

The client of the log kept a channel to each member that it had ever learned of. After replaced replicas, each poll, each status and each notice of a vote to yield asked those that are gone too. On a machine that is gone nothing answers, so a status took its whole timeout of 0.3 s, and a notice 0.5 s.

Once a poll has found the leader for certain, with a majority of its voters and no later term, the client closes what neither the leader's members name, nor this process's own log, nor its caller (seeds, and replicas that join). A follower's status may name a member that the leader no longer does; the channel then comes back until the next poll.

test_former_member_that_no_log_names_is_not_polled failed before (4 further connections in 5 polls), and holds now; test_seed_that_no_log_names_is_polled holds before and after. test_node.py and test_automation.py passed at a load of 7 to 8.

--- a/hickoryweir/replicas/client.py
+++ b/hickoryweir/replicas/client.py
@@ -88,12 +88,12 @@
         self._is_leader_known = is_leader_known
         self._get_members = get_members
         self._channels: dict[str, channels.Channel] = {}
+        self._given_names: set[str] = set()
         self._closing_tasks: set[asyncio.Task] = set()
         self._poll_task: asyncio.Task | None = None
         self._probe_task: asyncio.Task | None = None
         self._leader_check_task: asyncio.Task | None = None
-        for replica in replicas:
-            self._add_channel(replica)
+        self.add_replicas(replicas)
 
     async def propose(
         self, command: object, timeout_s: float
@@ -145,10 +145,9 @@
         return response.map(_decode_watched)
 
     def add_replicas(self, replicas: tuple[wire.ReplicaAddress, ...]) -> None:
-        """Add replicas to those that are polled."""
-        for replica in replicas:
-            if replica.name not in self._channels:
-                self._add_channel(replica)
+        """Add replicas to those that are polled, whether or not a log names them."""
+        self._given_names.update(replica.name for replica in replicas)
+        self._learn_addresses(replicas)
 
     async def wait_until_ready(self, timeout_s: float) -> bool:
         """Return True once there is a leader, or False on a timeout."""
@@ -200,6 +199,7 @@
         Result
             Empty text once the change is committed, or the reason of a refusal.
         """
+        self._given_names.add(replica.name)
         channel = self._add_channel(replica)
         status = await self._ask_within(channel, wire.StatusRequest(0), timeout_s)
         if not isinstance(status, wire.Status):
@@ -256,7 +256,7 @@
 
         All replicas are asked, since any of them may be elected next.
         """
-        self.add_replicas(replicas)
+        self._learn_addresses(replicas)
         member = _make_reference(member_id)
         request = wire.ChangeRequest(0, wire.Change.YIELD, member)
         await asyncio.gather(
@@ -391,20 +391,30 @@
 
     async def _poll_all(self) -> None:
         try:
-            self.add_replicas(self._get_members())
+            self._learn_addresses(self._get_members())
             statuses = await self._ask_statuses(reachability.is_decided)
             self.reachability, self.leader_name, self.target_name = reachability.assess(
                 statuses
             )
             for status in statuses:
-                self._learn_addresses(status)
+                self._learn_addresses(_member_addresses(status))
+            if reachability.is_decided(statuses):
+                self._drop_former(reachability.find_leading(statuses))
         finally:
             self._poll_task = None
 
-    def _learn_addresses(self, status: wire.Status) -> None:
-        self.add_replicas(
-            tuple(wire.address_of(known.member) for known in status.members)
-        )
+    def _learn_addresses(self, replicas: tuple[wire.ReplicaAddress, ...]) -> None:
+        for replica in replicas:
+            if replica.name not in self._channels:
+                self._add_channel(replica)
+
+    def _drop_former(self, leading: wire.Status) -> None:
+        """Drop the channels to replicas that no log names and no caller has given."""
+        named = (*_member_addresses(leading), *self._get_members())
+        kept = self._given_names.union(replica.name for replica in named)
+        for name in self._channels.keys() - kept:
+            if name != self.target_name:
+                self._close_channel(self._channels.pop(name))
 
     def _add_channel(self, replica: wire.ReplicaAddress) -> channels.Channel:
         """Return the channel to a replica; one to a former address is closed."""
@@ -412,15 +422,18 @@
         if former is not None and former.replica == replica:
             return former
         if former is not None:
-            closing = asyncio.create_task(former.close())
-            self._closing_tasks.add(closing)
-            closing.add_done_callback(self._closing_tasks.discard)
+            self._close_channel(former)
         channel = channels.Channel(
             self._identity, replica, self._files, self._group, CONNECT_TIMEOUT_S
         )
         self._channels[replica.name] = channel
         return channel
 
+    def _close_channel(self, channel: channels.Channel) -> None:
+        closing = asyncio.create_task(channel.close())
+        self._closing_tasks.add(closing)
+        closing.add_done_callback(self._closing_tasks.discard)
+
     def _start_probing(self) -> None:
         if self._probe_task is None or self._probe_task.done():
             self._probe_task = asyncio.create_task(self._probe())
@@ -463,6 +476,10 @@
     return Client(identity, replicas, files, group, is_leader_known, get_members)
 
 
+def _member_addresses(status: wire.Status) -> tuple[wire.ReplicaAddress, ...]:
+    return tuple(wire.address_of(known.member) for known in status.members)
+
+
 def _make_reference(member_id: str) -> messages.Member:
     return messages.Member(member_id, "", "", False)
 
--- a/hickoryweir/replicas/reachability.py
+++ b/hickoryweir/replicas/reachability.py
@@ -26,9 +26,8 @@
     >>> assess(())
     (<Reachability.NO_QUORUM: 'no_quorum'>, '', '')
     """
-    leaders = [status for status in statuses if status.leader_id == status.member_id]
-    if leaders:
-        leader = max(leaders, key=lambda status: status.term)
+    leader = find_leading(statuses)
+    if leader is not None:
         name = messages.replica_name_of(leader.member_id)
         return Reachability.LEADER, name, name
     followers = [status for status in statuses if status.leader_id]
@@ -42,6 +41,18 @@
     return Reachability.NO_QUORUM, "", ""
 
 
+def find_leading(statuses: tuple[wire.Status, ...]) -> wire.Status | None:
+    """Return the status of the latest replica that claims to lead, if any.
+
+    Examples
+    --------
+    >>> find_leading(()) is None
+    True
+    """
+    leaders = [status for status in statuses if status.leader_id == status.member_id]
+    return max(leaders, key=lambda status: status.term, default=None)
+
+
 def is_decided(statuses: tuple[wire.Status, ...]) -> bool:
     """Return whether no further status could name another leader.
 
@@ -53,10 +64,9 @@
     >>> is_decided(())
     False
     """
-    leaders = [status for status in statuses if status.leader_id == status.member_id]
-    if not leaders:
+    leader = find_leading(statuses)
+    if leader is None:
         return False
-    leader = max(leaders, key=lambda status: status.term)
     voter_ids = {item.member.member_id for item in leader.members if item.member.voter}
     voted = [status for status in statuses if status.member_id in voter_ids]
     is_latest = all(status.term <= leader.term for status in statuses)
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -287,6 +287,50 @@
     assert run(scenario()) < client.POLL_TIMEOUT_S
 
 
+async def count_connections(folder, learned, added, polls_count):
+    """Poll a cluster; return how often a silent address was connected to since.
+
+    It was learned before from what a process knows otherwise, or added by its caller.
+    """
+    accepted = []
+
+    async def accept(reader, writer):
+        accepted.append(writer)
+
+    async with register.run_cluster(folder) as (replicas, router):
+        await put(router, "k", "v1")
+        silent = await asyncio.start_server(accept, register.HOST, 0)
+        port = silent.sockets[0].getsockname()[1]
+        former = wire.ReplicaAddress("gone", register.HOST, port, "a")
+        named = [former] if learned else []
+        log = client.make_client(
+            register.make_identity("other"),
+            tuple(item.address for item in replicas.values()),
+            get_members=lambda: tuple(named),
+        )
+        log.add_replicas((former,) if added else ())
+        assert await log.wait_until_ready(register.START_TIMEOUT_S)
+        named.clear()
+        counts = []
+        for _ in range(polls_count):
+            assert await log.wait_until_ready(register.START_TIMEOUT_S)
+            await asyncio.sleep(2 * client.CONNECT_TIMEOUT_S)
+            counts.append(len(accepted))
+        await log.close()
+        silent.close()
+        for writer in accepted:
+            writer.close()
+    return counts[-1] - counts[0]
+
+
+def test_former_member_that_no_log_names_is_not_polled(tmp_path):
+    assert run(count_connections(tmp_path, True, False, POLLS_COUNT)) == 0
+
+
+def test_seed_that_no_log_names_is_polled(tmp_path):
+    assert run(count_connections(tmp_path, False, True, POLLS_COUNT)) > 0
+
+
 @pytest.mark.parametrize(
     ("terms", "names", "is_decided"),
     [
