Replicas: a stop spends no time on a voter that has just gone silent

A leader that got SIGTERM within half a second of the silence of another voter spent its whole limit of 2 s on it, out of a grace that it shares with its open requests, and refused changes for 0.5 s of that. It handed over to the voter with the longest log that had been heard from within an election timeout, the one with the greatest name among equals, and asked only once.

Among equals it takes the one heard from last now, and it asks again every 0.1 s, since a voter may go silent a moment before the stop.

test_stop_does_not_wait_for_a_voter_that_has_just_gone_silent and test_transfer_prefers_a_voter_that_is_not_silent failed before (the old leader still led) and hold now.

--- a/hickoryweir/replicas/node.py
+++ b/hickoryweir/replicas/node.py
@@ -42,6 +42,8 @@
 
 TICK_INTERVAL_S = 0.025
 TRANSFER_TIMEOUT_S = 2.0
+# The voter that was chosen may have gone silent a moment before.
+TRANSFER_RETRY_INTERVAL_S = 0.1
 MAX_LOGGED_LENGTH = 200
 
 
@@ -260,10 +262,16 @@
         is_leader = state is not None and state.role is states.Role.LEADER
         if is_leader and len(state.membership.voter_ids) > 1:
             self._leadership_ended.clear()
-            self._queue.put_nowait(states.TransferRequested(""))
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TRANSFER_TIMEOUT_S):
-                    await self._leadership_ended.wait()
+                    while not self._leadership_ended.is_set():
+                        self._queue.put_nowait(states.TransferRequested(""))
+                        await self._wait_until_leadership_ended()
+
+    async def _wait_until_leadership_ended(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(TRANSFER_RETRY_INTERVAL_S):
+                await self._leadership_ended.wait()
 
     def _recover(self, opened: storage.OpenedFolder) -> None:
         found = opened.recovered
--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -27,6 +27,7 @@
 from hickoryweir.replicas import state as states
 from hickoryweir.replicas.tests import register
 from hickoryweir.streams import codec, handshake, hub
+from hickoryweir.testing import waiting
 
 POLLS_COUNT = 5
 
@@ -287,6 +288,34 @@
     assert run(scenario()) < client.POLL_TIMEOUT_S
 
 
+def test_stop_does_not_wait_for_a_voter_that_has_just_gone_silent(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            await put(router, "k", "v1")
+            leader = replicas[router.leader_name].node
+            others = [
+                item.node for item in replicas.values() if item.node is not leader
+            ]
+            await waiting.wait_until(
+                lambda: all(
+                    item.state.log.last_index == leader.state.log.last_index
+                    for item in others
+                ),
+                register.START_TIMEOUT_S,
+            )
+            silent = max(others, key=lambda item: item.state.member_id)
+            # Its connections stay open and answer nothing any more.
+            for task in silent._tasks:
+                task.cancel()
+            began_s = time.monotonic()
+            await leader.transfer_leadership()
+            return time.monotonic() - began_s, leader.state.role
+
+    took_s, role = run(scenario())
+    assert role is states.Role.FOLLOWER
+    assert took_s < node.TRANSFER_TIMEOUT_S
+
+
 async def count_connections(folder, learned, added, polls_count):
     """Poll a cluster; return how often a silent address was connected to since.
 
--- a/hickoryweir/replicas/tests/test_simulation.py
+++ b/hickoryweir/replicas/tests/test_simulation.py
@@ -402,6 +402,17 @@
     assert cluster.leader() not in (None, leader)
 
 
+def test_transfer_prefers_a_voter_that_is_not_silent():
+    cluster = make_running()
+    leader = cluster.leader()
+    silent = max(others(cluster), key=lambda process: process.state.member_id)
+    cluster.crash(silent.name)
+    cluster.run(2.5 * leader.state.timing.heartbeat_interval_s)
+    cluster.step(leader, states.TransferRequested(""))
+    cluster.run(0.1)
+    assert cluster.leader() not in (None, leader)
+
+
 def test_snapshot_brings_a_restarted_replica_up_to_date():
     cluster = make_running()
     lost = others(cluster)[0]
--- a/hickoryweir/replicas/transfer.py
+++ b/hickoryweir/replicas/transfer.py
@@ -35,11 +35,12 @@
 
 
 def _most_up_to_date(state: states.State, now_s: float) -> str:
+    """Return the voter with the longest log, the one heard from last among several."""
     oldest_s = now_s - state.timing.election_timeout_s
     candidates = [
-        (state.progress[voter_id].match_index, voter_id)
+        (progress.match_index, progress.last_contact_s, voter_id)
         for voter_id in state.membership.voter_ids
-        if voter_id in state.progress
-        and state.progress[voter_id].last_contact_s >= oldest_s
+        if (progress := state.progress.get(voter_id)) is not None
+        and progress.last_contact_s >= oldest_s
     ]
-    return max(candidates)[1] if candidates else ""
+    return max(candidates)[-1] if candidates else ""
