--- a/hickoryweir/replicas/tests/test_node.py
+++ b/hickoryweir/replicas/tests/test_node.py
@@ -27,6 +27,7 @@
 from hickoryweir.replicas import state as states
 from hickoryweir.replicas.tests import register
 from hickoryweir.streams import codec, handshake, hub
+from hickoryweir.testing import waiting
 
 POLLS_COUNT = 5
 
@@ -287,6 +288,132 @@
     assert run(scenario()) < client.POLL_TIMEOUT_S
 
 
+def test_stop_does_not_wait_for_a_voter_that_has_just_gone_silent(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            await put(router, "k", "v1")
+            leader = replicas[router.leader_name].node
+            others = [
+                item.node for item in replicas.values() if item.node is not leader
+            ]
+            await waiting.wait_until(
+                lambda: all(
+                    item.state.log.last_index == leader.state.log.last_index
+                    for item in others
+                ),
+                register.START_TIMEOUT_S,
+            )
+            silent = max(others, key=lambda item: item.state.member_id)
+            # Its connections stay open and answer nothing any more.
+            for task in silent._tasks:
+                task.cancel()
+            began_s = time.monotonic()
+            await leader.transfer_leadership()
+            return time.monotonic() - began_s, leader.state.role
+
+    took_s, role = run(scenario())
+    assert role is states.Role.FOLLOWER
+    assert took_s < node.TRANSFER_TIMEOUT_S
+
+
+def test_request_is_not_sent_to_a_former_leader_that_is_gone(tmp_path):
+    accepted = []
+
+    async def accept(reader, writer):
+        accepted.append(writer)
+
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            await put(router, "k", "v1")
+            silent = await asyncio.start_server(accept, register.HOST, 0)
+            port = silent.sockets[0].getsockname()[1]
+            former = wire.ReplicaAddress("gone", register.HOST, port, "a")
+            addresses = tuple(item.address for item in replicas.values())
+            told = [former.name]
+            log = client.make_client(
+                register.make_identity("other"),
+                (former, *addresses),
+                get_leader_name=lambda: told[-1],
+            )
+            assert await log.wait_until_ready(register.START_TIMEOUT_S)
+            # As after requests while the former leader still led.
+            log.leader_name = log.target_name = log._told_leader_name = former.name
+            told.append(router.leader_name)
+            await asyncio.sleep(2 * client.CONNECT_TIMEOUT_S)
+            before_count = len(accepted)
+            await put(log, "k", "v2")
+            after_count = len(accepted)
+            await log.close()
+            silent.close()
+            for writer in accepted:
+                writer.close()
+            return after_count - before_count
+
+    assert run(scenario()) == 0
+
+
+def test_leader_that_a_process_knows_out_of_date_does_not_hold_up_requests(tmp_path):
+    async def scenario():
+        async with register.run_cluster(tmp_path) as (replicas, router):
+            addresses = tuple(item.address for item in replicas.values())
+            leader_name = router.leader_name
+            stale_name = next(name for name in replicas if name != leader_name)
+            log = client.make_client(
+                register.make_identity("other"),
+                addresses,
+                get_leader_name=lambda: stale_name,
+            )
+            await put(log, "k", "v1")
+            await log.close()
+            return log.leader_name == leader_name
+
+    assert run(scenario())
+
+
+async def count_connections(folder, learned, added, polls_count):
+    """Poll a cluster; return how often a silent address was connected to since.
+
+    It was learned before from what a process knows otherwise, or added by its caller.
+    """
+    accepted = []
+
+    async def accept(reader, writer):
+        accepted.append(writer)
+
+    async with register.run_cluster(folder) as (replicas, router):
+        await put(router, "k", "v1")
+        silent = await asyncio.start_server(accept, register.HOST, 0)
+        port = silent.sockets[0].getsockname()[1]
+        former = wire.ReplicaAddress("gone", register.HOST, port, "a")
+        named = [former] if learned else []
+        log = client.make_client(
+            register.make_identity("other"),
+            tuple(item.address for item in replicas.values()),
+            get_members=lambda: tuple(named),
+        )
+        log.add_replicas((former,) if added else ())
+        assert await log.wait_until_ready(register.START_TIMEOUT_S)
+        named.clear()
+        counts = []
+        for _ in range(polls_count):
+            assert await log.wait_until_ready(register.START_TIMEOUT_S)
+            await asyncio.sleep(2 * client.CONNECT_TIMEOUT_S)
+            counts.append(len(accepted))
+        await log.close()
+        silent.close()
+        for writer in accepted:
+            writer.close()
+    return counts[-1] - counts[0]
+
+
+def test_former_member_that_no_log_names_is_not_polled(tmp_path):
+    assert run(count_connections(tmp_path, True, False, POLLS_COUNT)) == 0
+
+
+def test_seed_that_no_log_names_is_polled(tmp_path):
+    assert run(count_connections(tmp_path, False, True, POLLS_COUNT)) > 0
+
+
 @pytest.mark.parametrize(
     ("terms", "names", "is_decided"),
     [
