Clients: bytes that cross the close do not cut the last response off

Callers whose connection was closed after a response got a part of it and then a reset, if a byte of theirs arrived after the close while the response was in the kernel's send queue: a planned stop cut off a request that was read whole and passed on. A request that crosses the close or an empty line is enough. Cause: the close discards the send queue on the next received byte, and the check for unread bytes comes before the close only.

A client's connection now lingers after its last response: the sending side is shut down behind it, what is received is discarded, never parsed, until the client closes, up to 1 MiB, and up to the first check (each 0.5 s) at which the kernel has nothing left that the client has not acknowledged, or 5 s without progress, or 60 s. At most 1,024 connections linger; others, and transports without write_eof (TLS), are closed as before. A stop waits for lingering connections within its time, so also for the kernel's queue, and an idle connection whose last response is not yet acknowledged lingers instead of being closed. A request behind the last response gets no answer and reaches no server, as before.

Not covered: closes after a body that was not received whole or a malformed request, which discard the rest of the body for a time and then close; servers of graceful_stop.py; clients that have shut down their own sending side.

--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -21,6 +21,7 @@
     errors,
     forwarder,
     held_bytes,
+    lingering,
     open_requests,
     slow_readers,
     sockets,
@@ -66,9 +67,12 @@
     """
 
     __slots__ = (
+        "_close_check",
         "_held_limits",
         "_holds_next",
         "_left_check",
+        "_lingering",
+        "_lingering_close",
         "client_transport",
         "delivery",
         "is_held",
@@ -81,9 +85,13 @@
         turns: parsing_turns.ParsingTurns,
         held_limits: held_bytes_policy.Limits | None = None,
         read_turns: parsing_turns.ParsingTurns | None = None,
+        lingering_closes: lingering.Lingering | None = None,
         **options,
     ) -> None:
         super().__init__(server, turns, **options)
+        self._lingering = lingering_closes
+        self._lingering_close: lingering.Close | None = None
+        self._close_check: asyncio.TimerHandle | None = None
         self._read_turns = read_turns
         self._held_limits = held_limits
         self.client_transport: asyncio.Transport | None = None
@@ -121,6 +129,19 @@
             return 0
         return self.client_transport.get_write_buffer_size()
 
+    @property
+    def pending_size_bytes(self) -> int:
+        """Return the size of what was written and the client has not acknowledged."""
+        if self.client_transport is None:
+            return 0
+        unacknowledged = slow_readers.unacknowledged_size_bytes(self.client_transport)
+        return self.unsent_size_bytes + unacknowledged
+
+    @property
+    def is_lingering(self) -> bool:
+        """Return whether the client may still send, after the last response."""
+        return self._lingering_close is not None
+
     @property
     def queued_requests_count(self) -> int:
         """Return how many requests were read that no handler has started on."""
@@ -161,8 +182,76 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the transport."""
         self.client_transport = None
+        if self._lingering_close is not None:
+            self._close_check.cancel()
+            self._lingering_close = None
+            self._lingering.connections_count -= 1
         super().connection_lost(exc)
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send the response, and linger if it is the connection's last one."""
+        sent, is_reset = await super().finish_response(request, resp, start_time)
+        if not is_reset and not sent.keep_alive and request.content.is_eof():
+            self.linger()
+        return sent, is_reset
+
+    def linger(self) -> bool:
+        """End the sending side, and discard what is received until the client closes.
+
+        Returns
+        -------
+        bool
+            Whether it began; if not, the connection is as it was.
+        """
+        transport, shared = self.transport, self._lingering
+        if shared is None or transport is None or transport.is_closing():
+            return False
+        is_full = shared.connections_count >= lingering.MAX_CONNECTIONS_COUNT
+        if is_full or self.is_lingering or not transport.can_write_eof():
+            return False
+        shared.connections_count += 1
+        # aiohttp then neither closes the transport nor parses what is received.
+        self._force_close = True
+        if self._waiter is not None:
+            self._waiter.cancel()
+        self._fail()
+        self._messages.clear()
+        self.head_started_s = None
+        now_s = self._loop.time()
+        self._lingering_close = lingering.Close(now_s, now_s, self.pending_size_bytes)
+        self._schedule_close_check()
+        transport.write_eof()
+        if not transport.is_closing():
+            transport.resume_reading()
+        return True
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what is received, or discard it after the last response."""
+        super().data_received(data)
+        if self._lingering_close is None:
+            return
+        self._lingering_close.discarded_size_bytes += len(data)
+        size_bytes = self._lingering_close.discarded_size_bytes
+        if size_bytes > lingering.MAX_DISCARDED_SIZE_BYTES:
+            self.force_close()
+
+    def _schedule_close_check(self) -> None:
+        self._close_check = self._loop.call_later(
+            lingering.CHECK_INTERVAL_S, self._check_close
+        )
+
+    def _check_close(self) -> None:
+        pending, now_s = self.pending_size_bytes, self._loop.time()
+        if lingering.is_over(self._lingering_close, pending, now_s):
+            self.force_close()
+        else:
+            self._schedule_close_check()
+
     def hold_next(self) -> None:
         """Read no other request until the response to the one served has ended.
 
@@ -372,6 +461,7 @@
     turns = parsing_turns.ParsingTurns()
     read_turns = parsing_turns.ParsingTurns(bounded_connections.READ_INTERVAL_S)
     discard_turns = parsing_turns.ParsingTurns(bounded_connections.DISCARD_INTERVAL_S)
+    lingering_closes = lingering.Lingering()
 
     def make_connection() -> ClientConnection:
         table_limits, idle_timeout_s = model.Limits(), DEFAULT_IDLE_TIMEOUT_S
@@ -384,6 +474,7 @@
             turns,
             router.held_limits,
             read_turns,
+            lingering_closes,
             discard_turns=discard_turns,
             loop=loop,
             keepalive_timeout=idle_timeout_s,
@@ -514,7 +605,7 @@
     until_s = max(end_s, loop.time() + ANSWER_MARGIN_S)
     await _wait_until_closed(running, until_s, MIN_ANSWER_CHECKS_COUNT)
     running.header_watcher.cancel()
-    if running.server.connections:
+    if any(map(_is_unanswered, running.server.connections)):
         _log_aborted(running)
     for connection in list(running.server.connections):
         connection.force_close()
@@ -543,7 +634,8 @@
     loop, checks_count = asyncio.get_running_loop(), 0
     while True:
         _close_idle_connections(running.server)
-        # A closed connection stays in the list until its last byte is sent.
+        # A closed connection stays in the list until its last byte is sent, and one
+        # that lingers until it is delivered.
         if not running.server.connections:
             return
         if loop.time() >= until_s and checks_count >= min_checks_count:
@@ -554,16 +646,24 @@
 
 def _close_idle_connections(server: web.Server) -> None:
     for connection in list(server.connections):
-        if connection.is_idle and not connection.is_new:
+        if not connection.is_idle or connection.is_new:
+            continue
+        if not connection.pending_size_bytes or not connection.linger():
             connection.force_close()
 
 
+def _is_unanswered(connection: ClientConnection) -> bool:
+    """Return whether a close would discard a request or a part of a response."""
+    return not connection.is_lingering or connection.unsent_size_bytes > 0
+
+
 def _log_aborted(running: RunningServer) -> None:
     """Log each request whose connection the stop closes without a whole response."""
     now_s = clocks.boottime_s()
     aborted = {
         connection: running.router.open_requests.get(connection)
         for connection in running.server.connections
+        if _is_unanswered(connection)
     }
     for connection, request in aborted.items():
         if request is not None:
--- a/hickoryweir/forwarding/tests/test_lingering_closes.py
+++ b/hickoryweir/forwarding/tests/test_lingering_closes.py
@@ -1,11 +1,12 @@
 """Closes of connections whose client sends more while it reads the last response."""
 
 import asyncio
+import time
 
 import pytest
 import uvloop
 
-from hickoryweir.forwarding import headers, server
+from hickoryweir.forwarding import headers, lingering, server
 from hickoryweir.forwarding.tests import sites
 
 HOST = sites.HOST
@@ -15,6 +16,8 @@
 READ_SIZE_BYTES = 4_096
 READ_INTERVAL_S = 0.002
 RESPONSE_DELAY_S = 0.3
+STOP_TIME_S = 10.0
+MAX_STOP_TIME_S = 4.0
 
 
 def make_head(number: int) -> bytes:
@@ -22,6 +25,13 @@
     return HEAD.format(number, headers.REQUEST_ID).encode()
 
 
+async def send_on(writer, sends: bool) -> None:
+    """Send requests until the connection is lost, or nothing."""
+    while sends and not writer.is_closing():
+        writer.write(make_head(2))
+        await asyncio.sleep(READ_INTERVAL_S)
+
+
 async def read_slowly(reader) -> bytes:
     """Return what is received until the connection ends."""
     received = b""
@@ -60,3 +70,113 @@
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         received = runner.run(main())
     assert received.count(b"x") >= RESPONSE_SIZE_BYTES
+
+
+@pytest.mark.parametrize(
+    "later", [b"\r\n", make_head(2)], ids=["empty_line", "request"]
+)
+def test_bytes_after_a_response_that_closes_do_not_cut_it_off(later):
+    answer = sites.answering(text="x" * RESPONSE_SIZE_BYTES)
+    head = make_head(1).replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+
+    async def main():
+        async with sites.run_site([answer]) as site:
+            reader, writer = await sites.open_slow_reader(site.port)
+            writer.write(head)
+            await sites.wait_until(lambda: site.backends[0].seen)
+            await asyncio.sleep(RESPONSE_DELAY_S)
+            writer.write(later)
+            received = await read_slowly(reader)
+            writer.close()
+            return received, len(site.backends[0].seen)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        received, requests_count = runner.run(main())
+    assert received.count(b"x") >= RESPONSE_SIZE_BYTES
+    assert requests_count == 1
+
+
+def test_a_stop_waits_for_the_response_that_an_idle_client_still_reads():
+    answer = sites.answering(text="x" * RESPONSE_SIZE_BYTES)
+
+    async def main():
+        async with sites.run_site([answer]) as site:
+            reader, writer = await sites.open_slow_reader(site.port)
+            writer.write(make_head(1))
+            await sites.wait_until(lambda: site.backends[0].seen)
+            await asyncio.sleep(RESPONSE_DELAY_S)
+            stopping = asyncio.create_task(server.stop(site.running, STOP_TIME_S))
+            await asyncio.sleep(RESPONSE_DELAY_S)
+            is_early = stopping.done()
+            writer.write(make_head(2))
+            received = await read_slowly(reader)
+            writer.close()
+            await stopping
+            return received, is_early, len(site.backends[0].seen)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        received, is_early, requests_count = runner.run(main())
+    assert received.count(b"x") >= RESPONSE_SIZE_BYTES
+    assert not is_early
+    assert requests_count == 1
+
+
+@pytest.mark.parametrize("sends", [False, True])
+def test_a_client_that_never_closes_does_not_hold_up_a_stop(sends):
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            server.begin_stop(site.forwarder, STOP_TIME_S)
+            writer.write(make_head(1))
+            await reader.read()
+            sending = asyncio.create_task(send_on(writer, sends))
+            began_s = time.monotonic()
+            await server.stop(site.running, STOP_TIME_S)
+            took_s = time.monotonic() - began_s
+            sending.cancel()
+            writer.transport.abort()
+            return took_s, len(site.backends[0].seen)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        took_s, requests_count = runner.run(main())
+    assert took_s < MAX_STOP_TIME_S
+    assert requests_count == 1
+
+
+def test_lingering_connections_are_bounded_in_number(monkeypatch):
+    monkeypatch.setattr(lingering, "MAX_CONNECTIONS_COUNT", 2)
+
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            server.begin_stop(site.forwarder, STOP_TIME_S)
+            opened = [await asyncio.open_connection(HOST, site.port) for _ in range(5)]
+            for number, (reader, writer) in enumerate(opened):
+                writer.write(make_head(number))
+                await reader.read()
+            left_count = len(site.running.server.connections)
+            for _, writer in opened:
+                writer.close()
+            await sites.wait_until(lambda: not site.running.server.connections)
+            return left_count
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(main()) == 2
+
+
+def test_bytes_that_are_discarded_after_a_close_are_bounded(monkeypatch):
+    monkeypatch.setattr(lingering, "MAX_DISCARDED_SIZE_BYTES", 1_000)
+    monkeypatch.setattr(lingering, "CHECK_INTERVAL_S", 60.0)
+
+    async def main():
+        async with sites.run_site([sites.answering()]) as site:
+            server.begin_stop(site.forwarder, STOP_TIME_S)
+            reader, writer = await asyncio.open_connection(HOST, site.port)
+            writer.write(make_head(1))
+            await reader.read()
+            assert len(site.running.server.connections) == 1
+            writer.write(b"x" * 1_001)
+            await sites.wait_until(lambda: not site.running.server.connections)
+            writer.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
