--- a/hickoryweir/forwarding/tests/test_changed_limits.py
+++ b/hickoryweir/forwarding/tests/test_changed_limits.py
@@ -18,7 +18,7 @@
 PAUSE_S = 0.1
 SHORT_IDLE_TIMEOUT_S = 0.5
 LONG_IDLE_TIMEOUT_S = 30.0
-# Of a check of idle connections, on a busy machine.
+# The check of idle connections may be late by this time on a busy machine.
 IDLE_MARGIN_S = 3.0
 QUEUED_COUNT = 40
 
--- a/hickoryweir/forwarding_policy/held_bytes.py
+++ b/hickoryweir/forwarding_policy/held_bytes.py
@@ -74,7 +74,7 @@
 # Part of the bound of the process that is for the bodies of requests; the rest is for
 # responses.
 BODIES_SHARE = 0.6
-# As much as this part of the room for bodies is for small ones only, beside it.
+# Room for small bodies alone, in addition to the common room, as a part of it.
 SMALL_BODIES_SHARE = 0.1
 # Parts of each by priority, which no less urgent body uses.
 BODY_SHARES = (0.4, 0.2, 0.4)
--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -21,7 +21,7 @@
 from hickoryweir.replicas import state as states
 
 CHECK_INTERVAL_S = 0.1
-# Some heartbeats.
+# A voter that misses several heartbeats is not counted as responding.
 RESPONDS_WITHIN_S = 0.3
 # Three election timeouts: a member that merely restarts responds before that.
 UNREACHABLE_AFTER_S = 1.5
--- a/hickoryweir/replicas/tests/test_final_losses.py
+++ b/hickoryweir/replicas/tests/test_final_losses.py
@@ -16,7 +16,7 @@
 LATEST_LOSS_S = 0.4
 MAX_LEAD_S = 3.0
 SLOW_DISKS_SHARE = 0.5
-# Of sums of steps.
+# Rounding of times that are sums of steps.
 TIME_SLACK_S = 1e-9
 
 
