Stops: lines of aborted requests say when these were received, and how a client left

A client that ends its sending side was logged like one that resets its connection, and like the stop itself.

--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -192,8 +192,9 @@
         Routers that share the retry budget.
     is_draining : bool
         Whether the process is about to stop.
-    stops_at_s : float or None
-        While it stops, when the last responses end, on :func:`clocks.boottime_s`.
+    stop_began_s, stops_at_s : float or None
+        While it stops, when the stop began and when the last responses end, on
+        :func:`clocks.boottime_s`.
     open_requests : dict
         The open request of each client connection that has one, as
         :class:`.open_requests.OpenRequest`.
@@ -293,6 +294,7 @@
     list_read_at_s: float = 0.0
     routers_count: int = 1
     is_draining: bool = False
+    stop_began_s: float | None = None
     stops_at_s: float | None = None
     open_requests: dict = dataclasses.field(default_factory=dict)
     started: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
@@ -387,6 +389,8 @@
     started_s, deadline_s : float
         When the request arrived, and when its final response is due, on
         :func:`clocks.boottime_s`.
+    received_s : float
+        When its last byte was read, likewise.
     tried_server_ids : set of str
         Servers to which a byte was sent, or that could not be reached.
     sent_count : int
@@ -455,6 +459,7 @@
     fingerprint: int
     started_s: float
     deadline_s: float
+    received_s: float = dataclasses.field(default_factory=clocks.boottime_s)
     tried_server_ids: set[str] = dataclasses.field(default_factory=set)
     placement: prompt_placement.Placement | None = None
     stream_version: str | None = None
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -382,9 +382,12 @@
     """Return why an attempt was given up before its response."""
     if context.time_left_s <= 0:
         return "no answer in the client's time"
-    if context.forwarder.is_draining:
-        return "the client has left, or the router stops"
-    return "the client has left"
+    connection = context.client_request.protocol
+    if connection.client_transport is not None:
+        return "the router stops"
+    if connection.has_ended_sending:
+        return "the client has ended its sending side"
+    return "the client has reset its connection"
 
 
 async def _forward_once(
--- a/hickoryweir/forwarding/open_requests.py
+++ b/hickoryweir/forwarding/open_requests.py
@@ -161,7 +161,12 @@
     )
 
 
-def describe(request: OpenRequest, unsent_size_bytes: int, queued_count: int) -> str:
+def describe(
+    request: OpenRequest,
+    unsent_size_bytes: int,
+    queued_count: int,
+    stop_began_s: float,
+) -> str:
     """Return a description of an open request for the log.
 
     Parameters
@@ -172,12 +177,15 @@
         Bytes written to its connection and not sent yet.
     queued_count : int
         Requests that were read from its connection after it.
+    stop_began_s : float
+        When the stop began, on :func:`clocks.boottime_s`.
     """
     parts = [f"waits for {phase_of(request)}"]
     context = request.context
     if context is not None:
         admitted_after_s = request.admitted_at_s - request.received_at_s
         parts.append(f"admitted after {admitted_after_s:.3f} s")
+        parts.append(f"received {context.received_s - stop_began_s:+.3f} s at the stop")
         parts.append(f"{context.time_left_s:.3f} s left")
         if context.stream_response is not None:
             parts.append(f"at event {context.last_event_id or 'none'}")
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -79,6 +79,8 @@
         Its transport until the last byte is sent or the connection is lost.
     is_serving : bool
         Whether the handler of a request is running.
+    has_ended_sending : bool
+        Whether the client has ended its sending side.
     is_held : bool
         Whether what follows the request that is served stays unread in the kernel.
     delivery : slow_readers.Delivery
@@ -96,6 +98,7 @@
         "_lingering_close",
         "client_transport",
         "delivery",
+        "has_ended_sending",
         "is_held",
         "is_serving",
     )
@@ -127,6 +130,7 @@
         self._held_limits = held_limits
         self.client_transport: asyncio.Transport | None = None
         self.is_serving = False
+        self.has_ended_sending = False
         self.is_held = False
         self._holds_next = False
         self._left_check: asyncio.TimerHandle | None = None
@@ -210,6 +214,11 @@
         if self._held_limits is not None and self._held_limits.divides_accounts:
             slow_readers.limit_buffers(transport, self._held_limits)
 
+    def eof_received(self) -> bool | None:
+        """Record that the client has ended its sending side."""
+        self.has_ended_sending = True
+        return super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the transport."""
         self.client_transport = None
@@ -635,8 +644,10 @@
 def begin_stop(router: contexts.Forwarder, time_left_s: float) -> None:
     """Announce that the router answers its last requests within `time_left_s`."""
     was_draining, router.is_draining = router.is_draining, True
-    router.stops_at_s = clocks.boottime_s() + time_left_s - ANSWER_MARGIN_S
+    now_s = clocks.boottime_s()
+    router.stops_at_s = now_s + time_left_s - ANSWER_MARGIN_S
     if not was_draining:
+        router.stop_began_s = now_s
         for connection in router.open_requests:
             connection.hold_next()
 
@@ -732,7 +743,7 @@
     }
     for connection, request in aborted.items():
         if request is not None:
-            _log_aborted_request(connection, request, now_s)
+            _log_aborted_request(running.router, connection, request, now_s)
         for headers in connection.queued_headers:
             metadata = running.router.codec.parse_request(headers)
             fields = logs.Fields(
@@ -748,7 +759,10 @@
 
 
 def _log_aborted_request(
-    connection: ClientConnection, request: open_requests.OpenRequest, now_s: float
+    router: contexts.Forwarder,
+    connection: ClientConnection,
+    request: open_requests.OpenRequest,
+    now_s: float,
 ) -> None:
     context = request.context
     placement = None if context is None else context.placement
@@ -759,7 +773,10 @@
         attempt=None if context is None else context.sent_count,
         duration_s=round(now_s - request.received_at_s, 4),
         detail=open_requests.describe(
-            request, connection.unsent_size_bytes, connection.queued_requests_count
+            request,
+            connection.unsent_size_bytes,
+            connection.queued_requests_count,
+            router.stop_began_s,
         ),
     )
     logs.warning("request aborted by the stop", fields)
