Stops: no stream is taken after the port has closed that could outlast the stop

Callers saw: a stream that was cut at the end of a planned stop, although they had sent it seconds after the signal, on a connection that an earlier stream had kept.

Cause: a stopping router takes a request if 95 in 100 ended ones of its route were short enough, at any moment of the stop, and one ended request is enough to say so. While the port is open this is best for callers, since the balancer may send a refused one back here. After that, a refusal costs them nothing but 0.1 s, and a stream that has begun can't be taken back: the others are answered with 502 or 503. Now such a stream is only taken if its client waits no longer than the router runs.

--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -192,9 +192,9 @@
         Routers that share the retry budget.
     is_draining : bool
         Whether the process is about to stop.
-    stop_began_s, stops_at_s : float or None
-        While it stops, when the stop began and when the last responses end, on
-        :func:`clocks.boottime_s`.
+    stop_began_s, port_closed_s, stops_at_s : float or None
+        While it stops, when the stop began, when its ports were closed, and when the
+        last responses end, on :func:`clocks.boottime_s`.
     open_requests : dict
         The open request of each client connection that has one, as
         :class:`.open_requests.OpenRequest`.
@@ -295,6 +295,7 @@
     routers_count: int = 1
     is_draining: bool = False
     stop_began_s: float | None = None
+    port_closed_s: float | None = None
     stops_at_s: float | None = None
     open_requests: dict = dataclasses.field(default_factory=dict)
     started: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -282,8 +282,28 @@
     forwarder = context.forwarder
     if forwarder.stops_at_s is None:
         return True
-    now_s = clocks.boottime_s()
-    left_s = forwarder.stops_at_s - now_s
+    left_s = forwarder.stops_at_s - clocks.boottime_s()
+    duration_s = None
+    if stop_admission.may_outlast_stop(
+        context.route.is_stream, context.received_s, forwarder.port_closed_s
+    ):
+        duration_s = _expected_duration_s(context, left_s)
+    return stop_admission.can_end(left_s, context.time_left_s, duration_s)
+
+
+def _expected_duration_s(
+    context: contexts.RequestContext, left_s: float
+) -> float | None:
+    """Return within which time nearly all requests of a route end; None if unknown.
+
+    Parameters
+    ----------
+    context : contexts.RequestContext
+        A request of the route.
+    left_s : float
+        Time until the router stops.
+    """
+    forwarder, now_s = context.forwarder, clocks.boottime_s()
     name = context.route.name
     long_open_count = sum(
         other.context is not None
@@ -296,10 +316,9 @@
     quantile = stop_admission.quantile_to_end(
         durations.count(name, interval), long_open_count
     )
-    duration_s = None
-    if quantile is not None:
-        duration_s = durations.quantile_s(name, interval, quantile)
-    return stop_admission.can_end(left_s, context.time_left_s, duration_s)
+    if quantile is None:
+        return None
+    return durations.quantile_s(name, interval, quantile)
 
 
 def _record_forwarded(context: contexts.RequestContext) -> None:
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -663,6 +663,7 @@
     a connection discards the rest of a request.
     """
     begin_stop(running.router, time_left_s)
+    running.router.port_closed_s = clocks.boottime_s()
     opening = listening.close(running.listener, running.make_connection)
     phases = open_requests.count_phases(_open_requests(running))
     logs.info(f"port for {running.peers} closed", logs.Fields(detail=f"open: {phases}"))
--- a/hickoryweir/forwarding_policy/stop_admission.py
+++ b/hickoryweir/forwarding_policy/stop_admission.py
@@ -39,6 +39,34 @@
     return 1.0 - allowed_count / ended_count
 
 
+def may_outlast_stop(
+    is_stream: bool, received_s: float, port_closed_s: float | None
+) -> bool:
+    """Return whether a request may be taken although it might outlast the stop.
+
+    While the port is open, the load balancer may send a refused client back to this
+    router; later, the client reaches another one.  A request without a response by the
+    end of the stop gets a final one, but a stream that has begun is cut.
+
+    Parameters
+    ----------
+    is_stream : bool
+        Whether the response is a stream.
+    received_s : float
+        When the request's last byte was read.
+    port_closed_s : float or None
+        When the port was closed; None while it is open.
+
+    Examples
+    --------
+    >>> may_outlast_stop(True, 3.0, 2.6), may_outlast_stop(False, 3.0, 2.6)
+    (False, True)
+    >>> may_outlast_stop(True, 2.0, 2.6), may_outlast_stop(True, 2.0, None)
+    (True, True)
+    """
+    return not is_stream or port_closed_s is None or received_s < port_closed_s
+
+
 def can_end(left_s: float, client_time_left_s: float, duration_s: float | None) -> bool:
     """Return whether a request is expected to end before the router stops.
 
@@ -49,7 +77,8 @@
     client_time_left_s : float
         Time until the request's deadline, by which it has ended in any case.
     duration_s : float or None
-        Duration at the quantile of :func:`quantile_to_end`; None without one.
+        Duration at the quantile of :func:`quantile_to_end`; None without one, or for a
+        request that may not outlast the stop.
 
     Examples
     --------
