Responses: a status that is none does not reach the client

Callers saw: answers with the status 0, 99, 600 or 999, framed as complete, and a 101 after which nothing came until their time was over.

Cause: the parser takes any three digits, and nothing behind it asked whether they are a status (RFC 9110, section 15). framing.ResponseProtocol does now, for all connections to servers: a final status is a number from 200 to 599, interim ones are taken away, and 101 is none, since no upgrade is asked for. The response counts as no valid head: a request that may run again does, another gets 502 outcome_unknown. The log names the status, given_up_connections counts it.

Also, the reason for which a connection is given up is kept: while the request was still being written, the end of the connection took its place.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -42,6 +42,9 @@
 SILENT_AFTER_S = 0.25
 # Size of a hash in Python.
 DIGEST_SIZE_BYTES = 8
+# Of final responses (RFC 9110, section 15); clients have no meaning for any other.
+FIRST_FINAL_STATUS = 200
+LAST_FINAL_STATUS = 599
 # Id of the current request: empty if it has none and needs a new connection, None if it
 # is a read that may use any connection.
 sent_request_id: contextvars.ContextVar[str | None] = contextvars.ContextVar(
@@ -97,6 +100,10 @@
     """A response that is being read is not valid HTTP."""
 
 
+class InvalidStatusError(MalformedResponseError):
+    """A response has a status that is none, or one that nobody asked for."""
+
+
 class OversizedResponseError(aiohttp.ClientPayloadError):
     """A response that is being read exceeds a bound."""
 
@@ -200,9 +207,20 @@
         """Record that the whole request was written."""
         self._is_written = True
 
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        """Keep why the connection was given up, which also ends it."""
+        if not isinstance(self.exception(), aiohttp.ClientPayloadError):
+            super().set_exception(exc, *cause)
+
     def feed_data(self, message: tuple, size: int = 0) -> None:
-        """Take the head of a response."""
+        """Take the head of a response, unless one before it was not valid."""
+        if self.exception() is not None:
+            return
         head, body = message
+        if not _is_valid_status(head.code):
+            error = InvalidStatusError(f"status {head.code} is none")
+            self._give_up(error, "invalid status")
+            return
         if self._body is None and not _is_interim(head.code):
             self._body, self._length_bytes = body, _stated_length(head)
             if not self._is_written:
@@ -272,14 +290,22 @@
         except http_exceptions.HttpProcessingError:
             return True
 
-    def _give_up(self, error: aiohttp.ClientPayloadError) -> None:
-        """Fail the response that is being received, and close the connection."""
+    def _give_up(self, error: aiohttp.ClientPayloadError, reason: str = "") -> None:
+        """Fail the response that is being received, and close the connection.
+
+        Parameters
+        ----------
+        error : aiohttp.ClientPayloadError
+            What the reader of the response gets.
+        reason : str, optional
+            What is counted, if the text of the error has too many values for that.
+        """
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(error)
         self.set_exception(error)
         if self.transport is not None:
             host, port, *_ = self.transport.get_extra_info("peername") or ("", 0)
-            self._on_given_up(f"{host}:{port}", str(error))
+            self._on_given_up(f"{host}:{port}", reason or str(error))
             self.transport.abort()
 
     def eof_received(self) -> None:
@@ -303,6 +329,17 @@
     return int(text) if text.isdecimal() and not head.chunked else None
 
 
+def _is_valid_status(status: int) -> bool:
+    """Return whether a response may have a status, as no request asks for an upgrade.
+
+    Examples
+    --------
+    >>> list(filter(_is_valid_status, (0, 99, 100, 101, 199, 200, 599, 600)))
+    [100, 199, 200, 599]
+    """
+    return _is_interim(status) or FIRST_FINAL_STATUS <= status <= LAST_FINAL_STATUS
+
+
 def _is_interim(status: int) -> bool:
     """Return whether another response follows (RFC 9110, section 15.2)."""
     return 100 <= status <= 199 and status != http.HTTPStatus.SWITCHING_PROTOCOLS
--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -123,6 +123,8 @@
         return NotSent(type(error).__name__)
     except sessions.ConnectionLostError as error:
         return Lost(str(error), is_connection_end=True)
+    except framing.InvalidStatusError as error:
+        return Lost(str(error))
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return Lost(type(error).__name__)
     finally:
