Responses: a part that ends beside an upload is not taken for all of the response

Callers saw: 200 with a part of the body, framed as complete.

Cause: a server answered an upload at once, without a length, and closed before it had read all of it. The FIN ended the body; the reset that followed at the next byte of the upload came when the connection had been closed here. An end beside a request that the server has not acknowledged is now held until a reset shows that it is a part, or a bounded wait shows none (docs/design/response-ends.md).

Sound early ends (a server that reads on, 413, a stated length, 204, 304) stay whole.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -1,8 +1,11 @@
 """Connects to backend servers, bounds their responses and detects how these end.
 
 A body with neither a length nor chunks ends with its connection, and aiohttp reports a
-clean close and a reset alike; :class:`ResponseProtocol` tells the two apart.  It also
-bounds the bytes that carry no content, such as informational responses and chunk
+clean close and a reset alike; :class:`ResponseProtocol` tells the two apart.  While the
+request is still being written, a server that has closed resets the connection only when
+more of it arrives, so such an end counts once that has not happened.
+
+The bytes that carry no content are bounded, such as informational responses and chunk
 extensions, which aiohttp reads without end.
 
 A server may write an earlier response once more, late.  On a kept connection the copy
@@ -27,6 +30,8 @@
 import aiohttp
 from aiohttp import client_proto, helpers, http_exceptions, http_parser
 
+from hickoryweir import unacknowledged
+
 # Several times the largest header section that aiohttp accepts.
 MAX_OVERHEAD_SIZE_BYTES = 128 * 1024
 # Largest parts in which received bytes are parsed, so that few of those behind the end
@@ -42,6 +47,11 @@
 SILENT_AFTER_S = 0.25
 # Size of a hash in Python.
 DIGEST_SIZE_BYTES = 8
+# After a response without a length has ended beside its request: until the end is taken
+# for that of the response, and until the request is waited for no longer.
+EARLY_END_WAIT_S = 0.5
+EARLY_END_MAX_S = 2.0
+EARLY_END_CHECK_INTERVAL_S = 0.02
 # Of final responses (RFC 9110, section 15); clients have no meaning for any other.
 FIRST_FINAL_STATUS = 200
 LAST_FINAL_STATUS = 599
@@ -168,6 +178,10 @@
     # None before its head.
     _body: aiohttp.StreamReader | None = None
     _length_bytes: int | None = None
+    # The end of the connection is that of the body.
+    _is_unframed = False
+    # Loop time of such an end that came before the request was written.
+    _ended_early_at_s = 0.0
     # The end of what was parsed, which may begin an empty line.
     _last_bytes = b""
 
@@ -223,6 +237,9 @@
             return
         if self._body is None and not _is_interim(head.code):
             self._body, self._length_bytes = body, _stated_length(head)
+            self._is_unframed = (
+                not head.chunked and "Content-Length" not in head.headers
+            )
             if not self._is_written:
                 # The server may take the rest of the request for the next one.
                 self.force_close()
@@ -308,14 +325,50 @@
             self._on_given_up(f"{host}:{port}", reason or str(error))
             self.transport.abort()
 
-    def eof_received(self) -> None:
-        """Check the socket for a reset."""
-        sock = None
-        if self.transport is not None:
-            sock = self.transport.get_extra_info("socket")
+    def eof_received(self) -> bool | None:
+        """Check the socket for a reset; return whether one may still follow."""
+        super().eof_received()
+        if self.transport is None or self._record_reset() or not self._is_cut_early():
+            return None
+        if self.transport.get_extra_info("sslcontext") is not None:
+            # An end closes connections with TLS, so that no reset would be seen.
+            self.was_reset = True
+            return None
+        self._ended_early_at_s = self._loop.time()
+        self._schedule_end_check()
+        return True
+
+    def _record_reset(self) -> bool:
+        """Record a reset that only the socket shows; return whether there was one."""
+        sock = self.transport.get_extra_info("socket")
         if sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self.was_reset = True
-        super().eof_received()
+        return self.was_reset
+
+    def _is_cut_early(self) -> bool:
+        """Return whether the body may end since the server takes no more bytes."""
+        is_open = self._is_open and self._body is not None and not self._body.is_eof()
+        return is_open and self._is_unframed and not self._is_request_taken()
+
+    def _is_request_taken(self) -> bool:
+        """Return whether the server's kernel has acknowledged the whole request."""
+        transport = self.transport
+        is_sent = self._is_written and not transport.get_write_buffer_size()
+        return is_sent and not unacknowledged.size_bytes(transport)
+
+    def _schedule_end_check(self) -> None:
+        self._loop.call_later(EARLY_END_CHECK_INTERVAL_S, self._check_end)
+
+    def _check_end(self) -> None:
+        """End the connection, and with it the body, once no reset is expected."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        since_s = self._loop.time() - self._ended_early_at_s
+        is_over = since_s >= EARLY_END_WAIT_S and self._is_request_taken()
+        if self._record_reset() or is_over or since_s >= EARLY_END_MAX_S:
+            self.transport.abort()
+            return
+        self._schedule_end_check()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record a reset that the event loop reports."""
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -15,6 +15,7 @@
     early_listener,
     listening,
     parsing_turns,
+    unacknowledged,
     unread,
 )
 from hickoryweir.forwarding import (
@@ -169,8 +170,8 @@
         """Return the size of what was written and the client has not acknowledged."""
         if self.client_transport is None:
             return 0
-        unacknowledged = slow_readers.unacknowledged_size_bytes(self.client_transport)
-        return self.unsent_size_bytes + unacknowledged
+        sent_size_bytes = unacknowledged.size_bytes(self.client_transport)
+        return self.unsent_size_bytes + sent_size_bytes
 
     @property
     def is_lingering(self) -> bool:
--- a/hickoryweir/forwarding/slow_readers.py
+++ b/hickoryweir/forwarding/slow_readers.py
@@ -5,18 +5,13 @@
 
 import asyncio
 import dataclasses
-import fcntl
 import socket
-import struct
-import termios
 
+from hickoryweir import unacknowledged
 from hickoryweir.forwarding import contexts
 from hickoryweir.forwarding_policy import held_bytes
 from hickoryweir.observability import logs
 
-# The kernel returns the number as a C int.
-IOCTL_INT = struct.Struct("i")
-
 
 @dataclasses.dataclass(slots=True)
 class Delivery:
@@ -47,15 +42,6 @@
             sock.setsockopt(socket.SOL_SOCKET, option, size_bytes)
 
 
-def unacknowledged_size_bytes(transport: asyncio.Transport) -> int:
-    """Return the bytes in the kernel that the client has not acknowledged."""
-    sock = transport.get_extra_info("socket")
-    if sock is None or sock.fileno() < 0:
-        return 0
-    packed = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, IOCTL_INT.pack(0))
-    return IOCTL_INT.unpack(packed)[0]
-
-
 def is_stalled(router: contexts.Forwarder, connection: object, now_s: float) -> bool:
     """Update what a client has taken; return whether it has stalled for too long.
 
@@ -72,7 +58,7 @@
         connection.delivery = Delivery(progressed_at_s=now_s)
         return False
     transport, delivery = connection.client_transport, connection.delivery
-    sizes = connection.unsent_size_bytes, unacknowledged_size_bytes(transport)
+    sizes = connection.unsent_size_bytes, unacknowledged.size_bytes(transport)
     known = delivery.pending_sizes_bytes
     if sizes[0] < known[0] or sizes[1] < known[1] or not delivery.progressed_at_s:
         delivery.progressed_at_s = now_s
--- a/hickoryweir/forwarding/tests/test_slow_readers.py
+++ b/hickoryweir/forwarding/tests/test_slow_readers.py
@@ -5,7 +5,8 @@
 import pytest
 from aiohttp import web
 
-from hickoryweir.forwarding import headers, slow_readers
+from hickoryweir import unacknowledged
+from hickoryweir.forwarding import headers
 from hickoryweir.forwarding.tests import sites
 from hickoryweir.forwarding_policy import held_bytes
 
@@ -127,4 +128,4 @@
         def get_extra_info(self, name):
             return None
 
-    assert slow_readers.unacknowledged_size_bytes(Closed()) == 0
+    assert unacknowledged.size_bytes(Closed()) == 0
