Stops: a request counts as late by its turn on its connection, and is named so

A request that is sent behind a stream is read early and forwarded after it, so 'received' was the wrong word.

--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -390,8 +390,8 @@
     started_s, deadline_s : float
         When the request arrived, and when its final response is due, on
         :func:`clocks.boottime_s`.
-    received_s : float
-        When its last byte was read, likewise.
+    admitted_s : float
+        When it had been received and was to be forwarded, likewise.
     tried_server_ids : set of str
         Servers to which a byte was sent, or that could not be reached.
     sent_count : int
@@ -460,7 +460,7 @@
     fingerprint: int
     started_s: float
     deadline_s: float
-    received_s: float = dataclasses.field(default_factory=clocks.boottime_s)
+    admitted_s: float = dataclasses.field(default_factory=clocks.boottime_s)
     tried_server_ids: set[str] = dataclasses.field(default_factory=set)
     placement: prompt_placement.Placement | None = None
     stream_version: str | None = None
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -285,7 +285,7 @@
     left_s = forwarder.stops_at_s - clocks.boottime_s()
     duration_s = None
     if stop_admission.may_outlast_stop(
-        context.route.is_stream, context.received_s, forwarder.port_closed_s
+        context.route.is_stream, context.admitted_s, forwarder.port_closed_s
     ):
         duration_s = _expected_duration_s(context, left_s)
     return stop_admission.can_end(left_s, context.time_left_s, duration_s)
--- a/hickoryweir/forwarding/open_requests.py
+++ b/hickoryweir/forwarding/open_requests.py
@@ -15,6 +15,7 @@
 from hickoryweir import clocks
 from hickoryweir.forwarding import contexts
 from hickoryweir.forwarding_policy import held_bytes
+from hickoryweir.routes import model
 
 
 class Phase(enum.StrEnum):
@@ -132,6 +133,19 @@
     request.context = context
 
 
+def runs_to_its_end(request: OpenRequest) -> bool:
+    """Return whether a request goes on at a server although its client has left.
+
+    A plain call that may not be repeated is not stopped midway, so its response comes
+    for a client that has only ended its sending side.
+    """
+    context = request.context
+    if context is None or context.route.is_stream:
+        return False
+    is_at_most_once = context.route.execution is model.Execution.AT_MOST_ONCE
+    return is_at_most_once and context.sent_count > 0
+
+
 def give_up(request: OpenRequest) -> None:
     """End the handling of a request, unless its response has begun.
 
@@ -185,7 +199,8 @@
     if context is not None:
         admitted_after_s = request.admitted_at_s - request.received_at_s
         parts.append(f"admitted after {admitted_after_s:.3f} s")
-        parts.append(f"received {context.received_s - stop_began_s:+.3f} s at the stop")
+        since_s = request.admitted_at_s - stop_began_s
+        parts.append(f"{since_s:+.3f} s from the begin of the stop")
         parts.append(f"{context.time_left_s:.3f} s left")
         if context.stream_response is not None:
             parts.append(f"at event {context.last_event_id or 'none'}")
--- a/hickoryweir/forwarding/tests/test_server.py
+++ b/hickoryweir/forwarding/tests/test_server.py
@@ -234,7 +234,8 @@
 
 
 def test_request_queued_behind_an_open_stream_is_answered_by_a_stop():
-    head = "GET /chat/{} HTTP/1.1\r\nHost: site.example\r\n{}: r-{}\r\n\r\n"
+    head = "GET /chat/{} HTTP/1.1\r\nHost: site.example\r\n{}: r-{}\r\n{}\r\n"
+    short_time = f"{headers.TIME_LEFT}: 1.0\r\n"
     release = asyncio.Event()
 
     async def stream(request, body):
@@ -249,9 +250,9 @@
         routes = (sites.resumable_route(),)
         async with sites.run_site([stream], routes) as site:
             reader, writer = await asyncio.open_connection(HOST, site.port)
-            writer.write(head.format(1, headers.REQUEST_ID, 1).encode())
+            writer.write(head.format(1, headers.REQUEST_ID, 1, "").encode())
             await reader.readuntil(b"data: r-1")
-            writer.write(head.format(2, headers.REQUEST_ID, 2).encode())
+            writer.write(head.format(2, headers.REQUEST_ID, 2, short_time).encode())
             await asyncio.sleep(0.1)
             stopping = asyncio.create_task(server.stop(site.running, 2.0))
             await asyncio.sleep(0.1)
--- a/hickoryweir/forwarding_policy/stop_admission.py
+++ b/hickoryweir/forwarding_policy/stop_admission.py
@@ -40,7 +40,7 @@
 
 
 def may_outlast_stop(
-    is_stream: bool, received_s: float, port_closed_s: float | None
+    is_stream: bool, admitted_s: float, port_closed_s: float | None
 ) -> bool:
     """Return whether a request may be taken although it might outlast the stop.
 
@@ -52,8 +52,8 @@
     ----------
     is_stream : bool
         Whether the response is a stream.
-    received_s : float
-        When the request's last byte was read.
+    admitted_s : float
+        When the request had been received and was to be forwarded.
     port_closed_s : float or None
         When the port was closed; None while it is open.
 
@@ -64,7 +64,7 @@
     >>> may_outlast_stop(True, 2.0, 2.6), may_outlast_stop(True, 2.0, None)
     (True, True)
     """
-    return not is_stream or port_closed_s is None or received_s < port_closed_s
+    return not is_stream or port_closed_s is None or admitted_s < port_closed_s
 
 
 def can_end(left_s: float, client_time_left_s: float, duration_s: float | None) -> bool:
