--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -78,8 +78,8 @@
     ----------
     client_transport : asyncio.Transport or None
         Its transport until the last byte is sent or the connection is lost.
-    is_serving : bool
-        Whether the handler of a request is running.
+    served : open_requests.OpenRequest or None
+        The request whose handler is running.
     has_ended_sending : bool
         Whether the client has ended its sending side.
     is_held : bool
@@ -101,7 +101,7 @@
         "delivery",
         "has_ended_sending",
         "is_held",
-        "is_serving",
+        "served",
     )
 
     def __init__(
@@ -130,7 +130,7 @@
         self._read_turns = read_turns
         self._held_limits = held_limits
         self.client_transport: asyncio.Transport | None = None
-        self.is_serving = False
+        self.served: open_requests.OpenRequest | None = None
         self.has_ended_sending = False
         self.is_held = False
         self._holds_next = False
@@ -140,7 +140,7 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no byte of another request has been received."""
-        if self.is_serving or self._messages or self.head_started_s is not None:
+        if self.served is not None or self._messages or self.head_started_s is not None:
             return False
         if self.has_unparsed:
             return False
@@ -216,9 +216,20 @@
             slow_readers.limit_buffers(transport, self._held_limits)
 
     def eof_received(self) -> bool | None:
-        """Record that the client has ended its sending side."""
+        """Record that the client has ended its sending side.
+
+        It is taken for one that has left, unless its request goes on anyway.
+
+        Returns
+        -------
+        bool or None
+            Whether to keep the connection open for the response.
+        """
         self.has_ended_sending = True
-        return super().eof_received()
+        if self.served is None or not open_requests.runs_to_its_end(self.served):
+            return super().eof_received()
+        self.close()
+        return True
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the transport."""
@@ -301,7 +312,7 @@
         """
         self._holds_next = True
         is_received = bool(self._messages) or not self._is_receiving_body()
-        if self.is_held or not self.is_serving or not is_received:
+        if self.is_held or self.served is None or not is_received:
             return
         self.is_held = True
         self._pause_transport_reading()
@@ -490,7 +501,7 @@
             raise ConnectionError("the connection is closing")
         open_request = open_requests.OpenRequest()
         open_by_connection[connection] = open_request
-        connection.is_serving = True
+        connection.served = open_request
         if router.is_draining:
             connection.hold_next()
         try:
@@ -502,7 +513,7 @@
                 connection.discard_rest(LINGERING_S)
             return response
         finally:
-            connection.is_serving, open_request.is_handled = False, True
+            connection.served, open_request.is_handled = None, True
             connection.release_next()
             held_bytes.end_handling(open_request)
             if connection.head_started_s is not None:
