Stops: a request that crosses the close of an idle connection does not reset the response before it

Callers saw: a stream that its server had completed, without its last bytes, at the moment at which the port closes; their next request was on its way.

Cause: a stop closed an idle connection at once if its last response was acknowledged, which is what the client's kernel or a link does, not the client. A request that was sent ahead met the closed socket, and the reset overtook the rest of the response, or made the client's library drop it.

The regression test got a reset in place of the response before.

--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -369,9 +369,25 @@
     @property
     def _idle_until_s(self) -> float:
         """Return the loop time at which the idle time after a response ends."""
+        return self._idle_since_s + self._limits.idle_timeout_s
+
+    @property
+    def _idle_since_s(self) -> float:
+        """Return the loop time at which the last response ended."""
         # aiohttp adds the idle time with which the connection was opened.
-        idle_since_s = self._next_keepalive_close_time - self._keepalive_timeout
-        return idle_since_s + self._limits.idle_timeout_s
+        return self._next_keepalive_close_time - self._keepalive_timeout
+
+    @property
+    def has_fresh_response(self) -> bool:
+        """Return whether the client may not have received its last response yet.
+
+        A reset overtakes what is acknowledged on its way to the client, and may discard
+        what the client has not read.
+        """
+        if self.pending_size_bytes:
+            return True
+        age_s = self._loop.time() - self._idle_since_s
+        return self.has_received and age_s < lingering.ARRIVAL_TIME_S
 
     def _process_keepalive(self) -> None:
         """Wait on if the idle time has become longer since the connection was opened.
@@ -737,7 +753,7 @@
     for connection in list(server.connections):
         if not connection.is_idle or connection.is_new:
             continue
-        if not connection.pending_size_bytes or not connection.linger():
+        if not connection.has_fresh_response or not connection.linger():
             connection.force_close()
 
 
--- a/hickoryweir/forwarding/tests/test_lingering_closes.py
+++ b/hickoryweir/forwarding/tests/test_lingering_closes.py
@@ -8,6 +8,7 @@
 
 from hickoryweir.forwarding import headers, lingering, server
 from hickoryweir.forwarding.tests import sites
+from hickoryweir.testing import links
 
 HOST = sites.HOST
 HEAD = "GET /chat/{0} HTTP/1.1\r\nHost: site.example\r\n{1}: r-{0}\r\n\r\n"
@@ -18,6 +19,8 @@
 RESPONSE_DELAY_S = 0.3
 STOP_TIME_S = 10.0
 MAX_STOP_TIME_S = 4.0
+# Of bytes on the way to the client; the others, and resets, are at once.
+LINK_DELAY_S = 0.4
 
 
 def make_head(number: int) -> bytes:
@@ -72,6 +75,43 @@
     assert received.count(b"x") >= RESPONSE_SIZE_BYTES
 
 
+class Delays:
+    """Stands for a generator; the target's bytes are delayed, and the client's not."""
+
+    def __init__(self):
+        self.delays_s = [0.0, LINK_DELAY_S]
+
+    def uniform(self, low_s, high_s):
+        """Return the next delay."""
+        return self.delays_s.pop(0)
+
+
+def test_request_that_crosses_an_idle_close_does_not_reset_the_response_before_it():
+    async def main():
+        with links.run() as loop:
+            async with (
+                sites.run_site([sites.answering(text="answer")]) as site,
+                links.open_link(loop, HOST, site.port, (0.0, 0.0), "") as link,
+            ):
+                link.generator = Delays()
+                reader, writer = await asyncio.open_connection(HOST, link.port)
+                assert await reader.readexactly(1) == links.CONNECTED
+                writer.write(make_head(1))
+                # The link has acknowledged the response, and the client not seen it.
+                await sites.wait_until(lambda: any(side.held for side in link.sides))
+                stopping = asyncio.create_task(server.stop(site.running, 3.0))
+                await sites.wait_until(lambda: link.silent_sides)
+                writer.write(make_head(2))
+                received = await reader.read()
+                writer.close()
+                await stopping
+                return received
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        received = runner.run(main())
+    assert received.endswith(b"answer")
+
+
 @pytest.mark.parametrize(
     "later", [b"\r\n", make_head(2)], ids=["empty_line", "request"]
 )
