Stops of the soak: clients behind links, and three behaviours at what a stop leaves open

The oracle counts a client that ends its sending side as left on all routes but that of calls that run at most once. A route of short streams is added, for `late`.

--- a/hickoryweir/testing/soak/stop_backends.py
+++ b/hickoryweir/testing/soak/stop_backends.py
@@ -87,7 +87,7 @@
     if plan.refuses or backend.refuses:
         return web.Response(status=503, headers=echoed | {headers.NOT_RUN: "1"})
     attempt.run_s = time.monotonic()
-    if "/stream/" in request.raw_path:
+    if request.path.split("/")[1] in stop_records.STREAM_KINDS:
         return await _send_stream(backend, request, request_id, plan, attempt)
     await asyncio.sleep(plan.work_s)
     await backend.awake.wait()
--- a/hickoryweir/testing/soak/stop_clients.py
+++ b/hickoryweir/testing/soak/stop_clients.py
@@ -14,6 +14,7 @@
 import zlib
 
 from hickoryweir.forwarding import headers
+from hickoryweir.testing import links
 from hickoryweir.testing.soak import stop_backends, stop_records
 
 LEAD_S = 2.0
@@ -25,6 +26,10 @@
 FEW_BYTES = 16
 CONNECT_INTERVAL_S = 0.02
 FEW_BYTES_PACE_S = 0.1
+LATE_SHORT_COUNT = 5
+# From the last byte of a response to the next request.
+CROSSING_PAUSES_S = (0.0, 0.0005, 0.001)
+COMPLETION_MARGIN_S = 0.3
 
 
 class Connection:
@@ -175,7 +180,13 @@
     sock.setblocking(False)
     if is_slow:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER_BYTES)
-    await asyncio.get_running_loop().sock_connect(sock, (target.host, target.port))
+    loop = asyncio.get_running_loop()
+    if target.link_port is None:
+        await loop.sock_connect(sock, (target.host, target.port))
+    else:
+        await loop.sock_connect(sock, (links.HOST, target.link_port))
+        if not await loop.sock_recv(sock, len(links.CONNECTED)):
+            raise ConnectionRefusedError("the link has no connection to the router")
     reader, writer = await asyncio.open_connection(sock=sock, limit=READ_SIZE_BYTES)
     try:
         yield Connection(target, reader, writer, **options)
@@ -398,6 +409,128 @@
         await asyncio.sleep(CONNECT_INTERVAL_S)
 
 
+async def send_late(target: stop_records.Target) -> None:
+    """Send a stream longer than the grace when one of before the signal has ended.
+
+    The other requests of its route are short.
+    """
+    generator = target.generator
+    await sleep_until(target, generator.uniform(-LEAD_S, -0.7))
+    async with connect(target) as connection:
+        for _ in range(LATE_SHORT_COUNT):
+            short = await connection.send(
+                "short", stop_records.Plan(work_s=0.05), "short"
+            )
+            await connection.receive(short)
+            if not short.is_whole or connection.is_closing:
+                return
+        ends_s = generator.uniform(
+            stop_records.LISTENER_CLOSE_S + 0.5, stop_records.GRACE_S - 2.5
+        )
+        first_plan = stop_records.Plan(work_s=ends_s - target.now_s())
+        late_plan = stop_records.Plan(
+            work_s=generator.uniform(1.0, 2.0) * stop_records.GRACE_S
+        )
+        first = await connection.send("before late", first_plan, "stream")
+        if generator.random() < 0.5:
+            await connection.receive(first)
+            if first.is_whole and not connection.is_closing:
+                await asyncio.sleep(generator.choice(CROSSING_PAUSES_S))
+                late = await connection.send("late", late_plan, "short")
+                await connection.receive(late)
+            return
+        await connection.receive_head(first)
+        if first.end or connection.is_closing:
+            await connection.receive(first)
+            return
+        await sleep_until(target, ends_s - generator.choice((0.001, 0.01, 0.1)))
+        late = await connection.send("late pipelined", late_plan, "short")
+        await connection.receive(first)
+        await receive_next(connection, first, late)
+
+
+async def cross_the_close(target: stop_records.Target) -> None:
+    """Send a request at the end of a stream, or after a pause, when the port closes.
+
+    A router that stops keeps only the connections that were idle at the signal, or
+    whose response had begun.  The request is sent within a millisecond of the last byte
+    of the stream, or while that is on its way.
+    """
+    generator = target.generator
+    await sleep_until(target, generator.uniform(-LEAD_S, -0.5))
+    async with connect(target) as connection:
+        for kind in ("once", "stream"):
+            first = await connection.send("before cross", make_short_plan(target), kind)
+            await connection.receive(first)
+            if not first.is_whole or connection.is_closing:
+                return
+        ends_s = stop_records.LISTENER_CLOSE_S + generator.uniform(-0.1, 0.3)
+        form = generator.choice(("idle", "after", "ahead"))
+        if form == "idle":
+            await sleep_until(target, ends_s)
+        else:
+            plan = stop_records.Plan(work_s=ends_s - target.now_s())
+            first = await connection.send("before cross", plan, "stream")
+            await connection.receive_head(first)
+            if form == "after" or first.end or connection.is_closing:
+                await connection.receive(first)
+                if not first.is_whole or connection.is_closing:
+                    return
+            else:
+                await wait_until_completed(target, first)
+            await asyncio.sleep(generator.choice(CROSSING_PAUSES_S))
+        kind = generator.choice(("once", "stream"))
+        last = await connection.send(f"cross {form}", make_short_plan(target), kind)
+        if form == "ahead":
+            await connection.receive(first)
+            await receive_next(connection, first, last)
+        else:
+            await connection.receive(last)
+
+
+def make_short_plan(target: stop_records.Target) -> stop_records.Plan:
+    """Return a plan of some milliseconds."""
+    return stop_records.Plan(
+        work_s=target.generator.uniform(0.005, 0.06),
+        size_bytes=target.generator.choice((100, 5_000, 100_000)),
+    )
+
+
+async def wait_until_completed(target, request: stop_records.Request) -> None:
+    """Wait until a server has completed the answer, or past its time."""
+    until_s = target.now_s() + request.plan.work_s + COMPLETION_MARGIN_S
+    while target.now_s() < until_s:
+        attempts = target.attempts.get(request.request_id, [])
+        if any(attempt.finished_s is not None for attempt in attempts):
+            return
+        await asyncio.sleep(CROSSING_PAUSES_S[-1])
+
+
+async def end_sending(target: stop_records.Target) -> None:
+    """End the sending side once the request is at its server, and read the answer."""
+    generator = target.generator
+    await sleep_until(target, generator.uniform(-LEAD_S, stop_records.LISTENER_CLOSE_S))
+    async with connect(target) as connection:
+        plan = stop_records.Plan(
+            work_s=generator.uniform(0.1, 4.0),
+            size_bytes=generator.choice((100, 5_000, 300_000)),
+        )
+        kind = generator.choice(("once", "once", "stream"))
+        request = await connection.send("end sending", plan, kind)
+        receiving = asyncio.create_task(connection.receive(request))
+        while not receiving.done():
+            attempts = target.attempts.get(request.request_id, [])
+            if any(attempt.run_s is not None for attempt in attempts):
+                await asyncio.sleep(generator.choice((0.0, 0.05, 1.0)))
+                if not receiving.done() and not connection.is_closing:
+                    request.has_ended_sending = True
+                    with contextlib.suppress(OSError):
+                        connection.writer.write_eof()
+                break
+            await asyncio.sleep(CROSSING_PAUSES_S[-1])
+        await receiving
+
+
 BEHAVIOURS = {
     "keep": keep_using,
     "body": send_slowly,
@@ -410,4 +543,7 @@
     "leave": leave,
     "few": read_few_bytes,
     "outlast": outlast,
+    "late": send_late,
+    "cross": cross_the_close,
+    "half": end_sending,
 }
--- a/hickoryweir/testing/soak/stop_oracle.py
+++ b/hickoryweir/testing/soak/stop_oracle.py
@@ -273,7 +273,7 @@
     if target.kills_successor and is_to_successor(target, request):
         return False
     attempts = target.attempts.get(request.request_id, [])
-    was_closed = bool(request.end) and not request.status and not request.left
+    was_closed = bool(request.end) and not request.status and not has_left(request)
     is_sound = bool(attempts) and not any(attempt.broke_off for attempt in attempts)
     return request.is_kept and was_closed and is_sound
 
@@ -285,7 +285,7 @@
 
 def find_excuse(target: stop_records.Target, request: stop_records.Request) -> str:
     """Return why a request without a complete answer is not lost, or an empty text."""
-    if request.left:
+    if has_left(request):
         return "the client left"
     if request.last_byte_s is None:
         return "not sent completely"
@@ -304,6 +304,15 @@
     return ""
 
 
+def has_left(request: stop_records.Request) -> bool:
+    """Return whether a router may take a request's client for one that has left.
+
+    A call that runs at most once is answered although its client has ended its sending
+    side.
+    """
+    return request.left or (request.has_ended_sending and request.kind != "once")
+
+
 def is_outside_stop(target: stop_records.Target, request: stop_records.Request) -> bool:
     """Return whether a request ended before the signal or came to the successor."""
     if is_to_successor(target, request):
--- a/hickoryweir/testing/soak/stop_records.py
+++ b/hickoryweir/testing/soak/stop_records.py
@@ -11,6 +11,8 @@
 # The signal, the close of the listener, and the end of open connections.
 SIGNAL_S, LISTENER_CLOSE_S, CONNECTIONS_CLOSE_S = 0.0, 2.6, 7.4
 EVENTS_COUNT = 10
+# Routes of streams; the requests of one are short, but for those sent late.
+STREAM_KINDS = ("stream", "short")
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,6 +78,8 @@
         Request whose answer comes first on the connection.
     is_kept : bool
         Whether the connection has had another request before.
+    has_ended_sending : bool
+        Whether the client has ended its sending side, and still reads.
     reason : str
         Why the router answered itself with 502; empty for other answers.
     """
@@ -97,6 +101,7 @@
     left: bool = False
     before: "Request | None" = None
     is_kept: bool = False
+    has_ended_sending: bool = False
     reason: str = ""
 
 
@@ -116,6 +121,8 @@
         How much later than planned the soak sent the signal.
     kills_successor : bool
         Whether the soak kills the process that follows.
+    link_port : int or None
+        Port of the link through which clients connect; None without one.
     gaps, soak_gaps : list of Gap
         When the process, and the soak itself, was not scheduled.
     """
@@ -132,6 +139,7 @@
     exit_code: int | None = None
     signal_delay_s: float = 0.0
     kills_successor: bool = False
+    link_port: int | None = None
     gaps: list[stop_delays.Gap] = dataclasses.field(default_factory=list)
     soak_gaps: list[stop_delays.Gap] = dataclasses.field(default_factory=list)
 
@@ -160,7 +168,7 @@
 
 def expected_checksum(request: Request) -> int:
     """Return the checksum of the only correct body of a successful answer."""
-    if request.kind != "stream":
+    if request.kind not in STREAM_KINDS:
         return zlib.crc32(make_body(request.request_id, request.plan.size_bytes))
     checksum = 0
     for number in range(EVENTS_COUNT):
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -17,13 +17,13 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Annotated
 
 import cappa
 from aiohttp import web
 
-from hickoryweir.testing import promises, waiting
+from hickoryweir.testing import links, promises, waiting
 from hickoryweir.testing.demo import entry_vms
 from hickoryweir.testing.soak import (
     callers,
@@ -48,6 +48,7 @@
 SHOWN_COUNT = 10
 BUSY_LOOP = "while True: pass"
 FIRST_VERSION = 1
+MS_PER_S = 1000.0
 TABLE = """[table]
 version = {version}
 
@@ -72,6 +73,16 @@
 timeout_s = 30
 max_attempts_count = 3
 allows_anonymous = yes
+
+[route short]
+host = soak.example
+path_prefix = /short/
+services = app
+execution = resumable_stream
+is_stream = yes
+timeout_s = 30
+max_attempts_count = 3
+allows_anonymous = yes
 """
 
 
@@ -117,10 +128,26 @@
             help="Tables around the stops that move routes and change the idle time.",
         ),
     ] = False
+    delay_ms: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            help="Clients connect through a link with this delay each way, a number "
+            "or a range as 1-5 from which each connection draws.",
+        ),
+    ] = ""
     logs: Annotated[
         pathlib.Path | None, cappa.Arg(long=True, help="Folder for the logs.")
     ] = None
 
+    @property
+    def delays_s(self) -> tuple[float, float] | None:
+        """Return the bounds of the delays of links, or None without links."""
+        if not self.delay_ms:
+            return None
+        low, _, high = self.delay_ms.partition("-")
+        return float(low) / MS_PER_S, float(high or low) / MS_PER_S
+
     @property
     def has_floods(self) -> bool:
         """Return whether routers are judged by their memory beside floods."""
@@ -145,6 +172,14 @@
         When the processes and the soak itself were not scheduled.
     replica_targets : list of Target
         The replicas that were stopped; nobody uses them.
+    links_loop : asyncio.AbstractEventLoop or None
+        Of the links; None without any.
+    router_links : dict
+        Links to routers in a round, by host.
+    links_seen : Counter
+        What the links of all rounds have passed on.
+    links_late_s : float
+        Longest time by which one of them was late.
     kept_losses : list of Finding
         Requests on kept connections without an answer, of all rounds.
     ends, uploads, excused : collections.Counter
@@ -164,6 +199,12 @@
     delays: stop_delays.Recorder = dataclasses.field(
         default_factory=stop_delays.Recorder
     )
+    links_loop: asyncio.AbstractEventLoop | None = None
+    router_links: dict[str, links.Link] = dataclasses.field(default_factory=dict)
+    links_seen: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    links_late_s: float = 0.0
     replica_targets: list[stop_records.Target] = dataclasses.field(default_factory=list)
     kept_losses: list[stop_oracle.Finding] = dataclasses.field(default_factory=list)
     excused: collections.Counter = dataclasses.field(
@@ -186,11 +227,15 @@
             )
         )
         site = await make_site(folder, options, stack)
+        if options.delays_s:
+            site.links_loop = stack.enter_context(links.run())
         recording = asyncio.create_task(record_delays(site))
         try:
             await start_processes(site.cluster, site.table)
             for number in range(options.rounds):
-                findings += await run_round(site, options, options.seed + number)
+                seed = options.seed + number
+                async with open_links(site, options, seed):
+                    findings += await run_round(site, options, seed)
         finally:
             recording.cancel()
             end_processes(site.cluster, busy)
@@ -403,6 +448,31 @@
     return findings
 
 
+@contextlib.asynccontextmanager
+async def open_links(site: Site, options: Stops, seed: int) -> AsyncIterator[None]:
+    """Link the clients of a round to the routers, if the options say so."""
+    if options.delays_s is None:
+        yield
+        return
+    async with contextlib.AsyncExitStack() as stack:
+        for member in site.cluster.routers:
+            link = links.open_link(
+                site.links_loop,
+                member.host,
+                site.cluster.port,
+                options.delays_s,
+                f"{seed} link {member.host}",
+            )
+            site.router_links[member.host] = await stack.enter_async_context(link)
+        yield
+        for link in site.router_links.values():
+            site.links_seen["connections"] += link.connections_count
+            site.links_seen["resets"] += link.resets_count
+            site.links_seen["bytes overtaken by resets"] += link.dropped_size_bytes
+            site.links_late_s = max(site.links_late_s, link.late_s)
+    site.router_links.clear()
+
+
 def draw_starts(seed: int, stops: list[stop_events.Event]) -> list[stop_events.Event]:
     """Return pauses and stops of successors, which change no other event of a seed."""
     generator = random.Random(f"{seed} starts")
@@ -435,13 +505,15 @@
     site: Site, event: stop_events.Event, start_s: float, seed: int
 ) -> stop_records.Target:
     """Return the clients' view of a router that is to be stopped."""
+    host = site.cluster.routers[event.index].host
     return stop_records.Target(
-        site.cluster.routers[event.index].host,
+        host,
         site.cluster.port,
         start_s + event.at_s,
         random.Random(f"{seed}-{event.index}"),
         site.attempts,
         seed,
+        link_port=site.router_links[host].port if host in site.router_links else None,
         soak_gaps=site.delays.of(os.getpid()),
     )
 
@@ -648,6 +720,8 @@
         arguments += " --starts"
     if options.moves:
         arguments += " --moves"
+    if options.delay_ms:
+        arguments += f" --delay-ms {options.delay_ms}"
     for finding in findings[:SHOWN_COUNT]:
         lines = stop_timelines.make_lines(finding, events, start_s, logs, arguments)
         print("\n".join(lines), flush=True)
@@ -680,6 +754,9 @@
         print(f"{count:6} uploads of {end}")
     if options.has_floods:
         print(f"peak of a router {site.peak_mb:.0f} MB of {stop_floods.MEMORY_MB}")
+    if options.delays_s:
+        seen = ", ".join(f"{count} {name}" for name, count in site.links_seen.items())
+        print(f"links: {seen}, late by {site.links_late_s:.3f} s at most")
     last_seed = options.seed + options.rounds - 1
     print(
         f"seeds {options.seed} to {last_seed}: {site.ends.total()} requests, "
--- a/hickoryweir/testing/soak/tests/test_planned_stops.py
+++ b/hickoryweir/testing/soak/tests/test_planned_stops.py
@@ -1,4 +1,4 @@
-"""Planned stops of routers lose no answer and break no promise, in two fixed rounds.
+"""Planned stops of routers lose no answer and break no promise, in fixed rounds.
 
 A single violation counts unless the run shows that a process was not scheduled, see
 ``docs/design/soak.md``.
@@ -11,6 +11,7 @@
 
 SEED, ROUNDS_COUNT, ROUTERS_COUNT = 253, 2, 3
 STARTS_SEED, STARTS_ROUTERS_COUNT = 71001, 2
+LINK_SEED, LINK_BEHAVIOURS = 90201, "cross,late,half,pipeline,keep,reader"
 
 
 def test_fixed_rounds_have_every_kind_of_event():
@@ -47,3 +48,14 @@
         starts=True,
     )
     assert asyncio.run(stops.run(options)) == []
+
+
+def test_planned_stops_behind_links_break_no_promise():
+    options = stops.Stops(
+        seed=LINK_SEED,
+        routers=2,
+        clients=20,
+        behaviours=LINK_BEHAVIOURS,
+        delay_ms="1-5",
+    )
+    assert asyncio.run(stops.run(options)) == []
--- a/hickoryweir/testing/soak/tests/test_stop_oracle.py
+++ b/hickoryweir/testing/soak/tests/test_stop_oracle.py
@@ -48,6 +48,7 @@
         ([], {"end": "ConnectionResetError"}),
         ([RAN], {"ended_s": 5.0}),
         ([QUEUED], {"end": "ConnectionResetError"}),
+        ([RAN], {"has_ended_sending": True, "ended_s": 5.0}),
     ],
 )
 def test_lost_answer_is_reported(attempts, changes):
@@ -65,6 +66,7 @@
         ([], {"last_byte_s": 7.3, "end": "ConnectionResetError"}),
         ([], {"last_byte_s": None}),
         ([QUEUED], {"left": True}),
+        ([RAN], {"has_ended_sending": True, "kind": "stream", "ended_s": 3.0}),
         ([QUEUED], {"ended_s": -0.5}),
         ([QUEUED], {"sent_s": 7.6, "last_byte_s": 7.7, "ended_s": 8.0}),
         ([FINISHED_EARLY], {"end": ""}),
