Clients: a refused call is not sent on after its client ended sending

Servers saw: a call that runs at most once reach another server 0.7 s after its client had closed, once the first server had refused it as not run.

While a call is at no server, the reason to go on does not hold, so it is refused as not run before the next attempt.

Evidence: test_ended_senders, the row of a refused call failed before (2 servers saw it), passes now (1, and the client gets 503).

--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -210,6 +210,9 @@
     reason = errors.Reason.NO_SERVER
     has_turn = False
     while True:
+        if context.client_request.protocol.has_ended_sending:
+            # It is at no server, and none begins it for a client that may have left.
+            return _final_failure(context, reason)
         if not context.may_have_run and not can_end(context):
             context.retry_after_s = STOPPING_RETRY_AFTER_S
             return _final_failure(context, errors.Reason.STOPPING)
--- a/hickoryweir/forwarding/tests/test_ended_senders.py
+++ b/hickoryweir/forwarding/tests/test_ended_senders.py
@@ -5,6 +5,7 @@
 
 import pytest
 import uvloop
+from aiohttp import web
 
 from hickoryweir.forwarding import headers, server
 from hickoryweir.forwarding.tests import sites
@@ -121,3 +122,28 @@
             return ends
 
     assert run(main()) == ["finished"]
+
+
+def test_call_that_was_refused_is_not_sent_on_after_its_client_ended_sending():
+    async def refuse(request, body):
+        await asyncio.sleep(RUN_S)
+        given = {headers.REQUEST_ID: request.headers[headers.REQUEST_ID]}
+        return web.Response(status=503, headers=given | {headers.NOT_RUN: "1"})
+
+    async def main():
+        route = sites.at_most_once_route()
+        async with sites.run_site([refuse, refuse], (route,)) as site:
+            seen = [backend.seen for backend in site.backends]
+            reader, writer = await asyncio.open_connection(sites.HOST, site.port)
+            writer.write(REQUEST)
+            await sites.wait_until(lambda: any(seen))
+            writer.write_eof()
+            async with asyncio.timeout(LIMIT_S):
+                received = await reader.read()
+            writer.close()
+            await asyncio.sleep(RUN_S)
+            return received, sum(map(len, seen))
+
+    received, seen_count = run(main())
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert seen_count == 1
