Streams: one that a stop cuts does not end as whole for a client of HTTP/1.0

Callers of HTTP/1.0 saw: a stream that ended by a clean close after a part, at the end of a planned stop, or when they had been disconnected as stalled. Without chunks such an end is that of a whole response.

Cause: only the abort of a stream set the connection to be reset; the end of a stop, of the process, and slow_readers close it in other ways. The connection is now set so when the stream begins, and set back once the kernel has the last byte, so that no path can miss it.

--- a/hickoryweir/forwarding/responses.py
+++ b/hickoryweir/forwarding/responses.py
@@ -27,7 +27,6 @@
     resumption,
     server_pool,
     server_reachability,
-    sockets,
     speeds,
 )
 from hickoryweir.forwarding_policy import stream_pacing
@@ -50,9 +49,6 @@
     """Abort the client's connection, so that the response is seen as truncated."""
     transport = context.client_request.transport
     if transport is not None:
-        if context.client_request.version < aiohttp.HttpVersion11:
-            # Without chunks, only a reset differs from the end of a whole response.
-            sockets.reset_on_close(transport)
         transport.abort()
     route_name = context.route.name
     context.forwarder.metrics.answers.labels(route_name, "broken_off").inc()
@@ -341,6 +337,9 @@
     if contexts.is_last_on_connection(context.forwarder, context.client_request):
         client_response.force_close()
     context.stream_response = client_response
+    if context.client_request.version < aiohttp.HttpVersion11:
+        # Without chunks, only a reset differs from the end of a whole response.
+        context.client_request.protocol.begin_unframed()
     await client_response.prepare(context.client_request)
 
 
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -82,6 +82,8 @@
         The request whose handler is running.
     has_ended_sending : bool
         Whether the client has ended its sending side.
+    is_unframed : bool
+        Whether the end of the connection is that of the response being written.
     is_held : bool
         Whether what follows the request that is served stays unread in the kernel.
     delivery : slow_readers.Delivery
@@ -101,6 +103,7 @@
         "delivery",
         "has_ended_sending",
         "is_held",
+        "is_unframed",
         "served",
     )
 
@@ -132,6 +135,7 @@
         self.client_transport: asyncio.Transport | None = None
         self.served: open_requests.OpenRequest | None = None
         self.has_ended_sending = False
+        self.is_unframed = False
         self.is_held = False
         self._holds_next = False
         self._left_check: asyncio.TimerHandle | None = None
@@ -248,10 +252,27 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Send the response, and linger if it is the connection's last one."""
         sent, is_reset = await super().finish_response(request, resp, start_time)
+        if not is_reset:
+            self.end_unframed()
         if not is_reset and not sent.keep_alive and request.content.is_eof():
             self.linger()
         return sent, is_reset
 
+    def begin_unframed(self) -> None:
+        """Mark a response that ends with its connection as truncated until it is whole.
+
+        Whatever closes the connection before, also the end of the process, resets it.
+        """
+        if self.client_transport is not None:
+            self.is_unframed = True
+            sockets.reset_on_close(self.client_transport)
+
+    def end_unframed(self) -> None:
+        """Let a close deliver a whole response, once the kernel has all of it."""
+        if self.is_unframed and self.client_transport and not self.unsent_size_bytes:
+            self.is_unframed = False
+            sockets.deliver_on_close(self.client_transport)
+
     def linger(self) -> bool:
         """End the sending side, and discard what is received until the client closes.
 
@@ -628,6 +649,7 @@
             WRITE_MARGIN_S, _request_finished, open_by_connection, connection, finished
         )
         return
+    connection.end_unframed()
     del open_by_connection[connection]
 
 
--- a/hickoryweir/forwarding/sockets.py
+++ b/hickoryweir/forwarding/sockets.py
@@ -6,6 +6,7 @@
 import math
 import select
 import socket
+import struct
 import time
 from collections.abc import Callable
 
@@ -21,6 +22,8 @@
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES_COUNT = 2
+# The default: unsent bytes are delivered (socket(7)).
+DELIVER_ON_CLOSE = struct.pack("ii", 0, 0)
 # Used where no limit is configured: the usual number of slots of a server.
 DEFAULT_MAX_IDLE_CONNECTIONS_COUNT = 64
 EXPIRY_INTERVAL_S = 0.5
@@ -130,6 +133,13 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, sessions.RESET_ON_CLOSE)
 
 
+def deliver_on_close(transport: asyncio.BaseTransport) -> None:
+    """Undo :func:`reset_on_close`."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DELIVER_ON_CLOSE)
+
+
 def has_peer_left(transport: asyncio.BaseTransport) -> bool:
     """Return whether the peer has closed a connection, behind unread bytes as well."""
     sock = transport.get_extra_info("socket")
