Responses: a status that is none is counted once

Operators saw: two entries and two counts in given_up_connections for one response, the second with the reason 'malformed response'.

Cause: the head's refusal leaves an exception on the protocol, and the parser's caller takes any exception for one of the parser. It now passes over one that says why the connection was given up.

Evidence: the table of test_kept_connections, both new rows of a status that is none failed before (two entries), pass now; the new row of a malformed head passed before and does now.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -280,6 +280,9 @@
         kept_count = len(EMPTY_LINE) - 1
         self._last_bytes = (self._last_bytes + data[-kept_count:])[-kept_count:]
         super().data_received(data)
+        if isinstance(self.exception(), aiohttp.ClientPayloadError):
+            # It was given up because of its head.
+            return
         if self.exception() is not None:
             # aiohttp tells this to the next reader of a head, not to that of the body.
             self._give_up(MalformedResponseError("malformed response"))
--- a/hickoryweir/forwarding/tests/test_kept_connections.py
+++ b/hickoryweir/forwarding/tests/test_kept_connections.py
@@ -266,6 +266,9 @@
             b"HTTP/1.1 103 Early Hints\r\n\r\n" * 10_000,
             "too many bytes without content",
         ),
+        (b"HTTP/1.1 999 X\r\nContent-Length: 5\r\n\r\nwhole", "invalid status"),
+        (b"HTTP/1.1 999 X\r\n\r\nwhole", "invalid status"),
+        (b"HTTP/1.1 OK\r\n\r\n", "malformed response"),
     ],
 )
 def test_connection_that_is_given_up_names_its_server_and_the_reason(sent, reason):
