Stops: a log line says how many responses were not acknowledged at the end

A response that the kernel has, and the client has not, when the stop closes its connection may be discarded by a reset; the log had no line of it, since only requests with bytes in the process counted as unanswered.

Evidence: the new test of test_lingering_closes failed before (no line).

--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -718,6 +718,7 @@
     running.header_watcher.cancel()
     if any(map(_is_unanswered, running.server.connections)):
         _log_aborted(running)
+    _log_undelivered(running)
     for connection in list(running.server.connections):
         connection.force_close()
 
@@ -793,6 +794,22 @@
     logs.warning("stopped with open requests", fields)
 
 
+def _log_undelivered(running: RunningServer) -> None:
+    """Log how many whole responses are with the kernel and not with their clients.
+
+    A reset, which answers what such a client sends, may discard them.
+    """
+    sizes_bytes = [
+        connection.pending_size_bytes
+        for connection in running.server.connections
+        if not _is_unanswered(connection) and connection.pending_size_bytes > 0
+    ]
+    if sizes_bytes:
+        detail = f"{len(sizes_bytes)} connections, {sum(sizes_bytes)} bytes"
+        fields = logs.Fields(detail=detail)
+        logs.warning("stopped before clients had acknowledged responses", fields)
+
+
 def _log_aborted_request(
     router: contexts.Forwarder,
     connection: ClientConnection,
--- a/hickoryweir/forwarding/tests/test_lingering_closes.py
+++ b/hickoryweir/forwarding/tests/test_lingering_closes.py
@@ -180,3 +180,25 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(main())
+
+
+def test_stop_that_ends_before_a_response_is_acknowledged_says_so(caplog):
+    answer = sites.answering(text="x" * RESPONSE_SIZE_BYTES)
+
+    async def main():
+        async with sites.run_site([answer]) as site:
+            _, writer = await sites.open_slow_reader(site.port)
+            writer.write(
+                make_head(1).replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+            )
+            await sites.wait_until(lambda: site.backends[0].seen)
+            await asyncio.sleep(RESPONSE_DELAY_S)
+            (connection,) = site.running.server.connections
+            assert connection.pending_size_bytes > connection.unsent_size_bytes == 0
+            await server.stop(site.running, RESPONSE_DELAY_S)
+            writer.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
+    assert "stopped before clients had acknowledged responses" in caplog.text
+    assert "stopped with open requests" not in caplog.text
