Relays: a stream that could outlast the stop of its relay is refused

Callers saw: a stream that was cut, at a router that did not stop, when the router that relayed it stopped a moment after it had taken it.

A stopping router takes streams while the port for clients is open, since the load balancer may send a refused client back to it. That is no reason for a relayed one: the router that sent it can send it through another at once, and until it has heard of the stop it goes on sending.

Evidence: test_relaying, a stream of 3 s through a router that stops within 1 s, after one of 0.1 s, was cut before (payload error at the client); it is refused as not run now, and the server sees only the first.

--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -287,8 +287,12 @@
         return True
     left_s = forwarder.stops_at_s - clocks.boottime_s()
     duration_s = None
+    closed_s = forwarder.port_closed_s
+    if context.relayed is not None:
+        # The router that sent it can send it through another one at once.
+        closed_s = forwarder.stop_began_s
     if stop_admission.may_outlast_stop(
-        context.route.is_stream, context.admitted_s, forwarder.port_closed_s
+        context.route.is_stream, context.admitted_s, closed_s
     ):
         duration_s = _expected_duration_s(context, left_s)
     return stop_admission.can_end(left_s, context.time_left_s, duration_s)
--- a/hickoryweir/forwarding/tests/test_relaying.py
+++ b/hickoryweir/forwarding/tests/test_relaying.py
@@ -312,6 +312,25 @@
     assert asyncio.run(main()) == 200
 
 
+def test_stream_that_could_outlast_the_stop_of_its_relay_is_not_cut():
+    async def answer(request, body):
+        count = 30 if request.path.endswith("long") else 1
+        return await stream_events(request, count, 0.1)
+
+    async def main():
+        route = tables.make_route(allows_anonymous=True, is_stream=True, timeout_s=30.0)
+        async with run_pair([answer], (route,)) as pair:
+            await pair.near.call(path="/chat/short", given={headers.REQUEST_ID: "r-0"})
+            # The router that sends it has not heard of the stop.
+            server.begin_stop(pair.far.forwarder, 1.0)
+            calling = asyncio.create_task(pair.near.call(path="/chat/long"))
+            await asyncio.sleep(0.1)
+            await server.stop(pair.relay, 0.9)
+            return (await calling)[0], runs_count(pair.far)
+
+    assert asyncio.run(main()) == (503, 1)
+
+
 def test_stopping_or_full_relay_is_not_used():
     async def main():
         found = []
--- a/hickoryweir/forwarding_policy/stop_admission.py
+++ b/hickoryweir/forwarding_policy/stop_admission.py
@@ -40,7 +40,7 @@
 
 
 def may_outlast_stop(
-    is_stream: bool, admitted_s: float, port_closed_s: float | None
+    is_stream: bool, admitted_s: float, closed_s: float | None
 ) -> bool:
     """Return whether a request may be taken although it might outlast the stop.
 
@@ -54,8 +54,9 @@
         Whether the response is a stream.
     admitted_s : float
         When the request had been received and was to be forwarded.
-    port_closed_s : float or None
-        When the port was closed; None while it is open.
+    closed_s : float or None
+        From when on a refused request reaches another router: when the port for clients
+        was closed, or, for one that is relayed, when the stop began; None before.
 
     Examples
     --------
@@ -64,7 +65,7 @@
     >>> may_outlast_stop(True, 2.0, 2.6), may_outlast_stop(True, 2.0, None)
     (True, True)
     """
-    return not is_stream or port_closed_s is None or admitted_s < port_closed_s
+    return not is_stream or closed_s is None or admitted_s < closed_s
 
 
 def can_end(left_s: float, client_time_left_s: float, duration_s: float | None) -> bool:
