--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -210,6 +210,9 @@
     reason = errors.Reason.NO_SERVER
     has_turn = False
     while True:
+        if context.client_request.protocol.has_ended_sending:
+            # It is at no server, and none begins it for a client that may have left.
+            return _final_failure(context, reason)
         if not context.may_have_run and not can_end(context):
             context.retry_after_s = STOPPING_RETRY_AFTER_S
             return _final_failure(context, errors.Reason.STOPPING)
@@ -284,8 +287,12 @@
         return True
     left_s = forwarder.stops_at_s - clocks.boottime_s()
     duration_s = None
+    closed_s = forwarder.port_closed_s
+    if context.relayed is not None:
+        # The router that sent it can send it through another one at once.
+        closed_s = forwarder.stop_began_s
     if stop_admission.may_outlast_stop(
-        context.route.is_stream, context.admitted_s, forwarder.port_closed_s
+        context.route.is_stream, context.admitted_s, closed_s
     ):
         duration_s = _expected_duration_s(context, left_s)
     return stop_admission.can_end(left_s, context.time_left_s, duration_s)
