--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -341,9 +341,6 @@
     route = context.route
     if context.unsent_count > MAX_UNSENT_COUNT:
         return False
-    if context.client_request.protocol.has_ended_sending:
-        # The client may have left, and the call runs nowhere.
-        return False
     if not context.sent_count:
         return True
     ran = next_attempts.Ran.MAYBE if context.may_have_run else next_attempts.Ran.NO
--- a/hickoryweir/forwarding/tests/test_ended_senders.py
+++ b/hickoryweir/forwarding/tests/test_ended_senders.py
@@ -112,29 +112,6 @@
     assert seen_count == 0
 
 
-def test_call_that_its_server_refused_is_sent_to_no_other_after_its_client_ended():
-    async def refuse(request, body):
-        await asyncio.sleep(RUN_S)
-        return await sites.answering(503, **{headers.NOT_RUN: "1"})(request, body)
-
-    async def main():
-        routes = (sites.at_most_once_route(),)
-        async with sites.run_site([refuse, refuse], routes) as site:
-            reader, writer = await asyncio.open_connection(sites.HOST, site.port)
-            writer.write(REQUEST)
-            seen = [backend.seen for backend in site.backends]
-            await sites.wait_until(lambda: any(seen))
-            writer.write_eof()
-            async with asyncio.timeout(LIMIT_S):
-                received = await reader.read()
-            writer.close()
-            return received, sum(map(len, seen))
-
-    received, sent_count = run(main())
-    assert received.startswith(b"HTTP/1.1 503 ")
-    assert sent_count == 1
-
-
 def test_connection_of_a_client_that_has_closed_ends_with_its_call():
     async def main():
         async with run_slow_site(sites.at_most_once_route()) as (site, ends):
