--- a/hickoryweir/testing/slow_disk_process.py
+++ b/hickoryweir/testing/slow_disk_process.py
@@ -2,7 +2,8 @@
 
 Each sync takes as many seconds longer as a file says, as long as that file exists::
 
-    python -m hickoryweir.testing.slow_disk_process DELAY forward SETTINGS.ini
+    python -m hickoryweir.testing.slow_disk_process DELAY hickoryweir forward FILE
+    python -m hickoryweir.testing.slow_disk_process DELAY ENTRY.py
 """
 
 import os
@@ -34,4 +35,12 @@
 
 if __name__ == "__main__":
     use_slow_disk(pathlib.Path(sys.argv.pop(1)))
-    runpy.run_module("hickoryweir", run_name="__main__", alter_sys=True)
+    program = sys.argv[1]
+    if program.endswith(".py"):
+        sys.argv.pop(0)
+        # As for any script.
+        sys.path.insert(0, str(pathlib.Path(program).parent))
+        runpy.run_path(program, run_name="__main__")
+    else:
+        sys.argv.pop(0)
+        runpy.run_module(program, run_name="__main__", alter_sys=True)
--- a/hickoryweir/testing/soak/callers.py
+++ b/hickoryweir/testing/soak/callers.py
@@ -226,9 +226,11 @@
     table: str = TABLE,
 ) -> bool:
     """Send a table to a replica; return whether it was acknowledged."""
-    url = f"http://{host}:{cluster.port}/table"
+    formats = cluster.formats
+    url = f"http://{host}:{cluster.port}{formats.put_path}"
+    body = formats.make_table(table.format(version=version))
     try:
-        async with session.put(url, data=table.format(version=version)) as reply:
+        async with session.request(formats.put_method, url, data=body) as reply:
             return reply.status == 200
     except CONNECTION_ERRORS:
         return False
@@ -255,8 +257,9 @@
     session, cluster, observations: Observations, member: clusters.Member
 ) -> None:
     """Read the newest table from one replica."""
-    text = await _get(session, f"http://{member.host}:{cluster.port}/table")
-    await _record_version(text, r"^version = (\d+)$", member, observations.read_back)
+    formats = cluster.formats
+    text = await _get(session, f"http://{member.host}:{cluster.port}{formats.get_path}")
+    await _record_version(text, formats.version_pattern, member, observations.read_back)
 
 
 async def read_router(
--- a/hickoryweir/testing/soak/cluster.py
+++ b/hickoryweir/testing/soak/cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import os
 import pathlib
 import shutil
 import signal
@@ -15,7 +16,7 @@
 
 from hickoryweir.testing import proxies
 from hickoryweir.testing.demo import entry_vms
-from hickoryweir.testing.soak import backends
+from hickoryweir.testing.soak import backends, wire
 
 REPLICAS_COUNT = 4
 SEEDS_COUNT = 3
@@ -25,6 +26,8 @@
 EXIT_TIMEOUT_S = GRACE_S + 3.0
 READY_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.1
+# Names the settings file for entry points without arguments.
+SETTINGS_VARIABLE = "HICKORYWEIR_SETTINGS"
 # A process that starts serves within this time.
 EARLY_S = 1.0
 SETTINGS = """[process]
@@ -36,9 +39,9 @@
 seeds = {seeds}
 
 [ports]
-clients = {host}:{port}
+clients = {clients}
 readiness = {host}:{ready_port}
-operators = {host}:{port}
+operators = {operators}
 
 [replica]
 data_folder = {folder}
@@ -80,6 +83,8 @@
         Whether the soak can make its disk slow.
     zone : str
         Its availability zone.
+    entry : Path or None
+        Script that runs it; None for the project's command line.
     """
 
     role: str
@@ -92,6 +97,7 @@
     opens_early: bool = False
     has_slow_disk: bool = False
     zone: str = ZONE
+    entry: pathlib.Path | None = None
 
     @property
     def links_path(self) -> pathlib.Path:
@@ -121,6 +127,8 @@
         Hosts whose processes got SIGHUP while they started, with their ages in seconds.
     early_stops : list of (str, float)
         Hosts whose processes SIGTERM ended before they had handlers, with their ages.
+    formats : Formats
+        Formats of all processes.
     """
 
     replicas: list[Member]
@@ -130,6 +138,7 @@
     exit_codes: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     early_reloads: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     early_stops: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    formats: wire.Formats = wire.OWN
 
     @property
     def port(self) -> int:
@@ -214,6 +223,11 @@
     values = {"memory_mb": 0, "is_in_fault_budget": "yes", "bootstrap": "yes"}
     values |= cluster.values
     values |= {"zone": member.zone} | changes
+    address = f"{member.host}:{values['port']}"
+    values |= {"clients": address, "operators": address}
+    if member.entry is not None:
+        # An entry point opens the clients' port of any role.
+        values["operators" if member.role == "router" else "clients"] = ""
     text = SETTINGS.format(
         role=member.role, host=member.host, folder=member.folder / "data", **values
     )
@@ -238,24 +252,29 @@
     with (member.folder / "log").open("ab") as log:
         member.log_start_bytes = log.tell()
         member.process = subprocess.Popen(
-            [sys.executable, "-m", *_program(member)],
+            [sys.executable, *_program(member)],
             stdout=log,
             stderr=log,
+            env=os.environ | {SETTINGS_VARIABLE: str(member.settings_path)},
         )
 
 
 def _program(member: Member) -> tuple[str, ...]:
-    """Return the module that a member runs, and its arguments."""
+    """Return the interpreter's arguments for a member."""
     settings_path = str(member.settings_path)
     if member.links:
         program = "hickoryweir.testing.linked_process"
-        return program, settings_path, str(member.links_path)
+        return "-m", program, settings_path, str(member.links_path)
     if member.opens_early:
-        return "hickoryweir.testing.early_process", settings_path
+        return "-m", "hickoryweir.testing.early_process", settings_path
     if member.has_slow_disk:
         program = "hickoryweir.testing.slow_disk_process"
-        return program, str(member.sync_delay_path), "forward", settings_path
-    return "hickoryweir", "forward", settings_path
+        own = ("hickoryweir", "forward", settings_path)
+        command = own if member.entry is None else (str(member.entry),)
+        return "-m", program, str(member.sync_delay_path), *command
+    if member.entry is not None:
+        return (str(member.entry),)
+    return "-m", "hickoryweir", "forward", settings_path
 
 
 def reload(cluster: Cluster, member: Member) -> None:
--- a/hickoryweir/testing/soak/day_clients.py
+++ b/hickoryweir/testing/soak/day_clients.py
@@ -31,6 +31,7 @@
         play.site.attempts,
         play.seed,
         prefix="day-",
+        formats=play.cluster.formats,
     )
 
 
--- a/hickoryweir/testing/soak/days.py
+++ b/hickoryweir/testing/soak/days.py
@@ -31,6 +31,7 @@
     stop_events,
     stop_records,
     stops,
+    wire,
 )
 from hickoryweir.testing.soak import cluster as clusters
 
@@ -57,6 +58,10 @@
     clients: Annotated[
         int, cappa.Arg(long=True, help="Clients per router, and per stop.")
     ] = CLIENTS_COUNT
+    entry: Annotated[
+        str,
+        cappa.Arg(long=True, help="Script that runs all processes, see stops."),
+    ] = ""
     logs: Annotated[
         pathlib.Path | None, cappa.Arg(long=True, help="Folder for the logs.")
     ] = None
@@ -94,8 +99,9 @@
 async def make_play(options: Days, seed: int, folder, session) -> day_plays.Play:
     """Return a day's processes, which are not started yet, and its servers."""
     attempts: dict[str, list[stop_records.Attempt]] = {}
+    formats = wire.load(options.entry)
     servers = [
-        await stop_backends.start(f"s{number}", attempts)
+        await stop_backends.start(f"s{number}", attempts, formats)
         for number in range(options.servers)
     ]
     entries = [
@@ -110,8 +116,9 @@
     cluster = stops.make_cluster(
         folder,
         options.routers,
-        await stops.start_list(lambda: entries),
+        await stops.start_list(lambda: entries, formats),
         (f"127.3.{number}", f"127.4.{number}"),
+        formats,
     )
     for members in (cluster.replicas, cluster.routers):
         for index, member in enumerate(members):
@@ -232,7 +239,8 @@
     first = cluster.routers[0]
     host = f"{first.host.rpartition('.')[0]}.{index + 1}"
     folder = first.folder.parent / f"router-{index}"
-    member = clusters.Member("router", host, folder, zone=ZONES[index % len(ZONES)])
+    zone = ZONES[index % len(ZONES)]
+    member = clusters.Member("router", host, folder, zone=zone, entry=first.entry)
     cluster.routers.append(member)
     folder.mkdir()
     clusters.write_settings(cluster, member)
@@ -288,7 +296,8 @@
     print(
         f"  again: bin/soak days --seed {play.seed} --span {options.span} "
         f"--routers {options.routers} --servers {options.servers} "
-        f"--clients {options.clients}",
+        f"--clients {options.clients}"
+        + (f" --entry {options.entry}" if options.entry else ""),
         flush=True,
     )
 
--- a/hickoryweir/testing/soak/stop_backends.py
+++ b/hickoryweir/testing/soak/stop_backends.py
@@ -9,9 +9,8 @@
 
 from aiohttp import web
 
-from hickoryweir.forwarding import headers
 from hickoryweir.testing import running
-from hickoryweir.testing.soak import stop_records
+from hickoryweir.testing.soak import stop_records, wire
 
 HOST = "127.0.0.1"
 PLAN_HEADER = "X-Plan"
@@ -40,11 +39,14 @@
     server: web.Server | None = None
     listener: asyncio.Server | None = None
     port: int = 0
+    formats: wire.Formats = wire.OWN
 
 
-async def start(server_id: str, attempts: dict) -> Backend:
+async def start(
+    server_id: str, attempts: dict, formats: wire.Formats = wire.OWN
+) -> Backend:
     """Return a listening backend server."""
-    backend = Backend(server_id, attempts)
+    backend = Backend(server_id, attempts, formats=formats)
     backend.awake.set()
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
@@ -63,10 +65,10 @@
 
 async def _serve(backend: Backend, request: web.BaseRequest) -> web.StreamResponse:
     """Record the arrival and answer as planned."""
-    if headers.REQUEST_ID not in request.headers:
+    if backend.formats.request_id not in request.headers:
         # A health check.
         return web.Response(status=503 if backend.refuses else 200)
-    request_id = request.headers[headers.REQUEST_ID]
+    request_id = request.headers[backend.formats.request_id]
     plan = stop_records.Plan(**json.loads(request.headers.get(PLAN_HEADER, "{}")))
     attempt = stop_records.Attempt(backend.server_id, time.monotonic())
     backend.attempts.setdefault(request_id, []).append(attempt)
@@ -83,9 +85,9 @@
         pass
     await asyncio.sleep(plan.queue_s)
     await backend.awake.wait()
-    echoed = {headers.REQUEST_ID: request_id}
+    echoed = {backend.formats.request_id: request_id}
     if plan.refuses or backend.refuses:
-        return web.Response(status=503, headers=echoed | {headers.NOT_RUN: "1"})
+        return web.Response(status=503, headers=echoed | {backend.formats.not_run: "1"})
     attempt.run_s = time.monotonic()
     if "/stream/" in request.raw_path:
         return await _send_stream(backend, request, request_id, plan, attempt)
@@ -100,8 +102,11 @@
     backend, request, request_id, plan, attempt
 ) -> web.StreamResponse:
     """Send the events after the last one that the client has, over the run's time."""
-    first = int(request.headers.get(headers.LAST_EVENT_ID, "-1")) + 1
-    given = {headers.REQUEST_ID: request_id, "Content-Type": "text/event-stream"}
+    first = int(request.headers.get(backend.formats.last_event_id, "-1")) + 1
+    given = {
+        backend.formats.request_id: request_id,
+        "Content-Type": "text/event-stream",
+    }
     response = web.StreamResponse(headers=given)
     with contextlib.suppress(ConnectionError):
         await response.prepare(request)
--- a/hickoryweir/testing/soak/stop_clients.py
+++ b/hickoryweir/testing/soak/stop_clients.py
@@ -13,7 +13,6 @@
 import socket
 import zlib
 
-from hickoryweir.forwarding import headers
 from hickoryweir.testing.soak import stop_backends, stop_records
 
 LEAD_S = 2.0
@@ -62,7 +61,7 @@
         lines = (
             f"POST /{kind}/x HTTP/1.1",
             "Host: soak.example",
-            f"{headers.REQUEST_ID}: {request_id}",
+            f"{target.formats.request_id}: {request_id}",
             f"{stop_backends.PLAN_HEADER}: {json.dumps(dataclasses.asdict(plan))}",
             f"Content-Length: {size_bytes}\r\n\r\n",
         )
--- a/hickoryweir/testing/soak/stop_records.py
+++ b/hickoryweir/testing/soak/stop_records.py
@@ -5,7 +5,7 @@
 import time
 import zlib
 
-from hickoryweir.testing.soak import stop_delays
+from hickoryweir.testing.soak import stop_delays, wire
 
 GRACE_S = 8.0
 # The signal, the close of the listener, and the end of open connections.
@@ -118,6 +118,8 @@
         Whether the soak kills the process that follows.
     gaps, soak_gaps : list of Gap
         When the process, and the soak itself, was not scheduled.
+    formats : Formats
+        Formats of the router.
     """
 
     host: str
@@ -134,6 +136,7 @@
     kills_successor: bool = False
     gaps: list[stop_delays.Gap] = dataclasses.field(default_factory=list)
     soak_gaps: list[stop_delays.Gap] = dataclasses.field(default_factory=list)
+    formats: wire.Formats = wire.OWN
 
     def now_s(self) -> float:
         """Return the time since the signal."""
--- a/hickoryweir/testing/soak/stop_uploads.py
+++ b/hickoryweir/testing/soak/stop_uploads.py
@@ -14,13 +14,13 @@
 import socket
 import types
 
-from hickoryweir.forwarding import headers
 from hickoryweir.testing import floods, promises
 from hickoryweir.testing.soak import (
     stop_backends,
     stop_clients,
     stop_oracle,
     stop_records,
+    wire,
 )
 
 BEHAVIOUR = "large upload"
@@ -107,7 +107,7 @@
     loop = asyncio.get_running_loop()
     # The answer, or the end of the connection, is what counts.
     with contextlib.suppress(OSError):
-        await loop.sock_sendall(sock, make_head(request, form))
+        await loop.sock_sendall(sock, make_head(request, form, target.formats))
         for block in make_blocks(request, form):
             await loop.sock_sendall(sock, block)
             request.sent_bytes += len(block)
@@ -115,7 +115,9 @@
         request.last_byte_s = target.now_s()
 
 
-def make_head(request: stop_records.Request, form: Form) -> bytes:
+def make_head(
+    request: stop_records.Request, form: Form, formats: wire.Formats = wire.OWN
+) -> bytes:
     """Return the head of an upload."""
     framing = "Transfer-Encoding: chunked"
     if form.has_length:
@@ -124,7 +126,7 @@
     lines = (
         "POST /once/upload HTTP/1.1",
         "Host: soak.example",
-        f"{headers.REQUEST_ID}: {request.request_id}",
+        f"{formats.request_id}: {request.request_id}",
         f"{stop_backends.PLAN_HEADER}: {plan}",
         framing,
         "\r\n",
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -37,6 +37,7 @@
     stop_records,
     stop_timelines,
     stop_uploads,
+    wire,
 )
 from hickoryweir.testing.soak import cluster as clusters
 
@@ -117,6 +118,14 @@
             help="Tables around the stops that move routes and change the idle time.",
         ),
     ] = False
+    entry: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            help="Script that runs all processes, with its formats beside it, such as "
+            "platform/main.py; not beside --floods.",
+        ),
+    ] = ""
     logs: Annotated[
         pathlib.Path | None, cappa.Arg(long=True, help="Folder for the logs.")
     ] = None
@@ -231,9 +240,12 @@
     folder: pathlib.Path, options: Stops, stack: contextlib.AsyncExitStack
 ) -> Site:
     """Start backend servers, and return them with the processes to be started."""
+    formats = wire.load(options.entry)
+    if options.entry and options.floods:
+        raise ValueError("servers that send without end have the project's own formats")
     attempts: dict[str, list[stop_records.Attempt]] = {}
     servers = [
-        await stop_backends.start(f"s{number}", attempts)
+        await stop_backends.start(f"s{number}", attempts, formats)
         for number in range(options.servers)
     ]
     entries = [
@@ -249,9 +261,9 @@
         entries = stop_moves.add_entries(entries)
     if options.floods:
         entries += await stack.enter_async_context(stop_floods.run_servers())
-    list_address = await start_list(lambda: entries)
-    cluster = make_cluster(folder, options.routers, list_address)
-    if options.starts:
+    list_address = await start_list(lambda: entries, formats)
+    cluster = make_cluster(folder, options.routers, list_address, formats=formats)
+    if options.starts and not options.entry:
         # The others are started by the command line.
         for member in cluster.routers[::2]:
             member.opens_early = True
@@ -278,11 +290,13 @@
             await asyncio.sleep(clusters.POLL_INTERVAL_S)
 
 
-async def start_list(get_entries: Callable[[], list[dict]]) -> str:
+async def start_list(
+    get_entries: Callable[[], list[dict]], formats: wire.Formats = wire.OWN
+) -> str:
     """Serve the current list of backend servers; return its address."""
 
     async def list_servers(request: web.BaseRequest) -> web.Response:
-        return web.json_response({"servers": get_entries()})
+        return web.json_response(formats.make_list(get_entries()))
 
     listener = await asyncio.get_running_loop().create_server(
         web.Server(list_servers, access_log=None), HOST, 0
@@ -295,6 +309,7 @@
     routers_count: int,
     list_address: str,
     networks: tuple[str, str] = ("127.0.5", "127.0.6"),
+    formats: wire.Formats = wire.OWN,
 ) -> clusters.Cluster:
     """Return the processes of a run, replicas and routers in a network each.
 
@@ -316,7 +331,9 @@
         )
         for number in range(routers_count)
     ]
-    return clusters.Cluster(replicas, routers, [], values)
+    for member in (*replicas, *routers):
+        member.entry = formats.entry
+    return clusters.Cluster(replicas, routers, [], values, formats=formats)
 
 
 async def put_next_table(session, site: Site) -> bool:
@@ -331,9 +348,12 @@
 async def put_table(session, cluster: clusters.Cluster, table: str) -> bool:
     """Send a table to a replica that answers; return whether one did."""
     for member in cluster.replicas:
-        url = f"http://{member.host}:{cluster.port}/table"
+        url = f"http://{member.host}:{cluster.port}{cluster.formats.put_path}"
+        body = cluster.formats.make_table(table)
         with contextlib.suppress(*callers.CONNECTION_ERRORS):
-            async with session.put(url, data=table) as reply:
+            async with session.request(
+                cluster.formats.put_method, url, data=body
+            ) as reply:
                 if reply.status == 200:
                     return True
     return False
@@ -443,6 +463,7 @@
         site.attempts,
         seed,
         soak_gaps=site.delays.of(os.getpid()),
+        formats=site.cluster.formats,
     )
 
 
@@ -648,6 +669,8 @@
         arguments += " --starts"
     if options.moves:
         arguments += " --moves"
+    if options.entry:
+        arguments += f" --entry {options.entry}"
     for finding in findings[:SHOWN_COUNT]:
         lines = stop_timelines.make_lines(finding, events, start_s, logs, arguments)
         print("\n".join(lines), flush=True)
