Exit: a stopped process ends beside a log pipe that nobody reads

Seen: with a full pipe as standard output, a router closes everything and then never ends; its supervisor kills it after the grace.

Cause: exit_at_once flushed the standard output, and the thread that writes the log holds the lock of its buffer as long as the pipe is full.

Change: the flush has 0.1 s, in a thread of its own.

--- a/hickoryweir/process_exit.py
+++ b/hickoryweir/process_exit.py
@@ -4,13 +4,32 @@
 that is stopped has only its grace, and on a loaded entry VM this is most of the rest.
 """
 
+import contextlib
 import os
 import sys
+import threading
 from typing import NoReturn
 
+# Writing the rest of a buffer takes microseconds; nobody may read it.
+FLUSH_TIMEOUT_S = 0.1
+
 
 def exit_at_once(code: int) -> NoReturn:
-    """End the process without the interpreter's teardown."""
-    sys.stdout.flush()
-    sys.stderr.flush()
-    os._exit(code)
+    """End the process without the interpreter's teardown.
+
+    A thread that waits for the reader of the standard output holds a lock that flushing
+    needs, so that the end does not wait for it.
+    """
+    try:
+        flushing = threading.Thread(target=_flush, daemon=True)
+        flushing.start()
+        flushing.join(FLUSH_TIMEOUT_S)
+    finally:
+        os._exit(code)
+
+
+def _flush() -> None:
+    for stream in (sys.stdout, sys.stderr):
+        # The reader may be gone.
+        with contextlib.suppress(OSError, ValueError):
+            stream.flush()
