--- a/hickoryweir/testing/soak/cluster.py
+++ b/hickoryweir/testing/soak/cluster.py
@@ -1,7 +1,9 @@
 """The processes of the soak test: replicas and routers, each with its settings file."""
 
 import asyncio
+import contextlib
 import dataclasses
+import fcntl
 import json
 import os
 import pathlib
@@ -10,6 +12,7 @@
 import subprocess
 import sys
 import time
+from typing import BinaryIO
 
 import aiohttp
 from aiohttp import web
@@ -26,6 +29,7 @@
 EXIT_TIMEOUT_S = GRACE_S + 3.0
 READY_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.1
+PIPE_SIZE_BYTES = 4096
 # Names the settings file for entry points without arguments.
 SETTINGS_VARIABLE = "HICKORYWEIR_SETTINGS"
 # A process that starts serves within this time.
@@ -85,6 +89,10 @@
         Its availability zone.
     entry : Path or None
         Script that runs it; None for the project's command line.
+    has_full_pipe : bool
+        Whether its standard output is a pipe that nobody reads.
+    pipe : int or None
+        The end of that pipe to read from, open as long as the process runs.
     """
 
     role: str
@@ -98,6 +106,8 @@
     has_slow_disk: bool = False
     zone: str = ZONE
     entry: pathlib.Path | None = None
+    has_full_pipe: bool = False
+    pipe: int | None = None
 
     @property
     def links_path(self) -> pathlib.Path:
@@ -249,16 +259,32 @@
 
 
 def _launch(member: Member) -> None:
-    with (member.folder / "log").open("ab") as log:
+    environment = os.environ | {SETTINGS_VARIABLE: str(member.settings_path)}
+    # Output is buffered as by default; its locks are part of what is played.
+    environment.pop("PYTHONUNBUFFERED", None)
+    with contextlib.ExitStack() as stack:
+        log = stack.enter_context((member.folder / "log").open("ab"))
         member.log_start_bytes = log.tell()
+        output = log
+        if member.has_full_pipe:
+            output = stack.enter_context(_open_pipe(member))
         member.process = subprocess.Popen(
             [sys.executable, *_program(member)],
-            stdout=log,
+            stdout=output,
             stderr=log,
-            env=os.environ | {SETTINGS_VARIABLE: str(member.settings_path)},
+            env=environment,
         )
 
 
+def _open_pipe(member: Member) -> BinaryIO:
+    """Return the end to write to of a small pipe, which the first lines fill."""
+    if member.pipe is not None:
+        os.close(member.pipe)
+    member.pipe, writing = os.pipe()
+    fcntl.fcntl(writing, fcntl.F_SETPIPE_SZ, PIPE_SIZE_BYTES)
+    return open(writing, "wb")
+
+
 def _program(member: Member) -> tuple[str, ...]:
     """Return the interpreter's arguments for a member."""
     settings_path = str(member.settings_path)
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -118,6 +118,10 @@
             help="Tables around the stops that move routes and change the idle time.",
         ),
     ] = False
+    full_logs: Annotated[
+        bool,
+        cappa.Arg(long=True, help="Routers' logs are pipes that nobody reads."),
+    ] = False
     entry: Annotated[
         str,
         cappa.Arg(
@@ -263,6 +267,8 @@
         entries += await stack.enter_async_context(stop_floods.run_servers())
     list_address = await start_list(lambda: entries, formats)
     cluster = make_cluster(folder, options.routers, list_address, formats=formats)
+    for member in cluster.routers:
+        member.has_full_pipe = options.full_logs
     if options.starts and not options.entry:
         # The others are started by the command line.
         for member in cluster.routers[::2]:
@@ -669,6 +675,8 @@
         arguments += " --starts"
     if options.moves:
         arguments += " --moves"
+    if options.full_logs:
+        arguments += " --full-logs"
     if options.entry:
         arguments += f" --entry {options.entry}"
     for finding in findings[:SHOWN_COUNT]:
--- a/hickoryweir/testing/soak/tests/test_planned_stops.py
+++ b/hickoryweir/testing/soak/tests/test_planned_stops.py
@@ -11,6 +11,7 @@
 
 SEED, ROUNDS_COUNT, ROUTERS_COUNT = 253, 2, 3
 STARTS_SEED, STARTS_ROUTERS_COUNT = 71001, 2
+FULL_LOGS_SEED = 82001
 
 
 def test_fixed_rounds_have_every_kind_of_event():
@@ -47,3 +48,14 @@
         starts=True,
     )
     assert asyncio.run(stops.run(options)) == []
+
+
+def test_planned_stops_with_a_log_that_nobody_reads_break_no_promise():
+    """Guards against a process that waits for the reader of its log when it ends."""
+    options = stops.Stops(
+        seed=FULL_LOGS_SEED,
+        routers=ROUTERS_COUNT,
+        clients=20,
+        full_logs=True,
+    )
+    assert asyncio.run(stops.run(options)) == []
