--- a/hickoryweir/testing/soak/stop_backends.py
+++ b/hickoryweir/testing/soak/stop_backends.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 import socket
+import struct
 import time
 
 from aiohttp import web
@@ -13,8 +14,15 @@
 from hickoryweir.testing.soak import stop_records, wire
 
 HOST = "127.0.0.1"
+# So that the kernel does not acknowledge what the server has not read.
+RECEIVE_BUFFER_SIZE_BYTES = 4096
+RESET = struct.pack("ii", 1, 0)
 PLAN_HEADER = "X-Plan"
 FAULTS = ("refuse", "silent", "gone")
+# Responses before the request has been read: a part, then a FIN and a reset; a whole
+# one that a FIN or a length ends, whose server reads on.
+PART, WHOLE, LENGTH = "part", "whole", "length"
+EARLY_ENDS = (PART, WHOLE, LENGTH)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -29,6 +37,8 @@
         Cleared while the server neither starts a request nor sends a byte.
     open_attempts : dict
         Arrivals that have not ended.
+    has_small_buffer : bool
+        Whether its kernel takes little of a request before the server reads it.
     """
 
     server_id: str
@@ -40,13 +50,19 @@
     listener: asyncio.Server | None = None
     port: int = 0
     formats: wire.Formats = wire.OWN
+    has_small_buffer: bool = False
 
 
 async def start(
-    server_id: str, attempts: dict, formats: wire.Formats = wire.OWN
+    server_id: str,
+    attempts: dict,
+    formats: wire.Formats = wire.OWN,
+    has_small_buffer: bool = False,
 ) -> Backend:
     """Return a listening backend server."""
-    backend = Backend(server_id, attempts, formats=formats)
+    backend = Backend(
+        server_id, attempts, formats=formats, has_small_buffer=has_small_buffer
+    )
     backend.awake.set()
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
@@ -59,6 +75,9 @@
 
 async def _listen(backend: Backend, bound: socket.socket) -> None:
     backend.port = bound.getsockname()[1]
+    if backend.has_small_buffer:
+        # Inherited by its connections.
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_SIZE_BYTES)
     loop = asyncio.get_running_loop()
     backend.listener = await loop.create_server(backend.server, sock=bound)
 
@@ -81,6 +100,8 @@
 
 
 async def _answer(backend, request, request_id, plan, attempt) -> web.StreamResponse:
+    if plan.early:
+        return await _answer_early(backend, request, request_id, plan, attempt)
     while await request.content.readany():
         pass
     await asyncio.sleep(plan.queue_s)
@@ -98,6 +119,41 @@
     return web.Response(body=body, headers=echoed)
 
 
+async def _answer_early(
+    backend, request, request_id, plan, attempt
+) -> web.StreamResponse:
+    """Answer beside the upload, and end the connection; see `EARLY_ENDS`."""
+    transport = request.transport
+    if plan.early == PART:
+        # A response to a request that has been read is not early.
+        transport.pause_reading()
+    await asyncio.sleep(plan.work_s)
+    await backend.awake.wait()
+    attempt.run_s = time.monotonic()
+    body = stop_records.make_body(request_id, plan.size_bytes)
+    lines = ["HTTP/1.1 200 OK", f"{backend.formats.request_id}: {request_id}"]
+    if plan.early == LENGTH:
+        lines.append(f"Content-Length: {len(body)}")
+    if plan.early == PART:
+        attempt.broke_off = True
+        body = body[: len(body) // 2]
+    with contextlib.suppress(OSError, RuntimeError):
+        transport.write("\r\n".join((*lines, "\r\n")).encode() + body)
+        if plan.early != LENGTH:
+            transport.write_eof()
+        if plan.early == PART:
+            await asyncio.sleep(plan.silence_s)
+        else:
+            attempt.finished_s = time.monotonic()
+            while await request.content.readany():
+                pass
+    if plan.early == PART:
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    transport.abort()
+    raise asyncio.CancelledError
+
+
 async def _send_stream(
     backend, request, request_id, plan, attempt
 ) -> web.StreamResponse:
--- a/hickoryweir/testing/soak/stop_events.py
+++ b/hickoryweir/testing/soak/stop_events.py
@@ -15,6 +15,10 @@
 KINDS = (TERMINATE, TERMINATE_AGAIN, RELOAD, REPLACE_TABLE, STOP_REPLICA)
 # Drawn apart, see :func:`draw_pauses` and :func:`draw_start_stops`.
 PAUSE, START_STOP = "pause", "SIGTERM in the start"
+LIMIT = "limited processor"
+# Of each turn a process with a limited processor runs so much.
+LIMITED_SHARES, TURN_S = (0.3, 0.54, 0.8), 0.1
+LIMIT_LEAD_S, AGAIN_MAX_S = 1.0, 0.3
 STOPS_SPAN_S = 9.0
 STOP_INTERVAL_MAX_S = 3.5
 # A stop as the router's clients see it ends with the process.
@@ -135,6 +139,33 @@
     ]
 
 
+def draw_limits(generator: random.Random, stops: list[Event]) -> list[Event]:
+    """Return limits of routers' processors around stops, and early second signals."""
+    events = []
+    for stop in stops:
+        at_s = stop.at_s - LIMIT_LEAD_S
+        duration_s = LIMIT_LEAD_S + stop_records.GRACE_S
+        events.append(Event(at_s, LIMIT, stop.index, duration_s))
+        if generator.random() < 0.5:
+            at_s = stop.at_s + generator.uniform(0.0, AGAIN_MAX_S)
+            events.append(Event(at_s, TERMINATE_AGAIN, stop.index))
+    return events
+
+
+async def limit_router(
+    process: subprocess.Popen,
+    event: Event,
+    gaps: list[stop_delays.Gap],
+    share: float,
+) -> None:
+    """Let a router's process run for a share of each turn, until it has ended."""
+    until_s = time.monotonic() + event.duration_s
+    stopped = dataclasses.replace(event, duration_s=TURN_S * (1.0 - share))
+    while time.monotonic() < until_s and not stop_delays.has_ended(process.pid):
+        await pause_router(process, stopped, gaps)
+        await asyncio.sleep(TURN_S * share)
+
+
 async def pause_router(
     process: subprocess.Popen, event: Event, gaps: list[stop_delays.Gap]
 ) -> None:
--- a/hickoryweir/testing/soak/stop_records.py
+++ b/hickoryweir/testing/soak/stop_records.py
@@ -27,6 +27,9 @@
         Pause in the middle of a stream, which adds to its duration.
     refuses, breaks : bool
         Whether the server states that it did not run the request, or resets.
+    early : str
+        How it answers before it has read the request, one of
+        ``stop_backends.EARLY_ENDS``; `silence_s` is the time until the end of a part.
     """
 
     queue_s: float = 0.0
@@ -35,6 +38,7 @@
     size_bytes: int = 100
     refuses: bool = False
     breaks: bool = False
+    early: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/hickoryweir/testing/soak/stop_uploads.py
+++ b/hickoryweir/testing/soak/stop_uploads.py
@@ -72,20 +72,22 @@
     await stop_clients.sleep_until(target, -stop_clients.LEAD_S)
     while target.now_s() < stop_records.GRACE_S:
         with contextlib.suppress(ConnectionRefusedError):
-            await _upload(target, form)
+            plan = stop_records.Plan(work_s=form.work_s)
+            await upload(target, form, plan, BEHAVIOUR)
         await asyncio.sleep(RETRY_S)
 
 
-async def _upload(target: stop_records.Target, form: Form) -> None:
+async def upload(
+    target: stop_records.Target, form: Form, plan: stop_records.Plan, behaviour: str
+) -> None:
     """Send one upload on a new connection and read its answer meanwhile."""
     loop = asyncio.get_running_loop()
     with socket.socket() as sock:
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         await loop.sock_connect(sock, (target.host, target.port))
-        plan = stop_records.Plan(work_s=form.work_s)
         request_id = f"{target.seed}-{target.host}-{len(target.requests)}"
-        request = stop_records.Request(request_id, BEHAVIOUR, target.host, plan)
+        request = stop_records.Request(request_id, behaviour, target.host, plan)
         request.sent_s = target.now_s()
         target.requests.append(request)
         reader = types.SimpleNamespace(read=functools.partial(loop.sock_recv, sock))
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -30,6 +30,7 @@
     stop_backends,
     stop_clients,
     stop_delays,
+    stop_early,
     stop_events,
     stop_floods,
     stop_moves,
@@ -118,6 +119,20 @@
             help="Tables around the stops that move routes and change the idle time.",
         ),
     ] = False
+    early: Annotated[
+        int,
+        cappa.Arg(
+            long=True,
+            help="Clients per router whose uploads servers answer before the end.",
+        ),
+    ] = 0
+    limits: Annotated[
+        bool,
+        cappa.Arg(
+            long=True,
+            help="Limit routers' processors around their stops, with second signals.",
+        ),
+    ] = False
     full_logs: Annotated[
         bool,
         cappa.Arg(long=True, help="Routers' logs are pipes that nobody reads."),
@@ -249,7 +264,7 @@
         raise ValueError("servers that send without end have the project's own formats")
     attempts: dict[str, list[stop_records.Attempt]] = {}
     servers = [
-        await stop_backends.start(f"s{number}", attempts, formats)
+        await stop_backends.start(f"s{number}", attempts, formats, options.early > 0)
         for number in range(options.servers)
     ]
     entries = [
@@ -386,6 +401,8 @@
     events += [event for event in drawn_apart if event not in starts]
     if options.moves:
         events += stop_moves.draw(seed, stops)
+    if options.limits:
+        events += stop_events.draw_limits(random.Random(f"{seed} limits"), stops)
     # A request that is lost in a kill is not lost in a planned stop.
     indexes = {event.index for event in starts}
     events = [
@@ -418,6 +435,7 @@
         findings += stop_floods.check(cluster, targets, peaks_mb)
         findings += stop_uploads.check(targets)
         site.peak_mb = max(site.peak_mb, *peaks_mb.values())
+    findings += stop_early.check(targets)
     findings, excused = stop_oracle.split(findings)
     show(site, options, findings, events, start_s)
     show_excused(site, excused)
@@ -503,6 +521,10 @@
         asyncio.create_task(stop_uploads.upload_repeatedly(target))
         for _ in range(options.uploads)
     ]
+    tasks += [
+        asyncio.create_task(stop_early.upload_repeatedly(target, number))
+        for number in range(options.early)
+    ]
     await stop_clients.sleep_until(target, stop_records.SIGNAL_S)
     target.gaps = site.delays.of(member.process.pid)
     target.signal_delay_s = max(0.0, target.now_s())
@@ -602,6 +624,11 @@
     elif event.kind == stop_events.PAUSE:
         process = processes[event.index]
         await stop_events.pause_router(process, event, site.delays.of(process.pid))
+    elif event.kind == stop_events.LIMIT:
+        process = processes[event.index]
+        share = random.Random(f"{event}").choice(stop_events.LIMITED_SHARES)
+        gaps = site.delays.of(process.pid)
+        await stop_events.limit_router(process, event, gaps, share)
     elif isinstance(event, stop_floods.Sending):
         await stop_floods.send(site.cluster, event)
     elif event.kind in stop_backends.FAULTS:
@@ -675,6 +702,10 @@
         arguments += " --starts"
     if options.moves:
         arguments += " --moves"
+    if options.early:
+        arguments += f" --early {options.early}"
+    if options.limits:
+        arguments += " --limits"
     if options.full_logs:
         arguments += " --full-logs"
     if options.entry:
