--- a/hickoryweir/testing/soak/stop_records.py
+++ b/hickoryweir/testing/soak/stop_records.py
@@ -5,7 +5,7 @@
 import time
 import zlib
 
-from hickoryweir.testing.soak import stop_delays
+from hickoryweir.testing.soak import stop_delays, wire
 
 GRACE_S = 8.0
 # The signal, the close of the listener, and the end of open connections.
@@ -29,6 +29,9 @@
         Pause in the middle of a stream, which adds to its duration.
     refuses, breaks : bool
         Whether the server states that it did not run the request, or resets.
+    early : str
+        How it answers before it has read the request, one of
+        ``stop_backends.EARLY_ENDS``; `silence_s` is the time until the end of a part.
     """
 
     queue_s: float = 0.0
@@ -37,6 +40,7 @@
     size_bytes: int = 100
     refuses: bool = False
     breaks: bool = False
+    early: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -125,6 +129,8 @@
         Port of the link through which clients connect; None without one.
     gaps, soak_gaps : list of Gap
         When the process, and the soak itself, was not scheduled.
+    formats : Formats
+        Formats of the router.
     """
 
     host: str
@@ -142,6 +148,7 @@
     link_port: int | None = None
     gaps: list[stop_delays.Gap] = dataclasses.field(default_factory=list)
     soak_gaps: list[stop_delays.Gap] = dataclasses.field(default_factory=list)
+    formats: wire.Formats = wire.OWN
 
     def now_s(self) -> float:
         """Return the time since the signal."""
--- a/hickoryweir/testing/soak/stop_uploads.py
+++ b/hickoryweir/testing/soak/stop_uploads.py
@@ -14,13 +14,13 @@
 import socket
 import types
 
-from hickoryweir.forwarding import headers
 from hickoryweir.testing import floods, promises
 from hickoryweir.testing.soak import (
     stop_backends,
     stop_clients,
     stop_oracle,
     stop_records,
+    wire,
 )
 
 BEHAVIOUR = "large upload"
@@ -72,20 +72,22 @@
     await stop_clients.sleep_until(target, -stop_clients.LEAD_S)
     while target.now_s() < stop_records.GRACE_S:
         with contextlib.suppress(ConnectionRefusedError):
-            await _upload(target, form)
+            plan = stop_records.Plan(work_s=form.work_s)
+            await upload(target, form, plan, BEHAVIOUR)
         await asyncio.sleep(RETRY_S)
 
 
-async def _upload(target: stop_records.Target, form: Form) -> None:
+async def upload(
+    target: stop_records.Target, form: Form, plan: stop_records.Plan, behaviour: str
+) -> None:
     """Send one upload on a new connection and read its answer meanwhile."""
     loop = asyncio.get_running_loop()
     with socket.socket() as sock:
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         await loop.sock_connect(sock, (target.host, target.port))
-        plan = stop_records.Plan(work_s=form.work_s)
         request_id = f"{target.seed}-{target.host}-{len(target.requests)}"
-        request = stop_records.Request(request_id, BEHAVIOUR, target.host, plan)
+        request = stop_records.Request(request_id, behaviour, target.host, plan)
         request.sent_s = target.now_s()
         target.requests.append(request)
         reader = types.SimpleNamespace(read=functools.partial(loop.sock_recv, sock))
@@ -107,7 +109,7 @@
     loop = asyncio.get_running_loop()
     # The answer, or the end of the connection, is what counts.
     with contextlib.suppress(OSError):
-        await loop.sock_sendall(sock, make_head(request, form))
+        await loop.sock_sendall(sock, make_head(request, form, target.formats))
         for block in make_blocks(request, form):
             await loop.sock_sendall(sock, block)
             request.sent_bytes += len(block)
@@ -115,7 +117,9 @@
         request.last_byte_s = target.now_s()
 
 
-def make_head(request: stop_records.Request, form: Form) -> bytes:
+def make_head(
+    request: stop_records.Request, form: Form, formats: wire.Formats = wire.OWN
+) -> bytes:
     """Return the head of an upload."""
     framing = "Transfer-Encoding: chunked"
     if form.has_length:
@@ -124,7 +128,7 @@
     lines = (
         "POST /once/upload HTTP/1.1",
         "Host: soak.example",
-        f"{headers.REQUEST_ID}: {request.request_id}",
+        f"{formats.request_id}: {request.request_id}",
         f"{stop_backends.PLAN_HEADER}: {plan}",
         framing,
         "\r\n",
--- a/hickoryweir/testing/soak/stops.py
+++ b/hickoryweir/testing/soak/stops.py
@@ -30,6 +30,7 @@
     stop_backends,
     stop_clients,
     stop_delays,
+    stop_early,
     stop_events,
     stop_floods,
     stop_moves,
@@ -37,6 +38,7 @@
     stop_records,
     stop_timelines,
     stop_uploads,
+    wire,
 )
 from hickoryweir.testing.soak import cluster as clusters
 
@@ -136,6 +138,32 @@
             "or a range as 1-5 from which each connection draws.",
         ),
     ] = ""
+    early: Annotated[
+        int,
+        cappa.Arg(
+            long=True,
+            help="Clients per router whose uploads servers answer before the end.",
+        ),
+    ] = 0
+    limits: Annotated[
+        bool,
+        cappa.Arg(
+            long=True,
+            help="Limit routers' processors around their stops, with second signals.",
+        ),
+    ] = False
+    full_logs: Annotated[
+        bool,
+        cappa.Arg(long=True, help="Routers' logs are pipes that nobody reads."),
+    ] = False
+    entry: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            help="Script that runs all processes, with its formats beside it, such as "
+            "platform/main.py; not beside --floods.",
+        ),
+    ] = ""
     logs: Annotated[
         pathlib.Path | None, cappa.Arg(long=True, help="Folder for the logs.")
     ] = None
@@ -276,9 +304,12 @@
     folder: pathlib.Path, options: Stops, stack: contextlib.AsyncExitStack
 ) -> Site:
     """Start backend servers, and return them with the processes to be started."""
+    formats = wire.load(options.entry)
+    if options.entry and options.floods:
+        raise ValueError("servers that send without end have the project's own formats")
     attempts: dict[str, list[stop_records.Attempt]] = {}
     servers = [
-        await stop_backends.start(f"s{number}", attempts)
+        await stop_backends.start(f"s{number}", attempts, formats, options.early > 0)
         for number in range(options.servers)
     ]
     entries = [
@@ -294,9 +325,11 @@
         entries = stop_moves.add_entries(entries)
     if options.floods:
         entries += await stack.enter_async_context(stop_floods.run_servers())
-    list_address = await start_list(lambda: entries)
-    cluster = make_cluster(folder, options.routers, list_address)
-    if options.starts:
+    list_address = await start_list(lambda: entries, formats)
+    cluster = make_cluster(folder, options.routers, list_address, formats=formats)
+    for member in cluster.routers:
+        member.has_full_pipe = options.full_logs
+    if options.starts and not options.entry:
         # The others are started by the command line.
         for member in cluster.routers[::2]:
             member.opens_early = True
@@ -323,11 +356,13 @@
             await asyncio.sleep(clusters.POLL_INTERVAL_S)
 
 
-async def start_list(get_entries: Callable[[], list[dict]]) -> str:
+async def start_list(
+    get_entries: Callable[[], list[dict]], formats: wire.Formats = wire.OWN
+) -> str:
     """Serve the current list of backend servers; return its address."""
 
     async def list_servers(request: web.BaseRequest) -> web.Response:
-        return web.json_response({"servers": get_entries()})
+        return web.json_response(formats.make_list(get_entries()))
 
     listener = await asyncio.get_running_loop().create_server(
         web.Server(list_servers, access_log=None), HOST, 0
@@ -340,6 +375,7 @@
     routers_count: int,
     list_address: str,
     networks: tuple[str, str] = ("127.0.5", "127.0.6"),
+    formats: wire.Formats = wire.OWN,
 ) -> clusters.Cluster:
     """Return the processes of a run, replicas and routers in a network each.
 
@@ -361,7 +397,9 @@
         )
         for number in range(routers_count)
     ]
-    return clusters.Cluster(replicas, routers, [], values)
+    for member in (*replicas, *routers):
+        member.entry = formats.entry
+    return clusters.Cluster(replicas, routers, [], values, formats=formats)
 
 
 async def put_next_table(session, site: Site) -> bool:
@@ -376,9 +414,12 @@
 async def put_table(session, cluster: clusters.Cluster, table: str) -> bool:
     """Send a table to a replica that answers; return whether one did."""
     for member in cluster.replicas:
-        url = f"http://{member.host}:{cluster.port}/table"
+        url = f"http://{member.host}:{cluster.port}{cluster.formats.put_path}"
+        body = cluster.formats.make_table(table)
         with contextlib.suppress(*callers.CONNECTION_ERRORS):
-            async with session.put(url, data=table) as reply:
+            async with session.request(
+                cluster.formats.put_method, url, data=body
+            ) as reply:
                 if reply.status == 200:
                     return True
     return False
@@ -405,6 +446,8 @@
     events += [event for event in drawn_apart if event not in starts]
     if options.moves:
         events += stop_moves.draw(seed, stops)
+    if options.limits:
+        events += stop_events.draw_limits(random.Random(f"{seed} limits"), stops)
     # A request that is lost in a kill is not lost in a planned stop.
     indexes = {event.index for event in starts}
     events = [
@@ -437,6 +480,7 @@
         findings += stop_floods.check(cluster, targets, peaks_mb)
         findings += stop_uploads.check(targets)
         site.peak_mb = max(site.peak_mb, *peaks_mb.values())
+    findings += stop_early.check(targets)
     findings, excused = stop_oracle.split(findings)
     show(site, options, findings, events, start_s)
     show_excused(site, excused)
@@ -515,6 +559,7 @@
         seed,
         link_port=site.router_links[host].port if host in site.router_links else None,
         soak_gaps=site.delays.of(os.getpid()),
+        formats=site.cluster.formats,
     )
 
 
@@ -548,6 +593,10 @@
         asyncio.create_task(stop_uploads.upload_repeatedly(target))
         for _ in range(options.uploads)
     ]
+    tasks += [
+        asyncio.create_task(stop_early.upload_repeatedly(target, number))
+        for number in range(options.early)
+    ]
     await stop_clients.sleep_until(target, stop_records.SIGNAL_S)
     target.gaps = site.delays.of(member.process.pid)
     target.signal_delay_s = max(0.0, target.now_s())
@@ -647,6 +696,11 @@
     elif event.kind == stop_events.PAUSE:
         process = processes[event.index]
         await stop_events.pause_router(process, event, site.delays.of(process.pid))
+    elif event.kind == stop_events.LIMIT:
+        process = processes[event.index]
+        share = random.Random(f"{event}").choice(stop_events.LIMITED_SHARES)
+        gaps = site.delays.of(process.pid)
+        await stop_events.limit_router(process, event, gaps, share)
     elif isinstance(event, stop_floods.Sending):
         await stop_floods.send(site.cluster, event)
     elif event.kind in stop_backends.FAULTS:
@@ -722,6 +776,14 @@
         arguments += " --moves"
     if options.delay_ms:
         arguments += f" --delay-ms {options.delay_ms}"
+    if options.early:
+        arguments += f" --early {options.early}"
+    if options.limits:
+        arguments += " --limits"
+    if options.full_logs:
+        arguments += " --full-logs"
+    if options.entry:
+        arguments += f" --entry {options.entry}"
     for finding in findings[:SHOWN_COUNT]:
         lines = stop_timelines.make_lines(finding, events, start_s, logs, arguments)
         print("\n".join(lines), flush=True)
