Stops: calls are answered within the grace if the signal is noticed late

Callers saw: no answer to an open call, where the router's process had been paused when SIGTERM came and was killed at the end of its grace.

Cause: the grace was counted from the moment at which the event loop noticed the signal.

The router now records ticks of its event loop: a signal can't have come before the last but one. By the time that it may have waited, the port closes and requests without a response get their final one earlier; streams go on as before, since they can only be cut. The log says how long it was.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -1,6 +1,7 @@
 """Router process: feeds from the replicas, and the clients' port."""
 
 import asyncio
+import collections
 import dataclasses
 import functools
 import random
@@ -89,6 +90,9 @@
 OPEN_PORT_SHARE = 0.5
 # For what follows the close: the log is flushed, and the process ends.
 EXIT_MARGIN_S = 0.2
+# A signal that the event loop notices was sent after the tick before the last one.
+TICK_INTERVAL_S = 0.05
+USUAL_NOTICE_S = 2 * TICK_INTERVAL_S
 # Within the margin of the close.
 LAST_COUNTS_TIMEOUT_S = 0.2
 
@@ -131,6 +135,7 @@
         self._settings = entry_settings
         self._adapters = site_adapters
         self._is_confirmed = False
+        self._ticks_s: collections.deque[float] = collections.deque(maxlen=2)
         identity = settings.peer_identity(entry_settings)
         seeds = settings.seed_replicas(entry_settings)
         self._log = client.make_client(
@@ -270,6 +275,7 @@
     def _background_work(self) -> dict[str, Callable[[], Awaitable[None]]]:
         """Return by name what runs beside the requests until the process ends."""
         work = {
+            "ticks": self._record_ticks,
             "feeds": self._subscriber.run,
             "first table": self._load_initial_table,
             "list of servers": self._monitor_list,
@@ -318,20 +324,39 @@
         grace_s = self._settings.shutdown.grace_s
         count = len(running.server.connections)
         phases = open_requests.count_phases(self.forwarder.open_requests.values())
-        detail = f"{count} connections, grace {grace_s:g} s, open: {phases}"
+        delay_s = self._signal_delay_s()
+        detail = (
+            f"{count} connections, grace {grace_s:g} s, open: {phases}, "
+            f"the signal waited for up to {delay_s:.3f} s"
+        )
         logs.info("draining", logs.Fields(detail=detail))
         open_port_s, closed_port_s = split_grace(grace_s)
         end_s = clocks.boottime_s() + open_port_s + closed_port_s
-        server.begin_stop(self.forwarder, open_port_s + closed_port_s)
-        await asyncio.sleep(open_port_s)
+        server.begin_stop(self.forwarder, open_port_s + closed_port_s - delay_s)
+        await asyncio.sleep(open_port_s - delay_s)
         # A stall of the event loop shortens the rest, since the process is killed then.
         left_s = max(0.0, end_s - clocks.boottime_s())
-        stops = [server.stop(running, left_s)]
+        stops = [server.stop(running, left_s, delay_s)]
         if relay_server is not None:
-            stops.append(server.stop(relay_server, left_s))
+            stops.append(server.stop(relay_server, left_s, delay_s))
         await asyncio.gather(*stops)
         logs.info("drained", logs.Fields())
 
+    async def _record_ticks(self) -> None:
+        while True:
+            self._ticks_s.append(clocks.boottime_s())
+            await asyncio.sleep(TICK_INTERVAL_S)
+
+    def _signal_delay_s(self) -> float:
+        """Return for how long a signal that is noticed now may have waited.
+
+        A stall of the event loop, or of the process, may have begun before the signal.
+        """
+        if not self._ticks_s:
+            return 0.0
+        since_s = clocks.boottime_s() - self._ticks_s[0]
+        return max(0.0, since_s - USUAL_NOTICE_S)
+
     async def _send_last_counts(self, grace_end_s: float) -> None:
         if self._usage_sender is None:
             return
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -686,7 +686,9 @@
             connection.hold_next()
 
 
-async def stop(running: RunningServer, time_left_s: float) -> None:
+async def stop(
+    running: RunningServer, time_left_s: float, signal_delay_s: float = 0.0
+) -> None:
     """Close the port, and let its open requests end within `time_left_s`.
 
     A connection is closed once it has no request: at once if it is idle, else after the
@@ -695,8 +697,19 @@
     in by another port are left alone.  aiohttp's own shutdown would keep idle
     connections open and read requests from them without answering, and its ``close`` of
     a connection discards the rest of a request.
+
+    Parameters
+    ----------
+    running : RunningServer
+        The server.
+    time_left_s : float
+        Time until the last connections are closed.
+    signal_delay_s : float, optional
+        For how long the signal to stop may have waited to be noticed.  The process may
+        be killed by so much earlier, so requests without a response get theirs before;
+        streams go on, since they can only be cut.
     """
-    begin_stop(running.router, time_left_s)
+    begin_stop(running.router, time_left_s - signal_delay_s)
     running.router.port_closed_s = clocks.boottime_s()
     opening = listening.close(running.listener, running.make_connection)
     phases = open_requests.count_phases(_open_requests(running))
@@ -706,12 +719,13 @@
     # Connections that were accepted before are in the server's list after this.
     await asyncio.gather(*opening)
     await asyncio.sleep(STOP_CHECK_INTERVAL_S)
-    give_up_s = end_s - ANSWER_MARGIN_S
-    await _wait_until_closed(running, give_up_s - STOP_CHECK_INTERVAL_S)
-    # Responses that arrived while the event loop was held up are read before that.
-    await _wait_until_closed(running, give_up_s, 1)
-    for request in _open_requests(running):
-        open_requests.give_up(request)
+    last_give_up_s = end_s - ANSWER_MARGIN_S
+    for give_up_s in dict.fromkeys((last_give_up_s - signal_delay_s, last_give_up_s)):
+        await _wait_until_closed(running, give_up_s - STOP_CHECK_INTERVAL_S)
+        # Responses that arrived while the event loop was held up are read before that.
+        await _wait_until_closed(running, give_up_s, 1)
+        for request in _open_requests(running):
+            open_requests.give_up(request)
     # After a stall of the event loop, the final responses still need their time.
     until_s = max(end_s, loop.time() + ANSWER_MARGIN_S)
     await _wait_until_closed(running, until_s, MIN_ANSWER_CHECKS_COUNT)
--- a/hickoryweir/forwarding/tests/test_stop_after_stalls.py
+++ b/hickoryweir/forwarding/tests/test_stop_after_stalls.py
@@ -7,13 +7,15 @@
 import uvloop
 
 from hickoryweir.forwarding import server
-from hickoryweir.forwarding.tests import sites
+from hickoryweir.forwarding.tests import sites, test_late_streams
 from hickoryweir.routes import matching
+from hickoryweir.routes.tests import tables
 from hickoryweir.testing import stalls
 
 REQUEST = b"GET /chat/x HTTP/1.1\r\nHost: site.example\r\nConnection: close\r\n\r\n"
 CONNECT_S = 0.1
 GRACE_S = 3.0
+SIGNAL_DELAY_S = 1.0
 
 
 def use_idle_timeout(forwarder, idle_timeout_s):
@@ -93,3 +95,43 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         assert runner.run(main()).startswith(b"HTTP/1.1 200 OK\r\n")
+
+
+def test_calls_are_answered_earlier_after_a_late_signal_and_streams_go_on():
+    async def answer(request, body):
+        if request.path.endswith("call"):
+            await asyncio.sleep(2 * GRACE_S)
+        return await test_late_streams.send_events(request, 2 * GRACE_S)
+
+    async def measure(site, path):
+        """Return when a response ends, and how it begins."""
+        reader, writer = await asyncio.open_connection(sites.HOST, site.port)
+        writer.write(test_late_streams.make_head(path))
+        received = await reader.read()
+        writer.close()
+        return asyncio.get_running_loop().time(), received
+
+    async def main():
+        routes = (
+            tables.make_route(
+                "call", "/chat/call", allows_anonymous=True, timeout_s=4 * GRACE_S
+            ),
+            tables.make_route(
+                allows_anonymous=True, is_stream=True, timeout_s=4 * GRACE_S
+            ),
+        )
+        async with sites.run_site([answer], routes) as site:
+            reading = [
+                asyncio.create_task(measure(site, path)) for path in ("call", "long")
+            ]
+            await sites.wait_until(lambda: len(site.backends[0].seen) == 2)
+            began_s = asyncio.get_running_loop().time()
+            await server.stop(site.running, GRACE_S, SIGNAL_DELAY_S)
+            (call_s, call), (stream_s, _) = await asyncio.gather(*reading)
+            return call_s - began_s, call, stream_s - began_s
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        call_s, call, stream_s = runner.run(main())
+    assert call.startswith(b"HTTP/1.1 502 ")
+    assert call_s < GRACE_S - SIGNAL_DELAY_S
+    assert stream_s > GRACE_S - server.ANSWER_MARGIN_S
