Silent connections: a response to the second send counts although the first connection was lost

Callers saw: 500 internal_error for a request whose server had answered it.

Cause: a request on a connection that has gone silent is sent once more, and its response ends the wait for the first one. Where the first connection had been lost by itself meanwhile, that wait was over, and ending it raised an error in place of the response.

The test got 500 before.

--- a/hickoryweir/forwarding/silent_connections.py
+++ b/hickoryweir/forwarding/silent_connections.py
@@ -41,10 +41,13 @@
         was one; None while the first send is not late.
     is_sent : bool
         Whether the request was sent a second time.
+    is_first_over : bool
+        Whether the first send has ended by itself, so that it can't be ended any more.
     """
 
     task: asyncio.Task | None = None
     is_sent: bool = False
+    is_first_over: bool = False
 
 
 async def send(
@@ -80,7 +83,7 @@
         second.is_sent = True
         sockets.max_reused_idle_s.set(sockets.NO_IDLE_S)
         outcome = await send_once()
-        if isinstance(outcome, exchange.Answered):
+        if isinstance(outcome, exchange.Answered) and not second.is_first_over:
             end_first.reschedule(loop.time())
         return outcome
 
@@ -96,6 +99,7 @@
         except TimeoutError:
             chosen = second.task.result()
             return chosen
+        second.is_first_over = True
         chosen = await _choose(first_outcome, second)
         return chosen
     finally:
--- a/hickoryweir/forwarding/tests/test_silent_connections.py
+++ b/hickoryweir/forwarding/tests/test_silent_connections.py
@@ -234,3 +234,37 @@
             return time.monotonic() - started_s
 
     assert TIMEOUT_S - 0.1 < asyncio.run(main()) < TIMEOUT_S + 1.0
+
+
+def test_second_send_is_answered_although_the_first_connection_was_lost():
+    """Guards against an error of the router in place of a response that came."""
+
+    async def main():
+        arrived, release = [], asyncio.Event()
+
+        async def answer(request, body):
+            arrived.append(request)
+            if len(arrived) > 1:
+                await release.wait()
+            return await sites.answering()(request, body)
+
+        async with (
+            sites.run_site([answer], routes=ROUTES) as site,
+            proxies.run_proxy(site.backends[0].address) as link,
+        ):
+            reached = dataclasses.replace(site.backends[0], address=link.address)
+            sites.list_servers(site.forwarder, [reached])
+            assert (await call(site))[0] == 200
+            proxies.silence_open(link)
+            silent_writers = set(link.writers)
+            calling = asyncio.create_task(call(site))
+            await sites.wait_until(lambda: len(arrived) > 1)
+            for writer in silent_writers:
+                writer.transport.abort()
+            # The router notices the end of the first connection.
+            await asyncio.sleep(0.1)
+            release.set()
+            return await calling
+
+    status, _ = asyncio.run(main())
+    assert status == 200
