Stop: the grace runs from the signal, also where the event loop saw it late

Cause: the drain and its end were counted from the moment at which the event loop handles SIGTERM.

Change: the event loop's last check before a stall of 0.25 s or more is taken for the earliest time of the signal. The port stays open as long as before, the rest is shorter.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -148,6 +148,7 @@
             self.forwarder.metrics.skipped_entries.inc
         )
         self._usage_sender = self._make_usage_sender()
+        self._stalls = process_state.Stalls()
 
     def _make_callbacks(self) -> subscriber.Callbacks:
         return subscriber.Callbacks(
@@ -246,8 +247,10 @@
         ]
         logs.info("serving", logs.Fields(detail=f"router at {host}:{port}"))
         await stop.wait()
-        grace_end_s = clocks.boottime_s() + self._settings.shutdown.grace_s
-        await self._drain(running, relay_server)
+        # The grace runs from the signal, which a stalled event loop sees late.
+        signal_s = self._stalls.earliest_s(clocks.boottime_s())
+        grace_end_s = signal_s + self._settings.shutdown.grace_s
+        await self._drain(running, relay_server, signal_s)
         await self._send_last_counts(grace_end_s)
         await self._close_before(grace_end_s - EXIT_MARGIN_S, tasks)
 
@@ -280,7 +283,9 @@
             "probes": functools.partial(probing.run, self.forwarder),
             "relays": functools.partial(relaying.run, self.forwarder),
             "capacity": functools.partial(router_load.run, self.forwarder),
-            "process state": functools.partial(process_state.run, self.forwarder),
+            "process state": functools.partial(
+                process_state.run, self.forwarder, self._stalls
+            ),
         }
         if self._usage_sender is not None:
             work["usage"] = self._usage_sender.run
@@ -313,7 +318,10 @@
             return None
 
     async def _drain(
-        self, running: server.RunningServer, relay_server: server.RunningServer | None
+        self,
+        running: server.RunningServer,
+        relay_server: server.RunningServer | None,
+        signal_s: float,
     ) -> None:
         grace_s = self._settings.shutdown.grace_s
         count = len(running.server.connections)
@@ -321,9 +329,11 @@
         detail = f"{count} connections, grace {grace_s:g} s, open: {phases}"
         logs.info("draining", logs.Fields(detail=detail))
         open_port_s, closed_port_s = split_grace(grace_s)
-        end_s = clocks.boottime_s() + open_port_s + closed_port_s
-        server.begin_stop(self.forwarder, open_port_s + closed_port_s)
-        await asyncio.sleep(open_port_s)
+        end_s = signal_s + open_port_s + closed_port_s
+        left_s = max(0.0, end_s - clocks.boottime_s())
+        server.begin_stop(self.forwarder, left_s)
+        # The balancer needs its time from now on, since the router was ready until now.
+        await asyncio.sleep(min(open_port_s, left_s))
         # A stall of the event loop shortens the rest, since the process is killed then.
         left_s = max(0.0, end_s - clocks.boottime_s())
         stops = [server.stop(running, left_s)]
--- a/hickoryweir/entry/tests/test_stops_after_pauses.py
+++ b/hickoryweir/entry/tests/test_stops_after_pauses.py
@@ -13,6 +13,8 @@
 OPEN_PORT_S, _ = routers.split_grace(starts.GRACE_S)
 # From the signal: the pause, which ends after the port would have been closed.
 PAUSE_S, RESUME_S = OPEN_PORT_S - 0.5, OPEN_PORT_S + 0.5
+# Longer than what is left of the grace when all connections are closed.
+SIGNAL_PAUSE_S, SETTLED_S = 1.5, 0.5
 
 
 def sleep_until(at_s):
@@ -47,3 +49,27 @@
     finally:
         router.kill()
         router.wait()
+
+
+def test_grace_runs_from_a_signal_that_came_in_a_pause(tmp_path):
+    """Guards against a process that is killed after the grace, with its responses."""
+    router, address = starts.start_router(tmp_path, 0.0)
+    try:
+        starts.wait_for_line(router, '"serving"')
+        time.sleep(SETTLED_S)
+        with socket.create_connection(address) as connection:
+            # The rest of the body never comes.
+            head = starts.REQUEST.replace(b"GET", b"POST")[: -len(b"\r\n")]
+            connection.sendall(head + b"Content-Length: 9\r\n\r\n")
+            time.sleep(SETTLED_S)
+            router.send_signal(signal.SIGSTOP)
+            router.send_signal(signal.SIGTERM)
+            stopped_s = time.monotonic()
+            time.sleep(SIGNAL_PAUSE_S)
+            router.send_signal(signal.SIGCONT)
+            assert router.wait(2 * starts.GRACE_S) == 0
+            took_s = time.monotonic() - stopped_s
+        assert took_s < starts.GRACE_S
+    finally:
+        router.kill()
+        router.wait()
--- a/hickoryweir/forwarding/process_state.py
+++ b/hickoryweir/forwarding/process_state.py
@@ -4,6 +4,7 @@
 import dataclasses
 import itertools
 
+from hickoryweir import clocks
 from hickoryweir.forwarding import contexts, held_bytes, open_requests
 from hickoryweir.observability import logs
 
@@ -54,8 +55,52 @@
         return max(self.current_s, self.previous_s)
 
 
-async def run(forwarder: contexts.Forwarder) -> None:
-    """Measure until cancelled."""
+@dataclasses.dataclass(slots=True)
+class Stalls:
+    """When the event loop last ran, on :func:`clocks.boottime_s`.
+
+    Attributes
+    ----------
+    checked_s, before_s : float or None
+        The last check, and the one before it; None before the first one.
+    """
+
+    checked_s: float | None = None
+    before_s: float | None = None
+
+    def record(self, now_s: float) -> None:
+        """Record a check."""
+        self.before_s, self.checked_s = self.checked_s, now_s
+
+    def earliest_s(self, now_s: float) -> float:
+        """Return since when something may have waited that the loop sees now.
+
+        Examples
+        --------
+        >>> stalls = Stalls()
+        >>> stalls.earliest_s(9.0)
+        9.0
+        >>> stalls.record(9.0)
+        >>> stalls.earliest_s(9.25), stalls.earliest_s(10.5)
+        (9.25, 9.0)
+        >>> stalls.record(10.5)
+        >>> stalls.earliest_s(10.5), stalls.earliest_s(10.75)
+        (9.0, 10.75)
+        """
+        if self.checked_s is None:
+            return now_s
+        if now_s - self.checked_s >= CHECK_INTERVAL_S + LATE_S:
+            return self.checked_s
+        # A check that ends a stall may come first.
+        if self.before_s is None or now_s - self.checked_s >= CHECK_INTERVAL_S:
+            return now_s
+        was_late = self.checked_s - self.before_s >= CHECK_INTERVAL_S + LATE_S
+        return self.before_s if was_late else now_s
+
+
+async def run(forwarder: contexts.Forwarder, stalls: Stalls | None = None) -> None:
+    """Measure until cancelled; record in `stalls` when the event loop runs."""
+    stalls = stalls or Stalls()
     loop = asyncio.get_running_loop()
     longest, logged_at_s = LongestTurn(), float("-inf")
     for check_number in itertools.count():
@@ -63,6 +108,7 @@
         await asyncio.sleep(CHECK_INTERVAL_S)
         now_s = loop.time()
         late_s = max(0.0, now_s - due_s)
+        stalls.record(clocks.boottime_s())
         resident_size_bytes = held_bytes.resident_size_bytes()
         metrics = forwarder.metrics
         metrics.longest_turn_s.set(longest.record(late_s, now_s))
