--- a/hickoryweir/testing/soak/day_losses.py
+++ b/hickoryweir/testing/soak/day_losses.py
@@ -76,7 +76,11 @@
     number = len(cluster.replicas) + len(play.gone) + 1
     host = f"{network}.{number}"
     successor = clusters.Member(
-        "replica", host, member.folder.parent / host, zone=member.zone
+        "replica",
+        host,
+        member.folder.parent / host,
+        zone=member.zone,
+        entry=member.entry,
     )
     successor.has_slow_disk = member.has_slow_disk
     successor.folder.mkdir()
