--- a/hickoryweir/forwarding/open_requests.py
+++ b/hickoryweir/forwarding/open_requests.py
@@ -146,13 +146,17 @@
     return is_at_most_once and context.sent_count > 0
 
 
+def has_begun(request: OpenRequest) -> bool:
+    """Return whether the response to a request has begun."""
+    return phase_of(request) in (Phase.STREAMING, Phase.WRITING)
+
+
 def give_up(request: OpenRequest) -> None:
     """End the handling of a request, unless its response has begun.
 
     The handler then returns a final response that says whether it may have run.
     """
-    has_response = phase_of(request) in (Phase.STREAMING, Phase.WRITING)
-    if not has_response and not request.timer.expired():
+    if not has_begun(request) and not request.timer.expired():
         request.timer.reschedule(asyncio.get_running_loop().time())
 
 
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -722,8 +722,9 @@
         Time until the last connections are closed.
     signal_delay_s : float, optional
         For how long the signal to stop may have waited to be noticed.  The process may
-        be killed by so much earlier, so requests without a response get theirs before;
-        streams go on, since they can only be cut.
+        be killed by so much earlier, so requests without a response get theirs before,
+        and the stop ends then.  Responses that have begun go on, since they can only be
+        cut.
     """
     begin_stop(running.router, time_left_s - signal_delay_s)
     running.router.port_closed_s = clocks.boottime_s()
@@ -742,9 +743,11 @@
         await _wait_until_closed(running, give_up_s, 1)
         for request in _open_requests(running):
             open_requests.give_up(request)
-    # After a stall of the event loop, the final responses still need their time.
-    until_s = max(end_s, loop.time() + ANSWER_MARGIN_S)
-    await _wait_until_closed(running, until_s, MIN_ANSWER_CHECKS_COUNT)
+        # After a stall of the event loop, the final responses still need their time.
+        until_s = max(give_up_s, loop.time()) + ANSWER_MARGIN_S
+        await _wait_until_closed(running, until_s, MIN_ANSWER_CHECKS_COUNT)
+        if not any(map(open_requests.has_begun, _open_requests(running))):
+            break
     running.header_watcher.cancel()
     if any(map(_is_unanswered, running.server.connections)):
         _log_aborted(running)
