--- a/spec/responses_fuzz.py
+++ b/spec/responses_fuzz.py
@@ -3,7 +3,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from hickoryweir.forwarding.tests import raw_responses
+from hickoryweir.forwarding.tests import early_ends, raw_responses
 
 
 class ResponsesMachine(stateful.RuleBasedStateMachine):
@@ -27,3 +27,8 @@
     def flood(self, opening: bytes, unit: bytes, is_stream: bool) -> None:
         """Check one response without end; see :func:`raw_responses.check_flood`."""
         raw_responses.check_flood(opening, unit, is_stream)
+
+    @stateful.rule(draw=early_ends.DRAWS)
+    def end_early(self, draw: early_ends.Draw) -> None:
+        """Check one response beside an upload; see :func:`early_ends.check`."""
+        early_ends.check(draw)
