Responses: all paths refuse a status that is none alike, count it and name it

It is a failure now, whose message names the status. - The commands of operators used plain sessions of aiohttp: a refusal with the status 000, 101 or 999 counted as final. They and explain use sessions.make_session. - A page of a server list without a length that was reset counted as whole. - serve, replicas and the reader of lists counted no refused connection; the reason without the status was all that a log line of the others had. record_given_up counts and logs for all; duty calls, orders, documents and lists name what was odd. - An invalid status was counted twice, as a malformed response too. - An end beside a request is told apart from other resets, in the log and in given_up_connections ("ended beside its request").

--- a/hickoryweir/cli/explain_commands.py
+++ b/hickoryweir/cli/explain_commands.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from hickoryweir.cli import exits, tables
+from hickoryweir.engines import failures, sessions
 from hickoryweir.forwarding import explanations
 
 PATH = "/explain"
@@ -70,11 +71,16 @@
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
-            session.get(f"http://{address}{PATH}", params=fields) as response,
+            sessions.make_session() as session,
+            session.get(
+                f"http://{address}{PATH}",
+                params=fields,
+                headers={"Accept-Encoding": "identity"},
+                timeout=timeout,
+            ) as response,
         ):
             status, body = response.status, await response.read()
-    except (aiohttp.ClientError, OSError, ValueError) as error:
+    except (*failures.NETWORK_ERRORS, ValueError) as error:
         reason = str(error) or "no answer in time"
         line = f"the router at {address} can't be reached: {reason}"
         return result.Failure(_Failure(line, exits.ExitCode.UNREACHABLE))
--- a/hickoryweir/daemon/process.py
+++ b/hickoryweir/daemon/process.py
@@ -97,8 +97,13 @@
         holders.render(router.holder),
         is_gone=lambda text: router.is_gone(holders.parse(text)),
     )
-    engine_session = sessions.make_session(keeps_connections=True)
-    service_session = sessions.make_session()
+    on_given_up = functools.partial(
+        metrics.record_given_up, counters.given_up_connections
+    )
+    engine_session = sessions.make_session(
+        keeps_connections=True, on_given_up=on_given_up
+    )
+    service_session = sessions.make_session(on_given_up=on_given_up)
     tracker = backends.make_tracker(core_dispatcher, engine_session)
     attempt_context = attempts.AttemptContext(
         find_server=tracker.servers.get,
--- a/hickoryweir/duties/calls.py
+++ b/hickoryweir/duties/calls.py
@@ -13,6 +13,7 @@
 
 from hickoryweir import clocks
 from hickoryweir.duties import call_rate, checked_requests
+from hickoryweir.engines import framing
 from hickoryweir.observability import logs
 
 # The infrastructure usually responds within 10 ms, and within 0.5 s when it is slow.
@@ -167,6 +168,7 @@
             if outcome in (Outcome.REFUSED, Outcome.NO_RESPONSE):
                 self._holding.give_up(permission.token, f"{outcome}: {detail}")
         self._on_outcome(call, outcome)
+        detail = f"{detail}, by {self.address}"
         _log_call(call, permission, outcome, detail, clocks.boottime_s() - started_s)
         return outcome
 
@@ -196,7 +198,7 @@
                 )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             check.abort()
-            detail = type(error).__name__
+            detail = framing.describe_error(error)
             if check.was_refused:
                 return Outcome.NOT_HOLDER, "lease ended before the write"
             if not check.has_written:
--- a/hickoryweir/engines/client.py
+++ b/hickoryweir/engines/client.py
@@ -250,7 +250,7 @@
             response.close()
             return None
     if framing.ended_by_reset(response, protocol):
-        raise sessions.ConnectionLostError("reset")
+        raise sessions.ConnectionLostError(framing.describe_reset(protocol))
     return b"".join(parts)
 
 
--- a/hickoryweir/engines/failures.py
+++ b/hickoryweir/engines/failures.py
@@ -2,7 +2,7 @@
 
 import aiohttp
 
-from hickoryweir.engines import calls, events_reader, headers, sessions
+from hickoryweir.engines import calls, events_reader, framing, headers, sessions
 from hickoryweir.outcomes import refusals
 from hickoryweir.policy import events
 
@@ -36,6 +36,9 @@
             events.FailureCause.TIMED_OUT,
             "the backend server sent no data within the read timeout",
         )
+    if isinstance(error, framing.MalformedResponseError):
+        message = f"the response is not valid HTTP: {error}"
+        return possibly_run(events.FailureCause.FAILED, message)
     connection_errors = (
         sessions.ConnectionLostError,
         aiohttp.ClientPayloadError,
--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -65,7 +65,9 @@
     "sent_target", default=None
 )
 
-OnGivenUp = Callable[[str, str], None]
+# How a response was cut that ended while its request was not taken.
+BESIDE_REQUEST = "ended beside its request"
+OnGivenUp = Callable[[str, str, str], None]
 EMPTY_LINE = b"\r\n\r\n"
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}\b")
 
@@ -126,6 +128,15 @@
     """Bytes came while no request was open on the connection."""
 
 
+# Their texts say what was odd.
+DESCRIBED_ERRORS = (
+    MalformedResponseError,
+    OversizedResponseError,
+    NoRoomError,
+    UnaskedBytesError,
+)
+
+
 def end_of(error: Exception) -> End:
     """Return how a body ended that could not be read further."""
     if isinstance(error, MalformedResponseError):
@@ -137,7 +148,22 @@
     return End.CUT_IN_BODY
 
 
-def ignore_given_up(address: str, reason: str) -> None:
+def describe_error(error: Exception) -> str:
+    """Return what was odd about a response, or the kind of another error.
+
+    Examples
+    --------
+    >>> describe_error(InvalidStatusError("status 600 is none"))
+    'status 600 is none'
+    >>> describe_error(ConnectionResetError("by the peer"))
+    'ConnectionResetError'
+    """
+    if isinstance(error, DESCRIBED_ERRORS):
+        return str(error)
+    return type(error).__name__
+
+
+def ignore_given_up(address: str, reason: str, detail: str) -> None:
     """Tell nobody that a connection was closed because of what its server sent."""
 
 
@@ -151,6 +177,9 @@
     ----------
     was_reset : bool
         Whether the server reset the connection.
+    has_ended_early : bool
+        Whether a body's end came as that of its connection, not reset by then, while
+        the server had not taken the whole request.
     idle_timeout_s : float or None
         Idle time after which the server closes the connection; None if unknown.
     carried_ids : bytearray
@@ -165,6 +194,7 @@
     """
 
     was_reset = False
+    has_ended_early = False
     idle_timeout_s: float | None = None
     requests_count = 0
     sent_at_s = float("-inf")
@@ -174,14 +204,16 @@
     _is_open = False
     # The whole request was written.
     _is_written = False
+    _is_given_up = False
     # Body of the response to the open request, and the length that its head states;
     # None before its head.
     _body: aiohttp.StreamReader | None = None
     _length_bytes: int | None = None
     # The end of the connection is that of the body.
     _is_unframed = False
-    # Loop time of such an end that came before the request was written.
+    # Loop time of such an end that came before the request was taken, and its server.
     _ended_early_at_s = 0.0
+    _ended_address = ""
     # The end of what was parsed, which may begin an empty line.
     _last_bytes = b""
 
@@ -317,19 +349,29 @@
         reason : str, optional
             What is counted, if the text of the error has too many values for that.
         """
+        if self._is_given_up:
+            # Its parser fails as well.
+            return
+        self._is_given_up = True
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(error)
         self.set_exception(error)
         if self.transport is not None:
-            host, port, *_ = self.transport.get_extra_info("peername") or ("", 0)
-            self._on_given_up(f"{host}:{port}", reason or str(error))
+            self._on_given_up(self._peer_address(), reason or str(error), str(error))
             self.transport.abort()
 
+    def _peer_address(self) -> str:
+        host, port, *_ = self.transport.get_extra_info("peername") or ("", 0)
+        return f"{host}:{port}"
+
     def eof_received(self) -> bool | None:
         """Check the socket for a reset; return whether one may still follow."""
         super().eof_received()
         if self.transport is None or self._record_reset() or not self._is_cut_early():
             return None
+        self.has_ended_early = True
+        # No longer known once the connection is lost.
+        self._ended_address = self._peer_address()
         if self.transport.get_extra_info("sslcontext") is not None:
             # An end closes connections with TLS, so that no reset would be seen.
             self.was_reset = True
@@ -373,6 +415,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record a reset that the event loop reports."""
         self.was_reset = self.was_reset or exc is not None
+        if self.was_reset and self.has_ended_early:
+            self._on_given_up(self._ended_address, BESIDE_REQUEST, BESIDE_REQUEST)
         super().connection_lost(exc)
 
 
@@ -456,8 +500,9 @@
     silent_after_s : float, optional
         Time without a byte after which a request shows that connections are silent.
     on_given_up : callable, optional
-        ``on_given_up(address, reason)`` is called when a connection is closed because
-        of what its server sent.
+        ``on_given_up(address, reason, detail)`` is called when a connection is closed
+        because of what its server sent, or when its response is cut beside its request.
+        The reasons are few, so that they can be counted.
     """
 
     def __init__(
@@ -680,3 +725,8 @@
     if framing_of(response) is not Framing.CONNECTION:
         return False
     return protocol is not None and protocol.was_reset
+
+
+def describe_reset(protocol: ResponseProtocol) -> str:
+    """Return how a body was cut, for the log."""
+    return BESIDE_REQUEST if protocol.has_ended_early else "reset"
--- a/hickoryweir/engines/sessions.py
+++ b/hickoryweir/engines/sessions.py
@@ -62,6 +62,7 @@
     owns_connector: bool = True,
     middlewares: tuple[aiohttp.ClientMiddlewareType, ...] = (),
     read_buffer_size_bytes: int = READ_BUFFER_SIZE_BYTES,
+    on_given_up: framing.OnGivenUp = framing.ignore_given_up,
 ) -> aiohttp.ClientSession:
     """Return a session for backend servers, which the caller must close.
 
@@ -77,6 +78,8 @@
         Further middlewares, which run inside `send_once`.
     read_buffer_size_bytes : int, optional
         Half of the bytes of a response that may be received ahead of its reader.
+    on_given_up : callable, optional
+        See :class:`.framing.ResponseConnector`; a `connector` has its own.
 
     Returns
     -------
@@ -88,10 +91,14 @@
         pass
     elif keeps_connections:
         connector = framing.ResponseConnector(
-            limit=NO_LIMIT, keepalive_timeout=KEEPALIVE_TIMEOUT_S
+            limit=NO_LIMIT,
+            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+            on_given_up=on_given_up,
         )
     else:
-        connector = framing.ResponseConnector(limit=NO_LIMIT, force_close=True)
+        connector = framing.ResponseConnector(
+            limit=NO_LIMIT, force_close=True, on_given_up=on_given_up
+        )
     trace_config = aiohttp.TraceConfig()
     trace_config.on_connection_reuseconn.append(record_reuse)
     return aiohttp.ClientSession(
--- a/hickoryweir/entry/replica.py
+++ b/hickoryweir/entry/replica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import math
 from collections.abc import Awaitable, Callable
 
@@ -30,7 +31,7 @@
 )
 from hickoryweir.feeds import evidence_file, publisher
 from hickoryweir.forwarding_policy import stream_versions
-from hickoryweir.observability import forwarding_metrics, logs
+from hickoryweir.observability import forwarding_metrics, logs, metrics
 from hickoryweir.replicas import (
     automation,
     client,
@@ -160,7 +161,12 @@
             ),
             get_leader_name=lambda: _leader_name(self._supervisor.node),
         )
-        self._session = sessions.make_session(keeps_connections=True)
+        self._metrics = forwarding_metrics.make_metrics()
+        given_up = self._metrics.given_up_connections
+        self._session = sessions.make_session(
+            keeps_connections=True,
+            on_given_up=functools.partial(metrics.record_given_up, given_up),
+        )
         self._publisher = publisher.make_publisher(
             self._hub,
             lambda: _make_log_status(self._supervisor.node),
@@ -180,7 +186,6 @@
         self._evidence_file = evidence_file.EvidenceFile(
             files.make_files(), entry_settings.replica.data_folder, self._publisher
         )
-        self._metrics = forwarding_metrics.make_metrics()
         self._metrics.registry.register(
             replica_metrics.ReplicaCollector(lambda: self._supervisor.node, self._hub)
         )
--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -56,7 +56,7 @@
     retry_budget,
     router_capacity,
 )
-from hickoryweir.observability import forwarding_metrics, logs
+from hickoryweir.observability import forwarding_metrics, logs, metrics
 from hickoryweir.replicas import client, wire
 from hickoryweir.routes import checks, matching, store
 
@@ -98,15 +98,6 @@
     return retry_budget.Settings(retries.ratio, retries.window_s, retries.extra_count)
 
 
-def _record_given_up(
-    metrics: forwarding_metrics.ForwardingMetrics, address: str, reason: str
-) -> None:
-    """Count and log a connection that was closed because of its server's bytes."""
-    metrics.given_up_connections.labels(reason).inc()
-    fields = logs.Fields(peer=address, reason=reason)
-    logs.warning("connection to a server given up", fields)
-
-
 def split_grace(grace_s: float) -> tuple[float, float]:
     """Return for how long a stopping router keeps its port open and then closed.
 
@@ -141,9 +132,13 @@
         )
         self._version_log = version_log.VersionLog(self._log)
         self._versions_listed = asyncio.Event()
-        self._list_session = sessions.make_session(keeps_connections=True)
         self._list_reader = list_reader.make_reader(self._list_share_per_s())
         self.forwarder = self._make_forwarder()
+        given_up = self.forwarder.metrics.given_up_connections
+        self._list_session = sessions.make_session(
+            keeps_connections=True,
+            on_given_up=functools.partial(metrics.record_given_up, given_up),
+        )
         self._skipped_entries = listing.SkippedEntries(
             self.forwarder.metrics.skipped_entries.inc
         )
@@ -173,12 +168,12 @@
         """Return the state of the forward path, with its sessions to servers."""
         entry_settings = self._settings
         held_limits = settings.held_limits(entry_settings)
-        metrics = forwarding_metrics.make_metrics()
+        counters = forwarding_metrics.make_metrics()
         retryable_session, at_most_once_session = sockets.make_sessions(
             AT_MOST_ONCE_MAX_IDLE_S,
             self._max_idle_connections,
             held_limits.socket_size_bytes,
-            functools.partial(_record_given_up, metrics),
+            functools.partial(metrics.record_given_up, counters.given_up_connections),
         )
         forwarder = contexts.Forwarder(
             settings=contexts.Settings(
@@ -188,7 +183,7 @@
                 bounds_memory=entry_settings.features.has_pressure,
             ),
             codec=self._adapters.codec,
-            metrics=metrics,
+            metrics=counters,
             retryable_session=retryable_session,
             at_most_once_session=at_most_once_session,
             generator=random.Random(),
--- a/hickoryweir/forwarding/exchange.py
+++ b/hickoryweir/forwarding/exchange.py
@@ -123,10 +123,8 @@
         return NotSent(type(error).__name__)
     except sessions.ConnectionLostError as error:
         return Lost(str(error), is_connection_end=True)
-    except framing.InvalidStatusError as error:
-        return Lost(str(error))
     except (aiohttp.ClientError, OSError, ValueError) as error:
-        return Lost(type(error).__name__)
+        return Lost(framing.describe_error(error))
     finally:
         framing.sent_request_id.reset(token)
         framing.sent_target.reset(target_token)
@@ -269,5 +267,6 @@
         response.close()
         raise
     if not chunk and framing.ended_by_reset(response, answered.protocol):
-        raise IncompleteResponseError(framing.End.CUT_IN_BODY, "reset")
+        detail = framing.describe_reset(answered.protocol)
+        raise IncompleteResponseError(framing.End.CUT_IN_BODY, detail)
     return chunk
--- a/hickoryweir/observability/forwarding_metrics.py
+++ b/hickoryweir/observability/forwarding_metrics.py
@@ -131,9 +131,7 @@
         second_sends=counter("second_sends", "Repeats.", "service", "allowed"),
         notices=counter("server_notices", "Notices of servers.", "service", "kind"),
         response_ends=counter("response_ends", "Responses.", "service", "end"),
-        given_up_connections=counter(
-            "given_up_connections", "Connections closed for bytes.", "reason"
-        ),
+        given_up_connections=metrics.make_given_up_counter(registry),
         given_up_responses=counter(
             "given_up_responses", "Responses beyond a bound.", "service", "bound"
         ),
--- a/hickoryweir/observability/metrics.py
+++ b/hickoryweir/observability/metrics.py
@@ -11,7 +11,7 @@
 from prometheus_client import core as prometheus_core
 from prometheus_client import registry as prometheus_registry
 
-from hickoryweir.observability import latencies
+from hickoryweir.observability import latencies, logs
 from hickoryweir.streams import handshake, liveness
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
@@ -29,6 +29,7 @@
     output_tokens: prometheus_client.Counter
     claims: prometheus_client.Counter
     operator_refusals: prometheus_client.Counter
+    given_up_connections: prometheus_client.Counter
     configuration_version: prometheus_client.Gauge
     in_flight: prometheus_client.Gauge
     latencies: latencies.Latencies
@@ -97,6 +98,31 @@
     )
 
 
+def make_given_up_counter(
+    registry: prometheus_client.CollectorRegistry,
+) -> prometheus_client.Counter:
+    """Return the counter of :func:`record_given_up`."""
+    documentation = "Connections closed for bytes."
+    return make_counter(registry, "given_up_connections", documentation, "reason")
+
+
+def record_given_up(
+    counter: prometheus_client.Counter, address: str, reason: str, detail: str
+) -> None:
+    """Count and log a connection that was closed because of its server's bytes.
+
+    Parameters
+    ----------
+    counter : prometheus_client.Counter
+        Made by :func:`make_given_up_counter`.
+    address, reason, detail : str
+        See :class:`hickoryweir.engines.framing.ResponseConnector`.
+    """
+    counter.labels(reason).inc()
+    fields = logs.Fields(peer=address, reason=reason, detail=detail)
+    logs.warning("connection to a server given up", fields)
+
+
 def make_metrics() -> Metrics:
     """Return the metrics of one daemon, all at zero."""
     registry = prometheus_client.CollectorRegistry()
@@ -122,6 +148,7 @@
         operator_refusals=counter(
             "operator_refusals", "Refusals of operators' requests.", "reason"
         ),
+        given_up_connections=make_given_up_counter(registry),
         configuration_version=gauge("configuration_version", "Version in force."),
         in_flight=gauge("calls_in_flight", "Calls in flight or queued."),
         latencies=store,
--- a/hickoryweir/operators/client.py
+++ b/hickoryweir/operators/client.py
@@ -13,10 +13,17 @@
 import pydantic
 from returns import result
 
+from hickoryweir.engines import framing, sessions
 from hickoryweir.operators import documents
 
 REQUEST_TIMEOUT_S = documents.MAX_WAIT_S + 15.0
 CONNECT_TIMEOUT_S = 3.0
+ERRORS = (
+    aiohttp.ClientError,
+    sessions.ConnectionLostError,
+    TimeoutError,
+    ValueError,
+)
 RETRYABLE_REASONS = (documents.Reason.NO_QUORUM, documents.Reason.OUTCOME_UNKNOWN)
 
 Document = TypeVar("Document")
@@ -78,13 +85,11 @@
     """
     errors: list[str] = []
     refusal: documents.RefusalDocument | None = None
-    timeout = aiohttp.ClientTimeout(REQUEST_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
-    headers = {"Authorization": f"Bearer {access.key}"}
-    async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
+    async with sessions.make_session() as session:
         for url in access.urls:
             try:
                 outcome = await _send(session, access, method, url + path, cls, body)
-            except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            except ERRORS as error:
                 errors.append(f"{url}: {error!r}")
                 continue
             if isinstance(outcome, result.Success):
@@ -99,8 +104,23 @@
     context = None
     if url.startswith("https:"):
         context = ssl.create_default_context(cafile=access.authority_file or None)
-    async with session.request(method, url, json=body, ssl=context or True) as response:
+    async with session.request(
+        method,
+        url,
+        json=body,
+        ssl=context or True,
+        headers={
+            "Authorization": f"Bearer {access.key}",
+            "Accept-Encoding": "identity",
+        },
+        timeout=aiohttp.ClientTimeout(
+            REQUEST_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+        ),
+    ) as response:
+        protocol = framing.protocol_of(response)
         text = await response.read()
+        if framing.ended_by_reset(response, protocol):
+            raise sessions.ConnectionLostError(framing.describe_reset(protocol))
         if response.status == http.HTTPStatus.OK:
             return result.Success(pydantic.TypeAdapter(cls).validate_json(text))
         refusal = pydantic.TypeAdapter(documents.RefusalDocument).validate_json(text)
