Responses: a connection whose request was not acknowledged is not used again

Callers saw: 502 for a second request after a sound early response with a length to an upload of 400 kB. Cause: the connection was closed only if the upload was not written, and the kernel had taken all of it; the server had not, so the rest of it stood before the second request. What the server's kernel has acknowledged counts now.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -272,7 +272,7 @@
             self._is_unframed = (
                 not head.chunked and "Content-Length" not in head.headers
             )
-            if not self._is_written:
+            if not self._is_request_taken():
                 # The server may take the rest of the request for the next one.
                 self.force_close()
         super().feed_data(message, size)
