--- a/hickoryweir/forwarding/tests/test_early_ends.py
+++ b/hickoryweir/forwarding/tests/test_early_ends.py
@@ -1,149 +1,52 @@
 """Responses without a length that end while their request is still being written."""
 
 import asyncio
-import contextlib
+import dataclasses
 import socket
-import struct
 import time
 
 import aiohttp
+import hypothesis
 import pytest
 import uvloop
 
 from hickoryweir.forwarding import headers
-from hickoryweir.forwarding.tests import sites
+from hickoryweir.forwarding.tests import early_ends, sites
+from hickoryweir.routes import model
 from hickoryweir.routes.tests import tables
 
-REQUEST_ID = f"{headers.REQUEST_ID}: r-1\r\n".encode()
-HEAD = b"HTTP/1.1 200 OK\r\n" + REQUEST_ID
 # Less and more than the buffers of the router's end hold.
 UPLOADS = {"400_kb": b"x" * 400_000, "4_mb": b"x" * 4_000_000}
-RECEIVE_BUFFER_SIZE_BYTES = 4_096
-EVENT = b"id: 1\ndata: a\n\n"
-RESET = struct.pack("ii", 1, 0)
+EVENT = early_ends.EVENT
 PARTS = {"empty": b"", "short": EVENT, "long": EVENT * 5_000}
-TIMEOUT_S = 10.0
-# Of an attempt whose end is doubtful.
-LIMIT_S = 3.0
 
 
-def reset(sock):
-    """Reset a connection."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-    sock.close()
-
-
-async def discard(sock, for_s=TIMEOUT_S, pace_s=0.0):
-    """Read until the end of the connection, or for some time."""
-    loop = asyncio.get_running_loop()
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(for_s):
-            while True:
-                if not await loop.sock_recv(sock, 65_536):
-                    return
-                await asyncio.sleep(pace_s)
-
-
-@contextlib.asynccontextmanager
-async def run_server(responses):
-    """Run a server whose connections each take the next of some functions.
-
-    ``respond(sock)`` is called with the socket once the head of a request has come.
-    """
-    loop, left, seen = asyncio.get_running_loop(), list(responses), []
-    listener = socket.create_server((sites.HOST, 0))
-    # Inherited by its connections.
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_SIZE_BYTES)
-    listener.setblocking(False)
-    tasks = set()
-
-    async def handle(sock):
-        with sock, contextlib.suppress(ConnectionError):
-            received = await loop.sock_recv(sock, 1_024)
-            if received.startswith(sites.HEALTH_CHECK):
-                await loop.sock_sendall(sock, sites.HEALTHY)
-                return
-            seen.append(received)
-            await left.pop(0)(sock)
-
-    async def accept():
-        while True:
-            sock, _ = await loop.sock_accept(listener)
-            task = asyncio.create_task(handle(sock))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-
-    accepting = asyncio.create_task(accept())
-    address = f"{sites.HOST}:{listener.getsockname()[1]}"
-    try:
-        yield sites.Backend("s0", address, None, seen)
-    finally:
-        accepting.cancel()
-        await asyncio.gather(accepting, *tasks, return_exceptions=True)
-        listener.close()
-
-
-def respond(head, body, end):
-    """Return a function that sends a response, then ends the connection."""
-
-    async def answer(sock):
-        await asyncio.get_running_loop().sock_sendall(sock, head + b"\r\n" + body)
-        await end(sock)
-
-    return answer
-
-
-def resets_after(delay_s):
-    """Return an end by a FIN, and a reset after a delay."""
-
-    async def end(sock):
-        sock.shutdown(socket.SHUT_WR)
-        await asyncio.sleep(delay_s)
-        reset(sock)
-
-    return end
-
-
-def closes_after(delay_s):
-    """Return an end by a FIN, then by a close with bytes unread."""
-
-    async def end(sock):
-        sock.shutdown(socket.SHUT_WR)
-        await asyncio.sleep(delay_s)
-
-    return end
-
-
-async def closes_when_read(sock):
-    """Read a few parts, and close while more of the request follows."""
-    for _ in range(3):
-        await asyncio.get_running_loop().sock_recv(sock, RECEIVE_BUFFER_SIZE_BYTES)
-
-
-def reads_on(pace_s):
-    """Return an end by a FIN after which the request is read to its end."""
-
-    async def end(sock):
-        sock.shutdown(socket.SHUT_WR)
-        await discard(sock, pace_s=pace_s)
-
-    return end
-
-
-ENDS = {
-    "reset": resets_after(0.0),
-    "reset_later": resets_after(0.3),
-    "closed": closes_after(0.0),
-    "closed_later": closes_after(0.1),
-    "closed_when_read": closes_when_read,
-}
 STREAM = tables.make_route(
-    allows_anonymous=True, is_stream=True, timeout_s=TIMEOUT_S, max_attempts_count=3
+    allows_anonymous=True,
+    is_stream=True,
+    timeout_s=early_ends.TIMEOUT_S,
+    max_attempts_count=3,
 )
 PLAIN = tables.make_route(
-    allows_anonymous=True, timeout_s=TIMEOUT_S, max_attempts_count=3
+    allows_anonymous=True, timeout_s=early_ends.TIMEOUT_S, max_attempts_count=3
 )
-ONCE = sites.at_most_once_route(timeout_s=TIMEOUT_S)
+ONCE = sites.at_most_once_route(timeout_s=early_ends.TIMEOUT_S)
+
+
+# Shrinking a draw would take minutes.
+FIXED_DRAWS = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=12,
+    phases=(hypothesis.Phase.generate,),
+)
+
+
+@FIXED_DRAWS
+@hypothesis.given(early_ends.DRAWS)
+def test_drawn_ends_beside_uploads_are_passed_on_only_if_sound(draw):
+    early_ends.check(draw)
 
 
 def call(route, responses, body):
@@ -155,7 +58,7 @@
     async def main():
         async with (
             sites.run_site([], routes=(route,)) as site,
-            run_server(responses) as backend,
+            early_ends.run_server(responses) as backend,
         ):
             sites.list_servers(site.forwarder, [backend])
             started_s = time.monotonic()
@@ -171,25 +74,29 @@
 
 
 @pytest.mark.parametrize("upload", UPLOADS)
-@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("end", early_ends.ENDS)
 @pytest.mark.parametrize("part", PARTS)
 def test_part_of_a_response_beside_an_upload_is_an_unknown_outcome(part, end, upload):
     status, received, elapsed_s, sent_count = call(
-        ONCE, [respond(HEAD, PARTS[part], ENDS[end])], UPLOADS[upload]
+        ONCE,
+        [early_ends.respond(early_ends.HEAD, PARTS[part], early_ends.ENDS[end])],
+        UPLOADS[upload],
     )
     assert (status, received, sent_count) == (502, b"outcome_unknown\n", 1)
-    assert elapsed_s < LIMIT_S
+    assert elapsed_s < early_ends.LIMIT_S
 
 
 @pytest.mark.parametrize("upload", UPLOADS)
-@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("end", early_ends.ENDS)
 @pytest.mark.parametrize("part", ["short", "long"])
 def test_part_of_a_stream_beside_an_upload_is_broken_off(part, end, upload):
     status, _, elapsed_s, _ = call(
-        STREAM, [respond(HEAD, PARTS[part], ENDS[end])], UPLOADS[upload]
+        STREAM,
+        [early_ends.respond(early_ends.HEAD, PARTS[part], early_ends.ENDS[end])],
+        UPLOADS[upload],
     )
     assert status is None
-    assert elapsed_s < LIMIT_S
+    assert elapsed_s < early_ends.LIMIT_S
 
 
 @pytest.mark.parametrize("upload", UPLOADS)
@@ -199,35 +106,43 @@
 def test_response_of_a_server_that_reads_on_after_its_end_is_whole(
     part, pace_s, status, upload
 ):
-    head = HEAD.replace(b"200 OK", status.encode())
-    found = call(ONCE, [respond(head, PARTS[part], reads_on(pace_s))], UPLOADS[upload])
+    head = early_ends.HEAD.replace(b"200 OK", status.encode())
+    found = call(
+        ONCE,
+        [early_ends.respond(head, PARTS[part], early_ends.reads_on(pace_s))],
+        UPLOADS[upload],
+    )
     assert found[:2] == (int(status[:3]), PARTS[part])
 
 
-@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("end", early_ends.ENDS)
 @pytest.mark.parametrize("part", PARTS)
 def test_response_with_a_length_beside_an_upload_is_whole(part, end):
     body = PARTS[part]
-    head = HEAD + b"Content-Length: %d\r\n" % len(body)
+    head = early_ends.HEAD + b"Content-Length: %d\r\n" % len(body)
 
     async def end_when_sent(sock):
         # A reset discards what the router has not read.
         await asyncio.sleep(0.2)
-        await ENDS[end](sock)
+        await early_ends.ENDS[end](sock)
 
-    found = call(ONCE, [respond(head, body, end_when_sent)], UPLOADS["400_kb"])
+    found = call(
+        ONCE, [early_ends.respond(head, body, end_when_sent)], UPLOADS["400_kb"]
+    )
     assert found[:2] == (200, body)
 
 
 @pytest.mark.parametrize("status", [204, 304])
 def test_response_without_a_body_beside_an_upload_is_whole(status):
-    head = HEAD.replace(b"200 OK", b"%d X" % status)
+    head = early_ends.HEAD.replace(b"200 OK", b"%d X" % status)
 
     async def end_when_sent(sock):
         await asyncio.sleep(0.2)
-        reset(sock)
+        early_ends.reset(sock)
 
-    found = call(ONCE, [respond(head, b"", end_when_sent)], UPLOADS["400_kb"])
+    found = call(
+        ONCE, [early_ends.respond(head, b"", end_when_sent)], UPLOADS["400_kb"]
+    )
     assert found[:2] == (status, b"")
 
 
@@ -235,6 +150,168 @@
     async def close(sock):
         sock.shutdown(socket.SHUT_WR)
 
-    status, received, elapsed_s, _ = call(ONCE, [respond(HEAD, EVENT, close)], b"x")
+    status, received, elapsed_s, _ = call(
+        ONCE, [early_ends.respond(early_ends.HEAD, EVENT, close)], b"x"
+    )
     assert (status, received) == (200, EVENT)
     assert elapsed_s < 0.3
+
+
+@pytest.mark.parametrize("end", early_ends.ENDS)
+def test_part_of_a_response_in_http_1_0_is_an_unknown_outcome(end):
+    head = early_ends.HEAD.replace(b"HTTP/1.1", b"HTTP/1.0")
+    respond = early_ends.respond(head, EVENT, early_ends.ENDS[end])
+    found = call(ONCE, [respond], UPLOADS["400_kb"])
+    assert found[:2] == (502, b"outcome_unknown\n")
+
+
+@pytest.mark.parametrize("parts_count", [1, 5, 15])
+@pytest.mark.parametrize("pace_s", [0.0, 0.02])
+def test_part_of_a_response_of_a_server_that_reads_some_is_an_unknown_outcome(
+    pace_s, parts_count
+):
+    end = early_ends.reads_some(parts_count, pace_s)
+    respond = early_ends.respond(early_ends.HEAD, EVENT, end)
+    found = call(ONCE, [respond], UPLOADS["400_kb"])
+    assert found[:2] == (502, b"outcome_unknown\n")
+
+
+def responds_second(head, body, end):
+    """Return a function that answers a first request well, then ends at the second."""
+
+    async def answer(sock):
+        loop = asyncio.get_running_loop()
+        good = early_ends.HEAD + b"Content-Length: 1\r\n\r\na"
+        await loop.sock_sendall(sock, good)
+        await loop.sock_recv(sock, 1_024)
+        await early_ends.respond(head, body, end)(sock)
+
+    return answer
+
+
+async def call_kept(answer, second, third):
+    """Return the results of three calls; the first leaves its connection open."""
+    routes = (ONCE,)
+    async with (
+        sites.run_site([], routes=routes) as site,
+        early_ends.run_server([answer, third]) as backend,
+    ):
+        sites.list_servers(site.forwarder, [backend])
+        found = []
+        for number, body in enumerate((None, second, None), start=1):
+            # A request whose id its connection may have carried takes another one.
+            given = {headers.REQUEST_ID: f"r-{number}"}
+            status, _, received = await site.call(data=body, given=given)
+            found.append((status, received))
+        return found, len(backend.seen)
+
+
+def answer_id(number):
+    return early_ends.HEAD.replace(b"r-1", b"r-%d" % number)
+
+
+@pytest.mark.parametrize("end", [*early_ends.ENDS, "reads_on"])
+def test_second_request_on_a_kept_connection_may_end_early(end):
+    """Its connection, and only that, is not used again."""
+    ends = early_ends.ENDS | {"reads_on": early_ends.reads_on(0.0)}
+    answer = responds_second(answer_id(2), EVENT, ends[end])
+    third = early_ends.respond(
+        answer_id(3) + b"Content-Length: 1\r\n", b"c", early_ends.closes_after(0.0)
+    )
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        found, connections_count = runner.run(
+            call_kept(answer, UPLOADS["400_kb"], third)
+        )
+    second = (200, EVENT) if end == "reads_on" else (502, b"outcome_unknown\n")
+    assert found == [(200, b"a"), second, (200, b"c")]
+    assert connections_count == 2
+
+
+@pytest.mark.parametrize("end", early_ends.ENDS)
+def test_stream_that_is_cut_beside_its_upload_is_resumed_on_another_server(end):
+    route = tables.make_route(
+        allows_anonymous=True,
+        is_stream=True,
+        execution=model.Execution.RESUMABLE_STREAM,
+        timeout_s=early_ends.TIMEOUT_S,
+    )
+    head = early_ends.HEAD + b"Content-Type: text/event-stream\r\n"
+    rest = EVENT.replace(b"1", b"2")
+    length = b"Content-Length: %d\r\n" % len(rest)
+
+    async def cut(sock):
+        # A reset discards what the router has not read.
+        await asyncio.sleep(0.1)
+        await early_ends.ENDS[end](sock)
+
+    async def main():
+        async with (
+            sites.run_site([], routes=(route,)) as site,
+            early_ends.run_server([early_ends.respond(head, EVENT, cut)]) as first,
+            early_ends.run_server(
+                [early_ends.respond(head + length, rest, early_ends.closes_after(0.2))]
+            ) as other,
+        ):
+            other = dataclasses.replace(other, server_id="s1")
+            sites.list_servers(site.forwarder, [first])
+            calling = asyncio.create_task(site.call(data=UPLOADS["400_kb"]))
+            await sites.wait_until(lambda: first.seen)
+            sites.list_servers(site.forwarder, [first, other])
+            status, _, received = await calling
+            return status, received, other.seen
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        status, received, seen = runner.run(main())
+    assert (status, received) == (200, EVENT + rest)
+    assert b"last-event-id: 1\r\n" in seen[0].lower()
+
+
+def test_early_end_is_named_and_counted_by_its_end(caplog):
+    respond = early_ends.respond(
+        early_ends.HEAD, EVENT, early_ends.ENDS["closed_later"]
+    )
+    with caplog.at_level("INFO"):
+        call(ONCE, [respond], UPLOADS["400_kb"])
+    lines = [
+        (record.args[0].fields.backend_server, record.args[0].fields.reason)
+        for record in caplog.records
+        if record.args and record.args[0].message == "response ended early"
+    ]
+    assert lines == [("s0", "cut in its body: ended beside its request")]
+
+
+@pytest.mark.parametrize("upload", UPLOADS)
+@pytest.mark.parametrize("status", ["200 OK", "204 X"])
+def test_connection_of_a_request_that_was_not_taken_is_not_used_again(status, upload):
+    """Its server may take the rest of the request for the next one."""
+    length = b"" if status.startswith("204") else b"Content-Length: 0\r\n"
+    head = answer_id(1).replace(b"200 OK", status.encode()) + length
+    ended = []
+
+    async def stay(sock):
+        await early_ends.discard(sock, pace_s=0.002)
+        ended.append(sock)
+
+    async def main():
+        third = early_ends.respond(
+            answer_id(2) + b"Content-Length: 0\r\n",
+            b"",
+            early_ends.closes_after(0.0),
+        )
+        async with (
+            sites.run_site([], routes=(ONCE,)) as site,
+            early_ends.run_server(
+                [early_ends.respond(head, b"", stay), third]
+            ) as backend,
+        ):
+            sites.list_servers(site.forwarder, [backend])
+            found = [(await site.call(data=UPLOADS[upload]))[0]]
+            given = {headers.REQUEST_ID: "r-2"}
+            found.append((await site.call(given=given))[0])
+            # The router has closed the first one.
+            await sites.wait_until(lambda: ended)
+            return found, len(backend.seen)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        found, connections_count = runner.run(main())
+    assert (found, connections_count) == ([int(status[:3]), 200], 2)
