--- a/hickoryweir/testing/soak/stop_oracle.py
+++ b/hickoryweir/testing/soak/stop_oracle.py
@@ -1,6 +1,7 @@
 """Checks promises around planned stops from what clients and servers recorded."""
 
 import dataclasses
+import http
 import signal
 
 from hickoryweir.forwarding import errors
@@ -17,6 +18,7 @@
 PLANNED_WORK_END_S = stop_records.GRACE_S + 1.0
 ENDS_CLEAN = "a planned stop ends clean"
 CUT_OFF = "a planned stop cuts nothing off"
+OWN_ERROR = "a router answers no request with an error of its own"
 GIVEN_UP = "a planned stop waits for servers until the last sixth of the grace"
 UNDELIVERED = "a ready answer is delivered"
 KEPT = "at most three requests on kept connections get no answer in a run"
@@ -134,6 +136,8 @@
         broken.append("at most once")
     if request.status in NOT_RUN_STATUSES and runs_count:
         broken.append("not run is true")
+    if request.status == http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        broken.append(OWN_ERROR)
     if was_given_up_early(request):
         broken.append(GIVEN_UP)
     if request.end == stop_clients.NO_ANSWER or not request.is_correct:
--- a/hickoryweir/testing/soak/tests/test_stop_oracle.py
+++ b/hickoryweir/testing/soak/tests/test_stop_oracle.py
@@ -114,6 +114,11 @@
     assert stop_oracle.split(findings) == (findings, [])
 
 
+def test_error_of_a_routers_own_is_reported():
+    failed = make_request(status=500, is_whole=True, end="whole")
+    assert find_promises(make_target(RAN), failed) == [stop_oracle.OWN_ERROR]
+
+
 @pytest.mark.parametrize("status", [408, 421, 429, 503])
 def test_false_not_run_is_reported(status):
     refused = make_request(status=status, is_whole=True, end="whole")
