--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -724,9 +724,9 @@
     response: aiohttp.ClientResponse, protocol: ResponseProtocol | None
 ) -> bool:
     """Return whether a body that ends with its connection was truncated by a reset."""
-    if framing_of(response) is not Framing.CONNECTION:
+    if not isinstance(protocol, ResponseProtocol) or not protocol.was_reset:
         return False
-    return protocol is not None and protocol.was_reset
+    return framing_of(response) is Framing.CONNECTION
 
 
 def describe_reset(protocol: ResponseProtocol) -> str:
--- a/spec/lists_fuzz.py
+++ b/spec/lists_fuzz.py
@@ -123,6 +123,9 @@
 class _Session:
     """Answers with the page whose number is in the URL."""
 
+    # Of a response: it has no connection that could be reset.
+    _protocol = None
+
     def __init__(self, pages: list[bytes]) -> None:
         self._pages = pages
 
