--- a/hickoryweir/forwarding/lingering.py
+++ b/hickoryweir/forwarding/lingering.py
@@ -7,10 +7,10 @@
 
 import dataclasses
 
-CHECK_INTERVAL_S = 0.5
+CHECK_INTERVAL_S = 0.25
 # Time in which a response reaches its client once what is in front of that, or its
 # kernel, has acknowledged it.
-ARRIVAL_TIME_S = 0.5
+ARRIVAL_TIME_S = 0.25
 # Time without an acknowledged byte after which a client counts as gone.
 STALL_TIMEOUT_S = 5.0
 MAX_TIME_S = 60.0
