--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import functools
+import itertools
 from collections.abc import Awaitable, Callable, Iterator
 
 import multidict
@@ -741,13 +742,15 @@
         await _wait_until_closed(running, give_up_s - STOP_CHECK_INTERVAL_S)
         # Responses that arrived while the event loop was held up are read before that.
         await _wait_until_closed(running, give_up_s, 1)
-        for request in _open_requests(running):
-            open_requests.give_up(request)
-        # After a stall of the event loop, the final responses still need their time.
-        until_s = max(give_up_s, loop.time()) + ANSWER_MARGIN_S
-        await _wait_until_closed(running, until_s, MIN_ANSWER_CHECKS_COUNT)
-        if not any(map(open_requests.has_begun, _open_requests(running))):
+        if _give_up_unanswered(running):
+            # After a stall of the event loop, final responses still need their time.
+            until_s = max(give_up_s, loop.time()) + ANSWER_MARGIN_S
+            await _wait_until_closed(running, until_s, MIN_ANSWER_CHECKS_COUNT)
+        has_begun = any(map(open_requests.has_begun, _open_requests(running)))
+        if signal_delay_s and not has_begun:
             break
+    else:
+        await _wait_until_closed(running, end_s)
     running.header_watcher.cancel()
     if any(map(_is_unanswered, running.server.connections)):
         _log_aborted(running)
@@ -762,6 +765,15 @@
     return [request for request in found if request is not None]
 
 
+def _give_up_unanswered(running: RunningServer) -> bool:
+    """Give up the requests without a response; return whether there are any."""
+    found = _open_requests(running)
+    unanswered = list(itertools.filterfalse(open_requests.has_begun, found))
+    for request in unanswered:
+        open_requests.give_up(request)
+    return bool(unanswered)
+
+
 async def _wait_until_closed(
     running: RunningServer, until_s: float, min_checks_count: int = 0
 ) -> None:
