Read-through: the usual terms for invalid statuses and early ends; the end of a stop has its own function

Names and texts only, and two splits without a change of behaviour: server.stop leaves the waiting and giving up to _end_requests, and slow_disk_process takes its own name off the arguments once. 'Invalid status' and 'acknowledged' are the field's words; a comment on how long a flush takes said how a value was chosen.

--- a/hickoryweir/engines/framing.py
+++ b/hickoryweir/engines/framing.py
@@ -47,8 +47,8 @@
 SILENT_AFTER_S = 0.25
 # Size of a hash in Python.
 DIGEST_SIZE_BYTES = 8
-# After a response without a length has ended beside its request: until the end is taken
-# for that of the response, and until the request is waited for no longer.
+# After a response without a length has ended before its request was acknowledged: until
+# the response counts as whole, and until the request is waited for no longer.
 EARLY_END_WAIT_S = 0.5
 EARLY_END_MAX_S = 2.0
 EARLY_END_CHECK_INTERVAL_S = 0.02
@@ -65,8 +65,8 @@
     "sent_target", default=None
 )
 
-# How a response was cut that ended while its request was not taken.
-BESIDE_REQUEST = "ended beside its request"
+# How a response was truncated whose connection was reset after its end.
+ENDED_EARLY = "ended before its request was acknowledged"
 OnGivenUp = Callable[[str, str, str], None]
 EMPTY_LINE = b"\r\n\r\n"
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}\b")
@@ -113,7 +113,7 @@
 
 
 class InvalidStatusError(MalformedResponseError):
-    """A response has a status that is none, or one that nobody asked for."""
+    """A response has an unknown status, or 101 without an upgrade."""
 
 
 class OversizedResponseError(aiohttp.ClientPayloadError):
@@ -153,8 +153,8 @@
 
     Examples
     --------
-    >>> describe_error(InvalidStatusError("status 600 is none"))
-    'status 600 is none'
+    >>> describe_error(InvalidStatusError("invalid status 600"))
+    'invalid status 600'
     >>> describe_error(ConnectionResetError("by the peer"))
     'ConnectionResetError'
     """
@@ -178,8 +178,8 @@
     was_reset : bool
         Whether the server reset the connection.
     has_ended_early : bool
-        Whether a body's end came as that of its connection, not reset by then, while
-        the server had not taken the whole request.
+        Whether a body ended with its connection, not reset by then, before the server
+        had acknowledged the whole request.
     idle_timeout_s : float or None
         Idle time after which the server closes the connection; None if unknown.
     carried_ids : bytearray
@@ -211,7 +211,7 @@
     _length_bytes: int | None = None
     # The end of the connection is that of the body.
     _is_unframed = False
-    # Loop time of such an end that came before the request was taken, and its server.
+    # Loop time of such an end before the request was acknowledged, and the server.
     _ended_early_at_s = 0.0
     _ended_address = ""
     # The end of what was parsed, which may begin an empty line.
@@ -264,7 +264,7 @@
             return
         head, body = message
         if not _is_valid_status(head.code):
-            error = InvalidStatusError(f"status {head.code} is none")
+            error = InvalidStatusError(f"invalid status {head.code}")
             self._give_up(error, "invalid status")
             return
         if self._body is None and not _is_interim(head.code):
@@ -272,7 +272,7 @@
             self._is_unframed = (
                 not head.chunked and "Content-Length" not in head.headers
             )
-            if not self._is_request_taken():
+            if not self._is_request_acknowledged():
                 # The server may take the rest of the request for the next one.
                 self.force_close()
         super().feed_data(message, size)
@@ -388,11 +388,11 @@
         return self.was_reset
 
     def _is_cut_early(self) -> bool:
-        """Return whether the body may end since the server takes no more bytes."""
+        """Return whether the end of the body may come from a server that has closed."""
         is_open = self._is_open and self._body is not None and not self._body.is_eof()
-        return is_open and self._is_unframed and not self._is_request_taken()
+        return is_open and self._is_unframed and not self._is_request_acknowledged()
 
-    def _is_request_taken(self) -> bool:
+    def _is_request_acknowledged(self) -> bool:
         """Return whether the server's kernel has acknowledged the whole request."""
         transport = self.transport
         if transport is None:
@@ -408,7 +408,7 @@
         if self.transport is None or self.transport.is_closing():
             return
         since_s = self._loop.time() - self._ended_early_at_s
-        is_over = since_s >= EARLY_END_WAIT_S and self._is_request_taken()
+        is_over = since_s >= EARLY_END_WAIT_S and self._is_request_acknowledged()
         if self._record_reset() or is_over or since_s >= EARLY_END_MAX_S:
             self.transport.abort()
             return
@@ -418,7 +418,7 @@
         """Record a reset that the event loop reports."""
         self.was_reset = self.was_reset or exc is not None
         if self.was_reset and self.has_ended_early:
-            self._on_given_up(self._ended_address, BESIDE_REQUEST, BESIDE_REQUEST)
+            self._on_given_up(self._ended_address, ENDED_EARLY, ENDED_EARLY)
         super().connection_lost(exc)
 
 
@@ -503,7 +503,7 @@
         Time without a byte after which a request shows that connections are silent.
     on_given_up : callable, optional
         ``on_given_up(address, reason, detail)`` is called when a connection is closed
-        because of what its server sent, or when its response is cut beside its request.
+        because of what its server sent, or when its response ends early and is reset.
         The reasons are few, so that they can be counted.
     """
 
@@ -731,4 +731,4 @@
 
 def describe_reset(protocol: ResponseProtocol) -> str:
     """Return how a body was cut, for the log."""
-    return BESIDE_REQUEST if protocol.has_ended_early else "reset"
+    return ENDED_EARLY if protocol.has_ended_early else "reset"
--- a/hickoryweir/engines/tests/test_own_calls.py
+++ b/hickoryweir/engines/tests/test_own_calls.py
@@ -43,7 +43,7 @@
 
 
 def named(status):
-    return f"status {int(status[:3])} is none"
+    return f"invalid status {int(status[:3])}"
 
 
 @pytest.mark.parametrize("status", INVALID)
@@ -206,8 +206,8 @@
     end = early_ends.ENDS["reset_later"]
     server = early_ends.run_server([early_ends.respond(early_ends.HEAD, b"a", end)])
     address, reasons, lines = count_and_log(caplog, server, b"x" * 400_000)
-    assert reasons == {"ended beside its request": 1.0}
-    assert lines == [(address, "ended beside its request")]
+    assert reasons == {"ended before its request was acknowledged": 1.0}
+    assert lines == [(address, "ended before its request was acknowledged")]
 
 
 def test_sound_end_beside_a_request_is_not_counted(caplog):
--- a/hickoryweir/engines/tests/test_response_ends.py
+++ b/hickoryweir/engines/tests/test_response_ends.py
@@ -1,4 +1,4 @@
-"""Calls of `serve` whose response has no valid status, or ends beside its request."""
+"""Calls of `serve` whose response has no valid status, or ends before its request."""
 
 import asyncio
 import contextlib
@@ -63,7 +63,7 @@
     assert failure.ran is refusals.Ran.MAYBE
     # The server lives: the call is not suspected of having crashed it.
     assert failure.cause is events.FailureCause.FAILED
-    assert f"status {int(status[:3])} is none" in failure.message
+    assert f"invalid status {int(status[:3])}" in failure.message
 
 
 def call_early(kind, answer, loop):
--- a/hickoryweir/forwarding/open_requests.py
+++ b/hickoryweir/forwarding/open_requests.py
@@ -136,8 +136,8 @@
 def runs_to_its_end(request: OpenRequest) -> bool:
     """Return whether a request goes on at a server although its client has left.
 
-    A plain call that may not be repeated is not stopped midway, so its response comes
-    for a client that has only ended its sending side.
+    A plain call that may not be repeated is not stopped midway, so its response is
+    there for a client that has only ended its sending side.
     """
     context = request.context
     if context is None or context.route.is_stream:
@@ -204,7 +204,7 @@
         admitted_after_s = request.admitted_at_s - request.received_at_s
         parts.append(f"admitted after {admitted_after_s:.3f} s")
         since_s = request.admitted_at_s - stop_began_s
-        parts.append(f"{since_s:+.3f} s from the begin of the stop")
+        parts.append(f"{since_s:+.3f} s from the start of the stop")
         parts.append(f"{context.time_left_s:.3f} s left")
         if context.stream_response is not None:
             parts.append(f"at event {context.last_event_id or 'none'}")
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -737,6 +737,36 @@
     # Connections that were accepted before are in the server's list after this.
     await asyncio.gather(*opening)
     await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+    await _end_requests(running, end_s, signal_delay_s)
+    running.header_watcher.cancel()
+    if any(map(_is_unanswered, running.server.connections)):
+        _log_aborted(running)
+    _log_undelivered(running)
+    for connection in list(running.server.connections):
+        connection.force_close()
+
+
+def _open_requests(running: RunningServer) -> list[open_requests.OpenRequest]:
+    """Return the open requests that came in by a server's own port."""
+    found = map(running.router.open_requests.get, running.server.connections)
+    return [request for request in found if request is not None]
+
+
+async def _end_requests(
+    running: RunningServer, end_s: float, signal_delay_s: float
+) -> None:
+    """Wait for the responses, and give up in time what has none.
+
+    Parameters
+    ----------
+    running : RunningServer
+        The server, whose port is closed.
+    end_s : float
+        Loop time at which the last connections are closed.
+    signal_delay_s : float
+        See :func:`stop`.
+    """
+    loop = asyncio.get_running_loop()
     last_give_up_s = end_s - ANSWER_MARGIN_S
     for give_up_s in dict.fromkeys((last_give_up_s - signal_delay_s, last_give_up_s)):
         await _wait_until_closed(running, give_up_s - STOP_CHECK_INTERVAL_S)
@@ -751,18 +781,6 @@
             break
     else:
         await _wait_until_closed(running, end_s)
-    running.header_watcher.cancel()
-    if any(map(_is_unanswered, running.server.connections)):
-        _log_aborted(running)
-    _log_undelivered(running)
-    for connection in list(running.server.connections):
-        connection.force_close()
-
-
-def _open_requests(running: RunningServer) -> list[open_requests.OpenRequest]:
-    """Return the open requests that came in by a server's own port."""
-    found = map(running.router.open_requests.get, running.server.connections)
-    return [request for request in found if request is not None]
 
 
 def _give_up_unanswered(running: RunningServer) -> bool:
--- a/hickoryweir/forwarding/tests/test_early_ends.py
+++ b/hickoryweir/forwarding/tests/test_early_ends.py
@@ -277,7 +277,9 @@
         for record in caplog.records
         if record.args and record.args[0].message == "response ended early"
     ]
-    assert lines == [("s0", "cut in its body: ended beside its request")]
+    assert lines == [
+        ("s0", "cut in its body: ended before its request was acknowledged")
+    ]
 
 
 @pytest.mark.parametrize("upload", UPLOADS)
--- a/hickoryweir/forwarding/tests/test_invalid_statuses.py
+++ b/hickoryweir/forwarding/tests/test_invalid_statuses.py
@@ -1,4 +1,4 @@
-"""Responses of backend servers whose status is none."""
+"""Responses of backend servers with an invalid status."""
 
 import asyncio
 import contextlib
@@ -172,4 +172,4 @@
         for record in caplog.records
         if record.args and record.args[0].message == "request sent"
     ]
-    assert f"Lost: status {int(status[:3])} is none" in reasons
+    assert f"Lost: invalid status {int(status[:3])}" in reasons
--- a/hickoryweir/forwarding/tests/test_kept_connections.py
+++ b/hickoryweir/forwarding/tests/test_kept_connections.py
@@ -270,9 +270,9 @@
         (
             b"HTTP/1.1 999 X\r\nContent-Length: 5\r\n\r\nwhole",
             "invalid status",
-            "status 999 is none",
+            "invalid status 999",
         ),
-        (b"HTTP/1.1 999 X\r\n\r\nwhole", "invalid status", "status 999 is none"),
+        (b"HTTP/1.1 999 X\r\n\r\nwhole", "invalid status", "invalid status 999"),
         (b"HTTP/1.1 OK\r\n\r\n", "malformed response", ""),
     ],
 )
--- a/hickoryweir/operators/client.py
+++ b/hickoryweir/operators/client.py
@@ -18,7 +18,7 @@
 
 REQUEST_TIMEOUT_S = documents.MAX_WAIT_S + 15.0
 CONNECT_TIMEOUT_S = 3.0
-ERRORS = (
+SEND_ERRORS = (
     aiohttp.ClientError,
     sessions.ConnectionLostError,
     TimeoutError,
@@ -89,7 +89,7 @@
         for url in access.urls:
             try:
                 outcome = await _send(session, access, method, url + path, cls, body)
-            except ERRORS as error:
+            except SEND_ERRORS as error:
                 errors.append(f"{url}: {error!r}")
                 continue
             if isinstance(outcome, result.Success):
--- a/hickoryweir/process_exit.py
+++ b/hickoryweir/process_exit.py
@@ -10,7 +10,7 @@
 import threading
 from typing import NoReturn
 
-# Writing the rest of a buffer takes microseconds; nobody may read it.
+# A flush blocks as long as nobody reads a full pipe.
 FLUSH_TIMEOUT_S = 0.1
 
 
--- a/hickoryweir/testing/slow_disk_process.py
+++ b/hickoryweir/testing/slow_disk_process.py
@@ -35,12 +35,11 @@
 
 if __name__ == "__main__":
     use_slow_disk(pathlib.Path(sys.argv.pop(1)))
-    program = sys.argv[1]
+    sys.argv.pop(0)
+    program = sys.argv[0]
     if program.endswith(".py"):
-        sys.argv.pop(0)
-        # As for any script.
+        # The interpreter puts the folder of a script first.
         sys.path.insert(0, str(pathlib.Path(program).parent))
         runpy.run_path(program, run_name="__main__")
     else:
-        sys.argv.pop(0)
         runpy.run_module(program, run_name="__main__", alter_sys=True)
