Replicated log: two more voters where availability zones share the votes

Cause: a successor takes over the vote of the oldest voter of its zone, since no process is told which replica it succeeds. With two voters in a zone that is a guess; a wrong one leaves a vote on a machine that is gone.

Fix: with fewer zones than wanted voters, the leader keeps two voters more while as many members that count respond and no zone holds a majority. Seven voters tolerate any three losses, so the guess does not matter. After a loss the silent voter is removed and one is demoted; each group in between tolerates two losses. With a zone for each vote nothing changes.

--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -9,7 +9,9 @@
 
 A replica that joins takes over the vote of an older one as soon as it has caught up,
 while both are live.  The older one may be lost for good from then on, at the same
-moment as one more disk.
+moment as one more disk.  Where availability zones share the votes, it is not known
+which replica the newcomer succeeds; there the group votes with two more replicas
+instead, as long as enough of them respond.
 """
 
 import asyncio
@@ -95,9 +97,11 @@
     own_id : str
         The leader's member id.
     voters_wanted_count : int
-        Wanted number of voters.
+        Number of voters that tolerates the wanted losses; the group may have two more
+        (`_choose_voters_count`).
     """
     voters = [view for view in views if view.member.voter]
+    voters_wanted_count = _choose_voters_count(views, voters, voters_wanted_count)
     others = [view for view in voters if view.member.member_id != own_id]
     caught_up = [
         view
@@ -133,6 +137,36 @@
     return None
 
 
+def _choose_voters_count(
+    views: tuple[MemberView, ...], voters: list[MemberView], voters_wanted_count: int
+) -> int:
+    """Return the number of voters that the group should have at present.
+
+    A replica may be lost for good beside its successor, in addition to the losses that
+    `voters_wanted_count` tolerates.  With a zone for each vote it is the one whose vote
+    the successor has taken over.  With fewer zones it may be any voter, so the group
+    has two voters more if as many members can vote and no zone holds a majority.
+
+    A learner is counted once it has caught up; it does not uncount when it lags again,
+    since the group would grow and shrink with its lag.
+    """
+    has_extra = len(voters) > voters_wanted_count
+    zones = [
+        view.member.availability_zone
+        for view in views
+        if view.since_contact_s <= UNREACHABLE_AFTER_S
+        and not (view.yields or view.is_leaving)
+        and (view.member.voter or view.is_caught_up or has_extra)
+    ]
+    names = set(zones)
+    if len(names) >= voters_wanted_count:
+        return voters_wanted_count
+    larger_count = voters_wanted_count + 2
+    minority_count = larger_count - quorums.majority_count(larger_count)
+    available_count = sum(min(zones.count(name), minority_count) for name in names)
+    return larger_count if available_count >= larger_count else voters_wanted_count
+
+
 def _choose_promotion(
     others: list[MemberView],
     voters: list[MemberView],
--- a/hickoryweir/testing/soak/cluster.py
+++ b/hickoryweir/testing/soak/cluster.py
@@ -51,6 +51,7 @@
 data_folder = {folder}
 bootstrap = {bootstrap}
 is_in_fault_budget = {is_in_fault_budget}
+tolerated_losses_count = {tolerated_losses_count}
 
 [discovery]
 address = {list_address}
@@ -162,6 +163,7 @@
     has_links: bool = False,
     replica_zones: tuple[str, ...] = (ZONE,) * REPLICAS_COUNT,
     started_count: int = REPLICAS_COUNT,
+    tolerated_losses_count: int = 1,
 ) -> Cluster:
     """Start backend servers, replicas and routers, without waiting for readiness.
 
@@ -189,6 +191,7 @@
         "list_address": f"{proxies.HOST}:{listener.sockets[0].getsockname()[1]}",
         "grace_s": GRACE_S,
         "extra_count": 100,
+        "tolerated_losses_count": tolerated_losses_count,
     }
     replicas = [
         Member("replica", host, folder / host, zone=zone)
