Replicated log: a replica that returns keeps its place in the order of joining

Cause: a replica that was removed, or that lost its disk, returned as the last member. The order of joining decides which of two replicas of a zone is the successor, so the older one took its successor's vote back. It may be lost at no cost; with one disk lost beside it, no read succeeded within 12 s.

The entries are the same as before.

--- a/hickoryweir/replicas/membership.py
+++ b/hickoryweir/replicas/membership.py
@@ -11,7 +11,7 @@
 
 import dataclasses
 
-from hickoryweir.replicas import messages, quorums, replication
+from hickoryweir.replicas import joining, messages, quorums, replication
 from hickoryweir.replicas import state as states
 from hickoryweir.streams import codec
 
@@ -27,7 +27,9 @@
         actions.append(states.ChangeRefused(refusal))
         return
     learner = dataclasses.replace(event.member, voter=False)
-    members = (*state.membership.members, learner)
+    members = joining.insert_member(
+        state.membership.members, learner, state.joined_names
+    )
     _append(state, members, event.time_s, now_s, actions)
 
 
--- a/hickoryweir/replicas/quorums.py
+++ b/hickoryweir/replicas/quorums.py
@@ -1,6 +1,6 @@
 """Quorums, and the history of memberships in the log."""
 
-from hickoryweir.replicas import messages
+from hickoryweir.replicas import joining, messages
 from hickoryweir.replicas import state as states
 from hickoryweir.streams import codec
 
@@ -58,6 +58,13 @@
         if entry.kind is messages.EntryKind.MEMBERSHIP:
             membership = codec.decode(entry.payload).unwrap()
             state.memberships.append((entry.index, membership))
+            state.joined_names = joining.merge_names(state.joined_names, membership)
+
+
+def restore_membership(state: states.State, snapshot: messages.Snapshot) -> None:
+    """Replace the membership history by a snapshot's membership."""
+    state.memberships = [(snapshot.index, snapshot.membership)]
+    state.joined_names = joining.merge_names(state.joined_names, snapshot.membership)
 
 
 def membership_at(state: states.State, index: int) -> messages.Membership:
--- a/hickoryweir/replicas/raft.py
+++ b/hickoryweir/replicas/raft.py
@@ -56,7 +56,7 @@
     state.voted_for = voted_for
     if snapshot is not None:
         state.snapshot = snapshot
-        state.memberships = [(snapshot.index, snapshot.membership)]
+        quorums.restore_membership(state, snapshot)
         state.commit_index = state.applied_index = snapshot.index
         state.log.reset(snapshot.index, snapshot.term)
     newer = tuple(entry for entry in entries if entry.index > state.log.last_index)
--- a/hickoryweir/replicas/replication.py
+++ b/hickoryweir/replicas/replication.py
@@ -397,7 +397,7 @@
     """Replace the log and the state machine by a snapshot."""
     state.snapshot = snapshot
     state.log.reset(snapshot.index, snapshot.term)
-    state.memberships = [(snapshot.index, snapshot.membership)]
+    quorums.restore_membership(state, snapshot)
     state.commit_index = snapshot.index
     state.applied_index = snapshot.index
     state.persisted_index = snapshot.index
--- a/hickoryweir/replicas/state.py
+++ b/hickoryweir/replicas/state.py
@@ -166,6 +166,7 @@
     memberships: list[tuple[int, messages.Membership]] = dataclasses.field(
         default_factory=list
     )
+    joined_names: tuple[str, ...] = ()
     commit_index: int = 0
     applied_index: int = 0
     persisted_index: int = 0
