Stops: the next request stays unread while a stop could cut the stream before it

Cause: a stopping router leaves further requests unread, but those that came before the signal had been read. HTTP/1.1 has no place for their answer.

Fix: while the stream's deadline is beyond what a stop that begins now would leave to it, the connection is not read on. The kernel then resets it with the stream, and the client knows that the next request was not read.

--- a/hickoryweir/entry/router.py
+++ b/hickoryweir/entry/router.py
@@ -117,6 +117,11 @@
     return open_port_s, time_left_s - open_port_s
 
 
+def _stop_time_s(entry_settings: settings.EntrySettings) -> float:
+    """Return for how long a stopping router lets its open requests go on."""
+    return sum(split_grace(entry_settings.shutdown.grace_s)) - server.ANSWER_MARGIN_S
+
+
 class Router:
     """A router process and its components."""
 
@@ -201,6 +206,7 @@
             held_limits=held_limits,
             memory_size_bytes=settings.memory_size_bytes(entry_settings),
             capacity=router_capacity.Capacity(settings.vm_limits(entry_settings)),
+            stop_time_s=_stop_time_s(entry_settings),
         )
         evidence_sender = evidence.Sender(
             forwarder.suspect_parts, self._subscriber.send_to_all
@@ -298,6 +304,7 @@
         budget = _make_budget(entry_settings)
         forwarder = self.forwarder
         forwarder.settings = dataclasses.replace(forwarder.settings, budget=budget)
+        forwarder.stop_time_s = _stop_time_s(entry_settings)
         for service_budget in forwarder.budgets.values():
             retry_budget.update_settings(service_budget, budget)
 
--- a/hickoryweir/forwarding/contexts.py
+++ b/hickoryweir/forwarding/contexts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 import time
 from collections.abc import Awaitable, Callable, Mapping
@@ -195,6 +196,8 @@
     stop_began_s, port_closed_s, stops_at_s : float or None
         While it stops, when the stop began, when its ports were closed, and when the
         last responses end, on :func:`clocks.boottime_s`.
+    stop_time_s : float
+        For how long open requests go on once the process has been told to stop.
     open_requests : dict
         The open request of each client connection that has one, as
         :class:`.open_requests.OpenRequest`.
@@ -297,6 +300,7 @@
     stop_began_s: float | None = None
     port_closed_s: float | None = None
     stops_at_s: float | None = None
+    stop_time_s: float = math.inf
     open_requests: dict = dataclasses.field(default_factory=dict)
     started: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     budgets: dict = dataclasses.field(default_factory=dict)
--- a/hickoryweir/forwarding/forwarder.py
+++ b/hickoryweir/forwarding/forwarder.py
@@ -131,6 +131,8 @@
         return refusal
     router_load.count_passed(forwarder, len(admitted.body), 0)
     open_requests.admit(open_request, admitted)
+    if relayed is None:
+        _leave_next_unread(forwarder, request, admitted)
     memory_room.record_size(admitted)
     if relayed is None:
         budget = _budget(forwarder, admitted.service_name)
@@ -145,6 +147,19 @@
         forwarder.metrics.open_requests.dec()
 
 
+def _leave_next_unread(
+    forwarder: contexts.Forwarder,
+    request: web.BaseRequest,
+    context: contexts.RequestContext,
+) -> None:
+    """Leave the next request unread while a stop could cut the stream before it."""
+    unread_s = stop_admission.unread_time_s(
+        context.route.is_stream, context.time_left_s, forwarder.stop_time_s
+    )
+    if unread_s > 0.0 and not forwarder.is_draining:
+        request.protocol.hold_next(unread_s)
+
+
 def _refuse_without_capacity(
     forwarder: contexts.Forwarder,
     open_request: open_requests.OpenRequest,
--- a/hickoryweir/forwarding/server.py
+++ b/hickoryweir/forwarding/server.py
@@ -95,6 +95,8 @@
         "_close_check",
         "_get_limits",
         "_held_limits",
+        "_hold_check",
+        "_hold_end",
         "_holds_next",
         "_left_check",
         "_limits",
@@ -139,6 +141,8 @@
         self.is_unframed = False
         self.is_held = False
         self._holds_next = False
+        self._hold_check: asyncio.TimerHandle | None = None
+        self._hold_end: asyncio.TimerHandle | None = None
         self._left_check: asyncio.TimerHandle | None = None
         self.delivery = slow_readers.Delivery()
 
@@ -326,42 +330,66 @@
         else:
             self._schedule_close_check()
 
-    def hold_next(self) -> None:
+    def hold_next(self, time_s: float | None = None) -> None:
         """Read no other request until the response to the one served has ended.
 
         If the connection ends before, the client knows that the next request was not
         read.
+
+        Parameters
+        ----------
+        time_s : float, optional
+            Time after which other requests are read again; none by default.
         """
+        self._cancel_hold_end()
+        if time_s is not None:
+            self._hold_end = self._loop.call_later(time_s, self.release_next)
         self._holds_next = True
+        self._hold()
+
+    def _hold(self) -> None:
+        """Pause reading once the request that is served has been received."""
         is_received = bool(self._messages) or not self._is_receiving_body()
         if self.is_held or self.served is None or not is_received:
             return
         self.is_held = True
         self._pause_transport_reading()
-        self._loop.call_later(LEFT_CHECK_INTERVAL_S, self._check_left)
+        self._schedule_hold_check()
 
     def release_next(self) -> None:
         """Read on after :meth:`hold_next`."""
+        self._cancel_hold_end()
         self._holds_next = False
         if not self.is_held:
             return
         self.is_held = False
+        self._hold_check.cancel()
         if not self._reading_paused and not self._buffer_paused:
             self._resume_transport_reading()
 
+    def _cancel_hold_end(self) -> None:
+        if self._hold_end is not None:
+            self._hold_end.cancel()
+            self._hold_end = None
+
     def _resume_transport_reading(self) -> None:
         """Resume reading, unless what follows is to stay unread."""
         if not self.is_held:
             super()._resume_transport_reading()
 
+    def _schedule_hold_check(self) -> None:
+        self._hold_check = self._loop.call_later(
+            LEFT_CHECK_INTERVAL_S, self._check_left
+        )
+
     def _check_left(self) -> None:
         """Read on if the client has left, which a paused transport does not report."""
-        if not self.is_held or self.client_transport is None:
+        if self.client_transport is None:
             return
         if sockets.has_peer_left(self.client_transport):
             self.release_next()
             return
-        self._loop.call_later(LEFT_CHECK_INTERVAL_S, self._check_left)
+        self._schedule_hold_check()
 
     @contextlib.contextmanager
     def closing_if_left(self) -> Iterator[None]:
@@ -432,7 +460,7 @@
     def _receive_part(self, data: bytes) -> None:
         super()._receive_part(data)
         if self._holds_next:
-            self.hold_next()
+            self._hold()
 
     def handle_error(
         self,
--- a/hickoryweir/forwarding_policy/stop_admission.py
+++ b/hickoryweir/forwarding_policy/stop_admission.py
@@ -91,3 +91,28 @@
     if client_time_left_s <= left_s:
         return True
     return duration_s is not None and duration_s <= left_s
+
+
+def unread_time_s(is_stream: bool, left_s: float, stop_time_s: float) -> float:
+    """Return for how long the next request on a connection stays unread.
+
+    A stream that a stop cuts ends its connection, and with it the requests behind it.
+    Such a request may be sent again if it has not been read.
+
+    Parameters
+    ----------
+    is_stream : bool
+        Whether the response to the request before it is a stream.
+    left_s : float
+        Time until that one's deadline.
+    stop_time_s : float
+        For how long a stop that begins now lets requests go on.
+
+    Examples
+    --------
+    >>> unread_time_s(True, 12.0, 7.0), unread_time_s(True, 6.0, 7.0)
+    (5.0, 0.0)
+    >>> unread_time_s(False, 12.0, 7.0)
+    0.0
+    """
+    return max(0.0, left_s - stop_time_s) if is_stream else 0.0
