--- a/hickoryweir/testing/soak/cluster.py
+++ b/hickoryweir/testing/soak/cluster.py
@@ -234,7 +234,7 @@
 def write_settings(cluster: Cluster, member: Member, **changes) -> None:
     """Write a member's settings file."""
     values = {"memory_mb": 0, "is_in_fault_budget": "yes", "bootstrap": "yes"}
-    values |= cluster.values
+    values |= {"tolerated_losses_count": 1} | cluster.values
     values |= {"zone": member.zone} | changes
     address = f"{member.host}:{values['port']}"
     values |= {"clients": address, "operators": address}
