--- a/spec/lists_fuzz.py
+++ b/spec/lists_fuzz.py
@@ -76,6 +76,8 @@
         Names of the list and of the token of the next page; no token if empty.
     checked_fields : tuple of str
         Names of fields that must be valid.
+    required_fields : tuple of str
+        Names of fields without which an entry is no server.
     service_field, address_field : str
         Names of these fields.
     """
@@ -85,6 +87,7 @@
     list_name: str
     token_name: str
     checked_fields: tuple[str, ...]
+    required_fields: tuple[str, ...]
     service_field: str
     address_field: str
 
@@ -105,6 +108,7 @@
     own_list.LIST_NAME,
     "",
     ("id", "service", "address", "state", "slots_count"),
+    ("id", "service", "address"),
     "service",
     "address",
 )
@@ -235,8 +239,7 @@
         if data.draw(st.booleans()):
             fields.append(repeated)
         else:
-            required = ("id", self.format.service_field, self.format.address_field)
-            lacked = data.draw(st.sampled_from(required))
+            lacked = data.draw(st.sampled_from(self.format.required_fields))
             fields = [item for item in fields if item[0] != lacked]
         self.foreign.append((position, _join(fields)))
 
