--- a/hickoryweir/replicas/automation.py
+++ b/hickoryweir/replicas/automation.py
@@ -147,8 +147,8 @@
     the successor has taken over.  With fewer zones it may be any voter, so the group
     has two voters more if as many members can vote and no zone holds a majority.
 
-    A learner is counted once it has caught up; it does not uncount when it lags again,
-    since the group would grow and shrink with its lag.
+    A learner is counted once it has caught up, and in a larger group while it responds.
+    Otherwise the group would grow and shrink with the lag of a slow disk.
     """
     has_extra = len(voters) > voters_wanted_count
     zones = [
