Usage tests: a replica with an empty disk has its time from when it serves

Traced by the logs: the emptied replica's process was started at 23:24:52 and served at 23:24:58.8; the next disk was lost at 23:24:59, 6 s after the launch and 0.2 s after it had begun to serve. Two of three disks were lost at once then, which nothing tolerates. The 6 s are to let it be admitted, so they count from when it serves.

--- a/hickoryweir/entry/tests/duty_processes.py
+++ b/hickoryweir/entry/tests/duty_processes.py
@@ -134,6 +134,16 @@
         async with self.session.get(self.url(host, "/duties")) as response:
             return await response.json()
 
+    async def wait_until_serving(self, host):
+        """Wait until a replica that was started answers."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                    async with asyncio.timeout(0.5):
+                        await self.describe(host)
+                        return
+                await asyncio.sleep(0.1)
+
     async def holder(self):
         """Return the replica that may make calls, once there is one."""
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/hickoryweir/entry/tests/test_usage_reports.py
+++ b/hickoryweir/entry/tests/test_usage_reports.py
@@ -223,6 +223,7 @@
                 await site.processes[host].wait()
                 shutil.rmtree(site.folder / host)
                 await site.start(host, "replica")
+                await site.wait_until_serving(host)
                 # The new replica is admitted in place of the lost one.
                 await asyncio.sleep(6.0)
             await read_token(site)
