--- a/hickoryweir/replicas/tests/test_joining.py
+++ b/hickoryweir/replicas/tests/test_joining.py
@@ -54,7 +54,7 @@
 def test_disk_may_be_lost_after_a_replica_that_had_returned_beside_its_successor(
     is_emptied, absent_s, lost
 ):
-    # Guards against a returned replica that takes the vote back and is lost at no cost.
+    # Guards against a replica that returns and takes its successor's vote back.
     cluster = test_final_losses.SpreadSimulation(seed=0)
     cluster.advance(2.0)
     cluster.add_machine("a-new")
--- a/hickoryweir/replicas/tests/test_shared_zones.py
+++ b/hickoryweir/replicas/tests/test_shared_zones.py
@@ -110,7 +110,7 @@
 def test_disks_may_be_lost_after_either_replica_of_a_zone_beside_its_successor(
     removed, seed, monkeypatch
 ):
-    # Guards against votes that rest on a replica that was lost at no cost.
+    # Guards against votes of a replica that may be lost beside the tolerated losses.
     monkeypatch.setattr(managed_simulation, "VOTERS_WANTED_COUNT", WANTED_COUNT)
     cluster = start_six(seed)
     cluster.add_machine("a3")
@@ -227,7 +227,7 @@
     return [*members, view]
 
 
-def found(names):
+def form_group(names):
     """Return the views of replicas that joined in an order, the first five voting."""
     members = []
     for order, name in enumerate(names):
@@ -247,7 +247,7 @@
     names = [f"{zone}{number}" for zone in zones for number in (1, 2)]
     if not joins_by_zone:
         names.sort(key=lambda name: name[1])
-    members = found(names)
+    members = form_group(names)
     led = find_member(members, messages.make_member_id(names[leads], "1"))
     if led.member.voter:
         members = change_members(members, wire.Change.TRANSFER, led.member.member_id)
